Add the whole path: node, stand-ins, rules, mesh and tests

Cause: the repository was empty. Change: a pure reducer over events, a node that routes calls to targets over pooled HTTP/1.1 connections, member records spread between nodes as Cap'n Proto datagrams, rules applied by compare-and-set in the table service, and stand-ins of the table service and of targets as separate processes.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, experiments and reports."""
--- /dev/null
+++ b/features/steps/verdict_steps.py
@@ -0,0 +1,36 @@
+"""Steps for verdicts of failed calls."""
+
+from behave import given, then, when
+
+from tests.conftest import http, wait_until
+
+
+@given("a node with one target")
+def step_one_target(context):
+    """Start a table service, a node and a target."""
+    context.cluster.start_table()
+    context.cluster.start_node("n1")
+    context.cluster.start_target("t1", "n1")
+    wait_until(lambda: context.cluster.knows_target("n1", "t1"))
+
+
+@when("the target has fault {fault}")
+def step_fault(context, fault):
+    """Set a fault of the target."""
+    if fault != "none":
+        ip, port = context.cluster.targets["t1"].info["addr"]
+        http(f"http://{ip}:{port}/faults", "POST", {fault: True})
+
+
+@when("a caller sends {method} to the node")
+def step_call(context, method):
+    """Send one call."""
+    body = b"sale" if method == "POST" else None
+    context.answer = context.cluster.call("n1", "/", method=method, body=body)
+
+
+@then('the answer has status {status:d} and verdict "{verdict}"')
+def step_answer(context, status, verdict):
+    """Check the status and the verdict header."""
+    assert context.answer[0] == status, context.answer
+    assert context.answer[1].get("X-Verdict", "none") == verdict, context.answer
--- /dev/null
+++ b/pimentoline/calls.py
@@ -0,0 +1,236 @@
+"""pimentoline.calls: life of a call, from its arrival to the end of its answer."""
+
+from dataclasses import replace
+
+from . import claims, limits, retries, routing
+from .effects import (
+    CancelAttempt,
+    Count,
+    FinishClaim,
+    ForwardAnswer,
+    RejectCall,
+    ReleaseClaim,
+    ScheduleHedge,
+    StartAttempt,
+)
+from .events import Outcome
+from .model import Attempt, CallPhase, CallRecord
+from .verdict import Verdict, combine
+
+__all__ = [
+    "on_arrived",
+    "on_attempt_ended",
+    "on_call_ended",
+    "on_caller_left",
+    "on_claim_answered",
+    "on_head",
+    "on_hedge_due",
+]
+
+
+def _with_call(state, record):
+    traffic = state.traffic
+    calls = traffic.calls.set(record.call.call_id, record)
+    return replace(state, traffic=replace(traffic, calls=calls))
+
+
+def _without_call(state, call_id):
+    traffic = state.traffic
+    return replace(state, traffic=replace(traffic, calls=traffic.calls.delete(call_id)))
+
+
+def _with_verdict(record, attempt_id, verdict):
+    attempts = tuple(
+        replace(att, verdict=verdict) if att.attempt_id == attempt_id else att
+        for att in record.attempts
+    )
+    return replace(record, attempts=attempts)
+
+
+def _attempt(record, attempt_id):
+    for att in record.attempts:
+        if att.attempt_id == attempt_id:
+            return att
+    return None
+
+
+def _in_flight(record):
+    return [att for att in record.attempts if att.verdict is None]
+
+
+def on_arrived(state, event):
+    """Admit a call and send it, claim its key first, or reject it."""
+    call = event.call
+    req = call.req
+    policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
+    record = CallRecord(call, CallPhase.SENDING, policy.idempotent)
+    state, refusal = limits.admit(state, call, event.now, event.draw)
+    if refusal is not None:
+        reject = RejectCall(call.call_id, 503, refusal, Verdict.NOT_RUN, refusal)
+        return state, (reject, Count(f"calls.{refusal}"))
+    if claims.is_required(record):
+        record = replace(record, phase=CallPhase.CLAIMING)
+        return _with_call(state, record), (claims.insert(record),)
+    state, effects = _start(state, record, event)
+    if record.idempotent and policy.hedge and effects:
+        delay_s = retries.hedge_delay_s(state, req.service)
+        effects += (ScheduleHedge(call.call_id, delay_s),)
+    return state, effects
+
+
+def _start(state, record, event, hedge=False):
+    """Start an attempt, or reject the call if there is no target for it."""
+    tried = {att.target_id for att in record.attempts}
+    state, target = routing.pick(state, record, tried, event.now, event.draw)
+    call = record.call
+    if target is None or call.req.deadline <= event.now:
+        code = "no-target" if target is None else "deadline-exceeded"
+        return _reject(state, record, 503 if target is None else 504, code)
+    attempt_id = state.traffic.next_attempt
+    attempt = Attempt(attempt_id, target.target_id, event.now, hedge)
+    retry = bool(record.attempts)
+    record = replace(
+        record, phase=CallPhase.SENDING, attempts=record.attempts + (attempt,)
+    )
+    traffic = replace(state.traffic, next_attempt=attempt_id + 1)
+    state = _with_call(replace(state, traffic=traffic), record)
+    state = limits.note_sent(state, target.target_id, event.now)
+    effect = StartAttempt(
+        call.call_id,
+        attempt_id,
+        target.target_id,
+        target.addr,
+        call.req.deadline - event.now,
+        record.idempotent,
+        retry,
+    )
+    return state, (effect,)
+
+
+def _reject(state, record, status, code):
+    call = record.call
+    verdict = combine(att.verdict or Verdict.MAY_HAVE_RUN for att in record.attempts)
+    effects = [RejectCall(call.call_id, status, code, verdict, code)]
+    effects.append(Count(f"calls.{code}"))
+    if claims.is_required(record) and verdict is Verdict.NOT_RUN:
+        effects.append(ReleaseClaim(call.call_id, call.req.service, call.req.key))
+    for att in _in_flight(record):
+        effects.append(CancelAttempt(call.call_id, att.attempt_id))
+        state = limits.note_cancelled(state, att.target_id)
+    if call.call_id in state.traffic.calls:
+        state = _without_call(state, call.call_id)
+    return state, tuple(effects)
+
+
+def on_claim_answered(state, event):
+    """Send a claimed call; reject one whose key is held or cannot be claimed."""
+    record = state.traffic.calls.get(event.call_id)
+    if record is None:
+        return state, ()
+    refusal = claims.refusal(record, event.outcome)
+    if refusal is None:
+        return _start(state, record, event)
+    return _without_call(state, event.call_id), refusal
+
+
+def on_head(state, event):
+    """Forward an answer, or retry if the target shed the call or failed."""
+    record = state.traffic.calls.get(event.call_id)
+    attempt = record and _attempt(record, event.attempt_id)
+    if attempt is None or attempt.verdict is not None or record.answering is not None:
+        return state, ()
+    verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
+    state = limits.note_answer(state, record, attempt, event)
+    record = _with_verdict(record, event.attempt_id, verdict)
+    if event.status >= 500:
+        state, may_retry = retries.may_retry(state, record, verdict, event.now)
+        if may_retry:
+            state = _with_call(state, record)
+            started, effects = _start(state, record, event)
+            if any(isinstance(eff, StartAttempt) for eff in effects):
+                cancel = CancelAttempt(event.call_id, event.attempt_id)
+                started = limits.note_done(started, attempt.target_id)
+                return started, (cancel, Count("attempts.retried")) + effects
+    if event.not_run:
+        state = limits.note_done(state, attempt.target_id)
+        state, effects = _reject(state, record, 503, "target-shed")
+        return state, (CancelAttempt(event.call_id, event.attempt_id),) + effects
+    return _forward(state, record, event.attempt_id)
+
+
+def _forward(state, record, attempt_id):
+    call_id = record.call.call_id
+    effects = [ForwardAnswer(call_id, attempt_id)]
+    for att in _in_flight(record):
+        effects.append(CancelAttempt(call_id, att.attempt_id))
+        state = limits.note_cancelled(state, att.target_id)
+        record = _with_verdict(record, att.attempt_id, Verdict.MAY_HAVE_RUN)
+    record = replace(record, phase=CallPhase.ANSWERING, answering=attempt_id)
+    return _with_call(state, record), tuple(effects)
+
+
+def on_attempt_ended(state, event):
+    """Retry an attempt that gave no answer, wait for its hedge, or reject."""
+    record = state.traffic.calls.get(event.call_id)
+    attempt = record and _attempt(record, event.attempt_id)
+    if attempt is None or attempt.verdict is not None:
+        return state, ()
+    state = limits.note_failure(state, attempt, event.now)
+    record = _with_verdict(record, event.attempt_id, event.verdict)
+    state = _with_call(state, record)
+    if _in_flight(record):
+        return state, ()
+    if event.replayable:
+        state, may_retry = retries.may_retry(state, record, event.verdict, event.now)
+        if may_retry:
+            return _start(state, record, event)
+    timed_out = event.outcome is Outcome.TIMEOUT
+    return _reject(
+        state, record, 504 if timed_out else 502, f"target-{event.outcome.value}"
+    )
+
+
+def on_call_ended(state, event):
+    """Forget a call whose answer was passed on, whole or cut."""
+    record = state.traffic.calls.get(event.call_id)
+    if record is None:
+        return state, ()
+    effects = ()
+    if claims.is_required(record) and record.answering is not None:
+        req = record.call.req
+        answered = _attempt(record, record.answering)
+        kind = ReleaseClaim if answered.verdict is Verdict.NOT_RUN else FinishClaim
+        effects = (kind(event.call_id, req.service, req.key),)
+    answering = _attempt(record, record.answering)
+    if answering is not None:
+        state = limits.note_done(state, answering.target_id)
+    return _without_call(state, event.call_id), effects
+
+
+def on_caller_left(state, event):
+    """Cancel every attempt of a call whose caller has gone."""
+    record = state.traffic.calls.get(event.call_id)
+    if record is None:
+        return state, ()
+    effects = []
+    for att in record.attempts:
+        if att.verdict is None or att.attempt_id == record.answering:
+            effects.append(CancelAttempt(event.call_id, att.attempt_id))
+            state = limits.note_cancelled(state, att.target_id)
+    return _without_call(state, event.call_id), tuple(effects)
+
+
+def on_hedge_due(state, event):
+    """Start a second attempt of an idempotent call that is late."""
+    record = state.traffic.calls.get(event.call_id)
+    if record is None or record.answering is not None or not event.replayable:
+        return state, ()
+    if len(_in_flight(record)) != 1:
+        return state, ()
+    state, allowed = retries.may_hedge(state, record, event.now)
+    if not allowed:
+        return state, ()
+    started, effects = _start(state, record, event, hedge=True)
+    if not any(isinstance(eff, StartAttempt) for eff in effects):
+        return state, ()
+    return started, effects + (Count("attempts.hedged"),)
--- /dev/null
+++ b/pimentoline/claims.py
@@ -0,0 +1,37 @@
+"""pimentoline.claims: idempotency claims of keyed calls that must run once."""
+
+from .effects import InsertClaim, RejectCall
+from .events import ClaimOutcome
+from .verdict import Verdict
+
+__all__ = ["insert", "is_required", "refusal"]
+
+
+def is_required(record):
+    """Return whether the call needs a claim row before it is sent."""
+    return bool(record.call.req.key) and not record.idempotent
+
+
+def insert(record):
+    """Return the effect that inserts the claim of a call."""
+    req = record.call.req
+    return InsertClaim(record.call.call_id, req.service, req.key)
+
+
+def refusal(record, outcome):
+    """Return the effects that answer a call without a claim, or None if granted."""
+    call_id = record.call.call_id
+    match outcome:
+        case ClaimOutcome.GRANTED:
+            return None
+        case ClaimOutcome.REPLAY:
+            # The runtime answers with the recorded outcome.
+            return ()
+        case ClaimOutcome.HELD:
+            detail = "another attempt holds this idempotency key"
+            verdict = Verdict.MAY_HAVE_RUN
+            return (RejectCall(call_id, 409, "key-held", verdict, detail),)
+        case ClaimOutcome.UNAVAILABLE:
+            detail = "the store is unavailable, so the key cannot be claimed"
+            verdict = Verdict.NOT_RUN
+            return (RejectCall(call_id, 503, "store-unavailable", verdict, detail),)
--- /dev/null
+++ b/pimentoline/events.py
@@ -0,0 +1,191 @@
+"""pimentoline.events: everything that can happen to a node, as data.
+
+`now` is the node's monotonic clock in seconds; `draw` is a random 64-bit integer.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from .model import Call, Member, Target
+from .rules.ruleset import RuleSet
+from .verdict import Verdict
+
+__all__ = [
+    "AttemptEnded",
+    "CallArrived",
+    "CallEnded",
+    "CallerLeft",
+    "ClaimAnswered",
+    "ClaimOutcome",
+    "HeadReceived",
+    "HedgeDue",
+    "MembersHeard",
+    "Outcome",
+    "RulesHeard",
+    "RulesLoaded",
+    "StopRequested",
+    "TargetAnnounced",
+    "TargetDrained",
+    "TargetWithdrawn",
+    "Tick",
+]
+
+
+class Outcome(enum.Enum):
+    """How an attempt ended without an answer."""
+
+    REFUSED = "refused"
+    BROKEN = "broken"
+    TIMEOUT = "timeout"
+
+
+class ClaimOutcome(enum.Enum):
+    """The store's word on an idempotency claim."""
+
+    GRANTED = "granted"
+    HELD = "held"
+    REPLAY = "replay"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True, slots=True)
+class CallArrived:
+    """A caller's request head was read."""
+
+    now: float
+    draw: int
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswered:
+    """The store answered an `InsertClaim`."""
+
+    now: float
+    draw: int
+    call_id: int
+    outcome: ClaimOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class HeadReceived:
+    """A target answered with a response head.
+
+    `not_run` is the target's own contract word that it shed the request;
+    `load` is its requests in flight, or None if it did not say.
+    """
+
+    now: float
+    draw: int
+    call_id: int
+    attempt_id: int
+    status: int
+    not_run: bool = False
+    load: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt ended before a response head; `verdict` says if it may have run."""
+
+    now: float
+    draw: int
+    call_id: int
+    attempt_id: int
+    outcome: Outcome
+    verdict: Verdict
+    replayable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnded:
+    """The answering attempt finished; `whole` is False if the answer was cut."""
+
+    now: float
+    call_id: int
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection before the answer was complete."""
+
+    now: float
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class HedgeDue:
+    """The hedge delay of a call has passed."""
+
+    now: float
+    draw: int
+    call_id: int
+    replayable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnnounced:
+    """The target on this host announced itself or renewed its announcement."""
+
+    now: float
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class TargetDrained:
+    """The target on this host asked for, or was ordered to, drain."""
+
+    now: float
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetWithdrawn:
+    """The target on this host has stopped."""
+
+    now: float
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class MembersHeard:
+    """Records of members arrived from a peer."""
+
+    now: float
+    records: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RulesHeard:
+    """A peer or the store named a rules version."""
+
+    now: float
+    version: int
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class RulesLoaded:
+    """A validated rules text arrived."""
+
+    now: float
+    version: int
+    text: str
+    ruleset: RuleSet
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Periodic event, ten times a second."""
+
+    now: float
+    draw: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The process was told to stop."""
+
+    now: float
--- /dev/null
+++ b/pimentoline/mesh.capnp
@@ -0,0 +1,48 @@
+@0xd3a1f2b4c5968778;
+
+struct Address {
+  ip @0 :Text;
+  port @1 :UInt16;
+}
+
+struct Target {
+  targetId @0 :Text;
+  service @1 :Text;
+  addr @2 :Address;
+  slots @3 :UInt32;
+  connections @4 :UInt32;
+  state @5 :Text;
+  loadPath @6 :Text;
+  version @7 :Text;
+}
+
+struct Member {
+  nodeId @0 :Text;
+  host @1 :Text;
+  addr @2 :Address;
+  region @3 :Text;
+  dc @4 :Text;
+  incarnation @5 :UInt64;
+  seq @6 :UInt64;
+  status @7 :Text;
+  targets @8 :List(Target);
+  rulesVersion @9 :UInt64;
+}
+
+struct Envelope {
+  protocol @0 :UInt16;
+  sender @1 :Text;
+  incarnation @2 :UInt64;
+  rulesVersion @3 :UInt64;
+  union {
+    none @4 :Void;
+    rumours @5 :List(Member);
+    rulesRequest @6 :UInt64;
+    rulesReply @7 :RulesText;
+  }
+}
+
+struct RulesText {
+  version @0 :UInt64;
+  body @1 :Data;
+}
--- /dev/null
+++ b/pimentoline/mesh.py
@@ -0,0 +1,124 @@
+"""pimentoline.mesh: UDP datagrams and TCP frames between nodes."""
+
+import asyncio
+import socket
+
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from .codec import MAX_FRAME_BYTES
+from .errors import CodecError
+
+__all__ = ["Mesh"]
+
+FRAME_TIMEOUT_S = 2.0
+
+
+class Mesh(TCPServer):
+    """Transport of one node.
+
+    Parameters
+    ----------
+    codec : Codec
+    on_message : callable
+        Called with each authentic `Message`; the message it returns, if any, is
+        the reply on a TCP connection.
+    on_refused : callable
+        Called with the `CodecError` of each refused message.
+    """
+
+    def __init__(self, codec, on_message, on_refused):
+        super().__init__()
+        self._codec = codec
+        self._on_message = on_message
+        self._on_refused = on_refused
+        self._client = TCPClient()
+        self._sock = None
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def bind_addr(self, addr):
+        """Bind UDP and TCP to the same address and return it."""
+        ip, port = addr
+        tcp = socket.create_server((ip, port), backlog=128)
+        tcp.setblocking(False)
+        bound = tcp.getsockname()[:2]
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind(bound)
+        self.add_sockets([tcp])
+        asyncio.get_running_loop().add_reader(self._sock, self._on_readable)
+        return bound
+
+    def send(self, addr, message):
+        """Send a datagram; a lost one is not noticed."""
+        data = self._codec.encode(message)
+        self.bytes_sent += len(data)
+        try:
+            self._sock.sendto(data, addr)
+        except OSError as exc:
+            self._on_refused(exc)
+
+    def _on_readable(self):
+        while True:
+            try:
+                data, _ = self._sock.recvfrom(65536)
+            except (BlockingIOError, ConnectionRefusedError):
+                return
+            self._receive(data)
+
+    def _receive(self, data):
+        self.bytes_received += len(data)
+        try:
+            message = self._codec.decode(data)
+        except CodecError as exc:
+            self._on_refused(exc)
+            return None
+        return self._on_message(message)
+
+    async def ask(self, addr, message):
+        """Send a frame over TCP and return the reply, or None without one."""
+        try:
+            stream = await asyncio.wait_for(
+                self._client.connect(*addr), FRAME_TIMEOUT_S
+            )
+            try:
+                await self._write(stream, self._codec.encode(message))
+                data = await asyncio.wait_for(self._read(stream), FRAME_TIMEOUT_S)
+            finally:
+                stream.close()
+            return self._codec.decode(data)
+        except (StreamClosedError, asyncio.TimeoutError, OSError, CodecError):
+            return None
+
+    async def _write(self, stream, data):
+        self.bytes_sent += len(data)
+        await stream.write(len(data).to_bytes(4, "big") + data)
+
+    async def _read(self, stream):
+        size = int.from_bytes(await stream.read_bytes(4), "big")
+        if size > MAX_FRAME_BYTES:
+            raise CodecError(f"frame of {size} bytes is too large")
+        return await stream.read_bytes(size)
+
+    async def handle_stream(self, stream, address):
+        """Answer one frame."""
+        try:
+            reply = self._receive(
+                await asyncio.wait_for(self._read(stream), FRAME_TIMEOUT_S)
+            )
+            if reply is not None:
+                await self._write(stream, self._codec.encode(reply))
+        except (StreamClosedError, asyncio.TimeoutError):
+            pass
+        except CodecError as exc:
+            self._on_refused(exc)
+        finally:
+            stream.close()
+
+    def close(self):
+        """Close all sockets."""
+        self.stop()
+        asyncio.get_running_loop().remove_reader(self._sock)
+        self._sock.close()
--- /dev/null
+++ b/pimentoline/model.py
@@ -0,0 +1,286 @@
+"""pimentoline.model: the frozen data classes that make up a node's state."""
+
+import enum
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from .rules.ruleset import RuleSet
+from .verdict import Verdict
+
+__all__ = [
+    "Attempt",
+    "Call",
+    "CallRecord",
+    "Identity",
+    "Member",
+    "MemberStatus",
+    "MeshState",
+    "Request",
+    "RulesState",
+    "ServiceStats",
+    "State",
+    "Target",
+    "TargetState",
+    "TargetStats",
+    "TrafficState",
+]
+
+
+class TargetState(enum.Enum):
+    """Life of a target, as told by its node."""
+
+    STARTING = "starting"
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class MemberStatus(enum.Enum):
+    """Life of a node, as its peers see it."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One instance of a service.
+
+    Parameters
+    ----------
+    target_id : str
+        Unique name, chosen by the target.
+    service : str
+    addr : tuple of (str, int)
+        IP number and port of the target's HTTP server.
+    region, dc : str
+        Region and data centre of the host, taken from its node.
+    slots : int
+        Requests that the target serves at once.
+    connections : int
+        Connections that the target accepts in total.
+    state : TargetState
+    load_path : str
+        Path of the load endpoint that probes ask.
+    version : str
+        Release that the target runs; canary rules select on it.
+    """
+
+    target_id: str
+    service: str
+    addr: tuple[str, int]
+    region: str
+    dc: str
+    slots: int = 12
+    connections: int = 260
+    state: TargetState = TargetState.UP
+    load_path: str = "/load"
+    version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Record of one node, written only by that node.
+
+    Of two records of a node the one with the higher `(incarnation, seq)` is valid;
+    `incarnation` is the boot time in milliseconds.
+    """
+
+    node_id: str
+    host: str
+    addr: tuple[str, int]
+    region: str
+    dc: str
+    incarnation: int
+    seq: int = 0
+    status: MemberStatus = MemberStatus.ALIVE
+    targets: tuple[Target, ...] = ()
+    rules_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """What a process is, from its settings."""
+
+    node_id: str
+    host: str
+    region: str
+    dc: str
+    data_addr: tuple[str, int]
+    mesh_addr: tuple[str, int]
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What the core knows of a caller's request; the body stays in the proxy.
+
+    `deadline` is in seconds of the node's monotonic clock.
+    """
+
+    service: str
+    method: str
+    path: str
+    deadline: float
+    call_class: str = "normal"
+    depth: int = 0
+    retry_attempt: int = 0
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request received by this node."""
+
+    call_id: int
+    req: Request
+    arrived: float
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One sending of a call to one target.
+
+    `verdict` is None while the attempt is in flight.
+    """
+
+    attempt_id: int
+    target_id: str
+    started: float
+    hedge: bool = False
+    verdict: Verdict | None = None
+
+
+class CallPhase(enum.Enum):
+    """Progress of a call."""
+
+    CLAIMING = "claiming"
+    SENDING = "sending"
+    ANSWERING = "answering"
+
+
+@dataclass(frozen=True, slots=True)
+class CallRecord:
+    """A call in flight and its attempts, oldest first.
+
+    `answering` is the attempt whose answer goes to the caller.
+    """
+
+    call: Call
+    phase: CallPhase
+    idempotent: bool
+    attempts: tuple[Attempt, ...] = ()
+    answering: int | None = None
+    replayable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class TargetStats:
+    """What this node has observed of one target.
+
+    Parameters
+    ----------
+    inflight : int
+        Own requests in flight.
+    latency_s : float
+        Peak-sensitive moving average of the time to the response head, seconds.
+    latency_at : float
+        Monotonic time of the last latency sample, seconds.
+    reported : float
+        Last reported requests in flight at the target, from all nodes.
+    reported_at : float
+        Monotonic time of that report, seconds; negative infinity if none.
+    sent_since : int
+        Own requests sent since that report.
+    failures : int
+        Consecutive failures.
+    window : tuple of bool
+        Outcomes of the latest calls, True for success, newest last.
+    ejected_until, ejected_for_s : float
+        End and length of the current or last ejection, seconds.
+    ready_at : float
+        Monotonic time at which the target came up or came back, for slow start.
+    """
+
+    inflight: int = 0
+    latency_s: float = 0.0
+    latency_at: float = 0.0
+    reported: float = 0.0
+    reported_at: float = float("-inf")
+    sent_since: int = 0
+    failures: int = 0
+    window: tuple[bool, ...] = ()
+    ejected_until: float = 0.0
+    ejected_for_s: float = 0.0
+    ready_at: float = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceStats:
+    """What this node has observed of one service.
+
+    `retry_tokens` is the credit for retries and hedges; `requests` and `accepts`
+    are decayed counts by class for adaptive throttling; `latencies` are the latest
+    times to the response head in seconds; `ring` is the widest locality ring in use.
+    """
+
+    retry_tokens: float = 1.0
+    requests: Map = field(default_factory=Map)
+    accepts: Map = field(default_factory=Map)
+    counted_at: float = 0.0
+    latencies: tuple[float, ...] = ()
+    ring: int = 0
+    cursor: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficState:
+    """Calls in flight and observations; keys are call, target and service names."""
+
+    calls: Map = field(default_factory=Map)
+    targets: Map = field(default_factory=Map)
+    services: Map = field(default_factory=Map)
+    next_attempt: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RulesState:
+    """The configuration in force and what is known of newer ones.
+
+    `heard` is the highest version that any peer or the store has named; `source`
+    names who gave the text in force (`builtin`, `store` or a node id).
+    """
+
+    version: int = 0
+    text: str = ""
+    ruleset: RuleSet = field(default_factory=RuleSet)
+    source: str = "builtin"
+    heard: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MeshState:
+    """Members by node id, and the routable targets by service.
+
+    `rumours` maps a node id to the number of further sends of its record;
+    `by_service` is derived from `members` and kept for fast routing.
+    """
+
+    members: Map = field(default_factory=Map)
+    rumours: Map = field(default_factory=Map)
+    by_service: Map = field(default_factory=Map)
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """All of a node's decision state."""
+
+    me: Identity
+    rules: RulesState = field(default_factory=RulesState)
+    mesh: MeshState = field(default_factory=MeshState)
+    traffic: TrafficState = field(default_factory=TrafficState)
+    policy: str = "hot-cold"
+    stopping: bool = False
--- /dev/null
+++ b/pimentoline/policies/__init__.py
@@ -0,0 +1,5 @@
+"""pimentoline.policies: policies that choose one of several candidates."""
+
+from ._mapping import get_policy_by_name, policy_names
+
+__all__ = ["get_policy_by_name", "policy_names"]
--- /dev/null
+++ b/pimentoline/policies/_mapping.py
@@ -0,0 +1,34 @@
+"""pimentoline.policies._mapping: table of policies by name."""
+
+import functools
+import importlib
+
+from ..errors import SettingsError
+
+__all__ = ["get_policy_by_name", "policy_names"]
+
+# name: (module, class)
+POLICIES = {
+    "hot-cold": ("hot_cold", "HotColdPolicy"),
+    "random": ("random", "RandomPolicy"),
+}
+
+
+def policy_names():
+    """Return the names of all policies, sorted."""
+    return sorted(POLICIES)
+
+
+@functools.cache
+def get_policy_by_name(name):
+    """Return the policy of that name.
+
+    Raises
+    ------
+    SettingsError
+        If there is no such policy.
+    """
+    if name not in POLICIES:
+        raise SettingsError(f"policy {name!r}; allowed: {', '.join(policy_names())}")
+    module, cls = POLICIES[name]
+    return getattr(importlib.import_module(f".{module}", __package__), cls)()
--- /dev/null
+++ b/pimentoline/publisher.py
@@ -0,0 +1,150 @@
+"""pimentoline.publisher: what a node reads from and writes to the store."""
+
+import difflib
+import hashlib
+import time
+
+from . import events as ev
+from .effects import FinishClaim, InsertClaim, ReleaseClaim
+from .errors import PimentolineError, StoreError
+
+__all__ = ["Publisher"]
+
+HEAD_KEY = "config/head"
+
+
+class Publisher:
+    """Configuration, audit trail and claims of one node in the store.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def load_from_store(self):
+        """Take the rules in the store if they are newer than those in force."""
+        node = self._node
+        if node.store is None:
+            return
+        try:
+            head = await node.store.get(HEAD_KEY)
+            version = head.value["version"] if head.version else 0
+            if version <= node.state.rules.version:
+                return
+            row = await node.store.get(f"config/{version}")
+            node.load_rules(version, row.value["text"], "store")
+        except (PimentolineError, KeyError, TypeError):
+            node.metrics.count("store.failed")
+
+    async def apply(self, base, text, author, attempt):
+        """Write a new rules version if `base` is still in force.
+
+        Returns
+        -------
+        dict
+            `{"result": "accepted" | "conflict" | "unknown", ...}`.
+        """
+        node = self._node
+        try:
+            head = await node.store.get(HEAD_KEY)
+        except PimentolineError as exc:
+            return {"result": "unavailable", "detail": exc.detail}
+        current = head.value if head.version else {"version": 0, "attempt": ""}
+        if current["attempt"] == attempt:
+            return await self._accepted(current["version"], text)
+        if current["version"] != base:
+            return {"result": "conflict", "head": current}
+        version = base + 1
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        diff = list(
+            difflib.unified_diff(
+                node.state.rules.text.splitlines(), text.splitlines(), lineterm=""
+            )
+        )
+        new = {"version": version, "digest": digest, "attempt": attempt}
+        audit = {
+            "version": version,
+            "author": author,
+            "time": time.time(),
+            "attempt": attempt,
+            "base": base,
+            "diff": diff,
+        }
+        puts = [
+            (HEAD_KEY, new),
+            (f"config/{version}", {"text": text}),
+            (f"audit/{version:010d}", audit),
+        ]
+        try:
+            done = await node.store.commit([(HEAD_KEY, head.version)], puts)
+        except PimentolineError:
+            return await self._resolve(version, text, attempt)
+        if not done:
+            return await self._resolve(version, text, attempt)
+        return await self._accepted(version, text)
+
+    async def _resolve(self, version, text, attempt):
+        """Find out whether a write without an answer took effect."""
+        try:
+            head = await self._node.store.get(HEAD_KEY)
+        except PimentolineError as exc:
+            return {"result": "unknown", "attempt": attempt, "detail": exc.detail}
+        if head.version and head.value["attempt"] == attempt:
+            return await self._accepted(version, text)
+        return {"result": "conflict", "head": head.value}
+
+    async def _accepted(self, version, text):
+        self._node.load_rules(version, text, "store")
+        return {"result": "accepted", "version": version}
+
+    async def history(self, limit=100):
+        """Return the audit rows, oldest first."""
+        rows = await self._node.store.scan("audit/", limit)
+        return [row.value for row in rows]
+
+    async def claim(self, effect):
+        """Carry out a claim effect."""
+        key = f"claim/{effect.service}/{effect.key}"
+        match effect:
+            case InsertClaim():
+                outcome = await self._insert(key, effect.call_id)
+                node = self._node
+                node.dispatch(
+                    ev.ClaimAnswered(node.clock(), node.draw(), effect.call_id, outcome)
+                )
+            case ReleaseClaim():
+                await self._quietly(deletes=[key])
+            case FinishClaim():
+                value = {"attempt": self._attempt(effect.call_id), "done": True}
+                await self._quietly(puts=[(key, value)])
+
+    def _attempt(self, call_id):
+        me = self._node.state.me
+        return f"{me.node_id}/{me.incarnation}/{call_id}"
+
+    async def _insert(self, key, call_id):
+        store = self._node.store
+        if store is None:
+            return ev.ClaimOutcome.UNAVAILABLE
+        attempt = self._attempt(call_id)
+        try:
+            if await store.commit([(key, 0)], [(key, {"attempt": attempt})]):
+                return ev.ClaimOutcome.GRANTED
+        except PimentolineError:
+            pass
+        try:
+            row = await store.get(key)
+        except PimentolineError:
+            return ev.ClaimOutcome.UNAVAILABLE
+        if row.version and row.value.get("attempt") == attempt:
+            return ev.ClaimOutcome.GRANTED
+        return ev.ClaimOutcome.HELD if row.version else ev.ClaimOutcome.UNAVAILABLE
+
+    async def _quietly(self, puts=(), deletes=()):
+        try:
+            await self._node.store.commit(puts=puts, deletes=deletes)
+        except (PimentolineError, StoreError):
+            self._node.metrics.count("store.failed")
--- /dev/null
+++ b/pimentoline/reducer.py
@@ -0,0 +1,71 @@
+"""pimentoline.reducer: the one reducer over all events."""
+
+from dataclasses import dataclass, replace
+
+from . import calls, configuration, membership
+from . import events as ev
+from .model import State
+
+__all__ = ["Step", "reduce"]
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Next state and the effects that the runtime has to execute, in order."""
+
+    state: State
+    effects: tuple = ()
+
+
+def reduce(state, event):
+    """Apply one event to the state of a node.
+
+    The function is pure: a recorded list of events replays to the same state.
+
+    Parameters
+    ----------
+    state : State
+    event : data class of `pimentoline.events`
+
+    Returns
+    -------
+    Step
+
+    Raises
+    ------
+    TypeError
+        If the event is of an unknown class.
+    """
+    match event:
+        case ev.CallArrived():
+            return Step(*calls.on_arrived(state, event))
+        case ev.HeadReceived():
+            return Step(*calls.on_head(state, event))
+        case ev.AttemptEnded():
+            return Step(*calls.on_attempt_ended(state, event))
+        case ev.CallEnded():
+            return Step(*calls.on_call_ended(state, event))
+        case ev.CallerLeft():
+            return Step(*calls.on_caller_left(state, event))
+        case ev.HedgeDue():
+            return Step(*calls.on_hedge_due(state, event))
+        case ev.ClaimAnswered():
+            return Step(*calls.on_claim_answered(state, event))
+        case ev.TargetAnnounced():
+            return Step(*membership.on_target_announced(state, event))
+        case ev.TargetDrained():
+            return Step(*membership.on_target_drained(state, event))
+        case ev.TargetWithdrawn():
+            return Step(*membership.on_target_withdrawn(state, event))
+        case ev.MembersHeard():
+            return Step(*membership.on_members_heard(state, event))
+        case ev.RulesHeard():
+            return Step(*configuration.on_rules_heard(state, event))
+        case ev.RulesLoaded():
+            return Step(*configuration.on_rules_loaded(state, event))
+        case ev.Tick():
+            return Step(*membership.on_tick(state, event))
+        case ev.StopRequested():
+            state, effects = membership.on_stop(state, event)
+            return Step(replace(state, stopping=True), effects)
+    raise TypeError(f"unknown event {type(event).__name__}")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of pimentoline."""
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,49 @@
+"""The whole path with separate processes."""
+
+import json
+
+from .conftest import wait_until
+
+
+def start_pair(cluster):
+    """Start a table service, two nodes in two regions and a target at the second."""
+    cluster.start_table()
+    cluster.start_node("n1", region="rift", dc="kerio")
+    cluster.start_node("n2", region="coast", dc="kwale")
+    cluster.start_target("t1", "n2")
+    wait_until(lambda: cluster.knows_target("n1", "t1"), message="t1 at n1")
+
+
+def test_call_reaches_target_of_another_host(cluster):
+    """Guards against a path that is broken anywhere from caller to target."""
+    start_pair(cluster)
+    headers = {"X-Run-Id": "r1"}
+    status, _, body = cluster.call("n1", "/weights", headers=headers)
+    assert status == 200
+    assert json.loads(body)["target"] == "t1"
+
+
+def test_unknown_service_is_not_run(cluster):
+    """Guards against a call to no target that is answered as if it may have run."""
+    start_pair(cluster)
+    status, headers, body = cluster.call("n1", "/", service="nowhere")
+    assert status == 503
+    assert headers["X-Verdict"] == "not-run"
+    assert json.loads(body)["error"] == "unknown-service"
+
+
+def test_applied_rules_reach_every_node(cluster):
+    """Guards against a node that never puts an accepted version in force."""
+    start_pair(cluster)
+    text = "pause t1  # asked by Wanjiru\n"
+    body = {"base": 0, "text": text, "author": "otieno", "attempt": "attempt-1"}
+    status, answer = cluster.admin("n2", "/v1/config", "POST", body)
+    assert (status, answer["result"]) == (200, "accepted")
+    wait_until(lambda: cluster.admin("n1", "/v1/config")[1]["version"] == 1)
+    assert cluster.call("n1", "/weights")[0] == 503
+
+
+def test_node_stops_gracefully(cluster):
+    """Guards against a node that needs to be killed."""
+    start_pair(cluster)
+    assert cluster.nodes["n1"].stop() == 0
