--- /dev/null
+++ b/pimentoline/draws.py
@@ -0,0 +1,24 @@
+"""pimentoline.draws: independent random numbers from the one draw of an event."""
+
+__all__ = ["fraction", "mix"]
+
+MASK = 0xFFFFFFFFFFFFFFFF
+
+
+def mix(draw, salt):
+    """Return a 64-bit integer from a draw; salts give independent ones.
+
+    One event takes several decisions. Taking them from the same bits would make
+    them depend on each other: the calls that pass throttling would then prefer
+    some targets. The steps are those of the SplitMix64 generator.
+    """
+    word = (draw + salt * 0x9E3779B97F4A7C15) & MASK
+    word = ((word ^ (word >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    word = ((word ^ (word >> 27)) * 0x94D049BB133111EB) & MASK
+    return word ^ (word >> 31)
+
+
+def fraction(draw, salt):
+    """Return a number in [0, 1) from a draw."""
+    # A float holds 53 bits; dividing all 64 by 2**64 could round up to 1.0.
+    return (mix(draw, salt) >> 11) * 2.0**-53
--- a/pimentoline/policies/_mapping.py
+++ b/pimentoline/policies/_mapping.py
@@ -10,7 +10,10 @@
 # name: (module, class)
 POLICIES = {
     "hot-cold": ("hot_cold", "HotColdPolicy"),
+    "least-inflight": ("least_inflight", "LeastInflightPolicy"),
     "random": ("random", "RandomPolicy"),
+    "round-robin": ("round_robin", "RoundRobinPolicy"),
+    "two-choices": ("two_choices", "TwoChoicesPolicy"),
 }
 
 
--- a/pimentoline/policies/random.py
+++ b/pimentoline/policies/random.py
@@ -1,15 +1,15 @@
-"""pimentoline.policies.random: a uniform random choice, as a baseline."""
+"""pimentoline.policies.random: a random choice by weight, as a baseline."""
 
-from .base import Policy
+from .base import Policy, sample
 
 __all__ = ["RandomPolicy"]
 
 
 class RandomPolicy(Policy):
-    """Chooses uniformly."""
+    """Chooses at random, with chances by weight."""
 
     name = "random"
 
     def choose(self, found, service, now, draw):
         """Return a random candidate."""
-        return found[draw % len(found)]
+        return sample(found, 1, draw)[0]
--- /dev/null
+++ b/pimentoline/policies/round_robin.py
@@ -0,0 +1,15 @@
+"""pimentoline.policies.round_robin: one candidate after the other, as a baseline."""
+
+from .base import Policy
+
+__all__ = ["RoundRobinPolicy"]
+
+
+class RoundRobinPolicy(Policy):
+    """Goes through the candidates in their fixed order."""
+
+    name = "round-robin"
+
+    def choose(self, found, service, now, draw):
+        """Return the candidate at the service's cursor."""
+        return found[service.cursor % len(found)]
--- /dev/null
+++ b/pimentoline/policies/two_choices.py
@@ -0,0 +1,15 @@
+"""pimentoline.policies.two_choices: the less loaded of two, as a baseline."""
+
+from .base import Policy, sample
+
+__all__ = ["TwoChoicesPolicy"]
+
+
+class TwoChoicesPolicy(Policy):
+    """Compares the last load reports of two random candidates."""
+
+    name = "two-choices"
+
+    def choose(self, found, service, now, draw):
+        """Return the candidate with the lower reported load."""
+        return min(sample(found, 2, draw), key=lambda cand: cand.stats.reported)
