--- /dev/null
+++ b/pimentoline/evolve.py
@@ -0,0 +1,39 @@
+"""pimentoline.evolve: a faster `dataclasses.replace` for the classes of the state."""
+
+from dataclasses import fields
+
+__all__ = ["evolve"]
+
+_COPIERS = {}
+
+
+def _make_copier(cls):
+    """Generate the copying function of a class, as `dataclasses` does `__init__`.
+
+    `dataclasses.replace` inspects every field at each call and took half of the
+    processor time of a call; straight assignments to the slots take a fifth of that.
+    """
+    names = [field.name for field in fields(cls)]
+    setters = {name: getattr(cls, name).__set__ for name in names}
+    scope = {f"set_{name}": setter for name, setter in setters.items()}
+    lines = [f"    set_{name}(new, obj.{name})" for name in names]
+    source = "def copy(obj, changes):\n    new = make(cls)\n" + "\n".join(lines)
+    source += "\n    for name in changes:\n        setters[name](new, changes[name])"
+    scope |= {"make": object.__new__, "cls": cls, "setters": setters}
+    exec(source + "\n    return new", scope)
+    return scope["copy"]
+
+
+def evolve(obj, **changes):
+    """Return a copy of a slotted frozen data class with some fields changed.
+
+    Raises
+    ------
+    KeyError
+        If the class has no such field.
+    """
+    cls = obj.__class__
+    copier = _COPIERS.get(cls)
+    if copier is None:
+        copier = _COPIERS[cls] = _make_copier(cls)
+    return copier(obj, changes)
--- /dev/null
+++ b/tests/test_subsets.py
@@ -0,0 +1,94 @@
+"""Subsets keep the connections of a target under its limit."""
+
+from collections import Counter
+from types import SimpleNamespace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from immutables import Map
+
+from pimentoline.model import Member, MemberStatus, Target
+from pimentoline.subsets import choose_subset, connection_share, count_nodes
+
+PLACES = [(f"r{i // 2}", f"d{i}") for i in range(6)]
+ADDR = ("127.0.0.1", 1)
+
+
+def make_nodes(counts):
+    """Return member records, `counts[i]` of them in place `i`."""
+    names = [(f"n{p}-{i:03}", *PLACES[p]) for p in range(6) for i in range(counts[p])]
+    return Map(
+        {name: Member(name, name, ADDR, region, dc, 1) for name, region, dc in names}
+    )
+
+
+def make_targets(counts, connections=260):
+    """Return targets, `counts[i]` of them in place `i`."""
+    return [
+        Target(f"t{p}-{i}", "svc", ADDR, *PLACES[p], connections=connections)
+        for p in range(6)
+        for i in range(counts[p])
+    ]
+
+
+def all_subsets(nodes, targets):
+    """Return the subset of every node by its name."""
+    return {
+        record.node_id: choose_subset(targets, count_nodes(nodes, record))
+        for record in nodes.values()
+    }
+
+
+def test_balanced_at_production_scale():
+    """Guards against a target that gets more nodes than its neighbours or its limit."""
+    nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
+    subsets = all_subsets(nodes, targets)
+    assert connection_share(targets, 720) == 2
+    assert {len(subset) for subset in subsets.values()} == {2}
+    users = Counter(t.target_id for subset in subsets.values() for t in subset)
+    assert max(users.values()) <= 234
+    by_place = {}
+    for target in targets:
+        by_place.setdefault(target.dc, []).append(users[target.target_id])
+    assert all(max(found) - min(found) <= 1 for found in by_place.values())
+    local = [name for name, subset in subsets.items() if name[1] == subset[0].dc[1]]
+    assert len(local) > 60
+
+
+def test_restart_moves_no_subset():
+    """Guards against connections that move when one node dies."""
+    nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
+    before = all_subsets(nodes, targets)
+    dead = Member("n0-005", "n0-005", ADDR, *PLACES[0], 1, 9, MemberStatus.DEAD)
+    assert all_subsets(nodes.set("n0-005", dead), targets) == before
+
+
+def test_unknown_own_record_counts():
+    """Guards against a division by zero before the first record is made."""
+    me = SimpleNamespace(node_id="n1", region="r0", dc="d0")
+    assert choose_subset(make_targets([3] + [0] * 5), count_nodes(Map(), me))
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(
+    st.lists(st.integers(0, 40), min_size=6, max_size=6),
+    st.lists(st.integers(0, 4), min_size=6, max_size=6),
+    st.integers(10, 60),
+)
+def test_every_shape_is_balanced(node_counts, target_counts, connections):
+    """Guards against shapes of the mesh that break the limit or leave a node empty."""
+    nodes, targets = make_nodes(node_counts), make_targets(target_counts, connections)
+    if not nodes or not targets:
+        return
+    share = connection_share(targets, len(nodes))
+    subsets = all_subsets(nodes, targets)
+    users = Counter(t.target_id for subset in subsets.values() for t in subset)
+    for subset in subsets.values():
+        assert len(subset) == len({t.target_id for t in subset})
+        assert len(subset) == min(share, len(targets))
+    if share < len(targets):
+        even = -(-len(nodes) * share // len(targets))
+        assert max(users.values()) <= max(int(connections * 0.9), even)
+        for place in range(6):
+            found = [users[f"t{place}-{i}"] for i in range(target_counts[place])]
+            assert not found or max(found) - min(found) <= 1
