Build the program as one file that stays one process

Cause: common one-file packers run the program as a child of their bootstrap and unpack to a disk; a process may start no other and hosts have no disks.

--- /dev/null
+++ b/packaging_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that build the single-file program."""
--- /dev/null
+++ b/packaging_tools/entry.py
@@ -0,0 +1,5 @@
+"""Entry point of the single-file program."""
+
+from pimentoline.cli import main
+
+main()
