Cancel the attempts of a caller that leaves after its request

Cause: tornado calls the delegate's on_connection_close only while it reads the request. A caller that left while waiting for the answer was not noticed. Change: register the handler as the close callback of the caller's connection. Result: tests/test_cancellation.py passes; it fails without the callback (the call stays in flight until the target answers after 5 s). Conclusion: cancellation reaches the target in both phases of a call.

--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -159,6 +159,9 @@
         self.headers = headers
         self.has_body = "Content-Length" in headers or "Transfer-Encoding" in headers
         self.call_id = self.proxy.add(self)
+        # tornado reports a close through the delegate only while it reads the
+        # request; afterwards it uses this callback.
+        self.caller_conn.set_close_callback(self.on_connection_close)
         now = self.proxy.clock()
         try:
             req = parse_request(start_line, headers, now, self.proxy.ruleset())
