--- a/pimentoline/rules/__init__.py
+++ b/pimentoline/rules/__init__.py
@@ -1,6 +1,19 @@
 """pimentoline.rules: grammar of the rules file."""
 
-from .parser import parse
-from .ruleset import CallPolicy, ProbeBudget, RuleSet, SpillRule
+from .diagnostics import Diagnostic
+from .parser import MAX_RULES_BYTES, ParseResult, parse
+from .policy import CallPolicy, ProbeBudget, SpillRule
+from .reading import read_rules
+from .ruleset import RuleSet
 
-__all__ = ["CallPolicy", "ProbeBudget", "RuleSet", "SpillRule", "parse"]
+__all__ = [
+    "MAX_RULES_BYTES",
+    "CallPolicy",
+    "Diagnostic",
+    "ParseResult",
+    "ProbeBudget",
+    "RuleSet",
+    "SpillRule",
+    "parse",
+    "read_rules",
+]
--- /dev/null
+++ b/pimentoline/rules/_mapping.py
@@ -0,0 +1,36 @@
+"""pimentoline.rules._mapping: table of rule kinds by name."""
+
+import functools
+import importlib
+
+__all__ = ["get_kind_by_name", "kind_names"]
+
+# name: (module, class)
+KINDS = {
+    "budget": ("budget", "BudgetRule"),
+    "canary": ("canary", "CanaryRule"),
+    "class": ("call_class", "ClassRule"),
+    "deadline": ("deadline", "DeadlineRule"),
+    "hedge": ("hedge", "HedgeRule"),
+    "idempotent": ("idempotent", "IdempotentRule"),
+    "limit": ("limit", "LimitRule"),
+    "pause": ("pause", "PauseRule"),
+    "prefer": ("prefer", "PreferRule"),
+    "retry": ("retry", "RetryRule"),
+    "spill": ("spill", "SpillLoadRule"),
+    "weight": ("weight", "WeightRule"),
+}
+
+
+def kind_names():
+    """Return the names of all rule kinds, sorted."""
+    return sorted(KINDS)
+
+
+@functools.cache
+def get_kind_by_name(name):
+    """Return the class of a rule kind, or None if there is no such kind."""
+    if name not in KINDS:
+        return None
+    module, cls = KINDS[name]
+    return getattr(importlib.import_module(f".{module}", __package__), cls)
--- /dev/null
+++ b/pimentoline/rules/budget.py
@@ -0,0 +1,35 @@
+"""pimentoline.rules.budget: measuring budget of a region."""
+
+from dataclasses import dataclass
+from functools import partial
+from typing import ClassVar
+
+from .base import Rule
+from .options import get_any_name, get_count, get_number
+
+__all__ = ["BudgetRule"]
+
+MAX_PROBES_PER_S = 100_000.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BudgetRule(Rule):
+    """Probes and bytes a second for all nodes of a region together.
+
+    `nodes` is the number of nodes that the budget is divided by if fewer are known.
+    """
+
+    kind: ClassVar = "budget"
+    form: ClassVar = "budget REGION [probes=PER_S] [bytes=PER_S] [nodes=COUNT]"
+    readers: ClassVar = {"region": get_any_name}
+    options: ClassVar = {
+        "probes": partial(get_number, low=0.0, high=MAX_PROBES_PER_S),
+        "bytes": get_count,
+        "nodes": partial(get_count, high=100_000),
+    }
+    selects: ClassVar = ("region",)
+
+    region: str
+    probes: float = 20.0
+    bytes: int = 10_000
+    nodes: int = 0
--- /dev/null
+++ b/pimentoline/rules/canary.py
@@ -0,0 +1,23 @@
+"""pimentoline.rules.canary: share of calls for a release."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from .base import Rule
+from .options import get_name, get_share
+
+__all__ = ["CanaryRule"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CanaryRule(Rule):
+    """Share of a service's calls that targets of a release receive."""
+
+    kind: ClassVar = "canary"
+    form: ClassVar = "canary SERVICE VERSION SHARE"
+    readers: ClassVar = {"service": get_name, "version": get_name, "share": get_share}
+    selects: ClassVar = ("service", "version")
+
+    service: str
+    version: str
+    share: float
--- /dev/null
+++ b/pimentoline/rules/idempotent.py
@@ -0,0 +1,27 @@
+"""pimentoline.rules.idempotent: calls that may safely run more than once."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from .base import Rule
+from .options import get_method, get_name, get_path
+
+__all__ = ["IdempotentRule"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class IdempotentRule(Rule):
+    """Calls that may be retried and hedged.
+
+    Service and method are always named, so that no single rule can make every
+    sale of every service repeatable.
+    """
+
+    kind: ClassVar = "idempotent"
+    form: ClassVar = "idempotent SERVICE METHOD PATH"
+    readers: ClassVar = {"service": get_name, "method": get_method, "path": get_path}
+    selects: ClassVar = ("service", "method", "path")
+
+    service: str
+    method: str
+    path: str
--- /dev/null
+++ b/pimentoline/rules/limit.py
@@ -0,0 +1,34 @@
+"""pimentoline.rules.limit: calls in flight at one node."""
+
+from dataclasses import dataclass
+from functools import partial
+from typing import ClassVar
+
+from .base import Rule
+from .options import ANY, get_any_name, get_class, get_count
+
+__all__ = ["LimitRule"]
+
+MAX_INFLIGHT = 100_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitRule(Rule):
+    """Most calls of a service, and of one class if given, in flight at one node.
+
+    The smallest limit is 1: a service is closed by pausing its targets, which says
+    in `status` why there is no target.
+    """
+
+    kind: ClassVar = "limit"
+    form: ClassVar = "limit SERVICE COUNT [class=CLASS]"
+    readers: ClassVar = {
+        "service": get_any_name,
+        "inflight": partial(get_count, low=1, high=MAX_INFLIGHT),
+    }
+    options: ClassVar = {"class": get_class}
+    selects: ClassVar = ("service", "call_class")
+
+    service: str
+    inflight: int
+    call_class: str = ANY
--- /dev/null
+++ b/pimentoline/rules/options.py
@@ -0,0 +1,161 @@
+"""pimentoline.rules.options: readers of the words of a rule.
+
+A reader takes the name of a field or option and the word found, and returns the
+value. Each raises `OptionError`, which names the option and the allowed values.
+"""
+
+import re
+
+from ..errors import PimentolineError
+
+__all__ = [
+    "ANY",
+    "CALL_CLASSES",
+    "METHODS",
+    "OptionError",
+    "get_any_name",
+    "get_class",
+    "get_count",
+    "get_duration_s",
+    "get_method",
+    "get_name",
+    "get_names",
+    "get_number",
+    "get_path",
+    "get_scope",
+    "get_share",
+    "get_switch",
+]
+
+ANY = "*"
+CALL_CLASSES = ("critical", "normal", "sheddable")
+METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
+# Longer patterns make matching slow without selecting more precisely.
+MAX_PATH_LENGTH = 256
+MAX_COUNT = 1_000_000_000
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]*")
+NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?")
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+MIN_DURATION_S = 0.001
+MAX_DURATION_S = 600.0
+NAME_FORM = "letters, digits and . _ : -, beginning with a letter or digit"
+
+
+class OptionError(PimentolineError):
+    """A field or option of a rule has a value that is not allowed.
+
+    Parameters
+    ----------
+    option : str
+        Name of the field or option.
+    found : str
+        The word found.
+    allowed : str
+        The allowed values, for people.
+    """
+
+    code = "option-invalid"
+
+    def __init__(self, option, found, allowed):
+        super().__init__(f"{option}: found {found!r}; allowed: {allowed}")
+        self.option = option
+        self.found = found
+        self.allowed = allowed
+
+
+def get_name(option, word):
+    """Return a name of a service, region, target or release."""
+    if not NAME.fullmatch(word):
+        raise OptionError(option, word, NAME_FORM)
+    return word
+
+
+def get_any_name(option, word):
+    """Return a name, or `*` for every one."""
+    if word != ANY and not NAME.fullmatch(word):
+        raise OptionError(option, word, f"* or {NAME_FORM}")
+    return word
+
+
+def get_names(option, word):
+    """Return a tuple of different names, separated by commas."""
+    names = tuple(word.split(","))
+    if len(set(names)) < len(names) or not all(map(NAME.fullmatch, names)):
+        raise OptionError(option, word, "different names separated by commas")
+    return names
+
+
+def get_scope(option, word):
+    """Return a target, or `SERVICE@REGION` with `*` for every service or region."""
+    service, mark, region = word.partition("@")
+    if not mark:
+        return get_name(option, word)
+    if not all(part == ANY or NAME.fullmatch(part) for part in (service, region)):
+        raise OptionError(option, word, "TARGET or SERVICE@REGION")
+    return word
+
+
+def get_choice(option, word, choices):
+    """Return one of a few words."""
+    if word not in choices:
+        raise OptionError(option, word, "one of " + ", ".join(choices))
+    return word
+
+
+def get_class(option, word):
+    """Return a call class."""
+    return get_choice(option, word, CALL_CLASSES)
+
+
+def get_method(option, word):
+    """Return an HTTP method."""
+    return get_choice(option, word, METHODS)
+
+
+def get_switch(option, word):
+    """Return True for `on` and False for `off`."""
+    return get_choice(option, word, ("on", "off")) == "on"
+
+
+def get_path(option, word):
+    """Return a path pattern; `*`, `?` and `[...]` match as in a shell, `/` too."""
+    if word[:1] not in ("/", "*") or len(word) > MAX_PATH_LENGTH:
+        allowed = f"a pattern of at most {MAX_PATH_LENGTH} characters, first / or *"
+        raise OptionError(option, word, allowed)
+    return word
+
+
+def get_number(option, word, low, high):
+    """Return a decimal number within `low` to `high`."""
+    if not NUMBER.fullmatch(word) or not low <= float(word) <= high:
+        raise OptionError(option, word, f"a number from {low:g} to {high:g}")
+    return float(word)
+
+
+def get_count(option, word, low=0, high=MAX_COUNT):
+    """Return a whole number within `low` to `high`."""
+    if not (word.isascii() and word.isdigit()) or not low <= int(word[:20]) <= high:
+        raise OptionError(option, word, f"a whole number from {low} to {high}")
+    return int(word)
+
+
+def get_share(option, word, high=1.0):
+    """Return a share within 0 to `high`, from `0.25` or `25%`."""
+    number = word[:-1] if word.endswith("%") else word
+    if NUMBER.fullmatch(number):
+        share = float(number) / 100.0 if word.endswith("%") else float(number)
+        if share <= high:
+            return share
+    raise OptionError(option, word, f"0 to {high:g}, or 0% to {high * 100:g}%")
+
+
+def get_duration_s(option, word):
+    """Return a time in seconds, from `800ms` or `1.5s`."""
+    match = DURATION.fullmatch(word)
+    if match:
+        value, unit = match.groups()
+        seconds = float(value) / 1000.0 if unit == "ms" else float(value)
+        if MIN_DURATION_S <= seconds <= MAX_DURATION_S:
+            return seconds
+    raise OptionError(option, word, "1ms to 600s, with the unit ms or s")
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -1,46 +1,34 @@
 """pimentoline.rules.parser: read a rules text, reporting every problem at once."""
 
+import functools
+import re
+from collections import Counter
 from dataclasses import dataclass
+from itertools import product
 
+from ._mapping import get_kind_by_name, kind_names
+from .base import attribute_of
+from .diagnostics import Diagnostic
+from .options import ANY, OptionError
 from .ruleset import RuleSet
 
-__all__ = ["Diagnostic", "ParseResult", "parse"]
+__all__ = ["MAX_RULES_BYTES", "ParseResult", "parse"]
 
+MAX_RULES_BYTES = 1024 * 1024
+# Patterns are matched one after the other for each call, so their number for one
+# service bounds the time that the rules add to a call.
+MAX_PATH_RULES = 200
+# Reading a rule takes about 30 us, in which the node handles no call.
+MAX_RULES = 10_000
+MAX_SHOWN_LENGTH = 60
+CACHED_LINES = 8192
+# Shares written as decimals do not add up to exactly 1.
+SHARE_TOLERANCE = 1e-9
+NOTHING_EARLIER = (None, 0)
 
-@dataclass(frozen=True, slots=True)
-class IdempotentRule:
-    """`idempotent SERVICE METHOD PATH`: calls that may be repeated safely."""
-
-    service: str
-    method: str
-    path: str
-    asked_by: str
-    kind: str = "idempotent"
-
-
-@dataclass(frozen=True, slots=True)
-class PauseRule:
-    """`pause TARGET`: the target receives no calls."""
-
-    target: str
-    asked_by: str
-    kind: str = "pause"
-
-
-@dataclass(frozen=True, slots=True)
-class Diagnostic:
-    """One problem in a rules text; `line` and `column` count from 1."""
-
-    filename: str
-    line: int
-    column: int
-    found: str
-    allowed: str
-
-    def __str__(self):
-        """Return the problem as one line, file and place first."""
-        place = f"{self.filename}:{self.line}:{self.column}"
-        return f"{place}: found {self.found}; allowed: {self.allowed}"
+WORD = re.compile(r"\S+")
+CONTROL = re.compile(r"[^\t\x20-\x7e\xa0-\u2027\u202a-\U0010ffff]")
+ASKED_BY = "a # comment that names who asked for the rule"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,16 +39,14 @@
     diagnostics: tuple[Diagnostic, ...] = ()
 
 
-RULE_KINDS = {"idempotent": (IdempotentRule, 3), "pause": (PauseRule, 1)}
-
-
 def parse(text, filename="rules"):
     """Parse a rules text.
 
     Parameters
     ----------
     text : str
-        One rule a line, each with a `#` comment that names who asked for it.
+        One rule a line, each with a `#` comment that names who asked for it; at
+        most `MAX_RULES_BYTES` in UTF-8.
     filename : str
         Name used in diagnostics.
 
@@ -68,25 +54,137 @@
     -------
     ParseResult
     """
-    rules, problems = [], []
-    for number, line in enumerate(text.splitlines(), start=1):
-        body, mark, comment = line.partition("#")
-        words = body.split()
-        if not words:
-            continue
-        kind, fields = RULE_KINDS.get(words[0], (None, 0))
-        if kind is None:
-            allowed = "one of " + ", ".join(RULE_KINDS)
-            problems.append(Diagnostic(filename, number, 1, repr(words[0]), allowed))
-        elif not comment.strip():
-            column = len(line) + 1
-            allowed = "a comment naming who asked for the rule"
-            problems.append(Diagnostic(filename, number, column, "no comment", allowed))
-        elif len(words) != fields + 1:
-            found = f"{len(words) - 1} fields"
-            problems.append(Diagnostic(filename, number, 1, found, f"{fields} fields"))
-        else:
-            rules.append(kind(*words[1:], comment.strip()))
+    # A character has at least one byte, so a text that is far too long is not encoded.
+    if len(text) > MAX_RULES_BYTES or len(text.encode()) > MAX_RULES_BYTES:
+        allowed = f"at most {MAX_RULES_BYTES} bytes"
+        problem = Diagnostic(filename, 0, 0, "a larger text", allowed)
+        return ParseResult(None, (problem,))
+    reader = _Reader(filename)
+    for number, line in enumerate(text.split("\n"), start=1):
+        reader.read_line(number, line.removesuffix("\r"))
+    if reader.problems:
+        return ParseResult(None, tuple(reader.problems))
+    return ParseResult(RuleSet(tuple(reader.rules)))
+
+
+class _Reader:
+    """Rules and problems found so far in one text."""
+
+    def __init__(self, filename):
+        self.filename = filename
+        self.rules = []
+        self.problems = []
+        self._seen = {}
+        self._shares = {}
+        self._path_rules = Counter()
+
+    def read_line(self, number, line):
+        """Read one line."""
+        rule, column, problems = _read_line(line)
+        if rule is not None:
+            problems = tuple((column, *item) for item in self._check(number, rule))
+            self.rules.append(rule)
+            if len(self.rules) == MAX_RULES + 1:
+                problems += ((column, "a further rule", f"at most {MAX_RULES} rules"),)
+        for problem in problems:
+            self.problems.append(Diagnostic(self.filename, number, *problem))
+
+    def _check(self, number, rule):
+        """Yield what is wrong with a rule among the earlier ones."""
+        own = rule.selector
+        for selector in _covering(own):
+            earlier, line = self._seen.get((rule.kind, selector), NOTHING_EARLIER)
+            if earlier is not None and earlier.setting != rule.setting:
+                found = f"a rule that contradicts line {line}"
+                allowed = "one value for what both select; narrower rules come first"
+                yield found, allowed
+                return
+        self._seen.setdefault((rule.kind, own), (rule, number))
+        if getattr(rule, "path", ANY) != ANY:
+            counted = (rule.kind, rule.service)
+            self._path_rules[counted] += 1
+            if self._path_rules[counted] == MAX_PATH_RULES + 1:
+                allowed = f"{MAX_PATH_RULES} for {rule.kind} rules of {rule.service}"
+                yield f"more than {MAX_PATH_RULES} path patterns", allowed
+        if rule.kind == "canary":
+            shares = self._shares.setdefault(rule.service, {})
+            shares[rule.version] = rule.share
+            if sum(shares.values()) > 1.0 + SHARE_TOLERANCE:
+                found = f"shares of {rule.service} above 100% in total"
+                yield found, "at most 100% for one service"
+
+
+# Versions of a rules file differ in few lines; without the cache each change would
+# stop the calls of a node three times as long.
+@functools.lru_cache(maxsize=CACHED_LINES)
+def _read_line(line):
+    """Return (rule or None, its column, problems as (column, found, allowed))."""
+    control = CONTROL.search(line)
+    if control is not None:
+        found = f"control character U+{ord(control.group()):04X}"
+        problem = (control.start() + 1, found, "printable text and tabs")
+        return None, 0, (problem,)
+    body, mark, comment = line.partition("#")
+    words = [(match.group(), match.start() + 1) for match in WORD.finditer(body)]
+    if not words:
+        return None, 0, ()
+    problems = []
+    asked_by = comment.strip()
+    if not any(char.isalpha() for char in asked_by):
+        found = "a comment without a name" if mark else "no comment"
+        problems.append((len(line) + 1, found, ASKED_BY))
+    (name, column), *rest = words
+    kind = get_kind_by_name(name)
+    if kind is None:
+        allowed = "one of " + ", ".join(kind_names())
+        problems.append((column, _shown(name), allowed))
+        return None, column, tuple(sorted(problems))
+    values = _read_words(kind, rest, len(body.rstrip()) + 1, problems)
     if problems:
-        return ParseResult(None, tuple(problems))
-    return ParseResult(RuleSet(tuple(rules)))
+        return None, column, tuple(sorted(problems))
+    rule = kind(asked_by=asked_by, **values)
+    try:
+        rule.check()
+    except OptionError as exc:
+        found = f"{exc.option}={exc.found}"
+        return None, column, ((column, found, f"{exc.option} {exc.allowed}"),)
+    return rule, column, ()
+
+
+def _read_words(kind, words, end, problems):
+    """Return the values of a rule's words; add what is wrong to `problems`."""
+    values = {}
+    missing = list(kind.readers)
+    for word, column in words:
+        option, mark, value = word.partition("=")
+        if mark and option in kind.options:
+            attribute, reader = attribute_of(option), kind.options[option]
+            if attribute in values:
+                problems.append((column, _shown(word), f"{option}= once"))
+                continue
+        elif missing:
+            option = attribute = missing.pop(0)
+            reader, value = kind.readers[option], word
+        else:
+            problems.append((column, _shown(word), kind.form))
+            continue
+        # A refused value counts as given, so that it is reported once.
+        values[attribute] = None
+        try:
+            values[attribute] = reader(option, value)
+        except OptionError as exc:
+            problems.append((column, _shown(word), f"{option}: {exc.allowed}"))
+    if missing:
+        problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.form))
+    return values
+
+
+def _covering(selector):
+    """Return the selectors that match whatever `selector` matches."""
+    return product(*((word,) if word == ANY else (word, ANY) for word in selector))
+
+
+def _shown(word):
+    if len(word) > MAX_SHOWN_LENGTH:
+        word = word[:MAX_SHOWN_LENGTH] + "..."
+    return repr(word)
--- /dev/null
+++ b/pimentoline/rules/pause.py
@@ -0,0 +1,21 @@
+"""pimentoline.rules.pause: targets that receive no calls."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from .base import Rule
+from .options import get_name
+
+__all__ = ["PauseRule"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PauseRule(Rule):
+    """A target that receives no new calls; calls in flight complete."""
+
+    kind: ClassVar = "pause"
+    form: ClassVar = "pause TARGET"
+    readers: ClassVar = {"target": get_name}
+    selects: ClassVar = ("target",)
+
+    target: str
--- /dev/null
+++ b/pimentoline/rules/prefer.py
@@ -0,0 +1,27 @@
+"""pimentoline.rules.prefer: order in which other regions are used."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from .base import Rule
+from .options import ANY, get_any_name, get_names
+
+__all__ = ["PreferRule"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PreferRule(Rule):
+    """Regions that calls may spill to, the preferred first.
+
+    A region that is not listed receives no spilled calls of the service.
+    """
+
+    kind: ClassVar = "prefer"
+    form: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
+    readers: ClassVar = {"service": get_any_name, "regions": get_names}
+    options: ClassVar = {"home": get_any_name}
+    selects: ClassVar = ("service", "home")
+
+    service: str
+    regions: tuple[str, ...]
+    home: str = ANY
--- /dev/null
+++ b/pimentoline/rules/retry.py
@@ -0,0 +1,30 @@
+"""pimentoline.rules.retry: share of retries and hedges."""
+
+from dataclasses import dataclass
+from functools import partial
+from typing import ClassVar
+
+from .base import Rule
+from .options import get_any_name, get_share
+
+__all__ = ["RetryRule"]
+
+# The design allows one retry or hedge for ten first attempts; a rule can only
+# lower that, so that no rule can start a retry storm.
+MAX_RETRY_SHARE = 0.1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryRule(Rule):
+    """Allowed share of retries and hedges in the first attempts of a service."""
+
+    kind: ClassVar = "retry"
+    form: ClassVar = "retry SERVICE SHARE"
+    readers: ClassVar = {
+        "service": get_any_name,
+        "share": partial(get_share, high=MAX_RETRY_SHARE),
+    }
+    selects: ClassVar = ("service",)
+
+    service: str
+    share: float
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -1,99 +1,164 @@
 """pimentoline.rules.ruleset: the rules in force, as questions the core asks."""
 
-from dataclasses import dataclass
-from fnmatch import fnmatchcase
+from dataclasses import dataclass, field
 
-__all__ = ["CallPolicy", "ProbeBudget", "RuleSet", "SpillRule"]
+from .options import ANY, METHODS
+from .plan import CALL_KINDS, CallPlan
+from .policy import ProbeBudget, SpillRule
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-DEFAULT_DEADLINE_S = 10.0
-DEFAULT_RETRY_SHARE = 0.1
-
-
-@dataclass(frozen=True, slots=True)
-class CallPolicy:
-    """What the rules say of one call.
-
-    `deadline_s` is the longest time for the whole call in seconds; `call_class`
-    is `critical`, `normal` or `sheddable`, or empty if the caller's word counts;
-    `retry_share` is the allowed share of retries and hedges in first tries.
-    """
-
-    idempotent: bool
-    deadline_s: float = DEFAULT_DEADLINE_S
-    call_class: str = ""
-    hedge: bool = True
-    retry_share: float = DEFAULT_RETRY_SHARE
-
-
-@dataclass(frozen=True, slots=True)
-class SpillRule:
-    """When calls of a service may leave their locality ring.
-
-    `enter` and `leave` are loads as a share of slots; `share` limits the part of
-    calls that is spilled.
-    """
-
-    enter: float = 0.8
-    leave: float = 0.6
-    share: float = 0.5
-
-
-@dataclass(frozen=True, slots=True)
-class ProbeBudget:
-    """Measuring budget of a region, for all its nodes together.
-
-    `planned_nodes` is the largest number of nodes that the budget is split by.
-    """
-
-    probes_per_s: float = 20.0
-    bytes_per_s: float = 10000.0
-    planned_nodes: int = 0
+__all__ = ["RuleSet"]
 
 
 @dataclass(frozen=True, slots=True)
 class RuleSet:
     """Rules in force; the first matching rule of a kind wins.
 
+    Equality counts the rules only; the other attributes are indexes derived from
+    them, so that a question costs a few dictionary look-ups.
+
     Parameters
     ----------
-    rules : tuple of rule data classes
+    rules : tuple of Rule
         In the order of the file.
     """
 
     rules: tuple = ()
+    _kinds: dict = field(init=False, repr=False, compare=False)
+    _services: frozenset = field(init=False, repr=False, compare=False)
+    _plans: dict = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self):
+        """Index the rules by kind and selector, the first one of each kept."""
+        kinds = {}
+        services = set()
+        for place, rule in enumerate(self.rules):
+            table = kinds.setdefault(rule.kind, {})
+            table.setdefault(rule.selector, (place, rule))
+            if rule.kind in CALL_KINDS or rule.kind == "retry":
+                services.add(rule.service)
+        object.__setattr__(self, "_kinds", kinds)
+        object.__setattr__(self, "_services", frozenset(services))
+        object.__setattr__(self, "_plans", {})
 
     def call_policy(self, service, method, path):
-        """Return the `CallPolicy` of a call."""
-        idempotent = method in IDEMPOTENT_METHODS or any(
-            rule.kind == "idempotent"
-            and rule.service == service
-            and rule.method == method
-            and fnmatchcase(path, rule.path)
-            for rule in self.rules
+        """Return the `CallPolicy` of a call.
+
+        Parameters
+        ----------
+        service, method : str
+        path : str
+            Without the query.
+
+        Returns
+        -------
+        CallPolicy
+        """
+        return self._plan(service, method).policy(path)
+
+    def matching_rules(self, service, method, path):
+        """Return the rules that decide the `CallPolicy` of a call, by kind."""
+        return self._plan(service, method).matching(path)
+
+    def _plan(self, service, method):
+        # Callers choose service and method freely; the plans are kept only for
+        # those that rules or HTTP name, so that their number is bounded.
+        key = (
+            service if service in self._services else ANY,
+            method if method in METHODS else ANY,
         )
-        return CallPolicy(idempotent)
+        plan = self._plans.get(key)
+        if plan is None:
+            plan = self._plans[key] = CallPlan(self.rules, *key)
+        return plan
+
+    def _first(self, kind, *selectors):
+        """Return the earliest rule of a kind with one of the selectors, or None."""
+        table = self._kinds.get(kind)
+        if table is None:
+            return None
+        found = [table[item] for item in selectors if item in table]
+        return min(found, key=_place)[1] if found else None
+
+    def target_rules(self, target):
+        """Return the rules that decide the weight of a target, by kind."""
+        service, region = target.service, target.region
+        found = {
+            "pause": self._first("pause", (target.target_id,)),
+            "weight": self._first(
+                "weight",
+                (target.target_id,),
+                (service, region),
+                (service, ANY),
+                (ANY, region),
+                (ANY, ANY),
+            ),
+        }
+        return {kind: rule for kind, rule in found.items() if rule is not None}
 
     def target_weight(self, target):
-        """Return the weight of a target, 0.0 if it is paused."""
-        paused = any(
-            rule.kind == "pause" and rule.target == target.target_id
-            for rule in self.rules
-        )
-        return 0.0 if paused else 1.0
+        """Return the weight of a target, 0.0 if it is paused.
+
+        Parameters
+        ----------
+        target : Target
+
+        Returns
+        -------
+        float
+            1.0 without a rule.
+        """
+        kinds = self._kinds
+        if "pause" not in kinds and "weight" not in kinds:
+            return 1.0
+        found = self.target_rules(target)
+        if "pause" in found:
+            return 0.0
+        return found["weight"].weight if "weight" in found else 1.0
 
     def spill_rule(self, service):
         """Return the `SpillRule` of a service."""
-        return SpillRule()
+        rule = self._first("spill", (service,), (ANY,))
+        if rule is None:
+            return SpillRule()
+        return SpillRule(rule.enter, rule.leave, rule.share)
+
+    def region_order(self, service, region):
+        """Return the regions that calls received in `region` may spill to.
+
+        Returns
+        -------
+        tuple of str or None
+            The preferred first; None without a rule: every region, in any order.
+        """
+        rule = self._first(
+            "prefer", (service, region), (service, ANY), (ANY, region), (ANY, ANY)
+        )
+        return None if rule is None else rule.regions
 
     def probe_budget(self, region):
         """Return the `ProbeBudget` of a region."""
-        return ProbeBudget()
+        rule = self._first("budget", (region,), (ANY,))
+        if rule is None:
+            return ProbeBudget()
+        return ProbeBudget(rule.probes, float(rule.bytes), rule.nodes)
 
     def inflight_limit(self, service, call_class):
-        """Return the limit of a node's calls in flight, or None."""
-        return None
+        """Return the limit of a node's calls in flight, or None.
+
+        Parameters
+        ----------
+        service : str
+        call_class : str
+            A class, or `*` for the limit over all classes.
+        """
+        rule = self._first("limit", (service, call_class), (ANY, call_class))
+        return None if rule is None else rule.inflight
 
     def canary_share(self, service, version):
         """Return the share of calls for a release, or None without a rule."""
-        return None
+        rule = self._first("canary", (service, version))
+        return None if rule is None else rule.share
+
+
+def _place(entry):
+    return entry[0]
--- /dev/null
+++ b/pimentoline/rules/spill.py
@@ -0,0 +1,37 @@
+"""pimentoline.rules.spill: when calls leave their locality ring."""
+
+from dataclasses import dataclass
+from functools import partial
+from typing import ClassVar
+
+from .base import Rule
+from .options import OptionError, get_any_name, get_number, get_share
+
+__all__ = ["SpillLoadRule"]
+
+MAX_LOAD = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SpillLoadRule(Rule):
+    """Load at which spilling begins and ends, and the largest share of calls."""
+
+    kind: ClassVar = "spill"
+    form: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
+    readers: ClassVar = {"service": get_any_name}
+    options: ClassVar = {
+        "enter": partial(get_number, low=0.0, high=MAX_LOAD),
+        "leave": partial(get_number, low=0.0, high=MAX_LOAD),
+        "share": get_share,
+    }
+    selects: ClassVar = ("service",)
+
+    service: str
+    enter: float = 0.8
+    leave: float = 0.6
+    share: float = 0.5
+
+    def check(self):
+        """Require hysteresis: spilling ends at a lower load than it begins."""
+        if self.leave >= self.enter:
+            raise OptionError("leave", f"{self.leave:g}", f"below enter={self.enter:g}")
--- /dev/null
+++ b/pimentoline/rules/weight.py
@@ -0,0 +1,33 @@
+"""pimentoline.rules.weight: relative share of calls of targets."""
+
+from dataclasses import dataclass
+from functools import partial
+from typing import ClassVar
+
+from .base import Rule
+from .options import get_number, get_scope
+
+__all__ = ["WeightRule"]
+
+MAX_WEIGHT = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightRule(Rule):
+    """Weight of a target, or of the targets of a service in a region; 0 is none."""
+
+    kind: ClassVar = "weight"
+    form: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
+    readers: ClassVar = {
+        "scope": get_scope,
+        "weight": partial(get_number, low=0.0, high=MAX_WEIGHT),
+    }
+    selects: ClassVar = ("scope",)
+
+    scope: str
+    weight: float
+
+    @property
+    def selector(self):
+        """The target, or the service and the region."""
+        return tuple(self.scope.split("@"))
