--- a/standins/target.py
+++ b/standins/target.py
@@ -1,12 +1,16 @@
 """Stand-in of a target: an HTTP server that announces itself to its node.
 
-Faults are set by `POST /faults`: `delay_s`, `fail`, `shed`, `silent`. `GET /runs`
-lists the identifiers (`X-Run-Id`) of the requests that ran, in order.
+Faults are set by `POST /faults` with fields of `TargetModel`; `{"reset": true}` sets
+all back and clears the counters, which `GET /faults` answers. `GET /runs` lists the
+identifiers (`X-Run-Id`) of the requests that ran, in order. `/load` and `/health` are
+the endpoints of a target that probes and checks ask.
 """
 
 import asyncio
+import dataclasses
 import json
 import signal
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from absl import app, flags
@@ -15,88 +19,296 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from .work import Overloaded, WorkQueue, make_noise, service_times
+
 RENEW_S = 1.0
+LOAD_SAMPLE_S = 0.02
 
 
 @dataclass
 class TargetModel:
-    """What the stand-in does with requests."""
+    """What the stand-in does with requests.
+
+    Parameters
+    ----------
+    slots, queue, connections : int
+        Requests that run at once, wait (unlimited if negative) and connections held.
+    delay_s : float
+        Fixed time of service, unless `mean_s` is set.
+    mean_s, sigma, seed : float, float, int
+        Log-normal time of service.
+    fail, shed, silent : bool
+        Answer 500 at once; answer 503 with `X-Not-Run: 1`; never answer.
+    silence_open : bool
+        The connections open now never answer again; new ones work.
+    slowdown : float
+        Factor on the time of service.
+    noise : dict
+        Arguments of `make_noise` for a noisy neighbour.
+    cold_s, cold_factor : float
+        Length of a cold start that begins when `cold_s` is set, and its slowdown.
+    load_lag_s : float
+        Age of the load that is reported.
+    load_report : str
+        Load that is reported instead of the true one; `none` leaves it out.
+    health_status : int
+        Status that `/health` answers whatever the state is.
+    """
 
     target_id: str
     service: str
+    region: str = ""
     slots: int = 12
+    queue: int = -1
     connections: int = 260
     delay_s: float = 0.0
+    mean_s: float = 0.0
+    sigma: float = 0.5
+    seed: int = 1
     fail: bool = False
     shed: bool = False
     silent: bool = False
+    silence_open: bool = False
+    slowdown: float = 1.0
+    noise: dict = field(default_factory=dict)
+    cold_s: float = 0.0
+    cold_factor: float = 10.0
+    load_lag_s: float = 0.0
+    load_report: str = ""
+    health_status: int = 0
     state: str = "up"
-    inflight: int = 0
-    runs: list = field(default_factory=list)
-    slot_free: asyncio.Semaphore = None
+
+    def __post_init__(self):
+        """Keep the initial values for a reset."""
+        self.initial = dataclasses.asdict(self)
+        self.runs = []
+        self.counters = Counter()
+        self.open = set()
+        self.silenced = set()
+        self.work = WorkQueue(self.slots, self.queue)
+        self._loads = deque(maxlen=500)
+        self._noise_task = None
+        self._apply()
+
+    @property
+    def inflight(self):
+        """Requests in slots or waiting for one."""
+        return self.work.inflight
+
+    def update(self, values):
+        """Set the given fields and keep the others.
+
+        Raises
+        ------
+        TypeError
+            If a field is unknown.
+        """
+        values = dict(values)
+        if values.pop("reset", False):
+            self.counters.clear()
+            self.work.work_s = 0.0
+            values = self.initial | {"state": self.state} | values
+        unknown = values.keys() - self.initial.keys()
+        if unknown:
+            raise TypeError(f"unknown faults: {', '.join(sorted(unknown))}")
+        for name, value in values.items():
+            setattr(self, name, value)
+        self._apply(values)
+
+    def _apply(self, values=()):
+        self.work.slots, self.work.queue = self.slots, self.queue
+        self.work.slow_down("slowdown", self.slowdown)
+        if "cold_s" in values:
+            self.work.slow_down("cold", self.cold_factor if self.cold_s else 1.0)
+            if self.cold_s:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self.cold_s, self.work.slow_down, "cold", 1.0)
+        if not values or {"mean_s", "sigma", "seed"} & values.keys():
+            mean_s = self.mean_s
+            self.next_time = (
+                service_times(mean_s, self.sigma, self.seed)
+                if mean_s
+                else lambda: self.delay_s
+            )
+        if "noise" in values:
+            if self._noise_task is not None:
+                self._noise_task.cancel()
+            self._noise_task = self.noise and asyncio.get_running_loop().create_task(
+                make_noise(self.work, **self.noise)
+            )
+        if self.silence_open:
+            self.silence_open = False
+            self.silenced |= self.open
+
+    def sample_load(self, now):
+        """Keep the load of this moment for lagging reports."""
+        self._loads.append((now, self.inflight))
 
     def load(self):
-        """Return the value of the load header."""
-        return f"{self.inflight}/{self.slots}"
+        """Return the value of the load header, None if it is left out."""
+        if self.load_report == "none":
+            return None
+        inflight = self.inflight
+        if self.load_lag_s:
+            then = asyncio.get_running_loop().time() - self.load_lag_s
+            inflight = next((n for at, n in reversed(self._loads) if at <= then), 0)
+        return f"{self.load_report or inflight}/{self.slots}"
 
 
-@stream_request_body
-class WorkHandler(RequestHandler):
-    """Serves every path that is not of the stand-in itself."""
+class TargetServer(HTTPServer):
+    """Server with a connection limit that counts the bytes of each connection."""
+
+    def initialize(self, *args, model, **kwargs):
+        """Take the model."""
+        super().initialize(*args, **kwargs)
+        self.model = model
+
+    def handle_stream(self, stream, address):
+        """Serve a connection, or close it at once above the limit."""
+        model = self.model
+        if len(model.open) >= model.connections:
+            model.counters["connections_refused"] += 1
+            stream.close()
+            return
+        model.open.add(stream)
+        stream.bytes_in = stream.bytes_out = 0
+        read, write = stream.read_from_fd, stream.write_to_fd
+
+        def read_from_fd(buf):
+            count = read(buf)
+            stream.bytes_in += count or 0
+            return count
+
+        def write_to_fd(data):
+            count = write(data)
+            stream.bytes_out += count
+            return count
+
+        stream.read_from_fd, stream.write_to_fd = read_from_fd, write_to_fd
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn):
+        """Forget a connection."""
+        super().on_close(server_conn)
+        self.model.open.discard(server_conn.stream)
+        self.model.silenced.discard(server_conn.stream)
+
+
+class ModelHandler(RequestHandler):
+    """Base of the handlers."""
+
+    kind = "admin"
 
     def initialize(self, model):
         """Take the model."""
         self.model = model
-        self.received = 0
+
+    async def prepare(self):
+        """Never answer on a connection that went silent."""
+        self.stream = self.request.connection.stream
+        if self.model.silent or self.stream in self.model.silenced:
+            await asyncio.Event().wait()
+
+    def on_finish(self):
+        """Count the bytes of this exchange, and those that crossed regions."""
+        stream, counters = self.stream, self.model.counters
+        counters[f"{self.kind}_bytes_in"] += stream.bytes_in
+        counters[f"{self.kind}_bytes_out"] += stream.bytes_out
+        caller = self.request.headers.get("X-Caller-Region", self.model.region)
+        if caller != self.model.region:
+            counters[f"{self.kind}_bytes_cross"] += stream.bytes_in + stream.bytes_out
+        stream.bytes_in = stream.bytes_out = 0
+
+    def set_load(self):
+        """Set the load header, unless it is left out."""
+        load = self.model.load()
+        if load is not None:
+            self.set_header("X-Target-Load", load)
+
+
+@stream_request_body
+class WorkHandler(ModelHandler):
+    """Serves every path that is not of the stand-in itself."""
+
+    kind = "call"
+    received = 0
+    task = None
 
     def data_received(self, chunk):
         """Count the body."""
         self.received += len(chunk)
 
+    def on_connection_close(self):
+        """Cancel the work, because nobody waits for the answer."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def _on_start(self):
+        self.model.counters["ran"] += 1
+        run_id = self.request.headers.get("X-Run-Id")
+        if run_id:
+            self.model.runs.append(run_id)
+
     async def _work(self):
-        model = self.model
-        if model.silent:
-            await asyncio.Event().wait()
-        if model.shed:
-            self.set_status(503)
-            self.set_header("X-Not-Run", "1")
-            return
+        model, counters = self.model, self.model.counters
+        counters["attempts"] += 1
+        counters["repeats"] += "X-Retry-Attempt" in self.request.headers
         if model.fail:
+            counters["failed"] += 1
             self.set_status(500)
             return
-        model.inflight += 1
+        self.task = asyncio.current_task()
         try:
-            async with model.slot_free:
-                run_id = self.request.headers.get("X-Run-Id")
-                if run_id:
-                    model.runs.append(run_id)
-                if model.delay_s:
-                    await asyncio.sleep(model.delay_s)
+            if model.shed:
+                raise Overloaded()
+            await model.work.run(model.next_time(), self._on_start)
+        except Overloaded:
+            counters["shed"] += 1
+            self.set_status(503)
+            self.set_header("X-Not-Run", "1")
+            self.set_load()
+            return
+        except asyncio.CancelledError:
+            counters["cancelled"] += 1
+            return
         finally:
-            model.inflight -= 1
-        self.set_header("X-Target-Load", model.load())
+            self.task = None
+        self.set_load()
         self.set_header("X-Target-Id", model.target_id)
         size = int(self.get_query_argument("size", "0"))
-        body = {"run": run_id, "target": model.target_id, "received": self.received}
+        body = {
+            "run": self.request.headers.get("X-Run-Id"),
+            "target": model.target_id,
+            "received": self.received,
+        }
         self.write(b"x" * size if size else json.dumps(body))
 
     get = post = put = delete = _work
 
 
-class LoadHandler(RequestHandler):
+class LoadHandler(ModelHandler):
     """The load endpoint."""
 
-    def initialize(self, model):
-        """Take the model."""
-        self.model = model
+    kind = "probe"
 
     def get(self):
         """Answer the load."""
-        self.set_header("X-Target-Load", self.model.load())
+        self.model.counters["probes"] += 1
+        self.set_load()
         self.write({"inflight": self.model.inflight, "slots": self.model.slots})
 
 
-class RunsHandler(LoadHandler):
+class HealthHandler(ModelHandler):
+    """The health endpoint."""
+
+    kind = "health"
+
+    def get(self):
+        """Answer 200 if the target works, unless the status is set."""
+        self.set_status(self.model.health_status or (500 if self.model.fail else 200))
+
+
+class RunsHandler(ModelHandler):
     """Requests that ran."""
 
     def get(self):
@@ -104,13 +316,26 @@
         self.write({"runs": self.model.runs})
 
 
-class FaultsHandler(LoadHandler):
+class FaultsHandler(ModelHandler):
     """Sets the faults in force."""
 
+    async def prepare(self):
+        """Answer on a silent target as well."""
+        self.stream = self.request.connection.stream
+
+    def get(self):
+        """Answer the counters."""
+        model = self.model
+        extra = {"work_s": model.work.work_s, "inflight": model.inflight}
+        self.write(dict(model.counters) | extra)
+
     def post(self):
         """Set the given faults and keep the others."""
-        for name, value in json.loads(self.request.body).items():
-            setattr(self.model, name, value)
+        try:
+            self.model.update(json.loads(self.request.body))
+        except TypeError as exc:
+            self.set_status(400)
+            self.write({"error": str(exc)})
 
 
 async def announce(model, addr, node_admin):
@@ -134,57 +359,83 @@
         await asyncio.sleep(RENEW_S)
 
 
-async def serve(model, port, node_admin):
+async def withdraw(model, node_admin):
+    """Drain at the node, finish what is in flight and withdraw."""
+    base = f"http://{node_admin}/v1/targets/{model.target_id}"
+    client = AsyncHTTPClient()
+    await client.fetch(base + "/drain", method="POST", body="")
+    await asyncio.sleep(1.0)
+    while model.inflight:
+        await asyncio.sleep(0.05)
+    await client.fetch(base, method="DELETE")
+
+
+async def sample_loads(model):
+    """Record the load for reports that lag."""
+    loop = asyncio.get_running_loop()
+    while True:
+        model.sample_load(loop.time())
+        await asyncio.sleep(LOAD_SAMPLE_S)
+
+
+async def serve(model, port, node_admins):
     """Serve until SIGTERM, then drain, finish what is in flight and end."""
-    model.slot_free = asyncio.Semaphore(model.slots)
     sockets = bind_sockets(port, "127.0.0.1")
     args = {"model": model}
-    server = HTTPServer(
-        Application(
-            [
-                (r"/load", LoadHandler, args),
-                (r"/runs", RunsHandler, args),
-                (r"/faults", FaultsHandler, args),
-                (r"/.*", WorkHandler, args),
-            ],
-            log_function=lambda handler: None,
-        ),
-        max_body_size=16 * 1024**3,
+    application = Application(
+        [
+            (r"/load", LoadHandler, args),
+            (r"/health", HealthHandler, args),
+            (r"/runs", RunsHandler, args),
+            (r"/faults", FaultsHandler, args),
+            (r"/.*", WorkHandler, args),
+        ],
+        log_function=lambda handler: None,
     )
+    server = TargetServer(application, model=model, max_body_size=16 * 1024**3)
     server.add_sockets(sockets)
     addr = sockets[0].getsockname()[:2]
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
-    task = loop.create_task(announce(model, addr, node_admin)) if node_admin else None
+    tasks = [loop.create_task(announce(model, addr, admin)) for admin in node_admins]
+    tasks.append(loop.create_task(sample_loads(model)))
     print(json.dumps({"target": model.target_id, "addr": addr}), flush=True)
     await stopping.wait()
-    if task is not None:
+    for task in tasks:
         task.cancel()
-        base = f"http://{node_admin}/v1/targets/{model.target_id}"
-        client = AsyncHTTPClient()
-        await client.fetch(base + "/drain", method="POST", body="")
-        await asyncio.sleep(1.0)
-        while model.inflight:
-            await asyncio.sleep(0.05)
-        await client.fetch(base, method="DELETE")
+    gone = [withdraw(model, admin) for admin in node_admins]
+    await asyncio.gather(*gone, return_exceptions=True)
     server.stop()
 
 
 def main(argv):
     """Run one target."""
     args = flags.FLAGS
-    model = TargetModel(args.target_id, args.service, args.slots, args.connections)
-    model.delay_s = args.delay_s
-    asyncio.run(serve(model, args.port, args.node_admin))
+
+    async def run():
+        model = TargetModel(
+            args.target_id,
+            args.service,
+            args.region,
+            args.slots,
+            connections=args.connections,
+            delay_s=args.delay_s,
+        )
+        await serve(model, args.port, [a for a in args.node_admin.split(",") if a])
+
+    asyncio.run(run())
 
 
 if __name__ == "__main__":
     flags.DEFINE_string("target_id", "t1", "Name of the target.")
     flags.DEFINE_string("service", "hive-ledger", "Service of the target.")
+    flags.DEFINE_string("region", "", "Region, to count bytes that cross regions.")
     flags.DEFINE_integer("slots", 12, "Requests served at once.")
     flags.DEFINE_integer("connections", 260, "Connections accepted.")
     flags.DEFINE_float("delay_s", 0.0, "Time of service in seconds.")
     flags.DEFINE_integer("port", 0, "Port; chosen by the system if 0.")
-    flags.DEFINE_string("node_admin", "", "Admin address of the node on this host.")
+    flags.DEFINE_string(
+        "node_admin", "", "Comma-separated admin addresses of nodes on this host."
+    )
     app.run(main)
--- /dev/null
+++ b/tests/test_standin_target.py
@@ -0,0 +1,45 @@
+"""The target stand-in, because the bench and the fault tests rest on it."""
+
+import concurrent.futures as cf
+import json
+
+import pytest
+
+from .conftest import http, wait_until
+
+
+@pytest.fixture
+def target(cluster):
+    """Yield a function (path, method, body) -> (status, headers, data)."""
+    process = cluster.start("standins.target", "--slots=1")
+    url = "http://{}:{}".format(*process.info["addr"])
+
+    def ask(path, method="GET", body=None):
+        return http(url + path, method, body)
+
+    return ask
+
+
+def counters(target):
+    """Return the counters of the target."""
+    return json.loads(target("/faults")[2])
+
+
+def test_full_queue_sheds_without_running(target):
+    """Guards against shed requests that ran, which would hide a broken P3."""
+    target("/faults", "POST", {"queue": 1, "delay_s": 30.0})
+    with cf.ThreadPoolExecutor(2) as pool:
+        held = [pool.submit(target, "/a") for _ in range(2)]
+        wait_until(lambda: counters(target)["inflight"] == 2)
+        status, headers, _ = target("/b")
+        assert (status, headers["X-Not-Run"]) == (503, "1")
+        assert counters(target)["ran"] == 1
+        # The slowdown applies to running work, so the held requests end now.
+        target("/faults", "POST", {"slowdown": 1e-3, "delay_s": 0.0})
+        assert [fut.result()[0] for fut in held] == [200, 200]
+    assert counters(target)["ran"] == 2
+
+
+def test_unknown_fault_is_refused(target):
+    """Guards against an experiment whose misspelt fault has no effect."""
+    assert target("/faults", "POST", {"slow_down": 2})[0] == 400
