--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -8,13 +8,13 @@
 
 from pimentoline import events as ev
 from pimentoline.draws import mix
-from pimentoline.effects import StartAttempt
 from pimentoline.model import Call, Identity, Member, Request, State, Target
 from pimentoline.reducer import reduce
 
 MEMBERS = 720
 SERVICES = 89
-CALLS = 20_000
+BATCHES = 40
+BATCH_CALLS = 500
 PLACES = [
     ("rift", "baringo"),
     ("rift", "kerio"),
@@ -40,30 +40,44 @@
     return reduce(state, ev.MembersHeard(0.0, tuple(records))).state
 
 
-def run_call(state, call_id, now, draw):
-    """Reduce the events of one successful call and return the state."""
-    req = Request(f"s{call_id % SERVICES:02}", "GET", "/weights", now + 10.0)
-    step = reduce(state, ev.CallArrived(now, draw, Call(call_id, req, now)))
-    for effect in step.effects:
-        if isinstance(effect, StartAttempt):
-            head = ev.HeadReceived(
-                now + 0.02, draw, call_id, effect.attempt_id, 200, load=3.0
-            )
-            step = reduce(step.state, head)
-    return reduce(step.state, ev.CallEnded(now + 0.021, call_id, True)).state
+def make_events(number, attempt_id):
+    """Return the events of one successful call."""
+    now, draw = 1.0 + number / 153.0, mix(number, 1)
+    req = Request(f"s{number % SERVICES:02}", "GET", "/weights", now + 10.0)
+    return (
+        ev.CallArrived(now, draw, Call(number, req, now)),
+        ev.HeadReceived(now + 0.02, draw, number, attempt_id, 200, load=3.0),
+        ev.CallEnded(now + 0.021, number, True),
+    )
 
 
 def measure(policy):
-    """Return the mean processor time of one call in microseconds."""
+    """Return the mean processor times of one call in microseconds, one per batch."""
     state = make_state(policy)
-    for number in range(CALLS + SERVICES):
-        if number == SERVICES:
-            # The first call of each service builds its route; that is not the mean.
-            started = time.process_time()
-        state = run_call(state, number, 1.0 + number / 153.0, mix(number, 1))
-    return (time.process_time() - started) / CALLS * 1e6
+    times = []
+    for first in range(0, (BATCHES + 1) * BATCH_CALLS, BATCH_CALLS):
+        attempt_id = state.traffic.next_attempt - first
+        calls = [
+            make_events(n, n + attempt_id) for n in range(first, first + BATCH_CALLS)
+        ]
+        started = time.process_time()
+        for events in calls:
+            for event in events:
+                state = reduce(state, event).state
+        times.append((time.process_time() - started) / BATCH_CALLS * 1e6)
+        if state.traffic.calls:
+            raise RuntimeError("a call was not answered by the attempt foreseen")
+    # The first batch builds the routes of all services.
+    return times[1:]
 
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ["hot-cold", "random"]:
-        print(f"{name}: {measure(name):.1f} us per call, {MEMBERS} members", flush=True)
+        times = measure(name)
+        # Other processes on the machine slow some batches down; the least shows the
+        # cost without them.
+        print(
+            f"{name}: mean {sum(times) / BATCHES:.1f}, least {min(times):.1f} us per "
+            f"call, {BATCHES} batches of {BATCH_CALLS}, {MEMBERS} members",
+            flush=True,
+        )
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -1,7 +1,5 @@
 """pimentoline.calls: life of a call, from its arrival to the end of its answer."""
 
-from dataclasses import replace
-
 from . import claims, limits, retries, routing
 from .effects import (
     CancelAttempt,
@@ -14,6 +12,7 @@
     StartAttempt,
 )
 from .events import Outcome
+from .frozen import replace
 from .model import Attempt, CallPhase, CallRecord
 from .verdict import Verdict, combine
 
@@ -30,13 +29,44 @@
 
 def _with_call(state, record):
     traffic = state.traffic
-    calls = traffic.calls.set(record.call.call_id, record)
-    return replace(state, traffic=replace(traffic, calls=calls))
+    call = record.call
+    services = traffic.services
+    if call.call_id not in traffic.calls:
+        services = limits.begin_call(services, call.req)
+    calls = traffic.calls.set(call.call_id, record)
+    return replace(state, traffic=replace(traffic, calls=calls, services=services))
+
+
+def _with_attempt(state, record, target_id):
+    """Return the state with a record whose last attempt is about to be sent."""
+    traffic = state.traffic
+    call, services = record.call, traffic.services
+    req = call.req
+    if call.call_id not in traffic.calls:
+        services = limits.begin_call(services, req)
+    if len(record.attempts) == 1:
+        policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
+        services = retries.note_first(services, req.service, policy.retry_share)
+    traffic = replace(
+        traffic,
+        calls=traffic.calls.set(call.call_id, record),
+        services=services,
+        targets=limits.begin_attempt(traffic.targets, target_id),
+        next_attempt=traffic.next_attempt + 1,
+    )
+    return replace(state, traffic=traffic)
 
 
-def _without_call(state, call_id):
+def _without_call(state, call_id, ended_at=None):
+    """Return the state without a call, whose attempt at `ended_at` has ended too."""
     traffic = state.traffic
-    return replace(state, traffic=replace(traffic, calls=traffic.calls.delete(call_id)))
+    services = limits.end_call(traffic.services, traffic.calls[call_id].call.req)
+    targets = traffic.targets
+    if ended_at is not None:
+        targets = limits.end_attempt(targets, ended_at)
+    calls = traffic.calls.delete(call_id)
+    traffic = replace(traffic, calls=calls, services=services, targets=targets)
+    return replace(state, traffic=traffic)
 
 
 def _with_verdict(record, attempt_id, verdict):
@@ -72,7 +102,7 @@
         record = replace(record, phase=CallPhase.CLAIMING)
         return _with_call(state, record), (claims.insert(record),)
     state, effects = _start(state, record, event)
-    if record.idempotent and policy.hedge and effects:
+    if record.idempotent and policy.hedge and req.retry_attempt == 0 and effects:
         delay_s = retries.hedge_delay_s(state, req.service)
         effects += (ScheduleHedge(call.call_id, delay_s),)
     return state, effects
@@ -83,6 +113,9 @@
     tried = {att.target_id for att in record.attempts}
     state, target = routing.pick(state, record, tried, event.now, event.draw)
     call = record.call
+    if hedge and (target is None or target.target_id in tried):
+        # A second attempt at the same target would only add to its load.
+        return state, ()
     if target is None or call.req.deadline <= event.now:
         code = "no-target" if target is None else "deadline-exceeded"
         return _reject(state, record, 503 if target is None else 504, code)
@@ -92,9 +125,7 @@
     record = replace(
         record, phase=CallPhase.SENDING, attempts=record.attempts + (attempt,)
     )
-    traffic = replace(state.traffic, next_attempt=attempt_id + 1)
-    state = _with_call(replace(state, traffic=traffic), record)
-    state = limits.note_sent(state, target.target_id, event.now)
+    state = _with_attempt(state, record, target.target_id)
     effect = StartAttempt(
         call.call_id,
         attempt_id,
@@ -175,7 +206,7 @@
     attempt = record and _attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
-    state = limits.note_failure(state, attempt, event.now)
+    state = limits.note_failure(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, event.verdict)
     state = _with_call(state, record)
     if _in_flight(record):
@@ -202,9 +233,8 @@
         kind = ReleaseClaim if answered.verdict is Verdict.NOT_RUN else FinishClaim
         effects = (kind(event.call_id, req.service, req.key),)
     answering = _attempt(record, record.answering)
-    if answering is not None:
-        state = limits.note_done(state, answering.target_id)
-    return _without_call(state, event.call_id), effects
+    target_id = answering.target_id if answering is not None else None
+    return _without_call(state, event.call_id, target_id), effects
 
 
 def on_caller_left(state, event):
@@ -213,6 +243,7 @@
     if record is None:
         return state, ()
     effects = []
+    state = limits.note_waited(state, record, event.now)
     for att in record.attempts:
         if att.verdict is None or att.attempt_id == record.answering:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
@@ -227,10 +258,10 @@
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
-    state, allowed = retries.may_hedge(state, record, event.now)
+    charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
-    started, effects = _start(state, record, event, hedge=True)
+    started, effects = _start(charged, record, event, hedge=True)
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
     return started, effects + (Count("attempts.hedged"),)
--- a/pimentoline/evolve.py
+++ b/pimentoline/frozen.py
@@ -1,8 +1,8 @@
-"""pimentoline.evolve: a faster `dataclasses.replace` for the classes of the state."""
+"""pimentoline.frozen: a faster `dataclasses.replace` for the classes of the state."""
 
 from dataclasses import fields
 
-__all__ = ["evolve"]
+__all__ = ["replace"]
 
 _COPIERS = {}
 
@@ -24,9 +24,11 @@
     return scope["copy"]
 
 
-def evolve(obj, **changes):
+def replace(obj, **changes):
     """Return a copy of a slotted frozen data class with some fields changed.
 
+    `__post_init__` is not called.
+
     Raises
     ------
     KeyError
--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -1,34 +1,58 @@
 """pimentoline.limits: admission of calls and observation of targets."""
 
 import math
-from dataclasses import replace
 
-from .model import TargetStats
+from . import outliers, throttling
+from .draws import fraction
+from .events import Outcome
+from .frozen import replace
+from .model import CLASS_RANKS, ServiceStats, TargetStats
 
 __all__ = [
     "admit",
+    "begin_attempt",
+    "begin_call",
+    "end_attempt",
+    "end_call",
     "note_answer",
     "note_cancelled",
     "note_done",
     "note_failure",
-    "note_sent",
+    "note_waited",
 ]
 
 LATENCY_DECAY_S = 2.0
 # A failed call counts as at least this slow, so that a target that fails fast does
 # not look like the fastest one.
 FAILURE_LATENCY_S = 1.0
+# The same for services with slow answers, as a multiple of the 95th percentile.
+FAILURE_LATENCY_FACTOR = 2.0
+LATENCY_WINDOW = 128
+# The percentiles are computed once for so many answers, because sorting the window
+# at each answer would cost more than all other statistics.
+LATENCY_BATCH = 16
 
+THROTTLE_SALT = 21
 
-def _update(state, target_id, **changes):
+
+def _target_stats(state, target_id):
+    return state.traffic.targets.get(target_id) or TargetStats()
+
+
+def _service_stats(state, service):
+    return state.traffic.services.get(service) or ServiceStats()
+
+
+def _with_target(state, target_id, stats):
     traffic = state.traffic
-    stats = traffic.targets.get(target_id) or TargetStats()
-    targets = traffic.targets.set(target_id, replace(stats, **changes))
+    targets = traffic.targets.set(target_id, stats)
     return replace(state, traffic=replace(traffic, targets=targets))
 
 
-def _stats(state, target_id):
-    return state.traffic.targets.get(target_id) or TargetStats()
+def _with_service(state, service, stats):
+    traffic = state.traffic
+    services = traffic.services.set(service, stats)
+    return replace(state, traffic=replace(traffic, services=services))
 
 
 def admit(state, call, now, draw):
@@ -40,65 +64,188 @@
     refusal : str or None
         Code of the refusal, None if the call is admitted.
     """
-    if call.req.service not in state.mesh.by_service:
+    req = call.req
+    if req.service not in state.mesh.by_service:
         return state, "unknown-service"
-    return state, None
+    stats = _service_stats(state, req.service)
+    limit = state.rules.ruleset.inflight_limit(req.service, req.call_class)
+    if limit is not None and stats.inflight[CLASS_RANKS[req.call_class]] >= limit:
+        return state, "inflight-limit"
+    if not throttling.has_excess(stats):
+        return state, None
+    share = throttling.refused_share(stats, req.call_class, now)
+    if fraction(draw, THROTTLE_SALT) >= share:
+        return state, None
+    return _count_refused(state, req, now), "throttled"
 
 
-def note_sent(state, target_id, now):
-    """Count an attempt as in flight."""
-    stats = _stats(state, target_id)
-    return _update(
-        state,
-        target_id,
-        inflight=stats.inflight + 1,
-        sent_since=stats.sent_since + 1,
-    )
+def _count_refused(state, req, now):
+    """Count an attempt that was refused here or left unanswered."""
+    stats = _service_stats(state, req.service)
+    changes = throttling.attempt_changes(stats, req.call_class, False, now)
+    return _with_service(state, req.service, replace(stats, **changes))
+
+
+def _changed(counts, call_class, change):
+    rank = CLASS_RANKS[call_class]
+    return counts[:rank] + (max(0, counts[rank] + change),) + counts[rank + 1 :]
+
+
+def begin_call(services, req):
+    """Return the service statistics with one more call in flight."""
+    stats = services.get(req.service) or ServiceStats()
+    inflight = _changed(stats.inflight, req.call_class, 1)
+    return services.set(req.service, replace(stats, inflight=inflight))
+
+
+def end_call(services, req):
+    """Return the service statistics with one call less in flight."""
+    stats = services.get(req.service) or ServiceStats()
+    inflight = _changed(stats.inflight, req.call_class, -1)
+    return services.set(req.service, replace(stats, inflight=inflight))
+
+
+def begin_attempt(targets, target_id):
+    """Return the target statistics with one more attempt in flight."""
+    stats = targets.get(target_id) or TargetStats()
+    stats = replace(stats, inflight=stats.inflight + 1, sent_since=stats.sent_since + 1)
+    return targets.set(target_id, stats)
+
+
+def end_attempt(targets, target_id):
+    """Return the target statistics with one attempt less in flight."""
+    stats = targets.get(target_id) or TargetStats()
+    return targets.set(target_id, replace(stats, inflight=max(0, stats.inflight - 1)))
 
 
 def _latency(stats, sample_s, now):
     """Peak-sensitive average: rises at once, falls over `LATENCY_DECAY_S`."""
     if sample_s >= stats.latency_s:
         return sample_s
-    weight = math.exp(-(now - stats.latency_at) / LATENCY_DECAY_S)
+    weight = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
     return stats.latency_s * weight + sample_s * (1.0 - weight)
 
 
+def _failure_latency_s(state, service, sample_s):
+    late_s = _service_stats(state, service).late_s
+    return max(sample_s, FAILURE_LATENCY_S, FAILURE_LATENCY_FACTOR * late_s)
+
+
+def _with_failure(state, record, attempt, now, decisive, stats):
+    """Return the statistics of a target after a failure, ejected if it is due."""
+    plan = state.traffic.plan
+    route = plan.routes.get(record.call.req.service) if plan is not None else None
+    target_ids = route.target_ids() if route is not None else ()
+
+    def ejected():
+        others = (name for name in target_ids if name != attempt.target_id)
+        return sum(_target_stats(state, name).ejected_until > now for name in others)
+
+    if plan is not None and attempt.target_id in plan.unconfirmed:
+        # Its node is gone, so a failure is likely to be the end of its host.
+        decisive = True
+    return outliers.note_failure(
+        stats, attempt.started, now, decisive, ejected, len(target_ids)
+    )
+
+
 def note_answer(state, record, attempt, event):
-    """Record a response head: latency, load report, success or failure."""
-    stats = _stats(state, attempt.target_id)
+    """Record a response head: latency, load report, success or failure.
+
+    A request that the target shed counts as slow and as not accepted, but not as a
+    failure: shedding is the contract of a loaded target, not a fault.
+    """
+    state = note_waited(state, record, event.now, attempt)
+    req = record.call.req
+    stats = _target_stats(state, attempt.target_id)
+    service = _service_stats(state, req.service)
     failed = event.status >= 500
     sample_s = event.now - attempt.started
     if failed:
-        sample_s = max(sample_s, FAILURE_LATENCY_S)
+        sample_s = _failure_latency_s(state, req.service, sample_s)
     changes = {
         "latency_s": _latency(stats, sample_s, event.now),
         "latency_at": event.now,
-        "failures": stats.failures + 1 if failed else 0,
     }
     if event.load is not None:
         changes |= {"reported": event.load, "reported_at": event.now, "sent_since": 0}
-    return _update(state, attempt.target_id, **changes)
+    counted = throttling.attempt_changes(
+        service, req.call_class, not event.not_run, event.now
+    )
+    if not failed:
+        changes |= outliers.success_changes(stats, attempt.started)
+        # The time of a call whose hedge won is at least as long as its delay; the
+        # hedge's own time alone would lower the percentile and bring more hedges.
+        first = record.attempts[0] if attempt.hedge else attempt
+        counted |= _latency_changes(service, event.now - first.started)
+    stats = replace(stats, **changes)
+    if failed and not event.not_run:
+        stats = _with_failure(state, record, attempt, event.now, False, stats)
+    traffic = state.traffic
+    targets = traffic.targets.set(attempt.target_id, stats)
+    services = traffic.services.set(req.service, replace(service, **counted))
+    traffic = replace(traffic, targets=targets, services=services)
+    return replace(state, traffic=traffic)
+
+
+def _latency_changes(service, sample_s):
+    latest = (*service.latest, sample_s)
+    if len(latest) < LATENCY_BATCH:
+        return {"latest": latest}
+    window = (service.latencies + latest)[-LATENCY_WINDOW:]
+    ordered = sorted(window)
+    return {
+        "latencies": window,
+        "latest": (),
+        "typical_s": ordered[len(ordered) // 2],
+        "late_s": ordered[int(len(ordered) * 0.95)],
+    }
+
+
+def note_waited(state, record, now, answered=None):
+    """Raise the latency of targets whose attempts are still without an answer.
+
+    Such an attempt is about to be cancelled, so that its latency is never known in
+    full. Without the time waited, a slow target whose hedges always win would stay
+    attractive.
+    """
+    for att in record.attempts:
+        if att.verdict is None and att is not answered:
+            stats = _target_stats(state, att.target_id)
+            if now - att.started > stats.latency_s:
+                stats = replace(stats, latency_s=now - att.started, latency_at=now)
+                state = _with_target(state, att.target_id, stats)
+    return state
 
 
-def note_failure(state, attempt, now):
-    """Record an attempt that ended without an answer."""
-    stats = _stats(state, attempt.target_id)
-    sample_s = max(now - attempt.started, FAILURE_LATENCY_S)
-    return _update(
-        state,
-        attempt.target_id,
+def note_failure(state, record, attempt, event):
+    """Record an attempt that ended without an answer.
+
+    A refused connection ejects the target at once, because nothing listens there.
+    """
+    now = event.now
+    service = record.call.req.service
+    stats = _target_stats(state, attempt.target_id)
+    sample_s = _failure_latency_s(state, service, now - attempt.started)
+    stats = replace(
+        stats,
         inflight=max(0, stats.inflight - 1),
         latency_s=_latency(stats, sample_s, now),
         latency_at=now,
-        failures=stats.failures + 1,
     )
+    refused = event.outcome is Outcome.REFUSED
+    stats = _with_failure(state, record, attempt, now, refused, stats)
+    state = _with_target(state, attempt.target_id, stats)
+    if event.outcome is not Outcome.TIMEOUT:
+        return state
+    return _count_refused(state, record.call.req, now)
 
 
 def note_cancelled(state, target_id):
     """Count an attempt as no longer in flight."""
-    stats = _stats(state, target_id)
-    return _update(state, target_id, inflight=max(0, stats.inflight - 1))
+    traffic = state.traffic
+    targets = end_attempt(traffic.targets, target_id)
+    return replace(state, traffic=replace(traffic, targets=targets))
 
 
 note_done = note_cancelled
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -9,6 +9,8 @@
 from .verdict import Verdict
 
 __all__ = [
+    "CALL_CLASSES",
+    "CLASS_RANKS",
     "Attempt",
     "Call",
     "CallRecord",
@@ -218,32 +220,68 @@
     ready_at: float = float("-inf")
 
 
+# The lowest class is the last; counts by class are kept in this order.
+CALL_CLASSES = ("critical", "normal", "sheddable")
+CLASS_RANKS = {name: rank for rank, name in enumerate(CALL_CLASSES)}
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceStats:
     """What this node has observed of one service.
 
-    `retry_tokens` is the credit for retries and hedges; `requests` and `accepts`
-    are decayed counts by class for adaptive throttling; `latencies` are the latest
-    times to the response head in seconds; `ring` is the widest locality ring in use.
+    Parameters
+    ----------
+    retry_tokens : float
+        Credit for retries and hedges; negative after borrowing.
+    borrowed : bool
+        Whether the one retry that may come before its credit was made.
+    inflight : tuple of int
+        Calls in flight by class.
+    sent, accepted : tuple of float
+        Decayed counts by class for adaptive throttling. `sent` includes the calls
+        that throttling refused.
+    counted_at : float
+        Monotonic time up to which the counts are decayed, seconds.
+    latencies, latest : tuple of float
+        Times to the response head of successful calls, seconds; `latest` holds the
+        few that are not yet in `latencies`.
+    typical_s, late_s : float
+        Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
+    ring : int
+        Widest locality ring in use.
+    spill_credit : float
+        Calls that may still be spilled.
+    cursor : int
+        Number of calls sent.
     """
 
-    retry_tokens: float = 1.0
-    requests: Map = field(default_factory=Map)
-    accepts: Map = field(default_factory=Map)
+    retry_tokens: float = 0.0
+    borrowed: bool = False
+    inflight: tuple[int, ...] = (0, 0, 0)
+    sent: tuple[float, ...] = (0.0, 0.0, 0.0)
+    accepted: tuple[float, ...] = (0.0, 0.0, 0.0)
     counted_at: float = 0.0
     latencies: tuple[float, ...] = ()
+    latest: tuple[float, ...] = ()
+    typical_s: float = 0.0
+    late_s: float = 0.0
     ring: int = 0
+    spill_credit: float = 0.0
     cursor: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class TrafficState:
-    """Calls in flight and observations; keys are call, target and service names."""
+    """Calls in flight and observations; keys are call, target and service names.
+
+    `plan` is the `RoutePlan` derived from the members and rules, None at first.
+    """
 
     calls: Map = field(default_factory=Map)
     targets: Map = field(default_factory=Map)
     services: Map = field(default_factory=Map)
     next_attempt: int = 1
+    plan: object = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -1,14 +1,19 @@
 """pimentoline.retries: when a call may be sent again."""
 
-from dataclasses import replace
-
+from .frozen import replace
 from .model import ServiceStats
 from .verdict import Verdict
 
-__all__ = ["hedge_delay_s", "may_hedge", "may_retry"]
+__all__ = ["hedge_delay_s", "may_hedge", "may_retry", "note_first"]
 
 MAX_ATTEMPTS = 3
+# Used until enough answers of the service are known for a percentile.
 DEFAULT_HEDGE_DELAY_S = 0.2
+# Below this, the delay is in the range of the timer's own error.
+MIN_HEDGE_DELAY_S = 0.002
+# Credit for retries that a service can save up. It covers the calls that were in
+# flight at one target when it died; more would allow a storm after a quiet time.
+MAX_RETRY_TOKENS = 10.0
 
 
 def may_retry(state, record, verdict, now):
@@ -20,10 +25,7 @@
         With the retry budget charged if the retry is allowed.
     allowed : bool
     """
-    if len(record.attempts) >= MAX_ATTEMPTS or record.call.req.deadline <= now:
-        return state, False
-    if record.call.req.retry_attempt > 0:
-        # An upper level already retries; retrying here too would multiply.
+    if not _may_repeat(record, now):
         return state, False
     if not record.idempotent and verdict is not Verdict.NOT_RUN:
         return state, False
@@ -32,21 +34,49 @@
 
 def may_hedge(state, record, now):
     """Decide whether a late idempotent call gets a second attempt."""
-    if not record.idempotent or len(record.attempts) >= MAX_ATTEMPTS:
+    if not record.idempotent or not _may_repeat(record, now):
         return state, False
     return _spend(state, record.call.req.service)
 
 
+def _may_repeat(record, now):
+    req = record.call.req
+    if len(record.attempts) >= MAX_ATTEMPTS or req.deadline <= now:
+        return False
+    # An upper level already repeats the call; repeating it here too would multiply.
+    return req.retry_attempt == 0
+
+
 def hedge_delay_s(state, service):
     """Return the delay after which a call of the service is hedged, seconds."""
-    return DEFAULT_HEDGE_DELAY_S
+    stats = state.traffic.services.get(service)
+    if stats is None or not stats.late_s:
+        return DEFAULT_HEDGE_DELAY_S
+    return max(MIN_HEDGE_DELAY_S, stats.late_s)
+
+
+def note_first(services, service, share):
+    """Return the service statistics after the first attempt of a call.
+
+    It earns a share of a repeat.
+    """
+    stats = services.get(service) or ServiceStats()
+    tokens = min(MAX_RETRY_TOKENS, stats.retry_tokens + share)
+    stats = replace(stats, retry_tokens=tokens, cursor=stats.cursor + 1)
+    return services.set(service, stats)
 
 
 def _spend(state, service):
+    """Take one token.
+
+    The first repeat of a service may come before it is earned, so that a service
+    with few calls can repeat at all. It is paid back by later first attempts: there
+    are never more repeats than the share of the first attempts, or one.
+    """
     traffic = state.traffic
     stats = traffic.services.get(service) or ServiceStats()
-    if stats.retry_tokens < 1.0:
+    if stats.retry_tokens < 1.0 and stats.borrowed:
         return state, False
-    stats = replace(stats, retry_tokens=stats.retry_tokens - 1.0)
+    stats = replace(stats, retry_tokens=stats.retry_tokens - 1.0, borrowed=True)
     services = traffic.services.set(service, stats)
     return replace(state, traffic=replace(traffic, services=services)), True
--- /dev/null
+++ b/tests/core.py
@@ -0,0 +1,112 @@
+"""Helpers of the tests of the pure core."""
+
+from pimentoline import events as ev
+from pimentoline.draws import mix
+from pimentoline.effects import StartAttempt
+from pimentoline.frozen import replace
+from pimentoline.model import (
+    Call,
+    Identity,
+    Member,
+    MemberStatus,
+    Request,
+    State,
+    Target,
+    TargetStats,
+)
+from pimentoline.reducer import reduce
+from pimentoline.rules import parse
+
+ADDR = ("127.0.0.1", 1)
+HOME = ("rift", "kerio")
+SERVICE = "hive-ledger"
+
+
+class Core:
+    """A node's state, driven by events without a clock or sockets."""
+
+    def __init__(self, policy="hot-cold", rules=""):
+        me = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
+        self.state = State(me, policy=policy)
+        self.events = []
+        self.now = 100.0
+        self.calls = 0
+        self.seq = 0
+        if rules:
+            text = "".join(f"{rule} # test\n" for rule in rules.split("; "))
+            self.send(ev.RulesLoaded(self.now, 1, text, parse(text).ruleset, "test"))
+
+    def send(self, event):
+        """Reduce an event and return its effects."""
+        self.events.append(event)
+        step = reduce(self.state, event)
+        self.state = step.state
+        return step.effects
+
+    def add(self, name, place=HOME, status=MemberStatus.ALIVE, **fields):
+        """Add or change a target, with a node of its own."""
+        self.seq += 1
+        target = Target(name, SERVICE, ADDR, *place, **fields)
+        node = f"node-of-{name}"
+        record = Member(node, node, ADDR, *place, 1, self.seq, status, (target,))
+        self.send(ev.MembersHeard(self.now, (record,)))
+
+    def arrive(self, method="GET", **fields):
+        """Start a call; return its number and the effects."""
+        self.calls += 1
+        req = Request(SERVICE, method, "/", self.now + 10.0, **fields)
+        call = Call(self.calls, req, self.now)
+        draw = mix(self.calls, 1)
+        return self.calls, self.send(ev.CallArrived(self.now, draw, call))
+
+    def answer(self, effect, status=200, not_run=False, load=None):
+        """Answer an attempt; return the effects."""
+        draw = mix(self.calls, 2)
+        call_id, attempt_id = effect.call_id, effect.attempt_id
+        event = ev.HeadReceived(
+            self.now, draw, call_id, attempt_id, status, not_run, load
+        )
+        return self.send(event)
+
+    def fail(self, effect, outcome, verdict):
+        """End an attempt without an answer; return the effects."""
+        draw = mix(self.calls, 3)
+        call_id, attempt_id = effect.call_id, effect.attempt_id
+        return self.send(
+            ev.AttemptEnded(self.now, draw, call_id, attempt_id, outcome, verdict, True)
+        )
+
+    def end(self, call_id):
+        """End a call whose answer was passed on."""
+        self.send(ev.CallEnded(self.now, call_id, True))
+
+    def call(self, latency_s=0.01, status=200, load=None, **fields):
+        """Make a whole call; return the target's name, or the code of the refusal."""
+        call_id, effects = self.arrive(**fields)
+        sent = attempt_of(effects)
+        if sent is None:
+            return effects[0].code
+        self.now += latency_s
+        again = attempt_of(self.answer(sent, status, load=load))
+        if again is not None:
+            self.answer(again, 200)
+        self.end(call_id)
+        return sent.target_id
+
+    def set_stats(self, name, **fields):
+        """Set the statistics of a target."""
+        targets = self.state.traffic.targets.set(name, TargetStats(**fields))
+        self.set_traffic(targets=targets)
+
+    def set_traffic(self, **fields):
+        """Set fields of the traffic state."""
+        self.state = replace(self.state, traffic=replace(self.state.traffic, **fields))
+
+    def stats(self, name):
+        """Return the statistics of a target."""
+        return self.state.traffic.targets.get(name) or TargetStats()
+
+
+def attempt_of(effects):
+    """Return the started attempt among effects, or None."""
+    return next((eff for eff in effects if isinstance(eff, StartAttempt)), None)
