--- a/standins/target.py
+++ b/standins/target.py
@@ -87,6 +87,7 @@
         self.silenced = set()
         self.work = WorkQueue(self.slots, self.queue)
         self._loads = deque(maxlen=500)
+        self.changed = asyncio.Event()
         self._noise_task = None
         self._apply()
 
@@ -107,13 +108,14 @@
         if values.pop("reset", False):
             self.counters.clear()
             self.work.work_s = 0.0
-            values = self.initial | {"state": self.state} | values
+            values = self.initial | values
         unknown = values.keys() - self.initial.keys()
         if unknown:
             raise TypeError(f"unknown faults: {', '.join(sorted(unknown))}")
         for name, value in values.items():
             setattr(self, name, value)
         self._apply(values)
+        self.changed.set()
 
     def _apply(self, values=()):
         self.work.slots, self.work.queue = self.slots, self.queue
@@ -133,9 +135,10 @@
         if "noise" in values:
             if self._noise_task is not None:
                 self._noise_task.cancel()
-            self._noise_task = self.noise and asyncio.get_running_loop().create_task(
-                make_noise(self.work, **self.noise)
-            )
+                self._noise_task = None
+            if self.noise:
+                loop = asyncio.get_running_loop()
+                self._noise_task = loop.create_task(make_noise(self.work, **self.noise))
         if self.silence_open:
             self.silence_open = False
             self.silenced |= self.open
@@ -339,7 +342,7 @@
 
 
 async def announce(model, addr, node_admin):
-    """Announce the target to its node, and again every second."""
+    """Announce the target to its node every second, and when its state changes."""
     client = AsyncHTTPClient()
     url = f"http://{node_admin}/v1/targets/{model.target_id}"
     while True:
@@ -356,7 +359,11 @@
             pass
         except Exception as exc:
             print(f"announcement refused: {exc}", flush=True)
-        await asyncio.sleep(RENEW_S)
+        model.changed.clear()
+        try:
+            await asyncio.wait_for(model.changed.wait(), RENEW_S)
+        except asyncio.TimeoutError:
+            pass
 
 
 async def withdraw(model, node_admin):
