--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -2,58 +2,47 @@
 
 import hashlib
 import hmac
+import socket
 import zlib
-from dataclasses import dataclass
 from pathlib import Path
 
 import capnp
 
-from .errors import CodecError
+from .errors import CodecError, NewerMessageError
+from .messages import (
+    Ack,
+    Message,
+    Ping,
+    PingReq,
+    RulesAck,
+    RulesPush,
+    RulesReply,
+    RulesRequest,
+    Rumours,
+    SyncReply,
+    SyncRequest,
+)
 from .model import Member, MemberStatus, Target, TargetState
 
 capnp.remove_import_hook()
 
-__all__ = ["Codec", "Message", "RulesReply", "RulesRequest", "Rumours"]
+__all__ = ["MAX_DATAGRAM_BYTES", "MAX_FRAME_BYTES", "Codec"]
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("mesh.capnp")))
 PROTOCOL = 1
 MAGIC = b"PM"
 MAC_BYTES = 16
 HEAD_BYTES = len(MAGIC) + 1 + MAC_BYTES
+# An Ethernet frame holds 1,472 bytes of UDP data; tunnels take some of it.
+MAX_DATAGRAM_BYTES = 1400
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_RULES_BYTES = 1024 * 1024
-
-
-@dataclass(frozen=True, slots=True)
-class Rumours:
-    """Member records."""
-
-    records: tuple[Member, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class RulesRequest:
-    """Asks for the rules text if its version is at least `version`."""
-
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class RulesReply:
-    """A rules text and its version."""
-
-    version: int
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class Message:
-    """A message with what every message tells of its sender."""
-
-    sender: str
-    incarnation: int
-    rules_version: int
-    body: object
+MAX_TEXT_BYTES = 512
+# A record's counters must leave room for the increments of a refutation.
+MAX_COUNTER = 2**62
+# Level 1 costs a fifth of the time of level 6 and gains most of the size, since
+# records repeat the names of regions and services.
+ZLIB_LEVEL = 1
 
 
 class Codec:
@@ -67,7 +56,6 @@
 
     def __init__(self, keys):
         self._keys = tuple(keys)
-        self._ids = {hashlib.sha256(key).digest()[0]: key for key in self._keys}
 
     @classmethod
     def from_config(cls, cfg):
@@ -75,67 +63,214 @@
         return cls([key.encode() for key in cfg.mesh_keys])
 
     def encode(self, message):
-        """Return the bytes of a message."""
-        env = SCHEMA.Envelope.new_message(
-            protocol=PROTOCOL,
-            sender=message.sender,
-            incarnation=message.incarnation,
-            rulesVersion=message.rules_version,
-        )
-        match message.body:
-            case Rumours(records):
-                items = env.init("rumours", len(records))
-                for item, record in zip(items, records):
-                    _write_member(item, record)
-            case RulesRequest(version):
-                env.rulesRequest = version
-            case RulesReply(version, text):
-                reply = env.init("rulesReply")
-                reply.version = version
-                reply.body = zlib.compress(text.encode())
-        data = env.to_bytes_packed()
+        """Return the bytes of a message.
+
+        Raises
+        ------
+        CodecError
+            If a value does not fit the schema or the message is too large.
+        """
+        try:
+            env = SCHEMA.Envelope.new_message(
+                protocol=PROTOCOL,
+                sender=message.sender,
+                incarnation=message.incarnation,
+                rulesVersion=message.rules_version,
+                rulesHeard=message.rules_heard,
+                rulesConfirmed=message.rules_confirmed,
+            )
+            _write_body(env, message.body)
+        except (capnp.KjException, ValueError, OverflowError, TypeError) as exc:
+            raise CodecError(f"message cannot be encoded: {exc}") from exc
+        data = zlib.compress(env.to_bytes(), ZLIB_LEVEL)
+        if HEAD_BYTES + len(data) > MAX_FRAME_BYTES:
+            raise CodecError(f"message of {len(data)} bytes is too large")
         key = self._keys[0]
-        return MAGIC + hashlib.sha256(key).digest()[:1] + _mac(key, data) + data
+        return MAGIC + _key_id(key) + _mac(key, data) + data
 
     def decode(self, data):
         """Return the message in `data`.
 
         Raises
         ------
+        NewerMessageError
+            If the message is authentic and from a newer release.
         CodecError
             If the bytes are not an authentic message of at most 4 MiB.
         """
         if len(data) <= HEAD_BYTES or data[: len(MAGIC)] != MAGIC:
             raise CodecError("not a message of the mesh")
-        key = self._ids.get(data[len(MAGIC)])
-        mac, payload = data[len(MAGIC) + 1 : HEAD_BYTES], data[HEAD_BYTES:]
-        if key is None or not hmac.compare_digest(mac, _mac(key, payload)):
-            raise CodecError("message is not signed by a known key")
         if len(data) > MAX_FRAME_BYTES:
             raise CodecError(f"message of {len(data)} bytes is too large")
+        self._check_mac(data)
         try:
-            env = SCHEMA.Envelope.from_bytes_packed(payload)
-            return Message(
-                env.sender, env.incarnation, env.rulesVersion, _read_body(env)
-            )
-        except (capnp.KjException, ValueError, zlib.error) as exc:
+            with SCHEMA.Envelope.from_bytes(_decompress(data[HEAD_BYTES:])) as env:
+                return _read_envelope(env)
+        except (capnp.KjException, ValueError, OverflowError, zlib.error) as exc:
             raise CodecError(f"malformed message: {exc}") from exc
 
+    def _check_mac(self, data):
+        key_id = data[len(MAGIC) : len(MAGIC) + 1]
+        mac, payload = data[len(MAGIC) + 1 : HEAD_BYTES], data[HEAD_BYTES:]
+        # Two keys can share the one-byte id, so every key with it is tried.
+        for key in self._keys:
+            if _key_id(key) == key_id and hmac.compare_digest(mac, _mac(key, payload)):
+                return
+        raise CodecError("message is not signed by a known key")
+
+
+def _key_id(key):
+    return hashlib.sha256(key).digest()[:1]
+
 
 def _mac(key, data):
     return hmac.digest(key, data, "sha256")[:MAC_BYTES]
 
 
-def _read_body(env):
-    match env.which():
+def _decompress(data):
+    inflater = zlib.decompressobj()
+    found = inflater.decompress(data, MAX_FRAME_BYTES)
+    if inflater.unconsumed_tail:
+        raise CodecError("message is too large when decompressed")
+    if not inflater.eof:
+        raise CodecError("compressed message is cut")
+    return found
+
+
+def _read_envelope(env):
+    if env.protocol > PROTOCOL:
+        raise NewerMessageError(f"protocol {env.protocol}")
+    try:
+        kind = env.which()
+    except capnp.KjException as exc:
+        raise NewerMessageError("unknown kind of message") from exc
+    body, skipped = _read_body(env, str(kind))
+    return Message(
+        _text(env.sender),
+        _counter(env.incarnation),
+        _counter(env.rulesVersion),
+        body,
+        _counter(env.rulesHeard),
+        env.rulesConfirmed,
+        skipped,
+    )
+
+
+def _write_body(env, body):
+    match body:
+        case Rumours(records):
+            _write_records(env.init("rumours", len(records)), records)
+        case SyncRequest(digests):
+            env.syncRequest = list(digests)
+        case SyncReply(buckets, records):
+            reply = env.init("syncReply")
+            reply.buckets = list(buckets)
+            _write_records(reply.init("records", len(records)), records)
+        case Ping(ping_id, addr):
+            _write_ping(env.init("ping"), ping_id, addr)
+        case PingReq(ping_id, addr):
+            _write_ping(env.init("pingReq"), ping_id, addr)
+        case Ack(ping_id, addr):
+            _write_ping(env.init("ack"), ping_id, addr)
+        case RulesRequest(version):
+            env.rulesRequest = version
+        case RulesAck(version):
+            env.rulesAck = version
+        case RulesReply(version, text):
+            _write_rules(env.init("rulesReply"), version, text)
+        case RulesPush(version, text):
+            _write_rules(env.init("rulesPush"), version, text)
+        case _:
+            raise TypeError(f"no message body: {type(body).__name__}")
+
+
+def _read_body(env, kind):
+    match kind:
         case "rumours":
-            return Rumours(tuple(_read_member(item) for item in env.rumours))
+            records, skipped = _read_records(env.rumours)
+            return Rumours(records), skipped
+        case "syncRequest":
+            return SyncRequest(tuple(env.syncRequest)), 0
+        case "syncReply":
+            records, skipped = _read_records(env.syncReply.records)
+            return SyncReply(tuple(env.syncReply.buckets), records), skipped
+        case "ping":
+            return Ping(env.ping.id, _optional_addr(env.ping.addr)), 0
+        case "pingReq":
+            return PingReq(env.pingReq.id, _addr(env.pingReq.addr)), 0
+        case "ack":
+            return Ack(env.ack.id, _optional_addr(env.ack.addr)), 0
         case "rulesRequest":
-            return RulesRequest(env.rulesRequest)
+            return RulesRequest(_counter(env.rulesRequest)), 0
+        case "rulesAck":
+            return RulesAck(_counter(env.rulesAck)), 0
         case "rulesReply":
-            body = zlib.decompressobj().decompress(env.rulesReply.body, MAX_RULES_BYTES)
-            return RulesReply(env.rulesReply.version, body.decode())
-    return None
+            return RulesReply(*_read_rules(env.rulesReply)), 0
+        case "rulesPush":
+            return RulesPush(*_read_rules(env.rulesPush)), 0
+    raise NewerMessageError(f"unknown kind of message {kind!r}")
+
+
+def _write_ping(item, ping_id, addr):
+    item.id = ping_id
+    if addr is not None:
+        item.addr.ip, item.addr.port = addr
+
+
+def _write_rules(item, version, text):
+    item.version = version
+    item.body = text.encode()
+
+
+def _read_rules(item):
+    if len(item.body) > MAX_RULES_BYTES:
+        raise CodecError(f"rules text of {len(item.body)} bytes is too large")
+    return _counter(item.version), item.body.decode()
+
+
+def _text(value):
+    if len(value) > MAX_TEXT_BYTES:
+        raise ValueError(f"text of {len(value)} characters")
+    return value
+
+
+def _counter(value):
+    if value > MAX_COUNTER:
+        raise ValueError(f"counter {value} is out of range")
+    return value
+
+
+def _addr(item):
+    try:
+        # A name instead of an IP number would make `sendto` resolve it and block.
+        socket.inet_pton(socket.AF_INET, item.ip)
+    except OSError as exc:
+        raise ValueError(f"address {item.ip!r:.60}") from exc
+    return item.ip, item.port
+
+
+def _optional_addr(item):
+    return _addr(item) if item.ip else None
+
+
+def _write_records(items, records):
+    for item, record in zip(items, records):
+        _write_member(item, record)
+
+
+def _read_records(items):
+    """Return (records, number of records left out).
+
+    A record with a status or target state of a newer release is left out alone, so
+    that the others in the message are not lost.
+    """
+    records = []
+    for item in items:
+        try:
+            records.append(_read_member(item))
+        except ValueError:
+            continue
+    return tuple(records), len(items) - len(records)
 
 
 def _write_member(item, record):
@@ -148,6 +283,7 @@
     item.seq = record.seq
     item.status = record.status.value
     item.rulesVersion = record.rules_version
+    item.ageMs = int(record.age_s * 1000)
     targets = item.init("targets", len(record.targets))
     for slot, target in zip(targets, record.targets):
         slot.targetId = target.target_id
@@ -161,30 +297,34 @@
 
 
 def _read_member(item):
+    if not item.nodeId:
+        raise ValueError("record without a node id")
+    region, dc = _text(item.region), _text(item.dc)
     targets = tuple(
         Target(
-            slot.targetId,
-            slot.service,
-            (slot.addr.ip, slot.addr.port),
-            item.region,
-            item.dc,
+            _text(slot.targetId),
+            _text(slot.service),
+            _addr(slot.addr),
+            region,
+            dc,
             slot.slots,
             slot.connections,
             TargetState(slot.state),
-            slot.loadPath,
-            slot.version,
+            _text(slot.loadPath),
+            _text(slot.version),
         )
         for slot in item.targets
     )
     return Member(
-        item.nodeId,
-        item.host,
-        (item.addr.ip, item.addr.port),
-        item.region,
-        item.dc,
-        item.incarnation,
-        item.seq,
+        _text(item.nodeId),
+        _text(item.host),
+        _addr(item.addr),
+        region,
+        dc,
+        _counter(item.incarnation),
+        _counter(item.seq),
         MemberStatus(item.status),
         targets,
-        item.rulesVersion,
+        _counter(item.rulesVersion),
+        _counter(item.ageMs) / 1000,
     )
--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -1,37 +1,147 @@
 """pimentoline.configuration: which rules version is in force."""
 
+import random
 from dataclasses import replace
 
-from .effects import Count, FetchRules, LogEntry
-from .model import RulesState
-from .records import with_own_record
+from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
+from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
+from .records import RUMOUR_SENDS
+from .rumours import push, running_peers
+from .verdict import Verdict
 
-__all__ = ["on_rules_heard", "on_rules_loaded"]
+__all__ = [
+    "on_message",
+    "on_rules_heard",
+    "on_rules_loaded",
+    "on_tick",
+    "refusal",
+]
 
+# An accepted version is in force everywhere within 5 s. It is announced to every node
+# within 2 s, so a running node may answer calls by the one before for 3 s more.
+GRACE_S = 3.0
+# A process that did not run for this long can have missed an accepted version.
+PAUSE_S = 3.0
+# A fetch over TCP ends after at most 2 s; earlier repetitions would pile up.
+FETCH_GAP_S = 1.0
 
-def on_rules_heard(state, event):
-    """Fetch a version that is newer than the one in force."""
+
+def refusal(state, event):
+    """Return the effects that reject a call, or () if calls are served.
+
+    At boot and after a pause, the node first has to learn the highest version.
+    """
+    rules, last_tick = state.rules, state.mesh.last_tick
+    paused = last_tick is not None and event.now - last_tick > PAUSE_S
+    behind = rules.version < rules.heard
+    if not (rules.must_check or paused):
+        if not behind or event.now - rules.heard_at <= GRACE_S:
+            return ()
+    detail = f"rules version {rules.version} is in force, {rules.heard} is known"
+    code = "rules-outdated"
+    reject = RejectCall(event.call.call_id, 503, code, Verdict.NOT_RUN, detail)
+    return (reject, Count(f"calls.{code}"))
+
+
+def _hear(state, version, now):
+    """Note the highest version that anyone has named."""
     rules = state.rules
-    if event.version > rules.heard:
-        state = replace(state, rules=replace(rules, heard=event.version))
-    if event.version <= rules.version:
+    if version <= rules.heard:
+        return state
+    heard_at = rules.heard_at if rules.version < rules.heard else now
+    return replace(state, rules=replace(rules, heard=version, heard_at=heard_at))
+
+
+def _settle(state, confirmed=False):
+    """End the check once it was answered and the highest version is in force."""
+    rules = state.rules
+    if not rules.must_check:
+        return state
+    answered = rules.answered or confirmed
+    if answered and rules.version >= rules.heard:
+        rules = replace(rules, confirmed=True, must_check=False, answered=False)
+    else:
+        rules = replace(rules, answered=answered)
+    return replace(state, rules=rules)
+
+
+def _fetch(state, addr, now):
+    """Ask for the highest version, unless it was asked for a moment ago."""
+    rules = state.rules
+    if rules.asked_version >= rules.heard and now - rules.asked_at < FETCH_GAP_S:
+        return state, ()
+    rules = replace(rules, asked_version=rules.heard, asked_at=now)
+    return replace(state, rules=rules), (FetchRules(rules.heard, addr),)
+
+
+def on_message(state, event):
+    """Compare the versions that every message names, and answer for the rules."""
+    now, rules = event.now, state.rules
+    state = _hear(state, max(event.rules_version, event.rules_heard), now)
+    state = _settle(state, event.is_reply and event.rules_confirmed)
+    match event.body:
+        case RulesRequest(version) if version <= rules.version:
+            return state, (Reply(RulesReply(rules.version, rules.text)),)
+        case RulesPush(version) if version <= rules.version:
+            # The runtime has raised `RulesLoaded` for the text before, if it is valid.
+            return state, (Reply(RulesAck(rules.version)),)
+        case RulesReply() | RulesPush():
+            return state, ()
+    if event.rules_version > rules.version:
+        return _fetch(state, event.addr, now)
+    return state, ()
+
+
+def on_rules_heard(state, event):
+    """Note a version that the store has named, and fetch it if it is newer."""
+    if event.version < state.rules.version:
+        return _settle(state, event.confirmed), (Count("rules.older_ignored"),)
+    state = _hear(state, event.version, event.now)
+    state = _settle(state, event.confirmed)
+    if event.version <= state.rules.version:
         return state, ()
     member = state.mesh.members.get(event.source)
-    return state, (FetchRules(event.version, member.addr if member else None),)
+    return _fetch(state, member.addr if member else None, event.now)
 
 
 def on_rules_loaded(state, event):
     """Put a newer version in force; count and ignore any other."""
     rules = state.rules
     if event.version <= rules.version:
-        return state, (Count("rules.older_ignored"),)
-    heard = max(rules.heard, event.version)
-    new = RulesState(event.version, event.text, event.ruleset, event.source, heard)
+        older = event.version < rules.version
+        return state, (Count("rules.older_ignored"),) if older else ()
+    state = _hear(state, event.version, event.now)
+    # The member record is left as it is: every message names the version anyway, and
+    # 720 new records for each change would exceed the control-plane limit.
+    rules = replace(
+        state.rules,
+        version=event.version,
+        text=event.text,
+        ruleset=event.ruleset,
+        source=event.source,
+        sends=RUMOUR_SENDS,
+        heard_at=event.now,
+    )
     entry = LogEntry(
         "rules:in-force", (("version", event.version), ("source", event.source))
     )
-    me = state.mesh.members.get(state.me.node_id)
-    state = replace(state, rules=new)
-    if me is not None:
-        state = with_own_record(state, rules_version=event.version)
-    return state, (entry,)
+    state = _settle(replace(state, rules=rules))
+    state, pushed = push(state, event.now, state.mesh.draw)
+    return state, (entry, *pushed)
+
+
+def on_tick(state, event):
+    """Repeat a fetch that has failed; check the version again after a pause."""
+    now, last_tick = event.now, state.mesh.last_tick
+    effects = ()
+    if last_tick is not None and now - last_tick > PAUSE_S:
+        rules = replace(state.rules, must_check=True, answered=False)
+        state = replace(state, rules=rules)
+        effects = (Count("node.paused"),)
+    rules = state.rules
+    if not rules.must_check and rules.version >= rules.heard:
+        return state, effects
+    peers = running_peers(state)
+    addr = random.Random(event.draw).choice(peers).addr if peers else None
+    state, fetched = _fetch(state, addr, now)
+    return state, effects + fetched
--- /dev/null
+++ b/pimentoline/directory.py
@@ -0,0 +1,138 @@
+"""pimentoline.directory: how a node finds its peers, in the store and by seeds."""
+
+import asyncio
+import time
+
+from .errors import PimentolineError
+from .events import RulesHeard
+from .logs import log_entry
+from .messages import RulesRequest, SyncRequest
+from .records import digests
+from .rumours import running_peers
+
+__all__ = ["Directory"]
+
+PREFIX = "node/"
+REFRESH_S = 600.0
+# A row outlives two refreshes that fail.
+MAX_AGE_S = 1800.0
+JOIN_PEERS = 3
+# Peers that are asked at boot before the node goes on without an answer.
+JOIN_ROUNDS = 3
+# The first repetition after a failure is drawn from 0 to 1 s and the range doubles, so
+# that many nodes that start together do not repeat together.
+BACKOFF_S = 1.0
+MAX_BACKOFF_S = 60.0
+
+
+class Directory:
+    """The row of a node in the store, and the search for peers.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._written_at = float("-inf")
+
+    async def join(self):
+        """Ask several peers and the store for members and for the rules version.
+
+        Calls are refused until an answer has come, so it is safe to go on without one.
+        """
+        node = self._node
+        _, found = await asyncio.gather(
+            node.publisher.load_from_store(), self._find_peers()
+        )
+        seeds = [addr for addr in node.cfg.seeds if addr != node.state.me.mesh_addr]
+        node.random.shuffle(seeds)
+        peers = list(dict.fromkeys(seeds[:JOIN_PEERS] + found + seeds))
+        answered = await self._ask_some(peers)
+        if node.store is None and not answered:
+            # Nobody else can know of a version.
+            node.dispatch(RulesHeard(node.clock(), 0, "nobody", confirmed=True))
+
+    async def _find_peers(self):
+        """Write the own row, then return the other rows' addresses, shuffled.
+
+        Written first, it is seen by every node that reads later: of nodes that start
+        together, each but the first to write finds at least one other.
+        """
+        node = self._node
+        if node.store is None:
+            return []
+        me = node.state.me
+        row = {
+            "addr": me.mesh_addr,
+            "region": me.region,
+            "incarnation": me.incarnation,
+            "time": time.time(),
+        }
+        try:
+            await node.store.commit(puts=[(PREFIX + me.node_id, row)])
+            self._written_at = node.clock()
+            rows = await node.store.scan(PREFIX)
+        except PimentolineError as exc:
+            node.metrics.count("store.failed")
+            log_entry("store:unavailable", detail=exc.detail)
+            return []
+        found = [addr for addr in map(_addr_of, rows) if addr is not None]
+        found = [addr for addr in found if addr != me.mesh_addr]
+        node.random.shuffle(found)
+        return found
+
+    async def _ask_some(self, peers):
+        """Ask peers in groups until one group has answered; return how many did."""
+        node = self._node
+        for turn in range(JOIN_ROUNDS):
+            group = peers[turn * JOIN_PEERS : (turn + 1) * JOIN_PEERS]
+            if not group:
+                return 0
+            request = SyncRequest(digests(node.state.mesh.members))
+            bodies = await asyncio.gather(*(node.ask(addr, request) for addr in group))
+            answered = sum(body is not None for body in bodies)
+            if answered:
+                await self._take_rules(group)
+                return answered
+        return 0
+
+    async def _take_rules(self, group):
+        """Fetch the highest version that the group has named."""
+        node = self._node
+        for addr in group:
+            rules = node.state.rules
+            if rules.version >= rules.heard:
+                return
+            await node.ask(addr, RulesRequest(rules.heard))
+
+    async def keep(self):
+        """Refresh the own row, and search for peers while none is known."""
+        node = self._node
+        backoff_s = BACKOFF_S
+        while node.store is not None:
+            lonely = not running_peers(node.state)
+            age_s = node.clock() - self._written_at
+            if lonely or age_s > REFRESH_S:
+                peers = await self._find_peers()
+                if lonely:
+                    await self._ask_some(peers)
+            if running_peers(node.state) and self._written_at > float("-inf"):
+                backoff_s = BACKOFF_S
+                wait_s = REFRESH_S / 20 * node.random.uniform(0.5, 1.0)
+            else:
+                wait_s = backoff_s * node.random.random()
+                backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+            await asyncio.sleep(wait_s)
+
+
+def _addr_of(row):
+    """Return the address in a directory row, or None if it is old or malformed."""
+    try:
+        ip, port = row.value["addr"]
+        if time.time() - row.value["time"] < MAX_AGE_S:
+            return str(ip), int(port)
+    except (KeyError, TypeError, ValueError):
+        pass
+    return None
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from .model import Member
 from .verdict import Verdict
 
 __all__ = [
+    "Ask",
     "CancelAttempt",
     "Count",
     "FetchRules",
@@ -15,8 +15,9 @@
     "LogEntry",
     "RejectCall",
     "ReleaseClaim",
+    "Reply",
     "ScheduleHedge",
-    "SendRumours",
+    "SendMessage",
     "StartAttempt",
 ]
 
@@ -97,11 +98,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendRumours:
-    """Send member records to a peer."""
+class SendMessage:
+    """Send a datagram to peers; `body` is a data class of `messages`."""
+
+    addrs: tuple[tuple[str, int], ...]
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Send a message over TCP and raise `MessageReceived` for the reply."""
 
     addr: tuple[str, int]
-    records: tuple[Member, ...]
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer the message that is being handled, on its own connection."""
+
+    body: object
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "CodecError",
+    "NewerMessageError",
     "PimentolineError",
     "RulesError",
     "SettingsError",
@@ -63,3 +64,9 @@
     """A mesh message was malformed, foreign, too large or not authenticated."""
 
     code = "message-refused"
+
+
+class NewerMessageError(CodecError):
+    """A mesh message was written by a newer release and cannot be understood."""
+
+    code = "message-newer"
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -20,6 +20,7 @@
     "HeadReceived",
     "HedgeDue",
     "MembersHeard",
+    "MessageReceived",
     "Outcome",
     "RulesHeard",
     "RulesLoaded",
@@ -156,13 +157,36 @@
     records: tuple[Member, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MessageReceived:
+    """A message arrived from a peer.
+
+    `addr` is the mesh address of the sender, or None if it is not known; `body` is a
+    data class of `messages`; `is_reply` says that this node asked for the message.
+    The other fields are those of `messages.Message`.
+    """
+
+    now: float
+    sender: str
+    addr: tuple[str, int] | None
+    body: object
+    rules_version: int = 0
+    rules_heard: int = 0
+    rules_confirmed: bool = False
+    is_reply: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RulesHeard:
-    """A peer or the store named a rules version."""
+    """A peer or the store named a rules version.
+
+    `confirmed` is True if the answer is the store's, or if there is nobody to ask.
+    """
 
     now: float
     version: int
     source: str
+    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -1,100 +1,126 @@
-"""pimentoline.membership: member records and how they spread."""
+"""pimentoline.membership: member records and how they are kept up to date."""
 
 from dataclasses import replace
 
-from immutables import Map
-
-from .effects import FetchRules, SendRumours
-from .model import MemberStatus, TargetState
-from .records import own_record, with_own_record, with_records
-
-__all__ = [
-    "on_members_heard",
-    "on_stop",
-    "on_target_announced",
-    "on_target_drained",
-    "on_target_withdrawn",
-    "on_tick",
-]
-
-RUMOUR_FANOUT = 3
+from .effects import Reply
+from .failure_detector import (
+    check_members,
+    on_ack,
+    on_ping,
+    on_ping_req,
+    refute,
+    start_suspicion,
+)
+from .messages import Ack, Ping, PingReq, Rumours, SyncReply, SyncRequest
+from .model import MemberStatus
+from .records import (
+    DEAD_KEEP_S,
+    is_newer,
+    is_running,
+    own_record,
+    with_own_record,
+    with_records,
+)
+from .rumours import on_sync_reply, push, request_sync, sync_reply, sync_when_due
+from .target_states import expire_own, expire_unconfirmed
+
+__all__ = ["on_members_heard", "on_message", "on_stop", "on_tick"]
 
 
 def on_members_heard(state, event):
     """Take the records that are newer than the ones held."""
-    newer = []
-    effects = ()
-    for record in event.records:
-        held = state.mesh.members.get(record.node_id)
-        if record.node_id == state.me.node_id:
+    return _take(state, event.records, event.now)
+
+
+def _take(state, records, now):
+    newer, effects = {}, ()
+    for record in records:
+        name = record.node_id
+        if name == state.me.node_id:
+            own = own_record(state)
+            if is_newer(record, own):
+                state, refuted = refute(state, record)
+                effects += refuted
+            elif record.status is not MemberStatus.ALIVE:
+                # The sender has not heard of the refutation.
+                state = with_records(state, [own], now)
             continue
-        if held and (held.incarnation, held.seq) >= (record.incarnation, record.seq):
+        held = newer.get(name) or state.mesh.members.get(name)
+        if not is_running(record) and record.age_s >= DEAD_KEEP_S:
             continue
-        newer.append(record)
-        if record.rules_version > state.rules.version:
-            effects = (FetchRules(record.rules_version, record.addr),)
-    if not newer:
-        return state, ()
-    return with_records(state, newer), effects
-
-
-def _replace_target(state, target):
-    others = [t for t in own_record(state).targets if t.target_id != target.target_id]
-    return with_own_record(state, targets=(*others, target))
-
-
-def on_target_announced(state, event):
-    """Take an announcement; a renewal without a change costs nothing."""
-    held = {t.target_id: t for t in own_record(state).targets}
-    if held.get(event.target.target_id) == event.target:
+        if is_newer(record, held):
+            newer[name] = record
+    if newer:
+        state = with_records(state, newer.values(), now)
+        for record in newer.values():
+            state = start_suspicion(state, record, now)
+    return state, effects
+
+
+def on_message(state, event):
+    """Handle a message of the membership protocol; others change nothing."""
+    now = event.now
+    if event.addr is None and isinstance(event.body, (Ping, PingReq)):
         return state, ()
-    return _push(_replace_target(state, event.target))
-
-
-def on_target_drained(state, event):
-    """Stop new calls to a target at every node."""
-    for target in own_record(state).targets:
-        if target.target_id == event.target_id:
-            target = replace(target, state=TargetState.DRAINING)
-            return _push(_replace_target(state, target))
+    match event.body:
+        case Rumours(records):
+            return _on_rumours(state, event, records)
+        case SyncRequest():
+            return state, (Reply(sync_reply(state, event.body, now)),)
+        case SyncReply(_, records):
+            state, effects = _take(state, records, now)
+            return state, effects + on_sync_reply(state, event.body, event.addr, now)
+        case Ping():
+            return on_ping(state, event.body, event.sender, event.addr, now)
+        case PingReq():
+            return on_ping_req(state, event.body, event.addr)
+        case Ack():
+            return on_ack(state, event.body)
     return state, ()
 
 
-def on_target_withdrawn(state, event):
-    """Forget a target that has stopped."""
-    record = own_record(state)
-    kept = tuple(t for t in record.targets if t.target_id != event.target_id)
-    if kept == record.targets:
-        return state, ()
-    return _push(with_own_record(state, targets=kept))
+def _on_rumours(state, event, records):
+    accused = any(
+        record.node_id == state.me.node_id and record.status is MemberStatus.DEAD
+        for record in records
+    )
+    state, effects = _take(state, records, event.now)
+    if event.addr is None:
+        return state, effects + (Reply(SyncReply((), ())),)
+    if accused:
+        # Nobody sends rumours to a member that is held for dead, so some are missing.
+        state, asked = request_sync(state, event.addr, event.now)
+        effects += asked
+    return state, effects
 
 
 def on_stop(state, event):
     """Tell the peers that this node leaves."""
-    return _push(with_own_record(state, status=MemberStatus.LEAVING))
-
-
-def _peers(state):
-    return sorted(
-        record.addr
-        for record in state.mesh.members.values()
-        if record.node_id != state.me.node_id and record.status is not MemberStatus.DEAD
-    )
-
-
-def _push(state, draw=0):
-    """Send the hot records to a few peers and lower their remaining sends."""
-    mesh = state.mesh
-    peers = _peers(state)
-    if not mesh.rumours or not peers:
-        return state, ()
-    chosen = {peers[(draw + i * 7919) % len(peers)] for i in range(RUMOUR_FANOUT)}
-    records = tuple(mesh.members[node_id] for node_id in sorted(mesh.rumours))
-    left = {node_id: sends - 1 for node_id, sends in mesh.rumours.items() if sends > 1}
-    state = replace(state, mesh=replace(mesh, rumours=Map(left)))
-    return state, tuple(SendRumours(addr, records) for addr in sorted(chosen))
+    state = with_own_record(state, event.now, status=MemberStatus.LEAVING)
+    return push(state, event.now, state.mesh.draw)
 
 
 def on_tick(state, event):
-    """Spread what is new."""
-    return _push(state, event.draw)
+    """Do what is due, and spread what is new."""
+    now, draw = event.now, event.draw
+    state = replace(state, mesh=replace(state.mesh, draw=draw, last_tick=now))
+    state, effects = check_members(state, now, draw)
+    state, expired = expire_own(state, now)
+    state = _forget_ended(expire_unconfirmed(state, now), now)
+    state, synced = sync_when_due(state, now, draw)
+    state, pushed = push(state, now, draw)
+    return state, effects + expired + synced + pushed
+
+
+def _forget_ended(state, now):
+    mesh = state.mesh
+    old = [name for name, at in mesh.ended.items() if now - at >= DEAD_KEEP_S]
+    if not old:
+        return state
+    members, ended, rumours = mesh.members, mesh.ended, mesh.rumours
+    for name in old:
+        members, ended = members.delete(name), ended.delete(name)
+        if name in rumours:
+            rumours = rumours.delete(name)
+    mesh = replace(mesh, members=members, ended=ended, rumours=rumours)
+    return replace(state, mesh=mesh)
--- a/pimentoline/mesh.capnp
+++ b/pimentoline/mesh.capnp
@@ -27,6 +27,7 @@
   status @7 :Text;
   targets @8 :List(Target);
   rulesVersion @9 :UInt64;
+  ageMs @10 :UInt64;
 }
 
 struct Envelope {
@@ -39,10 +40,30 @@
     rumours @5 :List(Member);
     rulesRequest @6 :UInt64;
     rulesReply @7 :RulesText;
+    ping @10 :Ping;
+    pingReq @11 :Ping;
+    ack @12 :Ping;
+    syncRequest @13 :List(UInt64);
+    syncReply @14 :SyncReply;
+    rulesPush @15 :RulesText;
+    rulesAck @16 :UInt64;
   }
+  rulesHeard @8 :UInt64;
+  rulesConfirmed @9 :Bool;
 }
 
 struct RulesText {
   version @0 :UInt64;
   body @1 :Data;
 }
+
+# addr is the target of a pingReq, or the relay of a ping or ack; unset without one.
+struct Ping {
+  id @0 :UInt64;
+  addr @1 :Address;
+}
+
+struct SyncReply {
+  buckets @0 :List(UInt16);
+  records @1 :List(Member);
+}
--- a/pimentoline/mesh.py
+++ b/pimentoline/mesh.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
-from .codec import MAX_FRAME_BYTES
+from .codec import MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES
 from .errors import CodecError
+from .messages import Rumours
 
 __all__ = ["Mesh"]
 
 FRAME_TIMEOUT_S = 2.0
+# Leaves the event loop to calls in between when many datagrams have queued up.
+MAX_DATAGRAMS_PER_WAKE = 64
 
 
 class Mesh(TCPServer):
@@ -22,8 +26,8 @@
     ----------
     codec : Codec
     on_message : callable
-        Called with each authentic `Message`; the message it returns, if any, is
-        the reply on a TCP connection.
+        Called with each authentic `Message` and, for a datagram, the address of its
+        sender; the message it returns, if any, is the reply on a TCP connection.
     on_refused : callable
         Called with the `CodecError` of each refused message.
     """
@@ -51,31 +55,57 @@
         asyncio.get_running_loop().add_reader(self._sock, self._on_readable)
         return bound
 
-    def send(self, addr, message):
-        """Send a datagram; a lost one is not noticed."""
-        data = self._codec.encode(message)
-        self.bytes_sent += len(data)
+    def send(self, addrs, message):
+        """Send a message to each address as datagrams; a lost one is not noticed.
+
+        Member records that do not fit into one datagram are split among several; a
+        single record that does not fit goes over TCP.
+        """
         try:
-            self._sock.sendto(data, addr)
-        except OSError as exc:
+            data = self._codec.encode(message)
+        except CodecError as exc:
             self._on_refused(exc)
+            return
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self._send_split(addrs, message)
+            return
+        for addr in addrs:
+            self.bytes_sent += len(data)
+            try:
+                self._sock.sendto(data, addr)
+            except OSError as exc:
+                self._on_refused(exc)
+
+    def _send_split(self, addrs, message):
+        records = getattr(message.body, "records", ())
+        if len(records) < 2:
+            loop = asyncio.get_running_loop()
+            for addr in addrs:
+                loop.create_task(self.ask(addr, message))
+            return
+        half = len(records) // 2
+        for part in (records[:half], records[half:]):
+            self.send(addrs, replace(message, body=Rumours(part)))
 
     def _on_readable(self):
-        while True:
+        for _ in range(MAX_DATAGRAMS_PER_WAKE):
             try:
-                data, _ = self._sock.recvfrom(65536)
+                data, addr = self._sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except (BlockingIOError, ConnectionRefusedError):
                 return
-            self._receive(data)
+            if len(data) > MAX_DATAGRAM_BYTES:
+                self._on_refused(CodecError("datagram is too large"))
+                continue
+            self._receive(data, addr)
 
-    def _receive(self, data):
+    def _receive(self, data, addr=None):
         self.bytes_received += len(data)
         try:
             message = self._codec.decode(data)
         except CodecError as exc:
             self._on_refused(exc)
             return None
-        return self._on_message(message)
+        return self._on_message(message, addr)
 
     async def ask(self, addr, message):
         """Send a frame over TCP and return the reply, or None without one."""
@@ -88,9 +118,13 @@
                 data = await asyncio.wait_for(self._read(stream), FRAME_TIMEOUT_S)
             finally:
                 stream.close()
+            self.bytes_received += len(data)
             return self._codec.decode(data)
-        except (StreamClosedError, asyncio.TimeoutError, OSError, CodecError):
-            return None
+        except CodecError as exc:
+            self._on_refused(exc)
+        except (StreamClosedError, asyncio.TimeoutError, OSError):
+            pass
+        return None
 
     async def _write(self, stream, data):
         self.bytes_sent += len(data)
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -16,6 +16,7 @@
     "Member",
     "MemberStatus",
     "MeshState",
+    "Probe",
     "Request",
     "RulesState",
     "ServiceStats",
@@ -24,6 +25,7 @@
     "TargetState",
     "TargetStats",
     "TrafficState",
+    "Unconfirmed",
 ]
 
 
@@ -86,7 +88,8 @@
     """Record of one node, written only by that node.
 
     Of two records of a node the one with the higher `(incarnation, seq)` is valid;
-    `incarnation` is the boot time in milliseconds.
+    `incarnation` is the boot time in milliseconds. `age_s` is set only in messages:
+    seconds since the node left or died, so that receivers forget it at the same time.
     """
 
     node_id: str
@@ -99,6 +102,7 @@
     status: MemberStatus = MemberStatus.ALIVE
     targets: tuple[Target, ...] = ()
     rules_version: int = 0
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,8 +254,28 @@
 class RulesState:
     """The configuration in force and what is known of newer ones.
 
-    `heard` is the highest version that any peer or the store has named; `source`
-    names who gave the text in force (`builtin`, `store` or a node id).
+    Parameters
+    ----------
+    version, text, ruleset
+        The rules in force.
+    source : str
+        Who gave them: `builtin`, `store` or a node id.
+    heard : int
+        Highest version that any peer or the store has named.
+    heard_at : float
+        Monotonic time since which `heard` is above `version`, seconds.
+    asked_version, asked_at
+        Version and monotonic time of the latest fetch.
+    confirmed : bool
+        Whether the store, or a peer that is confirmed itself, has answered since
+        the node booted.
+    must_check : bool
+        Whether calls are refused until an answer has come and the highest version
+        heard is in force: at boot, and after the process was paused.
+    answered : bool
+        Whether such an answer has come.
+    sends : int
+        Remaining rounds in which the version in force is announced to peers.
     """
 
     version: int = 0
@@ -259,19 +283,79 @@
     ruleset: RuleSet = field(default_factory=RuleSet)
     source: str = "builtin"
     heard: int = 0
+    heard_at: float = 0.0
+    asked_version: int = 0
+    asked_at: float = float("-inf")
+    confirmed: bool = False
+    must_check: bool = False
+    answered: bool = False
+    sends: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """The ping in flight of the failure detector."""
+
+    node_id: str
+    ping_id: int
+    sent_at: float
+    indirect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unconfirmed:
+    """A target whose node left or died; `until` is monotonic time in seconds."""
+
+    target: Target
+    until: float
 
 
 @dataclass(frozen=True, slots=True)
 class MeshState:
-    """Members by node id, and the routable targets by service.
+    """Members by node id, the routable targets by service, and the detector's state.
 
-    `rumours` maps a node id to the number of further sends of its record;
-    `by_service` is derived from `members` and kept for fast routing.
+    Parameters
+    ----------
+    members : Map of str to Member
+    rumours : Map of str to int
+        Remaining sends of a member's record.
+    by_service : Map of str to tuple of Target
+        Derived from `members` and `unconfirmed`, kept for fast routing.
+    unconfirmed : Map of str to Unconfirmed
+        By target id.
+    ended : Map of str to float
+        Monotonic time at which a member left or died.
+    suspects : Map of str to float
+        Monotonic time at which a suspect is declared dead.
+    renewed : Map of str to float
+        Monotonic time of the latest announcement of a target of this node, or of
+        its end.
+    drained : frozenset of str
+        Targets of this node that were ordered to drain.
+    probe : Probe or None
+    next_probe_at, next_sync_at, last_sync_at, last_tick : float
+        Monotonic times, seconds.
+    health : int
+        Local health score, 0 if this node's own pings are answered.
+    draw : int
+        Random integer of the latest tick.
     """
 
     members: Map = field(default_factory=Map)
     rumours: Map = field(default_factory=Map)
     by_service: Map = field(default_factory=Map)
+    unconfirmed: Map = field(default_factory=Map)
+    ended: Map = field(default_factory=Map)
+    suspects: Map = field(default_factory=Map)
+    renewed: Map = field(default_factory=Map)
+    drained: frozenset = frozenset()
+    probe: Probe | None = None
+    next_probe_at: float = float("-inf")
+    next_sync_at: float = float("-inf")
+    last_sync_at: float = float("-inf")
+    last_tick: float | None = None
+    health: int = 0
+    draw: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -12,16 +12,23 @@
 from . import effects as ef
 from . import events as ev
 from .admin import make_admin_app
-from .codec import Codec, Message, RulesReply, RulesRequest, Rumours
-from .errors import PimentolineError
+from .codec import Codec
+from .directory import Directory
+from .errors import NewerMessageError
 from .logs import log_entry
 from .mesh import Mesh
+from .messages import (
+    Message,
+    RulesPush,
+    RulesReply,
+    RulesRequest,
+)
 from .metrics import Metrics
-from .model import Identity, State
+from .model import Identity, RulesState, State
 from .pool import Pool
 from .proxy import MAX_HEAD_BYTES, Proxy
 from .publisher import Publisher
-from .records import with_own_record
+from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
 from .store import Store
@@ -30,7 +37,7 @@
 
 TICK_S = 0.2
 STORE_POLL_S = 10.0
-DIRECTORY_PREFIX = "node/"
+LEAVE_ROUNDS = 2
 
 
 class Node:
@@ -58,6 +65,8 @@
         )
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
+        self.directory = Directory(self)
+        self._reply = None
         self._tasks = []
         self._stopped = asyncio.Event()
 
@@ -81,12 +90,13 @@
         me = Identity(
             node_id, cfg.host, cfg.region, cfg.dc, data_addr, mesh_addr, incarnation
         )
-        self.state = State(me, policy=cfg.policy)
+        self.state = State(me, RulesState(must_check=True), policy=cfg.policy)
+        self.state = with_own_record(self.state)
         admin_sockets = bind_sockets(cfg.admin_addr[1], cfg.admin_addr[0])
         self.admin_addr = admin_sockets[0].getsockname()[:2]
         self._admin = HTTPServer(make_admin_app(self))
         self._admin.add_sockets(admin_sockets)
-        await self._join()
+        await self.directory.join()
         self._server = HTTPServer(
             self.proxy,
             chunk_size=64 * 1024,
@@ -98,29 +108,10 @@
         self._tasks = [
             loop.create_task(self._tick()),
             loop.create_task(self._poll_store()),
+            loop.create_task(self.directory.keep()),
         ]
         log_entry("node:started", node=node_id, data=data_addr, mesh=mesh_addr)
 
-    async def _join(self):
-        peers = list(self.cfg.seeds)
-        if self.store is not None:
-            me = self.state.me
-            try:
-                rows = await self.store.scan(DIRECTORY_PREFIX)
-                peers += [tuple(row.value["addr"]) for row in rows]
-                row = {"addr": me.mesh_addr, "incarnation": me.incarnation}
-                await self.store.commit(puts=[(DIRECTORY_PREFIX + me.node_id, row)])
-                await self.publisher.load_from_store()
-            except PimentolineError as exc:
-                log_entry("store:unavailable", detail=exc.detail)
-        self.state = with_own_record(self.state, rules_version=self.state.rules.version)
-        own = self.state.mesh.members[self.state.me.node_id]
-        for addr in peers:
-            if addr != self.state.me.mesh_addr:
-                reply = await self.mesh.ask(addr, self.message(Rumours((own,))))
-                if reply is not None:
-                    self._on_message(reply)
-
     def dispatch(self, event):
         """Reduce one event and execute its effects."""
         step = reduce(self.state, event)
@@ -143,8 +134,14 @@
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
                 loop.call_later(effect.delay_s, self._hedge_due, effect.call_id)
-            case ef.SendRumours():
-                self.mesh.send(effect.addr, self.message(Rumours(effect.records)))
+            case ef.SendMessage():
+                self.mesh.send(effect.addrs, self.message(effect.body))
+            case ef.Ask():
+                asyncio.get_running_loop().create_task(
+                    self.ask(effect.addr, effect.body)
+                )
+            case ef.Reply():
+                self._reply = effect.body
             case ef.FetchRules():
                 asyncio.get_running_loop().create_task(self._fetch_rules(effect))
             case ef.InsertClaim() | ef.ReleaseClaim() | ef.FinishClaim():
@@ -163,35 +160,56 @@
 
     def message(self, body):
         """Return a message from this node."""
-        me = self.state.me
-        return Message(me.node_id, me.incarnation, self.state.rules.version, body)
+        rules = self.state.rules
+        return Message(
+            self.state.me.node_id,
+            own_record(self.state).incarnation,
+            rules.version,
+            body,
+            rules.heard,
+            rules.confirmed,
+        )
 
-    def _on_message(self, message):
-        now = self.clock()
-        reply = None
+    def _on_message(self, message, addr=None, is_reply=False):
+        """Handle a message and return the reply, if there is one."""
+        if message.skipped:
+            self.metrics.count("mesh.records_skipped", message.skipped)
         match message.body:
-            case Rumours(records):
-                self.dispatch(ev.MembersHeard(now, records))
-                reply = self.message(Rumours(tuple(self.state.mesh.members.values())))
-            case RulesRequest(version) if version <= self.state.rules.version:
-                rules = self.state.rules
-                reply = self.message(RulesReply(rules.version, rules.text))
-            case RulesReply(version, text):
+            case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
-        if message.rules_version > self.state.rules.version:
-            self.dispatch(ev.RulesHeard(now, message.rules_version, message.sender))
-        return reply
+        self._reply = None
+        self.dispatch(
+            ev.MessageReceived(
+                self.clock(),
+                message.sender,
+                addr,
+                message.body,
+                message.rules_version,
+                message.rules_heard,
+                message.rules_confirmed,
+                is_reply,
+            )
+        )
+        reply, self._reply = self._reply, None
+        return None if reply is None else self.message(reply)
 
     def _on_refused(self, exc):
-        self.metrics.count("mesh.refused")
+        newer = isinstance(exc, NewerMessageError)
+        self.metrics.count("mesh.newer" if newer else "mesh.refused")
+
+    async def ask(self, addr, body):
+        """Send a message over TCP, handle the reply and return its body or None."""
+        reply = await self.mesh.ask(addr, self.message(body))
+        if reply is None:
+            self.metrics.count("mesh.unanswered")
+            return None
+        self._on_message(reply, addr, is_reply=True)
+        return reply.body
 
     async def _fetch_rules(self, effect):
         if effect.addr is not None:
-            reply = await self.mesh.ask(
-                effect.addr, self.message(RulesRequest(effect.version))
-            )
-            if reply is not None and isinstance(reply.body, RulesReply):
-                self._on_message(reply)
+            body = await self.ask(effect.addr, RulesRequest(effect.version))
+            if isinstance(body, RulesReply):
                 return
         await self.publisher.load_from_store()
 
@@ -223,6 +241,8 @@
         self.dispatch(ev.StopRequested(self.clock()))
         self._server.stop()
         await self.proxy.wait_idle()
+        # A single round of three datagrams could be lost as a whole.
+        await asyncio.sleep(LEAVE_ROUNDS * TICK_S)
         self._admin.stop()
         for task in self._tasks:
             task.cancel()
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -1,5 +1,6 @@
 """pimentoline.publisher: what a node reads from and writes to the store."""
 
+import asyncio
 import difflib
 import hashlib
 import time
@@ -7,10 +8,15 @@
 from . import events as ev
 from .effects import FinishClaim, InsertClaim, ReleaseClaim
 from .errors import PimentolineError, StoreError
+from .messages import RulesAck, RulesPush
+from .rumours import running_peers
 
 __all__ = ["Publisher"]
 
 HEAD_KEY = "config/head"
+PUSH_PEERS = 3
+# Leaves enough of the 5 s in which an accepted version is in force everywhere.
+PUSH_TIMEOUT_S = 2.5
 
 
 class Publisher:
@@ -32,12 +38,17 @@
         try:
             head = await node.store.get(HEAD_KEY)
             version = head.value["version"] if head.version else 0
-            if version <= node.state.rules.version:
-                return
-            row = await node.store.get(f"config/{version}")
-            node.load_rules(version, row.value["text"], "store")
         except (PimentolineError, KeyError, TypeError):
             node.metrics.count("store.failed")
+            return
+        try:
+            if version > node.state.rules.version:
+                row = await node.store.get(f"config/{version}")
+                node.load_rules(version, row.value["text"], "store")
+        except (PimentolineError, KeyError, TypeError):
+            node.metrics.count("store.failed")
+        # The version is known even if its text could not be read.
+        node.dispatch(ev.RulesHeard(node.clock(), version, "store", confirmed=True))
 
     async def apply(self, base, text, author, attempt):
         """Write a new rules version if `base` is still in force.
@@ -97,8 +108,43 @@
         return {"result": "conflict", "head": head.value}
 
     async def _accepted(self, version, text):
-        self._node.load_rules(version, text, "store")
-        return {"result": "accepted", "version": version}
+        """Put the version in force here and have peers hold it before saying so."""
+        node = self._node
+        node.load_rules(version, text, "store")
+        peers, held_by = await self._push(version, text)
+        answer = {"result": "accepted", "version": version, "held_by": 1 + held_by}
+        if peers and not held_by:
+            answer["detail"] = "accepted, held by this node only"
+        return answer
+
+    async def _push(self, version, text):
+        """Send the text to peers until `PUSH_PEERS` hold it.
+
+        Returns
+        -------
+        peers : int
+            Peers that exist.
+        held_by : int
+            Peers that have acknowledged.
+        """
+        node = self._node
+        peers = running_peers(node.state)
+        node.random.shuffle(peers)
+        # A version held in another region survives the loss of this one.
+        peers.sort(key=lambda record: record.region == node.state.me.region)
+        left, held_by = [record.addr for record in peers], 0
+        deadline = node.clock() + PUSH_TIMEOUT_S
+        while left and held_by < PUSH_PEERS and node.clock() < deadline:
+            group = left[: PUSH_PEERS - held_by]
+            left = left[len(group) :]
+            bodies = await asyncio.gather(
+                *(node.ask(addr, RulesPush(version, text)) for addr in group)
+            )
+            held_by += sum(
+                isinstance(body, RulesAck) and body.version >= version
+                for body in bodies
+            )
+        return len(peers), held_by
 
     async def history(self, limit=100):
         """Return the audit rows, oldest first."""
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from . import calls, configuration, membership
+from . import calls, configuration, membership, target_states
 from . import events as ev
 from .model import State
 
@@ -38,6 +38,9 @@
     """
     match event:
         case ev.CallArrived():
+            refusal = configuration.refusal(state, event)
+            if refusal:
+                return Step(state, refusal)
             return Step(*calls.on_arrived(state, event))
         case ev.HeadReceived():
             return Step(*calls.on_head(state, event))
@@ -52,19 +55,25 @@
         case ev.ClaimAnswered():
             return Step(*calls.on_claim_answered(state, event))
         case ev.TargetAnnounced():
-            return Step(*membership.on_target_announced(state, event))
+            return Step(*target_states.on_target_announced(state, event))
         case ev.TargetDrained():
-            return Step(*membership.on_target_drained(state, event))
+            return Step(*target_states.on_target_drained(state, event))
         case ev.TargetWithdrawn():
-            return Step(*membership.on_target_withdrawn(state, event))
+            return Step(*target_states.on_target_withdrawn(state, event))
         case ev.MembersHeard():
             return Step(*membership.on_members_heard(state, event))
+        case ev.MessageReceived():
+            state, effects = membership.on_message(state, event)
+            state, more = configuration.on_message(state, event)
+            return Step(state, effects + more)
         case ev.RulesHeard():
             return Step(*configuration.on_rules_heard(state, event))
         case ev.RulesLoaded():
             return Step(*configuration.on_rules_loaded(state, event))
         case ev.Tick():
-            return Step(*membership.on_tick(state, event))
+            state, effects = configuration.on_tick(state, event)
+            state, more = membership.on_tick(state, event)
+            return Step(state, effects + more)
         case ev.StopRequested():
             state, effects = membership.on_stop(state, event)
             return Step(replace(state, stopping=True), effects)
