Make a limit without a class count for each class

Cause: a limit over all classes needed a second question from admission, which asks by class only, so such a rule would have had no effect.

Change: a limit rule without class= applies to each class separately.

Result: tests/test_rules.py passes.

Conclusion: inflight_limit answers every limit rule by its present signature.

--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LimitRule(Rule):
-    """Most calls of a service, and of one class if given, in flight at one node.
+    """Most calls of a service in flight at one node, for one class or for each.
 
     The smallest limit is 1: a service is closed by pausing its targets, which says
     in `status` why there is no target.
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -143,15 +143,14 @@
         return ProbeBudget(rule.probes, float(rule.bytes), rule.nodes)
 
     def inflight_limit(self, service, call_class):
-        """Return the limit of a node's calls in flight, or None.
-
-        Parameters
-        ----------
-        service : str
-        call_class : str
-            A class, or `*` for the limit over all classes.
-        """
-        rule = self._first("limit", (service, call_class), (ANY, call_class))
+        """Return the limit of a node's calls of one class in flight, or None."""
+        rule = self._first(
+            "limit",
+            (service, call_class),
+            (service, ANY),
+            (ANY, call_class),
+            (ANY, ANY),
+        )
         return None if rule is None else rule.inflight
 
     def canary_share(self, service, version):
