Split the call path into modules and harden it

Change: headers.py, attempt.py, call_handler.py, streams.py, arrivals.py and claim_writer.py; a maximum of connections per target with a wait bounded by the deadline; attempts end before the caller's deadline, after half of the time left if idempotent; events raised by an effect are queued; the node answers 502 for targets' answers that have no length, as their end cannot be told from a cut. Claims are two rows, so that a late or repeated deletion cannot delete the claim of another node, and an insertion that takes effect late is void.

--- /dev/null
+++ b/pimentoline/attempt.py
@@ -0,0 +1,267 @@
+"""pimentoline.attempt: one sending of a call to one target."""
+
+import asyncio
+
+from tornado.httputil import HTTPInputError, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
+
+from . import events as ev
+from .headers import onward_headers, parse_load
+from .streams import flushed
+from .verdict import Verdict
+
+__all__ = ["AttemptRunner"]
+
+# The rest of an answer that nobody wants is read for this long, so that the
+# connection can be used again.
+DISCARD_S = 0.5
+
+
+class AttemptRunner(HTTPMessageDelegate):
+    """One attempt: a connection to a target and the answer read from it.
+
+    Parameters
+    ----------
+    handler : CallHandler
+    effect : StartAttempt
+    """
+
+    def __init__(self, handler, effect):
+        self.handler = handler
+        self.effect = effect
+        self.conn = None
+        self.exchange = None
+        self.sent = 0
+        self.finished = False
+        self.head_sent = False
+        self.cancelled = False
+        self.discarding = False
+        self.forwarding = False
+        self.response_start = None
+        self.response_headers = None
+        self.complete = False
+        self._timer = None
+        self._task = None
+
+    def start(self):
+        """Send at once on an idle connection, or connect first."""
+        if not self.handler.replayable:
+            # The beginning of the body is no longer held.
+            self._ended(ev.Outcome.BROKEN, Verdict.NOT_RUN)
+            return
+        proxy = self.handler.proxy
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self.effect.timeout_s, self._on_timeout)
+        conn = proxy.pool.take_idle(self.effect.addr, self.effect.idempotent)
+        if conn is not None:
+            self._use(conn)
+        else:
+            self._task = loop.create_task(self._connect())
+
+    async def _connect(self):
+        pool = self.handler.proxy.pool
+        try:
+            conn = await pool.acquire(self.effect.addr, self.effect.idempotent)
+        except (OSError, StreamClosedError, asyncio.TimeoutError):
+            self._ended(ev.Outcome.REFUSED, Verdict.NOT_RUN)
+            return
+        if self.cancelled:
+            pool.give_back(conn)
+            return
+        self._use(conn)
+
+    def _use(self, conn):
+        self.conn = conn
+        self.exchange = conn.exchange()
+        self.pump()
+        if not self.cancelled:
+            self._task = asyncio.get_running_loop().create_task(self._read())
+
+    def pump(self):
+        """Write what the caller has sent so far."""
+        if self.exchange is None or self.cancelled or self.finished:
+            return
+        handler = self.handler
+        if handler.proxy.clock() >= handler.req.deadline:
+            # The process may have been paused since the attempt was decided.
+            self._on_timeout()
+            return
+        chunks = handler.chunks_from(self.sent)
+        if not self.head_sent:
+            if handler.has_body and not chunks and not handler.body_complete:
+                return
+            self.head_sent = True
+            self._write_head(chunks)
+        else:
+            for chunk in chunks:
+                self.exchange.write(chunk)
+        self.sent += len(chunks)
+        if handler.body_complete or not handler.has_body:
+            self.finished = True
+            self.exchange.finish()
+        elif self.conn.stream.writing():
+            fut = self.conn.stream.write(b"")
+            fut.add_done_callback(handler.wake)
+
+    def _write_head(self, chunks):
+        handler = self.handler
+        method, path, _ = handler.start_line
+        headers = onward_headers(
+            handler.headers,
+            handler.req,
+            handler.has_body,
+            self.effect.retry,
+            handler.proxy.clock(),
+        )
+        start = RequestStartLine(method, path, "HTTP/1.1")
+        self.exchange.write_headers(start, headers, b"".join(chunks) or None)
+
+    def is_flushed(self, total):
+        """Return whether `total` pieces of the body have left this process."""
+        return self.sent == total and self.head_sent and not self._is_writing()
+
+    def _is_writing(self):
+        stream = self.conn.stream
+        return not stream.closed() and stream.writing()
+
+    async def _read(self):
+        try:
+            await self.exchange.read_response(self)
+        except (StreamClosedError, UnsatisfiableReadError, HTTPInputError):
+            pass
+        if self.cancelled:
+            return
+        if self.complete:
+            self._give_back()
+        elif self.discarding:
+            self.cancel()
+        elif self.forwarding:
+            self.cancel()
+            self.handler.answer_done(self.effect.attempt_id, False)
+        else:
+            ran = self.response_start is not None
+            self._ended(ev.Outcome.BROKEN, Verdict.RAN if ran else Verdict.MAY_HAVE_RUN)
+
+    def _give_back(self):
+        self._stop_timer()
+        start, headers = self.response_start, self.response_headers
+        reusable = (
+            self.finished
+            and start.version == "HTTP/1.1"
+            and "close" not in headers.get("Connection", "").lower()
+        )
+        if reusable:
+            self.handler.proxy.pool.give_back(self.conn)
+        else:
+            self.conn.close()
+
+    # Called by tornado while it reads the answer.
+
+    def headers_received(self, start_line, headers):
+        """Read the response head and let the core decide on it."""
+        code = start_line.code
+        if code < 200:
+            return
+        self._stop_timer()
+        handler = self.handler
+        framed = (
+            "Content-Length" in headers
+            or "Transfer-Encoding" in headers
+            or code in (204, 304)
+            or handler.start_line.method == "HEAD"
+        )
+        if not framed:
+            # The end of the connection would be the end of the answer, so that a
+            # cut answer could not be told from a whole one.
+            self._ended(ev.Outcome.BROKEN, Verdict.RAN)
+            return
+        self.response_start = start_line
+        self.response_headers = headers
+        proxy = handler.proxy
+        proxy.dispatch(
+            ev.HeadReceived(
+                proxy.clock(),
+                proxy.draw(),
+                handler.call_id,
+                self.effect.attempt_id,
+                code,
+                code == 503 and headers.get("X-Not-Run") == "1",
+                parse_load(headers.get("X-Target-Load")),
+                handler.replayable,
+            )
+        )
+
+    def data_received(self, chunk):
+        """Pass a piece of the answer on; the awaitable gives back-pressure."""
+        if not self.forwarding:
+            return None
+        stream = self.handler.write_answer(chunk)
+        return flushed(stream) if stream is not None else None
+
+    def finish(self):
+        """End the call, because the answer is complete."""
+        if self.cancelled:
+            return
+        self.complete = True
+        if not self.finished:
+            # The target answered before it had read the request.
+            self.conn.close()
+        if self.forwarding:
+            self.handler.answer_done(self.effect.attempt_id, True)
+
+    def on_connection_close(self):
+        """Ignore a cut answer here; `_read` handles it."""
+
+    # The end of the attempt.
+
+    def cancel(self):
+        """Drop the attempt and its connection."""
+        self.cancelled = True
+        self._stop_timer()
+        if self.conn is not None:
+            self.conn.close()
+        elif self._task is not None:
+            self._task.cancel()
+
+    def discard(self):
+        """Drop the attempt, but keep its connection if the answer ends soon."""
+        if self.response_start is None or not self.finished or self.cancelled:
+            self.cancel()
+            return
+        self.discarding = True
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(DISCARD_S, self.cancel)
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timeout(self):
+        outcome = ev.Outcome.TIMEOUT
+        if self.conn is not None and self.conn.reused and self.head_sent:
+            # Other connections of the same age may have gone silent with it.
+            self.handler.proxy.pool.close_idle(self.effect.addr)
+            outcome = ev.Outcome.SILENT
+        sent = self.head_sent
+        self._ended(outcome, Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN)
+
+    def _ended(self, outcome, verdict):
+        if self.cancelled:
+            return
+        self.cancel()
+        handler = self.handler
+        proxy = handler.proxy
+        handler.attempts.pop(self.effect.attempt_id, None)
+        proxy.dispatch(
+            ev.AttemptEnded(
+                proxy.clock(),
+                proxy.draw(),
+                handler.call_id,
+                self.effect.attempt_id,
+                outcome,
+                verdict,
+                handler.replayable,
+            )
+        )
+        handler.wake()
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -23,11 +23,16 @@
     "on_call_ended",
     "on_caller_left",
     "on_claim_answered",
+    "on_deadline_passed",
     "on_head",
     "on_hedge_due",
 ]
 
 
+# Time kept for the node's own answer before the caller's deadline.
+ANSWER_MARGIN_S = 0.05
+
+
 def _with_call(state, record):
     traffic = state.traffic
     calls = traffic.calls.set(record.call.call_id, record)
@@ -100,13 +105,25 @@
         attempt_id,
         target.target_id,
         target.addr,
-        call.req.deadline - event.now,
+        _timeout_s(record, call.req.deadline - event.now),
         record.idempotent,
         retry,
     )
     return state, (effect,)
 
 
+def _timeout_s(record, left_s):
+    """Return the longest wait of an attempt for the response head, seconds.
+
+    It ends before the caller's deadline, so that the caller receives a verdict.
+    An idempotent call leaves half of its time for another try, because a silent
+    connection would otherwise use all of it.
+    """
+    if record.idempotent and len(record.attempts) < retries.MAX_ATTEMPTS:
+        return left_s / 2
+    return left_s - min(ANSWER_MARGIN_S, left_s / 10)
+
+
 def _reject(state, record, status, code):
     call = record.call
     verdict = combine(att.verdict or Verdict.MAY_HAVE_RUN for att in record.attempts)
@@ -127,7 +144,7 @@
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
-    refusal = claims.refusal(record, event.outcome)
+    refusal = claims.refusal(record, event.outcome, event.recorded)
     if refusal is None:
         return _start(state, record, event)
     return _without_call(state, event.call_id), refusal
@@ -142,7 +159,11 @@
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
     state = limits.note_answer(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, verdict)
-    if event.status >= 500:
+    if event.status >= 500 and _in_flight(record):
+        # The other attempt may still succeed.
+        state = _with_call(limits.note_done(state, attempt.target_id), record)
+        return state, (CancelAttempt(event.call_id, event.attempt_id),)
+    if event.status >= 500 and event.replayable:
         state, may_retry = retries.may_retry(state, record, verdict, event.now)
         if may_retry:
             state = _with_call(state, record)
@@ -160,7 +181,8 @@
 
 def _forward(state, record, attempt_id):
     call_id = record.call.call_id
-    effects = [ForwardAnswer(call_id, attempt_id)]
+    recorded = claims.is_required(record)
+    effects = [ForwardAnswer(call_id, attempt_id, recorded)]
     for att in _in_flight(record):
         effects.append(CancelAttempt(call_id, att.attempt_id))
         state = limits.note_cancelled(state, att.target_id)
@@ -175,7 +197,11 @@
     attempt = record and _attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
-    state = limits.note_failure(state, attempt, event.now)
+    if event.outcome is Outcome.SILENT:
+        # The connection failed, not the target; new connections to it work.
+        state = limits.note_cancelled(state, attempt.target_id)
+    else:
+        state = limits.note_failure(state, attempt, event.now)
     record = _with_verdict(record, event.attempt_id, event.verdict)
     state = _with_call(state, record)
     if _in_flight(record):
@@ -184,7 +210,7 @@
         state, may_retry = retries.may_retry(state, record, event.verdict, event.now)
         if may_retry:
             return _start(state, record, event)
-    timed_out = event.outcome is Outcome.TIMEOUT
+    timed_out = event.outcome in (Outcome.TIMEOUT, Outcome.SILENT)
     return _reject(
         state, record, 504 if timed_out else 502, f"target-{event.outcome.value}"
     )
@@ -196,17 +222,23 @@
     if record is None:
         return state, ()
     effects = ()
-    if claims.is_required(record) and record.answering is not None:
+    if claims.is_required(record) and event.recorded is not None:
         req = record.call.req
-        answered = _attempt(record, record.answering)
-        kind = ReleaseClaim if answered.verdict is Verdict.NOT_RUN else FinishClaim
-        effects = (kind(event.call_id, req.service, req.key),)
+        effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
     answering = _attempt(record, record.answering)
     if answering is not None:
         state = limits.note_done(state, answering.target_id)
     return _without_call(state, event.call_id), effects
 
 
+def on_deadline_passed(state, event):
+    """Reject a call that has no answer; an attempt in flight may have run."""
+    record = state.traffic.calls.get(event.call_id)
+    if record is None or record.answering is not None:
+        return state, ()
+    return _reject(state, record, 504, "deadline-exceeded")
+
+
 def on_caller_left(state, event):
     """Cancel every attempt of a call whose caller has gone."""
     record = state.traffic.calls.get(event.call_id)
--- /dev/null
+++ b/pimentoline/claim_writer.py
@@ -0,0 +1,183 @@
+"""pimentoline.claim_writer: idempotency claims in the store."""
+
+import asyncio
+import base64
+
+from . import events as ev
+from .effects import FinishClaim, InsertClaim, ReleaseClaim
+from .errors import PimentolineError
+from .model import RecordedAnswer
+
+__all__ = ["ClaimWriter"]
+
+FIRST_DELAY_S = 0.1
+MAX_DELAY_S = 5.0
+# Outcomes and releases are tried again through a store outage of this length;
+# after that the claim stays without an outcome, which is safe.
+GIVE_UP_S = 600.0
+# Bounds the memory that an outage can take; each entry is about 2 KiB plus up to
+# 4 KiB of recorded body.
+MAX_BACKGROUND_WRITES = 2000
+
+
+class ClaimWriter:
+    """Inserts, releases and completes the claims of one node.
+
+    A claim is two rows, written and deleted together: `claim/<service>/<key>`
+    names the attempt that holds the key, and `claimant/<attempt>` exists only
+    while that attempt holds it. Row versions of the table service begin at 1
+    again after a deletion, so a late or repeated deletion that checked only the
+    version of the claim could delete the claim of another node. The attempt id in
+    the second key makes every write conditional on the attempt. `void/<attempt>`
+    refuses an insertion that takes effect after its attempt was given up.
+
+    Parameters
+    ----------
+    store : Store or None
+    name : callable
+        Returns the prefix of this node's attempt ids.
+    is_waiting : callable
+        Tells whether a call still waits for its claim.
+    dispatch, clock, draw, count : callable
+        As for `Proxy`; `count` increases a counter of the metrics.
+    """
+
+    def __init__(self, store, name, is_waiting, dispatch, clock, draw, count):
+        self._store = store
+        self._name = name
+        self._is_waiting = is_waiting
+        self._dispatch = dispatch
+        self._clock = clock
+        self._draw = draw
+        self._count = count
+        self._tasks = set()
+
+    def execute(self, effect):
+        """Carry out a claim effect in the background."""
+        key = f"claim/{effect.service}/{effect.key}"
+        attempt = f"{self._name()}/{effect.call_id}"
+        match effect:
+            case InsertClaim():
+                self._spawn(self._insert(effect.call_id, key, attempt))
+            case ReleaseClaim():
+                self._write_later(self._release, key, attempt)
+            case FinishClaim():
+                self._write_later(self._finish, key, attempt, effect.recorded)
+
+    async def wait_idle(self, timeout_s):
+        """Wait until the writes in the background have ended.
+
+        Returns
+        -------
+        bool
+            False if some had not ended after `timeout_s` seconds.
+        """
+        if not self._tasks:
+            return True
+        _, pending = await asyncio.wait(set(self._tasks), timeout=timeout_s)
+        return not pending
+
+    def _spawn(self, coro):
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _write_later(self, write, *args):
+        if len(self._tasks) >= MAX_BACKGROUND_WRITES:
+            self._count("claims.abandoned")
+            return
+        self._spawn(self._persist(write, *args))
+
+    async def _insert(self, call_id, key, attempt):
+        outcome, recorded, settled = await self._claim(key, attempt)
+        if outcome is ev.ClaimOutcome.GRANTED:
+            if not self._is_waiting(call_id):
+                # The deadline passed or the caller left, so it is never sent.
+                self._write_later(self._release, key, attempt)
+        elif not settled:
+            self._write_later(self._void, key, attempt)
+        self._dispatch(
+            ev.ClaimAnswered(self._clock(), self._draw(), call_id, outcome, recorded)
+        )
+
+    async def _claim(self, key, attempt):
+        """Return the outcome, the recorded answer and whether that is final."""
+        if self._store is None:
+            return ev.ClaimOutcome.UNAVAILABLE, None, True
+        mine, void = f"claimant/{attempt}", f"void/{attempt}"
+        settled = False
+        try:
+            if await self._store.commit(
+                [(key, 0), (mine, 0), (void, 0)],
+                [(key, {"attempt": attempt}), (mine, 1)],
+            ):
+                return ev.ClaimOutcome.GRANTED, None, True
+            settled = True
+        except PimentolineError:
+            self._count("store.failed")
+        try:
+            row = await self._store.get(key)
+        except PimentolineError:
+            self._count("store.failed")
+            return ev.ClaimOutcome.UNAVAILABLE, None, settled
+        if not row.version:
+            # Released in between, or the insertion has not taken effect (yet).
+            return ev.ClaimOutcome.UNAVAILABLE, None, settled
+        value = row.value if isinstance(row.value, dict) else {}
+        if value.get("attempt") == attempt:
+            return ev.ClaimOutcome.GRANTED, None, True
+        recorded = _recorded(value)
+        if recorded is not None:
+            return ev.ClaimOutcome.REPLAY, recorded, settled
+        return ev.ClaimOutcome.HELD, None, settled
+
+    async def _persist(self, write, *args):
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + GIVE_UP_S
+        delay_s = FIRST_DELAY_S
+        while True:
+            try:
+                await write(*args)
+                return
+            except PimentolineError:
+                self._count("store.failed")
+            if loop.time() + delay_s > give_up:
+                self._count("claims.abandoned")
+                return
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, MAX_DELAY_S)
+
+    async def _release(self, key, attempt):
+        mine = f"claimant/{attempt}"
+        return await self._store.commit([(mine, 1)], deletes=[key, mine])
+
+    async def _void(self, key, attempt):
+        """Release an insertion whose effect is not known, now or in the future."""
+        while not await self._release(key, attempt):
+            mine, void = f"claimant/{attempt}", f"void/{attempt}"
+            if await self._store.commit([(mine, 0)], [(void, 1)]):
+                return
+
+    async def _finish(self, key, attempt, recorded):
+        mine = f"claimant/{attempt}"
+        value = {
+            "attempt": attempt,
+            "status": recorded.status,
+            "content_type": recorded.content_type,
+            "body": base64.b64encode(recorded.body).decode(),
+            "truncated": recorded.truncated,
+        }
+        await self._store.commit([(mine, 1)], [(key, value)], [mine])
+
+
+def _recorded(value):
+    """Return the recorded answer of a claim row, or None if it has none."""
+    try:
+        return RecordedAnswer(
+            int(value["status"]),
+            str(value["content_type"]),
+            base64.b64decode(value["body"]),
+            bool(value["truncated"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- a/pimentoline/claims.py
+++ b/pimentoline/claims.py
@@ -1,6 +1,6 @@
 """pimentoline.claims: idempotency claims of keyed calls that must run once."""
 
-from .effects import InsertClaim, RejectCall
+from .effects import InsertClaim, RejectCall, ReplayAnswer
 from .events import ClaimOutcome
 from .verdict import Verdict
 
@@ -18,15 +18,14 @@
     return InsertClaim(record.call.call_id, req.service, req.key)
 
 
-def refusal(record, outcome):
+def refusal(record, outcome, recorded=None):
     """Return the effects that answer a call without a claim, or None if granted."""
     call_id = record.call.call_id
     match outcome:
         case ClaimOutcome.GRANTED:
             return None
         case ClaimOutcome.REPLAY:
-            # The runtime answers with the recorded outcome.
-            return ()
+            return (ReplayAnswer(call_id, recorded),)
         case ClaimOutcome.HELD:
             detail = "another attempt holds this idempotency key"
             verdict = Verdict.MAY_HAVE_RUN
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .model import Member
+from .model import Member, RecordedAnswer
 from .verdict import Verdict
 
 __all__ = [
@@ -15,6 +15,7 @@
     "LogEntry",
     "RejectCall",
     "ReleaseClaim",
+    "ReplayAnswer",
     "ScheduleHedge",
     "SendRumours",
     "StartAttempt",
@@ -44,10 +45,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardAnswer:
-    """Pass the answer of this attempt on to the caller."""
+    """Pass the answer of this attempt on to the caller.
+
+    `record` asks to keep the beginning of it for the claim row.
+    """
 
     call_id: int
     attempt_id: int
+    record: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Answer the caller with the recorded outcome of an earlier call."""
+
+    call_id: int
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +107,7 @@
     call_id: int
     service: str
     key: str
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -6,7 +6,7 @@
 import enum
 from dataclasses import dataclass
 
-from .model import Call, Member, Target
+from .model import Call, Member, RecordedAnswer, Target
 from .rules.ruleset import RuleSet
 from .verdict import Verdict
 
@@ -17,6 +17,7 @@
     "CallerLeft",
     "ClaimAnswered",
     "ClaimOutcome",
+    "DeadlinePassed",
     "HeadReceived",
     "HedgeDue",
     "MembersHeard",
@@ -32,11 +33,16 @@
 
 
 class Outcome(enum.Enum):
-    """How an attempt ended without an answer."""
+    """How an attempt ended without an answer.
+
+    `SILENT` is a timeout on a connection that was used before: the connection may
+    be at fault, not the target.
+    """
 
     REFUSED = "refused"
     BROKEN = "broken"
     TIMEOUT = "timeout"
+    SILENT = "silent"
 
 
 class ClaimOutcome(enum.Enum):
@@ -59,12 +65,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAnswered:
-    """The store answered an `InsertClaim`."""
+    """The store answered an `InsertClaim`; `recorded` comes with `REPLAY`."""
 
     now: float
     draw: int
     call_id: int
     outcome: ClaimOutcome
+    recorded: RecordedAnswer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +89,7 @@
     status: int
     not_run: bool = False
     load: float | None = None
+    replayable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,11 +107,24 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """The answering attempt finished; `whole` is False if the answer was cut."""
+    """The answering attempt finished; `whole` is False if the answer was cut.
+
+    `recorded` is the outcome to keep in the claim row of a keyed call.
+    """
 
     now: float
     call_id: int
     whole: bool
+    recorded: RecordedAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """The deadline of a call passed before an answer was passed on."""
+
+    now: float
+    draw: int
+    call_id: int
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/pimentoline/headers.py
@@ -0,0 +1,231 @@
+"""pimentoline.headers: heads of requests and answers, checked and carried onward."""
+
+import re
+
+from tornado.httputil import HTTPHeaders
+
+from .model import Request
+
+__all__ = [
+    "RequestError",
+    "answer_headers",
+    "check_framing",
+    "check_size",
+    "onward_headers",
+    "parse_load",
+    "parse_request",
+]
+
+# Heads above this size are answered with 431. The connection reads a little more
+# than this, because tornado closes it without an answer at its own limit.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_KEY_CHARS = 255
+CALL_CLASSES = ("critical", "normal", "sheddable")
+# Methods whose body tornado's client can send in chunks.
+CHUNKED_METHODS = ("POST", "PUT", "PATCH")
+
+HOP_BY_HOP = frozenset(
+    {
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "Proxy-Connection",
+        "Te",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+    }
+)
+# Headers that a `Connection` header cannot remove, because the framing and the
+# routing of the message depend on them.
+PROTECTED = frozenset({"Content-Length", "Host"})
+# The node has answered the expectation itself.
+NOT_ONWARD = HOP_BY_HOP | {"Expect"}
+# A target that passes on an answer of another node must not speak for this one.
+NOT_BACK = HOP_BY_HOP | {
+    "X-Error-Code",
+    "X-Not-Run",
+    "X-Replay-Truncated",
+    "X-Replayed",
+    "X-Verdict",
+}
+
+SERVICE = re.compile(r"[a-z0-9-]{1,63}")
+NUMBER = re.compile(r"[0-9]{1,9}")
+LENGTH = re.compile(r"[0-9]{1,15}")
+KEY = re.compile(r"[!-~]{1,%d}" % MAX_KEY_CHARS)
+
+
+class RequestError(ValueError):
+    """A request head that is answered with an error and not sent to a target."""
+
+    def __init__(self, status, code, detail):
+        super().__init__(detail)
+        self.status = status
+        self.code = code
+        self.detail = detail
+
+
+def _bad(detail):
+    return RequestError(400, "bad-request", detail)
+
+
+def _number(headers, name, default):
+    text = headers.get(name)
+    if text is None:
+        return default
+    if NUMBER.fullmatch(text) is None:
+        raise _bad(f"{name} {text[:40]!r} is not a whole number of up to 9 digits")
+    return int(text)
+
+
+def check_size(start, headers):
+    """Refuse a head that is too large.
+
+    Raises
+    ------
+    RequestError
+    """
+    size = len(start.path) + len(start.method)
+    for name, value in headers.get_all():
+        size += len(name) + len(value) + 4
+    if size > MAX_HEAD_BYTES:
+        raise RequestError(
+            431, "head-too-large", f"request heads have up to {MAX_HEAD_BYTES} bytes"
+        )
+
+
+def check_framing(start, headers):
+    """Return whether the request has a body; normalise its framing headers.
+
+    Raises
+    ------
+    RequestError
+        If the length of the body is missing, unclear or cannot be carried onward.
+    """
+    expect = headers.get("Expect")
+    if expect is not None:
+        if expect.lower() != "100-continue":
+            raise RequestError(417, "expectation-failed", f"Expect {expect[:40]!r}")
+        # tornado compares the value exactly.
+        headers["Expect"] = "100-continue"
+    length = headers.get("Content-Length")
+    coding = headers.get("Transfer-Encoding")
+    if coding is not None:
+        if length is not None:
+            raise _bad("both Content-Length and Transfer-Encoding")
+        if coding.lower() != "chunked":
+            raise RequestError(501, "unknown-coding", f"coding {coding[:40]!r}")
+        if start.method not in CHUNKED_METHODS:
+            raise RequestError(
+                411, "length-required", f"{start.method} with a chunked body"
+            )
+        return True
+    if length is None:
+        return False
+    if LENGTH.fullmatch(length) is None:
+        raise _bad(f"Content-Length {length[:40]!r}")
+    return int(length) > 0
+
+
+def parse_request(start, headers, arrived, ruleset):
+    """Return the core's `Request` for a request head.
+
+    Parameters
+    ----------
+    start : RequestStartLine
+    headers : HTTPHeaders
+    arrived : float
+        Monotonic time at which the request arrived, seconds.
+    ruleset : RuleSet
+
+    Raises
+    ------
+    RequestError
+        If a header that the node acts on has a value that is not allowed.
+    """
+    host = headers.get("Host", "")
+    service = host.partition(":")[0].partition(".")[0].lower()
+    if SERVICE.fullmatch(service) is None or len(headers.get_list("Host")) > 1:
+        raise _bad(f"Host {host[:80]!r} does not name a service")
+    if start.method == "CONNECT":
+        raise RequestError(501, "unknown-method", "CONNECT is not supported")
+    path = start.path.partition("?")[0]
+    policy = ruleset.call_policy(service, start.method, path)
+    budget_s = policy.deadline_s
+    left_ms = _number(headers, "X-Deadline-Ms", None)
+    if left_ms is not None:
+        budget_s = min(budget_s, left_ms / 1000.0)
+    call_class = policy.call_class or headers.get("X-Call-Class", "normal")
+    if call_class not in CALL_CLASSES:
+        raise _bad(f"X-Call-Class {call_class[:40]!r}")
+    key = headers.get("Idempotency-Key")
+    if key is None:
+        key = ""
+    elif KEY.fullmatch(key) is None or len(headers.get_list("Idempotency-Key")) > 1:
+        raise _bad(f"Idempotency-Key is not 1 to {MAX_KEY_CHARS} visible characters")
+    return Request(
+        service,
+        start.method,
+        path,
+        arrived + budget_s,
+        call_class,
+        _number(headers, "X-Call-Depth", 0),
+        _number(headers, "X-Retry-Attempt", 0),
+        key,
+    )
+
+
+def _end_to_end(headers, dropped):
+    if "Connection" in headers:
+        named = {
+            "-".join(part.capitalize() for part in name.strip().split("-"))
+            for name in headers["Connection"].split(",")
+        }
+        dropped = dropped | (named - PROTECTED)
+    kept = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name not in dropped:
+            kept.add(name, value)
+    return kept
+
+
+def onward_headers(headers, req, has_body, retry, now):
+    """Return the headers of a request to a target.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        As received from the caller.
+    req : Request
+    has_body : bool
+    retry : bool
+        Whether this node has sent the call before.
+    now : float
+        Monotonic time, seconds.
+    """
+    kept = _end_to_end(headers, NOT_ONWARD)
+    if not has_body and req.method in CHUNKED_METHODS:
+        # tornado's client would otherwise add an empty chunked body.
+        kept["Content-Length"] = "0"
+    kept["X-Deadline-Ms"] = str(max(int((req.deadline - now) * 1000), 1))
+    kept["X-Call-Class"] = req.call_class
+    kept["X-Call-Depth"] = str(req.depth + 1)
+    attempt = req.retry_attempt + 1 if retry else req.retry_attempt
+    if attempt:
+        kept["X-Retry-Attempt"] = str(attempt)
+    return kept
+
+
+def answer_headers(headers):
+    """Return the headers of a target's answer that the caller receives."""
+    return _end_to_end(headers, NOT_BACK)
+
+
+def parse_load(text):
+    """Return the requests in flight of an `X-Target-Load` header, or None."""
+    try:
+        return float(text.split("/")[0]) if text else None
+    except ValueError:
+        return None
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -16,6 +16,7 @@
     "Member",
     "MemberStatus",
     "MeshState",
+    "RecordedAnswer",
     "Request",
     "RulesState",
     "ServiceStats",
@@ -140,6 +141,19 @@
     arrived: float
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """Outcome of a keyed call, as kept in its claim row.
+
+    `body` holds up to 4 KiB; `truncated` tells that the answer was longer.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    truncated: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One sending of a call to one target.
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+from collections import deque
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -12,6 +13,7 @@
 from . import effects as ef
 from . import events as ev
 from .admin import make_admin_app
+from .claim_writer import ClaimWriter
 from .codec import Codec, Message, RulesReply, RulesRequest, Rumours
 from .errors import PimentolineError
 from .logs import log_entry
@@ -19,7 +21,7 @@
 from .metrics import Metrics
 from .model import Identity, State
 from .pool import Pool
-from .proxy import MAX_HEAD_BYTES, Proxy
+from .proxy import SERVER_HEAD_BYTES, Proxy
 from .publisher import Publisher
 from .records import with_own_record
 from .reducer import reduce
@@ -30,6 +32,8 @@
 
 TICK_S = 0.2
 STORE_POLL_S = 10.0
+# A stopping node waits this long for claim outcomes to reach a store that is down.
+CLAIM_WRITES_S = 10.0
 DIRECTORY_PREFIX = "node/"
 
 
@@ -56,9 +60,20 @@
             self.draw,
             lambda: self.state.rules.ruleset,
         )
+        self.claims = ClaimWriter(
+            self.store,
+            lambda: f"{self.state.me.node_id}/{self.state.me.incarnation}",
+            lambda call_id: call_id in self.state.traffic.calls,
+            self.dispatch,
+            self.clock,
+            self.draw,
+            self.metrics.count,
+        )
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
         self._tasks = []
+        self._events = deque()
+        self._dispatching = False
         self._stopped = asyncio.Event()
 
     @classmethod
@@ -90,10 +105,11 @@
         self._server = HTTPServer(
             self.proxy,
             chunk_size=64 * 1024,
-            max_header_size=MAX_HEAD_BYTES,
+            max_header_size=SERVER_HEAD_BYTES,
             max_body_size=16 * 1024**3,
         )
         self._server.add_sockets(data_sockets)
+        self.proxy.arrivals.start()
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._tick()),
@@ -122,24 +138,29 @@
                     self._on_message(reply)
 
     def dispatch(self, event):
-        """Reduce one event and execute its effects."""
-        step = reduce(self.state, event)
-        self.state = step.state
-        for effect in step.effects:
-            self._execute(effect)
+        """Reduce one event and execute its effects.
+
+        An event that an effect raises waits until the effects before it are done.
+        """
+        self._events.append(event)
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._events:
+                step = reduce(self.state, self._events.popleft())
+                self.state = step.state
+                for effect in step.effects:
+                    self._execute(effect)
+        finally:
+            self._dispatching = False
 
     def _execute(self, effect):
         match effect:
-            case ef.StartAttempt():
-                self.proxy.calls[effect.call_id].start_attempt(effect)
-            case ef.ForwardAnswer():
-                self.proxy.calls[effect.call_id].forward(effect.attempt_id)
-            case ef.CancelAttempt():
-                self.proxy.calls[effect.call_id].cancel_attempt(effect.attempt_id)
-            case ef.RejectCall():
-                self.proxy.calls[effect.call_id].reject(
-                    effect.status, effect.code, effect.verdict, effect.detail
-                )
+            case ef.StartAttempt() | ef.ForwardAnswer() | ef.CancelAttempt():
+                self.proxy.execute(effect)
+            case ef.RejectCall() | ef.ReplayAnswer():
+                self.proxy.execute(effect)
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
                 loop.call_later(effect.delay_s, self._hedge_due, effect.call_id)
@@ -148,7 +169,7 @@
             case ef.FetchRules():
                 asyncio.get_running_loop().create_task(self._fetch_rules(effect))
             case ef.InsertClaim() | ef.ReleaseClaim() | ef.FinishClaim():
-                asyncio.get_running_loop().create_task(self.publisher.claim(effect))
+                self.claims.execute(effect)
             case ef.Count():
                 self.metrics.count(effect.name, effect.amount)
             case ef.LogEntry():
@@ -221,8 +242,8 @@
         if self.state.stopping:
             return
         self.dispatch(ev.StopRequested(self.clock()))
-        self._server.stop()
-        await self.proxy.wait_idle()
+        await self.proxy.stop(self._server)
+        await self.claims.wait_idle(CLAIM_WRITES_S)
         self._admin.stop()
         for task in self._tasks:
             task.cancel()
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import socket
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.iostream import IOStream, StreamClosedError
+
+from .streams import TargetStream
 
 __all__ = ["Pool", "PooledConnection"]
 
@@ -19,17 +20,23 @@
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 CHUNK_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024**3
+# Connections to one target, idle and in use. A target accepts 240 or 260 from all
+# nodes; calls beyond the maximum wait for a connection until their deadline.
+MAX_CONNECTIONS_PER_TARGET = 32
+PARAMS = HTTP1ConnectionParameters(chunk_size=CHUNK_BYTES, max_body_size=MAX_BODY_BYTES)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class PooledConnection:
     """A connection to a target; `reused` is True after its first exchange."""
 
-    stream: IOStream
+    pool: "Pool"
+    stream: TargetStream
     addr: tuple[str, int]
     created: float
     last_used: float
     reused: bool = False
+    counted: bool = True
 
     def exchange(self):
         """Return the HTTP/1.1 client for one request on this connection."""
@@ -38,55 +45,118 @@
     def close(self):
         """Close the connection; it is not used again."""
         self.stream.close()
-
-
-PARAMS = HTTP1ConnectionParameters(chunk_size=CHUNK_BYTES, max_body_size=MAX_BODY_BYTES)
+        if self.counted:
+            self.counted = False
+            self.pool.closed(self.addr)
 
 
 class Pool:
-    """Idle connections by target address, the latest used first."""
+    """Connections by target address; the idle one used last is taken first.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic clock, seconds.
+    limit_of : callable, optional
+        Returns the maximum number of connections to a target address.
+    """
 
-    def __init__(self, clock):
+    def __init__(self, clock, limit_of=lambda addr: MAX_CONNECTIONS_PER_TARGET):
         self._clock = clock
+        self._limit_of = limit_of
         self._idle = {}
+        self._open = Counter()
+        self._waiters = {}
 
     def take_idle(self, addr, idempotent):
         """Return an idle connection that is fit for use, or None."""
         conns = self._idle.get(addr)
+        if not conns:
+            return None
         now = self._clock()
         max_idle_s = MAX_IDLE_S if idempotent else MAX_IDLE_NON_IDEMPOTENT_S
         while conns:
             conn = conns.pop()
             fresh = now - conn.last_used < max_idle_s
-            if fresh and now - conn.created < MAX_AGE_S and not conn.stream.closed():
+            if fresh and now - conn.created < MAX_AGE_S and conn.stream.is_quiet():
                 conn.reused = True
                 return conn
             conn.close()
         return None
 
-    async def connect(self, addr, timeout_s):
-        """Open a connection.
+    async def acquire(self, addr, idempotent):
+        """Return an idle connection or a new one; wait while all are in use.
 
         Raises
         ------
         OSError, StreamClosedError, asyncio.TimeoutError
             No connection was made, so nothing was sent.
         """
+        first = True
+        while True:
+            conn = self.take_idle(addr, idempotent)
+            if conn is not None:
+                return conn
+            if self._open[addr] < self._limit_of(addr):
+                return await self._connect(addr)
+            await self._wait(addr, first)
+            first = False
+
+    async def _wait(self, addr, first):
+        waiters = self._waiters.setdefault(addr, deque())
+        fut = asyncio.get_running_loop().create_future()
+        if first:
+            waiters.append(fut)
+        else:
+            # A call that was woken and found its connection taken keeps its place.
+            waiters.appendleft(fut)
+        try:
+            await fut
+        except asyncio.CancelledError:
+            if fut.done() and not fut.cancelled():
+                self._wake(addr)
+            raise
+        finally:
+            if fut in waiters:
+                waiters.remove(fut)
+
+    def _wake(self, addr):
+        waiters = self._waiters.get(addr)
+        while waiters:
+            fut = waiters.popleft()
+            if not fut.done():
+                fut.set_result(None)
+                return
+
+    async def _connect(self, addr):
+        self._open[addr] += 1
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream = IOStream(sock, max_buffer_size=4 * CHUNK_BYTES)
+        stream = TargetStream(sock, max_buffer_size=4 * CHUNK_BYTES)
         try:
-            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await stream.connect(addr)
-        except (OSError, StreamClosedError, asyncio.TimeoutError):
+        except BaseException:
             stream.close()
+            self.closed(addr)
             raise
         now = self._clock()
-        return PooledConnection(stream, addr, now, now)
+        return PooledConnection(self, stream, addr, now, now)
+
+    def closed(self, addr):
+        """Count one connection less; a waiting call may open another."""
+        self._open[addr] -= 1
+        if self._open[addr] <= 0:
+            del self._open[addr]
+        self._wake(addr)
 
     def give_back(self, conn):
         """Keep a connection whose last exchange ended cleanly."""
+        if not conn.stream.is_quiet():
+            conn.close()
+            return
         conn.last_used = self._clock()
         self._idle.setdefault(conn.addr, deque()).append(conn)
+        self._wake(conn.addr)
 
     def close_idle(self, addr):
         """Close the idle connections to a target, as siblings of a silent one."""
@@ -96,6 +166,8 @@
     def trim(self):
         """Close the connections that have been idle too long."""
         now = self._clock()
-        for conns in self._idle.values():
+        for addr, conns in list(self._idle.items()):
             while conns and now - conns[0].last_used >= MAX_IDLE_S:
                 conns.popleft().close()
+            if not conns:
+                del self._idle[addr]
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -4,9 +4,7 @@
 import hashlib
 import time
 
-from . import events as ev
-from .effects import FinishClaim, InsertClaim, ReleaseClaim
-from .errors import PimentolineError, StoreError
+from .errors import PimentolineError
 
 __all__ = ["Publisher"]
 
@@ -14,7 +12,7 @@
 
 
 class Publisher:
-    """Configuration, audit trail and claims of one node in the store.
+    """Configuration and audit trail of one node in the store.
 
     Parameters
     ----------
@@ -104,47 +102,3 @@
         """Return the audit rows, oldest first."""
         rows = await self._node.store.scan("audit/", limit)
         return [row.value for row in rows]
-
-    async def claim(self, effect):
-        """Carry out a claim effect."""
-        key = f"claim/{effect.service}/{effect.key}"
-        match effect:
-            case InsertClaim():
-                outcome = await self._insert(key, effect.call_id)
-                node = self._node
-                node.dispatch(
-                    ev.ClaimAnswered(node.clock(), node.draw(), effect.call_id, outcome)
-                )
-            case ReleaseClaim():
-                await self._quietly(deletes=[key])
-            case FinishClaim():
-                value = {"attempt": self._attempt(effect.call_id), "done": True}
-                await self._quietly(puts=[(key, value)])
-
-    def _attempt(self, call_id):
-        me = self._node.state.me
-        return f"{me.node_id}/{me.incarnation}/{call_id}"
-
-    async def _insert(self, key, call_id):
-        store = self._node.store
-        if store is None:
-            return ev.ClaimOutcome.UNAVAILABLE
-        attempt = self._attempt(call_id)
-        try:
-            if await store.commit([(key, 0)], [(key, {"attempt": attempt})]):
-                return ev.ClaimOutcome.GRANTED
-        except PimentolineError:
-            pass
-        try:
-            row = await store.get(key)
-        except PimentolineError:
-            return ev.ClaimOutcome.UNAVAILABLE
-        if row.version and row.value.get("attempt") == attempt:
-            return ev.ClaimOutcome.GRANTED
-        return ev.ClaimOutcome.HELD if row.version else ev.ClaimOutcome.UNAVAILABLE
-
-    async def _quietly(self, puts=(), deletes=()):
-        try:
-            await self._node.store.commit(puts=puts, deletes=deletes)
-        except (PimentolineError, StoreError):
-            self._node.metrics.count("store.failed")
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -45,6 +45,8 @@
             return Step(*calls.on_attempt_ended(state, event))
         case ev.CallEnded():
             return Step(*calls.on_call_ended(state, event))
+        case ev.DeadlinePassed():
+            return Step(*calls.on_deadline_passed(state, event))
         case ev.CallerLeft():
             return Step(*calls.on_caller_left(state, event))
         case ev.HedgeDue():
--- /dev/null
+++ b/tests/raw.py
@@ -0,0 +1,100 @@
+"""Raw sockets for tests: callers byte by byte, and targets that break the protocol."""
+
+import socket
+import threading
+from contextlib import contextmanager
+
+TIMEOUT_S = 10.0
+
+
+def connect(process):
+    """Return a socket to the data port of a node."""
+    return socket.create_connection(tuple(process.info["data"]), TIMEOUT_S)
+
+
+def read_head(sock):
+    """Return (head lines, bytes after the head) of a message."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = sock.recv(65536)
+        if not piece:
+            return data.split(b"\r\n"), b""
+        data += piece
+    head, _, rest = data.partition(b"\r\n\r\n")
+    return head.split(b"\r\n"), rest
+
+
+def read_all(sock):
+    """Return the bytes up to the end of the connection and whether it was reset."""
+    data = b""
+    try:
+        while piece := sock.recv(65536):
+            data += piece
+    except ConnectionResetError:
+        return data, True
+    return data, False
+
+
+class RawTarget:
+    """A target whose connections are served by `serve(sock, number)` in threads.
+
+    `number` counts the connections from 0; `heads` collects what `request` read.
+    """
+
+    def __init__(self, serve):
+        self._serve = serve
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.addr = list(self._listener.getsockname())
+        self.heads = []
+        self.connections = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            sock.settimeout(TIMEOUT_S)
+            number, self.connections = self.connections, self.connections + 1
+            threading.Thread(target=self._run, args=(sock, number), daemon=True).start()
+
+    def _run(self, sock, number):
+        with sock:
+            try:
+                self._serve(self, sock, number)
+            except OSError:
+                pass
+
+    def request(self, sock):
+        """Read and record one request head; return True, or False at the end."""
+        head, _ = read_head(sock)
+        if head[0]:
+            self.heads.append(head)
+        return bool(head[0])
+
+    def close(self):
+        """Accept no more connections."""
+        self._listener.close()
+
+
+@contextmanager
+def raw_target(cluster, serve, node_id="n1", target_id="t1"):
+    """Announce a `RawTarget` to a node for the time of a test."""
+    target = RawTarget(serve)
+    body = {"service": "hive-ledger", "addr": target.addr}
+    cluster.admin(node_id, f"/v1/targets/{target_id}", "PUT", body)
+    try:
+        yield target
+    finally:
+        target.close()
+
+
+def answering(*answers):
+    """Return a `serve` that gives the answers in turn, the last one repeatedly."""
+
+    def serve(target, sock, number):
+        while target.request(sock):
+            sock.sendall(answers[min(len(target.heads), len(answers)) - 1])
+
+    return serve
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,58 @@
+"""Bodies pass through a node in pieces, in both directions."""
+
+import http.client
+import json
+import time
+
+from .conftest import wait_until
+
+BODY_BYTES = 200 * 1000 * 1000
+GROWTH_KB = 8 * 1024
+
+
+def peak_kb(process):
+    """Return the peak resident memory of a process in KiB."""
+    with open(f"/proc/{process.popen.pid}/status") as file:
+        for line in file:
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1])
+
+
+def start(cluster):
+    """Start a node and a target; return the node and a connection to it."""
+    node = cluster.start_node("n1")
+    cluster.start_target("t1", "n1")
+    wait_until(lambda: cluster.knows_target("n1", "t1"))
+    cluster.call("n1", "/?size=65536")
+    return node, http.client.HTTPConnection(*node.info["data"], timeout=30)
+
+
+def test_upload_of_200_mb_leaves_memory_flat(cluster):
+    """Guards against a node that buffers a request faster than its target reads."""
+    node, conn = start(cluster)
+    before = peak_kb(node)
+    piece = bytes(1000 * 1000)
+    headers = {"Host": "hive-ledger", "Content-Length": str(BODY_BYTES)}
+    conn.request("POST", "/", (piece for _ in range(200)), headers)
+    answer = conn.getresponse()
+    assert json.loads(answer.read())["received"] == BODY_BYTES
+    assert peak_kb(node) - before < GROWTH_KB
+
+
+def test_slow_reader_of_200_mb_leaves_memory_flat(cluster):
+    """Guards against a node that buffers an answer faster than its caller reads."""
+    node, conn = start(cluster)
+    before = peak_kb(node)
+    conn.request("GET", f"/?size={BODY_BYTES}", headers={"Host": "hive-ledger"})
+    answer = conn.getresponse()
+    received = len(answer.read(64 * 1024))
+    # The caller pauses for as long as a node without back-pressure takes to read
+    # everything (1.5 s measured).
+    paused_until = time.monotonic() + 2.0
+    while time.monotonic() < paused_until:
+        assert peak_kb(node) - before < GROWTH_KB
+        time.sleep(0.05)
+    while piece := answer.read(64 * 1024):
+        received += len(piece)
+    assert received == BODY_BYTES
+    assert peak_kb(node) - before < GROWTH_KB
