--- a/tests/raw.py
+++ b/tests/raw.py
@@ -75,6 +75,11 @@
 
     def close(self):
         """Accept no more connections."""
+        try:
+            # Ends the pending accept, which would keep the socket open.
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self._listener.close()
 
 
