--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .model import RecordedAnswer
 from .verdict import Verdict
 
 __all__ = [
@@ -15,6 +16,7 @@
     "LogEntry",
     "RejectCall",
     "ReleaseClaim",
+    "ReplayAnswer",
     "Reply",
     "ScheduleHedge",
     "SendMessage",
@@ -45,10 +47,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardAnswer:
-    """Pass the answer of this attempt on to the caller."""
+    """Pass the answer of this attempt on to the caller.
+
+    `record` asks to keep the beginning of it for the claim row.
+    """
 
     call_id: int
     attempt_id: int
+    record: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Answer the caller with the recorded outcome of an earlier call."""
+
+    call_id: int
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +109,7 @@
     call_id: int
     service: str
     key: str
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
