--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -16,6 +16,7 @@
     "end_call",
     "note_answer",
     "note_cancelled",
+    "note_cut",
     "note_done",
     "note_failure",
     "note_waited",
@@ -112,10 +113,13 @@
     return targets.set(target_id, stats)
 
 
-def end_attempt(targets, target_id):
+def end_attempt(targets, attempt, succeeded=False):
     """Return the target statistics with one attempt less in flight."""
-    stats = targets.get(target_id) or TargetStats()
-    return targets.set(target_id, replace(stats, inflight=max(0, stats.inflight - 1)))
+    stats = targets.get(attempt.target_id) or TargetStats()
+    changes = {"inflight": max(0, stats.inflight - 1)}
+    if succeeded:
+        changes |= outliers.success_changes(stats, attempt.started)
+    return targets.set(attempt.target_id, replace(stats, **changes))
 
 
 def _latency(stats, sample_s, now):
@@ -150,7 +154,9 @@
 
 
 def note_answer(state, record, attempt, event):
-    """Record a response head: latency, load report, success or failure.
+    """Record a response head: latency, load report, failure.
+
+    Success is recorded at the end of the answer, because an answer may break off.
 
     A request that the target shed counts as slow and as not accepted, but not as a
     failure: shedding is the contract of a loaded target, not a fault.
@@ -173,7 +179,6 @@
         service, req.call_class, not event.not_run, event.now
     )
     if not failed:
-        changes |= outliers.success_changes(stats, attempt.started)
         # The time of a call whose hedge won is at least as long as its delay; the
         # hedge's own time alone would lower the percentile and bring more hedges.
         first = record.attempts[0] if attempt.hedge else attempt
@@ -241,10 +246,19 @@
     return _count_refused(state, record.call.req, now)
 
 
+def note_cut(state, record, attempt, now):
+    """Record an answer that broke off after its head as a failure."""
+    stats = _target_stats(state, attempt.target_id)
+    stats = _with_failure(state, record, attempt, now, False, stats)
+    return _with_target(state, attempt.target_id, stats)
+
+
 def note_cancelled(state, target_id):
     """Count an attempt as no longer in flight."""
     traffic = state.traffic
-    targets = end_attempt(traffic.targets, target_id)
+    stats = _target_stats(state, target_id)
+    stats = replace(stats, inflight=max(0, stats.inflight - 1))
+    targets = traffic.targets.set(target_id, stats)
     return replace(state, traffic=replace(traffic, targets=targets))
 
 
--- a/tests/core.py
+++ b/tests/core.py
@@ -1,8 +1,11 @@
 """Helpers of the tests of the pure core."""
 
+import hashlib
+
 from pimentoline import events as ev
 from pimentoline.draws import mix
 from pimentoline.effects import StartAttempt
+from pimentoline.events import Outcome
 from pimentoline.frozen import replace
 from pimentoline.model import (
     Call,
@@ -16,6 +19,7 @@
 )
 from pimentoline.reducer import reduce
 from pimentoline.rules import parse
+from pimentoline.verdict import Verdict
 
 ADDR = ("127.0.0.1", 1)
 HOME = ("rift", "kerio")
@@ -107,6 +111,39 @@
         return self.state.traffic.targets.get(name) or TargetStats()
 
 
+def run_scenario(policy, calls=400):
+    """Return a core after calls with every outcome, and the effects of each event."""
+    core = Core(policy, "spill * enter=0.3 leave=0.2; canary hive-ledger 2 10%")
+    places = [HOME, ("rift", "baringo"), ("coast", "kwale")]
+    log = []
+    for number in range(calls):
+        if number % 40 == 0:
+            name = f"t{number % 11}"
+            core.add(name, places[number % 3], version="2" if number % 80 else "1")
+        call_id, effects = core.arrive()
+        sent = attempt_of(effects)
+        core.now += 0.003
+        log.append(effects)
+        outcome = mix(number, 9) % 16
+        if sent is not None and outcome == 0:
+            log.append(core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN))
+        elif sent is not None and outcome == 1:
+            log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
+        elif sent is not None:
+            status = 503 if outcome < 5 else 200
+            load = float(outcome)
+            log.append(core.answer(sent, status, outcome == 2, load))
+            core.end(call_id)
+    return core, log
+
+
+def digest(core, log):
+    """Return a digest of effects and statistics that no hash seed changes."""
+    traffic = core.state.traffic
+    parts = [log, sorted(traffic.targets.items()), sorted(traffic.services.items())]
+    return hashlib.sha256(repr(parts).encode()).hexdigest()
+
+
 def attempt_of(effects):
     """Return the started attempt among effects, or None."""
     return next((eff for eff in effects if isinstance(eff, StartAttempt)), None)
