Let hot-cold leave slow targets and whole slow rings

Cause: a data centre has one or two targets of a service, so the choice within a ring cannot avoid a slow target, and calls stayed there until it was full. Change: a policy tells which candidates are fit; hot-cold refuses targets slower than three medians of the service, also by the mean age of waiting requests, and tries them with one request at a time. A ring without fit targets is passed over within the region; other regions get the spill share of its calls. Requests of other nodes are the report without the own ones of that time: the decayed report added the own finished requests once more. The latency falls to a quarter of the distance at a faster sample, because with time alone a target stayed out for seconds after 50 to 500 ms of noise.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -42,7 +42,7 @@
     return replace(state, traffic=replace(traffic, calls=calls, services=services))
 
 
-def _with_attempt(state, record, target_id):
+def _with_attempt(state, record):
     """Return the state with a record whose last attempt is about to be sent."""
     traffic = state.traffic
     call, services = record.call, traffic.services
@@ -56,7 +56,7 @@
         traffic,
         calls=traffic.calls.set(call.call_id, record),
         services=services,
-        targets=limits.begin_attempt(traffic.targets, target_id),
+        targets=limits.begin_attempt(traffic.targets, record.attempts[-1]),
         next_attempt=traffic.next_attempt + 1,
     )
     return replace(state, traffic=traffic)
@@ -134,7 +134,7 @@
     record = replace(
         record, phase=CallPhase.SENDING, attempts=record.attempts + (attempt,)
     )
-    state = _with_attempt(state, record, target.target_id)
+    state = _with_attempt(state, record)
     effect = StartAttempt(
         call.call_id,
         attempt_id,
@@ -168,7 +168,7 @@
         effects.append(ReleaseClaim(call.call_id, call.req.service, call.req.key))
     for att in _in_flight(record):
         effects.append(CancelAttempt(call.call_id, att.attempt_id))
-        state = limits.note_cancelled(state, att.target_id)
+        state = limits.note_done(state, att)
     if call.call_id in state.traffic.calls:
         state = _without_call(state, call.call_id)
     return state, tuple(effects)
@@ -196,7 +196,9 @@
     record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
         # The other attempt may still succeed.
-        state = _with_call(limits.note_done(state, attempt.target_id), record)
+        state = _with_call(
+            limits.note_done(state, _attempt(record, event.attempt_id)), record
+        )
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
         charged, may_retry = retries.may_retry(state, record, verdict, event.now)
@@ -207,10 +209,10 @@
             )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
-                started = limits.note_done(started, attempt.target_id)
+                started = limits.note_done(started, _attempt(record, event.attempt_id))
                 return started, (cancel, Count("attempts.retried")) + effects
     if event.not_run:
-        state = limits.note_done(state, attempt.target_id)
+        state = limits.note_done(state, _attempt(record, event.attempt_id))
         state, effects = _reject(state, record, 503, "target-shed")
         return state, (CancelAttempt(event.call_id, event.attempt_id),) + effects
     return _forward(state, record, event.attempt_id)
@@ -222,7 +224,7 @@
     effects = [ForwardAnswer(call_id, attempt_id, recorded)]
     for att in _in_flight(record):
         effects.append(CancelAttempt(call_id, att.attempt_id))
-        state = limits.note_cancelled(state, att.target_id)
+        state = limits.note_done(state, att)
         record = _with_verdict(record, att.attempt_id, Verdict.MAY_HAVE_RUN)
     record = replace(record, phase=CallPhase.ANSWERING, answering=attempt_id)
     return _with_call(state, record), tuple(effects)
@@ -236,7 +238,7 @@
         return state, ()
     if event.outcome is Outcome.SILENT:
         # The connection failed, not the target; new connections to it work.
-        state = limits.note_cancelled(state, attempt.target_id)
+        state = limits.note_done(state, attempt)
     else:
         state = limits.note_failure(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, event.verdict)
@@ -287,7 +289,7 @@
     for att in record.attempts:
         if att.verdict is None or att.attempt_id == record.answering:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
-            state = limits.note_cancelled(state, att.target_id)
+            state = limits.note_done(state, att)
     return _without_call(state, event.call_id), tuple(effects)
 
 
@@ -298,6 +300,7 @@
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
+    state = limits.note_waited(state, record, event.now)
     charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -15,19 +15,21 @@
     "end_attempt",
     "end_call",
     "note_answer",
-    "note_cancelled",
     "note_cut",
     "note_done",
     "note_failure",
     "note_waited",
+    "report_changes",
 ]
 
 LATENCY_DECAY_S = 2.0
-# A failed call counts as at least this slow, so that a target that fails fast does
-# not look like the fastest one.
+# At each faster answer, the average keeps at most this part of the distance. After a
+# noisy neighbour is gone, a few answers are then enough to use the target again.
+LATENCY_KEPT = 0.25
+# A failed call counts as slow, so that a target that fails fast does not look like the
+# fastest one: as a multiple of the service's 95th percentile, if that is known.
 FAILURE_LATENCY_S = 1.0
-# The same for services with slow answers, as a multiple of the 95th percentile.
-FAILURE_LATENCY_FACTOR = 2.0
+FAILURE_LATENCY_FACTOR = 4.0
 LATENCY_WINDOW = 128
 # The percentiles are computed once for so many answers, because sorting the window
 # at each answer would cost more than all other statistics.
@@ -106,33 +108,52 @@
     return services.set(req.service, replace(stats, inflight=inflight))
 
 
-def begin_attempt(targets, target_id):
+def begin_attempt(targets, attempt):
     """Return the target statistics with one more attempt in flight."""
-    stats = targets.get(target_id) or TargetStats()
-    stats = replace(stats, inflight=stats.inflight + 1, sent_since=stats.sent_since + 1)
-    return targets.set(target_id, stats)
+    stats = targets.get(attempt.target_id) or TargetStats()
+    stats = replace(
+        stats,
+        inflight=stats.inflight + 1,
+        waiting=stats.waiting + 1,
+        waiting_since=stats.waiting_since + attempt.started,
+    )
+    return targets.set(attempt.target_id, stats)
 
 
 def end_attempt(targets, attempt, succeeded=False):
     """Return the target statistics with one attempt less in flight."""
     stats = targets.get(attempt.target_id) or TargetStats()
     changes = {"inflight": max(0, stats.inflight - 1)}
+    if attempt.verdict is None:
+        changes |= _answered_changes(stats, attempt)
     if succeeded:
         changes |= outliers.success_changes(stats, attempt.started)
     return targets.set(attempt.target_id, replace(stats, **changes))
 
 
+def _answered_changes(stats, attempt):
+    if stats.waiting <= 1:
+        # Also drops the rounding errors of the sum.
+        return {"waiting": 0, "waiting_since": 0.0}
+    return {
+        "waiting": stats.waiting - 1,
+        "waiting_since": stats.waiting_since - attempt.started,
+    }
+
+
 def _latency(stats, sample_s, now):
-    """Peak-sensitive average: rises at once, falls over `LATENCY_DECAY_S`."""
+    """Peak-sensitive average: rises at once, falls with samples and with time."""
     if sample_s >= stats.latency_s:
         return sample_s
-    weight = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
+    weight = min(LATENCY_KEPT, math.exp((stats.latency_at - now) / LATENCY_DECAY_S))
     return stats.latency_s * weight + sample_s * (1.0 - weight)
 
 
 def _failure_latency_s(state, service, sample_s):
     late_s = _service_stats(state, service).late_s
-    return max(sample_s, FAILURE_LATENCY_S, FAILURE_LATENCY_FACTOR * late_s)
+    if not late_s:
+        return max(sample_s, FAILURE_LATENCY_S)
+    return max(sample_s, FAILURE_LATENCY_FACTOR * late_s)
 
 
 def _with_failure(state, record, attempt, now, decisive, stats):
@@ -172,9 +193,11 @@
     changes = {
         "latency_s": _latency(stats, sample_s, event.now),
         "latency_at": event.now,
+        **_answered_changes(stats, attempt),
     }
     if event.load is not None:
-        changes |= {"reported": event.load, "reported_at": event.now, "sent_since": 0}
+        # The answered request is no longer in the report.
+        changes |= report_changes(stats.inflight - 1, event.load, event.now)
     counted = throttling.attempt_changes(
         service, req.call_class, not event.not_run, event.now
     )
@@ -193,6 +216,21 @@
     return replace(state, traffic=traffic)
 
 
+def report_changes(own, load, now):
+    """Return the changed fields of target statistics after a load report.
+
+    Parameters
+    ----------
+    own : int
+        Own requests in flight that the report counts.
+    load : float
+        Requests in flight at the target, from all nodes.
+    now : float
+        Monotonic time, seconds.
+    """
+    return {"reported": load, "reported_at": now, "reported_own": own}
+
+
 def _latency_changes(service, sample_s):
     latest = (*service.latest, sample_s)
     if len(latest) < LATENCY_BATCH:
@@ -237,6 +275,7 @@
         inflight=max(0, stats.inflight - 1),
         latency_s=_latency(stats, sample_s, now),
         latency_at=now,
+        **_answered_changes(stats, attempt),
     )
     refused = event.outcome is Outcome.REFUSED
     stats = _with_failure(state, record, attempt, now, refused, stats)
@@ -253,13 +292,8 @@
     return _with_target(state, attempt.target_id, stats)
 
 
-def note_cancelled(state, target_id):
+def note_done(state, attempt):
     """Count an attempt as no longer in flight."""
     traffic = state.traffic
-    stats = _target_stats(state, target_id)
-    stats = replace(stats, inflight=max(0, stats.inflight - 1))
-    targets = traffic.targets.set(target_id, stats)
+    targets = end_attempt(traffic.targets, attempt)
     return replace(state, traffic=replace(traffic, targets=targets))
-
-
-note_done = note_cancelled
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -207,6 +207,10 @@
     ----------
     inflight : int
         Own requests in flight.
+    waiting : int
+        Own requests whose response head has not come yet.
+    waiting_since : float
+        Sum of the monotonic times at which those were sent, seconds.
     latency_s : float
         Peak-sensitive moving average of the time to the response head, seconds.
     latency_at : float
@@ -215,8 +219,8 @@
         Last reported requests in flight at the target, from all nodes.
     reported_at : float
         Monotonic time of that report, seconds; negative infinity if none.
-    sent_since : int
-        Own requests sent since that report.
+    reported_own : int
+        Own requests in flight at that time, which are part of the reported ones.
     failures : int
         Consecutive failures.
     window : tuple of bool
@@ -228,11 +232,13 @@
     """
 
     inflight: int = 0
+    waiting: int = 0
+    waiting_since: float = 0.0
     latency_s: float = 0.0
     latency_at: float = 0.0
     reported: float = 0.0
     reported_at: float = float("-inf")
-    sent_since: int = 0
+    reported_own: int = 0
     failures: int = 0
     window: tuple[bool, ...] = ()
     ejected_until: float = 0.0
--- a/pimentoline/policies/base.py
+++ b/pimentoline/policies/base.py
@@ -12,6 +12,14 @@
 
     name = ""
 
+    def accepts(self, cand, service, now):
+        """Return whether a candidate is fit, if there are others.
+
+        A ring without a fit candidate is passed over. By default, every candidate
+        that is not ejected is fit.
+        """
+        return True
+
     def choose(self, found, service, now, draw):
         """Return one of the candidates.
 
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -14,6 +14,9 @@
 HOT_QUANTILE = 0.75
 # At this load every slot of a target is in use and calls queue there.
 FULL_LOAD = 1.0
+# A target slower than this multiple of the service's median is avoided. Ordinary
+# variation of service times stays below it.
+SLOW_FACTOR = 3.0
 REPORT_HALF_LIFE_S = 0.5
 LATENCY_DECAY_S = 2.0
 LN2 = math.log(2.0)
@@ -22,15 +25,15 @@
 def load_estimate(cand, now):
     """Return the estimated requests in flight for each slot of a target.
 
-    A report loses its weight with its age; own requests sent since and still in
-    flight are added to it.
+    To the own requests in flight, the requests of other nodes are added: the last
+    report without the own requests of that time. It loses its weight with its age.
     """
     stats = cand.stats
     used = stats.inflight
-    if stats.reported:
+    others = stats.reported - stats.reported_own
+    if others > 0.0:
         age_s = now - stats.reported_at
-        reported = stats.reported * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
-        used = max(used, reported + min(stats.sent_since, used))
+        used += others * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
     return used / cand.target.slots
 
 
@@ -39,13 +42,17 @@
 
     Without new samples it returns to the median of the service. A target that was
     slow once is then tried again, and an unknown target counts as an ordinary one
-    and not as the fastest.
+    and not as the fastest. It is at least the mean age of the requests that wait at
+    the target, which tells of a slowdown before the first slow answer.
     """
     typical_s = service.typical_s
-    if not stats.latency_s:
-        return typical_s
-    part = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
-    return typical_s + (stats.latency_s - typical_s) * part
+    latency_s = typical_s
+    if stats.latency_s:
+        part = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
+        latency_s += (stats.latency_s - typical_s) * part
+    if stats.waiting:
+        latency_s = max(latency_s, now - stats.waiting_since / stats.waiting)
+    return latency_s
 
 
 class HotColdPolicy(Policy):
@@ -53,15 +60,31 @@
 
     name = "hot-cold"
 
+    def accepts(self, cand, service, now):
+        """Return whether a candidate is not much slower than the service's median.
+
+        A target whose last sample was slow is tried with one request at a time.
+        """
+        limit_s = SLOW_FACTOR * service.typical_s
+        stats = cand.stats
+        if not limit_s:
+            return True
+        if latency_estimate_s(stats, service, now) > limit_s:
+            return False
+        return stats.latency_s <= limit_s or not stats.waiting
+
     def choose(self, found, service, now, draw):
         """Return the fastest cold candidate, or the least loaded one."""
         chosen = sample(found, SAMPLE_SIZE, draw)
         loads = [load_estimate(cand, now) for cand in chosen]
-        limit = sorted(loads)[int(HOT_QUANTILE * (len(loads) - 1))]
-        best, least = None, math.inf
-        for cand, load in zip(chosen, loads):
-            if load <= limit and load < FULL_LOAD:
-                latency_s = latency_estimate_s(cand.stats, service, now)
-                if latency_s < least:
-                    best, least = cand, latency_s
-        return best or chosen[loads.index(min(loads))]
+        fit = [
+            (cand, load)
+            for cand, load in zip(chosen, loads)
+            if load < FULL_LOAD and self.accepts(cand, service, now)
+        ]
+        if not fit:
+            return chosen[loads.index(min(loads))]
+        ordered = sorted(load for _, load in fit)
+        limit = ordered[int(HOT_QUANTILE * (len(fit) - 1))]
+        cold = [cand for cand, load in fit if load <= limit]
+        return min(cold, key=lambda cand: latency_estimate_s(cand.stats, service, now))
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -28,10 +28,13 @@
     rings : tuple of tuple of (Target, float)
         Targets and weights: own data centre, own region, other regions. Rings
         without targets are left out.
+    home_rings : int
+        Number of rings in this node's region.
     """
 
     share: float
     rings: tuple
+    home_rings: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +159,8 @@
     for name in sorted(by_release, key=lambda name: (name is None, name)):
         share, rings = by_release[name]
         ordered = tuple(tuple(rings[number]) for number in sorted(rings))
-        releases.append(Release(1.0 if share is None else share, ordered))
+        home_rings = sum(number < 2 for number in rings)
+        releases.append(Release(1.0 if share is None else share, ordered, home_rings))
     return Route(
         source,
         crowd,
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -57,9 +57,10 @@
     if not route.releases:
         return state, None
     stats = state.traffic.services.get(service) or ServiceStats()
-    view = _View(state.traffic.targets, tried, now, draw)
+    policy = get_policy_by_name(state.policy)
+    view = _View(state.traffic.targets, stats, policy, tried, now, draw)
     for release in _releases(route, draw):
-        found, ring, credit = _spill(view, release.rings, route.spill, stats)
+        found, ring, credit = _spill(view, release, route.spill)
         if found:
             break
     else:
@@ -69,7 +70,6 @@
         stats = replace(stats, ring=ring, spill_credit=credit)
         services = state.traffic.services.set(service, stats)
         state = replace(state, traffic=replace(state.traffic, services=services))
-    policy = get_policy_by_name(state.policy)
     if len(found) == 1:
         return state, found[0].target
     return state, policy.choose(found, stats, now, mix(draw, POLICY_SALT)).target
@@ -92,6 +92,8 @@
     """What the choice of a ring looks at."""
 
     targets: object
+    stats: ServiceStats
+    policy: object
     tried: set
     now: float
     draw: int
@@ -113,6 +115,11 @@
             found.append(Candidate(target, weight, stats))
         return found
 
+    def fit(self, found):
+        """Return the candidates that the policy accepts."""
+        accepts, stats, now = self.policy.accepts, self.stats, self.now
+        return [cand for cand in found if accepts(cand, stats, now)]
+
     def _part(self, ring):
         step = len(ring) / MAX_CANDIDATES
         start = fraction(self.draw, RING_SALT) * len(ring)
@@ -139,8 +146,8 @@
     for cand in found:
         stats = cand.stats
         if now - stats.reported_at <= REPORT_VALID_S:
-            since = min(stats.sent_since, stats.inflight)
-            used += max(stats.inflight, stats.reported + since)
+            others = max(0.0, stats.reported - stats.reported_own)
+            used += stats.inflight + others
         elif stats.inflight >= cand.target.slots:
             used += stats.inflight
         else:
@@ -149,33 +156,50 @@
     return used / slots if slots else 0.0
 
 
-def _spill(view, rings, spill, stats):
+def _spill(view, release, spill):
     """Return the candidates of the ring to use, the widest ring and the credit.
 
     The load that leaves a ring is the part that brings it back to the `leave` load,
     but not more than the rule's share of the calls. A ring without healthy targets is
-    passed over whole, because holding its calls back would only fail them.
+    passed over whole, because holding its calls back would only fail them. A ring
+    whose targets are all unfit is passed over whole within the region; other regions
+    get the rule's share of its calls.
     """
-    credit, widest = stats.spill_credit, 0
-    for number, ring in enumerate(rings):
+    stats = view.stats
+    credit, widest, unfit = stats.spill_credit, 0, []
+    for number, ring in enumerate(release.rings):
         found = view.healthy(ring)
         if not found:
             continue
-        if view.tried or number + 1 == len(rings):
+        fit = view.fit(found)
+        last = number + 1 == len(release.rings)
+        if not fit:
+            unfit = unfit or found
+            if last:
+                break
+            widest = number + 1
+            if view.tried or widest < release.home_rings:
+                continue
+            credit = min(credit, 1.0) + spill.share
+            if credit < 1.0:
+                break
+            credit -= 1.0
+            continue
+        if view.tried or last:
             return found, max(widest, number, stats.ring if view.tried else 0), credit
-        load = ring_load(found, view.now)
+        load = ring_load(fit, view.now)
         hot = load > (spill.leave if stats.ring > number else spill.enter)
         if not hot:
             return found, max(widest, number), credit
         widest = number + 1
         credit = min(credit, 1.0) + min(spill.share, 1.0 - spill.leave / load)
-        wider = view.healthy(rings[number + 1])
+        wider = view.fit(view.healthy(release.rings[widest]))
         # A ring that is as loaded gains nothing from the calls and would send its own
         # calls back.
         if credit < 1.0 or not wider or ring_load(wider, view.now) >= load:
             return found, widest, credit
         credit -= 1.0
-    return [], stats.ring, credit
+    return unfit, widest if unfit else stats.ring, credit
 
 
 def _last_resort(route, view):
