Test connections, early answers and pauses of the call path

Change: tests/test_connections.py. Each mechanism was switched off in turn: without the check for unread bytes, the closing of siblings, the arrival clock, the half time of idempotent attempts and the delayed end of an early answer its test fails. Without the deadline check before a write no test fails: the deadline timer of the event loop fires first. The check stays for a pause between the timer and the write. Conclusion: a silent connection costs one call, and a woken node sends nothing that is late.

--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,179 @@
+"""Connections to targets: reuse, silence, maximum; and pauses of the process."""
+
+import http.client
+import json
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from pimentoline.pool import MAX_CONNECTIONS_PER_TARGET
+
+from .conftest import wait_until
+from .raw import answering, connect, raw_target, read_head
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+
+
+@pytest.mark.parametrize("first", ["GET", "HEAD"])
+def test_surplus_bytes_are_no_answer_of_the_next_call(cluster, first):
+    """Guards against an answer that reaches the caller of another request."""
+    cluster.start_node("n1")
+    surplus = OK + STRAY if first == "GET" else STRAY
+    with raw_target(cluster, answering(surplus, OK)):
+        cluster.call("n1", "/first", method=first)
+        assert cluster.call("n1", "/second")[2] == b"ok"
+
+
+def test_clean_connection_is_reused(cluster):
+    """Guards against a pool that opens a connection for each call."""
+    cluster.start_node("n1")
+    with raw_target(cluster, answering(OK)) as target:
+        for _ in range(5):
+            assert cluster.call("n1", "/")[0] == 200
+        assert target.connections == 1
+
+
+def test_answer_before_the_end_of_an_upload_reaches_the_caller(cluster):
+    """Guards against an early answer that is lost with the caller's connection."""
+    cluster.start_node("n1")
+    refusal = b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
+    with raw_target(cluster, answering(refusal)) as target:
+        conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
+        headers = {"Host": "hive-ledger", "Content-Length": "20000000"}
+        conn.request("POST", "/", (bytes(1000_000) for _ in range(20)), headers)
+        answer = conn.getresponse()
+        assert (answer.status, answer.read()) == (413, b"big")
+        assert cluster.call("n1", "/")[0] == 413
+        assert target.connections == 2
+
+
+def test_expectation_is_met_by_the_node(cluster):
+    """Guards against a caller that waits for 100 Continue, or a target that does."""
+    cluster.start_node("n1")
+    with raw_target(cluster, answering(OK)) as target:
+        with connect(cluster.nodes["n1"]) as sock:
+            sock.sendall(
+                b"POST / HTTP/1.1\r\nHost: hive-ledger\r\nContent-Length: 4\r\n"
+                b"Expect: 100-Continue\r\n\r\n"
+            )
+            assert b" 100 " in read_head(sock)[0][0]
+            sock.sendall(b"sale")
+            assert read_head(sock)[0][0] == b"HTTP/1.1 200 OK"
+        assert not any(b"expect" in line.lower() for line in target.heads[0])
+
+
+def test_headers_of_one_hop_end_at_the_node(cluster):
+    """Guards against hop-by-hop headers, and against framing removed by a caller."""
+    cluster.start_node("n1")
+    reply = OK.replace(b"\r\n\r\n", b"\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\n")
+    with raw_target(cluster, answering(reply)) as target:
+        headers = {
+            "Host": "hive-ledger",
+            "Connection": "x-secret, content-length",
+            "X-Secret": "1",
+            "Te": "trailers",
+            "X-Deadline-Ms": "5000",
+            "X-Kept": "1",
+        }
+        conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
+        conn.request("POST", "/", b"sale", headers)
+        answer = conn.getresponse()
+        seen = dict(line.split(b": ", 1) for line in target.heads[0][1:])
+    assert answer.read() == b"ok" and answer.getheader("X-Hop") is None
+    assert seen[b"Content-Length"] == b"4" and seen[b"X-Kept"] == b"1"
+    assert not {b"X-Secret", b"Te", b"Connection"} & set(seen)
+    assert 4000 < int(seen[b"X-Deadline-Ms"]) <= 5000
+    assert seen[b"X-Call-Depth"] == b"1"
+
+
+def test_silent_connections_cost_one_try_and_no_ejection(cluster):
+    """Guards against calls that fail one by one on connections that went silent."""
+    cluster.start_node("n1")
+    silent = threading.Event()
+
+    def serve(target, sock, number):
+        while target.request(sock):
+            if silent.is_set() and number < 2:
+                continue
+            time.sleep(0.1)
+            sock.sendall(OK)
+
+    with raw_target(cluster, serve) as target:
+        warm = [threading.Thread(target=cluster.call, args=("n1", "/")) for _ in "ab"]
+        for thread in warm:
+            thread.start()
+        for thread in warm:
+            thread.join()
+        assert target.connections == 2
+        silent.set()
+        headers = {"X-Deadline-Ms": "1000"}
+        status, answer, body = cluster.call("n1", "/", method="POST", headers=headers)
+        assert (status, answer["X-Verdict"]) == (504, "may-have-run"), body
+        assert json.loads(body)["error"] == "target-silent"
+        assert cluster.call("n1", "/", method="POST", headers=headers)[0] == 200
+        assert target.connections == 3
+
+
+def test_idempotent_call_on_a_silent_connection_is_tried_again(cluster):
+    """Guards against a head timeout that uses up the caller's deadline."""
+    cluster.start_node("n1")
+    silent = threading.Event()
+
+    def serve(target, sock, number):
+        while target.request(sock):
+            if not (silent.is_set() and number == 0):
+                sock.sendall(OK)
+
+    with raw_target(cluster, serve):
+        assert cluster.call("n1", "/")[0] == 200
+        silent.set()
+        # This is less than the first hedge delay, 200 ms.
+        headers = {"X-Deadline-Ms": "190"}
+        assert cluster.call("n1", "/", headers=headers)[0] == 200
+
+
+def test_paused_node_does_not_send_a_late_call(cluster):
+    """Guards against a node that wakes and runs calls their callers gave up."""
+    node = cluster.start_node("n1")
+    with raw_target(cluster, answering(OK)) as target:
+        assert cluster.call("n1", "/")[0] == 200
+        with connect(node) as waiting, connect(node) as half:
+            head = b"POST / HTTP/1.1\r\nHost: hive-ledger\r\nX-Deadline-Ms: 600\r\n"
+            half.sendall(head + b"Content-Length: 4\r\n\r\n")
+            calls = lambda: cluster.admin("n1", "/v1/status")[1]["calls"]  # noqa: E731
+            wait_until(lambda: calls() == 1, message="the call without its body")
+            node.signal(signal.SIGSTOP)
+            waiting.sendall(head + b"Content-Length: 0\r\n\r\n")
+            half.sendall(b"sale")
+            late = connect(node)
+            late.sendall(head + b"Content-Length: 0\r\n\r\n")
+            time.sleep(0.8)
+            node.signal(signal.SIGCONT)
+            for sock in (waiting, half, late):
+                lines, _ = read_head(sock)
+                assert b" 504 " in lines[0]
+                assert b"X-Verdict: not-run" in lines
+            late.close()
+        assert len(target.heads) == 1
+        time.sleep(0.3)
+        assert cluster.call("n1", "/", method="POST")[0] == 200
+
+
+def test_calls_beyond_the_maximum_wait_for_a_connection(cluster):
+    """Guards against more connections than a target accepts, and against refusals."""
+    cluster.start_node("n1")
+
+    def serve(target, sock, number):
+        while target.request(sock):
+            time.sleep(0.05)
+            sock.sendall(OK)
+
+    with raw_target(cluster, serve) as target, ThreadPoolExecutor(80) as callers:
+        paths = ["/"] * (3 * MAX_CONNECTIONS_PER_TARGET)
+        answers = list(callers.map(lambda path: cluster.call("n1", path), paths))
+        assert [status for status, _, _ in answers] == [200] * len(paths)
+        assert target.connections == MAX_CONNECTIONS_PER_TARGET
