--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -3,86 +3,14 @@
 import http.client
 import itertools
 import json
-import socket
 
 from behave import given, then, when
 
 from tests.conftest import wait_until
-from tests.raw import RawTarget, answering, connect, read_all, read_head
+from tests.raw import RawTarget, connect, read_all
+from tests.target_faults import FAULTS, silent
 
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 SERVICES = itertools.count(1)
-
-
-def ending(answer):
-    """Return a `serve` that sends `answer` to each request and closes."""
-
-    def serve(target, sock, number):
-        if target.request(sock):
-            sock.sendall(answer)
-            sock.shutdown(socket.SHUT_WR)
-            sock.recv(65536)
-
-    return serve
-
-
-def silent(target, sock, number):
-    """Read requests without an answer."""
-    while target.request(sock):
-        pass
-
-
-def reading(target, sock, number):
-    """Read one request and everything up to the end of its connection."""
-    _, rest = read_head(sock)
-    target.heads.append(rest)
-    target.heads.append(read_all(sock)[0])
-
-
-def status(line, *headers, body=b""):
-    """Return an answer."""
-    head = [b"HTTP/1.1 " + line, *headers, b"", body]
-    return b"\r\n".join(head)
-
-
-EMPTY = b"Content-Length: 0"
-FAULTS = {
-    "answers 200": answering(OK),
-    "answers 500": answering(status(b"500 Failed", EMPTY)),
-    "answers 204": answering(status(b"204 No Content")),
-    "answers 304 with a length": answering(
-        status(b"304 Not Modified", b"Content-Length: 9")
-    ),
-    "answers HEAD with a length": answering(status(b"200 OK", b"Content-Length: 9")),
-    "answers 103 and 200": answering(status(b"103 Early Hints") + OK),
-    "answers with a false verdict": answering(
-        status(b"200 OK", EMPTY, b"X-Verdict: not-run", b"X-Error-Code: forged")
-    ),
-    "sheds": answering(status(b"503 Busy", EMPTY, b"X-Not-Run: 1")),
-    "closes before its head": ending(b""),
-    "closes within its head": ending(b"HTTP/1.1 200 OK\r\nContent-Le"),
-    "sends no HTTP": ending(b"hello\r\n\r\n"),
-    "sends an endless head": ending(b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 20000),
-    "answers 503 without X-Not-Run": answering(status(b"503 Busy", EMPTY)),
-    "answers 500 with X-Not-Run": answering(
-        status(b"500 Failed", EMPTY, b"X-Not-Run: 1")
-    ),
-    "stays silent": silent,
-    "reads to the end": reading,
-    "answers without a length": ending(status(b"200 OK", body=b"perhaps cut")),
-    "answers with two lengths": ending(
-        status(b"200 OK", b"Content-Length: 2", b"Content-Length: 3", body=b"abc")
-    ),
-    "answers 204 with a body": ending(
-        status(b"204 No Content", b"Content-Length: 2", body=b"ab")
-    ),
-    "cuts a body with length": ending(
-        status(b"200 OK", b"Content-Length: 9", body=b"abc")
-    ),
-    "cuts a body in chunks": ending(
-        status(b"200 OK", b"Transfer-Encoding: chunked", body=b"3\r\nabc\r\n")
-    ),
-}
 HOST = "Host: {service}"
 DEFECTS = {
     "no Host": ("GET", []),
--- a/tests/raw.py
+++ b/tests/raw.py
@@ -38,15 +38,17 @@
 class RawTarget:
     """A target whose connections are served by `serve(sock, number)` in threads.
 
-    `number` counts the connections from 0; `heads` collects what `request` read.
+    `number` counts the connections from 0; a new `serve` applies to new
+    connections; `heads` collects what `request` read.
     """
 
     def __init__(self, serve):
-        self._serve = serve
+        self.serve = serve
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.addr = list(self._listener.getsockname())
         self.heads = []
         self.connections = 0
+        self._open = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -60,11 +62,13 @@
             threading.Thread(target=self._run, args=(sock, number), daemon=True).start()
 
     def _run(self, sock, number):
+        self._open.add(sock)
         with sock:
             try:
-                self._serve(self, sock, number)
+                self.serve(self, sock, number)
             except OSError:
                 pass
+        self._open.discard(sock)
 
     def request(self, sock):
         """Read and record one request head; return True, or False at the end."""
@@ -73,6 +77,11 @@
             self.heads.append(head)
         return bool(head[0])
 
+    def end_connections(self):
+        """Close the connections in use."""
+        for sock in list(self._open):
+            sock.shutdown(socket.SHUT_RDWR)
+
     def close(self):
         """Accept no more connections."""
         try:
--- /dev/null
+++ b/tests/test_claim_writer.py
@@ -0,0 +1,143 @@
+"""Claims with answers of the store that are lost and writes that take effect late."""
+
+import asyncio
+
+from pimentoline import events as ev
+from pimentoline.claim_writer import ClaimWriter
+from pimentoline.effects import FinishClaim, InsertClaim, ReleaseClaim
+from pimentoline.errors import StoreUnavailableError
+from pimentoline.model import RecordedAnswer
+from pimentoline.store import Row
+from standins.table import Table
+
+KEY = "claim/hive-ledger/k"
+ANSWER = RecordedAnswer(200, "text/plain", b"sold")
+
+
+class FaultyStore:
+    """A table whose next transactions are lost, or held back until `deliver`.
+
+    `faults` holds one of `lose` (runs, no answer), `hold` (runs later, no answer)
+    or None for each of the next transactions.
+    """
+
+    def __init__(self, table, faults=()):
+        self.table = table
+        self.faults = list(faults)
+        self.held = []
+
+    async def commit(self, checks=(), puts=(), deletes=()):
+        txn = {
+            "checks": [{"key": key, "version": ver} for key, ver in checks],
+            "puts": [{"key": key, "value": value} for key, value in puts],
+            "deletes": list(deletes),
+        }
+        fault = self.faults.pop(0) if self.faults else None
+        if fault == "hold":
+            self.held.append(txn)
+            raise StoreUnavailableError("held")
+        done = self.table.run(txn)["ok"]
+        if fault == "lose":
+            raise StoreUnavailableError("lost")
+        return done
+
+    async def get(self, key):
+        return Row(**self.table.row(key))
+
+    def deliver(self):
+        """Run the transactions that were held back."""
+        for txn in self.held:
+            self.table.run(txn)
+
+
+class Writer:
+    """A `ClaimWriter` and the events that it raised."""
+
+    def __init__(self, name, store, waiting=True):
+        self.events = []
+        self.writer = ClaimWriter(
+            store,
+            lambda: name,
+            lambda call_id: waiting,
+            self.events.append,
+            lambda: 0.0,
+            lambda: 0,
+            lambda name: None,
+        )
+
+    async def run(self, effect):
+        """Carry out an effect and wait for its writes; return the claim outcome."""
+        self.writer.execute(effect)
+        assert await self.writer.wait_idle(5.0)
+        return self.events.pop().outcome if self.events else None
+
+
+def insert(call_id=1):
+    return InsertClaim(call_id, "hive-ledger", "k")
+
+
+def release(call_id=1):
+    return ReleaseClaim(call_id, "hive-ledger", "k")
+
+
+def test_late_insertion_of_a_refused_call_is_void():
+    """Guards against a key that is held for ever by a call that was told not-run."""
+
+    async def scenario():
+        table = Table()
+        store = FaultyStore(table, ["hold"])
+        outcome = await Writer("n1/1", store).run(insert())
+        assert outcome is ev.ClaimOutcome.UNAVAILABLE
+        store.deliver()
+        assert KEY not in table.rows
+        assert await Writer("n2/1", store).run(insert()) is ev.ClaimOutcome.GRANTED
+
+    asyncio.run(scenario())
+
+
+def test_late_release_does_not_delete_the_claim_of_another_node():
+    """Guards against a key that runs twice, since row versions begin again at 1."""
+
+    async def scenario():
+        table = Table()
+        store = FaultyStore(table, [None, "hold", None])
+        first, second = Writer("n1/1", store), Writer("n2/1", store)
+        assert await first.run(insert()) is ev.ClaimOutcome.GRANTED
+        # The first release is held back, its repetition takes effect.
+        await first.run(release())
+        assert await second.run(insert()) is ev.ClaimOutcome.GRANTED
+        store.deliver()
+        assert await first.run(insert(2)) is ev.ClaimOutcome.HELD
+
+    asyncio.run(scenario())
+
+
+def test_claim_of_a_call_that_has_ended_is_released():
+    """Guards against a key that is held by a call whose deadline passed meanwhile."""
+
+    async def scenario():
+        table = Table()
+        store = FaultyStore(table, ["lose", "lose"])
+        ended = Writer("n1/1", store, waiting=False)
+        assert await ended.run(insert()) is ev.ClaimOutcome.GRANTED
+        assert KEY not in table.rows
+
+    asyncio.run(scenario())
+
+
+def test_outcome_survives_a_lost_answer():
+    """Guards against an outcome that is recorded twice or not at all."""
+
+    async def scenario():
+        table = Table()
+        store = FaultyStore(table, [None, "lose"])
+        writer = Writer("n1/1", store)
+        await writer.run(insert())
+        await writer.run(FinishClaim(1, "hive-ledger", "k", ANSWER))
+        assert table.rows[KEY][0] == 2
+        writer = Writer("n2/1", store)
+        writer.writer.execute(insert())
+        assert await writer.writer.wait_idle(5.0)
+        assert writer.events[0].recorded == ANSWER
+
+    asyncio.run(scenario())
