--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,6 @@
 """Clusters for the scenarios: one for each, or one for a feature tagged @shared."""
 
-from tests.conftest import Cluster
+from standins.cluster import Cluster
 
 
 def before_feature(context, feature):
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
-from .model import Member, RecordedAnswer
+from .model import RecordedAnswer
 from .verdict import Verdict
 
 __all__ = [
+    "Ask",
     "CancelAttempt",
     "Count",
     "FetchRules",
@@ -16,8 +17,9 @@
     "RejectCall",
     "ReleaseClaim",
     "ReplayAnswer",
+    "Reply",
     "ScheduleHedge",
-    "SendRumours",
+    "SendMessage",
     "StartAttempt",
 ]
 
@@ -111,11 +113,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendRumours:
-    """Send member records to a peer."""
+class SendMessage:
+    """Send a datagram to peers; `body` is a data class of `messages`."""
+
+    addrs: tuple[tuple[str, int], ...]
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Send a message over TCP and raise `MessageReceived` for the reply."""
 
     addr: tuple[str, int]
-    records: tuple[Member, ...]
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer the message that is being handled, on its own connection."""
+
+    body: object
 
 
 @dataclass(frozen=True, slots=True)
