Test operators who apply rules while the store fails

Cause: no test showed that one of two operators wins, that a lost answer is resolved, or that accepted versions form a total order.

--- /dev/null
+++ b/tests/test_apply.py
@@ -0,0 +1,289 @@
+"""Operators who apply rules at the same time, while the store fails."""
+
+import itertools
+import threading
+import time
+from collections import Counter
+
+import pytest
+
+from .conftest import wait_until
+from .operators import (
+    apply_text,
+    ask,
+    finish,
+    rules_file,
+    rules_text,
+    set_faults,
+    start_command,
+)
+
+NODES = ("n1", "n2")
+
+
+@pytest.fixture
+def pair(cluster):
+    """Return a cluster with a table service and two nodes that know each other."""
+    cluster.start_table()
+    cluster.start_node("n1", region="rift", dc="kerio")
+    cluster.start_node("n2", region="coast", dc="kwale")
+    wait_until(
+        lambda: all(
+            len(cluster.admin(node, "/v1/mesh")[1]["members"]) == 2 for node in NODES
+        ),
+        message="nodes that know each other",
+    )
+    return cluster
+
+
+def in_force(cluster, node):
+    """Return the version in force at a node."""
+    return cluster.admin(node, "/v1/config")[1]["version"]
+
+
+def test_one_of_two_operators_wins_a_race(pair, tmp_path):
+    """Guards against two accepted versions for one base, or a loser who is not told."""
+    for base in range(4):
+        racing = [
+            start_command(
+                pair,
+                node,
+                "apply",
+                rules_file(tmp_path, f"{node}-{base}"),
+                f"--base={base}",
+                f"--author={node}",
+                "--json",
+            )
+            for node in NODES
+        ]
+        results = [finish(process) for process in racing]
+        assert sorted(status for status, _ in results) == [0, 3], results
+        winner = next(i for i, result in enumerate(results) if result[0] == 0)
+        lost = results[1 - winner][1]
+        assert lost["result"] == "conflict"
+        assert [row["author"] for row in lost["won"]] == [NODES[winner]]
+        assert lost["won"][0]["version"] == base + 1
+        assert f"-{rules_text(f'{NODES[winner]}-{base}')}".strip() in lost["differs"]
+        assert (
+            f"+{rules_text(f'{NODES[1 - winner]}-{base}')}".strip() in lost["differs"]
+        )
+        for node in NODES:
+            wait_until(lambda: in_force(pair, node) == base + 1, 5.0, "both in force")
+
+
+def test_attempt_with_unknown_outcome_can_be_asked_again(pair, tmp_path):
+    """Guards against an outcome that stays unknown, or is accepted twice."""
+    path = rules_file(tmp_path, "a")
+    args = ("apply", path, "--base=0", "--author=mary")
+    set_faults(pair, lose_answers=1, down_after_loss=True)
+    status, answer = ask(pair, "n1", *args)
+    assert (status, answer["result"]) == (4, "unknown")
+    again = (*args, f"--attempt={answer['attempt']}")
+    status, answer = ask(pair, "n1", *again)
+    assert (status, answer["result"]) == (4, "unknown"), "the store is still down"
+    set_faults(pair, down=False)
+    for _ in range(2):
+        status, answer = ask(pair, "n2", *again)
+        assert (status, answer["version"]) == (0, 1)
+    assert apply_text(pair, "n1", rules_text("b"), 1)["version"] == 2
+    status, answer = ask(pair, "n2", *again)
+    assert (status, answer["version"], answer["superseded_by"]) == (0, 1, 2)
+    assert [in_force(pair, node) for node in NODES] == [2, 2]
+    other = rules_file(tmp_path, "c")
+    status, answer = ask(pair, "n1", "apply", other, *again[2:])
+    assert status == 3 and "another text" in answer["detail"]
+
+
+def test_unknown_attempt_that_lost_is_told_so(pair, tmp_path):
+    """Guards against an unknown outcome that later passes for an accepted one."""
+    args = ("apply", rules_file(tmp_path, "a"), "--base=0", "--author=mary")
+    set_faults(pair, lose_requests=2)
+    status, answer = ask(pair, "n1", *args)
+    assert (status, answer["result"]) == (4, "unknown")
+    assert apply_text(pair, "n2", rules_text("b"), 0, "john")["version"] == 1
+    status, answer = ask(pair, "n1", *args, f"--attempt={answer['attempt']}")
+    assert status == 3
+    assert [row["author"] for row in answer["won"]] == ["john"]
+
+
+def test_node_that_falls_silent_gives_an_unknown_outcome(pair, tmp_path):
+    """Guards against a text that is called refused although the node may apply it."""
+    path = rules_file(tmp_path, "a")
+    set_faults(pair, delay_s=1.0)
+    args = ("apply", path, "--base=0", "--author=mary", "--timeout_s=0.5")
+    status, answer = ask(pair, "n1", *args)
+    assert (status, answer["result"]) == (4, "unknown")
+    wait_until(lambda: in_force(pair, "n1") == 1, message="the text in force anyway")
+
+
+def test_audit_trail_is_complete(pair, tmp_path):
+    """Guards against an accepted version without author, time, change or requester."""
+    started = time.time()
+    texts = [f"pause t{i % 3}  # Asked {i}\n" for i in range(12)]
+    for base, text in enumerate(texts):
+        answer = apply_text(pair, NODES[base % 2], text, base, f"author-{base}")
+        assert answer["result"] == "accepted", answer
+    wait_until(lambda: [in_force(pair, node) for node in NODES] == [12, 12])
+
+    def held():
+        status, answer = ask(pair, "n2", "history", "--limit=100")
+        assert status == 0
+        return answer if answer["history"][0]["nodes"] == ["n1", "n2"] else None
+
+    rows = wait_until(held, message="both nodes named")["history"]
+    assert [row["version"] for row in rows] == list(range(12, 0, -1))
+    for row in rows:
+        base = row["base"]
+        assert row["version"] == base + 1 and row["author"] == f"author-{base}"
+        assert row["time"] >= time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(started))
+        assert "+" + texts[base].strip() in row["diff"]
+        asked = {f"Asked {base}"} | ({f"Asked {base - 1}"} if base else set())
+        assert set(row["requesters"]) == asked
+        assert row["nodes"] == (list(NODES) if base == 11 else [])
+        shown = ask(pair, "n1", "history", f"--show={row['version']}")[1]
+        assert shown["text"] == texts[base]
+    page = ask(pair, "n1", "history", "--limit=2", "--before=11")[1]["history"]
+    assert [row["version"] for row in page] == [10, 9]
+    assert ask(pair, "n1", "history", "--show=13")[0] == 8
+
+
+class Operator(threading.Thread):
+    """Applies texts to one node and records invocations and completions."""
+
+    def __init__(self, cluster, node, name):
+        super().__init__(daemon=True)
+        self.cluster, self.node, self.name = cluster, node, name
+        self.stopped = threading.Event()
+        self.operations = []
+
+    def run(self):
+        """Apply texts until stopped, each as a change of the version then in force."""
+        for number in itertools.count():
+            if self.stopped.is_set():
+                return
+            base = in_force(self.cluster, self.node)
+            op = {
+                "attempt": f"{self.name}-{number:04d}",
+                "text": rules_text(f"{self.name}-{number}"),
+                "base": base,
+                "invoked": time.monotonic(),
+            }
+            self.operations.append(op)
+            answer = apply_text(
+                self.cluster, self.node, op["text"], base, self.name, op["attempt"]
+            )
+            op["completed"] = time.monotonic()
+            op["version"] = answer.get("version")
+            op["result"] = answer["result"]
+
+
+# Faults of the store, one after the other; each is kept until the next one ends it.
+FAULTS = [
+    {},
+    {"lose_answers": 3},
+    {"lose_requests": 3},
+    {"down": True},
+    {"down": False, "delay_s": 0.1},
+    {"delay_s": 0.0, "lose_answers": 1, "down_after_loss": True},
+    {"down": False, "down_after_loss": False, "lose_answers": 0},
+    {"nonsense": "shape"},
+    {"nonsense": "cut"},
+    {"nonsense": "", "lose_requests": 4},
+    {"lose_requests": 0},
+]
+
+
+def check_history(operations, rows, texts):
+    """Raise AssertionError unless the operations are a total order of versions.
+
+    Parameters
+    ----------
+    operations : list of dict
+        `unknown` may or may not have taken effect.
+    rows : dict of int to dict
+        Audit rows by version.
+    texts : dict of int to str
+        Texts by version.
+    """
+    by_attempt = {op["attempt"]: op for op in operations}
+    assert sorted(rows) == list(range(1, len(rows) + 1)), "versions have a gap"
+    written = [rows[version]["attempt"] for version in sorted(rows)]
+    assert len(set(written)) == len(written), "an attempt was accepted twice"
+    for version, row in rows.items():
+        op = by_attempt[row["attempt"]]
+        assert op["result"] in ("accepted", "unknown"), op
+        assert (texts[version], row["base"]) == (op["text"], version - 1)
+        assert op["base"] == version - 1
+    accepted = [op for op in operations if op["result"] == "accepted"]
+    for op in accepted:
+        assert rows[op["version"]]["attempt"] == op["attempt"], op
+    for first in accepted:
+        for second in accepted:
+            if first["completed"] < second["invoked"]:
+                assert first["version"] < second["version"], (first, second)
+
+
+def test_accepted_versions_are_a_total_order(pair):
+    """Guards against an accepted version that is lost, reverted or out of order."""
+    operators = [Operator(pair, NODES[i % 2], f"operator{i}") for i in range(4)]
+    seen = {node: [in_force(pair, node)] for node in NODES}
+
+    def completed():
+        for node in NODES:
+            seen[node].append(in_force(pair, node))
+        return sum("result" in op for who in operators for op in who.operations)
+
+    for operator in operators:
+        operator.start()
+    for faults in FAULTS:
+        set_faults(pair, **faults)
+        wanted = completed() + 2 * len(operators)
+        wait_until(lambda: completed() >= wanted, 30.0, f"operations with {faults}")
+    for operator in operators:
+        operator.stopped.set()
+    for operator in operators:
+        operator.join(30.0)
+        assert not operator.is_alive()
+    operations = [op for operator in operators for op in operator.operations]
+    rows, oldest = {}, 10**6
+    while oldest > 1:
+        path = f"/v1/history?limit=100&before={oldest}"
+        page = pair.admin("n1", path)[1]["history"]
+        rows |= {row["version"]: row for row in page}
+        oldest = min(rows)
+    results = Counter(op["result"] for op in operations)
+    assert set(results) == {"accepted", "conflict", "unavailable", "unknown"}, results
+    texts = {
+        version: pair.admin("n1", f"/v1/config?version={version}")[1]["text"]
+        for version in rows
+    }
+    check_history(operations, rows, texts)
+    newest = max(rows)
+    for node in NODES:
+        wait_until(lambda: in_force(pair, node) == newest, 15.0, "newest in force")
+        assert pair.admin(node, "/v1/config")[1]["text"] == texts[newest]
+        assert seen[node] == sorted(seen[node]), "a node reverted to an older version"
+
+
+def test_history_check_notices_a_wrong_history():
+    """Guards against a checker that accepts every history."""
+    good = [
+        {"attempt": "a", "text": "x", "base": 0, "result": "accepted", "version": 1},
+        {"attempt": "b", "text": "y", "base": 1, "result": "accepted", "version": 2},
+    ]
+    for place, op in enumerate(good):
+        op |= {"invoked": 2.0 * place, "completed": 2.0 * place + 1.0}
+    rows = {1: {"attempt": "a", "base": 0}, 2: {"attempt": "b", "base": 1}}
+    texts = {1: "x", 2: "y"}
+    check_history(good, rows, texts)
+    wrong = [
+        (good, {2: rows[2]}, texts),
+        (good, rows, {1: "x", 2: "x"}),
+        ([good[0], {**good[1], "result": "conflict"}], rows, texts),
+        ([{**good[0], "invoked": 5.0, "completed": 6.0}, good[1]], rows, texts),
+        ([good[0], {**good[1], "base": 0}], rows, texts),
+        (good, {1: rows[1], 2: {"attempt": "a", "base": 1}}, texts),
+    ]
+    for case in wrong:
+        with pytest.raises(AssertionError):
+            check_history(*case)
