--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
-from .model import Member
+from .model import RecordedAnswer
 from .verdict import Verdict
 
 __all__ = [
+    "Ask",
     "CancelAttempt",
     "Count",
     "FetchRules",
@@ -15,8 +16,10 @@
     "LogEntry",
     "RejectCall",
     "ReleaseClaim",
+    "ReplayAnswer",
+    "Reply",
     "ScheduleHedge",
-    "SendRumours",
+    "SendMessage",
     "StartAttempt",
 ]
 
@@ -44,10 +47,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardAnswer:
-    """Pass the answer of this attempt on to the caller."""
+    """Pass the answer of this attempt on to the caller.
+
+    `record` asks to keep the beginning of it for the claim row.
+    """
 
     call_id: int
     attempt_id: int
+    record: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Answer the caller with the recorded outcome of an earlier call."""
+
+    call_id: int
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,14 +109,30 @@
     call_id: int
     service: str
     key: str
+    recorded: RecordedAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a datagram to peers; `body` is a data class of `messages`."""
+
+    addrs: tuple[tuple[str, int], ...]
+    body: object
 
 
 @dataclass(frozen=True, slots=True)
-class SendRumours:
-    """Send member records to a peer."""
+class Ask:
+    """Send a message over TCP and raise `MessageReceived` for the reply."""
 
     addr: tuple[str, int]
-    records: tuple[Member, ...]
+    body: object
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer the message that is being handled, on its own connection."""
+
+    body: object
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -6,7 +6,7 @@
 import enum
 from dataclasses import dataclass
 
-from .model import Call, Member, Target
+from .model import Call, Member, RecordedAnswer, Target
 from .rules.ruleset import RuleSet
 from .verdict import Verdict
 
@@ -17,9 +17,11 @@
     "CallerLeft",
     "ClaimAnswered",
     "ClaimOutcome",
+    "DeadlinePassed",
     "HeadReceived",
     "HedgeDue",
     "MembersHeard",
+    "MessageReceived",
     "Outcome",
     "RulesHeard",
     "RulesLoaded",
@@ -32,11 +34,16 @@
 
 
 class Outcome(enum.Enum):
-    """How an attempt ended without an answer."""
+    """How an attempt ended without an answer.
+
+    `SILENT` is a timeout on a connection that was used before: the connection may
+    be at fault, not the target.
+    """
 
     REFUSED = "refused"
     BROKEN = "broken"
     TIMEOUT = "timeout"
+    SILENT = "silent"
 
 
 class ClaimOutcome(enum.Enum):
@@ -59,12 +66,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAnswered:
-    """The store answered an `InsertClaim`."""
+    """The store answered an `InsertClaim`; `recorded` comes with `REPLAY`."""
 
     now: float
     draw: int
     call_id: int
     outcome: ClaimOutcome
+    recorded: RecordedAnswer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +90,7 @@
     status: int
     not_run: bool = False
     load: float | None = None
+    replayable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,11 +108,24 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """The answering attempt finished; `whole` is False if the answer was cut."""
+    """The answering attempt finished; `whole` is False if the answer was cut.
+
+    `recorded` is the outcome to keep in the claim row of a keyed call.
+    """
 
     now: float
     call_id: int
     whole: bool
+    recorded: RecordedAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """The deadline of a call passed before an answer was passed on."""
+
+    now: float
+    draw: int
+    call_id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,13 +178,36 @@
     records: tuple[Member, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MessageReceived:
+    """A message arrived from a peer.
+
+    `addr` is the mesh address of the sender, or None if it is not known; `body` is a
+    data class of `messages`; `is_reply` says that this node asked for the message.
+    The other fields are those of `messages.Message`.
+    """
+
+    now: float
+    sender: str
+    addr: tuple[str, int] | None
+    body: object
+    rules_version: int = 0
+    rules_heard: int = 0
+    rules_confirmed: bool = False
+    is_reply: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class RulesHeard:
-    """A peer or the store named a rules version."""
+    """A peer or the store named a rules version.
+
+    `confirmed` is True if the answer is the store's, or if there is nobody to ask.
+    """
 
     now: float
     version: int
     source: str
+    confirmed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -9,6 +9,8 @@
 from .verdict import Verdict
 
 __all__ = [
+    "CALL_CLASSES",
+    "CLASS_RANKS",
     "Attempt",
     "Call",
     "CallRecord",
@@ -16,6 +18,8 @@
     "Member",
     "MemberStatus",
     "MeshState",
+    "Probe",
+    "RecordedAnswer",
     "Request",
     "RulesState",
     "ServiceStats",
@@ -24,6 +28,7 @@
     "TargetState",
     "TargetStats",
     "TrafficState",
+    "Unconfirmed",
 ]
 
 
@@ -86,7 +91,8 @@
     """Record of one node, written only by that node.
 
     Of two records of a node the one with the higher `(incarnation, seq)` is valid;
-    `incarnation` is the boot time in milliseconds.
+    `incarnation` is the boot time in milliseconds. `age_s` is set only in messages:
+    seconds since the node left or died, so that receivers forget it at the same time.
     """
 
     node_id: str
@@ -99,6 +105,7 @@
     status: MemberStatus = MemberStatus.ALIVE
     targets: tuple[Target, ...] = ()
     rules_version: int = 0
+    age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +147,19 @@
     arrived: float
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """Outcome of a keyed call, as kept in its claim row.
+
+    `body` holds up to 4 KiB; `truncated` tells that the answer was longer.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    truncated: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One sending of a call to one target.
@@ -218,40 +238,96 @@
     ready_at: float = float("-inf")
 
 
+# The lowest class is the last; counts by class are kept in this order.
+CALL_CLASSES = ("critical", "normal", "sheddable")
+CLASS_RANKS = {name: rank for rank, name in enumerate(CALL_CLASSES)}
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceStats:
     """What this node has observed of one service.
 
-    `retry_tokens` is the credit for retries and hedges; `requests` and `accepts`
-    are decayed counts by class for adaptive throttling; `latencies` are the latest
-    times to the response head in seconds; `ring` is the widest locality ring in use.
+    Parameters
+    ----------
+    retry_tokens : float
+        Credit for retries and hedges; negative after borrowing.
+    borrowed : bool
+        Whether the one retry that may come before its credit was made.
+    inflight : tuple of int
+        Calls in flight by class.
+    sent, accepted : tuple of float
+        Decayed counts by class for adaptive throttling. `sent` includes the calls
+        that throttling refused.
+    counted_at : float
+        Monotonic time up to which the counts are decayed, seconds.
+    latencies, latest : tuple of float
+        Times to the response head of successful calls, seconds; `latest` holds the
+        few that are not yet in `latencies`.
+    typical_s, late_s : float
+        Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
+    ring : int
+        Widest locality ring in use.
+    spill_credit : float
+        Calls that may still be spilled.
+    cursor : int
+        Number of calls sent.
     """
 
-    retry_tokens: float = 1.0
-    requests: Map = field(default_factory=Map)
-    accepts: Map = field(default_factory=Map)
+    retry_tokens: float = 0.0
+    borrowed: bool = False
+    inflight: tuple[int, ...] = (0, 0, 0)
+    sent: tuple[float, ...] = (0.0, 0.0, 0.0)
+    accepted: tuple[float, ...] = (0.0, 0.0, 0.0)
     counted_at: float = 0.0
     latencies: tuple[float, ...] = ()
+    latest: tuple[float, ...] = ()
+    typical_s: float = 0.0
+    late_s: float = 0.0
     ring: int = 0
+    spill_credit: float = 0.0
     cursor: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class TrafficState:
-    """Calls in flight and observations; keys are call, target and service names."""
+    """Calls in flight and observations; keys are call, target and service names.
+
+    `plan` is the `RoutePlan` derived from the members and rules, None at first.
+    """
 
     calls: Map = field(default_factory=Map)
     targets: Map = field(default_factory=Map)
     services: Map = field(default_factory=Map)
     next_attempt: int = 1
+    plan: object = None
 
 
 @dataclass(frozen=True, slots=True)
 class RulesState:
     """The configuration in force and what is known of newer ones.
 
-    `heard` is the highest version that any peer or the store has named; `source`
-    names who gave the text in force (`builtin`, `store` or a node id).
+    Parameters
+    ----------
+    version, text, ruleset
+        The rules in force.
+    source : str
+        Who gave them: `builtin`, `store` or a node id.
+    heard : int
+        Highest version that any peer or the store has named.
+    heard_at : float
+        Monotonic time since which `heard` is above `version`, seconds.
+    asked_version, asked_at
+        Version and monotonic time of the latest fetch.
+    confirmed : bool
+        Whether the store, or a peer that is confirmed itself, has answered since
+        the node booted.
+    must_check : bool
+        Whether calls are refused until an answer has come and the highest version
+        heard is in force: at boot, and after the process was paused.
+    answered : bool
+        Whether such an answer has come.
+    sends : int
+        Remaining rounds in which the version in force is announced to peers.
     """
 
     version: int = 0
@@ -259,19 +335,79 @@
     ruleset: RuleSet = field(default_factory=RuleSet)
     source: str = "builtin"
     heard: int = 0
+    heard_at: float = 0.0
+    asked_version: int = 0
+    asked_at: float = float("-inf")
+    confirmed: bool = False
+    must_check: bool = False
+    answered: bool = False
+    sends: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """The ping in flight of the failure detector."""
+
+    node_id: str
+    ping_id: int
+    sent_at: float
+    indirect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unconfirmed:
+    """A target whose node left or died; `until` is monotonic time in seconds."""
+
+    target: Target
+    until: float
 
 
 @dataclass(frozen=True, slots=True)
 class MeshState:
-    """Members by node id, and the routable targets by service.
+    """Members by node id, the routable targets by service, and the detector's state.
 
-    `rumours` maps a node id to the number of further sends of its record;
-    `by_service` is derived from `members` and kept for fast routing.
+    Parameters
+    ----------
+    members : Map of str to Member
+    rumours : Map of str to int
+        Remaining sends of a member's record.
+    by_service : Map of str to tuple of Target
+        Derived from `members` and `unconfirmed`, kept for fast routing.
+    unconfirmed : Map of str to Unconfirmed
+        By target id.
+    ended : Map of str to float
+        Monotonic time at which a member left or died.
+    suspects : Map of str to float
+        Monotonic time at which a suspect is declared dead.
+    renewed : Map of str to float
+        Monotonic time of the latest announcement of a target of this node, or of
+        its end.
+    drained : frozenset of str
+        Targets of this node that were ordered to drain.
+    probe : Probe or None
+    next_probe_at, next_sync_at, last_sync_at, last_tick : float
+        Monotonic times, seconds.
+    health : int
+        Local health score, 0 if this node's own pings are answered.
+    draw : int
+        Random integer of the latest tick.
     """
 
     members: Map = field(default_factory=Map)
     rumours: Map = field(default_factory=Map)
     by_service: Map = field(default_factory=Map)
+    unconfirmed: Map = field(default_factory=Map)
+    ended: Map = field(default_factory=Map)
+    suspects: Map = field(default_factory=Map)
+    renewed: Map = field(default_factory=Map)
+    drained: frozenset = frozenset()
+    probe: Probe | None = None
+    next_probe_at: float = float("-inf")
+    next_sync_at: float = float("-inf")
+    last_sync_at: float = float("-inf")
+    last_tick: float | None = None
+    health: int = 0
+    draw: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -18,18 +18,22 @@
     requesters,
     validated,
 )
-from .effects import FinishClaim, InsertClaim, ReleaseClaim
 from .errors import PimentolineError, StoreError
+from .messages import RulesAck, RulesPush
+from .rumours import running_peers
 
 __all__ = ["Publisher"]
 
 # An answer to the loser of a race names at most so many later versions.
 MAX_WINNERS = 20
 COMMIT_TRIES = 2
+PUSH_PEERS = 3
+# Leaves enough of the 5 s in which an accepted version is in force everywhere.
+PUSH_TIMEOUT_S = 2.5
 
 
 class Publisher:
-    """Configuration, audit trail and claims of one node in the store.
+    """Configuration and audit trail of one node in the store.
 
     Parameters
     ----------
@@ -47,12 +51,17 @@
         try:
             head = await node.store.get(HEAD_KEY)
             version = head.value["version"] if head.version else 0
-            if version <= node.state.rules.version:
-                return
-            row = await node.store.get(f"config/{version}")
-            node.load_rules(version, row.value["text"], "store")
         except (PimentolineError, KeyError, TypeError):
             node.metrics.count("store.failed")
+            return
+        try:
+            if version > node.state.rules.version:
+                row = await node.store.get(f"config/{version}")
+                node.load_rules(version, row.value["text"], "store")
+        except (PimentolineError, KeyError, TypeError):
+            node.metrics.count("store.failed")
+        # The version is known even if its text could not be read.
+        node.dispatch(ev.RulesHeard(node.clock(), version, "store", confirmed=True))
 
     async def apply(self, base, text, author, attempt):
         """Write a new rules version if `base` is still in force.
@@ -183,8 +192,43 @@
         return sorted(rows, key=lambda row: row.version, reverse=True)[:count]
 
     async def _accepted(self, version, text):
-        self._node.load_rules(version, text, "store")
-        return {"result": "accepted", "version": version}
+        """Put the version in force here and have peers hold it before saying so."""
+        node = self._node
+        node.load_rules(version, text, "store")
+        peers, held_by = await self._push(version, text)
+        answer = {"result": "accepted", "version": version, "held_by": 1 + held_by}
+        if peers and not held_by:
+            answer["detail"] = "accepted, held by this node only"
+        return answer
+
+    async def _push(self, version, text):
+        """Send the text to peers until `PUSH_PEERS` hold it.
+
+        Returns
+        -------
+        peers : int
+            Peers that exist.
+        held_by : int
+            Peers that have acknowledged.
+        """
+        node = self._node
+        peers = running_peers(node.state)
+        node.random.shuffle(peers)
+        # A version held in another region survives the loss of this one.
+        peers.sort(key=lambda record: record.region == node.state.me.region)
+        left, held_by = [record.addr for record in peers], 0
+        deadline = node.clock() + PUSH_TIMEOUT_S
+        while left and held_by < PUSH_PEERS and node.clock() < deadline:
+            group = left[: PUSH_PEERS - held_by]
+            left = left[len(group) :]
+            bodies = await asyncio.gather(
+                *(node.ask(addr, RulesPush(version, text)) for addr in group)
+            )
+            held_by += sum(
+                isinstance(body, RulesAck) and body.version >= version
+                for body in bodies
+            )
+        return len(peers), held_by
 
     async def history(self, limit=20, before=None):
         """Return audit rows, the latest first.
@@ -222,50 +266,6 @@
         row = await self._node.store.get(config_key(version))
         return validated(ConfigRow, row).text if row.version else None
 
-    async def claim(self, effect):
-        """Carry out a claim effect."""
-        key = f"claim/{effect.service}/{effect.key}"
-        match effect:
-            case InsertClaim():
-                outcome = await self._insert(key, effect.call_id)
-                node = self._node
-                node.dispatch(
-                    ev.ClaimAnswered(node.clock(), node.draw(), effect.call_id, outcome)
-                )
-            case ReleaseClaim():
-                await self._quietly(deletes=[key])
-            case FinishClaim():
-                value = {"attempt": self._attempt(effect.call_id), "done": True}
-                await self._quietly(puts=[(key, value)])
-
-    def _attempt(self, call_id):
-        me = self._node.state.me
-        return f"{me.node_id}/{me.incarnation}/{call_id}"
-
-    async def _insert(self, key, call_id):
-        store = self._node.store
-        if store is None:
-            return ev.ClaimOutcome.UNAVAILABLE
-        attempt = self._attempt(call_id)
-        try:
-            if await store.commit([(key, 0)], [(key, {"attempt": attempt})]):
-                return ev.ClaimOutcome.GRANTED
-        except PimentolineError:
-            pass
-        try:
-            row = await store.get(key)
-        except PimentolineError:
-            return ev.ClaimOutcome.UNAVAILABLE
-        if row.version and row.value.get("attempt") == attempt:
-            return ev.ClaimOutcome.GRANTED
-        return ev.ClaimOutcome.HELD if row.version else ev.ClaimOutcome.UNAVAILABLE
-
-    async def _quietly(self, puts=(), deletes=()):
-        try:
-            await self._node.store.commit(puts=puts, deletes=deletes)
-        except (PimentolineError, StoreError):
-            self._node.metrics.count("store.failed")
-
 
 def _winner(row):
     """Return what the loser of a race is told of a version."""
