--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -164,7 +164,8 @@
 class Attempt:
     """One sending of a call to one target.
 
-    `verdict` is None while the attempt is in flight.
+    `verdict` is None while the attempt is in flight; `failed` tells of an answer
+    with a status of 500 or more.
     """
 
     attempt_id: int
@@ -172,6 +173,7 @@
     started: float
     hedge: bool = False
     verdict: Verdict | None = None
+    failed: bool = False
 
 
 class CallPhase(enum.Enum):
--- a/pimentoline/throttling.py
+++ b/pimentoline/throttling.py
@@ -11,12 +11,15 @@
 
 __all__ = ["attempt_changes", "has_excess", "refused_share"]
 
-DECAY_S = 3.0
+# Refusals grow and fade over a few decay times. A longer time would refuse calls long
+# after the targets have recovered.
+DECAY_S = 1.5
 # Counts are decayed in steps, which costs less than at every attempt.
 DECAY_STEP_S = 0.1
-# This much more than what is accepted is sent, so that a recovery is noticed. With
-# more, targets spend their time on shedding; with less, a few failures would throttle.
-MAX_RATIO = 1.25
+# Up to this much more than what is accepted is sent. The surplus finds a recovery: the
+# calls let through grow by this factor in each decay time. With a larger one, targets
+# spend more of their time on shedding.
+MAX_RATIO = 1.5
 # Fewer attempts than this within the decay time are too few for a ratio.
 MIN_SENT = 10.0
 # Some calls always pass, or nothing would tell when the targets accept again.
