Probe targets within the budget of the region

Cause: candidates without calls have no fresh load, and nothing bounded the cost of asking for it (P1). Change: measuring.py divides the region's budget by the larger of the planned nodes and the members held (dead ones for an hour). A share is spent as it falls due or not at all, with a random phase, so idle nodes cannot probe all at once; bytes are reserved at the maximum of a probe and charged as metered, packets included. Nodes wait 10 s after joining and after a pause of more than 2 s. prober.py sends a probe on a connection of its own, limits its answer to 1 KiB and meters both ways; ProbeEnded updates TargetStats. Conclusion: P1 holds for joins, cut-off and paused nodes up to one probe for each node. Members that a cut-off node has never heard of are covered only by nodes= of the budget rule.

--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -18,6 +18,7 @@
     "Reply",
     "ScheduleHedge",
     "SendMessage",
+    "SendProbe",
     "StartAttempt",
 ]
 
@@ -120,6 +121,15 @@
     body: object
 
 
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    """Ask a target's load endpoint and raise `ProbeEnded`."""
+
+    target_id: str
+    addr: tuple[str, int]
+    path: str
+
+
 @dataclass(frozen=True, slots=True)
 class FetchRules:
     """Ask a peer, or the store if `addr` is None, for rules of at least `version`."""
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -22,6 +22,7 @@
     "MembersHeard",
     "MessageReceived",
     "Outcome",
+    "ProbeEnded",
     "RulesHeard",
     "RulesLoaded",
     "StopRequested",
@@ -200,6 +201,20 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """A probe was answered, or failed if `load` is None.
+
+    `sent_bytes` and `received_bytes` were metered on its connection.
+    """
+
+    now: float
+    target_id: str
+    load: float | None
+    sent_bytes: int
+    received_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Periodic event, ten times a second."""
--- /dev/null
+++ b/pimentoline/measuring.py
@@ -0,0 +1,167 @@
+"""pimentoline.measuring: which targets are probed, within the region's budget.
+
+All nodes of a region together stay within its budget without talking to each other:
+each takes an equal share of it, and the number of shares is never too low.
+"""
+
+from dataclasses import replace
+
+from immutables import Map
+
+from .draws import fraction, mix
+from .effects import Count, SendProbe
+from .model import TargetState, TargetStats
+
+__all__ = ["MAX_PROBE_BYTES", "note_call", "on_probe_ended", "on_tick"]
+
+FRESH_S = 0.5
+# Services without a call for this time are not probed.
+DEMAND_S = 2.0
+# A node that joins must be counted by the others before it spends a share, or the
+# shares in use would add up to more than the budget.
+JOIN_WAIT_S = 10.0
+# A node that was paused this long may have missed that others joined. It waits like
+# one that joins, and does not spend what it would have earned.
+PAUSE_S = 2.0
+# Limits of a probe's request and answer in bytes. The prober closes a connection
+# that brings more, so that a target cannot make a probe exceed its reservation.
+MAX_REQUEST_BYTES = 256
+MAX_ANSWER_BYTES = 1024
+# TCP/IP headers of a connection with one small exchange: 11 packets of 40 to 60
+# bytes without payload or ahead of it.
+PACKET_BYTES = 600
+MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_ANSWER_BYTES + PACKET_BYTES
+MAX_LOAD_PATH_CHARS = 128
+# Far above the number of targets; only bounds the memory for those that are gone.
+MAX_PROBED = 4096
+
+
+def note_call(state, event):
+    """Remember that a service was called, which makes its targets candidates."""
+    service = event.call.req.service
+    if service not in state.mesh.by_service:
+        # Callers choose the name; only names of services are kept.
+        return state
+    measuring = state.measuring
+    asked = measuring.asked.set(service, event.now)
+    return replace(state, measuring=replace(measuring, asked=asked))
+
+
+def count_shares(state, budget):
+    """Return the number of shares that the budget of this region is divided into.
+
+    Records of dead members are held for an hour. They count, so that nodes on both
+    sides of a partition keep to the shares that they had before.
+    """
+    me = state.me
+    others = sum(
+        record.region == me.region and record.node_id != me.node_id
+        for record in state.mesh.members.values()
+    )
+    return max(budget.planned_nodes, others + 1)
+
+
+def on_tick(state, event):
+    """Send the probes that have fallen due since the last tick.
+
+    The share is spent as it falls due or not at all. Nodes that were idle therefore
+    cannot probe all at once when calls arrive.
+    """
+    now, measuring = event.now, state.measuring
+    last = measuring.last_tick
+    if last is None or now - last > PAUSE_S:
+        measuring = replace(
+            measuring,
+            last_tick=now,
+            joined_at=now,
+            # Nodes that start at the same time fall due at different times.
+            due=fraction(event.draw, 1),
+            free_bytes=0.0,
+        )
+        return replace(state, measuring=measuring), ()
+    budget = state.rules.ruleset.probe_budget(state.me.region)
+    shares = count_shares(state, budget)
+    elapsed_s = now - last
+    due, probes = _fall_due(measuring.due, budget.probes_per_s / shares, elapsed_s)
+    bytes_per_s = budget.bytes_per_s / shares
+    free_bytes = min(
+        measuring.free_bytes + bytes_per_s * elapsed_s,
+        max(float(MAX_PROBE_BYTES), bytes_per_s),
+    )
+    measuring = replace(measuring, last_tick=now, due=due, free_bytes=free_bytes)
+    state = replace(state, measuring=measuring)
+    probes = min(probes, int(free_bytes // MAX_PROBE_BYTES))
+    if probes < 1 or now - measuring.joined_at < JOIN_WAIT_S or state.stopping:
+        return state, ()
+    wanted = _wanted(state, now, event.draw)[:probes]
+    return _send(state, wanted, now)
+
+
+def _fall_due(due, rate, elapsed_s):
+    """Return the fraction of a probe left over and the probes that fall due."""
+    due += rate * elapsed_s
+    whole = int(due)
+    # A late tick brings at most the probes of one second.
+    return due - whole, min(whole, max(1, int(rate)))
+
+
+def _wanted(state, now, draw):
+    """Return the targets without fresh information, the longest unheard first."""
+    measuring, ruleset = state.measuring, state.rules.ruleset
+    found = []
+    for service, at in measuring.asked.items():
+        if now - at > DEMAND_S:
+            continue
+        for target in state.mesh.by_service.get(service, ()):
+            stats = state.traffic.targets.get(target.target_id) or TargetStats()
+            if (
+                target.state is TargetState.UP
+                and now - stats.reported_at > FRESH_S
+                and target.target_id not in measuring.in_flight
+                and len(target.load_path) <= MAX_LOAD_PATH_CHARS
+                and ruleset.target_weight(target) > 0.0
+            ):
+                probed_at = measuring.probed.get(target.target_id, float("-inf"))
+                # A target that never answers must not take the turn of others.
+                heard_at = max(stats.reported_at, probed_at)
+                found.append((heard_at, mix(draw, len(found)), target))
+    found.sort(key=lambda item: item[:2])
+    return [target for _, _, target in found]
+
+
+def _send(state, targets, now):
+    measuring, effects = state.measuring, []
+    if len(measuring.probed) > MAX_PROBED:
+        measuring = replace(measuring, probed=Map())
+    for target in targets:
+        name = target.target_id
+        effects.append(SendProbe(name, target.addr, target.load_path))
+        measuring = replace(
+            measuring,
+            probed=measuring.probed.set(name, now),
+            in_flight=measuring.in_flight | {name},
+            free_bytes=measuring.free_bytes - MAX_PROBE_BYTES,
+        )
+    if effects:
+        effects.append(Count("probes.sent", len(effects)))
+    return replace(state, measuring=measuring), tuple(effects)
+
+
+def on_probe_ended(state, event):
+    """Take the load from an answer, and free what the probe did not use."""
+    measuring, name = state.measuring, event.target_id
+    used = event.sent_bytes + event.received_bytes + PACKET_BYTES
+    measuring = replace(
+        measuring,
+        in_flight=measuring.in_flight - {name},
+        free_bytes=measuring.free_bytes + MAX_PROBE_BYTES - used,
+    )
+    state = replace(state, measuring=measuring)
+    effects = (Count("probes.bytes", used),)
+    if event.load is None:
+        return state, effects + (Count("probes.failed"),)
+    traffic = state.traffic
+    stats = traffic.targets.get(name) or TargetStats()
+    stats = replace(stats, reported=event.load, reported_at=event.now, sent_since=0)
+    traffic = replace(traffic, targets=traffic.targets.set(name, stats))
+    return replace(state, traffic=traffic), effects
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -13,6 +13,7 @@
     "Call",
     "CallRecord",
     "Identity",
+    "MeasuringState",
     "Member",
     "MemberStatus",
     "MeshState",
@@ -358,6 +359,36 @@
     draw: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class MeasuringState:
+    """Demand for probes and this node's share of the budget.
+
+    Parameters
+    ----------
+    asked : Map of str to float
+        Monotonic time of the latest call of a service, seconds.
+    probed : Map of str to float
+        Monotonic time of the latest probe of a target, seconds.
+    in_flight : frozenset of str
+        Targets of the probes in flight.
+    joined_at, last_tick : float or None
+        Monotonic time since which this node is counted by others, and of the latest
+        tick.
+    due : float
+        Fraction of the next probe that has fallen due.
+    free_bytes : float
+        Bytes of the share that are not spent or reserved.
+    """
+
+    asked: Map = field(default_factory=Map)
+    probed: Map = field(default_factory=Map)
+    in_flight: frozenset = frozenset()
+    joined_at: float = 0.0
+    last_tick: float | None = None
+    due: float = 0.0
+    free_bytes: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class State:
     """All of a node's decision state."""
@@ -366,5 +397,6 @@
     rules: RulesState = field(default_factory=RulesState)
     mesh: MeshState = field(default_factory=MeshState)
     traffic: TrafficState = field(default_factory=TrafficState)
+    measuring: MeasuringState = field(default_factory=MeasuringState)
     policy: str = "hot-cold"
     stopping: bool = False
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -26,6 +26,7 @@
 from .metrics import Metrics
 from .model import Identity, RulesState, State
 from .pool import Pool
+from .prober import Prober
 from .proxy import MAX_HEAD_BYTES, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
@@ -63,6 +64,7 @@
             self.draw,
             lambda: self.state.rules.ruleset,
         )
+        self.prober = Prober(self.dispatch, self.clock)
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
         self.directory = Directory(self)
@@ -134,6 +136,8 @@
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
                 loop.call_later(effect.delay_s, self._hedge_due, effect.call_id)
+            case ef.SendProbe():
+                self.prober.send(effect)
             case ef.SendMessage():
                 self.mesh.send(effect.addrs, self.message(effect.body))
             case ef.Ask():
--- /dev/null
+++ b/pimentoline/prober.py
@@ -0,0 +1,116 @@
+"""pimentoline.prober: sends probes and meters their bytes both ways."""
+
+import asyncio
+import socket
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from .events import ProbeEnded
+from .measuring import MAX_ANSWER_BYTES
+from .proxy import parse_load
+
+__all__ = ["Prober"]
+
+PROBE_TIMEOUT_S = 1.0
+PARAMS = HTTP1ConnectionParameters(
+    max_header_size=MAX_ANSWER_BYTES, max_body_size=MAX_ANSWER_BYTES
+)
+
+
+class MeteredStream(IOStream):
+    """Stream that counts its bytes and reads at most `MAX_ANSWER_BYTES`."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    def read_from_fd(self, buf):
+        """Read into the buffer, but no more than the limit in total."""
+        left = MAX_ANSWER_BYTES - self.received_bytes
+        if left <= 0:
+            # The stream takes this for the end and closes.
+            return 0
+        count = super().read_from_fd(memoryview(buf)[:left])
+        self.received_bytes += count or 0
+        return count
+
+    def write_to_fd(self, data):
+        """Write and count."""
+        count = super().write_to_fd(data)
+        self.sent_bytes += count
+        return count
+
+
+class LoadReader(HTTPMessageDelegate):
+    """Reads the load from the head of an answer."""
+
+    load = None
+
+    def headers_received(self, start_line, headers):
+        """Take the load of a successful answer."""
+        if start_line.code == 200:
+            self.load = parse_load(headers.get("X-Target-Load"))
+
+
+class Prober:
+    """Executes `SendProbe`, each on a connection of its own.
+
+    A pooled connection would take one of the few that a target accepts from a node
+    away from calls, also while no probe is sent.
+
+    Parameters
+    ----------
+    dispatch : callable
+        Hands an event to the reducer.
+    clock : callable
+        Monotonic clock, seconds.
+    """
+
+    def __init__(self, dispatch, clock):
+        self._dispatch = dispatch
+        self._clock = clock
+        self._tasks = set()
+
+    def send(self, effect):
+        """Start a probe; it ends with a `ProbeEnded` event."""
+        task = asyncio.get_running_loop().create_task(self._probe(effect))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, effect):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # The system accepts no more from the network than about this size.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_ANSWER_BYTES)
+        stream = MeteredStream(sock)
+        reader = LoadReader()
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                await stream.connect(effect.addr)
+                conn = HTTP1Connection(stream, True, PARAMS)
+                start = RequestStartLine("GET", effect.path, "HTTP/1.1")
+                host = "{}:{}".format(*effect.addr)
+                headers = HTTPHeaders({"Host": host, "Connection": "close"})
+                conn.write_headers(start, headers)
+                conn.finish()
+                await conn.read_response(reader)
+        except (OSError, StreamClosedError, HTTPInputError, asyncio.TimeoutError):
+            pass
+        finally:
+            stream.close()
+        self._dispatch(
+            ProbeEnded(
+                self._clock(),
+                effect.target_id,
+                reader.load,
+                stream.sent_bytes,
+                stream.received_bytes,
+            )
+        )
--- /dev/null
+++ b/tests/test_measuring.py
@@ -0,0 +1,281 @@
+"""P1: what all nodes of a region together spend on probes."""
+
+import signal
+import time
+from dataclasses import replace
+
+import pytest
+
+from pimentoline import events as ev
+from pimentoline.effects import SendProbe
+from pimentoline.measuring import MAX_PROBE_BYTES, PACKET_BYTES
+from pimentoline.model import (
+    Call,
+    Identity,
+    Member,
+    MemberStatus,
+    Request,
+    RulesState,
+    State,
+    Target,
+)
+from pimentoline.records import own_record
+from pimentoline.reducer import reduce
+from pimentoline.rules import parse
+
+from .conftest import http, wait_until
+
+TICK_S = 0.2
+PROBES_PER_S = 20.0
+
+
+class Region:
+    """Reducer states of the nodes of one region, advanced by ticks.
+
+    Every probe fails and uses all the bytes that it may, so demand never ends. Nodes
+    in `paused` get no events; a node hears of another only through `introduce`.
+    """
+
+    def __init__(self, bytes_per_s=1_000_000, planned=0):
+        text = f"budget rift probes={PROBES_PER_S:g} bytes={bytes_per_s}"
+        ruleset = parse(f"{text} nodes={planned}  # asked by Wanjiru").ruleset
+        self.rules = RulesState(version=1, ruleset=ruleset)
+        self.states, self.paused, self.sent = {}, set(), []
+        self.now, self.demand = 0.0, True
+        hosts = [f"t{n}" for n in range(40)]
+        targets = [Target(t, "hive-ledger", ("ip", 1), "rift", "kerio") for t in hosts]
+        self.far = Member(
+            "far", "far", ("ip", 9), "coast", "kwale", 1, targets=tuple(targets)
+        )
+
+    def join(self, *names):
+        """Start nodes; each knows itself and the targets of the other region."""
+        for name in names:
+            addr = (name, 1)
+            me = Identity(name, name, "rift", "kerio", addr, addr, 1)
+            self.states[name] = State(me, self.rules)
+            self.apply(name, ev.MembersHeard(self.now, (self.far,)))
+
+    def introduce(self, *names):
+        """Let the named nodes know each other."""
+        records = tuple(own_record(self.states[name]) for name in names)
+        for name in names:
+            self.apply(name, ev.MembersHeard(self.now, records))
+
+    def apply(self, name, event):
+        """Reduce an event and end the probes that it sends."""
+        step = reduce(self.states[name], event)
+        self.states[name] = step.state
+        for effect in step.effects:
+            if isinstance(effect, SendProbe):
+                self.sent.append((self.now, name))
+                used = MAX_PROBE_BYTES - PACKET_BYTES
+                ended = ev.ProbeEnded(self.now, effect.target_id, None, used, 0)
+                self.apply(name, ended)
+
+    def run(self, seconds):
+        """Advance the clock; every node that runs gets a call at each tick."""
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            for number, name in enumerate(sorted(self.states.keys() - self.paused)):
+                if round(self.now / TICK_S) % 5 == 0:
+                    # The far region answers, so its targets stay routable.
+                    self.far = replace(self.far, seq=self.far.seq + 1)
+                    self.apply(name, ev.MembersHeard(self.now, (self.far,)))
+                draw = hash((round(self.now * 1000), number)) & (2**64 - 1)
+                if self.demand:
+                    req = Request("hive-ledger", "GET", "/", self.now + 1.0)
+                    call = Call(1, req, self.now)
+                    self.apply(name, ev.CallArrived(self.now, draw, call))
+                    self.apply(name, ev.CallerLeft(self.now, 1))
+                self.apply(name, ev.Tick(self.now, draw))
+
+    def probes(self, since, name=None):
+        """Return the number of probes sent after a time, of one node or of all."""
+        return sum(at > since and name in (None, who) for at, who in self.sent)
+
+    def assert_within_budget(self, window_s):
+        """Check every window of that length; each node may round up to a probe."""
+        for begin, _ in self.sent:
+            count = sum(begin <= at < begin + window_s for at, _ in self.sent)
+            assert count <= PROBES_PER_S * window_s + len(self.states)
+
+
+@pytest.fixture
+def region():
+    """Return a region of eight nodes that know each other and have joined."""
+    found = Region()
+    names = [f"n{number}" for number in range(8)]
+    found.join(*names)
+    found.introduce(*names)
+    found.run(20.0)
+    return found
+
+
+def test_demand_is_served_up_to_the_budget(region):
+    """Guards against budget tests that pass because nothing is probed."""
+    begin = region.now
+    region.run(10.0)
+    assert region.probes(begin) >= 0.9 * 10.0 * PROBES_PER_S
+    region.assert_within_budget(5.0)
+    region.demand = False
+    region.run(2.2)
+    ended = region.now
+    region.run(5.0)
+    assert region.probes(ended) == 0
+
+
+def test_joining_nodes_wait_until_they_are_counted(region):
+    """Guards against newcomers that add their shares to the undiminished ones."""
+    olds = list(region.states)
+    news = [f"x{number}" for number in range(8)]
+    region.join(*news)
+    begin = region.now
+    for name in news:
+        records = tuple(own_record(state) for state in region.states.values())
+        region.apply(name, ev.MembersHeard(region.now, records))
+    region.run(9.0)
+    assert sum(region.probes(begin, name) for name in news) == 0
+    region.introduce(*olds, *news)
+    region.run(20.0)
+    assert all(region.probes(begin, name) for name in news)
+    region.assert_within_budget(9.0)
+
+
+def test_cut_off_nodes_keep_their_old_shares(region):
+    """Guards against halves of a partition that each spend the whole budget."""
+    for name, state in region.states.items():
+        others = [
+            replace(record, status=MemberStatus.DEAD)
+            for record in state.mesh.members.values()
+            if record.region == "rift" and record.node_id != name
+        ]
+        region.apply(name, ev.MembersHeard(region.now, tuple(others)))
+    begin = region.now
+    region.run(10.0)
+    assert region.probes(begin) > 0
+    region.assert_within_budget(5.0)
+
+
+def test_unknown_nodes_are_covered_by_the_planned_number():
+    """Guards against a cut-off start, where each node knows only itself."""
+    region = Region(planned=8)
+    region.join(*(f"n{number}" for number in range(8)))
+    region.run(30.0)
+    assert region.probes(0.0) > 0
+    region.assert_within_budget(5.0)
+
+
+def test_resumed_node_waits_and_does_not_catch_up(region):
+    """Guards against a paused node that resumes with an outdated share."""
+    region.paused.add("n0")
+    news = [f"x{number}" for number in range(24)]
+    region.join(*news)
+    region.introduce(*region.states.keys() - {"n0"})
+    region.run(30.0)
+    region.paused.clear()
+    begin = region.now
+    region.run(1.0)
+    # A node that was paused serves calls only after it has checked its rules.
+    region.apply("n0", ev.RulesHeard(region.now, 1, "store", confirmed=True))
+    region.run(8.0)
+    assert region.probes(begin, "n0") == 0
+    region.introduce(*region.states)
+    region.run(20.0)
+    assert region.probes(begin, "n0") > 0
+    region.assert_within_budget(9.0)
+
+
+def test_idle_nodes_do_not_probe_all_at_once():
+    """Guards against buckets that fill while idle and empty at the same moment."""
+    region = Region()
+    names = [f"n{number}" for number in range(60)]
+    region.join(*names)
+    region.introduce(*names)
+    region.demand = False
+    region.run(30.0)
+    assert not region.sent
+    region.demand = True
+    begin = region.now
+    region.run(1.0)
+    # With one saved probe each, all 60 would be sent. The phases are random, so the
+    # rate of one second may exceed the budget, but not by as much again.
+    assert 0 < region.probes(begin) <= 2 * PROBES_PER_S
+
+
+def test_bytes_stay_within_the_budget():
+    """Guards against large answers that exceed the budget of bytes."""
+    bytes_per_s = 4 * MAX_PROBE_BYTES
+    region = Region(bytes_per_s)
+    names = [f"n{number}" for number in range(8)]
+    region.join(*names)
+    region.introduce(*names)
+    region.run(40.0)
+    begin = region.now - 20.0
+    spent = region.probes(begin) * MAX_PROBE_BYTES
+    assert 0 < spent <= bytes_per_s * 20.0 + len(names) * MAX_PROBE_BYTES
+
+
+def test_answer_updates_the_load_of_the_target(region):
+    """Guards against probes that are paid for and not used."""
+    event = ev.ProbeEnded(region.now, "t3", 7.0, 100, 200)
+    stats = reduce(region.states["n0"], event).state.traffic.targets["t3"]
+    assert (stats.reported, stats.reported_at) == (7.0, region.now)
+
+
+def totals(cluster):
+    """Return (probes, bytes) that the targets have received and sent."""
+    found = [target.get_json("/faults") for target in cluster.targets.values()]
+    probes = sum(counters.get("probes", 0) for counters in found)
+    names = ("probe_bytes_in", "probe_bytes_out")
+    return probes, sum(counters.get(name, 0) for counters in found for name in names)
+
+
+def metered(cluster):
+    """Return (probes, bytes without those of packets) that the nodes have counted."""
+    found = [cluster.admin(name, "/v1/status")[1] for name in cluster.nodes]
+    probes = sum(status["counters"].get("probes.sent", 0) for status in found)
+    traffic = sum(status["counters"].get("probes.bytes", 0) for status in found)
+    return probes, traffic - probes * PACKET_BYTES
+
+
+def test_targets_see_no_more_probes_than_the_budget(cluster):
+    """Guards against probes beyond the default budget while nodes pause and join.
+
+    The targets leave the load out, so every one of them is wanted all the time.
+    """
+    budget = parse("").ruleset.probe_budget("rift")
+    cluster.start_node("n0")
+    seeds = "{}:{}".format(*cluster.nodes["n0"].info["mesh"])
+    cluster.start_node("n1", seeds=seeds)
+    cluster.start_node("n2", seeds=seeds)
+    for name in ("t0", "t1", "t2", "t3", "t4", "t5"):
+        target = cluster.start_target(name, "n0")
+        url = "http://{}:{}/faults".format(*target.info["addr"])
+        http(url, "POST", {"load_report": "none"})
+    calling = ["n0", "n1", "n2"]
+
+    def probes_reach(count):
+        for name in calling:
+            cluster.call(name, "/weights")
+        return totals(cluster)[0] >= count
+
+    wait_until(lambda: probes_reach(1), 30.0, "the first probe")
+    begin, (probes, traffic) = time.monotonic(), totals(cluster)
+    wait_until(lambda: probes_reach(probes + 15), 30.0, "probes of three nodes")
+    calling.remove("n2")
+    cluster.nodes["n2"].signal(signal.SIGSTOP)
+    wait_until(lambda: probes_reach(probes + 30), 30.0, "probes of two nodes")
+    cluster.start_node("n3", seeds=seeds)
+    calling.append("n3")
+    cluster.nodes["n2"].signal(signal.SIGCONT)
+    wait_until(lambda: cluster.call("n2", "/weights")[0] == 200, 30.0, "n2 serves")
+    calling.append("n2")
+    wait_until(lambda: probes_reach(probes + 60), 30.0, "probes after the join")
+    took_s, (probes_now, traffic_now) = time.monotonic() - begin, totals(cluster)
+    assert probes_now - probes <= budget.probes_per_s * took_s + len(cluster.nodes)
+    spent = traffic_now - traffic + (probes_now - probes) * PACKET_BYTES
+    reserved = MAX_PROBE_BYTES * len(cluster.nodes)
+    assert spent <= budget.bytes_per_s * took_s + reserved
+    # Without calls the probes end, and both sides have counted the same.
+    wait_until(lambda: totals(cluster) == metered(cluster), 10.0, "equal counts")
