--- a/pimentoline/measuring.py
+++ b/pimentoline/measuring.py
@@ -4,13 +4,12 @@
 each takes an equal share of it, and the number of shares is never too low.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from .draws import fraction, mix
 from .effects import Count, SendProbe
-from .model import TargetState, TargetStats
+from .frozen import replace
+from .model import ServiceStats, TargetStats
 
 __all__ = ["MAX_PROBE_BYTES", "note_call", "on_probe_ended", "on_tick"]
 
@@ -107,28 +106,42 @@
 
 def _wanted(state, now, draw):
     """Return the targets without fresh information, the longest unheard first."""
-    measuring, ruleset = state.measuring, state.rules.ruleset
-    found = []
+    measuring, found = state.measuring, []
     for service, at in measuring.asked.items():
         if now - at > DEMAND_S:
             continue
-        for target in state.mesh.by_service.get(service, ()):
-            stats = state.traffic.targets.get(target.target_id) or TargetStats()
+        for target in _candidates(state, service):
+            name = target.target_id
+            stats = state.traffic.targets.get(name) or TargetStats()
             if (
-                target.state is TargetState.UP
-                and now - stats.reported_at > FRESH_S
-                and target.target_id not in measuring.in_flight
+                now - stats.reported_at > FRESH_S
+                and name not in measuring.in_flight
                 and len(target.load_path) <= MAX_LOAD_PATH_CHARS
-                and ruleset.target_weight(target) > 0.0
             ):
-                probed_at = measuring.probed.get(target.target_id, float("-inf"))
                 # A target that never answers must not take the turn of others.
+                probed_at = measuring.probed.get(name, float("-inf"))
                 heard_at = max(stats.reported_at, probed_at)
                 found.append((heard_at, mix(draw, len(found)), target))
     found.sort(key=lambda item: item[:2])
     return [target for _, _, target in found]
 
 
+def _candidates(state, service):
+    """Yield the targets that the latest calls of a service could go to.
+
+    These are the rings up to the widest in use, ejected targets included.
+    """
+    plan = state.traffic.plan
+    route = plan.routes.get(service) if plan is not None else None
+    if route is None:
+        return
+    stats = state.traffic.services.get(service) or ServiceStats()
+    for release in route.releases:
+        for ring in release.rings[: stats.ring + 1]:
+            for target, _ in ring:
+                yield target
+
+
 def _send(state, targets, now):
     measuring, effects = state.measuring, []
     if len(measuring.probed) > MAX_PROBED:
--- a/pimentoline/prober.py
+++ b/pimentoline/prober.py
@@ -13,8 +13,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from .events import ProbeEnded
+from .headers import parse_load
 from .measuring import MAX_ANSWER_BYTES
-from .proxy import parse_load
 
 __all__ = ["Prober"]
 
