--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -28,6 +28,7 @@
 from .metrics import Metrics
 from .model import Identity, RulesState, State
 from .pool import Pool
+from .prober import Prober
 from .proxy import SERVER_HEAD_BYTES, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
@@ -68,6 +69,7 @@
             self.draw,
             lambda: self.state.rules.ruleset,
         )
+        self.prober = Prober(self.dispatch, self.clock)
         self.claims = ClaimWriter(
             self.store,
             lambda: f"{self.state.me.node_id}/{self.state.me.incarnation}",
@@ -159,6 +161,8 @@
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
                 loop.call_later(effect.delay_s, self._hedge_due, effect.call_id)
+            case ef.SendProbe():
+                self.prober.send(effect)
             case ef.SendMessage():
                 self.mesh.send(effect.addrs, self.message(effect.body))
             case ef.Ask():
