Test membership and configuration spread (P5, P7) by model and by processes

Cause: nothing showed that a drain or an accepted version reaches every node when datagrams, nodes or the store fail. Change: tests/fabric.py passes messages between reducer states with loss, duplication and reordering from fixed seeds; test_mesh_processes.py runs six nodes with kills, SIGSTOP and a failing table service.

--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -14,6 +14,7 @@
 
 PREFIX = "node/"
 REFRESH_S = 600.0
+CHECK_S = 30.0
 # A row outlives two refreshes that fail.
 MAX_AGE_S = 1800.0
 JOIN_PEERS = 3
@@ -46,12 +47,25 @@
         _, found = await asyncio.gather(
             node.publisher.load_from_store(), self._find_peers()
         )
+        await self._ask_some(found)
+
+    async def _ask_some(self, found):
+        """Ask seeds and other peers in groups until one group has answered."""
+        node = self._node
         seeds = [addr for addr in node.cfg.seeds if addr != node.state.me.mesh_addr]
         node.random.shuffle(seeds)
         peers = list(dict.fromkeys(seeds[:JOIN_PEERS] + found + seeds))
-        answered = await self._ask_some(peers)
-        if node.store is None and not answered:
-            # Nobody else can know of a version.
+        answered = 0
+        for turn in range(JOIN_ROUNDS):
+            group = peers[turn * JOIN_PEERS : (turn + 1) * JOIN_PEERS]
+            request = SyncRequest(digests(node.state.mesh.members))
+            bodies = await asyncio.gather(*(node.ask(addr, request) for addr in group))
+            answered = sum(body is not None for body in bodies)
+            if answered:
+                await self._take_rules(group)
+                break
+        if node.store is None and (answered or not seeds):
+            # Without a store, nobody else can know of a version.
             node.dispatch(RulesHeard(node.clock(), 0, "nobody", confirmed=True))
 
     async def _find_peers(self):
@@ -83,21 +97,6 @@
         node.random.shuffle(found)
         return found
 
-    async def _ask_some(self, peers):
-        """Ask peers in groups until one group has answered; return how many did."""
-        node = self._node
-        for turn in range(JOIN_ROUNDS):
-            group = peers[turn * JOIN_PEERS : (turn + 1) * JOIN_PEERS]
-            if not group:
-                return 0
-            request = SyncRequest(digests(node.state.mesh.members))
-            bodies = await asyncio.gather(*(node.ask(addr, request) for addr in group))
-            answered = sum(body is not None for body in bodies)
-            if answered:
-                await self._take_rules(group)
-                return answered
-        return 0
-
     async def _take_rules(self, group):
         """Fetch the highest version that the group has named."""
         node = self._node
@@ -111,20 +110,21 @@
         """Refresh the own row, and search for peers while none is known."""
         node = self._node
         backoff_s = BACKOFF_S
-        while node.store is not None:
+        while True:
             lonely = not running_peers(node.state)
-            age_s = node.clock() - self._written_at
-            if lonely or age_s > REFRESH_S:
-                peers = await self._find_peers()
-                if lonely:
-                    await self._ask_some(peers)
-            if running_peers(node.state) and self._written_at > float("-inf"):
+            written = node.store is None or self._written_at > float("-inf")
+            if written and not lonely:
                 backoff_s = BACKOFF_S
-                wait_s = REFRESH_S / 20 * node.random.uniform(0.5, 1.0)
+                await asyncio.sleep(CHECK_S * node.random.uniform(0.5, 1.0))
             else:
-                wait_s = backoff_s * node.random.random()
+                await asyncio.sleep(backoff_s * node.random.random())
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-            await asyncio.sleep(wait_s)
+            found = []
+            due = node.clock() - self._written_at > REFRESH_S
+            if node.store is not None and (due or not running_peers(node.state)):
+                found = await self._find_peers()
+            if not running_peers(node.state):
+                await self._ask_some(found)
 
 
 def _addr_of(row):
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -208,8 +208,9 @@
 
     async def _fetch_rules(self, effect):
         if effect.addr is not None:
-            body = await self.ask(effect.addr, RulesRequest(effect.version))
-            if isinstance(body, RulesReply):
+            await self.ask(effect.addr, RulesRequest(effect.version))
+            rules = self.state.rules
+            if rules.version >= effect.version and not rules.must_check:
                 return
         await self.publisher.load_from_store()
 
--- /dev/null
+++ b/tests/fabric.py
@@ -0,0 +1,215 @@
+"""Reducer states that exchange messages over a lossy network, in model time."""
+
+import heapq
+import random
+from dataclasses import replace
+
+from pimentoline import effects as ef
+from pimentoline import events as ev
+from pimentoline import messages as ms
+from pimentoline.model import Identity, RulesState, State, Target
+from pimentoline.records import digests, own_record, with_own_record
+from pimentoline.reducer import reduce
+from pimentoline.rules.ruleset import RuleSet
+
+TICK_S = 0.2
+
+
+class Fabric:
+    """States by node id; loss, duplication and delays come from one seed."""
+
+    def __init__(self, seed, loss=0.0, duplication=0.0, delay_s=0.02):
+        self.rand = random.Random(seed)
+        self.loss, self.duplication, self.delay_s = loss, duplication, delay_s
+        self.now = 0.0
+        self.states, self.queue, self.logs = {}, [], {}
+        self.order = 0
+        self.off = set()
+        self.sides = {}
+        self.store = None
+        self.counts = {}
+        self.rejected = []
+        self.check = lambda name, before, after: None
+
+    def add(self, name, region="rift", host=None, seeds=(), must_check=False):
+        """Add a node that synchronises with the nodes `seeds`."""
+        port = len(self.logs) + 1
+        addr = ("10.0.0.1", port)
+        incarnation = int(self.now * 1000) + 1
+        me = Identity(name, host or name, region, "dc", addr, addr, incarnation)
+        state = State(me, RulesState(must_check=must_check, confirmed=not must_check))
+        self.states[name] = with_own_record(state)
+        self.logs[name] = (self.states[name], [])
+        self.schedule(self.rand.uniform(0, TICK_S), name, "tick")
+        for seed in seeds:
+            request = ms.SyncRequest(digests(self.states[name].mesh.members))
+            self.ask(name, self.addr(seed), request)
+
+    def addr(self, name):
+        """Return the address of a node."""
+        return self.states[name].me.mesh_addr
+
+    def schedule(self, delay_s, name, item):
+        """Hand an item to a node after a delay."""
+        self.order += 1
+        heapq.heappush(self.queue, (self.now + delay_s, self.order, name, item))
+
+    def reachable(self, src, dst):
+        """Return whether a message gets from one node to another."""
+        if dst is None or src in self.off or dst in self.off:
+            return False
+        return self.sides.get(src) == self.sides.get(dst)
+
+    def name_of(self, addr):
+        """Return the node with an address, or None."""
+        found = [name for name in self.states if self.addr(name) == addr]
+        return found[0] if found else None
+
+    def event(self, src, body, addr, is_reply=False):
+        """Return the event of a message from `src`."""
+        rules = self.states[src].rules
+        return ev.MessageReceived(
+            0.0,
+            src,
+            addr,
+            body,
+            rules.version,
+            rules.heard,
+            rules.confirmed,
+            is_reply,
+        )
+
+    def ask(self, src, addr, body):
+        """Exchange a message and its reply as TCP does, without loss."""
+        dst = self.name_of(addr)
+        if not self.reachable(src, dst):
+            return None
+        reply = self.receive(dst, self.event(src, body, None))
+        if reply is not None:
+            self.receive(src, self.event(dst, reply, addr, is_reply=True))
+        return reply
+
+    def receive(self, name, event):
+        """Load the rules text in a message as the runtime does, then reduce it."""
+        match event.body:
+            case ms.RulesReply(version, text) | ms.RulesPush(version, text):
+                self.load_rules(name, version, text, event.sender)
+        return self.dispatch(name, replace(event, now=self.now))
+
+    def load_rules(self, name, version, text="", source="store"):
+        """Put a rules version in force at a node."""
+        event = ev.RulesLoaded(self.now, version, text, RuleSet(), source)
+        self.dispatch(name, event)
+
+    def dispatch(self, name, event):
+        """Reduce an event at a node; return the reply that it makes."""
+        before = self.states[name]
+        step = reduce(before, event)
+        self.logs[name][1].append(event)
+        self.states[name] = step.state
+        self.check(name, before, step.state)
+        reply = None
+        for effect in step.effects:
+            match effect:
+                case ef.SendMessage(addrs, body):
+                    for addr in addrs:
+                        self.send(name, addr, body)
+                case ef.Ask(addr, body):
+                    self.schedule(self.delay_s, name, effect)
+                case ef.FetchRules():
+                    self.schedule(self.delay_s, name, effect)
+                case ef.Reply(body):
+                    reply = body
+                case ef.RejectCall():
+                    self.rejected.append((name, effect.code))
+                case ef.Count(counter, amount):
+                    self.counts[counter] = self.counts.get(counter, 0) + amount
+        return reply
+
+    def send(self, src, addr, body):
+        """Send a datagram, which may be lost, doubled or overtaken."""
+        dst = self.name_of(addr)
+        if not self.reachable(src, dst) or self.rand.random() < self.loss:
+            return
+        event = self.event(src, body, self.addr(src))
+        copies = 2 if self.rand.random() < self.duplication else 1
+        for _ in range(copies):
+            self.schedule(self.rand.uniform(0, 2 * self.delay_s), dst, event)
+
+    def fetch(self, name, effect):
+        """Fetch rules from the peer, or from the store if it has none."""
+        if effect.addr is not None:
+            self.ask(name, effect.addr, ms.RulesRequest(effect.version))
+        rules = self.states[name].rules
+        lacking = rules.must_check or rules.version < effect.version
+        if lacking and self.store is not None:
+            self.load_rules(name, self.store)
+            heard = ev.RulesHeard(self.now, self.store, "store", confirmed=True)
+            self.dispatch(name, heard)
+
+    def run(self, seconds, until=None):
+        """Advance the model time; return the time at which `until()` was true."""
+        end = self.now + seconds
+        while self.queue and self.queue[0][0] <= end:
+            if until is not None and until():
+                return self.now
+            self.now, _, name, item = heapq.heappop(self.queue)
+            if item == "tick":
+                self.schedule(TICK_S, name, "tick")
+                if name not in self.off:
+                    draw = self.rand.getrandbits(64)
+                    self.dispatch(name, ev.Tick(self.now, draw))
+            elif name in self.off:
+                continue
+            elif isinstance(item, ef.Ask):
+                self.ask(name, item.addr, item.body)
+            elif isinstance(item, ef.FetchRules):
+                self.fetch(name, item)
+            else:
+                self.receive(name, item)
+        self.now = end
+        assert until is None or until(), f"not reached within {seconds} s"
+        return self.now
+
+    def announce(self, name, target_id, **more):
+        """Announce a target at a node."""
+        me = self.states[name].me
+        target = Target(target_id, "hive-ledger", ("10.0.0.2", 80), me.region, me.dc)
+        event = ev.TargetAnnounced(self.now, replace(target, **more))
+        self.dispatch(name, event)
+
+    def routes(self, name):
+        """Return the state of each routable target at a node, by target id."""
+        found = self.states[name].mesh.by_service.get("hive-ledger", ())
+        return {target.target_id: target.state.value for target in found}
+
+    def status(self, name, other):
+        """Return the status of a member at another node, or None if unknown."""
+        record = self.states[name].mesh.members.get(other)
+        return record and record.status.value
+
+    def all_say(self, other, status):
+        """Return whether every running node gives a member this status."""
+        return all(
+            self.status(name, other) == status
+            for name in self.states
+            if name not in self.off and name != other
+        )
+
+
+def make_fabric(size, seed, loss=0.0, duplication=0.0):
+    """Return a fabric of `size` nodes that have found each other."""
+    fabric = Fabric(seed, loss, duplication)
+    regions = ("rift", "coast", "western")
+    for i in range(size):
+        fabric.add(f"n{i}", regions[i % 3], seeds=["n0"] if i else [])
+    fabric.run(
+        20, lambda: all(len(s.mesh.members) == size for s in fabric.states.values())
+    )
+    return fabric
+
+
+def own_targets(fabric, name):
+    """Return the states of the targets in a node's own record."""
+    targets = own_record(fabric.states[name]).targets
+    return {target.target_id: target.state.value for target in targets}
--- /dev/null
+++ b/tests/test_mesh_processes.py
@@ -0,0 +1,206 @@
+"""Guarantees P5 and P7 with real processes, kills, pauses and a failing store."""
+
+import json
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from .conftest import http, wait_until
+
+PLACES = (("rift", "kerio"), ("coast", "kwale"), ("western", "bungoma"))
+PAUSE_T1 = "pause t1  # asked by Wanjiru\n"
+
+
+@pytest.fixture
+def mesh(cluster):
+    """Yield a cluster of a table service, six nodes, and two targets at n1 and n2."""
+    cluster.start_table()
+    with ThreadPoolExecutor(6) as pool:
+        starts = [
+            pool.submit(cluster.start_node, f"n{i}", *PLACES[i % 3]) for i in range(6)
+        ]
+        for start in starts:
+            start.result()
+    for i in (1, 2):
+        cluster.start_target(f"t{i}", f"n{i}")
+    for name in cluster.nodes:
+        for target in ("t1", "t2"):
+            wait_until(lambda: cluster.knows_target(name, target), 15)
+    return cluster
+
+
+def table_down(cluster, down=True):
+    """Make the table service fail, or serve again."""
+    http(f"{cluster.table_url}/faults", "POST", {"down": down})
+
+
+def seeds_of(cluster, *names):
+    """Return the seeds flag for some nodes."""
+    addrs = [cluster.nodes[name].info["mesh"] for name in names]
+    return ",".join(f"{ip}:{port}" for ip, port in addrs)
+
+
+def rules_version(cluster, name):
+    """Return the version in force at a node."""
+    return cluster.admin(name, "/v1/status")[1]["rules"]["version"]
+
+
+def apply(cluster, name, base, text):
+    """Apply rules at a node and return the answer."""
+    body = {"base": base, "text": text, "author": "otieno", "attempt": f"try-{base}-xx"}
+    return cluster.admin(name, "/v1/config", "POST", body)[1]
+
+
+def wait_version(cluster, names, version, timeout_s=5.0):
+    """Wait until the version is in force at each node."""
+    deadline = time.monotonic() + timeout_s
+    for name in names:
+        left = deadline - time.monotonic()
+        wait_until(lambda: rules_version(cluster, name) == version, left, name)
+
+
+class Calls:
+    """Sends calls through some nodes until it is stopped, with run ids."""
+
+    def __init__(self, cluster, names):
+        self.cluster, self.sent, self.statuses = cluster, {}, {}
+        self.over = threading.Event()
+        # Daemons, so that a test that fails before `stop` does not keep pytest alive.
+        self.threads = [
+            threading.Thread(target=self.run, args=(n,), daemon=True) for n in names
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def run(self, name):
+        """Send one call after the other through a node."""
+        number = 0
+        while not self.over.wait(0.02):
+            run_id, number = f"{name}-{number}", number + 1
+            self.sent[run_id] = time.monotonic()
+            headers = {"X-Run-Id": run_id}
+            try:
+                self.statuses[run_id] = self.cluster.call(name, "/", headers=headers)[0]
+            except OSError:
+                continue
+
+    def stop(self):
+        """Stop sending and wait for the last answers."""
+        self.over.set()
+        for thread in self.threads:
+            thread.join()
+
+    def runs_after(self, target_id, at, name=""):
+        """Return the run ids of calls sent after a time that ran at a target."""
+        ip, port = self.cluster.targets[target_id].info["addr"]
+        _, _, body = http(f"http://{ip}:{port}/runs")
+        found = json.loads(body)["runs"]
+        return [r for r in found if r.startswith(name) and self.sent[r] > at]
+
+
+def assert_t1_paused(calls):
+    """Assert that no call was served by rules older than those that pause t1.
+
+    The calls that t2 refused after it was killed are answered with 502.
+    """
+    assert calls.statuses and set(calls.statuses.values()) <= {502, 503}
+    assert calls.runs_after("t1", 0) == []
+
+
+def test_drained_target_receives_no_call_after_3_s(mesh):
+    """Guards P5 with the store down, a node killed and a node paused for 8 s."""
+    names = ["n0", "n1", "n2", "n3", "n5"]
+    calls = Calls(mesh, names)
+    try:
+        wait_until(lambda: calls.runs_after("t1", 0), message="calls at t1")
+        table_down(mesh)
+        mesh.nodes["n4"].kill()
+        mesh.nodes["n5"].signal(signal.SIGSTOP)
+        drained_at = time.monotonic()
+        assert mesh.admin("n1", "/v1/targets/t1/drain", "POST", {})[0] == 200
+        calls.over.wait(8.0)
+        mesh.nodes["n5"].signal(signal.SIGCONT)
+        resumed_at = time.monotonic()
+        calls.over.wait(5.0)
+    finally:
+        mesh.nodes["n5"].signal(signal.SIGCONT)
+        calls.stop()
+    for name in names[:4]:
+        assert calls.runs_after("t1", drained_at + 3.0, name) == []
+        assert calls.runs_after("t2", drained_at + 3.0, name)
+    assert calls.runs_after("t1", resumed_at + 3.0, "n5") == []
+    assert calls.runs_after("t2", resumed_at + 3.0, "n5")
+
+
+def test_accepted_version_survives_the_store_and_its_node(mesh):
+    """Guards P7: the store fails and the applying node dies right after accept."""
+    answer = apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))
+    assert (answer["result"], answer["held_by"]) == ("accepted", 4)
+    answer = apply(mesh, "n0", 1, PAUSE_T1)
+    table_down(mesh)
+    mesh.nodes["n0"].kill()
+    others = ["n1", "n2", "n3", "n4", "n5"]
+    wait_version(mesh, others, 2)
+    assert (answer["result"], answer["held_by"]) == ("accepted", 4)
+    mesh.targets["t2"].kill()
+    # A node that boots while the store is down takes the version from its peers.
+    mesh.start_node("n6", "rift", "kerio", seeds=seeds_of(mesh, "n1", "n2"))
+    calls = Calls(mesh, ["n6"])
+    wait_version(mesh, ["n6"], 2)
+    wait_until(lambda: mesh.knows_target("n6", "t1"))
+    # While no peer answers, it does not know the version and serves no call.
+    for name in others:
+        mesh.nodes[name].signal(signal.SIGSTOP)
+    try:
+        mesh.start_node("n7", "rift", "kerio", seeds=seeds_of(mesh, "n3", "n4"))
+        status, headers, _ = mesh.call("n7", "/")
+    finally:
+        for name in others:
+            mesh.nodes[name].signal(signal.SIGCONT)
+    assert (status, headers["X-Error-Code"]) == (503, "rules-outdated")
+    assert headers["X-Verdict"] == "not-run"
+    more = Calls(mesh, ["n7"])
+    wait_until(lambda: mesh.call("n7", "/")[1]["X-Error-Code"] == "no-target", 15)
+    for sender in (calls, more):
+        sender.stop()
+        assert_t1_paused(sender)
+    assert rules_version(mesh, "n7") == 2
+
+
+def test_lower_version_in_the_store_is_ignored(mesh):
+    """Guards P7 against a store that was restored from an old copy."""
+    assert apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))["result"] == "accepted"
+    assert apply(mesh, "n3", 1, PAUSE_T1)["result"] == "accepted"
+    head = {"version": 1, "digest": "", "attempt": "old"}
+    put = {"puts": [{"key": "config/head", "value": head}]}
+    assert http(f"{mesh.table_url}/v1/txn", "POST", put)[0] == 200
+    mesh.targets["t2"].kill()
+    mesh.start_node("n6", "coast", "kilifi")
+    calls = Calls(mesh, ["n6"])
+    for name in mesh.nodes:
+        wait_until(
+            lambda: mesh.admin(name, "/v1/status")[1]["counters"].get(
+                "rules.older_ignored"
+            ),
+            15,
+            f"poll of {name}",
+        )
+        assert rules_version(mesh, name) == 2
+    calls.stop()
+    assert_t1_paused(calls)
+
+
+def test_killed_node_is_found_and_its_target_stays_routable(mesh):
+    """Guards against a target that is lost with its node, and an unnoticed death."""
+    mesh.nodes["n2"].kill()
+
+    def status():
+        members = mesh.admin("n0", "/v1/mesh")[1]["members"]
+        return {item["node_id"]: item["status"] for item in members}["n2"]
+
+    wait_until(lambda: status() == "dead", 20)
+    mesh.targets["t1"].kill()
+    wait_until(lambda: mesh.call("n0", "/")[0] == 200, 10)
