--- a/pimentoline/measuring.py
+++ b/pimentoline/measuring.py
@@ -9,6 +9,7 @@
 from .draws import fraction, mix
 from .effects import Count, SendProbe
 from .frozen import replace
+from .limits import report_changes
 from .model import ServiceStats, TargetStats
 
 __all__ = ["MAX_PROBE_BYTES", "note_call", "on_probe_ended", "on_tick"]
@@ -175,6 +176,6 @@
         return state, effects + (Count("probes.failed"),)
     traffic = state.traffic
     stats = traffic.targets.get(name) or TargetStats()
-    stats = replace(stats, reported=event.load, reported_at=event.now, sent_since=0)
+    stats = replace(stats, **report_changes(stats.inflight, event.load, event.now))
     traffic = replace(traffic, targets=traffic.targets.set(name, stats))
     return replace(state, traffic=traffic), effects
