Document operations and test the command line and the admin interface

Cause: operators had no page, history could not name the nodes that hold a version once records stopped naming it, and metric names were not listed.

Change: docs/operations.md and docs/glossary.md; history asks each running member for its version within 5 s; metrics and log entries are tables that a test compares with the source and the page; tests of flags, exit statuses and refused requests.

Conclusion: the page's commands are still to be followed step by step.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -13,10 +13,11 @@
 from .errors import PimentolineError
 from .explain import explain
 from .logs import log_entry
-from .model import MemberStatus, Target, TargetState
+from .model import Target, TargetState
 from .records import own_record
 from .rules import parse
 from .rules.options import NAME_PATTERN
+from .survey import versions_in_force
 
 __all__ = ["MAX_ADMIN_BODY_BYTES", "make_admin_app"]
 
@@ -249,12 +250,12 @@
         except PimentolineError as exc:
             self.fail(503, exc.code, exc.detail)
             return
-        members = self.node.state.mesh.members.values()
-        running = [item for item in members if item.status is MemberStatus.ALIVE]
+        versions = await versions_in_force(self.node)
         for row in rows:
-            held = (m.node_id for m in running if m.rules_version == row["version"])
+            held = [name for name, ver in versions.items() if ver == row["version"]]
             row["nodes"] = sorted(held)
-        self.finish({"history": rows, "members": len(running)})
+        silent = sorted(name for name, ver in versions.items() if ver is None)
+        self.finish({"history": rows, "members": len(versions), "silent": silent})
 
 
 class ExplainHandler(AdminHandler):
@@ -270,6 +271,14 @@
         self.finish(explain(node.state, said, node.clock(), draws))
 
 
+class UnknownPathHandler(AdminHandler):
+    """Every other path."""
+
+    def prepare(self):
+        """Answer 404."""
+        self.fail(404, "not-found", f"path {self.request.path[:MAX_SHOWN_CHARS]!r}")
+
+
 def _problem(err):
     """Return one problem of a body as text; long input is cut."""
     where = ".".join(map(str, err["loc"])) or "body"
@@ -289,6 +298,8 @@
             (r"/v1/history", HistoryHandler, args),
             (r"/v1/explain", ExplainHandler, args),
         ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=args,
         # Targets renew every second; requests are counted, not logged.
         log_function=lambda handler: None,
     )
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -11,7 +11,7 @@
 
 JSON_FLAGS = {"json": (False, "Write the result as one line of JSON.")}
 ADMIN_FLAGS = {
-    "admin_addr": ("127.0.0.1:9901", "Admin address of the node to ask."),
+    "admin_addr": ("127.0.0.1:8082", "Admin address of the node to ask."),
     "timeout_s": ("20", "Longest time to wait for the node, in seconds."),
     **JSON_FLAGS,
 }
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -21,7 +21,8 @@
 
     description = """
 Shows the accepted versions of the rules, the latest first: who applied each one, when,
-what it changed, who had asked for the changed rules, and which nodes have it in force.
+what it changed, who had asked for the changed rules, and which nodes have it in force
+now; each node is asked, which takes up to 5 s.
 --show=VERSION writes the whole text of a version, to save it or to apply it again.
 """
     flags = {
@@ -58,7 +59,9 @@
 
 
 def _lines(answer):
-    rows = answer["history"]
+    rows, silent = answer["history"], answer["silent"]
+    if silent:
+        yield f"{len(silent)} nodes did not answer: {' '.join(silent)}"
     if not rows:
         yield "no version was accepted yet"
     for row in rows:
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -10,8 +10,8 @@
     """Shows the member records of one node."""
 
     description = """
-Shows the nodes that the asked node knows, with their state and rules version, and the
-targets that each of them has announced.
+Shows the nodes that the asked node knows, with their state, and the targets that each
+of them has announced.
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
@@ -27,8 +27,7 @@
 def _lines(members):
     for record in members:
         place = f"{record['region']}/{record['dc']}"
-        rules = f"rules {record['rules_version']}"
-        yield f"{record['node_id']}  {place}  {record['status']}  {rules}"
+        yield f"{record['node_id']}  {place}  {record['status']}"
         for target in record["targets"]:
             addr = "{}:{}".format(*target["addr"])
             yield (
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,160 @@
+"""The admin interface: what it refuses."""
+
+import ast
+import json
+from pathlib import Path
+
+import pytest
+
+from pimentoline.metric_names import LOG_ENTRIES, METRICS, is_known_metric
+from pimentoline.metrics import Metrics
+
+from .conftest import http
+
+PACKAGE = Path(__file__).parent.parent / "pimentoline"
+PAGE = PACKAGE.parent / "docs" / "operations.md"
+GOOD = {"service": "hive-ledger", "addr": ["127.0.0.1", 8000]}
+LONG = "x" * 300
+
+# (method, path, body, status)
+REQUESTS = [
+    ("PUT", "/v1/targets/t1", GOOD, 200),
+    ("PUT", "/v1/targets/t1", {**GOOD, "load": 3, "state": "draining"}, 200),
+    ("PUT", "/v1/targets/t%201", GOOD, 400),
+    ("PUT", f"/v1/targets/{LONG}", GOOD, 400),
+    ("PUT", "/v1/targets/t1", {"service": "hive-ledger"}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "service": "Hive.Ledger"}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "service": "a" * 64}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["localhost", 8000]}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["0.0.0.0", 8000]}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["127.0.0.1", 0]}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["127.0.0.1", 65536]}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "slots": 0}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "connections": -1}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "state": "gone"}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "load_path": "load"}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "load_path": "/a\r\nX: y"}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "version": "a b"}, 400),
+    ("PUT", "/v1/targets/t1", {**GOOD, "colour": "red"}, 400),
+    ("PUT", "/v1/targets/t1", [], 400),
+    ("PUT", "/v1/targets/t1", b"{", 400),
+    ("PUT", "/v1/targets/t1", b"\xff", 400),
+    ("POST", "/v1/targets/t9/drain", {}, 404),
+    ("POST", "/v1/config", {"base": 0, "text": "", "author": "a"}, 400),
+    ("POST", "/v1/config", {"base": -1, "text": "", "author": "a"}, 400),
+    ("GET", "/v1/config?version=x", None, 400),
+    ("GET", "/v1/config?version=3", None, 503),
+    ("GET", "/v1/history", None, 503),
+    ("GET", "/v1/history?limit=0", None, 400),
+    ("GET", "/v1/history?limit=%25d", None, 400),
+    ("POST", "/v1/explain", {"service": "a", "method": "GET"}, 400),
+    ("POST", "/v1/explain", {"service": "a", "method": "GET", "path": "x"}, 400),
+    ("GET", "/v1/nothing", None, 404),
+]
+
+
+def test_requests_are_validated(cluster):
+    """Guards against an announcement or request that is taken although malformed."""
+    node = cluster.start_node("n1")
+    base = "http://{}:{}".format(*node.info["admin"])
+    for method, path, body, status in REQUESTS:
+        found, _, data = http(base + path, method, body)
+        assert found == status, (method, path[:60], body, data)
+        assert isinstance(json.loads(data), dict), data
+        if status != 200:
+            assert set(json.loads(data)) == {"error", "detail"}, data
+    record = cluster.admin("n1", "/v1/mesh")[1]["members"][0]
+    assert [target["target_id"] for target in record["targets"]] == ["t1"]
+    for number in range(70):
+        last, _, _ = http(f"{base}/v1/targets/more-{number}", "PUT", GOOD)
+    assert last == 400, "the number of targets is not bounded"
+
+
+def test_rules_text_of_one_mebibyte_is_accepted(cluster):
+    """Guards against a limit of the request that is below that of the text."""
+    cluster.start_table()
+    cluster.start_node("n1")
+    for size, status in ((1024 * 1024, 200), (1024 * 1024 + 1, 400)):
+        body = {"base": 0, "author": "mary", "attempt": f"attempt-{size}"}
+        # A tab takes two bytes in JSON.
+        body["text"] = "#" + "\t" * (size - 1)
+        assert cluster.admin("n1", "/v1/config", "POST", body)[0] == status
+
+
+@pytest.mark.parametrize("addr", ["0.0.0.0:0", "127.0.0.2:0"])
+def test_admin_interface_needs_a_flag_to_leave_loopback(cluster, addr):
+    """Guards against operators' requests from the whole network."""
+    if addr.startswith("0."):
+        with pytest.raises(AssertionError, match="did not start"):
+            cluster.start_node("n1", admin_addr=addr)
+        cluster.start_node("n1", admin_addr=addr, admin_remote="true")
+    else:
+        cluster.start_node("n1", admin_addr=addr)
+
+
+def names_in_source():
+    """Yield (function, name) of each metric and log entry in the package."""
+    for path in PACKAGE.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            function = getattr(node.func, "attr", getattr(node.func, "id", ""))
+            match node.args[0]:
+                case ast.Constant(str(name)):
+                    yield function.strip("_"), name
+                case ast.IfExp(ast.expr(), ast.Constant(name), ast.Constant(other)):
+                    yield function.strip("_"), name
+                    yield function.strip("_"), other
+                case ast.JoinedStr([ast.Constant(str(start)), *_]):
+                    yield function.strip("_"), start + "x"
+
+
+def test_metrics_and_log_entries_are_in_the_table():
+    """Guards against a metric or log entry that no table or page names."""
+    page = PAGE.read_text()
+    for function, name in names_in_source():
+        if function in ("Count", "count", "timing", "note_time"):
+            known = is_known_metric(name) or name == "apply.x"
+            assert known, f"metric {name} is not in metric_names.METRICS"
+        elif function in ("LogEntry", "log_entry"):
+            assert name in LOG_ENTRIES, f"{name} is not in metric_names.LOG_ENTRIES"
+    for name in METRICS:
+        assert f"`{name}`" in page, f"docs/operations.md lacks {name}"
+    for name in LOG_ENTRIES:
+        assert f"`{name}`" in page, f"docs/operations.md lacks {name}"
+
+
+class Sent:
+    """A statsd client that keeps what it is asked to send."""
+
+    def __init__(self):
+        self.items = []
+        self.incr = lambda name, amount: self.items.append((name, amount))
+        self.timing = self.incr
+
+    def pipeline(self):
+        """Return this client as its own pipeline."""
+        return self
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        return None
+
+
+def test_counters_are_sent_as_sums():
+    """Guards against a datagram for each count, or a count that is sent twice."""
+    now = [0.0]
+    client = Sent()
+    metrics = Metrics(client, lambda: now[0])
+    for _ in range(5):
+        metrics.count("store.failed")
+    assert client.items == []
+    now[0] = 1.5
+    metrics.count("store.failed", 2)
+    metrics.flush()
+    metrics.timing("store.read", 0.25)
+    assert client.items == [("store.failed", 7), ("store.read", 250.0)]
+    assert metrics.counters["store.failed"] == 7
+    assert metrics.timings["store.read"]["max_ms"] == 250.0
