--- /dev/null
+++ b/features/steps/call_steps.py
@@ -0,0 +1,137 @@
+"""Steps for the contract of the data port."""
+
+import http.client
+import itertools
+import json
+
+from behave import given, then, when
+
+from tests.conftest import wait_until
+from tests.raw import RawTarget, connect, read_all
+from tests.target_faults import FAULTS, silent
+
+SERVICES = itertools.count(1)
+HOST = "Host: {service}"
+DEFECTS = {
+    "no Host": ("GET", []),
+    "a Host that is no service": ("GET", ["Host: a_b"]),
+    "two Hosts": ("GET", [HOST, HOST]),
+    "an unknown service": ("GET", ["Host: nowhere"]),
+    "a deadline that is no number": ("GET", [HOST, "X-Deadline-Ms: 1e3"]),
+    "a negative deadline": ("GET", [HOST, "X-Deadline-Ms: -5"]),
+    "a deadline that has passed": ("POST", [HOST, "X-Deadline-Ms: 0"]),
+    "an unknown class": ("GET", [HOST, "X-Call-Class: urgent"]),
+    "a depth that is no number": ("GET", [HOST, "X-Call-Depth: deep"]),
+    "an empty key": ("POST", [HOST, "Idempotency-Key:"]),
+    "two keys": ("POST", [HOST, "Idempotency-Key: a", "Idempotency-Key: b"]),
+    "a key of 256 characters": ("POST", [HOST, "Idempotency-Key: " + "k" * 256]),
+    "a length that is no number": ("POST", [HOST, "Content-Length: ten"]),
+    "two unequal lengths": ("POST", [HOST, "Content-Length: 1", "Content-Length: 2"]),
+    "length and chunks": (
+        "POST",
+        [HOST, "Content-Length: 1", "Transfer-Encoding: chunked"],
+    ),
+    "an unknown coding": ("POST", [HOST, "Transfer-Encoding: gzip, chunked"]),
+    "a chunked DELETE": ("DELETE", [HOST, "Transfer-Encoding: chunked"]),
+    "an unknown expectation": ("POST", [HOST, "Content-Length: 1", "Expect: tea"]),
+    "CONNECT": ("CONNECT", [HOST]),
+    "a head of 100 KB": ("GET", [HOST, "X-Large: " + "x" * 100_000]),
+}
+
+
+@given("a target that {fault}")
+def step_target(context, fault):
+    """Announce a target of a service of its own."""
+    number = next(SERVICES)
+    context.service = f"service-{number}"
+    context.target = RawTarget(FAULTS.get(fault, silent))
+    context.add_cleanup(context.target.close)
+    if fault == "refuses connections":
+        context.target.close()
+    body = {"service": context.service, "addr": context.target.addr}
+    context.cluster.admin("n1", f"/v1/targets/raw-{number}", "PUT", body)
+
+
+def send(context, method, headers, body=b"", version="HTTP/1.1"):
+    """Send one request to the node; return the socket."""
+    sock = connect(context.cluster.nodes["n1"])
+    context.add_cleanup(sock.close)
+    lines = [f"{method} / {version}", *headers, "", ""]
+    head = "\r\n".join(lines).format(service=context.service)
+    sock.sendall(head.encode() + body)
+    return sock
+
+
+def read_answer(context, sock, method):
+    """Read one answer into the context."""
+    answer = http.client.HTTPResponse(sock, method=method)
+    answer.begin()
+    context.answer, context.body = answer, answer.read()
+
+
+@when("a caller sends {method} with 400 ms left")
+def step_call(context, method):
+    """Send one call, with a body if it is a POST."""
+    headers = [HOST, "X-Deadline-Ms: 400"]
+    body = b"sale" if method == "POST" else b""
+    if body:
+        headers.append("Content-Length: 4")
+    read_answer(context, send(context, method, headers, body), method)
+
+
+@when("a caller of {version} sends GET and reads to the end")
+def step_read_to_end(context, version):
+    """Read everything up to the end of the connection."""
+    sock = send(context, "GET", [HOST, "Connection: close"], version=version)
+    context.received = read_all(sock)
+
+
+@when("a caller sends a request with {defect}")
+def step_defect(context, defect):
+    """Send a request head that is not allowed."""
+    method, headers = DEFECTS[defect]
+    read_answer(context, send(context, method, headers), method)
+
+
+@when("a caller closes after 5 of 10 bytes of its body")
+def step_break_off(context):
+    """Send half of a request and wait until the target has seen its head."""
+    sock = send(context, "POST", [HOST, "Content-Length: 10"], b"12345")
+    wait_until(lambda: context.target.heads, message="the head at the target")
+    sock.close()
+
+
+@then("the answer is {status:d} with verdict {verdict} and code {code}")
+def step_answer(context, status, verdict, code):
+    """Check status, verdict and code, in the headers and in the body."""
+    answer = context.answer
+    seen = (
+        answer.status,
+        answer.getheader("X-Verdict", "none"),
+        answer.getheader("X-Error-Code", "none"),
+    )
+    assert seen == (status, verdict, code), (seen, context.body)
+    if code != "none":
+        said = json.loads(context.body)
+        assert (said["verdict"], said["error"]) == (verdict, code), said
+
+
+@then("the caller sees a cut answer")
+def step_cut(context):
+    """Check for an error, or for a reset without the end of the body."""
+    data, was_reset = context.received
+    assert was_reset or b"X-Error-Code: answer-cut" in data, data
+    assert not data.endswith(b"0\r\n\r\n"), data
+
+
+@then("the target has received nothing")
+def step_nothing(context):
+    """Check that no request reached the target."""
+    assert context.target.heads == []
+
+
+@then("the target has received 5 bytes and the end of the connection")
+def step_not_whole(context):
+    """Check that the target's connection ended before the body did."""
+    wait_until(lambda: len(context.target.heads) == 2, message="the end")
+    assert b"".join(context.target.heads) == b"12345"
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .model import RecordedAnswer
 from .verdict import Verdict
 
 __all__ = [
@@ -15,9 +16,11 @@
     "LogEntry",
     "RejectCall",
     "ReleaseClaim",
+    "ReplayAnswer",
     "Reply",
     "ScheduleHedge",
     "SendMessage",
+    "SendProbe",
     "StartAttempt",
 ]
 
@@ -45,10 +48,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardAnswer:
-    """Pass the answer of this attempt on to the caller."""
+    """Pass the answer of this attempt on to the caller.
+
+    `record` asks to keep the beginning of it for the claim row.
+    """
 
     call_id: int
     attempt_id: int
+    record: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayAnswer:
+    """Answer the caller with the recorded outcome of an earlier call."""
+
+    call_id: int
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +110,7 @@
     call_id: int
     service: str
     key: str
+    recorded: RecordedAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +136,15 @@
     body: object
 
 
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    """Ask a target's load endpoint and raise `ProbeEnded`."""
+
+    target_id: str
+    addr: tuple[str, int]
+    path: str
+
+
 @dataclass(frozen=True, slots=True)
 class FetchRules:
     """Ask a peer, or the store if `addr` is None, for rules of at least `version`."""
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -5,13 +5,15 @@
 import random
 import signal
 import time
+from collections import deque
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from . import effects as ef
 from . import events as ev
-from .admin import make_admin_app
+from .admin import MAX_ADMIN_BODY_BYTES, make_admin_app
+from .claim_writer import ClaimWriter
 from .codec import Codec
 from .directory import Directory
 from .errors import NewerMessageError
@@ -26,18 +28,22 @@
 from .metrics import Metrics
 from .model import Identity, RulesState, State
 from .pool import Pool
-from .proxy import MAX_HEAD_BYTES, Proxy
+from .prober import Prober
+from .proxy import SERVER_HEAD_BYTES, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
 from .store import Store
+from .version_poll import VersionPoll
 
 __all__ = ["Node"]
 
 TICK_S = 0.2
 STORE_POLL_S = 10.0
 LEAVE_ROUNDS = 2
+# A stopping node waits this long for claim outcomes to reach a store that is down.
+CLAIM_WRITES_S = 10.0
 
 
 class Node:
@@ -54,7 +60,7 @@
         self.random = random.Random()
         self.state = None
         self.metrics = Metrics.from_config(cfg)
-        self.store = Store.from_config(cfg) if cfg.store_url else None
+        self.store = Store.from_config(cfg, self.metrics) if cfg.store_url else None
         self.pool = Pool(self.clock)
         self.proxy = Proxy(
             self.dispatch,
@@ -63,11 +69,24 @@
             self.draw,
             lambda: self.state.rules.ruleset,
         )
+        self.prober = Prober(self.dispatch, self.clock)
+        self.claims = ClaimWriter(
+            self.store,
+            lambda: f"{self.state.me.node_id}/{self.state.me.incarnation}",
+            lambda call_id: call_id in self.state.traffic.calls,
+            self.dispatch,
+            self.clock,
+            self.draw,
+            self.metrics.count,
+        )
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
         self.directory = Directory(self)
+        self.versions = VersionPoll(self)
         self._reply = None
         self._tasks = []
+        self._events = deque()
+        self._dispatching = False
         self._stopped = asyncio.Event()
 
     @classmethod
@@ -94,16 +113,19 @@
         self.state = with_own_record(self.state)
         admin_sockets = bind_sockets(cfg.admin_addr[1], cfg.admin_addr[0])
         self.admin_addr = admin_sockets[0].getsockname()[:2]
-        self._admin = HTTPServer(make_admin_app(self))
+        self._admin = HTTPServer(
+            make_admin_app(self), max_body_size=MAX_ADMIN_BODY_BYTES
+        )
         self._admin.add_sockets(admin_sockets)
         await self.directory.join()
         self._server = HTTPServer(
             self.proxy,
             chunk_size=64 * 1024,
-            max_header_size=MAX_HEAD_BYTES,
+            max_header_size=SERVER_HEAD_BYTES,
             max_body_size=16 * 1024**3,
         )
         self._server.add_sockets(data_sockets)
+        self.proxy.arrivals.start()
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._tick()),
@@ -113,27 +135,34 @@
         log_entry("node:started", node=node_id, data=data_addr, mesh=mesh_addr)
 
     def dispatch(self, event):
-        """Reduce one event and execute its effects."""
-        step = reduce(self.state, event)
-        self.state = step.state
-        for effect in step.effects:
-            self._execute(effect)
+        """Reduce one event and execute its effects.
+
+        An event that an effect raises waits until the effects before it are done.
+        """
+        self._events.append(event)
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._events:
+                step = reduce(self.state, self._events.popleft())
+                self.state = step.state
+                for effect in step.effects:
+                    self._execute(effect)
+        finally:
+            self._dispatching = False
 
     def _execute(self, effect):
         match effect:
-            case ef.StartAttempt():
-                self.proxy.calls[effect.call_id].start_attempt(effect)
-            case ef.ForwardAnswer():
-                self.proxy.calls[effect.call_id].forward(effect.attempt_id)
-            case ef.CancelAttempt():
-                self.proxy.calls[effect.call_id].cancel_attempt(effect.attempt_id)
-            case ef.RejectCall():
-                self.proxy.calls[effect.call_id].reject(
-                    effect.status, effect.code, effect.verdict, effect.detail
-                )
+            case ef.StartAttempt() | ef.ForwardAnswer() | ef.CancelAttempt():
+                self.proxy.execute(effect)
+            case ef.RejectCall() | ef.ReplayAnswer():
+                self.proxy.execute(effect)
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
                 loop.call_later(effect.delay_s, self._hedge_due, effect.call_id)
+            case ef.SendProbe():
+                self.prober.send(effect)
             case ef.SendMessage():
                 self.mesh.send(effect.addrs, self.message(effect.body))
             case ef.Ask():
@@ -145,7 +174,7 @@
             case ef.FetchRules():
                 asyncio.get_running_loop().create_task(self._fetch_rules(effect))
             case ef.InsertClaim() | ef.ReleaseClaim() | ef.FinishClaim():
-                asyncio.get_running_loop().create_task(self.publisher.claim(effect))
+                self.claims.execute(effect)
             case ef.Count():
                 self.metrics.count(effect.name, effect.amount)
             case ef.LogEntry():
@@ -174,6 +203,7 @@
         """Handle a message and return the reply, if there is one."""
         if message.skipped:
             self.metrics.count("mesh.records_skipped", message.skipped)
+        self.versions.note(message)
         match message.body:
             case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
@@ -240,14 +270,16 @@
         if self.state.stopping:
             return
         self.dispatch(ev.StopRequested(self.clock()))
-        self._server.stop()
-        await self.proxy.wait_idle()
+        await self.proxy.stop(self._server)
+        await self.claims.wait_idle(CLAIM_WRITES_S)
         # A single round of three datagrams could be lost as a whole.
         await asyncio.sleep(LEAVE_ROUNDS * TICK_S)
         self._admin.stop()
         for task in self._tasks:
             task.cancel()
         self.mesh.close()
+        self.metrics.flush()
+        log_entry("node:stopped", node=self.state.me.node_id)
         self._stopped.set()
 
     async def run(self):
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from . import calls, configuration, membership, target_states
+from . import calls, configuration, measuring, membership, target_states
 from . import events as ev
 from .model import State
 
@@ -41,13 +41,15 @@
             refusal = configuration.refusal(state, event)
             if refusal:
                 return Step(state, refusal)
-            return Step(*calls.on_arrived(state, event))
+            return Step(*calls.on_arrived(measuring.note_call(state, event), event))
         case ev.HeadReceived():
             return Step(*calls.on_head(state, event))
         case ev.AttemptEnded():
             return Step(*calls.on_attempt_ended(state, event))
         case ev.CallEnded():
             return Step(*calls.on_call_ended(state, event))
+        case ev.DeadlinePassed():
+            return Step(*calls.on_deadline_passed(state, event))
         case ev.CallerLeft():
             return Step(*calls.on_caller_left(state, event))
         case ev.HedgeDue():
@@ -73,7 +75,10 @@
         case ev.Tick():
             state, effects = configuration.on_tick(state, event)
             state, more = membership.on_tick(state, event)
-            return Step(state, effects + more)
+            state, probes = measuring.on_tick(state, event)
+            return Step(state, effects + more + probes)
+        case ev.ProbeEnded():
+            return Step(*measuring.on_probe_ended(state, event))
         case ev.StopRequested():
             state, effects = membership.on_stop(state, event)
             return Step(replace(state, stopping=True), effects)
--- /dev/null
+++ b/tests/test_purity.py
@@ -0,0 +1,139 @@
+"""The core is pure: what it imports, and that its decisions can be replayed."""
+
+import ast
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+import pimentoline
+from pimentoline.frozen import replace
+from pimentoline.model import State, TargetStats
+from pimentoline.policies import policy_names
+from pimentoline.reducer import reduce
+
+from .core import digest, run_scenario
+
+PACKAGE = Path(pimentoline.__file__).parent
+ALLOWED = {
+    *("abc", "bisect", "collections", "dataclasses", "enum", "fnmatch", "functools"),
+    *("hashlib", "heapq", "importlib", "itertools", "math", "operator", "re"),
+    *("string", "typing", "immutables"),
+}
+
+
+def imports(path):
+    """Return (modules of the package, other top-level modules) that a file imports."""
+    own, other = set(), set()
+    package = path.parent
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            other |= {alias.name.split(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and not node.level:
+            other.add(node.module.split(".")[0])
+        elif isinstance(node, ast.ImportFrom):
+            base = package.parents[node.level - 2] if node.level > 1 else package
+            names = node.module.split(".") if node.module else []
+            places = [base.joinpath(*names)]
+            places += [places[0] / alias.name for alias in node.names]
+            for place in places:
+                own |= {f for f in (place.with_suffix(".py"), place / "__init__.py")}
+    return {path for path in own if path.exists()}, other
+
+
+def core_modules():
+    """Return every module that the reducer or a policy reaches.
+
+    `rules/__init__.py` lists the reader of rules files for the command line; that
+    edge is left out. An import of the reader by any other module is followed.
+    """
+    reader = PACKAGE / "rules" / "reading.py"
+    found, todo = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
+    while todo:
+        path = todo.pop()
+        if path not in found:
+            found.add(path)
+            reached = imports(path)[0]
+            if path == reader.with_name("__init__.py"):
+                reached.discard(reader)
+            todo += reached
+    return sorted(found)
+
+
+@pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
+def test_core_imports_nothing_impure(path):
+    """Guards against a clock, socket, random source or tornado in the core."""
+    assert imports(path)[1] <= ALLOWED | {"random"}
+
+
+@pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
+def test_core_takes_randomness_from_draws(path):
+    """Guards against a generator that is not seeded with the draw of an event."""
+    tree = ast.parse(path.read_text())
+    seeded = [
+        node.func.value
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Call)
+        and ast.unparse(node.func) == "random.Random"
+        and "draw" in ast.unparse(node)
+    ]
+    used = [
+        node
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Name) and node.id == "random"
+    ]
+    assert used == seeded
+    assert not [
+        node
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ImportFrom) and node.module == "random"
+        if not node.level
+    ]
+
+
+def test_core_modules_are_found():
+    """Guards against an import check that looks at nothing."""
+    names = {path.stem for path in core_modules()}
+    assert {"routing", "limits", "retries", "hot_cold", "ruleset", "model"} <= names
+    assert "proxy" not in names
+
+
+@pytest.mark.parametrize("policy", policy_names())
+def test_replay_gives_same_state(policy):
+    """Guards against decisions that depend on anything but state and events."""
+    core, _ = run_scenario(policy)
+    state = State(core.state.me, policy=policy)
+    for event in core.events:
+        state = reduce(state, event).state
+    assert state == core.state
+
+
+def test_replay_in_another_process_gives_same_effects():
+    """Guards against decisions that depend on the hash seed of a process."""
+    code = "from tests.core import *; print(digest(*run_scenario('hot-cold')))"
+    found = {digest(*run_scenario("hot-cold"))}
+    for seed in ("1", "2"):
+        env = {**os.environ, "PYTHONHASHSEED": seed}
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=PACKAGE.parent,
+            env=env,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
+        found.add(done.stdout.strip())
+    assert len(found) == 1
+
+
+def test_replace_keeps_other_fields():
+    """Guards against a faster copy that loses, shares or invents fields."""
+    stats = TargetStats(inflight=1, window=(True,))
+    changed = replace(stats, failures=3)
+    assert changed == TargetStats(inflight=1, window=(True,), failures=3)
+    assert stats == TargetStats(inflight=1, window=(True,))
+    with pytest.raises(KeyError):
+        replace(stats, unknown=1)
