--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -62,21 +62,23 @@
     return replace(state, traffic=traffic)
 
 
-def _without_call(state, call_id, ended_at=None):
-    """Return the state without a call, whose attempt at `ended_at` has ended too."""
+def _without_call(state, call_id, attempt=None, whole=False):
+    """Return the state without a call, and without the attempt that answered it."""
     traffic = state.traffic
     services = limits.end_call(traffic.services, traffic.calls[call_id].call.req)
     targets = traffic.targets
-    if ended_at is not None:
-        targets = limits.end_attempt(targets, ended_at)
+    if attempt is not None:
+        targets = limits.end_attempt(targets, attempt, whole and not attempt.failed)
     calls = traffic.calls.delete(call_id)
     traffic = replace(traffic, calls=calls, services=services, targets=targets)
     return replace(state, traffic=traffic)
 
 
-def _with_verdict(record, attempt_id, verdict):
+def _with_verdict(record, attempt_id, verdict, failed=False):
     attempts = tuple(
-        replace(att, verdict=verdict) if att.attempt_id == attempt_id else att
+        replace(att, verdict=verdict, failed=failed)
+        if att.attempt_id == attempt_id
+        else att
         for att in record.attempts
     )
     return replace(record, attempts=attempts)
@@ -113,13 +115,15 @@
     return state, effects
 
 
-def _start(state, record, event, hedge=False):
-    """Start an attempt, or reject the call if there is no target for it."""
+def _start(state, record, event, hedge=False, untried=False):
+    """Start an attempt, or reject the call if there is no target for it.
+
+    With `untried`, only a target without an earlier attempt of the call will do.
+    """
     tried = {att.target_id for att in record.attempts}
     state, target = routing.pick(state, record, tried, event.now, event.draw)
     call = record.call
-    if hedge and (target is None or target.target_id in tried):
-        # A second attempt at the same target would only add to its load.
+    if untried and (target is None or target.target_id in tried):
         return state, ()
     if target is None or call.req.deadline <= event.now:
         code = "no-target" if target is None else "deadline-exceeded"
@@ -189,16 +193,18 @@
         return state, ()
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
     state = limits.note_answer(state, record, attempt, event)
-    record = _with_verdict(record, event.attempt_id, verdict)
+    record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
         # The other attempt may still succeed.
         state = _with_call(limits.note_done(state, attempt.target_id), record)
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
-        state, may_retry = retries.may_retry(state, record, verdict, event.now)
+        charged, may_retry = retries.may_retry(state, record, verdict, event.now)
         if may_retry:
-            state = _with_call(state, record)
-            started, effects = _start(state, record, event)
+            # A target that has just shed the call would shed it again.
+            started, effects = _start(
+                _with_call(charged, record), record, event, untried=event.not_run
+            )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
                 started = limits.note_done(started, attempt.target_id)
@@ -257,8 +263,9 @@
         req = record.call.req
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
     answering = _attempt(record, record.answering)
-    target_id = answering.target_id if answering is not None else None
-    return _without_call(state, event.call_id, target_id), effects
+    if answering is not None and not event.whole:
+        state = limits.note_cut(state, record, answering, event.now)
+    return _without_call(state, event.call_id, answering, event.whole), effects
 
 
 def on_deadline_passed(state, event):
@@ -266,6 +273,7 @@
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.answering is not None:
         return state, ()
+    state = limits.note_waited(state, record, event.now)
     return _reject(state, record, 504, "deadline-exceeded")
 
 
@@ -293,7 +301,8 @@
     charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
-    started, effects = _start(charged, record, event, hedge=True)
+    # A second attempt at the same target would only add to its load.
+    started, effects = _start(charged, record, event, hedge=True, untried=True)
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
     return started, effects + (Count("attempts.hedged"),)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,274 @@
+"""Ejection, throttling, in-flight limits and the retry budget."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pimentoline import events as ev
+from pimentoline import outliers, throttling
+from pimentoline.effects import RejectCall, ScheduleHedge
+from pimentoline.events import Outcome
+from pimentoline.frozen import replace
+from pimentoline.model import ServiceStats, TargetStats
+from pimentoline.retries import hedge_delay_s
+from pimentoline.verdict import Verdict
+
+from .core import SERVICE, Core, attempt_of
+
+
+def make_core(count=4, **options):
+    """Return a core with equal targets t0, t1 and so on."""
+    core = Core(**options)
+    for number in range(count):
+        core.add(f"t{number}")
+    return core
+
+
+def ejected(core):
+    """Return the names of the ejected targets."""
+    targets = core.state.traffic.targets
+    return {name for name in targets if targets[name].ejected_until > core.now}
+
+
+def fail(stats, times, now=100.0, total=4, decisive=False):
+    """Return statistics after failures that began at `now`."""
+    for _ in range(times):
+        stats = outliers.note_failure(stats, now, now, decisive, lambda: 0, total)
+    return stats
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "is_ejected"),
+    [
+        ("f" * 4, False),
+        ("f" * 5, True),
+        ("fffsf" * 3, False),
+        ("sffsff" * 3 + "ff", True),
+        ("sf" * 10, False),
+    ],
+)
+def test_ejection_rules(outcomes, is_ejected):
+    """Guards against failing targets that stay, and single failures that eject."""
+    stats = TargetStats()
+    for outcome in outcomes:
+        if outcome == "f":
+            stats = fail(stats, 1)
+        else:
+            stats = replace(stats, **outliers.success_changes(stats, 100.0))
+    assert (stats.ejected_until > 100.0) is is_ejected
+
+
+def test_ejections_double_and_are_forgotten():
+    """Guards against a target that returns too often, or never has a fresh start."""
+    stats, now, lengths = fail(TargetStats(), 5), 100.0, []
+    for _ in range(7):
+        lengths.append(stats.ejected_for_s)
+        now = stats.ejected_until + 0.1
+        stats = fail(stats, 1, now)
+    assert lengths == [1.0, 2.0, 4.0, 8.0, 16.0, 30.0, 30.0]
+    stats = fail(stats, 1, stats.ejected_until + outliers.MAX_EJECTION_S)
+    assert stats.ejected_for_s == 1.0
+
+
+def test_late_failure_does_not_prolong_ejection():
+    """Guards against calls sent before an ejection that count against the return."""
+    stats = fail(TargetStats(), 5)
+    late = outliers.note_failure(stats, 99.0, 101.5, True, lambda: 0, 4)
+    assert late == stats
+
+
+@pytest.mark.parametrize(("total", "most"), [(1, 0), (2, 1), (3, 1), (8, 4)])
+def test_ejections_have_a_ceiling(total, most):
+    """Guards against ejecting a whole service when this node is at fault."""
+    core = make_core(total)
+    for _ in range(200):
+        core.call(status=500, method="POST")
+        assert len(ejected(core)) <= most
+    assert len(ejected(core)) == most
+
+
+def test_refused_connection_ejects_at_once():
+    """Guards against calls to a host on which nothing listens."""
+    core = make_core()
+    _, effects = core.arrive("POST")
+    sent = attempt_of(effects)
+    core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN)
+    assert ejected(core) == {sent.target_id}
+
+
+def test_shedding_does_not_eject():
+    """Guards against losing loaded targets when they are needed most."""
+    core = make_core(2)
+    for _ in range(30):
+        _, effects = core.arrive("POST")
+        if attempt_of(effects):
+            core.answer(attempt_of(effects), 503, not_run=True)
+    assert not ejected(core)
+
+
+def test_cut_answer_counts_as_failure():
+    """Guards against a target that breaks every answer off and is never ejected."""
+    core = make_core(2)
+    for _ in range(20):
+        call_id, effects = core.arrive("POST")
+        core.answer(attempt_of(effects))
+        core.send(ev.CallEnded(core.now, call_id, False))
+    assert len(ejected(core)) == 1
+
+
+def test_returned_target_starts_slowly():
+    """Guards against full load on a target right after its return."""
+    stats = TargetStats(ready_at=100.0)
+    steps = [(100.0, 0.1), (101.0, 0.1), (105.0, 0.5), (110.0, 1.0), (200.0, 1.0)]
+    assert [outliers.slow_start(stats, now) for now, _ in steps] == [
+        part for _, part in steps
+    ]
+    core = make_core(4)
+    core.call()
+    core.add("new")
+    core.call()
+    assert core.stats("new").ready_at == pytest.approx(core.now, abs=0.02)
+    assert core.stats("t0").ready_at == float("-inf")
+
+
+@pytest.mark.parametrize(
+    ("sent", "accepted", "shares"),
+    [
+        ((10, 10, 10), (10, 10, 10), (0, 0, 0)),
+        ((0, 100, 100), (0, 80, 80), (0, 0, 0)),
+        ((0, 100, 100), (0, 100, 20), (0, 0, 0.2)),
+        ((0, 200, 10), (0, 100, 0), (0, 0.2525, 0.95)),
+        ((100, 10, 10), (0, 0, 0), (0.95, 0.95, 0.95)),
+        ((1, 1, 1), (0, 0, 0), (0, 0, 0)),
+    ],
+)
+def test_lowest_class_is_refused_first(sent, accepted, shares):
+    """Guards against refusing critical calls while sheddable ones pass."""
+    stats = ServiceStats(sent=sent, accepted=accepted)
+    found = [
+        throttling.refused_share(stats, name, 0.0)
+        for name in ("critical", "normal", "sheddable")
+    ]
+    assert found == pytest.approx(shares, abs=1e-4)
+
+
+def shed_until_throttled(core):
+    """Let targets shed every call until this node refuses most calls itself."""
+    codes = []
+    for _ in range(200):
+        core.now += 0.01
+        _, effects = core.arrive("POST")
+        if attempt_of(effects):
+            core.answer(attempt_of(effects), 503, not_run=True)
+        else:
+            codes.append(effects[0].code)
+    return codes
+
+
+def test_throttling_begins_and_ends():
+    """Guards against overload that is passed on, and refusals that never end."""
+    core = make_core()
+    codes = shed_until_throttled(core)
+    assert len(codes) > 150 and set(codes) == {"throttled"}
+    # From 5% let through, growing by half in each decay time of 1.5 s.
+    for _ in range(1200):
+        core.now += 0.01
+        core.call(latency_s=0.0)
+    assert {core.call() for _ in range(50)} <= {"t0", "t1", "t2", "t3"}
+
+
+def test_throttled_call_is_not_run():
+    """Guards against a refusal without proof that the call did not run."""
+    core = make_core()
+    shed_until_throttled(core)
+    while True:
+        _, effects = core.arrive("POST")
+        if not attempt_of(effects):
+            break
+    assert isinstance(effects[0], RejectCall)
+    assert (effects[0].status, effects[0].verdict) == (503, Verdict.NOT_RUN)
+
+
+def test_inflight_limit_by_class():
+    """Guards against a limit that is not kept, or not given back at a call's end."""
+    core = make_core(rules="limit hive-ledger 2 class=sheddable")
+    calls = [core.arrive(call_class="sheddable") for _ in range(3)]
+    assert calls[2][1][0].code == "inflight-limit"
+    assert attempt_of(core.arrive()[1])
+    core.send(ev.CallerLeft(core.now, calls[0][0]))
+    assert attempt_of(core.arrive(call_class="sheddable")[1])
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    st.lists(st.sampled_from(["ok", "500", "shed", "refused", "late"]), max_size=80),
+    st.sampled_from([0.1, 0.02]),
+)
+def test_repeats_stay_in_budget(outcomes, share):
+    """Guards against retries and hedges above their share, and counts that drift."""
+    core = make_core(rules=f"retry * {share:.0%}")
+    first = repeats = 0
+    for outcome in outcomes:
+        core.now += 0.05
+        call_id, effects = core.arrive()
+        sent = attempt_of(effects)
+        first += sent is not None
+        while sent is not None:
+            match outcome:
+                case "ok":
+                    effects = core.answer(sent)
+                case "late":
+                    event = ev.HedgeDue(core.now, 7, call_id, True)
+                    hedged = attempt_of(core.send(event))
+                    repeats += hedged is not None
+                    effects = core.answer(hedged or sent)
+                case "refused":
+                    effects = core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN)
+                case _:
+                    effects = core.answer(sent, 503, not_run=outcome == "shed")
+            sent = attempt_of(effects)
+            repeats += sent is not None
+        core.end(call_id)
+        assert repeats <= max(1, share * first)
+    traffic = core.state.traffic
+    assert not traffic.calls
+    assert all(stats.inflight == 0 for stats in traffic.targets.values())
+    assert all(sum(stats.inflight) == 0 for stats in traffic.services.values())
+
+
+def test_repeated_request_is_not_repeated_again():
+    """Guards against retries that multiply over the levels of a call chain."""
+    core = make_core()
+    call_id, effects = core.arrive(retry_attempt=1)
+    assert not any(isinstance(eff, ScheduleHedge) for eff in effects)
+    assert not core.send(ev.HedgeDue(core.now, 7, call_id, True))
+    assert not attempt_of(core.answer(attempt_of(effects), 503, not_run=True))
+
+
+def test_shed_call_goes_to_another_target_only():
+    """Guards against a retry at the target that has just shed the call."""
+    core = make_core(1)
+    effects = core.answer(attempt_of(core.arrive()[1]), 503, not_run=True)
+    assert not attempt_of(effects)
+
+
+def test_hedge_delay_is_95th_percentile():
+    """Guards against hedges at a fixed delay or at the median."""
+    core = make_core()
+    assert hedge_delay_s(core.state, SERVICE) == 0.2
+    for number in range(128):
+        core.call(latency_s=0.5 if number % 10 == 0 else 0.01)
+    assert hedge_delay_s(core.state, SERVICE) == pytest.approx(0.5)
+
+
+def test_cancelled_slow_attempt_raises_latency():
+    """Guards against a slow target that looks fast because its hedges always win."""
+    core = make_core(2)
+    call_id, effects = core.arrive()
+    slow = attempt_of(effects)
+    core.now += 0.2
+    hedge = attempt_of(core.send(ev.HedgeDue(core.now, 7, call_id, True)))
+    core.now += 0.01
+    core.answer(hedge)
+    assert core.stats(slow.target_id).latency_s == pytest.approx(0.21)
+    assert core.stats(hedge.target_id).latency_s == pytest.approx(0.01)
