--- a/features/call_interface.feature
+++ b/features/call_interface.feature
@@ -44,6 +44,21 @@
       | answers with two lengths       | POST   | 502    | ran     | answer-cut    |
       | answers 204 with a body        | POST   | 502    | ran     | answer-cut    |
 
+  Scenario Outline: a call that must run once is sent once
+    Given a target that <fault>
+    When a caller sends POST with 400 ms left
+    Then the target has received 1 requests
+
+    Examples:
+      | fault                         |
+      | answers 500                   |
+      | answers 503 without X-Not-Run |
+      | answers after 250 ms          |
+      | closes before its head        |
+      | closes within its head        |
+      | answers without a length      |
+      | stays silent                  |
+
   Scenario Outline: an answer that ends early is never whole
     Given a target that <fault>
     When a caller of <version> sends GET and reads to the end
--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -102,6 +102,8 @@
         elif self.conn.stream.writing():
             fut = self.conn.stream.write(b"")
             fut.add_done_callback(handler.wake)
+        else:
+            handler.wake()
 
     def _write_head(self, chunks):
         handler = self.handler
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -28,7 +28,7 @@
 from .metrics import Metrics
 from .model import Identity, RulesState, State
 from .pool import Pool
-from .proxy import SERVER_HEAD_BYTES, Proxy
+from .proxy import DataServer, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
 from .reducer import reduce
@@ -112,12 +112,7 @@
         self._admin = HTTPServer(make_admin_app(self))
         self._admin.add_sockets(admin_sockets)
         await self.directory.join()
-        self._server = HTTPServer(
-            self.proxy,
-            chunk_size=64 * 1024,
-            max_header_size=SERVER_HEAD_BYTES,
-            max_body_size=16 * 1024**3,
-        )
+        self._server = DataServer(self.proxy)
         self._server.add_sockets(data_sockets)
         self.proxy.arrivals.start()
         loop = asyncio.get_running_loop()
--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -2,14 +2,16 @@
 
 import asyncio
 
+from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerConnectionDelegate
 
 from . import effects as ef
 from .arrivals import ArrivalClock
 from .call_handler import CallHandler
 from .headers import MAX_HEAD_BYTES
+from .pool import MAX_BODY_BYTES
 
-__all__ = ["Proxy"]
+__all__ = ["DataServer", "Proxy"]
 
 # tornado closes the connection without an answer at its own limit of a head.
 SERVER_HEAD_BYTES = 4 * MAX_HEAD_BYTES
@@ -18,6 +20,32 @@
 IDLE_GRACE_S = 1.0
 
 
+class DataServer(HTTPServer):
+    """Server of the data port.
+
+    `HTTPServer` does not tell its delegate when a connection is closed.
+
+    Parameters
+    ----------
+    proxy : Proxy
+    """
+
+    def initialize(self, proxy):
+        """Serve the calls of a proxy."""
+        self._proxy = proxy
+        super().initialize(
+            proxy,
+            chunk_size=64 * 1024,
+            max_header_size=SERVER_HEAD_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+        )
+
+    def on_close(self, server_conn):
+        """Forget a caller's connection."""
+        super().on_close(server_conn)
+        self._proxy.on_close(server_conn)
+
+
 class Proxy(HTTPServerConnectionDelegate):
     """Accepts callers' requests and carries out the call effects.
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -22,6 +22,7 @@
 from .work import Overloaded, WorkQueue, make_noise, service_times
 
 RENEW_S = 1.0
+QUIET_S = 1.0
 LOAD_SAMPLE_S = 0.02
 
 
@@ -85,6 +86,9 @@
         self.counters = Counter()
         self.open = set()
         self.silenced = set()
+        self.calls = set()
+        self.stopping = False
+        self.called_at = 0.0
         self.work = WorkQueue(self.slots, self.queue)
         self._loads = deque(maxlen=500)
         self.changed = asyncio.Event()
@@ -237,12 +241,26 @@
     received = 0
     task = None
 
+    async def prepare(self):
+        """Count the call as in progress from its head on."""
+        self.model.calls.add(self)
+        self.model.called_at = asyncio.get_running_loop().time()
+        if self.model.stopping:
+            self.set_header("Connection", "close")
+        await super().prepare()
+
+    def on_finish(self):
+        """Count the call as done."""
+        super().on_finish()
+        self.model.calls.discard(self)
+
     def data_received(self, chunk):
         """Count the body."""
         self.received += len(chunk)
 
     def on_connection_close(self):
         """Cancel the work, because nobody waits for the answer."""
+        self.model.calls.discard(self)
         if self.task is not None:
             self.task.cancel()
 
@@ -273,18 +291,23 @@
             return
         except asyncio.CancelledError:
             counters["cancelled"] += 1
+            # An empty answer would look like that of a call that has run.
+            self.stream.close()
             return
         finally:
             self.task = None
         self.set_load()
         self.set_header("X-Target-Id", model.target_id)
         size = int(self.get_query_argument("size", "0"))
-        body = {
-            "run": self.request.headers.get("X-Run-Id"),
-            "target": model.target_id,
-            "received": self.received,
-        }
-        self.write(b"x" * size if size else json.dumps(body))
+        run_id = self.request.headers.get("X-Run-Id")
+        fill = int(self.get_query_argument("fill", "0"))
+        body = {"run": run_id, "target": model.target_id, "received": self.received}
+        if fill:
+            # A body that belongs to this request only.
+            pattern = f"{run_id}|".encode()
+            self.write((pattern * (fill // len(pattern) + 1))[:fill])
+        else:
+            self.write(b"x" * size if size else json.dumps(body))
 
     get = post = put = delete = _work
 
@@ -367,12 +390,17 @@
 
 
 async def withdraw(model, node_admin):
-    """Drain at the node, finish what is in flight and withdraw."""
+    """Drain at the node, finish what is in flight and withdraw.
+
+    Calls of nodes that have not heard of the drain yet are served; the target leaves
+    after `QUIET_S` without a new call.
+    """
+    loop = asyncio.get_running_loop()
     base = f"http://{node_admin}/v1/targets/{model.target_id}"
     client = AsyncHTTPClient()
     await client.fetch(base + "/drain", method="POST", body="")
-    await asyncio.sleep(1.0)
-    while model.inflight:
+    drained_at = loop.time()
+    while model.calls or loop.time() < max(model.called_at, drained_at) + QUIET_S:
         await asyncio.sleep(0.05)
     await client.fetch(base, method="DELETE")
 
@@ -411,9 +439,12 @@
     await stopping.wait()
     for task in tasks:
         task.cancel()
+    model.stopping = True
     gone = [withdraw(model, admin) for admin in node_admins]
     await asyncio.gather(*gone, return_exceptions=True)
     server.stop()
+    while any(stream.writing() for stream in model.open):
+        await asyncio.sleep(0.02)
 
 
 def main(argv):
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -1,6 +1,7 @@
 """Faults of targets, by the names that the features use."""
 
 import socket
+import time
 
 from .raw import answering, read_all, read_head
 
@@ -25,6 +26,13 @@
         pass
 
 
+def slow(target, sock, number):
+    """Answer later than the first hedge delay, 200 ms."""
+    while target.request(sock):
+        time.sleep(0.25)
+        sock.sendall(OK)
+
+
 def reading(target, sock, number):
     """Read one request and everything up to the end of its connection."""
     _, rest = read_head(sock)
@@ -64,6 +72,7 @@
         status(b"500 Failed", EMPTY, b"X-Not-Run: 1")
     ),
     "stays silent": silent,
+    "answers after 250 ms": slow,
     "reads to the end": reading,
     "answers without a length": ending(status(b"200 OK", body=b"perhaps cut")),
     "answers with two lengths": ending(
