Let the health report of the target stand-in lag like its load

Change: load_lag_s applies to both, from one list of samples; make bench takes ARGS. Conclusion: stale and misleading reports are available for both endpoints.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(BIN)/python -m standins.demo
 
 bench: $(VENV)/.installed
-	$(BIN)/python -m bench
+	$(BIN)/python -m bench $(ARGS)
 
 binary: $(VENV)/.installed
 	$(BIN)/python -m packaging_tools.build
--- a/standins/target.py
+++ b/standins/target.py
@@ -48,7 +48,7 @@
     cold_s, cold_factor : float
         Length of a cold start that begins when `cold_s` is set, and its slowdown.
     load_lag_s : float
-        Age of the load that is reported.
+        Age of the load and of the health that are reported.
     load_report : str
         Load that is reported instead of the true one; `none` leaves it out.
     health_status : int
@@ -86,7 +86,7 @@
         self.open = set()
         self.silenced = set()
         self.work = WorkQueue(self.slots, self.queue)
-        self._loads = deque(maxlen=500)
+        self._samples = deque(maxlen=500)
         self.changed = asyncio.Event()
         self._noise_task = None
         self._apply()
@@ -143,20 +143,30 @@
             self.silence_open = False
             self.silenced |= self.open
 
-    def sample_load(self, now):
-        """Keep the load of this moment for lagging reports."""
-        self._loads.append((now, self.inflight))
+    def sample(self, now):
+        """Keep the load and health of this moment for lagging reports."""
+        self._samples.append((now, self.inflight, self.fail))
 
     def load(self):
         """Return the value of the load header, None if it is left out."""
         if self.load_report == "none":
             return None
-        inflight = self.inflight
-        if self.load_lag_s:
-            then = asyncio.get_running_loop().time() - self.load_lag_s
-            inflight = next((n for at, n in reversed(self._loads) if at <= then), 0)
+        inflight, _ = self._reported()
         return f"{self.load_report or inflight}/{self.slots}"
 
+    def health(self):
+        """Return the status that `/health` answers."""
+        _, fails = self._reported()
+        return self.health_status or (500 if fails else 200)
+
+    def _reported(self):
+        """Return the load and whether requests fail, as old as reports are."""
+        if not self.load_lag_s:
+            return self.inflight, self.fail
+        then = asyncio.get_running_loop().time() - self.load_lag_s
+        found = (item[1:] for item in reversed(self._samples) if item[0] <= then)
+        return next(found, (0, False))
+
 
 class TargetServer(HTTPServer):
     """Server with a connection limit that counts the bytes of each connection."""
@@ -308,7 +318,7 @@
 
     def get(self):
         """Answer 200 if the target works, unless the status is set."""
-        self.set_status(self.model.health_status or (500 if self.model.fail else 200))
+        self.set_status(self.model.health())
 
 
 class RunsHandler(ModelHandler):
@@ -381,7 +391,7 @@
     """Record the load for reports that lag."""
     loop = asyncio.get_running_loop()
     while True:
-        model.sample_load(loop.time())
+        model.sample(loop.time())
         await asyncio.sleep(LOAD_SAMPLE_S)
 
 
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -43,3 +43,11 @@
 def test_unknown_fault_is_refused(target):
     """Guards against an experiment whose misspelt fault has no effect."""
     assert target("/faults", "POST", {"slow_down": 2})[0] == 400
+
+
+def test_reports_lag_behind_the_truth(target):
+    """Guards against stale reports that are fresh, so that no policy is tested."""
+    target("/faults", "POST", {"fail": True})
+    assert (target("/a")[0], target("/health")[0]) == (500, 500)
+    target("/faults", "POST", {"load_lag_s": 60.0})
+    assert (target("/a")[0], target("/health")[0]) == (500, 200)
