--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -32,7 +32,7 @@
     return _take(state, event.records, event.now)
 
 
-def _take(state, records, now):
+def _take(state, records, now, spread=True):
     newer, effects = {}, ()
     for record in records:
         name = record.node_id
@@ -51,7 +51,7 @@
         if is_newer(record, held):
             newer[name] = record
     if newer:
-        state = with_records(state, newer.values(), now)
+        state = with_records(state, newer.values(), now, spread)
         for record in newer.values():
             state = start_suspicion(state, record, now)
     return state, effects
@@ -68,7 +68,9 @@
         case SyncRequest():
             return state, (Reply(sync_reply(state, event.body, now)),)
         case SyncReply(_, records):
-            state, effects = _take(state, records, now)
+            # The replier has spread these records. A node that joins would otherwise
+            # repeat all 720 of them, about 1 MB, to its peers.
+            state, effects = _take(state, records, now, spread=False)
             return state, effects + on_sync_reply(state, event.body, event.addr, now)
         case Ping():
             return on_ping(state, event.body, event.sender, event.addr, now)
--- a/pimentoline/mesh.py
+++ b/pimentoline/mesh.py
@@ -42,6 +42,12 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
+    def take_traffic(self):
+        """Return (metric, bytes) pairs of the payload since the last time."""
+        sent, self.bytes_sent = self.bytes_sent, 0
+        received, self.bytes_received = self.bytes_received, 0
+        return ("mesh.bytes_sent", sent), ("mesh.bytes_received", received)
+
     def bind_addr(self, addr):
         """Bind UDP and TCP to the same address and return it."""
         ip, port = addr
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -13,6 +13,8 @@
     "attempts.retried": ("counter", "attempts", "attempts after a failed one"),
     "calls.*": ("counter", "calls", "calls refused by this node, by error code"),
     "claims.abandoned": ("counter", "claims", "claim outcomes that were not written"),
+    "mesh.bytes_received": ("counter", "bytes", "payload received from other nodes"),
+    "mesh.bytes_sent": ("counter", "bytes", "payload sent to other nodes"),
     "mesh.newer": ("counter", "messages", "messages of a newer release, ignored"),
     "mesh.records_skipped": (
         "counter",
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -259,6 +259,8 @@
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
             self.pool.trim()
+            for name, amount in self.mesh.take_traffic():
+                self.metrics.count(name, amount)
 
     async def _poll_store(self):
         while self.store is not None:
--- a/pimentoline/records.py
+++ b/pimentoline/records.py
@@ -73,8 +73,11 @@
     return with_records(state, [replace(record, **changes)], now)
 
 
-def with_records(state, records, now=0.0):
-    """Return the state with newer member records, each queued as a rumour."""
+def with_records(state, records, now=0.0, spread=True):
+    """Return the state with newer member records.
+
+    If `spread` is True, each of them is queued as a rumour.
+    """
     mesh = state.mesh
     members, rumours, suspects = mesh.members, mesh.rumours, mesh.suspects
     ended, unconfirmed = mesh.ended, mesh.unconfirmed
@@ -96,7 +99,8 @@
         if record.status is not MemberStatus.SUSPECT:
             suspects = _without(suspects, name)
         members = members.set(name, replace(record, age_s=0.0))
-        rumours = rumours.set(name, RUMOUR_SENDS)
+        if spread:
+            rumours = rumours.set(name, RUMOUR_SENDS)
     mesh = replace(
         mesh,
         members=members,
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -24,7 +24,7 @@
         self.now = 0.0
         self.states, self.queue, self.logs = {}, [], {}
         self.order = 0
-        self.off = set()
+        self.off, self.by_addr = set(), {}
         self.sides = {}
         self.store = None
         self.counts = {}
@@ -39,6 +39,7 @@
         me = Identity(name, host or name, region, "dc", addr, addr, incarnation)
         state = State(me, RulesState(must_check=must_check, confirmed=not must_check))
         self.states[name] = with_own_record(state)
+        self.by_addr[addr] = name
         self.logs[name] = (self.states[name], [])
         self.schedule(self.rand.uniform(0, TICK_S), name, "tick")
         for seed in seeds:
@@ -62,8 +63,7 @@
 
     def name_of(self, addr):
         """Return the node with an address, or None."""
-        found = [name for name in self.states if self.addr(name) == addr]
-        return found[0] if found else None
+        return self.by_addr.get(addr)
 
     def event(self, src, body, addr, is_reply=False):
         """Return the event of a message from `src`."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -203,3 +203,13 @@
         for event in events:
             state = reduce(state, event).state
         assert state == fabric.states[name]
+
+
+def test_joining_node_does_not_repeat_the_records_it_was_given():
+    """Guards the control-plane limit when 720 nodes start: each would repeat all."""
+    fabric = make_fabric(30, 13)
+    fabric.run(10)
+    fabric.add("n30", seeds=["n0"])
+    fabric.run(0.5)
+    assert len(fabric.states["n30"].mesh.members) == 31
+    assert set(fabric.states["n30"].mesh.rumours) <= {"n30"}
