--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -1,7 +1,5 @@
 """pimentoline.calls: life of a call, from its arrival to the end of its answer."""
 
-from dataclasses import replace
-
 from . import claims, limits, retries, routing
 from .effects import (
     CancelAttempt,
@@ -14,6 +12,7 @@
     StartAttempt,
 )
 from .events import Outcome
+from .frozen import replace
 from .model import Attempt, CallPhase, CallRecord
 from .verdict import Verdict, combine
 
@@ -35,18 +34,51 @@
 
 def _with_call(state, record):
     traffic = state.traffic
-    calls = traffic.calls.set(record.call.call_id, record)
-    return replace(state, traffic=replace(traffic, calls=calls))
+    call = record.call
+    services = traffic.services
+    if call.call_id not in traffic.calls:
+        services = limits.begin_call(services, call.req)
+    calls = traffic.calls.set(call.call_id, record)
+    return replace(state, traffic=replace(traffic, calls=calls, services=services))
+
+
+def _with_attempt(state, record, target_id):
+    """Return the state with a record whose last attempt is about to be sent."""
+    traffic = state.traffic
+    call, services = record.call, traffic.services
+    req = call.req
+    if call.call_id not in traffic.calls:
+        services = limits.begin_call(services, req)
+    if len(record.attempts) == 1:
+        policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
+        services = retries.note_first(services, req.service, policy.retry_share)
+    traffic = replace(
+        traffic,
+        calls=traffic.calls.set(call.call_id, record),
+        services=services,
+        targets=limits.begin_attempt(traffic.targets, target_id),
+        next_attempt=traffic.next_attempt + 1,
+    )
+    return replace(state, traffic=traffic)
 
 
-def _without_call(state, call_id):
+def _without_call(state, call_id, attempt=None, whole=False):
+    """Return the state without a call, and without the attempt that answered it."""
     traffic = state.traffic
-    return replace(state, traffic=replace(traffic, calls=traffic.calls.delete(call_id)))
+    services = limits.end_call(traffic.services, traffic.calls[call_id].call.req)
+    targets = traffic.targets
+    if attempt is not None:
+        targets = limits.end_attempt(targets, attempt, whole and not attempt.failed)
+    calls = traffic.calls.delete(call_id)
+    traffic = replace(traffic, calls=calls, services=services, targets=targets)
+    return replace(state, traffic=traffic)
 
 
-def _with_verdict(record, attempt_id, verdict):
+def _with_verdict(record, attempt_id, verdict, failed=False):
     attempts = tuple(
-        replace(att, verdict=verdict) if att.attempt_id == attempt_id else att
+        replace(att, verdict=verdict, failed=failed)
+        if att.attempt_id == attempt_id
+        else att
         for att in record.attempts
     )
     return replace(record, attempts=attempts)
@@ -77,17 +109,22 @@
         record = replace(record, phase=CallPhase.CLAIMING)
         return _with_call(state, record), (claims.insert(record),)
     state, effects = _start(state, record, event)
-    if record.idempotent and policy.hedge and effects:
+    if record.idempotent and policy.hedge and req.retry_attempt == 0 and effects:
         delay_s = retries.hedge_delay_s(state, req.service)
         effects += (ScheduleHedge(call.call_id, delay_s),)
     return state, effects
 
 
-def _start(state, record, event, hedge=False):
-    """Start an attempt, or reject the call if there is no target for it."""
+def _start(state, record, event, hedge=False, untried=False):
+    """Start an attempt, or reject the call if there is no target for it.
+
+    With `untried`, only a target without an earlier attempt of the call will do.
+    """
     tried = {att.target_id for att in record.attempts}
     state, target = routing.pick(state, record, tried, event.now, event.draw)
     call = record.call
+    if untried and (target is None or target.target_id in tried):
+        return state, ()
     if target is None or call.req.deadline <= event.now:
         code = "no-target" if target is None else "deadline-exceeded"
         return _reject(state, record, 503 if target is None else 504, code)
@@ -97,9 +134,7 @@
     record = replace(
         record, phase=CallPhase.SENDING, attempts=record.attempts + (attempt,)
     )
-    traffic = replace(state.traffic, next_attempt=attempt_id + 1)
-    state = _with_call(replace(state, traffic=traffic), record)
-    state = limits.note_sent(state, target.target_id, event.now)
+    state = _with_attempt(state, record, target.target_id)
     effect = StartAttempt(
         call.call_id,
         attempt_id,
@@ -158,16 +193,18 @@
         return state, ()
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
     state = limits.note_answer(state, record, attempt, event)
-    record = _with_verdict(record, event.attempt_id, verdict)
+    record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
         # The other attempt may still succeed.
         state = _with_call(limits.note_done(state, attempt.target_id), record)
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
-        state, may_retry = retries.may_retry(state, record, verdict, event.now)
+        charged, may_retry = retries.may_retry(state, record, verdict, event.now)
         if may_retry:
-            state = _with_call(state, record)
-            started, effects = _start(state, record, event)
+            # A target that has just shed the call would shed it again.
+            started, effects = _start(
+                _with_call(charged, record), record, event, untried=event.not_run
+            )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
                 started = limits.note_done(started, attempt.target_id)
@@ -201,7 +238,7 @@
         # The connection failed, not the target; new connections to it work.
         state = limits.note_cancelled(state, attempt.target_id)
     else:
-        state = limits.note_failure(state, attempt, event.now)
+        state = limits.note_failure(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, event.verdict)
     state = _with_call(state, record)
     if _in_flight(record):
@@ -226,9 +263,9 @@
         req = record.call.req
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
     answering = _attempt(record, record.answering)
-    if answering is not None:
-        state = limits.note_done(state, answering.target_id)
-    return _without_call(state, event.call_id), effects
+    if answering is not None and not event.whole:
+        state = limits.note_cut(state, record, answering, event.now)
+    return _without_call(state, event.call_id, answering, event.whole), effects
 
 
 def on_deadline_passed(state, event):
@@ -236,6 +273,7 @@
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.answering is not None:
         return state, ()
+    state = limits.note_waited(state, record, event.now)
     return _reject(state, record, 504, "deadline-exceeded")
 
 
@@ -245,6 +283,7 @@
     if record is None:
         return state, ()
     effects = []
+    state = limits.note_waited(state, record, event.now)
     for att in record.attempts:
         if att.verdict is None or att.attempt_id == record.answering:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
@@ -259,10 +298,11 @@
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
-    state, allowed = retries.may_hedge(state, record, event.now)
+    charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
-    started, effects = _start(state, record, event, hedge=True)
+    # A second attempt at the same target would only add to its load.
+    started, effects = _start(charged, record, event, hedge=True, untried=True)
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
     return started, effects + (Count("attempts.hedged"),)
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -12,7 +12,7 @@
 
 from . import effects as ef
 from . import events as ev
-from .admin import make_admin_app
+from .admin import MAX_ADMIN_BODY_BYTES, make_admin_app
 from .claim_writer import ClaimWriter
 from .codec import Codec
 from .directory import Directory
@@ -28,12 +28,14 @@
 from .metrics import Metrics
 from .model import Identity, RulesState, State
 from .pool import Pool
+from .prober import Prober
 from .proxy import DataServer, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
 from .store import Store
+from .version_poll import VersionPoll
 
 __all__ = ["Node"]
 
@@ -58,7 +60,7 @@
         self.random = random.Random()
         self.state = None
         self.metrics = Metrics.from_config(cfg)
-        self.store = Store.from_config(cfg) if cfg.store_url else None
+        self.store = Store.from_config(cfg, self.metrics) if cfg.store_url else None
         self.pool = Pool(self.clock)
         self.proxy = Proxy(
             self.dispatch,
@@ -67,6 +69,7 @@
             self.draw,
             lambda: self.state.rules.ruleset,
         )
+        self.prober = Prober(self.dispatch, self.clock)
         self.claims = ClaimWriter(
             self.store,
             lambda: f"{self.state.me.node_id}/{self.state.me.incarnation}",
@@ -79,6 +82,7 @@
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
         self.directory = Directory(self)
+        self.versions = VersionPoll(self)
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -109,7 +113,9 @@
         self.state = with_own_record(self.state)
         admin_sockets = bind_sockets(cfg.admin_addr[1], cfg.admin_addr[0])
         self.admin_addr = admin_sockets[0].getsockname()[:2]
-        self._admin = HTTPServer(make_admin_app(self))
+        self._admin = HTTPServer(
+            make_admin_app(self), max_body_size=MAX_ADMIN_BODY_BYTES
+        )
         self._admin.add_sockets(admin_sockets)
         await self.directory.join()
         self._server = DataServer(self.proxy)
@@ -150,6 +156,8 @@
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
                 loop.call_later(effect.delay_s, self._hedge_due, effect.call_id)
+            case ef.SendProbe():
+                self.prober.send(effect)
             case ef.SendMessage():
                 self.mesh.send(effect.addrs, self.message(effect.body))
             case ef.Ask():
@@ -190,6 +198,7 @@
         """Handle a message and return the reply, if there is one."""
         if message.skipped:
             self.metrics.count("mesh.records_skipped", message.skipped)
+        self.versions.note(message)
         match message.body:
             case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
@@ -224,8 +233,9 @@
 
     async def _fetch_rules(self, effect):
         if effect.addr is not None:
-            body = await self.ask(effect.addr, RulesRequest(effect.version))
-            if isinstance(body, RulesReply):
+            await self.ask(effect.addr, RulesRequest(effect.version))
+            rules = self.state.rules
+            if rules.version >= effect.version and not rules.must_check:
                 return
         await self.publisher.load_from_store()
 
@@ -263,6 +273,8 @@
         for task in self._tasks:
             task.cancel()
         self.mesh.close()
+        self.metrics.flush()
+        log_entry("node:stopped", node=self.state.me.node_id)
         self._stopped.set()
 
     async def run(self):
