Merge the statistics of a call's first attempt into one update

Cause: the first attempt of a call changed the service's statistics twice. Change: the fields for the call in flight and for the retry credit are set by one copy; the view of a choice is not frozen, as it lives for one call.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -13,7 +13,7 @@
 )
 from .events import Outcome
 from .frozen import replace
-from .model import Attempt, CallPhase, CallRecord
+from .model import Attempt, CallPhase, CallRecord, ServiceStats
 from .verdict import Verdict, combine
 
 __all__ = [
@@ -37,7 +37,9 @@
     call = record.call
     services = traffic.services
     if call.call_id not in traffic.calls:
-        services = limits.begin_call(services, call.req)
+        stats = services.get(call.req.service) or ServiceStats()
+        stats = replace(stats, **limits.begun_changes(stats, call.req))
+        services = services.set(call.req.service, stats)
     calls = traffic.calls.set(call.call_id, record)
     return replace(state, traffic=replace(traffic, calls=calls, services=services))
 
@@ -47,11 +49,13 @@
     traffic = state.traffic
     call, services = record.call, traffic.services
     req = call.req
-    if call.call_id not in traffic.calls:
-        services = limits.begin_call(services, req)
     if len(record.attempts) == 1:
         policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
-        services = retries.note_first(services, req.service, policy.retry_share)
+        stats = services.get(req.service) or ServiceStats()
+        changes = retries.first_changes(stats, policy.retry_share)
+        if call.call_id not in traffic.calls:
+            changes |= limits.begun_changes(stats, req)
+        services = services.set(req.service, replace(stats, **changes))
     traffic = replace(
         traffic,
         calls=traffic.calls.set(call.call_id, record),
--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -11,7 +11,7 @@
 __all__ = [
     "admit",
     "begin_attempt",
-    "begin_call",
+    "begun_changes",
     "end_attempt",
     "end_call",
     "note_answer",
@@ -94,11 +94,9 @@
     return counts[:rank] + (max(0, counts[rank] + change),) + counts[rank + 1 :]
 
 
-def begin_call(services, req):
-    """Return the service statistics with one more call in flight."""
-    stats = services.get(req.service) or ServiceStats()
-    inflight = _changed(stats.inflight, req.call_class, 1)
-    return services.set(req.service, replace(stats, inflight=inflight))
+def begun_changes(stats, req):
+    """Return the changed fields of service statistics with one more call in flight."""
+    return {"inflight": _changed(stats.inflight, req.call_class, 1)}
 
 
 def end_call(services, req):
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -4,7 +4,7 @@
 from .model import ServiceStats
 from .verdict import Verdict
 
-__all__ = ["hedge_delay_s", "may_hedge", "may_retry", "note_first"]
+__all__ = ["first_changes", "hedge_delay_s", "may_hedge", "may_retry"]
 
 MAX_ATTEMPTS = 3
 # Used until enough answers of the service are known for a percentile.
@@ -55,15 +55,13 @@
     return max(MIN_HEDGE_DELAY_S, stats.late_s)
 
 
-def note_first(services, service, share):
-    """Return the service statistics after the first attempt of a call.
+def first_changes(stats, share):
+    """Return the changed fields of service statistics after a call's first attempt.
 
     It earns a share of a repeat.
     """
-    stats = services.get(service) or ServiceStats()
     tokens = min(MAX_RETRY_TOKENS, stats.retry_tokens + share)
-    stats = replace(stats, retry_tokens=tokens, cursor=stats.cursor + 1)
-    return services.set(service, stats)
+    return {"retry_tokens": tokens, "cursor": stats.cursor + 1}
 
 
 def _spend(state, service):
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -87,9 +87,9 @@
     return (release, *(item for item in route.releases if item is not release))
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _View:
-    """What the choice of a ring looks at."""
+    """What the choice of a ring looks at; it lives for one choice."""
 
     targets: object
     stats: ServiceStats
