Use targets outside the subset if none of it is healthy

Cause: with 720 nodes a node uses two of eight targets; if both fail, its calls failed until the membership noticed, though six targets were healthy. Conclusion: the reserve takes connections that the subsets leave to other nodes; the tenth of the limit that is kept free has to bear that.

--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -39,18 +39,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Releases and rings of a service, and what they were derived from."""
+    """Releases and rings of a service, and what they were derived from.
+
+    `reserve` holds the targets and weights outside this node's subset. They are used
+    only if no target of the subset is healthy, because each use takes a connection
+    that the subsets leave to other nodes.
+    """
 
     source: tuple[Target, ...]
     crowd: Crowd
     ruleset: RuleSet
     up: frozenset
     releases: tuple[Release, ...]
+    reserve: tuple
     spill: SpillRule
 
     def target_ids(self):
-        """Return the names of the targets that this node uses."""
+        """Return the names of the targets that this node may use."""
         rings = [ring for release in self.releases for ring in release.rings]
+        rings.append(self.reserve)
         return [target.target_id for ring in rings for target, _ in ring]
 
 
@@ -143,11 +150,10 @@
     up = [target for target in by_id.values() if target.state is TargetState.UP]
     weights = {target.target_id: ruleset.target_weight(target) for target in up}
     usable = [target for target in up if weights[target.target_id] > 0.0]
-    if usable:
-        usable = choose_subset(usable, crowd)
+    subset = choose_subset(usable, crowd) if usable else []
     order = ruleset.region_order(service, crowd.place[0])
     by_release = {}
-    for target in usable:
+    for target in subset:
         share = ruleset.canary_share(service, target.version)
         name = target.version if share is not None else None
         number = _ring_number(target, crowd.place, order)
@@ -155,6 +161,13 @@
             _, rings = by_release.setdefault(name, (share, {}))
             found = rings.setdefault(number, [])
             found.append((target, weights[target.target_id]))
+    used = {target.target_id for target in subset}
+    reserve = tuple(
+        (target, weights[target.target_id])
+        for target in sorted(usable, key=lambda target: target.target_id)
+        if target.target_id not in used
+        and _ring_number(target, crowd.place, order) is not None
+    )
     releases = []
     for name in sorted(by_release, key=lambda name: (name is None, name)):
         share, rings = by_release[name]
@@ -167,6 +180,7 @@
         ruleset,
         frozenset(weights),
         tuple(releases),
+        reserve,
         ruleset.spill_rule(service),
     )
 
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -64,7 +64,7 @@
         if found:
             break
     else:
-        found = _last_resort(route, view)
+        found = view.healthy(route.reserve) or _last_resort(route, view)
         ring, credit = stats.ring, stats.spill_credit
     if ring != stats.ring or credit != stats.spill_credit:
         stats = replace(stats, ring=ring, spill_credit=credit)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -171,6 +171,21 @@
     assert names.count("a") == 1
 
 
+def test_other_targets_are_used_if_the_subset_is_down():
+    """Guards against a node that fails its calls because its few targets are down."""
+    core = make_core(dict.fromkeys("abcdefgh", HOME))
+    nodes = core.state.mesh.members
+    for number in range(720):
+        node = replace(nodes["node-of-a"], node_id=f"x{number}", targets=())
+        nodes = nodes.set(node.node_id, node)
+    core.state = replace(core.state, mesh=replace(core.state.mesh, members=nodes))
+    subset = set(chosen(core, 200))
+    assert len(subset) == 2
+    for name in subset:
+        core.set_stats(name, **OUT)
+    assert set(chosen(core, 200)) == set("abcdefgh") - subset
+
+
 def test_large_ring_is_sampled_evenly():
     """Guards against targets of a large service that are never looked at."""
     names = [f"t{number:02}" for number in range(100)]
