--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -13,6 +13,8 @@
     "attempts.retried": ("counter", "attempts", "attempts after a failed one"),
     "calls.*": ("counter", "calls", "calls refused by this node, by error code"),
     "claims.abandoned": ("counter", "claims", "claim outcomes that were not written"),
+    "mesh.bytes_received": ("counter", "bytes", "payload received from other nodes"),
+    "mesh.bytes_sent": ("counter", "bytes", "payload sent to other nodes"),
     "mesh.newer": ("counter", "messages", "messages of a newer release, ignored"),
     "mesh.records_skipped": (
         "counter",
@@ -24,6 +26,9 @@
     "mesh.suspected": ("counter", "members", "members that began to be suspect"),
     "mesh.unanswered": ("counter", "messages", "requests that a peer did not answer"),
     "node.paused": ("counter", "pauses", "times that this process did not run"),
+    "probes.bytes": ("counter", "bytes", "probe traffic, both ways"),
+    "probes.failed": ("counter", "probes", "probes without a usable answer"),
+    "probes.sent": ("counter", "probes", "probes sent to targets"),
     "rules.invalid": ("counter", "texts", "texts of peers or the store not understood"),
     "rules.older_ignored": (
         "counter",
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -29,13 +29,12 @@
 from .model import Identity, RulesState, State
 from .pool import Pool
 from .prober import Prober
-from .proxy import SERVER_HEAD_BYTES, Proxy
+from .proxy import DataServer, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
 from .store import Store
-from .version_poll import VersionPoll
 
 __all__ = ["Node"]
 
@@ -82,7 +81,6 @@
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
         self.directory = Directory(self)
-        self.versions = VersionPoll(self)
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -118,12 +116,7 @@
         )
         self._admin.add_sockets(admin_sockets)
         await self.directory.join()
-        self._server = HTTPServer(
-            self.proxy,
-            chunk_size=64 * 1024,
-            max_header_size=SERVER_HEAD_BYTES,
-            max_body_size=16 * 1024**3,
-        )
+        self._server = DataServer(self.proxy)
         self._server.add_sockets(data_sockets)
         self.proxy.arrivals.start()
         loop = asyncio.get_running_loop()
@@ -203,7 +196,6 @@
         """Handle a message and return the reply, if there is one."""
         if message.skipped:
             self.metrics.count("mesh.records_skipped", message.skipped)
-        self.versions.note(message)
         match message.body:
             case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
@@ -259,6 +251,8 @@
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
             self.pool.trim()
+            for name, amount in self.mesh.take_traffic():
+                self.metrics.count(name, amount)
 
     async def _poll_store(self):
         while self.store is not None:
