Keep an operator's drain when the node of the host is replaced

Cause: an operator's drain was known to the node alone. Change: the new node takes the drained targets from the record of an earlier node of its host, if that runs or ended less than 60 s ago; the addresses must be equal. A target ends its drain by announcing starting. Conclusion: a drain survives the restart of its node.

--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -22,7 +22,7 @@
     with_records,
 )
 from .rumours import on_sync_reply, push, request_sync, sync_reply, sync_when_due
-from .target_states import expire_own, expire_unconfirmed
+from .target_states import expire_own, expire_unconfirmed, keep_drains
 
 __all__ = ["on_members_heard", "on_message", "on_stop", "on_tick"]
 
@@ -36,6 +36,7 @@
     newer, effects = {}, ()
     for record in records:
         name = record.node_id
+        state = keep_drains(state, record, now)
         if name == state.me.node_id:
             own = own_record(state)
             if is_newer(record, own):
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -385,8 +385,8 @@
     renewed : Map of str to float
         Monotonic time of the latest announcement of a target of this node, or of
         its end.
-    drained : frozenset of str
-        Targets of this node that were ordered to drain.
+    drained : Map of str to (str, int)
+        Addresses of the targets of this host that were ordered to drain, by id.
     probe : Probe or None
     next_probe_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
@@ -403,7 +403,7 @@
     ended: Map = field(default_factory=Map)
     suspects: Map = field(default_factory=Map)
     renewed: Map = field(default_factory=Map)
-    drained: frozenset = frozenset()
+    drained: Map = field(default_factory=Map)
     probe: Probe | None = None
     next_probe_at: float = float("-inf")
     next_sync_at: float = float("-inf")
--- a/pimentoline/records.py
+++ b/pimentoline/records.py
@@ -20,6 +20,7 @@
     "routable",
     "with_own_record",
     "with_records",
+    "without",
 ]
 
 # 8 rounds of 3 sends reach a given peer with a probability above 1 - e**-24 once the
@@ -86,18 +87,18 @@
         name, held = record.node_id, members.get(record.node_id)
         routes_changed |= _changes_routes(held, record)
         if is_running(record):
-            ended = _without(ended, name)
+            ended = without(ended, name)
             restarted = held is not None and held.incarnation < record.incarnation
             if restarted and is_running(held):
                 unconfirmed = _unconfirm(unconfirmed, held, now, now)
             for target in record.targets:
-                unconfirmed = _without(unconfirmed, target.target_id)
+                unconfirmed = without(unconfirmed, target.target_id)
         else:
             if name not in ended or (held is not None and is_running(held)):
                 ended = ended.set(name, now - record.age_s)
             unconfirmed = _unconfirm(unconfirmed, record, ended[name], now)
         if record.status is not MemberStatus.SUSPECT:
-            suspects = _without(suspects, name)
+            suspects = without(suspects, name)
         members = members.set(name, replace(record, age_s=0.0))
         if spread:
             rumours = rumours.set(name, RUMOUR_SENDS)
@@ -114,7 +115,8 @@
     return replace(state, mesh=mesh)
 
 
-def _without(found, key):
+def without(found, key):
+    """Return a map without a key that it may not have."""
     return found.delete(key) if key in found else found
 
 
@@ -133,7 +135,7 @@
     until = since + UNCONFIRMED_S
     for target in record.targets:
         if target.state is TargetState.GONE:
-            unconfirmed = _without(unconfirmed, target.target_id)
+            unconfirmed = without(unconfirmed, target.target_id)
         elif until > now:
             entry = Unconfirmed(target, until)
             unconfirmed = unconfirmed.set(target.target_id, entry)
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -7,15 +7,18 @@
 from .records import (
     DEAD_KEEP_S,
     UNCONFIRMED_S,
+    is_running,
     own_record,
     routable,
     with_own_record,
+    without,
 )
 from .rumours import lost_regions, push
 
 __all__ = [
-    "expire_unconfirmed",
     "expire_own",
+    "expire_unconfirmed",
+    "keep_drains",
     "on_target_announced",
     "on_target_drained",
     "on_target_withdrawn",
@@ -53,11 +56,11 @@
     targets = _own_targets(state)
     held = targets.get(name)
     if name in mesh.drained:
-        same = held is not None and held.addr == target.addr
+        same = mesh.drained[name] == target.addr
         if same and target.state is not TargetState.STARTING:
             target = replace(target, state=TargetState.DRAINING)
         else:
-            mesh = replace(mesh, drained=mesh.drained - {name})
+            mesh = replace(mesh, drained=mesh.drained.delete(name))
     mesh = replace(mesh, renewed=mesh.renewed.set(name, event.now))
     state = replace(state, mesh=mesh)
     if held == target:
@@ -72,7 +75,8 @@
     if target is None or target.state is TargetState.GONE:
         return state, ()
     mesh = state.mesh
-    state = replace(state, mesh=replace(mesh, drained=mesh.drained | {event.target_id}))
+    drained = mesh.drained.set(event.target_id, target.addr)
+    state = replace(state, mesh=replace(mesh, drained=drained))
     if target.state is TargetState.DRAINING:
         return state, ()
     target = replace(target, state=TargetState.DRAINING)
@@ -80,6 +84,31 @@
     return _push_now(state, event.now)
 
 
+def keep_drains(state, record, now):
+    """Take over the drains of an earlier node of this host.
+
+    The target does not know of an operator's drain, so it announces `up` to the node
+    that replaces the one that was told.
+    """
+    own = own_record(state)
+    if record.host != own.host or record.incarnation >= own.incarnation:
+        return state
+    if not is_running(record) and record.age_s >= UNCONFIRMED_S:
+        return state
+    targets, drained = _own_targets(state), state.mesh.drained
+    changed = {}
+    for target in record.targets:
+        if target.state is not TargetState.DRAINING:
+            continue
+        name = target.target_id
+        drained = drained.set(name, target.addr)
+        held = targets.get(name)
+        if held and held.addr == target.addr and held.state is TargetState.UP:
+            changed[name] = replace(held, state=TargetState.DRAINING)
+    state = replace(state, mesh=replace(state.mesh, drained=drained))
+    return _with_targets(state, targets | changed) if changed else state
+
+
 def on_target_withdrawn(state, event):
     """Mark a target that has stopped as gone."""
     targets = _own_targets(state)
@@ -102,7 +131,7 @@
         name = target.target_id
         targets[name] = replace(target, state=TargetState.GONE)
         renewed = renewed.set(name, now)
-        drained = drained - {name}
+        drained = without(drained, name)
     state = replace(state, mesh=replace(mesh, renewed=renewed, drained=drained))
     return _with_targets(state, targets)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -213,3 +213,20 @@
     fabric.run(0.5)
     assert len(fabric.states["n30"].mesh.members) == 31
     assert set(fabric.states["n30"].mesh.rumours) <= {"n30"}
+
+
+@pytest.mark.parametrize("replacement", ["n1", "n1b"])
+def test_drain_outlives_the_restart_of_its_node(replacement):
+    """Guards P5: a drained target announces `up` to the node that replaces its own."""
+    fabric = make_fabric(5, 14)
+    fabric.announce("n1", "t1")
+    fabric.dispatch("n1", ev.TargetDrained(fabric.now, "t1"))
+    fabric.run(2)
+    fabric.off.add("n1")
+    fabric.run(1)
+    fabric.off.discard("n1" if replacement == "n1" else "")
+    fabric.add(replacement, "coast", host="n1", seeds=["n0"])
+    for _ in range(6):
+        fabric.announce(replacement, "t1")
+        fabric.run(1)
+        assert all(fabric.routes(n).get("t1") != "up" for n in fabric.states)
