--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -26,6 +26,9 @@
     "mesh.suspected": ("counter", "members", "members that began to be suspect"),
     "mesh.unanswered": ("counter", "messages", "requests that a peer did not answer"),
     "node.paused": ("counter", "pauses", "times that this process did not run"),
+    "probes.bytes": ("counter", "bytes", "probe traffic, both ways"),
+    "probes.failed": ("counter", "probes", "probes without a usable answer"),
+    "probes.sent": ("counter", "probes", "probes sent to targets"),
     "rules.invalid": ("counter", "texts", "texts of peers or the store not understood"),
     "rules.older_ignored": (
         "counter",
