--- /dev/null
+++ b/tests/test_mesh_transport.py
@@ -0,0 +1,65 @@
+"""Transport between nodes: two transports in one process, on loopback."""
+
+import asyncio
+from dataclasses import replace
+
+from pimentoline.codec import Codec
+from pimentoline.mesh import Mesh
+from pimentoline.messages import Message, Rumours
+from pimentoline.model import Member, Target
+
+ADDR = ("127.0.0.1", 9)
+WAIT_S = 5.0
+
+
+def make_record(number, targets=1):
+    """Return a record; its names differ, so that it does not compress away."""
+    name = f"node-{number * 7919 % 10007}-{number}"
+    found = tuple(
+        Target(f"{name}-{i * 7907 % 9973}", f"service-{i}", ADDR, "rift", "kerio")
+        for i in range(targets)
+    )
+    return Member(name, name, ADDR, "rift", "kerio", number * 99991, targets=found)
+
+
+def exchange(records):
+    """Send rumours over loopback; return what arrives and what is refused."""
+
+    async def run():
+        arrived, refused, complete = [], [], asyncio.Event()
+
+        def on_message(message, addr=None):
+            arrived.append((addr, message.body.records))
+            if sum(len(part) for _, part in arrived) == len(records):
+                complete.set()
+
+        sender = Mesh(Codec([b"k"]), on_message, refused.append)
+        receiver = Mesh(Codec([b"k"]), on_message, refused.append)
+        sender.bind_addr(("127.0.0.1", 0))
+        addr = receiver.bind_addr(("127.0.0.1", 0))
+        try:
+            sender.send((addr,), Message("n1", 1, 0, Rumours(records)))
+            await asyncio.wait_for(complete.wait(), WAIT_S)
+        finally:
+            sender.close()
+            receiver.close()
+        return arrived, refused
+
+    return asyncio.run(run())
+
+
+def test_records_are_split_among_datagrams():
+    """Guards against datagrams above 1,400 bytes, which receivers refuse."""
+    records = tuple(make_record(i) for i in range(60))
+    arrived, refused = exchange(records)
+    assert not refused and len(arrived) > 1
+    assert all(addr is not None for addr, _ in arrived)
+    assert {item for _, part in arrived for item in part} == set(records)
+
+
+def test_record_above_a_datagram_goes_over_tcp():
+    """Guards against a record with many targets that never leaves its node."""
+    record = replace(make_record(1, targets=200), seq=5)
+    arrived, refused = exchange((record,))
+    assert not refused
+    assert arrived == [(None, (record,))]
