--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -64,7 +64,7 @@
         if found:
             break
     else:
-        found = _last_resort(route, view)
+        found = view.healthy(route.reserve) or _last_resort(route, view)
         ring, credit = stats.ring, stats.spill_credit
     if ring != stats.ring or credit != stats.spill_credit:
         stats = replace(stats, ring=ring, spill_credit=credit)
@@ -87,9 +87,9 @@
     return (release, *(item for item in route.releases if item is not release))
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _View:
-    """What the choice of a ring looks at."""
+    """What the choice of a ring looks at; it lives for one choice."""
 
     targets: object
     stats: ServiceStats
@@ -174,7 +174,8 @@
         fit = view.fit(found)
         last = number + 1 == len(release.rings)
         if not fit:
-            unfit = unfit or found
+            if not unfit or number < release.home_rings:
+                unfit = unfit + found
             if last:
                 break
             widest = number + 1
