Take the maximum of connections to a target from its announcement

Cause: the pool used a constant of 32, which 720 nodes would exceed many times, and a refusal of a request with valid framing closed the connection while the caller was still sending, which can lose the answer. Conclusion: with the least share a node has one connection to a target, and calls wait for it until their deadline.

--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -71,15 +71,18 @@
         proxy = self.proxy
         now = proxy.clock()
         try:
-            check_size(start_line, headers)
             self.has_body = check_framing(start_line, headers)
-            arrived = proxy.arrivals.earliest(now)
-            req = parse_request(start_line, headers, arrived, proxy.ruleset())
         except RequestError as exc:
-            # tornado would stop at framing headers that are not valid.
+            # tornado would write an answer of its own to such framing headers.
             headers.pop("Transfer-Encoding", None)
             headers.pop("Content-Length", None)
-            self.has_body = False
+            self.reject(exc.status, exc.code, Verdict.NOT_RUN, exc.detail)
+            return
+        try:
+            check_size(start_line, headers)
+            arrived = proxy.arrivals.earliest(now)
+            req = parse_request(start_line, headers, arrived, proxy.ruleset())
+        except RequestError as exc:
             self.reject(exc.status, exc.code, Verdict.NOT_RUN, exc.detail)
             return
         self.req = req
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -28,13 +28,14 @@
 )
 from .metrics import Metrics
 from .model import Identity, RulesState, State
-from .pool import Pool
+from .pool import MAX_CONNECTIONS_PER_TARGET, Pool
 from .prober import Prober
 from .proxy import DataServer, Proxy
 from .publisher import Publisher
 from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
+from .shares import ConnectionShares
 from .store import Store
 from .version_poll import VersionPoll
 
@@ -65,7 +66,8 @@
         self.state = None
         self.metrics = Metrics.from_config(cfg)
         self.store = Store.from_config(cfg, self.metrics) if cfg.store_url else None
-        self.pool = Pool(self.clock)
+        shares = ConnectionShares(lambda: self.state, MAX_CONNECTIONS_PER_TARGET)
+        self.pool = Pool(self.clock, shares.limit_of)
         self.proxy = Proxy(
             self.dispatch,
             self.pool,
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -20,8 +20,8 @@
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 CHUNK_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024**3
-# Connections to one target, idle and in use. A target accepts 240 or 260 from all
-# nodes; calls beyond the maximum wait for a connection until their deadline.
+# Connections to one target, idle and in use, if its share is not known. Calls beyond
+# the maximum wait for a connection until their deadline.
 MAX_CONNECTIONS_PER_TARGET = 32
 PARAMS = HTTP1ConnectionParameters(chunk_size=CHUNK_BYTES, max_body_size=MAX_BODY_BYTES)
 
