--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -208,6 +208,10 @@
     ----------
     inflight : int
         Own requests in flight.
+    waiting : int
+        Own requests whose response head has not come yet.
+    waiting_since : float
+        Sum of the monotonic times at which those were sent, seconds.
     latency_s : float
         Peak-sensitive moving average of the time to the response head, seconds.
     latency_at : float
@@ -216,8 +220,8 @@
         Last reported requests in flight at the target, from all nodes.
     reported_at : float
         Monotonic time of that report, seconds; negative infinity if none.
-    sent_since : int
-        Own requests sent since that report.
+    reported_own : int
+        Own requests in flight at that time, which are part of the reported ones.
     failures : int
         Consecutive failures.
     window : tuple of bool
@@ -229,11 +233,13 @@
     """
 
     inflight: int = 0
+    waiting: int = 0
+    waiting_since: float = 0.0
     latency_s: float = 0.0
     latency_at: float = 0.0
     reported: float = 0.0
     reported_at: float = float("-inf")
-    sent_since: int = 0
+    reported_own: int = 0
     failures: int = 0
     window: tuple[bool, ...] = ()
     ejected_until: float = 0.0
@@ -385,8 +391,8 @@
     renewed : Map of str to float
         Monotonic time of the latest announcement of a target of this node, or of
         its end.
-    drained : frozenset of str
-        Targets of this node that were ordered to drain.
+    drained : Map of str to (str, int)
+        Addresses of the targets of this host that were ordered to drain, by id.
     probe : Probe or None
     next_probe_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
@@ -403,7 +409,7 @@
     ended: Map = field(default_factory=Map)
     suspects: Map = field(default_factory=Map)
     renewed: Map = field(default_factory=Map)
-    drained: frozenset = frozenset()
+    drained: Map = field(default_factory=Map)
     probe: Probe | None = None
     next_probe_at: float = float("-inf")
     next_sync_at: float = float("-inf")
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -37,7 +37,6 @@
 from .rules import parse
 from .shares import ConnectionShares
 from .store import Store
-from .version_poll import VersionPoll
 
 __all__ = ["Node"]
 
@@ -88,7 +87,6 @@
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
         self.directory = Directory(self)
-        self.versions = VersionPoll(self)
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -204,7 +202,6 @@
         """Handle a message and return the reply, if there is one."""
         if message.skipped:
             self.metrics.count("mesh.records_skipped", message.skipped)
-        self.versions.note(message)
         match message.body:
             case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
@@ -260,6 +257,8 @@
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
             self.pool.trim()
+            for name, amount in self.mesh.take_traffic():
+                self.metrics.count(name, amount)
 
     async def _poll_store(self):
         while self.store is not None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -82,8 +82,14 @@
     """Guards against two halves that hold each other for dead for ever."""
     fabric = make_fabric(9, 3)
     fabric.sides = {f"n{i}": i % 3 == 1 for i in range(9)}
-    fabric.run(30, lambda: fabric.status("n0", "n1") == "dead")
-    fabric.run(30, lambda: fabric.status("n1", "n0") == "dead")
+    near = [name for name in fabric.states if not fabric.sides[name]]
+    far = [name for name in fabric.states if fabric.sides[name]]
+    for ours, theirs in ((near, far), (far, near)):
+        fabric.run(
+            60,
+            lambda: all(fabric.status(a, b) == "dead" for a in ours for b in theirs),
+        )
+    fabric.run(10)
     fabric.sides = {}
     fabric.run(75, lambda: all(fabric.all_say(n, "alive") for n in fabric.states))
 
@@ -197,3 +203,30 @@
         for event in events:
             state = reduce(state, event).state
         assert state == fabric.states[name]
+
+
+def test_joining_node_does_not_repeat_the_records_it_was_given():
+    """Guards the control-plane limit when 720 nodes start: each would repeat all."""
+    fabric = make_fabric(30, 13)
+    fabric.run(10)
+    fabric.add("n30", seeds=["n0"])
+    fabric.run(0.5)
+    assert len(fabric.states["n30"].mesh.members) == 31
+    assert set(fabric.states["n30"].mesh.rumours) <= {"n30"}
+
+
+@pytest.mark.parametrize("replacement", ["n1", "n1b"])
+def test_drain_outlives_the_restart_of_its_node(replacement):
+    """Guards P5: a drained target announces `up` to the node that replaces its own."""
+    fabric = make_fabric(5, 14)
+    fabric.announce("n1", "t1")
+    fabric.dispatch("n1", ev.TargetDrained(fabric.now, "t1"))
+    fabric.run(2)
+    fabric.off.add("n1")
+    fabric.run(1)
+    fabric.off.discard("n1" if replacement == "n1" else "")
+    fabric.add(replacement, "coast", host="n1", seeds=["n0"])
+    for _ in range(6):
+        fabric.announce(replacement, "t1")
+        fabric.run(1)
+        assert all(fabric.routes(n).get("t1") != "up" for n in fabric.states)
