Test the end of kept connections when a node stops

Cause: planned stops were tested with new connections only. Change: a kept connection makes a call during the stop, an unused one is closed. Result: the test passes; without the grace the call fails with a closed connection, without the Connection header the caller is not told. Conclusion: callers with kept connections learn of the stop from an answer.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,7 +10,7 @@
 import pytest
 
 from .conftest import wait_until
-from .raw import answering, connect, raw_target, read_head
+from .raw import answering, connect, raw_target, read_all, read_head
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
@@ -190,3 +190,32 @@
         answers = list(callers.map(lambda path: cluster.call("n1", path), ["/"] * 90))
         assert [status for status, _, _ in answers] == [200] * 90
         assert target.connections == 9
+
+
+def test_kept_connection_ends_in_order_when_the_node_stops(cluster):
+    """Guards against a stopping node that closes the connection under a request."""
+    node = cluster.start_node("n1")
+    with raw_target(cluster, answering(OK)):
+        conn = http.client.HTTPConnection(*node.info["data"], timeout=5)
+        for _ in range(2):
+            conn.request("GET", "/", headers={"Host": "hive-ledger"})
+            answer = conn.getresponse()
+            assert answer.read() == b"ok" and not answer.will_close
+        with connect(node) as unused:
+            node.signal(signal.SIGTERM)
+            # The listening socket is closed once the node has read the signal.
+            wait_until(lambda: not accepts(node), message="the stop")
+            conn.request("GET", "/", headers={"Host": "hive-ledger"})
+            answer = conn.getresponse()
+            assert answer.read() == b"ok" and answer.will_close
+            assert read_all(unused) == (b"", False)
+        assert node.stop() == 0
+
+
+def accepts(node):
+    """Return whether the data port of a node accepts connections."""
+    try:
+        connect(node).close()
+    except ConnectionRefusedError:
+        return False
+    return True
