--- a/bench/report.py
+++ b/bench/report.py
@@ -102,6 +102,13 @@
         lines.append(
             f"| {verdict.size} | {verdict.goal} | {verdict.measured} | {word} |"
         )
+    late = [
+        f"{cell.size} {cell.condition} {cell.policy} ({cell.max_lag_ms:.0f} ms)"
+        for cell in cells
+        if cell.max_lag_ms > MAX_LAG_MS
+    ]
+    named = ", ".join(late) or "none"
+    lines += ["", f"Still above that lag, so not to be relied on: {named}."]
     for size in exp.sizes:
         found = [cell for cell in cells if cell.size == size.name]
         lines += ["", f"## {size.name}", "", f"![{size.name}]({size.name}.png)", ""]
