Keep the connection of a caller whose call was refused

A refusal within the handling of the request head made tornado close the connection, without 'Connection: close'. Change: a refusal ends after the request has been read, also without a body. A request whose framing is not understood, or that expects 100 Continue, still ends its connection, and its answer now says so. Conclusion: mended.

--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -59,6 +59,7 @@
         self.recorded_body = None
         self.recorded_cut = False
         self._finish_pending = False
+        self._unframed = False
         self._deadline_timer = None
         self._waiter = None
 
@@ -76,6 +77,7 @@
             # tornado would write an answer of its own to such framing headers.
             headers.pop("Transfer-Encoding", None)
             headers.pop("Content-Length", None)
+            self._unframed = True
             self.reject(exc.status, exc.code, Verdict.NOT_RUN, exc.detail)
             return
         try:
@@ -198,6 +200,8 @@
             body = b""
         start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         self.proxy.mark_answer(headers)
+        if self._must_close():
+            headers["Connection"] = "close"
         if self.start_line.method == "HEAD":
             body = b""
         self.caller_conn.write_headers(start, headers, body)
@@ -305,15 +309,27 @@
 
     # The end of the call.
 
+    def _must_close(self):
+        """Return whether the caller's connection ends with an answer of the node.
+
+        The rest of a request whose framing is not understood cannot be told from the
+        next request, and a caller that waits for 100 Continue may never send it.
+        """
+        return self.call_id is None and (self._unframed or "Expect" in self.headers)
+
     def _complete(self):
-        """Finish the answer, after the request has been read if there is more."""
-        expects = self.call_id is None and "Expect" in self.headers
-        if self.body_complete or not self.has_body or expects:
+        """Finish the answer, after the request has been read if there is more.
+
+        tornado closes the connection of an answer that is finished within the
+        request; a request without a body ends as soon as its head is handled.
+        """
+        if self.body_complete or self._must_close():
             self._finish_answer()
         else:
             self._finish_pending = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(LINGER_S, self._finish_answer)
+            if self.has_body:
+                loop = asyncio.get_running_loop()
+                loop.call_later(LINGER_S, self._finish_answer)
         self._end()
 
     def _finish_answer(self):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -219,3 +219,19 @@
     except ConnectionRefusedError:
         return False
     return True
+
+
+def test_refused_call_keeps_the_connection_of_its_caller(cluster):
+    """Guards against a connection closed without notice after a refusal."""
+    node = cluster.start_node("n1")
+    conn = http.client.HTTPConnection(*node.info["data"], timeout=5)
+    conn.auto_open = False
+    conn.connect()
+    for method, body in [("GET", None), ("POST", b"sale"), ("GET", None)]:
+        conn.request(method, "/", body, headers={"Host": "nowhere"})
+        answer = conn.getresponse()
+        assert answer.read() and answer.status == 503 and not answer.will_close
+    conn.request("GET", "/", headers={"Host": "nowhere", "Expect": "nonsense"})
+    answer = conn.getresponse()
+    assert answer.read() and answer.status == 417 and answer.will_close
+    conn.close()
