Name modules and counts by their usual terms

Result: the tests of subsets, routing, purity and the mesh processes pass. Conclusion: names only; behaviour is unchanged.

--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -111,9 +111,9 @@
         node = self._node
         backoff_s = BACKOFF_S
         while True:
-            lonely = not running_peers(node.state)
+            has_no_peers = not running_peers(node.state)
             written = node.store is None or self._written_at > float("-inf")
-            if written and not lonely:
+            if written and not has_no_peers:
                 backoff_s = BACKOFF_S
                 await asyncio.sleep(CHECK_S * node.random.uniform(0.5, 1.0))
             else:
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -12,7 +12,7 @@
 from .frozen import replace
 from .model import MemberStatus, Target, TargetState, TargetStats
 from .rules import RuleSet, SpillRule
-from .subsets import Crowd, choose_subset, count_nodes
+from .subsets import NodeCounts, choose_subset, count_nodes
 
 __all__ = ["Release", "Route", "RoutePlan", "find_route"]
 
@@ -47,7 +47,7 @@
     """
 
     source: tuple[Target, ...]
-    crowd: Crowd
+    node_counts: NodeCounts
     ruleset: RuleSet
     up: frozenset
     releases: tuple[Release, ...]
@@ -69,7 +69,7 @@
     """
 
     members: Map
-    crowd: Crowd
+    node_counts: NodeCounts
     unconfirmed: frozenset
     routes: Map
 
@@ -87,13 +87,17 @@
     route = plan.routes.get(service)
     source = state.mesh.by_service.get(service, ())
     ruleset = state.rules.ruleset
-    if route is not None and route.crowd is plan.crowd and route.ruleset is ruleset:
+    if (
+        route is not None
+        and route.node_counts is plan.node_counts
+        and route.ruleset is ruleset
+    ):
         if route.source is source:
             return state, route
         if route.source == source:
             return _with_route(state, service, replace(route, source=source))
     known = route.up if route is not None else None
-    route = _make_route(state, service, source, plan.crowd)
+    route = _make_route(state, service, source, plan.node_counts)
     if known is not None and route.up - known:
         targets = state.traffic.targets
         for target_id in sorted(route.up - known):
@@ -113,7 +117,7 @@
     """Return the state with a new plan, and without statistics of past targets."""
     members, traffic = state.mesh.members, state.traffic
     plan = traffic.plan
-    crowd = count_nodes(members, state.me)
+    node_counts = count_nodes(members, state.me)
     unconfirmed = frozenset(
         target.target_id
         for record in members.values()
@@ -121,11 +125,13 @@
         for target in record.targets
     )
     if plan is None:
-        plan = RoutePlan(members, crowd, unconfirmed, Map())
+        plan = RoutePlan(members, node_counts, unconfirmed, Map())
     else:
-        if plan.crowd == crowd:
-            crowd = plan.crowd
-        plan = replace(plan, members=members, crowd=crowd, unconfirmed=unconfirmed)
+        if plan.node_counts == node_counts:
+            node_counts = plan.node_counts
+        plan = replace(
+            plan, members=members, node_counts=node_counts, unconfirmed=unconfirmed
+        )
     present = {
         target.target_id
         for targets in state.mesh.by_service.values()
@@ -138,7 +144,7 @@
     return replace(state, traffic=replace(traffic, plan=plan, targets=targets))
 
 
-def _make_route(state, service, source, crowd):
+def _make_route(state, service, source, node_counts):
     ruleset = state.rules.ruleset
     by_id = {}
     for target in source:
@@ -150,13 +156,13 @@
     up = [target for target in by_id.values() if target.state is TargetState.UP]
     weights = {target.target_id: ruleset.target_weight(target) for target in up}
     usable = [target for target in up if weights[target.target_id] > 0.0]
-    subset = choose_subset(usable, crowd) if usable else []
-    order = ruleset.region_order(service, crowd.place[0])
+    subset = choose_subset(usable, node_counts) if usable else []
+    order = ruleset.region_order(service, node_counts.place[0])
     by_release = {}
     for target in subset:
         share = ruleset.canary_share(service, target.version)
         name = target.version if share is not None else None
-        number = _ring_number(target, crowd.place, order)
+        number = _ring_number(target, node_counts.place, order)
         if number is not None:
             _, rings = by_release.setdefault(name, (share, {}))
             found = rings.setdefault(number, [])
@@ -166,7 +172,7 @@
         (target, weights[target.target_id])
         for target in sorted(usable, key=lambda target: target.target_id)
         if target.target_id not in used
-        and _ring_number(target, crowd.place, order) is not None
+        and _ring_number(target, node_counts.place, order) is not None
     )
     releases = []
     for name in sorted(by_release, key=lambda name: (name is None, name)):
@@ -176,7 +182,7 @@
         releases.append(Release(1.0 if share is None else share, ordered, home_rings))
     return Route(
         source,
-        crowd,
+        node_counts,
         ruleset,
         frozenset(weights),
         tuple(releases),
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -11,7 +11,7 @@
 import hashlib
 from dataclasses import dataclass
 
-__all__ = ["Crowd", "choose_subset", "connection_share", "count_nodes"]
+__all__ = ["NodeCounts", "choose_subset", "connection_share", "count_nodes"]
 
 # The rest of the connection limit is left for probes and for nodes whose view of
 # the membership differs.
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Crowd:
+class NodeCounts:
     """Nodes by place, and this node's place and rank among the nodes there.
 
     Parameters
@@ -42,7 +42,7 @@
 
 
 def count_nodes(members, me):
-    """Return the `Crowd` of the members held.
+    """Return the `NodeCounts` of the members held.
 
     Dead members count as long as their record is held. A node that restarts
     therefore keeps its rank, and the subsets of the others do not move.
@@ -55,7 +55,7 @@
         counts[where] = counts.get(where, 0) + 1
         if where == place and record.node_id < me.node_id:
             rank += 1
-    return Crowd(tuple(sorted(counts.items())), place, rank)
+    return NodeCounts(tuple(sorted(counts.items())), place, rank)
 
 
 def connection_share(targets, nodes):
@@ -80,12 +80,12 @@
     return 1 if place[0] == other[0] else 2
 
 
-def _flows(crowd, sizes, share, limit):
+def _flows(node_counts, sizes, share, limit):
     """Return the connections from each place of nodes to each place of targets.
 
     Parameters
     ----------
-    crowd : Crowd
+    node_counts : NodeCounts
     sizes : dict of (place: int)
         Number of targets in each place.
     share, limit : int
@@ -96,11 +96,11 @@
     dict of ((node place, target place): int) or None
         None if meeting the nearest demand first leaves some demand unmet.
     """
-    demand = {place: count * share for place, count in crowd.counts}
+    demand = {place: count * share for place, count in node_counts.counts}
     supply = {spot: size * limit for spot, size in sizes.items()}
     flows = {}
     for distance in range(3):
-        for place, count in crowd.counts:
+        for place, count in node_counts.counts:
             near = [
                 spot for spot in sorted(sizes) if _distance(place, spot) == distance
             ]
@@ -120,21 +120,21 @@
     return None if any(demand.values()) else flows
 
 
-def choose_subset(targets, crowd):
+def choose_subset(targets, node_counts):
     """Return the targets of one service that this node uses.
 
     Parameters
     ----------
     targets : sequence of Target
         At least one, all of the same service.
-    crowd : Crowd
+    node_counts : NodeCounts
 
     Returns
     -------
     list of Target
         Sorted by name; all of them unless the connection limit is too low.
     """
-    share = connection_share(targets, crowd.nodes)
+    share = connection_share(targets, node_counts.nodes)
     if share >= len(targets):
         return sorted(targets, key=lambda target: target.target_id)
     by_place = {}
@@ -143,36 +143,36 @@
     sizes = {place: len(found) for place, found in by_place.items()}
     limit = int(min(target.connections for target in targets) * USABLE_SHARE)
     # The least share of 2 may exceed the limit; then it is exceeded evenly.
-    limit = max(limit, -(-crowd.nodes * share // len(targets)))
-    flows = _flows(crowd, sizes, share, limit)
+    limit = max(limit, -(-node_counts.nodes * share // len(targets)))
+    flows = _flows(node_counts, sizes, share, limit)
     if flows is None:
         # Uneven places: balance over all targets counts more than nearness.
         by_place = {"all": [t for found in by_place.values() for t in found]}
-        flows = {(place, "all"): count * share for place, count in crowd.counts}
+        flows = {(place, "all"): count * share for place, count in node_counts.counts}
     chosen = []
     for spot, found in by_place.items():
-        before = [place for place, _ in crowd.counts if place < crowd.place]
+        before = [place for place, _ in node_counts.counts if place < node_counts.place]
         start = sum(flows[place, spot] for place in before)
-        first, last = _stretch(crowd, flows, spot, list(by_place))
+        first, last = _positions(node_counts, flows, spot, list(by_place))
         for position in range(start + first, start + last):
             chosen.append(found[position % len(found)])
     return sorted(chosen, key=lambda target: target.target_id)
 
 
-def _stretch(crowd, flows, spot, spots):
+def _positions(node_counts, flows, spot, spots):
     """Return the part of its place's flow to a spot that falls to this node.
 
     Every node gets the whole quotient of each flow. The remainders are dealt out in
     turn over all spots, so that the nodes get equally many connections in total and
     no node gets two from one remainder.
     """
-    count = dict(crowd.counts)[crowd.place]
+    count = dict(node_counts.counts)[node_counts.place]
     dealt = 0
     for other in spots:
-        base, extra = divmod(flows[crowd.place, other], count)
+        base, extra = divmod(flows[node_counts.place, other], count)
         if other == spot:
             break
         dealt += extra
     takers = {position % count for position in range(dealt, dealt + extra)}
-    first = crowd.rank * base + sum(rank < crowd.rank for rank in takers)
-    return first, first + base + (crowd.rank in takers)
+    first = node_counts.rank * base + sum(rank < node_counts.rank for rank in takers)
+    return first, first + base + (node_counts.rank in takers)
