--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -9,7 +9,6 @@
 import urllib.error
 import urllib.request
 
-START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 
 
