Run on the users' platform over two nodes

Cause: only the node on a target's host can reach the target there, so a call crosses the caller's node and the target's node. The one-hop path cannot do that.

Change: a room twohop with pure decisions (admission, placement, repeats, lifetimes, a reducer for a call) and their runtime, and a folder platform that translates settings, store, configuration, status reports and headers.

--- a/packaging_tools/launcher.c
+++ b/packaging_tools/launcher.c
@@ -45,7 +45,7 @@
 
 static const char *runtime_dir(void) {
   const char *candidates[] = {getenv("PIMENTOLINE_RUNTIME_DIR"),
-                              getenv("XDG_RUNTIME_DIR"), "/run", "/tmp", "/dev/shm"};
+                              getenv("XDG_RUNTIME_DIR"), "/run", "/tmp"};
   for (size_t i = 0; i < sizeof candidates / sizeof *candidates; i++)
     if (candidates[i] && is_memory_backed(candidates[i])) return candidates[i];
   errno = ENODEV;
--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -2,13 +2,16 @@
 
 __all__ = [
     "CodecError",
+    "ConfigurationError",
     "NewerMessageError",
     "NodeUnavailableError",
     "PimentolineError",
     "RulesError",
     "SettingsError",
     "StoreBusyError",
+    "StoreConflictError",
     "StoreError",
+    "StoreHistoryError",
     "StoreUnavailableError",
 ]
 
@@ -86,6 +89,38 @@
         super().__init__(detail, may_have_written=False)
 
 
+class StoreConflictError(StoreError):
+    """A conditional write met another version of its row.
+
+    Parameters
+    ----------
+    detail : str
+    version : int
+        Version that the row has; 0 if it does not exist.
+    """
+
+    code = "store-conflict"
+
+    def __init__(self, detail, version):
+        super().__init__(detail, may_have_written=False)
+        self.version = version
+
+
+class StoreHistoryError(StoreError):
+    """The changes that were asked for are no longer kept; read everything anew."""
+
+    code = "store-history"
+
+    def __init__(self, detail):
+        super().__init__(detail, may_have_written=False)
+
+
+class ConfigurationError(PimentolineError):
+    """A configuration of the operator cannot be read; the one in force stays."""
+
+    code = "configuration-invalid"
+
+
 class NodeUnavailableError(PimentolineError):
     """A node gave no usable answer to an operator's command.
 
--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -11,6 +11,7 @@
     "answer_headers",
     "check_framing",
     "check_size",
+    "end_to_end",
     "onward_headers",
     "parse_load",
     "parse_request",
@@ -177,7 +178,8 @@
     )
 
 
-def _end_to_end(headers, dropped):
+def end_to_end(headers, dropped):
+    """Return the headers that are neither `dropped` nor named by `Connection`."""
     if "Connection" in headers:
         named = {
             "-".join(part.capitalize() for part in name.strip().split("-"))
@@ -205,7 +207,7 @@
     now : float
         Monotonic time, seconds.
     """
-    kept = _end_to_end(headers, NOT_ONWARD)
+    kept = end_to_end(headers, NOT_ONWARD)
     if not has_body and req.method in CHUNKED_METHODS:
         # tornado's client would otherwise add an empty chunked body.
         kept["Content-Length"] = "0"
@@ -220,7 +222,7 @@
 
 def answer_headers(headers):
     """Return the headers of a target's answer that the caller receives."""
-    return _end_to_end(headers, NOT_BACK)
+    return end_to_end(headers, NOT_BACK)
 
 
 def parse_load(text):
--- /dev/null
+++ b/pimentoline/platform/names.py
@@ -0,0 +1,15 @@
+"""pimentoline.platform.names: header names of the platform."""
+
+from ..twohop.dialect import Dialect
+
+__all__ = ["DIALECT"]
+
+DIALECT = Dialect(
+    request_id="X-Request-Id",
+    deadline_ms="X-Deadline-Ms",
+    stamp="X-Response-Stamp",
+    expect_target="X-Expect-Instance",
+    not_run="X-Not-Executed",
+    load="X-Server-Load",
+    caller_service="X-Caller-Service",
+)
--- /dev/null
+++ b/pimentoline/platform/reports.py
@@ -0,0 +1,135 @@
+"""pimentoline.platform.reports: what the target and the platform ask of a node."""
+
+import asyncio
+import json
+from urllib.parse import parse_qs
+
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+    responses,
+)
+
+from ..logs import log_entry
+from ..settings import parse_addr
+from ..twohop.lifetimes import Report, TargetState
+from .settings import seconds
+
+__all__ = ["Reports", "parse_report"]
+
+STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
+READY_PATH = "/v1/ready"
+CALL_PATH = "/v1/rpc"
+
+
+def parse_report(target_id, body):
+    """Return the `Report` of a status report's body.
+
+    Raises
+    ------
+    ValueError, KeyError, TypeError
+        If it cannot be used.
+    """
+    item = json.loads(body)
+    info, status = item["info"], item["status"]
+    sequence, born, slots = status["sequence"], item.get("born", 0), info["slots"]
+    for number in (sequence, born, slots):
+        if type(number) is not int:
+            raise TypeError(f"found {number!r:.40}; allowed: a whole number")
+    if not isinstance(info["service"], str):
+        raise TypeError("service is not a text")
+    return Report(
+        target_id,
+        parse_addr(item["address"]),
+        info["service"],
+        born,
+        sequence,
+        STATES[status["state"]],
+        slots,
+        seconds(status.get("cold_left", "0s")),
+    )
+
+
+class Reports(HTTPServerConnectionDelegate):
+    """Serves the status reports of the target, and the question for readiness.
+
+    Parameters
+    ----------
+    node : HostNode
+    """
+
+    def __init__(self, node):
+        self.node = node
+
+    def start_request(self, server_conn, request_conn):
+        """Return the reader of one request."""
+        return _Request(self, request_conn)
+
+    async def answer(self, method, path, body):
+        """Return the status and body of the answer to a request."""
+        path, _, query = path.partition("?")
+        if method == "GET" and path == READY_PATH:
+            return (200, b"{}") if self.node.ready else (503, b"{}")
+        if method != "POST" or path != CALL_PATH:
+            return 404, b"{}"
+        fields = parse_qs(query)
+        call, target_id = fields.get("call", [""])[0], fields.get("of", [""])[0]
+        try:
+            match call:
+                case "instances.heartbeat":
+                    await self._report(parse_report(target_id, body))
+                case "instances.leave":
+                    await self._leave(target_id, body)
+                case _:
+                    return 404, b"{}"
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            log_entry("target:report-unreadable", detail=f"{exc!r:.120}")
+            return 400, b"{}"
+        return 200, b"{}"
+
+    async def _report(self, report):
+        if self.node.target.status_reported(report):
+            await self._stored(report.state)
+
+    async def _leave(self, target_id, body):
+        item = json.loads(body) if body else {}
+        born = item.get("born") if isinstance(item, dict) else None
+        if self.node.target.signed_off(target_id, born):
+            await self._stored(TargetState.LEFT)
+
+    async def _stored(self, state):
+        """Store a new state, so that this node keeps to it after a restart."""
+        if state is TargetState.READY:
+            asyncio.get_running_loop().create_task(self.node.watch.save())
+        else:
+            await self.node.watch.save_soon()
+
+
+class _Request(HTTPMessageDelegate):
+    def __init__(self, reports, conn):
+        self.reports = reports
+        self.conn = conn
+        self.start = None
+        self.chunks = []
+
+    def headers_received(self, start_line, headers):
+        self.start = start_line
+
+    def data_received(self, chunk):
+        self.chunks.append(chunk)
+
+    def finish(self):
+        asyncio.get_running_loop().create_task(self._answer())
+
+    async def _answer(self):
+        status, body = await self.reports.answer(
+            self.start.method, self.start.path, b"".join(self.chunks)
+        )
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        )
+        start = ResponseStartLine("HTTP/1.1", status, responses[status])
+        self.conn.write_headers(start, headers, body)
+        self.conn.finish()
--- /dev/null
+++ b/pimentoline/platform/settings.py
@@ -0,0 +1,134 @@
+"""pimentoline.platform.settings: the settings file that the platform writes."""
+
+import re
+import tomllib
+
+from pydantic import BaseModel, ConfigDict, ValidationError, field_validator
+
+from ..errors import SettingsError
+from ..settings import parse_addr
+from ..twohop.model import RepeatLimits
+from ..twohop.node import HostSettings
+
+__all__ = ["Boot", "load_boot", "seconds"]
+
+DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+UNIT_S = {"ms": 0.001, "s": 1.0}
+
+
+def seconds(text):
+    """Return the seconds of a duration such as `1500ms` or `2.5s`.
+
+    Raises
+    ------
+    ValueError
+    """
+    found = DURATION.fullmatch(text) if isinstance(text, str) else None
+    if found is None:
+        raise ValueError(f"found {text!r:.40}; allowed: a number with ms or s")
+    return float(found[1]) * UNIT_S[found[2]]
+
+
+class Listen(BaseModel):
+    """Addresses of this process: `outbound` is for callers, `inbound` for nodes."""
+
+    inbound: tuple[str, int]
+    outbound: tuple[str, int]
+    ready_addr: tuple[str, int]
+    control: tuple[str, int]
+
+    @field_validator("*", mode="before")
+    @classmethod
+    def _split(cls, value):
+        return parse_addr(value)
+
+
+class StorePlace(BaseModel):
+    """Where the platform's store is."""
+
+    address: tuple[str, int]
+
+    @field_validator("address", mode="before")
+    @classmethod
+    def _split(cls, value):
+        return parse_addr(value)
+
+
+class Boot(BaseModel):
+    """The fields of the file that the product uses; others are ignored."""
+
+    model_config = ConfigDict(frozen=True)
+
+    node_name: str
+    zone: str
+    region: str
+    service: str
+    app_addr: tuple[str, int]
+    bounds: dict[str, str]
+    listen: Listen
+    platform: StorePlace
+
+    @field_validator("app_addr", mode="before")
+    @classmethod
+    def _split(cls, value):
+        return parse_addr(value)
+
+    @field_validator("bounds", mode="before")
+    @classmethod
+    def _pairs(cls, value):
+        if isinstance(value, str):
+            value = value.split(",")
+        return dict(item.split("=", 1) for item in value)
+
+    def host_settings(self):
+        """Return the product's settings.
+
+        Raises
+        ------
+        SettingsError
+        """
+        bounds = self.bounds
+        try:
+            repeats = RepeatLimits(
+                float(bounds["retry_ratio"]),
+                seconds(bounds["retry_window"]),
+                float(bounds["retry_slack"]),
+            )
+            grace_s = seconds(bounds["grace"])
+        except (KeyError, ValueError) as exc:
+            raise SettingsError(f"bounds: {exc}") from exc
+        return HostSettings(
+            node=self.node_name,
+            dc=self.zone,
+            region=self.region,
+            service=self.service,
+            callers_addr=self.listen.outbound,
+            peers_addr=self.listen.inbound,
+            reports_addr=self.listen.control,
+            ready_addr=self.listen.ready_addr,
+            target_addr=self.app_addr,
+            grace_s=grace_s,
+            repeats=repeats,
+        )
+
+
+def load_boot(path):
+    """Return the settings of a file.
+
+    Raises
+    ------
+    SettingsError
+        Naming the file and what is wrong with it.
+    """
+    try:
+        with open(path, "rb") as file:
+            return Boot.model_validate(tomllib.load(file))
+    except OSError as exc:
+        raise SettingsError(f"settings file {path}: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"settings file {path} is not TOML: {exc}") from exc
+    except ValidationError as exc:
+        problems = [
+            f"{'.'.join(map(str, item['loc']))}: {item['msg']}" for item in exc.errors()
+        ]
+        raise SettingsError(f"settings file {path}: {'; '.join(problems)}") from exc
--- /dev/null
+++ b/pimentoline/twohop/placement.py
@@ -0,0 +1,176 @@
+"""pimentoline.twohop.placement: which target's node gets a call.
+
+Answers load that shifts in milliseconds under reports that are always stale: a
+report is corrected by what this node has sent since, and loses weight with age.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from .model import LoadReport, Member
+
+__all__ = ["Candidate", "Place", "Wanted", "choose"]
+
+# Round trip to another data centre and to another region, milliseconds.
+OTHER_DC_MS = 2.0
+OTHER_REGION_MS = 18.0
+# What a kilobyte to another data centre or region costs, in parts of the credit for
+# a call: links between them are billed by volume. From the prices of both users.
+OTHER_DC_COST_KB = 0.015
+OTHER_REGION_COST_KB = 0.045
+# Heads of a call and its answer, bytes.
+HEAD_BYTES = 600
+# Spread of the time to an answer around what is expected, milliseconds: work times
+# vary by a third, and neighbours' noise comes in stretches of 150 ms.
+SPREAD_MS = 80.0
+# Credit for an answer after the objective, as a part of the whole credit.
+LATE_CREDIT = 0.1
+# A report older than this says nothing more about what others have sent.
+REPORT_LIFE_S = 1.0
+# Each failure in a row makes a target look this much slower, up to the maximum.
+FAILURE_FACTOR = 0.5
+MAX_FAILURE_FACTOR = 5.0
+# After this time without a failure a target is tried again at its plain delay.
+FAILURE_LIFE_S = 3.0
+# Differences of value below this do not decide, so that equals share the load.
+TIE_SPREAD = 0.02
+# Expected time lost at a target whose node refused within the last moment.
+REFUSED_MS = 200.0
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where this node stands."""
+
+    dc: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What matters of a call: the end of its objective, seconds, and its bytes."""
+
+    goal_at: float
+    size: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Candidate:
+    """A target's node, as this node sees it.
+
+    Attributes
+    ----------
+    mine : int
+        Calls that this node has there and that are unanswered.
+    mine_then : int
+        The same when the report was made.
+    """
+
+    member: Member
+    reachable: bool = False
+    report: LoadReport = field(default_factory=LoadReport)
+    reported_at: float = 0.0
+    mine: int = 0
+    mine_then: int = 0
+    failures: float = 0.0
+    failed_at: float = 0.0
+    refused_until: float = 0.0
+
+    def note_report(self, report, now):
+        """Take the newest report of the target's node."""
+        self.report = report
+        self.reported_at = now
+        self.mine_then = self.mine
+
+    def note_failure(self, now):
+        """Count a failure of the target."""
+        self.failures = min(self.failures + 1.0, MAX_FAILURE_FACTOR / FAILURE_FACTOR)
+        self.failed_at = now
+
+    def note_success(self):
+        """Count a good answer."""
+        self.failures *= 0.7
+
+    def expected_ms(self, now):
+        """Return the expected time to an answer, without distance, milliseconds."""
+        report = self.report
+        extra = self.mine - self.mine_then
+        age = now - self.reported_at
+        fresh = max(0.0, 1.0 - age / REPORT_LIFE_S)
+        others = max(0, report.running + report.queued - self.mine_then) * fresh
+        total = others + self.mine
+        delay = report.delay_ms
+        over = total - report.limit + 1
+        if extra > 0 and over > 0:
+            delay += delay * min(over, extra) / report.limit
+        # Full targets run slower, so the emptier of two equal ones is better.
+        delay *= 1.0 + 0.3 * min(total / max(report.limit, 1), 2.0)
+        if self.failures > 0 and now - self.failed_at < FAILURE_LIFE_S:
+            delay *= 1.0 + FAILURE_FACTOR * self.failures
+        if now < self.refused_until:
+            delay += REFUSED_MS
+        return delay
+
+
+def distance(place, member, size):
+    """Return the round trip to a member and the cost of its bytes.
+
+    Parameters
+    ----------
+    place : Place
+    member : Member
+    size : int
+        Bytes of the call and its answer.
+
+    Returns
+    -------
+    tuple of float
+        Milliseconds, and parts of the credit for a call.
+    """
+    if member.dc == place.dc:
+        return 0.0, 0.0
+    kilobytes = (size + HEAD_BYTES) / 1000.0
+    if member.region == place.region:
+        return OTHER_DC_MS, OTHER_DC_COST_KB * kilobytes
+    return OTHER_REGION_MS, OTHER_REGION_COST_KB * kilobytes
+
+
+def in_time(left_ms, expected_ms):
+    """Return the chance that an answer comes within `left_ms`."""
+    x = (expected_ms - left_ms) / SPREAD_MS
+    return 1.0 / (1.0 + math.exp(min(max(x, -30.0), 30.0)))
+
+
+def choose(candidates, place, now, wanted, tried, draw):
+    """Return the candidate with the most expected credit less cost, or None.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+    place : Place
+    now : float
+        Monotonic time, seconds.
+    wanted : Wanted
+    tried : container of str
+        Nodes that are left out.
+    draw : float
+        Random number in [0, 1); breaks ties.
+    """
+    best = None
+    best_value = 0.0
+    goal_ms = (wanted.goal_at - now) * 1000.0
+    for number, cand in enumerate(candidates):
+        if not cand.reachable or not cand.report.accepting:
+            continue
+        if cand.member.node in tried:
+            continue
+        trip_ms, cost = distance(place, cand.member, wanted.size)
+        expected_ms = cand.expected_ms(now) + trip_ms
+        chance = in_time(goal_ms, expected_ms)
+        value = chance + LATE_CREDIT * (1.0 - chance) - cost
+        # Among hopeless ones the soonest is best.
+        value -= expected_ms * 1e-5
+        value += ((draw * 997.0 + number * 0.618) % 1.0) * TIE_SPREAD
+        if best is None or value > best_value:
+            best, best_value = cand, value
+    return best
--- /dev/null
+++ b/pimentoline/twohop/target_side.py
@@ -0,0 +1,372 @@
+"""pimentoline.twohop.target_side: the calls at the target on this node's host."""
+
+import asyncio
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+
+from ..headers import NOT_BACK, NOT_ONWARD, end_to_end
+from ..logs import log_entry
+from ..verdict import Verdict
+from .admission import Admission, Job
+from .exchange import AnswerError, exchange
+from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
+from .lifetimes import Lifetimes, TargetState
+
+__all__ = ["TargetSide", "Work"]
+
+# A target ends work at its deadline by itself; the node waits a little longer.
+DEADLINE_SLACK_S = 0.3
+# Until the first status report says how many slots there are.
+DEFAULT_SLOTS = 8
+NOT_ACCEPTING_RETRY_S = 0.3
+# How often expired jobs are looked for, seconds.
+SWEEP_S = 0.05
+MS = 1000.0
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """A call taken by this node; `reply(frame, body)` is called once."""
+
+    frame: object
+    body: bytes
+    job: Job
+    reply: object
+    task: object = None
+    ended: bool = False
+    cancelled: bool = False
+
+
+class TargetSide:
+    """Admits calls to the target on this host and runs them.
+
+    Parameters
+    ----------
+    dialect : Dialect
+    pool : Pool
+    clock : callable
+        Monotonic clock, seconds.
+    service : str
+        Service of the target, from the settings.
+    addr : tuple
+        Address of the target.
+    on_change : callable
+        Called when the target begins or stops to accept calls.
+    """
+
+    def __init__(self, dialect, pool, clock, service, addr, on_change):
+        self._dialect = dialect
+        self._pool = pool
+        self._clock = clock
+        self._addr = addr
+        self._on_change = on_change
+        self.service = service
+        self.lifetimes = Lifetimes()
+        self.admission = Admission(DEFAULT_SLOTS)
+        self.stopping = False
+        self.connected = True
+        self._works = {}
+        self._sweep = None
+
+    # What the target says of itself.
+
+    @property
+    def accepting(self):
+        """Whether new calls are taken."""
+        held = self.lifetimes.held
+        ready = held is not None and held.state is TargetState.READY
+        return ready and not self.stopping
+
+    def load(self):
+        """Return the `LoadReport` of this moment."""
+        return self.admission.report(self._clock(), self.accepting)
+
+    def status_reported(self, report):
+        """Take a status report; return whether the state of the target changed."""
+        before = self.lifetimes.held
+        if report.addr != self._addr:
+            log_entry("target:foreign", target=report.target_id)
+            return False
+        if not self.lifetimes.accept(report):
+            log_entry(
+                "target:late-report",
+                target=report.target_id,
+                born_ms=report.born_ms,
+                sequence=report.sequence,
+            )
+            return False
+        if before is None or before.target_id != report.target_id:
+            self.admission = self._renewed(report.slots)
+        self.service = report.service
+        self.admission.set_slots(report.slots)
+        self.admission.cold_until = self._clock() + report.cold_s
+        return self._changed(before)
+
+    def _renewed(self, slots):
+        fresh = Admission(slots)
+        # Work of the former lifetime still counts until it ends.
+        fresh.running = self.admission.running
+        for job in self.admission.clear():
+            self._refuse(self._works[job], "target-replaced", NOT_ACCEPTING_RETRY_S)
+        self._pool.close_idle(self._addr)
+        return fresh
+
+    def signed_off(self, target_id, born_ms):
+        """Take a target's leave; return whether the state changed."""
+        before = self.lifetimes.held
+        self.lifetimes.leave(target_id, born_ms)
+        return self._changed(before)
+
+    def restore(self, lifetime):
+        """Take the state that an earlier process of this node has stored."""
+        if self.lifetimes.held is None:
+            self.lifetimes = Lifetimes(lifetime)
+            self._changed(None)
+
+    def _changed(self, before):
+        held = self.lifetimes.held
+        same = before is not None and (before.target_id, before.state) == (
+            held.target_id,
+            held.state,
+        )
+        if same:
+            return False
+        log_entry(
+            "target:state",
+            target=held.target_id,
+            state=held.state.value,
+            born_ms=held.born_ms,
+            sequence=held.sequence,
+        )
+        if not self.accepting:
+            self._refuse_queue("target-leaving")
+        self._on_change()
+        return True
+
+    def stop(self):
+        """Take no new calls; what runs goes on."""
+        self.stopping = True
+        self._refuse_queue("node-stopping")
+        self._on_change()
+
+    def _refuse_queue(self, reason):
+        for job in self.admission.clear():
+            self._refuse(self._works[job], reason, NOT_ACCEPTING_RETRY_S)
+
+    @property
+    def busy(self):
+        """Whether a call waits or runs."""
+        return bool(self._works)
+
+    # Calls.
+
+    def submit(self, frame, body, reply):
+        """Take a call of `CallFrame`; return its `Work`, which `cancel` takes."""
+        now = self._clock()
+        job = Job(
+            frame.priority,
+            now + frame.goal_ms / MS,
+            now + frame.left_ms / MS,
+            frame.last_resort,
+        )
+        work = Work(frame, body, job, reply)
+        self._works[job] = work
+        if not self.accepting:
+            self._refuse(work, "not-accepting", NOT_ACCEPTING_RETRY_S)
+        elif frame.service != self.service:
+            self._refuse(work, "other-service", NOT_ACCEPTING_RETRY_S)
+        else:
+            refused = self.admission.offer(job, now)
+            if refused is not None:
+                self._refuse(work, refused.reason, refused.retry_after_s)
+            else:
+                self._pump()
+        return work
+
+    def cancel(self, work):
+        """Drop a call whose caller has gone.
+
+        One that must not run twice and has begun goes on, since its answer is lost
+        to nobody else and its work may not be undone.
+        """
+        if work.ended:
+            return
+        work.cancelled = True
+        if work.task is not None and not work.frame.repeatable:
+            return
+        if work.task is not None:
+            work.task.cancel()
+        else:
+            self._end(work)
+
+    def _refuse(self, work, reason, retry_after_s, at_target=False):
+        frame = RefusedFrame(
+            work.frame.stream,
+            reason,
+            int(retry_after_s * MS),
+            at_target,
+            self.load(),
+        )
+        self._end(work, frame)
+
+    def _end(self, work, frame=None, body=b""):
+        if work.ended:
+            return
+        work.ended = True
+        self.admission.drop(work.job, self._clock())
+        self._works.pop(work.job, None)
+        if frame is not None and not work.cancelled:
+            work.reply(frame, body)
+
+    def _pump(self):
+        while True:
+            found = self.admission.next(self._clock())
+            if found is None:
+                break
+            job, refused = found
+            work = self._works.get(job)
+            if work is None:
+                self.admission.drop(job, self._clock())
+            elif refused is not None:
+                self._refuse(work, refused.reason, refused.retry_after_s)
+            else:
+                work.task = asyncio.get_running_loop().create_task(self._run(work))
+        if self._sweep is None and self.admission.queued:
+            loop = asyncio.get_running_loop()
+            self._sweep = loop.call_later(SWEEP_S, self._swept)
+
+    def _swept(self):
+        self._sweep = None
+        self._pump()
+
+    async def _run(self, work):
+        conn = None
+        admission = self.admission
+        try:
+            left_s = work.job.deadline_at - self._clock() + DEADLINE_SLACK_S
+            async with asyncio.timeout(left_s):
+                conn = await self._pool.acquire(self._addr, work.frame.repeatable)
+                answer = await self._exchange(conn, work)
+            if answer.reusable:
+                self._pool.give_back(conn)
+            else:
+                conn.close()
+            conn = None
+            if work.job.running and answer.status < 500:
+                admission.ended(work.job, self._clock())
+            self._answered(work, answer)
+        except asyncio.CancelledError:
+            self._end(work)
+        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+            self._failed(work, conn, exc)
+        finally:
+            if conn is not None:
+                conn.close()
+            admission.drop(work.job, self._clock())
+            self._pump()
+
+    def _failed(self, work, conn, exc):
+        if conn is None:
+            verdict = Verdict.NOT_RUN
+        elif getattr(exc, "started", False):
+            verdict = Verdict.RAN
+        else:
+            verdict = Verdict.MAY_HAVE_RUN
+        reason = "target-timeout" if isinstance(exc, TimeoutError) else "target-broken"
+        log_entry(
+            "call:broken",
+            request=self._request_id(work),
+            target=self.lifetimes.held.target_id,
+            reason=reason,
+            verdict=verdict.value,
+            detail=str(exc)[:120],
+        )
+        frame = BrokenFrame(work.frame.stream, reason, verdict, self.load())
+        self._end(work, frame)
+
+    def _request_id(self, work):
+        wanted = self._dialect.request_id.lower()
+        for name, value in work.frame.headers:
+            if name.lower() == wanted:
+                return value
+        return ""
+
+    async def _exchange(self, conn, work):
+        frame = work.frame
+        dialect = self._dialect
+        headers = HTTPHeaders()
+        for name, value in frame.headers:
+            headers.add(name, value)
+        left_ms = int((work.job.deadline_at - self._clock()) * MS)
+        headers[dialect.deadline_ms] = str(max(left_ms, 1))
+        headers[dialect.caller_service] = frame.caller_service
+        headers[dialect.expect_target] = self.lifetimes.held.target_id
+        if work.body or frame.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(work.body))
+        wanted = headers.get(dialect.request_id)
+
+        def own(found):
+            return found.get(dialect.request_id) in (None, wanted)
+
+        return await exchange(
+            conn,
+            frame.method,
+            frame.path,
+            headers,
+            work.body or None,
+            MAX_BODY_BYTES,
+            own,
+        )
+
+    def _answered(self, work, answer):
+        dialect = self._dialect
+        headers = answer.headers
+        self._note_load(headers.get(dialect.load))
+        if headers.get(dialect.not_run) is not None or answer.status == 421:
+            self._refuse(work, "target-refused", NOT_ACCEPTING_RETRY_S, True)
+            return
+        good = 200 <= answer.status < 300
+        if good and (
+            headers.get(dialect.stamp) is None
+            or headers.get("Content-Encoding") is not None
+        ):
+            frame = BrokenFrame(
+                work.frame.stream, "answer-not-whole", Verdict.RAN, self.load()
+            )
+            self._end(work, frame)
+            return
+        kept = end_to_end(headers, NOT_BACK | {"Content-Length", dialect.load})
+        frame = AnswerFrame(
+            work.frame.stream,
+            answer.status,
+            answer.reason,
+            tuple(kept.get_all()),
+            len(answer.body),
+            self.load(),
+        )
+        self._end(work, frame, answer.body)
+
+    def _note_load(self, text):
+        """Read the target's own figures: running, waiting, slots, percent."""
+        if not text:
+            return
+        try:
+            figures = [int(part) for part in text.split(",")]
+        except ValueError:
+            log_entry("target:load-unreadable", value=text[:40])
+            return
+        if len(figures) >= 3 and figures[2] > 0:
+            self.admission.set_slots(figures[2])
+        if len(figures) >= 4 and figures[3] > 0:
+            self.admission.slowness = figures[3] / 100.0
+
+
+def onward(headers, dialect):
+    """Return the headers of a caller that go on to the target.
+
+    Those that the node sets itself are left out.
+    """
+    own = {dialect.deadline_ms, dialect.caller_service, dialect.expect_target}
+    return tuple(end_to_end(headers, NOT_ONWARD | own | {"Content-Length"}).get_all())
--- /dev/null
+++ b/tests/test_twohop_decisions.py
@@ -0,0 +1,358 @@
+"""Decisions of the two-node path: admission, placement, repeats, lifetimes, routes."""
+
+from dataclasses import replace
+
+import pytest
+
+from pimentoline.twohop import lifecycle as lc
+from pimentoline.twohop.admission import Admission, Job
+from pimentoline.twohop.budget import RepeatBudget
+from pimentoline.twohop.lifetimes import Lifetimes, Report, TargetState
+from pimentoline.twohop.model import (
+    CallerLimits,
+    Configuration,
+    Kind,
+    LoadReport,
+    Member,
+    RepeatLimits,
+    Route,
+    ServiceInfo,
+    Share,
+)
+from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
+from pimentoline.twohop.splits import Splits
+from pimentoline.verdict import Verdict
+
+ADDR = ("10.0.0.1", 80)
+NOW = 100.0
+HOME = Place("kerio", "rift")
+WANTED = Wanted(NOW + 0.3, 2000)
+ROUTE = Route("r", "a.example", "/x/", Kind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3)
+SALE = replace(ROUTE, name="sale", kind=Kind.UNSAFE)
+
+
+def candidate(node, dc="kerio", region="rift", **load):
+    """Return a reachable candidate whose target is idle."""
+    fields = {"accepting": True, "limit": 9, "delay_ms": 120, **load}
+    member = Member(node, ADDR, dc, region, "ledger")
+    return Candidate(member, True, LoadReport(**fields), NOW)
+
+
+class World:
+    """Candidates by name, and a number of repeats."""
+
+    def __init__(self, *names, repeats=9):
+        self.found = [candidate(name) for name in names]
+        self.repeats = repeats
+
+    def choose(self, call, now):
+        """Return the first candidate that has not been asked."""
+        free = (c for c in self.found if c.member.node not in call.asked)
+        return next(free, None)
+
+    def may_repeat(self, service, now):
+        """Take one of the repeats."""
+        self.repeats -= 1
+        return self.repeats >= 0
+
+
+def begin(route, world):
+    """Return a call that has been sent to the first candidate."""
+    call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
+    (send,) = lc.step(call, lc.Begin(NOW), world)
+    assert send.candidate is world.found[0]
+    return call
+
+
+def nodes_of(effects):
+    """Return the nodes that the effects send the call to."""
+    return [e.candidate.member.node for e in effects if isinstance(e, lc.Send)]
+
+
+# Lifecycle.
+
+
+@pytest.mark.parametrize("verdict", [Verdict.MAY_HAVE_RUN, Verdict.RAN])
+def test_call_that_must_not_repeat_is_not_sent_again(verdict):
+    """Guards against a second run of a sale whose answer was lost."""
+    world = World("a", "b")
+    call = begin(SALE, world)
+    (end,) = lc.step(call, lc.Broken(NOW, verdict, "lost"), world)
+    assert end == lc.Reject(502, "lost")
+
+
+def test_unsent_sale_goes_to_another_target():
+    """Guards against a lost sale although it certainly did not run."""
+    world = World("a", "b")
+    call = begin(SALE, world)
+    effects = lc.step(call, lc.Broken(NOW, Verdict.NOT_RUN, "refused"), world)
+    assert nodes_of(effects) == ["b"]
+
+
+def test_promise_is_never_given_after_a_possible_run():
+    """Guards against a 503 for a call that may have run."""
+    world = World("a", "b")
+    call = begin(ROUTE, world)
+    lc.step(call, lc.Broken(NOW, Verdict.MAY_HAVE_RUN, "lost"), world)
+    refused = lc.RefusedThere(NOW, "queue", 0.1)
+    effects = lc.step(call, refused, world)
+    while nodes_of(effects):
+        effects = lc.step(call, refused, world)
+    assert effects == [lc.Reject(502, "no-room")] or effects[0].status == 502
+
+
+def test_refusals_lead_to_last_resort_then_to_a_promise():
+    """Guards against a refusal while some target would take the call late."""
+    world = World("a", "b")
+    call = begin(ROUTE, world)
+    effects = lc.step(call, lc.RefusedThere(NOW, "queue", 0.1), world)
+    assert nodes_of(effects) == ["b"]
+    effects = lc.step(call, lc.RefusedThere(NOW, "queue", 0.4), world)
+    assert effects == [lc.Send(world.found[0], True, False)]
+    effects = lc.step(call, lc.RefusedThere(NOW, "full", 0.2), world)
+    assert effects == [lc.Reject(503, "full", 0.1)]
+
+
+def test_repeats_end_with_the_budget():
+    """Guards against repeats that multiply the load of a failing service."""
+    world = World("a", "b", "c", repeats=1)
+    call = begin(ROUTE, world)
+    broken = lc.Broken(NOW, Verdict.RAN, "cut")
+    assert nodes_of(lc.step(call, broken, world)) == ["b"]
+    assert lc.step(call, broken, world) == [lc.Reject(502, "cut")]
+
+
+def test_repeats_end_with_the_attempts_of_the_route():
+    """Guards against more targets for a call than the operator allows."""
+    world = World("a", "b", "c", "d")
+    call = begin(replace(ROUTE, max_attempts=2), world)
+    broken = lc.Broken(NOW, Verdict.RAN, "cut")
+    assert nodes_of(lc.step(call, broken, world)) == ["b"]
+    assert nodes_of(lc.step(call, broken, world)) == []
+
+
+def test_failed_answer_is_delivered_if_nothing_better_comes():
+    """Guards against an answer of our own in place of a target's."""
+    world = World("a", "b")
+    call = begin(ROUTE, world)
+    effects = lc.step(call, lc.Answered(NOW, 500, "first"), world)
+    assert nodes_of(effects) == ["b"]
+    call.asked.update("ab")
+    effects = lc.step(call, lc.Broken(NOW, Verdict.RAN, "cut"), world)
+    assert effects == [lc.Reply("first")]
+
+
+def test_timeout_cancels_and_answers_at_once():
+    """Guards against a caller that is kept waiting past the route's timeout."""
+    world = World("a")
+    call = begin(ROUTE, world)
+    effects = lc.step(call, lc.TimedOut(NOW + 1), world)
+    assert effects == [lc.CancelAttempt(), lc.Reject(504, "timeout")]
+    assert lc.step(call, lc.Answered(NOW + 1, 200, "late"), world) == []
+
+
+def test_no_target_is_refused_at_once():
+    """Guards against a call that waits although nothing can serve it."""
+    call = lc.Call(ROUTE, "ledger", NOW + 0.3, NOW + 1.0)
+    (end,) = lc.step(call, lc.Begin(NOW), World())
+    assert (end.status, end.reason) == (503, "no-target")
+
+
+# Budget.
+
+
+def test_repeats_of_all_nodes_stay_within_the_shared_budget():
+    """Guards against nodes that each spend the whole allowance."""
+    nodes = [RepeatBudget(RepeatLimits(0.2, 10.0, 64)) for _ in range(16)]
+    for node in nodes:
+        for number in range(100):
+            node.first(NOW + number * 0.01)
+    sent = sum(node.take(NOW + 1, 16) for node in nodes for _ in range(100))
+    assert 0 < sent <= 0.2 * 1600 + 64
+
+
+def test_budget_holds_in_every_sliding_window():
+    """Guards against a burst at the edge of two windows."""
+    budget = RepeatBudget(RepeatLimits(0.2, 10.0, 0))
+    for number in range(100):
+        budget.first(NOW + number * 0.1)
+    early = sum(budget.take(NOW + 9.9, 1) for _ in range(50))
+    assert early == 10
+    assert sum(budget.take(NOW + 10.1, 1) for _ in range(50)) == 0
+
+
+# Admission.
+
+
+def job(goal_s=0.3, deadline_s=1.0, priority=1, last_resort=False):
+    """Return a job that arrives now."""
+    return Job(priority, NOW + goal_s, NOW + deadline_s, last_resort)
+
+
+def fill(admission, count):
+    """Start `count` jobs."""
+    jobs = [job() for _ in range(count)]
+    for one in jobs:
+        assert admission.offer(one, NOW) is None
+        assert admission.next(NOW) == (one, None)
+    return jobs
+
+
+def test_no_more_run_than_the_limit():
+    """Guards against work beyond the knee of a target."""
+    admission = Admission(10)
+    fill(admission, admission.limit)
+    waiting = job()
+    assert admission.offer(waiting, NOW) is None
+    assert admission.next(NOW) is None
+    assert admission.queued == 1
+
+
+def test_what_cannot_be_in_time_is_refused_at_once():
+    """Guards against a queue that makes every answer late."""
+    admission = Admission(10)
+    fill(admission, admission.limit)
+    refused = None
+    count = 0
+    while refused is None:
+        refused = admission.offer(job(), NOW)
+        count += 1
+    assert refused.reason == "queue" and refused.retry_after_s > 0
+    assert count <= 3 * admission.limit
+
+
+def test_more_urgent_job_goes_first():
+    """Guards against sales that wait behind lookups."""
+    admission = Admission(10)
+    running = fill(admission, admission.limit)
+    lookup, sale = job(priority=2), job(priority=1)
+    admission.offer(lookup, NOW)
+    admission.offer(sale, NOW)
+    admission.ended(running[0], NOW)
+    assert admission.next(NOW) == (sale, None)
+
+
+def test_expired_job_is_refused_not_started():
+    """Guards against work that nobody can use."""
+    admission = Admission(10)
+    running = fill(admission, admission.limit)
+    waiting = job(deadline_s=0.4)
+    admission.offer(waiting, NOW)
+    for one in running:
+        admission.ended(one, NOW)
+    found, refused = admission.next(NOW + 0.39)
+    assert found is waiting and refused.reason == "expired"
+
+
+def test_dropped_job_frees_its_place():
+    """Guards against slots that are lost to callers who left."""
+    admission = Admission(10)
+    running = fill(admission, admission.limit)
+    for one in running:
+        admission.drop(one, NOW)
+        admission.drop(one, NOW)
+    assert admission.running == 0
+
+
+# Placement.
+
+
+def test_near_target_is_chosen_while_it_has_room():
+    """Guards against traffic between regions that nothing calls for."""
+    far = candidate("far", "kwale", "coast")
+    near = candidate("near")
+    for draw in (0.1, 0.5, 0.9):
+        assert choose([far, near], HOME, NOW, WANTED, (), draw) is near
+
+
+def test_upload_stays_in_its_region_longer_than_a_lookup():
+    """Guards against large bodies on links that are billed by volume."""
+    far = candidate("far", "kwale", "coast")
+    near = candidate("near", delay_ms=320)
+    look, upload = Wanted(NOW + 0.3, 1500), Wanted(NOW + 0.3, 60_000)
+    assert choose([far, near], HOME, NOW, look, (), 0.5) is far
+    assert choose([far, near], HOME, NOW, upload, (), 0.5) is near
+
+
+def test_own_sends_count_before_the_next_report():
+    """Guards against herds that follow one stale report."""
+    first, second = candidate("a"), candidate("b")
+    for _ in range(20):
+        chosen = choose([first, second], HOME, NOW, WANTED, (), 0.5)
+        chosen.mine += 1
+    assert abs(first.mine - second.mine) <= 2
+
+
+@pytest.mark.parametrize("change", [{"accepting": False}, {"reachable": False}])
+def test_target_that_takes_nothing_is_left_out(change):
+    """Guards against calls to draining targets and lost nodes."""
+    gone, other = candidate("gone"), candidate("other", delay_ms=900)
+    if "reachable" in change:
+        gone.reachable = False
+    else:
+        gone.report = replace(gone.report, accepting=False)
+    assert choose([gone, other], HOME, NOW, WANTED, (), 0.5) is other
+
+
+def test_failing_target_is_avoided_and_comes_back():
+    """Guards against a target that fails fast and looks idle, and against its loss."""
+    bad, good = candidate("bad", delay_ms=60), candidate("good")
+    for _ in range(6):
+        bad.note_failure(NOW)
+    assert choose([bad, good], HOME, NOW, WANTED, (), 0.5) is good
+    later = NOW + 60
+    assert choose([bad, good], HOME, later, Wanted(later + 0.3), (), 0.5) is bad
+
+
+# Lifetimes.
+
+
+def report(target="t1", born=5, sequence=1, state=TargetState.READY):
+    """Return a status report."""
+    return Report(target, ADDR, "ledger", born, sequence, state, 12)
+
+
+def test_late_reports_never_bring_a_target_back():
+    """Guards against new work for a target that drains, left or was replaced."""
+    held = Lifetimes()
+    assert held.accept(report(sequence=1))
+    assert held.accept(report(sequence=3, state=TargetState.DRAINING))
+    assert not held.accept(report(sequence=2))
+    assert not held.accept(report(sequence=4))
+    assert held.leave("t1", None)
+    assert not held.accept(report(sequence=9))
+    assert held.accept(report("t2", born=9))
+    assert not held.accept(report("t1", born=5, sequence=99))
+    assert not held.leave("t1", 5)
+    assert held.held.state is TargetState.READY
+
+
+def test_restart_under_the_same_name_is_a_new_lifetime():
+    """Guards against ignoring a target that restarts with the id that it had."""
+    held = Lifetimes()
+    held.accept(report(sequence=50, state=TargetState.DRAINING))
+    assert held.accept(report(born=8, sequence=1))
+
+
+# Routes.
+
+
+def test_longest_prefix_wins():
+    """Guards against calls that reach the service of a shorter prefix."""
+    long = replace(ROUTE, name="long", prefix="/x/y/")
+    cfg = Configuration.from_routes(
+        1, [ROUTE, long], [ServiceInfo("ledger", 9)], CallerLimits()
+    )
+    assert cfg.find("a.example", "/x/y/z").name == "long"
+    assert cfg.find("a.example", "/x/z").name == "r"
+    assert cfg.find("a.example", "/x") is None
+    assert cfg.find("b.example", "/x/z") is None
+
+
+def test_split_keeps_its_weights_over_few_calls():
+    """Guards against shares that drift from the operator's weights."""
+    route = replace(ROUTE, shares=(Share("a", 90), Share("b", 10)))
+    splits = Splits()
+    found = [splits.next(route) for _ in range(100)]
+    assert found.count("b") == 10
+    assert found[:20].count("b") == 2
