Read trailers of chunked bodies and answer 413 to large ones

Cause: tornado refuses a chunked body with trailers with a bare 400, and a body over the limit as well; the first is a proper request.

Change: a reader of chunks of our own for callers on the two-node path; both limits are checked where they are answered with 413. Tests of the settings file and of the program's signals.

--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -11,9 +11,13 @@
     ResponseStartLine,
     responses,
 )
+from tornado.iostream import StreamClosedError
 
 from ..logs import log_entry
 from .caller_side import Incoming
+from .chunked import BodyTooLarge, read_chunked
+from .frames import MAX_BODY_BYTES
+from .model import CallerLimits
 from .target_side import onward
 
 __all__ = ["Front"]
@@ -25,6 +29,8 @@
 STOPPING_RETRY_S = 0.02
 # The idle limit of a connection ends a little after the one that callers know.
 IDLE_MARGIN_S = 1.0
+# Bytes of a body that is read although it is too large, before the connection ends.
+MAX_READ_BYTES = 4 * MAX_BODY_BYTES
 
 
 class Front(HTTPServerConnectionDelegate):
@@ -44,6 +50,7 @@
         self.dialect = dialect
         self.stopping = False
         self.refusing = False
+        self.limits = CallerLimits()
         self.open_requests = 0
         self._conns = {}
         self._server = HTTPServer(self)
@@ -54,10 +61,10 @@
 
     def configure(self, limits):
         """Take the limits for callers of a new configuration."""
+        self.limits = limits
         params = self._server.conn_params
         params.header_timeout = limits.idle_timeout_s + IDLE_MARGIN_S
         params.max_header_size = limits.head_bytes + 1024
-        params.max_body_size = limits.body_bytes
 
     def start_request(self, server_conn, request_conn):
         """Return the reader of one call."""
@@ -107,6 +114,7 @@
         self.route = None
         self.arrived = 0.0
         self.left = None
+        self.max_bytes = 0
 
     def headers_received(self, start_line, headers):
         """Note the head; the body follows."""
@@ -115,13 +123,35 @@
         self.arrived = time.monotonic()
         self.start = start_line
         self.headers = headers
+        self.max_bytes = self.front.limits.body_bytes
+        # The limit is checked here, where it is answered with 413.
+        self.conn.set_max_body_size(MAX_READ_BYTES)
+        # tornado has no other place for the reader of chunks.
+        self.conn._read_chunked_body = self._read_chunked
+        length = headers.get("Content-Length", "")
+        if length.isascii() and length.isdigit() and int(length) > self.max_bytes:
+            self._too_large()
+
+    async def _read_chunked(self, delegate):
+        try:
+            await read_chunked(self.conn.stream, self.data_received, self.max_bytes)
+        except BodyTooLarge:
+            self._too_large()
+            raise StreamClosedError from None
+
+    def _too_large(self):
+        self.chunks = []
+        self._own(413, "body-too-large")
 
     def data_received(self, chunk):
         """Collect the body."""
-        self.chunks.append(chunk)
+        if self.state == "reading":
+            self.chunks.append(chunk)
 
     def finish(self):
         """Route the call, now that it is whole."""
+        if self.state != "reading":
+            return
         self.state = "waiting"
         front = self.front
         if front.refusing:
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,177 @@
+"""The program on the platform: its settings file, its signals and its end."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from pimentoline.errors import SettingsError
+from pimentoline.platform.settings import load_boot, seconds
+from standins.platform import Instance, StoreStandIn, free_port
+
+from .test_twohop_path import config
+
+ROOT = Path(__file__).parent.parent
+SETTINGS = """
+node_name = "sidecar-1"
+zone = "kerio"
+region = "rift"
+service = "ledger"
+app_addr = "{app}"
+new_field = {{ unknown = true }}
+bounds = ["grace=2s","retry_ratio=0.2","retry_window=10s","retry_slack={slack}"]
+[listen]
+inbound = "127.0.0.1:{inbound}"
+outbound = "127.0.0.1:{outbound}"
+ready_addr = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+[platform]
+address = "{store}"
+"""
+
+
+def settings_text(slack=64, app="127.0.0.1:1", store="127.0.0.1:1", **ports):
+    """Return a settings file."""
+    named = {
+        name: ports.get(name, number)
+        for number, name in enumerate(("inbound", "outbound", "ready", "control"), 1)
+    }
+    return SETTINGS.format(slack=slack, app=app, store=store, **named)
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    """Guards against a file that a newer platform writes."""
+    path = tmp_path / "boot.toml"
+    path.write_text(settings_text())
+    cfg = load_boot(path).host_settings()
+    assert (cfg.node, cfg.dc, cfg.grace_s) == ("sidecar-1", "kerio", 2.0)
+    assert cfg.repeats.allowance == 64
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (lambda text: None, "No such file"),
+        (lambda text: text[: len(text) // 2], "not TOML"),
+        (lambda text: text.partition("[platform]")[0], "platform"),
+        (lambda text: text + "[broken", "not TOML"),
+        (lambda text: text.replace('"127.0.0.1:1"', '"nowhere"', 1), "app_addr"),
+        (lambda text: text.replace("grace=2s", "grace=soon"), "bounds"),
+        (lambda text: text.replace('"grace=2s",', ""), "bounds"),
+    ],
+)
+def test_wrong_settings_are_named(tmp_path, change, said):
+    """Guards against an error that does not say what is wrong."""
+    path = tmp_path / "boot.toml"
+    text = change(settings_text())
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(SettingsError, match=said) as caught:
+        load_boot(path).host_settings()
+    assert "boot.toml" in str(caught.value) or said == "bounds"
+
+
+@pytest.mark.parametrize(("text", "value"), [("1500ms", 1.5), ("2.5s", 2.5)])
+def test_durations_are_read(text, value):
+    """Guards against a unit that is taken for another."""
+    assert seconds(text) == value
+
+
+@pytest.mark.parametrize("text", ["5", "5m", "-1s", "s", None, 7, "1e3s"])
+def test_odd_durations_are_refused(text):
+    """Guards against a duration without a unit."""
+    with pytest.raises(ValueError):
+        seconds(text)
+
+
+def start(path):
+    """Start the program with a settings file."""
+    env = {**os.environ, "PIMENTOLINE_CONFIG": str(path)}
+    return subprocess.Popen(
+        [sys.executable, "-m", "pimentoline.platform"],
+        cwd=ROOT,
+        env=env,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def test_program_ends_with_status_2_on_wrong_settings(tmp_path):
+    """Guards against a program that starts without usable settings."""
+    process = start(tmp_path / "none.toml")
+    out, _ = process.communicate(timeout=20)
+    assert process.returncode == 2
+    assert json.loads(out)["code"] == "settings-invalid"
+
+
+async def is_ready(port):
+    """Return whether the node says that callers may be sent to it."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return False
+    writer.write(b"GET /v1/ready HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+    answer = await reader.read()
+    writer.close()
+    return answer.startswith(b"HTTP/1.1 200")
+
+
+async def until(condition, timeout_s=15.0):
+    """Wait until an asynchronous condition holds."""
+    end = time.monotonic() + timeout_s
+    while not await condition():
+        assert time.monotonic() < end, "timed out"
+        await asyncio.sleep(0.05)
+
+
+def test_program_reloads_on_hangup_and_stops_within_grace(tmp_path):
+    """Guards against a program that a hangup ends, or that is killed at its stop."""
+
+    async def run():
+        store = StoreStandIn()
+        store.put_config(config())
+        instance = Instance("i-1", "ledger")
+        await instance.start()
+        ports = {
+            name: free_port() for name in ("inbound", "outbound", "ready", "control")
+        }
+        text = {
+            "app": "{}:{}".format(*instance.addr),
+            "store": "{}:{}".format(*store.addr),
+            **ports,
+        }
+        path = tmp_path / "boot.toml"
+        path.write_text(settings_text(**text))
+        process = start(path)
+        try:
+            await until(lambda: is_ready(ports["ready"]))
+            path.write_text(settings_text(slack=7, **text))
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
+            assert await is_ready(ports["ready"])
+            process.send_signal(signal.SIGTERM)
+            began = time.monotonic()
+            await until(lambda: _not(is_ready(ports["ready"])), 1.0)
+            await asyncio.to_thread(process.wait, 10)
+            assert time.monotonic() - began < 2.5
+        finally:
+            process.kill()
+            out = process.stdout.read()
+            process.wait()
+            instance.close()
+            store.close()
+        assert process.returncode == 0
+        names = [json.loads(line)["message_type"] for line in out.splitlines()]
+        assert "node:reloaded" in names
+        assert names[-1] == "node:stopped"
+
+    async def _not(answer):
+        return not await answer
+
+    asyncio.run(run())
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -634,3 +634,20 @@
     front.reload(changed)
     assert front.cfg == changed
     assert not front.caller_side.may_repeat(LEDGER, time.monotonic())
+
+
+@pytest.mark.parametrize("chunked", [True, False])
+@site_test
+async def test_body_over_the_limit_is_refused_and_not_passed_on(site, chunked):
+    """Guards against a body that is larger than the operator allows."""
+    front, _, instance = await pair(site)
+    caller = Caller(front)
+    size = 1_200_000
+    if chunked:
+        head = "Transfer-Encoding: chunked\r\n"
+        await caller.send("/sale/1", method="POST", head=head)
+        caller.writer.write(b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n")
+    else:
+        await caller.send("/sale/1", method="POST", body=b"x" * size)
+    assert (await caller.read())[0] == 413
+    assert instance.seen == []
