See a hanging or dead target before anything ends there

Cause: the expected duration followed answers only, so a target that hangs or turns slow looked good until its calls ended; a dead one failed fast and looked idle. Jobs of a former lifetime were counted off the new one.

Change: the age of what runs counts as a lower bound of the duration; a target that takes no connection is not offered for 0.3 s; a job keeps the counts it began in.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -13,6 +13,8 @@
 
 # Some targets slow down when the last fifth of their slots is in use.
 USED_SLOTS = 0.8
+# Jobs that must run before their age says something of the target.
+MIN_TIMED = 3
 # Weight of the newest duration in the mean.
 DURATION_WEIGHT = 0.05
 # Mean duration before the first answer, seconds; the work times of both users are
@@ -73,6 +75,8 @@
         self.slowness = 1.0
         self.cold_until = 0.0
         self._mean_s = FIRST_DURATION_S
+        self._started_sum = 0.0
+        self._timed = 0
         self._queue = []
         self._late = []
         self._order = 0
@@ -89,7 +93,16 @@
     def duration_s(self, now):
         """Return the expected duration of a job that starts now, seconds."""
         cold = COLD_FACTOR if now < self.cold_until else 1.0
-        return self._mean_s * cold
+        return max(self._mean_s * cold, self._mean_age_s(now))
+
+    def _mean_age_s(self, now):
+        """Return how long what runs has been running, on average, seconds.
+
+        A target that turns slow or hangs shows here before anything ends.
+        """
+        if self._timed < MIN_TIMED:
+            return 0.0
+        return now - self._started_sum / self._timed
 
     def wait_s(self, now, ahead):
         """Return the expected wait behind `ahead` jobs that also wait, seconds."""
@@ -156,6 +169,8 @@
                 job.running = True
                 job.started_at = now
                 self.running += 1
+                self._timed += 1
+                self._started_sum += now
                 return job, None
         return None
 
@@ -167,6 +182,8 @@
         if job.running:
             job.running = False
             self.running -= 1
+            self._timed -= 1
+            self._started_sum -= job.started_at
         job.dropped = True
 
     def ended(self, job, now):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -18,6 +18,10 @@
 
 # A target ends work at its deadline by itself; the node waits a little longer.
 DEADLINE_SLACK_S = 0.3
+# A target on the same host accepts a connection within a few milliseconds.
+CONNECT_S = 0.4
+# A target that takes no connection is left alone for this long.
+DOWN_S = 0.3
 # Until the first status report says how many slots there are.
 DEFAULT_SLOTS = 8
 NOT_ACCEPTING_RETRY_S = 0.3
@@ -34,6 +38,7 @@
     body: bytes
     job: Job
     reply: object
+    admission: Admission
     task: object = None
     ended: bool = False
     cancelled: bool = False
@@ -66,7 +71,7 @@
         self.lifetimes = Lifetimes()
         self.admission = Admission(DEFAULT_SLOTS)
         self.stopping = False
-        self.connected = True
+        self._down_until = 0.0
         self._works = {}
         self._sweep = None
 
@@ -77,7 +82,8 @@
         """Whether new calls are taken."""
         held = self.lifetimes.held
         ready = held is not None and held.state is TargetState.READY
-        return ready and not self.stopping
+        up = self._clock() >= self._down_until
+        return ready and up and not self.stopping
 
     def load(self):
         """Return the `LoadReport` of this moment."""
@@ -97,7 +103,10 @@
                 sequence=report.sequence,
             )
             return False
-        if before is None or before.target_id != report.target_id:
+        if before is None or (before.target_id, before.born_ms) != (
+            report.target_id,
+            report.born_ms,
+        ):
             self.admission = self._renewed(report.slots)
         self.service = report.service
         self.admission.set_slots(report.slots)
@@ -106,8 +115,6 @@
 
     def _renewed(self, slots):
         fresh = Admission(slots)
-        # Work of the former lifetime still counts until it ends.
-        fresh.running = self.admission.running
         for job in self.admission.clear():
             self._refuse(self._works[job], "target-replaced", NOT_ACCEPTING_RETRY_S)
         self._pool.close_idle(self._addr)
@@ -171,7 +178,7 @@
             now + frame.left_ms / MS,
             frame.last_resort,
         )
-        work = Work(frame, body, job, reply)
+        work = Work(frame, body, job, reply, self.admission)
         self._works[job] = work
         if not self.accepting:
             self._refuse(work, "not-accepting", NOT_ACCEPTING_RETRY_S)
@@ -215,7 +222,7 @@
         if work.ended:
             return
         work.ended = True
-        self.admission.drop(work.job, self._clock())
+        work.admission.drop(work.job, self._clock())
         self._works.pop(work.job, None)
         if frame is not None and not work.cancelled:
             work.reply(frame, body)
@@ -243,11 +250,11 @@
 
     async def _run(self, work):
         conn = None
-        admission = self.admission
         try:
             left_s = work.job.deadline_at - self._clock() + DEADLINE_SLACK_S
-            async with asyncio.timeout(left_s):
+            async with asyncio.timeout(min(left_s, CONNECT_S)):
                 conn = await self._pool.acquire(self._addr, work.frame.repeatable)
+            async with asyncio.timeout(left_s):
                 answer = await self._exchange(conn, work)
             if answer.reusable:
                 self._pool.give_back(conn)
@@ -255,21 +262,25 @@
                 conn.close()
             conn = None
             if work.job.running and answer.status < 500:
-                admission.ended(work.job, self._clock())
+                work.admission.ended(work.job, self._clock())
             self._answered(work, answer)
         except asyncio.CancelledError:
             self._end(work)
         except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
             self._failed(work, conn, exc)
+        except Exception as exc:
+            # Whatever is wrong with this call must not leave its caller waiting.
+            log_entry("call:error", request=self._request_id(work), detail=repr(exc))
+            self._failed(work, conn, exc)
         finally:
             if conn is not None:
                 conn.close()
-            admission.drop(work.job, self._clock())
             self._pump()
 
     def _failed(self, work, conn, exc):
         if conn is None:
             verdict = Verdict.NOT_RUN
+            self._note_down()
         elif getattr(exc, "started", False):
             verdict = Verdict.RAN
         else:
@@ -286,6 +297,17 @@
         frame = BrokenFrame(work.frame.stream, reason, verdict, self.load())
         self._end(work, frame)
 
+    def _note_down(self):
+        """Take no calls for a moment, because the target takes no connection."""
+        if self._clock() < self._down_until:
+            return
+        self._down_until = self._clock() + DOWN_S
+        log_entry("target:unreachable", target=self.lifetimes.held.target_id)
+        self._refuse_queue("target-unreachable")
+        self._on_change()
+        loop = asyncio.get_running_loop()
+        loop.call_later(DOWN_S, self._on_change)
+
     def _request_id(self, work):
         wanted = self._dialect.request_id.lower()
         for name, value in work.frame.headers:
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -18,6 +18,10 @@
 from .core import digest, run_scenario
 
 PACKAGE = Path(pimentoline.__file__).parent
+TWOHOP_DECISIONS = (
+    *("admission", "budget", "lifecycle", "lifetimes", "model"),
+    *("placement", "splits"),
+)
 ALLOWED = {
     *("abc", "bisect", "collections", "dataclasses", "enum", "fnmatch", "functools"),
     *("hashlib", "heapq", "importlib", "itertools", "math", "operator", "re"),
@@ -52,6 +56,7 @@
     """
     reader = PACKAGE / "rules" / "reading.py"
     found, todo = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
+    todo += [PACKAGE / "twohop" / f"{name}.py" for name in TWOHOP_DECISIONS]
     while todo:
         path = todo.pop()
         if path not in found:
@@ -87,6 +92,7 @@
     names = {path.stem for path in core_modules()}
     assert {"routing", "limits", "retries", "hot_cold", "ruleset", "model"} <= names
     assert "proxy" not in names
+    assert not names & {"node", "peers", "links", "front", "target_side"}
 
 
 @pytest.mark.parametrize("policy", policy_names())
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -244,6 +244,14 @@
     assert found is waiting and refused.reason == "expired"
 
 
+def test_hanging_target_shows_before_anything_ends():
+    """Guards against calls placed at a target that has stopped answering."""
+    admission = Admission(10)
+    before = admission.report(NOW, True).delay_ms
+    fill(admission, 4)
+    assert admission.report(NOW + 0.9, True).delay_ms > 5 * before
+
+
 def test_dropped_job_frees_its_place():
     """Guards against slots that are lost to callers who left."""
     admission = Admission(10)
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -651,3 +651,37 @@
         await caller.send("/sale/1", method="POST", body=b"x" * size)
     assert (await caller.read())[0] == 413
     assert instance.seen == []
+
+
+@site_test
+async def test_new_lifetime_of_a_target_starts_with_empty_counts(site):
+    """Guards against slots that are lost, or won, when a target is replaced."""
+    front, node, instance = await pair(site)
+    instance.delay_s = 0.3
+    callers = [Caller(front) for _ in range(4)]
+    for number, caller in enumerate(callers):
+        await caller.send("/look/1", request_id=f"q{number}")
+    await site.until(lambda: len(instance.seen) == 4)
+    instance.born_ms += 5000
+    assert await instance.report(node) == 200
+    assert node.target.admission.running == 0
+    for caller in callers:
+        assert (await caller.read())[0] == 200
+    assert node.target.admission.running == 0
+
+
+@site_test
+async def test_target_that_takes_no_connection_is_left_and_comes_back(site):
+    """Guards against a dead target that fails fast and looks idle."""
+    front, node, instance = await pair(site)
+    _, other = await site.add(LEDGER)
+    await site.connected()
+    addr = instance.addr
+    instance.close()
+    for number in range(4):
+        status, _, _ = await Caller(front).call("/look/1", request_id=f"q{number}")
+        assert status == 200
+    assert len(other.seen) == 4
+    assert not node.target.accepting
+    instance._server = await asyncio.start_server(instance._client, *addr)
+    await site.until(lambda: node.target.accepting)
