Start calls only while a target's neighbours are quiet, and learn its knee

The figure does not speak of the target's own fill.

Change: waiting calls start on a fresh figure below 1.8 only; an older one than 30 ms is asked for at the health path, at most 25 times a second and target. A call that noise holds up is given back while another target can still be in time. Durations are kept by kind of call.

--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -82,7 +82,11 @@
     try:
         item = json.loads(text)
         services = [
-            ServiceInfo(found["name"], int(found.get("max_conns", 0)))
+            ServiceInfo(
+                found["name"],
+                int(found.get("max_conns", 0)),
+                str(found.get("health_path", "")),
+            )
             for found in _rows(item["services"])
         ]
         names = {service.name for service in services}
--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -7,28 +7,26 @@
 import heapq
 from dataclasses import dataclass
 
+from .durations import Durations
 from .model import LoadReport
+from .noise import Gate, Noise
 
 __all__ = ["Admission", "Job", "Refused"]
 
-# Some targets slow down when the last fifth of their slots is in use.
-USED_SLOTS = 0.8
-# Jobs that must run before their age says something of the target.
-MIN_TIMED = 3
-# Weight of the newest duration in the mean.
-DURATION_WEIGHT = 0.05
-# Mean duration before the first answer, seconds; the work times of both users are
-# near this.
-FIRST_DURATION_S = 0.12
 # Calls whose objective is already lost may wait up to this many times the limit.
-LATE_QUEUE = 1.0
+LATE_QUEUE = 0.5
 # Bounds of the time after which a refused caller should come back, seconds.
 MIN_RETRY_AFTER_S = 0.02
 MAX_RETRY_AFTER_S = 1.0
 # A cold target takes about twice as long.
 COLD_FACTOR = 2.0
-# Share of the usual time that a job must still have to be started.
-MIN_START_SHARE = 0.3
+# Part of the usual time that a job must still have to be started.
+MIN_START_SHARE = 0.5
+# Jobs that must run before their age says something of the target.
+MIN_AGED = 3
+# A held job is given back this long before its objective would be lost, seconds: a
+# round trip to another region and a short wait there.
+GIVE_BACK_S = 0.02
 
 
 @dataclass(slots=True, eq=False)
@@ -41,13 +39,17 @@
         Monotonic times, seconds: end of the latency objective, and of all interest.
     last_resort : bool
         No other target would take it.
+    kind : object
+        Separates short calls from long ones.
     """
 
     priority: int
     goal_at: float
     deadline_at: float
     last_resort: bool = False
+    kind: object = None
     started_at: float = 0.0
+    began_with: int = 0
     running: bool = False
     dropped: bool = False
 
@@ -70,45 +72,53 @@
     """
 
     def __init__(self, slots):
-        self.set_slots(slots)
+        self.slots = max(1, slots)
         self.running = 0
-        self.slowness = 1.0
         self.cold_until = 0.0
-        self._mean_s = FIRST_DURATION_S
+        self.noise = Noise()
+        self._durations = Durations()
         self._started_sum = 0.0
-        self._timed = 0
         self._queue = []
         self._late = []
         self._order = 0
 
     def set_slots(self, slots):
         """Take the number of slots that the target reports."""
-        self.limit = max(1, int(slots * USED_SLOTS))
+        self.slots = max(1, slots)
+
+    @property
+    def limit(self):
+        """Calls that may run at once."""
+        return self._durations.limit(self.slots)
 
     @property
     def queued(self):
         """Number of jobs that wait."""
-        return sum(not entry[-1].dropped for entry in (*self._queue, *self._late))
-
-    def duration_s(self, now):
-        """Return the expected duration of a job that starts now, seconds."""
-        cold = COLD_FACTOR if now < self.cold_until else 1.0
-        return max(self._mean_s * cold, self._mean_age_s(now))
+        return _live(self._queue) + _live(self._late)
 
     def _mean_age_s(self, now):
         """Return how long what runs has been running, on average, seconds.
 
         A target that turns slow or hangs shows here before anything ends.
         """
-        if self._timed < MIN_TIMED:
+        if self.running < MIN_AGED:
             return 0.0
-        return now - self._started_sum / self._timed
+        return now - self._started_sum / self.running
+
+    def duration_s(self, now, kind=None):
+        """Return the expected duration of a job that starts now, seconds."""
+        plain = self._durations.of(kind) if kind else self._durations.mean_s
+        if now < self.cold_until:
+            plain *= COLD_FACTOR
+        return max(plain, self._mean_age_s(now))
 
     def wait_s(self, now, ahead):
         """Return the expected wait behind `ahead` jobs that also wait, seconds."""
-        if self.running < self.limit and not ahead:
-            return 0.0
-        return (ahead + 1) * self.duration_s(now) / self.limit
+        rest = self.noise.rest_s(now)
+        free = self.limit - self.running - ahead
+        if free > 0:
+            return rest
+        return rest + (1 - free) * self.duration_s(now) / self.limit
 
     def offer(self, job, now):
         """Decide on an arriving job.
@@ -118,24 +128,21 @@
         Refused or None
             None if the job runs or waits; `next` tells which.
         """
-        duration = self.duration_s(now)
+        duration = self.duration_s(now, job.kind)
+        place = (job.priority, job.goal_at)
         ahead = sum(
-            not other.dropped and (priority, goal) <= (job.priority, job.goal_at)
-            for priority, goal, _, other in self._queue
+            entry[:2] <= place and not entry[-1].dropped for entry in self._queue
         )
         wait = self.wait_s(now, ahead)
-        if now + wait + duration <= job.goal_at or (not wait and job.last_resort):
+        if now + wait + duration <= job.goal_at:
             self._push(self._queue, job)
             return None
-        if now + wait + duration * MIN_START_SHARE > job.deadline_at:
-            return Refused("deadline", self._retry_after(wait))
-        if not wait:
-            # Free room: the objective is lost here, and perhaps not elsewhere.
-            return Refused("objective", MIN_RETRY_AFTER_S)
         if not job.last_resort:
-            return Refused("queue", self._retry_after(wait))
-        late = sum(not entry[-1].dropped for entry in self._late)
-        if late >= LATE_QUEUE * self.limit:
+            return Refused("objective", self._retry_after(wait))
+        wait = self.wait_s(now, self.queued)
+        if now + wait + duration > job.deadline_at:
+            return Refused("deadline", self._retry_after(wait))
+        if _live(self._late) >= max(1, LATE_QUEUE * self.limit):
             return Refused("full", self._retry_after(wait))
         self._push(self._late, job)
         return None
@@ -148,50 +155,70 @@
         heapq.heappush(queue, (job.priority, job.goal_at, self._order, job))
 
     def next(self, now):
-        """Return (job, Refused or None) that leaves the queue now, or None.
+        """Return what happens to the first waiting job.
 
-        A job with a refusal cannot be answered before its deadline any more.
+        Returns
+        -------
+        tuple of (Job, Refused or None) or Gate
+            A job that starts, or with a refusal one that leaves the queue, since it
+            cannot be answered in time here any more. Otherwise `START` if nothing
+            can be done now, `ASK` if the target must be asked for its figure first,
+            or `HOLD` while it is noisy.
         """
-        for queue in (self._queue, self._late):
-            while queue:
-                job = queue[0][-1]
-                if job.dropped:
-                    heapq.heappop(queue)
-                    continue
-                left = job.deadline_at - now
-                if left < self.duration_s(now) * MIN_START_SHARE:
-                    heapq.heappop(queue)
-                    wait = self.wait_s(now, len(self._queue))
-                    return job, Refused("expired", self._retry_after(wait))
-                if self.running >= self.limit:
-                    break
+        self._clean(self._queue)
+        self._clean(self._late)
+        for queue, late in ((self._queue, False), (self._late, True)):
+            if not queue:
+                continue
+            job = queue[0][-1]
+            found = self._given_back(job, now, late)
+            if found is not None:
                 heapq.heappop(queue)
-                job.running = True
-                job.started_at = now
-                self.running += 1
-                self._timed += 1
-                self._started_sum += now
-                return job, None
+                return job, found
+        queue = self._queue or self._late
+        if not queue or self.running >= self.limit:
+            return Gate.START
+        gate = self.noise.gate(now)
+        if gate is not Gate.START:
+            return gate
+        job = heapq.heappop(queue)[-1]
+        job.running = True
+        job.started_at = now
+        self.running += 1
+        job.began_with = self.running
+        self._started_sum += now
+        return job, None
+
+    def _given_back(self, job, now, late):
+        duration = self.duration_s(now, job.kind)
+        if now + duration * MIN_START_SHARE > job.deadline_at:
+            return Refused("expired", self._retry_after(self.wait_s(now, 0)))
+        if late or job.last_resort:
+            return None
+        blocked = self.running >= self.limit or self.noise.is_noisy(now)
+        if blocked and now + duration + GIVE_BACK_S > job.goal_at:
+            # Another target may still be in time.
+            return Refused("objective", self._retry_after(self.wait_s(now, 0)))
         return None
 
-    def drop(self, job, now):
-        """Forget a job whose caller has gone, or that has ended.
+    def _clean(self, queue):
+        while queue and queue[0][-1].dropped:
+            heapq.heappop(queue)
 
-        The duration of a job that has run to its end is given to `ended` instead.
-        """
+    def drop(self, job):
+        """Forget a job whose caller has gone, or that has ended."""
         if job.running:
             job.running = False
             self.running -= 1
-            self._timed -= 1
             self._started_sum -= job.started_at
         job.dropped = True
 
     def ended(self, job, now):
-        """Note that a job's answer is complete."""
-        if job.running:
+        """Note that a job's answer is complete, and how long it took."""
+        if job.running and now >= self.cold_until:
             taken = now - job.started_at
-            self._mean_s += DURATION_WEIGHT * (taken - self._mean_s)
-        self.drop(job, now)
+            self._durations.note(job.kind, taken, job.began_with, self.slots)
+        self.drop(job)
 
     def clear(self):
         """Return the jobs that wait, and forget them."""
@@ -203,9 +230,17 @@
     def report(self, now, accepting):
         """Return the `LoadReport` of this moment."""
         queued = self.queued
-        noise = 1.0 + 0.5 * (self.slowness - 1.0)
-        duration = self.duration_s(now) * max(noise, 0.5)
-        delay = duration + self.wait_s(now, queued)
+        rest = self.noise.rest_s(now)
+        delay = self.duration_s(now) + self.wait_s(now, queued) - rest
         return LoadReport(
-            accepting, self.running, queued, self.limit, int(delay * 1000)
+            accepting,
+            self.running,
+            queued,
+            self.limit,
+            int(delay * 1000),
+            int(rest * 1000),
         )
+
+
+def _live(queue):
+    return sum(not entry[-1].dropped for entry in queue)
--- a/pimentoline/twohop/frames.capnp
+++ b/pimentoline/twohop/frames.capnp
@@ -27,4 +27,5 @@
   version @22 :UInt64;
   node @23 :Text;
   bodyBytes @24 :UInt32;
+  restMs @25 :UInt16;
 }
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -246,6 +246,7 @@
             "queued": load.queued,
             "limit": load.limit,
             "delayMs": load.delay_ms,
+            "restMs": load.rest_ms,
         }
     head = SCHEMA.Frame.new_message(kind=NUMBER_OF[type(frame)], **fields)
     packed = head.to_bytes_packed()
@@ -254,7 +255,12 @@
 
 def _load(head):
     return LoadReport(
-        head.accepting, head.running, head.queued, max(head.limit, 1), head.delayMs
+        head.accepting,
+        head.running,
+        head.queued,
+        max(head.limit, 1),
+        head.delayMs,
+        head.restMs,
     )
 
 
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -70,6 +70,7 @@
 
     name: str
     max_connections: int
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +137,8 @@
         Calls that the node lets run at once.
     delay_ms : int
         Expected time to the answer of a call that arrives now, milliseconds.
+    rest_ms : int
+        How long noise of the target's neighbours still adds to it, milliseconds.
     """
 
     accepting: bool = False
@@ -143,6 +146,7 @@
     queued: int = 0
     limit: int = 1
     delay_ms: int = 100
+    rest_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -125,7 +125,13 @@
         self._stop_at = None
         self.pool = Pool(clock, self._connection_limit)
         self.target = TargetSide(
-            dialect, self.pool, clock, cfg.service, cfg.target_addr, self._changed
+            dialect,
+            self.pool,
+            clock,
+            cfg.service,
+            cfg.target_addr,
+            self._health_path,
+            self._changed,
         )
         self.config = ConfigHolder(parse_config, self._configured)
         self.peers = Peers(cfg.node, self.target, self.config, clock)
@@ -150,6 +156,11 @@
             return 16
         return self.target.admission.limit + 4
 
+    def _health_path(self):
+        cfg = self.config.current
+        info = cfg.services.get(self.cfg.service) if cfg is not None else None
+        return info.health_path if info is not None and info.health_path else "/"
+
     def _changed(self):
         self.peers.announce()
 
--- /dev/null
+++ b/pimentoline/twohop/noise.py
@@ -0,0 +1,89 @@
+"""pimentoline.twohop.noise: whether a call should start at a target now.
+
+Answers noisy neighbours. A target tells how long work takes at this moment; trials
+of both users' targets showed that a call takes that many times as long until its end,
+even if the noise ends 20 ms after its start. So a call waits until the noise ends,
+and an old figure is asked for anew before a call starts on it.
+"""
+
+import enum
+
+__all__ = ["Gate", "Noise"]
+
+# Work that takes this many times as long as usual is worth waiting for its end.
+NOISY = 1.8
+# Noise comes in stretches of 150 ms; an older figure than this is often wrong.
+FRESH_S = 0.03
+# Shortest time between two questions to the target, seconds: 25 a second and target
+# at most, under the 60 that the users allow.
+ASK_GAP_S = 0.04
+# A target that has been slow for this long is not noisy but slow; calls start there.
+MAX_HOLD_S = 0.8
+# Expected rest of a stretch of noise, seconds: half of one, and often another.
+REST_S = 0.1
+
+
+class Gate(enum.Enum):
+    """What to do with a call that could start."""
+
+    START = "start"
+    ASK = "ask"
+    HOLD = "hold"
+
+
+class Noise:
+    """The newest figure of a target and its age.
+
+    Attributes
+    ----------
+    slowness : float
+        How many times as long as usual work takes.
+    told : bool
+        Whether the target has ever given a figure.
+    """
+
+    def __init__(self):
+        self.slowness = 1.0
+        self.told = False
+        self._told_at = 0.0
+        self._asked_at = None
+        self._noisy_since = None
+
+    def note(self, slowness, now):
+        """Take a figure that has just come."""
+        self.told = True
+        self.slowness = slowness
+        self._told_at = now
+        if slowness < NOISY:
+            self._noisy_since = None
+        elif self._noisy_since is None:
+            self._noisy_since = now
+
+    def is_noisy(self, now):
+        """Return whether a call should not start because of noise."""
+        since = self._noisy_since
+        return since is not None and now - since < MAX_HOLD_S
+
+    def rest_s(self, now):
+        """Return how long the noise is expected to go on, seconds."""
+        return REST_S if self.is_noisy(now) else 0.0
+
+    def gate(self, now):
+        """Return whether a call may start, must wait, or the target must be asked."""
+        if not self.told:
+            return Gate.START
+        fresh = now - self._told_at <= FRESH_S
+        if fresh:
+            return Gate.HOLD if self.is_noisy(now) else Gate.START
+        if self._asked_at is not None and now - self._asked_at < ASK_GAP_S:
+            return Gate.HOLD
+        return Gate.ASK
+
+    def asked(self, now):
+        """Note that the target is being asked."""
+        self._asked_at = now
+
+    def unanswered(self):
+        """Note that the target gave no figure; calls start without one."""
+        self.told = False
+        self._noisy_since = None
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -99,7 +99,7 @@
         fresh = max(0.0, 1.0 - age / REPORT_LIFE_S)
         others = max(0, report.running + report.queued - self.mine_then) * fresh
         total = others + self.mine
-        delay = report.delay_ms
+        delay = report.delay_ms + max(0.0, report.rest_ms - age * 1000.0)
         over = total - report.limit + 1
         if extra > 0 and over > 0:
             delay += delay * min(over, extra) / report.limit
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -13,6 +13,7 @@
 from .exchange import AnswerError, exchange
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
 from .lifetimes import Lifetimes, TargetState
+from .noise import Gate
 
 __all__ = ["TargetSide", "Work"]
 
@@ -25,8 +26,11 @@
 # Until the first status report says how many slots there are.
 DEFAULT_SLOTS = 8
 NOT_ACCEPTING_RETRY_S = 0.3
-# How often expired jobs are looked for, seconds.
-SWEEP_S = 0.05
+# How often waiting jobs are looked at, seconds; noise ends between two answers.
+SWEEP_S = 0.02
+# A target on the same host answers for its figures within a few milliseconds.
+ASK_TIMEOUT_S = 0.1
+MAX_ASK_BYTES = 64 * 1024
 MS = 1000.0
 
 
@@ -57,11 +61,13 @@
         Service of the target, from the settings.
     addr : tuple
         Address of the target.
+    health_path : callable
+        Returns the path that answers at once with the target's figures.
     on_change : callable
         Called when the target begins or stops to accept calls.
     """
 
-    def __init__(self, dialect, pool, clock, service, addr, on_change):
+    def __init__(self, dialect, pool, clock, service, addr, health_path, on_change):
         self._dialect = dialect
         self._pool = pool
         self._clock = clock
@@ -72,6 +78,8 @@
         self.admission = Admission(DEFAULT_SLOTS)
         self.stopping = False
         self._down_until = 0.0
+        self._health_path = health_path
+        self._asking = None
         self._works = {}
         self._sweep = None
 
@@ -177,6 +185,7 @@
             now + frame.goal_ms / MS,
             now + frame.left_ms / MS,
             frame.last_resort,
+            (frame.priority, frame.repeatable),
         )
         work = Work(frame, body, job, reply, self.admission)
         self._works[job] = work
@@ -222,7 +231,7 @@
         if work.ended:
             return
         work.ended = True
-        work.admission.drop(work.job, self._clock())
+        work.admission.drop(work.job)
         self._works.pop(work.job, None)
         if frame is not None and not work.cancelled:
             work.reply(frame, body)
@@ -230,16 +239,18 @@
     def _pump(self):
         while True:
             found = self.admission.next(self._clock())
-            if found is None:
+            if isinstance(found, Gate):
                 break
             job, refused = found
             work = self._works.get(job)
             if work is None:
-                self.admission.drop(job, self._clock())
+                self.admission.drop(job)
             elif refused is not None:
                 self._refuse(work, refused.reason, refused.retry_after_s)
             else:
                 work.task = asyncio.get_running_loop().create_task(self._run(work))
+        if found is Gate.ASK and self._asking is None:
+            self._asking = asyncio.get_running_loop().create_task(self._ask())
         if self._sweep is None and self.admission.queued:
             loop = asyncio.get_running_loop()
             self._sweep = loop.call_later(SWEEP_S, self._swept)
@@ -248,6 +259,31 @@
         self._sweep = None
         self._pump()
 
+    async def _ask(self):
+        """Ask the target for its figures; without an answer calls start blindly."""
+        noise = self.admission.noise
+        noise.asked(self._clock())
+        conn = None
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                conn = await self._pool.acquire(self._addr, True)
+                answer = await exchange(
+                    conn, "GET", self._health_path(), HTTPHeaders(), None, MAX_ASK_BYTES
+                )
+            if answer.reusable:
+                self._pool.give_back(conn)
+                conn = None
+            if not self._note_load(answer.headers.get(self._dialect.load)):
+                noise.unanswered()
+        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+            log_entry("target:no-figures", detail=repr(exc)[:80])
+            noise.unanswered()
+        finally:
+            self._asking = None
+            if conn is not None:
+                conn.close()
+            self._pump()
+
     async def _run(self, work):
         conn = None
         try:
@@ -371,18 +407,23 @@
         self._end(work, frame, answer.body)
 
     def _note_load(self, text):
-        """Read the target's own figures: running, waiting, slots, percent."""
+        """Read the target's own figures: running, waiting, slots, percent.
+
+        Return whether the last of them is there.
+        """
         if not text:
-            return
+            return False
         try:
             figures = [int(part) for part in text.split(",")]
         except ValueError:
             log_entry("target:load-unreadable", value=text[:40])
-            return
+            return False
         if len(figures) >= 3 and figures[2] > 0:
             self.admission.set_slots(figures[2])
         if len(figures) >= 4 and figures[3] > 0:
-            self.admission.slowness = figures[3] / 100.0
+            self.admission.noise.note(figures[3] / 100.0, self._clock())
+            return True
+        return False
 
 
 def onward(headers, dialect):
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -19,8 +19,8 @@
 
 PACKAGE = Path(pimentoline.__file__).parent
 TWOHOP_DECISIONS = (
-    *("admission", "budget", "lifecycle", "lifetimes", "model"),
-    *("placement", "splits"),
+    *("admission", "budget", "durations", "lifecycle", "lifetimes", "model"),
+    *("noise", "placement", "splits"),
 )
 ALLOWED = {
     *("abc", "bisect", "collections", "dataclasses", "enum", "fnmatch", "functools"),
