Leave a silent peer after 0.35 s, refuse late calls soon, bound the call log

A node in overload wrote a line for each refused call.

Change: a peer that does not answer a question within 0.15 s gets no new calls, and lookups that wait there are repeated within the budget; the link itself keeps its 1.2 s, as lost packets take 0.2 to 0.6 s. Late calls wait 0.12 s at most. Figures are asked for after 20 ms instead of 30 ms. At most 40 lines a second come with calls.

--- a/pimentoline/logs.py
+++ b/pimentoline/logs.py
@@ -1,10 +1,15 @@
 """pimentoline.logs: structured logs through eliot, on standard error."""
 
 import sys
+import time
 
 import eliot
 
-__all__ = ["configure_logs", "log_entry"]
+__all__ = ["BoundedLog", "configure_logs", "log_entry"]
+
+# Entries of one kind in a second; more would cost a node in overload more time than
+# the calls that it refuses.
+MAX_ENTRIES_PER_S = 40
 
 
 def configure_logs():
@@ -15,3 +20,35 @@
 def log_entry(name, **fields):
     """Write one entry; names and fields are listed in docs/operations.md."""
     eliot.log_message(message_type=name, **fields)
+
+
+class BoundedLog:
+    """Writes entries that come with calls, so many a second at most.
+
+    What is left out is counted in the field `suppressed` of the next entry.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic clock, seconds.
+    """
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._second = None
+        self._written = 0
+        self._suppressed = 0
+
+    def entry(self, name, **fields):
+        """Write an entry, or count it."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second = second
+            self._written = 0
+        if self._written >= MAX_ENTRIES_PER_S:
+            self._suppressed += 1
+            return
+        self._written += 1
+        if self._suppressed:
+            fields["suppressed"], self._suppressed = self._suppressed, 0
+        log_entry(name, **fields)
--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -15,6 +15,9 @@
 
 # Calls whose objective is already lost may wait up to this many times the limit.
 LATE_QUEUE = 0.5
+# They are given up after this long, seconds: jobs in time overtake them, and a caller
+# that is refused early has time to come back.
+LATE_HOLD_S = 0.12
 # Bounds of the time after which a refused caller should come back, seconds.
 MIN_RETRY_AFTER_S = 0.02
 MAX_RETRY_AFTER_S = 1.0
@@ -50,6 +53,7 @@
     kind: object = None
     started_at: float = 0.0
     began_with: int = 0
+    late_until: float = 0.0
     running: bool = False
     dropped: bool = False
 
@@ -81,6 +85,7 @@
         self._queue = []
         self._late = []
         self._order = 0
+        self._cold = False
 
     def set_slots(self, slots):
         """Take the number of slots that the target reports."""
@@ -89,7 +94,7 @@
     @property
     def limit(self):
         """Calls that may run at once."""
-        return self._durations.limit(self.slots)
+        return self._durations.limit(self.slots, self._cold)
 
     @property
     def queued(self):
@@ -108,7 +113,8 @@
     def duration_s(self, now, kind=None):
         """Return the expected duration of a job that starts now, seconds."""
         plain = self._durations.of(kind) if kind else self._durations.mean_s
-        if now < self.cold_until:
+        self._cold = now < self.cold_until
+        if self._cold:
             plain *= COLD_FACTOR
         return max(plain, self._mean_age_s(now))
 
@@ -144,6 +150,7 @@
             return Refused("deadline", self._retry_after(wait))
         if _live(self._late) >= max(1, LATE_QUEUE * self.limit):
             return Refused("full", self._retry_after(wait))
+        job.late_until = now + LATE_HOLD_S
         self._push(self._late, job)
         return None
 
@@ -191,7 +198,10 @@
 
     def _given_back(self, job, now, late):
         duration = self.duration_s(now, job.kind)
-        if now + duration * MIN_START_SHARE > job.deadline_at:
+        until = job.deadline_at - duration * MIN_START_SHARE
+        if late:
+            until = min(until, job.late_until)
+        if now > until:
             return Refused("expired", self._retry_after(self.wait_s(now, 0)))
         if late or job.last_resort:
             return None
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 
-from ..logs import log_entry
+from ..logs import BoundedLog
 from . import lifecycle as lc
 from .budget import RepeatBudget
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
@@ -89,7 +89,7 @@
                     self._reject(effect)
 
     def _reject(self, effect):
-        log_entry(
+        self.side.log.entry(
             "call:refused",
             request=self.incoming.request_id,
             route=self.call.route.name,
@@ -116,11 +116,16 @@
             if attempt == self.attempt:
                 self._frame(effect.candidate, frame, body)
 
+        def on_stall():
+            if attempt == self.attempt:
+                self.dispatch(lc.Stalled(side.clock()))
+
         cancel = side.peers.send(
             effect.candidate,
             lambda stream: self._frame_of(stream, effect.last_resort),
             self.incoming.body,
             on_frame,
+            on_stall,
         )
         if attempt == self.attempt:
             self.cancel_attempt = cancel
@@ -200,6 +205,7 @@
         self.config = config
         self.limits = limits
         self.clock = clock
+        self.log = BoundedLog(clock)
         self.open_calls = set()
         self._budgets = {}
         self._splits = Splits()
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -56,9 +56,13 @@
         """Return the expected duration of a call of a kind, seconds."""
         return self._means.get(kind, self.mean_s)
 
-    def limit(self, slots):
-        """Return how many calls to let run at once."""
+    def limit(self, slots, cold):
+        """Return how many calls to let run at once.
+
+        While nothing is known, the last slots are tried, but not at a cold target,
+        whose answers are late anyway.
+        """
         known = min(self._full_samples, self._light_samples) >= MIN_SAMPLES
-        if known and self._full_ratio > WORTHWHILE:
+        if (known and self._full_ratio > WORTHWHILE) or (cold and not known):
             return max(1, int(slots * KNEE))
         return slots
--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -165,7 +165,9 @@
         path = target.partition("?")[0]
         route = cfg.find(host, path)
         if route is None:
-            log_entry("call:unrouted", host=host, path=path[:80], version=cfg.version)
+            self.front.caller_side.log.entry(
+                "call:unrouted", host=host, path=path[:80], version=cfg.version
+            )
             self._own(404, "no-route")
             return
         incoming = Incoming(
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -21,6 +21,7 @@
     "Reject",
     "Reply",
     "Send",
+    "Stalled",
     "TimedOut",
     "step",
 ]
@@ -102,6 +103,13 @@
     answer: object
 
 
+@dataclass(frozen=True, slots=True)
+class Stalled:
+    """Nothing is heard from the target's node; the answer may still come."""
+
+    now: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimedOut:
     """The caller's deadline or the route's timeout has come."""
@@ -153,7 +161,7 @@
     ----------
     call : Call
         Changed in place.
-    event : Begin, RefusedThere, Broken, Answered, TimedOut or Left
+    event : Begin, RefusedThere, Broken, Answered, Stalled, TimedOut or Left
     world : object
         `choose(call, now)` returns a candidate that has not been asked, or None;
         `may_repeat(service, now)` takes a repeat from the budget.
@@ -169,6 +177,8 @@
             return _broken(call, event, world)
         case Answered():
             return _answered(call, event, world)
+        case Stalled():
+            return _stalled(call, event.now, world)
         case TimedOut():
             call.ended = True
             return [CancelAttempt(), _timeout(call)]
@@ -251,6 +261,21 @@
     return _give_up(call, event.reason)
 
 
+def _stalled(call, now, world):
+    """Repeat a call elsewhere if that is allowed; otherwise go on waiting."""
+    if not call.route.repeatable or call.places >= MAX_PLACES:
+        return []
+    found = world.choose(call, now)
+    if found is None:
+        return []
+    call.attempts += 1
+    if not _may_repeat(call, now, world):
+        call.attempts -= 1
+        return []
+    call.verdict = Verdict.MAY_HAVE_RUN
+    return [CancelAttempt(), *_send(call, found, False, True)]
+
+
 def _answered(call, event, world):
     if event.status >= FAILED_STATUS and call.route.repeatable:
         call.attempts += 1
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -9,11 +9,14 @@
 __all__ = ["Link", "connect", "listen"]
 
 # A peer that is silent this long while answers are due is asked for a sign of life.
-QUIET_S = 0.3
+QUIET_S = 0.2
+# Without an answer to that for this long, the peer gets no new calls: far more than a
+# round trip between regions, and less than a lost packet takes.
+SUSPECT_S = 0.15
 # Without any byte for this long after being asked, the connection counts as dead.
 # Lost packets are sent again after 0.2 to 0.6 s.
 DEAD_S = 1.2
-CHECK_S = 0.15
+CHECK_S = 0.05
 # Keep-alive of the operating system for links without calls, seconds.
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
@@ -30,8 +33,8 @@
     Parameters
     ----------
     handler : object
-        `link_up(link)`, `frame_received(link, frame, body)` and `link_lost(link,
-        reason)`.
+        `link_up(link)`, `frame_received(link, frame, body)`, `link_suspect(link,
+        suspect)` and `link_lost(link, reason)`.
     clock : callable
         Monotonic clock, seconds.
     """
@@ -46,6 +49,7 @@
         self.due = 0
         self.peer = ""
         self.closed = False
+        self._suspect = False
 
     def connection_made(self, transport):
         """Set the options of the socket."""
@@ -64,6 +68,7 @@
         """Hand on the frames that are complete."""
         self.heard_at = self._clock()
         self._asked_at = None
+        self._set_suspect(False)
         try:
             frames = self._reader.feed(data)
         except CodecError as exc:
@@ -108,6 +113,13 @@
                 self.send(Ping())
         elif now - self._asked_at > DEAD_S:
             self.close("silent")
+        elif now - self._asked_at > SUSPECT_S:
+            self._set_suspect(True)
+
+    def _set_suspect(self, suspect):
+        if suspect != self._suspect:
+            self._suspect = suspect
+            self._handler.link_suspect(self, suspect)
 
     def close(self, reason):
         """Drop the connection."""
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -13,10 +13,12 @@
 # Work that takes this many times as long as usual is worth waiting for its end.
 NOISY = 1.8
 # Noise comes in stretches of 150 ms; an older figure than this is often wrong.
-FRESH_S = 0.03
-# Shortest time between two questions to the target, seconds: 25 a second and target
+FRESH_S = 0.02
+# Shortest time between two questions to the target, seconds: 40 a second and target
 # at most, under the 60 that the users allow.
-ASK_GAP_S = 0.04
+ASK_GAP_S = 0.025
+# A target that answers without a figure is not asked again for this long, seconds.
+MUTE_S = 2.0
 # A target that has been slow for this long is not noisy but slow; calls start there.
 MAX_HOLD_S = 0.8
 # Expected rest of a stretch of noise, seconds: half of one, and often another.
@@ -38,20 +40,17 @@
     ----------
     slowness : float
         How many times as long as usual work takes.
-    told : bool
-        Whether the target has ever given a figure.
     """
 
     def __init__(self):
         self.slowness = 1.0
-        self.told = False
-        self._told_at = 0.0
+        self._told_at = None
+        self._mute_until = 0.0
         self._asked_at = None
         self._noisy_since = None
 
     def note(self, slowness, now):
         """Take a figure that has just come."""
-        self.told = True
         self.slowness = slowness
         self._told_at = now
         if slowness < NOISY:
@@ -70,9 +69,9 @@
 
     def gate(self, now):
         """Return whether a call may start, must wait, or the target must be asked."""
-        if not self.told:
+        if now < self._mute_until:
             return Gate.START
-        fresh = now - self._told_at <= FRESH_S
+        fresh = self._told_at is not None and now - self._told_at <= FRESH_S
         if fresh:
             return Gate.HOLD if self.is_noisy(now) else Gate.START
         if self._asked_at is not None and now - self._asked_at < ASK_GAP_S:
@@ -83,7 +82,7 @@
         """Note that the target is being asked."""
         self._asked_at = now
 
-    def unanswered(self):
+    def unanswered(self, now):
         """Note that the target gave no figure; calls start without one."""
-        self.told = False
+        self._mute_until = now + MUTE_S
         self._noisy_since = None
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -38,6 +38,7 @@
         self.candidate = candidate
         self.link = None
         self.calls = {}
+        self.stalled = {}
         self.parts = {}
         self.next_stream = 0
         self.closed = False
@@ -63,9 +64,18 @@
         link.peer = self.candidate.member.node
         link.send(self.peers.hello())
 
+    def link_suspect(self, link, suspect):
+        """Place no new calls on a silent link, and tell those that wait there."""
+        self.candidate.reachable = not suspect
+        log_entry("peer:suspect", node=link.peer, suspect=suspect)
+        if suspect:
+            for on_stall in list(self.stalled.values()):
+                on_stall()
+
     def link_lost(self, link, reason):
         """End the calls on the link; they may have run."""
         self.candidate.reachable = False
+        self.stalled.clear()
         log_entry("peer:lost", node=link.peer, reason=reason, calls=len(self.calls))
         self.parts.clear()
         calls, self.calls = self.calls, {}
@@ -118,16 +128,18 @@
         on_frame = self.calls.pop(frame.stream, None)
         if on_frame is None:
             return
+        self.stalled.pop(frame.stream, None)
         self.link.due -= 1
         self.candidate.mine -= 1
         self._note_load(frame.load)
         on_frame(frame, body)
 
-    def send(self, make_frame, body, on_frame):
+    def send(self, make_frame, body, on_frame, on_stall):
         """Send a call; return its stream number."""
         self.next_stream += 1
         stream = self.next_stream
         self.calls[stream] = on_frame
+        self.stalled[stream] = on_stall
         self.candidate.mine += 1
         self.link.due += 1
         self.link.send(make_frame(stream), body)
@@ -136,6 +148,7 @@
     def cancel(self, stream):
         """Withdraw a call."""
         if self.calls.pop(stream, None) is not None:
+            self.stalled.pop(stream, None)
             self.parts.pop(stream, None)
             self.link.due -= 1
             self.candidate.mine -= 1
@@ -306,10 +319,11 @@
 
     # Calls.
 
-    def send(self, candidate, make_frame, body, on_frame):
+    def send(self, candidate, make_frame, body, on_frame, on_stall):
         """Send a call to a candidate; return a function that cancels it.
 
-        `on_frame(frame, body)` is called once, unless the call is cancelled.
+        `on_frame(frame, body)` is called once, unless the call is cancelled, and
+        `on_stall()` when the link to the candidate goes silent.
         """
         if candidate is self.local:
             return self._send_local(candidate, make_frame, body, on_frame)
@@ -318,7 +332,7 @@
             frame = fr.BrokenFrame(0, "peer-lost", Verdict.NOT_RUN, LoadReport())
             loop = asyncio.get_running_loop()
             return loop.call_soon(on_frame, frame, b"").cancel
-        stream = out.send(make_frame, body, on_frame)
+        stream = out.send(make_frame, body, on_frame, on_stall)
         return lambda: out.cancel(stream)
 
     def _send_local(self, candidate, make_frame, body, on_frame):
@@ -417,6 +431,9 @@
         self._of[link] = _Incoming(self._peers)
         self._of[link].link_up(link)
 
+    def link_suspect(self, link, suspect):
+        """Do nothing; answers are due to the peer, not from it."""
+
     def link_lost(self, link, reason):
         """End a peer's link."""
         handler = self._of.pop(link, None)
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -7,7 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..headers import NOT_BACK, NOT_ONWARD, end_to_end
-from ..logs import log_entry
+from ..logs import BoundedLog, log_entry
 from ..verdict import Verdict
 from .admission import Admission, Job
 from .exchange import AnswerError, exchange
@@ -73,6 +73,7 @@
         self._clock = clock
         self._addr = addr
         self._on_change = on_change
+        self._log = BoundedLog(clock)
         self.service = service
         self.lifetimes = Lifetimes()
         self.admission = Admission(DEFAULT_SLOTS)
@@ -274,10 +275,10 @@
                 self._pool.give_back(conn)
                 conn = None
             if not self._note_load(answer.headers.get(self._dialect.load)):
-                noise.unanswered()
+                noise.unanswered(self._clock())
         except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
             log_entry("target:no-figures", detail=repr(exc)[:80])
-            noise.unanswered()
+            noise.unanswered(self._clock())
         finally:
             self._asking = None
             if conn is not None:
@@ -322,7 +323,7 @@
         else:
             verdict = Verdict.MAY_HAVE_RUN
         reason = "target-timeout" if isinstance(exc, TimeoutError) else "target-broken"
-        log_entry(
+        self._log.entry(
             "call:broken",
             request=self._request_id(work),
             target=self.lifetimes.held.target_id,
