Place calls by the rate of good answers that a target's node counts

Change: the target's node keeps the rate of good answers, a call that hangs counts as a failure, and each load report carries the rate. Placement multiplies the credit by it before the cost of the bytes is taken off. It fades within 5 s.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -10,6 +10,7 @@
 from .durations import Durations
 from .model import LoadReport
 from .noise import Gate, Noise
+from .outcomes import Outcomes
 
 __all__ = ["Admission", "Job", "Refused"]
 
@@ -25,6 +26,8 @@
 COLD_FACTOR = 2.0
 # Part of the usual time that a job must still have to be started.
 MIN_START_SHARE = 0.5
+# A job that runs this many times its usual time has no answer to come.
+HUNG_FACTOR = 4.0
 # Jobs that must run before their age says something of the target.
 MIN_AGED = 3
 # A held job is given back this long before its objective would be lost, seconds: a
@@ -80,6 +83,7 @@
         self.running = 0
         self.cold_until = 0.0
         self.noise = Noise()
+        self.outcomes = Outcomes()
         self._durations = Durations()
         self._started_sum = 0.0
         self._queue = []
@@ -215,6 +219,16 @@
         while queue and queue[0][-1].dropped:
             heapq.heappop(queue)
 
+    def given_up(self, job, now):
+        """Note that a job's caller has gone while it ran.
+
+        A job that took far longer than usual counts as one without an answer.
+        """
+        if job.running:
+            usual = self._durations.of(job.kind)
+            if now - job.started_at > HUNG_FACTOR * usual:
+                self.outcomes.note(False, now)
+
     def drop(self, job):
         """Forget a job whose caller has gone, or that has ended."""
         if job.running:
@@ -249,6 +263,7 @@
             self.limit,
             int(delay * 1000),
             int(rest * 1000),
+            self.outcomes.rate(now),
         )
 
 
--- a/pimentoline/twohop/frames.capnp
+++ b/pimentoline/twohop/frames.capnp
@@ -28,4 +28,5 @@
   node @23 :Text;
   bodyBytes @24 :UInt32;
   restMs @25 :UInt16;
+  badRate @26 :UInt8;
 }
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -40,6 +40,8 @@
 MAX_HEAD_BYTES = 256 * 1024
 # Largest body that is carried, the same as the default limit for callers.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Steps of a rate in one byte.
+RATE_STEPS = 255.0
 VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
@@ -247,6 +249,7 @@
             "limit": load.limit,
             "delayMs": load.delay_ms,
             "restMs": load.rest_ms,
+            "badRate": round((1.0 - load.good_rate) * RATE_STEPS),
         }
     head = SCHEMA.Frame.new_message(kind=NUMBER_OF[type(frame)], **fields)
     packed = head.to_bytes_packed()
@@ -261,6 +264,7 @@
         max(head.limit, 1),
         head.delayMs,
         head.restMs,
+        1.0 - head.badRate / RATE_STEPS,
     )
 
 
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -139,6 +139,8 @@
         Expected time to the answer of a call that arrives now, milliseconds.
     rest_ms : int
         How long noise of the target's neighbours still adds to it, milliseconds.
+    good_rate : float
+        Part of the calls that the target answers well, 0 to 1.
     """
 
     accepting: bool = False
@@ -147,6 +149,7 @@
     limit: int = 1
     delay_ms: int = 100
     rest_ms: int = 0
+    good_rate: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from .model import LoadReport, Member
+from .outcomes import faded
 
 __all__ = ["Candidate", "Place", "Wanted", "choose"]
 
@@ -91,6 +92,10 @@
         """Count a good answer."""
         self.failures *= 0.7
 
+    def good_rate(self, now):
+        """Return the part of the target's calls that it answers well."""
+        return faded(self.report.good_rate, now - self.reported_at)
+
     def expected_ms(self, now):
         """Return the expected time to an answer, without distance, milliseconds."""
         report = self.report
@@ -167,7 +172,8 @@
         trip_ms, cost = distance(place, cand.member, wanted.size)
         expected_ms = cand.expected_ms(now) + trip_ms
         chance = in_time(goal_ms, expected_ms)
-        value = chance + LATE_CREDIT * (1.0 - chance) - cost
+        value = chance + LATE_CREDIT * (1.0 - chance)
+        value = value * cand.good_rate(now) - cost
         # Among hopeless ones the soonest is best.
         value -= expected_ms * 1e-5
         value += ((draw * 997.0 + number * 0.618) % 1.0) * TIE_SPREAD
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -32,6 +32,8 @@
 ASK_TIMEOUT_S = 0.1
 MAX_ASK_BYTES = 64 * 1024
 MS = 1000.0
+# Statuses that say that the target failed, and not what it was asked.
+FAILED_STATUS = 500
 
 
 @dataclass(slots=True, eq=False)
@@ -214,6 +216,7 @@
         if work.task is not None and not work.frame.repeatable:
             return
         if work.task is not None:
+            work.admission.given_up(work.job, self._clock())
             work.task.cancel()
         else:
             self._end(work)
@@ -298,7 +301,7 @@
             else:
                 conn.close()
             conn = None
-            if work.job.running and answer.status < 500:
+            if work.job.running and answer.status < FAILED_STATUS:
                 work.admission.ended(work.job, self._clock())
             self._answered(work, answer)
         except asyncio.CancelledError:
@@ -323,6 +326,7 @@
         else:
             verdict = Verdict.MAY_HAVE_RUN
         reason = "target-timeout" if isinstance(exc, TimeoutError) else "target-broken"
+        work.admission.outcomes.note(False, self._clock())
         self._log.entry(
             "call:broken",
             request=self._request_id(work),
@@ -383,7 +387,11 @@
         dialect = self._dialect
         headers = answer.headers
         self._note_load(headers.get(dialect.load))
-        if headers.get(dialect.not_run) is not None or answer.status == 421:
+        not_run = headers.get(dialect.not_run) is not None or answer.status == 421
+        work.admission.outcomes.note(
+            answer.status < FAILED_STATUS and not not_run, self._clock()
+        )
+        if not_run:
             self._refuse(work, "target-refused", NOT_ACCEPTING_RETRY_S, True)
             return
         good = 200 <= answer.status < 300
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -421,6 +421,40 @@
     assert choose([bad, good], HOME, later, Wanted(later + 0.3), (), 0.5) is bad
 
 
+def test_target_that_fails_half_its_calls_is_left_and_comes_back():
+    """Guards against a grey target, whose health check is good."""
+    grey, sound = Admission(10), candidate("sound", "kilifi", delay_ms=200)
+    for _ in range(20):
+        grey.outcomes.note(True, NOW)
+        grey.outcomes.note(False, NOW)
+    bad = candidate("bad")
+    bad.note_report(replace(grey.report(NOW, True), delay_ms=100), NOW)
+    assert choose([bad, sound], HOME, NOW, WANTED, (), 0.5) is sound
+    later = NOW + 6.0
+    wanted = Wanted(later + 0.3, 2000)
+    assert choose([bad, sound], HOME, later, wanted, (), 0.5) is bad
+
+
+def test_upload_stays_near_while_all_targets_fail_alike():
+    """Guards against large bodies sent abroad to targets that fail as often."""
+    near, far = candidate("near"), candidate("far", "kwale", "coast")
+    for cand in (near, far):
+        cand.report = replace(cand.report, good_rate=0.45)
+    for draw in (0.1, 0.5, 0.9):
+        upload = Wanted(NOW + 0.4, 60_000)
+        assert choose([far, near], HOME, NOW, upload, (), draw) is near
+
+
+def test_hanging_calls_count_as_failures():
+    """Guards against a target that hangs and looks good, as nothing fails there."""
+    admission = Admission(10)
+    for _ in range(10):
+        (one,) = fill(admission, 1)
+        admission.given_up(one, NOW + 1.0)
+        admission.drop(one)
+    assert admission.outcomes.rate(NOW + 1.0) < 0.6
+
+
 # Lifetimes.
 
 
