--- /dev/null
+++ b/tests/test_twohop_frames.py
@@ -0,0 +1,76 @@
+"""Frames between nodes: every kind there and back, cut anywhere, and odd bytes."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from pimentoline.errors import CodecError
+from pimentoline.twohop import frames as fr
+from pimentoline.twohop.model import LoadReport
+from pimentoline.verdict import Verdict
+
+LOAD = LoadReport(True, 3, 1, 9, 120, 40, 1.0)
+HEADERS = (("X-A", "1"), ("X-A", "b:c"), ("X-Empty", ""))
+FRAMES = [
+    (fr.Hello("n1", 7, LOAD), b""),
+    (
+        fr.CallFrame(
+            5, "s", "POST", "/a?b=%20", HEADERS, "c", -3, 900, 2, False, True, 3
+        ),
+        b"abc",
+    ),
+    (fr.BodyFrame(5), b"x" * 70_000),
+    (fr.AnswerFrame(5, 200, "OK", HEADERS, 2, LOAD), b"ok"),
+    (fr.RefusedFrame(5, "full", 120, True, LOAD), b""),
+    (fr.BrokenFrame(5, "cut", Verdict.MAY_HAVE_RUN, LOAD), b""),
+    (fr.CancelFrame(5), b""),
+    (fr.LoadFrame(LOAD, 9), b""),
+    (fr.Ping(), b""),
+    (fr.Pong(), b""),
+    (fr.ConfigWanted(), b""),
+    (fr.ConfigFrame(9), b"{}"),
+    (fr.MembersFrame(), b"[]"),
+]
+
+
+@pytest.mark.parametrize(
+    ("frame", "body"), FRAMES, ids=lambda item: type(item).__name__
+)
+def test_frame_comes_back_as_it_was(frame, body):
+    """Guards against a field that is lost or changed between two nodes."""
+    assert fr.FrameReader().feed(fr.encode(frame, body)) == [(frame, body)]
+
+
+@seed(1)
+@settings(max_examples=60, deadline=None, database=None)
+@given(st.lists(st.integers(1, 900), max_size=40))
+def test_frames_may_be_cut_anywhere(sizes):
+    """Guards against a reader that needs a frame in one piece."""
+    data = b"".join(fr.encode(frame, body) for frame, body in FRAMES)
+    reader, found, start = fr.FrameReader(), [], 0
+    for size in sizes:
+        found += reader.feed(data[start : start + size])
+        start += size
+    found += reader.feed(data[start:])
+    assert found == FRAMES
+
+
+@seed(2)
+@settings(max_examples=400, deadline=None, database=None)
+@given(st.binary(max_size=400), st.booleans())
+def test_odd_bytes_are_refused_or_wait(data, framed):
+    """Guards against bytes of a foreign peer that end the process."""
+    if framed:
+        data = fr.PREFIX.pack(len(data), 0) + data
+    try:
+        fr.FrameReader().feed(data)
+    except CodecError:
+        pass
+
+
+def test_too_large_frames_are_refused_before_they_are_read():
+    """Guards against memory that a foreign peer takes."""
+    with pytest.raises(CodecError):
+        fr.FrameReader().feed(fr.PREFIX.pack(fr.MAX_HEAD_BYTES + 1, 0))
+    with pytest.raises(CodecError):
+        fr.FrameReader().feed(fr.PREFIX.pack(8, fr.MAX_BODY_BYTES + 1))
