Free the slot of a call that is cancelled before its first step

Cause: asyncio never runs the body of a task that is cancelled before its first step, so the end of such a call was never reached: its slot stayed in use for good, and the growing age of what seemed to run made the node refuse every short call.

Change: cancelling a call ends it at once. The new test fails without that (5 slots in use, 0 expected).

--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -218,8 +218,9 @@
         if work.task is not None:
             work.admission.given_up(work.job, self._clock())
             work.task.cancel()
-        else:
-            self._end(work)
+        # A task that is cancelled before its first step never runs its own end.
+        self._end(work)
+        self._pump()
 
     def _refuse(self, work, reason, retry_after_s, at_target=False):
         frame = RefusedFrame(
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -12,6 +12,7 @@
 from pimentoline.platform.names import DIALECT
 from pimentoline.platform.reports import Reports
 from pimentoline.platform.store import PlatformStore
+from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RepeatLimits
 from pimentoline.twohop.node import HostNode, HostSettings
 from standins.platform import Instance, StoreStandIn, free_port
@@ -704,3 +705,18 @@
     instance.percent = 100
     assert (await caller.read())[0] == 200
     assert instance.asked >= 1
+
+
+@site_test
+async def test_call_cancelled_before_its_first_step_frees_its_slot(site):
+    """Guards against slots lost for good, and a target that refuses for ever."""
+    _, node, _ = await pair(site)
+    target = node.target
+    frame = CallFrame(
+        1, LEDGER, "GET", "/look/1", (), DESK, 300, 1000, 2, True, False, 0
+    )
+    target.admission.noise.note(1.0, time.monotonic())
+    for _ in range(5):
+        target.cancel(target.submit(frame, b"", lambda *answer: None))
+    assert target.admission.running == 0
+    assert not target.busy
