Take ports of tests from below those that connections are given

Change: ports come from 20000 to 31999, which the system does not choose itself. The new test fails with the former way (ports from 33703 on).

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import base64
+import itertools
 import json
+import os
 import time
 from dataclasses import dataclass, field
 
@@ -19,14 +21,28 @@
 
 HISTORY_GONE = 410
 EOF_CHECK_S = 0.01
+# Ends below 32768, where Linux begins with the ports that it chooses itself.
+PORTS = range(20000, 32000)
+# Test processes that run at once begin at different places.
+_next_port = itertools.count(os.getpid() * 97)
 STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
 def free_port():
-    """Return a port that nothing listens at."""
-    (sock,) = bind_sockets(0, "127.0.0.1")
-    with sock:
-        return sock.getsockname()[1]
+    """Return a port that nothing listens at and no connection is given.
+
+    It is not one that the system chooses for the near end of a connection, since such
+    a port may be taken before the caller of this function listens there.
+    """
+    for _ in range(len(PORTS)):
+        port = PORTS[next(_next_port) % len(PORTS)]
+        try:
+            for sock in bind_sockets(port, "127.0.0.1"):
+                sock.close()
+        except OSError:
+            continue
+        return port
+    raise OSError(f"no free port in {PORTS}")
 
 
 class StoreStandIn:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -90,6 +90,14 @@
         seconds(text)
 
 
+def test_ports_of_tests_are_not_given_to_connections():
+    """Guards against a port that a connection takes before a node listens there."""
+    low, high = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
+    ports = [free_port() for _ in range(50)]
+    assert len(set(ports)) == len(ports)
+    assert not [port for port in ports if int(low) <= port <= int(high)]
+
+
 def start(path):
     """Start the program with a settings file."""
     env = {**os.environ, "PIMENTOLINE_CONFIG": str(path)}
