Join bodies of frames in one place, and name the failed status once

Cause: both directions of a link put pieces of bodies together in their own copy, the end of a call on a link stood twice, and three modules had the same constant; three attributes were never read.

Change: one class for the parts, one function that forgets a call, one constant. No behaviour changes.

--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -8,14 +8,13 @@
 from . import lifecycle as lc
 from .budget import RepeatBudget
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
+from .model import FAILED_STATUS
 from .placement import Wanted, choose
 from .splits import Splits
 
 __all__ = ["CallerSide", "Incoming", "Outcome"]
 
 MS = 1000.0
-# Statuses that say that a target failed, and not what it was asked.
-FAILED_STATUS = 500
 # A node that refused a call is avoided for the time it gave, up to this, seconds.
 MAX_AVOID_S = 0.3
 # Weight of the newest answer in the mean size of a route's answers.
--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -111,7 +111,6 @@
         self.start = None
         self.headers = None
         self.chunks = []
-        self.route = None
         self.arrived = 0.0
         self.left = None
         self.max_bytes = 0
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from ..verdict import Verdict
-from .model import Route
+from .model import FAILED_STATUS, Route
 
 __all__ = [
     "Answered",
@@ -30,8 +30,6 @@
 MAX_PLACES = 4
 # A call is not sent again with less of its time left than this, seconds.
 MIN_REPEAT_S = 0.03
-# Statuses of a target that a call which may be repeated is sent on after.
-FAILED_STATUS = 500
 DEFAULT_RETRY_AFTER_S = 0.1
 
 
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 __all__ = [
+    "FAILED_STATUS",
     "CallerLimits",
     "Configuration",
     "Kind",
@@ -15,6 +16,9 @@
     "Share",
 ]
 
+# Statuses from here on say that a target failed, and not what it was asked.
+FAILED_STATUS = 500
+
 
 class Kind(enum.Enum):
     """What may be repeated."""
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -122,7 +122,6 @@
         clock = time.monotonic
         self.cfg = cfg
         self.stopping = False
-        self._stop_at = None
         self.pool = Pool(clock, self._connection_limit)
         self.target = TargetSide(
             dialect,
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -30,6 +30,39 @@
     missing: int
 
 
+class _Parts:
+    """Frames of a link whose bodies come in pieces, by stream."""
+
+    def __init__(self):
+        self._open = {}
+
+    def begin(self, frame, body):
+        """Return the whole body if it came with its frame, or None."""
+        self._open[frame.stream] = _Assembly(frame, [], frame.body_bytes)
+        found = self.add(frame.stream, body)
+        return found[1] if found is not None else None
+
+    def add(self, stream, piece):
+        """Return (frame, body) if this was the last piece, or None."""
+        part = self._open.get(stream)
+        if part is None:
+            return None
+        part.pieces.append(piece)
+        part.missing -= len(piece)
+        if part.missing > 0:
+            return None
+        del self._open[stream]
+        return part.frame, b"".join(part.pieces)
+
+    def drop(self, stream):
+        """Forget a stream."""
+        self._open.pop(stream, None)
+
+    def clear(self):
+        """Forget every stream."""
+        self._open.clear()
+
+
 class _Outgoing:
     """The link to one member and the calls on it."""
 
@@ -39,7 +72,7 @@
         self.link = None
         self.calls = {}
         self.stalled = {}
-        self.parts = {}
+        self.parts = _Parts()
         self.next_stream = 0
         self.closed = False
         self.task = asyncio.get_running_loop().create_task(self._keep_connected())
@@ -102,37 +135,35 @@
                 self._note_load(frame.load)
                 self.peers.version_heard(link, frame.version)
             case fr.AnswerFrame():
-                part = _Assembly(frame, [body], frame.body_bytes - len(body))
-                self._assemble(part)
+                whole = self.parts.begin(frame, body)
+                if whole is not None:
+                    self._done(frame, whole)
             case fr.BodyFrame():
-                part = self.parts.pop(frame.stream, None)
-                if part is not None:
-                    part.pieces.append(body)
-                    part.missing -= len(body)
-                    self._assemble(part)
+                found = self.parts.add(frame.stream, body)
+                if found is not None:
+                    self._done(*found)
             case fr.RefusedFrame() | fr.BrokenFrame():
                 self._done(frame, b"")
             case _:
                 self.peers.control_frame(link, frame, body)
 
-    def _assemble(self, part):
-        if part.missing > 0:
-            self.parts[part.frame.stream] = part
-        else:
-            self._done(part.frame, b"".join(part.pieces))
-
     def _note_load(self, load):
         self.candidate.note_report(load, self.peers.clock())
 
     def _done(self, frame, body):
-        on_frame = self.calls.pop(frame.stream, None)
-        if on_frame is None:
-            return
-        self.stalled.pop(frame.stream, None)
-        self.link.due -= 1
-        self.candidate.mine -= 1
-        self._note_load(frame.load)
-        on_frame(frame, body)
+        on_frame = self._forget(frame.stream)
+        if on_frame is not None:
+            self._note_load(frame.load)
+            on_frame(frame, body)
+
+    def _forget(self, stream):
+        """Return who waits for a stream, and count its call no more."""
+        on_frame = self.calls.pop(stream, None)
+        if on_frame is not None:
+            del self.stalled[stream]
+            self.link.due -= 1
+            self.candidate.mine -= 1
+        return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
         """Send a call; return its stream number."""
@@ -147,11 +178,8 @@
 
     def cancel(self, stream):
         """Withdraw a call."""
-        if self.calls.pop(stream, None) is not None:
-            self.stalled.pop(stream, None)
-            self.parts.pop(stream, None)
-            self.link.due -= 1
-            self.candidate.mine -= 1
+        if self._forget(stream) is not None:
+            self.parts.drop(stream)
             self.link.send(fr.CancelFrame(stream))
 
     def close(self):
@@ -168,7 +196,7 @@
     def __init__(self, peers):
         self.peers = peers
         self.works = {}
-        self.parts = {}
+        self.parts = _Parts()
 
     def link_up(self, link):
         """Greet the peer."""
@@ -186,17 +214,15 @@
         """Take a call or a cancellation."""
         match frame:
             case fr.CallFrame():
-                self._assemble(
-                    link, _Assembly(frame, [body], frame.body_bytes - len(body))
-                )
+                whole = self.parts.begin(frame, body)
+                if whole is not None:
+                    self._submit(link, frame, whole)
             case fr.BodyFrame():
-                part = self.parts.pop(frame.stream, None)
-                if part is not None:
-                    part.pieces.append(body)
-                    part.missing -= len(body)
-                    self._assemble(link, part)
+                found = self.parts.add(frame.stream, body)
+                if found is not None:
+                    self._submit(link, *found)
             case fr.CancelFrame():
-                self.parts.pop(frame.stream, None)
+                self.parts.drop(frame.stream)
                 work = self.works.pop(frame.stream, None)
                 if work is not None:
                     self.peers.target.cancel(work)
@@ -209,17 +235,14 @@
             case _:
                 self.peers.control_frame(link, frame, body)
 
-    def _assemble(self, link, part):
-        stream = part.frame.stream
-        if part.missing > 0:
-            self.parts[stream] = part
-            return
+    def _submit(self, link, call, whole):
+        stream = call.stream
 
         def reply(frame, body):
             self.works.pop(stream, None)
             link.send(frame, body)
 
-        work = self.peers.target.submit(part.frame, b"".join(part.pieces), reply)
+        work = self.peers.target.submit(call, whole, reply)
         if not work.ended:
             self.works[stream] = work
 
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -13,6 +13,7 @@
 from .exchange import AnswerError, exchange
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
 from .lifetimes import Lifetimes, TargetState
+from .model import FAILED_STATUS
 from .noise import Gate
 
 __all__ = ["TargetSide", "Work"]
@@ -32,8 +33,6 @@
 ASK_TIMEOUT_S = 0.1
 MAX_ASK_BYTES = 64 * 1024
 MS = 1000.0
-# Statuses that say that the target failed, and not what it was asked.
-FAILED_STATUS = 500
 
 
 @dataclass(slots=True, eq=False)
--- a/pimentoline/twohop/watch.py
+++ b/pimentoline/twohop/watch.py
@@ -45,7 +45,7 @@
         Table and key of the operator's configuration.
     me : Member
     node : object
-        `offer_config`, `peers` and `target` of the node.
+        `config`, `peers` and `target` of the node.
     """
 
     def __init__(self, store, config_place, me, node):
@@ -53,7 +53,6 @@
         self._config_place = config_place
         self._me = me
         self._node = node
-        self._row = None
         self._row_version = 0
         self._lifetime = None
         self._write_lock = asyncio.Lock()
