--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -6,8 +6,8 @@
 from tornado.httputil import HTTPHeaders
 
 from pimentoline.twohop.caller_side import CallerSide
-from pimentoline.twohop.dialect import Dialect
 from pimentoline.twohop.exchange import Answer
+from pimentoline.twohop.header_names import HeaderNames
 from pimentoline.twohop.lifetimes import Lifetime, Report, TargetState
 from pimentoline.twohop.model import Member, RepeatLimits
 from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Place, Wanted
@@ -15,7 +15,7 @@
 
 __all__ = ["Network", "Node", "Traffic"]
 
-DIALECT = Dialect()
+DIALECT = HeaderNames()
 KIND_HEADER = "X-Kind"
 TARGET_ADDR = ("127.0.0.1", 1)
 # A question to a target on the same host and its answer, seconds.
--- a/pimentoline/platform/names.py
+++ b/pimentoline/platform/names.py
@@ -1,10 +1,10 @@
 """pimentoline.platform.names: header names of the platform."""
 
-from ..twohop.dialect import Dialect
+from ..twohop.header_names import HeaderNames
 
 __all__ = ["DIALECT"]
 
-DIALECT = Dialect(
+DIALECT = HeaderNames(
     request_id="X-Request-Id",
     deadline_ms="X-Deadline-Ms",
     stamp="X-Response-Stamp",
--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -41,7 +41,7 @@
     caller_side : CallerSide
     config : object
         `current`, the `Configuration` in force or None.
-    dialect : Dialect
+    dialect : HeaderNames
     """
 
     def __init__(self, caller_side, config, dialect):
--- a/pimentoline/twohop/dialect.py
+++ b/pimentoline/twohop/header_names.py
@@ -1,12 +1,12 @@
-"""pimentoline.twohop.dialect: names of the headers that nodes read and write."""
+"""pimentoline.twohop.header_names: names of the headers that nodes read and write."""
 
 from dataclasses import dataclass
 
-__all__ = ["Dialect"]
+__all__ = ["HeaderNames"]
 
 
 @dataclass(frozen=True, slots=True)
-class Dialect:
+class HeaderNames:
     """Header names towards callers and targets.
 
     Attributes
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -104,7 +104,7 @@
     Parameters
     ----------
     cfg : HostSettings
-    dialect : Dialect
+    dialect : HeaderNames
     parse_config : callable
     make_store : callable
         Returns the store client from a `Pool`.
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -57,7 +57,7 @@
 
     Parameters
     ----------
-    dialect : Dialect
+    dialect : HeaderNames
     pool : Pool
     clock : callable
         Monotonic clock, seconds.
