--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -10,7 +10,7 @@
 from .durations import Durations
 from .model import COLD_FACTOR, LoadReport
 from .noise import Gate, Noise
-from .outcomes import Outcomes
+from .success_rate import SuccessRate
 
 __all__ = ["Admission", "Job", "Refused"]
 
@@ -90,7 +90,7 @@
         self.running = 0
         self.cold_until = 0.0
         self.noise = Noise()
-        self.outcomes = Outcomes()
+        self.outcomes = SuccessRate()
         self._durations = Durations()
         self._started_sum = 0.0
         self._usual_sum = 0.0
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from .model import COLD_FACTOR, LoadReport, Member
-from .outcomes import faded
+from .success_rate import decayed
 
 __all__ = ["Candidate", "Place", "Wanted", "choose"]
 
@@ -116,7 +116,7 @@
 
     def good_rate(self, now):
         """Return the part of the target's calls that it answers well."""
-        return faded(self.report.good_rate, now - self.reported_at)
+        return decayed(self.report.good_rate, now - self.reported_at)
 
     def expected_ms(self, now):
         """Return the expected time to an answer, without distance, milliseconds."""
--- a/pimentoline/twohop/outcomes.py
+++ b/pimentoline/twohop/success_rate.py
@@ -1,10 +1,10 @@
-"""pimentoline.twohop.outcomes: how often a target answers well.
+"""pimentoline.twohop.success_rate: how often a target answers well.
 
 Answers targets that fail part of their calls while they say that they are healthy,
 and those that fail fast and look idle.
 """
 
-__all__ = ["Outcomes", "faded"]
+__all__ = ["SuccessRate", "decayed"]
 
 # Weight of the newest outcome; some twenty calls show a target that fails half.
 WEIGHT = 0.08
@@ -15,12 +15,12 @@
 LEAST = 0.1
 
 
-def faded(rate, age_s):
+def decayed(rate, age_s):
     """Return a rate of good answers that was known `age_s` seconds ago."""
     return 1.0 - (1.0 - rate) * max(0.0, 1.0 - age_s / FADE_S)
 
 
-class Outcomes:
+class SuccessRate:
     """Rate of good answers of one target, as its own node counts them."""
 
     def __init__(self):
@@ -29,10 +29,10 @@
 
     def note(self, good, now):
         """Count an answer, or the lack of one."""
-        rate = faded(self._rate, now - self._at)
+        rate = decayed(self._rate, now - self._at)
         self._rate = rate + WEIGHT * (float(good) - rate)
         self._at = now
 
     def rate(self, now):
         """Return the rate of good answers, `LEAST` to 1."""
-        return max(LEAST, faded(self._rate, now - self._at))
+        return max(LEAST, decayed(self._rate, now - self._at))
