Rename Watch to StoreSync, and its module

The class writes this node's row to the store and reads both tables from it. save_soon and remove_soon become save_with_timeout and remove_with_timeout. No change in behaviour; ruff is clean.

--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/reports.py
@@ -104,7 +104,7 @@
         if state is TargetState.READY:
             asyncio.get_running_loop().create_task(self.node.watch.save())
         else:
-            await self.node.watch.save_soon()
+            await self.node.watch.save_with_timeout()
 
 
 class _Request(HTTPMessageDelegate):
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -16,8 +16,8 @@
 from .model import Member, RepeatLimits
 from .peers import Peers
 from .placement import Place
+from .store_sync import StoreSync
 from .target_side import TargetSide
-from .watch import Watch
 
 __all__ = ["HostNode", "HostSettings"]
 
@@ -145,7 +145,7 @@
         self.front = Front(self.caller_side, self.config, dialect)
         me = Member(cfg.node, cfg.peers_addr, cfg.dc, cfg.region, cfg.service)
         self.peers.set_member(me)
-        self.watch = Watch(make_store(self.pool), config_place, me, self)
+        self.watch = StoreSync(make_store(self.pool), config_place, me, self)
         self._control = HTTPServer(control(self))
         self._ready = HTTPServer(ready(self))
         self._ended = asyncio.Event()
@@ -237,7 +237,7 @@
             await asyncio.sleep(CHECK_S)
         if self.target.has_left:
             # The host goes with its target; a row for it would only be tried in vain.
-            await self.watch.remove_soon()
+            await self.watch.remove_with_timeout()
         self.peers.stop_listening()
         self.caller_side.abort()
         self.front.close_idle()
--- a/pimentoline/twohop/watch.py
+++ b/pimentoline/twohop/store_sync.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.watch: what this node keeps in the store and reads from it.
+"""pimentoline.twohop.store_sync: what this node keeps in the store and reads from it.
 
 The store holds the operator's configuration and a row for each node. Calls go on
 with what is known while it cannot be reached.
@@ -14,7 +14,7 @@
 from .lifetimes import Lifetime, TargetState
 from .model import Member
 
-__all__ = ["MEMBERS_TABLE", "Watch"]
+__all__ = ["MEMBERS_TABLE", "StoreSync"]
 
 MEMBERS_TABLE = "members"
 # Longest wait of one reading of changes, seconds. Each node draws its own within
@@ -33,7 +33,7 @@
 SAVE_TRIES = 2
 
 
-class Watch:
+class StoreSync:
     """Keeps a node's knowledge and the store in step.
 
     Parameters
@@ -240,14 +240,14 @@
         if self._tasks:
             self._run(self.save())
 
-    async def remove_soon(self):
+    async def remove_with_timeout(self):
         """Remove the row of a host that goes, but wait only a little for it."""
         self.stop()
         async with self._write_lock:
             task = self._run(self._remove(self._me.node, self._row_version))
             await asyncio.wait([task], timeout=STORE_PATIENCE_S)
 
-    async def save_soon(self):
+    async def save_with_timeout(self):
         """Write the row, but wait only a little for it."""
         task = self._run(self.save())
         await asyncio.wait([task], timeout=STORE_PATIENCE_S)
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -14,7 +14,7 @@
 from pimentoline.twohop.lifetimes import Lifetimes, Report, TargetState
 from pimentoline.twohop.model import Kind, Member, Route, Share
 from pimentoline.twohop.noise import Gate
-from pimentoline.twohop.watch import MEMBERS_TABLE, Watch
+from pimentoline.twohop.store_sync import MEMBERS_TABLE, StoreSync
 from pimentoline.verdict import Verdict
 
 from .test_twohop_decisions import World
@@ -223,7 +223,7 @@
 
 
 class Side:
-    """What `Watch` needs of a target's side."""
+    """What `StoreSync` needs of a target's side."""
 
     def __init__(self):
         self.lifetimes = Lifetimes()
@@ -240,7 +240,7 @@
         self.target = Side()
         self.peers = self.config = None
         me = Member("n1", ADDR, "kerio", "rift", "ledger")
-        self.watch = Watch(store, ("op", "config"), me, self)
+        self.watch = StoreSync(store, ("op", "config"), me, self)
         self.watch.start()
 
     async def report(self, state, sequence, born=5):
@@ -249,7 +249,7 @@
         before = self.target.lifetimes.held
         if self.target.lifetimes.accept(held):
             if before is None or before.state is not state:
-                await self.watch.save_soon()
+                await self.watch.save_with_timeout()
 
     @property
     def state(self):
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -16,7 +16,7 @@
 from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RepeatLimits
 from pimentoline.twohop.node import HostNode, HostSettings
-from pimentoline.twohop.watch import MEMBERS_TABLE
+from pimentoline.twohop.store_sync import MEMBERS_TABLE
 from standins.platform import Instance, StoreStandIn, free_port
 
 HOST = "a.example"
