--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -10,7 +10,7 @@
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
 from .model import FAILED_STATUS
 from .placement import Wanted, choose
-from .splits import Splits
+from .weighted_round_robin import WeightedRoundRobin
 
 __all__ = ["CallerSide", "Incoming", "Outcome"]
 
@@ -207,7 +207,7 @@
         self.log = BoundedLog(clock)
         self.open_calls = set()
         self._budgets = {}
-        self._splits = Splits()
+        self._splits = WeightedRoundRobin()
         self._answer_bytes = {}
         self._random = random.Random()
 
--- a/pimentoline/twohop/splits.py
+++ b/pimentoline/twohop/weighted_round_robin.py
@@ -1,9 +1,9 @@
-"""pimentoline.twohop.splits: the share of a route's calls for each service."""
+"""pimentoline.twohop.weighted_round_robin: the share of a route's calls for each service."""
 
-__all__ = ["Splits"]
+__all__ = ["WeightedRoundRobin"]
 
 
-class Splits:
+class WeightedRoundRobin:
     """Smooth weighted round robin, so that shares hold over few calls as well."""
 
     def __init__(self):
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -20,7 +20,7 @@
 PACKAGE = Path(pimentoline.__file__).parent
 TWOHOP_DECISIONS = (
     *("admission", "budget", "durations", "lifecycle", "lifetimes", "model"),
-    *("noise", "success_rate", "placement", "splits"),
+    *("noise", "success_rate", "placement", "weighted_round_robin"),
 )
 ALLOWED = {
     *("abc", "bisect", "collections", "dataclasses", "enum", "fnmatch", "functools"),
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -22,7 +22,7 @@
 )
 from pimentoline.twohop.noise import Gate
 from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
-from pimentoline.twohop.splits import Splits
+from pimentoline.twohop.weighted_round_robin import WeightedRoundRobin
 from pimentoline.verdict import Verdict
 
 ADDR = ("10.0.0.1", 80)
@@ -661,7 +661,7 @@
 def test_split_keeps_its_weights_over_few_calls():
     """Guards against shares that drift from the operator's weights."""
     route = replace(ROUTE, shares=(Share("a", 90), Share("b", 10)))
-    splits = Splits()
+    splits = WeightedRoundRobin()
     found = [splits.next(route) for _ in range(100)]
     assert found.count("b") == 10
     assert found[:20].count("b") == 2
