Rename RepeatBudget to RetryBudget, RepeatLimits to RetryLimits

The rest of the project and the settings say retry. may_repeat takes a retry from the budget and becomes acquire_retry; the module budget becomes retry_budget.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -9,7 +9,7 @@
 from pimentoline.twohop.exchange import Answer
 from pimentoline.twohop.header_names import HeaderNames
 from pimentoline.twohop.lifetimes import Lifetime, Report, TargetState
-from pimentoline.twohop.model import Member, RepeatLimits
+from pimentoline.twohop.model import Member, RetryLimits
 from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Place, Wanted
 from pimentoline.twohop.target_side import TargetSide
 
@@ -133,7 +133,7 @@
     """The caller's side of calls, with a policy of placement and a seed."""
 
     def __init__(self, node, clock, policy, rng):
-        limits = RepeatLimits(0.2, 10.0, 64.0)
+        limits = RetryLimits(0.2, 10.0, 64.0)
         super().__init__(node.service, node.place, node, None, limits, clock)
         self._policy = policy
         self._rng = rng
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -7,7 +7,7 @@
 
 from ..errors import SettingsError
 from ..settings import parse_addr
-from ..twohop.model import RepeatLimits
+from ..twohop.model import RetryLimits
 from ..twohop.node import HostSettings
 
 __all__ = ["Boot", "load_boot", "seconds"]
@@ -89,7 +89,7 @@
         """
         bounds = self.bounds
         try:
-            repeats = RepeatLimits(
+            repeats = RetryLimits(
                 float(bounds["retry_ratio"]),
                 seconds(bounds["retry_window"]),
                 float(bounds["retry_slack"]),
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -6,10 +6,10 @@
 
 from ..logs import BoundedLog
 from . import lifecycle as lc
-from .budget import RepeatBudget
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
 from .model import FAILED_STATUS
 from .placement import Wanted, choose
+from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
 
 __all__ = ["CallerSide", "Incoming", "Outcome"]
@@ -192,7 +192,7 @@
     peers : Peers
     config : object
         `current`, the `Configuration` in force or None.
-    limits : RepeatLimits
+    limits : RetryLimits
     clock : callable
         Monotonic clock, seconds.
     """
@@ -221,7 +221,7 @@
         """Return the budget of repeats to a service."""
         found = self._budgets.get(service)
         if found is None:
-            found = RepeatBudget(self.limits)
+            found = RetryBudget(self.limits)
             self._budgets[service] = found
         return found
 
@@ -243,7 +243,7 @@
         before = self._answer_bytes.get(route.name, size)
         self._answer_bytes[route.name] = before + SIZE_WEIGHT * (size - before)
 
-    def may_repeat(self, service, now):
+    def acquire_retry(self, service, now):
         """Take a repeat from the budget, if there is room."""
         return self.budget(service).take(now, len(self.peers.members))
 
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -162,7 +162,7 @@
     event : Begin, RefusedThere, Broken, Answered, Stalled, TimedOut or Left
     world : object
         `choose(call, now)` returns a candidate that has not been asked, or None;
-        `may_repeat(service, now)` takes a repeat from the budget.
+        `acquire_retry(service, now)` takes a repeat from the budget.
     """
     if call.ended:
         return []
@@ -246,7 +246,7 @@
         return False
     if call.deadline_at - now < MIN_REPEAT_S:
         return False
-    return world.may_repeat(call.service, now)
+    return world.acquire_retry(call.service, now)
 
 
 def _broken(call, event, world):
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -11,7 +11,7 @@
     "Kind",
     "LoadReport",
     "Member",
-    "RepeatLimits",
+    "RetryLimits",
     "Route",
     "ServiceInfo",
     "Share",
@@ -164,7 +164,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RepeatLimits:
+class RetryLimits:
     """Repeats that all nodes together may send to a service in a window."""
 
     ratio: float = 0.1
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -13,7 +13,7 @@
 from ..pool import Pool
 from .caller_side import CallerSide
 from .front import Front
-from .model import Member, RepeatLimits
+from .model import Member, RetryLimits
 from .peers import Peers
 from .placement import Place
 from .store_sync import StoreSync
@@ -57,7 +57,7 @@
     ready_addr: tuple[str, int]
     target_addr: tuple[str, int]
     grace_s: float
-    repeats: RepeatLimits
+    repeats: RetryLimits
 
 
 class ConfigHolder:
--- a/pimentoline/twohop/budget.py
+++ b/pimentoline/twohop/retry_budget.py
@@ -1,8 +1,8 @@
-"""pimentoline.twohop.budget: repeats as a share of first attempts, per service."""
+"""pimentoline.twohop.retry_budget: repeats as a share of first attempts, per service."""
 
 from collections import deque
 
-__all__ = ["RepeatBudget"]
+__all__ = ["RetryBudget"]
 
 # Part of what is allowed that is spent here. Calls that a repeated run makes count as
 # repeats too, and no node can tell them: with 0.3, a chain of three services whose
@@ -10,7 +10,7 @@
 OWN_SHARE = 0.3
 
 
-class RepeatBudget:
+class RetryBudget:
     """Repeats that this node may send to one service, in every sliding window.
 
     All nodes share one allowance without talking about it: each takes the ratio of
@@ -18,7 +18,7 @@
 
     Parameters
     ----------
-    limits : RepeatLimits
+    limits : RetryLimits
     """
 
     def __init__(self, limits):
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -19,7 +19,7 @@
 
 PACKAGE = Path(pimentoline.__file__).parent
 TWOHOP_DECISIONS = (
-    *("admission", "budget", "durations", "lifecycle", "lifetimes", "model"),
+    *("admission", "retry_budget", "durations", "lifecycle", "lifetimes", "model"),
     *("noise", "success_rate", "placement", "weighted_round_robin"),
 )
 ALLOWED = {
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -6,7 +6,6 @@
 
 from pimentoline.twohop import lifecycle as lc
 from pimentoline.twohop.admission import Admission, Job
-from pimentoline.twohop.budget import RepeatBudget
 from pimentoline.twohop.durations import Durations
 from pimentoline.twohop.lifetimes import Lifetime, Lifetimes, Report, TargetState
 from pimentoline.twohop.model import (
@@ -15,13 +14,14 @@
     Kind,
     LoadReport,
     Member,
-    RepeatLimits,
+    RetryLimits,
     Route,
     ServiceInfo,
     Share,
 )
 from pimentoline.twohop.noise import Gate
 from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
+from pimentoline.twohop.retry_budget import RetryBudget
 from pimentoline.twohop.weighted_round_robin import WeightedRoundRobin
 from pimentoline.verdict import Verdict
 
@@ -54,7 +54,7 @@
         free = (c for c in self.found if c.member.node not in call.asked)
         return next(free, None)
 
-    def may_repeat(self, service, now):
+    def acquire_retry(self, service, now):
         """Take one of the repeats."""
         self.repeats -= 1
         return self.repeats >= 0
@@ -185,7 +185,7 @@
 
 def test_repeats_of_all_nodes_stay_within_the_shared_budget():
     """Guards against nodes that each spend the whole allowance."""
-    nodes = [RepeatBudget(RepeatLimits(0.2, 10.0, 64)) for _ in range(16)]
+    nodes = [RetryBudget(RetryLimits(0.2, 10.0, 64)) for _ in range(16)]
     for node in nodes:
         for number in range(100):
             node.first(NOW + number * 0.01)
@@ -203,7 +203,7 @@
     nodes, calls_a_run, slack = 14, 1.4, 60
     firsts, inherited = 4200 / calls_a_run ** (levels - 1), 0.0
     for _ in range(levels):
-        budgets = [RepeatBudget(RepeatLimits(0.2, 10.0, slack)) for _ in range(nodes)]
+        budgets = [RetryBudget(RetryLimits(0.2, 10.0, slack)) for _ in range(nodes)]
         for budget in budgets:
             for _ in range(round(firsts / nodes)):
                 budget.first(NOW)
@@ -216,7 +216,7 @@
 
 def test_budget_holds_in_every_sliding_window():
     """Guards against a burst at the edge of two windows."""
-    budget = RepeatBudget(RepeatLimits(0.2, 10.0, 0))
+    budget = RetryBudget(RetryLimits(0.2, 10.0, 0))
     for number in range(100):
         budget.first(NOW + number * 0.1)
     early = sum(budget.take(NOW + 9.9, 1) for _ in range(50))
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -14,7 +14,7 @@
 from pimentoline.platform.reports import Reports
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
-from pimentoline.twohop.model import RepeatLimits
+from pimentoline.twohop.model import RetryLimits
 from pimentoline.twohop.node import HostNode, HostSettings
 from pimentoline.twohop.store_sync import MEMBERS_TABLE
 from standins.platform import Instance, StoreStandIn, free_port
@@ -85,7 +85,7 @@
             *addrs,
             instance.addr,
             6.0,
-            RepeatLimits(0.2, 10.0, 64),
+            RetryLimits(0.2, 10.0, 64),
         )
         return await self.start_as(cfg)
 
@@ -723,10 +723,10 @@
 async def test_changed_settings_apply_without_a_restart(site):
     """Guards against settings that only a restart reads."""
     front, _, _ = await pair(site)
-    changed = replace(front.cfg, grace_s=9.0, repeats=RepeatLimits(0.0, 10.0, 0))
+    changed = replace(front.cfg, grace_s=9.0, repeats=RetryLimits(0.0, 10.0, 0))
     front.reload(changed)
     assert front.cfg == changed
-    assert not front.caller_side.may_repeat(LEDGER, time.monotonic())
+    assert not front.caller_side.acquire_retry(LEDGER, time.monotonic())
 
 
 @pytest.mark.parametrize("chunked", [True, False])
