--- a/pimentoline/twohop/retry_budget.py
+++ b/pimentoline/twohop/retry_budget.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.retry_budget: repeats as a share of first attempts, per service."""
+"""pimentoline.twohop.retry_budget: retries as a share of first attempts."""
 
 from collections import deque
 
--- a/pimentoline/twohop/weighted_round_robin.py
+++ b/pimentoline/twohop/weighted_round_robin.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.weighted_round_robin: the share of a route's calls for each service."""
+"""pimentoline.twohop.weighted_round_robin: traffic shares of a route's services."""
 
 __all__ = ["WeightedRoundRobin"]
 
