--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -7,8 +7,7 @@
 from hdrh.histogram import HdrHistogram
 
 from pimentoline.twohop.caller_side import Incoming
-from pimentoline.twohop.model import Kind as RouteKind
-from pimentoline.twohop.model import Route, Share
+from pimentoline.twohop.model import Route, RouteKind, Share
 
 from . import clock
 from .nodes import KIND_HEADER, Network, Node
--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -6,8 +6,8 @@
 from ..twohop.model import (
     CallerLimits,
     Configuration,
-    Kind,
     Route,
+    RouteKind,
     ServiceInfo,
     Share,
 )
@@ -52,7 +52,7 @@
         str(item["name"]),
         item["host"].lower(),
         prefix,
-        Kind(item["kind"]),
+        RouteKind(item["kind"]),
         seconds(timeout),
         seconds(item.get("target_latency", timeout)),
         int(item.get("priority", 0)),
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -8,7 +8,7 @@
     "FAILED_STATUS",
     "CallerLimits",
     "Configuration",
-    "Kind",
+    "RouteKind",
     "LoadReport",
     "Member",
     "RetryLimits",
@@ -23,7 +23,7 @@
 COLD_FACTOR = 2.0
 
 
-class Kind(enum.Enum):
+class RouteKind(enum.Enum):
     """What may be repeated."""
 
     SAFE = "safe"
@@ -58,7 +58,7 @@
     name: str
     host: str
     prefix: str
-    kind: Kind
+    kind: RouteKind
     timeout_s: float
     goal_s: float
     priority: int
@@ -68,7 +68,7 @@
     @property
     def repeatable(self):
         """Whether a call may run more than once."""
-        return self.kind is Kind.SAFE
+        return self.kind is RouteKind.SAFE
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -11,11 +11,11 @@
 from pimentoline.twohop.model import (
     CallerLimits,
     Configuration,
-    Kind,
     LoadReport,
     Member,
     RetryLimits,
     Route,
+    RouteKind,
     ServiceInfo,
     Share,
 )
@@ -31,8 +31,10 @@
 WANTED = Wanted(NOW + 0.3, 2000)
 # Questions a second and target that both users allow.
 PROBES_PER_S = 60
-ROUTE = Route("r", "a.example", "/x/", Kind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3)
-SALE = replace(ROUTE, name="sale", kind=Kind.UNSAFE)
+ROUTE = Route(
+    "r", "a.example", "/x/", RouteKind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3
+)
+SALE = replace(ROUTE, name="sale", kind=RouteKind.UNSAFE)
 
 
 def candidate(node, dc="kerio", region="rift", **load):
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -12,7 +12,7 @@
 from pimentoline.twohop import lifecycle as lc
 from pimentoline.twohop.admission import Admission, Job
 from pimentoline.twohop.lifetimes import Lifetimes, Report, TargetState
-from pimentoline.twohop.model import Kind, Member, Route, Share
+from pimentoline.twohop.model import Member, Route, RouteKind, Share
 from pimentoline.twohop.noise import Gate
 from pimentoline.twohop.store_sync import MEMBERS_TABLE, StoreSync
 from pimentoline.verdict import Verdict
@@ -21,8 +21,10 @@
 
 ADDR = ("10.0.0.1", 80)
 NOW = 100.0
-LOOK = Route("r", "a.example", "/x/", Kind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3)
-SALE = replace(LOOK, kind=Kind.UNSAFE)
+LOOK = Route(
+    "r", "a.example", "/x/", RouteKind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3
+)
+SALE = replace(LOOK, kind=RouteKind.UNSAFE)
 REPEATS = 4
 
 # Calls.
