--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -10,7 +10,7 @@
 from pimentoline.twohop.header_names import HeaderNames
 from pimentoline.twohop.lifetimes import Lifetime, Report, TargetState
 from pimentoline.twohop.model import Member, RetryLimits
-from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Place, Wanted
+from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Location, Wanted
 from pimentoline.twohop.target_side import TargetSide
 
 __all__ = ["Network", "Node", "Traffic"]
@@ -45,7 +45,7 @@
     def send(self, sender, receiver, size, deliver, *args):
         """Deliver `size` bytes of a frame later, unless either node ends meanwhile."""
         self.traffic.frames += 1
-        delay_s = self._delay_s(sender.place, receiver.place, size / 1000.0)
+        delay_s = self._delay_s(sender.location, receiver.location, size / 1000.0)
         lives = sender.lives, receiver.lives
 
         def arrive():
@@ -134,14 +134,14 @@
 
     def __init__(self, node, clock, policy, rng):
         limits = RetryLimits(0.2, 10.0, 64.0)
-        super().__init__(node.service, node.place, node, None, limits, clock)
+        super().__init__(node.service, node.location, node, None, limits, clock)
         self._policy = policy
         self._rng = rng
 
     def choose(self, call, now):
         return self._policy(
             self.peers.candidates(call.service),
-            self.place,
+            self.location,
             now,
             Wanted(call.goal_at, call.size),
             call.asked,
@@ -165,7 +165,7 @@
     def __init__(self, name, service, dc, region, kinds, network, policy, rng):
         self.name = name
         self.service = service
-        self.place = Place(dc, region)
+        self.location = Location(dc, region)
         self.member = Member(name, TARGET_ADDR, dc, region, service)
         self.kinds = kinds
         self.network = network
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -13,17 +13,17 @@
     ]
 
 
-def _random(candidates, place, now, wanted, tried, draw):
+def _random(candidates, location, now, wanted, tried, draw):
     found = _open(candidates, tried)
     return found[int(draw * len(found))] if found else None
 
 
-def _near(candidates, place, now, wanted, tried, draw):
+def _near(candidates, location, now, wanted, tried, draw):
     """Choose the nearest, of equals the one with the fewest calls of this node."""
     found = _open(candidates, tried)
     return min(
         found,
-        key=lambda cand: (distance(place, cand.member, 0)[0], cand.mine),
+        key=lambda cand: (distance(location, cand.member, 0)[0], cand.mine),
         default=None,
     )
 
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -188,7 +188,7 @@
     ----------
     service : str
         Service of the target on this host, which its own calls come from.
-    place : Place
+    location : Location
     peers : Peers
     config : object
         `current`, the `Configuration` in force or None.
@@ -197,9 +197,9 @@
         Monotonic clock, seconds.
     """
 
-    def __init__(self, service, place, peers, config, limits, clock):
+    def __init__(self, service, location, peers, config, limits, clock):
         self.service = service
-        self.place = place
+        self.location = location
         self.peers = peers
         self.config = config
         self.limits = limits
@@ -231,7 +231,7 @@
         """Return the best candidate that has not been asked, or None."""
         return choose(
             self.peers.candidates(call.service),
-            self.place,
+            self.location,
             now,
             Wanted(call.goal_at, call.size),
             call.asked,
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -15,7 +15,7 @@
 from .front import Front
 from .model import Member, RetryLimits
 from .peers import Peers
-from .placement import Place
+from .placement import Location
 from .store_sync import StoreSync
 from .target_side import TargetSide
 
@@ -136,7 +136,7 @@
         self.peers = Peers(cfg.node, self.target, self.config, clock)
         self.caller_side = CallerSide(
             cfg.service,
-            Place(cfg.dc, cfg.region),
+            Location(cfg.dc, cfg.region),
             self.peers,
             self.config,
             cfg.repeats,
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -10,7 +10,7 @@
 from .model import COLD_FACTOR, LoadReport, Member
 from .success_rate import decayed
 
-__all__ = ["Candidate", "Place", "Wanted", "choose"]
+__all__ = ["Candidate", "Location", "Wanted", "choose"]
 
 # Round trip to another data centre and to another region, milliseconds.
 OTHER_DC_MS = 2.0
@@ -52,7 +52,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class Location:
     """Where this node stands."""
 
     dc: str
@@ -143,12 +143,12 @@
         return delay
 
 
-def distance(place, member, size):
+def distance(location, member, size):
     """Return the round trip to a member and the cost of its bytes.
 
     Parameters
     ----------
-    place : Place
+    location : Location
     member : Member
     size : int
         Bytes of the call and its answer.
@@ -158,10 +158,10 @@
     tuple of float
         Milliseconds, and parts of the credit for a call.
     """
-    if member.dc == place.dc:
+    if member.dc == location.dc:
         return 0.0, 0.0
     kilobytes = (size + HEAD_BYTES) / 1000.0
-    if member.region == place.region:
+    if member.region == location.region:
         return OTHER_DC_MS, OTHER_DC_COST_KB * kilobytes
     return OTHER_REGION_MS, OTHER_REGION_COST_KB * kilobytes
 
@@ -172,13 +172,13 @@
     return 1.0 / (1.0 + math.exp(min(max(x, -30.0), 30.0)))
 
 
-def choose(candidates, place, now, wanted, tried, draw):
+def choose(candidates, location, now, wanted, tried, draw):
     """Return the candidate with the most expected credit less cost, or None.
 
     Parameters
     ----------
     candidates : iterable of Candidate
-    place : Place
+    location : Location
     now : float
         Monotonic time, seconds.
     wanted : Wanted
@@ -195,7 +195,7 @@
             continue
         if cand.member.node in tried:
             continue
-        trip_ms, cost = distance(place, cand.member, wanted.size)
+        trip_ms, cost = distance(location, cand.member, wanted.size)
         expected_ms = cand.expected_ms(now) + trip_ms
         chance = in_time(goal_ms, expected_ms)
         value = chance + LATE_CREDIT * (1.0 - chance)
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -20,14 +20,14 @@
     Share,
 )
 from pimentoline.twohop.noise import Gate
-from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
+from pimentoline.twohop.placement import Candidate, Location, Wanted, choose
 from pimentoline.twohop.retry_budget import RetryBudget
 from pimentoline.twohop.weighted_round_robin import WeightedRoundRobin
 from pimentoline.verdict import Verdict
 
 ADDR = ("10.0.0.1", 80)
 NOW = 100.0
-HOME = Place("kerio", "rift")
+HOME = Location("kerio", "rift")
 WANTED = Wanted(NOW + 0.3, 2000)
 # Questions a second and target that both users allow.
 PROBES_PER_S = 60
