--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -10,7 +10,12 @@
 from pimentoline.twohop.header_names import HeaderNames
 from pimentoline.twohop.lifetimes import Lifetime, Report, TargetState
 from pimentoline.twohop.model import Member, RetryLimits
-from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Location, Wanted
+from pimentoline.twohop.placement import (
+    HEAD_BYTES,
+    CallRequirements,
+    Candidate,
+    Location,
+)
 from pimentoline.twohop.target_side import TargetSide
 
 __all__ = ["Network", "Node", "Traffic"]
@@ -143,7 +148,7 @@
             self.peers.candidates(call.service),
             self.location,
             now,
-            Wanted(call.goal_at, call.size),
+            CallRequirements(call.goal_at, call.size),
             call.asked,
             self._rng.random(),
         )
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -13,12 +13,12 @@
     ]
 
 
-def _random(candidates, location, now, wanted, tried, draw):
+def _random(candidates, location, now, requirements, tried, draw):
     found = _open(candidates, tried)
     return found[int(draw * len(found))] if found else None
 
 
-def _near(candidates, location, now, wanted, tried, draw):
+def _near(candidates, location, now, requirements, tried, draw):
     """Choose the nearest, of equals the one with the fewest calls of this node."""
     found = _open(candidates, tried)
     return min(
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -8,7 +8,7 @@
 from . import lifecycle as lc
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
 from .model import FAILED_STATUS
-from .placement import Wanted, choose
+from .placement import CallRequirements, choose
 from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
 
@@ -233,7 +233,7 @@
             self.peers.candidates(call.service),
             self.location,
             now,
-            Wanted(call.goal_at, call.size),
+            CallRequirements(call.goal_at, call.size),
             call.asked,
             self._random.random(),
         )
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -10,7 +10,7 @@
 from .model import COLD_FACTOR, LoadReport, Member
 from .success_rate import decayed
 
-__all__ = ["Candidate", "Location", "Wanted", "choose"]
+__all__ = ["Candidate", "Location", "CallRequirements", "choose"]
 
 # Round trip to another data centre and to another region, milliseconds.
 OTHER_DC_MS = 2.0
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wanted:
+class CallRequirements:
     """What matters of a call: the end of its objective, seconds, and its bytes."""
 
     goal_at: float
@@ -172,7 +172,7 @@
     return 1.0 / (1.0 + math.exp(min(max(x, -30.0), 30.0)))
 
 
-def choose(candidates, location, now, wanted, tried, draw):
+def choose(candidates, location, now, requirements, tried, draw):
     """Return the candidate with the most expected credit less cost, or None.
 
     Parameters
@@ -181,7 +181,7 @@
     location : Location
     now : float
         Monotonic time, seconds.
-    wanted : Wanted
+    requirements : CallRequirements
     tried : container of str
         Nodes that are left out.
     draw : float
@@ -189,13 +189,13 @@
     """
     best = None
     best_value = 0.0
-    goal_ms = (wanted.goal_at - now) * 1000.0
+    goal_ms = (requirements.goal_at - now) * 1000.0
     for number, cand in enumerate(candidates):
         if not cand.reachable or not cand.report.accepting:
             continue
         if cand.member.node in tried:
             continue
-        trip_ms, cost = distance(location, cand.member, wanted.size)
+        trip_ms, cost = distance(location, cand.member, requirements.size)
         expected_ms = cand.expected_ms(now) + trip_ms
         chance = in_time(goal_ms, expected_ms)
         value = chance + LATE_CREDIT * (1.0 - chance)
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -20,7 +20,7 @@
     Share,
 )
 from pimentoline.twohop.noise import Gate
-from pimentoline.twohop.placement import Candidate, Location, Wanted, choose
+from pimentoline.twohop.placement import CallRequirements, Candidate, Location, choose
 from pimentoline.twohop.retry_budget import RetryBudget
 from pimentoline.twohop.weighted_round_robin import WeightedRoundRobin
 from pimentoline.verdict import Verdict
@@ -28,7 +28,7 @@
 ADDR = ("10.0.0.1", 80)
 NOW = 100.0
 HOME = Location("kerio", "rift")
-WANTED = Wanted(NOW + 0.3, 2000)
+WANTED = CallRequirements(NOW + 0.3, 2000)
 # Questions a second and target that both users allow.
 PROBES_PER_S = 60
 ROUTE = Route(
@@ -461,7 +461,10 @@
     """Guards against large bodies on links that are billed by volume."""
     far = candidate("far", "kwale", "coast")
     near = candidate("near", delay_ms=320)
-    look, upload = Wanted(NOW + 0.3, 1500), Wanted(NOW + 0.3, 60_000)
+    look, upload = (
+        CallRequirements(NOW + 0.3, 1500),
+        CallRequirements(NOW + 0.3, 60_000),
+    )
     assert choose([far, near], HOME, NOW, look, (), 0.5) is far
     assert choose([far, near], HOME, NOW, upload, (), 0.5) is near
 
@@ -493,7 +496,9 @@
         bad.note_failure(NOW)
     assert choose([bad, good], HOME, NOW, WANTED, (), 0.5) is good
     later = NOW + 60
-    assert choose([bad, good], HOME, later, Wanted(later + 0.3), (), 0.5) is bad
+    assert (
+        choose([bad, good], HOME, later, CallRequirements(later + 0.3), (), 0.5) is bad
+    )
 
 
 def test_target_that_fails_half_its_calls_is_left_and_comes_back():
@@ -506,7 +511,7 @@
     bad.note_report(replace(grey.report(NOW, True), delay_ms=100), NOW)
     assert choose([bad, sound], HOME, NOW, WANTED, (), 0.5) is sound
     later = NOW + 6.0
-    wanted = Wanted(later + 0.3, 2000)
+    wanted = CallRequirements(later + 0.3, 2000)
     assert choose([bad, sound], HOME, later, wanted, (), 0.5) is bad
 
 
@@ -516,7 +521,7 @@
     for cand in (near, far):
         cand.report = replace(cand.report, good_rate=0.45)
     for draw in (0.1, 0.5, 0.9):
-        upload = Wanted(NOW + 0.4, 60_000)
+        upload = CallRequirements(NOW + 0.4, 60_000)
         assert choose([far, near], HOME, NOW, upload, (), draw) is near
 
 
@@ -532,7 +537,7 @@
 
 def shares(candidates, now):
     """Return the number of calls that each candidate gets of a hundred draws."""
-    wanted = Wanted(now + 0.3, 2000)
+    wanted = CallRequirements(now + 0.3, 2000)
     chosen = [
         choose(candidates, HOME, now, wanted, (), step / 100) for step in range(100)
     ]
