--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -7,7 +7,7 @@
 from ..logs import BoundedLog
 from . import lifecycle as lc
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
-from .model import FAILED_STATUS
+from .model import MIN_FAILURE_STATUS
 from .placement import CallRequirements, choose
 from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
@@ -152,7 +152,7 @@
         now = self.side.clock()
         match frame:
             case AnswerFrame():
-                if frame.status >= FAILED_STATUS:
+                if frame.status >= MIN_FAILURE_STATUS:
                     candidate.note_failure(now)
                 else:
                     candidate.note_success()
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from ..verdict import Verdict
-from .model import FAILED_STATUS, Route
+from .model import MIN_FAILURE_STATUS, Route
 
 __all__ = [
     "Answered",
@@ -275,7 +275,7 @@
 
 
 def _answered(call, event, world):
-    if event.status >= FAILED_STATUS and call.route.repeatable:
+    if event.status >= MIN_FAILURE_STATUS and call.route.repeatable:
         call.attempts += 1
         call.verdict = Verdict.RAN
         if _may_repeat(call, event.now, world):
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -5,7 +5,7 @@
 
 __all__ = [
     "COLD_FACTOR",
-    "FAILED_STATUS",
+    "MIN_FAILURE_STATUS",
     "CallerLimits",
     "Configuration",
     "RouteKind",
@@ -18,7 +18,7 @@
 ]
 
 # Statuses from here on say that a target failed, and not what it was asked.
-FAILED_STATUS = 500
+MIN_FAILURE_STATUS = 500
 # A target that has just started takes about this many times as long.
 COLD_FACTOR = 2.0
 
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -13,7 +13,7 @@
 from .exchange import AnswerError, exchange
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
 from .lifetimes import Lifetimes, TargetState
-from .model import FAILED_STATUS
+from .model import MIN_FAILURE_STATUS
 from .noise import Gate
 
 __all__ = ["TargetSide", "Work"]
@@ -328,7 +328,7 @@
             else:
                 conn.close()
             conn = None
-            if work.job.running and answer.status < FAILED_STATUS:
+            if work.job.running and answer.status < MIN_FAILURE_STATUS:
                 work.admission.ended(work.job, self._clock())
             self._answered(work, answer)
         except asyncio.CancelledError:
@@ -416,7 +416,7 @@
         self._note_load(headers.get(dialect.load))
         not_run = headers.get(dialect.not_run) is not None or answer.status == 421
         work.admission.outcomes.note(
-            answer.status < FAILED_STATUS and not not_run, self._clock()
+            answer.status < MIN_FAILURE_STATUS and not not_run, self._clock()
         )
         if not_run:
             self._refuse(work, "target-refused", NOT_ACCEPTING_RETRY_S, True)
