Rename Candidate.mine to in_flight

It counts the calls that this node has in flight to the candidate; mine_then, the same number when the report came, becomes in_flight_at_report.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -218,7 +218,7 @@
         network = self.network
         there = next(n for n in network.nodes if n.member is candidate.member)
         frame = make_frame(0)
-        candidate.mine += 1
+        candidate.in_flight += 1
         call = _Sent(self, there, candidate, on_frame)
         network.send(self, there, len(body) + HEAD_BYTES, call.arrive, frame, body)
         return call.cancel
@@ -309,7 +309,7 @@
         if not self.open:
             return
         self.open = False
-        self.candidate.mine -= 1
+        self.candidate.in_flight -= 1
         if self.there is not self.here:
             self.candidate.note_report(frame.load, self.here.clock())
         self.on_frame(frame, body)
@@ -318,7 +318,7 @@
         """Withdraw the call."""
         if self.open:
             self.open = False
-            self.candidate.mine -= 1
+            self.candidate.in_flight -= 1
             self.here.network.send(self.here, self.there, 0, self._cancelled)
 
     def _cancelled(self):
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -23,7 +23,7 @@
     found = _open(candidates, tried)
     return min(
         found,
-        key=lambda cand: (distance(location, cand.member, 0)[0], cand.mine),
+        key=lambda cand: (distance(location, cand.member, 0)[0], cand.in_flight),
         default=None,
     )
 
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -122,8 +122,8 @@
         log_entry("peer:lost", node=link.peer, reason=reason, calls=len(self.calls))
         self.parts.clear()
         calls, self.calls = self.calls, {}
-        self.candidate.mine = 0
-        self.candidate.mine_then = 0
+        self.candidate.in_flight = 0
+        self.candidate.in_flight_at_report = 0
         self.lost.set()
         for stream, on_frame in calls.items():
             frame = fr.BrokenFrame(
@@ -172,7 +172,7 @@
         if on_frame is not None:
             del self.stalled[stream]
             self.link.due -= 1
-            self.candidate.mine -= 1
+            self.candidate.in_flight -= 1
         return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
@@ -181,7 +181,7 @@
         stream = self.next_stream
         self.calls[stream] = on_frame
         self.stalled[stream] = on_stall
-        self.candidate.mine += 1
+        self.candidate.in_flight += 1
         self.link.due += 1
         self.link.send(make_frame(stream), body)
         return stream
@@ -376,15 +376,15 @@
         return lambda: out.cancel(stream)
 
     def _send_local(self, candidate, make_frame, body, on_frame):
-        candidate.mine += 1
+        candidate.in_flight += 1
 
         def reply(frame, body):
-            candidate.mine -= 1
+            candidate.in_flight -= 1
             on_frame(frame, body)
 
         def cancel():
             if not work.ended and not work.cancelled:
-                candidate.mine -= 1
+                candidate.in_flight -= 1
                 self.target.cancel(work)
 
         work = self.target.submit(make_frame(0), body, reply)
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -73,9 +73,9 @@
 
     Attributes
     ----------
-    mine : int
+    in_flight : int
         Calls that this node has there and that are unanswered.
-    mine_then : int
+    in_flight_at_report : int
         The same when the report was made.
     mean_ms : float
         Mean of the delays reported, milliseconds.
@@ -87,8 +87,8 @@
     reachable: bool = False
     report: LoadReport = field(default_factory=LoadReport)
     reported_at: float = 0.0
-    mine: int = 0
-    mine_then: int = 0
+    in_flight: int = 0
+    in_flight_at_report: int = 0
     mean_ms: float = FIRST_DELAY_MS
     reports: int = 0
     failures: float = 0.0
@@ -103,7 +103,7 @@
         self.mean_ms += weight * (report.delay_ms - self.mean_ms)
         self.report = report
         self.reported_at = now
-        self.mine_then = self.mine
+        self.in_flight_at_report = self.in_flight
 
     def note_failure(self, now):
         """Count a failure of the target."""
@@ -121,11 +121,13 @@
     def expected_ms(self, now):
         """Return the expected time to an answer, without distance, milliseconds."""
         report = self.report
-        extra = self.mine - self.mine_then
+        extra = self.in_flight - self.in_flight_at_report
         age = now - self.reported_at
         fresh = max(0.0, 1.0 - age / REPORT_LIFE_S)
-        others = max(0, report.running + report.queued - self.mine_then) * fresh
-        total = others + self.mine
+        others = (
+            max(0, report.running + report.queued - self.in_flight_at_report) * fresh
+        )
+        total = others + self.in_flight
         known = max(0.0, 1.0 - age / DELAY_FADE_S)
         delay = self.mean_ms + (report.delay_ms - self.mean_ms) * known
         if age * 1000.0 < report.cold_ms:
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -474,8 +474,8 @@
     first, second = candidate("a"), candidate("b")
     for _ in range(20):
         chosen = choose([first, second], HOME, NOW, WANTED, (), 0.5)
-        chosen.mine += 1
-    assert abs(first.mine - second.mine) <= 2
+        chosen.in_flight += 1
+    assert abs(first.in_flight - second.in_flight) <= 2
 
 
 @pytest.mark.parametrize("change", [{"accepting": False}, {"reachable": False}])
