--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -6,7 +6,7 @@
 
 from ..logs import BoundedLog
 from . import lifecycle as lc
-from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
+from .frames import AnswerFrame, CallFrame, FailedFrame, RefusedFrame
 from .model import MIN_FAILURE_STATUS
 from .placement import CallRequirements, choose
 from .retry_budget import RetryBudget
@@ -164,7 +164,7 @@
                 self.dispatch(
                     lc.RefusedThere(now, frame.reason, after_s, frame.at_target)
                 )
-            case BrokenFrame():
+            case FailedFrame():
                 candidate.note_failure(now)
                 self.dispatch(lc.Broken(now, frame.verdict, frame.reason))
 
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -17,7 +17,7 @@
 __all__ = [
     "AnswerFrame",
     "BodyFrame",
-    "BrokenFrame",
+    "FailedFrame",
     "CallFrame",
     "CancelFrame",
     "ConfigFrame",
@@ -106,7 +106,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BrokenFrame:
+class FailedFrame:
     """The call ended at the target without a usable answer."""
 
     stream: int
@@ -163,7 +163,7 @@
     BodyFrame,
     AnswerFrame,
     RefusedFrame,
-    BrokenFrame,
+    FailedFrame,
     CancelFrame,
     LoadFrame,
     Ping,
@@ -221,7 +221,7 @@
                 "retryAfterMs": frame.retry_after_ms,
                 "repeatable": frame.at_target,
             }
-        case BrokenFrame():
+        case FailedFrame():
             return {
                 "stream": frame.stream,
                 "reason": frame.reason,
@@ -313,8 +313,8 @@
         return RefusedFrame(
             head.stream, head.reason, head.retryAfterMs, head.repeatable, _load(head)
         )
-    if kind is BrokenFrame:
-        return BrokenFrame(
+    if kind is FailedFrame:
+        return FailedFrame(
             head.stream, head.reason, VERDICTS[head.verdict], _load(head)
         )
     if kind is Hello:
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -126,7 +126,7 @@
         self.candidate.in_flight_at_report = 0
         self.lost.set()
         for stream, on_frame in calls.items():
-            frame = fr.BrokenFrame(
+            frame = fr.FailedFrame(
                 stream, "peer-lost", Verdict.MAY_HAVE_RUN, LoadReport()
             )
             on_frame(frame, b"")
@@ -152,7 +152,7 @@
                 found = self.parts.add(frame.stream, body)
                 if found is not None:
                     self._done(*found)
-            case fr.RefusedFrame() | fr.BrokenFrame():
+            case fr.RefusedFrame() | fr.FailedFrame():
                 self._done(frame, b"")
             case _:
                 self.peers.control_frame(link, frame, body)
@@ -369,7 +369,7 @@
             return self._send_local(candidate, make_frame, body, on_frame)
         out = self.outgoing.get(candidate.member.node)
         if out is None or not candidate.reachable:
-            frame = fr.BrokenFrame(0, "peer-lost", Verdict.NOT_RUN, LoadReport())
+            frame = fr.FailedFrame(0, "peer-lost", Verdict.NOT_RUN, LoadReport())
             loop = asyncio.get_running_loop()
             return loop.call_soon(on_frame, frame, b"").cancel
         stream = out.send(make_frame, body, on_frame, on_stall)
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -11,7 +11,7 @@
 from ..verdict import Verdict
 from .admission import Admission, Job
 from .exchange import AnswerError, exchange
-from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
+from .frames import MAX_BODY_BYTES, AnswerFrame, FailedFrame, RefusedFrame
 from .lifetimes import Lifetimes, TargetState
 from .model import MIN_FAILURE_STATUS
 from .noise import Gate
@@ -362,7 +362,7 @@
             verdict=verdict.value,
             detail=str(exc)[:120],
         )
-        frame = BrokenFrame(work.frame.stream, reason, verdict, self.load())
+        frame = FailedFrame(work.frame.stream, reason, verdict, self.load())
         self._end(work, frame)
 
     def _note_down(self):
@@ -426,7 +426,7 @@
             headers.get(dialect.stamp) is None
             or headers.get("Content-Encoding") is not None
         ):
-            frame = BrokenFrame(
+            frame = FailedFrame(
                 work.frame.stream, "answer-not-whole", Verdict.RAN, self.load()
             )
             self._end(work, frame)
