--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -6,7 +6,7 @@
 
 from ..logs import BoundedLog
 from . import lifecycle as lc
-from .frames import AnswerFrame, CallFrame, FailedFrame, RefusedFrame
+from .frames import CallFrame, FailedFrame, RefusedFrame, ResponseFrame
 from .model import MIN_FAILURE_STATUS
 from .placement import CallRequirements, choose
 from .retry_budget import RetryBudget
@@ -50,14 +50,14 @@
 
     status: int | None
     reason: str
-    answer: AnswerFrame | None = None
+    answer: ResponseFrame | None = None
     body: bytes = b""
     retry_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class _Held:
-    frame: AnswerFrame
+    frame: ResponseFrame
     body: bytes
 
 
@@ -151,7 +151,7 @@
         self.cancel_attempt = None
         now = self.side.clock()
         match frame:
-            case AnswerFrame():
+            case ResponseFrame():
                 if frame.status >= MIN_FAILURE_STATUS:
                     candidate.note_failure(now)
                 else:
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -15,7 +15,7 @@
 from .model import LoadReport
 
 __all__ = [
-    "AnswerFrame",
+    "ResponseFrame",
     "BodyFrame",
     "FailedFrame",
     "CallFrame",
@@ -83,7 +83,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerFrame:
+class ResponseFrame:
     """An answer that the target gave in full."""
 
     stream: int
@@ -161,7 +161,7 @@
     Hello,
     CallFrame,
     BodyFrame,
-    AnswerFrame,
+    ResponseFrame,
     RefusedFrame,
     FailedFrame,
     CancelFrame,
@@ -206,7 +206,7 @@
                 "lastResort": frame.last_resort,
                 "bodyBytes": frame.body_bytes,
             }
-        case AnswerFrame():
+        case ResponseFrame():
             return {
                 "stream": frame.stream,
                 "status": frame.status,
@@ -285,8 +285,8 @@
 
 
 def _frame(head, kind):
-    if kind is AnswerFrame:
-        return AnswerFrame(
+    if kind is ResponseFrame:
+        return ResponseFrame(
             head.stream,
             head.status,
             head.reason,
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -144,7 +144,7 @@
             case fr.LoadFrame():
                 self._note_load(frame.load)
                 self.peers.version_heard(link, frame.version)
-            case fr.AnswerFrame():
+            case fr.ResponseFrame():
                 whole = self.parts.begin(frame, body)
                 if whole is not None:
                     self._done(frame, whole)
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -11,7 +11,7 @@
 from ..verdict import Verdict
 from .admission import Admission, Job
 from .exchange import AnswerError, exchange
-from .frames import MAX_BODY_BYTES, AnswerFrame, FailedFrame, RefusedFrame
+from .frames import MAX_BODY_BYTES, FailedFrame, RefusedFrame, ResponseFrame
 from .lifetimes import Lifetimes, TargetState
 from .model import MIN_FAILURE_STATUS
 from .noise import Gate
@@ -432,7 +432,7 @@
             self._end(work, frame)
             return
         kept = end_to_end(headers, NOT_BACK | {"Content-Length", dialect.load})
-        frame = AnswerFrame(
+        frame = ResponseFrame(
             work.frame.stream,
             answer.status,
             answer.reason,
--- a/tests/test_twohop_frames.py
+++ b/tests/test_twohop_frames.py
@@ -20,7 +20,7 @@
         b"abc",
     ),
     (fr.BodyFrame(5), b"x" * 70_000),
-    (fr.AnswerFrame(5, 200, "OK", HEADERS, 2, LOAD), b"ok"),
+    (fr.ResponseFrame(5, 200, "OK", HEADERS, 2, LOAD), b"ok"),
     (fr.RefusedFrame(5, "full", 120, True, LOAD), b""),
     (fr.FailedFrame(5, "cut", Verdict.MAY_HAVE_RUN, LOAD), b""),
     (fr.CancelFrame(5), b""),
