Rename the events of a call's lifecycle

Each says what happened: CallReceived, AttemptRefused, AttemptFailed, ResponseReceived, AttemptStalled and CallerDisconnected.

--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -117,7 +117,7 @@
 
         def on_stall():
             if attempt == self.attempt:
-                self.dispatch(lc.Stalled(side.clock()))
+                self.dispatch(lc.AttemptStalled(side.clock()))
 
         cancel = side.peers.send(
             effect.candidate,
@@ -157,16 +157,18 @@
                 else:
                     candidate.note_success()
                     self.side.note_answer(self.call.route, frame.body_bytes)
-                self.dispatch(lc.Answered(now, frame.status, _Held(frame, body)))
+                self.dispatch(
+                    lc.ResponseReceived(now, frame.status, _Held(frame, body))
+                )
             case RefusedFrame():
                 after_s = frame.retry_after_ms / MS
                 candidate.refused_until = now + min(after_s, MAX_AVOID_S)
                 self.dispatch(
-                    lc.RefusedThere(now, frame.reason, after_s, frame.at_target)
+                    lc.AttemptRefused(now, frame.reason, after_s, frame.at_target)
                 )
             case FailedFrame():
                 candidate.note_failure(now)
-                self.dispatch(lc.Broken(now, frame.verdict, frame.reason))
+                self.dispatch(lc.AttemptFailed(now, frame.verdict, frame.reason))
 
     def _cancel(self):
         self.attempt += 1
@@ -279,8 +281,8 @@
         running.timer = loop.call_later(
             call.deadline_at - now, lambda: running.dispatch(lc.TimedOut(self.clock()))
         )
-        running.dispatch(lc.Begin(now))
-        return lambda: running.dispatch(lc.Left(self.clock()))
+        running.dispatch(lc.CallReceived(now))
+        return lambda: running.dispatch(lc.CallerDisconnected(self.clock()))
 
     def abort(self):
         """End every open call, because the process must stop now."""
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -11,17 +11,17 @@
 from .model import MIN_FAILURE_STATUS, Route
 
 __all__ = [
-    "Answered",
-    "Begin",
-    "Broken",
+    "ResponseReceived",
+    "CallReceived",
+    "AttemptFailed",
     "Call",
     "CancelAttempt",
-    "Left",
-    "RefusedThere",
+    "CallerDisconnected",
+    "AttemptRefused",
     "Reject",
     "Reply",
     "Send",
-    "Stalled",
+    "AttemptStalled",
     "TimedOut",
     "step",
 ]
@@ -67,14 +67,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Begin:
+class CallReceived:
     """The call has been read."""
 
     now: float
 
 
 @dataclass(frozen=True, slots=True)
-class RefusedThere:
+class AttemptRefused:
     """The target's node, or the target with proof, has not run the call."""
 
     now: float
@@ -84,7 +84,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Broken:
+class AttemptFailed:
     """The attempt ended without a usable answer."""
 
     now: float
@@ -93,7 +93,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answered:
+class ResponseReceived:
     """The target gave a whole answer; `answer` is passed on as it is."""
 
     now: float
@@ -102,7 +102,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Stalled:
+class AttemptStalled:
     """Nothing is heard from the target's node; the answer may still come."""
 
     now: float
@@ -116,7 +116,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Left:
+class CallerDisconnected:
     """The caller has gone."""
 
     now: float
@@ -159,7 +159,7 @@
     ----------
     call : Call
         Changed in place.
-    event : Begin, RefusedThere, Broken, Answered, Stalled, TimedOut or Left
+    event : CallReceived, AttemptRefused, AttemptFailed, ResponseReceived, AttemptStalled, TimedOut or CallerDisconnected
     world : object
         `choose(call, now)` returns a candidate that has not been asked, or None;
         `acquire_retry(service, now)` takes a repeat from the budget.
@@ -167,20 +167,20 @@
     if call.ended:
         return []
     match event:
-        case Begin():
+        case CallReceived():
             return _place(call, event.now, world, False)
-        case RefusedThere():
+        case AttemptRefused():
             return _refused(call, event, world)
-        case Broken():
+        case AttemptFailed():
             return _broken(call, event, world)
-        case Answered():
+        case ResponseReceived():
             return _answered(call, event, world)
-        case Stalled():
+        case AttemptStalled():
             return _stalled(call, event.now, world)
         case TimedOut():
             call.ended = True
             return [CancelAttempt(), _timeout(call)]
-        case Left():
+        case CallerDisconnected():
             call.ended = True
             return [CancelAttempt(), Reject(None, "caller-left")]
     raise TypeError(f"unknown event {event!r:.80}")
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -65,7 +65,7 @@
 def begin(route, world):
     """Return a call that has been sent to the first candidate."""
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
-    (send,) = lc.step(call, lc.Begin(NOW), world)
+    (send,) = lc.step(call, lc.CallReceived(NOW), world)
     assert send.candidate is world.found[0]
     return call
 
@@ -83,7 +83,7 @@
     """Guards against a second run of a sale whose answer was lost."""
     world = World("a", "b")
     call = begin(SALE, world)
-    (end,) = lc.step(call, lc.Broken(NOW, verdict, "lost"), world)
+    (end,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), world)
     assert end == lc.Reject(502, "lost")
 
 
@@ -91,7 +91,7 @@
     """Guards against a lost sale although it certainly did not run."""
     world = World("a", "b")
     call = begin(SALE, world)
-    effects = lc.step(call, lc.Broken(NOW, Verdict.NOT_RUN, "refused"), world)
+    effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.NOT_RUN, "refused"), world)
     assert nodes_of(effects) == ["b"]
 
 
@@ -99,8 +99,8 @@
     """Guards against a 503 for a call that may have run."""
     world = World("a", "b")
     call = begin(ROUTE, world)
-    lc.step(call, lc.Broken(NOW, Verdict.MAY_HAVE_RUN, "lost"), world)
-    refused = lc.RefusedThere(NOW, "queue", 0.1)
+    lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), world)
+    refused = lc.AttemptRefused(NOW, "queue", 0.1)
     effects = lc.step(call, refused, world)
     while nodes_of(effects):
         effects = lc.step(call, refused, world)
@@ -111,11 +111,11 @@
     """Guards against a refusal while some target would take the call late."""
     world = World("a", "b")
     call = begin(ROUTE, world)
-    effects = lc.step(call, lc.RefusedThere(NOW, "queue", 0.1), world)
+    effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), world)
     assert nodes_of(effects) == ["b"]
-    effects = lc.step(call, lc.RefusedThere(NOW, "queue", 0.4), world)
+    effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.4), world)
     assert effects == [lc.Send(world.found[0], True, False)]
-    effects = lc.step(call, lc.RefusedThere(NOW, "full", 0.2), world)
+    effects = lc.step(call, lc.AttemptRefused(NOW, "full", 0.2), world)
     assert effects == [lc.Reject(503, "full", 0.1)]
 
 
@@ -123,7 +123,7 @@
     """Guards against repeats that multiply the load of a failing service."""
     world = World("a", "b", "c", repeats=1)
     call = begin(ROUTE, world)
-    broken = lc.Broken(NOW, Verdict.RAN, "cut")
+    broken = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, broken, world)) == ["b"]
     assert lc.step(call, broken, world) == [lc.Reject(502, "cut")]
 
@@ -132,7 +132,7 @@
     """Guards against more targets for a call than the operator allows."""
     world = World("a", "b", "c", "d")
     call = begin(replace(ROUTE, max_attempts=2), world)
-    broken = lc.Broken(NOW, Verdict.RAN, "cut")
+    broken = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, broken, world)) == ["b"]
     assert nodes_of(lc.step(call, broken, world)) == []
 
@@ -141,10 +141,10 @@
     """Guards against an answer of our own in place of a target's."""
     world = World("a", "b")
     call = begin(ROUTE, world)
-    effects = lc.step(call, lc.Answered(NOW, 500, "first"), world)
+    effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), world)
     assert nodes_of(effects) == ["b"]
     call.asked.update("ab")
-    effects = lc.step(call, lc.Broken(NOW, Verdict.RAN, "cut"), world)
+    effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.RAN, "cut"), world)
     assert effects == [lc.Reply("first")]
 
 
@@ -154,31 +154,31 @@
     call = begin(ROUTE, world)
     effects = lc.step(call, lc.TimedOut(NOW + 1), world)
     assert effects == [lc.CancelAttempt(), lc.Reject(504, "timeout")]
-    assert lc.step(call, lc.Answered(NOW + 1, 200, "late"), world) == []
+    assert lc.step(call, lc.ResponseReceived(NOW + 1, 200, "late"), world) == []
 
 
 def test_stalled_lookup_goes_elsewhere_and_a_sale_waits():
     """Guards against lookups that hang with a lost node, and against a second sale."""
     world = World("a", "b")
     look, sale = begin(ROUTE, world), begin(SALE, world)
-    effects = lc.step(look, lc.Stalled(NOW), world)
+    effects = lc.step(look, lc.AttemptStalled(NOW), world)
     assert effects[0] == lc.CancelAttempt() and nodes_of(effects) == ["b"]
-    assert lc.step(sale, lc.Stalled(NOW), world) == []
-    assert lc.step(sale, lc.Answered(NOW, 200, "a"), world) == [lc.Reply("a")]
+    assert lc.step(sale, lc.AttemptStalled(NOW), world) == []
+    assert lc.step(sale, lc.ResponseReceived(NOW, 200, "a"), world) == [lc.Reply("a")]
 
 
 def test_stalled_lookup_waits_on_if_the_budget_is_spent():
     """Guards against an error in place of an answer that may still come."""
     world = World("a", "b", repeats=0)
     look = begin(ROUTE, world)
-    assert lc.step(look, lc.Stalled(NOW), world) == []
+    assert lc.step(look, lc.AttemptStalled(NOW), world) == []
     assert look.attempts == 0
 
 
 def test_no_target_is_refused_at_once():
     """Guards against a call that waits although nothing can serve it."""
     call = lc.Call(ROUTE, "ledger", NOW + 0.3, NOW + 1.0)
-    (end,) = lc.step(call, lc.Begin(NOW), World())
+    (end,) = lc.step(call, lc.CallReceived(NOW), World())
     assert (end.status, end.reason) == (503, "no-target")
 
 
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -41,16 +41,16 @@
     """Return the event of the lifecycle and whether the call may have run."""
     match name:
         case "refused":
-            return lc.RefusedThere(NOW, "queue", 0.1, value), False
+            return lc.AttemptRefused(NOW, "queue", 0.1, value), False
         case "broken":
-            return lc.Broken(NOW, value, "cut"), value is not Verdict.NOT_RUN
+            return lc.AttemptFailed(NOW, value, "cut"), value is not Verdict.NOT_RUN
         case "answered":
-            return lc.Answered(NOW, value, "answer"), True
+            return lc.ResponseReceived(NOW, value, "answer"), True
         case "stalled":
-            return lc.Stalled(NOW), True
+            return lc.AttemptStalled(NOW), True
         case "timed-out":
             return lc.TimedOut(NOW), False
-    return lc.Left(NOW), False
+    return lc.CallerDisconnected(NOW), False
 
 
 @settings(max_examples=400, deadline=None)
@@ -59,7 +59,7 @@
     """Guards against second runs, false promises, two answers and extra attempts."""
     world = World("a", "b", "c", "d", "e", repeats=REPEATS)
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
-    effects = lc.step(call, lc.Begin(NOW), world)
+    effects = lc.step(call, lc.CallReceived(NOW), world)
     may_have_run, answers, at_targets = False, 0, 0
     for name, value in events:
         waiting = answers == 0
