--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -31,7 +31,7 @@
         Path and query, as sent.
     headers : tuple of (str, str)
         Those that go on to the target.
-    left_s : float or None
+    remaining_s : float or None
         How long the caller waits, seconds.
     """
 
@@ -40,7 +40,7 @@
     path: str
     headers: tuple
     body: bytes
-    left_s: float | None
+    remaining_s: float | None
     arrived: float
 
 
@@ -261,14 +261,14 @@
         respond : callable
             Called once with the `Outcome`.
         """
-        left_s = route.timeout_s
-        if incoming.left_s is not None:
-            left_s = min(left_s, incoming.left_s)
+        remaining_s = route.timeout_s
+        if incoming.remaining_s is not None:
+            remaining_s = min(remaining_s, incoming.remaining_s)
         call = lc.Call(
             route,
             self._splits.next(route),
             incoming.arrived + route.goal_s,
-            incoming.arrived + left_s,
+            incoming.arrived + remaining_s,
             len(incoming.body) + int(self._answer_bytes.get(route.name, 0)),
         )
         running = _Running(self, incoming, call, respond)
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFrame:
-    """A call for the target; `goal_ms` and `left_ms` count from its sending.
+    """A call for the target; `goal_ms` and `remaining_ms` count from its sending.
 
     `body_bytes` of body follow, in this frame and in `BodyFrame`s.
     """
@@ -68,7 +68,7 @@
     headers: tuple[tuple[str, str], ...]
     caller_service: str
     goal_ms: int
-    left_ms: int
+    remaining_ms: int
     priority: int
     repeatable: bool
     last_resort: bool
@@ -200,7 +200,7 @@
                 "headers": _pack_headers(frame.headers),
                 "callerService": frame.caller_service,
                 "goalMs": frame.goal_ms,
-                "leftMs": frame.left_ms,
+                "leftMs": frame.remaining_ms,
                 "priority": min(max(frame.priority, 0), 255),
                 "repeatable": frame.repeatable,
                 "lastResort": frame.last_resort,
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -197,7 +197,7 @@
         job = Job(
             frame.priority,
             now + frame.goal_ms / MS,
-            now + frame.left_ms / MS,
+            now + frame.remaining_ms / MS,
             frame.last_resort,
             (frame.priority, frame.repeatable),
         )
