--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -6,7 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from pimentoline.twohop.caller_side import Incoming
+from pimentoline.twohop.caller_side import IncomingCall
 from pimentoline.twohop.model import Route, RouteKind, Share
 
 from . import clock
@@ -111,7 +111,7 @@
         """Return the outcome of a call at a node, None if the node ends."""
         if not node.up:
             return None
-        incoming = Incoming(
+        incoming = IncomingCall(
             "",
             "GET",
             "/",
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -12,7 +12,7 @@
 from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
 
-__all__ = ["CallerSide", "Incoming", "Outcome"]
+__all__ = ["CallerSide", "IncomingCall", "Outcome"]
 
 MS = 1000.0
 # A node that refused a call is avoided for the time it gave, up to this, seconds.
@@ -22,7 +22,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Incoming:
+class IncomingCall:
     """A call as it was read from a caller.
 
     Attributes
@@ -257,7 +257,7 @@
         Parameters
         ----------
         route : Route
-        incoming : Incoming
+        incoming : IncomingCall
         respond : callable
             Called once with the `Outcome`.
         """
--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -14,7 +14,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..logs import log_entry
-from .caller_side import Incoming
+from .caller_side import IncomingCall
 from .chunked import BodyTooLarge, read_chunked
 from .frames import MAX_BODY_BYTES
 from .model import CallerLimits
@@ -169,7 +169,7 @@
             )
             self._own(404, "no-route")
             return
-        incoming = Incoming(
+        incoming = IncomingCall(
             self.headers.get(front.dialect.request_id, ""),
             self.start.method,
             target,
