--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -12,7 +12,7 @@
 from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
 
-__all__ = ["CallerSide", "IncomingCall", "Outcome"]
+__all__ = ["CallerSide", "IncomingCall", "CallOutcome"]
 
 MS = 1000.0
 # A node that refused a call is avoided for the time it gave, up to this, seconds.
@@ -45,12 +45,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Outcome:
-    """How a call ended; `answer` is a target's, None if it is our own."""
+class CallOutcome:
+    """How a call ended; `response` is a target's, None if it is our own."""
 
     status: int | None
     reason: str
-    answer: ResponseFrame | None = None
+    response: ResponseFrame | None = None
     body: bytes = b""
     retry_after_s: float | None = None
 
@@ -83,7 +83,9 @@
                     self._cancel()
                 case lc.Reply():
                     held = effect.answer
-                    self._finish(Outcome(held.frame.status, "", held.frame, held.body))
+                    self._finish(
+                        CallOutcome(held.frame.status, "", held.frame, held.body)
+                    )
                 case lc.Reject():
                     self._reject(effect)
 
@@ -101,7 +103,7 @@
             age_ms=int((self.side.clock() - self.incoming.arrived) * MS),
         )
         self._finish(
-            Outcome(effect.status, effect.reason, None, b"", effect.retry_after_s)
+            CallOutcome(effect.status, effect.reason, None, b"", effect.retry_after_s)
         )
 
     def _send(self, effect):
@@ -259,7 +261,7 @@
         route : Route
         incoming : IncomingCall
         respond : callable
-            Called once with the `Outcome`.
+            Called once with the `CallOutcome`.
         """
         remaining_s = route.timeout_s
         if incoming.remaining_s is not None:
--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -210,16 +210,16 @@
     def _respond(self, outcome):
         if self.state != "waiting":
             return
-        if outcome.answer is None:
+        if outcome.response is None:
             self._own(outcome.status, outcome.reason, outcome.retry_after_s)
             return
         headers = HTTPHeaders()
-        for name, value in outcome.answer.headers:
+        for name, value in outcome.response.headers:
             headers.add(name, value)
-        status = outcome.answer.status
+        status = outcome.response.status
         if status not in (204, 304) and self.start.method != "HEAD":
             headers["Content-Length"] = str(len(outcome.body))
-        self._write(status, outcome.answer.reason, headers, outcome.body)
+        self._write(status, outcome.response.reason, headers, outcome.body)
 
     def _own(self, status, reason, retry_after_s=None):
         if status is None:
