Rename Call.asked to tried

It holds the nodes that the call was sent to; placement already calls them tried. The field asked of the log entry stays.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -149,7 +149,7 @@
             self.location,
             now,
             CallRequirements(call.goal_at, call.size),
-            call.asked,
+            call.tried,
             self._rng.random(),
         )
 
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -97,7 +97,7 @@
             service=self.call.service,
             status=effect.status,
             reason=effect.reason,
-            asked=sorted(self.call.asked),
+            asked=sorted(self.call.tried),
             attempts=self.call.attempts,
             verdict=self.call.verdict.value,
             age_ms=int((self.side.clock() - self.incoming.arrived) * MS),
@@ -238,7 +238,7 @@
             self.location,
             now,
             CallRequirements(call.goal_at, call.size),
-            call.asked,
+            call.tried,
             self._random.random(),
         )
 
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -43,7 +43,7 @@
         Monotonic times, seconds.
     size : int
         Bytes of the call and, as far as known, of its answer.
-    asked : set of str
+    tried : set of str
         Nodes that are not asked again.
     attempts : int
         Sendings that may have reached a target.
@@ -54,7 +54,7 @@
     goal_at: float
     deadline_at: float
     size: int = 0
-    asked: set = field(default_factory=set)
+    tried: set = field(default_factory=set)
     attempts: int = 0
     places: int = 0
     verdict: Verdict = Verdict.NOT_RUN
@@ -202,7 +202,7 @@
 def _send(call, candidate, last_resort, repeat):
     call.current = candidate
     call.places += 1
-    call.asked.add(candidate.member.node)
+    call.tried.add(candidate.member.node)
     call.last_resort = last_resort
     return [Send(candidate, last_resort, repeat)]
 
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -53,7 +53,7 @@
 
     def choose(self, call, now):
         """Return the first candidate that has not been asked."""
-        free = (c for c in self.found if c.member.node not in call.asked)
+        free = (c for c in self.found if c.member.node not in call.tried)
         return next(free, None)
 
     def acquire_retry(self, service, now):
@@ -143,7 +143,7 @@
     call = begin(ROUTE, world)
     effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), world)
     assert nodes_of(effects) == ["b"]
-    call.asked.update("ab")
+    call.tried.update("ab")
     effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.RAN, "cut"), world)
     assert effects == [lc.Reply("first")]
 
