--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -161,11 +161,11 @@
         return info.health_path if info is not None and info.health_path else "/"
 
     def _changed(self):
-        self.peers.announce()
+        self.peers.broadcast_load()
 
     def _configured(self, found):
         self.front.configure(found.limits)
-        self.peers.announce()
+        self.peers.broadcast_load()
 
     @property
     def ready(self):
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -392,7 +392,7 @@
 
     # What concerns all peers.
 
-    def announce(self):
+    def broadcast_load(self):
         """Tell every peer the load and the configuration's version."""
         frame = fr.LoadFrame(self.target.load(), self.config.version)
         for link in list(self.incoming):
