--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -59,7 +59,7 @@
         self._beside = set()
         self._again = None
         self._random = random.Random()
-        self.loaded = asyncio.Event()
+        self.members_loaded = asyncio.Event()
         self._reachable = True
 
     def start(self):
@@ -133,7 +133,7 @@
                 self._node.peers.set_member(member)
         if whole or mine is not None:
             self._take_own(mine)
-        self.loaded.set()
+        self.members_loaded.set()
 
     def _run(self, work):
         """Run a coroutine beside the reading; keep it from being collected."""
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -70,7 +70,7 @@
         node = await self.start_node(name, instance, dc, region)
         self.instances.append(instance)
         if ready:
-            await self.until(lambda: node.watch.loaded.is_set())
+            await self.until(lambda: node.watch.members_loaded.is_set())
             assert await instance.report(node) == 200
         return node, instance
 
@@ -431,7 +431,7 @@
     assert await instance.report(node, "draining") == 200
     await site.end(node)
     again = await site.start_node(node.cfg.node, instance)
-    await site.until(lambda: again.watch.loaded.is_set())
+    await site.until(lambda: again.watch.members_loaded.is_set())
     instance.sequence = 0
     assert await instance.report(again, "ready") == 200
     await asyncio.sleep(0.1)
