--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -159,7 +159,8 @@
     ----------
     call : Call
         Changed in place.
-    event : CallReceived, AttemptRefused, AttemptFailed, ResponseReceived, AttemptStalled, TimedOut or CallerDisconnected
+    event : object
+        One of the event classes of this module.
     world : object
         `choose(call, now)` returns a candidate that has not been asked, or None;
         `acquire_retry(service, now)` takes a repeat from the budget.
