--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -144,7 +144,7 @@
             int((call.goal_at - now) * MS),
             int((call.deadline_at - now) * MS),
             call.route.priority,
-            call.route.repeatable,
+            call.route.retryable,
             last_resort,
             len(incoming.body),
         )
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -70,7 +70,7 @@
     goal_ms: int
     remaining_ms: int
     priority: int
-    repeatable: bool
+    retryable: bool
     last_resort: bool
     body_bytes: int
 
@@ -202,7 +202,7 @@
                 "goalMs": frame.goal_ms,
                 "leftMs": frame.remaining_ms,
                 "priority": min(max(frame.priority, 0), 255),
-                "repeatable": frame.repeatable,
+                "repeatable": frame.retryable,
                 "lastResort": frame.last_resort,
                 "bodyBytes": frame.body_bytes,
             }
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -255,14 +255,14 @@
         return _place(call, event.now, world, call.attempts > 0)
     call.attempts += 1
     call.verdict = event.verdict
-    if call.route.repeatable and _may_repeat(call, event.now, world):
+    if call.route.retryable and _may_repeat(call, event.now, world):
         return _place(call, event.now, world, True)
     return _give_up(call, event.reason)
 
 
 def _stalled(call, now, world):
     """Repeat a call elsewhere if that is allowed; otherwise go on waiting."""
-    if not call.route.repeatable or call.places >= MAX_PLACES:
+    if not call.route.retryable or call.places >= MAX_PLACES:
         return []
     found = world.choose(call, now)
     if found is None:
@@ -276,7 +276,7 @@
 
 
 def _answered(call, event, world):
-    if event.status >= MIN_FAILURE_STATUS and call.route.repeatable:
+    if event.status >= MIN_FAILURE_STATUS and call.route.retryable:
         call.attempts += 1
         call.verdict = Verdict.RAN
         if _may_repeat(call, event.now, world):
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -66,7 +66,7 @@
     max_attempts: int
 
     @property
-    def repeatable(self):
+    def retryable(self):
         """Whether a call may run more than once."""
         return self.kind is RouteKind.SAFE
 
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -199,7 +199,7 @@
             now + frame.goal_ms / MS,
             now + frame.remaining_ms / MS,
             frame.last_resort,
-            (frame.priority, frame.repeatable),
+            (frame.priority, frame.retryable),
         )
         work = Work(frame, body, job, reply, self.admission)
         self._works[job] = work
@@ -224,7 +224,7 @@
         if work.ended:
             return
         work.cancelled = True
-        if work.task is not None and not work.frame.repeatable:
+        if work.task is not None and not work.frame.retryable:
             return
         if work.task is not None:
             work.admission.given_up(work.job, self._clock())
@@ -320,7 +320,7 @@
         try:
             left_s = work.job.deadline_at - self._clock() + DEADLINE_SLACK_S
             async with asyncio.timeout(min(left_s, CONNECT_S)):
-                conn = await self._pool.acquire(self._addr, work.frame.repeatable)
+                conn = await self._pool.acquire(self._addr, work.frame.retryable)
             async with asyncio.timeout(left_s):
                 answer = await self._exchange(conn, work)
             if answer.reusable:
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -75,7 +75,7 @@
         if waiting and (name != "stalled" or sends):
             may_have_run = may_have_run or ran
             at_targets += ran
-        if sends and not route.repeatable:
+        if sends and not route.retryable:
             assert not may_have_run
         if sends:
             assert at_targets < route.max_attempts
