--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from .durations import Durations
-from .model import COLD_FACTOR, LoadReport
+from .model import COLD_START_SLOWDOWN, LoadReport
 from .noise import Gate, Noise
 from .success_rate import SuccessRate
 
@@ -109,7 +109,7 @@
         It holds the slow start as well, which no waiting ends.
         """
         if now < self.cold_until:
-            slowness /= COLD_FACTOR
+            slowness /= COLD_START_SLOWDOWN
         self.noise.note(slowness, now)
 
     @property
@@ -145,7 +145,7 @@
         else:
             usual = self._durations.of(job.kind, now, job.goal_s)
         self._cold = now < self.cold_until
-        return usual * COLD_FACTOR if self._cold else usual
+        return usual * COLD_START_SLOWDOWN if self._cold else usual
 
     def wait_s(self, now, ahead):
         """Return the expected wait behind `ahead` jobs that also wait, seconds."""
@@ -287,7 +287,7 @@
         cold_s = max(0.0, self.cold_until - now)
         if cold_s:
             # Whoever reads this later must not take the slow start for the usual.
-            delay /= COLD_FACTOR
+            delay /= COLD_START_SLOWDOWN
         return LoadReport(
             accepting,
             self.running,
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 __all__ = [
-    "COLD_FACTOR",
+    "COLD_START_SLOWDOWN",
     "MIN_FAILURE_STATUS",
     "CallerLimits",
     "Configuration",
@@ -20,7 +20,7 @@
 # Statuses from here on say that a target failed, and not what it was asked.
 MIN_FAILURE_STATUS = 500
 # A target that has just started takes about this many times as long.
-COLD_FACTOR = 2.0
+COLD_START_SLOWDOWN = 2.0
 
 
 class RouteKind(enum.Enum):
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -7,7 +7,7 @@
 import math
 from dataclasses import dataclass, field
 
-from .model import COLD_FACTOR, LoadReport, Member
+from .model import COLD_START_SLOWDOWN, LoadReport, Member
 from .success_rate import decayed
 
 __all__ = ["Candidate", "Location", "CallRequirements", "choose"]
@@ -131,7 +131,7 @@
         known = max(0.0, 1.0 - age / DELAY_FADE_S)
         delay = self.mean_ms + (report.delay_ms - self.mean_ms) * known
         if age * 1000.0 < report.cold_ms:
-            delay *= COLD_FACTOR
+            delay *= COLD_START_SLOWDOWN
         delay += max(0.0, report.rest_ms - age * 1000.0)
         over = total - report.limit + 1
         if extra > 0 and over > 0:
