--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -1,6 +1,6 @@
 """Policies of placement that the product's is compared with."""
 
-from pimentoline.twohop.placement import choose, distance
+from pimentoline.twohop.placement import choose, network_cost
 
 __all__ = ["POLICIES"]
 
@@ -23,7 +23,7 @@
     found = _open(candidates, tried)
     return min(
         found,
-        key=lambda cand: (distance(location, cand.member, 0)[0], cand.in_flight),
+        key=lambda cand: (network_cost(location, cand.member, 0)[0], cand.in_flight),
         default=None,
     )
 
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -145,7 +145,7 @@
         return delay
 
 
-def distance(location, member, size):
+def network_cost(location, member, size):
     """Return the round trip to a member and the cost of its bytes.
 
     Parameters
@@ -197,7 +197,7 @@
             continue
         if cand.member.node in tried:
             continue
-        trip_ms, cost = distance(location, cand.member, requirements.size)
+        trip_ms, cost = network_cost(location, cand.member, requirements.size)
         expected_ms = cand.expected_ms(now) + trip_ms
         chance = in_time(goal_ms, expected_ms)
         value = chance + LATE_CREDIT * (1.0 - chance)
