--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -106,7 +106,7 @@
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not model.up:
             raise ConnectionRefusedError("the target is down")
-        headers = HTTPHeaders({DIALECT.stamp: "s"})
+        headers = HTTPHeaders({DIALECT.response_stamp: "s"})
         if expected != model.name:
             headers[DIALECT.not_run] = "1"
             return Answer(421, "Misdirected", headers, b"", True)
--- a/pimentoline/twohop/header_names.py
+++ b/pimentoline/twohop/header_names.py
@@ -11,7 +11,7 @@
 
     Attributes
     ----------
-    stamp : str
+    response_stamp : str
         Proof on an answer that the target made it.
     expect_target : str
         Names the only target that may run the request.
@@ -25,7 +25,7 @@
 
     request_id: str = "X-Request-Id"
     deadline_ms: str = "X-Deadline-Ms"
-    stamp: str = "X-Answer-Stamp"
+    response_stamp: str = "X-Answer-Stamp"
     expect_target: str = "X-Expect-Target"
     not_run: str = "X-Not-Run"
     target_id: str = "X-Target-Id"
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -423,7 +423,7 @@
             return
         good = 200 <= answer.status < 300
         if good and (
-            headers.get(dialect.stamp) is None
+            headers.get(dialect.response_stamp) is None
             or headers.get("Content-Encoding") is not None
         ):
             frame = FailedFrame(
