--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -215,7 +215,7 @@
         self._answer_bytes = {}
         self._random = random.Random()
 
-    def set_limits(self, limits):
+    def set_retry_limits(self, limits):
         """Take changed limits of repeats; what was counted stays counted."""
         self.limits = limits
         for budget in self._budgets.values():
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -212,7 +212,7 @@
     def reload(self, cfg):
         """Take changed settings; addresses stay as they are until a restart."""
         self.cfg = replace(self.cfg, grace_s=cfg.grace_s, repeats=cfg.repeats)
-        self.caller_side.set_limits(cfg.repeats)
+        self.caller_side.set_retry_limits(cfg.repeats)
         log_entry("node:reloaded", node=cfg.node, same=self.cfg == cfg)
 
     def stop(self):
