--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/front.py
@@ -162,7 +162,7 @@
             return
         host, target = self._host_and_target()
         path = target.partition("?")[0]
-        route = cfg.find(host, path)
+        route = cfg.find_route(host, path)
         if route is None:
             self.front.caller_side.log.entry(
                 "call:unrouted", host=host, path=path[:80], version=cfg.version
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -104,14 +104,14 @@
 
     @classmethod
     def from_routes(cls, version, routes, services, limits):
-        """Make a configuration with its routes arranged for `find`."""
+        """Make a configuration with its routes arranged for `find_route`."""
         by_host = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             by_host.setdefault(route.host, []).append(route)
         frozen = {host: tuple(found) for host, found in by_host.items()}
         return cls(version, frozen, {s.name: s for s in services}, limits)
 
-    def find(self, host, path):
+    def find_route(self, host, path):
         """Return the route with the longest prefix that begins `path`, or None."""
         for route in self.by_host.get(host, ()):
             if path.startswith(route.prefix):
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -659,10 +659,10 @@
     cfg = Configuration.from_routes(
         1, [ROUTE, long], [ServiceInfo("ledger", 9)], CallerLimits()
     )
-    assert cfg.find("a.example", "/x/y/z").name == "long"
-    assert cfg.find("a.example", "/x/z").name == "r"
-    assert cfg.find("a.example", "/x") is None
-    assert cfg.find("b.example", "/x/z") is None
+    assert cfg.find_route("a.example", "/x/y/z").name == "long"
+    assert cfg.find_route("a.example", "/x/z").name == "r"
+    assert cfg.find_route("a.example", "/x") is None
+    assert cfg.find_route("b.example", "/x/z") is None
 
 
 def test_split_keeps_its_weights_over_few_calls():
