--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -11,7 +11,7 @@
     ServiceInfo,
     Share,
 )
-from .settings import seconds
+from .settings import parse_duration
 
 __all__ = ["CONFIG_PLACE", "parse_configuration"]
 
@@ -53,8 +53,8 @@
         item["host"].lower(),
         prefix,
         Kind(item["kind"]),
-        seconds(timeout),
-        seconds(item.get("target_latency", timeout)),
+        parse_duration(timeout),
+        parse_duration(item.get("target_latency", timeout)),
         int(item.get("priority", 0)),
         shares,
         attempts,
@@ -66,8 +66,8 @@
     return CallerLimits(
         int(item.get("header_bytes", plain.head_bytes)),
         int(item.get("max_body_bytes", plain.body_bytes)),
-        seconds(item.get("header_timeout", f"{plain.head_timeout_s}s")),
-        seconds(item.get("idle_timeout", f"{plain.idle_timeout_s}s")),
+        parse_duration(item.get("header_timeout", f"{plain.head_timeout_s}s")),
+        parse_duration(item.get("idle_timeout", f"{plain.idle_timeout_s}s")),
     )
 
 
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/reports.py
@@ -15,7 +15,7 @@
 from ..logs import log_entry
 from ..settings import parse_addr
 from ..twohop.lifetimes import Report, TargetState
-from .settings import seconds
+from .settings import parse_duration
 
 __all__ = ["Reports", "parse_report"]
 
@@ -48,7 +48,7 @@
         sequence,
         STATES[status["state"]],
         slots,
-        seconds(status.get("cold_left", "0s")),
+        parse_duration(status.get("cold_left", "0s")),
     )
 
 
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -10,13 +10,13 @@
 from ..twohop.model import RepeatLimits
 from ..twohop.node import HostSettings
 
-__all__ = ["Boot", "load_boot", "seconds"]
+__all__ = ["Boot", "load_boot", "parse_duration"]
 
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 UNIT_S = {"ms": 0.001, "s": 1.0}
 
 
-def seconds(text):
+def parse_duration(text):
     """Return the seconds of a duration such as `1500ms` or `2.5s`.
 
     Raises
@@ -91,10 +91,10 @@
         try:
             repeats = RepeatLimits(
                 float(bounds["retry_ratio"]),
-                seconds(bounds["retry_window"]),
+                parse_duration(bounds["retry_window"]),
                 float(bounds["retry_slack"]),
             )
-            grace_s = seconds(bounds["grace"])
+            grace_s = parse_duration(bounds["grace"])
         except (KeyError, ValueError) as exc:
             raise SettingsError(f"bounds: {exc}") from exc
         return HostSettings(
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pimentoline.errors import SettingsError
-from pimentoline.platform.settings import load_boot, seconds
+from pimentoline.platform.settings import load_boot, parse_duration
 from standins.host import settings_text, start_program
 from standins.platform import Instance, StoreStandIn, free_port
 
@@ -51,14 +51,14 @@
 @pytest.mark.parametrize(("text", "value"), [("1500ms", 1.5), ("2.5s", 2.5)])
 def test_durations_are_read(text, value):
     """Guards against a unit that is taken for another."""
-    assert seconds(text) == value
+    assert parse_duration(text) == value
 
 
 @pytest.mark.parametrize("text", ["5", "5m", "-1s", "s", None, 7, "1e3s"])
 def test_odd_durations_are_refused(text):
     """Guards against a duration without a unit."""
     with pytest.raises(ValueError):
-        seconds(text)
+        parse_duration(text)
 
 
 def test_ports_of_tests_are_not_given_to_connections():
