--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -10,7 +10,7 @@
 from ..twohop.model import RepeatLimits
 from ..twohop.node import HostSettings
 
-__all__ = ["Boot", "load_boot", "parse_duration"]
+__all__ = ["SettingsFile", "load_boot", "parse_duration"]
 
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 UNIT_S = {"ms": 0.001, "s": 1.0}
@@ -54,7 +54,7 @@
         return parse_addr(value)
 
 
-class Boot(BaseModel):
+class SettingsFile(BaseModel):
     """The fields of the file that the product uses; others are ignored."""
 
     model_config = ConfigDict(frozen=True)
@@ -122,7 +122,7 @@
     """
     try:
         with open(path, "rb") as file:
-            return Boot.model_validate(tomllib.load(file))
+            return SettingsFile.model_validate(tomllib.load(file))
     except OSError as exc:
         raise SettingsError(f"settings file {path}: {exc.strerror}") from exc
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
