--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -13,7 +13,7 @@
 from .configuration import CONFIG_PLACE, parse_configuration
 from .names import DIALECT
 from .reports import Reports
-from .settings import load_boot
+from .settings import load_settings_file
 from .store import PlatformStore
 
 SETTINGS_VARIABLE = "PIMENTOLINE_CONFIG"
@@ -26,7 +26,7 @@
 def reload(node, path):
     """Read the settings again; what cannot be used leaves those in force."""
     try:
-        node.reload(load_boot(path).host_settings())
+        node.reload(load_settings_file(path).host_settings())
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
 
@@ -69,7 +69,7 @@
     eliot.to_file(sys.stdout)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        boot = load_boot(path)
+        boot = load_settings_file(path)
         boot.host_settings()
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -10,7 +10,7 @@
 from ..twohop.model import RepeatLimits
 from ..twohop.node import HostSettings
 
-__all__ = ["SettingsFile", "load_boot", "parse_duration"]
+__all__ = ["SettingsFile", "load_settings_file", "parse_duration"]
 
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 UNIT_S = {"ms": 0.001, "s": 1.0}
@@ -112,7 +112,7 @@
         )
 
 
-def load_boot(path):
+def load_settings_file(path):
     """Return the settings of a file.
 
     Raises
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pimentoline.errors import SettingsError
-from pimentoline.platform.settings import load_boot, parse_duration
+from pimentoline.platform.settings import load_settings_file, parse_duration
 from standins.host import settings_text, start_program
 from standins.platform import Instance, StoreStandIn, free_port
 
@@ -20,7 +20,7 @@
     """Guards against a file that a newer platform writes."""
     path = tmp_path / "boot.toml"
     path.write_text(settings_text())
-    cfg = load_boot(path).host_settings()
+    cfg = load_settings_file(path).host_settings()
     assert (cfg.node, cfg.dc, cfg.grace_s) == ("sidecar-1", "kerio", 2.0)
     assert cfg.repeats.allowance == 64
 
@@ -44,7 +44,7 @@
     if text is not None:
         path.write_text(text)
     with pytest.raises(SettingsError, match=said) as caught:
-        load_boot(path).host_settings()
+        load_settings_file(path).host_settings()
     assert "boot.toml" in str(caught.value) or said == "bounds"
 
 
