--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -12,7 +12,7 @@
 from ..twohop.node import HostNode
 from .configuration import CONFIG_PLACE, parse_configuration
 from .names import DIALECT
-from .reports import Reports
+from .reports import ReportServer
 from .settings import load_settings_file
 from .store import PlatformStore
 
@@ -54,8 +54,8 @@
         parse_configuration,
         lambda pool: PlatformStore(boot.platform.address, pool),
         CONFIG_PLACE,
-        Reports,
-        Reports,
+        ReportServer,
+        ReportServer,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/reports.py
@@ -17,7 +17,7 @@
 from ..twohop.lifetimes import Report, TargetState
 from .settings import parse_duration
 
-__all__ = ["Reports", "parse_report"]
+__all__ = ["ReportServer", "parse_report"]
 
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 READY_PATH = "/v1/ready"
@@ -52,7 +52,7 @@
     )
 
 
-class Reports(HTTPServerConnectionDelegate):
+class ReportServer(HTTPServerConnectionDelegate):
     """Serves the status reports of the target, and the question for readiness.
 
     Parameters
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -11,7 +11,7 @@
 
 from pimentoline.platform.configuration import CONFIG_PLACE, parse_configuration
 from pimentoline.platform.names import DIALECT
-from pimentoline.platform.reports import Reports
+from pimentoline.platform.reports import ReportServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RepeatLimits
@@ -97,8 +97,8 @@
             parse_configuration,
             lambda pool: PlatformStore(self.store.addr, pool),
             CONFIG_PLACE,
-            Reports,
-            Reports,
+            ReportServer,
+            ReportServer,
         )
         self.nodes.append(node)
         await node.start()
