--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -10,7 +10,7 @@
 from ..errors import SettingsError
 from ..logs import log_entry
 from ..twohop.node import HostNode
-from .configuration import CONFIG_PLACE, parse_configuration
+from .configuration import CONFIG_ROW, parse_configuration
 from .names import DIALECT
 from .reports import ReportServer
 from .settings import load_settings_file
@@ -53,7 +53,7 @@
         DIALECT,
         parse_configuration,
         lambda pool: PlatformStore(boot.platform.address, pool),
-        CONFIG_PLACE,
+        CONFIG_ROW,
         ReportServer,
         ReportServer,
     )
--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -13,10 +13,10 @@
 )
 from .settings import parse_duration
 
-__all__ = ["CONFIG_PLACE", "parse_configuration"]
+__all__ = ["CONFIG_ROW", "parse_configuration"]
 
 # Table and key of the row that the operator writes.
-CONFIG_PLACE = ("op", "config")
+CONFIG_ROW = ("op", "config")
 DEFAULT_TIMEOUT = "10s"
 
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from pimentoline.platform.configuration import CONFIG_PLACE, parse_configuration
+from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
 from pimentoline.platform.names import DIALECT
 from pimentoline.platform.reports import ReportServer
 from pimentoline.platform.store import PlatformStore
@@ -96,7 +96,7 @@
             DIALECT,
             parse_configuration,
             lambda pool: PlatformStore(self.store.addr, pool),
-            CONFIG_PLACE,
+            CONFIG_ROW,
             ReportServer,
             ReportServer,
         )
