--- a/pimentoline/logs.py
+++ b/pimentoline/logs.py
@@ -5,7 +5,7 @@
 
 import eliot
 
-__all__ = ["BoundedLog", "configure_logs", "log_entry"]
+__all__ = ["RateLimitedLog", "configure_logs", "log_entry"]
 
 # Entries of one kind in a second; more would cost a node in overload more time than
 # the calls that it refuses.
@@ -22,7 +22,7 @@
     eliot.log_message(message_type=name, **fields)
 
 
-class BoundedLog:
+class RateLimitedLog:
     """Writes entries that come with calls, so many a second at most.
 
     What is left out is counted in the field `suppressed` of the next entry.
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 
-from ..logs import BoundedLog
+from ..logs import RateLimitedLog
 from . import lifecycle as lc
 from .budget import RepeatBudget
 from .frames import AnswerFrame, BrokenFrame, CallFrame, RefusedFrame
@@ -204,7 +204,7 @@
         self.config = config
         self.limits = limits
         self.clock = clock
-        self.log = BoundedLog(clock)
+        self.log = RateLimitedLog(clock)
         self.open_calls = set()
         self._budgets = {}
         self._splits = Splits()
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -7,7 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..headers import NOT_BACK, NOT_ONWARD, end_to_end
-from ..logs import BoundedLog, log_entry
+from ..logs import RateLimitedLog, log_entry
 from ..verdict import Verdict
 from .admission import Admission, Job
 from .exchange import AnswerError, exchange
@@ -77,7 +77,7 @@
         self._clock = clock
         self._addr = addr
         self._on_change = on_change
-        self._log = BoundedLog(clock)
+        self._log = RateLimitedLog(clock)
         self.service = service
         self.lifetimes = Lifetimes()
         self.admission = Admission(DEFAULT_SLOTS)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -10,7 +10,7 @@
         logs, "log_entry", lambda name, **fields: written.append(fields)
     )
     now = [5.0]
-    log = logs.BoundedLog(lambda: now[0])
+    log = logs.RateLimitedLog(lambda: now[0])
     for number in range(1000):
         log.entry("call:refused", number=number)
     assert len(written) == logs.MAX_ENTRIES_PER_S
