--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -11,7 +11,7 @@
     "StoreBusyError",
     "StoreConflictError",
     "StoreError",
-    "StoreHistoryError",
+    "StoreHistoryExpiredError",
     "StoreUnavailableError",
 ]
 
@@ -109,7 +109,7 @@
         self.value = value
 
 
-class StoreHistoryError(StoreError):
+class StoreHistoryExpiredError(StoreError):
     """The changes that were asked for are no longer kept; read everything anew."""
 
     code = "store-history"
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -14,7 +14,7 @@
     StoreBusyError,
     StoreConflictError,
     StoreError,
-    StoreHistoryError,
+    StoreHistoryExpiredError,
     StoreUnavailableError,
 )
 from ..twohop.exchange import AnswerError, exchange
@@ -80,7 +80,7 @@
         if answer.status == 429:
             raise StoreBusyError(f"{path:.40}: too many calls")
         if answer.status == 410:
-            raise StoreHistoryError(f"{path:.40}: history is gone")
+            raise StoreHistoryExpiredError(f"{path:.40}: history is gone")
         if answer.status >= 500:
             raise StoreUnavailableError(f"{path:.40}: status {answer.status}")
         if answer.status not in (200, 412):
--- a/pimentoline/twohop/watch.py
+++ b/pimentoline/twohop/watch.py
@@ -9,7 +9,7 @@
 import random
 from dataclasses import asdict
 
-from ..errors import StoreConflictError, StoreError, StoreHistoryError
+from ..errors import StoreConflictError, StoreError, StoreHistoryExpiredError
 from ..logs import log_entry
 from .lifetimes import Lifetime, TargetState
 from .model import Member
@@ -99,7 +99,7 @@
                         await asyncio.sleep(BATCH_S)
                 self._note_reachable(True, "")
                 pause_s = FIRST_PAUSE_S
-            except StoreHistoryError:
+            except StoreHistoryExpiredError:
                 after = None
             except StoreError as exc:
                 self._note_reachable(False, exc.detail)
