--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -70,7 +70,7 @@
     async def acquire(self, addr, reuse):
         return self
 
-    def give_back(self, conn):
+    def release(self, conn):
         """Do nothing."""
 
     def close(self):
--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -66,7 +66,7 @@
             self._ended(ev.Outcome.REFUSED, Verdict.NOT_RUN)
             return
         if self.cancelled:
-            pool.give_back(conn)
+            pool.release(conn)
             return
         self._use(conn)
 
@@ -153,7 +153,7 @@
             and "close" not in headers.get("Connection", "").lower()
         )
         if reusable:
-            self.handler.proxy.pool.give_back(self.conn)
+            self.handler.proxy.pool.release(self.conn)
         else:
             self.conn.close()
 
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -67,7 +67,7 @@
                     conn, method, path, headers, data, MAX_ANSWER_BYTES
                 )
             if answer.reusable:
-                self._pool.give_back(conn)
+                self._pool.release(conn)
                 conn = None
         except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
             raise StoreUnavailableError(f"{path:.40}: {exc!r:.80}") from exc
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -149,7 +149,7 @@
             del self._open[addr]
         self._wake(addr)
 
-    def give_back(self, conn):
+    def release(self, conn):
         """Keep a connection whose last exchange ended cleanly."""
         if not conn.stream.is_quiet():
             conn.close()
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -287,7 +287,7 @@
                     conn, "GET", self._health_path(), HTTPHeaders(), None, MAX_ASK_BYTES
                 )
             if answer.reusable:
-                self._pool.give_back(conn)
+                self._pool.release(conn)
                 conn = None
             self._note_identity(answer)
             if not self._note_load(answer.headers.get(self._dialect.load)):
@@ -324,7 +324,7 @@
             async with asyncio.timeout(left_s):
                 answer = await self._exchange(conn, work)
             if answer.reusable:
-                self._pool.give_back(conn)
+                self._pool.release(conn)
             else:
                 conn.close()
             conn = None
