--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -256,7 +256,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
-            self.pool.trim()
+            self.pool.close_expired()
             for name, amount in self.mesh.take_traffic():
                 self.metrics.count(name, amount)
 
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -163,7 +163,7 @@
         for conn in self._idle.pop(addr, ()):
             conn.close()
 
-    def trim(self):
+    def close_expired(self):
         """Close the connections that have been idle too long."""
         now = self._clock()
         for addr, conns in list(self._idle.items()):
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -207,7 +207,7 @@
     async def _trim(self):
         while True:
             await asyncio.sleep(TRIM_S)
-            self.pool.trim()
+            self.pool.close_expired()
 
     def reload(self, cfg):
         """Take changed settings; addresses stay as they are until a restart."""
