--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -42,9 +42,9 @@
 # routing of the message depend on them.
 PROTECTED = frozenset({"Content-Length", "Host"})
 # The node has answered the expectation itself.
-NOT_ONWARD = HOP_BY_HOP | {"Expect"}
+DROPPED_FROM_REQUEST = HOP_BY_HOP | {"Expect"}
 # A target that passes on an answer of another node must not speak for this one.
-NOT_BACK = HOP_BY_HOP | {
+DROPPED_FROM_RESPONSE = HOP_BY_HOP | {
     "X-Error-Code",
     "X-Not-Run",
     "X-Replay-Truncated",
@@ -207,7 +207,7 @@
     now : float
         Monotonic time, seconds.
     """
-    kept = end_to_end(headers, NOT_ONWARD)
+    kept = end_to_end(headers, DROPPED_FROM_REQUEST)
     if not has_body and req.method in CHUNKED_METHODS:
         # tornado's client would otherwise add an empty chunked body.
         kept["Content-Length"] = "0"
@@ -222,7 +222,7 @@
 
 def answer_headers(headers):
     """Return the headers of a target's answer that the caller receives."""
-    return end_to_end(headers, NOT_BACK)
+    return end_to_end(headers, DROPPED_FROM_RESPONSE)
 
 
 def parse_load(text):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from ..headers import NOT_BACK, NOT_ONWARD, end_to_end
+from ..headers import DROPPED_FROM_REQUEST, DROPPED_FROM_RESPONSE, end_to_end
 from ..logs import RateLimitedLog, log_entry
 from ..verdict import Verdict
 from .admission import Admission, Job
@@ -431,7 +431,9 @@
             )
             self._end(work, frame)
             return
-        kept = end_to_end(headers, NOT_BACK | {"Content-Length", dialect.load})
+        kept = end_to_end(
+            headers, DROPPED_FROM_RESPONSE | {"Content-Length", dialect.load}
+        )
         frame = AnswerFrame(
             work.frame.stream,
             answer.status,
@@ -468,4 +470,6 @@
     Those that the node sets itself are left out.
     """
     own = {dialect.deadline_ms, dialect.caller_service, dialect.expect_target}
-    return tuple(end_to_end(headers, NOT_ONWARD | own | {"Content-Length"}).get_all())
+    return tuple(
+        end_to_end(headers, DROPPED_FROM_REQUEST | own | {"Content-Length"}).get_all()
+    )
