--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -11,7 +11,7 @@
     "answer_headers",
     "check_framing",
     "check_size",
-    "end_to_end",
+    "end_to_end_headers",
     "onward_headers",
     "parse_load",
     "parse_request",
@@ -178,7 +178,7 @@
     )
 
 
-def end_to_end(headers, dropped):
+def end_to_end_headers(headers, dropped):
     """Return the headers that are neither `dropped` nor named by `Connection`."""
     if "Connection" in headers:
         named = {
@@ -207,7 +207,7 @@
     now : float
         Monotonic time, seconds.
     """
-    kept = end_to_end(headers, DROPPED_FROM_REQUEST)
+    kept = end_to_end_headers(headers, DROPPED_FROM_REQUEST)
     if not has_body and req.method in CHUNKED_METHODS:
         # tornado's client would otherwise add an empty chunked body.
         kept["Content-Length"] = "0"
@@ -222,7 +222,7 @@
 
 def answer_headers(headers):
     """Return the headers of a target's answer that the caller receives."""
-    return end_to_end(headers, DROPPED_FROM_RESPONSE)
+    return end_to_end_headers(headers, DROPPED_FROM_RESPONSE)
 
 
 def parse_load(text):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from ..headers import DROPPED_FROM_REQUEST, DROPPED_FROM_RESPONSE, end_to_end
+from ..headers import DROPPED_FROM_REQUEST, DROPPED_FROM_RESPONSE, end_to_end_headers
 from ..logs import RateLimitedLog, log_entry
 from ..verdict import Verdict
 from .admission import Admission, Job
@@ -431,7 +431,7 @@
             )
             self._end(work, frame)
             return
-        kept = end_to_end(
+        kept = end_to_end_headers(
             headers, DROPPED_FROM_RESPONSE | {"Content-Length", dialect.load}
         )
         frame = AnswerFrame(
@@ -471,5 +471,7 @@
     """
     own = {dialect.deadline_ms, dialect.caller_service, dialect.expect_target}
     return tuple(
-        end_to_end(headers, DROPPED_FROM_REQUEST | own | {"Content-Length"}).get_all()
+        end_to_end_headers(
+            headers, DROPPED_FROM_REQUEST | own | {"Content-Length"}
+        ).get_all()
     )
