--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from tests.conftest import http, wait_until
-from tests.raw import answering
+from tests.raw import serve_responses
 from tests.target_faults import OK
 
 KEYS = itertools.count(1)
@@ -82,7 +82,7 @@
 @when("the caller sends it again after the target is healthy")
 def step_again(context):
     """Send the same key to a target that now answers 200."""
-    context.target.serve = answering(OK)
+    context.target.serve = serve_responses(OK)
     context.target.end_connections()
     context.target.heads.clear()
     send_keyed(context)
--- a/tests/raw.py
+++ b/tests/raw.py
@@ -104,7 +104,7 @@
         target.close()
 
 
-def answering(*answers):
+def serve_responses(*answers):
     """Return a `serve` that gives the answers in turn, the last one repeatedly."""
 
     def serve(target, sock, number):
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -3,7 +3,7 @@
 import socket
 import time
 
-from .raw import answering, read_all, read_head
+from .raw import read_all, read_head, serve_responses
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -48,27 +48,29 @@
 
 EMPTY = b"Content-Length: 0"
 FAULTS = {
-    "answers 200": answering(OK),
-    "answers 8 KB": answering(
+    "answers 200": serve_responses(OK),
+    "answers 8 KB": serve_responses(
         status(b"200 OK", b"Content-Length: 8000", body=b"r" * 8000)
     ),
-    "answers 500": answering(status(b"500 Failed", EMPTY)),
-    "answers 204": answering(status(b"204 No Content")),
-    "answers 304 with a length": answering(
+    "answers 500": serve_responses(status(b"500 Failed", EMPTY)),
+    "answers 204": serve_responses(status(b"204 No Content")),
+    "answers 304 with a length": serve_responses(
         status(b"304 Not Modified", b"Content-Length: 9")
     ),
-    "answers HEAD with a length": answering(status(b"200 OK", b"Content-Length: 9")),
-    "answers 103 and 200": answering(status(b"103 Early Hints") + OK),
-    "answers with a false verdict": answering(
+    "answers HEAD with a length": serve_responses(
+        status(b"200 OK", b"Content-Length: 9")
+    ),
+    "answers 103 and 200": serve_responses(status(b"103 Early Hints") + OK),
+    "answers with a false verdict": serve_responses(
         status(b"200 OK", EMPTY, b"X-Verdict: not-run", b"X-Error-Code: forged")
     ),
-    "sheds": answering(status(b"503 Busy", EMPTY, b"X-Not-Run: 1")),
+    "sheds": serve_responses(status(b"503 Busy", EMPTY, b"X-Not-Run: 1")),
     "closes before its head": ending(b""),
     "closes within its head": ending(b"HTTP/1.1 200 OK\r\nContent-Le"),
     "sends no HTTP": ending(b"hello\r\n\r\n"),
     "sends an endless head": ending(b"HTTP/1.1 200 OK\r\n" + b"X-A: b\r\n" * 20000),
-    "answers 503 without X-Not-Run": answering(status(b"503 Busy", EMPTY)),
-    "answers 500 with X-Not-Run": answering(
+    "answers 503 without X-Not-Run": serve_responses(status(b"503 Busy", EMPTY)),
+    "answers 500 with X-Not-Run": serve_responses(
         status(b"500 Failed", EMPTY, b"X-Not-Run: 1")
     ),
     "stays silent": silent,
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,7 +10,7 @@
 import pytest
 
 from .conftest import wait_until
-from .raw import answering, connect, raw_target, read_all, read_head
+from .raw import connect, raw_target, read_all, read_head, serve_responses
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
@@ -21,7 +21,7 @@
     """Guards against an answer that reaches the caller of another request."""
     cluster.start_node("n1")
     surplus = OK + STRAY if first == "GET" else STRAY
-    with raw_target(cluster, answering(surplus, OK)):
+    with raw_target(cluster, serve_responses(surplus, OK)):
         cluster.call("n1", "/first", method=first)
         assert cluster.call("n1", "/second")[2] == b"ok"
 
@@ -29,7 +29,7 @@
 def test_clean_connection_is_reused(cluster):
     """Guards against a pool that opens a connection for each call."""
     cluster.start_node("n1")
-    with raw_target(cluster, answering(OK)) as target:
+    with raw_target(cluster, serve_responses(OK)) as target:
         for _ in range(5):
             assert cluster.call("n1", "/")[0] == 200
         assert target.connections == 1
@@ -39,7 +39,7 @@
     """Guards against an early answer that is lost with the caller's connection."""
     cluster.start_node("n1")
     refusal = b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
-    with raw_target(cluster, answering(refusal)) as target:
+    with raw_target(cluster, serve_responses(refusal)) as target:
         conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
         headers = {"Host": "hive-ledger", "Content-Length": "20000000"}
         conn.request("POST", "/", (bytes(1000_000) for _ in range(20)), headers)
@@ -64,7 +64,7 @@
 def test_expectation_is_met_by_the_node(cluster):
     """Guards against a caller that waits for 100 Continue, or a target that does."""
     cluster.start_node("n1")
-    with raw_target(cluster, answering(OK)) as target:
+    with raw_target(cluster, serve_responses(OK)) as target:
         with connect(cluster.nodes["n1"]) as sock:
             sock.sendall(
                 b"POST / HTTP/1.1\r\nHost: hive-ledger\r\nContent-Length: 4\r\n"
@@ -80,7 +80,7 @@
     """Guards against hop-by-hop headers, and against framing removed by a caller."""
     cluster.start_node("n1")
     reply = OK.replace(b"\r\n\r\n", b"\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\n")
-    with raw_target(cluster, answering(reply)) as target:
+    with raw_target(cluster, serve_responses(reply)) as target:
         headers = {
             "Host": "hive-ledger",
             "Connection": "x-secret, content-length",
@@ -149,7 +149,7 @@
 def test_paused_node_does_not_send_a_late_call(cluster):
     """Guards against a node that wakes and runs calls their callers gave up."""
     node = cluster.start_node("n1")
-    with raw_target(cluster, answering(OK)) as target:
+    with raw_target(cluster, serve_responses(OK)) as target:
         assert cluster.call("n1", "/")[0] == 200
         with connect(node) as waiting, connect(node) as half:
             head = b"POST / HTTP/1.1\r\nHost: hive-ledger\r\nX-Deadline-Ms: 600\r\n"
@@ -195,7 +195,7 @@
 def test_kept_connection_ends_in_order_when_the_node_stops(cluster):
     """Guards against a stopping node that closes the connection under a request."""
     node = cluster.start_node("n1")
-    with raw_target(cluster, answering(OK)):
+    with raw_target(cluster, serve_responses(OK)):
         conn = http.client.HTTPConnection(*node.info["data"], timeout=5)
         for _ in range(2):
             conn.request("GET", "/", headers={"Host": "hive-ledger"})
