--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -11,7 +11,7 @@
 from ..logs import log_entry
 from ..twohop.node import HostNode
 from .configuration import CONFIG_ROW, parse_configuration
-from .names import DIALECT
+from .header_names import DIALECT
 from .reports import ReportServer
 from .settings import load_settings_file
 from .store import PlatformStore
--- a/pimentoline/platform/names.py
+++ b/pimentoline/platform/header_names.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.names: header names of the platform."""
+"""pimentoline.platform.header_names: header names of the platform."""
 
 from ..twohop.dialect import Dialect
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
-from pimentoline.platform.names import DIALECT
+from pimentoline.platform.header_names import DIALECT
 from pimentoline.platform.reports import ReportServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
