--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -12,7 +12,7 @@
 from ..twohop.node import HostNode
 from .configuration import CONFIG_ROW, parse_configuration
 from .header_names import DIALECT
-from .reports import ReportServer
+from .report_server import ReportServer
 from .settings import load_settings_file
 from .store import PlatformStore
 
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/report_server.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.reports: what the target and the platform ask of a node."""
+"""pimentoline.platform.report_server: serves status reports and readiness checks."""
 
 import asyncio
 import json
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -11,7 +11,7 @@
 
 from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
 from pimentoline.platform.header_names import DIALECT
-from pimentoline.platform.reports import ReportServer
+from pimentoline.platform.report_server import ReportServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RepeatLimits
