--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from tests.conftest import wait_until
-from tests.raw import RawTarget, connect, read_all
+from tests.raw_sockets import RawTarget, connect, read_all
 from tests.target_faults import FAULTS, silent
 
 SERVICES = itertools.count(1)
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from tests.conftest import http, wait_until
-from tests.raw import serve_responses
+from tests.raw_sockets import serve_responses
 from tests.target_faults import OK
 
 KEYS = itertools.count(1)
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -3,7 +3,7 @@
 import socket
 import time
 
-from .raw import read_all, read_head, serve_responses
+from .raw_sockets import read_all, read_head, serve_responses
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -10,7 +10,7 @@
 import pytest
 
 from .conftest import wait_until
-from .raw import connect, raw_target, read_all, read_head, serve_responses
+from .raw_sockets import connect, raw_target, read_all, read_head, serve_responses
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 STRAY = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
