--- a/pimentoline/platform/report_server.py
+++ b/pimentoline/platform/report_server.py
@@ -17,14 +17,14 @@
 from ..twohop.lifetimes import Report, TargetState
 from .settings import parse_duration
 
-__all__ = ["ReportServer", "parse_report"]
+__all__ = ["ReportServer", "parse_status_report"]
 
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 READY_PATH = "/v1/ready"
 CALL_PATH = "/v1/rpc"
 
 
-def parse_report(target_id, body):
+def parse_status_report(target_id, body):
     """Return the `Report` of a status report's body.
 
     Raises
@@ -79,7 +79,7 @@
         try:
             match call:
                 case "instances.heartbeat":
-                    await self._report(parse_report(target_id, body))
+                    await self._report(parse_status_report(target_id, body))
                 case "instances.leave":
                     await self._leave(target_id, body)
                 case _:
