--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -72,7 +72,7 @@
 
     def _use(self, conn):
         self.conn = conn
-        self.exchange = conn.exchange()
+        self.exchange = conn.http_client()
         self.pump()
         if not self.cancelled:
             self._task = asyncio.get_running_loop().create_task(self._read())
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -38,7 +38,7 @@
     reused: bool = False
     counted: bool = True
 
-    def exchange(self):
+    def http_client(self):
         """Return the HTTP/1.1 client for one request on this connection."""
         return HTTP1Connection(self.stream, True, PARAMS)
 
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -99,7 +99,7 @@
     ------
     AnswerError
     """
-    http = conn.exchange()
+    http = conn.http_client()
     stream = conn.stream
     http.write_headers(RequestStartLine(method, path, "HTTP/1.1"), headers, body)
     http.finish()
