--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -59,7 +59,9 @@
         for turn in range(JOIN_ROUNDS):
             group = peers[turn * JOIN_PEERS : (turn + 1) * JOIN_PEERS]
             request = SyncRequest(digests(node.state.mesh.members))
-            bodies = await asyncio.gather(*(node.ask(addr, request) for addr in group))
+            bodies = await asyncio.gather(
+                *(node.send_request(addr, request) for addr in group)
+            )
             answered = sum(body is not None for body in bodies)
             if answered:
                 await self._take_rules(group)
@@ -104,7 +106,7 @@
             rules = node.state.rules
             if rules.version >= rules.heard:
                 return
-            await node.ask(addr, RulesRequest(rules.heard))
+            await node.send_request(addr, RulesRequest(rules.heard))
 
     async def keep(self):
         """Refresh the own row, and search for peers while none is known."""
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -166,7 +166,7 @@
                 self.mesh.send(effect.addrs, self.message(effect.body))
             case ef.Ask():
                 asyncio.get_running_loop().create_task(
-                    self.ask(effect.addr, effect.body)
+                    self.send_request(effect.addr, effect.body)
                 )
             case ef.Reply():
                 self._reply = effect.body
@@ -225,7 +225,7 @@
         newer = isinstance(exc, NewerMessageError)
         self.metrics.count("mesh.newer" if newer else "mesh.refused")
 
-    async def ask(self, addr, body):
+    async def send_request(self, addr, body):
         """Send a message over TCP, handle the reply and return its body or None."""
         reply = await self.mesh.ask(addr, self.message(body))
         if reply is None:
@@ -236,7 +236,7 @@
 
     async def _fetch_rules(self, effect):
         if effect.addr is not None:
-            await self.ask(effect.addr, RulesRequest(effect.version))
+            await self.send_request(effect.addr, RulesRequest(effect.version))
             rules = self.state.rules
             if rules.version >= effect.version and not rules.must_check:
                 return
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -222,7 +222,7 @@
             group = left[: PUSH_PEERS - held_by]
             left = left[len(group) :]
             bodies = await asyncio.gather(
-                *(node.ask(addr, RulesPush(version, text)) for addr in group)
+                *(node.send_request(addr, RulesPush(version, text)) for addr in group)
             )
             held_by += sum(
                 isinstance(body, RulesAck) and body.version >= version
