--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -163,7 +163,7 @@
             case ef.SendProbe():
                 self.prober.send(effect)
             case ef.SendMessage():
-                self.mesh.send(effect.addrs, self.message(effect.body))
+                self.mesh.send(effect.addrs, self.make_message(effect.body))
             case ef.Ask():
                 asyncio.get_running_loop().create_task(
                     self.send_request(effect.addr, effect.body)
@@ -186,7 +186,7 @@
                 ev.HedgeDue(self.clock(), self.draw(), call_id, handler.replayable)
             )
 
-    def message(self, body):
+    def make_message(self, body):
         """Return a message from this node."""
         rules = self.state.rules
         return Message(
@@ -219,7 +219,7 @@
             )
         )
         reply, self._reply = self._reply, None
-        return None if reply is None else self.message(reply)
+        return None if reply is None else self.make_message(reply)
 
     def _on_refused(self, exc):
         newer = isinstance(exc, NewerMessageError)
@@ -227,7 +227,7 @@
 
     async def send_request(self, addr, body):
         """Send a message over TCP, handle the reply and return its body or None."""
-        reply = await self.mesh.ask(addr, self.message(body))
+        reply = await self.mesh.ask(addr, self.make_message(body))
         if reply is None:
             self.metrics.count("mesh.unanswered")
             return None
