--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -163,10 +163,10 @@
             case ef.SendProbe():
                 self.prober.send(effect)
             case ef.SendMessage():
-                self.mesh.send(effect.addrs, self.message(effect.body))
+                self.mesh.send(effect.addrs, self.make_message(effect.body))
             case ef.Ask():
                 asyncio.get_running_loop().create_task(
-                    self.ask(effect.addr, effect.body)
+                    self.send_request(effect.addr, effect.body)
                 )
             case ef.Reply():
                 self._reply = effect.body
@@ -186,7 +186,7 @@
                 ev.HedgeDue(self.clock(), self.draw(), call_id, handler.replayable)
             )
 
-    def message(self, body):
+    def make_message(self, body):
         """Return a message from this node."""
         rules = self.state.rules
         return Message(
@@ -219,15 +219,15 @@
             )
         )
         reply, self._reply = self._reply, None
-        return None if reply is None else self.message(reply)
+        return None if reply is None else self.make_message(reply)
 
     def _on_refused(self, exc):
         newer = isinstance(exc, NewerMessageError)
         self.metrics.count("mesh.newer" if newer else "mesh.refused")
 
-    async def ask(self, addr, body):
+    async def send_request(self, addr, body):
         """Send a message over TCP, handle the reply and return its body or None."""
-        reply = await self.mesh.ask(addr, self.message(body))
+        reply = await self.mesh.ask(addr, self.make_message(body))
         if reply is None:
             self.metrics.count("mesh.unanswered")
             return None
@@ -236,7 +236,7 @@
 
     async def _fetch_rules(self, effect):
         if effect.addr is not None:
-            await self.ask(effect.addr, RulesRequest(effect.version))
+            await self.send_request(effect.addr, RulesRequest(effect.version))
             rules = self.state.rules
             if rules.version >= effect.version and not rules.must_check:
                 return
@@ -256,7 +256,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
-            self.pool.trim()
+            self.pool.close_expired()
             for name, amount in self.mesh.take_traffic():
                 self.metrics.count(name, amount)
 
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -10,10 +10,10 @@
 from ..errors import SettingsError
 from ..logs import log_entry
 from ..twohop.node import HostNode
-from .configuration import CONFIG_PLACE, parse_configuration
-from .names import DIALECT
-from .reports import Reports
-from .settings import load_boot
+from .configuration import CONFIG_ROW, parse_configuration
+from .header_names import DIALECT
+from .report_server import ReportServer
+from .settings import load_settings_file
 from .store import PlatformStore
 
 SETTINGS_VARIABLE = "PIMENTOLINE_CONFIG"
@@ -26,7 +26,7 @@
 def reload(node, path):
     """Read the settings again; what cannot be used leaves those in force."""
     try:
-        node.reload(load_boot(path).host_settings())
+        node.reload(load_settings_file(path).host_settings())
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
 
@@ -53,9 +53,9 @@
         DIALECT,
         parse_configuration,
         lambda pool: PlatformStore(boot.platform.address, pool),
-        CONFIG_PLACE,
-        Reports,
-        Reports,
+        CONFIG_ROW,
+        ReportServer,
+        ReportServer,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
@@ -69,7 +69,7 @@
     eliot.to_file(sys.stdout)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        boot = load_boot(path)
+        boot = load_settings_file(path)
         boot.host_settings()
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/report_server.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.reports: what the target and the platform ask of a node."""
+"""pimentoline.platform.report_server: serves status reports and readiness checks."""
 
 import asyncio
 import json
@@ -15,16 +15,16 @@
 from ..logs import log_entry
 from ..settings import parse_addr
 from ..twohop.lifetimes import Report, TargetState
-from .settings import seconds
+from .settings import parse_duration
 
-__all__ = ["Reports", "parse_report"]
+__all__ = ["ReportServer", "parse_status_report"]
 
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 READY_PATH = "/v1/ready"
 CALL_PATH = "/v1/rpc"
 
 
-def parse_report(target_id, body):
+def parse_status_report(target_id, body):
     """Return the `Report` of a status report's body.
 
     Raises
@@ -48,11 +48,11 @@
         sequence,
         STATES[status["state"]],
         slots,
-        seconds(status.get("cold_left", "0s")),
+        parse_duration(status.get("cold_left", "0s")),
     )
 
 
-class Reports(HTTPServerConnectionDelegate):
+class ReportServer(HTTPServerConnectionDelegate):
     """Serves the status reports of the target, and the question for readiness.
 
     Parameters
@@ -79,7 +79,7 @@
         try:
             match call:
                 case "instances.heartbeat":
-                    await self._report(parse_report(target_id, body))
+                    await self._report(parse_status_report(target_id, body))
                 case "instances.leave":
                     await self._leave(target_id, body)
                 case _:
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -10,13 +10,13 @@
 from ..twohop.model import RetryLimits
 from ..twohop.node import HostSettings
 
-__all__ = ["Boot", "load_boot", "seconds"]
+__all__ = ["SettingsFile", "load_settings_file", "parse_duration"]
 
 DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 UNIT_S = {"ms": 0.001, "s": 1.0}
 
 
-def seconds(text):
+def parse_duration(text):
     """Return the seconds of a duration such as `1500ms` or `2.5s`.
 
     Raises
@@ -54,7 +54,7 @@
         return parse_addr(value)
 
 
-class Boot(BaseModel):
+class SettingsFile(BaseModel):
     """The fields of the file that the product uses; others are ignored."""
 
     model_config = ConfigDict(frozen=True)
@@ -91,10 +91,10 @@
         try:
             repeats = RetryLimits(
                 float(bounds["retry_ratio"]),
-                seconds(bounds["retry_window"]),
+                parse_duration(bounds["retry_window"]),
                 float(bounds["retry_slack"]),
             )
-            grace_s = seconds(bounds["grace"])
+            grace_s = parse_duration(bounds["grace"])
         except (KeyError, ValueError) as exc:
             raise SettingsError(f"bounds: {exc}") from exc
         return HostSettings(
@@ -112,7 +112,7 @@
         )
 
 
-def load_boot(path):
+def load_settings_file(path):
     """Return the settings of a file.
 
     Raises
@@ -122,7 +122,7 @@
     """
     try:
         with open(path, "rb") as file:
-            return Boot.model_validate(tomllib.load(file))
+            return SettingsFile.model_validate(tomllib.load(file))
     except OSError as exc:
         raise SettingsError(f"settings file {path}: {exc.strerror}") from exc
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -14,7 +14,7 @@
     StoreBusyError,
     StoreConflictError,
     StoreError,
-    StoreHistoryError,
+    StoreHistoryExpiredError,
     StoreUnavailableError,
 )
 from ..twohop.exchange import AnswerError, exchange
@@ -67,7 +67,7 @@
                     conn, method, path, headers, data, MAX_ANSWER_BYTES
                 )
             if answer.reusable:
-                self._pool.give_back(conn)
+                self._pool.release(conn)
                 conn = None
         except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
             raise StoreUnavailableError(f"{path:.40}: {exc!r:.80}") from exc
@@ -80,7 +80,7 @@
         if answer.status == 429:
             raise StoreBusyError(f"{path:.40}: too many calls")
         if answer.status == 410:
-            raise StoreHistoryError(f"{path:.40}: history is gone")
+            raise StoreHistoryExpiredError(f"{path:.40}: history is gone")
         if answer.status >= 500:
             raise StoreUnavailableError(f"{path:.40}: status {answer.status}")
         if answer.status not in (200, 412):
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -38,7 +38,7 @@
     reused: bool = False
     counted: bool = True
 
-    def exchange(self):
+    def http_client(self):
         """Return the HTTP/1.1 client for one request on this connection."""
         return HTTP1Connection(self.stream, True, PARAMS)
 
@@ -149,7 +149,7 @@
             del self._open[addr]
         self._wake(addr)
 
-    def give_back(self, conn):
+    def release(self, conn):
         """Keep a connection whose last exchange ended cleanly."""
         if not conn.stream.is_quiet():
             conn.close()
@@ -163,7 +163,7 @@
         for conn in self._idle.pop(addr, ()):
             conn.close()
 
-    def trim(self):
+    def close_expired(self):
         """Close the connections that have been idle too long."""
         now = self._clock()
         for addr, conns in list(self._idle.items()):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -6,8 +6,8 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from ..headers import NOT_BACK, NOT_ONWARD, end_to_end
-from ..logs import BoundedLog, log_entry
+from ..headers import DROPPED_FROM_REQUEST, DROPPED_FROM_RESPONSE, end_to_end_headers
+from ..logs import RateLimitedLog, log_entry
 from ..verdict import Verdict
 from .admission import Admission, Job
 from .exchange import AnswerError, exchange
@@ -77,7 +77,7 @@
         self._clock = clock
         self._addr = addr
         self._on_change = on_change
-        self._log = BoundedLog(clock)
+        self._log = RateLimitedLog(clock)
         self.service = service
         self.lifetimes = Lifetimes()
         self.admission = Admission(DEFAULT_SLOTS)
@@ -287,7 +287,7 @@
                     conn, "GET", self._health_path(), HTTPHeaders(), None, MAX_ASK_BYTES
                 )
             if answer.reusable:
-                self._pool.give_back(conn)
+                self._pool.release(conn)
                 conn = None
             self._note_identity(answer)
             if not self._note_load(answer.headers.get(self._dialect.load)):
@@ -324,7 +324,7 @@
             async with asyncio.timeout(left_s):
                 answer = await self._exchange(conn, work)
             if answer.reusable:
-                self._pool.give_back(conn)
+                self._pool.release(conn)
             else:
                 conn.close()
             conn = None
@@ -431,7 +431,9 @@
             )
             self._end(work, frame)
             return
-        kept = end_to_end(headers, NOT_BACK | {"Content-Length", dialect.load})
+        kept = end_to_end_headers(
+            headers, DROPPED_FROM_RESPONSE | {"Content-Length", dialect.load}
+        )
         frame = ResponseFrame(
             work.frame.stream,
             answer.status,
@@ -468,4 +470,8 @@
     Those that the node sets itself are left out.
     """
     own = {dialect.deadline_ms, dialect.caller_service, dialect.expect_target}
-    return tuple(end_to_end(headers, NOT_ONWARD | own | {"Content-Length"}).get_all())
+    return tuple(
+        end_to_end_headers(
+            headers, DROPPED_FROM_REQUEST | own | {"Content-Length"}
+        ).get_all()
+    )
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pimentoline.errors import SettingsError
-from pimentoline.platform.settings import load_boot, seconds
+from pimentoline.platform.settings import load_settings_file, parse_duration
 from standins.host import settings_text, start_program
 from standins.platform import Instance, StoreStandIn, free_port
 
@@ -20,7 +20,7 @@
     """Guards against a file that a newer platform writes."""
     path = tmp_path / "boot.toml"
     path.write_text(settings_text())
-    cfg = load_boot(path).host_settings()
+    cfg = load_settings_file(path).host_settings()
     assert (cfg.node, cfg.dc, cfg.grace_s) == ("sidecar-1", "kerio", 2.0)
     assert cfg.repeats.allowance == 64
 
@@ -44,21 +44,21 @@
     if text is not None:
         path.write_text(text)
     with pytest.raises(SettingsError, match=said) as caught:
-        load_boot(path).host_settings()
+        load_settings_file(path).host_settings()
     assert "boot.toml" in str(caught.value) or said == "bounds"
 
 
 @pytest.mark.parametrize(("text", "value"), [("1500ms", 1.5), ("2.5s", 2.5)])
 def test_durations_are_read(text, value):
     """Guards against a unit that is taken for another."""
-    assert seconds(text) == value
+    assert parse_duration(text) == value
 
 
 @pytest.mark.parametrize("text", ["5", "5m", "-1s", "s", None, 7, "1e3s"])
 def test_odd_durations_are_refused(text):
     """Guards against a duration without a unit."""
     with pytest.raises(ValueError):
-        seconds(text)
+        parse_duration(text)
 
 
 def test_ports_of_tests_are_not_given_to_connections():
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from pimentoline.platform.configuration import CONFIG_PLACE, parse_configuration
-from pimentoline.platform.names import DIALECT
-from pimentoline.platform.reports import Reports
+from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
+from pimentoline.platform.header_names import DIALECT
+from pimentoline.platform.report_server import ReportServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RetryLimits
@@ -96,9 +96,9 @@
             DIALECT,
             parse_configuration,
             lambda pool: PlatformStore(self.store.addr, pool),
-            CONFIG_PLACE,
-            Reports,
-            Reports,
+            CONFIG_ROW,
+            ReportServer,
+            ReportServer,
         )
         self.nodes.append(node)
         await node.start()
