Rename the HTTP interface for callers to Frontend

"Front" did not say which side of the node was meant; load balancers call the listener for callers a frontend.

--- a/pimentoline/twohop/front.py
+++ b/pimentoline/twohop/frontend.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.front: the HTTP interface for callers."""
+"""pimentoline.twohop.frontend: the HTTP interface for callers."""
 
 import time
 from urllib.parse import urlsplit
@@ -20,7 +20,7 @@
 from .model import CallerLimits
 from .target_side import onward
 
-__all__ = ["Front"]
+__all__ = ["Frontend"]
 
 MS = 1000.0
 # Used while no configuration says otherwise.
@@ -33,7 +33,7 @@
 MAX_READ_BYTES = 4 * MAX_BODY_BYTES
 
 
-class Front(HTTPServerConnectionDelegate):
+class Frontend(HTTPServerConnectionDelegate):
     """Reads calls, hands them to the caller's side and writes the answers.
 
     Parameters
@@ -104,8 +104,8 @@
 class _Request(HTTPMessageDelegate):
     """One call of a caller."""
 
-    def __init__(self, front, conn):
-        self.front = front
+    def __init__(self, frontend, conn):
+        self.frontend = frontend
         self.conn = conn
         self.state = "new"
         self.start = None
@@ -117,12 +117,12 @@
 
     def headers_received(self, start_line, headers):
         """Note the head; the body follows."""
-        self.front.open_requests += 1
+        self.frontend.open_requests += 1
         self.state = "reading"
         self.arrived = time.monotonic()
         self.start = start_line
         self.headers = headers
-        self.max_bytes = self.front.limits.body_bytes
+        self.max_bytes = self.frontend.limits.body_bytes
         # The limit is checked here, where it is answered with 413.
         self.conn.set_max_body_size(MAX_READ_BYTES)
         # tornado has no other place for the reader of chunks.
@@ -152,11 +152,11 @@
         if self.state != "reading":
             return
         self.state = "waiting"
-        front = self.front
-        if front.refusing:
+        frontend = self.frontend
+        if frontend.refusing:
             self._own(503, "stopping", STOPPING_RETRY_S)
             return
-        cfg = front.config.current
+        cfg = frontend.config.current
         if cfg is None:
             self._own(503, "no-configuration", NO_CONFIG_RETRY_S)
             return
@@ -164,23 +164,23 @@
         path = target.partition("?")[0]
         route = cfg.find(host, path)
         if route is None:
-            self.front.caller_side.log.entry(
+            self.frontend.caller_side.log.entry(
                 "call:unrouted", host=host, path=path[:80], version=cfg.version
             )
             self._own(404, "no-route")
             return
         incoming = Incoming(
-            self.headers.get(front.dialect.request_id, ""),
+            self.headers.get(frontend.dialect.request_id, ""),
             self.start.method,
             target,
-            onward(self.headers, front.dialect),
+            onward(self.headers, frontend.dialect),
             b"".join(self.chunks),
             self._left_s(),
             self.arrived,
         )
         self.chunks = []
         self.conn.set_close_callback(self.on_connection_close)
-        left = front.caller_side.submit(route, incoming, self._respond)
+        left = frontend.caller_side.submit(route, incoming, self._respond)
         if self.state == "waiting":
             self.left = left
 
@@ -198,7 +198,7 @@
         return host.partition(":")[0].lower(), target
 
     def _left_s(self):
-        text = self.headers.get(self.front.dialect.deadline_ms)
+        text = self.headers.get(self.frontend.dialect.deadline_ms)
         if text is None:
             return None
         try:
@@ -229,9 +229,9 @@
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
-        wanted = self.headers.get(self.front.dialect.request_id)
+        wanted = self.headers.get(self.frontend.dialect.request_id)
         if wanted is not None:
-            headers[self.front.dialect.request_id] = wanted
+            headers[self.frontend.dialect.request_id] = wanted
         if retry_after_s is not None:
             headers["Retry-After"] = f"{retry_after_s:.2f}"
         if self.start.method == "HEAD":
@@ -239,19 +239,19 @@
         self._write(status, responses.get(status, "Unknown"), headers, body)
 
     def _write(self, status, reason, headers, body):
-        if self.front.stopping:
+        if self.frontend.stopping:
             headers["Connection"] = "close"
         self._ended()
         start = ResponseStartLine("HTTP/1.1", status, reason)
         self.conn.write_headers(start, headers, body or None)
-        if self.front.stopping:
+        if self.frontend.stopping:
             self.conn._disconnect_on_finish = True
         self.conn.finish()
 
     def _ended(self):
         if self.state != "done":
             self.state = "done"
-            self.front.open_requests -= 1
+            self.frontend.open_requests -= 1
 
     def on_connection_close(self):
         """Withdraw the call of a caller that has gone."""
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -12,7 +12,7 @@
 from ..logs import log_entry
 from ..pool import Pool
 from .caller_side import CallerSide
-from .front import Front
+from .frontend import Frontend
 from .model import Member, RepeatLimits
 from .peers import Peers
 from .placement import Place
@@ -142,7 +142,7 @@
             cfg.repeats,
             clock,
         )
-        self.front = Front(self.caller_side, self.config, dialect)
+        self.frontend = Frontend(self.caller_side, self.config, dialect)
         me = Member(cfg.node, cfg.peers_addr, cfg.dc, cfg.region, cfg.service)
         self.peers.set_member(me)
         self.watch = Watch(make_store(self.pool), config_place, me, self)
@@ -164,7 +164,7 @@
         self.peers.announce()
 
     def _configured(self, found):
-        self.front.configure(found.limits)
+        self.frontend.configure(found.limits)
         self.peers.announce()
 
     @property
@@ -178,7 +178,7 @@
         await self.peers.start(cfg.peers_addr)
         self._control.listen(cfg.reports_addr[1], cfg.reports_addr[0], backlog=64)
         self._ready.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
-        self.front.listen(cfg.callers_addr)
+        self.frontend.listen(cfg.callers_addr)
         self.watch.start()
         self._trimmer = asyncio.get_running_loop().create_task(self._trim())
         log_entry("node:started", node=cfg.node, data=cfg.callers_addr)
@@ -198,8 +198,8 @@
         """Drop everything at once."""
         self._trimmer.cancel()
         self.watch.stop()
-        self.front.stop_listening()
-        self.front.close_all()
+        self.frontend.stop_listening()
+        self.frontend.close_all()
         self._control.stop()
         self._ready.stop()
         self.peers.close()
@@ -225,14 +225,14 @@
     async def _stop(self):
         loop = asyncio.get_running_loop()
         began = loop.time()
-        self.front.drain()
+        self.frontend.drain()
         self.target.stop()
         last_s = self.cfg.grace_s - STOP_MARGIN_S
         await asyncio.sleep(min(STOP_ACCEPT_S, last_s))
-        self.front.refuse_all()
+        self.frontend.refuse_all()
         while loop.time() - began < last_s:
-            self.front.close_idle()
-            if not self.front.open_requests and not self.target.busy:
+            self.frontend.close_idle()
+            if not self.frontend.open_requests and not self.target.busy:
                 break
             await asyncio.sleep(CHECK_S)
         if self.target.has_left:
@@ -240,6 +240,6 @@
             await self.watch.remove_soon()
         self.peers.stop_listening()
         self.caller_side.abort()
-        self.front.close_idle()
+        self.frontend.close_idle()
         await asyncio.sleep(CHECK_S)
         self._ended.set()
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -92,7 +92,7 @@
     names = {path.stem for path in core_modules()}
     assert {"routing", "limits", "retries", "hot_cold", "ruleset", "model"} <= names
     assert "proxy" not in names
-    assert not names & {"node", "peers", "links", "front", "target_side"}
+    assert not names & {"node", "peers", "links", "frontend", "target_side"}
 
 
 @pytest.mark.parametrize("policy", policy_names())
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -713,7 +713,7 @@
     front, _, instance = await pair(site)
     caller = Caller(front)
     assert (await caller.call("/look/1"))[0] == 200
-    front.front.refuse_all()
+    front.frontend.refuse_all()
     status, headers, _ = await caller.call("/look/2", request_id="q2")
     assert status == 503 and float(headers["retry-after"]) > 0
     assert len(instance.seen) == 1
