--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -8,10 +8,10 @@
 from pimentoline.twohop.caller_side import CallerSide
 from pimentoline.twohop.dialect import Dialect
 from pimentoline.twohop.exchange import Answer
-from pimentoline.twohop.lifetimes import Lifetime, Report, TargetState
 from pimentoline.twohop.model import Member, RepeatLimits
 from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Place, Wanted
 from pimentoline.twohop.target_side import TargetSide
+from pimentoline.twohop.target_status import StatusReport, TargetState, TargetStatus
 
 __all__ = ["Network", "Node", "Traffic"]
 
@@ -97,7 +97,7 @@
 
     async def _exchange(self, conn, work):
         model = self._node.model
-        expected = self.lifetimes.held.target_id
+        expected = self.status_tracker.current.target_id
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not model.up:
             raise ConnectionRefusedError("the target is down")
@@ -237,7 +237,7 @@
         """Give the node the status report of its target."""
         model = self.model
         if self.up and model.up:
-            report = Report(
+            report = StatusReport(
                 model.name,
                 TARGET_ADDR,
                 self.service,
@@ -260,8 +260,8 @@
 
     def restart(self, down_s):
         """Lose everything; be up again after `down_s` with what was stored."""
-        held = self.target.lifetimes.held
-        stored = Lifetime(held.target_id, held.born_ms, 0, held.state)
+        held = self.target.status_tracker.current
+        stored = TargetStatus(held.target_id, held.born_ms, 0, held.state)
         self.caller_side.abort()
         self.lives += 1
         self.up = False
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/reports.py
@@ -14,7 +14,7 @@
 
 from ..logs import log_entry
 from ..settings import parse_addr
-from ..twohop.lifetimes import Report, TargetState
+from ..twohop.target_status import StatusReport, TargetState
 from .settings import seconds
 
 __all__ = ["Reports", "parse_report"]
@@ -25,7 +25,7 @@
 
 
 def parse_report(target_id, body):
-    """Return the `Report` of a status report's body.
+    """Return the `StatusReport` of a status report's body.
 
     Raises
     ------
@@ -40,7 +40,7 @@
             raise TypeError(f"found {number!r:.40}; allowed: a whole number")
     if not isinstance(info["service"], str):
         raise TypeError("service is not a text")
-    return Report(
+    return StatusReport(
         target_id,
         parse_addr(item["address"]),
         info["service"],
--- a/pimentoline/twohop/__init__.py
+++ b/pimentoline/twohop/__init__.py
@@ -1,6 +1,6 @@
 """pimentoline.twohop: calls that cross the caller's node and the target's node.
 
 Used where only the node on a target's own host can reach that target. `admission`,
-`placement`, `budget`, `lifecycle`, `lifetimes` and `model` decide and are pure;
+`placement`, `budget`, `lifecycle`, `target_status` and `model` decide and are pure;
 the other modules carry out what they decide.
 """
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -12,9 +12,9 @@
 from .admission import Admission, Job
 from .exchange import AnswerError, exchange
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
-from .lifetimes import Lifetimes, TargetState
 from .model import FAILED_STATUS
 from .noise import Gate
+from .target_status import StatusTracker, TargetState
 
 __all__ = ["TargetSide", "Work"]
 
@@ -79,7 +79,7 @@
         self._on_change = on_change
         self._log = BoundedLog(clock)
         self.service = service
-        self.lifetimes = Lifetimes()
+        self.status_tracker = StatusTracker()
         self.admission = Admission(DEFAULT_SLOTS)
         self.stopping = False
         self._stored_only = False
@@ -94,7 +94,7 @@
     @property
     def accepting(self):
         """Whether new calls are taken."""
-        held = self.lifetimes.held
+        held = self.status_tracker.current
         ready = held is not None and held.state is TargetState.READY
         up = self._clock() >= self._down_until
         return ready and up and not self.stopping
@@ -102,7 +102,7 @@
     @property
     def has_left(self):
         """Whether the target has signed off."""
-        held = self.lifetimes.held
+        held = self.status_tracker.current
         return held is not None and held.state is TargetState.LEFT
 
     def load(self):
@@ -111,11 +111,11 @@
 
     def status_reported(self, report):
         """Take a status report; return whether the state of the target changed."""
-        before = self.lifetimes.held
+        before = self.status_tracker.current
         if report.addr != self._addr:
             log_entry("target:foreign", target=report.target_id)
             return False
-        if not self.lifetimes.accept(report):
+        if not self.status_tracker.accept(report):
             log_entry(
                 "target:late-report",
                 target=report.target_id,
@@ -143,19 +143,19 @@
 
     def signed_off(self, target_id, born_ms):
         """Take a target's leave; return whether the state changed."""
-        before = self.lifetimes.held
-        self.lifetimes.leave(target_id, born_ms)
+        before = self.status_tracker.current
+        self.status_tracker.leave(target_id, born_ms)
         return self._changed(before)
 
-    def restore(self, lifetime):
+    def restore(self, status):
         """Take the state that an earlier process of this node has stored."""
-        before = self.lifetimes.held
-        if self.lifetimes.merge(lifetime):
+        before = self.status_tracker.current
+        if self.status_tracker.merge(status):
             self._stored_only = before is None
             self._changed(before)
 
     def _changed(self, before):
-        held = self.lifetimes.held
+        held = self.status_tracker.current
         same = before is not None and (before.target_id, before.state) == (
             held.target_id,
             held.state,
@@ -310,8 +310,8 @@
         if not self._stored_only or answer.status != 200 or not found:
             return
         self._stored_only = False
-        before = self.lifetimes.held
-        if self.lifetimes.answered_as(found):
+        before = self.status_tracker.current
+        if self.status_tracker.answered_as(found):
             self.admission.cold_until = self._clock() + ASSUMED_COLD_S
             self._changed(before)
 
@@ -357,7 +357,7 @@
         self._log.entry(
             "call:broken",
             request=self._request_id(work),
-            target=self.lifetimes.held.target_id,
+            target=self.status_tracker.current.target_id,
             reason=reason,
             verdict=verdict.value,
             detail=str(exc)[:120],
@@ -370,7 +370,7 @@
         if self._clock() < self._down_until:
             return
         self._down_until = self._clock() + DOWN_S
-        log_entry("target:unreachable", target=self.lifetimes.held.target_id)
+        log_entry("target:unreachable", target=self.status_tracker.current.target_id)
         self._refuse_queue("target-unreachable")
         self._on_change()
         loop = asyncio.get_running_loop()
@@ -392,7 +392,7 @@
         left_ms = int((work.job.deadline_at - self._clock()) * MS)
         headers[dialect.deadline_ms] = str(max(left_ms, 1))
         headers[dialect.caller_service] = frame.caller_service
-        headers[dialect.expect_target] = self.lifetimes.held.target_id
+        headers[dialect.expect_target] = self.status_tracker.current.target_id
         if work.body or frame.method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(work.body))
         wanted = headers.get(dialect.request_id)
--- a/pimentoline/twohop/lifetimes.py
+++ b/pimentoline/twohop/target_status.py
@@ -1,9 +1,9 @@
-"""pimentoline.twohop.lifetimes: which status report of a target holds."""
+"""pimentoline.twohop.target_status: which status report of a target holds."""
 
 import enum
 from dataclasses import dataclass, replace
 
-__all__ = ["Lifetime", "Lifetimes", "Report", "TargetState"]
+__all__ = ["StatusReport", "StatusTracker", "TargetState", "TargetStatus"]
 
 
 class TargetState(enum.Enum):
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
+class StatusReport:
     """One status report.
 
     Attributes
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Lifetime:
+class TargetStatus:
     """The lifetime that is believed, with its newest report."""
 
     target_id: str
@@ -52,7 +52,7 @@
     state: TargetState
 
 
-class Lifetimes:
+class StatusTracker:
     """Orders the reports of successive targets on one host.
 
     A report counts if its lifetime is newer than the one held, or if it is a newer
@@ -60,26 +60,29 @@
     again in the same lifetime, so late reports cannot bring it back.
     """
 
-    def __init__(self, held=None):
-        self.held = held
+    def __init__(self, current=None):
+        self.current = current
 
     def accept(self, report):
         """Return whether a report changes what is known, and keep it if so."""
-        held = self.held
-        if held is not None:
-            if report.born_ms < held.born_ms:
+        current = self.current
+        if current is not None:
+            if report.born_ms < current.born_ms:
                 return False
-            if report.born_ms == held.born_ms and report.target_id == held.target_id:
-                if held.state is TargetState.LEFT:
+            if (
+                report.born_ms == current.born_ms
+                and report.target_id == current.target_id
+            ):
+                if current.state is TargetState.LEFT:
                     return False
-                if report.sequence <= held.sequence:
+                if report.sequence <= current.sequence:
                     return False
                 if (
-                    held.state is TargetState.DRAINING
+                    current.state is TargetState.DRAINING
                     and report.state is TargetState.READY
                 ):
                     return False
-        self.held = Lifetime(
+        self.current = TargetStatus(
             report.target_id, report.born_ms, report.sequence, report.state
         )
         return True
@@ -89,14 +92,17 @@
 
         Reports that arrived before it was read may be older than what was stored.
         """
-        held = self.held
-        if held is None or stored.born_ms > held.born_ms:
-            self.held = stored
+        current = self.current
+        if current is None or stored.born_ms > current.born_ms:
+            self.current = stored
             return True
-        same = (stored.target_id, stored.born_ms) == (held.target_id, held.born_ms)
-        if not same or ORDER.index(stored.state) <= ORDER.index(held.state):
+        same = (stored.target_id, stored.born_ms) == (
+            current.target_id,
+            current.born_ms,
+        )
+        if not same or ORDER.index(stored.state) <= ORDER.index(current.state):
             return False
-        self.held = replace(held, state=stored.state)
+        self.current = replace(current, state=stored.state)
         return True
 
     def answered_as(self, target_id):
@@ -107,11 +113,13 @@
         bool
             Whether another target than the one held has started there.
         """
-        held = self.held
-        if held is None or held.target_id == target_id:
+        current = self.current
+        if current is None or current.target_id == target_id:
             return False
         # Its own report says when it started; those of the one before are too old.
-        self.held = Lifetime(target_id, held.born_ms + 1, 0, TargetState.READY)
+        self.current = TargetStatus(
+            target_id, current.born_ms + 1, 0, TargetState.READY
+        )
         return True
 
     def leave(self, target_id, born_ms):
@@ -120,15 +128,15 @@
         One that started after the one held has taken its place, even if none of its
         reports arrived. `born_ms` is None if the target did not say it.
         """
-        held = self.held
-        if held is not None:
-            if born_ms is None and held.target_id != target_id:
+        current = self.current
+        if current is not None:
+            if born_ms is None and current.target_id != target_id:
                 return False
-            if born_ms is not None and born_ms < held.born_ms:
+            if born_ms is not None and born_ms < current.born_ms:
                 return False
-            if born_ms == held.born_ms and held.target_id != target_id:
+            if born_ms == current.born_ms and current.target_id != target_id:
                 return False
-        born = born_ms if born_ms is not None else (held.born_ms if held else 0)
-        sequence = held.sequence if held is not None else 0
-        self.held = Lifetime(target_id, born, sequence, TargetState.LEFT)
+        born = born_ms if born_ms is not None else (current.born_ms if current else 0)
+        sequence = current.sequence if current is not None else 0
+        self.current = TargetStatus(target_id, born, sequence, TargetState.LEFT)
         return True
--- a/pimentoline/twohop/watch.py
+++ b/pimentoline/twohop/watch.py
@@ -11,8 +11,8 @@
 
 from ..errors import StoreConflictError, StoreError, StoreHistoryError
 from ..logs import log_entry
-from .lifetimes import Lifetime, TargetState
 from .model import Member
+from .target_status import TargetState, TargetStatus
 
 __all__ = ["MEMBERS_TABLE", "Watch"]
 
@@ -181,7 +181,7 @@
             stored = json.loads(value)
             item = stored.get("target")
             if item is not None:
-                lifetime = Lifetime(
+                lifetime = TargetStatus(
                     str(item["target_id"]),
                     int(item["born_ms"]),
                     int(item["sequence"]),
@@ -194,7 +194,7 @@
         return stored
 
     def _own_value(self):
-        held = self._node.target.lifetimes.held
+        held = self._node.target.status_tracker.current
         value = asdict(self._me)
         del value["node"]
         value["addr"] = list(value["addr"])
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -19,7 +19,7 @@
 
 PACKAGE = Path(pimentoline.__file__).parent
 TWOHOP_DECISIONS = (
-    *("admission", "budget", "durations", "lifecycle", "lifetimes", "model"),
+    *("admission", "budget", "durations", "lifecycle", "target_status", "model"),
     *("noise", "outcomes", "placement", "splits"),
 )
 ALLOWED = {
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -1,4 +1,4 @@
-"""Decisions of the two-node path: admission, placement, repeats, lifetimes, routes."""
+"""Decisions of the two-node path: admission, placement, repeats, status, routes."""
 
 from dataclasses import replace
 
@@ -8,7 +8,6 @@
 from pimentoline.twohop.admission import Admission, Job
 from pimentoline.twohop.budget import RepeatBudget
 from pimentoline.twohop.durations import Durations
-from pimentoline.twohop.lifetimes import Lifetime, Lifetimes, Report, TargetState
 from pimentoline.twohop.model import (
     CallerLimits,
     Configuration,
@@ -23,6 +22,12 @@
 from pimentoline.twohop.noise import Gate
 from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
 from pimentoline.twohop.splits import Splits
+from pimentoline.twohop.target_status import (
+    StatusReport,
+    StatusTracker,
+    TargetState,
+    TargetStatus,
+)
 from pimentoline.verdict import Verdict
 
 ADDR = ("10.0.0.1", 80)
@@ -589,17 +594,17 @@
     assert admission.offer(late, later) is None
 
 
-# Lifetimes.
+# Target status.
 
 
 def report(target="t1", born=5, sequence=1, state=TargetState.READY):
     """Return a status report."""
-    return Report(target, ADDR, "ledger", born, sequence, state, 12)
+    return StatusReport(target, ADDR, "ledger", born, sequence, state, 12)
 
 
 def test_late_reports_never_bring_a_target_back():
     """Guards against new work for a target that drains, left or was replaced."""
-    held = Lifetimes()
+    held = StatusTracker()
     assert held.accept(report(sequence=1))
     assert held.accept(report(sequence=3, state=TargetState.DRAINING))
     assert not held.accept(report(sequence=2))
@@ -609,12 +614,12 @@
     assert held.accept(report("t2", born=9))
     assert not held.accept(report("t1", born=5, sequence=99))
     assert not held.leave("t1", 5)
-    assert held.held.state is TargetState.READY
+    assert held.current.state is TargetState.READY
 
 
 def test_restart_under_the_same_name_is_a_new_lifetime():
     """Guards against ignoring a target that restarts with the id that it had."""
-    held = Lifetimes()
+    held = StatusTracker()
     held.accept(report(sequence=50, state=TargetState.DRAINING))
     assert held.accept(report(born=8, sequence=1))
 
@@ -622,25 +627,25 @@
 @pytest.mark.parametrize("target", ["t1", "t2"])
 def test_target_that_never_reported_may_leave(target):
     """Guards against work for a target whose leave was acknowledged and ignored."""
-    held = Lifetimes()
+    held = StatusTracker()
     held.accept(report("t1", born=5))
     assert held.leave(target, 9)
-    assert held.held.state is TargetState.LEFT
+    assert held.current.state is TargetState.LEFT
     assert not held.accept(report("t1", born=5, sequence=99))
     assert not held.accept(report(target, born=9, sequence=99))
 
 
 def test_stored_state_is_never_lost_to_a_late_report():
     """Guards against a restarted node that takes a late report before the store's."""
-    stored = Lifetime("t1", 5, 0, TargetState.DRAINING)
-    held = Lifetimes()
+    stored = TargetStatus("t1", 5, 0, TargetState.DRAINING)
+    held = StatusTracker()
     held.accept(report(sequence=7))
     assert held.merge(stored)
-    assert held.held.state is TargetState.DRAINING
+    assert held.current.state is TargetState.DRAINING
     assert not held.accept(report(sequence=9))
     assert held.accept(report("t2", born=9))
     assert not held.merge(stored)
-    assert held.held.state is TargetState.READY
+    assert held.current.state is TargetState.READY
 
 
 # Routes.
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -11,9 +11,9 @@
 from pimentoline.platform.store import StoredRow
 from pimentoline.twohop import lifecycle as lc
 from pimentoline.twohop.admission import Admission, Job
-from pimentoline.twohop.lifetimes import Lifetimes, Report, TargetState
 from pimentoline.twohop.model import Kind, Member, Route, Share
 from pimentoline.twohop.noise import Gate
+from pimentoline.twohop.target_status import StatusReport, StatusTracker, TargetState
 from pimentoline.twohop.watch import MEMBERS_TABLE, Watch
 from pimentoline.verdict import Verdict
 
@@ -226,11 +226,11 @@
     """What `Watch` needs of a target's side."""
 
     def __init__(self):
-        self.lifetimes = Lifetimes()
+        self.status_tracker = StatusTracker()
 
-    def restore(self, lifetime):
+    def restore(self, status):
         """Take what was stored."""
-        self.lifetimes.merge(lifetime)
+        self.status_tracker.merge(status)
 
 
 class Process:
@@ -245,16 +245,16 @@
 
     async def report(self, state, sequence, born=5):
         """Take a status report; return once it is acknowledged."""
-        held = Report(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
-        before = self.target.lifetimes.held
-        if self.target.lifetimes.accept(held):
+        held = StatusReport(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
+        before = self.target.status_tracker.current
+        if self.target.status_tracker.accept(held):
             if before is None or before.state is not state:
                 await self.watch.save_soon()
 
     @property
     def state(self):
         """State of the target that this process believes in."""
-        held = self.target.lifetimes.held
+        held = self.target.status_tracker.current
         return held.state if held is not None else None
 
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -484,10 +484,10 @@
     assert instance.seen[0].headers["x-expect-instance"] == "i-after"
     instance.name = before
     assert await instance.report(again) == 200
-    assert again.target.lifetimes.held.target_id == "i-after"
+    assert again.target.status_tracker.current.target_id == "i-after"
     instance.name, instance.born_ms = "i-after", instance.born_ms + 9
     assert await instance.report(again) == 200
-    assert again.target.lifetimes.held.born_ms == instance.born_ms
+    assert again.target.status_tracker.current.born_ms == instance.born_ms
 
 
 @site_test
@@ -550,10 +550,10 @@
 async def test_unreadable_report_changes_nothing(site, body):
     """Guards against reports of another writer."""
     _, node, instance = await pair(site)
-    before = node.target.lifetimes.held
+    before = node.target.status_tracker.current
     path = f"/v1/rpc?call=instances.heartbeat&of={instance.name}"
     assert await instance._post(node, path, body) == 400
-    assert node.target.lifetimes.held == before
+    assert node.target.status_tracker.current == before
 
 
 @site_test
