Name the noise detector and its probes of the target

A node that asks its target for load figures probes it. Gate, the answer to whether a call may start, is StartDecision; Noise is NoiseDetector; slowness is slowdown. ruff and test_twohop_decisions pass.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -113,19 +113,19 @@
         body = bytes(kind.answer_bytes) if ran.status == 200 else b""
         return Answer(ran.status, "", headers, body, True)
 
-    async def _ask(self):
+    async def _probe(self):
         noise = self.admission.noise
-        noise.asked(self._clock())
+        noise.probe_started(self._clock())
         await asyncio.sleep(ASK_S)
         model = self._node.model
         headers = HTTPHeaders({DIALECT.target_id: model.name})
         headers[DIALECT.load] = model.load_header()
-        self._asking = None
+        self._probe_task = None
         if model.up:
             self._note_identity(Answer(200, "", headers, b"", True))
             self._note_load(headers[DIALECT.load])
         else:
-            noise.unanswered(self._clock())
+            noise.probe_failed(self._clock())
         self._pump()
 
 
--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -9,7 +9,7 @@
 
 from .durations import Durations
 from .model import COLD_FACTOR, LoadReport
-from .noise import Gate, Noise
+from .noise import NoiseDetector, StartDecision
 from .outcomes import Outcomes
 
 __all__ = ["Admission", "Job", "Refused"]
@@ -89,7 +89,7 @@
         self.slots = max(1, slots)
         self.running = 0
         self.cold_until = 0.0
-        self.noise = Noise()
+        self.noise = NoiseDetector()
         self.outcomes = Outcomes()
         self._durations = Durations()
         self._started_sum = 0.0
@@ -103,14 +103,14 @@
         """Take the number of slots that the target reports."""
         self.slots = max(1, slots)
 
-    def note_slowness(self, slowness, now):
+    def note_slowdown(self, slowdown, now):
         """Take the target's figure of how many times as long as usual work takes.
 
         It holds the slow start as well, which no waiting ends.
         """
         if now < self.cold_until:
-            slowness /= COLD_FACTOR
-        self.noise.note(slowness, now)
+            slowdown /= COLD_FACTOR
+        self.noise.note(slowdown, now)
 
     @property
     def limit(self):
@@ -196,10 +196,10 @@
 
         Returns
         -------
-        tuple of (Job, Refused or None) or Gate
+        tuple of (Job, Refused or None) or StartDecision
             A job that starts, or with a refusal one that leaves the queue, since it
             cannot be answered in time here any more. Otherwise `START` if nothing
-            can be done now, `ASK` if the target must be asked for its figure first,
+            can be done now, `PROBE` if the target must be asked for its figure first,
             or `HOLD` while it is noisy.
         """
         self._clean(self._queue)
@@ -214,9 +214,9 @@
                 return job, found
         queue = self._queue or self._late
         if not queue or self.running >= self.limit:
-            return Gate.START
-        gate = self.noise.gate(now)
-        if gate is not Gate.START:
+            return StartDecision.START
+        gate = self.noise.decide(now)
+        if gate is not StartDecision.START:
             return gate
         job = heapq.heappop(queue)[-1]
         job.running = True
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -8,7 +8,7 @@
 
 import enum
 
-__all__ = ["Gate", "Noise"]
+__all__ = ["NoiseDetector", "StartDecision"]
 
 # Work that takes this many times as long as usual is worth waiting for its end.
 NOISY = 1.8
@@ -16,7 +16,7 @@
 FRESH_S = 0.02
 # Shortest time between two questions to the target, seconds: 40 a second and target
 # at most, under the 60 that the users allow.
-ASK_GAP_S = 0.025
+MIN_PROBE_GAP_S = 0.025
 # A target that answers without a figure is not asked again for this long, seconds.
 MUTE_S = 2.0
 # A target that has been slow for this long is not noisy but slow; calls start there.
@@ -25,35 +25,35 @@
 REST_S = 0.1
 
 
-class Gate(enum.Enum):
+class StartDecision(enum.Enum):
     """What to do with a call that could start."""
 
     START = "start"
-    ASK = "ask"
+    PROBE = "probe"
     HOLD = "hold"
 
 
-class Noise:
+class NoiseDetector:
     """The newest figure of a target and its age.
 
     Attributes
     ----------
-    slowness : float
+    slowdown : float
         How many times as long as usual work takes.
     """
 
     def __init__(self):
-        self.slowness = 1.0
+        self.slowdown = 1.0
         self._told_at = None
         self._mute_until = 0.0
-        self._asked_at = None
+        self._probed_at = None
         self._noisy_since = None
 
-    def note(self, slowness, now):
+    def note(self, slowdown, now):
         """Take a figure that has just come."""
-        self.slowness = slowness
+        self.slowdown = slowdown
         self._told_at = now
-        if slowness < NOISY:
+        if slowdown < NOISY:
             self._noisy_since = None
         elif self._noisy_since is None:
             self._noisy_since = now
@@ -67,22 +67,22 @@
         """Return how long the noise is expected to go on, seconds."""
         return REST_S if self.is_noisy(now) else 0.0
 
-    def gate(self, now):
+    def decide(self, now):
         """Return whether a call may start, must wait, or the target must be asked."""
         if now < self._mute_until:
-            return Gate.START
+            return StartDecision.START
         fresh = self._told_at is not None and now - self._told_at <= FRESH_S
         if fresh:
-            return Gate.HOLD if self.is_noisy(now) else Gate.START
-        if self._asked_at is not None and now - self._asked_at < ASK_GAP_S:
-            return Gate.HOLD
-        return Gate.ASK
+            return StartDecision.HOLD if self.is_noisy(now) else StartDecision.START
+        if self._probed_at is not None and now - self._probed_at < MIN_PROBE_GAP_S:
+            return StartDecision.HOLD
+        return StartDecision.PROBE
 
-    def asked(self, now):
+    def probe_started(self, now):
         """Note that the target is being asked."""
-        self._asked_at = now
+        self._probed_at = now
 
-    def unanswered(self, now):
+    def probe_failed(self, now):
         """Note that the target gave no figure; calls start without one."""
         self._mute_until = now + MUTE_S
         self._noisy_since = None
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -13,7 +13,7 @@
 from .exchange import AnswerError, exchange
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
 from .model import FAILED_STATUS
-from .noise import Gate
+from .noise import StartDecision
 from .target_status import StatusTracker, TargetState
 
 __all__ = ["TargetSide", "Work"]
@@ -85,7 +85,7 @@
         self._stored_only = False
         self._down_until = 0.0
         self._health_path = health_path
-        self._asking = None
+        self._probe_task = None
         self._works = {}
         self._sweep = None
 
@@ -255,7 +255,7 @@
     def _pump(self):
         while True:
             found = self.admission.next(self._clock())
-            if isinstance(found, Gate):
+            if isinstance(found, StartDecision):
                 break
             job, refused = found
             work = self._works.get(job)
@@ -265,8 +265,8 @@
                 self._refuse(work, refused.reason, refused.retry_after_s)
             else:
                 work.task = asyncio.get_running_loop().create_task(self._run(work))
-        if found is Gate.ASK and self._asking is None:
-            self._asking = asyncio.get_running_loop().create_task(self._ask())
+        if found is StartDecision.PROBE and self._probe_task is None:
+            self._probe_task = asyncio.get_running_loop().create_task(self._probe())
         if self._sweep is None and self.admission.queued:
             loop = asyncio.get_running_loop()
             self._sweep = loop.call_later(SWEEP_S, self._swept)
@@ -275,10 +275,10 @@
         self._sweep = None
         self._pump()
 
-    async def _ask(self):
+    async def _probe(self):
         """Ask the target for its figures; without an answer calls start blindly."""
         noise = self.admission.noise
-        noise.asked(self._clock())
+        noise.probe_started(self._clock())
         conn = None
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
@@ -291,12 +291,12 @@
                 conn = None
             self._note_identity(answer)
             if not self._note_load(answer.headers.get(self._dialect.load)):
-                noise.unanswered(self._clock())
+                noise.probe_failed(self._clock())
         except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
             log_entry("target:no-figures", detail=repr(exc)[:80])
-            noise.unanswered(self._clock())
+            noise.probe_failed(self._clock())
         finally:
-            self._asking = None
+            self._probe_task = None
             if conn is not None:
                 conn.close()
             self._pump()
@@ -457,7 +457,7 @@
         if len(figures) >= 3 and figures[2] > 0:
             self.admission.set_slots(figures[2])
         if len(figures) >= 4 and figures[3] > 0:
-            self.admission.note_slowness(figures[3] / 100.0, self._clock())
+            self.admission.note_slowdown(figures[3] / 100.0, self._clock())
             return True
         return False
 
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -19,7 +19,7 @@
     ServiceInfo,
     Share,
 )
-from pimentoline.twohop.noise import Gate
+from pimentoline.twohop.noise import StartDecision
 from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
 from pimentoline.twohop.splits import Splits
 from pimentoline.twohop.target_status import (
@@ -239,7 +239,7 @@
 
 def fill(admission, count):
     """Start `count` jobs."""
-    admission.noise.unanswered(NOW)
+    admission.noise.probe_failed(NOW)
     jobs = [job() for _ in range(count)]
     for one in jobs:
         assert admission.offer(one, NOW) is None
@@ -253,7 +253,7 @@
     fill(admission, admission.limit)
     waiting = job()
     assert admission.offer(waiting, NOW) is None
-    assert admission.next(NOW) is Gate.START
+    assert admission.next(NOW) is StartDecision.START
     assert admission.queued == 1
 
 
@@ -318,7 +318,7 @@
     """Guards against refusing every short call until a cold target has warmed up."""
     admission = Admission(17)
     admission.cold_until = NOW + 3.0
-    admission.noise.unanswered(NOW)
+    admission.noise.probe_failed(NOW)
     fetch = Job(2, NOW + 0.1, NOW + 0.25, kind=SHORT)
     assert admission.offer(fetch, NOW) is None
     assert admission.next(NOW) == (fetch, None)
@@ -327,7 +327,7 @@
 def test_short_call_is_taken_while_long_ones_run():
     """Guards against taking the age of long calls for the time that short ones need."""
     admission = Admission(17)
-    admission.noise.unanswered(NOW)
+    admission.noise.probe_failed(NOW)
     for kind, taken_s in ((SHORT, 0.022), (LONG, 0.22)) * 40:
         one = Job(1, NOW + 5.0, NOW + 6.0, kind=kind)
         admission.offer(one, NOW)
@@ -357,10 +357,10 @@
     waiting = job()
     admission.offer(waiting, NOW)
     admission.noise.note(5.0, NOW)
-    assert admission.next(NOW) is Gate.HOLD
-    assert admission.next(NOW + 0.05) is Gate.ASK
-    admission.noise.asked(NOW + 0.05)
-    assert admission.next(NOW + 0.06) is Gate.HOLD
+    assert admission.next(NOW) is StartDecision.HOLD
+    assert admission.next(NOW + 0.05) is StartDecision.PROBE
+    admission.noise.probe_started(NOW + 0.05)
+    assert admission.next(NOW + 0.06) is StartDecision.HOLD
     admission.noise.note(1.0, NOW + 0.07)
     assert admission.next(NOW + 0.07) == (waiting, None)
 
@@ -391,9 +391,9 @@
     admission.cold_until = NOW + 3.0
     waiting = job()
     admission.offer(waiting, NOW)
-    admission.note_slowness(10.0, NOW)
-    assert admission.next(NOW) is Gate.HOLD
-    admission.note_slowness(2.0, NOW)
+    admission.note_slowdown(10.0, NOW)
+    assert admission.next(NOW) is StartDecision.HOLD
+    admission.note_slowdown(2.0, NOW)
     assert admission.next(NOW) == (waiting, None)
 
 
@@ -402,8 +402,8 @@
     admission = Admission(10)
     waiting = job()
     admission.offer(waiting, NOW)
-    assert admission.next(NOW) is Gate.ASK
-    admission.noise.unanswered(NOW)
+    assert admission.next(NOW) is StartDecision.PROBE
+    admission.noise.probe_failed(NOW)
     assert admission.next(NOW) == (waiting, None)
 
 
@@ -413,7 +413,7 @@
     fill(admission, admission.limit)
     late = job(goal_s=-0.1, deadline_s=1.0, last_resort=True)
     assert admission.offer(late, NOW) is None
-    assert admission.next(NOW) is Gate.START
+    assert admission.next(NOW) is StartDecision.START
     found, refused = admission.next(NOW + 0.15)
     assert found is late and refused.retry_after_s > 0
 
@@ -433,9 +433,9 @@
         now = NOW + step * 0.001
         if step % 100 == 0:
             admission.offer(Job(1, now + 0.3, now + 0.31), now)
-        if admission.noise.gate(now) is Gate.ASK:
+        if admission.noise.decide(now) is StartDecision.PROBE:
             asked += 1
-            admission.noise.asked(now)
+            admission.noise.probe_started(now)
     assert asked <= PROBES_PER_S
 
 
@@ -582,7 +582,7 @@
 def test_slow_answers_of_long_ago_do_not_refuse_calls():
     """Guards against a node that refuses every call, and so never learns better."""
     admission = Admission(10)
-    admission.noise.unanswered(NOW)
+    admission.noise.probe_failed(NOW)
     for step in range(60):
         one = job(goal_s=5.0, deadline_s=6.0)
         admission.offer(one, NOW)
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -12,7 +12,7 @@
 from pimentoline.twohop import lifecycle as lc
 from pimentoline.twohop.admission import Admission, Job
 from pimentoline.twohop.model import Kind, Member, Route, Share
-from pimentoline.twohop.noise import Gate
+from pimentoline.twohop.noise import StartDecision
 from pimentoline.twohop.target_status import StatusReport, StatusTracker, TargetState
 from pimentoline.twohop.watch import MEMBERS_TABLE, Watch
 from pimentoline.verdict import Verdict
@@ -116,7 +116,7 @@
 
     def pump(self):
         """Start or refuse what can be."""
-        while not isinstance(found := self.admission.next(self.now), Gate):
+        while not isinstance(found := self.admission.next(self.now), StartDecision):
             job, refused = found
             assert job in self.waiting
             self.waiting.remove(job)
@@ -125,8 +125,8 @@
             else:
                 assert self.now <= job.deadline_at
                 self.running.append(job)
-        if found is Gate.ASK:
-            self.admission.noise.asked(self.now)
+        if found is StartDecision.PROBE:
+            self.admission.noise.probe_started(self.now)
 
     def step(self, name, number):
         """Take one step of a schedule."""
@@ -139,8 +139,8 @@
             case "drop" if self.waiting:
                 self.admission.drop(self.waiting.pop())
             case "figure":
-                slowness = 5.0 if number % 3 == 0 else 1.0
-                self.admission.note_slowness(slowness, self.now)
+                slowdown = 5.0 if number % 3 == 0 else 1.0
+                self.admission.note_slowdown(slowdown, self.now)
         self.pump()
 
 
