--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -7,7 +7,7 @@
 import heapq
 from dataclasses import dataclass
 
-from .durations import Durations
+from .durations import DurationEstimator
 from .model import COLD_FACTOR, LoadReport
 from .noise import NoiseDetector, StartDecision
 from .outcomes import Outcomes
@@ -91,7 +91,7 @@
         self.cold_until = 0.0
         self.noise = NoiseDetector()
         self.outcomes = Outcomes()
-        self._durations = Durations()
+        self._durations = DurationEstimator()
         self._started_sum = 0.0
         self._usual_sum = 0.0
         self._queue = []
@@ -141,9 +141,9 @@
 
     def _usual_s(self, now, job):
         if job is None:
-            usual = self._durations.of(None, now)
+            usual = self._durations.expected_s(None, now)
         else:
-            usual = self._durations.of(job.kind, now, job.goal_s)
+            usual = self._durations.expected_s(job.kind, now, job.goal_s)
         self._cold = now < self.cold_until
         return usual * COLD_FACTOR if self._cold else usual
 
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -5,7 +5,7 @@
 began with few.
 """
 
-__all__ = ["Durations"]
+__all__ = ["DurationEstimator"]
 
 # Mean duration before the first answer, seconds; the work times of both users are
 # near this.
@@ -33,7 +33,7 @@
 WORTHWHILE = 1.15
 
 
-class Durations:
+class DurationEstimator:
     """Mean durations by kind of call.
 
     A kind is any hashable value that separates short calls from long ones.
@@ -70,7 +70,7 @@
             self._full_ratio += WEIGHT * (ratio - self._full_ratio)
             self._full_samples += 1
 
-    def of(self, kind, now, goal_s=None):
+    def expected_s(self, kind, now, goal_s=None):
         """Return the expected duration of a call of a kind, seconds.
 
         Parameters
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -7,7 +7,7 @@
 from pimentoline.twohop import lifecycle as lc
 from pimentoline.twohop.admission import Admission, Job
 from pimentoline.twohop.budget import RepeatBudget
-from pimentoline.twohop.durations import Durations
+from pimentoline.twohop.durations import DurationEstimator
 from pimentoline.twohop.model import (
     CallerLimits,
     Configuration,
@@ -420,8 +420,8 @@
 
 def test_cold_target_is_not_filled_beyond_a_likely_knee():
     """Guards against a recovery that the last slots make slower."""
-    assert Durations().limit(10, cold=True) == 8
-    assert Durations().limit(10, cold=False) == 10
+    assert DurationEstimator().limit(10, cold=True) == 8
+    assert DurationEstimator().limit(10, cold=False) == 10
 
 
 def test_questions_stay_within_the_budget():
@@ -442,7 +442,7 @@
 @pytest.mark.parametrize(("factor", "limit"), [(1.0, 10), (1.5, 8)])
 def test_limit_follows_the_knee_of_the_target(factor, limit):
     """Guards against idle slots where there is no knee, and against work past one."""
-    durations = Durations()
+    durations = DurationEstimator()
     for _ in range(40):
         durations.note("k", 0.1, 3, 10, NOW)
         durations.note("k", 0.1 * factor, 10, 10, NOW)
