Rename Admission to AdmissionController and name its methods

The class does admission control for one target; its methods say what they do to a job: next_action, remove, complete, caller_left, take_waiting. ruff, test_twohop_decisions and test_twohop_generated pass.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -12,7 +12,7 @@
 from .noise import NoiseDetector, StartDecision
 from .outcomes import Outcomes
 
-__all__ = ["Admission", "Job", "Refused"]
+__all__ = ["AdmissionController", "Job", "Refused"]
 
 # Calls whose objective is already lost may wait up to this many times the limit.
 LATE_QUEUE = 0.5
@@ -76,7 +76,7 @@
     retry_after_s: float
 
 
-class Admission:
+class AdmissionController:
     """Running and waiting jobs of one target.
 
     Parameters
@@ -161,7 +161,7 @@
         Returns
         -------
         Refused or None
-            None if the job runs or waits; `next` tells which.
+            None if the job runs or waits; `next_action` tells which.
         """
         job.goal_s = job.goal_at - now
         duration = self.duration_s(now, job)
@@ -191,7 +191,7 @@
         self._order += 1
         heapq.heappush(queue, (job.priority, job.goal_at, self._order, job))
 
-    def next(self, now):
+    def next_action(self, now):
         """Return what happens to the first waiting job.
 
         Returns
@@ -247,7 +247,7 @@
         while queue and queue[0][-1].dropped:
             heapq.heappop(queue)
 
-    def given_up(self, job, now):
+    def caller_left(self, job, now):
         """Note that a job's caller has gone while it ran.
 
         A job that took far longer than usual counts as one without an answer.
@@ -256,7 +256,7 @@
             if now - job.started_at > HUNG_FACTOR * job.usual_s:
                 self.outcomes.note(False, now)
 
-    def drop(self, job):
+    def remove(self, job):
         """Forget a job whose caller has gone, or that has ended."""
         if job.running:
             job.running = False
@@ -265,14 +265,14 @@
             self._usual_sum -= job.usual_s
         job.dropped = True
 
-    def ended(self, job, now):
+    def complete(self, job, now):
         """Note that a job's answer is complete, and how long it took."""
         if job.running and now >= self.cold_until:
             taken = now - job.started_at
             self._durations.note(job.kind, taken, job.began_with, self.slots, now)
-        self.drop(job)
+        self.remove(job)
 
-    def clear(self):
+    def take_waiting(self):
         """Return the jobs that wait, and forget them."""
         jobs = [entry[-1] for entry in (*self._queue, *self._late)]
         self._queue.clear()
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -9,7 +9,7 @@
 from ..headers import NOT_BACK, NOT_ONWARD, end_to_end
 from ..logs import BoundedLog, log_entry
 from ..verdict import Verdict
-from .admission import Admission, Job
+from .admission import AdmissionController, Job
 from .exchange import AnswerError, exchange
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
 from .model import FAILED_STATUS
@@ -46,7 +46,7 @@
     body: bytes
     job: Job
     reply: object
-    admission: Admission
+    admission: AdmissionController
     task: object = None
     ended: bool = False
     cancelled: bool = False
@@ -80,7 +80,7 @@
         self._log = BoundedLog(clock)
         self.service = service
         self.status_tracker = StatusTracker()
-        self.admission = Admission(DEFAULT_SLOTS)
+        self.admission = AdmissionController(DEFAULT_SLOTS)
         self.stopping = False
         self._stored_only = False
         self._down_until = 0.0
@@ -135,8 +135,8 @@
         return self._changed(before)
 
     def _renewed(self, slots):
-        fresh = Admission(slots)
-        for job in self.admission.clear():
+        fresh = AdmissionController(slots)
+        for job in self.admission.take_waiting():
             self._refuse(self._works[job], "target-replaced", NOT_ACCEPTING_RETRY_S)
         self._pool.close_idle(self._addr)
         return fresh
@@ -181,7 +181,7 @@
         self._on_change()
 
     def _refuse_queue(self, reason):
-        for job in self.admission.clear():
+        for job in self.admission.take_waiting():
             self._refuse(self._works[job], reason, NOT_ACCEPTING_RETRY_S)
 
     @property
@@ -227,7 +227,7 @@
         if work.task is not None and not work.frame.repeatable:
             return
         if work.task is not None:
-            work.admission.given_up(work.job, self._clock())
+            work.admission.caller_left(work.job, self._clock())
             work.task.cancel()
         # A task that is cancelled before its first step never runs its own end.
         self._end(work)
@@ -247,20 +247,20 @@
         if work.ended:
             return
         work.ended = True
-        work.admission.drop(work.job)
+        work.admission.remove(work.job)
         self._works.pop(work.job, None)
         if frame is not None and not work.cancelled:
             work.reply(frame, body)
 
     def _pump(self):
         while True:
-            found = self.admission.next(self._clock())
+            found = self.admission.next_action(self._clock())
             if isinstance(found, StartDecision):
                 break
             job, refused = found
             work = self._works.get(job)
             if work is None:
-                self.admission.drop(job)
+                self.admission.remove(job)
             elif refused is not None:
                 self._refuse(work, refused.reason, refused.retry_after_s)
             else:
@@ -329,7 +329,7 @@
                 conn.close()
             conn = None
             if work.job.running and answer.status < FAILED_STATUS:
-                work.admission.ended(work.job, self._clock())
+                work.admission.complete(work.job, self._clock())
             self._answered(work, answer)
         except asyncio.CancelledError:
             self._end(work)
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pimentoline.twohop import lifecycle as lc
-from pimentoline.twohop.admission import Admission, Job
+from pimentoline.twohop.admission import AdmissionController, Job
 from pimentoline.twohop.budget import RepeatBudget
 from pimentoline.twohop.durations import DurationEstimator
 from pimentoline.twohop.model import (
@@ -243,23 +243,23 @@
     jobs = [job() for _ in range(count)]
     for one in jobs:
         assert admission.offer(one, NOW) is None
-        assert admission.next(NOW) == (one, None)
+        assert admission.next_action(NOW) == (one, None)
     return jobs
 
 
 def test_no_more_run_than_the_limit():
     """Guards against work beyond the knee of a target."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     fill(admission, admission.limit)
     waiting = job()
     assert admission.offer(waiting, NOW) is None
-    assert admission.next(NOW) is StartDecision.START
+    assert admission.next_action(NOW) is StartDecision.START
     assert admission.queued == 1
 
 
 def test_what_cannot_be_in_time_is_refused_at_once():
     """Guards against a queue that makes every answer late."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     fill(admission, admission.limit)
     refused = None
     count = 0
@@ -272,30 +272,30 @@
 
 def test_more_urgent_job_goes_first():
     """Guards against sales that wait behind lookups."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     running = fill(admission, admission.limit)
     lookup, sale = job(priority=2), job(priority=1)
     admission.offer(lookup, NOW)
     admission.offer(sale, NOW)
-    admission.ended(running[0], NOW)
-    assert admission.next(NOW) == (sale, None)
+    admission.complete(running[0], NOW)
+    assert admission.next_action(NOW) == (sale, None)
 
 
 def test_expired_job_is_refused_not_started():
     """Guards against work that nobody can use."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     running = fill(admission, admission.limit)
     waiting = job(deadline_s=0.4)
     admission.offer(waiting, NOW)
     for one in running:
-        admission.ended(one, NOW)
-    found, refused = admission.next(NOW + 0.39)
+        admission.complete(one, NOW)
+    found, refused = admission.next_action(NOW + 0.39)
     assert found is waiting and refused.reason == "expired"
 
 
 def test_hanging_target_shows_before_anything_ends():
     """Guards against calls placed at a target that has stopped answering."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     before = admission.report(NOW, True).delay_ms
     fill(admission, 4)
     assert admission.report(NOW + 0.9, True).delay_ms > 5 * before
@@ -306,7 +306,7 @@
 
 def test_calls_that_noise_has_hit_do_not_make_their_target_look_slow():
     """Guards against calls sent away from a sound target that is near."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     before = admission.report(NOW, True).delay_ms
     fill(admission, 4)
     # Five times as long as usual, and half over.
@@ -316,26 +316,26 @@
 
 def test_short_call_is_taken_by_a_target_that_has_just_started():
     """Guards against refusing every short call until a cold target has warmed up."""
-    admission = Admission(17)
+    admission = AdmissionController(17)
     admission.cold_until = NOW + 3.0
     admission.noise.probe_failed(NOW)
     fetch = Job(2, NOW + 0.1, NOW + 0.25, kind=SHORT)
     assert admission.offer(fetch, NOW) is None
-    assert admission.next(NOW) == (fetch, None)
+    assert admission.next_action(NOW) == (fetch, None)
 
 
 def test_short_call_is_taken_while_long_ones_run():
     """Guards against taking the age of long calls for the time that short ones need."""
-    admission = Admission(17)
+    admission = AdmissionController(17)
     admission.noise.probe_failed(NOW)
     for kind, taken_s in ((SHORT, 0.022), (LONG, 0.22)) * 40:
         one = Job(1, NOW + 5.0, NOW + 6.0, kind=kind)
         admission.offer(one, NOW)
-        admission.next(NOW)
-        admission.ended(one, NOW + taken_s)
+        admission.next_action(NOW)
+        admission.complete(one, NOW + taken_s)
     for _ in range(4):
         admission.offer(Job(1, NOW + 5.0, NOW + 6.0, kind=LONG), NOW)
-        admission.next(NOW)
+        admission.next_action(NOW)
     later = NOW + 0.2
     fetch = Job(2, later + 0.1, later + 0.25, kind=SHORT)
     assert admission.offer(fetch, later) is None
@@ -343,78 +343,78 @@
 
 def test_dropped_job_frees_its_place():
     """Guards against slots that are lost to callers who left."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     running = fill(admission, admission.limit)
     for one in running:
-        admission.drop(one)
-        admission.drop(one)
+        admission.remove(one)
+        admission.remove(one)
     assert admission.running == 0
 
 
 def test_call_does_not_start_while_neighbours_are_noisy():
     """Guards against a call that takes five times as long until its end."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
     admission.noise.note(5.0, NOW)
-    assert admission.next(NOW) is StartDecision.HOLD
-    assert admission.next(NOW + 0.05) is StartDecision.PROBE
+    assert admission.next_action(NOW) is StartDecision.HOLD
+    assert admission.next_action(NOW + 0.05) is StartDecision.PROBE
     admission.noise.probe_started(NOW + 0.05)
-    assert admission.next(NOW + 0.06) is StartDecision.HOLD
+    assert admission.next_action(NOW + 0.06) is StartDecision.HOLD
     admission.noise.note(1.0, NOW + 0.07)
-    assert admission.next(NOW + 0.07) == (waiting, None)
+    assert admission.next_action(NOW + 0.07) == (waiting, None)
 
 
 def test_held_call_is_given_back_while_another_target_can_be_in_time():
     """Guards against a call that is held until its objective is lost."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
     admission.noise.note(5.0, NOW)
-    found, refused = admission.next(NOW + 0.2)
+    found, refused = admission.next_action(NOW + 0.2)
     assert found is waiting and refused.reason == "objective"
 
 
 def test_slow_target_is_used_after_all():
     """Guards against a target that is always slow and never gets a call."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     for step in range(100):
         admission.noise.note(5.0, NOW + step * 0.01)
     waiting = Job(1, NOW + 2.0, NOW + 3.0)
     admission.offer(waiting, NOW + 1.0)
-    assert admission.next(NOW + 1.0) == (waiting, None)
+    assert admission.next_action(NOW + 1.0) == (waiting, None)
 
 
 def test_slow_start_of_a_target_is_not_taken_for_noise():
     """Guards against a target without calls for most of a second after its start."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     admission.cold_until = NOW + 3.0
     waiting = job()
     admission.offer(waiting, NOW)
     admission.note_slowdown(10.0, NOW)
-    assert admission.next(NOW) is StartDecision.HOLD
+    assert admission.next_action(NOW) is StartDecision.HOLD
     admission.note_slowdown(2.0, NOW)
-    assert admission.next(NOW) == (waiting, None)
+    assert admission.next_action(NOW) == (waiting, None)
 
 
 def test_target_without_figures_is_asked_once():
     """Guards against measuring that nothing comes of."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
-    assert admission.next(NOW) is StartDecision.PROBE
+    assert admission.next_action(NOW) is StartDecision.PROBE
     admission.noise.probe_failed(NOW)
-    assert admission.next(NOW) == (waiting, None)
+    assert admission.next_action(NOW) == (waiting, None)
 
 
 def test_late_job_is_refused_soon_and_not_held_to_its_end():
     """Guards against a caller that waits long for a refusal."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     fill(admission, admission.limit)
     late = job(goal_s=-0.1, deadline_s=1.0, last_resort=True)
     assert admission.offer(late, NOW) is None
-    assert admission.next(NOW) is StartDecision.START
-    found, refused = admission.next(NOW + 0.15)
+    assert admission.next_action(NOW) is StartDecision.START
+    found, refused = admission.next_action(NOW + 0.15)
     assert found is late and refused.retry_after_s > 0
 
 
@@ -426,7 +426,7 @@
 
 def test_questions_stay_within_the_budget():
     """Guards against measuring more often than the users allow."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     admission.noise.note(5.0, NOW)
     asked = 0
     for step in range(1000):
@@ -501,7 +501,7 @@
 
 def test_target_that_fails_half_its_calls_is_left_and_comes_back():
     """Guards against a grey target, whose health check is good."""
-    grey, sound = Admission(10), candidate("sound", "kilifi", delay_ms=200)
+    grey, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
     for _ in range(20):
         grey.outcomes.note(True, NOW)
         grey.outcomes.note(False, NOW)
@@ -525,11 +525,11 @@
 
 def test_hanging_calls_count_as_failures():
     """Guards against a target that hangs and looks good, as nothing fails there."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     for _ in range(10):
         (one,) = fill(admission, 1)
-        admission.given_up(one, NOW + 1.0)
-        admission.drop(one)
+        admission.caller_left(one, NOW + 1.0)
+        admission.remove(one)
     assert admission.outcomes.rate(NOW + 1.0) < 0.6
 
 
@@ -544,7 +544,7 @@
 
 def test_target_that_joined_cold_gets_calls_once_it_is_warm():
     """Guards against a newcomer that is judged for ever by its first slow seconds."""
-    admission = Admission(12)
+    admission = AdmissionController(12)
     admission.cold_until = NOW + 3.0
     joined, old = candidate("joined"), candidate("old", delay_ms=130)
     joined.note_report(admission.report(NOW, True), NOW)
@@ -581,13 +581,13 @@
 
 def test_slow_answers_of_long_ago_do_not_refuse_calls():
     """Guards against a node that refuses every call, and so never learns better."""
-    admission = Admission(10)
+    admission = AdmissionController(10)
     admission.noise.probe_failed(NOW)
     for step in range(60):
         one = job(goal_s=5.0, deadline_s=6.0)
         admission.offer(one, NOW)
-        assert admission.next(NOW) == (one, None)
-        admission.ended(one, NOW + (0.1 if step < 30 else 0.9))
+        assert admission.next_action(NOW) == (one, None)
+        admission.complete(one, NOW + (0.1 if step < 30 else 0.9))
     assert admission.offer(job(), NOW + 0.9).reason == "objective"
     later = NOW + 8.0
     late = Job(1, later + 0.3, later + 1.0)
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -10,7 +10,7 @@
 from pimentoline.errors import StoreConflictError, StoreUnavailableError
 from pimentoline.platform.store import StoredRow
 from pimentoline.twohop import lifecycle as lc
-from pimentoline.twohop.admission import Admission, Job
+from pimentoline.twohop.admission import AdmissionController, Job
 from pimentoline.twohop.model import Kind, Member, Route, Share
 from pimentoline.twohop.noise import StartDecision
 from pimentoline.twohop.target_status import StatusReport, StatusTracker, TargetState
@@ -98,11 +98,11 @@
 
 
 class Target:
-    """An `Admission`, what runs there and what has been decided."""
+    """An `AdmissionController`, what runs there and what has been decided."""
 
     def __init__(self):
         self.now = NOW
-        self.admission = Admission(4)
+        self.admission = AdmissionController(4)
         self.waiting, self.running, self.refused = set(), [], set()
 
     def offer(self, number, last_resort):
@@ -116,7 +116,9 @@
 
     def pump(self):
         """Start or refuse what can be."""
-        while not isinstance(found := self.admission.next(self.now), StartDecision):
+        while not isinstance(
+            found := self.admission.next_action(self.now), StartDecision
+        ):
             job, refused = found
             assert job in self.waiting
             self.waiting.remove(job)
@@ -135,9 +137,9 @@
             case "offer" | "last":
                 self.offer(number, name == "last")
             case "end" if self.running:
-                self.admission.ended(self.running.pop(0), self.now)
+                self.admission.complete(self.running.pop(0), self.now)
             case "drop" if self.waiting:
-                self.admission.drop(self.waiting.pop())
+                self.admission.remove(self.waiting.pop())
             case "figure":
                 slowdown = 5.0 if number % 3 == 0 else 1.0
                 self.admission.note_slowdown(slowdown, self.now)
@@ -155,7 +157,7 @@
         assert len(target.running) <= target.admission.slots
         assert target.admission.queued == len(target.waiting)
     while target.running:
-        target.admission.ended(target.running.pop(), target.now)
+        target.admission.complete(target.running.pop(), target.now)
     target.now += 60.0
     target.pump()
     target.pump()
