--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -7,7 +7,7 @@
 
 from pimentoline.twohop.caller_side import CallerSide
 from pimentoline.twohop.dialect import Dialect
-from pimentoline.twohop.exchange import Answer
+from pimentoline.twohop.exchange import Response
 from pimentoline.twohop.model import Member, RepeatLimits
 from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Place, Wanted
 from pimentoline.twohop.target_side import TargetSide
@@ -95,7 +95,7 @@
         )
         self._node = node
 
-    async def _exchange(self, conn, work):
+    async def _call_target(self, conn, work):
         model = self._node.model
         expected = self.status_tracker.current.target_id
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
@@ -104,14 +104,14 @@
         headers = HTTPHeaders({DIALECT.stamp: "s"})
         if expected != model.name:
             headers[DIALECT.not_run] = "1"
-            return Answer(421, "Misdirected", headers, b"", True)
+            return Response(421, "Misdirected", headers, b"", True)
         left_s = work.job.deadline_at - self._clock()
         ran = await model.serve(kind, left_s)
         if ran.not_run:
             headers[DIALECT.not_run] = "1"
         headers[DIALECT.load] = model.load_header()
         body = bytes(kind.answer_bytes) if ran.status == 200 else b""
-        return Answer(ran.status, "", headers, body, True)
+        return Response(ran.status, "", headers, body, True)
 
     async def _probe(self):
         noise = self.admission.noise
@@ -122,7 +122,7 @@
         headers[DIALECT.load] = model.load_header()
         self._probe_task = None
         if model.up:
-            self._note_identity(Answer(200, "", headers, b"", True))
+            self._note_identity(Response(200, "", headers, b"", True))
             self._note_load(headers[DIALECT.load])
         else:
             noise.probe_failed(self._clock())
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -17,7 +17,7 @@
     StoreHistoryError,
     StoreUnavailableError,
 )
-from ..twohop.exchange import AnswerError, exchange
+from ..twohop.exchange import ResponseError, send_request
 
 __all__ = ["PlatformStore", "StoredRow"]
 
@@ -63,13 +63,13 @@
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await self._pool.acquire(self._addr, body is None)
-                answer = await exchange(
+                answer = await send_request(
                     conn, method, path, headers, data, MAX_ANSWER_BYTES
                 )
             if answer.reusable:
                 self._pool.give_back(conn)
                 conn = None
-        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             raise StoreUnavailableError(f"{path:.40}: {exc!r:.80}") from exc
         finally:
             if conn is not None:
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -11,14 +11,14 @@
 )
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
-__all__ = ["Answer", "AnswerError", "exchange"]
+__all__ = ["Response", "ResponseError", "send_request"]
 
 # Answers to earlier requests that are read over before the connection is given up.
 MAX_FOREIGN_ANSWERS = 4
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class Response:
     """A whole answer; `reusable` if the connection may carry another request."""
 
     status: int
@@ -28,7 +28,7 @@
     reusable: bool
 
 
-class AnswerError(Exception):
+class ResponseError(Exception):
     """No whole answer came; `started` if at least its head did."""
 
     def __init__(self, detail, started=False):
@@ -64,20 +64,22 @@
     try:
         await http.read_response(found)
     except (StreamClosedError, UnsatisfiableReadError, HTTPInputError) as exc:
-        raise AnswerError(str(exc), found.start is not None) from exc
+        raise ResponseError(str(exc), found.start is not None) from exc
     if not found.finished:
-        raise AnswerError("answer cut short", found.start is not None)
+        raise ResponseError("answer cut short", found.start is not None)
     headers = found.headers
     bodiless = method == "HEAD" or found.start.code in (204, 304)
     framed = "Content-Length" in headers or "Transfer-Encoding" in headers
     if not framed and not bodiless and stream.error is not None:
-        raise AnswerError("answer ended with a reset", True)
+        raise ResponseError("answer ended with a reset", True)
     keep = "close" not in headers.get("Connection", "").lower()
     reusable = keep and (framed or bodiless) and found.start.version == "HTTP/1.1"
     return found, reusable
 
 
-async def exchange(conn, method, path, headers, body, max_bytes, own=lambda h: True):
+async def send_request(
+    conn, method, path, headers, body, max_bytes, own=lambda h: True
+):
     """Send a request and return its whole answer.
 
     Parameters
@@ -93,11 +95,11 @@
 
     Returns
     -------
-    Answer
+    Response
 
     Raises
     ------
-    AnswerError
+    ResponseError
     """
     http = conn.exchange()
     stream = conn.stream
@@ -111,10 +113,10 @@
                 reusable = False
             start = found.start
             data = b"".join(found.chunks)
-            return Answer(start.code, start.reason, found.headers, data, reusable)
+            return Response(start.code, start.reason, found.headers, data, reusable)
         if not reusable or stream.closed():
             break
         http = HTTP1Connection(stream, True, http.params)
         http.finish()
         await asyncio.sleep(0)
-    raise AnswerError("only answers to other requests came", False)
+    raise ResponseError("only answers to other requests came", False)
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -10,7 +10,7 @@
 from ..logs import BoundedLog, log_entry
 from ..verdict import Verdict
 from .admission import AdmissionController, Job
-from .exchange import AnswerError, exchange
+from .exchange import ResponseError, send_request
 from .frames import MAX_BODY_BYTES, AnswerFrame, BrokenFrame, RefusedFrame
 from .model import FAILED_STATUS
 from .noise import StartDecision
@@ -283,7 +283,7 @@
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 conn = await self._pool.acquire(self._addr, True)
-                answer = await exchange(
+                answer = await send_request(
                     conn, "GET", self._health_path(), HTTPHeaders(), None, MAX_ASK_BYTES
                 )
             if answer.reusable:
@@ -292,7 +292,7 @@
             self._note_identity(answer)
             if not self._note_load(answer.headers.get(self._dialect.load)):
                 noise.probe_failed(self._clock())
-        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             log_entry("target:no-figures", detail=repr(exc)[:80])
             noise.probe_failed(self._clock())
         finally:
@@ -322,7 +322,7 @@
             async with asyncio.timeout(min(left_s, CONNECT_S)):
                 conn = await self._pool.acquire(self._addr, work.frame.repeatable)
             async with asyncio.timeout(left_s):
-                answer = await self._exchange(conn, work)
+                answer = await self._call_target(conn, work)
             if answer.reusable:
                 self._pool.give_back(conn)
             else:
@@ -333,7 +333,7 @@
             self._answered(work, answer)
         except asyncio.CancelledError:
             self._end(work)
-        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             self._failed(work, conn, exc)
         except Exception as exc:
             # Whatever is wrong with this call must not leave its caller waiting.
@@ -383,7 +383,7 @@
                 return value
         return ""
 
-    async def _exchange(self, conn, work):
+    async def _call_target(self, conn, work):
         frame = work.frame
         dialect = self._dialect
         headers = HTTPHeaders()
@@ -400,7 +400,7 @@
         def own(found):
             return found.get(dialect.request_id) in (None, wanted)
 
-        return await exchange(
+        return await send_request(
             conn,
             frame.method,
             frame.path,
