--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -247,7 +247,7 @@
                 model.traits.slots,
                 model.cold_s(),
             )
-            self.target.status_reported(report)
+            self.target.handle_status_report(report)
 
     def stop_for(self, pause_s):
         """Take no calls for a while, as a node does that stops and starts again."""
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/reports.py
@@ -90,13 +90,13 @@
         return 200, b"{}"
 
     async def _report(self, report):
-        if self.node.target.status_reported(report):
+        if self.node.target.handle_status_report(report):
             await self._stored(report.state)
 
     async def _leave(self, target_id, body):
         item = json.loads(body) if body else {}
         born = item.get("born") if isinstance(item, dict) else None
-        if self.node.target.signed_off(target_id, born):
+        if self.node.target.handle_sign_off(target_id, born):
             await self._stored(TargetState.LEFT)
 
     async def _stored(self, state):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -109,7 +109,7 @@
         """Return the `LoadReport` of this moment."""
         return self.admission.report(self._clock(), self.accepting)
 
-    def status_reported(self, report):
+    def handle_status_report(self, report):
         """Take a status report; return whether the state of the target changed."""
         before = self.status_tracker.current
         if report.addr != self._addr:
@@ -141,7 +141,7 @@
         self._pool.close_idle(self._addr)
         return fresh
 
-    def signed_off(self, target_id, born_ms):
+    def handle_sign_off(self, target_id, born_ms):
         """Take a target's leave; return whether the state changed."""
         before = self.status_tracker.current
         self.status_tracker.leave(target_id, born_ms)
