--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -197,7 +197,7 @@
             if node.service == service:
                 view = self._view(node)
                 if node is self:
-                    view.note_report(self.target.load(), self.clock())
+                    view.note_report(self.target.load_report(), self.clock())
                 found.append(view)
         return found
 
@@ -222,7 +222,7 @@
 
     def announce(self):
         """Tell the other nodes the state of this node's target."""
-        load = self.target.load()
+        load = self.target.load_report()
         for node in self.network.nodes:
             if node is not self:
                 self.network.send(self, node, 0, node.heard, self, load)
@@ -276,7 +276,9 @@
         self.announce()
         for node in self.network.nodes:
             if node is not self and node.up:
-                self.network.send(node, self, 0, self.heard, node, node.target.load())
+                self.network.send(
+                    node, self, 0, self.heard, node, node.target.load_report()
+                )
 
 
 class _Sent:
--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -115,7 +115,7 @@
     @property
     def limit(self):
         """Calls that may run at once."""
-        return self._durations.limit(self.slots, self._cold)
+        return self._durations.concurrency_limit(self.slots, self._cold)
 
     @property
     def queued(self):
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -91,7 +91,7 @@
         fresh = max(0.0, 1.0 - (now - self._noted_at) / FADE_S)
         return plain_s + (mean_s - plain_s) * fresh
 
-    def limit(self, slots, cold):
+    def concurrency_limit(self, slots, cold):
         """Return how many calls to let run at once.
 
         While nothing is known, the last slots are tried, but not at a cold target,
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -299,7 +299,7 @@
 
     def hello(self):
         """Return the greeting of this moment."""
-        return fr.Hello(self.me, self.config.version, self.target.load())
+        return fr.Hello(self.me, self.config.version, self.target.load_report())
 
     # Members.
 
@@ -354,7 +354,7 @@
         """Return the candidates of a service; the local report is refreshed."""
         local = self.local
         if local is not None and local.member.service == service:
-            local.note_report(self.target.load(), self.clock())
+            local.note_report(self.target.load_report(), self.clock())
         return self._by_service.get(service, ())
 
     # Calls.
@@ -394,7 +394,7 @@
 
     def announce(self):
         """Tell every peer the load and the configuration's version."""
-        frame = fr.LoadFrame(self.target.load(), self.config.version)
+        frame = fr.LoadFrame(self.target.load_report(), self.config.version)
         for link in list(self.incoming):
             link.send(frame)
 
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -105,7 +105,7 @@
         held = self.status_tracker.current
         return held is not None and held.state is TargetState.LEFT
 
-    def load(self):
+    def load_report(self):
         """Return the `LoadReport` of this moment."""
         return self.admission.report(self._clock(), self.accepting)
 
@@ -239,7 +239,7 @@
             reason,
             int(retry_after_s * MS),
             at_target,
-            self.load(),
+            self.load_report(),
         )
         self._end(work, frame)
 
@@ -362,7 +362,7 @@
             verdict=verdict.value,
             detail=str(exc)[:120],
         )
-        frame = BrokenFrame(work.frame.stream, reason, verdict, self.load())
+        frame = BrokenFrame(work.frame.stream, reason, verdict, self.load_report())
         self._end(work, frame)
 
     def _note_down(self):
@@ -427,7 +427,7 @@
             or headers.get("Content-Encoding") is not None
         ):
             frame = BrokenFrame(
-                work.frame.stream, "answer-not-whole", Verdict.RAN, self.load()
+                work.frame.stream, "answer-not-whole", Verdict.RAN, self.load_report()
             )
             self._end(work, frame)
             return
@@ -438,7 +438,7 @@
             answer.reason,
             tuple(kept.get_all()),
             len(answer.body),
-            self.load(),
+            self.load_report(),
         )
         self._end(work, frame, answer.body)
 
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -420,8 +420,8 @@
 
 def test_cold_target_is_not_filled_beyond_a_likely_knee():
     """Guards against a recovery that the last slots make slower."""
-    assert DurationEstimator().limit(10, cold=True) == 8
-    assert DurationEstimator().limit(10, cold=False) == 10
+    assert DurationEstimator().concurrency_limit(10, cold=True) == 8
+    assert DurationEstimator().concurrency_limit(10, cold=False) == 10
 
 
 def test_questions_stay_within_the_budget():
@@ -446,7 +446,7 @@
     for _ in range(40):
         durations.note("k", 0.1, 3, 10, NOW)
         durations.note("k", 0.1 * factor, 10, 10, NOW)
-    assert durations.limit(10, cold=False) == limit
+    assert durations.concurrency_limit(10, cold=False) == limit
 
 
 # Placement.
