--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -11,7 +11,7 @@
 from pimentoline.twohop.model import Member, RepeatLimits
 from pimentoline.twohop.placement import HEAD_BYTES, Candidate, Place, Wanted
 from pimentoline.twohop.target_side import TargetSide
-from pimentoline.twohop.target_status import StatusReport, TargetState, TargetStatus
+from pimentoline.twohop.target_status import Heartbeat, TargetState, TargetStatus
 
 __all__ = ["Network", "Node", "Traffic"]
 
@@ -237,7 +237,7 @@
         """Give the node the status report of its target."""
         model = self.model
         if self.up and model.up:
-            report = StatusReport(
+            report = Heartbeat(
                 model.name,
                 TARGET_ADDR,
                 self.service,
@@ -247,7 +247,7 @@
                 model.traits.slots,
                 model.cold_s(),
             )
-            self.target.handle_status_report(report)
+            self.target.handle_heartbeat(report)
 
     def stop_for(self, pause_s):
         """Take no calls for a while, as a node does that stops and starts again."""
--- a/pimentoline/platform/reports.py
+++ b/pimentoline/platform/reports.py
@@ -14,7 +14,7 @@
 
 from ..logs import log_entry
 from ..settings import parse_addr
-from ..twohop.target_status import StatusReport, TargetState
+from ..twohop.target_status import Heartbeat, TargetState
 from .settings import seconds
 
 __all__ = ["Reports", "parse_report"]
@@ -25,7 +25,7 @@
 
 
 def parse_report(target_id, body):
-    """Return the `StatusReport` of a status report's body.
+    """Return the `Heartbeat` of a status report's body.
 
     Raises
     ------
@@ -40,7 +40,7 @@
             raise TypeError(f"found {number!r:.40}; allowed: a whole number")
     if not isinstance(info["service"], str):
         raise TypeError("service is not a text")
-    return StatusReport(
+    return Heartbeat(
         target_id,
         parse_addr(item["address"]),
         info["service"],
@@ -90,7 +90,7 @@
         return 200, b"{}"
 
     async def _report(self, report):
-        if self.node.target.handle_status_report(report):
+        if self.node.target.handle_heartbeat(report):
             await self._stored(report.state)
 
     async def _leave(self, target_id, body):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -109,7 +109,7 @@
         """Return the `LoadReport` of this moment."""
         return self.admission.report(self._clock(), self.accepting)
 
-    def handle_status_report(self, report):
+    def handle_heartbeat(self, report):
         """Take a status report; return whether the state of the target changed."""
         before = self.status_tracker.current
         if report.addr != self._addr:
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass, replace
 
-__all__ = ["StatusReport", "StatusTracker", "TargetState", "TargetStatus"]
+__all__ = ["Heartbeat", "StatusTracker", "TargetState", "TargetStatus"]
 
 
 class TargetState(enum.Enum):
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StatusReport:
+class Heartbeat:
     """One status report.
 
     Attributes
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -23,7 +23,7 @@
 from pimentoline.twohop.placement import Candidate, Place, Wanted, choose
 from pimentoline.twohop.splits import Splits
 from pimentoline.twohop.target_status import (
-    StatusReport,
+    Heartbeat,
     StatusTracker,
     TargetState,
     TargetStatus,
@@ -599,7 +599,7 @@
 
 def report(target="t1", born=5, sequence=1, state=TargetState.READY):
     """Return a status report."""
-    return StatusReport(target, ADDR, "ledger", born, sequence, state, 12)
+    return Heartbeat(target, ADDR, "ledger", born, sequence, state, 12)
 
 
 def test_late_reports_never_bring_a_target_back():
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -13,7 +13,7 @@
 from pimentoline.twohop.admission import AdmissionController, Job
 from pimentoline.twohop.model import Kind, Member, Route, Share
 from pimentoline.twohop.noise import StartDecision
-from pimentoline.twohop.target_status import StatusReport, StatusTracker, TargetState
+from pimentoline.twohop.target_status import Heartbeat, StatusTracker, TargetState
 from pimentoline.twohop.watch import MEMBERS_TABLE, Watch
 from pimentoline.verdict import Verdict
 
@@ -247,7 +247,7 @@
 
     async def report(self, state, sequence, born=5):
         """Take a status report; return once it is acknowledged."""
-        held = StatusReport(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
+        held = Heartbeat(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
         before = self.target.status_tracker.current
         if self.target.status_tracker.accept(held):
             if before is None or before.state is not state:
