--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -88,7 +88,7 @@
     def __init__(self, slots):
         self.slots = max(1, slots)
         self.running = 0
-        self.cold_until = 0.0
+        self.cold_start_until = 0.0
         self.noise = NoiseDetector()
         self.outcomes = Outcomes()
         self._durations = DurationEstimator()
@@ -108,7 +108,7 @@
 
         It holds the slow start as well, which no waiting ends.
         """
-        if now < self.cold_until:
+        if now < self.cold_start_until:
             slowdown /= COLD_FACTOR
         self.noise.note(slowdown, now)
 
@@ -144,7 +144,7 @@
             usual = self._durations.expected_s(None, now)
         else:
             usual = self._durations.expected_s(job.kind, now, job.goal_s)
-        self._cold = now < self.cold_until
+        self._cold = now < self.cold_start_until
         return usual * COLD_FACTOR if self._cold else usual
 
     def wait_s(self, now, ahead):
@@ -267,7 +267,7 @@
 
     def complete(self, job, now):
         """Note that a job's answer is complete, and how long it took."""
-        if job.running and now >= self.cold_until:
+        if job.running and now >= self.cold_start_until:
             taken = now - job.started_at
             self._durations.note(job.kind, taken, job.began_with, self.slots, now)
         self.remove(job)
@@ -284,7 +284,7 @@
         queued = self.queued
         rest = self.noise.rest_s(now)
         delay = self.duration_s(now) + self.wait_s(now, queued) - rest
-        cold_s = max(0.0, self.cold_until - now)
+        cold_s = max(0.0, self.cold_start_until - now)
         if cold_s:
             # Whoever reads this later must not take the slow start for the usual.
             delay /= COLD_FACTOR
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -131,7 +131,7 @@
         self._stored_only = False
         self.service = report.service
         self.admission.set_slots(report.slots)
-        self.admission.cold_until = self._clock() + report.cold_s
+        self.admission.cold_start_until = self._clock() + report.cold_s
         return self._changed(before)
 
     def _renewed(self, slots):
@@ -312,7 +312,7 @@
         self._stored_only = False
         before = self.status_tracker.current
         if self.status_tracker.answered_as(found):
-            self.admission.cold_until = self._clock() + ASSUMED_COLD_S
+            self.admission.cold_start_until = self._clock() + ASSUMED_COLD_S
             self._changed(before)
 
     async def _run(self, work):
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -317,7 +317,7 @@
 def test_short_call_is_taken_by_a_target_that_has_just_started():
     """Guards against refusing every short call until a cold target has warmed up."""
     admission = AdmissionController(17)
-    admission.cold_until = NOW + 3.0
+    admission.cold_start_until = NOW + 3.0
     admission.noise.probe_failed(NOW)
     fetch = Job(2, NOW + 0.1, NOW + 0.25, kind=SHORT)
     assert admission.offer(fetch, NOW) is None
@@ -388,7 +388,7 @@
 def test_slow_start_of_a_target_is_not_taken_for_noise():
     """Guards against a target without calls for most of a second after its start."""
     admission = AdmissionController(10)
-    admission.cold_until = NOW + 3.0
+    admission.cold_start_until = NOW + 3.0
     waiting = job()
     admission.offer(waiting, NOW)
     admission.note_slowdown(10.0, NOW)
@@ -545,7 +545,7 @@
 def test_target_that_joined_cold_gets_calls_once_it_is_warm():
     """Guards against a newcomer that is judged for ever by its first slow seconds."""
     admission = AdmissionController(12)
-    admission.cold_until = NOW + 3.0
+    admission.cold_start_until = NOW + 3.0
     joined, old = candidate("joined"), candidate("old", delay_ms=130)
     joined.note_report(admission.report(NOW, True), NOW)
     assert shares([joined, old], NOW + 0.1)[0] == 0
