--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -6,9 +6,8 @@
 from tornado.httputil import HTTPHeaders
 
 from pimentoline.twohop.caller_side import CallerSide
-from pimentoline.twohop.exchange import Answer
+from pimentoline.twohop.exchange import Response
 from pimentoline.twohop.header_names import HeaderNames
-from pimentoline.twohop.lifetimes import Lifetime, Report, TargetState
 from pimentoline.twohop.model import Member, RetryLimits
 from pimentoline.twohop.placement import (
     HEAD_BYTES,
@@ -17,6 +16,7 @@
     Location,
 )
 from pimentoline.twohop.target_side import TargetSide
+from pimentoline.twohop.target_status import Heartbeat, TargetState, TargetStatus
 
 __all__ = ["Network", "Node", "Traffic"]
 
@@ -100,37 +100,37 @@
         )
         self._node = node
 
-    async def _exchange(self, conn, work):
+    async def _call_target(self, conn, work):
         model = self._node.model
-        expected = self.lifetimes.held.target_id
+        expected = self.status_tracker.current.target_id
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not model.up:
             raise ConnectionRefusedError("the target is down")
         headers = HTTPHeaders({DIALECT.response_stamp: "s"})
         if expected != model.name:
             headers[DIALECT.not_run] = "1"
-            return Answer(421, "Misdirected", headers, b"", True)
+            return Response(421, "Misdirected", headers, b"", True)
         left_s = work.job.deadline_at - self._clock()
         ran = await model.serve(kind, left_s)
         if ran.not_run:
             headers[DIALECT.not_run] = "1"
         headers[DIALECT.load] = model.load_header()
         body = bytes(kind.answer_bytes) if ran.status == 200 else b""
-        return Answer(ran.status, "", headers, body, True)
+        return Response(ran.status, "", headers, body, True)
 
-    async def _ask(self):
+    async def _probe(self):
         noise = self.admission.noise
-        noise.asked(self._clock())
+        noise.probe_started(self._clock())
         await asyncio.sleep(ASK_S)
         model = self._node.model
         headers = HTTPHeaders({DIALECT.target_id: model.name})
         headers[DIALECT.load] = model.load_header()
-        self._asking = None
+        self._probe_task = None
         if model.up:
-            self._note_identity(Answer(200, "", headers, b"", True))
+            self._note_identity(Response(200, "", headers, b"", True))
             self._note_load(headers[DIALECT.load])
         else:
-            noise.unanswered(self._clock())
+            noise.probe_failed(self._clock())
         self._pump()
 
 
@@ -202,7 +202,7 @@
             if node.service == service:
                 view = self._view(node)
                 if node is self:
-                    view.note_report(self.target.load(), self.clock())
+                    view.note_report(self.target.load_report(), self.clock())
                 found.append(view)
         return found
 
@@ -227,7 +227,7 @@
 
     def announce(self):
         """Tell the other nodes the state of this node's target."""
-        load = self.target.load()
+        load = self.target.load_report()
         for node in self.network.nodes:
             if node is not self:
                 self.network.send(self, node, 0, node.heard, self, load)
@@ -242,7 +242,7 @@
         """Give the node the status report of its target."""
         model = self.model
         if self.up and model.up:
-            report = Report(
+            report = Heartbeat(
                 model.name,
                 TARGET_ADDR,
                 self.service,
@@ -252,7 +252,7 @@
                 model.traits.slots,
                 model.cold_s(),
             )
-            self.target.status_reported(report)
+            self.target.handle_heartbeat(report)
 
     def stop_for(self, pause_s):
         """Take no calls for a while, as a node does that stops and starts again."""
@@ -265,8 +265,8 @@
 
     def restart(self, down_s):
         """Lose everything; be up again after `down_s` with what was stored."""
-        held = self.target.lifetimes.held
-        stored = Lifetime(held.target_id, held.born_ms, 0, held.state)
+        held = self.target.status_tracker.current
+        stored = TargetStatus(held.target_id, held.born_ms, 0, held.state)
         self.caller_side.abort()
         self.lives += 1
         self.up = False
@@ -281,7 +281,9 @@
         self.announce()
         for node in self.network.nodes:
             if node is not self and node.up:
-                self.network.send(node, self, 0, self.heard, node, node.target.load())
+                self.network.send(
+                    node, self, 0, self.heard, node, node.target.load_report()
+                )
 
 
 class _Sent:
--- a/pimentoline/platform/report_server.py
+++ b/pimentoline/platform/report_server.py
@@ -14,7 +14,7 @@
 
 from ..logs import log_entry
 from ..settings import parse_addr
-from ..twohop.lifetimes import Report, TargetState
+from ..twohop.target_status import Heartbeat, TargetState
 from .settings import parse_duration
 
 __all__ = ["ReportServer", "parse_status_report"]
@@ -25,7 +25,7 @@
 
 
 def parse_status_report(target_id, body):
-    """Return the `Report` of a status report's body.
+    """Return the `Heartbeat` of a status report's body.
 
     Raises
     ------
@@ -40,7 +40,7 @@
             raise TypeError(f"found {number!r:.40}; allowed: a whole number")
     if not isinstance(info["service"], str):
         raise TypeError("service is not a text")
-    return Report(
+    return Heartbeat(
         target_id,
         parse_addr(item["address"]),
         info["service"],
@@ -90,13 +90,13 @@
         return 200, b"{}"
 
     async def _report(self, report):
-        if self.node.target.status_reported(report):
+        if self.node.target.handle_heartbeat(report):
             await self._stored(report.state)
 
     async def _leave(self, target_id, body):
         item = json.loads(body) if body else {}
         born = item.get("born") if isinstance(item, dict) else None
-        if self.node.target.signed_off(target_id, born):
+        if self.node.target.handle_sign_off(target_id, born):
             await self._stored(TargetState.LEFT)
 
     async def _stored(self, state):
--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -7,12 +7,12 @@
 import heapq
 from dataclasses import dataclass
 
-from .durations import Durations
+from .durations import DurationEstimator
 from .model import COLD_START_SLOWDOWN, LoadReport
-from .noise import Gate, Noise
+from .noise import NoiseDetector, StartDecision
 from .success_rate import SuccessRate
 
-__all__ = ["Admission", "Job", "Refused"]
+__all__ = ["AdmissionController", "Job", "Refused"]
 
 # Calls whose objective is already lost may wait up to this many times the limit.
 LATE_QUEUE = 0.5
@@ -76,7 +76,7 @@
     retry_after_s: float
 
 
-class Admission:
+class AdmissionController:
     """Running and waiting jobs of one target.
 
     Parameters
@@ -88,10 +88,10 @@
     def __init__(self, slots):
         self.slots = max(1, slots)
         self.running = 0
-        self.cold_until = 0.0
-        self.noise = Noise()
+        self.cold_start_until = 0.0
+        self.noise = NoiseDetector()
         self.outcomes = SuccessRate()
-        self._durations = Durations()
+        self._durations = DurationEstimator()
         self._started_sum = 0.0
         self._usual_sum = 0.0
         self._queue = []
@@ -103,19 +103,19 @@
         """Take the number of slots that the target reports."""
         self.slots = max(1, slots)
 
-    def note_slowness(self, slowness, now):
+    def note_slowdown(self, slowdown, now):
         """Take the target's figure of how many times as long as usual work takes.
 
         It holds the slow start as well, which no waiting ends.
         """
-        if now < self.cold_until:
-            slowness /= COLD_START_SLOWDOWN
-        self.noise.note(slowness, now)
+        if now < self.cold_start_until:
+            slowdown /= COLD_START_SLOWDOWN
+        self.noise.note(slowdown, now)
 
     @property
     def limit(self):
         """Calls that may run at once."""
-        return self._durations.limit(self.slots, self._cold)
+        return self._durations.concurrency_limit(self.slots, self._cold)
 
     @property
     def queued(self):
@@ -141,10 +141,10 @@
 
     def _usual_s(self, now, job):
         if job is None:
-            usual = self._durations.of(None, now)
+            usual = self._durations.expected_s(None, now)
         else:
-            usual = self._durations.of(job.kind, now, job.goal_s)
-        self._cold = now < self.cold_until
+            usual = self._durations.expected_s(job.kind, now, job.goal_s)
+        self._cold = now < self.cold_start_until
         return usual * COLD_START_SLOWDOWN if self._cold else usual
 
     def wait_s(self, now, ahead):
@@ -161,7 +161,7 @@
         Returns
         -------
         Refused or None
-            None if the job runs or waits; `next` tells which.
+            None if the job runs or waits; `next_action` tells which.
         """
         job.goal_s = job.goal_at - now
         duration = self.duration_s(now, job)
@@ -191,15 +191,15 @@
         self._order += 1
         heapq.heappush(queue, (job.priority, job.goal_at, self._order, job))
 
-    def next(self, now):
+    def next_action(self, now):
         """Return what happens to the first waiting job.
 
         Returns
         -------
-        tuple of (Job, Refused or None) or Gate
+        tuple of (Job, Refused or None) or StartDecision
             A job that starts, or with a refusal one that leaves the queue, since it
             cannot be answered in time here any more. Otherwise `START` if nothing
-            can be done now, `ASK` if the target must be asked for its figure first,
+            can be done now, `PROBE` if the target must be asked for its figure first,
             or `HOLD` while it is noisy.
         """
         self._clean(self._queue)
@@ -214,9 +214,9 @@
                 return job, found
         queue = self._queue or self._late
         if not queue or self.running >= self.limit:
-            return Gate.START
-        gate = self.noise.gate(now)
-        if gate is not Gate.START:
+            return StartDecision.START
+        gate = self.noise.decide(now)
+        if gate is not StartDecision.START:
             return gate
         job = heapq.heappop(queue)[-1]
         job.running = True
@@ -247,7 +247,7 @@
         while queue and queue[0][-1].dropped:
             heapq.heappop(queue)
 
-    def given_up(self, job, now):
+    def caller_left(self, job, now):
         """Note that a job's caller has gone while it ran.
 
         A job that took far longer than usual counts as one without an answer.
@@ -256,7 +256,7 @@
             if now - job.started_at > HUNG_FACTOR * job.usual_s:
                 self.outcomes.note(False, now)
 
-    def drop(self, job):
+    def remove(self, job):
         """Forget a job whose caller has gone, or that has ended."""
         if job.running:
             job.running = False
@@ -265,14 +265,14 @@
             self._usual_sum -= job.usual_s
         job.dropped = True
 
-    def ended(self, job, now):
+    def complete(self, job, now):
         """Note that a job's answer is complete, and how long it took."""
-        if job.running and now >= self.cold_until:
+        if job.running and now >= self.cold_start_until:
             taken = now - job.started_at
             self._durations.note(job.kind, taken, job.began_with, self.slots, now)
-        self.drop(job)
+        self.remove(job)
 
-    def clear(self):
+    def take_waiting(self):
         """Return the jobs that wait, and forget them."""
         jobs = [entry[-1] for entry in (*self._queue, *self._late)]
         self._queue.clear()
@@ -284,7 +284,7 @@
         queued = self.queued
         rest = self.noise.rest_s(now)
         delay = self.duration_s(now) + self.wait_s(now, queued) - rest
-        cold_s = max(0.0, self.cold_until - now)
+        cold_s = max(0.0, self.cold_start_until - now)
         if cold_s:
             # Whoever reads this later must not take the slow start for the usual.
             delay /= COLD_START_SLOWDOWN
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -9,12 +9,12 @@
 from ..headers import DROPPED_FROM_REQUEST, DROPPED_FROM_RESPONSE, end_to_end_headers
 from ..logs import RateLimitedLog, log_entry
 from ..verdict import Verdict
-from .admission import Admission, Job
-from .exchange import AnswerError, exchange
+from .admission import AdmissionController, Job
+from .exchange import ResponseError, send_request
 from .frames import MAX_BODY_BYTES, FailedFrame, RefusedFrame, ResponseFrame
-from .lifetimes import Lifetimes, TargetState
 from .model import MIN_FAILURE_STATUS
-from .noise import Gate
+from .noise import StartDecision
+from .target_status import StatusTracker, TargetState
 
 __all__ = ["TargetSide", "Work"]
 
@@ -46,7 +46,7 @@
     body: bytes
     job: Job
     reply: object
-    admission: Admission
+    admission: AdmissionController
     task: object = None
     ended: bool = False
     cancelled: bool = False
@@ -79,13 +79,13 @@
         self._on_change = on_change
         self._log = RateLimitedLog(clock)
         self.service = service
-        self.lifetimes = Lifetimes()
-        self.admission = Admission(DEFAULT_SLOTS)
+        self.status_tracker = StatusTracker()
+        self.admission = AdmissionController(DEFAULT_SLOTS)
         self.stopping = False
         self._stored_only = False
         self._down_until = 0.0
         self._health_path = health_path
-        self._asking = None
+        self._probe_task = None
         self._works = {}
         self._sweep = None
 
@@ -94,7 +94,7 @@
     @property
     def accepting(self):
         """Whether new calls are taken."""
-        held = self.lifetimes.held
+        held = self.status_tracker.current
         ready = held is not None and held.state is TargetState.READY
         up = self._clock() >= self._down_until
         return ready and up and not self.stopping
@@ -102,20 +102,20 @@
     @property
     def has_left(self):
         """Whether the target has signed off."""
-        held = self.lifetimes.held
+        held = self.status_tracker.current
         return held is not None and held.state is TargetState.LEFT
 
-    def load(self):
+    def load_report(self):
         """Return the `LoadReport` of this moment."""
         return self.admission.report(self._clock(), self.accepting)
 
-    def status_reported(self, report):
+    def handle_heartbeat(self, report):
         """Take a status report; return whether the state of the target changed."""
-        before = self.lifetimes.held
+        before = self.status_tracker.current
         if report.addr != self._addr:
             log_entry("target:foreign", target=report.target_id)
             return False
-        if not self.lifetimes.accept(report):
+        if not self.status_tracker.accept(report):
             log_entry(
                 "target:late-report",
                 target=report.target_id,
@@ -131,31 +131,31 @@
         self._stored_only = False
         self.service = report.service
         self.admission.set_slots(report.slots)
-        self.admission.cold_until = self._clock() + report.cold_s
+        self.admission.cold_start_until = self._clock() + report.cold_s
         return self._changed(before)
 
     def _renewed(self, slots):
-        fresh = Admission(slots)
-        for job in self.admission.clear():
+        fresh = AdmissionController(slots)
+        for job in self.admission.take_waiting():
             self._refuse(self._works[job], "target-replaced", NOT_ACCEPTING_RETRY_S)
         self._pool.close_idle(self._addr)
         return fresh
 
-    def signed_off(self, target_id, born_ms):
+    def handle_sign_off(self, target_id, born_ms):
         """Take a target's leave; return whether the state changed."""
-        before = self.lifetimes.held
-        self.lifetimes.leave(target_id, born_ms)
+        before = self.status_tracker.current
+        self.status_tracker.leave(target_id, born_ms)
         return self._changed(before)
 
-    def restore(self, lifetime):
+    def restore(self, status):
         """Take the state that an earlier process of this node has stored."""
-        before = self.lifetimes.held
-        if self.lifetimes.merge(lifetime):
+        before = self.status_tracker.current
+        if self.status_tracker.merge(status):
             self._stored_only = before is None
             self._changed(before)
 
     def _changed(self, before):
-        held = self.lifetimes.held
+        held = self.status_tracker.current
         same = before is not None and (before.target_id, before.state) == (
             held.target_id,
             held.state,
@@ -181,7 +181,7 @@
         self._on_change()
 
     def _refuse_queue(self, reason):
-        for job in self.admission.clear():
+        for job in self.admission.take_waiting():
             self._refuse(self._works[job], reason, NOT_ACCEPTING_RETRY_S)
 
     @property
@@ -227,7 +227,7 @@
         if work.task is not None and not work.frame.retryable:
             return
         if work.task is not None:
-            work.admission.given_up(work.job, self._clock())
+            work.admission.caller_left(work.job, self._clock())
             work.task.cancel()
         # A task that is cancelled before its first step never runs its own end.
         self._end(work)
@@ -239,7 +239,7 @@
             reason,
             int(retry_after_s * MS),
             at_target,
-            self.load(),
+            self.load_report(),
         )
         self._end(work, frame)
 
@@ -247,26 +247,26 @@
         if work.ended:
             return
         work.ended = True
-        work.admission.drop(work.job)
+        work.admission.remove(work.job)
         self._works.pop(work.job, None)
         if frame is not None and not work.cancelled:
             work.reply(frame, body)
 
     def _pump(self):
         while True:
-            found = self.admission.next(self._clock())
-            if isinstance(found, Gate):
+            found = self.admission.next_action(self._clock())
+            if isinstance(found, StartDecision):
                 break
             job, refused = found
             work = self._works.get(job)
             if work is None:
-                self.admission.drop(job)
+                self.admission.remove(job)
             elif refused is not None:
                 self._refuse(work, refused.reason, refused.retry_after_s)
             else:
                 work.task = asyncio.get_running_loop().create_task(self._run(work))
-        if found is Gate.ASK and self._asking is None:
-            self._asking = asyncio.get_running_loop().create_task(self._ask())
+        if found is StartDecision.PROBE and self._probe_task is None:
+            self._probe_task = asyncio.get_running_loop().create_task(self._probe())
         if self._sweep is None and self.admission.queued:
             loop = asyncio.get_running_loop()
             self._sweep = loop.call_later(SWEEP_S, self._swept)
@@ -275,15 +275,15 @@
         self._sweep = None
         self._pump()
 
-    async def _ask(self):
+    async def _probe(self):
         """Ask the target for its figures; without an answer calls start blindly."""
         noise = self.admission.noise
-        noise.asked(self._clock())
+        noise.probe_started(self._clock())
         conn = None
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 conn = await self._pool.acquire(self._addr, True)
-                answer = await exchange(
+                answer = await send_request(
                     conn, "GET", self._health_path(), HTTPHeaders(), None, MAX_ASK_BYTES
                 )
             if answer.reusable:
@@ -291,12 +291,12 @@
                 conn = None
             self._note_identity(answer)
             if not self._note_load(answer.headers.get(self._dialect.load)):
-                noise.unanswered(self._clock())
-        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+                noise.probe_failed(self._clock())
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             log_entry("target:no-figures", detail=repr(exc)[:80])
-            noise.unanswered(self._clock())
+            noise.probe_failed(self._clock())
         finally:
-            self._asking = None
+            self._probe_task = None
             if conn is not None:
                 conn.close()
             self._pump()
@@ -310,9 +310,9 @@
         if not self._stored_only or answer.status != 200 or not found:
             return
         self._stored_only = False
-        before = self.lifetimes.held
-        if self.lifetimes.answered_as(found):
-            self.admission.cold_until = self._clock() + ASSUMED_COLD_S
+        before = self.status_tracker.current
+        if self.status_tracker.answered_as(found):
+            self.admission.cold_start_until = self._clock() + ASSUMED_COLD_S
             self._changed(before)
 
     async def _run(self, work):
@@ -322,18 +322,18 @@
             async with asyncio.timeout(min(left_s, CONNECT_S)):
                 conn = await self._pool.acquire(self._addr, work.frame.retryable)
             async with asyncio.timeout(left_s):
-                answer = await self._exchange(conn, work)
+                answer = await self._call_target(conn, work)
             if answer.reusable:
                 self._pool.release(conn)
             else:
                 conn.close()
             conn = None
             if work.job.running and answer.status < MIN_FAILURE_STATUS:
-                work.admission.ended(work.job, self._clock())
+                work.admission.complete(work.job, self._clock())
             self._answered(work, answer)
         except asyncio.CancelledError:
             self._end(work)
-        except (OSError, StreamClosedError, TimeoutError, AnswerError) as exc:
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             self._failed(work, conn, exc)
         except Exception as exc:
             # Whatever is wrong with this call must not leave its caller waiting.
@@ -357,12 +357,12 @@
         self._log.entry(
             "call:broken",
             request=self._request_id(work),
-            target=self.lifetimes.held.target_id,
+            target=self.status_tracker.current.target_id,
             reason=reason,
             verdict=verdict.value,
             detail=str(exc)[:120],
         )
-        frame = FailedFrame(work.frame.stream, reason, verdict, self.load())
+        frame = FailedFrame(work.frame.stream, reason, verdict, self.load_report())
         self._end(work, frame)
 
     def _note_down(self):
@@ -370,7 +370,7 @@
         if self._clock() < self._down_until:
             return
         self._down_until = self._clock() + DOWN_S
-        log_entry("target:unreachable", target=self.lifetimes.held.target_id)
+        log_entry("target:unreachable", target=self.status_tracker.current.target_id)
         self._refuse_queue("target-unreachable")
         self._on_change()
         loop = asyncio.get_running_loop()
@@ -383,7 +383,7 @@
                 return value
         return ""
 
-    async def _exchange(self, conn, work):
+    async def _call_target(self, conn, work):
         frame = work.frame
         dialect = self._dialect
         headers = HTTPHeaders()
@@ -392,7 +392,7 @@
         left_ms = int((work.job.deadline_at - self._clock()) * MS)
         headers[dialect.deadline_ms] = str(max(left_ms, 1))
         headers[dialect.caller_service] = frame.caller_service
-        headers[dialect.expect_target] = self.lifetimes.held.target_id
+        headers[dialect.expect_target] = self.status_tracker.current.target_id
         if work.body or frame.method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(work.body))
         wanted = headers.get(dialect.request_id)
@@ -400,7 +400,7 @@
         def own(found):
             return found.get(dialect.request_id) in (None, wanted)
 
-        return await exchange(
+        return await send_request(
             conn,
             frame.method,
             frame.path,
@@ -427,7 +427,7 @@
             or headers.get("Content-Encoding") is not None
         ):
             frame = FailedFrame(
-                work.frame.stream, "answer-not-whole", Verdict.RAN, self.load()
+                work.frame.stream, "answer-not-whole", Verdict.RAN, self.load_report()
             )
             self._end(work, frame)
             return
@@ -440,7 +440,7 @@
             answer.reason,
             tuple(kept.get_all()),
             len(answer.body),
-            self.load(),
+            self.load_report(),
         )
         self._end(work, frame, answer.body)
 
@@ -459,7 +459,7 @@
         if len(figures) >= 3 and figures[2] > 0:
             self.admission.set_slots(figures[2])
         if len(figures) >= 4 and figures[3] > 0:
-            self.admission.note_slowness(figures[3] / 100.0, self._clock())
+            self.admission.note_slowdown(figures[3] / 100.0, self._clock())
             return True
         return False
 
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -19,7 +19,7 @@
 
 PACKAGE = Path(pimentoline.__file__).parent
 TWOHOP_DECISIONS = (
-    *("admission", "retry_budget", "durations", "lifecycle", "lifetimes", "model"),
+    *("admission", "retry_budget", "durations", "lifecycle", "target_status", "model"),
     *("noise", "success_rate", "placement", "weighted_round_robin"),
 )
 ALLOWED = {
@@ -92,7 +92,7 @@
     names = {path.stem for path in core_modules()}
     assert {"routing", "limits", "retries", "hot_cold", "ruleset", "model"} <= names
     assert "proxy" not in names
-    assert not names & {"node", "peers", "links", "front", "target_side"}
+    assert not names & {"node", "peers", "links", "frontend", "target_side"}
 
 
 @pytest.mark.parametrize("policy", policy_names())
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -10,11 +10,11 @@
 from pimentoline.errors import StoreConflictError, StoreUnavailableError
 from pimentoline.platform.store import StoredRow
 from pimentoline.twohop import lifecycle as lc
-from pimentoline.twohop.admission import Admission, Job
-from pimentoline.twohop.lifetimes import Lifetimes, Report, TargetState
+from pimentoline.twohop.admission import AdmissionController, Job
 from pimentoline.twohop.model import Member, Route, RouteKind, Share
-from pimentoline.twohop.noise import Gate
+from pimentoline.twohop.noise import StartDecision
 from pimentoline.twohop.store_sync import MEMBERS_TABLE, StoreSync
+from pimentoline.twohop.target_status import Heartbeat, StatusTracker, TargetState
 from pimentoline.verdict import Verdict
 
 from .test_twohop_decisions import World
@@ -100,11 +100,11 @@
 
 
 class Target:
-    """An `Admission`, what runs there and what has been decided."""
+    """An `AdmissionController`, what runs there and what has been decided."""
 
     def __init__(self):
         self.now = NOW
-        self.admission = Admission(4)
+        self.admission = AdmissionController(4)
         self.waiting, self.running, self.refused = set(), [], set()
 
     def offer(self, number, last_resort):
@@ -118,7 +118,9 @@
 
     def pump(self):
         """Start or refuse what can be."""
-        while not isinstance(found := self.admission.next(self.now), Gate):
+        while not isinstance(
+            found := self.admission.next_action(self.now), StartDecision
+        ):
             job, refused = found
             assert job in self.waiting
             self.waiting.remove(job)
@@ -127,8 +129,8 @@
             else:
                 assert self.now <= job.deadline_at
                 self.running.append(job)
-        if found is Gate.ASK:
-            self.admission.noise.asked(self.now)
+        if found is StartDecision.PROBE:
+            self.admission.noise.probe_started(self.now)
 
     def step(self, name, number):
         """Take one step of a schedule."""
@@ -137,12 +139,12 @@
             case "offer" | "last":
                 self.offer(number, name == "last")
             case "end" if self.running:
-                self.admission.ended(self.running.pop(0), self.now)
+                self.admission.complete(self.running.pop(0), self.now)
             case "drop" if self.waiting:
-                self.admission.drop(self.waiting.pop())
+                self.admission.remove(self.waiting.pop())
             case "figure":
-                slowness = 5.0 if number % 3 == 0 else 1.0
-                self.admission.note_slowness(slowness, self.now)
+                slowdown = 5.0 if number % 3 == 0 else 1.0
+                self.admission.note_slowdown(slowdown, self.now)
         self.pump()
 
 
@@ -157,7 +159,7 @@
         assert len(target.running) <= target.admission.slots
         assert target.admission.queued == len(target.waiting)
     while target.running:
-        target.admission.ended(target.running.pop(), target.now)
+        target.admission.complete(target.running.pop(), target.now)
     target.now += 60.0
     target.pump()
     target.pump()
@@ -228,11 +230,11 @@
     """What `StoreSync` needs of a target's side."""
 
     def __init__(self):
-        self.lifetimes = Lifetimes()
+        self.status_tracker = StatusTracker()
 
-    def restore(self, lifetime):
+    def restore(self, status):
         """Take what was stored."""
-        self.lifetimes.merge(lifetime)
+        self.status_tracker.merge(status)
 
 
 class Process:
@@ -247,16 +249,16 @@
 
     async def report(self, state, sequence, born=5):
         """Take a status report; return once it is acknowledged."""
-        held = Report(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
-        before = self.target.lifetimes.held
-        if self.target.lifetimes.accept(held):
+        held = Heartbeat(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
+        before = self.target.status_tracker.current
+        if self.target.status_tracker.accept(held):
             if before is None or before.state is not state:
                 await self.watch.save_with_timeout()
 
     @property
     def state(self):
         """State of the target that this process believes in."""
-        held = self.target.lifetimes.held
+        held = self.target.status_tracker.current
         return held.state if held is not None else None
 
 
