--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
+from .gossip import push, running_peers
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
 from .records import RUMOUR_SENDS
-from .rumours import push, running_peers
 from .verdict import Verdict
 
 __all__ = [
--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -5,10 +5,10 @@
 
 from .errors import PimentolineError
 from .events import RulesHeard
+from .gossip import running_peers
 from .logs import log_entry
 from .messages import RulesRequest, SyncRequest
 from .records import digests
-from .rumours import running_peers
 
 __all__ = ["Directory"]
 
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -4,10 +4,10 @@
 from dataclasses import replace
 
 from .effects import Count, LogEntry, SendMessage
+from .gossip import request_sync, running_peers
 from .messages import Ack, Ping, PingReq, Rumours
 from .model import MemberStatus, Probe
 from .records import for_wire, own_record, with_own_record, with_records
-from .rumours import request_sync, running_peers
 
 __all__ = [
     "check_members",
--- a/pimentoline/rumours.py
+++ b/pimentoline/gossip.py
@@ -1,4 +1,4 @@
-"""pimentoline.rumours: spreading of new records, and synchronisation."""
+"""pimentoline.gossip: spreading of new records, and synchronisation."""
 
 import random
 from dataclasses import replace
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -19,8 +19,8 @@
     validated,
 )
 from .errors import PimentolineError, StoreError
+from .gossip import running_peers
 from .messages import RulesAck, RulesPush
-from .rumours import running_peers
 
 __all__ = ["Publisher"]
 
--- a/pimentoline/survey.py
+++ b/pimentoline/survey.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from .gossip import running_peers
 from .messages import Rumours
-from .rumours import running_peers
 
 __all__ = ["versions_in_force"]
 
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from .effects import Count, LogEntry
+from .gossip import lost_regions, push
 from .model import TargetState
 from .records import (
     DEAD_KEEP_S,
@@ -13,7 +14,6 @@
     with_own_record,
     without,
 )
-from .rumours import lost_regions, push
 
 __all__ = [
     "expire_own",
