--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -12,7 +12,7 @@
     StartAttempt,
 )
 from .events import Outcome
-from .frozen import replace
+from .fast_replace import replace
 from .model import Attempt, CallPhase, CallRecord, ServiceStats
 from .verdict import Verdict, combine
 
--- a/pimentoline/frozen.py
+++ b/pimentoline/fast_replace.py
@@ -1,4 +1,4 @@
-"""pimentoline.frozen: a faster `dataclasses.replace` for the classes of the state."""
+"""pimentoline.fast_replace: a faster `dataclasses.replace` for the classes of the state."""
 
 from dataclasses import fields
 
--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -5,7 +5,7 @@
 from . import outliers, throttling
 from .draws import fraction
 from .events import Outcome
-from .frozen import replace
+from .fast_replace import replace
 from .model import CLASS_RANKS, ServiceStats, TargetStats
 
 __all__ = [
--- a/pimentoline/measuring.py
+++ b/pimentoline/measuring.py
@@ -8,7 +8,7 @@
 
 from .draws import fraction, mix
 from .effects import Count, SendProbe
-from .frozen import replace
+from .fast_replace import replace
 from .limits import report_changes
 from .model import ServiceStats, TargetStats
 
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -1,6 +1,6 @@
 """pimentoline.outliers: ejection of failing targets, and their way back."""
 
-from .frozen import replace
+from .fast_replace import replace
 
 __all__ = ["SLOW_START_S", "note_failure", "slow_start", "success_changes"]
 
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -1,6 +1,6 @@
 """pimentoline.retries: when a call may be sent again."""
 
-from .frozen import replace
+from .fast_replace import replace
 from .model import ServiceStats
 from .verdict import Verdict
 
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -9,7 +9,7 @@
 
 from immutables import Map
 
-from .frozen import replace
+from .fast_replace import replace
 from .model import MemberStatus, Target, TargetState, TargetStats
 from .rules import RuleSet, SpillRule
 from .subsets import NodeCounts, choose_subset, count_nodes
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -4,7 +4,7 @@
 
 from . import outliers
 from .draws import fraction, mix
-from .frozen import replace
+from .fast_replace import replace
 from .model import ServiceStats, Target, TargetStats
 from .policies import get_policy_by_name
 from .routes import find_route
--- a/tests/core.py
+++ b/tests/core.py
@@ -6,7 +6,7 @@
 from pimentoline.draws import mix
 from pimentoline.effects import StartAttempt
 from pimentoline.events import Outcome
-from pimentoline.frozen import replace
+from pimentoline.fast_replace import replace
 from pimentoline.model import (
     Call,
     Identity,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 from pimentoline import outliers, throttling
 from pimentoline.effects import ScheduleHedge
 from pimentoline.events import Outcome
-from pimentoline.frozen import replace
+from pimentoline.fast_replace import replace
 from pimentoline.model import ServiceStats, TargetStats
 from pimentoline.retries import hedge_delay_s
 from pimentoline.verdict import Verdict
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -10,7 +10,7 @@
 import pytest
 
 import pimentoline
-from pimentoline.frozen import replace
+from pimentoline.fast_replace import replace
 from pimentoline.model import State, TargetStats
 from pimentoline.policies import policy_names
 from pimentoline.reducer import reduce
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pimentoline.frozen import replace
+from pimentoline.fast_replace import replace
 from pimentoline.model import MemberStatus, ServiceStats, TargetState
 
 from .core import HOME, SERVICE, Core, attempt_of
