--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,10 +20,10 @@
 from pimentoline import events as ev
 from pimentoline.codec import Codec
 from pimentoline.gossip import RUMOUR_FANOUT, SYNC_S, sync_reply
+from pimentoline.member_records import RUMOUR_SENDS, digests, with_records
 from pimentoline.mesh import Mesh
 from pimentoline.messages import Ack, Message, Ping, Rumours, SyncReply, SyncRequest
 from pimentoline.model import Identity, Member, MemberStatus, State, Target
-from pimentoline.records import RUMOUR_SENDS, digests, with_records
 from standins.cluster import Cluster, http, wait_until
 from tests.fabric import make_fabric
 
--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -13,8 +13,8 @@
 from .errors import PimentolineError
 from .explain import explain
 from .logs import log_entry
+from .member_records import own_record
 from .model import Target, TargetState
-from .records import own_record
 from .rules import parse
 from .rules.options import NAME_PATTERN
 from .survey import versions_in_force
--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -5,8 +5,8 @@
 
 from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
 from .gossip import push, running_peers
+from .member_records import RUMOUR_SENDS
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
-from .records import RUMOUR_SENDS
 from .verdict import Verdict
 
 __all__ = [
--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -7,8 +7,8 @@
 from .events import RulesHeard
 from .gossip import running_peers
 from .logs import log_entry
+from .member_records import digests
 from .messages import RulesRequest, SyncRequest
-from .records import digests
 
 __all__ = ["Directory"]
 
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -5,9 +5,9 @@
 
 from .effects import Count, LogEntry, SendMessage
 from .gossip import request_sync, running_peers
+from .member_records import for_wire, own_record, with_own_record, with_records
 from .messages import Ack, Ping, PingReq, Rumours
 from .model import MemberStatus, Probe
-from .records import for_wire, own_record, with_own_record, with_records
 
 __all__ = [
     "check_members",
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -4,9 +4,7 @@
 from dataclasses import replace
 
 from .effects import Ask, SendMessage
-from .messages import Rumours, SyncReply, SyncRequest
-from .model import MemberStatus
-from .records import (
+from .member_records import (
     SYNC_BUCKETS,
     bucket_of,
     digests,
@@ -14,6 +12,8 @@
     is_newer,
     is_running,
 )
+from .messages import Rumours, SyncReply, SyncRequest
+from .model import MemberStatus
 
 __all__ = [
     "lost_regions",
--- a/pimentoline/records.py
+++ b/pimentoline/member_records.py
@@ -1,4 +1,4 @@
-"""pimentoline.records: the member records held, and this node's own."""
+"""pimentoline.member_records: the member records held, and this node's own."""
 
 import hashlib
 from dataclasses import replace
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -12,9 +12,7 @@
     start_suspicion,
 )
 from .gossip import on_sync_reply, push, request_sync, sync_reply, sync_when_due
-from .messages import Ack, Ping, PingReq, Rumours, SyncReply, SyncRequest
-from .model import MemberStatus
-from .records import (
+from .member_records import (
     DEAD_KEEP_S,
     is_newer,
     is_running,
@@ -22,6 +20,8 @@
     with_own_record,
     with_records,
 )
+from .messages import Ack, Ping, PingReq, Rumours, SyncReply, SyncRequest
+from .model import MemberStatus
 from .target_states import expire_own, expire_unconfirmed, keep_drains
 
 __all__ = ["on_members_heard", "on_message", "on_stop", "on_tick"]
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -19,6 +19,7 @@
 from .directory import Directory
 from .errors import NewerMessageError
 from .logs import log_entry
+from .member_records import own_record, with_own_record
 from .mesh import Mesh
 from .messages import (
     Message,
@@ -32,7 +33,6 @@
 from .prober import Prober
 from .proxy import DataServer, Proxy
 from .publisher import Publisher
-from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
 from .shares import ConnectionShares
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -4,8 +4,7 @@
 
 from .effects import Count, LogEntry
 from .gossip import lost_regions, push
-from .model import TargetState
-from .records import (
+from .member_records import (
     DEAD_KEEP_S,
     UNCONFIRMED_S,
     is_running,
@@ -14,6 +13,7 @@
     with_own_record,
     without,
 )
+from .model import TargetState
 
 __all__ = [
     "expire_own",
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -7,8 +7,8 @@
 from pimentoline import effects as ef
 from pimentoline import events as ev
 from pimentoline import messages as ms
+from pimentoline.member_records import digests, own_record, with_own_record
 from pimentoline.model import Identity, RulesState, State, Target
-from pimentoline.records import digests, own_record, with_own_record
 from pimentoline.reducer import reduce
 from pimentoline.rules.ruleset import RuleSet
 
--- a/tests/test_measuring.py
+++ b/tests/test_measuring.py
@@ -9,6 +9,7 @@
 from pimentoline import events as ev
 from pimentoline.effects import SendProbe
 from pimentoline.measuring import MAX_PROBE_BYTES, PACKET_BYTES
+from pimentoline.member_records import own_record
 from pimentoline.model import (
     Call,
     Identity,
@@ -19,7 +20,6 @@
     State,
     Target,
 )
-from pimentoline.records import own_record
 from pimentoline.reducer import reduce
 from pimentoline.rules import parse
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,8 +5,8 @@
 import pytest
 
 from pimentoline import events as ev
+from pimentoline.member_records import own_record
 from pimentoline.model import MemberStatus
-from pimentoline.records import own_record
 from pimentoline.reducer import reduce
 
 from .fabric import make_fabric, own_targets
