--- a/pimentoline/fast_replace.py
+++ b/pimentoline/fast_replace.py
@@ -1,4 +1,4 @@
-"""pimentoline.fast_replace: a faster `dataclasses.replace` for the classes of the state."""
+"""pimentoline.fast_replace: a faster `dataclasses.replace` for frozen data classes."""
 
 from dataclasses import fields
 
