Rename the directory of a node to PeerDiscovery

directory.Directory and its method keep become peer_discovery.PeerDiscovery and run, since the class searches for peers and does so all the time.

--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -16,7 +16,6 @@
 from .admin import MAX_ADMIN_BODY_BYTES, make_admin_app
 from .claim_writer import ClaimWriter
 from .codec import Codec
-from .directory import Directory
 from .errors import NewerMessageError
 from .logs import log_entry
 from .member_records import own_record, with_own_record
@@ -29,6 +28,7 @@
 )
 from .metrics import Metrics
 from .model import Identity, RulesState, State
+from .peer_discovery import PeerDiscovery
 from .pool import MAX_CONNECTIONS_PER_TARGET, Pool
 from .prober import Prober
 from .proxy import DataServer, Proxy
@@ -86,7 +86,7 @@
         )
         self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
         self.publisher = Publisher(self)
-        self.directory = Directory(self)
+        self.directory = PeerDiscovery(self)
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -129,7 +129,7 @@
         self._tasks = [
             loop.create_task(self._tick()),
             loop.create_task(self._poll_store()),
-            loop.create_task(self.directory.keep()),
+            loop.create_task(self.directory.run()),
         ]
         log_entry("node:started", node=node_id, data=data_addr, mesh=mesh_addr)
 
--- a/pimentoline/directory.py
+++ b/pimentoline/peer_discovery.py
@@ -1,4 +1,4 @@
-"""pimentoline.directory: how a node finds its peers, in the store and by seeds."""
+"""pimentoline.peer_discovery: how a node finds its peers by the store and seeds."""
 
 import asyncio
 import time
@@ -10,7 +10,7 @@
 from .member_records import digests
 from .messages import RulesRequest, SyncRequest
 
-__all__ = ["Directory"]
+__all__ = ["PeerDiscovery"]
 
 PREFIX = "node/"
 REFRESH_S = 600.0
@@ -26,7 +26,7 @@
 MAX_BACKOFF_S = 60.0
 
 
-class Directory:
+class PeerDiscovery:
     """The row of a node in the store, and the search for peers.
 
     Parameters
@@ -106,7 +106,7 @@
                 return
             await node.ask(addr, RulesRequest(rules.heard))
 
-    async def keep(self):
+    async def run(self):
         """Refresh the own row, and search for peers while none is known."""
         node = self._node
         backoff_s = BACKOFF_S
