--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from . import calls, configuration, measuring, membership, target_states
+from . import calls, measuring, membership, rules_version, target_states
 from . import events as ev
 from .model import State
 
@@ -38,7 +38,7 @@
     """
     match event:
         case ev.CallArrived():
-            refusal = configuration.refusal(state, event)
+            refusal = rules_version.rejection_if_outdated(state, event)
             if refusal:
                 return Step(state, refusal)
             return Step(*calls.on_arrived(measuring.note_call(state, event), event))
@@ -66,14 +66,14 @@
             return Step(*membership.on_members_heard(state, event))
         case ev.MessageReceived():
             state, effects = membership.on_message(state, event)
-            state, more = configuration.on_message(state, event)
+            state, more = rules_version.on_message(state, event)
             return Step(state, effects + more)
         case ev.RulesHeard():
-            return Step(*configuration.on_rules_heard(state, event))
+            return Step(*rules_version.on_rules_heard(state, event))
         case ev.RulesLoaded():
-            return Step(*configuration.on_rules_loaded(state, event))
+            return Step(*rules_version.on_rules_loaded(state, event))
         case ev.Tick():
-            state, effects = configuration.on_tick(state, event)
+            state, effects = rules_version.on_tick(state, event)
             state, more = membership.on_tick(state, event)
             state, probes = measuring.on_tick(state, event)
             return Step(state, effects + more + probes)
--- a/pimentoline/configuration.py
+++ b/pimentoline/rules_version.py
@@ -1,4 +1,4 @@
-"""pimentoline.configuration: which rules version is in force."""
+"""pimentoline.rules_version: which rules version is in force."""
 
 import random
 from dataclasses import replace
@@ -14,7 +14,7 @@
     "on_rules_heard",
     "on_rules_loaded",
     "on_tick",
-    "refusal",
+    "rejection_if_outdated",
 ]
 
 # An accepted version is in force everywhere within 5 s. It is announced to every node
@@ -26,7 +26,7 @@
 FETCH_GAP_S = 1.0
 
 
-def refusal(state, event):
+def rejection_if_outdated(state, event):
     """Return the effects that reject a call, or () if calls are served.
 
     At boot and after a pause, the node first has to learn the highest version.
--- a/tests/test_configuration.py
+++ b/tests/test_rules_version.py
@@ -3,8 +3,8 @@
 import pytest
 
 from pimentoline import events as ev
-from pimentoline.configuration import GRACE_S
 from pimentoline.model import Call, Request
+from pimentoline.rules_version import GRACE_S
 
 from .fabric import make_fabric
 
