Rename Mesh to MeshTransport

The class sends and receives messages; the state of the members is called mesh too. Module mesh becomes mesh_transport, take_traffic becomes take_byte_counts.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,7 +21,7 @@
 from pimentoline.codec import Codec
 from pimentoline.gossip import RUMOUR_FANOUT, SYNC_S, sync_reply
 from pimentoline.member_records import RUMOUR_SENDS, digests, with_records
-from pimentoline.mesh import Mesh
+from pimentoline.mesh_transport import MeshTransport
 from pimentoline.messages import Ack, Message, Ping, Rumours, SyncReply, SyncRequest
 from pimentoline.model import Identity, Member, MemberStatus, State, Target
 from standins.cluster import Cluster, http, wait_until
@@ -81,7 +81,9 @@
 
     def __init__(self, count, seed):
         self.rand = random.Random(seed)
-        self.mesh = Mesh(Codec([b"test-key"]), self.on_message, lambda exc: None)
+        self.mesh = MeshTransport(
+            Codec([b"test-key"]), self.on_message, lambda exc: None
+        )
         self.addr = self.mesh.bind_addr(("127.0.0.1", 0))
         self.now = time.monotonic
         me = Identity("m0", "m0", *PLACES[0], self.addr, self.addr, 1)
--- a/pimentoline/mesh.py
+++ b/pimentoline/mesh_transport.py
@@ -1,4 +1,4 @@
-"""pimentoline.mesh: UDP datagrams and TCP frames between nodes."""
+"""pimentoline.mesh_transport: UDP datagrams and TCP frames between nodes."""
 
 import asyncio
 import socket
@@ -12,14 +12,14 @@
 from .errors import CodecError
 from .messages import Rumours
 
-__all__ = ["Mesh"]
+__all__ = ["MeshTransport"]
 
 FRAME_TIMEOUT_S = 2.0
 # Leaves the event loop to calls in between when many datagrams have queued up.
 MAX_DATAGRAMS_PER_WAKE = 64
 
 
-class Mesh(TCPServer):
+class MeshTransport(TCPServer):
     """Transport of one node.
 
     Parameters
@@ -42,7 +42,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
-    def take_traffic(self):
+    def take_byte_counts(self):
         """Return (metric, bytes) pairs of the payload since the last time."""
         sent, self.bytes_sent = self.bytes_sent, 0
         received, self.bytes_received = self.bytes_received, 0
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -19,7 +19,7 @@
 from .errors import NewerMessageError
 from .logs import log_entry
 from .member_records import own_record, with_own_record
-from .mesh import Mesh
+from .mesh_transport import MeshTransport
 from .messages import (
     Message,
     RulesPush,
@@ -84,7 +84,9 @@
             self.draw,
             self.metrics.count,
         )
-        self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
+        self.mesh = MeshTransport(
+            Codec.from_config(cfg), self._on_message, self._on_refused
+        )
         self.publisher = Publisher(self)
         self.directory = PeerDiscovery(self)
         self._reply = None
@@ -257,7 +259,7 @@
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
             self.pool.trim()
-            for name, amount in self.mesh.take_traffic():
+            for name, amount in self.mesh.take_byte_counts():
                 self.metrics.count(name, amount)
 
     async def _poll_store(self):
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from pimentoline.codec import Codec
-from pimentoline.mesh import Mesh
+from pimentoline.mesh_transport import MeshTransport
 from pimentoline.messages import Message, Rumours
 from pimentoline.model import Member, Target
 
@@ -33,8 +33,8 @@
             if sum(len(part) for _, part in arrived) == len(records):
                 complete.set()
 
-        sender = Mesh(Codec([b"k"]), on_message, refused.append)
-        receiver = Mesh(Codec([b"k"]), on_message, refused.append)
+        sender = MeshTransport(Codec([b"k"]), on_message, refused.append)
+        receiver = MeshTransport(Codec([b"k"]), on_message, refused.append)
         sender.bind_addr(("127.0.0.1", 0))
         addr = receiver.bind_addr(("127.0.0.1", 0))
         try:
