Rename the message class Rumours to Gossip

The class follows the module gossip; RUMOUR_SENDS, RUMOUR_FANOUT and SYNC_S become GOSSIP_SENDS, GOSSIP_FANOUT and SYNC_INTERVAL_S. The schema keeps its field rumours.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -13,7 +13,7 @@
 from pimentoline.codec import Codec
 from pimentoline.draws import mix
 from pimentoline.effects import SendMessage
-from pimentoline.messages import Message, Rumours
+from pimentoline.messages import Gossip, Message
 from pimentoline.model import MemberStatus
 from pimentoline.reducer import reduce
 
@@ -29,7 +29,7 @@
     """Return the bytes of the rumours that the effects send."""
     total = 0
     for effect in effects:
-        if isinstance(effect, SendMessage) and isinstance(effect.body, Rumours):
+        if isinstance(effect, SendMessage) and isinstance(effect.body, Gossip):
             message = Message(state.me.node_id, 1, 0, effect.body, 0, False)
             total += len(codec.encode(message)) * len(effect.addrs)
     return total
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,10 +19,10 @@
 
 from pimentoline import events as ev
 from pimentoline.codec import Codec
-from pimentoline.gossip import RUMOUR_FANOUT, SYNC_S, sync_reply
-from pimentoline.member_records import RUMOUR_SENDS, digests, with_records
+from pimentoline.gossip import GOSSIP_FANOUT, SYNC_INTERVAL_S, sync_reply
+from pimentoline.member_records import GOSSIP_SENDS, digests, with_records
 from pimentoline.mesh_transport import MeshTransport
-from pimentoline.messages import Ack, Message, Ping, Rumours, SyncReply, SyncRequest
+from pimentoline.messages import Ack, Gossip, Message, Ping, SyncReply, SyncRequest
 from pimentoline.model import Identity, Member, MemberStatus, State, Target
 from standins.cluster import Cluster, http, wait_until
 from tests.fabric import make_fabric
@@ -111,7 +111,7 @@
                 self.mesh.send((addr,), self.message(Ack(ping_id, relay)))
             case SyncRequest():
                 return self.message(sync_reply(self.state, message.body, self.now()))
-            case Rumours(records):
+            case Gossip(records):
                 own = [r for r in records if r.node_id == message.sender]
                 self.state = with_records(self.state, own)
                 return self.message(SyncReply((), ())) if addr is None else None
@@ -125,7 +125,11 @@
             if self.now() >= end:
                 return
             self.mesh.send((node_addr,), self.message(Ping(self.rand.getrandbits(60))))
-            if second == SYNC_S / 2 or seconds < SYNC_S and second == 5:
+            if (
+                second == SYNC_INTERVAL_S / 2
+                or seconds < SYNC_INTERVAL_S
+                and second == 5
+            ):
                 request = SyncRequest(digests(self.state.mesh.members))
                 await self.mesh.ask(node_addr, self.message(request))
             for _ in range(int(restarts_per_s)):
@@ -148,7 +152,7 @@
         )
         for record in changes:
             self.state = with_records(self.state, [record], self.now())
-            yield from [Rumours((record,))] * (RUMOUR_SENDS * RUMOUR_FANOUT)
+            yield from [Gossip((record,))] * (GOSSIP_SENDS * GOSSIP_FANOUT)
 
 
 async def run_fed(count, cluster):
--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -11,6 +11,7 @@
 from .errors import CodecError, NewerMessageError
 from .messages import (
     Ack,
+    Gossip,
     Message,
     Ping,
     PingReq,
@@ -18,7 +19,6 @@
     RulesPush,
     RulesReply,
     RulesRequest,
-    Rumours,
     SyncReply,
     SyncRequest,
 )
@@ -158,7 +158,7 @@
 
 def _write_body(env, body):
     match body:
-        case Rumours(records):
+        case Gossip(records):
             _write_records(env.init("rumours", len(records)), records)
         case SyncRequest(digests):
             env.syncRequest = list(digests)
@@ -188,7 +188,7 @@
     match kind:
         case "rumours":
             records, skipped = _read_records(env.rumours)
-            return Rumours(records), skipped
+            return Gossip(records), skipped
         case "syncRequest":
             return SyncRequest(tuple(env.syncRequest)), 0
         case "syncReply":
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -6,7 +6,7 @@
 from .effects import Count, LogEntry, SendMessage
 from .gossip import request_sync, running_peers
 from .member_records import for_wire, own_record, with_own_record, with_records
-from .messages import Ack, Ping, PingReq, Rumours
+from .messages import Ack, Gossip, Ping, PingReq
 from .model import MemberStatus, Probe
 
 __all__ = [
@@ -81,7 +81,7 @@
     state = start_suspicion(with_records(state, [suspect], now), suspect, now)
     # The accused hears of it first, so that it can refute.
     return state, (
-        SendMessage((suspect.addr,), Rumours((suspect,))),
+        SendMessage((suspect.addr,), Gossip((suspect,))),
         Count("mesh.suspected"),
     )
 
@@ -113,7 +113,7 @@
         state, asked = request_sync(state, addr, now)
         return state, effects + asked
     if held is not None and held.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
-        told = Rumours(for_wire(state, (held,), now))
+        told = Gossip(for_wire(state, (held,), now))
         effects += (SendMessage((addr,), told),)
     return state, effects
 
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -12,7 +12,7 @@
     is_newer,
     is_running,
 )
-from .messages import Rumours, SyncReply, SyncRequest
+from .messages import Gossip, SyncReply, SyncRequest
 from .model import MemberStatus
 
 __all__ = [
@@ -25,12 +25,12 @@
     "sync_when_due",
 ]
 
-RUMOUR_FANOUT = 3
+GOSSIP_FANOUT = 3
 # Bounds the burst after the loss of a data centre (120 nodes): 60 records made a node
 # send 41 KB/s, above the limit of 27 KB/s. What is left waits for the next round,
 # 200 ms later.
 MAX_RECORDS_PER_PUSH = 20
-SYNC_S = 60.0
+SYNC_INTERVAL_S = 60.0
 # An unknown sender or a refuted death calls for a synchronisation at once; this
 # bounds their rate.
 SYNC_MIN_GAP_S = 1.0
@@ -57,7 +57,7 @@
     peers = running_peers(state)
     if not peers:
         return state, ()
-    chosen = random.Random(draw).sample(peers, min(RUMOUR_FANOUT, len(peers)))
+    chosen = random.Random(draw).sample(peers, min(GOSSIP_FANOUT, len(peers)))
     # The records with the most sends left are the newest.
     hot = sorted(mesh.rumours, key=lambda name: (-mesh.rumours[name], name))
     left = mesh.rumours
@@ -71,7 +71,7 @@
         rules=replace(rules, sends=max(0, rules.sends - 1)),
     )
     addrs = tuple(record.addr for record in chosen)
-    return state, (SendMessage(addrs, Rumours(for_wire(state, records, now))),)
+    return state, (SendMessage(addrs, Gossip(for_wire(state, records, now))),)
 
 
 def lost_regions(state):
@@ -128,7 +128,7 @@
     for _, gone in sorted(_missing(state).items()):
         addrs.append(rand.choice(gone).addr)
     # The jitter keeps nodes that started together from synchronising together.
-    due = now + SYNC_S * rand.uniform(0.9, 1.1)
+    due = now + SYNC_INTERVAL_S * rand.uniform(0.9, 1.1)
     state = replace(state, mesh=replace(state.mesh, next_sync_at=due, last_sync_at=now))
     if not addrs:
         return state, ()
@@ -163,4 +163,4 @@
     ]
     if not lacking or addr is None:
         return ()
-    return (Ask(addr, Rumours(for_wire(state, lacking, now))),)
+    return (Ask(addr, Gossip(for_wire(state, lacking, now))),)
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -25,7 +25,7 @@
 
 # 8 rounds of 3 sends reach a given peer with a probability above 1 - e**-24 once the
 # other members send as often; fewer rounds lose rumours when datagrams are lost.
-RUMOUR_SENDS = 8
+GOSSIP_SENDS = 8
 # A rumour that travels longer than this must not bring back a dead member.
 DEAD_KEEP_S = 3600.0
 UNCONFIRMED_S = 60.0
@@ -101,7 +101,7 @@
             suspects = without(suspects, name)
         members = members.set(name, replace(record, age_s=0.0))
         if spread:
-            rumours = rumours.set(name, RUMOUR_SENDS)
+            rumours = rumours.set(name, GOSSIP_SENDS)
     mesh = replace(
         mesh,
         members=members,
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -20,7 +20,7 @@
     with_own_record,
     with_records,
 )
-from .messages import Ack, Ping, PingReq, Rumours, SyncReply, SyncRequest
+from .messages import Ack, Gossip, Ping, PingReq, SyncReply, SyncRequest
 from .model import MemberStatus
 from .target_states import expire_own, expire_unconfirmed, keep_drains
 
@@ -64,7 +64,7 @@
     if event.addr is None and isinstance(event.body, (Ping, PingReq)):
         return state, ()
     match event.body:
-        case Rumours(records):
+        case Gossip(records):
             return _on_rumours(state, event, records)
         case SyncRequest():
             return state, (Reply(sync_reply(state, event.body, now)),)
--- a/pimentoline/mesh_transport.py
+++ b/pimentoline/mesh_transport.py
@@ -10,7 +10,7 @@
 
 from .codec import MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES
 from .errors import CodecError
-from .messages import Rumours
+from .messages import Gossip
 
 __all__ = ["MeshTransport"]
 
@@ -91,7 +91,7 @@
             return
         half = len(records) // 2
         for part in (records[:half], records[half:]):
-            self.send(addrs, replace(message, body=Rumours(part)))
+            self.send(addrs, replace(message, body=Gossip(part)))
 
     def _on_readable(self):
         for _ in range(MAX_DATAGRAMS_PER_WAKE):
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -13,7 +13,7 @@
     "RulesPush",
     "RulesReply",
     "RulesRequest",
-    "Rumours",
+    "Gossip",
     "SyncReply",
     "SyncRequest",
 ]
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rumours:
+class Gossip:
     """Member records that are new; empty if only the rules version is."""
 
     records: tuple[Member, ...]
--- a/pimentoline/rules_version.py
+++ b/pimentoline/rules_version.py
@@ -5,7 +5,7 @@
 
 from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
 from .gossip import push, running_peers
-from .member_records import RUMOUR_SENDS
+from .member_records import GOSSIP_SENDS
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
 from .verdict import Verdict
 
@@ -119,7 +119,7 @@
         text=event.text,
         ruleset=event.ruleset,
         source=event.source,
-        sends=RUMOUR_SENDS,
+        sends=GOSSIP_SENDS,
         heard_at=event.now,
     )
     entry = LogEntry(
--- a/pimentoline/survey.py
+++ b/pimentoline/survey.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from .gossip import running_peers
-from .messages import Rumours
+from .messages import Gossip
 
 __all__ = ["versions_in_force"]
 
@@ -33,7 +33,7 @@
     async def ask(record):
         async with slots:
             # The envelope of every reply names the version of its sender.
-            reply = await node.mesh.ask(record.addr, node.message(Rumours(())))
+            reply = await node.mesh.ask(record.addr, node.message(Gossip(())))
         if reply is not None and reply.sender == record.node_id:
             found[record.node_id] = reply.rules_version
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -55,7 +55,7 @@
     st.builds(ms.Ping, u64, st.none() | addrs),
     st.builds(ms.PingReq, u64, addrs),
     st.builds(ms.Ack, u64, st.none() | addrs),
-    st.builds(ms.Rumours, records),
+    st.builds(ms.Gossip, records),
     st.builds(ms.SyncRequest, st.lists(u64, max_size=64).map(tuple)),
     st.builds(
         ms.SyncReply, st.lists(st.integers(0, 65535), max_size=9).map(tuple), records
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -5,7 +5,7 @@
 
 from pimentoline.codec import Codec
 from pimentoline.mesh_transport import MeshTransport
-from pimentoline.messages import Message, Rumours
+from pimentoline.messages import Gossip, Message
 from pimentoline.model import Member, Target
 
 ADDR = ("127.0.0.1", 9)
@@ -38,7 +38,7 @@
         sender.bind_addr(("127.0.0.1", 0))
         addr = receiver.bind_addr(("127.0.0.1", 0))
         try:
-            sender.send((addr,), Message("n1", 1, 0, Rumours(records)))
+            sender.send((addr,), Message("n1", 1, 0, Gossip(records)))
             await asyncio.wait_for(complete.wait(), WAIT_S)
         finally:
             sender.close()
