--- a/pimentoline/shares.py
+++ b/pimentoline/shares.py
@@ -1,6 +1,6 @@
 """pimentoline.shares: this node's share of the connections that targets accept."""
 
-from .subsets import connection_share
+from .subsets import connections_per_node
 
 __all__ = ["ConnectionShares"]
 
@@ -37,7 +37,7 @@
 
 def _limits(by_service, nodes):
     for targets in by_service.values():
-        share = connection_share(targets, max(1, nodes))
+        share = connections_per_node(targets, max(1, nodes))
         each = max(1, share // len(targets))
         for target in targets:
             yield tuple(target.addr), each
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -11,7 +11,7 @@
 import hashlib
 from dataclasses import dataclass
 
-__all__ = ["NodeCounts", "choose_subset", "connection_share", "count_nodes"]
+__all__ = ["NodeCounts", "choose_subset", "connections_per_node", "count_nodes"]
 
 # The rest of the connection limit is left for probes and for nodes whose view of
 # the membership differs.
@@ -58,7 +58,7 @@
     return NodeCounts(tuple(sorted(counts.items())), place, rank)
 
 
-def connection_share(targets, nodes):
+def connections_per_node(targets, nodes):
     """Return the number of connections that one node may keep to a service."""
     limit = min(target.connections for target in targets) * USABLE_SHARE
     return max(MIN_CONNECTIONS, int(limit * len(targets) / nodes))
@@ -134,7 +134,7 @@
     list of Target
         Sorted by name; all of them unless the connection limit is too low.
     """
-    share = connection_share(targets, node_counts.nodes)
+    share = connections_per_node(targets, node_counts.nodes)
     if share >= len(targets):
         return sorted(targets, key=lambda target: target.target_id)
     by_place = {}
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -8,7 +8,7 @@
 from immutables import Map
 
 from pimentoline.model import Member, MemberStatus, Target
-from pimentoline.subsets import choose_subset, connection_share, count_nodes
+from pimentoline.subsets import choose_subset, connections_per_node, count_nodes
 
 PLACES = [(f"r{i // 2}", f"d{i}") for i in range(6)]
 ADDR = ("127.0.0.1", 1)
@@ -43,7 +43,7 @@
     """Guards against a target that gets more nodes than its neighbours or its limit."""
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     subsets = all_subsets(nodes, targets)
-    assert connection_share(targets, 720) == 2
+    assert connections_per_node(targets, 720) == 2
     assert {len(subset) for subset in subsets.values()} == {2}
     users = Counter(t.target_id for subset in subsets.values() for t in subset)
     assert max(users.values()) <= 234
@@ -80,7 +80,7 @@
     nodes, targets = make_nodes(node_counts), make_targets(target_counts, connections)
     if not nodes or not targets:
         return
-    share = connection_share(targets, len(nodes))
+    share = connections_per_node(targets, len(nodes))
     subsets = all_subsets(nodes, targets)
     users = Counter(t.target_id for subset in subsets.values() for t in subset)
     for subset in subsets.values():
