--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -199,7 +199,7 @@
         if publisher is None:
             return
         try:
-            text = await publisher.text_of(version)
+            text = await publisher.rules_text(version)
         except PimentolineError as exc:
             self.fail(503, exc.code, exc.detail)
             return
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -256,7 +256,7 @@
         rows = await self._audit_rows(newest, limit)
         return [{**row.model_dump(), "time": iso_time(row.time)} for row in rows]
 
-    async def text_of(self, version):
+    async def rules_text(self, version):
         """Return the text of an accepted version, or None if there is none.
 
         Raises
