Rename the test module fabric to simulated_network

It simulates the network between reducer states. Fabric becomes SimulatedNetwork, make_fabric becomes make_network.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,7 +25,7 @@
 from pimentoline.messages import Ack, Gossip, Message, Ping, SyncReply, SyncRequest
 from pimentoline.model import Identity, Member, MemberStatus, State, Target
 from standins.cluster import Cluster, http, wait_until
-from tests.fabric import make_fabric
+from tests.simulated_network import make_network
 
 from .reduce_cost import PLACES
 
@@ -295,7 +295,7 @@
 
 def run_model(count):
     """Return the spread times of a drain and of a configuration in model time."""
-    fabric = make_fabric(count, SEED, loss=0.01)
+    fabric = make_network(count, SEED, loss=0.01)
     fabric.run(8)
     fabric.announce("n1", "t1")
     fabric.run(2.5)
--- a/tests/fabric.py
+++ b/tests/simulated_network.py
@@ -15,7 +15,7 @@
 TICK_S = 0.2
 
 
-class Fabric:
+class SimulatedNetwork:
     """States by node id; loss, duplication and delays come from one seed."""
 
     def __init__(self, seed, loss=0.0, duplication=0.0, delay_s=0.02):
@@ -197,9 +197,9 @@
         )
 
 
-def make_fabric(size, seed, loss=0.0, duplication=0.0):
+def make_network(size, seed, loss=0.0, duplication=0.0):
     """Return a fabric of `size` nodes that have found each other."""
-    fabric = Fabric(seed, loss, duplication)
+    fabric = SimulatedNetwork(seed, loss, duplication)
     regions = ("rift", "coast", "western")
     for i in range(size):
         fabric.add(f"n{i}", regions[i % 3], seeds=["n0"] if i else [])
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from pimentoline.model import MemberStatus
 from pimentoline.reducer import reduce
 
-from .fabric import make_fabric, own_targets
+from .simulated_network import make_network, own_targets
 
 LOSSY = {"loss": 0.2, "duplication": 0.2}
 
@@ -30,7 +30,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_drain_is_known_everywhere_within_3_s(seed):
     """Guards P5 against rumours that die out when datagrams are lost (20%)."""
-    fabric = make_fabric(40, seed, **LOSSY)
+    fabric = make_network(40, seed, **LOSSY)
     fabric.announce("n7", "t1")
     fabric.run(3, lambda: up_everywhere(fabric, "t1"))
     fabric.announce("n7", "t1")
@@ -43,7 +43,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_failed_node_is_found_and_living_ones_are_kept(seed):
     """Guards against a death that goes unnoticed, and against false deaths."""
-    fabric = make_fabric(20, seed, **LOSSY)
+    fabric = make_network(20, seed, **LOSSY)
     fabric.off.add("n3")
     fabric.run(20, lambda: fabric.all_say("n3", "dead"))
     fabric.run(60)
@@ -58,7 +58,7 @@
 
 def test_member_is_not_suspected_while_one_path_to_it_is_cut():
     """Guards against a suspicion without the indirect pings."""
-    fabric = make_fabric(5, 1)
+    fabric = make_network(5, 1)
     usual = fabric.reachable
     fabric.reachable = lambda a, b: {a, b} != {"n0", "n1"} and usual(a, b)
     fabric.run(60)
@@ -67,7 +67,7 @@
 
 def test_paused_node_comes_back_by_refutation():
     """Guards against a paused node (SIGSTOP) that stays dead for its peers."""
-    fabric = make_fabric(6, 2)
+    fabric = make_network(6, 2)
     fabric.off.add("n2")
     fabric.run(20, lambda: fabric.all_say("n2", "dead"))
     renew(fabric, "n4", "t4", 10)
@@ -80,7 +80,7 @@
 
 def test_partition_heals_within_a_synchronisation():
     """Guards against two halves that hold each other for dead for ever."""
-    fabric = make_fabric(9, 3)
+    fabric = make_network(9, 3)
     fabric.sides = {f"n{i}": i % 3 == 1 for i in range(9)}
     near = [name for name in fabric.states if not fabric.sides[name]]
     far = [name for name in fabric.states if fabric.sides[name]]
@@ -96,7 +96,7 @@
 
 def test_targets_of_a_lost_region_are_kept():
     """Guards against forgetting the targets of a region that is only cut off."""
-    fabric = make_fabric(9, 4)
+    fabric = make_network(9, 4)
     fabric.announce("n1", "t1")
     fabric.run(3, lambda: up_everywhere(fabric, "t1"))
     fabric.off |= {"n1", "n4", "n7"}
@@ -106,7 +106,7 @@
 
 def test_target_outlives_its_node_until_a_new_one_announces_it():
     """Guards against calls that fail because a node alone was restarted."""
-    fabric = make_fabric(8, 5)
+    fabric = make_network(8, 5)
     renew(fabric, "n5", "t5", 2)
     fabric.off.add("n5")
     fabric.run(20, lambda: fabric.all_say("n5", "dead"))
@@ -122,7 +122,7 @@
 
 def test_unconfirmed_target_is_forgotten_after_60_s():
     """Guards against routing for ever to the target of a host that failed."""
-    fabric = make_fabric(8, 6)
+    fabric = make_network(8, 6)
     renew(fabric, "n5", "t5", 2)
     fabric.off.add("n5")
     dead_at = fabric.run(20, lambda: fabric.all_say("n5", "dead"))
@@ -136,7 +136,7 @@
 
 def test_leaving_node_is_not_suspected_and_its_target_stays():
     """Guards against a planned stop that looks like a failure."""
-    fabric = make_fabric(6, 7)
+    fabric = make_network(6, 7)
     renew(fabric, "n4", "t4", 2)
     fabric.dispatch("n4", ev.StopRequested(fabric.now))
     fabric.run(0.6)
@@ -149,7 +149,7 @@
 
 def test_silent_target_goes_to_gone_after_3_s():
     """Guards against routing to a target whose process has died."""
-    fabric = make_fabric(4, 8)
+    fabric = make_network(4, 8)
     renew(fabric, "n1", "t1", 3)
     fabric.run(2.5, lambda: own_targets(fabric, "n1") == {"t1": "gone"})
     fabric.run(3, lambda: not any(fabric.routes(n) for n in fabric.states))
@@ -159,7 +159,7 @@
 
 def test_renewal_does_not_undo_a_drain():
     """Guards P5 against a target that renews `up` after an operator drained it."""
-    fabric = make_fabric(3, 9)
+    fabric = make_network(3, 9)
     fabric.announce("n1", "t1")
     fabric.dispatch("n1", ev.TargetDrained(fabric.now, "t1"))
     renew(fabric, "n1", "t1", 5)
@@ -170,7 +170,7 @@
 
 def test_dead_member_is_not_resurrected_and_forgotten_after_1_h():
     """Guards against an old rumour, and a death that spreads for ever."""
-    fabric = make_fabric(3, 10)
+    fabric = make_network(3, 10)
     old = fabric.states["n1"].mesh.members["n2"]
     fabric.off.add("n2")
     fabric.run(20, lambda: fabric.all_say("n2", "dead"))
@@ -185,7 +185,7 @@
 
 def test_rumour_of_a_later_incarnation_is_refuted():
     """Guards against a node that cannot return because its clock was set back."""
-    fabric = make_fabric(3, 11)
+    fabric = make_network(3, 11)
     record = own_record(fabric.states["n1"])
     false = replace(record, incarnation=record.incarnation + 500, seq=9)
     fabric.dispatch("n0", ev.MembersHeard(fabric.now, (false,)))
@@ -196,7 +196,7 @@
 
 def test_event_log_replays_to_the_same_state():
     """Guards against a clock, socket or random source inside the reducer."""
-    fabric = make_fabric(6, 12, **LOSSY)
+    fabric = make_network(6, 12, **LOSSY)
     fabric.off.add("n2")
     fabric.run(20)
     for name, (state, events) in fabric.logs.items():
@@ -207,7 +207,7 @@
 
 def test_joining_node_does_not_repeat_the_records_it_was_given():
     """Guards the control-plane limit when 720 nodes start: each would repeat all."""
-    fabric = make_fabric(30, 13)
+    fabric = make_network(30, 13)
     fabric.run(10)
     fabric.add("n30", seeds=["n0"])
     fabric.run(0.5)
@@ -218,7 +218,7 @@
 @pytest.mark.parametrize("replacement", ["n1", "n1b"])
 def test_drain_outlives_the_restart_of_its_node(replacement):
     """Guards P5: a drained target announces `up` to the node that replaces its own."""
-    fabric = make_fabric(5, 14)
+    fabric = make_network(5, 14)
     fabric.announce("n1", "t1")
     fabric.dispatch("n1", ev.TargetDrained(fabric.now, "t1"))
     fabric.run(2)
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -6,7 +6,7 @@
 from pimentoline.model import Call, Request
 from pimentoline.rules_version import GRACE_S
 
-from .fabric import make_fabric
+from .simulated_network import make_network
 
 
 def call_refused(fabric, name):
@@ -38,7 +38,7 @@
     A node may serve the version before for `GRACE_S` after it has heard of the new
     one, so the rest of the 5 s is the bound here.
     """
-    fabric = make_fabric(40, seed, loss=0.2, duplication=0.2)
+    fabric = make_network(40, seed, loss=0.2, duplication=0.2)
     fabric.check = never_older
     for version, holders in ((1, ("n0", "n1")), (2, ("n5", "n7"))):
         fabric.load_rules(holders[0], version)
@@ -49,7 +49,7 @@
 
 def test_older_versions_are_ignored_in_any_order():
     """Guards P7 against a stale peer or store, and against reordered replies."""
-    fabric = make_fabric(12, 21, loss=0.3, duplication=0.3)
+    fabric = make_network(12, 21, loss=0.3, duplication=0.3)
     fabric.check = never_older
     for version in (1, 2, 3):
         for name in list(fabric.states)[version::3]:
@@ -65,7 +65,7 @@
 
 def test_booting_node_with_a_stale_peer_does_not_serve():
     """Guards P7 at boot: the highest version heard counts, not the one offered."""
-    fabric = make_fabric(4, 22)
+    fabric = make_network(4, 22)
     for name in fabric.states:
         fabric.load_rules(name, 1)
     fabric.load_rules("n0", 2)
@@ -86,7 +86,7 @@
 
 def test_booting_nodes_do_not_confirm_each_other():
     """Guards P7 against a rack that boots together while nobody else answers."""
-    fabric = make_fabric(2, 23)
+    fabric = make_network(2, 23)
     for i in range(3):
         fabric.add(f"b{i}", seeds=["b0"] if i else [], must_check=True)
     fabric.run(20)
@@ -98,7 +98,7 @@
 
 def test_running_node_serves_the_version_before_for_3_s_only():
     """Guards P7 against a node that cannot fetch, and calls against a short gap."""
-    fabric = make_fabric(2, 24)
+    fabric = make_network(2, 24)
     fabric.off.add("n1")
     fabric.dispatch("n0", ev.RulesHeard(fabric.now, 5, "n1"))
     assert call_refused(fabric, "n0") == "unknown-service"
@@ -108,7 +108,7 @@
 
 def test_paused_node_checks_its_version_before_it_serves():
     """Guards P7 against a process that was stopped while a version was accepted."""
-    fabric = make_fabric(4, 25)
+    fabric = make_network(4, 25)
     fabric.run(1)
     fabric.off.add("n2")
     fabric.run(8)
@@ -123,7 +123,7 @@
 
 def test_change_of_rules_does_not_renew_member_records():
     """Guards the control-plane limit: 720 new records for each of 1,200 changes."""
-    fabric = make_fabric(6, 26)
+    fabric = make_network(6, 26)
     fabric.run(5)
     before = {name: state.mesh.members for name, state in fabric.states.items()}
     fabric.load_rules("n0", 1)
@@ -133,7 +133,7 @@
 
 def test_version_is_announced_in_a_quiet_mesh():
     """Guards P7 against a version that spreads by pings alone, one a second."""
-    fabric = make_fabric(60, 27)
+    fabric = make_network(60, 27)
     fabric.run(10)
     fabric.load_rules("n0", 1)
     fabric.run(5 - GRACE_S, lambda: versions(fabric) == {1})
