--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -131,7 +131,7 @@
                 and second == 5
             ):
                 request = SyncRequest(digests(self.state.mesh.members))
-                await self.mesh.request(node_addr, self.message(request))
+                await self.mesh.send_request(node_addr, self.message(request))
             for _ in range(int(restarts_per_s)):
                 later.extend(self.restart())
             # A rumour reaches a node as often as a node sends it, in about 2 s.
--- a/pimentoline/mesh_transport.py
+++ b/pimentoline/mesh_transport.py
@@ -87,7 +87,7 @@
         if len(records) < 2:
             loop = asyncio.get_running_loop()
             for addr in addrs:
-                loop.create_task(self.request(addr, message))
+                loop.create_task(self.send_request(addr, message))
             return
         half = len(records) // 2
         for part in (records[:half], records[half:]):
@@ -113,7 +113,7 @@
             return None
         return self._on_message(message, addr)
 
-    async def request(self, addr, message):
+    async def send_request(self, addr, message):
         """Send a frame over TCP and return the reply, or None without one."""
         try:
             stream = await asyncio.wait_for(
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -229,7 +229,7 @@
 
     async def ask(self, addr, body):
         """Send a message over TCP, handle the reply and return its body or None."""
-        reply = await self.mesh.request(addr, self.message(body))
+        reply = await self.mesh.send_request(addr, self.message(body))
         if reply is None:
             self.metrics.count("mesh.unanswered")
             return None
--- a/pimentoline/survey.py
+++ b/pimentoline/survey.py
@@ -33,7 +33,7 @@
     async def ask(record):
         async with slots:
             # The envelope of every reply names the version of its sender.
-            reply = await node.mesh.request(record.addr, node.message(Gossip(())))
+            reply = await node.mesh.send_request(record.addr, node.message(Gossip(())))
         if reply is not None and reply.sender == record.node_id:
             found[record.node_id] = reply.rules_version
 
