--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -24,10 +24,10 @@
 from .model import MemberStatus
 from .target_states import expire_own, expire_unconfirmed, keep_drains
 
-__all__ = ["on_members_heard", "on_message", "on_stop", "on_tick"]
+__all__ = ["on_members_received", "on_message", "on_stop", "on_tick"]
 
 
-def on_members_heard(state, event):
+def on_members_received(state, event):
     """Take the records that are newer than the ones held."""
     return _take(state, event.records, event.now)
 
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -63,13 +63,13 @@
         case ev.TargetWithdrawn():
             return Step(*target_states.on_target_withdrawn(state, event))
         case ev.MembersHeard():
-            return Step(*membership.on_members_heard(state, event))
+            return Step(*membership.on_members_received(state, event))
         case ev.MessageReceived():
             state, effects = membership.on_message(state, event)
             state, more = rules_version.on_message(state, event)
             return Step(state, effects + more)
         case ev.RulesHeard():
-            return Step(*rules_version.on_rules_heard(state, event))
+            return Step(*rules_version.on_rules_version_received(state, event))
         case ev.RulesLoaded():
             return Step(*rules_version.on_rules_loaded(state, event))
         case ev.Tick():
--- a/pimentoline/rules_version.py
+++ b/pimentoline/rules_version.py
@@ -11,7 +11,7 @@
 
 __all__ = [
     "on_message",
-    "on_rules_heard",
+    "on_rules_version_received",
     "on_rules_loaded",
     "on_tick",
     "rejection_if_outdated",
@@ -92,7 +92,7 @@
     return state, ()
 
 
-def on_rules_heard(state, event):
+def on_rules_version_received(state, event):
     """Note a version that the store has named, and fetch it if it is newer."""
     if event.version < state.rules.version:
         return _settle(state, event.confirmed), (Count("rules.older_ignored"),)
