--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -111,7 +111,7 @@
         Highest version that the sender was told of.
     rules_confirmed : bool
         Whether the sender has checked its version since it booted.
-    skipped : int
+    skipped_records : int
         Records that the decoder left out because it does not understand them.
     """
 
@@ -121,4 +121,4 @@
     body: object
     rules_heard: int = 0
     rules_confirmed: bool = False
-    skipped: int = 0
+    skipped_records: int = 0
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -202,8 +202,8 @@
 
     def _on_message(self, message, addr=None, is_reply=False):
         """Handle a message and return the reply, if there is one."""
-        if message.skipped:
-            self.metrics.count("mesh.records_skipped", message.skipped)
+        if message.skipped_records:
+            self.metrics.count("mesh.records_skipped", message.skipped_records)
         match message.body:
             case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -173,7 +173,7 @@
     items[1] = good
     found = CODEC.decode(sign(env.to_bytes()))
     assert [record.node_id for record in found.body.records] == ["n2"]
-    assert found.skipped == 1
+    assert found.skipped_records == 1
 
 
 def test_sizes_are_limited_before_memory_is_taken():
