--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -157,12 +157,12 @@
     weights = {target.target_id: ruleset.target_weight(target) for target in up}
     usable = [target for target in up if weights[target.target_id] > 0.0]
     subset = choose_subset(usable, node_counts) if usable else []
-    order = ruleset.region_order(service, node_counts.place[0])
+    order = ruleset.region_order(service, node_counts.location[0])
     by_release = {}
     for target in subset:
         share = ruleset.canary_share(service, target.version)
         name = target.version if share is not None else None
-        number = _ring_number(target, node_counts.place, order)
+        number = _ring_number(target, node_counts.location, order)
         if number is not None:
             _, rings = by_release.setdefault(name, (share, {}))
             found = rings.setdefault(number, [])
@@ -172,7 +172,7 @@
         (target, weights[target.target_id])
         for target in sorted(usable, key=lambda target: target.target_id)
         if target.target_id not in used
-        and _ring_number(target, node_counts.place, order) is not None
+        and _ring_number(target, node_counts.location, order) is not None
     )
     releases = []
     for name in sorted(by_release, key=lambda name: (name is None, name)):
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -27,12 +27,12 @@
     ----------
     counts : tuple of ((str, str), int)
         Number of nodes of each (region, data centre), sorted.
-    place : tuple of (str, str)
+    location : tuple of (str, str)
     rank : int
     """
 
     counts: tuple
-    place: tuple[str, str]
+    location: tuple[str, str]
     rank: int
 
     @property
@@ -151,7 +151,9 @@
         flows = {(place, "all"): count * share for place, count in node_counts.counts}
     chosen = []
     for spot, found in by_place.items():
-        before = [place for place, _ in node_counts.counts if place < node_counts.place]
+        before = [
+            place for place, _ in node_counts.counts if place < node_counts.location
+        ]
         start = sum(flows[place, spot] for place in before)
         first, last = _positions(node_counts, flows, spot, list(by_place))
         for position in range(start + first, start + last):
@@ -166,10 +168,10 @@
     turn over all spots, so that the nodes get equally many connections in total and
     no node gets two from one remainder.
     """
-    count = dict(node_counts.counts)[node_counts.place]
+    count = dict(node_counts.counts)[node_counts.location]
     dealt = 0
     for other in spots:
-        base, extra = divmod(flows[node_counts.place, other], count)
+        base, extra = divmod(flows[node_counts.location, other], count)
         if other == spot:
             break
         dealt += extra
