--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -76,7 +76,7 @@
                 sender=message.sender,
                 incarnation=message.incarnation,
                 rulesVersion=message.rules_version,
-                rulesHeard=message.rules_heard,
+                rulesHeard=message.known_rules_version,
                 rulesConfirmed=message.rules_confirmed,
             )
             _write_body(env, message.body)
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -107,7 +107,7 @@
     rules_version : int
         Version in force at the sender.
     body : data class of this module
-    rules_heard : int
+    known_rules_version : int
         Highest version that the sender was told of.
     rules_confirmed : bool
         Whether the sender has checked its version since it booted.
@@ -119,6 +119,6 @@
     incarnation: int
     rules_version: int
     body: object
-    rules_heard: int = 0
+    known_rules_version: int = 0
     rules_confirmed: bool = False
     skipped_records: int = 0
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -215,7 +215,7 @@
                 addr,
                 message.body,
                 message.rules_version,
-                message.rules_heard,
+                message.known_rules_version,
                 message.rules_confirmed,
                 is_reply,
             )
