--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,13 +19,13 @@
 
 from pimentoline import events as ev
 from pimentoline.codec import Codec
-from pimentoline.mesh import Mesh
-from pimentoline.messages import Ack, Message, Ping, Rumours, SyncReply, SyncRequest
+from pimentoline.gossip import GOSSIP_FANOUT, SYNC_INTERVAL_S, sync_reply
+from pimentoline.member_records import GOSSIP_SENDS, digests, with_records
+from pimentoline.mesh_transport import MeshTransport
+from pimentoline.messages import Ack, Gossip, Message, Ping, SyncReply, SyncRequest
 from pimentoline.model import Identity, Member, MemberStatus, State, Target
-from pimentoline.records import RUMOUR_SENDS, digests, with_records
-from pimentoline.rumours import RUMOUR_FANOUT, SYNC_S, sync_reply
 from standins.cluster import Cluster, http, wait_until
-from tests.fabric import make_fabric
+from tests.simulated_network import make_network
 
 from .reduce_cost import PLACES
 
@@ -81,7 +81,9 @@
 
     def __init__(self, count, seed):
         self.rand = random.Random(seed)
-        self.mesh = Mesh(Codec([b"test-key"]), self.on_message, lambda exc: None)
+        self.mesh = MeshTransport(
+            Codec([b"test-key"]), self.on_message, lambda exc: None
+        )
         self.addr = self.mesh.bind_addr(("127.0.0.1", 0))
         self.now = time.monotonic
         me = Identity("m0", "m0", *PLACES[0], self.addr, self.addr, 1)
@@ -109,7 +111,7 @@
                 self.mesh.send((addr,), self.message(Ack(ping_id, relay)))
             case SyncRequest():
                 return self.message(sync_reply(self.state, message.body, self.now()))
-            case Rumours(records):
+            case Gossip(records):
                 own = [r for r in records if r.node_id == message.sender]
                 self.state = with_records(self.state, own)
                 return self.message(SyncReply((), ())) if addr is None else None
@@ -123,9 +125,13 @@
             if self.now() >= end:
                 return
             self.mesh.send((node_addr,), self.message(Ping(self.rand.getrandbits(60))))
-            if second == SYNC_S / 2 or seconds < SYNC_S and second == 5:
+            if (
+                second == SYNC_INTERVAL_S / 2
+                or seconds < SYNC_INTERVAL_S
+                and second == 5
+            ):
                 request = SyncRequest(digests(self.state.mesh.members))
-                await self.mesh.ask(node_addr, self.message(request))
+                await self.mesh.send_request(node_addr, self.message(request))
             for _ in range(int(restarts_per_s)):
                 later.extend(self.restart())
             # A rumour reaches a node as often as a node sends it, in about 2 s.
@@ -146,7 +152,7 @@
         )
         for record in changes:
             self.state = with_records(self.state, [record], self.now())
-            yield from [Rumours((record,))] * (RUMOUR_SENDS * RUMOUR_FANOUT)
+            yield from [Gossip((record,))] * (GOSSIP_SENDS * GOSSIP_FANOUT)
 
 
 async def run_fed(count, cluster):
@@ -289,7 +295,7 @@
 
 def run_model(count):
     """Return the spread times of a drain and of a configuration in model time."""
-    fabric = make_fabric(count, SEED, loss=0.01)
+    fabric = make_network(count, SEED, loss=0.01)
     fabric.run(8)
     fabric.announce("n1", "t1")
     fabric.run(2.5)
--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -13,8 +13,8 @@
 from .errors import PimentolineError
 from .explain import explain
 from .logs import log_entry
+from .member_records import own_record
 from .model import Target, TargetState
-from .records import own_record
 from .rules import parse
 from .rules.options import NAME_PATTERN
 from .survey import versions_in_force
@@ -199,7 +199,7 @@
         if publisher is None:
             return
         try:
-            text = await publisher.text_of(version)
+            text = await publisher.rules_text(version)
         except PimentolineError as exc:
             self.fail(503, exc.code, exc.detail)
             return
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -11,9 +11,8 @@
     refute,
     start_suspicion,
 )
-from .messages import Ack, Ping, PingReq, Rumours, SyncReply, SyncRequest
-from .model import MemberStatus
-from .records import (
+from .gossip import on_sync_reply, push, request_sync, sync_reply, sync_when_due
+from .member_records import (
     DEAD_KEEP_S,
     is_newer,
     is_running,
@@ -21,13 +20,14 @@
     with_own_record,
     with_records,
 )
-from .rumours import on_sync_reply, push, request_sync, sync_reply, sync_when_due
+from .messages import Ack, Gossip, Ping, PingReq, SyncReply, SyncRequest
+from .model import MemberStatus
 from .target_states import expire_own, expire_unconfirmed, keep_drains
 
-__all__ = ["on_members_heard", "on_message", "on_stop", "on_tick"]
+__all__ = ["on_members_received", "on_message", "on_stop", "on_tick"]
 
 
-def on_members_heard(state, event):
+def on_members_received(state, event):
     """Take the records that are newer than the ones held."""
     return _take(state, event.records, event.now)
 
@@ -64,7 +64,7 @@
     if event.addr is None and isinstance(event.body, (Ping, PingReq)):
         return state, ()
     match event.body:
-        case Rumours(records):
+        case Gossip(records):
             return _on_rumours(state, event, records)
         case SyncRequest():
             return state, (Reply(sync_reply(state, event.body, now)),)
--- a/pimentoline/mesh.py
+++ b/pimentoline/mesh_transport.py
@@ -1,4 +1,4 @@
-"""pimentoline.mesh: UDP datagrams and TCP frames between nodes."""
+"""pimentoline.mesh_transport: UDP datagrams and TCP frames between nodes."""
 
 import asyncio
 import socket
@@ -10,16 +10,16 @@
 
 from .codec import MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES
 from .errors import CodecError
-from .messages import Rumours
+from .messages import Gossip
 
-__all__ = ["Mesh"]
+__all__ = ["MeshTransport"]
 
 FRAME_TIMEOUT_S = 2.0
 # Leaves the event loop to calls in between when many datagrams have queued up.
 MAX_DATAGRAMS_PER_WAKE = 64
 
 
-class Mesh(TCPServer):
+class MeshTransport(TCPServer):
     """Transport of one node.
 
     Parameters
@@ -42,7 +42,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
-    def take_traffic(self):
+    def take_byte_counts(self):
         """Return (metric, bytes) pairs of the payload since the last time."""
         sent, self.bytes_sent = self.bytes_sent, 0
         received, self.bytes_received = self.bytes_received, 0
@@ -87,11 +87,11 @@
         if len(records) < 2:
             loop = asyncio.get_running_loop()
             for addr in addrs:
-                loop.create_task(self.ask(addr, message))
+                loop.create_task(self.send_request(addr, message))
             return
         half = len(records) // 2
         for part in (records[:half], records[half:]):
-            self.send(addrs, replace(message, body=Rumours(part)))
+            self.send(addrs, replace(message, body=Gossip(part)))
 
     def _on_readable(self):
         for _ in range(MAX_DATAGRAMS_PER_WAKE):
@@ -113,7 +113,7 @@
             return None
         return self._on_message(message, addr)
 
-    async def ask(self, addr, message):
+    async def send_request(self, addr, message):
         """Send a frame over TCP and return the reply, or None without one."""
         try:
             stream = await asyncio.wait_for(
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -13,7 +13,7 @@
     "RulesPush",
     "RulesReply",
     "RulesRequest",
-    "Rumours",
+    "Gossip",
     "SyncReply",
     "SyncRequest",
 ]
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Rumours:
+class Gossip:
     """Member records that are new; empty if only the rules version is."""
 
     records: tuple[Member, ...]
@@ -107,11 +107,11 @@
     rules_version : int
         Version in force at the sender.
     body : data class of this module
-    rules_heard : int
+    known_rules_version : int
         Highest version that the sender was told of.
     rules_confirmed : bool
         Whether the sender has checked its version since it booted.
-    skipped : int
+    skipped_records : int
         Records that the decoder left out because it does not understand them.
     """
 
@@ -119,6 +119,6 @@
     incarnation: int
     rules_version: int
     body: object
-    rules_heard: int = 0
+    known_rules_version: int = 0
     rules_confirmed: bool = False
-    skipped: int = 0
+    skipped_records: int = 0
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -16,10 +16,10 @@
 from .admin import MAX_ADMIN_BODY_BYTES, make_admin_app
 from .claim_writer import ClaimWriter
 from .codec import Codec
-from .directory import Directory
 from .errors import NewerMessageError
 from .logs import log_entry
-from .mesh import Mesh
+from .member_records import own_record, with_own_record
+from .mesh_transport import MeshTransport
 from .messages import (
     Message,
     RulesPush,
@@ -28,11 +28,11 @@
 )
 from .metrics import Metrics
 from .model import Identity, RulesState, State
+from .peer_discovery import PeerDiscovery
 from .pool import MAX_CONNECTIONS_PER_TARGET, Pool
 from .prober import Prober
 from .proxy import DataServer, Proxy
 from .publisher import Publisher
-from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
 from .shares import ConnectionShares
@@ -84,9 +84,11 @@
             self.draw,
             self.metrics.count,
         )
-        self.mesh = Mesh(Codec.from_config(cfg), self._on_message, self._on_refused)
+        self.mesh = MeshTransport(
+            Codec.from_config(cfg), self._on_message, self._on_refused
+        )
         self.publisher = Publisher(self)
-        self.directory = Directory(self)
+        self.directory = PeerDiscovery(self)
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -129,7 +131,7 @@
         self._tasks = [
             loop.create_task(self._tick()),
             loop.create_task(self._poll_store()),
-            loop.create_task(self.directory.keep()),
+            loop.create_task(self.directory.run()),
         ]
         log_entry("node:started", node=node_id, data=data_addr, mesh=mesh_addr)
 
@@ -200,8 +202,8 @@
 
     def _on_message(self, message, addr=None, is_reply=False):
         """Handle a message and return the reply, if there is one."""
-        if message.skipped:
-            self.metrics.count("mesh.records_skipped", message.skipped)
+        if message.skipped_records:
+            self.metrics.count("mesh.records_skipped", message.skipped_records)
         match message.body:
             case RulesReply(version, text) | RulesPush(version, text):
                 self.load_rules(version, text, message.sender)
@@ -213,7 +215,7 @@
                 addr,
                 message.body,
                 message.rules_version,
-                message.rules_heard,
+                message.known_rules_version,
                 message.rules_confirmed,
                 is_reply,
             )
@@ -227,7 +229,7 @@
 
     async def send_request(self, addr, body):
         """Send a message over TCP, handle the reply and return its body or None."""
-        reply = await self.mesh.ask(addr, self.make_message(body))
+        reply = await self.mesh.send_request(addr, self.make_message(body))
         if reply is None:
             self.metrics.count("mesh.unanswered")
             return None
@@ -257,7 +259,7 @@
             await asyncio.sleep(TICK_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
             self.pool.close_expired()
-            for name, amount in self.mesh.take_traffic():
+            for name, amount in self.mesh.take_byte_counts():
                 self.metrics.count(name, amount)
 
     async def _poll_store(self):
--- a/pimentoline/configuration.py
+++ b/pimentoline/rules_version.py
@@ -1,20 +1,20 @@
-"""pimentoline.configuration: which rules version is in force."""
+"""pimentoline.rules_version: which rules version is in force."""
 
 import random
 from dataclasses import replace
 
 from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
+from .gossip import push, running_peers
+from .member_records import GOSSIP_SENDS
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
-from .records import RUMOUR_SENDS
-from .rumours import push, running_peers
 from .verdict import Verdict
 
 __all__ = [
     "on_message",
-    "on_rules_heard",
+    "on_rules_version_received",
     "on_rules_loaded",
     "on_tick",
-    "refusal",
+    "rejection_if_outdated",
 ]
 
 # An accepted version is in force everywhere within 5 s. It is announced to every node
@@ -26,7 +26,7 @@
 FETCH_GAP_S = 1.0
 
 
-def refusal(state, event):
+def rejection_if_outdated(state, event):
     """Return the effects that reject a call, or () if calls are served.
 
     At boot and after a pause, the node first has to learn the highest version.
@@ -92,7 +92,7 @@
     return state, ()
 
 
-def on_rules_heard(state, event):
+def on_rules_version_received(state, event):
     """Note a version that the store has named, and fetch it if it is newer."""
     if event.version < state.rules.version:
         return _settle(state, event.confirmed), (Count("rules.older_ignored"),)
@@ -119,7 +119,7 @@
         text=event.text,
         ruleset=event.ruleset,
         source=event.source,
-        sends=RUMOUR_SENDS,
+        sends=GOSSIP_SENDS,
         heard_at=event.now,
     )
     entry = LogEntry(
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -11,7 +11,7 @@
 import hashlib
 from dataclasses import dataclass
 
-__all__ = ["NodeCounts", "choose_subset", "connection_share", "count_nodes"]
+__all__ = ["NodeCounts", "choose_subset", "connections_per_node", "count_nodes"]
 
 # The rest of the connection limit is left for probes and for nodes whose view of
 # the membership differs.
@@ -27,12 +27,12 @@
     ----------
     counts : tuple of ((str, str), int)
         Number of nodes of each (region, data centre), sorted.
-    place : tuple of (str, str)
+    location : tuple of (str, str)
     rank : int
     """
 
     counts: tuple
-    place: tuple[str, str]
+    location: tuple[str, str]
     rank: int
 
     @property
@@ -58,7 +58,7 @@
     return NodeCounts(tuple(sorted(counts.items())), place, rank)
 
 
-def connection_share(targets, nodes):
+def connections_per_node(targets, nodes):
     """Return the number of connections that one node may keep to a service."""
     limit = min(target.connections for target in targets) * USABLE_SHARE
     return max(MIN_CONNECTIONS, int(limit * len(targets) / nodes))
@@ -134,7 +134,7 @@
     list of Target
         Sorted by name; all of them unless the connection limit is too low.
     """
-    share = connection_share(targets, node_counts.nodes)
+    share = connections_per_node(targets, node_counts.nodes)
     if share >= len(targets):
         return sorted(targets, key=lambda target: target.target_id)
     by_place = {}
@@ -151,7 +151,9 @@
         flows = {(place, "all"): count * share for place, count in node_counts.counts}
     chosen = []
     for spot, found in by_place.items():
-        before = [place for place, _ in node_counts.counts if place < node_counts.place]
+        before = [
+            place for place, _ in node_counts.counts if place < node_counts.location
+        ]
         start = sum(flows[place, spot] for place in before)
         first, last = _positions(node_counts, flows, spot, list(by_place))
         for position in range(start + first, start + last):
@@ -166,10 +168,10 @@
     turn over all spots, so that the nodes get equally many connections in total and
     no node gets two from one remainder.
     """
-    count = dict(node_counts.counts)[node_counts.place]
+    count = dict(node_counts.counts)[node_counts.location]
     dealt = 0
     for other in spots:
-        base, extra = divmod(flows[node_counts.place, other], count)
+        base, extra = divmod(flows[node_counts.location, other], count)
         if other == spot:
             break
         dealt += extra
--- a/pimentoline/survey.py
+++ b/pimentoline/survey.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from .messages import Rumours
-from .rumours import running_peers
+from .gossip import running_peers
+from .messages import Gossip
 
 __all__ = ["versions_in_force"]
 
@@ -33,7 +33,9 @@
     async def ask(record):
         async with slots:
             # The envelope of every reply names the version of its sender.
-            reply = await node.mesh.ask(record.addr, node.make_message(Rumours(())))
+            reply = await node.mesh.send_request(
+                record.addr, node.make_message(Gossip(()))
+            )
         if reply is not None and reply.sender == record.node_id:
             found[record.node_id] = reply.rules_version
 
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -3,8 +3,8 @@
 from dataclasses import replace
 
 from .effects import Count, LogEntry
-from .model import TargetState
-from .records import (
+from .gossip import lost_regions, push
+from .member_records import (
     DEAD_KEEP_S,
     UNCONFIRMED_S,
     is_running,
@@ -13,7 +13,7 @@
     with_own_record,
     without,
 )
-from .rumours import lost_regions, push
+from .model import TargetState
 
 __all__ = [
     "expire_own",
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -55,7 +55,7 @@
     st.builds(ms.Ping, u64, st.none() | addrs),
     st.builds(ms.PingReq, u64, addrs),
     st.builds(ms.Ack, u64, st.none() | addrs),
-    st.builds(ms.Rumours, records),
+    st.builds(ms.Gossip, records),
     st.builds(ms.SyncRequest, st.lists(u64, max_size=64).map(tuple)),
     st.builds(
         ms.SyncReply, st.lists(st.integers(0, 65535), max_size=9).map(tuple), records
@@ -173,7 +173,7 @@
     items[1] = good
     found = CODEC.decode(sign(env.to_bytes()))
     assert [record.node_id for record in found.body.records] == ["n2"]
-    assert found.skipped == 1
+    assert found.skipped_records == 1
 
 
 def test_sizes_are_limited_before_memory_is_taken():
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 from pimentoline.codec import Codec
-from pimentoline.mesh import Mesh
-from pimentoline.messages import Message, Rumours
+from pimentoline.mesh_transport import MeshTransport
+from pimentoline.messages import Gossip, Message
 from pimentoline.model import Member, Target
 
 ADDR = ("127.0.0.1", 9)
@@ -33,12 +33,12 @@
             if sum(len(part) for _, part in arrived) == len(records):
                 complete.set()
 
-        sender = Mesh(Codec([b"k"]), on_message, refused.append)
-        receiver = Mesh(Codec([b"k"]), on_message, refused.append)
+        sender = MeshTransport(Codec([b"k"]), on_message, refused.append)
+        receiver = MeshTransport(Codec([b"k"]), on_message, refused.append)
         sender.bind_addr(("127.0.0.1", 0))
         addr = receiver.bind_addr(("127.0.0.1", 0))
         try:
-            sender.send((addr,), Message("n1", 1, 0, Rumours(records)))
+            sender.send((addr,), Message("n1", 1, 0, Gossip(records)))
             await asyncio.wait_for(complete.wait(), WAIT_S)
         finally:
             sender.close()
