--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -88,7 +88,7 @@
             Codec.from_config(cfg), self._on_message, self._on_refused
         )
         self.publisher = Publisher(self)
-        self.directory = PeerDiscovery(self)
+        self.peer_discovery = PeerDiscovery(self)
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -123,7 +123,7 @@
             make_admin_app(self), max_body_size=MAX_ADMIN_BODY_BYTES
         )
         self._admin.add_sockets(admin_sockets)
-        await self.directory.join()
+        await self.peer_discovery.join()
         self._server = DataServer(self.proxy)
         self._server.add_sockets(data_sockets)
         self.proxy.arrivals.start()
@@ -131,7 +131,7 @@
         self._tasks = [
             loop.create_task(self._tick()),
             loop.create_task(self._poll_store()),
-            loop.create_task(self.directory.run()),
+            loop.create_task(self.peer_discovery.run()),
         ]
         log_entry("node:started", node=node_id, data=data_addr, mesh=mesh_addr)
 
--- a/pimentoline/platform/report_server.py
+++ b/pimentoline/platform/report_server.py
@@ -102,9 +102,9 @@
     async def _stored(self, state):
         """Store a new state, so that this node keeps to it after a restart."""
         if state is TargetState.READY:
-            asyncio.get_running_loop().create_task(self.node.watch.save())
+            asyncio.get_running_loop().create_task(self.node.store_sync.save())
         else:
-            await self.node.watch.save_with_timeout()
+            await self.node.store_sync.save_with_timeout()
 
 
 class _Request(HTTPMessageDelegate):
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -145,7 +145,7 @@
         self.frontend = Frontend(self.caller_side, self.config, dialect)
         me = Member(cfg.node, cfg.peers_addr, cfg.dc, cfg.region, cfg.service)
         self.peers.set_member(me)
-        self.watch = StoreSync(make_store(self.pool), config_place, me, self)
+        self.store_sync = StoreSync(make_store(self.pool), config_place, me, self)
         self._control = HTTPServer(control(self))
         self._ready = HTTPServer(ready(self))
         self._ended = asyncio.Event()
@@ -179,7 +179,7 @@
         self._control.listen(cfg.reports_addr[1], cfg.reports_addr[0], backlog=64)
         self._ready.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
         self.frontend.listen(cfg.callers_addr)
-        self.watch.start()
+        self.store_sync.start()
         self._trimmer = asyncio.get_running_loop().create_task(self._trim())
         log_entry("node:started", node=cfg.node, data=cfg.callers_addr)
 
@@ -197,7 +197,7 @@
     async def close(self):
         """Drop everything at once."""
         self._trimmer.cancel()
-        self.watch.stop()
+        self.store_sync.stop()
         self.frontend.stop_listening()
         self.frontend.close_all()
         self._control.stop()
@@ -237,7 +237,7 @@
             await asyncio.sleep(CHECK_S)
         if self.target.has_left:
             # The host goes with its target; a row for it would only be tried in vain.
-            await self.watch.remove_with_timeout()
+            await self.store_sync.remove_with_timeout()
         self.peers.stop_listening()
         self.caller_side.abort()
         self.frontend.close_idle()
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -244,8 +244,8 @@
         self.target = Side()
         self.peers = self.config = None
         me = Member("n1", ADDR, "kerio", "rift", "ledger")
-        self.watch = StoreSync(store, ("op", "config"), me, self)
-        self.watch.start()
+        self.store_sync = StoreSync(store, ("op", "config"), me, self)
+        self.store_sync.start()
 
     async def report(self, state, sequence, born=5):
         """Take a status report; return once it is acknowledged."""
@@ -253,7 +253,7 @@
         before = self.target.status_tracker.current
         if self.target.status_tracker.accept(held):
             if before is None or before.state is not state:
-                await self.watch.save_with_timeout()
+                await self.store_sync.save_with_timeout()
 
     @property
     def state(self):
@@ -285,7 +285,7 @@
         for step in order:
             match step:
                 case "restart":
-                    process.watch.stop()
+                    process.store_sync.stop()
                     process = Process(store)
                 case "late-ready":
                     await process.report(TargetState.READY, 2)
@@ -296,7 +296,7 @@
             assert process.state is TargetState.DRAINING
         await process.report(TargetState.READY, 1, born=9)
         assert process.state is TargetState.READY
-        process.watch.stop()
+        process.store_sync.stop()
 
     clock.run(play())
 
@@ -316,6 +316,6 @@
         # Each fault takes 1.5 s at most, and the pause after it 1.2 s.
         await asyncio.sleep(1.0 + len(faults) * 2.7)
         assert b"draining" in store.row.value
-        process.watch.stop()
+        process.store_sync.stop()
 
     clock.run(play())
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -70,7 +70,7 @@
         node = await self.start_node(name, instance, dc, region)
         self.instances.append(instance)
         if ready:
-            await self.until(lambda: node.watch.members_loaded.is_set())
+            await self.until(lambda: node.store_sync.members_loaded.is_set())
             assert await instance.report(node) == 200
         return node, instance
 
@@ -431,7 +431,7 @@
     assert await instance.report(node, "draining") == 200
     await site.end(node)
     again = await site.start_node(node.cfg.node, instance)
-    await site.until(lambda: again.watch.members_loaded.is_set())
+    await site.until(lambda: again.store_sync.members_loaded.is_set())
     instance.sequence = 0
     assert await instance.report(again, "ready") == 200
     await asyncio.sleep(0.1)
@@ -573,7 +573,7 @@
 async def test_configuration_reaches_a_node_that_lost_the_store(site):
     """Guards against an older configuration at a node that the store turns away."""
     front, node, _ = await pair(site)
-    front.watch.stop()
+    front.store_sync.stop()
     site.store.put_config(config(9))
     await site.until(lambda: front.config.version == 9, 2.0)
 
