Name the pending ping of the failure detector a ping

Cause: Probe meant both the detector's ping and a load probe of a target. Change: rename only, Probe to PendingPing and its fields in MeshState.

--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -5,7 +5,7 @@
 
 from .effects import Count, LogEntry, SendMessage
 from .messages import Ack, Ping, PingReq, Rumours
-from .model import MemberStatus, Probe
+from .model import MemberStatus, PendingPing
 from .records import for_wire, own_record, with_own_record, with_records
 from .rumours import request_sync, running_peers
 
@@ -35,7 +35,7 @@
 def check_members(state, now, draw):
     """Go on with the ping in flight, start the next one, end suspicions."""
     state, effects = _check_probe(state, now, draw)
-    if state.mesh.probe is None and now >= state.mesh.next_probe_at:
+    if state.mesh.pending_ping is None and now >= state.mesh.next_ping_at:
         state, started = _start_probe(state, now, draw)
         effects += started
     state, died = _declare_dead(state, now)
@@ -44,27 +44,27 @@
 
 def _start_probe(state, now, draw):
     peers = running_peers(state)
-    mesh = replace(state.mesh, next_probe_at=now + PING_S)
+    mesh = replace(state.mesh, next_ping_at=now + PING_S)
     if not peers:
         return replace(state, mesh=mesh), ()
     chosen = random.Random(draw).choice(peers)
-    probe = Probe(chosen.node_id, draw, now)
-    state = replace(state, mesh=replace(mesh, probe=probe))
+    probe = PendingPing(chosen.node_id, draw, now)
+    state = replace(state, mesh=replace(mesh, pending_ping=probe))
     return state, (SendMessage((chosen.addr,), Ping(draw)),)
 
 
 def _check_probe(state, now, draw):
-    probe = state.mesh.probe
+    probe = state.mesh.pending_ping
     if probe is None:
         return state, ()
     record = state.mesh.members.get(probe.node_id)
     if record is None or record.status in (MemberStatus.DEAD, MemberStatus.LEAVING):
-        return replace(state, mesh=replace(state.mesh, probe=None)), ()
+        return replace(state, mesh=replace(state.mesh, pending_ping=None)), ()
     timeout_s = PING_TIMEOUT_S * (1 + state.mesh.health)
     waited_s = now - probe.sent_at
     if not probe.indirect and waited_s >= timeout_s:
         probe = replace(probe, indirect=True)
-        state = replace(state, mesh=replace(state.mesh, probe=probe))
+        state = replace(state, mesh=replace(state.mesh, pending_ping=probe))
         others = [p for p in running_peers(state) if p.node_id != probe.node_id]
         chosen = random.Random(draw).sample(others, min(INDIRECT_PINGS, len(others)))
         if not chosen:
@@ -73,7 +73,7 @@
         return state, (SendMessage(addrs, PingReq(probe.ping_id, record.addr)),)
     if not probe.indirect or waited_s < 2 * timeout_s:
         return state, ()
-    state = replace(state, mesh=replace(state.mesh, probe=None))
+    state = replace(state, mesh=replace(state.mesh, pending_ping=None))
     state = _with_health(state, 1)
     if record.status is MemberStatus.SUSPECT:
         return state, ()
@@ -127,10 +127,10 @@
     """End the ping in flight, or pass the ack on to the node that it is for."""
     if ack.relay is not None:
         return state, (SendMessage((ack.relay,), Ack(ack.ping_id)),)
-    probe = state.mesh.probe
+    probe = state.mesh.pending_ping
     if probe is None or probe.ping_id != ack.ping_id:
         return state, ()
-    state = replace(state, mesh=replace(state.mesh, probe=None))
+    state = replace(state, mesh=replace(state.mesh, pending_ping=None))
     return _with_health(state, -1), ()
 
 
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -19,7 +19,7 @@
     "Member",
     "MemberStatus",
     "MeshState",
-    "Probe",
+    "PendingPing",
     "RecordedAnswer",
     "Request",
     "RulesState",
@@ -354,7 +354,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Probe:
+class PendingPing:
     """The ping in flight of the failure detector."""
 
     node_id: str
@@ -393,8 +393,8 @@
         its end.
     drained : Map of str to (str, int)
         Addresses of the targets of this host that were ordered to drain, by id.
-    probe : Probe or None
-    next_probe_at, next_sync_at, last_sync_at, last_tick : float
+    pending_ping : PendingPing or None
+    next_ping_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
     health : int
         Local health score, 0 if this node's own pings are answered.
@@ -410,8 +410,8 @@
     suspects: Map = field(default_factory=Map)
     renewed: Map = field(default_factory=Map)
     drained: Map = field(default_factory=Map)
-    probe: Probe | None = None
-    next_probe_at: float = float("-inf")
+    pending_ping: PendingPing | None = None
+    next_ping_at: float = float("-inf")
     next_sync_at: float = float("-inf")
     last_sync_at: float = float("-inf")
     last_tick: float | None = None
