Name the module that schedules probes probing

Cause: measuring did not tell that the module decides which targets get a load probe. Change: rename only, measuring to probing (module, test file, MeasuringState, State.measuring).

--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -15,7 +15,7 @@
     "Call",
     "CallRecord",
     "Identity",
-    "MeasuringState",
+    "ProbingState",
     "Member",
     "MemberStatus",
     "MeshState",
@@ -420,7 +420,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MeasuringState:
+class ProbingState:
     """Demand for probes and this node's share of the budget.
 
     Parameters
@@ -457,6 +457,6 @@
     rules: RulesState = field(default_factory=RulesState)
     mesh: MeshState = field(default_factory=MeshState)
     traffic: TrafficState = field(default_factory=TrafficState)
-    measuring: MeasuringState = field(default_factory=MeasuringState)
+    probing: ProbingState = field(default_factory=ProbingState)
     policy: str = "hot-cold"
     stopping: bool = False
--- a/pimentoline/prober.py
+++ b/pimentoline/prober.py
@@ -14,7 +14,7 @@
 
 from .events import ProbeEnded
 from .headers import parse_load
-from .measuring import MAX_ANSWER_BYTES
+from .probing import MAX_ANSWER_BYTES
 
 __all__ = ["Prober"]
 
--- a/pimentoline/measuring.py
+++ b/pimentoline/probing.py
@@ -1,4 +1,4 @@
-"""pimentoline.measuring: which targets are probed, within the region's budget.
+"""pimentoline.probing: which targets are probed, within the region's budget.
 
 All nodes of a region together stay within its budget without talking to each other:
 each takes an equal share of it, and the number of shares is never too low.
@@ -42,9 +42,9 @@
     if service not in state.mesh.by_service:
         # Callers choose the name; only names of services are kept.
         return state
-    measuring = state.measuring
-    asked = measuring.asked.set(service, event.now)
-    return replace(state, measuring=replace(measuring, asked=asked))
+    probing = state.probing
+    asked = probing.asked.set(service, event.now)
+    return replace(state, probing=replace(probing, asked=asked))
 
 
 def count_shares(state, budget):
@@ -67,31 +67,31 @@
     The share is spent as it falls due or not at all. Nodes that were idle therefore
     cannot probe all at once when calls arrive.
     """
-    now, measuring = event.now, state.measuring
-    last = measuring.last_tick
+    now, probing = event.now, state.probing
+    last = probing.last_tick
     if last is None or now - last > PAUSE_S:
-        measuring = replace(
-            measuring,
+        probing = replace(
+            probing,
             last_tick=now,
             joined_at=now,
             # Nodes that start at the same time fall due at different times.
             due=fraction(event.draw, 1),
             free_bytes=0.0,
         )
-        return replace(state, measuring=measuring), ()
+        return replace(state, probing=probing), ()
     budget = state.rules.ruleset.probe_budget(state.me.region)
     shares = count_shares(state, budget)
     elapsed_s = now - last
-    due, probes = _fall_due(measuring.due, budget.probes_per_s / shares, elapsed_s)
+    due, probes = _fall_due(probing.due, budget.probes_per_s / shares, elapsed_s)
     bytes_per_s = budget.bytes_per_s / shares
     free_bytes = min(
-        measuring.free_bytes + bytes_per_s * elapsed_s,
+        probing.free_bytes + bytes_per_s * elapsed_s,
         max(float(MAX_PROBE_BYTES), bytes_per_s),
     )
-    measuring = replace(measuring, last_tick=now, due=due, free_bytes=free_bytes)
-    state = replace(state, measuring=measuring)
+    probing = replace(probing, last_tick=now, due=due, free_bytes=free_bytes)
+    state = replace(state, probing=probing)
     probes = min(probes, int(free_bytes // MAX_PROBE_BYTES))
-    if probes < 1 or now - measuring.joined_at < JOIN_WAIT_S or state.stopping:
+    if probes < 1 or now - probing.joined_at < JOIN_WAIT_S or state.stopping:
         return state, ()
     wanted = _wanted(state, now, event.draw)[:probes]
     return _send(state, wanted, now)
@@ -107,8 +107,8 @@
 
 def _wanted(state, now, draw):
     """Return the targets without fresh information, the longest unheard first."""
-    measuring, found = state.measuring, []
-    for service, at in measuring.asked.items():
+    probing, found = state.probing, []
+    for service, at in probing.asked.items():
         if now - at > DEMAND_S:
             continue
         for target in _candidates(state, service):
@@ -116,11 +116,11 @@
             stats = state.traffic.targets.get(name) or TargetStats()
             if (
                 now - stats.reported_at > FRESH_S
-                and name not in measuring.in_flight
+                and name not in probing.in_flight
                 and len(target.load_path) <= MAX_LOAD_PATH_CHARS
             ):
                 # A target that never answers must not take the turn of others.
-                probed_at = measuring.probed.get(name, float("-inf"))
+                probed_at = probing.probed.get(name, float("-inf"))
                 heard_at = max(stats.reported_at, probed_at)
                 found.append((heard_at, mix(draw, len(found)), target))
     found.sort(key=lambda item: item[:2])
@@ -144,33 +144,33 @@
 
 
 def _send(state, targets, now):
-    measuring, effects = state.measuring, []
-    if len(measuring.probed) > MAX_PROBED:
-        measuring = replace(measuring, probed=Map())
+    probing, effects = state.probing, []
+    if len(probing.probed) > MAX_PROBED:
+        probing = replace(probing, probed=Map())
     for target in targets:
         name = target.target_id
         effects.append(SendProbe(name, target.addr, target.load_path))
-        measuring = replace(
-            measuring,
-            probed=measuring.probed.set(name, now),
-            in_flight=measuring.in_flight | {name},
-            free_bytes=measuring.free_bytes - MAX_PROBE_BYTES,
+        probing = replace(
+            probing,
+            probed=probing.probed.set(name, now),
+            in_flight=probing.in_flight | {name},
+            free_bytes=probing.free_bytes - MAX_PROBE_BYTES,
         )
     if effects:
         effects.append(Count("probes.sent", len(effects)))
-    return replace(state, measuring=measuring), tuple(effects)
+    return replace(state, probing=probing), tuple(effects)
 
 
 def on_probe_ended(state, event):
     """Take the load from an answer, and free what the probe did not use."""
-    measuring, name = state.measuring, event.target_id
+    probing, name = state.probing, event.target_id
     used = event.sent_bytes + event.received_bytes + PACKET_BYTES
-    measuring = replace(
-        measuring,
-        in_flight=measuring.in_flight - {name},
-        free_bytes=measuring.free_bytes + MAX_PROBE_BYTES - used,
+    probing = replace(
+        probing,
+        in_flight=probing.in_flight - {name},
+        free_bytes=probing.free_bytes + MAX_PROBE_BYTES - used,
     )
-    state = replace(state, measuring=measuring)
+    state = replace(state, probing=probing)
     effects = (Count("probes.bytes", used),)
     if event.load is None:
         return state, effects + (Count("probes.failed"),)
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from . import calls, configuration, measuring, membership, target_states
+from . import calls, configuration, membership, probing, target_states
 from . import events as ev
 from .model import State
 
@@ -41,7 +41,7 @@
             refusal = configuration.refusal(state, event)
             if refusal:
                 return Step(state, refusal)
-            return Step(*calls.on_arrived(measuring.note_call(state, event), event))
+            return Step(*calls.on_arrived(probing.note_call(state, event), event))
         case ev.HeadReceived():
             return Step(*calls.on_head(state, event))
         case ev.AttemptEnded():
@@ -75,10 +75,10 @@
         case ev.Tick():
             state, effects = configuration.on_tick(state, event)
             state, more = membership.on_tick(state, event)
-            state, probes = measuring.on_tick(state, event)
+            state, probes = probing.on_tick(state, event)
             return Step(state, effects + more + probes)
         case ev.ProbeEnded():
-            return Step(*measuring.on_probe_ended(state, event))
+            return Step(*probing.on_probe_ended(state, event))
         case ev.StopRequested():
             state, effects = membership.on_stop(state, event)
             return Step(replace(state, stopping=True), effects)
--- a/tests/test_measuring.py
+++ b/tests/test_probing.py
@@ -8,7 +8,6 @@
 
 from pimentoline import events as ev
 from pimentoline.effects import SendProbe
-from pimentoline.measuring import MAX_PROBE_BYTES, PACKET_BYTES
 from pimentoline.model import (
     Call,
     Identity,
@@ -19,6 +18,7 @@
     State,
     Target,
 )
+from pimentoline.probing import MAX_PROBE_BYTES, PACKET_BYTES
 from pimentoline.records import own_record
 from pimentoline.reducer import reduce
 from pimentoline.rules import parse
