Name the limits of connections to targets connection_limits

Cause: shares also means the parts of calls that canary and spill rules give. Change: rename only, shares to connection_limits, ConnectionShares to ConnectionLimits.

--- a/pimentoline/shares.py
+++ b/pimentoline/connection_limits.py
@@ -1,11 +1,11 @@
-"""pimentoline.shares: this node's share of the connections that targets accept."""
+"""pimentoline.connection_limits: the maximum number of connections to each target."""
 
 from .subsets import connection_share
 
-__all__ = ["ConnectionShares"]
+__all__ = ["ConnectionLimits"]
 
 
-class ConnectionShares:
+class ConnectionLimits:
     """Maximum number of connections to each target, from the membership.
 
     The share of a service is spread evenly over the targets that the node uses.
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -16,6 +16,7 @@
 from .admin import MAX_ADMIN_BODY_BYTES, make_admin_app
 from .claim_writer import ClaimWriter
 from .codec import Codec
+from .connection_limits import ConnectionLimits
 from .directory import Directory
 from .errors import NewerMessageError
 from .logs import log_entry
@@ -35,7 +36,6 @@
 from .records import own_record, with_own_record
 from .reducer import reduce
 from .rules import parse
-from .shares import ConnectionShares
 from .store import Store
 
 __all__ = ["Node"]
@@ -65,8 +65,8 @@
         self.state = None
         self.metrics = Metrics.from_config(cfg)
         self.store = Store.from_config(cfg, self.metrics) if cfg.store_url else None
-        shares = ConnectionShares(lambda: self.state, MAX_CONNECTIONS_PER_TARGET)
-        self.pool = Pool(self.clock, shares.limit_of)
+        limits = ConnectionLimits(lambda: self.state, MAX_CONNECTIONS_PER_TARGET)
+        self.pool = Pool(self.clock, limits.limit_of)
         self.proxy = Proxy(
             self.dispatch,
             self.pool,
