--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -17,7 +17,7 @@
 from .records import own_record
 from .rules import parse
 from .rules.options import NAME_PATTERN
-from .survey import versions_in_force
+from .rules_versions import versions_in_force
 
 __all__ = ["MAX_ADMIN_BODY_BYTES", "make_admin_app"]
 
--- a/pimentoline/survey.py
+++ b/pimentoline/rules_versions.py
@@ -1,4 +1,4 @@
-"""pimentoline.survey: which rules version each node has in force."""
+"""pimentoline.rules_versions: which rules version each node has in force."""
 
 import asyncio
 
@@ -9,7 +9,7 @@
 
 # Member records do not name the present version, since 720 new records for each
 # change would exceed the control-plane limit; an operator's question is rare.
-SURVEY_TIMEOUT_S = 5.0
+QUERY_TIMEOUT_S = 5.0
 MAX_CONNECTIONS = 32
 
 
@@ -39,7 +39,7 @@
 
     if peers:
         tasks = [asyncio.ensure_future(ask(record)) for record in peers]
-        _, late = await asyncio.wait(tasks, timeout=SURVEY_TIMEOUT_S)
+        _, late = await asyncio.wait(tasks, timeout=QUERY_TIMEOUT_S)
         for task in late:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
