Name the events of members and rules versions by receipt

Cause: heard is figurative. Change: rename only, MembersHeard to MembersReceived and RulesHeard to RulesVersionReceived. Result: ruff clean, tests/test_configuration.py and test_membership.py pass.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -53,7 +53,7 @@
     dead = tuple(
         replace(state.mesh.members[name], status=MemberStatus.DEAD) for name in names
     )
-    step = reduce(state, ev.MembersHeard(now, dead))
+    step = reduce(state, ev.MembersReceived(now, dead))
     sent = [encoded_bytes(codec, state, step.effects)]
     state = step.state
     for number in range(ROUNDS):
--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -37,7 +37,7 @@
         records.append(Member(name, name, addr, region, dc, 1, 1, targets=targets))
     me = Identity("n000", "n000", *PLACES[0], addr, addr, 1)
     state = State(me, policy=policy)
-    return reduce(state, ev.MembersHeard(0.0, tuple(records))).state
+    return reduce(state, ev.MembersReceived(0.0, tuple(records))).state
 
 
 def make_events(number, attempt_id):
--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -4,7 +4,7 @@
 import time
 
 from .errors import PimentolineError
-from .events import RulesHeard
+from .events import RulesVersionReceived
 from .logs import log_entry
 from .messages import RulesRequest, SyncRequest
 from .records import digests
@@ -66,7 +66,9 @@
                 break
         if node.store is None and (answered or not seeds):
             # Without a store, nobody else can know of a version.
-            node.dispatch(RulesHeard(node.clock(), 0, "nobody", confirmed=True))
+            node.dispatch(
+                RulesVersionReceived(node.clock(), 0, "nobody", confirmed=True)
+            )
 
     async def _find_peers(self):
         """Write the own row, then return the other rows' addresses, shuffled.
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -20,11 +20,11 @@
     "DeadlinePassed",
     "HeadReceived",
     "HedgeDue",
-    "MembersHeard",
+    "MembersReceived",
     "MessageReceived",
     "Outcome",
     "ProbeEnded",
-    "RulesHeard",
+    "RulesVersionReceived",
     "RulesLoaded",
     "StopRequested",
     "TargetAnnounced",
@@ -172,7 +172,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MembersHeard:
+class MembersReceived:
     """Records of members arrived from a peer."""
 
     now: float
@@ -199,7 +199,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RulesHeard:
+class RulesVersionReceived:
     """A peer or the store named a rules version.
 
     `confirmed` is True if the answer is the store's, or if there is nobody to ask.
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -61,7 +61,9 @@
         except (PimentolineError, KeyError, TypeError):
             node.metrics.count("store.failed")
         # The version is known even if its text could not be read.
-        node.dispatch(ev.RulesHeard(node.clock(), version, "store", confirmed=True))
+        node.dispatch(
+            ev.RulesVersionReceived(node.clock(), version, "store", confirmed=True)
+        )
 
     async def apply(self, base, text, author, attempt):
         """Write a new rules version if `base` is still in force.
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -62,13 +62,13 @@
             return Step(*target_states.on_target_drained(state, event))
         case ev.TargetWithdrawn():
             return Step(*target_states.on_target_withdrawn(state, event))
-        case ev.MembersHeard():
+        case ev.MembersReceived():
             return Step(*membership.on_members_heard(state, event))
         case ev.MessageReceived():
             state, effects = membership.on_message(state, event)
             state, more = configuration.on_message(state, event)
             return Step(state, effects + more)
-        case ev.RulesHeard():
+        case ev.RulesVersionReceived():
             return Step(*configuration.on_rules_heard(state, event))
         case ev.RulesLoaded():
             return Step(*configuration.on_rules_loaded(state, event))
--- a/tests/core.py
+++ b/tests/core.py
@@ -53,7 +53,7 @@
         target = Target(name, SERVICE, ADDR, *place, **fields)
         node = f"node-of-{name}"
         record = Member(node, node, ADDR, *place, 1, self.seq, status, (target,))
-        self.send(ev.MembersHeard(self.now, (record,)))
+        self.send(ev.MembersReceived(self.now, (record,)))
 
     def arrive(self, method="GET", **fields):
         """Start a call; return its number and the effects."""
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -144,7 +144,9 @@
         lacking = rules.must_check or rules.version < effect.version
         if lacking and self.store is not None:
             self.load_rules(name, self.store)
-            heard = ev.RulesHeard(self.now, self.store, "store", confirmed=True)
+            heard = ev.RulesVersionReceived(
+                self.now, self.store, "store", confirmed=True
+            )
             self.dispatch(name, heard)
 
     def run(self, seconds, until=None):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -57,7 +57,7 @@
     fabric.store = 1
     for name in fabric.states:
         fabric.load_rules(name, 1, source="a stale peer")
-        heard = ev.RulesHeard(fabric.now, 1, "store", confirmed=True)
+        heard = ev.RulesVersionReceived(fabric.now, 1, "store", confirmed=True)
         fabric.dispatch(name, heard)
     fabric.run(5, lambda: versions(fabric) == {3})
     assert fabric.counts["rules.older_ignored"] >= 7
@@ -70,7 +70,7 @@
         fabric.load_rules(name, 1)
     fabric.load_rules("n0", 2)
     # n1 has heard of version 2 and cannot fetch it; n2 and n3 have not.
-    heard = ev.RulesHeard(fabric.now, 2, "store")
+    heard = ev.RulesVersionReceived(fabric.now, 2, "store")
     fabric.dispatch("n1", heard)
     fabric.off |= {"n0", "n2", "n3"}
     fabric.add("n9", seeds=["n1"], must_check=True)
@@ -100,7 +100,7 @@
     """Guards P7 against a node that cannot fetch, and calls against a short gap."""
     fabric = make_fabric(2, 24)
     fabric.off.add("n1")
-    fabric.dispatch("n0", ev.RulesHeard(fabric.now, 5, "n1"))
+    fabric.dispatch("n0", ev.RulesVersionReceived(fabric.now, 5, "n1"))
     assert call_refused(fabric, "n0") == "unknown-service"
     fabric.run(3.5)
     assert call_refused(fabric, "n0") == "rules-outdated"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -174,7 +174,7 @@
     old = fabric.states["n1"].mesh.members["n2"]
     fabric.off.add("n2")
     fabric.run(20, lambda: fabric.all_say("n2", "dead"))
-    fabric.dispatch("n0", ev.MembersHeard(fabric.now, (old,)))
+    fabric.dispatch("n0", ev.MembersReceived(fabric.now, (old,)))
     assert fabric.status("n0", "n2") == "dead"
     fabric.run(3570)
     assert fabric.status("n0", "n2") == "dead"
@@ -188,7 +188,7 @@
     fabric = make_fabric(3, 11)
     record = own_record(fabric.states["n1"])
     false = replace(record, incarnation=record.incarnation + 500, seq=9)
-    fabric.dispatch("n0", ev.MembersHeard(fabric.now, (false,)))
+    fabric.dispatch("n0", ev.MembersReceived(fabric.now, (false,)))
     fabric.run(10, lambda: fabric.status("n0", "n1") == "alive")
     fabric.run(10, lambda: own_record(fabric.states["n1"]).seq > 0)
     fabric.run(10, lambda: fabric.states["n0"].mesh.members["n1"].seq != 9)
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -54,13 +54,13 @@
             addr = (name, 1)
             me = Identity(name, name, "rift", "kerio", addr, addr, 1)
             self.states[name] = State(me, self.rules)
-            self.apply(name, ev.MembersHeard(self.now, (self.far,)))
+            self.apply(name, ev.MembersReceived(self.now, (self.far,)))
 
     def introduce(self, *names):
         """Let the named nodes know each other."""
         records = tuple(own_record(self.states[name]) for name in names)
         for name in names:
-            self.apply(name, ev.MembersHeard(self.now, records))
+            self.apply(name, ev.MembersReceived(self.now, records))
 
     def apply(self, name, event):
         """Reduce an event and end the probes that it sends."""
@@ -81,7 +81,7 @@
                 if round(self.now / TICK_S) % 5 == 0:
                     # The far region answers, so its targets stay routable.
                     self.far = replace(self.far, seq=self.far.seq + 1)
-                    self.apply(name, ev.MembersHeard(self.now, (self.far,)))
+                    self.apply(name, ev.MembersReceived(self.now, (self.far,)))
                 draw = hash((round(self.now * 1000), number)) & (2**64 - 1)
                 if self.demand:
                     req = Request("hive-ledger", "GET", "/", self.now + 1.0)
@@ -133,7 +133,7 @@
     begin = region.now
     for name in news:
         records = tuple(own_record(state) for state in region.states.values())
-        region.apply(name, ev.MembersHeard(region.now, records))
+        region.apply(name, ev.MembersReceived(region.now, records))
     region.run(9.0)
     assert sum(region.probes(begin, name) for name in news) == 0
     region.introduce(*olds, *news)
@@ -150,7 +150,7 @@
             for record in state.mesh.members.values()
             if record.region == "rift" and record.node_id != name
         ]
-        region.apply(name, ev.MembersHeard(region.now, tuple(others)))
+        region.apply(name, ev.MembersReceived(region.now, tuple(others)))
     begin = region.now
     region.run(10.0)
     assert region.probes(begin) > 0
@@ -177,7 +177,7 @@
     begin = region.now
     region.run(1.0)
     # A node that was paused serves calls only after it has checked its rules.
-    region.apply("n0", ev.RulesHeard(region.now, 1, "store", confirmed=True))
+    region.apply("n0", ev.RulesVersionReceived(region.now, 1, "store", confirmed=True))
     region.run(8.0)
     assert region.probes(begin, "n0") == 0
     region.introduce(*region.states)
