Name the latency percentiles and counts of a service by what they hold

Cause: typical_s, late_s, latest, ring and cursor did not tell what they hold. Change: rename only, fields of ServiceStats.

--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -148,10 +148,10 @@
 
 
 def _failure_latency_s(state, service, sample_s):
-    late_s = _service_stats(state, service).late_s
-    if not late_s:
+    p95_latency_s = _service_stats(state, service).p95_latency_s
+    if not p95_latency_s:
         return max(sample_s, FAILURE_LATENCY_S)
-    return max(sample_s, FAILURE_LATENCY_FACTOR * late_s)
+    return max(sample_s, FAILURE_LATENCY_FACTOR * p95_latency_s)
 
 
 def _with_failure(state, record, attempt, now, decisive, stats):
@@ -230,16 +230,16 @@
 
 
 def _latency_changes(service, sample_s):
-    latest = (*service.latest, sample_s)
-    if len(latest) < LATENCY_BATCH:
-        return {"latest": latest}
-    window = (service.latencies + latest)[-LATENCY_WINDOW:]
+    new_latencies = (*service.new_latencies, sample_s)
+    if len(new_latencies) < LATENCY_BATCH:
+        return {"new_latencies": new_latencies}
+    window = (service.latencies + new_latencies)[-LATENCY_WINDOW:]
     ordered = sorted(window)
     return {
         "latencies": window,
-        "latest": (),
-        "typical_s": ordered[len(ordered) // 2],
-        "late_s": ordered[int(len(ordered) * 0.95)],
+        "new_latencies": (),
+        "median_latency_s": ordered[len(ordered) // 2],
+        "p95_latency_s": ordered[int(len(ordered) * 0.95)],
     }
 
 
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -269,16 +269,16 @@
         that throttling refused.
     counted_at : float
         Monotonic time up to which the counts are decayed, seconds.
-    latencies, latest : tuple of float
-        Times to the response head of successful calls, seconds; `latest` holds the
-        few that are not yet in `latencies`.
-    typical_s, late_s : float
+    latencies, new_latencies : tuple of float
+        Times to the response head of successful calls, seconds;
+        `new_latencies` holds the few that are not yet in `latencies`.
+    median_latency_s, p95_latency_s : float
         Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
-    ring : int
+    widest_ring : int
         Widest locality ring in use.
     spill_credit : float
         Calls that may still be spilled.
-    cursor : int
+    calls_sent : int
         Number of calls sent.
     """
 
@@ -289,12 +289,12 @@
     accepted: tuple[float, ...] = (0.0, 0.0, 0.0)
     counted_at: float = 0.0
     latencies: tuple[float, ...] = ()
-    latest: tuple[float, ...] = ()
-    typical_s: float = 0.0
-    late_s: float = 0.0
-    ring: int = 0
+    new_latencies: tuple[float, ...] = ()
+    median_latency_s: float = 0.0
+    p95_latency_s: float = 0.0
+    widest_ring: int = 0
     spill_credit: float = 0.0
-    cursor: int = 0
+    calls_sent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -46,7 +46,7 @@
     and not as the fastest. It is at least the mean age of the requests that wait at
     the target, which tells of a slowdown before the first slow answer.
     """
-    typical_s = service.typical_s
+    typical_s = service.median_latency_s
     latency_s = typical_s
     if stats.latency_s:
         part = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
@@ -66,7 +66,7 @@
 
         A target whose last sample was slow is tried with one request at a time.
         """
-        limit_s = SLOW_FACTOR * service.typical_s
+        limit_s = SLOW_FACTOR * service.median_latency_s
         stats = cand.stats
         if not limit_s:
             return True
--- a/pimentoline/policies/round_robin.py
+++ b/pimentoline/policies/round_robin.py
@@ -11,5 +11,5 @@
     name = "round-robin"
 
     def choose(self, found, service, now, draw):
-        """Return the candidate at the service's cursor."""
-        return found[service.cursor % len(found)]
+        """Return the candidates in turn, by the number of calls sent."""
+        return found[service.calls_sent % len(found)]
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -138,7 +138,7 @@
         return
     stats = state.traffic.services.get(service) or ServiceStats()
     for release in route.releases:
-        for ring in release.rings[: stats.ring + 1]:
+        for ring in release.rings[: stats.widest_ring + 1]:
             for target, _ in ring:
                 yield target
 
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -50,9 +50,9 @@
 def hedge_delay_s(state, service):
     """Return the delay after which a call of the service is hedged, seconds."""
     stats = state.traffic.services.get(service)
-    if stats is None or not stats.late_s:
+    if stats is None or not stats.p95_latency_s:
         return DEFAULT_HEDGE_DELAY_S
-    return max(MIN_HEDGE_DELAY_S, stats.late_s)
+    return max(MIN_HEDGE_DELAY_S, stats.p95_latency_s)
 
 
 def first_changes(stats, share):
@@ -61,7 +61,7 @@
     It earns a share of a repeat.
     """
     tokens = min(MAX_RETRY_TOKENS, stats.retry_tokens + share)
-    return {"retry_tokens": tokens, "cursor": stats.cursor + 1}
+    return {"retry_tokens": tokens, "calls_sent": stats.calls_sent + 1}
 
 
 def _spend(state, service):
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -65,9 +65,9 @@
             break
     else:
         found = view.healthy(route.reserve) or _last_resort(route, view)
-        ring, credit = stats.ring, stats.spill_credit
-    if ring != stats.ring or credit != stats.spill_credit:
-        stats = replace(stats, ring=ring, spill_credit=credit)
+        ring, credit = stats.widest_ring, stats.spill_credit
+    if ring != stats.widest_ring or credit != stats.spill_credit:
+        stats = replace(stats, widest_ring=ring, spill_credit=credit)
         services = state.traffic.services.set(service, stats)
         state = replace(state, traffic=replace(state.traffic, services=services))
     if len(found) == 1:
@@ -187,9 +187,13 @@
             credit -= 1.0
             continue
         if view.tried or last:
-            return found, max(widest, number, stats.ring if view.tried else 0), credit
+            return (
+                found,
+                max(widest, number, stats.widest_ring if view.tried else 0),
+                credit,
+            )
         load = ring_load(fit, view.now)
-        hot = load > (spill.leave if stats.ring > number else spill.enter)
+        hot = load > (spill.leave if stats.widest_ring > number else spill.enter)
         if not hot:
             return found, max(widest, number), credit
         widest = number + 1
@@ -200,7 +204,7 @@
         if credit < 1.0 or not wider or ring_load(wider, view.now) >= load:
             return found, widest, credit
         credit -= 1.0
-    return unfit, widest if unfit else stats.ring, credit
+    return unfit, widest if unfit else stats.widest_ring, credit
 
 
 def _last_resort(route, view):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -24,7 +24,7 @@
     """Count the choices of a policy over many draws."""
     chosen = Counter()
     for number in range(rounds):
-        service = ServiceStats(cursor=number)
+        service = ServiceStats(calls_sent=number)
         cand = get_policy_by_name(policy).choose(found, service, NOW, mix(number, 1))
         chosen[cand.target.target_id] += 1
     return chosen
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -28,7 +28,9 @@
     for name, fields in dict(stats).items():
         core.set_stats(name, **fields)
     # The median of the service, with which slow targets are compared.
-    services = core.state.traffic.services.set(SERVICE, ServiceStats(typical_s=0.1))
+    services = core.state.traffic.services.set(
+        SERVICE, ServiceStats(median_latency_s=0.1)
+    )
     core.set_traffic(services=services)
     return core
 
