Name the observations of a target by what they hold

Cause: window, failures, reported and waiting_since (a sum) did not tell what they hold. Change: rename only, fields of TargetStats.

--- a/pimentoline/limits.py
+++ b/pimentoline/limits.py
@@ -113,7 +113,7 @@
         stats,
         inflight=stats.inflight + 1,
         waiting=stats.waiting + 1,
-        waiting_since=stats.waiting_since + attempt.started,
+        waiting_since_sum=stats.waiting_since_sum + attempt.started,
     )
     return targets.set(attempt.target_id, stats)
 
@@ -132,10 +132,10 @@
 def _answered_changes(stats, attempt):
     if stats.waiting <= 1:
         # Also drops the rounding errors of the sum.
-        return {"waiting": 0, "waiting_since": 0.0}
+        return {"waiting": 0, "waiting_since_sum": 0.0}
     return {
         "waiting": stats.waiting - 1,
-        "waiting_since": stats.waiting_since - attempt.started,
+        "waiting_since_sum": stats.waiting_since_sum - attempt.started,
     }
 
 
@@ -226,7 +226,7 @@
     now : float
         Monotonic time, seconds.
     """
-    return {"reported": load, "reported_at": now, "reported_own": own}
+    return {"reported_load": load, "reported_at": now, "reported_own": own}
 
 
 def _latency_changes(service, sample_s):
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -210,21 +210,21 @@
         Own requests in flight.
     waiting : int
         Own requests whose response head has not come yet.
-    waiting_since : float
+    waiting_since_sum : float
         Sum of the monotonic times at which those were sent, seconds.
     latency_s : float
         Peak-sensitive moving average of the time to the response head, seconds.
     latency_at : float
         Monotonic time of the last latency sample, seconds.
-    reported : float
+    reported_load : float
         Last reported requests in flight at the target, from all nodes.
     reported_at : float
         Monotonic time of that report, seconds; negative infinity if none.
     reported_own : int
         Own requests in flight at that time, which are part of the reported ones.
-    failures : int
+    consecutive_failures : int
         Consecutive failures.
-    window : tuple of bool
+    recent_outcomes : tuple of bool
         Outcomes of the latest calls, True for success, newest last.
     ejected_until, ejected_for_s : float
         End and length of the current or last ejection, seconds.
@@ -234,14 +234,14 @@
 
     inflight: int = 0
     waiting: int = 0
-    waiting_since: float = 0.0
+    waiting_since_sum: float = 0.0
     latency_s: float = 0.0
     latency_at: float = 0.0
-    reported: float = 0.0
+    reported_load: float = 0.0
     reported_at: float = float("-inf")
     reported_own: int = 0
-    failures: int = 0
-    window: tuple[bool, ...] = ()
+    consecutive_failures: int = 0
+    recent_outcomes: tuple[bool, ...] = ()
     ejected_until: float = 0.0
     ejected_for_s: float = 0.0
     ready_at: float = float("-inf")
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -29,7 +29,10 @@
     if started < stats.ready_at:
         # It was sent before the ejection or the start; it says nothing of now.
         return {}
-    return {"failures": 0, "window": (*stats.window[1 - WINDOW_CALLS :], True)}
+    return {
+        "consecutive_failures": 0,
+        "recent_outcomes": (*stats.recent_outcomes[1 - WINDOW_CALLS :], True),
+    }
 
 
 def note_failure(stats, started, now, decisive, ejected, total):
@@ -53,9 +56,9 @@
     """
     if started < stats.ready_at:
         return stats
-    failures = stats.failures + 1
-    window = (*stats.window[1 - WINDOW_CALLS :], False)
-    stats = replace(stats, failures=failures, window=window)
+    failures = stats.consecutive_failures + 1
+    window = (*stats.recent_outcomes[1 - WINDOW_CALLS :], False)
+    stats = replace(stats, consecutive_failures=failures, recent_outcomes=window)
     full = len(window) == WINDOW_CALLS
     due = (
         decisive
@@ -71,8 +74,8 @@
     return replace(
         stats,
         # One more failure after the return ejects it again.
-        failures=CONSECUTIVE_FAILURES - 1,
-        window=(),
+        consecutive_failures=CONSECUTIVE_FAILURES - 1,
+        recent_outcomes=(),
         ejected_until=until,
         ejected_for_s=length_s,
         ready_at=until,
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -31,7 +31,7 @@
     """
     stats = cand.stats
     used = stats.inflight
-    others = stats.reported - stats.reported_own
+    others = stats.reported_load - stats.reported_own
     if others > 0.0:
         age_s = now - stats.reported_at
         used += others * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
@@ -52,7 +52,7 @@
         part = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
         latency_s += (stats.latency_s - typical_s) * part
     if stats.waiting:
-        latency_s = max(latency_s, now - stats.waiting_since / stats.waiting)
+        latency_s = max(latency_s, now - stats.waiting_since_sum / stats.waiting)
     return latency_s
 
 
--- a/pimentoline/policies/two_choices.py
+++ b/pimentoline/policies/two_choices.py
@@ -12,4 +12,4 @@
 
     def choose(self, found, service, now, draw):
         """Return the candidate with the lower reported load."""
-        return min(sample(found, 2, draw), key=lambda cand: cand.stats.reported)
+        return min(sample(found, 2, draw), key=lambda cand: cand.stats.reported_load)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -42,7 +42,7 @@
     ("name", "good", "bad"),
     [
         ("least-inflight", {"inflight": 1}, {"inflight": 2}),
-        ("two-choices", {"reported": 1.0}, {"reported": 9.0}),
+        ("two-choices", {"reported_load": 1.0}, {"reported_load": 9.0}),
     ],
 )
 def test_policy_prefers_less_loaded(name, good, bad):
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -220,7 +220,7 @@
     """Guards against probes that are paid for and not used."""
     event = ev.ProbeEnded(region.now, "t3", 7.0, 100, 200)
     stats = reduce(region.states["n0"], event).state.traffic.targets["t3"]
-    assert (stats.reported, stats.reported_at) == (7.0, region.now)
+    assert (stats.reported_load, stats.reported_at) == (7.0, region.now)
 
 
 def totals(cluster):
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -126,9 +126,11 @@
 
 def test_replace_keeps_other_fields():
     """Guards against a faster copy that loses, shares or invents fields."""
-    stats = TargetStats(inflight=1, window=(True,))
-    changed = replace(stats, failures=3)
-    assert changed == TargetStats(inflight=1, window=(True,), failures=3)
-    assert stats == TargetStats(inflight=1, window=(True,))
+    stats = TargetStats(inflight=1, recent_outcomes=(True,))
+    changed = replace(stats, consecutive_failures=3)
+    assert changed == TargetStats(
+        inflight=1, recent_outcomes=(True,), consecutive_failures=3
+    )
+    assert stats == TargetStats(inflight=1, recent_outcomes=(True,))
     with pytest.raises(KeyError):
         replace(stats, unknown=1)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,8 +10,8 @@
 from .core import HOME, SERVICE, Core, attempt_of
 
 NEAR, FAR, FARTHER = ("rift", "baringo"), ("coast", "kwale"), ("western", "bungoma")
-HOT = {"reported": 36, "reported_at": 100.0}
-OLD = {"reported": 36, "reported_at": 98.0}
+HOT = {"reported_load": 36, "reported_at": 100.0}
+OLD = {"reported_load": 36, "reported_at": 98.0}
 OUT = {"ejected_until": 101.0}
 SLOW = {"latency_s": 0.5, "latency_at": 100.0}
 DRAINS = {"state": TargetState.DRAINING}
@@ -109,7 +109,7 @@
     core = make_core({"home": HOME, "far": FAR})
     steps = [(0.7, False), (0.9, True), (0.7, True), (0.5, False), (0.7, False)]
     for load, spills in steps:
-        core.set_stats("home", reported=12 * load, reported_at=core.now)
+        core.set_stats("home", reported_load=12 * load, reported_at=core.now)
         assert ("far" in chosen(core)) is spills, load
 
 
