Name the effects on a response after the response

Cause: HTTP calls it a response, and other modules now do as well. Change: rename only, RecordedAnswer, ForwardAnswer and ReplayAnswer to ...Response.

--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -19,7 +19,7 @@
     check_size,
     parse_request,
 )
-from .model import Call, RecordedAnswer
+from .model import Call, RecordedResponse
 from .streams import abort
 from .verdict import Verdict
 
@@ -300,7 +300,7 @@
     def _recorded(self, att):
         if self.recorded_body is None:
             return None
-        return RecordedAnswer(
+        return RecordedResponse(
             att.response_start.code,
             att.response_headers.get("Content-Type", ""),
             bytes(self.recorded_body),
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -5,7 +5,7 @@
     CancelAttempt,
     Count,
     FinishClaim,
-    ForwardAnswer,
+    ForwardResponse,
     RejectCall,
     ReleaseClaim,
     ScheduleHedge,
@@ -225,7 +225,7 @@
 def _forward(state, record, attempt_id):
     call_id = record.call.call_id
     recorded = claims.is_required(record)
-    effects = [ForwardAnswer(call_id, attempt_id, recorded)]
+    effects = [ForwardResponse(call_id, attempt_id, recorded)]
     for att in _in_flight(record):
         effects.append(CancelAttempt(call_id, att.attempt_id))
         state = limits.note_done(state, att)
--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -6,7 +6,7 @@
 from . import events as ev
 from .effects import FinishClaim, InsertClaim, ReleaseClaim
 from .errors import PimentolineError
-from .model import RecordedAnswer
+from .model import RecordedResponse
 
 __all__ = ["ClaimWriter"]
 
@@ -173,7 +173,7 @@
 def _recorded(value):
     """Return the recorded answer of a claim row, or None if it has none."""
     try:
-        return RecordedAnswer(
+        return RecordedResponse(
             int(value["status"]),
             str(value["content_type"]),
             base64.b64decode(value["body"]),
--- a/pimentoline/claims.py
+++ b/pimentoline/claims.py
@@ -1,6 +1,6 @@
 """pimentoline.claims: idempotency claims of keyed calls that must run once."""
 
-from .effects import InsertClaim, RejectCall, ReplayAnswer
+from .effects import InsertClaim, RejectCall, ReplayResponse
 from .events import ClaimOutcome
 from .verdict import Verdict
 
@@ -25,7 +25,7 @@
         case ClaimOutcome.GRANTED:
             return None
         case ClaimOutcome.REPLAY:
-            return (ReplayAnswer(call_id, recorded),)
+            return (ReplayResponse(call_id, recorded),)
         case ClaimOutcome.HELD:
             detail = "another attempt holds this idempotency key"
             verdict = Verdict.MAY_HAVE_RUN
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .model import RecordedAnswer
+from .model import RecordedResponse
 from .verdict import Verdict
 
 __all__ = [
@@ -11,12 +11,12 @@
     "Count",
     "FetchRules",
     "FinishClaim",
-    "ForwardAnswer",
+    "ForwardResponse",
     "InsertClaim",
     "LogEntry",
     "RejectCall",
     "ReleaseClaim",
-    "ReplayAnswer",
+    "ReplayResponse",
     "Reply",
     "ScheduleHedge",
     "SendMessage",
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ForwardAnswer:
+class ForwardResponse:
     """Pass the answer of this attempt on to the caller.
 
     `record` asks to keep the beginning of it for the claim row.
@@ -59,11 +59,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReplayAnswer:
+class ReplayResponse:
     """Answer the caller with the recorded outcome of an earlier call."""
 
     call_id: int
-    recorded: RecordedAnswer
+    recorded: RecordedResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
     call_id: int
     service: str
     key: str
-    recorded: RecordedAnswer
+    recorded: RecordedResponse
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -6,7 +6,7 @@
 import enum
 from dataclasses import dataclass
 
-from .model import Call, Member, RecordedAnswer, Target
+from .model import Call, Member, RecordedResponse, Target
 from .rules.ruleset import RuleSet
 from .verdict import Verdict
 
@@ -73,7 +73,7 @@
     draw: int
     call_id: int
     outcome: ClaimOutcome
-    recorded: RecordedAnswer | None = None
+    recorded: RecordedResponse | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,7 +117,7 @@
     now: float
     call_id: int
     whole: bool
-    recorded: RecordedAnswer | None = None
+    recorded: RecordedResponse | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -20,7 +20,7 @@
     "MemberStatus",
     "MeshState",
     "PendingPing",
-    "RecordedAnswer",
+    "RecordedResponse",
     "Request",
     "RulesState",
     "ServiceStats",
@@ -149,7 +149,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordedAnswer:
+class RecordedResponse:
     """Outcome of a keyed call, as kept in its claim row.
 
     `body` holds up to 4 KiB; `truncated` tells that the answer was longer.
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -153,9 +153,9 @@
 
     def _execute(self, effect):
         match effect:
-            case ef.StartAttempt() | ef.ForwardAnswer() | ef.CancelAttempt():
+            case ef.StartAttempt() | ef.ForwardResponse() | ef.CancelAttempt():
                 self.proxy.execute(effect)
-            case ef.RejectCall() | ef.ReplayAnswer():
+            case ef.RejectCall() | ef.ReplayResponse():
                 self.proxy.execute(effect)
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -110,7 +110,7 @@
         match effect:
             case ef.StartAttempt():
                 handler.start_attempt(effect)
-            case ef.ForwardAnswer():
+            case ef.ForwardResponse():
                 handler.forward(effect.attempt_id, effect.record)
             case ef.CancelAttempt():
                 handler.cancel_attempt(effect.attempt_id)
@@ -118,7 +118,7 @@
                 handler.reject(
                     effect.status, effect.code, effect.verdict, effect.detail
                 )
-            case ef.ReplayAnswer():
+            case ef.ReplayResponse():
                 handler.replay(effect.recorded)
 
     def _is_idle(self, handler):
--- a/tests/test_claim_interleavings.py
+++ b/tests/test_claim_interleavings.py
@@ -15,12 +15,12 @@
 from pimentoline.claim_writer import ClaimWriter
 from pimentoline.effects import FinishClaim, InsertClaim, ReleaseClaim
 from pimentoline.errors import StoreUnavailableError
-from pimentoline.model import RecordedAnswer
+from pimentoline.model import RecordedResponse
 from pimentoline.store import Row
 from standins.table import Table
 
 NODES = 3
-ANSWER = RecordedAnswer(200, "text/plain", b"receipt", False)
+ANSWER = RecordedResponse(200, "text/plain", b"receipt", False)
 # `late` answers with an error now and takes effect when the schedule says so.
 FATES = ("answered", "answered", "lost", "failed", "late")
 STEPS = st.lists(
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -6,12 +6,12 @@
 from pimentoline.claim_writer import ClaimWriter
 from pimentoline.effects import FinishClaim, InsertClaim, ReleaseClaim
 from pimentoline.errors import StoreUnavailableError
-from pimentoline.model import RecordedAnswer
+from pimentoline.model import RecordedResponse
 from pimentoline.store import Row
 from standins.table import Table
 
 KEY = "claim/hive-ledger/k"
-ANSWER = RecordedAnswer(200, "text/plain", b"sold")
+ANSWER = RecordedResponse(200, "text/plain", b"sold")
 
 
 class FaultyStore:
--- a/tests/test_closed_loop.py
+++ b/tests/test_closed_loop.py
@@ -8,7 +8,7 @@
 import pytest
 
 from pimentoline import events as ev
-from pimentoline.effects import CancelAttempt, ForwardAnswer, ScheduleHedge
+from pimentoline.effects import CancelAttempt, ForwardResponse, ScheduleHedge
 from pimentoline.policies import policy_names
 
 from .core import HOME, Core, attempt_of
@@ -43,7 +43,7 @@
             match effect:
                 case ScheduleHedge(call_id, delay_s):
                     at(core.now + delay_s, "hedge", call_id)
-                case ForwardAnswer(call_id):
+                case ForwardResponse(call_id):
                     latencies.append(core.now - begun[call_id])
                     core.end(call_id)
                 case CancelAttempt(_, attempt_id):
