--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -3,9 +3,9 @@
 from . import claims, limits, retries, routing
 from .effects import (
     CancelAttempt,
-    Count,
     FinishClaim,
     ForwardResponse,
+    IncrementCounter,
     RejectCall,
     ReleaseClaim,
     ScheduleHedge,
@@ -108,7 +108,7 @@
     state, refusal = limits.admit(state, call, event.now, event.draw)
     if refusal is not None:
         reject = RejectCall(call.call_id, 503, refusal, Verdict.NOT_RUN, refusal)
-        return state, (reject, Count(f"calls.{refusal}"))
+        return state, (reject, IncrementCounter(f"calls.{refusal}"))
     if claims.is_required(record):
         record = replace(record, phase=CallPhase.CLAIMING)
         return _with_call(state, record), (claims.insert(record),)
@@ -167,7 +167,7 @@
     call = record.call
     verdict = combine(att.verdict or Verdict.MAY_HAVE_RUN for att in record.attempts)
     effects = [RejectCall(call.call_id, status, code, verdict, code)]
-    effects.append(Count(f"calls.{code}"))
+    effects.append(IncrementCounter(f"calls.{code}"))
     if claims.is_required(record) and verdict is Verdict.NOT_RUN:
         effects.append(ReleaseClaim(call.call_id, call.req.service, call.req.key))
     for att in _in_flight(record):
@@ -214,7 +214,7 @@
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
                 started = limits.note_done(started, _attempt(record, event.attempt_id))
-                return started, (cancel, Count("attempts.retried")) + effects
+                return started, (cancel, IncrementCounter("attempts.retried")) + effects
     if event.not_run:
         state = limits.note_done(state, _attempt(record, event.attempt_id))
         state, effects = _reject(state, record, 503, "target-shed")
@@ -312,4 +312,4 @@
     started, effects = _start(charged, record, event, hedge=True, untried=True)
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
-    return started, effects + (Count("attempts.hedged"),)
+    return started, effects + (IncrementCounter("attempts.hedged"),)
--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
+from .effects import FetchRules, IncrementCounter, LogEntry, RejectCall, Reply
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
 from .records import RUMOUR_SENDS
 from .rumours import push, running_peers
@@ -40,7 +40,7 @@
     detail = f"rules version {rules.version} is in force, {rules.heard} is known"
     code = "rules-outdated"
     reject = RejectCall(event.call.call_id, 503, code, Verdict.NOT_RUN, detail)
-    return (reject, Count(f"calls.{code}"))
+    return (reject, IncrementCounter(f"calls.{code}"))
 
 
 def _hear(state, version, now):
@@ -95,7 +95,9 @@
 def on_rules_heard(state, event):
     """Note a version that the store has named, and fetch it if it is newer."""
     if event.version < state.rules.version:
-        return _settle(state, event.confirmed), (Count("rules.older_ignored"),)
+        return _settle(state, event.confirmed), (
+            IncrementCounter("rules.older_ignored"),
+        )
     state = _hear(state, event.version, event.now)
     state = _settle(state, event.confirmed)
     if event.version <= state.rules.version:
@@ -109,7 +111,7 @@
     rules = state.rules
     if event.version <= rules.version:
         older = event.version < rules.version
-        return state, (Count("rules.older_ignored"),) if older else ()
+        return state, (IncrementCounter("rules.older_ignored"),) if older else ()
     state = _hear(state, event.version, event.now)
     # The member record is left as it is: every message names the version anyway, and
     # 720 new records for each change would exceed the control-plane limit.
@@ -137,7 +139,7 @@
     if last_tick is not None and now - last_tick > PAUSE_S:
         rules = replace(state.rules, must_check=True, answered=False)
         state = replace(state, rules=rules)
-        effects = (Count("node.paused"),)
+        effects = (IncrementCounter("node.paused"),)
     rules = state.rules
     if not rules.must_check and rules.version >= rules.heard:
         return state, effects
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -6,14 +6,14 @@
 from .verdict import Verdict
 
 __all__ = [
-    "Ask",
     "CancelAttempt",
-    "Count",
     "FetchRules",
     "FinishClaim",
     "ForwardResponse",
+    "IncrementCounter",
     "InsertClaim",
     "LogEntry",
+    "QueryPeer",
     "RejectCall",
     "ReleaseClaim",
     "ReplayResponse",
@@ -122,7 +122,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class QueryPeer:
     """Send a message over TCP and raise `MessageReceived` for the reply."""
 
     addr: tuple[str, int]
@@ -154,7 +154,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Count:
+class IncrementCounter:
     """Increase a counter of the metrics."""
 
     name: str
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from .effects import Count, LogEntry, SendMessage
+from .effects import IncrementCounter, LogEntry, SendMessage
 from .messages import Ack, Ping, PingReq, Rumours
 from .model import MemberStatus, PendingPing
 from .records import for_wire, own_record, with_own_record, with_records
@@ -82,7 +82,7 @@
     # The accused hears of it first, so that it can refute.
     return state, (
         SendMessage((suspect.addr,), Rumours((suspect,))),
-        Count("mesh.suspected"),
+        IncrementCounter("mesh.suspected"),
     )
 
 
@@ -143,4 +143,4 @@
     else:
         changes = {"seq": record.seq + 1}
     state = with_own_record(state, **changes)
-    return _with_health(state, 1), (Count("mesh.refuted"),)
+    return _with_health(state, 1), (IncrementCounter("mesh.refuted"),)
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -164,7 +164,7 @@
                 self.prober.send(effect)
             case ef.SendMessage():
                 self.mesh.send(effect.addrs, self.message(effect.body))
-            case ef.Ask():
+            case ef.QueryPeer():
                 asyncio.get_running_loop().create_task(
                     self.ask(effect.addr, effect.body)
                 )
@@ -174,7 +174,7 @@
                 asyncio.get_running_loop().create_task(self._fetch_rules(effect))
             case ef.InsertClaim() | ef.ReleaseClaim() | ef.FinishClaim():
                 self.claims.execute(effect)
-            case ef.Count():
+            case ef.IncrementCounter():
                 self.metrics.count(effect.name, effect.amount)
             case ef.LogEntry():
                 log_entry(effect.name, **dict(effect.fields))
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -7,7 +7,7 @@
 from immutables import Map
 
 from .draws import fraction, mix
-from .effects import Count, SendProbe
+from .effects import IncrementCounter, SendProbe
 from .frozen import replace
 from .limits import report_changes
 from .model import ServiceStats, TargetStats
@@ -157,7 +157,7 @@
             free_bytes=probing.free_bytes - MAX_PROBE_BYTES,
         )
     if effects:
-        effects.append(Count("probes.sent", len(effects)))
+        effects.append(IncrementCounter("probes.sent", len(effects)))
     return replace(state, probing=probing), tuple(effects)
 
 
@@ -171,9 +171,9 @@
         free_bytes=probing.free_bytes + MAX_PROBE_BYTES - used,
     )
     state = replace(state, probing=probing)
-    effects = (Count("probes.bytes", used),)
+    effects = (IncrementCounter("probes.bytes", used),)
     if event.load is None:
-        return state, effects + (Count("probes.failed"),)
+        return state, effects + (IncrementCounter("probes.failed"),)
     traffic = state.traffic
     stats = traffic.targets.get(name) or TargetStats()
     stats = replace(stats, **report_changes(stats.inflight, event.load, event.now))
--- a/pimentoline/rumours.py
+++ b/pimentoline/rumours.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from .effects import Ask, SendMessage
+from .effects import QueryPeer, SendMessage
 from .messages import Rumours, SyncReply, SyncRequest
 from .model import MemberStatus
 from .records import (
@@ -111,7 +111,7 @@
         return state, ()
     mesh = replace(state.mesh, last_sync_at=now)
     request = SyncRequest(digests(mesh.members))
-    return replace(state, mesh=mesh), (Ask(addr, request),)
+    return replace(state, mesh=mesh), (QueryPeer(addr, request),)
 
 
 def sync_when_due(state, now, draw):
@@ -133,7 +133,7 @@
     if not addrs:
         return state, ()
     request = SyncRequest(digests(state.mesh.members))
-    return state, tuple(Ask(addr, request) for addr in dict.fromkeys(addrs))
+    return state, tuple(QueryPeer(addr, request) for addr in dict.fromkeys(addrs))
 
 
 def sync_reply(state, request, now):
@@ -163,4 +163,4 @@
     ]
     if not lacking or addr is None:
         return ()
-    return (Ask(addr, Rumours(for_wire(state, lacking, now))),)
+    return (QueryPeer(addr, Rumours(for_wire(state, lacking, now))),)
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from .effects import Count, LogEntry
+from .effects import IncrementCounter, LogEntry
 from .model import TargetState
 from .records import (
     DEAD_KEEP_S,
@@ -51,7 +51,7 @@
     """
     target, mesh = event.target, state.mesh
     if not 0 < target.addr[1] <= MAX_PORT:
-        return state, (Count("targets.refused"),)
+        return state, (IncrementCounter("targets.refused"),)
     name = target.target_id
     targets = _own_targets(state)
     held = targets.get(name)
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -114,7 +114,7 @@
                 case ef.SendMessage(addrs, body):
                     for addr in addrs:
                         self.send(name, addr, body)
-                case ef.Ask(addr, body):
+                case ef.QueryPeer(addr, body):
                     self.schedule(self.delay_s, name, effect)
                 case ef.FetchRules():
                     self.schedule(self.delay_s, name, effect)
@@ -122,7 +122,7 @@
                     reply = body
                 case ef.RejectCall():
                     self.rejected.append((name, effect.code))
-                case ef.Count(counter, amount):
+                case ef.IncrementCounter(counter, amount):
                     self.counts[counter] = self.counts.get(counter, 0) + amount
         return reply
 
@@ -163,7 +163,7 @@
                     self.dispatch(name, ev.Tick(self.now, draw))
             elif name in self.off:
                 continue
-            elif isinstance(item, ef.Ask):
+            elif isinstance(item, ef.QueryPeer):
                 self.ask(name, item.addr, item.body)
             elif isinstance(item, ef.FetchRules):
                 self.fetch(name, item)
