--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -1,6 +1,6 @@
 """pimentoline.calls: life of a call, from its arrival to the end of its answer."""
 
-from . import claims, limits, retries, routing
+from . import claims, retries, routing, traffic_stats
 from .effects import (
     CancelAttempt,
     FinishClaim,
@@ -38,7 +38,7 @@
     services = traffic.services
     if call.call_id not in traffic.calls:
         stats = services.get(call.req.service) or ServiceStats()
-        stats = replace(stats, **limits.begun_changes(stats, call.req))
+        stats = replace(stats, **traffic_stats.begun_changes(stats, call.req))
         services = services.set(call.req.service, stats)
     calls = traffic.calls.set(call.call_id, record)
     return replace(state, traffic=replace(traffic, calls=calls, services=services))
@@ -54,13 +54,13 @@
         stats = services.get(req.service) or ServiceStats()
         changes = retries.first_changes(stats, policy.retry_share)
         if call.call_id not in traffic.calls:
-            changes |= limits.begun_changes(stats, req)
+            changes |= traffic_stats.begun_changes(stats, req)
         services = services.set(req.service, replace(stats, **changes))
     traffic = replace(
         traffic,
         calls=traffic.calls.set(call.call_id, record),
         services=services,
-        targets=limits.begin_attempt(traffic.targets, record.attempts[-1]),
+        targets=traffic_stats.begin_attempt(traffic.targets, record.attempts[-1]),
         next_attempt=traffic.next_attempt + 1,
     )
     return replace(state, traffic=traffic)
@@ -69,10 +69,12 @@
 def _without_call(state, call_id, attempt=None, whole=False):
     """Return the state without a call, and without the attempt that answered it."""
     traffic = state.traffic
-    services = limits.end_call(traffic.services, traffic.calls[call_id].call.req)
+    services = traffic_stats.end_call(traffic.services, traffic.calls[call_id].call.req)
     targets = traffic.targets
     if attempt is not None:
-        targets = limits.end_attempt(targets, attempt, whole and not attempt.failed)
+        targets = traffic_stats.end_attempt(
+            targets, attempt, whole and not attempt.failed
+        )
     calls = traffic.calls.delete(call_id)
     traffic = replace(traffic, calls=calls, services=services, targets=targets)
     return replace(state, traffic=traffic)
@@ -105,7 +107,7 @@
     req = call.req
     policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
     record = CallRecord(call, CallPhase.SENDING, policy.idempotent)
-    state, refusal = limits.admit(state, call, event.now, event.draw)
+    state, refusal = traffic_stats.admit(state, call, event.now, event.draw)
     if refusal is not None:
         reject = RejectCall(call.call_id, 503, refusal, Verdict.NOT_RUN, refusal)
         return state, (reject, IncrementCounter(f"calls.{refusal}"))
@@ -172,7 +174,7 @@
         effects.append(ReleaseClaim(call.call_id, call.req.service, call.req.key))
     for att in _in_flight(record):
         effects.append(CancelAttempt(call.call_id, att.attempt_id))
-        state = limits.note_done(state, att)
+        state = traffic_stats.note_done(state, att)
     if call.call_id in state.traffic.calls:
         state = _without_call(state, call.call_id)
     return state, tuple(effects)
@@ -196,12 +198,12 @@
     if attempt is None or attempt.verdict is not None or record.answering is not None:
         return state, ()
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
-    state = limits.note_answer(state, record, attempt, event)
+    state = traffic_stats.note_answer(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
         # The other attempt may still succeed.
         state = _with_call(
-            limits.note_done(state, _attempt(record, event.attempt_id)), record
+            traffic_stats.note_done(state, _attempt(record, event.attempt_id)), record
         )
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
@@ -213,10 +215,12 @@
             )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
-                started = limits.note_done(started, _attempt(record, event.attempt_id))
+                started = traffic_stats.note_done(
+                    started, _attempt(record, event.attempt_id)
+                )
                 return started, (cancel, IncrementCounter("attempts.retried")) + effects
     if event.not_run:
-        state = limits.note_done(state, _attempt(record, event.attempt_id))
+        state = traffic_stats.note_done(state, _attempt(record, event.attempt_id))
         state, effects = _reject(state, record, 503, "target-shed")
         return state, (CancelAttempt(event.call_id, event.attempt_id),) + effects
     return _forward(state, record, event.attempt_id)
@@ -228,7 +232,7 @@
     effects = [ForwardResponse(call_id, attempt_id, recorded)]
     for att in _in_flight(record):
         effects.append(CancelAttempt(call_id, att.attempt_id))
-        state = limits.note_done(state, att)
+        state = traffic_stats.note_done(state, att)
         record = _with_verdict(record, att.attempt_id, Verdict.MAY_HAVE_RUN)
     record = replace(record, phase=CallPhase.ANSWERING, answering=attempt_id)
     return _with_call(state, record), tuple(effects)
@@ -242,9 +246,9 @@
         return state, ()
     if event.outcome is Outcome.SILENT:
         # The connection failed, not the target; new connections to it work.
-        state = limits.note_done(state, attempt)
+        state = traffic_stats.note_done(state, attempt)
     else:
-        state = limits.note_failure(state, record, attempt, event)
+        state = traffic_stats.note_failure(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, event.verdict)
     state = _with_call(state, record)
     if _in_flight(record):
@@ -270,7 +274,7 @@
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
     answering = _attempt(record, record.answering)
     if answering is not None and not event.whole:
-        state = limits.note_cut(state, record, answering, event.now)
+        state = traffic_stats.note_cut(state, record, answering, event.now)
     return _without_call(state, event.call_id, answering, event.whole), effects
 
 
@@ -279,7 +283,7 @@
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.answering is not None:
         return state, ()
-    state = limits.note_waited(state, record, event.now)
+    state = traffic_stats.note_waited(state, record, event.now)
     return _reject(state, record, 504, "deadline-exceeded")
 
 
@@ -289,11 +293,11 @@
     if record is None:
         return state, ()
     effects = []
-    state = limits.note_waited(state, record, event.now)
+    state = traffic_stats.note_waited(state, record, event.now)
     for att in record.attempts:
         if att.verdict is None or att.attempt_id == record.answering:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
-            state = limits.note_done(state, att)
+            state = traffic_stats.note_done(state, att)
     return _without_call(state, event.call_id), tuple(effects)
 
 
@@ -304,7 +308,7 @@
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
-    state = limits.note_waited(state, record, event.now)
+    state = traffic_stats.note_waited(state, record, event.now)
     charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -9,8 +9,8 @@
 from .draws import fraction, mix
 from .effects import IncrementCounter, SendProbe
 from .frozen import replace
-from .limits import report_changes
 from .model import ServiceStats, TargetStats
+from .traffic_stats import report_changes
 
 __all__ = ["MAX_PROBE_BYTES", "note_call", "on_probe_ended", "on_tick"]
 
--- a/pimentoline/limits.py
+++ b/pimentoline/traffic_stats.py
@@ -1,4 +1,4 @@
-"""pimentoline.limits: admission of calls and observation of targets."""
+"""pimentoline.traffic_stats: admission of calls and observation of targets."""
 
 import math
 
