--- a/bench/burst.py
+++ b/bench/burst.py
@@ -30,7 +30,7 @@
     total = 0
     for effect in effects:
         if isinstance(effect, SendMessage) and isinstance(effect.body, Rumours):
-            message = Message(state.me.node_id, 1, 0, effect.body, 0, False)
+            message = Message(state.identity.node_id, 1, 0, effect.body, 0, False)
             total += len(codec.encode(message)) * len(effect.addrs)
     return total
 
--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -112,7 +112,7 @@
             detail = f"{MAX_TARGETS} targets are announced at this node already"
             self.fail(400, "bad-request", detail)
             return
-        me = self.node.state.me
+        me = self.node.state.identity
         target = Target(
             target_id,
             said.service,
@@ -155,9 +155,9 @@
         state = self.node.state
         self.finish(
             {
-                "node": state.me.node_id,
-                "region": state.me.region,
-                "dc": state.me.dc,
+                "node": state.identity.node_id,
+                "region": state.identity.region,
+                "dc": state.identity.dc,
                 "rules": {
                     "version": state.rules.version,
                     "source": state.rules.source,
--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -52,7 +52,9 @@
     async def _ask_some(self, found):
         """Ask seeds and other peers in groups until one group has answered."""
         node = self._node
-        seeds = [addr for addr in node.cfg.seeds if addr != node.state.me.mesh_addr]
+        seeds = [
+            addr for addr in node.cfg.seeds if addr != node.state.identity.mesh_addr
+        ]
         node.random.shuffle(seeds)
         peers = list(dict.fromkeys(seeds[:JOIN_PEERS] + found + seeds))
         answered = 0
@@ -79,7 +81,7 @@
         node = self._node
         if node.store is None:
             return []
-        me = node.state.me
+        me = node.state.identity
         row = {
             "addr": me.mesh_addr,
             "region": me.region,
--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -50,7 +50,7 @@
     counts = Counter(_outcome(state, req, now, draw) for draw in draws)
     rules = ruleset.matching_rules(said.service, said.method, path)
     return {
-        "node": state.me.node_id,
+        "node": state.identity.node_id,
         "rules_version": state.rules.version,
         "rules": {kind: rule.as_line() for kind, rule in rules.items()},
         "policy": {**asdict(policy), "call_class": req.call_class},
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -37,7 +37,7 @@
     for record in records:
         name = record.node_id
         state = keep_drains(state, record, now)
-        if name == state.me.node_id:
+        if name == state.identity.node_id:
             own = own_record(state)
             if is_newer(record, own):
                 state, refuted = refute(state, record)
@@ -84,7 +84,7 @@
 
 def _on_rumours(state, event, records):
     accused = any(
-        record.node_id == state.me.node_id and record.status is MemberStatus.DEAD
+        record.node_id == state.identity.node_id and record.status is MemberStatus.DEAD
         for record in records
     )
     state, effects = _take(state, records, event.now)
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -453,7 +453,7 @@
 class State:
     """All of a node's decision state."""
 
-    me: Identity
+    identity: Identity
     rules: RulesState = field(default_factory=RulesState)
     mesh: MeshState = field(default_factory=MeshState)
     traffic: TrafficState = field(default_factory=TrafficState)
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -77,7 +77,7 @@
         self.prober = Prober(self.dispatch, self.clock)
         self.claims = ClaimWriter(
             self.store,
-            lambda: f"{self.state.me.node_id}/{self.state.me.incarnation}",
+            lambda: f"{self.state.identity.node_id}/{self.state.identity.incarnation}",
             lambda call_id: call_id in self.state.traffic.calls,
             self.dispatch,
             self.clock,
@@ -190,7 +190,7 @@
         """Return a message from this node."""
         rules = self.state.rules
         return Message(
-            self.state.me.node_id,
+            self.state.identity.node_id,
             own_record(self.state).incarnation,
             rules.version,
             body,
@@ -279,7 +279,7 @@
             task.cancel()
         self.mesh.close()
         self.metrics.flush()
-        log_entry("node:stopped", node=self.state.me.node_id)
+        log_entry("node:stopped", node=self.state.identity.node_id)
         self._stopped.set()
 
     async def run(self):
@@ -293,7 +293,7 @@
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, lambda: loop.create_task(self.stop()))
-        me = self.state.me
+        me = self.state.identity
         print(
             json.dumps(
                 {
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -53,7 +53,7 @@
     Records of dead members are held for an hour. They count, so that nodes on both
     sides of a partition keep to the shares that they had before.
     """
-    me = state.me
+    me = state.identity
     others = sum(
         record.region == me.region and record.node_id != me.node_id
         for record in state.mesh.members.values()
@@ -79,7 +79,7 @@
             free_bytes=0.0,
         )
         return replace(state, probing=probing), ()
-    budget = state.rules.ruleset.probe_budget(state.me.region)
+    budget = state.rules.ruleset.probe_budget(state.identity.region)
     shares = count_shares(state, budget)
     elapsed_s = now - last
     due, probes = _fall_due(probing.due, budget.probes_per_s / shares, elapsed_s)
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -217,7 +217,7 @@
         peers = running_peers(node.state)
         node.random.shuffle(peers)
         # A version held in another region survives the loss of this one.
-        peers.sort(key=lambda record: record.region == node.state.me.region)
+        peers.sort(key=lambda record: record.region == node.state.identity.region)
         left, held_by = [record.addr for record in peers], 0
         deadline = node.clock() + PUSH_TIMEOUT_S
         while left and held_by < PUSH_PEERS and node.clock() < deadline:
--- a/pimentoline/records.py
+++ b/pimentoline/records.py
@@ -57,7 +57,7 @@
 
 def own_record(state):
     """Return this node's record, made at the first use."""
-    me = state.me
+    me = state.identity
     found = state.mesh.members.get(me.node_id)
     if found is not None:
         return found
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -117,7 +117,7 @@
     """Return the state with a new plan, and without statistics of past targets."""
     members, traffic = state.mesh.members, state.traffic
     plan = traffic.plan
-    node_counts = count_nodes(members, state.me)
+    node_counts = count_nodes(members, state.identity)
     unconfirmed = frozenset(
         target.target_id
         for record in members.values()
--- a/pimentoline/rules_versions.py
+++ b/pimentoline/rules_versions.py
@@ -27,7 +27,7 @@
     """
     peers = running_peers(node.state)
     found = {record.node_id: None for record in peers}
-    found[node.state.me.node_id] = node.state.rules.version
+    found[node.state.identity.node_id] = node.state.rules.version
     slots = asyncio.Semaphore(MAX_CONNECTIONS)
 
     async def ask(record):
--- a/pimentoline/rumours.py
+++ b/pimentoline/rumours.py
@@ -45,7 +45,7 @@
     return [
         members[name]
         for name in sorted(members)
-        if name != state.me.node_id and is_running(members[name])
+        if name != state.identity.node_id and is_running(members[name])
     ]
 
 
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -48,7 +48,7 @@
 
     def addr(self, name):
         """Return the address of a node."""
-        return self.states[name].me.mesh_addr
+        return self.states[name].identity.mesh_addr
 
     def schedule(self, delay_s, name, item):
         """Hand an item to a node after a delay."""
@@ -175,7 +175,7 @@
 
     def announce(self, name, target_id, **more):
         """Announce a target at a node."""
-        me = self.states[name].me
+        me = self.states[name].identity
         target = Target(target_id, "hive-ledger", ("10.0.0.2", 80), me.region, me.dc)
         event = ev.TargetAnnounced(self.now, replace(target, **more))
         self.dispatch(name, event)
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -100,7 +100,7 @@
 def test_replay_gives_same_state(policy):
     """Guards against decisions that depend on anything but state and events."""
     core, _ = run_scenario(policy)
-    state = State(core.state.me, policy=policy)
+    state = State(core.state.identity, policy=policy)
     for event in core.events:
         state = reduce(state, event).state
     assert state == core.state
