Name the newest rules version a node knows of known_version

Cause: heard and asked do not tell of what. Change: rename only, fields of RulesState; the key of the admin interface stays heard.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -161,7 +161,7 @@
                 "rules": {
                     "version": state.rules.version,
                     "source": state.rules.source,
-                    "heard": state.rules.heard,
+                    "heard": state.rules.known_version,
                 },
                 "calls": len(state.traffic.calls),
                 "members": len(state.mesh.members),
--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -33,11 +33,13 @@
     """
     rules, last_tick = state.rules, state.mesh.last_tick
     paused = last_tick is not None and event.now - last_tick > PAUSE_S
-    behind = rules.version < rules.heard
+    behind = rules.version < rules.known_version
     if not (rules.must_check or paused):
-        if not behind or event.now - rules.heard_at <= GRACE_S:
+        if not behind or event.now - rules.outdated_since <= GRACE_S:
             return ()
-    detail = f"rules version {rules.version} is in force, {rules.heard} is known"
+    detail = (
+        f"rules version {rules.version} is in force, {rules.known_version} is known"
+    )
     code = "rules-outdated"
     reject = RejectCall(event.call.call_id, 503, code, Verdict.NOT_RUN, detail)
     return (reject, IncrementCounter(f"calls.{code}"))
@@ -46,10 +48,15 @@
 def _hear(state, version, now):
     """Note the highest version that anyone has named."""
     rules = state.rules
-    if version <= rules.heard:
+    if version <= rules.known_version:
         return state
-    heard_at = rules.heard_at if rules.version < rules.heard else now
-    return replace(state, rules=replace(rules, heard=version, heard_at=heard_at))
+    outdated_since = (
+        rules.outdated_since if rules.version < rules.known_version else now
+    )
+    return replace(
+        state,
+        rules=replace(rules, known_version=version, outdated_since=outdated_since),
+    )
 
 
 def _settle(state, confirmed=False):
@@ -58,7 +65,7 @@
     if not rules.must_check:
         return state
     answered = rules.answered or confirmed
-    if answered and rules.version >= rules.heard:
+    if answered and rules.version >= rules.known_version:
         rules = replace(rules, confirmed=True, must_check=False, answered=False)
     else:
         rules = replace(rules, answered=answered)
@@ -68,10 +75,13 @@
 def _fetch(state, addr, now):
     """Ask for the highest version, unless it was asked for a moment ago."""
     rules = state.rules
-    if rules.asked_version >= rules.heard and now - rules.asked_at < FETCH_GAP_S:
+    if (
+        rules.fetch_version >= rules.known_version
+        and now - rules.fetched_at < FETCH_GAP_S
+    ):
         return state, ()
-    rules = replace(rules, asked_version=rules.heard, asked_at=now)
-    return replace(state, rules=rules), (FetchRules(rules.heard, addr),)
+    rules = replace(rules, fetch_version=rules.known_version, fetched_at=now)
+    return replace(state, rules=rules), (FetchRules(rules.known_version, addr),)
 
 
 def on_message(state, event):
@@ -122,7 +132,7 @@
         ruleset=event.ruleset,
         source=event.source,
         sends=RUMOUR_SENDS,
-        heard_at=event.now,
+        outdated_since=event.now,
     )
     entry = LogEntry(
         "rules:in-force", (("version", event.version), ("source", event.source))
@@ -141,7 +151,7 @@
         state = replace(state, rules=rules)
         effects = (IncrementCounter("node.paused"),)
     rules = state.rules
-    if not rules.must_check and rules.version >= rules.heard:
+    if not rules.must_check and rules.version >= rules.known_version:
         return state, effects
     peers = running_peers(state)
     addr = random.Random(event.draw).choice(peers).addr if peers else None
--- a/pimentoline/directory.py
+++ b/pimentoline/directory.py
@@ -106,9 +106,9 @@
         node = self._node
         for addr in group:
             rules = node.state.rules
-            if rules.version >= rules.heard:
+            if rules.version >= rules.known_version:
                 return
-            await node.ask(addr, RulesRequest(rules.heard))
+            await node.ask(addr, RulesRequest(rules.known_version))
 
     async def keep(self):
         """Refresh the own row, and search for peers while none is known."""
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -321,11 +321,11 @@
         The rules in force.
     source : str
         Who gave them: `builtin`, `store` or a node id.
-    heard : int
+    known_version : int
         Highest version that any peer or the store has named.
-    heard_at : float
-        Monotonic time since which `heard` is above `version`, seconds.
-    asked_version, asked_at
+    outdated_since : float
+        Monotonic time since which `known_version` is above `version`, seconds.
+    fetch_version, fetched_at
         Version and monotonic time of the latest fetch.
     confirmed : bool
         Whether the store, or a peer that is confirmed itself, has answered since
@@ -343,10 +343,10 @@
     text: str = ""
     ruleset: RuleSet = field(default_factory=RuleSet)
     source: str = "builtin"
-    heard: int = 0
-    heard_at: float = 0.0
-    asked_version: int = 0
-    asked_at: float = float("-inf")
+    known_version: int = 0
+    outdated_since: float = 0.0
+    fetch_version: int = 0
+    fetched_at: float = float("-inf")
     confirmed: bool = False
     must_check: bool = False
     answered: bool = False
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -194,7 +194,7 @@
             own_record(self.state).incarnation,
             rules.version,
             body,
-            rules.heard,
+            rules.known_version,
             rules.confirmed,
         )
 
--- a/tests/fabric.py
+++ b/tests/fabric.py
@@ -74,7 +74,7 @@
             addr,
             body,
             rules.version,
-            rules.heard,
+            rules.known_version,
             rules.confirmed,
             is_reply,
         )
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -28,7 +28,7 @@
 def never_older(name, before, after):
     """Assert that a step does not put an older version in force."""
     assert after.rules.version >= before.rules.version, name
-    assert after.rules.heard >= before.rules.heard, name
+    assert after.rules.known_version >= before.rules.known_version, name
 
 
 @pytest.mark.parametrize("seed", range(5))
