Name what an attempt's outcome and an unconfirmed target are

Cause: Outcome and Unconfirmed did not tell of what. Change: rename only, to AttemptOutcome and UnconfirmedTarget.

--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -47,7 +47,7 @@
         """Send at once on an idle connection, or connect first."""
         if not self.handler.replayable:
             # The beginning of the body is no longer held.
-            self._ended(ev.Outcome.BROKEN, Verdict.NOT_RUN)
+            self._ended(ev.AttemptOutcome.BROKEN, Verdict.NOT_RUN)
             return
         proxy = self.handler.proxy
         loop = asyncio.get_running_loop()
@@ -63,7 +63,7 @@
         try:
             conn = await pool.acquire(self.effect.addr, self.effect.idempotent)
         except (OSError, StreamClosedError, asyncio.TimeoutError):
-            self._ended(ev.Outcome.REFUSED, Verdict.NOT_RUN)
+            self._ended(ev.AttemptOutcome.REFUSED, Verdict.NOT_RUN)
             return
         if self.cancelled:
             pool.give_back(conn)
@@ -142,7 +142,9 @@
             self.handler.answer_done(self.effect.attempt_id, False)
         else:
             ran = self.response_start is not None
-            self._ended(ev.Outcome.BROKEN, Verdict.RAN if ran else Verdict.MAY_HAVE_RUN)
+            self._ended(
+                ev.AttemptOutcome.BROKEN, Verdict.RAN if ran else Verdict.MAY_HAVE_RUN
+            )
 
     def _give_back(self):
         self._stop_timer()
@@ -175,7 +177,7 @@
         if not framed:
             # The end of the connection would be the end of the answer, so that a
             # cut answer could not be told from a whole one.
-            self._ended(ev.Outcome.BROKEN, Verdict.RAN)
+            self._ended(ev.AttemptOutcome.BROKEN, Verdict.RAN)
             return
         self.response_start = start_line
         self.response_headers = headers
@@ -240,11 +242,11 @@
             self._timer = None
 
     def _on_timeout(self):
-        outcome = ev.Outcome.TIMEOUT
+        outcome = ev.AttemptOutcome.TIMEOUT
         if self.conn is not None and self.conn.reused and self.head_sent:
             # Other connections of the same age may have gone silent with it.
             self.handler.proxy.pool.close_idle(self.effect.addr)
-            outcome = ev.Outcome.SILENT
+            outcome = ev.AttemptOutcome.SILENT
         sent = self.head_sent
         self._ended(outcome, Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN)
 
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -11,7 +11,7 @@
     ScheduleHedge,
     StartAttempt,
 )
-from .events import Outcome
+from .events import AttemptOutcome
 from .frozen import replace
 from .model import Attempt, CallPhase, CallRecord, ServiceStats
 from .verdict import Verdict, combine
@@ -244,7 +244,7 @@
     attempt = record and _attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
-    if event.outcome is Outcome.SILENT:
+    if event.outcome is AttemptOutcome.SILENT:
         # The connection failed, not the target; new connections to it work.
         state = traffic_stats.note_done(state, attempt)
     else:
@@ -257,7 +257,7 @@
         state, may_retry = retries.may_retry(state, record, event.verdict, event.now)
         if may_retry:
             return _start(state, record, event)
-    timed_out = event.outcome in (Outcome.TIMEOUT, Outcome.SILENT)
+    timed_out = event.outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.SILENT)
     return _reject(
         state, record, 504 if timed_out else 502, f"target-{event.outcome.value}"
     )
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "AttemptEnded",
+    "AttemptOutcome",
     "CallArrived",
     "CallEnded",
     "CallerLeft",
@@ -22,7 +23,6 @@
     "HedgeDue",
     "MembersReceived",
     "MessageReceived",
-    "Outcome",
     "ProbeEnded",
     "RulesLoaded",
     "RulesVersionReceived",
@@ -34,7 +34,7 @@
 ]
 
 
-class Outcome(enum.Enum):
+class AttemptOutcome(enum.Enum):
     """How an attempt ended without an answer.
 
     `SILENT` is a timeout on a connection that was used before: the connection may
@@ -102,7 +102,7 @@
     draw: int
     call_id: int
     attempt_id: int
-    outcome: Outcome
+    outcome: AttemptOutcome
     verdict: Verdict
     replayable: bool
 
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -29,7 +29,7 @@
     "TargetState",
     "TargetStats",
     "TrafficState",
-    "Unconfirmed",
+    "UnconfirmedTarget",
 ]
 
 
@@ -364,7 +364,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unconfirmed:
+class UnconfirmedTarget:
     """A target whose node left or died; `until` is monotonic time in seconds."""
 
     target: Target
@@ -382,7 +382,7 @@
         Remaining sends of a member's record.
     by_service : Map of str to tuple of Target
         Derived from `members` and `unconfirmed`, kept for fast routing.
-    unconfirmed : Map of str to Unconfirmed
+    unconfirmed : Map of str to UnconfirmedTarget
         By target id.
     ended : Map of str to float
         Monotonic time at which a member left or died.
--- a/pimentoline/records.py
+++ b/pimentoline/records.py
@@ -5,7 +5,7 @@
 
 from immutables import Map
 
-from .model import Member, MemberStatus, TargetState, Unconfirmed
+from .model import Member, MemberStatus, TargetState, UnconfirmedTarget
 
 __all__ = [
     "DEAD_KEEP_S",
@@ -137,7 +137,7 @@
         if target.state is TargetState.GONE:
             unconfirmed = without(unconfirmed, target.target_id)
         elif until > now:
-            entry = Unconfirmed(target, until)
+            entry = UnconfirmedTarget(target, until)
             unconfirmed = unconfirmed.set(target.target_id, entry)
     return unconfirmed
 
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -4,7 +4,7 @@
 
 from . import outliers, throttling
 from .draws import fraction
-from .events import Outcome
+from .events import AttemptOutcome
 from .frozen import replace
 from .model import CLASS_RANKS, ServiceStats, TargetStats
 
@@ -275,10 +275,10 @@
         latency_at=now,
         **_answered_changes(stats, attempt),
     )
-    refused = event.outcome is Outcome.REFUSED
+    refused = event.outcome is AttemptOutcome.REFUSED
     stats = _with_failure(state, record, attempt, now, refused, stats)
     state = _with_target(state, attempt.target_id, stats)
-    if event.outcome is not Outcome.TIMEOUT:
+    if event.outcome is not AttemptOutcome.TIMEOUT:
         return state
     return _count_refused(state, record.call.req, now)
 
--- a/tests/core.py
+++ b/tests/core.py
@@ -5,7 +5,7 @@
 from pimentoline import events as ev
 from pimentoline.draws import mix
 from pimentoline.effects import StartAttempt
-from pimentoline.events import Outcome
+from pimentoline.events import AttemptOutcome
 from pimentoline.frozen import replace
 from pimentoline.model import (
     Call,
@@ -126,7 +126,7 @@
         log.append(effects)
         outcome = mix(number, 9) % 16
         if sent is not None and outcome == 0:
-            log.append(core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN))
+            log.append(core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
         elif sent is not None and outcome == 1:
             log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
         elif sent is not None:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 from pimentoline import events as ev
 from pimentoline import outliers, throttling
 from pimentoline.effects import ScheduleHedge
-from pimentoline.events import Outcome
+from pimentoline.events import AttemptOutcome
 from pimentoline.frozen import replace
 from pimentoline.model import ServiceStats, TargetStats
 from pimentoline.retries import hedge_delay_s
@@ -92,7 +92,7 @@
     core = make_core()
     _, effects = core.arrive("POST")
     sent = attempt_of(effects)
-    core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN)
+    core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
     assert ejected(core) == {sent.target_id}
 
 
@@ -202,7 +202,7 @@
                     repeats += hedged is not None
                     effects = core.answer(hedged or sent)
                 case "refused":
-                    effects = core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN)
+                    effects = core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
                 case _:
                     effects = core.answer(sent, 503, not_run=outcome == "shed")
             sent = attempt_of(effects)
