Name the gossip and suspicion fields of the mesh state

Cause: rumours, sends, ended and suspects did not tell that they hold remaining sends and times. Change: rename only, fields of MeshState, RulesState and MessageReceived.

--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -87,7 +87,7 @@
 def on_message(state, event):
     """Compare the versions that every message names, and answer for the rules."""
     now, rules = event.now, state.rules
-    state = _hear(state, max(event.rules_version, event.rules_heard), now)
+    state = _hear(state, max(event.rules_version, event.known_rules_version), now)
     state = _settle(state, event.is_reply and event.rules_confirmed)
     match event.body:
         case RulesRequest(version) if version <= rules.version:
@@ -131,7 +131,7 @@
         text=event.text,
         ruleset=event.ruleset,
         source=event.source,
-        sends=RUMOUR_SENDS,
+        remaining_sends=RUMOUR_SENDS,
         outdated_since=event.now,
     )
     entry = LogEntry(
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -193,7 +193,7 @@
     addr: tuple[str, int] | None
     body: object
     rules_version: int = 0
-    rules_heard: int = 0
+    known_rules_version: int = 0
     rules_confirmed: bool = False
     is_reply: bool = False
 
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -92,12 +92,12 @@
     if record.status is not MemberStatus.SUSPECT:
         return state
     due = now + SUSPICION_S * (1 + mesh.health)
-    suspects = mesh.suspects.set(record.node_id, due)
-    return replace(state, mesh=replace(mesh, suspects=suspects))
+    suspects = mesh.suspect_deadlines.set(record.node_id, due)
+    return replace(state, mesh=replace(mesh, suspect_deadlines=suspects))
 
 
 def _declare_dead(state, now):
-    due = sorted(name for name, at in state.mesh.suspects.items() if at <= now)
+    due = sorted(name for name, at in state.mesh.suspect_deadlines.items() if at <= now)
     if not due:
         return state, ()
     dead = [replace(state.mesh.members[name], status=MemberStatus.DEAD) for name in due]
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -117,13 +117,13 @@
 
 def _forget_ended(state, now):
     mesh = state.mesh
-    old = [name for name, at in mesh.ended.items() if now - at >= DEAD_KEEP_S]
+    old = [name for name, at in mesh.ended_at.items() if now - at >= DEAD_KEEP_S]
     if not old:
         return state
-    members, ended, rumours = mesh.members, mesh.ended, mesh.rumours
+    members, ended, rumours = mesh.members, mesh.ended_at, mesh.pending_gossip
     for name in old:
         members, ended = members.delete(name), ended.delete(name)
         if name in rumours:
             rumours = rumours.delete(name)
-    mesh = replace(mesh, members=members, ended=ended, rumours=rumours)
+    mesh = replace(mesh, members=members, ended_at=ended, pending_gossip=rumours)
     return replace(state, mesh=mesh)
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -335,7 +335,7 @@
         heard is in force: at boot, and after the process was paused.
     answered : bool
         Whether such an answer has come.
-    sends : int
+    remaining_sends : int
         Remaining rounds in which the version in force is announced to peers.
     """
 
@@ -350,7 +350,7 @@
     confirmed: bool = False
     must_check: bool = False
     answered: bool = False
-    sends: int = 0
+    remaining_sends: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -378,15 +378,15 @@
     Parameters
     ----------
     members : Map of str to Member
-    rumours : Map of str to int
+    pending_gossip : Map of str to int
         Remaining sends of a member's record.
     by_service : Map of str to tuple of Target
         Derived from `members` and `unconfirmed`, kept for fast routing.
     unconfirmed : Map of str to UnconfirmedTarget
         By target id.
-    ended : Map of str to float
+    ended_at : Map of str to float
         Monotonic time at which a member left or died.
-    suspects : Map of str to float
+    suspect_deadlines : Map of str to float
         Monotonic time at which a suspect is declared dead.
     renewed : Map of str to float
         Monotonic time of the latest announcement of a target of this node, or of
@@ -403,11 +403,11 @@
     """
 
     members: Map = field(default_factory=Map)
-    rumours: Map = field(default_factory=Map)
+    pending_gossip: Map = field(default_factory=Map)
     by_service: Map = field(default_factory=Map)
     unconfirmed: Map = field(default_factory=Map)
-    ended: Map = field(default_factory=Map)
-    suspects: Map = field(default_factory=Map)
+    ended_at: Map = field(default_factory=Map)
+    suspect_deadlines: Map = field(default_factory=Map)
     renewed: Map = field(default_factory=Map)
     drained: Map = field(default_factory=Map)
     pending_ping: PendingPing | None = None
--- a/pimentoline/records.py
+++ b/pimentoline/records.py
@@ -80,8 +80,12 @@
     If `spread` is True, each of them is queued as a rumour.
     """
     mesh = state.mesh
-    members, rumours, suspects = mesh.members, mesh.rumours, mesh.suspects
-    ended, unconfirmed = mesh.ended, mesh.unconfirmed
+    members, rumours, suspects = (
+        mesh.members,
+        mesh.pending_gossip,
+        mesh.suspect_deadlines,
+    )
+    ended, unconfirmed = mesh.ended_at, mesh.unconfirmed
     routes_changed = False
     for record in records:
         name, held = record.node_id, members.get(record.node_id)
@@ -105,9 +109,9 @@
     mesh = replace(
         mesh,
         members=members,
-        rumours=rumours,
-        suspects=suspects,
-        ended=ended,
+        pending_gossip=rumours,
+        suspect_deadlines=suspects,
+        ended_at=ended,
         unconfirmed=unconfirmed,
     )
     if routes_changed:
@@ -165,7 +169,7 @@
 
 def for_wire(state, records, now):
     """Return the records with their ages, as they are sent to peers."""
-    ended = state.mesh.ended
+    ended = state.mesh.ended_at
     return tuple(
         replace(record, age_s=max(0.0, now - ended[record.node_id]))
         if record.node_id in ended
--- a/pimentoline/rumours.py
+++ b/pimentoline/rumours.py
@@ -52,23 +52,25 @@
 def push(state, now, draw):
     """Send what is new to a few peers and lower its remaining sends."""
     mesh, rules = state.mesh, state.rules
-    if not mesh.rumours and not rules.sends:
+    if not mesh.pending_gossip and not rules.remaining_sends:
         return state, ()
     peers = running_peers(state)
     if not peers:
         return state, ()
     chosen = random.Random(draw).sample(peers, min(RUMOUR_FANOUT, len(peers)))
     # The records with the most sends left are the newest.
-    hot = sorted(mesh.rumours, key=lambda name: (-mesh.rumours[name], name))
-    left = mesh.rumours
+    hot = sorted(
+        mesh.pending_gossip, key=lambda name: (-mesh.pending_gossip[name], name)
+    )
+    left = mesh.pending_gossip
     for name in hot[:MAX_RECORDS_PER_PUSH]:
         sends = left[name] - 1
         left = left.set(name, sends) if sends else left.delete(name)
     records = [mesh.members[name] for name in hot[:MAX_RECORDS_PER_PUSH]]
     state = replace(
         state,
-        mesh=replace(mesh, rumours=left),
-        rules=replace(rules, sends=max(0, rules.sends - 1)),
+        mesh=replace(mesh, pending_gossip=left),
+        rules=replace(rules, remaining_sends=max(0, rules.remaining_sends - 1)),
     )
     addrs = tuple(record.addr for record in chosen)
     return state, (SendMessage(addrs, Rumours(for_wire(state, records, now))),)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -212,7 +212,7 @@
     fabric.add("n30", seeds=["n0"])
     fabric.run(0.5)
     assert len(fabric.states["n30"].mesh.members) == 31
-    assert set(fabric.states["n30"].mesh.rumours) <= {"n30"}
+    assert set(fabric.states["n30"].mesh.pending_gossip) <= {"n30"}
 
 
 @pytest.mark.parametrize("replacement", ["n1", "n1b"])
