Name the times, addresses and score in the mesh state as such

Cause: renewed, drained, health and reported_own did not tell what they hold. Change: rename only, fields of MeshState and TargetStats.

--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -28,8 +28,8 @@
 
 
 def _with_health(state, change):
-    health = min(MAX_HEALTH, max(0, state.mesh.health + change))
-    return replace(state, mesh=replace(state.mesh, health=health))
+    health = min(MAX_HEALTH, max(0, state.mesh.health_score + change))
+    return replace(state, mesh=replace(state.mesh, health_score=health))
 
 
 def check_members(state, now, draw):
@@ -60,7 +60,7 @@
     record = state.mesh.members.get(probe.node_id)
     if record is None or record.status in (MemberStatus.DEAD, MemberStatus.LEAVING):
         return replace(state, mesh=replace(state.mesh, pending_ping=None)), ()
-    timeout_s = PING_TIMEOUT_S * (1 + state.mesh.health)
+    timeout_s = PING_TIMEOUT_S * (1 + state.mesh.health_score)
     waited_s = now - probe.sent_at
     if not probe.indirect and waited_s >= timeout_s:
         probe = replace(probe, indirect=True)
@@ -91,7 +91,7 @@
     mesh = state.mesh
     if record.status is not MemberStatus.SUSPECT:
         return state
-    due = now + SUSPICION_S * (1 + mesh.health)
+    due = now + SUSPICION_S * (1 + mesh.health_score)
     suspects = mesh.suspect_deadlines.set(record.node_id, due)
     return replace(state, mesh=replace(mesh, suspect_deadlines=suspects))
 
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -220,7 +220,7 @@
         Last reported requests in flight at the target, from all nodes.
     reported_at : float
         Monotonic time of that report, seconds; negative infinity if none.
-    reported_own : int
+    own_in_report : int
         Own requests in flight at that time, which are part of the reported ones.
     consecutive_failures : int
         Consecutive failures.
@@ -239,7 +239,7 @@
     latency_at: float = 0.0
     reported_load: float = 0.0
     reported_at: float = float("-inf")
-    reported_own: int = 0
+    own_in_report: int = 0
     consecutive_failures: int = 0
     recent_outcomes: tuple[bool, ...] = ()
     ejected_until: float = 0.0
@@ -388,15 +388,15 @@
         Monotonic time at which a member left or died.
     suspect_deadlines : Map of str to float
         Monotonic time at which a suspect is declared dead.
-    renewed : Map of str to float
+    renewed_at : Map of str to float
         Monotonic time of the latest announcement of a target of this node, or of
         its end.
-    drained : Map of str to (str, int)
+    drained_addrs : Map of str to (str, int)
         Addresses of the targets of this host that were ordered to drain, by id.
     pending_ping : PendingPing or None
     next_ping_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
-    health : int
+    health_score : int
         Local health score, 0 if this node's own pings are answered.
     draw : int
         Random integer of the latest tick.
@@ -408,14 +408,14 @@
     unconfirmed: Map = field(default_factory=Map)
     ended_at: Map = field(default_factory=Map)
     suspect_deadlines: Map = field(default_factory=Map)
-    renewed: Map = field(default_factory=Map)
-    drained: Map = field(default_factory=Map)
+    renewed_at: Map = field(default_factory=Map)
+    drained_addrs: Map = field(default_factory=Map)
     pending_ping: PendingPing | None = None
     next_ping_at: float = float("-inf")
     next_sync_at: float = float("-inf")
     last_sync_at: float = float("-inf")
     last_tick: float | None = None
-    health: int = 0
+    health_score: int = 0
     draw: int = 0
 
 
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -31,7 +31,7 @@
     """
     stats = cand.stats
     used = stats.inflight
-    others = stats.reported_load - stats.reported_own
+    others = stats.reported_load - stats.own_in_report
     if others > 0.0:
         age_s = now - stats.reported_at
         used += others * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -146,7 +146,7 @@
     for cand in found:
         stats = cand.stats
         if now - stats.reported_at <= REPORT_VALID_S:
-            others = max(0.0, stats.reported_load - stats.reported_own)
+            others = max(0.0, stats.reported_load - stats.own_in_report)
             used += stats.inflight + others
         elif stats.inflight >= cand.target.slots:
             used += stats.inflight
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -55,13 +55,13 @@
     name = target.target_id
     targets = _own_targets(state)
     held = targets.get(name)
-    if name in mesh.drained:
-        same = mesh.drained[name] == target.addr
+    if name in mesh.drained_addrs:
+        same = mesh.drained_addrs[name] == target.addr
         if same and target.state is not TargetState.STARTING:
             target = replace(target, state=TargetState.DRAINING)
         else:
-            mesh = replace(mesh, drained=mesh.drained.delete(name))
-    mesh = replace(mesh, renewed=mesh.renewed.set(name, event.now))
+            mesh = replace(mesh, drained_addrs=mesh.drained_addrs.delete(name))
+    mesh = replace(mesh, renewed_at=mesh.renewed_at.set(name, event.now))
     state = replace(state, mesh=mesh)
     if held == target:
         return state, ()
@@ -75,8 +75,8 @@
     if target is None or target.state is TargetState.GONE:
         return state, ()
     mesh = state.mesh
-    drained = mesh.drained.set(event.target_id, target.addr)
-    state = replace(state, mesh=replace(mesh, drained=drained))
+    drained = mesh.drained_addrs.set(event.target_id, target.addr)
+    state = replace(state, mesh=replace(mesh, drained_addrs=drained))
     if target.state is TargetState.DRAINING:
         return state, ()
     target = replace(target, state=TargetState.DRAINING)
@@ -95,7 +95,7 @@
         return state
     if not is_running(record) and record.age_s >= UNCONFIRMED_S:
         return state
-    targets, drained = _own_targets(state), state.mesh.drained
+    targets, drained = _own_targets(state), state.mesh.drained_addrs
     changed = {}
     for target in record.targets:
         if target.state is not TargetState.DRAINING:
@@ -105,7 +105,7 @@
         held = targets.get(name)
         if held and held.addr == target.addr and held.state is TargetState.UP:
             changed[name] = replace(held, state=TargetState.DRAINING)
-    state = replace(state, mesh=replace(state.mesh, drained=drained))
+    state = replace(state, mesh=replace(state.mesh, drained_addrs=drained))
     return _with_targets(state, targets | changed) if changed else state
 
 
@@ -126,19 +126,21 @@
     host cannot make them routable again.
     """
     mesh, targets = state.mesh, _own_targets(state)
-    renewed, drained = mesh.renewed, mesh.drained
+    renewed, drained = mesh.renewed_at, mesh.drained_addrs
     for target in ended:
         name = target.target_id
         targets[name] = replace(target, state=TargetState.GONE)
         renewed = renewed.set(name, now)
         drained = without(drained, name)
-    state = replace(state, mesh=replace(mesh, renewed=renewed, drained=drained))
+    state = replace(
+        state, mesh=replace(mesh, renewed_at=renewed, drained_addrs=drained)
+    )
     return _with_targets(state, targets)
 
 
 def expire_own(state, now):
     """End the targets that no longer renew, and forget those that are gone."""
-    targets, renewed = _own_targets(state), state.mesh.renewed
+    targets, renewed = _own_targets(state), state.mesh.renewed_at
     silent, old = [], []
     for name, target in targets.items():
         quiet_s = now - renewed.get(name, now)
@@ -156,10 +158,10 @@
         state = _end_targets(state, silent, now)
     if old:
         kept = {k: v for k, v in _own_targets(state).items() if k not in old}
-        renewed = state.mesh.renewed
+        renewed = state.mesh.renewed_at
         for name in old:
             renewed = renewed.delete(name)
-        state = replace(state, mesh=replace(state.mesh, renewed=renewed))
+        state = replace(state, mesh=replace(state.mesh, renewed_at=renewed))
         state = _with_targets(state, kept)
     return state, entries
 
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -226,7 +226,7 @@
     now : float
         Monotonic time, seconds.
     """
-    return {"reported_load": load, "reported_at": now, "reported_own": own}
+    return {"reported_load": load, "reported_at": now, "own_in_report": own}
 
 
 def _latency_changes(service, sample_s):
