Name the events of a response head and of a caller that disconnects

Cause: HeadReceived and CallerLeft leave out the subject. Change: rename only, to ResponseHeadReceived and CallerDisconnected.

--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -46,7 +46,7 @@
     req = Request(f"s{number % SERVICES:02}", "GET", "/weights", now + 10.0)
     return (
         ev.CallArrived(now, draw, Call(number, req, now)),
-        ev.HeadReceived(now + 0.02, draw, number, attempt_id, 200, load=3.0),
+        ev.ResponseHeadReceived(now + 0.02, draw, number, attempt_id, 200, load=3.0),
         ev.CallEnded(now + 0.021, number, True),
     )
 
--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -183,7 +183,7 @@
         self.response_headers = headers
         proxy = handler.proxy
         proxy.dispatch(
-            ev.HeadReceived(
+            ev.ResponseHeadReceived(
                 proxy.clock(),
                 proxy.draw(),
                 handler.call_id,
--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -149,7 +149,7 @@
         if self.ended:
             return
         self.answered = True
-        self.proxy.dispatch(ev.CallerLeft(self.proxy.clock(), self.call_id))
+        self.proxy.dispatch(ev.CallerDisconnected(self.proxy.clock(), self.call_id))
         self._end()
 
     def wake(self, fut=None):
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -20,11 +20,11 @@
     "on_arrived",
     "on_attempt_ended",
     "on_call_ended",
-    "on_caller_left",
+    "on_caller_disconnected",
     "on_claim_answered",
     "on_deadline_passed",
-    "on_head",
     "on_hedge_due",
+    "on_response_head",
 ]
 
 
@@ -191,7 +191,7 @@
     return _without_call(state, event.call_id), refusal
 
 
-def on_head(state, event):
+def on_response_head(state, event):
     """Forward an answer, or retry if the target shed the call or failed."""
     record = state.traffic.calls.get(event.call_id)
     attempt = record and _attempt(record, event.attempt_id)
@@ -287,7 +287,7 @@
     return _reject(state, record, 504, "deadline-exceeded")
 
 
-def on_caller_left(state, event):
+def on_caller_disconnected(state, event):
     """Cancel every attempt of a call whose caller has gone."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -15,15 +15,15 @@
     "AttemptOutcome",
     "CallArrived",
     "CallEnded",
-    "CallerLeft",
+    "CallerDisconnected",
     "ClaimAnswered",
     "ClaimOutcome",
     "DeadlinePassed",
-    "HeadReceived",
     "HedgeDue",
     "MembersReceived",
     "MessageReceived",
     "ProbeEnded",
+    "ResponseHeadReceived",
     "RulesLoaded",
     "RulesVersionReceived",
     "StopRequested",
@@ -77,7 +77,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HeadReceived:
+class ResponseHeadReceived:
     """A target answered with a response head.
 
     `not_run` is the target's own contract word that it shed the request;
@@ -130,7 +130,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerDisconnected:
     """The caller closed its connection before the answer was complete."""
 
     now: float
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -42,16 +42,16 @@
             if refusal:
                 return Step(state, refusal)
             return Step(*calls.on_arrived(probing.note_call(state, event), event))
-        case ev.HeadReceived():
-            return Step(*calls.on_head(state, event))
+        case ev.ResponseHeadReceived():
+            return Step(*calls.on_response_head(state, event))
         case ev.AttemptEnded():
             return Step(*calls.on_attempt_ended(state, event))
         case ev.CallEnded():
             return Step(*calls.on_call_ended(state, event))
         case ev.DeadlinePassed():
             return Step(*calls.on_deadline_passed(state, event))
-        case ev.CallerLeft():
-            return Step(*calls.on_caller_left(state, event))
+        case ev.CallerDisconnected():
+            return Step(*calls.on_caller_disconnected(state, event))
         case ev.HedgeDue():
             return Step(*calls.on_hedge_due(state, event))
         case ev.ClaimAnswered():
--- a/tests/core.py
+++ b/tests/core.py
@@ -67,7 +67,7 @@
         """Answer an attempt; return the effects."""
         draw = mix(self.calls, 2)
         call_id, attempt_id = effect.call_id, effect.attempt_id
-        event = ev.HeadReceived(
+        event = ev.ResponseHeadReceived(
             self.now, draw, call_id, attempt_id, status, not_run, load
         )
         return self.send(event)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -174,7 +174,7 @@
     calls = [core.arrive(call_class="sheddable") for _ in range(3)]
     assert calls[2][1][0].code == "inflight-limit"
     assert attempt_of(core.arrive()[1])
-    core.send(ev.CallerLeft(core.now, calls[0][0]))
+    core.send(ev.CallerDisconnected(core.now, calls[0][0]))
     assert attempt_of(core.arrive(call_class="sheddable")[1])
 
 
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -87,7 +87,7 @@
                     req = Request("hive-ledger", "GET", "/", self.now + 1.0)
                     call = Call(1, req, self.now)
                     self.apply(name, ev.CallArrived(self.now, draw, call))
-                    self.apply(name, ev.CallerLeft(self.now, 1))
+                    self.apply(name, ev.CallerDisconnected(self.now, 1))
                 self.apply(name, ev.Tick(self.now, draw))
 
     def probes(self, since, name=None):
