Name the version and time of the latest fetch requested

Cause: fetched_at is set when the fetch starts, not when it is done. Change: rename only, to requested_version and requested_at.

--- a/pimentoline/configuration.py
+++ b/pimentoline/configuration.py
@@ -76,11 +76,11 @@
     """Ask for the highest version, unless it was asked for a moment ago."""
     rules = state.rules
     if (
-        rules.fetch_version >= rules.known_version
-        and now - rules.fetched_at < FETCH_GAP_S
+        rules.requested_version >= rules.known_version
+        and now - rules.requested_at < FETCH_GAP_S
     ):
         return state, ()
-    rules = replace(rules, fetch_version=rules.known_version, fetched_at=now)
+    rules = replace(rules, requested_version=rules.known_version, requested_at=now)
     return replace(state, rules=rules), (FetchRules(rules.known_version, addr),)
 
 
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -325,7 +325,7 @@
         Highest version that any peer or the store has named.
     outdated_since : float
         Monotonic time since which `known_version` is above `version`, seconds.
-    fetch_version, fetched_at
+    requested_version, requested_at
         Version and monotonic time of the latest fetch.
     confirmed : bool
         Whether the store, or a peer that is confirmed itself, has answered since
@@ -345,8 +345,8 @@
     source: str = "builtin"
     known_version: int = 0
     outdated_since: float = 0.0
-    fetch_version: int = 0
-    fetched_at: float = float("-inf")
+    requested_version: int = 0
+    requested_at: float = float("-inf")
     confirmed: bool = False
     must_check: bool = False
     answered: bool = False
