--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -90,8 +90,14 @@
 def test_core_modules_are_found():
     """Guards against an import check that looks at nothing."""
     names = {path.stem for path in core_modules()}
-    wanted = {"routing", "traffic_stats", "retries", "hot_cold", "ruleset", "model"}
-    assert wanted <= names
+    assert {
+        "routing",
+        "traffic_stats",
+        "retries",
+        "hot_cold",
+        "ruleset",
+        "model",
+    } <= names
     assert "proxy" not in names
     assert not names & {"node", "peers", "links", "front", "target_side"}
 
