--- a/bench/burst.py
+++ b/bench/burst.py
@@ -30,7 +30,7 @@
     total = 0
     for effect in effects:
         if isinstance(effect, SendMessage) and isinstance(effect.body, Gossip):
-            message = Message(state.me.node_id, 1, 0, effect.body, 0, False)
+            message = Message(state.identity.node_id, 1, 0, effect.body, 0, False)
             total += len(codec.encode(message)) * len(effect.addrs)
     return total
 
@@ -53,7 +53,7 @@
     dead = tuple(
         replace(state.mesh.members[name], status=MemberStatus.DEAD) for name in names
     )
-    step = reduce(state, ev.MembersHeard(now, dead))
+    step = reduce(state, ev.MembersReceived(now, dead))
     sent = [encoded_bytes(codec, state, step.effects)]
     state = step.state
     for number in range(ROUNDS):
--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -37,7 +37,7 @@
         records.append(Member(name, name, addr, region, dc, 1, 1, targets=targets))
     me = Identity("n000", "n000", *PLACES[0], addr, addr, 1)
     state = State(me, policy=policy)
-    return reduce(state, ev.MembersHeard(0.0, tuple(records))).state
+    return reduce(state, ev.MembersReceived(0.0, tuple(records))).state
 
 
 def make_events(number, attempt_id):
@@ -46,7 +46,7 @@
     req = Request(f"s{number % SERVICES:02}", "GET", "/weights", now + 10.0)
     return (
         ev.CallArrived(now, draw, Call(number, req, now)),
-        ev.HeadReceived(now + 0.02, draw, number, attempt_id, 200, load=3.0),
+        ev.ResponseHeadReceived(now + 0.02, draw, number, attempt_id, 200, load=3.0),
         ev.CallEnded(now + 0.021, number, True),
     )
 
--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -17,7 +17,7 @@
 from .model import Target, TargetState
 from .rules import parse
 from .rules.options import NAME_PATTERN
-from .survey import versions_in_force
+from .rules_versions import versions_in_force
 
 __all__ = ["MAX_ADMIN_BODY_BYTES", "make_admin_app"]
 
@@ -112,7 +112,7 @@
             detail = f"{MAX_TARGETS} targets are announced at this node already"
             self.fail(400, "bad-request", detail)
             return
-        me = self.node.state.me
+        me = self.node.state.identity
         target = Target(
             target_id,
             said.service,
@@ -155,13 +155,13 @@
         state = self.node.state
         self.finish(
             {
-                "node": state.me.node_id,
-                "region": state.me.region,
-                "dc": state.me.dc,
+                "node": state.identity.node_id,
+                "region": state.identity.region,
+                "dc": state.identity.dc,
                 "rules": {
                     "version": state.rules.version,
                     "source": state.rules.source,
-                    "heard": state.rules.heard,
+                    "heard": state.rules.known_version,
                 },
                 "calls": len(state.traffic.calls),
                 "members": len(state.mesh.members),
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -1,17 +1,17 @@
 """pimentoline.calls: life of a call, from its arrival to the end of its answer."""
 
-from . import claims, limits, retries, routing
+from . import claims, retries, routing, traffic_stats
 from .effects import (
     CancelAttempt,
-    Count,
     FinishClaim,
-    ForwardAnswer,
+    ForwardResponse,
+    IncrementCounter,
     RejectCall,
     ReleaseClaim,
     ScheduleHedge,
     StartAttempt,
 )
-from .events import Outcome
+from .events import AttemptOutcome
 from .fast_replace import replace
 from .model import Attempt, CallPhase, CallRecord, ServiceStats
 from .verdict import Verdict, combine
@@ -20,11 +20,11 @@
     "on_arrived",
     "on_attempt_ended",
     "on_call_ended",
-    "on_caller_left",
+    "on_caller_disconnected",
     "on_claim_answered",
     "on_deadline_passed",
-    "on_head",
     "on_hedge_due",
+    "on_response_head",
 ]
 
 
@@ -38,7 +38,7 @@
     services = traffic.services
     if call.call_id not in traffic.calls:
         stats = services.get(call.req.service) or ServiceStats()
-        stats = replace(stats, **limits.begun_changes(stats, call.req))
+        stats = replace(stats, **traffic_stats.begun_changes(stats, call.req))
         services = services.set(call.req.service, stats)
     calls = traffic.calls.set(call.call_id, record)
     return replace(state, traffic=replace(traffic, calls=calls, services=services))
@@ -54,13 +54,13 @@
         stats = services.get(req.service) or ServiceStats()
         changes = retries.first_changes(stats, policy.retry_share)
         if call.call_id not in traffic.calls:
-            changes |= limits.begun_changes(stats, req)
+            changes |= traffic_stats.begun_changes(stats, req)
         services = services.set(req.service, replace(stats, **changes))
     traffic = replace(
         traffic,
         calls=traffic.calls.set(call.call_id, record),
         services=services,
-        targets=limits.begin_attempt(traffic.targets, record.attempts[-1]),
+        targets=traffic_stats.begin_attempt(traffic.targets, record.attempts[-1]),
         next_attempt=traffic.next_attempt + 1,
     )
     return replace(state, traffic=traffic)
@@ -69,10 +69,12 @@
 def _without_call(state, call_id, attempt=None, whole=False):
     """Return the state without a call, and without the attempt that answered it."""
     traffic = state.traffic
-    services = limits.end_call(traffic.services, traffic.calls[call_id].call.req)
+    services = traffic_stats.end_call(traffic.services, traffic.calls[call_id].call.req)
     targets = traffic.targets
     if attempt is not None:
-        targets = limits.end_attempt(targets, attempt, whole and not attempt.failed)
+        targets = traffic_stats.end_attempt(
+            targets, attempt, whole and not attempt.failed
+        )
     calls = traffic.calls.delete(call_id)
     traffic = replace(traffic, calls=calls, services=services, targets=targets)
     return replace(state, traffic=traffic)
@@ -105,10 +107,10 @@
     req = call.req
     policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
     record = CallRecord(call, CallPhase.SENDING, policy.idempotent)
-    state, refusal = limits.admit(state, call, event.now, event.draw)
+    state, refusal = traffic_stats.admit(state, call, event.now, event.draw)
     if refusal is not None:
         reject = RejectCall(call.call_id, 503, refusal, Verdict.NOT_RUN, refusal)
-        return state, (reject, Count(f"calls.{refusal}"))
+        return state, (reject, IncrementCounter(f"calls.{refusal}"))
     if claims.is_required(record):
         record = replace(record, phase=CallPhase.CLAIMING)
         return _with_call(state, record), (claims.insert(record),)
@@ -167,12 +169,12 @@
     call = record.call
     verdict = combine(att.verdict or Verdict.MAY_HAVE_RUN for att in record.attempts)
     effects = [RejectCall(call.call_id, status, code, verdict, code)]
-    effects.append(Count(f"calls.{code}"))
+    effects.append(IncrementCounter(f"calls.{code}"))
     if claims.is_required(record) and verdict is Verdict.NOT_RUN:
         effects.append(ReleaseClaim(call.call_id, call.req.service, call.req.key))
     for att in _in_flight(record):
         effects.append(CancelAttempt(call.call_id, att.attempt_id))
-        state = limits.note_done(state, att)
+        state = traffic_stats.note_done(state, att)
     if call.call_id in state.traffic.calls:
         state = _without_call(state, call.call_id)
     return state, tuple(effects)
@@ -189,19 +191,19 @@
     return _without_call(state, event.call_id), refusal
 
 
-def on_head(state, event):
+def on_response_head(state, event):
     """Forward an answer, or retry if the target shed the call or failed."""
     record = state.traffic.calls.get(event.call_id)
     attempt = record and _attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None or record.answering is not None:
         return state, ()
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
-    state = limits.note_answer(state, record, attempt, event)
+    state = traffic_stats.note_answer(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
         # The other attempt may still succeed.
         state = _with_call(
-            limits.note_done(state, _attempt(record, event.attempt_id)), record
+            traffic_stats.note_done(state, _attempt(record, event.attempt_id)), record
         )
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
@@ -213,10 +215,12 @@
             )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
-                started = limits.note_done(started, _attempt(record, event.attempt_id))
-                return started, (cancel, Count("attempts.retried")) + effects
+                started = traffic_stats.note_done(
+                    started, _attempt(record, event.attempt_id)
+                )
+                return started, (cancel, IncrementCounter("attempts.retried")) + effects
     if event.not_run:
-        state = limits.note_done(state, _attempt(record, event.attempt_id))
+        state = traffic_stats.note_done(state, _attempt(record, event.attempt_id))
         state, effects = _reject(state, record, 503, "target-shed")
         return state, (CancelAttempt(event.call_id, event.attempt_id),) + effects
     return _forward(state, record, event.attempt_id)
@@ -225,10 +229,10 @@
 def _forward(state, record, attempt_id):
     call_id = record.call.call_id
     recorded = claims.is_required(record)
-    effects = [ForwardAnswer(call_id, attempt_id, recorded)]
+    effects = [ForwardResponse(call_id, attempt_id, recorded)]
     for att in _in_flight(record):
         effects.append(CancelAttempt(call_id, att.attempt_id))
-        state = limits.note_done(state, att)
+        state = traffic_stats.note_done(state, att)
         record = _with_verdict(record, att.attempt_id, Verdict.MAY_HAVE_RUN)
     record = replace(record, phase=CallPhase.ANSWERING, answering=attempt_id)
     return _with_call(state, record), tuple(effects)
@@ -240,11 +244,11 @@
     attempt = record and _attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
-    if event.outcome is Outcome.SILENT:
+    if event.outcome is AttemptOutcome.SILENT:
         # The connection failed, not the target; new connections to it work.
-        state = limits.note_done(state, attempt)
+        state = traffic_stats.note_done(state, attempt)
     else:
-        state = limits.note_failure(state, record, attempt, event)
+        state = traffic_stats.note_failure(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, event.verdict)
     state = _with_call(state, record)
     if _in_flight(record):
@@ -253,7 +257,7 @@
         state, may_retry = retries.may_retry(state, record, event.verdict, event.now)
         if may_retry:
             return _start(state, record, event)
-    timed_out = event.outcome in (Outcome.TIMEOUT, Outcome.SILENT)
+    timed_out = event.outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.SILENT)
     return _reject(
         state, record, 504 if timed_out else 502, f"target-{event.outcome.value}"
     )
@@ -270,7 +274,7 @@
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
     answering = _attempt(record, record.answering)
     if answering is not None and not event.whole:
-        state = limits.note_cut(state, record, answering, event.now)
+        state = traffic_stats.note_cut(state, record, answering, event.now)
     return _without_call(state, event.call_id, answering, event.whole), effects
 
 
@@ -279,21 +283,21 @@
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.answering is not None:
         return state, ()
-    state = limits.note_waited(state, record, event.now)
+    state = traffic_stats.note_waited(state, record, event.now)
     return _reject(state, record, 504, "deadline-exceeded")
 
 
-def on_caller_left(state, event):
+def on_caller_disconnected(state, event):
     """Cancel every attempt of a call whose caller has gone."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
     effects = []
-    state = limits.note_waited(state, record, event.now)
+    state = traffic_stats.note_waited(state, record, event.now)
     for att in record.attempts:
         if att.verdict is None or att.attempt_id == record.answering:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
-            state = limits.note_done(state, att)
+            state = traffic_stats.note_done(state, att)
     return _without_call(state, event.call_id), tuple(effects)
 
 
@@ -304,7 +308,7 @@
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
-    state = limits.note_waited(state, record, event.now)
+    state = traffic_stats.note_waited(state, record, event.now)
     charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
@@ -312,4 +316,4 @@
     started, effects = _start(charged, record, event, hedge=True, untried=True)
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
-    return started, effects + (Count("attempts.hedged"),)
+    return started, effects + (IncrementCounter("attempts.hedged"),)
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -2,21 +2,21 @@
 
 from dataclasses import dataclass
 
-from .model import RecordedAnswer
+from .model import RecordedResponse
 from .verdict import Verdict
 
 __all__ = [
-    "Ask",
     "CancelAttempt",
-    "Count",
     "FetchRules",
     "FinishClaim",
-    "ForwardAnswer",
+    "ForwardResponse",
+    "IncrementCounter",
     "InsertClaim",
     "LogEntry",
+    "QueryPeer",
     "RejectCall",
     "ReleaseClaim",
-    "ReplayAnswer",
+    "ReplayResponse",
     "Reply",
     "ScheduleHedge",
     "SendMessage",
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ForwardAnswer:
+class ForwardResponse:
     """Pass the answer of this attempt on to the caller.
 
     `record` asks to keep the beginning of it for the claim row.
@@ -59,11 +59,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ReplayAnswer:
+class ReplayResponse:
     """Answer the caller with the recorded outcome of an earlier call."""
 
     call_id: int
-    recorded: RecordedAnswer
+    recorded: RecordedResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
     call_id: int
     service: str
     key: str
-    recorded: RecordedAnswer
+    recorded: RecordedResponse
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +122,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class QueryPeer:
     """Send a message over TCP and raise `MessageReceived` for the reply."""
 
     addr: tuple[str, int]
@@ -154,7 +154,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Count:
+class IncrementCounter:
     """Increase a counter of the metrics."""
 
     name: str
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -6,26 +6,26 @@
 import enum
 from dataclasses import dataclass
 
-from .model import Call, Member, RecordedAnswer, Target
+from .model import Call, Member, RecordedResponse, Target
 from .rules.ruleset import RuleSet
 from .verdict import Verdict
 
 __all__ = [
     "AttemptEnded",
+    "AttemptOutcome",
     "CallArrived",
     "CallEnded",
-    "CallerLeft",
+    "CallerDisconnected",
     "ClaimAnswered",
     "ClaimOutcome",
     "DeadlinePassed",
-    "HeadReceived",
     "HedgeDue",
-    "MembersHeard",
+    "MembersReceived",
     "MessageReceived",
-    "Outcome",
     "ProbeEnded",
-    "RulesHeard",
+    "ResponseHeadReceived",
     "RulesLoaded",
+    "RulesVersionReceived",
     "StopRequested",
     "TargetAnnounced",
     "TargetDrained",
@@ -34,7 +34,7 @@
 ]
 
 
-class Outcome(enum.Enum):
+class AttemptOutcome(enum.Enum):
     """How an attempt ended without an answer.
 
     `SILENT` is a timeout on a connection that was used before: the connection may
@@ -73,11 +73,11 @@
     draw: int
     call_id: int
     outcome: ClaimOutcome
-    recorded: RecordedAnswer | None = None
+    recorded: RecordedResponse | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class HeadReceived:
+class ResponseHeadReceived:
     """A target answered with a response head.
 
     `not_run` is the target's own contract word that it shed the request;
@@ -102,7 +102,7 @@
     draw: int
     call_id: int
     attempt_id: int
-    outcome: Outcome
+    outcome: AttemptOutcome
     verdict: Verdict
     replayable: bool
 
@@ -117,7 +117,7 @@
     now: float
     call_id: int
     whole: bool
-    recorded: RecordedAnswer | None = None
+    recorded: RecordedResponse | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +130,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerLeft:
+class CallerDisconnected:
     """The caller closed its connection before the answer was complete."""
 
     now: float
@@ -172,7 +172,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MembersHeard:
+class MembersReceived:
     """Records of members arrived from a peer."""
 
     now: float
@@ -193,13 +193,13 @@
     addr: tuple[str, int] | None
     body: object
     rules_version: int = 0
-    rules_heard: int = 0
+    known_rules_version: int = 0
     rules_confirmed: bool = False
     is_reply: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class RulesHeard:
+class RulesVersionReceived:
     """A peer or the store named a rules version.
 
     `confirmed` is True if the answer is the store's, or if there is nobody to ask.
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from .effects import Ask, SendMessage
+from .effects import QueryPeer, SendMessage
 from .member_records import (
     SYNC_BUCKETS,
     bucket_of,
@@ -45,30 +45,32 @@
     return [
         members[name]
         for name in sorted(members)
-        if name != state.me.node_id and is_running(members[name])
+        if name != state.identity.node_id and is_running(members[name])
     ]
 
 
 def push(state, now, draw):
     """Send what is new to a few peers and lower its remaining sends."""
     mesh, rules = state.mesh, state.rules
-    if not mesh.rumours and not rules.sends:
+    if not mesh.pending_gossip and not rules.remaining_sends:
         return state, ()
     peers = running_peers(state)
     if not peers:
         return state, ()
     chosen = random.Random(draw).sample(peers, min(GOSSIP_FANOUT, len(peers)))
     # The records with the most sends left are the newest.
-    hot = sorted(mesh.rumours, key=lambda name: (-mesh.rumours[name], name))
-    left = mesh.rumours
+    hot = sorted(
+        mesh.pending_gossip, key=lambda name: (-mesh.pending_gossip[name], name)
+    )
+    left = mesh.pending_gossip
     for name in hot[:MAX_RECORDS_PER_PUSH]:
         sends = left[name] - 1
         left = left.set(name, sends) if sends else left.delete(name)
     records = [mesh.members[name] for name in hot[:MAX_RECORDS_PER_PUSH]]
     state = replace(
         state,
-        mesh=replace(mesh, rumours=left),
-        rules=replace(rules, sends=max(0, rules.sends - 1)),
+        mesh=replace(mesh, pending_gossip=left),
+        rules=replace(rules, remaining_sends=max(0, rules.remaining_sends - 1)),
     )
     addrs = tuple(record.addr for record in chosen)
     return state, (SendMessage(addrs, Gossip(for_wire(state, records, now))),)
@@ -111,7 +113,7 @@
         return state, ()
     mesh = replace(state.mesh, last_sync_at=now)
     request = SyncRequest(digests(mesh.members))
-    return replace(state, mesh=mesh), (Ask(addr, request),)
+    return replace(state, mesh=mesh), (QueryPeer(addr, request),)
 
 
 def sync_when_due(state, now, draw):
@@ -133,7 +135,7 @@
     if not addrs:
         return state, ()
     request = SyncRequest(digests(state.mesh.members))
-    return state, tuple(Ask(addr, request) for addr in dict.fromkeys(addrs))
+    return state, tuple(QueryPeer(addr, request) for addr in dict.fromkeys(addrs))
 
 
 def sync_reply(state, request, now):
@@ -163,4 +165,4 @@
     ]
     if not lacking or addr is None:
         return ()
-    return (Ask(addr, Gossip(for_wire(state, lacking, now))),)
+    return (QueryPeer(addr, Gossip(for_wire(state, lacking, now))),)
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -5,7 +5,7 @@
 
 from immutables import Map
 
-from .model import Member, MemberStatus, TargetState, Unconfirmed
+from .model import Member, MemberStatus, TargetState, UnconfirmedTarget
 
 __all__ = [
     "DEAD_KEEP_S",
@@ -57,7 +57,7 @@
 
 def own_record(state):
     """Return this node's record, made at the first use."""
-    me = state.me
+    me = state.identity
     found = state.mesh.members.get(me.node_id)
     if found is not None:
         return found
@@ -80,8 +80,12 @@
     If `spread` is True, each of them is queued as a rumour.
     """
     mesh = state.mesh
-    members, rumours, suspects = mesh.members, mesh.rumours, mesh.suspects
-    ended, unconfirmed = mesh.ended, mesh.unconfirmed
+    members, rumours, suspects = (
+        mesh.members,
+        mesh.pending_gossip,
+        mesh.suspect_deadlines,
+    )
+    ended, unconfirmed = mesh.ended_at, mesh.unconfirmed
     routes_changed = False
     for record in records:
         name, held = record.node_id, members.get(record.node_id)
@@ -105,9 +109,9 @@
     mesh = replace(
         mesh,
         members=members,
-        rumours=rumours,
-        suspects=suspects,
-        ended=ended,
+        pending_gossip=rumours,
+        suspect_deadlines=suspects,
+        ended_at=ended,
         unconfirmed=unconfirmed,
     )
     if routes_changed:
@@ -137,7 +141,7 @@
         if target.state is TargetState.GONE:
             unconfirmed = without(unconfirmed, target.target_id)
         elif until > now:
-            entry = Unconfirmed(target, until)
+            entry = UnconfirmedTarget(target, until)
             unconfirmed = unconfirmed.set(target.target_id, entry)
     return unconfirmed
 
@@ -165,7 +169,7 @@
 
 def for_wire(state, records, now):
     """Return the records with their ages, as they are sent to peers."""
-    ended = state.mesh.ended
+    ended = state.mesh.ended_at
     return tuple(
         replace(record, age_s=max(0.0, now - ended[record.node_id]))
         if record.node_id in ended
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -37,7 +37,7 @@
     for record in records:
         name = record.node_id
         state = keep_drains(state, record, now)
-        if name == state.me.node_id:
+        if name == state.identity.node_id:
             own = own_record(state)
             if is_newer(record, own):
                 state, refuted = refute(state, record)
@@ -84,7 +84,7 @@
 
 def _on_rumours(state, event, records):
     accused = any(
-        record.node_id == state.me.node_id and record.status is MemberStatus.DEAD
+        record.node_id == state.identity.node_id and record.status is MemberStatus.DEAD
         for record in records
     )
     state, effects = _take(state, records, event.now)
@@ -117,13 +117,13 @@
 
 def _forget_ended(state, now):
     mesh = state.mesh
-    old = [name for name, at in mesh.ended.items() if now - at >= DEAD_KEEP_S]
+    old = [name for name, at in mesh.ended_at.items() if now - at >= DEAD_KEEP_S]
     if not old:
         return state
-    members, ended, rumours = mesh.members, mesh.ended, mesh.rumours
+    members, ended, rumours = mesh.members, mesh.ended_at, mesh.pending_gossip
     for name in old:
         members, ended = members.delete(name), ended.delete(name)
         if name in rumours:
             rumours = rumours.delete(name)
-    mesh = replace(mesh, members=members, ended=ended, rumours=rumours)
+    mesh = replace(mesh, members=members, ended_at=ended, pending_gossip=rumours)
     return replace(state, mesh=mesh)
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -15,12 +15,12 @@
     "Call",
     "CallRecord",
     "Identity",
-    "MeasuringState",
     "Member",
     "MemberStatus",
     "MeshState",
-    "Probe",
-    "RecordedAnswer",
+    "PendingPing",
+    "ProbingState",
+    "RecordedResponse",
     "Request",
     "RulesState",
     "ServiceStats",
@@ -29,7 +29,7 @@
     "TargetState",
     "TargetStats",
     "TrafficState",
-    "Unconfirmed",
+    "UnconfirmedTarget",
 ]
 
 
@@ -149,7 +149,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordedAnswer:
+class RecordedResponse:
     """Outcome of a keyed call, as kept in its claim row.
 
     `body` holds up to 4 KiB; `truncated` tells that the answer was longer.
@@ -210,21 +210,21 @@
         Own requests in flight.
     waiting : int
         Own requests whose response head has not come yet.
-    waiting_since : float
+    waiting_since_sum : float
         Sum of the monotonic times at which those were sent, seconds.
     latency_s : float
         Peak-sensitive moving average of the time to the response head, seconds.
     latency_at : float
         Monotonic time of the last latency sample, seconds.
-    reported : float
+    reported_load : float
         Last reported requests in flight at the target, from all nodes.
     reported_at : float
         Monotonic time of that report, seconds; negative infinity if none.
-    reported_own : int
+    own_in_report : int
         Own requests in flight at that time, which are part of the reported ones.
-    failures : int
+    consecutive_failures : int
         Consecutive failures.
-    window : tuple of bool
+    recent_outcomes : tuple of bool
         Outcomes of the latest calls, True for success, newest last.
     ejected_until, ejected_for_s : float
         End and length of the current or last ejection, seconds.
@@ -234,14 +234,14 @@
 
     inflight: int = 0
     waiting: int = 0
-    waiting_since: float = 0.0
+    waiting_since_sum: float = 0.0
     latency_s: float = 0.0
     latency_at: float = 0.0
-    reported: float = 0.0
+    reported_load: float = 0.0
     reported_at: float = float("-inf")
-    reported_own: int = 0
-    failures: int = 0
-    window: tuple[bool, ...] = ()
+    own_in_report: int = 0
+    consecutive_failures: int = 0
+    recent_outcomes: tuple[bool, ...] = ()
     ejected_until: float = 0.0
     ejected_for_s: float = 0.0
     ready_at: float = float("-inf")
@@ -269,16 +269,16 @@
         that throttling refused.
     counted_at : float
         Monotonic time up to which the counts are decayed, seconds.
-    latencies, latest : tuple of float
-        Times to the response head of successful calls, seconds; `latest` holds the
-        few that are not yet in `latencies`.
-    typical_s, late_s : float
+    latencies, new_latencies : tuple of float
+        Times to the response head of successful calls, seconds;
+        `new_latencies` holds the few that are not yet in `latencies`.
+    median_latency_s, p95_latency_s : float
         Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
-    ring : int
+    widest_ring : int
         Widest locality ring in use.
     spill_credit : float
         Calls that may still be spilled.
-    cursor : int
+    calls_sent : int
         Number of calls sent.
     """
 
@@ -289,12 +289,12 @@
     accepted: tuple[float, ...] = (0.0, 0.0, 0.0)
     counted_at: float = 0.0
     latencies: tuple[float, ...] = ()
-    latest: tuple[float, ...] = ()
-    typical_s: float = 0.0
-    late_s: float = 0.0
-    ring: int = 0
+    new_latencies: tuple[float, ...] = ()
+    median_latency_s: float = 0.0
+    p95_latency_s: float = 0.0
+    widest_ring: int = 0
     spill_credit: float = 0.0
-    cursor: int = 0
+    calls_sent: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,11 +321,11 @@
         The rules in force.
     source : str
         Who gave them: `builtin`, `store` or a node id.
-    heard : int
+    known_version : int
         Highest version that any peer or the store has named.
-    heard_at : float
-        Monotonic time since which `heard` is above `version`, seconds.
-    asked_version, asked_at
+    outdated_since : float
+        Monotonic time since which `known_version` is above `version`, seconds.
+    requested_version, requested_at
         Version and monotonic time of the latest fetch.
     confirmed : bool
         Whether the store, or a peer that is confirmed itself, has answered since
@@ -335,7 +335,7 @@
         heard is in force: at boot, and after the process was paused.
     answered : bool
         Whether such an answer has come.
-    sends : int
+    remaining_sends : int
         Remaining rounds in which the version in force is announced to peers.
     """
 
@@ -343,18 +343,18 @@
     text: str = ""
     ruleset: RuleSet = field(default_factory=RuleSet)
     source: str = "builtin"
-    heard: int = 0
-    heard_at: float = 0.0
-    asked_version: int = 0
-    asked_at: float = float("-inf")
+    known_version: int = 0
+    outdated_since: float = 0.0
+    requested_version: int = 0
+    requested_at: float = float("-inf")
     confirmed: bool = False
     must_check: bool = False
     answered: bool = False
-    sends: int = 0
+    remaining_sends: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Probe:
+class PendingPing:
     """The ping in flight of the failure detector."""
 
     node_id: str
@@ -364,7 +364,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unconfirmed:
+class UnconfirmedTarget:
     """A target whose node left or died; `until` is monotonic time in seconds."""
 
     target: Target
@@ -378,49 +378,49 @@
     Parameters
     ----------
     members : Map of str to Member
-    rumours : Map of str to int
+    pending_gossip : Map of str to int
         Remaining sends of a member's record.
     by_service : Map of str to tuple of Target
         Derived from `members` and `unconfirmed`, kept for fast routing.
-    unconfirmed : Map of str to Unconfirmed
+    unconfirmed : Map of str to UnconfirmedTarget
         By target id.
-    ended : Map of str to float
+    ended_at : Map of str to float
         Monotonic time at which a member left or died.
-    suspects : Map of str to float
+    suspect_deadlines : Map of str to float
         Monotonic time at which a suspect is declared dead.
-    renewed : Map of str to float
+    renewed_at : Map of str to float
         Monotonic time of the latest announcement of a target of this node, or of
         its end.
-    drained : Map of str to (str, int)
+    drained_addrs : Map of str to (str, int)
         Addresses of the targets of this host that were ordered to drain, by id.
-    probe : Probe or None
-    next_probe_at, next_sync_at, last_sync_at, last_tick : float
+    pending_ping : PendingPing or None
+    next_ping_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
-    health : int
+    health_score : int
         Local health score, 0 if this node's own pings are answered.
     draw : int
         Random integer of the latest tick.
     """
 
     members: Map = field(default_factory=Map)
-    rumours: Map = field(default_factory=Map)
+    pending_gossip: Map = field(default_factory=Map)
     by_service: Map = field(default_factory=Map)
     unconfirmed: Map = field(default_factory=Map)
-    ended: Map = field(default_factory=Map)
-    suspects: Map = field(default_factory=Map)
-    renewed: Map = field(default_factory=Map)
-    drained: Map = field(default_factory=Map)
-    probe: Probe | None = None
-    next_probe_at: float = float("-inf")
+    ended_at: Map = field(default_factory=Map)
+    suspect_deadlines: Map = field(default_factory=Map)
+    renewed_at: Map = field(default_factory=Map)
+    drained_addrs: Map = field(default_factory=Map)
+    pending_ping: PendingPing | None = None
+    next_ping_at: float = float("-inf")
     next_sync_at: float = float("-inf")
     last_sync_at: float = float("-inf")
     last_tick: float | None = None
-    health: int = 0
+    health_score: int = 0
     draw: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class MeasuringState:
+class ProbingState:
     """Demand for probes and this node's share of the budget.
 
     Parameters
@@ -453,10 +453,10 @@
 class State:
     """All of a node's decision state."""
 
-    me: Identity
+    identity: Identity
     rules: RulesState = field(default_factory=RulesState)
     mesh: MeshState = field(default_factory=MeshState)
     traffic: TrafficState = field(default_factory=TrafficState)
-    measuring: MeasuringState = field(default_factory=MeasuringState)
+    probing: ProbingState = field(default_factory=ProbingState)
     policy: str = "hot-cold"
     stopping: bool = False
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -16,6 +16,7 @@
 from .admin import MAX_ADMIN_BODY_BYTES, make_admin_app
 from .claim_writer import ClaimWriter
 from .codec import Codec
+from .connection_limits import ConnectionLimits
 from .errors import NewerMessageError
 from .logs import log_entry
 from .member_records import own_record, with_own_record
@@ -35,7 +36,6 @@
 from .publisher import Publisher
 from .reducer import reduce
 from .rules import parse
-from .shares import ConnectionShares
 from .store import Store
 
 __all__ = ["Node"]
@@ -65,8 +65,8 @@
         self.state = None
         self.metrics = Metrics.from_config(cfg)
         self.store = Store.from_config(cfg, self.metrics) if cfg.store_url else None
-        shares = ConnectionShares(lambda: self.state, MAX_CONNECTIONS_PER_TARGET)
-        self.pool = Pool(self.clock, shares.limit_of)
+        limits = ConnectionLimits(lambda: self.state, MAX_CONNECTIONS_PER_TARGET)
+        self.pool = Pool(self.clock, limits.limit_of)
         self.proxy = Proxy(
             self.dispatch,
             self.pool,
@@ -77,7 +77,7 @@
         self.prober = Prober(self.dispatch, self.clock)
         self.claims = ClaimWriter(
             self.store,
-            lambda: f"{self.state.me.node_id}/{self.state.me.incarnation}",
+            lambda: f"{self.state.identity.node_id}/{self.state.identity.incarnation}",
             lambda call_id: call_id in self.state.traffic.calls,
             self.dispatch,
             self.clock,
@@ -155,9 +155,9 @@
 
     def _execute(self, effect):
         match effect:
-            case ef.StartAttempt() | ef.ForwardAnswer() | ef.CancelAttempt():
+            case ef.StartAttempt() | ef.ForwardResponse() | ef.CancelAttempt():
                 self.proxy.execute(effect)
-            case ef.RejectCall() | ef.ReplayAnswer():
+            case ef.RejectCall() | ef.ReplayResponse():
                 self.proxy.execute(effect)
             case ef.ScheduleHedge():
                 loop = asyncio.get_running_loop()
@@ -166,7 +166,7 @@
                 self.prober.send(effect)
             case ef.SendMessage():
                 self.mesh.send(effect.addrs, self.make_message(effect.body))
-            case ef.Ask():
+            case ef.QueryPeer():
                 asyncio.get_running_loop().create_task(
                     self.send_request(effect.addr, effect.body)
                 )
@@ -176,7 +176,7 @@
                 asyncio.get_running_loop().create_task(self._fetch_rules(effect))
             case ef.InsertClaim() | ef.ReleaseClaim() | ef.FinishClaim():
                 self.claims.execute(effect)
-            case ef.Count():
+            case ef.IncrementCounter():
                 self.metrics.count(effect.name, effect.amount)
             case ef.LogEntry():
                 log_entry(effect.name, **dict(effect.fields))
@@ -192,11 +192,11 @@
         """Return a message from this node."""
         rules = self.state.rules
         return Message(
-            self.state.me.node_id,
+            self.state.identity.node_id,
             own_record(self.state).incarnation,
             rules.version,
             body,
-            rules.heard,
+            rules.known_version,
             rules.confirmed,
         )
 
@@ -281,7 +281,7 @@
             task.cancel()
         self.mesh.close()
         self.metrics.flush()
-        log_entry("node:stopped", node=self.state.me.node_id)
+        log_entry("node:stopped", node=self.state.identity.node_id)
         self._stopped.set()
 
     async def run(self):
@@ -295,7 +295,7 @@
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, lambda: loop.create_task(self.stop()))
-        me = self.state.me
+        me = self.state.identity
         print(
             json.dumps(
                 {
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -4,7 +4,7 @@
 import time
 
 from .errors import PimentolineError
-from .events import RulesHeard
+from .events import RulesVersionReceived
 from .gossip import running_peers
 from .logs import log_entry
 from .member_records import digests
@@ -52,7 +52,9 @@
     async def _ask_some(self, found):
         """Ask seeds and other peers in groups until one group has answered."""
         node = self._node
-        seeds = [addr for addr in node.cfg.seeds if addr != node.state.me.mesh_addr]
+        seeds = [
+            addr for addr in node.cfg.seeds if addr != node.state.identity.mesh_addr
+        ]
         node.random.shuffle(seeds)
         peers = list(dict.fromkeys(seeds[:JOIN_PEERS] + found + seeds))
         answered = 0
@@ -68,7 +70,9 @@
                 break
         if node.store is None and (answered or not seeds):
             # Without a store, nobody else can know of a version.
-            node.dispatch(RulesHeard(node.clock(), 0, "nobody", confirmed=True))
+            node.dispatch(
+                RulesVersionReceived(node.clock(), 0, "nobody", confirmed=True)
+            )
 
     async def _find_peers(self):
         """Write the own row, then return the other rows' addresses, shuffled.
@@ -79,7 +83,7 @@
         node = self._node
         if node.store is None:
             return []
-        me = node.state.me
+        me = node.state.identity
         row = {
             "addr": me.mesh_addr,
             "region": me.region,
@@ -104,9 +108,9 @@
         node = self._node
         for addr in group:
             rules = node.state.rules
-            if rules.version >= rules.heard:
+            if rules.version >= rules.known_version:
                 return
-            await node.send_request(addr, RulesRequest(rules.heard))
+            await node.send_request(addr, RulesRequest(rules.known_version))
 
     async def run(self):
         """Refresh the own row, and search for peers while none is known."""
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -31,7 +31,7 @@
     """
     stats = cand.stats
     used = stats.inflight
-    others = stats.reported - stats.reported_own
+    others = stats.reported_load - stats.own_in_report
     if others > 0.0:
         age_s = now - stats.reported_at
         used += others * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
@@ -46,13 +46,13 @@
     and not as the fastest. It is at least the mean age of the requests that wait at
     the target, which tells of a slowdown before the first slow answer.
     """
-    typical_s = service.typical_s
+    typical_s = service.median_latency_s
     latency_s = typical_s
     if stats.latency_s:
         part = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
         latency_s += (stats.latency_s - typical_s) * part
     if stats.waiting:
-        latency_s = max(latency_s, now - stats.waiting_since / stats.waiting)
+        latency_s = max(latency_s, now - stats.waiting_since_sum / stats.waiting)
     return latency_s
 
 
@@ -66,7 +66,7 @@
 
         A target whose last sample was slow is tried with one request at a time.
         """
-        limit_s = SLOW_FACTOR * service.typical_s
+        limit_s = SLOW_FACTOR * service.median_latency_s
         stats = cand.stats
         if not limit_s:
             return True
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -61,7 +61,9 @@
         except (PimentolineError, KeyError, TypeError):
             node.metrics.count("store.failed")
         # The version is known even if its text could not be read.
-        node.dispatch(ev.RulesHeard(node.clock(), version, "store", confirmed=True))
+        node.dispatch(
+            ev.RulesVersionReceived(node.clock(), version, "store", confirmed=True)
+        )
 
     async def apply(self, base, text, author, attempt):
         """Write a new rules version if `base` is still in force.
@@ -215,7 +217,7 @@
         peers = running_peers(node.state)
         node.random.shuffle(peers)
         # A version held in another region survives the loss of this one.
-        peers.sort(key=lambda record: record.region == node.state.me.region)
+        peers.sort(key=lambda record: record.region == node.state.identity.region)
         left, held_by = [record.addr for record in peers], 0
         deadline = node.clock() + PUSH_TIMEOUT_S
         while left and held_by < PUSH_PEERS and node.clock() < deadline:
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from . import calls, measuring, membership, rules_version, target_states
+from . import calls, membership, probing, rules_version, target_states
 from . import events as ev
 from .model import State
 
@@ -41,17 +41,17 @@
             refusal = rules_version.rejection_if_outdated(state, event)
             if refusal:
                 return Step(state, refusal)
-            return Step(*calls.on_arrived(measuring.note_call(state, event), event))
-        case ev.HeadReceived():
-            return Step(*calls.on_head(state, event))
+            return Step(*calls.on_arrived(probing.note_call(state, event), event))
+        case ev.ResponseHeadReceived():
+            return Step(*calls.on_response_head(state, event))
         case ev.AttemptEnded():
             return Step(*calls.on_attempt_ended(state, event))
         case ev.CallEnded():
             return Step(*calls.on_call_ended(state, event))
         case ev.DeadlinePassed():
             return Step(*calls.on_deadline_passed(state, event))
-        case ev.CallerLeft():
-            return Step(*calls.on_caller_left(state, event))
+        case ev.CallerDisconnected():
+            return Step(*calls.on_caller_disconnected(state, event))
         case ev.HedgeDue():
             return Step(*calls.on_hedge_due(state, event))
         case ev.ClaimAnswered():
@@ -62,23 +62,23 @@
             return Step(*target_states.on_target_drained(state, event))
         case ev.TargetWithdrawn():
             return Step(*target_states.on_target_withdrawn(state, event))
-        case ev.MembersHeard():
+        case ev.MembersReceived():
             return Step(*membership.on_members_received(state, event))
         case ev.MessageReceived():
             state, effects = membership.on_message(state, event)
             state, more = rules_version.on_message(state, event)
             return Step(state, effects + more)
-        case ev.RulesHeard():
+        case ev.RulesVersionReceived():
             return Step(*rules_version.on_rules_version_received(state, event))
         case ev.RulesLoaded():
             return Step(*rules_version.on_rules_loaded(state, event))
         case ev.Tick():
             state, effects = rules_version.on_tick(state, event)
             state, more = membership.on_tick(state, event)
-            state, probes = measuring.on_tick(state, event)
+            state, probes = probing.on_tick(state, event)
             return Step(state, effects + more + probes)
         case ev.ProbeEnded():
-            return Step(*measuring.on_probe_ended(state, event))
+            return Step(*probing.on_probe_ended(state, event))
         case ev.StopRequested():
             state, effects = membership.on_stop(state, event)
             return Step(replace(state, stopping=True), effects)
--- a/pimentoline/rules_version.py
+++ b/pimentoline/rules_version.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import replace
 
-from .effects import Count, FetchRules, LogEntry, RejectCall, Reply
+from .effects import FetchRules, IncrementCounter, LogEntry, RejectCall, Reply
 from .gossip import push, running_peers
 from .member_records import GOSSIP_SENDS
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
@@ -33,23 +33,30 @@
     """
     rules, last_tick = state.rules, state.mesh.last_tick
     paused = last_tick is not None and event.now - last_tick > PAUSE_S
-    behind = rules.version < rules.heard
+    behind = rules.version < rules.known_version
     if not (rules.must_check or paused):
-        if not behind or event.now - rules.heard_at <= GRACE_S:
+        if not behind or event.now - rules.outdated_since <= GRACE_S:
             return ()
-    detail = f"rules version {rules.version} is in force, {rules.heard} is known"
+    detail = (
+        f"rules version {rules.version} is in force, {rules.known_version} is known"
+    )
     code = "rules-outdated"
     reject = RejectCall(event.call.call_id, 503, code, Verdict.NOT_RUN, detail)
-    return (reject, Count(f"calls.{code}"))
+    return (reject, IncrementCounter(f"calls.{code}"))
 
 
 def _hear(state, version, now):
     """Note the highest version that anyone has named."""
     rules = state.rules
-    if version <= rules.heard:
+    if version <= rules.known_version:
         return state
-    heard_at = rules.heard_at if rules.version < rules.heard else now
-    return replace(state, rules=replace(rules, heard=version, heard_at=heard_at))
+    outdated_since = (
+        rules.outdated_since if rules.version < rules.known_version else now
+    )
+    return replace(
+        state,
+        rules=replace(rules, known_version=version, outdated_since=outdated_since),
+    )
 
 
 def _settle(state, confirmed=False):
@@ -58,7 +65,7 @@
     if not rules.must_check:
         return state
     answered = rules.answered or confirmed
-    if answered and rules.version >= rules.heard:
+    if answered and rules.version >= rules.known_version:
         rules = replace(rules, confirmed=True, must_check=False, answered=False)
     else:
         rules = replace(rules, answered=answered)
@@ -68,16 +75,19 @@
 def _fetch(state, addr, now):
     """Ask for the highest version, unless it was asked for a moment ago."""
     rules = state.rules
-    if rules.asked_version >= rules.heard and now - rules.asked_at < FETCH_GAP_S:
+    if (
+        rules.requested_version >= rules.known_version
+        and now - rules.requested_at < FETCH_GAP_S
+    ):
         return state, ()
-    rules = replace(rules, asked_version=rules.heard, asked_at=now)
-    return replace(state, rules=rules), (FetchRules(rules.heard, addr),)
+    rules = replace(rules, requested_version=rules.known_version, requested_at=now)
+    return replace(state, rules=rules), (FetchRules(rules.known_version, addr),)
 
 
 def on_message(state, event):
     """Compare the versions that every message names, and answer for the rules."""
     now, rules = event.now, state.rules
-    state = _hear(state, max(event.rules_version, event.rules_heard), now)
+    state = _hear(state, max(event.rules_version, event.known_rules_version), now)
     state = _settle(state, event.is_reply and event.rules_confirmed)
     match event.body:
         case RulesRequest(version) if version <= rules.version:
@@ -95,7 +105,9 @@
 def on_rules_version_received(state, event):
     """Note a version that the store has named, and fetch it if it is newer."""
     if event.version < state.rules.version:
-        return _settle(state, event.confirmed), (Count("rules.older_ignored"),)
+        return _settle(state, event.confirmed), (
+            IncrementCounter("rules.older_ignored"),
+        )
     state = _hear(state, event.version, event.now)
     state = _settle(state, event.confirmed)
     if event.version <= state.rules.version:
@@ -109,7 +121,7 @@
     rules = state.rules
     if event.version <= rules.version:
         older = event.version < rules.version
-        return state, (Count("rules.older_ignored"),) if older else ()
+        return state, (IncrementCounter("rules.older_ignored"),) if older else ()
     state = _hear(state, event.version, event.now)
     # The member record is left as it is: every message names the version anyway, and
     # 720 new records for each change would exceed the control-plane limit.
@@ -119,8 +131,8 @@
         text=event.text,
         ruleset=event.ruleset,
         source=event.source,
-        sends=GOSSIP_SENDS,
-        heard_at=event.now,
+        remaining_sends=GOSSIP_SENDS,
+        outdated_since=event.now,
     )
     entry = LogEntry(
         "rules:in-force", (("version", event.version), ("source", event.source))
@@ -137,9 +149,9 @@
     if last_tick is not None and now - last_tick > PAUSE_S:
         rules = replace(state.rules, must_check=True, answered=False)
         state = replace(state, rules=rules)
-        effects = (Count("node.paused"),)
+        effects = (IncrementCounter("node.paused"),)
     rules = state.rules
-    if not rules.must_check and rules.version >= rules.heard:
+    if not rules.must_check and rules.version >= rules.known_version:
         return state, effects
     peers = running_peers(state)
     addr = random.Random(event.draw).choice(peers).addr if peers else None
--- a/pimentoline/limits.py
+++ b/pimentoline/traffic_stats.py
@@ -1,10 +1,10 @@
-"""pimentoline.limits: admission of calls and observation of targets."""
+"""pimentoline.traffic_stats: admission of calls and observation of targets."""
 
 import math
 
 from . import outliers, throttling
 from .draws import fraction
-from .events import Outcome
+from .events import AttemptOutcome
 from .fast_replace import replace
 from .model import CLASS_RANKS, ServiceStats, TargetStats
 
@@ -113,7 +113,7 @@
         stats,
         inflight=stats.inflight + 1,
         waiting=stats.waiting + 1,
-        waiting_since=stats.waiting_since + attempt.started,
+        waiting_since_sum=stats.waiting_since_sum + attempt.started,
     )
     return targets.set(attempt.target_id, stats)
 
@@ -132,10 +132,10 @@
 def _answered_changes(stats, attempt):
     if stats.waiting <= 1:
         # Also drops the rounding errors of the sum.
-        return {"waiting": 0, "waiting_since": 0.0}
+        return {"waiting": 0, "waiting_since_sum": 0.0}
     return {
         "waiting": stats.waiting - 1,
-        "waiting_since": stats.waiting_since - attempt.started,
+        "waiting_since_sum": stats.waiting_since_sum - attempt.started,
     }
 
 
@@ -148,10 +148,10 @@
 
 
 def _failure_latency_s(state, service, sample_s):
-    late_s = _service_stats(state, service).late_s
-    if not late_s:
+    p95_latency_s = _service_stats(state, service).p95_latency_s
+    if not p95_latency_s:
         return max(sample_s, FAILURE_LATENCY_S)
-    return max(sample_s, FAILURE_LATENCY_FACTOR * late_s)
+    return max(sample_s, FAILURE_LATENCY_FACTOR * p95_latency_s)
 
 
 def _with_failure(state, record, attempt, now, decisive, stats):
@@ -226,20 +226,20 @@
     now : float
         Monotonic time, seconds.
     """
-    return {"reported": load, "reported_at": now, "reported_own": own}
+    return {"reported_load": load, "reported_at": now, "own_in_report": own}
 
 
 def _latency_changes(service, sample_s):
-    latest = (*service.latest, sample_s)
-    if len(latest) < LATENCY_BATCH:
-        return {"latest": latest}
-    window = (service.latencies + latest)[-LATENCY_WINDOW:]
+    new_latencies = (*service.new_latencies, sample_s)
+    if len(new_latencies) < LATENCY_BATCH:
+        return {"new_latencies": new_latencies}
+    window = (service.latencies + new_latencies)[-LATENCY_WINDOW:]
     ordered = sorted(window)
     return {
         "latencies": window,
-        "latest": (),
-        "typical_s": ordered[len(ordered) // 2],
-        "late_s": ordered[int(len(ordered) * 0.95)],
+        "new_latencies": (),
+        "median_latency_s": ordered[len(ordered) // 2],
+        "p95_latency_s": ordered[int(len(ordered) * 0.95)],
     }
 
 
@@ -275,10 +275,10 @@
         latency_at=now,
         **_answered_changes(stats, attempt),
     )
-    refused = event.outcome is Outcome.REFUSED
+    refused = event.outcome is AttemptOutcome.REFUSED
     stats = _with_failure(state, record, attempt, now, refused, stats)
     state = _with_target(state, attempt.target_id, stats)
-    if event.outcome is not Outcome.TIMEOUT:
+    if event.outcome is not AttemptOutcome.TIMEOUT:
         return state
     return _count_refused(state, record.call.req, now)
 
--- a/tests/core.py
+++ b/tests/core.py
@@ -5,7 +5,7 @@
 from pimentoline import events as ev
 from pimentoline.draws import mix
 from pimentoline.effects import StartAttempt
-from pimentoline.events import Outcome
+from pimentoline.events import AttemptOutcome
 from pimentoline.fast_replace import replace
 from pimentoline.model import (
     Call,
@@ -53,7 +53,7 @@
         target = Target(name, SERVICE, ADDR, *place, **fields)
         node = f"node-of-{name}"
         record = Member(node, node, ADDR, *place, 1, self.seq, status, (target,))
-        self.send(ev.MembersHeard(self.now, (record,)))
+        self.send(ev.MembersReceived(self.now, (record,)))
 
     def arrive(self, method="GET", **fields):
         """Start a call; return its number and the effects."""
@@ -67,7 +67,7 @@
         """Answer an attempt; return the effects."""
         draw = mix(self.calls, 2)
         call_id, attempt_id = effect.call_id, effect.attempt_id
-        event = ev.HeadReceived(
+        event = ev.ResponseHeadReceived(
             self.now, draw, call_id, attempt_id, status, not_run, load
         )
         return self.send(event)
@@ -126,7 +126,7 @@
         log.append(effects)
         outcome = mix(number, 9) % 16
         if sent is not None and outcome == 0:
-            log.append(core.fail(sent, Outcome.REFUSED, Verdict.NOT_RUN))
+            log.append(core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
         elif sent is not None and outcome == 1:
             log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
         elif sent is not None:
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -48,7 +48,7 @@
 
     def addr(self, name):
         """Return the address of a node."""
-        return self.states[name].me.mesh_addr
+        return self.states[name].identity.mesh_addr
 
     def schedule(self, delay_s, name, item):
         """Hand an item to a node after a delay."""
@@ -74,7 +74,7 @@
             addr,
             body,
             rules.version,
-            rules.heard,
+            rules.known_version,
             rules.confirmed,
             is_reply,
         )
@@ -114,7 +114,7 @@
                 case ef.SendMessage(addrs, body):
                     for addr in addrs:
                         self.send(name, addr, body)
-                case ef.Ask(addr, body):
+                case ef.QueryPeer(addr, body):
                     self.schedule(self.delay_s, name, effect)
                 case ef.FetchRules():
                     self.schedule(self.delay_s, name, effect)
@@ -122,7 +122,7 @@
                     reply = body
                 case ef.RejectCall():
                     self.rejected.append((name, effect.code))
-                case ef.Count(counter, amount):
+                case ef.IncrementCounter(counter, amount):
                     self.counts[counter] = self.counts.get(counter, 0) + amount
         return reply
 
@@ -144,7 +144,9 @@
         lacking = rules.must_check or rules.version < effect.version
         if lacking and self.store is not None:
             self.load_rules(name, self.store)
-            heard = ev.RulesHeard(self.now, self.store, "store", confirmed=True)
+            heard = ev.RulesVersionReceived(
+                self.now, self.store, "store", confirmed=True
+            )
             self.dispatch(name, heard)
 
     def run(self, seconds, until=None):
@@ -161,7 +163,7 @@
                     self.dispatch(name, ev.Tick(self.now, draw))
             elif name in self.off:
                 continue
-            elif isinstance(item, ef.Ask):
+            elif isinstance(item, ef.QueryPeer):
                 self.ask(name, item.addr, item.body)
             elif isinstance(item, ef.FetchRules):
                 self.fetch(name, item)
@@ -173,7 +175,7 @@
 
     def announce(self, name, target_id, **more):
         """Announce a target at a node."""
-        me = self.states[name].me
+        me = self.states[name].identity
         target = Target(target_id, "hive-ledger", ("10.0.0.2", 80), me.region, me.dc)
         event = ev.TargetAnnounced(self.now, replace(target, **more))
         self.dispatch(name, event)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -24,7 +24,7 @@
     """Count the choices of a policy over many draws."""
     chosen = Counter()
     for number in range(rounds):
-        service = ServiceStats(cursor=number)
+        service = ServiceStats(calls_sent=number)
         cand = get_policy_by_name(policy).choose(found, service, NOW, mix(number, 1))
         chosen[cand.target.target_id] += 1
     return chosen
@@ -42,7 +42,7 @@
     ("name", "good", "bad"),
     [
         ("least-inflight", {"inflight": 1}, {"inflight": 2}),
-        ("two-choices", {"reported": 1.0}, {"reported": 9.0}),
+        ("two-choices", {"reported_load": 1.0}, {"reported_load": 9.0}),
     ],
 )
 def test_policy_prefers_less_loaded(name, good, bad):
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -90,7 +90,14 @@
 def test_core_modules_are_found():
     """Guards against an import check that looks at nothing."""
     names = {path.stem for path in core_modules()}
-    assert {"routing", "limits", "retries", "hot_cold", "ruleset", "model"} <= names
+    assert {
+        "routing",
+        "traffic_stats",
+        "retries",
+        "hot_cold",
+        "ruleset",
+        "model",
+    } <= names
     assert "proxy" not in names
     assert not names & {"node", "peers", "links", "frontend", "target_side"}
 
@@ -99,7 +106,7 @@
 def test_replay_gives_same_state(policy):
     """Guards against decisions that depend on anything but state and events."""
     core, _ = run_scenario(policy)
-    state = State(core.state.me, policy=policy)
+    state = State(core.state.identity, policy=policy)
     for event in core.events:
         state = reduce(state, event).state
     assert state == core.state
@@ -126,9 +133,11 @@
 
 def test_replace_keeps_other_fields():
     """Guards against a faster copy that loses, shares or invents fields."""
-    stats = TargetStats(inflight=1, window=(True,))
-    changed = replace(stats, failures=3)
-    assert changed == TargetStats(inflight=1, window=(True,), failures=3)
-    assert stats == TargetStats(inflight=1, window=(True,))
+    stats = TargetStats(inflight=1, recent_outcomes=(True,))
+    changed = replace(stats, consecutive_failures=3)
+    assert changed == TargetStats(
+        inflight=1, recent_outcomes=(True,), consecutive_failures=3
+    )
+    assert stats == TargetStats(inflight=1, recent_outcomes=(True,))
     with pytest.raises(KeyError):
         replace(stats, unknown=1)
