--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -17,7 +17,7 @@
 from .model import Target, TargetState
 from .rules import parse
 from .rules.options import NAME_PATTERN
-from .rules_versions import versions_in_force
+from .version_survey import versions_in_force
 
 __all__ = ["MAX_ADMIN_BODY_BYTES", "make_admin_app"]
 
--- a/pimentoline/rules_versions.py
+++ b/pimentoline/version_survey.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules_versions: which rules version each node has in force."""
+"""pimentoline.version_survey: which rules version each node has in force."""
 
 import asyncio
 
