--- a/pimentoline/twohop/__init__.py
+++ b/pimentoline/twohop/__init__.py
@@ -1,6 +1,6 @@
-"""pimentoline.twohop: calls that cross the caller's node and the target's node.
+"""pimentoline.twohop: calls that pass through two nodes, the caller's and the target's.
 
-Used where only the node on a target's own host can reach that target. `admission`,
-`placement`, `retry_budget`, `lifecycle`, `target_status` and `model` decide and are
-pure; the other modules carry out what they decide.
+This path is used where a target accepts calls only from the node on its own host.
+`admission`, `placement`, `retry_budget`, `lifecycle`, `target_status` and `model` make
+the decisions and are free of I/O; the other modules carry them out.
 """
--- a/pimentoline/twohop/header_names.py
+++ b/pimentoline/twohop/header_names.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.header_names: names of the headers that nodes read and write."""
+"""pimentoline.twohop.header_names: names of the HTTP headers that nodes use."""
 
 from dataclasses import dataclass
 
@@ -7,20 +7,27 @@
 
 @dataclass(frozen=True, slots=True)
 class HeaderNames:
-    """Header names towards callers and targets.
+    """Names of the headers on requests and responses of callers and targets.
 
     Attributes
     ----------
+    request_id : str
+        Request id chosen by the caller; the response repeats it.
+    deadline_ms : str
+        Time that remains until the deadline of the request, milliseconds.
     response_stamp : str
-        Proof on an answer that the target made it.
+        Proves that the target itself produced the response.
     expect_target : str
-        Names the only target that may run the request.
+        Id of the only target that may run the request.
     not_run : str
-        Marks an answer of a target that has not run the request.
+        Marks the response of a target that has not run the request.
     target_id : str
-        Id of a target, on its answer to a health check.
+        Id of the target, on its response to a health check.
     load : str
-        Running, waiting, slots and, in percent, how long work takes at the moment.
+        Load figures of the target, separated by commas: running and waiting requests,
+        slots, and the current duration of its work in percent of the usual.
+    caller_service : str
+        Service that the request comes from.
     """
 
     request_id: str = "X-Request-Id"
