--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -1,7 +1,7 @@
-"""pimentoline.twohop.store_sync: what this node keeps in the store and reads from it.
+"""pimentoline.twohop.store_sync: follows the store and writes this node's row.
 
-The store holds the operator's configuration and a row for each node. Calls go on
-with what is known while it cannot be reached.
+The store holds the operator's configuration and a row for each node. While it cannot
+be reached, nodes keep serving calls with the state that they have.
 """
 
 import asyncio
@@ -17,88 +17,96 @@
 __all__ = ["MEMBERS_TABLE", "StoreSync"]
 
 MEMBERS_TABLE = "members"
-# Longest wait of one reading of changes, seconds. Each node draws its own within
-# these, so that a connection that went silent is noticed somewhere within a second;
-# the other nodes pass a new configuration on.
+# Range of the time that one long poll for changes waits, seconds. Each node draws its
+# own, so that the polls of the nodes end at different times: a new configuration is
+# read by some node within a second even if connections have gone silent, and that node
+# passes it on to the others.
 CONFIG_WAIT_S = (6.0, 12.0)
 MEMBERS_WAIT_S = (15.0, 25.0)
-# Pause after a failed call, seconds; entries must be back within 2 s of the store.
-FIRST_PAUSE_S = 0.2
+# Pause after a failed request, seconds; nodes must have read the tables again within
+# 2 s of the store's recovery.
+MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.2
-# Changes that come together are read together.
-BATCH_S = 0.4
-# A stored drain is waited for this long before it is acknowledged all the same.
-STORE_PATIENCE_S = 0.6
-# A conditional write is repeated once with the version that it met.
-SAVE_TRIES = 2
+# Changes of members within this time are read with one request.
+BATCH_DELAY_S = 0.4
+# Longest wait for the write of a new state, such as that of a draining target, before
+# the target's report of it is acknowledged anyway, seconds. The write goes on.
+MAX_STORE_WAIT_S = 0.6
+# After a version conflict, a conditional write is retried once with the stored version.
+MAX_SAVE_ATTEMPTS = 2
 
 
 class StoreSync:
-    """Keeps a node's knowledge and the store in step.
+    """Follows the store's tables and keeps this node's own row up to date.
 
     Parameters
     ----------
     store : object
         `read_all(table)`, `read_changes(table, after, wait_s)` and `write(table, key,
         value, version)`; see `platform.store`.
-    config_place : tuple of str
+    config_row : tuple of str
         Table and key of the operator's configuration.
-    me : Member
+    own_member : Member
+        This node, as other nodes see it.
     node : object
         `config`, `peers` and `target` of the node.
     """
 
-    def __init__(self, store, config_place, me, node):
+    def __init__(self, store, config_row, own_member, node):
         self._store = store
-        self._config_place = config_place
-        self._me = me
+        self._config_row = config_row
+        self._own_member = own_member
         self._node = node
         self._row_version = 0
         self._write_lock = asyncio.Lock()
         self._tasks = []
-        self._beside = set()
-        self._again = None
+        self._background_tasks = set()
+        self._save_timer = None
         self._random = random.Random()
         self.members_loaded = asyncio.Event()
         self._reachable = True
 
     def start(self):
-        """Begin to read both tables."""
+        """Start following both tables."""
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(
-                self._follow(self._config_place[0], CONFIG_WAIT_S, self._config_rows)
+                self._follow_table(
+                    self._config_row[0], CONFIG_WAIT_S, self._apply_config_rows
+                )
             ),
             loop.create_task(
-                self._follow(MEMBERS_TABLE, MEMBERS_WAIT_S, self._member_rows)
+                self._follow_table(
+                    MEMBERS_TABLE, MEMBERS_WAIT_S, self._apply_member_rows
+                )
             ),
         ]
 
     def stop(self):
-        """End the reading."""
+        """Stop following the tables."""
         for task in self._tasks:
             task.cancel()
         self._tasks = []
-        if self._again is not None:
-            self._again.cancel()
+        if self._save_timer is not None:
+            self._save_timer.cancel()
 
-    async def _follow(self, table, wait_s, take):
+    async def _follow_table(self, table, wait_s, apply):
         after = None
-        pause_s = FIRST_PAUSE_S
+        pause_s = MIN_PAUSE_S
         while True:
             try:
                 if after is None:
                     rows, after = await self._store.read_all(table)
-                    take(rows, True)
+                    apply(rows, True)
                 else:
                     wait = self._random.uniform(*wait_s)
                     rows, after = await self._store.read_changes(table, after, wait)
                     if rows:
-                        take(rows, False)
+                        apply(rows, False)
                     if rows and table == MEMBERS_TABLE:
-                        await asyncio.sleep(BATCH_S)
+                        await asyncio.sleep(BATCH_DELAY_S)
                 self._note_reachable(True, "")
-                pause_s = FIRST_PAUSE_S
+                pause_s = MIN_PAUSE_S
             except StoreHistoryExpiredError:
                 after = None
             except StoreError as exc:
@@ -111,143 +119,152 @@
             self._reachable = reachable
             log_entry("store:state", reachable=reachable, detail=detail[:120])
 
-    def _config_rows(self, rows, whole):
+    def _apply_config_rows(self, rows, complete):
         for row in rows:
-            if row.key == self._config_place[1] and row.value is not None:
+            if row.key == self._config_row[1] and row.value is not None:
                 self._node.config.offer(None, row.value, "store")
 
-    def _member_rows(self, rows, whole):
-        mine = None
+    def _apply_member_rows(self, rows, complete):
+        own_row = None
         for row in rows:
-            if row.key == self._me.node:
-                mine = row
+            if row.key == self._own_member.node:
+                own_row = row
                 continue
             if row.value is None:
                 self._node.peers.remove_member(row.key)
                 continue
-            member = self._member(row)
-            if member is not None and member.addr == self._me.addr:
-                # That host is gone, and this one was given its address.
-                self._run(self._remove(row.key, row.version))
+            member = self._parse_member(row)
+            if member is not None and member.addr == self._own_member.addr:
+                # The address of a removed host has been assigned to this one.
+                self._start_task(self._remove_row(row.key, row.version))
             elif member is not None:
                 self._node.peers.set_member(member)
-        if whole or mine is not None:
-            self._take_own(mine)
+        if complete or own_row is not None:
+            self._apply_own_row(own_row)
         self.members_loaded.set()
 
-    def _run(self, work):
-        """Run a coroutine beside the reading; keep it from being collected."""
-        task = asyncio.get_running_loop().create_task(work)
-        self._beside.add(task)
-        task.add_done_callback(self._beside.discard)
+    def _start_task(self, coroutine):
+        """Run a coroutine in the background; keep a reference until it is done."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._background_tasks.add(task)
+        task.add_done_callback(self._background_tasks.discard)
         return task
 
-    async def _remove(self, key, version):
+    async def _remove_row(self, key, version):
         try:
             await self._store.write(MEMBERS_TABLE, key, None, version)
             log_entry("member:row-removed", node=key)
         except StoreError as exc:
             log_entry("member:row-kept", node=key, detail=exc.detail[:120])
 
-    def _member(self, row):
+    def _parse_member(self, row):
         try:
-            item = json.loads(row.value)
+            fields = json.loads(row.value)
             return Member(
                 row.key,
-                (str(item["addr"][0]), int(item["addr"][1])),
-                str(item["dc"]),
-                str(item["region"]),
-                str(item["service"]),
+                (str(fields["addr"][0]), int(fields["addr"][1])),
+                str(fields["dc"]),
+                str(fields["region"]),
+                str(fields["service"]),
             )
         except (ValueError, TypeError, KeyError, IndexError) as exc:
             log_entry("member:unreadable", key=row.key[:80], detail=str(exc)[:80])
             return None
 
-    def _take_own(self, row):
-        """Take what is stored of the target, and write the row if it is not ours."""
+    def _apply_own_row(self, row):
+        """Restore the target's state from the row, and save the row if it differs."""
         self._row_version = row.version if row is not None else 0
-        stored = self._merge_own(row.value if row is not None else None)
-        if stored != self._own_value():
-            self._run(self.save())
+        stored = self._restore_target(row.value if row is not None else None)
+        if stored != self._own_row_value():
+            self._start_task(self.save())
 
-    def _merge_own(self, value):
-        """Take the target's state from a row's value; return the value decoded.
+    def _restore_target(self, value):
+        """Restore the target's state from a row's value; return the decoded value.
 
-        Earlier processes of this node wrote it, some perhaps after this one started.
+        An earlier process of this node wrote it. Its write may have taken effect after
+        this process started.
         """
         if value is None:
             return None
         try:
             stored = json.loads(value)
-            item = stored.get("target")
-            if item is not None:
-                lifetime = TargetStatus(
-                    str(item["target_id"]),
-                    int(item["born_ms"]),
-                    int(item["sequence"]),
-                    TargetState(item["state"]),
+            fields = stored.get("target")
+            if fields is not None:
+                status = TargetStatus(
+                    str(fields["target_id"]),
+                    int(fields["born_ms"]),
+                    int(fields["sequence"]),
+                    TargetState(fields["state"]),
                 )
-                self._node.target.restore(lifetime)
+                self._node.target.restore(status)
         except (ValueError, TypeError, KeyError, AttributeError) as exc:
-            log_entry("member:unreadable", key=self._me.node, detail=str(exc)[:80])
+            log_entry(
+                "member:unreadable", key=self._own_member.node, detail=str(exc)[:80]
+            )
             return None
         return stored
 
-    def _own_value(self):
-        held = self._node.target.status_tracker.current
-        value = asdict(self._me)
+    def _own_row_value(self):
+        status = self._node.target.status_tracker.current
+        value = asdict(self._own_member)
         del value["node"]
         value["addr"] = list(value["addr"])
-        if held is not None:
+        if status is not None:
             value["target"] = {
-                "target_id": held.target_id,
-                "born_ms": held.born_ms,
-                # Reports renew it all the time; only the state is worth a write.
+                "target_id": status.target_id,
+                "born_ms": status.born_ms,
+                # It changes with every report, but only a new state is written.
                 "sequence": 0,
-                "state": held.state.value,
+                "state": status.state.value,
             }
         return value
 
     async def save(self):
-        """Write this node's row; log and go on if the store cannot take it."""
+        """Write this node's row; return whether it is stored.
+
+        A failure is logged, and the row is written again later.
+        """
         async with self._write_lock:
-            for _ in range(SAVE_TRIES):
-                value = json.dumps(self._own_value()).encode()
+            for _ in range(MAX_SAVE_ATTEMPTS):
+                value = json.dumps(self._own_row_value()).encode()
                 try:
                     self._row_version = await self._store.write(
-                        MEMBERS_TABLE, self._me.node, value, self._row_version
+                        MEMBERS_TABLE, self._own_member.node, value, self._row_version
                     )
                     return True
                 except StoreConflictError as exc:
-                    # An earlier write of this node took effect without an answer.
+                    # An earlier write of this node took effect, but its response was
+                    # lost.
                     self._row_version = exc.version
-                    self._merge_own(exc.value)
+                    self._restore_target(exc.value)
                 except StoreError as exc:
                     log_entry("member:not-stored", detail=exc.detail[:120])
                     break
-            self._save_again()
+            self._schedule_save()
             return False
 
-    def _save_again(self):
-        """Write the row later, since no one else would: what it says was promised."""
-        if self._again is None:
+    def _schedule_save(self):
+        """Write the row later; the target was told that its state is stored."""
+        if self._save_timer is None:
             pause_s = MAX_PAUSE_S * self._random.uniform(0.7, 1.0)
             loop = asyncio.get_running_loop()
-            self._again = loop.call_later(pause_s, self._retry)
+            self._save_timer = loop.call_later(pause_s, self._on_save_timer)
 
-    def _retry(self):
-        self._again = None
+    def _on_save_timer(self):
+        self._save_timer = None
         if self._tasks:
-            self._run(self.save())
+            self._start_task(self.save())
 
     async def remove_with_timeout(self):
-        """Remove the row of a host that goes, but wait only a little for it."""
+        """Remove the row of a host that shuts down; wait for `MAX_STORE_WAIT_S`."""
         self.stop()
         async with self._write_lock:
-            task = self._run(self._remove(self._me.node, self._row_version))
-            await asyncio.wait([task], timeout=STORE_PATIENCE_S)
+            task = self._start_task(
+                self._remove_row(self._own_member.node, self._row_version)
+            )
+            await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
 
     async def save_with_timeout(self):
-        """Write the row, but wait only a little for it."""
-        task = self._run(self.save())
-        await asyncio.wait([task], timeout=STORE_PATIENCE_S)
+        """Write the row; wait for `MAX_STORE_WAIT_S` and let the write go on after."""
+        task = self._start_task(self.save())
+        await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
