--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.caller_side: the calls of the callers on this node's host."""
+"""pimentoline.twohop.caller_side: calls made by the callers on this node's host."""
 
 import asyncio
 import random
@@ -12,27 +12,30 @@
 from .retry_budget import RetryBudget
 from .weighted_round_robin import WeightedRoundRobin
 
-__all__ = ["CallerSide", "IncomingCall", "CallOutcome"]
+__all__ = ["CallOutcome", "CallerSide", "IncomingCall"]
 
 MS = 1000.0
-# A node that refused a call is avoided for the time it gave, up to this, seconds.
-MAX_AVOID_S = 0.3
-# Weight of the newest answer in the mean size of a route's answers.
-SIZE_WEIGHT = 0.05
+# A node that refused a call is avoided for its retry-after time, but no longer than
+# this, seconds.
+MAX_AVOIDANCE_S = 0.3
+# Weight of the newest response in the moving average of a route's response sizes.
+MEAN_SIZE_WEIGHT = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class IncomingCall:
-    """A call as it was read from a caller.
+    """A request that was read from a caller.
 
     Attributes
     ----------
     path : str
-        Path and query, as sent.
+        Path and query string, as sent.
     headers : tuple of (str, str)
-        Those that go on to the target.
+        Headers to forward to the target.
     remaining_s : float or None
-        How long the caller waits, seconds.
+        Time from arrival to the caller's deadline, seconds; None if it gave none.
+    arrived_at : float
+        Monotonic time, seconds.
     """
 
     request_id: str
@@ -41,12 +44,15 @@
     headers: tuple
     body: bytes
     remaining_s: float | None
-    arrived: float
+    arrived_at: float
 
 
 @dataclass(frozen=True, slots=True)
 class CallOutcome:
-    """How a call ended; `response` is a target's, None if it is our own."""
+    """How a call ended.
+
+    `response` is the target's response, or None if this node ends the call itself.
+    """
 
     status: int | None
     reason: str
@@ -56,41 +62,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Held:
+class _HeldResponse:
     frame: ResponseFrame
     body: bytes
 
 
-class _Running:
-    """One call and its attempt in progress."""
+class _ActiveCall:
+    """An open call and its current attempt.
 
-    def __init__(self, side, incoming, call, respond):
-        self.side = side
+    Frames of an earlier attempt are told apart by `attempt_number` and ignored.
+    """
+
+    def __init__(self, caller_side, incoming, call, respond):
+        self.caller_side = caller_side
         self.incoming = incoming
         self.call = call
         self.respond = respond
-        self.attempt = 0
+        self.attempt_number = 0
         self.cancel_attempt = None
         self.timer = None
 
     def dispatch(self, event):
-        """Carry out the effects of an event."""
-        for effect in lc.step(self.call, event, self.side):
+        """Pass an event to the state machine and carry out its effects."""
+        for effect in lc.step(self.call, event, self.caller_side):
             match effect:
                 case lc.Send():
                     self._send(effect)
                 case lc.CancelAttempt():
                     self._cancel()
                 case lc.Reply():
-                    held = effect.answer
+                    response = effect.response
                     self._finish(
-                        CallOutcome(held.frame.status, "", held.frame, held.body)
+                        CallOutcome(
+                            response.frame.status, "", response.frame, response.body
+                        )
                     )
                 case lc.Reject():
                     self._reject(effect)
 
     def _reject(self, effect):
-        self.side.log.entry(
+        self.caller_side.log.entry(
             "call:refused",
             request=self.incoming.request_id,
             route=self.call.route.name,
@@ -100,47 +111,49 @@
             asked=sorted(self.call.tried),
             attempts=self.call.attempts,
             verdict=self.call.verdict.value,
-            age_ms=int((self.side.clock() - self.incoming.arrived) * MS),
+            age_ms=int((self.caller_side.clock() - self.incoming.arrived_at) * MS),
         )
         self._finish(
             CallOutcome(effect.status, effect.reason, None, b"", effect.retry_after_s)
         )
 
     def _send(self, effect):
-        side, call = self.side, self.call
-        self.attempt += 1
-        attempt = self.attempt
-        if not effect.repeat and call.places == 1:
-            side.budget(call.service).first(side.clock())
+        caller_side, call = self.caller_side, self.call
+        self.attempt_number += 1
+        number = self.attempt_number
+        if not effect.retry and call.placements == 1:
+            caller_side.retry_budget(call.service).count_first_attempt(
+                caller_side.clock()
+            )
 
         def on_frame(frame, body):
-            if attempt == self.attempt:
-                self._frame(effect.candidate, frame, body)
+            if number == self.attempt_number:
+                self._handle_frame(effect.candidate, frame, body)
 
         def on_stall():
-            if attempt == self.attempt:
-                self.dispatch(lc.AttemptStalled(side.clock()))
+            if number == self.attempt_number:
+                self.dispatch(lc.AttemptStalled(caller_side.clock()))
 
-        cancel = side.peers.send(
+        cancel = caller_side.peers.send(
             effect.candidate,
-            lambda stream: self._frame_of(stream, effect.last_resort),
+            lambda stream: self._call_frame(stream, effect.last_resort),
             self.incoming.body,
             on_frame,
             on_stall,
         )
-        if attempt == self.attempt:
+        if number == self.attempt_number:
             self.cancel_attempt = cancel
 
-    def _frame_of(self, stream, last_resort):
+    def _call_frame(self, stream, last_resort):
         call, incoming = self.call, self.incoming
-        now = self.side.clock()
+        now = self.caller_side.clock()
         return CallFrame(
             stream,
             call.service,
             incoming.method,
             incoming.path,
             incoming.headers,
-            self.side.service,
+            self.caller_side.service,
             int((call.goal_at - now) * MS),
             int((call.deadline_at - now) * MS),
             call.route.priority,
@@ -149,31 +162,33 @@
             len(incoming.body),
         )
 
-    def _frame(self, candidate, frame, body):
+    def _handle_frame(self, candidate, frame, body):
         self.cancel_attempt = None
-        now = self.side.clock()
+        now = self.caller_side.clock()
         match frame:
             case ResponseFrame():
                 if frame.status >= MIN_FAILURE_STATUS:
                     candidate.note_failure(now)
                 else:
                     candidate.note_success()
-                    self.side.note_answer(self.call.route, frame.body_bytes)
+                    self.caller_side.record_response_size(
+                        self.call.route, frame.body_bytes
+                    )
                 self.dispatch(
-                    lc.ResponseReceived(now, frame.status, _Held(frame, body))
+                    lc.ResponseReceived(now, frame.status, _HeldResponse(frame, body))
                 )
             case RefusedFrame():
                 after_s = frame.retry_after_ms / MS
-                candidate.refused_until = now + min(after_s, MAX_AVOID_S)
+                candidate.refused_until = now + min(after_s, MAX_AVOIDANCE_S)
                 self.dispatch(
-                    lc.AttemptRefused(now, frame.reason, after_s, frame.at_target)
+                    lc.AttemptRefused(now, frame.reason, after_s, frame.by_target)
                 )
             case FailedFrame():
                 candidate.note_failure(now)
                 self.dispatch(lc.AttemptFailed(now, frame.verdict, frame.reason))
 
     def _cancel(self):
-        self.attempt += 1
+        self.attempt_number += 1
         cancel, self.cancel_attempt = self.cancel_attempt, None
         if cancel is not None:
             cancel()
@@ -181,58 +196,58 @@
     def _finish(self, outcome):
         if self.timer is not None:
             self.timer.cancel()
-        self.side.open_calls.discard(self)
+        self.caller_side.active_calls.discard(self)
         self.respond(outcome)
 
 
 class CallerSide:
-    """Routes calls, places them and ends each with one outcome.
+    """Sends each call to a target's node and ends it with exactly one outcome.
 
     Parameters
     ----------
     service : str
-        Service of the target on this host, which its own calls come from.
+        Service of the target on this host, named as the caller in calls to others.
     location : Location
     peers : Peers
     config : object
         `current`, the `Configuration` in force or None.
-    limits : RetryLimits
+    retry_limits : RetryLimits
     clock : callable
         Monotonic clock, seconds.
     """
 
-    def __init__(self, service, location, peers, config, limits, clock):
+    def __init__(self, service, location, peers, config, retry_limits, clock):
         self.service = service
         self.location = location
         self.peers = peers
         self.config = config
-        self.limits = limits
+        self.retry_limits = retry_limits
         self.clock = clock
         self.log = RateLimitedLog(clock)
-        self.open_calls = set()
-        self._budgets = {}
-        self._splits = WeightedRoundRobin()
-        self._answer_bytes = {}
+        self.active_calls = set()
+        self._retry_budgets = {}
+        self._round_robin = WeightedRoundRobin()
+        self._mean_response_bytes = {}
         self._random = random.Random()
 
-    def set_retry_limits(self, limits):
-        """Take changed limits of repeats; what was counted stays counted."""
-        self.limits = limits
-        for budget in self._budgets.values():
-            budget.set_limits(limits)
+    def set_retry_limits(self, retry_limits):
+        """Apply changed limits; retries counted so far still count."""
+        self.retry_limits = retry_limits
+        for budget in self._retry_budgets.values():
+            budget.set_limits(retry_limits)
 
-    def budget(self, service):
-        """Return the budget of repeats to a service."""
-        found = self._budgets.get(service)
-        if found is None:
-            found = RetryBudget(self.limits)
-            self._budgets[service] = found
-        return found
+    def retry_budget(self, service):
+        """Return the retry budget of a service."""
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.retry_limits)
+            self._retry_budgets[service] = budget
+        return budget
 
-    # What `lifecycle.step` asks of the world.
+    # Methods that `lifecycle.step` calls on its `world`.
 
     def choose(self, call, now):
-        """Return the best candidate that has not been asked, or None."""
+        """Return the best candidate that has not been tried, or None."""
         return choose(
             self.peers.candidates(call.service),
             self.location,
@@ -242,51 +257,51 @@
             self._random.random(),
         )
 
-    def note_answer(self, route, size):
-        """Take the size of an answer into the mean of its route, bytes."""
-        before = self._answer_bytes.get(route.name, size)
-        self._answer_bytes[route.name] = before + SIZE_WEIGHT * (size - before)
+    def record_response_size(self, route, size):
+        """Update the moving average of a route's response sizes, in bytes."""
+        mean = self._mean_response_bytes.get(route.name, size)
+        self._mean_response_bytes[route.name] = mean + MEAN_SIZE_WEIGHT * (size - mean)
 
     def acquire_retry(self, service, now):
-        """Take a repeat from the budget, if there is room."""
-        return self.budget(service).take(now, len(self.peers.members))
+        """Take a retry from the budget; return whether there was room."""
+        return self.retry_budget(service).try_acquire(now, len(self.peers.members))
 
     # Calls.
 
     def submit(self, route, incoming, respond):
-        """Begin a call; return the function to call when its caller leaves.
+        """Start a call; return the function to call when its caller disconnects.
 
         Parameters
         ----------
         route : Route
         incoming : IncomingCall
         respond : callable
-            Called once with the `CallOutcome`.
+            Called exactly once with the `CallOutcome`.
         """
         remaining_s = route.timeout_s
         if incoming.remaining_s is not None:
             remaining_s = min(remaining_s, incoming.remaining_s)
         call = lc.Call(
             route,
-            self._splits.next(route),
-            incoming.arrived + route.goal_s,
-            incoming.arrived + remaining_s,
-            len(incoming.body) + int(self._answer_bytes.get(route.name, 0)),
+            self._round_robin.next_service(route),
+            incoming.arrived_at + route.goal_s,
+            incoming.arrived_at + remaining_s,
+            len(incoming.body) + int(self._mean_response_bytes.get(route.name, 0)),
         )
-        running = _Running(self, incoming, call, respond)
-        self.open_calls.add(running)
+        active = _ActiveCall(self, incoming, call, respond)
+        self.active_calls.add(active)
         now = self.clock()
         if call.deadline_at <= now:
-            running.dispatch(lc.TimedOut(now))
+            active.dispatch(lc.TimedOut(now))
             return lambda: None
         loop = asyncio.get_running_loop()
-        running.timer = loop.call_later(
-            call.deadline_at - now, lambda: running.dispatch(lc.TimedOut(self.clock()))
+        active.timer = loop.call_later(
+            call.deadline_at - now, lambda: active.dispatch(lc.TimedOut(self.clock()))
         )
-        running.dispatch(lc.CallReceived(now))
-        return lambda: running.dispatch(lc.CallerDisconnected(self.clock()))
+        active.dispatch(lc.CallReceived(now))
+        return lambda: active.dispatch(lc.CallerDisconnected(self.clock()))
 
     def abort(self):
-        """End every open call, because the process must stop now."""
-        for running in list(self.open_calls):
-            running.dispatch(lc.TimedOut(self.clock()))
+        """Time out every open call, since the process is about to exit."""
+        for active in list(self.active_calls):
+            active.dispatch(lc.TimedOut(self.clock()))
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -1,7 +1,7 @@
-"""pimentoline.twohop.frames: messages between nodes, as Cap'n Proto.
+"""pimentoline.twohop.frames: messages between nodes, encoded with Cap'n Proto.
 
-On the wire a frame is its head's length and its body's length (32 bits each,
-little-endian), the packed head and the body's bytes.
+On the wire, a frame consists of the lengths of its header and of its body (32 bits
+each, little-endian), the header in packed Cap'n Proto encoding, and the body's bytes.
 """
 
 import struct
@@ -21,7 +21,7 @@
     "CallFrame",
     "CancelFrame",
     "ConfigFrame",
-    "ConfigWanted",
+    "ConfigRequest",
     "FrameReader",
     "Hello",
     "LoadFrame",
@@ -34,20 +34,23 @@
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("frames.capnp")))
-PREFIX = struct.Struct("<II")
-# Bodies travel in pieces, so that a large one does not hold up other calls.
-PIECE_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 256 * 1024
-# Largest body that is carried, the same as the default limit for callers.
+LENGTHS = struct.Struct("<II")
+# Bodies are sent in chunks of this size, so that large ones do not delay other calls.
+CHUNK_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 256 * 1024
+# Equal to the default limit for the request bodies of callers.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Steps of a rate in one byte.
+# The share of failed calls, 0 to 1, is sent as one byte, 0 to this.
 RATE_STEPS = 255.0
 VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """First frame in each direction; names the sender and its configuration."""
+    """The first frame in each direction: the sender's name and state.
+
+    `version` is the version of its configuration, 0 if it has none.
+    """
 
     node: str
     version: int
@@ -56,9 +59,20 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFrame:
-    """A call for the target; `goal_ms` and `remaining_ms` count from its sending.
-
-    `body_bytes` of body follow, in this frame and in `BodyFrame`s.
+    """A call for the target on the receiver's host.
+
+    The body has `body_bytes`, sent with this frame and in `BodyFrame`s after it.
+
+    Attributes
+    ----------
+    stream : int
+        Identifies the call on its link, in all frames that belong to it.
+    goal_ms, remaining_ms : int
+        Time from sending to the latency objective and to the deadline, milliseconds.
+    retryable : bool
+        Whether the call may run more than once.
+    last_resort : bool
+        Whether to accept the call even if its response will miss the objective.
     """
 
     stream: int
@@ -77,14 +91,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyFrame:
-    """The next piece of a call's or an answer's body."""
+    """The next chunk of the body of a call or a response."""
 
     stream: int
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseFrame:
-    """An answer that the target gave in full."""
+    """A complete response of the target."""
 
     stream: int
     status: int
@@ -96,18 +110,21 @@
 
 @dataclass(frozen=True, slots=True)
 class RefusedFrame:
-    """The call has not run and will not; `at_target` if the target said so."""
+    """The call has not run and will not.
+
+    `by_target` tells whether the target refused it, and not its node.
+    """
 
     stream: int
     reason: str
     retry_after_ms: int
-    at_target: bool
+    by_target: bool
     load: LoadReport
 
 
 @dataclass(frozen=True, slots=True)
 class FailedFrame:
-    """The call ended at the target without a usable answer."""
+    """The call ended at the target without a usable response."""
 
     stream: int
     reason: str
@@ -117,14 +134,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelFrame:
-    """The caller no longer wants the answer."""
+    """The sender no longer needs the response to a call."""
 
     stream: int
 
 
 @dataclass(frozen=True, slots=True)
 class LoadFrame:
-    """A change that other nodes should know at once."""
+    """A change of the sender's load or of its configuration's version."""
 
     load: LoadReport
     version: int
@@ -132,22 +149,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asks for a sign of life."""
+    """Requests a `Pong`, to check that the peer is alive."""
 
 
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Answers a `Ping`."""
+    """The response to a `Ping`."""
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigWanted:
-    """Asks for the configuration of the receiver."""
+class ConfigRequest:
+    """Requests the receiver's configuration."""
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigFrame:
-    """A configuration; its text is the body."""
+    """The sender's configuration, as text in the body."""
 
     version: int
 
@@ -157,7 +174,7 @@
     """The members that the sender knows, as JSON in the body."""
 
 
-KINDS = (
+FRAME_TYPES = (
     Hello,
     CallFrame,
     BodyFrame,
@@ -168,11 +185,12 @@
     LoadFrame,
     Ping,
     Pong,
-    ConfigWanted,
+    ConfigRequest,
     ConfigFrame,
     MembersFrame,
 )
-NUMBER_OF = {kind: number for number, kind in enumerate(KINDS)}
+# The position in `FRAME_TYPES` is the number that a frame's header carries.
+KIND_NUMBERS = {frame_type: kind for kind, frame_type in enumerate(FRAME_TYPES)}
 
 
 def _pack_headers(headers):
@@ -186,8 +204,8 @@
     return tuple(tuple(line.split(":", 1)) for line in lines)
 
 
-def _fields(frame):
-    """Return the fields of the head, other than kind and load."""
+def _header_fields(frame):
+    """Return the schema fields of a frame, except its kind and load report."""
     match frame:
         case Hello():
             return {"node": frame.node, "version": frame.version}
@@ -219,7 +237,8 @@
                 "stream": frame.stream,
                 "reason": frame.reason,
                 "retryAfterMs": frame.retry_after_ms,
-                "repeatable": frame.at_target,
+                # The schema has no field of its own for this.
+                "repeatable": frame.by_target,
             }
         case FailedFrame():
             return {
@@ -231,14 +250,14 @@
             return {"stream": frame.stream}
         case LoadFrame() | ConfigFrame():
             return {"version": frame.version}
-        case Ping() | Pong() | ConfigWanted() | MembersFrame():
+        case Ping() | Pong() | ConfigRequest() | MembersFrame():
             return {}
     raise TypeError(f"unknown frame {frame!r:.80}")
 
 
 def encode(frame, body=b""):
-    """Return the bytes of a frame and the first piece of its body."""
-    fields = _fields(frame)
+    """Return the encoding of a frame with its body, or with the body's first chunk."""
+    fields = _header_fields(frame)
     load = getattr(frame, "load", None)
     if load is not None:
         fields |= {
@@ -248,114 +267,120 @@
             "queued": load.queued,
             "limit": load.limit,
             "delayMs": load.delay_ms,
-            "restMs": load.rest_ms,
-            "badRate": round((1.0 - load.good_rate) * RATE_STEPS),
-            "coldMs": load.cold_ms,
+            "restMs": load.noise_remaining_ms,
+            "badRate": round((1.0 - load.success_rate) * RATE_STEPS),
+            "coldMs": load.cold_remaining_ms,
         }
-    head = SCHEMA.Frame.new_message(kind=NUMBER_OF[type(frame)], **fields)
-    packed = head.to_bytes_packed()
-    return PREFIX.pack(len(packed), len(body)) + packed + body
+    header = SCHEMA.Frame.new_message(kind=KIND_NUMBERS[type(frame)], **fields)
+    packed_header = header.to_bytes_packed()
+    return LENGTHS.pack(len(packed_header), len(body)) + packed_header + body
 
 
-def _load(head):
+def _load_report(header):
     return LoadReport(
-        head.accepting,
-        head.running,
-        head.queued,
-        max(head.limit, 1),
-        head.delayMs,
-        head.restMs,
-        1.0 - head.badRate / RATE_STEPS,
-        head.coldMs,
+        header.accepting,
+        header.running,
+        header.queued,
+        max(header.limit, 1),
+        header.delayMs,
+        header.restMs,
+        1.0 - header.badRate / RATE_STEPS,
+        header.coldMs,
     )
 
 
-def _decode(packed):
-    """Return the frame of a packed head.
+def _decode_header(packed_header):
+    """Return the frame that a packed header describes, without its body.
 
     Raises
     ------
     CodecError
     """
     try:
-        head = SCHEMA.Frame.from_bytes_packed(packed)
-        return _frame(head, KINDS[head.kind])
+        header = SCHEMA.Frame.from_bytes_packed(packed_header)
+        return _frame_from_header(header, FRAME_TYPES[header.kind])
     except (capnp.KjException, IndexError, ValueError, TypeError) as exc:
         raise CodecError(f"malformed frame: {exc}") from exc
 
 
-def _frame(head, kind):
-    if kind is ResponseFrame:
+def _frame_from_header(header, frame_type):
+    if frame_type is ResponseFrame:
         return ResponseFrame(
-            head.stream,
-            head.status,
-            head.reason,
-            _unpack_headers(head.headers),
-            head.bodyBytes,
-            _load(head),
+            header.stream,
+            header.status,
+            header.reason,
+            _unpack_headers(header.headers),
+            header.bodyBytes,
+            _load_report(header),
         )
-    if kind is CallFrame:
+    if frame_type is CallFrame:
         return CallFrame(
-            head.stream,
-            head.service,
-            head.method,
-            head.path,
-            _unpack_headers(head.headers),
-            head.callerService,
-            head.goalMs,
-            head.leftMs,
-            head.priority,
-            head.repeatable,
-            head.lastResort,
-            head.bodyBytes,
+            header.stream,
+            header.service,
+            header.method,
+            header.path,
+            _unpack_headers(header.headers),
+            header.callerService,
+            header.goalMs,
+            header.leftMs,
+            header.priority,
+            header.repeatable,
+            header.lastResort,
+            header.bodyBytes,
         )
-    if kind is RefusedFrame:
+    if frame_type is RefusedFrame:
         return RefusedFrame(
-            head.stream, head.reason, head.retryAfterMs, head.repeatable, _load(head)
+            header.stream,
+            header.reason,
+            header.retryAfterMs,
+            header.repeatable,
+            _load_report(header),
         )
-    if kind is FailedFrame:
+    if frame_type is FailedFrame:
         return FailedFrame(
-            head.stream, head.reason, VERDICTS[head.verdict], _load(head)
+            header.stream, header.reason, VERDICTS[header.verdict], _load_report(header)
         )
-    if kind is Hello:
-        return Hello(head.node, head.version, _load(head))
-    if kind is LoadFrame:
-        return LoadFrame(_load(head), head.version)
-    if kind is ConfigFrame:
-        return ConfigFrame(head.version)
-    if kind in (BodyFrame, CancelFrame):
-        return kind(head.stream)
-    return kind()
+    if frame_type is Hello:
+        return Hello(header.node, header.version, _load_report(header))
+    if frame_type is LoadFrame:
+        return LoadFrame(_load_report(header), header.version)
+    if frame_type is ConfigFrame:
+        return ConfigFrame(header.version)
+    if frame_type in (BodyFrame, CancelFrame):
+        return frame_type(header.stream)
+    return frame_type()
 
 
 class FrameReader:
-    """Cuts a stream of bytes into frames."""
+    """Splits a byte stream into frames."""
 
     def __init__(self):
-        self._data = bytearray()
+        self._buffer = bytearray()
 
     def feed(self, data):
-        """Return the (frame, body) pairs that are complete now.
+        """Add received bytes and return the (frame, body) pairs that are now complete.
 
         Raises
         ------
         CodecError
-            The bytes are no frames; the connection cannot be used any more.
+            The bytes are not valid frames; the connection must be closed.
         """
-        self._data += data
-        found = []
+        self._buffer += data
+        frames = []
         start = 0
-        while len(self._data) - start >= PREFIX.size:
-            head_bytes, body_bytes = PREFIX.unpack_from(self._data, start)
-            if head_bytes > MAX_HEAD_BYTES or body_bytes > MAX_BODY_BYTES:
-                raise CodecError(f"frame of {head_bytes} + {body_bytes} bytes")
-            body_at = start + PREFIX.size + head_bytes
+        while len(self._buffer) - start >= LENGTHS.size:
+            header_bytes, body_bytes = LENGTHS.unpack_from(self._buffer, start)
+            if header_bytes > MAX_HEADER_BYTES or body_bytes > MAX_BODY_BYTES:
+                raise CodecError(
+                    f"frame too large: header {header_bytes}, body {body_bytes} bytes"
+                )
+            body_at = start + LENGTHS.size + header_bytes
             end = body_at + body_bytes
-            if len(self._data) < end:
+            if len(self._buffer) < end:
                 break
-            head = bytes(self._data[start + PREFIX.size : body_at])
-            found.append((_decode(head), bytes(self._data[body_at:end])))
+            header = bytes(self._buffer[start + LENGTHS.size : body_at])
+            frames.append((_decode_header(header), bytes(self._buffer[body_at:end])))
             start = end
         if start:
-            del self._data[:start]
-        return found
+            del self._buffer[:start]
+        return frames
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -1,8 +1,8 @@
-"""pimentoline.twohop.lifecycle: the one reducer of a call at its caller's node.
+"""pimentoline.twohop.lifecycle: state machine of a call at its caller's node.
 
-`step(call, event, world)` returns the effects of an event. Sending a call to a
-second target needs proof that the first has not run it, or a call that may be
-repeated and room in the budget.
+`step(call, event, world)` updates the call and returns the effects of an event. A call
+goes to a second target only if it is proven that the first has not run it, or if its
+route is retryable and the retry budget has room.
 """
 
 from dataclasses import dataclass, field
@@ -11,25 +11,26 @@
 from .model import MIN_FAILURE_STATUS, Route
 
 __all__ = [
-    "ResponseReceived",
-    "CallReceived",
     "AttemptFailed",
+    "AttemptRefused",
+    "AttemptStalled",
     "Call",
-    "CancelAttempt",
+    "CallReceived",
     "CallerDisconnected",
-    "AttemptRefused",
+    "CancelAttempt",
     "Reject",
     "Reply",
+    "ResponseReceived",
     "Send",
-    "AttemptStalled",
     "TimedOut",
     "step",
 ]
 
-# Nodes that are asked before a call is refused, besides the last resort.
-MAX_PLACES = 4
-# A call is not sent again with less of its time left than this, seconds.
-MIN_REPEAT_S = 0.03
+# Nodes that a call is sent to before it is rejected, not counting the last resort.
+MAX_PLACEMENTS = 4
+# A call with less time than this until its deadline is not retried, seconds.
+MIN_RETRY_TIME_S = 0.03
+# Retry-After of a rejected call if no node gave one.
 DEFAULT_RETRY_AFTER_S = 0.1
 
 
@@ -40,13 +41,27 @@
     Attributes
     ----------
     goal_at, deadline_at : float
-        Monotonic times, seconds.
+        Monotonic times of the latency objective and of the deadline, seconds.
     size : int
-        Bytes of the call and, as far as known, of its answer.
+        Body size of the call plus the expected size of its response, bytes.
     tried : set of str
-        Nodes that are not asked again.
+        Names of the nodes that the call was sent to.
     attempts : int
-        Sendings that may have reached a target.
+        Attempts that may have reached a target.
+    placements : int
+        Times that the call was sent to a node, refused ones included.
+    verdict : Verdict
+        What is known about whether a target has run the call.
+    current_candidate : Candidate or None
+        Where the call was sent last.
+    last_resort : bool
+        Whether the current attempt must be accepted even if it will be late.
+    retry_after_s : float or None
+        Shortest wait given by a node that refused the call, seconds.
+    last_resort_candidate : Candidate or None
+        The node that gave `retry_after_s`.
+    held_response : object
+        Failure response of a target, passed on if no retry gives a better one.
     """
 
     route: Route
@@ -56,36 +71,39 @@
     size: int = 0
     tried: set = field(default_factory=set)
     attempts: int = 0
-    places: int = 0
+    placements: int = 0
     verdict: Verdict = Verdict.NOT_RUN
-    current: object = None
+    current_candidate: object = None
     last_resort: bool = False
     retry_after_s: float | None = None
-    least: object = None
-    held: object = None
+    last_resort_candidate: object = None
+    held_response: object = None
     ended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class CallReceived:
-    """The call has been read."""
+    """The request has been read completely."""
 
     now: float
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptRefused:
-    """The target's node, or the target with proof, has not run the call."""
+    """The call was refused and has not run.
+
+    The target's node refused it, or the target itself did with proof (`by_target`).
+    """
 
     now: float
     reason: str
     retry_after_s: float
-    at_target: bool = False
+    by_target: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """The attempt ended without a usable answer."""
+    """The attempt ended without a usable response."""
 
     now: float
     verdict: Verdict
@@ -94,30 +112,30 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseReceived:
-    """The target gave a whole answer; `answer` is passed on as it is."""
+    """The target sent a complete response; `response` is not interpreted here."""
 
     now: float
     status: int
-    answer: object
+    response: object
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptStalled:
-    """Nothing is heard from the target's node; the answer may still come."""
+    """The target's node has gone silent; the response may still come."""
 
     now: float
 
 
 @dataclass(frozen=True, slots=True)
 class TimedOut:
-    """The caller's deadline or the route's timeout has come."""
+    """The caller's deadline or the route's timeout has passed."""
 
     now: float
 
 
 @dataclass(frozen=True, slots=True)
 class CallerDisconnected:
-    """The caller has gone."""
+    """The caller has closed its connection."""
 
     now: float
 
@@ -128,24 +146,27 @@
 
     candidate: object
     last_resort: bool
-    repeat: bool
+    retry: bool
 
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Withdraw the attempt in progress."""
+    """Cancel the attempt in progress."""
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Pass an answer of a target on."""
+    """Pass a target's response on to the caller."""
 
-    answer: object
+    response: object
 
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """End the call with an answer of our own; None as status: just end it."""
+    """End the call with an error response of this node.
+
+    If `status` is None, no response is sent.
+    """
 
     status: int | None
     reason: str
@@ -153,134 +174,140 @@
 
 
 def step(call, event, world):
-    """Return the effects of an event on a call.
+    """Update a call after an event and return the effects to carry out.
 
     Parameters
     ----------
     call : Call
         Changed in place.
     event : object
-        One of the event classes of this module.
+        `CallReceived`, `AttemptRefused`, `AttemptFailed`, `ResponseReceived`,
+        `AttemptStalled`, `TimedOut` or `CallerDisconnected`.
     world : object
-        `choose(call, now)` returns a candidate that has not been asked, or None;
-        `acquire_retry(service, now)` takes a repeat from the budget.
+        `choose(call, now)` returns a candidate that has not been tried, or None;
+        `acquire_retry(service, now)` takes a retry from the budget and returns
+        whether there was one.
+
+    Returns
+    -------
+    list of Send, CancelAttempt, Reply or Reject
     """
     if call.ended:
         return []
     match event:
         case CallReceived():
-            return _place(call, event.now, world, False)
+            return _place_call(call, event.now, world, False)
         case AttemptRefused():
-            return _refused(call, event, world)
+            return _on_refused(call, event, world)
         case AttemptFailed():
-            return _broken(call, event, world)
+            return _on_failed(call, event, world)
         case ResponseReceived():
-            return _answered(call, event, world)
+            return _on_response(call, event, world)
         case AttemptStalled():
-            return _stalled(call, event.now, world)
+            return _on_stalled(call, event.now, world)
         case TimedOut():
             call.ended = True
-            return [CancelAttempt(), _timeout(call)]
+            return [CancelAttempt(), _timeout_effect(call)]
         case CallerDisconnected():
             call.ended = True
             return [CancelAttempt(), Reject(None, "caller-left")]
     raise TypeError(f"unknown event {event!r:.80}")
 
 
-def _timeout(call):
-    if call.held is not None:
-        return Reply(call.held)
+def _timeout_effect(call):
+    if call.held_response is not None:
+        return Reply(call.held_response)
     return Reject(504, "timeout")
 
 
-def _place(call, now, world, repeat):
-    found = world.choose(call, now)
-    if found is None or call.places >= MAX_PLACES:
-        return _last_resort(call, now, repeat)
-    return _send(call, found, False, repeat)
+def _place_call(call, now, world, retry):
+    candidate = world.choose(call, now)
+    if candidate is None or call.placements >= MAX_PLACEMENTS:
+        return _use_last_resort(call, now, retry)
+    return _send_to(call, candidate, False, retry)
 
 
-def _send(call, candidate, last_resort, repeat):
-    call.current = candidate
-    call.places += 1
+def _send_to(call, candidate, last_resort, retry):
+    call.current_candidate = candidate
+    call.placements += 1
     call.tried.add(candidate.member.node)
     call.last_resort = last_resort
-    return [Send(candidate, last_resort, repeat)]
+    return [Send(candidate, last_resort, retry)]
 
 
-def _last_resort(call, now, repeat):
-    """Ask the node with the shortest wait to take the call even if it is late."""
-    least, call.least = call.least, None
-    if least is not None and least.reachable and not call.last_resort:
-        return _send(call, least, True, repeat)
-    return _give_up(call, "no-room" if call.places else "no-target")
+def _use_last_resort(call, now, retry):
+    """Make the node with the shortest wait take the call even if it will be late."""
+    candidate, call.last_resort_candidate = call.last_resort_candidate, None
+    if candidate is not None and candidate.reachable and not call.last_resort:
+        return _send_to(call, candidate, True, retry)
+    return _give_up(call, "no-room" if call.placements else "no-target")
 
 
 def _give_up(call, reason):
     call.ended = True
-    if call.held is not None:
-        return [Reply(call.held)]
+    if call.held_response is not None:
+        return [Reply(call.held_response)]
     if call.verdict is not Verdict.NOT_RUN:
         return [Reject(502, reason)]
-    after = call.retry_after_s
-    return [Reject(503, reason, DEFAULT_RETRY_AFTER_S if after is None else after)]
+    after_s = call.retry_after_s
+    return [Reject(503, reason, DEFAULT_RETRY_AFTER_S if after_s is None else after_s)]
 
 
-def _refused(call, event, world):
-    best = call.retry_after_s
-    if best is None or event.retry_after_s < best:
+def _on_refused(call, event, world):
+    shortest_s = call.retry_after_s
+    if shortest_s is None or event.retry_after_s < shortest_s:
         call.retry_after_s = event.retry_after_s
-        call.least = call.current
-    if event.at_target:
-        # The target itself turned it away: that was an arrival there.
+        call.last_resort_candidate = call.current_candidate
+    if event.by_target:
+        # The call reached the target, so it counts as an attempt.
         call.attempts += 1
-        if not _may_repeat(call, event.now, world):
+        if not _acquire_retry(call, event.now, world):
             return _give_up(call, event.reason)
-        return _place(call, event.now, world, True)
+        return _place_call(call, event.now, world, True)
     if call.last_resort:
         return _give_up(call, event.reason)
-    return _place(call, event.now, world, call.attempts > 0)
+    return _place_call(call, event.now, world, call.attempts > 0)
 
 
-def _may_repeat(call, now, world):
+def _acquire_retry(call, now, world):
     if call.attempts >= call.route.max_attempts:
         return False
-    if call.deadline_at - now < MIN_REPEAT_S:
+    if call.deadline_at - now < MIN_RETRY_TIME_S:
         return False
     return world.acquire_retry(call.service, now)
 
 
-def _broken(call, event, world):
+def _on_failed(call, event, world):
     if event.verdict is Verdict.NOT_RUN:
-        return _place(call, event.now, world, call.attempts > 0)
+        return _place_call(call, event.now, world, call.attempts > 0)
     call.attempts += 1
     call.verdict = event.verdict
-    if call.route.retryable and _may_repeat(call, event.now, world):
-        return _place(call, event.now, world, True)
+    if call.route.retryable and _acquire_retry(call, event.now, world):
+        return _place_call(call, event.now, world, True)
     return _give_up(call, event.reason)
 
 
-def _stalled(call, now, world):
-    """Repeat a call elsewhere if that is allowed; otherwise go on waiting."""
-    if not call.route.retryable or call.places >= MAX_PLACES:
+def _on_stalled(call, now, world):
+    """Retry a call elsewhere if that is allowed; otherwise keep waiting."""
+    if not call.route.retryable or call.placements >= MAX_PLACEMENTS:
         return []
-    found = world.choose(call, now)
-    if found is None:
+    candidate = world.choose(call, now)
+    if candidate is None:
         return []
     call.attempts += 1
-    if not _may_repeat(call, now, world):
+    if not _acquire_retry(call, now, world):
         call.attempts -= 1
         return []
     call.verdict = Verdict.MAY_HAVE_RUN
-    return [CancelAttempt(), *_send(call, found, False, True)]
+    return [CancelAttempt(), *_send_to(call, candidate, False, True)]
 
 
-def _answered(call, event, world):
+def _on_response(call, event, world):
     if event.status >= MIN_FAILURE_STATUS and call.route.retryable:
         call.attempts += 1
         call.verdict = Verdict.RAN
-        if _may_repeat(call, event.now, world):
-            call.held = event.answer
-            return _place(call, event.now, world, True)
+        if _acquire_retry(call, event.now, world):
+            call.held_response = event.response
+            return _place_call(call, event.now, world, True)
     call.ended = True
-    return [Reply(event.answer)]
+    return [Reply(event.response)]
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -1,34 +1,35 @@
-"""pimentoline.twohop.links: long-lived connections between nodes."""
+"""pimentoline.twohop.links: long-lived TCP connections between nodes."""
 
 import asyncio
 import socket
 
 from ..errors import CodecError
-from .frames import PIECE_BYTES, BodyFrame, FrameReader, Ping, Pong, encode
+from .frames import CHUNK_BYTES, BodyFrame, FrameReader, Ping, Pong, encode
 
 __all__ = ["Link", "connect", "listen"]
 
-# A peer that is silent this long while answers are due is asked for a sign of life.
-QUIET_S = 0.2
-# Without an answer to that for this long, the peer gets no new calls: far more than a
-# round trip between regions, and less than a lost packet takes.
-SUSPECT_S = 0.15
-# Without any byte for this long after being asked, the connection counts as dead.
-# Lost packets are sent again after 0.2 to 0.6 s.
-DEAD_S = 1.2
-CHECK_S = 0.05
-# Keep-alive of the operating system for links without calls, seconds.
+# A peer that owes responses and sends nothing for this long gets a ping.
+PING_AFTER_S = 0.2
+# If nothing arrives for this long after the ping, the peer gets no new calls. This is
+# far more than a round trip between regions, but less than the retransmission of a
+# lost packet takes.
+SUSPECT_AFTER_S = 0.15
+# If nothing arrives for this long after the ping, the connection is closed. TCP
+# retransmits lost packets after 0.2 to 0.6 s.
+DEAD_AFTER_S = 1.2
+CHECK_INTERVAL_S = 0.05
+# TCP keep-alive, which finds dead connections without calls, seconds.
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 3
 USER_TIMEOUT_MS = 3000
 CONNECT_TIMEOUT_S = 1.0
-# Bytes that wait for a peer that does not read, before it counts as stuck.
+# A connection with more unsent bytes than this is closed, since its peer does not read.
 MAX_BACKLOG_BYTES = 32 * 1024 * 1024
 
 
 class Link(asyncio.Protocol):
-    """One connection to another node.
+    """A connection to another node that carries frames.
 
     Parameters
     ----------
@@ -37,6 +38,13 @@
         suspect)` and `link_lost(link, reason)`.
     clock : callable
         Monotonic clock, seconds.
+
+    Attributes
+    ----------
+    pending_responses : int
+        Calls sent on this link that have no response yet.
+    peer : str
+        Name of the other node, once it is known.
     """
 
     def __init__(self, handler, clock):
@@ -44,15 +52,15 @@
         self._clock = clock
         self._reader = FrameReader()
         self._transport = None
-        self._asked_at = None
-        self.heard_at = 0.0
-        self.due = 0
+        self._pinged_at = None
+        self.last_received_at = 0.0
+        self.pending_responses = 0
         self.peer = ""
         self.closed = False
         self._suspect = False
 
     def connection_made(self, transport):
-        """Set the options of the socket."""
+        """Set the socket options and tell the handler."""
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -61,13 +69,13 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        self.heard_at = self._clock()
+        self.last_received_at = self._clock()
         self._handler.link_up(self)
 
     def data_received(self, data):
-        """Hand on the frames that are complete."""
-        self.heard_at = self._clock()
-        self._asked_at = None
+        """Pass complete frames to the handler, and answer pings."""
+        self.last_received_at = self._clock()
+        self._pinged_at = None
         self._set_suspect(False)
         try:
             frames = self._reader.feed(data)
@@ -85,35 +93,35 @@
 
     def connection_lost(self, exc):
         """Tell the handler."""
-        self._end(str(exc) if exc else "closed by peer")
+        self._mark_lost(str(exc) if exc else "closed by peer")
 
     def send(self, frame, body=b""):
-        """Send a frame; a large body follows in pieces."""
+        """Send a frame; a large body is split into several frames."""
         if self.closed:
             return
-        if len(body) <= PIECE_BYTES or not hasattr(frame, "stream"):
+        if len(body) <= CHUNK_BYTES or not hasattr(frame, "stream"):
             self._transport.write(encode(frame, body))
             return
-        self._transport.write(encode(frame, body[:PIECE_BYTES]))
-        for start in range(PIECE_BYTES, len(body), PIECE_BYTES):
-            piece = body[start : start + PIECE_BYTES]
-            self._transport.write(encode(BodyFrame(frame.stream), piece))
-        # Small frames alone cannot fill the buffer within the time of `check`.
+        self._transport.write(encode(frame, body[:CHUNK_BYTES]))
+        for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
+            chunk = body[start : start + CHUNK_BYTES]
+            self._transport.write(encode(BodyFrame(frame.stream), chunk))
+        # Small frames cannot fill the buffer before `check` finds the peer dead.
         if self._transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
             self.close("peer does not read")
 
     def check(self, now):
-        """Ask a silent peer for a sign of life, or give it up."""
-        if self.closed or not self.due:
-            self._asked_at = None
+        """Ping a silent peer; mark it as suspect or close the link without a reply."""
+        if self.closed or not self.pending_responses:
+            self._pinged_at = None
             return
-        if self._asked_at is None:
-            if now - self.heard_at > QUIET_S:
-                self._asked_at = now
+        if self._pinged_at is None:
+            if now - self.last_received_at > PING_AFTER_S:
+                self._pinged_at = now
                 self.send(Ping())
-        elif now - self._asked_at > DEAD_S:
+        elif now - self._pinged_at > DEAD_AFTER_S:
             self.close("silent")
-        elif now - self._asked_at > SUSPECT_S:
+        elif now - self._pinged_at > SUSPECT_AFTER_S:
             self._set_suspect(True)
 
     def _set_suspect(self, suspect):
@@ -122,12 +130,12 @@
             self._handler.link_suspect(self, suspect)
 
     def close(self, reason):
-        """Drop the connection."""
+        """Abort the connection."""
         if self._transport is not None:
             self._transport.abort()
-        self._end(reason)
+        self._mark_lost(reason)
 
-    def _end(self, reason):
+    def _mark_lost(self, reason):
         if not self.closed:
             self.closed = True
             self._handler.link_lost(self, reason)
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.model: configuration, members and load reports."""
+"""pimentoline.twohop.model: configuration, members of the cluster and load reports."""
 
 import enum
 from dataclasses import dataclass, field
@@ -17,14 +17,14 @@
     "Share",
 ]
 
-# Statuses from here on say that a target failed, and not what it was asked.
+# HTTP statuses from here on mean that the target failed, not that the call was wrong.
 MIN_FAILURE_STATUS = 500
-# A target that has just started takes about this many times as long.
+# A target that has just started takes about this many times as long for each call.
 COLD_START_SLOWDOWN = 2.0
 
 
 class RouteKind(enum.Enum):
-    """What may be repeated."""
+    """Whether the calls of a route may be retried; only `SAFE` ones may run twice."""
 
     SAFE = "safe"
     UNSAFE = "unsafe"
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Share:
-    """The part of a route's calls that goes to one service."""
+    """The weight of one service in the traffic split of a route."""
 
     service: str
     weight: int
@@ -41,18 +41,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Where calls to a host and path prefix go, and what they are promised.
+    """The services for calls to a host and path prefix, and the limits of these calls.
 
     Attributes
     ----------
     timeout_s : float
-        Longest time that a caller is kept waiting, seconds.
+        Longest time until the caller gets a response, seconds.
     goal_s : float
         Latency objective, seconds.
     priority : int
         0 is the most urgent.
     max_attempts : int
-        Targets that one call may be sent to.
+        Number of targets that one call may be sent to.
     """
 
     name: str
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceInfo:
-    """What the operator says of a service; `max_connections` is for each target."""
+    """The configuration of a service; `max_connections` applies to each target."""
 
     name: str
     max_connections: int
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send, in bytes, and how long it may take, in seconds."""
+    """Limits for a request and its connection: sizes in bytes, timeouts in seconds."""
 
     head_bytes: int = 16 * 1024
     body_bytes: int = 64 * 1024 * 1024
@@ -94,7 +94,7 @@
 class Configuration:
     """One version of the operator's configuration.
 
-    `by_host` holds the routes of a host, longest prefix first.
+    `by_host` maps a host name to its routes, longest prefix first.
     """
 
     version: int
@@ -104,7 +104,7 @@
 
     @classmethod
     def from_routes(cls, version, routes, services, limits):
-        """Make a configuration with its routes arranged for `find_route`."""
+        """Return a configuration whose routes are grouped and sorted for lookup."""
         by_host = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             by_host.setdefault(route.host, []).append(route)
@@ -112,7 +112,7 @@
         return cls(version, frozen, {s.name: s for s in services}, limits)
 
     def find_route(self, host, path):
-        """Return the route with the longest prefix that begins `path`, or None."""
+        """Return the route with the longest prefix that matches `path`, or None."""
         for route in self.by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
@@ -121,7 +121,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A node and the service of the target on its host."""
+    """A node of the cluster, and the service of the target on its host.
+
+    The field names are the keys of the member's row in the store and of the member
+    list that nodes send to each other.
+    """
 
     node: str
     addr: tuple[str, int]
@@ -132,25 +136,25 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """State of a target, as its own node sees it.
+    """State of a target, measured by the node on its host.
 
     Attributes
     ----------
     accepting : bool
-        Whether new calls are taken.
+        Whether the node accepts new calls for the target.
     running, queued : int
-        Calls at the target, and calls that wait in its node.
+        Calls in progress at the target, and calls that wait in its node's queue.
     limit : int
-        Calls that the node lets run at once.
+        Concurrency limit that the node applies to the target.
     delay_ms : int
-        Expected time to the answer of a call that arrives now at a warm target,
-        milliseconds.
-    cold_ms : int
-        How much longer the target is slow after its start, milliseconds.
-    rest_ms : int
-        How long noise of the target's neighbours still adds to it, milliseconds.
-    good_rate : float
-        Part of the calls that the target answers well, 0 to 1.
+        Expected time until a call that arrives now has its response, milliseconds.
+        The slowdown after a start and the noise of neighbours are not included.
+    noise_remaining_ms : int
+        Expected time until the noise of neighbours on the host ends, milliseconds.
+    success_rate : float
+        Share of the calls that the target answers without a failure, 0 to 1.
+    cold_remaining_ms : int
+        Time until the target is no longer slow after its start, milliseconds.
     """
 
     accepting: bool = False
@@ -158,14 +162,24 @@
     queued: int = 0
     limit: int = 1
     delay_ms: int = 100
-    rest_ms: int = 0
-    good_rate: float = 1.0
-    cold_ms: int = 0
+    noise_remaining_ms: int = 0
+    success_rate: float = 1.0
+    cold_remaining_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
-    """Repeats that all nodes together may send to a service in a window."""
+    """Retries that all nodes together may send to a service in a sliding window.
+
+    Attributes
+    ----------
+    ratio : float
+        Retries allowed for each first attempt.
+    window_s : float
+        Length of the window, seconds.
+    allowance : float
+        Retries allowed in addition, regardless of traffic.
+    """
 
     ratio: float = 0.1
     window_s: float = 10.0
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.peers: the other nodes, and the calls sent to them."""
+"""pimentoline.twohop.peers: the links to other nodes, and the calls on these links."""
 
 import asyncio
 import json
@@ -7,171 +7,185 @@
 from ..logs import log_entry
 from ..verdict import Verdict
 from . import frames as fr
-from .links import CHECK_S, connect, listen
+from .links import CHECK_INTERVAL_S, connect, listen
 from .model import LoadReport, Member
 from .placement import Candidate
 
 __all__ = ["Peers"]
 
-# Pause before a node that could not be reached is tried again, seconds.
-FIRST_RETRY_S = 0.2
-MAX_RETRY_S = 2.0
-# A node that hears of a newer configuration waits this long for the store's own
-# answer before it asks the peer, seconds.
-CONFIG_PATIENCE_S = 0.15
+# Pause before the next attempt to connect to a node, seconds. It doubles each time.
+MIN_RECONNECT_PAUSE_S = 0.2
+MAX_RECONNECT_PAUSE_S = 2.0
+# A node that learns of a newer configuration waits this long for it to come from the
+# store before it requests it from the peer, seconds.
+CONFIG_WAIT_S = 0.15
 
 
 @dataclass(slots=True, eq=False)
-class _Assembly:
-    """A frame whose body has not come in full."""
+class _PartialFrame:
+    """A frame whose body has not been received completely."""
 
     frame: object
-    pieces: list
-    missing: int
+    chunks: list
+    missing_bytes: int
 
 
-class _Parts:
-    """Frames of a link whose bodies come in pieces, by stream."""
+class _BodyAssembler:
+    """Joins the bodies that a link receives in chunks; keyed by stream number."""
 
     def __init__(self):
         self._open = {}
 
     def begin(self, frame, body):
-        """Return the whole body if it came with its frame, or None."""
-        self._open[frame.stream] = _Assembly(frame, [], frame.body_bytes)
+        """Start a body; return it if it came completely with its frame, or None."""
+        self._open[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
         found = self.add(frame.stream, body)
         return found[1] if found is not None else None
 
-    def add(self, stream, piece):
-        """Return (frame, body) if this was the last piece, or None."""
+    def add(self, stream, chunk):
+        """Add a chunk; return (frame, body) if it was the last one, or None."""
         part = self._open.get(stream)
         if part is None:
             return None
-        part.pieces.append(piece)
-        part.missing -= len(piece)
-        if part.missing > 0:
+        part.chunks.append(chunk)
+        part.missing_bytes -= len(chunk)
+        if part.missing_bytes > 0:
             return None
         del self._open[stream]
-        return part.frame, b"".join(part.pieces)
+        return part.frame, b"".join(part.chunks)
 
     def drop(self, stream):
-        """Forget a stream."""
+        """Discard the body of a stream."""
         self._open.pop(stream, None)
 
     def clear(self):
-        """Forget every stream."""
+        """Discard the bodies of all streams."""
         self._open.clear()
 
 
-class _Outgoing:
-    """The link to one member and the calls on it."""
+class _OutgoingLink:
+    """The link that this node opens to a member, and its own calls on that link.
+
+    Attributes
+    ----------
+    frame_callbacks : dict of int to callable
+        `on_frame` of each open call, by stream number.
+    stall_callbacks : dict of int to callable
+        `on_stall` of each open call, by stream number.
+    peer_up : asyncio.Event
+        Set when the member has connected to this node, which ends a pause.
+    """
 
     def __init__(self, peers, candidate):
         self.peers = peers
         self.candidate = candidate
         self.link = None
-        self.calls = {}
-        self.stalled = {}
-        self.parts = _Parts()
+        self.frame_callbacks = {}
+        self.stall_callbacks = {}
+        self.assembler = _BodyAssembler()
         self.next_stream = 0
         self.closed = False
-        self.alive = asyncio.Event()
-        self.task = asyncio.get_running_loop().create_task(self._keep_connected())
+        self.peer_up = asyncio.Event()
+        self.connect_task = asyncio.get_running_loop().create_task(
+            self._keep_connected()
+        )
 
     async def _keep_connected(self):
-        pause_s = FIRST_RETRY_S
+        pause_s = MIN_RECONNECT_PAUSE_S
         member = self.candidate.member
         while not self.closed:
-            self.lost = asyncio.Event()
+            self.link_lost_event = asyncio.Event()
             try:
                 self.link = await connect(member.addr, self, self.peers.clock)
             except (OSError, TimeoutError):
-                await self._pause(pause_s)
-                pause_s = min(pause_s * 2, MAX_RETRY_S)
+                await self._wait_for_peer(pause_s)
+                pause_s = min(pause_s * 2, MAX_RECONNECT_PAUSE_S)
                 continue
-            await self.lost.wait()
-            pause_s = FIRST_RETRY_S
-            await self._pause(pause_s)
+            await self.link_lost_event.wait()
+            pause_s = MIN_RECONNECT_PAUSE_S
+            await self._wait_for_peer(pause_s)
 
-    async def _pause(self, pause_s):
-        """Wait, but no longer than until the member shows that it is up."""
-        self.alive.clear()
+    async def _wait_for_peer(self, pause_s):
+        """Wait for `pause_s`, or until the member connects to this node."""
+        self.peer_up.clear()
         try:
             async with asyncio.timeout(pause_s):
-                await self.alive.wait()
+                await self.peer_up.wait()
         except TimeoutError:
             return
 
     def link_up(self, link):
-        """Greet the peer."""
+        """Send the first frame."""
         link.peer = self.candidate.member.node
-        link.send(self.peers.hello())
+        link.send(self.peers.make_hello())
 
     def link_suspect(self, link, suspect):
-        """Place no new calls on a silent link, and tell those that wait there."""
+        """Exclude a silent peer from placement, and notify its open calls."""
         self.candidate.reachable = not suspect
         log_entry("peer:suspect", node=link.peer, suspect=suspect)
         if suspect:
-            for on_stall in list(self.stalled.values()):
+            for on_stall in list(self.stall_callbacks.values()):
                 on_stall()
 
     def link_lost(self, link, reason):
-        """End the calls on the link; they may have run."""
+        """Fail the open calls of the link, which may have run."""
         self.candidate.reachable = False
-        self.stalled.clear()
-        log_entry("peer:lost", node=link.peer, reason=reason, calls=len(self.calls))
-        self.parts.clear()
-        calls, self.calls = self.calls, {}
+        self.stall_callbacks.clear()
+        log_entry(
+            "peer:lost", node=link.peer, reason=reason, calls=len(self.frame_callbacks)
+        )
+        self.assembler.clear()
+        frame_callbacks, self.frame_callbacks = self.frame_callbacks, {}
         self.candidate.in_flight = 0
         self.candidate.in_flight_at_report = 0
-        self.lost.set()
-        for stream, on_frame in calls.items():
+        self.link_lost_event.set()
+        for stream, on_frame in frame_callbacks.items():
             frame = fr.FailedFrame(
                 stream, "peer-lost", Verdict.MAY_HAVE_RUN, LoadReport()
             )
             on_frame(frame, b"")
 
     def frame_received(self, link, frame, body):
-        """Take an answer, or what a peer says of itself."""
+        """Handle the outcome of a call, or a peer's state."""
         match frame:
             case fr.Hello():
                 if frame.node != self.candidate.member.node:
                     link.close("another node has this address")
                     return
                 self.candidate.reachable = True
-                self._note_load(frame.load)
-                self.peers.version_heard(link, frame.version)
+                self._note_load_report(frame.load)
+                self.peers.note_config_version(link, frame.version)
             case fr.LoadFrame():
-                self._note_load(frame.load)
-                self.peers.version_heard(link, frame.version)
+                self._note_load_report(frame.load)
+                self.peers.note_config_version(link, frame.version)
             case fr.ResponseFrame():
-                whole = self.parts.begin(frame, body)
-                if whole is not None:
-                    self._done(frame, whole)
+                complete_body = self.assembler.begin(frame, body)
+                if complete_body is not None:
+                    self._complete(frame, complete_body)
             case fr.BodyFrame():
-                found = self.parts.add(frame.stream, body)
+                found = self.assembler.add(frame.stream, body)
                 if found is not None:
-                    self._done(*found)
+                    self._complete(*found)
             case fr.RefusedFrame() | fr.FailedFrame():
-                self._done(frame, b"")
+                self._complete(frame, b"")
             case _:
-                self.peers.control_frame(link, frame, body)
+                self.peers.handle_control_frame(link, frame, body)
 
-    def _note_load(self, load):
+    def _note_load_report(self, load):
         self.candidate.note_report(load, self.peers.clock())
 
-    def _done(self, frame, body):
-        on_frame = self._forget(frame.stream)
+    def _complete(self, frame, body):
+        on_frame = self._remove_call(frame.stream)
         if on_frame is not None:
-            self._note_load(frame.load)
+            self._note_load_report(frame.load)
             on_frame(frame, body)
 
-    def _forget(self, stream):
-        """Return who waits for a stream, and count its call no more."""
-        on_frame = self.calls.pop(stream, None)
+    def _remove_call(self, stream):
+        """Remove the call of a stream; return its `on_frame`, or None."""
+        on_frame = self.frame_callbacks.pop(stream, None)
         if on_frame is not None:
-            del self.stalled[stream]
-            self.link.due -= 1
+            del self.stall_callbacks[stream]
+            self.link.pending_responses -= 1
             self.candidate.in_flight -= 1
         return on_frame
 
@@ -179,83 +193,83 @@
         """Send a call; return its stream number."""
         self.next_stream += 1
         stream = self.next_stream
-        self.calls[stream] = on_frame
-        self.stalled[stream] = on_stall
+        self.frame_callbacks[stream] = on_frame
+        self.stall_callbacks[stream] = on_stall
         self.candidate.in_flight += 1
-        self.link.due += 1
+        self.link.pending_responses += 1
         self.link.send(make_frame(stream), body)
         return stream
 
     def cancel(self, stream):
-        """Withdraw a call."""
-        if self._forget(stream) is not None:
-            self.parts.drop(stream)
+        """Cancel a call."""
+        if self._remove_call(stream) is not None:
+            self.assembler.drop(stream)
             self.link.send(fr.CancelFrame(stream))
 
     def close(self):
-        """Drop the link for good."""
+        """Close the link and do not connect again."""
         self.closed = True
-        self.task.cancel()
+        self.connect_task.cancel()
         if self.link is not None and not self.link.closed:
             self.link.close("member removed")
 
 
-class _Incoming:
-    """The calls of one peer at this node's target."""
+class _IncomingLink:
+    """A link that a peer opened to this node, and its calls for this node's target."""
 
     def __init__(self, peers):
         self.peers = peers
-        self.works = {}
-        self.parts = _Parts()
+        self.work_by_stream = {}
+        self.assembler = _BodyAssembler()
 
     def link_up(self, link):
-        """Greet the peer."""
+        """Register the link and send the first frame."""
         self.peers.incoming[link] = self
-        link.send(self.peers.hello())
+        link.send(self.peers.make_hello())
 
     def link_lost(self, link, reason):
-        """Drop the peer's calls."""
+        """Cancel the peer's calls."""
         self.peers.incoming.pop(link, None)
-        works, self.works = self.works, {}
-        for work in works.values():
+        work_by_stream, self.work_by_stream = self.work_by_stream, {}
+        for work in work_by_stream.values():
             self.peers.target.cancel(work)
 
     def frame_received(self, link, frame, body):
-        """Take a call or a cancellation."""
+        """Handle a call, a cancellation or a peer's state."""
         match frame:
             case fr.CallFrame():
-                whole = self.parts.begin(frame, body)
-                if whole is not None:
-                    self._submit(link, frame, whole)
+                complete_body = self.assembler.begin(frame, body)
+                if complete_body is not None:
+                    self._submit(link, frame, complete_body)
             case fr.BodyFrame():
-                found = self.parts.add(frame.stream, body)
+                found = self.assembler.add(frame.stream, body)
                 if found is not None:
                     self._submit(link, *found)
             case fr.CancelFrame():
-                self.parts.drop(frame.stream)
-                work = self.works.pop(frame.stream, None)
+                self.assembler.drop(frame.stream)
+                work = self.work_by_stream.pop(frame.stream, None)
                 if work is not None:
                     self.peers.target.cancel(work)
             case fr.Hello():
                 link.peer = frame.node
-                self.peers.is_up(frame.node)
-                self.peers.version_heard(link, frame.version)
-                self.peers.greet_newcomer(link, frame.version)
+                self.peers.note_peer_up(frame.node)
+                self.peers.note_config_version(link, frame.version)
+                self.peers.send_members_if_new(link, frame.version)
             case fr.LoadFrame():
-                self.peers.version_heard(link, frame.version)
+                self.peers.note_config_version(link, frame.version)
             case _:
-                self.peers.control_frame(link, frame, body)
+                self.peers.handle_control_frame(link, frame, body)
 
-    def _submit(self, link, call, whole):
+    def _submit(self, link, call, complete_body):
         stream = call.stream
 
         def reply(frame, body):
-            self.works.pop(stream, None)
+            self.work_by_stream.pop(stream, None)
             link.send(frame, body)
 
-        work = self.peers.target.submit(call, whole, reply)
+        work = self.peers.target.submit(call, complete_body, reply)
         if not work.ended:
-            self.works[stream] = work
+            self.work_by_stream[stream] = work
 
 
 class Peers:
@@ -263,17 +277,26 @@
 
     Parameters
     ----------
-    me : str
+    own_name : str
         Name of this node.
     target : TargetSide
     config : object
         `version`, `text` and `offer(version, text, source)`.
     clock : callable
         Monotonic clock, seconds.
+
+    Attributes
+    ----------
+    incoming : dict of Link to _IncomingLink
+        Links that peers opened.
+    outgoing : dict of str to _OutgoingLink
+        Links that this node opens, by name of the member.
+    local : Candidate or None
+        This node's own target.
     """
 
-    def __init__(self, me, target, config, clock):
-        self.me = me
+    def __init__(self, own_name, target, config, clock):
+        self.own_name = own_name
         self.target = target
         self.config = config
         self.clock = clock
@@ -282,76 +305,78 @@
         self.local = None
         self._by_service = {}
         self._server = None
-        self._checker = None
+        self._check_task = None
 
     async def start(self, addr):
         """Accept links at `addr`."""
-        self._server = await listen(addr, _Handlers(self), self.clock)
-        self._checker = asyncio.get_running_loop().create_task(self._check())
+        self._server = await listen(addr, _AcceptedLinks(self), self.clock)
+        self._check_task = asyncio.get_running_loop().create_task(self._check_links())
 
-    async def _check(self):
+    async def _check_links(self):
         while True:
-            await asyncio.sleep(CHECK_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
             now = self.clock()
-            for out in self.outgoing.values():
-                if out.link is not None:
-                    out.link.check(now)
+            for outgoing_link in self.outgoing.values():
+                if outgoing_link.link is not None:
+                    outgoing_link.link.check(now)
 
-    def hello(self):
-        """Return the greeting of this moment."""
-        return fr.Hello(self.me, self.config.version, self.target.load_report())
+    def make_hello(self):
+        """Return a `Hello` frame with the current state."""
+        return fr.Hello(self.own_name, self.config.version, self.target.load_report())
 
     # Members.
 
     @property
     def members(self):
         """Every known member, this node's own included."""
-        found = [out.candidate.member for out in self.outgoing.values()]
+        found = [
+            outgoing_link.candidate.member for outgoing_link in self.outgoing.values()
+        ]
         if self.local is not None:
             found.append(self.local.member)
         return found
 
     def set_member(self, member):
-        """Add a member or replace what is known of it."""
-        if member.node == self.me:
+        """Add a member, or replace it if its data have changed."""
+        if member.node == self.own_name:
             if self.local is None or self.local.member != member:
                 self.local = Candidate(member, reachable=True)
-                self._arrange()
+                self._index_by_service()
             return
-        out = self.outgoing.get(member.node)
-        if out is not None and out.candidate.member == member:
+        outgoing_link = self.outgoing.get(member.node)
+        if outgoing_link is not None and outgoing_link.candidate.member == member:
             return
-        if out is not None:
-            out.close()
+        if outgoing_link is not None:
+            outgoing_link.close()
         log_entry("member:set", node=member.node, service=member.service)
-        self.outgoing[member.node] = _Outgoing(self, Candidate(member))
-        self._arrange()
+        self.outgoing[member.node] = _OutgoingLink(self, Candidate(member))
+        self._index_by_service()
 
-    def is_up(self, node):
-        """Connect now to a member that has just connected to this node."""
-        out = self.outgoing.get(node)
-        if out is not None:
-            out.alive.set()
+    def note_peer_up(self, node):
+        """Connect at once to a member that has just connected to this node."""
+        outgoing_link = self.outgoing.get(node)
+        if outgoing_link is not None:
+            outgoing_link.peer_up.set()
 
     def remove_member(self, node):
-        """Forget a member."""
-        out = self.outgoing.pop(node, None)
-        if out is not None:
+        """Remove a member and close its link."""
+        outgoing_link = self.outgoing.pop(node, None)
+        if outgoing_link is not None:
             log_entry("member:removed", node=node)
-            out.close()
-            self._arrange()
+            outgoing_link.close()
+            self._index_by_service()
 
-    def _arrange(self):
+    def _index_by_service(self):
         found = {}
-        for out in self.outgoing.values():
-            service = out.candidate.member.service
-            found.setdefault(service, []).append(out.candidate)
+        for outgoing_link in self.outgoing.values():
+            service = outgoing_link.candidate.member.service
+            found.setdefault(service, []).append(outgoing_link.candidate)
         if self.local is not None:
             found.setdefault(self.local.member.service, []).append(self.local)
         self._by_service = found
 
     def candidates(self, service):
-        """Return the candidates of a service; the local report is refreshed."""
+        """Return the candidates of a service, with a new report of the local target."""
         local = self.local
         if local is not None and local.member.service == service:
             local.note_report(self.target.load_report(), self.clock())
@@ -367,13 +392,13 @@
         """
         if candidate is self.local:
             return self._send_local(candidate, make_frame, body, on_frame)
-        out = self.outgoing.get(candidate.member.node)
-        if out is None or not candidate.reachable:
+        outgoing_link = self.outgoing.get(candidate.member.node)
+        if outgoing_link is None or not candidate.reachable:
             frame = fr.FailedFrame(0, "peer-lost", Verdict.NOT_RUN, LoadReport())
             loop = asyncio.get_running_loop()
             return loop.call_soon(on_frame, frame, b"").cancel
-        stream = out.send(make_frame, body, on_frame, on_stall)
-        return lambda: out.cancel(stream)
+        stream = outgoing_link.send(make_frame, body, on_frame, on_stall)
+        return lambda: outgoing_link.cancel(stream)
 
     def _send_local(self, candidate, make_frame, body, on_frame):
         candidate.in_flight += 1
@@ -390,54 +415,54 @@
         work = self.target.submit(make_frame(0), body, reply)
         return cancel
 
-    # What concerns all peers.
+    # State that peers exchange.
 
     def broadcast_load(self):
-        """Tell every peer the load and the configuration's version."""
+        """Send the load report and the configuration's version to every peer."""
         frame = fr.LoadFrame(self.target.load_report(), self.config.version)
         for link in list(self.incoming):
             link.send(frame)
 
-    def version_heard(self, link, version):
-        """Ask for a newer configuration, unless it comes by itself."""
+    def note_config_version(self, link, version):
+        """Request a newer configuration, unless the store delivers it first."""
         if version > self.config.version:
             loop = asyncio.get_running_loop()
-            patience_s = CONFIG_PATIENCE_S if self.config.version else 0.0
-            loop.call_later(patience_s, self._ask_config, link, version)
+            wait_s = CONFIG_WAIT_S if self.config.version else 0.0
+            loop.call_later(wait_s, self._request_config, link, version)
 
-    def _ask_config(self, link, version):
+    def _request_config(self, link, version):
         if version > self.config.version:
-            link.send(fr.ConfigWanted())
+            link.send(fr.ConfigRequest())
 
-    def greet_newcomer(self, link, version):
-        """Give a peer that has no configuration what this node knows."""
+    def send_members_if_new(self, link, version):
+        """Send the known members to a peer that has no configuration yet."""
         if version == 0 and self.config.version:
             link.send(fr.MembersFrame(), self._members_text())
 
     def _members_text(self):
         return json.dumps([asdict(member) for member in self.members]).encode()
 
-    def control_frame(self, link, frame, body):
-        """Give or take the configuration and the members."""
+    def handle_control_frame(self, link, frame, body):
+        """Handle a frame that carries or requests the configuration or the members."""
         match frame:
-            case fr.ConfigWanted():
+            case fr.ConfigRequest():
                 if self.config.version:
                     link.send(fr.ConfigFrame(self.config.version), self.config.text)
             case fr.ConfigFrame():
                 self.config.offer(frame.version, body, f"peer {link.peer}")
             case fr.MembersFrame():
-                self._take_members(link, body)
+                self._add_members(link, body)
             case _:
                 link.close(f"unexpected {type(frame).__name__}")
 
-    def _take_members(self, link, body):
+    def _add_members(self, link, body):
         try:
             found = [
-                Member(**{**item, "addr": tuple(item["addr"])})
-                for item in json.loads(body)
+                Member(**{**fields, "addr": tuple(fields["addr"])})
+                for fields in json.loads(body)
             ]
         except (ValueError, TypeError, KeyError) as exc:
-            link.close(f"unreadable members: {exc}")
+            link.close(f"malformed member list: {exc}")
             return
         for member in found:
             if member.node not in self.outgoing:
@@ -449,39 +474,39 @@
             self._server.close()
 
     def close(self):
-        """Drop every link."""
+        """Close every link."""
         self.stop_listening()
-        if self._checker is not None:
-            self._checker.cancel()
-        for out in self.outgoing.values():
-            out.close()
+        if self._check_task is not None:
+            self._check_task.cancel()
+        for outgoing_link in self.outgoing.values():
+            outgoing_link.close()
         for link in list(self.incoming):
-            link.close("node ends")
+            link.close("node is shutting down")
 
 
-class _Handlers:
-    """Gives every accepted link a handler of its own."""
+class _AcceptedLinks:
+    """Creates a handler for each accepted link and forwards the events to it."""
 
     def __init__(self, peers):
         self._peers = peers
-        self._of = {}
+        self._handlers = {}
 
     def link_up(self, link):
-        """Begin a peer's link."""
-        self._of[link] = _Incoming(self._peers)
-        self._of[link].link_up(link)
+        """Create the handler of a link."""
+        self._handlers[link] = _IncomingLink(self._peers)
+        self._handlers[link].link_up(link)
 
     def link_suspect(self, link, suspect):
-        """Do nothing; answers are due to the peer, not from it."""
+        """Do nothing; this node waits for no responses on accepted links."""
 
     def link_lost(self, link, reason):
-        """End a peer's link."""
-        handler = self._of.pop(link, None)
+        """Remove the handler of a link."""
+        handler = self._handlers.pop(link, None)
         if handler is not None:
             handler.link_lost(link, reason)
 
     def frame_received(self, link, frame, body):
-        """Hand a frame to the handler of its link."""
-        handler = self._of.get(link)
+        """Forward a frame to the handler of its link."""
+        handler = self._handlers.get(link)
         if handler is not None:
             handler.frame_received(link, frame, body)
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -1,59 +1,62 @@
-"""pimentoline.twohop.placement: which target's node gets a call.
+"""pimentoline.twohop.placement: chooses the target's node that gets a call.
 
-Answers load that shifts in milliseconds under reports that are always stale: a
-report is corrected by what this node has sent since, and loses weight with age.
+Load shifts within milliseconds, so that reports of it are always out of date. A report
+is therefore corrected by the calls that this node has sent since, and loses weight
+with its age.
 """
 
 import math
 from dataclasses import dataclass, field
 
 from .model import COLD_START_SLOWDOWN, LoadReport, Member
-from .success_rate import decayed
-
-__all__ = ["Candidate", "Location", "CallRequirements", "choose"]
-
-# Round trip to another data centre and to another region, milliseconds.
-OTHER_DC_MS = 2.0
-OTHER_REGION_MS = 18.0
-# What a kilobyte to another data centre or region costs, in parts of the credit for
-# a call: links between them are billed by volume. Means of what both users pay: 0.010
-# and 0.052 between data centres, 0.074 and 0.034 between regions.
-OTHER_DC_COST_KB = 0.031
-OTHER_REGION_COST_KB = 0.054
-# Heads of a call and its answer, bytes.
+from .success_rate import decayed_rate
+
+__all__ = ["CallRequirements", "Candidate", "Location", "choose"]
+
+# Round-trip times to another data centre and to another region, milliseconds.
+OTHER_DC_RTT_MS = 2.0
+OTHER_REGION_RTT_MS = 18.0
+# Cost of a kilobyte sent to another data centre or region, where links are billed by
+# volume. The unit is the value of a response that meets the latency objective. These
+# are the means of the prices in both users' networks: 0.010 and 0.052 between data
+# centres, 0.074 and 0.034 between regions.
+OTHER_DC_COST_PER_KB = 0.031
+OTHER_REGION_COST_PER_KB = 0.054
+# Size of the HTTP heads of a call and its response together, bytes.
 HEAD_BYTES = 600
-# Spread of the time to an answer around what is expected, milliseconds: work times
-# vary by a third, and neighbours' noise comes in stretches of 150 ms.
-SPREAD_MS = 80.0
-# Credit for an answer after the objective, as a part of the whole credit.
-LATE_CREDIT = 0.1
-# A report older than this says nothing more about what others have sent.
-REPORT_LIFE_S = 1.0
-# Without news, the expected delay goes back to the target's mean over this time,
-# seconds, since nobody renews the report of a target that gets no calls.
-DELAY_FADE_S = 5.0
-# The mean follows the reports of about this time, seconds; the users' targets turn
-# slow for 3 to 15 s.
-MEAN_S = 60.0
-# Largest weight of one report in the mean, and what the first mean counts for.
-MEAN_WEIGHT = 0.2
-FIRST_COUNT = 3
-# Delay of a target of which nothing is known, milliseconds.
-FIRST_DELAY_MS = 120.0
-# Each failure in a row makes a target look this much slower, up to the maximum.
-FAILURE_FACTOR = 0.5
-MAX_FAILURE_FACTOR = 5.0
-# After this time without a failure a target is tried again at its plain delay.
-FAILURE_LIFE_S = 3.0
-# Differences of value below this do not decide, so that equals share the load.
-TIE_SPREAD = 0.02
-# Expected time lost at a target whose node refused within the last moment.
-REFUSED_MS = 200.0
+# Spread of response times around the expected one, milliseconds: processing times vary
+# by a third, and noise of neighbours on the host comes in periods of 150 ms.
+RESPONSE_TIME_SPREAD_MS = 80.0
+# Value of a response after the latency objective; one that meets it counts as 1.
+LATE_VALUE = 0.1
+# A report older than this says nothing about the calls of other nodes any more.
+REPORT_LIFETIME_S = 1.0
+# Without a new report, the expected delay returns to the target's mean over this time,
+# seconds, because the report of a target that gets no calls is not renewed.
+DELAY_DECAY_S = 5.0
+# Period that the mean delay covers, seconds; targets turn slow for 3 to 15 s at a time.
+MEAN_WINDOW_S = 60.0
+# Largest weight of one report in the mean delay.
+MAX_MEAN_WEIGHT = 0.2
+# Weight of the initial mean delay, as a number of reports.
+INITIAL_MEAN_REPORTS = 3
+# Mean delay of a target before its first report, milliseconds.
+INITIAL_DELAY_MS = 120.0
+# Part of its delay by which each recent failure makes a target seem slower, and the
+# upper bound of the sum of these parts.
+FAILURE_SLOWDOWN = 0.5
+MAX_FAILURE_SLOWDOWN = 5.0
+# Failures are ignored once a target has had none for this long, seconds.
+FAILURE_MEMORY_S = 3.0
+# Random part of a candidate's value, so that nearly equal candidates share the load.
+TIE_JITTER = 0.02
+# Delay added to a target while it is avoided after a refusal by its node, milliseconds.
+REFUSAL_PENALTY_MS = 200.0
 
 
 @dataclass(frozen=True, slots=True)
 class Location:
-    """Where this node stands."""
+    """Data centre and region of this node."""
 
     dc: str
     region: str
@@ -61,7 +64,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallRequirements:
-    """What matters of a call: the end of its objective, seconds, and its bytes."""
+    """The properties of a call that placement takes into account.
+
+    Attributes
+    ----------
+    goal_at : float
+        Monotonic time at which the latency objective is missed, seconds.
+    size : int
+        Expected size of the bodies of the call and its response, bytes.
+    """
 
     goal_at: float
     size: int = 0
@@ -69,18 +80,26 @@
 
 @dataclass(slots=True, eq=False)
 class Candidate:
-    """A target's node, as this node sees it.
+    """What this node knows about a target's node.
 
     Attributes
     ----------
+    report : LoadReport
+        The newest report of the node, received at `reported_at`.
     in_flight : int
-        Calls that this node has there and that are unanswered.
+        Calls of this node that wait for a response from there.
     in_flight_at_report : int
-        The same when the report was made.
+        Value of `in_flight` when the newest report was received.
     mean_ms : float
-        Mean of the delays reported, milliseconds.
-    reports : int
-        Reports that came.
+        Moving average of the reported delays, milliseconds.
+    report_count : int
+        Number of reports received.
+    failures : float
+        Recent failures; reduced by each success.
+    failed_at : float
+        Monotonic time of the last failure, seconds.
+    refused_until : float
+        Until when the node is avoided since it refused a call, monotonic seconds.
     """
 
     member: Member
@@ -89,17 +108,17 @@
     reported_at: float = 0.0
     in_flight: int = 0
     in_flight_at_report: int = 0
-    mean_ms: float = FIRST_DELAY_MS
-    reports: int = 0
+    mean_ms: float = INITIAL_DELAY_MS
+    report_count: int = 0
     failures: float = 0.0
     failed_at: float = 0.0
     refused_until: float = 0.0
 
     def note_report(self, report, now):
-        """Take the newest report of the target's node."""
-        passed = min(MEAN_WEIGHT, (now - self.reported_at) / MEAN_S)
-        self.reports += 1
-        weight = max(passed, 1.0 / (self.reports + FIRST_COUNT))
+        """Store the newest report and update the mean delay."""
+        elapsed_weight = min(MAX_MEAN_WEIGHT, (now - self.reported_at) / MEAN_WINDOW_S)
+        self.report_count += 1
+        weight = max(elapsed_weight, 1.0 / (self.report_count + INITIAL_MEAN_REPORTS))
         self.mean_ms += weight * (report.delay_ms - self.mean_ms)
         self.report = report
         self.reported_at = now
@@ -107,75 +126,79 @@
 
     def note_failure(self, now):
         """Count a failure of the target."""
-        self.failures = min(self.failures + 1.0, MAX_FAILURE_FACTOR / FAILURE_FACTOR)
+        self.failures = min(
+            self.failures + 1.0, MAX_FAILURE_SLOWDOWN / FAILURE_SLOWDOWN
+        )
         self.failed_at = now
 
     def note_success(self):
-        """Count a good answer."""
+        """Count a response that is not a failure."""
         self.failures *= 0.7
 
-    def good_rate(self, now):
-        """Return the part of the target's calls that it answers well."""
-        return decayed(self.report.good_rate, now - self.reported_at)
+    def success_rate(self, now):
+        """Return the share of the target's calls that succeed, corrected for age."""
+        return decayed_rate(self.report.success_rate, now - self.reported_at)
 
     def expected_ms(self, now):
-        """Return the expected time to an answer, without distance, milliseconds."""
+        """Return the expected response time without the network, milliseconds."""
         report = self.report
-        extra = self.in_flight - self.in_flight_at_report
+        sent_since_report = self.in_flight - self.in_flight_at_report
         age = now - self.reported_at
-        fresh = max(0.0, 1.0 - age / REPORT_LIFE_S)
+        report_weight = max(0.0, 1.0 - age / REPORT_LIFETIME_S)
         others = (
-            max(0, report.running + report.queued - self.in_flight_at_report) * fresh
+            max(0, report.running + report.queued - self.in_flight_at_report)
+            * report_weight
         )
         total = others + self.in_flight
-        known = max(0.0, 1.0 - age / DELAY_FADE_S)
-        delay = self.mean_ms + (report.delay_ms - self.mean_ms) * known
-        if age * 1000.0 < report.cold_ms:
+        delay_weight = max(0.0, 1.0 - age / DELAY_DECAY_S)
+        delay = self.mean_ms + (report.delay_ms - self.mean_ms) * delay_weight
+        if age * 1000.0 < report.cold_remaining_ms:
             delay *= COLD_START_SLOWDOWN
-        delay += max(0.0, report.rest_ms - age * 1000.0)
-        over = total - report.limit + 1
-        if extra > 0 and over > 0:
-            delay += delay * min(over, extra) / report.limit
-        # Full targets run slower, so the emptier of two equal ones is better.
+        delay += max(0.0, report.noise_remaining_ms - age * 1000.0)
+        over_limit = total - report.limit + 1
+        if sent_since_report > 0 and over_limit > 0:
+            delay += delay * min(over_limit, sent_since_report) / report.limit
+        # Targets slow down as they fill, so of two equal ones the emptier is better.
         delay *= 1.0 + 0.3 * min(total / max(report.limit, 1), 2.0)
-        if self.failures > 0 and now - self.failed_at < FAILURE_LIFE_S:
-            delay *= 1.0 + FAILURE_FACTOR * self.failures
+        if self.failures > 0 and now - self.failed_at < FAILURE_MEMORY_S:
+            delay *= 1.0 + FAILURE_SLOWDOWN * self.failures
         if now < self.refused_until:
-            delay += REFUSED_MS
+            delay += REFUSAL_PENALTY_MS
         return delay
 
 
 def network_cost(location, member, size):
-    """Return the round trip to a member and the cost of its bytes.
+    """Return the round-trip time to a member and the cost of sending a call there.
 
     Parameters
     ----------
     location : Location
     member : Member
     size : int
-        Bytes of the call and its answer.
+        Size of the bodies of the call and its response, bytes.
 
     Returns
     -------
     tuple of float
-        Milliseconds, and parts of the credit for a call.
+        The time in milliseconds, and the cost in units of the value of a response
+        that meets the latency objective.
     """
     if member.dc == location.dc:
         return 0.0, 0.0
     kilobytes = (size + HEAD_BYTES) / 1000.0
     if member.region == location.region:
-        return OTHER_DC_MS, OTHER_DC_COST_KB * kilobytes
-    return OTHER_REGION_MS, OTHER_REGION_COST_KB * kilobytes
+        return OTHER_DC_RTT_MS, OTHER_DC_COST_PER_KB * kilobytes
+    return OTHER_REGION_RTT_MS, OTHER_REGION_COST_PER_KB * kilobytes
 
 
-def in_time(left_ms, expected_ms):
-    """Return the chance that an answer comes within `left_ms`."""
-    x = (expected_ms - left_ms) / SPREAD_MS
+def on_time_probability(remaining_ms, expected_ms):
+    """Return the probability of a response within `remaining_ms` (logistic)."""
+    x = (expected_ms - remaining_ms) / RESPONSE_TIME_SPREAD_MS
     return 1.0 / (1.0 + math.exp(min(max(x, -30.0), 30.0)))
 
 
 def choose(candidates, location, now, requirements, tried, draw):
-    """Return the candidate with the most expected credit less cost, or None.
+    """Return the candidate with the highest expected value less cost, or None.
 
     Parameters
     ----------
@@ -185,26 +208,28 @@
         Monotonic time, seconds.
     requirements : CallRequirements
     tried : container of str
-        Nodes that are left out.
+        Names of the nodes to leave out.
     draw : float
         Random number in [0, 1); breaks ties.
     """
     best = None
     best_value = 0.0
     goal_ms = (requirements.goal_at - now) * 1000.0
-    for number, cand in enumerate(candidates):
-        if not cand.reachable or not cand.report.accepting:
+    for index, candidate in enumerate(candidates):
+        if not candidate.reachable or not candidate.report.accepting:
             continue
-        if cand.member.node in tried:
+        if candidate.member.node in tried:
             continue
-        trip_ms, cost = network_cost(location, cand.member, requirements.size)
-        expected_ms = cand.expected_ms(now) + trip_ms
-        chance = in_time(goal_ms, expected_ms)
-        value = chance + LATE_CREDIT * (1.0 - chance)
-        value = value * cand.good_rate(now) - cost
-        # Among hopeless ones the soonest is best.
+        round_trip_ms, cost = network_cost(
+            location, candidate.member, requirements.size
+        )
+        expected_ms = candidate.expected_ms(now) + round_trip_ms
+        on_time = on_time_probability(goal_ms, expected_ms)
+        value = on_time + LATE_VALUE * (1.0 - on_time)
+        value = value * candidate.success_rate(now) - cost
+        # If all are far too late, the probabilities are equal and the fastest wins.
         value -= expected_ms * 1e-5
-        value += ((draw * 997.0 + number * 0.618) % 1.0) * TIE_SPREAD
+        value += ((draw * 997.0 + index * 0.618) % 1.0) * TIE_JITTER
         if best is None or value > best_value:
-            best, best_value = cand, value
+            best, best_value = candidate, value
     return best
--- a/pimentoline/twohop/retry_budget.py
+++ b/pimentoline/twohop/retry_budget.py
@@ -4,17 +4,18 @@
 
 __all__ = ["RetryBudget"]
 
-# Part of what is allowed that is spent here. Calls that a repeated run makes count as
-# repeats too, and no node can tell them: with 0.3, a chain of three services whose
-# runs each make 1.4 calls keeps the budget of each while all of them fail.
-OWN_SHARE = 0.3
+# Share of the allowed retries that nodes send themselves. The calls that a retried run
+# makes to further services are retries too, but nodes cannot recognise them. With 0.3,
+# a chain of three services whose runs each make 1.4 calls stays within the budget of
+# each service while all of them fail.
+DIRECT_RETRY_SHARE = 0.3
 
 
 class RetryBudget:
-    """Repeats that this node may send to one service, in every sliding window.
+    """Limits the retries from this node to one service in every sliding window.
 
-    All nodes share one allowance without talking about it: each takes the ratio of
-    its own first attempts and an equal part of the fixed allowance.
+    All nodes keep to a common limit without coordination: each may send a ratio of its
+    own first attempts, plus an equal part of the fixed allowance.
 
     Parameters
     ----------
@@ -23,20 +24,20 @@
 
     def __init__(self, limits):
         self.set_limits(limits)
-        self._firsts = deque()
-        self._repeats = deque()
+        self._first_attempts = deque()
+        self._retries = deque()
 
     def set_limits(self, limits):
-        """Take changed limits."""
+        """Apply changed limits."""
         self._limits = limits
 
-    def first(self, now):
+    def count_first_attempt(self, now):
         """Count a first attempt."""
-        self._firsts.append(now)
-        self._trim(self._firsts, now)
+        self._first_attempts.append(now)
+        self._drop_expired(self._first_attempts, now)
 
-    def take(self, now, nodes):
-        """Return whether a repeat may be sent now, and count it if so.
+    def try_acquire(self, now, nodes):
+        """Return whether a retry may be sent now, and count it if so.
 
         Parameters
         ----------
@@ -45,15 +46,17 @@
         nodes : int
             Nodes that share the fixed allowance.
         """
-        self._trim(self._firsts, now)
-        self._trim(self._repeats, now)
-        earned = self._limits.ratio * len(self._firsts)
-        allowed = OWN_SHARE * (earned + self._limits.allowance / max(nodes, 1))
-        if len(self._repeats) + 1 > allowed:
+        self._drop_expired(self._first_attempts, now)
+        self._drop_expired(self._retries, now)
+        from_ratio = self._limits.ratio * len(self._first_attempts)
+        allowed = DIRECT_RETRY_SHARE * (
+            from_ratio + self._limits.allowance / max(nodes, 1)
+        )
+        if len(self._retries) + 1 > allowed:
             return False
-        self._repeats.append(now)
+        self._retries.append(now)
         return True
 
-    def _trim(self, times, now):
+    def _drop_expired(self, times, now):
         while times and times[0] <= now - self._limits.window_s:
             times.popleft()
--- a/pimentoline/twohop/success_rate.py
+++ b/pimentoline/twohop/success_rate.py
@@ -1,38 +1,39 @@
-"""pimentoline.twohop.success_rate: how often a target answers well.
+"""pimentoline.twohop.success_rate: share of a target's calls that succeed.
 
-Answers targets that fail part of their calls while they say that they are healthy,
-and those that fail fast and look idle.
+Keeps traffic away from targets that fail part of their calls while their health check
+succeeds, and from those that fail fast and therefore look idle.
 """
 
-__all__ = ["SuccessRate", "decayed"]
+__all__ = ["SuccessRate", "decayed_rate"]
 
-# Weight of the newest outcome; some twenty calls show a target that fails half.
-WEIGHT = 0.08
-# Without news a target is trusted again over this time, seconds.
-FADE_S = 5.0
-# Even a target that fails always is given this part of its plain value, so that some
-# calls find out when it is sound again.
-LEAST = 0.1
+# Weight of the newest outcome in the moving average. About twenty calls are enough to
+# recognise a target that fails half of them.
+NEWEST_WEIGHT = 0.08
+# Without new outcomes, the rate returns to 1 over this time, seconds.
+DECAY_S = 5.0
+# Lower bound of the rate, so that a target that always fails still gets a few calls,
+# which show when it has recovered.
+MIN_RATE = 0.1
 
 
-def decayed(rate, age_s):
-    """Return a rate of good answers that was known `age_s` seconds ago."""
-    return 1.0 - (1.0 - rate) * max(0.0, 1.0 - age_s / FADE_S)
+def decayed_rate(rate, age_s):
+    """Return the present value of a success rate that is `age_s` seconds old."""
+    return 1.0 - (1.0 - rate) * max(0.0, 1.0 - age_s / DECAY_S)
 
 
 class SuccessRate:
-    """Rate of good answers of one target, as its own node counts them."""
+    """Moving average of the outcomes of one target's calls, kept by its own node."""
 
     def __init__(self):
         self._rate = 1.0
-        self._at = 0.0
+        self._updated_at = 0.0
 
-    def note(self, good, now):
-        """Count an answer, or the lack of one."""
-        rate = decayed(self._rate, now - self._at)
-        self._rate = rate + WEIGHT * (float(good) - rate)
-        self._at = now
+    def note(self, success, now):
+        """Count a call that succeeded or failed; a missing response is a failure."""
+        rate = decayed_rate(self._rate, now - self._updated_at)
+        self._rate = rate + NEWEST_WEIGHT * (float(success) - rate)
+        self._updated_at = now
 
     def rate(self, now):
-        """Return the rate of good answers, `LEAST` to 1."""
-        return max(LEAST, decayed(self._rate, now - self._at))
+        """Return the success rate, from `MIN_RATE` to 1."""
+        return max(MIN_RATE, decayed_rate(self._rate, now - self._updated_at))
--- a/pimentoline/twohop/weighted_round_robin.py
+++ b/pimentoline/twohop/weighted_round_robin.py
@@ -1,26 +1,28 @@
-"""pimentoline.twohop.weighted_round_robin: traffic shares of a route's services."""
+"""pimentoline.twohop.weighted_round_robin: splits a route's calls between services."""
 
 __all__ = ["WeightedRoundRobin"]
 
 
 class WeightedRoundRobin:
-    """Smooth weighted round robin, so that shares hold over few calls as well."""
+    """Smooth weighted round robin, which is close to the weights after a few calls."""
 
     def __init__(self):
-        self._credit = {}
+        self._current_weights = {}
 
-    def next(self, route):
-        """Return the service that the next call of a route goes to."""
+    def next_service(self, route):
+        """Return the service for the next call of a route."""
         shares = route.shares
         if len(shares) == 1:
             return shares[0].service
-        credit = self._credit.setdefault((route.name, shares), [0] * len(shares))
+        current = self._current_weights.setdefault(
+            (route.name, shares), [0] * len(shares)
+        )
         total = 0
         best = 0
-        for number, share in enumerate(shares):
-            credit[number] += share.weight
+        for index, share in enumerate(shares):
+            current[index] += share.weight
             total += share.weight
-            if credit[number] > credit[best]:
-                best = number
-        credit[best] -= total
+            if current[index] > current[best]:
+                best = index
+        current[best] -= total
         return shares[best].service
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -1,4 +1,4 @@
-"""Decisions of the two-node path: admission, placement, repeats, status, routes."""
+"""Decisions of the two-node path: calls, admission, placement, target state, routes."""
 
 from dataclasses import replace
 
@@ -32,9 +32,9 @@
 
 ADDR = ("10.0.0.1", 80)
 NOW = 100.0
-HOME = Location("kerio", "rift")
-WANTED = CallRequirements(NOW + 0.3, 2000)
-# Questions a second and target that both users allow.
+LOCATION = Location("kerio", "rift")
+REQUIREMENTS = CallRequirements(NOW + 0.3, 2000)
+# Probes per second and target that both users allow.
 PROBES_PER_S = 60
 ROUTE = Route(
     "r", "a.example", "/x/", RouteKind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3
@@ -50,19 +50,19 @@
 
 
 class World:
-    """Candidates by name, and a number of repeats."""
+    """The `world` of `lifecycle.step`: named candidates and a number of retries."""
 
     def __init__(self, *names, repeats=9):
-        self.found = [candidate(name) for name in names]
+        self.candidates = [candidate(name) for name in names]
         self.repeats = repeats
 
     def choose(self, call, now):
-        """Return the first candidate that has not been asked."""
-        free = (c for c in self.found if c.member.node not in call.tried)
+        """Return the first candidate that has not been tried."""
+        free = (c for c in self.candidates if c.member.node not in call.tried)
         return next(free, None)
 
     def acquire_retry(self, service, now):
-        """Take one of the repeats."""
+        """Use one of the retries; return whether there was one."""
         self.repeats -= 1
         return self.repeats >= 0
 
@@ -71,12 +71,12 @@
     """Return a call that has been sent to the first candidate."""
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
     (send,) = lc.step(call, lc.CallReceived(NOW), world)
-    assert send.candidate is world.found[0]
+    assert send.candidate is world.candidates[0]
     return call
 
 
 def nodes_of(effects):
-    """Return the nodes that the effects send the call to."""
+    """Return the names of the nodes that the effects send the call to."""
     return [e.candidate.member.node for e in effects if isinstance(e, lc.Send)]
 
 
@@ -85,7 +85,7 @@
 
 @pytest.mark.parametrize("verdict", [Verdict.MAY_HAVE_RUN, Verdict.RAN])
 def test_call_that_must_not_repeat_is_not_sent_again(verdict):
-    """Guards against a second run of a sale whose answer was lost."""
+    """Guards against a second run of a sale whose response was lost."""
     world = World("a", "b")
     call = begin(SALE, world)
     (end,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), world)
@@ -93,7 +93,7 @@
 
 
 def test_unsent_sale_goes_to_another_target():
-    """Guards against a lost sale although it certainly did not run."""
+    """Guards against rejecting a sale that certainly has not run."""
     world = World("a", "b")
     call = begin(SALE, world)
     effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.NOT_RUN, "refused"), world)
@@ -101,7 +101,7 @@
 
 
 def test_promise_is_never_given_after_a_possible_run():
-    """Guards against a 503 for a call that may have run."""
+    """Guards against a 503, the promise that a call has not run, if it may have run."""
     world = World("a", "b")
     call = begin(ROUTE, world)
     lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), world)
@@ -113,19 +113,19 @@
 
 
 def test_refusals_lead_to_last_resort_then_to_a_promise():
-    """Guards against a refusal while some target would take the call late."""
+    """Guards against a 503 while some target could still run the call, if late."""
     world = World("a", "b")
     call = begin(ROUTE, world)
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), world)
     assert nodes_of(effects) == ["b"]
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.4), world)
-    assert effects == [lc.Send(world.found[0], True, False)]
+    assert effects == [lc.Send(world.candidates[0], True, False)]
     effects = lc.step(call, lc.AttemptRefused(NOW, "full", 0.2), world)
     assert effects == [lc.Reject(503, "full", 0.1)]
 
 
 def test_repeats_end_with_the_budget():
-    """Guards against repeats that multiply the load of a failing service."""
+    """Guards against retries that multiply the load of a failing service."""
     world = World("a", "b", "c", repeats=1)
     call = begin(ROUTE, world)
     broken = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
@@ -134,7 +134,7 @@
 
 
 def test_repeats_end_with_the_attempts_of_the_route():
-    """Guards against more targets for a call than the operator allows."""
+    """Guards against sending a call to more targets than its route allows."""
     world = World("a", "b", "c", "d")
     call = begin(replace(ROUTE, max_attempts=2), world)
     broken = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
@@ -143,7 +143,7 @@
 
 
 def test_failed_answer_is_delivered_if_nothing_better_comes():
-    """Guards against an answer of our own in place of a target's."""
+    """Guards against an error of the node in place of a target's own response."""
     world = World("a", "b")
     call = begin(ROUTE, world)
     effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), world)
@@ -154,7 +154,7 @@
 
 
 def test_timeout_cancels_and_answers_at_once():
-    """Guards against a caller that is kept waiting past the route's timeout."""
+    """Guards against callers that wait longer than the route's timeout."""
     world = World("a")
     call = begin(ROUTE, world)
     effects = lc.step(call, lc.TimedOut(NOW + 1), world)
@@ -163,25 +163,25 @@
 
 
 def test_stalled_lookup_goes_elsewhere_and_a_sale_waits():
-    """Guards against lookups that hang with a lost node, and against a second sale."""
+    """Guards against lookups that hang on a lost node, and against a sale run twice."""
     world = World("a", "b")
-    look, sale = begin(ROUTE, world), begin(SALE, world)
-    effects = lc.step(look, lc.AttemptStalled(NOW), world)
+    lookup, sale = begin(ROUTE, world), begin(SALE, world)
+    effects = lc.step(lookup, lc.AttemptStalled(NOW), world)
     assert effects[0] == lc.CancelAttempt() and nodes_of(effects) == ["b"]
     assert lc.step(sale, lc.AttemptStalled(NOW), world) == []
     assert lc.step(sale, lc.ResponseReceived(NOW, 200, "a"), world) == [lc.Reply("a")]
 
 
 def test_stalled_lookup_waits_on_if_the_budget_is_spent():
-    """Guards against an error in place of an answer that may still come."""
+    """Guards against an error in place of a response that may still come."""
     world = World("a", "b", repeats=0)
-    look = begin(ROUTE, world)
-    assert lc.step(look, lc.AttemptStalled(NOW), world) == []
-    assert look.attempts == 0
+    lookup = begin(ROUTE, world)
+    assert lc.step(lookup, lc.AttemptStalled(NOW), world) == []
+    assert lookup.attempts == 0
 
 
 def test_no_target_is_refused_at_once():
-    """Guards against a call that waits although nothing can serve it."""
+    """Guards against a call that waits although no target can serve it."""
     call = lc.Call(ROUTE, "ledger", NOW + 0.3, NOW + 1.0)
     (end,) = lc.step(call, lc.CallReceived(NOW), World())
     assert (end.status, end.reason) == (503, "no-target")
@@ -195,17 +195,17 @@
     nodes = [RetryBudget(RetryLimits(0.2, 10.0, 64)) for _ in range(16)]
     for node in nodes:
         for number in range(100):
-            node.first(NOW + number * 0.01)
-    sent = sum(node.take(NOW + 1, 16) for node in nodes for _ in range(100))
+            node.count_first_attempt(NOW + number * 0.01)
+    sent = sum(node.try_acquire(NOW + 1, 16) for node in nodes for _ in range(100))
     assert 0 < sent <= 0.2 * 1600 + 64
 
 
 @pytest.mark.parametrize("levels", [2, 3])
 def test_repeats_of_a_chain_of_services_stay_within_the_budget_of_each(levels):
-    """Guards against repeats at the end of a chain that its callers' repeats cause.
+    """Guards against retries that add up along a chain of services.
 
-    Every service fails, so that each spends its whole budget, and each run calls the
-    next service 1.4 times. Calls of a repeated run count as repeats there.
+    Every service fails, so each spends its whole budget, and each run calls the next
+    service 1.4 times. The calls of a retried run count as retries there.
     """
     nodes, calls_a_run, slack = 14, 1.4, 60
     firsts, inherited = 4200 / calls_a_run ** (levels - 1), 0.0
@@ -213,22 +213,24 @@
         budgets = [RetryBudget(RetryLimits(0.2, 10.0, slack)) for _ in range(nodes)]
         for budget in budgets:
             for _ in range(round(firsts / nodes)):
-                budget.first(NOW)
-        own = sum(budget.take(NOW, nodes) for budget in budgets for _ in range(999))
-        repeats = own + inherited
-        assert repeats <= 0.2 * firsts + slack
-        inherited = repeats * calls_a_run
+                budget.count_first_attempt(NOW)
+        sent = sum(
+            budget.try_acquire(NOW, nodes) for budget in budgets for _ in range(999)
+        )
+        retries = sent + inherited
+        assert retries <= 0.2 * firsts + slack
+        inherited = retries * calls_a_run
         firsts *= calls_a_run
 
 
 def test_budget_holds_in_every_sliding_window():
-    """Guards against a burst at the edge of two windows."""
+    """Guards against a burst where one window ends and the next begins."""
     budget = RetryBudget(RetryLimits(0.2, 10.0, 0))
     for number in range(100):
-        budget.first(NOW + number * 0.1)
-    early = sum(budget.take(NOW + 9.9, 1) for _ in range(50))
+        budget.count_first_attempt(NOW + number * 0.1)
+    early = sum(budget.try_acquire(NOW + 9.9, 1) for _ in range(50))
     assert early == 6
-    assert sum(budget.take(NOW + 10.1, 1) for _ in range(50)) == 0
+    assert sum(budget.try_acquire(NOW + 10.1, 1) for _ in range(50)) == 0
 
 
 # Admission.
@@ -250,7 +252,7 @@
 
 
 def test_no_more_run_than_the_limit():
-    """Guards against work beyond the knee of a target."""
+    """Guards against more work than a target can run without slowing down."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
     waiting = job()
@@ -260,7 +262,7 @@
 
 
 def test_what_cannot_be_in_time_is_refused_at_once():
-    """Guards against a queue that makes every answer late."""
+    """Guards against a queue so long that every response is late."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
     refused = None
@@ -284,7 +286,7 @@
 
 
 def test_expired_job_is_refused_not_started():
-    """Guards against work that nobody can use."""
+    """Guards against running calls whose deadline has passed."""
     admission = AdmissionController(10)
     running = fill(admission, admission.limit)
     waiting = job(deadline_s=0.4)
@@ -303,15 +305,16 @@
     assert admission.report(NOW + 0.9, True).delay_ms > 5 * before
 
 
+# Kinds of calls, told apart by (priority, retryable).
 SHORT, LONG = (2, True), (1, False)
 
 
 def test_calls_that_noise_has_hit_do_not_make_their_target_look_slow():
-    """Guards against calls sent away from a sound target that is near."""
+    """Guards against calls sent far away although the near target is healthy."""
     admission = AdmissionController(10)
     before = admission.report(NOW, True).delay_ms
     fill(admission, 4)
-    # Five times as long as usual, and half over.
+    # The calls take five times as long as usual, and half of that has passed.
     later = NOW + 2.5 * before / 1000
     assert admission.report(later, True).delay_ms == before
 
@@ -327,7 +330,7 @@
 
 
 def test_short_call_is_taken_while_long_ones_run():
-    """Guards against taking the age of long calls for the time that short ones need."""
+    """Guards against estimating short calls by the age of long ones that run."""
     admission = AdmissionController(17)
     admission.noise.probe_failed(NOW)
     for kind, taken_s in ((SHORT, 0.022), (LONG, 0.22)) * 40:
@@ -344,7 +347,7 @@
 
 
 def test_dropped_job_frees_its_place():
-    """Guards against slots that are lost to callers who left."""
+    """Guards against slots that stay occupied after callers have disconnected."""
     admission = AdmissionController(10)
     running = fill(admission, admission.limit)
     for one in running:
@@ -354,7 +357,7 @@
 
 
 def test_call_does_not_start_while_neighbours_are_noisy():
-    """Guards against a call that takes five times as long until its end."""
+    """Guards against starting a call that noise would make five times as long."""
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
@@ -368,7 +371,7 @@
 
 
 def test_held_call_is_given_back_while_another_target_can_be_in_time():
-    """Guards against a call that is held until its objective is lost."""
+    """Guards against a call that is held until it has missed its objective."""
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
@@ -388,7 +391,7 @@
 
 
 def test_slow_start_of_a_target_is_not_taken_for_noise():
-    """Guards against a target without calls for most of a second after its start."""
+    """Guards against holding all calls for most of a second after a target's start."""
     admission = AdmissionController(10)
     admission.cold_start_until = NOW + 3.0
     waiting = job()
@@ -400,7 +403,7 @@
 
 
 def test_target_without_figures_is_asked_once():
-    """Guards against measuring that nothing comes of."""
+    """Guards against probing a target that does not report load figures."""
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
@@ -410,7 +413,7 @@
 
 
 def test_late_job_is_refused_soon_and_not_held_to_its_end():
-    """Guards against a caller that waits long for a refusal."""
+    """Guards against a caller that waits long only to be refused."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
     late = job(goal_s=-0.1, deadline_s=1.0, last_resort=True)
@@ -421,13 +424,13 @@
 
 
 def test_cold_target_is_not_filled_beyond_a_likely_knee():
-    """Guards against a recovery that the last slots make slower."""
+    """Guards against a slower recovery because the last slots are used."""
     assert DurationEstimator().concurrency_limit(10, cold=True) == 8
     assert DurationEstimator().concurrency_limit(10, cold=False) == 10
 
 
 def test_questions_stay_within_the_budget():
-    """Guards against measuring more often than the users allow."""
+    """Guards against probing more often than the users allow."""
     admission = AdmissionController(10)
     admission.noise.note(5.0, NOW)
     asked = 0
@@ -443,7 +446,10 @@
 
 @pytest.mark.parametrize(("factor", "limit"), [(1.0, 10), (1.5, 8)])
 def test_limit_follows_the_knee_of_the_target(factor, limit):
-    """Guards against idle slots where there is no knee, and against work past one."""
+    """Guards against idle slots, and against more calls than a target runs at speed.
+
+    The knee is the number of concurrent calls above which each takes longer.
+    """
     durations = DurationEstimator()
     for _ in range(40):
         durations.note("k", 0.1, 3, 10, NOW)
@@ -455,30 +461,30 @@
 
 
 def test_near_target_is_chosen_while_it_has_room():
-    """Guards against traffic between regions that nothing calls for."""
+    """Guards against unnecessary traffic between regions."""
     far = candidate("far", "kwale", "coast")
     near = candidate("near")
     for draw in (0.1, 0.5, 0.9):
-        assert choose([far, near], HOME, NOW, WANTED, (), draw) is near
+        assert choose([far, near], LOCATION, NOW, REQUIREMENTS, (), draw) is near
 
 
 def test_upload_stays_in_its_region_longer_than_a_lookup():
     """Guards against large bodies on links that are billed by volume."""
     far = candidate("far", "kwale", "coast")
     near = candidate("near", delay_ms=320)
-    look, upload = (
+    lookup, upload = (
         CallRequirements(NOW + 0.3, 1500),
         CallRequirements(NOW + 0.3, 60_000),
     )
-    assert choose([far, near], HOME, NOW, look, (), 0.5) is far
-    assert choose([far, near], HOME, NOW, upload, (), 0.5) is near
+    assert choose([far, near], LOCATION, NOW, lookup, (), 0.5) is far
+    assert choose([far, near], LOCATION, NOW, upload, (), 0.5) is near
 
 
 def test_own_sends_count_before_the_next_report():
-    """Guards against herds that follow one stale report."""
+    """Guards against sending all calls to one target because of an outdated report."""
     first, second = candidate("a"), candidate("b")
     for _ in range(20):
-        chosen = choose([first, second], HOME, NOW, WANTED, (), 0.5)
+        chosen = choose([first, second], LOCATION, NOW, REQUIREMENTS, (), 0.5)
         chosen.in_flight += 1
     assert abs(first.in_flight - second.in_flight) <= 2
 
@@ -491,47 +497,48 @@
         gone.reachable = False
     else:
         gone.report = replace(gone.report, accepting=False)
-    assert choose([gone, other], HOME, NOW, WANTED, (), 0.5) is other
+    assert choose([gone, other], LOCATION, NOW, REQUIREMENTS, (), 0.5) is other
 
 
 def test_failing_target_is_avoided_and_comes_back():
-    """Guards against a target that fails fast and looks idle, and against its loss."""
+    """Guards against using a failing target that looks idle, and against its loss."""
     bad, good = candidate("bad", delay_ms=60), candidate("good")
     for _ in range(6):
         bad.note_failure(NOW)
-    assert choose([bad, good], HOME, NOW, WANTED, (), 0.5) is good
+    assert choose([bad, good], LOCATION, NOW, REQUIREMENTS, (), 0.5) is good
     later = NOW + 60
     assert (
-        choose([bad, good], HOME, later, CallRequirements(later + 0.3), (), 0.5) is bad
+        choose([bad, good], LOCATION, later, CallRequirements(later + 0.3), (), 0.5)
+        is bad
     )
 
 
 def test_target_that_fails_half_its_calls_is_left_and_comes_back():
-    """Guards against a grey target, whose health check is good."""
+    """Guards against a target that fails calls while its health check succeeds."""
     grey, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
     for _ in range(20):
         grey.outcomes.note(True, NOW)
         grey.outcomes.note(False, NOW)
     bad = candidate("bad")
     bad.note_report(replace(grey.report(NOW, True), delay_ms=100), NOW)
-    assert choose([bad, sound], HOME, NOW, WANTED, (), 0.5) is sound
+    assert choose([bad, sound], LOCATION, NOW, REQUIREMENTS, (), 0.5) is sound
     later = NOW + 6.0
-    wanted = CallRequirements(later + 0.3, 2000)
-    assert choose([bad, sound], HOME, later, wanted, (), 0.5) is bad
+    requirements = CallRequirements(later + 0.3, 2000)
+    assert choose([bad, sound], LOCATION, later, requirements, (), 0.5) is bad
 
 
 def test_upload_stays_near_while_all_targets_fail_alike():
-    """Guards against large bodies sent abroad to targets that fail as often."""
+    """Guards against large bodies sent to other regions whose targets fail as often."""
     near, far = candidate("near"), candidate("far", "kwale", "coast")
     for cand in (near, far):
-        cand.report = replace(cand.report, good_rate=0.45)
+        cand.report = replace(cand.report, success_rate=0.45)
     for draw in (0.1, 0.5, 0.9):
         upload = CallRequirements(NOW + 0.4, 60_000)
-        assert choose([far, near], HOME, NOW, upload, (), draw) is near
+        assert choose([far, near], LOCATION, NOW, upload, (), draw) is near
 
 
 def test_hanging_calls_count_as_failures():
-    """Guards against a target that hangs and looks good, as nothing fails there."""
+    """Guards against a hanging target that looks healthy because no call ends there."""
     admission = AdmissionController(10)
     for _ in range(10):
         (one,) = fill(admission, 1)
@@ -541,16 +548,17 @@
 
 
 def shares(candidates, now):
-    """Return the number of calls that each candidate gets of a hundred draws."""
-    wanted = CallRequirements(now + 0.3, 2000)
+    """Return how many of a hundred calls each candidate gets."""
+    requirements = CallRequirements(now + 0.3, 2000)
     chosen = [
-        choose(candidates, HOME, now, wanted, (), step / 100) for step in range(100)
+        choose(candidates, LOCATION, now, requirements, (), step / 100)
+        for step in range(100)
     ]
     return [chosen.count(cand) for cand in candidates]
 
 
 def test_target_that_joined_cold_gets_calls_once_it_is_warm():
-    """Guards against a newcomer that is judged for ever by its first slow seconds."""
+    """Guards against rating a new target forever by its slow first seconds."""
     admission = AdmissionController(12)
     admission.cold_start_until = NOW + 3.0
     joined, old = candidate("joined"), candidate("old", delay_ms=130)
@@ -562,7 +570,7 @@
 
 
 def test_target_that_was_slow_is_tried_again():
-    """Guards against a target that nobody asks, so that its report stays bad."""
+    """Guards against a target that gets no calls, so that its report stays bad."""
     slow, other = candidate("slow"), candidate("other", delay_ms=130)
     for step in range(60):
         slow.note_report(slow.report, NOW - 60 + step)
@@ -574,7 +582,7 @@
 
 
 def test_old_good_report_is_worth_no_more_than_the_mean():
-    """Guards against distant targets that seem better the less is heard of them."""
+    """Guards against preferring distant targets because their reports are old."""
     far, near = candidate("far", "kilifi"), candidate("near")
     for step in range(40):
         for cand in (far, near):
@@ -587,7 +595,7 @@
 
 
 def test_slow_answers_of_long_ago_do_not_refuse_calls():
-    """Guards against a node that refuses every call, and so never learns better."""
+    """Guards against a node that refuses all calls, so that its estimate stays high."""
     admission = AdmissionController(10)
     admission.noise.probe_failed(NOW)
     for step in range(60):
@@ -610,7 +618,7 @@
 
 
 def test_late_reports_never_bring_a_target_back():
-    """Guards against new work for a target that drains, left or was replaced."""
+    """Guards against calls to a target that is draining, has left or was replaced."""
     held = StatusTracker()
     assert held.accept(report(sequence=1))
     assert held.accept(report(sequence=3, state=TargetState.DRAINING))
@@ -625,7 +633,7 @@
 
 
 def test_restart_under_the_same_name_is_a_new_lifetime():
-    """Guards against ignoring a target that restarts with the id that it had."""
+    """Guards against ignoring a target that restarts under its former id."""
     held = StatusTracker()
     held.accept(report(sequence=50, state=TargetState.DRAINING))
     assert held.accept(report(born=8, sequence=1))
@@ -633,7 +641,7 @@
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
 def test_target_that_never_reported_may_leave(target):
-    """Guards against work for a target whose leave was acknowledged and ignored."""
+    """Guards against calls to a target whose leave was acknowledged but not applied."""
     held = StatusTracker()
     held.accept(report("t1", born=5))
     assert held.leave(target, 9)
@@ -643,7 +651,7 @@
 
 
 def test_stored_state_is_never_lost_to_a_late_report():
-    """Guards against a restarted node that takes a late report before the store's."""
+    """Guards against a late report before a restarted node has read the store."""
     stored = TargetStatus("t1", 5, 0, TargetState.DRAINING)
     held = StatusTracker()
     held.accept(report(sequence=7))
@@ -673,7 +681,7 @@
 def test_split_keeps_its_weights_over_few_calls():
     """Guards against shares that drift from the operator's weights."""
     route = replace(ROUTE, shares=(Share("a", 90), Share("b", 10)))
-    splits = WeightedRoundRobin()
-    found = [splits.next(route) for _ in range(100)]
+    round_robin = WeightedRoundRobin()
+    found = [round_robin.next_service(route) for _ in range(100)]
     assert found.count("b") == 10
     assert found[:20].count("b") == 2
--- a/tests/test_twohop_frames.py
+++ b/tests/test_twohop_frames.py
@@ -1,4 +1,4 @@
-"""Frames between nodes: every kind there and back, cut anywhere, and odd bytes."""
+"""Frames between nodes: round trip of every kind, split input, and invalid bytes."""
 
 import pytest
 from hypothesis import given, seed, settings
@@ -27,7 +27,7 @@
     (fr.LoadFrame(LOAD, 9), b""),
     (fr.Ping(), b""),
     (fr.Pong(), b""),
-    (fr.ConfigWanted(), b""),
+    (fr.ConfigRequest(), b""),
     (fr.ConfigFrame(9), b"{}"),
     (fr.MembersFrame(), b"[]"),
 ]
@@ -45,7 +45,7 @@
 @settings(max_examples=60, deadline=None, database=None)
 @given(st.lists(st.integers(1, 900), max_size=40))
 def test_frames_may_be_cut_anywhere(sizes):
-    """Guards against a reader that needs a frame in one piece."""
+    """Guards against a reader that needs a whole frame in one call of `feed`."""
     data = b"".join(fr.encode(frame, body) for frame, body in FRAMES)
     reader, found, start = fr.FrameReader(), [], 0
     for size in sizes:
@@ -59,9 +59,9 @@
 @settings(max_examples=400, deadline=None, database=None)
 @given(st.binary(max_size=400), st.booleans())
 def test_odd_bytes_are_refused_or_wait(data, framed):
-    """Guards against bytes of a foreign peer that end the process."""
+    """Guards against bytes of an unknown peer that end the process."""
     if framed:
-        data = fr.PREFIX.pack(len(data), 0) + data
+        data = fr.LENGTHS.pack(len(data), 0) + data
     try:
         fr.FrameReader().feed(data)
     except CodecError:
@@ -69,8 +69,8 @@
 
 
 def test_too_large_frames_are_refused_before_they_are_read():
-    """Guards against memory that a foreign peer takes."""
+    """Guards against unlimited memory use that an unknown peer can cause."""
     with pytest.raises(CodecError):
-        fr.FrameReader().feed(fr.PREFIX.pack(fr.MAX_HEAD_BYTES + 1, 0))
+        fr.FrameReader().feed(fr.LENGTHS.pack(fr.MAX_HEADER_BYTES + 1, 0))
     with pytest.raises(CodecError):
-        fr.FrameReader().feed(fr.PREFIX.pack(8, fr.MAX_BODY_BYTES + 1))
+        fr.FrameReader().feed(fr.LENGTHS.pack(8, fr.MAX_BODY_BYTES + 1))
