Correct the wording of the two-node call path

The pause after a store failure is about the nodes' rows being back within 2 s, and the later write follows an acknowledged report. Names in the tests follow the code.

--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -14,7 +14,7 @@
 
 __all__ = ["CallOutcome", "CallerSide", "IncomingCall"]
 
-MS = 1000.0
+MS_PER_S = 1000.0
 # A node that refused a call is avoided for its retry-after time, but no longer than
 # this, seconds.
 MAX_AVOIDANCE_S = 0.3
@@ -62,7 +62,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _HeldResponse:
+class _TargetResponse:
+    """A target's response, as `lifecycle` passes it on."""
+
     frame: ResponseFrame
     body: bytes
 
@@ -111,7 +113,9 @@
             asked=sorted(self.call.tried),
             attempts=self.call.attempts,
             verdict=self.call.verdict.value,
-            age_ms=int((self.caller_side.clock() - self.incoming.arrived_at) * MS),
+            age_ms=int(
+                (self.caller_side.clock() - self.incoming.arrived_at) * MS_PER_S
+            ),
         )
         self._finish(
             CallOutcome(effect.status, effect.reason, None, b"", effect.retry_after_s)
@@ -154,8 +158,8 @@
             incoming.path,
             incoming.headers,
             self.caller_side.service,
-            int((call.goal_at - now) * MS),
-            int((call.deadline_at - now) * MS),
+            int((call.goal_at - now) * MS_PER_S),
+            int((call.deadline_at - now) * MS_PER_S),
             call.route.priority,
             call.route.retryable,
             last_resort,
@@ -175,10 +179,10 @@
                         self.call.route, frame.body_bytes
                     )
                 self.dispatch(
-                    lc.ResponseReceived(now, frame.status, _HeldResponse(frame, body))
+                    lc.ResponseReceived(now, frame.status, _TargetResponse(frame, body))
                 )
             case RefusedFrame():
-                after_s = frame.retry_after_ms / MS
+                after_s = frame.retry_after_ms / MS_PER_S
                 candidate.refused_until = now + min(after_s, MAX_AVOIDANCE_S)
                 self.dispatch(
                     lc.AttemptRefused(now, frame.reason, after_s, frame.by_target)
@@ -206,7 +210,7 @@
     Parameters
     ----------
     service : str
-        Service of the target on this host, named as the caller in calls to others.
+        Service of the target on this host, which is the service that calls come from.
     location : Location
     peers : Peers
     config : object
--- a/pimentoline/twohop/frames.capnp
+++ b/pimentoline/twohop/frames.capnp
@@ -13,7 +13,7 @@
   goalMs @7 :Int32;  # time until the latency objective
   leftMs @8 :Int32;  # time until the deadline
   priority @9 :UInt8;  # 0 is the most urgent
-  repeatable @10 :Bool;  # in a refusal: whether the target itself refused
+  repeatable @10 :Bool;  # in a call: may run more than once; in a refusal: by the target
   lastResort @11 :Bool;
   status @12 :UInt16;
   reason @13 :Text;
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -15,13 +15,12 @@
 from .model import LoadReport
 
 __all__ = [
-    "ResponseFrame",
     "BodyFrame",
-    "FailedFrame",
     "CallFrame",
     "CancelFrame",
     "ConfigFrame",
     "ConfigRequest",
+    "FailedFrame",
     "FrameReader",
     "Hello",
     "LoadFrame",
@@ -29,6 +28,7 @@
     "Ping",
     "Pong",
     "RefusedFrame",
+    "ResponseFrame",
     "encode",
 ]
 
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -8,11 +8,11 @@
     "MIN_FAILURE_STATUS",
     "CallerLimits",
     "Configuration",
-    "RouteKind",
     "LoadReport",
     "Member",
     "RetryLimits",
     "Route",
+    "RouteKind",
     "ServiceInfo",
     "Share",
 ]
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -115,7 +115,7 @@
             return
 
     def link_up(self, link):
-        """Send the first frame."""
+        """Send a `Hello` frame."""
         link.peer = self.candidate.member.node
         link.send(self.peers.make_hello())
 
@@ -223,7 +223,7 @@
         self.assembler = _BodyAssembler()
 
     def link_up(self, link):
-        """Register the link and send the first frame."""
+        """Register the link and send a `Hello` frame."""
         self.peers.incoming[link] = self
         link.send(self.peers.make_hello())
 
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -18,11 +18,11 @@
 OTHER_REGION_RTT_MS = 18.0
 # Cost of a kilobyte sent to another data centre or region, where links are billed by
 # volume. The unit is the value of a response that meets the latency objective. These
-# are the means of the prices in both users' networks: 0.010 and 0.052 between data
-# centres, 0.074 and 0.034 between regions.
+# are the means of the prices in both deployments: 0.010 and 0.052 between data centres,
+# 0.074 and 0.034 between regions.
 OTHER_DC_COST_PER_KB = 0.031
 OTHER_REGION_COST_PER_KB = 0.054
-# Size of the HTTP heads of a call and its response together, bytes.
+# Size of the start lines and headers of a call and its response together, bytes.
 HEAD_BYTES = 600
 # Spread of response times around the expected one, milliseconds: processing times vary
 # by a third, and noise of neighbours on the host comes in periods of 150 ms.
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Location:
-    """Data centre and region of this node."""
+    """Data centre and region of a node."""
 
     dc: str
     region: str
@@ -192,7 +192,7 @@
 
 
 def on_time_probability(remaining_ms, expected_ms):
-    """Return the probability of a response within `remaining_ms` (logistic)."""
+    """Return the logistic probability of a response within `remaining_ms`."""
     x = (expected_ms - remaining_ms) / RESPONSE_TIME_SPREAD_MS
     return 1.0 / (1.0 + math.exp(min(max(x, -30.0), 30.0)))
 
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -23,8 +23,8 @@
 # passes it on to the others.
 CONFIG_WAIT_S = (6.0, 12.0)
 MEMBERS_WAIT_S = (15.0, 25.0)
-# Pause after a failed request, seconds; nodes must have read the tables again within
-# 2 s of the store's recovery.
+# Pause after a failed request, seconds. Once the store is reachable again, the row of
+# each node must be back in it within 2 s.
 MIN_PAUSE_S = 0.2
 MAX_PAUSE_S = 1.2
 # Changes of members within this time are read with one request.
@@ -244,7 +244,10 @@
             return False
 
     def _schedule_save(self):
-        """Write the row later; the target was told that its state is stored."""
+        """Write the row later, as the target's report has been acknowledged.
+
+        Nothing else would write it again.
+        """
         if self._save_timer is None:
             pause_s = MAX_PAUSE_S * self._random.uniform(0.7, 1.0)
             loop = asyncio.get_running_loop()
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -34,8 +34,9 @@
 NOW = 100.0
 LOCATION = Location("kerio", "rift")
 REQUIREMENTS = CallRequirements(NOW + 0.3, 2000)
-# Probes per second and target that both users allow.
+# Probes per second and target that both deployments allow.
 PROBES_PER_S = 60
+# Lookups may run twice, sales may not.
 ROUTE = Route(
     "r", "a.example", "/x/", RouteKind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3
 )
@@ -128,18 +129,18 @@
     """Guards against retries that multiply the load of a failing service."""
     world = World("a", "b", "c", repeats=1)
     call = begin(ROUTE, world)
-    broken = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
-    assert nodes_of(lc.step(call, broken, world)) == ["b"]
-    assert lc.step(call, broken, world) == [lc.Reject(502, "cut")]
+    failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
+    assert nodes_of(lc.step(call, failed, world)) == ["b"]
+    assert lc.step(call, failed, world) == [lc.Reject(502, "cut")]
 
 
 def test_repeats_end_with_the_attempts_of_the_route():
     """Guards against sending a call to more targets than its route allows."""
     world = World("a", "b", "c", "d")
     call = begin(replace(ROUTE, max_attempts=2), world)
-    broken = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
-    assert nodes_of(lc.step(call, broken, world)) == ["b"]
-    assert nodes_of(lc.step(call, broken, world)) == []
+    failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
+    assert nodes_of(lc.step(call, failed, world)) == ["b"]
+    assert nodes_of(lc.step(call, failed, world)) == []
 
 
 def test_failed_answer_is_delivered_if_nothing_better_comes():
@@ -403,7 +404,7 @@
 
 
 def test_target_without_figures_is_asked_once():
-    """Guards against probing a target that does not report load figures."""
+    """Guards against probing a target again and again that reports no load figures."""
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
@@ -430,18 +431,18 @@
 
 
 def test_questions_stay_within_the_budget():
-    """Guards against probing more often than the users allow."""
+    """Guards against probing more often than the deployments allow."""
     admission = AdmissionController(10)
     admission.noise.note(5.0, NOW)
-    asked = 0
+    probes = 0
     for step in range(1000):
         now = NOW + step * 0.001
         if step % 100 == 0:
             admission.offer(Job(1, now + 0.3, now + 0.31), now)
         if admission.noise.decide(now) is StartDecision.PROBE:
-            asked += 1
+            probes += 1
             admission.noise.probe_started(now)
-    assert asked <= PROBES_PER_S
+    assert probes <= PROBES_PER_S
 
 
 @pytest.mark.parametrize(("factor", "limit"), [(1.0, 10), (1.5, 8)])
@@ -515,12 +516,12 @@
 
 def test_target_that_fails_half_its_calls_is_left_and_comes_back():
     """Guards against a target that fails calls while its health check succeeds."""
-    grey, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
+    flaky, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
     for _ in range(20):
-        grey.outcomes.note(True, NOW)
-        grey.outcomes.note(False, NOW)
+        flaky.outcomes.note(True, NOW)
+        flaky.outcomes.note(False, NOW)
     bad = candidate("bad")
-    bad.note_report(replace(grey.report(NOW, True), delay_ms=100), NOW)
+    bad.note_report(replace(flaky.report(NOW, True), delay_ms=100), NOW)
     assert choose([bad, sound], LOCATION, NOW, REQUIREMENTS, (), 0.5) is sound
     later = NOW + 6.0
     requirements = CallRequirements(later + 0.3, 2000)
@@ -612,55 +613,55 @@
 # Target status.
 
 
-def report(target="t1", born=5, sequence=1, state=TargetState.READY):
-    """Return a status report."""
+def heartbeat(target="t1", born=5, sequence=1, state=TargetState.READY):
+    """Return a heartbeat of a target."""
     return Heartbeat(target, ADDR, "ledger", born, sequence, state, 12)
 
 
 def test_late_reports_never_bring_a_target_back():
     """Guards against calls to a target that is draining, has left or was replaced."""
-    held = StatusTracker()
-    assert held.accept(report(sequence=1))
-    assert held.accept(report(sequence=3, state=TargetState.DRAINING))
-    assert not held.accept(report(sequence=2))
-    assert not held.accept(report(sequence=4))
-    assert held.leave("t1", None)
-    assert not held.accept(report(sequence=9))
-    assert held.accept(report("t2", born=9))
-    assert not held.accept(report("t1", born=5, sequence=99))
-    assert not held.leave("t1", 5)
-    assert held.current.state is TargetState.READY
+    tracker = StatusTracker()
+    assert tracker.accept(heartbeat(sequence=1))
+    assert tracker.accept(heartbeat(sequence=3, state=TargetState.DRAINING))
+    assert not tracker.accept(heartbeat(sequence=2))
+    assert not tracker.accept(heartbeat(sequence=4))
+    assert tracker.leave("t1", None)
+    assert not tracker.accept(heartbeat(sequence=9))
+    assert tracker.accept(heartbeat("t2", born=9))
+    assert not tracker.accept(heartbeat("t1", born=5, sequence=99))
+    assert not tracker.leave("t1", 5)
+    assert tracker.current.state is TargetState.READY
 
 
 def test_restart_under_the_same_name_is_a_new_lifetime():
     """Guards against ignoring a target that restarts under its former id."""
-    held = StatusTracker()
-    held.accept(report(sequence=50, state=TargetState.DRAINING))
-    assert held.accept(report(born=8, sequence=1))
+    tracker = StatusTracker()
+    tracker.accept(heartbeat(sequence=50, state=TargetState.DRAINING))
+    assert tracker.accept(heartbeat(born=8, sequence=1))
 
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
 def test_target_that_never_reported_may_leave(target):
     """Guards against calls to a target whose leave was acknowledged but not applied."""
-    held = StatusTracker()
-    held.accept(report("t1", born=5))
-    assert held.leave(target, 9)
-    assert held.current.state is TargetState.LEFT
-    assert not held.accept(report("t1", born=5, sequence=99))
-    assert not held.accept(report(target, born=9, sequence=99))
+    tracker = StatusTracker()
+    tracker.accept(heartbeat("t1", born=5))
+    assert tracker.leave(target, 9)
+    assert tracker.current.state is TargetState.LEFT
+    assert not tracker.accept(heartbeat("t1", born=5, sequence=99))
+    assert not tracker.accept(heartbeat(target, born=9, sequence=99))
 
 
 def test_stored_state_is_never_lost_to_a_late_report():
     """Guards against a late report before a restarted node has read the store."""
     stored = TargetStatus("t1", 5, 0, TargetState.DRAINING)
-    held = StatusTracker()
-    held.accept(report(sequence=7))
-    assert held.merge(stored)
-    assert held.current.state is TargetState.DRAINING
-    assert not held.accept(report(sequence=9))
-    assert held.accept(report("t2", born=9))
-    assert not held.merge(stored)
-    assert held.current.state is TargetState.READY
+    tracker = StatusTracker()
+    tracker.accept(heartbeat(sequence=7))
+    assert tracker.merge(stored)
+    assert tracker.current.state is TargetState.DRAINING
+    assert not tracker.accept(heartbeat(sequence=9))
+    assert tracker.accept(heartbeat("t2", born=9))
+    assert not tracker.merge(stored)
+    assert tracker.current.state is TargetState.READY
 
 
 # Routes.
