--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -114,7 +114,7 @@
 
 
 def test_refusals_lead_to_last_resort_then_to_a_promise():
-    """Guards against a 503 while some target could still run the call, if late."""
+    """Guards against a 503 while some target could still run the call, even if late."""
     world = World("a", "b")
     call = begin(ROUTE, world)
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), world)
@@ -502,7 +502,10 @@
 
 
 def test_failing_target_is_avoided_and_comes_back():
-    """Guards against using a failing target that looks idle, and against its loss."""
+    """Guards against calls to a target that fails fast and therefore looks idle.
+
+    Once it has recovered, it must get calls again.
+    """
     bad, good = candidate("bad", delay_ms=60), candidate("good")
     for _ in range(6):
         bad.note_failure(NOW)
@@ -515,7 +518,10 @@
 
 
 def test_target_that_fails_half_its_calls_is_left_and_comes_back():
-    """Guards against a target that fails calls while its health check succeeds."""
+    """Guards against a target that fails calls while its health check succeeds.
+
+    Once it has recovered, it must get calls again.
+    """
     flaky, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
     for _ in range(20):
         flaky.outcomes.note(True, NOW)
