--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -1,4 +1,4 @@
-"""pimentoline.node: the process that runs in a target host's slot."""
+"""pimentoline.node: the load balancer process that runs on each host."""
 
 import asyncio
 import gc
@@ -40,18 +40,20 @@
 
 __all__ = ["Node"]
 
-TICK_S = 0.2
-STORE_POLL_S = 10.0
-# Allocations between two collections of the youngest objects. A call makes some
-# hundreds of objects that are freed without the collector.
+TICK_INTERVAL_S = 0.2
+STORE_POLL_INTERVAL_S = 10.0
+# Threshold of the youngest garbage collector generation, in allocations. A call
+# allocates some hundreds of objects, which are freed by reference counting.
 GC_THRESHOLD = 10_000
-LEAVE_ROUNDS = 2
+# A stopping node tells its peers for this many ticks, because a single round of three
+# datagrams could be lost as a whole.
+LEAVE_TICKS = 2
 # A stopping node waits this long for claim outcomes to reach a store that is down.
-CLAIM_WRITES_S = 10.0
+CLAIM_WRITE_TIMEOUT_S = 10.0
 
 
 class Node:
-    """One node: state, clock, sockets and the execution of effects.
+    """A node: holds its state, clock and sockets, and executes the reducer's effects.
 
     Parameters
     ----------
@@ -85,7 +87,7 @@
             self.metrics.count,
         )
         self.mesh = MeshTransport(
-            Codec.from_config(cfg), self._on_message, self._on_refused
+            Codec.from_config(cfg), self._on_message, self._on_rejected
         )
         self.publisher = Publisher(self)
         self.peer_discovery = PeerDiscovery(self)
@@ -112,10 +114,10 @@
         data_addr = data_sockets[0].getsockname()[:2]
         node_id = cfg.node_id or f"{cfg.host}:{data_addr[1]}"
         incarnation = int(time.time() * 1000)
-        me = Identity(
+        identity = Identity(
             node_id, cfg.host, cfg.region, cfg.dc, data_addr, mesh_addr, incarnation
         )
-        self.state = State(me, RulesState(must_check=True), policy=cfg.policy)
+        self.state = State(identity, RulesState(must_check=True), policy=cfg.policy)
         self.state = with_own_record(self.state)
         admin_sockets = bind_sockets(cfg.admin_addr[1], cfg.admin_addr[0])
         self.admin_addr = admin_sockets[0].getsockname()[:2]
@@ -136,9 +138,9 @@
         log_entry("node:started", node=node_id, data=data_addr, mesh=mesh_addr)
 
     def dispatch(self, event):
-        """Reduce one event and execute its effects.
+        """Apply one event to the state and execute the resulting effects.
 
-        An event that an effect raises waits until the effects before it are done.
+        Events dispatched while effects are executed wait until those are done.
         """
         self._events.append(event)
         if self._dispatching:
@@ -201,7 +203,7 @@
         )
 
     def _on_message(self, message, addr=None, is_reply=False):
-        """Handle a message and return the reply, if there is one."""
+        """Handle a message and return the reply, or None."""
         if message.skipped_records:
             self.metrics.count("mesh.records_skipped", message.skipped_records)
         match message.body:
@@ -223,12 +225,12 @@
         reply, self._reply = self._reply, None
         return None if reply is None else self.make_message(reply)
 
-    def _on_refused(self, exc):
+    def _on_rejected(self, exc):
         newer = isinstance(exc, NewerMessageError)
         self.metrics.count("mesh.newer" if newer else "mesh.refused")
 
     async def send_request(self, addr, body):
-        """Send a message over TCP, handle the reply and return its body or None."""
+        """Send a request over TCP, handle the reply and return its body or None."""
         reply = await self.mesh.send_request(addr, self.make_message(body))
         if reply is None:
             self.metrics.count("mesh.unanswered")
@@ -245,7 +247,7 @@
         await self.publisher.load_from_store()
 
     def load_rules(self, version, text, source):
-        """Validate a rules text and hand it to the reducer."""
+        """Parse a rules text and dispatch it to the reducer if it is valid."""
         result = parse(text)
         if result.ruleset is None:
             self.metrics.count("rules.invalid")
@@ -256,7 +258,7 @@
 
     async def _tick(self):
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_INTERVAL_S)
             self.dispatch(ev.Tick(self.clock(), self.draw()))
             self.pool.close_expired()
             for name, amount in self.mesh.take_byte_counts():
@@ -264,18 +266,17 @@
 
     async def _poll_store(self):
         while self.store is not None:
-            await asyncio.sleep(STORE_POLL_S * self.random.uniform(0.8, 1.2))
+            await asyncio.sleep(STORE_POLL_INTERVAL_S * self.random.uniform(0.8, 1.2))
             await self.publisher.load_from_store()
 
     async def stop(self):
-        """Stop gracefully: finish every call in flight, tell the peers, end."""
+        """Stop gracefully: finish the calls in flight, tell the peers, then exit."""
         if self.state.stopping:
             return
         self.dispatch(ev.StopRequested(self.clock()))
         await self.proxy.stop(self._server)
-        await self.claims.wait_idle(CLAIM_WRITES_S)
-        # A single round of three datagrams could be lost as a whole.
-        await asyncio.sleep(LEAVE_ROUNDS * TICK_S)
+        await self.claims.wait_idle(CLAIM_WRITE_TIMEOUT_S)
+        await asyncio.sleep(LEAVE_TICKS * TICK_INTERVAL_S)
         self._admin.stop()
         for task in self._tasks:
             task.cancel()
@@ -285,23 +286,23 @@
         self._stopped.set()
 
     async def run(self):
-        """Serve until SIGTERM or SIGINT; prints the addresses once it serves."""
+        """Serve until SIGTERM or SIGINT; print the addresses as JSON once ready."""
         await self.start()
-        # What start-up made lives as long as the process. Without it a full
-        # collection takes a fraction of a millisecond and not tens.
+        # Objects made during start-up live as long as the process. Without them a
+        # full collection takes a fraction of a millisecond instead of tens.
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, lambda: loop.create_task(self.stop()))
-        me = self.state.identity
+        identity = self.state.identity
         print(
             json.dumps(
                 {
-                    "node": me.node_id,
-                    "data": me.data_addr,
-                    "mesh": me.mesh_addr,
+                    "node": identity.node_id,
+                    "data": identity.data_addr,
+                    "mesh": identity.mesh_addr,
                     "admin": self.admin_addr,
                 }
             ),
