Reword the data port and the handling of calls

Names such as pump, mark_answer and flushed did not say what they do. HTTP responses are called responses, and body chunks chunks.

--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -1,4 +1,4 @@
-"""pimentoline.attempt: one sending of a call to one target."""
+"""pimentoline.attempt: sends a call to one target and reads the response."""
 
 import asyncio
 
@@ -6,33 +6,48 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from . import events as ev
-from .headers import onward_headers, parse_load
-from .streams import flushed
+from .headers import forwarded_request_headers, parse_load
+from .streams import wait_flushed
 from .verdict import Verdict
 
 __all__ = ["AttemptRunner"]
 
-# The rest of an answer that nobody wants is read for this long, so that the
-# connection can be used again.
-DISCARD_S = 0.5
+# The rest of a response that is not needed is read for this long, so that the
+# connection can be reused.
+DISCARD_TIMEOUT_S = 0.5
 
 
 class AttemptRunner(HTTPMessageDelegate):
-    """One attempt: a connection to a target and the answer read from it.
+    """Runs one attempt of a call on a connection to a target.
 
     Parameters
     ----------
     handler : CallHandler
     effect : StartAttempt
+
+    Attributes
+    ----------
+    chunks_sent : int
+        Number of chunks of the request body that were written.
+    request_sent : bool
+        Whether the whole request was written.
+    cancelled : bool
+        Whether the attempt has ended early; its connection is closed.
+    discarding : bool
+        Whether the response is read only to reuse the connection.
+    forwarding : bool
+        Whether the response is forwarded to the caller.
+    complete : bool
+        Whether the whole response was received.
     """
 
     def __init__(self, handler, effect):
         self.handler = handler
         self.effect = effect
         self.conn = None
-        self.exchange = None
-        self.sent = 0
-        self.finished = False
+        self._http = None
+        self.chunks_sent = 0
+        self.request_sent = False
         self.head_sent = False
         self.cancelled = False
         self.discarding = False
@@ -46,8 +61,8 @@
     def start(self):
         """Send at once on an idle connection, or connect first."""
         if not self.handler.replayable:
-            # The beginning of the body is no longer held.
-            self._ended(ev.AttemptOutcome.BROKEN, Verdict.NOT_RUN)
+            # The beginning of the body is no longer buffered.
+            self._end(ev.AttemptOutcome.BROKEN, Verdict.NOT_RUN)
             return
         proxy = self.handler.proxy
         loop = asyncio.get_running_loop()
@@ -63,7 +78,7 @@
         try:
             conn = await pool.acquire(self.effect.addr, self.effect.idempotent)
         except (OSError, StreamClosedError, asyncio.TimeoutError):
-            self._ended(ev.AttemptOutcome.REFUSED, Verdict.NOT_RUN)
+            self._end(ev.AttemptOutcome.REFUSED, Verdict.NOT_RUN)
             return
         if self.cancelled:
             pool.release(conn)
@@ -72,21 +87,21 @@
 
     def _use(self, conn):
         self.conn = conn
-        self.exchange = conn.http_client()
-        self.pump()
+        self._http = conn.http_client()
+        self.send_received()
         if not self.cancelled:
             self._task = asyncio.get_running_loop().create_task(self._read())
 
-    def pump(self):
-        """Write what the caller has sent so far."""
-        if self.exchange is None or self.cancelled or self.finished:
+    def send_received(self):
+        """Send the part of the request that has been received and not sent yet."""
+        if self._http is None or self.cancelled or self.request_sent:
             return
         handler = self.handler
         if handler.proxy.clock() >= handler.req.deadline:
-            # The process may have been paused since the attempt was decided.
+            # The process may have been paused since the attempt was scheduled.
             self._on_timeout()
             return
-        chunks = handler.chunks_from(self.sent)
+        chunks = handler.chunks_from(self.chunks_sent)
         if not self.head_sent:
             if handler.has_body and not chunks and not handler.body_complete:
                 return
@@ -94,21 +109,21 @@
             self._write_head(chunks)
         else:
             for chunk in chunks:
-                self.exchange.write(chunk)
-        self.sent += len(chunks)
+                self._http.write(chunk)
+        self.chunks_sent += len(chunks)
         if handler.body_complete or not handler.has_body:
-            self.finished = True
-            self.exchange.finish()
+            self.request_sent = True
+            self._http.finish()
         elif self.conn.stream.writing():
             fut = self.conn.stream.write(b"")
-            fut.add_done_callback(handler.wake)
+            fut.add_done_callback(handler.on_attempt_progress)
         else:
-            handler.wake()
+            handler.on_attempt_progress()
 
     def _write_head(self, chunks):
         handler = self.handler
         method, path, _ = handler.start_line
-        headers = onward_headers(
+        headers = forwarded_request_headers(
             handler.headers,
             handler.req,
             handler.has_body,
@@ -116,11 +131,11 @@
             handler.proxy.clock(),
         )
         start = RequestStartLine(method, path, "HTTP/1.1")
-        self.exchange.write_headers(start, headers, b"".join(chunks) or None)
+        self._http.write_headers(start, headers, b"".join(chunks) or None)
 
     def is_flushed(self, total):
-        """Return whether `total` pieces of the body have left this process."""
-        return self.sent == total and self.head_sent and not self._is_writing()
+        """Return whether `total` chunks of the body have left this process."""
+        return self.chunks_sent == total and self.head_sent and not self._is_writing()
 
     def _is_writing(self):
         stream = self.conn.stream
@@ -128,29 +143,29 @@
 
     async def _read(self):
         try:
-            await self.exchange.read_response(self)
+            await self._http.read_response(self)
         except (StreamClosedError, UnsatisfiableReadError, HTTPInputError):
             pass
         if self.cancelled:
             return
         if self.complete:
-            self._give_back()
+            self._release_connection()
         elif self.discarding:
             self.cancel()
         elif self.forwarding:
             self.cancel()
-            self.handler.answer_done(self.effect.attempt_id, False)
+            self.handler.end_response(self.effect.attempt_id, False)
         else:
             ran = self.response_start is not None
-            self._ended(
+            self._end(
                 ev.AttemptOutcome.BROKEN, Verdict.RAN if ran else Verdict.MAY_HAVE_RUN
             )
 
-    def _give_back(self):
+    def _release_connection(self):
         self._stop_timer()
         start, headers = self.response_start, self.response_headers
         reusable = (
-            self.finished
+            self.request_sent
             and start.version == "HTTP/1.1"
             and "close" not in headers.get("Connection", "").lower()
         )
@@ -159,10 +174,10 @@
         else:
             self.conn.close()
 
-    # Called by tornado while it reads the answer.
+    # Called by tornado while it reads the response.
 
     def headers_received(self, start_line, headers):
-        """Read the response head and let the core decide on it."""
+        """Pass the response head to the reducer, which decides what to do with it."""
         code = start_line.code
         if code < 200:
             return
@@ -175,9 +190,9 @@
             or handler.start_line.method == "HEAD"
         )
         if not framed:
-            # The end of the connection would be the end of the answer, so that a
-            # cut answer could not be told from a whole one.
-            self._ended(ev.AttemptOutcome.BROKEN, Verdict.RAN)
+            # The response would end with the connection, so a truncated response
+            # could not be told from a complete one.
+            self._end(ev.AttemptOutcome.BROKEN, Verdict.RAN)
             return
         self.response_start = start_line
         self.response_headers = headers
@@ -196,27 +211,27 @@
         )
 
     def data_received(self, chunk):
-        """Pass a piece of the answer on; the awaitable gives back-pressure."""
+        """Forward a chunk of the response; the awaitable applies back-pressure."""
         if not self.forwarding:
             return None
-        stream = self.handler.write_answer(chunk)
-        return flushed(stream) if stream is not None else None
+        stream = self.handler.write_response(chunk)
+        return wait_flushed(stream) if stream is not None else None
 
     def finish(self):
-        """End the call, because the answer is complete."""
+        """Handle the end of the response; end the call if it was forwarded."""
         if self.cancelled:
             return
         self.complete = True
-        if not self.finished:
-            # The target answered before it had read the request.
+        if not self.request_sent:
+            # The target responded before it had read the whole request.
             self.conn.close()
         if self.forwarding:
-            self.handler.answer_done(self.effect.attempt_id, True)
+            self.handler.end_response(self.effect.attempt_id, True)
 
     def on_connection_close(self):
-        """Ignore a cut answer here; `_read` handles it."""
+        """Do nothing: `_read` handles a truncated response."""
 
-    # The end of the attempt.
+    # End of the attempt.
 
     def cancel(self):
         """Drop the attempt and its connection."""
@@ -228,13 +243,13 @@
             self._task.cancel()
 
     def discard(self):
-        """Drop the attempt, but keep its connection if the answer ends soon."""
-        if self.response_start is None or not self.finished or self.cancelled:
+        """Drop the attempt, but keep its connection if the response ends soon."""
+        if self.response_start is None or not self.request_sent or self.cancelled:
             self.cancel()
             return
         self.discarding = True
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(DISCARD_S, self.cancel)
+        self._timer = loop.call_later(DISCARD_TIMEOUT_S, self.cancel)
 
     def _stop_timer(self):
         if self._timer is not None:
@@ -244,13 +259,13 @@
     def _on_timeout(self):
         outcome = ev.AttemptOutcome.TIMEOUT
         if self.conn is not None and self.conn.reused and self.head_sent:
-            # Other connections of the same age may have gone silent with it.
+            # Other idle connections may have been lost silently at the same time.
             self.handler.proxy.pool.close_idle(self.effect.addr)
             outcome = ev.AttemptOutcome.SILENT
         sent = self.head_sent
-        self._ended(outcome, Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN)
+        self._end(outcome, Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN)
 
-    def _ended(self, outcome, verdict):
+    def _end(self, outcome, verdict):
         if self.cancelled:
             return
         self.cancel()
@@ -268,4 +283,4 @@
                 handler.replayable,
             )
         )
-        handler.wake()
+        handler.on_attempt_progress()
--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -1,4 +1,4 @@
-"""pimentoline.call_handler: the caller's side of one call."""
+"""pimentoline.call_handler: reads one call and writes its response."""
 
 import asyncio
 import json
@@ -14,9 +14,9 @@
 from .attempt import AttemptRunner
 from .headers import (
     RequestError,
-    answer_headers,
     check_framing,
     check_size,
+    forwarded_response_headers,
     parse_request,
 )
 from .model import Call, RecordedResponse
@@ -25,22 +25,39 @@
 
 __all__ = ["CallHandler"]
 
-# Bodies up to this size are kept so that an attempt can be repeated.
-REPLAY_LIMIT_BYTES = 64 * 1024
-# The most of an answer's body that a claim row keeps for repeated calls.
-RECORDED_BODY_BYTES = 4096
-# A caller that reads its answer only after sending the whole request would lose
-# the answer if the connection were closed while it sends.
+# Request bodies up to this size are buffered so that the call can be retried.
+MAX_REPLAY_BYTES = 64 * 1024
+# Longest part of a response body that an idempotency claim records, to answer
+# repeated calls with the same key.
+MAX_RECORDED_BODY_BYTES = 4096
+# After an early response, the rest of the request is read for this long. A caller
+# that reads its response only after sending the whole request would lose the response
+# if the connection were closed earlier.
 LINGER_S = 5.0
 
 
 class CallHandler(HTTPMessageDelegate):
-    """One call: the caller's side, and its attempts by number.
+    """Handles one call: its request, its attempts and its response.
 
     Parameters
     ----------
     proxy : Proxy
     caller_conn : HTTP1Connection
+
+    Attributes
+    ----------
+    attempts : dict of int to AttemptRunner
+        Attempts in progress, by attempt id.
+    body_chunks : list of bytes
+        Buffered chunks of the request body.
+    dropped_chunks : int
+        Number of earlier chunks that are no longer buffered.
+    pending_head : tuple or None
+        Start line and headers of a response whose first byte is not written yet.
+    responded : bool
+        Whether the response has been chosen, or the caller has disconnected.
+    ended : bool
+        Whether the call is over; the connection may still be in use.
     """
 
     def __init__(self, proxy, caller_conn):
@@ -49,19 +66,19 @@
         self.call_id = None
         self.attempts = {}
         self.has_body = False
-        self.body = []
-        self.body_base = 0
+        self.body_chunks = []
+        self.dropped_chunks = 0
         self.body_bytes = 0
         self.body_complete = False
-        self.answered = False
+        self.responded = False
         self.ended = False
         self.pending_head = None
         self.recorded_body = None
-        self.recorded_cut = False
+        self.recorded_truncated = False
         self._finish_pending = False
-        self._unframed = False
+        self._bad_framing = False
         self._deadline_timer = None
-        self._waiter = None
+        self._body_waiter = None
 
     # Called by tornado while it reads the request.
 
@@ -74,10 +91,10 @@
         try:
             self.has_body = check_framing(start_line, headers)
         except RequestError as exc:
-            # tornado would write an answer of its own to such framing headers.
+            # tornado would send a response of its own to such framing headers.
             headers.pop("Transfer-Encoding", None)
             headers.pop("Content-Length", None)
-            self._unframed = True
+            self._bad_framing = True
             self.reject(exc.status, exc.code, Verdict.NOT_RUN, exc.detail)
             return
         try:
@@ -92,7 +109,7 @@
             detail = "the deadline passed before the call was read"
             self.reject(504, "deadline-exceeded", Verdict.NOT_RUN, detail)
             return
-        self.call_id = proxy.add(self)
+        self.call_id = proxy.add_call(self)
         # tornado reports a close through the delegate only while it reads the
         # request; afterwards it uses this callback.
         self.caller_conn.set_close_callback(self.on_connection_close)
@@ -101,86 +118,86 @@
         proxy.dispatch(ev.CallArrived(now, proxy.draw(), Call(self.call_id, req, now)))
 
     def data_received(self, chunk):
-        """Pass a piece of the body on; the awaitable gives back-pressure."""
-        if self._is_unwanted():
+        """Forward a chunk of the request body; the awaitable applies back-pressure."""
+        if self._ignores_body():
             return None
-        self.body.append(chunk)
+        self.body_chunks.append(chunk)
         self.body_bytes += len(chunk)
-        for att in list(self.attempts.values()):
-            att.pump()
-        if self.body_bytes <= REPLAY_LIMIT_BYTES:
+        for attempt in list(self.attempts.values()):
+            attempt.send_received()
+        if self.body_bytes <= MAX_REPLAY_BYTES:
             return None
-        return self._pass_on()
+        return self._wait_until_sent()
 
-    def _is_unwanted(self):
-        return self.ended or (self.answered and not self.attempts)
+    def _ignores_body(self):
+        return self.ended or (self.responded and not self.attempts)
 
-    async def _pass_on(self):
-        """Wait until an attempt has sent all pieces, then drop them."""
-        total = self.body_base + len(self.body)
-        while not self._is_unwanted():
-            if any(att.is_flushed(total) for att in self.attempts.values()):
+    async def _wait_until_sent(self):
+        """Wait until an attempt has sent all chunks, then drop them."""
+        total = self.dropped_chunks + len(self.body_chunks)
+        while not self._ignores_body():
+            if any(attempt.is_flushed(total) for attempt in self.attempts.values()):
                 break
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
-        self.body_base = total
-        self.body.clear()
+            self._body_waiter = asyncio.get_running_loop().create_future()
+            await self._body_waiter
+        self.dropped_chunks = total
+        self.body_chunks.clear()
 
     def chunks_from(self, index):
-        """Return the pieces of the body from number `index` on."""
-        return self.body[index - self.body_base :]
+        """Return the chunks of the request body from number `index` on."""
+        return self.body_chunks[index - self.dropped_chunks :]
 
     @property
     def replayable(self):
-        """Whether the whole body so far can be sent again."""
-        return self.body_base == 0
+        """Whether the whole body received so far can be sent again."""
+        return self.dropped_chunks == 0
 
     def finish(self):
-        """Mark the request as complete and send what is left of it."""
+        """Handle the end of the request: send the rest of it to the targets."""
         self.body_complete = True
         if self._finish_pending:
-            self._finish_answer()
+            self._finish_response()
             return
-        for att in list(self.attempts.values()):
-            att.pump()
+        for attempt in list(self.attempts.values()):
+            attempt.send_received()
 
     def on_connection_close(self):
-        """Cancel the call, because the caller has gone."""
+        """Cancel the call, because the caller has disconnected."""
         if self.ended:
             return
-        self.answered = True
+        self.responded = True
         self.proxy.dispatch(ev.CallerDisconnected(self.proxy.clock(), self.call_id))
         self._end()
 
-    def wake(self, fut=None):
-        """Let a piece of the body that waits look at its attempts again."""
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+    def on_attempt_progress(self, fut=None):
+        """Check again whether an attempt has sent all chunks of the body."""
+        if self._body_waiter is not None and not self._body_waiter.done():
+            self._body_waiter.set_result(None)
 
     def _on_deadline(self):
         proxy = self.proxy
-        if not self.answered:
+        if not self.responded:
             proxy.dispatch(ev.DeadlinePassed(proxy.clock(), proxy.draw(), self.call_id))
             return
         for attempt_id in list(self.attempts):
-            att = self.attempts[attempt_id]
-            att.cancel()
-            if att.forwarding:
-                self.answer_done(attempt_id, False)
+            attempt = self.attempts[attempt_id]
+            attempt.cancel()
+            if attempt.forwarding:
+                self.end_response(attempt_id, False)
 
-    # Answers of the node itself.
+    # Responses of the node itself.
 
     def reject(self, status, code, verdict, detail):
-        """Answer the caller with an error of the node."""
+        """Respond to the caller with an error of the node."""
         headers = HTTPHeaders()
         headers["Content-Type"] = "application/json"
         headers["X-Verdict"] = verdict.value
         headers["X-Error-Code"] = code
         body = json.dumps({"error": code, "verdict": verdict.value, "detail": detail})
-        self._answer(status, headers, body.encode())
+        self._respond(status, headers, body.encode())
 
     def replay(self, recorded):
-        """Answer the caller with the recorded outcome of an earlier call."""
+        """Respond to the caller with the recorded response to an earlier call."""
         headers = HTTPHeaders()
         if recorded.content_type:
             headers["Content-Type"] = recorded.content_type
@@ -188,18 +205,18 @@
         headers["X-Verdict"] = Verdict.RAN.value
         if recorded.truncated:
             headers["X-Replay-Truncated"] = "1"
-        self._answer(recorded.status, headers, recorded.body)
+        self._respond(recorded.status, headers, recorded.body)
 
-    def _answer(self, status, headers, body):
-        if self.answered:
+    def _respond(self, status, headers, body):
+        if self.responded:
             return
-        self.answered = True
+        self.responded = True
         if status not in (204, 304):
             headers["Content-Length"] = str(len(body))
         elif body:
             body = b""
         start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        self.proxy.mark_answer(headers)
+        self.proxy.close_if_stopping(headers)
         if self._must_close():
             headers["Connection"] = "close"
         if self.start_line.method == "HEAD":
@@ -207,69 +224,69 @@
         self.caller_conn.write_headers(start, headers, body)
         self._complete()
 
-    # The attempts' side, called by the effects.
+    # Attempts: called when effects are executed and by `AttemptRunner`.
 
     def start_attempt(self, effect):
-        """Start sending to a target."""
+        """Start an attempt to send the call to a target."""
         if self.ended:
             return
-        att = AttemptRunner(self, effect)
-        self.attempts[effect.attempt_id] = att
-        att.start()
+        attempt = AttemptRunner(self, effect)
+        self.attempts[effect.attempt_id] = attempt
+        attempt.start()
 
     def cancel_attempt(self, attempt_id):
-        """Drop an attempt whose answer is not wanted."""
-        att = self.attempts.pop(attempt_id, None)
-        if att is not None:
-            att.discard()
-            self.wake()
+        """Drop an attempt whose response is not needed."""
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is not None:
+            attempt.discard()
+            self.on_attempt_progress()
 
-    def forward(self, attempt_id, record):
-        """Pass the answer of an attempt on to the caller.
+    def forward_response(self, attempt_id, record):
+        """Forward the response of an attempt to the caller.
 
         Parameters
         ----------
         attempt_id : int
         record : bool
-            Whether the beginning of the body is kept for the claim row.
+            Whether the beginning of the body is recorded in the idempotency claim.
         """
-        att = self.attempts.get(attempt_id)
-        if att is None or self.answered:
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None or self.responded:
             return
-        self.answered = True
-        att.forwarding = True
+        self.responded = True
+        attempt.forwarding = True
         if record:
             self.recorded_body = bytearray()
-        headers = answer_headers(att.response_headers)
-        if att.response_start.code == 204:
+        headers = forwarded_response_headers(attempt.response_headers)
+        if attempt.response_start.code == 204:
             headers.pop("Content-Length", None)
-        self.proxy.mark_answer(headers)
-        self.pending_head = (att.response_start, headers)
-        # A head whose body is slow to come is written without it.
-        asyncio.get_running_loop().call_soon(self._write_pending_head)
-        self.wake()
+        self.proxy.close_if_stopping(headers)
+        self.pending_head = (attempt.response_start, headers)
+        # If no chunk of the body has arrived by then, the head is written alone.
+        asyncio.get_running_loop().call_soon(self._write_response_head)
+        self.on_attempt_progress()
 
-    def _write_pending_head(self, chunk=None):
+    def _write_response_head(self, chunk=None):
         if self.pending_head is not None and not self.ended:
             (start, headers), self.pending_head = self.pending_head, None
             self.caller_conn.write_headers(start, headers, chunk)
 
-    def write_answer(self, chunk):
-        """Write a piece of the answer; the head goes with the first one.
+    def write_response(self, chunk):
+        """Write a chunk of the response body; the head goes with the first one.
 
         Returns
         -------
         IOStream or None
-            The caller's stream, if it has to be waited for.
+            The caller's stream, if its buffer must be flushed before more is written.
         """
         if self.ended:
             return None
         if self.recorded_body is not None:
-            room = RECORDED_BODY_BYTES - len(self.recorded_body)
-            self.recorded_body += chunk[:room]
-            self.recorded_cut = self.recorded_cut or len(chunk) > room
+            remaining = MAX_RECORDED_BODY_BYTES - len(self.recorded_body)
+            self.recorded_body += chunk[:remaining]
+            self.recorded_truncated = self.recorded_truncated or len(chunk) > remaining
         if self.pending_head is not None:
-            self._write_pending_head(chunk)
+            self._write_response_head(chunk)
         else:
             self.caller_conn.write(chunk)
         stream = self.caller_conn.stream
@@ -277,62 +294,66 @@
             return None
         return stream
 
-    def answer_done(self, attempt_id, whole):
-        """End the call; a cut answer resets the caller's connection."""
-        att = self.attempts.pop(attempt_id, None)
-        if self.ended or att is None:
+    def end_response(self, attempt_id, whole):
+        """End the call after the response of an attempt has been forwarded.
+
+        If the response is not `whole`, the caller gets an error of the node or, if a
+        part of the response has been written, a reset of the connection.
+        """
+        attempt = self.attempts.pop(attempt_id, None)
+        if self.ended or attempt is None:
             return
-        recorded = self._recorded(att) if whole else None
+        recorded = self._recorded(attempt) if whole else None
         proxy = self.proxy
         proxy.dispatch(ev.CallEnded(proxy.clock(), self.call_id, whole, recorded))
         if whole:
-            self._write_pending_head()
+            self._write_response_head()
             self._complete()
         elif self.pending_head is not None:
             self.pending_head = None
-            self.answered = False
+            self.responded = False
             detail = "the target's answer was cut"
             self.reject(502, "answer-cut", Verdict.RAN, detail)
         else:
             abort(self.caller_conn.stream)
             self._end()
 
-    def _recorded(self, att):
+    def _recorded(self, attempt):
         if self.recorded_body is None:
             return None
         return RecordedResponse(
-            att.response_start.code,
-            att.response_headers.get("Content-Type", ""),
+            attempt.response_start.code,
+            attempt.response_headers.get("Content-Type", ""),
             bytes(self.recorded_body),
-            self.recorded_cut,
+            self.recorded_truncated,
         )
 
-    # The end of the call.
+    # End of the call.
 
     def _must_close(self):
-        """Return whether the caller's connection ends with an answer of the node.
+        """Return whether the caller's connection closes after a response of the node.
 
-        The rest of a request whose framing is not understood cannot be told from the
-        next request, and a caller that waits for 100 Continue may never send it.
+        The end of a request with invalid framing headers is unknown, and a caller that
+        waits for 100 Continue may never send the body.
         """
-        return self.call_id is None and (self._unframed or "Expect" in self.headers)
+        return self.call_id is None and (self._bad_framing or "Expect" in self.headers)
 
     def _complete(self):
-        """Finish the answer, after the request has been read if there is more.
+        """Finish the response once the request has been read, and end the call.
 
-        tornado closes the connection of an answer that is finished within the
-        request; a request without a body ends as soon as its head is handled.
+        tornado closes the connection if the response is finished while the request is
+        being read; a request without a body ends as soon as its head is handled.
         """
         if self.body_complete or self._must_close():
-            self._finish_answer()
+            self._finish_response()
         else:
             self._finish_pending = True
             if self.has_body:
                 loop = asyncio.get_running_loop()
-                loop.call_later(LINGER_S, self._finish_answer)
+                loop.call_later(LINGER_S, self._finish_response)
         self._end()
 
-    def _finish_answer(self):
+    def _finish_response(self):
         if self._finish_pending is not None:
             self._finish_pending = None
             if not self.caller_conn.stream.closed():
@@ -342,10 +363,10 @@
         self.ended = True
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
-        self.body.clear()
-        self.wake()
-        for att in list(self.attempts.values()):
-            att.discard()
+        self.body_chunks.clear()
+        self.on_attempt_progress()
+        for attempt in list(self.attempts.values()):
+            attempt.discard()
         self.attempts.clear()
         if self.call_id is not None:
-            self.proxy.remove(self.call_id)
+            self.proxy.remove_call(self.call_id)
--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -1,4 +1,4 @@
-"""pimentoline.headers: heads of requests and answers, checked and carried onward."""
+"""pimentoline.headers: checks and forwards the heads of requests and responses."""
 
 import re
 
@@ -8,21 +8,21 @@
 
 __all__ = [
     "RequestError",
-    "answer_headers",
     "check_framing",
     "check_size",
     "end_to_end_headers",
-    "onward_headers",
+    "forwarded_request_headers",
+    "forwarded_response_headers",
     "parse_load",
     "parse_request",
 ]
 
-# Heads above this size are answered with 431. The connection reads a little more
-# than this, because tornado closes it without an answer at its own limit.
+# Request heads above this size are answered with status 431. tornado's own limit is
+# higher, because there it closes the connection without a response.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_KEY_CHARS = 255
 CALL_CLASSES = ("critical", "normal", "sheddable")
-# Methods whose body tornado's client can send in chunks.
+# Methods for which tornado's client can send a chunked body.
 CHUNKED_METHODS = ("POST", "PUT", "PATCH")
 
 HOP_BY_HOP = frozenset(
@@ -38,12 +38,13 @@
         "Upgrade",
     }
 )
-# Headers that a `Connection` header cannot remove, because the framing and the
-# routing of the message depend on them.
+# Headers that are forwarded even if a `Connection` header names them, because the
+# framing and the routing of the message depend on them.
 PROTECTED = frozenset({"Content-Length", "Host"})
-# The node has answered the expectation itself.
+# The node handles `Expect` itself.
 DROPPED_FROM_REQUEST = HOP_BY_HOP | {"Expect"}
-# A target that passes on an answer of another node must not speak for this one.
+# Only this node may set these; a target may have copied them from the response of
+# another node.
 DROPPED_FROM_RESPONSE = HOP_BY_HOP | {
     "X-Error-Code",
     "X-Not-Run",
@@ -59,7 +60,7 @@
 
 
 class RequestError(ValueError):
-    """A request head that is answered with an error and not sent to a target."""
+    """Rejects a request because of its head, before it is sent to a target."""
 
     def __init__(self, status, code, detail):
         super().__init__(detail)
@@ -68,21 +69,23 @@
         self.detail = detail
 
 
-def _bad(detail):
+def _bad_request(detail):
     return RequestError(400, "bad-request", detail)
 
 
-def _number(headers, name, default):
+def _int_header(headers, name, default):
     text = headers.get(name)
     if text is None:
         return default
     if NUMBER.fullmatch(text) is None:
-        raise _bad(f"{name} {text[:40]!r} is not a whole number of up to 9 digits")
+        raise _bad_request(
+            f"{name} {text[:40]!r} is not a whole number of up to 9 digits"
+        )
     return int(text)
 
 
 def check_size(start, headers):
-    """Refuse a head that is too large.
+    """Reject a request head that is too large.
 
     Raises
     ------
@@ -103,7 +106,8 @@
     Raises
     ------
     RequestError
-        If the length of the body is missing, unclear or cannot be carried onward.
+        If the length of the body is missing or invalid, or the body cannot be
+        forwarded.
     """
     expect = headers.get("Expect")
     if expect is not None:
@@ -115,7 +119,7 @@
     coding = headers.get("Transfer-Encoding")
     if coding is not None:
         if length is not None:
-            raise _bad("both Content-Length and Transfer-Encoding")
+            raise _bad_request("both Content-Length and Transfer-Encoding")
         if coding.lower() != "chunked":
             raise RequestError(501, "unknown-coding", f"coding {coding[:40]!r}")
         if start.method not in CHUNKED_METHODS:
@@ -126,12 +130,12 @@
     if length is None:
         return False
     if LENGTH.fullmatch(length) is None:
-        raise _bad(f"Content-Length {length[:40]!r}")
+        raise _bad_request(f"Content-Length {length[:40]!r}")
     return int(length) > 0
 
 
 def parse_request(start, headers, arrived, ruleset):
-    """Return the core's `Request` for a request head.
+    """Return the `Request` for a request head.
 
     Parameters
     ----------
@@ -144,36 +148,38 @@
     Raises
     ------
     RequestError
-        If a header that the node acts on has a value that is not allowed.
+        If a header that the node uses has an invalid value.
     """
     host = headers.get("Host", "")
     service = host.partition(":")[0].partition(".")[0].lower()
     if SERVICE.fullmatch(service) is None or len(headers.get_list("Host")) > 1:
-        raise _bad(f"Host {host[:80]!r} does not name a service")
+        raise _bad_request(f"Host {host[:80]!r} does not name a service")
     if start.method == "CONNECT":
         raise RequestError(501, "unknown-method", "CONNECT is not supported")
     path = start.path.partition("?")[0]
     policy = ruleset.call_policy(service, start.method, path)
     budget_s = policy.deadline_s
-    left_ms = _number(headers, "X-Deadline-Ms", None)
-    if left_ms is not None:
-        budget_s = min(budget_s, left_ms / 1000.0)
+    remaining_ms = _int_header(headers, "X-Deadline-Ms", None)
+    if remaining_ms is not None:
+        budget_s = min(budget_s, remaining_ms / 1000.0)
     call_class = policy.call_class or headers.get("X-Call-Class", "normal")
     if call_class not in CALL_CLASSES:
-        raise _bad(f"X-Call-Class {call_class[:40]!r}")
+        raise _bad_request(f"X-Call-Class {call_class[:40]!r}")
     key = headers.get("Idempotency-Key")
     if key is None:
         key = ""
     elif KEY.fullmatch(key) is None or len(headers.get_list("Idempotency-Key")) > 1:
-        raise _bad(f"Idempotency-Key is not 1 to {MAX_KEY_CHARS} visible characters")
+        raise _bad_request(
+            f"Idempotency-Key is not 1 to {MAX_KEY_CHARS} visible characters"
+        )
     return Request(
         service,
         start.method,
         path,
         arrived + budget_s,
         call_class,
-        _number(headers, "X-Call-Depth", 0),
-        _number(headers, "X-Retry-Attempt", 0),
+        _int_header(headers, "X-Call-Depth", 0),
+        _int_header(headers, "X-Retry-Attempt", 0),
         key,
     )
 
@@ -193,7 +199,7 @@
     return kept
 
 
-def onward_headers(headers, req, has_body, retry, now):
+def forwarded_request_headers(headers, req, has_body, retry, now):
     """Return the headers of a request to a target.
 
     Parameters
@@ -220,13 +226,13 @@
     return kept
 
 
-def answer_headers(headers):
-    """Return the headers of a target's answer that the caller receives."""
+def forwarded_response_headers(headers):
+    """Return the headers of a target's response that are forwarded to the caller."""
     return end_to_end_headers(headers, DROPPED_FROM_RESPONSE)
 
 
 def parse_load(text):
-    """Return the requests in flight of an `X-Target-Load` header, or None."""
+    """Return the number of requests in flight from `X-Target-Load`, or None."""
     try:
         return float(text.split("/")[0]) if text else None
     except ValueError:
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -12,23 +12,34 @@
 __all__ = ["Pool", "PooledConnection"]
 
 CONNECT_TIMEOUT_S = 1.0
-# A connection that went silent is rarely reused if idle ones are dropped early.
+# A connection may be lost without notice while it is idle. Closing idle connections
+# early makes it rare that such a one is reused.
 MAX_IDLE_S = 5.0
 MAX_AGE_S = 60.0
-# A connection that the target may be about to close must not carry a request
-# that cannot be repeated.
+# A request that cannot be retried must not use a connection that the target may be
+# about to close.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 CHUNK_BYTES = 64 * 1024
 MAX_BODY_BYTES = 16 * 1024**3
-# Connections to one target, idle and in use, if its share is not known. Calls beyond
-# the maximum wait for a connection until their deadline.
+# Limit of connections, idle and in use, to a target whose own limit is not known. Calls
+# beyond the limit wait for a connection until their deadline.
 MAX_CONNECTIONS_PER_TARGET = 32
 PARAMS = HTTP1ConnectionParameters(chunk_size=CHUNK_BYTES, max_body_size=MAX_BODY_BYTES)
 
 
 @dataclass(slots=True, eq=False)
 class PooledConnection:
-    """A connection to a target; `reused` is True after its first exchange."""
+    """A connection to a target.
+
+    Attributes
+    ----------
+    created, last_used : float
+        Monotonic times, seconds.
+    reused : bool
+        Whether the connection has been taken from the idle connections.
+    counted : bool
+        Whether the pool counts the connection towards the limit.
+    """
 
     pool: "Pool"
     stream: TargetStream
@@ -39,7 +50,7 @@
     counted: bool = True
 
     def http_client(self):
-        """Return the HTTP/1.1 client for one request on this connection."""
+        """Return an HTTP/1.1 client for one request on this connection."""
         return HTTP1Connection(self.stream, True, PARAMS)
 
     def close(self):
@@ -47,29 +58,29 @@
         self.stream.close()
         if self.counted:
             self.counted = False
-            self.pool.closed(self.addr)
+            self.pool.on_connection_closed(self.addr)
 
 
 class Pool:
-    """Connections by target address; the idle one used last is taken first.
+    """Pools connections by target address; reuses the most recently used one first.
 
     Parameters
     ----------
     clock : callable
         Monotonic clock, seconds.
-    limit_of : callable, optional
+    get_limit : callable, optional
         Returns the maximum number of connections to a target address.
     """
 
-    def __init__(self, clock, limit_of=lambda addr: MAX_CONNECTIONS_PER_TARGET):
+    def __init__(self, clock, get_limit=lambda addr: MAX_CONNECTIONS_PER_TARGET):
         self._clock = clock
-        self._limit_of = limit_of
+        self._get_limit = get_limit
         self._idle = {}
         self._open = Counter()
         self._waiters = {}
 
     def take_idle(self, addr, idempotent):
-        """Return an idle connection that is fit for use, or None."""
+        """Return an idle connection that may be reused, or None."""
         conns = self._idle.get(addr)
         if not conns:
             return None
@@ -78,37 +89,37 @@
         while conns:
             conn = conns.pop()
             fresh = now - conn.last_used < max_idle_s
-            if fresh and now - conn.created < MAX_AGE_S and conn.stream.is_quiet():
+            if fresh and now - conn.created < MAX_AGE_S and conn.stream.is_reusable():
                 conn.reused = True
                 return conn
             conn.close()
         return None
 
     async def acquire(self, addr, idempotent):
-        """Return an idle connection or a new one; wait while all are in use.
+        """Return an idle connection or a new one; wait while the limit is reached.
 
         Raises
         ------
         OSError, StreamClosedError, asyncio.TimeoutError
             No connection was made, so nothing was sent.
         """
-        first = True
+        is_first_wait = True
         while True:
             conn = self.take_idle(addr, idempotent)
             if conn is not None:
                 return conn
-            if self._open[addr] < self._limit_of(addr):
+            if self._open[addr] < self._get_limit(addr):
                 return await self._connect(addr)
-            await self._wait(addr, first)
-            first = False
+            await self._wait(addr, is_first_wait)
+            is_first_wait = False
 
-    async def _wait(self, addr, first):
+    async def _wait(self, addr, is_first_wait):
         waiters = self._waiters.setdefault(addr, deque())
         fut = asyncio.get_running_loop().create_future()
-        if first:
+        if is_first_wait:
             waiters.append(fut)
         else:
-            # A call that was woken and found its connection taken keeps its place.
+            # A call that was woken but found the connection taken keeps its place.
             waiters.appendleft(fut)
         try:
             await fut
@@ -137,21 +148,21 @@
                 await stream.connect(addr)
         except BaseException:
             stream.close()
-            self.closed(addr)
+            self.on_connection_closed(addr)
             raise
         now = self._clock()
         return PooledConnection(self, stream, addr, now, now)
 
-    def closed(self, addr):
-        """Count one connection less; a waiting call may open another."""
+    def on_connection_closed(self, addr):
+        """Count one connection less and wake a call that waits for a connection."""
         self._open[addr] -= 1
         if self._open[addr] <= 0:
             del self._open[addr]
         self._wake(addr)
 
     def release(self, conn):
-        """Keep a connection whose last exchange ended cleanly."""
-        if not conn.stream.is_quiet():
+        """Return a connection to the pool; close it if it cannot be reused."""
+        if not conn.stream.is_reusable():
             conn.close()
             return
         conn.last_used = self._clock()
@@ -159,7 +170,10 @@
         self._wake(conn.addr)
 
     def close_idle(self, addr):
-        """Close the idle connections to a target, as siblings of a silent one."""
+        """Close the idle connections to a target.
+
+        They may be lost as well when another connection to it was lost silently.
+        """
         for conn in self._idle.pop(addr, ()):
             conn.close()
 
--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -1,4 +1,4 @@
-"""pimentoline.proxy: the data port, its calls and their effects."""
+"""pimentoline.proxy: accepts calls on the data port and executes their effects."""
 
 import asyncio
 
@@ -13,17 +13,18 @@
 
 __all__ = ["DataServer", "Proxy"]
 
-# tornado closes the connection without an answer at its own limit of a head.
-SERVER_HEAD_BYTES = 4 * MAX_HEAD_BYTES
-# Callers with idle connections get this long to make another call and learn from
-# its answer that the node leaves.
+# tornado closes the connection without a response to a request head above its own
+# limit, so that one is set higher than MAX_HEAD_BYTES, which leads to status 431.
+TORNADO_MAX_HEAD_BYTES = 4 * MAX_HEAD_BYTES
+# A stopping node keeps idle connections of callers open for this long, so that the
+# response to another call can tell them that the node is stopping.
 IDLE_GRACE_S = 1.0
 
 
 class DataServer(HTTPServer):
-    """Server of the data port.
+    """HTTP server of the data port; reports closed connections to the proxy.
 
-    `HTTPServer` does not tell its delegate when a connection is closed.
+    `HTTPServer` does not report them to its delegate.
 
     Parameters
     ----------
@@ -31,28 +32,28 @@
     """
 
     def initialize(self, proxy):
-        """Serve the calls of a proxy."""
+        """Configure the server to pass its requests to a proxy."""
         self._proxy = proxy
         super().initialize(
             proxy,
             chunk_size=64 * 1024,
-            max_header_size=SERVER_HEAD_BYTES,
+            max_header_size=TORNADO_MAX_HEAD_BYTES,
             max_body_size=MAX_BODY_BYTES,
         )
 
     def on_close(self, server_conn):
-        """Forget a caller's connection."""
+        """Handle the end of a caller's connection."""
         super().on_close(server_conn)
         self._proxy.on_close(server_conn)
 
 
 class Proxy(HTTPServerConnectionDelegate):
-    """Accepts callers' requests and carries out the call effects.
+    """Accepts callers' requests and executes the effects on their calls.
 
     Parameters
     ----------
     dispatch : callable
-        Hands an event to the reducer.
+        Passes an event to the reducer.
     pool : Pool
     clock : callable
         Monotonic clock, seconds.
@@ -71,39 +72,40 @@
         self.arrivals = ArrivalClock(clock)
         self.calls = {}
         self.stopping = False
-        self._next_call = 1
-        self._open = {}
-        self._changed = asyncio.Event()
+        self._next_call_id = 1
+        # The handler of the latest request on each open connection.
+        self._handlers = {}
+        self._connection_closed = asyncio.Event()
 
     def start_request(self, server_conn, request_conn):
-        """Return the delegate of a new request."""
+        """Return the delegate for a new request."""
         handler = CallHandler(self, request_conn)
-        self._open[server_conn] = handler
+        self._handlers[server_conn] = handler
         return handler
 
     def on_close(self, server_conn):
-        """Forget a caller's connection."""
-        self._open.pop(server_conn, None)
-        self._changed.set()
-
-    def add(self, handler):
-        """Register a call and return its number."""
-        call_id = self._next_call
-        self._next_call += 1
+        """Remove a caller's connection."""
+        self._handlers.pop(server_conn, None)
+        self._connection_closed.set()
+
+    def add_call(self, handler):
+        """Register a call and return its id."""
+        call_id = self._next_call_id
+        self._next_call_id += 1
         self.calls[call_id] = handler
         return call_id
 
-    def remove(self, call_id):
-        """Forget a call that has ended."""
+    def remove_call(self, call_id):
+        """Remove a call that has ended."""
         self.calls.pop(call_id, None)
 
-    def mark_answer(self, headers):
-        """Tell the caller to use another connection if the node is stopping."""
+    def close_if_stopping(self, headers):
+        """Add `Connection: close` to response headers if the node is stopping."""
         if self.stopping:
             headers["Connection"] = "close"
 
     def execute(self, effect):
-        """Carry out an effect on a call; one whose call has ended is ignored."""
+        """Execute an effect on a call; do nothing if the call has ended."""
         handler = self.calls.get(effect.call_id)
         if handler is None:
             return
@@ -111,7 +113,7 @@
             case ef.StartAttempt():
                 handler.start_attempt(effect)
             case ef.ForwardResponse():
-                handler.forward(effect.attempt_id, effect.record)
+                handler.forward_response(effect.attempt_id, effect.record)
             case ef.CancelAttempt():
                 handler.cancel_attempt(effect.attempt_id)
             case ef.RejectCall():
@@ -122,7 +124,7 @@
                 handler.replay(effect.recorded)
 
     def _is_idle(self, handler):
-        return handler.call_id is None and not handler.answered
+        return handler.call_id is None and not handler.responded
 
     async def stop(self, server):
         """Stop accepting, finish the calls in flight and close every connection.
@@ -132,23 +134,24 @@
         server : HTTPServer
         """
         self.stopping = True
-        # Requests read from now on are answered with `Connection: close`.
+        # Responses to requests read from now on carry `Connection: close`.
         server.conn_params.no_keep_alive = True
-        # Connections that the kernel has completed but not handed over would be
-        # reset with the listening socket; one turn of the loop accepts them.
+        # Closing the listening socket would reset connections that the kernel has
+        # completed and that are not accepted yet; one iteration of the event loop
+        # accepts them.
         await asyncio.sleep(0)
         server.stop()
         loop = asyncio.get_running_loop()
-        grace_until = loop.time() + IDLE_GRACE_S
-        while self._open:
-            self._changed.clear()
-            graceful = loop.time() < grace_until
-            for server_conn, handler in list(self._open.items()):
-                if not graceful and self._is_idle(handler):
+        grace_end = loop.time() + IDLE_GRACE_S
+        while self._handlers:
+            self._connection_closed.clear()
+            in_grace = loop.time() < grace_end
+            for server_conn, handler in list(self._handlers.items()):
+                if not in_grace and self._is_idle(handler):
                     server_conn.stream.close()
             try:
                 async with asyncio.timeout(0.05):
-                    await self._changed.wait()
+                    await self._connection_closed.wait()
             except TimeoutError:
                 pass
         self.arrivals.stop()
--- a/pimentoline/streams.py
+++ b/pimentoline/streams.py
@@ -1,17 +1,18 @@
-"""pimentoline.streams: back-pressure and the end of connections."""
+"""pimentoline.streams: flushing, resetting and reusing tornado streams."""
 
 import socket
 import struct
 
 from tornado.iostream import IOStream, StreamClosedError
 
-__all__ = ["TargetStream", "abort", "flushed"]
+__all__ = ["TargetStream", "abort", "wait_flushed"]
 
+# Value of SO_LINGER with which `close` sends a reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
-async def flushed(stream):
-    """Wait until everything written so far has left the stream, or it is closed.
+async def wait_flushed(stream):
+    """Wait until everything written so far has been sent, or the stream is closed.
 
     The futures of `HTTP1Connection` are not used for this: one that is pending
     when the connection clears its callbacks never resolves.
@@ -23,10 +24,10 @@
 
 
 def abort(stream):
-    """Close a stream with a reset, so that the peer sees that its message was cut.
+    """Close a stream with a reset, so that the peer sees that a message is truncated.
 
-    An answer that ends with the connection (to an HTTP/1.0 caller) would look
-    whole after an ordinary close.
+    A response that ends with the connection (to an HTTP/1.0 caller) would look
+    complete after an ordinary close.
     """
     if not stream.closed():
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
@@ -34,13 +35,13 @@
 
 
 class TargetStream(IOStream):
-    """A connection to a target that can tell whether it is fit for reuse."""
+    """A stream to a target that can tell whether it may be reused."""
 
-    def is_quiet(self):
-        """Return whether the stream is open and holds nothing that was not read.
+    def is_reusable(self):
+        """Return whether the stream is open, flushed and without unread bytes.
 
-        Bytes that arrive between two exchanges belong to no request; a request
-        sent after them would receive them as its answer.
+        Bytes that arrive between two requests belong to neither; the next request
+        would receive them as its response.
         """
         if self.closed() or self._read_buffer_size or self.writing():
             return False
