--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -1,4 +1,4 @@
-"""pimentoline.admin: interface for operators and for the target on this host."""
+"""pimentoline.admin: HTTP interface for operators and for the target on this host."""
 
 import asyncio
 import dataclasses
@@ -21,45 +21,47 @@
 
 __all__ = ["MAX_ADMIN_BODY_BYTES", "make_admin_app"]
 
-# A text of 1 MiB may take six bytes for each of its bytes in JSON.
+# JSON may escape each byte of a rules text of 1 MiB as six bytes.
 MAX_ADMIN_BODY_BYTES = 7 * 1024 * 1024
 MAX_TARGETS = 64
-MAX_HISTORY = 100
-MAX_SHOWN_CHARS = 80
-EXPLAIN_DRAWS = 200
-STATUS_OF_RESULT = {
+MAX_HISTORY_ROWS = 100
+MAX_ECHOED_CHARS = 80
+EXPLAIN_SAMPLES = 200
+STATUS_BY_RESULT = {
     "accepted": 200,
     "conflict": 409,
     "unavailable": 503,
     "unknown": 504,
 }
-MAX_NAME_CHARS = 200
+MAX_TARGET_ID_CHARS = 200
 NAME = re.compile(NAME_PATTERN)
 
 
 class AdminHandler(RequestHandler):
-    """Base of the handlers: JSON in, JSON out, coded errors."""
+    """Base class of the handlers: JSON bodies, and errors with codes."""
 
     def initialize(self, node):
-        """Take the node."""
+        """Set the node that the handler works on."""
         self.node = node
 
-    def read(self, model):
-        """Return the validated body, or answer 400 and return None."""
+    def read_body(self, model):
+        """Return the validated body; if it is invalid, respond 400 and return None."""
         try:
             return model.model_validate_json(self.request.body)
         except ValidationError as exc:
-            self.fail(400, "bad-request", [_problem(err) for err in exc.errors()])
+            self.respond_error(
+                400, "bad-request", [_format_problem(err) for err in exc.errors()]
+            )
             return None
 
-    def publisher(self):
-        """Return the publisher, or answer 503 if this node has no store."""
+    def get_publisher(self):
+        """Return the publisher; without a store, respond 503 and return None."""
         if self.node.store is None:
-            self.fail(503, "store-unavailable", "this node has no store")
+            self.respond_error(503, "store-unavailable", "this node has no store")
             return None
         return self.node.publisher
 
-    def held_targets(self):
+    def announced_targets(self):
         """Return the ids of the targets that are announced here and not gone."""
         return {
             target.target_id
@@ -67,66 +69,66 @@
             if target.state is not TargetState.GONE
         }
 
-    def number(self, name, default, low, high):
-        """Return a whole number of the query, or answer 400."""
-        word = self.get_query_argument(name, None)
-        if word is None:
+    def int_argument(self, name, default, low, high):
+        """Return a whole number from the query, or respond 400."""
+        text = self.get_query_argument(name, None)
+        if text is None:
             return default
-        if not (word.isascii() and word.isdigit()) or not low <= int(word[:12]) <= high:
-            detail = f"{name}: found {word[:20]!r}; allowed: {low} to {high}"
+        if not (text.isascii() and text.isdigit()) or not low <= int(text[:12]) <= high:
+            detail = f"{name}: found {text[:20]!r}; allowed: {low} to {high}"
             raise HTTPError(400, log_message=detail.replace("%", "%%"))
-        return int(word)
+        return int(text)
 
-    def fail(self, status, code, detail):
-        """Answer with an error."""
+    def respond_error(self, status, code, detail):
+        """Respond with an error."""
         self.set_status(status)
         self.finish({"error": code, "detail": detail})
 
     def write_error(self, status_code, **kwargs):
-        """Answer an error of the framework as JSON too."""
+        """Respond with JSON to errors raised as exceptions, too."""
         exc = kwargs.get("exc_info", (None, None))[1]
         detail = getattr(exc, "log_message", None) or self._reason
         code = "internal" if status_code >= 500 else "bad-request"
         self.finish({"error": code, "detail": detail})
 
     def log_exception(self, typ, value, tb):
-        """Log what is not an answer to a bad request."""
+        """Log exceptions, except those that stand for a response."""
         if not isinstance(value, HTTPError):
             self.node.metrics.count("admin.failed")
             super().log_exception(typ, value, tb)
 
 
 class TargetHandler(AdminHandler):
-    """Announcements of the target on this host."""
+    """Announces and withdraws the target on this host."""
 
     def put(self, target_id):
-        """Announce or renew."""
-        said = self.read(Announcement)
-        if said is None:
+        """Announce a target, or renew its announcement."""
+        announcement = self.read_body(Announcement)
+        if announcement is None:
             return
-        held = self.held_targets()
-        if not NAME.fullmatch(target_id) or len(target_id) > MAX_NAME_CHARS:
-            self.fail(400, "bad-request", f"target id {target_id[:80]!r}")
+        announced = self.announced_targets()
+        if not NAME.fullmatch(target_id) or len(target_id) > MAX_TARGET_ID_CHARS:
+            self.respond_error(400, "bad-request", f"target id {target_id[:80]!r}")
             return
-        if target_id not in held and len(held) >= MAX_TARGETS:
+        if target_id not in announced and len(announced) >= MAX_TARGETS:
             detail = f"{MAX_TARGETS} targets are announced at this node already"
-            self.fail(400, "bad-request", detail)
+            self.respond_error(400, "bad-request", detail)
             return
-        me = self.node.state.identity
+        identity = self.node.state.identity
         target = Target(
             target_id,
-            said.service,
-            said.addr,
-            me.region,
-            me.dc,
-            said.slots,
-            said.connections,
-            said.state,
-            said.load_path,
-            said.version,
+            announcement.service,
+            announcement.addr,
+            identity.region,
+            identity.dc,
+            announcement.slots,
+            announcement.connections,
+            announcement.state,
+            announcement.load_path,
+            announcement.version,
         )
         self.node.dispatch(ev.TargetAnnounced(self.node.clock(), target))
-        self.finish({"node": me.node_id})
+        self.finish({"node": identity.node_id})
 
     def delete(self, target_id):
         """Withdraw a target that has stopped."""
@@ -138,20 +140,20 @@
     """Drains a target."""
 
     def post(self, target_id):
-        """Stop new calls to the target."""
-        if target_id not in self.held_targets():
+        """Start the drain: no new calls go to the target."""
+        if target_id not in self.announced_targets():
             detail = f"target {target_id[:80]!r} is not announced at this node"
-            self.fail(404, "not-found", detail)
+            self.respond_error(404, "not-found", detail)
             return
         self.node.dispatch(ev.TargetDrained(self.node.clock(), target_id))
         self.finish({"target": target_id, "state": TargetState.DRAINING.value})
 
 
 class StatusHandler(AdminHandler):
-    """State of this node."""
+    """Shows the state of this node."""
 
     def get(self):
-        """Answer the node's state."""
+        """Respond with the node's state, counters and timings."""
         state = self.node.state
         self.finish(
             {
@@ -176,117 +178,121 @@
 
 
 class MeshHandler(AdminHandler):
-    """The mesh as this node sees it."""
+    """Shows the mesh as this node sees it."""
 
     def get(self):
-        """Answer the member records."""
+        """Respond with the member records."""
         members = self.node.state.mesh.members
         records = [dataclasses.asdict(members[name]) for name in sorted(members)]
         self.finish(json.dumps({"members": records}, default=lambda item: item.value))
 
 
 class ConfigHandler(AdminHandler):
-    """The rules in force, and their replacement."""
+    """Shows and replaces the rules in force."""
 
     async def get(self):
-        """Answer the rules in force, or the text of an earlier version."""
+        """Respond with the rules in force, or with the text of another version."""
         rules = self.node.state.rules
-        version = self.number("version", None, 1, 10**10)
+        version = self.int_argument("version", None, 1, 10**10)
         if version is None or version == rules.version:
             self.finish({"version": rules.version, "text": rules.text})
             return
-        publisher = self.publisher()
+        publisher = self.get_publisher()
         if publisher is None:
             return
         try:
             text = await publisher.rules_text(version)
         except PimentolineError as exc:
-            self.fail(503, exc.code, exc.detail)
+            self.respond_error(503, exc.code, exc.detail)
             return
         if text is None:
-            self.fail(404, "not-found", f"there is no version {version}")
+            self.respond_error(404, "not-found", f"there is no version {version}")
             return
         self.finish({"version": version, "text": text})
 
     async def post(self):
         """Apply a rules text with compare-and-set."""
-        said = self.read(ApplyRequest)
-        if said is None:
+        body = self.read_body(ApplyRequest)
+        if body is None:
             return
-        # A long text would otherwise stop the calls of this node while it is parsed.
+        # Parsing a long text in the event loop would block the calls of this node.
         loop = asyncio.get_running_loop()
-        result = await loop.run_in_executor(None, parse, said.text)
+        result = await loop.run_in_executor(None, parse, body.text)
         if result.ruleset is None:
-            self.fail(400, "rules-invalid", [str(item) for item in result.diagnostics])
+            self.respond_error(
+                400, "rules-invalid", [str(item) for item in result.diagnostics]
+            )
             return
-        publisher = self.publisher()
+        publisher = self.get_publisher()
         if publisher is None:
             return
-        answer = await publisher.apply(said.base, said.text, said.author, said.attempt)
-        self.node.metrics.count(f"apply.{answer['result']}")
+        outcome = await publisher.apply(body.base, body.text, body.author, body.attempt)
+        self.node.metrics.count(f"apply.{outcome['result']}")
         log_entry(
             "rules:apply",
-            result=answer["result"],
-            author=said.author,
-            attempt=said.attempt,
-            base=said.base,
+            result=outcome["result"],
+            author=body.author,
+            attempt=body.attempt,
+            base=body.base,
         )
-        self.set_status(STATUS_OF_RESULT[answer["result"]])
-        self.finish(answer)
+        self.set_status(STATUS_BY_RESULT[outcome["result"]])
+        self.finish(outcome)
 
 
 class HistoryHandler(AdminHandler):
-    """The audit trail."""
+    """Shows the audit trail."""
 
     async def get(self):
-        """Answer audit rows, the latest first, and the nodes that hold each one."""
-        limit = self.number("limit", 20, 1, MAX_HISTORY)
-        before = self.number("before", None, 1, 10**10)
-        publisher = self.publisher()
+        """Respond with audit rows, latest first, and the nodes with each version."""
+        limit = self.int_argument("limit", 20, 1, MAX_HISTORY_ROWS)
+        before = self.int_argument("before", None, 1, 10**10)
+        publisher = self.get_publisher()
         if publisher is None:
             return
         try:
             rows = await publisher.history(limit, before)
         except PimentolineError as exc:
-            self.fail(503, exc.code, exc.detail)
+            self.respond_error(503, exc.code, exc.detail)
             return
         versions = await versions_in_force(self.node)
         for row in rows:
-            held = [name for name, ver in versions.items() if ver == row["version"]]
-            row["nodes"] = sorted(held)
+            nodes = [name for name, ver in versions.items() if ver == row["version"]]
+            row["nodes"] = sorted(nodes)
         silent = sorted(name for name, ver in versions.items() if ver is None)
         self.finish({"history": rows, "members": len(versions), "silent": silent})
 
 
 class ExplainHandler(AdminHandler):
-    """What the node would do with a call."""
+    """Explains what the node would do with a call."""
 
     def post(self):
-        """Answer the decisions of the pure core, without sending anything."""
-        said = self.read(ExplainRequest)
-        if said is None:
+        """Respond with the decisions about a call, without sending anything."""
+        body = self.read_body(ExplainRequest)
+        if body is None:
             return
         node = self.node
-        draws = [node.draw() for _ in range(EXPLAIN_DRAWS)]
-        self.finish(explain(node.state, said, node.clock(), draws))
+        draws = [node.draw() for _ in range(EXPLAIN_SAMPLES)]
+        self.finish(explain(node.state, body, node.clock(), draws))
 
 
 class UnknownPathHandler(AdminHandler):
-    """Every other path."""
+    """Handles all other paths."""
 
     def prepare(self):
-        """Answer 404."""
-        self.fail(404, "not-found", f"path {self.request.path[:MAX_SHOWN_CHARS]!r}")
+        """Respond 404."""
+        self.respond_error(
+            404, "not-found", f"path {self.request.path[:MAX_ECHOED_CHARS]!r}"
+        )
 
 
-def _problem(err):
-    """Return one problem of a body as text; long input is cut."""
-    where = ".".join(map(str, err["loc"])) or "body"
-    return f"{where}: {err['msg']}, found {str(err['input'])[:MAX_SHOWN_CHARS]!r}"
+def _format_problem(err):
+    """Return one problem of a body as text, with long input truncated."""
+    location = ".".join(map(str, err["loc"])) or "body"
+    return f"{location}: {err['msg']}, found {str(err['input'])[:MAX_ECHOED_CHARS]!r}"
 
 
 def make_admin_app(node):
-    """Return the application of the operators' interface."""
+    """Return the tornado application of the admin interface."""
     args = {"node": node}
     return Application(
         [
@@ -300,6 +306,6 @@
         ],
         default_handler_class=UnknownPathHandler,
         default_handler_args=args,
-        # Targets renew every second; requests are counted, not logged.
+        # Targets renew their announcements every second, so requests are not logged.
         log_function=lambda handler: None,
     )
--- a/pimentoline/admin_models.py
+++ b/pimentoline/admin_models.py
@@ -1,4 +1,4 @@
-"""pimentoline.admin_models: bodies of requests to the admin interface, validated."""
+"""pimentoline.admin_models: validated request bodies of the admin interface."""
 
 import ipaddress
 from typing import Annotated, Literal
@@ -20,10 +20,10 @@
 
 
 class Announcement(BaseModel):
-    """What a target says of itself.
+    """An announcement of a target.
 
-    `load` is its requests in flight; the node takes the load from responses, which
-    are fresher.
+    `load` is its number of requests in flight. The node ignores it and uses the load
+    in responses, which is newer.
     """
 
     model_config = ConfigDict(extra="forbid")
@@ -39,14 +39,14 @@
 
     @field_validator("state")
     @classmethod
-    def _announced(cls, value):
+    def _not_gone(cls, value):
         if value is TargetState.GONE:
             raise ValueError("a target that has stopped is withdrawn by DELETE")
         return value
 
     @field_validator("addr")
     @classmethod
-    def _reachable(cls, value):
+    def _valid_addr(cls, value):
         ip, port = value
         addr = ipaddress.IPv4Address(ip)
         if addr.is_unspecified or addr.is_multicast or not 1 <= port <= MAX_PORT:
@@ -55,7 +55,7 @@
 
 
 class ApplyRequest(BaseModel):
-    """A rules text to put in force."""
+    """A rules text to put in force; `base` is the version that it replaces."""
 
     model_config = ConfigDict(extra="forbid")
 
@@ -66,7 +66,7 @@
 
 
 class ExplainRequest(BaseModel):
-    """A call that is not sent."""
+    """A call to explain without sending it."""
 
     model_config = ConfigDict(extra="forbid")
 
--- a/pimentoline/prober.py
+++ b/pimentoline/prober.py
@@ -1,4 +1,4 @@
-"""pimentoline.prober: sends probes and meters their bytes both ways."""
+"""pimentoline.prober: sends load probes to targets and counts their bytes."""
 
 import asyncio
 import socket
@@ -24,8 +24,8 @@
 )
 
 
-class MeteredStream(IOStream):
-    """Stream that counts its bytes and reads at most `MAX_ANSWER_BYTES`."""
+class ByteCountingStream(IOStream):
+    """Stream that counts the bytes sent and received, and limits the latter."""
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
@@ -33,43 +33,43 @@
         self.received_bytes = 0
 
     def read_from_fd(self, buf):
-        """Read into the buffer, but no more than the limit in total."""
-        left = MAX_ANSWER_BYTES - self.received_bytes
-        if left <= 0:
-            # The stream takes this for the end and closes.
+        """Read into the buffer, up to the limit of all reads together."""
+        remaining = MAX_ANSWER_BYTES - self.received_bytes
+        if remaining <= 0:
+            # The stream treats 0 as the end of the connection and closes.
             return 0
-        count = super().read_from_fd(memoryview(buf)[:left])
+        count = super().read_from_fd(memoryview(buf)[:remaining])
         self.received_bytes += count or 0
         return count
 
     def write_to_fd(self, data):
-        """Write and count."""
+        """Write, and count the bytes written."""
         count = super().write_to_fd(data)
         self.sent_bytes += count
         return count
 
 
 class LoadReader(HTTPMessageDelegate):
-    """Reads the load from the head of an answer."""
+    """Reads the load from the head of a response."""
 
     load = None
 
     def headers_received(self, start_line, headers):
-        """Take the load of a successful answer."""
+        """Read the load from a successful response."""
         if start_line.code == 200:
             self.load = parse_load(headers.get("X-Target-Load"))
 
 
 class Prober:
-    """Executes `SendProbe`, each on a connection of its own.
+    """Executes `SendProbe` effects, each on a new connection.
 
-    A pooled connection would take one of the few that a target accepts from a node
-    away from calls, also while no probe is sent.
+    A target accepts few connections from a node. A pooled connection for probes would
+    take one of them away from calls, also while no probe is sent.
 
     Parameters
     ----------
     dispatch : callable
-        Hands an event to the reducer.
+        Passes an event to the reducer.
     clock : callable
         Monotonic clock, seconds.
     """
@@ -87,9 +87,9 @@
 
     async def _probe(self, effect):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        # The system accepts no more from the network than about this size.
+        # The kernel buffers no more received data than about this size.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_ANSWER_BYTES)
-        stream = MeteredStream(sock)
+        stream = ByteCountingStream(sock)
         reader = LoadReader()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -1,4 +1,4 @@
-"""pimentoline.settings: flags and environment variables of a process, validated."""
+"""pimentoline.settings: validated flags and environment variables of a node."""
 
 import ipaddress
 import socket
@@ -20,7 +20,7 @@
 __all__ = ["FLAGS", "NodeConfig", "load_config", "parse_addr"]
 
 MAX_PORT = 65535
-ADDR_FORM = "allowed: IP:PORT with an IPv4 number and a port of 0 to 65535"
+ADDR_ERROR = "allowed: IP:PORT with an IPv4 number and a port of 0 to 65535"
 Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN, max_length=200)]
 
 # name: (default, help)
@@ -56,9 +56,9 @@
     try:
         ip = str(ipaddress.IPv4Address(ip))
     except ValueError:
-        raise ValueError(ADDR_FORM) from None
+        raise ValueError(ADDR_ERROR) from None
     if not (port.isascii() and port.isdigit()) or int(port[:6]) > MAX_PORT:
-        raise ValueError(ADDR_FORM)
+        raise ValueError(ADDR_ERROR)
     return ip, int(port)
 
 
@@ -113,10 +113,11 @@
         return value
 
     @model_validator(mode="after")
-    def _local_admin(self):
+    def _require_loopback_admin(self):
         ip = self.admin_addr[0]
         if not self.admin_remote and not ipaddress.ip_address(ip).is_loopback:
-            # Whoever reaches this interface can drain targets and apply rules.
+            # Without authentication, anyone who reaches the interface can drain
+            # targets and apply rules.
             raise ValueError(
                 f"--admin_addr: found {ip}; allowed: a loopback address, or any "
                 "address with --admin_remote"
