Reword the adapter to the platform

Private terms become heartbeat, request, response and settings; two error messages now say what is wrong with a route.

--- a/pimentoline/platform/__init__.py
+++ b/pimentoline/platform/__init__.py
@@ -1,5 +1,5 @@
-"""pimentoline.platform: runs a node on the users' platform.
+"""pimentoline.platform: runs a `pimentoline.twohop` node on the users' platform.
 
-Only translation: the platform's settings, store, configuration, status reports and
-header names become the product's own types, and back.
+The modules only convert the platform's settings, store, configuration, heartbeats and
+header names to and from the types of `pimentoline.twohop`.
 """
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -17,64 +17,62 @@
 from .store import PlatformStore
 
 SETTINGS_VARIABLE = "PIMENTOLINE_CONFIG"
-
-
-# How often the settings file is looked at, seconds; it may change without a signal.
-SETTINGS_CHECK_S = 1.0
+# The settings file may change without a signal, so it is checked this often.
+SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
 def reload(node, path):
-    """Read the settings again; what cannot be used leaves those in force."""
+    """Read the settings again; if they are invalid, keep those in force."""
     try:
         node.reload(load_settings_file(path).host_settings())
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
 
 
-async def follow_settings(node, path):
-    """Reload when the file changes."""
-    seen = os.stat(path).st_mtime_ns
+async def watch_settings(node, path):
+    """Reload the settings whenever their file changes."""
+    mtime_ns = os.stat(path).st_mtime_ns
     while True:
-        await asyncio.sleep(SETTINGS_CHECK_S)
+        await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
         try:
-            changed = os.stat(path).st_mtime_ns
+            new_mtime_ns = os.stat(path).st_mtime_ns
         except OSError as exc:
             log_entry("settings:unreadable", detail=str(exc))
             continue
-        if changed != seen:
-            seen = changed
+        if new_mtime_ns != mtime_ns:
+            mtime_ns = new_mtime_ns
             reload(node, path)
 
 
-async def serve(boot, path):
-    """Run a node until it is stopped."""
+async def serve(settings, path):
+    """Run a node until it is stopped; `path` is the settings file."""
     node = HostNode(
-        boot.host_settings(),
+        settings.host_settings(),
         DIALECT,
         parse_configuration,
-        lambda pool: PlatformStore(boot.platform.address, pool),
+        lambda pool: PlatformStore(settings.platform.address, pool),
         CONFIG_ROW,
         ReportServer,
         ReportServer,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
-    follower = loop.create_task(follow_settings(node, path))
+    watcher = loop.create_task(watch_settings(node, path))
     await node.run()
-    follower.cancel()
+    watcher.cancel()
 
 
 def main():
-    """Read the settings and serve; exit 2 if they cannot be used."""
+    """Read the settings and run a node; exit with status 2 if they are invalid."""
     eliot.to_file(sys.stdout)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        boot = load_settings_file(path)
-        boot.host_settings()
+        settings = load_settings_file(path)
+        settings.host_settings()
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
         sys.exit(2)
-    asyncio.run(serve(boot, path))
+    asyncio.run(serve(settings, path))
 
 
 if __name__ == "__main__":
--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.configuration: the operator's configuration, decoded once."""
+"""pimentoline.platform.configuration: parses the operator's configuration."""
 
 import json
 
@@ -15,13 +15,13 @@
 
 __all__ = ["CONFIG_ROW", "parse_configuration"]
 
-# Table and key of the row that the operator writes.
+# Table and key of the row with the operator's configuration.
 CONFIG_ROW = ("op", "config")
 DEFAULT_TIMEOUT = "10s"
 
 
-def _rows(table):
-    """Return the rows of a table of columns as mappings without the empty fields."""
+def _parse_rows(table):
+    """Yield the rows of a table, with its `columns`, as dicts without null fields."""
     names = table["columns"]
     for row in table["rows"]:
         yield {
@@ -31,71 +31,76 @@
         }
 
 
-def _route(item, services):
+def _parse_route(row, services):
     shares = tuple(
-        Share(part["service"], int(part["weight"]))
-        for part in item.get("traffic_split") or ()
-        if int(part["weight"]) > 0
+        Share(split["service"], int(split["weight"]))
+        for split in row.get("traffic_split") or ()
+        if int(split["weight"]) > 0
     )
-    shares = shares or (Share(item["service"], 1),)
+    shares = shares or (Share(row["service"], 1),)
     unknown = [share.service for share in shares if share.service not in services]
     if unknown:
-        raise ValueError(f"route {item['name']}: unknown service {unknown[0]!r:.60}")
-    prefix = item["prefix"]
+        raise ValueError(f"route {row['name']}: unknown service {unknown[0]!r:.60}")
+    prefix = row["prefix"]
     if not (prefix.startswith("/") and prefix.endswith("/")):
-        raise ValueError(f"route {item['name']}: prefix {prefix!r:.60}")
-    attempts = int(item.get("max_attempts", 1))
+        raise ValueError(
+            f"route {row['name']}: prefix {prefix!r:.60} does not begin and end with /"
+        )
+    attempts = int(row.get("max_attempts", 1))
     if attempts < 1:
-        raise ValueError(f"route {item['name']}: no attempts")
-    timeout = item.get("timeout", DEFAULT_TIMEOUT)
+        raise ValueError(f"route {row['name']}: max_attempts is less than 1")
+    timeout = row.get("timeout", DEFAULT_TIMEOUT)
     return Route(
-        str(item["name"]),
-        item["host"].lower(),
+        str(row["name"]),
+        row["host"].lower(),
         prefix,
-        RouteKind(item["kind"]),
+        RouteKind(row["kind"]),
         parse_duration(timeout),
-        parse_duration(item.get("target_latency", timeout)),
-        int(item.get("priority", 0)),
+        parse_duration(row.get("target_latency", timeout)),
+        int(row.get("priority", 0)),
         shares,
         attempts,
     )
 
 
-def _limits(item):
-    plain = CallerLimits()
+def _parse_limits(item):
+    defaults = CallerLimits()
     return CallerLimits(
-        int(item.get("header_bytes", plain.head_bytes)),
-        int(item.get("max_body_bytes", plain.body_bytes)),
-        parse_duration(item.get("header_timeout", f"{plain.head_timeout_s}s")),
-        parse_duration(item.get("idle_timeout", f"{plain.idle_timeout_s}s")),
+        int(item.get("header_bytes", defaults.head_bytes)),
+        int(item.get("max_body_bytes", defaults.body_bytes)),
+        parse_duration(item.get("header_timeout", f"{defaults.head_timeout_s}s")),
+        parse_duration(item.get("idle_timeout", f"{defaults.idle_timeout_s}s")),
     )
 
 
 def parse_configuration(text):
-    """Return the `Configuration` of the operator's text (JSON bytes).
+    """Return the `Configuration` from the operator's text (JSON bytes).
 
     Raises
     ------
     ConfigurationError
-        Naming the first thing that is wrong; nothing of the text is used then.
+        Naming the first problem; no part of the text is used then.
     """
     try:
         item = json.loads(text)
         services = [
             ServiceInfo(
-                found["name"],
-                int(found.get("max_conns", 0)),
-                str(found.get("health_path", "")),
+                row["name"],
+                int(row.get("max_conns", 0)),
+                str(row.get("health_path", "")),
             )
-            for found in _rows(item["services"])
+            for row in _parse_rows(item["services"])
         ]
         names = {service.name for service in services}
-        routes = [_route(found, names) for found in _rows(item["routes"])]
-        places = {(route.host, route.prefix) for route in routes}
-        if len(places) < len(routes):
+        routes = [_parse_route(row, names) for row in _parse_rows(item["routes"])]
+        patterns = {(route.host, route.prefix) for route in routes}
+        if len(patterns) < len(routes):
             raise ValueError("two routes have the same host and prefix")
         return Configuration.from_routes(
-            int(item["version"]), routes, services, _limits(item.get("limits") or {})
+            int(item["version"]),
+            routes,
+            services,
+            _parse_limits(item.get("limits") or {}),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise ConfigurationError(f"{type(exc).__name__}: {exc}") from exc
--- a/pimentoline/platform/report_server.py
+++ b/pimentoline/platform/report_server.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.report_server: serves status reports and readiness checks."""
+"""pimentoline.platform.report_server: serves heartbeats and readiness checks."""
 
 import asyncio
 import json
@@ -17,20 +17,20 @@
 from ..twohop.target_status import Heartbeat, TargetState
 from .settings import parse_duration
 
-__all__ = ["ReportServer", "parse_status_report"]
+__all__ = ["ReportServer", "parse_heartbeat"]
 
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 READY_PATH = "/v1/ready"
-CALL_PATH = "/v1/rpc"
+RPC_PATH = "/v1/rpc"
 
 
-def parse_status_report(target_id, body):
-    """Return the `Heartbeat` of a status report's body.
+def parse_heartbeat(target_id, body):
+    """Return the `Heartbeat` in the body of a request.
 
     Raises
     ------
     ValueError, KeyError, TypeError
-        If it cannot be used.
+        If the body is invalid.
     """
     item = json.loads(body)
     info, status = item["info"], item["status"]
@@ -53,7 +53,7 @@
 
 
 class ReportServer(HTTPServerConnectionDelegate):
-    """Serves the status reports of the target, and the question for readiness.
+    """Serves the target's heartbeats and the platform's readiness checks.
 
     Parameters
     ----------
@@ -64,24 +64,24 @@
         self.node = node
 
     def start_request(self, server_conn, request_conn):
-        """Return the reader of one request."""
+        """Return the delegate for a new request."""
         return _Request(self, request_conn)
 
-    async def answer(self, method, path, body):
-        """Return the status and body of the answer to a request."""
+    async def respond(self, method, path, body):
+        """Return the status and body of the response to a request."""
         path, _, query = path.partition("?")
         if method == "GET" and path == READY_PATH:
             return (200, b"{}") if self.node.ready else (503, b"{}")
-        if method != "POST" or path != CALL_PATH:
+        if method != "POST" or path != RPC_PATH:
             return 404, b"{}"
-        fields = parse_qs(query)
-        call, target_id = fields.get("call", [""])[0], fields.get("of", [""])[0]
+        parameters = parse_qs(query)
+        call, target_id = parameters.get("call", [""])[0], parameters.get("of", [""])[0]
         try:
             match call:
                 case "instances.heartbeat":
-                    await self._report(parse_status_report(target_id, body))
+                    await self._handle_heartbeat(parse_heartbeat(target_id, body))
                 case "instances.leave":
-                    await self._leave(target_id, body)
+                    await self._sign_off(target_id, body)
                 case _:
                     return 404, b"{}"
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
@@ -89,18 +89,18 @@
             return 400, b"{}"
         return 200, b"{}"
 
-    async def _report(self, report):
-        if self.node.target.handle_heartbeat(report):
-            await self._stored(report.state)
+    async def _handle_heartbeat(self, heartbeat):
+        if self.node.target.handle_heartbeat(heartbeat):
+            await self._store_state(heartbeat.state)
 
-    async def _leave(self, target_id, body):
+    async def _sign_off(self, target_id, body):
         item = json.loads(body) if body else {}
         born = item.get("born") if isinstance(item, dict) else None
         if self.node.target.handle_sign_off(target_id, born):
-            await self._stored(TargetState.LEFT)
+            await self._store_state(TargetState.LEFT)
 
-    async def _stored(self, state):
-        """Store a new state, so that this node keeps to it after a restart."""
+    async def _store_state(self, state):
+        """Store the state of the target, so that it survives a restart of the node."""
         if state is TargetState.READY:
             asyncio.get_running_loop().create_task(self.node.store_sync.save())
         else:
@@ -108,8 +108,8 @@
 
 
 class _Request(HTTPMessageDelegate):
-    def __init__(self, reports, conn):
-        self.reports = reports
+    def __init__(self, server, conn):
+        self._server = server
         self.conn = conn
         self.start = None
         self.chunks = []
@@ -121,10 +121,10 @@
         self.chunks.append(chunk)
 
     def finish(self):
-        asyncio.get_running_loop().create_task(self._answer())
+        asyncio.get_running_loop().create_task(self._respond())
 
-    async def _answer(self):
-        status, body = await self.reports.answer(
+    async def _respond(self):
+        status, body = await self._server.respond(
             self.start.method, self.start.path, b"".join(self.chunks)
         )
         headers = HTTPHeaders(
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -17,20 +17,24 @@
 
 
 def parse_duration(text):
-    """Return the seconds of a duration such as `1500ms` or `2.5s`.
+    """Return a duration such as `1500ms` or `2.5s` in seconds.
 
     Raises
     ------
     ValueError
     """
-    found = DURATION.fullmatch(text) if isinstance(text, str) else None
-    if found is None:
+    match = DURATION.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
         raise ValueError(f"found {text!r:.40}; allowed: a number with ms or s")
-    return float(found[1]) * UNIT_S[found[2]]
+    return float(match[1]) * UNIT_S[match[2]]
 
 
 class Listen(BaseModel):
-    """Addresses of this process: `outbound` is for callers, `inbound` for nodes."""
+    """Addresses that this process listens on.
+
+    `outbound` is for callers, `inbound` for other nodes, `control` for heartbeats of
+    the target and `ready_addr` for the readiness check.
+    """
 
     inbound: tuple[str, int]
     outbound: tuple[str, int]
@@ -43,8 +47,8 @@
         return parse_addr(value)
 
 
-class StorePlace(BaseModel):
-    """Where the platform's store is."""
+class StoreSettings(BaseModel):
+    """The `platform` table of the file: the address of the platform's store."""
 
     address: tuple[str, int]
 
@@ -55,7 +59,7 @@
 
 
 class SettingsFile(BaseModel):
-    """The fields of the file that the product uses; others are ignored."""
+    """The settings file of the platform; fields that are not listed are ignored."""
 
     model_config = ConfigDict(frozen=True)
 
@@ -66,7 +70,7 @@
     app_addr: tuple[str, int]
     bounds: dict[str, str]
     listen: Listen
-    platform: StorePlace
+    platform: StoreSettings
 
     @field_validator("app_addr", mode="before")
     @classmethod
@@ -81,7 +85,7 @@
         return dict(item.split("=", 1) for item in value)
 
     def host_settings(self):
-        """Return the product's settings.
+        """Return the settings as `HostSettings`.
 
         Raises
         ------
@@ -113,7 +117,7 @@
 
 
 def load_settings_file(path):
-    """Return the settings of a file.
+    """Return the settings from a file.
 
     Raises
     ------
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -21,17 +21,17 @@
 
 __all__ = ["PlatformStore", "StoredRow"]
 
-# A call takes 4 ms; when the store is slow it takes up to 60 times as long.
-CALL_TIMEOUT_S = 1.5
-# Added to the wait for changes that the store was asked for.
+# A request takes 4 ms, and up to 60 times as long if the store is slow.
+REQUEST_TIMEOUT_S = 1.5
+# A request that waits for changes times out this long after the requested wait.
 WAIT_MARGIN_S = 1.0
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 PAGE_ROWS = 500
 
 
 @dataclass(frozen=True, slots=True)
 class StoredRow:
-    """A row; `value` is None if it was removed."""
+    """A row of a table; `value` is None if the row was removed."""
 
     key: str
     version: int
@@ -39,7 +39,7 @@
 
 
 class PlatformStore:
-    """Reads and writes rows with an empty part.
+    """Reads and writes rows; the `part` of their keys is always empty.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
         self._addr = addr
         self._pool = pool
 
-    async def _call(self, method, path, body=None, timeout_s=CALL_TIMEOUT_S):
+    async def _request(self, method, path, body=None, timeout_s=REQUEST_TIMEOUT_S):
         headers = HTTPHeaders({"Host": f"{self._addr[0]}:{self._addr[1]}"})
         data = None
         if body is not None:
@@ -63,10 +63,10 @@
         try:
             async with asyncio.timeout(timeout_s):
                 conn = await self._pool.acquire(self._addr, body is None)
-                answer = await send_request(
-                    conn, method, path, headers, data, MAX_ANSWER_BYTES
+                response = await send_request(
+                    conn, method, path, headers, data, MAX_RESPONSE_BYTES
                 )
-            if answer.reusable:
+            if response.reusable:
                 self._pool.release(conn)
                 conn = None
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
@@ -74,24 +74,26 @@
         finally:
             if conn is not None:
                 conn.close()
-        return self._checked(path, answer)
-
-    def _checked(self, path, answer):
-        if answer.status == 429:
-            raise StoreBusyError(f"{path:.40}: too many calls")
-        if answer.status == 410:
-            raise StoreHistoryExpiredError(f"{path:.40}: history is gone")
-        if answer.status >= 500:
-            raise StoreUnavailableError(f"{path:.40}: status {answer.status}")
-        if answer.status not in (200, 412):
-            raise StoreError(f"{path:.40}: status {answer.status}", False)
+        return self._check_response(path, response)
+
+    def _check_response(self, path, response):
+        if response.status == 429:
+            raise StoreBusyError(f"{path:.40}: rate limit exceeded")
+        if response.status == 410:
+            raise StoreHistoryExpiredError(
+                f"{path:.40}: changes are no longer available"
+            )
+        if response.status >= 500:
+            raise StoreUnavailableError(f"{path:.40}: status {response.status}")
+        if response.status not in (200, 412):
+            raise StoreError(f"{path:.40}: status {response.status}", False)
         try:
-            return answer.status, json.loads(answer.body)
+            return response.status, json.loads(response.body)
         except ValueError as exc:
-            raise StoreError(f"{path:.40}: answer is not JSON") from exc
+            raise StoreError(f"{path:.40}: response is not JSON") from exc
 
     async def read_all(self, table):
-        """Return the rows of a table and the version to follow its changes from.
+        """Return the rows of a table and the version from which to read changes.
 
         Raises
         ------
@@ -104,20 +106,21 @@
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start:
                 query["range_start"] = start
-            _, item = await self._call("GET", f"/v1/rows-get?{urlencode(query)}")
+            _, item = await self._request("GET", f"/v1/rows-get?{urlencode(query)}")
             try:
-                rows += [_row(found) for found in item["rows"]]
-                # Changes after the first page are read once more, which is harmless.
+                rows += [_parse_row(found) for found in item["rows"]]
+                # The version of the first page is kept. Changes made while later pages
+                # are read are received a second time, which is harmless.
                 version = item["ver"] if version is None else version
-                more = bool(item["has_more"])
+                has_more = bool(item["has_more"])
             except (KeyError, TypeError) as exc:
                 raise StoreError(f"malformed rows: {exc}") from exc
-            if not more or not rows:
+            if not has_more or not rows:
                 return rows, version
             start = rows[-1].key + "\0"
 
     async def read_changes(self, table, after, wait_s):
-        """Return the rows changed after a version, and the version to go on from.
+        """Return the rows changed after a version, and the version to continue from.
 
         Raises
         ------
@@ -126,40 +129,47 @@
         query = urlencode(
             {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
         )
-        _, item = await self._call(
+        _, item = await self._request(
             "GET", f"/v1/rows-feed?{query}", timeout_s=wait_s + WAIT_MARGIN_S
         )
         try:
-            return [_row(found) for found in item["rows"]], item["ver"]
+            return [_parse_row(found) for found in item["rows"]], item["ver"]
         except (KeyError, TypeError) as exc:
             raise StoreError(f"malformed changes: {exc}") from exc
 
     async def write(self, table, key, value, expected):
-        """Write a row if it has the expected version (0: absent); None removes it.
+        """Write a row if it has the expected version; a `value` of None removes it.
+
+        Parameters
+        ----------
+        table, key : str
+        value : bytes or None
+        expected : int
+            Current version of the row, 0 if it does not exist.
 
         Returns
         -------
         int
-            Version of the row.
+            Version of the row after the write.
 
         Raises
         ------
         StoreConflictError, StoreError
         """
-        place = {"table": table, "part": "", "key": key}
+        row_key = {"table": table, "part": "", "key": key}
         body = {
-            "expected_rev": [{**place, "ver": expected}],
+            "expected_rev": [{**row_key, "ver": expected}],
             "writes": [],
             "remove": [],
         }
         if value is None:
-            body["remove"].append(place)
+            body["remove"].append(row_key)
         else:
             text = base64.b64encode(value).decode()
-            body["writes"].append({**place, "value": text})
-        status, item = await self._call("POST", "/v1/rows-tx", body)
+            body["writes"].append({**row_key, "value": text})
+        status, item = await self._request("POST", "/v1/rows-tx", body)
         if status == 412:
-            found = [_row(row) for row in item.get("rows", [])]
+            found = [_parse_row(row) for row in item.get("rows", [])]
             row = found[0] if found else StoredRow(key, 0, None)
             raise StoreConflictError(f"row {key} has changed", row.version, row.value)
         try:
@@ -168,7 +178,7 @@
             raise StoreError(f"malformed result: {exc}") from exc
 
 
-def _row(item):
+def _parse_row(item):
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         raise StoreError(f"malformed row {item!r:.80}")
     if item.get("deleted") or "value" not in item or item["value"] is None:
