--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -1,4 +1,4 @@
-"""Raw sockets for tests: callers byte by byte, and targets that break the protocol."""
+"""Raw sockets for tests: callers that control each byte, targets that misbehave."""
 
 import socket
 import threading
@@ -8,7 +8,7 @@
 
 
 def connect(process):
-    """Return a socket to the data port of a node."""
+    """Return a socket connected to the data port of a node."""
     return socket.create_connection(tuple(process.info["data"]), TIMEOUT_S)
 
 
@@ -25,7 +25,7 @@
 
 
 def read_all(sock):
-    """Return the bytes up to the end of the connection and whether it was reset."""
+    """Return (bytes up to the end of the connection, whether it was reset)."""
     data = b""
     try:
         while piece := sock.recv(65536):
@@ -36,10 +36,10 @@
 
 
 class RawTarget:
-    """A target whose connections are served by `serve(sock, number)` in threads.
+    """A target that runs `serve(target, sock, number)` in a thread per connection.
 
-    `number` counts the connections from 0; a new `serve` applies to new
-    connections; `heads` collects what `request` read.
+    `number` counts the connections from 0. A new `serve` applies to new connections.
+    `heads` has the request heads that `request` has read.
     """
 
     def __init__(self, serve):
@@ -71,21 +71,21 @@
         self._open.discard(sock)
 
     def request(self, sock):
-        """Read and record one request head; return True, or False at the end."""
+        """Read and record a request head; return False at the end of the connection."""
         head, _ = read_head(sock)
         if head[0]:
             self.heads.append(head)
         return bool(head[0])
 
     def end_connections(self):
-        """Close the connections in use."""
+        """Shut down all open connections."""
         for sock in list(self._open):
             sock.shutdown(socket.SHUT_RDWR)
 
     def close(self):
-        """Accept no more connections."""
+        """Stop accepting connections."""
         try:
-            # Ends the pending accept, which would keep the socket open.
+            # Interrupts the pending accept, which would keep the socket open.
             self._listener.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
@@ -93,10 +93,10 @@
 
 
 @contextmanager
-def raw_target(cluster, serve, node_id="n1", target_id="t1", **said):
-    """Announce a `RawTarget` to a node for the time of a test."""
+def raw_target(cluster, serve, node_id="n1", target_id="t1", **announcement):
+    """Announce a `RawTarget` to a node and close it at the end."""
     target = RawTarget(serve)
-    body = {"service": "hive-ledger", "addr": target.addr, **said}
+    body = {"service": "hive-ledger", "addr": target.addr, **announcement}
     cluster.admin(node_id, f"/v1/targets/{target_id}", "PUT", body)
     try:
         yield target
@@ -104,11 +104,11 @@
         target.close()
 
 
-def serve_responses(*answers):
-    """Return a `serve` that gives the answers in turn, the last one repeatedly."""
+def serve_responses(*responses):
+    """Return a `serve` that sends the responses in turn, the last one repeatedly."""
 
     def serve(target, sock, number):
         while target.request(sock):
-            sock.sendall(answers[min(len(target.heads), len(answers)) - 1])
+            sock.sendall(responses[min(len(target.heads), len(responses)) - 1])
 
     return serve
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The admin interface: what it refuses."""
+"""Tests of the admin interface, and of the tables of metrics and log entries."""
 
 import ast
 import json
@@ -12,30 +12,30 @@
 from .conftest import http
 
 PACKAGE = Path(__file__).parent.parent / "pimentoline"
-PAGE = PACKAGE.parent / "docs" / "operations.md"
-GOOD = {"service": "hive-ledger", "addr": ["127.0.0.1", 8000]}
-LONG = "x" * 300
+OPERATIONS_PAGE = PACKAGE.parent / "docs" / "operations.md"
+VALID = {"service": "hive-ledger", "addr": ["127.0.0.1", 8000]}
+TOO_LONG = "x" * 300
 
 # (method, path, body, status)
 REQUESTS = [
-    ("PUT", "/v1/targets/t1", GOOD, 200),
-    ("PUT", "/v1/targets/t1", {**GOOD, "load": 3, "state": "draining"}, 200),
-    ("PUT", "/v1/targets/t%201", GOOD, 400),
-    ("PUT", f"/v1/targets/{LONG}", GOOD, 400),
+    ("PUT", "/v1/targets/t1", VALID, 200),
+    ("PUT", "/v1/targets/t1", {**VALID, "load": 3, "state": "draining"}, 200),
+    ("PUT", "/v1/targets/t%201", VALID, 400),
+    ("PUT", f"/v1/targets/{TOO_LONG}", VALID, 400),
     ("PUT", "/v1/targets/t1", {"service": "hive-ledger"}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "service": "Hive.Ledger"}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "service": "a" * 64}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["localhost", 8000]}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["0.0.0.0", 8000]}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["127.0.0.1", 0]}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "addr": ["127.0.0.1", 65536]}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "slots": 0}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "connections": -1}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "state": "gone"}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "load_path": "load"}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "load_path": "/a\r\nX: y"}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "version": "a b"}, 400),
-    ("PUT", "/v1/targets/t1", {**GOOD, "colour": "red"}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "service": "Hive.Ledger"}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "service": "a" * 64}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "addr": ["localhost", 8000]}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "addr": ["0.0.0.0", 8000]}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "addr": ["127.0.0.1", 0]}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "addr": ["127.0.0.1", 65536]}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "slots": 0}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "connections": -1}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "state": "gone"}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "load_path": "load"}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "load_path": "/a\r\nX: y"}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "version": "a b"}, 400),
+    ("PUT", "/v1/targets/t1", {**VALID, "colour": "red"}, 400),
     ("PUT", "/v1/targets/t1", [], 400),
     ("PUT", "/v1/targets/t1", b"{", 400),
     ("PUT", "/v1/targets/t1", b"\xff", 400),
@@ -54,7 +54,7 @@
 
 
 def test_requests_are_validated(cluster):
-    """Guards against an announcement or request that is taken although malformed."""
+    """Guards against a malformed announcement or request that is accepted."""
     node = cluster.start_node("n1")
     base = "http://{}:{}".format(*node.info["admin"])
     for method, path, body, status in REQUESTS:
@@ -66,12 +66,12 @@
     record = cluster.admin("n1", "/v1/mesh")[1]["members"][0]
     assert [target["target_id"] for target in record["targets"]] == ["t1"]
     for number in range(70):
-        last, _, _ = http(f"{base}/v1/targets/more-{number}", "PUT", GOOD)
+        last, _, _ = http(f"{base}/v1/targets/more-{number}", "PUT", VALID)
     assert last == 400, "the number of targets is not bounded"
 
 
 def test_rules_text_of_one_mebibyte_is_accepted(cluster):
-    """Guards against a limit of the request that is below that of the text."""
+    """Guards against a limit on the request body that rejects a text of 1 MiB."""
     cluster.start_table()
     cluster.start_node("n1")
     for size, status in ((1024 * 1024, 200), (1024 * 1024 + 1, 400)):
@@ -83,7 +83,7 @@
 
 @pytest.mark.parametrize("addr", ["0.0.0.0:0", "127.0.0.2:0"])
 def test_admin_interface_needs_a_flag_to_leave_loopback(cluster, addr):
-    """Guards against operators' requests from the whole network."""
+    """Guards against an admin interface that is open to the network by mistake."""
     if addr.startswith("0."):
         with pytest.raises(AssertionError, match="did not start"):
             cluster.start_node("n1", admin_addr=addr)
@@ -110,8 +110,8 @@
 
 
 def test_metrics_and_log_entries_are_in_the_table():
-    """Guards against a metric or log entry that no table or page names."""
-    page = PAGE.read_text()
+    """Guards against a metric or log entry that is missing in its table or the page."""
+    page = OPERATIONS_PAGE.read_text()
     for function, name in names_in_source():
         if function in ("IncrementCounter", "count", "timing", "note_time"):
             known = is_known_metric(name) or name == "apply.x"
@@ -124,8 +124,8 @@
         assert f"`{name}`" in page, f"docs/operations.md lacks {name}"
 
 
-class Sent:
-    """A statsd client that keeps what it is asked to send."""
+class FakeStatsClient:
+    """A statsd client that records what it would send."""
 
     def __init__(self):
         self.items = []
@@ -144,9 +144,9 @@
 
 
 def test_counters_are_sent_as_sums():
-    """Guards against a datagram for each count, or a count that is sent twice."""
+    """Guards against a datagram for each count, and a count that is sent twice."""
     now = [0.0]
-    client = Sent()
+    client = FakeStatsClient()
     metrics = Metrics(client, lambda: now[0])
     for _ in range(5):
         metrics.count("store.failed")
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -1,12 +1,12 @@
-"""Cancellation is carried onward when a caller leaves."""
+"""Tests that a call is cancelled when its caller disconnects."""
 
 import socket
 
 from .conftest import wait_until
 
 
-def test_caller_that_leaves_cancels_its_call(cluster):
-    """Guards against a node that keeps working on calls nobody waits for."""
+def test_caller_that_disconnects_cancels_its_call(cluster):
+    """Guards against a node that keeps calls whose callers have disconnected."""
     cluster.start_node("n1")
     cluster.start_target("t1", "n1", delay_s=5)
     wait_until(lambda: cluster.knows_target("n1", "t1"))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,4 +1,7 @@
-"""Connections to targets: reuse, silence, maximum; and pauses of the process."""
+"""Tests of connections to targets and callers, and of a paused process.
+
+"Silent" connections stay open but carry no data any more.
+"""
 
 import http.client
 import json
@@ -17,8 +20,8 @@
 
 
 @pytest.mark.parametrize("first", ["GET", "HEAD"])
-def test_surplus_bytes_are_no_answer_of_the_next_call(cluster, first):
-    """Guards against an answer that reaches the caller of another request."""
+def test_surplus_bytes_are_not_the_response_to_the_next_call(cluster, first):
+    """Guards against a response that reaches the caller of another request."""
     cluster.start_node("n1")
     surplus = OK + STRAY if first == "GET" else STRAY
     with raw_target(cluster, serve_responses(surplus, OK)):
@@ -35,34 +38,34 @@
         assert target.connections == 1
 
 
-def test_answer_before_the_end_of_an_upload_reaches_the_caller(cluster):
-    """Guards against an early answer that is lost with the caller's connection."""
+def test_response_before_the_end_of_an_upload_reaches_the_caller(cluster):
+    """Guards against an early response that is lost with the caller's connection."""
     cluster.start_node("n1")
     refusal = b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\n\r\nbig"
     with raw_target(cluster, serve_responses(refusal)) as target:
         conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
         headers = {"Host": "hive-ledger", "Content-Length": "20000000"}
         conn.request("POST", "/", (bytes(1000_000) for _ in range(20)), headers)
-        answer = conn.getresponse()
-        assert (answer.status, answer.read()) == (413, b"big")
+        response = conn.getresponse()
+        assert (response.status, response.read()) == (413, b"big")
         assert cluster.call("n1", "/")[0] == 413
         assert target.connections == 2
 
 
 def test_refusal_before_the_end_of_an_upload_reaches_the_caller(cluster):
-    """Guards against a refusal that is lost because the caller still sends."""
+    """Guards against a refusal that is lost because the caller is still sending."""
     cluster.start_node("n1")
     conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
     for bad in ({"X-Deadline-Ms": "x"}, {"Host": "nowhere"}):
         headers = {"Host": "hive-ledger", "Content-Length": "20000000", **bad}
         conn.request("POST", "/", (bytes(1000_000) for _ in range(20)), headers)
-        answer = conn.getresponse()
-        assert answer.status in (400, 503)
-        assert json.loads(answer.read())["verdict"] == "not-run"
+        response = conn.getresponse()
+        assert response.status in (400, 503)
+        assert json.loads(response.read())["verdict"] == "not-run"
 
 
-def test_expectation_is_met_by_the_node(cluster):
-    """Guards against a caller that waits for 100 Continue, or a target that does."""
+def test_expect_header_is_handled_by_the_node(cluster):
+    """Guards against a missing 100 Continue, and `Expect` forwarded to a target."""
     cluster.start_node("n1")
     with raw_target(cluster, serve_responses(OK)) as target:
         with connect(cluster.nodes["n1"]) as sock:
@@ -76,11 +79,17 @@
         assert not any(b"expect" in line.lower() for line in target.heads[0])
 
 
-def test_headers_of_one_hop_end_at_the_node(cluster):
-    """Guards against hop-by-hop headers, and against framing removed by a caller."""
+def test_hop_by_hop_headers_are_not_forwarded(cluster):
+    """Guards against forwarded hop-by-hop headers.
+
+    Also guards against a caller that removes `Content-Length` by naming it in
+    `Connection`.
+    """
     cluster.start_node("n1")
-    reply = OK.replace(b"\r\n\r\n", b"\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\n")
-    with raw_target(cluster, serve_responses(reply)) as target:
+    response_with_hop = OK.replace(
+        b"\r\n\r\n", b"\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\n"
+    )
+    with raw_target(cluster, serve_responses(response_with_hop)) as target:
         headers = {
             "Host": "hive-ledger",
             "Connection": "x-secret, content-length",
@@ -91,17 +100,20 @@
         }
         conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
         conn.request("POST", "/", b"sale", headers)
-        answer = conn.getresponse()
+        response = conn.getresponse()
         seen = dict(line.split(b": ", 1) for line in target.heads[0][1:])
-    assert answer.read() == b"ok" and answer.getheader("X-Hop") is None
+    assert response.read() == b"ok" and response.getheader("X-Hop") is None
     assert seen[b"Content-Length"] == b"4" and seen[b"X-Kept"] == b"1"
     assert not {b"X-Secret", b"Te", b"Connection"} & set(seen)
     assert 4000 < int(seen[b"X-Deadline-Ms"]) <= 5000
     assert seen[b"X-Call-Depth"] == b"1"
 
 
-def test_silent_connections_cost_one_try_and_no_ejection(cluster):
-    """Guards against calls that fail one by one on connections that went silent."""
+def test_silent_connections_fail_one_call_and_eject_no_target(cluster):
+    """Guards against silent connections that fail one call each.
+
+    The first failure closes the other idle connections to the target.
+    """
     cluster.start_node("n1")
     silent = threading.Event()
 
@@ -121,15 +133,15 @@
         assert target.connections == 2
         silent.set()
         headers = {"X-Deadline-Ms": "1000"}
-        status, answer, body = cluster.call("n1", "/", method="POST", headers=headers)
-        assert (status, answer["X-Verdict"]) == (504, "may-have-run"), body
+        status, received, body = cluster.call("n1", "/", method="POST", headers=headers)
+        assert (status, received["X-Verdict"]) == (504, "may-have-run"), body
         assert json.loads(body)["error"] == "target-silent"
         assert cluster.call("n1", "/", method="POST", headers=headers)[0] == 200
         assert target.connections == 3
 
 
-def test_idempotent_call_on_a_silent_connection_is_tried_again(cluster):
-    """Guards against a head timeout that uses up the caller's deadline."""
+def test_idempotent_call_on_a_silent_connection_is_retried(cluster):
+    """Guards against a timeout for the response head that uses up the deadline."""
     cluster.start_node("n1")
     silent = threading.Event()
 
@@ -147,23 +159,26 @@
 
 
 def test_paused_node_does_not_send_a_late_call(cluster):
-    """Guards against a node that wakes and runs calls their callers gave up."""
+    """Guards against a node that resumes and sends calls after their deadlines.
+
+    Two calls and the body of a third one arrive while the process is stopped.
+    """
     node = cluster.start_node("n1")
     with raw_target(cluster, serve_responses(OK)) as target:
         assert cluster.call("n1", "/")[0] == 200
-        with connect(node) as waiting, connect(node) as half:
+        with connect(node) as idle, connect(node) as partial:
             head = b"POST / HTTP/1.1\r\nHost: hive-ledger\r\nX-Deadline-Ms: 600\r\n"
-            half.sendall(head + b"Content-Length: 4\r\n\r\n")
+            partial.sendall(head + b"Content-Length: 4\r\n\r\n")
             calls = lambda: cluster.admin("n1", "/v1/status")[1]["calls"]  # noqa: E731
             wait_until(lambda: calls() == 1, message="the call without its body")
             node.signal(signal.SIGSTOP)
-            waiting.sendall(head + b"Content-Length: 0\r\n\r\n")
-            half.sendall(b"sale")
+            idle.sendall(head + b"Content-Length: 0\r\n\r\n")
+            partial.sendall(b"sale")
             late = connect(node)
             late.sendall(head + b"Content-Length: 0\r\n\r\n")
             time.sleep(0.8)
             node.signal(signal.SIGCONT)
-            for sock in (waiting, half, late):
+            for sock in (idle, partial, late):
                 lines, _ = read_head(sock)
                 assert b" 504 " in lines[0]
                 assert b"X-Verdict: not-run" in lines
@@ -173,8 +188,8 @@
         assert cluster.call("n1", "/", method="POST")[0] == 200
 
 
-def test_calls_beyond_the_share_wait_for_a_connection(cluster):
-    """Guards against more connections than a target accepts, and against refusals."""
+def test_calls_beyond_the_connection_limit_wait(cluster):
+    """Guards against exceeding a target's connections, and refusing calls for it."""
     cluster.start_node("n1")
 
     def serve(target, sock, number):
@@ -182,7 +197,7 @@
             time.sleep(0.05)
             sock.sendall(OK)
 
-    # One node may use nine tenths of them.
+    # A single node may use nine tenths of the connections.
     with (
         raw_target(cluster, serve, connections=10) as target,
         ThreadPoolExecutor(40) as callers,
@@ -192,22 +207,22 @@
         assert target.connections == 9
 
 
-def test_kept_connection_ends_in_order_when_the_node_stops(cluster):
-    """Guards against a stopping node that closes the connection under a request."""
+def test_kept_alive_connection_closes_gracefully_when_the_node_stops(cluster):
+    """Guards against a stopping node that closes a connection during a request."""
     node = cluster.start_node("n1")
     with raw_target(cluster, serve_responses(OK)):
         conn = http.client.HTTPConnection(*node.info["data"], timeout=5)
         for _ in range(2):
             conn.request("GET", "/", headers={"Host": "hive-ledger"})
-            answer = conn.getresponse()
-            assert answer.read() == b"ok" and not answer.will_close
+            response = conn.getresponse()
+            assert response.read() == b"ok" and not response.will_close
         with connect(node) as unused:
             node.signal(signal.SIGTERM)
-            # The listening socket is closed once the node has read the signal.
+            # The listening socket is closed once the node has handled the signal.
             wait_until(lambda: not accepts(node), message="the stop")
             conn.request("GET", "/", headers={"Host": "hive-ledger"})
-            answer = conn.getresponse()
-            assert answer.read() == b"ok" and answer.will_close
+            response = conn.getresponse()
+            assert response.read() == b"ok" and response.will_close
             assert read_all(unused) == (b"", False)
         assert node.stop() == 0
 
@@ -221,17 +236,17 @@
     return True
 
 
-def test_refused_call_keeps_the_connection_of_its_caller(cluster):
-    """Guards against a connection closed without notice after a refusal."""
+def test_refused_call_keeps_the_connection_alive(cluster):
+    """Guards against a connection closed without `Connection: close` on a refusal."""
     node = cluster.start_node("n1")
     conn = http.client.HTTPConnection(*node.info["data"], timeout=5)
     conn.auto_open = False
     conn.connect()
     for method, body in [("GET", None), ("POST", b"sale"), ("GET", None)]:
         conn.request(method, "/", body, headers={"Host": "nowhere"})
-        answer = conn.getresponse()
-        assert answer.read() and answer.status == 503 and not answer.will_close
+        response = conn.getresponse()
+        assert response.read() and response.status == 503 and not response.will_close
     conn.request("GET", "/", headers={"Host": "nowhere", "Expect": "nonsense"})
-    answer = conn.getresponse()
-    assert answer.read() and answer.status == 417 and answer.will_close
+    response = conn.getresponse()
+    assert response.read() and response.status == 417 and response.will_close
     conn.close()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,10 +1,10 @@
-"""Entries that come with calls are bounded."""
+"""Tests of the limit on log entries per second."""
 
 from pimentoline import logs
 
 
-def test_entries_are_bounded_and_what_is_left_out_is_counted(monkeypatch):
-    """Guards against a node in overload that spends its time on its log."""
+def test_entries_above_the_limit_are_suppressed_and_counted(monkeypatch):
+    """Guards against an overloaded node that spends its time on logging."""
     written = []
     monkeypatch.setattr(
         logs, "log_entry", lambda name, **fields: written.append(fields)
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -1,4 +1,4 @@
-"""Bodies pass through a node in pieces, in both directions."""
+"""Tests that a node streams bodies in both directions."""
 
 import http.client
 import json
@@ -7,7 +7,7 @@
 from .conftest import wait_until
 
 BODY_BYTES = 200 * 1000 * 1000
-GROWTH_KB = 8 * 1024
+MAX_GROWTH_KB = 8 * 1024
 
 
 def peak_kb(process):
@@ -28,31 +28,31 @@
 
 
 def test_upload_of_200_mb_leaves_memory_flat(cluster):
-    """Guards against a node that buffers a request faster than its target reads."""
+    """Guards against a node that buffers what a target has not read yet."""
     node, conn = start(cluster)
     before = peak_kb(node)
     piece = bytes(1000 * 1000)
     headers = {"Host": "hive-ledger", "Content-Length": str(BODY_BYTES)}
     conn.request("POST", "/", (piece for _ in range(200)), headers)
-    answer = conn.getresponse()
-    assert json.loads(answer.read())["received"] == BODY_BYTES
-    assert peak_kb(node) - before < GROWTH_KB
+    response = conn.getresponse()
+    assert json.loads(response.read())["received"] == BODY_BYTES
+    assert peak_kb(node) - before < MAX_GROWTH_KB
 
 
 def test_slow_reader_of_200_mb_leaves_memory_flat(cluster):
-    """Guards against a node that buffers an answer faster than its caller reads."""
+    """Guards against a node that buffers what a caller has not read yet."""
     node, conn = start(cluster)
     before = peak_kb(node)
     conn.request("GET", f"/?size={BODY_BYTES}", headers={"Host": "hive-ledger"})
-    answer = conn.getresponse()
-    received = len(answer.read(64 * 1024))
-    # The caller pauses for as long as a node without back-pressure takes to read
-    # everything (1.5 s measured).
+    response = conn.getresponse()
+    received = len(response.read(64 * 1024))
+    # The caller pauses for longer than the 1.5 s in which a node without back-pressure
+    # reads the whole body.
     paused_until = time.monotonic() + 2.0
     while time.monotonic() < paused_until:
-        assert peak_kb(node) - before < GROWTH_KB
+        assert peak_kb(node) - before < MAX_GROWTH_KB
         time.sleep(0.05)
-    while piece := answer.read(64 * 1024):
+    while piece := response.read(64 * 1024):
         received += len(piece)
     assert received == BODY_BYTES
-    assert peak_kb(node) - before < GROWTH_KB
+    assert peak_kb(node) - before < MAX_GROWTH_KB
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,4 +1,4 @@
-"""The whole path with separate processes."""
+"""End-to-end tests with separate processes."""
 
 import json
 
@@ -24,7 +24,7 @@
 
 
 def test_unknown_service_is_not_run(cluster):
-    """Guards against a call to no target that is answered as if it may have run."""
+    """Guards against a verdict other than `not-run` for a call without a target."""
     start_pair(cluster)
     status, headers, body = cluster.call("n1", "/", service="nowhere")
     assert status == 503
@@ -33,7 +33,7 @@
 
 
 def test_applied_rules_reach_every_node(cluster):
-    """Guards against a node that never puts an accepted version in force."""
+    """Guards against a node that never applies an accepted rules version."""
     start_pair(cluster)
     text = "pause t1  # asked by Wanjiru\n"
     body = {"base": 0, "text": text, "author": "otieno", "attempt": "attempt-1"}
