Finish the wording of errors, settings and the admin interface

A second reading found a few more vague docstrings. Behaviour is unchanged; ruff and the admin, platform process and command line tests pass.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -26,6 +26,8 @@
 MAX_TARGETS = 64
 MAX_HISTORY_ROWS = 100
 MAX_ECHOED_CHARS = 80
+# The choice of a target is random, so a call is explained by the results of this many
+# random draws.
 EXPLAIN_SAMPLES = 200
 STATUS_BY_RESULT = {
     "accepted": 200,
@@ -38,7 +40,7 @@
 
 
 class AdminHandler(RequestHandler):
-    """Base class of the handlers: JSON bodies, and errors with codes."""
+    """Base class of the handlers; requests, responses and errors are JSON."""
 
     def initialize(self, node):
         """Set the node that the handler works on."""
@@ -92,7 +94,7 @@
         self.finish({"error": code, "detail": detail})
 
     def log_exception(self, typ, value, tb):
-        """Log exceptions, except those that stand for a response."""
+        """Log exceptions other than `HTTPError`, which stands for a response."""
         if not isinstance(value, HTTPError):
             self.node.metrics.count("admin.failed")
             super().log_exception(typ, value, tb)
--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -17,17 +17,17 @@
 
 
 class PimentolineError(Exception):
-    """Base of all errors of the system.
+    """Base class of all errors of this package.
 
     Parameters
     ----------
     detail : str
-        Description of the error for people.
+        Human-readable description of the error.
 
     Attributes
     ----------
     code : str
-        Stable name of the error, for programs.
+        Stable, machine-readable name of the error.
     """
 
     code = "internal"
@@ -38,7 +38,7 @@
 
 
 class SettingsError(PimentolineError):
-    """Flags or environment variables are not allowed; `problems` lists each one."""
+    """Flags or environment variables are invalid; `problems` lists each one."""
 
     code = "settings-invalid"
 
@@ -48,7 +48,7 @@
 
 
 class RulesError(PimentolineError):
-    """A rules text was refused; `diagnostics` lists every problem."""
+    """A rules text is invalid; `diagnostics` lists every problem."""
 
     code = "rules-invalid"
 
@@ -145,7 +145,7 @@
 
 
 class CodecError(PimentolineError):
-    """A mesh message was malformed, foreign, too large or not authenticated."""
+    """A message is too large, malformed, not authenticated or not of the mesh."""
 
     code = "message-refused"
 
--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -209,7 +209,7 @@
     req : Request
     has_body : bool
     retry : bool
-        Whether this node has sent the call before.
+        Whether this node has already sent the call to a target.
     now : float
         Monotonic time, seconds.
     """
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -63,7 +63,7 @@
 # name: (fields, meaning)
 LOG_ENTRIES = {
     "mesh:dead": ("node", "a member is considered dead"),
-    "node:started": ("node, data, mesh", "the node serves"),
+    "node:started": ("node, data, mesh", "the node has started and accepts calls"),
     "node:stopped": ("node", "the node has finished its calls and exits"),
     "rules:apply": (
         "result, author, attempt, base",
--- a/pimentoline/platform/__init__.py
+++ b/pimentoline/platform/__init__.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform: runs a `pimentoline.twohop` node on the users' platform.
+"""pimentoline.platform: runs a `pimentoline.twohop` node on the deployment platform.
 
 The modules only convert the platform's settings, store, configuration, heartbeats and
 header names to and from the types of `pimentoline.twohop`.
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -68,6 +68,7 @@
     region: str
     service: str
     app_addr: tuple[str, int]
+    # In the file: a list, or a comma-separated text, of NAME=VALUE items.
     bounds: dict[str, str]
     listen: Listen
     platform: StoreSettings
@@ -79,7 +80,7 @@
 
     @field_validator("bounds", mode="before")
     @classmethod
-    def _pairs(cls, value):
+    def _parse_bounds(cls, value):
         if isinstance(value, str):
             value = value.split(",")
         return dict(item.split("=", 1) for item in value)
@@ -93,7 +94,7 @@
         """
         bounds = self.bounds
         try:
-            repeats = RetryLimits(
+            retry_limits = RetryLimits(
                 float(bounds["retry_ratio"]),
                 parse_duration(bounds["retry_window"]),
                 float(bounds["retry_slack"]),
@@ -112,7 +113,7 @@
             ready_addr=self.listen.ready_addr,
             target_addr=self.app_addr,
             grace_s=grace_s,
-            repeats=repeats,
+            repeats=retry_limits,
         )
 
 
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -46,7 +46,7 @@
 
 
 def parse_addr(text):
-    """Return (IP number, port) of `IP:PORT`.
+    """Return (IP address, port) from `IP:PORT`.
 
     Raises
     ------
@@ -135,6 +135,6 @@
     Raises
     ------
     SettingsError
-        Naming each setting that is not allowed.
+        Naming each invalid setting.
     """
     return validate(NodeConfig, values)
