--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -1,11 +1,11 @@
-"""pimentoline.failure_detector: pings, suspicion and death (SWIM, Lifeguard)."""
+"""pimentoline.failure_detector: SWIM failure detection with Lifeguard."""
 
 import random
 from dataclasses import replace
 
 from .effects import IncrementCounter, LogEntry, SendMessage
 from .gossip import request_sync, running_peers
-from .member_records import for_wire, own_record, with_own_record, with_records
+from .member_records import own_record, with_ages, with_own_record, with_records
 from .messages import Ack, Gossip, Ping, PingReq
 from .model import MemberStatus, PendingPing
 
@@ -18,68 +18,69 @@
     "start_suspicion",
 ]
 
-PING_S = 1.0
+PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 0.5
 INDIRECT_PINGS = 3
-SUSPICION_S = 3.0
-# A node that misses acks from several members is more likely to be slow itself. Each
-# such miss adds one `PING_TIMEOUT_S` and one `SUSPICION_S` (Lifeguard, DSN 2018).
-MAX_HEALTH = 8
+SUSPICION_TIMEOUT_S = 3.0
+# Highest local health score. A node that misses acks from several members is more
+# likely to be slow itself, so each missed ack adds one `PING_TIMEOUT_S` and one
+# `SUSPICION_TIMEOUT_S` to its timeouts (Lifeguard, DSN 2018).
+MAX_HEALTH_SCORE = 8
 
 
-def _with_health(state, change):
-    health = min(MAX_HEALTH, max(0, state.mesh.health_score + change))
-    return replace(state, mesh=replace(state.mesh, health_score=health))
+def _change_health_score(state, change):
+    score = min(MAX_HEALTH_SCORE, max(0, state.mesh.health_score + change))
+    return replace(state, mesh=replace(state.mesh, health_score=score))
 
 
 def check_members(state, now, draw):
-    """Go on with the ping in flight, start the next one, end suspicions."""
-    state, effects = _check_probe(state, now, draw)
+    """Check the pending ping, send the next one, and declare suspects dead."""
+    state, effects = _check_pending_ping(state, now, draw)
     if state.mesh.pending_ping is None and now >= state.mesh.next_ping_at:
-        state, started = _start_probe(state, now, draw)
+        state, started = _send_next_ping(state, now, draw)
         effects += started
     state, died = _declare_dead(state, now)
     return state, effects + died
 
 
-def _start_probe(state, now, draw):
+def _send_next_ping(state, now, draw):
     peers = running_peers(state)
-    mesh = replace(state.mesh, next_ping_at=now + PING_S)
+    mesh = replace(state.mesh, next_ping_at=now + PING_INTERVAL_S)
     if not peers:
         return replace(state, mesh=mesh), ()
     chosen = random.Random(draw).choice(peers)
-    probe = PendingPing(chosen.node_id, draw, now)
-    state = replace(state, mesh=replace(mesh, pending_ping=probe))
+    ping = PendingPing(chosen.node_id, draw, now)
+    state = replace(state, mesh=replace(mesh, pending_ping=ping))
     return state, (SendMessage((chosen.addr,), Ping(draw)),)
 
 
-def _check_probe(state, now, draw):
-    probe = state.mesh.pending_ping
-    if probe is None:
+def _check_pending_ping(state, now, draw):
+    ping = state.mesh.pending_ping
+    if ping is None:
         return state, ()
-    record = state.mesh.members.get(probe.node_id)
+    record = state.mesh.members.get(ping.node_id)
     if record is None or record.status in (MemberStatus.DEAD, MemberStatus.LEAVING):
         return replace(state, mesh=replace(state.mesh, pending_ping=None)), ()
     timeout_s = PING_TIMEOUT_S * (1 + state.mesh.health_score)
-    waited_s = now - probe.sent_at
-    if not probe.indirect and waited_s >= timeout_s:
-        probe = replace(probe, indirect=True)
-        state = replace(state, mesh=replace(state.mesh, pending_ping=probe))
-        others = [p for p in running_peers(state) if p.node_id != probe.node_id]
+    waited_s = now - ping.sent_at
+    if not ping.indirect and waited_s >= timeout_s:
+        ping = replace(ping, indirect=True)
+        state = replace(state, mesh=replace(state.mesh, pending_ping=ping))
+        others = [p for p in running_peers(state) if p.node_id != ping.node_id]
         chosen = random.Random(draw).sample(others, min(INDIRECT_PINGS, len(others)))
         if not chosen:
             return state, ()
         addrs = tuple(peer.addr for peer in chosen)
-        return state, (SendMessage(addrs, PingReq(probe.ping_id, record.addr)),)
-    if not probe.indirect or waited_s < 2 * timeout_s:
+        return state, (SendMessage(addrs, PingReq(ping.ping_id, record.addr)),)
+    if not ping.indirect or waited_s < 2 * timeout_s:
         return state, ()
     state = replace(state, mesh=replace(state.mesh, pending_ping=None))
-    state = _with_health(state, 1)
+    state = _change_health_score(state, 1)
     if record.status is MemberStatus.SUSPECT:
         return state, ()
     suspect = replace(record, status=MemberStatus.SUSPECT)
     state = start_suspicion(with_records(state, [suspect], now), suspect, now)
-    # The accused hears of it first, so that it can refute.
+    # The suspect itself gets the record at once, so that it can refute the suspicion.
     return state, (
         SendMessage((suspect.addr,), Gossip((suspect,))),
         IncrementCounter("mesh.suspected"),
@@ -87,13 +88,13 @@
 
 
 def start_suspicion(state, record, now):
-    """Start the time after which a suspect is declared dead."""
+    """Start the timeout after which a suspect is declared dead."""
     mesh = state.mesh
     if record.status is not MemberStatus.SUSPECT:
         return state
-    due = now + SUSPICION_S * (1 + mesh.health_score)
-    suspects = mesh.suspect_deadlines.set(record.node_id, due)
-    return replace(state, mesh=replace(mesh, suspect_deadlines=suspects))
+    due = now + SUSPICION_TIMEOUT_S * (1 + mesh.health_score)
+    deadlines = mesh.suspect_deadlines.set(record.node_id, due)
+    return replace(state, mesh=replace(mesh, suspect_deadlines=deadlines))
 
 
 def _declare_dead(state, now):
@@ -106,15 +107,15 @@
 
 
 def on_ping(state, ping, sender, addr, now):
-    """Answer a ping; tell a sender that is held for suspect or dead of it."""
-    effects = (SendMessage((addr,), Ack(ping.ping_id, ping.relay)),)
+    """Answer a ping, and tell its sender if it is considered suspect or dead here."""
+    effects = (SendMessage((addr,), Ack(ping.ping_id, ping.requester)),)
     held = state.mesh.members.get(sender)
-    if held is None and ping.relay is None:
-        state, asked = request_sync(state, addr, now)
-        return state, effects + asked
+    if held is None and ping.requester is None:
+        state, requested = request_sync(state, addr, now)
+        return state, effects + requested
     if held is not None and held.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
-        told = Gossip(for_wire(state, (held,), now))
-        effects += (SendMessage((addr,), told),)
+        notice = Gossip(with_ages(state, (held,), now))
+        effects += (SendMessage((addr,), notice),)
     return state, effects
 
 
@@ -124,18 +125,18 @@
 
 
 def on_ack(state, ack):
-    """End the ping in flight, or pass the ack on to the node that it is for."""
-    if ack.relay is not None:
-        return state, (SendMessage((ack.relay,), Ack(ack.ping_id)),)
-    probe = state.mesh.pending_ping
-    if probe is None or probe.ping_id != ack.ping_id:
+    """Complete the pending ping, or forward the ack to the node that requested it."""
+    if ack.requester is not None:
+        return state, (SendMessage((ack.requester,), Ack(ack.ping_id)),)
+    ping = state.mesh.pending_ping
+    if ping is None or ping.ping_id != ack.ping_id:
         return state, ()
     state = replace(state, mesh=replace(state.mesh, pending_ping=None))
-    return _with_health(state, -1), ()
+    return _change_health_score(state, -1), ()
 
 
 def refute(state, record):
-    """Outbid a record of this node that another node has made or kept."""
+    """Make a newer record of this node than one that another node has made or kept."""
     own = own_record(state)
     if record.incarnation > own.incarnation:
         # The clock was set back between two boots of this node.
@@ -143,4 +144,4 @@
     else:
         changes = {"seq": record.seq + 1}
     state = with_own_record(state, **changes)
-    return _with_health(state, 1), (IncrementCounter("mesh.refuted"),)
+    return _change_health_score(state, 1), (IncrementCounter("mesh.refuted"),)
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -1,4 +1,4 @@
-"""pimentoline.gossip: spreading of new records, and synchronisation."""
+"""pimentoline.gossip: gossip of new member records, and synchronisation."""
 
 import random
 from dataclasses import replace
@@ -8,9 +8,9 @@
     SYNC_BUCKETS,
     bucket_of,
     digests,
-    for_wire,
     is_newer,
     is_running,
+    with_ages,
 )
 from .messages import Gossip, SyncReply, SyncRequest
 from .model import MemberStatus
@@ -18,7 +18,7 @@
 __all__ = [
     "lost_regions",
     "on_sync_reply",
-    "push",
+    "push_gossip",
     "request_sync",
     "running_peers",
     "sync_reply",
@@ -27,16 +27,16 @@
 
 GOSSIP_FANOUT = 3
 # Bounds the burst after the loss of a data centre (120 nodes): 60 records made a node
-# send 41 KB/s, above the limit of 27 KB/s. What is left waits for the next round,
-# 200 ms later.
+# send 41 KB/s, above the limit of 27 KB/s. The remaining records are sent in the next
+# rounds, each 200 ms later.
 MAX_RECORDS_PER_PUSH = 20
 SYNC_INTERVAL_S = 60.0
-# An unknown sender or a refuted death calls for a synchronisation at once; this
-# bounds their rate.
-SYNC_MIN_GAP_S = 1.0
-LOST_REGION_SHARE = 0.3
-# The failure of a single host is not a partition, however small its region.
-LOST_REGION_MIN = 2
+# Bounds the rate of synchronisations that messages trigger: a ping from an unknown
+# sender, or gossip that declares this node dead.
+MIN_SYNC_INTERVAL_S = 1.0
+LOST_REGION_FRACTION = 0.3
+# The failure of a single host is not a partition, however small its region is.
+LOST_REGION_MIN_MEMBERS = 2
 
 
 def running_peers(state):
@@ -49,8 +49,12 @@
     ]
 
 
-def push(state, now, draw):
-    """Send what is new to a few peers and lower its remaining sends."""
+def push_gossip(state, now, draw):
+    """Send the newest records to a few random peers.
+
+    Each record is sent in a limited number of rounds. Every message names the rules
+    version, so one without records is sent while only that is new.
+    """
     mesh, rules = state.mesh, state.rules
     if not mesh.pending_gossip and not rules.remaining_sends:
         return state, ()
@@ -58,58 +62,58 @@
     if not peers:
         return state, ()
     chosen = random.Random(draw).sample(peers, min(GOSSIP_FANOUT, len(peers)))
-    # The records with the most sends left are the newest.
-    hot = sorted(
+    # The records with the most remaining sends are the newest.
+    newest = sorted(
         mesh.pending_gossip, key=lambda name: (-mesh.pending_gossip[name], name)
     )
-    left = mesh.pending_gossip
-    for name in hot[:MAX_RECORDS_PER_PUSH]:
-        sends = left[name] - 1
-        left = left.set(name, sends) if sends else left.delete(name)
-    records = [mesh.members[name] for name in hot[:MAX_RECORDS_PER_PUSH]]
+    remaining = mesh.pending_gossip
+    for name in newest[:MAX_RECORDS_PER_PUSH]:
+        sends = remaining[name] - 1
+        remaining = remaining.set(name, sends) if sends else remaining.delete(name)
+    records = [mesh.members[name] for name in newest[:MAX_RECORDS_PER_PUSH]]
     state = replace(
         state,
-        mesh=replace(mesh, pending_gossip=left),
+        mesh=replace(mesh, pending_gossip=remaining),
         rules=replace(rules, remaining_sends=max(0, rules.remaining_sends - 1)),
     )
     addrs = tuple(record.addr for record in chosen)
-    return state, (SendMessage(addrs, Gossip(for_wire(state, records, now))),)
+    return state, (SendMessage(addrs, Gossip(with_ages(state, records, now))),)
 
 
 def lost_regions(state):
-    """Return the regions of which several, and more than 30%, are suspect or dead."""
-    missing = _missing(state)
+    """Return the regions with over 30%, and at least 2, of their members missing."""
+    missing = _missing_members(state)
     total = dict.fromkeys(missing, 0)
     for record in state.mesh.members.values():
         if record.status is MemberStatus.ALIVE and record.region in total:
             total[record.region] += 1
     return {
         region
-        for region, gone in missing.items()
-        if len(gone) >= LOST_REGION_MIN
-        and len(gone) > LOST_REGION_SHARE * (total[region] + len(gone))
+        for region, absent in missing.items()
+        if len(absent) >= LOST_REGION_MIN_MEMBERS
+        and len(absent) > LOST_REGION_FRACTION * (total[region] + len(absent))
     }
 
 
-def _missing(state):
+def _missing_members(state):
     """Return the suspect and dead members by region.
 
     A dead member whose host has a running node was replaced and does not count.
     """
     members = state.mesh.members
     hosts = {record.host for record in members.values() if is_running(record)}
-    found = {}
+    by_region = {}
     for name in sorted(members):
         record = members[name]
         replaced = record.status is MemberStatus.DEAD and record.host in hosts
         if record.status in (MemberStatus.SUSPECT, MemberStatus.DEAD) and not replaced:
-            found.setdefault(record.region, []).append(record)
-    return found
+            by_region.setdefault(record.region, []).append(record)
+    return by_region
 
 
 def request_sync(state, addr, now):
-    """Ask a peer for what is missing here, unless this was just done."""
-    if now < state.mesh.last_sync_at + SYNC_MIN_GAP_S:
+    """Synchronise with a peer, unless the latest synchronisation was just started."""
+    if now < state.mesh.last_sync_at + MIN_SYNC_INTERVAL_S:
         return state, ()
     mesh = replace(state.mesh, last_sync_at=now)
     request = SyncRequest(digests(mesh.members))
@@ -117,19 +121,19 @@
 
 
 def sync_when_due(state, now, draw):
-    """Synchronise with a random peer and with remembered members.
+    """Synchronise with a random peer and with missing members at regular intervals.
 
-    One missing member of each region is asked as well, which joins the two sides of
-    a partition again once it has ended.
+    One suspect or dead member of each region is asked as well, so that the two sides
+    of a partition find each other again after it has ended.
     """
     if now < state.mesh.next_sync_at:
         return state, ()
     rand = random.Random(draw)
     peers = running_peers(state)
     addrs = [rand.choice(peers).addr] if peers else []
-    for _, gone in sorted(_missing(state).items()):
-        addrs.append(rand.choice(gone).addr)
-    # The jitter keeps nodes that started together from synchronising together.
+    for _, absent in sorted(_missing_members(state).items()):
+        addrs.append(rand.choice(absent).addr)
+    # The jitter keeps nodes that started together from synchronising at the same time.
     due = now + SYNC_INTERVAL_S * rand.uniform(0.9, 1.1)
     state = replace(state, mesh=replace(state.mesh, next_sync_at=due, last_sync_at=now))
     if not addrs:
@@ -142,7 +146,7 @@
     """Return the reply to a `SyncRequest`: the records of the buckets that differ."""
     theirs = request.digests
     if len(theirs) != SYNC_BUCKETS:
-        # Another release may use another number of buckets; it gets everything.
+        # Another release may use another number of buckets; send it all records.
         theirs = (None,) * SYNC_BUCKETS
     members = state.mesh.members
     differ = {
@@ -151,18 +155,18 @@
         if own != other
     }
     records = [members[name] for name in sorted(members) if bucket_of(name) in differ]
-    return SyncReply(tuple(sorted(differ)), for_wire(state, records, now))
+    return SyncReply(tuple(sorted(differ)), with_ages(state, records, now))
 
 
 def on_sync_reply(state, reply, addr, now):
-    """Return the effects that give the replier what it lacks."""
+    """Return the effects that send the replier the records that it lacks."""
     theirs = {record.node_id: record for record in reply.records}
     buckets = set(reply.buckets)
-    lacking = [
+    lacked = [
         record
         for name, record in sorted(state.mesh.members.items())
         if bucket_of(name) in buckets and is_newer(record, theirs.get(name))
     ]
-    if not lacking or addr is None:
+    if not lacked or addr is None:
         return ()
-    return (QueryPeer(addr, Gossip(for_wire(state, lacking, now))),)
+    return (QueryPeer(addr, Gossip(with_ages(state, lacked, now))),)
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -1,4 +1,4 @@
-"""pimentoline.member_records: the member records held, and this node's own."""
+"""pimentoline.member_records: comparison, storage and digests of member records."""
 
 import hashlib
 from dataclasses import replace
@@ -8,32 +8,36 @@
 from .model import Member, MemberStatus, TargetState, UnconfirmedTarget
 
 __all__ = [
-    "DEAD_KEEP_S",
+    "DEAD_RETENTION_S",
     "SYNC_BUCKETS",
-    "UNCONFIRMED_S",
+    "UNCONFIRMED_RETENTION_S",
     "bucket_of",
     "digests",
-    "for_wire",
     "is_newer",
     "is_running",
     "own_record",
-    "routable",
+    "routable_targets",
+    "with_ages",
     "with_own_record",
     "with_records",
     "without",
 ]
 
-# 8 rounds of 3 sends reach a given peer with a probability above 1 - e**-24 once the
-# other members send as often; fewer rounds lose rumours when datagrams are lost.
+# Rounds in which each member sends a new record on. With 3 peers a round, 8 rounds
+# reach a given peer with a probability above 1 - e**-24; with fewer rounds, records
+# failed to reach some peers when datagrams were lost.
 GOSSIP_SENDS = 8
-# A rumour that travels longer than this must not bring back a dead member.
-DEAD_KEEP_S = 3600.0
-UNCONFIRMED_S = 60.0
-# At rest a synchronisation exchanges only this many digests of 8 bytes. Decoding all
+# Dead members are remembered for this long, so that gossip which was delayed by less
+# cannot bring them back.
+DEAD_RETENTION_S = 3600.0
+# Targets stay routable for this long after their node has left or died.
+UNCONFIRMED_RETENTION_S = 60.0
+# Peers with equal records exchange only this many digests of 8 bytes. Decoding all
 # 720 records instead would block the event loop for about 75 ms.
 SYNC_BUCKETS = 64
 
-_RANK = {
+# Of two records with equal counters, the one with the higher precedence is valid.
+_STATUS_PRECEDENCE = {
     MemberStatus.ALIVE: 0,
     MemberStatus.LEAVING: 1,
     MemberStatus.SUSPECT: 2,
@@ -41,13 +45,13 @@
 }
 
 
-def _order(record):
-    return record.incarnation, record.seq, _RANK[record.status]
+def _precedence(record):
+    return record.incarnation, record.seq, _STATUS_PRECEDENCE[record.status]
 
 
 def is_newer(record, held):
     """Return whether `record` replaces `held`, which may be None."""
-    return held is None or _order(record) > _order(held)
+    return held is None or _precedence(record) > _precedence(held)
 
 
 def is_running(record):
@@ -56,16 +60,23 @@
 
 
 def own_record(state):
-    """Return this node's record, made at the first use."""
-    me = state.identity
-    found = state.mesh.members.get(me.node_id)
-    if found is not None:
-        return found
-    return Member(me.node_id, me.host, me.mesh_addr, me.region, me.dc, me.incarnation)
+    """Return this node's own record, a new one if the state has none yet."""
+    identity = state.identity
+    held = state.mesh.members.get(identity.node_id)
+    if held is not None:
+        return held
+    return Member(
+        identity.node_id,
+        identity.host,
+        identity.mesh_addr,
+        identity.region,
+        identity.dc,
+        identity.incarnation,
+    )
 
 
 def with_own_record(state, now=0.0, **changes):
-    """Return the state with a newer record of this node, queued as a rumour.
+    """Return the state with a newer record of this node, queued for gossip.
 
     `now` is needed only if the status changes.
     """
@@ -74,13 +85,13 @@
     return with_records(state, [replace(record, **changes)], now)
 
 
-def with_records(state, records, now=0.0, spread=True):
+def with_records(state, records, now=0.0, gossip=True):
     """Return the state with newer member records.
 
-    If `spread` is True, each of them is queued as a rumour.
+    If `gossip` is True, each of them is queued for gossip.
     """
     mesh = state.mesh
-    members, rumours, suspects = (
+    members, pending, deadlines = (
         mesh.members,
         mesh.pending_gossip,
         mesh.suspect_deadlines,
@@ -94,34 +105,34 @@
             ended = without(ended, name)
             restarted = held is not None and held.incarnation < record.incarnation
             if restarted and is_running(held):
-                unconfirmed = _unconfirm(unconfirmed, held, now, now)
+                unconfirmed = _keep_unconfirmed(unconfirmed, held, now, now)
             for target in record.targets:
                 unconfirmed = without(unconfirmed, target.target_id)
         else:
             if name not in ended or (held is not None and is_running(held)):
                 ended = ended.set(name, now - record.age_s)
-            unconfirmed = _unconfirm(unconfirmed, record, ended[name], now)
+            unconfirmed = _keep_unconfirmed(unconfirmed, record, ended[name], now)
         if record.status is not MemberStatus.SUSPECT:
-            suspects = without(suspects, name)
+            deadlines = without(deadlines, name)
         members = members.set(name, replace(record, age_s=0.0))
-        if spread:
-            rumours = rumours.set(name, GOSSIP_SENDS)
+        if gossip:
+            pending = pending.set(name, GOSSIP_SENDS)
     mesh = replace(
         mesh,
         members=members,
-        pending_gossip=rumours,
-        suspect_deadlines=suspects,
+        pending_gossip=pending,
+        suspect_deadlines=deadlines,
         ended_at=ended,
         unconfirmed=unconfirmed,
     )
     if routes_changed:
-        mesh = replace(mesh, by_service=routable(mesh))
+        mesh = replace(mesh, by_service=routable_targets(mesh))
     return replace(state, mesh=mesh)
 
 
-def without(found, key):
-    """Return a map without a key that it may not have."""
-    return found.delete(key) if key in found else found
+def without(mapping, key):
+    """Return a map without a key, if it has that key."""
+    return mapping.delete(key) if key in mapping else mapping
 
 
 def _changes_routes(held, record):
@@ -134,9 +145,9 @@
     )
 
 
-def _unconfirm(unconfirmed, record, since, now):
-    """Keep the targets of a node that ended at `since`."""
-    until = since + UNCONFIRMED_S
+def _keep_unconfirmed(unconfirmed, record, since, now):
+    """Keep the targets of a node that left or died at `since` as unconfirmed."""
+    until = since + UNCONFIRMED_RETENTION_S
     for target in record.targets:
         if target.state is TargetState.GONE:
             unconfirmed = without(unconfirmed, target.target_id)
@@ -146,29 +157,29 @@
     return unconfirmed
 
 
-def routable(mesh):
+def routable_targets(mesh):
     """Return the targets to route to, grouped by service, in order of their ids.
 
-    A target that a running node announces counts as that node says, even if it
-    says `gone`; of two running nodes the one that started later is right.
+    The announcement of a running node overrides an unconfirmed target, even with the
+    state `gone`. Of two running nodes, the one that started later is believed.
     """
-    found = {name: (-1, entry.target) for name, entry in mesh.unconfirmed.items()}
+    by_id = {name: (-1, entry.target) for name, entry in mesh.unconfirmed.items()}
     for record in mesh.members.values():
         if not is_running(record):
             continue
         for target in record.targets:
-            known = found.get(target.target_id)
+            known = by_id.get(target.target_id)
             if known is None or known[0] < record.incarnation:
-                found[target.target_id] = (record.incarnation, target)
+                by_id[target.target_id] = (record.incarnation, target)
     grouped = {}
-    for _, (_, target) in sorted(found.items()):
+    for _, (_, target) in sorted(by_id.items()):
         if target.state is not TargetState.GONE:
             grouped.setdefault(target.service, []).append(target)
     return Map({name: tuple(targets) for name, targets in grouped.items()})
 
 
-def for_wire(state, records, now):
-    """Return the records with their ages, as they are sent to peers."""
+def with_ages(state, records, now):
+    """Return the records to send, with `age_s` set for members that left or died."""
     ended = state.mesh.ended_at
     return tuple(
         replace(record, age_s=max(0.0, now - ended[record.node_id]))
@@ -184,10 +195,10 @@
 
 
 def digests(members):
-    """Return one 64-bit digest for each bucket; equal buckets have equal digests."""
-    found = [0] * SYNC_BUCKETS
+    """Return one 64-bit digest of the member records in each bucket."""
+    values = [0] * SYNC_BUCKETS
     for record in members.values():
-        text = f"{record.node_id} {_order(record)}"
+        text = f"{record.node_id} {_precedence(record)}"
         value = hashlib.blake2b(text.encode(), digest_size=8).digest()
-        found[bucket_of(record.node_id)] ^= int.from_bytes(value, "big")
-    return tuple(found)
+        values[bucket_of(record.node_id)] ^= int.from_bytes(value, "big")
+    return tuple(values)
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -1,4 +1,4 @@
-"""pimentoline.membership: member records and how they are kept up to date."""
+"""pimentoline.membership: event handlers of the membership protocol."""
 
 from dataclasses import replace
 
@@ -11,9 +11,9 @@
     refute,
     start_suspicion,
 )
-from .gossip import on_sync_reply, push, request_sync, sync_reply, sync_when_due
+from .gossip import on_sync_reply, push_gossip, request_sync, sync_reply, sync_when_due
 from .member_records import (
-    DEAD_KEEP_S,
+    DEAD_RETENTION_S,
     is_newer,
     is_running,
     own_record,
@@ -22,56 +22,66 @@
 )
 from .messages import Ack, Gossip, Ping, PingReq, SyncReply, SyncRequest
 from .model import MemberStatus
-from .target_states import expire_own, expire_unconfirmed, keep_drains
+from .target_states import (
+    expire_own_targets,
+    expire_unconfirmed_targets,
+    inherit_drains,
+)
 
 __all__ = ["on_members_received", "on_message", "on_stop", "on_tick"]
 
 
 def on_members_received(state, event):
-    """Take the records that are newer than the ones held."""
-    return _take(state, event.records, event.now)
+    """Merge member records that a peer has sent."""
+    return _merge_records(state, event.records, event.now)
+
 
+def _merge_records(state, records, now, gossip=True):
+    """Take the records that are newer than those held.
 
-def _take(state, records, now, spread=True):
+    A newer record of this node itself was made by another node and is refuted. If
+    `gossip` is True, the records taken are queued for gossip.
+    """
     newer, effects = {}, ()
     for record in records:
         name = record.node_id
-        state = keep_drains(state, record, now)
+        state = inherit_drains(state, record, now)
         if name == state.identity.node_id:
             own = own_record(state)
             if is_newer(record, own):
                 state, refuted = refute(state, record)
                 effects += refuted
             elif record.status is not MemberStatus.ALIVE:
-                # The sender has not heard of the refutation.
+                # The sender does not know of the refutation, so it is gossiped again.
                 state = with_records(state, [own], now)
             continue
         held = newer.get(name) or state.mesh.members.get(name)
-        if not is_running(record) and record.age_s >= DEAD_KEEP_S:
+        if not is_running(record) and record.age_s >= DEAD_RETENTION_S:
             continue
         if is_newer(record, held):
             newer[name] = record
     if newer:
-        state = with_records(state, newer.values(), now, spread)
+        state = with_records(state, newer.values(), now, gossip)
         for record in newer.values():
             state = start_suspicion(state, record, now)
     return state, effects
 
 
 def on_message(state, event):
-    """Handle a message of the membership protocol; others change nothing."""
+    """Handle a message of the membership protocol and ignore all others."""
     now = event.now
     if event.addr is None and isinstance(event.body, (Ping, PingReq)):
+        # Without the sender's address, it cannot be answered by a datagram.
         return state, ()
     match event.body:
         case Gossip(records):
-            return _on_rumours(state, event, records)
+            return _on_gossip(state, event, records)
         case SyncRequest():
             return state, (Reply(sync_reply(state, event.body, now)),)
         case SyncReply(_, records):
-            # The replier has spread these records. A node that joins would otherwise
-            # repeat all 720 of them, about 1 MB, to its peers.
-            state, effects = _take(state, records, now, spread=False)
+            # The replier has gossiped these records already. If a joining node did so
+            # again, it would send all 720 of them, about 1 MB, to its peers.
+            state, effects = _merge_records(state, records, now, gossip=False)
             return state, effects + on_sync_reply(state, event.body, event.addr, now)
         case Ping():
             return on_ping(state, event.body, event.sender, event.addr, now)
@@ -82,48 +92,51 @@
     return state, ()
 
 
-def _on_rumours(state, event, records):
-    accused = any(
+def _on_gossip(state, event, records):
+    declared_dead = any(
         record.node_id == state.identity.node_id and record.status is MemberStatus.DEAD
         for record in records
     )
-    state, effects = _take(state, records, event.now)
+    state, effects = _merge_records(state, records, event.now)
     if event.addr is None:
         return state, effects + (Reply(SyncReply((), ())),)
-    if accused:
-        # Nobody sends rumours to a member that is held for dead, so some are missing.
-        state, asked = request_sync(state, event.addr, event.now)
-        effects += asked
+    if declared_dead:
+        # Members do not gossip to a dead member, so this node has missed updates.
+        state, requested = request_sync(state, event.addr, event.now)
+        effects += requested
     return state, effects
 
 
 def on_stop(state, event):
-    """Tell the peers that this node leaves."""
+    """Announce to the peers that this node leaves the mesh."""
     state = with_own_record(state, event.now, status=MemberStatus.LEAVING)
-    return push(state, event.now, state.mesh.draw)
+    return push_gossip(state, event.now, state.mesh.draw)
 
 
 def on_tick(state, event):
-    """Do what is due, and spread what is new."""
+    """Run failure detection, expiry, synchronisation and gossip."""
     now, draw = event.now, event.draw
     state = replace(state, mesh=replace(state.mesh, draw=draw, last_tick=now))
     state, effects = check_members(state, now, draw)
-    state, expired = expire_own(state, now)
-    state = _forget_ended(expire_unconfirmed(state, now), now)
+    state, expired = expire_own_targets(state, now)
+    state = _remove_ended_members(expire_unconfirmed_targets(state, now), now)
     state, synced = sync_when_due(state, now, draw)
-    state, pushed = push(state, now, draw)
+    state, pushed = push_gossip(state, now, draw)
     return state, effects + expired + synced + pushed
 
 
-def _forget_ended(state, now):
+def _remove_ended_members(state, now):
+    """Remove the members that left or died `DEAD_RETENTION_S` ago."""
     mesh = state.mesh
-    old = [name for name, at in mesh.ended_at.items() if now - at >= DEAD_KEEP_S]
-    if not old:
+    expired_names = [
+        name for name, at in mesh.ended_at.items() if now - at >= DEAD_RETENTION_S
+    ]
+    if not expired_names:
         return state
-    members, ended, rumours = mesh.members, mesh.ended_at, mesh.pending_gossip
-    for name in old:
+    members, ended, pending = mesh.members, mesh.ended_at, mesh.pending_gossip
+    for name in expired_names:
         members, ended = members.delete(name), ended.delete(name)
-        if name in rumours:
-            rumours = rumours.delete(name)
-    mesh = replace(mesh, members=members, ended_at=ended, pending_gossip=rumours)
+        if name in pending:
+            pending = pending.delete(name)
+    mesh = replace(mesh, members=members, ended_at=ended, pending_gossip=pending)
     return replace(state, mesh=mesh)
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -1,4 +1,4 @@
-"""pimentoline.messages: bodies of the messages between nodes, as data."""
+"""pimentoline.messages: data classes of the messages between nodes."""
 
 from dataclasses import dataclass
 
@@ -21,15 +21,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asks for an `Ack`; `relay` is the node on whose behalf it is sent, if any."""
+    """Asks for an `Ack`; `requester` is the node that asked for this ping, if any."""
 
     ping_id: int
-    relay: tuple[str, int] | None = None
+    requester: tuple[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class PingReq:
-    """Asks a peer to ping `addr` on behalf of the sender."""
+    """Asks a peer to ping `addr` on behalf of the sender (indirect ping of SWIM)."""
 
     ping_id: int
     addr: tuple[str, int]
@@ -37,15 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ack:
-    """Answers a `Ping`; whoever receives it passes it on to `relay`, if set."""
+    """Answers a `Ping`; the receiver forwards it to `requester`, if that is set."""
 
     ping_id: int
-    relay: tuple[str, int] | None = None
+    requester: tuple[str, int] | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """Member records that are new; empty if only the rules version is."""
+    """New member records; empty if only the rules version of the sender is new."""
 
     records: tuple[Member, ...]
 
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """The buckets that differ, and all records that the sender holds in them."""
+    """Buckets with different digests, and all records of the sender in them."""
 
     buckets: tuple[int, ...]
     records: tuple[Member, ...]
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesReply:
-    """A rules text and its version."""
+    """Answers a `RulesRequest` with the rules text in force and its version."""
 
     version: int
     text: str
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesPush:
-    """A rules text to hold before it is reported as accepted."""
+    """Asks a peer to load an accepted rules text before its author gets the reply."""
 
     version: int
     text: str
@@ -90,14 +90,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesAck:
-    """The version in force at the receiver of a `RulesPush`."""
+    """Answers a `RulesPush` with the rules version in force at its receiver."""
 
     version: int
 
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """A body with what every message tells of its sender.
+    """A message body, and what every message says about its sender.
 
     Parameters
     ----------
@@ -108,11 +108,11 @@
         Version in force at the sender.
     body : data class of this module
     known_rules_version : int
-        Highest version that the sender was told of.
+        Highest version that the sender knows of.
     rules_confirmed : bool
-        Whether the sender has checked its version since it booted.
+        Whether the sender has verified its version since it booted.
     skipped_records : int
-        Records that the decoder left out because it does not understand them.
+        Number of records that the decoder could not read and left out.
     """
 
     sender: str
--- a/pimentoline/rules_version.py
+++ b/pimentoline/rules_version.py
@@ -1,41 +1,42 @@
-"""pimentoline.rules_version: which rules version is in force."""
+"""pimentoline.rules_version: the rules version in force, and fetching newer ones."""
 
 import random
 from dataclasses import replace
 
 from .effects import FetchRules, IncrementCounter, LogEntry, RejectCall, Reply
-from .gossip import push, running_peers
+from .gossip import push_gossip, running_peers
 from .member_records import GOSSIP_SENDS
 from .messages import RulesAck, RulesPush, RulesReply, RulesRequest
 from .verdict import Verdict
 
 __all__ = [
     "on_message",
-    "on_rules_version_received",
     "on_rules_loaded",
+    "on_rules_version_received",
     "on_tick",
     "rejection_if_outdated",
 ]
 
-# An accepted version is in force everywhere within 5 s. It is announced to every node
-# within 2 s, so a running node may answer calls by the one before for 3 s more.
-GRACE_S = 3.0
-# A process that did not run for this long can have missed an accepted version.
-PAUSE_S = 3.0
-# A fetch over TCP ends after at most 2 s; earlier repetitions would pile up.
-FETCH_GAP_S = 1.0
+# An accepted version has to be in force at every node within 5 s. Gossip announces it
+# within 2 s, so a running node may serve calls by the previous version for 3 s more.
+GRACE_PERIOD_S = 3.0
+# A process without a tick for longer was paused and may have missed a version.
+MAX_TICK_GAP_S = 3.0
+# A fetch over TCP takes up to 2 s; more frequent retries would pile up.
+MIN_FETCH_INTERVAL_S = 1.0
 
 
 def rejection_if_outdated(state, event):
-    """Return the effects that reject a call, or () if calls are served.
+    """Return the effects that reject a call, or () if the rules are up to date.
 
-    At boot and after a pause, the node first has to learn the highest version.
+    At boot and after a pause, calls are rejected until the node has learned which
+    version is the highest.
     """
     rules, last_tick = state.rules, state.mesh.last_tick
-    paused = last_tick is not None and event.now - last_tick > PAUSE_S
+    paused = last_tick is not None and event.now - last_tick > MAX_TICK_GAP_S
     behind = rules.version < rules.known_version
     if not (rules.must_check or paused):
-        if not behind or event.now - rules.outdated_since <= GRACE_S:
+        if not behind or event.now - rules.outdated_since <= GRACE_PERIOD_S:
             return ()
     detail = (
         f"rules version {rules.version} is in force, {rules.known_version} is known"
@@ -45,8 +46,8 @@
     return (reject, IncrementCounter(f"calls.{code}"))
 
 
-def _hear(state, version, now):
-    """Note the highest version that anyone has named."""
+def _record_known_version(state, version, now):
+    """Record a version named by a peer or the store if it is the highest known."""
     rules = state.rules
     if version <= rules.known_version:
         return state
@@ -59,8 +60,8 @@
     )
 
 
-def _settle(state, confirmed=False):
-    """End the check once it was answered and the highest version is in force."""
+def _finish_check(state, confirmed=False):
+    """End the version check if it was answered and the highest version is in force."""
     rules = state.rules
     if not rules.must_check:
         return state
@@ -73,11 +74,11 @@
 
 
 def _fetch(state, addr, now):
-    """Ask for the highest version, unless it was asked for a moment ago."""
+    """Fetch the highest known version, unless a fetch of it has just been started."""
     rules = state.rules
     if (
         rules.requested_version >= rules.known_version
-        and now - rules.requested_at < FETCH_GAP_S
+        and now - rules.requested_at < MIN_FETCH_INTERVAL_S
     ):
         return state, ()
     rules = replace(rules, requested_version=rules.known_version, requested_at=now)
@@ -85,15 +86,17 @@
 
 
 def on_message(state, event):
-    """Compare the versions that every message names, and answer for the rules."""
+    """Compare the rules versions that a message names, and answer rules messages."""
     now, rules = event.now, state.rules
-    state = _hear(state, max(event.rules_version, event.known_rules_version), now)
-    state = _settle(state, event.is_reply and event.rules_confirmed)
+    state = _record_known_version(
+        state, max(event.rules_version, event.known_rules_version), now
+    )
+    state = _finish_check(state, event.is_reply and event.rules_confirmed)
     match event.body:
         case RulesRequest(version) if version <= rules.version:
             return state, (Reply(RulesReply(rules.version, rules.text)),)
         case RulesPush(version) if version <= rules.version:
-            # The runtime has raised `RulesLoaded` for the text before, if it is valid.
+            # If the text is valid, the runtime has raised `RulesLoaded` for it before.
             return state, (Reply(RulesAck(rules.version)),)
         case RulesReply() | RulesPush():
             return state, ()
@@ -103,13 +106,13 @@
 
 
 def on_rules_version_received(state, event):
-    """Note a version that the store has named, and fetch it if it is newer."""
+    """Record a version that the store or a peer named, and fetch it if it is newer."""
     if event.version < state.rules.version:
-        return _settle(state, event.confirmed), (
+        return _finish_check(state, event.confirmed), (
             IncrementCounter("rules.older_ignored"),
         )
-    state = _hear(state, event.version, event.now)
-    state = _settle(state, event.confirmed)
+    state = _record_known_version(state, event.version, event.now)
+    state = _finish_check(state, event.confirmed)
     if event.version <= state.rules.version:
         return state, ()
     member = state.mesh.members.get(event.source)
@@ -117,13 +120,13 @@
 
 
 def on_rules_loaded(state, event):
-    """Put a newer version in force; count and ignore any other."""
+    """Put a newer version in force; ignore any other, and count older ones."""
     rules = state.rules
     if event.version <= rules.version:
         older = event.version < rules.version
         return state, (IncrementCounter("rules.older_ignored"),) if older else ()
-    state = _hear(state, event.version, event.now)
-    # The member record is left as it is: every message names the version anyway, and
+    state = _record_known_version(state, event.version, event.now)
+    # The member record is not renewed, as every message names the version anyway and
     # 720 new records for each change would exceed the control-plane limit.
     rules = replace(
         state.rules,
@@ -137,16 +140,16 @@
     entry = LogEntry(
         "rules:in-force", (("version", event.version), ("source", event.source))
     )
-    state = _settle(replace(state, rules=rules))
-    state, pushed = push(state, event.now, state.mesh.draw)
+    state = _finish_check(replace(state, rules=rules))
+    state, pushed = push_gossip(state, event.now, state.mesh.draw)
     return state, (entry, *pushed)
 
 
 def on_tick(state, event):
-    """Repeat a fetch that has failed; check the version again after a pause."""
+    """Retry a failed fetch, and check the version again after a pause."""
     now, last_tick = event.now, state.mesh.last_tick
     effects = ()
-    if last_tick is not None and now - last_tick > PAUSE_S:
+    if last_tick is not None and now - last_tick > MAX_TICK_GAP_S:
         rules = replace(state.rules, must_check=True, answered=False)
         state = replace(state, rules=rules)
         effects = (IncrementCounter("node.paused"),)
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -1,31 +1,31 @@
-"""pimentoline.target_states: life of the targets of this host, and unconfirmed ones."""
+"""pimentoline.target_states: states of the targets on this host, and expiry."""
 
 from dataclasses import replace
 
 from .effects import IncrementCounter, LogEntry
-from .gossip import lost_regions, push
+from .gossip import lost_regions, push_gossip
 from .member_records import (
-    DEAD_KEEP_S,
-    UNCONFIRMED_S,
+    DEAD_RETENTION_S,
+    UNCONFIRMED_RETENTION_S,
     is_running,
     own_record,
-    routable,
+    routable_targets,
     with_own_record,
     without,
 )
 from .model import TargetState
 
 __all__ = [
-    "expire_own",
-    "expire_unconfirmed",
-    "keep_drains",
+    "expire_own_targets",
+    "expire_unconfirmed_targets",
+    "inherit_drains",
     "on_target_announced",
     "on_target_drained",
     "on_target_withdrawn",
 ]
 
-# A target renews its announcement every second; three misses in a row mean that it
-# has ended or hangs.
+# A target renews its announcement every second; three missed renewals in a row mean
+# that it has stopped or hangs.
 RENEWAL_TIMEOUT_S = 3.0
 MAX_PORT = 65535
 
@@ -38,16 +38,16 @@
     return with_own_record(state, targets=tuple(targets.values()))
 
 
-def _push_now(state, now):
-    return push(state, now, state.mesh.draw)
+def _gossip_now(state, now):
+    return push_gossip(state, now, state.mesh.draw)
 
 
 def on_target_announced(state, event):
-    """Take an announcement; a renewal without a change is not spread.
+    """Record an announcement, and gossip it unless it is an unchanged renewal.
 
-    A drained target stays so while it renews its announcement, because an operator
-    may drain a target that does not know of it. It comes up again by announcing
-    `starting`, by another address, or after it was withdrawn or gone.
+    A drained target stays `draining` while it renews its announcement, because it may
+    not know that an operator has drained it. The drain ends when it announces
+    `starting` or another address, or after it was withdrawn or `gone`.
     """
     target, mesh = event.target, state.mesh
     if not 0 < target.addr[1] <= MAX_PORT:
@@ -65,11 +65,11 @@
     state = replace(state, mesh=mesh)
     if held == target:
         return state, ()
-    return _push_now(_with_targets(state, targets | {name: target}), event.now)
+    return _gossip_now(_with_targets(state, targets | {name: target}), event.now)
 
 
 def on_target_drained(state, event):
-    """Stop new calls to a target at every node."""
+    """Mark a target as draining, so that every node stops sending new calls to it."""
     targets = _own_targets(state)
     target = targets.get(event.target_id)
     if target is None or target.state is TargetState.GONE:
@@ -81,19 +81,19 @@
         return state, ()
     target = replace(target, state=TargetState.DRAINING)
     state = _with_targets(state, targets | {event.target_id: target})
-    return _push_now(state, event.now)
+    return _gossip_now(state, event.now)
 
 
-def keep_drains(state, record, now):
-    """Take over the drains of an earlier node of this host.
+def inherit_drains(state, record, now):
+    """Take over the drains of an earlier node on this host.
 
-    The target does not know of an operator's drain, so it announces `up` to the node
-    that replaces the one that was told.
+    A target does not know that an operator has drained it, so it announces `up` to
+    the node that replaces the earlier one.
     """
     own = own_record(state)
     if record.host != own.host or record.incarnation >= own.incarnation:
         return state
-    if not is_running(record) and record.age_s >= UNCONFIRMED_S:
+    if not is_running(record) and record.age_s >= UNCONFIRMED_RETENTION_S:
         return state
     targets, drained = _own_targets(state), state.mesh.drained_addrs
     changed = {}
@@ -115,15 +115,15 @@
     target = targets.get(event.target_id)
     if target is None or target.state is TargetState.GONE:
         return state, ()
-    state = _end_targets(state, [target], event.now)
-    return _push_now(state, event.now)
+    state = _mark_gone(state, [target], event.now)
+    return _gossip_now(state, event.now)
 
 
-def _end_targets(state, ended, now):
+def _mark_gone(state, ended, now):
     """Mark targets as gone.
 
-    They stay in the record for a while, so that a record of an earlier node of this
-    host cannot make them routable again.
+    They stay in this node's record for a while, so that the record of an earlier node
+    on this host cannot make them routable again.
     """
     mesh, targets = state.mesh, _own_targets(state)
     renewed, drained = mesh.renewed_at, mesh.drained_addrs
@@ -138,36 +138,36 @@
     return _with_targets(state, targets)
 
 
-def expire_own(state, now):
-    """End the targets that no longer renew, and forget those that are gone."""
+def expire_own_targets(state, now):
+    """Mark targets without renewals as gone, and remove those gone for long enough."""
     targets, renewed = _own_targets(state), state.mesh.renewed_at
-    silent, old = [], []
+    silent, removed = [], []
     for name, target in targets.items():
-        quiet_s = now - renewed.get(name, now)
+        since_renewal_s = now - renewed.get(name, now)
         if target.state is TargetState.GONE:
-            if quiet_s >= UNCONFIRMED_S:
-                old.append(name)
-        elif quiet_s >= RENEWAL_TIMEOUT_S:
+            if since_renewal_s >= UNCONFIRMED_RETENTION_S:
+                removed.append(name)
+        elif since_renewal_s >= RENEWAL_TIMEOUT_S:
             silent.append(target)
-    if not silent and not old:
+    if not silent and not removed:
         return state, ()
     entries = tuple(
         LogEntry("target:silent", (("target", target.target_id),)) for target in silent
     )
     if silent:
-        state = _end_targets(state, silent, now)
-    if old:
-        kept = {k: v for k, v in _own_targets(state).items() if k not in old}
+        state = _mark_gone(state, silent, now)
+    if removed:
+        kept = {k: v for k, v in _own_targets(state).items() if k not in removed}
         renewed = state.mesh.renewed_at
-        for name in old:
+        for name in removed:
             renewed = renewed.delete(name)
         state = replace(state, mesh=replace(state.mesh, renewed_at=renewed))
         state = _with_targets(state, kept)
     return state, entries
 
 
-def expire_unconfirmed(state, now):
-    """Forget targets whose node ended 60 s ago.
+def expire_unconfirmed_targets(state, now):
+    """Remove the targets whose node left or died 60 s ago.
 
     Those of a lost region are kept for as long as its members are, since the region
     is more likely to be cut off than to have failed.
@@ -180,10 +180,10 @@
     unconfirmed = mesh.unconfirmed
     for name in due:
         entry = unconfirmed[name]
-        if entry.target.region in lost and now < entry.until + DEAD_KEEP_S:
+        if entry.target.region in lost and now < entry.until + DEAD_RETENTION_S:
             continue
         unconfirmed = unconfirmed.delete(name)
     if unconfirmed is mesh.unconfirmed:
         return state
     mesh = replace(mesh, unconfirmed=unconfirmed)
-    return replace(state, mesh=replace(mesh, by_service=routable(mesh)))
+    return replace(state, mesh=replace(mesh, by_service=routable_targets(mesh)))
