--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -1,4 +1,4 @@
-"""pimentoline.codec: Cap'n Proto messages between nodes, authenticated."""
+"""pimentoline.codec: authenticated Cap'n Proto encoding of node messages."""
 
 import hashlib
 import hmac
@@ -29,18 +29,19 @@
 __all__ = ["MAX_DATAGRAM_BYTES", "MAX_FRAME_BYTES", "Codec"]
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("mesh.capnp")))
-PROTOCOL = 1
+PROTOCOL_VERSION = 1
 MAGIC = b"PM"
 MAC_BYTES = 16
-HEAD_BYTES = len(MAGIC) + 1 + MAC_BYTES
-# An Ethernet frame holds 1,472 bytes of UDP data; tunnels take some of it.
+HEADER_BYTES = len(MAGIC) + 1 + MAC_BYTES
+# An Ethernet frame holds 1,472 bytes of UDP data, of which tunnels take some.
 MAX_DATAGRAM_BYTES = 1400
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_RULES_BYTES = 1024 * 1024
 MAX_TEXT_BYTES = 512
-# A record's counters must leave room for the increments of a refutation.
+# Refutations increment the counters of a record, so received ones have to be well
+# below the limit of 64 bits.
 MAX_COUNTER = 2**62
-# Level 1 costs a fifth of the time of level 6 and gains most of the size, since
+# Level 1 takes a fifth of the time of level 6 and saves nearly as many bytes, since
 # records repeat the names of regions and services.
 ZLIB_LEVEL = 1
 
@@ -51,7 +52,7 @@
     Parameters
     ----------
     keys : sequence of bytes
-        The first key signs; each of them is accepted.
+        The first key signs messages; a signature by any of them is accepted.
     """
 
     def __init__(self, keys):
@@ -59,7 +60,7 @@
 
     @classmethod
     def from_config(cls, cfg):
-        """Make a codec with the keys of the settings."""
+        """Return a codec with the keys from the settings."""
         return cls([key.encode() for key in cfg.mesh_keys])
 
     def encode(self, message):
@@ -72,7 +73,7 @@
         """
         try:
             env = SCHEMA.Envelope.new_message(
-                protocol=PROTOCOL,
+                protocol=PROTOCOL_VERSION,
                 sender=message.sender,
                 incarnation=message.incarnation,
                 rulesVersion=message.rules_version,
@@ -83,7 +84,7 @@
         except (capnp.KjException, ValueError, OverflowError, TypeError) as exc:
             raise CodecError(f"message cannot be encoded: {exc}") from exc
         data = zlib.compress(env.to_bytes(), ZLIB_LEVEL)
-        if HEAD_BYTES + len(data) > MAX_FRAME_BYTES:
+        if HEADER_BYTES + len(data) > MAX_FRAME_BYTES:
             raise CodecError(f"message of {len(data)} bytes is too large")
         key = self._keys[0]
         return MAGIC + _key_id(key) + _mac(key, data) + data
@@ -98,21 +99,21 @@
         CodecError
             If the bytes are not an authentic message of at most 4 MiB.
         """
-        if len(data) <= HEAD_BYTES or data[: len(MAGIC)] != MAGIC:
-            raise CodecError("not a message of the mesh")
+        if len(data) <= HEADER_BYTES or data[: len(MAGIC)] != MAGIC:
+            raise CodecError("data has no header of a mesh message")
         if len(data) > MAX_FRAME_BYTES:
             raise CodecError(f"message of {len(data)} bytes is too large")
         self._check_mac(data)
         try:
-            with SCHEMA.Envelope.from_bytes(_decompress(data[HEAD_BYTES:])) as env:
+            with SCHEMA.Envelope.from_bytes(_decompress(data[HEADER_BYTES:])) as env:
                 return _read_envelope(env)
         except (capnp.KjException, ValueError, OverflowError, zlib.error) as exc:
             raise CodecError(f"malformed message: {exc}") from exc
 
     def _check_mac(self, data):
         key_id = data[len(MAGIC) : len(MAGIC) + 1]
-        mac, payload = data[len(MAGIC) + 1 : HEAD_BYTES], data[HEAD_BYTES:]
-        # Two keys can share the one-byte id, so every key with it is tried.
+        mac, payload = data[len(MAGIC) + 1 : HEADER_BYTES], data[HEADER_BYTES:]
+        # Two keys can have the same one-byte id, so each key with this id is tried.
         for key in self._keys:
             if _key_id(key) == key_id and hmac.compare_digest(mac, _mac(key, payload)):
                 return
@@ -128,22 +129,22 @@
 
 
 def _decompress(data):
-    inflater = zlib.decompressobj()
-    found = inflater.decompress(data, MAX_FRAME_BYTES)
-    if inflater.unconsumed_tail:
+    decompressor = zlib.decompressobj()
+    payload = decompressor.decompress(data, MAX_FRAME_BYTES)
+    if decompressor.unconsumed_tail:
         raise CodecError("message is too large when decompressed")
-    if not inflater.eof:
-        raise CodecError("compressed message is cut")
-    return found
+    if not decompressor.eof:
+        raise CodecError("compressed message is truncated")
+    return payload
 
 
 def _read_envelope(env):
-    if env.protocol > PROTOCOL:
-        raise NewerMessageError(f"protocol {env.protocol}")
+    if env.protocol > PROTOCOL_VERSION:
+        raise NewerMessageError(f"protocol version {env.protocol} is not supported")
     try:
         kind = env.which()
     except capnp.KjException as exc:
-        raise NewerMessageError("unknown kind of message") from exc
+        raise NewerMessageError("unknown message type") from exc
     body, skipped = _read_body(env, str(kind))
     return Message(
         _text(env.sender),
@@ -181,7 +182,7 @@
         case RulesPush(version, text):
             _write_rules(env.init("rulesPush"), version, text)
         case _:
-            raise TypeError(f"no message body: {type(body).__name__}")
+            raise TypeError(f"{type(body).__name__} is not a message body")
 
 
 def _read_body(env, kind):
@@ -208,7 +209,7 @@
             return RulesReply(*_read_rules(env.rulesReply)), 0
         case "rulesPush":
             return RulesPush(*_read_rules(env.rulesPush)), 0
-    raise NewerMessageError(f"unknown kind of message {kind!r}")
+    raise NewerMessageError(f"unknown message type {kind!r}")
 
 
 def _write_ping(item, ping_id, addr):
@@ -230,7 +231,7 @@
 
 def _text(value):
     if len(value) > MAX_TEXT_BYTES:
-        raise ValueError(f"text of {len(value)} characters")
+        raise ValueError(f"text of {len(value)} characters is too long")
     return value
 
 
@@ -242,10 +243,10 @@
 
 def _addr(item):
     try:
-        # A name instead of an IP number would make `sendto` resolve it and block.
+        # If it were a host name, `sendto` would resolve it and block the event loop.
         socket.inet_pton(socket.AF_INET, item.ip)
     except OSError as exc:
-        raise ValueError(f"address {item.ip!r:.60}") from exc
+        raise ValueError(f"{item.ip!r:.60} is not an IPv4 address") from exc
     return item.ip, item.port
 
 
@@ -261,8 +262,8 @@
 def _read_records(items):
     """Return (records, number of records left out).
 
-    A record with a status or target state of a newer release is left out alone, so
-    that the others in the message are not lost.
+    Only records that cannot be read are left out, for example one with a status that
+    a newer release has added; the others in the message are kept.
     """
     records = []
     for item in items:
@@ -285,35 +286,35 @@
     item.rulesVersion = record.rules_version
     item.ageMs = int(record.age_s * 1000)
     targets = item.init("targets", len(record.targets))
-    for slot, target in zip(targets, record.targets):
-        slot.targetId = target.target_id
-        slot.service = target.service
-        slot.addr.ip, slot.addr.port = target.addr
-        slot.slots = target.slots
-        slot.connections = target.connections
-        slot.state = target.state.value
-        slot.loadPath = target.load_path
-        slot.version = target.version
+    for entry, target in zip(targets, record.targets):
+        entry.targetId = target.target_id
+        entry.service = target.service
+        entry.addr.ip, entry.addr.port = target.addr
+        entry.slots = target.slots
+        entry.connections = target.connections
+        entry.state = target.state.value
+        entry.loadPath = target.load_path
+        entry.version = target.version
 
 
 def _read_member(item):
     if not item.nodeId:
-        raise ValueError("record without a node id")
+        raise ValueError("member record has no node id")
     region, dc = _text(item.region), _text(item.dc)
     targets = tuple(
         Target(
-            _text(slot.targetId),
-            _text(slot.service),
-            _addr(slot.addr),
+            _text(entry.targetId),
+            _text(entry.service),
+            _addr(entry.addr),
             region,
             dc,
-            slot.slots,
-            slot.connections,
-            TargetState(slot.state),
-            _text(slot.loadPath),
-            _text(slot.version),
+            entry.slots,
+            entry.connections,
+            TargetState(entry.state),
+            _text(entry.loadPath),
+            _text(entry.version),
         )
-        for slot in item.targets
+        for entry in item.targets
     )
     return Member(
         _text(item.nodeId),
--- a/pimentoline/fast_replace.py
+++ b/pimentoline/fast_replace.py
@@ -8,10 +8,11 @@
 
 
 def _make_copier(cls):
-    """Generate the copying function of a class, as `dataclasses` does `__init__`.
+    """Generate a copying function for a class, as `dataclasses` generates `__init__`.
 
-    `dataclasses.replace` inspects every field at each call and took half of the
-    processor time of a call; straight assignments to the slots take a fifth of that.
+    `dataclasses.replace` inspects every field each time and took half of the processor
+    time that a node spends on a call. Direct assignments to the slots take a fifth of
+    that.
     """
     names = [field.name for field in fields(cls)]
     setters = {name: getattr(cls, name).__set__ for name in names}
@@ -27,7 +28,7 @@
 def replace(obj, **changes):
     """Return a copy of a slotted frozen data class with some fields changed.
 
-    `__post_init__` is not called.
+    Unlike `dataclasses.replace`, this does not call `__post_init__`.
 
     Raises
     ------
--- a/pimentoline/mesh.capnp
+++ b/pimentoline/mesh.capnp
@@ -57,7 +57,8 @@
   body @1 :Data;
 }
 
-# addr is the target of a pingReq, or the relay of a ping or ack; unset without one.
+# addr is the node to ping in a pingReq. In a ping or ack, it is the node that requested
+# an indirect ping, unset in a direct one.
 struct Ping {
   id @0 :UInt64;
   addr @1 :Address;
--- a/pimentoline/mesh_transport.py
+++ b/pimentoline/mesh_transport.py
@@ -1,4 +1,4 @@
-"""pimentoline.mesh_transport: UDP datagrams and TCP frames between nodes."""
+"""pimentoline.mesh_transport: messages between nodes over UDP and TCP."""
 
 import asyncio
 import socket
@@ -15,41 +15,44 @@
 __all__ = ["MeshTransport"]
 
 FRAME_TIMEOUT_S = 2.0
-# Leaves the event loop to calls in between when many datagrams have queued up.
-MAX_DATAGRAMS_PER_WAKE = 64
+# Lets the event loop serve calls in between when many datagrams are queued.
+MAX_DATAGRAMS_PER_WAKEUP = 64
 
 
 class MeshTransport(TCPServer):
-    """Transport of one node.
+    """Sends and receives the messages of one node.
+
+    Small messages are sent as UDP datagrams. Requests, and messages too large for a
+    datagram, are sent over TCP, each as a frame of a 4-byte length and the message.
 
     Parameters
     ----------
     codec : Codec
     on_message : callable
-        Called with each authentic `Message` and, for a datagram, the address of its
-        sender; the message it returns, if any, is the reply on a TCP connection.
-    on_refused : callable
-        Called with the `CodecError` of each refused message.
+        Called with each authentic `Message` and the address of its sender, None over
+        TCP. A message that it returns is sent as the reply on the TCP connection.
+    on_error : callable
+        Called with the error of each message that could not be sent or decoded.
     """
 
-    def __init__(self, codec, on_message, on_refused):
+    def __init__(self, codec, on_message, on_error):
         super().__init__()
         self._codec = codec
         self._on_message = on_message
-        self._on_refused = on_refused
+        self._on_error = on_error
         self._client = TCPClient()
         self._sock = None
         self.bytes_sent = 0
         self.bytes_received = 0
 
     def take_byte_counts(self):
-        """Return (metric, bytes) pairs of the payload since the last time."""
+        """Return the payload bytes sent and received since the last call, by metric."""
         sent, self.bytes_sent = self.bytes_sent, 0
         received, self.bytes_received = self.bytes_received, 0
         return ("mesh.bytes_sent", sent), ("mesh.bytes_received", received)
 
     def bind_addr(self, addr):
-        """Bind UDP and TCP to the same address and return it."""
+        """Bind a UDP and a TCP socket to the same address and return it."""
         ip, port = addr
         tcp = socket.create_server((ip, port), backlog=128)
         tcp.setblocking(False)
@@ -62,7 +65,7 @@
         return bound
 
     def send(self, addrs, message):
-        """Send a message to each address as datagrams; a lost one is not noticed.
+        """Send a message to each address as datagrams, without confirmation.
 
         Member records that do not fit into one datagram are split among several; a
         single record that does not fit goes over TCP.
@@ -70,7 +73,7 @@
         try:
             data = self._codec.encode(message)
         except CodecError as exc:
-            self._on_refused(exc)
+            self._on_error(exc)
             return
         if len(data) > MAX_DATAGRAM_BYTES:
             self._send_split(addrs, message)
@@ -80,7 +83,7 @@
             try:
                 self._sock.sendto(data, addr)
             except OSError as exc:
-                self._on_refused(exc)
+                self._on_error(exc)
 
     def _send_split(self, addrs, message):
         records = getattr(message.body, "records", ())
@@ -94,13 +97,15 @@
             self.send(addrs, replace(message, body=Gossip(part)))
 
     def _on_readable(self):
-        for _ in range(MAX_DATAGRAMS_PER_WAKE):
+        for _ in range(MAX_DATAGRAMS_PER_WAKEUP):
             try:
                 data, addr = self._sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except (BlockingIOError, ConnectionRefusedError):
                 return
             if len(data) > MAX_DATAGRAM_BYTES:
-                self._on_refused(CodecError("datagram is too large"))
+                self._on_error(
+                    CodecError(f"datagram is larger than {MAX_DATAGRAM_BYTES} bytes")
+                )
                 continue
             self._receive(data, addr)
 
@@ -109,12 +114,12 @@
         try:
             message = self._codec.decode(data)
         except CodecError as exc:
-            self._on_refused(exc)
+            self._on_error(exc)
             return None
         return self._on_message(message, addr)
 
     async def send_request(self, addr, message):
-        """Send a frame over TCP and return the reply, or None without one."""
+        """Send a message over TCP and return the reply, or None if there is none."""
         try:
             stream = await asyncio.wait_for(
                 self._client.connect(*addr), FRAME_TIMEOUT_S
@@ -127,7 +132,7 @@
             self.bytes_received += len(data)
             return self._codec.decode(data)
         except CodecError as exc:
-            self._on_refused(exc)
+            self._on_error(exc)
         except (StreamClosedError, asyncio.TimeoutError, OSError):
             pass
         return None
@@ -143,7 +148,7 @@
         return await stream.read_bytes(size)
 
     async def handle_stream(self, stream, address):
-        """Answer one frame."""
+        """Read one frame from a TCP connection, and send the reply if there is one."""
         try:
             reply = self._receive(
                 await asyncio.wait_for(self._read(stream), FRAME_TIMEOUT_S)
@@ -153,7 +158,7 @@
         except (StreamClosedError, asyncio.TimeoutError):
             pass
         except CodecError as exc:
-            self._on_refused(exc)
+            self._on_error(exc)
         finally:
             stream.close()
 
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -1,11 +1,11 @@
 """pimentoline.subsets: the targets of a service that this node keeps connections to.
 
-Every node derives the same plan from the same members. The nodes of each data centre
-together demand `nodes * share` connections, and the targets of each data centre
-together supply `targets * limit`. Demand is met by the node's own data centre first,
-then by its region, then by the others. Within one pair of data centres, the nodes take
-consecutive stretches of a shared permutation of the targets, in the order of their
-rank, so that every target gets the same number of nodes, give or take one.
+Every node derives the same assignment from the same members. The nodes of each data
+centre together demand `nodes * per_node` connections, and the targets of each data
+centre together supply `targets * limit`. Demand is met by the node's own data centre
+first, then by its region, then by the others. Within one pair of data centres, the
+nodes take consecutive parts of a shared permutation of the targets, in the order of
+their rank. So the numbers of nodes of two targets there differ by one at most.
 """
 
 import hashlib
@@ -13,22 +13,24 @@
 
 __all__ = ["NodeCounts", "choose_subset", "connections_per_node", "count_nodes"]
 
-# The rest of the connection limit is left for probes and for nodes whose view of
-# the membership differs.
-USABLE_SHARE = 0.9
+# The rest of a target's connection limit is left for probes and for nodes whose view
+# of the membership differs.
+USABLE_FRACTION = 0.9
 MIN_CONNECTIONS = 2
 
 
 @dataclass(frozen=True, slots=True)
 class NodeCounts:
-    """Nodes by place, and this node's place and rank among the nodes there.
+    """Number of nodes by location, and this node's location and rank there.
 
     Parameters
     ----------
     counts : tuple of ((str, str), int)
         Number of nodes of each (region, data centre), sorted.
     location : tuple of (str, str)
+        Region and data centre of this node.
     rank : int
+        Number of nodes at the same location whose ids sort before this node's.
     """
 
     counts: tuple
@@ -37,35 +39,38 @@
 
     @property
     def nodes(self):
-        """Number of nodes in total."""
+        """Number of nodes at all locations."""
         return sum(count for _, count in self.counts)
 
 
-def count_nodes(members, me):
+def count_nodes(members, identity):
     """Return the `NodeCounts` of the members held.
 
-    Dead members count as long as their record is held. A node that restarts
-    therefore keeps its rank, and the subsets of the others do not move.
+    Dead members count as long as their record is held, so a node that restarts keeps
+    its rank and the subsets of the other nodes do not change.
     """
-    place = (me.region, me.dc)
-    counts = {place: 0 if me.node_id in members else 1}
+    location = (identity.region, identity.dc)
+    counts = {location: 0 if identity.node_id in members else 1}
     rank = 0
     for record in members.values():
-        where = (record.region, record.dc)
-        counts[where] = counts.get(where, 0) + 1
-        if where == place and record.node_id < me.node_id:
+        record_location = (record.region, record.dc)
+        counts[record_location] = counts.get(record_location, 0) + 1
+        if record_location == location and record.node_id < identity.node_id:
             rank += 1
-    return NodeCounts(tuple(sorted(counts.items())), place, rank)
+    return NodeCounts(tuple(sorted(counts.items())), location, rank)
 
 
 def connections_per_node(targets, nodes):
     """Return the number of connections that one node may keep to a service."""
-    limit = min(target.connections for target in targets) * USABLE_SHARE
+    limit = min(target.connections for target in targets) * USABLE_FRACTION
     return max(MIN_CONNECTIONS, int(limit * len(targets) / nodes))
 
 
 def _permutation(targets):
-    """Order targets by a hash that no node's view and no later target changes."""
+    """Return the targets in the order of a hash of their ids.
+
+    The order is the same at every node, and further targets do not change it.
+    """
 
     def key(target):
         name = f"{target.service}/{target.target_id}".encode()
@@ -74,49 +79,59 @@
     return sorted(targets, key=key)
 
 
-def _distance(place, other):
-    if place == other:
+def _distance(location, other):
+    if location == other:
         return 0
-    return 1 if place[0] == other[0] else 2
+    return 1 if location[0] == other[0] else 2
 
 
-def _flows(node_counts, sizes, share, limit):
-    """Return the connections from each place of nodes to each place of targets.
+def _flows(node_counts, sizes, per_node, limit):
+    """Return the number of connections between each two locations.
 
     Parameters
     ----------
     node_counts : NodeCounts
-    sizes : dict of (place: int)
-        Number of targets in each place.
-    share, limit : int
+    sizes : dict of (location: int)
+        Number of targets at each location.
+    per_node, limit : int
         Connections demanded by one node, and accepted by one target.
 
     Returns
     -------
-    dict of ((node place, target place): int) or None
-        None if meeting the nearest demand first leaves some demand unmet.
+    dict of ((node location, target location): int) or None
+        None if meeting demand at the nearest locations first leaves some unmet.
     """
-    demand = {place: count * share for place, count in node_counts.counts}
-    supply = {spot: size * limit for spot, size in sizes.items()}
+    demand = {location: count * per_node for location, count in node_counts.counts}
+    supply = {target_location: size * limit for target_location, size in sizes.items()}
     flows = {}
     for distance in range(3):
-        for place, count in node_counts.counts:
-            near = [
-                spot for spot in sorted(sizes) if _distance(place, spot) == distance
+        for location, count in node_counts.counts:
+            at_distance = [
+                target_location
+                for target_location in sorted(sizes)
+                if _distance(location, target_location) == distance
             ]
-            # A node uses a target once, however many connections that has left.
-            room = {spot: min(supply[spot], count * sizes[spot]) for spot in near}
-            offered = sum(room.values())
-            wanted = min(demand[place], offered)
-            # Rounded parts add up to the sum exactly if each place takes its part
-            # of what the places before it have left.
-            for spot in near:
-                part = -(-wanted * room[spot] // offered) if offered else 0
-                offered -= room[spot]
+            # A node connects to a target at most once, however many connections the
+            # target could still accept.
+            capacity = {
+                target_location: min(
+                    supply[target_location], count * sizes[target_location]
+                )
+                for target_location in at_distance
+            }
+            offered = sum(capacity.values())
+            wanted = min(demand[location], offered)
+            # Each location takes its rounded part of what the locations before it have
+            # left, so that the parts add up to the demand exactly.
+            for target_location in at_distance:
+                part = (
+                    -(-wanted * capacity[target_location] // offered) if offered else 0
+                )
+                offered -= capacity[target_location]
                 wanted -= part
-                supply[spot] -= part
-                demand[place] -= part
-                flows[place, spot] = part
+                supply[target_location] -= part
+                demand[location] -= part
+                flows[location, target_location] = part
     return None if any(demand.values()) else flows
 
 
@@ -132,49 +147,60 @@
     Returns
     -------
     list of Target
-        Sorted by name; all of them unless the connection limit is too low.
+        Sorted by id; all targets unless the connection limit is too low.
     """
-    share = connections_per_node(targets, node_counts.nodes)
-    if share >= len(targets):
+    per_node = connections_per_node(targets, node_counts.nodes)
+    if per_node >= len(targets):
         return sorted(targets, key=lambda target: target.target_id)
-    by_place = {}
+    by_location = {}
     for target in _permutation(targets):
-        by_place.setdefault((target.region, target.dc), []).append(target)
-    sizes = {place: len(found) for place, found in by_place.items()}
-    limit = int(min(target.connections for target in targets) * USABLE_SHARE)
-    # The least share of 2 may exceed the limit; then it is exceeded evenly.
-    limit = max(limit, -(-node_counts.nodes * share // len(targets)))
-    flows = _flows(node_counts, sizes, share, limit)
+        by_location.setdefault((target.region, target.dc), []).append(target)
+    sizes = {location: len(group) for location, group in by_location.items()}
+    limit = int(min(target.connections for target in targets) * USABLE_FRACTION)
+    # With at least 2 connections for each node, the demand may exceed the limit of all
+    # targets; it is then exceeded evenly.
+    limit = max(limit, -(-node_counts.nodes * per_node // len(targets)))
+    flows = _flows(node_counts, sizes, per_node, limit)
     if flows is None:
-        # Uneven places: balance over all targets counts more than nearness.
-        by_place = {"all": [t for found in by_place.values() for t in found]}
-        flows = {(place, "all"): count * share for place, count in node_counts.counts}
+        # Nodes and targets are too unevenly located: treat all targets as one location,
+        # since balance matters more than distance.
+        by_location = {"all": [t for group in by_location.values() for t in group]}
+        flows = {
+            (location, "all"): count * per_node
+            for location, count in node_counts.counts
+        }
     chosen = []
-    for spot, found in by_place.items():
+    for target_location, local_targets in by_location.items():
         before = [
-            place for place, _ in node_counts.counts if place < node_counts.location
+            location
+            for location, _ in node_counts.counts
+            if location < node_counts.location
         ]
-        start = sum(flows[place, spot] for place in before)
-        first, last = _positions(node_counts, flows, spot, list(by_place))
+        start = sum(flows[location, target_location] for location in before)
+        first, last = _node_range(
+            node_counts, flows, target_location, list(by_location)
+        )
         for position in range(start + first, start + last):
-            chosen.append(found[position % len(found)])
+            chosen.append(local_targets[position % len(local_targets)])
     return sorted(chosen, key=lambda target: target.target_id)
 
 
-def _positions(node_counts, flows, spot, spots):
-    """Return the part of its place's flow to a spot that falls to this node.
+def _node_range(node_counts, flows, target_location, target_locations):
+    """Return this node's range of the connections from its location to another.
 
-    Every node gets the whole quotient of each flow. The remainders are dealt out in
-    turn over all spots, so that the nodes get equally many connections in total and
-    no node gets two from one remainder.
+    Every node gets the whole quotient of each flow. The remainders are assigned to the
+    nodes in turn over all locations, so that each node gets the same total number of
+    connections and no node gets two from one remainder.
     """
     count = dict(node_counts.counts)[node_counts.location]
-    dealt = 0
-    for other in spots:
-        base, extra = divmod(flows[node_counts.location, other], count)
-        if other == spot:
+    assigned = 0
+    for other in target_locations:
+        quotient, remainder = divmod(flows[node_counts.location, other], count)
+        if other == target_location:
             break
-        dealt += extra
-    takers = {position % count for position in range(dealt, dealt + extra)}
-    first = node_counts.rank * base + sum(rank < node_counts.rank for rank in takers)
-    return first, first + base + (node_counts.rank in takers)
+        assigned += remainder
+    receivers = {position % count for position in range(assigned, assigned + remainder)}
+    first = node_counts.rank * quotient + sum(
+        rank < node_counts.rank for rank in receivers
+    )
+    return first, first + quotient + (node_counts.rank in receivers)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,4 +1,4 @@
-"""Contract of the codec: round trips, keys, limits and malformed input."""
+"""Codec of node messages: round trips, keys, limits and malformed input."""
 
 import random
 import zlib
@@ -13,7 +13,7 @@
 from pimentoline.model import Member, MemberStatus, Target, TargetState
 
 CODEC = cd.Codec([b"new", b"old"])
-# Fixed seeds: a run is repeatable, and hypothesis keeps no files.
+# With fixed seeds, runs are repeatable without a database of hypothesis.
 FUZZ = settings(max_examples=150, deadline=None, database=None)
 
 names = st.text(st.characters(codec="utf-8"), min_size=1, max_size=30)
@@ -71,13 +71,13 @@
 
 
 def sign(payload, key=b"new"):
-    """Return an authentic message with any payload."""
+    """Return an authentic message with a given payload."""
     data = zlib.compress(payload)
     return cd.MAGIC + cd._key_id(key) + cd._mac(key, data) + data
 
 
 def envelope(**fields):
-    """Return an envelope to be filled with what the encoder never writes."""
+    """Return an envelope for contents that the encoder cannot write."""
     return cd.SCHEMA.Envelope.new_message(protocol=1, sender="n1", **fields)
 
 
@@ -85,7 +85,7 @@
 @FUZZ
 @given(messages)
 def test_round_trip(message):
-    """Guards against a field that is lost or changed on the way."""
+    """Guards against a field that encoding or decoding loses or changes."""
     assert CODEC.decode(CODEC.encode(message)) == message
 
 
@@ -93,9 +93,9 @@
 @FUZZ
 @given(messages, st.integers(0, 2**32))
 def test_authentic_garbage_is_refused_with_a_coded_error(message, number):
-    """Guards the event loop against an exception of another kind, and a crash."""
+    """Guards the event loop against exceptions other than `CodecError`, and crashes."""
     rand = random.Random(number)
-    payload = bytearray(zlib.decompress(CODEC.encode(message)[cd.HEAD_BYTES :]))
+    payload = bytearray(zlib.decompress(CODEC.encode(message)[cd.HEADER_BYTES :]))
     for _ in range(rand.randint(1, 8)):
         payload[rand.randrange(len(payload))] = rand.randrange(256)
     if rand.random() < 0.3:
@@ -110,7 +110,7 @@
 @FUZZ
 @given(messages, st.integers(0, 2**32))
 def test_changed_or_foreign_bytes_are_refused(message, number):
-    """Guards against a message that is taken without the key."""
+    """Guards against a message that is accepted without a valid signature."""
     rand = random.Random(number)
     data = bytearray(CODEC.encode(message))
     data[rand.randrange(len(data))] ^= 1 << rand.randrange(8)
@@ -120,7 +120,7 @@
 
 
 def test_both_keys_are_accepted_during_a_rotation():
-    """Guards against a mesh that falls apart while its key is changed."""
+    """Guards against nodes that reject each other's messages during a key rotation."""
     message = ms.Message("n1", 1, 2, ms.Ping(3))
     for key in (b"new", b"old"):
         assert CODEC.decode(cd.Codec([key]).encode(message)) == message
@@ -129,7 +129,7 @@
 
 
 def test_two_keys_with_the_same_short_id_are_both_accepted():
-    """Guards against a key hidden by another one with the same first hash byte."""
+    """Guards against a key that is ignored because another one has the same id."""
     found = {}
     for number in range(300):
         key = str(number).encode()
@@ -143,9 +143,9 @@
 
 
 def test_newer_protocol_and_unknown_member_are_told_apart_from_garbage():
-    """Guards a rolling upgrade: messages of a newer release are only counted."""
+    """Guards a rolling upgrade: messages of a newer release are not invalid ones."""
     env = envelope()
-    env.protocol = cd.PROTOCOL + 1
+    env.protocol = cd.PROTOCOL_VERSION + 1
     unknown = bytearray(envelope().to_bytes())
     # The union's discriminant is the second 16-bit field of the data section.
     unknown[18:20] = (999).to_bytes(2, "little")
@@ -165,7 +165,7 @@
     ],
 )
 def test_record_that_is_not_understood_is_left_out_alone(change):
-    """Guards the other records of a message against one with an unknown value."""
+    """Guards against the loss of a whole message because of one unknown value."""
     env = envelope()
     items = env.init("rumours", 2)
     good = {"nodeId": "n2", "addr": {"ip": "10.0.0.1", "port": 1}, "status": "alive"}
@@ -177,7 +177,7 @@
 
 
 def test_sizes_are_limited_before_memory_is_taken():
-    """Guards against a small message that expands to gigabytes."""
+    """Guards against a small message that decompresses to gigabytes."""
     bomb = sign(b"\0" * (cd.MAX_FRAME_BYTES + 8))
     assert len(bomb) < 10_000
     env = envelope()
@@ -193,6 +193,6 @@
     [ms.Ping(-1), ms.Ping(2**64), ms.PingReq(1, ("10.0.0.1", 70000)), None, "text"],
 )
 def test_value_that_does_not_fit_is_refused_by_the_encoder(body):
-    """Guards the ticks of a node against an exception from one bad value."""
+    """Guards a node's ticks against unexpected exceptions because of a bad value."""
     with pytest.raises(CodecError):
         CODEC.encode(ms.Message("n1", 1, 1, body))
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -1,4 +1,4 @@
-"""Transport between nodes: two transports in one process, on loopback."""
+"""Message transport between two nodes in one process, over loopback."""
 
 import asyncio
 from dataclasses import replace
@@ -13,7 +13,7 @@
 
 
 def make_record(number, targets=1):
-    """Return a record; its names differ, so that it does not compress away."""
+    """Return a record with varied names, so that it does not compress well."""
     name = f"node-{number * 7919 % 10007}-{number}"
     found = tuple(
         Target(f"{name}-{i * 7907 % 9973}", f"service-{i}", ADDR, "rift", "kerio")
@@ -23,18 +23,18 @@
 
 
 def exchange(records):
-    """Send rumours over loopback; return what arrives and what is refused."""
+    """Send records over loopback; return the received messages and the errors."""
 
     async def run():
-        arrived, refused, complete = [], [], asyncio.Event()
+        received, errors, complete = [], [], asyncio.Event()
 
         def on_message(message, addr=None):
-            arrived.append((addr, message.body.records))
-            if sum(len(part) for _, part in arrived) == len(records):
+            received.append((addr, message.body.records))
+            if sum(len(part) for _, part in received) == len(records):
                 complete.set()
 
-        sender = MeshTransport(Codec([b"k"]), on_message, refused.append)
-        receiver = MeshTransport(Codec([b"k"]), on_message, refused.append)
+        sender = MeshTransport(Codec([b"k"]), on_message, errors.append)
+        receiver = MeshTransport(Codec([b"k"]), on_message, errors.append)
         sender.bind_addr(("127.0.0.1", 0))
         addr = receiver.bind_addr(("127.0.0.1", 0))
         try:
@@ -43,23 +43,23 @@
         finally:
             sender.close()
             receiver.close()
-        return arrived, refused
+        return received, errors
 
     return asyncio.run(run())
 
 
 def test_records_are_split_among_datagrams():
-    """Guards against datagrams above 1,400 bytes, which receivers refuse."""
+    """Guards against datagrams above 1,400 bytes, which receivers reject."""
     records = tuple(make_record(i) for i in range(60))
-    arrived, refused = exchange(records)
-    assert not refused and len(arrived) > 1
-    assert all(addr is not None for addr, _ in arrived)
-    assert {item for _, part in arrived for item in part} == set(records)
+    received, errors = exchange(records)
+    assert not errors and len(received) > 1
+    assert all(addr is not None for addr, _ in received)
+    assert {item for _, part in received for item in part} == set(records)
 
 
 def test_record_above_a_datagram_goes_over_tcp():
-    """Guards against a record with many targets that never leaves its node."""
+    """Guards against a record with many targets that is never sent."""
     record = replace(make_record(1, targets=200), seq=5)
-    arrived, refused = exchange((record,))
-    assert not refused
-    assert arrived == [(None, (record,))]
+    received, errors = exchange((record,))
+    assert not errors
+    assert received == [(None, (record,))]
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -1,4 +1,4 @@
-"""Subsets keep the connections of a target under its limit."""
+"""Assignment of nodes to subsets of targets, within the connection limits."""
 
 from collections import Counter
 from types import SimpleNamespace
@@ -10,29 +10,31 @@
 from pimentoline.model import Member, MemberStatus, Target
 from pimentoline.subsets import choose_subset, connections_per_node, count_nodes
 
-PLACES = [(f"r{i // 2}", f"d{i}") for i in range(6)]
+LOCATIONS = [(f"r{i // 2}", f"d{i}") for i in range(6)]
 ADDR = ("127.0.0.1", 1)
 
 
 def make_nodes(counts):
-    """Return member records, `counts[i]` of them in place `i`."""
-    names = [(f"n{p}-{i:03}", *PLACES[p]) for p in range(6) for i in range(counts[p])]
+    """Return member records, `counts[i]` of them at location `i`."""
+    names = [
+        (f"n{p}-{i:03}", *LOCATIONS[p]) for p in range(6) for i in range(counts[p])
+    ]
     return Map(
         {name: Member(name, name, ADDR, region, dc, 1) for name, region, dc in names}
     )
 
 
 def make_targets(counts, connections=260):
-    """Return targets, `counts[i]` of them in place `i`."""
+    """Return targets, `counts[i]` of them at location `i`."""
     return [
-        Target(f"t{p}-{i}", "svc", ADDR, *PLACES[p], connections=connections)
+        Target(f"t{p}-{i}", "svc", ADDR, *LOCATIONS[p], connections=connections)
         for p in range(6)
         for i in range(counts[p])
     ]
 
 
 def all_subsets(nodes, targets):
-    """Return the subset of every node by its name."""
+    """Return the subset of every node by node id."""
     return {
         record.node_id: choose_subset(targets, count_nodes(nodes, record))
         for record in nodes.values()
@@ -40,31 +42,31 @@
 
 
 def test_balanced_at_production_scale():
-    """Guards against a target that gets more nodes than its neighbours or its limit."""
+    """Guards against more connections to a target than to others, or than its limit."""
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     subsets = all_subsets(nodes, targets)
     assert connections_per_node(targets, 720) == 2
     assert {len(subset) for subset in subsets.values()} == {2}
     users = Counter(t.target_id for subset in subsets.values() for t in subset)
     assert max(users.values()) <= 234
-    by_place = {}
+    by_dc = {}
     for target in targets:
-        by_place.setdefault(target.dc, []).append(users[target.target_id])
-    assert all(max(found) - min(found) <= 1 for found in by_place.values())
+        by_dc.setdefault(target.dc, []).append(users[target.target_id])
+    assert all(max(found) - min(found) <= 1 for found in by_dc.values())
     local = [name for name, subset in subsets.items() if name[1] == subset[0].dc[1]]
     assert len(local) > 60
 
 
 def test_restart_moves_no_subset():
-    """Guards against connections that move when one node dies."""
+    """Guards against subsets that change when one node dies."""
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     before = all_subsets(nodes, targets)
-    dead = Member("n0-005", "n0-005", ADDR, *PLACES[0], 1, 9, MemberStatus.DEAD)
+    dead = Member("n0-005", "n0-005", ADDR, *LOCATIONS[0], 1, 9, MemberStatus.DEAD)
     assert all_subsets(nodes.set("n0-005", dead), targets) == before
 
 
 def test_unknown_own_record_counts():
-    """Guards against a division by zero before the first record is made."""
+    """Guards against a division by zero while the node's own record is missing."""
     me = SimpleNamespace(node_id="n1", region="r0", dc="d0")
     assert choose_subset(make_targets([3] + [0] * 5), count_nodes(Map(), me))
 
@@ -76,18 +78,18 @@
     st.integers(10, 60),
 )
 def test_every_shape_is_balanced(node_counts, target_counts, connections):
-    """Guards against shapes of the mesh that break the limit or leave a node empty."""
+    """Guards against sizes at which a limit is exceeded or a node gets no target."""
     nodes, targets = make_nodes(node_counts), make_targets(target_counts, connections)
     if not nodes or not targets:
         return
-    share = connections_per_node(targets, len(nodes))
+    per_node = connections_per_node(targets, len(nodes))
     subsets = all_subsets(nodes, targets)
     users = Counter(t.target_id for subset in subsets.values() for t in subset)
     for subset in subsets.values():
         assert len(subset) == len({t.target_id for t in subset})
-        assert len(subset) == min(share, len(targets))
-    if share < len(targets):
-        even = -(-len(nodes) * share // len(targets))
+        assert len(subset) == min(per_node, len(targets))
+    if per_node < len(targets):
+        even = -(-len(nodes) * per_node // len(targets))
         assert max(users.values()) <= max(int(connections * 0.9), even)
         for place in range(6):
             found = [users[f"t{place}-{i}"] for i in range(target_counts[place])]
