--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -1,4 +1,4 @@
-"""pimentoline.audit: rows of the configuration in the store, and what changed."""
+"""pimentoline.audit: rows of rules versions and their audit trail in the store."""
 
 import datetime
 import difflib
@@ -19,21 +19,21 @@
     "audit_prefixes",
     "config_key",
     "diff_lines",
-    "digest_of",
     "iso_time",
+    "parse_row",
     "requesters",
-    "validated",
+    "sha256_hex",
 ]
 
 HEAD_KEY = "config/head"
-AUDIT_DIGITS = 10
-# Keeps an audit row far below the text itself; the whole text is in its own row.
+VERSION_DIGITS = 10
+# Keep an audit row much smaller than the rules text, which has a row of its own.
 MAX_DIFF_LINES = 400
 MAX_DIFF_LINE_CHARS = 500
 
 
 class HeadRow(BaseModel):
-    """Value of `config/head`: the version in force."""
+    """Value of the row `config/head`: the version in force."""
 
     version: int = Field(ge=1)
     digest: str
@@ -41,13 +41,13 @@
 
 
 class ConfigRow(BaseModel):
-    """Value of `config/<version>`: an accepted text."""
+    """Value of a row `config/<version>`: an accepted rules text."""
 
     text: str = Field(max_length=MAX_RULES_BYTES)
 
 
 class AuditRow(BaseModel):
-    """Value of `audit/<version>`: who put a version in force, when and why."""
+    """Value of a row `audit/<version>`: who changed what, when and at whose request."""
 
     version: int = Field(ge=1)
     author: str
@@ -59,13 +59,13 @@
     requesters: list[str] = []
 
 
-def validated(model, row):
-    """Return the model of a row's value.
+def parse_row(model, row):
+    """Return the value of a store row as an instance of a pydantic model.
 
     Raises
     ------
     StoreError
-        If the value is not one that this program writes.
+        If the value does not match the model.
     """
     try:
         return model.model_validate(row.value)
@@ -74,45 +74,45 @@
 
 
 def config_key(version):
-    """Return the key of a text."""
+    """Return the key of the row with the text of a version."""
     return f"config/{version}"
 
 
 def audit_key(version):
-    """Return the key of an audit row; keys sort by version."""
-    return f"audit/{version:0{AUDIT_DIGITS}d}"
+    """Return the key of the audit row of a version; the keys sort by version."""
+    return f"audit/{version:0{VERSION_DIGITS}d}"
 
 
 def audit_prefixes(newest, count):
     """Return prefixes that cover `count` versions up to `newest`, the latest first.
 
-    Each covers ten versions. The store scans upwards only, so that reading the latest
-    rows with one prefix would read the whole trail.
+    Each covers ten versions. The store scans in ascending order only, so a scan with
+    one prefix for all rows would read the whole trail to get the latest ones.
     """
     oldest = max(newest - count + 1, 0)
     decades = range(newest // 10, oldest // 10 - 1, -1)
     return [audit_key(decade * 10)[:-1] for decade in decades]
 
 
-def digest_of(text):
-    """Return the SHA-256 of a text in hexadecimal digits."""
+def sha256_hex(text):
+    """Return the SHA-256 digest of a text in hexadecimal."""
     return hashlib.sha256(text.encode()).hexdigest()
 
 
 def diff_lines(old, new):
-    """Return a unified diff of two texts, without context lines' ends and headers."""
+    """Return the lines of a unified diff of two texts, without its file headers."""
     lines = difflib.unified_diff(
         old.splitlines(), new.splitlines(), n=1, lineterm="", fromfile="", tofile=""
     )
     found = list(lines)[2:]
-    shown = [line[:MAX_DIFF_LINE_CHARS] for line in found[:MAX_DIFF_LINES]]
+    kept = [line[:MAX_DIFF_LINE_CHARS] for line in found[:MAX_DIFF_LINES]]
     if len(found) > MAX_DIFF_LINES:
-        shown.append(f"... {len(found) - MAX_DIFF_LINES} further lines")
-    return shown
+        kept.append(f"... {len(found) - MAX_DIFF_LINES} further lines")
+    return kept
 
 
 def requesters(old, new):
-    """Return who asked for the rules that are in only one of two texts."""
+    """Return who requested the rules that are in only one of two texts."""
     counts = [
         Counter((rule.as_line(), rule.asked_by) for rule in _rules(text))
         for text in (old, new)
@@ -127,6 +127,6 @@
 
 
 def iso_time(seconds):
-    """Return a time since the epoch in seconds as ISO 8601 in UTC."""
+    """Return a Unix time in seconds as ISO 8601 in UTC."""
     moment = datetime.datetime.fromtimestamp(seconds, datetime.timezone.utc)
     return moment.isoformat(timespec="seconds").replace("+00:00", "Z")
--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -1,4 +1,4 @@
-"""pimentoline.claim_writer: idempotency claims in the store."""
+"""pimentoline.claim_writer: claims of idempotency keys in the store."""
 
 import asyncio
 import base64
@@ -10,41 +10,43 @@
 
 __all__ = ["ClaimWriter"]
 
-FIRST_DELAY_S = 0.1
-MAX_DELAY_S = 5.0
-# Outcomes and releases are tried again through a store outage of this length;
-# after that the claim stays without an outcome, which is safe.
-GIVE_UP_S = 600.0
-# Bounds the memory that an outage can take; each entry is about 2 KiB plus up to
-# 4 KiB of recorded body.
+FIRST_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 5.0
+# Outcomes and releases are retried during a store outage of up to this length. After
+# that the claim stays without an outcome, which is safe: the key is not run again.
+MAX_RETRY_TIME_S = 600.0
+# Bounds the memory that pending writes take during an outage; each takes about 2 KiB
+# plus up to 4 KiB of recorded body.
 MAX_BACKGROUND_WRITES = 2000
 
 
 class ClaimWriter:
     """Inserts, releases and completes the claims of one node.
 
-    A claim is two rows, written and deleted together: `claim/<service>/<key>`
-    names the attempt that holds the key, and `claimant/<attempt>` exists only
-    while that attempt holds it. Row versions of the table service begin at 1
-    again after a deletion, so a late or repeated deletion that checked only the
-    version of the claim could delete the claim of another node. The attempt id in
-    the second key makes every write conditional on the attempt. `void/<attempt>`
-    refuses an insertion that takes effect after its attempt was given up.
+    A claim lets one attempt run the call with an idempotency key. It is two rows:
+    `claim/<service>/<key>` names the attempt that holds the key, and
+    `claimant/<attempt>` exists only while that attempt holds it.
+
+    Row versions of the table service begin at 1 again after a deletion, so a late or
+    repeated deletion that checked only the version of the claim could delete the claim
+    of another node. The attempt id in the key of the second row makes every write
+    conditional on the attempt. A row `void/<attempt>` makes an insertion fail that
+    takes effect only after its attempt was given up.
 
     Parameters
     ----------
     store : Store or None
-    name : callable
+    attempt_prefix : callable
         Returns the prefix of this node's attempt ids.
     is_waiting : callable
-        Tells whether a call still waits for its claim.
+        Called with a call id; returns whether the call still waits for its claim.
     dispatch, clock, draw, count : callable
         As for `Proxy`; `count` increases a counter of the metrics.
     """
 
-    def __init__(self, store, name, is_waiting, dispatch, clock, draw, count):
+    def __init__(self, store, attempt_prefix, is_waiting, dispatch, clock, draw, count):
         self._store = store
-        self._name = name
+        self._attempt_prefix = attempt_prefix
         self._is_waiting = is_waiting
         self._dispatch = dispatch
         self._clock = clock
@@ -53,19 +55,19 @@
         self._tasks = set()
 
     def execute(self, effect):
-        """Carry out a claim effect in the background."""
+        """Start the store requests for a claim effect in the background."""
         key = f"claim/{effect.service}/{effect.key}"
-        attempt = f"{self._name()}/{effect.call_id}"
+        attempt = f"{self._attempt_prefix()}/{effect.call_id}"
         match effect:
             case InsertClaim():
                 self._spawn(self._insert(effect.call_id, key, attempt))
             case ReleaseClaim():
-                self._write_later(self._release, key, attempt)
+                self._write_in_background(self._release, key, attempt)
             case FinishClaim():
-                self._write_later(self._finish, key, attempt, effect.recorded)
+                self._write_in_background(self._finish, key, attempt, effect.recorded)
 
     async def wait_idle(self, timeout_s):
-        """Wait until the writes in the background have ended.
+        """Wait until the background writes have ended.
 
         Returns
         -------
@@ -82,34 +84,37 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _write_later(self, write, *args):
+    def _write_in_background(self, write, *args):
         if len(self._tasks) >= MAX_BACKGROUND_WRITES:
             self._count("claims.abandoned")
             return
-        self._spawn(self._persist(write, *args))
+        self._spawn(self._write_with_retries(write, *args))
 
     async def _insert(self, call_id, key, attempt):
         outcome, recorded, settled = await self._claim(key, attempt)
         if outcome is ev.ClaimOutcome.GRANTED:
             if not self._is_waiting(call_id):
-                # The deadline passed or the caller left, so it is never sent.
-                self._write_later(self._release, key, attempt)
+                # The deadline passed or the caller left, so the call is never sent.
+                self._write_in_background(self._release, key, attempt)
         elif not settled:
-            self._write_later(self._void, key, attempt)
+            self._write_in_background(self._void, key, attempt)
         self._dispatch(
             ev.ClaimAnswered(self._clock(), self._draw(), call_id, outcome, recorded)
         )
 
     async def _claim(self, key, attempt):
-        """Return the outcome, the recorded answer and whether that is final."""
+        """Return the outcome, the recorded response and whether both are final.
+
+        They are not final if the insertion may still take effect.
+        """
         if self._store is None:
             return ev.ClaimOutcome.UNAVAILABLE, None, True
-        mine, void = f"claimant/{attempt}", f"void/{attempt}"
+        claimant, void = f"claimant/{attempt}", f"void/{attempt}"
         settled = False
         try:
             if await self._store.commit(
-                [(key, 0), (mine, 0), (void, 0)],
-                [(key, {"attempt": attempt}), (mine, 1)],
+                [(key, 0), (claimant, 0), (void, 0)],
+                [(key, {"attempt": attempt}), (claimant, 1)],
             ):
                 return ev.ClaimOutcome.GRANTED, None, True
             settled = True
@@ -121,45 +126,45 @@
             self._count("store.failed")
             return ev.ClaimOutcome.UNAVAILABLE, None, settled
         if not row.version:
-            # Released in between, or the insertion has not taken effect (yet).
+            # The claim was released in between, or the insertion has not taken effect.
             return ev.ClaimOutcome.UNAVAILABLE, None, settled
         value = row.value if isinstance(row.value, dict) else {}
         if value.get("attempt") == attempt:
             return ev.ClaimOutcome.GRANTED, None, True
-        recorded = _recorded(value)
+        recorded = _recorded_response(value)
         if recorded is not None:
             return ev.ClaimOutcome.REPLAY, recorded, settled
         return ev.ClaimOutcome.HELD, None, settled
 
-    async def _persist(self, write, *args):
+    async def _write_with_retries(self, write, *args):
         loop = asyncio.get_running_loop()
-        give_up = loop.time() + GIVE_UP_S
-        delay_s = FIRST_DELAY_S
+        give_up_at = loop.time() + MAX_RETRY_TIME_S
+        delay_s = FIRST_RETRY_DELAY_S
         while True:
             try:
                 await write(*args)
                 return
             except PimentolineError:
                 self._count("store.failed")
-            if loop.time() + delay_s > give_up:
+            if loop.time() + delay_s > give_up_at:
                 self._count("claims.abandoned")
                 return
             await asyncio.sleep(delay_s)
-            delay_s = min(2 * delay_s, MAX_DELAY_S)
+            delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     async def _release(self, key, attempt):
-        mine = f"claimant/{attempt}"
-        return await self._store.commit([(mine, 1)], deletes=[key, mine])
+        claimant = f"claimant/{attempt}"
+        return await self._store.commit([(claimant, 1)], deletes=[key, claimant])
 
     async def _void(self, key, attempt):
-        """Release an insertion whose effect is not known, now or in the future."""
+        """Undo an insertion that may have taken effect, or may still do so."""
         while not await self._release(key, attempt):
-            mine, void = f"claimant/{attempt}", f"void/{attempt}"
-            if await self._store.commit([(mine, 0)], [(void, 1)]):
+            claimant, void = f"claimant/{attempt}", f"void/{attempt}"
+            if await self._store.commit([(claimant, 0)], [(void, 1)]):
                 return
 
     async def _finish(self, key, attempt, recorded):
-        mine = f"claimant/{attempt}"
+        claimant = f"claimant/{attempt}"
         value = {
             "attempt": attempt,
             "status": recorded.status,
@@ -167,11 +172,11 @@
             "body": base64.b64encode(recorded.body).decode(),
             "truncated": recorded.truncated,
         }
-        await self._store.commit([(mine, 1)], [(key, value)], [mine])
+        await self._store.commit([(claimant, 1)], [(key, value)], [claimant])
 
 
-def _recorded(value):
-    """Return the recorded answer of a claim row, or None if it has none."""
+def _recorded_response(value):
+    """Return the recorded response in a claim row, or None if it has none."""
     try:
         return RecordedResponse(
             int(value["status"]),
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -12,22 +12,22 @@
 
 __all__ = ["PeerDiscovery"]
 
-PREFIX = "node/"
-REFRESH_S = 600.0
-CHECK_S = 30.0
-# A row outlives two refreshes that fail.
-MAX_AGE_S = 1800.0
-JOIN_PEERS = 3
-# Peers that are asked at boot before the node goes on without an answer.
-JOIN_ROUNDS = 3
-# The first repetition after a failure is drawn from 0 to 1 s and the range doubles, so
-# that many nodes that start together do not repeat together.
-BACKOFF_S = 1.0
+ROW_PREFIX = "node/"
+REFRESH_INTERVAL_S = 600.0
+CHECK_INTERVAL_S = 30.0
+# Rows older than this are ignored; a row stays valid while two refreshes fail.
+MAX_ROW_AGE_S = 1800.0
+JOIN_GROUP_SIZE = 3
+# Groups of peers that are asked at boot before the node starts without a reply.
+MAX_JOIN_GROUPS = 3
+# The delay of the first retry is drawn from 0 to 1 s, and this range doubles with each
+# retry, so that nodes that start together do not retry at the same time.
+FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
 
 
 class PeerDiscovery:
-    """The row of a node in the store, and the search for peers.
+    """Finds peers by rows of the store and by the seed addresses in the settings.
 
     Parameters
     ----------
@@ -39,46 +39,47 @@
         self._written_at = float("-inf")
 
     async def join(self):
-        """Ask several peers and the store for members and for the rules version.
+        """Get the members and the rules version from peers and the store.
 
-        Calls are refused until an answer has come, so it is safe to go on without one.
+        Calls are rejected until the rules version is known, so it is safe to start
+        without a reply.
         """
         node = self._node
-        _, found = await asyncio.gather(
+        _, addrs = await asyncio.gather(
             node.publisher.load_from_store(), self._find_peers()
         )
-        await self._ask_some(found)
+        await self._synchronise_with(addrs)
 
-    async def _ask_some(self, found):
-        """Ask seeds and other peers in groups until one group has answered."""
+    async def _synchronise_with(self, addrs):
+        """Synchronise with groups of seeds and other peers until a peer replies."""
         node = self._node
         seeds = [
             addr for addr in node.cfg.seeds if addr != node.state.identity.mesh_addr
         ]
         node.random.shuffle(seeds)
-        peers = list(dict.fromkeys(seeds[:JOIN_PEERS] + found + seeds))
+        peers = list(dict.fromkeys(seeds[:JOIN_GROUP_SIZE] + addrs + seeds))
         answered = 0
-        for turn in range(JOIN_ROUNDS):
-            group = peers[turn * JOIN_PEERS : (turn + 1) * JOIN_PEERS]
+        for number in range(MAX_JOIN_GROUPS):
+            group = peers[number * JOIN_GROUP_SIZE : (number + 1) * JOIN_GROUP_SIZE]
             request = SyncRequest(digests(node.state.mesh.members))
             bodies = await asyncio.gather(
                 *(node.send_request(addr, request) for addr in group)
             )
             answered = sum(body is not None for body in bodies)
             if answered:
-                await self._take_rules(group)
+                await self._fetch_rules(group)
                 break
         if node.store is None and (answered or not seeds):
-            # Without a store, nobody else can know of a version.
+            # Without a store, there is no other source of a rules version.
             node.dispatch(
                 RulesVersionReceived(node.clock(), 0, "nobody", confirmed=True)
             )
 
     async def _find_peers(self):
-        """Write the own row, then return the other rows' addresses, shuffled.
+        """Write this node's row, then return the other nodes' addresses, shuffled.
 
-        Written first, it is seen by every node that reads later: of nodes that start
-        together, each but the first to write finds at least one other.
+        As each node writes before it reads, of several nodes that start together each
+        but the first to write finds at least one other.
         """
         node = self._node
         if node.store is None:
@@ -91,20 +92,20 @@
             "time": time.time(),
         }
         try:
-            await node.store.commit(puts=[(PREFIX + me.node_id, row)])
+            await node.store.commit(puts=[(ROW_PREFIX + me.node_id, row)])
             self._written_at = node.clock()
-            rows = await node.store.scan(PREFIX)
+            rows = await node.store.scan(ROW_PREFIX)
         except PimentolineError as exc:
             node.metrics.count("store.failed")
             log_entry("store:unavailable", detail=exc.detail)
             return []
-        found = [addr for addr in map(_addr_of, rows) if addr is not None]
-        found = [addr for addr in found if addr != me.mesh_addr]
-        node.random.shuffle(found)
-        return found
+        addrs = [addr for addr in map(_addr_of, rows) if addr is not None]
+        addrs = [addr for addr in addrs if addr != me.mesh_addr]
+        node.random.shuffle(addrs)
+        return addrs
 
-    async def _take_rules(self, group):
-        """Fetch the highest version that the group has named."""
+    async def _fetch_rules(self, group):
+        """Fetch the highest rules version that the group has named."""
         node = self._node
         for addr in group:
             rules = node.state.rules
@@ -113,31 +114,31 @@
             await node.send_request(addr, RulesRequest(rules.known_version))
 
     async def run(self):
-        """Refresh the own row, and search for peers while none is known."""
+        """Refresh this node's row, and search for peers while none is known."""
         node = self._node
-        backoff_s = BACKOFF_S
+        backoff_s = FIRST_BACKOFF_S
         while True:
             has_no_peers = not running_peers(node.state)
-            written = node.store is None or self._written_at > float("-inf")
-            if written and not has_no_peers:
-                backoff_s = BACKOFF_S
-                await asyncio.sleep(CHECK_S * node.random.uniform(0.5, 1.0))
+            row_written = node.store is None or self._written_at > float("-inf")
+            if row_written and not has_no_peers:
+                backoff_s = FIRST_BACKOFF_S
+                await asyncio.sleep(CHECK_INTERVAL_S * node.random.uniform(0.5, 1.0))
             else:
                 await asyncio.sleep(backoff_s * node.random.random())
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-            found = []
-            due = node.clock() - self._written_at > REFRESH_S
+            addrs = []
+            due = node.clock() - self._written_at > REFRESH_INTERVAL_S
             if node.store is not None and (due or not running_peers(node.state)):
-                found = await self._find_peers()
+                addrs = await self._find_peers()
             if not running_peers(node.state):
-                await self._ask_some(found)
+                await self._synchronise_with(addrs)
 
 
 def _addr_of(row):
-    """Return the address in a directory row, or None if it is old or malformed."""
+    """Return the address in a node's row, or None if it is outdated or malformed."""
     try:
         ip, port = row.value["addr"]
-        if time.time() - row.value["time"] < MAX_AGE_S:
+        if time.time() - row.value["time"] < MAX_ROW_AGE_S:
             return str(ip), int(port)
     except (KeyError, TypeError, ValueError):
         pass
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -1,4 +1,4 @@
-"""pimentoline.publisher: what a node reads from and writes to the store."""
+"""pimentoline.publisher: rules versions and their audit trail in the store."""
 
 import asyncio
 import time
@@ -13,10 +13,10 @@
     audit_prefixes,
     config_key,
     diff_lines,
-    digest_of,
     iso_time,
+    parse_row,
     requesters,
-    validated,
+    sha256_hex,
 )
 from .errors import PimentolineError, StoreError
 from .gossip import running_peers
@@ -24,16 +24,17 @@
 
 __all__ = ["Publisher"]
 
-# An answer to the loser of a race names at most so many later versions.
-MAX_WINNERS = 20
-COMMIT_TRIES = 2
+# Upper bound of the accepted versions that a reply about a conflict lists.
+MAX_CONFLICTING_VERSIONS = 20
+MAX_COMMIT_ATTEMPTS = 2
 PUSH_PEERS = 3
-# Leaves enough of the 5 s in which an accepted version is in force everywhere.
+# Leaves enough of the 5 s within which an accepted version has to be in force at every
+# node.
 PUSH_TIMEOUT_S = 2.5
 
 
 class Publisher:
-    """Configuration and audit trail of one node in the store.
+    """Reads and writes the rules versions and the audit trail in the store.
 
     Parameters
     ----------
@@ -44,7 +45,7 @@
         self._node = node
 
     async def load_from_store(self):
-        """Take the rules in the store if they are newer than those in force."""
+        """Put the rules in the store in force if they are newer than those in force."""
         node = self._node
         if node.store is None:
             return
@@ -60,7 +61,7 @@
                 node.load_rules(version, row.value["text"], "store")
         except (PimentolineError, KeyError, TypeError):
             node.metrics.count("store.failed")
-        # The version is known even if its text could not be read.
+        # The version is reported even if its text could not be read.
         node.dispatch(
             ev.RulesVersionReceived(node.clock(), version, "store", confirmed=True)
         )
@@ -68,26 +69,27 @@
     async def apply(self, base, text, author, attempt):
         """Write a new rules version if `base` is still in force.
 
-        The head, the text and the audit row are written in one transaction that
-        checks the head, so of several writers with one base exactly one wins.
+        The head row, the text and the audit row are written in one transaction that
+        checks the version of the head row, so of several writers with the same base
+        exactly one succeeds.
 
         Parameters
         ----------
         base : int
             Version that the text is a change of, 0 if there is none yet.
         text : str
-            A text without problems.
+            A valid rules text.
         author : str
         attempt : str
-            Id of this attempt. A repeated attempt is accepted at most once and is
-            told the same outcome.
+            Id of this attempt. An attempt that is retried with the same id is accepted
+            at most once and gets the same outcome.
 
         Returns
         -------
         dict
             `result` is `accepted` (with `version`), `conflict` (with `head`, `won`
-            and `differs`), `unknown` (with `attempt`) or `unavailable`: this request
-            wrote nothing.
+            and `differs`), `unknown` (with `attempt`) or `unavailable` (this request
+            has written nothing).
         """
         try:
             row, head = await self._head()
@@ -101,7 +103,7 @@
         except PimentolineError as exc:
             return {"result": "unavailable", "detail": exc.detail}
         version = base + 1
-        digest = digest_of(text)
+        digest = sha256_hex(text)
         new = HeadRow(version=version, digest=digest, attempt=attempt)
         audit = AuditRow(
             version=version,
@@ -121,14 +123,14 @@
         return await self._write(row, puts, base, text, attempt)
 
     async def _write(self, row, puts, base, text, attempt):
-        """Commit a version and find out whether it took effect.
+        """Commit a version and return the outcome.
 
-        The transaction may be sent twice: it checks the head, so its second copy
-        fails if the first one took effect.
+        Sending the transaction twice is safe: it checks the version of the head row,
+        so the second one fails if the first one took effect.
         """
         store = self._node.store
         outcome = None
-        for _ in range(COMMIT_TRIES):
+        for _ in range(MAX_COMMIT_ATTEMPTS):
             try:
                 if await store.commit([(HEAD_KEY, row.version)], puts):
                     return await self._accepted(base + 1, text)
@@ -144,43 +146,52 @@
         return outcome
 
     async def _outcome(self, base, text, attempt):
-        """Return the outcome of an attempt that was sent to the store.
+        """Return the outcome of an attempt that may have been written.
 
-        Versions have no gaps, so the row after the base names the only attempt with
-        this base that was accepted, however many versions followed.
+        Versions are consecutive, so the audit row of the version after the base names
+        the only attempt with this base that was accepted, however many versions
+        followed.
         """
         _, head = await self._head()
         latest = head.version if head else 0
         if latest <= base:
-            # The write may still be on its way.
+            # The write may still take effect.
             detail = f"version {base} is still in force"
             return {"result": "unknown", "attempt": attempt, "detail": detail}
-        rows = await self._audit_rows(latest, min(latest - base, MAX_WINNERS))
-        first = validated(AuditRow, await self._node.store.get(audit_key(base + 1)))
+        rows = await self._audit_rows(
+            latest, min(latest - base, MAX_CONFLICTING_VERSIONS)
+        )
+        first = parse_row(AuditRow, await self._node.store.get(audit_key(base + 1)))
         if first.attempt == attempt:
-            if first.digest != digest_of(text):
+            if first.digest != sha256_hex(text):
                 detail = f"attempt {attempt} was accepted with another text"
-                return {"result": "conflict", "detail": detail, "won": [_winner(first)]}
+                return {
+                    "result": "conflict",
+                    "detail": detail,
+                    "won": [_version_summary(first)],
+                }
             if latest == base + 1:
                 return await self._accepted(latest, text)
-            # A later version is in force; putting this one back would revert it.
+            # A later version is in force, and loading this one would revert it.
             return {"result": "accepted", "version": base + 1, "superseded_by": latest}
-        won = [_winner(row) for row in reversed(rows) if row.version > base + 1]
+        won = [
+            _version_summary(row) for row in reversed(rows) if row.version > base + 1
+        ]
         return {
             "result": "conflict",
             "head": head.model_dump(),
-            "won": [_winner(first), *won],
+            "won": [_version_summary(first), *won],
             "differs": diff_lines(await self._text(latest), text),
         }
 
     async def _head(self):
-        """Return the row of the head, and its value or None without a version."""
+        """Return the head row and its value, which is None before the first version."""
         row = await self._node.store.get(HEAD_KEY)
-        return row, validated(HeadRow, row) if row.version else None
+        return row, parse_row(HeadRow, row) if row.version else None
 
     async def _text(self, version):
         row = await self._node.store.get(config_key(version))
-        return validated(ConfigRow, row).text
+        return parse_row(ConfigRow, row).text
 
     async def _audit_rows(self, newest, count):
         """Return up to `count` audit rows up to version `newest`, the latest first."""
@@ -189,12 +200,12 @@
             for prefix in audit_prefixes(newest, count)
         ]
         found = [row for rows in await asyncio.gather(*scans) for row in rows]
-        rows = [validated(AuditRow, row) for row in found]
+        rows = [parse_row(AuditRow, row) for row in found]
         rows = [row for row in rows if row.version <= newest]
         return sorted(rows, key=lambda row: row.version, reverse=True)[:count]
 
     async def _accepted(self, version, text):
-        """Put the version in force here and have peers hold it before saying so."""
+        """Load an accepted version here and at some peers, and return the reply."""
         node = self._node
         node.load_rules(version, text, "store")
         peers, held_by = await self._push(version, text)
@@ -204,25 +215,26 @@
         return answer
 
     async def _push(self, version, text):
-        """Send the text to peers until `PUSH_PEERS` hold it.
+        """Send the rules text to peers until `PUSH_PEERS` have loaded it.
 
         Returns
         -------
         peers : int
-            Peers that exist.
+            Number of running peers.
         held_by : int
-            Peers that have acknowledged.
+            Number of peers that have acknowledged the version or a later one.
         """
         node = self._node
         peers = running_peers(node.state)
         node.random.shuffle(peers)
-        # A version held in another region survives the loss of this one.
+        # Peers in other regions come first, so that the version survives the loss of
+        # this region.
         peers.sort(key=lambda record: record.region == node.state.identity.region)
-        left, held_by = [record.addr for record in peers], 0
+        remaining, held_by = [record.addr for record in peers], 0
         deadline = node.clock() + PUSH_TIMEOUT_S
-        while left and held_by < PUSH_PEERS and node.clock() < deadline:
-            group = left[: PUSH_PEERS - held_by]
-            left = left[len(group) :]
+        while remaining and held_by < PUSH_PEERS and node.clock() < deadline:
+            group = remaining[: PUSH_PEERS - held_by]
+            remaining = remaining[len(group) :]
             bodies = await asyncio.gather(
                 *(node.send_request(addr, RulesPush(version, text)) for addr in group)
             )
@@ -259,18 +271,18 @@
         return [{**row.model_dump(), "time": iso_time(row.time)} for row in rows]
 
     async def rules_text(self, version):
-        """Return the text of an accepted version, or None if there is none.
+        """Return the text of a rules version, or None if there is no such version.
 
         Raises
         ------
         StoreError
         """
         row = await self._node.store.get(config_key(version))
-        return validated(ConfigRow, row).text if row.version else None
+        return parse_row(ConfigRow, row).text if row.version else None
 
 
-def _winner(row):
-    """Return what the loser of a race is told of a version."""
+def _version_summary(row):
+    """Return the fields of an audit row that a reply about a conflict contains."""
     return {
         "version": row.version,
         "author": row.author,
--- a/pimentoline/store.py
+++ b/pimentoline/store.py
@@ -12,20 +12,21 @@
 
 __all__ = ["Row", "Store"]
 
-# Longest time of one request, with the repeat of a read.
+# Time limit of one request, including the retry of a read.
 REQUEST_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
-# A lost answer to a read is repeated within the time of the request.
-READ_TRY_TIMEOUT_S = 1.2
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# A request beyond these waits in the client, and its time counts.
+# Time limit of the first attempt of a read; leaves time for a retry if the response
+# is lost.
+FIRST_READ_TIMEOUT_S = 1.2
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Further requests wait in the client, and their time limit includes the wait.
 MAX_REQUESTS = 64
 TOO_MANY_REQUESTS = 429
 
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A row; its version grows by one with each write and is 0 if it is absent."""
+    """A row of the table; each write adds 1 to its version, 0 is an absent row."""
 
     key: str
     version: int
@@ -35,8 +36,8 @@
 class Store:
     """Client of the table service.
 
-    A read is repeated once if it fails. A transaction is never repeated here, since
-    it may have taken effect; callers that can tell their own writes repeat it.
+    A read is retried once if it fails. A transaction is never retried here, since it
+    may have taken effect; callers that recognise their own writes can retry it.
 
     Parameters
     ----------
@@ -51,13 +52,13 @@
         self._http = AsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_REQUESTS,
-            max_buffer_size=MAX_ANSWER_BYTES,
-            max_body_size=MAX_ANSWER_BYTES,
+            max_buffer_size=MAX_RESPONSE_BYTES,
+            max_body_size=MAX_RESPONSE_BYTES,
         )
 
     @classmethod
     def from_config(cls, cfg, metrics=None):
-        """Make a client of the store that the settings name."""
+        """Return a client of the store in the settings."""
         return cls(cfg.store_url, metrics)
 
     def close(self):
@@ -81,7 +82,7 @@
                 self._count("store.busy")
                 raise StoreBusyError("store: too many requests") from exc
             if 400 <= exc.code < 500:
-                # The service refused the form of the request, so nothing was written.
+                # The service rejected the request as invalid and has written nothing.
                 raise StoreError(f"store: {exc}", False) from exc
             raise StoreUnavailableError(f"store: {exc}") from exc
         except (OSError, HTTPInputError) as exc:
@@ -90,39 +91,39 @@
             return json.loads(res.body)
         except (ValueError, RecursionError) as exc:
             self._count("store.nonsense")
-            raise StoreError(f"store answered no JSON to {path}") from exc
+            raise StoreError(f"store response to {path} is not JSON") from exc
 
     def _count(self, name):
         if self._metrics is not None:
             self._metrics.count(name)
 
-    def _note_time(self, name, started):
+    def _record_duration(self, name, started):
         if self._metrics is not None:
             self._metrics.timing(name, time.monotonic() - started)
 
     async def _read(self, path, parse):
-        """Return what `parse` makes of the answer; ask twice at most."""
+        """Read and parse a response, with one retry."""
         started = time.monotonic()
         try:
             try:
-                return self._parsed(
-                    parse, await self._fetch(path, timeout_s=READ_TRY_TIMEOUT_S)
+                return self._parse(
+                    parse, await self._fetch(path, timeout_s=FIRST_READ_TIMEOUT_S)
                 )
             except StoreBusyError:
-                # Asking again at once would add to the load that was refused.
+                # An immediate retry would add to the overload.
                 raise
             except StoreError:
                 left_s = REQUEST_TIMEOUT_S - (time.monotonic() - started)
-                if left_s < REQUEST_TIMEOUT_S - READ_TRY_TIMEOUT_S - 0.1:
+                if left_s < REQUEST_TIMEOUT_S - FIRST_READ_TIMEOUT_S - 0.1:
                     raise
                 self._count("store.retried")
-                return self._parsed(parse, await self._fetch(path, timeout_s=left_s))
+                return self._parse(parse, await self._fetch(path, timeout_s=left_s))
         finally:
-            self._note_time("store.read", started)
+            self._record_duration("store.read", started)
 
-    def _parsed(self, parse, answer):
+    def _parse(self, parse, response):
         try:
-            return parse(answer)
+            return parse(response)
         except StoreError:
             self._count("store.nonsense")
             raise
@@ -135,10 +136,10 @@
         StoreUnavailableError, StoreError
         """
 
-        def parse(answer):
-            row = _row(answer)
+        def parse(response):
+            row = _row(response)
             if row.key != key:
-                raise StoreError(f"store answered row {row.key!r:.80} for {key!r:.80}")
+                raise StoreError(f"store returned row {row.key!r:.80} for {key!r:.80}")
             return row
 
         return await self._read(f"/v1/rows/{quote(key, safe='')}", parse)
@@ -151,20 +152,22 @@
         StoreUnavailableError, StoreError
         """
 
-        def parse(answer):
-            if not isinstance(answer, list) or len(answer) > limit:
-                raise StoreError(f"store answered no list of at most {limit} rows")
-            rows = [_row(item) for item in answer]
+        def parse(response):
+            if not isinstance(response, list) or len(response) > limit:
+                raise StoreError(f"store response is no list of at most {limit} rows")
+            rows = [_row(item) for item in response]
             keys = [row.key for row in rows]
             if keys != sorted(keys) or not all(key.startswith(prefix) for key in keys):
-                raise StoreError(f"store answered other rows than those of {prefix!r}")
+                raise StoreError(
+                    f"store returned unsorted rows or keys without prefix {prefix!r}"
+                )
             return rows
 
         path = f"/v1/rows?prefix={quote(prefix, safe='')}&limit={limit}"
         return await self._read(path, parse)
 
     async def commit(self, checks=(), puts=(), deletes=()):
-        """Run one transaction, all or nothing.
+        """Run one atomic transaction.
 
         Parameters
         ----------
@@ -176,7 +179,7 @@
         Returns
         -------
         bool
-            False if a check did not hold, and nothing was written.
+            False if a check failed and nothing was written.
 
         Raises
         ------
@@ -190,17 +193,17 @@
         }
         started = time.monotonic()
         try:
-            answer = await self._fetch("/v1/txn", body)
+            response = await self._fetch("/v1/txn", body)
         finally:
-            self._note_time("store.write", started)
-        if not isinstance(answer, dict) or not isinstance(answer.get("ok"), bool):
+            self._record_duration("store.write", started)
+        if not isinstance(response, dict) or not isinstance(response.get("ok"), bool):
             self._count("store.nonsense")
-            raise StoreError("store answered no transaction result")
-        return answer["ok"]
+            raise StoreError("store response is no transaction result")
+        return response["ok"]
 
 
 def _row(item):
-    """Return the row of one item of an answer.
+    """Return the row in one item of a response.
 
     Raises
     ------
@@ -210,4 +213,4 @@
         case {"key": str(key), "version": int(version), "value": value}:
             if version >= 0 and not isinstance(version, bool):
                 return Row(key, version, value)
-    raise StoreError(f"store answered a malformed row: {item!r:.80}")
+    raise StoreError(f"store returned a malformed row: {item!r:.80}")
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -1,4 +1,4 @@
-"""Reducer states that exchange messages over a lossy network, in model time."""
+"""Reducer states that exchange messages over a lossy network, in simulated time."""
 
 import heapq
 import random
@@ -16,30 +16,35 @@
 
 
 class SimulatedNetwork:
-    """States by node id; loss, duplication and delays come from one seed."""
+    """Delivers messages between nodes; loss, duplicates and delays follow from a seed.
+
+    `stopped` holds the ids of nodes that neither run nor receive. Nodes with different
+    values in `partition_sides` do not reach each other. `check` is called with the node
+    id and its states before and after each event.
+    """
 
     def __init__(self, seed, loss=0.0, duplication=0.0, delay_s=0.02):
         self.rand = random.Random(seed)
         self.loss, self.duplication, self.delay_s = loss, duplication, delay_s
         self.now = 0.0
         self.states, self.queue, self.logs = {}, [], {}
-        self.order = 0
-        self.off, self.by_addr = set(), {}
-        self.sides = {}
+        self.sequence = 0
+        self.stopped, self.names_by_addr = set(), {}
+        self.partition_sides = {}
         self.store = None
         self.counts = {}
         self.rejected = []
         self.check = lambda name, before, after: None
 
     def add(self, name, region="rift", host=None, seeds=(), must_check=False):
-        """Add a node that synchronises with the nodes `seeds`."""
+        """Add a node, and let it synchronise with the nodes named in `seeds`."""
         port = len(self.logs) + 1
         addr = ("10.0.0.1", port)
         incarnation = int(self.now * 1000) + 1
         me = Identity(name, host or name, region, "dc", addr, addr, incarnation)
         state = State(me, RulesState(must_check=must_check, confirmed=not must_check))
         self.states[name] = with_own_record(state)
-        self.by_addr[addr] = name
+        self.names_by_addr[addr] = name
         self.logs[name] = (self.states[name], [])
         self.schedule(self.rand.uniform(0, TICK_S), name, "tick")
         for seed in seeds:
@@ -51,22 +56,22 @@
         return self.states[name].identity.mesh_addr
 
     def schedule(self, delay_s, name, item):
-        """Hand an item to a node after a delay."""
-        self.order += 1
-        heapq.heappush(self.queue, (self.now + delay_s, self.order, name, item))
+        """Queue an item for a node: a tick, an event or an effect that takes time."""
+        self.sequence += 1
+        heapq.heappush(self.queue, (self.now + delay_s, self.sequence, name, item))
 
     def reachable(self, src, dst):
-        """Return whether a message gets from one node to another."""
-        if dst is None or src in self.off or dst in self.off:
+        """Return whether messages from one node can reach another."""
+        if dst is None or src in self.stopped or dst in self.stopped:
             return False
-        return self.sides.get(src) == self.sides.get(dst)
+        return self.partition_sides.get(src) == self.partition_sides.get(dst)
 
     def name_of(self, addr):
         """Return the node with an address, or None."""
-        return self.by_addr.get(addr)
+        return self.names_by_addr.get(addr)
 
     def event(self, src, body, addr, is_reply=False):
-        """Return the event of a message from `src`."""
+        """Return the event with which a node receives a message from `src`."""
         rules = self.states[src].rules
         return ev.MessageReceived(
             0.0,
@@ -90,7 +95,7 @@
         return reply
 
     def receive(self, name, event):
-        """Load the rules text in a message as the runtime does, then reduce it."""
+        """Dispatch a message; as in the runtime, load a rules text in it before."""
         match event.body:
             case ms.RulesReply(version, text) | ms.RulesPush(version, text):
                 self.load_rules(name, version, text, event.sender)
@@ -102,7 +107,7 @@
         self.dispatch(name, event)
 
     def dispatch(self, name, event):
-        """Reduce an event at a node; return the reply that it makes."""
+        """Reduce an event at a node, execute the effects and return any reply."""
         before = self.states[name]
         step = reduce(before, event)
         self.logs[name][1].append(event)
@@ -127,7 +132,7 @@
         return reply
 
     def send(self, src, addr, body):
-        """Send a datagram, which may be lost, doubled or overtaken."""
+        """Send a datagram, which may be lost, duplicated or reordered."""
         dst = self.name_of(addr)
         if not self.reachable(src, dst) or self.rand.random() < self.loss:
             return
@@ -137,12 +142,12 @@
             self.schedule(self.rand.uniform(0, 2 * self.delay_s), dst, event)
 
     def fetch(self, name, effect):
-        """Fetch rules from the peer, or from the store if it has none."""
+        """Fetch rules from a peer, and from the store if they are still outdated."""
         if effect.addr is not None:
             self.ask(name, effect.addr, ms.RulesRequest(effect.version))
         rules = self.states[name].rules
-        lacking = rules.must_check or rules.version < effect.version
-        if lacking and self.store is not None:
+        outdated = rules.must_check or rules.version < effect.version
+        if outdated and self.store is not None:
             self.load_rules(name, self.store)
             heard = ev.RulesVersionReceived(
                 self.now, self.store, "store", confirmed=True
@@ -150,7 +155,11 @@
             self.dispatch(name, heard)
 
     def run(self, seconds, until=None):
-        """Advance the model time; return the time at which `until()` was true."""
+        """Advance the simulated time until `until()` is true, and return the time.
+
+        Fails if `until()` is not true within `seconds`. Without `until`, all of them
+        are simulated.
+        """
         end = self.now + seconds
         while self.queue and self.queue[0][0] <= end:
             if until is not None and until():
@@ -158,10 +167,10 @@
             self.now, _, name, item = heapq.heappop(self.queue)
             if item == "tick":
                 self.schedule(TICK_S, name, "tick")
-                if name not in self.off:
+                if name not in self.stopped:
                     draw = self.rand.getrandbits(64)
                     self.dispatch(name, ev.Tick(self.now, draw))
-            elif name in self.off:
+            elif name in self.stopped:
                 continue
             elif isinstance(item, ef.QueryPeer):
                 self.ask(name, item.addr, item.body)
@@ -182,36 +191,36 @@
 
     def routes(self, name):
         """Return the state of each routable target at a node, by target id."""
-        found = self.states[name].mesh.by_service.get("hive-ledger", ())
-        return {target.target_id: target.state.value for target in found}
+        targets = self.states[name].mesh.by_service.get("hive-ledger", ())
+        return {target.target_id: target.state.value for target in targets}
 
     def status(self, name, other):
         """Return the status of a member at another node, or None if unknown."""
         record = self.states[name].mesh.members.get(other)
         return record and record.status.value
 
-    def all_say(self, other, status):
-        """Return whether every running node gives a member this status."""
+    def all_report(self, other, status):
+        """Return whether all other running nodes hold a member in this status."""
         return all(
             self.status(name, other) == status
             for name in self.states
-            if name not in self.off and name != other
+            if name not in self.stopped and name != other
         )
 
 
 def make_network(size, seed, loss=0.0, duplication=0.0):
-    """Return a fabric of `size` nodes that have found each other."""
-    fabric = SimulatedNetwork(seed, loss, duplication)
+    """Return a network of `size` nodes that all know each other."""
+    network = SimulatedNetwork(seed, loss, duplication)
     regions = ("rift", "coast", "western")
     for i in range(size):
-        fabric.add(f"n{i}", regions[i % 3], seeds=["n0"] if i else [])
-    fabric.run(
-        20, lambda: all(len(s.mesh.members) == size for s in fabric.states.values())
+        network.add(f"n{i}", regions[i % 3], seeds=["n0"] if i else [])
+    network.run(
+        20, lambda: all(len(s.mesh.members) == size for s in network.states.values())
     )
-    return fabric
+    return network
 
 
-def own_targets(fabric, name):
+def own_targets(network, name):
     """Return the states of the targets in a node's own record."""
-    targets = own_record(fabric.states[name]).targets
+    targets = own_record(network.states[name]).targets
     return {target.target_id: target.state.value for target in targets}
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -1,4 +1,4 @@
-"""Claims with answers of the store that are lost and writes that take effect late."""
+"""Claims when responses of the store are lost and writes take effect late."""
 
 import asyncio
 
@@ -15,16 +15,16 @@
 
 
 class FaultyStore:
-    """A table whose next transactions are lost, or held back until `deliver`.
+    """A table service that delays transactions or loses their responses.
 
-    `faults` holds one of `lose` (runs, no answer), `hold` (runs later, no answer)
-    or None for each of the next transactions.
+    `faults` holds a value for each of the next transactions: `lose` (takes effect, its
+    response is lost), `hold` (takes effect at `deliver`, its response is lost) or None.
     """
 
     def __init__(self, table, faults=()):
         self.table = table
         self.faults = list(faults)
-        self.held = []
+        self.delayed = []
 
     async def commit(self, checks=(), puts=(), deletes=()):
         txn = {
@@ -34,7 +34,7 @@
         }
         fault = self.faults.pop(0) if self.faults else None
         if fault == "hold":
-            self.held.append(txn)
+            self.delayed.append(txn)
             raise StoreUnavailableError("held")
         done = self.table.run(txn)["ok"]
         if fault == "lose":
@@ -45,13 +45,13 @@
         return Row(**self.table.row(key))
 
     def deliver(self):
-        """Run the transactions that were held back."""
-        for txn in self.held:
+        """Run the delayed transactions."""
+        for txn in self.delayed:
             self.table.run(txn)
 
 
 class Writer:
-    """A `ClaimWriter` and the events that it raised."""
+    """A `ClaimWriter` that records the events it raises."""
 
     def __init__(self, name, store, waiting=True):
         self.events = []
@@ -66,7 +66,7 @@
         )
 
     async def run(self, effect):
-        """Carry out an effect and wait for its writes; return the claim outcome."""
+        """Execute an effect, wait for its writes and return the claim outcome."""
         self.writer.execute(effect)
         assert await self.writer.wait_idle(5.0)
         return self.events.pop().outcome if self.events else None
@@ -81,7 +81,10 @@
 
 
 def test_late_insertion_of_a_refused_call_is_void():
-    """Guards against a key that is held for ever by a call that was told not-run."""
+    """Guards against a claim that a rejected call holds for ever.
+
+    The caller was told that its call was not run; the insertion takes effect later.
+    """
 
     async def scenario():
         table = Table()
@@ -96,14 +99,17 @@
 
 
 def test_late_release_does_not_delete_the_claim_of_another_node():
-    """Guards against a key that runs twice, since row versions begin again at 1."""
+    """Guards against a call that runs twice because another node's claim is deleted.
+
+    Row versions begin at 1 again after a deletion, so they do not tell claims apart.
+    """
 
     async def scenario():
         table = Table()
         store = FaultyStore(table, [None, "hold", None])
         first, second = Writer("n1/1", store), Writer("n2/1", store)
         assert await first.run(insert()) is ev.ClaimOutcome.GRANTED
-        # The first release is held back, its repetition takes effect.
+        # The first release is delayed; its retry takes effect.
         await first.run(release())
         assert await second.run(insert()) is ev.ClaimOutcome.GRANTED
         store.deliver()
@@ -113,7 +119,7 @@
 
 
 def test_claim_of_a_call_that_has_ended_is_released():
-    """Guards against a key that is held by a call whose deadline passed meanwhile."""
+    """Guards against a claim held by a call whose deadline passed during insertion."""
 
     async def scenario():
         table = Table()
@@ -126,7 +132,7 @@
 
 
 def test_outcome_survives_a_lost_answer():
-    """Guards against an outcome that is recorded twice or not at all."""
+    """Guards against a response that is recorded twice or not at all."""
 
     async def scenario():
         table = Table()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,4 +1,4 @@
-"""Drain of a target, in the reducer."""
+"""Drain of a target in the reducer."""
 
 from pimentoline import events as ev
 from pimentoline.model import Identity, State, Target, TargetState
@@ -10,7 +10,7 @@
 
 
 def test_renewal_does_not_end_a_drain():
-    """Guards against new calls to a target whose drain its renewal has undone."""
+    """Guards against a drain that ends when the target renews its announcement."""
     state = State(ME)
     for event in (
         ev.TargetAnnounced(1.0, TARGET),
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -1,4 +1,4 @@
-"""The core is pure: what it imports, and that its decisions can be replayed."""
+"""Purity of the reducer and the policies: their imports, and replay of decisions."""
 
 import ast
 import os
@@ -30,7 +30,7 @@
 
 
 def imports(path):
-    """Return (modules of the package, other top-level modules) that a file imports."""
+    """Return the files of this package and the other modules that a file imports."""
     own, other = set(), set()
     package = path.parent
     for node in ast.walk(ast.parse(path.read_text())):
@@ -41,18 +41,18 @@
         elif isinstance(node, ast.ImportFrom):
             base = package.parents[node.level - 2] if node.level > 1 else package
             names = node.module.split(".") if node.module else []
-            places = [base.joinpath(*names)]
-            places += [places[0] / alias.name for alias in node.names]
-            for place in places:
+            candidates = [base.joinpath(*names)]
+            candidates += [candidates[0] / alias.name for alias in node.names]
+            for place in candidates:
                 own |= {f for f in (place.with_suffix(".py"), place / "__init__.py")}
     return {path for path in own if path.exists()}, other
 
 
 def core_modules():
-    """Return every module that the reducer or a policy reaches.
+    """Return the files that the reducer, the policies and `TWOHOP_DECISIONS` import.
 
-    `rules/__init__.py` lists the reader of rules files for the command line; that
-    edge is left out. An import of the reader by any other module is followed.
+    `rules/__init__.py` exports the reader of rules files for the command line; that
+    import is left out. An import of the reader by any other module is followed.
     """
     reader = PACKAGE / "rules" / "reading.py"
     found, todo = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
@@ -76,7 +76,7 @@
 
 @pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
 def test_core_takes_randomness_from_draws(path):
-    """Guards against a generator that is not seeded with the draw of an event."""
+    """Guards against a random generator without the `draw` of an event as its seed."""
     nodes = list(ast.walk(ast.parse(path.read_text())))
     used = [node for node in nodes if isinstance(node, ast.Name)]
     used = [node for node in used if node.id == "random"]
@@ -88,7 +88,7 @@
 
 
 def test_core_modules_are_found():
-    """Guards against an import check that looks at nothing."""
+    """Guards against an import check that finds no modules."""
     names = {path.stem for path in core_modules()}
     assert {
         "routing",
@@ -104,7 +104,7 @@
 
 @pytest.mark.parametrize("policy", policy_names())
 def test_replay_gives_same_state(policy):
-    """Guards against decisions that depend on anything but state and events."""
+    """Guards against decisions that depend on more than state and events."""
     core, _ = run_scenario(policy)
     state = State(core.state.identity, policy=policy)
     for event in core.events:
@@ -113,7 +113,7 @@
 
 
 def test_replay_in_another_process_gives_same_effects():
-    """Guards against decisions that depend on the hash seed of a process."""
+    """Guards against decisions that depend on the hash seed of the process."""
     code = "from tests.core import *; print(digest(*run_scenario('hot-cold')))"
     found = {digest(*run_scenario("hot-cold"))}
     for seed in ("1", "2"):
@@ -132,7 +132,7 @@
 
 
 def test_replace_keeps_other_fields():
-    """Guards against a faster copy that loses, shares or invents fields."""
+    """Guards against a copy with lost, shared or unknown fields."""
     stats = TargetStats(inflight=1, recent_outcomes=(True,))
     changed = replace(stats, consecutive_failures=3)
     assert changed == TargetStats(
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -1,27 +1,27 @@
-"""Configuration as messages between reducer states, from fixed seeds."""
+"""Spread of rules versions on a simulated network, with fixed seeds."""
 
 import pytest
 
 from pimentoline import events as ev
 from pimentoline.model import Call, Request
-from pimentoline.rules_version import GRACE_S
+from pimentoline.rules_version import GRACE_PERIOD_S
 
 from .simulated_network import make_network
 
 
-def call_refused(fabric, name):
-    """Return the code with which a call is rejected."""
-    req = Request("hive-ledger", "GET", "/", fabric.now + 10)
-    fabric.dispatch(name, ev.CallArrived(fabric.now, 1, Call(1, req, fabric.now)))
-    return fabric.rejected[-1][1]
+def rejection_code(network, name):
+    """Return the code with which a new call is rejected."""
+    req = Request("hive-ledger", "GET", "/", network.now + 10)
+    network.dispatch(name, ev.CallArrived(network.now, 1, Call(1, req, network.now)))
+    return network.rejected[-1][1]
 
 
-def versions(fabric):
-    """Return the version in force at each running node."""
+def versions(network):
+    """Return the set of versions in force at the running nodes."""
     return {
         state.rules.version
-        for name, state in fabric.states.items()
-        if name not in fabric.off
+        for name, state in network.states.items()
+        if name not in network.stopped
     }
 
 
@@ -33,107 +33,110 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_accepted_version_is_in_force_everywhere_in_time(seed):
-    """Guards P7 with the store down, the applying node dead and 20% loss.
+    """Guards P7 with the store down, the applying node failed and 20% loss.
 
-    A node may serve the version before for `GRACE_S` after it has heard of the new
-    one, so the rest of the 5 s is the bound here.
+    A node may serve calls by the previous version for `GRACE_PERIOD_S` after it has
+    learned of the new one, so the bound here is the rest of the 5 s.
     """
-    fabric = make_network(40, seed, loss=0.2, duplication=0.2)
-    fabric.check = never_older
+    network = make_network(40, seed, loss=0.2, duplication=0.2)
+    network.check = never_older
     for version, holders in ((1, ("n0", "n1")), (2, ("n5", "n7"))):
-        fabric.load_rules(holders[0], version)
-        fabric.load_rules(holders[1], version)
-        fabric.off.add(holders[0])
-        fabric.run(5 - GRACE_S, lambda: versions(fabric) == {version})
+        network.load_rules(holders[0], version)
+        network.load_rules(holders[1], version)
+        network.stopped.add(holders[0])
+        network.run(5 - GRACE_PERIOD_S, lambda: versions(network) == {version})
 
 
 def test_older_versions_are_ignored_in_any_order():
-    """Guards P7 against a stale peer or store, and against reordered replies."""
-    fabric = make_network(12, 21, loss=0.3, duplication=0.3)
-    fabric.check = never_older
+    """Guards P7 against an outdated peer or store, and against reordered replies."""
+    network = make_network(12, 21, loss=0.3, duplication=0.3)
+    network.check = never_older
     for version in (1, 2, 3):
-        for name in list(fabric.states)[version::3]:
-            fabric.load_rules(name, version)
-    fabric.store = 1
-    for name in fabric.states:
-        fabric.load_rules(name, 1, source="a stale peer")
-        heard = ev.RulesVersionReceived(fabric.now, 1, "store", confirmed=True)
-        fabric.dispatch(name, heard)
-    fabric.run(5, lambda: versions(fabric) == {3})
-    assert fabric.counts["rules.older_ignored"] >= 7
+        for name in list(network.states)[version::3]:
+            network.load_rules(name, version)
+    network.store = 1
+    for name in network.states:
+        network.load_rules(name, 1, source="a stale peer")
+        heard = ev.RulesVersionReceived(network.now, 1, "store", confirmed=True)
+        network.dispatch(name, heard)
+    network.run(5, lambda: versions(network) == {3})
+    assert network.counts["rules.older_ignored"] >= 7
 
 
 def test_booting_node_with_a_stale_peer_does_not_serve():
-    """Guards P7 at boot: the highest version heard counts, not the one offered."""
-    fabric = make_network(4, 22)
-    for name in fabric.states:
-        fabric.load_rules(name, 1)
-    fabric.load_rules("n0", 2)
-    # n1 has heard of version 2 and cannot fetch it; n2 and n3 have not.
-    heard = ev.RulesVersionReceived(fabric.now, 2, "store")
-    fabric.dispatch("n1", heard)
-    fabric.off |= {"n0", "n2", "n3"}
-    fabric.add("n9", seeds=["n1"], must_check=True)
-    fabric.run(1)
-    assert call_refused(fabric, "n9") == "rules-outdated"
-    fabric.run(30)
-    assert fabric.states["n9"].rules.version < 2
-    assert call_refused(fabric, "n9") == "rules-outdated"
-    fabric.off.discard("n0")
-    fabric.run(70, lambda: fabric.states["n9"].rules.version == 2)
-    assert call_refused(fabric, "n9") == "unknown-service"
+    """Guards P7 at boot against a peer that knows of a newer version than it has."""
+    network = make_network(4, 22)
+    for name in network.states:
+        network.load_rules(name, 1)
+    network.load_rules("n0", 2)
+    # n1 knows of version 2 and cannot fetch it; n2 and n3 do not know of it.
+    heard = ev.RulesVersionReceived(network.now, 2, "store")
+    network.dispatch("n1", heard)
+    network.stopped |= {"n0", "n2", "n3"}
+    network.add("n9", seeds=["n1"], must_check=True)
+    network.run(1)
+    assert rejection_code(network, "n9") == "rules-outdated"
+    network.run(30)
+    assert network.states["n9"].rules.version < 2
+    assert rejection_code(network, "n9") == "rules-outdated"
+    network.stopped.discard("n0")
+    network.run(70, lambda: network.states["n9"].rules.version == 2)
+    assert rejection_code(network, "n9") == "unknown-service"
 
 
 def test_booting_nodes_do_not_confirm_each_other():
-    """Guards P7 against a rack that boots together while nobody else answers."""
-    fabric = make_network(2, 23)
+    """Guards P7 against nodes that boot together and accept each other's version.
+
+    No node that was running before replies.
+    """
+    network = make_network(2, 23)
     for i in range(3):
-        fabric.add(f"b{i}", seeds=["b0"] if i else [], must_check=True)
-    fabric.run(20)
-    assert call_refused(fabric, "b1") == "rules-outdated"
-    fabric.store = 4
-    fabric.run(5, lambda: call_refused(fabric, "b1") == "unknown-service")
-    assert fabric.states["b1"].rules.version == 4
+        network.add(f"b{i}", seeds=["b0"] if i else [], must_check=True)
+    network.run(20)
+    assert rejection_code(network, "b1") == "rules-outdated"
+    network.store = 4
+    network.run(5, lambda: rejection_code(network, "b1") == "unknown-service")
+    assert network.states["b1"].rules.version == 4
 
 
 def test_running_node_serves_the_version_before_for_3_s_only():
-    """Guards P7 against a node that cannot fetch, and calls against a short gap."""
-    fabric = make_network(2, 24)
-    fabric.off.add("n1")
-    fabric.dispatch("n0", ev.RulesVersionReceived(fabric.now, 5, "n1"))
-    assert call_refused(fabric, "n0") == "unknown-service"
-    fabric.run(3.5)
-    assert call_refused(fabric, "n0") == "rules-outdated"
+    """Guards P7 against a node that cannot fetch, and calls against early rejection."""
+    network = make_network(2, 24)
+    network.stopped.add("n1")
+    network.dispatch("n0", ev.RulesVersionReceived(network.now, 5, "n1"))
+    assert rejection_code(network, "n0") == "unknown-service"
+    network.run(3.5)
+    assert rejection_code(network, "n0") == "rules-outdated"
 
 
 def test_paused_node_checks_its_version_before_it_serves():
-    """Guards P7 against a process that was stopped while a version was accepted."""
-    fabric = make_network(4, 25)
-    fabric.run(1)
-    fabric.off.add("n2")
-    fabric.run(8)
+    """Guards P7 against a process that was paused while a version was accepted."""
+    network = make_network(4, 25)
+    network.run(1)
+    network.stopped.add("n2")
+    network.run(8)
     for name in ("n0", "n1", "n3"):
-        fabric.load_rules(name, 1)
-    fabric.run(8)
-    fabric.off.discard("n2")
-    assert call_refused(fabric, "n2") == "rules-outdated"
-    fabric.run(3, lambda: call_refused(fabric, "n2") == "unknown-service")
-    assert fabric.states["n2"].rules.version == 1
+        network.load_rules(name, 1)
+    network.run(8)
+    network.stopped.discard("n2")
+    assert rejection_code(network, "n2") == "rules-outdated"
+    network.run(3, lambda: rejection_code(network, "n2") == "unknown-service")
+    assert network.states["n2"].rules.version == 1
 
 
 def test_change_of_rules_does_not_renew_member_records():
     """Guards the control-plane limit: 720 new records for each of 1,200 changes."""
-    fabric = make_network(6, 26)
-    fabric.run(5)
-    before = {name: state.mesh.members for name, state in fabric.states.items()}
-    fabric.load_rules("n0", 1)
-    fabric.run(5, lambda: versions(fabric) == {1})
-    assert before == {n: state.mesh.members for n, state in fabric.states.items()}
+    network = make_network(6, 26)
+    network.run(5)
+    before = {name: state.mesh.members for name, state in network.states.items()}
+    network.load_rules("n0", 1)
+    network.run(5, lambda: versions(network) == {1})
+    assert before == {n: state.mesh.members for n, state in network.states.items()}
 
 
 def test_version_is_announced_in_a_quiet_mesh():
-    """Guards P7 against a version that spreads by pings alone, one a second."""
-    fabric = make_network(60, 27)
-    fabric.run(10)
-    fabric.load_rules("n0", 1)
-    fabric.run(5 - GRACE_S, lambda: versions(fabric) == {1})
+    """Guards P7 against a version that spreads only by pings, one a second."""
+    network = make_network(60, 27)
+    network.run(10)
+    network.load_rules("n0", 1)
+    network.run(5 - GRACE_PERIOD_S, lambda: versions(network) == {1})
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-"""Contract of the table service, and its client against the service's faults."""
+"""Protocol of the table service, and the store client with a faulty service."""
 
 import asyncio
 import json
@@ -67,7 +67,7 @@
 
 
 def test_table_service_keeps_its_contract():
-    """Guards against a stand-in that differs from the protocol on the design page."""
+    """Guards against a stand-in that deviates from the protocol on the design page."""
 
     async def scenario(table, store):
         client = AsyncHTTPClient(force_instance=True)
@@ -87,7 +87,7 @@
 
 
 def test_scan_is_limited():
-    """Guards against a scan that grows with the table."""
+    """Guards against a scan whose response grows with the table."""
 
     async def scenario(table, store):
         table.rows = {f"k{i:05d}": (1, i) for i in range(1500)}
@@ -102,7 +102,7 @@
 
 
 def test_rates_are_limited():
-    """Guards against a stand-in that allows what the platform refuses."""
+    """Guards against a stand-in that allows higher request rates than the platform."""
 
     async def scenario(table, store):
         with pytest.raises(StoreBusyError) as caught:
@@ -120,14 +120,14 @@
 
 @pytest.mark.parametrize("kind", sorted(NONSENSE))
 def test_nonsense_answer_is_refused(kind):
-    """Guards against a nonsense answer that is taken for a row or a commit."""
+    """Guards against an invalid response that is taken for a row or a commit."""
 
     async def scenario(table, store):
         for ask in (store.get("a"), store.scan("a"), store.commit(puts=[("a", 1)])):
             with pytest.raises(StoreError) as caught:
                 await ask
             assert caught.value.may_have_written
-        # Reads are repeated once; a transaction is not, as it may have taken effect.
+        # Reads are retried once; a transaction is not, as it may have taken effect.
         assert (table.reads, table.writes) == (4, 1)
 
     with_table(scenario, nonsense=kind)
@@ -135,7 +135,7 @@
 
 
 def test_answer_for_another_row_is_refused():
-    """Guards against the row of another key, as a mixed-up connection would give."""
+    """Guards against rows of other keys, as a mix-up of connections would return."""
 
     async def scenario(table, store):
         table.rows["a"] = (1, "x")
@@ -150,7 +150,7 @@
 
 @pytest.mark.parametrize("faults", [{"down": True}, {"silent": True}, {"delay_s": 9.0}])
 def test_unavailable_store_is_given_up_in_time(faults):
-    """Guards against a request that hangs as long as the store does."""
+    """Guards against a request without a time limit while the store is unavailable."""
 
     async def scenario(table, store):
         loop = asyncio.get_running_loop()
@@ -166,7 +166,7 @@
 
 
 def test_lost_answer_is_not_repeated():
-    """Guards against a transaction that runs twice because its answer was lost."""
+    """Guards against a transaction that runs twice because its response was lost."""
 
     async def scenario(table, store):
         with pytest.raises(StoreUnavailableError) as caught:
@@ -179,7 +179,7 @@
 
 
 def test_refused_connection_wrote_nothing():
-    """Guards against an unknown outcome where it is certain that nothing was sent."""
+    """Guards against an unknown outcome though nothing was sent to the store."""
 
     async def scenario():
         sock, port = bind_unused_port()
