--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -103,9 +103,9 @@
         )
 
     async def _claim(self, key, attempt):
-        """Return the outcome, the recorded response and whether both are final.
+        """Return the outcome, the recorded response and if the insertion is settled.
 
-        They are not final if the insertion may still take effect.
+        An insertion that is not settled may have taken effect or may still do so.
         """
         if self._store is None:
             return ev.ClaimOutcome.UNAVAILABLE, None, True
--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -38,8 +38,8 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_RULES_BYTES = 1024 * 1024
 MAX_TEXT_BYTES = 512
-# Refutations increment the counters of a record, so received ones have to be well
-# below the limit of 64 bits.
+# Refutations increment the counters of a record, so received counters have to leave
+# room below the limit of 64 bits.
 MAX_COUNTER = 2**62
 # Level 1 takes a fifth of the time of level 6 and saves nearly as many bytes, since
 # records repeat the names of regions and services.
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -86,7 +86,7 @@
 
 
 def with_records(state, records, now=0.0, gossip=True):
-    """Return the state with newer member records.
+    """Return the state with newer member records in place of those held.
 
     If `gossip` is True, each of them is queued for gossip.
     """
@@ -161,7 +161,7 @@
     """Return the targets to route to, grouped by service, in order of their ids.
 
     The announcement of a running node overrides an unconfirmed target, even with the
-    state `gone`. Of two running nodes, the one that started later is believed.
+    state `gone`. Of two running nodes, the one that started later takes precedence.
     """
     by_id = {name: (-1, entry.target) for name, entry in mesh.unconfirmed.items()}
     for record in mesh.members.values():
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "Ack",
+    "Gossip",
     "Message",
     "Ping",
     "PingReq",
@@ -13,7 +14,6 @@
     "RulesPush",
     "RulesReply",
     "RulesRequest",
-    "Gossip",
     "SyncReply",
     "SyncRequest",
 ]
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -84,15 +84,15 @@
         node = self._node
         if node.store is None:
             return []
-        me = node.state.identity
+        identity = node.state.identity
         row = {
-            "addr": me.mesh_addr,
-            "region": me.region,
-            "incarnation": me.incarnation,
+            "addr": identity.mesh_addr,
+            "region": identity.region,
+            "incarnation": identity.incarnation,
             "time": time.time(),
         }
         try:
-            await node.store.commit(puts=[(ROW_PREFIX + me.node_id, row)])
+            await node.store.commit(puts=[(ROW_PREFIX + identity.node_id, row)])
             self._written_at = node.clock()
             rows = await node.store.scan(ROW_PREFIX)
         except PimentolineError as exc:
@@ -100,7 +100,7 @@
             log_entry("store:unavailable", detail=exc.detail)
             return []
         addrs = [addr for addr in map(_addr_of, rows) if addr is not None]
-        addrs = [addr for addr in addrs if addr != me.mesh_addr]
+        addrs = [addr for addr in addrs if addr != identity.mesh_addr]
         node.random.shuffle(addrs)
         return addrs
 
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -99,7 +99,7 @@
             if latest < base:
                 detail = f"version {base} does not exist; {latest} is in force"
                 return {"result": "conflict", "detail": detail, "won": []}
-            known = await self._text(base) if base else ""
+            base_text = await self._text(base) if base else ""
         except PimentolineError as exc:
             return {"result": "unavailable", "detail": exc.detail}
         version = base + 1
@@ -112,8 +112,8 @@
             attempt=attempt,
             base=base,
             digest=digest,
-            diff=diff_lines(known, text),
-            requesters=requesters(known, text),
+            diff=diff_lines(base_text, text),
+            requesters=requesters(base_text, text),
         )
         puts = [
             (HEAD_KEY, new.model_dump()),
@@ -133,7 +133,7 @@
         for _ in range(MAX_COMMIT_ATTEMPTS):
             try:
                 if await store.commit([(HEAD_KEY, row.version)], puts):
-                    return await self._accepted(base + 1, text)
+                    return await self._load_accepted(base + 1, text)
             except StoreError as exc:
                 if outcome is None and not exc.may_have_written:
                     return {"result": "unavailable", "detail": exc.detail}
@@ -171,7 +171,7 @@
                     "won": [_version_summary(first)],
                 }
             if latest == base + 1:
-                return await self._accepted(latest, text)
+                return await self._load_accepted(latest, text)
             # A later version is in force, and loading this one would revert it.
             return {"result": "accepted", "version": base + 1, "superseded_by": latest}
         won = [
@@ -204,15 +204,15 @@
         rows = [row for row in rows if row.version <= newest]
         return sorted(rows, key=lambda row: row.version, reverse=True)[:count]
 
-    async def _accepted(self, version, text):
+    async def _load_accepted(self, version, text):
         """Load an accepted version here and at some peers, and return the reply."""
         node = self._node
         node.load_rules(version, text, "store")
         peers, held_by = await self._push(version, text)
-        answer = {"result": "accepted", "version": version, "held_by": 1 + held_by}
+        reply = {"result": "accepted", "version": version, "held_by": 1 + held_by}
         if peers and not held_by:
-            answer["detail"] = "accepted, held by this node only"
-        return answer
+            reply["detail"] = "accepted, held by this node only"
+        return reply
 
     async def _push(self, version, text):
         """Send the rules text to peers until `PUSH_PEERS` have loaded it.
--- a/pimentoline/store.py
+++ b/pimentoline/store.py
@@ -113,11 +113,13 @@
                 # An immediate retry would add to the overload.
                 raise
             except StoreError:
-                left_s = REQUEST_TIMEOUT_S - (time.monotonic() - started)
-                if left_s < REQUEST_TIMEOUT_S - FIRST_READ_TIMEOUT_S - 0.1:
+                remaining_s = REQUEST_TIMEOUT_S - (time.monotonic() - started)
+                if remaining_s < REQUEST_TIMEOUT_S - FIRST_READ_TIMEOUT_S - 0.1:
                     raise
                 self._count("store.retried")
-                return self._parse(parse, await self._fetch(path, timeout_s=left_s))
+                return self._parse(
+                    parse, await self._fetch(path, timeout_s=remaining_s)
+                )
         finally:
             self._record_duration("store.read", started)
 
@@ -137,7 +139,7 @@
         """
 
         def parse(response):
-            row = _row(response)
+            row = _parse_row(response)
             if row.key != key:
                 raise StoreError(f"store returned row {row.key!r:.80} for {key!r:.80}")
             return row
@@ -154,8 +156,10 @@
 
         def parse(response):
             if not isinstance(response, list) or len(response) > limit:
-                raise StoreError(f"store response is no list of at most {limit} rows")
-            rows = [_row(item) for item in response]
+                raise StoreError(
+                    f"store response is not a list of at most {limit} rows"
+                )
+            rows = [_parse_row(item) for item in response]
             keys = [row.key for row in rows]
             if keys != sorted(keys) or not all(key.startswith(prefix) for key in keys):
                 raise StoreError(
@@ -198,11 +202,11 @@
             self._record_duration("store.write", started)
         if not isinstance(response, dict) or not isinstance(response.get("ok"), bool):
             self._count("store.nonsense")
-            raise StoreError("store response is no transaction result")
+            raise StoreError("store response is not a transaction result")
         return response["ok"]
 
 
-def _row(item):
+def _parse_row(item):
     """Return the row in one item of a response.
 
     Raises
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -41,15 +41,17 @@
         port = len(self.logs) + 1
         addr = ("10.0.0.1", port)
         incarnation = int(self.now * 1000) + 1
-        me = Identity(name, host or name, region, "dc", addr, addr, incarnation)
-        state = State(me, RulesState(must_check=must_check, confirmed=not must_check))
+        identity = Identity(name, host or name, region, "dc", addr, addr, incarnation)
+        state = State(
+            identity, RulesState(must_check=must_check, confirmed=not must_check)
+        )
         self.states[name] = with_own_record(state)
         self.names_by_addr[addr] = name
         self.logs[name] = (self.states[name], [])
         self.schedule(self.rand.uniform(0, TICK_S), name, "tick")
         for seed in seeds:
             request = ms.SyncRequest(digests(self.states[name].mesh.members))
-            self.ask(name, self.addr(seed), request)
+            self.send_request(name, self.addr(seed), request)
 
     def addr(self, name):
         """Return the address of a node."""
@@ -84,7 +86,7 @@
             is_reply,
         )
 
-    def ask(self, src, addr, body):
+    def send_request(self, src, addr, body):
         """Exchange a message and its reply as TCP does, without loss."""
         dst = self.name_of(addr)
         if not self.reachable(src, dst):
@@ -144,15 +146,15 @@
     def fetch(self, name, effect):
         """Fetch rules from a peer, and from the store if they are still outdated."""
         if effect.addr is not None:
-            self.ask(name, effect.addr, ms.RulesRequest(effect.version))
+            self.send_request(name, effect.addr, ms.RulesRequest(effect.version))
         rules = self.states[name].rules
         outdated = rules.must_check or rules.version < effect.version
         if outdated and self.store is not None:
             self.load_rules(name, self.store)
-            heard = ev.RulesVersionReceived(
+            received = ev.RulesVersionReceived(
                 self.now, self.store, "store", confirmed=True
             )
-            self.dispatch(name, heard)
+            self.dispatch(name, received)
 
     def run(self, seconds, until=None):
         """Advance the simulated time until `until()` is true, and return the time.
@@ -173,7 +175,7 @@
             elif name in self.stopped:
                 continue
             elif isinstance(item, ef.QueryPeer):
-                self.ask(name, item.addr, item.body)
+                self.send_request(name, item.addr, item.body)
             elif isinstance(item, ef.FetchRules):
                 self.fetch(name, item)
             else:
@@ -184,8 +186,10 @@
 
     def announce(self, name, target_id, **more):
         """Announce a target at a node."""
-        me = self.states[name].identity
-        target = Target(target_id, "hive-ledger", ("10.0.0.2", 80), me.region, me.dc)
+        identity = self.states[name].identity
+        target = Target(
+            target_id, "hive-ledger", ("10.0.0.2", 80), identity.region, identity.dc
+        )
         event = ev.TargetAnnounced(self.now, replace(target, **more))
         self.dispatch(name, event)
 
--- a/tests/test_claim_interleavings.py
+++ b/tests/test_claim_interleavings.py
@@ -20,7 +20,7 @@
 from standins.table import Table
 
 NODES = 3
-ANSWER = RecordedResponse(200, "text/plain", b"receipt", False)
+RESPONSE = RecordedResponse(200, "text/plain", b"receipt", False)
 # `answered` is listed twice to make it more frequent. `lost` takes effect but returns
 # an error; `failed` has no effect; `late` returns an error and takes effect in a later
 # step.
@@ -58,8 +58,8 @@
 
     async def get(self, key):
         """Read a row when the schedule completes it."""
-        answer = await self._ask(lambda: self.table.row(key))
-        return Row(key, answer["version"], answer["value"])
+        row = await self._ask(lambda: self.table.row(key))
+        return Row(key, row["version"], row["value"])
 
     def complete(self, index, completion):
         """Complete one waiting request, or apply one late transaction."""
@@ -117,7 +117,7 @@
             effect = ReleaseClaim(call_id, "hive-ledger", "sale-1")
         else:
             self.simulation.runs.append(call_id)
-            effect = FinishClaim(call_id, "hive-ledger", "sale-1", ANSWER)
+            effect = FinishClaim(call_id, "hive-ledger", "sale-1", RESPONSE)
         self.writer.execute(effect)
 
 
@@ -179,7 +179,7 @@
         return await super().commit((), puts, deletes)
 
 
-def test_planted_fault_is_found():
+def test_injected_fault_is_found():
     """Guards against a simulation in which a second run could not be found."""
     steps = [(0, "claim"), (0, "answered"), (1, "claim"), (2, "claim"), (0, "claim")]
     steps += [(index, "answered") for index in range(20)]
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -11,7 +11,7 @@
 from standins.table import Table
 
 KEY = "claim/hive-ledger/k"
-ANSWER = RecordedResponse(200, "text/plain", b"sold")
+RESPONSE = RecordedResponse(200, "text/plain", b"sold")
 
 
 class FaultyStore:
@@ -131,7 +131,7 @@
     asyncio.run(scenario())
 
 
-def test_outcome_survives_a_lost_answer():
+def test_outcome_survives_a_lost_response():
     """Guards against a response that is recorded twice or not at all."""
 
     async def scenario():
@@ -139,11 +139,11 @@
         store = FaultyStore(table, [None, "lose"])
         writer = Writer("n1/1", store)
         await writer.run(insert())
-        await writer.run(FinishClaim(1, "hive-ledger", "k", ANSWER))
+        await writer.run(FinishClaim(1, "hive-ledger", "k", RESPONSE))
         assert table.rows[KEY][0] == 2
         writer = Writer("n2/1", store)
         writer.writer.execute(insert())
         assert await writer.writer.wait_idle(5.0)
-        assert writer.events[0].recorded == ANSWER
+        assert writer.events[0].recorded == RESPONSE
 
     asyncio.run(scenario())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,7 @@
-"""Membership protocol on a simulated network, with fixed seeds."""
+"""Membership protocol on a simulated network, with fixed seeds.
+
+P5 is the guarantee that no node sends new calls to a target 3 s after its drain.
+"""
 
 from dataclasses import replace
 
@@ -66,20 +69,20 @@
 
 
 def test_paused_node_comes_back_by_refutation():
-    """Guards against a resumed node (SIGSTOP) that its peers keep as dead."""
+    """Guards against a node that stays dead for its peers after a pause (SIGSTOP)."""
     network = make_network(6, 2)
     network.stopped.add("n2")
     network.run(20, lambda: network.all_report("n2", "dead"))
     renew(network, "n4", "t4", 10)
     network.stopped.discard("n2")
     network.run(5, lambda: network.all_report("n2", "alive"))
-    # It also gets an update that it missed while its peers held it dead.
+    # It also gets an update that it missed while its peers considered it dead.
     network.announce("n4", "t4")
     network.run(5, lambda: "t4" in network.routes("n2"))
 
 
 def test_partition_heals_within_a_synchronisation():
-    """Guards against two sides that keep each other as dead after a partition."""
+    """Guards against two sides that consider each other dead after a partition."""
     network = make_network(9, 3)
     network.partition_sides = {f"n{i}": i % 3 == 1 for i in range(9)}
     near = [name for name in network.states if not network.partition_sides[name]]
@@ -185,7 +188,7 @@
     assert {network.status(n, "n2") for n in ("n0", "n1", "n9")} == {None}
 
 
-def test_rumour_of_a_later_incarnation_is_refuted():
+def test_false_record_of_a_later_incarnation_is_refuted():
     """Guards against a node that cannot rejoin because its clock was set back."""
     network = make_network(3, 11)
     record = own_record(network.states["n1"])
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -43,8 +43,10 @@
             names = node.module.split(".") if node.module else []
             candidates = [base.joinpath(*names)]
             candidates += [candidates[0] / alias.name for alias in node.names]
-            for place in candidates:
-                own |= {f for f in (place.with_suffix(".py"), place / "__init__.py")}
+            for candidate in candidates:
+                own |= {
+                    f for f in (candidate.with_suffix(".py"), candidate / "__init__.py")
+                }
     return {path for path in own if path.exists()}, other
 
 
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -1,4 +1,8 @@
-"""Spread of rules versions on a simulated network, with fixed seeds."""
+"""Spread of rules versions on a simulated network, with fixed seeds.
+
+P7 is the guarantee that an accepted rules version is in force at every node within
+5 s, and that no node returns to an older one.
+"""
 
 import pytest
 
@@ -57,8 +61,8 @@
     network.store = 1
     for name in network.states:
         network.load_rules(name, 1, source="a stale peer")
-        heard = ev.RulesVersionReceived(network.now, 1, "store", confirmed=True)
-        network.dispatch(name, heard)
+        received = ev.RulesVersionReceived(network.now, 1, "store", confirmed=True)
+        network.dispatch(name, received)
     network.run(5, lambda: versions(network) == {3})
     assert network.counts["rules.older_ignored"] >= 7
 
@@ -70,8 +74,8 @@
         network.load_rules(name, 1)
     network.load_rules("n0", 2)
     # n1 knows of version 2 and cannot fetch it; n2 and n3 do not know of it.
-    heard = ev.RulesVersionReceived(network.now, 2, "store")
-    network.dispatch("n1", heard)
+    received = ev.RulesVersionReceived(network.now, 2, "store")
+    network.dispatch("n1", received)
     network.stopped |= {"n0", "n2", "n3"}
     network.add("n9", seeds=["n1"], must_check=True)
     network.run(1)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -123,9 +123,9 @@
     """Guards against an invalid response that is taken for a row or a commit."""
 
     async def scenario(table, store):
-        for ask in (store.get("a"), store.scan("a"), store.commit(puts=[("a", 1)])):
+        for request in (store.get("a"), store.scan("a"), store.commit(puts=[("a", 1)])):
             with pytest.raises(StoreError) as caught:
-                await ask
+                await request
             assert caught.value.may_have_written
         # Reads are retried once; a transaction is not, as it may have taken effect.
         assert (table.reads, table.writes) == (4, 1)
@@ -154,10 +154,10 @@
 
     async def scenario(table, store):
         loop = asyncio.get_running_loop()
-        for ask in (store.get("a"), store.commit(puts=[("a", 1)])):
+        for request in (store.get("a"), store.commit(puts=[("a", 1)])):
             started = loop.time()
             with pytest.raises(StoreUnavailableError) as caught:
-                await ask
+                await request
             assert caught.value.may_have_written
             assert loop.time() - started < 4.0
         assert table.rows == {}
@@ -165,7 +165,7 @@
     with_table(scenario, **faults)
 
 
-def test_lost_answer_is_not_repeated():
+def test_transaction_with_lost_response_is_not_retried():
     """Guards against a transaction that runs twice because its response was lost."""
 
     async def scenario(table, store):
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -52,7 +52,7 @@
     by_dc = {}
     for target in targets:
         by_dc.setdefault(target.dc, []).append(users[target.target_id])
-    assert all(max(found) - min(found) <= 1 for found in by_dc.values())
+    assert all(max(counts) - min(counts) <= 1 for counts in by_dc.values())
     local = [name for name, subset in subsets.items() if name[1] == subset[0].dc[1]]
     assert len(local) > 60
 
@@ -67,8 +67,8 @@
 
 def test_unknown_own_record_counts():
     """Guards against a division by zero while the node's own record is missing."""
-    me = SimpleNamespace(node_id="n1", region="r0", dc="d0")
-    assert choose_subset(make_targets([3] + [0] * 5), count_nodes(Map(), me))
+    identity = SimpleNamespace(node_id="n1", region="r0", dc="d0")
+    assert choose_subset(make_targets([3] + [0] * 5), count_nodes(Map(), identity))
 
 
 @settings(derandomize=True, max_examples=80, deadline=None)
@@ -91,6 +91,6 @@
     if per_node < len(targets):
         even = -(-len(nodes) * per_node // len(targets))
         assert max(users.values()) <= max(int(connections * 0.9), even)
-        for place in range(6):
-            found = [users[f"t{place}-{i}"] for i in range(target_counts[place])]
-            assert not found or max(found) - min(found) <= 1
+        for location in range(6):
+            counts = [users[f"t{location}-{i}"] for i in range(target_counts[location])]
+            assert not counts or max(counts) - min(counts) <= 1
