--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -86,7 +86,7 @@
 
 
 def _flows(node_counts, sizes, per_node, limit):
-    """Return the number of connections between each two locations.
+    """Return the connections from each node location to each target location.
 
     Parameters
     ----------
@@ -121,7 +121,7 @@
             }
             offered = sum(capacity.values())
             wanted = min(demand[location], offered)
-            # Each location takes its rounded part of what the locations before it have
+            # Each target location gets its rounded part of what those before it have
             # left, so that the parts add up to the demand exactly.
             for target_location in at_distance:
                 part = (
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -169,7 +169,7 @@
 def expire_unconfirmed_targets(state, now):
     """Remove the targets whose node left or died 60 s ago.
 
-    Those of a lost region are kept for as long as its members are, since the region
+    Those of a lost region are kept as long as its dead members are, since the region
     is more likely to be cut off than to have failed.
     """
     mesh = state.mesh
