Rename the emulator's clock module to simulated_time

Cause: the module holds an event loop in simulated time, and clock also names the time function passed around in the emulator. Change: file and imports renamed.

--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -9,7 +9,7 @@
 from pimentoline.twohop.caller_side import IncomingCall
 from pimentoline.twohop.model import Route, RouteKind, Share
 
-from . import clock
+from . import simulated_time
 from .nodes import KIND_HEADER, Network, Node
 from .policies import POLICIES
 from .targets import TargetModel
@@ -270,5 +270,5 @@
             )
             await emulation.run()
 
-        clock.run(play())
+        simulated_time.run(play())
     return result
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,7 +8,7 @@
 import pytest
 from pydantic import ValidationError
 
-from bench.emulator import clock
+from bench.emulator import simulated_time
 from bench.emulator.config import Condition, Fault, load_experiment
 from bench.emulator.runner import WINDOW_S, run_condition
 from bench.emulator.targets import TargetModel
@@ -33,7 +33,7 @@
         await asyncio.gather(asyncio.sleep(3600), asyncio.sleep(7200))
         return loop.time()
 
-    assert clock.run(sleeper()) == pytest.approx(7200)
+    assert simulated_time.run(sleeper()) == pytest.approx(7200)
 
 
 def test_wait_for_nothing_is_an_error():
@@ -43,7 +43,7 @@
         await asyncio.Event().wait()
 
     with pytest.raises(RuntimeError, match="nothing is scheduled"):
-        clock.run(stuck())
+        simulated_time.run(stuck())
 
 
 def test_misspelt_fault_is_refused():
@@ -68,7 +68,7 @@
         assert [ran.not_run for ran in found].count(True) == 1
         assert model.running == 0
 
-    clock.run(play())
+    simulated_time.run(play())
 
 
 def test_same_seed_gives_the_same_result(sites):
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bench.emulator import clock
+from bench.emulator import simulated_time
 from pimentoline.errors import StoreConflictError, StoreUnavailableError
 from pimentoline.platform.store import StoredRow
 from pimentoline.twohop import lifecycle as lc
@@ -298,7 +298,7 @@
         assert process.state is TargetState.READY
         process.store_sync.stop()
 
-    clock.run(play())
+    simulated_time.run(play())
 
 
 @settings(max_examples=60, deadline=None)
@@ -318,4 +318,4 @@
         assert b"draining" in store.row.value
         process.store_sync.stop()
 
-    clock.run(play())
+    simulated_time.run(play())
