--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -1,7 +1,8 @@
-"""pimentoline.twohop.admission: how many calls run at a target, and which next.
+"""pimentoline.twohop.admission: admission control for the calls to one target.
 
-Answers overload of a target: work beyond the knee makes every call late, so what
-cannot run at once waits here in order, and what cannot be in time is refused.
+Protects the target from overload. Above a certain concurrency every call at a target
+misses its latency objective, so calls beyond that limit wait in a queue here, and
+calls that cannot complete in time are refused.
 """
 
 import heapq
@@ -14,26 +15,30 @@
 
 __all__ = ["AdmissionController", "Job", "Refused"]
 
-# Calls whose objective is already lost may wait up to this many times the limit.
-LATE_QUEUE = 0.5
-# They are given up after this long, seconds: jobs in time overtake them, and a caller
-# that is refused early has time to come back.
-LATE_HOLD_S = 0.12
-# Bounds of the time after which a refused caller should come back, seconds.
+# Size of the queue for jobs that will miss their objective, as a share of the
+# concurrency limit.
+LATE_QUEUE_SHARE = 0.5
+# Longest wait in that queue, seconds. Jobs that can meet their objective run first,
+# and a caller that is refused early still has time to retry.
+MAX_LATE_WAIT_S = 0.12
+# Bounds of the time after which a refused caller is told to retry, seconds.
 MIN_RETRY_AFTER_S = 0.02
 MAX_RETRY_AFTER_S = 1.0
-# Part of the usual time that a job must still have to be started.
+# A job is started only if this share of its expected duration remains until its
+# deadline.
 MIN_START_SHARE = 0.5
-# A job that runs this many times its usual time has no answer to come.
+# A job that has run for this many times its typical duration is taken to be hung.
 HUNG_FACTOR = 4.0
-# Jobs that must run before their age says something of the target.
-MIN_AGED = 3
-# What runs at a sound target is at most this many times as old as it usually takes:
-# neighbours' noise makes a call take up to 5 times as long, half of that on the mean.
-NOISY_AGE_RATIO = 3.0
-# A held job is given back this long before its objective would be lost, seconds: a
-# round trip to another region and a short wait there.
-GIVE_BACK_S = 0.02
+# Running jobs that are needed for their mean age to be significant.
+MIN_RUNNING_FOR_AGE_RATIO = 3
+# Largest ratio of the age of the running jobs to their typical duration at a healthy
+# target. Noisy neighbours make a call take up to 5 times as long, and running calls
+# are halfway through on average.
+MAX_HEALTHY_AGE_RATIO = 3.0
+# A job that cannot start is refused this long before it would miss its objective,
+# seconds, so that another target can still meet it: a round trip to another region
+# and a short wait there.
+RETRY_ELSEWHERE_S = 0.02
 
 
 @dataclass(slots=True, eq=False)
@@ -42,42 +47,48 @@
 
     Attributes
     ----------
-    goal_at, deadline_at : float
-        Monotonic times, seconds: end of the latency objective, and of all interest.
+    objective_at, deadline_at : float
+        When the latency objective ends and when the caller stops waiting, monotonic
+        time in seconds.
     last_resort : bool
-        No other target would take it.
+        Whether no other target would accept the call.
     kind : object
-        Separates short calls from long ones.
-    goal_s : float
-        What was left of the objective when the job arrived, seconds.
-    usual_s : float
-        How long such a job usually takes, as known when it started, seconds.
+        Separates calls of different durations; a key of `DurationEstimator`.
+    running_at_start : int
+        Number of running jobs when this one started, itself included.
+    late_wait_until : float
+        When the job is refused if it is still in the queue of late jobs, monotonic
+        time in seconds.
+    objective_s : float
+        Time that was left of the objective when the job arrived, seconds.
+    typical_s : float
+        Typical duration of such a job, as estimated when it started, seconds.
     """
 
     priority: int
-    goal_at: float
+    objective_at: float
     deadline_at: float
     last_resort: bool = False
     kind: object = None
     started_at: float = 0.0
-    began_with: int = 0
-    late_until: float = 0.0
-    goal_s: float | None = None
-    usual_s: float = 0.0
+    running_at_start: int = 0
+    late_wait_until: float = 0.0
+    objective_s: float | None = None
+    typical_s: float = 0.0
     running: bool = False
-    dropped: bool = False
+    removed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The job has not run here; a caller may come back after `retry_after_s`."""
+    """Refusal of a job that was not run; the caller may retry after `retry_after_s`."""
 
     reason: str
     retry_after_s: float
 
 
 class AdmissionController:
-    """Running and waiting jobs of one target.
+    """Queues the jobs of one target and decides which one starts next.
 
     Parameters
     ----------
@@ -92,21 +103,23 @@
         self.noise = NoiseDetector()
         self.outcomes = SuccessRate()
         self._durations = DurationEstimator()
-        self._started_sum = 0.0
-        self._usual_sum = 0.0
+        # Sums over the running jobs.
+        self._started_at_sum = 0.0
+        self._typical_s_sum = 0.0
         self._queue = []
-        self._late = []
-        self._order = 0
+        self._late_queue = []
+        self._next_sequence = 0
         self._cold = False
 
     def set_slots(self, slots):
-        """Take the number of slots that the target reports."""
+        """Set the number of slots, as reported by the target."""
         self.slots = max(1, slots)
 
     def note_slowdown(self, slowdown, now):
-        """Take the target's figure of how many times as long as usual work takes.
+        """Record the slowdown that the target reports, 1 for its usual speed.
 
-        It holds the slow start as well, which no waiting ends.
+        The report includes the slowdown after a cold start. That part is divided out,
+        because waiting for a quieter moment would not help against it.
         """
         if now < self.cold_start_until:
             slowdown /= COLD_START_SLOWDOWN
@@ -114,191 +127,207 @@
 
     @property
     def limit(self):
-        """Calls that may run at once."""
+        """Number of calls that may run at once."""
         return self._durations.concurrency_limit(self.slots, self._cold)
 
     @property
     def queued(self):
         """Number of jobs that wait."""
-        return _live(self._queue) + _live(self._late)
+        return _count_waiting(self._queue) + _count_waiting(self._late_queue)
 
     def _age_ratio(self, now):
-        """Return how old what runs is, in parts of the time that it usually takes.
+        """Return the age of the running jobs relative to their typical duration.
 
-        A target that turns slow or hangs shows here before anything ends.
+        It shows that a target has become slow or hangs before any job has ended.
         """
-        if self.running < MIN_AGED or self._usual_sum <= 0.0:
+        if self.running < MIN_RUNNING_FOR_AGE_RATIO or self._typical_s_sum <= 0.0:
             return 0.0
-        return (self.running * now - self._started_sum) / self._usual_sum
+        return (self.running * now - self._started_at_sum) / self._typical_s_sum
 
-    def duration_s(self, now, job=None):
+    def expected_duration_s(self, now, job=None):
         """Return the expected duration of a job that starts now, seconds.
 
-        Without a job, that of any.
+        If `job` is None, the mean over jobs of all kinds is used.
         """
         ratio = self._age_ratio(now)
-        return self._usual_s(now, job) * (ratio if ratio > NOISY_AGE_RATIO else 1.0)
+        return self._typical_s(now, job) * (
+            ratio if ratio > MAX_HEALTHY_AGE_RATIO else 1.0
+        )
 
-    def _usual_s(self, now, job):
+    def _typical_s(self, now, job):
         if job is None:
-            usual = self._durations.expected_s(None, now)
+            typical_s = self._durations.expected_s(None, now)
         else:
-            usual = self._durations.expected_s(job.kind, now, job.goal_s)
+            typical_s = self._durations.expected_s(job.kind, now, job.objective_s)
         self._cold = now < self.cold_start_until
-        return usual * COLD_START_SLOWDOWN if self._cold else usual
+        return typical_s * COLD_START_SLOWDOWN if self._cold else typical_s
 
-    def wait_s(self, now, ahead):
-        """Return the expected wait behind `ahead` jobs that also wait, seconds."""
-        rest = self.noise.rest_s(now)
+    def expected_wait_s(self, now, ahead):
+        """Return the expected wait behind `ahead` other waiting jobs, seconds."""
+        noise_s = self.noise.remaining_s(now)
         free = self.limit - self.running - ahead
         if free > 0:
-            return rest
-        return rest + (1 - free) * self.duration_s(now) / self.limit
+            return noise_s
+        return noise_s + (1 - free) * self.expected_duration_s(now) / self.limit
 
     def offer(self, job, now):
-        """Decide on an arriving job.
+        """Queue an arriving job or refuse it.
 
         Returns
         -------
         Refused or None
-            None if the job runs or waits; `next_action` tells which.
+            None if the job was queued; `next_action` starts it.
         """
-        job.goal_s = job.goal_at - now
-        duration = self.duration_s(now, job)
-        place = (job.priority, job.goal_at)
+        job.objective_s = job.objective_at - now
+        duration_s = self.expected_duration_s(now, job)
+        position = (job.priority, job.objective_at)
         ahead = sum(
-            entry[:2] <= place and not entry[-1].dropped for entry in self._queue
+            entry[:2] <= position and not entry[-1].removed for entry in self._queue
         )
-        wait = self.wait_s(now, ahead)
-        if now + wait + duration <= job.goal_at:
+        wait_s = self.expected_wait_s(now, ahead)
+        if now + wait_s + duration_s <= job.objective_at:
             self._push(self._queue, job)
             return None
         if not job.last_resort:
-            return Refused("objective", self._retry_after(wait))
-        wait = self.wait_s(now, self.queued)
-        if now + wait + duration > job.deadline_at:
-            return Refused("deadline", self._retry_after(wait))
-        if _live(self._late) >= max(1, LATE_QUEUE * self.limit):
-            return Refused("full", self._retry_after(wait))
-        job.late_until = now + LATE_HOLD_S
-        self._push(self._late, job)
+            return Refused("objective", self._retry_after_s(wait_s))
+        wait_s = self.expected_wait_s(now, self.queued)
+        if now + wait_s + duration_s > job.deadline_at:
+            return Refused("deadline", self._retry_after_s(wait_s))
+        if _count_waiting(self._late_queue) >= max(1, LATE_QUEUE_SHARE * self.limit):
+            return Refused("full", self._retry_after_s(wait_s))
+        job.late_wait_until = now + MAX_LATE_WAIT_S
+        self._push(self._late_queue, job)
         return None
 
-    def _retry_after(self, wait):
-        return min(max(wait, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    def _retry_after_s(self, wait_s):
+        return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
     def _push(self, queue, job):
-        self._order += 1
-        heapq.heappush(queue, (job.priority, job.goal_at, self._order, job))
+        self._next_sequence += 1
+        heapq.heappush(
+            queue, (job.priority, job.objective_at, self._next_sequence, job)
+        )
 
     def next_action(self, now):
-        """Return what happens to the first waiting job.
+        """Start or refuse the first waiting job, if that is possible now.
 
         Returns
         -------
         tuple of (Job, Refused or None) or StartDecision
-            A job that starts, or with a refusal one that leaves the queue, since it
-            cannot be answered in time here any more. Otherwise `START` if nothing
-            can be done now, `PROBE` if the target must be asked for its figure first,
-            or `HOLD` while it is noisy.
+            The job and None if it starts, or the job and its refusal if it can no
+            longer complete in time at this target. Without such a job: `START` if
+            no job waits or no slot is free, `PROBE` if the target must be asked for
+            its current slowdown first, `HOLD` while jobs wait for the end of noise
+            or for the result of a probe.
         """
-        self._clean(self._queue)
-        self._clean(self._late)
-        for queue, late in ((self._queue, False), (self._late, True)):
+        self._discard_removed(self._queue)
+        self._discard_removed(self._late_queue)
+        for queue, late in ((self._queue, False), (self._late_queue, True)):
             if not queue:
                 continue
             job = queue[0][-1]
-            found = self._given_back(job, now, late)
-            if found is not None:
+            refused = self._check_in_time(job, now, late)
+            if refused is not None:
                 heapq.heappop(queue)
-                return job, found
-        queue = self._queue or self._late
+                return job, refused
+        queue = self._queue or self._late_queue
         if not queue or self.running >= self.limit:
             return StartDecision.START
-        gate = self.noise.decide(now)
-        if gate is not StartDecision.START:
-            return gate
+        decision = self.noise.decide(now)
+        if decision is not StartDecision.START:
+            return decision
         job = heapq.heappop(queue)[-1]
         job.running = True
         job.started_at = now
         self.running += 1
-        job.began_with = self.running
-        job.usual_s = self._usual_s(now, job)
-        self._started_sum += now
-        self._usual_sum += job.usual_s
+        job.running_at_start = self.running
+        job.typical_s = self._typical_s(now, job)
+        self._started_at_sum += now
+        self._typical_s_sum += job.typical_s
         return job, None
 
-    def _given_back(self, job, now, late):
-        duration = self.duration_s(now, job)
-        until = job.deadline_at - duration * MIN_START_SHARE
+    def _check_in_time(self, job, now, late):
+        """Return the refusal of a waiting job that would be too late, or None."""
+        duration_s = self.expected_duration_s(now, job)
+        latest_start = job.deadline_at - duration_s * MIN_START_SHARE
         if late:
-            until = min(until, job.late_until)
-        if now > until:
-            return Refused("expired", self._retry_after(self.wait_s(now, 0)))
+            latest_start = min(latest_start, job.late_wait_until)
+        if now > latest_start:
+            return Refused("expired", self._retry_after_s(self.expected_wait_s(now, 0)))
         if late or job.last_resort:
             return None
         blocked = self.running >= self.limit or self.noise.is_noisy(now)
-        if blocked and now + duration + GIVE_BACK_S > job.goal_at:
-            # Another target may still be in time.
-            return Refused("objective", self._retry_after(self.wait_s(now, 0)))
+        if blocked and now + duration_s + RETRY_ELSEWHERE_S > job.objective_at:
+            # Another target may still meet the objective.
+            return Refused(
+                "objective", self._retry_after_s(self.expected_wait_s(now, 0))
+            )
         return None
 
-    def _clean(self, queue):
-        while queue and queue[0][-1].dropped:
+    def _discard_removed(self, queue):
+        while queue and queue[0][-1].removed:
             heapq.heappop(queue)
 
     def caller_left(self, job, now):
-        """Note that a job's caller has gone while it ran.
+        """Record that the caller of a running job has disconnected.
 
-        A job that took far longer than usual counts as one without an answer.
+        If the job has run far longer than usual, it counts as failed.
         """
         if job.running:
-            if now - job.started_at > HUNG_FACTOR * job.usual_s:
+            if now - job.started_at > HUNG_FACTOR * job.typical_s:
                 self.outcomes.note(False, now)
 
     def remove(self, job):
-        """Forget a job whose caller has gone, or that has ended."""
+        """Remove a job that has ended or whose caller has disconnected."""
         if job.running:
             job.running = False
             self.running -= 1
-            self._started_sum -= job.started_at
-            self._usual_sum -= job.usual_s
-        job.dropped = True
+            self._started_at_sum -= job.started_at
+            self._typical_s_sum -= job.typical_s
+        job.removed = True
 
     def complete(self, job, now):
-        """Note that a job's answer is complete, and how long it took."""
+        """Record the duration of a job whose response is complete, and remove it.
+
+        Durations during a cold start are not recorded.
+        """
         if job.running and now >= self.cold_start_until:
-            taken = now - job.started_at
-            self._durations.note(job.kind, taken, job.began_with, self.slots, now)
+            taken_s = now - job.started_at
+            self._durations.note(
+                job.kind, taken_s, job.running_at_start, self.slots, now
+            )
         self.remove(job)
 
     def take_waiting(self):
-        """Return the jobs that wait, and forget them."""
-        jobs = [entry[-1] for entry in (*self._queue, *self._late)]
+        """Empty both queues and return the jobs that were waiting."""
+        jobs = [entry[-1] for entry in (*self._queue, *self._late_queue)]
         self._queue.clear()
-        self._late.clear()
-        return [job for job in jobs if not job.dropped]
+        self._late_queue.clear()
+        return [job for job in jobs if not job.removed]
 
     def report(self, now, accepting):
-        """Return the `LoadReport` of this moment."""
+        """Return the current `LoadReport`."""
         queued = self.queued
-        rest = self.noise.rest_s(now)
-        delay = self.duration_s(now) + self.wait_s(now, queued) - rest
+        noise_s = self.noise.remaining_s(now)
+        delay_s = (
+            self.expected_duration_s(now) + self.expected_wait_s(now, queued) - noise_s
+        )
         cold_s = max(0.0, self.cold_start_until - now)
         if cold_s:
-            # Whoever reads this later must not take the slow start for the usual.
-            delay /= COLD_START_SLOWDOWN
+            # The receiver adds the cold-start slowdown itself and keeps a mean of the
+            # delay, which must not include it.
+            delay_s /= COLD_START_SLOWDOWN
         return LoadReport(
             accepting,
             self.running,
             queued,
             self.limit,
-            int(delay * 1000),
-            int(rest * 1000),
+            int(delay_s * 1000),
+            int(noise_s * 1000),
             self.outcomes.rate(now),
             int(cold_s * 1000),
         )
 
 
-def _live(queue):
-    return sum(not entry[-1].dropped for entry in queue)
+def _count_waiting(queue):
+    return sum(not entry[-1].removed for entry in queue)
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -1,76 +1,103 @@
-"""pimentoline.twohop.durations: how long calls take at a target, and where its knee is.
+"""pimentoline.twohop.durations: estimates of how long calls take at a target.
 
-Answers targets that slow down when they are nearly full: some do, some don't, and no
-one says so. Calls that began with most slots in use are compared with those that
-began with few.
+Also finds out whether the target slows down when nearly all of its slots are in use.
+Some targets do, and none reports it, so calls that started with most slots in use are
+compared with calls that started with few.
 """
 
 __all__ = ["DurationEstimator"]
 
-# Mean duration before the first answer, seconds; the work times of both users are
-# near this.
-FIRST_S = 0.12
-# A kind of call that has not been seen takes this part of its objective at most: the
-# objectives of both users are 2.5 to 4.5 times the work.
-GOAL_SHARE = 0.4
-# Weight of the newest duration in a mean.
-WEIGHT = 0.08
-# Longer durations become the plain one over this time, seconds, and shorter ones at
-# once: the users' targets turn slow for 3 to 15 s.
-RISE_S = 60.0
-# Without an answer a mean goes back to the plain duration over this time, seconds:
-# what made a target slow is mostly gone by then, and only calls can tell.
-FADE_S = 5.0
-# Parts of the slots: calls that begin below the first show the plain duration, those
-# that begin above the second show what the last slots cost. The users' targets with a
-# knee have it at 0.8.
-LIGHT = 0.6
-KNEE = 0.8
-# Answers that are needed on either side before they are believed.
+# Assumed mean until the first call has completed, seconds; close to the processing
+# times in both known deployments.
+INITIAL_DURATION_S = 0.12
+# A kind of call without samples is expected to take at most this share of its latency
+# objective. Objectives in both known deployments are 2.5 to 4.5 times the processing
+# time.
+MAX_OBJECTIVE_SHARE = 0.4
+# Weight of the newest sample in an exponential moving average.
+SMOOTHING_WEIGHT = 0.08
+# The baseline is the duration without temporary slowdowns. It follows shorter
+# durations like any mean, and longer ones over this time, seconds, because targets
+# become slow for 3 to 15 s at a time.
+BASELINE_RISE_S = 60.0
+# Without completed calls, the estimate returns from the mean to the baseline over this
+# time, seconds. Most causes of slowness are gone by then, and only new calls can show
+# it.
+MEAN_DECAY_S = 5.0
+# Shares of the slots in use when a call starts. Calls up to the first are samples of
+# light load, calls above the second are samples of full load. Known targets that slow
+# down do so above 0.8.
+LIGHT_LOAD_SHARE = 0.6
+FULL_LOAD_SHARE = 0.8
+# Samples of light and of full load, each, that are needed to compare the two.
 MIN_SAMPLES = 20
-# The last slots are used while calls there take at most this many times as long; 1.25
-# would be even, and other calls of the target get slower as well.
-WORTHWHILE = 1.15
+# The slots above `FULL_LOAD_SHARE` are used while calls at full load take at most this
+# many times as long as at light load. At 1.25 the throughput would be the same with
+# and without them, but the other calls at the target become slower as well.
+MAX_FULL_LOAD_RATIO = 1.15
 
 
 class DurationEstimator:
-    """Mean durations by kind of call.
+    """Moving averages of call durations, in total and by kind of call.
 
-    A kind is any hashable value that separates short calls from long ones.
+    A kind is any hashable value that separates calls of different durations.
     """
 
     def __init__(self):
-        self._means = {}
-        self._plain = {}
+        self._mean_by_kind = {}
+        self._baseline_by_kind = {}
         self._noted_at = 0.0
-        self._light = {}
-        self._light_samples = 0
-        self._full_ratio = 1.0
-        self._full_samples = 0
-        self._mean_s = FIRST_S
-        self._plain_s = FIRST_S
+        self._light_load_by_kind = {}
+        self._light_load_samples = 0
+        self._full_load_ratio = 1.0
+        self._full_load_samples = 0
+        self._mean_s = INITIAL_DURATION_S
+        self._baseline_s = INITIAL_DURATION_S
 
     def note(self, kind, taken_s, running, slots, now):
-        """Take the duration of a call that began with `running` calls in all."""
-        rise = min(WEIGHT, (now - self._noted_at) / RISE_S)
+        """Record the duration of a call that has completed.
+
+        Parameters
+        ----------
+        kind : object
+        taken_s : float
+            Duration, seconds.
+        running : int
+            Number of running calls when this one started, itself included.
+        slots : int
+            Calls that the target processes at once.
+        now : float
+            Monotonic time, seconds.
+        """
+        rise_weight = min(SMOOTHING_WEIGHT, (now - self._noted_at) / BASELINE_RISE_S)
         self._noted_at = now
-        before = self._means.get(kind, taken_s)
-        self._means[kind] = before + WEIGHT * (taken_s - before)
-        self._mean_s += WEIGHT * (taken_s - self._mean_s)
-        before = self._plain.get(kind, taken_s)
-        self._plain[kind] = before + (taken_s - before) * _weight(before, taken_s, rise)
-        before = self._plain_s
-        self._plain_s = before + (taken_s - before) * _weight(before, taken_s, rise)
-        if running <= slots * LIGHT:
-            before = self._light.get(kind, taken_s)
-            self._light[kind] = before + WEIGHT * (taken_s - before)
-            self._light_samples += 1
-        elif running > slots * KNEE and kind in self._light:
-            ratio = taken_s / max(self._light[kind], 0.001)
-            self._full_ratio += WEIGHT * (ratio - self._full_ratio)
-            self._full_samples += 1
-
-    def expected_s(self, kind, now, goal_s=None):
+        previous_s = self._mean_by_kind.get(kind, taken_s)
+        self._mean_by_kind[kind] = previous_s + SMOOTHING_WEIGHT * (
+            taken_s - previous_s
+        )
+        self._mean_s += SMOOTHING_WEIGHT * (taken_s - self._mean_s)
+        previous_s = self._baseline_by_kind.get(kind, taken_s)
+        self._baseline_by_kind[kind] = previous_s + (
+            taken_s - previous_s
+        ) * _baseline_weight(previous_s, taken_s, rise_weight)
+        previous_s = self._baseline_s
+        self._baseline_s = previous_s + (taken_s - previous_s) * _baseline_weight(
+            previous_s, taken_s, rise_weight
+        )
+        if running <= slots * LIGHT_LOAD_SHARE:
+            previous_s = self._light_load_by_kind.get(kind, taken_s)
+            self._light_load_by_kind[kind] = previous_s + SMOOTHING_WEIGHT * (
+                taken_s - previous_s
+            )
+            self._light_load_samples += 1
+        elif running > slots * FULL_LOAD_SHARE and kind in self._light_load_by_kind:
+            load_ratio = taken_s / max(self._light_load_by_kind[kind], 0.001)
+            self._full_load_ratio += SMOOTHING_WEIGHT * (
+                load_ratio - self._full_load_ratio
+            )
+            self._full_load_samples += 1
+
+    def expected_s(self, kind, now, objective_s=None):
         """Return the expected duration of a call of a kind, seconds.
 
         Parameters
@@ -79,29 +106,39 @@
             None for calls of any kind.
         now : float
             Monotonic time, seconds.
-        goal_s : float or None
-            Objective of the call, seconds; says something of a kind not seen yet.
+        objective_s : float or None
+            Latency objective of the call, seconds; bounds the estimate for a kind
+            without samples.
         """
-        mean_s, plain_s = self._mean_s, self._plain_s
-        if kind is not None and kind in self._means:
-            mean_s, plain_s = self._means[kind], self._plain[kind]
-        elif kind is not None and goal_s is not None:
-            mean_s = min(mean_s, max(goal_s, 0.0) * GOAL_SHARE)
-            plain_s = min(plain_s, mean_s)
-        fresh = max(0.0, 1.0 - (now - self._noted_at) / FADE_S)
-        return plain_s + (mean_s - plain_s) * fresh
+        mean_s, baseline_s = self._mean_s, self._baseline_s
+        if kind is not None and kind in self._mean_by_kind:
+            mean_s, baseline_s = self._mean_by_kind[kind], self._baseline_by_kind[kind]
+        elif kind is not None and objective_s is not None:
+            mean_s = min(mean_s, max(objective_s, 0.0) * MAX_OBJECTIVE_SHARE)
+            baseline_s = min(baseline_s, mean_s)
+        freshness = max(0.0, 1.0 - (now - self._noted_at) / MEAN_DECAY_S)
+        return baseline_s + (mean_s - baseline_s) * freshness
 
     def concurrency_limit(self, slots, cold):
-        """Return how many calls to let run at once.
+        """Return the number of calls that may run at once.
+
+        Until there are enough samples, all slots are used, except after a cold start,
+        when responses are late anyway.
 
-        While nothing is known, the last slots are tried, but not at a cold target,
-        whose answers are late anyway.
+        Parameters
+        ----------
+        slots : int
+            Calls that the target processes at once.
+        cold : bool
+            Whether the target has started recently and is still slow.
         """
-        known = min(self._full_samples, self._light_samples) >= MIN_SAMPLES
-        if (known and self._full_ratio > WORTHWHILE) or (cold and not known):
-            return max(1, int(slots * KNEE))
+        known = min(self._full_load_samples, self._light_load_samples) >= MIN_SAMPLES
+        if (known and self._full_load_ratio > MAX_FULL_LOAD_RATIO) or (
+            cold and not known
+        ):
+            return max(1, int(slots * FULL_LOAD_SHARE))
         return slots
 
 
-def _weight(plain_s, taken_s, rise):
-    return WEIGHT if taken_s < plain_s else rise
+def _baseline_weight(baseline_s, taken_s, rise_weight):
+    return SMOOTHING_WEIGHT if taken_s < baseline_s else rise_weight
