--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -1,32 +1,47 @@
-"""pimentoline.twohop.noise: whether a call should start at a target now.
+"""pimentoline.twohop.noise: whether a call may start at a target now.
 
-Answers noisy neighbours. A target tells how long work takes at this moment; trials
-of both users' targets showed that a call takes that many times as long until its end,
-even if the noise ends 20 ms after its start. So a call waits until the noise ends,
-and an old figure is asked for anew before a call starts on it.
+Deals with noisy neighbours, other programs on a target's host that slow it down for
+moments. A target reports its current slowdown. At the targets of both known
+deployments, a call that starts during noise is slowed down until its end, even if the
+noise ends 20 ms after its start. A call therefore waits until the noise ends, and the
+target is probed first if its last report is too old.
 """
 
 import enum
 
 __all__ = ["NoiseDetector", "StartDecision"]
 
-# Work that takes this many times as long as usual is worth waiting for its end.
-NOISY = 1.8
-# Noise comes in stretches of 150 ms; an older figure than this is often wrong.
-FRESH_S = 0.02
-# Shortest time between two questions to the target, seconds: 40 a second and target
-# at most, under the 60 that the users allow.
+# Slowdown from which on calls wait for the end of the noise.
+NOISY_SLOWDOWN = 1.8
+# Age at which a report is too old, seconds. A period of noise lasts about 150 ms, so
+# that an older report is often wrong.
+MAX_REPORT_AGE_S = 0.02
+# Shortest time between two probes of a target, seconds. This allows 40 a second for
+# each target; operators allow 60.
 MIN_PROBE_GAP_S = 0.025
-# A target that answers without a figure is not asked again for this long, seconds.
-MUTE_S = 2.0
-# A target that has been slow for this long is not noisy but slow; calls start there.
+# A target that did not report a slowdown when probed is not probed for this long,
+# seconds.
+FAILED_PROBE_PAUSE_S = 2.0
+# A target that has been slow for longer than this is not noisy but permanently slow,
+# and calls start there, seconds.
 MAX_HOLD_S = 0.8
-# Expected rest of a stretch of noise, seconds: half of one, and often another.
-REST_S = 0.1
+# Expected remaining time of a period of noise, seconds: half of such a period, and the
+# next one often follows at once.
+EXPECTED_REMAINING_S = 0.1
 
 
 class StartDecision(enum.Enum):
-    """What to do with a call that could start."""
+    """What to do with a call for which a slot is free.
+
+    Attributes
+    ----------
+    START
+        Start it.
+    PROBE
+        Probe the target for its slowdown first.
+    HOLD
+        Let it wait for the end of noise or for the result of a probe.
+    """
 
     START = "start"
     PROBE = "probe"
@@ -34,55 +49,58 @@
 
 
 class NoiseDetector:
-    """The newest figure of a target and its age.
+    """Tells noise at a target from its reports of slowdown.
 
     Attributes
     ----------
     slowdown : float
-        How many times as long as usual work takes.
+        Last reported slowdown, 1 at the target's usual speed.
     """
 
     def __init__(self):
         self.slowdown = 1.0
-        self._told_at = None
-        self._mute_until = 0.0
+        self._reported_at = None
+        self._probes_paused_until = 0.0
         self._probed_at = None
         self._noisy_since = None
 
     def note(self, slowdown, now):
-        """Take a figure that has just come."""
+        """Record a slowdown that the target has just reported."""
         self.slowdown = slowdown
-        self._told_at = now
-        if slowdown < NOISY:
+        self._reported_at = now
+        if slowdown < NOISY_SLOWDOWN:
             self._noisy_since = None
         elif self._noisy_since is None:
             self._noisy_since = now
 
     def is_noisy(self, now):
-        """Return whether a call should not start because of noise."""
+        """Return whether calls should wait because of noise."""
         since = self._noisy_since
         return since is not None and now - since < MAX_HOLD_S
 
-    def rest_s(self, now):
-        """Return how long the noise is expected to go on, seconds."""
-        return REST_S if self.is_noisy(now) else 0.0
+    def remaining_s(self, now):
+        """Return how much longer the noise is expected to last, seconds."""
+        return EXPECTED_REMAINING_S if self.is_noisy(now) else 0.0
 
     def decide(self, now):
-        """Return whether a call may start, must wait, or the target must be asked."""
-        if now < self._mute_until:
+        """Return the `StartDecision` for a call."""
+        if now < self._probes_paused_until:
             return StartDecision.START
-        fresh = self._told_at is not None and now - self._told_at <= FRESH_S
-        if fresh:
+        is_current = (
+            self._reported_at is not None
+            and now - self._reported_at <= MAX_REPORT_AGE_S
+        )
+        if is_current:
             return StartDecision.HOLD if self.is_noisy(now) else StartDecision.START
         if self._probed_at is not None and now - self._probed_at < MIN_PROBE_GAP_S:
             return StartDecision.HOLD
         return StartDecision.PROBE
 
     def probe_started(self, now):
-        """Note that the target is being asked."""
+        """Record that a probe of the target has started."""
         self._probed_at = now
 
     def probe_failed(self, now):
-        """Note that the target gave no figure; calls start without one."""
-        self._mute_until = now + MUTE_S
+        """Record that a probe gave no slowdown; calls start without one for a time."""
+        self._probes_paused_until = now + FAILED_PROBE_PAUSE_S
         self._noisy_since = None
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -311,7 +311,7 @@
             return
         self._stored_only = False
         before = self.status_tracker.current
-        if self.status_tracker.answered_as(found):
+        if self.status_tracker.note_probed_id(found):
             self.admission.cold_start_until = self._clock() + ASSUMED_COLD_S
             self._changed(before)
 
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -1,4 +1,8 @@
-"""pimentoline.twohop.target_status: which status report of a target holds."""
+"""pimentoline.twohop.target_status: the current status of the target on this host.
+
+Heartbeats may arrive late or out of order, also from a target that has been replaced
+since. An incarnation is one run of a target process, from its start to its end.
+"""
 
 import enum
 from dataclasses import dataclass, replace
@@ -7,29 +11,31 @@
 
 
 class TargetState(enum.Enum):
-    """What a target says of itself, or `LEFT` once it has signed off."""
+    """State that a target reports, or `LEFT` once it has signed off."""
 
     READY = "ready"
     DRAINING = "draining"
     LEFT = "left"
 
 
-# A target only moves onward through these.
-ORDER = (TargetState.READY, TargetState.DRAINING, TargetState.LEFT)
+# Within one incarnation the state only changes in this order.
+STATE_ORDER = (TargetState.READY, TargetState.DRAINING, TargetState.LEFT)
 
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """One status report.
+    """One status report of a target.
 
     Attributes
     ----------
     born_ms : int
-        Start of the target's lifetime, Unix milliseconds.
+        Start of the target's incarnation, Unix time in milliseconds.
     sequence : int
-        Grows with each report of a lifetime.
+        Increases with each heartbeat of an incarnation.
+    slots : int
+        Calls that the target processes at once.
     cold_s : float
-        How much longer the target stays slow after its start, seconds.
+        How much longer the target is slow after its start, seconds.
     """
 
     target_id: str
@@ -44,7 +50,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetStatus:
-    """The lifetime that is believed, with its newest report."""
+    """State of one incarnation of a target, from its newest heartbeat.
+
+    Attributes
+    ----------
+    born_ms : int
+        Start of the incarnation, Unix time in milliseconds.
+    sequence : int
+        Sequence number of the heartbeat.
+    """
 
     target_id: str
     born_ms: int
@@ -53,80 +67,100 @@
 
 
 class StatusTracker:
-    """Orders the reports of successive targets on one host.
+    """Keeps the newest status from the heartbeats of successive targets on one host.
 
-    A report counts if its lifetime is newer than the one held, or if it is a newer
-    report of that lifetime. A target that drains or has left never becomes ready
-    again in the same lifetime, so late reports cannot bring it back.
+    A heartbeat is accepted if it comes from a newer incarnation than the current
+    status, or if it is a newer heartbeat of the same incarnation. A target that drains
+    or has left never becomes ready again in the same incarnation, so that a late
+    heartbeat cannot bring it back.
     """
 
     def __init__(self, current=None):
         self.current = current
 
-    def accept(self, report):
-        """Return whether a report changes what is known, and keep it if so."""
+    def accept(self, heartbeat):
+        """Take the status from a heartbeat; return whether it was accepted."""
         current = self.current
         if current is not None:
-            if report.born_ms < current.born_ms:
+            if heartbeat.born_ms < current.born_ms:
                 return False
             if (
-                report.born_ms == current.born_ms
-                and report.target_id == current.target_id
+                heartbeat.born_ms == current.born_ms
+                and heartbeat.target_id == current.target_id
             ):
                 if current.state is TargetState.LEFT:
                     return False
-                if report.sequence <= current.sequence:
+                if heartbeat.sequence <= current.sequence:
                     return False
                 if (
                     current.state is TargetState.DRAINING
-                    and report.state is TargetState.READY
+                    and heartbeat.state is TargetState.READY
                 ):
                     return False
         self.current = TargetStatus(
-            report.target_id, report.born_ms, report.sequence, report.state
+            heartbeat.target_id,
+            heartbeat.born_ms,
+            heartbeat.sequence,
+            heartbeat.state,
         )
         return True
 
     def merge(self, stored):
-        """Take what an earlier process knew; return whether that changes anything.
+        """Merge the status that an earlier process of this node has stored.
 
-        Reports that arrived before it was read may be older than what was stored.
+        Heartbeats that arrived before the store was read may be older than the stored
+        status. Returns whether the current status changed.
         """
         current = self.current
         if current is None or stored.born_ms > current.born_ms:
             self.current = stored
             return True
-        same = (stored.target_id, stored.born_ms) == (
+        same_incarnation = (stored.target_id, stored.born_ms) == (
             current.target_id,
             current.born_ms,
         )
-        if not same or ORDER.index(stored.state) <= ORDER.index(current.state):
+        if not same_incarnation or (
+            STATE_ORDER.index(stored.state) <= STATE_ORDER.index(current.state)
+        ):
             return False
         self.current = replace(current, state=stored.state)
         return True
 
-    def answered_as(self, target_id):
-        """Take the id of a sound target that answers in place of the stored one.
+    def note_probed_id(self, target_id):
+        """Record the id of a healthy target, as found by a probe.
 
         Returns
         -------
         bool
-            Whether another target than the one held has started there.
+            Whether it has replaced the target of the current status.
         """
         current = self.current
         if current is None or current.target_id == target_id:
             return False
-        # Its own report says when it started; those of the one before are too old.
+        # The start of the new incarnation is unknown until its first heartbeat. One
+        # millisecond later than the previous one makes late heartbeats of that one
+        # too old.
         self.current = TargetStatus(
             target_id, current.born_ms + 1, 0, TargetState.READY
         )
         return True
 
     def leave(self, target_id, born_ms):
-        """Note that a target has signed off; return whether that changes anything.
+        """Record that a target has signed off; ignored if it was replaced before.
+
+        A target that started after the current one has replaced it, even if none of
+        its heartbeats arrived.
 
-        One that started after the one held has taken its place, even if none of its
-        reports arrived. `born_ms` is None if the target did not say it.
+        Parameters
+        ----------
+        target_id : str
+        born_ms : int or None
+            Start of its incarnation, None if the target did not say it.
+
+        Returns
+        -------
+        bool
+            Whether the sign-off was accepted.
         """
         current = self.current
         if current is not None:
@@ -136,7 +170,11 @@
                 return False
             if born_ms == current.born_ms and current.target_id != target_id:
                 return False
-        born = born_ms if born_ms is not None else (current.born_ms if current else 0)
+        known_born_ms = (
+            born_ms if born_ms is not None else (current.born_ms if current else 0)
+        )
         sequence = current.sequence if current is not None else 0
-        self.current = TargetStatus(target_id, born, sequence, TargetState.LEFT)
+        self.current = TargetStatus(
+            target_id, known_born_ms, sequence, TargetState.LEFT
+        )
         return True
