--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -18,7 +18,7 @@
 from .chunked import BodyTooLarge, read_chunked
 from .frames import MAX_BODY_BYTES
 from .model import CallerLimits
-from .target_side import onward
+from .target_side import headers_to_target
 
 __all__ = ["Frontend"]
 
@@ -173,7 +173,7 @@
             self.headers.get(frontend.dialect.request_id, ""),
             self.start.method,
             target,
-            onward(self.headers, frontend.dialect),
+            headers_to_target(self.headers, frontend.dialect),
             b"".join(self.chunks),
             self._left_s(),
             self.arrived,
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.target_side: the calls at the target on this node's host."""
+"""pimentoline.twohop.target_side: runs calls at the target on this node's host."""
 
 import asyncio
 from dataclasses import dataclass
@@ -16,31 +16,46 @@
 from .noise import StartDecision
 from .target_status import StatusTracker, TargetState
 
-__all__ = ["TargetSide", "Work"]
+__all__ = ["PendingCall", "TargetSide"]
 
-# A target ends work at its deadline by itself; the node waits a little longer.
-DEADLINE_SLACK_S = 0.3
-# A target on the same host accepts a connection within a few milliseconds.
-CONNECT_S = 0.4
-# A target that takes no connection is left alone for this long.
-DOWN_S = 0.3
-# Until the first status report says how many slots there are.
+# A target ends a call at its deadline by itself; the node waits this much longer,
+# seconds.
+DEADLINE_MARGIN_S = 0.3
+# A target on the same host accepts a connection within a few milliseconds; seconds.
+CONNECT_TIMEOUT_S = 0.4
+# A target that accepts no connection gets no calls for this long, seconds.
+UNREACHABLE_PAUSE_S = 0.3
+# Slots that are assumed until the first heartbeat reports their number.
 DEFAULT_SLOTS = 8
-NOT_ACCEPTING_RETRY_S = 0.3
-# A target that has started unseen is cold until its first report says how long; targets
-# report every 1.5 s.
-ASSUMED_COLD_S = 1.5
-# How often waiting jobs are looked at, seconds; noise ends between two answers.
-SWEEP_S = 0.02
-# A target on the same host answers for its figures within a few milliseconds.
-ASK_TIMEOUT_S = 0.1
-MAX_ASK_BYTES = 64 * 1024
-MS = 1000.0
+# When the caller's node may retry a call that this target does not accept, seconds.
+RETRY_AFTER_S = 0.3
+# How long a target is taken to be slow after its start while no heartbeat has reported
+# it, seconds; targets send a heartbeat every 1.5 s.
+ASSUMED_COLD_START_S = 1.5
+# Interval at which the queue is checked while calls wait, seconds. Noise may end while
+# no call completes.
+QUEUE_CHECK_INTERVAL_S = 0.02
+# A target on the same host responds to a probe within a few milliseconds; seconds.
+PROBE_TIMEOUT_S = 0.1
+MAX_PROBE_BODY_BYTES = 64 * 1024
+MS_PER_S = 1000.0
 
 
 @dataclass(slots=True, eq=False)
-class Work:
-    """A call taken by this node; `reply(frame, body)` is called once."""
+class PendingCall:
+    """A call that waits or runs at the target.
+
+    Attributes
+    ----------
+    frame : CallFrame
+    reply : callable
+        `reply(frame, body)` is called once with the outcome, unless the call was
+        cancelled.
+    admission : AdmissionController
+        The one that the call was offered to, which may have been replaced since.
+    task : asyncio.Task or None
+        Runs the call, None while it waits.
+    """
 
     frame: object
     body: bytes
@@ -55,24 +70,28 @@
 class TargetSide:
     """Admits calls to the target on this host and runs them.
 
+    Also keeps the status of the target from its heartbeats, and probes it for its load.
+
     Parameters
     ----------
-    dialect : HeaderNames
+    header_names : HeaderNames
     pool : Pool
     clock : callable
         Monotonic clock, seconds.
     service : str
-        Service of the target, from the settings.
+        Service of the target from the settings, used until the first heartbeat.
     addr : tuple
         Address of the target.
     health_path : callable
-        Returns the path that answers at once with the target's figures.
+        Returns the path for probes; responses to it carry the load of the target.
     on_change : callable
-        Called when the target begins or stops to accept calls.
+        Called when the target may have begun or stopped to accept calls.
     """
 
-    def __init__(self, dialect, pool, clock, service, addr, health_path, on_change):
-        self._dialect = dialect
+    def __init__(
+        self, header_names, pool, clock, service, addr, health_path, on_change
+    ):
+        self._header_names = header_names
         self._pool = pool
         self._clock = clock
         self._addr = addr
@@ -82,215 +101,241 @@
         self.status_tracker = StatusTracker()
         self.admission = AdmissionController(DEFAULT_SLOTS)
         self.stopping = False
-        self._stored_only = False
-        self._down_until = 0.0
+        self._status_is_restored = False
+        self._unreachable_until = 0.0
         self._health_path = health_path
         self._probe_task = None
-        self._works = {}
-        self._sweep = None
+        self._pending = {}
+        self._queue_check = None
 
-    # What the target says of itself.
+    # Status of the target.
 
     @property
     def accepting(self):
-        """Whether new calls are taken."""
-        held = self.status_tracker.current
-        ready = held is not None and held.state is TargetState.READY
-        up = self._clock() >= self._down_until
+        """Whether new calls are accepted."""
+        status = self.status_tracker.current
+        ready = status is not None and status.state is TargetState.READY
+        up = self._clock() >= self._unreachable_until
         return ready and up and not self.stopping
 
     @property
     def has_left(self):
         """Whether the target has signed off."""
-        held = self.status_tracker.current
-        return held is not None and held.state is TargetState.LEFT
+        status = self.status_tracker.current
+        return status is not None and status.state is TargetState.LEFT
 
     def load_report(self):
-        """Return the `LoadReport` of this moment."""
+        """Return the current `LoadReport`."""
         return self.admission.report(self._clock(), self.accepting)
 
-    def handle_heartbeat(self, report):
-        """Take a status report; return whether the state of the target changed."""
-        before = self.status_tracker.current
-        if report.addr != self._addr:
-            log_entry("target:foreign", target=report.target_id)
+    def handle_heartbeat(self, heartbeat):
+        """Process a heartbeat; return whether the target or its state changed."""
+        previous = self.status_tracker.current
+        if heartbeat.addr != self._addr:
+            log_entry("target:foreign", target=heartbeat.target_id)
             return False
-        if not self.status_tracker.accept(report):
+        if not self.status_tracker.accept(heartbeat):
             log_entry(
                 "target:late-report",
-                target=report.target_id,
-                born_ms=report.born_ms,
-                sequence=report.sequence,
+                target=heartbeat.target_id,
+                born_ms=heartbeat.born_ms,
+                sequence=heartbeat.sequence,
             )
             return False
-        if before is None or (before.target_id, before.born_ms) != (
-            report.target_id,
-            report.born_ms,
+        if previous is None or (previous.target_id, previous.born_ms) != (
+            heartbeat.target_id,
+            heartbeat.born_ms,
         ):
-            self.admission = self._renewed(report.slots)
-        self._stored_only = False
-        self.service = report.service
-        self.admission.set_slots(report.slots)
-        self.admission.cold_start_until = self._clock() + report.cold_s
-        return self._changed(before)
-
-    def _renewed(self, slots):
-        fresh = AdmissionController(slots)
+            self.admission = self._admission_for_new_target(heartbeat.slots)
+        self._status_is_restored = False
+        self.service = heartbeat.service
+        self.admission.set_slots(heartbeat.slots)
+        self.admission.cold_start_until = self._clock() + heartbeat.cold_s
+        return self._status_changed(previous)
+
+    def _admission_for_new_target(self, slots):
+        """Refuse the calls that wait for the previous target; return new counts."""
+        admission = AdmissionController(slots)
         for job in self.admission.take_waiting():
-            self._refuse(self._works[job], "target-replaced", NOT_ACCEPTING_RETRY_S)
+            self._refuse(self._pending[job], "target-replaced", RETRY_AFTER_S)
         self._pool.close_idle(self._addr)
-        return fresh
+        return admission
 
     def handle_sign_off(self, target_id, born_ms):
-        """Take a target's leave; return whether the state changed."""
-        before = self.status_tracker.current
+        """Process the sign-off of a target; return whether its state changed."""
+        previous = self.status_tracker.current
         self.status_tracker.leave(target_id, born_ms)
-        return self._changed(before)
+        return self._status_changed(previous)
 
     def restore(self, status):
-        """Take the state that an earlier process of this node has stored."""
-        before = self.status_tracker.current
+        """Restore the status that an earlier process of this node has stored."""
+        previous = self.status_tracker.current
         if self.status_tracker.merge(status):
-            self._stored_only = before is None
-            self._changed(before)
-
-    def _changed(self, before):
-        held = self.status_tracker.current
-        same = before is not None and (before.target_id, before.state) == (
-            held.target_id,
-            held.state,
+            self._status_is_restored = previous is None
+            self._status_changed(previous)
+
+    def _status_changed(self, previous):
+        status = self.status_tracker.current
+        same = previous is not None and (previous.target_id, previous.state) == (
+            status.target_id,
+            status.state,
         )
         if same:
             return False
         log_entry(
             "target:state",
-            target=held.target_id,
-            state=held.state.value,
-            born_ms=held.born_ms,
-            sequence=held.sequence,
+            target=status.target_id,
+            state=status.state.value,
+            born_ms=status.born_ms,
+            sequence=status.sequence,
         )
         if not self.accepting:
-            self._refuse_queue("target-leaving")
+            self._refuse_waiting("target-leaving")
         self._on_change()
         return True
 
     def stop(self):
-        """Take no new calls; what runs goes on."""
+        """Accept no new calls and refuse those that wait; running calls go on."""
         self.stopping = True
-        self._refuse_queue("node-stopping")
+        self._refuse_waiting("node-stopping")
         self._on_change()
 
-    def _refuse_queue(self, reason):
+    def _refuse_waiting(self, reason):
         for job in self.admission.take_waiting():
-            self._refuse(self._works[job], reason, NOT_ACCEPTING_RETRY_S)
+            self._refuse(self._pending[job], reason, RETRY_AFTER_S)
 
     @property
     def busy(self):
         """Whether a call waits or runs."""
-        return bool(self._works)
+        return bool(self._pending)
 
     # Calls.
 
     def submit(self, frame, body, reply):
-        """Take a call of `CallFrame`; return its `Work`, which `cancel` takes."""
+        """Queue or refuse a call.
+
+        Parameters
+        ----------
+        frame : CallFrame
+        body : bytes
+        reply : callable
+            Called once with the frame and body of the outcome.
+
+        Returns
+        -------
+        PendingCall
+            For `cancel`.
+        """
         now = self._clock()
         job = Job(
             frame.priority,
-            now + frame.goal_ms / MS,
-            now + frame.remaining_ms / MS,
+            now + frame.goal_ms / MS_PER_S,
+            now + frame.remaining_ms / MS_PER_S,
             frame.last_resort,
             (frame.priority, frame.retryable),
         )
-        work = Work(frame, body, job, reply, self.admission)
-        self._works[job] = work
+        call = PendingCall(frame, body, job, reply, self.admission)
+        self._pending[job] = call
         if not self.accepting:
-            self._refuse(work, "not-accepting", NOT_ACCEPTING_RETRY_S)
+            self._refuse(call, "not-accepting", RETRY_AFTER_S)
         elif frame.service != self.service:
-            self._refuse(work, "other-service", NOT_ACCEPTING_RETRY_S)
+            self._refuse(call, "other-service", RETRY_AFTER_S)
         else:
             refused = self.admission.offer(job, now)
             if refused is not None:
-                self._refuse(work, refused.reason, refused.retry_after_s)
+                self._refuse(call, refused.reason, refused.retry_after_s)
             else:
                 self._pump()
-        return work
+        return call
 
-    def cancel(self, work):
-        """Drop a call whose caller has gone.
+    def cancel(self, call):
+        """Cancel a call whose caller has disconnected.
 
-        One that must not run twice and has begun goes on, since its answer is lost
-        to nobody else and its work may not be undone.
+        A call that has started and must not run twice goes on: what it has done so far
+        cannot be undone, and nobody else waits for its response.
         """
-        if work.ended:
+        if call.ended:
             return
-        work.cancelled = True
-        if work.task is not None and not work.frame.retryable:
+        call.cancelled = True
+        if call.task is not None and not call.frame.retryable:
             return
-        if work.task is not None:
-            work.admission.caller_left(work.job, self._clock())
-            work.task.cancel()
-        # A task that is cancelled before its first step never runs its own end.
-        self._end(work)
+        if call.task is not None:
+            call.admission.caller_left(call.job, self._clock())
+            call.task.cancel()
+        # A task that is cancelled before its first step runs none of its code, not even
+        # the clean-up.
+        self._finish(call)
         self._pump()
 
-    def _refuse(self, work, reason, retry_after_s, at_target=False):
+    def _refuse(self, call, reason, retry_after_s, at_target=False):
         frame = RefusedFrame(
-            work.frame.stream,
+            call.frame.stream,
             reason,
-            int(retry_after_s * MS),
+            int(retry_after_s * MS_PER_S),
             at_target,
             self.load_report(),
         )
-        self._end(work, frame)
+        self._finish(call, frame)
 
-    def _end(self, work, frame=None, body=b""):
-        if work.ended:
+    def _finish(self, call, frame=None, body=b""):
+        if call.ended:
             return
-        work.ended = True
-        work.admission.remove(work.job)
-        self._works.pop(work.job, None)
-        if frame is not None and not work.cancelled:
-            work.reply(frame, body)
+        call.ended = True
+        call.admission.remove(call.job)
+        self._pending.pop(call.job, None)
+        if frame is not None and not call.cancelled:
+            call.reply(frame, body)
 
     def _pump(self):
+        """Start or refuse the waiting calls that can be, and probe if needed."""
         while True:
-            found = self.admission.next_action(self._clock())
-            if isinstance(found, StartDecision):
+            action = self.admission.next_action(self._clock())
+            if isinstance(action, StartDecision):
                 break
-            job, refused = found
-            work = self._works.get(job)
-            if work is None:
+            job, refused = action
+            call = self._pending.get(job)
+            if call is None:
                 self.admission.remove(job)
             elif refused is not None:
-                self._refuse(work, refused.reason, refused.retry_after_s)
+                self._refuse(call, refused.reason, refused.retry_after_s)
             else:
-                work.task = asyncio.get_running_loop().create_task(self._run(work))
-        if found is StartDecision.PROBE and self._probe_task is None:
+                call.task = asyncio.get_running_loop().create_task(self._run(call))
+        if action is StartDecision.PROBE and self._probe_task is None:
             self._probe_task = asyncio.get_running_loop().create_task(self._probe())
-        if self._sweep is None and self.admission.queued:
+        if self._queue_check is None and self.admission.queued:
             loop = asyncio.get_running_loop()
-            self._sweep = loop.call_later(SWEEP_S, self._swept)
+            self._queue_check = loop.call_later(
+                QUEUE_CHECK_INTERVAL_S, self._check_queue
+            )
 
-    def _swept(self):
-        self._sweep = None
+    def _check_queue(self):
+        self._queue_check = None
         self._pump()
 
     async def _probe(self):
-        """Ask the target for its figures; without an answer calls start blindly."""
+        """Ask the target for its load.
+
+        If it does not report a slowdown, calls start without one for a time.
+        """
         noise = self.admission.noise
         noise.probe_started(self._clock())
         conn = None
         try:
-            async with asyncio.timeout(ASK_TIMEOUT_S):
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
                 conn = await self._pool.acquire(self._addr, True)
-                answer = await send_request(
-                    conn, "GET", self._health_path(), HTTPHeaders(), None, MAX_ASK_BYTES
+                response = await send_request(
+                    conn,
+                    "GET",
+                    self._health_path(),
+                    HTTPHeaders(),
+                    None,
+                    MAX_PROBE_BODY_BYTES,
                 )
-            if answer.reusable:
+            if response.reusable:
                 self._pool.release(conn)
                 conn = None
-            self._note_identity(answer)
-            if not self._note_load(answer.headers.get(self._dialect.load)):
+            self._note_identity(response)
+            if not self._note_load(response.headers.get(self._header_names.load)):
                 noise.probe_failed(self._clock())
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             log_entry("target:no-figures", detail=repr(exc)[:80])
@@ -301,177 +346,187 @@
                 conn.close()
             self._pump()
 
-    def _note_identity(self, answer):
-        """See that the target has been replaced while this process was not running.
+    def _note_identity(self, response):
+        """Detect that the target was replaced while this process was not running.
 
-        Until its first report, calls would name the one before and come back unrun.
+        Until the first heartbeat, calls would otherwise name the previous target, and
+        the new one would refuse to run them.
         """
-        found = answer.headers.get(self._dialect.target_id)
-        if not self._stored_only or answer.status != 200 or not found:
+        target_id = response.headers.get(self._header_names.target_id)
+        if not self._status_is_restored or response.status != 200 or not target_id:
             return
-        self._stored_only = False
-        before = self.status_tracker.current
-        if self.status_tracker.note_probed_id(found):
-            self.admission.cold_start_until = self._clock() + ASSUMED_COLD_S
-            self._changed(before)
+        self._status_is_restored = False
+        previous = self.status_tracker.current
+        if self.status_tracker.note_probed_id(target_id):
+            self.admission.cold_start_until = self._clock() + ASSUMED_COLD_START_S
+            self._status_changed(previous)
 
-    async def _run(self, work):
+    async def _run(self, call):
         conn = None
         try:
-            left_s = work.job.deadline_at - self._clock() + DEADLINE_SLACK_S
-            async with asyncio.timeout(min(left_s, CONNECT_S)):
-                conn = await self._pool.acquire(self._addr, work.frame.retryable)
-            async with asyncio.timeout(left_s):
-                answer = await self._call_target(conn, work)
-            if answer.reusable:
+            remaining_s = call.job.deadline_at - self._clock() + DEADLINE_MARGIN_S
+            async with asyncio.timeout(min(remaining_s, CONNECT_TIMEOUT_S)):
+                conn = await self._pool.acquire(self._addr, call.frame.retryable)
+            async with asyncio.timeout(remaining_s):
+                response = await self._call_target(conn, call)
+            if response.reusable:
                 self._pool.release(conn)
             else:
                 conn.close()
             conn = None
-            if work.job.running and answer.status < MIN_FAILURE_STATUS:
-                work.admission.complete(work.job, self._clock())
-            self._answered(work, answer)
+            if call.job.running and response.status < MIN_FAILURE_STATUS:
+                call.admission.complete(call.job, self._clock())
+            self._finish_call(call, response)
         except asyncio.CancelledError:
-            self._end(work)
+            self._finish(call)
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
-            self._failed(work, conn, exc)
+            self._fail_call(call, conn, exc)
         except Exception as exc:
-            # Whatever is wrong with this call must not leave its caller waiting.
-            log_entry("call:error", request=self._request_id(work), detail=repr(exc))
-            self._failed(work, conn, exc)
+            # An unexpected error must not leave the caller without a response.
+            log_entry("call:error", request=self._request_id(call), detail=repr(exc))
+            self._fail_call(call, conn, exc)
         finally:
             if conn is not None:
                 conn.close()
             self._pump()
 
-    def _failed(self, work, conn, exc):
+    def _fail_call(self, call, conn, exc):
+        """Reply with a failure; `conn` is None if there was no connection."""
         if conn is None:
             verdict = Verdict.NOT_RUN
-            self._note_down()
+            self._note_unreachable()
         elif getattr(exc, "started", False):
             verdict = Verdict.RAN
         else:
             verdict = Verdict.MAY_HAVE_RUN
         reason = "target-timeout" if isinstance(exc, TimeoutError) else "target-broken"
-        work.admission.outcomes.note(False, self._clock())
+        call.admission.outcomes.note(False, self._clock())
         self._log.entry(
             "call:broken",
-            request=self._request_id(work),
+            request=self._request_id(call),
             target=self.status_tracker.current.target_id,
             reason=reason,
             verdict=verdict.value,
             detail=str(exc)[:120],
         )
-        frame = FailedFrame(work.frame.stream, reason, verdict, self.load_report())
-        self._end(work, frame)
+        frame = FailedFrame(call.frame.stream, reason, verdict, self.load_report())
+        self._finish(call, frame)
 
-    def _note_down(self):
-        """Take no calls for a moment, because the target takes no connection."""
-        if self._clock() < self._down_until:
+    def _note_unreachable(self):
+        """Refuse calls for a short time, because the target accepts no connection."""
+        if self._clock() < self._unreachable_until:
             return
-        self._down_until = self._clock() + DOWN_S
+        self._unreachable_until = self._clock() + UNREACHABLE_PAUSE_S
         log_entry("target:unreachable", target=self.status_tracker.current.target_id)
-        self._refuse_queue("target-unreachable")
+        self._refuse_waiting("target-unreachable")
         self._on_change()
         loop = asyncio.get_running_loop()
-        loop.call_later(DOWN_S, self._on_change)
+        loop.call_later(UNREACHABLE_PAUSE_S, self._on_change)
 
-    def _request_id(self, work):
-        wanted = self._dialect.request_id.lower()
-        for name, value in work.frame.headers:
+    def _request_id(self, call):
+        wanted = self._header_names.request_id.lower()
+        for name, value in call.frame.headers:
             if name.lower() == wanted:
                 return value
         return ""
 
-    async def _call_target(self, conn, work):
-        frame = work.frame
-        dialect = self._dialect
+    async def _call_target(self, conn, call):
+        frame = call.frame
+        header_names = self._header_names
         headers = HTTPHeaders()
         for name, value in frame.headers:
             headers.add(name, value)
-        left_ms = int((work.job.deadline_at - self._clock()) * MS)
-        headers[dialect.deadline_ms] = str(max(left_ms, 1))
-        headers[dialect.caller_service] = frame.caller_service
-        headers[dialect.expect_target] = self.status_tracker.current.target_id
-        if work.body or frame.method in ("POST", "PUT", "PATCH"):
-            headers["Content-Length"] = str(len(work.body))
-        wanted = headers.get(dialect.request_id)
+        remaining_ms = int((call.job.deadline_at - self._clock()) * MS_PER_S)
+        headers[header_names.deadline_ms] = str(max(remaining_ms, 1))
+        headers[header_names.caller_service] = frame.caller_service
+        headers[header_names.expect_target] = self.status_tracker.current.target_id
+        if call.body or frame.method in ("POST", "PUT", "PATCH"):
+            headers["Content-Length"] = str(len(call.body))
+        request_id = headers.get(header_names.request_id)
 
-        def own(found):
-            return found.get(dialect.request_id) in (None, wanted)
+        def is_own_response(response_headers):
+            return response_headers.get(header_names.request_id) in (None, request_id)
 
         return await send_request(
             conn,
             frame.method,
             frame.path,
             headers,
-            work.body or None,
+            call.body or None,
             MAX_BODY_BYTES,
-            own,
+            is_own_response,
         )
 
-    def _answered(self, work, answer):
-        dialect = self._dialect
-        headers = answer.headers
-        self._note_load(headers.get(dialect.load))
-        not_run = headers.get(dialect.not_run) is not None or answer.status == 421
-        work.admission.outcomes.note(
-            answer.status < MIN_FAILURE_STATUS and not not_run, self._clock()
+    def _finish_call(self, call, response):
+        """Reply with the response of the target, or with what is wrong with it."""
+        header_names = self._header_names
+        headers = response.headers
+        self._note_load(headers.get(header_names.load))
+        not_run = (
+            headers.get(header_names.not_run) is not None or response.status == 421
+        )
+        call.admission.outcomes.note(
+            response.status < MIN_FAILURE_STATUS and not not_run, self._clock()
         )
         if not_run:
-            self._refuse(work, "target-refused", NOT_ACCEPTING_RETRY_S, True)
+            self._refuse(call, "target-refused", RETRY_AFTER_S, True)
             return
-        good = 200 <= answer.status < 300
-        if good and (
-            headers.get(dialect.response_stamp) is None
+        succeeded = 200 <= response.status < 300
+        if succeeded and (
+            headers.get(header_names.response_stamp) is None
             or headers.get("Content-Encoding") is not None
         ):
             frame = FailedFrame(
-                work.frame.stream, "answer-not-whole", Verdict.RAN, self.load_report()
+                call.frame.stream, "answer-not-whole", Verdict.RAN, self.load_report()
             )
-            self._end(work, frame)
+            self._finish(call, frame)
             return
-        kept = end_to_end_headers(
-            headers, DROPPED_FROM_RESPONSE | {"Content-Length", dialect.load}
+        returned = end_to_end_headers(
+            headers, DROPPED_FROM_RESPONSE | {"Content-Length", header_names.load}
         )
         frame = ResponseFrame(
-            work.frame.stream,
-            answer.status,
-            answer.reason,
-            tuple(kept.get_all()),
-            len(answer.body),
+            call.frame.stream,
+            response.status,
+            response.reason,
+            tuple(returned.get_all()),
+            len(response.body),
             self.load_report(),
         )
-        self._end(work, frame, answer.body)
+        self._finish(call, frame, response.body)
 
     def _note_load(self, text):
-        """Read the target's own figures: running, waiting, slots, percent.
+        """Record the load that a target reports in a header.
 
-        Return whether the last of them is there.
+        The header holds the number of running and of waiting calls, the number of
+        slots, and the slowdown in percent. Returns whether it holds the slowdown.
         """
         if not text:
             return False
         try:
-            figures = [int(part) for part in text.split(",")]
+            values = [int(part) for part in text.split(",")]
         except ValueError:
             log_entry("target:load-unreadable", value=text[:40])
             return False
-        if len(figures) >= 3 and figures[2] > 0:
-            self.admission.set_slots(figures[2])
-        if len(figures) >= 4 and figures[3] > 0:
-            self.admission.note_slowdown(figures[3] / 100.0, self._clock())
+        if len(values) >= 3 and values[2] > 0:
+            self.admission.set_slots(values[2])
+        if len(values) >= 4 and values[3] > 0:
+            self.admission.note_slowdown(values[3] / 100.0, self._clock())
             return True
         return False
 
 
-def onward(headers, dialect):
-    """Return the headers of a caller that go on to the target.
+def headers_to_target(headers, header_names):
+    """Return the headers of a caller's request that are forwarded to the target.
 
-    Those that the node sets itself are left out.
+    Headers that the node sets itself are left out.
     """
-    own = {dialect.deadline_ms, dialect.caller_service, dialect.expect_target}
+    set_by_node = {
+        header_names.deadline_ms,
+        header_names.caller_service,
+        header_names.expect_target,
+    }
     return tuple(
         end_to_end_headers(
-            headers, DROPPED_FROM_REQUEST | own | {"Content-Length"}
+            headers, DROPPED_FROM_REQUEST | set_by_node | {"Content-Length"}
         ).get_all()
     )
