--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.exchange: one request and its whole answer on a connection."""
+"""pimentoline.twohop.exchange: an HTTP request and its complete response."""
 
 import asyncio
 from dataclasses import dataclass
@@ -13,13 +13,20 @@
 
 __all__ = ["Response", "ResponseError", "send_request"]
 
-# Answers to earlier requests that are read over before the connection is given up.
-MAX_FOREIGN_ANSWERS = 4
+# Late responses to earlier requests that are discarded before the connection is given
+# up.
+MAX_FOREIGN_RESPONSES = 4
 
 
 @dataclass(frozen=True, slots=True)
 class Response:
-    """A whole answer; `reusable` if the connection may carry another request."""
+    """A complete response.
+
+    Attributes
+    ----------
+    reusable : bool
+        Whether the connection may carry another request.
+    """
 
     status: int
     reason: str
@@ -29,16 +36,22 @@
 
 
 class ResponseError(Exception):
-    """No whole answer came; `started` if at least its head did."""
+    """No complete response was received.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the head of the response was received.
+    """
 
     def __init__(self, detail, started=False):
         super().__init__(detail)
         self.started = started
 
 
-class _Collector(HTTPMessageDelegate):
+class _ResponseCollector(HTTPMessageDelegate):
     def __init__(self, max_bytes):
-        self.start = None
+        self.start_line = None
         self.headers = None
         self.chunks = []
         self.size = 0
@@ -46,52 +59,62 @@
         self.finished = False
 
     def headers_received(self, start_line, headers):
-        self.start = start_line
+        self.start_line = start_line
         self.headers = headers
 
     def data_received(self, chunk):
         self.size += len(chunk)
         if self.size > self.max_bytes:
-            raise HTTPInputError(f"answer of more than {self.max_bytes} bytes")
+            raise HTTPInputError(f"response body is larger than {self.max_bytes} bytes")
         self.chunks.append(chunk)
 
     def finish(self):
         self.finished = True
 
 
-async def _read_answer(http, stream, method, max_bytes):
-    found = _Collector(max_bytes)
+async def _read_response(http, stream, method, max_bytes):
+    """Return the next response, and whether the connection may be used again."""
+    collector = _ResponseCollector(max_bytes)
     try:
-        await http.read_response(found)
+        await http.read_response(collector)
     except (StreamClosedError, UnsatisfiableReadError, HTTPInputError) as exc:
-        raise ResponseError(str(exc), found.start is not None) from exc
-    if not found.finished:
-        raise ResponseError("answer cut short", found.start is not None)
-    headers = found.headers
-    bodiless = method == "HEAD" or found.start.code in (204, 304)
+        raise ResponseError(str(exc), collector.start_line is not None) from exc
+    if not collector.finished:
+        raise ResponseError(
+            "connection closed before the end of the response",
+            collector.start_line is not None,
+        )
+    headers = collector.headers
+    bodiless = method == "HEAD" or collector.start_line.code in (204, 304)
     framed = "Content-Length" in headers or "Transfer-Encoding" in headers
     if not framed and not bodiless and stream.error is not None:
-        raise ResponseError("answer ended with a reset", True)
-    keep = "close" not in headers.get("Connection", "").lower()
-    reusable = keep and (framed or bodiless) and found.start.version == "HTTP/1.1"
-    return found, reusable
+        raise ResponseError("connection reset before the end of the response", True)
+    keep_alive = "close" not in headers.get("Connection", "").lower()
+    reusable = (
+        keep_alive
+        and (framed or bodiless)
+        and collector.start_line.version == "HTTP/1.1"
+    )
+    return collector, reusable
 
 
 async def send_request(
-    conn, method, path, headers, body, max_bytes, own=lambda h: True
+    conn, method, path, headers, body, max_bytes, is_own_response=lambda h: True
 ):
-    """Send a request and return its whole answer.
+    """Send a request and return its complete response.
 
     Parameters
     ----------
     conn : PooledConnection
+    method, path : str
     headers : HTTPHeaders
         With `Content-Length` if there is a body.
+    body : bytes or None
     max_bytes : int
-        Largest body of an answer.
-    own : callable
-        Tells from its headers whether an answer belongs to this request; others are
-        late answers to earlier requests and are read over.
+        Largest body of a response.
+    is_own_response : callable
+        Tells from its headers whether a response belongs to this request; others are
+        late responses to earlier requests on the connection and are discarded.
 
     Returns
     -------
@@ -105,18 +128,20 @@
     stream = conn.stream
     http.write_headers(RequestStartLine(method, path, "HTTP/1.1"), headers, body)
     http.finish()
-    for _ in range(MAX_FOREIGN_ANSWERS):
-        found, reusable = await _read_answer(http, stream, method, max_bytes)
-        if own(found.headers):
+    for _ in range(MAX_FOREIGN_RESPONSES):
+        collector, reusable = await _read_response(http, stream, method, max_bytes)
+        if is_own_response(collector.headers):
             if stream.writing():
-                # The answer came before the request had left this process.
+                # The response came before the request was sent completely.
                 reusable = False
-            start = found.start
-            data = b"".join(found.chunks)
-            return Response(start.code, start.reason, found.headers, data, reusable)
+            start_line = collector.start_line
+            data = b"".join(collector.chunks)
+            return Response(
+                start_line.code, start_line.reason, collector.headers, data, reusable
+            )
         if not reusable or stream.closed():
             break
         http = HTTP1Connection(stream, True, http.params)
         http.finish()
         await asyncio.sleep(0)
-    raise ResponseError("only answers to other requests came", False)
+    raise ResponseError("received only responses to other requests", False)
