--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.frontend: the HTTP interface for callers."""
+"""pimentoline.twohop.frontend: the HTTP server for the callers on this host."""
 
 import time
 from urllib.parse import urlsplit
@@ -22,37 +22,39 @@
 
 __all__ = ["Frontend"]
 
-MS = 1000.0
-# Used while no configuration says otherwise.
-NO_CONFIG_RETRY_S = 0.5
-# A caller of a stopping node finds another at once.
-STOPPING_RETRY_S = 0.02
-# The idle limit of a connection ends a little after the one that callers know.
+MS_PER_S = 1000.0
+# When a caller may retry while the node has no configuration yet, seconds.
+NO_CONFIG_RETRY_AFTER_S = 0.5
+# When a caller may retry at another node while this one stops, seconds.
+STOPPING_RETRY_AFTER_S = 0.02
+# Idle connections are closed this much later than the timeout that callers know,
+# seconds.
 IDLE_MARGIN_S = 1.0
-# Bytes of a body that is read although it is too large, before the connection ends.
-MAX_READ_BYTES = 4 * MAX_BODY_BYTES
+# A body that is too large is read and discarded up to this size, then the connection
+# is closed.
+MAX_DISCARDED_BODY_BYTES = 4 * MAX_BODY_BYTES
 
 
 class Frontend(HTTPServerConnectionDelegate):
-    """Reads calls, hands them to the caller's side and writes the answers.
+    """Reads requests of callers, routes them and writes the responses.
 
     Parameters
     ----------
     caller_side : CallerSide
     config : object
         `current`, the `Configuration` in force or None.
-    dialect : HeaderNames
+    header_names : HeaderNames
     """
 
-    def __init__(self, caller_side, config, dialect):
+    def __init__(self, caller_side, config, header_names):
         self.caller_side = caller_side
         self.config = config
-        self.dialect = dialect
+        self.header_names = header_names
         self.stopping = False
         self.refusing = False
         self.limits = CallerLimits()
         self.open_requests = 0
-        self._conns = {}
+        self._requests_by_conn = {}
         self._server = HTTPServer(self)
 
     def listen(self, addr):
@@ -60,28 +62,28 @@
         self._server.listen(addr[1], addr[0], backlog=512)
 
     def configure(self, limits):
-        """Take the limits for callers of a new configuration."""
+        """Apply the limits for callers from a new configuration."""
         self.limits = limits
         params = self._server.conn_params
         params.header_timeout = limits.idle_timeout_s + IDLE_MARGIN_S
         params.max_header_size = limits.head_bytes + 1024
 
     def start_request(self, server_conn, request_conn):
-        """Return the reader of one call."""
-        self._conns[server_conn] = _Request(self, request_conn)
-        return self._conns[server_conn]
+        """Return the delegate that reads one request."""
+        self._requests_by_conn[server_conn] = _CallerRequest(self, request_conn)
+        return self._requests_by_conn[server_conn]
 
     def on_close(self, server_conn):
-        """Forget a connection."""
-        self._conns.pop(server_conn, None)
+        """Remove a closed connection."""
+        self._requests_by_conn.pop(server_conn, None)
 
     def drain(self):
-        """Ask callers to use other connections from now on."""
+        """Send `Connection: close` with every response from now on."""
         self.stopping = True
         self._server.conn_params.no_keep_alive = True
 
     def refuse_all(self):
-        """Accept no more connections, and refuse what still comes on open ones."""
+        """Accept no more connections, and refuse requests on open ones."""
         self.refusing = True
         self.stop_listening()
 
@@ -90,119 +92,123 @@
         self._server.stop()
 
     def close_idle(self):
-        """Close the connections on which no call is in progress."""
-        for server_conn, request in list(self._conns.items()):
+        """Close the connections without a request in progress."""
+        for server_conn, request in list(self._requests_by_conn.items()):
             if request.state in ("new", "done"):
                 server_conn.stream.close()
 
     def close_all(self):
         """Close every connection."""
-        for server_conn in list(self._conns):
+        for server_conn in list(self._requests_by_conn):
             server_conn.stream.close()
 
 
-class _Request(HTTPMessageDelegate):
-    """One call of a caller."""
+class _CallerRequest(HTTPMessageDelegate):
+    """One request of a caller.
+
+    `state` is "new", "reading" (the body), "waiting" (for the outcome) or "done".
+    """
 
     def __init__(self, frontend, conn):
         self.frontend = frontend
         self.conn = conn
         self.state = "new"
-        self.start = None
+        self.start_line = None
         self.headers = None
         self.chunks = []
-        self.arrived = 0.0
-        self.left = None
+        self.arrived_at = 0.0
+        self.notify_caller_left = None
         self.max_bytes = 0
 
     def headers_received(self, start_line, headers):
-        """Note the head; the body follows."""
+        """Keep the head of the request; the body follows."""
         self.frontend.open_requests += 1
         self.state = "reading"
-        self.arrived = time.monotonic()
-        self.start = start_line
+        self.arrived_at = time.monotonic()
+        self.start_line = start_line
         self.headers = headers
         self.max_bytes = self.frontend.limits.body_bytes
-        # The limit is checked here, where it is answered with 413.
-        self.conn.set_max_body_size(MAX_READ_BYTES)
-        # tornado has no other place for the reader of chunks.
+        # The limit for callers is checked in this class, because tornado does not
+        # respond with 413 at its own limit.
+        self.conn.set_max_body_size(MAX_DISCARDED_BODY_BYTES)
+        # tornado has no public way to replace the reader of chunked bodies.
         self.conn._read_chunked_body = self._read_chunked
         length = headers.get("Content-Length", "")
         if length.isascii() and length.isdigit() and int(length) > self.max_bytes:
-            self._too_large()
+            self._refuse_too_large()
 
     async def _read_chunked(self, delegate):
         try:
             await read_chunked(self.conn.stream, self.data_received, self.max_bytes)
         except BodyTooLarge:
-            self._too_large()
+            self._refuse_too_large()
             raise StreamClosedError from None
 
-    def _too_large(self):
+    def _refuse_too_large(self):
         self.chunks = []
-        self._own(413, "body-too-large")
+        self._respond_with_error(413, "body-too-large")
 
     def data_received(self, chunk):
-        """Collect the body."""
+        """Keep a part of the body."""
         if self.state == "reading":
             self.chunks.append(chunk)
 
     def finish(self):
-        """Route the call, now that it is whole."""
+        """Route the complete request."""
         if self.state != "reading":
             return
         self.state = "waiting"
         frontend = self.frontend
         if frontend.refusing:
-            self._own(503, "stopping", STOPPING_RETRY_S)
+            self._respond_with_error(503, "stopping", STOPPING_RETRY_AFTER_S)
             return
-        cfg = frontend.config.current
-        if cfg is None:
-            self._own(503, "no-configuration", NO_CONFIG_RETRY_S)
+        config = frontend.config.current
+        if config is None:
+            self._respond_with_error(503, "no-configuration", NO_CONFIG_RETRY_AFTER_S)
             return
-        host, target = self._host_and_target()
-        path = target.partition("?")[0]
-        route = cfg.find_route(host, path)
+        host, request_target = self._host_and_request_target()
+        path = request_target.partition("?")[0]
+        route = config.find_route(host, path)
         if route is None:
             self.frontend.caller_side.log.entry(
-                "call:unrouted", host=host, path=path[:80], version=cfg.version
+                "call:unrouted", host=host, path=path[:80], version=config.version
             )
-            self._own(404, "no-route")
+            self._respond_with_error(404, "no-route")
             return
         incoming = IncomingCall(
-            self.headers.get(frontend.dialect.request_id, ""),
-            self.start.method,
-            target,
-            headers_to_target(self.headers, frontend.dialect),
+            self.headers.get(frontend.header_names.request_id, ""),
+            self.start_line.method,
+            request_target,
+            headers_to_target(self.headers, frontend.header_names),
             b"".join(self.chunks),
-            self._left_s(),
-            self.arrived,
+            self._remaining_s(),
+            self.arrived_at,
         )
         self.chunks = []
         self.conn.set_close_callback(self.on_connection_close)
-        left = frontend.caller_side.submit(route, incoming, self._respond)
+        notify_caller_left = frontend.caller_side.submit(route, incoming, self._respond)
         if self.state == "waiting":
-            self.left = left
+            self.notify_caller_left = notify_caller_left
 
-    def _host_and_target(self):
-        target = self.start.path
+    def _host_and_request_target(self):
+        request_target = self.start_line.path
         host = self.headers.get("Host", "")
-        if not target.startswith("/"):
-            # The absolute form names the host itself.
-            parts = urlsplit(target)
+        if not request_target.startswith("/"):
+            # A request target in absolute form replaces the `Host` header.
+            parts = urlsplit(request_target)
             if parts.scheme and parts.netloc:
                 host = parts.netloc
-                target = parts.path or "/"
+                request_target = parts.path or "/"
                 if parts.query:
-                    target += "?" + parts.query
-        return host.partition(":")[0].lower(), target
+                    request_target += "?" + parts.query
+        return host.partition(":")[0].lower(), request_target
 
-    def _left_s(self):
-        text = self.headers.get(self.frontend.dialect.deadline_ms)
+    def _remaining_s(self):
+        text = self.headers.get(self.frontend.header_names.deadline_ms)
         if text is None:
             return None
         try:
-            return max(float(text), 0.0) / MS
+            return max(float(text), 0.0) / MS_PER_S
         except ValueError:
             log_entry("call:deadline-unreadable", value=text[:40])
             return None
@@ -211,52 +217,54 @@
         if self.state != "waiting":
             return
         if outcome.response is None:
-            self._own(outcome.status, outcome.reason, outcome.retry_after_s)
+            self._respond_with_error(
+                outcome.status, outcome.reason, outcome.retry_after_s
+            )
             return
         headers = HTTPHeaders()
         for name, value in outcome.response.headers:
             headers.add(name, value)
         status = outcome.response.status
-        if status not in (204, 304) and self.start.method != "HEAD":
+        if status not in (204, 304) and self.start_line.method != "HEAD":
             headers["Content-Length"] = str(len(outcome.body))
         self._write(status, outcome.response.reason, headers, outcome.body)
 
-    def _own(self, status, reason, retry_after_s=None):
+    def _respond_with_error(self, status, reason, retry_after_s=None):
         if status is None:
-            self._ended()
+            self._mark_done()
             return
         body = f'{{"error":"{reason}"}}'.encode()
         headers = HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
-        wanted = self.headers.get(self.frontend.dialect.request_id)
-        if wanted is not None:
-            headers[self.frontend.dialect.request_id] = wanted
+        request_id = self.headers.get(self.frontend.header_names.request_id)
+        if request_id is not None:
+            headers[self.frontend.header_names.request_id] = request_id
         if retry_after_s is not None:
             headers["Retry-After"] = f"{retry_after_s:.2f}"
-        if self.start.method == "HEAD":
+        if self.start_line.method == "HEAD":
             body = b""
         self._write(status, responses.get(status, "Unknown"), headers, body)
 
     def _write(self, status, reason, headers, body):
         if self.frontend.stopping:
             headers["Connection"] = "close"
-        self._ended()
-        start = ResponseStartLine("HTTP/1.1", status, reason)
-        self.conn.write_headers(start, headers, body or None)
+        self._mark_done()
+        start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        self.conn.write_headers(start_line, headers, body or None)
         if self.frontend.stopping:
             self.conn._disconnect_on_finish = True
         self.conn.finish()
 
-    def _ended(self):
+    def _mark_done(self):
         if self.state != "done":
             self.state = "done"
             self.frontend.open_requests -= 1
 
     def on_connection_close(self):
-        """Withdraw the call of a caller that has gone."""
-        left, self.left = self.left, None
+        """Cancel the call of a caller that has disconnected."""
+        notify_caller_left, self.notify_caller_left = self.notify_caller_left, None
         if self.state in ("waiting", "reading"):
-            self._ended()
-        if left is not None:
-            left()
+            self._mark_done()
+        if notify_caller_left is not None:
+            notify_caller_left()
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.node: the process on a host, put together."""
+"""pimentoline.twohop.node: the process that runs on each host."""
 
 import asyncio
 import gc
@@ -21,30 +21,41 @@
 
 __all__ = ["HostNode", "HostSettings"]
 
-# Callers hear within two questions of a second each that the node stops. Calls that
-# come later than this after SIGTERM are refused at once.
-STOP_ACCEPT_S = 2.6
-# Calls that are open this long before the process is killed get their last answer.
+# Time after SIGTERM in which requests are still served, seconds. Callers notice within
+# two readiness checks, one second apart, that the node stops. Later requests are
+# refused at once.
+STOP_NOTICE_S = 2.6
+# Open calls are ended this long before the process is killed, seconds, so that their
+# callers still get a response.
 STOP_MARGIN_S = 0.4
-CHECK_S = 0.05
-TRIM_S = 2.0
-# Objects between two collections of the youngest generation; the calls of a second
-# make few cycles.
+STOP_CHECK_INTERVAL_S = 0.05
+POOL_CLEANUP_INTERVAL_S = 2.0
+# Objects allocated between two collections of the youngest generation. Calls create few
+# reference cycles, so that rare collections suffice.
 GC_THRESHOLD = 20000
 
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
-    """What this process is; times in seconds.
+    """Settings of a node.
 
     Attributes
     ----------
-    callers_addr, peers_addr, reports_addr, ready_addr : tuple
-        Addresses that this process listens at.
+    node : str
+        Name of the node.
+    dc : str
+        Data centre.
+    service : str
+        Service of the target on this host.
+    callers_addr, peers_addr : tuple
+        Addresses to listen at for callers and for other nodes.
+    reports_addr, ready_addr : tuple
+        Addresses to listen at for heartbeats and for readiness checks.
     target_addr : tuple
         Address of the target on this host.
     grace_s : float
-        Time from SIGTERM until the process is killed.
+        Time from SIGTERM until the process is killed, seconds.
+    repeats : RetryLimits
     """
 
     node: str
@@ -61,12 +72,12 @@
 
 
 class ConfigHolder:
-    """The newest configuration; an older one never replaces it.
+    """Holds the configuration in force; an older version never replaces it.
 
     Parameters
     ----------
     parse : callable
-        Makes a `Configuration` of the operator's text.
+        Returns the `Configuration` from the operator's text.
     on_change : callable
         Called with each configuration that comes into force.
     """
@@ -83,56 +94,79 @@
         return self.current.version if self.current is not None else 0
 
     def offer(self, version, text, source):
-        """Take a configuration if it is newer than the one in force."""
+        """Put a configuration into force if it is newer than the current one.
+
+        Parameters
+        ----------
+        version : int or None
+            None if it is only known from the text.
+        text : bytes
+        source : str
+            Where it was received from, for the log.
+        """
         if version is not None and version <= self.version:
             return
         try:
-            found = self._parse(text)
+            config = self._parse(text)
         except ConfigurationError as exc:
             log_entry("config:refused", source=source, detail=exc.detail[:200])
             return
-        if found.version <= self.version:
+        if config.version <= self.version:
             return
-        before, self.current, self.text = self.version, found, text
-        log_entry("config:in-force", version=found.version, was=before, source=source)
-        self._on_change(found)
+        previous_version, self.current, self.text = self.version, config, text
+        log_entry(
+            "config:in-force",
+            version=config.version,
+            was=previous_version,
+            source=source,
+        )
+        self._on_change(config)
 
 
 class HostNode:
-    """One node: callers, peers, target and store.
+    """Connects the parts of a node and controls its start and stop.
 
     Parameters
     ----------
     cfg : HostSettings
-    dialect : HeaderNames
+    header_names : HeaderNames
     parse_config : callable
+        As `parse` of `ConfigHolder`.
     make_store : callable
         Returns the store client from a `Pool`.
-    config_place : tuple of str
+    config_row : tuple of str
         Table and key of the operator's configuration.
-    control : callable
-        `control(node)` returns the tornado delegate for the reports of the target.
-    ready : callable
-        `ready(node)` returns the delegate that tells whether the node takes callers.
+    make_control_delegate : callable
+        `make_control_delegate(node)` returns the tornado delegate that receives the
+        heartbeats of the target.
+    make_ready_delegate : callable
+        `make_ready_delegate(node)` returns the tornado delegate for readiness checks.
     """
 
     def __init__(
-        self, cfg, dialect, parse_config, make_store, config_place, control, ready
+        self,
+        cfg,
+        header_names,
+        parse_config,
+        make_store,
+        config_row,
+        make_control_delegate,
+        make_ready_delegate,
     ):
         clock = time.monotonic
         self.cfg = cfg
         self.stopping = False
         self.pool = Pool(clock, self._connection_limit)
         self.target = TargetSide(
-            dialect,
+            header_names,
             self.pool,
             clock,
             cfg.service,
             cfg.target_addr,
             self._health_path,
-            self._changed,
+            self._target_changed,
         )
-        self.config = ConfigHolder(parse_config, self._configured)
+        self.config = ConfigHolder(parse_config, self._apply_config)
         self.peers = Peers(cfg.node, self.target, self.config, clock)
         self.caller_side = CallerSide(
             cfg.service,
@@ -142,13 +176,13 @@
             cfg.repeats,
             clock,
         )
-        self.frontend = Frontend(self.caller_side, self.config, dialect)
-        me = Member(cfg.node, cfg.peers_addr, cfg.dc, cfg.region, cfg.service)
-        self.peers.set_member(me)
-        self.store_sync = StoreSync(make_store(self.pool), config_place, me, self)
-        self._control = HTTPServer(control(self))
-        self._ready = HTTPServer(ready(self))
-        self._ended = asyncio.Event()
+        self.frontend = Frontend(self.caller_side, self.config, header_names)
+        member = Member(cfg.node, cfg.peers_addr, cfg.dc, cfg.region, cfg.service)
+        self.peers.set_member(member)
+        self.store_sync = StoreSync(make_store(self.pool), config_row, member, self)
+        self._control_server = HTTPServer(make_control_delegate(self))
+        self._ready_server = HTTPServer(make_ready_delegate(self))
+        self._stopped = asyncio.Event()
 
     def _connection_limit(self, addr):
         if addr != self.cfg.target_addr:
@@ -156,67 +190,71 @@
         return self.target.admission.limit + 4
 
     def _health_path(self):
-        cfg = self.config.current
-        info = cfg.services.get(self.cfg.service) if cfg is not None else None
+        config = self.config.current
+        info = config.services.get(self.cfg.service) if config is not None else None
         return info.health_path if info is not None and info.health_path else "/"
 
-    def _changed(self):
+    def _target_changed(self):
         self.peers.broadcast_load()
 
-    def _configured(self, found):
-        self.frontend.configure(found.limits)
+    def _apply_config(self, config):
+        self.frontend.configure(config.limits)
         self.peers.broadcast_load()
 
     @property
     def ready(self):
-        """Whether callers may be sent here."""
+        """Whether the node is ready for callers."""
         return self.config.current is not None and not self.stopping
 
     async def start(self):
-        """Listen and begin to read the store."""
+        """Start to listen and to read the store."""
         cfg = self.cfg
         await self.peers.start(cfg.peers_addr)
-        self._control.listen(cfg.reports_addr[1], cfg.reports_addr[0], backlog=64)
-        self._ready.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
+        self._control_server.listen(
+            cfg.reports_addr[1], cfg.reports_addr[0], backlog=64
+        )
+        self._ready_server.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
         self.frontend.listen(cfg.callers_addr)
         self.store_sync.start()
-        self._trimmer = asyncio.get_running_loop().create_task(self._trim())
+        self._pool_cleanup_task = asyncio.get_running_loop().create_task(
+            self._clean_up_pool()
+        )
         log_entry("node:started", node=cfg.node, data=cfg.callers_addr)
 
     async def run(self):
-        """Serve until SIGTERM, then finish what is open."""
+        """Serve until SIGTERM, then stop gracefully."""
         await self.start()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, self.stop)
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD, 20, 20)
-        await self._ended.wait()
+        await self._stopped.wait()
         await self.close()
         log_entry("node:stopped", node=self.cfg.node)
 
     async def close(self):
-        """Drop everything at once."""
-        self._trimmer.cancel()
+        """Close everything at once."""
+        self._pool_cleanup_task.cancel()
         self.store_sync.stop()
         self.frontend.stop_listening()
         self.frontend.close_all()
-        self._control.stop()
-        self._ready.stop()
+        self._control_server.stop()
+        self._ready_server.stop()
         self.peers.close()
 
-    async def _trim(self):
+    async def _clean_up_pool(self):
         while True:
-            await asyncio.sleep(TRIM_S)
+            await asyncio.sleep(POOL_CLEANUP_INTERVAL_S)
             self.pool.close_expired()
 
     def reload(self, cfg):
-        """Take changed settings; addresses stay as they are until a restart."""
+        """Apply changed settings; only a restart changes addresses."""
         self.cfg = replace(self.cfg, grace_s=cfg.grace_s, repeats=cfg.repeats)
         self.caller_side.set_retry_limits(cfg.repeats)
         log_entry("node:reloaded", node=cfg.node, same=self.cfg == cfg)
 
     def stop(self):
-        """Begin a graceful stop."""
+        """Start a graceful stop."""
         if not self.stopping:
             self.stopping = True
             log_entry("node:stopping", node=self.cfg.node)
@@ -224,22 +262,23 @@
 
     async def _stop(self):
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        stop_began_at = loop.time()
         self.frontend.drain()
         self.target.stop()
-        last_s = self.cfg.grace_s - STOP_MARGIN_S
-        await asyncio.sleep(min(STOP_ACCEPT_S, last_s))
+        stop_limit_s = self.cfg.grace_s - STOP_MARGIN_S
+        await asyncio.sleep(min(STOP_NOTICE_S, stop_limit_s))
         self.frontend.refuse_all()
-        while loop.time() - began < last_s:
+        while loop.time() - stop_began_at < stop_limit_s:
             self.frontend.close_idle()
             if not self.frontend.open_requests and not self.target.busy:
                 break
-            await asyncio.sleep(CHECK_S)
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self.target.has_left:
-            # The host goes with its target; a row for it would only be tried in vain.
+            # The host is removed with its target. Other nodes would try in vain to
+            # connect to a node whose row remains.
             await self.store_sync.remove_with_timeout()
         self.peers.stop_listening()
         self.caller_side.abort()
         self.frontend.close_idle()
-        await asyncio.sleep(CHECK_S)
-        self._ended.set()
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        self._stopped.set()
