--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -1,4 +1,4 @@
-"""Generated schedules of the two-node path's decisions: calls, admission, drains."""
+"""Property-based tests of calls over two nodes: retries, admission and drains."""
 
 import asyncio
 from dataclasses import replace
@@ -21,13 +21,13 @@
 
 ADDR = ("10.0.0.1", 80)
 NOW = 100.0
-LOOK = Route(
+SAFE_ROUTE = Route(
     "r", "a.example", "/x/", RouteKind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3
 )
-SALE = replace(LOOK, kind=RouteKind.UNSAFE)
-REPEATS = 4
+UNSAFE_ROUTE = replace(SAFE_ROUTE, kind=RouteKind.UNSAFE)
+RETRIES = 4
 
-# Calls.
+# Retries of a call.
 
 EVENTS = st.one_of(
     st.builds(lambda at: ("refused", at), st.booleans()),
@@ -37,8 +37,8 @@
 )
 
 
-def event_of(name, value):
-    """Return the event of the lifecycle and whether the call may have run."""
+def make_event(name, value):
+    """Return an event of `lifecycle` and whether the call may have run in it."""
     match name:
         case "refused":
             return lc.AttemptRefused(NOW, "queue", 0.1, value), False
@@ -54,38 +54,42 @@
 
 
 @settings(max_examples=400, deadline=None)
-@given(st.sampled_from([LOOK, SALE]), st.lists(EVENTS, max_size=14))
-def test_every_course_of_a_call_keeps_its_promises(route, events):
-    """Guards against second runs, false promises, two answers and extra attempts."""
-    world = World("a", "b", "c", "d", "e", repeats=REPEATS)
+@given(st.sampled_from([SAFE_ROUTE, UNSAFE_ROUTE]), st.lists(EVENTS, max_size=14))
+def test_any_events_of_a_call_give_one_outcome_within_its_attempts(route, events):
+    """Guards against wrong retries and outcomes after any sequence of events.
+
+    An unsafe call must not run twice. A call has one outcome, a 503 only if it has not
+    run, and no more attempts at targets than its route allows.
+    """
+    world = World("a", "b", "c", "d", "e", repeats=RETRIES)
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
     effects = lc.step(call, lc.CallReceived(NOW), world)
-    may_have_run, answers, at_targets = False, 0, 0
+    may_have_run, replies, at_targets = False, 0, 0
     for name, value in events:
-        waiting = answers == 0
-        event, ran = event_of(name, value)
+        unfinished = replies == 0
+        event, may_have_run_now = make_event(name, value)
         if name == "refused" and value:
             at_targets += 1
         effects = lc.step(call, event, world)
         sends = [effect for effect in effects if isinstance(effect, lc.Send)]
-        ends = [e for e in effects if isinstance(e, lc.Reply | lc.Reject)]
-        assert len(sends) <= 1 and len(sends) + len(ends) <= 1
-        assert waiting or not effects
-        answers += len(ends)
-        if waiting and (name != "stalled" or sends):
-            may_have_run = may_have_run or ran
-            at_targets += ran
+        outcomes = [e for e in effects if isinstance(e, lc.Reply | lc.Reject)]
+        assert len(sends) <= 1 and len(sends) + len(outcomes) <= 1
+        assert unfinished or not effects
+        replies += len(outcomes)
+        if unfinished and (name != "stalled" or sends):
+            may_have_run = may_have_run or may_have_run_now
+            at_targets += may_have_run_now
         if sends and not route.retryable:
             assert not may_have_run
         if sends:
             assert at_targets < route.max_attempts
-        for end in ends:
-            if isinstance(end, lc.Reject) and end.status == 503:
+        for outcome in outcomes:
+            if isinstance(outcome, lc.Reject) and outcome.status == 503:
                 assert not may_have_run
-            if isinstance(end, lc.Reject):
-                assert end.status in (None, 502, 503, 504)
-    assert answers <= 1
-    assert call.ended == (answers == 1)
+            if isinstance(outcome, lc.Reject):
+                assert outcome.status in (None, 502, 503, 504)
+    assert replies <= 1
+    assert call.ended == (replies == 1)
 
 
 # Admission.
@@ -99,8 +103,8 @@
 )
 
 
-class Target:
-    """An `AdmissionController`, what runs there and what has been decided."""
+class AdmissionModel:
+    """An `AdmissionController` and the jobs that wait, run and were refused."""
 
     def __init__(self):
         self.now = NOW
@@ -109,19 +113,21 @@
 
     def offer(self, number, last_resort):
         """Offer a job."""
-        goal_s = 0.05 + number * 0.02
-        job = Job(number % 3, self.now + goal_s, self.now + 2 * goal_s, last_resort)
+        objective_s = 0.05 + number * 0.02
+        job = Job(
+            number % 3, self.now + objective_s, self.now + 2 * objective_s, last_resort
+        )
         if self.admission.offer(job, self.now) is None:
             self.waiting.add(job)
         else:
             self.refused.add(job)
 
     def pump(self):
-        """Start or refuse what can be."""
+        """Start or refuse every job that can be now."""
         while not isinstance(
-            found := self.admission.next_action(self.now), StartDecision
+            action := self.admission.next_action(self.now), StartDecision
         ):
-            job, refused = found
+            job, refused = action
             assert job in self.waiting
             self.waiting.remove(job)
             if refused is not None:
@@ -129,11 +135,11 @@
             else:
                 assert self.now <= job.deadline_at
                 self.running.append(job)
-        if found is StartDecision.PROBE:
+        if action is StartDecision.PROBE:
             self.admission.noise.probe_started(self.now)
 
     def step(self, name, number):
-        """Take one step of a schedule."""
+        """Let time pass, then do one step of a schedule."""
         self.now += number * 0.005
         match name:
             case "offer" | "last":
@@ -151,26 +157,30 @@
 @settings(max_examples=300, deadline=None)
 @given(STEPS)
 def test_every_job_is_started_or_refused_and_counted_once(steps):
-    """Guards against lost jobs, lost slots and work begun past its deadline."""
-    target = Target()
+    """Guards against lost jobs, lost slots and jobs started after their deadline."""
+    model = AdmissionModel()
     for name, number in steps:
-        target.step(name, number)
-        assert target.admission.running == len(target.running)
-        assert len(target.running) <= target.admission.slots
-        assert target.admission.queued == len(target.waiting)
-    while target.running:
-        target.admission.complete(target.running.pop(), target.now)
-    target.now += 60.0
-    target.pump()
-    target.pump()
-    assert not target.waiting
+        model.step(name, number)
+        assert model.admission.running == len(model.running)
+        assert len(model.running) <= model.admission.slots
+        assert model.admission.queued == len(model.waiting)
+    while model.running:
+        model.admission.complete(model.running.pop(), model.now)
+    model.now += 60.0
+    model.pump()
+    model.pump()
+    assert not model.waiting
 
 
-# Drains, with a store that loses answers and does writes late.
+# Drains, with a store that loses responses and applies writes late.
 
 
-class LateStore:
-    """A row a node; faults are taken from a list, one for each write."""
+class FaultyStore:
+    """A store with the row of one node.
+
+    Each write takes its fault from a list: "refused" (not applied), "late" (applied
+    after the call has failed), "lost" (applied, but the response is lost) or "none".
+    """
 
     def __init__(self, faults):
         self.faults = faults
@@ -180,8 +190,8 @@
         self.changed = asyncio.Event()
 
     def _apply(self, key, value, expected):
-        held = self.row.version if self.row is not None else 0
-        if held != expected:
+        version = self.row.version if self.row is not None else 0
+        if version != expected:
             return False
         self.version += 1
         self.row = StoredRow(key, self.version, value)
@@ -197,9 +207,9 @@
         return rows, self.version
 
     async def read_changes(self, table, after, wait_s):
-        """Return what has changed, after `wait_s` at most."""
-        found = self.row is not None and self.row.version > after
-        if not found or table != MEMBERS_TABLE:
+        """Return the rows that changed, after `wait_s` at most."""
+        has_changes = self.row is not None and self.row.version > after
+        if not has_changes or table != MEMBERS_TABLE:
             try:
                 async with asyncio.timeout(wait_s):
                     await self.changed.wait()
@@ -226,89 +236,91 @@
         return self.version
 
 
-class Side:
-    """What `StoreSync` needs of a target's side."""
+class FakeTargetSide:
+    """The part of `TargetSide` that `StoreSync` uses."""
 
     def __init__(self):
         self.status_tracker = StatusTracker()
 
     def restore(self, status):
-        """Take what was stored."""
+        """Merge a stored status."""
         self.status_tracker.merge(status)
 
 
-class Process:
-    """One process of a node, which ends and is followed by the next."""
+class NodeProcess:
+    """One process of a node; a restart is followed by another one."""
 
     def __init__(self, store):
-        self.target = Side()
+        self.target = FakeTargetSide()
         self.peers = self.config = None
-        me = Member("n1", ADDR, "kerio", "rift", "ledger")
-        self.store_sync = StoreSync(store, ("op", "config"), me, self)
+        member = Member("n1", ADDR, "kerio", "rift", "ledger")
+        self.store_sync = StoreSync(store, ("op", "config"), member, self)
         self.store_sync.start()
 
     async def report(self, state, sequence, born=5):
-        """Take a status report; return once it is acknowledged."""
-        held = Heartbeat(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
-        before = self.target.status_tracker.current
-        if self.target.status_tracker.accept(held):
-            if before is None or before.state is not state:
+        """Process a heartbeat; return once it is acknowledged."""
+        heartbeat = Heartbeat(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
+        previous = self.target.status_tracker.current
+        if self.target.status_tracker.accept(heartbeat):
+            if previous is None or previous.state is not state:
                 await self.store_sync.save_with_timeout()
 
     @property
     def state(self):
-        """State of the target that this process believes in."""
-        held = self.target.status_tracker.current
-        return held.state if held is not None else None
+        """State of the target as known to this process, or None."""
+        status = self.target.status_tracker.current
+        return status.state if status is not None else None
 
 
-FAULTS = st.lists(st.sampled_from(["none", "lost", "late", "refused"]), max_size=6)
-ORDER = st.lists(st.sampled_from(["late-ready", "pause", "restart"]), max_size=5)
+WRITE_FAULTS = st.lists(
+    st.sampled_from(["none", "lost", "late", "refused"]), max_size=6
+)
+ACTIONS = st.lists(st.sampled_from(["late-ready", "pause", "restart"]), max_size=5)
 
 
 @settings(max_examples=150, deadline=None)
-@given(FAULTS, ORDER)
-def test_stored_drain_is_kept_over_restarts_and_late_writes(faults, order):
-    """Guards against a restarted node that brings a draining target back.
+@given(WRITE_FAULTS, ACTIONS)
+def test_stored_drain_is_kept_over_restarts_and_late_writes(faults, actions):
+    """Guards against a restarted node that makes a draining target ready again.
 
-    A drain whose write took effect must be believed again within seconds of a
-    restart, whatever reports come late meanwhile. A drain that never reached the store
-    may be forgotten by a process that ends at once.
+    A stored drain must be in force within seconds of a restart, even if older
+    heartbeats arrive in between. A drain that never reached the store may be lost if
+    its process ends at once.
     """
 
-    async def play():
-        store = LateStore(list(faults))
-        process = Process(store)
+    async def scenario():
+        store = FaultyStore(list(faults))
+        process = NodeProcess(store)
         await asyncio.sleep(0.1)
         await process.report(TargetState.READY, 1)
         await process.report(TargetState.DRAINING, 3)
-        for step in order:
+        for step in actions:
             match step:
                 case "restart":
                     process.store_sync.stop()
-                    process = Process(store)
+                    process = NodeProcess(store)
                 case "late-ready":
                     await process.report(TargetState.READY, 2)
                 case "pause":
                     await asyncio.sleep(0.7)
         await asyncio.sleep(60.0)
-        if "restart" not in order or store.drain_stored:
+        if "restart" not in actions or store.drain_stored:
             assert process.state is TargetState.DRAINING
         await process.report(TargetState.READY, 1, born=9)
         assert process.state is TargetState.READY
         process.store_sync.stop()
 
-    clock.run(play())
+    clock.run(scenario())
 
 
 @settings(max_examples=60, deadline=None)
 @given(st.lists(st.sampled_from(["lost", "late", "refused"]), max_size=5))
 def test_drain_is_stored_once_the_store_is_back(faults):
-    """Guards against a drain that was acknowledged in an outage and never stored."""
+    """Guards against a drain that is acknowledged in an outage and never stored."""
 
-    async def play():
-        store = LateStore([])
-        process = Process(store)
+    async def scenario():
+        store = FaultyStore([])
+        process = NodeProcess(store)
         await asyncio.sleep(0.1)
         await process.report(TargetState.READY, 1)
         store.faults = list(faults)
@@ -318,4 +330,4 @@
         assert b"draining" in store.row.value
         process.store_sync.stop()
 
-    clock.run(play())
+    clock.run(scenario())
