Name every cause of an unfinished response in its error

tornado also ends a malformed or too large response without finishing it, so the message does not speak of a closed connection alone. ruff is clean and test_twohop_path passes.

--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -81,7 +81,7 @@
         raise ResponseError(str(exc), collector.start_line is not None) from exc
     if not collector.finished:
         raise ResponseError(
-            "connection closed before the end of the response",
+            "response is incomplete, malformed or too large",
             collector.start_line is not None,
         )
     headers = collector.headers
