Describe the state, events and effects in the terms of the field

Cause: comments of the core used words private to the project, and some fields had no description. Change: comments, and the fields of ProbingState and CallEnded.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -66,14 +66,14 @@
     return replace(state, traffic=traffic)
 
 
-def _without_call(state, call_id, attempt=None, whole=False):
+def _without_call(state, call_id, attempt=None, complete=False):
     """Return the state without a call, and without the attempt that answered it."""
     traffic = state.traffic
     services = traffic_stats.end_call(traffic.services, traffic.calls[call_id].call.req)
     targets = traffic.targets
     if attempt is not None:
         targets = traffic_stats.end_attempt(
-            targets, attempt, whole and not attempt.failed
+            targets, attempt, complete and not attempt.failed
         )
     calls = traffic.calls.delete(call_id)
     traffic = replace(traffic, calls=calls, services=services, targets=targets)
@@ -264,7 +264,7 @@
 
 
 def on_call_ended(state, event):
-    """Forget a call whose answer was passed on, whole or cut."""
+    """Forget a call whose answer was passed on, complete or truncated."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
@@ -273,9 +273,9 @@
         req = record.call.req
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
     answering = _attempt(record, record.answering)
-    if answering is not None and not event.whole:
+    if answering is not None and not event.complete:
         state = traffic_stats.note_cut(state, record, answering, event.now)
-    return _without_call(state, event.call_id, answering, event.whole), effects
+    return _without_call(state, event.call_id, answering, event.complete), effects
 
 
 def on_deadline_passed(state, event):
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -1,4 +1,4 @@
-"""pimentoline.effects: what the runtime has to do, as data."""
+"""pimentoline.effects: the outputs of the reducer, executed by the runtime."""
 
 from dataclasses import dataclass
 
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the call to a target; give up on the head after `timeout_s` seconds."""
+    """Send the request to a target; wait `timeout_s` seconds for the response head."""
 
     call_id: int
     attempt_id: int
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Close the connection of an attempt whose answer is no longer wanted."""
+    """Close the connection of an attempt whose response is no longer needed."""
 
     call_id: int
     attempt_id: int
@@ -48,9 +48,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardResponse:
-    """Pass the answer of this attempt on to the caller.
+    """Pass the response of an attempt on to the caller.
 
-    `record` asks to keep the beginning of it for the claim row.
+    With `record`, its beginning is kept for the claim row.
     """
 
     call_id: int
@@ -60,7 +60,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplayResponse:
-    """Answer the caller with the recorded outcome of an earlier call."""
+    """Send the caller the recorded response to an earlier call with the same key."""
 
     call_id: int
     recorded: RecordedResponse
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectCall:
-    """Answer the caller with an error of our own."""
+    """Send the caller an error response of the node itself."""
 
     call_id: int
     status: int
@@ -87,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InsertClaim:
-    """Insert the claim row of a keyed call if it is absent."""
+    """Insert the claim row of an idempotency key if it is absent."""
 
     call_id: int
     service: str
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseClaim:
-    """Delete the claim row of a call that is proven not to have run."""
+    """Delete the claim row of a call that certainly has not run."""
 
     call_id: int
     service: str
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FinishClaim:
-    """Record the outcome of a keyed call in its claim row."""
+    """Record the response to a call in its claim row."""
 
     call_id: int
     service: str
@@ -131,14 +131,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Answer the message that is being handled, on its own connection."""
+    """Answer the message that is being handled, on the connection it came from."""
 
     body: object
 
 
 @dataclass(frozen=True, slots=True)
 class SendProbe:
-    """Ask a target's load endpoint and raise `ProbeEnded`."""
+    """Request a target's load endpoint and raise `ProbeEnded`."""
 
     target_id: str
     addr: tuple[str, int]
@@ -147,7 +147,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchRules:
-    """Ask a peer, or the store if `addr` is None, for rules of at least `version`."""
+    """Fetch rules of at least `version` from a peer, or the store if `addr` is None."""
 
     version: int
     addr: tuple[str, int] | None
@@ -155,7 +155,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IncrementCounter:
-    """Increase a counter of the metrics."""
+    """Increase a metrics counter."""
 
     name: str
     amount: int = 1
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -1,6 +1,7 @@
-"""pimentoline.events: everything that can happen to a node, as data.
+"""pimentoline.events: the inputs of the reducer, as data.
 
-`now` is the node's monotonic clock in seconds; `draw` is a random 64-bit integer.
+In all events, `now` is monotonic time in seconds, and `draw` is a random 64-bit integer
+from which the reducer derives its random choices.
 """
 
 import enum
@@ -35,10 +36,10 @@
 
 
 class AttemptOutcome(enum.Enum):
-    """How an attempt ended without an answer.
+    """How an attempt ended without a response.
 
-    `SILENT` is a timeout on a connection that was used before: the connection may
-    be at fault, not the target.
+    `SILENT` is a timeout on a reused connection: the connection may be at fault, not
+    the target.
     """
 
     REFUSED = "refused"
@@ -48,7 +49,7 @@
 
 
 class ClaimOutcome(enum.Enum):
-    """The store's word on an idempotency claim."""
+    """Result of claiming an idempotency key in the store."""
 
     GRANTED = "granted"
     HELD = "held"
@@ -58,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallArrived:
-    """A caller's request head was read."""
+    """A caller's request head has been read."""
 
     now: float
     draw: int
@@ -67,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAnswered:
-    """The store answered an `InsertClaim`; `recorded` comes with `REPLAY`."""
+    """An `InsertClaim` has ended; `recorded` is set with `ClaimOutcome.REPLAY`."""
 
     now: float
     draw: int
@@ -78,10 +79,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseHeadReceived:
-    """A target answered with a response head.
+    """A target's response head has been read.
 
-    `not_run` is the target's own contract word that it shed the request;
-    `load` is its requests in flight, or None if it did not say.
+    `not_run` is True if the target declares in a header that it shed the request
+    without running it. `load` is the target's number of requests in flight, or None if
+    it does not report it. `replayable` tells whether the request can be sent again.
     """
 
     now: float
@@ -96,7 +98,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt ended before a response head; `verdict` says if it may have run."""
+    """An attempt ended before a response head.
+
+    `verdict` tells whether the request may have run, and `replayable` whether it can be
+    sent again.
+    """
 
     now: float
     draw: int
@@ -109,20 +115,20 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """The answering attempt finished; `whole` is False if the answer was cut.
+    """The response was passed on; `complete` is False if the target broke it off.
 
-    `recorded` is the outcome to keep in the claim row of a keyed call.
+    `recorded` is the response to keep in the claim row, if the call has one.
     """
 
     now: float
     call_id: int
-    whole: bool
+    complete: bool
     recorded: RecordedResponse | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
-    """The deadline of a call passed before an answer was passed on."""
+    """The deadline of a call passed before a response was passed on."""
 
     now: float
     draw: int
@@ -131,7 +137,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerDisconnected:
-    """The caller closed its connection before the answer was complete."""
+    """The caller closed its connection before the response was complete."""
 
     now: float
     call_id: int
@@ -139,7 +145,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HedgeDue:
-    """The hedge delay of a call has passed."""
+    """The hedge delay of a call has passed.
+
+    `replayable` tells whether the request can be sent again.
+    """
 
     now: float
     draw: int
@@ -157,7 +166,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetDrained:
-    """The target on this host asked for, or was ordered to, drain."""
+    """The target on this host asked to drain, or an operator told it to."""
 
     now: float
     target_id: str
@@ -173,7 +182,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MembersReceived:
-    """Records of members arrived from a peer."""
+    """Member records arrived from a peer."""
 
     now: float
     records: tuple[Member, ...]
@@ -184,7 +193,7 @@
     """A message arrived from a peer.
 
     `addr` is the mesh address of the sender, or None if it is not known; `body` is a
-    data class of `messages`; `is_reply` says that this node asked for the message.
+    data class of `messages`; `is_reply` is True if it answers a message of this node.
     The other fields are those of `messages.Message`.
     """
 
@@ -200,9 +209,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesVersionReceived:
-    """A peer or the store named a rules version.
+    """A peer or the store reported a rules version.
 
-    `confirmed` is True if the answer is the store's, or if there is nobody to ask.
+    `confirmed` is True if the store reported it, or if there is nobody to ask.
     """
 
     now: float
@@ -213,7 +222,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesLoaded:
-    """A validated rules text arrived."""
+    """A rules text has been loaded and validated."""
 
     now: float
     version: int
@@ -224,9 +233,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
-    """A probe was answered, or failed if `load` is None.
+    """A load probe ended; `load` is None if it failed.
 
-    `sent_bytes` and `received_bytes` were metered on its connection.
+    `sent_bytes` and `received_bytes` are the bytes counted on its connection.
     """
 
     now: float
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -34,7 +34,7 @@
 
 
 class TargetState(enum.Enum):
-    """Life of a target, as told by its node."""
+    """State of a target, as announced by its node."""
 
     STARTING = "starting"
     UP = "up"
@@ -43,7 +43,7 @@
 
 
 class MemberStatus(enum.Enum):
-    """Life of a node, as its peers see it."""
+    """Status of a node in the mesh, as its peers see it."""
 
     ALIVE = "alive"
     SUSPECT = "suspect"
@@ -58,16 +58,16 @@
     Parameters
     ----------
     target_id : str
-        Unique name, chosen by the target.
+        Unique identifier, chosen by the target.
     service : str
     addr : tuple of (str, int)
-        IP number and port of the target's HTTP server.
+        IP address and port of the target's HTTP server.
     region, dc : str
         Region and data centre of the host, taken from its node.
     slots : int
-        Requests that the target serves at once.
+        Requests that the target serves concurrently.
     connections : int
-        Connections that the target accepts in total.
+        Connections that the target accepts in total, from all nodes.
     state : TargetState
     load_path : str
         Path of the load endpoint that probes ask.
@@ -89,11 +89,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """Record of one node, written only by that node.
+    """Record of one node in the mesh, written only by that node.
 
-    Of two records of a node the one with the higher `(incarnation, seq)` is valid;
-    `incarnation` is the boot time in milliseconds. `age_s` is set only in messages:
-    seconds since the node left or died, so that receivers forget it at the same time.
+    Of two records of a node, the one with the higher `(incarnation, seq)` is valid;
+    `incarnation` is the node's start time in milliseconds. `age_s` is set only in
+    messages: seconds since the node left or died, so that all receivers delete its
+    record at the same time.
     """
 
     node_id: str
@@ -111,7 +112,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """What a process is, from its settings."""
+    """Id, location and addresses of this node.
+
+    `data_addr` accepts calls and `mesh_addr` receives messages of other nodes;
+    `incarnation` is the node's start time in milliseconds.
+    """
 
     node_id: str
     host: str
@@ -124,9 +129,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """What the core knows of a caller's request; the body stays in the proxy.
+    """Head of a caller's request, as far as decisions need it.
 
-    `deadline` is in seconds of the node's monotonic clock.
+    The body stays in the proxy.
+
+    Parameters
+    ----------
+    service, method, path : str
+    deadline : float
+        Monotonic time, seconds.
+    call_class : str
+        Priority of the call, one of `CALL_CLASSES`.
+    depth : int
+        Number of calls in the chain that led to this one.
+    retry_attempt : int
+        Number of times that callers or other nodes have retried the call already.
+    key : str
+        Idempotency key, empty if the caller sent none.
     """
 
     service: str
@@ -141,7 +160,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A request received by this node."""
+    """A request that this node received; `arrived` is monotonic time in seconds."""
 
     call_id: int
     req: Request
@@ -150,9 +169,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordedResponse:
-    """Outcome of a keyed call, as kept in its claim row.
+    """Response to a call with an idempotency key, as kept in its claim row.
 
-    `body` holds up to 4 KiB; `truncated` tells that the answer was longer.
+    `body` holds up to 4 KiB; `truncated` is True if the response was longer.
     """
 
     status: int
@@ -163,10 +182,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One sending of a call to one target.
+    """One request of a call to one target.
 
-    `verdict` is None while the attempt is in flight; `failed` tells of an answer
-    with a status of 500 or more.
+    `started` is monotonic time in seconds. `verdict` is None while the attempt waits
+    for a response head; `failed` is True after a response with a status of 500 or more.
     """
 
     attempt_id: int
@@ -178,7 +197,7 @@
 
 
 class CallPhase(enum.Enum):
-    """Progress of a call."""
+    """Phase of a call: claim its key, wait for a response, pass the response on."""
 
     CLAIMING = "claiming"
     SENDING = "sending"
@@ -189,7 +208,7 @@
 class CallRecord:
     """A call in flight and its attempts, oldest first.
 
-    `answering` is the attempt whose answer goes to the caller.
+    `answering` is the id of the attempt whose response goes to the caller.
     """
 
     call: Call
@@ -202,16 +221,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetStats:
-    """What this node has observed of one target.
+    """Statistics that this node keeps of one target.
 
     Parameters
     ----------
     inflight : int
-        Own requests in flight.
+        Requests of this node in flight.
     waiting : int
-        Own requests whose response head has not come yet.
+        Requests of this node without a response head so far.
     waiting_since_sum : float
-        Sum of the monotonic times at which those were sent, seconds.
+        Sum of the monotonic times at which the waiting requests were sent, seconds.
     latency_s : float
         Peak-sensitive moving average of the time to the response head, seconds.
     latency_at : float
@@ -221,15 +240,16 @@
     reported_at : float
         Monotonic time of that report, seconds; negative infinity if none.
     own_in_report : int
-        Own requests in flight at that time, which are part of the reported ones.
+        Requests of this node in flight at that time, which the report includes.
     consecutive_failures : int
         Consecutive failures.
     recent_outcomes : tuple of bool
-        Outcomes of the latest calls, True for success, newest last.
+        Outcomes of the latest attempts, True for success, newest last.
     ejected_until, ejected_for_s : float
-        End and length of the current or last ejection, seconds.
+        Monotonic end time and length of the current or last ejection, seconds.
     ready_at : float
-        Monotonic time at which the target came up or came back, for slow start.
+        Monotonic time at which the target came up or its ejection ended, seconds;
+        slow start begins then.
     """
 
     inflight: int = 0
@@ -247,21 +267,21 @@
     ready_at: float = float("-inf")
 
 
-# The lowest class is the last; counts by class are kept in this order.
+# From the highest priority to the lowest; counts by class are kept in this order.
 CALL_CLASSES = ("critical", "normal", "sheddable")
 CLASS_RANKS = {name: rank for rank, name in enumerate(CALL_CLASSES)}
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceStats:
-    """What this node has observed of one service.
+    """Statistics that this node keeps of one service.
 
     Parameters
     ----------
     retry_tokens : float
-        Credit for retries and hedges; negative after borrowing.
+        Retries and hedges that the retry budget allows; negative after borrowing.
     borrowed : bool
-        Whether the one retry that may come before its credit was made.
+        Whether the one retry or hedge that needs no token has been used.
     inflight : tuple of int
         Calls in flight by class.
     sent, accepted : tuple of float
@@ -275,11 +295,12 @@
     median_latency_s, p95_latency_s : float
         Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
     widest_ring : int
-        Widest locality ring in use.
+        Number of the outermost locality ring in use; 0 is the innermost.
     spill_credit : float
-        Calls that may still be spilled.
+        Calls that may go to the next ring. Each call to a loaded ring adds a
+        fraction, and each call that goes to the next ring takes 1.
     calls_sent : int
-        Number of calls sent.
+        Calls of which a first attempt was sent.
     """
 
     retry_tokens: float = 0.0
@@ -299,9 +320,20 @@
 
 @dataclass(frozen=True, slots=True)
 class TrafficState:
-    """Calls in flight and observations; keys are call, target and service names.
+    """Calls in flight, and statistics of targets and services.
 
-    `plan` is the `RoutePlan` derived from the members and rules, None at first.
+    Parameters
+    ----------
+    calls : Map of int to CallRecord
+        By call id.
+    targets : Map of str to TargetStats
+        By target id.
+    services : Map of str to ServiceStats
+        By service name.
+    next_attempt : int
+        Id of the next attempt.
+    plan : RoutePlan or None
+        Routes derived from the members and the rules, None at first.
     """
 
     calls: Map = field(default_factory=Map)
@@ -313,30 +345,30 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesState:
-    """The configuration in force and what is known of newer ones.
+    """The rules in force and what is known of newer versions.
 
     Parameters
     ----------
     version, text, ruleset
         The rules in force.
     source : str
-        Who gave them: `builtin`, `store` or a node id.
+        Where they came from: `builtin`, `store` or a node id.
     known_version : int
-        Highest version that any peer or the store has named.
+        Highest version that any peer or the store has reported.
     outdated_since : float
         Monotonic time since which `known_version` is above `version`, seconds.
     requested_version, requested_at
-        Version and monotonic time of the latest fetch.
+        Version and monotonic time of the latest request for newer rules.
     confirmed : bool
-        Whether the store, or a peer that is confirmed itself, has answered since
-        the node booted.
+        Whether the store, or a peer that is confirmed itself, has reported its
+        version since this node started.
     must_check : bool
-        Whether calls are refused until an answer has come and the highest version
-        heard is in force: at boot, and after the process was paused.
+        Whether calls are refused until such a report has come and `known_version` is
+        in force. True after the start and after the process was paused.
     answered : bool
-        Whether such an answer has come.
+        Whether the report that `must_check` waits for has come.
     remaining_sends : int
-        Remaining rounds in which the version in force is announced to peers.
+        Remaining gossip rounds in which the version in force is announced.
     """
 
     version: int = 0
@@ -355,7 +387,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingPing:
-    """The ping in flight of the failure detector."""
+    """The failure detector's ping in flight.
+
+    `sent_at` is monotonic time in seconds; `indirect` is True once other nodes were
+    asked to ping the node as well.
+    """
 
     node_id: str
     ping_id: int
@@ -365,7 +401,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UnconfirmedTarget:
-    """A target whose node left or died; `until` is monotonic time in seconds."""
+    """A target whose node left or died.
+
+    The target stays routable until `until`, monotonic time in seconds.
+    """
 
     target: Target
     until: float
@@ -373,31 +412,34 @@
 
 @dataclass(frozen=True, slots=True)
 class MeshState:
-    """Members by node id, the routable targets by service, and the detector's state.
+    """State of the mesh: members, routable targets and the failure detector.
 
     Parameters
     ----------
     members : Map of str to Member
+        By node id.
     pending_gossip : Map of str to int
-        Remaining sends of a member's record.
+        Number of times that a member's record is still to be sent, by node id.
     by_service : Map of str to tuple of Target
-        Derived from `members` and `unconfirmed`, kept for fast routing.
+        Routable targets by service. Derived from `members` and `unconfirmed` and kept
+        for fast routing.
     unconfirmed : Map of str to UnconfirmedTarget
         By target id.
     ended_at : Map of str to float
-        Monotonic time at which a member left or died.
+        Monotonic time at which a member left or died, by node id.
     suspect_deadlines : Map of str to float
-        Monotonic time at which a suspect is declared dead.
+        Monotonic time at which a suspect is declared dead, by node id.
     renewed_at : Map of str to float
         Monotonic time of the latest announcement of a target of this node, or of
-        its end.
+        its end, by target id.
     drained_addrs : Map of str to (str, int)
-        Addresses of the targets of this host that were ordered to drain, by id.
+        Addresses of the targets of this host that were told to drain, by target id.
     pending_ping : PendingPing or None
     next_ping_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
     health_score : int
-        Local health score, 0 if this node's own pings are answered.
+        Local health score as in Lifeguard: 0 while this node's pings are answered,
+        higher if its own network or load may be the cause of lost pings.
     draw : int
         Random integer of the latest tick.
     """
@@ -421,27 +463,29 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbingState:
-    """Demand for probes and this node's share of the budget.
+    """Load probes: which targets need them, and this node's share of the budget.
 
     Parameters
     ----------
-    asked : Map of str to float
+    last_called : Map of str to float
         Monotonic time of the latest call of a service, seconds.
-    probed : Map of str to float
+    last_probed : Map of str to float
         Monotonic time of the latest probe of a target, seconds.
     in_flight : frozenset of str
-        Targets of the probes in flight.
-    joined_at, last_tick : float or None
-        Monotonic time since which this node is counted by others, and of the latest
-        tick.
+        Ids of the targets of the probes in flight.
+    joined_at : float
+        Monotonic time at which this node started or resumed after a pause. It
+        probes only after other nodes have had time to count it.
+    last_tick : float or None
+        Monotonic time of the latest tick.
     due : float
         Fraction of the next probe that has fallen due.
     free_bytes : float
         Bytes of the share that are not spent or reserved.
     """
 
-    asked: Map = field(default_factory=Map)
-    probed: Map = field(default_factory=Map)
+    last_called: Map = field(default_factory=Map)
+    last_probed: Map = field(default_factory=Map)
     in_flight: frozenset = frozenset()
     joined_at: float = 0.0
     last_tick: float | None = None
@@ -451,7 +495,11 @@
 
 @dataclass(frozen=True, slots=True)
 class State:
-    """All of a node's decision state."""
+    """All state that a node's decisions depend on.
+
+    `policy` names the load-balancing policy; `stopping` is True once the process was
+    told to stop.
+    """
 
     identity: Identity
     rules: RulesState = field(default_factory=RulesState)
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -43,8 +43,8 @@
         # Callers choose the name; only names of services are kept.
         return state
     probing = state.probing
-    asked = probing.asked.set(service, event.now)
-    return replace(state, probing=replace(probing, asked=asked))
+    last_called = probing.last_called.set(service, event.now)
+    return replace(state, probing=replace(probing, last_called=last_called))
 
 
 def count_shares(state, budget):
@@ -108,7 +108,7 @@
 def _wanted(state, now, draw):
     """Return the targets without fresh information, the longest unheard first."""
     probing, found = state.probing, []
-    for service, at in probing.asked.items():
+    for service, at in probing.last_called.items():
         if now - at > DEMAND_S:
             continue
         for target in _candidates(state, service):
@@ -120,7 +120,7 @@
                 and len(target.load_path) <= MAX_LOAD_PATH_CHARS
             ):
                 # A target that never answers must not take the turn of others.
-                probed_at = probing.probed.get(name, float("-inf"))
+                probed_at = probing.last_probed.get(name, float("-inf"))
                 heard_at = max(stats.reported_at, probed_at)
                 found.append((heard_at, mix(draw, len(found)), target))
     found.sort(key=lambda item: item[:2])
@@ -145,14 +145,14 @@
 
 def _send(state, targets, now):
     probing, effects = state.probing, []
-    if len(probing.probed) > MAX_PROBED:
-        probing = replace(probing, probed=Map())
+    if len(probing.last_probed) > MAX_PROBED:
+        probing = replace(probing, last_probed=Map())
     for target in targets:
         name = target.target_id
         effects.append(SendProbe(name, target.addr, target.load_path))
         probing = replace(
             probing,
-            probed=probing.probed.set(name, now),
+            last_probed=probing.last_probed.set(name, now),
             in_flight=probing.in_flight | {name},
             free_bytes=probing.free_bytes - MAX_PROBE_BYTES,
         )
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -1,4 +1,4 @@
-"""pimentoline.reducer: the one reducer over all events."""
+"""pimentoline.reducer: the pure function that applies every event to a node's state."""
 
 from dataclasses import dataclass, replace
 
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """Next state and the effects that the runtime has to execute, in order."""
+    """The next state and the effects that the runtime has to execute, in order."""
 
     state: State
     effects: tuple = ()
@@ -20,7 +20,7 @@
 def reduce(state, event):
     """Apply one event to the state of a node.
 
-    The function is pure: a recorded list of events replays to the same state.
+    The function is pure: replaying a recorded list of events gives the same state.
 
     Parameters
     ----------
@@ -66,17 +66,17 @@
             return Step(*membership.on_members_received(state, event))
         case ev.MessageReceived():
             state, effects = membership.on_message(state, event)
-            state, more = rules_version.on_message(state, event)
-            return Step(state, effects + more)
+            state, rules_effects = rules_version.on_message(state, event)
+            return Step(state, effects + rules_effects)
         case ev.RulesVersionReceived():
             return Step(*rules_version.on_rules_version_received(state, event))
         case ev.RulesLoaded():
             return Step(*rules_version.on_rules_loaded(state, event))
         case ev.Tick():
-            state, effects = rules_version.on_tick(state, event)
-            state, more = membership.on_tick(state, event)
-            state, probes = probing.on_tick(state, event)
-            return Step(state, effects + more + probes)
+            state, rules_effects = rules_version.on_tick(state, event)
+            state, mesh_effects = membership.on_tick(state, event)
+            state, probe_effects = probing.on_tick(state, event)
+            return Step(state, rules_effects + mesh_effects + probe_effects)
         case ev.ProbeEnded():
             return Step(*probing.on_probe_ended(state, event))
         case ev.StopRequested():
