Describe calls, claims and routing in the terms of the field

Cause: names such as fit, part and everything, and comments, had no plain sense. Change: comments and names inside calls, claims and routing.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -1,4 +1,4 @@
-"""pimentoline.calls: life of a call, from its arrival to the end of its answer."""
+"""pimentoline.calls: handling of a call from its arrival to the end of its response."""
 
 from . import claims, retries, routing, traffic_stats
 from .effects import (
@@ -28,8 +28,8 @@
 ]
 
 
-# Time kept for the node's own answer before the caller's deadline.
-ANSWER_MARGIN_S = 0.05
+# Time reserved for the node's own error response before the caller's deadline.
+RESPONSE_MARGIN_S = 0.05
 
 
 def _with_call(state, record):
@@ -38,23 +38,23 @@
     services = traffic.services
     if call.call_id not in traffic.calls:
         stats = services.get(call.req.service) or ServiceStats()
-        stats = replace(stats, **traffic_stats.begun_changes(stats, call.req))
+        stats = replace(stats, **traffic_stats.call_started_changes(stats, call.req))
         services = services.set(call.req.service, stats)
     calls = traffic.calls.set(call.call_id, record)
     return replace(state, traffic=replace(traffic, calls=calls, services=services))
 
 
 def _with_attempt(state, record):
-    """Return the state with a record whose last attempt is about to be sent."""
+    """Return the state with a call record whose last attempt is about to be sent."""
     traffic = state.traffic
     call, services = record.call, traffic.services
     req = call.req
     if len(record.attempts) == 1:
         policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
         stats = services.get(req.service) or ServiceStats()
-        changes = retries.first_changes(stats, policy.retry_share)
+        changes = retries.first_attempt_changes(stats, policy.retry_share)
         if call.call_id not in traffic.calls:
-            changes |= traffic_stats.begun_changes(stats, req)
+            changes |= traffic_stats.call_started_changes(stats, req)
         services = services.set(req.service, replace(stats, **changes))
     traffic = replace(
         traffic,
@@ -67,7 +67,7 @@
 
 
 def _without_call(state, call_id, attempt=None, complete=False):
-    """Return the state without a call, and without the attempt that answered it."""
+    """Return the state without a call, and without `attempt` in flight if given."""
     traffic = state.traffic
     services = traffic_stats.end_call(traffic.services, traffic.calls[call_id].call.req)
     targets = traffic.targets
@@ -90,7 +90,7 @@
     return replace(record, attempts=attempts)
 
 
-def _attempt(record, attempt_id):
+def _find_attempt(record, attempt_id):
     for att in record.attempts:
         if att.attempt_id == attempt_id:
             return att
@@ -102,7 +102,7 @@
 
 
 def on_arrived(state, event):
-    """Admit a call and send it, claim its key first, or reject it."""
+    """Reject a call, or admit it: claim its key if it needs a claim, or send it."""
     call = event.call
     req = call.req
     policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
@@ -113,18 +113,19 @@
         return state, (reject, IncrementCounter(f"calls.{refusal}"))
     if claims.is_required(record):
         record = replace(record, phase=CallPhase.CLAIMING)
-        return _with_call(state, record), (claims.insert(record),)
-    state, effects = _start(state, record, event)
+        return _with_call(state, record), (claims.insert_effect(record),)
+    state, effects = _start_attempt(state, record, event)
     if record.idempotent and policy.hedge and req.retry_attempt == 0 and effects:
         delay_s = retries.hedge_delay_s(state, req.service)
         effects += (ScheduleHedge(call.call_id, delay_s),)
     return state, effects
 
 
-def _start(state, record, event, hedge=False, untried=False):
+def _start_attempt(state, record, event, hedge=False, untried=False):
     """Start an attempt, or reject the call if there is no target for it.
 
-    With `untried`, only a target without an earlier attempt of the call will do.
+    With `untried`, an attempt is started only at a target that the call has not tried;
+    if there is none, nothing changes.
     """
     tried = {att.target_id for att in record.attempts}
     state, target = routing.pick(state, record, tried, event.now, event.draw)
@@ -153,16 +154,16 @@
     return state, (effect,)
 
 
-def _timeout_s(record, left_s):
-    """Return the longest wait of an attempt for the response head, seconds.
+def _timeout_s(record, remaining_s):
+    """Return the timeout of an attempt for the response head, seconds.
 
-    It ends before the caller's deadline, so that the caller receives a verdict.
-    An idempotent call leaves half of its time for another try, because a silent
-    connection would otherwise use all of it.
+    It ends before the caller's deadline, so that the caller receives a verdict. An
+    idempotent call keeps half of its remaining time for a retry, because an
+    unresponsive connection would otherwise use all of it.
     """
     if record.idempotent and len(record.attempts) < retries.MAX_ATTEMPTS:
-        return left_s / 2
-    return left_s - min(ANSWER_MARGIN_S, left_s / 10)
+        return remaining_s / 2
+    return remaining_s - min(RESPONSE_MARGIN_S, remaining_s / 10)
 
 
 def _reject(state, record, status, code):
@@ -174,7 +175,7 @@
         effects.append(ReleaseClaim(call.call_id, call.req.service, call.req.key))
     for att in _in_flight(record):
         effects.append(CancelAttempt(call.call_id, att.attempt_id))
-        state = traffic_stats.note_done(state, att)
+        state = traffic_stats.release_attempt(state, att)
     if call.call_id in state.traffic.calls:
         state = _without_call(state, call.call_id)
     return state, tuple(effects)
@@ -187,40 +188,45 @@
         return state, ()
     refusal = claims.refusal(record, event.outcome, event.recorded)
     if refusal is None:
-        return _start(state, record, event)
+        return _start_attempt(state, record, event)
     return _without_call(state, event.call_id), refusal
 
 
 def on_response_head(state, event):
-    """Forward an answer, or retry if the target shed the call or failed."""
+    """Forward a response, or retry if the target shed the call or failed."""
     record = state.traffic.calls.get(event.call_id)
-    attempt = record and _attempt(record, event.attempt_id)
+    attempt = record and _find_attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None or record.answering is not None:
         return state, ()
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
-    state = traffic_stats.note_answer(state, record, attempt, event)
+    state = traffic_stats.record_response_head(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
-        # The other attempt may still succeed.
+        # The other attempt in flight may still succeed.
         state = _with_call(
-            traffic_stats.note_done(state, _attempt(record, event.attempt_id)), record
+            traffic_stats.release_attempt(
+                state, _find_attempt(record, event.attempt_id)
+            ),
+            record,
         )
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
         charged, may_retry = retries.may_retry(state, record, verdict, event.now)
         if may_retry:
             # A target that has just shed the call would shed it again.
-            started, effects = _start(
+            started, effects = _start_attempt(
                 _with_call(charged, record), record, event, untried=event.not_run
             )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
-                started = traffic_stats.note_done(
-                    started, _attempt(record, event.attempt_id)
+                started = traffic_stats.release_attempt(
+                    started, _find_attempt(record, event.attempt_id)
                 )
                 return started, (cancel, IncrementCounter("attempts.retried")) + effects
     if event.not_run:
-        state = traffic_stats.note_done(state, _attempt(record, event.attempt_id))
+        state = traffic_stats.release_attempt(
+            state, _find_attempt(record, event.attempt_id)
+        )
         state, effects = _reject(state, record, 503, "target-shed")
         return state, (CancelAttempt(event.call_id, event.attempt_id),) + effects
     return _forward(state, record, event.attempt_id)
@@ -228,27 +234,27 @@
 
 def _forward(state, record, attempt_id):
     call_id = record.call.call_id
-    recorded = claims.is_required(record)
-    effects = [ForwardResponse(call_id, attempt_id, recorded)]
+    with_claim = claims.is_required(record)
+    effects = [ForwardResponse(call_id, attempt_id, with_claim)]
     for att in _in_flight(record):
         effects.append(CancelAttempt(call_id, att.attempt_id))
-        state = traffic_stats.note_done(state, att)
+        state = traffic_stats.release_attempt(state, att)
         record = _with_verdict(record, att.attempt_id, Verdict.MAY_HAVE_RUN)
     record = replace(record, phase=CallPhase.ANSWERING, answering=attempt_id)
     return _with_call(state, record), tuple(effects)
 
 
 def on_attempt_ended(state, event):
-    """Retry an attempt that gave no answer, wait for its hedge, or reject."""
+    """Handle an attempt without a response: await the other one, retry, or reject."""
     record = state.traffic.calls.get(event.call_id)
-    attempt = record and _attempt(record, event.attempt_id)
+    attempt = record and _find_attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
     if event.outcome is AttemptOutcome.SILENT:
-        # The connection failed, not the target; new connections to it work.
-        state = traffic_stats.note_done(state, attempt)
+        # The reused connection is at fault, not the target: new ones to it work.
+        state = traffic_stats.release_attempt(state, attempt)
     else:
-        state = traffic_stats.note_failure(state, record, attempt, event)
+        state = traffic_stats.record_failure(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, event.verdict)
     state = _with_call(state, record)
     if _in_flight(record):
@@ -256,7 +262,7 @@
     if event.replayable:
         state, may_retry = retries.may_retry(state, record, event.verdict, event.now)
         if may_retry:
-            return _start(state, record, event)
+            return _start_attempt(state, record, event)
     timed_out = event.outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.SILENT)
     return _reject(
         state, record, 504 if timed_out else 502, f"target-{event.outcome.value}"
@@ -264,7 +270,7 @@
 
 
 def on_call_ended(state, event):
-    """Forget a call whose answer was passed on, complete or truncated."""
+    """Remove a call whose response was passed on, completely or in part."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
@@ -272,48 +278,50 @@
     if claims.is_required(record) and event.recorded is not None:
         req = record.call.req
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
-    answering = _attempt(record, record.answering)
+    answering = _find_attempt(record, record.answering)
     if answering is not None and not event.complete:
-        state = traffic_stats.note_cut(state, record, answering, event.now)
+        state = traffic_stats.record_truncated_response(
+            state, record, answering, event.now
+        )
     return _without_call(state, event.call_id, answering, event.complete), effects
 
 
 def on_deadline_passed(state, event):
-    """Reject a call that has no answer; an attempt in flight may have run."""
+    """Reject a call without a response; an attempt in flight may have run."""
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.answering is not None:
         return state, ()
-    state = traffic_stats.note_waited(state, record, event.now)
+    state = traffic_stats.record_wait(state, record, event.now)
     return _reject(state, record, 504, "deadline-exceeded")
 
 
 def on_caller_disconnected(state, event):
-    """Cancel every attempt of a call whose caller has gone."""
+    """Cancel every attempt of a call whose caller has disconnected."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
     effects = []
-    state = traffic_stats.note_waited(state, record, event.now)
+    state = traffic_stats.record_wait(state, record, event.now)
     for att in record.attempts:
         if att.verdict is None or att.attempt_id == record.answering:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
-            state = traffic_stats.note_done(state, att)
+            state = traffic_stats.release_attempt(state, att)
     return _without_call(state, event.call_id), tuple(effects)
 
 
 def on_hedge_due(state, event):
-    """Start a second attempt of an idempotent call that is late."""
+    """Start a second attempt of an idempotent call whose first one is slow."""
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.answering is not None or not event.replayable:
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
-    state = traffic_stats.note_waited(state, record, event.now)
+    state = traffic_stats.record_wait(state, record, event.now)
     charged, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
     # A second attempt at the same target would only add to its load.
-    started, effects = _start(charged, record, event, hedge=True, untried=True)
+    started, effects = _start_attempt(charged, record, event, hedge=True, untried=True)
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
     return started, effects + (IncrementCounter("attempts.hedged"),)
--- a/pimentoline/claims.py
+++ b/pimentoline/claims.py
@@ -1,10 +1,14 @@
-"""pimentoline.claims: idempotency claims of keyed calls that must run once."""
+"""pimentoline.claims: claims of idempotency keys.
+
+A call with a key that is not idempotent by itself claims its key in the store before
+it is sent, so that calls with the same key run at most once.
+"""
 
 from .effects import InsertClaim, RejectCall, ReplayResponse
 from .events import ClaimOutcome
 from .verdict import Verdict
 
-__all__ = ["insert", "is_required", "refusal"]
+__all__ = ["insert_effect", "is_required", "refusal"]
 
 
 def is_required(record):
@@ -12,14 +16,14 @@
     return bool(record.call.req.key) and not record.idempotent
 
 
-def insert(record):
+def insert_effect(record):
     """Return the effect that inserts the claim of a call."""
     req = record.call.req
     return InsertClaim(record.call.call_id, req.service, req.key)
 
 
 def refusal(record, outcome, recorded=None):
-    """Return the effects that answer a call without a claim, or None if granted."""
+    """Return the effects that answer the caller, or None if the claim is granted."""
     call_id = record.call.call_id
     match outcome:
         case ClaimOutcome.GRANTED:
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -2,7 +2,7 @@
 
 from .fast_replace import replace
 
-__all__ = ["SLOW_START_S", "note_failure", "slow_start", "success_changes"]
+__all__ = ["SLOW_START_S", "record_failure", "slow_start", "success_changes"]
 
 CONSECUTIVE_FAILURES = 5
 WINDOW_CALLS = 20
@@ -35,7 +35,7 @@
     }
 
 
-def note_failure(stats, started, now, decisive, ejected, total):
+def record_failure(stats, started, now, decisive, ejected, total):
     """Return statistics after a failed attempt, with an ejection if it is due.
 
     Parameters
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -10,9 +10,9 @@
 from .effects import IncrementCounter, SendProbe
 from .fast_replace import replace
 from .model import ServiceStats, TargetStats
-from .traffic_stats import report_changes
+from .traffic_stats import load_report_changes
 
-__all__ = ["MAX_PROBE_BYTES", "note_call", "on_probe_ended", "on_tick"]
+__all__ = ["MAX_PROBE_BYTES", "record_call", "on_probe_ended", "on_tick"]
 
 FRESH_S = 0.5
 # Services without a call for this time are not probed.
@@ -36,7 +36,7 @@
 MAX_PROBED = 4096
 
 
-def note_call(state, event):
+def record_call(state, event):
     """Remember that a service was called, which makes its targets candidates."""
     service = event.call.req.service
     if service not in state.mesh.by_service:
@@ -176,6 +176,6 @@
         return state, effects + (IncrementCounter("probes.failed"),)
     traffic = state.traffic
     stats = traffic.targets.get(name) or TargetStats()
-    stats = replace(stats, **report_changes(stats.inflight, event.load, event.now))
+    stats = replace(stats, **load_report_changes(stats.inflight, event.load, event.now))
     traffic = replace(traffic, targets=traffic.targets.set(name, stats))
     return replace(state, traffic=traffic), effects
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -41,7 +41,7 @@
             refusal = rules_version.rejection_if_outdated(state, event)
             if refusal:
                 return Step(state, refusal)
-            return Step(*calls.on_arrived(probing.note_call(state, event), event))
+            return Step(*calls.on_arrived(probing.record_call(state, event), event))
         case ev.ResponseHeadReceived():
             return Step(*calls.on_response_head(state, event))
         case ev.AttemptEnded():
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -4,7 +4,7 @@
 from .model import ServiceStats
 from .verdict import Verdict
 
-__all__ = ["first_changes", "hedge_delay_s", "may_hedge", "may_retry"]
+__all__ = ["first_attempt_changes", "hedge_delay_s", "may_hedge", "may_retry"]
 
 MAX_ATTEMPTS = 3
 # Used until enough answers of the service are known for a percentile.
@@ -25,21 +25,21 @@
         With the retry budget charged if the retry is allowed.
     allowed : bool
     """
-    if not _may_repeat(record, now):
+    if not _may_resend(record, now):
         return state, False
     if not record.idempotent and verdict is not Verdict.NOT_RUN:
         return state, False
-    return _spend(state, record.call.req.service)
+    return _spend_token(state, record.call.req.service)
 
 
 def may_hedge(state, record, now):
     """Decide whether a late idempotent call gets a second attempt."""
-    if not record.idempotent or not _may_repeat(record, now):
+    if not record.idempotent or not _may_resend(record, now):
         return state, False
-    return _spend(state, record.call.req.service)
+    return _spend_token(state, record.call.req.service)
 
 
-def _may_repeat(record, now):
+def _may_resend(record, now):
     req = record.call.req
     if len(record.attempts) >= MAX_ATTEMPTS or req.deadline <= now:
         return False
@@ -55,7 +55,7 @@
     return max(MIN_HEDGE_DELAY_S, stats.p95_latency_s)
 
 
-def first_changes(stats, share):
+def first_attempt_changes(stats, share):
     """Return the changed fields of service statistics after a call's first attempt.
 
     It earns a share of a repeat.
@@ -64,7 +64,7 @@
     return {"retry_tokens": tokens, "calls_sent": stats.calls_sent + 1}
 
 
-def _spend(state, service):
+def _spend_token(state, service):
     """Take one token.
 
     The first repeat of a service may come before it is earned, so that a service
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -1,4 +1,9 @@
-"""pimentoline.routing: candidates of a call and the choice among them."""
+"""pimentoline.routing: choice of the target of an attempt.
+
+The targets of a service form locality rings around this node: its data centre, its
+region, other regions. Calls go to the innermost ring with healthy targets and spill to
+the next one if it is loaded.
+"""
 
 from dataclasses import dataclass
 
@@ -11,22 +16,22 @@
 
 __all__ = ["Candidate", "pick", "ring_load"]
 
-UNKNOWN = TargetStats()
-# A policy sees at most this many targets of a ring, chosen at random, which bounds
-# the processor time of a call.
+NO_STATS = TargetStats()
+# A policy chooses among at most this many targets of a ring, sampled at random, which
+# bounds the CPU time of a call.
 MAX_CANDIDATES = 24
-# A load report older than this says nothing of the load of a ring.
+# Older load reports are ignored for the load of a ring.
 REPORT_VALID_S = 1.0
 
-# Salts of the decisions that are taken from one draw.
+# Salts that make the random choices derived from one draw independent.
 RELEASE_SALT = 11
-RING_SALT = 12
+RING_SAMPLE_SALT = 12
 POLICY_SALT = 13
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A routable target, its weight and what this node has observed of it."""
+    """A routable target, its weight, and this node's statistics of it."""
 
     target: Target
     weight: float
@@ -58,16 +63,16 @@
         return state, None
     stats = state.traffic.services.get(service) or ServiceStats()
     policy = get_policy_by_name(state.policy)
-    view = _View(state.traffic.targets, stats, policy, tried, now, draw)
-    for release in _releases(route, draw):
-        found, ring, credit = _spill(view, release, route.spill)
+    view = _CandidateView(state.traffic.targets, stats, policy, tried, now, draw)
+    for release in _ordered_releases(route, draw):
+        found, widest, credit = _choose_ring(view, release, route.spill)
         if found:
             break
     else:
         found = view.healthy(route.reserve) or _last_resort(route, view)
-        ring, credit = stats.widest_ring, stats.spill_credit
-    if ring != stats.widest_ring or credit != stats.spill_credit:
-        stats = replace(stats, widest_ring=ring, spill_credit=credit)
+        widest, credit = stats.widest_ring, stats.spill_credit
+    if widest != stats.widest_ring or credit != stats.spill_credit:
+        stats = replace(stats, widest_ring=widest, spill_credit=credit)
         services = state.traffic.services.set(service, stats)
         state = replace(state, traffic=replace(state.traffic, services=services))
     if len(found) == 1:
@@ -75,8 +80,8 @@
     return state, policy.choose(found, stats, now, mix(draw, POLICY_SALT)).target
 
 
-def _releases(route, draw):
-    """Return the releases in the order of their use for this call."""
+def _ordered_releases(route, draw):
+    """Return the releases, the one drawn by share first and the others as fallback."""
     if len(route.releases) == 1:
         return route.releases
     point = fraction(draw, RELEASE_SALT)
@@ -88,8 +93,8 @@
 
 
 @dataclass(slots=True)
-class _View:
-    """What the choice of a ring looks at; it lives for one choice."""
+class _CandidateView:
+    """Candidates of rings, as one attempt of a call sees them."""
 
     targets: object
     stats: ServiceStats
@@ -101,13 +106,13 @@
     def healthy(self, ring):
         """Return the candidates of a ring that are untried and not ejected."""
         if len(ring) > MAX_CANDIDATES:
-            ring = self._part(ring)
+            ring = self._sample(ring)
         now, tried, targets = self.now, self.tried, self.targets
         found = []
         for target, weight in ring:
             if target.target_id in tried:
                 continue
-            stats = targets.get(target.target_id, UNKNOWN)
+            stats = targets.get(target.target_id, NO_STATS)
             if stats.ejected_until > now:
                 continue
             if now - stats.ready_at < outliers.SLOW_START_S:
@@ -115,20 +120,23 @@
             found.append(Candidate(target, weight, stats))
         return found
 
-    def fit(self, found):
+    def accepted(self, found):
         """Return the candidates that the policy accepts."""
         accepts, stats, now = self.policy.accepts, self.stats, self.now
         return [cand for cand in found if accepts(cand, stats, now)]
 
-    def _part(self, ring):
+    def _sample(self, ring):
         step = len(ring) / MAX_CANDIDATES
-        start = fraction(self.draw, RING_SALT) * len(ring)
-        places = {int(start + i * step) % len(ring) for i in range(MAX_CANDIDATES)}
-        return [ring[place] for place in sorted(places)]
+        start = fraction(self.draw, RING_SAMPLE_SALT) * len(ring)
+        indexes = {int(start + i * step) % len(ring) for i in range(MAX_CANDIDATES)}
+        return [ring[index] for index in sorted(indexes)]
 
 
 def ring_load(found, now):
-    """Return the load of a ring in requests for each slot.
+    """Return the load of a ring in requests in flight per slot.
+
+    Only targets with a recent load report count, and those whose slots are all taken
+    by requests of this node.
 
     Parameters
     ----------
@@ -139,8 +147,7 @@
     Returns
     -------
     float
-        Over the targets with a valid report, or with own requests in flight that
-        fill them; 0.0 if nothing is known.
+        0.0 if no target counts.
     """
     used = slots = 0.0
     for cand in found:
@@ -156,26 +163,35 @@
     return used / slots if slots else 0.0
 
 
-def _spill(view, release, spill):
-    """Return the candidates of the ring to use, the widest ring and the credit.
+def _choose_ring(view, release, spill):
+    """Choose the ring that an attempt uses.
+
+    From a loaded ring, the share of calls that brings it back to the `leave` load
+    goes to the next ring, but not more than the share in the spill rule. All calls
+    skip a ring without healthy targets, because they would only fail there. If the
+    policy accepts none of a ring's targets, all calls skip the ring as long as the
+    next one is in this region; a ring of another region gets the rule's share only.
 
-    The load that leaves a ring is the part that brings it back to the `leave` load,
-    but not more than the rule's share of the calls. A ring without healthy targets is
-    passed over whole, because holding its calls back would only fail them. A ring
-    whose targets are all unfit is passed over whole within the region; other regions
-    get the rule's share of its calls.
+    Returns
+    -------
+    found : list of Candidate
+        Candidates of the ring, empty if no ring has healthy targets.
+    widest : int
+        Number of the outermost ring in use.
+    credit : float
+        New `spill_credit` of the service.
     """
     stats = view.stats
-    credit, widest, unfit = stats.spill_credit, 0, []
+    credit, widest, rejected = stats.spill_credit, 0, []
     for number, ring in enumerate(release.rings):
         found = view.healthy(ring)
         if not found:
             continue
-        fit = view.fit(found)
+        accepted = view.accepted(found)
         last = number + 1 == len(release.rings)
-        if not fit:
-            if not unfit or number < release.home_rings:
-                unfit = unfit + found
+        if not accepted:
+            if not rejected or number < release.home_rings:
+                rejected = rejected + found
             if last:
                 break
             widest = number + 1
@@ -192,28 +208,28 @@
                 max(widest, number, stats.widest_ring if view.tried else 0),
                 credit,
             )
-        load = ring_load(fit, view.now)
-        hot = load > (spill.leave if stats.widest_ring > number else spill.enter)
-        if not hot:
+        load = ring_load(accepted, view.now)
+        loaded = load > (spill.leave if stats.widest_ring > number else spill.enter)
+        if not loaded:
             return found, max(widest, number), credit
         widest = number + 1
         credit = min(credit, 1.0) + min(spill.share, 1.0 - spill.leave / load)
-        wider = view.fit(view.healthy(release.rings[widest]))
-        # A ring that is as loaded gains nothing from the calls and would send its own
-        # calls back.
+        wider = view.accepted(view.healthy(release.rings[widest]))
+        # Spilling to a ring with the same load gains nothing, and the nodes there would
+        # spill their own calls back.
         if credit < 1.0 or not wider or ring_load(wider, view.now) >= load:
             return found, widest, credit
         credit -= 1.0
-    return unfit, widest if unfit else stats.widest_ring, credit
+    return rejected, widest if rejected else stats.widest_ring, credit
 
 
 def _last_resort(route, view):
-    """Return candidates if no healthy one is untried: ejected ones, then tried ones."""
-    everything = [
-        Candidate(target, weight, view.targets.get(target.target_id, UNKNOWN))
+    """Return the untried candidates, ejected ones included, or else all candidates."""
+    all_candidates = [
+        Candidate(target, weight, view.targets.get(target.target_id, NO_STATS))
         for release in route.releases
         for ring in release.rings
         for target, weight in ring
     ]
-    untried = [c for c in everything if c.target.target_id not in view.tried]
-    return untried or everything
+    untried = [c for c in all_candidates if c.target.target_id not in view.tried]
+    return untried or all_candidates
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -11,15 +11,15 @@
 __all__ = [
     "admit",
     "begin_attempt",
-    "begun_changes",
+    "call_started_changes",
     "end_attempt",
     "end_call",
-    "note_answer",
-    "note_cut",
-    "note_done",
-    "note_failure",
-    "note_waited",
-    "report_changes",
+    "load_report_changes",
+    "record_failure",
+    "record_response_head",
+    "record_truncated_response",
+    "record_wait",
+    "release_attempt",
 ]
 
 LATENCY_DECAY_S = 2.0
@@ -79,30 +79,30 @@
     share = throttling.refused_share(stats, req.call_class, now)
     if fraction(draw, THROTTLE_SALT) >= share:
         return state, None
-    return _count_refused(state, req, now), "throttled"
+    return _count_unaccepted(state, req, now), "throttled"
 
 
-def _count_refused(state, req, now):
+def _count_unaccepted(state, req, now):
     """Count an attempt that was refused here or left unanswered."""
     stats = _service_stats(state, req.service)
     changes = throttling.attempt_changes(stats, req.call_class, False, now)
     return _with_service(state, req.service, replace(stats, **changes))
 
 
-def _changed(counts, call_class, change):
+def _adjusted(counts, call_class, change):
     rank = CLASS_RANKS[call_class]
     return counts[:rank] + (max(0, counts[rank] + change),) + counts[rank + 1 :]
 
 
-def begun_changes(stats, req):
+def call_started_changes(stats, req):
     """Return the changed fields of service statistics with one more call in flight."""
-    return {"inflight": _changed(stats.inflight, req.call_class, 1)}
+    return {"inflight": _adjusted(stats.inflight, req.call_class, 1)}
 
 
 def end_call(services, req):
     """Return the service statistics with one call less in flight."""
     stats = services.get(req.service) or ServiceStats()
-    inflight = _changed(stats.inflight, req.call_class, -1)
+    inflight = _adjusted(stats.inflight, req.call_class, -1)
     return services.set(req.service, replace(stats, inflight=inflight))
 
 
@@ -123,13 +123,13 @@
     stats = targets.get(attempt.target_id) or TargetStats()
     changes = {"inflight": max(0, stats.inflight - 1)}
     if attempt.verdict is None:
-        changes |= _answered_changes(stats, attempt)
+        changes |= _stop_waiting_changes(stats, attempt)
     if succeeded:
         changes |= outliers.success_changes(stats, attempt.started)
     return targets.set(attempt.target_id, replace(stats, **changes))
 
 
-def _answered_changes(stats, attempt):
+def _stop_waiting_changes(stats, attempt):
     if stats.waiting <= 1:
         # Also drops the rounding errors of the sum.
         return {"waiting": 0, "waiting_since_sum": 0.0}
@@ -167,12 +167,12 @@
     if plan is not None and attempt.target_id in plan.unconfirmed:
         # Its node is gone, so a failure is likely to be the end of its host.
         decisive = True
-    return outliers.note_failure(
+    return outliers.record_failure(
         stats, attempt.started, now, decisive, ejected, len(target_ids)
     )
 
 
-def note_answer(state, record, attempt, event):
+def record_response_head(state, record, attempt, event):
     """Record a response head: latency, load report, failure.
 
     Success is recorded at the end of the answer, because an answer may break off.
@@ -180,7 +180,7 @@
     A request that the target shed counts as slow and as not accepted, but not as a
     failure: shedding is the contract of a loaded target, not a fault.
     """
-    state = note_waited(state, record, event.now, attempt)
+    state = record_wait(state, record, event.now, attempt)
     req = record.call.req
     stats = _target_stats(state, attempt.target_id)
     service = _service_stats(state, req.service)
@@ -191,11 +191,11 @@
     changes = {
         "latency_s": _latency(stats, sample_s, event.now),
         "latency_at": event.now,
-        **_answered_changes(stats, attempt),
+        **_stop_waiting_changes(stats, attempt),
     }
     if event.load is not None:
         # The answered request is no longer in the report.
-        changes |= report_changes(stats.inflight - 1, event.load, event.now)
+        changes |= load_report_changes(stats.inflight - 1, event.load, event.now)
     counted = throttling.attempt_changes(
         service, req.call_class, not event.not_run, event.now
     )
@@ -214,7 +214,7 @@
     return replace(state, traffic=traffic)
 
 
-def report_changes(own, load, now):
+def load_report_changes(own, load, now):
     """Return the changed fields of target statistics after a load report.
 
     Parameters
@@ -243,7 +243,7 @@
     }
 
 
-def note_waited(state, record, now, answered=None):
+def record_wait(state, record, now, answered=None):
     """Raise the latency of targets whose attempts are still without an answer.
 
     Such an attempt is about to be cancelled, so that its latency is never known in
@@ -259,7 +259,7 @@
     return state
 
 
-def note_failure(state, record, attempt, event):
+def record_failure(state, record, attempt, event):
     """Record an attempt that ended without an answer.
 
     A refused connection ejects the target at once, because nothing listens there.
@@ -273,24 +273,24 @@
         inflight=max(0, stats.inflight - 1),
         latency_s=_latency(stats, sample_s, now),
         latency_at=now,
-        **_answered_changes(stats, attempt),
+        **_stop_waiting_changes(stats, attempt),
     )
     refused = event.outcome is AttemptOutcome.REFUSED
     stats = _with_failure(state, record, attempt, now, refused, stats)
     state = _with_target(state, attempt.target_id, stats)
     if event.outcome is not AttemptOutcome.TIMEOUT:
         return state
-    return _count_refused(state, record.call.req, now)
+    return _count_unaccepted(state, record.call.req, now)
 
 
-def note_cut(state, record, attempt, now):
+def record_truncated_response(state, record, attempt, now):
     """Record an answer that broke off after its head as a failure."""
     stats = _target_stats(state, attempt.target_id)
     stats = _with_failure(state, record, attempt, now, False, stats)
     return _with_target(state, attempt.target_id, stats)
 
 
-def note_done(state, attempt):
+def release_attempt(state, attempt):
     """Count an attempt as no longer in flight."""
     traffic = state.traffic
     targets = end_attempt(traffic.targets, attempt)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -33,7 +33,7 @@
 def fail(stats, times, now=100.0, total=4, decisive=False):
     """Return statistics after failures that began at `now`."""
     for _ in range(times):
-        stats = outliers.note_failure(stats, now, now, decisive, lambda: 0, total)
+        stats = outliers.record_failure(stats, now, now, decisive, lambda: 0, total)
     return stats
 
 
@@ -73,7 +73,7 @@
 def test_late_failure_does_not_prolong_ejection():
     """Guards against calls sent before an ejection that count against the return."""
     stats = fail(TargetStats(), 5)
-    late = outliers.note_failure(stats, 99.0, 101.5, True, lambda: 0, 4)
+    late = outliers.record_failure(stats, 99.0, 101.5, True, lambda: 0, 4)
     assert late == stats
 
 
