Describe routes, statistics, retries, ejection and throttling plainly

Cause: comments and local names had no plain sense. Change: comments and names used only inside these modules.

--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -1,4 +1,4 @@
-"""pimentoline.outliers: ejection of failing targets, and their way back."""
+"""pimentoline.outliers: ejection of failing targets, and slow start after it."""
 
 from .fast_replace import replace
 
@@ -9,25 +9,26 @@
 MAX_FAILURE_RATE = 0.5
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
-# More ejected targets would overload the rest, and would rather mean that this node
-# or the service as a whole is at fault.
+# Ejecting more targets would overload the rest. If so many fail, the cause is more
+# likely this node or the service as a whole.
 MAX_EJECTED_SHARE = 0.5
 SLOW_START_S = 10.0
-# The least part of calls that a target gets at the begin of its slow start; less
-# would bring no answers that could show its state.
-SLOW_START_FLOOR = 0.1
+# Share of its weight that a target has at the begin of its slow start. With less, it
+# would get too few calls to show its state.
+MIN_SLOW_START_SHARE = 0.1
 
 
 def slow_start(stats, now):
-    """Return the part, up to 1.0, of its weight that a returned target gets."""
-    part = (now - stats.ready_at) / SLOW_START_S
-    return min(1.0, max(SLOW_START_FLOOR, part))
+    """Return the share of its weight, up to 1.0, that a target has in slow start."""
+    share = (now - stats.ready_at) / SLOW_START_S
+    return min(1.0, max(MIN_SLOW_START_SHARE, share))
 
 
 def success_changes(stats, started):
     """Return the changed fields of `stats` after an attempt that began at `started`."""
     if started < stats.ready_at:
-        # It was sent before the ejection or the start; it says nothing of now.
+        # The attempt began before the target was ejected or came up, so it tells
+        # nothing about its present state.
         return {}
     return {
         "consecutive_failures": 0,
@@ -36,15 +37,15 @@
 
 
 def record_failure(stats, started, now, decisive, ejected, total):
-    """Return statistics after a failed attempt, with an ejection if it is due.
+    """Return the statistics after a failed attempt, with an ejection if it is due.
 
     Parameters
     ----------
     stats : TargetStats
     started, now : float
-        Begin and end of the attempt, monotonic seconds.
+        Begin and end of the attempt, monotonic time in seconds.
     decisive : bool
-        Whether this one failure is enough, as that of a refused connection.
+        Whether one failure is enough for an ejection, as with a refused connection.
     ejected : callable
         Returns the number of other targets of the service that are ejected.
     total : int
@@ -73,7 +74,7 @@
     until = now + length_s
     return replace(
         stats,
-        # One more failure after the return ejects it again.
+        # One more failure after the ejection ejects the target again.
         consecutive_failures=CONSECUTIVE_FAILURES - 1,
         recent_outcomes=(),
         ejected_until=until,
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -1,4 +1,4 @@
-"""pimentoline.retries: when a call may be sent again."""
+"""pimentoline.retries: retries and hedges, and the budget that limits them."""
 
 from .fast_replace import replace
 from .model import ServiceStats
@@ -7,12 +7,12 @@
 __all__ = ["first_attempt_changes", "hedge_delay_s", "may_hedge", "may_retry"]
 
 MAX_ATTEMPTS = 3
-# Used until enough answers of the service are known for a percentile.
+# Used until enough latencies of the service are known for a percentile.
 DEFAULT_HEDGE_DELAY_S = 0.2
-# Below this, the delay is in the range of the timer's own error.
+# A shorter delay would be of the order of the timer's error.
 MIN_HEDGE_DELAY_S = 0.002
-# Credit for retries that a service can save up. It covers the calls that were in
-# flight at one target when it died; more would allow a storm after a quiet time.
+# Tokens that a service can save up. They cover the calls that were in flight at one
+# target when it died; more would allow a retry storm after a period of few failures.
 MAX_RETRY_TOKENS = 10.0
 
 
@@ -33,7 +33,14 @@
 
 
 def may_hedge(state, record, now):
-    """Decide whether a late idempotent call gets a second attempt."""
+    """Decide whether a slow idempotent call gets a second attempt.
+
+    Returns
+    -------
+    state : State
+        With the retry budget charged if the hedge is allowed.
+    allowed : bool
+    """
     if not record.idempotent or not _may_resend(record, now):
         return state, False
     return _spend_token(state, record.call.req.service)
@@ -43,7 +50,7 @@
     req = record.call.req
     if len(record.attempts) >= MAX_ATTEMPTS or req.deadline <= now:
         return False
-    # An upper level already repeats the call; repeating it here too would multiply.
+    # A caller further up retries this call already; retries at several levels multiply.
     return req.retry_attempt == 0
 
 
@@ -58,18 +65,18 @@
 def first_attempt_changes(stats, share):
     """Return the changed fields of service statistics after a call's first attempt.
 
-    It earns a share of a repeat.
+    Each first attempt adds `share` of a token to the retry budget.
     """
     tokens = min(MAX_RETRY_TOKENS, stats.retry_tokens + share)
     return {"retry_tokens": tokens, "calls_sent": stats.calls_sent + 1}
 
 
 def _spend_token(state, service):
-    """Take one token.
+    """Take one token for a retry or hedge.
 
-    The first repeat of a service may come before it is earned, so that a service
-    with few calls can repeat at all. It is paid back by later first attempts: there
-    are never more repeats than the share of the first attempts, or one.
+    The first one of a service needs no token, so that a service with few calls can
+    retry at all. Later first attempts pay it back: the number of retries and hedges
+    never exceeds the share of the first attempts, or one if that is more.
     """
     traffic = state.traffic
     stats = traffic.services.get(service) or ServiceStats()
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -1,8 +1,8 @@
-"""pimentoline.routes: the targets of each service, as routing needs them.
+"""pimentoline.routes: the targets of each service, filtered and ordered for routing.
 
-A route is derived from members and rules. It is kept in the state and made again only
-if they change, because ordering and filtering at every call would cost more than the
-choice itself.
+Routes are derived from the members and the rules. They are cached in the state and
+built again only if these change, because filtering and ordering the targets for every
+call would cost more than the choice itself.
 """
 
 from dataclasses import dataclass
@@ -19,15 +19,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """The targets that a share of a service's calls goes to.
+    """The targets of a service that run one release.
 
     Parameters
     ----------
     share : float
-        Part of the calls, by a canary rule; 1.0 for the targets without one.
+        Share of the calls that a canary rule gives to the release; 1.0 for the
+        targets without such a rule.
     rings : tuple of tuple of (Target, float)
-        Targets and weights: own data centre, own region, other regions. Rings
-        without targets are left out.
+        Targets and weights by locality: this data centre, this region, other regions.
+        Rings without targets are left out.
     home_rings : int
         Number of rings in this node's region.
     """
@@ -41,9 +42,19 @@
 class Route:
     """Releases and rings of a service, and what they were derived from.
 
-    `reserve` holds the targets and weights outside this node's subset. They are used
-    only if no target of the subset is healthy, because each use takes a connection
-    that the subsets leave to other nodes.
+    Parameters
+    ----------
+    source, node_counts, ruleset
+        What the route was derived from; it is outdated if one of them changes.
+    up : frozenset of str
+        Ids of the targets that are up.
+    releases : tuple of Release
+        The targets of this node's subset. Releases with a canary rule come first.
+    reserve : tuple of (Target, float)
+        Targets and weights outside the subset. They are used only if no target of the
+        subset is healthy, because each use takes a connection that the subsets leave
+        to other nodes.
+    spill : SpillRule
     """
 
     source: tuple[Target, ...]
@@ -55,7 +66,7 @@
     spill: SpillRule
 
     def target_ids(self):
-        """Return the names of the targets that this node may use."""
+        """Return the ids of the targets that this node may use."""
         rings = [ring for release in self.releases for ring in release.rings]
         rings.append(self.reserve)
         return [target.target_id for ring in rings for target, _ in ring]
@@ -63,9 +74,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutePlan:
-    """All routes, and what is common to them.
+    """The routes of all services, and what they have in common.
 
-    `unconfirmed` names the targets whose node is suspect, leaving or dead.
+    Parameters
+    ----------
+    members : Map of str to Member
+        Members that the plan was derived from.
+    node_counts : NodeCounts
+        Numbers of nodes, from which each node chooses its subset of the targets.
+    unconfirmed : frozenset of str
+        Ids of the targets whose node is suspect, leaving or dead.
+    routes : Map of str to Route
+        By service.
     """
 
     members: Map
@@ -75,10 +95,10 @@
 
 
 def find_route(state, service, now):
-    """Return the state, and the route of a service, made again if it is outdated.
+    """Return the state and the route of a service, rebuilt if it is outdated.
 
-    A target that comes up while the service is known starts slowly, so its
-    statistics get the time.
+    A target that comes up while the service is known gets the time in its statistics,
+    from which its slow start is counted.
     """
     plan = state.traffic.plan
     if plan is None or plan.members is not state.mesh.members:
@@ -96,11 +116,11 @@
             return state, route
         if route.source == source:
             return _with_route(state, service, replace(route, source=source))
-    known = route.up if route is not None else None
-    route = _make_route(state, service, source, plan.node_counts)
-    if known is not None and route.up - known:
+    previous_up = route.up if route is not None else None
+    route = _build_route(state, service, source, plan.node_counts)
+    if previous_up is not None and route.up - previous_up:
         targets = state.traffic.targets
-        for target_id in sorted(route.up - known):
+        for target_id in sorted(route.up - previous_up):
             stats = targets.get(target_id) or TargetStats()
             targets = targets.set(target_id, replace(stats, ready_at=now))
         state = replace(state, traffic=replace(state.traffic, targets=targets))
@@ -114,7 +134,7 @@
 
 
 def _with_plan(state):
-    """Return the state with a new plan, and without statistics of past targets."""
+    """Return the state with a new plan, and without statistics of removed targets."""
     members, traffic = state.mesh.members, state.traffic
     plan = traffic.plan
     node_counts = count_nodes(members, state.identity)
@@ -144,39 +164,39 @@
     return replace(state, traffic=replace(traffic, plan=plan, targets=targets))
 
 
-def _make_route(state, service, source, node_counts):
+def _build_route(state, service, source, node_counts):
     ruleset = state.rules.ruleset
     by_id = {}
     for target in source:
-        # Two nodes may name the same target for a while; if one of them says that
-        # it drains, it gets no calls.
-        held = by_id.get(target.target_id)
-        if held is None or held.state is TargetState.UP:
+        # Two nodes may announce the same target for a while. If one of them announces
+        # it as draining, it gets no calls.
+        other = by_id.get(target.target_id)
+        if other is None or other.state is TargetState.UP:
             by_id[target.target_id] = target
     up = [target for target in by_id.values() if target.state is TargetState.UP]
     weights = {target.target_id: ruleset.target_weight(target) for target in up}
     usable = [target for target in up if weights[target.target_id] > 0.0]
     subset = choose_subset(usable, node_counts) if usable else []
-    order = ruleset.region_order(service, node_counts.location[0])
-    by_release = {}
+    regions = ruleset.region_order(service, node_counts.location[0])
+    by_version = {}
     for target in subset:
         share = ruleset.canary_share(service, target.version)
-        name = target.version if share is not None else None
-        number = _ring_number(target, node_counts.location, order)
+        version = target.version if share is not None else None
+        number = _ring_number(target, node_counts.location, regions)
         if number is not None:
-            _, rings = by_release.setdefault(name, (share, {}))
+            _, rings = by_version.setdefault(version, (share, {}))
             found = rings.setdefault(number, [])
             found.append((target, weights[target.target_id]))
-    used = {target.target_id for target in subset}
+    in_subset = {target.target_id for target in subset}
     reserve = tuple(
         (target, weights[target.target_id])
         for target in sorted(usable, key=lambda target: target.target_id)
-        if target.target_id not in used
-        and _ring_number(target, node_counts.location, order) is not None
+        if target.target_id not in in_subset
+        and _ring_number(target, node_counts.location, regions) is not None
     )
     releases = []
-    for name in sorted(by_release, key=lambda name: (name is None, name)):
-        share, rings = by_release[name]
+    for version in sorted(by_version, key=lambda version: (version is None, version)):
+        share, rings = by_version[version]
         ordered = tuple(tuple(rings[number]) for number in sorted(rings))
         home_rings = sum(number < 2 for number in rings)
         releases.append(Release(1.0 if share is None else share, ordered, home_rings))
@@ -191,12 +211,12 @@
     )
 
 
-def _ring_number(target, place, order):
-    """Return the ring of a target, or None if a rule leaves its region out."""
-    if (target.region, target.dc) == place:
+def _ring_number(target, location, regions):
+    """Return the number of a target's ring, or None if a rule excludes its region."""
+    if (target.region, target.dc) == location:
         return 0
-    if target.region == place[0]:
+    if target.region == location[0]:
         return 1
-    if order is None:
+    if regions is None:
         return 2
-    return 2 + order.index(target.region) if target.region in order else None
+    return 2 + regions.index(target.region) if target.region in regions else None
--- a/pimentoline/throttling.py
+++ b/pimentoline/throttling.py
@@ -1,8 +1,9 @@
-"""pimentoline.throttling: adaptive throttling of calls by class.
+"""pimentoline.throttling: adaptive client-side throttling of calls by class.
 
-A node counts the attempts that the targets of a service accepted and those that they
-shed or left unanswered. If much more is sent than accepted, the excess is refused here
-without a connection, the lowest class first.
+For each service, a node counts all attempts, with the calls that it refused itself, and
+the attempts that the targets accepted, without those that they shed or left unanswered.
+If there are many more attempts than accepted ones, the node refuses the excess without
+opening a connection, the lowest class first.
 """
 
 import math
@@ -11,39 +12,41 @@
 
 __all__ = ["attempt_changes", "has_excess", "refused_share"]
 
-# Refusals grow and fade over a few decay times. A longer time would refuse calls long
-# after the targets have recovered.
+# Time constant of the counts; refusals begin and end over a few of them. With a longer
+# one, calls would be refused long after the targets have recovered.
 DECAY_S = 1.5
-# Counts are decayed in steps, which costs less than at every attempt.
+# Counts are decayed in steps, which is cheaper than at every attempt.
 DECAY_STEP_S = 0.1
-# Up to this much more than what is accepted is sent. The surplus finds a recovery: the
-# calls let through grow by this factor in each decay time. With a larger one, targets
-# spend more of their time on shedding.
+# Attempts sent for each accepted one. The surplus detects a recovery: the calls let
+# through grow by this factor in each `DECAY_S`. With a larger factor, targets spend
+# more of their time on shedding.
 MAX_RATIO = 1.5
-# Fewer attempts than this within the decay time are too few for a ratio.
+# With a lower decayed count of attempts, nothing is refused: the ratio is unreliable.
 MIN_SENT = 10.0
-# Some calls always pass, or nothing would tell when the targets accept again.
-MAX_REFUSED = 0.95
+# Some calls always pass, to detect when the targets accept again.
+MAX_REFUSED_SHARE = 0.95
 
 
-def decayed(stats, now):
+def decayed_counts(stats, now):
     """Return the counts of sent and accepted attempts, decayed up to now."""
-    part = math.exp((stats.counted_at - now) / DECAY_S)
+    factor = math.exp((stats.counted_at - now) / DECAY_S)
     return (
-        tuple(count * part for count in stats.sent),
-        tuple(count * part for count in stats.accepted),
+        tuple(count * factor for count in stats.sent),
+        tuple(count * factor for count in stats.accepted),
     )
 
 
 def attempt_changes(stats, call_class, accepted, now):
-    """Return the changed fields of `stats` after an attempt, sent or refused here."""
-    sent, counts, changes = stats.sent, stats.accepted, {}
+    """Return the changed fields of `stats` after an attempt or a refusal."""
+    sent, accepted_counts, changes = stats.sent, stats.accepted, {}
     if now - stats.counted_at > DECAY_STEP_S:
-        sent, counts = decayed(stats, now)
+        sent, accepted_counts = decayed_counts(stats, now)
         changes["counted_at"] = now
     rank = CLASS_RANKS[call_class]
     changes["sent"] = _increased(sent, rank)
-    changes["accepted"] = _increased(counts, rank) if accepted else counts
+    changes["accepted"] = (
+        _increased(accepted_counts, rank) if accepted else accepted_counts
+    )
     return changes
 
 
@@ -52,7 +55,7 @@
 
 
 def has_excess(stats):
-    """Return whether more was sent than the accepted attempts allow."""
+    """Return whether more than `MAX_RATIO` times the accepted attempts were sent."""
     return sum(stats.sent) > MAX_RATIO * sum(stats.accepted)
 
 
@@ -62,15 +65,15 @@
     The excess over `MAX_RATIO` times the accepted attempts is taken from the lowest
     class; a higher class loses calls only if the classes below it are not enough.
     """
-    sent, accepted = decayed(stats, now)
+    sent, accepted = decayed_counts(stats, now)
     total = sum(sent)
     excess = total - MAX_RATIO * sum(accepted)
     if total < MIN_SENT or excess <= 0.0:
         return 0.0
     for name, count in zip(reversed(CALL_CLASSES), reversed(sent)):
         if name == call_class:
-            return min(MAX_REFUSED, excess / count) if count else 0.0
-        excess -= MAX_REFUSED * count
+            return min(MAX_REFUSED_SHARE, excess / count) if count else 0.0
+        excess -= MAX_REFUSED_SHARE * count
         if excess <= 0.0:
             return 0.0
     return 0.0
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -1,4 +1,4 @@
-"""pimentoline.traffic_stats: admission of calls and observation of targets."""
+"""pimentoline.traffic_stats: admission of calls, statistics of services and targets."""
 
 import math
 
@@ -23,16 +23,18 @@
 ]
 
 LATENCY_DECAY_S = 2.0
-# At each faster answer, the average keeps at most this part of the distance. After a
-# noisy neighbour is gone, a few answers are then enough to use the target again.
-LATENCY_KEPT = 0.25
-# A failed call counts as slow, so that a target that fails fast does not look like the
-# fastest one: as a multiple of the service's 95th percentile, if that is known.
+# Largest weight of the old average when a faster sample arrives. A few responses are
+# then enough to use a target again after a noisy neighbour on its host is gone.
+MAX_OLD_LATENCY_WEIGHT = 0.25
+# A failed attempt counts as slow, so that a target that fails fast does not look like
+# the fastest one: it counts with at least this multiple of the service's 95th
+# percentile, or at least `FAILURE_LATENCY_S` while the percentile is unknown.
 FAILURE_LATENCY_S = 1.0
 FAILURE_LATENCY_FACTOR = 4.0
+# Number of latency samples from which the percentiles are computed.
 LATENCY_WINDOW = 128
-# The percentiles are computed once for so many answers, because sorting the window
-# at each answer would cost more than all other statistics.
+# The percentiles are computed once per this many responses, because sorting the window
+# for each response would cost more than all other statistics.
 LATENCY_BATCH = 16
 
 THROTTLE_SALT = 21
@@ -59,13 +61,13 @@
 
 
 def admit(state, call, now, draw):
-    """Decide whether a call is let in.
+    """Decide whether a call is admitted.
 
     Returns
     -------
     state : State
     refusal : str or None
-        Code of the refusal, None if the call is admitted.
+        Error code of the refusal, None if the call is admitted.
     """
     req = call.req
     if req.service not in state.mesh.by_service:
@@ -83,31 +85,31 @@
 
 
 def _count_unaccepted(state, req, now):
-    """Count an attempt that was refused here or left unanswered."""
+    """Count an attempt that throttling refused or the target left unanswered."""
     stats = _service_stats(state, req.service)
     changes = throttling.attempt_changes(stats, req.call_class, False, now)
     return _with_service(state, req.service, replace(stats, **changes))
 
 
-def _adjusted(counts, call_class, change):
+def _adjusted_counts(counts, call_class, change):
     rank = CLASS_RANKS[call_class]
     return counts[:rank] + (max(0, counts[rank] + change),) + counts[rank + 1 :]
 
 
 def call_started_changes(stats, req):
     """Return the changed fields of service statistics with one more call in flight."""
-    return {"inflight": _adjusted(stats.inflight, req.call_class, 1)}
+    return {"inflight": _adjusted_counts(stats.inflight, req.call_class, 1)}
 
 
 def end_call(services, req):
-    """Return the service statistics with one call less in flight."""
+    """Return the statistics by service with one call less in flight."""
     stats = services.get(req.service) or ServiceStats()
-    inflight = _adjusted(stats.inflight, req.call_class, -1)
+    inflight = _adjusted_counts(stats.inflight, req.call_class, -1)
     return services.set(req.service, replace(stats, inflight=inflight))
 
 
 def begin_attempt(targets, attempt):
-    """Return the target statistics with one more attempt in flight."""
+    """Return the statistics by target with one more attempt in flight."""
     stats = targets.get(attempt.target_id) or TargetStats()
     stats = replace(
         stats,
@@ -119,7 +121,7 @@
 
 
 def end_attempt(targets, attempt, succeeded=False):
-    """Return the target statistics with one attempt less in flight."""
+    """Return the statistics by target with one attempt less in flight."""
     stats = targets.get(attempt.target_id) or TargetStats()
     changes = {"inflight": max(0, stats.inflight - 1)}
     if attempt.verdict is None:
@@ -131,7 +133,7 @@
 
 def _stop_waiting_changes(stats, attempt):
     if stats.waiting <= 1:
-        # Also drops the rounding errors of the sum.
+        # Setting the sum to 0.0 also removes its accumulated rounding errors.
         return {"waiting": 0, "waiting_since_sum": 0.0}
     return {
         "waiting": stats.waiting - 1,
@@ -139,11 +141,17 @@
     }
 
 
-def _latency(stats, sample_s, now):
-    """Peak-sensitive average: rises at once, falls with samples and with time."""
+def _average_latency_s(stats, sample_s, now):
+    """Return the new average latency, seconds.
+
+    The average is peak-sensitive: it follows a slower sample at once, and falls with
+    faster samples and with time.
+    """
     if sample_s >= stats.latency_s:
         return sample_s
-    weight = min(LATENCY_KEPT, math.exp((stats.latency_at - now) / LATENCY_DECAY_S))
+    weight = min(
+        MAX_OLD_LATENCY_WEIGHT, math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
+    )
     return stats.latency_s * weight + sample_s * (1.0 - weight)
 
 
@@ -155,7 +163,7 @@
 
 
 def _with_failure(state, record, attempt, now, decisive, stats):
-    """Return the statistics of a target after a failure, ejected if it is due."""
+    """Return the statistics of a target after a failure, with an ejection if due."""
     plan = state.traffic.plan
     route = plan.routes.get(record.call.req.service) if plan is not None else None
     target_ids = route.target_ids() if route is not None else ()
@@ -165,7 +173,7 @@
         return sum(_target_stats(state, name).ejected_until > now for name in others)
 
     if plan is not None and attempt.target_id in plan.unconfirmed:
-        # Its node is gone, so a failure is likely to be the end of its host.
+        # The target's node is suspect or gone, so its host has probably failed.
         decisive = True
     return outliers.record_failure(
         stats, attempt.started, now, decisive, ejected, len(target_ids)
@@ -173,12 +181,12 @@
 
 
 def record_response_head(state, record, attempt, event):
-    """Record a response head: latency, load report, failure.
+    """Record latency, load report and failure from a response head.
 
-    Success is recorded at the end of the answer, because an answer may break off.
+    Success is recorded only at the end of the response, because it may break off.
 
     A request that the target shed counts as slow and as not accepted, but not as a
-    failure: shedding is the contract of a loaded target, not a fault.
+    failure: an overloaded target is expected to shed requests.
     """
     state = record_wait(state, record, event.now, attempt)
     req = record.call.req
@@ -189,27 +197,28 @@
     if failed:
         sample_s = _failure_latency_s(state, req.service, sample_s)
     changes = {
-        "latency_s": _latency(stats, sample_s, event.now),
+        "latency_s": _average_latency_s(stats, sample_s, event.now),
         "latency_at": event.now,
         **_stop_waiting_changes(stats, attempt),
     }
     if event.load is not None:
-        # The answered request is no longer in the report.
+        # The report does not include the request that was just answered.
         changes |= load_report_changes(stats.inflight - 1, event.load, event.now)
-    counted = throttling.attempt_changes(
+    service_changes = throttling.attempt_changes(
         service, req.call_class, not event.not_run, event.now
     )
     if not failed:
-        # The time of a call whose hedge won is at least as long as its delay; the
-        # hedge's own time alone would lower the percentile and bring more hedges.
+        # If a hedge wins, the latency of the call counts from the first attempt, so it
+        # includes the hedge delay. The latency of the hedge alone would lower the
+        # percentile and cause more hedges.
         first = record.attempts[0] if attempt.hedge else attempt
-        counted |= _latency_changes(service, event.now - first.started)
+        service_changes |= _latency_changes(service, event.now - first.started)
     stats = replace(stats, **changes)
     if failed and not event.not_run:
         stats = _with_failure(state, record, attempt, event.now, False, stats)
     traffic = state.traffic
     targets = traffic.targets.set(attempt.target_id, stats)
-    services = traffic.services.set(req.service, replace(service, **counted))
+    services = traffic.services.set(req.service, replace(service, **service_changes))
     traffic = replace(traffic, targets=targets, services=services)
     return replace(state, traffic=traffic)
 
@@ -220,7 +229,7 @@
     Parameters
     ----------
     own : int
-        Own requests in flight that the report counts.
+        Requests of this node in flight that the report includes.
     load : float
         Requests in flight at the target, from all nodes.
     now : float
@@ -243,15 +252,15 @@
     }
 
 
-def record_wait(state, record, now, answered=None):
-    """Raise the latency of targets whose attempts are still without an answer.
+def record_wait(state, record, now, responded=None):
+    """Raise the latency of targets that have not responded for longer than it.
 
-    Such an attempt is about to be cancelled, so that its latency is never known in
-    full. Without the time waited, a slow target whose hedges always win would stay
-    attractive.
+    The attempts are about to be cancelled, so their full latency never becomes known.
+    If the time waited did not count, a slow target whose hedges always win would keep
+    a low latency and get more calls.
     """
     for att in record.attempts:
-        if att.verdict is None and att is not answered:
+        if att.verdict is None and att is not responded:
             stats = _target_stats(state, att.target_id)
             if now - att.started > stats.latency_s:
                 stats = replace(stats, latency_s=now - att.started, latency_at=now)
@@ -260,7 +269,7 @@
 
 
 def record_failure(state, record, attempt, event):
-    """Record an attempt that ended without an answer.
+    """Record an attempt that ended without a response.
 
     A refused connection ejects the target at once, because nothing listens there.
     """
@@ -271,7 +280,7 @@
     stats = replace(
         stats,
         inflight=max(0, stats.inflight - 1),
-        latency_s=_latency(stats, sample_s, now),
+        latency_s=_average_latency_s(stats, sample_s, now),
         latency_at=now,
         **_stop_waiting_changes(stats, attempt),
     )
@@ -284,7 +293,7 @@
 
 
 def record_truncated_response(state, record, attempt, now):
-    """Record an answer that broke off after its head as a failure."""
+    """Record a response that broke off after its head as a failure."""
     stats = _target_stats(state, attempt.target_id)
     stats = _with_failure(state, record, attempt, now, False, stats)
     return _with_target(state, attempt.target_id, stats)
