--- a/pimentoline/connection_limits.py
+++ b/pimentoline/connection_limits.py
@@ -6,38 +6,40 @@
 
 
 class ConnectionLimits:
-    """Maximum number of connections to each target, from the membership.
+    """Maximum number of connections from this node to each target.
 
-    The share of a service is spread evenly over the targets that the node uses.
+    A target accepts a limited number of connections from all nodes together. The
+    node's share of the connections to a service is spread evenly over the targets that
+    it uses, at least one to each.
 
     Parameters
     ----------
     get_state : callable
         Returns the node's `State`.
     default : int
-        Maximum for an address that no member has announced.
+        Maximum for an address that no member announces.
     """
 
     def __init__(self, get_state, default):
         self._get_state = get_state
         self._default = default
-        self._services = None
-        self._nodes = 0
+        self._by_service = None
+        self._node_count = 0
         self._limits = {}
 
     def limit_of(self, addr):
         """Return the maximum number of connections to a target address."""
         mesh = self._get_state().mesh
-        nodes = len(mesh.members)
-        if mesh.by_service is not self._services or nodes != self._nodes:
-            self._services, self._nodes = mesh.by_service, nodes
-            self._limits = dict(_limits(mesh.by_service, nodes))
+        node_count = len(mesh.members)
+        if mesh.by_service is not self._by_service or node_count != self._node_count:
+            self._by_service, self._node_count = mesh.by_service, node_count
+            self._limits = dict(_target_limits(mesh.by_service, node_count))
         return self._limits.get(tuple(addr), self._default)
 
 
-def _limits(by_service, nodes):
+def _target_limits(by_service, node_count):
     for targets in by_service.values():
-        share = connections_per_node(targets, max(1, nodes))
-        each = max(1, share // len(targets))
+        share = connections_per_node(targets, max(1, node_count))
+        limit = max(1, share // len(targets))
         for target in targets:
-            yield tuple(target.addr), each
+            yield tuple(target.addr), limit
--- a/pimentoline/draws.py
+++ b/pimentoline/draws.py
@@ -1,4 +1,7 @@
-"""pimentoline.draws: independent random numbers from the one draw of an event."""
+"""pimentoline.draws: independent random numbers derived from the draw of an event.
+
+A draw is a random 64-bit integer.
+"""
 
 __all__ = ["fraction", "mix"]
 
@@ -6,11 +9,11 @@
 
 
 def mix(draw, salt):
-    """Return a 64-bit integer from a draw; salts give independent ones.
+    """Return a 64-bit integer from a draw; different salts give independent integers.
 
-    One event takes several decisions. Taking them from the same bits would make
-    them depend on each other: the calls that pass throttling would then prefer
-    some targets. The steps are those of the SplitMix64 generator.
+    One event may need several random decisions. If they used the same bits, they would
+    be correlated: the calls that pass throttling would prefer some targets. The steps
+    are those of the SplitMix64 generator.
     """
     word = (draw + salt * 0x9E3779B97F4A7C15) & MASK
     word = ((word ^ (word >> 30)) * 0xBF58476D1CE4E5B9) & MASK
--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -1,4 +1,4 @@
-"""pimentoline.explain: what the core would do with a call, without sending it."""
+"""pimentoline.explain: how the node would handle a call, without sending it."""
 
 from collections import Counter
 from dataclasses import asdict
@@ -10,20 +10,21 @@
 
 __all__ = ["explain"]
 
-# Calls of the node are numbered from 1.
+# No other call has this id, because a node numbers its calls from 1.
 TRIAL_CALL_ID = 0
 
 
-def explain(state, said, now, draws):
+def explain(state, query, now, draws):
     """Return the decisions about a call as JSON data.
 
-    The reducer is pure, so the state is as before and nothing is sent. Each draw is
-    one trial, since the choice of a target depends on it.
+    The call is passed to the reducer, and the new state and the effects are dropped, so
+    nothing changes and nothing is sent. There is one trial for each draw, because the
+    choice of a target is random.
 
     Parameters
     ----------
     state : State
-    said : ExplainRequest
+    query : ExplainRequest
     now : float
         Monotonic time, seconds.
     draws : list of int
@@ -34,34 +35,36 @@
     dict
     """
     ruleset = state.rules.ruleset
-    path = said.path.split("?")[0]
-    policy = ruleset.call_policy(said.service, said.method, path)
+    path = query.path.split("?")[0]
+    policy = ruleset.call_policy(query.service, query.method, path)
     budget_s = policy.deadline_s
-    if said.deadline_ms is not None:
-        budget_s = min(budget_s, said.deadline_ms / 1000.0)
+    if query.deadline_ms is not None:
+        budget_s = min(budget_s, query.deadline_ms / 1000.0)
     req = Request(
-        service=said.service,
-        method=said.method,
+        service=query.service,
+        method=query.method,
         path=path,
         deadline=now + budget_s,
-        call_class=policy.call_class or said.call_class,
-        key=said.key,
+        call_class=policy.call_class or query.call_class,
+        key=query.key,
     )
     counts = Counter(_outcome(state, req, now, draw) for draw in draws)
-    rules = ruleset.matching_rules(said.service, said.method, path)
+    rules = ruleset.matching_rules(query.service, query.method, path)
     return {
         "node": state.identity.node_id,
         "rules_version": state.rules.version,
         "rules": {kind: rule.as_line() for kind, rule in rules.items()},
         "policy": {**asdict(policy), "call_class": req.call_class},
-        "claims_key": bool(said.key) and not policy.idempotent,
+        "claims_key": bool(query.key) and not policy.idempotent,
         "outcomes": {text: n / len(draws) for text, n in counts.most_common()},
-        "targets": [_target(state, target, now) for target in _known(state, req)],
+        "targets": [
+            _target(state, target, now) for target in _announced_targets(state, req)
+        ],
     }
 
 
 def _outcome(state, req, now, draw):
-    """Return where one trial goes, as text."""
+    """Return the result of one trial as text."""
     call = Call(TRIAL_CALL_ID, req, now)
     step = reduce(state, CallArrived(now, draw, call))
     if any(isinstance(effect, InsertClaim) for effect in step.effects):
@@ -76,8 +79,8 @@
     return "queued"
 
 
-def _known(state, req):
-    """Return the targets of the service that any member has announced."""
+def _announced_targets(state, req):
+    """Return the targets of the service that any member announces, by id."""
     found = {
         target.target_id: target
         for member in state.mesh.members.values()
@@ -112,6 +115,6 @@
         return f"not used: {rules['weight'].as_line()}"
     if stats.ejected_until > now:
         return f"not used: ejected for {stats.ejected_until - now:.1f} s more"
-    seen = f"{stats.inflight} own calls in flight, {stats.latency_s * 1000.0:.1f} ms"
+    load = f"{stats.inflight} own calls in flight, {stats.latency_s * 1000.0:.1f} ms"
     weight = f", {rules['weight'].as_line()}" if "weight" in rules else ""
-    return f"usable: {seen}{weight}"
+    return f"usable: {load}{weight}"
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -1,7 +1,8 @@
-"""pimentoline.probing: which targets are probed, within the region's budget.
+"""pimentoline.probing: load probes of targets, within the probe budget of the region.
 
-All nodes of a region together stay within its budget without talking to each other:
-each takes an equal share of it, and the number of shares is never too low.
+A probe requests a target's load endpoint. The nodes of a region keep to its budget
+without coordination: each takes an equal share, and assumes at least as many shares as
+there are nodes.
 """
 
 from immutables import Map
@@ -14,33 +15,34 @@
 
 __all__ = ["MAX_PROBE_BYTES", "record_call", "on_probe_ended", "on_tick"]
 
-FRESH_S = 0.5
-# Services without a call for this time are not probed.
+# Targets with a load report of at most this age are not probed.
+FRESH_REPORT_S = 0.5
+# Targets of services without a call for this time are not probed.
 DEMAND_S = 2.0
 # A node that joins must be counted by the others before it spends a share, or the
 # shares in use would add up to more than the budget.
 JOIN_WAIT_S = 10.0
 # A node that was paused this long may have missed that others joined. It waits like
-# one that joins, and does not spend what it would have earned.
-PAUSE_S = 2.0
-# Limits of a probe's request and answer in bytes. The prober closes a connection
-# that brings more, so that a target cannot make a probe exceed its reservation.
+# a node that joins, and the share of the paused time is lost.
+MIN_PAUSE_S = 2.0
+# Limits of a probe's request and response in bytes. The prober closes a connection
+# that delivers more, so that a target cannot make a probe exceed its reservation.
 MAX_REQUEST_BYTES = 256
 MAX_ANSWER_BYTES = 1024
-# TCP/IP headers of a connection with one small exchange: 11 packets of 40 to 60
-# bytes without payload or ahead of it.
+# TCP/IP headers of a connection with one small request and response: 11 packets with
+# headers of 40 to 60 bytes.
 PACKET_BYTES = 600
 MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_ANSWER_BYTES + PACKET_BYTES
 MAX_LOAD_PATH_CHARS = 128
-# Far above the number of targets; only bounds the memory for those that are gone.
-MAX_PROBED = 4096
+# Far above the number of targets; bounds the memory for targets that are gone.
+MAX_LAST_PROBED = 4096
 
 
 def record_call(state, event):
-    """Remember that a service was called, which makes its targets candidates."""
+    """Record that a service was called, which makes its targets eligible for probes."""
     service = event.call.req.service
     if service not in state.mesh.by_service:
-        # Callers choose the name; only names of services are kept.
+        # Callers may send any name, so unknown ones are not kept.
         return state
     probing = state.probing
     last_called = probing.last_called.set(service, event.now)
@@ -50,12 +52,12 @@
 def count_shares(state, budget):
     """Return the number of shares that the budget of this region is divided into.
 
-    Records of dead members are held for an hour. They count, so that nodes on both
-    sides of a partition keep to the shares that they had before.
+    Records of dead members are kept for an hour and count as well, so that nodes on
+    both sides of a partition keep to the shares that they had before.
     """
-    me = state.identity
+    own = state.identity
     others = sum(
-        record.region == me.region and record.node_id != me.node_id
+        record.region == own.region and record.node_id != own.node_id
         for record in state.mesh.members.values()
     )
     return max(budget.planned_nodes, others + 1)
@@ -64,12 +66,12 @@
 def on_tick(state, event):
     """Send the probes that have fallen due since the last tick.
 
-    The share is spent as it falls due or not at all. Nodes that were idle therefore
-    cannot probe all at once when calls arrive.
+    Probes that are not sent when they fall due are dropped. Otherwise idle nodes would
+    save them up and all probe at once when calls arrive.
     """
     now, probing = event.now, state.probing
     last = probing.last_tick
-    if last is None or now - last > PAUSE_S:
+    if last is None or now - last > MIN_PAUSE_S:
         probing = replace(
             probing,
             last_tick=now,
@@ -93,44 +95,45 @@
     probes = min(probes, int(free_bytes // MAX_PROBE_BYTES))
     if probes < 1 or now - probing.joined_at < JOIN_WAIT_S or state.stopping:
         return state, ()
-    wanted = _wanted(state, now, event.draw)[:probes]
-    return _send(state, wanted, now)
+    stale = _stale_targets(state, now, event.draw)[:probes]
+    return _send(state, stale, now)
 
 
 def _fall_due(due, rate, elapsed_s):
-    """Return the fraction of a probe left over and the probes that fall due."""
+    """Return the fraction of a probe left over, and the number of probes due."""
     due += rate * elapsed_s
     whole = int(due)
-    # A late tick brings at most the probes of one second.
+    # After a late tick, at most the probes of one second are due.
     return due - whole, min(whole, max(1, int(rate)))
 
 
-def _wanted(state, now, draw):
-    """Return the targets without fresh information, the longest unheard first."""
+def _stale_targets(state, now, draw):
+    """Return the targets without a recent load report, the least recent first."""
     probing, found = state.probing, []
     for service, at in probing.last_called.items():
         if now - at > DEMAND_S:
             continue
-        for target in _candidates(state, service):
+        for target in _targets_in_use(state, service):
             name = target.target_id
             stats = state.traffic.targets.get(name) or TargetStats()
             if (
-                now - stats.reported_at > FRESH_S
+                now - stats.reported_at > FRESH_REPORT_S
                 and name not in probing.in_flight
                 and len(target.load_path) <= MAX_LOAD_PATH_CHARS
             ):
-                # A target that never answers must not take the turn of others.
+                # The time of the last probe counts too, so that a target that never
+                # answers does not keep others from being probed.
                 probed_at = probing.last_probed.get(name, float("-inf"))
-                heard_at = max(stats.reported_at, probed_at)
-                found.append((heard_at, mix(draw, len(found)), target))
+                checked_at = max(stats.reported_at, probed_at)
+                found.append((checked_at, mix(draw, len(found)), target))
     found.sort(key=lambda item: item[:2])
     return [target for _, _, target in found]
 
 
-def _candidates(state, service):
-    """Yield the targets that the latest calls of a service could go to.
+def _targets_in_use(state, service):
+    """Yield the targets in the rings that a service uses at present.
 
-    These are the rings up to the widest in use, ejected targets included.
+    Ejected targets are included.
     """
     plan = state.traffic.plan
     route = plan.routes.get(service) if plan is not None else None
@@ -145,7 +148,7 @@
 
 def _send(state, targets, now):
     probing, effects = state.probing, []
-    if len(probing.last_probed) > MAX_PROBED:
+    if len(probing.last_probed) > MAX_LAST_PROBED:
         probing = replace(probing, last_probed=Map())
     for target in targets:
         name = target.target_id
@@ -162,7 +165,7 @@
 
 
 def on_probe_ended(state, event):
-    """Take the load from an answer, and free what the probe did not use."""
+    """Record the reported load, and release the bytes that the probe did not use."""
     probing, name = state.probing, event.target_id
     used = event.sent_bytes + event.received_bytes + PACKET_BYTES
     probing = replace(
--- a/pimentoline/verdict.py
+++ b/pimentoline/verdict.py
@@ -8,8 +8,8 @@
 class Verdict(enum.Enum):
     """What is known about the execution of a request.
 
-    `NOT_RUN` is only given on proof: no byte was written to any target, the
-    connection was refused, or the target declared it by contract.
+    `NOT_RUN` requires proof: no byte was written to any target, the connection was
+    refused, or the target declared in its response that it did not run the request.
     """
 
     NOT_RUN = "not-run"
@@ -17,7 +17,7 @@
     RAN = "ran"
 
 
-_STRENGTH = {Verdict.NOT_RUN: 0, Verdict.MAY_HAVE_RUN: 1, Verdict.RAN: 2}
+_RANKS = {Verdict.NOT_RUN: 0, Verdict.MAY_HAVE_RUN: 1, Verdict.RAN: 2}
 
 
 def combine(verdicts):
@@ -26,11 +26,11 @@
     Parameters
     ----------
     verdicts : iterable of Verdict
-        One verdict for each attempt; empty if none was made.
+        One verdict for each attempt; empty if there was no attempt.
 
     Returns
     -------
     Verdict
         `NOT_RUN` only if every attempt was proven not to have run.
     """
-    return max(verdicts, key=_STRENGTH.__getitem__, default=Verdict.NOT_RUN)
+    return max(verdicts, key=_RANKS.__getitem__, default=Verdict.NOT_RUN)
