Describe the tests of probing and of the version survey plainly

Cause: heads and names needed knowledge of the project. Change: comments and names inside these test files; no assertion changed.

--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -1,4 +1,4 @@
-"""P1: what all nodes of a region together spend on probes."""
+"""Guarantee P1: all nodes of a region together keep to its probe budget."""
 
 import signal
 import time
@@ -30,10 +30,10 @@
 
 
 class Region:
-    """Reducer states of the nodes of one region, advanced by ticks.
+    """States of the nodes of one region, advanced by ticks.
 
     Every probe fails and uses all the bytes that it may, so demand never ends. Nodes
-    in `paused` get no events; a node hears of another only through `introduce`.
+    in `paused` get no ticks; nodes learn of each other only through `introduce`.
     """
 
     def __init__(self, bytes_per_s=1_000_000, planned=0):
@@ -42,28 +42,30 @@
         self.rules = RulesState(version=1, ruleset=ruleset)
         self.states, self.paused, self.sent = {}, set(), []
         self.now, self.demand = 0.0, True
-        hosts = [f"t{n}" for n in range(40)]
-        targets = [Target(t, "hive-ledger", ("ip", 1), "rift", "kerio") for t in hosts]
-        self.far = Member(
+        target_ids = [f"t{n}" for n in range(40)]
+        targets = [
+            Target(t, "hive-ledger", ("ip", 1), "rift", "kerio") for t in target_ids
+        ]
+        self.far_node = Member(
             "far", "far", ("ip", 9), "coast", "kwale", 1, targets=tuple(targets)
         )
 
     def join(self, *names):
-        """Start nodes; each knows itself and the targets of the other region."""
+        """Start nodes; each knows itself and a node of another region with targets."""
         for name in names:
             addr = (name, 1)
             me = Identity(name, name, "rift", "kerio", addr, addr, 1)
             self.states[name] = State(me, self.rules)
-            self.apply(name, ev.MembersReceived(self.now, (self.far,)))
+            self.apply(name, ev.MembersReceived(self.now, (self.far_node,)))
 
     def introduce(self, *names):
-        """Let the named nodes know each other."""
+        """Send each of the named nodes the records of all of them."""
         records = tuple(own_record(self.states[name]) for name in names)
         for name in names:
             self.apply(name, ev.MembersReceived(self.now, records))
 
     def apply(self, name, event):
-        """Reduce an event and end the probes that it sends."""
+        """Apply an event to a node, and end the probes that it sends."""
         step = reduce(self.states[name], event)
         self.states[name] = step.state
         for effect in step.effects:
@@ -79,9 +81,9 @@
             self.now += TICK_S
             for number, name in enumerate(sorted(self.states.keys() - self.paused)):
                 if round(self.now / TICK_S) % 5 == 0:
-                    # The far region answers, so its targets stay routable.
-                    self.far = replace(self.far, seq=self.far.seq + 1)
-                    self.apply(name, ev.MembersReceived(self.now, (self.far,)))
+                    # A newer record keeps the targets of the other region routable.
+                    self.far_node = replace(self.far_node, seq=self.far_node.seq + 1)
+                    self.apply(name, ev.MembersReceived(self.now, (self.far_node,)))
                 draw = hash((round(self.now * 1000), number)) & (2**64 - 1)
                 if self.demand:
                     req = Request("hive-ledger", "GET", "/", self.now + 1.0)
@@ -91,11 +93,11 @@
                 self.apply(name, ev.Tick(self.now, draw))
 
     def probes(self, since, name=None):
-        """Return the number of probes sent after a time, of one node or of all."""
-        return sum(at > since and name in (None, who) for at, who in self.sent)
+        """Return the number of probes sent after a time, by one node or by all."""
+        return sum(at > since and name in (None, node) for at, node in self.sent)
 
     def assert_within_budget(self, window_s):
-        """Check every window of that length; each node may round up to a probe."""
+        """Check every window of that length; each node may send one probe more."""
         for begin, _ in self.sent:
             count = sum(begin <= at < begin + window_s for at, _ in self.sent)
             assert count <= PROBES_PER_S * window_s + len(self.states)
@@ -126,24 +128,24 @@
 
 
 def test_joining_nodes_wait_until_they_are_counted(region):
-    """Guards against newcomers that add their shares to the undiminished ones."""
-    olds = list(region.states)
-    news = [f"x{number}" for number in range(8)]
-    region.join(*news)
+    """Guards against joining nodes that probe before the others reduce their shares."""
+    old_nodes = list(region.states)
+    new_nodes = [f"x{number}" for number in range(8)]
+    region.join(*new_nodes)
     begin = region.now
-    for name in news:
+    for name in new_nodes:
         records = tuple(own_record(state) for state in region.states.values())
         region.apply(name, ev.MembersReceived(region.now, records))
     region.run(9.0)
-    assert sum(region.probes(begin, name) for name in news) == 0
-    region.introduce(*olds, *news)
+    assert sum(region.probes(begin, name) for name in new_nodes) == 0
+    region.introduce(*old_nodes, *new_nodes)
     region.run(20.0)
-    assert all(region.probes(begin, name) for name in news)
+    assert all(region.probes(begin, name) for name in new_nodes)
     region.assert_within_budget(9.0)
 
 
 def test_cut_off_nodes_keep_their_old_shares(region):
-    """Guards against halves of a partition that each spend the whole budget."""
+    """Guards against parts of a partition that each spend the whole budget."""
     for name, state in region.states.items():
         others = [
             replace(record, status=MemberStatus.DEAD)
@@ -158,7 +160,7 @@
 
 
 def test_unknown_nodes_are_covered_by_the_planned_number():
-    """Guards against a cut-off start, where each node knows only itself."""
+    """Guards against nodes that start during a partition and know only themselves."""
     region = Region(planned=8)
     region.join(*(f"n{number}" for number in range(8)))
     region.run(30.0)
@@ -169,8 +171,8 @@
 def test_resumed_node_waits_and_does_not_catch_up(region):
     """Guards against a paused node that resumes with an outdated share."""
     region.paused.add("n0")
-    news = [f"x{number}" for number in range(24)]
-    region.join(*news)
+    new_nodes = [f"x{number}" for number in range(24)]
+    region.join(*new_nodes)
     region.introduce(*region.states.keys() - {"n0"})
     region.run(30.0)
     region.paused.clear()
@@ -187,7 +189,7 @@
 
 
 def test_idle_nodes_do_not_probe_all_at_once():
-    """Guards against buckets that fill while idle and empty at the same moment."""
+    """Guards against idle nodes that save up probes and send them all at once."""
     region = Region()
     names = [f"n{number}" for number in range(60)]
     region.join(*names)
@@ -198,13 +200,13 @@
     region.demand = True
     begin = region.now
     region.run(1.0)
-    # With one saved probe each, all 60 would be sent. The phases are random, so the
-    # rate of one second may exceed the budget, but not by as much again.
+    # If each node had saved up one probe, 60 would be sent. Nodes send at random times,
+    # so one second may exceed the budget, but at most by a factor of 2.
     assert 0 < region.probes(begin) <= 2 * PROBES_PER_S
 
 
 def test_bytes_stay_within_the_budget():
-    """Guards against large answers that exceed the budget of bytes."""
+    """Guards against exceeding the byte budget with large responses."""
     bytes_per_s = 4 * MAX_PROBE_BYTES
     region = Region(bytes_per_s)
     names = [f"n{number}" for number in range(8)]
@@ -217,22 +219,22 @@
 
 
 def test_answer_updates_the_load_of_the_target(region):
-    """Guards against probes that are paid for and not used."""
+    """Guards against probes whose result is not used."""
     event = ev.ProbeEnded(region.now, "t3", 7.0, 100, 200)
     stats = reduce(region.states["n0"], event).state.traffic.targets["t3"]
     assert (stats.reported_load, stats.reported_at) == (7.0, region.now)
 
 
-def totals(cluster):
-    """Return (probes, bytes) that the targets have received and sent."""
+def target_totals(cluster):
+    """Return (probes, bytes in both directions) as counted by the targets."""
     found = [target.get_json("/faults") for target in cluster.targets.values()]
     probes = sum(counters.get("probes", 0) for counters in found)
     names = ("probe_bytes_in", "probe_bytes_out")
     return probes, sum(counters.get(name, 0) for counters in found for name in names)
 
 
-def metered(cluster):
-    """Return (probes, bytes without those of packets) that the nodes have counted."""
+def node_totals(cluster):
+    """Return (probes, bytes without packet headers) as counted by the nodes."""
     found = [cluster.admin(name, "/v1/status")[1] for name in cluster.nodes]
     probes = sum(status["counters"].get("probes.sent", 0) for status in found)
     traffic = sum(status["counters"].get("probes.bytes", 0) for status in found)
@@ -242,7 +244,7 @@
 def test_targets_see_no_more_probes_than_the_budget(cluster):
     """Guards against probes beyond the default budget while nodes pause and join.
 
-    The targets leave the load out, so every one of them is wanted all the time.
+    The targets do not report their load, so all of them need probes all the time.
     """
     budget = parse("").ruleset.probe_budget("rift")
     cluster.start_node("n0")
@@ -258,10 +260,10 @@
     def probes_reach(count):
         for name in calling:
             cluster.call(name, "/weights")
-        return totals(cluster)[0] >= count
+        return target_totals(cluster)[0] >= count
 
     wait_until(lambda: probes_reach(1), 30.0, "the first probe")
-    begin, (probes, traffic) = time.monotonic(), totals(cluster)
+    begin, (probes, traffic) = time.monotonic(), target_totals(cluster)
     wait_until(lambda: probes_reach(probes + 15), 30.0, "probes of three nodes")
     calling.remove("n2")
     cluster.nodes["n2"].signal(signal.SIGSTOP)
@@ -272,10 +274,12 @@
     wait_until(lambda: cluster.call("n2", "/weights")[0] == 200, 30.0, "n2 serves")
     calling.append("n2")
     wait_until(lambda: probes_reach(probes + 60), 30.0, "probes after the join")
-    took_s, (probes_now, traffic_now) = time.monotonic() - begin, totals(cluster)
+    took_s, (probes_now, traffic_now) = time.monotonic() - begin, target_totals(cluster)
     assert probes_now - probes <= budget.probes_per_s * took_s + len(cluster.nodes)
     spent = traffic_now - traffic + (probes_now - probes) * PACKET_BYTES
     reserved = MAX_PROBE_BYTES * len(cluster.nodes)
     assert spent <= budget.bytes_per_s * took_s + reserved
     # Without calls the probes end, and both sides have counted the same.
-    wait_until(lambda: totals(cluster) == metered(cluster), 10.0, "equal counts")
+    wait_until(
+        lambda: target_totals(cluster) == node_totals(cluster), 10.0, "equal counts"
+    )
--- a/tests/test_version_survey.py
+++ b/tests/test_version_survey.py
@@ -1,10 +1,13 @@
-"""The audit trail's list of the nodes that hold a version."""
+"""The nodes that the history of rules versions lists for a version."""
 
 from .conftest import wait_until
 
 
 def test_history_names_the_nodes_that_hold_a_version(cluster):
-    """Guards against a trail that counts old member records: 0 of 6 in the demo."""
+    """Guards against counting nodes from member records, which lag behind.
+
+    The demo then listed 0 of 6 nodes for the version in force.
+    """
     cluster.start_table()
     for node_id in ("n1", "n2", "n3"):
         cluster.start_node(node_id)
