Explain the fallbacks of routing and the latency of waiting attempts

Cause: some branches and enum values had no stated reason, and a docstring was ambiguous. Change: comments and local names.

--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -49,7 +49,11 @@
 
 
 class ClaimOutcome(enum.Enum):
-    """Result of claiming an idempotency key in the store."""
+    """Result of claiming an idempotency key in the store.
+
+    With `HELD`, another attempt holds the claim; with `REPLAY`, an earlier call with
+    the key has recorded its response.
+    """
 
     GRANTED = "granted"
     HELD = "held"
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -197,7 +197,7 @@
 
 
 class CallPhase(enum.Enum):
-    """Phase of a call: claim its key, wait for a response, pass the response on."""
+    """Phase of a call: claiming its key, waiting for a response, forwarding it."""
 
     CLAIMING = "claiming"
     SENDING = "sending"
@@ -208,7 +208,8 @@
 class CallRecord:
     """A call in flight and its attempts, oldest first.
 
-    `answering` is the id of the attempt whose response goes to the caller.
+    `idempotent` tells whether the call may run more than once; `answering` is the id of
+    the attempt whose response goes to the caller.
     """
 
     call: Call
@@ -242,7 +243,7 @@
     own_in_report : int
         Requests of this node in flight at that time, which the report includes.
     consecutive_failures : int
-        Consecutive failures.
+        Failed attempts in a row.
     recent_outcomes : tuple of bool
         Outcomes of the latest attempts, True for success, newest last.
     ejected_until, ejected_for_s : float
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -13,7 +13,7 @@
 # likely this node or the service as a whole.
 MAX_EJECTED_SHARE = 0.5
 SLOW_START_S = 10.0
-# Share of its weight that a target has at the begin of its slow start. With less, it
+# Share of its weight that a target has when its slow start begins. With less, it
 # would get too few calls to show its state.
 MIN_SLOW_START_SHARE = 0.1
 
@@ -43,7 +43,7 @@
     ----------
     stats : TargetStats
     started, now : float
-        Begin and end of the attempt, monotonic time in seconds.
+        Start and end of the attempt, monotonic time in seconds.
     decisive : bool
         Whether one failure is enough for an ejection, as with a refused connection.
     ejected : callable
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -13,7 +13,7 @@
 from .model import ServiceStats, TargetStats
 from .traffic_stats import load_report_changes
 
-__all__ = ["MAX_PROBE_BYTES", "record_call", "on_probe_ended", "on_tick"]
+__all__ = ["MAX_PROBE_BYTES", "on_probe_ended", "on_tick", "record_call"]
 
 # Targets with a load report of at most this age are not probed.
 FRESH_REPORT_S = 0.5
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -97,8 +97,8 @@
 def find_route(state, service, now):
     """Return the state and the route of a service, rebuilt if it is outdated.
 
-    A target that comes up while the service is known gets the time in its statistics,
-    from which its slow start is counted.
+    If a target comes up after the first route of the service was built, its statistics
+    record `now` as the start of its slow start.
     """
     plan = state.traffic.plan
     if plan is None or plan.members is not state.mesh.members:
@@ -178,6 +178,7 @@
     usable = [target for target in up if weights[target.target_id] > 0.0]
     subset = choose_subset(usable, node_counts) if usable else []
     regions = ruleset.region_order(service, node_counts.location[0])
+    # By version; the key is None for all targets whose version has no canary rule.
     by_version = {}
     for target in subset:
         share = ruleset.canary_share(service, target.version)
@@ -198,6 +199,7 @@
     for version in sorted(by_version, key=lambda version: (version is None, version)):
         share, rings = by_version[version]
         ordered = tuple(tuple(rings[number]) for number in sorted(rings))
+        # Rings 0 and 1 are this data centre and the rest of this region.
         home_rings = sum(number < 2 for number in rings)
         releases.append(Release(1.0 if share is None else share, ordered, home_rings))
     return Route(
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -190,6 +190,7 @@
         accepted = view.accepted(found)
         last = number + 1 == len(release.rings)
         if not accepted:
+            # Used if the policy accepts no candidate of any ring.
             if not rejected or number < release.home_rings:
                 rejected = rejected + found
             if last:
@@ -202,6 +203,7 @@
                 break
             credit -= 1.0
             continue
+        # Retries do not spill because of load, and nothing spills from the last ring.
         if view.tried or last:
             return (
                 found,
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -169,8 +169,8 @@
     target_ids = route.target_ids() if route is not None else ()
 
     def ejected():
-        others = (name for name in target_ids if name != attempt.target_id)
-        return sum(_target_stats(state, name).ejected_until > now for name in others)
+        others = (item for item in target_ids if item != attempt.target_id)
+        return sum(_target_stats(state, item).ejected_until > now for item in others)
 
     if plan is not None and attempt.target_id in plan.unconfirmed:
         # The target's node is suspect or gone, so its host has probably failed.
@@ -191,7 +191,7 @@
     state = record_wait(state, record, event.now, attempt)
     req = record.call.req
     stats = _target_stats(state, attempt.target_id)
-    service = _service_stats(state, req.service)
+    service_stats = _service_stats(state, req.service)
     failed = event.status >= 500
     sample_s = event.now - attempt.started
     if failed:
@@ -205,20 +205,22 @@
         # The report does not include the request that was just answered.
         changes |= load_report_changes(stats.inflight - 1, event.load, event.now)
     service_changes = throttling.attempt_changes(
-        service, req.call_class, not event.not_run, event.now
+        service_stats, req.call_class, not event.not_run, event.now
     )
     if not failed:
         # If a hedge wins, the latency of the call counts from the first attempt, so it
         # includes the hedge delay. The latency of the hedge alone would lower the
         # percentile and cause more hedges.
         first = record.attempts[0] if attempt.hedge else attempt
-        service_changes |= _latency_changes(service, event.now - first.started)
+        service_changes |= _latency_changes(service_stats, event.now - first.started)
     stats = replace(stats, **changes)
     if failed and not event.not_run:
         stats = _with_failure(state, record, attempt, event.now, False, stats)
     traffic = state.traffic
     targets = traffic.targets.set(attempt.target_id, stats)
-    services = traffic.services.set(req.service, replace(service, **service_changes))
+    services = traffic.services.set(
+        req.service, replace(service_stats, **service_changes)
+    )
     traffic = replace(traffic, targets=targets, services=services)
     return replace(state, traffic=traffic)
 
@@ -238,11 +240,11 @@
     return {"reported_load": load, "reported_at": now, "own_in_report": own}
 
 
-def _latency_changes(service, sample_s):
-    new_latencies = (*service.new_latencies, sample_s)
+def _latency_changes(stats, sample_s):
+    new_latencies = (*stats.new_latencies, sample_s)
     if len(new_latencies) < LATENCY_BATCH:
         return {"new_latencies": new_latencies}
-    window = (service.latencies + new_latencies)[-LATENCY_WINDOW:]
+    window = (stats.latencies + new_latencies)[-LATENCY_WINDOW:]
     ordered = sorted(window)
     return {
         "latencies": window,
@@ -253,11 +255,12 @@
 
 
 def record_wait(state, record, now, responded=None):
-    """Raise the latency of targets that have not responded for longer than it.
+    """Raise the latency of targets to the time that attempts have waited for them.
 
-    The attempts are about to be cancelled, so their full latency never becomes known.
-    If the time waited did not count, a slow target whose hedges always win would keep
-    a low latency and get more calls.
+    This covers the attempts of the call without a response, except `responded`. They
+    may be cancelled, so that their full latency never becomes known. If the time
+    waited did not count, a slow target whose hedges always win would keep a low latency
+    and get more calls.
     """
     for att in record.attempts:
         if att.verdict is None and att is not responded:
