Name the steps of the reducer's test driver

Cause: arrive, answer, add and fail leave out their object. Change: names inside the driver and the tests that use it; no assertion changed.

--- a/tests/core.py
+++ b/tests/core.py
@@ -30,8 +30,8 @@
     """Drives the state of one node by events, without a real clock or sockets."""
 
     def __init__(self, policy="hot-cold", rules=""):
-        me = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
-        self.state = State(me, policy=policy)
+        identity = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
+        self.state = State(identity, policy=policy)
         self.events = []
         self.now = 100.0
         self.calls = 0
@@ -47,7 +47,7 @@
         self.state = step.state
         return step.effects
 
-    def add(self, name, place=HOME, status=MemberStatus.ALIVE, **fields):
+    def add_target(self, name, place=HOME, status=MemberStatus.ALIVE, **fields):
         """Add a target with a node of its own, or change it."""
         self.seq += 1
         target = Target(name, SERVICE, ADDR, *place, **fields)
@@ -55,7 +55,7 @@
         record = Member(node, node, ADDR, *place, 1, self.seq, status, (target,))
         self.send(ev.MembersReceived(self.now, (record,)))
 
-    def arrive(self, method="GET", **fields):
+    def start_call(self, method="GET", **fields):
         """Start a call; return its id and the effects."""
         self.calls += 1
         req = Request(SERVICE, method, "/", self.now + 10.0, **fields)
@@ -63,7 +63,7 @@
         draw = mix(self.calls, 1)
         return self.calls, self.send(ev.CallArrived(self.now, draw, call))
 
-    def answer(self, effect, status=200, not_run=False, load=None):
+    def receive_head(self, effect, status=200, not_run=False, load=None):
         """Receive the response head of an attempt; return the effects."""
         draw = mix(self.calls, 2)
         call_id, attempt_id = effect.call_id, effect.attempt_id
@@ -72,7 +72,7 @@
         )
         return self.send(event)
 
-    def fail(self, effect, outcome, verdict):
+    def fail_attempt(self, effect, outcome, verdict):
         """End an attempt without a response; return the effects."""
         draw = mix(self.calls, 3)
         call_id, attempt_id = effect.call_id, effect.attempt_id
@@ -80,24 +80,24 @@
             ev.AttemptEnded(self.now, draw, call_id, attempt_id, outcome, verdict, True)
         )
 
-    def end(self, call_id):
+    def end_call(self, call_id):
         """End a call whose response was passed on completely."""
         self.send(ev.CallEnded(self.now, call_id, True))
 
-    def call(self, latency_s=0.01, status=200, load=None, **fields):
+    def make_call(self, latency_s=0.01, status=200, load=None, **fields):
         """Make a call from start to end; return the target's id or the error code.
 
         An attempt that is retried succeeds at the second target.
         """
-        call_id, effects = self.arrive(**fields)
-        sent = attempt_of(effects)
+        call_id, effects = self.start_call(**fields)
+        sent = started_attempt(effects)
         if sent is None:
             return effects[0].code
         self.now += latency_s
-        retry = attempt_of(self.answer(sent, status, load=load))
+        retry = started_attempt(self.receive_head(sent, status, load=load))
         if retry is not None:
-            self.answer(retry, 200)
-        self.end(call_id)
+            self.receive_head(retry, 200)
+        self.end_call(call_id)
         return sent.target_id
 
     def set_stats(self, name, **fields):
@@ -122,21 +122,23 @@
     for number in range(calls):
         if number % 40 == 0:
             name = f"t{number % 11}"
-            core.add(name, places[number % 3], version="2" if number % 80 else "1")
-        call_id, effects = core.arrive()
-        sent = attempt_of(effects)
+            core.add_target(
+                name, places[number % 3], version="2" if number % 80 else "1"
+            )
+        call_id, effects = core.start_call()
+        sent = started_attempt(effects)
         core.now += 0.003
         log.append(effects)
         outcome = mix(number, 9) % 16
         if sent is not None and outcome == 0:
-            log.append(core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
+            log.append(core.fail_attempt(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
         elif sent is not None and outcome == 1:
             log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
         elif sent is not None:
             status = 503 if outcome < 5 else 200
             load = float(outcome)
-            log.append(core.answer(sent, status, outcome == 2, load))
-            core.end(call_id)
+            log.append(core.receive_head(sent, status, outcome == 2, load))
+            core.end_call(call_id)
     return core, log
 
 
@@ -147,6 +149,6 @@
     return hashlib.sha256(repr(parts).encode()).hexdigest()
 
 
-def attempt_of(effects):
+def started_attempt(effects):
     """Return the started attempt among effects, or None."""
     return next((eff for eff in effects if isinstance(eff, StartAttempt)), None)
--- a/tests/test_closed_loop.py
+++ b/tests/test_closed_loop.py
@@ -11,7 +11,7 @@
 from pimentoline.effects import CancelAttempt, ForwardResponse, ScheduleHedge
 from pimentoline.policies import policy_names
 
-from .core import HOME, Core, attempt_of
+from .core import HOME, Core, started_attempt
 
 PLACES = {"t0": HOME, "t1": ("rift", "baringo"), "t2": ("coast", "kwale")}
 SLOTS = 4
@@ -30,7 +30,7 @@
     """
     core, rng = Core(policy, "retry * 10%"), random.Random(seed)
     for name, place in PLACES.items():
-        core.add(name, place, slots=SLOTS)
+        core.add_target(name, place, slots=SLOTS)
     # For each target, the times at which its slots are free.
     free_at = {name: [0.0] * SLOTS for name in PLACES}
     # `started_at` has the start of each call by id, and as a mark the id of each
@@ -41,14 +41,14 @@
         heapq.heappush(queue, (time, next(number), action, item))
 
     def execute(effects):
-        sent = attempt_of(effects)
+        sent = started_attempt(effects)
         for effect in effects:
             match effect:
                 case ScheduleHedge(call_id, delay_s):
                     schedule(core.now + delay_s, "hedge", call_id)
                 case ForwardResponse(call_id):
                     latencies.append(core.now - started_at[call_id])
-                    core.end(call_id)
+                    core.end_call(call_id)
                 case CancelAttempt(_, attempt_id):
                     started_at[-attempt_id] = core.now
         if sent is None:
@@ -70,13 +70,13 @@
     while queue:
         core.now, _, action, item = heapq.heappop(queue)
         if action == "arrive":
-            call_id, effects = core.arrive()
+            call_id, effects = core.start_call()
             started_at[call_id] = core.now
             execute(effects)
         elif action == "hedge":
             execute(core.send(ev.HedgeDue(core.now, rng.getrandbits(64), item, True)))
         elif -item.attempt_id not in started_at:
-            execute(core.answer(item, action))
+            execute(core.receive_head(item, action))
     assert len(latencies) == CALLS
     return sorted(latencies)[int(CALLS * 0.99)]
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,14 +13,14 @@
 from pimentoline.retries import hedge_delay_s
 from pimentoline.verdict import Verdict
 
-from .core import SERVICE, Core, attempt_of
+from .core import SERVICE, Core, started_attempt
 
 
 def make_core(count=4, **options):
     """Return a core with the equal targets t0, t1 and so on."""
     core = Core(**options)
     for number in range(count):
-        core.add(f"t{number}")
+        core.add_target(f"t{number}")
     return core
 
 
@@ -82,7 +82,7 @@
     """Guards against ejecting a whole service when this node is at fault."""
     core = make_core(total)
     for _ in range(200):
-        core.call(status=500, method="POST")
+        core.make_call(status=500, method="POST")
         assert len(ejected(core)) <= most
     assert len(ejected(core)) == most
 
@@ -90,9 +90,9 @@
 def test_refused_connection_ejects_at_once():
     """Guards against calls to a host on which nothing listens."""
     core = make_core()
-    _, effects = core.arrive("POST")
-    sent = attempt_of(effects)
-    core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
+    _, effects = core.start_call("POST")
+    sent = started_attempt(effects)
+    core.fail_attempt(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
     assert ejected(core) == {sent.target_id}
 
 
@@ -104,9 +104,9 @@
     """Guards against ejecting for shed calls, and not for truncated responses."""
     core = make_core(2)
     for _ in range(20):
-        call_id, effects = core.arrive("POST")
-        if attempt_of(effects):
-            core.answer(attempt_of(effects), status, not_run)
+        call_id, effects = core.start_call("POST")
+        if started_attempt(effects):
+            core.receive_head(started_attempt(effects), status, not_run)
             core.send(ev.CallEnded(core.now, call_id, complete))
     assert len(ejected(core)) == count
 
@@ -119,9 +119,9 @@
         share for _, share in steps
     ]
     core = make_core(4)
-    core.call()
-    core.add("new")
-    core.call()
+    core.make_call()
+    core.add_target("new")
+    core.make_call()
     assert core.stats("new").ready_at == pytest.approx(core.now, abs=0.02)
     assert core.stats("t0").ready_at == float("-inf")
 
@@ -153,9 +153,9 @@
     refused = []
     for _ in range(200):
         core.now += 0.01
-        _, effects = core.arrive("POST")
-        if attempt_of(effects):
-            core.answer(attempt_of(effects), 503, not_run=True)
+        _, effects = core.start_call("POST")
+        if started_attempt(effects):
+            core.receive_head(started_attempt(effects), 503, not_run=True)
         else:
             refused.append(effects[0])
     assert len(refused) > 150
@@ -164,18 +164,18 @@
     # The share let through grows from 5%, by half in each decay time of 1.5 s.
     for _ in range(1200):
         core.now += 0.01
-        core.call(latency_s=0.0)
-    assert {core.call() for _ in range(50)} <= {"t0", "t1", "t2", "t3"}
+        core.make_call(latency_s=0.0)
+    assert {core.make_call() for _ in range(50)} <= {"t0", "t1", "t2", "t3"}
 
 
 def test_inflight_limit_by_class():
     """Guards against exceeding a limit, and counting calls that have ended."""
     core = make_core(rules="limit hive-ledger 2 class=sheddable")
-    calls = [core.arrive(call_class="sheddable") for _ in range(3)]
+    calls = [core.start_call(call_class="sheddable") for _ in range(3)]
     assert calls[2][1][0].code == "inflight-limit"
-    assert attempt_of(core.arrive()[1])
+    assert started_attempt(core.start_call()[1])
     core.send(ev.CallerDisconnected(core.now, calls[0][0]))
-    assert attempt_of(core.arrive(call_class="sheddable")[1])
+    assert started_attempt(core.start_call(call_class="sheddable")[1])
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
@@ -191,25 +191,27 @@
     calls = extra = 0
     for outcome in outcomes:
         core.now += 0.05
-        call_id, effects = core.arrive()
-        sent = attempt_of(effects)
+        call_id, effects = core.start_call()
+        sent = started_attempt(effects)
         calls += sent is not None
         while sent is not None:
             match outcome:
                 case "ok":
-                    effects = core.answer(sent)
+                    effects = core.receive_head(sent)
                 case "late":
                     event = ev.HedgeDue(core.now, 7, call_id, True)
-                    hedged = attempt_of(core.send(event))
+                    hedged = started_attempt(core.send(event))
                     extra += hedged is not None
-                    effects = core.answer(hedged or sent)
+                    effects = core.receive_head(hedged or sent)
                 case "refused":
-                    effects = core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
+                    effects = core.fail_attempt(
+                        sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN
+                    )
                 case _:
-                    effects = core.answer(sent, 503, not_run=outcome == "shed")
-            sent = attempt_of(effects)
+                    effects = core.receive_head(sent, 503, not_run=outcome == "shed")
+            sent = started_attempt(effects)
             extra += sent is not None
-        core.end(call_id)
+        core.end_call(call_id)
         assert extra <= max(1, share * calls)
     traffic = core.state.traffic
     assert not traffic.calls
@@ -220,14 +222,18 @@
 def test_calls_that_are_not_retried():
     """Guards against retrying a caller's retry, or at the target that shed the call."""
     core = make_core()
-    call_id, effects = core.arrive(retry_attempt=1)
+    call_id, effects = core.start_call(retry_attempt=1)
     assert not any(isinstance(eff, ScheduleHedge) for eff in effects)
     assert not core.send(ev.HedgeDue(core.now, 7, call_id, True))
-    assert not attempt_of(core.answer(attempt_of(effects), 503, not_run=True))
+    assert not started_attempt(
+        core.receive_head(started_attempt(effects), 503, not_run=True)
+    )
     core = make_core(1)
-    call_id, effects = core.arrive()
+    call_id, effects = core.start_call()
     assert not core.send(ev.HedgeDue(core.now, 7, call_id, True))
-    assert not attempt_of(core.answer(attempt_of(effects), 503, not_run=True))
+    assert not started_attempt(
+        core.receive_head(started_attempt(effects), 503, not_run=True)
+    )
 
 
 def test_hedge_delay_is_95th_percentile():
@@ -235,18 +241,18 @@
     core = make_core()
     assert hedge_delay_s(core.state, SERVICE) == 0.2
     for number in range(128):
-        core.call(latency_s=0.5 if number % 10 == 0 else 0.01)
+        core.make_call(latency_s=0.5 if number % 10 == 0 else 0.01)
     assert hedge_delay_s(core.state, SERVICE) == pytest.approx(0.5)
 
 
 def test_cancelled_slow_attempt_raises_latency():
     """Guards against taking a slow target for fast because its hedges always win."""
     core = make_core(2)
-    call_id, effects = core.arrive()
-    slow = attempt_of(effects)
+    call_id, effects = core.start_call()
+    slow = started_attempt(effects)
     core.now += 0.2
-    hedge = attempt_of(core.send(ev.HedgeDue(core.now, 7, call_id, True)))
+    hedge = started_attempt(core.send(ev.HedgeDue(core.now, 7, call_id, True)))
     core.now += 0.01
-    core.answer(hedge)
+    core.receive_head(hedge)
     assert core.stats(slow.target_id).latency_s == pytest.approx(0.21)
     assert core.stats(hedge.target_id).latency_s == pytest.approx(0.01)
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -54,8 +54,8 @@
         """Start nodes; each knows itself and a node of another region with targets."""
         for name in names:
             addr = (name, 1)
-            me = Identity(name, name, "rift", "kerio", addr, addr, 1)
-            self.states[name] = State(me, self.rules)
+            identity = Identity(name, name, "rift", "kerio", addr, addr, 1)
+            self.states[name] = State(identity, self.rules)
             self.apply(name, ev.MembersReceived(self.now, (self.far_node,)))
 
     def introduce(self, *names):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,7 @@
 from pimentoline.fast_replace import replace
 from pimentoline.model import MemberStatus, ServiceStats, TargetState
 
-from .core import HOME, SERVICE, Core, attempt_of
+from .core import HOME, SERVICE, Core, started_attempt
 
 NEAR, FAR, FARTHER = ("rift", "baringo"), ("coast", "kwale"), ("western", "bungoma")
 # Statistics and fields of targets at the time 100.0.
@@ -29,7 +29,7 @@
         fields = {}
         if isinstance(place[1], dict):
             place, fields = place
-        core.add(name, place, **fields)
+        core.add_target(name, place, **fields)
     for name, fields in dict(stats).items():
         core.set_stats(name, **fields)
     # Slow targets are compared with the median of the service.
@@ -47,8 +47,8 @@
     """
     state, counts = core.state, Counter()
     for _ in range(count):
-        _, effects = core.arrive()
-        sent = attempt_of(effects)
+        _, effects = core.start_call()
+        sent = started_attempt(effects)
         counts[sent.target_id if sent else effects[0].code] += 1
         services = core.state.traffic.services
         core.state = state
@@ -167,7 +167,7 @@
     """
     core = make_core({"a": HOME, "b": (HOME, {"status": MemberStatus.SUSPECT})})
     assert set(count_chosen(core, 60)) == {"a", "b"}
-    while core.call(status=500, method="POST") != "b":
+    while core.make_call(status=500, method="POST") != "b":
         core.now += 5.0
     assert core.stats("b").ejected_until > core.now
     assert core.stats("a").ejected_until <= core.now
@@ -177,10 +177,10 @@
     """Guards against preferring a new target because its latency is unknown."""
     core = Core()
     for name in "abcde":
-        core.add(name)
+        core.add_target(name)
     for _ in range(100):
-        core.call(load=2.0)
-    core.add("new")
+        core.make_call(load=2.0)
+    core.add_target("new")
     assert count_chosen(core, 400)["new"] < 80
 
 
@@ -188,7 +188,7 @@
     """Guards against a burst of calls to a slow target whose old latency has faded."""
     core = make_core({"a": HOME, "b": HOME}, {"a": SLOW})
     core.now += 10.0
-    names = [attempt_of(core.arrive()[1]).target_id for _ in range(10)]
+    names = [started_attempt(core.start_call()[1]).target_id for _ in range(10)]
     assert names.count("a") == 1
 
 
@@ -218,9 +218,9 @@
 def test_statistics_of_past_targets_are_dropped():
     """Guards against statistics that are kept for every target that ever existed."""
     core = Core()
-    core.add("a")
-    core.call()
-    core.add("a", state=TargetState.GONE)
-    core.add("b")
-    core.call()
+    core.add_target("a")
+    core.make_call()
+    core.add_target("a", state=TargetState.GONE)
+    core.add_target("b")
+    core.make_call()
     assert set(core.state.traffic.targets) == {"b"}
