--- a/tests/core.py
+++ b/tests/core.py
@@ -1,4 +1,4 @@
-"""Helpers of the tests of the pure core."""
+"""Helpers for tests of the reducer."""
 
 import hashlib
 
@@ -27,11 +27,11 @@
 
 
 class Core:
-    """A node's state, driven by events without a clock or sockets."""
+    """Drives the state of one node by events, without a real clock or sockets."""
 
     def __init__(self, policy="hot-cold", rules=""):
-        me = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
-        self.state = State(me, policy=policy)
+        identity = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
+        self.state = State(identity, policy=policy)
         self.events = []
         self.now = 100.0
         self.calls = 0
@@ -41,30 +41,30 @@
             self.send(ev.RulesLoaded(self.now, 1, text, parse(text).ruleset, "test"))
 
     def send(self, event):
-        """Reduce an event and return its effects."""
+        """Apply an event and return its effects."""
         self.events.append(event)
         step = reduce(self.state, event)
         self.state = step.state
         return step.effects
 
-    def add(self, name, place=HOME, status=MemberStatus.ALIVE, **fields):
-        """Add or change a target, with a node of its own."""
+    def add_target(self, name, place=HOME, status=MemberStatus.ALIVE, **fields):
+        """Add a target with a node of its own, or change it."""
         self.seq += 1
         target = Target(name, SERVICE, ADDR, *place, **fields)
         node = f"node-of-{name}"
         record = Member(node, node, ADDR, *place, 1, self.seq, status, (target,))
         self.send(ev.MembersReceived(self.now, (record,)))
 
-    def arrive(self, method="GET", **fields):
-        """Start a call; return its number and the effects."""
+    def start_call(self, method="GET", **fields):
+        """Start a call; return its id and the effects."""
         self.calls += 1
         req = Request(SERVICE, method, "/", self.now + 10.0, **fields)
         call = Call(self.calls, req, self.now)
         draw = mix(self.calls, 1)
         return self.calls, self.send(ev.CallArrived(self.now, draw, call))
 
-    def answer(self, effect, status=200, not_run=False, load=None):
-        """Answer an attempt; return the effects."""
+    def receive_head(self, effect, status=200, not_run=False, load=None):
+        """Receive the response head of an attempt; return the effects."""
         draw = mix(self.calls, 2)
         call_id, attempt_id = effect.call_id, effect.attempt_id
         event = ev.ResponseHeadReceived(
@@ -72,29 +72,32 @@
         )
         return self.send(event)
 
-    def fail(self, effect, outcome, verdict):
-        """End an attempt without an answer; return the effects."""
+    def fail_attempt(self, effect, outcome, verdict):
+        """End an attempt without a response; return the effects."""
         draw = mix(self.calls, 3)
         call_id, attempt_id = effect.call_id, effect.attempt_id
         return self.send(
             ev.AttemptEnded(self.now, draw, call_id, attempt_id, outcome, verdict, True)
         )
 
-    def end(self, call_id):
-        """End a call whose answer was passed on."""
+    def end_call(self, call_id):
+        """End a call whose response was passed on completely."""
         self.send(ev.CallEnded(self.now, call_id, True))
 
-    def call(self, latency_s=0.01, status=200, load=None, **fields):
-        """Make a whole call; return the target's name, or the code of the refusal."""
-        call_id, effects = self.arrive(**fields)
-        sent = attempt_of(effects)
+    def make_call(self, latency_s=0.01, status=200, load=None, **fields):
+        """Make a call from start to end; return the target's id or the error code.
+
+        An attempt that is retried succeeds at the second target.
+        """
+        call_id, effects = self.start_call(**fields)
+        sent = started_attempt(effects)
         if sent is None:
             return effects[0].code
         self.now += latency_s
-        again = attempt_of(self.answer(sent, status, load=load))
-        if again is not None:
-            self.answer(again, 200)
-        self.end(call_id)
+        retry = started_attempt(self.receive_head(sent, status, load=load))
+        if retry is not None:
+            self.receive_head(retry, 200)
+        self.end_call(call_id)
         return sent.target_id
 
     def set_stats(self, name, **fields):
@@ -112,38 +115,40 @@
 
 
 def run_scenario(policy, calls=400):
-    """Return a core after calls with every outcome, and the effects of each event."""
+    """Run calls with every outcome; return the core and the effects of each event."""
     core = Core(policy, "spill * enter=0.3 leave=0.2; canary hive-ledger 2 10%")
     places = [HOME, ("rift", "baringo"), ("coast", "kwale")]
     log = []
     for number in range(calls):
         if number % 40 == 0:
             name = f"t{number % 11}"
-            core.add(name, places[number % 3], version="2" if number % 80 else "1")
-        call_id, effects = core.arrive()
-        sent = attempt_of(effects)
+            core.add_target(
+                name, places[number % 3], version="2" if number % 80 else "1"
+            )
+        call_id, effects = core.start_call()
+        sent = started_attempt(effects)
         core.now += 0.003
         log.append(effects)
         outcome = mix(number, 9) % 16
         if sent is not None and outcome == 0:
-            log.append(core.fail(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
+            log.append(core.fail_attempt(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
         elif sent is not None and outcome == 1:
             log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
         elif sent is not None:
             status = 503 if outcome < 5 else 200
             load = float(outcome)
-            log.append(core.answer(sent, status, outcome == 2, load))
-            core.end(call_id)
+            log.append(core.receive_head(sent, status, outcome == 2, load))
+            core.end_call(call_id)
     return core, log
 
 
 def digest(core, log):
-    """Return a digest of effects and statistics that no hash seed changes."""
+    """Return a digest of effects and statistics that does not depend on a hash seed."""
     traffic = core.state.traffic
     parts = [log, sorted(traffic.targets.items()), sorted(traffic.services.items())]
     return hashlib.sha256(repr(parts).encode()).hexdigest()
 
 
-def attempt_of(effects):
+def started_attempt(effects):
     """Return the started attempt among effects, or None."""
     return next((eff for eff in effects if isinstance(eff, StartAttempt)), None)
