Rename SpillRule to SpillPolicy in rules.policy

The result of a look-up had the name of a rule kind; spill_rule follows as spill_policy. Only names change; ruff is clean, tests/test_rules.py passes.

--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -11,7 +11,7 @@
 
 from .fast_replace import replace
 from .model import MemberStatus, Target, TargetState, TargetStats
-from .rules import RuleSet, SpillRule
+from .rules import RuleSet, SpillPolicy
 from .subsets import NodeCounts, choose_subset, count_nodes
 
 __all__ = ["Release", "Route", "RoutePlan", "find_route"]
@@ -52,7 +52,7 @@
     up: frozenset
     releases: tuple[Release, ...]
     reserve: tuple
-    spill: SpillRule
+    spill: SpillPolicy
 
     def target_ids(self):
         """Return the names of the targets that this node may use."""
@@ -187,7 +187,7 @@
         frozenset(weights),
         tuple(releases),
         reserve,
-        ruleset.spill_rule(service),
+        ruleset.spill_policy(service),
     )
 
 
--- a/pimentoline/rules/__init__.py
+++ b/pimentoline/rules/__init__.py
@@ -2,7 +2,7 @@
 
 from .diagnostics import Diagnostic
 from .parser import MAX_RULES_BYTES, ParseResult, parse
-from .policy import CallPolicy, ProbeBudget, SpillRule
+from .policy import CallPolicy, ProbeBudget, SpillPolicy
 from .reading import read_rules
 from .ruleset import RuleSet
 
@@ -13,7 +13,7 @@
     "ParseResult",
     "ProbeBudget",
     "RuleSet",
-    "SpillRule",
+    "SpillPolicy",
     "parse",
     "read_rules",
 ]
--- a/pimentoline/rules/policy.py
+++ b/pimentoline/rules/policy.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["CallPolicy", "ProbeBudget", "SpillRule"]
+__all__ = ["CallPolicy", "ProbeBudget", "SpillPolicy"]
 
 DEFAULT_DEADLINE_S = 10.0
 DEFAULT_RETRY_SHARE = 0.1
@@ -25,7 +25,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SpillRule:
+class SpillPolicy:
     """When calls of a service may leave their locality ring.
 
     `enter` and `leave` are loads as a share of slots; `share` limits the part of
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -4,7 +4,7 @@
 
 from .options import ANY, METHODS
 from .plan import CALL_KINDS, CallPlan
-from .policy import ProbeBudget, SpillRule
+from .policy import ProbeBudget, SpillPolicy
 
 __all__ = ["RuleSet"]
 
@@ -115,12 +115,12 @@
             return 0.0
         return found["weight"].weight if "weight" in found else 1.0
 
-    def spill_rule(self, service):
-        """Return the `SpillRule` of a service."""
+    def spill_policy(self, service):
+        """Return the `SpillPolicy` of a service."""
         rule = self._first("spill", (service,), (ANY,))
         if rule is None:
-            return SpillRule()
-        return SpillRule(rule.enter, rule.leave, rule.share)
+            return SpillPolicy()
+        return SpillPolicy(rule.enter, rule.leave, rule.share)
 
     def region_order(self, service, region):
         """Return the regions that calls received in `region` may spill to.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -34,7 +34,7 @@
         case "canary":
             return rules.canary_share(*words)
         case "spill":
-            return rules.spill_rule(*words)
+            return rules.spill_policy(*words)
         case "order":
             found = rules.region_order(*words)
             return found and ",".join(found)
