--- a/pimentoline/rules/_mapping.py
+++ b/pimentoline/rules/_mapping.py
@@ -17,7 +17,7 @@
     "pause": ("pause", "PauseRule"),
     "prefer": ("prefer", "PreferRule"),
     "retry": ("retry", "RetryRule"),
-    "spill": ("spill", "SpillLoadRule"),
+    "spill": ("spill", "SpillRule"),
     "weight": ("weight", "WeightRule"),
 }
 
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -7,13 +7,13 @@
 from .base import Rule
 from .options import OptionError, get_any_name, get_number, get_share
 
-__all__ = ["SpillLoadRule"]
+__all__ = ["SpillRule"]
 
 MAX_LOAD = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class SpillLoadRule(Rule):
+class SpillRule(Rule):
     """Load at which spilling begins and ends, and the largest share of calls."""
 
     kind: ClassVar = "spill"
