--- a/pimentoline/rules/__init__.py
+++ b/pimentoline/rules/__init__.py
@@ -1,9 +1,9 @@
 """pimentoline.rules: grammar of the rules file."""
 
 from .diagnostics import Diagnostic
+from .file_reader import read_rules
 from .parser import MAX_RULES_BYTES, ParseResult, parse
 from .policy import CallPolicy, ProbeBudget, SpillPolicy
-from .reading import read_rules
 from .ruleset import RuleSet
 
 __all__ = [
--- a/pimentoline/rules/reading.py
+++ b/pimentoline/rules/file_reader.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.reading: rules files, read with a bound on their size."""
+"""pimentoline.rules.file_reader: rules files, read with a bound on their size."""
 
 import os
 import stat
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -54,7 +54,7 @@
     `rules/__init__.py` lists the reader of rules files for the command line; that
     edge is left out. An import of the reader by any other module is followed.
     """
-    reader = PACKAGE / "rules" / "reading.py"
+    reader = PACKAGE / "rules" / "file_reader.py"
     found, todo = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
     todo += [PACKAGE / "twohop" / f"{name}.py" for name in TWOHOP_DECISIONS]
     while todo:
