--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -16,7 +16,7 @@
 from .member_records import own_record
 from .model import Target, TargetState
 from .rules import parse
-from .rules.options import NAME_PATTERN
+from .rules.field_parsers import NAME_PATTERN
 from .version_survey import versions_in_force
 
 __all__ = ["MAX_ADMIN_BODY_BYTES", "make_admin_app"]
--- a/pimentoline/admin_models.py
+++ b/pimentoline/admin_models.py
@@ -7,7 +7,7 @@
 
 from .model import TargetState
 from .rules import MAX_RULES_BYTES
-from .rules.options import CALL_CLASSES, NAME_PATTERN
+from .rules.field_parsers import CALL_CLASSES, NAME_PATTERN
 
 __all__ = ["Announcement", "ApplyRequest", "ExplainRequest"]
 
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -4,7 +4,7 @@
 
 from pydantic import Field
 
-from ..rules.options import CALL_CLASSES
+from ..rules.field_parsers import CALL_CLASSES
 from .base import ADMIN_FLAGS, AdminConfig, Command
 from .exits import Exit
 from .output import as_list
--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -22,7 +22,7 @@
     form : str
         Form of the line, shown in diagnostics.
     readers : dict of str to callable
-        Required words in order: attribute name and reader of `options`.
+        Required words in order: attribute name and reader of `field_parsers`.
     options : dict of str to callable
         `NAME=VALUE` words: attribute name and reader. The default of the data
         class counts for an option that is not given.
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_any_name, get_count, get_number
+from .field_parsers import get_any_name, get_count, get_number
 
 __all__ = ["BudgetRule"]
 
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import ANY, get_any_name, get_class, get_method, get_path
+from .field_parsers import ANY, get_any_name, get_class, get_method, get_path
 
 __all__ = ["ClassRule"]
 
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_name, get_share
+from .field_parsers import get_name, get_share
 
 __all__ = ["CanaryRule"]
 
--- a/pimentoline/rules/options.py
+++ b/pimentoline/rules/field_parsers.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.options: readers of the words of a rule.
+"""pimentoline.rules.field_parsers: readers of the words of a rule.
 
 A reader takes the name of a field or option and the word found, and returns the
 value. Each raises `OptionError`, which names the option and the allowed values.
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_method, get_name, get_path
+from .field_parsers import get_method, get_name, get_path
 
 __all__ = ["IdempotentRule"]
 
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import ANY, get_any_name, get_class, get_count
+from .field_parsers import ANY, get_any_name, get_class, get_count
 
 __all__ = ["LimitRule"]
 
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -9,7 +9,7 @@
 from ._mapping import get_kind_by_name, kind_names
 from .base import attribute_of
 from .diagnostics import Diagnostic
-from .options import ANY, OptionError
+from .field_parsers import ANY, OptionError
 from .ruleset import RuleSet
 
 __all__ = ["MAX_RULES_BYTES", "ParseResult", "parse"]
--- a/pimentoline/rules/plan.py
+++ b/pimentoline/rules/plan.py
@@ -3,7 +3,7 @@
 import re
 from fnmatch import translate
 
-from .options import ANY
+from .field_parsers import ANY
 from .policy import CallPolicy
 
 __all__ = ["CALL_KINDS", "CallPlan"]
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from .options import ANY, METHODS
+from .field_parsers import ANY, METHODS
 from .plan import CALL_KINDS, CallPlan
 from .policy import ProbeBudget, SpillPolicy
 
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import OptionError, get_any_name, get_number, get_share
+from .field_parsers import OptionError, get_any_name, get_number, get_share
 
 __all__ = ["SpillRule"]
 
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_number, get_scope
+from .field_parsers import get_number, get_scope
 
 __all__ = ["WeightRule"]
 
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -15,7 +15,7 @@
 
 from .flagset import validate
 from .policies import policy_names
-from .rules.options import NAME_PATTERN
+from .rules.field_parsers import NAME_PATTERN
 
 __all__ = ["FLAGS", "NodeConfig", "load_config", "parse_addr"]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,7 +13,7 @@
 from pimentoline.rules import MAX_RULES_BYTES, RuleSet, parse, read_rules
 from pimentoline.rules._mapping import get_kind_by_name, kind_names
 from pimentoline.rules.base import attribute_of
-from pimentoline.rules.options import CALL_CLASSES, METHODS, OptionError
+from pimentoline.rules.field_parsers import CALL_CLASSES, METHODS, OptionError
 
 EXAMPLES = sorted((Path(__file__).parent / "rules").glob("*.rules"))
 DOC = Path(__file__).parent.parent / "docs" / "rules.md"
