--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -13,7 +13,7 @@
     SettingsError,
     StoreError,
 )
-from .flagset import parse_flags, validate, variable_of
+from .flag_parsing import parse_flags, validate, variable_of
 
 __all__ = ["main", "run"]
 
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -2,7 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
-from ..flagset import describe_flags
+from ..flag_parsing import describe_flags
 from ..settings import parse_addr
 from .client import AdminClient
 from .exits import MEANINGS, Exit
--- a/pimentoline/flagset.py
+++ b/pimentoline/flag_parsing.py
@@ -1,4 +1,4 @@
-"""pimentoline.flagset: flags of a command, each with an environment variable.
+"""pimentoline.flag_parsing: flags of a command, each with an environment variable.
 
 Flags are declared as data, `name: (default, help)`. A default of False declares a
 switch. All values are text here; pydantic models validate them.
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -13,7 +13,7 @@
     model_validator,
 )
 
-from .flagset import validate
+from .flag_parsing import validate
 from .policies import policy_names
 from .rules.field_parsers import NAME_PATTERN
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,7 +7,7 @@
 from pimentoline.cli import run
 from pimentoline.commands import Exit, command_names, get_command_by_name
 from pimentoline.commands.exits import MEANINGS
-from pimentoline.flagset import ENV_PREFIX, variable_of
+from pimentoline.flag_parsing import ENV_PREFIX, variable_of
 
 from .conftest import wait_until
 from .operators import ask, set_faults, start_command
