--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -13,7 +13,7 @@
     SettingsError,
     StoreError,
 )
-from .flag_parsing import parse_flags, validate, variable_of
+from .flag_parsing import parse_flags, validate_flags, variable_of
 
 __all__ = ["main", "run"]
 
@@ -89,7 +89,7 @@
     if len(args) < wanted or (len(args) > wanted and not many):
         form = " ".join(command.arguments) or "no arguments"
         raise SettingsError(f"found {len(args)} arguments; allowed: {form}")
-    return command.run(validate(command.model, values), args, out)
+    return command.run(validate_flags(command.model, values), args, out)
 
 
 def _help():
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -13,7 +13,13 @@
 
 from .errors import SettingsError
 
-__all__ = ["ENV_PREFIX", "describe_flags", "parse_flags", "validate", "variable_of"]
+__all__ = [
+    "ENV_PREFIX",
+    "describe_flags",
+    "parse_flags",
+    "validate_flags",
+    "variable_of",
+]
 
 ENV_PREFIX = "PIMENTOLINE_"
 HELP_WIDTH = 79
@@ -108,7 +114,7 @@
     return f"; did you mean {close[0]}?" if close else ""
 
 
-def validate(model, values):
+def validate_flags(model, values):
     """Return the model of flag values.
 
     Parameters
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -13,7 +13,7 @@
     model_validator,
 )
 
-from .flag_parsing import validate
+from .flag_parsing import validate_flags
 from .policies import policy_names
 from .rules.field_parsers import NAME_PATTERN
 
@@ -136,4 +136,4 @@
     SettingsError
         Naming each setting that is not allowed.
     """
-    return validate(NodeConfig, values)
+    return validate_flags(NodeConfig, values)
