--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -13,7 +13,7 @@
     SettingsError,
     StoreError,
 )
-from .flag_parsing import parse_flags, validate_flags, variable_of
+from .flag_parsing import env_var_name, parse_flags, validate_flags
 
 __all__ = ["main", "run"]
 
@@ -77,7 +77,7 @@
 
 def _run(command, argv, out):
     variables = {
-        variable_of(name)
+        env_var_name(name)
         for other in command_names()
         for name in get_command_by_name(other).flags
     }
@@ -98,7 +98,7 @@
     lines.append("commands (`pimentoline COMMAND --help` says more):")
     lines += [f"  {name:<9} {entry[2]}" for name, entry in COMMANDS.items()]
     lines += ["", "Every flag has an environment variable: --admin_addr is"]
-    lines += [f"{variable_of('admin_addr')}. A flag wins over its variable.", ""]
+    lines += [f"{env_var_name('admin_addr')}. A flag wins over its variable.", ""]
     lines.append("exit status:")
     lines += [f"  {status:d}  {text}" for status, text in MEANINGS.items()]
     return "\n".join(lines)
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -18,7 +18,7 @@
     "describe_flags",
     "parse_flags",
     "validate_flags",
-    "variable_of",
+    "env_var_name",
 ]
 
 ENV_PREFIX = "PIMENTOLINE_"
@@ -35,7 +35,7 @@
 }
 
 
-def variable_of(name):
+def env_var_name(name):
     """Return the environment variable of a flag."""
     return ENV_PREFIX + name.upper()
 
@@ -68,12 +68,12 @@
     found = flags.FlagValues()
     for name, (default, text) in table.items():
         if isinstance(default, bool):
-            value = _switch(name, environ.get(variable_of(name)), default, problems)
+            value = _switch(name, environ.get(env_var_name(name)), default, problems)
             flags.DEFINE_boolean(name, value, text, flag_values=found)
         else:
-            value = environ.get(variable_of(name), default)
+            value = environ.get(env_var_name(name), default)
             flags.DEFINE_string(name, value, text, flag_values=found)
-    known = {variable_of(name) for name in table} | set(known_variables)
+    known = {env_var_name(name) for name in table} | set(known_variables)
     for variable in sorted(environ):
         if variable.startswith(ENV_PREFIX) and variable not in known:
             problems.append(f"{variable}: unknown{_meant(variable, known)}")
@@ -105,7 +105,7 @@
         return default if word is None else False
     if word.lower() not in TRUE_WORDS:
         allowed = ", ".join(TRUE_WORDS + FALSE_WORDS)
-        problems.append(f"{variable_of(name)}: found {word!r}; allowed: {allowed}")
+        problems.append(f"{env_var_name(name)}: found {word!r}; allowed: {allowed}")
     return True
 
 
@@ -141,7 +141,7 @@
     text = err["msg"].removeprefix("Value error, ")
     if not name:
         return text
-    where = f"--{name} ({variable_of(name)})"
+    where = f"--{name} ({env_var_name(name)})"
     if err["type"] == "missing":
         return f"{where}: is required"
     if err["type"] == "string_pattern_mismatch":
@@ -159,7 +159,7 @@
     lines = []
     for name, (default, text) in table.items():
         form = f"--{name}" if isinstance(default, bool) else f"--{name}=VALUE"
-        lines.append(f"  {form}  [{variable_of(name)}]")
+        lines.append(f"  {form}  [{env_var_name(name)}]")
         shown = "" if default in ("", False) else f" Default: {default}."
         lines.append(textwrap.fill(text + shown, HELP_WIDTH, **INDENT))
     return "\n".join(lines)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,7 +7,7 @@
 from pimentoline.cli import run
 from pimentoline.commands import Exit, command_names, get_command_by_name
 from pimentoline.commands.exits import MEANINGS
-from pimentoline.flag_parsing import ENV_PREFIX, variable_of
+from pimentoline.flag_parsing import ENV_PREFIX, env_var_name
 
 from .conftest import wait_until
 from .operators import ask, set_faults, start_command
@@ -20,7 +20,7 @@
     """Take the variables of the caller's environment away."""
     for name in command_names():
         for flag in get_command_by_name(name).flags:
-            monkeypatch.delenv(variable_of(flag), raising=False)
+            monkeypatch.delenv(env_var_name(flag), raising=False)
 
 
 # (arguments, variables, words of each line in order)
@@ -98,7 +98,7 @@
     text = capsys.readouterr().out
     assert text.startswith(f"usage: pimentoline {name}")
     for flag in command.flags:
-        assert f"--{flag}" in text and variable_of(flag) in text
+        assert f"--{flag}" in text and env_var_name(flag) in text
     for status in command.exits:
         assert f"  {status:d}  {MEANINGS[status]}" in text
     assert max(map(len, text.splitlines())) <= 92
