--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -114,11 +114,11 @@
 def requesters(old, new):
     """Return who asked for the rules that are in only one of two texts."""
     counts = [
-        Counter((rule.as_line(), rule.asked_by) for rule in _rules(text))
+        Counter((rule.as_line(), rule.requester) for rule in _rules(text))
         for text in (old, new)
     ]
     changed = (counts[0] - counts[1]) + (counts[1] - counts[0])
-    return sorted({asked_by for _, asked_by in changed})
+    return sorted({requester for _, requester in changed})
 
 
 def _rules(text):
--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -31,7 +31,7 @@
         other attributes are what the rule sets. Two rules of a kind contradict
         each other if the earlier covers what the later selects and they set
         different values, because only the earlier would ever have an effect.
-    asked_by : str
+    requester : str
         The comment of the line, which names who asked for the rule.
     """
 
@@ -41,7 +41,7 @@
     options: ClassVar[dict] = {}
     selects: ClassVar[tuple] = ()
 
-    asked_by: str = ""
+    requester: str = ""
 
     def check(self):
         """Check the words against each other.
@@ -72,7 +72,7 @@
             value = getattr(self, attribute)
             if value != defaults[attribute]:
                 words.append(f"{name}={_word(name, value)}")
-        return f"{' '.join(words)}  # {self.asked_by}"
+        return f"{' '.join(words)}  # {self.requester}"
 
 
 def attribute_of(option):
@@ -84,7 +84,7 @@
 def _set_names(cls):
     """Return the attributes of a kind that are neither selector nor comment."""
     names = (item.name for item in fields(cls))
-    return tuple(name for name in names if name not in (*cls.selects, "asked_by"))
+    return tuple(name for name in names if name not in (*cls.selects, "requester"))
 
 
 def _word(name, value):
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -129,8 +129,8 @@
     if not words:
         return None, 0, ()
     problems = []
-    asked_by = comment.strip()
-    if not any(char.isalpha() for char in asked_by):
+    requester = comment.strip()
+    if not any(char.isalpha() for char in requester):
         found = "a comment without a name" if mark else "no comment"
         problems.append((len(line) + 1, found, ASKED_BY))
     (name, column), *rest = words
@@ -142,7 +142,7 @@
     values = _read_words(kind, rest, len(body.rstrip()) + 1, problems)
     if problems:
         return None, column, tuple(sorted(problems))
-    rule = kind(asked_by=asked_by, **values)
+    rule = kind(requester=requester, **values)
     try:
         rule.check()
     except OptionError as exc:
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -49,9 +49,9 @@
     assert status == 200, faults
 
 
-def rules_text(name, asked_by="Mary"):
+def rules_text(name, requester="Mary"):
     """Return a valid text that differs for each name."""
-    return f"pause target-{name}  # {asked_by}\n"
+    return f"pause target-{name}  # {requester}\n"
 
 
 def rules_file(folder, name):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -97,7 +97,7 @@
         if draw(st.booleans()):
             names.append(attribute_of(option))
     values = {name: draw(VALUES.get(name, NAMES)) for name in names}
-    return cls(asked_by="Mary", **values)
+    return cls(requester="Mary", **values)
 
 
 @derandomized(max_examples=300)
