--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -5,7 +5,7 @@
 
 from .commands import Exit, command_names, get_command_by_name
 from .commands._mapping import COMMANDS
-from .commands.exits import MEANINGS
+from .commands.exit_status import MEANINGS
 from .commands.output import Output
 from .errors import (
     NodeUnavailableError,
--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -8,7 +8,7 @@
 from ..errors import NodeUnavailableError
 from ..rules import read_rules
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import Exit
 from .output import as_list
 
 __all__ = ["ApplyCommand"]
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -5,7 +5,7 @@
 from ..flag_parsing import describe_flags
 from ..settings import parse_addr
 from .client import AdminClient
-from .exits import MEANINGS, Exit
+from .exit_status import MEANINGS, Exit
 
 __all__ = ["ADMIN_FLAGS", "JSON_FLAGS", "AdminConfig", "Command", "CommandConfig"]
 
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -2,7 +2,7 @@
 
 from ..rules import read_rules
 from .base import Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["CheckCommand"]
 
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -3,7 +3,7 @@
 from ..audit import diff_lines
 from ..rules import read_rules
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["DiffCommand"]
 
--- a/pimentoline/commands/exits.py
+++ b/pimentoline/commands/exit_status.py
@@ -1,4 +1,4 @@
-"""pimentoline.commands.exits: exit statuses of the command line."""
+"""pimentoline.commands.exit_status: exit statuses of the command line."""
 
 import enum
 
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -6,7 +6,7 @@
 
 from ..rules.field_parsers import CALL_CLASSES
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import Exit
 from .output import as_list
 
 __all__ = ["ExplainCommand"]
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -3,7 +3,7 @@
 from pydantic import Field
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["HistoryCommand"]
 
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -1,7 +1,7 @@
 """pimentoline.commands.mesh: show the nodes and targets that a node knows."""
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["MeshCommand"]
 
--- a/pimentoline/commands/node.py
+++ b/pimentoline/commands/node.py
@@ -5,7 +5,7 @@
 from ..logs import configure_logs
 from ..settings import FLAGS, NodeConfig
 from .base import Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["NodeCommand"]
 
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -1,7 +1,7 @@
 """pimentoline.commands.status: show the state of a node."""
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["StatusCommand"]
 
--- a/pimentoline/commands/version.py
+++ b/pimentoline/commands/version.py
@@ -4,7 +4,7 @@
 
 from .. import __version__
 from .base import Command
-from .exits import Exit
+from .exit_status import Exit
 
 __all__ = ["VersionCommand"]
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,7 +6,7 @@
 
 from pimentoline.cli import run
 from pimentoline.commands import Exit, command_names, get_command_by_name
-from pimentoline.commands.exits import MEANINGS
+from pimentoline.commands.exit_status import MEANINGS
 from pimentoline.flag_parsing import ENV_PREFIX, env_var_name
 
 from .conftest import wait_until
