--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -3,7 +3,7 @@
 import sys
 import traceback
 
-from .commands import Exit, command_names, get_command_by_name
+from .commands import ExitStatus, command_names, get_command_by_name
 from .commands._mapping import COMMANDS
 from .commands.exit_status import MEANINGS
 from .commands.output import Output
@@ -37,42 +37,42 @@
 
     Returns
     -------
-    Exit
+    ExitStatus
     """
     # Known before the flags are, so that an error in a flag is JSON too.
     out = Output("--json" in argv)
     if not argv or argv[0] in HELP_WORDS:
         print(_help())
-        return Exit.OK if argv else Exit.USAGE
+        return ExitStatus.OK if argv else ExitStatus.USAGE
     command = get_command_by_name(argv[0])
     if command is None:
         names = ", ".join(command_names())
         out.error("usage", [f"found {argv[0]!r}; allowed commands: {names}"])
-        return Exit.USAGE
+        return ExitStatus.USAGE
     if any(word in HELP_WORDS[:2] for word in argv[1:]):
         print(command.help())
-        return Exit.OK
+        return ExitStatus.OK
     try:
         return _run(command, argv[1:], out)
     except SettingsError as exc:
         out.error(exc.code, exc.problems)
-        return Exit.USAGE
+        return ExitStatus.USAGE
     except NodeUnavailableError as exc:
         out.error(exc.code, [exc.detail])
-        return Exit.NODE_UNAVAILABLE
+        return ExitStatus.NODE_UNAVAILABLE
     except StoreError as exc:
         out.error(exc.code, [exc.detail])
-        return Exit.STORE_UNAVAILABLE
+        return ExitStatus.STORE_UNAVAILABLE
     except PimentolineError as exc:
         out.error(exc.code, [exc.detail])
-        return Exit.INTERNAL
+        return ExitStatus.INTERNAL
     except (KeyError, TypeError) as exc:
         traceback.print_exc()
         out.error("internal", [f"answer of the node lacks {exc}"])
-        return Exit.INTERNAL
+        return ExitStatus.INTERNAL
     except OSError as exc:
         out.error("internal", [str(exc)])
-        return Exit.INTERNAL
+        return ExitStatus.INTERNAL
 
 
 def _run(command, argv, out):
--- a/pimentoline/commands/__init__.py
+++ b/pimentoline/commands/__init__.py
@@ -1,6 +1,6 @@
 """pimentoline.commands: commands of the command line, one module each."""
 
 from ._mapping import command_names, get_command_by_name
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
-__all__ = ["Exit", "command_names", "get_command_by_name"]
+__all__ = ["ExitStatus", "command_names", "get_command_by_name"]
--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -8,16 +8,16 @@
 from ..errors import NodeUnavailableError
 from ..rules import read_rules
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 from .output import as_list
 
 __all__ = ["ApplyCommand"]
 
 EXIT_OF_RESULT = {
-    "accepted": Exit.OK,
-    "conflict": Exit.CONFLICT,
-    "unknown": Exit.UNKNOWN,
-    "unavailable": Exit.STORE_UNAVAILABLE,
+    "accepted": ExitStatus.OK,
+    "conflict": ExitStatus.CONFLICT,
+    "unknown": ExitStatus.UNKNOWN,
+    "unavailable": ExitStatus.STORE_UNAVAILABLE,
 }
 
 
@@ -53,11 +53,11 @@
     }
     model = ApplyConfig
     exits = (
-        Exit.RULES_INVALID,
-        Exit.CONFLICT,
-        Exit.UNKNOWN,
-        Exit.NODE_UNAVAILABLE,
-        Exit.STORE_UNAVAILABLE,
+        ExitStatus.RULES_INVALID,
+        ExitStatus.CONFLICT,
+        ExitStatus.UNKNOWN,
+        ExitStatus.NODE_UNAVAILABLE,
+        ExitStatus.STORE_UNAVAILABLE,
     )
 
     def run(self, cfg, args, out):
@@ -65,7 +65,7 @@
         text, result = read_rules(args[0])
         if result.diagnostics:
             out.error("rules-invalid", result.diagnostics)
-            return Exit.RULES_INVALID
+            return ExitStatus.RULES_INVALID
         attempt = cfg.attempt or uuid.uuid4().hex
         body = {
             "base": cfg.base,
@@ -85,7 +85,11 @@
         if status == 400:
             code = answer.get("error", "bad-request")
             out.error(code, as_list(answer.get("detail")))
-            return Exit.RULES_INVALID if code == "rules-invalid" else Exit.USAGE
+            return (
+                ExitStatus.RULES_INVALID
+                if code == "rules-invalid"
+                else ExitStatus.USAGE
+            )
         if result == "unavailable" and cfg.attempt:
             # This request wrote nothing, but the one before may have.
             answer["result"] = result = "unknown"
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -5,7 +5,7 @@
 from ..flag_parsing import describe_flags
 from ..settings import parse_addr
 from .client import AdminClient
-from .exit_status import MEANINGS, Exit
+from .exit_status import MEANINGS, ExitStatus
 
 __all__ = ["ADMIN_FLAGS", "JSON_FLAGS", "AdminConfig", "Command", "CommandConfig"]
 
@@ -54,7 +54,7 @@
     flags : dict of str to (default, help)
     model : subclass of pydantic.BaseModel
         Validates the flags.
-    exits : tuple of Exit
+    exits : tuple of ExitStatus
         Exit statuses besides `OK` and `USAGE`.
     """
 
@@ -77,7 +77,7 @@
 
         Returns
         -------
-        Exit
+        ExitStatus
 
         Raises
         ------
@@ -97,7 +97,7 @@
 
     def help(self):
         """Return the text of `--help`."""
-        statuses = (Exit.OK, *self.exits, Exit.USAGE)
+        statuses = (ExitStatus.OK, *self.exits, ExitStatus.USAGE)
         lines = [f"  {status:d}  {MEANINGS[status]}" for status in sorted(statuses)]
         return "\n".join(
             [
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -2,7 +2,7 @@
 
 from ..rules import read_rules
 from .base import Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["CheckCommand"]
 
@@ -17,7 +17,7 @@
 No node is asked and nothing is changed. FILE may be - for standard input. The
 grammar is in docs/rules.md.
 """
-    exits = (Exit.RULES_INVALID,)
+    exits = (ExitStatus.RULES_INVALID,)
 
     def run(self, cfg, args, out):
         """Check each file."""
@@ -29,4 +29,4 @@
         lines = [str(item) for item in problems] or [f"{rules} rules, no problems"]
         data = {"rules": rules, "problems": [item.as_dict() for item in problems]}
         out.result(data, lines)
-        return Exit.RULES_INVALID if problems else Exit.OK
+        return ExitStatus.RULES_INVALID if problems else ExitStatus.OK
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -3,7 +3,7 @@
 from ..audit import diff_lines
 from ..rules import read_rules
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["DiffCommand"]
 
@@ -19,14 +19,18 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.RULES_INVALID, Exit.NODE_UNAVAILABLE, Exit.DIFFERENT)
+    exits = (
+        ExitStatus.RULES_INVALID,
+        ExitStatus.NODE_UNAVAILABLE,
+        ExitStatus.DIFFERENT,
+    )
 
     def run(self, cfg, args, out):
         """Compare the file with the rules in force at the node."""
         text, result = read_rules(args[0])
         if result.diagnostics:
             out.error("rules-invalid", result.diagnostics)
-            return Exit.RULES_INVALID
+            return ExitStatus.RULES_INVALID
         _, answer = self.client(cfg).ask("/v1/config")
         lines = diff_lines(answer["text"], text)
         version = answer["version"]
@@ -34,4 +38,4 @@
         verdict = "differs from" if lines else "is equal to"
         head = f"{args[0]} {verdict} version {version}, which is in force"
         out.result(data, [head, *lines])
-        return Exit.DIFFERENT if lines else Exit.OK
+        return ExitStatus.DIFFERENT if lines else ExitStatus.OK
--- a/pimentoline/commands/drain.py
+++ b/pimentoline/commands/drain.py
@@ -3,7 +3,7 @@
 from urllib.parse import quote
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["DrainCommand"]
 
@@ -19,7 +19,7 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.NODE_UNAVAILABLE, Exit.NOT_FOUND)
+    exits = (ExitStatus.NODE_UNAVAILABLE, ExitStatus.NOT_FOUND)
 
     def run(self, cfg, args, out):
         """Drain the target."""
@@ -27,6 +27,8 @@
         status, answer = self.client(cfg).ask(path, "POST")
         if status != 200:
             out.error(answer.get("error", "internal"), [answer.get("detail", "")])
-            return Exit.NOT_FOUND if status == 404 else Exit.NODE_UNAVAILABLE
+            return (
+                ExitStatus.NOT_FOUND if status == 404 else ExitStatus.NODE_UNAVAILABLE
+            )
         out.result(answer, [f"{args[0]} is draining"])
-        return Exit.OK
+        return ExitStatus.OK
--- a/pimentoline/commands/exit_status.py
+++ b/pimentoline/commands/exit_status.py
@@ -2,10 +2,10 @@
 
 import enum
 
-__all__ = ["Exit", "MEANINGS"]
+__all__ = ["ExitStatus", "MEANINGS"]
 
 
-class Exit(enum.IntEnum):
+class ExitStatus(enum.IntEnum):
     """Exit status; scripts rely on the numbers, so they never change."""
 
     OK = 0
@@ -21,14 +21,16 @@
 
 
 MEANINGS = {
-    Exit.OK: "done",
-    Exit.RULES_INVALID: "a rules file has problems; nothing was changed",
-    Exit.USAGE: "a command, flag, variable or argument is not allowed",
-    Exit.CONFLICT: "another version was accepted first; nothing was changed",
-    Exit.UNKNOWN: "the rules may or may not have been accepted; ask again",
-    Exit.NODE_UNAVAILABLE: "the node gave no usable answer",
-    Exit.STORE_UNAVAILABLE: "the store gave no usable answer; nothing was changed",
-    Exit.DIFFERENT: "the file differs from the rules in force",
-    Exit.NOT_FOUND: "there is no such target or version",
-    Exit.INTERNAL: "an error that is not expected",
+    ExitStatus.OK: "done",
+    ExitStatus.RULES_INVALID: "a rules file has problems; nothing was changed",
+    ExitStatus.USAGE: "a command, flag, variable or argument is not allowed",
+    ExitStatus.CONFLICT: "another version was accepted first; nothing was changed",
+    ExitStatus.UNKNOWN: "the rules may or may not have been accepted; ask again",
+    ExitStatus.NODE_UNAVAILABLE: "the node gave no usable answer",
+    ExitStatus.STORE_UNAVAILABLE: (
+        "the store gave no usable answer; nothing was changed"
+    ),
+    ExitStatus.DIFFERENT: "the file differs from the rules in force",
+    ExitStatus.NOT_FOUND: "there is no such target or version",
+    ExitStatus.INTERNAL: "an error that is not expected",
 }
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -6,7 +6,7 @@
 
 from ..rules.field_parsers import CALL_CLASSES
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 from .output import as_list
 
 __all__ = ["ExplainCommand"]
@@ -38,7 +38,7 @@
         **ADMIN_FLAGS,
     }
     model = ExplainConfig
-    exits = (Exit.NODE_UNAVAILABLE,)
+    exits = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Ask the node for its decision."""
@@ -50,9 +50,9 @@
         status, answer = self.client(cfg).ask("/v1/explain", "POST", body)
         if status != 200:
             out.error(answer.get("error", "internal"), as_list(answer.get("detail")))
-            return Exit.USAGE
+            return ExitStatus.USAGE
         out.result(answer, _lines(answer))
-        return Exit.OK
+        return ExitStatus.OK
 
 
 def _lines(answer):
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -3,7 +3,7 @@
 from pydantic import Field
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["HistoryCommand"]
 
@@ -32,7 +32,11 @@
         **ADMIN_FLAGS,
     }
     model = HistoryConfig
-    exits = (Exit.NODE_UNAVAILABLE, Exit.STORE_UNAVAILABLE, Exit.NOT_FOUND)
+    exits = (
+        ExitStatus.NODE_UNAVAILABLE,
+        ExitStatus.STORE_UNAVAILABLE,
+        ExitStatus.NOT_FOUND,
+    )
 
     def run(self, cfg, args, out):
         """Show the audit trail or one text."""
@@ -41,7 +45,7 @@
             if status != 200:
                 return _failed(answer, out)
             out.result(answer, [answer["text"].removesuffix("\n")])
-            return Exit.OK
+            return ExitStatus.OK
         path = f"/v1/history?limit={cfg.limit}"
         if cfg.before is not None:
             path += f"&before={cfg.before}"
@@ -49,13 +53,13 @@
         if status != 200:
             return _failed(answer, out)
         out.result(answer, _lines(answer))
-        return Exit.OK
+        return ExitStatus.OK
 
 
 def _failed(answer, out):
     code = answer.get("error", "internal")
     out.error(code, [answer.get("detail", "")])
-    return Exit.NOT_FOUND if code == "not-found" else Exit.STORE_UNAVAILABLE
+    return ExitStatus.NOT_FOUND if code == "not-found" else ExitStatus.STORE_UNAVAILABLE
 
 
 def _lines(answer):
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -1,7 +1,7 @@
 """pimentoline.commands.mesh: show the nodes and targets that a node knows."""
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["MeshCommand"]
 
@@ -15,13 +15,13 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.NODE_UNAVAILABLE,)
+    exits = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Show the member records."""
         _, answer = self.client(cfg).ask("/v1/mesh")
         out.result(answer, _lines(answer["members"]))
-        return Exit.OK
+        return ExitStatus.OK
 
 
 def _lines(members):
--- a/pimentoline/commands/node.py
+++ b/pimentoline/commands/node.py
@@ -5,7 +5,7 @@
 from ..logs import configure_logs
 from ..settings import FLAGS, NodeConfig
 from .base import Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["NodeCommand"]
 
@@ -23,7 +23,7 @@
 """
     flags = FLAGS
     model = NodeConfig
-    exits = (Exit.INTERNAL,)
+    exits = (ExitStatus.INTERNAL,)
 
     def run(self, cfg, args, out):
         """Run the node until it is told to stop."""
@@ -36,4 +36,4 @@
             await Node.from_config(cfg).run()
 
         asyncio.run(serve())
-        return Exit.OK
+        return ExitStatus.OK
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -1,7 +1,7 @@
 """pimentoline.commands.status: show the state of a node."""
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["StatusCommand"]
 
@@ -15,13 +15,13 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.NODE_UNAVAILABLE,)
+    exits = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Show the status."""
         _, answer = self.client(cfg).ask("/v1/status")
         out.result(answer, _lines(answer))
-        return Exit.OK
+        return ExitStatus.OK
 
 
 def _lines(answer):
--- a/pimentoline/commands/version.py
+++ b/pimentoline/commands/version.py
@@ -4,7 +4,7 @@
 
 from .. import __version__
 from .base import Command
-from .exit_status import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["VersionCommand"]
 
@@ -19,4 +19,4 @@
         python = platform.python_version()
         data = {"version": __version__, "python": python}
         out.result(data, [f"pimentoline {__version__}, Python {python}"])
-        return Exit.OK
+        return ExitStatus.OK
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pimentoline.cli import run
-from pimentoline.commands import Exit, command_names, get_command_by_name
+from pimentoline.commands import ExitStatus, command_names, get_command_by_name
 from pimentoline.commands.exit_status import MEANINGS
 from pimentoline.flag_parsing import ENV_PREFIX, env_var_name
 
@@ -72,7 +72,7 @@
     """Guards against a bad flag or variable that is ignored, or ends in a traceback."""
     for name, value in variables.items():
         monkeypatch.setenv(ENV_PREFIX + name, value)
-    assert run(argv) == Exit.USAGE
+    assert run(argv) == ExitStatus.USAGE
     found = capsys.readouterr()
     lines = found.err.splitlines()
     assert found.out == "" and "Traceback" not in found.err
@@ -85,7 +85,7 @@
 def test_keys_do_not_appear_in_errors(monkeypatch, capsys):
     """Guards against a key of the mesh in a log of standard error."""
     monkeypatch.setenv("PIMENTOLINE_MESH_KEYS", ",")
-    assert run(["node", "--region=a", "--dc=b"]) == Exit.USAGE
+    assert run(["node", "--region=a", "--dc=b"]) == ExitStatus.USAGE
     line = capsys.readouterr().err
     assert "--mesh_keys" in line and "found" not in line
 
@@ -94,7 +94,7 @@
 def test_help_names_flags_variables_and_statuses(name, capsys):
     """Guards against a flag without help, a variable or a documented exit status."""
     command = get_command_by_name(name)
-    assert run([name, "--help"]) == Exit.OK
+    assert run([name, "--help"]) == ExitStatus.OK
     text = capsys.readouterr().out
     assert text.startswith(f"usage: pimentoline {name}")
     for flag in command.flags:
@@ -102,13 +102,13 @@
     for status in command.exits:
         assert f"  {status:d}  {MEANINGS[status]}" in text
     assert max(map(len, text.splitlines())) <= 92
-    assert run(["--help"]) == Exit.OK
+    assert run(["--help"]) == ExitStatus.OK
     assert get_command_by_name(name).summary in capsys.readouterr().out
 
 
 def test_exit_statuses_are_documented():
     """Guards against two meanings of one status."""
-    assert sorted(MEANINGS) == sorted(Exit) and len(set(Exit)) == 10
+    assert sorted(MEANINGS) == sorted(ExitStatus) and len(set(ExitStatus)) == 10
 
 
 def test_check_reports_every_problem(tmp_path, capsys):
@@ -117,23 +117,23 @@
     first.write_text("pause t1\npaws t2 # Mary\n")
     second.write_text("pause t1 # Mary\n")
     missing = str(tmp_path / "none")
-    assert run(["check", str(first), missing, "--json"]) == Exit.RULES_INVALID
+    assert run(["check", str(first), missing, "--json"]) == ExitStatus.RULES_INVALID
     problems = json.loads(capsys.readouterr().out)["problems"]
     assert [(item["filename"], item["line"]) for item in problems] == [
         (str(first), 1),
         (str(first), 2),
         (missing, 0),
     ]
-    assert run(["check", str(second)]) == Exit.OK
+    assert run(["check", str(second)]) == ExitStatus.OK
     assert capsys.readouterr().out == "1 rules, no problems\n"
 
 
 def test_variable_counts_unless_the_flag_is_given(monkeypatch, capsys):
     """Guards against a variable that is ignored, or wins over its flag."""
     monkeypatch.setenv("PIMENTOLINE_JSON", "true")
-    assert run(["version"]) == Exit.OK
+    assert run(["version"]) == ExitStatus.OK
     assert json.loads(capsys.readouterr().out)["version"]
-    assert run(["version", "--nojson"]) == Exit.OK
+    assert run(["version", "--nojson"]) == ExitStatus.OK
     assert capsys.readouterr().out.startswith("pimentoline ")
 
 
@@ -149,10 +149,10 @@
     path = tmp_path / "edited.rules"
     path.write_text("weight t1 0  # Mary\nclass hive-ledger critical  # Mary\n")
     status, answer = ask(cluster, "n1", "diff", path)
-    assert (status, answer["version"]) == (Exit.DIFFERENT, 0)
+    assert (status, answer["version"]) == (ExitStatus.DIFFERENT, 0)
     assert "+weight t1 0  # Mary" in answer["diff"]
     assert ask(cluster, "n1", "apply", path, "--base=0", "--author=mary")[0] == 0
-    assert ask(cluster, "n1", "diff", path)[0] == Exit.OK
+    assert ask(cluster, "n1", "diff", path)[0] == ExitStatus.OK
     assert ask(cluster, "n1", "status")[1]["rules"]["version"] == 1
     assert ask(cluster, "n1", "mesh")[1]["members"][0]["node_id"] == "n1"
 
@@ -167,9 +167,9 @@
     assert ask(cluster, "n1", "status")[1]["calls"] == 0
     _, answer = ask(cluster, "n1", "explain", "nowhere", "GET", "/")
     assert answer["outcomes"] == {"refused with 503 unknown-service": 1.0}
-    assert ask(cluster, "n1", "explain", "a", "get", "/")[0] == Exit.USAGE
+    assert ask(cluster, "n1", "explain", "a", "get", "/")[0] == ExitStatus.USAGE
 
-    assert ask(cluster, "n1", "drain", "t9")[0] == Exit.NOT_FOUND
+    assert ask(cluster, "n1", "drain", "t9")[0] == ExitStatus.NOT_FOUND
     assert ask(cluster, "n1", "drain", "t2") == (
         0,
         {"target": "t2", "state": "draining"},
@@ -178,10 +178,10 @@
     assert list(answer["outcomes"]) == ["refused with 503 no-target"]
 
     set_faults(cluster, down=True)
-    assert ask(cluster, "n1", "history")[0] == Exit.STORE_UNAVAILABLE
-    assert ask(cluster, "n1", "status")[0] == Exit.OK
+    assert ask(cluster, "n1", "history")[0] == ExitStatus.STORE_UNAVAILABLE
+    assert ask(cluster, "n1", "status")[0] == ExitStatus.OK
     cluster.nodes["n1"].kill()
-    assert ask(cluster, "n1", "status")[0] == Exit.NODE_UNAVAILABLE
+    assert ask(cluster, "n1", "status")[0] == ExitStatus.NODE_UNAVAILABLE
     text = start_command(cluster, "n1", "status")
     out, err = text.communicate(timeout=20)
     assert out == "" and err.startswith(
