--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -74,7 +74,7 @@
             "attempt": attempt,
         }
         try:
-            status, answer = self.client(cfg).ask("/v1/config", "POST", body)
+            status, answer = self.client(cfg).send_request("/v1/config", "POST", body)
         except NodeUnavailableError as exc:
             if not exc.sent:
                 raise
--- a/pimentoline/commands/client.py
+++ b/pimentoline/commands/client.py
@@ -28,7 +28,7 @@
         self._base = "http://{}:{}".format(*addr)
         self._timeout_s = timeout_s
 
-    def ask(self, path, method="GET", body=None):
+    def send_request(self, path, method="GET", body=None):
         """Send one request.
 
         Parameters
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -31,7 +31,7 @@
         if result.diagnostics:
             out.error("rules-invalid", result.diagnostics)
             return ExitStatus.RULES_INVALID
-        _, answer = self.client(cfg).ask("/v1/config")
+        _, answer = self.client(cfg).send_request("/v1/config")
         lines = diff_lines(answer["text"], text)
         version = answer["version"]
         data = {"version": version, "diff": lines}
--- a/pimentoline/commands/drain.py
+++ b/pimentoline/commands/drain.py
@@ -24,7 +24,7 @@
     def run(self, cfg, args, out):
         """Drain the target."""
         path = f"/v1/targets/{quote(args[0], safe='')}/drain"
-        status, answer = self.client(cfg).ask(path, "POST")
+        status, answer = self.client(cfg).send_request(path, "POST")
         if status != 200:
             out.error(answer.get("error", "internal"), [answer.get("detail", "")])
             return (
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -47,7 +47,7 @@
         body |= {"call_class": cfg.call_class, "key": cfg.key}
         if cfg.deadline_ms is not None:
             body["deadline_ms"] = cfg.deadline_ms
-        status, answer = self.client(cfg).ask("/v1/explain", "POST", body)
+        status, answer = self.client(cfg).send_request("/v1/explain", "POST", body)
         if status != 200:
             out.error(answer.get("error", "internal"), as_list(answer.get("detail")))
             return ExitStatus.USAGE
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -41,7 +41,9 @@
     def run(self, cfg, args, out):
         """Show the audit trail or one text."""
         if cfg.show is not None:
-            status, answer = self.client(cfg).ask(f"/v1/config?version={cfg.show}")
+            status, answer = self.client(cfg).send_request(
+                f"/v1/config?version={cfg.show}"
+            )
             if status != 200:
                 return _failed(answer, out)
             out.result(answer, [answer["text"].removesuffix("\n")])
@@ -49,7 +51,7 @@
         path = f"/v1/history?limit={cfg.limit}"
         if cfg.before is not None:
             path += f"&before={cfg.before}"
-        status, answer = self.client(cfg).ask(path)
+        status, answer = self.client(cfg).send_request(path)
         if status != 200:
             return _failed(answer, out)
         out.result(answer, _lines(answer))
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -19,7 +19,7 @@
 
     def run(self, cfg, args, out):
         """Show the member records."""
-        _, answer = self.client(cfg).ask("/v1/mesh")
+        _, answer = self.client(cfg).send_request("/v1/mesh")
         out.result(answer, _lines(answer["members"]))
         return ExitStatus.OK
 
