--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import get_any_name, get_count, get_number
+from .field_parsers import parse_any_name, parse_count, parse_number
 
 __all__ = ["BudgetRule"]
 
@@ -21,11 +21,11 @@
 
     kind: ClassVar = "budget"
     form: ClassVar = "budget REGION [probes=PER_S] [bytes=PER_S] [nodes=COUNT]"
-    readers: ClassVar = {"region": get_any_name}
+    readers: ClassVar = {"region": parse_any_name}
     options: ClassVar = {
-        "probes": partial(get_number, low=0.0, high=MAX_PROBES_PER_S),
-        "bytes": get_count,
-        "nodes": partial(get_count, high=100_000),
+        "probes": partial(parse_number, low=0.0, high=MAX_PROBES_PER_S),
+        "bytes": parse_count,
+        "nodes": partial(parse_count, high=100_000),
     }
     selects: ClassVar = ("region",)
 
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, get_any_name, get_class, get_method, get_path
+from .field_parsers import ANY, parse_any_name, parse_class, parse_method, parse_path
 
 __all__ = ["ClassRule"]
 
@@ -15,8 +15,8 @@
 
     kind: ClassVar = "class"
     form: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": get_any_name, "call_class": get_class}
-    options: ClassVar = {"method": get_method, "path": get_path}
+    readers: ClassVar = {"service": parse_any_name, "call_class": parse_class}
+    options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
 
     service: str
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import get_name, get_share
+from .field_parsers import parse_name, parse_share
 
 __all__ = ["CanaryRule"]
 
@@ -15,7 +15,11 @@
 
     kind: ClassVar = "canary"
     form: ClassVar = "canary SERVICE VERSION SHARE"
-    readers: ClassVar = {"service": get_name, "version": get_name, "share": get_share}
+    readers: ClassVar = {
+        "service": parse_name,
+        "version": parse_name,
+        "share": parse_share,
+    }
     selects: ClassVar = ("service", "version")
 
     service: str
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -4,7 +4,13 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, get_any_name, get_duration_s, get_method, get_path
+from .field_parsers import (
+    ANY,
+    parse_any_name,
+    parse_duration_s,
+    parse_method,
+    parse_path,
+)
 
 __all__ = ["DeadlineRule"]
 
@@ -15,8 +21,8 @@
 
     kind: ClassVar = "deadline"
     form: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": get_any_name, "deadline_s": get_duration_s}
-    options: ClassVar = {"method": get_method, "path": get_path}
+    readers: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
+    options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
 
     service: str
--- a/pimentoline/rules/field_parsers.py
+++ b/pimentoline/rules/field_parsers.py
@@ -14,18 +14,18 @@
     "METHODS",
     "NAME_PATTERN",
     "OptionError",
-    "get_any_name",
-    "get_class",
-    "get_count",
-    "get_duration_s",
-    "get_method",
-    "get_name",
-    "get_names",
-    "get_number",
-    "get_path",
-    "get_scope",
-    "get_share",
-    "get_switch",
+    "parse_any_name",
+    "parse_class",
+    "parse_count",
+    "parse_duration_s",
+    "parse_method",
+    "parse_name",
+    "parse_names",
+    "parse_number",
+    "parse_path",
+    "parse_scope",
+    "parse_share",
+    "parse_switch",
 ]
 
 ANY = "*"
@@ -67,21 +67,21 @@
         self.allowed = allowed
 
 
-def get_name(option, word):
+def parse_name(option, word):
     """Return a name of a service, region, target or release."""
     if not NAME.fullmatch(word):
         raise OptionError(option, word, NAME_FORM)
     return word
 
 
-def get_any_name(option, word):
+def parse_any_name(option, word):
     """Return a name, or `*` for every one."""
     if word != ANY and not NAME.fullmatch(word):
         raise OptionError(option, word, f"* or {NAME_FORM}")
     return word
 
 
-def get_names(option, word):
+def parse_names(option, word):
     """Return a tuple of different names, separated by commas."""
     names = tuple(word.split(","))
     if len(set(names)) < len(names) or not all(map(NAME.fullmatch, names)):
@@ -89,39 +89,39 @@
     return names
 
 
-def get_scope(option, word):
+def parse_scope(option, word):
     """Return a target, or `SERVICE@REGION` with `*` for every service or region."""
     service, mark, region = word.partition("@")
     if not mark:
-        return get_name(option, word)
+        return parse_name(option, word)
     if not all(part == ANY or NAME.fullmatch(part) for part in (service, region)):
         raise OptionError(option, word, "TARGET or SERVICE@REGION")
     return word
 
 
-def get_choice(option, word, choices):
+def parse_choice(option, word, choices):
     """Return one of a few words."""
     if word not in choices:
         raise OptionError(option, word, "one of " + ", ".join(choices))
     return word
 
 
-def get_class(option, word):
+def parse_class(option, word):
     """Return a call class."""
-    return get_choice(option, word, CALL_CLASSES)
+    return parse_choice(option, word, CALL_CLASSES)
 
 
-def get_method(option, word):
+def parse_method(option, word):
     """Return an HTTP method."""
-    return get_choice(option, word, METHODS)
+    return parse_choice(option, word, METHODS)
 
 
-def get_switch(option, word):
+def parse_switch(option, word):
     """Return True for `on` and False for `off`."""
-    return get_choice(option, word, ("on", "off")) == "on"
+    return parse_choice(option, word, ("on", "off")) == "on"
 
 
-def get_path(option, word):
+def parse_path(option, word):
     """Return a path pattern; `*`, `?` and `[...]` match as in a shell, `/` too."""
     if word[:1] not in ("/", "*") or len(word) > MAX_PATH_LENGTH:
         allowed = f"a pattern of at most {MAX_PATH_LENGTH} characters, first / or *"
@@ -129,21 +129,21 @@
     return word
 
 
-def get_number(option, word, low, high):
+def parse_number(option, word, low, high):
     """Return a decimal number within `low` to `high`."""
     if not NUMBER.fullmatch(word) or not low <= float(word) <= high:
         raise OptionError(option, word, f"a number from {low:g} to {high:g}")
     return float(word)
 
 
-def get_count(option, word, low=0, high=MAX_COUNT):
+def parse_count(option, word, low=0, high=MAX_COUNT):
     """Return a whole number within `low` to `high`."""
     if not (word.isascii() and word.isdigit()) or not low <= int(word[:20]) <= high:
         raise OptionError(option, word, f"a whole number from {low} to {high}")
     return int(word)
 
 
-def get_share(option, word, high=1.0):
+def parse_share(option, word, high=1.0):
     """Return a share within 0 to `high`, from `0.25` or `25%`."""
     number = word[:-1] if word.endswith("%") else word
     if NUMBER.fullmatch(number):
@@ -153,7 +153,7 @@
     raise OptionError(option, word, f"0 to {high:g}, or 0% to {high * 100:g}%")
 
 
-def get_duration_s(option, word):
+def parse_duration_s(option, word):
     """Return a time in seconds, from `800ms` or `1.5s`."""
     match = DURATION.fullmatch(word)
     if match:
--- a/pimentoline/rules/hedge.py
+++ b/pimentoline/rules/hedge.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, get_any_name, get_method, get_path, get_switch
+from .field_parsers import ANY, parse_any_name, parse_method, parse_path, parse_switch
 
 __all__ = ["HedgeRule"]
 
@@ -15,8 +15,8 @@
 
     kind: ClassVar = "hedge"
     form: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": get_any_name, "hedge": get_switch}
-    options: ClassVar = {"method": get_method, "path": get_path}
+    readers: ClassVar = {"service": parse_any_name, "hedge": parse_switch}
+    options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
 
     service: str
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import get_method, get_name, get_path
+from .field_parsers import parse_method, parse_name, parse_path
 
 __all__ = ["IdempotentRule"]
 
@@ -19,7 +19,11 @@
 
     kind: ClassVar = "idempotent"
     form: ClassVar = "idempotent SERVICE METHOD PATH"
-    readers: ClassVar = {"service": get_name, "method": get_method, "path": get_path}
+    readers: ClassVar = {
+        "service": parse_name,
+        "method": parse_method,
+        "path": parse_path,
+    }
     selects: ClassVar = ("service", "method", "path")
 
     service: str
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, get_any_name, get_class, get_count
+from .field_parsers import ANY, parse_any_name, parse_class, parse_count
 
 __all__ = ["LimitRule"]
 
@@ -23,10 +23,10 @@
     kind: ClassVar = "limit"
     form: ClassVar = "limit SERVICE COUNT [class=CLASS]"
     readers: ClassVar = {
-        "service": get_any_name,
-        "inflight": partial(get_count, low=1, high=MAX_INFLIGHT),
+        "service": parse_any_name,
+        "inflight": partial(parse_count, low=1, high=MAX_INFLIGHT),
     }
-    options: ClassVar = {"class": get_class}
+    options: ClassVar = {"class": parse_class}
     selects: ClassVar = ("service", "call_class")
 
     service: str
--- a/pimentoline/rules/pause.py
+++ b/pimentoline/rules/pause.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import get_name
+from .field_parsers import parse_name
 
 __all__ = ["PauseRule"]
 
@@ -15,7 +15,7 @@
 
     kind: ClassVar = "pause"
     form: ClassVar = "pause TARGET"
-    readers: ClassVar = {"target": get_name}
+    readers: ClassVar = {"target": parse_name}
     selects: ClassVar = ("target",)
 
     target: str
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, get_any_name, get_names
+from .field_parsers import ANY, parse_any_name, parse_names
 
 __all__ = ["PreferRule"]
 
@@ -18,8 +18,8 @@
 
     kind: ClassVar = "prefer"
     form: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
-    readers: ClassVar = {"service": get_any_name, "regions": get_names}
-    options: ClassVar = {"home": get_any_name}
+    readers: ClassVar = {"service": parse_any_name, "regions": parse_names}
+    options: ClassVar = {"home": parse_any_name}
     selects: ClassVar = ("service", "home")
 
     service: str
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import get_any_name, get_share
+from .field_parsers import parse_any_name, parse_share
 
 __all__ = ["RetryRule"]
 
@@ -21,8 +21,8 @@
     kind: ClassVar = "retry"
     form: ClassVar = "retry SERVICE SHARE"
     readers: ClassVar = {
-        "service": get_any_name,
-        "share": partial(get_share, high=MAX_RETRY_SHARE),
+        "service": parse_any_name,
+        "share": partial(parse_share, high=MAX_RETRY_SHARE),
     }
     selects: ClassVar = ("service",)
 
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import OptionError, get_any_name, get_number, get_share
+from .field_parsers import OptionError, parse_any_name, parse_number, parse_share
 
 __all__ = ["SpillRule"]
 
@@ -18,11 +18,11 @@
 
     kind: ClassVar = "spill"
     form: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
-    readers: ClassVar = {"service": get_any_name}
+    readers: ClassVar = {"service": parse_any_name}
     options: ClassVar = {
-        "enter": partial(get_number, low=0.0, high=MAX_LOAD),
-        "leave": partial(get_number, low=0.0, high=MAX_LOAD),
-        "share": get_share,
+        "enter": partial(parse_number, low=0.0, high=MAX_LOAD),
+        "leave": partial(parse_number, low=0.0, high=MAX_LOAD),
+        "share": parse_share,
     }
     selects: ClassVar = ("service",)
 
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import get_number, get_scope
+from .field_parsers import parse_number, parse_scope
 
 __all__ = ["WeightRule"]
 
@@ -19,8 +19,8 @@
     kind: ClassVar = "weight"
     form: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
     readers: ClassVar = {
-        "scope": get_scope,
-        "weight": partial(get_number, low=0.0, high=MAX_WEIGHT),
+        "scope": parse_scope,
+        "weight": partial(parse_number, low=0.0, high=MAX_WEIGHT),
     }
     selects: ClassVar = ("scope",)
 
