--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -21,10 +21,10 @@
         First word of the line.
     form : str
         Form of the line, shown in diagnostics.
-    readers : dict of str to callable
-        Required words in order: attribute name and reader of `field_parsers`.
+    positional : dict of str to callable
+        Required words in order: attribute name and parser of `field_parsers`.
     options : dict of str to callable
-        `NAME=VALUE` words: attribute name and reader. The default of the data
+        `NAME=VALUE` words: attribute name and parser. The default of the data
         class counts for an option that is not given.
     selects : tuple of str
         Attributes that say what the rule applies to; `*` matches everything. The
@@ -37,7 +37,7 @@
 
     kind: ClassVar[str] = ""
     form: ClassVar[str] = ""
-    readers: ClassVar[dict] = {}
+    positional: ClassVar[dict] = {}
     options: ClassVar[dict] = {}
     selects: ClassVar[tuple] = ()
 
@@ -65,7 +65,7 @@
     def as_line(self):
         """Return the rule as a line that parses to an equal rule."""
         words = [self.kind]
-        words += [_word(name, getattr(self, name)) for name in self.readers]
+        words += [_word(name, getattr(self, name)) for name in self.positional]
         defaults = {item.name: item.default for item in fields(self)}
         for name in self.options:
             attribute = attribute_of(name)
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -21,7 +21,7 @@
 
     kind: ClassVar = "budget"
     form: ClassVar = "budget REGION [probes=PER_S] [bytes=PER_S] [nodes=COUNT]"
-    readers: ClassVar = {"region": parse_any_name}
+    positional: ClassVar = {"region": parse_any_name}
     options: ClassVar = {
         "probes": partial(parse_number, low=0.0, high=MAX_PROBES_PER_S),
         "bytes": parse_count,
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -15,7 +15,7 @@
 
     kind: ClassVar = "class"
     form: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": parse_any_name, "call_class": parse_class}
+    positional: ClassVar = {"service": parse_any_name, "call_class": parse_class}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
 
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -15,7 +15,7 @@
 
     kind: ClassVar = "canary"
     form: ClassVar = "canary SERVICE VERSION SHARE"
-    readers: ClassVar = {
+    positional: ClassVar = {
         "service": parse_name,
         "version": parse_name,
         "share": parse_share,
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -21,7 +21,7 @@
 
     kind: ClassVar = "deadline"
     form: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
+    positional: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
 
--- a/pimentoline/rules/hedge.py
+++ b/pimentoline/rules/hedge.py
@@ -15,7 +15,7 @@
 
     kind: ClassVar = "hedge"
     form: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": parse_any_name, "hedge": parse_switch}
+    positional: ClassVar = {"service": parse_any_name, "hedge": parse_switch}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
 
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -19,7 +19,7 @@
 
     kind: ClassVar = "idempotent"
     form: ClassVar = "idempotent SERVICE METHOD PATH"
-    readers: ClassVar = {
+    positional: ClassVar = {
         "service": parse_name,
         "method": parse_method,
         "path": parse_path,
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -154,7 +154,7 @@
 def _read_words(kind, words, end, problems):
     """Return the values of a rule's words; add what is wrong to `problems`."""
     values = {}
-    missing = list(kind.readers)
+    missing = list(kind.positional)
     for word, column in words:
         option, mark, value = word.partition("=")
         if mark and option in kind.options:
@@ -164,7 +164,7 @@
                 continue
         elif missing:
             option = attribute = missing.pop(0)
-            reader, value = kind.readers[option], word
+            reader, value = kind.positional[option], word
         else:
             problems.append((column, _shown(word), kind.form))
             continue
--- a/pimentoline/rules/pause.py
+++ b/pimentoline/rules/pause.py
@@ -15,7 +15,7 @@
 
     kind: ClassVar = "pause"
     form: ClassVar = "pause TARGET"
-    readers: ClassVar = {"target": parse_name}
+    positional: ClassVar = {"target": parse_name}
     selects: ClassVar = ("target",)
 
     target: str
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -18,7 +18,7 @@
 
     kind: ClassVar = "prefer"
     form: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
-    readers: ClassVar = {"service": parse_any_name, "regions": parse_names}
+    positional: ClassVar = {"service": parse_any_name, "regions": parse_names}
     options: ClassVar = {"home": parse_any_name}
     selects: ClassVar = ("service", "home")
 
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -20,7 +20,7 @@
 
     kind: ClassVar = "retry"
     form: ClassVar = "retry SERVICE SHARE"
-    readers: ClassVar = {
+    positional: ClassVar = {
         "service": parse_any_name,
         "share": partial(parse_share, high=MAX_RETRY_SHARE),
     }
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -18,7 +18,7 @@
 
     kind: ClassVar = "spill"
     form: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
-    readers: ClassVar = {"service": parse_any_name}
+    positional: ClassVar = {"service": parse_any_name}
     options: ClassVar = {
         "enter": partial(parse_number, low=0.0, high=MAX_LOAD),
         "leave": partial(parse_number, low=0.0, high=MAX_LOAD),
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -18,7 +18,7 @@
 
     kind: ClassVar = "weight"
     form: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
-    readers: ClassVar = {
+    positional: ClassVar = {
         "scope": parse_scope,
         "weight": partial(parse_number, low=0.0, high=MAX_WEIGHT),
     }
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -92,7 +92,7 @@
 def rule_objects(draw):
     """Return one rule of any kind with random words."""
     cls = get_kind_by_name(draw(st.sampled_from(kind_names())))
-    names = list(cls.readers)
+    names = list(cls.positional)
     for option in cls.options:
         if draw(st.booleans()):
             names.append(attribute_of(option))
@@ -222,7 +222,7 @@
         cls = get_kind_by_name(name)
         assert cls.kind == name and cls.form.startswith(name + " ")
         assert cls.form in page, f"docs/rules.md lacks {cls.form}"
-        for option, reader in {**cls.readers, **cls.options}.items():
+        for option, reader in {**cls.positional, **cls.options}.items():
             with pytest.raises(OptionError) as caught:
                 reader(option, "\x00")
             assert caught.value.option == option and caught.value.allowed
