--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -19,7 +19,7 @@
     ----------
     kind : str
         First word of the line.
-    form : str
+    syntax : str
         Form of the line, shown in diagnostics.
     positional : dict of str to callable
         Required words in order: attribute name and parser of `field_parsers`.
@@ -36,7 +36,7 @@
     """
 
     kind: ClassVar[str] = ""
-    form: ClassVar[str] = ""
+    syntax: ClassVar[str] = ""
     positional: ClassVar[dict] = {}
     options: ClassVar[dict] = {}
     selects: ClassVar[tuple] = ()
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -20,7 +20,7 @@
     """
 
     kind: ClassVar = "budget"
-    form: ClassVar = "budget REGION [probes=PER_S] [bytes=PER_S] [nodes=COUNT]"
+    syntax: ClassVar = "budget REGION [probes=PER_S] [bytes=PER_S] [nodes=COUNT]"
     positional: ClassVar = {"region": parse_any_name}
     options: ClassVar = {
         "probes": partial(parse_number, low=0.0, high=MAX_PROBES_PER_S),
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -14,7 +14,7 @@
     """Class of a call; it replaces the caller's `X-Call-Class`."""
 
     kind: ClassVar = "class"
-    form: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
+    syntax: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
     positional: ClassVar = {"service": parse_any_name, "call_class": parse_class}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -14,7 +14,7 @@
     """Share of a service's calls that targets of a release receive."""
 
     kind: ClassVar = "canary"
-    form: ClassVar = "canary SERVICE VERSION SHARE"
+    syntax: ClassVar = "canary SERVICE VERSION SHARE"
     positional: ClassVar = {
         "service": parse_name,
         "version": parse_name,
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -20,7 +20,7 @@
     """Longest time of a whole call, in seconds; a caller may ask for less."""
 
     kind: ClassVar = "deadline"
-    form: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
+    syntax: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
     positional: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
--- a/pimentoline/rules/hedge.py
+++ b/pimentoline/rules/hedge.py
@@ -14,7 +14,7 @@
     """Hedging of idempotent calls, `on` or `off`."""
 
     kind: ClassVar = "hedge"
-    form: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
+    syntax: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
     positional: ClassVar = {"service": parse_any_name, "hedge": parse_switch}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selects: ClassVar = ("service", "method", "path")
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -18,7 +18,7 @@
     """
 
     kind: ClassVar = "idempotent"
-    form: ClassVar = "idempotent SERVICE METHOD PATH"
+    syntax: ClassVar = "idempotent SERVICE METHOD PATH"
     positional: ClassVar = {
         "service": parse_name,
         "method": parse_method,
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -21,7 +21,7 @@
     """
 
     kind: ClassVar = "limit"
-    form: ClassVar = "limit SERVICE COUNT [class=CLASS]"
+    syntax: ClassVar = "limit SERVICE COUNT [class=CLASS]"
     positional: ClassVar = {
         "service": parse_any_name,
         "inflight": partial(parse_count, low=1, high=MAX_INFLIGHT),
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -166,7 +166,7 @@
             option = attribute = missing.pop(0)
             reader, value = kind.positional[option], word
         else:
-            problems.append((column, _shown(word), kind.form))
+            problems.append((column, _shown(word), kind.syntax))
             continue
         # A refused value counts as given, so that it is reported once.
         values[attribute] = None
@@ -175,7 +175,7 @@
         except OptionError as exc:
             problems.append((column, _shown(word), f"{option}: {exc.allowed}"))
     if missing:
-        problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.form))
+        problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.syntax))
     return values
 
 
--- a/pimentoline/rules/pause.py
+++ b/pimentoline/rules/pause.py
@@ -14,7 +14,7 @@
     """A target that receives no new calls; calls in flight complete."""
 
     kind: ClassVar = "pause"
-    form: ClassVar = "pause TARGET"
+    syntax: ClassVar = "pause TARGET"
     positional: ClassVar = {"target": parse_name}
     selects: ClassVar = ("target",)
 
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -17,7 +17,7 @@
     """
 
     kind: ClassVar = "prefer"
-    form: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
+    syntax: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
     positional: ClassVar = {"service": parse_any_name, "regions": parse_names}
     options: ClassVar = {"home": parse_any_name}
     selects: ClassVar = ("service", "home")
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -19,7 +19,7 @@
     """Allowed share of retries and hedges in the first attempts of a service."""
 
     kind: ClassVar = "retry"
-    form: ClassVar = "retry SERVICE SHARE"
+    syntax: ClassVar = "retry SERVICE SHARE"
     positional: ClassVar = {
         "service": parse_any_name,
         "share": partial(parse_share, high=MAX_RETRY_SHARE),
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -17,7 +17,7 @@
     """Load at which spilling begins and ends, and the largest share of calls."""
 
     kind: ClassVar = "spill"
-    form: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
+    syntax: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
     positional: ClassVar = {"service": parse_any_name}
     options: ClassVar = {
         "enter": partial(parse_number, low=0.0, high=MAX_LOAD),
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -17,7 +17,7 @@
     """Weight of a target, or of the targets of a service in a region; 0 is none."""
 
     kind: ClassVar = "weight"
-    form: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
+    syntax: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
     positional: ClassVar = {
         "scope": parse_scope,
         "weight": partial(parse_number, low=0.0, high=MAX_WEIGHT),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -220,8 +220,8 @@
     page = DOC.read_text()
     for name in kind_names():
         cls = get_kind_by_name(name)
-        assert cls.kind == name and cls.form.startswith(name + " ")
-        assert cls.form in page, f"docs/rules.md lacks {cls.form}"
+        assert cls.kind == name and cls.syntax.startswith(name + " ")
+        assert cls.syntax in page, f"docs/rules.md lacks {cls.syntax}"
         for option, reader in {**cls.positional, **cls.options}.items():
             with pytest.raises(OptionError) as caught:
                 reader(option, "\x00")
