--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -26,7 +26,7 @@
     options : dict of str to callable
         `NAME=VALUE` words: attribute name and parser. The default of the data
         class counts for an option that is not given.
-    selects : tuple of str
+    selector_fields : tuple of str
         Attributes that say what the rule applies to; `*` matches everything. The
         other attributes are what the rule sets. Two rules of a kind contradict
         each other if the earlier covers what the later selects and they set
@@ -39,7 +39,7 @@
     syntax: ClassVar[str] = ""
     positional: ClassVar[dict] = {}
     options: ClassVar[dict] = {}
-    selects: ClassVar[tuple] = ()
+    selector_fields: ClassVar[tuple] = ()
 
     requester: str = ""
 
@@ -55,7 +55,7 @@
     @property
     def selector(self):
         """What the rule applies to, as a tuple of words."""
-        return tuple(getattr(self, name) for name in self.selects)
+        return tuple(getattr(self, name) for name in self.selector_fields)
 
     @property
     def setting(self):
@@ -84,7 +84,9 @@
 def _set_names(cls):
     """Return the attributes of a kind that are neither selector nor comment."""
     names = (item.name for item in fields(cls))
-    return tuple(name for name in names if name not in (*cls.selects, "requester"))
+    return tuple(
+        name for name in names if name not in (*cls.selector_fields, "requester")
+    )
 
 
 def _word(name, value):
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -27,7 +27,7 @@
         "bytes": parse_count,
         "nodes": partial(parse_count, high=100_000),
     }
-    selects: ClassVar = ("region",)
+    selector_fields: ClassVar = ("region",)
 
     region: str
     probes: float = 20.0
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -17,7 +17,7 @@
     syntax: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
     positional: ClassVar = {"service": parse_any_name, "call_class": parse_class}
     options: ClassVar = {"method": parse_method, "path": parse_path}
-    selects: ClassVar = ("service", "method", "path")
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     call_class: str
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -20,7 +20,7 @@
         "version": parse_name,
         "share": parse_share,
     }
-    selects: ClassVar = ("service", "version")
+    selector_fields: ClassVar = ("service", "version")
 
     service: str
     version: str
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -23,7 +23,7 @@
     syntax: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
     positional: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
     options: ClassVar = {"method": parse_method, "path": parse_path}
-    selects: ClassVar = ("service", "method", "path")
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     deadline_s: float
--- a/pimentoline/rules/hedge.py
+++ b/pimentoline/rules/hedge.py
@@ -17,7 +17,7 @@
     syntax: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
     positional: ClassVar = {"service": parse_any_name, "hedge": parse_switch}
     options: ClassVar = {"method": parse_method, "path": parse_path}
-    selects: ClassVar = ("service", "method", "path")
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     hedge: bool
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -24,7 +24,7 @@
         "method": parse_method,
         "path": parse_path,
     }
-    selects: ClassVar = ("service", "method", "path")
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     method: str
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -27,7 +27,7 @@
         "inflight": partial(parse_count, low=1, high=MAX_INFLIGHT),
     }
     options: ClassVar = {"class": parse_class}
-    selects: ClassVar = ("service", "call_class")
+    selector_fields: ClassVar = ("service", "call_class")
 
     service: str
     inflight: int
--- a/pimentoline/rules/pause.py
+++ b/pimentoline/rules/pause.py
@@ -16,6 +16,6 @@
     kind: ClassVar = "pause"
     syntax: ClassVar = "pause TARGET"
     positional: ClassVar = {"target": parse_name}
-    selects: ClassVar = ("target",)
+    selector_fields: ClassVar = ("target",)
 
     target: str
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -20,7 +20,7 @@
     syntax: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
     positional: ClassVar = {"service": parse_any_name, "regions": parse_names}
     options: ClassVar = {"home": parse_any_name}
-    selects: ClassVar = ("service", "home")
+    selector_fields: ClassVar = ("service", "home")
 
     service: str
     regions: tuple[str, ...]
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -24,7 +24,7 @@
         "service": parse_any_name,
         "share": partial(parse_share, high=MAX_RETRY_SHARE),
     }
-    selects: ClassVar = ("service",)
+    selector_fields: ClassVar = ("service",)
 
     service: str
     share: float
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -24,7 +24,7 @@
         "leave": partial(parse_number, low=0.0, high=MAX_LOAD),
         "share": parse_share,
     }
-    selects: ClassVar = ("service",)
+    selector_fields: ClassVar = ("service",)
 
     service: str
     enter: float = 0.8
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -22,7 +22,7 @@
         "scope": parse_scope,
         "weight": partial(parse_number, low=0.0, high=MAX_WEIGHT),
     }
-    selects: ClassVar = ("scope",)
+    selector_fields: ClassVar = ("scope",)
 
     scope: str
     weight: float
