--- a/pimentoline/rules/plan.py
+++ b/pimentoline/rules/policy_table.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.plan: policies of the calls of one service and method."""
+"""pimentoline.rules.policy_table: policies of the calls of one service and method."""
 
 import re
 from fnmatch import translate
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 
 from .field_parsers import ANY, METHODS
-from .plan import CALL_KINDS, CallPlan
 from .policy import ProbeBudget, SpillPolicy
+from .policy_table import CALL_KINDS, CallPlan
 
 __all__ = ["RuleSet"]
 
