--- a/pimentoline/rules/policy_table.py
+++ b/pimentoline/rules/policy_table.py
@@ -6,7 +6,7 @@
 from .field_parsers import ANY
 from .policy import CallPolicy
 
-__all__ = ["CALL_KINDS", "CallPlan"]
+__all__ = ["CALL_KINDS", "PolicyTable"]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # Kinds that select by service, method and path, and the value each one sets.
@@ -49,7 +49,7 @@
         return self.final if match is None else match.lastindex
 
 
-class CallPlan:
+class PolicyTable:
     """Policies by path.
 
     Parameters
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -4,7 +4,7 @@
 
 from .field_parsers import ANY, METHODS
 from .policy import ProbeBudget, SpillPolicy
-from .policy_table import CALL_KINDS, CallPlan
+from .policy_table import CALL_KINDS, PolicyTable
 
 __all__ = ["RuleSet"]
 
@@ -68,7 +68,7 @@
         )
         plan = self._plans.get(key)
         if plan is None:
-            plan = self._plans[key] = CallPlan(self.rules, *key)
+            plan = self._plans[key] = PolicyTable(self.rules, *key)
         return plan
 
     def _first(self, kind, *selectors):
