--- a/pimentoline/policies/base.py
+++ b/pimentoline/policies/base.py
@@ -1,6 +1,6 @@
 """pimentoline.policies.base: contract of a policy."""
 
-__all__ = ["Policy", "least", "sample"]
+__all__ = ["Policy", "min_with_random_tie", "weighted_sample"]
 
 
 class Policy:
@@ -40,7 +40,7 @@
         raise NotImplementedError
 
 
-def sample(found, count, draw):
+def weighted_sample(found, count, draw):
     """Return up to `count` different candidates, with chances by their weights.
 
     Parameters
@@ -83,7 +83,7 @@
     return draw, len(rest) - 1
 
 
-def least(found, key, draw):
+def min_with_random_tie(found, key, draw):
     """Return a candidate with the least key; the draw breaks ties evenly."""
     start = draw % len(found)
     return min(found[start:] + found[:start], key=key)
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -7,7 +7,7 @@
 
 import math
 
-from .base import Policy, sample
+from .base import Policy, weighted_sample
 
 __all__ = ["HotColdPolicy", "latency_estimate_s", "load_estimate"]
 
@@ -76,7 +76,7 @@
 
     def choose(self, found, service, now, draw):
         """Return the fastest cold candidate, or the least loaded one."""
-        chosen = sample(found, SAMPLE_SIZE, draw)
+        chosen = weighted_sample(found, SAMPLE_SIZE, draw)
         loaded = [(cand, load_estimate(cand, now)) for cand in chosen]
         fit = [pair for pair in loaded if self.accepts(pair[0], service, now)]
         cold = [pair for pair in fit if pair[1] < FULL_LOAD]
--- a/pimentoline/policies/least_inflight.py
+++ b/pimentoline/policies/least_inflight.py
@@ -1,6 +1,6 @@
 """pimentoline.policies.least_inflight: least own requests in flight, as a baseline."""
 
-from .base import Policy, least
+from .base import Policy, min_with_random_tie
 
 __all__ = ["LeastInflightPolicy"]
 
@@ -12,4 +12,4 @@
 
     def choose(self, found, service, now, draw):
         """Return a candidate with the least own requests in flight."""
-        return least(found, lambda cand: cand.stats.inflight, draw)
+        return min_with_random_tie(found, lambda cand: cand.stats.inflight, draw)
--- a/pimentoline/policies/random.py
+++ b/pimentoline/policies/random.py
@@ -1,6 +1,6 @@
 """pimentoline.policies.random: a random choice by weight, as a baseline."""
 
-from .base import Policy, sample
+from .base import Policy, weighted_sample
 
 __all__ = ["RandomPolicy"]
 
@@ -12,4 +12,4 @@
 
     def choose(self, found, service, now, draw):
         """Return a random candidate."""
-        return sample(found, 1, draw)[0]
+        return weighted_sample(found, 1, draw)[0]
--- a/pimentoline/policies/two_choices.py
+++ b/pimentoline/policies/two_choices.py
@@ -1,6 +1,6 @@
 """pimentoline.policies.two_choices: the less loaded of two, as a baseline."""
 
-from .base import Policy, sample
+from .base import Policy, weighted_sample
 
 __all__ = ["TwoChoicesPolicy"]
 
@@ -12,4 +12,6 @@
 
     def choose(self, found, service, now, draw):
         """Return the candidate with the lower reported load."""
-        return min(sample(found, 2, draw), key=lambda cand: cand.stats.reported_load)
+        return min(
+            weighted_sample(found, 2, draw), key=lambda cand: cand.stats.reported_load
+        )
