--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -5,7 +5,7 @@
 
 from .commands import ExitStatus, command_names, get_command_by_name
 from .commands._mapping import COMMANDS
-from .commands.exit_status import MEANINGS
+from .commands.exit_status import EXIT_DESCRIPTIONS
 from .commands.output import Output
 from .errors import (
     NodeUnavailableError,
@@ -100,5 +100,5 @@
     lines += ["", "Every flag has an environment variable: --admin_addr is"]
     lines += [f"{env_var_name('admin_addr')}. A flag wins over its variable.", ""]
     lines.append("exit status:")
-    lines += [f"  {status:d}  {text}" for status, text in MEANINGS.items()]
+    lines += [f"  {status:d}  {text}" for status, text in EXIT_DESCRIPTIONS.items()]
     return "\n".join(lines)
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -5,7 +5,7 @@
 from ..flag_parsing import describe_flags
 from ..settings import parse_addr
 from .client import AdminClient
-from .exit_status import MEANINGS, ExitStatus
+from .exit_status import EXIT_DESCRIPTIONS, ExitStatus
 
 __all__ = ["ADMIN_FLAGS", "JSON_FLAGS", "AdminConfig", "Command", "CommandConfig"]
 
@@ -98,7 +98,9 @@
     def help(self):
         """Return the text of `--help`."""
         statuses = (ExitStatus.OK, *self.exits, ExitStatus.USAGE)
-        lines = [f"  {status:d}  {MEANINGS[status]}" for status in sorted(statuses)]
+        lines = [
+            f"  {status:d}  {EXIT_DESCRIPTIONS[status]}" for status in sorted(statuses)
+        ]
         return "\n".join(
             [
                 f"usage: {self.usage}",
--- a/pimentoline/commands/exit_status.py
+++ b/pimentoline/commands/exit_status.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["ExitStatus", "MEANINGS"]
+__all__ = ["EXIT_DESCRIPTIONS", "ExitStatus"]
 
 
 class ExitStatus(enum.IntEnum):
@@ -20,7 +20,7 @@
     INTERNAL = 9
 
 
-MEANINGS = {
+EXIT_DESCRIPTIONS = {
     ExitStatus.OK: "done",
     ExitStatus.RULES_INVALID: "a rules file has problems; nothing was changed",
     ExitStatus.USAGE: "a command, flag, variable or argument is not allowed",
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,7 +6,7 @@
 
 from pimentoline.cli import run
 from pimentoline.commands import ExitStatus, command_names, get_command_by_name
-from pimentoline.commands.exit_status import MEANINGS
+from pimentoline.commands.exit_status import EXIT_DESCRIPTIONS
 from pimentoline.flag_parsing import ENV_PREFIX, env_var_name
 
 from .conftest import wait_until
@@ -100,7 +100,7 @@
     for flag in command.flags:
         assert f"--{flag}" in text and env_var_name(flag) in text
     for status in command.exits:
-        assert f"  {status:d}  {MEANINGS[status]}" in text
+        assert f"  {status:d}  {EXIT_DESCRIPTIONS[status]}" in text
     assert max(map(len, text.splitlines())) <= 92
     assert run(["--help"]) == ExitStatus.OK
     assert get_command_by_name(name).summary in capsys.readouterr().out
@@ -108,7 +108,9 @@
 
 def test_exit_statuses_are_documented():
     """Guards against two meanings of one status."""
-    assert sorted(MEANINGS) == sorted(ExitStatus) and len(set(ExitStatus)) == 10
+    assert (
+        sorted(EXIT_DESCRIPTIONS) == sorted(ExitStatus) and len(set(ExitStatus)) == 10
+    )
 
 
 def test_check_reports_every_problem(tmp_path, capsys):
