--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -47,7 +47,7 @@
     command = get_command_by_name(argv[0])
     if command is None:
         names = ", ".join(command_names())
-        out.error("usage", [f"found {argv[0]!r}; allowed commands: {names}"])
+        out.write_error("usage", [f"found {argv[0]!r}; allowed commands: {names}"])
         return ExitStatus.USAGE
     if any(word in HELP_WORDS[:2] for word in argv[1:]):
         print(command.help())
@@ -55,23 +55,23 @@
     try:
         return _run(command, argv[1:], out)
     except SettingsError as exc:
-        out.error(exc.code, exc.problems)
+        out.write_error(exc.code, exc.problems)
         return ExitStatus.USAGE
     except NodeUnavailableError as exc:
-        out.error(exc.code, [exc.detail])
+        out.write_error(exc.code, [exc.detail])
         return ExitStatus.NODE_UNAVAILABLE
     except StoreError as exc:
-        out.error(exc.code, [exc.detail])
+        out.write_error(exc.code, [exc.detail])
         return ExitStatus.STORE_UNAVAILABLE
     except PimentolineError as exc:
-        out.error(exc.code, [exc.detail])
+        out.write_error(exc.code, [exc.detail])
         return ExitStatus.INTERNAL
     except (KeyError, TypeError) as exc:
         traceback.print_exc()
-        out.error("internal", [f"answer of the node lacks {exc}"])
+        out.write_error("internal", [f"answer of the node lacks {exc}"])
         return ExitStatus.INTERNAL
     except OSError as exc:
-        out.error("internal", [str(exc)])
+        out.write_error("internal", [str(exc)])
         return ExitStatus.INTERNAL
 
 
--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -64,7 +64,7 @@
         """Apply the file through the node."""
         text, result = read_rules(args[0])
         if result.diagnostics:
-            out.error("rules-invalid", result.diagnostics)
+            out.write_error("rules-invalid", result.diagnostics)
             return ExitStatus.RULES_INVALID
         attempt = cfg.attempt or uuid.uuid4().hex
         body = {
@@ -84,7 +84,7 @@
         result = answer.get("result")
         if status == 400:
             code = answer.get("error", "bad-request")
-            out.error(code, as_list(answer.get("detail")))
+            out.write_error(code, as_list(answer.get("detail")))
             return (
                 ExitStatus.RULES_INVALID
                 if code == "rules-invalid"
@@ -97,7 +97,7 @@
             detail = answer.get("detail", f"status {status}")
             answer |= {"result": "unknown", "detail": f"node answered {detail}"}
             result = "unknown"
-        out.result(answer, _lines(answer, cfg, args[0]))
+        out.write_result(answer, _lines(answer, cfg, args[0]))
         return EXIT_OF_RESULT[result]
 
 
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -28,5 +28,5 @@
             rules += len(result.ruleset.rules) if result.ruleset else 0
         lines = [str(item) for item in problems] or [f"{rules} rules, no problems"]
         data = {"rules": rules, "problems": [item.as_dict() for item in problems]}
-        out.result(data, lines)
+        out.write_result(data, lines)
         return ExitStatus.RULES_INVALID if problems else ExitStatus.OK
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -29,7 +29,7 @@
         """Compare the file with the rules in force at the node."""
         text, result = read_rules(args[0])
         if result.diagnostics:
-            out.error("rules-invalid", result.diagnostics)
+            out.write_error("rules-invalid", result.diagnostics)
             return ExitStatus.RULES_INVALID
         _, answer = self.client(cfg).send_request("/v1/config")
         lines = diff_lines(answer["text"], text)
@@ -37,5 +37,5 @@
         data = {"version": version, "diff": lines}
         verdict = "differs from" if lines else "is equal to"
         head = f"{args[0]} {verdict} version {version}, which is in force"
-        out.result(data, [head, *lines])
+        out.write_result(data, [head, *lines])
         return ExitStatus.DIFFERENT if lines else ExitStatus.OK
--- a/pimentoline/commands/drain.py
+++ b/pimentoline/commands/drain.py
@@ -26,9 +26,9 @@
         path = f"/v1/targets/{quote(args[0], safe='')}/drain"
         status, answer = self.client(cfg).send_request(path, "POST")
         if status != 200:
-            out.error(answer.get("error", "internal"), [answer.get("detail", "")])
+            out.write_error(answer.get("error", "internal"), [answer.get("detail", "")])
             return (
                 ExitStatus.NOT_FOUND if status == 404 else ExitStatus.NODE_UNAVAILABLE
             )
-        out.result(answer, [f"{args[0]} is draining"])
+        out.write_result(answer, [f"{args[0]} is draining"])
         return ExitStatus.OK
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -49,9 +49,11 @@
             body["deadline_ms"] = cfg.deadline_ms
         status, answer = self.client(cfg).send_request("/v1/explain", "POST", body)
         if status != 200:
-            out.error(answer.get("error", "internal"), as_list(answer.get("detail")))
+            out.write_error(
+                answer.get("error", "internal"), as_list(answer.get("detail"))
+            )
             return ExitStatus.USAGE
-        out.result(answer, _lines(answer))
+        out.write_result(answer, _lines(answer))
         return ExitStatus.OK
 
 
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -46,7 +46,7 @@
             )
             if status != 200:
                 return _failed(answer, out)
-            out.result(answer, [answer["text"].removesuffix("\n")])
+            out.write_result(answer, [answer["text"].removesuffix("\n")])
             return ExitStatus.OK
         path = f"/v1/history?limit={cfg.limit}"
         if cfg.before is not None:
@@ -54,13 +54,13 @@
         status, answer = self.client(cfg).send_request(path)
         if status != 200:
             return _failed(answer, out)
-        out.result(answer, _lines(answer))
+        out.write_result(answer, _lines(answer))
         return ExitStatus.OK
 
 
 def _failed(answer, out):
     code = answer.get("error", "internal")
-    out.error(code, [answer.get("detail", "")])
+    out.write_error(code, [answer.get("detail", "")])
     return ExitStatus.NOT_FOUND if code == "not-found" else ExitStatus.STORE_UNAVAILABLE
 
 
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -20,7 +20,7 @@
     def run(self, cfg, args, out):
         """Show the member records."""
         _, answer = self.client(cfg).send_request("/v1/mesh")
-        out.result(answer, _lines(answer["members"]))
+        out.write_result(answer, _lines(answer["members"]))
         return ExitStatus.OK
 
 
--- a/pimentoline/commands/output.py
+++ b/pimentoline/commands/output.py
@@ -22,7 +22,7 @@
     def __init__(self, as_json=False):
         self.as_json = as_json
 
-    def result(self, data, lines):
+    def write_result(self, data, lines):
         """Write the result.
 
         Parameters
@@ -38,7 +38,7 @@
         for line in lines:
             print(line)
 
-    def error(self, code, problems):
+    def write_error(self, code, problems):
         """Write an error with its code, one line for each problem."""
         if self.as_json:
             print(json.dumps({"error": code, "problems": [str(p) for p in problems]}))
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -20,7 +20,7 @@
     def run(self, cfg, args, out):
         """Show the status."""
         _, answer = self.client(cfg).send_request("/v1/status")
-        out.result(answer, _lines(answer))
+        out.write_result(answer, _lines(answer))
         return ExitStatus.OK
 
 
--- a/pimentoline/commands/version.py
+++ b/pimentoline/commands/version.py
@@ -18,5 +18,5 @@
         """Show the version."""
         python = platform.python_version()
         data = {"version": __version__, "python": python}
-        out.result(data, [f"pimentoline {__version__}, Python {python}"])
+        out.write_result(data, [f"pimentoline {__version__}, Python {python}"])
         return ExitStatus.OK
