--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -52,7 +52,7 @@
         **ADMIN_FLAGS,
     }
     model = ApplyConfig
-    exits = (
+    exit_statuses = (
         ExitStatus.RULES_INVALID,
         ExitStatus.CONFLICT,
         ExitStatus.UNKNOWN,
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -54,7 +54,7 @@
     flags : dict of str to (default, help)
     model : subclass of pydantic.BaseModel
         Validates the flags.
-    exits : tuple of ExitStatus
+    exit_statuses : tuple of ExitStatus
         Exit statuses besides `OK` and `USAGE`.
     """
 
@@ -64,7 +64,7 @@
     description = ""
     flags = JSON_FLAGS
     model = CommandConfig
-    exits = ()
+    exit_statuses = ()
 
     def run(self, cfg, args, out):
         """Carry out the command.
@@ -97,7 +97,7 @@
 
     def help(self):
         """Return the text of `--help`."""
-        statuses = (ExitStatus.OK, *self.exits, ExitStatus.USAGE)
+        statuses = (ExitStatus.OK, *self.exit_statuses, ExitStatus.USAGE)
         lines = [
             f"  {status:d}  {EXIT_DESCRIPTIONS[status]}" for status in sorted(statuses)
         ]
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -17,7 +17,7 @@
 No node is asked and nothing is changed. FILE may be - for standard input. The
 grammar is in docs/rules.md.
 """
-    exits = (ExitStatus.RULES_INVALID,)
+    exit_statuses = (ExitStatus.RULES_INVALID,)
 
     def run(self, cfg, args, out):
         """Check each file."""
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -19,7 +19,7 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (
+    exit_statuses = (
         ExitStatus.RULES_INVALID,
         ExitStatus.NODE_UNAVAILABLE,
         ExitStatus.DIFFERENT,
--- a/pimentoline/commands/drain.py
+++ b/pimentoline/commands/drain.py
@@ -19,7 +19,7 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (ExitStatus.NODE_UNAVAILABLE, ExitStatus.NOT_FOUND)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE, ExitStatus.NOT_FOUND)
 
     def run(self, cfg, args, out):
         """Drain the target."""
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -38,7 +38,7 @@
         **ADMIN_FLAGS,
     }
     model = ExplainConfig
-    exits = (ExitStatus.NODE_UNAVAILABLE,)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Ask the node for its decision."""
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -32,7 +32,7 @@
         **ADMIN_FLAGS,
     }
     model = HistoryConfig
-    exits = (
+    exit_statuses = (
         ExitStatus.NODE_UNAVAILABLE,
         ExitStatus.STORE_UNAVAILABLE,
         ExitStatus.NOT_FOUND,
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -15,7 +15,7 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (ExitStatus.NODE_UNAVAILABLE,)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Show the member records."""
--- a/pimentoline/commands/node.py
+++ b/pimentoline/commands/node.py
@@ -23,7 +23,7 @@
 """
     flags = FLAGS
     model = NodeConfig
-    exits = (ExitStatus.INTERNAL,)
+    exit_statuses = (ExitStatus.INTERNAL,)
 
     def run(self, cfg, args, out):
         """Run the node until it is told to stop."""
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -15,7 +15,7 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (ExitStatus.NODE_UNAVAILABLE,)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Show the status."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -99,7 +99,7 @@
     assert text.startswith(f"usage: pimentoline {name}")
     for flag in command.flags:
         assert f"--{flag}" in text and env_var_name(flag) in text
-    for status in command.exits:
+    for status in command.exit_statuses:
         assert f"  {status:d}  {EXIT_DESCRIPTIONS[status]}" in text
     assert max(map(len, text.splitlines())) <= 92
     assert run(["--help"]) == ExitStatus.OK
