--- a/features/steps/apply_steps.py
+++ b/features/steps/apply_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from tests.conftest import http, wait_until
-from tests.operators import apply_text, ask, rules_text, set_faults
+from tests.operators import apply_rules, rules_text, run_command, set_faults
 
 
 @given("two nodes that share a store")
@@ -23,7 +23,7 @@
 @given('version {version:d} "{text}" was accepted from "{author}"')
 def step_accepted(context, version, text, author):
     """Put a first version in force."""
-    answer = apply_text(context.cluster, "n2", text + "\n", version - 1, author)
+    answer = apply_rules(context.cluster, "n2", text + "\n", version - 1, author)
     assert answer["result"] == "accepted", answer
 
 
@@ -41,7 +41,9 @@
     path = Path(folder.name) / "edited.rules"
     path.write_text(text + "\n")
     context.command = ("apply", path, f"--base={base}", "--author=john")
-    context.status, context.answer = ask(context.cluster, "n1", *context.command)
+    context.status, context.answer = run_command(
+        context.cluster, "n1", *context.command
+    )
 
 
 @when("{count:d} other versions are accepted")
@@ -49,7 +51,7 @@
     """Apply further texts, each as a change of the latest version."""
     for number in range(count):
         base = _versions(context)
-        answer = apply_text(context.cluster, "n2", rules_text(number), base)
+        answer = apply_rules(context.cluster, "n2", rules_text(number), base)
         assert answer["result"] == "accepted", answer
 
 
@@ -57,7 +59,9 @@
 def step_again(context):
     """Repeat the command with the id of the attempt."""
     again = f"--attempt={context.answer['attempt']}"
-    context.status, context.answer = ask(context.cluster, "n1", *context.command, again)
+    context.status, context.answer = run_command(
+        context.cluster, "n1", *context.command, again
+    )
 
 
 @then("the command says {result} with exit status {status:d}")
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -24,19 +24,19 @@
     )
 
 
-def finish(process):
+def wait_for_result(process):
     """Return (exit status, JSON answer) of a command started with `--json`."""
     out, err = process.communicate(timeout=COMMAND_TIMEOUT_S)
     assert out, err
     return process.returncode, json.loads(out)
 
 
-def ask(cluster, node_id, *args):
+def run_command(cluster, node_id, *args):
     """Run a command with `--json`; return (exit status, answer)."""
-    return finish(start_command(cluster, node_id, *args, "--json"))
+    return wait_for_result(start_command(cluster, node_id, *args, "--json"))
 
 
-def apply_text(cluster, node_id, text, base, author="mary", attempt=None):
+def apply_rules(cluster, node_id, text, base, author="mary", attempt=None):
     """Apply a text over HTTP, without the command line; return the answer."""
     body = {"base": base, "text": text, "author": author}
     body["attempt"] = attempt or uuid.uuid4().hex
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -9,13 +9,13 @@
 
 from .conftest import wait_until
 from .operators import (
-    apply_text,
-    ask,
-    finish,
+    apply_rules,
     rules_file,
     rules_text,
+    run_command,
     set_faults,
     start_command,
+    wait_for_result,
 )
 
 NODES = ("n1", "n2")
@@ -56,7 +56,7 @@
             )
             for node in NODES
         ]
-        results = [finish(process) for process in racing]
+        results = [wait_for_result(process) for process in racing]
         assert sorted(status for status, _ in results) == [0, 3], results
         winner = next(i for i, result in enumerate(results) if result[0] == 0)
         lost = results[1 - winner][1]
@@ -76,21 +76,21 @@
     path = rules_file(tmp_path, "a")
     args = ("apply", path, "--base=0", "--author=mary")
     set_faults(pair, lose_answers=1, down_after_loss=True)
-    status, answer = ask(pair, "n1", *args)
+    status, answer = run_command(pair, "n1", *args)
     assert (status, answer["result"]) == (4, "unknown")
     again = (*args, f"--attempt={answer['attempt']}")
-    status, answer = ask(pair, "n1", *again)
+    status, answer = run_command(pair, "n1", *again)
     assert (status, answer["result"]) == (4, "unknown"), "the store is still down"
     set_faults(pair, down=False)
     for _ in range(2):
-        status, answer = ask(pair, "n2", *again)
+        status, answer = run_command(pair, "n2", *again)
         assert (status, answer["version"]) == (0, 1)
-    assert apply_text(pair, "n1", rules_text("b"), 1)["version"] == 2
-    status, answer = ask(pair, "n2", *again)
+    assert apply_rules(pair, "n1", rules_text("b"), 1)["version"] == 2
+    status, answer = run_command(pair, "n2", *again)
     assert (status, answer["version"], answer["superseded_by"]) == (0, 1, 2)
     assert [in_force(pair, node) for node in NODES] == [2, 2]
     other = rules_file(tmp_path, "c")
-    status, answer = ask(pair, "n1", "apply", other, *again[2:])
+    status, answer = run_command(pair, "n1", "apply", other, *again[2:])
     assert status == 3 and "another text" in answer["detail"]
 
 
@@ -98,10 +98,10 @@
     """Guards against an unknown outcome that later passes for an accepted one."""
     args = ("apply", rules_file(tmp_path, "a"), "--base=0", "--author=mary")
     set_faults(pair, lose_requests=2)
-    status, answer = ask(pair, "n1", *args)
+    status, answer = run_command(pair, "n1", *args)
     assert (status, answer["result"]) == (4, "unknown")
-    assert apply_text(pair, "n2", rules_text("b"), 0, "john")["version"] == 1
-    status, answer = ask(pair, "n1", *args, f"--attempt={answer['attempt']}")
+    assert apply_rules(pair, "n2", rules_text("b"), 0, "john")["version"] == 1
+    status, answer = run_command(pair, "n1", *args, f"--attempt={answer['attempt']}")
     assert status == 3
     assert [row["author"] for row in answer["won"]] == ["john"]
 
@@ -112,7 +112,7 @@
     # Longer than the operator waits, and well below the node's limit for a read.
     set_faults(pair, delay_s=0.8)
     args = ("apply", path, "--base=0", "--author=mary", "--timeout_s=0.5")
-    status, answer = ask(pair, "n1", *args)
+    status, answer = run_command(pair, "n1", *args)
     assert (status, answer["result"]) == (4, "unknown")
     wait_until(lambda: in_force(pair, "n1") == 1, message="the text in force anyway")
 
@@ -122,12 +122,12 @@
     started = time.time()
     texts = [f"pause t{i % 3}  # Asked {i}\n" for i in range(12)]
     for base, text in enumerate(texts):
-        answer = apply_text(pair, NODES[base % 2], text, base, f"author-{base}")
+        answer = apply_rules(pair, NODES[base % 2], text, base, f"author-{base}")
         assert answer["result"] == "accepted", answer
     wait_until(lambda: [in_force(pair, node) for node in NODES] == [12, 12])
 
     def held():
-        status, answer = ask(pair, "n2", "history", "--limit=100")
+        status, answer = run_command(pair, "n2", "history", "--limit=100")
         assert status == 0
         return answer if answer["history"][0]["nodes"] == ["n1", "n2"] else None
 
@@ -141,11 +141,11 @@
         asked = {f"Asked {base}"} | ({f"Asked {base - 1}"} if base else set())
         assert set(row["requesters"]) == asked
         assert row["nodes"] == (list(NODES) if base == 11 else [])
-        shown = ask(pair, "n1", "history", f"--show={row['version']}")[1]
+        shown = run_command(pair, "n1", "history", f"--show={row['version']}")[1]
         assert shown["text"] == texts[base]
-    page = ask(pair, "n1", "history", "--limit=2", "--before=11")[1]["history"]
+    page = run_command(pair, "n1", "history", "--limit=2", "--before=11")[1]["history"]
     assert [row["version"] for row in page] == [10, 9]
-    assert ask(pair, "n1", "history", "--show=13")[0] == 8
+    assert run_command(pair, "n1", "history", "--show=13")[0] == 8
 
 
 class Operator(threading.Thread):
@@ -170,7 +170,7 @@
                 "invoked": time.monotonic(),
             }
             self.operations.append(op)
-            answer = apply_text(
+            answer = apply_rules(
                 self.cluster, self.node, op["text"], base, self.name, op["attempt"]
             )
             op["completed"] = time.monotonic()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 from pimentoline.flag_parsing import ENV_PREFIX, env_var_name
 
 from .conftest import wait_until
-from .operators import ask, set_faults, start_command
+from .operators import run_command, set_faults, start_command
 
 NODE = ["node", "--region=rift", "--dc=kerio", "--mesh_keys=k"]
 
@@ -150,40 +150,44 @@
     )
     path = tmp_path / "edited.rules"
     path.write_text("weight t1 0  # Mary\nclass hive-ledger critical  # Mary\n")
-    status, answer = ask(cluster, "n1", "diff", path)
+    status, answer = run_command(cluster, "n1", "diff", path)
     assert (status, answer["version"]) == (ExitStatus.DIFFERENT, 0)
     assert "+weight t1 0  # Mary" in answer["diff"]
-    assert ask(cluster, "n1", "apply", path, "--base=0", "--author=mary")[0] == 0
-    assert ask(cluster, "n1", "diff", path)[0] == ExitStatus.OK
-    assert ask(cluster, "n1", "status")[1]["rules"]["version"] == 1
-    assert ask(cluster, "n1", "mesh")[1]["members"][0]["node_id"] == "n1"
+    assert (
+        run_command(cluster, "n1", "apply", path, "--base=0", "--author=mary")[0] == 0
+    )
+    assert run_command(cluster, "n1", "diff", path)[0] == ExitStatus.OK
+    assert run_command(cluster, "n1", "status")[1]["rules"]["version"] == 1
+    assert run_command(cluster, "n1", "mesh")[1]["members"][0]["node_id"] == "n1"
 
     before = cluster.targets["t2"].get_json("/runs")
-    status, answer = ask(cluster, "n1", "explain", "hive-ledger", "POST", "/sales?x=1")
+    status, answer = run_command(
+        cluster, "n1", "explain", "hive-ledger", "POST", "/sales?x=1"
+    )
     assert status == 0 and answer["outcomes"] == {"sent to t2": 1.0}
     assert answer["policy"]["call_class"] == "critical"
     assert answer["rules"] == {"class": "class hive-ledger critical  # Mary"}
     reasons = {target["target_id"]: target["reason"] for target in answer["targets"]}
     assert reasons["t1"] == "not used: weight t1 0  # Mary"
     assert cluster.targets["t2"].get_json("/runs") == before, "a call was sent"
-    assert ask(cluster, "n1", "status")[1]["calls"] == 0
-    _, answer = ask(cluster, "n1", "explain", "nowhere", "GET", "/")
+    assert run_command(cluster, "n1", "status")[1]["calls"] == 0
+    _, answer = run_command(cluster, "n1", "explain", "nowhere", "GET", "/")
     assert answer["outcomes"] == {"refused with 503 unknown-service": 1.0}
-    assert ask(cluster, "n1", "explain", "a", "get", "/")[0] == ExitStatus.USAGE
+    assert run_command(cluster, "n1", "explain", "a", "get", "/")[0] == ExitStatus.USAGE
 
-    assert ask(cluster, "n1", "drain", "t9")[0] == ExitStatus.NOT_FOUND
-    assert ask(cluster, "n1", "drain", "t2") == (
+    assert run_command(cluster, "n1", "drain", "t9")[0] == ExitStatus.NOT_FOUND
+    assert run_command(cluster, "n1", "drain", "t2") == (
         0,
         {"target": "t2", "state": "draining"},
     )
-    _, answer = ask(cluster, "n1", "explain", "hive-ledger", "GET", "/")
+    _, answer = run_command(cluster, "n1", "explain", "hive-ledger", "GET", "/")
     assert list(answer["outcomes"]) == ["refused with 503 no-target"]
 
     set_faults(cluster, down=True)
-    assert ask(cluster, "n1", "history")[0] == ExitStatus.STORE_UNAVAILABLE
-    assert ask(cluster, "n1", "status")[0] == ExitStatus.OK
+    assert run_command(cluster, "n1", "history")[0] == ExitStatus.STORE_UNAVAILABLE
+    assert run_command(cluster, "n1", "status")[0] == ExitStatus.OK
     cluster.nodes["n1"].kill()
-    assert ask(cluster, "n1", "status")[0] == ExitStatus.NODE_UNAVAILABLE
+    assert run_command(cluster, "n1", "status")[0] == ExitStatus.NODE_UNAVAILABLE
     text = start_command(cluster, "n1", "status")
     out, err = text.communicate(timeout=20)
     assert out == "" and err.startswith(
