--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -3,9 +3,9 @@
 import sys
 import traceback
 
-from .commands import Exit, command_names, get_command_by_name
+from .commands import ExitStatus, command_names, get_command_by_name
 from .commands._mapping import COMMANDS
-from .commands.exits import MEANINGS
+from .commands.exit_status import EXIT_DESCRIPTIONS
 from .commands.output import Output
 from .errors import (
     NodeUnavailableError,
@@ -13,7 +13,7 @@
     SettingsError,
     StoreError,
 )
-from .flagset import parse_flags, validate, variable_of
+from .flag_parsing import env_var_name, parse_flags, validate_flags
 
 __all__ = ["main", "run"]
 
@@ -37,47 +37,47 @@
 
     Returns
     -------
-    Exit
+    ExitStatus
     """
     # Known before the flags are, so that an error in a flag is JSON too.
     out = Output("--json" in argv)
     if not argv or argv[0] in HELP_WORDS:
         print(_help())
-        return Exit.OK if argv else Exit.USAGE
+        return ExitStatus.OK if argv else ExitStatus.USAGE
     command = get_command_by_name(argv[0])
     if command is None:
         names = ", ".join(command_names())
-        out.error("usage", [f"found {argv[0]!r}; allowed commands: {names}"])
-        return Exit.USAGE
+        out.write_error("usage", [f"found {argv[0]!r}; allowed commands: {names}"])
+        return ExitStatus.USAGE
     if any(word in HELP_WORDS[:2] for word in argv[1:]):
         print(command.help())
-        return Exit.OK
+        return ExitStatus.OK
     try:
         return _run(command, argv[1:], out)
     except SettingsError as exc:
-        out.error(exc.code, exc.problems)
-        return Exit.USAGE
+        out.write_error(exc.code, exc.problems)
+        return ExitStatus.USAGE
     except NodeUnavailableError as exc:
-        out.error(exc.code, [exc.detail])
-        return Exit.NODE_UNAVAILABLE
+        out.write_error(exc.code, [exc.detail])
+        return ExitStatus.NODE_UNAVAILABLE
     except StoreError as exc:
-        out.error(exc.code, [exc.detail])
-        return Exit.STORE_UNAVAILABLE
+        out.write_error(exc.code, [exc.detail])
+        return ExitStatus.STORE_UNAVAILABLE
     except PimentolineError as exc:
-        out.error(exc.code, [exc.detail])
-        return Exit.INTERNAL
+        out.write_error(exc.code, [exc.detail])
+        return ExitStatus.INTERNAL
     except (KeyError, TypeError) as exc:
         traceback.print_exc()
-        out.error("internal", [f"answer of the node lacks {exc}"])
-        return Exit.INTERNAL
+        out.write_error("internal", [f"answer of the node lacks {exc}"])
+        return ExitStatus.INTERNAL
     except OSError as exc:
-        out.error("internal", [str(exc)])
-        return Exit.INTERNAL
+        out.write_error("internal", [str(exc)])
+        return ExitStatus.INTERNAL
 
 
 def _run(command, argv, out):
     variables = {
-        variable_of(name)
+        env_var_name(name)
         for other in command_names()
         for name in get_command_by_name(other).flags
     }
@@ -89,7 +89,7 @@
     if len(args) < wanted or (len(args) > wanted and not many):
         form = " ".join(command.arguments) or "no arguments"
         raise SettingsError(f"found {len(args)} arguments; allowed: {form}")
-    return command.run(validate(command.model, values), args, out)
+    return command.run(validate_flags(command.model, values), args, out)
 
 
 def _help():
@@ -98,7 +98,7 @@
     lines.append("commands (`pimentoline COMMAND --help` says more):")
     lines += [f"  {name:<9} {entry[2]}" for name, entry in COMMANDS.items()]
     lines += ["", "Every flag has an environment variable: --admin_addr is"]
-    lines += [f"{variable_of('admin_addr')}. A flag wins over its variable.", ""]
+    lines += [f"{env_var_name('admin_addr')}. A flag wins over its variable.", ""]
     lines.append("exit status:")
-    lines += [f"  {status:d}  {text}" for status, text in MEANINGS.items()]
+    lines += [f"  {status:d}  {text}" for status, text in EXIT_DESCRIPTIONS.items()]
     return "\n".join(lines)
--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -8,16 +8,16 @@
 from ..errors import NodeUnavailableError
 from ..rules import read_rules
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import ExitStatus
 from .output import as_list
 
 __all__ = ["ApplyCommand"]
 
 EXIT_OF_RESULT = {
-    "accepted": Exit.OK,
-    "conflict": Exit.CONFLICT,
-    "unknown": Exit.UNKNOWN,
-    "unavailable": Exit.STORE_UNAVAILABLE,
+    "accepted": ExitStatus.OK,
+    "conflict": ExitStatus.CONFLICT,
+    "unknown": ExitStatus.UNKNOWN,
+    "unavailable": ExitStatus.STORE_UNAVAILABLE,
 }
 
 
@@ -52,20 +52,20 @@
         **ADMIN_FLAGS,
     }
     model = ApplyConfig
-    exits = (
-        Exit.RULES_INVALID,
-        Exit.CONFLICT,
-        Exit.UNKNOWN,
-        Exit.NODE_UNAVAILABLE,
-        Exit.STORE_UNAVAILABLE,
+    exit_statuses = (
+        ExitStatus.RULES_INVALID,
+        ExitStatus.CONFLICT,
+        ExitStatus.UNKNOWN,
+        ExitStatus.NODE_UNAVAILABLE,
+        ExitStatus.STORE_UNAVAILABLE,
     )
 
     def run(self, cfg, args, out):
         """Apply the file through the node."""
         text, result = read_rules(args[0])
         if result.diagnostics:
-            out.error("rules-invalid", result.diagnostics)
-            return Exit.RULES_INVALID
+            out.write_error("rules-invalid", result.diagnostics)
+            return ExitStatus.RULES_INVALID
         attempt = cfg.attempt or uuid.uuid4().hex
         body = {
             "base": cfg.base,
@@ -74,7 +74,7 @@
             "attempt": attempt,
         }
         try:
-            status, answer = self.client(cfg).ask("/v1/config", "POST", body)
+            status, answer = self.client(cfg).send_request("/v1/config", "POST", body)
         except NodeUnavailableError as exc:
             if not exc.sent:
                 raise
@@ -84,8 +84,12 @@
         result = answer.get("result")
         if status == 400:
             code = answer.get("error", "bad-request")
-            out.error(code, as_list(answer.get("detail")))
-            return Exit.RULES_INVALID if code == "rules-invalid" else Exit.USAGE
+            out.write_error(code, as_list(answer.get("detail")))
+            return (
+                ExitStatus.RULES_INVALID
+                if code == "rules-invalid"
+                else ExitStatus.USAGE
+            )
         if result == "unavailable" and cfg.attempt:
             # This request wrote nothing, but the one before may have.
             answer["result"] = result = "unknown"
@@ -93,7 +97,7 @@
             detail = answer.get("detail", f"status {status}")
             answer |= {"result": "unknown", "detail": f"node answered {detail}"}
             result = "unknown"
-        out.result(answer, _lines(answer, cfg, args[0]))
+        out.write_result(answer, _lines(answer, cfg, args[0]))
         return EXIT_OF_RESULT[result]
 
 
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -2,10 +2,10 @@
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
-from ..flagset import describe_flags
+from ..flag_parsing import describe_flags
 from ..settings import parse_addr
 from .client import AdminClient
-from .exits import MEANINGS, Exit
+from .exit_status import EXIT_DESCRIPTIONS, ExitStatus
 
 __all__ = ["ADMIN_FLAGS", "JSON_FLAGS", "AdminConfig", "Command", "CommandConfig"]
 
@@ -54,7 +54,7 @@
     flags : dict of str to (default, help)
     model : subclass of pydantic.BaseModel
         Validates the flags.
-    exits : tuple of Exit
+    exit_statuses : tuple of ExitStatus
         Exit statuses besides `OK` and `USAGE`.
     """
 
@@ -64,7 +64,7 @@
     description = ""
     flags = JSON_FLAGS
     model = CommandConfig
-    exits = ()
+    exit_statuses = ()
 
     def run(self, cfg, args, out):
         """Carry out the command.
@@ -77,7 +77,7 @@
 
         Returns
         -------
-        Exit
+        ExitStatus
 
         Raises
         ------
@@ -97,8 +97,10 @@
 
     def help(self):
         """Return the text of `--help`."""
-        statuses = (Exit.OK, *self.exits, Exit.USAGE)
-        lines = [f"  {status:d}  {MEANINGS[status]}" for status in sorted(statuses)]
+        statuses = (ExitStatus.OK, *self.exit_statuses, ExitStatus.USAGE)
+        lines = [
+            f"  {status:d}  {EXIT_DESCRIPTIONS[status]}" for status in sorted(statuses)
+        ]
         return "\n".join(
             [
                 f"usage: {self.usage}",
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -2,7 +2,7 @@
 
 from ..rules import read_rules
 from .base import Command
-from .exits import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["CheckCommand"]
 
@@ -17,7 +17,7 @@
 No node is asked and nothing is changed. FILE may be - for standard input. The
 grammar is in docs/rules.md.
 """
-    exits = (Exit.RULES_INVALID,)
+    exit_statuses = (ExitStatus.RULES_INVALID,)
 
     def run(self, cfg, args, out):
         """Check each file."""
@@ -28,5 +28,5 @@
             rules += len(result.ruleset.rules) if result.ruleset else 0
         lines = [str(item) for item in problems] or [f"{rules} rules, no problems"]
         data = {"rules": rules, "problems": [item.as_dict() for item in problems]}
-        out.result(data, lines)
-        return Exit.RULES_INVALID if problems else Exit.OK
+        out.write_result(data, lines)
+        return ExitStatus.RULES_INVALID if problems else ExitStatus.OK
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -3,7 +3,7 @@
 from ..audit import diff_lines
 from ..rules import read_rules
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["DiffCommand"]
 
@@ -19,19 +19,23 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.RULES_INVALID, Exit.NODE_UNAVAILABLE, Exit.DIFFERENT)
+    exit_statuses = (
+        ExitStatus.RULES_INVALID,
+        ExitStatus.NODE_UNAVAILABLE,
+        ExitStatus.DIFFERENT,
+    )
 
     def run(self, cfg, args, out):
         """Compare the file with the rules in force at the node."""
         text, result = read_rules(args[0])
         if result.diagnostics:
-            out.error("rules-invalid", result.diagnostics)
-            return Exit.RULES_INVALID
-        _, answer = self.client(cfg).ask("/v1/config")
+            out.write_error("rules-invalid", result.diagnostics)
+            return ExitStatus.RULES_INVALID
+        _, answer = self.client(cfg).send_request("/v1/config")
         lines = diff_lines(answer["text"], text)
         version = answer["version"]
         data = {"version": version, "diff": lines}
         verdict = "differs from" if lines else "is equal to"
         head = f"{args[0]} {verdict} version {version}, which is in force"
-        out.result(data, [head, *lines])
-        return Exit.DIFFERENT if lines else Exit.OK
+        out.write_result(data, [head, *lines])
+        return ExitStatus.DIFFERENT if lines else ExitStatus.OK
--- a/pimentoline/commands/drain.py
+++ b/pimentoline/commands/drain.py
@@ -3,7 +3,7 @@
 from urllib.parse import quote
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["DrainCommand"]
 
@@ -19,14 +19,16 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.NODE_UNAVAILABLE, Exit.NOT_FOUND)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE, ExitStatus.NOT_FOUND)
 
     def run(self, cfg, args, out):
         """Drain the target."""
         path = f"/v1/targets/{quote(args[0], safe='')}/drain"
-        status, answer = self.client(cfg).ask(path, "POST")
+        status, answer = self.client(cfg).send_request(path, "POST")
         if status != 200:
-            out.error(answer.get("error", "internal"), [answer.get("detail", "")])
-            return Exit.NOT_FOUND if status == 404 else Exit.NODE_UNAVAILABLE
-        out.result(answer, [f"{args[0]} is draining"])
-        return Exit.OK
+            out.write_error(answer.get("error", "internal"), [answer.get("detail", "")])
+            return (
+                ExitStatus.NOT_FOUND if status == 404 else ExitStatus.NODE_UNAVAILABLE
+            )
+        out.write_result(answer, [f"{args[0]} is draining"])
+        return ExitStatus.OK
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -4,9 +4,9 @@
 
 from pydantic import Field
 
-from ..rules.options import CALL_CLASSES
+from ..rules.field_parsers import CALL_CLASSES
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import ExitStatus
 from .output import as_list
 
 __all__ = ["ExplainCommand"]
@@ -38,7 +38,7 @@
         **ADMIN_FLAGS,
     }
     model = ExplainConfig
-    exits = (Exit.NODE_UNAVAILABLE,)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Ask the node for its decision."""
@@ -47,12 +47,14 @@
         body |= {"call_class": cfg.call_class, "key": cfg.key}
         if cfg.deadline_ms is not None:
             body["deadline_ms"] = cfg.deadline_ms
-        status, answer = self.client(cfg).ask("/v1/explain", "POST", body)
+        status, answer = self.client(cfg).send_request("/v1/explain", "POST", body)
         if status != 200:
-            out.error(answer.get("error", "internal"), as_list(answer.get("detail")))
-            return Exit.USAGE
-        out.result(answer, _lines(answer))
-        return Exit.OK
+            out.write_error(
+                answer.get("error", "internal"), as_list(answer.get("detail"))
+            )
+            return ExitStatus.USAGE
+        out.write_result(answer, _lines(answer))
+        return ExitStatus.OK
 
 
 def _lines(answer):
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -1,7 +1,7 @@
 """pimentoline.commands.mesh: show the nodes and targets that a node knows."""
 
 from .base import ADMIN_FLAGS, AdminConfig, Command
-from .exits import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["MeshCommand"]
 
@@ -15,13 +15,13 @@
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
-    exits = (Exit.NODE_UNAVAILABLE,)
+    exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
         """Show the member records."""
-        _, answer = self.client(cfg).ask("/v1/mesh")
-        out.result(answer, _lines(answer["members"]))
-        return Exit.OK
+        _, answer = self.client(cfg).send_request("/v1/mesh")
+        out.write_result(answer, _lines(answer["members"]))
+        return ExitStatus.OK
 
 
 def _lines(members):
--- a/pimentoline/commands/version.py
+++ b/pimentoline/commands/version.py
@@ -4,7 +4,7 @@
 
 from .. import __version__
 from .base import Command
-from .exits import Exit
+from .exit_status import ExitStatus
 
 __all__ = ["VersionCommand"]
 
@@ -18,5 +18,5 @@
         """Show the version."""
         python = platform.python_version()
         data = {"version": __version__, "python": python}
-        out.result(data, [f"pimentoline {__version__}, Python {python}"])
-        return Exit.OK
+        out.write_result(data, [f"pimentoline {__version__}, Python {python}"])
+        return ExitStatus.OK
--- a/pimentoline/rules/__init__.py
+++ b/pimentoline/rules/__init__.py
@@ -1,9 +1,9 @@
 """pimentoline.rules: grammar of the rules file."""
 
 from .diagnostics import Diagnostic
+from .file_reader import read_rules
 from .parser import MAX_RULES_BYTES, ParseResult, parse
-from .policy import CallPolicy, ProbeBudget, SpillRule
-from .reading import read_rules
+from .policy import CallPolicy, ProbeBudget, SpillPolicy
 from .ruleset import RuleSet
 
 __all__ = [
@@ -13,7 +13,7 @@
     "ParseResult",
     "ProbeBudget",
     "RuleSet",
-    "SpillRule",
+    "SpillPolicy",
     "parse",
     "read_rules",
 ]
--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -19,29 +19,29 @@
     ----------
     kind : str
         First word of the line.
-    form : str
+    syntax : str
         Form of the line, shown in diagnostics.
-    readers : dict of str to callable
-        Required words in order: attribute name and reader of `options`.
+    positional : dict of str to callable
+        Required words in order: attribute name and parser of `field_parsers`.
     options : dict of str to callable
-        `NAME=VALUE` words: attribute name and reader. The default of the data
+        `NAME=VALUE` words: attribute name and parser. The default of the data
         class counts for an option that is not given.
-    selects : tuple of str
+    selector_fields : tuple of str
         Attributes that say what the rule applies to; `*` matches everything. The
         other attributes are what the rule sets. Two rules of a kind contradict
         each other if the earlier covers what the later selects and they set
         different values, because only the earlier would ever have an effect.
-    asked_by : str
+    requester : str
         The comment of the line, which names who asked for the rule.
     """
 
     kind: ClassVar[str] = ""
-    form: ClassVar[str] = ""
-    readers: ClassVar[dict] = {}
+    syntax: ClassVar[str] = ""
+    positional: ClassVar[dict] = {}
     options: ClassVar[dict] = {}
-    selects: ClassVar[tuple] = ()
+    selector_fields: ClassVar[tuple] = ()
 
-    asked_by: str = ""
+    requester: str = ""
 
     def check(self):
         """Check the words against each other.
@@ -55,7 +55,7 @@
     @property
     def selector(self):
         """What the rule applies to, as a tuple of words."""
-        return tuple(getattr(self, name) for name in self.selects)
+        return tuple(getattr(self, name) for name in self.selector_fields)
 
     @property
     def setting(self):
@@ -65,14 +65,14 @@
     def as_line(self):
         """Return the rule as a line that parses to an equal rule."""
         words = [self.kind]
-        words += [_word(name, getattr(self, name)) for name in self.readers]
+        words += [_word(name, getattr(self, name)) for name in self.positional]
         defaults = {item.name: item.default for item in fields(self)}
         for name in self.options:
             attribute = attribute_of(name)
             value = getattr(self, attribute)
             if value != defaults[attribute]:
                 words.append(f"{name}={_word(name, value)}")
-        return f"{' '.join(words)}  # {self.asked_by}"
+        return f"{' '.join(words)}  # {self.requester}"
 
 
 def attribute_of(option):
@@ -84,7 +84,9 @@
 def _set_names(cls):
     """Return the attributes of a kind that are neither selector nor comment."""
     names = (item.name for item in fields(cls))
-    return tuple(name for name in names if name not in (*cls.selects, "asked_by"))
+    return tuple(
+        name for name in names if name not in (*cls.selector_fields, "requester")
+    )
 
 
 def _word(name, value):
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import ANY, get_any_name, get_class, get_method, get_path
+from .field_parsers import ANY, parse_any_name, parse_class, parse_method, parse_path
 
 __all__ = ["ClassRule"]
 
@@ -14,10 +14,10 @@
     """Class of a call; it replaces the caller's `X-Call-Class`."""
 
     kind: ClassVar = "class"
-    form: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": get_any_name, "call_class": get_class}
-    options: ClassVar = {"method": get_method, "path": get_path}
-    selects: ClassVar = ("service", "method", "path")
+    syntax: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
+    positional: ClassVar = {"service": parse_any_name, "call_class": parse_class}
+    options: ClassVar = {"method": parse_method, "path": parse_path}
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     call_class: str
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_name, get_share
+from .field_parsers import parse_name, parse_share
 
 __all__ = ["CanaryRule"]
 
@@ -14,9 +14,13 @@
     """Share of a service's calls that targets of a release receive."""
 
     kind: ClassVar = "canary"
-    form: ClassVar = "canary SERVICE VERSION SHARE"
-    readers: ClassVar = {"service": get_name, "version": get_name, "share": get_share}
-    selects: ClassVar = ("service", "version")
+    syntax: ClassVar = "canary SERVICE VERSION SHARE"
+    positional: ClassVar = {
+        "service": parse_name,
+        "version": parse_name,
+        "share": parse_share,
+    }
+    selector_fields: ClassVar = ("service", "version")
 
     service: str
     version: str
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -4,7 +4,13 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import ANY, get_any_name, get_duration_s, get_method, get_path
+from .field_parsers import (
+    ANY,
+    parse_any_name,
+    parse_duration_s,
+    parse_method,
+    parse_path,
+)
 
 __all__ = ["DeadlineRule"]
 
@@ -14,10 +20,10 @@
     """Longest time of a whole call, in seconds; a caller may ask for less."""
 
     kind: ClassVar = "deadline"
-    form: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
-    readers: ClassVar = {"service": get_any_name, "deadline_s": get_duration_s}
-    options: ClassVar = {"method": get_method, "path": get_path}
-    selects: ClassVar = ("service", "method", "path")
+    syntax: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
+    positional: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
+    options: ClassVar = {"method": parse_method, "path": parse_path}
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     deadline_s: float
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_method, get_name, get_path
+from .field_parsers import parse_method, parse_name, parse_path
 
 __all__ = ["IdempotentRule"]
 
@@ -18,9 +18,13 @@
     """
 
     kind: ClassVar = "idempotent"
-    form: ClassVar = "idempotent SERVICE METHOD PATH"
-    readers: ClassVar = {"service": get_name, "method": get_method, "path": get_path}
-    selects: ClassVar = ("service", "method", "path")
+    syntax: ClassVar = "idempotent SERVICE METHOD PATH"
+    positional: ClassVar = {
+        "service": parse_name,
+        "method": parse_method,
+        "path": parse_path,
+    }
+    selector_fields: ClassVar = ("service", "method", "path")
 
     service: str
     method: str
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import ANY, get_any_name, get_class, get_count
+from .field_parsers import ANY, parse_any_name, parse_class, parse_count
 
 __all__ = ["LimitRule"]
 
@@ -21,13 +21,13 @@
     """
 
     kind: ClassVar = "limit"
-    form: ClassVar = "limit SERVICE COUNT [class=CLASS]"
-    readers: ClassVar = {
-        "service": get_any_name,
-        "inflight": partial(get_count, low=1, high=MAX_INFLIGHT),
+    syntax: ClassVar = "limit SERVICE COUNT [class=CLASS]"
+    positional: ClassVar = {
+        "service": parse_any_name,
+        "inflight": partial(parse_count, low=1, high=MAX_INFLIGHT),
     }
-    options: ClassVar = {"class": get_class}
-    selects: ClassVar = ("service", "call_class")
+    options: ClassVar = {"class": parse_class}
+    selector_fields: ClassVar = ("service", "call_class")
 
     service: str
     inflight: int
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -9,7 +9,7 @@
 from ._mapping import get_kind_by_name, kind_names
 from .base import attribute_of
 from .diagnostics import Diagnostic
-from .options import ANY, OptionError
+from .field_parsers import ANY, OptionError
 from .ruleset import RuleSet
 
 __all__ = ["MAX_RULES_BYTES", "ParseResult", "parse"]
@@ -129,8 +129,8 @@
     if not words:
         return None, 0, ()
     problems = []
-    asked_by = comment.strip()
-    if not any(char.isalpha() for char in asked_by):
+    requester = comment.strip()
+    if not any(char.isalpha() for char in requester):
         found = "a comment without a name" if mark else "no comment"
         problems.append((len(line) + 1, found, ASKED_BY))
     (name, column), *rest = words
@@ -142,7 +142,7 @@
     values = _read_words(kind, rest, len(body.rstrip()) + 1, problems)
     if problems:
         return None, column, tuple(sorted(problems))
-    rule = kind(asked_by=asked_by, **values)
+    rule = kind(requester=requester, **values)
     try:
         rule.check()
     except OptionError as exc:
@@ -154,7 +154,7 @@
 def _read_words(kind, words, end, problems):
     """Return the values of a rule's words; add what is wrong to `problems`."""
     values = {}
-    missing = list(kind.readers)
+    missing = list(kind.positional)
     for word, column in words:
         option, mark, value = word.partition("=")
         if mark and option in kind.options:
@@ -164,9 +164,9 @@
                 continue
         elif missing:
             option = attribute = missing.pop(0)
-            reader, value = kind.readers[option], word
+            reader, value = kind.positional[option], word
         else:
-            problems.append((column, _shown(word), kind.form))
+            problems.append((column, _shown(word), kind.syntax))
             continue
         # A refused value counts as given, so that it is reported once.
         values[attribute] = None
@@ -175,7 +175,7 @@
         except OptionError as exc:
             problems.append((column, _shown(word), f"{option}: {exc.allowed}"))
     if missing:
-        problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.form))
+        problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.syntax))
     return values
 
 
--- a/pimentoline/rules/pause.py
+++ b/pimentoline/rules/pause.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_name
+from .field_parsers import parse_name
 
 __all__ = ["PauseRule"]
 
@@ -14,8 +14,8 @@
     """A target that receives no new calls; calls in flight complete."""
 
     kind: ClassVar = "pause"
-    form: ClassVar = "pause TARGET"
-    readers: ClassVar = {"target": get_name}
-    selects: ClassVar = ("target",)
+    syntax: ClassVar = "pause TARGET"
+    positional: ClassVar = {"target": parse_name}
+    selector_fields: ClassVar = ("target",)
 
     target: str
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import ANY, get_any_name, get_names
+from .field_parsers import ANY, parse_any_name, parse_names
 
 __all__ = ["PreferRule"]
 
@@ -17,10 +17,10 @@
     """
 
     kind: ClassVar = "prefer"
-    form: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
-    readers: ClassVar = {"service": get_any_name, "regions": get_names}
-    options: ClassVar = {"home": get_any_name}
-    selects: ClassVar = ("service", "home")
+    syntax: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
+    positional: ClassVar = {"service": parse_any_name, "regions": parse_names}
+    options: ClassVar = {"home": parse_any_name}
+    selector_fields: ClassVar = ("service", "home")
 
     service: str
     regions: tuple[str, ...]
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_any_name, get_share
+from .field_parsers import parse_any_name, parse_share
 
 __all__ = ["RetryRule"]
 
@@ -19,12 +19,12 @@
     """Allowed share of retries and hedges in the first attempts of a service."""
 
     kind: ClassVar = "retry"
-    form: ClassVar = "retry SERVICE SHARE"
-    readers: ClassVar = {
-        "service": get_any_name,
-        "share": partial(get_share, high=MAX_RETRY_SHARE),
+    syntax: ClassVar = "retry SERVICE SHARE"
+    positional: ClassVar = {
+        "service": parse_any_name,
+        "share": partial(parse_share, high=MAX_RETRY_SHARE),
     }
-    selects: ClassVar = ("service",)
+    selector_fields: ClassVar = ("service",)
 
     service: str
     share: float
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from .options import ANY, METHODS
-from .plan import CALL_KINDS, CallPlan
-from .policy import ProbeBudget, SpillRule
+from .field_parsers import ANY, METHODS
+from .policy import ProbeBudget, SpillPolicy
+from .policy_table import CALL_KINDS, PolicyTable
 
 __all__ = ["RuleSet"]
 
@@ -68,7 +68,7 @@
         )
         plan = self._plans.get(key)
         if plan is None:
-            plan = self._plans[key] = CallPlan(self.rules, *key)
+            plan = self._plans[key] = PolicyTable(self.rules, *key)
         return plan
 
     def _first(self, kind, *selectors):
@@ -115,12 +115,12 @@
             return 0.0
         return found["weight"].weight if "weight" in found else 1.0
 
-    def spill_rule(self, service):
-        """Return the `SpillRule` of a service."""
+    def spill_policy(self, service):
+        """Return the `SpillPolicy` of a service."""
         rule = self._first("spill", (service,), (ANY,))
         if rule is None:
-            return SpillRule()
-        return SpillRule(rule.enter, rule.leave, rule.share)
+            return SpillPolicy()
+        return SpillPolicy(rule.enter, rule.leave, rule.share)
 
     def region_order(self, service, region):
         """Return the regions that calls received in `region` may spill to.
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -5,26 +5,26 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import OptionError, get_any_name, get_number, get_share
+from .field_parsers import OptionError, parse_any_name, parse_number, parse_share
 
-__all__ = ["SpillLoadRule"]
+__all__ = ["SpillRule"]
 
 MAX_LOAD = 10.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class SpillLoadRule(Rule):
+class SpillRule(Rule):
     """Load at which spilling begins and ends, and the largest share of calls."""
 
     kind: ClassVar = "spill"
-    form: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
-    readers: ClassVar = {"service": get_any_name}
+    syntax: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
+    positional: ClassVar = {"service": parse_any_name}
     options: ClassVar = {
-        "enter": partial(get_number, low=0.0, high=MAX_LOAD),
-        "leave": partial(get_number, low=0.0, high=MAX_LOAD),
-        "share": get_share,
+        "enter": partial(parse_number, low=0.0, high=MAX_LOAD),
+        "leave": partial(parse_number, low=0.0, high=MAX_LOAD),
+        "share": parse_share,
     }
-    selects: ClassVar = ("service",)
+    selector_fields: ClassVar = ("service",)
 
     service: str
     enter: float = 0.8
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .options import get_number, get_scope
+from .field_parsers import parse_number, parse_scope
 
 __all__ = ["WeightRule"]
 
@@ -17,12 +17,12 @@
     """Weight of a target, or of the targets of a service in a region; 0 is none."""
 
     kind: ClassVar = "weight"
-    form: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
-    readers: ClassVar = {
-        "scope": get_scope,
-        "weight": partial(get_number, low=0.0, high=MAX_WEIGHT),
+    syntax: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
+    positional: ClassVar = {
+        "scope": parse_scope,
+        "weight": partial(parse_number, low=0.0, high=MAX_WEIGHT),
     }
-    selects: ClassVar = ("scope",)
+    selector_fields: ClassVar = ("scope",)
 
     scope: str
     weight: float
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -13,9 +13,9 @@
     model_validator,
 )
 
-from .flagset import validate
+from .flag_parsing import validate_flags
 from .policies import policy_names
-from .rules.options import NAME_PATTERN
+from .rules.field_parsers import NAME_PATTERN
 
 __all__ = ["FLAGS", "NodeConfig", "load_config", "parse_addr"]
 
@@ -137,4 +137,4 @@
     SettingsError
         Naming each invalid setting.
     """
-    return validate(NodeConfig, values)
+    return validate_flags(NodeConfig, values)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,7 +13,7 @@
 from pimentoline.rules import MAX_RULES_BYTES, RuleSet, parse, read_rules
 from pimentoline.rules._mapping import get_kind_by_name, kind_names
 from pimentoline.rules.base import attribute_of
-from pimentoline.rules.options import CALL_CLASSES, METHODS, OptionError
+from pimentoline.rules.field_parsers import CALL_CLASSES, METHODS, OptionError
 
 EXAMPLES = sorted((Path(__file__).parent / "rules").glob("*.rules"))
 DOC = Path(__file__).parent.parent / "docs" / "rules.md"
@@ -34,7 +34,7 @@
         case "canary":
             return rules.canary_share(*words)
         case "spill":
-            return rules.spill_rule(*words)
+            return rules.spill_policy(*words)
         case "order":
             found = rules.region_order(*words)
             return found and ",".join(found)
@@ -92,12 +92,12 @@
 def rule_objects(draw):
     """Return one rule of any kind with random words."""
     cls = get_kind_by_name(draw(st.sampled_from(kind_names())))
-    names = list(cls.readers)
+    names = list(cls.positional)
     for option in cls.options:
         if draw(st.booleans()):
             names.append(attribute_of(option))
     values = {name: draw(VALUES.get(name, NAMES)) for name in names}
-    return cls(asked_by="Mary", **values)
+    return cls(requester="Mary", **values)
 
 
 @derandomized(max_examples=300)
@@ -220,9 +220,9 @@
     page = DOC.read_text()
     for name in kind_names():
         cls = get_kind_by_name(name)
-        assert cls.kind == name and cls.form.startswith(name + " ")
-        assert cls.form in page, f"docs/rules.md lacks {cls.form}"
-        for option, reader in {**cls.readers, **cls.options}.items():
+        assert cls.kind == name and cls.syntax.startswith(name + " ")
+        assert cls.syntax in page, f"docs/rules.md lacks {cls.syntax}"
+        for option, reader in {**cls.positional, **cls.options}.items():
             with pytest.raises(OptionError) as caught:
                 reader(option, "\x00")
             assert caught.value.option == option and caught.value.allowed
