--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 from absl import app, flags
 
 from standins.host import HostProcess
-from standins.platform import Instance, StoreStandIn
+from standins.platform import ScriptedTarget, StoreStandIn
 
 from .callers import HOST, Callers, Promises, serve
 
@@ -69,8 +69,8 @@
         self.began = time.monotonic()
 
     async def _add(self, name, service):
-        instance = Instance(f"i-{name}", service)
-        instance.serve = lambda seen, writer: serve(instance, seen, writer)
+        instance = ScriptedTarget(f"i-{name}", service)
+        instance.serve = lambda request, writer: serve(instance, request, writer)
         await instance.start()
         self.instances.append(instance)
         host = HostProcess(self.folder, name, instance, self.store, grace="3s")
@@ -88,7 +88,7 @@
         """Return whether the report was acknowledged."""
         try:
             async with asyncio.timeout(1.0):
-                return await host.instance.report(host, state) == 200
+                return await host.instance.send_heartbeat(host, state) == 200
         except (OSError, TimeoutError, IndexError, ValueError):
             return False
 
@@ -140,8 +140,8 @@
             await callers.run(missing[0], loop.time() + 0.1)
             # These ids are the callers' own again; they are not checked as runs.
             for instance in self.instances:
-                instance.seen = [
-                    s for s in instance.seen if s.request_id not in probe.sent
+                instance.received = [
+                    s for s in instance.received if s.request_id not in probe.sent
                 ]
             if probe.statuses.get(200):
                 missing.pop(0)
@@ -180,8 +180,8 @@
         if await self._report(host, "draining"):
             self.drained.append((instance, time.monotonic()))
         await asyncio.sleep(DRAIN_S + 0.5)
-        fresh = Instance(f"{instance.name}'", instance.service)
-        fresh.serve = lambda seen, writer: serve(fresh, seen, writer)
+        fresh = ScriptedTarget(f"{instance.name}'", instance.service)
+        fresh.serve = lambda request, writer: serve(fresh, request, writer)
         await fresh.take_over(instance)
         self.instances.append(fresh)
         host.instance = fresh
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -42,7 +42,7 @@
         """Check what ran against what was sent and told."""
         runs = {}
         for instance in instances:
-            for seen in instance.seen:
+            for seen in instance.received:
                 runs.setdefault(seen.request_id, []).append(seen)
         for request_id, found in runs.items():
             if request_id not in self.sent:
@@ -61,7 +61,7 @@
     def check_drains(self, drained, bound_s):
         """Check that nothing came to an instance after its drain was acknowledged."""
         for instance, acked_at in drained:
-            late = [s for s in instance.seen if s.at > acked_at + bound_s]
+            late = [s for s in instance.received if s.at > acked_at + bound_s]
             if late:
                 self.broken.append(
                     f"{late[0].request_id}: reached {instance.name} "
--- a/standins/host.py
+++ b/standins/host.py
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Addresses:
-    """Where a node listens, as `Instance.report` asks for it."""
+    """Where a node listens, as `ScriptedTarget.send_heartbeat` asks for it."""
 
     callers_addr: tuple[str, int]
     reports_addr: tuple[str, int]
@@ -74,7 +74,7 @@
     ----------
     folder : Path
         Where the settings file and the log are written.
-    instance : Instance
+    instance : ScriptedTarget
     store : StoreStandIn
     """
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,7 +17,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-__all__ = ["Instance", "Seen", "StoreStandIn", "free_port"]
+__all__ = ["ReceivedRequest", "ScriptedTarget", "StoreStandIn", "free_port"]
 
 HISTORY_GONE = 410
 EOF_CHECK_S = 0.01
@@ -188,7 +188,7 @@
 
 
 @dataclass(slots=True)
-class Seen:
+class ReceivedRequest:
     """A request that reached an instance."""
 
     method: str
@@ -210,7 +210,7 @@
         await asyncio.sleep(EOF_CHECK_S)
 
 
-class Instance:
+class ScriptedTarget:
     """A target that answers requests by `serve(seen, writer)`.
 
     Parameters
@@ -222,14 +222,14 @@
     def __init__(self, name, service):
         self.name = name
         self.service = service
-        self.seen = []
+        self.received = []
         self.running = 0
-        self.most_running = 0
+        self.max_running = 0
         self.delay_s = 0.0
         self.serve = self.answer
         self.slots = 12
         self.percent = 100
-        self.asked = 0
+        self.health_checks = 0
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
         self.draining = False
@@ -288,11 +288,11 @@
             for name, value in (line.split(": ", 1) for line in lines)
         }
         length = int(headers.get("content-length", 0))
-        return Seen(method, path, headers, await reader.readexactly(length))
+        return ReceivedRequest(method, path, headers, await reader.readexactly(length))
 
     async def _run(self, seen, reader, writer):
         if seen.path == "/healthz":
-            self.asked += 1
+            self.health_checks += 1
             self.write(seen, writer, b"", X_Instance_Id=self.name)
             return
         if seen.headers.get("x-expect-instance") != self.name:
@@ -300,9 +300,9 @@
                 seen, writer, b"", "421 Misdirected Request", X_Instance_Id=self.name
             )
             return
-        self.seen.append(seen)
+        self.received.append(seen)
         self.running += 1
-        self.most_running = max(self.most_running, self.running)
+        self.max_running = max(self.max_running, self.running)
         work = asyncio.ensure_future(self.serve(seen, writer))
         gone = asyncio.ensure_future(_closed(reader))
         try:
@@ -316,8 +316,8 @@
             work.cancel()
             gone.cancel()
 
-    async def report(self, node, state="ready", **changes):
-        """Send a status report to a node; return the status of its answer."""
+    async def send_heartbeat(self, node, state="ready", **changes):
+        """Send a heartbeat to a node; return the status of its answer."""
         self.sequence += 1
         body = {
             "address": "{}:{}".format(*self.addr),
@@ -333,7 +333,7 @@
         path = f"/v1/rpc?call=instances.heartbeat&of={self.name}"
         return await self._post(node, path, body | changes)
 
-    async def leave(self, node):
+    async def send_sign_off(self, node):
         """Sign off at a node."""
         path = f"/v1/rpc?call=instances.leave&of={self.name}"
         return await self._post(node, path, {"born": self.born_ms})
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -11,7 +11,7 @@
 from pimentoline.errors import SettingsError
 from pimentoline.platform.settings import load_settings_file, parse_duration
 from standins.host import settings_text, start_program
-from standins.platform import Instance, StoreStandIn, free_port
+from standins.platform import ScriptedTarget, StoreStandIn, free_port
 
 from .test_twohop_path import config
 
@@ -103,7 +103,7 @@
     async def run():
         store = StoreStandIn()
         store.put_config(config())
-        instance = Instance("i-1", "ledger")
+        instance = ScriptedTarget("i-1", "ledger")
         await instance.start()
         ports = {
             name: free_port() for name in ("inbound", "outbound", "ready", "control")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from soak.__main__ import DRAIN_S, play
 from soak.callers import Promises
-from standins.platform import Instance, Seen
+from standins.platform import ReceivedRequest, ScriptedTarget
 
 # Seeds that once failed are added here, each with a line on the cause. None so far.
 SEEDS = [1]
@@ -15,9 +15,11 @@
 
 def ran(*requests):
     """Return an instance at which requests ran, each (path, body, id)."""
-    instance = Instance("i-1", "ledger")
+    instance = ScriptedTarget("i-1", "ledger")
     for path, body, request_id in requests:
-        instance.seen.append(Seen("POST", path, {"x-request-id": request_id}, body))
+        instance.received.append(
+            ReceivedRequest("POST", path, {"x-request-id": request_id}, body)
+        )
     return instance
 
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -17,7 +17,7 @@
 from pimentoline.twohop.model import RetryLimits
 from pimentoline.twohop.node import HostNode, HostSettings
 from pimentoline.twohop.store_sync import MEMBERS_TABLE
-from standins.platform import Instance, StoreStandIn, free_port
+from standins.platform import ScriptedTarget, StoreStandIn, free_port
 
 HOST = "a.example"
 LEDGER, DESK = "ledger", "desk"
@@ -65,13 +65,13 @@
     async def add(self, service=LEDGER, dc="kerio", region="rift", ready=True):
         """Start an instance and its node; return both."""
         name = f"{service}-{len(self.nodes)}"
-        instance = Instance(f"i-{name}", service)
+        instance = ScriptedTarget(f"i-{name}", service)
         await instance.start()
         node = await self.start_node(name, instance, dc, region)
         self.instances.append(instance)
         if ready:
             await self.until(lambda: node.store_sync.members_loaded.is_set())
-            assert await instance.report(node) == 200
+            assert await instance.send_heartbeat(node) == 200
         return node, instance
 
     async def start_node(self, name, instance, dc="kerio", region="rift"):
@@ -222,7 +222,7 @@
     )
     assert (status, body) == (200, b"whole answer")
     assert headers["x-response-stamp"]
-    (seen,) = instance.seen
+    (seen,) = instance.received
     assert (seen.method, seen.path) == ("POST", "/sale/a%2Fb?q=1&q=%20")
     assert seen.body == b"x" * 200_000
     assert seen.request_id == "q1"
@@ -241,7 +241,7 @@
         "Connection: keep-alive, X-Secret\r\nX-Secret: 1\r\nX-Kept: yes\r\n"
         "X-Deadline-Ms: 400\r\n",
     )
-    (seen,) = instance.seen
+    (seen,) = instance.received
     assert seen.headers["x-caller-service"] == DESK
     assert seen.headers["x-expect-instance"] == instance.name
     assert "x-secret" not in seen.headers
@@ -258,7 +258,7 @@
     caller.writer.write(b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Sum: 9\r\nX-B: 2\r\n\r\n")
     status, _, _ = await caller.read()
     assert status == 200
-    assert instance.seen[0].body == b"abcde"
+    assert instance.received[0].body == b"abcde"
     status, _, _ = await caller.call("/look/1", request_id="q2")
     assert status == 200
 
@@ -269,7 +269,7 @@
     front, _, instance = await pair(site)
     status, _, _ = await Caller(front).call(f"http://{HOST}/look/1?a=b")
     assert status == 200
-    assert instance.seen[0].path == "/look/1?a=b"
+    assert instance.received[0].path == "/look/1?a=b"
 
 
 @site_test
@@ -311,12 +311,12 @@
 async def test_spoilt_answer_never_looks_whole(site, fault, path):
     """Guards against a success that is not the target's whole answer."""
     front, _, instance = await pair(site)
-    instance.serve = lambda seen, writer: fault(instance, seen, writer)
+    instance.serve = lambda request, writer: fault(instance, request, writer)
     method = "POST" if path.startswith("/sale") else "GET"
     status, _, _ = await Caller(front).call(path, method=method, body=b"b")
     assert status == 502
     if method == "POST":
-        assert len(instance.seen) == 1
+        assert len(instance.received) == 1
 
 
 @site_test
@@ -362,11 +362,11 @@
     front, _, bad = await pair(site)
     _, good = await site.add(LEDGER)
     await site.connected()
-    bad.serve = lambda seen, writer: _cut(bad, seen, writer)
+    bad.serve = lambda request, writer: _cut(bad, request, writer)
     for number in range(5):
         status, _, _ = await Caller(front).call("/look/1", request_id=f"q{number}")
         assert status == 200
-    assert len(good.seen) == 5
+    assert len(good.received) == 5
 
 
 @site_test
@@ -378,7 +378,7 @@
     status, _, _ = await Caller(front).call("/look/1")
     assert status == 504
     assert 0.9 < time.monotonic() - began < 1.4
-    await site.until(lambda: instance.seen[0].closed, 0.5)
+    await site.until(lambda: instance.received[0].closed, 0.5)
 
 
 @site_test
@@ -389,10 +389,10 @@
     look, sale = Caller(front), Caller(front)
     await look.send("/look/1")
     await sale.send("/sale/1", method="POST", body=b"s", request_id="q2")
-    await site.until(lambda: len(instance.seen) == 2)
+    await site.until(lambda: len(instance.received) == 2)
     look.close()
     sale.close()
-    first, second = sorted(instance.seen, key=lambda seen: seen.path)
+    first, second = sorted(instance.received, key=lambda request: request.path)
     await site.until(lambda: first.closed, 0.5)
     await asyncio.sleep(0.5)
     assert not second.closed
@@ -405,12 +405,12 @@
     instance.delay_s = 0.3
     caller = Caller(front)
     await caller.send("/look/1")
-    await site.until(lambda: instance.seen)
-    assert await instance.report(node, "draining") == 200
+    await site.until(lambda: instance.received)
+    assert await instance.send_heartbeat(node, "draining") == 200
     assert (await caller.read())[0] == 200
     status, _, _ = await Caller(front).call("/look/2", request_id="q2")
     assert status == 503
-    assert len(instance.seen) == 1
+    assert len(instance.received) == 1
 
 
 @pytest.mark.parametrize("trouble", ["down", "silent"])
@@ -420,7 +420,7 @@
     _, node, instance = await pair(site)
     setattr(site.store, trouble, True)
     began = time.monotonic()
-    assert await instance.report(node, "draining") == 200
+    assert await instance.send_heartbeat(node, "draining") == 200
     assert time.monotonic() - began < 1.0
 
 
@@ -428,12 +428,12 @@
 async def test_restarted_node_keeps_to_a_drain(site):
     """Guards against a node that forgets a drain when it is replaced."""
     front, node, instance = await pair(site)
-    assert await instance.report(node, "draining") == 200
+    assert await instance.send_heartbeat(node, "draining") == 200
     await site.end(node)
     again = await site.start_node(node.cfg.node, instance)
     await site.until(lambda: again.store_sync.members_loaded.is_set())
     instance.sequence = 0
-    assert await instance.report(again, "ready") == 200
+    assert await instance.send_heartbeat(again, "ready") == 200
     await asyncio.sleep(0.1)
     assert not again.target.accepting
 
@@ -442,11 +442,11 @@
 async def test_late_report_does_not_undo_a_stored_drain(site):
     """Guards against a restarted node that overwrites the drain it acknowledged."""
     _, node, instance = await pair(site)
-    assert await instance.report(node, "draining") == 200
+    assert await instance.send_heartbeat(node, "draining") == 200
     await site.end(node)
     site.store.down = True
     again = await site.start_node(node.cfg.node, instance)
-    assert await instance.report(again, "ready") == 200
+    assert await instance.send_heartbeat(again, "ready") == 200
     assert again.target.accepting
     site.store.down = False
     await site.until(lambda: not again.target.accepting)
@@ -481,12 +481,12 @@
     await site.connected()
     status, _, _ = await Caller(site.nodes[0]).call("/look/1")
     assert status == 200
-    assert instance.seen[0].headers["x-expect-instance"] == "i-after"
+    assert instance.received[0].headers["x-expect-instance"] == "i-after"
     instance.name = before
-    assert await instance.report(again) == 200
+    assert await instance.send_heartbeat(again) == 200
     assert again.target.status_tracker.current.target_id == "i-after"
     instance.name, instance.born_ms = "i-after", instance.born_ms + 9
-    assert await instance.report(again) == 200
+    assert await instance.send_heartbeat(again) == 200
     assert again.target.status_tracker.current.born_ms == instance.born_ms
 
 
@@ -507,7 +507,7 @@
 async def test_row_of_a_host_that_goes_is_removed(site):
     """Guards against rows that pile up, and links that are tried in vain for ever."""
     front, node, instance = await pair(site)
-    assert await instance.leave(node) == 200
+    assert await instance.send_sign_off(node) == 200
     node.stop()
     await site.until(lambda: not front.peers.outgoing)
 
@@ -625,8 +625,8 @@
     """Guards against a stored state that a lost answer leaves behind."""
     _, node, instance = await pair(site)
     site.store.lose_answers = 1
-    await instance.report(node, "draining")
-    await instance.leave(node)
+    await instance.send_heartbeat(node, "draining")
+    await instance.send_sign_off(node)
     value, _ = site.store.rows["members", node.cfg.node]
     assert b'"left"' in value
 
@@ -638,7 +638,7 @@
     instance.delay_s = 0.5
     caller = Caller(front)
     await caller.send("/look/1")
-    await site.until(lambda: instance.seen)
+    await site.until(lambda: instance.received)
     node.stop()
     front.stop()
     assert not front.ready
@@ -655,7 +655,7 @@
     for number in range(8):
         status, _, _ = await Caller(front).call("/look/1", request_id=f"q{number}")
         assert status == 200
-    assert len(other.seen) == 8
+    assert len(other.received) == 8
 
 
 @site_test
@@ -665,7 +665,7 @@
     instance.name = "i-another"
     status, _, _ = await Caller(front).call("/sale/1", method="POST", body=b"s")
     assert status == 503
-    assert instance.seen == []
+    assert instance.received == []
 
 
 @site_test
@@ -680,7 +680,7 @@
             for number, caller in enumerate(callers)
         )
     )
-    assert instance.most_running <= instance.slots
+    assert instance.max_running <= instance.slots
     assert {status for status, _, _ in answers} <= {200, 503}
     assert all(
         float(headers["retry-after"]) > 0
@@ -704,7 +704,7 @@
         status, _, _ = await Caller(front).call("/look/1", request_id=f"q{number}")
         assert status == 200
     assert time.monotonic() - began < 1.0
-    assert len(other.seen) == 4
+    assert len(other.received) == 4
 
 
 @site_test
@@ -716,7 +716,7 @@
     front.frontend.refuse_all()
     status, headers, _ = await caller.call("/look/2", request_id="q2")
     assert status == 503 and float(headers["retry-after"]) > 0
-    assert len(instance.seen) == 1
+    assert len(instance.received) == 1
 
 
 @site_test
@@ -743,7 +743,7 @@
     else:
         await caller.send("/sale/1", method="POST", body=b"x" * size)
     assert (await caller.read())[0] == 413
-    assert instance.seen == []
+    assert instance.received == []
 
 
 @site_test
@@ -754,9 +754,9 @@
     callers = [Caller(front) for _ in range(4)]
     for number, caller in enumerate(callers):
         await caller.send("/look/1", request_id=f"q{number}")
-    await site.until(lambda: len(instance.seen) == 4)
+    await site.until(lambda: len(instance.received) == 4)
     instance.born_ms += 5000
-    assert await instance.report(node) == 200
+    assert await instance.send_heartbeat(node) == 200
     assert node.target.admission.running == 0
     for caller in callers:
         assert (await caller.read())[0] == 200
@@ -779,7 +779,7 @@
     )
     status, _, _ = await Caller(front).call("/sale/1", method="POST", body=b"s")
     assert status == 200
-    assert len(other.seen) == 1
+    assert len(other.received) == 1
     instance._server = await asyncio.start_server(instance._client, *addr)
     await site.until(lambda: node.target.accepting)
 
@@ -799,14 +799,14 @@
     instance.serve = noisy
     assert (await Caller(front).call("/long/1"))[0] == 200
     instance.serve = instance.answer
-    asked = instance.asked
+    asked = instance.health_checks
     caller = Caller(front)
     await caller.send("/long/2", request_id="q2")
-    await site.until(lambda: instance.asked > asked)
-    assert len(instance.seen) == 1
+    await site.until(lambda: instance.health_checks > asked)
+    assert len(instance.received) == 1
     instance.percent = 100
     assert (await caller.read())[0] == 200
-    assert len(instance.seen) == 2
+    assert len(instance.received) == 2
 
 
 @site_test
