Rename standins.host to node_process after what it runs

It starts a node process beside a target, not a host. HostProcess is NodeProcess, start_program is start_node_process. test_platform_process and test_soak pass.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 
 from absl import app, flags
 
-from standins.host import HostProcess
+from standins.node_process import NodeProcess
 from standins.platform import ScriptedTarget, StoreStandIn
 
 from .callers import HOST, Callers, Promises, serve
@@ -73,7 +73,7 @@
         instance.serve = lambda request, writer: serve(instance, request, writer)
         await instance.start()
         self.instances.append(instance)
-        host = HostProcess(self.folder, name, instance, self.store, grace="3s")
+        host = NodeProcess(self.folder, name, instance, self.store, grace="3s")
         host.start()
         self.hosts.append(host)
 
--- a/standins/host.py
+++ b/standins/node_process.py
@@ -9,7 +9,7 @@
 
 from .platform import free_port
 
-__all__ = ["HostProcess", "settings_text", "start_program"]
+__all__ = ["NodeProcess", "settings_text", "start_node_process"]
 
 ROOT = Path(__file__).parent.parent
 PORTS = ("inbound", "outbound", "ready", "control")
@@ -47,7 +47,7 @@
     return SETTINGS.format(**(fields | given))
 
 
-def start_program(path, stdout=subprocess.PIPE):
+def start_node_process(path, stdout=subprocess.PIPE):
     """Start the program with a settings file."""
     env = {**os.environ, "PIMENTOLINE_CONFIG": str(path)}
     return subprocess.Popen(
@@ -67,7 +67,7 @@
     reports_addr: tuple[str, int]
 
 
-class HostProcess:
+class NodeProcess:
     """A node process with fixed addresses, which can be ended and started again.
 
     Parameters
@@ -102,7 +102,7 @@
     def start(self):
         """Start the process; its log goes on in the same file."""
         with self._log.open("a") as log:
-            self.process = start_program(self._settings, log)
+            self.process = start_node_process(self._settings, log)
 
     @property
     def up(self):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -10,7 +10,7 @@
 
 from pimentoline.errors import SettingsError
 from pimentoline.platform.settings import load_settings_file, parse_duration
-from standins.host import settings_text, start_program
+from standins.node_process import settings_text, start_node_process
 from standins.platform import ScriptedTarget, StoreStandIn, free_port
 
 from .test_twohop_path import config
@@ -71,7 +71,7 @@
 
 def test_program_ends_with_status_2_on_wrong_settings(tmp_path):
     """Guards against a program that starts without usable settings."""
-    process = start_program(tmp_path / "none.toml")
+    process = start_node_process(tmp_path / "none.toml")
     out, _ = process.communicate(timeout=20)
     assert process.returncode == 2
     assert json.loads(out)["code"] == "settings-invalid"
@@ -115,7 +115,7 @@
         }
         path = tmp_path / "boot.toml"
         path.write_text(settings_text(**text))
-        process = start_program(path)
+        process = start_node_process(path)
         try:
             await until(lambda: is_ready(ports["ready"]))
             path.write_text(settings_text(slack=7, **text))
