--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -8,7 +8,7 @@
 
 from tests.conftest import wait_until
 from tests.raw_sockets import RawTarget, connect, read_all
-from tests.target_faults import FAULTS, silent
+from tests.target_faults import FAULTS, never_respond
 
 SERVICES = itertools.count(1)
 HOST = "Host: {service}"
@@ -44,7 +44,7 @@
     """Announce a target of a service of its own."""
     number = next(SERVICES)
     context.service = f"service-{number}"
-    context.target = RawTarget(FAULTS.get(fault, silent))
+    context.target = RawTarget(FAULTS.get(fault, never_respond))
     context.add_cleanup(context.target.close)
     if fault == "refuses connections":
         context.target.close()
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -7,7 +7,7 @@
 
 from tests.conftest import http, wait_until
 from tests.raw_sockets import serve_responses
-from tests.target_faults import OK
+from tests.target_faults import OK_RESPONSE
 
 KEYS = itertools.count(1)
 STORE_FAULTS = {
@@ -82,7 +82,7 @@
 @when("the caller sends it again after the target is healthy")
 def step_again(context):
     """Send the same key to a target that now answers 200."""
-    context.target.serve = serve_responses(OK)
+    context.target.serve = serve_responses(OK_RESPONSE)
     context.target.end_connections()
     context.target.heads.clear()
     send_keyed(context)
--- a/standins/table.py
+++ b/standins/table.py
@@ -42,7 +42,7 @@
 MAX_KEY_CHARS = 512
 MAX_BODY_BYTES = 16 * 1024 * 1024
 HUGE_BYTES = 64 * 1024 * 1024
-NONSENSE = {
+INVALID_BODIES = {
     "html": b"<html>gateway</html>",
     "shape": b'{"unexpected": []}',
     "types": b'{"key": 7, "version": "one", "value": null, "ok": "yes"}',
@@ -91,7 +91,7 @@
     read_bucket: Bucket = field(default_factory=Bucket)
     write_bucket: Bucket = field(default_factory=Bucket)
 
-    def run(self, txn):
+    def run_transaction(self, txn):
         """Run a transaction and return its answer."""
         conflicts = [
             check["key"]
@@ -187,7 +187,7 @@
     def answer(self, data):
         """Write the answer, or the nonsense that is in force."""
         if self.table.nonsense:
-            self.write(NONSENSE[self.table.nonsense])
+            self.write(INVALID_BODIES[self.table.nonsense])
             return
         self.set_header("Content-Type", "application/json")
         self.write(json.dumps(data))
@@ -229,7 +229,7 @@
             self.request.connection.close()
             return
         table.writes += 1
-        answer = table.run(txn)
+        answer = table.run_transaction(txn)
         if table.lose_answers > 0:
             table.lose_answers -= 1
             table.down = table.down or table.down_after_loss
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -5,7 +5,7 @@
 
 from .raw_sockets import read_all, read_head, serve_responses
 
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
 def ending(answer):
@@ -20,7 +20,7 @@
     return serve
 
 
-def silent(target, sock, number):
+def never_respond(target, sock, number):
     """Read requests without an answer."""
     while target.request(sock):
         pass
@@ -30,7 +30,7 @@
     """Answer later than the first hedge delay, 200 ms."""
     while target.request(sock):
         time.sleep(0.25)
-        sock.sendall(OK)
+        sock.sendall(OK_RESPONSE)
 
 
 def reading(target, sock, number):
@@ -48,7 +48,7 @@
 
 EMPTY = b"Content-Length: 0"
 FAULTS = {
-    "answers 200": serve_responses(OK),
+    "answers 200": serve_responses(OK_RESPONSE),
     "answers 8 KB": serve_responses(
         status(b"200 OK", b"Content-Length: 8000", body=b"r" * 8000)
     ),
@@ -60,7 +60,7 @@
     "answers HEAD with a length": serve_responses(
         status(b"200 OK", b"Content-Length: 9")
     ),
-    "answers 103 and 200": serve_responses(status(b"103 Early Hints") + OK),
+    "answers 103 and 200": serve_responses(status(b"103 Early Hints") + OK_RESPONSE),
     "answers with a false verdict": serve_responses(
         status(b"200 OK", EMPTY, b"X-Verdict: not-run", b"X-Error-Code: forged")
     ),
@@ -73,7 +73,7 @@
     "answers 500 with X-Not-Run": serve_responses(
         status(b"500 Failed", EMPTY, b"X-Not-Run: 1")
     ),
-    "stays silent": silent,
+    "stays silent": never_respond,
     "answers after 250 ms": slow,
     "reads to the end": reading,
     "answers without a length": ending(status(b"200 OK", body=b"perhaps cut")),
--- a/tests/test_claim_interleavings.py
+++ b/tests/test_claim_interleavings.py
@@ -54,7 +54,7 @@
             "puts": [{"key": key, "value": value} for key, value in puts],
             "deletes": list(deletes),
         }
-        return await self._ask(lambda: self.table.run(txn)["ok"])
+        return await self._ask(lambda: self.table.run_transaction(txn)["ok"])
 
     async def get(self, key):
         """Read a row when the schedule completes it."""
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -36,7 +36,7 @@
         if fault == "hold":
             self.delayed.append(txn)
             raise StoreUnavailableError("held")
-        done = self.table.run(txn)["ok"]
+        done = self.table.run_transaction(txn)["ok"]
         if fault == "lose":
             raise StoreUnavailableError("lost")
         return done
@@ -47,7 +47,7 @@
     def deliver(self):
         """Run the delayed transactions."""
         for txn in self.delayed:
-            self.table.run(txn)
+            self.table.run_transaction(txn)
 
 
 class Writer:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,7 +11,7 @@
 from pimentoline.errors import StoreBusyError, StoreError, StoreUnavailableError
 from pimentoline.metrics import Metrics
 from pimentoline.store import Row, Store
-from standins.table import HUGE_BYTES, NONSENSE, Table, make_app
+from standins.table import HUGE_BYTES, INVALID_BODIES, Table, make_app
 
 
 def with_table(scenario, **faults):
@@ -118,7 +118,7 @@
     with_table(scenario, writes_per_s=5.0, reads_per_s=10.0)
 
 
-@pytest.mark.parametrize("kind", sorted(NONSENSE))
+@pytest.mark.parametrize("kind", sorted(INVALID_BODIES))
 def test_nonsense_answer_is_refused(kind):
     """Guards against an invalid response that is taken for a row or a commit."""
 
