--- a/standins/host.py
+++ b/standins/node_process.py
@@ -9,7 +9,7 @@
 
 from .platform import free_port
 
-__all__ = ["HostProcess", "settings_text", "start_program"]
+__all__ = ["NodeProcess", "settings_text", "start_node_process"]
 
 ROOT = Path(__file__).parent.parent
 PORTS = ("inbound", "outbound", "ready", "control")
@@ -47,7 +47,7 @@
     return SETTINGS.format(**(fields | given))
 
 
-def start_program(path, stdout=subprocess.PIPE):
+def start_node_process(path, stdout=subprocess.PIPE):
     """Start the program with a settings file."""
     env = {**os.environ, "PIMENTOLINE_CONFIG": str(path)}
     return subprocess.Popen(
@@ -61,20 +61,20 @@
 
 @dataclass(frozen=True, slots=True)
 class _Addresses:
-    """Where a node listens, as `Instance.report` asks for it."""
+    """Where a node listens, as `ScriptedTarget.send_heartbeat` asks for it."""
 
     callers_addr: tuple[str, int]
     reports_addr: tuple[str, int]
 
 
-class HostProcess:
+class NodeProcess:
     """A node process with fixed addresses, which can be ended and started again.
 
     Parameters
     ----------
     folder : Path
         Where the settings file and the log are written.
-    instance : Instance
+    instance : ScriptedTarget
     store : StoreStandIn
     """
 
@@ -102,7 +102,7 @@
     def start(self):
         """Start the process; its log goes on in the same file."""
         with self._log.open("a") as log:
-            self.process = start_program(self._settings, log)
+            self.process = start_node_process(self._settings, log)
 
     @property
     def up(self):
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -17,7 +17,7 @@
 from pimentoline.twohop.model import RetryLimits
 from pimentoline.twohop.node import HostNode, HostSettings
 from pimentoline.twohop.store_sync import MEMBERS_TABLE
-from standins.platform import Instance, StoreStandIn, free_port
+from standins.platform import ScriptedTarget, StoreStandIn, free_port
 
 HOST = "a.example"
 LEDGER, DESK = "ledger", "desk"
@@ -65,13 +65,13 @@
     async def add(self, service=LEDGER, dc="kerio", region="rift", ready=True):
         """Start a target and its node; return both."""
         name = f"{service}-{len(self.nodes)}"
-        instance = Instance(f"i-{name}", service)
+        instance = ScriptedTarget(f"i-{name}", service)
         await instance.start()
         node = await self.start_node(name, instance, dc, region)
         self.instances.append(instance)
         if ready:
             await self.until(lambda: node.store_sync.members_loaded.is_set())
-            assert await instance.report(node) == 200
+            assert await instance.send_heartbeat(node) == 200
         return node, instance
 
     async def start_node(self, name, instance, dc="kerio", region="rift"):
@@ -222,7 +222,7 @@
     )
     assert (status, body) == (200, b"whole answer")
     assert headers["x-response-stamp"]
-    (request,) = instance.seen
+    (request,) = instance.received
     assert (request.method, request.path) == ("POST", "/sale/a%2Fb?q=1&q=%20")
     assert request.body == b"x" * 200_000
     assert request.request_id == "q1"
@@ -241,7 +241,7 @@
         "Connection: keep-alive, X-Secret\r\nX-Secret: 1\r\nX-Kept: yes\r\n"
         "X-Deadline-Ms: 400\r\n",
     )
-    (request,) = instance.seen
+    (request,) = instance.received
     assert request.headers["x-caller-service"] == DESK
     assert request.headers["x-expect-instance"] == instance.name
     assert "x-secret" not in request.headers
@@ -258,7 +258,7 @@
     caller.writer.write(b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Sum: 9\r\nX-B: 2\r\n\r\n")
     status, _, _ = await caller.read()
     assert status == 200
-    assert instance.seen[0].body == b"abcde"
+    assert instance.received[0].body == b"abcde"
     status, _, _ = await caller.call("/look/1", request_id="q2")
     assert status == 200
 
@@ -269,7 +269,7 @@
     caller_node, _, instance = await start_pair(cluster)
     status, _, _ = await Caller(caller_node).call(f"http://{HOST}/look/1?a=b")
     assert status == 200
-    assert instance.seen[0].path == "/look/1?a=b"
+    assert instance.received[0].path == "/look/1?a=b"
 
 
 @cluster_test
@@ -325,7 +325,7 @@
     status, _, _ = await Caller(caller_node).call(path, method=method, body=b"b")
     assert status == 502
     if method == "POST":
-        assert len(instance.seen) == 1
+        assert len(instance.received) == 1
 
 
 @cluster_test
@@ -377,7 +377,7 @@
             "/look/1", request_id=f"q{number}"
         )
         assert status == 200
-    assert len(good.seen) == 5
+    assert len(good.received) == 5
 
 
 @cluster_test
@@ -389,7 +389,7 @@
     status, _, _ = await Caller(caller_node).call("/look/1")
     assert status == 504
     assert 0.9 < time.monotonic() - began_at < 1.4
-    await cluster.until(lambda: instance.seen[0].closed, 0.5)
+    await cluster.until(lambda: instance.received[0].closed, 0.5)
 
 
 @cluster_test
@@ -400,11 +400,11 @@
     safe, unsafe = Caller(caller_node), Caller(caller_node)
     await safe.send("/look/1")
     await unsafe.send("/sale/1", method="POST", body=b"s", request_id="q2")
-    await cluster.until(lambda: len(instance.seen) == 2)
+    await cluster.until(lambda: len(instance.request) == 2)
     safe.close()
     unsafe.close()
     safe_request, unsafe_request = sorted(
-        instance.seen, key=lambda request: request.path
+        instance.request, key=lambda request: request.path
     )
     await cluster.until(lambda: safe_request.closed, 0.5)
     await asyncio.sleep(0.5)
@@ -418,12 +418,12 @@
     instance.delay_s = 0.3
     caller = Caller(caller_node)
     await caller.send("/look/1")
-    await cluster.until(lambda: instance.seen)
-    assert await instance.report(node, "draining") == 200
+    await cluster.until(lambda: instance.received)
+    assert await instance.send_heartbeat(node, "draining") == 200
     assert (await caller.read())[0] == 200
     status, _, _ = await Caller(caller_node).call("/look/2", request_id="q2")
     assert status == 503
-    assert len(instance.seen) == 1
+    assert len(instance.received) == 1
 
 
 @pytest.mark.parametrize("fault", ["down", "silent"])
@@ -433,7 +433,7 @@
     _, node, instance = await start_pair(cluster)
     setattr(cluster.store, fault, True)
     began_at = time.monotonic()
-    assert await instance.report(node, "draining") == 200
+    assert await instance.send_heartbeat(node, "draining") == 200
     assert time.monotonic() - began_at < 1.0
 
 
@@ -441,12 +441,12 @@
 async def test_restarted_node_keeps_a_drain(cluster):
     """Guards against a drain that is lost when the node restarts."""
     caller_node, node, instance = await start_pair(cluster)
-    assert await instance.report(node, "draining") == 200
+    assert await instance.send_heartbeat(node, "draining") == 200
     await cluster.close_node(node)
     restarted_node = await cluster.start_node(node.cfg.node, instance)
     await cluster.until(lambda: restarted_node.store_sync.members_loaded.is_set())
     instance.sequence = 0
-    assert await instance.report(restarted_node, "ready") == 200
+    assert await instance.send_heartbeat(restarted_node, "ready") == 200
     await asyncio.sleep(0.1)
     assert not restarted_node.target.accepting
 
@@ -455,11 +455,11 @@
 async def test_late_heartbeat_does_not_undo_a_stored_drain(cluster):
     """Guards against a restarted node that overwrites the drain it acknowledged."""
     _, node, instance = await start_pair(cluster)
-    assert await instance.report(node, "draining") == 200
+    assert await instance.send_heartbeat(node, "draining") == 200
     await cluster.close_node(node)
     cluster.store.down = True
     restarted_node = await cluster.start_node(node.cfg.node, instance)
-    assert await instance.report(restarted_node, "ready") == 200
+    assert await instance.send_heartbeat(restarted_node, "ready") == 200
     assert restarted_node.target.accepting
     cluster.store.down = False
     await cluster.until(lambda: not restarted_node.target.accepting)
@@ -494,12 +494,12 @@
     await cluster.wait_until_connected()
     status, _, _ = await Caller(cluster.nodes[0]).call("/look/1")
     assert status == 200
-    assert instance.seen[0].headers["x-expect-instance"] == "i-after"
+    assert instance.received[0].headers["x-expect-instance"] == "i-after"
     instance.name = previous_id
-    assert await instance.report(restarted_node) == 200
+    assert await instance.send_heartbeat(restarted_node) == 200
     assert restarted_node.target.status_tracker.current.target_id == "i-after"
     instance.name, instance.born_ms = "i-after", instance.born_ms + 9
-    assert await instance.report(restarted_node) == 200
+    assert await instance.send_heartbeat(restarted_node) == 200
     assert restarted_node.target.status_tracker.current.born_ms == instance.born_ms
 
 
@@ -520,7 +520,7 @@
 async def test_row_of_a_removed_host_is_deleted(cluster):
     """Guards against rows of removed hosts, and endless attempts to connect to them."""
     caller_node, node, instance = await start_pair(cluster)
-    assert await instance.leave(node) == 200
+    assert await instance.send_sign_off(node) == 200
     node.stop()
     await cluster.until(lambda: not caller_node.peers.outgoing)
 
@@ -640,8 +640,8 @@
     """Guards against an outdated row after the response to a write was lost."""
     _, node, instance = await start_pair(cluster)
     cluster.store.lose_answers = 1
-    await instance.report(node, "draining")
-    await instance.leave(node)
+    await instance.send_heartbeat(node, "draining")
+    await instance.send_sign_off(node)
     value, _ = cluster.store.rows["members", node.cfg.node]
     assert b'"left"' in value
 
@@ -653,7 +653,7 @@
     instance.delay_s = 0.5
     caller = Caller(caller_node)
     await caller.send("/look/1")
-    await cluster.until(lambda: instance.seen)
+    await cluster.until(lambda: instance.received)
     node.stop()
     caller_node.stop()
     assert not caller_node.ready
@@ -672,7 +672,7 @@
             "/look/1", request_id=f"q{number}"
         )
         assert status == 200
-    assert len(other.seen) == 8
+    assert len(other.received) == 8
 
 
 @cluster_test
@@ -682,7 +682,7 @@
     instance.name = "i-another"
     status, _, _ = await Caller(caller_node).call("/sale/1", method="POST", body=b"s")
     assert status == 503
-    assert instance.seen == []
+    assert instance.received == []
 
 
 @cluster_test
@@ -697,7 +697,7 @@
             for number, caller in enumerate(callers)
         )
     )
-    assert instance.most_running <= instance.slots
+    assert instance.max_running <= instance.slots
     assert {status for status, _, _ in responses} <= {200, 503}
     assert all(
         float(headers["retry-after"]) > 0
@@ -723,7 +723,7 @@
         )
         assert status == 200
     assert time.monotonic() - began_at < 1.0
-    assert len(other.seen) == 4
+    assert len(other.received) == 4
 
 
 @cluster_test
@@ -735,7 +735,7 @@
     caller_node.frontend.refuse_all()
     status, headers, _ = await caller.call("/look/2", request_id="q2")
     assert status == 503 and float(headers["retry-after"]) > 0
-    assert len(instance.seen) == 1
+    assert len(instance.received) == 1
 
 
 @cluster_test
@@ -762,7 +762,7 @@
     else:
         await caller.send("/sale/1", method="POST", body=b"x" * size)
     assert (await caller.read())[0] == 413
-    assert instance.seen == []
+    assert instance.received == []
 
 
 @cluster_test
@@ -773,9 +773,9 @@
     callers = [Caller(caller_node) for _ in range(4)]
     for number, caller in enumerate(callers):
         await caller.send("/look/1", request_id=f"q{number}")
-    await cluster.until(lambda: len(instance.seen) == 4)
+    await cluster.until(lambda: len(instance.received) == 4)
     instance.born_ms += 5000
-    assert await instance.report(node) == 200
+    assert await instance.send_heartbeat(node) == 200
     assert node.target.admission.running == 0
     for caller in callers:
         assert (await caller.read())[0] == 200
@@ -800,7 +800,7 @@
     )
     status, _, _ = await Caller(caller_node).call("/sale/1", method="POST", body=b"s")
     assert status == 200
-    assert len(other.seen) == 1
+    assert len(other.received) == 1
     instance._server = await asyncio.start_server(instance._client, *addr)
     await cluster.until(lambda: node.target.accepting)
 
@@ -820,14 +820,14 @@
     instance.serve = respond_and_become_noisy
     assert (await Caller(caller_node).call("/long/1"))[0] == 200
     instance.serve = instance.answer
-    probes = instance.asked
+    probes = instance.health_checks
     caller = Caller(caller_node)
     await caller.send("/long/2", request_id="q2")
-    await cluster.until(lambda: instance.asked > probes)
-    assert len(instance.seen) == 1
+    await cluster.until(lambda: instance.health_checks > probes)
+    assert len(instance.received) == 1
     instance.percent = 100
     assert (await caller.read())[0] == 200
-    assert len(instance.seen) == 2
+    assert len(instance.received) == 2
 
 
 @cluster_test
