--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -400,11 +400,11 @@
     safe, unsafe = Caller(caller_node), Caller(caller_node)
     await safe.send("/look/1")
     await unsafe.send("/sale/1", method="POST", body=b"s", request_id="q2")
-    await cluster.until(lambda: len(instance.request) == 2)
+    await cluster.until(lambda: len(instance.received) == 2)
     safe.close()
     unsafe.close()
     safe_request, unsafe_request = sorted(
-        instance.request, key=lambda request: request.path
+        instance.received, key=lambda request: request.path
     )
     await cluster.until(lambda: safe_request.closed, 0.5)
     await asyncio.sleep(0.5)
