Rename HostSettings.repeats to retry_limits

The field holds RetryLimits; its old name was that of the retries themselves. HostSettings.repeats is now retry_limits, in the node, the settings and tests.

--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -113,7 +113,7 @@
             ready_addr=self.listen.ready_addr,
             target_addr=self.app_addr,
             grace_s=grace_s,
-            repeats=retry_limits,
+            retry_limits=retry_limits,
         )
 
 
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -55,7 +55,7 @@
         Address of the target on this host.
     grace_s : float
         Time from SIGTERM until the process is killed, seconds.
-    repeats : RetryLimits
+    retry_limits : RetryLimits
     """
 
     node: str
@@ -68,7 +68,7 @@
     ready_addr: tuple[str, int]
     target_addr: tuple[str, int]
     grace_s: float
-    repeats: RetryLimits
+    retry_limits: RetryLimits
 
 
 class ConfigHolder:
@@ -173,7 +173,7 @@
             Location(cfg.dc, cfg.region),
             self.peers,
             self.config,
-            cfg.repeats,
+            cfg.retry_limits,
             clock,
         )
         self.frontend = Frontend(self.caller_side, self.config, header_names)
@@ -249,8 +249,8 @@
 
     def reload(self, cfg):
         """Apply changed settings; only a restart changes addresses."""
-        self.cfg = replace(self.cfg, grace_s=cfg.grace_s, repeats=cfg.repeats)
-        self.caller_side.set_retry_limits(cfg.repeats)
+        self.cfg = replace(self.cfg, grace_s=cfg.grace_s, retry_limits=cfg.retry_limits)
+        self.caller_side.set_retry_limits(cfg.retry_limits)
         log_entry("node:reloaded", node=cfg.node, same=self.cfg == cfg)
 
     def stop(self):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -22,7 +22,7 @@
     path.write_text(settings_text())
     cfg = load_settings_file(path).host_settings()
     assert (cfg.node, cfg.dc, cfg.grace_s) == ("sidecar-1", "kerio", 2.0)
-    assert cfg.repeats.allowance == 64
+    assert cfg.retry_limits.allowance == 64
 
 
 @pytest.mark.parametrize(
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -742,7 +742,9 @@
 async def test_changed_settings_apply_without_a_restart(cluster):
     """Guards against settings that only take effect after a restart."""
     caller_node, _, _ = await start_pair(cluster)
-    changed = replace(caller_node.cfg, grace_s=9.0, repeats=RetryLimits(0.0, 10.0, 0))
+    changed = replace(
+        caller_node.cfg, grace_s=9.0, retry_limits=RetryLimits(0.0, 10.0, 0)
+    )
     caller_node.reload(changed)
     assert caller_node.cfg == changed
     assert not caller_node.caller_side.acquire_retry(LEDGER, time.monotonic())
