Rename reports_addr to heartbeats_addr

The target sends heartbeats to this address; the class is already Heartbeat. HostSettings.reports_addr and the attribute of its stand-in in standins/host.py are now heartbeats_addr. The key listen.control of the settings file stays.

--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -109,7 +109,7 @@
             service=self.service,
             callers_addr=self.listen.outbound,
             peers_addr=self.listen.inbound,
-            reports_addr=self.listen.control,
+            heartbeats_addr=self.listen.control,
             ready_addr=self.listen.ready_addr,
             target_addr=self.app_addr,
             grace_s=grace_s,
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -49,7 +49,7 @@
         Service of the target on this host.
     callers_addr, peers_addr : tuple
         Addresses to listen at for callers and for other nodes.
-    reports_addr, ready_addr : tuple
+    heartbeats_addr, ready_addr : tuple
         Addresses to listen at for heartbeats and for readiness checks.
     target_addr : tuple
         Address of the target on this host.
@@ -64,7 +64,7 @@
     service: str
     callers_addr: tuple[str, int]
     peers_addr: tuple[str, int]
-    reports_addr: tuple[str, int]
+    heartbeats_addr: tuple[str, int]
     ready_addr: tuple[str, int]
     target_addr: tuple[str, int]
     grace_s: float
@@ -211,7 +211,7 @@
         cfg = self.cfg
         await self.peers.start(cfg.peers_addr)
         self._control_server.listen(
-            cfg.reports_addr[1], cfg.reports_addr[0], backlog=64
+            cfg.heartbeats_addr[1], cfg.heartbeats_addr[0], backlog=64
         )
         self._ready_server.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
         self.frontend.listen(cfg.callers_addr)
--- a/standins/host.py
+++ b/standins/host.py
@@ -64,7 +64,7 @@
     """Where a node listens, as `Instance.report` asks for it."""
 
     callers_addr: tuple[str, int]
-    reports_addr: tuple[str, int]
+    heartbeats_addr: tuple[str, int]
 
 
 class HostProcess:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -340,7 +340,7 @@
 
     async def _post(self, node, path, body):
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        reader, writer = await asyncio.open_connection(*node.cfg.reports_addr)
+        reader, writer = await asyncio.open_connection(*node.cfg.heartbeats_addr)
         head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(data)}"
         writer.write(head.encode() + b"\r\nConnection: close\r\n\r\n" + data)
         answer = await reader.read()
