Rename AdmissionController.outcomes to success_rate

The attribute is a SuccessRate; the field of LoadReport has that name too. AdmissionController.outcomes is now success_rate, with its uses and tests.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -101,7 +101,7 @@
         self.running = 0
         self.cold_start_until = 0.0
         self.noise = NoiseDetector()
-        self.outcomes = SuccessRate()
+        self.success_rate = SuccessRate()
         self._durations = DurationEstimator()
         # Sums over the running jobs.
         self._started_at_sum = 0.0
@@ -275,7 +275,7 @@
         """
         if job.running:
             if now - job.started_at > HUNG_FACTOR * job.typical_s:
-                self.outcomes.note(False, now)
+                self.success_rate.note(False, now)
 
     def remove(self, job):
         """Remove a job that has ended or whose caller has disconnected."""
@@ -324,7 +324,7 @@
             self.limit,
             int(delay_s * 1000),
             int(noise_s * 1000),
-            self.outcomes.rate(now),
+            self.success_rate.rate(now),
             int(cold_s * 1000),
         )
 
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -400,7 +400,7 @@
         else:
             verdict = Verdict.MAY_HAVE_RUN
         reason = "target-timeout" if isinstance(exc, TimeoutError) else "target-broken"
-        call.admission.outcomes.note(False, self._clock())
+        call.admission.success_rate.note(False, self._clock())
         self._log.entry(
             "call:broken",
             request=self._request_id(call),
@@ -465,7 +465,7 @@
         not_run = (
             headers.get(header_names.not_run) is not None or response.status == 421
         )
-        call.admission.outcomes.note(
+        call.admission.success_rate.note(
             response.status < MIN_FAILURE_STATUS and not not_run, self._clock()
         )
         if not_run:
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -524,8 +524,8 @@
     """
     flaky, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
     for _ in range(20):
-        flaky.outcomes.note(True, NOW)
-        flaky.outcomes.note(False, NOW)
+        flaky.success_rate.note(True, NOW)
+        flaky.success_rate.note(False, NOW)
     bad = candidate("bad")
     bad.note_report(replace(flaky.report(NOW, True), delay_ms=100), NOW)
     assert choose([bad, sound], LOCATION, NOW, REQUIREMENTS, (), 0.5) is sound
@@ -551,7 +551,7 @@
         (one,) = fill(admission, 1)
         admission.caller_left(one, NOW + 1.0)
         admission.remove(one)
-    assert admission.outcomes.rate(NOW + 1.0) < 0.6
+    assert admission.success_rate.rate(NOW + 1.0) < 0.6
 
 
 def shares(candidates, now):
