Rename DIALECT to HEADER_NAMES

Its value is a HeaderNames; dialect was the former name of that class. The constants of the platform and of the emulator are now HEADER_NAMES.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -20,7 +20,7 @@
 
 __all__ = ["Network", "Node", "Traffic"]
 
-DIALECT = HeaderNames()
+HEADER_NAMES = HeaderNames()
 KIND_HEADER = "X-Kind"
 TARGET_ADDR = ("127.0.0.1", 1)
 # A question to a target on the same host and its answer, seconds.
@@ -90,7 +90,7 @@
 
     def __init__(self, node, clock):
         super().__init__(
-            DIALECT,
+            HEADER_NAMES,
             _NoPool(),
             clock,
             node.service,
@@ -106,15 +106,15 @@
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not model.up:
             raise ConnectionRefusedError("the target is down")
-        headers = HTTPHeaders({DIALECT.response_stamp: "s"})
+        headers = HTTPHeaders({HEADER_NAMES.response_stamp: "s"})
         if expected != model.name:
-            headers[DIALECT.not_run] = "1"
+            headers[HEADER_NAMES.not_run] = "1"
             return Response(421, "Misdirected", headers, b"", True)
         left_s = work.job.deadline_at - self._clock()
         ran = await model.serve(kind, left_s)
         if ran.not_run:
-            headers[DIALECT.not_run] = "1"
-        headers[DIALECT.load] = model.load_header()
+            headers[HEADER_NAMES.not_run] = "1"
+        headers[HEADER_NAMES.load] = model.load_header()
         body = bytes(kind.answer_bytes) if ran.status == 200 else b""
         return Response(ran.status, "", headers, body, True)
 
@@ -123,12 +123,12 @@
         noise.probe_started(self._clock())
         await asyncio.sleep(ASK_S)
         model = self._node.model
-        headers = HTTPHeaders({DIALECT.target_id: model.name})
-        headers[DIALECT.load] = model.load_header()
+        headers = HTTPHeaders({HEADER_NAMES.target_id: model.name})
+        headers[HEADER_NAMES.load] = model.load_header()
         self._probe_task = None
         if model.up:
             self._note_identity(Response(200, "", headers, b"", True))
-            self._note_load(headers[DIALECT.load])
+            self._note_load(headers[HEADER_NAMES.load])
         else:
             noise.probe_failed(self._clock())
         self._pump()
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -11,7 +11,7 @@
 from ..logs import log_entry
 from ..twohop.node import HostNode
 from .configuration import CONFIG_ROW, parse_configuration
-from .header_names import DIALECT
+from .header_names import HEADER_NAMES
 from .report_server import ReportServer
 from .settings import load_settings_file
 from .store import PlatformStore
@@ -48,7 +48,7 @@
     """Run a node until it is stopped; `path` is the settings file."""
     node = HostNode(
         settings.host_settings(),
-        DIALECT,
+        HEADER_NAMES,
         parse_configuration,
         lambda pool: PlatformStore(settings.platform.address, pool),
         CONFIG_ROW,
--- a/pimentoline/platform/header_names.py
+++ b/pimentoline/platform/header_names.py
@@ -2,9 +2,9 @@
 
 from ..twohop.header_names import HeaderNames
 
-__all__ = ["DIALECT"]
+__all__ = ["HEADER_NAMES"]
 
-DIALECT = HeaderNames(
+HEADER_NAMES = HeaderNames(
     request_id="X-Request-Id",
     deadline_ms="X-Deadline-Ms",
     response_stamp="X-Response-Stamp",
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -10,7 +10,7 @@
 import pytest
 
 from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
-from pimentoline.platform.header_names import DIALECT
+from pimentoline.platform.header_names import HEADER_NAMES
 from pimentoline.platform.report_server import ReportServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
@@ -93,7 +93,7 @@
         """Start a node with given settings."""
         node = HostNode(
             cfg,
-            DIALECT,
+            HEADER_NAMES,
             parse_configuration,
             lambda pool: PlatformStore(self.store.addr, pool),
             CONFIG_ROW,
