Rename ReportServer to HeartbeatServer

It parses and serves the target's heartbeats; report is the word for load reports. Class and module are now HeartbeatServer and platform/heartbeat_server.py.

--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -12,7 +12,7 @@
 from ..twohop.node import HostNode
 from .configuration import CONFIG_ROW, parse_configuration
 from .header_names import HEADER_NAMES
-from .report_server import ReportServer
+from .heartbeat_server import HeartbeatServer
 from .settings import load_settings_file
 from .store import PlatformStore
 
@@ -52,8 +52,8 @@
         parse_configuration,
         lambda pool: PlatformStore(settings.platform.address, pool),
         CONFIG_ROW,
-        ReportServer,
-        ReportServer,
+        HeartbeatServer,
+        HeartbeatServer,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
--- a/pimentoline/platform/report_server.py
+++ b/pimentoline/platform/heartbeat_server.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.report_server: serves heartbeats and readiness checks."""
+"""pimentoline.platform.heartbeat_server: serves heartbeats and readiness checks."""
 
 import asyncio
 import json
@@ -17,7 +17,7 @@
 from ..twohop.target_status import Heartbeat, TargetState
 from .settings import parse_duration
 
-__all__ = ["ReportServer", "parse_heartbeat"]
+__all__ = ["HeartbeatServer", "parse_heartbeat"]
 
 STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 READY_PATH = "/v1/ready"
@@ -52,7 +52,7 @@
     )
 
 
-class ReportServer(HTTPServerConnectionDelegate):
+class HeartbeatServer(HTTPServerConnectionDelegate):
     """Serves the target's heartbeats and the platform's readiness checks.
 
     Parameters
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -11,7 +11,7 @@
 
 from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
 from pimentoline.platform.header_names import HEADER_NAMES
-from pimentoline.platform.report_server import ReportServer
+from pimentoline.platform.heartbeat_server import HeartbeatServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RetryLimits
@@ -97,8 +97,8 @@
             parse_configuration,
             lambda pool: PlatformStore(self.store.addr, pool),
             CONFIG_ROW,
-            ReportServer,
-            ReportServer,
+            HeartbeatServer,
+            HeartbeatServer,
         )
         self.nodes.append(node)
         await node.start()
