Rename goal_s, goal_ms and goal_at to objective_*

The value is the latency objective, and Job and the prose call it that already. Route, CallFrame, Call and CallRequirements now use objective_s, _ms and _at.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -148,7 +148,7 @@
             self.peers.candidates(call.service),
             self.location,
             now,
-            CallRequirements(call.goal_at, call.size),
+            CallRequirements(call.objective_at, call.size),
             call.tried,
             self._rng.random(),
         )
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -158,7 +158,7 @@
             incoming.path,
             incoming.headers,
             self.caller_side.service,
-            int((call.goal_at - now) * MS_PER_S),
+            int((call.objective_at - now) * MS_PER_S),
             int((call.deadline_at - now) * MS_PER_S),
             call.route.priority,
             call.route.retryable,
@@ -256,7 +256,7 @@
             self.peers.candidates(call.service),
             self.location,
             now,
-            CallRequirements(call.goal_at, call.size),
+            CallRequirements(call.objective_at, call.size),
             call.tried,
             self._random.random(),
         )
@@ -288,7 +288,7 @@
         call = lc.Call(
             route,
             self._round_robin.next_service(route),
-            incoming.arrived_at + route.goal_s,
+            incoming.arrived_at + route.objective_s,
             incoming.arrived_at + remaining_s,
             len(incoming.body) + int(self._mean_response_bytes.get(route.name, 0)),
         )
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -67,7 +67,7 @@
     ----------
     stream : int
         Identifies the call on its link, in all frames that belong to it.
-    goal_ms, remaining_ms : int
+    objective_ms, remaining_ms : int
         Time from sending to the latency objective and to the deadline, milliseconds.
     retryable : bool
         Whether the call may run more than once.
@@ -81,7 +81,7 @@
     path: str
     headers: tuple[tuple[str, str], ...]
     caller_service: str
-    goal_ms: int
+    objective_ms: int
     remaining_ms: int
     priority: int
     retryable: bool
@@ -217,7 +217,7 @@
                 "path": frame.path,
                 "headers": _pack_headers(frame.headers),
                 "callerService": frame.caller_service,
-                "goalMs": frame.goal_ms,
+                "goalMs": frame.objective_ms,
                 "leftMs": frame.remaining_ms,
                 "priority": min(max(frame.priority, 0), 255),
                 "repeatable": frame.retryable,
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -40,7 +40,7 @@
 
     Attributes
     ----------
-    goal_at, deadline_at : float
+    objective_at, deadline_at : float
         Monotonic times of the latency objective and of the deadline, seconds.
     size : int
         Body size of the call plus the expected size of its response, bytes.
@@ -66,7 +66,7 @@
 
     route: Route
     service: str
-    goal_at: float
+    objective_at: float
     deadline_at: float
     size: int = 0
     tried: set = field(default_factory=set)
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -47,7 +47,7 @@
     ----------
     timeout_s : float
         Longest time until the caller gets a response, seconds.
-    goal_s : float
+    objective_s : float
         Latency objective, seconds.
     priority : int
         0 is the most urgent.
@@ -60,7 +60,7 @@
     prefix: str
     kind: RouteKind
     timeout_s: float
-    goal_s: float
+    objective_s: float
     priority: int
     shares: tuple[Share, ...]
     max_attempts: int
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -68,13 +68,13 @@
 
     Attributes
     ----------
-    goal_at : float
+    objective_at : float
         Monotonic time at which the latency objective is missed, seconds.
     size : int
         Expected size of the bodies of the call and its response, bytes.
     """
 
-    goal_at: float
+    objective_at: float
     size: int = 0
 
 
@@ -214,7 +214,7 @@
     """
     best = None
     best_value = 0.0
-    goal_ms = (requirements.goal_at - now) * 1000.0
+    objective_ms = (requirements.objective_at - now) * 1000.0
     for index, candidate in enumerate(candidates):
         if not candidate.reachable or not candidate.report.accepting:
             continue
@@ -224,7 +224,7 @@
             location, candidate.member, requirements.size
         )
         expected_ms = candidate.expected_ms(now) + round_trip_ms
-        on_time = on_time_probability(goal_ms, expected_ms)
+        on_time = on_time_probability(objective_ms, expected_ms)
         value = on_time + LATE_VALUE * (1.0 - on_time)
         value = value * candidate.success_rate(now) - cost
         # If all are far too late, the probabilities are equal and the fastest wins.
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -229,7 +229,7 @@
         now = self._clock()
         job = Job(
             frame.priority,
-            now + frame.goal_ms / MS_PER_S,
+            now + frame.objective_ms / MS_PER_S,
             now + frame.remaining_ms / MS_PER_S,
             frame.last_resort,
             (frame.priority, frame.retryable),
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -237,9 +237,9 @@
 # Admission.
 
 
-def job(goal_s=0.3, deadline_s=1.0, priority=1, last_resort=False):
+def job(objective_s=0.3, deadline_s=1.0, priority=1, last_resort=False):
     """Return a job that arrives now."""
-    return Job(priority, NOW + goal_s, NOW + deadline_s, last_resort)
+    return Job(priority, NOW + objective_s, NOW + deadline_s, last_resort)
 
 
 def fill(admission, count):
@@ -417,7 +417,7 @@
     """Guards against a caller that waits long only to be refused."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
-    late = job(goal_s=-0.1, deadline_s=1.0, last_resort=True)
+    late = job(objective_s=-0.1, deadline_s=1.0, last_resort=True)
     assert admission.offer(late, NOW) is None
     assert admission.next_action(NOW) is StartDecision.START
     found, refused = admission.next_action(NOW + 0.15)
@@ -606,7 +606,7 @@
     admission = AdmissionController(10)
     admission.noise.probe_failed(NOW)
     for step in range(60):
-        one = job(goal_s=5.0, deadline_s=6.0)
+        one = job(objective_s=5.0, deadline_s=6.0)
         admission.offer(one, NOW)
         assert admission.next_action(NOW) == (one, None)
         admission.complete(one, NOW + (0.1 if step < 30 else 0.9))
