Rename left_s to remaining_s where it is the time to the deadline

IncomingCall and CallFrame already say remaining for this time. The parameters and locals in the emulator and in calls.py are now remaining_s. Job.left_s in standins/work.py is work, not time to a deadline, and stays.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -110,8 +110,8 @@
         if expected != model.name:
             headers[HEADER_NAMES.not_run] = "1"
             return Response(421, "Misdirected", headers, b"", True)
-        left_s = work.job.deadline_at - self._clock()
-        ran = await model.serve(kind, left_s)
+        remaining_s = work.job.deadline_at - self._clock()
+        ran = await model.serve(kind, remaining_s)
         if ran.not_run:
             headers[HEADER_NAMES.not_run] = "1"
         headers[HEADER_NAMES.load] = model.load_header()
--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -99,15 +99,15 @@
             random.Random(f"{self.seed} {name} places"),
         )
 
-        async def call(kind_name, left_s):
+        async def call(kind_name, remaining_s):
             kind = self.kinds[kind_name]
-            outcome = await self._ask(node, kind, min(kind.deadline_s, left_s))
+            outcome = await self._ask(node, kind, min(kind.deadline_s, remaining_s))
             return outcome.status if outcome is not None else None
 
         rng = random.Random(f"{self.seed} {name} works")
         node.model = TargetModel(self.site.traits, rng, call)
 
-    async def _ask(self, node, kind, left_s):
+    async def _ask(self, node, kind, remaining_s):
         """Return the outcome of a call at a node, None if the node ends."""
         if not node.up:
             return None
@@ -117,7 +117,7 @@
             "/",
             ((KIND_HEADER, kind.name),),
             bytes(kind.sent_bytes),
-            left_s,
+            remaining_s,
             self.loop.time(),
         )
         answered = self.loop.create_future()
@@ -197,20 +197,20 @@
         ends = began + kind.deadline_s
         status = None
         for _ in range(ATTEMPTS):
-            left_s = ends - self.loop.time()
-            if left_s <= 0:
+            remaining_s = ends - self.loop.time()
+            if remaining_s <= 0:
                 break
             await asyncio.sleep(CALLER_S)
-            outcome = await self._ask(node, kind, left_s - CALLER_S)
+            outcome = await self._ask(node, kind, remaining_s - CALLER_S)
             await asyncio.sleep(CALLER_S)
             status = outcome.status if outcome is not None else None
             if status is None or status == 200:
                 break
             if status != 503 and not kind.repeatable:
                 break
-            left_s = ends - self.loop.time()
+            remaining_s = ends - self.loop.time()
             wait_s = outcome.retry_after_s or 0.0
-            await asyncio.sleep(max(min(wait_s, left_s * MAX_WAIT_SHARE), 0.0))
+            await asyncio.sleep(max(min(wait_s, remaining_s * MAX_WAIT_SHARE), 0.0))
         self._count(kind, at_s, status, self.loop.time() - began)
 
     def _count(self, kind, at_s, status, taken_s):
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -127,7 +127,7 @@
         percent = int(self.slowness() * 100)
         return f"{self.running},{self._waiting},{self.traits.slots},{percent}"
 
-    async def serve(self, kind, left_s):
+    async def serve(self, kind, remaining_s):
         """Run a request of a kind; return `Ran`."""
         if self.running >= self.traits.slots:
             if self._waiting >= self.traits.queue:
@@ -142,14 +142,14 @@
         self.running += 1
         free = self._free
         try:
-            return await self._run(kind, left_s)
+            return await self._run(kind, remaining_s)
         finally:
             if free is self._free:
                 self.running -= 1
                 async with free:
                     free.notify()
 
-    async def _run(self, kind, left_s):
+    async def _run(self, kind, remaining_s):
         if self._rng.random() < self.error_share:
             await asyncio.sleep(kind.work_s * 0.1)
             return Ran(500)
@@ -161,7 +161,9 @@
             work_s *= traits.knee_factor
         calls = []
         if kind.calls and self._rng.random() < kind.calls_share:
-            calls = [self._call(kind.calls_kind, left_s) for _ in range(kind.calls)]
+            calls = [
+                self._call(kind.calls_kind, remaining_s) for _ in range(kind.calls)
+            ]
         statuses = await asyncio.gather(*calls, _work(work_s))
         return Ran(200 if all(status == 200 for status in statuses) else 500)
 
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -153,7 +153,7 @@
     return state, (effect,)
 
 
-def _timeout_s(record, left_s):
+def _timeout_s(record, remaining_s):
     """Return the longest wait of an attempt for the response head, seconds.
 
     It ends before the caller's deadline, so that the caller receives a verdict.
@@ -161,8 +161,8 @@
     connection would otherwise use all of it.
     """
     if record.idempotent and len(record.attempts) < retries.MAX_ATTEMPTS:
-        return left_s / 2
-    return left_s - min(ANSWER_MARGIN_S, left_s / 10)
+        return remaining_s / 2
+    return remaining_s - min(ANSWER_MARGIN_S, remaining_s / 10)
 
 
 def _reject(state, record, status, code):
