Rename placement.HEAD_BYTES to HTTP_HEAD_BYTES

The constant counts start lines and headers of HTTP, not the header of a frame. Its uses in placement and in the emulator follow.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -10,7 +10,7 @@
 from pimentoline.twohop.header_names import HeaderNames
 from pimentoline.twohop.model import Member, RetryLimits
 from pimentoline.twohop.placement import (
-    HEAD_BYTES,
+    HTTP_HEAD_BYTES,
     CallRequirements,
     Candidate,
     Location,
@@ -220,7 +220,7 @@
         frame = make_frame(0)
         candidate.in_flight += 1
         call = _Sent(self, there, candidate, on_frame)
-        network.send(self, there, len(body) + HEAD_BYTES, call.arrive, frame, body)
+        network.send(self, there, len(body) + HTTP_HEAD_BYTES, call.arrive, frame, body)
         return call.cancel
 
     # Life of the node.
@@ -303,7 +303,7 @@
             self.work = self.there.target.submit(frame, body, self._reply)
 
     def _reply(self, frame, body):
-        size = len(body) + HEAD_BYTES
+        size = len(body) + HTTP_HEAD_BYTES
         network = self.here.network
         network.send(self.there, self.here, size, self._answered, frame, body)
 
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -23,7 +23,7 @@
 OTHER_DC_COST_PER_KB = 0.031
 OTHER_REGION_COST_PER_KB = 0.054
 # Size of the start lines and headers of a call and its response together, bytes.
-HEAD_BYTES = 600
+HTTP_HEAD_BYTES = 600
 # Spread of response times around the expected one, milliseconds: processing times vary
 # by a third, and noise of neighbours on the host comes in periods of 150 ms.
 RESPONSE_TIME_SPREAD_MS = 80.0
@@ -185,7 +185,7 @@
     """
     if member.dc == location.dc:
         return 0.0, 0.0
-    kilobytes = (size + HEAD_BYTES) / 1000.0
+    kilobytes = (size + HTTP_HEAD_BYTES) / 1000.0
     if member.region == location.region:
         return OTHER_DC_RTT_MS, OTHER_DC_COST_PER_KB * kilobytes
     return OTHER_REGION_RTT_MS, OTHER_REGION_COST_PER_KB * kilobytes
