Rename World(repeats=...) to retries in the tests

World counts the retries that it grants; repeat was the former word for a retry. The parameter and attribute of World and its uses in two test files follow.

--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -53,9 +53,9 @@
 class World:
     """The `world` of `lifecycle.step`: named candidates and a number of retries."""
 
-    def __init__(self, *names, repeats=9):
+    def __init__(self, *names, retries=9):
         self.candidates = [candidate(name) for name in names]
-        self.repeats = repeats
+        self.retries = retries
 
     def choose(self, call, now):
         """Return the first candidate that has not been tried."""
@@ -64,8 +64,8 @@
 
     def acquire_retry(self, service, now):
         """Use one of the retries; return whether there was one."""
-        self.repeats -= 1
-        return self.repeats >= 0
+        self.retries -= 1
+        return self.retries >= 0
 
 
 def begin(route, world):
@@ -127,7 +127,7 @@
 
 def test_repeats_end_with_the_budget():
     """Guards against retries that multiply the load of a failing service."""
-    world = World("a", "b", "c", repeats=1)
+    world = World("a", "b", "c", retries=1)
     call = begin(ROUTE, world)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, failed, world)) == ["b"]
@@ -175,7 +175,7 @@
 
 def test_stalled_lookup_waits_on_if_the_budget_is_spent():
     """Guards against an error in place of a response that may still come."""
-    world = World("a", "b", repeats=0)
+    world = World("a", "b", retries=0)
     lookup = begin(ROUTE, world)
     assert lc.step(lookup, lc.AttemptStalled(NOW), world) == []
     assert lookup.attempts == 0
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -61,7 +61,7 @@
     An unsafe call must not run twice. A call has one outcome, a 503 only if it has not
     run, and no more attempts at targets than its route allows.
     """
-    world = World("a", "b", "c", "d", "e", repeats=RETRIES)
+    world = World("a", "b", "c", "d", "e", retries=RETRIES)
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
     effects = lc.step(call, lc.CallReceived(NOW), world)
     may_have_run, replies, at_targets = False, 0, 0
