Use the terms of the classes in twohop's prose and tests

Some comments and tests still said report, repeat, answer and lifetime for what the classes call heartbeat, retry, response and incarnation.

--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -73,7 +73,7 @@
         self._handler.link_up(self)
 
     def data_received(self, data):
-        """Pass complete frames to the handler, and answer pings."""
+        """Pass complete frames to the handler, and reply to pings."""
         self.last_received_at = self._clock()
         self._pinged_at = None
         self._set_suspect(False)
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -152,7 +152,7 @@
     noise_remaining_ms : int
         Expected time until the noise of neighbours on the host ends, milliseconds.
     success_rate : float
-        Share of the calls that the target answers without a failure, 0 to 1.
+        Share of the calls that the target completes without a failure, 0 to 1.
     cold_remaining_ms : int
         Time until the target is no longer slow after its start, milliseconds.
     """
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -30,7 +30,7 @@
 # Changes of members within this time are read with one request.
 BATCH_DELAY_S = 0.4
 # Longest wait for the write of a new state, such as that of a draining target, before
-# the target's report of it is acknowledged anyway, seconds. The write goes on.
+# the target's heartbeat with it is acknowledged anyway, seconds. The write goes on.
 MAX_STORE_WAIT_S = 0.6
 # After a version conflict, a conditional write is retried once with the stored version.
 MAX_SAVE_ATTEMPTS = 2
@@ -213,7 +213,7 @@
             value["target"] = {
                 "target_id": status.target_id,
                 "born_ms": status.born_ms,
-                # It changes with every report, but only a new state is written.
+                # It changes with every heartbeat, but only a new state is written.
                 "sequence": 0,
                 "state": status.state.value,
             }
@@ -244,7 +244,7 @@
             return False
 
     def _schedule_save(self):
-        """Write the row later, as the target's report has been acknowledged.
+        """Write the row later, as the target's heartbeat has been acknowledged.
 
         Nothing else would write it again.
         """
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """One status report of a target.
+    """A heartbeat of a target, with its current state.
 
     Attributes
     ----------
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -85,7 +85,7 @@
 
 
 @pytest.mark.parametrize("verdict", [Verdict.MAY_HAVE_RUN, Verdict.RAN])
-def test_call_that_must_not_repeat_is_not_sent_again(verdict):
+def test_unsafe_call_that_may_have_run_is_not_retried(verdict):
     """Guards against a second run of a sale whose response was lost."""
     world = World("a", "b")
     call = begin(SALE, world)
@@ -125,7 +125,7 @@
     assert effects == [lc.Reject(503, "full", 0.1)]
 
 
-def test_repeats_end_with_the_budget():
+def test_retries_end_with_the_budget():
     """Guards against retries that multiply the load of a failing service."""
     world = World("a", "b", "c", retries=1)
     call = begin(ROUTE, world)
@@ -134,7 +134,7 @@
     assert lc.step(call, failed, world) == [lc.Reject(502, "cut")]
 
 
-def test_repeats_end_with_the_attempts_of_the_route():
+def test_retries_end_with_the_attempts_of_the_route():
     """Guards against sending a call to more targets than its route allows."""
     world = World("a", "b", "c", "d")
     call = begin(replace(ROUTE, max_attempts=2), world)
@@ -143,7 +143,7 @@
     assert nodes_of(lc.step(call, failed, world)) == []
 
 
-def test_failed_answer_is_delivered_if_nothing_better_comes():
+def test_failed_response_is_delivered_if_nothing_better_comes():
     """Guards against an error of the node in place of a target's own response."""
     world = World("a", "b")
     call = begin(ROUTE, world)
@@ -154,7 +154,7 @@
     assert effects == [lc.Reply("first")]
 
 
-def test_timeout_cancels_and_answers_at_once():
+def test_timeout_cancels_and_rejects_at_once():
     """Guards against callers that wait longer than the route's timeout."""
     world = World("a")
     call = begin(ROUTE, world)
@@ -191,7 +191,7 @@
 # Budget.
 
 
-def test_repeats_of_all_nodes_stay_within_the_shared_budget():
+def test_retries_of_all_nodes_stay_within_the_shared_budget():
     """Guards against nodes that each spend the whole allowance."""
     nodes = [RetryBudget(RetryLimits(0.2, 10.0, 64)) for _ in range(16)]
     for node in nodes:
@@ -202,7 +202,7 @@
 
 
 @pytest.mark.parametrize("levels", [2, 3])
-def test_repeats_of_a_chain_of_services_stay_within_the_budget_of_each(levels):
+def test_retries_of_a_chain_of_services_stay_within_the_budget_of_each(levels):
     """Guards against retries that add up along a chain of services.
 
     Every service fails, so each spends its whole budget, and each run calls the next
@@ -601,7 +601,7 @@
     assert shares([far, near], later)[0] == 0
 
 
-def test_slow_answers_of_long_ago_do_not_refuse_calls():
+def test_slow_responses_of_long_ago_do_not_refuse_calls():
     """Guards against a node that refuses all calls, so that its estimate stays high."""
     admission = AdmissionController(10)
     admission.noise.probe_failed(NOW)
@@ -624,7 +624,7 @@
     return Heartbeat(target, ADDR, "ledger", born, sequence, state, 12)
 
 
-def test_late_reports_never_bring_a_target_back():
+def test_late_heartbeats_never_bring_a_target_back():
     """Guards against calls to a target that is draining, has left or was replaced."""
     tracker = StatusTracker()
     assert tracker.accept(heartbeat(sequence=1))
@@ -639,7 +639,7 @@
     assert tracker.current.state is TargetState.READY
 
 
-def test_restart_under_the_same_name_is_a_new_lifetime():
+def test_restart_under_the_same_name_is_a_new_incarnation():
     """Guards against ignoring a target that restarts under its former id."""
     tracker = StatusTracker()
     tracker.accept(heartbeat(sequence=50, state=TargetState.DRAINING))
@@ -647,7 +647,7 @@
 
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
-def test_target_that_never_reported_may_leave(target):
+def test_target_without_heartbeats_may_leave(target):
     """Guards against calls to a target whose leave was acknowledged but not applied."""
     tracker = StatusTracker()
     tracker.accept(heartbeat("t1", born=5))
@@ -657,8 +657,8 @@
     assert not tracker.accept(heartbeat(target, born=9, sequence=99))
 
 
-def test_stored_state_is_never_lost_to_a_late_report():
-    """Guards against a late report before a restarted node has read the store."""
+def test_stored_state_is_never_lost_to_a_late_heartbeat():
+    """Guards against a late heartbeat before a restarted node has read the store."""
     stored = TargetStatus("t1", 5, 0, TargetState.DRAINING)
     tracker = StatusTracker()
     tracker.accept(heartbeat(sequence=7))
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -32,7 +32,7 @@
 EVENTS = st.one_of(
     st.builds(lambda at: ("refused", at), st.booleans()),
     st.builds(lambda verdict: ("broken", verdict), st.sampled_from(list(Verdict))),
-    st.builds(lambda status: ("answered", status), st.sampled_from([200, 404, 500])),
+    st.builds(lambda status: ("responded", status), st.sampled_from([200, 404, 500])),
     st.sampled_from([("stalled", None), ("timed-out", None), ("left", None)]),
 )
 
@@ -44,8 +44,8 @@
             return lc.AttemptRefused(NOW, "queue", 0.1, value), False
         case "broken":
             return lc.AttemptFailed(NOW, value, "cut"), value is not Verdict.NOT_RUN
-        case "answered":
-            return lc.ResponseReceived(NOW, value, "answer"), True
+        case "responded":
+            return lc.ResponseReceived(NOW, value, "response"), True
         case "stalled":
             return lc.AttemptStalled(NOW), True
         case "timed-out":
@@ -228,11 +228,11 @@
             loop = asyncio.get_running_loop()
             loop.call_later(2.0, self._apply, key, value, expected)
             await asyncio.sleep(1.5)
-            raise StoreUnavailableError("no answer")
+            raise StoreUnavailableError("no response")
         if not self._apply(key, value, expected):
             raise StoreConflictError("changed", self.row.version, self.row.value)
         if fault == "lost":
-            raise StoreUnavailableError("no answer")
+            raise StoreUnavailableError("no response")
         return self.version
 
 
@@ -257,7 +257,7 @@
         self.store_sync = StoreSync(store, ("op", "config"), member, self)
         self.store_sync.start()
 
-    async def report(self, state, sequence, born=5):
+    async def handle_heartbeat(self, state, sequence, born=5):
         """Process a heartbeat; return once it is acknowledged."""
         heartbeat = Heartbeat(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
         previous = self.target.status_tracker.current
@@ -292,21 +292,21 @@
         store = FaultyStore(list(faults))
         process = NodeProcess(store)
         await asyncio.sleep(0.1)
-        await process.report(TargetState.READY, 1)
-        await process.report(TargetState.DRAINING, 3)
+        await process.handle_heartbeat(TargetState.READY, 1)
+        await process.handle_heartbeat(TargetState.DRAINING, 3)
         for step in actions:
             match step:
                 case "restart":
                     process.store_sync.stop()
                     process = NodeProcess(store)
                 case "late-ready":
-                    await process.report(TargetState.READY, 2)
+                    await process.handle_heartbeat(TargetState.READY, 2)
                 case "pause":
                     await asyncio.sleep(0.7)
         await asyncio.sleep(60.0)
         if "restart" not in actions or store.drain_stored:
             assert process.state is TargetState.DRAINING
-        await process.report(TargetState.READY, 1, born=9)
+        await process.handle_heartbeat(TargetState.READY, 1, born=9)
         assert process.state is TargetState.READY
         process.store_sync.stop()
 
@@ -322,9 +322,9 @@
         store = FaultyStore([])
         process = NodeProcess(store)
         await asyncio.sleep(0.1)
-        await process.report(TargetState.READY, 1)
+        await process.handle_heartbeat(TargetState.READY, 1)
         store.faults = list(faults)
-        await process.report(TargetState.DRAINING, 2)
+        await process.handle_heartbeat(TargetState.DRAINING, 2)
         # Each fault takes 1.5 s at most, and the pause after it 1.2 s.
         await asyncio.sleep(1.0 + len(faults) * 2.7)
         assert b"draining" in store.row.value
