--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -10,7 +10,7 @@
 from pimentoline.twohop.header_names import HeaderNames
 from pimentoline.twohop.model import Member, RetryLimits
 from pimentoline.twohop.placement import (
-    HEAD_BYTES,
+    HTTP_HEAD_BYTES,
     CallRequirements,
     Candidate,
     Location,
@@ -20,7 +20,7 @@
 
 __all__ = ["Network", "Node", "Traffic"]
 
-DIALECT = HeaderNames()
+HEADER_NAMES = HeaderNames()
 KIND_HEADER = "X-Kind"
 TARGET_ADDR = ("127.0.0.1", 1)
 # A question to a target on the same host and its answer, seconds.
@@ -90,7 +90,7 @@
 
     def __init__(self, node, clock):
         super().__init__(
-            DIALECT,
+            HEADER_NAMES,
             _NoPool(),
             clock,
             node.service,
@@ -106,15 +106,15 @@
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not model.up:
             raise ConnectionRefusedError("the target is down")
-        headers = HTTPHeaders({DIALECT.response_stamp: "s"})
+        headers = HTTPHeaders({HEADER_NAMES.response_stamp: "s"})
         if expected != model.name:
-            headers[DIALECT.not_run] = "1"
+            headers[HEADER_NAMES.not_run] = "1"
             return Response(421, "Misdirected", headers, b"", True)
-        left_s = work.job.deadline_at - self._clock()
-        ran = await model.serve(kind, left_s)
+        remaining_s = work.job.deadline_at - self._clock()
+        ran = await model.serve(kind, remaining_s)
         if ran.not_run:
-            headers[DIALECT.not_run] = "1"
-        headers[DIALECT.load] = model.load_header()
+            headers[HEADER_NAMES.not_run] = "1"
+        headers[HEADER_NAMES.load] = model.load_header()
         body = bytes(kind.answer_bytes) if ran.status == 200 else b""
         return Response(ran.status, "", headers, body, True)
 
@@ -123,12 +123,12 @@
         noise.probe_started(self._clock())
         await asyncio.sleep(ASK_S)
         model = self._node.model
-        headers = HTTPHeaders({DIALECT.target_id: model.name})
-        headers[DIALECT.load] = model.load_header()
+        headers = HTTPHeaders({HEADER_NAMES.target_id: model.name})
+        headers[HEADER_NAMES.load] = model.load_header()
         self._probe_task = None
         if model.up:
             self._note_identity(Response(200, "", headers, b"", True))
-            self._note_load(headers[DIALECT.load])
+            self._note_load(headers[HEADER_NAMES.load])
         else:
             noise.probe_failed(self._clock())
         self._pump()
@@ -148,7 +148,7 @@
             self.peers.candidates(call.service),
             self.location,
             now,
-            CallRequirements(call.goal_at, call.size),
+            CallRequirements(call.objective_at, call.size),
             call.tried,
             self._rng.random(),
         )
@@ -220,7 +220,7 @@
         frame = make_frame(0)
         candidate.in_flight += 1
         call = _Sent(self, there, candidate, on_frame)
-        network.send(self, there, len(body) + HEAD_BYTES, call.arrive, frame, body)
+        network.send(self, there, len(body) + HTTP_HEAD_BYTES, call.arrive, frame, body)
         return call.cancel
 
     # Life of the node.
@@ -303,7 +303,7 @@
             self.work = self.there.target.submit(frame, body, self._reply)
 
     def _reply(self, frame, body):
-        size = len(body) + HEAD_BYTES
+        size = len(body) + HTTP_HEAD_BYTES
         network = self.here.network
         network.send(self.there, self.here, size, self._answered, frame, body)
 
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -11,8 +11,8 @@
 from ..logs import log_entry
 from ..twohop.node import HostNode
 from .configuration import CONFIG_ROW, parse_configuration
-from .header_names import DIALECT
-from .report_server import ReportServer
+from .header_names import HEADER_NAMES
+from .heartbeat_server import HeartbeatServer
 from .settings import load_settings_file
 from .store import PlatformStore
 
@@ -48,12 +48,12 @@
     """Run a node until it is stopped; `path` is the settings file."""
     node = HostNode(
         settings.host_settings(),
-        DIALECT,
+        HEADER_NAMES,
         parse_configuration,
         lambda pool: PlatformStore(settings.platform.address, pool),
         CONFIG_ROW,
-        ReportServer,
-        ReportServer,
+        HeartbeatServer,
+        HeartbeatServer,
     )
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -47,7 +47,7 @@
     ----------
     timeout_s : float
         Longest time until the caller gets a response, seconds.
-    goal_s : float
+    objective_s : float
         Latency objective, seconds.
     priority : int
         0 is the most urgent.
@@ -60,7 +60,7 @@
     prefix: str
     kind: RouteKind
     timeout_s: float
-    goal_s: float
+    objective_s: float
     priority: int
     shares: tuple[Share, ...]
     max_attempts: int
@@ -152,7 +152,7 @@
     noise_remaining_ms : int
         Expected time until the noise of neighbours on the host ends, milliseconds.
     success_rate : float
-        Share of the calls that the target answers without a failure, 0 to 1.
+        Share of the calls that the target completes without a failure, 0 to 1.
     cold_remaining_ms : int
         Time until the target is no longer slow after its start, milliseconds.
     """
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -49,13 +49,13 @@
         Service of the target on this host.
     callers_addr, peers_addr : tuple
         Addresses to listen at for callers and for other nodes.
-    reports_addr, ready_addr : tuple
+    heartbeats_addr, ready_addr : tuple
         Addresses to listen at for heartbeats and for readiness checks.
     target_addr : tuple
         Address of the target on this host.
     grace_s : float
         Time from SIGTERM until the process is killed, seconds.
-    repeats : RetryLimits
+    retry_limits : RetryLimits
     """
 
     node: str
@@ -64,11 +64,11 @@
     service: str
     callers_addr: tuple[str, int]
     peers_addr: tuple[str, int]
-    reports_addr: tuple[str, int]
+    heartbeats_addr: tuple[str, int]
     ready_addr: tuple[str, int]
     target_addr: tuple[str, int]
     grace_s: float
-    repeats: RetryLimits
+    retry_limits: RetryLimits
 
 
 class ConfigHolder:
@@ -173,7 +173,7 @@
             Location(cfg.dc, cfg.region),
             self.peers,
             self.config,
-            cfg.repeats,
+            cfg.retry_limits,
             clock,
         )
         self.frontend = Frontend(self.caller_side, self.config, header_names)
@@ -211,7 +211,7 @@
         cfg = self.cfg
         await self.peers.start(cfg.peers_addr)
         self._control_server.listen(
-            cfg.reports_addr[1], cfg.reports_addr[0], backlog=64
+            cfg.heartbeats_addr[1], cfg.heartbeats_addr[0], backlog=64
         )
         self._ready_server.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
         self.frontend.listen(cfg.callers_addr)
@@ -249,8 +249,8 @@
 
     def reload(self, cfg):
         """Apply changed settings; only a restart changes addresses."""
-        self.cfg = replace(self.cfg, grace_s=cfg.grace_s, repeats=cfg.repeats)
-        self.caller_side.set_retry_limits(cfg.repeats)
+        self.cfg = replace(self.cfg, grace_s=cfg.grace_s, retry_limits=cfg.retry_limits)
+        self.caller_side.set_retry_limits(cfg.retry_limits)
         log_entry("node:reloaded", node=cfg.node, same=self.cfg == cfg)
 
     def stop(self):
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -23,7 +23,7 @@
 OTHER_DC_COST_PER_KB = 0.031
 OTHER_REGION_COST_PER_KB = 0.054
 # Size of the start lines and headers of a call and its response together, bytes.
-HEAD_BYTES = 600
+HTTP_HEAD_BYTES = 600
 # Spread of response times around the expected one, milliseconds: processing times vary
 # by a third, and noise of neighbours on the host comes in periods of 150 ms.
 RESPONSE_TIME_SPREAD_MS = 80.0
@@ -68,13 +68,13 @@
 
     Attributes
     ----------
-    goal_at : float
+    objective_at : float
         Monotonic time at which the latency objective is missed, seconds.
     size : int
         Expected size of the bodies of the call and its response, bytes.
     """
 
-    goal_at: float
+    objective_at: float
     size: int = 0
 
 
@@ -185,7 +185,7 @@
     """
     if member.dc == location.dc:
         return 0.0, 0.0
-    kilobytes = (size + HEAD_BYTES) / 1000.0
+    kilobytes = (size + HTTP_HEAD_BYTES) / 1000.0
     if member.region == location.region:
         return OTHER_DC_RTT_MS, OTHER_DC_COST_PER_KB * kilobytes
     return OTHER_REGION_RTT_MS, OTHER_REGION_COST_PER_KB * kilobytes
@@ -214,7 +214,7 @@
     """
     best = None
     best_value = 0.0
-    goal_ms = (requirements.goal_at - now) * 1000.0
+    objective_ms = (requirements.objective_at - now) * 1000.0
     for index, candidate in enumerate(candidates):
         if not candidate.reachable or not candidate.report.accepting:
             continue
@@ -224,7 +224,7 @@
             location, candidate.member, requirements.size
         )
         expected_ms = candidate.expected_ms(now) + round_trip_ms
-        on_time = on_time_probability(goal_ms, expected_ms)
+        on_time = on_time_probability(objective_ms, expected_ms)
         value = on_time + LATE_VALUE * (1.0 - on_time)
         value = value * candidate.success_rate(now) - cost
         # If all are far too late, the probabilities are equal and the fastest wins.
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -64,7 +64,7 @@
     """Where a node listens, as `ScriptedTarget.send_heartbeat` asks for it."""
 
     callers_addr: tuple[str, int]
-    reports_addr: tuple[str, int]
+    heartbeats_addr: tuple[str, int]
 
 
 class NodeProcess:
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -10,8 +10,8 @@
 import pytest
 
 from pimentoline.platform.configuration import CONFIG_ROW, parse_configuration
-from pimentoline.platform.header_names import DIALECT
-from pimentoline.platform.report_server import ReportServer
+from pimentoline.platform.header_names import HEADER_NAMES
+from pimentoline.platform.heartbeat_server import HeartbeatServer
 from pimentoline.platform.store import PlatformStore
 from pimentoline.twohop.frames import CallFrame
 from pimentoline.twohop.model import RetryLimits
@@ -93,12 +93,12 @@
         """Start a node with given settings."""
         node = HostNode(
             cfg,
-            DIALECT,
+            HEADER_NAMES,
             parse_configuration,
             lambda pool: PlatformStore(self.store.addr, pool),
             CONFIG_ROW,
-            ReportServer,
-            ReportServer,
+            HeartbeatServer,
+            HeartbeatServer,
         )
         self.nodes.append(node)
         await node.start()
@@ -742,7 +742,9 @@
 async def test_changed_settings_apply_without_a_restart(cluster):
     """Guards against settings that only take effect after a restart."""
     caller_node, _, _ = await start_pair(cluster)
-    changed = replace(caller_node.cfg, grace_s=9.0, repeats=RetryLimits(0.0, 10.0, 0))
+    changed = replace(
+        caller_node.cfg, grace_s=9.0, retry_limits=RetryLimits(0.0, 10.0, 0)
+    )
     caller_node.reload(changed)
     assert caller_node.cfg == changed
     assert not caller_node.caller_side.acquire_retry(LEDGER, time.monotonic())
