--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load generator, experiments and reports."""
+"""Load tests of the load balancer: load generator, experiments and reports."""
--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -1,9 +1,9 @@
-"""Time and processor time that a node adds to a call.
+"""Measures the latency and the CPU time that a node adds to a call.
 
-A direct connection, a bare `IOStream` relay and a node are measured in turn, several
-times within one run, so that a change of the machine's load meets all three. Calls
-are sent at fixed intervals on kept connections; the time runs from the write of the
-request to the last byte of the answer.
+A direct connection, a plain `IOStream` relay and a node are measured in turn, several
+times within one run, so that a change in the machine's load affects all three. Calls
+are sent at fixed intervals over persistent connections. The latency of a call runs
+from writing the request to the last byte of the response.
 
 Usage: `python -m bench.added_time [--rounds=5] [--seconds=2] [--json]`.
 """
@@ -25,175 +25,184 @@
 
 from standins.cluster import Cluster, http, wait_until
 
-RATES = (150, 400)
-SIZES = (512, 64 * 1024)
+RATES_PER_S = (150, 400)
+# Response body sizes in bytes.
+BODY_SIZES = (512, 64 * 1024)
 MODES = ("direct", "relay", "node")
-LIMIT_MS = 0.81
-RENEW_S = 1.0
+MAX_ADDED_P99_MS = 0.81
+ANNOUNCE_INTERVAL_S = 1.0
 WARM_UP_CALLS = 100
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 REQUEST = b"GET /?size=%d HTTP/1.1\r\nHost: hive-ledger\r\nX-Run-Id: r\r\n\r\n"
 
 
 class Responder(asyncio.Protocol):
-    """A target that answers at once with the body size that the query names."""
+    """A target that responds at once with a body of the size given in the query."""
 
-    answers = {}
+    responses = {}
 
     def connection_made(self, transport):
-        """Keep the transport."""
+        """Store the transport."""
         self.transport = transport
         self.data = b""
 
     def data_received(self, data):
-        """Answer each complete request head."""
+        """Respond to each complete request header."""
         self.data += data
         while b"\r\n\r\n" in self.data:
-            head, _, self.data = self.data.partition(b"\r\n\r\n")
-            size = int(head.split(b" ", 2)[1].partition(b"size=")[2] or 0)
-            if size not in self.answers:
-                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
-                self.answers[size] = head + b"x" * size
-            self.transport.write(self.answers[size])
+            header, _, self.data = self.data.partition(b"\r\n\r\n")
+            size = int(header.split(b" ", 2)[1].partition(b"size=")[2] or 0)
+            if size not in self.responses:
+                header = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+                self.responses[size] = header + b"x" * size
+            self.transport.write(self.responses[size])
 
 
 class Relay(TCPServer):
-    """Copies bytes between a caller and the target, without reading them."""
+    """Copies bytes between a caller and the target without parsing them."""
 
-    def __init__(self, addr):
+    def __init__(self, target_addr):
         super().__init__()
-        self._addr = addr
+        self._target_addr = target_addr
 
     async def handle_stream(self, stream, address):
-        """Serve one connection."""
+        """Connect to the target and copy bytes in both directions."""
         target = IOStream(socket.socket())
-        await target.connect(self._addr)
+        await target.connect(self._target_addr)
         stream.set_nodelay(True)
         target.set_nodelay(True)
         await asyncio.gather(self._copy(stream, target), self._copy(target, stream))
 
-    async def _copy(self, source, sink):
+    async def _copy(self, source, destination):
         try:
             while True:
-                await sink.write(await source.read_bytes(64 * 1024, partial=True))
+                await destination.write(
+                    await source.read_bytes(64 * 1024, partial=True)
+                )
         except StreamClosedError:
-            sink.close()
+            destination.close()
 
 
 async def serve_responder():
-    """Serve as the target until the process is ended."""
+    """Run the target until the process is killed."""
     loop = asyncio.get_running_loop()
     server = await loop.create_server(Responder, "127.0.0.1", 0)
     print(json.dumps({"addr": server.sockets[0].getsockname()}), flush=True)
     await asyncio.Event().wait()
 
 
-async def serve_relay(port):
-    """Serve as the relay until the process is ended."""
+async def serve_relay(target_port):
+    """Run the relay to a local target port until the process is killed."""
     sockets = bind_sockets(0, "127.0.0.1")
-    Relay(("127.0.0.1", port)).add_sockets(sockets)
+    Relay(("127.0.0.1", target_port)).add_sockets(sockets)
     print(json.dumps({"addr": sockets[0].getsockname()}), flush=True)
     await asyncio.Event().wait()
 
 
-class Caller(asyncio.Protocol):
-    """A kept connection with at most one call in flight."""
+class CallerConnection(asyncio.Protocol):
+    """A persistent connection with at most one call in flight.
+
+    Adds itself to the list `idle` after each response.
+    """
 
     def __init__(self, idle, size):
         self.idle = idle
         self.size = size
-        self.done = None
+        self.on_response = None
 
     def connection_made(self, transport):
-        """Keep the transport."""
+        """Store the transport and disable Nagle's algorithm."""
         self.transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def send(self, done):
-        """Send a call and call `done(seconds)` at the end of the answer."""
-        self.done = done
-        self.head = b""
-        self.left = None
-        self.sent = time.perf_counter()
+    def send(self, on_response):
+        """Send a call; at the end of the response, call `on_response(latency_s)`."""
+        self.on_response = on_response
+        self.received = b""
+        self.remaining = None
+        self.sent_at = time.perf_counter()
         self.transport.write(REQUEST % self.size)
 
     def data_received(self, data):
-        """Count the answer."""
-        if self.left is None:
-            self.head += data
-            head, mark, body = self.head.partition(b"\r\n\r\n")
-            if not mark:
+        """Read part of the response; its end completes the call."""
+        if self.remaining is None:
+            self.received += data
+            header, separator, body = self.received.partition(b"\r\n\r\n")
+            if not separator:
                 return
-            assert head.startswith(b"HTTP/1.1 200"), head
-            self.left = self.size
+            assert header.startswith(b"HTTP/1.1 200"), header
+            self.remaining = self.size
             data = body
-        self.left -= len(data)
-        if self.left == 0:
+        self.remaining -= len(data)
+        if self.remaining == 0:
             self.idle.append(self)
-            self.done(time.perf_counter() - self.sent)
+            self.on_response(time.perf_counter() - self.sent_at)
 
 
-async def load(addr, rate, size, count):
-    """Send `count` calls at a rate; return their times in seconds."""
+async def send_calls(addr, rate, size, count):
+    """Send `count` calls at `rate` per second; return their latencies in seconds."""
     loop = asyncio.get_running_loop()
-    idle, times = deque(), []
+    idle, latencies = deque(), []
     finished = asyncio.Event()
 
-    def done(seconds):
-        times.append(seconds)
-        if len(times) == count:
+    def on_response(latency_s):
+        latencies.append(latency_s)
+        if len(latencies) == count:
             finished.set()
 
-    begin = loop.time()
+    started_at = loop.time()
     for number in range(count):
-        await asyncio.sleep(max(0.0, begin + number / rate - loop.time()))
+        await asyncio.sleep(max(0.0, started_at + number / rate - loop.time()))
         if not idle:
-            _, caller = await loop.create_connection(lambda: Caller(idle, size), *addr)
+            _, connection = await loop.create_connection(
+                lambda: CallerConnection(idle, size), *addr
+            )
         else:
-            caller = idle.pop()
-        caller.send(done)
+            connection = idle.pop()
+        connection.send(on_response)
     await asyncio.wait_for(finished.wait(), 10.0)
-    for caller in idle:
-        caller.transport.close()
-    return times
+    for connection in idle:
+        connection.transport.close()
+    return latencies
 
 
-def processor_s(process):
-    """Return the processor time that a process has used, seconds."""
+def cpu_time_s(process):
+    """Return the CPU time that a process has used so far, in seconds."""
     with open(f"/proc/{process.popen.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
+    # User and system time.
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
 def measure(addrs, processes, rate, size, rounds, seconds):
-    """Return p50 and p99 in ms and processor time per call in us, by mode."""
+    """Return by mode the p50 and p99 in ms and the CPU time per call in us."""
     histograms = {mode: HdrHistogram(1, 10_000_000, 3) for mode in MODES}
-    used = dict.fromkeys(MODES, 0.0)
+    cpu_s = dict.fromkeys(MODES, 0.0)
     count = int(rate * seconds)
     for mode in MODES:
-        asyncio.run(load(addrs[mode], rate, size, WARM_UP_CALLS))
+        asyncio.run(send_calls(addrs[mode], rate, size, WARM_UP_CALLS))
     for number in range(rounds):
-        # The order turns, so that no mode always follows the same other one.
+        # The order rotates, so that no mode always runs after the same other one.
         for mode in MODES[number % 3 :] + MODES[: number % 3]:
             process = processes.get(mode)
-            before = processor_s(process) if process else 0.0
-            for value in asyncio.run(load(addrs[mode], rate, size, count)):
-                histograms[mode].record_value(int(value * 1e6))
+            cpu_before_s = cpu_time_s(process) if process else 0.0
+            for latency_s in asyncio.run(send_calls(addrs[mode], rate, size, count)):
+                histograms[mode].record_value(int(latency_s * 1e6))
             if process:
-                used[mode] += processor_s(process) - before
+                cpu_s[mode] += cpu_time_s(process) - cpu_before_s
     return {
         mode: {
             "p50_ms": histograms[mode].get_value_at_percentile(50) / 1000,
             "p99_ms": histograms[mode].get_value_at_percentile(99) / 1000,
-            "processor_us": 1e6 * used[mode] / (count * rounds),
+            "processor_us": 1e6 * cpu_s[mode] / (count * rounds),
         }
         for mode in MODES
     }
 
 
-def run(rounds, seconds, rates=RATES, sizes=SIZES):
-    """Measure every rate and size; return a list of results."""
+def run(rounds, seconds, rates=RATES_PER_S, sizes=BODY_SIZES):
+    """Measure every combination of rate and body size; return a list of results."""
     cluster, stopped = Cluster(), threading.Event()
     try:
         responder = cluster.start("bench.added_time", "--role=responder")
@@ -202,10 +211,10 @@
             "bench.added_time", "--role=relay", f"--target_port={port}"
         )
         node = cluster.start_node("n1")
-        renewal = threading.Thread(
+        announcer = threading.Thread(
             target=announce, args=(cluster, responder.info["addr"], stopped)
         )
-        renewal.start()
+        announcer.start()
         url = "http://{}:{}/?size=1".format(*node.info["data"])
         wait_until(lambda: http(url, headers={"Host": "hive-ledger"})[0] == 200)
         addrs = {
@@ -229,40 +238,44 @@
 
 
 def announce(cluster, addr, stopped):
-    """Announce the responder to the node every second."""
+    """Announce the responder to the node every second until `stopped` is set."""
     body = {"service": "hive-ledger", "addr": addr}
     while not stopped.is_set():
         try:
             cluster.admin("n1", "/v1/targets/t1", "PUT", body)
         except OSError:
             return
-        stopped.wait(RENEW_S)
-
-
-def report(results):
-    """Print one line for each result and return whether the limit holds."""
-    head = "rate  size   " + "".join(f"{mode:>9} p50   p99" for mode in MODES)
-    print(head + "   added p99  node/relay   us/call relay  node")
-    good = True
-    for res in results:
-        times = "".join(
-            f"{res[mode]['p50_ms']:13.3f}{res[mode]['p99_ms']:6.2f}" for mode in MODES
+        stopped.wait(ANNOUNCE_INTERVAL_S)
+
+
+def print_report(results):
+    """Print one line per result; return whether the added p99 is within the limit."""
+    header = "rate  size   " + "".join(f"{mode:>9} p50   p99" for mode in MODES)
+    print(header + "   added p99  node/relay   us/call relay  node")
+    within_limit = True
+    for result in results:
+        latencies = "".join(
+            f"{result[mode]['p50_ms']:13.3f}{result[mode]['p99_ms']:6.2f}"
+            for mode in MODES
         )
-        added = res["node"]["p99_ms"] - res["direct"]["p99_ms"]
-        ratio = res["node"]["p50_ms"] / res["relay"]["p50_ms"]
-        used = [res[mode]["processor_us"] for mode in ("relay", "node")]
-        good = good and added <= LIMIT_MS
+        added_ms = result["node"]["p99_ms"] - result["direct"]["p99_ms"]
+        ratio = result["node"]["p50_ms"] / result["relay"]["p50_ms"]
+        cpu_us = [result[mode]["processor_us"] for mode in ("relay", "node")]
+        within_limit = within_limit and added_ms <= MAX_ADDED_P99_MS
         print(
-            f"{res['rate']:4} {res['size']:6} {times} {added:10.2f} {ratio:11.2f}"
-            f" {used[0]:15.0f} {used[1]:5.0f}"
+            f"{result['rate']:4} {result['size']:6} {latencies} {added_ms:10.2f}"
+            f" {ratio:11.2f} {cpu_us[0]:15.0f} {cpu_us[1]:5.0f}"
         )
-    verdict = "within" if good else "above"
-    print(f"added p99 {verdict} the limit of {LIMIT_MS} ms; load {os.getloadavg()}")
-    return good
+    relation = "within" if within_limit else "above"
+    print(
+        f"added p99 {relation} the limit of {MAX_ADDED_P99_MS} ms; "
+        f"load average {os.getloadavg()}"
+    )
+    return within_limit
 
 
 def main(argv):
-    """Run a role, or the measurement."""
+    """Run the measurement, or one of its processes if `--role` is given."""
     args = flags.FLAGS
     if args.role == "responder":
         asyncio.run(serve_responder())
@@ -272,13 +285,15 @@
         results = run(args.rounds, args.seconds)
         if args.json:
             print(json.dumps(results))
-        return 0 if report(results) else 1
+        return 0 if print_report(results) else 1
 
 
 if __name__ == "__main__":
-    flags.DEFINE_enum("role", "", ["", "responder", "relay"], "Part to play.")
+    flags.DEFINE_enum(
+        "role", "", ["", "responder", "relay"], "Process to run; empty for all."
+    )
     flags.DEFINE_integer("target_port", 0, "Port of the responder, for the relay.")
-    flags.DEFINE_integer("rounds", 5, "Rounds; each measures all modes in turn.")
-    flags.DEFINE_float("seconds", 2.0, "Length of one measurement in a round.")
+    flags.DEFINE_integer("rounds", 5, "Rounds; each measures every mode once.")
+    flags.DEFINE_float("seconds", 2.0, "Duration of one measurement.")
     flags.DEFINE_bool("json", False, "Print the results as JSON as well.")
     sys.exit(app.run(main))
--- a/bench/burst.py
+++ b/bench/burst.py
@@ -1,10 +1,10 @@
-"""Bytes that one node sends when it hears that many members died at once.
+"""Measures the gossip that one node sends when many members fail at once.
 
-Run: `python -m bench.burst`. The node's reducer holds 720 members; the records of a
-rack (20 nodes) or a data centre (120 nodes) arrive as dead, then ticks follow every
-200 ms.
-Bytes are payload before the split into datagrams, for all peers of a push. No peer
-answers the pings here, so the suspicions of this node itself are in the figures.
+Run: `python -m bench.burst`. The node's state holds 720 members. Records that mark a
+rack (20 nodes) or a data centre (120 nodes) as dead arrive, then ticks follow every
+200 ms. A message counts with the bytes of its payload, before it is split into
+datagrams, once for each peer that it is sent to. No peer answers the node's pings, so
+the figures include gossip about members that the node itself suspects.
 """
 
 from dataclasses import replace
@@ -19,14 +19,14 @@
 
 from .reduce_cost import make_state
 
-FAILURES = {"rack": 20, "data centre": 120}
+FAILED_NODES = {"rack": 20, "data centre": 120}
 TICK_S = 0.2
-ROUNDS = 25
-QUIET_ROUNDS = 400
+MEASURED_TICKS = 25
+SETTLING_TICKS = 400
 
 
-def encoded_bytes(codec, state, effects):
-    """Return the bytes of the rumours that the effects send."""
+def gossip_bytes(codec, state, effects):
+    """Return the number of gossip bytes that the effects send."""
     total = 0
     for effect in effects:
         if isinstance(effect, SendMessage) and isinstance(effect.body, Gossip):
@@ -35,45 +35,53 @@
     return total
 
 
-def settled_state(codec):
-    """Return a state whose rumours of the start have been sent, and its time."""
+def make_settled_state(codec):
+    """Return a state that has sent its initial gossip, and the time of that state."""
     state, now = make_state("hot-cold"), 0.0
-    for number in range(QUIET_ROUNDS):
+    for tick in range(SETTLING_TICKS):
         now += TICK_S
-        step = reduce(state, ev.Tick(now, mix(number, 1)))
+        step = reduce(state, ev.Tick(now, mix(tick, 1)))
         state = step.state
     return state, now
 
 
 def measure(count):
-    """Return the bytes sent in each round after `count` members died."""
+    """Return the bytes sent at each tick, starting with the news of `count` deaths."""
     codec = Codec([b"key"])
-    state, now = settled_state(codec)
+    state, now = make_settled_state(codec)
     names = sorted(state.mesh.members)[1 : count + 1]
-    dead = tuple(
+    dead_records = tuple(
         replace(state.mesh.members[name], status=MemberStatus.DEAD) for name in names
     )
-    step = reduce(state, ev.MembersReceived(now, dead))
-    sent = [encoded_bytes(codec, state, step.effects)]
+    step = reduce(state, ev.MembersReceived(now, dead_records))
+    sent_bytes = [gossip_bytes(codec, state, step.effects)]
     state = step.state
-    for number in range(ROUNDS):
+    for tick in range(MEASURED_TICKS):
         now += TICK_S
-        step = reduce(state, ev.Tick(now, mix(number, 2)))
+        step = reduce(state, ev.Tick(now, mix(tick, 2)))
         state = step.state
-        sent.append(encoded_bytes(codec, state, step.effects))
-    return sent
+        sent_bytes.append(gossip_bytes(codec, state, step.effects))
+    return sent_bytes
 
 
 def main():
-    """Print one row for each failure."""
-    per_s = round(1 / TICK_S)
-    print(f"| failure | nodes | sent in {ROUNDS * TICK_S:.0f} s, KB | highest KB/s |")
+    """Print one table row for each kind of failure."""
+    ticks_per_s = round(1 / TICK_S)
+    print(
+        f"| failure | nodes | sent in {MEASURED_TICKS * TICK_S:.0f} s, KB "
+        "| highest KB/s |"
+    )
     print("| --- | --- | --- | --- |")
-    for name, count in FAILURES.items():
-        sent = measure(count)
-        seconds = [sum(sent[i : i + per_s]) for i in range(len(sent) - per_s + 1)]
+    for name, count in FAILED_NODES.items():
+        sent_bytes = measure(count)
+        # Sums over each period of one second.
+        bytes_per_s = [
+            sum(sent_bytes[i : i + ticks_per_s])
+            for i in range(len(sent_bytes) - ticks_per_s + 1)
+        ]
         print(
-            f"| {name} | {count} | {sum(sent) / 1000:.0f} | {max(seconds) / 1000:.0f} |"
+            f"| {name} | {count} | {sum(sent_bytes) / 1000:.0f} "
+            f"| {max(bytes_per_s) / 1000:.0f} |"
         )
 
 
