Reword the capacity benchmark

Cause: figurative and short names for the simulated members and the three parts. Change: wording and names only; table headings are unchanged.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,8 +1,9 @@
-"""Control-plane cost of a node against the number of members.
+"""Measures the control-plane cost of a node against the number of members.
 
-One part feeds a real node with generated records of many members, whose pings,
-synchronisations and rumours this process sends and answers. The other part runs
-real nodes. The third passes messages between reducer states in model time.
+The first part runs one real node; this process simulates all other members, which
+send it pings, synchronisations and gossip and respond to its messages. The second part
+runs real nodes only. The third passes messages between reducer states in simulated
+time.
 
 Run: `python -m bench.capacity > FILE`; it prints Markdown.
 """
@@ -27,39 +28,49 @@
 from standins.cluster import Cluster, http, wait_until
 from tests.simulated_network import make_network
 
-from .reduce_cost import PLACES
+from .reduce_cost import LOCATIONS
 
 SEED = 7
-MEMBERS = (90, 180, 360, 720)
-NODES = (6, 12, 24, 48)
-# One synchronisation of each direction falls into each interval.
-FED_REST_S = 60.0
-FED_RESTARTS_S = 40.0
-NODES_REST_S = 30.0
-NODES_RESTARTS_S = 24.0
+# Sizes of the mesh with simulated members, and of the mesh of real nodes.
+MEMBER_COUNTS = (90, 180, 360, 720)
+NODE_COUNTS = (6, 12, 24, 48)
+# Each part is measured at rest, when no member restarts, and then with restarts. With
+# simulated members, each of the two periods contains one synchronisation in each
+# direction.
+SIMULATED_REST_S = 60.0
+SIMULATED_RESTARTS_S = 40.0
+REAL_REST_S = 30.0
+REAL_RESTARTS_S = 24.0
+# The extra cost of restarts is scaled to this number of restarts in the whole mesh.
 RESTARTS_PER_DAY = 110
-FED_RESTARTS_PER_S = 1.0
-NODE_RESTART_GAP_S = 4.0
+SIMULATED_RESTARTS_PER_S = 1.0
+REAL_RESTART_INTERVAL_S = 4.0
 RULES_TEXT = "pause nobody  # asked by Wanjiru\n"
 
 
 class Sample:
-    """Processor time in seconds, and the bytes counted by a node."""
+    """CPU time and mesh traffic of a node up to one moment."""
 
     def __init__(self, pid, counters):
         with open(f"/proc/{pid}/schedstat") as file:
             self.cpu_s = int(file.read().split()[0]) / 1e9
         self.bytes_sent = counters.get("mesh.bytes_sent", 0)
         self.bytes_received = counters.get("mesh.bytes_received", 0)
-        self.at = time.monotonic()
+        self.taken_at = time.monotonic()
 
     def rates(self, before):
-        """Return (share of a core in %, bytes/s sent, bytes/s received)."""
-        took_s = self.at - before.at
+        """Return the mean rates since an earlier sample.
+
+        Returns
+        -------
+        tuple of float
+            Share of a core in %, bytes/s sent and bytes/s received.
+        """
+        elapsed_s = self.taken_at - before.taken_at
         return (
-            100.0 * (self.cpu_s - before.cpu_s) / took_s,
-            (self.bytes_sent - before.bytes_sent) / took_s,
-            (self.bytes_received - before.bytes_received) / took_s,
+            100.0 * (self.cpu_s - before.cpu_s) / elapsed_s,
+            (self.bytes_sent - before.bytes_sent) / elapsed_s,
+            (self.bytes_received - before.bytes_received) / elapsed_s,
         )
 
 
@@ -70,154 +81,169 @@
     return int(line.split()[1]) / 1024
 
 
-def sample(cluster, name):
-    """Return the `Sample` of a node."""
+def take_sample(cluster, name):
+    """Return a `Sample` of a node."""
     counters = cluster.admin(name, "/v1/status")[1]["counters"]
     return Sample(cluster.nodes[name].popen.pid, counters)
 
 
-class Feeder:
-    """Plays all members but one; every one of them has this process's address."""
+class SimulatedMembers:
+    """Simulates all members but one; they share the address of this process."""
 
     def __init__(self, count, seed):
-        self.rand = random.Random(seed)
+        self.rng = random.Random(seed)
         self.mesh = MeshTransport(
             Codec([b"test-key"]), self.on_message, lambda exc: None
         )
         self.addr = self.mesh.bind_addr(("127.0.0.1", 0))
         self.now = time.monotonic
-        me = Identity("m0", "m0", *PLACES[0], self.addr, self.addr, 1)
-        self.state = with_records(State(me), [self.record(i) for i in range(count)])
+        identity = Identity("m0", "m0", *LOCATIONS[0], self.addr, self.addr, 1)
+        self.state = with_records(
+            State(identity), [self.make_record(i) for i in range(count)]
+        )
         self.count = count
 
-    def record(self, number):
-        """Return the record of a generated member with its target."""
-        region, dc = PLACES[number % len(PLACES)]
+    def make_record(self, number):
+        """Return the record of a simulated member, which has one target."""
+        region, dc = LOCATIONS[number % len(LOCATIONS)]
         target = Target(f"t{number}", f"s{number % 89}", ("127.0.0.1", 9), region, dc)
         name = f"m{number}"
         return Member(
             name, name, self.addr, region, dc, 1764844800000, 1, targets=(target,)
         )
 
-    def message(self, body):
-        """Return a message of some member."""
-        name = f"m{self.rand.randrange(self.count)}"
+    def make_message(self, body):
+        """Return a message with a randomly chosen member as its sender."""
+        name = f"m{self.rng.randrange(self.count)}"
         return Message(name, 1, 0, body, 0, True)
 
     def on_message(self, message, addr=None):
-        """Answer pings and synchronisations; keep the node's records."""
+        """Respond to pings and synchronisations; store the node's own record."""
         match message.body:
-            case Ping(ping_id, relay):
-                self.mesh.send((addr,), self.message(Ack(ping_id, relay)))
+            case Ping(ping_id, requester):
+                self.mesh.send((addr,), self.make_message(Ack(ping_id, requester)))
             case SyncRequest():
-                return self.message(sync_reply(self.state, message.body, self.now()))
+                return self.make_message(
+                    sync_reply(self.state, message.body, self.now())
+                )
             case Gossip(records):
                 own = [r for r in records if r.node_id == message.sender]
                 self.state = with_records(self.state, own)
-                return self.message(SyncReply((), ())) if addr is None else None
+                return self.make_message(SyncReply((), ())) if addr is None else None
         return None
 
-    async def load(self, node_addr, restarts_per_s, seconds):
-        """Send what one node of such a mesh receives, for a while."""
+    async def send_traffic(self, node_addr, restarts_per_s, seconds):
+        """Send for `seconds` what one node of a mesh of this size receives."""
         end = self.now() + seconds
-        later = []
+        pending = []
         for second in itertools.count():
             if self.now() >= end:
                 return
-            self.mesh.send((node_addr,), self.message(Ping(self.rand.getrandbits(60))))
+            self.mesh.send(
+                (node_addr,), self.make_message(Ping(self.rng.getrandbits(60)))
+            )
+            # Synchronises once: in the middle of the interval, or after 5 s if the
+            # period is shorter than the interval.
             if (
                 second == SYNC_INTERVAL_S / 2
                 or seconds < SYNC_INTERVAL_S
                 and second == 5
             ):
                 request = SyncRequest(digests(self.state.mesh.members))
-                await self.mesh.send_request(node_addr, self.message(request))
+                await self.mesh.send_request(node_addr, self.make_message(request))
             for _ in range(int(restarts_per_s)):
-                later.extend(self.restart())
-            # A rumour reaches a node as often as a node sends it, in about 2 s.
-            for copy in [item for item in later if self.rand.random() < 0.5]:
-                later.remove(copy)
-                self.mesh.send((node_addr,), self.message(copy))
+                pending.extend(self.restart_member())
+            # A node receives each gossip message as often as a node sends it, spread
+            # over about 2 s.
+            for message_body in [item for item in pending if self.rng.random() < 0.5]:
+                pending.remove(message_body)
+                self.mesh.send((node_addr,), self.make_message(message_body))
             await asyncio.sleep(1.0)
 
-    def restart(self):
-        """Change the record of a member as a restart does; return the datagrams."""
-        name = f"m{self.rand.randrange(1, self.count)}"
-        held = self.state.mesh.members[name]
-        starting = replace(held, incarnation=held.incarnation + 1000, seq=1, targets=())
+    def restart_member(self):
+        """Update a member's record as a restart does; yield the gossip to send."""
+        name = f"m{self.rng.randrange(1, self.count)}"
+        current = self.state.mesh.members[name]
+        starting = replace(
+            current, incarnation=current.incarnation + 1000, seq=1, targets=()
+        )
         changes = (
-            replace(held, status=MemberStatus.LEAVING, seq=held.seq + 1),
+            replace(current, status=MemberStatus.LEAVING, seq=current.seq + 1),
             starting,
-            replace(starting, seq=2, targets=held.targets),
+            replace(starting, seq=2, targets=current.targets),
         )
         for record in changes:
             self.state = with_records(self.state, [record], self.now())
             yield from [Gossip((record,))] * (GOSSIP_SENDS * GOSSIP_FANOUT)
 
 
-async def run_fed(count, cluster):
-    """Measure one node that holds `count` members; return a table row."""
+async def measure_with_simulated_members(count, cluster):
+    """Measure one real node in a mesh of `count` members; return a table row."""
     loop = asyncio.get_running_loop()
-    feeder = Feeder(count, SEED)
-    seeds = "{}:{}".format(*feeder.addr)
+    members = SimulatedMembers(count, SEED)
+    seeds = "{}:{}".format(*members.addr)
     node = await loop.run_in_executor(
         None, lambda: cluster.start_node(f"fed{count}", seeds=seeds)
     )
     addr = tuple(node.info["mesh"])
     name = f"fed{count}"
-    await feeder.load(addr, 0, 5.0)
-    points = [sample(cluster, name)]
+    await members.send_traffic(addr, 0, 5.0)
+    samples = [take_sample(cluster, name)]
     for restarts_per_s, seconds in (
-        (0, FED_REST_S),
-        (FED_RESTARTS_PER_S, FED_RESTARTS_S),
+        (0, SIMULATED_REST_S),
+        (SIMULATED_RESTARTS_PER_S, SIMULATED_RESTARTS_S),
     ):
-        await feeder.load(addr, restarts_per_s, seconds)
-        points.append(await loop.run_in_executor(None, sample, cluster, name))
-    members = cluster.admin(name, "/v1/status")[1]["members"]
-    rest, busy = points[1].rates(points[0]), points[2].rates(points[1])
-    share = RESTARTS_PER_DAY / 86400 / FED_RESTARTS_PER_S
-    scaled = [a + max(0.0, b - a) * share for a, b in zip(rest, busy)]
-    return (count, members, rest, busy, scaled, memory_mb(node.popen.pid))
+        await members.send_traffic(addr, restarts_per_s, seconds)
+        samples.append(await loop.run_in_executor(None, take_sample, cluster, name))
+    member_count = cluster.admin(name, "/v1/status")[1]["members"]
+    at_rest, restarting = samples[1].rates(samples[0]), samples[2].rates(samples[1])
+    restart_ratio = RESTARTS_PER_DAY / 86400 / SIMULATED_RESTARTS_PER_S
+    scaled = [a + max(0.0, b - a) * restart_ratio for a, b in zip(at_rest, restarting)]
+    return (count, member_count, at_rest, restarting, scaled, memory_mb(node.popen.pid))
 
 
-async def run_all_fed():
-    """Measure all member counts at the same time."""
+async def measure_all_simulated():
+    """Measure all mesh sizes with simulated members in parallel."""
     cluster = Cluster()
     try:
-        return await asyncio.gather(*(run_fed(count, cluster) for count in MEMBERS))
+        return await asyncio.gather(
+            *(measure_with_simulated_members(count, cluster) for count in MEMBER_COUNTS)
+        )
     finally:
         cluster.close()
 
 
-def spread_s(cluster, names, known):
-    """Return the seconds until `known(name)` has been true at each node."""
-    begin = time.monotonic()
+def propagation_s(cluster, names, is_known):
+    """Return the seconds until `is_known(name)` has been true at each node."""
+    started_at = time.monotonic()
 
     def wait(name):
-        wait_until(lambda: known(name), 15, name)
-        return time.monotonic() - begin
+        wait_until(lambda: is_known(name), 15, name)
+        return time.monotonic() - started_at
 
     with ThreadPoolExecutor(8) as pool:
         return max(pool.map(wait, names))
 
 
-def store_counts(cluster):
-    """Return (reads, writes) of the table service."""
-    answer = json.loads(http(f"{cluster.table_url}/faults")[2])
-    return answer["reads"], answer["writes"]
+def store_request_counts(cluster):
+    """Return the numbers of reads and writes at the table service."""
+    response = json.loads(http(f"{cluster.table_url}/faults")[2])
+    return response["reads"], response["writes"]
 
 
-def run_nodes(count, rand):
-    """Measure `count` real nodes; return a table row as a dict."""
+def measure_real_nodes(count, rng):
+    """Measure a mesh of `count` real nodes; return a table row as a dict."""
     cluster = Cluster()
     try:
         cluster.start_table()
         names = [f"n{i}" for i in range(count)]
-        begin = time.monotonic()
+        started_at = time.monotonic()
         with ThreadPoolExecutor(count) as pool:
             list(
                 pool.map(
-                    lambda i: cluster.start_node(names[i], *PLACES[i % len(PLACES)]),
+                    lambda i: cluster.start_node(
+                        names[i], *LOCATIONS[i % len(LOCATIONS)]
+                    ),
                     range(count),
                 )
             )
@@ -227,114 +253,128 @@
 
         for name in names:
             wait_until(lambda: members(name) == count, 60, f"members at {name}")
-        row = {"nodes": count, "start_s": time.monotonic() - begin}
-        row["start_reads"], row["start_writes"] = store_counts(cluster)
+        row = {"nodes": count, "start_s": time.monotonic() - started_at}
+        row["start_reads"], row["start_writes"] = store_request_counts(cluster)
         cluster.start_target("t1", "n0")
         time.sleep(3.0)
-        row["rest"], reads, writes = interval(
-            cluster, names, lambda: time.sleep(NODES_REST_S)
+        row["rest"], reads, writes = measure_rates(
+            cluster, names, lambda: time.sleep(REAL_REST_S)
         )
         row["reads_per_s"], row["writes_per_s"] = (
-            reads / NODES_REST_S,
-            writes / NODES_REST_S,
+            reads / REAL_REST_S,
+            writes / REAL_REST_S,
         )
         row["memory"] = statistics.mean(
             memory_mb(cluster.nodes[name].popen.pid) for name in names
         )
         body = {"base": 0, "text": RULES_TEXT, "author": "otieno"}
         body["attempt"] = f"capacity-{count}"
-        answer = cluster.admin("n1", "/v1/config", "POST", body)[1]
-        assert answer["result"] == "accepted", answer
+        response = cluster.admin("n1", "/v1/config", "POST", body)[1]
+        assert response["result"] == "accepted", response
 
         def has_rules(name):
             return cluster.admin(name, "/v1/status")[1]["rules"]["version"] == 1
 
-        row["config_s"] = spread_s(cluster, names, has_rules)
+        row["config_s"] = propagation_s(cluster, names, has_rules)
         cluster.admin("n0", "/v1/targets/t1/drain", "POST", {})
 
-        def knows_drain(name):
+        def has_drain(name):
             return '"draining"' in str(cluster.admin(name, "/v1/mesh")[1]).replace(
                 "'", '"'
             )
 
-        row["drain_s"] = spread_s(cluster, names, knows_drain)
-        victims = rand.sample(
-            names[1:], min(count // 2, int(NODES_RESTARTS_S / NODE_RESTART_GAP_S))
+        row["drain_s"] = propagation_s(cluster, names, has_drain)
+        restarted = rng.sample(
+            names[1:], min(count // 2, int(REAL_RESTARTS_S / REAL_RESTART_INTERVAL_S))
         )
-        kept = [name for name in names if name not in victims]
+        survivors = [name for name in names if name not in restarted]
 
-        def restart_some():
-            for number, name in enumerate(victims):
+        def restart_nodes():
+            for number, name in enumerate(restarted):
                 cluster.nodes[name].kill()
-                region, dc = PLACES[names.index(name) % len(PLACES)]
+                region, dc = LOCATIONS[names.index(name) % len(LOCATIONS)]
                 cluster.start_node(f"{name}-{number}", region, dc, host=name)
-                time.sleep(NODE_RESTART_GAP_S)
+                time.sleep(REAL_RESTART_INTERVAL_S)
 
-        begin = time.monotonic()
-        row["busy"], _, _ = interval(cluster, kept, restart_some)
-        row["restarts_per_s"] = len(victims) / (time.monotonic() - begin)
-        share = RESTARTS_PER_DAY / 86400 / row["restarts_per_s"]
+        started_at = time.monotonic()
+        row["busy"], _, _ = measure_rates(cluster, survivors, restart_nodes)
+        row["restarts_per_s"] = len(restarted) / (time.monotonic() - started_at)
+        restart_ratio = RESTARTS_PER_DAY / 86400 / row["restarts_per_s"]
         row["scaled"] = [
-            a + max(0.0, b - a) * share for a, b in zip(row["rest"], row["busy"])
+            a + max(0.0, b - a) * restart_ratio
+            for a, b in zip(row["rest"], row["busy"])
         ]
         return row
     finally:
         cluster.close()
 
 
-def interval(cluster, names, work):
-    """Return the mean rates of nodes while `work` runs, and store reads and writes."""
-    reads, writes = store_counts(cluster)
-    before = {name: sample(cluster, name) for name in names}
+def measure_rates(cluster, names, work):
+    """Return what the nodes use while `work()` runs.
+
+    Returns
+    -------
+    tuple
+        The rates of `Sample.rates` as means over the nodes, and the numbers of reads
+        and writes at the table service.
+    """
+    reads, writes = store_request_counts(cluster)
+    before = {name: take_sample(cluster, name) for name in names}
     work()
-    rates = [sample(cluster, name).rates(before[name]) for name in names]
-    after_reads, after_writes = store_counts(cluster)
+    rates = [take_sample(cluster, name).rates(before[name]) for name in names]
+    after_reads, after_writes = store_request_counts(cluster)
     means = [statistics.mean(column) for column in zip(*rates)]
     return means, after_reads - reads, after_writes - writes
 
 
-def run_model(count):
-    """Return the spread times of a drain and of a configuration in model time."""
-    fabric = make_network(count, SEED, loss=0.01)
-    fabric.run(8)
-    fabric.announce("n1", "t1")
-    fabric.run(2.5)
-    fabric.announce("n1", "t1")
-    begin = fabric.now
-    fabric.dispatch("n1", ev.TargetDrained(fabric.now, "t1"))
-    states = fabric.states
-
-    def drained():
-        return all(fabric.routes(name).get("t1") == "draining" for name in states)
-
-    drain_s = fabric.run(10, drained) - begin
-    begin = fabric.now
+def simulate_propagation(count):
+    """Simulate how a drain and a configuration spread to all nodes.
+
+    Returns
+    -------
+    tuple
+        Number of nodes, and the times for the drain and for the configuration,
+        seconds of simulated time.
+    """
+    network = make_network(count, SEED, loss=0.01)
+    network.run(8)
+    network.announce("n1", "t1")
+    network.run(2.5)
+    network.announce("n1", "t1")
+    started_at = network.now
+    network.dispatch("n1", ev.TargetDrained(network.now, "t1"))
+    states = network.states
+
+    def all_drained():
+        return all(network.routes(name).get("t1") == "draining" for name in states)
+
+    drain_s = network.run(10, all_drained) - started_at
+    started_at = network.now
     for name in ("n2", "n3", "n4", "n5"):
-        fabric.load_rules(name, 1)
-    in_force_s = (
-        fabric.run(10, lambda: all(s.rules.version == 1 for s in states.values()))
-        - begin
+        network.load_rules(name, 1)
+    config_s = (
+        network.run(10, lambda: all(s.rules.version == 1 for s in states.values()))
+        - started_at
     )
-    return count, drain_s, in_force_s
+    return count, drain_s, config_s
 
 
-def cells(rates):
-    """Return table cells of processor share, and bytes/s both ways."""
+def format_rates(rates):
+    """Return the three values of `Sample.rates` as table cells."""
     cpu, sent, received = rates
     return f"{cpu:.2f} | {sent:,.0f} | {received:,.0f}"
 
 
 def main():
-    """Run the three parts one after the other and print the tables."""
+    """Run the three parts one after the other and print their tables."""
     print(
         f"Command: `python -m bench.capacity`, seed {SEED}, {sys.version.split()[0]}.\n"
     )
+    print("One real node with simulated members (payload bytes, without IP headers);")
     print(
-        "One real node, fed with generated records (payload bytes, without IP headers);"
-    )
-    print(
-        f"rest {FED_REST_S:.0f} s, then {FED_RESTARTS_S:.0f} s with "
-        f"{FED_RESTARTS_PER_S:.0f} restart/s; scaled to {RESTARTS_PER_DAY} a day.\n"
+        f"rest {SIMULATED_REST_S:.0f} s, then {SIMULATED_RESTARTS_S:.0f} s with "
+        f"{SIMULATED_RESTARTS_PER_S:.0f} restart/s; "
+        f"scaled to {RESTARTS_PER_DAY} a day.\n"
     )
     print(
         "| members | held | rest: % core | sent B/s | received B/s "
@@ -342,15 +382,18 @@
         "| scaled: % core | sent B/s | received B/s | memory MB |"
     )
     print("|" + " --- |" * 12)
-    for count, held, rest, busy, scaled, memory in asyncio.run(run_all_fed()):
+    for count, known_members, at_rest, restarting, scaled, memory in asyncio.run(
+        measure_all_simulated()
+    ):
         print(
-            f"| {count} | {held} | {cells(rest)} | {cells(busy)} | {cells(scaled)} "
+            f"| {count} | {known_members} | {format_rates(at_rest)} "
+            f"| {format_rates(restarting)} | {format_rates(scaled)} "
             f"| {memory:.0f} |",
             flush=True,
         )
     print(
-        f"\nReal nodes; rest {NODES_REST_S:.0f} s; one node killed and replaced every "
-        f"{NODE_RESTART_GAP_S:.0f} s or more.\n"
+        f"\nReal nodes; rest {REAL_REST_S:.0f} s; one node killed and replaced every "
+        f"{REAL_RESTART_INTERVAL_S:.0f} s or more.\n"
     )
     print(
         "| nodes | all know all s | reads, writes at start | rest: % core | sent B/s "
@@ -358,22 +401,22 @@
         "| received B/s | memory MB | configuration s | drain s |"
     )
     print("|" + " --- |" * 14)
-    rand = random.Random(SEED)
-    for count in NODES:
-        row = run_nodes(count, rand)
+    rng = random.Random(SEED)
+    for count in NODE_COUNTS:
+        row = measure_real_nodes(count, rng)
         print(
             f"| {count} | {row['start_s']:.1f} | {row['start_reads']}, "
-            f"{row['start_writes']} | {cells(row['rest'])} "
+            f"{row['start_writes']} | {format_rates(row['rest'])} "
             f"| {row['reads_per_s']:.1f}, {row['writes_per_s']:.1f} "
-            f"| {row['restarts_per_s']:.2f} | {cells(row['scaled'])} "
+            f"| {row['restarts_per_s']:.2f} | {format_rates(row['scaled'])} "
             f"| {row['memory']:.0f} | {row['config_s']:.2f} | {row['drain_s']:.2f} |",
             flush=True,
         )
-    print("\nReducer states in model time, 1% loss, 0 to 40 ms a datagram.\n")
+    print("\nReducer states in simulated time, 1% loss, 0 to 40 ms per datagram.\n")
     print("| members | drain s | configuration s |")
     print("|" + " --- |" * 3)
-    for count in MEMBERS:
-        count, drain_s, config_s = run_model(count)
+    for count in MEMBER_COUNTS:
+        count, drain_s, config_s = simulate_propagation(count)
         print(f"| {count} | {drain_s:.2f} | {config_s:.2f} |", flush=True)
 
 
