Reword the bench: experiment file, generator, runner, goals and report

Cause: private terms such as cell, judge and ask, and constants without unit or meaning. Change: wording and names only; table headings, JSON and TOML keys are unchanged.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the experiment file and writes the report."""
+"""Runs the experiments of an experiment file and writes the report."""
 
 import concurrent.futures as cf
 import sys
@@ -15,25 +15,28 @@
 
 
 def main(argv):
-    """Run all sizes at the same time, each on processes of its own."""
+    """Run all sizes in parallel, each with processes of its own."""
     args = flags.FLAGS
-    exp = load_experiment(args.experiment, args.quick)
-    begin = time.monotonic()
-
-    def say(line):
-        print(f"{time.monotonic() - begin:6.1f} s  {line}", flush=True)
-
-    with cf.ThreadPoolExecutor(len(exp.sizes)) as pool:
-        runs = [pool.submit(run_size, exp, size, say) for size in exp.sizes]
-        cells = [cell for run in runs for cell in run.result()]
-    took_s = time.monotonic() - begin
+    experiment = load_experiment(args.experiment, args.quick)
+    started_at = time.monotonic()
+
+    def log_progress(line):
+        print(f"{time.monotonic() - started_at:6.1f} s  {line}", flush=True)
+
+    with cf.ThreadPoolExecutor(len(experiment.sizes)) as pool:
+        futures = [
+            pool.submit(run_size, experiment, size, log_progress)
+            for size in experiment.sizes
+        ]
+        results = [result for future in futures for result in future.result()]
+    elapsed_s = time.monotonic() - started_at
     command = " ".join(["python -m bench", *sys.argv[1:]])
-    path = write_report(exp, cells, Path(args.out), took_s, command)
-    say(f"wrote {path}")
+    path = write_report(experiment, results, Path(args.out), elapsed_s, command)
+    log_progress(f"wrote {path}")
 
 
 if __name__ == "__main__":
     flags.DEFINE_string("experiment", str(HERE / "experiment.toml"), "Experiment file.")
     flags.DEFINE_bool("quick", False, "Run the short form of the experiment.")
-    flags.DEFINE_string("out", "docs/bench", "Folder of the report.")
+    flags.DEFINE_string("out", "docs/bench", "Folder to write the report to.")
     app.run(main)
--- a/bench/config.py
+++ b/bench/config.py
@@ -1,4 +1,4 @@
-"""The experiment file: sizes, conditions, policies and seeds, validated."""
+"""Reads and validates the experiment file: sizes, conditions, policies and seeds."""
 
 import tomllib
 
@@ -9,14 +9,24 @@
 __all__ = ["Burst", "Condition", "Experiment", "Size", "load_experiment"]
 
 
-class Strict(BaseModel):
-    """Base of the tables of the file; unknown names are refused."""
+class StrictModel(BaseModel):
+    """Base of the tables of an experiment file; rejects unknown keys."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class Size(Strict):
-    """A user's deployment: one service, one node for each data centre."""
+class Size(StrictModel):
+    """A deployment to test, which has one service and one node per data centre.
+
+    Attributes
+    ----------
+    regions : dict
+        Names of the data centres, by region.
+    instances : int
+        Number of targets, spread over the data centres.
+    slots, connections : int
+        Requests that a target runs at once, and connections it holds.
+    """
 
     name: str
     service: str
@@ -27,25 +37,41 @@
 
     @property
     def dcs(self):
-        """(region, data centre) pairs in the order of the file."""
+        """Pairs (region, data centre), in the order of the file."""
         return [(region, dc) for region, dcs in self.regions.items() for dc in dcs]
 
 
-class Burst(Strict):
-    """A rate that is `factor` times higher for `length_s` from `at_s` on."""
+class Burst(StrictModel):
+    """Multiplies the call rate by `factor` for `length_s` seconds from `at_s` on."""
 
     at_s: float
     length_s: float
     factor: float
 
 
-class Condition(Strict):
-    """Load and faults of one experiment.
+class Condition(StrictModel):
+    """Load and faults under which each policy is measured.
 
-    `utilisation` is the offered load as a share of capacity, `queue` the bound of a
-    target's queue. `all_targets` holds faults of every target from the start,
-    `before` faults of the first `affected` targets from the start and `faults` those
-    from `at_s` on. With `lose_region` all processes of the last region stop at `at_s`.
+    Faults are those that `POST /faults` of `standins.target` accepts.
+
+    Attributes
+    ----------
+    mean_s, sigma : float
+        Parameters of the log-normal service time.
+    utilisation : float
+        Offered load as a share of capacity.
+    queue : int
+        Maximum length of a target's queue.
+    all_targets : dict
+        Faults of every target, from the start.
+    before : dict
+        Faults of the first `affected` targets, from the start.
+    faults : dict
+        Faults of the first `affected` targets, from `at_s` on.
+    at_s : float
+        Time at which `faults` or `lose_region` take effect, seconds.
+    lose_region : bool
+        Pause all processes of the last region at `at_s`.
     """
 
     name: str
@@ -62,8 +88,8 @@
     burst: Burst | None = None
 
 
-class Experiment(Strict):
-    """The whole experiment; `subject` is the policy compared with all others."""
+class Experiment(StrictModel):
+    """The whole file; `subject` is the policy that is compared with all others."""
 
     subject: str
     policies: tuple[str, ...]
@@ -83,13 +109,14 @@
 
 
 def load_experiment(path, quick=False):
-    """Read an experiment file.
+    """Return the `Experiment` of a file.
 
     Parameters
     ----------
     path : str or Path
     quick : bool
-        Apply the values of the table `quick`, with `conditions` and `sizes` as names.
+        Replace values by those of the table `quick`. Its keys `conditions` and `sizes`
+        list the names of those to keep.
 
     Returns
     -------
@@ -98,15 +125,15 @@
     Raises
     ------
     pydantic.ValidationError
-        Naming each value that is not allowed.
+        If values are invalid; it names each of them.
     """
     with open(path, "rb") as file:
         data = tomllib.load(file)
     if quick:
-        chosen = data.get("quick", {})
-        for name in ("conditions", "sizes"):
-            if name in chosen:
-                names = chosen.pop(name)
-                data[name] = [item for item in data[name] if item["name"] in names]
-        data |= chosen
+        overrides = data.get("quick", {})
+        for key in ("conditions", "sizes"):
+            if key in overrides:
+                names = overrides.pop(key)
+                data[key] = [item for item in data[key] if item["name"] in names]
+        data |= overrides
     return Experiment(**data)
--- a/bench/emulator/config.py
+++ b/bench/emulator/config.py
@@ -5,13 +5,13 @@
 
 from pydantic import Field
 
-from ..config import Strict
+from ..config import StrictModel
 from .targets import Kind, TargetTraits
 
 __all__ = ["Condition", "Experiment", "Fault", "Site", "load_experiment"]
 
 
-class Fault(Strict):
+class Fault(StrictModel):
     """What happens `at_s` for `for_s` seconds, to a `share` of the first service.
 
     `factor` is that of the load, of the work, or the share of failed calls.
@@ -24,7 +24,7 @@
     share: float = Field(1.0, gt=0, le=1)
 
 
-class Condition(Strict):
+class Condition(StrictModel):
     """A load, as a part of the usual one, and faults."""
 
     name: str
@@ -32,7 +32,7 @@
     faults: tuple[Fault, ...] = ()
 
 
-class Site(Strict):
+class Site(StrictModel):
     """A deployment: data centres with their regions, and instances in each of them."""
 
     name: str
@@ -44,7 +44,7 @@
     kinds: tuple[Kind, ...]
 
 
-class Experiment(Strict):
+class Experiment(StrictModel):
     """The whole file."""
 
     seeds: tuple[int, ...] = Field(min_length=1)
--- a/bench/generator.py
+++ b/bench/generator.py
@@ -1,8 +1,8 @@
-"""Open-loop load generator, a process of its own.
+"""Open-loop load generator, run as a process of its own.
 
-It reads one job as a line of JSON from standard input and answers with one line. The
-send times are fixed in advance and latency counts from them, so a stall of this
-process or of the system shows in the figures.
+It reads jobs from standard input, one line of JSON each, and prints one line of JSON
+with the results of each. Send times are fixed in advance and latency counts from them,
+so that a stall of this process or of the system shows in the results.
 """
 
 import asyncio
@@ -16,52 +16,58 @@
 __all__ = ["new_histogram", "schedule"]
 
 MAX_LATENCY_US = 60_000_000
-# Calls answered before this time are not counted in the goodput, because the
-# answers of an empty system lag the offered load by the service time.
+# Goodput counts responses from this time on, because the first responses of an idle
+# system lag the offered load by the service time.
 GOODPUT_FROM_S = 1.0
+# How long a response is awaited after the deadline, seconds.
 GRACE_S = 1.0
 
 
 def new_histogram():
-    """Return an empty histogram of latencies in microseconds."""
+    """Return an empty histogram for latencies in microseconds."""
     return HdrHistogram(1, MAX_LATENCY_US, 3)
 
 
 def schedule(job):
-    """Return the send times in seconds and the node number of each call.
+    """Return the send time in seconds and the node index of each call.
 
     Parameters
     ----------
     job : dict
-        `rate`, `duration_s`, `seed`, `burst`, `nodes` as (region, ip, port), and
-        `lost_region` with `lost_at_s`, from when on its nodes are avoided.
+        Keys are `rate` (calls per second), `duration_s`, `seed` and `nodes`, a list of
+        (region, ip, port). Optional keys are `burst`, with the fields of
+        `config.Burst`, and `lost_region`, whose nodes get no calls from `lost_at_s` on.
+
+    Returns
+    -------
+    list of (float, int)
     """
     rng = random.Random(job["seed"])
     burst = job.get("burst")
     nodes = range(len(job["nodes"]))
-    kept = [i for i in nodes if job["nodes"][i][0] != job.get("lost_region")]
-    at, calls = 0.0, []
+    surviving = [i for i in nodes if job["nodes"][i][0] != job.get("lost_region")]
+    send_at_s, calls = 0.0, []
     while True:
         factor = 1.0
-        if burst and burst["at_s"] <= at < burst["at_s"] + burst["length_s"]:
+        if burst and burst["at_s"] <= send_at_s < burst["at_s"] + burst["length_s"]:
             factor = burst["factor"]
-        at += rng.expovariate(job["rate"] * factor)
-        if at >= job["duration_s"]:
+        send_at_s += rng.expovariate(job["rate"] * factor)
+        if send_at_s >= job["duration_s"]:
             return calls
-        lost = job.get("lost_region") and at >= job["lost_at_s"]
-        calls.append((at, rng.choice(kept if lost else nodes)))
+        lost = job.get("lost_region") and send_at_s >= job["lost_at_s"]
+        calls.append((send_at_s, rng.choice(surviving if lost else nodes)))
 
 
-class Caller:
-    """Connections to one node and the calls made on them."""
+class NodeClient:
+    """Sends calls to one node over persistent connections."""
 
     def __init__(self, region, ip, port, job):
         self.addr = (ip, port)
-        self.head = (
+        self.request = (
             "GET /read HTTP/1.1\r\nHost: {service}\r\nX-Caller-Region: {region}\r\n"
             "X-Deadline-Ms: {deadline_ms}\r\n\r\n"
         )
-        self.head = self.head.format(
+        self.request = self.request.format(
             service=job["service"],
             region=region,
             deadline_ms=int(job["deadline_s"] * 1000),
@@ -71,23 +77,26 @@
     async def _connection(self):
         while self.idle:
             reader, writer = self.idle.pop()
-            # The node may have closed it; a call sent on it would fail.
+            # The node may have closed the connection; a call on it would fail.
             if not reader.at_eof():
                 return reader, writer
             writer.close()
         return await asyncio.open_connection(*self.addr)
 
     async def call(self):
-        """Make one call and return its outcome and error code.
+        """Send one call and read its response.
 
-        The outcome is `ok`, `shed` or `failed`.
+        Returns
+        -------
+        tuple of str
+            The outcome, which is `ok`, `shed` or `failed`, and the error code.
         """
         reader, writer = await self._connection()
         try:
-            writer.write(self.head)
+            writer.write(self.request)
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             lines = head.split("\r\n")
-            headers = dict(ln.lower().split(": ", 1) for ln in lines[1:] if ln)
+            headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
             await reader.readexactly(int(headers.get("content-length", 0)))
         except BaseException:
             writer.close()
@@ -103,11 +112,11 @@
 
 
 class Run:
-    """One job: its calls and what came of them."""
+    """Runs one job and collects its results."""
 
     def __init__(self, job):
         self.job = job
-        self.callers = [Caller(*node, job) for node in job["nodes"]]
+        self.clients = [NodeClient(*node, job) for node in job["nodes"]]
         self.histogram = new_histogram()
         self.counts = Counter()
         self.codes = Counter()
@@ -115,20 +124,22 @@
         self.max_lag_s = 0.0
 
     async def execute(self):
-        """Send every call at its time and wait for all answers."""
+        """Send every call at its time, wait for all responses, return the results."""
         loop = asyncio.get_running_loop()
-        self.start = loop.time()
+        self.started_at = loop.time()
         tasks = []
-        for at, number in schedule(self.job):
-            delay_s = self.start + at - loop.time()
+        for send_at_s, number in schedule(self.job):
+            delay_s = self.started_at + send_at_s - loop.time()
             if delay_s > 0.0:
                 await asyncio.sleep(delay_s)
             else:
                 self.max_lag_s = max(self.max_lag_s, -delay_s)
-            tasks.append(loop.create_task(self._one(at, self.callers[number])))
+            tasks.append(
+                loop.create_task(self._send_call(send_at_s, self.clients[number]))
+            )
         await asyncio.gather(*tasks)
-        for caller in self.callers:
-            for _, writer in caller.idle:
+        for client in self.clients:
+            for _, writer in client.idle:
                 writer.close()
         return {
             "histogram": self.histogram.encode().decode(),
@@ -139,24 +150,30 @@
             **{name: self.counts[name] for name in ("ok", "shed", "failed")},
         }
 
-    async def _one(self, at, caller):
+    async def _send_call(self, send_at_s, client):
         loop = asyncio.get_running_loop()
         deadline_s = self.job["deadline_s"]
         try:
-            async with asyncio.timeout_at(self.start + at + deadline_s + GRACE_S):
-                outcome, code = await caller.call()
+            async with asyncio.timeout_at(
+                self.started_at + send_at_s + deadline_s + GRACE_S
+            ):
+                outcome, code = await client.call()
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as exc:
             outcome, code = "failed", type(exc).__name__
-        done = loop.time() - self.start
+        done_s = loop.time() - self.started_at
         self.counts[outcome] += 1
         if outcome != "ok":
             self.codes[f"{outcome} {code}"] += 1
         if outcome == "shed":
             return
-        # A failed call counts as the deadline, so that failures do not look fast.
-        latency_s = done - at if outcome == "ok" else max(deadline_s, done - at)
+        # A failed call counts with the deadline, so that failures do not look fast.
+        latency_s = (
+            done_s - send_at_s
+            if outcome == "ok"
+            else max(deadline_s, done_s - send_at_s)
+        )
         self.histogram.record_value(max(1, int(latency_s * 1e6)))
-        if outcome == "ok" and GOODPUT_FROM_S <= done <= self.job["duration_s"]:
+        if outcome == "ok" and GOODPUT_FROM_S <= done_s <= self.job["duration_s"]:
             self.goodput += 1
 
 
--- a/bench/goals.py
+++ b/bench/goals.py
@@ -1,23 +1,30 @@
-"""The goals of section 5 of the design, judged on the cells of one run."""
+"""Checks the goals of section 5 of the design against the results of a run."""
 
 from dataclasses import dataclass
 
 from pimentoline.rules import RuleSet
 
-__all__ = ["Verdict", "judge"]
+__all__ = ["GoalCheck", "check_goals"]
 
+# Conditions in which the subject must have a much lower p99 than the baselines.
 TAIL_CONDITIONS = ("slow-target", "noise", "fail-fast")
-TAIL_RATIO = 0.5
-WORSE_RATIO = 1.05
-GOODPUT_SHARE = 0.9
-REPEAT_SHARE = 0.1
+# Limits of the subject's p99 as a multiple of the best baseline's: in these conditions,
+# and in all.
+MAX_TAIL_RATIO = 0.5
+MAX_RATIO = 1.05
+# Least goodput under overload, as a share of capacity.
+MIN_GOODPUT_SHARE = 0.9
+# Limit of retries and hedges, as a share of first attempts.
+MAX_RETRY_SHARE = 0.1
+# Probe traffic is compared with a sweep, in which every node probes every target once
+# per period; this is its limit as a share of the traffic of the sweeps.
 SWEEP_PERIOD_S = 0.1
-SWEEP_SHARE = 0.1
+MAX_SWEEP_SHARE = 0.1
 
 
 @dataclass(frozen=True)
-class Verdict:
-    """One goal at one size: what was asked, what was measured, and if it is met."""
+class GoalCheck:
+    """One goal at one size: the requirement, the measured value, and if it is met."""
 
     size: str
     goal: str
@@ -25,97 +32,115 @@
     met: bool
 
 
-def judge(exp, cells):
-    """Return the verdicts for the subject of the experiment.
+def check_goals(experiment, results):
+    """Check the experiment's subject against all goals at all sizes.
 
     Parameters
     ----------
     exp : Experiment
-    cells : list of Cell
+    results : list of Result
 
     Returns
     -------
-    list of Verdict
+    list of GoalCheck
     """
-    verdicts = []
-    for size in exp.sizes:
-        found = {
-            (cell.condition, cell.policy): cell
-            for cell in cells
-            if cell.size == size.name
+    checks = []
+    for size in experiment.sizes:
+        results_by_case = {
+            (result.condition, result.policy): result
+            for result in results
+            if result.size == size.name
         }
-        for judge_one in (_tail, _goodput, _repeats, _probes):
-            verdicts += judge_one(exp, size, found)
-    return verdicts
-
-
-def _tail(exp, size, found):
-    for cond in exp.conditions:
+        for check in (
+            _check_tail_latency,
+            _check_goodput,
+            _check_retries,
+            _check_probe_traffic,
+        ):
+            checks += check(experiment, size, results_by_case)
+    return checks
+
+
+def _check_tail_latency(experiment, size, results_by_case):
+    for condition in experiment.conditions:
         baselines = [
-            (found[cond.name, policy].percentile_ms(99), policy)
-            for policy in exp.policies
-            if policy != exp.subject
+            (results_by_case[condition.name, policy].percentile_ms(99), policy)
+            for policy in experiment.policies
+            if policy != experiment.subject
         ]
         if not baselines:
             continue
         best_ms, best = min(baselines)
-        ours_ms = found[cond.name, exp.subject].percentile_ms(99)
-        ratio = ours_ms / best_ms
-        measured = f"{ours_ms:.0f} ms to {best_ms:.0f} ms of {best}, ratio {ratio:.2f}"
-        if cond.name in TAIL_CONDITIONS:
-            goal = f"{cond.name}: p99 at most half of the best baseline"
-            yield Verdict(size.name, goal, measured, ratio <= TAIL_RATIO)
-        goal = f"{cond.name}: p99 at most 5% worse than the best baseline"
-        yield Verdict(size.name, goal, measured, ratio <= WORSE_RATIO)
-
-
-def _goodput(exp, size, found):
-    cell = found.get(("overload-2x", exp.subject))
-    if cell is not None:
-        goodput = sum(cell.goodputs) / len(cell.goodputs)
-        share = goodput / cell.capacity
-        measured = f"{goodput:.0f} of {cell.capacity:.0f} calls/s, {share:.0%}"
+        subject_ms = results_by_case[condition.name, experiment.subject].percentile_ms(
+            99
+        )
+        ratio = subject_ms / best_ms
+        measured = (
+            f"{subject_ms:.0f} ms to {best_ms:.0f} ms of {best}, ratio {ratio:.2f}"
+        )
+        if condition.name in TAIL_CONDITIONS:
+            goal = f"{condition.name}: p99 at most half of the best baseline"
+            yield GoalCheck(size.name, goal, measured, ratio <= MAX_TAIL_RATIO)
+        goal = f"{condition.name}: p99 at most 5% worse than the best baseline"
+        yield GoalCheck(size.name, goal, measured, ratio <= MAX_RATIO)
+
+
+def _check_goodput(experiment, size, results_by_case):
+    result = results_by_case.get(("overload-2x", experiment.subject))
+    if result is not None:
+        goodput = sum(result.goodputs) / len(result.goodputs)
+        share = goodput / result.capacity
+        measured = f"{goodput:.0f} of {result.capacity:.0f} calls/s, {share:.0%}"
         goal = "overload-2x: goodput at least 90% of capacity"
-        yield Verdict(size.name, goal, measured, share >= GOODPUT_SHARE)
+        yield GoalCheck(size.name, goal, measured, share >= MIN_GOODPUT_SHARE)
 
 
-def _repeats(exp, size, found):
+def _check_retries(experiment, size, results_by_case):
     shares = []
-    for cond in exp.conditions:
-        counters = found[cond.name, exp.subject].targets
-        repeats = counters.get("repeats", 0)
-        first = counters.get("attempts", 0) - repeats
-        shares.append((repeats / max(first, 1), cond.name))
+    for condition in experiment.conditions:
+        counters = results_by_case[condition.name, experiment.subject].targets
+        retries = counters.get("repeats", 0)
+        first_attempts = counters.get("attempts", 0) - retries
+        shares.append((retries / max(first_attempts, 1), condition.name))
     share, name = max(shares)
     goal = "retries and hedges at most 10% of first attempts"
     measured = f"at most {share:.1%}, in {name}"
-    yield Verdict(size.name, goal, measured, share <= REPEAT_SHARE)
-
-
-def _probes(exp, size, found):
-    ours = [found[cond.name, exp.subject] for cond in exp.conditions]
-    seconds = sum(cell.window_s for cell in ours)
-    within, worst = True, ""
-    for cell in ours:
-        for region, counters in cell.nodes.items():
+    yield GoalCheck(size.name, goal, measured, share <= MAX_RETRY_SHARE)
+
+
+def _check_probe_traffic(experiment, size, results_by_case):
+    subject_results = [
+        results_by_case[condition.name, experiment.subject]
+        for condition in experiment.conditions
+    ]
+    seconds = sum(result.window_s for result in subject_results)
+    within_budget, exceeded = True, ""
+    for result in subject_results:
+        for region, counters in result.nodes.items():
             budget = RuleSet().probe_budget(region)
-            probes = counters.get("probes.sent", 0) / cell.window_s
-            traffic = counters.get("probes.bytes", 0) / cell.window_s
-            if probes > budget.probes_per_s or traffic > budget.bytes_per_s:
-                within = False
-                worst += (
-                    f"; {cell.condition} {region}: {probes:.1f} probes/s, "
-                    f"{traffic:.0f} B/s"
+            probes = counters.get("probes.sent", 0) / result.window_s
+            bytes_per_s = counters.get("probes.bytes", 0) / result.window_s
+            if probes > budget.probes_per_s or bytes_per_s > budget.bytes_per_s:
+                within_budget = False
+                exceeded += (
+                    f"; {result.condition} {region}: {probes:.1f} probes/s, "
+                    f"{bytes_per_s:.0f} B/s"
                 )
-    sent = sum(cell.node_total("probes.sent") for cell in ours)
-    traffic = sum(cell.node_total("probes.bytes") for cell in ours)
-    measured = f"{sent / seconds:.1f} probes/s, {traffic / seconds:.0f} B/s in total"
+    sent = sum(result.node_total("probes.sent") for result in subject_results)
+    probe_bytes = sum(result.node_total("probes.bytes") for result in subject_results)
+    measured = (
+        f"{sent / seconds:.1f} probes/s, {probe_bytes / seconds:.0f} B/s in total"
+    )
     goal = "probes and their bytes under the budget in every region"
-    yield Verdict(size.name, goal, measured + worst, within)
+    yield GoalCheck(size.name, goal, measured + exceeded, within_budget)
     if sent:
-        # The same probe sent by every node to every target.
-        sweep = traffic / sent * size.instances * len(size.dcs) / SWEEP_PERIOD_S
-        share = traffic / seconds / sweep
+        # Traffic if every node sent a probe of the same size to every target.
+        sweep_bytes_per_s = (
+            probe_bytes / sent * size.instances * len(size.dcs) / SWEEP_PERIOD_S
+        )
+        share = probe_bytes / seconds / sweep_bytes_per_s
         goal = "probe bytes at most a tenth of a sweep every 100 ms"
-        measured = f"{traffic / seconds:.0f} of {sweep:.0f} B/s, {share:.1%}"
-        yield Verdict(size.name, goal, measured, share <= SWEEP_SHARE)
+        measured = (
+            f"{probe_bytes / seconds:.0f} of {sweep_bytes_per_s:.0f} B/s, {share:.1%}"
+        )
+        yield GoalCheck(size.name, goal, measured, share <= MAX_SWEEP_SHARE)
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -1,4 +1,4 @@
-"""Runs every condition with every policy and seed."""
+"""Measures every policy under every condition with every seed."""
 
 import signal
 import time
@@ -9,22 +9,41 @@
 from .generator import new_histogram
 from .system import System
 
-__all__ = ["Cell", "run_size"]
+__all__ = ["Result", "run_size"]
 
+# Time between the readiness of the system and the first call, seconds.
 SETTLE_S = 0.3
-# A generator that is this late did not get the processor; neither did the rest of
-# the system, which shares it. Such a run is discarded and made once again.
+# A generator that sends later than this was short of CPU time, and so was the rest of
+# the system on the same machine. The run is discarded and repeated once.
 MAX_LAG_MS = 50.0
 
 
 @dataclass
-class Cell:
-    """Results of one condition, policy and size, summed over the seeds.
+class Result:
+    """Results of one size, condition and policy, summed over the seeds.
 
-    `targets` are counters of the targets, `nodes` those of the nodes by region,
-    `capacity` is in calls a second, `goodputs` are answered calls a second by seed.
-    `window_s` is the time in which the counters were counted, which is longer than
-    that of sending, and `discarded` the number of runs made again.
+    Attributes
+    ----------
+    capacity : float
+        Calls per second that the targets can serve.
+    window_s : float
+        Time over which the counters ran; it is longer than the time of sending.
+    discarded : int
+        Number of runs that were discarded and repeated.
+    ok, shed, failed : int
+        Number of calls by outcome.
+    max_lag_ms : float
+        Longest delay of a call behind its scheduled send time.
+    goodputs : list of float
+        Successful calls per second, one value per seed.
+    codes : dict
+        Number of calls that were not successful, by outcome and error code.
+    targets : dict
+        Counters of the targets.
+    nodes : dict
+        Counters of the nodes, by region.
+    histogram : HdrHistogram
+        Latencies, microseconds.
     """
 
     size: str
@@ -48,109 +67,118 @@
         """Return a latency percentile in milliseconds."""
         return self.histogram.get_value_at_percentile(percent) / 1000.0
 
-    def add(self, answer, window_s, targets, nodes):
-        """Add the results of one seed."""
+    def add_run(self, report, window_s, targets, nodes):
+        """Add the results of one run, in the form that `_run_once` returns."""
         self.window_s += window_s
         for name in ("sent", "ok", "shed", "failed"):
-            setattr(self, name, getattr(self, name) + answer[name])
-        self.max_lag_ms = max(self.max_lag_ms, answer["max_lag_ms"])
-        self.goodputs.append(answer["goodput"])
-        self.histogram.decode_and_add(answer["histogram"])
-        _add(self.codes, answer["codes"])
-        _add(self.targets, targets)
+            setattr(self, name, getattr(self, name) + report[name])
+        self.max_lag_ms = max(self.max_lag_ms, report["max_lag_ms"])
+        self.goodputs.append(report["goodput"])
+        self.histogram.decode_and_add(report["histogram"])
+        _add_counters(self.codes, report["codes"])
+        _add_counters(self.targets, targets)
         for region, counters in nodes.items():
-            _add(self.nodes.setdefault(region, {}), counters)
+            _add_counters(self.nodes.setdefault(region, {}), counters)
 
     def node_total(self, name):
         """Return the sum of a node counter over all regions."""
         return sum(counters.get(name, 0) for counters in self.nodes.values())
 
 
-def _add(total, counters):
+def _add_counters(totals, counters):
     for name, value in counters.items():
-        total[name] = total.get(name, 0) + value
+        totals[name] = totals.get(name, 0) + value
 
 
-def run_size(exp, size, say):
-    """Run all conditions at one size.
+def run_size(experiment, size, log_progress):
+    """Measure all conditions and policies at one size.
 
     Parameters
     ----------
     exp : Experiment
     size : Size
     say : callable
-        Takes a line of progress.
+        Called with a line of text after each result.
 
     Returns
     -------
     list of Cell
     """
-    system = System(size, exp.policies)
-    cells = []
+    system = System(size, experiment.policies)
+    results = []
     try:
-        for cond in exp.conditions:
-            capacity = size.instances * size.slots / cond.mean_s
-            for policy in exp.policies:
-                cell = Cell(size.name, cond.name, policy, capacity)
-                for seed in exp.seeds:
-                    found = _run_once(exp, system, cond, cell, seed)
-                    if found[0]["max_lag_ms"] > MAX_LAG_MS:
-                        cell.discarded += 1
-                        found = _run_once(exp, system, cond, cell, seed)
-                    cell.add(*found)
-                cells.append(cell)
-                say(
-                    f"{size.name} {cond.name} {policy}: {cell.sent} calls, "
-                    f"p99 {cell.percentile_ms(99):.0f} ms, {cell.failed} failed, "
-                    f"{cell.shed} shed, lag {cell.max_lag_ms:.0f} ms"
+        for condition in experiment.conditions:
+            capacity = size.instances * size.slots / condition.mean_s
+            for policy in experiment.policies:
+                result = Result(size.name, condition.name, policy, capacity)
+                for seed in experiment.seeds:
+                    run = _run_once(experiment, system, condition, result, seed)
+                    if run[0]["max_lag_ms"] > MAX_LAG_MS:
+                        result.discarded += 1
+                        run = _run_once(experiment, system, condition, result, seed)
+                    result.add_run(*run)
+                results.append(result)
+                log_progress(
+                    f"{size.name} {condition.name} {policy}: {result.sent} calls, "
+                    f"p99 {result.percentile_ms(99):.0f} ms, {result.failed} failed, "
+                    f"{result.shed} shed, lag {result.max_lag_ms:.0f} ms"
                 )
     finally:
         system.close()
-    return cells
+    return results
+
 
+def _run_once(experiment, system, condition, result, seed):
+    """Run one condition with one policy and seed.
 
-def _run_once(exp, system, cond, cell, seed):
-    """Return the generator's answer, the time counted, and the counters."""
-    policy = cell.policy
-    base = {
+    Returns
+    -------
+    tuple
+        Report of the generator, duration of the counting in seconds, counters of the
+        targets, and counters of the nodes by region.
+    """
+    policy = result.policy
+    initial_faults = {
         "reset": True,
-        "mean_s": cond.mean_s,
-        "sigma": cond.sigma,
-        "queue": cond.queue,
+        "mean_s": condition.mean_s,
+        "sigma": condition.sigma,
+        "queue": condition.queue,
         "seed": seed,
     }
-    system.set_faults(base | cond.all_targets)
-    if cond.before:
-        system.set_faults(cond.before, cond.affected)
-    held_back = cond.affected if cond.before.get("state") == "starting" else 0
-    system.wait_ready(policy, system.size.instances - held_back)
+    system.set_faults(initial_faults | condition.all_targets)
+    if condition.before:
+        system.set_faults(condition.before, condition.affected)
+    starting_count = (
+        condition.affected if condition.before.get("state") == "starting" else 0
+    )
+    system.wait_ready(policy, system.size.instances - starting_count)
     time.sleep(SETTLE_S)
     nodes = [(region, *node.info["data"]) for region, node in system.nodes[policy]]
-    lost = nodes[-1][0] if cond.lose_region else None
+    lost_region = nodes[-1][0] if condition.lose_region else None
     job = {
         "nodes": nodes,
         "service": system.size.service,
-        "rate": cell.capacity * cond.utilisation,
-        "duration_s": exp.duration_s,
-        "deadline_s": exp.deadline_s,
+        "rate": result.capacity * condition.utilisation,
+        "duration_s": experiment.duration_s,
+        "deadline_s": experiment.deadline_s,
         "seed": seed,
-        "burst": cond.burst and cond.burst.model_dump(),
-        "lost_region": lost,
-        "lost_at_s": cond.at_s,
+        "burst": condition.burst and condition.burst.model_dump(),
+        "lost_region": lost_region,
+        "lost_at_s": condition.at_s,
     }
-    before, begin = system.node_counters(policy), time.monotonic()
+    before, started_at = system.node_counters(policy), time.monotonic()
     system.generator.write(job)
-    time.sleep(cond.at_s)
-    if cond.faults:
-        system.set_faults(cond.faults, cond.affected)
-    if lost:
-        system.signal_region(policy, lost, signal.SIGSTOP)
+    time.sleep(condition.at_s)
+    if condition.faults:
+        system.set_faults(condition.faults, condition.affected)
+    if lost_region:
+        system.signal_region(policy, lost_region, signal.SIGSTOP)
     try:
-        answer = system.generator.read()
+        report = system.generator.read()
     finally:
-        if lost:
-            system.signal_region(policy, lost, signal.SIGCONT)
-    after, window_s = system.node_counters(policy), time.monotonic() - begin
+        if lost_region:
+            system.signal_region(policy, lost_region, signal.SIGCONT)
+    after, window_s = system.node_counters(policy), time.monotonic() - started_at
     nodes = {
         region: {
             name: value - before[region].get(name, 0)
@@ -158,4 +186,4 @@
         }
         for region, counters in after.items()
     }
-    return answer, window_s, system.target_counters(), nodes
+    return report, window_s, system.target_counters(), nodes
--- a/bench/system.py
+++ b/bench/system.py
@@ -1,4 +1,4 @@
-"""The system under test: node, target and generator processes of one size."""
+"""The system under test: the node, target and generator processes of one size."""
 
 import json
 import os
@@ -8,14 +8,20 @@
 import time
 import urllib.request
 
-__all__ = ["Process", "System", "ask"]
+__all__ = ["Process", "System", "request_json"]
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
 
 
-def ask(addr, path, method="GET", body=None):
-    """Return the JSON answer of an HTTP server, None if it is empty."""
+def request_json(addr, path, method="GET", body=None):
+    """Send a request with JSON data to an HTTP server.
+
+    Returns
+    -------
+    object
+        The JSON data of the response, or None if it is empty.
+    """
     url = "http://{}:{}{}".format(*addr, path)
     data = None if body is None else json.dumps(body).encode()
     with urllib.request.urlopen(
@@ -25,7 +31,7 @@
 
 
 class Process:
-    """A child process that prints lines of JSON."""
+    """A child process that reads and prints lines of JSON."""
 
     def __init__(self, *args):
         self.popen = subprocess.Popen(
@@ -40,20 +46,20 @@
 
     @property
     def info(self):
-        """First line that the process printed."""
+        """JSON data of the first line that the process prints."""
         if self._info is None:
             self._info = self.read()
         return self._info
 
     def read(self):
-        """Return the next line as JSON data."""
+        """Return the JSON data of the next line that the process prints."""
         line = self.popen.stdout.readline()
         if not line:
-            raise RuntimeError(f"{self.args[0]} ended early")
+            raise RuntimeError(f"{self.args[0]} closed its output unexpectedly")
         return json.loads(line)
 
     def write(self, data):
-        """Send a line of JSON."""
+        """Send a line of JSON to the process."""
         self.popen.stdin.write(json.dumps(data) + "\n")
         self.popen.stdin.flush()
 
@@ -62,16 +68,16 @@
         os.kill(self.popen.pid, signum)
 
     def kill(self):
-        """End this process."""
+        """Kill the process and wait for its end."""
         self.popen.kill()
         self.popen.wait()
 
 
 class System:
-    """Targets of one size, shared by one mesh of nodes for each policy.
+    """The targets of one size, and for each policy a mesh of nodes in front of them.
 
-    Only the nodes of one policy receive calls at a time, so that all policies are
-    measured against the same processes and shortly after one another.
+    Only the nodes of one policy receive calls at a time. All policies are measured
+    against the same target processes and shortly after one another.
 
     Parameters
     ----------
@@ -117,35 +123,38 @@
                 if not seeds:
                     seeds = "{}:{}".format(*node.info["mesh"])
         for number in range(size.instances):
-            place = number % len(size.dcs)
-            admins = [nodes[place][1].info["admin"] for nodes in self.nodes.values()]
+            dc_index = number % len(size.dcs)
+            # Each target announces itself to the nodes of its data centre.
+            admin_addrs = [
+                nodes[dc_index][1].info["admin"] for nodes in self.nodes.values()
+            ]
             target = self._launch(
                 "standins.target",
                 target_id=f"t{number}",
                 service=size.service,
-                region=size.dcs[place][0],
+                region=size.dcs[dc_index][0],
                 slots=size.slots,
                 connections=size.connections,
-                node_admin=",".join("{}:{}".format(*addr) for addr in admins),
+                node_admin=",".join("{}:{}".format(*addr) for addr in admin_addrs),
             )
-            self.targets.append((size.dcs[place][0], target))
+            self.targets.append((size.dcs[dc_index][0], target))
         for policy in policies:
             self.wait_ready(policy, size.instances)
 
     def wait_ready(self, policy, expected):
-        """Wait until each node of a policy holds `expected` targets as up."""
+        """Wait until every node of a policy sees exactly `expected` targets as up."""
         deadline = time.monotonic() + READY_TIMEOUT_S
         for _, node in self.nodes[policy]:
-            while (found := self._up(node)) != expected:
+            while (up_count := self._count_up_targets(node)) != expected:
                 if time.monotonic() > deadline:
                     raise RuntimeError(
-                        f"{policy} node {node.info['node']} holds {found} of "
+                        f"{policy} node {node.info['node']} sees {up_count} of "
                         f"{expected} targets as up"
                     )
                 time.sleep(POLL_S)
 
-    def _up(self, node):
-        members = ask(node.info["admin"], "/v1/mesh")["members"]
+    def _count_up_targets(self, node):
+        members = request_json(node.info["admin"], "/v1/mesh")["members"]
         return sum(
             target["state"] == "up"
             for member in members
@@ -154,41 +163,44 @@
         )
 
     def set_faults(self, faults, count=None):
-        """Set faults of the first `count` targets, of all if None."""
+        """Set the faults of the first `count` targets, or of all if it is None.
+
+        Each target gets random seeds of its own, which are derived from those given.
+        """
         for number, (_, target) in enumerate(self.targets[:count]):
-            given = dict(faults)
-            if given.get("noise"):
-                given["noise"] = given["noise"] | {"seed": number}
-            if "seed" in given:
-                given["seed"] = given["seed"] * 1000 + number
-            ask(target.info["addr"], "/faults", "POST", given)
+            target_faults = dict(faults)
+            if target_faults.get("noise"):
+                target_faults["noise"] = target_faults["noise"] | {"seed": number}
+            if "seed" in target_faults:
+                target_faults["seed"] = target_faults["seed"] * 1000 + number
+            request_json(target.info["addr"], "/faults", "POST", target_faults)
 
     def signal_region(self, policy, region, signum):
         """Send a signal to the targets and the policy's nodes of a region."""
-        for place, process in self.nodes[policy] + self.targets:
-            if place == region:
+        for process_region, process in self.nodes[policy] + self.targets:
+            if process_region == region:
                 process.signal(signum)
 
     def target_counters(self):
         """Return the sum of the counters of all targets."""
-        total = {}
+        totals = {}
         for _, target in self.targets:
-            for name, value in ask(target.info["addr"], "/faults").items():
-                total[name] = total.get(name, 0) + value
-        return total
+            for name, value in request_json(target.info["addr"], "/faults").items():
+                totals[name] = totals.get(name, 0) + value
+        return totals
 
     def node_counters(self, policy):
-        """Return the summed counters of a policy's nodes for each region."""
-        total = {}
+        """Return the sums of the counters of a policy's nodes, by region."""
+        totals = {}
         for region, node in self.nodes[policy]:
-            sums = total.setdefault(region, {})
-            counters = ask(node.info["admin"], "/v1/status")["counters"]
+            region_totals = totals.setdefault(region, {})
+            counters = request_json(node.info["admin"], "/v1/status")["counters"]
             for name, value in counters.items():
-                sums[name] = sums.get(name, 0) + value
-        return total
+                region_totals[name] = region_totals.get(name, 0) + value
+        return totals
 
     def close(self):
-        """End every process that this system started."""
+        """Kill every process of this system, including paused ones."""
         for process in self.processes:
             if process.popen.poll() is None:
                 process.signal(signal.SIGCONT)
