--- a/bench/emulator/__init__.py
+++ b/bench/emulator/__init__.py
@@ -1,1 +1,5 @@
-"""Emulator of the platform's path: the real decisions in model time."""
+"""Emulator of calls through two nodes.
+
+The decisions are those of `pimentoline.twohop`. Targets, network and callers are
+models in simulated time.
+"""
--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the emulator's experiment and prints a table."""
+"""Runs the emulator's experiments and prints a table of the results."""
 
 import sys
 import time
@@ -10,53 +10,63 @@
 from .runner import run_condition
 
 HERE = Path(__file__).resolve().parent
-HEAD = (
+# `credit` and `worst` are shares of the credit that callers can earn, overall and in
+# the worst windows. `in time`, `late`, `refused` and `failed` are shares of the calls,
+# whose number is `asked`. A site is a deployment; DC means data centre.
+TABLE_HEAD = (
     "| site | condition | policy | asked | credit | worst | in time | late | refused "
     "| failed | p50 ms | p99 ms | frames a call | KB between DCs a call "
     "| KB between regions a call |"
 )
 
 
-def _row(site, condition, policy, found):
-    asked = max(found.asked, 1)
+def _format_row(site, condition, policy, result):
+    calls = max(result.calls, 1)
     cells = [
         site.name,
         condition.name,
         policy,
-        found.asked,
-        f"{found.credit:.3f}",
-        f"{found.worst:.3f}",
-        f"{found.in_time / asked:.3f}",
-        f"{found.late / asked:.3f}",
-        f"{found.refused / asked:.3f}",
-        f"{found.failed / asked:.3f}",
-        f"{found.percentile_ms(50):.0f}",
-        f"{found.percentile_ms(99):.0f}",
-        f"{found.frames / asked:.1f}",
-        f"{found.kb_dc / asked:.2f}",
-        f"{found.kb_region / asked:.2f}",
+        result.calls,
+        f"{result.credit_share:.3f}",
+        f"{result.worst_credit_share:.3f}",
+        f"{result.on_time / calls:.3f}",
+        f"{result.late / calls:.3f}",
+        f"{result.refused / calls:.3f}",
+        f"{result.failed / calls:.3f}",
+        f"{result.percentile_ms(50):.0f}",
+        f"{result.percentile_ms(99):.0f}",
+        f"{result.frames / calls:.1f}",
+        f"{result.kb_dc / calls:.2f}",
+        f"{result.kb_region / calls:.2f}",
     ]
     return "| " + " | ".join(map(str, cells)) + " |"
 
 
 def main(argv):
-    """Play every site, condition and policy with all seeds."""
+    """Emulate every site, condition and policy with all seeds."""
     args = flags.FLAGS
-    exp = load_experiment(args.experiment)
-    began = time.monotonic()
-    print(HEAD)
-    print("|" + " --- |" * HEAD.count(" | ") + " --- |")
-    for site in exp.sites:
-        for condition in exp.conditions:
+    experiment = load_experiment(args.experiment)
+    started_at = time.monotonic()
+    print(TABLE_HEAD)
+    print("|" + " --- |" * TABLE_HEAD.count(" | ") + " --- |")
+    for site in experiment.sites:
+        for condition in experiment.conditions:
             if args.only and args.only not in condition.name:
                 continue
-            for policy in exp.policies:
-                found = run_condition(site, condition, policy, exp.seeds, exp.length_s)
-                print(_row(site, condition, policy, found), flush=True)
-    print(f"{time.monotonic() - began:.0f} s, seeds {exp.seeds}", file=sys.stderr)
+            for policy in experiment.policies:
+                result = run_condition(
+                    site, condition, policy, experiment.seeds, experiment.length_s
+                )
+                print(_format_row(site, condition, policy, result), flush=True)
+    print(
+        f"{time.monotonic() - started_at:.0f} s, seeds {experiment.seeds}",
+        file=sys.stderr,
+    )
 
 
 if __name__ == "__main__":
     flags.DEFINE_string("experiment", str(HERE / "experiment.toml"), "Experiment file.")
-    flags.DEFINE_string("only", "", "Conditions whose name holds this text.")
+    flags.DEFINE_string(
+        "only", "", "Run only conditions whose name contains this text."
+    )
     app.run(main)
--- a/bench/emulator/config.py
+++ b/bench/emulator/config.py
@@ -1,4 +1,4 @@
-"""The experiment file of the emulator, validated."""
+"""Reads and validates the experiment file of the emulator."""
 
 import tomllib
 from typing import Literal
@@ -6,15 +6,23 @@
 from pydantic import Field
 
 from ..config import StrictModel
-from .targets import Kind, TargetTraits
+from .targets import CallKind, TargetTraits
 
 __all__ = ["Condition", "Experiment", "Fault", "Site", "load_experiment"]
 
 
 class Fault(StrictModel):
-    """What happens `at_s` for `for_s` seconds, to a `share` of the first service.
-
-    `factor` is that of the load, of the work, or the share of failed calls.
+    """A disturbance that starts at `at_s` and lasts `for_s` seconds.
+
+    Attributes
+    ----------
+    kind : str
+        `burst`: the load is `factor` times as high. `slow`: work takes `factor` times
+        as long. `grey`: a share `factor` of the requests fails. `lost`: nodes take no
+        calls. `power_off`: all nodes and targets go down and restart.
+    share : float
+        Part of the nodes of the first call kind's service, or of their targets, that
+        `slow`, `grey` and `lost` affect.
     """
 
     kind: Literal["burst", "slow", "grey", "lost", "power_off"]
@@ -25,7 +33,7 @@
 
 
 class Condition(StrictModel):
-    """A load, as a part of the usual one, and faults."""
+    """Faults, and a load as a multiple of the usual one."""
 
     name: str
     load: float = Field(1.0, gt=0)
@@ -33,7 +41,21 @@
 
 
 class Site(StrictModel):
-    """A deployment: data centres with their regions, and instances in each of them."""
+    """A deployment.
+
+    Attributes
+    ----------
+    dcs : dict of str to str
+        Region of each data centre.
+    dc_s, region_s : float
+        One-way network delay to another data centre of the region and to another
+        region, seconds.
+    services : dict of str to tuple of int
+        Number of targets in each data centre, in the order of `dcs`. Each target has a
+        node of its own.
+    traits : TargetTraits
+    kinds : tuple of CallKind
+    """
 
     name: str
     dcs: dict[str, str] = Field(min_length=1)
@@ -41,11 +63,11 @@
     region_s: float
     services: dict[str, tuple[int, ...]]
     traits: TargetTraits
-    kinds: tuple[Kind, ...]
+    kinds: tuple[CallKind, ...]
 
 
 class Experiment(StrictModel):
-    """The whole file."""
+    """The whole file; the load lasts `length_s` seconds."""
 
     seeds: tuple[int, ...] = Field(min_length=1)
     length_s: float = Field(gt=0)
--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -1,4 +1,4 @@
-"""Nodes in model time: the product's two sides of a call, on a model of the network."""
+"""Simulated nodes: the product's two sides of a call on a model of the network."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -20,18 +20,19 @@
 
 __all__ = ["Network", "Node", "Traffic"]
 
-DIALECT = HeaderNames()
+HEADER_NAMES = HeaderNames()
 KIND_HEADER = "X-Kind"
 TARGET_ADDR = ("127.0.0.1", 1)
-# A question to a target on the same host and its answer, seconds.
-ASK_S = 0.002
-# A node that starts with its target serves from what is stored until the first report.
-FIRST_REPORT_S = 0.4
+# Duration of a probe of the target on the same host, seconds.
+PROBE_S = 0.002
+# A node that restarts together with its target uses the stored target status for this
+# long, until the first heartbeat, seconds.
+FIRST_HEARTBEAT_S = 0.4
 
 
 @dataclass(slots=True)
 class Traffic:
-    """What crossed the network: frames, and kilobytes by distance."""
+    """Number of frames sent, and kilobytes between data centres and regions."""
 
     frames: int = 0
     kb_dc: float = 0.0
@@ -40,7 +41,14 @@
 
 @dataclass(slots=True)
 class Network:
-    """Delays between places, one way in seconds, and what was sent."""
+    """Delivers frames between nodes and counts the traffic.
+
+    Attributes
+    ----------
+    dc_s, region_s : float
+        One-way delay to another data centre of the region and to another region,
+        seconds.
+    """
 
     dc_s: float
     region_s: float
@@ -48,29 +56,35 @@
     traffic: Traffic = field(default_factory=Traffic)
 
     def send(self, sender, receiver, size, deliver, *args):
-        """Deliver `size` bytes of a frame later, unless either node ends meanwhile."""
+        """Call `deliver(*args)` when a frame of `size` bytes arrives.
+
+        The frame is lost if either node restarts meanwhile or the receiver is down.
+        """
         self.traffic.frames += 1
-        delay_s = self._delay_s(sender.location, receiver.location, size / 1000.0)
-        lives = sender.lives, receiver.lives
+        delay_s = self._transfer_delay_s(
+            sender.location, receiver.location, size / 1000.0
+        )
+        restarts = sender.restarts, receiver.restarts
 
         def arrive():
-            if (sender.lives, receiver.lives) == lives and receiver.up:
+            if (sender.restarts, receiver.restarts) == restarts and receiver.up:
                 deliver(*args)
 
         asyncio.get_running_loop().call_later(delay_s, arrive)
 
-    def _delay_s(self, here, there, kilobytes):
-        if here.dc == there.dc:
+    def _transfer_delay_s(self, source, destination, kilobytes):
+        """Count the kilobytes and return the delay, seconds."""
+        if source.dc == destination.dc:
             return 0.0002
-        if here.region == there.region:
+        if source.region == destination.region:
             self.traffic.kb_dc += kilobytes
             return self.dc_s
         self.traffic.kb_region += kilobytes
         return self.region_s
 
 
-class _NoPool:
-    """Connections to a target that is a function call away."""
+class _NullPool:
+    """Stands in for the connection pool, since the target is not called over HTTP."""
 
     async def acquire(self, addr, reuse):
         return self
@@ -85,13 +99,13 @@
         """Do nothing."""
 
 
-class _ModelTargetSide(TargetSide):
-    """The target's side of calls, with a modelled target."""
+class _SimulatedTargetSide(TargetSide):
+    """The target's side of calls, in front of a `TargetModel`."""
 
     def __init__(self, node, clock):
         super().__init__(
-            DIALECT,
-            _NoPool(),
+            HEADER_NAMES,
+            _NullPool(),
             clock,
             node.service,
             TARGET_ADDR,
@@ -101,41 +115,41 @@
         self._node = node
 
     async def _call_target(self, conn, work):
-        model = self._node.model
+        target_model = self._node.target_model
         expected = self.status_tracker.current.target_id
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
-        if not model.up:
+        if not target_model.up:
             raise ConnectionRefusedError("the target is down")
-        headers = HTTPHeaders({DIALECT.response_stamp: "s"})
-        if expected != model.name:
-            headers[DIALECT.not_run] = "1"
+        headers = HTTPHeaders({HEADER_NAMES.response_stamp: "s"})
+        if expected != target_model.name:
+            headers[HEADER_NAMES.not_run] = "1"
             return Response(421, "Misdirected", headers, b"", True)
-        left_s = work.job.deadline_at - self._clock()
-        ran = await model.serve(kind, left_s)
-        if ran.not_run:
-            headers[DIALECT.not_run] = "1"
-        headers[DIALECT.load] = model.load_header()
-        body = bytes(kind.answer_bytes) if ran.status == 200 else b""
-        return Response(ran.status, "", headers, body, True)
+        remaining_s = work.job.deadline_at - self._clock()
+        result = await target_model.serve(kind, remaining_s)
+        if result.not_run:
+            headers[HEADER_NAMES.not_run] = "1"
+        headers[HEADER_NAMES.load] = target_model.load_header()
+        body = bytes(kind.answer_bytes) if result.status == 200 else b""
+        return Response(result.status, "", headers, body, True)
 
     async def _probe(self):
         noise = self.admission.noise
         noise.probe_started(self._clock())
-        await asyncio.sleep(ASK_S)
-        model = self._node.model
-        headers = HTTPHeaders({DIALECT.target_id: model.name})
-        headers[DIALECT.load] = model.load_header()
+        await asyncio.sleep(PROBE_S)
+        target_model = self._node.target_model
+        headers = HTTPHeaders({HEADER_NAMES.target_id: target_model.name})
+        headers[HEADER_NAMES.load] = target_model.load_header()
         self._probe_task = None
-        if model.up:
+        if target_model.up:
             self._note_identity(Response(200, "", headers, b"", True))
-            self._note_load(headers[DIALECT.load])
+            self._note_load(headers[HEADER_NAMES.load])
         else:
             noise.probe_failed(self._clock())
         self._pump()
 
 
-class _ModelCallerSide(CallerSide):
-    """The caller's side of calls, with a policy of placement and a seed."""
+class _SimulatedCallerSide(CallerSide):
+    """The caller's side of calls, with a given placement policy and random numbers."""
 
     def __init__(self, node, clock, policy, rng):
         limits = RetryLimits(0.2, 10.0, 64.0)
@@ -155,15 +169,16 @@
 
 
 class Node:
-    """One node, its target and its view of the others.
+    """One node with its target and its knowledge of the other nodes.
 
     Parameters
     ----------
     name, service, dc, region : str
-    kinds : dict of str to Kind
+    kinds : dict of str to CallKind
+        By name.
     network : Network
     policy : callable
-        As `placement.choose`.
+        Has the parameters of `placement.choose`.
     rng : random.Random
     """
 
@@ -175,154 +190,169 @@
         self.kinds = kinds
         self.network = network
         self.up = True
-        self.lives = 0
-        self.model = None
+        self.restarts = 0
+        self.target_model = None
         self._policy = policy
         self._rng = rng
         self.clock = asyncio.get_running_loop().time
         network.nodes.append(self)
-        self._begin()
+        self._reset()
 
-    def _begin(self):
-        self.target = _ModelTargetSide(self, self.clock)
-        self.caller_side = _ModelCallerSide(self, self.clock, self._policy, self._rng)
-        self.views = {}
+    def _reset(self):
+        self.target_side = _SimulatedTargetSide(self, self.clock)
+        self.caller_side = _SimulatedCallerSide(
+            self, self.clock, self._policy, self._rng
+        )
+        self.candidates_by_node = {}
 
-    # What `CallerSide` asks of its peers.
+    # Interface of `Peers` that `CallerSide` uses.
 
     @property
     def members(self):
-        """Every node of the network."""
+        """`Member` of every node of the network."""
         return [node.member for node in self.network.nodes]
 
     def candidates(self, service):
-        """Return the views of the nodes of a service."""
-        found = []
+        """Return the `Candidate` of each node of a service."""
+        candidates = []
         for node in self.network.nodes:
             if node.service == service:
-                view = self._view(node)
+                candidate = self._candidate(node)
                 if node is self:
-                    view.note_report(self.target.load_report(), self.clock())
-                found.append(view)
-        return found
+                    candidate.note_report(self.target_side.load_report(), self.clock())
+                candidates.append(candidate)
+        return candidates
 
-    def _view(self, node):
-        view = self.views.get(node.name)
-        if view is None:
-            view = self.views[node.name] = Candidate(node.member)
-            view.reachable = node is self
-        return view
+    def _candidate(self, node):
+        candidate = self.candidates_by_node.get(node.name)
+        if candidate is None:
+            candidate = self.candidates_by_node[node.name] = Candidate(node.member)
+            candidate.reachable = node is self
+        return candidate
 
     def send(self, candidate, make_frame, body, on_frame, on_stall):
-        """Send a call to a node; return a function that cancels it."""
+        """Send a call to a candidate's node; return a function that cancels it."""
         network = self.network
-        there = next(n for n in network.nodes if n.member is candidate.member)
+        destination = next(n for n in network.nodes if n.member is candidate.member)
         frame = make_frame(0)
         candidate.in_flight += 1
-        call = _Sent(self, there, candidate, on_frame)
-        network.send(self, there, len(body) + HEAD_BYTES, call.arrive, frame, body)
-        return call.cancel
+        sent_call = _SentCall(self, destination, candidate, on_frame)
+        network.send(
+            self, destination, len(body) + HEAD_BYTES, sent_call.arrive, frame, body
+        )
+        return sent_call.cancel
 
-    # Life of the node.
+    # Heartbeats, load reports and restarts.
 
     def announce(self):
-        """Tell the other nodes the state of this node's target."""
-        load = self.target.load_report()
+        """Send the load report of this node's target to all other nodes."""
+        load = self.target_side.load_report()
         for node in self.network.nodes:
             if node is not self:
-                self.network.send(self, node, 0, node.heard, self, load)
-
-    def heard(self, node, load):
-        """Take what another node says of its target."""
-        view = self._view(node)
-        view.reachable = True
-        view.note_report(load, self.clock())
-
-    def report(self):
-        """Give the node the status report of its target."""
-        model = self.model
-        if self.up and model.up:
-            report = Heartbeat(
-                model.name,
+                self.network.send(self, node, 0, node.receive_load_report, self, load)
+
+    def receive_load_report(self, node, load):
+        """Store another node's report on its target."""
+        candidate = self._candidate(node)
+        candidate.reachable = True
+        candidate.note_report(load, self.clock())
+
+    def send_heartbeat(self):
+        """Send a heartbeat of the target to this node."""
+        target_model = self.target_model
+        if self.up and target_model.up:
+            heartbeat = Heartbeat(
+                target_model.name,
                 TARGET_ADDR,
                 self.service,
-                model.born_ms,
+                target_model.born_ms,
                 int(self.clock() * 1000) + 1,
                 TargetState.READY,
-                model.traits.slots,
-                model.cold_s(),
+                target_model.traits.slots,
+                target_model.cold_s(),
             )
-            self.target.handle_heartbeat(report)
+            self.target_side.handle_heartbeat(heartbeat)
 
-    def stop_for(self, pause_s):
-        """Take no calls for a while, as a node does that stops and starts again."""
-        self.target.stop()
+    def pause(self, pause_s):
+        """Take no calls for `pause_s`, as a node that stops and starts again."""
+        self.target_side.stop()
         asyncio.get_running_loop().call_later(pause_s, self._resume)
 
     def _resume(self):
-        self.target.stopping = False
+        self.target_side.stopping = False
         self.announce()
 
     def restart(self, down_s):
-        """Lose everything; be up again after `down_s` with what was stored."""
-        held = self.target.status_tracker.current
-        stored = TargetStatus(held.target_id, held.born_ms, 0, held.state)
+        """Go down and start again after `down_s` with only the stored target status."""
+        status = self.target_side.status_tracker.current
+        stored = TargetStatus(status.target_id, status.born_ms, 0, status.state)
         self.caller_side.abort()
-        self.lives += 1
+        self.restarts += 1
         self.up = False
         loop = asyncio.get_running_loop()
-        loop.call_later(down_s, self._started, stored)
-        loop.call_later(down_s + FIRST_REPORT_S, self.report)
+        loop.call_later(down_s, self._finish_restart, stored)
+        loop.call_later(down_s + FIRST_HEARTBEAT_S, self.send_heartbeat)
 
-    def _started(self, stored):
+    def _finish_restart(self, stored):
         self.up = True
-        self._begin()
-        self.target.restore(stored)
+        self._reset()
+        self.target_side.restore(stored)
         self.announce()
         for node in self.network.nodes:
             if node is not self and node.up:
                 self.network.send(
-                    node, self, 0, self.heard, node, node.target.load_report()
+                    node,
+                    self,
+                    0,
+                    self.receive_load_report,
+                    node,
+                    node.target_side.load_report(),
                 )
 
 
-class _Sent:
-    """A call on its way to another node."""
+class _SentCall:
+    """A call sent to the node of a target, until it ends."""
 
-    def __init__(self, here, there, candidate, on_frame):
-        self.here = here
-        self.there = there
+    def __init__(self, source, destination, candidate, on_frame):
+        self.source = source
+        self.destination = destination
         self.candidate = candidate
         self.on_frame = on_frame
         self.work = None
-        self.open = True
+        self.pending = True
 
     def arrive(self, frame, body):
-        """Hand the call to the target's node."""
-        if self.open:
-            self.work = self.there.target.submit(frame, body, self._reply)
+        """Submit the call at the target's node."""
+        if self.pending:
+            self.work = self.destination.target_side.submit(
+                frame, body, self._send_response
+            )
 
-    def _reply(self, frame, body):
+    def _send_response(self, frame, body):
         size = len(body) + HEAD_BYTES
-        network = self.here.network
-        network.send(self.there, self.here, size, self._answered, frame, body)
+        network = self.source.network
+        network.send(
+            self.destination, self.source, size, self._deliver_response, frame, body
+        )
 
-    def _answered(self, frame, body):
-        if not self.open:
+    def _deliver_response(self, frame, body):
+        if not self.pending:
             return
-        self.open = False
+        self.pending = False
         self.candidate.in_flight -= 1
-        if self.there is not self.here:
-            self.candidate.note_report(frame.load, self.here.clock())
+        if self.destination is not self.source:
+            self.candidate.note_report(frame.load, self.source.clock())
         self.on_frame(frame, body)
 
     def cancel(self):
-        """Withdraw the call."""
-        if self.open:
-            self.open = False
+        """Cancel the call at the target's node and ignore its response."""
+        if self.pending:
+            self.pending = False
             self.candidate.in_flight -= 1
-            self.here.network.send(self.here, self.there, 0, self._cancelled)
+            self.source.network.send(
+                self.source, self.destination, 0, self._deliver_cancellation
+            )
 
-    def _cancelled(self):
+    def _deliver_cancellation(self):
         if self.work is not None:
-            self.there.target.cancel(self.work)
+            self.destination.target_side.cancel(self.work)
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -1,32 +1,37 @@
-"""Policies of placement that the product's is compared with."""
+"""The placement policies to compare: the product's and two baselines."""
 
 from pimentoline.twohop.placement import choose, network_cost
 
 __all__ = ["POLICIES"]
 
 
-def _open(candidates, tried):
+def _available(candidates, tried):
     return [
-        cand
-        for cand in candidates
-        if cand.reachable and cand.report.accepting and cand.member.node not in tried
+        candidate
+        for candidate in candidates
+        if candidate.reachable
+        and candidate.report.accepting
+        and candidate.member.node not in tried
     ]
 
 
 def _random(candidates, location, now, requirements, tried, draw):
-    found = _open(candidates, tried)
-    return found[int(draw * len(found))] if found else None
+    available = _available(candidates, tried)
+    return available[int(draw * len(available))] if available else None
 
 
-def _near(candidates, location, now, requirements, tried, draw):
-    """Choose the nearest, of equals the one with the fewest calls of this node."""
-    found = _open(candidates, tried)
+def _nearest(candidates, location, now, requirements, tried, draw):
+    """Choose the nearest node, and among equals the one with fewest calls in flight."""
+    available = _available(candidates, tried)
     return min(
-        found,
-        key=lambda cand: (network_cost(location, cand.member, 0)[0], cand.in_flight),
+        available,
+        key=lambda candidate: (
+            network_cost(location, candidate.member, 0)[0],
+            candidate.in_flight,
+        ),
         default=None,
     )
 
 
 # name: function with the parameters of `placement.choose`
-POLICIES = {"product": choose, "random": _random, "near": _near}
+POLICIES = {"product": choose, "random": _random, "near": _nearest}
--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -1,4 +1,4 @@
-"""Runs one condition in model time and counts what callers get."""
+"""Runs one condition in simulated time and counts the results that callers see."""
 
 import asyncio
 import random
@@ -16,58 +16,85 @@
 
 __all__ = ["Result", "run_condition"]
 
-# Nodes learn of each other and of their targets before the load begins, seconds.
-LEAD_S = 1.0
-# Calls that are open when the load ends are waited for this long, seconds.
-TAIL_S = 2.0
-# Length of the windows of which the two worst are given, seconds.
+# Time before the load, in which nodes learn of each other and of their targets,
+# seconds.
+WARM_UP_S = 1.0
+# Time after the load, in which open calls may end, seconds.
+DRAIN_S = 2.0
+# Length of the windows over which credit is summed, seconds.
 WINDOW_S = 2.0
-WORST = 2
-# One way between a caller and its node, seconds.
-CALLER_S = 0.001
-# Part of the time left that a caller waits at most when it is told to come back.
+# Number of windows with the least credit that are reported separately.
+WORST_WINDOWS = 2
+# One-way delay between a caller and its node, seconds.
+CALLER_DELAY_S = 0.001
+# A caller that is told to retry later waits for at most this part of the time that
+# remains until its deadline.
 MAX_WAIT_SHARE = 1 / 3
-ATTEMPTS = 2
-HIGHEST_US = 10_000_000
+# Attempts of a caller at one call.
+CALLER_ATTEMPTS = 2
+# Largest latency that the histogram holds, microseconds.
+MAX_LATENCY_US = 10_000_000
 
 
 @dataclass
 class Result:
-    """What callers got, summed over seeds; credit by window of the load."""
+    """Results that callers see, summed over the seeds.
 
-    asked: int = 0
-    in_time: int = 0
+    Each successful response earns the credit that `CallKind` gives.
+
+    Attributes
+    ----------
+    calls, on_time, late, refused, failed : int
+        Number of all calls, and of calls by result: with status 200 within the latency
+        objective or after it, with status 503, and all others.
+    possible_credit, earned_credit : dict of int to float
+        Credit if all calls were on time, and credit earned, by window of the load.
+    frames : int
+        Number of frames between nodes.
+    kb_dc, kb_region : float
+        Kilobytes sent between data centres of a region, and between regions.
+    histogram : HdrHistogram
+        Latencies of successful calls, microseconds.
+    """
+
+    calls: int = 0
+    on_time: int = 0
     late: int = 0
     refused: int = 0
     failed: int = 0
-    owed: dict = field(default_factory=dict)
-    earned: dict = field(default_factory=dict)
+    possible_credit: dict = field(default_factory=dict)
+    earned_credit: dict = field(default_factory=dict)
     frames: int = 0
     kb_dc: float = 0.0
     kb_region: float = 0.0
     histogram: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, HIGHEST_US, 3)
+        default_factory=lambda: HdrHistogram(1, MAX_LATENCY_US, 3)
     )
 
     @property
-    def credit(self):
-        """Credit earned, as a part of the credit owed."""
-        return sum(self.earned.values()) / max(sum(self.owed.values()), 1e-9)
+    def credit_share(self):
+        """Credit earned, as a share of the possible credit."""
+        return sum(self.earned_credit.values()) / max(
+            sum(self.possible_credit.values()), 1e-9
+        )
 
     @property
-    def worst(self):
-        """The same for the worst windows."""
-        parts = [self.earned.get(key, 0.0) / owed for key, owed in self.owed.items()]
-        worst = sorted(parts)[:WORST]
-        return sum(worst) / len(worst)
+    def worst_credit_share(self):
+        """Mean of the credit shares of the `WORST_WINDOWS` worst windows."""
+        shares = [
+            self.earned_credit.get(window, 0.0) / credit
+            for window, credit in self.possible_credit.items()
+        ]
+        lowest = sorted(shares)[:WORST_WINDOWS]
+        return sum(lowest) / len(lowest)
 
     def percentile_ms(self, percent):
-        """Return a percentile of the time to a good answer, milliseconds."""
+        """Return a percentile of the latency of successful calls, milliseconds."""
         return self.histogram.get_value_at_percentile(percent) / 1000.0
 
 
 class _Emulation:
-    """One site under one condition and seed."""
+    """A run of one site under one condition with one seed."""
 
     def __init__(self, site, condition, policy, seed, length_s, result):
         self.site = site
@@ -81,13 +108,13 @@
         self.network = Network(site.dc_s, site.region_s)
         self.loop = asyncio.get_running_loop()
         self.load = condition.load
-        self.calls = set()
+        self.call_tasks = set()
         for service, counts in site.services.items():
             for dc, count in zip(site.dcs, counts, strict=True):
                 for number in range(count):
-                    self._add(f"{service}-{dc}-{number}", service, dc, policy)
+                    self._add_node(f"{service}-{dc}-{number}", service, dc, policy)
 
-    def _add(self, name, service, dc, policy):
+    def _add_node(self, name, service, dc, policy):
         node = Node(
             name,
             service,
@@ -99,16 +126,16 @@
             random.Random(f"{self.seed} {name} places"),
         )
 
-        async def call(kind_name, left_s):
+        async def call_from_target(kind_name, remaining_s):
             kind = self.kinds[kind_name]
-            outcome = await self._ask(node, kind, min(kind.deadline_s, left_s))
+            outcome = await self._call(node, kind, min(kind.deadline_s, remaining_s))
             return outcome.status if outcome is not None else None
 
         rng = random.Random(f"{self.seed} {name} works")
-        node.model = TargetModel(self.site.traits, rng, call)
+        node.target_model = TargetModel(self.site.traits, rng, call_from_target)
 
-    async def _ask(self, node, kind, left_s):
-        """Return the outcome of a call at a node, None if the node ends."""
+    async def _call(self, node, kind, remaining_s):
+        """Return the `CallOutcome` of a call at a node, or None if the node is down."""
         if not node.up:
             return None
         incoming = IncomingCall(
@@ -117,121 +144,125 @@
             "/",
             ((KIND_HEADER, kind.name),),
             bytes(kind.sent_bytes),
-            left_s,
+            remaining_s,
             self.loop.time(),
         )
-        answered = self.loop.create_future()
+        outcome_received = self.loop.create_future()
 
         def respond(outcome):
-            if not answered.done():
-                answered.set_result(outcome)
+            if not outcome_received.done():
+                outcome_received.set_result(outcome)
 
-        leave = node.caller_side.submit(self.routes[kind.name], incoming, respond)
+        disconnect = node.caller_side.submit(self.routes[kind.name], incoming, respond)
         try:
-            return await answered
+            return await outcome_received
         except asyncio.CancelledError:
-            leave()
+            disconnect()
             raise
 
     async def run(self):
-        """Play the condition."""
+        """Run the condition and add up its results."""
         await asyncio.sleep(0)
         for node in self.network.nodes:
-            node.report()
+            node.send_heartbeat()
             node.announce()
-        await asyncio.sleep(LEAD_S)
-        self.began = self.loop.time()
+        await asyncio.sleep(WARM_UP_S)
+        self.load_started_at = self.loop.time()
         for fault in self.condition.faults:
-            self.loop.call_later(fault.at_s, self._begin, fault)
-        sources = [self._source(kind) for kind in self.site.kinds if kind.per_s]
+            self.loop.call_later(fault.at_s, self._start_fault, fault)
+        sources = [self._generate_calls(kind) for kind in self.site.kinds if kind.per_s]
         await asyncio.gather(*sources)
-        await asyncio.sleep(TAIL_S)
+        await asyncio.sleep(DRAIN_S)
         traffic = self.network.traffic
         self.result.frames += traffic.frames
         self.result.kb_dc += traffic.kb_dc
         self.result.kb_region += traffic.kb_region
 
-    def _begin(self, fault):
-        first = self.site.kinds[0].service
-        nodes = [node for node in self.network.nodes if node.service == first]
-        struck = nodes[: max(1, round(fault.share * len(nodes)))]
+    def _start_fault(self, fault):
+        service = self.site.kinds[0].service
+        nodes = [node for node in self.network.nodes if node.service == service]
+        affected = nodes[: max(1, round(fault.share * len(nodes)))]
         match fault.kind:
             case "burst":
                 self.load = self.condition.load * fault.factor
             case "slow":
-                for node in struck:
-                    node.model.slow_factor = fault.factor
+                for node in affected:
+                    node.target_model.slow_factor = fault.factor
             case "grey":
-                for node in struck:
-                    node.model.error_share = fault.factor
+                for node in affected:
+                    node.target_model.error_share = fault.factor
             case "lost":
-                for node in struck:
-                    node.stop_for(fault.for_s)
+                for node in affected:
+                    node.pause(fault.for_s)
             case "power_off":
                 for node in self.network.nodes:
-                    node.model.restart(fault.for_s)
+                    node.target_model.restart(fault.for_s)
                     node.restart(fault.for_s)
                 return
-        self.loop.call_later(fault.for_s, self._end, struck)
+        self.loop.call_later(fault.for_s, self._end_fault, affected)
 
-    def _end(self, struck):
+    def _end_fault(self, affected):
         self.load = self.condition.load
-        for node in struck:
-            node.model.slow_factor = 1.0
-            node.model.error_share = 0.0
+        for node in affected:
+            node.target_model.slow_factor = 1.0
+            node.target_model.error_share = 0.0
 
-    async def _source(self, kind):
+    async def _generate_calls(self, kind):
         rng = random.Random(f"{self.seed} {kind.name} arrivals")
         while True:
             await asyncio.sleep(rng.expovariate(kind.per_s * self.load))
-            at_s = self.loop.time() - self.began
+            at_s = self.loop.time() - self.load_started_at
             if at_s >= self.length_s:
                 return
             node = rng.choice(self.network.nodes)
-            task = self.loop.create_task(self._caller(node, kind, at_s))
-            self.calls.add(task)
-            task.add_done_callback(self.calls.discard)
+            task = self.loop.create_task(self._call_with_retries(node, kind, at_s))
+            self.call_tasks.add(task)
+            task.add_done_callback(self.call_tasks.discard)
 
-    async def _caller(self, node, kind, at_s):
-        began = self.loop.time()
-        ends = began + kind.deadline_s
+    async def _call_with_retries(self, node, kind, at_s):
+        started_at = self.loop.time()
+        deadline_at = started_at + kind.deadline_s
         status = None
-        for _ in range(ATTEMPTS):
-            left_s = ends - self.loop.time()
-            if left_s <= 0:
+        for _ in range(CALLER_ATTEMPTS):
+            remaining_s = deadline_at - self.loop.time()
+            if remaining_s <= 0:
                 break
-            await asyncio.sleep(CALLER_S)
-            outcome = await self._ask(node, kind, left_s - CALLER_S)
-            await asyncio.sleep(CALLER_S)
+            await asyncio.sleep(CALLER_DELAY_S)
+            outcome = await self._call(node, kind, remaining_s - CALLER_DELAY_S)
+            await asyncio.sleep(CALLER_DELAY_S)
             status = outcome.status if outcome is not None else None
             if status is None or status == 200:
                 break
             if status != 503 and not kind.repeatable:
                 break
-            left_s = ends - self.loop.time()
+            remaining_s = deadline_at - self.loop.time()
             wait_s = outcome.retry_after_s or 0.0
-            await asyncio.sleep(max(min(wait_s, left_s * MAX_WAIT_SHARE), 0.0))
-        self._count(kind, at_s, status, self.loop.time() - began)
+            await asyncio.sleep(max(min(wait_s, remaining_s * MAX_WAIT_SHARE), 0.0))
+        self._record(kind, at_s, status, self.loop.time() - started_at)
 
-    def _count(self, kind, at_s, status, taken_s):
+    def _record(self, kind, at_s, status, latency_s):
         result = self.result
         window = int(at_s / WINDOW_S)
-        result.asked += 1
-        result.owed[window] = result.owed.get(window, 0.0) + kind.worth
-        earned = 0.0
-        if status == 200 and taken_s <= kind.goal_s:
-            result.in_time += 1
-            earned = kind.worth
-        elif status == 200 and taken_s <= kind.deadline_s:
+        result.calls += 1
+        result.possible_credit[window] = (
+            result.possible_credit.get(window, 0.0) + kind.worth
+        )
+        earned_credit = 0.0
+        if status == 200 and latency_s <= kind.goal_s:
+            result.on_time += 1
+            earned_credit = kind.worth
+        elif status == 200 and latency_s <= kind.deadline_s:
             result.late += 1
-            earned = kind.late_worth
+            earned_credit = kind.late_worth
         elif status == 503:
             result.refused += 1
         else:
             result.failed += 1
         if status == 200:
-            result.histogram.record_value(min(int(taken_s * 1e6), HIGHEST_US))
-        result.earned[window] = result.earned.get(window, 0.0) + earned
+            result.histogram.record_value(min(int(latency_s * 1e6), MAX_LATENCY_US))
+        result.earned_credit[window] = (
+            result.earned_credit.get(window, 0.0) + earned_credit
+        )
 
 
 def _route(kind):
@@ -249,7 +280,7 @@
 
 
 def run_condition(site, condition, policy, seeds, length_s):
-    """Return the `Result` of a condition over several seeds.
+    """Emulate a condition with several seeds and return the summed `Result`.
 
     Parameters
     ----------
@@ -259,16 +290,16 @@
         A name in `POLICIES`.
     seeds : iterable of int
     length_s : float
-        Length of the load, seconds of model time.
+        Duration of the load, seconds of simulated time.
     """
     result = Result()
     for seed in seeds:
 
-        async def play(seed=seed):
+        async def emulate(seed=seed):
             emulation = _Emulation(
                 site, condition, POLICIES[policy], seed, length_s, result
             )
             await emulation.run()
 
-        simulated_time.run(play())
+        simulated_time.run(emulate())
     return result
--- a/bench/emulator/simulated_time.py
+++ b/bench/emulator/simulated_time.py
@@ -1,45 +1,45 @@
-"""An event loop whose time is a model's: it never waits, and repeats exactly."""
+"""An event loop in simulated time: it never waits, and its runs are reproducible."""
 
 import asyncio
 import selectors
 
-__all__ = ["ModelLoop", "run"]
+__all__ = ["SimulatedTimeLoop", "run"]
 
 
-class _NoWait(selectors.SelectSelector):
-    """Lets the loop's time pass instead of waiting."""
+class _InstantSelector(selectors.SelectSelector):
+    """Advances the simulated time at once instead of waiting."""
 
     def __init__(self):
         super().__init__()
-        self.passed_s = 0.0
+        self.now_s = 0.0
 
     def select(self, timeout=None):
         if timeout is None:
-            raise RuntimeError("nothing is scheduled, and something waits for ever")
-        self.passed_s += max(timeout, 0.0)
+            raise RuntimeError("nothing is scheduled, so the loop would wait forever")
+        self.now_s += max(timeout, 0.0)
         return []
 
 
-class ModelLoop(asyncio.SelectorEventLoop):
-    """Event loop in model time, seconds from 0."""
+class SimulatedTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time starts at 0 s and jumps to the next scheduled call."""
 
     def __init__(self):
-        self._waits = _NoWait()
-        super().__init__(self._waits)
+        self._time_selector = _InstantSelector()
+        super().__init__(self._time_selector)
 
     def time(self):
-        """Return the model time, seconds."""
-        return self._waits.passed_s
+        """Return the simulated time, seconds."""
+        return self._time_selector.now_s
 
 
 def run(main):
-    """Run a coroutine in model time and return its result.
+    """Run a coroutine in simulated time and return its result.
 
     Parameters
     ----------
     main : coroutine
     """
-    loop = ModelLoop()
+    loop = SimulatedTimeLoop()
     try:
         asyncio.set_event_loop(loop)
         return loop.run_until_complete(main)
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -1,24 +1,35 @@
-"""Model of a target: slots, a queue, a knee, noise, a cold start, calls of its own."""
+"""Model of a target and its performance.
+
+It covers slots and a queue, slowdown at high load, noisy neighbours, cold starts and
+calls that the target itself makes.
+"""
 
 import asyncio
 import math
 from dataclasses import dataclass
 
-__all__ = ["Kind", "Ran", "TargetModel", "TargetTraits"]
+__all__ = ["CallKind", "RequestResult", "TargetModel", "TargetTraits"]
 
 
 @dataclass(frozen=True, slots=True)
-class Kind:
-    """A kind of call.
+class CallKind:
+    """Properties of one kind of call.
 
     Attributes
     ----------
+    per_s : float
+        Calls per second from all callers; 0 if only targets make such calls.
     goal_s, deadline_s, work_s : float
-        Latency objective, deadline and mean work, seconds.
+        Latency objective, deadline and mean processing time, seconds.
     worth, late_worth : float
-        Credit for an answer in time, and for a later one.
+        Credit for a response within the latency objective, and for a later one.
+    repeatable : bool
+        Whether it may be retried after an attempt that may have run.
+    sent_bytes, answer_bytes : int
+        Sizes of the request body and of the response body.
     calls : int
-        Calls of kind `calls_kind` that a share `calls_share` of the runs makes.
+        Number of calls of kind `calls_kind` that the target makes for one request, in
+        a share `calls_share` of the requests.
     """
 
     name: str
@@ -40,11 +51,23 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetTraits:
-    """What all targets of a deployment are like; times in seconds.
+    """Properties of all targets of a deployment; times are in seconds.
 
-    `noise_share` of the time, in stretches of `noise_s`, work that begins takes
-    `noise_factor` times as long. Beyond `knee` of its slots it takes `knee_factor`
-    times as long. After a start it takes `cold_factor` times as long for `cold_s`.
+    Attributes
+    ----------
+    slots, queue : int
+        Requests that run at once, and that wait at most.
+    noise_share, noise_factor, noise_s : float
+        In a share of all periods of length `noise_s`, requests that start take
+        `noise_factor` times as long, because of other load on the host.
+    knee, knee_factor : float
+        While more than the share `knee` of the slots is in use, requests that start
+        take `knee_factor` times as long.
+    cold_s, cold_factor : float
+        For `cold_s` after a restart, requests that start take `cold_factor` times as
+        long.
+    spread : float
+        Sigma of the log-normal processing time.
     """
 
     slots: int
@@ -60,23 +83,30 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ran:
-    """How a request ended at a target: status, and whether it was not run."""
+class RequestResult:
+    """Status of a request at a target, and whether the request was not run."""
 
     status: int
     not_run: bool = False
 
 
 class TargetModel:
-    """One target.
+    """A model of one target.
 
     Parameters
     ----------
     traits : TargetTraits
     rng : random.Random
     call : callable
-        `await call(kind_name, deadline_s)` makes a call of the target's own and
-        returns its status.
+        `await call(kind_name, remaining_s)` makes a call for the target and returns
+        its status.
+
+    Attributes
+    ----------
+    slow_factor : float
+        Factor of the processing time that a fault sets.
+    error_share : float
+        Share of requests that a fault makes fail.
     """
 
     def __init__(self, traits, rng, call):
@@ -90,83 +120,85 @@
         self._rng = rng
         self._call = call
         self._waiting = 0
-        self._free = asyncio.Condition()
+        self._slot_freed = asyncio.Condition()
         self._cold_until = 0.0
         self._noise_factor = 1.0
         self._noise_until = 0.0
 
     def restart(self, down_s):
-        """Lose everything; be up again as a new target after `down_s`."""
+        """Go down, lose all state and start as a new, cold target after `down_s`."""
         self.up = False
         self.born_ms += 1
         self.name = f"target-{self.born_ms}"
-        asyncio.get_running_loop().call_later(down_s, self._started)
+        asyncio.get_running_loop().call_later(down_s, self._finish_restart)
 
-    def _started(self):
+    def _finish_restart(self):
         self.up = True
         self.running = self._waiting = 0
-        self._free = asyncio.Condition()
+        self._slot_freed = asyncio.Condition()
         self._cold_until = _now() + self.traits.cold_s
 
     def cold_s(self):
-        """Return how much longer the target is cold, seconds."""
+        """Return the remaining time of the cold start, seconds."""
         return max(0.0, self._cold_until - _now())
 
-    def slowness(self):
-        """Return how many times as long as usual work takes that begins now."""
+    def slowdown(self):
+        """Return the factor of the processing time for requests that start now."""
         now = _now()
         while self._noise_until <= now:
-            noisy = self._rng.random() < self.traits.noise_share
-            self._noise_factor = self.traits.noise_factor if noisy else 1.0
+            is_noisy = self._rng.random() < self.traits.noise_share
+            self._noise_factor = self.traits.noise_factor if is_noisy else 1.0
             self._noise_until = max(self._noise_until, now - 1.0) + self.traits.noise_s
-        cold = self.traits.cold_factor if self.cold_s() else 1.0
-        return self._noise_factor * cold * self.slow_factor
+        cold_factor = self.traits.cold_factor if self.cold_s() else 1.0
+        return self._noise_factor * cold_factor * self.slow_factor
 
     def load_header(self):
-        """Return running, waiting, slots and percent, as on the wire."""
-        percent = int(self.slowness() * 100)
+        """Return the load header: running, waiting, slots and slowdown in percent."""
+        percent = int(self.slowdown() * 100)
         return f"{self.running},{self._waiting},{self.traits.slots},{percent}"
 
-    async def serve(self, kind, left_s):
-        """Run a request of a kind; return `Ran`."""
+    async def serve(self, kind, remaining_s):
+        """Run a request of a kind and return its `RequestResult`."""
         if self.running >= self.traits.slots:
             if self._waiting >= self.traits.queue:
-                return Ran(503, True)
+                return RequestResult(503, True)
             self._waiting += 1
-            free = self._free
+            slot_freed = self._slot_freed
             try:
-                async with free:
-                    await free.wait_for(lambda: self.running < self.traits.slots)
+                async with slot_freed:
+                    await slot_freed.wait_for(lambda: self.running < self.traits.slots)
             finally:
                 self._waiting -= 1
         self.running += 1
-        free = self._free
+        slot_freed = self._slot_freed
         try:
-            return await self._run(kind, left_s)
+            return await self._run(kind, remaining_s)
         finally:
-            if free is self._free:
+            if slot_freed is self._slot_freed:
                 self.running -= 1
-                async with free:
-                    free.notify()
+                async with slot_freed:
+                    slot_freed.notify()
 
-    async def _run(self, kind, left_s):
+    async def _run(self, kind, remaining_s):
         if self._rng.random() < self.error_share:
             await asyncio.sleep(kind.work_s * 0.1)
-            return Ran(500)
+            return RequestResult(500)
         traits = self.traits
         sigma = traits.spread
         work_s = kind.work_s * self._rng.lognormvariate(-sigma * sigma / 2, sigma)
-        work_s *= self.slowness()
+        work_s *= self.slowdown()
         if self.running > math.floor(traits.slots * traits.knee):
             work_s *= traits.knee_factor
         calls = []
         if kind.calls and self._rng.random() < kind.calls_share:
-            calls = [self._call(kind.calls_kind, left_s) for _ in range(kind.calls)]
-        statuses = await asyncio.gather(*calls, _work(work_s))
-        return Ran(200 if all(status == 200 for status in statuses) else 500)
+            calls = [
+                self._call(kind.calls_kind, remaining_s) for _ in range(kind.calls)
+            ]
+        statuses = await asyncio.gather(*calls, _sleep_for(work_s))
+        return RequestResult(200 if all(status == 200 for status in statuses) else 500)
 
 
-async def _work(work_s):
+async def _sleep_for(work_s):
     await asyncio.sleep(work_s)
     return 200
 
