Reword the tests of the bench

Cause: headings and names were vague. Change: wording and local names only, and the rings named in the bench report.

--- a/bench/report.py
+++ b/bench/report.py
@@ -96,7 +96,7 @@
         "it is discarded and repeated once, and the second run counts.",
         "",
         "The baselines differ from the subject only in the choice among the targets of "
-        "a ring (targets at the same distance from the node). They share its rings, "
+        "a ring (own data centre, own region, other regions). They share its rings, "
         "spill to farther rings, ejection, retries and hedges, and with one node per "
         "data centre most rings contain one or two targets.",
         "",
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,4 +1,4 @@
-"""The bench: what its figures rest on."""
+"""Tests of the bench: its load generator and its experiment file."""
 
 from pathlib import Path
 
@@ -15,7 +15,11 @@
 
 
 def test_generator_sends_on_schedule_to_a_target_that_never_answers(cluster):
-    """Guards against coordinated omission: waiting for answers before sending."""
+    """Guards against coordinated omission.
+
+    A generator that waits for responses before it sends the next call hides stalls,
+    because the calls that would have been slow are never sent.
+    """
     target = cluster.start("standins.target")
     addr = target.info["addr"]
     url = "http://{}:{}/faults".format(*addr)
@@ -25,18 +29,18 @@
     generator = Process("bench.generator")
     cluster.processes.append(generator)
     generator.write(job)
-    answer = generator.read()
-    sent = len(schedule(job))
-    assert answer["sent"] == answer["failed"] == sent > 0
+    result = generator.read()
+    scheduled = len(schedule(job))
+    assert result["sent"] == result["failed"] == scheduled > 0
     histogram = new_histogram()
-    histogram.decode_and_add(answer["histogram"])
+    histogram.decode_and_add(result["histogram"])
     assert histogram.get_min_value() >= 490_000
 
 
 def test_misspelt_experiment_is_refused(tmp_path):
-    """Guards against a condition whose misspelt value silently has no effect."""
-    text = EXPERIMENT.read_text().replace("utilisation = 1.2", "utilization = 1.2")
+    """Guards against a misspelt key of a condition that silently has no effect."""
+    toml = EXPERIMENT.read_text().replace("utilisation = 1.2", "utilization = 1.2")
     path = tmp_path / "experiment.toml"
-    path.write_text(text)
+    path.write_text(toml)
     with pytest.raises(ValidationError, match="utilization"):
         load_experiment(path)
