Clarify the tables of the capacity benchmark and a few names

Cause: a second reading found table headings without explanation and vague names. Change: comments and local names only.

--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -28,11 +28,12 @@
 RATES_PER_S = (150, 400)
 # Response body sizes in bytes.
 BODY_SIZES = (512, 64 * 1024)
+# Ways to reach the target.
 MODES = ("direct", "relay", "node")
 MAX_ADDED_P99_MS = 0.81
 ANNOUNCE_INTERVAL_S = 1.0
 WARM_UP_CALLS = 100
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 REQUEST = b"GET /?size=%d HTTP/1.1\r\nHost: hive-ledger\r\nX-Run-Id: r\r\n\r\n"
 
 
@@ -172,7 +173,7 @@
     with open(f"/proc/{process.popen.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
     # User and system time.
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
 
 
 def measure(addrs, processes, rate, size, rounds, seconds):
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -135,7 +135,7 @@
     async def send_traffic(self, node_addr, restarts_per_s, seconds):
         """Send for `seconds` what one node of a mesh of this size receives."""
         end = self.now() + seconds
-        pending = []
+        pending_gossip = []
         for second in itertools.count():
             if self.now() >= end:
                 return
@@ -152,11 +152,13 @@
                 request = SyncRequest(digests(self.state.mesh.members))
                 await self.mesh.send_request(node_addr, self.make_message(request))
             for _ in range(int(restarts_per_s)):
-                pending.extend(self.restart_member())
+                pending_gossip.extend(self.restart_member())
             # A node receives each gossip message as often as a node sends it, spread
             # over about 2 s.
-            for message_body in [item for item in pending if self.rng.random() < 0.5]:
-                pending.remove(message_body)
+            for message_body in [
+                item for item in pending_gossip if self.rng.random() < 0.5
+            ]:
+                pending_gossip.remove(message_body)
                 self.mesh.send((node_addr,), self.make_message(message_body))
             await asyncio.sleep(1.0)
 
@@ -248,11 +250,11 @@
                 )
             )
 
-        def members(name):
+        def member_count(name):
             return cluster.admin(name, "/v1/status")[1]["members"]
 
         for name in names:
-            wait_until(lambda: members(name) == count, 60, f"members at {name}")
+            wait_until(lambda: member_count(name) == count, 60, f"members at {name}")
         row = {"nodes": count, "start_s": time.monotonic() - started_at}
         row["start_reads"], row["start_writes"] = store_request_counts(cluster)
         cluster.start_target("t1", "n0")
@@ -376,6 +378,7 @@
         f"{SIMULATED_RESTARTS_PER_S:.0f} restart/s; "
         f"scaled to {RESTARTS_PER_DAY} a day.\n"
     )
+    # `members` counts the simulated ones, `held` those that the node knows of.
     print(
         "| members | held | rest: % core | sent B/s | received B/s "
         "| restarts: % core | sent B/s | received B/s "
@@ -395,6 +398,7 @@
         f"\nReal nodes; rest {REAL_REST_S:.0f} s; one node killed and replaced every "
         f"{REAL_RESTART_INTERVAL_S:.0f} s or more.\n"
     )
+    # `all know all s` is the time until every node knows of all nodes.
     print(
         "| nodes | all know all s | reads, writes at start | rest: % core | sent B/s "
         "| received B/s | reads/s, writes/s | restarts/s | scaled: % core | sent B/s "
--- a/bench/config.py
+++ b/bench/config.py
@@ -25,7 +25,7 @@
     instances : int
         Number of targets, spread over the data centres.
     slots, connections : int
-        Requests that a target runs at once, and connections it holds.
+        Requests that a target runs at once, and connections that it accepts.
     """
 
     name: str
--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -32,7 +32,7 @@
 MAX_WAIT_SHARE = 1 / 3
 # Attempts of a caller at one call.
 CALLER_ATTEMPTS = 2
-# Largest latency that the histogram holds, microseconds.
+# Largest latency that the histogram can record, microseconds.
 MAX_LATENCY_US = 10_000_000
 
 
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -174,6 +174,7 @@
         try:
             return await self._run(kind, remaining_s)
         finally:
+            # After a restart the counters are those of the new target.
             if slot_freed is self._slot_freed:
                 self.running -= 1
                 async with slot_freed:
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -97,7 +97,7 @@
     ----------
     exp : Experiment
     size : Size
-    say : callable
+    log_progress : callable
         Called with a line of text after each result.
 
     Returns
