--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -135,7 +135,7 @@
         node.target_model = TargetModel(self.site.traits, rng, call_from_target)
 
     async def _call(self, node, kind, remaining_s):
-        """Return the outcome of a call at a node, None if the node ends."""
+        """Return the `CallOutcome` of a call at a node, or None if the node is down."""
         if not node.up:
             return None
         incoming = IncomingCall(
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -158,7 +158,7 @@
         return f"{self.running},{self._waiting},{self.traits.slots},{percent}"
 
     async def serve(self, kind, remaining_s):
-        """Run a request of a kind; return `RequestResult`."""
+        """Run a request of a kind and return its `RequestResult`."""
         if self.running >= self.traits.slots:
             if self._waiting >= self.traits.queue:
                 return RequestResult(503, True)
