Reword the rule kinds and rename their private names

Measuring budget, words and forms become probe budget, fields and syntax. Only names and docstrings change; ruff is clean, tests/test_rules.py passes.

--- a/pimentoline/rules/__init__.py
+++ b/pimentoline/rules/__init__.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules: grammar of the rules file."""
+"""pimentoline.rules: parser and queries of the rules file."""
 
 from .diagnostics import Diagnostic
 from .file_reader import read_rules
--- a/pimentoline/rules/_mapping.py
+++ b/pimentoline/rules/_mapping.py
@@ -1,11 +1,11 @@
-"""pimentoline.rules._mapping: table of rule kinds by name."""
+"""pimentoline.rules._mapping: rule classes by the name of their kind."""
 
 import functools
 import importlib
 
 __all__ = ["get_kind_by_name", "kind_names"]
 
-# name: (module, class)
+# kind: (module, class)
 KINDS = {
     "budget": ("budget", "BudgetRule"),
     "canary": ("canary", "CanaryRule"),
@@ -29,7 +29,7 @@
 
 @functools.cache
 def get_kind_by_name(name):
-    """Return the class of a rule kind, or None if there is no such kind."""
+    """Return the class of a rule kind, or None if the name is unknown."""
     if name not in KINDS:
         return None
     module, cls = KINDS[name]
--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -1,38 +1,41 @@
-"""pimentoline.rules.base: contract of a rule kind."""
+"""pimentoline.rules.base: base class of the rule kinds."""
 
 import functools
 from dataclasses import dataclass, fields
 from typing import ClassVar
 
-__all__ = ["Rule", "attribute_of"]
+__all__ = ["Rule", "attribute_name"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rule:
     """One rule; each kind is a subclass in a module of its own.
 
-    A subclass is a frozen data class. It declares one attribute for each word of
-    the rule and the class attributes below; the parser does the rest. A new kind
-    also needs an entry in `_mapping.KINDS` and one in `docs/rules.md`.
+    A subclass is a frozen data class with one attribute for each field and option
+    of the rule. It sets the class attributes below, which tell the parser how to
+    read a line. A new kind also needs an entry in `_mapping.KINDS` and one in
+    `docs/rules.md`.
 
     Attributes
     ----------
     kind : str
         First word of the line.
     syntax : str
-        Form of the line, shown in diagnostics.
+        Syntax of the line, shown in diagnostics.
     positional : dict of str to callable
-        Required words in order: attribute name and parser of `field_parsers`.
+        Required fields in the order of the line: attribute name and the function of
+        `field_parsers` that parses it.
     options : dict of str to callable
-        `NAME=VALUE` words: attribute name and parser. The default of the data
-        class counts for an option that is not given.
+        Optional `NAME=VALUE` words: option name and the function that parses the
+        value. An option that is not given has the default of the data class.
     selector_fields : tuple of str
         Attributes that say what the rule applies to; `*` matches everything. The
-        other attributes are what the rule sets. Two rules of a kind contradict
-        each other if the earlier covers what the later selects and they set
-        different values, because only the earlier would ever have an effect.
+        other attributes are the values that the rule sets. Two rules of a kind
+        contradict each other if the earlier one matches everything that the later
+        one matches and they set different values: the first matching rule wins,
+        so the later one would never take effect.
     requester : str
-        The comment of the line, which names who asked for the rule.
+        The comment of the line, which names the person who asked for the rule.
     """
 
     kind: ClassVar[str] = ""
@@ -44,52 +47,53 @@
     requester: str = ""
 
     def check(self):
-        """Check the words against each other.
+        """Check values that depend on each other; by default, there are none.
 
         Raises
         ------
         OptionError
-            If two of them do not fit together.
+            If two values are not allowed together.
         """
 
     @property
     def selector(self):
-        """What the rule applies to, as a tuple of words."""
+        """Values of the selector fields, as a tuple."""
         return tuple(getattr(self, name) for name in self.selector_fields)
 
     @property
     def setting(self):
-        """What the rule sets, as a tuple of values."""
-        return tuple(getattr(self, name) for name in _set_names(type(self)))
+        """Values that the rule sets, as a tuple."""
+        return tuple(getattr(self, name) for name in _setting_fields(type(self)))
 
     def as_line(self):
         """Return the rule as a line that parses to an equal rule."""
         words = [self.kind]
-        words += [_word(name, getattr(self, name)) for name in self.positional]
-        defaults = {item.name: item.default for item in fields(self)}
+        words += [_format_value(name, getattr(self, name)) for name in self.positional]
+        defaults = {field.name: field.default for field in fields(self)}
         for name in self.options:
-            attribute = attribute_of(name)
+            attribute = attribute_name(name)
             value = getattr(self, attribute)
             if value != defaults[attribute]:
-                words.append(f"{name}={_word(name, value)}")
+                words.append(f"{name}={_format_value(name, value)}")
         return f"{' '.join(words)}  # {self.requester}"
 
 
-def attribute_of(option):
-    """Return the attribute of an option; `class` is a keyword of Python."""
+def attribute_name(option):
+    """Return the attribute of an option; `class` is a Python keyword."""
     return "call_class" if option == "class" else option
 
 
 @functools.cache
-def _set_names(cls):
-    """Return the attributes of a kind that are neither selector nor comment."""
-    names = (item.name for item in fields(cls))
+def _setting_fields(cls):
+    """Return the attributes of a rule class that hold the values it sets."""
+    names = (field.name for field in fields(cls))
     return tuple(
         name for name in names if name not in (*cls.selector_fields, "requester")
     )
 
 
-def _word(name, value):
+def _format_value(name, value):
+    """Return a value as the word that the parser reads it from."""
     match value:
         case bool():
             return "on" if value else "off"
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.budget: measuring budget of a region."""
+"""pimentoline.rules.budget: rule for the probe budget of a region."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -14,9 +14,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetRule(Rule):
-    """Probes and bytes a second for all nodes of a region together.
+    """Probes and bytes per second that all nodes of a region may use together.
 
-    `nodes` is the number of nodes that the budget is divided by if fewer are known.
+    The budget is divided equally by the number of known nodes, or by `nodes` if that
+    is larger.
     """
 
     kind: ClassVar = "budget"
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -1,4 +1,7 @@
-"""pimentoline.rules.call_class: class of a call, which decides what is shed first."""
+"""pimentoline.rules.call_class: rule for the class of calls.
+
+Under overload, the class decides which calls are shed first.
+"""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -11,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClassRule(Rule):
-    """Class of a call; it replaces the caller's `X-Call-Class`."""
+    """Class of matching calls; it overrides the `X-Call-Class` header of the caller."""
 
     kind: ClassVar = "class"
     syntax: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.canary: share of calls for a release."""
+"""pimentoline.rules.canary: rule for the share of calls that a release receives."""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CanaryRule(Rule):
-    """Share of a service's calls that targets of a release receive."""
+    """Share of a service's calls that go to targets of one version."""
 
     kind: ClassVar = "canary"
     syntax: ClassVar = "canary SERVICE VERSION SHARE"
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.deadline: longest time of a call."""
+"""pimentoline.rules.deadline: rule for the maximum duration of calls."""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeadlineRule(Rule):
-    """Longest time of a whole call, in seconds; a caller may ask for less."""
+    """Maximum duration of a call with its retries; a caller may set a shorter one."""
 
     kind: ClassVar = "deadline"
     syntax: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
--- a/pimentoline/rules/diagnostics.py
+++ b/pimentoline/rules/diagnostics.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.diagnostics: one problem in a rules text."""
+"""pimentoline.rules.diagnostics: problems found in a rules text."""
 
 from dataclasses import asdict, dataclass
 
@@ -13,9 +13,11 @@
     ----------
     filename : str
     line, column : int
-        Place of the problem, counted from 1; 0 if it concerns the whole file.
+        Position of the problem, counted from 1; 0 if it concerns the whole file.
     found : str
+        What the text has at this position.
     allowed : str
+        What is allowed there.
     """
 
     filename: str
@@ -25,10 +27,10 @@
     allowed: str
 
     def __str__(self):
-        """Return the problem as one line, file and place first."""
-        place = f"{self.filename}:{self.line}:{self.column}"
-        return f"{place}: found {self.found}; allowed: {self.allowed}"
+        """Return the problem as one line that begins with file, line and column."""
+        position = f"{self.filename}:{self.line}:{self.column}"
+        return f"{position}: found {self.found}; allowed: {self.allowed}"
 
     def as_dict(self):
-        """Return the problem as JSON data."""
+        """Return the problem as a dictionary that can be written as JSON."""
         return asdict(self)
--- a/pimentoline/rules/hedge.py
+++ b/pimentoline/rules/hedge.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.hedge: whether late calls get a second attempt."""
+"""pimentoline.rules.hedge: rule that turns hedging on or off."""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HedgeRule(Rule):
-    """Hedging of idempotent calls, `on` or `off`."""
+    """Whether slow idempotent calls get a second attempt in parallel (hedging)."""
 
     kind: ClassVar = "hedge"
     syntax: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.idempotent: calls that may safely run more than once."""
+"""pimentoline.rules.idempotent: rule for calls that may run more than once."""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -13,8 +13,8 @@
 class IdempotentRule(Rule):
     """Calls that may be retried and hedged.
 
-    Service and method are always named, so that no single rule can make every
-    sale of every service repeatable.
+    `*` is not allowed for service and method, so that no single rule can allow
+    retries of, for example, every sale of every service.
     """
 
     kind: ClassVar = "idempotent"
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.limit: calls in flight at one node."""
+"""pimentoline.rules.limit: rule for the number of calls in flight at one node."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -14,10 +14,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LimitRule(Rule):
-    """Most calls of a service in flight at one node, for one class or for each.
+    """Maximum of a service's calls in flight at one node, for one class or for each.
 
-    The smallest limit is 1: a service is closed by pausing its targets, which says
-    in `status` why there is no target.
+    The smallest limit is 1. To close a service, pause its targets: `status` then says
+    why no target is available.
     """
 
     kind: ClassVar = "limit"
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -7,7 +7,7 @@
 from itertools import product
 
 from ._mapping import get_kind_by_name, kind_names
-from .base import attribute_of
+from .base import attribute_name
 from .diagnostics import Diagnostic
 from .field_parsers import ANY, OptionError
 from .ruleset import RuleSet
@@ -158,7 +158,7 @@
     for word, column in words:
         option, mark, value = word.partition("=")
         if mark and option in kind.options:
-            attribute, reader = attribute_of(option), kind.options[option]
+            attribute, reader = attribute_name(option), kind.options[option]
             if attribute in values:
                 problems.append((column, _shown(word), f"{option}= once"))
                 continue
--- a/pimentoline/rules/pause.py
+++ b/pimentoline/rules/pause.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.pause: targets that receive no calls."""
+"""pimentoline.rules.pause: rule for a target that receives no new calls."""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PauseRule(Rule):
-    """A target that receives no new calls; calls in flight complete."""
+    """Target that receives no new calls; calls in flight are completed."""
 
     kind: ClassVar = "pause"
     syntax: ClassVar = "pause TARGET"
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.prefer: order in which other regions are used."""
+"""pimentoline.rules.prefer: rule for the order in which other regions are used."""
 
 from dataclasses import dataclass
 from typing import ClassVar
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PreferRule(Rule):
-    """Regions that calls may spill to, the preferred first.
+    """Regions that calls received in region `home` may spill to, preferred ones first.
 
     A region that is not listed receives no spilled calls of the service.
     """
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.retry: share of retries and hedges."""
+"""pimentoline.rules.retry: rule for the share of retries and hedges."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -9,14 +9,14 @@
 
 __all__ = ["RetryRule"]
 
-# The design allows one retry or hedge for ten first attempts; a rule can only
-# lower that, so that no rule can start a retry storm.
+# At most one retry or hedge for ten first attempts. Rules can only lower this, so that
+# no rule can cause a retry storm.
 MAX_RETRY_SHARE = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryRule(Rule):
-    """Allowed share of retries and hedges in the first attempts of a service."""
+    """Allowed retries and hedges as a share of the first attempts of a service."""
 
     kind: ClassVar = "retry"
     syntax: ClassVar = "retry SERVICE SHARE"
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -1,4 +1,7 @@
-"""pimentoline.rules.spill: when calls leave their locality ring."""
+"""pimentoline.rules.spill: rule for spilling calls to the next locality ring.
+
+The locality rings of a node are its data centre, its region and the other regions.
+"""
 
 from dataclasses import dataclass
 from functools import partial
@@ -14,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SpillRule(Rule):
-    """Load at which spilling begins and ends, and the largest share of calls."""
+    """Loads at which spilling starts and stops, and the maximum share of spilled calls.
+
+    The load of a ring is its requests in flight per slot of its targets.
+    """
 
     kind: ClassVar = "spill"
     syntax: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
@@ -32,6 +38,6 @@
     share: float = 0.5
 
     def check(self):
-        """Require hysteresis: spilling ends at a lower load than it begins."""
+        """Require hysteresis: spilling stops at a lower load than it starts."""
         if self.leave >= self.enter:
             raise OptionError("leave", f"{self.leave:g}", f"below enter={self.enter:g}")
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.weight: relative share of calls of targets."""
+"""pimentoline.rules.weight: rule for the relative share of calls of targets."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -14,7 +14,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WeightRule(Rule):
-    """Weight of a target, or of the targets of a service in a region; 0 is none."""
+    """Weight of a target, or of the targets of a service in a region.
+
+    A target with weight 0 receives no calls.
+    """
 
     kind: ClassVar = "weight"
     syntax: ClassVar = "weight TARGET|SERVICE@REGION WEIGHT"
@@ -29,5 +32,5 @@
 
     @property
     def selector(self):
-        """The target, or the service and the region."""
+        """The target, or service and region."""
         return tuple(self.scope.split("@"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from pimentoline.model import Target
 from pimentoline.rules import MAX_RULES_BYTES, RuleSet, parse, read_rules
 from pimentoline.rules._mapping import get_kind_by_name, kind_names
-from pimentoline.rules.base import attribute_of
+from pimentoline.rules.base import attribute_name
 from pimentoline.rules.field_parsers import CALL_CLASSES, METHODS, OptionError
 
 EXAMPLES = sorted((Path(__file__).parent / "rules").glob("*.rules"))
@@ -95,7 +95,7 @@
     names = list(cls.positional)
     for option in cls.options:
         if draw(st.booleans()):
-            names.append(attribute_of(option))
+            names.append(attribute_name(option))
     values = {name: draw(VALUES.get(name, NAMES)) for name in names}
     return cls(requester="Mary", **values)
 
