--- a/pimentoline/rules/field_parsers.py
+++ b/pimentoline/rules/field_parsers.py
@@ -1,7 +1,7 @@
-"""pimentoline.rules.field_parsers: readers of the words of a rule.
+"""pimentoline.rules.field_parsers: parsers of the fields and options of a rule.
 
-A reader takes the name of a field or option and the word found, and returns the
-value. Each raises `OptionError`, which names the option and the allowed values.
+A parser takes the name of a field or option and its text, and returns the value. It
+raises `OptionError`, which names the option and the allowed values.
 """
 
 import re
@@ -31,18 +31,19 @@
 ANY = "*"
 CALL_CLASSES = ("critical", "normal", "sheddable")
 METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
-# Longer patterns make matching slow without selecting more precisely.
+# Longer patterns slow matching down and are not needed to tell paths apart.
 MAX_PATH_LENGTH = 256
 MAX_COUNT = 1_000_000_000
 
-# Names outside the rules file follow the same pattern, so that rules can name them.
+# Settings and the admin interface require the same pattern, so that rules can refer to
+# every name.
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._:-]*$"
-NAME = re.compile(NAME_PATTERN)
-NUMBER = re.compile(r"[0-9]+(\.[0-9]+)?")
-DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+NAME_RE = re.compile(NAME_PATTERN)
+NUMBER_RE = re.compile(r"[0-9]+(\.[0-9]+)?")
+DURATION_RE = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 MIN_DURATION_S = 0.001
 MAX_DURATION_S = 600.0
-NAME_FORM = "letters, digits and . _ : -, beginning with a letter or digit"
+NAME_DESCRIPTION = "letters, digits and . _ : -, beginning with a letter or digit"
 
 
 class OptionError(PimentolineError):
@@ -53,9 +54,9 @@
     option : str
         Name of the field or option.
     found : str
-        The word found.
+        The text found.
     allowed : str
-        The allowed values, for people.
+        The allowed values, as text for the user.
     """
 
     code = "option-invalid"
@@ -68,39 +69,39 @@
 
 
 def parse_name(option, word):
-    """Return a name of a service, region, target or release."""
-    if not NAME.fullmatch(word):
-        raise OptionError(option, word, NAME_FORM)
+    """Return the name of a service, region, target or version."""
+    if not NAME_RE.fullmatch(word):
+        raise OptionError(option, word, NAME_DESCRIPTION)
     return word
 
 
 def parse_any_name(option, word):
-    """Return a name, or `*` for every one."""
-    if word != ANY and not NAME.fullmatch(word):
-        raise OptionError(option, word, f"* or {NAME_FORM}")
+    """Return a name, or `*`, which matches every name."""
+    if word != ANY and not NAME_RE.fullmatch(word):
+        raise OptionError(option, word, f"* or {NAME_DESCRIPTION}")
     return word
 
 
 def parse_names(option, word):
-    """Return a tuple of different names, separated by commas."""
+    """Return the names of a comma-separated list without duplicates, as a tuple."""
     names = tuple(word.split(","))
-    if len(set(names)) < len(names) or not all(map(NAME.fullmatch, names)):
+    if len(set(names)) < len(names) or not all(map(NAME_RE.fullmatch, names)):
         raise OptionError(option, word, "different names separated by commas")
     return names
 
 
 def parse_scope(option, word):
-    """Return a target, or `SERVICE@REGION` with `*` for every service or region."""
-    service, mark, region = word.partition("@")
-    if not mark:
+    """Return `TARGET`, or `SERVICE@REGION`, where `*` matches every name."""
+    service, separator, region = word.partition("@")
+    if not separator:
         return parse_name(option, word)
-    if not all(part == ANY or NAME.fullmatch(part) for part in (service, region)):
+    if not all(part == ANY or NAME_RE.fullmatch(part) for part in (service, region)):
         raise OptionError(option, word, "TARGET or SERVICE@REGION")
     return word
 
 
 def parse_choice(option, word, choices):
-    """Return one of a few words."""
+    """Return the word if it is one of the choices."""
     if word not in choices:
         raise OptionError(option, word, "one of " + ", ".join(choices))
     return word
@@ -122,7 +123,10 @@
 
 
 def parse_path(option, word):
-    """Return a path pattern; `*`, `?` and `[...]` match as in a shell, `/` too."""
+    """Return a path pattern.
+
+    `*`, `?` and `[...]` have their meaning in shell patterns, but match `/` as well.
+    """
     if word[:1] not in ("/", "*") or len(word) > MAX_PATH_LENGTH:
         allowed = f"a pattern of at most {MAX_PATH_LENGTH} characters, first / or *"
         raise OptionError(option, word, allowed)
@@ -130,23 +134,23 @@
 
 
 def parse_number(option, word, low, high):
-    """Return a decimal number within `low` to `high`."""
-    if not NUMBER.fullmatch(word) or not low <= float(word) <= high:
+    """Return a decimal number from `low` to `high`."""
+    if not NUMBER_RE.fullmatch(word) or not low <= float(word) <= high:
         raise OptionError(option, word, f"a number from {low:g} to {high:g}")
     return float(word)
 
 
 def parse_count(option, word, low=0, high=MAX_COUNT):
-    """Return a whole number within `low` to `high`."""
+    """Return a whole number from `low` to `high`."""
     if not (word.isascii() and word.isdigit()) or not low <= int(word[:20]) <= high:
         raise OptionError(option, word, f"a whole number from {low} to {high}")
     return int(word)
 
 
 def parse_share(option, word, high=1.0):
-    """Return a share within 0 to `high`, from `0.25` or `25%`."""
+    """Return a share from 0 to `high`, written as `0.25` or `25%`."""
     number = word[:-1] if word.endswith("%") else word
-    if NUMBER.fullmatch(number):
+    if NUMBER_RE.fullmatch(number):
         share = float(number) / 100.0 if word.endswith("%") else float(number)
         if share <= high:
             return share
@@ -154,8 +158,8 @@
 
 
 def parse_duration_s(option, word):
-    """Return a time in seconds, from `800ms` or `1.5s`."""
-    match = DURATION.fullmatch(word)
+    """Return a duration in seconds, written as `800ms` or `1.5s`."""
+    match = DURATION_RE.fullmatch(word)
     if match:
         value, unit = match.groups()
         seconds = float(value) / 1000.0 if unit == "ms" else float(value)
--- a/pimentoline/rules/file_reader.py
+++ b/pimentoline/rules/file_reader.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.file_reader: rules files, read with a bound on their size."""
+"""pimentoline.rules.file_reader: reader of rules files with a limit on their size."""
 
 import os
 import stat
@@ -13,29 +13,29 @@
 
 
 def read_rules(filename):
-    """Read and parse a rules file.
+    """Read and parse a rules file, or standard input.
 
     Parameters
     ----------
     filename : str
-        `-` reads standard input.
+        `-` stands for standard input.
 
     Returns
     -------
     text : str or None
         None if the file could not be read as text.
     result : ParseResult
-        A file that is unreadable, too large or not UTF-8 is one more problem.
+        Has one diagnostic if the file is unreadable, too large or not UTF-8.
     """
     try:
         data = _read_bytes(filename)
     except OSError as exc:
-        return None, _refusal(filename, exc.strerror or str(exc), "a readable file")
+        return None, _failure(filename, exc.strerror or str(exc), "a readable file")
     if data is None:
-        return None, _refusal(filename, "no regular file", "a regular file, or -")
+        return None, _failure(filename, "no regular file", "a regular file, or -")
     if len(data) > MAX_RULES_BYTES:
         allowed = f"at most {MAX_RULES_BYTES} bytes"
-        return None, _refusal(filename, "a larger file", allowed)
+        return None, _failure(filename, "a larger file", allowed)
     try:
         text = data.decode("utf-8-sig")
     except UnicodeDecodeError as exc:
@@ -44,15 +44,18 @@
         start = before.rfind(b"\n") + 1
         column = len(before[start:].decode("utf-8", "replace")) + 1
         found = f"byte 0x{data[exc.start]:02x}"
-        return None, _refusal(filename, found, "text in UTF-8", line, column)
+        return None, _failure(filename, found, "text in UTF-8", line, column)
     return text, parse(text, filename)
 
 
 def _read_bytes(filename):
-    """Return at most one byte more than allowed, or None for a special file."""
+    """Return the content of a file, or None if it is not a regular file.
+
+    At most one byte more than the limit is read, which shows that a file is too large.
+    """
     if filename == STDIN:
         return sys.stdin.buffer.read(MAX_RULES_BYTES + 1)
-    # Opening a pipe without a writer would block for ever.
+    # Without O_NONBLOCK, opening a named pipe that has no writer blocks forever.
     fd = os.open(filename, os.O_RDONLY | os.O_NONBLOCK)
     with open(fd, "rb") as file:
         if not stat.S_ISREG(os.fstat(fd).st_mode):
@@ -60,5 +63,5 @@
         return file.read(MAX_RULES_BYTES + 1)
 
 
-def _refusal(filename, found, allowed, line=0, column=0):
+def _failure(filename, found, allowed, line=0, column=0):
     return ParseResult(None, (Diagnostic(filename, line, column, found, allowed),))
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.parser: read a rules text, reporting every problem at once."""
+"""pimentoline.rules.parser: parser that reports every problem of a rules text."""
 
 import functools
 import re
@@ -15,25 +15,25 @@
 __all__ = ["MAX_RULES_BYTES", "ParseResult", "parse"]
 
 MAX_RULES_BYTES = 1024 * 1024
-# Patterns are matched one after the other for each call, so their number for one
-# service bounds the time that the rules add to a call.
-MAX_PATH_RULES = 200
-# Reading a rule takes about 30 us, in which the node handles no call.
+# The path patterns of a service are matched one after another, so their number limits
+# the time that the rules add to a call.
+MAX_PATH_PATTERNS = 200
+# Parsing a rule takes about 30 us, during which the node handles no calls.
 MAX_RULES = 10_000
-MAX_SHOWN_LENGTH = 60
-CACHED_LINES = 16_384
-# Shares written as decimals do not add up to exactly 1.
+MAX_QUOTED_LENGTH = 60
+LINE_CACHE_SIZE = 16_384
+# Floating-point shares that should add up to 1 may exceed it slightly.
 SHARE_TOLERANCE = 1e-9
-NOTHING_EARLIER = (None, 0)
+NO_EARLIER_RULE = (None, 0)
 
 WORD = re.compile(r"\S+")
-CONTROL = re.compile(r"[^\t\x20-\x7e\xa0-\u2027\u202a-\U0010ffff]")
-ASKED_BY = "a # comment that names who asked for the rule"
+CONTROL_CHARACTER = re.compile(r"[^\t\x20-\x7e\xa0-\u2027\u202a-\U0010ffff]")
+REQUESTER_COMMENT = "a # comment that names who asked for the rule"
 
 
 @dataclass(frozen=True, slots=True)
 class ParseResult:
-    """Rules, or the problems that prevent them; `ruleset` is None with problems."""
+    """Result of parsing: `ruleset` is None if there are diagnostics."""
 
     ruleset: RuleSet | None
     diagnostics: tuple[Diagnostic, ...] = ()
@@ -45,101 +45,114 @@
     Parameters
     ----------
     text : str
-        One rule a line, each with a `#` comment that names who asked for it; at
-        most `MAX_RULES_BYTES` in UTF-8.
+        One rule per line, each with a `#` comment that names the person who asked
+        for it; at most `MAX_RULES_BYTES` in UTF-8.
     filename : str
-        Name used in diagnostics.
+        File name shown in diagnostics.
 
     Returns
     -------
     ParseResult
     """
-    # A character has at least one byte, so a text that is far too long is not encoded.
+    # A character takes at least one byte, so a text with too many characters need not
+    # be encoded to be rejected.
     if len(text) > MAX_RULES_BYTES or len(text.encode()) > MAX_RULES_BYTES:
         allowed = f"at most {MAX_RULES_BYTES} bytes"
         problem = Diagnostic(filename, 0, 0, "a larger text", allowed)
         return ParseResult(None, (problem,))
-    reader = _Reader(filename)
+    rules_parser = _RulesParser(filename)
     for number, line in enumerate(text.split("\n"), start=1):
-        reader.read_line(number, line.removesuffix("\r"))
-    if reader.problems:
-        return ParseResult(None, tuple(reader.problems))
-    return ParseResult(RuleSet(tuple(reader.rules)))
+        rules_parser.add_line(number, line.removesuffix("\r"))
+    if rules_parser.problems:
+        return ParseResult(None, tuple(rules_parser.problems))
+    return ParseResult(RuleSet(tuple(rules_parser.rules)))
 
 
-class _Reader:
-    """Rules and problems found so far in one text."""
+class _RulesParser:
+    """Collects the rules and problems of one text, line by line."""
 
     def __init__(self, filename):
         self.filename = filename
         self.rules = []
         self.problems = []
-        self._seen = {}
-        self._shares = {}
-        self._path_rules = Counter()
+        self._first_rules = {}
+        self._canary_shares = {}
+        self._path_pattern_counts = Counter()
 
-    def read_line(self, number, line):
-        """Read one line."""
-        rule, column, problems = _read_line(line)
+    def add_line(self, number, line):
+        """Parse one line and check its rule against the earlier rules."""
+        rule, column, problems = _parse_line(line)
         if rule is not None:
-            problems = tuple((column, *item) for item in self._check(number, rule))
+            problems = tuple(
+                (column, *item) for item in self._find_conflicts(number, rule)
+            )
             self.rules.append(rule)
             if len(self.rules) == MAX_RULES + 1:
                 problems += ((column, "a further rule", f"at most {MAX_RULES} rules"),)
         for problem in problems:
             self.problems.append(Diagnostic(self.filename, number, *problem))
 
-    def _check(self, number, rule):
-        """Yield what is wrong with a rule among the earlier ones."""
-        own = rule.selector
-        for selector in _covering(own):
-            earlier, line = self._seen.get((rule.kind, selector), NOTHING_EARLIER)
+    def _find_conflicts(self, number, rule):
+        """Yield (found, allowed) for each conflict with earlier rules or limits."""
+        selector = rule.selector
+        for covering in _covering_selectors(selector):
+            earlier, line = self._first_rules.get(
+                (rule.kind, covering), NO_EARLIER_RULE
+            )
             if earlier is not None and earlier.setting != rule.setting:
                 found = f"a rule that contradicts line {line}"
                 allowed = "one value for what both select; narrower rules come first"
                 yield found, allowed
                 return
-        self._seen.setdefault((rule.kind, own), (rule, number))
+        self._first_rules.setdefault((rule.kind, selector), (rule, number))
         if getattr(rule, "path", ANY) != ANY:
-            counted = (rule.kind, rule.service)
-            self._path_rules[counted] += 1
-            if self._path_rules[counted] == MAX_PATH_RULES + 1:
-                allowed = f"{MAX_PATH_RULES} for {rule.kind} rules of {rule.service}"
-                yield f"more than {MAX_PATH_RULES} path patterns", allowed
+            key = (rule.kind, rule.service)
+            self._path_pattern_counts[key] += 1
+            if self._path_pattern_counts[key] == MAX_PATH_PATTERNS + 1:
+                allowed = f"{MAX_PATH_PATTERNS} for {rule.kind} rules of {rule.service}"
+                yield f"more than {MAX_PATH_PATTERNS} path patterns", allowed
         if rule.kind == "canary":
-            shares = self._shares.setdefault(rule.service, {})
+            shares = self._canary_shares.setdefault(rule.service, {})
             shares[rule.version] = rule.share
             if sum(shares.values()) > 1.0 + SHARE_TOLERANCE:
                 found = f"shares of {rule.service} above 100% in total"
                 yield found, "at most 100% for one service"
 
 
-# Versions of a rules file differ in few lines; without the cache each change would
-# stop the calls of a node three times as long.
-@functools.lru_cache(maxsize=CACHED_LINES)
-def _read_line(line):
-    """Return (rule or None, its column, problems as (column, found, allowed))."""
-    control = CONTROL.search(line)
+# Successive versions of a rules file differ in few lines. Without the cache, each
+# change would block the calls of a node three times as long.
+@functools.lru_cache(maxsize=LINE_CACHE_SIZE)
+def _parse_line(line):
+    """Parse one line without regard to the others.
+
+    Returns
+    -------
+    rule : Rule or None
+    column : int
+        Column of the rule, counted from 1.
+    problems : tuple of (column, found, allowed)
+    """
+    control = CONTROL_CHARACTER.search(line)
     if control is not None:
         found = f"control character U+{ord(control.group()):04X}"
         problem = (control.start() + 1, found, "printable text and tabs")
         return None, 0, (problem,)
-    body, mark, comment = line.partition("#")
+    body, separator, comment = line.partition("#")
     words = [(match.group(), match.start() + 1) for match in WORD.finditer(body)]
     if not words:
         return None, 0, ()
     problems = []
     requester = comment.strip()
     if not any(char.isalpha() for char in requester):
-        found = "a comment without a name" if mark else "no comment"
-        problems.append((len(line) + 1, found, ASKED_BY))
+        found = "a comment without a name" if separator else "no comment"
+        problems.append((len(line) + 1, found, REQUESTER_COMMENT))
     (name, column), *rest = words
     kind = get_kind_by_name(name)
     if kind is None:
         allowed = "one of " + ", ".join(kind_names())
-        problems.append((column, _shown(name), allowed))
+        problems.append((column, _quoted(name), allowed))
         return None, column, tuple(sorted(problems))
-    values = _read_words(kind, rest, len(body.rstrip()) + 1, problems)
+    values = _parse_words(kind, rest, len(body.rstrip()) + 1, problems)
     if problems:
         return None, column, tuple(sorted(problems))
     rule = kind(requester=requester, **values)
@@ -151,40 +164,44 @@
     return rule, column, ()
 
 
-def _read_words(kind, words, end, problems):
-    """Return the values of a rule's words; add what is wrong to `problems`."""
+def _parse_words(kind, words, end, problems):
+    """Return the attribute values of a rule; append errors to `problems`.
+
+    `words` is a list of (word, column), and `end` the column behind the last word.
+    """
     values = {}
     missing = list(kind.positional)
     for word, column in words:
-        option, mark, value = word.partition("=")
-        if mark and option in kind.options:
-            attribute, reader = attribute_name(option), kind.options[option]
+        option, separator, value = word.partition("=")
+        if separator and option in kind.options:
+            attribute, parse_value = attribute_name(option), kind.options[option]
             if attribute in values:
-                problems.append((column, _shown(word), f"{option}= once"))
+                problems.append((column, _quoted(word), f"{option}= once"))
                 continue
         elif missing:
             option = attribute = missing.pop(0)
-            reader, value = kind.positional[option], word
+            parse_value, value = kind.positional[option], word
         else:
-            problems.append((column, _shown(word), kind.syntax))
+            problems.append((column, _quoted(word), kind.syntax))
             continue
-        # A refused value counts as given, so that it is reported once.
+        # An invalid value counts as given, so that it is not reported as missing too.
         values[attribute] = None
         try:
-            values[attribute] = reader(option, value)
+            values[attribute] = parse_value(option, value)
         except OptionError as exc:
-            problems.append((column, _shown(word), f"{option}: {exc.allowed}"))
+            problems.append((column, _quoted(word), f"{option}: {exc.allowed}"))
     if missing:
         problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.syntax))
     return values
 
 
-def _covering(selector):
-    """Return the selectors that match whatever `selector` matches."""
+def _covering_selectors(selector):
+    """Return all selectors that match at least what `selector` matches."""
     return product(*((word,) if word == ANY else (word, ANY) for word in selector))
 
 
-def _shown(word):
-    if len(word) > MAX_SHOWN_LENGTH:
-        word = word[:MAX_SHOWN_LENGTH] + "..."
+def _quoted(word):
+    """Return a word in quotes for a diagnostic, shortened if it is long."""
+    if len(word) > MAX_QUOTED_LENGTH:
+        word = word[:MAX_QUOTED_LENGTH] + "..."
     return repr(word)
--- a/pimentoline/rules/policy.py
+++ b/pimentoline/rules/policy.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.policy: answers of the rules in force."""
+"""pimentoline.rules.policy: results of queries of the rules."""
 
 from dataclasses import dataclass
 
@@ -10,11 +10,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CallPolicy:
-    """What the rules say of one call.
+    """How the rules want one call to be handled.
 
-    `deadline_s` is the longest time for the whole call in seconds; `call_class`
-    is `critical`, `normal` or `sheddable`, or empty if the caller's word counts;
-    `retry_share` is the allowed share of retries and hedges in first attempts.
+    `deadline_s` is the maximum duration of the whole call. `call_class` is
+    `critical`, `normal` or `sheddable`, or empty if the caller decides.
+    `retry_share` is the allowed number of retries and hedges per first attempt.
     """
 
     idempotent: bool
@@ -28,8 +28,8 @@
 class SpillPolicy:
     """When calls of a service may leave their locality ring.
 
-    `enter` and `leave` are loads as a share of slots; `share` limits the part of
-    calls that is spilled.
+    Spilling starts above load `enter` and stops at load `leave`, both in requests in
+    flight per slot; `share` is the maximum share of calls that are spilled.
     """
 
     enter: float = 0.8
@@ -39,9 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeBudget:
-    """Measuring budget of a region, for all its nodes together.
+    """Probe budget of a region, for all its nodes together.
 
-    `planned_nodes` is the largest number of nodes that the budget is split by.
+    The budget is divided by the number of known nodes, or by `planned_nodes` if that
+    is larger.
     """
 
     probes_per_s: float = 20.0
--- a/pimentoline/rules/policy_table.py
+++ b/pimentoline/rules/policy_table.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.policy_table: policies of the calls of one service and method."""
+"""pimentoline.rules.policy_table: look-up of the policy of a call by its path."""
 
 import re
 from fnmatch import translate
@@ -9,7 +9,7 @@
 __all__ = ["CALL_KINDS", "PolicyTable"]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-# Kinds that select by service, method and path, and the value each one sets.
+# Rule kinds that select by service, method and path, and the values that they set.
 CALL_KINDS = {
     "idempotent": lambda rule: {"idempotent": True},
     "deadline": lambda rule: {"deadline_s": rule.deadline_s},
@@ -18,23 +18,24 @@
 }
 
 
-class _Matcher:
+class _PathMatcher:
     """Finds the first rule of one kind that matches a path.
 
-    The patterns become one regular expression with an empty group behind each, so
-    that the number of the last group is the number of the rule, from 1.
+    The patterns are joined into one regular expression with an empty group behind
+    each, so that the number of the matched group is the number of the rule, counted
+    from 1. A rule that matches every path is tried last; rules after it are dropped.
     """
 
-    __slots__ = ("final", "pattern", "rules")
+    __slots__ = ("match_all_number", "pattern", "rules")
 
     def __init__(self, rules):
         self.rules = [None]
-        self.final = 0
+        self.match_all_number = 0
         self.pattern = None
         for rule in rules:
             self.rules.append(rule)
             if rule.path == ANY:
-                self.final = len(self.rules) - 1
+                self.match_all_number = len(self.rules) - 1
                 break
         patterns = [rule.path for rule in self.rules[1:] if rule.path != ANY]
         if patterns:
@@ -42,56 +43,66 @@
             self.pattern = re.compile("|".join(parts))
 
     def find(self, path):
-        """Return the number of the first matching rule, 0 if none matches."""
+        """Return the number of the first matching rule, or 0 if none matches."""
         if self.pattern is None:
-            return self.final
+            return self.match_all_number
         match = self.pattern.match(path)
-        return self.final if match is None else match.lastindex
+        return self.match_all_number if match is None else match.lastindex
 
 
 class PolicyTable:
-    """Policies by path.
+    """Finds the policy of a call of one service and method by its path.
 
     Parameters
     ----------
     rules : iterable of Rule
     service, method : str
-        `*` stands for every name that no rule mentions.
+        `*` stands for the services that no rule names, or for unknown methods.
     """
 
-    __slots__ = ("_fixed", "_matchers", "_policies", "_retry", "_always")
+    __slots__ = (
+        "_only_policy",
+        "_matchers",
+        "_policies",
+        "_retry",
+        "_idempotent_method",
+    )
 
     def __init__(self, rules, service, method):
-        chosen = {kind: [] for kind in CALL_KINDS}
+        rules_by_kind = {kind: [] for kind in CALL_KINDS}
         self._retry = None
         for rule in rules:
             if rule.kind == "retry":
                 if self._retry is None and rule.service in (ANY, service):
                     self._retry = rule
-            elif rule.kind in chosen and rule.service in (ANY, service):
+            elif rule.kind in rules_by_kind and rule.service in (ANY, service):
                 if rule.method in (ANY, method):
-                    chosen[rule.kind].append(rule)
-        self._always = method in IDEMPOTENT_METHODS
-        self._matchers = tuple(_Matcher(found) for found in chosen.values())
-        # One policy for each combination of deciding rules, made at its first use.
+                    rules_by_kind[rule.kind].append(rule)
+        self._idempotent_method = method in IDEMPOTENT_METHODS
+        self._matchers = tuple(
+            _PathMatcher(kind_rules) for kind_rules in rules_by_kind.values()
+        )
+        # One policy for each combination of matching rules, created at its first use.
         self._policies = {}
-        self._fixed = None
+        self._only_policy = None
         if all(matcher.pattern is None for matcher in self._matchers):
-            self._fixed = self.policy("")
+            self._only_policy = self.policy("")
 
     def policy(self, path):
         """Return the `CallPolicy` of a path."""
-        if self._fixed is not None:
-            return self._fixed
+        if self._only_policy is not None:
+            return self._only_policy
         first, second, third, fourth = self._matchers
         key = (first.find(path), second.find(path), third.find(path), fourth.find(path))
         policy = self._policies.get(key)
         if policy is None:
-            policy = self._policies[key] = self._make(self.matching(path))
+            policy = self._policies[key] = self._create_policy(
+                self.matching_rules(path)
+            )
         return policy
 
-    def matching(self, path):
-        """Return the deciding rules by kind."""
+    def matching_rules(self, path):
+        """Return the first matching rule of each kind, by kind."""
         found = {}
         for kind, matcher in zip(CALL_KINDS, self._matchers):
             rule = matcher.rules[matcher.find(path)]
@@ -101,8 +112,8 @@
             found["retry"] = self._retry
         return found
 
-    def _make(self, found):
-        values = {"idempotent": self._always}
+    def _create_policy(self, found):
+        values = {"idempotent": self._idempotent_method}
         for kind, rule in found.items():
             if kind == "retry":
                 values["retry_share"] = rule.share
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.ruleset: the rules in force, as questions the core asks."""
+"""pimentoline.rules.ruleset: the rules in force, indexed for queries."""
 
 from dataclasses import dataclass, field
 
@@ -13,32 +13,32 @@
 class RuleSet:
     """Rules in force; the first matching rule of a kind wins.
 
-    Equality counts the rules only; the other attributes are indexes derived from
-    them, so that a question costs a few dictionary look-ups.
+    The private attributes are indexes derived from the rules, so that a query costs
+    a few dictionary look-ups. They do not count for equality.
 
     Parameters
     ----------
     rules : tuple of Rule
-        In the order of the file.
+        Rules in the order of the file.
     """
 
     rules: tuple = ()
-    _kinds: dict = field(init=False, repr=False, compare=False)
-    _services: frozenset = field(init=False, repr=False, compare=False)
-    _plans: dict = field(init=False, repr=False, compare=False)
+    _first_rules: dict = field(init=False, repr=False, compare=False)
+    _services_with_rules: frozenset = field(init=False, repr=False, compare=False)
+    _policy_tables: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
-        """Index the rules by kind and selector, the first one of each kept."""
+        """Index the first rule of each kind and selector."""
         kinds = {}
         services = set()
-        for place, rule in enumerate(self.rules):
-            table = kinds.setdefault(rule.kind, {})
-            table.setdefault(rule.selector, (place, rule))
+        for index, rule in enumerate(self.rules):
+            rules_by_selector = kinds.setdefault(rule.kind, {})
+            rules_by_selector.setdefault(rule.selector, (index, rule))
             if rule.kind in CALL_KINDS or rule.kind == "retry":
                 services.add(rule.service)
-        object.__setattr__(self, "_kinds", kinds)
-        object.__setattr__(self, "_services", frozenset(services))
-        object.__setattr__(self, "_plans", {})
+        object.__setattr__(self, "_first_rules", kinds)
+        object.__setattr__(self, "_services_with_rules", frozenset(services))
+        object.__setattr__(self, "_policy_tables", {})
 
     def call_policy(self, service, method, path):
         """Return the `CallPolicy` of a call.
@@ -47,44 +47,46 @@
         ----------
         service, method : str
         path : str
-            Without the query.
+            Without the query string.
 
         Returns
         -------
         CallPolicy
         """
-        return self._plan(service, method).policy(path)
+        return self._policy_table(service, method).policy(path)
 
     def matching_rules(self, service, method, path):
-        """Return the rules that decide the `CallPolicy` of a call, by kind."""
-        return self._plan(service, method).matching(path)
+        """Return the rules that determine the `CallPolicy` of a call, by kind."""
+        return self._policy_table(service, method).matching_rules(path)
 
-    def _plan(self, service, method):
-        # Callers choose service and method freely; the plans are kept only for
-        # those that rules or HTTP name, so that their number is bounded.
+    def _policy_table(self, service, method):
+        # Callers choose service and method freely. Services without rules share a
+        # table, and so do unknown methods, so that the number of tables is bounded.
         key = (
-            service if service in self._services else ANY,
+            service if service in self._services_with_rules else ANY,
             method if method in METHODS else ANY,
         )
-        plan = self._plans.get(key)
-        if plan is None:
-            plan = self._plans[key] = PolicyTable(self.rules, *key)
-        return plan
-
-    def _first(self, kind, *selectors):
-        """Return the earliest rule of a kind with one of the selectors, or None."""
-        table = self._kinds.get(kind)
-        if table is None:
+        policy_table = self._policy_tables.get(key)
+        if policy_table is None:
+            policy_table = self._policy_tables[key] = PolicyTable(self.rules, *key)
+        return policy_table
+
+    def _find_first(self, kind, *selectors):
+        """Return the first rule of a kind with one of the selectors, or None."""
+        rules_by_selector = self._first_rules.get(kind)
+        if rules_by_selector is None:
             return None
-        found = [table[item] for item in selectors if item in table]
-        return min(found, key=_place)[1] if found else None
+        found = [
+            rules_by_selector[item] for item in selectors if item in rules_by_selector
+        ]
+        return min(found, key=_rule_index)[1] if found else None
 
     def target_rules(self, target):
-        """Return the rules that decide the weight of a target, by kind."""
+        """Return the rules that determine the weight of a target, by kind."""
         service, region = target.service, target.region
         found = {
-            "pause": self._first("pause", (target.target_id,)),
-            "weight": self._first(
+            "pause": self._find_first("pause", (target.target_id,)),
+            "weight": self._find_first(
                 "weight",
                 (target.target_id,),
                 (service, region),
@@ -105,9 +107,9 @@
         Returns
         -------
         float
-            1.0 without a rule.
+            1.0 if no rule matches.
         """
-        kinds = self._kinds
+        kinds = self._first_rules
         if "pause" not in kinds and "weight" not in kinds:
             return 1.0
         found = self.target_rules(target)
@@ -117,7 +119,7 @@
 
     def spill_policy(self, service):
         """Return the `SpillPolicy` of a service."""
-        rule = self._first("spill", (service,), (ANY,))
+        rule = self._find_first("spill", (service,), (ANY,))
         if rule is None:
             return SpillPolicy()
         return SpillPolicy(rule.enter, rule.leave, rule.share)
@@ -128,23 +130,24 @@
         Returns
         -------
         tuple of str or None
-            The preferred first; None without a rule: every region, in any order.
+            Preferred regions first. None if no rule matches: calls may spill to every
+            region, in any order.
         """
-        rule = self._first(
+        rule = self._find_first(
             "prefer", (service, region), (service, ANY), (ANY, region), (ANY, ANY)
         )
         return None if rule is None else rule.regions
 
     def probe_budget(self, region):
         """Return the `ProbeBudget` of a region."""
-        rule = self._first("budget", (region,), (ANY,))
+        rule = self._find_first("budget", (region,), (ANY,))
         if rule is None:
             return ProbeBudget()
         return ProbeBudget(rule.probes, float(rule.bytes), rule.nodes)
 
     def inflight_limit(self, service, call_class):
-        """Return the limit of a node's calls of one class in flight, or None."""
-        rule = self._first(
+        """Return the maximum of a node's calls in flight in one class, or None."""
+        rule = self._find_first(
             "limit",
             (service, call_class),
             (service, ANY),
@@ -154,10 +157,10 @@
         return None if rule is None else rule.inflight
 
     def canary_share(self, service, version):
-        """Return the share of calls for a release, or None without a rule."""
-        rule = self._first("canary", (service, version))
+        """Return the share of calls for a version, or None if no rule matches."""
+        rule = self._find_first("canary", (service, version))
         return None if rule is None else rule.share
 
 
-def _place(entry):
+def _rule_index(entry):
     return entry[0]
