--- a/pimentoline/policies/__init__.py
+++ b/pimentoline/policies/__init__.py
@@ -1,4 +1,4 @@
-"""pimentoline.policies: policies that choose one of several candidates."""
+"""pimentoline.policies: load-balancing policies."""
 
 from ._mapping import get_policy_by_name, policy_names
 
--- a/pimentoline/policies/_mapping.py
+++ b/pimentoline/policies/_mapping.py
@@ -1,4 +1,4 @@
-"""pimentoline.policies._mapping: table of policies by name."""
+"""pimentoline.policies._mapping: load-balancing policies by name."""
 
 import functools
 import importlib
@@ -7,7 +7,7 @@
 
 __all__ = ["get_policy_by_name", "policy_names"]
 
-# name: (module, class)
+# policy name: (module, class)
 POLICIES = {
     "hot-cold": ("hot_cold", "HotColdPolicy"),
     "least-inflight": ("least_inflight", "LeastInflightPolicy"),
@@ -24,12 +24,12 @@
 
 @functools.cache
 def get_policy_by_name(name):
-    """Return the policy of that name.
+    """Return the policy with the given name.
 
     Raises
     ------
     SettingsError
-        If there is no such policy.
+        If the name is unknown.
     """
     if name not in POLICIES:
         raise SettingsError(f"policy {name!r}; allowed: {', '.join(policy_names())}")
--- a/pimentoline/policies/base.py
+++ b/pimentoline/policies/base.py
@@ -1,32 +1,32 @@
-"""pimentoline.policies.base: contract of a policy."""
+"""pimentoline.policies.base: base class of the load-balancing policies."""
 
 __all__ = ["Policy", "min_with_random_tie", "weighted_sample"]
 
 
 class Policy:
-    """Chooses one candidate for an attempt.
+    """Chooses the target of an attempt among the candidates.
 
-    A subclass sets `name` and gives `choose`. It keeps no state of its own: what it
-    needs is in the candidates' statistics, so that decisions can be replayed.
+    A subclass sets `name` and implements `choose`. It keeps no state of its own and
+    decides by its arguments only, so that decisions can be replayed.
     """
 
     name = ""
 
-    def accepts(self, cand, service, now):
-        """Return whether a candidate is fit, if there are others.
+    def accepts(self, candidate, service, now):
+        """Return whether a candidate should be used if there are others.
 
-        A ring without a fit candidate is passed over. By default, every candidate
-        that is not ejected is fit.
+        A locality ring without an accepted candidate is skipped. By default, every
+        candidate that is not ejected is accepted.
         """
         return True
 
-    def choose(self, found, service, now, draw):
+    def choose(self, candidates, service, now, draw):
         """Return one of the candidates.
 
         Parameters
         ----------
-        found : list of Candidate
-            At least one, in an order that is the same at every decision.
+        candidates : list of Candidate
+            At least one, always in the same order.
         service : ServiceStats
         now : float
             Monotonic time, seconds.
@@ -40,12 +40,12 @@
         raise NotImplementedError
 
 
-def weighted_sample(found, count, draw):
-    """Return up to `count` different candidates, with chances by their weights.
+def weighted_sample(candidates, count, draw):
+    """Return up to `count` different candidates, drawn with probability by weight.
 
     Parameters
     ----------
-    found : list of Candidate
+    candidates : list of Candidate
         Each with a weight above 0.
     count : int
     draw : int
@@ -54,36 +54,41 @@
     Returns
     -------
     list of Candidate
-        In the order drawn, so that the first is a weighted random choice.
+        In the order drawn, so that the first one is a weighted random choice.
     """
-    rest = list(found)
-    first = rest[0].weight
-    even = all(cand.weight == first for cand in rest)
+    rest = list(candidates)
+    first_weight = rest[0].weight
+    equal_weights = all(candidate.weight == first_weight for candidate in rest)
     chosen = []
     while rest and len(chosen) < count:
-        if even:
+        if equal_weights:
             draw, index = divmod(draw, len(rest))
         else:
-            draw, index = _weighted(rest, draw)
+            draw, index = _weighted_index(rest, draw)
         chosen.append(rest.pop(index))
     return chosen
 
 
-# A weighted choice takes this many bits of the draw, so 64 bits give four of them.
-CHOICE_BITS = 16
+# Bits of the draw that a weighted choice uses up; 64 bits are enough for four choices.
+BITS_PER_CHOICE = 16
 
 
-def _weighted(rest, draw):
-    draw, part = divmod(draw, 1 << CHOICE_BITS)
-    point = part / (1 << CHOICE_BITS) * sum(cand.weight for cand in rest)
-    for index, cand in enumerate(rest):
-        point -= cand.weight
+def _weighted_index(rest, draw):
+    """Return the rest of the draw and the index of a candidate, drawn by weight."""
+    draw, choice_bits = divmod(draw, 1 << BITS_PER_CHOICE)
+    point = (
+        choice_bits
+        / (1 << BITS_PER_CHOICE)
+        * sum(candidate.weight for candidate in rest)
+    )
+    for index, candidate in enumerate(rest):
+        point -= candidate.weight
         if point < 0.0:
             return draw, index
     return draw, len(rest) - 1
 
 
-def min_with_random_tie(found, key, draw):
-    """Return a candidate with the least key; the draw breaks ties evenly."""
-    start = draw % len(found)
-    return min(found[start:] + found[:start], key=key)
+def min_with_random_tie(candidates, key, draw):
+    """Return a candidate with the smallest key; ties are broken at random by `draw`."""
+    start = draw % len(candidates)
+    return min(candidates[start:] + candidates[:start], key=key)
--- a/pimentoline/policies/least_inflight.py
+++ b/pimentoline/policies/least_inflight.py
@@ -1,4 +1,4 @@
-"""pimentoline.policies.least_inflight: least own requests in flight, as a baseline."""
+"""pimentoline.policies.least_inflight: fewest requests in flight, a baseline."""
 
 from .base import Policy, min_with_random_tie
 
@@ -10,6 +10,8 @@
 
     name = "least-inflight"
 
-    def choose(self, found, service, now, draw):
-        """Return a candidate with the least own requests in flight."""
-        return min_with_random_tie(found, lambda cand: cand.stats.inflight, draw)
+    def choose(self, candidates, service, now, draw):
+        """Return the candidate with the fewest requests of this node in flight."""
+        return min_with_random_tie(
+            candidates, lambda candidate: candidate.stats.inflight, draw
+        )
--- a/pimentoline/policies/random.py
+++ b/pimentoline/policies/random.py
@@ -1,4 +1,4 @@
-"""pimentoline.policies.random: a random choice by weight, as a baseline."""
+"""pimentoline.policies.random: weighted random choice, a baseline."""
 
 from .base import Policy, weighted_sample
 
@@ -6,10 +6,10 @@
 
 
 class RandomPolicy(Policy):
-    """Chooses at random, with chances by weight."""
+    """Chooses at random, with probability by weight."""
 
     name = "random"
 
-    def choose(self, found, service, now, draw):
+    def choose(self, candidates, service, now, draw):
         """Return a random candidate."""
-        return weighted_sample(found, 1, draw)[0]
+        return weighted_sample(candidates, 1, draw)[0]
--- a/pimentoline/policies/round_robin.py
+++ b/pimentoline/policies/round_robin.py
@@ -1,4 +1,4 @@
-"""pimentoline.policies.round_robin: one candidate after the other, as a baseline."""
+"""pimentoline.policies.round_robin: one candidate after another, a baseline."""
 
 from .base import Policy
 
@@ -6,10 +6,10 @@
 
 
 class RoundRobinPolicy(Policy):
-    """Goes through the candidates in their fixed order."""
+    """Uses the candidates in turn, without regard to their weights."""
 
     name = "round-robin"
 
-    def choose(self, found, service, now, draw):
-        """Return the candidates in turn, by the number of calls sent."""
-        return found[service.calls_sent % len(found)]
+    def choose(self, candidates, service, now, draw):
+        """Return the next candidate, by the number of calls sent so far."""
+        return candidates[service.calls_sent % len(candidates)]
--- a/pimentoline/policies/two_choices.py
+++ b/pimentoline/policies/two_choices.py
@@ -1,4 +1,4 @@
-"""pimentoline.policies.two_choices: the less loaded of two, as a baseline."""
+"""pimentoline.policies.two_choices: less loaded of two candidates, a baseline."""
 
 from .base import Policy, weighted_sample
 
@@ -10,8 +10,9 @@
 
     name = "two-choices"
 
-    def choose(self, found, service, now, draw):
+    def choose(self, candidates, service, now, draw):
         """Return the candidate with the lower reported load."""
         return min(
-            weighted_sample(found, 2, draw), key=lambda cand: cand.stats.reported_load
+            weighted_sample(candidates, 2, draw),
+            key=lambda candidate: candidate.stats.reported_load,
         )
