--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -20,7 +20,7 @@
 # usual variation of service times stays below it.
 SLOW_FACTOR = 3.0
 REPORT_HALF_LIFE_S = 0.5
-LATENCY_TIME_CONSTANT_S = 2.0
+LATENCY_DECAY_S = 2.0
 LN2 = math.log(2.0)
 
 
@@ -52,7 +52,7 @@
     median_s = service.median_latency_s
     latency_s = median_s
     if stats.latency_s:
-        weight = math.exp((stats.latency_at - now) / LATENCY_TIME_CONSTANT_S)
+        weight = math.exp((stats.latency_at - now) / LATENCY_DECAY_S)
         latency_s += (stats.latency_s - median_s) * weight
     if stats.waiting:
         latency_s = max(latency_s, now - stats.waiting_since_sum / stats.waiting)
