--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -1,4 +1,4 @@
-"""pimentoline.cli: the command line."""
+"""pimentoline.cli: entry point of the command line."""
 
 import sys
 import traceback
@@ -17,13 +17,13 @@
 
 __all__ = ["main", "run"]
 
-HELP_WORDS = ("--help", "-h", "help")
-# Read by the launcher of the single-file program.
+HELP_ARGUMENTS = ("--help", "-h", "help")
+# Environment variables that the launcher of the single-file executable reads.
 LAUNCHER_VARIABLES = ("PIMENTOLINE_RUNTIME_DIR",)
 
 
 def main():
-    """Run the command line of this process."""
+    """Run the command line of this process and exit with its status."""
     sys.exit(run(sys.argv[1:]))
 
 
@@ -33,23 +33,23 @@
     Parameters
     ----------
     argv : list of str
-        Command, arguments and flags.
+        Name of the command, arguments and flags.
 
     Returns
     -------
     ExitStatus
     """
-    # Known before the flags are, so that an error in a flag is JSON too.
+    # Decided before the flags are parsed, so that errors in flags are JSON too.
     out = Output("--json" in argv)
-    if not argv or argv[0] in HELP_WORDS:
-        print(_help())
+    if not argv or argv[0] in HELP_ARGUMENTS:
+        print(_help_text())
         return ExitStatus.OK if argv else ExitStatus.USAGE
     command = get_command_by_name(argv[0])
     if command is None:
         names = ", ".join(command_names())
         out.write_error("usage", [f"found {argv[0]!r}; allowed commands: {names}"])
         return ExitStatus.USAGE
-    if any(word in HELP_WORDS[:2] for word in argv[1:]):
+    if any(word in HELP_ARGUMENTS[:2] for word in argv[1:]):
         print(command.help())
         return ExitStatus.OK
     try:
@@ -68,7 +68,7 @@
         return ExitStatus.INTERNAL
     except (KeyError, TypeError) as exc:
         traceback.print_exc()
-        out.write_error("internal", [f"answer of the node lacks {exc}"])
+        out.write_error("internal", [f"response of the node is missing {exc}"])
         return ExitStatus.INTERNAL
     except OSError as exc:
         out.write_error("internal", [str(exc)])
@@ -76,29 +76,29 @@
 
 
 def _run(command, argv, out):
-    variables = {
+    known_variables = {
         env_var_name(name)
         for other in command_names()
         for name in get_command_by_name(other).flags
     }
-    variables.update(LAUNCHER_VARIABLES)
-    values, args = parse_flags(command.flags, argv, known_variables=variables)
+    known_variables.update(LAUNCHER_VARIABLES)
+    values, args = parse_flags(command.flags, argv, known_variables=known_variables)
     out.as_json = values.get("json", False)
-    many = bool(command.arguments) and command.arguments[-1].endswith("...")
-    wanted = len(command.arguments)
-    if len(args) < wanted or (len(args) > wanted and not many):
+    repeatable = bool(command.arguments) and command.arguments[-1].endswith("...")
+    required = len(command.arguments)
+    if len(args) < required or (len(args) > required and not repeatable):
         form = " ".join(command.arguments) or "no arguments"
         raise SettingsError(f"found {len(args)} arguments; allowed: {form}")
     return command.run(validate_flags(command.model, values), args, out)
 
 
-def _help():
+def _help_text():
     lines = ["usage: pimentoline COMMAND [arguments] [flags]", ""]
-    lines += ["Load balancer for services whose load shifts within milliseconds.", ""]
-    lines.append("commands (`pimentoline COMMAND --help` says more):")
+    lines += ["Load balancer for services whose load changes within milliseconds.", ""]
+    lines.append("commands (see `pimentoline COMMAND --help`):")
     lines += [f"  {name:<9} {entry[2]}" for name, entry in COMMANDS.items()]
     lines += ["", "Every flag has an environment variable: --admin_addr is"]
-    lines += [f"{env_var_name('admin_addr')}. A flag wins over its variable.", ""]
+    lines += [f"{env_var_name('admin_addr')}. A flag overrides its variable.", ""]
     lines.append("exit status:")
     lines += [f"  {status:d}  {text}" for status, text in EXIT_DESCRIPTIONS.items()]
     return "\n".join(lines)
--- a/pimentoline/commands/__init__.py
+++ b/pimentoline/commands/__init__.py
@@ -1,4 +1,4 @@
-"""pimentoline.commands: commands of the command line, one module each."""
+"""pimentoline.commands: subcommands of the command line."""
 
 from ._mapping import command_names, get_command_by_name
 from .exit_status import ExitStatus
--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ApplyCommand"]
 
-EXIT_OF_RESULT = {
+EXIT_STATUS_BY_RESULT = {
     "accepted": ExitStatus.OK,
     "conflict": ExitStatus.CONFLICT,
     "unknown": ExitStatus.UNKNOWN,
@@ -30,24 +30,24 @@
 
 
 class ApplyCommand(Command):
-    """Applies a rules text with compare-and-set."""
+    """Applies a rules text with compare-and-set on the version in force."""
 
     arguments = ("FILE",)
     description = """
-Puts FILE in force at every node, if version --base is still the one in force. FILE
-may be - for standard input. `pimentoline diff FILE` says which version is in force and
-what would change.
+Puts FILE in force at every node if version --base is still in force. FILE may be - for
+standard input. `pimentoline diff FILE` shows the version in force and the changes.
 
-The answer is one of
-  accepted  the text has a version number and will be in force everywhere within 5 s
-  conflict  somebody else was faster; the answer says who, and what differs
-  unknown   the store did not say whether it wrote the text; repeat the command that
-            is printed, with the same --attempt, to learn the outcome. Repeating is
-            safe: one attempt is accepted at most once.
+The result is one of
+  accepted     the text got a version number and will be in force everywhere within 5 s
+  conflict     another version was accepted first; its author and a diff are printed
+  unavailable  the store is unavailable; nothing was changed
+  unknown      the store did not confirm whether it wrote the text; repeat the command
+               that is printed, with the same --attempt, to learn the outcome. Repeating
+               is safe: an attempt is accepted at most once.
 """
     flags = {
         "author": ("", "Your name, for the audit trail."),
-        "base": ("", "Version that the file is a change of; 0 if there is none yet."),
+        "base": ("", "Version that the file is based on; 0 if there is none yet."),
         "attempt": ("", "Id of an earlier attempt whose outcome is unknown."),
         **ADMIN_FLAGS,
     }
@@ -61,7 +61,7 @@
     )
 
     def run(self, cfg, args, out):
-        """Apply the file through the node."""
+        """Send the file to the node, which writes it to the store."""
         text, result = read_rules(args[0])
         if result.diagnostics:
             out.write_error("rules-invalid", result.diagnostics)
@@ -74,47 +74,51 @@
             "attempt": attempt,
         }
         try:
-            status, answer = self.client(cfg).send_request("/v1/config", "POST", body)
+            status, response = self.client(cfg).send_request("/v1/config", "POST", body)
         except NodeUnavailableError as exc:
             if not exc.sent:
                 raise
-            # The node may have handed the text to the store before it fell silent.
-            status, answer = 504, {"result": "unknown", "detail": exc.detail}
-        answer["attempt"] = attempt
-        result = answer.get("result")
+            # The node may have sent the text to the store before the request failed.
+            status, response = 504, {"result": "unknown", "detail": exc.detail}
+        response["attempt"] = attempt
+        result = response.get("result")
         if status == 400:
-            code = answer.get("error", "bad-request")
-            out.write_error(code, as_list(answer.get("detail")))
+            code = response.get("error", "bad-request")
+            out.write_error(code, as_list(response.get("detail")))
             return (
                 ExitStatus.RULES_INVALID
                 if code == "rules-invalid"
                 else ExitStatus.USAGE
             )
         if result == "unavailable" and cfg.attempt:
-            # This request wrote nothing, but the one before may have.
-            answer["result"] = result = "unknown"
-        if result not in EXIT_OF_RESULT:
-            detail = answer.get("detail", f"status {status}")
-            answer |= {"result": "unknown", "detail": f"node answered {detail}"}
+            # This request wrote nothing, but the earlier one may have.
+            response["result"] = result = "unknown"
+        if result not in EXIT_STATUS_BY_RESULT:
+            detail = response.get("detail", f"status {status}")
+            response |= {
+                "result": "unknown",
+                "detail": f"unexpected response of the node: {detail}",
+            }
             result = "unknown"
-        out.write_result(answer, _lines(answer, cfg, args[0]))
-        return EXIT_OF_RESULT[result]
+        out.write_result(response, _lines(response, cfg, args[0]))
+        return EXIT_STATUS_BY_RESULT[result]
 
 
-def _lines(answer, cfg, filename):
-    detail = answer.get("detail", "")
-    match answer["result"]:
+def _lines(response, cfg, filename):
+    """Yield the lines of the result for users."""
+    detail = response.get("detail", "")
+    match response["result"]:
         case "accepted":
-            yield f"accepted as version {answer['version']}"
-            if "superseded_by" in answer:
-                yield f"since then version {answer['superseded_by']} was accepted"
+            yield f"accepted as version {response['version']}"
+            if "superseded_by" in response:
+                yield f"since then version {response['superseded_by']} was accepted"
             if detail:
                 yield detail
         case "conflict":
             yield f"conflict: version {cfg.base} is no longer in force"
-            for row in answer.get("won", ()):
+            for row in response.get("won", ()):
                 yield f"version {row['version']} by {row['author']} at {row['time']}"
-            differs = answer.get("differs", [])
+            differs = response.get("differs", [])
             if differs:
                 yield "difference between the version in force and your file:"
             yield from differs
@@ -123,8 +127,8 @@
         case _:
             addr = "{}:{}".format(*cfg.admin_addr)
             args = ["pimentoline", "apply", filename, f"--base={cfg.base}"]
-            args += [f"--author={cfg.author}", f"--attempt={answer['attempt']}"]
+            args += [f"--author={cfg.author}", f"--attempt={response['attempt']}"]
             args.append(f"--admin_addr={addr}")
             yield f"unknown: {detail}"
-            yield f"attempt {answer['attempt']}"
+            yield f"attempt {response['attempt']}"
             yield f"to learn the outcome, repeat: {shlex.join(args)}"
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -1,4 +1,4 @@
-"""pimentoline.commands.base: contract of a command."""
+"""pimentoline.commands.base: base class of the commands."""
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
@@ -11,14 +11,14 @@
 
 JSON_FLAGS = {"json": (False, "Write the result as one line of JSON.")}
 ADMIN_FLAGS = {
-    "admin_addr": ("127.0.0.1:8082", "Admin address of the node to ask."),
-    "timeout_s": ("20", "Longest time to wait for the node, in seconds."),
+    "admin_addr": ("127.0.0.1:8082", "Admin address of the node to use."),
+    "timeout_s": ("20", "Timeout of a request to the node, in seconds."),
     **JSON_FLAGS,
 }
 
 
 class CommandConfig(BaseModel):
-    """Flags that each command has."""
+    """Flags of every command."""
 
     model_config = ConfigDict(frozen=True, extra="forbid")
 
@@ -26,7 +26,7 @@
 
 
 class AdminConfig(CommandConfig):
-    """Flags of the commands that ask a node."""
+    """Flags of the commands that send requests to a node."""
 
     admin_addr: tuple[str, int]
     timeout_s: float = Field(gt=0, le=600)
@@ -40,22 +40,22 @@
 class Command:
     """One command of the command line.
 
-    A subclass sets the class attributes and gives `run`.
+    A subclass sets the class attributes and implements `run`.
 
     Attributes
     ----------
     name, summary : str
-        Set from the name table.
+        Set from the table in `_mapping`.
     arguments : tuple of str
-        Names of the required arguments; a last one that ends with `...` may be
-        repeated.
+        Names of the required arguments. If the last name ends with `...`, this
+        argument may be repeated.
     description : str
-        What `--help` says.
+        Description in the text of `--help`.
     flags : dict of str to (default, help)
     model : subclass of pydantic.BaseModel
-        Validates the flags.
+        Model that validates the flags.
     exit_statuses : tuple of ExitStatus
-        Exit statuses besides `OK` and `USAGE`.
+        Possible exit statuses besides `OK` and `USAGE`.
     """
 
     name = ""
@@ -67,7 +67,7 @@
     exit_statuses = ()
 
     def run(self, cfg, args, out):
-        """Carry out the command.
+        """Run the command.
 
         Parameters
         ----------
@@ -82,17 +82,17 @@
         Raises
         ------
         PimentolineError
-            Reported with its code.
+            The command line reports it with its error code.
         """
         raise NotImplementedError
 
     def client(self, cfg):
-        """Return a client of the node that the flags name."""
+        """Return a client of the node at the address in the flags."""
         return AdminClient(cfg.admin_addr, cfg.timeout_s)
 
     @property
     def usage(self):
-        """Form of the command line."""
+        """Syntax of the command line."""
         return " ".join(["pimentoline", self.name, *self.arguments, "[flags]"])
 
     def help(self):
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -1,4 +1,4 @@
-"""pimentoline.commands.check: report every problem in rules files."""
+"""pimentoline.commands.check: report every problem of rules files."""
 
 from ..rules import read_rules
 from .base import Command
@@ -8,13 +8,13 @@
 
 
 class CheckCommand(Command):
-    """Checks rules files without a node."""
+    """Checks rules files offline."""
 
     arguments = ("FILE...",)
     description = """
-Checks rules files and writes every problem as
+Checks rules files and prints every problem as
     file:line:column: found ...; allowed: ...
-No node is asked and nothing is changed. FILE may be - for standard input. The
+No node is contacted and nothing is changed. FILE may be - for standard input. The
 grammar is in docs/rules.md.
 """
     exit_statuses = (ExitStatus.RULES_INVALID,)
--- a/pimentoline/commands/client.py
+++ b/pimentoline/commands/client.py
@@ -10,26 +10,26 @@
 
 __all__ = ["AdminClient"]
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 CONNECT_TIMEOUT_S = 3.0
 
 
 class AdminClient:
-    """Asks one node.
+    """Sends requests to the admin interface of one node.
 
     Parameters
     ----------
     addr : tuple of (str, int)
     timeout_s : float
-        Longest time for a request, in seconds.
+        Timeout of a request, including the connection.
     """
 
     def __init__(self, addr, timeout_s):
-        self._base = "http://{}:{}".format(*addr)
+        self._base_url = "http://{}:{}".format(*addr)
         self._timeout_s = timeout_s
 
     def send_request(self, path, method="GET", body=None):
-        """Send one request.
+        """Send one request and return the response.
 
         Parameters
         ----------
@@ -40,49 +40,51 @@
         Returns
         -------
         status : int
-        answer : dict
+        response : dict
 
         Raises
         ------
         NodeUnavailableError
-            If the node gives no JSON object as its answer.
+            If the node is unreachable or its response is not a JSON object.
         """
         data = None
         if method == "POST":
             data = json.dumps(body or {})
         req = HTTPRequest(
-            self._base + path,
+            self._base_url + path,
             method=method,
             body=data,
             connect_timeout=min(self._timeout_s, CONNECT_TIMEOUT_S),
             request_timeout=self._timeout_s,
             follow_redirects=False,
         )
-        return asyncio.run(self._ask(req))
+        return asyncio.run(self._fetch(req))
 
-    async def _ask(self, req):
+    async def _fetch(self, req):
         http = AsyncHTTPClient(
             force_instance=True,
-            max_buffer_size=MAX_ANSWER_BYTES,
-            max_body_size=MAX_ANSWER_BYTES,
+            max_buffer_size=MAX_RESPONSE_BYTES,
+            max_body_size=MAX_RESPONSE_BYTES,
         )
         try:
             res = await http.fetch(req, raise_error=False)
             if isinstance(res.error, HTTPClientError) and res.code == 599:
                 raise res.error
         except ConnectionRefusedError as exc:
-            detail = f"no node listens at {self._base}"
+            detail = f"no node listens at {self._base_url}"
             raise NodeUnavailableError(detail, sent=False) from exc
         except (HTTPClientError, OSError) as exc:
             connecting = isinstance(exc, HTTPTimeoutError) and "connecting" in str(exc)
-            detail = f"{self._base}: {exc}"
+            detail = f"{self._base_url}: {exc}"
             raise NodeUnavailableError(detail, sent=not connecting) from exc
         finally:
             http.close()
         try:
-            answer = json.loads(res.body)
+            response = json.loads(res.body)
         except ValueError:
-            answer = None
-        if not isinstance(answer, dict):
-            raise NodeUnavailableError(f"{self._base} answered no JSON object")
-        return res.code, answer
+            response = None
+        if not isinstance(response, dict):
+            raise NodeUnavailableError(
+                f"response of {self._base_url} is not a JSON object"
+            )
+        return res.code, response
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -14,8 +14,8 @@
     arguments = ("FILE",)
     description = """
 Shows what applying FILE would change, and the version that it is compared with. Give
-this version to `apply --base`, so that a change by somebody else in the meantime is
-noticed. FILE may be - for standard input.
+this version to `apply --base`: `apply` then fails if another version was accepted in
+the meantime. FILE may be - for standard input.
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
@@ -31,11 +31,11 @@
         if result.diagnostics:
             out.write_error("rules-invalid", result.diagnostics)
             return ExitStatus.RULES_INVALID
-        _, answer = self.client(cfg).send_request("/v1/config")
-        lines = diff_lines(answer["text"], text)
-        version = answer["version"]
+        _, response = self.client(cfg).send_request("/v1/config")
+        lines = diff_lines(response["text"], text)
+        version = response["version"]
         data = {"version": version, "diff": lines}
-        verdict = "differs from" if lines else "is equal to"
-        head = f"{args[0]} {verdict} version {version}, which is in force"
-        out.write_result(data, [head, *lines])
+        relation = "differs from" if lines else "is equal to"
+        summary = f"{args[0]} {relation} version {version}, which is in force"
+        out.write_result(data, [summary, *lines])
         return ExitStatus.DIFFERENT if lines else ExitStatus.OK
--- a/pimentoline/commands/exit_status.py
+++ b/pimentoline/commands/exit_status.py
@@ -6,7 +6,7 @@
 
 
 class ExitStatus(enum.IntEnum):
-    """Exit status; scripts rely on the numbers, so they never change."""
+    """Exit statuses; the numbers never change because scripts rely on them."""
 
     OK = 0
     RULES_INVALID = 1
@@ -25,12 +25,12 @@
     ExitStatus.RULES_INVALID: "a rules file has problems; nothing was changed",
     ExitStatus.USAGE: "a command, flag, variable or argument is not allowed",
     ExitStatus.CONFLICT: "another version was accepted first; nothing was changed",
-    ExitStatus.UNKNOWN: "the rules may or may not have been accepted; ask again",
-    ExitStatus.NODE_UNAVAILABLE: "the node gave no usable answer",
+    ExitStatus.UNKNOWN: "unknown whether the rules were accepted; repeat the command",
+    ExitStatus.NODE_UNAVAILABLE: "the node gave no usable response",
     ExitStatus.STORE_UNAVAILABLE: (
-        "the store gave no usable answer; nothing was changed"
+        "the store gave no usable response; nothing was changed"
     ),
     ExitStatus.DIFFERENT: "the file differs from the rules in force",
     ExitStatus.NOT_FOUND: "there is no such target or version",
-    ExitStatus.INTERNAL: "an error that is not expected",
+    ExitStatus.INTERNAL: "an unexpected error",
 }
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -1,4 +1,4 @@
-"""pimentoline.commands.explain: say where a call would go and why."""
+"""pimentoline.commands.explain: show where a call would be sent and why."""
 
 from typing import Literal
 
@@ -21,19 +21,22 @@
 
 
 class ExplainCommand(Command):
-    """Runs the node's decisions without sending a call."""
+    """Shows how the node would route a call, without sending it."""
 
     arguments = ("SERVICE", "METHOD", "PATH")
     description = """
-Says what the node would do with a call now, without sending it: the rules that decide,
-the policy that follows from them, each target with the reason why it is or is not used,
-and the shares of the targets over 200 trial decisions.
+Shows what the node would do with a call now, without sending it: the rules that apply,
+the resulting policy, each target with the reason why it is or is not used, and the
+shares of the targets in 200 simulated decisions.
 
 example: pimentoline explain hive-ledger POST /sales
 """
     flags = {
-        "call_class": ("normal", "Class that the caller gives in X-Call-Class."),
-        "deadline_ms": ("", "Time that the caller gives in X-Deadline-Ms."),
+        "call_class": (
+            "normal",
+            "Call class in the X-Call-Class header of the caller.",
+        ),
+        "deadline_ms": ("", "Deadline in the X-Deadline-Ms header of the caller."),
         "key": ("", "Idempotency key of the call."),
         **ADMIN_FLAGS,
     }
@@ -41,33 +44,33 @@
     exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
-        """Ask the node for its decision."""
+        """Request the routing decision from the node."""
         service, method, path = args
         body = {"service": service, "method": method, "path": path}
         body |= {"call_class": cfg.call_class, "key": cfg.key}
         if cfg.deadline_ms is not None:
             body["deadline_ms"] = cfg.deadline_ms
-        status, answer = self.client(cfg).send_request("/v1/explain", "POST", body)
+        status, response = self.client(cfg).send_request("/v1/explain", "POST", body)
         if status != 200:
             out.write_error(
-                answer.get("error", "internal"), as_list(answer.get("detail"))
+                response.get("error", "internal"), as_list(response.get("detail"))
             )
             return ExitStatus.USAGE
-        out.write_result(answer, _lines(answer))
+        out.write_result(response, _lines(response))
         return ExitStatus.OK
 
 
-def _lines(answer):
-    policy = answer["policy"]
-    yield f"rules version {answer['rules_version']} at node {answer['node']}"
-    for kind, line in sorted(answer["rules"].items()):
+def _lines(response):
+    policy = response["policy"]
+    yield f"rules version {response['rules_version']} at node {response['node']}"
+    for kind, line in sorted(response["rules"].items()):
         yield f"rule    {line}"
     yield "policy  " + ", ".join(f"{name}={value}" for name, value in policy.items())
-    if answer["claims_key"]:
-        yield "first   the key is claimed in the store; below, the claim is granted"
-    for outcome, share in answer["outcomes"].items():
+    if response["claims_key"]:
+        yield "first   the key is claimed in the store; the results assume success"
+    for outcome, share in response["outcomes"].items():
         yield f"result  {share:7.1%}  {outcome}"
-    for target in answer["targets"]:
+    for target in response["targets"]:
         yield (
             f"target  {target['target_id']}  {target['region']}/{target['dc']}  "
             f"{target['reason']}"
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -1,4 +1,4 @@
-"""pimentoline.commands.history: show who changed the rules and how."""
+"""pimentoline.commands.history: show who changed the rules, and how."""
 
 from pydantic import Field
 
@@ -21,14 +21,14 @@
 
     description = """
 Shows the accepted versions of the rules, the latest first: who applied each one, when,
-what it changed, who had asked for the changed rules, and which nodes have it in force
-now; each node is asked, which takes up to 5 s.
---show=VERSION writes the whole text of a version, to save it or to apply it again.
+what it changed, who asked for the changed rules, and which nodes have it in force now.
+Each node is queried, which takes up to 5 s.
+--show=VERSION prints the whole text of a version, to save it or to apply it again.
 """
     flags = {
         "limit": ("10", "Number of versions to show, at most 100."),
-        "before": ("", "Show versions below this one."),
-        "show": ("", "Write the text of this version instead."),
+        "before": ("", "Show only versions before this one."),
+        "show": ("", "Print the text of this version instead."),
         **ADMIN_FLAGS,
     }
     model = HistoryConfig
@@ -39,44 +39,45 @@
     )
 
     def run(self, cfg, args, out):
-        """Show the audit trail or one text."""
+        """Show the audit trail, or the text of one version."""
         if cfg.show is not None:
-            status, answer = self.client(cfg).send_request(
+            status, response = self.client(cfg).send_request(
                 f"/v1/config?version={cfg.show}"
             )
             if status != 200:
-                return _failed(answer, out)
-            out.write_result(answer, [answer["text"].removesuffix("\n")])
+                return _report_error(response, out)
+            out.write_result(response, [response["text"].removesuffix("\n")])
             return ExitStatus.OK
         path = f"/v1/history?limit={cfg.limit}"
         if cfg.before is not None:
             path += f"&before={cfg.before}"
-        status, answer = self.client(cfg).send_request(path)
+        status, response = self.client(cfg).send_request(path)
         if status != 200:
-            return _failed(answer, out)
-        out.write_result(answer, _lines(answer))
+            return _report_error(response, out)
+        out.write_result(response, _lines(response))
         return ExitStatus.OK
 
 
-def _failed(answer, out):
-    code = answer.get("error", "internal")
-    out.write_error(code, [answer.get("detail", "")])
+def _report_error(response, out):
+    """Print the error of a response and return the exit status."""
+    code = response.get("error", "internal")
+    out.write_error(code, [response.get("detail", "")])
     return ExitStatus.NOT_FOUND if code == "not-found" else ExitStatus.STORE_UNAVAILABLE
 
 
-def _lines(answer):
-    rows, silent = answer["history"], answer["silent"]
+def _lines(response):
+    rows, silent = response["history"], response["silent"]
     if silent:
         yield f"{len(silent)} nodes did not answer: {' '.join(silent)}"
     if not rows:
-        yield "no version was accepted yet"
+        yield "no version has been accepted yet"
     for row in rows:
         nodes = row["nodes"]
         yield f"version {row['version']}  {row['time']}  by {row['author']}"
         yield f"  base {row['base']}  attempt {row['attempt']}"
         if row["requesters"]:
             yield f"  asked for by: {'; '.join(row['requesters'])}"
-        held = f"  in force at {len(nodes)} of {answer['members']} nodes"
-        yield held + (f": {' '.join(nodes)}" if nodes else "")
+        summary = f"  in force at {len(nodes)} of {response['members']} nodes"
+        yield summary + (f": {' '.join(nodes)}" if nodes else "")
         for line in row["diff"]:
             yield f"    {line}"
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -10,8 +10,8 @@
     """Shows the member records of one node."""
 
     description = """
-Shows the nodes that the asked node knows, with their state, and the targets that each
-of them has announced.
+Shows the nodes that this node knows, with their status, and the targets that each of
+them has announced.
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
@@ -19,15 +19,15 @@
 
     def run(self, cfg, args, out):
         """Show the member records."""
-        _, answer = self.client(cfg).send_request("/v1/mesh")
-        out.write_result(answer, _lines(answer["members"]))
+        _, response = self.client(cfg).send_request("/v1/mesh")
+        out.write_result(response, _lines(response["members"]))
         return ExitStatus.OK
 
 
 def _lines(members):
     for record in members:
-        place = f"{record['region']}/{record['dc']}"
-        yield f"{record['node_id']}  {place}  {record['status']}"
+        location = f"{record['region']}/{record['dc']}"
+        yield f"{record['node_id']}  {location}  {record['status']}"
         for target in record["targets"]:
             addr = "{}:{}".format(*target["addr"])
             yield (
--- a/pimentoline/commands/node.py
+++ b/pimentoline/commands/node.py
@@ -14,11 +14,11 @@
     """Runs a node in this process."""
 
     description = """
-Runs a node until SIGTERM or SIGINT, then stops gracefully: it finishes every call
-in flight. Once it serves, it writes one line of JSON with its addresses to standard
-output; log entries go to standard error as lines of JSON.
+Runs a node until SIGTERM or SIGINT, then completes every call in flight and stops.
+When it is ready for calls, it writes one line of JSON with its addresses to standard
+output; log entries are written to standard error as lines of JSON.
 
---region, --dc and --mesh_keys are required. Without --store_url the node takes the
+--region, --dc and --mesh_keys are required. Without --store_url the node gets the
 rules from its peers and cannot apply any.
 """
     flags = FLAGS
@@ -26,8 +26,8 @@
     exit_statuses = (ExitStatus.INTERNAL,)
 
     def run(self, cfg, args, out):
-        """Run the node until it is told to stop."""
-        # The other commands start faster without the node's modules.
+        """Run the node until it receives a stop signal."""
+        # Imported here, so that the other commands start faster.
         from ..node import Node
 
         configure_logs()
--- a/pimentoline/commands/output.py
+++ b/pimentoline/commands/output.py
@@ -7,7 +7,7 @@
 
 
 def as_list(detail):
-    """Return the detail of a node's error as a list of problems."""
+    """Return the `detail` of an error response as a list of problems."""
     return detail if isinstance(detail, list) else [detail or "no detail"]
 
 
@@ -28,9 +28,9 @@
         Parameters
         ----------
         data : dict
-            Written with `--json`.
+            Result as JSON data, written with `--json`.
         lines : iterable of str
-            Written otherwise.
+            Result as text, written without `--json`.
         """
         if self.as_json:
             print(json.dumps(data))
@@ -39,7 +39,7 @@
             print(line)
 
     def write_error(self, code, problems):
-        """Write an error with its code, one line for each problem."""
+        """Write an error code with its problems, one line each."""
         if self.as_json:
             print(json.dumps({"error": code, "problems": [str(p) for p in problems]}))
             return
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -10,8 +10,8 @@
     """Shows the state of one node."""
 
     description = """
-Shows the node's place, the rules version in force and who it came from, the highest
-version heard of, calls in flight, members, and all counters.
+Shows the location of the node, the rules version in force and its source, the highest
+known version, the number of calls in flight, the members of the mesh, and all counters.
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
@@ -19,22 +19,22 @@
 
     def run(self, cfg, args, out):
         """Show the status."""
-        _, answer = self.client(cfg).send_request("/v1/status")
-        out.write_result(answer, _lines(answer))
+        _, response = self.client(cfg).send_request("/v1/status")
+        out.write_result(response, _lines(response))
         return ExitStatus.OK
 
 
-def _lines(answer):
-    rules = answer["rules"]
-    yield f"node      {answer['node']}"
-    yield f"place     region {answer['region']}, data centre {answer['dc']}"
+def _lines(response):
+    rules = response["rules"]
+    yield f"node      {response['node']}"
+    yield f"location  region {response['region']}, data centre {response['dc']}"
     yield (
         f"rules     version {rules['version']} from {rules['source']}, "
-        f"highest heard of {rules['heard']}"
+        f"highest known {rules['heard']}"
     )
-    yield f"calls     {answer['calls']} in flight"
-    yield f"members   {answer['members']}"
-    for name, value in sorted(answer["counters"].items()):
+    yield f"calls     {response['calls']} in flight"
+    yield f"members   {response['members']}"
+    for name, value in sorted(response["counters"].items()):
         yield f"counter   {name} {value}"
-    for name, item in sorted(answer.get("timings", {}).items()):
+    for name, item in sorted(response.get("timings", {}).items()):
         yield f"timing    {name} {item['count']} times, latest {item['last_ms']:.3f} ms"
--- a/pimentoline/commands/version.py
+++ b/pimentoline/commands/version.py
@@ -12,7 +12,7 @@
 class VersionCommand(Command):
     """Shows the version."""
 
-    description = "Shows the version of the program and of its interpreter."
+    description = "Shows the version of the program and of the Python interpreter."
 
     def run(self, cfg, args, out):
         """Show the version."""
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -1,7 +1,8 @@
-"""pimentoline.flag_parsing: flags of a command, each with an environment variable.
+"""pimentoline.flag_parsing: command-line flags with environment variables.
 
-Flags are declared as data, `name: (default, help)`. A default of False declares a
-switch. All values are text here; pydantic models validate them.
+A command declares its flags as a dictionary of `name: (default, help)`. A flag with a
+boolean default is a switch; all other values are text until a pydantic model validates
+them.
 """
 
 import difflib
@@ -16,19 +17,20 @@
 __all__ = [
     "ENV_PREFIX",
     "describe_flags",
+    "env_var_name",
     "parse_flags",
     "validate_flags",
-    "env_var_name",
 ]
 
 ENV_PREFIX = "PIMENTOLINE_"
-HELP_WIDTH = 79
+HELP_WIDTH_CHARS = 79
 INDENT = {"initial_indent": " " * 6, "subsequent_indent": " " * 6}
 TRUE_WORDS = ("1", "true", "yes", "on")
 FALSE_WORDS = ("0", "false", "no", "off")
+# Flags whose values are not shown in errors.
 SECRETS = ("mesh_keys",)
-# Kinds of pydantic's errors, where its own words do not say what is allowed.
-ALLOWED = {
+# Texts for types of pydantic errors whose message does not say what is allowed.
+ALLOWED_BY_ERROR_TYPE = {
     "bool_parsing": "allowed: true or false",
     "float_parsing": "allowed: a number",
     "int_parsing": "allowed: a whole number",
@@ -36,71 +38,76 @@
 
 
 def env_var_name(name):
-    """Return the environment variable of a flag."""
+    """Return the name of the environment variable of a flag."""
     return ENV_PREFIX + name.upper()
 
 
-def parse_flags(table, argv, environ=os.environ, known_variables=()):
-    """Read flags and environment variables; a flag wins over its variable.
+def parse_flags(flag_table, argv, environ=os.environ, known_variables=()):
+    """Parse flags and environment variables; a flag overrides its variable.
 
     Parameters
     ----------
-    table : dict of str to (default, help)
+    flag_table : dict of str to (default, help)
     argv : list of str
-        Without the program and the command.
+        Arguments behind the name of the command.
     environ : mapping of str to str
     known_variables : iterable of str
-        Variables that belong to other commands. Any further variable with our
-        prefix is refused, since a misspelt one would silently have no effect.
+        Variables of other commands, which are allowed. Other variables with the
+        prefix `PIMENTOLINE_` are rejected, because a misspelt one would silently
+        have no effect.
 
     Returns
     -------
     values : dict of str to (str or bool)
     args : list of str
-        What is not a flag.
+        Arguments that are not flags.
 
     Raises
     ------
     SettingsError
-        With one problem for each flag or variable that is not allowed.
+        With one problem for each invalid flag or variable.
     """
     problems = []
-    found = flags.FlagValues()
-    for name, (default, text) in table.items():
+    flag_values = flags.FlagValues()
+    for name, (default, text) in flag_table.items():
         if isinstance(default, bool):
-            value = _switch(name, environ.get(env_var_name(name)), default, problems)
-            flags.DEFINE_boolean(name, value, text, flag_values=found)
+            value = _boolean_default(
+                name, environ.get(env_var_name(name)), default, problems
+            )
+            flags.DEFINE_boolean(name, value, text, flag_values=flag_values)
         else:
             value = environ.get(env_var_name(name), default)
-            flags.DEFINE_string(name, value, text, flag_values=found)
-    known = {env_var_name(name) for name in table} | set(known_variables)
+            flags.DEFINE_string(name, value, text, flag_values=flag_values)
+    known = {env_var_name(name) for name in flag_table} | set(known_variables)
     for variable in sorted(environ):
         if variable.startswith(ENV_PREFIX) and variable not in known:
-            problems.append(f"{variable}: unknown{_meant(variable, known)}")
-    found.set_gnu_getopt(True)
-    ours, others = _split(argv)
+            problems.append(f"{variable}: unknown{_suggestion(variable, known)}")
+    flag_values.set_gnu_getopt(True)
+    before, after = _split_at_double_dash(argv)
     try:
-        args = found(["pimentoline", *ours], known_only=True)[1:]
+        args = flag_values(["pimentoline", *before], known_only=True)[1:]
     except flags.Error as exc:
         raise SettingsError("; ".join([*problems, str(exc)]), problems + [str(exc)])
-    names = [f"--{name}" for name in table]
+    names = [f"--{name}" for name in flag_table]
     for arg in args:
         if arg.startswith("-") and arg != "-":
             name = arg.split("=")[0]
-            problems.append(f"{name}: unknown flag{_meant(name, names)}")
+            problems.append(f"{name}: unknown flag{_suggestion(name, names)}")
     if problems:
         raise SettingsError("; ".join(problems), problems)
-    return {name: found[name].value for name in table}, args + others
+    return {name: flag_values[name].value for name in flag_table}, args + after
 
 
-def _split(argv):
+def _split_at_double_dash(argv):
+    """Return the arguments before and after `--`; no flags are parsed after it."""
     if "--" in argv:
-        place = argv.index("--")
-        return argv[:place], argv[place + 1 :]
+        index = argv.index("--")
+        return argv[:index], argv[index + 1 :]
     return argv, []
 
 
-def _switch(name, word, default, problems):
+def _boolean_default(name, word, default, problems):
+    """Return the value of a switch from its variable; append errors to `problems`."""
     if word is None or word.lower() in FALSE_WORDS:
         return default if word is None else False
     if word.lower() not in TRUE_WORDS:
@@ -109,57 +116,60 @@
     return True
 
 
-def _meant(word, known):
+def _suggestion(word, known):
+    """Return a suggestion for a misspelt name, or empty text."""
     close = difflib.get_close_matches(word, known, 1)
     return f"; did you mean {close[0]}?" if close else ""
 
 
 def validate_flags(model, values):
-    """Return the model of flag values.
+    """Validate flag values and return them as an instance of the model.
 
     Parameters
     ----------
     model : subclass of pydantic.BaseModel
     values : dict of str to (str or bool)
-        Empty text counts as not given.
+        Empty text means that the flag is not given.
 
     Raises
     ------
     SettingsError
-        With one problem for each flag that is not allowed.
+        With one problem for each invalid flag.
     """
     given = {name: value for name, value in values.items() if value != ""}
     try:
         return model(**given)
     except ValidationError as exc:
-        problems = [_problem(err) for err in exc.errors()]
+        problems = [_error_text(err) for err in exc.errors()]
         raise SettingsError("; ".join(problems), problems) from exc
 
 
-def _problem(err):
+def _error_text(err):
+    """Return the text of a pydantic error."""
     name = str(err["loc"][0]) if err["loc"] else ""
     text = err["msg"].removeprefix("Value error, ")
     if not name:
         return text
-    where = f"--{name} ({env_var_name(name)})"
+    label = f"--{name} ({env_var_name(name)})"
     if err["type"] == "missing":
-        return f"{where}: is required"
+        return f"{label}: is required"
     if err["type"] == "string_pattern_mismatch":
         text = f"allowed: text of the form {err['ctx']['pattern']}"
-    text = ALLOWED.get(err["type"], text[:1].lower() + text[1:])
-    return f"{where}: {text if name in SECRETS else _found(err['input'], text)}"
+    text = ALLOWED_BY_ERROR_TYPE.get(err["type"], text[:1].lower() + text[1:])
+    return f"{label}: {text if name in SECRETS else _add_value(err['input'], text)}"
 
 
-def _found(value, text):
+def _add_value(value, text):
+    """Return the text of an error with the invalid value."""
     return f"found {value!r}; {text}"
 
 
-def describe_flags(table):
-    """Return the flags with their variables and defaults, as text for `--help`."""
+def describe_flags(flag_table):
+    """Return the part of the `--help` text that lists the flags."""
     lines = []
-    for name, (default, text) in table.items():
-        form = f"--{name}" if isinstance(default, bool) else f"--{name}=VALUE"
-        lines.append(f"  {form}  [{env_var_name(name)}]")
+    for name, (default, text) in flag_table.items():
+        usage = f"--{name}" if isinstance(default, bool) else f"--{name}=VALUE"
+        lines.append(f"  {usage}  [{env_var_name(name)}]")
         shown = "" if default in ("", False) else f" Default: {default}."
-        lines.append(textwrap.fill(text + shown, HELP_WIDTH, **INDENT))
+        lines.append(textwrap.fill(text + shown, HELP_WIDTH_CHARS, **INDENT))
     return "\n".join(lines)
