--- a/features/environment.py
+++ b/features/environment.py
@@ -1,10 +1,10 @@
-"""Clusters for the scenarios: one for each, or one for a feature tagged @shared."""
+"""behave hooks: a cluster for each scenario, or for each feature tagged @shared."""
 
 from standins.cluster import Cluster
 
 
 def before_feature(context, feature):
-    """Start one node for all scenarios of a shared feature."""
+    """Start a cluster with one node for all scenarios of a shared feature."""
     if "shared" in feature.tags:
         context.cluster = Cluster()
         context.cluster.start_table()
@@ -12,18 +12,18 @@
 
 
 def after_feature(context, feature):
-    """End the processes of a shared feature."""
+    """Stop the cluster of a shared feature."""
     if "shared" in feature.tags:
         context.cluster.close()
 
 
 def before_scenario(context, scenario):
-    """Give each scenario of other features an empty cluster."""
+    """Create an empty cluster for a scenario of another feature."""
     if "shared" not in scenario.feature.tags:
         context.cluster = Cluster()
 
 
 def after_scenario(context, scenario):
-    """End the processes of the scenario."""
+    """Stop the cluster of the scenario."""
     if "shared" not in scenario.feature.tags:
         context.cluster.close()
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the contract of the data port."""
+"""Steps for requests to the data port of a node."""
 
 import http.client
 import itertools
@@ -12,6 +12,7 @@
 
 SERVICES = itertools.count(1)
 HOST = "Host: {service}"
+# Method and header lines of invalid requests, by the words of the step.
 DEFECTS = {
     "no Host": ("GET", []),
     "a Host that is no service": ("GET", ["Host: a_b"]),
@@ -41,7 +42,7 @@
 
 @given("a target that {fault}")
 def step_target(context, fault):
-    """Announce a target of a service of its own."""
+    """Announce a target with a fault as the only target of a new service."""
     number = next(SERVICES)
     context.service = f"service-{number}"
     context.target = RawTarget(FAULTS.get(fault, never_respond))
@@ -53,7 +54,7 @@
 
 
 def send(context, method, headers, body=b"", version="HTTP/1.1"):
-    """Send one request to the node; return the socket."""
+    """Send one request to the node and return the socket."""
     sock = connect(context.cluster.nodes["n1"])
     context.add_cleanup(sock.close)
     lines = [f"{method} / {version}", *headers, "", ""]
@@ -62,11 +63,11 @@
     return sock
 
 
-def read_answer(context, sock, method):
-    """Read one answer into the context."""
-    answer = http.client.HTTPResponse(sock, method=method)
-    answer.begin()
-    context.answer, context.body = answer, answer.read()
+def read_response(context, sock, method):
+    """Read one response and store it in the context."""
+    response = http.client.HTTPResponse(sock, method=method)
+    response.begin()
+    context.response, context.body = response, response.read()
 
 
 @when("a caller sends {method} with 400 ms left")
@@ -76,49 +77,51 @@
     body = b"sale" if method == "POST" else b""
     if body:
         headers.append("Content-Length: 4")
-    read_answer(context, send(context, method, headers, body), method)
+    read_response(context, send(context, method, headers, body), method)
 
 
 @when("a caller of {version} sends GET and reads to the end")
 def step_read_to_end(context, version):
-    """Read everything up to the end of the connection."""
+    """Send a GET and read up to the end of the connection."""
     sock = send(context, "GET", [HOST, "Connection: close"], version=version)
     context.received = read_all(sock)
 
 
 @when("a caller sends a request with {defect}")
 def step_defect(context, defect):
-    """Send a request head that is not allowed."""
+    """Send a request that the node has to reject."""
     method, headers = DEFECTS[defect]
-    read_answer(context, send(context, method, headers), method)
+    read_response(context, send(context, method, headers), method)
 
 
 @when("a caller closes after 5 of 10 bytes of its body")
-def step_break_off(context):
-    """Send half of a request and wait until the target has seen its head."""
+def step_disconnect(context):
+    """Send half of a body, wait for the headers at the target, then disconnect."""
     sock = send(context, "POST", [HOST, "Content-Length: 10"], b"12345")
-    wait_until(lambda: context.target.heads, message="the head at the target")
+    wait_until(
+        lambda: context.target.heads, message="the request headers at the target"
+    )
     sock.close()
 
 
 @then("the answer is {status:d} with verdict {verdict} and code {code}")
 def step_answer(context, status, verdict, code):
     """Check status, verdict and code, in the headers and in the body."""
-    answer = context.answer
-    seen = (
-        answer.status,
-        answer.getheader("X-Verdict", "none"),
-        answer.getheader("X-Error-Code", "none"),
+    response = context.response
+    received = (
+        response.status,
+        response.getheader("X-Verdict", "none"),
+        response.getheader("X-Error-Code", "none"),
     )
-    assert seen == (status, verdict, code), (seen, context.body)
+    assert received == (status, verdict, code), (received, context.body)
     if code != "none":
-        said = json.loads(context.body)
-        assert (said["verdict"], said["error"]) == (verdict, code), said
+        error = json.loads(context.body)
+        assert (error["verdict"], error["error"]) == (verdict, code), error
 
 
 @then("the caller sees a cut answer")
 def step_cut(context):
-    """Check for an error, or for a reset without the end of the body."""
+    """Check that the response is an error, or is reset before the end of its body."""
     data, was_reset = context.received
     assert was_reset or b"X-Error-Code: answer-cut" in data, data
     assert not data.endswith(b"0\r\n\r\n"), data
@@ -131,7 +134,9 @@
 
 
 @then("the target has received 5 bytes and the end of the connection")
-def step_not_whole(context):
-    """Check that the target's connection ended before the body did."""
-    wait_until(lambda: len(context.target.heads) == 2, message="the end")
+def step_incomplete_body(context):
+    """Check that the connection to the target ended before the end of the body."""
+    wait_until(
+        lambda: len(context.target.heads) == 2, message="the end of the connection"
+    )
     assert b"".join(context.target.heads) == b"12345"
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -1,4 +1,4 @@
-"""Steps for keyed calls."""
+"""Steps for calls with an Idempotency-Key."""
 
 import itertools
 import json
@@ -10,25 +10,26 @@
 from tests.target_faults import OK_RESPONSE
 
 KEYS = itertools.count(1)
+# Faults of the table service, by the words of the step.
 STORE_FAULTS = {
     "is down": {"down": True},
     "loses an answer": {"lose_answers": 1},
     "answers after the deadline": {"delay_s": 0.8},
 }
-HEALTHY = {"down": False, "lose_answers": 0, "delay_s": 0.0}
+NO_FAULTS = {"down": False, "lose_answers": 0, "delay_s": 0.0}
 
 
 def send_keyed(context):
-    """Send a POST with the key of the scenario; keep its answer."""
+    """Send a POST with the key of the scenario and store its response."""
     headers = {"Idempotency-Key": context.key, "X-Deadline-Ms": "400"}
     status, head, context.body = context.cluster.call(
         "n1", "/", context.service, "POST", body=b"sale", headers=headers
     )
-    context.answer = Answer(status, head)
+    context.response = Response(status, head)
 
 
-class Answer:
-    """Status and headers of an answer, as `http.client` has them."""
+class Response:
+    """Status and headers of a response, with the interface of `http.client`."""
 
     def __init__(self, status, headers):
         self.status = status
@@ -56,8 +57,8 @@
 
 
 def recover(table_url):
-    """End every fault of the store."""
-    http(table_url + "/faults", "POST", HEALTHY)
+    """Clear every fault of the store."""
+    http(table_url + "/faults", "POST", NO_FAULTS)
 
 
 @when("a caller sends a keyed POST")
@@ -69,19 +70,26 @@
 
 @then("the claim is written")
 def step_claim_written(context):
-    """Wait for the outcome, or for the release if the call has not run."""
-    verdict = context.answer.getheader("X-Verdict")
+    """Wait until the claim has the outcome, or is released if the call was not run.
+
+    If it is unknown whether the call ran, the claim must stay without an outcome.
+    """
+    verdict = context.response.getheader("X-Verdict")
     if verdict == "not-run":
-        wait_until(lambda: claim_row(context) is None, message="the release")
+        wait_until(
+            lambda: claim_row(context) is None, message="the release of the claim"
+        )
     elif verdict is None:
-        wait_until(lambda: "status" in claim_row(context), message="the outcome")
+        wait_until(
+            lambda: "status" in claim_row(context), message="the outcome in the claim"
+        )
     else:
         assert "status" not in claim_row(context)
 
 
 @when("the caller sends it again after the target is healthy")
-def step_again(context):
-    """Send the same key to a target that now answers 200."""
+def step_repeat(context):
+    """Send the call with the same key again, now to a target that answers 200."""
     context.target.serve = serve_responses(OK_RESPONSE)
     context.target.end_connections()
     context.target.heads.clear()
@@ -90,35 +98,37 @@
 
 @then("the answer is replayed: {replayed}")
 def step_replayed(context, replayed):
-    """Check the headers of a recorded answer."""
-    seen = [context.answer.getheader(n) for n in ("X-Replayed", "X-Replay-Truncated")]
-    wanted = {"yes": ["1", None], "cut": ["1", "1"], "no": [None, None]}[replayed]
-    assert seen == wanted, seen
+    """Check the headers of a recorded response."""
+    received = [
+        context.response.getheader(n) for n in ("X-Replayed", "X-Replay-Truncated")
+    ]
+    expected = {"yes": ["1", None], "cut": ["1", "1"], "no": [None, None]}[replayed]
+    assert received == expected, received
     if replayed == "cut":
         assert context.body == b"r" * 4096
 
 
 @then("the target has received {runs:d} requests")
 def step_runs(context, runs):
-    """Count the requests at the target."""
+    """Check the number of requests at the target."""
     assert len(context.target.heads) == runs, context.target.heads
 
 
 @when("the store recovers")
 def step_recover(context):
-    """End the faults of the store, after a late write has taken effect."""
-    if context.answer.getheader("X-Error-Code") == "deadline-exceeded":
+    """Clear the faults of the store, after a delayed write has taken effect."""
+    if context.response.getheader("X-Error-Code") == "deadline-exceeded":
         wait_until(lambda: count_writes(context) > context.writes)
     recover(context.cluster.table_url)
 
 
 @then("the same key is answered 200 and has run once")
 def step_usable(context):
-    """Wait until claims that had no answer are released, then use the key."""
+    """Repeat the call until claims without confirmation are released."""
 
-    def answered():
+    def succeeds():
         send_keyed(context)
-        return context.answer.status == 200
+        return context.response.status == 200
 
-    wait_until(answered, message="the key to be released")
+    wait_until(succeeds, message="the key to be released")
     assert len(context.target.heads) == 1
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -24,13 +24,13 @@
 
 @when("a caller sends {method} to the node")
 def step_call(context, method):
-    """Send one call."""
+    """Send one call and store its response."""
     body = b"sale" if method == "POST" else None
-    context.answer = context.cluster.call("n1", "/", method=method, body=body)
+    context.response = context.cluster.call("n1", "/", method=method, body=body)
 
 
 @then('the answer has status {status:d} and verdict "{verdict}"')
 def step_answer(context, status, verdict):
     """Check the status and the verdict header."""
-    assert context.answer[0] == status, context.answer
-    assert context.answer[1].get("X-Verdict", "none") == verdict, context.answer
+    assert context.response[0] == status, context.response
+    assert context.response[1].get("X-Verdict", "none") == verdict, context.response
