--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -101,7 +101,7 @@
             )
             if earlier is not None and earlier.setting != rule.setting:
                 found = f"a rule that contradicts line {line}"
-                allowed = "one value for what both select; narrower rules come first"
+                allowed = "the same values, or narrower rules before wider ones"
                 yield found, allowed
                 return
         self._first_rules.setdefault((rule.kind, selector), (rule, number))
@@ -167,7 +167,7 @@
 def _parse_words(kind, words, end, problems):
     """Return the attribute values of a rule; append errors to `problems`.
 
-    `words` is a list of (word, column), and `end` the column behind the last word.
+    `words` is a list of (word, column), and `end` is the column behind the last one.
     """
     values = {}
     missing = list(kind.positional)
@@ -184,7 +184,7 @@
         else:
             problems.append((column, _quoted(word), kind.syntax))
             continue
-        # An invalid value counts as given, so that it is not reported as missing too.
+        # An invalid value counts as given, so that it is reported only once.
         values[attribute] = None
         try:
             values[attribute] = parse_value(option, value)
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -1,4 +1,4 @@
-"""Operators in tests: the command line as a process, and faults of the store."""
+"""Helpers for tests that act as operators: commands, rules and store faults."""
 
 import json
 import os
@@ -12,7 +12,7 @@
 
 
 def start_command(cluster, node_id, *args, **env):
-    """Start a command that asks a node; return the running process."""
+    """Start a command for a node and return the running process."""
     ip, port = cluster.nodes[node_id].info["admin"]
     return subprocess.Popen(
         [sys.executable, "-m", "pimentoline", *map(str, args)],
@@ -25,19 +25,19 @@
 
 
 def wait_for_result(process):
-    """Return (exit status, JSON answer) of a command started with `--json`."""
+    """Wait for a command started with `--json`; return (exit status, result)."""
     out, err = process.communicate(timeout=COMMAND_TIMEOUT_S)
     assert out, err
     return process.returncode, json.loads(out)
 
 
 def run_command(cluster, node_id, *args):
-    """Run a command with `--json`; return (exit status, answer)."""
+    """Run a command with `--json` and return (exit status, result)."""
     return wait_for_result(start_command(cluster, node_id, *args, "--json"))
 
 
 def apply_rules(cluster, node_id, text, base, author="mary", attempt=None):
-    """Apply a text over HTTP, without the command line; return the answer."""
+    """Apply a rules text over HTTP, without a command; return the response."""
     body = {"base": base, "text": text, "author": author}
     body["attempt"] = attempt or uuid.uuid4().hex
     return cluster.admin(node_id, "/v1/config", "POST", body)[1]
@@ -50,12 +50,12 @@
 
 
 def rules_text(name, requester="Mary"):
-    """Return a valid text that differs for each name."""
+    """Return a valid rules text that is different for each name."""
     return f"pause target-{name}  # {requester}\n"
 
 
 def rules_file(folder, name):
-    """Write a valid rules file that differs for each name and return its path."""
+    """Write the rules text for a name to a file and return its path."""
     path = folder / f"{name}.rules"
     path.write_text(rules_text(name))
     return path
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -1,4 +1,4 @@
-"""Operators who apply rules at the same time, while the store fails."""
+"""Tests of concurrent applies of rules while the store fails."""
 
 import itertools
 import threading
@@ -23,7 +23,7 @@
 
 @pytest.fixture
 def pair(cluster):
-    """Return a cluster with a table service and two nodes that know each other."""
+    """Return a cluster with a table service and two nodes in one mesh."""
     cluster.start_table()
     cluster.start_node("n1", region="rift", dc="kerio")
     cluster.start_node("n2", region="coast", dc="kwale")
@@ -42,7 +42,7 @@
 
 
 def test_one_of_two_operators_wins_a_race(pair, tmp_path):
-    """Guards against two accepted versions for one base, or a loser who is not told."""
+    """Guards against two accepted versions of a base, or a loser without a conflict."""
     for base in range(4):
         racing = [
             start_command(
@@ -59,61 +59,66 @@
         results = [wait_for_result(process) for process in racing]
         assert sorted(status for status, _ in results) == [0, 3], results
         winner = next(i for i, result in enumerate(results) if result[0] == 0)
-        lost = results[1 - winner][1]
-        assert lost["result"] == "conflict"
-        assert [row["author"] for row in lost["won"]] == [NODES[winner]]
-        assert lost["won"][0]["version"] == base + 1
-        assert f"-{rules_text(f'{NODES[winner]}-{base}')}".strip() in lost["differs"]
+        conflict = results[1 - winner][1]
+        assert conflict["result"] == "conflict"
+        assert [row["author"] for row in conflict["won"]] == [NODES[winner]]
+        assert conflict["won"][0]["version"] == base + 1
         assert (
-            f"+{rules_text(f'{NODES[1 - winner]}-{base}')}".strip() in lost["differs"]
+            f"-{rules_text(f'{NODES[winner]}-{base}')}".strip() in conflict["differs"]
+        )
+        assert (
+            f"+{rules_text(f'{NODES[1 - winner]}-{base}')}".strip()
+            in conflict["differs"]
         )
         for node in NODES:
             wait_until(lambda: in_force(pair, node) == base + 1, 5.0, "both in force")
 
 
 def test_attempt_with_unknown_outcome_can_be_asked_again(pair, tmp_path):
-    """Guards against an outcome that stays unknown, or is accepted twice."""
+    """Guards against an outcome that stays unknown, or an attempt accepted twice."""
     path = rules_file(tmp_path, "a")
     args = ("apply", path, "--base=0", "--author=mary")
     set_faults(pair, lose_answers=1, down_after_loss=True)
-    status, answer = run_command(pair, "n1", *args)
-    assert (status, answer["result"]) == (4, "unknown")
-    again = (*args, f"--attempt={answer['attempt']}")
-    status, answer = run_command(pair, "n1", *again)
-    assert (status, answer["result"]) == (4, "unknown"), "the store is still down"
+    status, response = run_command(pair, "n1", *args)
+    assert (status, response["result"]) == (4, "unknown")
+    again = (*args, f"--attempt={response['attempt']}")
+    status, response = run_command(pair, "n1", *again)
+    assert (status, response["result"]) == (4, "unknown"), "the store is still down"
     set_faults(pair, down=False)
     for _ in range(2):
-        status, answer = run_command(pair, "n2", *again)
-        assert (status, answer["version"]) == (0, 1)
+        status, response = run_command(pair, "n2", *again)
+        assert (status, response["version"]) == (0, 1)
     assert apply_rules(pair, "n1", rules_text("b"), 1)["version"] == 2
-    status, answer = run_command(pair, "n2", *again)
-    assert (status, answer["version"], answer["superseded_by"]) == (0, 1, 2)
+    status, response = run_command(pair, "n2", *again)
+    assert (status, response["version"], response["superseded_by"]) == (0, 1, 2)
     assert [in_force(pair, node) for node in NODES] == [2, 2]
     other = rules_file(tmp_path, "c")
-    status, answer = run_command(pair, "n1", "apply", other, *again[2:])
-    assert status == 3 and "another text" in answer["detail"]
+    status, response = run_command(pair, "n1", "apply", other, *again[2:])
+    assert status == 3 and "another text" in response["detail"]
 
 
 def test_unknown_attempt_that_lost_is_told_so(pair, tmp_path):
-    """Guards against an unknown outcome that later passes for an accepted one."""
+    """Guards against an attempt reported as accepted although another one won."""
     args = ("apply", rules_file(tmp_path, "a"), "--base=0", "--author=mary")
     set_faults(pair, lose_requests=2)
-    status, answer = run_command(pair, "n1", *args)
-    assert (status, answer["result"]) == (4, "unknown")
+    status, response = run_command(pair, "n1", *args)
+    assert (status, response["result"]) == (4, "unknown")
     assert apply_rules(pair, "n2", rules_text("b"), 0, "john")["version"] == 1
-    status, answer = run_command(pair, "n1", *args, f"--attempt={answer['attempt']}")
+    status, response = run_command(
+        pair, "n1", *args, f"--attempt={response['attempt']}"
+    )
     assert status == 3
-    assert [row["author"] for row in answer["won"]] == ["john"]
+    assert [row["author"] for row in response["won"]] == ["john"]
 
 
 def test_node_that_falls_silent_gives_an_unknown_outcome(pair, tmp_path):
-    """Guards against a text that is called refused although the node may apply it."""
+    """Guards against a failure reported for a text that the node may still apply."""
     path = rules_file(tmp_path, "a")
-    # Longer than the operator waits, and well below the node's limit for a read.
+    # Longer than the timeout of the command, and well below the node's read timeout.
     set_faults(pair, delay_s=0.8)
     args = ("apply", path, "--base=0", "--author=mary", "--timeout_s=0.5")
-    status, answer = run_command(pair, "n1", *args)
-    assert (status, answer["result"]) == (4, "unknown")
+    status, response = run_command(pair, "n1", *args)
+    assert (status, response["result"]) == (4, "unknown")
     wait_until(lambda: in_force(pair, "n1") == 1, message="the text in force anyway")
 
 
@@ -122,16 +127,16 @@
     started = time.time()
     texts = [f"pause t{i % 3}  # Asked {i}\n" for i in range(12)]
     for base, text in enumerate(texts):
-        answer = apply_rules(pair, NODES[base % 2], text, base, f"author-{base}")
-        assert answer["result"] == "accepted", answer
+        response = apply_rules(pair, NODES[base % 2], text, base, f"author-{base}")
+        assert response["result"] == "accepted", response
     wait_until(lambda: [in_force(pair, node) for node in NODES] == [12, 12])
 
-    def held():
-        status, answer = run_command(pair, "n2", "history", "--limit=100")
+    def fetch_history():
+        status, response = run_command(pair, "n2", "history", "--limit=100")
         assert status == 0
-        return answer if answer["history"][0]["nodes"] == ["n1", "n2"] else None
+        return response if response["history"][0]["nodes"] == ["n1", "n2"] else None
 
-    rows = wait_until(held, message="both nodes named")["history"]
+    rows = wait_until(fetch_history, message="both nodes in the history")["history"]
     assert [row["version"] for row in rows] == list(range(12, 0, -1))
     for row in rows:
         base = row["base"]
@@ -149,7 +154,7 @@
 
 
 class Operator(threading.Thread):
-    """Applies texts to one node and records invocations and completions."""
+    """Applies texts at one node and records the start and end of each operation."""
 
     def __init__(self, cluster, node, name):
         super().__init__(daemon=True)
@@ -158,7 +163,7 @@
         self.operations = []
 
     def run(self):
-        """Apply texts until stopped, each as a change of the version then in force."""
+        """Apply texts until stopped, each based on the version then in force."""
         for number in itertools.count():
             if self.stopped.is_set():
                 return
@@ -170,15 +175,15 @@
                 "invoked": time.monotonic(),
             }
             self.operations.append(op)
-            answer = apply_rules(
+            response = apply_rules(
                 self.cluster, self.node, op["text"], base, self.name, op["attempt"]
             )
             op["completed"] = time.monotonic()
-            op["version"] = answer.get("version")
-            op["result"] = answer["result"]
+            op["version"] = response.get("version")
+            op["result"] = response["result"]
 
 
-# Faults of the store, one after the other; each is kept until the next one ends it.
+# Faults of the store, set one after another; a setting stays until it is changed.
 FAULTS = [
     {},
     {"lose_answers": 3},
@@ -200,7 +205,7 @@
     Parameters
     ----------
     operations : list of dict
-        `unknown` may or may not have taken effect.
+        An operation with result `unknown` may or may not have taken effect.
     rows : dict of int to dict
         Audit rows by version.
     texts : dict of int to str
@@ -232,14 +237,16 @@
     def completed():
         for node in NODES:
             seen[node].append(in_force(pair, node))
-        return sum("result" in op for who in operators for op in who.operations)
+        return sum(
+            "result" in op for operator in operators for op in operator.operations
+        )
 
     for operator in operators:
         operator.start()
     for faults in FAULTS:
         set_faults(pair, **faults)
-        wanted = completed() + 2 * len(operators)
-        wait_until(lambda: completed() >= wanted, 30.0, f"operations with {faults}")
+        required = completed() + 2 * len(operators)
+        wait_until(lambda: completed() >= required, 30.0, f"operations with {faults}")
     for operator in operators:
         operator.stopped.set()
     for operator in operators:
@@ -267,13 +274,13 @@
 
 
 def test_history_check_notices_a_wrong_history():
-    """Guards against a checker that accepts every history."""
+    """Guards against a `check_history` that accepts every history."""
     good = [
         {"attempt": "a", "text": "x", "base": 0, "result": "accepted", "version": 1},
         {"attempt": "b", "text": "y", "base": 1, "result": "accepted", "version": 2},
     ]
-    for place, op in enumerate(good):
-        op |= {"invoked": 2.0 * place, "completed": 2.0 * place + 1.0}
+    for index, op in enumerate(good):
+        op |= {"invoked": 2.0 * index, "completed": 2.0 * index + 1.0}
     rows = {1: {"attempt": "a", "base": 0}, 2: {"attempt": "b", "base": 1}}
     texts = {1: "x", 2: "y"}
     check_history(good, rows, texts)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""The command line: flags, variables, help and exit statuses."""
+"""Tests of the command line: flags, environment variables, help and exit statuses."""
 
 import json
 
@@ -17,14 +17,14 @@
 
 @pytest.fixture(autouse=True)
 def no_variables(monkeypatch):
-    """Take the variables of the caller's environment away."""
+    """Remove the environment variables of the flags."""
     for name in command_names():
         for flag in get_command_by_name(name).flags:
             monkeypatch.delenv(env_var_name(flag), raising=False)
 
 
-# (arguments, variables, words of each line in order)
-REFUSED = [
+# (arguments, environment variables without prefix, a part of each error line in order)
+REJECTED = [
     (["status", "--nope"], {}, ["--nope: unknown flag"]),
     (["status", "--jsn"], {}, ["--jsn: unknown flag; did you mean --json?"]),
     (["status", "extra"], {}, ["found 1 arguments; allowed: no arguments"]),
@@ -65,7 +65,7 @@
 ]
 
 
-@pytest.mark.parametrize("argv, variables, words", REFUSED)
+@pytest.mark.parametrize("argv, variables, words", REJECTED)
 def test_bad_flag_is_refused_with_clear_lines(
     argv, variables, words, monkeypatch, capsys
 ):
@@ -73,9 +73,9 @@
     for name, value in variables.items():
         monkeypatch.setenv(ENV_PREFIX + name, value)
     assert run(argv) == ExitStatus.USAGE
-    found = capsys.readouterr()
-    lines = found.err.splitlines()
-    assert found.out == "" and "Traceback" not in found.err
+    captured = capsys.readouterr()
+    lines = captured.err.splitlines()
+    assert captured.out == "" and "Traceback" not in captured.err
     assert all(line.startswith("pimentoline: ") for line in lines)
     assert len(lines) == len(words), lines
     for word, line in zip(words, lines):
@@ -83,7 +83,7 @@
 
 
 def test_keys_do_not_appear_in_errors(monkeypatch, capsys):
-    """Guards against a key of the mesh in a log of standard error."""
+    """Guards against printing a mesh key to standard error."""
     monkeypatch.setenv("PIMENTOLINE_MESH_KEYS", ",")
     assert run(["node", "--region=a", "--dc=b"]) == ExitStatus.USAGE
     line = capsys.readouterr().err
@@ -92,7 +92,7 @@
 
 @pytest.mark.parametrize("name", command_names())
 def test_help_names_flags_variables_and_statuses(name, capsys):
-    """Guards against a flag without help, a variable or a documented exit status."""
+    """Guards against help without a flag, its variable or an exit status."""
     command = get_command_by_name(name)
     assert run([name, "--help"]) == ExitStatus.OK
     text = capsys.readouterr().out
@@ -107,7 +107,7 @@
 
 
 def test_exit_statuses_are_documented():
-    """Guards against two meanings of one status."""
+    """Guards against an exit status without a description, or used twice."""
     assert (
         sorted(EXIT_DESCRIPTIONS) == sorted(ExitStatus) and len(set(ExitStatus)) == 10
     )
@@ -131,7 +131,7 @@
 
 
 def test_variable_counts_unless_the_flag_is_given(monkeypatch, capsys):
-    """Guards against a variable that is ignored, or wins over its flag."""
+    """Guards against a variable that is ignored, or overrides its flag."""
     monkeypatch.setenv("PIMENTOLINE_JSON", "true")
     assert run(["version"]) == ExitStatus.OK
     assert json.loads(capsys.readouterr().out)["version"]
@@ -140,7 +140,7 @@
 
 
 def test_commands_against_a_node(cluster, tmp_path):
-    """Guards against a command that fails on a real node, or its exit status."""
+    """Guards against a command that fails against a node, or a wrong exit status."""
     cluster.start_table()
     cluster.start_node("n1")
     cluster.start_target("t1", "n1")
@@ -150,9 +150,9 @@
     )
     path = tmp_path / "edited.rules"
     path.write_text("weight t1 0  # Mary\nclass hive-ledger critical  # Mary\n")
-    status, answer = run_command(cluster, "n1", "diff", path)
-    assert (status, answer["version"]) == (ExitStatus.DIFFERENT, 0)
-    assert "+weight t1 0  # Mary" in answer["diff"]
+    status, response = run_command(cluster, "n1", "diff", path)
+    assert (status, response["version"]) == (ExitStatus.DIFFERENT, 0)
+    assert "+weight t1 0  # Mary" in response["diff"]
     assert (
         run_command(cluster, "n1", "apply", path, "--base=0", "--author=mary")[0] == 0
     )
@@ -161,18 +161,18 @@
     assert run_command(cluster, "n1", "mesh")[1]["members"][0]["node_id"] == "n1"
 
     before = cluster.targets["t2"].get_json("/runs")
-    status, answer = run_command(
+    status, response = run_command(
         cluster, "n1", "explain", "hive-ledger", "POST", "/sales?x=1"
     )
-    assert status == 0 and answer["outcomes"] == {"sent to t2": 1.0}
-    assert answer["policy"]["call_class"] == "critical"
-    assert answer["rules"] == {"class": "class hive-ledger critical  # Mary"}
-    reasons = {target["target_id"]: target["reason"] for target in answer["targets"]}
+    assert status == 0 and response["outcomes"] == {"sent to t2": 1.0}
+    assert response["policy"]["call_class"] == "critical"
+    assert response["rules"] == {"class": "class hive-ledger critical  # Mary"}
+    reasons = {target["target_id"]: target["reason"] for target in response["targets"]}
     assert reasons["t1"] == "not used: weight t1 0  # Mary"
     assert cluster.targets["t2"].get_json("/runs") == before, "a call was sent"
     assert run_command(cluster, "n1", "status")[1]["calls"] == 0
-    _, answer = run_command(cluster, "n1", "explain", "nowhere", "GET", "/")
-    assert answer["outcomes"] == {"refused with 503 unknown-service": 1.0}
+    _, response = run_command(cluster, "n1", "explain", "nowhere", "GET", "/")
+    assert response["outcomes"] == {"refused with 503 unknown-service": 1.0}
     assert run_command(cluster, "n1", "explain", "a", "get", "/")[0] == ExitStatus.USAGE
 
     assert run_command(cluster, "n1", "drain", "t9")[0] == ExitStatus.NOT_FOUND
@@ -180,16 +180,16 @@
         0,
         {"target": "t2", "state": "draining"},
     )
-    _, answer = run_command(cluster, "n1", "explain", "hive-ledger", "GET", "/")
-    assert list(answer["outcomes"]) == ["refused with 503 no-target"]
+    _, response = run_command(cluster, "n1", "explain", "hive-ledger", "GET", "/")
+    assert list(response["outcomes"]) == ["refused with 503 no-target"]
 
     set_faults(cluster, down=True)
     assert run_command(cluster, "n1", "history")[0] == ExitStatus.STORE_UNAVAILABLE
     assert run_command(cluster, "n1", "status")[0] == ExitStatus.OK
     cluster.nodes["n1"].kill()
     assert run_command(cluster, "n1", "status")[0] == ExitStatus.NODE_UNAVAILABLE
-    text = start_command(cluster, "n1", "status")
-    out, err = text.communicate(timeout=20)
+    process = start_command(cluster, "n1", "status")
+    out, err = process.communicate(timeout=20)
     assert out == "" and err.startswith(
         "pimentoline: node-unavailable: no node listens"
     )
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -1,4 +1,4 @@
-"""Policies choose one of several candidates."""
+"""Tests of the load-balancing policies."""
 
 from collections import Counter
 
@@ -20,20 +20,22 @@
     return Candidate(target, weight, TargetStats(**stats))
 
 
-def choices(policy, found, rounds=2000):
-    """Count the choices of a policy over many draws."""
+def count_choices(policy, candidates, rounds=2000):
+    """Return how often a policy chooses each target, over many draws."""
     chosen = Counter()
     for number in range(rounds):
         service = ServiceStats(calls_sent=number)
-        cand = get_policy_by_name(policy).choose(found, service, NOW, mix(number, 1))
-        chosen[cand.target.target_id] += 1
+        candidate = get_policy_by_name(policy).choose(
+            candidates, service, NOW, mix(number, 1)
+        )
+        chosen[candidate.target.target_id] += 1
     return chosen
 
 
 @pytest.mark.parametrize("name", policy_names())
 def test_policy_uses_every_equal_target(name):
     """Guards against a policy that leaves one of several equal targets unused."""
-    counts = choices(name, [make_candidate(f"t{i}") for i in range(5)])
+    counts = count_choices(name, [make_candidate(f"t{i}") for i in range(5)])
     assert len(counts) == 5
     assert min(counts.values()) > 300
 
@@ -46,20 +48,20 @@
     ],
 )
 def test_policy_prefers_less_loaded(name, good, bad):
-    """Guards against a comparison by the wrong statistic or in the wrong direction."""
-    found = [make_candidate("bad", **bad), make_candidate("good", **good)]
-    assert choices(name, found, 50) == {"good": 50}
+    """Guards against comparing the wrong statistic, or in the wrong direction."""
+    candidates = [make_candidate("bad", **bad), make_candidate("good", **good)]
+    assert count_choices(name, candidates, 50) == {"good": 50}
 
 
 def test_weights_set_the_shares():
-    """Guards against a weight rule that does not change the share of calls."""
-    found = [make_candidate("a", 1.0), make_candidate("b", 3.0)]
-    assert 0.71 < choices("random", found)["b"] / 2000 < 0.79
+    """Guards against a weight that does not change the share of calls."""
+    candidates = [make_candidate("a", 1.0), make_candidate("b", 3.0)]
+    assert 0.71 < count_choices("random", candidates)["b"] / 2000 < 0.79
 
 
 @settings(derandomize=True, max_examples=50)
 @given(st.integers(0, 2**64 - 1), st.integers(0, 99))
 def test_draws_are_in_range(draw, salt):
-    """Guards against a fraction of 1.0, which would pass a share of 100%."""
+    """Guards against a fraction of 1.0, which a share of 100% would not cover."""
     assert 0 <= mix(draw, salt) < 2**64
     assert 0.0 <= fraction(draw, salt) < 1.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,4 @@
-"""The grammar of the rules file: examples in `tests/rules`, and random texts."""
+"""Tests of the rules parser: example files in `tests/rules` and random texts."""
 
 import os
 import time
@@ -16,13 +16,13 @@
 from pimentoline.rules.field_parsers import CALL_CLASSES, METHODS, OptionError
 
 EXAMPLES = sorted((Path(__file__).parent / "rules").glob("*.rules"))
-DOC = Path(__file__).parent.parent / "docs" / "rules.md"
+DOC_PAGE = Path(__file__).parent.parent / "docs" / "rules.md"
 derandomized = partial(settings, derandomize=True, deadline=None)
 
 
-def answer(rules, question, *words):
-    """Return what a rule set answers to a question of an example file."""
-    match question:
+def run_query(rules, query, *words):
+    """Run a query of an example file on a rule set and return the result."""
+    match query:
         case "call":
             return rules.call_policy(*words)
         case "weight":
@@ -40,31 +40,39 @@
             return found and ",".join(found)
         case "budget":
             return rules.probe_budget(*words)
-    raise ValueError(question)
+    raise ValueError(query)
 
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.stem)
 def test_example_file(path):
-    """Guards against a line that changes its meaning or a problem not reported."""
+    """Guards against a rule that changes its meaning or an unreported problem."""
     text = path.read_text(encoding="utf-8")
-    marks = [line[2:].strip() for line in text.split("\n") if line.startswith("#!")]
-    errors = [mark.split(maxsplit=2)[1:] for mark in marks if mark.startswith("error")]
+    expectations = [
+        line[2:].strip() for line in text.split("\n") if line.startswith("#!")
+    ]
+    errors = [
+        expectation.split(maxsplit=2)[1:]
+        for expectation in expectations
+        if expectation.startswith("error")
+    ]
     result = parse(text)
-    places = [f"{item.line}:{item.column}" for item in result.diagnostics]
-    assert places == [place for place, _ in errors], list(map(str, result.diagnostics))
+    positions = [f"{item.line}:{item.column}" for item in result.diagnostics]
+    assert positions == [position for position, _ in errors], list(
+        map(str, result.diagnostics)
+    )
     for (_, words), item in zip(errors, result.diagnostics):
         assert words in str(item)
-    for mark in marks:
-        if mark.startswith("error"):
+    for expectation in expectations:
+        if expectation.startswith("error"):
             continue
-        question, _, expected = mark.partition(" -> ")
-        found = answer(result.ruleset, *question.split())
+        query, _, expected = expectation.partition(" -> ")
+        found = run_query(result.ruleset, *query.split())
         if "=" not in expected:
-            assert str(found) == expected, mark
+            assert str(found) == expected, expectation
             continue
         for item in expected.split():
             name, _, value = item.partition("=")
-            assert str(getattr(found, name)) == value, mark
+            assert str(getattr(found, name)) == value, expectation
 
 
 NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,8}", fullmatch=True)
@@ -90,7 +98,7 @@
 
 @st.composite
 def rule_objects(draw):
-    """Return one rule of any kind with random words."""
+    """Draw one rule of any kind with random values."""
     cls = get_kind_by_name(draw(st.sampled_from(kind_names())))
     names = list(cls.positional)
     for option in cls.options:
@@ -103,7 +111,7 @@
 @derandomized(max_examples=300)
 @given(rule_objects())
 def test_rule_survives_being_written_and_read(rule):
-    """Guards against a form that the parser reads otherwise than it is written."""
+    """Guards against a rule that differs after `as_line` and parsing."""
     result = parse(rule.as_line())
     assert result.diagnostics == ()
     assert result.ruleset == RuleSet((rule,))
@@ -123,7 +131,7 @@
     ).map("\n".join)
 )
 def test_any_text_is_accepted_or_refused_with_places(text):
-    """Guards against a text that raises, or is refused without a usable place."""
+    """Guards against an exception, and against a problem without a valid position."""
     result = parse(text)
     assert (result.ruleset is None) == bool(result.diagnostics)
     lines = text.split("\n")
@@ -143,7 +151,7 @@
     VALUES["path"],
 )
 def test_index_agrees_with_a_search_in_file_order(rules, method, path):
-    """Guards against an index that answers otherwise than the first rule in order."""
+    """Guards against an index that does not find the first matching rule."""
     services = {rule.service for rule in rules if hasattr(rule, "service")}
     ruleset = RuleSet(tuple(rules))
     for service in sorted(services | {"unnamed"}):
@@ -172,7 +180,7 @@
 
 
 def test_file_of_100_mb_is_refused_unread(tmp_path):
-    """Guards against loading a file that is far over the limit."""
+    """Guards against reading the whole of a file that is far above the size limit."""
     path = tmp_path / "big.rules"
     with open(path, "wb") as file:
         file.truncate(100 * 1024 * 1024)
@@ -184,7 +192,7 @@
 
 @pytest.mark.parametrize("size, accepted", [(0, True), (1, False)])
 def test_limit_is_one_mebibyte(tmp_path, size, accepted):
-    """Guards against a limit that counts characters, or is off by one."""
+    """Guards against a size limit that counts characters, or is off by one."""
     path = tmp_path / "edge.rules"
     path.write_bytes("#é\n".encode() + b"#" * (MAX_RULES_BYTES - 4 + size))
     assert (read_rules(str(path))[1].ruleset is not None) == accepted
@@ -192,7 +200,7 @@
 
 
 def test_file_that_is_not_text_is_refused(tmp_path):
-    """Guards against an exception, or a wait, for a file that cannot be a text."""
+    """Guards against an exception, or blocking, for a file that is not text."""
     path = tmp_path / "latin.rules"
     path.write_bytes("pause t1 # Mary\npause é ".encode() + b"\xff # M\n")
     assert str(read_rules(str(path))[1].diagnostics[0]).endswith(
@@ -206,7 +214,7 @@
 
 
 def test_too_many_rules_or_patterns_are_refused():
-    """Guards against a rules file that makes every call slow."""
+    """Guards against a rules file with so many rules that every call becomes slow."""
     lines = [f"deadline desk 1s path=/{i}  # Mary\n" for i in range(201)]
     assert parse("".join(lines[:200])).ruleset is not None
     assert [item.line for item in parse("".join(lines)).diagnostics] == [201]
@@ -216,8 +224,8 @@
 
 
 def test_every_kind_keeps_the_contract():
-    """Guards against a kind without a reader for its words, or without its page."""
-    page = DOC.read_text()
+    """Guards against a kind without a field parser, or missing in `docs/rules.md`."""
+    page = DOC_PAGE.read_text()
     for name in kind_names():
         cls = get_kind_by_name(name)
         assert cls.kind == name and cls.syntax.startswith(name + " ")
@@ -229,8 +237,8 @@
 
 
 def test_examples_of_the_page_are_accepted():
-    """Guards against a documented example that the parser refuses."""
-    blocks = DOC.read_text().split("```rules\n")[1:]
+    """Guards against a documented example that the parser rejects."""
+    blocks = DOC_PAGE.read_text().split("```rules\n")[1:]
     text = "".join(block.split("```")[0] for block in blocks)
     result = parse(text)
     assert result.diagnostics == ()
