Rename MAX_ANSWER_BYTES of the probes to MAX_RESPONSE_BYTES

Cause: a target's reply to a probe is an HTTP response. Change: the constant is renamed where the prober uses it.

--- a/pimentoline/prober.py
+++ b/pimentoline/prober.py
@@ -14,13 +14,13 @@
 
 from .events import ProbeEnded
 from .headers import parse_load
-from .probing import MAX_ANSWER_BYTES
+from .probing import MAX_RESPONSE_BYTES
 
 __all__ = ["Prober"]
 
 PROBE_TIMEOUT_S = 1.0
 PARAMS = HTTP1ConnectionParameters(
-    max_header_size=MAX_ANSWER_BYTES, max_body_size=MAX_ANSWER_BYTES
+    max_header_size=MAX_RESPONSE_BYTES, max_body_size=MAX_RESPONSE_BYTES
 )
 
 
@@ -34,7 +34,7 @@
 
     def read_from_fd(self, buf):
         """Read into the buffer, up to the limit of all reads together."""
-        remaining = MAX_ANSWER_BYTES - self.received_bytes
+        remaining = MAX_RESPONSE_BYTES - self.received_bytes
         if remaining <= 0:
             # The stream treats 0 as the end of the connection and closes.
             return 0
@@ -88,7 +88,7 @@
     async def _probe(self, effect):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         # The kernel buffers no more received data than about this size.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_ANSWER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_RESPONSE_BYTES)
         stream = ByteCountingStream(sock)
         reader = LoadReader()
         try:
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -28,11 +28,11 @@
 # Limits of a probe's request and response in bytes. The prober closes a connection
 # that delivers more, so that a target cannot make a probe exceed its reservation.
 MAX_REQUEST_BYTES = 256
-MAX_ANSWER_BYTES = 1024
+MAX_RESPONSE_BYTES = 1024
 # TCP/IP headers of a connection with one small request and response: 11 packets with
 # headers of 40 to 60 bytes.
 PACKET_BYTES = 600
-MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_ANSWER_BYTES + PACKET_BYTES
+MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_RESPONSE_BYTES + PACKET_BYTES
 MAX_LOAD_PATH_CHARS = 128
 # Far above the number of targets; bounds the memory for targets that are gone.
 MAX_LAST_PROBED = 4096
