Rename ConnectionLimits.limit_of to limit_for

Cause: the method looks the limit up for an address. Change: the method and its one use are renamed.

--- a/pimentoline/connection_limits.py
+++ b/pimentoline/connection_limits.py
@@ -27,7 +27,7 @@
         self._node_count = 0
         self._limits = {}
 
-    def limit_of(self, addr):
+    def limit_for(self, addr):
         """Return the maximum number of connections to a target address."""
         mesh = self._get_state().mesh
         node_count = len(mesh.members)
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -68,7 +68,7 @@
         self.metrics = Metrics.from_config(cfg)
         self.store = Store.from_config(cfg, self.metrics) if cfg.store_url else None
         limits = ConnectionLimits(lambda: self.state, MAX_CONNECTIONS_PER_TARGET)
-        self.pool = Pool(self.clock, limits.limit_of)
+        self.pool = Pool(self.clock, limits.limit_for)
         self.proxy = Proxy(
             self.dispatch,
             self.pool,
