Rename the event ClaimAnswered to ClaimResolved

Cause: nobody answers a claim; the attempt to claim a key ends with an outcome. Change: the event, its handler and their uses are renamed.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -21,7 +21,7 @@
     "on_attempt_ended",
     "on_call_ended",
     "on_caller_disconnected",
-    "on_claim_answered",
+    "on_claim_resolved",
     "on_deadline_passed",
     "on_hedge_due",
     "on_response_head",
@@ -181,7 +181,7 @@
     return state, tuple(effects)
 
 
-def on_claim_answered(state, event):
+def on_claim_resolved(state, event):
     """Send a claimed call; reject one whose key is held or cannot be claimed."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -99,7 +99,7 @@
         elif not settled:
             self._write_in_background(self._void, key, attempt)
         self._dispatch(
-            ev.ClaimAnswered(self._clock(), self._draw(), call_id, outcome, recorded)
+            ev.ClaimResolved(self._clock(), self._draw(), call_id, outcome, recorded)
         )
 
     async def _claim(self, key, attempt):
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -17,8 +17,8 @@
     "CallArrived",
     "CallEnded",
     "CallerDisconnected",
-    "ClaimAnswered",
     "ClaimOutcome",
+    "ClaimResolved",
     "DeadlinePassed",
     "HedgeDue",
     "MembersReceived",
@@ -71,7 +71,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimAnswered:
+class ClaimResolved:
     """An `InsertClaim` has ended; `recorded` is set with `ClaimOutcome.REPLAY`."""
 
     now: float
--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict
 
 from .effects import InsertClaim, RejectCall, StartAttempt
-from .events import CallArrived, ClaimAnswered, ClaimOutcome
+from .events import CallArrived, ClaimOutcome, ClaimResolved
 from .model import Call, Request, TargetState, TargetStats
 from .reducer import reduce
 
@@ -68,7 +68,7 @@
     call = Call(TRIAL_CALL_ID, req, now)
     step = reduce(state, CallArrived(now, draw, call))
     if any(isinstance(effect, InsertClaim) for effect in step.effects):
-        granted = ClaimAnswered(now, draw, TRIAL_CALL_ID, ClaimOutcome.GRANTED)
+        granted = ClaimResolved(now, draw, TRIAL_CALL_ID, ClaimOutcome.GRANTED)
         step = reduce(step.state, granted)
     for effect in step.effects:
         match effect:
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -54,8 +54,8 @@
             return Step(*calls.on_caller_disconnected(state, event))
         case ev.HedgeDue():
             return Step(*calls.on_hedge_due(state, event))
-        case ev.ClaimAnswered():
-            return Step(*calls.on_claim_answered(state, event))
+        case ev.ClaimResolved():
+            return Step(*calls.on_claim_resolved(state, event))
         case ev.TargetAnnounced():
             return Step(*target_states.on_target_announced(state, event))
         case ev.TargetDrained():
