Say IP address in the help and errors of the flags

Cause: 'IP number' is not a usual term, and the help for mesh_keys was hard to read. Change: texts, comments and the names of validators; the test of the error message matches the new word.

--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -20,7 +20,7 @@
 __all__ = ["FLAGS", "NodeConfig", "load_config", "parse_addr"]
 
 MAX_PORT = 65535
-ADDR_ERROR = "allowed: IP:PORT with an IPv4 number and a port of 0 to 65535"
+ADDR_ERROR = "allowed: IP:PORT with an IPv4 address and a port of 0 to 65535"
 Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN, max_length=200)]
 
 # name: (default, help)
@@ -29,19 +29,23 @@
     "host": ("", "Name of the host; the system's host name by default."),
     "region": ("", "Region of the host."),
     "dc": ("", "Data centre of the host."),
-    "data_addr": ("127.0.0.1:0", "IP number and port for callers."),
-    "mesh_addr": ("127.0.0.1:0", "IP number and port for other nodes, UDP and TCP."),
-    "admin_addr": ("127.0.0.1:0", "IP number and port for operators and the target."),
+    "data_addr": ("127.0.0.1:0", "IP address and port for callers."),
+    "mesh_addr": ("127.0.0.1:0", "IP address and port for other nodes, UDP and TCP."),
+    "admin_addr": ("127.0.0.1:0", "IP address and port for operators and the target."),
     "admin_remote": (
         False,
         "Let the admin interface listen on an address that is not loopback. It has "
         "no authentication.",
     ),
     "store_url": ("", "Base URL of the platform's table service."),
-    "seeds": ("", "Comma-separated mesh addresses of some nodes."),
-    "mesh_keys": ("", "Comma-separated keys; the first signs, each is accepted."),
+    "seeds": ("", "Comma-separated mesh addresses of nodes to join through."),
+    "mesh_keys": (
+        "",
+        "Comma-separated keys. The first signs messages; messages signed with any of "
+        "them are accepted.",
+    ),
     "policy": ("hot-cold", "Routing policy."),
-    "statsd_addr": ("", "IP number and port of a statsd server; none if empty."),
+    "statsd_addr": ("", "IP address and port of a statsd server; none if empty."),
 }
 
 
@@ -51,12 +55,14 @@
     Raises
     ------
     ValueError
+        If the text has another form.
     """
     ip, _, port = text.rpartition(":")
     try:
         ip = str(ipaddress.IPv4Address(ip))
     except ValueError:
         raise ValueError(ADDR_ERROR) from None
+    # Comparing 6 digits avoids the conversion of very long text, which `int` rejects.
     if not (port.isascii() and port.isdigit()) or int(port[:6]) > MAX_PORT:
         raise ValueError(ADDR_ERROR)
     return ip, int(port)
@@ -83,37 +89,37 @@
 
     @field_validator("data_addr", "mesh_addr", "admin_addr", mode="before")
     @classmethod
-    def _split_addr(cls, value):
+    def _parse_addr(cls, value):
         return parse_addr(value) if isinstance(value, str) else value
 
     @field_validator("statsd_addr", mode="before")
     @classmethod
-    def _split_optional_addr(cls, value):
+    def _parse_optional_addr(cls, value):
         return parse_addr(value) if value else None
 
     @field_validator("seeds", mode="before")
     @classmethod
-    def _split_seeds(cls, value):
+    def _parse_seeds(cls, value):
         if isinstance(value, str):
             return tuple(parse_addr(part) for part in value.split(",") if part)
         return value
 
     @field_validator("mesh_keys", mode="before")
     @classmethod
-    def _split_keys(cls, value):
+    def _parse_keys(cls, value):
         if isinstance(value, str):
             return tuple(part for part in value.split(",") if part)
         return value
 
     @field_validator("policy")
     @classmethod
-    def _known_policy(cls, value):
+    def _check_policy(cls, value):
         if value not in policy_names():
             raise ValueError(f"allowed: one of {', '.join(policy_names())}")
         return value
 
     @model_validator(mode="after")
-    def _require_loopback_admin(self):
+    def _check_admin_addr(self):
         ip = self.admin_addr[0]
         if not self.admin_remote and not ipaddress.ip_address(ip).is_loopback:
             # Without authentication, anyone who reaches the interface can drain
@@ -130,7 +136,7 @@
 
     Parameters
     ----------
-    values : dict of str to str
+    values : dict of str to (str or bool)
 
     Raises
     ------
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -50,7 +50,7 @@
     (
         NODE + ["--data_addr=1:2"],
         {},
-        ["found '1:2'; allowed: IP:PORT with an IPv4 number"],
+        ["found '1:2'; allowed: IP:PORT with an IPv4 address"],
     ),
     (NODE + ["--data_addr=127.0.0.1:65536"], {}, ["--data_addr"]),
     (NODE + ["--seeds=127.0.0.1"], {}, ["--seeds"]),
