Describe the assignment of subsets in plainer terms

Cause: the comments on flows and remainders had to be read twice. Change: doc strings, comments and local names. Result: test_subsets passes; ruff is clean and the comparison of code without names finds no difference.

--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -1,11 +1,11 @@
 """pimentoline.subsets: the targets of a service that this node keeps connections to.
 
-Every node derives the same assignment from the same members. The nodes of each data
-centre together demand `nodes * per_node` connections, and the targets of each data
-centre together supply `targets * limit`. Demand is met by the node's own data centre
-first, then by its region, then by the others. Within one pair of data centres, the
-nodes take consecutive parts of a shared permutation of the targets, in the order of
-their rank. So the numbers of nodes of two targets there differ by one at most.
+Every node derives the same assignment from the same members. The nodes of a data
+centre demand `per_node` connections each, and the targets of a data centre accept
+`limit` connections each. Demand is met by targets in the same data centre first, then
+in the same region, then elsewhere. Between a pair of data centres, the nodes take
+consecutive sections of a shared permutation of the targets, in the order of the nodes'
+rank, so the number of these nodes per target varies by at most one.
 """
 
 import hashlib
@@ -16,7 +16,7 @@
 # The rest of a target's connection limit is left for probes and for nodes whose view
 # of the membership differs.
 USABLE_FRACTION = 0.9
-MIN_CONNECTIONS = 2
+MIN_CONNECTIONS_PER_NODE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,9 +44,9 @@
 
 
 def count_nodes(members, identity):
-    """Return the `NodeCounts` of the members held.
+    """Return the `NodeCounts` of the known members.
 
-    Dead members count as long as their record is held, so a node that restarts keeps
+    Dead members count until their record is removed, so a node that restarts keeps
     its rank and the subsets of the other nodes do not change.
     """
     location = (identity.region, identity.dc)
@@ -60,16 +60,17 @@
     return NodeCounts(tuple(sorted(counts.items())), location, rank)
 
 
-def connections_per_node(targets, nodes):
+def connections_per_node(targets, node_count):
     """Return the number of connections that one node may keep to a service."""
     limit = min(target.connections for target in targets) * USABLE_FRACTION
-    return max(MIN_CONNECTIONS, int(limit * len(targets) / nodes))
+    return max(MIN_CONNECTIONS_PER_NODE, int(limit * len(targets) / node_count))
 
 
 def _permutation(targets):
     """Return the targets in the order of a hash of their ids.
 
-    The order is the same at every node, and further targets do not change it.
+    The order is the same at every node, and adding or removing a target does not
+    change the order of the others.
     """
 
     def key(target):
@@ -80,26 +81,27 @@
 
 
 def _distance(location, other):
+    """Return 0 within a data centre, 1 within a region, 2 between regions."""
     if location == other:
         return 0
     return 1 if location[0] == other[0] else 2
 
 
 def _flows(node_counts, sizes, per_node, limit):
-    """Return the connections from each node location to each target location.
+    """Return the number of connections between each pair of locations.
 
     Parameters
     ----------
     node_counts : NodeCounts
-    sizes : dict of (location: int)
+    sizes : dict of location to int
         Number of targets at each location.
     per_node, limit : int
         Connections demanded by one node, and accepted by one target.
 
     Returns
     -------
-    dict of ((node location, target location): int) or None
-        None if meeting demand at the nearest locations first leaves some unmet.
+    dict of (node location, target location) to int, or None
+        None if this greedy assignment, nearest locations first, leaves demand unmet.
     """
     demand = {location: count * per_node for location, count in node_counts.counts}
     supply = {target_location: size * limit for target_location, size in sizes.items()}
@@ -121,8 +123,9 @@
             }
             offered = sum(capacity.values())
             wanted = min(demand[location], offered)
-            # Each target location gets its rounded part of what those before it have
-            # left, so that the parts add up to the demand exactly.
+            # Divide the demand in proportion to the capacity. Each part is rounded up
+            # and computed from the demand and capacity that remain, so that the parts
+            # add up exactly.
             for target_location in at_distance:
                 part = (
                     -(-wanted * capacity[target_location] // offered) if offered else 0
@@ -147,7 +150,7 @@
     Returns
     -------
     list of Target
-        Sorted by id; all targets unless the connection limit is too low.
+        Sorted by id; all targets if the connection limits allow it.
     """
     per_node = connections_per_node(targets, node_counts.nodes)
     if per_node >= len(targets):
@@ -162,35 +165,34 @@
     limit = max(limit, -(-node_counts.nodes * per_node // len(targets)))
     flows = _flows(node_counts, sizes, per_node, limit)
     if flows is None:
-        # Nodes and targets are too unevenly located: treat all targets as one location,
-        # since balance matters more than distance.
+        # Nodes and targets are too unevenly distributed: treat all targets as one
+        # location, since balance matters more than distance.
         by_location = {"all": [t for group in by_location.values() for t in group]}
         flows = {
             (location, "all"): count * per_node
             for location, count in node_counts.counts
         }
     chosen = []
-    for target_location, local_targets in by_location.items():
-        before = [
+    for target_location, group in by_location.items():
+        earlier_locations = [
             location
             for location, _ in node_counts.counts
             if location < node_counts.location
         ]
-        start = sum(flows[location, target_location] for location in before)
-        first, last = _node_range(
-            node_counts, flows, target_location, list(by_location)
-        )
-        for position in range(start + first, start + last):
-            chosen.append(local_targets[position % len(local_targets)])
+        start = sum(flows[location, target_location] for location in earlier_locations)
+        first, end = _node_range(node_counts, flows, target_location, list(by_location))
+        for position in range(start + first, start + end):
+            chosen.append(group[position % len(group)])
     return sorted(chosen, key=lambda target: target.target_id)
 
 
 def _node_range(node_counts, flows, target_location, target_locations):
-    """Return this node's range of the connections from its location to another.
+    """Return this node's half-open range of the connections to a target location.
 
-    Every node gets the whole quotient of each flow. The remainders are assigned to the
-    nodes in turn over all locations, so that each node gets the same total number of
-    connections and no node gets two from one remainder.
+    The connections from this node's location to the target location are numbered from
+    0. Each flow is divided by the number of nodes. Every node gets the quotient, and
+    the remainders of all flows are assigned to the nodes round-robin, so that each node
+    gets the same total number of connections and no node gets two from one remainder.
     """
     count = dict(node_counts.counts)[node_counts.location]
     assigned = 0
@@ -199,8 +201,10 @@
         if other == target_location:
             break
         assigned += remainder
-    receivers = {position % count for position in range(assigned, assigned + remainder)}
+    extra_ranks = {
+        position % count for position in range(assigned, assigned + remainder)
+    }
     first = node_counts.rank * quotient + sum(
-        rank < node_counts.rank for rank in receivers
+        rank < node_counts.rank for rank in extra_ranks
     )
-    return first, first + quotient + (node_counts.rank in receivers)
+    return first, first + quotient + (node_counts.rank in extra_ranks)
