Describe in one place when a locality ring spills

Cause: the doc string assumed the hysteresis of the spill rule. Change: doc strings, comments and the local name of the candidates.

--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -1,8 +1,8 @@
 """pimentoline.routing: choice of the target of an attempt.
 
 The targets of a service form locality rings around this node: its data centre, its
-region, other regions. Calls go to the innermost ring with healthy targets and spill to
-the next one if it is loaded.
+region, other regions. Calls go to the innermost ring with healthy targets. A part of
+them spills to the next ring if the load exceeds the threshold of the spill rule.
 """
 
 from dataclasses import dataclass
@@ -20,7 +20,7 @@
 # A policy chooses among at most this many targets of a ring, sampled at random, which
 # bounds the CPU time of a call.
 MAX_CANDIDATES = 24
-# Older load reports are ignored for the load of a ring.
+# Maximum age of a load report that counts towards the load of a ring.
 REPORT_VALID_S = 1.0
 
 # Salts that make the random choices derived from one draw independent.
@@ -65,19 +65,20 @@
     policy = get_policy_by_name(state.policy)
     view = _CandidateView(state.traffic.targets, stats, policy, tried, now, draw)
     for release in _ordered_releases(route, draw):
-        found, widest, credit = _choose_ring(view, release, route.spill)
-        if found:
+        candidates, widest, credit = _choose_ring(view, release, route.spill)
+        if candidates:
             break
     else:
-        found = view.healthy(route.reserve) or _last_resort(route, view)
+        # The subset has no healthy target that is untried.
+        candidates = view.healthy(route.reserve) or _last_resort(route, view)
         widest, credit = stats.widest_ring, stats.spill_credit
     if widest != stats.widest_ring or credit != stats.spill_credit:
         stats = replace(stats, widest_ring=widest, spill_credit=credit)
         services = state.traffic.services.set(service, stats)
         state = replace(state, traffic=replace(state.traffic, services=services))
-    if len(found) == 1:
-        return state, found[0].target
-    return state, policy.choose(found, stats, now, mix(draw, POLICY_SALT)).target
+    if len(candidates) == 1:
+        return state, candidates[0].target
+    return state, policy.choose(candidates, stats, now, mix(draw, POLICY_SALT)).target
 
 
 def _ordered_releases(route, draw):
@@ -94,7 +95,7 @@
 
 @dataclass(slots=True)
 class _CandidateView:
-    """Candidates of rings, as one attempt of a call sees them."""
+    """Finds the candidates of a ring for one attempt of a call."""
 
     targets: object
     stats: ServiceStats
@@ -108,7 +109,7 @@
         if len(ring) > MAX_CANDIDATES:
             ring = self._sample(ring)
         now, tried, targets = self.now, self.tried, self.targets
-        found = []
+        candidates = []
         for target, weight in ring:
             if target.target_id in tried:
                 continue
@@ -117,13 +118,13 @@
                 continue
             if now - stats.ready_at < outliers.SLOW_START_S:
                 weight *= outliers.slow_start(stats, now)
-            found.append(Candidate(target, weight, stats))
-        return found
+            candidates.append(Candidate(target, weight, stats))
+        return candidates
 
-    def accepted(self, found):
+    def accepted(self, candidates):
         """Return the candidates that the policy accepts."""
         accepts, stats, now = self.policy.accepts, self.stats, self.now
-        return [cand for cand in found if accepts(cand, stats, now)]
+        return [cand for cand in candidates if accepts(cand, stats, now)]
 
     def _sample(self, ring):
         step = len(ring) / MAX_CANDIDATES
@@ -132,7 +133,7 @@
         return [ring[index] for index in sorted(indexes)]
 
 
-def ring_load(found, now):
+def ring_load(candidates, now):
     """Return the load of a ring in requests in flight per slot.
 
     Only targets with a recent load report count, and those whose slots are all taken
@@ -140,7 +141,7 @@
 
     Parameters
     ----------
-    found : list of Candidate
+    candidates : list of Candidate
     now : float
         Monotonic time, seconds.
 
@@ -150,7 +151,7 @@
         0.0 if no target counts.
     """
     used = slots = 0.0
-    for cand in found:
+    for cand in candidates:
         stats = cand.stats
         if now - stats.reported_at <= REPORT_VALID_S:
             others = max(0.0, stats.reported_load - stats.own_in_report)
@@ -166,16 +167,25 @@
 def _choose_ring(view, release, spill):
     """Choose the ring that an attempt uses.
 
-    From a loaded ring, the share of calls that brings it back to the `leave` load
-    goes to the next ring, but not more than the share in the spill rule. All calls
-    skip a ring without healthy targets, because they would only fail there. If the
-    policy accepts none of a ring's targets, all calls skip the ring as long as the
-    next one is in this region; a ring of another region gets the rule's share only.
+    A ring becomes loaded above the `enter` load of the spill rule, and stays loaded
+    until its load falls to `leave`. From a loaded ring, the share of calls that reduces
+    its load to `leave` goes to the next ring, at most the rule's `share`.
+
+    All calls skip a ring without healthy targets, because they would only fail there.
+    If the policy accepts none of a ring's targets, all calls skip the ring if the next
+    one is in this region; a ring of another region gets only the rule's `share`.
+
+    Parameters
+    ----------
+    view : _CandidateView
+    release : Release
+    spill : SpillPolicy
 
     Returns
     -------
-    found : list of Candidate
-        Candidates of the ring, empty if no ring has healthy targets.
+    candidates : list of Candidate
+        Candidates of the ring, or all those considered if the policy accepts none;
+        empty if no ring has healthy targets.
     widest : int
         Number of the outermost ring in use.
     credit : float
@@ -184,15 +194,15 @@
     stats = view.stats
     credit, widest, rejected = stats.spill_credit, 0, []
     for number, ring in enumerate(release.rings):
-        found = view.healthy(ring)
-        if not found:
+        candidates = view.healthy(ring)
+        if not candidates:
             continue
-        accepted = view.accepted(found)
+        accepted = view.accepted(candidates)
         last = number + 1 == len(release.rings)
         if not accepted:
-            # Used if the policy accepts no candidate of any ring.
+            # The fallback if the policy accepts no candidate of any ring.
             if not rejected or number < release.home_rings:
-                rejected = rejected + found
+                rejected = rejected + candidates
             if last:
                 break
             widest = number + 1
@@ -206,21 +216,21 @@
         # Retries do not spill because of load, and nothing spills from the last ring.
         if view.tried or last:
             return (
-                found,
+                candidates,
                 max(widest, number, stats.widest_ring if view.tried else 0),
                 credit,
             )
         load = ring_load(accepted, view.now)
         loaded = load > (spill.leave if stats.widest_ring > number else spill.enter)
         if not loaded:
-            return found, max(widest, number), credit
+            return candidates, max(widest, number), credit
         widest = number + 1
         credit = min(credit, 1.0) + min(spill.share, 1.0 - spill.leave / load)
         wider = view.accepted(view.healthy(release.rings[widest]))
         # Spilling to a ring with the same load gains nothing, and the nodes there would
         # spill their own calls back.
         if credit < 1.0 or not wider or ring_load(wider, view.now) >= load:
-            return found, widest, credit
+            return candidates, widest, credit
         credit -= 1.0
     return rejected, widest if rejected else stats.widest_ring, credit
 
