Reword the doc strings of the call handlers

Cause: several sentences had to be read twice, and the flag 'untried' looked like the set 'tried'. Change: doc strings, comments and local names.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -28,11 +28,13 @@
 ]
 
 
-# Time reserved for the node's own error response before the caller's deadline.
+# Time reserved for the node's own error response before the caller's deadline, at most
+# a tenth of the remaining time.
 RESPONSE_MARGIN_S = 0.05
 
 
 def _with_call(state, record):
+    """Return the state with a call record, and with the call counted if it is new."""
     traffic = state.traffic
     call = record.call
     services = traffic.services
@@ -45,7 +47,7 @@
 
 
 def _with_attempt(state, record):
-    """Return the state with a call record whose last attempt is about to be sent."""
+    """Return the state with a call record and its last attempt counted as started."""
     traffic = state.traffic
     call, services = record.call, traffic.services
     req = call.req
@@ -67,7 +69,10 @@
 
 
 def _without_call(state, call_id, attempt=None, complete=False):
-    """Return the state without a call, and without `attempt` in flight if given."""
+    """Return the state without a call, and with `attempt`, if given, counted as ended.
+
+    `complete` tells whether its response was forwarded completely.
+    """
     traffic = state.traffic
     services = traffic_stats.end_call(traffic.services, traffic.calls[call_id].call.req)
     targets = traffic.targets
@@ -102,15 +107,19 @@
 
 
 def on_arrived(state, event):
-    """Reject a call, or admit it: claim its key if it needs a claim, or send it."""
+    """Admit or reject a new call.
+
+    An admitted call is sent, or claims its key first if it needs a claim. A hedge is
+    scheduled if the policy of the call allows it.
+    """
     call = event.call
     req = call.req
     policy = state.rules.ruleset.call_policy(req.service, req.method, req.path)
     record = CallRecord(call, CallPhase.SENDING, policy.idempotent)
-    state, refusal = traffic_stats.admit(state, call, event.now, event.draw)
-    if refusal is not None:
-        reject = RejectCall(call.call_id, 503, refusal, Verdict.NOT_RUN, refusal)
-        return state, (reject, IncrementCounter(f"calls.{refusal}"))
+    state, code = traffic_stats.admit(state, call, event.now, event.draw)
+    if code is not None:
+        reject = RejectCall(call.call_id, 503, code, Verdict.NOT_RUN, code)
+        return state, (reject, IncrementCounter(f"calls.{code}"))
     if claims.is_required(record):
         record = replace(record, phase=CallPhase.CLAIMING)
         return _with_call(state, record), (claims.insert_effect(record),)
@@ -121,16 +130,16 @@
     return state, effects
 
 
-def _start_attempt(state, record, event, hedge=False, untried=False):
+def _start_attempt(state, record, event, hedge=False, untried_only=False):
     """Start an attempt, or reject the call if there is no target for it.
 
-    With `untried`, an attempt is started only at a target that the call has not tried;
-    if there is none, nothing changes.
+    With `untried_only`, an attempt is started only at a target that the call has not
+    tried; if there is none, no attempt is started and the call is not rejected.
     """
     tried = {att.target_id for att in record.attempts}
     state, target = routing.pick(state, record, tried, event.now, event.draw)
     call = record.call
-    if untried and (target is None or target.target_id in tried):
+    if untried_only and (target is None or target.target_id in tried):
         return state, ()
     if target is None or call.req.deadline <= event.now:
         code = "no-target" if target is None else "deadline-exceeded"
@@ -155,11 +164,11 @@
 
 
 def _timeout_s(record, remaining_s):
-    """Return the timeout of an attempt for the response head, seconds.
+    """Return how long an attempt waits for the response head, seconds.
 
-    It ends before the caller's deadline, so that the caller receives a verdict. An
-    idempotent call keeps half of its remaining time for a retry, because an
-    unresponsive connection would otherwise use all of it.
+    The timeout ends before the caller's deadline, so that the caller receives a
+    verdict. An idempotent call keeps half of its remaining time for a retry, because
+    an unresponsive connection would otherwise use all of it.
     """
     if record.idempotent and len(record.attempts) < retries.MAX_ATTEMPTS:
         return remaining_s / 2
@@ -182,7 +191,7 @@
 
 
 def on_claim_resolved(state, event):
-    """Send a claimed call; reject one whose key is held or cannot be claimed."""
+    """Send a call whose claim was granted; otherwise reject it or replay a response."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
@@ -215,7 +224,10 @@
         if may_retry:
             # A target that has just shed the call would shed it again.
             started, effects = _start_attempt(
-                _with_call(charged, record), record, event, untried=event.not_run
+                _with_call(charged, record),
+                record,
+                event,
+                untried_only=event.not_run,
             )
             if any(isinstance(eff, StartAttempt) for eff in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
@@ -245,13 +257,18 @@
 
 
 def on_attempt_ended(state, event):
-    """Handle an attempt without a response: await the other one, retry, or reject."""
+    """Handle an attempt that ended without a response.
+
+    If another attempt is in flight, the call waits for it. Otherwise it is retried or
+    rejected.
+    """
     record = state.traffic.calls.get(event.call_id)
     attempt = record and _find_attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
     if event.outcome is AttemptOutcome.SILENT:
-        # The reused connection is at fault, not the target: new ones to it work.
+        # The reused connection may be broken while new ones to the target work, so
+        # this is no failure of the target.
         state = traffic_stats.release_attempt(state, attempt)
     else:
         state = traffic_stats.record_failure(state, record, attempt, event)
@@ -270,7 +287,7 @@
 
 
 def on_call_ended(state, event):
-    """Remove a call whose response was passed on, completely or in part."""
+    """Remove a call whose response was forwarded, completely or in part."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
@@ -278,12 +295,12 @@
     if claims.is_required(record) and event.recorded is not None:
         req = record.call.req
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
-    answering = _find_attempt(record, record.answering)
-    if answering is not None and not event.complete:
+    attempt = _find_attempt(record, record.answering)
+    if attempt is not None and not event.complete:
         state = traffic_stats.record_truncated_response(
-            state, record, answering, event.now
+            state, record, attempt, event.now
         )
-    return _without_call(state, event.call_id, answering, event.complete), effects
+    return _without_call(state, event.call_id, attempt, event.complete), effects
 
 
 def on_deadline_passed(state, event):
@@ -321,7 +338,9 @@
     if not allowed:
         return state, ()
     # A second attempt at the same target would only add to its load.
-    started, effects = _start_attempt(charged, record, event, hedge=True, untried=True)
+    started, effects = _start_attempt(
+        charged, record, event, hedge=True, untried_only=True
+    )
     if not any(isinstance(eff, StartAttempt) for eff in effects):
         return state, ()
     return started, effects + (IncrementCounter("attempts.hedged"),)
