Rename claims.refusal to response_effects

Cause: its result may replay a recorded response, which is no refusal, and the same word names an error code elsewhere in calls. Change: the function, its use and one local name.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -195,10 +195,10 @@
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
-    refusal = claims.refusal(record, event.outcome, event.recorded)
-    if refusal is None:
+    effects = claims.response_effects(record, event.outcome, event.recorded)
+    if effects is None:
         return _start_attempt(state, record, event)
-    return _without_call(state, event.call_id), refusal
+    return _without_call(state, event.call_id), effects
 
 
 def on_response_head(state, event):
--- a/pimentoline/claims.py
+++ b/pimentoline/claims.py
@@ -8,7 +8,7 @@
 from .events import ClaimOutcome
 from .verdict import Verdict
 
-__all__ = ["insert_effect", "is_required", "refusal"]
+__all__ = ["insert_effect", "is_required", "response_effects"]
 
 
 def is_required(record):
@@ -22,7 +22,7 @@
     return InsertClaim(record.call.call_id, req.service, req.key)
 
 
-def refusal(record, outcome, recorded=None):
+def response_effects(record, outcome, recorded=None):
     """Return the effects that answer the caller, or None if the claim is granted."""
     call_id = record.call.call_id
     match outcome:
