State which calls skip a ring that the policy rejects

Cause: the doc string of the choice of a ring left out the retries and the fallback. Change: doc string only.

--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -173,7 +173,8 @@
 
     All calls skip a ring without healthy targets, because they would only fail there.
     If the policy accepts none of a ring's targets, all calls skip the ring if the next
-    one is in this region; a ring of another region gets only the rule's `share`.
+    one is in this region. A ring of another region then gets all retries, but only the
+    rule's `share` of the first attempts.
 
     Parameters
     ----------
@@ -184,8 +185,9 @@
     Returns
     -------
     candidates : list of Candidate
-        Candidates of the ring, or all those considered if the policy accepts none;
-        empty if no ring has healthy targets.
+        Candidates of the ring. If the policy accepts no target of the rings considered,
+        those of the rings in this region, or else of the nearest other ring. Empty if
+        no ring has healthy targets.
     widest : int
         Number of the outermost ring in use.
     credit : float
