Clarify the entry point and configuration parser of the platform

Several names (`names`, `item`) had two meanings, and the default timeout did not say what it applies to.

--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -17,12 +17,13 @@
 from .store import PlatformStore
 
 SETTINGS_VARIABLE = "PIMENTOLINE_CONFIG"
-# The settings file may change without a signal, so it is checked this often.
+# Time between checks of whether the settings file has changed, seconds. It may change
+# without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
 def reload(node, path):
-    """Read the settings again; if they are invalid, keep those in force."""
+    """Load the settings file again; if it is invalid, keep the current settings."""
     try:
         node.reload(load_settings_file(path).host_settings())
     except SettingsError as exc:
@@ -30,7 +31,7 @@
 
 
 async def watch_settings(node, path):
-    """Reload the settings whenever their file changes."""
+    """Reload the settings whenever the modification time of their file changes."""
     mtime_ns = os.stat(path).st_mtime_ns
     while True:
         await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
@@ -52,6 +53,7 @@
         parse_configuration,
         lambda pool: PlatformStore(settings.platform.address, pool),
         CONFIG_ROW,
+        # One class serves both heartbeats and readiness checks.
         HeartbeatServer,
         HeartbeatServer,
     )
--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -15,30 +15,35 @@
 
 __all__ = ["CONFIG_ROW", "parse_configuration"]
 
-# Table and key of the row with the operator's configuration.
+# Table and key of the store's row with the operator's configuration.
 CONFIG_ROW = ("op", "config")
-DEFAULT_TIMEOUT = "10s"
+# Timeout of a route that has no `timeout` field.
+DEFAULT_ROUTE_TIMEOUT = "10s"
 
 
 def _parse_rows(table):
-    """Yield the rows of a table, with its `columns`, as dicts without null fields."""
-    names = table["columns"]
+    """Yield each row of a table as a dict by column name, without null fields.
+
+    In the table, a row is a list of values in the order of `columns`.
+    """
+    columns = table["columns"]
     for row in table["rows"]:
         yield {
-            name: value
-            for name, value in zip(names, row, strict=True)
+            column: value
+            for column, value in zip(columns, row, strict=True)
             if value is not None
         }
 
 
-def _parse_route(row, services):
+def _parse_route(row, service_names):
     shares = tuple(
         Share(split["service"], int(split["weight"]))
         for split in row.get("traffic_split") or ()
         if int(split["weight"]) > 0
     )
+    # Without a positive weight, all calls go to the route's own service.
     shares = shares or (Share(row["service"], 1),)
-    unknown = [share.service for share in shares if share.service not in services]
+    unknown = [share.service for share in shares if share.service not in service_names]
     if unknown:
         raise ValueError(f"route {row['name']}: unknown service {unknown[0]!r:.60}")
     prefix = row["prefix"]
@@ -46,10 +51,10 @@
         raise ValueError(
             f"route {row['name']}: prefix {prefix!r:.60} does not begin and end with /"
         )
-    attempts = int(row.get("max_attempts", 1))
-    if attempts < 1:
+    max_attempts = int(row.get("max_attempts", 1))
+    if max_attempts < 1:
         raise ValueError(f"route {row['name']}: max_attempts is less than 1")
-    timeout = row.get("timeout", DEFAULT_TIMEOUT)
+    timeout = row.get("timeout", DEFAULT_ROUTE_TIMEOUT)
     return Route(
         str(row["name"]),
         row["host"].lower(),
@@ -59,48 +64,54 @@
         parse_duration(row.get("target_latency", timeout)),
         int(row.get("priority", 0)),
         shares,
-        attempts,
+        max_attempts,
     )
 
 
-def _parse_limits(item):
+def _parse_limits(limits):
     defaults = CallerLimits()
     return CallerLimits(
-        int(item.get("header_bytes", defaults.head_bytes)),
-        int(item.get("max_body_bytes", defaults.body_bytes)),
-        parse_duration(item.get("header_timeout", f"{defaults.head_timeout_s}s")),
-        parse_duration(item.get("idle_timeout", f"{defaults.idle_timeout_s}s")),
+        int(limits.get("header_bytes", defaults.head_bytes)),
+        int(limits.get("max_body_bytes", defaults.body_bytes)),
+        parse_duration(limits.get("header_timeout", f"{defaults.head_timeout_s}s")),
+        parse_duration(limits.get("idle_timeout", f"{defaults.idle_timeout_s}s")),
     )
 
 
 def parse_configuration(text):
-    """Return the `Configuration` from the operator's text (JSON bytes).
+    """Return the `Configuration` in the operator's JSON text.
+
+    Parameters
+    ----------
+    text : bytes
 
     Raises
     ------
     ConfigurationError
-        Naming the first problem; no part of the text is used then.
+        Naming the first problem found.
     """
     try:
-        item = json.loads(text)
+        document = json.loads(text)
         services = [
             ServiceInfo(
                 row["name"],
                 int(row.get("max_conns", 0)),
                 str(row.get("health_path", "")),
             )
-            for row in _parse_rows(item["services"])
+            for row in _parse_rows(document["services"])
+        ]
+        service_names = {service.name for service in services}
+        routes = [
+            _parse_route(row, service_names) for row in _parse_rows(document["routes"])
         ]
-        names = {service.name for service in services}
-        routes = [_parse_route(row, names) for row in _parse_rows(item["routes"])]
         patterns = {(route.host, route.prefix) for route in routes}
         if len(patterns) < len(routes):
             raise ValueError("two routes have the same host and prefix")
         return Configuration.from_routes(
-            int(item["version"]),
+            int(document["version"]),
             routes,
             services,
-            _parse_limits(item.get("limits") or {}),
+            _parse_limits(document.get("limits") or {}),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise ConfigurationError(f"{type(exc).__name__}: {exc}") from exc
