--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -1,4 +1,4 @@
-"""pimentoline.twohop.caller_side: calls made by the callers on this node's host."""
+"""pimentoline.twohop.caller_side: sends the calls of the callers on this host."""
 
 import asyncio
 import random
@@ -15,8 +15,8 @@
 __all__ = ["CallOutcome", "CallerSide", "IncomingCall"]
 
 MS_PER_S = 1000.0
-# A node that refused a call is avoided for its retry-after time, but no longer than
-# this, seconds.
+# A node that refused a call is avoided for the retry-after time of the refusal, at most
+# this long, seconds.
 MAX_AVOIDANCE_S = 0.3
 # Weight of the newest response in the moving average of a route's response sizes.
 MEAN_SIZE_WEIGHT = 0.05
@@ -33,7 +33,7 @@
     headers : tuple of (str, str)
         Headers to forward to the target.
     remaining_s : float or None
-        Time from arrival to the caller's deadline, seconds; None if it gave none.
+        Time from arrival to the caller's deadline, seconds; None without a deadline.
     arrived_at : float
         Monotonic time, seconds.
     """
@@ -51,7 +51,18 @@
 class CallOutcome:
     """How a call ended.
 
-    `response` is the target's response, or None if this node ends the call itself.
+    Attributes
+    ----------
+    status : int or None
+        HTTP status; None if the caller gets no response.
+    reason : str
+        Error code if this node ends the call itself, otherwise empty.
+    response : ResponseFrame or None
+        The target's response; None if this node ends the call itself.
+    body : bytes
+        Body of the target's response.
+    retry_after_s : float or None
+        Time after which the caller may retry, seconds.
     """
 
     status: int | None
@@ -63,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _TargetResponse:
-    """A target's response, as `lifecycle` passes it on."""
+    """A target's response, which `lifecycle` passes on without reading it."""
 
     frame: ResponseFrame
     body: bytes
@@ -72,7 +83,13 @@
 class _ActiveCall:
     """An open call and its current attempt.
 
-    Frames of an earlier attempt are told apart by `attempt_number` and ignored.
+    Attributes
+    ----------
+    attempt_number : int
+        Identifies the current attempt; callbacks of earlier attempts are ignored.
+    cancel_attempt : callable or None
+        Cancels the current attempt.
+    deadline_timer : asyncio.TimerHandle or None
     """
 
     def __init__(self, caller_side, incoming, call, respond):
@@ -82,7 +99,7 @@
         self.respond = respond
         self.attempt_number = 0
         self.cancel_attempt = None
-        self.timer = None
+        self.deadline_timer = None
 
     def dispatch(self, event):
         """Pass an event to the state machine and carry out its effects."""
@@ -125,6 +142,7 @@
         caller_side, call = self.caller_side, self.call
         self.attempt_number += 1
         number = self.attempt_number
+        # A refused call that is sent to another node is still the same first attempt.
         if not effect.retry and call.placements == 1:
             caller_side.retry_budget(call.service).count_first_attempt(
                 caller_side.clock()
@@ -140,15 +158,17 @@
 
         cancel = caller_side.peers.send(
             effect.candidate,
-            lambda stream: self._call_frame(stream, effect.last_resort),
+            lambda stream: self._make_call_frame(stream, effect.last_resort),
             self.incoming.body,
             on_frame,
             on_stall,
         )
+        # The target on this host may refuse the call within `send`; the call is then
+        # already at its next attempt.
         if number == self.attempt_number:
             self.cancel_attempt = cancel
 
-    def _call_frame(self, stream, last_resort):
+    def _make_call_frame(self, stream, last_resort):
         call, incoming = self.call, self.incoming
         now = self.caller_side.clock()
         return CallFrame(
@@ -182,10 +202,10 @@
                     lc.ResponseReceived(now, frame.status, _TargetResponse(frame, body))
                 )
             case RefusedFrame():
-                after_s = frame.retry_after_ms / MS_PER_S
-                candidate.refused_until = now + min(after_s, MAX_AVOIDANCE_S)
+                retry_after_s = frame.retry_after_ms / MS_PER_S
+                candidate.refused_until = now + min(retry_after_s, MAX_AVOIDANCE_S)
                 self.dispatch(
-                    lc.AttemptRefused(now, frame.reason, after_s, frame.by_target)
+                    lc.AttemptRefused(now, frame.reason, retry_after_s, frame.by_target)
                 )
             case FailedFrame():
                 candidate.note_failure(now)
@@ -198,8 +218,8 @@
             cancel()
 
     def _finish(self, outcome):
-        if self.timer is not None:
-            self.timer.cancel()
+        if self.deadline_timer is not None:
+            self.deadline_timer.cancel()
         self.caller_side.active_calls.discard(self)
         self.respond(outcome)
 
@@ -213,8 +233,8 @@
         Service of the target on this host, which is the service that calls come from.
     location : Location
     peers : Peers
-    config : object
-        `current`, the `Configuration` in force or None.
+    config : ConfigHolder or None
+        Not used.
     retry_limits : RetryLimits
     clock : callable
         Monotonic clock, seconds.
@@ -248,7 +268,7 @@
             self._retry_budgets[service] = budget
         return budget
 
-    # Methods that `lifecycle.step` calls on its `world`.
+    # `lifecycle.step` calls `choose` and `acquire_retry`, with this object as `world`.
 
     def choose(self, call, now):
         """Return the best candidate that has not been tried, or None."""
@@ -267,11 +287,9 @@
         self._mean_response_bytes[route.name] = mean + MEAN_SIZE_WEIGHT * (size - mean)
 
     def acquire_retry(self, service, now):
-        """Take a retry from the budget; return whether there was room."""
+        """Take a retry from the service's budget; return whether one was left."""
         return self.retry_budget(service).try_acquire(now, len(self.peers.members))
 
-    # Calls.
-
     def submit(self, route, incoming, respond):
         """Start a call; return the function to call when its caller disconnects.
 
@@ -299,7 +317,7 @@
             active.dispatch(lc.TimedOut(now))
             return lambda: None
         loop = asyncio.get_running_loop()
-        active.timer = loop.call_later(
+        active.deadline_timer = loop.call_later(
             call.deadline_at - now, lambda: active.dispatch(lc.TimedOut(self.clock()))
         )
         active.dispatch(lc.CallReceived(now))
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -1,32 +1,32 @@
-"""pimentoline.twohop.noise: whether a call may start at a target now.
+"""pimentoline.twohop.noise: detects noisy neighbours of a target.
 
-Deals with noisy neighbours, other programs on a target's host that slow it down for
-moments. A target reports its current slowdown. At the targets of both known
-deployments, a call that starts during noise is slowed down until its end, even if the
-noise ends 20 ms after its start. A call therefore waits until the noise ends, and the
-target is probed first if its last report is too old.
+Noisy neighbours are other programs on a target's host that slow it down for short
+periods. A target reports its current slowdown. In both known deployments, a call that
+starts during noise stays slow until it ends, even if the noise stops 20 ms after the
+start of the call. A call therefore waits until the noise ends, and the target is probed
+first if its last report is too old.
 """
 
 import enum
 
 __all__ = ["NoiseDetector", "StartDecision"]
 
-# Slowdown from which on calls wait for the end of the noise.
+# A target whose slowdown is at least this, relative to its usual speed, is noisy.
 NOISY_SLOWDOWN = 1.8
-# Age at which a report is too old, seconds. A period of noise lasts about 150 ms, so
-# that an older report is often wrong.
+# A report older than this is not used, seconds. A period of noise lasts about 150 ms,
+# so an older report is often wrong.
 MAX_REPORT_AGE_S = 0.02
-# Shortest time between two probes of a target, seconds. This allows 40 a second for
-# each target; operators allow 60.
+# Shortest time between two probes of a target, seconds. This limits each target to 40
+# probes per second; the operators of both deployments allow 60.
 MIN_PROBE_GAP_S = 0.025
-# A target that did not report a slowdown when probed is not probed for this long,
+# After a probe that returned no slowdown, the target is not probed for this long,
 # seconds.
 FAILED_PROBE_PAUSE_S = 2.0
-# A target that has been slow for longer than this is not noisy but permanently slow,
-# and calls start there, seconds.
+# Longest time that calls are held because of noise, seconds. A target that has been
+# slow for longer is taken to be permanently slow, and calls start there.
 MAX_HOLD_S = 0.8
-# Expected remaining time of a period of noise, seconds: half of such a period, and the
-# next one often follows at once.
+# Expected remaining time of noise, seconds: half a period, plus a margin because the
+# next period often follows at once.
 EXPECTED_REMAINING_S = 0.1
 
 
@@ -40,7 +40,7 @@
     PROBE
         Probe the target for its slowdown first.
     HOLD
-        Let it wait for the end of noise or for the result of a probe.
+        Keep it waiting for the end of the noise or for the result of a probe.
     """
 
     START = "start"
@@ -49,7 +49,7 @@
 
 
 class NoiseDetector:
-    """Tells noise at a target from its reports of slowdown.
+    """Detects noise at a target from the slowdown that the target reports.
 
     Attributes
     ----------
@@ -65,7 +65,7 @@
         self._noisy_since = None
 
     def note(self, slowdown, now):
-        """Record a slowdown that the target has just reported."""
+        """Record the slowdown that the target has just reported."""
         self.slowdown = slowdown
         self._reported_at = now
         if slowdown < NOISY_SLOWDOWN:
@@ -74,7 +74,7 @@
             self._noisy_since = now
 
     def is_noisy(self, now):
-        """Return whether calls should wait because of noise."""
+        """Return whether the target is noisy, so that calls should wait."""
         since = self._noisy_since
         return since is not None and now - since < MAX_HOLD_S
 
@@ -83,7 +83,7 @@
         return EXPECTED_REMAINING_S if self.is_noisy(now) else 0.0
 
     def decide(self, now):
-        """Return the `StartDecision` for a call."""
+        """Return the `StartDecision` for the next call."""
         if now < self._probes_paused_until:
             return StartDecision.START
         is_current = (
@@ -101,6 +101,9 @@
         self._probed_at = now
 
     def probe_failed(self, now):
-        """Record that a probe gave no slowdown; calls start without one for a time."""
+        """Record that a probe returned no slowdown.
+
+        Calls start without a probe for the next `FAILED_PROBE_PAUSE_S`.
+        """
         self._probes_paused_until = now + FAILED_PROBE_PAUSE_S
         self._noisy_since = None
