Name what the tests of twohop's decisions check

Several test names used words outside the field (promise, questions, given back) or left out their subject.

--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -1,4 +1,4 @@
-"""Decisions of the two-node path: calls, admission, placement, target state, routes."""
+"""Decisions about calls: retries, admission, placement, target status and routes."""
 
 from dataclasses import replace
 
@@ -36,11 +36,11 @@
 REQUIREMENTS = CallRequirements(NOW + 0.3, 2000)
 # Probes per second and target that both deployments allow.
 PROBES_PER_S = 60
-# Lookups may run twice, sales may not.
-ROUTE = Route(
+# A lookup may run more than once, a sale may not.
+LOOKUP = Route(
     "r", "a.example", "/x/", RouteKind.SAFE, 1.0, 0.3, 1, (Share("ledger", 1),), 3
 )
-SALE = replace(ROUTE, name="sale", kind=RouteKind.UNSAFE)
+SALE = replace(LOOKUP, name="sale", kind=RouteKind.UNSAFE)
 
 
 def candidate(node, dc="kerio", region="rift", **load):
@@ -89,8 +89,8 @@
     """Guards against a second run of a sale whose response was lost."""
     world = World("a", "b")
     call = begin(SALE, world)
-    (end,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), world)
-    assert end == lc.Reject(502, "lost")
+    (effect,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), world)
+    assert effect == lc.Reject(502, "lost")
 
 
 def test_unsent_sale_goes_to_another_target():
@@ -101,10 +101,10 @@
     assert nodes_of(effects) == ["b"]
 
 
-def test_promise_is_never_given_after_a_possible_run():
-    """Guards against a 503, the promise that a call has not run, if it may have run."""
+def test_503_is_never_returned_after_a_possible_run():
+    """Guards against a 503, which states that a call has not run, if it may have."""
     world = World("a", "b")
-    call = begin(ROUTE, world)
+    call = begin(LOOKUP, world)
     lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), world)
     refused = lc.AttemptRefused(NOW, "queue", 0.1)
     effects = lc.step(call, refused, world)
@@ -113,10 +113,10 @@
     assert effects == [lc.Reject(502, "no-room")] or effects[0].status == 502
 
 
-def test_refusals_lead_to_last_resort_then_to_a_promise():
+def test_refusals_lead_to_last_resort_then_to_a_503():
     """Guards against a 503 while some target could still run the call, even if late."""
     world = World("a", "b")
-    call = begin(ROUTE, world)
+    call = begin(LOOKUP, world)
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), world)
     assert nodes_of(effects) == ["b"]
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.4), world)
@@ -125,28 +125,28 @@
     assert effects == [lc.Reject(503, "full", 0.1)]
 
 
-def test_retries_end_with_the_budget():
+def test_retries_stop_when_the_budget_is_spent():
     """Guards against retries that multiply the load of a failing service."""
     world = World("a", "b", "c", retries=1)
-    call = begin(ROUTE, world)
+    call = begin(LOOKUP, world)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, failed, world)) == ["b"]
     assert lc.step(call, failed, world) == [lc.Reject(502, "cut")]
 
 
-def test_retries_end_with_the_attempts_of_the_route():
+def test_retries_stop_at_the_max_attempts_of_the_route():
     """Guards against sending a call to more targets than its route allows."""
     world = World("a", "b", "c", "d")
-    call = begin(replace(ROUTE, max_attempts=2), world)
+    call = begin(replace(LOOKUP, max_attempts=2), world)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, failed, world)) == ["b"]
     assert nodes_of(lc.step(call, failed, world)) == []
 
 
-def test_failed_response_is_delivered_if_nothing_better_comes():
-    """Guards against an error of the node in place of a target's own response."""
+def test_failure_response_is_delivered_if_no_retry_succeeds():
+    """Guards against replacing a target's own response by an error of the node."""
     world = World("a", "b")
-    call = begin(ROUTE, world)
+    call = begin(LOOKUP, world)
     effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), world)
     assert nodes_of(effects) == ["b"]
     call.tried.update("ab")
@@ -157,47 +157,49 @@
 def test_timeout_cancels_and_rejects_at_once():
     """Guards against callers that wait longer than the route's timeout."""
     world = World("a")
-    call = begin(ROUTE, world)
+    call = begin(LOOKUP, world)
     effects = lc.step(call, lc.TimedOut(NOW + 1), world)
     assert effects == [lc.CancelAttempt(), lc.Reject(504, "timeout")]
     assert lc.step(call, lc.ResponseReceived(NOW + 1, 200, "late"), world) == []
 
 
-def test_stalled_lookup_goes_elsewhere_and_a_sale_waits():
+def test_stalled_lookup_is_retried_elsewhere_and_a_sale_waits():
     """Guards against lookups that hang on a lost node, and against a sale run twice."""
     world = World("a", "b")
-    lookup, sale = begin(ROUTE, world), begin(SALE, world)
+    lookup, sale = begin(LOOKUP, world), begin(SALE, world)
     effects = lc.step(lookup, lc.AttemptStalled(NOW), world)
     assert effects[0] == lc.CancelAttempt() and nodes_of(effects) == ["b"]
     assert lc.step(sale, lc.AttemptStalled(NOW), world) == []
     assert lc.step(sale, lc.ResponseReceived(NOW, 200, "a"), world) == [lc.Reply("a")]
 
 
-def test_stalled_lookup_waits_on_if_the_budget_is_spent():
-    """Guards against an error in place of a response that may still come."""
+def test_stalled_lookup_keeps_waiting_if_the_budget_is_spent():
+    """Guards against returning an error while the response may still come."""
     world = World("a", "b", retries=0)
-    lookup = begin(ROUTE, world)
+    lookup = begin(LOOKUP, world)
     assert lc.step(lookup, lc.AttemptStalled(NOW), world) == []
     assert lookup.attempts == 0
 
 
-def test_no_target_is_refused_at_once():
+def test_call_without_a_target_is_rejected_at_once():
     """Guards against a call that waits although no target can serve it."""
-    call = lc.Call(ROUTE, "ledger", NOW + 0.3, NOW + 1.0)
-    (end,) = lc.step(call, lc.CallReceived(NOW), World())
-    assert (end.status, end.reason) == (503, "no-target")
+    call = lc.Call(LOOKUP, "ledger", NOW + 0.3, NOW + 1.0)
+    (effect,) = lc.step(call, lc.CallReceived(NOW), World())
+    assert (effect.status, effect.reason) == (503, "no-target")
 
 
-# Budget.
+# Retry budget.
 
 
 def test_retries_of_all_nodes_stay_within_the_shared_budget():
     """Guards against nodes that each spend the whole allowance."""
-    nodes = [RetryBudget(RetryLimits(0.2, 10.0, 64)) for _ in range(16)]
-    for node in nodes:
+    budgets = [RetryBudget(RetryLimits(0.2, 10.0, 64)) for _ in range(16)]
+    for budget in budgets:
         for number in range(100):
-            node.count_first_attempt(NOW + number * 0.01)
-    sent = sum(node.try_acquire(NOW + 1, 16) for node in nodes for _ in range(100))
+            budget.count_first_attempt(NOW + number * 0.01)
+    sent = sum(
+        budget.try_acquire(NOW + 1, 16) for budget in budgets for _ in range(100)
+    )
     assert 0 < sent <= 0.2 * 1600 + 64
 
 
@@ -205,23 +207,25 @@
 def test_retries_of_a_chain_of_services_stay_within_the_budget_of_each(levels):
     """Guards against retries that add up along a chain of services.
 
-    Every service fails, so each spends its whole budget, and each run calls the next
-    service 1.4 times. The calls of a retried run count as retries there.
+    Each run of a call makes 1.4 calls to the next service. All services fail, so the
+    nodes spend the whole budget of each. Calls made by a retried run count as retries
+    at the next service, on top of its own.
     """
-    nodes, calls_a_run, slack = 14, 1.4, 60
-    firsts, inherited = 4200 / calls_a_run ** (levels - 1), 0.0
+    nodes, calls_per_run, allowance = 14, 1.4, 60
+    # The last service in the chain gets 4200 first attempts.
+    first_attempts, inherited_retries = 4200 / calls_per_run ** (levels - 1), 0.0
     for _ in range(levels):
-        budgets = [RetryBudget(RetryLimits(0.2, 10.0, slack)) for _ in range(nodes)]
+        budgets = [RetryBudget(RetryLimits(0.2, 10.0, allowance)) for _ in range(nodes)]
         for budget in budgets:
-            for _ in range(round(firsts / nodes)):
+            for _ in range(round(first_attempts / nodes)):
                 budget.count_first_attempt(NOW)
         sent = sum(
             budget.try_acquire(NOW, nodes) for budget in budgets for _ in range(999)
         )
-        retries = sent + inherited
-        assert retries <= 0.2 * firsts + slack
-        inherited = retries * calls_a_run
-        firsts *= calls_a_run
+        retries = sent + inherited_retries
+        assert retries <= 0.2 * first_attempts + allowance
+        inherited_retries = retries * calls_per_run
+        first_attempts *= calls_per_run
 
 
 def test_budget_holds_in_every_sliding_window():
@@ -230,6 +234,7 @@
     for number in range(100):
         budget.count_first_attempt(NOW + number * 0.1)
     early = sum(budget.try_acquire(NOW + 9.9, 1) for _ in range(50))
+    # The ratio of 0.2, times DIRECT_RETRY_SHARE, allows 6 for 100 first attempts.
     assert early == 6
     assert sum(budget.try_acquire(NOW + 10.1, 1) for _ in range(50)) == 0
 
@@ -243,7 +248,8 @@
 
 
 def fill(admission, count):
-    """Start `count` jobs."""
+    """Start `count` jobs and return them."""
+    # Jobs start without a probe for a while after a failed one.
     admission.noise.probe_failed(NOW)
     jobs = [job() for _ in range(count)]
     for one in jobs:
@@ -252,7 +258,7 @@
     return jobs
 
 
-def test_no_more_run_than_the_limit():
+def test_no_more_jobs_run_than_the_limit():
     """Guards against more work than a target can run without slowing down."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
@@ -262,7 +268,7 @@
     assert admission.queued == 1
 
 
-def test_what_cannot_be_in_time_is_refused_at_once():
+def test_job_that_cannot_be_in_time_is_refused_at_once():
     """Guards against a queue so long that every response is late."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
@@ -298,8 +304,8 @@
     assert found is waiting and refused.reason == "expired"
 
 
-def test_hanging_target_shows_before_anything_ends():
-    """Guards against calls placed at a target that has stopped answering."""
+def test_hanging_target_reports_delay_before_any_job_ends():
+    """Guards against calls placed at a target that has stopped responding."""
     admission = AdmissionController(10)
     before = admission.report(NOW, True).delay_ms
     fill(admission, 4)
@@ -310,7 +316,7 @@
 SHORT, LONG = (2, True), (1, False)
 
 
-def test_calls_that_noise_has_hit_do_not_make_their_target_look_slow():
+def test_calls_slowed_down_by_noise_do_not_make_their_target_look_slow():
     """Guards against calls sent far away although the near target is healthy."""
     admission = AdmissionController(10)
     before = admission.report(NOW, True).delay_ms
@@ -320,17 +326,17 @@
     assert admission.report(later, True).delay_ms == before
 
 
-def test_short_call_is_taken_by_a_target_that_has_just_started():
+def test_short_call_is_accepted_by_a_target_that_has_just_started():
     """Guards against refusing every short call until a cold target has warmed up."""
     admission = AdmissionController(17)
     admission.cold_start_until = NOW + 3.0
     admission.noise.probe_failed(NOW)
-    fetch = Job(2, NOW + 0.1, NOW + 0.25, kind=SHORT)
-    assert admission.offer(fetch, NOW) is None
-    assert admission.next_action(NOW) == (fetch, None)
+    short_job = Job(2, NOW + 0.1, NOW + 0.25, kind=SHORT)
+    assert admission.offer(short_job, NOW) is None
+    assert admission.next_action(NOW) == (short_job, None)
 
 
-def test_short_call_is_taken_while_long_ones_run():
+def test_short_call_is_accepted_while_long_ones_run():
     """Guards against estimating short calls by the age of long ones that run."""
     admission = AdmissionController(17)
     admission.noise.probe_failed(NOW)
@@ -343,16 +349,17 @@
         admission.offer(Job(1, NOW + 5.0, NOW + 6.0, kind=LONG), NOW)
         admission.next_action(NOW)
     later = NOW + 0.2
-    fetch = Job(2, later + 0.1, later + 0.25, kind=SHORT)
-    assert admission.offer(fetch, later) is None
+    short_job = Job(2, later + 0.1, later + 0.25, kind=SHORT)
+    assert admission.offer(short_job, later) is None
 
 
-def test_dropped_job_frees_its_place():
+def test_removed_job_frees_its_slot():
     """Guards against slots that stay occupied after callers have disconnected."""
     admission = AdmissionController(10)
     running = fill(admission, admission.limit)
     for one in running:
         admission.remove(one)
+        # A second removal has no effect.
         admission.remove(one)
     assert admission.running == 0
 
@@ -371,7 +378,7 @@
     assert admission.next_action(NOW + 0.07) == (waiting, None)
 
 
-def test_held_call_is_given_back_while_another_target_can_be_in_time():
+def test_held_call_is_refused_while_another_target_can_be_in_time():
     """Guards against a call that is held until it has missed its objective."""
     admission = AdmissionController(10)
     waiting = job()
@@ -381,8 +388,8 @@
     assert found is waiting and refused.reason == "objective"
 
 
-def test_slow_target_is_used_after_all():
-    """Guards against a target that is always slow and never gets a call."""
+def test_permanently_slow_target_is_used():
+    """Guards against a target that never gets a call because it is always slow."""
     admission = AdmissionController(10)
     for step in range(100):
         admission.noise.note(5.0, NOW + step * 0.01)
@@ -403,8 +410,8 @@
     assert admission.next_action(NOW) == (waiting, None)
 
 
-def test_target_without_figures_is_asked_once():
-    """Guards against probing a target again and again that reports no load figures."""
+def test_target_without_load_figures_is_probed_once():
+    """Guards against probing over and over a target that reports no load figures."""
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
@@ -413,7 +420,7 @@
     assert admission.next_action(NOW) == (waiting, None)
 
 
-def test_late_job_is_refused_soon_and_not_held_to_its_end():
+def test_late_job_is_refused_soon_and_not_held_to_its_deadline():
     """Guards against a caller that waits long only to be refused."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
@@ -424,17 +431,21 @@
     assert found is late and refused.retry_after_s > 0
 
 
-def test_cold_target_is_not_filled_beyond_a_likely_knee():
-    """Guards against a slower recovery because the last slots are used."""
+def test_last_slots_of_a_cold_target_stay_free():
+    """Guards against a slower recovery because the last slots are used.
+
+    It is not known yet whether the target slows down when they are.
+    """
     assert DurationEstimator().concurrency_limit(10, cold=True) == 8
     assert DurationEstimator().concurrency_limit(10, cold=False) == 10
 
 
-def test_questions_stay_within_the_budget():
+def test_probes_stay_within_the_allowed_rate():
     """Guards against probing more often than the deployments allow."""
     admission = AdmissionController(10)
     admission.noise.note(5.0, NOW)
     probes = 0
+    # One second, in steps of a millisecond.
     for step in range(1000):
         now = NOW + step * 0.001
         if step % 100 == 0:
@@ -491,7 +502,7 @@
 
 
 @pytest.mark.parametrize("change", [{"accepting": False}, {"reachable": False}])
-def test_target_that_takes_nothing_is_left_out(change):
+def test_target_that_cannot_accept_calls_is_not_chosen(change):
     """Guards against calls to draining targets and lost nodes."""
     gone, other = candidate("gone"), candidate("other", delay_ms=900)
     if "reachable" in change:
@@ -517,21 +528,21 @@
     )
 
 
-def test_target_that_fails_half_its_calls_is_left_and_comes_back():
+def test_target_that_fails_half_its_calls_is_avoided_and_comes_back():
     """Guards against a target that fails calls while its health check succeeds.
 
     Once it has recovered, it must get calls again.
     """
-    flaky, sound = AdmissionController(10), candidate("sound", "kilifi", delay_ms=200)
+    flaky, good = AdmissionController(10), candidate("good", "kilifi", delay_ms=200)
     for _ in range(20):
         flaky.success_rate.note(True, NOW)
         flaky.success_rate.note(False, NOW)
     bad = candidate("bad")
     bad.note_report(replace(flaky.report(NOW, True), delay_ms=100), NOW)
-    assert choose([bad, sound], LOCATION, NOW, REQUIREMENTS, (), 0.5) is sound
+    assert choose([bad, good], LOCATION, NOW, REQUIREMENTS, (), 0.5) is good
     later = NOW + 6.0
     requirements = CallRequirements(later + 0.3, 2000)
-    assert choose([bad, sound], LOCATION, later, requirements, (), 0.5) is bad
+    assert choose([bad, good], LOCATION, later, requirements, (), 0.5) is bad
 
 
 def test_upload_stays_near_while_all_targets_fail_alike():
@@ -555,7 +566,7 @@
 
 
 def shares(candidates, now):
-    """Return how many of a hundred calls each candidate gets."""
+    """Return how many of 100 calls each candidate gets."""
     requirements = CallRequirements(now + 0.3, 2000)
     chosen = [
         choose(candidates, LOCATION, now, requirements, (), step / 100)
@@ -591,6 +602,7 @@
 def test_old_good_report_is_worth_no_more_than_the_mean():
     """Guards against preferring distant targets because their reports are old."""
     far, near = candidate("far", "kilifi"), candidate("near")
+    # The last report is a good one, 100 ms.
     for step in range(40):
         for cand in (far, near):
             delay_ms = 100 if step % 2 else 160
@@ -624,7 +636,7 @@
     return Heartbeat(target, ADDR, "ledger", born, sequence, state, 12)
 
 
-def test_late_heartbeats_never_bring_a_target_back():
+def test_late_heartbeats_never_make_a_target_ready_again():
     """Guards against calls to a target that is draining, has left or was replaced."""
     tracker = StatusTracker()
     assert tracker.accept(heartbeat(sequence=1))
@@ -647,8 +659,8 @@
 
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
-def test_target_without_heartbeats_may_leave(target):
-    """Guards against calls to a target whose leave was acknowledged but not applied."""
+def test_target_without_heartbeats_may_sign_off(target):
+    """Guards against calls to a target whose sign-off was acknowledged but ignored."""
     tracker = StatusTracker()
     tracker.accept(heartbeat("t1", born=5))
     assert tracker.leave(target, 9)
@@ -657,8 +669,11 @@
     assert not tracker.accept(heartbeat(target, born=9, sequence=99))
 
 
-def test_stored_state_is_never_lost_to_a_late_heartbeat():
-    """Guards against a late heartbeat before a restarted node has read the store."""
+def test_late_heartbeat_never_replaces_the_stored_state():
+    """Guards against calls to a draining target after a restart of its node.
+
+    A late heartbeat may arrive before the restarted node has read the store.
+    """
     stored = TargetStatus("t1", 5, 0, TargetState.DRAINING)
     tracker = StatusTracker()
     tracker.accept(heartbeat(sequence=7))
@@ -675,9 +690,9 @@
 
 def test_longest_prefix_wins():
     """Guards against calls that reach the service of a shorter prefix."""
-    long = replace(ROUTE, name="long", prefix="/x/y/")
+    long = replace(LOOKUP, name="long", prefix="/x/y/")
     cfg = Configuration.from_routes(
-        1, [ROUTE, long], [ServiceInfo("ledger", 9)], CallerLimits()
+        1, [LOOKUP, long], [ServiceInfo("ledger", 9)], CallerLimits()
     )
     assert cfg.find_route("a.example", "/x/y/z").name == "long"
     assert cfg.find_route("a.example", "/x/z").name == "r"
@@ -685,9 +700,9 @@
     assert cfg.find_route("b.example", "/x/z") is None
 
 
-def test_split_keeps_its_weights_over_few_calls():
+def test_traffic_split_keeps_its_weights_over_few_calls():
     """Guards against shares that drift from the operator's weights."""
-    route = replace(ROUTE, shares=(Share("a", 90), Share("b", 10)))
+    route = replace(LOOKUP, shares=(Share("a", 90), Share("b", 10)))
     round_robin = WeightedRoundRobin()
     found = [round_robin.next_service(route) for _ in range(100)]
     assert found.count("b") == 10
