--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -13,8 +13,8 @@
 
 # A target whose slowdown is at least this, relative to its usual speed, is noisy.
 NOISY_SLOWDOWN = 1.8
-# A report older than this is not used, seconds. A period of noise lasts about 150 ms,
-# so an older report is often wrong.
+# No call starts because of a report older than this, seconds. A period of noise lasts
+# about 150 ms, so an older report is often wrong.
 MAX_REPORT_AGE_S = 0.02
 # Shortest time between two probes of a target, seconds. This limits each target to 40
 # probes per second; the operators of both deployments allow 60.
@@ -22,8 +22,8 @@
 # After a probe that returned no slowdown, the target is not probed for this long,
 # seconds.
 FAILED_PROBE_PAUSE_S = 2.0
-# Longest time that calls are held because of noise, seconds. A target that has been
-# slow for longer is taken to be permanently slow, and calls start there.
+# Calls are held for at most this long after a target first reported noise, seconds. A
+# target that is slow for longer is taken to be permanently slow, and calls start there.
 MAX_HOLD_S = 0.8
 # Expected remaining time of noise, seconds: half a period, plus a margin because the
 # next period often follows at once.
