Clarify the help and the messages of apply

Cause: a reader stopped at a name with two meanings and at the help on `unknown`. Change: `result` of the parser is `parsed`; the help names every way to `unknown`.

--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -30,7 +30,7 @@
 
 
 class ApplyCommand(Command):
-    """Applies a rules text with compare-and-set on the version in force."""
+    """Replaces the rules by compare-and-set on the version in force."""
 
     arguments = ("FILE",)
     description = """
@@ -41,9 +41,9 @@
   accepted     the text got a version number and will be in force everywhere within 5 s
   conflict     another version was accepted first; its author and a diff are printed
   unavailable  the store is unavailable; nothing was changed
-  unknown      the store did not confirm whether it wrote the text; repeat the command
-               that is printed, with the same --attempt, to learn the outcome. Repeating
-               is safe: an attempt is accepted at most once.
+  unknown      no response confirmed whether the store wrote the text; to learn the
+               outcome, run the printed command, which has the same --attempt. This is
+               safe: an attempt is accepted at most once.
 """
     flags = {
         "author": ("", "Your name, for the audit trail."),
@@ -62,9 +62,9 @@
 
     def run(self, cfg, args, out):
         """Send the file to the node, which writes it to the store."""
-        text, result = read_rules(args[0])
-        if result.diagnostics:
-            out.write_error("rules-invalid", result.diagnostics)
+        text, parsed = read_rules(args[0])
+        if parsed.diagnostics:
+            out.write_error("rules-invalid", parsed.diagnostics)
             return ExitStatus.RULES_INVALID
         attempt = cfg.attempt or uuid.uuid4().hex
         body = {
@@ -97,7 +97,7 @@
             detail = response.get("detail", f"status {status}")
             response |= {
                 "result": "unknown",
-                "detail": f"unexpected response of the node: {detail}",
+                "detail": f"unexpected response from the node: {detail}",
             }
             result = "unknown"
         out.write_result(response, _lines(response, cfg, args[0]))
@@ -105,7 +105,7 @@
 
 
 def _lines(response, cfg, filename):
-    """Yield the lines of the result for users."""
+    """Yield the lines of the result as text."""
     detail = response.get("detail", "")
     match response["result"]:
         case "accepted":
