Describe the results and steps of the emulator's runner

Cause: terms and arguments had to be looked up in other files. Change: comments and docstrings; `late` ends at the deadline, as the code has it.

--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -16,21 +16,20 @@
 
 __all__ = ["Result", "run_condition"]
 
-# Time before the load, in which nodes learn of each other and of their targets,
-# seconds.
+# Time before the load, in which nodes discover each other and their targets, seconds.
 WARM_UP_S = 1.0
-# Time after the load, in which open calls may end, seconds.
+# Time after the load for calls in flight to finish, seconds.
 DRAIN_S = 2.0
-# Length of the windows over which credit is summed, seconds.
+# Length of the windows over which the credit of `Result` is summed, seconds.
 WINDOW_S = 2.0
 # Number of windows with the least credit that are reported separately.
 WORST_WINDOWS = 2
 # One-way delay between a caller and its node, seconds.
 CALLER_DELAY_S = 0.001
-# A caller that is told to retry later waits for at most this part of the time that
+# A caller that is told when to retry waits for at most this share of the time that
 # remains until its deadline.
 MAX_WAIT_SHARE = 1 / 3
-# Attempts of a caller at one call.
+# Maximum number of times that a caller sends the same call.
 CALLER_ATTEMPTS = 2
 # Largest latency that the histogram can record, microseconds.
 MAX_LATENCY_US = 10_000_000
@@ -45,10 +44,12 @@
     Attributes
     ----------
     calls, on_time, late, refused, failed : int
-        Number of all calls, and of calls by result: with status 200 within the latency
-        objective or after it, with status 503, and all others.
+        Number of calls in total, and by result: status 200 within the latency
+        objective, status 200 between the objective and the deadline, status 503, and
+        any other result.
     possible_credit, earned_credit : dict of int to float
-        Credit if all calls were on time, and credit earned, by window of the load.
+        Credit that the calls would earn if all were on time, and credit that they did
+        earn, by number of the window in which they were made.
     frames : int
         Number of frames between nodes.
     kb_dc, kb_region : float
@@ -139,7 +140,7 @@
         if not node.up:
             return None
         incoming = IncomingCall(
-            "",
+            "",  # request_id
             "GET",
             "/",
             ((KIND_HEADER, kind.name),),
@@ -179,6 +180,7 @@
         self.result.kb_region += traffic.kb_region
 
     def _start_fault(self, fault):
+        """Start a fault and schedule its end."""
         service = self.site.kinds[0].service
         nodes = [node for node in self.network.nodes if node.service == service]
         affected = nodes[: max(1, round(fault.share * len(nodes)))]
@@ -198,6 +200,7 @@
                 for node in self.network.nodes:
                     node.target_model.restart(fault.for_s)
                     node.restart(fault.for_s)
+                # Nodes and targets come up by themselves.
                 return
         self.loop.call_later(fault.for_s, self._end_fault, affected)
 
@@ -208,6 +211,7 @@
             node.target_model.error_share = 0.0
 
     async def _generate_calls(self, kind):
+        """Make calls of a kind as a Poisson process until the load ends."""
         rng = random.Random(f"{self.seed} {kind.name} arrivals")
         while True:
             await asyncio.sleep(rng.expovariate(kind.per_s * self.load))
@@ -220,6 +224,7 @@
             task.add_done_callback(self.call_tasks.discard)
 
     async def _call_with_retries(self, node, kind, at_s):
+        """Make a call `at_s` seconds after the start of the load and record it."""
         started_at = self.loop.time()
         deadline_at = started_at + kind.deadline_s
         status = None
@@ -233,6 +238,7 @@
             status = outcome.status if outcome is not None else None
             if status is None or status == 200:
                 break
+            # Status 503 means that the call was not run, so it may always be retried.
             if status != 503 and not kind.repeatable:
                 break
             remaining_s = deadline_at - self.loop.time()
@@ -275,7 +281,7 @@
         kind.goal_s,
         kind.priority,
         (Share(kind.service, 1),),
-        3,
+        3,  # max_attempts
     )
 
 
