Name the values of the bench for what they hold

Cause: stale docstring entries, and local names with two meanings. Change: docstrings, comments and local names; reduce_cost prints `min` for `least`.

--- a/bench/generator.py
+++ b/bench/generator.py
@@ -1,8 +1,8 @@
 """Open-loop load generator, run as a process of its own.
 
-It reads jobs from standard input, one line of JSON each, and prints one line of JSON
-with the results of each. Send times are fixed in advance and latency counts from them,
-so that a stall of this process or of the system shows in the results.
+It reads one job per line of JSON from standard input and prints the results of each as
+a line of JSON. Send times are fixed in advance and latency counts from them, so that a
+stall of this process or of the system shows in the results (no coordinated omission).
 """
 
 import asyncio
@@ -15,9 +15,10 @@
 
 __all__ = ["new_histogram", "schedule"]
 
+# Largest latency that the histogram can record, microseconds.
 MAX_LATENCY_US = 60_000_000
-# Goodput counts responses from this time on, because the first responses of an idle
-# system lag the offered load by the service time.
+# Goodput excludes responses before this time, in seconds from the start of the run. The
+# system starts idle, so the first responses lag the offered load by the service time.
 GOODPUT_FROM_S = 1.0
 # How long a response is awaited after the deadline, seconds.
 GRACE_S = 1.0
@@ -89,7 +90,9 @@
         Returns
         -------
         tuple of str
-            The outcome, which is `ok`, `shed` or `failed`, and the error code.
+            The outcome and the error code, which is the HTTP status if the response
+            has none. The outcome is `ok` for status 200, `shed` if the verdict header
+            says that the call was not run, and otherwise `failed`.
         """
         reader, writer = await self._connection()
         try:
@@ -128,14 +131,14 @@
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
         tasks = []
-        for send_at_s, number in schedule(self.job):
+        for send_at_s, node_index in schedule(self.job):
             delay_s = self.started_at + send_at_s - loop.time()
             if delay_s > 0.0:
                 await asyncio.sleep(delay_s)
             else:
                 self.max_lag_s = max(self.max_lag_s, -delay_s)
             tasks.append(
-                loop.create_task(self._send_call(send_at_s, self.clients[number]))
+                loop.create_task(self._send_call(send_at_s, self.clients[node_index]))
             )
         await asyncio.gather(*tasks)
         for client in self.clients:
@@ -166,7 +169,8 @@
             self.codes[f"{outcome} {code}"] += 1
         if outcome == "shed":
             return
-        # A failed call counts with the deadline, so that failures do not look fast.
+        # The latency of a failed call is at least the deadline; otherwise calls that
+        # fail fast would lower the percentiles.
         latency_s = (
             done_s - send_at_s
             if outcome == "ok"
--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -14,7 +14,7 @@
 MEMBER_COUNT = 720
 SERVICE_COUNT = 89
 BATCH_COUNT = 40
-BATCH_CALLS = 500
+CALLS_PER_BATCH = 500
 # (region, data centre) pairs.
 LOCATIONS = [
     ("rift", "baringo"),
@@ -42,7 +42,11 @@
 
 
 def make_events(number, attempt_id):
-    """Return the events of one successful call."""
+    """Return the events of one successful call.
+
+    Calls arrive at a rate of 153 per second. The response head follows after 20 ms, and
+    the call ends 1 ms later.
+    """
     now, draw = 1.0 + number / 153.0, mix(number, 1)
     request = Request(f"s{number % SERVICE_COUNT:02}", "GET", "/weights", now + 10.0)
     return (
@@ -56,29 +60,33 @@
     """Return the mean CPU time of a call in microseconds, one value per batch."""
     state = make_state(policy)
     times = []
-    for first in range(0, (BATCH_COUNT + 1) * BATCH_CALLS, BATCH_CALLS):
-        attempt_id = state.traffic.next_attempt - first
+    for first in range(0, (BATCH_COUNT + 1) * CALLS_PER_BATCH, CALLS_PER_BATCH):
+        # Each call makes one attempt, so the ids of the attempts are known in advance.
+        attempt_offset = state.traffic.next_attempt - first
         calls = [
-            make_events(n, n + attempt_id) for n in range(first, first + BATCH_CALLS)
+            make_events(n, n + attempt_offset)
+            for n in range(first, first + CALLS_PER_BATCH)
         ]
         started_at = time.process_time()
         for events in calls:
             for event in events:
                 state = reduce(state, event).state
-        times.append((time.process_time() - started_at) / BATCH_CALLS * 1e6)
+        times.append((time.process_time() - started_at) / CALLS_PER_BATCH * 1e6)
         if state.traffic.calls:
             raise RuntimeError("open calls left: the predicted attempt ids are wrong")
-    # The first batch is slower, since it builds the routes of all services.
+    # The first batch is a warm-up: it is slower because it builds the routes of all
+    # services.
     return times[1:]
 
 
 if __name__ == "__main__":
     for name in sys.argv[1:] or ["hot-cold", "random"]:
         times = measure(name)
-        # Other processes on the machine slow some batches down; the lowest value shows
-        # the cost without them.
+        # Other processes on the machine slow some batches down; the minimum is closest
+        # to the cost without them.
         print(
-            f"{name}: mean {sum(times) / BATCH_COUNT:.1f}, least {min(times):.1f} us "
-            f"per call, {BATCH_COUNT} batches of {BATCH_CALLS}, {MEMBER_COUNT} members",
+            f"{name}: mean {sum(times) / BATCH_COUNT:.1f}, min {min(times):.1f} us "
+            f"per call, {BATCH_COUNT} batches of {CALLS_PER_BATCH}, "
+            f"{MEMBER_COUNT} members",
             flush=True,
         )
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -1,4 +1,4 @@
-"""Measures every policy under every condition with every seed."""
+"""Measures each policy under each condition at one size, with all seeds."""
 
 import signal
 import time
@@ -13,8 +13,9 @@
 
 # Time between the readiness of the system and the first call, seconds.
 SETTLE_S = 0.3
-# A generator that sends later than this was short of CPU time, and so was the rest of
-# the system on the same machine. The run is discarded and repeated once.
+# If the generator sends a call later than this, in milliseconds, it was short of CPU
+# time, and so was the system on the same machine. The run is discarded and repeated
+# once.
 MAX_LAG_MS = 50.0
 
 
@@ -27,13 +28,15 @@
     capacity : float
         Calls per second that the targets can serve.
     window_s : float
-        Time over which the counters ran; it is longer than the time of sending.
+        Time over which the nodes' counters were taken, seconds. It is longer than the
+        sending of calls, since it ends after the last response.
     discarded : int
         Number of runs that were discarded and repeated.
-    ok, shed, failed : int
-        Number of calls by outcome.
+    sent, ok, shed, failed : int
+        Number of calls in total, and by outcome as in `generator.NodeClient.call`.
     max_lag_ms : float
-        Longest delay of a call behind its scheduled send time.
+        Longest delay between the scheduled and the actual send time of a call,
+        milliseconds.
     goodputs : list of float
         Successful calls per second, one value per seed.
     codes : dict
@@ -95,14 +98,14 @@
 
     Parameters
     ----------
-    exp : Experiment
+    experiment : Experiment
     size : Size
     log_progress : callable
         Called with a line of text after each result.
 
     Returns
     -------
-    list of Cell
+    list of Result
     """
     system = System(size, experiment.policies)
     results = []
@@ -134,8 +137,8 @@
     Returns
     -------
     tuple
-        Report of the generator, duration of the counting in seconds, counters of the
-        targets, and counters of the nodes by region.
+        Results from the generator, time over which the nodes' counters were taken in
+        seconds, counters of the targets, and counters of the nodes by region.
     """
     policy = result.policy
     initial_faults = {
@@ -166,7 +169,7 @@
         "lost_region": lost_region,
         "lost_at_s": condition.at_s,
     }
-    before, started_at = system.node_counters(policy), time.monotonic()
+    counters_before, started_at = system.node_counters(policy), time.monotonic()
     system.generator.write(job)
     time.sleep(condition.at_s)
     if condition.faults:
@@ -178,12 +181,15 @@
     finally:
         if lost_region:
             system.signal_region(policy, lost_region, signal.SIGCONT)
-    after, window_s = system.node_counters(policy), time.monotonic() - started_at
-    nodes = {
+    counters_after, window_s = (
+        system.node_counters(policy),
+        time.monotonic() - started_at,
+    )
+    node_counters = {
         region: {
-            name: value - before[region].get(name, 0)
+            name: value - counters_before[region].get(name, 0)
             for name, value in counters.items()
         }
-        for region, counters in after.items()
+        for region, counters in counters_after.items()
     }
-    return report, window_s, system.target_counters(), nodes
+    return report, window_s, system.target_counters(), node_counters
