--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -113,7 +113,7 @@
     """Guards against a metric or log entry that is missing in its table or the page."""
     page = OPERATIONS_PAGE.read_text()
     for function, name in names_in_source():
-        if function in ("IncrementCounter", "count", "timing", "note_time"):
+        if function in ("IncrementCounter", "count", "timing", "record_duration"):
             known = is_known_metric(name) or name == "apply.x"
             assert known, f"metric {name} is not in metric_names.METRICS"
         elif function in ("LogEntry", "entry", "log_entry"):
