--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Soak of the platform's path: real processes, faults from outside, promises kept."""
+"""Soak test: real node processes under load, with faults injected from outside."""
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Plays seeds of the soak: `python -m soak --seeds=1,2 --length_s=20`."""
+"""Runs seeds of the soak: `python -m soak --seeds=1,2 --length_s=20`."""
 
 import asyncio
 import random
@@ -12,24 +12,24 @@
 from standins.node_process import NodeProcess
 from standins.platform import ScriptedTarget, StoreStandIn
 
-from .callers import HOST, Callers, Promises, serve
+from .callers import HOST, Callers, ResultChecker, serve
 
-__all__ = ["play"]
+__all__ = ["run_seed"]
 
-LEDGERS = 3
-# Time for all processes to start and find each other on a busy machine, seconds.
-START_S = 30.0
-# After the last fault all callers are served again within this time, and a target gets
-# nothing more so long after its drain, seconds: bounds of both users.
-RECOVERY_S = 15.0
-DRAIN_S = 2.0
-REPORT_S = 0.5
-END_S = 0.1
+LEDGER_TARGETS = 3
+# Limit for all processes to start and find each other on a busy machine, seconds.
+START_TIMEOUT_S = 30.0
+# Limits that both deployments require: from the last fault until every node serves
+# calls again, and from a drain until its target gets no more requests, seconds.
+RECOVERY_TIMEOUT_S = 15.0
+DRAIN_LIMIT_S = 2.0
+HEARTBEAT_INTERVAL_S = 0.5
+CLOSE_DELAY_S = 0.1
 FAULTS = ("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history")
 
 
 def configuration():
-    """Return the configuration of the soak: a lookup and a sale."""
+    """Return a configuration with a route for lookups and one for sales."""
     columns = ["name", "host", "prefix", "kind", "timeout", "target_latency"]
     columns += ["priority", "service", "max_attempts", "traffic_split"]
     rows = [
@@ -54,114 +54,128 @@
 
 
 class Soak:
-    """One seed: three targets and a caller's host, each with its node process."""
+    """Run of one seed: three ledger targets and a desk, each with a node process.
 
-    def __init__(self, folder, seed, length_s, say):
+    Parameters
+    ----------
+    folder : str
+        Where the node processes keep settings files and logs.
+    seed : int
+    length_s : float
+        Length of the load and the faults, seconds.
+    log : callable
+        Takes a line for each fault.
+    """
+
+    def __init__(self, folder, seed, length_s, log):
         self.rng = random.Random(seed)
         self.length_s = length_s
-        self.say = say
+        self.log = log
         self.folder = folder
         self.store = StoreStandIn()
-        self.promises = Promises()
-        self.hosts = []
-        self.instances = []
+        self.checker = ResultChecker()
+        self.nodes = []
+        self.targets = []
         self.drained = []
-        self.began = time.monotonic()
+        self.started_at = time.monotonic()
 
     async def _add(self, name, service):
-        instance = ScriptedTarget(f"i-{name}", service)
-        instance.serve = lambda request, writer: serve(instance, request, writer)
-        await instance.start()
-        self.instances.append(instance)
-        host = NodeProcess(self.folder, name, instance, self.store, grace="3s")
-        host.start()
-        self.hosts.append(host)
-
-    async def _reports(self):
+        target = ScriptedTarget(f"i-{name}", service)
+        target.serve = lambda request, writer: serve(target, request, writer)
+        await target.start()
+        self.targets.append(target)
+        node = NodeProcess(self.folder, name, target, self.store, grace="3s")
+        node.start()
+        self.nodes.append(node)
+
+    async def _send_heartbeats(self):
         while True:
-            for host in self.hosts:
-                if host.up and not host.instance.draining:
-                    await self._report(host, "ready")
-            await asyncio.sleep(REPORT_S)
+            for node in self.nodes:
+                if node.running and not node.target.draining:
+                    await self._heartbeat(node, "ready")
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def _report(self, host, state):
-        """Return whether the report was acknowledged."""
+    async def _heartbeat(self, node, state):
+        """Send a heartbeat of the node's target; return whether it was acknowledged."""
         try:
             async with asyncio.timeout(1.0):
-                return await host.instance.send_heartbeat(host, state) == 200
+                return await node.target.send_heartbeat(node, state) == 200
         except (OSError, TimeoutError, IndexError, ValueError):
             return False
 
     async def run(self):
-        """Return the promises after the seed has been played."""
+        """Run load and faults; return the `ResultChecker` with what it found."""
         self.store.put_config(configuration())
-        for number in range(LEDGERS):
+        for number in range(LEDGER_TARGETS):
             await self._add(f"ledger-{number}", "ledger")
         await self._add("desk-0", "desk")
         loop = asyncio.get_running_loop()
-        reports = loop.create_task(self._reports())
+        heartbeats = loop.create_task(self._send_heartbeats())
         try:
-            await self._served(START_S)
-            callers = Callers(self.promises, self.rng)
+            await self._wait_until_served(START_TIMEOUT_S)
+            callers = Callers(self.checker, self.rng)
             ends_at = loop.time() + self.length_s
             calls = [
-                loop.create_task(callers.run(host, ends_at)) for host in self.hosts
+                loop.create_task(callers.run(node, ends_at)) for node in self.nodes
             ]
             while loop.time() < ends_at:
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
-                await self._fault(self.rng.choice(FAULTS))
+                await self._inject_fault(self.rng.choice(FAULTS))
             await asyncio.gather(*calls)
-            await self._served(RECOVERY_S)
+            await self._wait_until_served(RECOVERY_TIMEOUT_S)
         finally:
-            reports.cancel()
-            for host in self.hosts:
-                host.kill()
-            for instance in self.instances:
-                instance.close()
+            heartbeats.cancel()
+            for node in self.nodes:
+                node.kill()
+            for target in self.targets:
+                target.close()
             self.store.close()
-            # Readers of the closed connections end by themselves.
-            await asyncio.sleep(END_S)
-        self.promises.check_runs(self.instances)
-        self.promises.check_drains(self.drained, DRAIN_S)
-        return self.promises
-
-    async def _served(self, bound_s):
-        """Wait until every node serves a lookup."""
+            # Lets the tasks that read from the closed connections end.
+            await asyncio.sleep(CLOSE_DELAY_S)
+        self.checker.check_runs(self.targets)
+        self.checker.check_drains(self.drained, DRAIN_LIMIT_S)
+        return self.checker
+
+    async def _wait_until_served(self, timeout_s):
+        """Wait until every node serves a lookup; a timeout counts as a violation."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + bound_s
-        missing = list(self.hosts)
+        until = loop.time() + timeout_s
+        missing = list(self.nodes)
         while missing:
             if loop.time() > until:
-                names = [host.name for host in missing]
-                self.promises.broken.append(f"not served after {bound_s} s: {names}")
+                names = [node.name for node in missing]
+                self.checker.violations.append(
+                    f"not served after {timeout_s} s: {names}"
+                )
                 return
-            probe = Promises()
+            probe = ResultChecker()
             callers = Callers(probe, random.Random(0))
             await callers.run(missing[0], loop.time() + 0.1)
-            # These ids are the callers' own again; they are not checked as runs.
-            for instance in self.instances:
-                instance.received = [
-                    s for s in instance.received if s.request_id not in probe.sent
+            # The callers of the load use the same request ids again, so the requests
+            # of the probe are removed before the runs are checked.
+            for target in self.targets:
+                target.received = [
+                    req for req in target.received if req.request_id not in probe.sent
                 ]
             if probe.statuses.get(200):
                 missing.pop(0)
 
-    async def _fault(self, kind):
-        host = self.rng.choice(self.hosts)
-        self.say(f"{time.monotonic() - self.began:6.2f} s  {kind} {host.name}")
+    async def _inject_fault(self, kind):
+        node = self.rng.choice(self.nodes)
+        self.log(f"{time.monotonic() - self.started_at:6.2f} s  {kind} {node.name}")
         match kind:
             case "kill":
-                host.kill()
+                node.kill()
                 await asyncio.sleep(self.rng.uniform(0.0, 0.5))
-                host.start()
+                node.start()
             case "freeze":
-                host.signal(signal.SIGSTOP)
+                node.signal(signal.SIGSTOP)
                 await asyncio.sleep(self.rng.uniform(0.1, 2.0))
-                host.signal(signal.SIGCONT)
+                node.signal(signal.SIGCONT)
             case "stop":
-                host.signal(signal.SIGTERM)
-                await asyncio.to_thread(host.process.wait)
-                host.start()
+                node.signal(signal.SIGTERM)
+                await asyncio.to_thread(node.process.wait)
+                node.start()
             case "down" | "silent":
                 setattr(self.store, kind, True)
                 await asyncio.sleep(self.rng.uniform(0.2, 3.0))
@@ -170,58 +184,60 @@
                 self.store.lose_answers = 2
             case "history":
                 self.store.forget_history()
-            case "replace" if host.instance.service == "ledger":
-                await self._replace(host)
-
-    async def _replace(self, host):
-        """Drain a target; then another one starts in its place."""
-        instance = host.instance
-        instance.draining = True
-        if await self._report(host, "draining"):
-            self.drained.append((instance, time.monotonic()))
-        await asyncio.sleep(DRAIN_S + 0.5)
-        fresh = ScriptedTarget(f"{instance.name}'", instance.service)
-        fresh.serve = lambda request, writer: serve(fresh, request, writer)
-        await fresh.take_over(instance)
-        self.instances.append(fresh)
-        host.instance = fresh
-
-
-def play(seed, length_s, say=lambda line: None):
-    """Play a seed; return its `Promises`.
+            case "replace" if node.target.service == "ledger":
+                await self._replace_target(node)
+
+    async def _replace_target(self, node):
+        """Drain the target of a node, then start another one at its address."""
+        target = node.target
+        target.draining = True
+        if await self._heartbeat(node, "draining"):
+            self.drained.append((target, time.monotonic()))
+        await asyncio.sleep(DRAIN_LIMIT_S + 0.5)
+        successor = ScriptedTarget(f"{target.name}'", target.service)
+        successor.serve = lambda request, writer: serve(successor, request, writer)
+        await successor.take_over(target)
+        self.targets.append(successor)
+        node.target = successor
+
+
+def run_seed(seed, length_s, log=lambda line: None):
+    """Run the soak with a seed; return its `ResultChecker`.
 
     Parameters
     ----------
     seed : int
     length_s : float
         Length of the load and the faults, seconds.
-    say : callable
+    log : callable
         Takes a line for each fault.
     """
     with tempfile.TemporaryDirectory() as folder:
 
-        async def whole():
-            return await Soak(folder, seed, length_s, say).run()
+        async def run():
+            return await Soak(folder, seed, length_s, log).run()
 
-        return asyncio.run(whole())
+        return asyncio.run(run())
 
 
 def main(argv):
-    """Play every seed; exit 1 if a promise was broken."""
+    """Run every seed; exit with status 1 if a check failed."""
     args = flags.FLAGS
     failed = 0
     for text in args.seeds:
-        found = play(int(text), args.length_s, print if args.verbose_faults else str)
-        failed += bool(found.broken)
+        found = run_seed(
+            int(text), args.length_s, print if args.verbose_faults else str
+        )
+        failed += bool(found.violations)
         print(f"seed {text}: {dict(sorted(found.statuses.items()))}", flush=True)
-        for line in found.broken[:5]:
-            print(f"  broken: {line}", flush=True)
-    print(f"{len(args.seeds) - failed} seeds kept every promise, {failed} did not")
+        for line in found.violations[:5]:
+            print(f"  violation: {line}", flush=True)
+    print(f"{len(args.seeds) - failed} seeds passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
 
 if __name__ == "__main__":
-    flags.DEFINE_list("seeds", ["1"], "Seeds to play, one after the other.")
+    flags.DEFINE_list("seeds", ["1"], "Seeds to run, one after the other.")
     flags.DEFINE_float("length_s", 20.0, "Length of load and faults, seconds.")
     flags.DEFINE_bool("verbose_faults", False, "Print every fault with its time.")
     app.run(main)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,90 +1,102 @@
-"""Callers of the soak, and the promises that their answers are checked against."""
+"""Load generator of the soak and the checker of the responses that it gets."""
 
 import asyncio
 import itertools
 from dataclasses import dataclass, field
 
-__all__ = ["Callers", "Promises", "serve"]
+__all__ = ["Callers", "ResultChecker", "serve"]
 
 HOST = "a.example"
-# A call is given up by its caller after this, seconds.
+# A caller abandons a call after this time, seconds.
 DEADLINE_S = 1.0
 PAUSE_S = 0.02
 
 
-async def serve(instance, seen, writer):
-    """Answer a request with its own id and the bytes that came."""
+async def serve(target, request, writer):
+    """Respond with the id of the request and the length of its body."""
     await asyncio.sleep(0.01)
-    instance.write(seen, writer, f"{seen.request_id} {len(seen.body)}".encode())
+    target.write(request, writer, f"{request.request_id} {len(request.body)}".encode())
 
 
 @dataclass(slots=True)
-class Promises:
-    """What was told to callers, by id, and what was broken."""
+class ResultChecker:
+    """Compares what callers sent and received with what the targets ran.
+
+    Attributes
+    ----------
+    sent : dict
+        Path and body of each request, by request id.
+    not_run : set
+        Ids of the requests whose callers were told that they did not run.
+    statuses : dict
+        Number of responses by status.
+    violations : list of str
+        Descriptions of the violations found.
+    """
 
     sent: dict = field(default_factory=dict)
     not_run: set = field(default_factory=set)
     statuses: dict = field(default_factory=dict)
-    broken: list = field(default_factory=list)
+    violations: list = field(default_factory=list)
 
-    def answered(self, request_id, status, body):
-        """Take an answer and check that it is whole and the caller's own."""
+    def record_response(self, request_id, status, body):
+        """Count a response; check that it is complete and for this request."""
         self.statuses[status] = self.statuses.get(status, 0) + 1
         path, sent = self.sent[request_id]
         if status == 200 and body != f"{request_id} {len(sent)}".encode():
-            self.broken.append(f"{request_id}: got the answer {body[:40]!r}")
+            self.violations.append(f"{request_id}: wrong response body {body[:40]!r}")
         if status in (408, 421, 429, 503):
             self.not_run.add(request_id)
         if status == 404:
-            self.broken.append(f"{request_id}: 404 for {path}, which is routed")
+            self.violations.append(f"{request_id}: 404 for {path}, which has a route")
 
-    def check_runs(self, instances):
-        """Check what ran against what was sent and told."""
+    def check_runs(self, targets):
+        """Compare the requests that ran with those that were sent and rejected."""
         runs = {}
-        for instance in instances:
-            for seen in instance.received:
-                runs.setdefault(seen.request_id, []).append(seen)
-        for request_id, found in runs.items():
+        for target in targets:
+            for request in target.received:
+                runs.setdefault(request.request_id, []).append(request)
+        for request_id, requests in runs.items():
             if request_id not in self.sent:
-                self.broken.append(f"{request_id}: ran, but nobody sent it")
+                self.violations.append(f"{request_id}: ran, but no caller sent it")
                 continue
             path, sent = self.sent[request_id]
-            if any((seen.path, seen.body) != (path, sent) for seen in found):
-                self.broken.append(f"{request_id}: ran with another path or body")
-            if path.startswith("/sale") and len(found) > 1:
-                self.broken.append(f"{request_id}: ran {len(found)} times")
+            if any((req.path, req.body) != (path, sent) for req in requests):
+                self.violations.append(f"{request_id}: ran with another path or body")
+            if path.startswith("/sale") and len(requests) > 1:
+                self.violations.append(f"{request_id}: ran {len(requests)} times")
             if path.startswith("/sale") and request_id in self.not_run:
-                self.broken.append(
-                    f"{request_id}: ran, but its caller heard it did not"
+                self.violations.append(
+                    f"{request_id}: ran, but its caller was told that it did not"
                 )
 
-    def check_drains(self, drained, bound_s):
-        """Check that nothing came to an instance after its drain was acknowledged."""
-        for instance, acked_at in drained:
-            late = [s for s in instance.received if s.at > acked_at + bound_s]
+    def check_drains(self, drained, limit_s):
+        """Check that targets got no request later than `limit_s` after their drain."""
+        for target, acked_at in drained:
+            late = [req for req in target.received if req.at > acked_at + limit_s]
             if late:
-                self.broken.append(
-                    f"{late[0].request_id}: reached {instance.name} "
+                self.violations.append(
+                    f"{late[0].request_id}: reached {target.name} "
                     f"{late[0].at - acked_at:.2f} s after its drain"
                 )
 
 
 class Callers:
-    """Callers that send lookups and sales to nodes in turn, on kept connections.
+    """Callers that send lookups and sales to nodes over persistent connections.
 
     Parameters
     ----------
-    promises : Promises
+    checker : ResultChecker
     rng : random.Random
     """
 
-    def __init__(self, promises, rng):
-        self.promises = promises
+    def __init__(self, checker, rng):
+        self.checker = checker
         self._rng = rng
         self._numbers = itertools.count(1)
 
-    async def run(self, host, ends_at):
-        """Call a node until a time of the loop."""
+    async def run(self, node, ends_at):
+        """Send calls to a node one after the other until a time of the event loop."""
         loop = asyncio.get_running_loop()
         conn = None
         while loop.time() < ends_at:
@@ -92,31 +104,34 @@
             try:
                 async with asyncio.timeout(DEADLINE_S + 0.3):
                     if conn is None:
-                        conn = await asyncio.open_connection(*host.cfg.callers_addr)
-                    keep = await self._call(*conn)
+                        conn = await asyncio.open_connection(*node.cfg.callers_addr)
+                    reusable = await self._call(*conn)
             except (OSError, EOFError, TimeoutError, ValueError):
-                # A call without an answer promises nothing.
-                keep = False
-            if not keep and conn is not None:
+                # Without a response the call may have run or not; nothing to check.
+                reusable = False
+            if not reusable and conn is not None:
                 conn[1].transport.abort()
                 conn = None
         if conn is not None:
             conn[1].close()
 
     async def _call(self, reader, writer):
+        """Send one call; return whether its connection can be used again."""
         request_id = f"q{next(self._numbers)}"
-        sale = self._rng.random() < 0.4
-        path = f"/{'sale' if sale else 'look'}/{request_id}"
-        body = bytes(self._rng.randrange(1, 3000)) if sale else b""
-        self.promises.sent[request_id] = (path, body)
-        head = f"{'POST' if sale else 'GET'} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        is_sale = self._rng.random() < 0.4
+        path = f"/{'sale' if is_sale else 'look'}/{request_id}"
+        body = bytes(self._rng.randrange(1, 3000)) if is_sale else b""
+        self.checker.sent[request_id] = (path, body)
+        head = f"{'POST' if is_sale else 'GET'} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
         head += (
             f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: {DEADLINE_S * 1000:.0f}\r\n"
         )
         head += f"Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
-        answer = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").lower()
-        status = int(answer.split(" ")[1])
-        length = int(answer.partition("content-length: ")[2].split("\r\n")[0] or 0)
-        self.promises.answered(request_id, status, await reader.readexactly(length))
-        return "connection: close" not in answer
+        response = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").lower()
+        status = int(response.split(" ")[1])
+        length = int(response.partition("content-length: ")[2].split("\r\n")[0] or 0)
+        self.checker.record_response(
+            request_id, status, await reader.readexactly(length)
+        )
+        return "connection: close" not in response
--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform and the targets, for tests and the demo."""
+"""Stand-ins for the platform's services and for targets, for tests and the demo."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,4 +1,4 @@
-"""Processes of the system on loopback, started and ended by id."""
+"""Runs a table service, nodes and targets as child processes on loopback."""
 
 import json
 import os
@@ -13,7 +13,20 @@
 
 
 class Process:
-    """A child process that prints one line of JSON once it serves."""
+    """A child process that prints one line of JSON once it serves.
+
+    Parameters
+    ----------
+    args : sequence of str
+        Module to run and its arguments.
+    env : dict, optional
+        Variables that are added to the environment.
+
+    Attributes
+    ----------
+    info : dict
+        The line that the process printed, such as its addresses.
+    """
 
     def __init__(self, args, env=None):
         self.popen = subprocess.Popen(
@@ -28,22 +41,22 @@
         self.info = json.loads(line)
 
     def get_json(self, path):
-        """Return the JSON data at a path of this process's HTTP server."""
+        """Get JSON data from a path of the HTTP server of this process."""
         ip, port = self.info["addr"]
         return json.loads(http(f"http://{ip}:{port}{path}")[2])
 
     def signal(self, signum):
-        """Send a signal to this process."""
+        """Send a signal to the process."""
         self.popen.send_signal(signum)
 
     def stop(self):
-        """Stop gracefully and return the exit status."""
+        """Stop the process gracefully and return its exit status."""
         if self.popen.poll() is None:
             self.signal(signal.SIGTERM)
         return self.popen.wait(STOP_TIMEOUT_S)
 
     def kill(self):
-        """End the process at once."""
+        """Kill the process and wait for its end."""
         if self.popen.poll() is None:
             self.popen.kill()
         self.popen.wait(STOP_TIMEOUT_S)
@@ -51,7 +64,7 @@
 
 
 def http(url, method="GET", body=None, headers=None, timeout=10.0):
-    """Return (status, headers, body) of a request, error answers included."""
+    """Send a request; return (status, headers, body), also of an error response."""
     data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
     req = urllib.request.Request(url, data, headers or {}, method=method)
     try:
@@ -63,7 +76,10 @@
 
 
 def wait_until(condition, timeout_s=10.0, message="condition"):
-    """Return the first true value of `condition()` within the time limit."""
+    """Call `condition` until its value is true; return that value.
+
+    An `AssertionError` with `message` is raised after `timeout_s`.
+    """
     deadline = time.monotonic() + timeout_s
     while True:
         value = condition()
@@ -83,13 +99,13 @@
         self.targets = {}
 
     def start(self, *args, env=None):
-        """Start a process of the system."""
+        """Start a `Process`, which `close` ends."""
         process = Process(args, env)
         self.processes.append(process)
         return process
 
     def start_table(self):
-        """Start the table service."""
+        """Start the table service and return its process."""
         self.table = self.start("standins.table")
         return self.table
 
@@ -125,19 +141,19 @@
         return target
 
     def admin(self, node_id, path, method="GET", body=None):
-        """Ask the admin interface of a node; return (status, JSON data)."""
+        """Send a request to the admin API of a node; return (status, JSON data)."""
         ip, port = self.nodes[node_id].info["admin"]
         status, _, data = http(f"http://{ip}:{port}{path}", method, body)
         return status, json.loads(data)
 
-    def call(self, node_id, path, service="hive-ledger", method="GET", **more):
+    def call(self, node_id, path, service="hive-ledger", method="GET", **options):
         """Send a call to a node; return (status, headers, body)."""
         ip, port = self.nodes[node_id].info["data"]
-        headers = {"Host": service, **more.pop("headers", {})}
-        return http(f"http://{ip}:{port}{path}", method, headers=headers, **more)
+        headers = {"Host": service, **options.pop("headers", {})}
+        return http(f"http://{ip}:{port}{path}", method, headers=headers, **options)
 
     def knows_target(self, node_id, target_id):
-        """Return whether a node holds a record of a target."""
+        """Return whether a target is in the member records of a node."""
         members = self.admin(node_id, "/v1/mesh")[1]["members"]
         return any(
             target["target_id"] == target_id
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,7 +1,7 @@
-"""The whole system on loopback: table service, nodes and targets in three regions.
+"""Demonstration on loopback: a table service, nodes and targets in three regions.
 
-Sends real calls, applies a rule while it runs, drains a target, stops a node and ends
-by itself with a summary. The exit status is 0 only if every check held.
+Callers send calls while the demo applies rules, drains a target and stops a node. It
+ends with a summary; the exit status is 0 only if every check passed.
 """
 
 import json
@@ -29,13 +29,19 @@
 PAUSE_RULE = "pause t-kwale-1  # Otieno, field office\n"
 CALLERS = 3
 PAUSE_BETWEEN_CALLS_S = 0.02
-DRAIN_BOUND_S = 3.0
-RULES_BOUND_S = 5.0
+# Guaranteed limits: from a drain until its target gets no more calls, and from an
+# accepted rules version until it is in force at every node.
+DRAIN_LIMIT_S = 3.0
+RULES_LIMIT_S = 5.0
 
 
 @dataclass
 class Traffic:
-    """Calls of background callers: answers by status, and failures by code."""
+    """Calls of background callers, counted by status and by the target that served.
+
+    `entries` has the names of the nodes that the callers send their calls to. `run_ids`
+    has the ids of the sales that were answered with 200.
+    """
 
     cluster: Cluster
     entries: list
@@ -45,7 +51,7 @@
     run_ids: list = field(default_factory=list)
 
     def run(self, number):
-        """Send calls in turn to all entry nodes until told to stop."""
+        """Send calls to the entry nodes in turn until `stopping` is set."""
         count = 0
         while not self.stopping.is_set():
             count += 1
@@ -63,26 +69,26 @@
             )
             self.statuses[status] += 1
             if status == 200:
-                answer = json.loads(data)
-                self.served_by[answer["target"]] += 1
-                if answer["run"] != run_id:
-                    self.statuses["foreign answer"] += 1
+                response = json.loads(data)
+                self.served_by[response["target"]] += 1
+                if response["run"] != run_id:
+                    self.statuses["response to another call"] += 1
                 if body:
                     self.run_ids.append(run_id)
             time.sleep(PAUSE_BETWEEN_CALLS_S)
 
 
 class Demo:
-    """Steps of the demonstration and their results."""
+    """Steps of the demonstration and the results of their checks."""
 
     def __init__(self, cluster):
         self.cluster = cluster
         self.checks = []
 
-    def check(self, text, held):
+    def check(self, text, passed):
         """Record and print the result of one check."""
-        self.checks.append(held)
-        print(f"{'ok  ' if held else 'FAIL'}  {text}", flush=True)
+        self.checks.append(passed)
+        print(f"{'ok  ' if passed else 'FAIL'}  {text}", flush=True)
 
     def start(self):
         """Start all processes and wait until each node knows each target."""
@@ -98,60 +104,60 @@
         for process in cluster.processes:
             print(f"      process {process.popen.pid}: {json.dumps(process.info)}")
 
-    def command(self, node, *args, text=None):
-        """Run a command of the command line at a node; return its output."""
+    def run_command(self, node, *args, text=None):
+        """Run a command at a node, check its exit status and return its output."""
         admin = "{}:{}".format(*self.cluster.nodes[node].info["admin"])
-        words = [sys.executable, "-m", "pimentoline", *args, f"--admin_addr={admin}"]
-        done = subprocess.run(words, input=text, capture_output=True, text=True)
+        argv = [sys.executable, "-m", "pimentoline", *args, f"--admin_addr={admin}"]
+        done = subprocess.run(argv, input=text, capture_output=True, text=True)
         command = " ".join(["pimentoline", *args])
         output = (done.stdout or done.stderr).strip()
         self.check(f"{command}: exit status {done.returncode}", done.returncode == 0)
         return output
 
     def apply(self, base, text):
-        """Apply a rules text at one node; return seconds until all have it."""
+        """Apply rules at one node; return the seconds until all nodes use them."""
         args = ["apply", "-", "--author=demo", f"--base={base}"]
         started = time.monotonic()
-        print(f"      {self.command('kerio-1', *args, text=text)}")
+        print(f"      {self.run_command('kerio-1', *args, text=text)}")
         for node in HOSTS:
-            wait_until(lambda n=node: self._version(n) == base + 1)
+            wait_until(lambda n=node: self._rules_version(n) == base + 1)
         return time.monotonic() - started
 
-    def _version(self, node):
+    def _rules_version(self, node):
         return self.cluster.admin(node, "/v1/config")[1]["version"]
 
     def change_rules(self, traffic):
-        """Pause a target by a rule and see its calls stop."""
+        """Pause a target by a rule; check that it gets no more calls."""
         seconds = self.apply(0, RULES)
-        self.check(f"in force everywhere in {seconds:.2f} s", seconds < RULES_BOUND_S)
+        self.check(f"in force everywhere in {seconds:.2f} s", seconds < RULES_LIMIT_S)
         seconds = self.apply(1, RULES + PAUSE_RULE)
-        self.check(f"in force everywhere in {seconds:.2f} s", seconds < RULES_BOUND_S)
-        self._expect_quiet(traffic, "t-kwale-1", "paused by a rule")
-        history = self.command("baringo-1", "history")
+        self.check(f"in force everywhere in {seconds:.2f} s", seconds < RULES_LIMIT_S)
+        self._check_no_new_calls(traffic, "t-kwale-1", "paused by a rule")
+        history = self.run_command("baringo-1", "history")
         print(history)
         everywhere = f"in force at {len(HOSTS)} of {len(HOSTS)} nodes"
         self.check(f"history: {everywhere}", everywhere in history)
 
     def drain(self, traffic):
-        """Drain a target and see its calls stop at every node."""
-        self.command("kilifi-1", "drain", "t-kilifi-1")
-        time.sleep(DRAIN_BOUND_S)
-        self._expect_quiet(traffic, "t-kilifi-1", "draining")
+        """Drain a target; check that it gets no more calls after the limit."""
+        self.run_command("kilifi-1", "drain", "t-kilifi-1")
+        time.sleep(DRAIN_LIMIT_S)
+        self._check_no_new_calls(traffic, "t-kilifi-1", "draining")
 
-    def _expect_quiet(self, traffic, target, why):
+    def _check_no_new_calls(self, traffic, target, state):
         time.sleep(0.5)
         before = traffic.served_by[target]
         time.sleep(1.0)
         new = traffic.served_by[target] - before
-        self.check(f"{target} is {why}: {new} new calls", new == 0)
+        self.check(f"{target} is {state}: {new} new calls", new == 0)
 
     def stop_node(self):
-        """Stop a node that callers do not use as their entry."""
+        """Stop a node that gets no calls from callers; check its exit status."""
         status = self.cluster.nodes["bungoma-1"].stop()
         self.check(f"node bungoma-1 stopped, exit status {status}", status == 0)
 
     def run(self):
-        """Run all steps."""
+        """Run all steps; return whether every check passed."""
         self.start()
         traffic = Traffic(self.cluster, ["baringo-1", "kwale-1", "kakamega-1"])
         callers = [
@@ -172,27 +178,29 @@
         return all(self.checks)
 
     def summarize(self, traffic):
-        """Check the calls of the whole run."""
+        """Check the calls of all callers and print their counts."""
         total = sum(traffic.statuses.values())
-        self.check(f"{total} calls, all answered 200", set(traffic.statuses) == {200})
-        print(f"      answers: {dict(traffic.statuses)}")
+        self.check(
+            f"{total} calls, all answered with 200", set(traffic.statuses) == {200}
+        )
+        print(f"      responses: {dict(traffic.statuses)}")
         print(f"      served by: {dict(sorted(traffic.served_by.items()))}")
-        ran = Counter()
+        run_counts = Counter()
         for target in self.cluster.targets.values():
-            ran.update(target.get_json("/runs")["runs"])
-        once = all(ran[run_id] == 1 for run_id in traffic.run_ids)
-        self.check(f"{len(traffic.run_ids)} sales, each ran exactly once", once)
+            run_counts.update(target.get_json("/runs")["runs"])
+        ran_once = all(run_counts[run_id] == 1 for run_id in traffic.run_ids)
+        self.check(f"{len(traffic.run_ids)} sales, each ran exactly once", ran_once)
 
 
 def main():
     """Run the demo and return its exit status."""
     cluster = Cluster()
     try:
-        held = Demo(cluster).run()
+        passed = Demo(cluster).run()
     finally:
         cluster.close()
-    print("demo: all checks held" if held else "demo: a check FAILED")
-    return 0 if held else 1
+    print("demo: all checks passed" if passed else "demo: a check FAILED")
+    return 0 if passed else 1
 
 
 if __name__ == "__main__":
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -1,4 +1,4 @@
-"""Hosts of the platform for tests and the soak: a node process beside an instance."""
+"""Node processes of the platform deployment, for tests and the soak."""
 
 import os
 import signal
@@ -31,8 +31,11 @@
 """
 
 
-def settings_text(**given):
-    """Return a settings file; ports that are not given are 1 to 4."""
+def settings_text(**values):
+    """Return the text of a settings file with the given values.
+
+    The defaults of the node's own ports are 1 to 4.
+    """
     fields = {
         "name": "sidecar-1",
         "dc": "kerio",
@@ -44,11 +47,11 @@
         "store": "127.0.0.1:1",
     }
     fields |= {name: number for number, name in enumerate(PORTS, 1)}
-    return SETTINGS.format(**(fields | given))
+    return SETTINGS.format(**(fields | values))
 
 
 def start_node_process(path, stdout=subprocess.PIPE):
-    """Start the program with a settings file."""
+    """Start `pimentoline.platform` with a settings file."""
     env = {**os.environ, "PIMENTOLINE_CONFIG": str(path)}
     return subprocess.Popen(
         [sys.executable, "-m", "pimentoline.platform"],
@@ -61,26 +64,31 @@
 
 @dataclass(frozen=True, slots=True)
 class _Addresses:
-    """Where a node listens, as `ScriptedTarget.send_heartbeat` asks for it."""
+    """Addresses of a node, named as in `HostSettings`."""
 
     callers_addr: tuple[str, int]
     reports_addr: tuple[str, int]
 
 
 class NodeProcess:
-    """A node process with fixed addresses, which can be ended and started again.
+    """A node process with fixed addresses, which can be killed and started again.
 
     Parameters
     ----------
-    folder : Path
+    folder : str or Path
         Where the settings file and the log are written.
-    instance : ScriptedTarget
+    name : str
+        Name of the node.
+    target : ScriptedTarget
+        The target on the host of the node.
     store : StoreStandIn
+    **values
+        Further values of the settings file.
     """
 
-    def __init__(self, folder, name, instance, store, **given):
+    def __init__(self, folder, name, target, store, **values):
         self.name = name
-        self.instance = instance
+        self.target = target
         ports = {kind: free_port() for kind in PORTS}
         self.cfg = _Addresses(
             *(("127.0.0.1", ports[kind]) for kind in ("outbound", "control"))
@@ -90,33 +98,33 @@
         self._settings.write_text(
             settings_text(
                 name=name,
-                service=instance.service,
-                app="{}:{}".format(*instance.addr),
+                service=target.service,
+                app="{}:{}".format(*target.addr),
                 store="{}:{}".format(*store.addr),
                 **ports,
-                **given,
+                **values,
             )
         )
         self.process = None
 
     def start(self):
-        """Start the process; its log goes on in the same file."""
+        """Start the process; its log is appended to that of earlier ones."""
         with self._log.open("a") as log:
             self.process = start_node_process(self._settings, log)
 
     @property
-    def up(self):
+    def running(self):
         """Whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
     def signal(self, signum):
         """Send a signal to the process if it runs."""
-        if self.up:
+        if self.running:
             self.process.send_signal(signum)
 
     def kill(self):
-        """End the process at once, also if it is stopped."""
-        if self.up:
+        """Kill the process, also if `SIGSTOP` has suspended it."""
+        if self.running:
             self.signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
