--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,8 @@
-"""Stand-ins of the users' platform in one event loop: its store and its instances.
+"""Stand-ins for the platform's store and for its targets, inside one event loop.
 
-The store answers `rows-tx`, `rows-get` and `rows-feed` as the platform's pages say,
-for rows with an empty part. An instance answers requests by a function of the test,
-so that it can break the protocol at any byte.
+The store serves `rows-tx`, `rows-get` and `rows-feed` as the platform specifies them,
+for rows with an empty part. A target, which the platform calls an instance, responds
+through a function of the test, so that it can violate the protocol at any byte.
 """
 
 import asyncio
@@ -19,45 +19,53 @@
 
 __all__ = ["ReceivedRequest", "ScriptedTarget", "StoreStandIn", "free_port"]
 
-HISTORY_GONE = 410
-EOF_CHECK_S = 0.01
-# Ends below 32768, where Linux begins with the ports that it chooses itself.
-PORTS = range(20000, 32000)
-# Test processes that run at once begin at different places.
+# Response of the feed to a reader that is behind the oldest change kept.
+HISTORY_EXPIRED_STATUS = 410
+EOF_POLL_INTERVAL_S = 0.01
+# Ends below 32768, where the ephemeral ports of Linux begin by default.
+PORT_RANGE = range(20000, 32000)
+# Starts at a different port in each process, so that parallel tests do not collide.
 _next_port = itertools.count(os.getpid() * 97)
-STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
+RESPONSE_STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
 def free_port():
-    """Return a port that nothing listens at and no connection is given.
+    """Return a port at which nothing listens.
 
-    It is not one that the system chooses for the near end of a connection, since such
-    a port may be taken before the caller of this function listens there.
+    It is not an ephemeral port, since the system may give such a port to an outgoing
+    connection before the caller of this function listens there.
     """
-    for _ in range(len(PORTS)):
-        port = PORTS[next(_next_port) % len(PORTS)]
+    for _ in range(len(PORT_RANGE)):
+        port = PORT_RANGE[next(_next_port) % len(PORT_RANGE)]
         try:
             for sock in bind_sockets(port, "127.0.0.1"):
                 sock.close()
         except OSError:
             continue
         return port
-    raise OSError(f"no free port in {PORTS}")
+    raise OSError(f"no free port in {PORT_RANGE}")
 
 
 class StoreStandIn:
-    """Rows in memory; faults are attributes that a test sets.
+    """A store that keeps its rows in memory; tests inject faults through attributes.
 
     Attributes
     ----------
+    rows : dict
+        Value and version of each row, by table and key; the value of a deleted row is
+        None.
+    version : int
+        Version of the latest change of any row.
+    oldest : int
+        Version of the oldest change that the feed still has.
     down : bool
-        Every call is answered 503.
+        Every call is answered with 503.
     silent : bool
-        Calls have no effect and are never answered.
+        Calls have no effect and get no response.
     lose_answers : int
-        So many writes take effect without an answer.
+        Number of further writes that take effect without a response.
     calls : list of str
-        Paths of the calls that came.
+        Paths of the calls received.
     """
 
     def __init__(self):
@@ -76,7 +84,7 @@
         self._server.add_sockets([sock])
 
     def put(self, table, key, value):
-        """Write a row as the operator does; None removes it."""
+        """Write a row and wake the readers of the feed; None deletes the row."""
         self.version += 1
         self.rows[table, key] = (value, self.version)
         changed, self.changed = self.changed, asyncio.Event()
@@ -87,11 +95,11 @@
         self.put("op", "config", json.dumps(config).encode())
 
     def forget_history(self):
-        """Drop the changes up to now."""
+        """Remove all changes up to now from the feed."""
         self.oldest = self.version + 1
 
     def row(self, table, key):
-        """Return the JSON form of a row."""
+        """Return a row as JSON data."""
         value, version = self.rows[table, key]
         item = {"table": table, "part": "", "key": key, "ver": version}
         if value is None:
@@ -99,12 +107,12 @@
         return {**item, "value": base64.b64encode(value).decode()}
 
     def version_of(self, table, key):
-        """Return the version of a row, 0 if it does not exist."""
+        """Return the version of a row; 0 if it does not exist."""
         value, version = self.rows.get((table, key), (None, 0))
         return version if value is not None else 0
 
     def close(self):
-        """Stop serving."""
+        """Stop accepting connections."""
         self._server.stop()
 
 
@@ -120,49 +128,49 @@
             self.set_status(503)
             self.finish()
 
-    def _result(self, rows=None, **more):
+    def _respond(self, rows=None, **extra):
         item = {"ver": self.store.version, "now": f"{int(time.monotonic() * 1000)}ms"}
         if rows is not None:
             item["rows"] = rows
-        self.finish(json.dumps(item | more))
+        self.finish(json.dumps(item | extra))
 
     async def get(self, call):
-        """Read rows, or wait for their changes."""
+        """Return the rows of a table, or wait for changes of them."""
         store = self.store
         table = self.get_query_argument("table")
         if call == "rows-get":
-            found = [
-                store.row(*place)
-                for place, (value, _) in sorted(store.rows.items())
-                if place[0] == table and value is not None
+            rows = [
+                store.row(*row_id)
+                for row_id, (value, _) in sorted(store.rows.items())
+                if row_id[0] == table and value is not None
             ]
-            self._result(found, has_more=False)
+            self._respond(rows, has_more=False)
             return
         after = int(self.get_query_argument("after"))
         until = time.monotonic() + int(self.get_query_argument("wait_ms")) / 1000
         while True:
             if after + 1 < store.oldest:
-                self.set_status(HISTORY_GONE)
+                self.set_status(HISTORY_EXPIRED_STATUS)
                 self.finish("{}")
                 return
             changed = store.changed
-            found = sorted(
-                (version, place)
-                for place, (_, version) in store.rows.items()
-                if place[0] == table and version > after
+            changes = sorted(
+                (version, row_id)
+                for row_id, (_, version) in store.rows.items()
+                if row_id[0] == table and version > after
             )
-            left = until - time.monotonic()
-            if found or left <= 0:
-                self._result([store.row(*place) for _, place in found])
+            remaining_s = until - time.monotonic()
+            if changes or remaining_s <= 0:
+                self._respond([store.row(*row_id) for _, row_id in changes])
                 return
             try:
-                async with asyncio.timeout(left):
+                async with asyncio.timeout(remaining_s):
                     await changed.wait()
             except TimeoutError:
                 continue
 
     async def post(self, call):
-        """Apply a transaction, or none of it."""
+        """Apply a transaction, or nothing if a row has another version."""
         store = self.store
         body = json.loads(self.request.body)
         expected = body["expected_rev"]
@@ -173,7 +181,7 @@
                 if store.version_of(i["table"], i["key"])
             ]
             self.set_status(412)
-            self._result(rows)
+            self._respond(rows)
             return
         for item in body["writes"]:
             value = base64.b64decode(item["value"])
@@ -184,12 +192,16 @@
             store.lose_answers -= 1
             self.request.connection.stream.close()
             return
-        self._result()
+        self._respond()
 
 
 @dataclass(slots=True)
 class ReceivedRequest:
-    """A request that reached an instance."""
+    """A request that a target received.
+
+    `closed` tells that its connection was closed before the response; `at` is the time
+    of arrival.
+    """
 
     method: str
     path: str
@@ -204,19 +216,40 @@
         return self.headers.get("x-request-id", "")
 
 
-async def _closed(reader):
-    """Wait for the end of a connection without reading from it."""
+async def _wait_for_eof(reader):
+    """Wait until the peer closes a connection, without reading from it."""
     while not reader.at_eof():
-        await asyncio.sleep(EOF_CHECK_S)
+        await asyncio.sleep(EOF_POLL_INTERVAL_S)
 
 
 class ScriptedTarget:
-    """A target that answers requests by `serve(seen, writer)`.
+    """A target that responds through `serve(request, writer)`, which tests may replace.
 
     Parameters
     ----------
     name : str
-        Its id; requests that expect another one get 421.
+        Id of the target; a request that expects another target is answered with 421.
+    service : str
+        Service that the target reports.
+
+    Attributes
+    ----------
+    received : list of ReceivedRequest
+        Requests in the order of arrival, without health checks.
+    running, max_running : int
+        Requests that run now, and the most that ran at once.
+    delay_s : float
+        Time from a request to its response, seconds.
+    slots : int
+        Requests that the target reports to run at once.
+    percent : int
+        Reported duration of the work, in percent of the usual duration.
+    health_checks : int
+        Number of health checks received.
+    sequence : int
+        Number of the last heartbeat.
+    draining : bool
+        Set by tests that drain the target.
     """
 
     def __init__(self, name, service):
@@ -238,27 +271,29 @@
         self.addr = None
 
     async def start(self):
-        """Listen at a port that the system chooses."""
-        self._server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        """Listen at an ephemeral port."""
+        self._server = await asyncio.start_server(
+            self._serve_connection, "127.0.0.1", 0
+        )
         self.addr = self._server.sockets[0].getsockname()
 
     async def take_over(self, other):
-        """End another instance and listen at its address in its place."""
+        """Close another target and listen at its address."""
         other.close()
         await other._server.wait_closed()
         self.addr = other.addr
-        self._server = await asyncio.start_server(self._client, *self.addr)
+        self._server = await asyncio.start_server(self._serve_connection, *self.addr)
 
-    async def answer(self, seen, writer, body=b"whole answer", **headers):
-        """Answer as a sound target does."""
+    async def answer(self, request, writer, body=b"whole answer", **headers):
+        """Send a correct response after `delay_s`."""
         await asyncio.sleep(self.delay_s)
-        self.write(seen, writer, body, **headers)
+        self.write(request, writer, body, **headers)
 
-    def write(self, seen, writer, body, status="200 OK", **headers):
-        """Write a whole answer."""
+    def write(self, request, writer, body, status="200 OK", **headers):
+        """Write a complete response; `headers` add to and replace the usual ones."""
         lines = {
-            "X-Request-Id": seen.request_id,
-            "X-Response-Stamp": STAMP,
+            "X-Request-Id": request.request_id,
+            "X-Response-Stamp": RESPONSE_STAMP,
             "X-Server-Load": f"{self.running},0,{self.slots},{self.percent}",
             "Content-Length": str(len(body)),
         }
@@ -267,12 +302,12 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         writer.write(head.encode() + b"\r\n" + body)
 
-    async def _client(self, reader, writer):
+    async def _serve_connection(self, reader, writer):
         self._writers.add(writer)
         try:
             while True:
-                seen = await self._read(reader)
-                await self._run(seen, reader, writer)
+                request = await self._read(reader)
+                await self._run(request, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
@@ -290,34 +325,37 @@
         length = int(headers.get("content-length", 0))
         return ReceivedRequest(method, path, headers, await reader.readexactly(length))
 
-    async def _run(self, seen, reader, writer):
-        if seen.path == "/healthz":
+    async def _run(self, request, reader, writer):
+        if request.path == "/healthz":
             self.health_checks += 1
-            self.write(seen, writer, b"", X_Instance_Id=self.name)
+            self.write(request, writer, b"", X_Instance_Id=self.name)
             return
-        if seen.headers.get("x-expect-instance") != self.name:
+        if request.headers.get("x-expect-instance") != self.name:
             self.write(
-                seen, writer, b"", "421 Misdirected Request", X_Instance_Id=self.name
+                request, writer, b"", "421 Misdirected Request", X_Instance_Id=self.name
             )
             return
-        self.received.append(seen)
+        self.received.append(request)
         self.running += 1
         self.max_running = max(self.max_running, self.running)
-        work = asyncio.ensure_future(self.serve(seen, writer))
-        gone = asyncio.ensure_future(_closed(reader))
+        work = asyncio.ensure_future(self.serve(request, writer))
+        disconnect = asyncio.ensure_future(_wait_for_eof(reader))
         try:
-            await asyncio.wait([work, gone], return_when=asyncio.FIRST_COMPLETED)
-            if gone.done() and not work.done():
-                seen.closed = True
+            await asyncio.wait([work, disconnect], return_when=asyncio.FIRST_COMPLETED)
+            if disconnect.done() and not work.done():
+                request.closed = True
                 raise ConnectionResetError
             await work
         finally:
             self.running -= 1
             work.cancel()
-            gone.cancel()
+            disconnect.cancel()
 
     async def send_heartbeat(self, node, state="ready", **changes):
-        """Send a heartbeat to a node; return the status of its answer."""
+        """Send a heartbeat to a node; return the status of the response.
+
+        Keyword arguments replace members of the body.
+        """
         self.sequence += 1
         body = {
             "address": "{}:{}".format(*self.addr),
@@ -334,7 +372,7 @@
         return await self._post(node, path, body | changes)
 
     async def send_sign_off(self, node):
-        """Sign off at a node."""
+        """Tell a node that the target leaves; return the status of the response."""
         path = f"/v1/rpc?call=instances.leave&of={self.name}"
         return await self._post(node, path, {"born": self.born_ms})
 
@@ -343,12 +381,12 @@
         reader, writer = await asyncio.open_connection(*node.cfg.reports_addr)
         head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(data)}"
         writer.write(head.encode() + b"\r\nConnection: close\r\n\r\n" + data)
-        answer = await reader.read()
+        response = await reader.read()
         writer.close()
-        return int(answer.split(b" ")[1])
+        return int(response.split(b" ")[1])
 
     def close(self):
-        """Stop listening and reset what is open."""
+        """Stop listening and abort the open connections."""
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
