--- a/standins/platform.py
+++ b/standins/platform.py
@@ -272,9 +272,7 @@
 
     async def start(self):
         """Listen at an ephemeral port."""
-        self._server = await asyncio.start_server(
-            self._serve_connection, "127.0.0.1", 0
-        )
+        self._server = await asyncio.start_server(self._client, "127.0.0.1", 0)
         self.addr = self._server.sockets[0].getsockname()
 
     async def take_over(self, other):
@@ -282,7 +280,7 @@
         other.close()
         await other._server.wait_closed()
         self.addr = other.addr
-        self._server = await asyncio.start_server(self._serve_connection, *self.addr)
+        self._server = await asyncio.start_server(self._client, *self.addr)
 
     async def answer(self, request, writer, body=b"whole answer", **headers):
         """Send a correct response after `delay_s`."""
@@ -302,7 +300,8 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         writer.write(head.encode() + b"\r\n" + body)
 
-    async def _serve_connection(self, reader, writer):
+    async def _client(self, reader, writer):
+        """Serve the requests of one connection."""
         self._writers.add(writer)
         try:
             while True:
