--- a/standins/table.py
+++ b/standins/table.py
@@ -1,26 +1,27 @@
-"""Stand-in of the platform's transactional table service.
+"""Stand-in for the platform's transactional table service.
 
 Protocol: `POST /v1/txn`, `GET /v1/rows/<key>`, `GET /v1/rows?prefix=&limit=`, see
-docs/design.md. A request that exceeds the rate is refused unread with status 429, a
+docs/design.md. A request above the rate limit is rejected unread with status 429, a
 malformed one with status 400.
 
-Faults are set by `POST /faults` with an object of these members, others are kept:
+Faults are set by `POST /faults` with an object of these members; members that are
+left out keep their values:
 
 down : bool
-    Every request is refused with status 503.
+    Every request is rejected with status 503.
 silent : bool
-    Requests have no effect and are never answered.
+    Requests have no effect and get no response.
 delay_s : float
     Time before a request takes effect, seconds.
 lose_answers : int
-    So many writes take effect but their answers are lost.
+    Number of further writes that take effect but whose responses are lost.
 down_after_loss : bool
-    The service goes down when it loses an answer.
+    The service goes down when it loses a response.
 lose_requests : int
-    So many writes are lost before they take effect.
+    Number of further writes that are lost before they take effect.
 nonsense : str
-    Answers are of this kind: `html`, `shape`, `types`, `cut`, `huge`; none if empty.
-    Transactions take effect all the same.
+    Kind of invalid body that responses have: `html`, `shape`, `types`, `cut`, `huge`;
+    none if empty. Transactions take effect all the same.
 writes_per_s, reads_per_s : float
     Rate limits.
 """
@@ -51,20 +52,20 @@
 }
 
 
-class Bucket:
-    """Token bucket that holds one second of its rate."""
+class TokenBucket:
+    """Token bucket whose capacity is the tokens of one second."""
 
     def __init__(self, clock=time.monotonic):
         self._clock = clock
         self._tokens = None
-        self._at = clock()
+        self._updated_at = clock()
 
     def take(self, rate):
-        """Return whether one more request is within the rate."""
+        """Take a token if one is left; return whether the request is permitted."""
         now = self._clock()
-        held = rate if self._tokens is None else self._tokens
-        self._tokens = min(rate, held + (now - self._at) * rate)
-        self._at = now
+        tokens = rate if self._tokens is None else self._tokens
+        self._tokens = min(rate, tokens + (now - self._updated_at) * rate)
+        self._updated_at = now
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -73,7 +74,19 @@
 
 @dataclass
 class Table:
-    """Rows as (version, value), the faults in force and the requests counted."""
+    """Rows, injected faults and request counters of the table service.
+
+    Attributes
+    ----------
+    rows : dict
+        Tuple (version, value) of each row, by key.
+    reads, writes : int
+        Number of reads and transactions executed.
+    refused : int
+        Number of requests rejected by the rate limits.
+
+    The faults are described at the head of this module.
+    """
 
     rows: dict = field(default_factory=dict)
     down: bool = False
@@ -88,11 +101,11 @@
     reads: int = 0
     writes: int = 0
     refused: int = 0
-    read_bucket: Bucket = field(default_factory=Bucket)
-    write_bucket: Bucket = field(default_factory=Bucket)
+    read_bucket: TokenBucket = field(default_factory=TokenBucket)
+    write_bucket: TokenBucket = field(default_factory=TokenBucket)
 
     def run_transaction(self, txn):
-        """Run a transaction and return its answer."""
+        """Execute a transaction if its checks hold; return the response data."""
         conflicts = [
             check["key"]
             for check in txn["checks"]
@@ -109,7 +122,7 @@
         return {"ok": True, "versions": versions, "conflicts": []}
 
     def version(self, key):
-        """Return the version of a key, 0 if it is absent."""
+        """Return the version of a row; 0 if it does not exist."""
         return self.rows.get(key, (0, None))[0]
 
     def row(self, key):
@@ -118,6 +131,7 @@
         return {"key": key, "version": version, "value": value}
 
 
+# Types of the values that `POST /faults` accepts.
 FAULTS = {
     "down": bool,
     "silent": bool,
@@ -132,27 +146,27 @@
 
 
 def parse_txn(body):
-    """Return the transaction of a request body.
+    """Parse the body of a request as a transaction.
 
     Raises
     ------
     HTTPError
-        400 if it is not one.
+        With status 400 if it is malformed.
     """
     try:
         txn = {"checks": [], "puts": [], "deletes": [], **json.loads(body)}
-        good = set(txn) == {"checks", "puts", "deletes"}
-        good &= all(
+        valid = set(txn) == {"checks", "puts", "deletes"}
+        valid &= all(
             _is_key(check["key"]) and type(check["version"]) is int
             for check in txn["checks"]
         )
-        good &= all(_is_key(put["key"]) and "value" in put for put in txn["puts"])
-        good &= all(_is_key(key) for key in txn["deletes"])
+        valid &= all(_is_key(put["key"]) and "value" in put for put in txn["puts"])
+        valid &= all(_is_key(key) for key in txn["deletes"])
         written = [put["key"] for put in txn["puts"]] + list(txn["deletes"])
-        good &= len(set(written)) == len(written)
+        valid &= len(set(written)) == len(written)
     except (ValueError, TypeError, KeyError):
-        good = False
-    if not good:
+        valid = False
+    if not valid:
         raise HTTPError(400)
     return txn
 
@@ -162,14 +176,14 @@
 
 
 class TableHandler(RequestHandler):
-    """Base of the handlers: applies the limits and faults in force."""
+    """Base of the handlers that applies rate limits and injected faults."""
 
     def initialize(self, table):
         """Take the table."""
         self.table = table
 
     async def prepare(self):
-        """Count, limit, delay or refuse the request."""
+        """Reject, delay or never answer the request, as limits and faults say."""
         table = self.table
         if table.silent:
             await asyncio.Event().wait()
@@ -184,8 +198,8 @@
         if table.down:
             raise HTTPError(503)
 
-    def answer(self, data):
-        """Write the answer, or the nonsense that is in force."""
+    def respond(self, data):
+        """Respond with JSON data, or with the invalid body that is set as a fault."""
         if self.table.nonsense:
             self.write(INVALID_BODIES[self.table.nonsense])
             return
@@ -194,34 +208,34 @@
 
 
 class RowHandler(TableHandler):
-    """Reads one row."""
+    """Handler of reads of one row."""
 
     def get(self, key):
-        """Answer the row."""
+        """Respond with the row."""
         self.table.reads += 1
-        self.answer(self.table.row(key))
+        self.respond(self.table.row(key))
 
 
 class RowsHandler(TableHandler):
-    """Reads the rows with a prefix."""
+    """Handler of scans over the rows with a prefix."""
 
     def get(self):
-        """Answer the rows in key order, at most `MAX_SCAN_ROWS`."""
+        """Respond with the rows in key order, at most `MAX_SCAN_ROWS`."""
         self.table.reads += 1
         prefix = self.get_query_argument("prefix")
         limit = self.get_query_argument("limit", str(MAX_SCAN_ROWS))
         if not limit.isdigit() or int(limit) < 1:
             raise HTTPError(400)
-        count = min(int(limit), MAX_SCAN_ROWS)
+        max_rows = min(int(limit), MAX_SCAN_ROWS)
         keys = sorted(key for key in self.table.rows if key.startswith(prefix))
-        self.answer([self.table.row(key) for key in keys[:count]])
+        self.respond([self.table.row(key) for key in keys[:max_rows]])
 
 
 class TxnHandler(TableHandler):
-    """Runs transactions."""
+    """Handler of transactions."""
 
     def post(self):
-        """Run one transaction; the request or its answer may be lost."""
+        """Execute a transaction; faults may lose the request or the response."""
         table = self.table
         txn = parse_txn(self.request.body)
         if table.lose_requests > 0:
@@ -229,24 +243,24 @@
             self.request.connection.close()
             return
         table.writes += 1
-        answer = table.run_transaction(txn)
+        response = table.run_transaction(txn)
         if table.lose_answers > 0:
             table.lose_answers -= 1
             table.down = table.down or table.down_after_loss
             self.request.connection.close()
             return
-        self.answer(answer)
+        self.respond(response)
 
 
 class FaultsHandler(RequestHandler):
-    """Sets the faults in force; not subject to them."""
+    """Handler that sets faults and is not affected by them."""
 
     def initialize(self, table):
         """Take the table."""
         self.table = table
 
     def get(self):
-        """Answer the counters."""
+        """Respond with the counters."""
         table = self.table
         self.write(
             {"reads": table.reads, "writes": table.writes, "refused": table.refused}
@@ -276,7 +290,7 @@
 
 
 async def main(port=0):
-    """Serve until the process is ended; prints the port."""
+    """Print the port and serve until the process is killed."""
     sockets = bind_sockets(port, "127.0.0.1")
     server = HTTPServer(make_app(Table()), max_body_size=MAX_BODY_BYTES)
     server.add_sockets(sockets)
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,9 +1,9 @@
-"""Stand-in of a target: an HTTP server that announces itself to its node.
+"""Stand-in for a target: an HTTP server that announces itself to its node.
 
-Faults are set by `POST /faults` with fields of `TargetModel`; `{"reset": true}` sets
-all back and clears the counters, which `GET /faults` answers. `GET /runs` lists the
-identifiers (`X-Run-Id`) of the requests that ran, in order. `/load` and `/health` are
-the endpoints of a target that probes and checks ask.
+`POST /faults` sets fields of `TargetModel`; `{"reset": true}` restores their initial
+values and clears the counters, which `GET /faults` returns. `GET /runs` lists the ids
+(`X-Run-Id`) of the requests that ran, in order. `/load` and `/health` are the
+endpoints of a target that load probes and health checks use.
 """
 
 import asyncio
@@ -19,41 +19,55 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from .work import Overloaded, WorkQueue, make_noise, service_times
+from .work_queue import Overloaded, WorkQueue, service_times, simulate_noisy_neighbour
 
-RENEW_S = 1.0
-QUIET_S = 1.0
-LOAD_SAMPLE_S = 0.02
+ANNOUNCE_INTERVAL_S = 1.0
+QUIET_PERIOD_S = 1.0
+LOAD_SAMPLE_INTERVAL_S = 0.02
 
 
 @dataclass
 class TargetModel:
-    """What the stand-in does with requests.
+    """Behaviour, injected faults and counters of the target.
 
     Parameters
     ----------
-    slots, queue, connections : int
-        Requests that run at once, wait (unlimited if negative) and connections held.
+    target_id, service, region : str
+        Id, service and region of the target.
+    slots : int
+        Maximum number of requests that run at once.
+    queue : int
+        Maximum number of requests that wait for a slot; unlimited if negative.
+    connections : int
+        Maximum number of open connections.
     delay_s : float
-        Fixed time of service, unless `mean_s` is set.
+        Constant service time, used unless `mean_s` is set, seconds.
     mean_s, sigma, seed : float, float, int
-        Log-normal time of service.
-    fail, shed, silent : bool
-        Answer 500 at once; answer 503 with `X-Not-Run: 1`; never answer.
+        Mean in seconds, shape and random seed of log-normal service times.
+    fail : bool
+        Respond with 500 at once.
+    shed : bool
+        Respond with 503 and `X-Not-Run: 1`.
+    silent : bool
+        Never respond.
     silence_open : bool
-        The connections open now never answer again; new ones work.
+        The connections that are open now get no more responses; new ones work.
     slowdown : float
-        Factor on the time of service.
+        Factor on the service time.
     noise : dict
-        Arguments of `make_noise` for a noisy neighbour.
+        Arguments of `simulate_noisy_neighbour`; no noise if empty.
     cold_s, cold_factor : float
-        Length of a cold start that begins when `cold_s` is set, and its slowdown.
+        Length of a cold start that begins when `cold_s` is set, and the factor on the
+        service time during it.
     load_lag_s : float
-        Age of the load and of the health that are reported.
+        Age of the load and health that the target reports, seconds.
     load_report : str
-        Load that is reported instead of the true one; `none` leaves it out.
+        Load to report instead of the actual one; `none` omits the header.
     health_status : int
-        Status that `/health` answers whatever the state is.
+        Status of responses to health checks, whatever the health is; 0 for the actual
+        one.
+    state : str
+        State that the target announces to its node.
     """
 
     target_id: str
@@ -80,15 +94,15 @@
     state: str = "up"
 
     def __post_init__(self):
-        """Keep the initial values for a reset."""
+        """Store the initial values, which a reset restores."""
         self.initial = dataclasses.asdict(self)
         self.runs = []
         self.counters = Counter()
-        self.open = set()
-        self.silenced = set()
-        self.calls = set()
+        self.open_connections = set()
+        self.silent_connections = set()
+        self.open_calls = set()
         self.stopping = False
-        self.called_at = 0.0
+        self.last_call_at = 0.0
         self.work = WorkQueue(self.slots, self.queue)
         self._samples = deque(maxlen=500)
         self.changed = asyncio.Event()
@@ -97,11 +111,11 @@
 
     @property
     def inflight(self):
-        """Requests in slots or waiting for one."""
+        """Number of requests that run or wait for a slot."""
         return self.work.inflight
 
     def update(self, values):
-        """Set the given fields and keep the others.
+        """Set the given fields and leave the others as they are.
 
         Raises
         ------
@@ -131,7 +145,7 @@
                 loop.call_later(self.cold_s, self.work.slow_down, "cold", 1.0)
         if not values or {"mean_s", "sigma", "seed"} & values.keys():
             mean_s = self.mean_s
-            self.next_time = (
+            self.draw_service_time = (
                 service_times(mean_s, self.sigma, self.seed)
                 if mean_s
                 else lambda: self.delay_s
@@ -142,52 +156,56 @@
                 self._noise_task = None
             if self.noise:
                 loop = asyncio.get_running_loop()
-                self._noise_task = loop.create_task(make_noise(self.work, **self.noise))
+                self._noise_task = loop.create_task(
+                    simulate_noisy_neighbour(self.work, **self.noise)
+                )
         if self.silence_open:
             self.silence_open = False
-            self.silenced |= self.open
+            self.silent_connections |= self.open_connections
 
     def sample(self, now):
-        """Keep the load and health of this moment for lagging reports."""
+        """Store the current load and health for reports that lag."""
         self._samples.append((now, self.inflight, self.fail))
 
     def load(self):
-        """Return the value of the load header, None if it is left out."""
+        """Return the value of the load header, or None to omit it."""
         if self.load_report == "none":
             return None
         inflight, _ = self._reported()
         return f"{self.load_report or inflight}/{self.slots}"
 
     def health(self):
-        """Return the status that `/health` answers."""
-        _, fails = self._reported()
-        return self.health_status or (500 if fails else 200)
+        """Return the status of the response to a health check."""
+        _, failing = self._reported()
+        return self.health_status or (500 if failing else 200)
 
     def _reported(self):
-        """Return the load and whether requests fail, as old as reports are."""
+        """Return the load and whether requests fail, as they were `load_lag_s` ago."""
         if not self.load_lag_s:
             return self.inflight, self.fail
-        then = asyncio.get_running_loop().time() - self.load_lag_s
-        found = (item[1:] for item in reversed(self._samples) if item[0] <= then)
-        return next(found, (0, False))
+        reported_at = asyncio.get_running_loop().time() - self.load_lag_s
+        old_enough = (
+            item[1:] for item in reversed(self._samples) if item[0] <= reported_at
+        )
+        return next(old_enough, (0, False))
 
 
 class TargetServer(HTTPServer):
-    """Server with a connection limit that counts the bytes of each connection."""
+    """HTTP server that limits connections and counts the bytes of each of them."""
 
     def initialize(self, *args, model, **kwargs):
-        """Take the model."""
+        """Store the model."""
         super().initialize(*args, **kwargs)
         self.model = model
 
     def handle_stream(self, stream, address):
-        """Serve a connection, or close it at once above the limit."""
+        """Serve a connection, or close it at once if the limit is reached."""
         model = self.model
-        if len(model.open) >= model.connections:
+        if len(model.open_connections) >= model.connections:
             model.counters["connections_refused"] += 1
             stream.close()
             return
-        model.open.add(stream)
+        model.open_connections.add(stream)
         stream.bytes_in = stream.bytes_out = 0
         read, write = stream.read_from_fd, stream.write_to_fd
 
@@ -205,29 +223,29 @@
         super().handle_stream(stream, address)
 
     def on_close(self, server_conn):
-        """Forget a connection."""
+        """Remove a closed connection from the model."""
         super().on_close(server_conn)
-        self.model.open.discard(server_conn.stream)
-        self.model.silenced.discard(server_conn.stream)
+        self.model.open_connections.discard(server_conn.stream)
+        self.model.silent_connections.discard(server_conn.stream)
 
 
 class ModelHandler(RequestHandler):
-    """Base of the handlers."""
+    """Base of the handlers that accounts bytes to the request kind `kind`."""
 
     kind = "admin"
 
     def initialize(self, model):
-        """Take the model."""
+        """Store the model."""
         self.model = model
 
     async def prepare(self):
-        """Never answer on a connection that went silent."""
+        """Wait forever if the target or this connection is silent."""
         self.stream = self.request.connection.stream
-        if self.model.silent or self.stream in self.model.silenced:
+        if self.model.silent or self.stream in self.model.silent_connections:
             await asyncio.Event().wait()
 
     def on_finish(self):
-        """Count the bytes of this exchange, and those that crossed regions."""
+        """Count the bytes of the request and its response, and those across regions."""
         stream, counters = self.stream, self.model.counters
         counters[f"{self.kind}_bytes_in"] += stream.bytes_in
         counters[f"{self.kind}_bytes_out"] += stream.bytes_out
@@ -237,7 +255,7 @@
         stream.bytes_in = stream.bytes_out = 0
 
     def set_load(self):
-        """Set the load header, unless it is left out."""
+        """Set the load header, unless a fault omits it."""
         load = self.model.load()
         if load is not None:
             self.set_header("X-Target-Load", load)
@@ -245,32 +263,32 @@
 
 @stream_request_body
 class WorkHandler(ModelHandler):
-    """Serves every path that is not of the stand-in itself."""
+    """Handler of calls, at all paths but those of the target itself."""
 
     kind = "call"
     received = 0
     task = None
 
     async def prepare(self):
-        """Count the call as in progress from its head on."""
-        self.model.calls.add(self)
-        self.model.called_at = asyncio.get_running_loop().time()
+        """Count the call as in progress as soon as its head has arrived."""
+        self.model.open_calls.add(self)
+        self.model.last_call_at = asyncio.get_running_loop().time()
         if self.model.stopping:
             self.set_header("Connection", "close")
         await super().prepare()
 
     def on_finish(self):
-        """Count the call as done."""
+        """Count the call as completed."""
         super().on_finish()
-        self.model.calls.discard(self)
+        self.model.open_calls.discard(self)
 
     def data_received(self, chunk):
-        """Count the body."""
+        """Count the bytes of the body."""
         self.received += len(chunk)
 
     def on_connection_close(self):
-        """Cancel the work, because nobody waits for the answer."""
-        self.model.calls.discard(self)
+        """Cancel the work, as its caller has disconnected."""
+        self.model.open_calls.discard(self)
         if self.task is not None:
             self.task.cancel()
 
@@ -292,7 +310,7 @@
         try:
             if model.shed:
                 raise Overloaded()
-            await model.work.run(model.next_time(), self._on_start)
+            await model.work.run(model.draw_service_time(), self._on_start)
         except Overloaded:
             counters["shed"] += 1
             self.set_status(503)
@@ -301,7 +319,7 @@
             return
         except asyncio.CancelledError:
             counters["cancelled"] += 1
-            # An empty answer would look like that of a call that has run.
+            # Without the close Tornado would send an empty response, as after a run.
             self.stream.close()
             return
         finally:
@@ -313,7 +331,7 @@
         fill = int(self.get_query_argument("fill", "0"))
         body = {"run": run_id, "target": model.target_id, "received": self.received}
         if fill:
-            # A body that belongs to this request only.
+            # A body that no other request has.
             pattern = f"{run_id}|".encode()
             self.write((pattern * (fill // len(pattern) + 1))[:fill])
         else:
@@ -323,50 +341,50 @@
 
 
 class LoadHandler(ModelHandler):
-    """The load endpoint."""
+    """Handler of load probes."""
 
     kind = "probe"
 
     def get(self):
-        """Answer the load."""
+        """Respond with the load."""
         self.model.counters["probes"] += 1
         self.set_load()
         self.write({"inflight": self.model.inflight, "slots": self.model.slots})
 
 
 class HealthHandler(ModelHandler):
-    """The health endpoint."""
+    """Handler of health checks."""
 
     kind = "health"
 
     def get(self):
-        """Answer 200 if the target works, unless the status is set."""
+        """Respond with the status that `TargetModel.health` returns."""
         self.set_status(self.model.health())
 
 
 class RunsHandler(ModelHandler):
-    """Requests that ran."""
+    """Handler that lists the requests that ran."""
 
     def get(self):
-        """Answer the run identifiers in order."""
+        """Respond with the run ids in order."""
         self.write({"runs": self.model.runs})
 
 
 class FaultsHandler(ModelHandler):
-    """Sets the faults in force."""
+    """Handler that sets faults and returns the counters."""
 
     async def prepare(self):
-        """Answer on a silent target as well."""
+        """Respond even if the target is silent."""
         self.stream = self.request.connection.stream
 
     def get(self):
-        """Answer the counters."""
+        """Respond with the counters."""
         model = self.model
-        extra = {"work_s": model.work.work_s, "inflight": model.inflight}
-        self.write(dict(model.counters) | extra)
+        current = {"work_s": model.work.work_s, "inflight": model.inflight}
+        self.write(dict(model.counters) | current)
 
     def post(self):
-        """Set the given faults and keep the others."""
+        """Set the given faults and leave the others as they are."""
         try:
             self.model.update(json.loads(self.request.body))
         except TypeError as exc:
@@ -375,7 +393,7 @@
 
 
 async def announce(model, addr, node_admin):
-    """Announce the target to its node every second, and when its state changes."""
+    """Announce the target to its node periodically and at each change of a fault."""
     client = AsyncHTTPClient()
     url = f"http://{node_admin}/v1/targets/{model.target_id}"
     while True:
@@ -391,40 +409,43 @@
         except OSError:
             pass
         except Exception as exc:
-            print(f"announcement refused: {exc}", flush=True)
+            print(f"announcement rejected: {exc}", flush=True)
         model.changed.clear()
         try:
-            await asyncio.wait_for(model.changed.wait(), RENEW_S)
+            await asyncio.wait_for(model.changed.wait(), ANNOUNCE_INTERVAL_S)
         except asyncio.TimeoutError:
             pass
 
 
 async def withdraw(model, node_admin):
-    """Drain at the node, finish what is in flight and withdraw.
+    """Drain the target at its node, complete the calls and remove the target.
 
-    Calls of nodes that have not heard of the drain yet are served; the target leaves
-    after `QUIET_S` without a new call.
+    Nodes that do not know of the drain yet may still send calls, which are served. The
+    target is removed once it has had no new call for `QUIET_PERIOD_S`.
     """
     loop = asyncio.get_running_loop()
     base = f"http://{node_admin}/v1/targets/{model.target_id}"
     client = AsyncHTTPClient()
     await client.fetch(base + "/drain", method="POST", body="")
     drained_at = loop.time()
-    while model.calls or loop.time() < max(model.called_at, drained_at) + QUIET_S:
+    while (
+        model.open_calls
+        or loop.time() < max(model.last_call_at, drained_at) + QUIET_PERIOD_S
+    ):
         await asyncio.sleep(0.05)
     await client.fetch(base, method="DELETE")
 
 
 async def sample_loads(model):
-    """Record the load for reports that lag."""
+    """Sample load and health periodically for reports that lag."""
     loop = asyncio.get_running_loop()
     while True:
         model.sample(loop.time())
-        await asyncio.sleep(LOAD_SAMPLE_S)
+        await asyncio.sleep(LOAD_SAMPLE_INTERVAL_S)
 
 
 async def serve(model, port, node_admins):
-    """Serve until SIGTERM, then drain, finish what is in flight and end."""
+    """Serve until SIGTERM, then drain, complete the calls and return."""
     sockets = bind_sockets(port, "127.0.0.1")
     args = {"model": model}
     application = Application(
@@ -450,15 +471,15 @@
     for task in tasks:
         task.cancel()
     model.stopping = True
-    gone = [withdraw(model, admin) for admin in node_admins]
-    await asyncio.gather(*gone, return_exceptions=True)
+    withdrawals = [withdraw(model, admin) for admin in node_admins]
+    await asyncio.gather(*withdrawals, return_exceptions=True)
     server.stop()
-    while any(stream.writing() for stream in model.open):
+    while any(stream.writing() for stream in model.open_connections):
         await asyncio.sleep(0.02)
 
 
 def main(argv):
-    """Run one target."""
+    """Run a target from the command-line flags."""
     args = flags.FLAGS
 
     async def run():
@@ -476,12 +497,14 @@
 
 
 if __name__ == "__main__":
-    flags.DEFINE_string("target_id", "t1", "Name of the target.")
+    flags.DEFINE_string("target_id", "t1", "Id of the target.")
     flags.DEFINE_string("service", "hive-ledger", "Service of the target.")
-    flags.DEFINE_string("region", "", "Region, to count bytes that cross regions.")
-    flags.DEFINE_integer("slots", 12, "Requests served at once.")
-    flags.DEFINE_integer("connections", 260, "Connections accepted.")
-    flags.DEFINE_float("delay_s", 0.0, "Time of service in seconds.")
+    flags.DEFINE_string(
+        "region", "", "Region; bytes of callers elsewhere are counted apart."
+    )
+    flags.DEFINE_integer("slots", 12, "Maximum number of requests that run at once.")
+    flags.DEFINE_integer("connections", 260, "Maximum number of open connections.")
+    flags.DEFINE_float("delay_s", 0.0, "Service time in seconds.")
     flags.DEFINE_integer("port", 0, "Port; chosen by the system if 0.")
     flags.DEFINE_string(
         "node_admin", "", "Comma-separated admin addresses of nodes on this host."
--- a/standins/work.py
+++ b/standins/work_queue.py
@@ -1,4 +1,4 @@
-"""Work of a stand-in target: slots, a bounded queue and a speed that may change."""
+"""Simulated work of a target: slots, a bounded queue and a variable speed."""
 
 import asyncio
 import math
@@ -7,41 +7,52 @@
 
 
 class Overloaded(Exception):
-    """The queue is full; the request was not run."""
+    """Raised for a request that did not run because the queue is full."""
 
 
 def service_times(mean_s, sigma, seed):
-    """Return a source of log-normal service times with the given mean, seconds."""
+    """Return a function that draws log-normal service times, in seconds."""
     rng = random.Random(seed)
     mu = math.log(mean_s) - sigma * sigma / 2.0
     return lambda: rng.lognormvariate(mu, sigma)
 
 
 class Job:
-    """A request in a slot; `left_s` is its work left at full speed."""
+    """A request that occupies a slot.
+
+    `remaining_s` is the time that the rest of its work takes at full speed, as of the
+    time `updated_at`.
+    """
 
     def __init__(self, work_s, now):
-        self.left_s = work_s
-        self.at = now
+        self.remaining_s = work_s
+        self.updated_at = now
         self.done = asyncio.get_running_loop().create_future()
         self.timer = None
 
 
 class WorkQueue:
-    """Runs jobs in a number of slots, first come first served.
+    """Runs jobs in a number of slots, first come, first served.
 
     Parameters
     ----------
     slots : int
-        Jobs that run at once.
+        Maximum number of jobs that run at once.
     queue : int
-        Jobs that may wait; unlimited if negative.
+        Maximum number of jobs that wait; unlimited if negative.
+
+    Attributes
+    ----------
+    slowdowns : dict
+        Factor on the service time, by its cause.
+    work_s : float
+        Time that slots were occupied by jobs that have ended, summed, seconds.
     """
 
     def __init__(self, slots, queue=-1):
         self.slots = slots
         self.queue = queue
-        self.factors = {}
+        self.slowdowns = {}
         self.work_s = 0.0
         self._busy = 0
         self._running = set()
@@ -49,27 +60,27 @@
 
     @property
     def inflight(self):
-        """Jobs that run or wait."""
+        """Number of jobs that run or wait."""
         return self._busy + len(self._waiting)
 
     @property
     def speed(self):
-        """Work done in one second by each job."""
-        return 1.0 / math.prod(self.factors.values())
+        """Seconds of work at full speed that each job does in one second."""
+        return 1.0 / math.prod(self.slowdowns.values())
 
     def slow_down(self, cause, factor):
-        """Slow the work by a factor, which applies to running jobs as well."""
+        """Set the slowdown of a cause, for running jobs as well; 1 ends it."""
         now = asyncio.get_running_loop().time()
         speed = self.speed
         for job in self._running:
-            job.left_s -= (now - job.at) * speed
-            job.at = now
-        self.factors[cause] = factor
+            job.remaining_s -= (now - job.updated_at) * speed
+            job.updated_at = now
+        self.slowdowns[cause] = factor
         for job in self._running:
             self._schedule(job)
 
     async def run(self, work_s, on_start):
-        """Wait for a slot, call `on_start` and do the work.
+        """Wait for a slot, call `on_start` and occupy the slot until the work is done.
 
         Raises
         ------
@@ -97,23 +108,23 @@
         if self._busy < self.slots:
             self._busy += 1
             return
-        turn = asyncio.get_running_loop().create_future()
-        self._waiting.append(turn)
+        slot_granted = asyncio.get_running_loop().create_future()
+        self._waiting.append(slot_granted)
         try:
-            await turn
+            await slot_granted
         except asyncio.CancelledError:
-            if turn in self._waiting:
-                self._waiting.remove(turn)
-            elif not turn.cancelled():
+            if slot_granted in self._waiting:
+                self._waiting.remove(slot_granted)
+            elif not slot_granted.cancelled():
                 self._release_slot()
             raise
 
     def _release_slot(self):
         while self._waiting:
-            turn = self._waiting.popleft()
-            if not turn.done():
+            slot_granted = self._waiting.popleft()
+            if not slot_granted.done():
                 # The slot passes to the waiting job and stays busy.
-                turn.set_result(None)
+                slot_granted.set_result(None)
                 return
         self._busy -= 1
 
@@ -121,7 +132,7 @@
         if job.timer is not None:
             job.timer.cancel()
         loop = asyncio.get_running_loop()
-        delay_s = max(job.left_s, 0.0) / self.speed
+        delay_s = max(job.remaining_s, 0.0) / self.speed
         job.timer = loop.call_later(delay_s, self._finish, job)
 
     @staticmethod
@@ -130,8 +141,12 @@
             job.done.set_result(None)
 
 
-async def make_noise(work, seed, every_s, min_s, max_s, factor):
-    """Slow the work by `factor` for `min_s` to `max_s`, about every `every_s`."""
+async def simulate_noisy_neighbour(work, seed, every_s, min_s, max_s, factor):
+    """Slow the work of a queue at random times, as another user of the host would.
+
+    Each slowdown by `factor` takes `min_s` to `max_s`; the time between two of them is
+    exponentially distributed with the mean `every_s`.
+    """
     rng = random.Random(seed)
     try:
         while True:
