--- a/packaging_tools/build.py
+++ b/packaging_tools/build.py
@@ -1,8 +1,8 @@
-"""Build `dist/pimentoline`, one file that runs as one process without a disk.
+"""Build `dist/pimentoline`, one file that runs as one process and needs no disk.
 
-PyInstaller collects the interpreter and the modules into a directory; a small
-launcher with that directory as a compressed archive behind it becomes the program.
-PyInstaller's own single-file form is not used, since it runs the program as a child.
+PyInstaller collects the interpreter and the modules in a directory. The program is a
+small launcher with that directory appended as a compressed archive. PyInstaller's
+own one-file mode is not used, since it runs the program as a child process.
 """
 
 import gzip
@@ -31,7 +31,7 @@
 
 
 def collect():
-    """Let PyInstaller collect the program into a directory and return it."""
+    """Collect the program in a directory with PyInstaller; return its path."""
     args = [sys.executable, "-m", "PyInstaller", "--noconfirm", "--log-level=WARN"]
     args += ["--onedir", "--strip", "--name=pimentoline", "--contents-directory=lib"]
     args += [f"--distpath={BUILD}", f"--workpath={BUILD / 'work'}"]
@@ -53,24 +53,27 @@
     return output.read_bytes()
 
 
-def archive(folder):
-    """Return the directory as a compressed ustar archive with fixed times."""
+def archive(directory):
+    """Return a directory as a reproducible compressed ustar archive."""
     path = BUILD / "payload.tar"
 
-    def clean(info):
+    def remove_metadata(info):
         info.mtime = info.uid = info.gid = 0
         info.uname = info.gname = ""
         return info
 
     with tarfile.open(path, "w", format=tarfile.USTAR_FORMAT) as tar:
-        for item in sorted(folder.rglob("*")):
-            name = str(item.relative_to(folder))
-            tar.add(item, name, recursive=False, filter=clean)
+        for item in sorted(directory.rglob("*")):
+            name = str(item.relative_to(directory))
+            tar.add(item, name, recursive=False, filter=remove_metadata)
     return gzip.compress(path.read_bytes(), 6, mtime=0)
 
 
 def bundle(launcher, payload):
-    """Return launcher, payload and trailer as the bytes of one program."""
+    """Return the bytes of a program: launcher, payload and trailer.
+
+    The trailer is `struct trailer` in launcher.c.
+    """
     digest = hashlib.sha256(payload).hexdigest()[:32].encode()
     return launcher + payload + struct.pack("=32sQ8s", digest, len(payload), MAGIC)
 
--- a/packaging_tools/launcher.c
+++ b/packaging_tools/launcher.c
@@ -1,10 +1,10 @@
 /*
  * Launcher of the single-file build.
  *
- * The file is this program followed by a zlib-compressed ustar archive and a
- * trailer. The archive is unpacked once to a memory-backed directory that is named
- * by its digest; then the process replaces itself by the unpacked program, so
- * that no second process exists and no disk is used.
+ * The file consists of this program, a gzip-compressed ustar archive and a trailer.
+ * The archive is unpacked once, to a directory in memory that is named after its
+ * digest. Then exec replaces the launcher by the unpacked program, so that there is
+ * no second process and no disk is used.
  */
 #define _GNU_SOURCE
 #include <errno.h>
@@ -20,29 +20,32 @@
 #include <unistd.h>
 #include <zlib.h>
 
-#define TMPFS_TYPE 0x01021994
+#define TMPFS_TYPE 0x01021994 /* TMPFS_MAGIC of linux/magic.h */
 #define BLOCK_BYTES 512
 #define DIGEST_CHARS 32
 #define MAGIC "PIMENTO1"
 #define PROGRAM "pimentoline"
 
+/* Last bytes of the file, as written by build.py. */
 struct trailer {
   char digest[DIGEST_CHARS];
   uint64_t payload_bytes;
   char magic[8];
 };
 
+/* Prints an error with the text of errno and exits. */
 static void fail(const char *code, const char *detail) {
   fprintf(stderr, "error: %s: %s: %s\n", code, detail, strerror(errno));
   exit(2);
 }
 
-/* Returns whether the directory is writable and kept in memory. */
+/* Returns whether the directory is writable and on a tmpfs. */
 static int is_memory_backed(const char *dir) {
   struct statfs fs;
   return statfs(dir, &fs) == 0 && fs.f_type == TMPFS_TYPE && access(dir, W_OK) == 0;
 }
 
+/* Returns the first usable directory for the unpacked program, or fails. */
 static const char *runtime_dir(void) {
   const char *candidates[] = {getenv("PIMENTOLINE_RUNTIME_DIR"),
                               getenv("XDG_RUNTIME_DIR"), "/run", "/tmp"};
@@ -53,7 +56,7 @@
   return NULL;
 }
 
-/* Formats a path and fails if it does not fit. */
+/* Formats a path; fails if it is longer than PATH_MAX. */
 __attribute__((format(printf, 2, 3))) static void format_path(char *path,
                                                               const char *format, ...) {
   va_list args;
@@ -65,29 +68,37 @@
 
 static gzFile payload;
 
-static void read_block(void *buffer, unsigned size) {
+/* Reads exactly `size` bytes of the archive, or fails. */
+static void read_payload(void *buffer, unsigned size) {
   if (gzread(payload, buffer, size) != (int)size) fail("bundle-damaged", "short read");
 }
 
+/* Writes the next `size` bytes of the archive to a new file. */
 static void unpack_file(const char *path, mode_t mode, uint64_t size) {
   char buffer[64 * BLOCK_BYTES];
   int fd = open(path, O_WRONLY | O_CREAT | O_EXCL, mode);
   if (fd < 0) fail("unpack-failed", path);
   while (size > 0) {
+    /* Files are padded to whole blocks. */
     uint64_t padded = (size + BLOCK_BYTES - 1) / BLOCK_BYTES * BLOCK_BYTES;
-    unsigned part = padded < sizeof buffer ? (unsigned)padded : sizeof buffer;
-    unsigned wanted = size < part ? (unsigned)size : part;
-    read_block(buffer, part);
-    if (write(fd, buffer, wanted) != (ssize_t)wanted) fail("unpack-failed", path);
-    size -= wanted;
+    unsigned chunk = padded < sizeof buffer ? (unsigned)padded : sizeof buffer;
+    unsigned data_bytes = size < chunk ? (unsigned)size : chunk;
+    read_payload(buffer, chunk);
+    if (write(fd, buffer, data_bytes) != (ssize_t)data_bytes)
+      fail("unpack-failed", path);
+    size -= data_bytes;
   }
   close(fd);
 }
 
+/*
+ * Unpacks directories, symbolic links and files. Offsets in a ustar header: 0 name,
+ * 100 mode, 124 size, 156 type, 157 link target, 345 prefix of the name.
+ */
 static void unpack(const char *dir) {
   char header[BLOCK_BYTES], path[PATH_MAX];
   for (;;) {
-    read_block(header, sizeof header);
+    read_payload(header, sizeof header);
     if (header[0] == '\0') break;
     format_path(path, "%s/%.155s%s%.100s", dir, header + 345,
                 header[345] ? "/" : "", header);
@@ -101,31 +112,32 @@
       unpack_file(path, mode, size);
     }
   }
-  /* Reading to the end makes zlib verify the checksum of the whole archive. */
+  /* zlib verifies the checksum of the archive when it is read to the end. */
   int size;
   while ((size = gzread(payload, header, sizeof header)) > 0) continue;
   if (size < 0) fail("bundle-damaged", "checksum");
 }
 
 int main(int argc, char **argv) {
-  struct trailer end;
-  char dir[PATH_MAX], fresh[PATH_MAX], program[PATH_MAX];
+  struct trailer trailer;
+  char dir[PATH_MAX], staging_dir[PATH_MAX], program[PATH_MAX];
   int fd = open("/proc/self/exe", O_RDONLY | O_CLOEXEC);
-  if (fd < 0 || lseek(fd, -(off_t)sizeof end, SEEK_END) < 0 ||
-      read(fd, &end, sizeof end) != sizeof end || memcmp(end.magic, MAGIC, 8) != 0)
+  if (fd < 0 || lseek(fd, -(off_t)sizeof trailer, SEEK_END) < 0 ||
+      read(fd, &trailer, sizeof trailer) != sizeof trailer ||
+      memcmp(trailer.magic, MAGIC, 8) != 0)
     fail("bundle-damaged", "no trailer");
   const char *base = runtime_dir();
-  format_path(dir, "%s/pimentoline-%.32s", base, end.digest);
+  format_path(dir, "%s/pimentoline-%.32s", base, trailer.digest);
   format_path(program, "%s/%s", dir, PROGRAM);
   if (access(program, X_OK) != 0) {
-    lseek(fd, -(off_t)(sizeof end + end.payload_bytes), SEEK_END);
+    lseek(fd, -(off_t)(sizeof trailer + trailer.payload_bytes), SEEK_END);
     payload = gzdopen(dup(fd), "rb");
-    format_path(fresh, "%s.%d", dir, (int)getpid());
-    if (!payload || mkdir(fresh, 0755) != 0) fail("unpack-failed", fresh);
-    unpack(fresh);
+    format_path(staging_dir, "%s.%d", dir, (int)getpid());
+    if (!payload || mkdir(staging_dir, 0755) != 0) fail("unpack-failed", staging_dir);
+    unpack(staging_dir);
     gzclose(payload);
-    /* Another process may have unpacked at the same time; its result is as good. */
-    if (rename(fresh, dir) != 0 && access(program, X_OK) != 0)
+    /* If the rename fails, another process may have unpacked the same archive. */
+    if (rename(staging_dir, dir) != 0 && access(program, X_OK) != 0)
       fail("unpack-failed", dir);
   }
   close(fd);
--- a/standins/target.py
+++ b/standins/target.py
@@ -249,8 +249,8 @@
         stream, counters = self.stream, self.model.counters
         counters[f"{self.kind}_bytes_in"] += stream.bytes_in
         counters[f"{self.kind}_bytes_out"] += stream.bytes_out
-        caller = self.request.headers.get("X-Caller-Region", self.model.region)
-        if caller != self.model.region:
+        caller_region = self.request.headers.get("X-Caller-Region", self.model.region)
+        if caller_region != self.model.region:
             counters[f"{self.kind}_bytes_cross"] += stream.bytes_in + stream.bytes_out
         stream.bytes_in = stream.bytes_out = 0
 
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -1,4 +1,4 @@
-"""The launcher of the single-file build, with a small program as payload."""
+"""Tests of the launcher of the single-file build, with a shell script as payload."""
 
 import os
 import shutil
@@ -13,18 +13,18 @@
 
 @pytest.fixture
 def bundle(tmp_path, monkeypatch):
-    """Yield a bundle whose program prints its process number and arguments."""
+    """Yield a bundle whose program prints its pid and argument, and a directory."""
     if shutil.which("cc") is None:
         pytest.fail("no C compiler; the binary cannot be built")
     monkeypatch.setattr(build, "BUILD", tmp_path)
-    folder = tmp_path / "payload"
-    (folder / "lib").mkdir(parents=True)
-    program = folder / "pimentoline"
+    payload_dir = tmp_path / "payload"
+    (payload_dir / "lib").mkdir(parents=True)
+    program = payload_dir / "pimentoline"
     program.write_text("#!/bin/sh\necho $$ $1\n")
     program.chmod(0o755)
-    (folder / "lib" / "data").write_bytes(b"x" * 100_000)
+    (payload_dir / "lib" / "data").write_bytes(b"x" * 100_000)
     path = tmp_path / "bundle"
-    path.write_bytes(build.bundle(build.compile_launcher(), build.archive(folder)))
+    path.write_bytes(build.bundle(build.compile_launcher(), build.archive(payload_dir)))
     path.chmod(0o755)
     runtime = f"{TMPFS}/pimentoline-test-{os.getpid()}"
     os.mkdir(runtime)
@@ -33,7 +33,7 @@
 
 
 def run(path, runtime):
-    """Run the bundle and return (its process number, the finished process)."""
+    """Run the bundle; return (the finished process, its stdout, its stderr)."""
     env = {"PIMENTOLINE_RUNTIME_DIR": runtime, "PATH": os.environ["PATH"]}
     args = [str(path), "argument"]
     popen = subprocess.Popen(args, env=env, stdout=-1, stderr=-1, text=True)
@@ -42,7 +42,7 @@
 
 
 def test_program_replaces_launcher(bundle):
-    """Guards against a launcher that stays as the parent of the program."""
+    """Guards against a launcher that stays alive as the parent of the program."""
     path, runtime = bundle
     for _ in range(2):
         popen, out, err = run(path, runtime)
@@ -52,13 +52,13 @@
     assert os.path.getsize(f"{runtime}/{unpacked}/lib/data") == 100_000
 
 
-@pytest.mark.parametrize("place", [-200, -56])
-def test_damaged_bundle_is_refused(bundle, place):
-    """Guards against running a program that was unpacked from damaged bytes."""
+# -200 is in the archive, -56 is the first byte of its checksum.
+@pytest.mark.parametrize("position", [-200, -56])
+def test_damaged_bundle_is_refused(bundle, position):
+    """Guards against running a program that was unpacked from a damaged archive."""
     path, runtime = bundle
     data = bytearray(path.read_bytes())
-    # -200 lies in the archive, -56 is the first byte of its checksum.
-    data[place] ^= 0xFF
+    data[position] ^= 0xFF
     path.write_bytes(data)
     popen, _, err = run(path, runtime)
     assert popen.returncode == 2
