--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shared fixtures: processes of the system, started and ended by id."""
+"""Shared fixtures, and helpers for child processes that many tests import."""
 
 import pytest
 
@@ -9,7 +9,7 @@
 
 @pytest.fixture
 def cluster():
-    """Yield an empty `Cluster` and end its processes afterwards."""
-    found = Cluster()
-    yield found
-    found.close()
+    """Yield a `Cluster` without processes; kill those that the test started."""
+    empty = Cluster()
+    yield empty
+    empty.close()
--- a/tests/history.py
+++ b/tests/history.py
@@ -1,8 +1,17 @@
-"""Histories of concurrent calls: recorded by callers, checked against the targets.
+"""Records calls of concurrent callers and checks them against the targets' runs.
 
-A `Try` is one request of a caller and what the caller learned of it. `UNKNOWN` is an
-outcome of its own: the caller saw no complete answer, so the request may have run or
-may yet run. The checks return descriptions of violations, an empty list if none.
+The checks cover these guarantees of the system:
+
+P2
+    A response is complete and belongs to its own request.
+P3
+    A request did not run at any target if its caller was told so.
+P4
+    A keyed operation, and a request that must not be repeated, runs at most once.
+P6
+    A planned stop of a node or target interrupts no call.
+
+Each check returns a list with a description of each violation.
 """
 
 import http.client
@@ -15,15 +24,29 @@
 
 ANSWERED = "answered"
 REFUSED = "refused"
+# The caller got no complete response, so the request may have run or may still run.
 UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True)
-class Try:
-    """One request of a caller.
-
-    `run_id` names this request alone; `op` is shared by the tries of one operation,
-    which have one idempotency key if `keyed`.
+class Attempt:
+    """One attempt of a caller to get an operation done, and its outcome.
+
+    Attributes
+    ----------
+    op : str
+        Id of the operation, which its attempts share.
+    run_id : str
+        Id of this attempt.
+    keyed : bool
+        Whether the attempt has an idempotency key, which is `op`.
+    invoked, completed : float
+        Monotonic times at which the caller sent the request and ended it, seconds.
+    outcome : str
+        `ANSWERED`; `REFUSED` if the node accepted no connection; or `UNKNOWN`.
+    sent, fill : int
+        Length of the request body, and of the response body that was asked for; the
+        target chooses the response body if `fill` is 0.
     """
 
     op: str
@@ -43,51 +66,53 @@
 
 
 def fill_body(run_id, size):
-    """Return a body of `size` bytes that belongs to one request only."""
+    """Return a body of `size` bytes that is unique to a request."""
     pattern = f"{run_id}|".encode()
     return (pattern * (size // len(pattern) + 1))[:size]
 
 
 class History:
-    """Tries in the order of their completion, recorded by many threads."""
+    """Attempts of all callers in the order of completion; safe for threads."""
 
     def __init__(self):
-        self.tries = []
+        self.attempts = []
         self._lock = threading.Lock()
         self._ids = itertools.count(1)
 
-    def call(self, node, addr, op, method="GET", keyed=False, fill=0, sent=0, **more):
-        """Send one request to a node and record what became of it."""
+    def call(
+        self, node, addr, op, method="GET", keyed=False, fill=0, sent=0, **headers
+    ):
+        """Send one request to a node; record and return the attempt."""
         with self._lock:
             run_id = f"{op}.{next(self._ids)}"
-        headers = {"Host": "hive-ledger", "X-Run-Id": run_id, **more}
+        headers = {"Host": "hive-ledger", "X-Run-Id": run_id, **headers}
         if keyed:
             headers["Idempotency-Key"] = op
         invoked = time.monotonic()
-        known = {"outcome": UNKNOWN}
+        result = {"outcome": UNKNOWN}
         timeout = int(headers.setdefault("X-Deadline-Ms", "3000")) / 1000 + 0.3
         conn = http.client.HTTPConnection(*addr, timeout=timeout)
         try:
             conn.connect()
         except OSError:
-            known = {"outcome": REFUSED}
+            result = {"outcome": REFUSED}
         else:
             try:
                 body = fill_body(run_id, sent) if sent else None
                 conn.request(method, f"/work?fill={fill}", body, headers)
-                answer = conn.getresponse()
-                known = {
-                    "body": answer.read(),
+                response = conn.getresponse()
+                result = {
+                    "body": response.read(),
                     "outcome": ANSWERED,
-                    "status": answer.status,
-                    "verdict": answer.getheader("X-Verdict", ""),
-                    "replayed": answer.getheader("X-Replayed") == "1",
+                    "status": response.status,
+                    "verdict": response.getheader("X-Verdict", ""),
+                    "replayed": response.getheader("X-Replayed") == "1",
                 }
             except (OSError, http.client.HTTPException):
                 pass
         finally:
             conn.close()
-        done = Try(
+        attempt = Attempt(
             op,
             run_id,
             node,
@@ -97,90 +122,101 @@
             time.monotonic(),
             sent=sent,
             fill=fill,
-            **known,
+            **result,
         )
         with self._lock:
-            self.tries.append(done)
-        return done
+            self.attempts.append(attempt)
+        return attempt
 
 
-def whole_and_own(tries):
-    """P2: a good answer is complete and belongs to its own request (or operation)."""
+def check_responses(attempts):
+    """Check P2: a 200 response is complete and for its own request or operation."""
     found = []
-    for item in tries:
-        if item.outcome != ANSWERED or item.status != 200:
+    for attempt in attempts:
+        if attempt.outcome != ANSWERED or attempt.status != 200:
             continue
-        if item.fill and not item.replayed:
-            if item.body != fill_body(item.run_id, item.fill):
-                found.append(f"{item.run_id}: wrong body of {len(item.body)} bytes")
+        if attempt.fill and not attempt.replayed:
+            if attempt.body != fill_body(attempt.run_id, attempt.fill):
+                found.append(
+                    f"{attempt.run_id}: wrong body of {len(attempt.body)} bytes"
+                )
             continue
         try:
-            said = json.loads(item.body)
+            reported = json.loads(attempt.body)
         except ValueError:
-            found.append(f"{item.run_id}: cut body {item.body[:40]!r}")
+            found.append(f"{attempt.run_id}: truncated body {attempt.body[:40]!r}")
             continue
-        mine = str(said["run"])
-        own = mine.startswith(f"{item.op}.") if item.replayed else mine == item.run_id
-        if not own or said["received"] != item.sent:
-            found.append(f"{item.run_id}: answer of {mine}, {said['received']} bytes")
+        run_id = str(reported["run"])
+        own = (
+            run_id.startswith(f"{attempt.op}.")
+            if attempt.replayed
+            else run_id == attempt.run_id
+        )
+        if not own or reported["received"] != attempt.sent:
+            found.append(
+                f"{attempt.run_id}: response of {run_id}, {reported['received']} bytes"
+            )
     return found
 
 
-def not_run_is_true(tries, runs):
-    """P3: a request that the caller was told had not run is in no target's runs."""
+def check_not_run(attempts, runs):
+    """Check P3: no request ran whose caller was told that it had not run."""
     ran = set(runs)
     return [
-        f"{item.run_id}: told not-run, but ran"
-        for item in tries
-        if (item.verdict == "not-run" or item.outcome == REFUSED) and item.run_id in ran
+        f"{attempt.run_id}: reported as not-run, but ran"
+        for attempt in attempts
+        if (attempt.verdict == "not-run" or attempt.outcome == REFUSED)
+        and attempt.run_id in ran
     ]
 
 
-def at_most_once(tries, runs):
-    """P4: a keyed operation runs once, and so does each request that is not repeatable.
+def check_runs_once(attempts, runs):
+    """Check P4: keyed operations and requests that must not be repeated ran once.
 
-    Tries of the same keyed operation count together, whatever their outcomes.
+    The runs of all attempts of a keyed operation are summed, whatever their outcomes.
     """
     counts = Counter(runs)
-    groups = defaultdict(set)
-    for item in tries:
-        if item.method not in ("GET", "HEAD", "OPTIONS"):
-            groups[item.op if item.keyed else item.run_id].add(item.run_id)
+    run_ids = defaultdict(set)
+    for attempt in attempts:
+        if attempt.method not in ("GET", "HEAD", "OPTIONS"):
+            run_ids[attempt.op if attempt.keyed else attempt.run_id].add(attempt.run_id)
     found = []
-    for name, members in groups.items():
+    for name, members in run_ids.items():
         total = sum(counts[run_id] for run_id in members)
         if total > 1:
             found.append(f"{name}: ran {total} times")
     return found
 
 
-def answers_are_of_runs(tries, runs):
-    """P2, P4: a good answer belongs to a request that ran, or replays one that did."""
+def check_responses_have_runs(attempts, runs):
+    """Check P2, P4: each 200 response is of a request that ran, or a replay of one."""
     ran = set(runs)
     ops = {run_id.rpartition(".")[0] for run_id in ran}
     return [
-        f"{item.run_id}: answered 200 without a run"
-        for item in tries
-        if item.outcome == ANSWERED
-        and item.status == 200
-        and not (item.op in ops if item.replayed else item.run_id in ran)
+        f"{attempt.run_id}: answered 200 without a run"
+        for attempt in attempts
+        if attempt.outcome == ANSWERED
+        and attempt.status == 200
+        and not (attempt.op in ops if attempt.replayed else attempt.run_id in ran)
     ]
 
 
-def nothing_was_cut(tries):
-    """P6: every request that was accepted got a complete answer that is no error."""
+def check_no_interruption(attempts):
+    """Check P6: each accepted request got a complete response that is no 5xx."""
     return [
-        f"{item.run_id} at {item.node}: {item.outcome} {item.status} {item.verdict}"
-        for item in tries
-        if item.outcome == UNKNOWN or (item.outcome == ANSWERED and item.status >= 500)
+        f"{attempt.run_id} at {attempt.node}: "
+        f"{attempt.outcome} {attempt.status} {attempt.verdict}"
+        for attempt in attempts
+        if attempt.outcome == UNKNOWN
+        or (attempt.outcome == ANSWERED and attempt.status >= 500)
     ]
 
 
-def check(tries, runs):
-    """Return every violation of P2, P3 and P4."""
+def check_all(attempts, runs):
+    """Return all violations of P2, P3 and P4."""
     return [
-        *whole_and_own(tries),
-        *not_run_is_true(tries, runs),
-        *at_most_once(tries, runs),
-        *answers_are_of_runs(tries, runs),
+        *check_responses(attempts),
+        *check_not_run(attempts, runs),
+        *check_runs_once(attempts, runs),
+        *check_responses_have_runs(attempts, runs),
     ]
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Run pytest and behave and print one closing line with the sum of both."""
+"""Run pytest and behave; the last line printed is the test count of both."""
 
 import json
 import subprocess
@@ -8,35 +8,38 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-KNOWN_RED = ROOT / "KNOWN-RED.txt"
+KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
 
 
-def known_red_tests():
-    """Names of tests that KNOWN-RED.txt lists, one on each `test:` line."""
-    if not KNOWN_RED.exists():
+def read_known_failures():
+    """Return the names of known failures, from the `test:` lines of KNOWN-RED.txt."""
+    if not KNOWN_FAILURES_FILE.exists():
         return []
-    lines = KNOWN_RED.read_text().splitlines()
-    return [ln.split(":", 1)[1].strip() for ln in lines if ln.startswith("test:")]
+    lines = KNOWN_FAILURES_FILE.read_text().splitlines()
+    return [line.split(":", 1)[1].strip() for line in lines if line.startswith("test:")]
 
 
-def run_pytest(report, known_red):
-    """Return (passed, failed) of the pytest run; a crash counts as one failure."""
+def run_pytest(report, known_failures):
+    """Run pytest; return (passed, failed). A crash counts as one failure."""
     args = [sys.executable, "-m", "pytest", f"--junitxml={report}"]
-    args += [f"--deselect={name}" for name in known_red if "::" in name]
-    code = subprocess.run(args, cwd=ROOT).returncode
+    args += [f"--deselect={name}" for name in known_failures if "::" in name]
+    exit_status = subprocess.run(args, cwd=ROOT).returncode
     if not Path(report).exists():
         return 0, 1
     suite = ElementTree.parse(report).getroot().find("testsuite")
     total = int(suite.get("tests"))
     failed = int(suite.get("failures")) + int(suite.get("errors"))
     passed = total - failed - int(suite.get("skipped"))
-    if code != 0 and failed == 0:
+    if exit_status != 0 and failed == 0:
         failed = 1
     return passed, failed
 
 
-def run_behave(report, known_red):
-    """Return (passed, failed) scenarios; undefined or empty steps count as failed."""
+def run_behave(report, known_failures):
+    """Run behave; return the numbers of (passed, failed) scenarios.
+
+    A scenario without steps, or with an undefined one, counts as failed.
+    """
     args = [
         sys.executable,
         "-m",
@@ -48,7 +51,7 @@
         str(report),
     ]
     args += ["-f", "progress", "features"]
-    code = subprocess.run(args, cwd=ROOT).returncode
+    exit_status = subprocess.run(args, cwd=ROOT).returncode
     passed = failed = 0
     try:
         features = json.loads(Path(report).read_text())
@@ -59,30 +62,30 @@
             if element.get("type") == "background":
                 continue
             steps = element.get("steps", [])
-            good = bool(steps) and all(
+            scenario_passed = bool(steps) and all(
                 step.get("result", {}).get("status") == "passed" for step in steps
             )
-            if element["name"] in known_red:
-                print(f"known red: {element['name']}")
-            elif good:
+            if element["name"] in known_failures:
+                print(f"known failure: {element['name']}")
+            elif scenario_passed:
                 passed += 1
             else:
                 failed += 1
                 print(f"scenario failed: {element['name']}")
-    if code != 0 and failed == 0 and not known_red:
+    if exit_status != 0 and failed == 0 and not known_failures:
         failed = 1
     return passed, failed
 
 
 def main():
-    """Run both runners and exit 0 only if something ran and nothing failed."""
-    known_red = known_red_tests()
-    for name in known_red:
-        print(f"known red, not counted: {name}")
-    with tempfile.TemporaryDirectory() as folder:
+    """Run pytest and behave; return 0 if a test ran and none failed, else 1."""
+    known_failures = read_known_failures()
+    for name in known_failures:
+        print(f"known failure, not counted: {name}")
+    with tempfile.TemporaryDirectory() as report_dir:
         counts = [
-            run_pytest(Path(folder) / "pytest.xml", known_red),
-            run_behave(Path(folder) / "behave.json", known_red),
+            run_pytest(Path(report_dir) / "pytest.xml", known_failures),
+            run_behave(Path(report_dir) / "behave.json", known_failures),
         ]
     passed = sum(count[0] for count in counts)
     failed = sum(count[1] for count in counts)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -1,4 +1,7 @@
-"""P2, P3, P4 and P6 with real processes, faults and concurrent callers."""
+"""Tests of P2, P3, P4 and P6 with real processes, faults and concurrent callers.
+
+The guarantees are described in `history`.
+"""
 
 import json
 import random
@@ -13,20 +16,23 @@
 from .history import (
     ANSWERED,
     History,
-    at_most_once,
-    check,
-    nothing_was_cut,
-    whole_and_own,
+    check_all,
+    check_no_interruption,
+    check_responses,
+    check_runs_once,
 )
 
 CALLERS = 6
 SEED = 20
-# Callers give up 1.3 s after they sent a call with 1 s left, and try elsewhere.
+# Longer than the timeout of a caller, which is its deadline of 1 s and 0.3 s more.
 FREEZE_S = 2.2
 
 
 def start(cluster, nodes, targets=("t1", "t2"), **settings):
-    """Start a table, nodes, and targets at the last node; wait until all are known."""
+    """Start a table service, nodes, and targets at the last node.
+
+    Wait until each node knows all targets; return the data addresses of the nodes.
+    """
     cluster.start_table()
     for node in nodes:
         seeds = ""
@@ -51,8 +57,7 @@
 
 
 def runs(cluster):
-    """Return the run ids of all targets, once nothing is in flight there."""
-
+    """Wait until all targets are idle; return the ids of the requests that ran."""
     wait_until(
         lambda: not any(inflight(cluster, name) for name in cluster.targets),
         message="idle targets",
@@ -65,12 +70,12 @@
 
 @contextmanager
 def callers(work):
-    """Run `work(rng, number)` in threads, again and again during the block."""
-    until = threading.Event()
+    """Call `work(rng, number)` repeatedly in threads while the block runs."""
+    stopping = threading.Event()
 
     def loop(number):
         rng = random.Random(SEED + number)
-        while not until.is_set():
+        while not stopping.is_set():
             work(rng, number)
 
     threads = [threading.Thread(target=loop, args=(n,)) for n in range(CALLERS)]
@@ -79,35 +84,37 @@
     try:
         yield
     finally:
-        until.set()
+        stopping.set()
         for thread in threads:
             thread.join()
 
 
-def sell(history, addrs, op, rng, tries=3, **more):
-    """Make a sale, and again with the same key at other nodes until it is settled."""
+def sell(history, addrs, op, rng, max_attempts=3, **headers):
+    """Send a keyed sale to nodes in turn until one completes or conflicts."""
     order = rng.sample(sorted(addrs), len(addrs))
-    for number in range(tries):
+    for number in range(max_attempts):
         node = order[number % len(order)]
-        done = history.call(node, addrs[node], op, "POST", True, **more)
-        if done.outcome == ANSWERED and done.status in (200, 409):
+        attempt = history.call(node, addrs[node], op, "POST", True, **headers)
+        if attempt.outcome == ANSWERED and attempt.status in (200, 409):
             return
 
 
-def make_work(history, addrs, **more):
-    """Return the work of a caller: keyed sales, plain sales and reads."""
+def make_work(history, addrs, **headers):
+    """Return a function that sends a keyed sale, a sale without a key, or a read."""
 
     def work(rng, number):
         op = f"c{number}-{rng.getrandbits(40):x}"
         node = rng.choice(sorted(addrs))
         kind = rng.random()
         if kind < 0.4:
-            sell(history, addrs, op, rng, **more)
+            sell(history, addrs, op, rng, **headers)
         elif kind < 0.6:
-            history.call(node, addrs[node], op, "POST", sent=rng.choice([0, 9]), **more)
+            history.call(
+                node, addrs[node], op, "POST", sent=rng.choice([0, 9]), **headers
+            )
         else:
             size = rng.choice([0, 100, 70_000, 300_000])
-            history.call(node, addrs[node], op, fill=size, **more)
+            history.call(node, addrs[node], op, fill=size, **headers)
 
     return work
 
@@ -116,13 +123,15 @@
     http(target_url(cluster, name, "/faults"), "POST", values)
 
 
-def refused(history):
-    """Return the calls that were told that they had not run."""
-    return [item for item in list(history.tries) if item.verdict == "not-run"]
+def not_run_attempts(history):
+    """Return the attempts whose response says that they did not run."""
+    return [
+        attempt for attempt in list(history.attempts) if attempt.verdict == "not-run"
+    ]
 
 
 def test_answers_and_verdicts_under_faults_of_targets(cluster):
-    """Guards against foreign or cut answers (P2) and a false not-run (P3)."""
+    """Guards against mixed-up or truncated responses (P2) and a false not-run (P3)."""
     names = ["t1", "t2", "t3"]
     addrs = start(cluster, ["n1", "n2"], names, slots=3)
     history = History()
@@ -141,21 +150,21 @@
             set_fault(cluster, name, reset=True)
         for name in names:
             set_fault(cluster, name, shed=True)
-        # On a busy machine few calls are made in a given time.
-        wait_until(lambda: len(refused(history)) > 10)
+        # A fixed time would see too few calls on a busy machine.
+        wait_until(lambda: len(not_run_attempts(history)) > 10)
         for name in names:
             set_fault(cluster, name, reset=True, queue=0, delay_s=0.05)
         time.sleep(0.25)
-    answered = [item for item in history.tries if item.status == 200]
-    assert len(answered) > 50 and len(refused(history)) > 10
-    assert check(history.tries, runs(cluster)) == []
+    answered = [attempt for attempt in history.attempts if attempt.status == 200]
+    assert len(answered) > 50 and len(not_run_attempts(history)) > 10
+    assert check_all(history.attempts, runs(cluster)) == []
 
 
-def freeze_until_a_key_is_held(cluster, history):
-    """Pause a node, again if needed, until a sale that it held was sent elsewhere.
+def freeze_until_a_key_conflicts(cluster, history):
+    """Suspend a node, up to ten times, until a sale whose key it claims gets a 409.
 
-    Slower targets make it likely that the node holds a claim when it is paused. With
-    targets of 20 ms about one pause in ten met a claim.
+    Targets are slowed down, so that the node is likely to hold a claim when it is
+    suspended; at 20 ms only about one suspension in ten met a claim.
     """
     node = cluster.nodes["n2"]
     for target in cluster.targets:
@@ -164,21 +173,21 @@
         time.sleep(0.4)
         node.signal(signal.SIGSTOP)
         until = time.monotonic() + FREEZE_S
-        while time.monotonic() < until and not key_held(history):
+        while time.monotonic() < until and not has_key_conflict(history):
             time.sleep(0.05)
         node.signal(signal.SIGCONT)
-        if key_held(history):
+        if has_key_conflict(history):
             break
     for target in cluster.targets:
         set_fault(cluster, target, delay_s=0.02)
 
 
-def key_held(history):
-    return any(item.status == 409 for item in history.tries)
+def has_key_conflict(history):
+    return any(attempt.status == 409 for attempt in history.attempts)
 
 
 def test_keyed_calls_run_once_under_faults_of_nodes_and_store(cluster):
-    """Guards against a second run (P4) when nodes die, freeze, and the store fails."""
+    """Guards against a second run (P4) when nodes die or freeze and the store fails."""
     addrs = start(cluster, ["n1", "n2", "n3"], delay_s=0.02)
     history = History()
     store = cluster.table_url + "/faults"
@@ -186,22 +195,22 @@
         time.sleep(0.5)
         http(store, "POST", {"lose_answers": 15})
         time.sleep(0.5)
-        freeze_until_a_key_is_held(cluster, history)
+        freeze_until_a_key_conflicts(cluster, history)
         http(store, "POST", {"down": True})
-        wait_until(lambda: any(item.status == 503 for item in history.tries))
+        wait_until(lambda: any(attempt.status == 503 for attempt in history.attempts))
         http(store, "POST", {"down": False, "delay_s": 0.1, "lose_answers": 5})
         time.sleep(0.5)
         cluster.nodes["n1"].kill()
         http(store, "POST", {"delay_s": 0.0})
         time.sleep(0.7)
-    assert check(history.tries, runs(cluster)) == []
-    sales = [item for item in history.tries if item.keyed]
-    assert sum(item.status == 200 for item in sales) > 20
-    assert {item.status for item in sales} >= {200, 409, 503}
+    assert check_all(history.attempts, runs(cluster)) == []
+    sales = [attempt for attempt in history.attempts if attempt.keyed]
+    assert sum(attempt.status == 200 for attempt in sales) > 20
+    assert {attempt.status for attempt in sales} >= {200, 409, 503}
 
 
-def test_frozen_node_that_wakes_does_not_run_a_sale_again(cluster):
-    """Guards against a second run by a node that was paused with a sale in hand."""
+def test_frozen_node_that_resumes_does_not_run_a_sale_again(cluster):
+    """Guards against a second run by a node that was suspended during a sale."""
     addrs = start(cluster, ["n1", "n2"], ("t1",))
     history = History()
     set_fault(cluster, "t1", delay_s=0.3)
@@ -213,21 +222,21 @@
     calls = lambda: cluster.admin("n1", "/v1/status")[1]["calls"]  # noqa: E731
     wait_until(lambda: calls() == 1, message="the sale at n1")
     cluster.nodes["n1"].signal(signal.SIGSTOP)
-    # The claim takes effect while n1 is frozen, so that n2 is refused or runs it.
+    # The claim of n1 is stored while it is frozen, so n2 gets a conflict or runs it.
     http(cluster.table_url + "/faults", "POST", {"delay_s": 0.0})
     history.call("n2", addrs["n2"], "sale", "POST", True, **deadline)
     time.sleep(1.0)
     history.call("n2", addrs["n2"], "sale", "POST", True, **deadline)
     cluster.nodes["n1"].signal(signal.SIGCONT)
     first.join()
-    assert at_most_once(history.tries, runs(cluster)) == []
-    assert check(history.tries, runs(cluster)) == []
+    assert check_runs_once(history.attempts, runs(cluster)) == []
+    assert check_all(history.attempts, runs(cluster)) == []
 
 
 @pytest.mark.parametrize("leaving", ["n1", "t1"])
-def test_planned_stop_cuts_nothing(cluster, leaving):
-    """Guards against a stop of a node or a target that interrupts a call (P6)."""
-    # Longer than the fixed parts of a stop, so that it has to wait for the calls.
+def test_planned_stop_interrupts_no_call(cluster, leaving):
+    """Guards against a planned stop of a node or target that interrupts a call (P6)."""
+    # The service time exceeds the fixed delays of a stop, so it must wait for calls.
     addrs = start(cluster, ["n1", "n2"], delay_s=1.2)
     history = History()
 
@@ -235,22 +244,22 @@
         op = f"c{number}-{rng.getrandbits(40):x}"
         sent, fill = rng.choice([(0, 0), (0, 300_000), (200_000, 0)])
         for node in ("n1", "n2"):
-            # A cut GET would be sent again, which would hide the fault.
-            done = history.call(node, addrs[node], op, "POST", sent=sent, fill=fill)
-            if done.outcome != "refused":
+            # The node would retry an interrupted GET, which would hide the fault.
+            attempt = history.call(node, addrs[node], op, "POST", sent=sent, fill=fill)
+            if attempt.outcome != "refused":
                 return
 
     process = cluster.nodes.get(leaving) or cluster.targets[leaving]
     with callers(work):
-        # The second calls of the callers have just begun.
-        wait_until(lambda: len(history.tries) >= CALLERS, message="calls")
+        # By now the second calls of the callers have started.
+        wait_until(lambda: len(history.attempts) >= CALLERS, message="calls")
         wait_until(lambda: inflight(cluster, "t1") >= 2, message="calls at t1")
         assert process.stop() == 0
-        before = len(history.tries)
+        before = len(history.attempts)
         wait_until(
-            lambda: len(history.tries) > before + CALLERS, message="further calls"
+            lambda: len(history.attempts) > before + CALLERS, message="further calls"
         )
-    assert nothing_was_cut(history.tries) == []
-    assert whole_and_own(history.tries) == []
+    assert check_no_interruption(history.attempts) == []
+    assert check_responses(history.attempts) == []
     if leaving == "n1":
-        assert check(history.tries, runs(cluster)) == []
+        assert check_all(history.attempts, runs(cluster)) == []
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -1,4 +1,4 @@
-"""The target stand-in, because the bench and the fault tests rest on it."""
+"""Tests of the stand-in target, on which the bench and the fault tests rely."""
 
 import concurrent.futures as cf
 import json
@@ -14,10 +14,10 @@
     process = cluster.start("standins.target", "--slots=1")
     url = "http://{}:{}".format(*process.info["addr"])
 
-    def ask(path, method="GET", body=None):
+    def request(path, method="GET", body=None):
         return http(url + path, method, body)
 
-    return ask
+    return request
 
 
 def counters(target):
@@ -26,27 +26,30 @@
 
 
 def test_full_queue_sheds_without_running(target):
-    """Guards against shed requests that ran, which would hide a broken P3."""
+    """Guards against shed requests that ran, which would hide violations of P3.
+
+    P3 is the guarantee that a request reported as not run has not run.
+    """
     target("/faults", "POST", {"queue": 1, "delay_s": 30.0})
     with cf.ThreadPoolExecutor(2) as pool:
-        held = [pool.submit(target, "/a") for _ in range(2)]
+        blocking = [pool.submit(target, "/a") for _ in range(2)]
         wait_until(lambda: counters(target)["inflight"] == 2)
         status, headers, _ = target("/b")
         assert (status, headers["X-Not-Run"]) == (503, "1")
         assert counters(target)["ran"] == 1
-        # The slowdown applies to running work, so the held requests end now.
+        # The slowdown also applies to running work, so both requests end now.
         target("/faults", "POST", {"slowdown": 1e-3, "delay_s": 0.0})
-        assert [fut.result()[0] for fut in held] == [200, 200]
+        assert [fut.result()[0] for fut in blocking] == [200, 200]
     assert counters(target)["ran"] == 2
 
 
-def test_unknown_fault_is_refused(target):
-    """Guards against an experiment whose misspelt fault has no effect."""
+def test_unknown_fault_is_rejected(target):
+    """Guards against an experiment whose misspelt fault is ignored."""
     assert target("/faults", "POST", {"slow_down": 2})[0] == 400
 
 
-def test_reports_lag_behind_the_truth(target):
-    """Guards against stale reports that are fresh, so that no policy is tested."""
+def test_reports_lag_behind_the_actual_state(target):
+    """Guards against `load_lag_s` without effect: policies would see current loads."""
     target("/faults", "POST", {"fail": True})
     assert (target("/a")[0], target("/health")[0]) == (500, 500)
     target("/faults", "POST", {"load_lag_s": 60.0})
