--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -1,4 +1,9 @@
-"""Guarantees P5 and P7 with real processes, kills, pauses and a failing store."""
+"""Tests of P5 and P7 with real processes, killed or suspended nodes and store faults.
+
+P5 is the guarantee that no node sends new calls to a target 3 s after its drain. P7 is
+the guarantee that an accepted rules version is in force at every node within 5 s, and
+that no node returns to an older one.
+"""
 
 import json
 import signal
@@ -10,7 +15,7 @@
 
 from .conftest import http, wait_until
 
-PLACES = (("rift", "kerio"), ("coast", "kwale"), ("western", "bungoma"))
+LOCATIONS = (("rift", "kerio"), ("coast", "kwale"), ("western", "bungoma"))
 PAUSE_T1 = "pause t1  # asked by Wanjiru\n"
 
 
@@ -20,7 +25,8 @@
     cluster.start_table()
     with ThreadPoolExecutor(6) as pool:
         starts = [
-            pool.submit(cluster.start_node, f"n{i}", *PLACES[i % 3]) for i in range(6)
+            pool.submit(cluster.start_node, f"n{i}", *LOCATIONS[i % 3])
+            for i in range(6)
         ]
         for start in starts:
             start.result()
@@ -32,43 +38,46 @@
     return cluster
 
 
-def table_down(cluster, down=True):
-    """Make the table service fail, or serve again."""
+def set_table_down(cluster, down=True):
+    """Set whether the table service rejects all requests."""
     http(f"{cluster.table_url}/faults", "POST", {"down": down})
 
 
 def seeds_of(cluster, *names):
-    """Return the seeds flag for some nodes."""
+    """Return the value of the `seeds` flag for these nodes."""
     addrs = [cluster.nodes[name].info["mesh"] for name in names]
     return ",".join(f"{ip}:{port}" for ip, port in addrs)
 
 
 def rules_version(cluster, name):
-    """Return the version in force at a node."""
+    """Return the rules version that is in force at a node."""
     return cluster.admin(name, "/v1/status")[1]["rules"]["version"]
 
 
 def apply(cluster, name, base, text):
-    """Apply rules at a node and return the answer."""
+    """Apply rules at a node; return the data of the response."""
     body = {"base": base, "text": text, "author": "otieno", "attempt": f"try-{base}-xx"}
     return cluster.admin(name, "/v1/config", "POST", body)[1]
 
 
 def wait_version(cluster, names, version, timeout_s=5.0):
-    """Wait until the version is in force at each node."""
+    """Wait until a rules version is in force at each of the nodes."""
     deadline = time.monotonic() + timeout_s
     for name in names:
-        left = deadline - time.monotonic()
-        wait_until(lambda: rules_version(cluster, name) == version, left, name)
+        remaining_s = deadline - time.monotonic()
+        wait_until(lambda: rules_version(cluster, name) == version, remaining_s, name)
 
 
 class Calls:
-    """Sends calls through some nodes until it is stopped, with run ids."""
+    """Sends calls with run ids through the named nodes until it is stopped.
+
+    `sent` has the times of sending and `statuses` the response statuses, by run id.
+    """
 
     def __init__(self, cluster, names):
         self.cluster, self.sent, self.statuses = cluster, {}, {}
-        self.over = threading.Event()
-        # Daemons, so that a test that fails before `stop` does not keep pytest alive.
+        self.stopping = threading.Event()
+        # Daemon threads do not keep pytest alive if a test fails before `stop`.
         self.threads = [
             threading.Thread(target=self.run, args=(n,), daemon=True) for n in names
         ]
@@ -76,9 +85,9 @@
             thread.start()
 
     def run(self, name):
-        """Send one call after the other through a node."""
+        """Send calls through a node, one after the other."""
         number = 0
-        while not self.over.wait(0.02):
+        while not self.stopping.wait(0.02):
             run_id, number = f"{name}-{number}", number + 1
             self.sent[run_id] = time.monotonic()
             headers = {"X-Run-Id": run_id}
@@ -88,43 +97,46 @@
                 continue
 
     def stop(self):
-        """Stop sending and wait for the last answers."""
-        self.over.set()
+        """Stop sending and wait for the last responses."""
+        self.stopping.set()
         for thread in self.threads:
             thread.join()
 
-    def runs_after(self, target_id, at, name=""):
-        """Return the run ids of calls sent after a time that ran at a target."""
+    def runs_after(self, target_id, at, node_prefix=""):
+        """Return the run ids of calls that ran at a target and were sent after `at`.
+
+        Only the calls through nodes whose name starts with `node_prefix` count.
+        """
         ip, port = self.cluster.targets[target_id].info["addr"]
         _, _, body = http(f"http://{ip}:{port}/runs")
-        found = json.loads(body)["runs"]
-        return [r for r in found if r.startswith(name) and self.sent[r] > at]
+        run_ids = json.loads(body)["runs"]
+        return [r for r in run_ids if r.startswith(node_prefix) and self.sent[r] > at]
 
 
 def assert_t1_paused(calls):
-    """Assert that no call was served by rules older than those that pause t1.
+    """Assert that no call used rules older than those that pause t1.
 
-    The calls that t2 refused after it was killed are answered with 502.
+    A 502 is the response to a call that was sent to t2 after t2 was killed.
     """
     assert calls.statuses and set(calls.statuses.values()) <= {502, 503}
     assert calls.runs_after("t1", 0) == []
 
 
 def test_drained_target_receives_no_call_after_3_s(mesh):
-    """Guards P5 with the store down, a node killed and a node paused for 8 s."""
+    """Guards P5 with the store down, a node killed and a node suspended for 8 s."""
     names = ["n0", "n1", "n2", "n3", "n5"]
     calls = Calls(mesh, names)
     try:
         wait_until(lambda: calls.runs_after("t1", 0), message="calls at t1")
-        table_down(mesh)
+        set_table_down(mesh)
         mesh.nodes["n4"].kill()
         mesh.nodes["n5"].signal(signal.SIGSTOP)
         drained_at = time.monotonic()
         assert mesh.admin("n1", "/v1/targets/t1/drain", "POST", {})[0] == 200
-        calls.over.wait(8.0)
+        calls.stopping.wait(8.0)
         mesh.nodes["n5"].signal(signal.SIGCONT)
         resumed_at = time.monotonic()
-        calls.over.wait(5.0)
+        calls.stopping.wait(5.0)
     finally:
         mesh.nodes["n5"].signal(signal.SIGCONT)
         calls.stop()
@@ -136,22 +148,22 @@
 
 
 def test_accepted_version_survives_the_store_and_its_node(mesh):
-    """Guards P7: the store fails and the applying node dies right after accept."""
+    """Guards P7 when the store and the applying node fail right after the accept."""
     answer = apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))
     assert (answer["result"], answer["held_by"]) == ("accepted", 4)
     answer = apply(mesh, "n0", 1, PAUSE_T1)
-    table_down(mesh)
+    set_table_down(mesh)
     mesh.nodes["n0"].kill()
     others = ["n1", "n2", "n3", "n4", "n5"]
     wait_version(mesh, others, 2)
     assert (answer["result"], answer["held_by"]) == ("accepted", 4)
     mesh.targets["t2"].kill()
-    # A node that boots while the store is down takes the version from its peers.
+    # A node that starts while the store is down gets the version from its peers.
     mesh.start_node("n6", "rift", "kerio", seeds=seeds_of(mesh, "n1", "n2"))
-    calls = Calls(mesh, ["n6"])
+    calls_n6 = Calls(mesh, ["n6"])
     wait_version(mesh, ["n6"], 2)
     wait_until(lambda: mesh.knows_target("n6", "t1"))
-    # While no peer answers, it does not know the version and serves no call.
+    # While no peer responds, a new node does not know the version and serves no call.
     for name in others:
         mesh.nodes[name].signal(signal.SIGSTOP)
     try:
@@ -162,20 +174,20 @@
             mesh.nodes[name].signal(signal.SIGCONT)
     assert (status, headers["X-Error-Code"]) == (503, "rules-outdated")
     assert headers["X-Verdict"] == "not-run"
-    more = Calls(mesh, ["n7"])
+    calls_n7 = Calls(mesh, ["n7"])
     wait_until(lambda: mesh.call("n7", "/")[1]["X-Error-Code"] == "no-target", 15)
-    for sender in (calls, more):
-        sender.stop()
-        assert_t1_paused(sender)
+    for sent_calls in (calls_n6, calls_n7):
+        sent_calls.stop()
+        assert_t1_paused(sent_calls)
     assert rules_version(mesh, "n7") == 2
 
 
 def test_lower_version_in_the_store_is_ignored(mesh):
-    """Guards P7 against a store that was restored from an old copy."""
+    """Guards P7 against a store that was restored from an old backup."""
     assert apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))["result"] == "accepted"
     assert apply(mesh, "n3", 1, PAUSE_T1)["result"] == "accepted"
-    head = {"version": 1, "digest": "", "attempt": "old"}
-    put = {"puts": [{"key": "config/head", "value": head}]}
+    old_head = {"version": 1, "digest": "", "attempt": "old"}
+    put = {"puts": [{"key": "config/head", "value": old_head}]}
     assert http(f"{mesh.table_url}/v1/txn", "POST", put)[0] == 200
     mesh.targets["t2"].kill()
     mesh.start_node("n6", "coast", "kilifi")
@@ -186,15 +198,15 @@
                 "rules.older_ignored"
             ),
             15,
-            f"poll of {name}",
+            f"{name} to read the store",
         )
         assert rules_version(mesh, name) == 2
     calls.stop()
     assert_t1_paused(calls)
 
 
-def test_killed_node_is_found_and_its_target_stays_routable(mesh):
-    """Guards against a target that is lost with its node, and an unnoticed death."""
+def test_killed_node_is_detected_and_its_target_stays_routable(mesh):
+    """Guards against a dead node that is not detected or whose target gets no calls."""
     mesh.nodes["n2"].kill()
 
     def status():
@@ -207,15 +219,15 @@
 
 
 def test_nodes_that_start_together_without_the_store_find_each_other(cluster):
-    """Guards against nodes that stay alone because the directory was not readable."""
+    """Guards against nodes that stay alone if the store was down when they started."""
     cluster.start_table()
-    table_down(cluster)
+    set_table_down(cluster)
     names = [f"n{i}" for i in range(4)]
     with ThreadPoolExecutor(4) as pool:
         list(pool.map(cluster.start_node, names))
     status, headers, _ = cluster.call("n0", "/")
     assert (status, headers["X-Error-Code"]) == (503, "rules-outdated")
-    table_down(cluster, False)
+    set_table_down(cluster, False)
     for name in names:
         wait_until(
             lambda: len(cluster.admin(name, "/v1/mesh")[1]["members"]) == 4, 20, name
