--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -225,12 +225,12 @@
     args = flags.FLAGS
     failed = 0
     for text in args.seeds:
-        found = run_seed(
+        checker = run_seed(
             int(text), args.length_s, print if args.verbose_faults else str
         )
-        failed += bool(found.violations)
-        print(f"seed {text}: {dict(sorted(found.statuses.items()))}", flush=True)
-        for line in found.violations[:5]:
+        failed += bool(checker.violations)
+        print(f"seed {text}: {dict(sorted(checker.statuses.items()))}", flush=True)
+        for line in checker.violations[:5]:
             print(f"  violation: {line}", flush=True)
     print(f"{len(args.seeds) - failed} seeds passed, {failed} failed")
     sys.exit(1 if failed else 0)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -39,12 +39,12 @@
 class Traffic:
     """Calls of background callers, counted by status and by the target that served.
 
-    `entries` has the names of the nodes that the callers send their calls to. `run_ids`
-    has the ids of the sales that were answered with 200.
+    `entry_nodes` has the names of the nodes that the callers send their calls to.
+    `run_ids` has the ids of the sales that were answered with 200.
     """
 
     cluster: Cluster
-    entries: list
+    entry_nodes: list
     stopping: threading.Event = field(default_factory=threading.Event)
     statuses: Counter = field(default_factory=Counter)
     served_by: Counter = field(default_factory=Counter)
@@ -55,7 +55,7 @@
         count = 0
         while not self.stopping.is_set():
             count += 1
-            entry = self.entries[count % len(self.entries)]
+            entry = self.entry_nodes[count % len(self.entry_nodes)]
             service = "quality-desk" if count % 4 == 0 else "hive-ledger"
             run_id = f"caller-{number}-{count}"
             method, body = ("POST", b"sale") if count % 5 == 0 else ("GET", None)
@@ -83,11 +83,11 @@
 
     def __init__(self, cluster):
         self.cluster = cluster
-        self.checks = []
+        self.check_results = []
 
     def check(self, text, passed):
         """Record and print the result of one check."""
-        self.checks.append(passed)
+        self.check_results.append(passed)
         print(f"{'ok  ' if passed else 'FAIL'}  {text}", flush=True)
 
     def start(self):
@@ -175,13 +175,13 @@
             for caller in callers:
                 caller.join()
         self.summarize(traffic)
-        return all(self.checks)
+        return all(self.check_results)
 
     def summarize(self, traffic):
         """Check the calls of all callers and print their counts."""
         total = sum(traffic.statuses.values())
         self.check(
-            f"{total} calls, all answered with 200", set(traffic.statuses) == {200}
+            f"{total} calls, all with status 200", set(traffic.statuses) == {200}
         )
         print(f"      responses: {dict(traffic.statuses)}")
         print(f"      served by: {dict(sorted(traffic.served_by.items()))}")
--- a/standins/table.py
+++ b/standins/table.py
@@ -183,7 +183,7 @@
         self.table = table
 
     async def prepare(self):
-        """Reject, delay or never answer the request, as limits and faults say."""
+        """Reject or delay the request, or wait forever, as limits and faults say."""
         table = self.table
         if table.silent:
             await asyncio.Event().wait()
--- a/standins/target.py
+++ b/standins/target.py
@@ -358,7 +358,7 @@
     kind = "health"
 
     def get(self):
-        """Respond with the status that `TargetModel.health` returns."""
+        """Respond with 200, or 500 if requests fail, unless a fault sets the status."""
         self.set_status(self.model.health())
 
 
--- a/tests/history.py
+++ b/tests/history.py
@@ -131,20 +131,20 @@
 
 def check_responses(attempts):
     """Check P2: a 200 response is complete and for its own request or operation."""
-    found = []
+    violations = []
     for attempt in attempts:
         if attempt.outcome != ANSWERED or attempt.status != 200:
             continue
         if attempt.fill and not attempt.replayed:
             if attempt.body != fill_body(attempt.run_id, attempt.fill):
-                found.append(
+                violations.append(
                     f"{attempt.run_id}: wrong body of {len(attempt.body)} bytes"
                 )
             continue
         try:
             reported = json.loads(attempt.body)
         except ValueError:
-            found.append(f"{attempt.run_id}: truncated body {attempt.body[:40]!r}")
+            violations.append(f"{attempt.run_id}: truncated body {attempt.body[:40]!r}")
             continue
         run_id = str(reported["run"])
         own = (
@@ -153,10 +153,10 @@
             else run_id == attempt.run_id
         )
         if not own or reported["received"] != attempt.sent:
-            found.append(
+            violations.append(
                 f"{attempt.run_id}: response of {run_id}, {reported['received']} bytes"
             )
-    return found
+    return violations
 
 
 def check_not_run(attempts, runs):
@@ -180,12 +180,12 @@
     for attempt in attempts:
         if attempt.method not in ("GET", "HEAD", "OPTIONS"):
             run_ids[attempt.op if attempt.keyed else attempt.run_id].add(attempt.run_id)
-    found = []
+    violations = []
     for name, members in run_ids.items():
         total = sum(counts[run_id] for run_id in members)
         if total > 1:
-            found.append(f"{name}: ran {total} times")
-    return found
+            violations.append(f"{name}: ran {total} times")
+    return violations
 
 
 def check_responses_have_runs(attempts, runs):
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -24,7 +24,8 @@
 
 CALLERS = 6
 SEED = 20
-# Longer than the timeout of a caller, which is its deadline of 1 s and 0.3 s more.
+# Longer than 1.3 s, the timeout after which callers try another node: their deadline
+# of 1 s and a margin.
 FREEZE_S = 2.2
 
 
@@ -62,10 +63,10 @@
         lambda: not any(inflight(cluster, name) for name in cluster.targets),
         message="idle targets",
     )
-    found = []
+    run_ids = []
     for name in cluster.targets:
-        found += json.loads(http(target_url(cluster, name, "/runs"))[2])["runs"]
-    return found
+        run_ids += json.loads(http(target_url(cluster, name, "/runs"))[2])["runs"]
+    return run_ids
 
 
 @contextmanager
@@ -130,7 +131,7 @@
     ]
 
 
-def test_answers_and_verdicts_under_faults_of_targets(cluster):
+def test_responses_and_verdicts_under_target_faults(cluster):
     """Guards against mixed-up or truncated responses (P2) and a false not-run (P3)."""
     names = ["t1", "t2", "t3"]
     addrs = start(cluster, ["n1", "n2"], names, slots=3)
--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -149,14 +149,14 @@
 
 def test_accepted_version_survives_the_store_and_its_node(mesh):
     """Guards P7 when the store and the applying node fail right after the accept."""
-    answer = apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))
-    assert (answer["result"], answer["held_by"]) == ("accepted", 4)
-    answer = apply(mesh, "n0", 1, PAUSE_T1)
+    response = apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))
+    assert (response["result"], response["held_by"]) == ("accepted", 4)
+    response = apply(mesh, "n0", 1, PAUSE_T1)
     set_table_down(mesh)
     mesh.nodes["n0"].kill()
     others = ["n1", "n2", "n3", "n4", "n5"]
     wait_version(mesh, others, 2)
-    assert (answer["result"], answer["held_by"]) == ("accepted", 4)
+    assert (response["result"], response["held_by"]) == ("accepted", 4)
     mesh.targets["t2"].kill()
     # A node that starts while the store is down gets the version from its peers.
     mesh.start_node("n6", "rift", "kerio", seeds=seeds_of(mesh, "n1", "n2"))
