Name parameters in docstrings as the code does

Cause: a search for documented parameters that the signature lacks found three after the renames, and a type. Result: the search finds none; lint passes.

--- a/bench/goals.py
+++ b/bench/goals.py
@@ -37,7 +37,7 @@
 
     Parameters
     ----------
-    exp : Experiment
+    experiment : Experiment
     results : list of Result
 
     Returns
--- a/bench/report.py
+++ b/bench/report.py
@@ -65,10 +65,10 @@
 
     Parameters
     ----------
-    exp : Experiment
+    experiment : Experiment
     results : list of Result
     folder : Path
-    took_s : float
+    elapsed_s : float
         Duration of the whole run, seconds.
     command : str
         Command line of the run.
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -54,7 +54,7 @@
         Targets and weights outside the subset. They are used only if no target of the
         subset is healthy, because each use takes a connection that the subsets leave
         to other nodes.
-    spill : SpillRule
+    spill : SpillPolicy
     """
 
     source: tuple[Target, ...]
--- a/standins/table.py
+++ b/standins/table.py
@@ -76,6 +76,8 @@
 class Table:
     """Rows, injected faults and request counters of the table service.
 
+    The faults are described at the head of this module.
+
     Attributes
     ----------
     rows : dict
@@ -84,8 +86,6 @@
         Number of reads and transactions executed.
     refused : int
         Number of requests rejected by the rate limits.
-
-    The faults are described at the head of this module.
     """
 
     rows: dict = field(default_factory=dict)
