Reword comments and errors of the data path

Some comments had to be read twice, some errors did not say what was wrong, and a few private names said nothing.

--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -59,7 +59,7 @@
         self._task = None
 
     def start(self):
-        """Send at once on an idle connection, or connect first."""
+        """Send the request on an idle connection, or on a new one once it is open."""
         if not self.handler.replayable:
             # The beginning of the body is no longer buffered.
             self._end(ev.AttemptOutcome.BROKEN, Verdict.NOT_RUN)
@@ -69,7 +69,7 @@
         self._timer = loop.call_later(self.effect.timeout_s, self._on_timeout)
         conn = proxy.pool.take_idle(self.effect.addr, self.effect.idempotent)
         if conn is not None:
-            self._use(conn)
+            self._send_on(conn)
         else:
             self._task = loop.create_task(self._connect())
 
@@ -83,9 +83,9 @@
         if self.cancelled:
             pool.release(conn)
             return
-        self._use(conn)
+        self._send_on(conn)
 
-    def _use(self, conn):
+    def _send_on(self, conn):
         self.conn = conn
         self._http = conn.http_client()
         self.send_received()
--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -75,6 +75,7 @@
         self.pending_head = None
         self.recorded_body = None
         self.recorded_truncated = False
+        # None once the response is finished.
         self._finish_pending = False
         self._bad_framing = False
         self._deadline_timer = None
@@ -83,7 +84,7 @@
     # Called by tornado while it reads the request.
 
     def headers_received(self, start_line, headers):
-        """Read the request head and start the call."""
+        """Check the request head and start the call."""
         self.start_line = start_line
         self.headers = headers
         proxy = self.proxy
@@ -170,7 +171,7 @@
         self._end()
 
     def on_attempt_progress(self, fut=None):
-        """Check again whether an attempt has sent all chunks of the body."""
+        """Wake the reader of the body, which checks whether all chunks are sent."""
         if self._body_waiter is not None and not self._body_waiter.done():
             self._body_waiter.set_result(None)
 
@@ -216,7 +217,7 @@
         elif body:
             body = b""
         start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        self.proxy.close_if_stopping(headers)
+        self.proxy.announce_close_if_stopping(headers)
         if self._must_close():
             headers["Connection"] = "close"
         if self.start_line.method == "HEAD":
@@ -260,7 +261,7 @@
         headers = forwarded_response_headers(attempt.response_headers)
         if attempt.response_start.code == 204:
             headers.pop("Content-Length", None)
-        self.proxy.close_if_stopping(headers)
+        self.proxy.announce_close_if_stopping(headers)
         self.pending_head = (attempt.response_start, headers)
         # If no chunk of the body has arrived by then, the head is written alone.
         asyncio.get_running_loop().call_soon(self._write_response_head)
@@ -303,7 +304,7 @@
         attempt = self.attempts.pop(attempt_id, None)
         if self.ended or attempt is None:
             return
-        recorded = self._recorded(attempt) if whole else None
+        recorded = self._recorded_response(attempt) if whole else None
         proxy = self.proxy
         proxy.dispatch(ev.CallEnded(proxy.clock(), self.call_id, whole, recorded))
         if whole:
@@ -312,13 +313,13 @@
         elif self.pending_head is not None:
             self.pending_head = None
             self.responded = False
-            detail = "the target's answer was cut"
+            detail = "the target's response was truncated"
             self.reject(502, "answer-cut", Verdict.RAN, detail)
         else:
             abort(self.caller_conn.stream)
             self._end()
 
-    def _recorded(self, attempt):
+    def _recorded_response(self, attempt):
         if self.recorded_body is None:
             return None
         return RecordedResponse(
--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -58,7 +58,7 @@
 
 
 class StoreError(PimentolineError):
-    """The table service sent a response that its protocol does not allow.
+    """The store sent a response that its protocol does not allow.
 
     Parameters
     ----------
@@ -75,13 +75,13 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The table service gave no usable response; a write may have taken effect."""
+    """The store gave no usable response; a write may have taken effect."""
 
     code = "store-unavailable"
 
 
 class StoreBusyError(StoreUnavailableError):
-    """The table service refused a request because of its rate limit.
+    """The store refused a request because of its rate limit.
 
     The request was not processed.
     """
--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -17,8 +17,8 @@
     "parse_request",
 ]
 
-# Request heads above this size are answered with status 431. tornado's own limit is
-# higher, because there it closes the connection without a response.
+# Larger request heads are answered with status 431. tornado's own limit is higher,
+# because tornado closes the connection without a response.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_KEY_CHARS = 255
 CALL_CLASSES = ("critical", "normal", "sheddable")
@@ -53,10 +53,10 @@
     "X-Verdict",
 }
 
-SERVICE = re.compile(r"[a-z0-9-]{1,63}")
-NUMBER = re.compile(r"[0-9]{1,9}")
-LENGTH = re.compile(r"[0-9]{1,15}")
-KEY = re.compile(r"[!-~]{1,%d}" % MAX_KEY_CHARS)
+SERVICE_PATTERN = re.compile(r"[a-z0-9-]{1,63}")
+NUMBER_PATTERN = re.compile(r"[0-9]{1,9}")
+LENGTH_PATTERN = re.compile(r"[0-9]{1,15}")
+KEY_PATTERN = re.compile(r"[!-~]{1,%d}" % MAX_KEY_CHARS)
 
 
 class RequestError(ValueError):
@@ -77,7 +77,7 @@
     text = headers.get(name)
     if text is None:
         return default
-    if NUMBER.fullmatch(text) is None:
+    if NUMBER_PATTERN.fullmatch(text) is None:
         raise _bad_request(
             f"{name} {text[:40]!r} is not a whole number of up to 9 digits"
         )
@@ -96,7 +96,7 @@
         size += len(name) + len(value) + 4
     if size > MAX_HEAD_BYTES:
         raise RequestError(
-            431, "head-too-large", f"request heads have up to {MAX_HEAD_BYTES} bytes"
+            431, "head-too-large", f"request head is larger than {MAX_HEAD_BYTES} bytes"
         )
 
 
@@ -112,25 +112,35 @@
     expect = headers.get("Expect")
     if expect is not None:
         if expect.lower() != "100-continue":
-            raise RequestError(417, "expectation-failed", f"Expect {expect[:40]!r}")
+            raise RequestError(
+                417, "expectation-failed", f"Expect {expect[:40]!r} is not supported"
+            )
         # tornado compares the value exactly.
         headers["Expect"] = "100-continue"
     length = headers.get("Content-Length")
     coding = headers.get("Transfer-Encoding")
     if coding is not None:
         if length is not None:
-            raise _bad_request("both Content-Length and Transfer-Encoding")
+            raise _bad_request("request has both Content-Length and Transfer-Encoding")
         if coding.lower() != "chunked":
-            raise RequestError(501, "unknown-coding", f"coding {coding[:40]!r}")
+            raise RequestError(
+                501,
+                "unknown-coding",
+                f"transfer coding {coding[:40]!r} is not supported",
+            )
         if start.method not in CHUNKED_METHODS:
             raise RequestError(
-                411, "length-required", f"{start.method} with a chunked body"
+                411,
+                "length-required",
+                f"{start.method} with a chunked body is not supported",
             )
         return True
     if length is None:
         return False
-    if LENGTH.fullmatch(length) is None:
-        raise _bad_request(f"Content-Length {length[:40]!r}")
+    if LENGTH_PATTERN.fullmatch(length) is None:
+        raise _bad_request(
+            f"Content-Length {length[:40]!r} is not a whole number of up to 15 digits"
+        )
     return int(length) > 0
 
 
@@ -152,7 +162,7 @@
     """
     host = headers.get("Host", "")
     service = host.partition(":")[0].partition(".")[0].lower()
-    if SERVICE.fullmatch(service) is None or len(headers.get_list("Host")) > 1:
+    if SERVICE_PATTERN.fullmatch(service) is None or len(headers.get_list("Host")) > 1:
         raise _bad_request(f"Host {host[:80]!r} does not name a service")
     if start.method == "CONNECT":
         raise RequestError(501, "unknown-method", "CONNECT is not supported")
@@ -164,11 +174,14 @@
         budget_s = min(budget_s, remaining_ms / 1000.0)
     call_class = policy.call_class or headers.get("X-Call-Class", "normal")
     if call_class not in CALL_CLASSES:
-        raise _bad_request(f"X-Call-Class {call_class[:40]!r}")
+        raise _bad_request(f"X-Call-Class {call_class[:40]!r} is not a call class")
     key = headers.get("Idempotency-Key")
     if key is None:
         key = ""
-    elif KEY.fullmatch(key) is None or len(headers.get_list("Idempotency-Key")) > 1:
+    elif (
+        KEY_PATTERN.fullmatch(key) is None
+        or len(headers.get_list("Idempotency-Key")) > 1
+    ):
         raise _bad_request(
             f"Idempotency-Key is not 1 to {MAX_KEY_CHARS} visible characters"
         )
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -45,8 +45,8 @@
 # Threshold of the youngest garbage collector generation, in allocations. A call
 # allocates some hundreds of objects, which are freed by reference counting.
 GC_THRESHOLD = 10_000
-# A stopping node tells its peers for this many ticks, because a single round of three
-# datagrams could be lost as a whole.
+# A stopping node announces to its peers during this many ticks that it leaves, because
+# all three datagrams of a single round could be lost.
 LEAVE_TICKS = 2
 # A stopping node waits this long for claim outcomes to reach a store that is down.
 CLAIM_WRITE_TIMEOUT_S = 10.0
@@ -87,7 +87,7 @@
             self.metrics.count,
         )
         self.mesh = MeshTransport(
-            Codec.from_config(cfg), self._on_message, self._on_rejected
+            Codec.from_config(cfg), self._on_message, self._on_message_error
         )
         self.publisher = Publisher(self)
         self.peer_discovery = PeerDiscovery(self)
@@ -99,7 +99,7 @@
 
     @classmethod
     def from_config(cls, cfg):
-        """Make a node from its settings."""
+        """Return a node with the given settings."""
         return cls(cfg)
 
     def draw(self):
@@ -225,7 +225,7 @@
         reply, self._reply = self._reply, None
         return None if reply is None else self.make_message(reply)
 
-    def _on_rejected(self, exc):
+    def _on_message_error(self, exc):
         newer = isinstance(exc, NewerMessageError)
         self.metrics.count("mesh.newer" if newer else "mesh.refused")
 
@@ -270,7 +270,7 @@
             await self.publisher.load_from_store()
 
     async def stop(self):
-        """Stop gracefully: finish the calls in flight, tell the peers, then exit."""
+        """Stop after the calls in flight, and tell the peers that this node leaves."""
         if self.state.stopping:
             return
         self.dispatch(ev.StopRequested(self.clock()))
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -13,7 +13,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 # A connection may be lost without notice while it is idle. Closing idle connections
-# early makes it rare that such a one is reused.
+# early makes it rare that a lost one is reused.
 MAX_IDLE_S = 5.0
 MAX_AGE_S = 60.0
 # A request that cannot be retried must not use a connection that the target may be
@@ -80,7 +80,10 @@
         self._waiters = {}
 
     def take_idle(self, addr, idempotent):
-        """Return an idle connection that may be reused, or None."""
+        """Return an idle connection that may be reused, or None.
+
+        A call that is not `idempotent` gets only a connection used very recently.
+        """
         conns = self._idle.get(addr)
         if not conns:
             return None
@@ -119,7 +122,7 @@
         if is_first_wait:
             waiters.append(fut)
         else:
-            # A call that was woken but found the connection taken keeps its place.
+            # A call that was woken but found the connection taken stays first in line.
             waiters.appendleft(fut)
         try:
             await fut
@@ -154,7 +157,7 @@
         return PooledConnection(self, stream, addr, now, now)
 
     def on_connection_closed(self, addr):
-        """Count one connection less and wake a call that waits for a connection."""
+        """Decrement the count of connections and wake a call that waits for one."""
         self._open[addr] -= 1
         if self._open[addr] <= 0:
             del self._open[addr]
@@ -172,7 +175,7 @@
     def close_idle(self, addr):
         """Close the idle connections to a target.
 
-        They may be lost as well when another connection to it was lost silently.
+        They may be lost as well if one connection to the target was lost silently.
         """
         for conn in self._idle.pop(addr, ()):
             conn.close()
--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -1,4 +1,4 @@
-"""pimentoline.proxy: accepts calls on the data port and executes their effects."""
+"""pimentoline.proxy: accepts calls and executes the reducer's effects on them."""
 
 import asyncio
 
@@ -13,11 +13,11 @@
 
 __all__ = ["DataServer", "Proxy"]
 
-# tornado closes the connection without a response to a request head above its own
-# limit, so that one is set higher than MAX_HEAD_BYTES, which leads to status 431.
+# tornado closes the connection without a response if a request head is larger than
+# this. Heads between MAX_HEAD_BYTES and this limit are answered with status 431.
 TORNADO_MAX_HEAD_BYTES = 4 * MAX_HEAD_BYTES
-# A stopping node keeps idle connections of callers open for this long, so that the
-# response to another call can tell them that the node is stopping.
+# A stopping node keeps callers' idle connections open for this long, so that the
+# response to a further call can announce the close with `Connection: close`.
 IDLE_GRACE_S = 1.0
 
 
@@ -73,12 +73,13 @@
         self.calls = {}
         self.stopping = False
         self._next_call_id = 1
-        # The handler of the latest request on each open connection.
+        # By open connection: the handler of the current request or, while the
+        # connection is idle, of the next one.
         self._handlers = {}
         self._connection_closed = asyncio.Event()
 
     def start_request(self, server_conn, request_conn):
-        """Return the delegate for a new request."""
+        """Return the delegate for the next request, before its head has been read."""
         handler = CallHandler(self, request_conn)
         self._handlers[server_conn] = handler
         return handler
@@ -99,7 +100,7 @@
         """Remove a call that has ended."""
         self.calls.pop(call_id, None)
 
-    def close_if_stopping(self, headers):
+    def announce_close_if_stopping(self, headers):
         """Add `Connection: close` to response headers if the node is stopping."""
         if self.stopping:
             headers["Connection"] = "close"
