Reword comments of the codec, mesh and store clients

Wording and names only; test_codec, test_mesh_transport, test_store, test_claim_writer, test_apply and test_mesh_processes pass.

--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -1,4 +1,4 @@
-"""pimentoline.audit: rows of rules versions and their audit trail in the store."""
+"""pimentoline.audit: formats of the store rows of rules versions and audit trail."""
 
 import datetime
 import difflib
@@ -27,7 +27,7 @@
 
 HEAD_KEY = "config/head"
 VERSION_DIGITS = 10
-# Keep an audit row much smaller than the rules text, which has a row of its own.
+# Keeps an audit row much smaller than the rules text, which has a row of its own.
 MAX_DIFF_LINES = 400
 MAX_DIFF_LINE_CHARS = 500
 
--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -1,4 +1,4 @@
-"""pimentoline.claim_writer: claims of idempotency keys in the store."""
+"""pimentoline.claim_writer: writes claims of idempotency keys to the store."""
 
 import asyncio
 import base64
@@ -30,8 +30,8 @@
     Row versions of the table service begin at 1 again after a deletion, so a late or
     repeated deletion that checked only the version of the claim could delete the claim
     of another node. The attempt id in the key of the second row makes every write
-    conditional on the attempt. A row `void/<attempt>` makes an insertion fail that
-    takes effect only after its attempt was given up.
+    conditional on the attempt. If the outcome of an insertion is unknown, a row
+    `void/<attempt>` makes it fail if it reaches the store later.
 
     Parameters
     ----------
@@ -94,7 +94,7 @@
         outcome, recorded, settled = await self._claim(key, attempt)
         if outcome is ev.ClaimOutcome.GRANTED:
             if not self._is_waiting(call_id):
-                # The deadline passed or the caller left, so the call is never sent.
+                # The call has ended without its claim, so it is never sent.
                 self._write_in_background(self._release, key, attempt)
         elif not settled:
             self._write_in_background(self._void, key, attempt)
@@ -103,7 +103,7 @@
         )
 
     async def _claim(self, key, attempt):
-        """Return the outcome, the recorded response and if the insertion is settled.
+        """Return (outcome, recorded response or None, whether it is settled).
 
         An insertion that is not settled may have taken effect or may still do so.
         """
--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -37,7 +37,7 @@
 MAX_DATAGRAM_BYTES = 1400
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_RULES_BYTES = 1024 * 1024
-MAX_TEXT_BYTES = 512
+MAX_TEXT_CHARS = 512
 # Refutations increment the counters of a record, so received counters have to leave
 # room below the limit of 64 bits.
 MAX_COUNTER = 2**62
@@ -95,7 +95,7 @@
         Raises
         ------
         NewerMessageError
-            If the message is authentic and from a newer release.
+            If the message is authentic, but its format is of a newer release.
         CodecError
             If the bytes are not an authentic message of at most 4 MiB.
         """
@@ -147,11 +147,11 @@
         raise NewerMessageError("unknown message type") from exc
     body, skipped = _read_body(env, str(kind))
     return Message(
-        _text(env.sender),
-        _counter(env.incarnation),
-        _counter(env.rulesVersion),
+        _check_text(env.sender),
+        _check_counter(env.incarnation),
+        _check_counter(env.rulesVersion),
         body,
-        _counter(env.rulesHeard),
+        _check_counter(env.rulesHeard),
         env.rulesConfirmed,
         skipped,
     )
@@ -196,15 +196,15 @@
             records, skipped = _read_records(env.syncReply.records)
             return SyncReply(tuple(env.syncReply.buckets), records), skipped
         case "ping":
-            return Ping(env.ping.id, _optional_addr(env.ping.addr)), 0
+            return Ping(env.ping.id, _read_optional_addr(env.ping.addr)), 0
         case "pingReq":
-            return PingReq(env.pingReq.id, _addr(env.pingReq.addr)), 0
+            return PingReq(env.pingReq.id, _read_addr(env.pingReq.addr)), 0
         case "ack":
-            return Ack(env.ack.id, _optional_addr(env.ack.addr)), 0
+            return Ack(env.ack.id, _read_optional_addr(env.ack.addr)), 0
         case "rulesRequest":
-            return RulesRequest(_counter(env.rulesRequest)), 0
+            return RulesRequest(_check_counter(env.rulesRequest)), 0
         case "rulesAck":
-            return RulesAck(_counter(env.rulesAck)), 0
+            return RulesAck(_check_counter(env.rulesAck)), 0
         case "rulesReply":
             return RulesReply(*_read_rules(env.rulesReply)), 0
         case "rulesPush":
@@ -226,22 +226,22 @@
 def _read_rules(item):
     if len(item.body) > MAX_RULES_BYTES:
         raise CodecError(f"rules text of {len(item.body)} bytes is too large")
-    return _counter(item.version), item.body.decode()
+    return _check_counter(item.version), item.body.decode()
 
 
-def _text(value):
-    if len(value) > MAX_TEXT_BYTES:
+def _check_text(value):
+    if len(value) > MAX_TEXT_CHARS:
         raise ValueError(f"text of {len(value)} characters is too long")
     return value
 
 
-def _counter(value):
+def _check_counter(value):
     if value > MAX_COUNTER:
         raise ValueError(f"counter {value} is out of range")
     return value
 
 
-def _addr(item):
+def _read_addr(item):
     try:
         # If it were a host name, `sendto` would resolve it and block the event loop.
         socket.inet_pton(socket.AF_INET, item.ip)
@@ -250,8 +250,8 @@
     return item.ip, item.port
 
 
-def _optional_addr(item):
-    return _addr(item) if item.ip else None
+def _read_optional_addr(item):
+    return _read_addr(item) if item.ip else None
 
 
 def _write_records(items, records):
@@ -300,32 +300,32 @@
 def _read_member(item):
     if not item.nodeId:
         raise ValueError("member record has no node id")
-    region, dc = _text(item.region), _text(item.dc)
+    region, dc = _check_text(item.region), _check_text(item.dc)
     targets = tuple(
         Target(
-            _text(entry.targetId),
-            _text(entry.service),
-            _addr(entry.addr),
+            _check_text(entry.targetId),
+            _check_text(entry.service),
+            _read_addr(entry.addr),
             region,
             dc,
             entry.slots,
             entry.connections,
             TargetState(entry.state),
-            _text(entry.loadPath),
-            _text(entry.version),
+            _check_text(entry.loadPath),
+            _check_text(entry.version),
         )
         for entry in item.targets
     )
     return Member(
-        _text(item.nodeId),
-        _text(item.host),
-        _addr(item.addr),
+        _check_text(item.nodeId),
+        _check_text(item.host),
+        _read_addr(item.addr),
         region,
         dc,
-        _counter(item.incarnation),
-        _counter(item.seq),
+        _check_counter(item.incarnation),
+        _check_counter(item.seq),
         MemberStatus(item.status),
         targets,
-        _counter(item.rulesVersion),
-        _counter(item.ageMs) / 1000,
+        _check_counter(item.rulesVersion),
+        _check_counter(item.ageMs) / 1000,
     )
--- a/pimentoline/mesh.capnp
+++ b/pimentoline/mesh.capnp
@@ -1,5 +1,7 @@
 @0xd3a1f2b4c5968778;
 
+# Messages between nodes; messages.py and model.py describe their fields.
+
 struct Address {
   ip @0 :Text;
   port @1 :UInt16;
@@ -30,6 +32,8 @@
   ageMs @10 :UInt64;
 }
 
+# rumours holds the records of a Gossip message. rulesHeard is the highest rules version
+# that the sender knows of, known_rules_version in messages.py.
 struct Envelope {
   protocol @0 :UInt16;
   sender @1 :Text;
@@ -57,8 +61,8 @@
   body @1 :Data;
 }
 
-# addr is the node to ping in a pingReq. In a ping or ack, it is the node that requested
-# an indirect ping, unset in a direct one.
+# In a pingReq, addr is the node to ping. In a ping or ack, it is the node that requested
+# an indirect ping; it is unset for a direct ping.
 struct Ping {
   id @0 :UInt64;
   addr @1 :Address;
--- a/pimentoline/mesh_transport.py
+++ b/pimentoline/mesh_transport.py
@@ -15,7 +15,7 @@
 __all__ = ["MeshTransport"]
 
 FRAME_TIMEOUT_S = 2.0
-# Lets the event loop serve calls in between when many datagrams are queued.
+# When many datagrams are queued, the event loop serves calls after each such batch.
 MAX_DATAGRAMS_PER_WAKEUP = 64
 
 
@@ -52,7 +52,7 @@
         return ("mesh.bytes_sent", sent), ("mesh.bytes_received", received)
 
     def bind_addr(self, addr):
-        """Bind a UDP and a TCP socket to the same address and return it."""
+        """Bind a UDP and a TCP socket to the same (IP address, port) and return it."""
         ip, port = addr
         tcp = socket.create_server((ip, port), backlog=128)
         tcp.setblocking(False)
@@ -65,7 +65,7 @@
         return bound
 
     def send(self, addrs, message):
-        """Send a message to each address as datagrams, without confirmation.
+        """Send a message to each address as datagrams, without acknowledgement.
 
         Member records that do not fit into one datagram are split among several; a
         single record that does not fit goes over TCP.
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asks for an `Ack`; `requester` is the node that asked for this ping, if any."""
+    """Asks for an `Ack`.
+
+    `requester` is set for an indirect ping: the address of the node that asked for it.
+    """
 
     ping_id: int
     requester: tuple[str, int] | None = None
@@ -37,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ack:
-    """Answers a `Ping`; the receiver forwards it to `requester`, if that is set."""
+    """Reply to a `Ping`; its receiver forwards it to `requester`, if that is set."""
 
     ping_id: int
     requester: tuple[str, int] | None = None
@@ -45,21 +48,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """New member records; empty if only the rules version of the sender is new."""
+    """Changed member records; empty if only the sender's rules version has changed."""
 
     records: tuple[Member, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class SyncRequest:
-    """Digests of the sender's member records, one for each bucket of node ids."""
+    """Digests of the sender's member records, one for each hash bucket of node ids."""
 
     digests: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class SyncReply:
-    """Buckets with different digests, and all records of the sender in them."""
+    """Reply to a `SyncRequest`: the buckets that differ and all records in them."""
 
     buckets: tuple[int, ...]
     records: tuple[Member, ...]
@@ -74,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesReply:
-    """Answers a `RulesRequest` with the rules text in force and its version."""
+    """Reply to a `RulesRequest`: the rules text in force and its version."""
 
     version: int
     text: str
@@ -90,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesAck:
-    """Answers a `RulesPush` with the rules version in force at its receiver."""
+    """Reply to a `RulesPush`: the rules version in force at its receiver."""
 
     version: int
 
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -1,4 +1,4 @@
-"""pimentoline.peer_discovery: how a node finds its peers by the store and seeds."""
+"""pimentoline.peer_discovery: finds peers through the store and seed addresses."""
 
 import asyncio
 import time
@@ -18,7 +18,7 @@
 # Rows older than this are ignored; a row stays valid while two refreshes fail.
 MAX_ROW_AGE_S = 1800.0
 JOIN_GROUP_SIZE = 3
-# Groups of peers that are asked at boot before the node starts without a reply.
+# Number of groups of peers that a node asks at boot before it starts without a reply.
 MAX_JOIN_GROUPS = 3
 # The delay of the first retry is drawn from 0 to 1 s, and this range doubles with each
 # retry, so that nodes that start together do not retry at the same time.
@@ -27,7 +27,7 @@
 
 
 class PeerDiscovery:
-    """Finds peers by rows of the store and by the seed addresses in the settings.
+    """Finds peers through rows of the store and the seed addresses in the settings.
 
     Parameters
     ----------
@@ -78,8 +78,8 @@
     async def _find_peers(self):
         """Write this node's row, then return the other nodes' addresses, shuffled.
 
-        As each node writes before it reads, of several nodes that start together each
-        but the first to write finds at least one other.
+        Each node writes its row before it reads the others. So if several nodes start
+        together, each of them except the first to write finds at least one other.
         """
         node = self._node
         if node.store is None:
@@ -105,7 +105,7 @@
         return addrs
 
     async def _fetch_rules(self, group):
-        """Fetch the highest rules version that the group has named."""
+        """Fetch the highest rules version that the group has reported."""
         node = self._node
         for addr in group:
             rules = node.state.rules
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -1,4 +1,4 @@
-"""pimentoline.publisher: rules versions and their audit trail in the store."""
+"""pimentoline.publisher: reads and writes rules versions and their audit trail."""
 
 import asyncio
 import time
@@ -24,9 +24,10 @@
 
 __all__ = ["Publisher"]
 
-# Upper bound of the accepted versions that a reply about a conflict lists.
+# Maximum number of accepted versions that a reply about a conflict lists.
 MAX_CONFLICTING_VERSIONS = 20
 MAX_COMMIT_ATTEMPTS = 2
+# An accepted version is pushed to peers until this many have loaded it.
 PUSH_PEERS = 3
 # Leaves enough of the 5 s within which an accepted version has to be in force at every
 # node.
@@ -45,7 +46,7 @@
         self._node = node
 
     async def load_from_store(self):
-        """Put the rules in the store in force if they are newer than those in force."""
+        """Load the rules from the store if they are newer than those in force."""
         node = self._node
         if node.store is None:
             return
@@ -76,7 +77,7 @@
         Parameters
         ----------
         base : int
-            Version that the text is a change of, 0 if there is none yet.
+            Version that the text is based on; 0 if there is none yet.
         text : str
             A valid rules text.
         author : str
@@ -211,7 +212,7 @@
         peers, held_by = await self._push(version, text)
         reply = {"result": "accepted", "version": version, "held_by": 1 + held_by}
         if peers and not held_by:
-            reply["detail"] = "accepted, held by this node only"
+            reply["detail"] = "accepted, but no peer has confirmed loading it"
         return reply
 
     async def _push(self, version, text):
--- a/pimentoline/store.py
+++ b/pimentoline/store.py
@@ -12,21 +12,21 @@
 
 __all__ = ["Row", "Store"]
 
-# Time limit of one request, including the retry of a read.
+# Total timeout of a request, including the retry of a read.
 REQUEST_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
-# Time limit of the first attempt of a read; leaves time for a retry if the response
-# is lost.
+# Timeout of the first attempt of a read; leaves time for a retry if the response is
+# lost.
 FIRST_READ_TIMEOUT_S = 1.2
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Further requests wait in the client, and their time limit includes the wait.
+# Requests beyond this number wait in the client; the wait counts towards their timeout.
 MAX_REQUESTS = 64
 TOO_MANY_REQUESTS = 429
 
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A row of the table; each write adds 1 to its version, 0 is an absent row."""
+    """A row of the table; each write adds 1 to `version`, which is 0 if absent."""
 
     key: str
     version: int
@@ -114,6 +114,7 @@
                 raise
             except StoreError:
                 remaining_s = REQUEST_TIMEOUT_S - (time.monotonic() - started)
+                # A first attempt that timed out may have overrun by up to 0.1 s.
                 if remaining_s < REQUEST_TIMEOUT_S - FIRST_READ_TIMEOUT_S - 0.1:
                     raise
                 self._count("store.retried")
@@ -178,7 +179,9 @@
         checks : iterable of (str, int)
             Keys with the versions they must have; 0 means absent.
         puts : iterable of (str, object)
+            Keys with the values to write, which are JSON data.
         deletes : iterable of str
+            Keys of the rows to delete.
 
         Returns
         -------
