Reword the admin interface, settings, metric tables and platform modules

Some error texts named a value but not the problem, and some names and entries used private words. Wording and names only; test_admin, test_logs, test_platform_process, test_cli and test_twohop_path pass.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -26,8 +26,8 @@
 MAX_TARGETS = 64
 MAX_HISTORY_ROWS = 100
 MAX_ECHOED_CHARS = 80
-# The choice of a target is random, so a call is explained by the results of this many
-# random draws.
+# The choice of a target is random, so an explanation shows the distribution of the
+# results of this many trials.
 EXPLAIN_SAMPLES = 200
 STATUS_BY_RESULT = {
     "accepted": 200,
@@ -64,7 +64,7 @@
         return self.node.publisher
 
     def announced_targets(self):
-        """Return the ids of the targets that are announced here and not gone."""
+        """Return the ids of the targets announced at this node that are not gone."""
         return {
             target.target_id
             for target in own_record(self.node.state).targets
@@ -87,7 +87,7 @@
         self.finish({"error": code, "detail": detail})
 
     def write_error(self, status_code, **kwargs):
-        """Respond with JSON to errors raised as exceptions, too."""
+        """Respond to an exception with JSON instead of tornado's HTML page."""
         exc = kwargs.get("exc_info", (None, None))[1]
         detail = getattr(exc, "log_message", None) or self._reason
         code = "internal" if status_code >= 500 else "bad-request"
@@ -110,10 +110,12 @@
             return
         announced = self.announced_targets()
         if not NAME.fullmatch(target_id) or len(target_id) > MAX_TARGET_ID_CHARS:
-            self.respond_error(400, "bad-request", f"target id {target_id[:80]!r}")
+            self.respond_error(
+                400, "bad-request", f"target id {target_id[:80]!r} is invalid"
+            )
             return
         if target_id not in announced and len(announced) >= MAX_TARGETS:
-            detail = f"{MAX_TARGETS} targets are announced at this node already"
+            detail = f"this node has {MAX_TARGETS} announced targets, the maximum"
             self.respond_error(400, "bad-request", detail)
             return
         identity = self.node.state.identity
@@ -213,7 +215,7 @@
         self.finish({"version": version, "text": text})
 
     async def post(self):
-        """Apply a rules text with compare-and-set."""
+        """Apply a rules text if the version that it is based on is still in force."""
         body = self.read_body(ApplyRequest)
         if body is None:
             return
@@ -283,12 +285,14 @@
     def prepare(self):
         """Respond 404."""
         self.respond_error(
-            404, "not-found", f"path {self.request.path[:MAX_ECHOED_CHARS]!r}"
+            404,
+            "not-found",
+            f"path {self.request.path[:MAX_ECHOED_CHARS]!r} is unknown",
         )
 
 
 def _format_problem(err):
-    """Return one problem of a body as text, with long input truncated."""
+    """Return a validation error of pydantic as text, with long input truncated."""
     location = ".".join(map(str, err["loc"])) or "body"
     return f"{location}: {err['msg']}, found {str(err['input'])[:MAX_ECHOED_CHARS]!r}"
 
--- a/pimentoline/admin_models.py
+++ b/pimentoline/admin_models.py
@@ -50,7 +50,9 @@
         ip, port = value
         addr = ipaddress.IPv4Address(ip)
         if addr.is_unspecified or addr.is_multicast or not 1 <= port <= MAX_PORT:
-            raise ValueError(f"found {ip}:{port}; allowed: address of one host, port")
+            raise ValueError(
+                f"found {ip}:{port}; allowed: IPv4 address of one host and port"
+            )
         return str(addr), port
 
 
--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -1,4 +1,4 @@
-"""pimentoline.explain: how the node would handle a call, without sending it."""
+"""pimentoline.explain: shows how the node would handle a call, without sending it."""
 
 from collections import Counter
 from dataclasses import asdict
@@ -15,7 +15,7 @@
 
 
 def explain(state, query, now, draws):
-    """Return the decisions about a call as JSON data.
+    """Return the decisions about a call, in types that JSON can represent.
 
     The call is passed to the reducer, and the new state and the effects are dropped, so
     nothing changes and nothing is sent. There is one trial for each draw, because the
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -28,7 +28,7 @@
 TRUE_WORDS = ("1", "true", "yes", "on")
 FALSE_WORDS = ("0", "false", "no", "off")
 # Flags whose values are not shown in errors.
-SECRETS = ("mesh_keys",)
+SECRET_FLAGS = ("mesh_keys",)
 # Texts for types of pydantic errors whose message does not say what is allowed.
 ALLOWED_BY_ERROR_TYPE = {
     "bool_parsing": "allowed: true or false",
@@ -49,7 +49,7 @@
     ----------
     flag_table : dict of str to (default, help)
     argv : list of str
-        Arguments behind the name of the command.
+        Arguments after the name of the command.
     environ : mapping of str to str
     known_variables : iterable of str
         Variables of other commands, which are allowed. Other variables with the
@@ -156,11 +156,13 @@
     if err["type"] == "string_pattern_mismatch":
         text = f"allowed: text of the form {err['ctx']['pattern']}"
     text = ALLOWED_BY_ERROR_TYPE.get(err["type"], text[:1].lower() + text[1:])
-    return f"{label}: {text if name in SECRETS else _add_value(err['input'], text)}"
+    return (
+        f"{label}: {text if name in SECRET_FLAGS else _add_value(err['input'], text)}"
+    )
 
 
 def _add_value(value, text):
-    """Return the text of an error with the invalid value."""
+    """Prefix the text of an error with the invalid value."""
     return f"found {value!r}; {text}"
 
 
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -28,11 +28,15 @@
     "mesh.refused": ("counter", "messages", "malformed or unsigned messages"),
     "mesh.refuted": (
         "counter",
-        "rumours",
-        "suspicions of this node, refuted by it",
+        "suspicions",
+        "suspicions of this node that it refuted",
     ),
     "mesh.suspected": ("counter", "members", "members that became suspect"),
-    "mesh.unanswered": ("counter", "messages", "requests that a peer did not answer"),
+    "mesh.unanswered": (
+        "counter",
+        "messages",
+        "requests without a response from the peer",
+    ),
     "node.paused": ("counter", "pauses", "times that this process was paused"),
     "probes.bytes": ("counter", "bytes", "probe traffic, both ways"),
     "probes.failed": ("counter", "probes", "probes without a usable response"),
@@ -49,7 +53,7 @@
         "requests refused for the store's rate limit",
     ),
     "store.failed": ("counter", "requests", "store requests that failed"),
-    "store.nonsense": ("counter", "answers", "responses that break its protocol"),
+    "store.nonsense": ("counter", "responses", "responses that violate its protocol"),
     "store.read": ("timing", "ms", "one read of the store, with its retry"),
     "store.retried": ("counter", "requests", "reads that were sent a second time"),
     "store.write": ("timing", "ms", "one transaction of the store"),
@@ -70,7 +74,7 @@
         "an operator applied a rules text through this node",
     ),
     "rules:in-force": ("version, source", "another rules version is in force here"),
-    "store:unavailable": ("detail", "the store did not answer when it was needed"),
+    "store:unavailable": ("detail", "the store did not respond when it was needed"),
     "target:silent": ("target", "a target stopped renewing its announcement"),
     "call:broken": (
         "request, target, reason, verdict, detail",
@@ -105,7 +109,7 @@
     ),
     "peer:suspect": (
         "node, suspect",
-        "a link to a node went silent, or is heard again",
+        "a link to a node went silent, or carries data again",
     ),
     "settings:refused": ("code, detail", "the settings file cannot be used"),
     "settings:unreadable": (
@@ -121,7 +125,7 @@
     "target:load-unreadable": ("value", "the load figures of a target are not numbers"),
     "target:no-figures": (
         "detail",
-        "the target did not answer a request for its load figures",
+        "the target did not respond to a request for its load figures",
     ),
     "target:report-unreadable": ("detail", "a heartbeat is invalid"),
     "target:state": (
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -17,8 +17,7 @@
 from .store import PlatformStore
 
 SETTINGS_VARIABLE = "PIMENTOLINE_CONFIG"
-# Time between checks of whether the settings file has changed, seconds. It may change
-# without a SIGHUP.
+# The settings file is checked for changes, because it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -29,8 +29,8 @@
     return float(match[1]) * UNIT_S[match[2]]
 
 
-class Listen(BaseModel):
-    """Addresses that this process listens on.
+class ListenSettings(BaseModel):
+    """The `listen` table of the file: the addresses that this process listens on.
 
     `outbound` is for callers, `inbound` for other nodes, `control` for heartbeats of
     the target and `ready_addr` for the readiness check.
@@ -43,7 +43,7 @@
 
     @field_validator("*", mode="before")
     @classmethod
-    def _split(cls, value):
+    def _parse_addr(cls, value):
         return parse_addr(value)
 
 
@@ -54,7 +54,7 @@
 
     @field_validator("address", mode="before")
     @classmethod
-    def _split(cls, value):
+    def _parse_addr(cls, value):
         return parse_addr(value)
 
 
@@ -70,12 +70,12 @@
     app_addr: tuple[str, int]
     # In the file: a list, or a comma-separated text, of NAME=VALUE items.
     bounds: dict[str, str]
-    listen: Listen
+    listen: ListenSettings
     platform: StoreSettings
 
     @field_validator("app_addr", mode="before")
     @classmethod
-    def _split(cls, value):
+    def _parse_addr(cls, value):
         return parse_addr(value)
 
     @field_validator("bounds", mode="before")
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -39,12 +39,12 @@
 
 
 class PlatformStore:
-    """Reads and writes rows; the `part` of their keys is always empty.
+    """Client of the store; the `part` of the row keys is always empty.
 
     Parameters
     ----------
-    addr : tuple
-        Address of the store.
+    addr : tuple of (str, int)
+        IP address and port of the store.
     pool : Pool
     """
 
@@ -74,9 +74,9 @@
         finally:
             if conn is not None:
                 conn.close()
-        return self._check_response(path, response)
+        return self._parse_response(path, response)
 
-    def _check_response(self, path, response):
+    def _parse_response(self, path, response):
         if response.status == 429:
             raise StoreBusyError(f"{path:.40}: rate limit exceeded")
         if response.status == 410:
@@ -145,7 +145,7 @@
         table, key : str
         value : bytes or None
         expected : int
-            Current version of the row, 0 if it does not exist.
+            Version that the row must have; 0 if it must not exist.
 
         Returns
         -------
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -38,7 +38,10 @@
         "no authentication.",
     ),
     "store_url": ("", "Base URL of the platform's table service."),
-    "seeds": ("", "Comma-separated mesh addresses of nodes to join through."),
+    "seeds": (
+        "",
+        "Comma-separated mesh addresses of nodes to join through.",
+    ),
     "mesh_keys": (
         "",
         "Comma-separated keys. The first signs messages; messages signed with any of "
@@ -141,6 +144,6 @@
     Raises
     ------
     SettingsError
-        Naming each invalid setting.
+        With one problem for each invalid setting.
     """
     return validate_flags(NodeConfig, values)
