--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -1,4 +1,4 @@
-"""Claims when responses of the store are lost and writes take effect late."""
+"""Tests of claims when store responses are lost and writes take effect late."""
 
 import asyncio
 
@@ -83,7 +83,7 @@
 def test_late_insertion_of_a_refused_call_is_void():
     """Guards against a claim that a rejected call holds for ever.
 
-    The caller was told that its call was not run; the insertion takes effect later.
+    The caller got the verdict `not-run`, and the insertion takes effect later.
     """
 
     async def scenario():
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -13,7 +13,7 @@
 from pimentoline.model import Member, MemberStatus, Target, TargetState
 
 CODEC = cd.Codec([b"new", b"old"])
-# With fixed seeds, runs are repeatable without a database of hypothesis.
+# Fixed seeds make runs repeatable, so hypothesis needs no database of examples.
 FUZZ = settings(max_examples=150, deadline=None, database=None)
 
 names = st.text(st.characters(codec="utf-8"), min_size=1, max_size=30)
@@ -92,7 +92,7 @@
 @seed(2)
 @FUZZ
 @given(messages, st.integers(0, 2**32))
-def test_authentic_garbage_is_refused_with_a_coded_error(message, number):
+def test_authentic_garbage_is_refused_with_a_codec_error(message, number):
     """Guards the event loop against exceptions other than `CodecError`, and crashes."""
     rand = random.Random(number)
     payload = bytearray(zlib.decompress(CODEC.encode(message)[cd.HEADER_BYTES :]))
@@ -142,8 +142,8 @@
         assert both.decode(cd.Codec([single]).encode(message)) == message
 
 
-def test_newer_protocol_and_unknown_member_are_told_apart_from_garbage():
-    """Guards a rolling upgrade: messages of a newer release are not invalid ones."""
+def test_newer_protocol_and_unknown_message_type_are_not_malformed():
+    """Guards a rolling upgrade against counting newer messages as malformed."""
     env = envelope()
     env.protocol = cd.PROTOCOL_VERSION + 1
     unknown = bytearray(envelope().to_bytes())
@@ -164,7 +164,7 @@
         {"addr": {"ip": "kerio.example", "port": 80}},
     ],
 )
-def test_record_that_is_not_understood_is_left_out_alone(change):
+def test_only_the_unreadable_record_is_skipped(change):
     """Guards against the loss of a whole message because of one unknown value."""
     env = envelope()
     items = env.init("rumours", 2)
@@ -176,7 +176,7 @@
     assert found.skipped_records == 1
 
 
-def test_sizes_are_limited_before_memory_is_taken():
+def test_sizes_are_limited_before_memory_is_allocated():
     """Guards against a small message that decompresses to gigabytes."""
     bomb = sign(b"\0" * (cd.MAX_FRAME_BYTES + 8))
     assert len(bomb) < 10_000
@@ -193,6 +193,6 @@
     [ms.Ping(-1), ms.Ping(2**64), ms.PingReq(1, ("10.0.0.1", 70000)), None, "text"],
 )
 def test_value_that_does_not_fit_is_refused_by_the_encoder(body):
-    """Guards a node's ticks against unexpected exceptions because of a bad value."""
+    """Guards a node's ticks against exceptions other than `CodecError`."""
     with pytest.raises(CodecError):
         CODEC.encode(ms.Message("n1", 1, 1, body))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,6 @@
 """Tests of connections to targets and callers, and of a paused process.
 
-"Silent" connections stay open but carry no data any more.
+A "silent" connection stays open but no longer carries data.
 """
 
 import http.client
@@ -80,10 +80,9 @@
 
 
 def test_hop_by_hop_headers_are_not_forwarded(cluster):
-    """Guards against forwarded hop-by-hop headers.
+    """Guards against forwarded hop-by-hop headers and a lost `Content-Length`.
 
-    Also guards against a caller that removes `Content-Length` by naming it in
-    `Connection`.
+    A caller could have `Content-Length` removed by naming it in `Connection`.
     """
     cluster.start_node("n1")
     response_with_hop = OK.replace(
@@ -110,7 +109,7 @@
 
 
 def test_silent_connections_fail_one_call_and_eject_no_target(cluster):
-    """Guards against silent connections that fail one call each.
+    """Guards against idle connections that go silent together and fail a call each.
 
     The first failure closes the other idle connections to the target.
     """
@@ -189,7 +188,7 @@
 
 
 def test_calls_beyond_the_connection_limit_wait(cluster):
-    """Guards against exceeding a target's connections, and refusing calls for it."""
+    """Guards against more connections than a target allows, and refused calls."""
     cluster.start_node("n1")
 
     def serve(target, sock, number):
@@ -202,8 +201,8 @@
         raw_target(cluster, serve, connections=10) as target,
         ThreadPoolExecutor(40) as callers,
     ):
-        answers = list(callers.map(lambda path: cluster.call("n1", path), ["/"] * 90))
-        assert [status for status, _, _ in answers] == [200] * 90
+        responses = list(callers.map(lambda path: cluster.call("n1", path), ["/"] * 90))
+        assert [status for status, _, _ in responses] == [200] * 90
         assert target.connections == 9
 
 
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -1,4 +1,4 @@
-"""Message transport between two nodes in one process, over loopback."""
+"""Tests of the message transport between two nodes in one process."""
 
 import asyncio
 from dataclasses import replace
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,4 +1,4 @@
-"""The program on the platform: its settings file, its signals and its exit."""
+"""Tests of the node process on the platform: settings file, signals and exit."""
 
 import asyncio
 import json
@@ -17,7 +17,7 @@
 
 
 def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
-    """Guards against a failure to read the file of a newer platform."""
+    """Guards against rejecting the settings file of a newer platform."""
     path = tmp_path / "boot.toml"
     path.write_text(settings_text())
     cfg = load_settings_file(path).host_settings()
@@ -61,7 +61,7 @@
         parse_duration(text)
 
 
-def test_ports_of_tests_are_outside_the_range_for_connections():
+def test_ports_of_tests_are_outside_the_ephemeral_range():
     """Guards against a port that an outgoing connection takes before a node does."""
     low, high = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
     ports = [free_port() for _ in range(50)]
@@ -103,13 +103,13 @@
     async def run():
         store = StoreStandIn()
         store.put_config(config())
-        instance = ScriptedTarget("i-1", "ledger")
-        await instance.start()
+        target = ScriptedTarget("i-1", "ledger")
+        await target.start()
         ports = {
             name: free_port() for name in ("inbound", "outbound", "ready", "control")
         }
         fields = {
-            "app": "{}:{}".format(*instance.addr),
+            "app": "{}:{}".format(*target.addr),
             "store": "{}:{}".format(*store.addr),
             **ports,
         }
@@ -131,7 +131,7 @@
             process.kill()
             out = process.stdout.read()
             process.wait()
-            instance.close()
+            target.close()
             store.close()
         assert process.returncode == 0
         names = [json.loads(line)["message_type"] for line in out.splitlines()]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -41,8 +41,8 @@
     }
 
 
-# (path, body or None, status, expected answer or None)
-CONTRACT = [
+# (path, body or None, status, expected response body or None)
+PROTOCOL_STEPS = [
     ("/v1/rows/a", None, 200, {"key": "a", "version": 0, "value": None}),
     ("/v1/txn", txn([("a", 0)], [("a", 1)]), 200, {"ok": True, "versions": {"a": 1}}),
     ("/v1/txn", txn([("a", 0)], [("a", 9)]), 200, {"ok": False, "conflicts": ["a"]}),
@@ -66,12 +66,12 @@
 ]
 
 
-def test_table_service_keeps_its_contract():
+def test_table_service_follows_its_protocol():
     """Guards against a stand-in that deviates from the protocol on the design page."""
 
     async def scenario(table, store):
         client = AsyncHTTPClient(force_instance=True)
-        for path, body, status, expected in CONTRACT:
+        for path, body, status, expected in PROTOCOL_STEPS:
             method = "GET" if body is None else "POST"
             data = None if body is None else json.dumps(body)
             url = store._base + path
@@ -87,7 +87,7 @@
 
 
 def test_scan_is_limited():
-    """Guards against a scan whose response grows with the table."""
+    """Guards against a scan whose response has no size limit."""
 
     async def scenario(table, store):
         table.rows = {f"k{i:05d}": (1, i) for i in range(1500)}
@@ -119,7 +119,7 @@
 
 
 @pytest.mark.parametrize("kind", sorted(INVALID_BODIES))
-def test_nonsense_answer_is_refused(kind):
+def test_invalid_response_is_refused(kind):
     """Guards against an invalid response that is taken for a row or a commit."""
 
     async def scenario(table, store):
@@ -134,7 +134,7 @@
     assert HUGE_BYTES > 16 * 1024 * 1024
 
 
-def test_answer_for_another_row_is_refused():
+def test_response_with_another_row_is_refused():
     """Guards against rows of other keys, as a mix-up of connections would return."""
 
     async def scenario(table, store):
@@ -149,8 +149,8 @@
 
 
 @pytest.mark.parametrize("faults", [{"down": True}, {"silent": True}, {"delay_s": 9.0}])
-def test_unavailable_store_is_given_up_in_time(faults):
-    """Guards against a request without a time limit while the store is unavailable."""
+def test_request_to_an_unavailable_store_times_out(faults):
+    """Guards against a request without a timeout while the store is unavailable."""
 
     async def scenario(table, store):
         loop = asyncio.get_running_loop()
