Describe results, units and the load header in docstrings

Readers had to look up the fields of a conflict, the unit of durations and the format of X-Target-Load. Wording and one private name only; test_admin, test_apply, test_cli, test_probing, test_connections and test_purity pass.

--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -58,7 +58,8 @@
         "claims_key": bool(query.key) and not policy.idempotent,
         "outcomes": {text: n / len(draws) for text, n in counts.most_common()},
         "targets": [
-            _target(state, target, now) for target in _announced_targets(state, req)
+            _describe_target(state, target, now)
+            for target in _announced_targets(state, req)
         ],
     }
 
@@ -90,7 +91,7 @@
     return [found[name] for name in sorted(found)]
 
 
-def _target(state, target, now):
+def _describe_target(state, target, now):
     rules = state.rules.ruleset.target_rules(target)
     stats = state.traffic.targets.get(target.target_id) or TargetStats()
     return {
--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -245,7 +245,10 @@
 
 
 def parse_load(text):
-    """Return the number of requests in flight from `X-Target-Load`, or None."""
+    """Return the number of requests in flight from `X-Target-Load`.
+
+    The header value is `IN_FLIGHT/SLOTS`. Returns None if it is absent or malformed.
+    """
     try:
         return float(text.split("/")[0]) if text else None
     except ValueError:
--- a/pimentoline/metrics.py
+++ b/pimentoline/metrics.py
@@ -54,7 +54,7 @@
                 self.flush()
 
     def timing(self, name, seconds):
-        """Record one duration, sent in milliseconds."""
+        """Record a duration in seconds; statsd receives it in milliseconds."""
         ms = seconds * 1000.0
         stats = self.timings.setdefault(
             name, {"count": 0, "last_ms": 0.0, "max_ms": 0.0}
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -122,6 +122,8 @@
     async def read_changes(self, table, after, wait_s):
         """Return the rows changed after a version, and the version to continue from.
 
+        The store waits up to `wait_s` seconds for a change.
+
         Raises
         ------
         StoreError
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -88,9 +88,14 @@
         Returns
         -------
         dict
-            `result` is `accepted` (with `version`), `conflict` (with `head`, `won`
-            and `differs`), `unknown` (with `attempt`) or `unavailable` (this request
-            has written nothing).
+            `result` is one of these:
+
+            `accepted`, with `version`.
+            `conflict`, with `won`, the versions accepted after `base`. If another
+            attempt replaced `base`, also with `head`, the head row, and `differs`, the
+            diff from the text in force to `text`.
+            `unknown`, with `attempt`.
+            `unavailable`: this request has written nothing.
         """
         try:
             row, head = await self._head()
@@ -251,6 +256,7 @@
         Parameters
         ----------
         limit : int
+            Maximum number of rows.
         before : int or None
             Return only versions below this one.
 
