Rename the processing of a target's queue in twohop

Cause: "pump" is figurative; the method starts or refuses the queued calls. Change: _pump is _process_queue, in twohop and in the emulator that calls it. Result: lint clean; test_twohop_path and test_emulator pass.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -145,7 +145,7 @@
             self._note_load(headers[HEADER_NAMES.load])
         else:
             noise.probe_failed(self._clock())
-        self._pump()
+        self._process_queue()
 
 
 class _SimulatedCallerSide(CallerSide):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -245,7 +245,7 @@
             if refused is not None:
                 self._refuse(call, refused.reason, refused.retry_after_s)
             else:
-                self._pump()
+                self._process_queue()
         return call
 
     def cancel(self, call):
@@ -265,7 +265,7 @@
         # A task that is cancelled before its first step runs none of its code, not even
         # the clean-up.
         self._finish(call)
-        self._pump()
+        self._process_queue()
 
     def _refuse(self, call, reason, retry_after_s, at_target=False):
         frame = RefusedFrame(
@@ -286,7 +286,7 @@
         if frame is not None and not call.cancelled:
             call.reply(frame, body)
 
-    def _pump(self):
+    def _process_queue(self):
         """Start or refuse the waiting calls that can be, and probe if needed."""
         while True:
             action = self.admission.next_action(self._clock())
@@ -310,7 +310,7 @@
 
     def _check_queue(self):
         self._queue_check = None
-        self._pump()
+        self._process_queue()
 
     async def _probe(self):
         """Ask the target for its load.
@@ -344,7 +344,7 @@
             self._probe_task = None
             if conn is not None:
                 conn.close()
-            self._pump()
+            self._process_queue()
 
     def _note_identity(self, response):
         """Detect that the target was replaced while this process was not running.
@@ -388,7 +388,7 @@
         finally:
             if conn is not None:
                 conn.close()
-            self._pump()
+            self._process_queue()
 
     def _fail_call(self, call, conn, exc):
         """Reply with a failure; `conn` is None if there was no connection."""
