Rename vague names inside twohop

Cause: world, work, leave, at_target and the like do not say what they stand for, and two modules had a CONFIG_WAIT_S of different meaning. Change: names that are used only in twohop and its tests.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -268,7 +268,7 @@
         while queue and queue[0][-1].removed:
             heapq.heappop(queue)
 
-    def caller_left(self, job, now):
+    def note_disconnect(self, job, now):
         """Record that the caller of a running job has disconnected.
 
         If the job has run far longer than usual, it counts as failed.
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -268,7 +268,8 @@
             self._retry_budgets[service] = budget
         return budget
 
-    # `lifecycle.step` calls `choose` and `acquire_retry`, with this object as `world`.
+    # This object is the `environment` of `lifecycle.step`, which calls `choose` and
+    # `acquire_retry`.
 
     def choose(self, call, now):
         """Return the best candidate that has not been tried, or None."""
--- a/pimentoline/twohop/chunked.py
+++ b/pimentoline/twohop/chunked.py
@@ -14,7 +14,7 @@
 MAX_LINE_BYTES = 4096
 MAX_TRAILER_LINES = 64
 MAX_READ_BYTES = 64 * 1024
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,15}")
 
 
 class BodyTooLarge(HTTPInputError):
@@ -45,7 +45,7 @@
     total = 0
     while True:
         size_text = (await _read_line(stream)).partition(b";")[0].rstrip(b" \t")
-        if CHUNK_SIZE.fullmatch(size_text) is None:
+        if CHUNK_SIZE_PATTERN.fullmatch(size_text) is None:
             raise HTTPInputError(f"invalid chunk size {size_text[:20]!r}")
         size = int(size_text, 16)
         if size == 0:
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -132,9 +132,11 @@
         cold : bool
             Whether the target has started recently and is still slow.
         """
-        known = min(self._full_load_samples, self._light_load_samples) >= MIN_SAMPLES
-        if (known and self._full_load_ratio > MAX_FULL_LOAD_RATIO) or (
-            cold and not known
+        enough_samples = (
+            min(self._full_load_samples, self._light_load_samples) >= MIN_SAMPLES
+        )
+        if (enough_samples and self._full_load_ratio > MAX_FULL_LOAD_RATIO) or (
+            cold and not enough_samples
         ):
             return max(1, int(slots * FULL_LOAD_SHARE))
         return slots
--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -117,7 +117,7 @@
         self.headers = None
         self.chunks = []
         self.arrived_at = 0.0
-        self.notify_caller_left = None
+        self.notify_disconnect = None
         self.max_bytes = 0
 
     def headers_received(self, start_line, headers):
@@ -186,9 +186,9 @@
         )
         self.chunks = []
         self.conn.set_close_callback(self.on_connection_close)
-        notify_caller_left = frontend.caller_side.submit(route, incoming, self._respond)
+        notify_disconnect = frontend.caller_side.submit(route, incoming, self._respond)
         if self.state == "waiting":
-            self.notify_caller_left = notify_caller_left
+            self.notify_disconnect = notify_disconnect
 
     def _host_and_request_target(self):
         request_target = self.start_line.path
@@ -263,8 +263,8 @@
 
     def on_connection_close(self):
         """Cancel the call of a caller that has disconnected."""
-        notify_caller_left, self.notify_caller_left = self.notify_caller_left, None
+        notify_disconnect, self.notify_disconnect = self.notify_disconnect, None
         if self.state in ("waiting", "reading"):
             self._mark_done()
-        if notify_caller_left is not None:
-            notify_caller_left()
+        if notify_disconnect is not None:
+            notify_disconnect()
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -1,8 +1,8 @@
 """pimentoline.twohop.lifecycle: state machine of a call at its caller's node.
 
-`step(call, event, world)` updates the call and returns the effects of an event. A call
-goes to a second target only if it is proven that the first has not run it, or if its
-route is retryable and the retry budget has room.
+`step(call, event, environment)` updates the call and returns the effects of an event.
+A call goes to a second target only if it is proven that the first has not run it, or
+if its route is retryable and the retry budget is not used up.
 """
 
 from dataclasses import dataclass, field
@@ -173,7 +173,7 @@
     retry_after_s: float | None = None
 
 
-def step(call, event, world):
+def step(call, event, environment):
     """Update a call after an event and return the effects to carry out.
 
     Parameters
@@ -183,7 +183,7 @@
     event : object
         `CallReceived`, `AttemptRefused`, `AttemptFailed`, `ResponseReceived`,
         `AttemptStalled`, `TimedOut` or `CallerDisconnected`.
-    world : object
+    environment : object
         `choose(call, now)` returns a candidate that has not been tried, or None;
         `acquire_retry(service, now)` takes a retry from the budget and returns
         whether there was one.
@@ -196,15 +196,15 @@
         return []
     match event:
         case CallReceived():
-            return _place_call(call, event.now, world, False)
+            return _place_call(call, event.now, environment, False)
         case AttemptRefused():
-            return _on_refused(call, event, world)
+            return _on_refused(call, event, environment)
         case AttemptFailed():
-            return _on_failed(call, event, world)
+            return _on_failed(call, event, environment)
         case ResponseReceived():
-            return _on_response(call, event, world)
+            return _on_response(call, event, environment)
         case AttemptStalled():
-            return _on_stalled(call, event.now, world)
+            return _on_stalled(call, event.now, environment)
         case TimedOut():
             call.ended = True
             return [CancelAttempt(), _timeout_effect(call)]
@@ -220,8 +220,8 @@
     return Reject(504, "timeout")
 
 
-def _place_call(call, now, world, retry):
-    candidate = world.choose(call, now)
+def _place_call(call, now, environment, retry):
+    candidate = environment.choose(call, now)
     if candidate is None or call.placements >= MAX_PLACEMENTS:
         return _use_last_resort(call, now, retry)
     return _send_to(call, candidate, False, retry)
@@ -253,7 +253,7 @@
     return [Reject(503, reason, DEFAULT_RETRY_AFTER_S if after_s is None else after_s)]
 
 
-def _on_refused(call, event, world):
+def _on_refused(call, event, environment):
     shortest_s = call.retry_after_s
     if shortest_s is None or event.retry_after_s < shortest_s:
         call.retry_after_s = event.retry_after_s
@@ -261,53 +261,53 @@
     if event.by_target:
         # The call reached the target, so it counts as an attempt.
         call.attempts += 1
-        if not _acquire_retry(call, event.now, world):
+        if not _acquire_retry(call, event.now, environment):
             return _give_up(call, event.reason)
-        return _place_call(call, event.now, world, True)
+        return _place_call(call, event.now, environment, True)
     if call.last_resort:
         return _give_up(call, event.reason)
-    return _place_call(call, event.now, world, call.attempts > 0)
+    return _place_call(call, event.now, environment, call.attempts > 0)
 
 
-def _acquire_retry(call, now, world):
+def _acquire_retry(call, now, environment):
     if call.attempts >= call.route.max_attempts:
         return False
     if call.deadline_at - now < MIN_RETRY_TIME_S:
         return False
-    return world.acquire_retry(call.service, now)
+    return environment.acquire_retry(call.service, now)
 
 
-def _on_failed(call, event, world):
+def _on_failed(call, event, environment):
     if event.verdict is Verdict.NOT_RUN:
-        return _place_call(call, event.now, world, call.attempts > 0)
+        return _place_call(call, event.now, environment, call.attempts > 0)
     call.attempts += 1
     call.verdict = event.verdict
-    if call.route.retryable and _acquire_retry(call, event.now, world):
-        return _place_call(call, event.now, world, True)
+    if call.route.retryable and _acquire_retry(call, event.now, environment):
+        return _place_call(call, event.now, environment, True)
     return _give_up(call, event.reason)
 
 
-def _on_stalled(call, now, world):
+def _on_stalled(call, now, environment):
     """Retry a call elsewhere if that is allowed; otherwise keep waiting."""
     if not call.route.retryable or call.placements >= MAX_PLACEMENTS:
         return []
-    candidate = world.choose(call, now)
+    candidate = environment.choose(call, now)
     if candidate is None:
         return []
     call.attempts += 1
-    if not _acquire_retry(call, now, world):
+    if not _acquire_retry(call, now, environment):
         call.attempts -= 1
         return []
     call.verdict = Verdict.MAY_HAVE_RUN
     return [CancelAttempt(), *_send_to(call, candidate, False, True)]
 
 
-def _on_response(call, event, world):
+def _on_response(call, event, environment):
     if event.status >= MIN_FAILURE_STATUS and call.route.retryable:
         call.attempts += 1
         call.verdict = Verdict.RAN
-        if _acquire_retry(call, event.now, world):
+        if _acquire_retry(call, event.now, environment):
             call.held_response = event.response
-            return _place_call(call, event.now, world, True)
+            return _place_call(call, event.now, environment, True)
     call.ended = True
     return [Reply(event.response)]
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -136,8 +136,8 @@
         Returns the store client from a `Pool`.
     config_row : tuple of str
         Table and key of the operator's configuration.
-    make_control_delegate : callable
-        `make_control_delegate(node)` returns the tornado delegate that receives the
+    make_heartbeat_delegate : callable
+        `make_heartbeat_delegate(node)` returns the tornado delegate that receives the
         heartbeats of the target.
     make_ready_delegate : callable
         `make_ready_delegate(node)` returns the tornado delegate for readiness checks.
@@ -150,7 +150,7 @@
         parse_config,
         make_store,
         config_row,
-        make_control_delegate,
+        make_heartbeat_delegate,
         make_ready_delegate,
     ):
         clock = time.monotonic
@@ -180,7 +180,7 @@
         member = Member(cfg.node, cfg.peers_addr, cfg.dc, cfg.region, cfg.service)
         self.peers.set_member(member)
         self.store_sync = StoreSync(make_store(self.pool), config_row, member, self)
-        self._control_server = HTTPServer(make_control_delegate(self))
+        self._heartbeat_server = HTTPServer(make_heartbeat_delegate(self))
         self._ready_server = HTTPServer(make_ready_delegate(self))
         self._stopped = asyncio.Event()
 
@@ -210,7 +210,7 @@
         """Start to listen and to read the store."""
         cfg = self.cfg
         await self.peers.start(cfg.peers_addr)
-        self._control_server.listen(
+        self._heartbeat_server.listen(
             cfg.heartbeats_addr[1], cfg.heartbeats_addr[0], backlog=64
         )
         self._ready_server.listen(cfg.ready_addr[1], cfg.ready_addr[0], backlog=64)
@@ -238,7 +238,7 @@
         self.store_sync.stop()
         self.frontend.stop_listening()
         self.frontend.close_all()
-        self._control_server.stop()
+        self._heartbeat_server.stop()
         self._ready_server.stop()
         self.peers.close()
 
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -219,7 +219,7 @@
 
     def __init__(self, peers):
         self.peers = peers
-        self.work_by_stream = {}
+        self.pending_calls = {}
         self.assembler = _BodyAssembler()
 
     def link_up(self, link):
@@ -230,9 +230,9 @@
     def link_lost(self, link, reason):
         """Cancel the peer's calls."""
         self.peers.incoming.pop(link, None)
-        work_by_stream, self.work_by_stream = self.work_by_stream, {}
-        for work in work_by_stream.values():
-            self.peers.target.cancel(work)
+        pending_calls, self.pending_calls = self.pending_calls, {}
+        for pending_call in pending_calls.values():
+            self.peers.target.cancel(pending_call)
 
     def frame_received(self, link, frame, body):
         """Handle a call, a cancellation or a peer's state."""
@@ -247,9 +247,9 @@
                     self._submit(link, *found)
             case fr.CancelFrame():
                 self.assembler.drop(frame.stream)
-                work = self.work_by_stream.pop(frame.stream, None)
-                if work is not None:
-                    self.peers.target.cancel(work)
+                pending_call = self.pending_calls.pop(frame.stream, None)
+                if pending_call is not None:
+                    self.peers.target.cancel(pending_call)
             case fr.Hello():
                 link.peer = frame.node
                 self.peers.note_peer_up(frame.node)
@@ -264,12 +264,12 @@
         stream = call.stream
 
         def reply(frame, body):
-            self.work_by_stream.pop(stream, None)
+            self.pending_calls.pop(stream, None)
             link.send(frame, body)
 
-        work = self.peers.target.submit(call, complete_body, reply)
-        if not work.ended:
-            self.work_by_stream[stream] = work
+        pending_call = self.peers.target.submit(call, complete_body, reply)
+        if not pending_call.ended:
+            self.pending_calls[stream] = pending_call
 
 
 class Peers:
@@ -408,11 +408,11 @@
             on_frame(frame, body)
 
         def cancel():
-            if not work.ended and not work.cancelled:
+            if not pending_call.ended and not pending_call.cancelled:
                 candidate.in_flight -= 1
-                self.target.cancel(work)
+                self.target.cancel(pending_call)
 
-        work = self.target.submit(make_frame(0), body, reply)
+        pending_call = self.target.submit(make_frame(0), body, reply)
         return cancel
 
     # State that peers exchange.
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -90,7 +90,7 @@
         Calls of this node that wait for a response from there.
     in_flight_at_report : int
         Value of `in_flight` when the newest report was received.
-    mean_ms : float
+    mean_delay_ms : float
         Moving average of the reported delays, milliseconds.
     report_count : int
         Number of reports received.
@@ -108,7 +108,7 @@
     reported_at: float = 0.0
     in_flight: int = 0
     in_flight_at_report: int = 0
-    mean_ms: float = INITIAL_DELAY_MS
+    mean_delay_ms: float = INITIAL_DELAY_MS
     report_count: int = 0
     failures: float = 0.0
     failed_at: float = 0.0
@@ -119,7 +119,7 @@
         elapsed_weight = min(MAX_MEAN_WEIGHT, (now - self.reported_at) / MEAN_WINDOW_S)
         self.report_count += 1
         weight = max(elapsed_weight, 1.0 / (self.report_count + INITIAL_MEAN_REPORTS))
-        self.mean_ms += weight * (report.delay_ms - self.mean_ms)
+        self.mean_delay_ms += weight * (report.delay_ms - self.mean_delay_ms)
         self.report = report
         self.reported_at = now
         self.in_flight_at_report = self.in_flight
@@ -151,7 +151,9 @@
         )
         total = others + self.in_flight
         delay_weight = max(0.0, 1.0 - age / DELAY_DECAY_S)
-        delay = self.mean_ms + (report.delay_ms - self.mean_ms) * delay_weight
+        delay = (
+            self.mean_delay_ms + (report.delay_ms - self.mean_delay_ms) * delay_weight
+        )
         if age * 1000.0 < report.cold_remaining_ms:
             delay *= COLD_START_SLOWDOWN
         delay += max(0.0, report.noise_remaining_ms - age * 1000.0)
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -21,8 +21,8 @@
 # own, so that the polls of the nodes end at different times: a new configuration is
 # read by some node within a second even if connections have gone silent, and that node
 # passes it on to the others.
-CONFIG_WAIT_S = (6.0, 12.0)
-MEMBERS_WAIT_S = (15.0, 25.0)
+CONFIG_POLL_RANGE_S = (6.0, 12.0)
+MEMBERS_POLL_RANGE_S = (15.0, 25.0)
 # Pause after a failed request, seconds. Once the store is reachable again, the row of
 # each node must be back in it within 2 s.
 MIN_PAUSE_S = 0.2
@@ -72,12 +72,12 @@
         self._tasks = [
             loop.create_task(
                 self._follow_table(
-                    self._config_row[0], CONFIG_WAIT_S, self._apply_config_rows
+                    self._config_row[0], CONFIG_POLL_RANGE_S, self._apply_config_rows
                 )
             ),
             loop.create_task(
                 self._follow_table(
-                    MEMBERS_TABLE, MEMBERS_WAIT_S, self._apply_member_rows
+                    MEMBERS_TABLE, MEMBERS_POLL_RANGE_S, self._apply_member_rows
                 )
             ),
         ]
@@ -90,7 +90,7 @@
         if self._save_timer is not None:
             self._save_timer.cancel()
 
-    async def _follow_table(self, table, wait_s, apply):
+    async def _follow_table(self, table, wait_range_s, apply):
         after = None
         pause_s = MIN_PAUSE_S
         while True:
@@ -99,8 +99,8 @@
                     rows, after = await self._store.read_all(table)
                     apply(rows, True)
                 else:
-                    wait = self._random.uniform(*wait_s)
-                    rows, after = await self._store.read_changes(table, after, wait)
+                    wait_s = self._random.uniform(*wait_range_s)
+                    rows, after = await self._store.read_changes(table, after, wait_s)
                     if rows:
                         apply(rows, False)
                     if rows and table == MEMBERS_TABLE:
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -106,7 +106,7 @@
         self._health_path = health_path
         self._probe_task = None
         self._pending = {}
-        self._queue_check = None
+        self._queue_timer = None
 
     # Status of the target.
 
@@ -164,7 +164,7 @@
     def handle_sign_off(self, target_id, born_ms):
         """Process the sign-off of a target; return whether its state changed."""
         previous = self.status_tracker.current
-        self.status_tracker.leave(target_id, born_ms)
+        self.status_tracker.accept_sign_off(target_id, born_ms)
         return self._status_changed(previous)
 
     def restore(self, status):
@@ -260,19 +260,19 @@
         if call.task is not None and not call.frame.retryable:
             return
         if call.task is not None:
-            call.admission.caller_left(call.job, self._clock())
+            call.admission.note_disconnect(call.job, self._clock())
             call.task.cancel()
         # A task that is cancelled before its first step runs none of its code, not even
         # the clean-up.
         self._finish(call)
         self._process_queue()
 
-    def _refuse(self, call, reason, retry_after_s, at_target=False):
+    def _refuse(self, call, reason, retry_after_s, by_target=False):
         frame = RefusedFrame(
             call.frame.stream,
             reason,
             int(retry_after_s * MS_PER_S),
-            at_target,
+            by_target,
             self.load_report(),
         )
         self._finish(call, frame)
@@ -302,14 +302,14 @@
                 call.task = asyncio.get_running_loop().create_task(self._run(call))
         if action is StartDecision.PROBE and self._probe_task is None:
             self._probe_task = asyncio.get_running_loop().create_task(self._probe())
-        if self._queue_check is None and self.admission.queued:
+        if self._queue_timer is None and self.admission.queued:
             loop = asyncio.get_running_loop()
-            self._queue_check = loop.call_later(
-                QUEUE_CHECK_INTERVAL_S, self._check_queue
+            self._queue_timer = loop.call_later(
+                QUEUE_CHECK_INTERVAL_S, self._on_queue_timer
             )
 
-    def _check_queue(self):
-        self._queue_check = None
+    def _on_queue_timer(self):
+        self._queue_timer = None
         self._process_queue()
 
     async def _probe(self):
@@ -376,7 +376,7 @@
             conn = None
             if call.job.running and response.status < MIN_FAILURE_STATUS:
                 call.admission.complete(call.job, self._clock())
-            self._finish_call(call, response)
+            self._handle_response(call, response)
         except asyncio.CancelledError:
             self._finish(call)
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
@@ -457,7 +457,7 @@
             is_own_response,
         )
 
-    def _finish_call(self, call, response):
+    def _handle_response(self, call, response):
         """Reply with the response of the target, or with what is wrong with it."""
         header_names = self._header_names
         headers = response.headers
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -145,7 +145,7 @@
         )
         return True
 
-    def leave(self, target_id, born_ms):
+    def accept_sign_off(self, target_id, born_ms):
         """Record that a target has signed off; ignored if it was replaced before.
 
         A target that started after the current one has replaced it, even if none of
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -50,8 +50,8 @@
     return Candidate(member, True, LoadReport(**fields), NOW)
 
 
-class World:
-    """The `world` of `lifecycle.step`: named candidates and a number of retries."""
+class FakeEnvironment:
+    """An `environment` of `lifecycle.step` with given candidates and retries."""
 
     def __init__(self, *names, retries=9):
         self.candidates = [candidate(name) for name in names]
@@ -68,11 +68,11 @@
         return self.retries >= 0
 
 
-def begin(route, world):
+def begin(route, environment):
     """Return a call that has been sent to the first candidate."""
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
-    (send,) = lc.step(call, lc.CallReceived(NOW), world)
-    assert send.candidate is world.candidates[0]
+    (send,) = lc.step(call, lc.CallReceived(NOW), environment)
+    assert send.candidate is environment.candidates[0]
     return call
 
 
@@ -87,104 +87,108 @@
 @pytest.mark.parametrize("verdict", [Verdict.MAY_HAVE_RUN, Verdict.RAN])
 def test_unsafe_call_that_may_have_run_is_not_retried(verdict):
     """Guards against a second run of a sale whose response was lost."""
-    world = World("a", "b")
-    call = begin(SALE, world)
-    (effect,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), world)
+    environment = FakeEnvironment("a", "b")
+    call = begin(SALE, environment)
+    (effect,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), environment)
     assert effect == lc.Reject(502, "lost")
 
 
 def test_unsent_sale_goes_to_another_target():
     """Guards against rejecting a sale that certainly has not run."""
-    world = World("a", "b")
-    call = begin(SALE, world)
-    effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.NOT_RUN, "refused"), world)
+    environment = FakeEnvironment("a", "b")
+    call = begin(SALE, environment)
+    effects = lc.step(
+        call, lc.AttemptFailed(NOW, Verdict.NOT_RUN, "refused"), environment
+    )
     assert nodes_of(effects) == ["b"]
 
 
 def test_503_is_never_returned_after_a_possible_run():
     """Guards against a 503, which states that a call has not run, if it may have."""
-    world = World("a", "b")
-    call = begin(LOOKUP, world)
-    lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), world)
+    environment = FakeEnvironment("a", "b")
+    call = begin(LOOKUP, environment)
+    lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), environment)
     refused = lc.AttemptRefused(NOW, "queue", 0.1)
-    effects = lc.step(call, refused, world)
+    effects = lc.step(call, refused, environment)
     while nodes_of(effects):
-        effects = lc.step(call, refused, world)
+        effects = lc.step(call, refused, environment)
     assert effects == [lc.Reject(502, "no-room")] or effects[0].status == 502
 
 
 def test_refusals_lead_to_last_resort_then_to_a_503():
     """Guards against a 503 while some target could still run the call, even if late."""
-    world = World("a", "b")
-    call = begin(LOOKUP, world)
-    effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), world)
+    environment = FakeEnvironment("a", "b")
+    call = begin(LOOKUP, environment)
+    effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), environment)
     assert nodes_of(effects) == ["b"]
-    effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.4), world)
-    assert effects == [lc.Send(world.candidates[0], True, False)]
-    effects = lc.step(call, lc.AttemptRefused(NOW, "full", 0.2), world)
+    effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.4), environment)
+    assert effects == [lc.Send(environment.candidates[0], True, False)]
+    effects = lc.step(call, lc.AttemptRefused(NOW, "full", 0.2), environment)
     assert effects == [lc.Reject(503, "full", 0.1)]
 
 
 def test_retries_stop_when_the_budget_is_spent():
     """Guards against retries that multiply the load of a failing service."""
-    world = World("a", "b", "c", retries=1)
-    call = begin(LOOKUP, world)
+    environment = FakeEnvironment("a", "b", "c", retries=1)
+    call = begin(LOOKUP, environment)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
-    assert nodes_of(lc.step(call, failed, world)) == ["b"]
-    assert lc.step(call, failed, world) == [lc.Reject(502, "cut")]
+    assert nodes_of(lc.step(call, failed, environment)) == ["b"]
+    assert lc.step(call, failed, environment) == [lc.Reject(502, "cut")]
 
 
 def test_retries_stop_at_the_max_attempts_of_the_route():
     """Guards against sending a call to more targets than its route allows."""
-    world = World("a", "b", "c", "d")
-    call = begin(replace(LOOKUP, max_attempts=2), world)
+    environment = FakeEnvironment("a", "b", "c", "d")
+    call = begin(replace(LOOKUP, max_attempts=2), environment)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
-    assert nodes_of(lc.step(call, failed, world)) == ["b"]
-    assert nodes_of(lc.step(call, failed, world)) == []
+    assert nodes_of(lc.step(call, failed, environment)) == ["b"]
+    assert nodes_of(lc.step(call, failed, environment)) == []
 
 
 def test_failure_response_is_delivered_if_no_retry_succeeds():
     """Guards against replacing a target's own response by an error of the node."""
-    world = World("a", "b")
-    call = begin(LOOKUP, world)
-    effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), world)
+    environment = FakeEnvironment("a", "b")
+    call = begin(LOOKUP, environment)
+    effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), environment)
     assert nodes_of(effects) == ["b"]
     call.tried.update("ab")
-    effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.RAN, "cut"), world)
+    effects = lc.step(call, lc.AttemptFailed(NOW, Verdict.RAN, "cut"), environment)
     assert effects == [lc.Reply("first")]
 
 
 def test_timeout_cancels_and_rejects_at_once():
     """Guards against callers that wait longer than the route's timeout."""
-    world = World("a")
-    call = begin(LOOKUP, world)
-    effects = lc.step(call, lc.TimedOut(NOW + 1), world)
+    environment = FakeEnvironment("a")
+    call = begin(LOOKUP, environment)
+    effects = lc.step(call, lc.TimedOut(NOW + 1), environment)
     assert effects == [lc.CancelAttempt(), lc.Reject(504, "timeout")]
-    assert lc.step(call, lc.ResponseReceived(NOW + 1, 200, "late"), world) == []
+    assert lc.step(call, lc.ResponseReceived(NOW + 1, 200, "late"), environment) == []
 
 
 def test_stalled_lookup_is_retried_elsewhere_and_a_sale_waits():
     """Guards against lookups that hang on a lost node, and against a sale run twice."""
-    world = World("a", "b")
-    lookup, sale = begin(LOOKUP, world), begin(SALE, world)
-    effects = lc.step(lookup, lc.AttemptStalled(NOW), world)
+    environment = FakeEnvironment("a", "b")
+    lookup, sale = begin(LOOKUP, environment), begin(SALE, environment)
+    effects = lc.step(lookup, lc.AttemptStalled(NOW), environment)
     assert effects[0] == lc.CancelAttempt() and nodes_of(effects) == ["b"]
-    assert lc.step(sale, lc.AttemptStalled(NOW), world) == []
-    assert lc.step(sale, lc.ResponseReceived(NOW, 200, "a"), world) == [lc.Reply("a")]
+    assert lc.step(sale, lc.AttemptStalled(NOW), environment) == []
+    assert lc.step(sale, lc.ResponseReceived(NOW, 200, "a"), environment) == [
+        lc.Reply("a")
+    ]
 
 
 def test_stalled_lookup_keeps_waiting_if_the_budget_is_spent():
     """Guards against returning an error while the response may still come."""
-    world = World("a", "b", retries=0)
-    lookup = begin(LOOKUP, world)
-    assert lc.step(lookup, lc.AttemptStalled(NOW), world) == []
+    environment = FakeEnvironment("a", "b", retries=0)
+    lookup = begin(LOOKUP, environment)
+    assert lc.step(lookup, lc.AttemptStalled(NOW), environment) == []
     assert lookup.attempts == 0
 
 
 def test_call_without_a_target_is_rejected_at_once():
     """Guards against a call that waits although no target can serve it."""
     call = lc.Call(LOOKUP, "ledger", NOW + 0.3, NOW + 1.0)
-    (effect,) = lc.step(call, lc.CallReceived(NOW), World())
+    (effect,) = lc.step(call, lc.CallReceived(NOW), FakeEnvironment())
     assert (effect.status, effect.reason) == (503, "no-target")
 
 
@@ -560,7 +564,7 @@
     admission = AdmissionController(10)
     for _ in range(10):
         (one,) = fill(admission, 1)
-        admission.caller_left(one, NOW + 1.0)
+        admission.note_disconnect(one, NOW + 1.0)
         admission.remove(one)
     assert admission.success_rate.rate(NOW + 1.0) < 0.6
 
@@ -643,11 +647,11 @@
     assert tracker.accept(heartbeat(sequence=3, state=TargetState.DRAINING))
     assert not tracker.accept(heartbeat(sequence=2))
     assert not tracker.accept(heartbeat(sequence=4))
-    assert tracker.leave("t1", None)
+    assert tracker.accept_sign_off("t1", None)
     assert not tracker.accept(heartbeat(sequence=9))
     assert tracker.accept(heartbeat("t2", born=9))
     assert not tracker.accept(heartbeat("t1", born=5, sequence=99))
-    assert not tracker.leave("t1", 5)
+    assert not tracker.accept_sign_off("t1", 5)
     assert tracker.current.state is TargetState.READY
 
 
@@ -663,7 +667,7 @@
     """Guards against calls to a target whose sign-off was acknowledged but ignored."""
     tracker = StatusTracker()
     tracker.accept(heartbeat("t1", born=5))
-    assert tracker.leave(target, 9)
+    assert tracker.accept_sign_off(target, 9)
     assert tracker.current.state is TargetState.LEFT
     assert not tracker.accept(heartbeat("t1", born=5, sequence=99))
     assert not tracker.accept(heartbeat(target, born=9, sequence=99))
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -17,7 +17,7 @@
 from pimentoline.twohop.target_status import Heartbeat, StatusTracker, TargetState
 from pimentoline.verdict import Verdict
 
-from .test_twohop_decisions import World
+from .test_twohop_decisions import FakeEnvironment
 
 ADDR = ("10.0.0.1", 80)
 NOW = 100.0
@@ -61,16 +61,16 @@
     An unsafe call must not run twice. A call has one outcome, a 503 only if it has not
     run, and no more attempts at targets than its route allows.
     """
-    world = World("a", "b", "c", "d", "e", retries=RETRIES)
+    environment = FakeEnvironment("a", "b", "c", "d", "e", retries=RETRIES)
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
-    effects = lc.step(call, lc.CallReceived(NOW), world)
+    effects = lc.step(call, lc.CallReceived(NOW), environment)
     may_have_run, replies, at_targets = False, 0, 0
     for name, value in events:
         unfinished = replies == 0
         event, may_have_run_now = make_event(name, value)
         if name == "refused" and value:
             at_targets += 1
-        effects = lc.step(call, event, world)
+        effects = lc.step(call, event, environment)
         sends = [effect for effect in effects if isinstance(effect, lc.Send)]
         outcomes = [e for e in effects if isinstance(e, lc.Reply | lc.Reject)]
         assert len(sends) <= 1 and len(sends) + len(outcomes) <= 1
@@ -122,7 +122,7 @@
         else:
             self.refused.add(job)
 
-    def pump(self):
+    def process_queue(self):
         """Start or refuse every job that can be now."""
         while not isinstance(
             action := self.admission.next_action(self.now), StartDecision
@@ -151,7 +151,7 @@
             case "figure":
                 slowdown = 5.0 if number % 3 == 0 else 1.0
                 self.admission.note_slowdown(slowdown, self.now)
-        self.pump()
+        self.process_queue()
 
 
 @settings(max_examples=300, deadline=None)
@@ -167,8 +167,8 @@
     while model.running:
         model.admission.complete(model.running.pop(), model.now)
     model.now += 60.0
-    model.pump()
-    model.pump()
+    model.process_queue()
+    model.process_queue()
     assert not model.waiting
 
 
