Document units and fields in the decision modules of twohop

Cause: docstrings left out fields, units and reasons, and some comments had to be read twice. Change: comments and docstrings only.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -3,6 +3,9 @@
 Protects the target from overload. Above a certain concurrency every call at a target
 misses its latency objective, so calls beyond that limit wait in a queue here, and
 calls that cannot complete in time are refused.
+
+A job is a call as seen by its target's node. It is late if its response is expected
+after the latency objective of the call but before its deadline.
 """
 
 import heapq
@@ -15,13 +18,12 @@
 
 __all__ = ["AdmissionController", "Job", "Refused"]
 
-# Size of the queue for jobs that will miss their objective, as a share of the
-# concurrency limit.
+# Size of the queue of late jobs, as a share of the concurrency limit.
 LATE_QUEUE_SHARE = 0.5
-# Longest wait in that queue, seconds. Jobs that can meet their objective run first,
-# and a caller that is refused early still has time to retry.
+# Longest wait in the queue of late jobs, seconds. Jobs that can meet their objective
+# run first, and a caller that is refused early still has time to retry.
 MAX_LATE_WAIT_S = 0.12
-# Bounds of the time after which a refused caller is told to retry, seconds.
+# Bounds of `Refused.retry_after_s`, seconds.
 MIN_RETRY_AFTER_S = 0.02
 MAX_RETRY_AFTER_S = 1.0
 # A job is started only if this share of its expected duration remains until its
@@ -29,7 +31,7 @@
 MIN_START_SHARE = 0.5
 # A job that has run for this many times its typical duration is taken to be hung.
 HUNG_FACTOR = 4.0
-# Running jobs that are needed for their mean age to be significant.
+# Smallest number of running jobs whose mean age is significant.
 MIN_RUNNING_FOR_AGE_RATIO = 3
 # Largest ratio of the age of the running jobs to their typical duration at a healthy
 # target. Noisy neighbours make a call take up to 5 times as long, and running calls
@@ -47,6 +49,8 @@
 
     Attributes
     ----------
+    priority : int
+        0 is the most urgent.
     objective_at, deadline_at : float
         When the latency objective ends and when the caller stops waiting, monotonic
         time in seconds.
@@ -54,6 +58,8 @@
         Whether no other target would accept the call.
     kind : object
         Separates calls of different durations; a key of `DurationEstimator`.
+    started_at : float
+        When the job started, monotonic time in seconds.
     running_at_start : int
         Number of running jobs when this one started, itself included.
     late_wait_until : float
@@ -63,6 +69,10 @@
         Time that was left of the objective when the job arrived, seconds.
     typical_s : float
         Typical duration of such a job, as estimated when it started, seconds.
+    running : bool
+        Whether the job has started and not ended.
+    removed : bool
+        Whether the job has ended or was cancelled. A queue may still contain it.
     """
 
     priority: int
@@ -81,7 +91,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Refusal of a job that was not run; the caller may retry after `retry_after_s`."""
+    """Refusal of a job that was not run.
+
+    Attributes
+    ----------
+    reason : str
+        "objective", "deadline", "full" (the queue of late jobs) or "expired".
+    retry_after_s : float
+        Time after which the caller may retry, seconds.
+    """
 
     reason: str
     retry_after_s: float
@@ -94,6 +112,15 @@
     ----------
     slots : int
         Calls that the target processes at once.
+
+    Attributes
+    ----------
+    running : int
+        Number of running jobs.
+    cold_start_until : float
+        When the target is no longer slow after its start, monotonic time in seconds.
+    noise : NoiseDetector
+    success_rate : SuccessRate
     """
 
     def __init__(self, slots):
@@ -106,6 +133,7 @@
         # Sums over the running jobs.
         self._started_at_sum = 0.0
         self._typical_s_sum = 0.0
+        # Heaps of (priority, objective_at, sequence number, job).
         self._queue = []
         self._late_queue = []
         self._next_sequence = 0
@@ -116,10 +144,18 @@
         self.slots = max(1, slots)
 
     def note_slowdown(self, slowdown, now):
-        """Record the slowdown that the target reports, 1 for its usual speed.
-
-        The report includes the slowdown after a cold start. That part is divided out,
-        because waiting for a quieter moment would not help against it.
+        """Record the slowdown that the target reports.
+
+        It includes the slowdown after a cold start. That part is divided out,
+        because waiting for the end of noise would not help against it.
+
+        Parameters
+        ----------
+        slowdown : float
+            Ratio of the current duration of calls to the usual one; 1 at the target's
+            usual speed.
+        now : float
+            Monotonic time, seconds.
         """
         if now < self.cold_start_until:
             slowdown /= COLD_START_SLOWDOWN
@@ -138,7 +174,8 @@
     def _age_ratio(self, now):
         """Return the age of the running jobs relative to their typical duration.
 
-        It shows that a target has become slow or hangs before any job has ended.
+        A high ratio shows that a target has become slow or hangs before any job has
+        ended. With too few running jobs, the ratio is 0.
         """
         if self.running < MIN_RUNNING_FOR_AGE_RATIO or self._typical_s_sum <= 0.0:
             return 0.0
@@ -155,6 +192,7 @@
         )
 
     def _typical_s(self, now, job):
+        """Return the typical duration of a job, seconds, and update `_cold`."""
         if job is None:
             typical_s = self._durations.expected_s(None, now)
         else:
@@ -216,8 +254,8 @@
         tuple of (Job, Refused or None) or StartDecision
             The job and None if it starts, or the job and its refusal if it can no
             longer complete in time at this target. Without such a job: `START` if
-            no job waits or no slot is free, `PROBE` if the target must be asked for
-            its current slowdown first, `HOLD` while jobs wait for the end of noise
+            no job waits or no slot is free, `PROBE` if the target must be probed
+            for its current slowdown first, `HOLD` while jobs wait for the end of noise
             or for the result of a probe.
         """
         self._discard_removed(self._queue)
@@ -269,7 +307,7 @@
             heapq.heappop(queue)
 
     def note_disconnect(self, job, now):
-        """Record that the caller of a running job has disconnected.
+        """Record that the caller of a job has disconnected.
 
         If the job has run far longer than usual, it counts as failed.
         """
@@ -306,7 +344,15 @@
         return [job for job in jobs if not job.removed]
 
     def report(self, now, accepting):
-        """Return the current `LoadReport`."""
+        """Return the current `LoadReport`.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time, seconds.
+        accepting : bool
+            Whether the node accepts new calls for the target.
+        """
         queued = self.queued
         noise_s = self.noise.remaining_s(now)
         delay_s = (
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -1,8 +1,8 @@
 """pimentoline.twohop.durations: estimates of how long calls take at a target.
 
-Also finds out whether the target slows down when nearly all of its slots are in use.
-Some targets do, and none reports it, so calls that started with most slots in use are
-compared with calls that started with few.
+Also detects whether the target slows down when nearly all of its slots are in use.
+Some targets do so without reporting it. Therefore, calls that started with most slots
+in use are compared with calls that started with few.
 """
 
 __all__ = ["DurationEstimator"]
@@ -17,16 +17,16 @@
 # Weight of the newest sample in an exponential moving average.
 SMOOTHING_WEIGHT = 0.08
 # The baseline is the duration without temporary slowdowns. It follows shorter
-# durations like any mean, and longer ones over this time, seconds, because targets
-# become slow for 3 to 15 s at a time.
+# durations with `SMOOTHING_WEIGHT`, and longer ones over this time, seconds, because
+# targets become slow for 3 to 15 s at a time.
 BASELINE_RISE_S = 60.0
 # Without completed calls, the estimate returns from the mean to the baseline over this
 # time, seconds. Most causes of slowness are gone by then, and only new calls can show
 # it.
 MEAN_DECAY_S = 5.0
-# Shares of the slots in use when a call starts. Calls up to the first are samples of
-# light load, calls above the second are samples of full load. Known targets that slow
-# down do so above 0.8.
+# Shares of a target's slots. A call that starts with up to the first share in use is a
+# sample of light load, one with more than the second is a sample of full load. Known
+# targets that slow down do so above 0.8.
 LIGHT_LOAD_SHARE = 0.6
 FULL_LOAD_SHARE = 0.8
 # Samples of light and of full load, each, that are needed to compare the two.
@@ -60,6 +60,7 @@
         Parameters
         ----------
         kind : object
+            Kind of the call.
         taken_s : float
             Duration, seconds.
         running : int
@@ -103,7 +104,7 @@
         Parameters
         ----------
         kind : object
-            None for calls of any kind.
+            Kind of the call; None for the mean over all kinds.
         now : float
             Monotonic time, seconds.
         objective_s : float or None
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -26,7 +26,7 @@
     "step",
 ]
 
-# Nodes that a call is sent to before it is rejected, not counting the last resort.
+# Maximum number of nodes that a call is sent to, not counting the last resort.
 MAX_PLACEMENTS = 4
 # A call with less time than this until its deadline is not retried, seconds.
 MIN_RETRY_TIME_S = 0.03
@@ -121,7 +121,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptStalled:
-    """The target's node has gone silent; the response may still come."""
+    """The link to the target's node is suspect; the response may still come."""
 
     now: float
 
@@ -142,7 +142,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send the call to a candidate."""
+    """Send the call to a candidate.
+
+    Attributes
+    ----------
+    candidate : Candidate
+    last_resort : bool
+        Whether the candidate's node must accept the call even if it will be late.
+    retry : bool
+        Whether an earlier attempt may have reached a target.
+    """
 
     candidate: object
     last_resort: bool
@@ -165,7 +174,14 @@
 class Reject:
     """End the call with an error response of this node.
 
-    If `status` is None, no response is sent.
+    Attributes
+    ----------
+    status : int or None
+        HTTP status; if it is None, no response is sent.
+    reason : str
+        Error code.
+    retry_after_s : float or None
+        Time after which the caller may retry, seconds.
     """
 
     status: int | None
@@ -184,9 +200,9 @@
         `CallReceived`, `AttemptRefused`, `AttemptFailed`, `ResponseReceived`,
         `AttemptStalled`, `TimedOut` or `CallerDisconnected`.
     environment : object
-        `choose(call, now)` returns a candidate that has not been tried, or None;
-        `acquire_retry(service, now)` takes a retry from the budget and returns
-        whether there was one.
+        Has two methods: `choose(call, now)` returns a candidate that has not been
+        tried, or None; `acquire_retry(service, now)` takes a retry from the budget and
+        returns whether there was one.
 
     Returns
     -------
@@ -236,7 +252,7 @@
 
 
 def _use_last_resort(call, now, retry):
-    """Make the node with the shortest wait take the call even if it will be late."""
+    """Send the call to the node with the shortest wait even if it will be late."""
     candidate, call.last_resort_candidate = call.last_resort_candidate, None
     if candidate is not None and candidate.reachable and not call.last_resort:
         return _send_to(call, candidate, True, retry)
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -24,7 +24,10 @@
 
 
 class RouteKind(enum.Enum):
-    """Whether the calls of a route may be retried; only `SAFE` ones may run twice."""
+    """Kind of the calls of a route.
+
+    Only `SAFE` calls may run twice. `UNSAFE` and `UPLOAD` are treated alike.
+    """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
@@ -45,12 +48,18 @@
 
     Attributes
     ----------
+    host : str
+        Host name in lower case, without a port.
+    prefix : str
+        Prefix of the path.
     timeout_s : float
         Longest time until the caller gets a response, seconds.
     objective_s : float
         Latency objective, seconds.
     priority : int
         0 is the most urgent.
+    shares : tuple of Share
+        Traffic split.
     max_attempts : int
         Number of targets that one call may be sent to.
     """
@@ -104,7 +113,15 @@
 
     @classmethod
     def from_routes(cls, version, routes, services, limits):
-        """Return a configuration whose routes are grouped and sorted for lookup."""
+        """Return a configuration with the routes grouped and sorted for `find_route`.
+
+        Parameters
+        ----------
+        version : int
+        routes : iterable of Route
+        services : iterable of ServiceInfo
+        limits : CallerLimits
+        """
         by_host = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             by_host.setdefault(route.host, []).append(route)
@@ -148,9 +165,9 @@
         Concurrency limit that the node applies to the target.
     delay_ms : int
         Expected time until a call that arrives now has its response, milliseconds.
-        The slowdown after a start and the noise of neighbours are not included.
+        The slowdown after a start and the wait for noisy neighbours are not included.
     noise_remaining_ms : int
-        Expected time until the noise of neighbours on the host ends, milliseconds.
+        Expected time until noisy neighbours on the host stop, milliseconds.
     success_rate : float
         Share of the calls that the target completes without a failure, 0 to 1.
     cold_remaining_ms : int
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -11,10 +11,10 @@
 
 __all__ = ["NoiseDetector", "StartDecision"]
 
-# A target whose slowdown is at least this, relative to its usual speed, is noisy.
+# A target that takes at least this many times as long as usual is noisy.
 NOISY_SLOWDOWN = 1.8
-# No call starts because of a report older than this, seconds. A period of noise lasts
-# about 150 ms, so an older report is often wrong.
+# A report older than this does not permit a call to start, seconds. A period of noise
+# lasts about 150 ms, so an older report is often wrong.
 MAX_REPORT_AGE_S = 0.02
 # Shortest time between two probes of a target, seconds. This limits each target to 40
 # probes per second; the operators of both deployments allow 60.
@@ -54,7 +54,8 @@
     Attributes
     ----------
     slowdown : float
-        Last reported slowdown, 1 at the target's usual speed.
+        Last reported ratio of the duration of calls to the usual one; 1 at the target's
+        usual speed.
     """
 
     def __init__(self):
@@ -65,7 +66,7 @@
         self._noisy_since = None
 
     def note(self, slowdown, now):
-        """Record the slowdown that the target has just reported."""
+        """Record the slowdown that the target reported at `now`, monotonic seconds."""
         self.slowdown = slowdown
         self._reported_at = now
         if slowdown < NOISY_SLOWDOWN:
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -1,8 +1,8 @@
-"""pimentoline.twohop.placement: chooses the target's node that gets a call.
+"""pimentoline.twohop.placement: chooses the node that a call is sent to.
 
-Load shifts within milliseconds, so that reports of it are always out of date. A report
-is therefore corrected by the calls that this node has sent since, and loses weight
-with its age.
+The load of a target changes within milliseconds, so reports of it are always out of
+date. A report is therefore corrected by the calls that this node has sent since, and
+loses weight with its age.
 """
 
 import math
@@ -24,12 +24,13 @@
 OTHER_REGION_COST_PER_KB = 0.054
 # Size of the start lines and headers of a call and its response together, bytes.
 HTTP_HEAD_BYTES = 600
-# Spread of response times around the expected one, milliseconds: processing times vary
-# by a third, and noise of neighbours on the host comes in periods of 150 ms.
+# Scale of the logistic distribution of response times around the expected one,
+# milliseconds. Processing times vary by a third, and noisy neighbours on the host are
+# active for periods of 150 ms.
 RESPONSE_TIME_SPREAD_MS = 80.0
 # Value of a response after the latency objective; one that meets it counts as 1.
 LATE_VALUE = 0.1
-# A report older than this says nothing about the calls of other nodes any more.
+# After this time, seconds, a report says nothing about the calls of other nodes.
 REPORT_LIFETIME_S = 1.0
 # Without a new report, the expected delay returns to the target's mean over this time,
 # seconds, because the report of a target that gets no calls is not renewed.
@@ -42,8 +43,8 @@
 INITIAL_MEAN_REPORTS = 3
 # Mean delay of a target before its first report, milliseconds.
 INITIAL_DELAY_MS = 120.0
-# Part of its delay by which each recent failure makes a target seem slower, and the
-# upper bound of the sum of these parts.
+# Each recent failure of a target adds this share of the target's expected delay to that
+# delay, up to the second share for all failures.
 FAILURE_SLOWDOWN = 0.5
 MAX_FAILURE_SLOWDOWN = 5.0
 # Failures are ignored once a target has had none for this long, seconds.
@@ -56,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Location:
-    """Data centre and region of a node."""
+    """Data centre (`dc`) and region of a node."""
 
     dc: str
     region: str
@@ -84,10 +85,15 @@
 
     Attributes
     ----------
+    reachable : bool
+        Whether the link to the node is up and not suspect; always true for this node's
+        own target.
     report : LoadReport
-        The newest report of the node, received at `reported_at`.
+        The newest report of the node.
+    reported_at : float
+        Monotonic time at which `report` was received, seconds.
     in_flight : int
-        Calls of this node that wait for a response from there.
+        Calls that this node has sent to the candidate and that have no response yet.
     in_flight_at_report : int
         Value of `in_flight` when the newest report was received.
     mean_delay_ms : float
@@ -95,11 +101,12 @@
     report_count : int
         Number of reports received.
     failures : float
-        Recent failures; reduced by each success.
+        Number of recent failures; each success reduces it by a factor.
     failed_at : float
         Monotonic time of the last failure, seconds.
     refused_until : float
-        Until when the node is avoided since it refused a call, monotonic seconds.
+        Until when the node is avoided because it refused a call, monotonic time in
+        seconds.
     """
 
     member: Member
@@ -160,7 +167,7 @@
         over_limit = total - report.limit + 1
         if sent_since_report > 0 and over_limit > 0:
             delay += delay * min(over_limit, sent_since_report) / report.limit
-        # Targets slow down as they fill, so of two equal ones the emptier is better.
+        # Targets slow down as their load rises, so the less loaded one is preferred.
         delay *= 1.0 + 0.3 * min(total / max(report.limit, 1), 2.0)
         if self.failures > 0 and now - self.failed_at < FAILURE_MEMORY_S:
             delay *= 1.0 + FAILURE_SLOWDOWN * self.failures
@@ -202,10 +209,13 @@
 def choose(candidates, location, now, requirements, tried, draw):
     """Return the candidate with the highest expected value less cost, or None.
 
+    None is returned if no candidate is reachable, accepts calls and is untried.
+
     Parameters
     ----------
     candidates : iterable of Candidate
     location : Location
+        Location of this node.
     now : float
         Monotonic time, seconds.
     requirements : CallRequirements
@@ -231,6 +241,7 @@
         value = value * candidate.success_rate(now) - cost
         # If all are far too late, the probabilities are equal and the fastest wins.
         value -= expected_ms * 1e-5
+        # Derives a different pseudo-random number for each candidate from one draw.
         value += ((draw * 997.0 + index * 0.618) % 1.0) * TIE_JITTER
         if best is None or value > best_value:
             best, best_value = candidate, value
--- a/pimentoline/twohop/retry_budget.py
+++ b/pimentoline/twohop/retry_budget.py
@@ -4,18 +4,18 @@
 
 __all__ = ["RetryBudget"]
 
-# Share of the allowed retries that nodes send themselves. The calls that a retried run
-# makes to further services are retries too, but nodes cannot recognise them. With 0.3,
-# a chain of three services whose runs each make 1.4 calls stays within the budget of
-# each service while all of them fail.
+# Share of the allowed retries that nodes send themselves. When a service runs a retried
+# call, its own calls to further services are retries too, but nodes cannot recognise
+# them. With 0.3, a chain of three services that each make 1.4 further calls per call
+# stays within the budget of each service while all of them fail.
 DIRECT_RETRY_SHARE = 0.3
 
 
 class RetryBudget:
     """Limits the retries from this node to one service in every sliding window.
 
-    All nodes keep to a common limit without coordination: each may send a ratio of its
-    own first attempts, plus an equal part of the fixed allowance.
+    All nodes together stay within one limit without coordination: each may send retries
+    for a share of its own first attempts, plus an equal part of the fixed allowance.
 
     Parameters
     ----------
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -1,6 +1,6 @@
 """pimentoline.twohop.target_status: the current status of the target on this host.
 
-Heartbeats may arrive late or out of order, also from a target that has been replaced
+Heartbeats may arrive late or out of order, even from a target that has been replaced
 since. An incarnation is one run of a target process, from its start to its end.
 """
 
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    addr : tuple of (str, int)
+        Host and port of the target.
     born_ms : int
         Start of the target's incarnation, Unix time in milliseconds.
     sequence : int
@@ -127,35 +129,36 @@
         return True
 
     def note_probed_id(self, target_id):
-        """Record the id of a healthy target, as found by a probe.
+        """Record the id that a healthy target returned to a probe.
 
         Returns
         -------
         bool
-            Whether it has replaced the target of the current status.
+            Whether this target has replaced the one of the current status.
         """
         current = self.current
         if current is None or current.target_id == target_id:
             return False
-        # The start of the new incarnation is unknown until its first heartbeat. One
-        # millisecond later than the previous one makes late heartbeats of that one
-        # too old.
+        # The start of the new incarnation is unknown until its first heartbeat. With a
+        # start one millisecond after that of the previous incarnation, late heartbeats
+        # of the previous one are ignored.
         self.current = TargetStatus(
             target_id, current.born_ms + 1, 0, TargetState.READY
         )
         return True
 
     def accept_sign_off(self, target_id, born_ms):
-        """Record that a target has signed off; ignored if it was replaced before.
+        """Record that a target has signed off, unless it was replaced before.
 
-        A target that started after the current one has replaced it, even if none of
-        its heartbeats arrived.
+        A target that started after the current one has replaced the current one, even
+        if none of its heartbeats arrived.
 
         Parameters
         ----------
         target_id : str
         born_ms : int or None
-            Start of its incarnation, None if the target did not say it.
+            Start of its incarnation, Unix time in milliseconds; None if the sign-off
+            does not contain it.
 
         Returns
         -------
--- a/pimentoline/twohop/weighted_round_robin.py
+++ b/pimentoline/twohop/weighted_round_robin.py
@@ -4,7 +4,7 @@
 
 
 class WeightedRoundRobin:
-    """Smooth weighted round robin, which is close to the weights after a few calls."""
+    """Smooth weighted round robin, which follows the weights even over few calls."""
 
     def __init__(self):
         self._current_weights = {}
