--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -49,7 +49,7 @@
 class Hello:
     """The first frame in each direction: the sender's name and state.
 
-    `version` is the version of its configuration, 0 if it has none.
+    `version` is the version of the sender's configuration, 0 if it has none.
     """
 
     node: str
@@ -61,18 +61,26 @@
 class CallFrame:
     """A call for the target on the receiver's host.
 
-    The body has `body_bytes`, sent with this frame and in `BodyFrame`s after it.
+    The first chunk of the body is sent with this frame, the others in `BodyFrame`s.
 
     Attributes
     ----------
     stream : int
-        Identifies the call on its link, in all frames that belong to it.
+        Identifies the call on its link, in all frames that belong to the call.
+    path : str
+        Path and query string.
+    caller_service : str
+        Service that the call comes from.
     objective_ms, remaining_ms : int
         Time from sending to the latency objective and to the deadline, milliseconds.
     retryable : bool
         Whether the call may run more than once.
+    priority : int
+        0 is the most urgent.
     last_resort : bool
         Whether to accept the call even if its response will miss the objective.
+    body_bytes : int
+        Size of the whole body.
     """
 
     stream: int
@@ -98,7 +106,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseFrame:
-    """A complete response of the target."""
+    """A complete response of the target; its body is sent like that of a call.
+
+    `reason` is the reason phrase of the HTTP status line.
+    """
 
     stream: int
     status: int
@@ -112,7 +123,7 @@
 class RefusedFrame:
     """The call has not run and will not.
 
-    `by_target` tells whether the target refused it, and not its node.
+    `by_target` is true if the target refused the call, and false if its node did.
     """
 
     stream: int
@@ -205,7 +216,7 @@
 
 
 def _header_fields(frame):
-    """Return the schema fields of a frame, except its kind and load report."""
+    """Return the schema fields of a frame by name, except its kind and load report."""
     match frame:
         case Hello():
             return {"node": frame.node, "version": frame.version}
@@ -256,7 +267,7 @@
 
 
 def encode(frame, body=b""):
-    """Return the encoding of a frame with its body, or with the body's first chunk."""
+    """Return the bytes of a frame with its body, or with the body's first chunk."""
     fields = _header_fields(frame)
     load = getattr(frame, "load", None)
     if load is not None:
