Reword comments and docstrings in the I/O modules of twohop

Cause: parameters without a description, and comments that name a thing only as it or that. Change: comments and docstrings only.

--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -31,11 +31,11 @@
     path : str
         Path and query string, as sent.
     headers : tuple of (str, str)
-        Headers to forward to the target.
+        Names and values of the headers to forward to the target.
     remaining_s : float or None
         Time from arrival to the caller's deadline, seconds; None without a deadline.
     arrived_at : float
-        Monotonic time, seconds.
+        When the head of the request was read, monotonic time in seconds.
     """
 
     request_id: str
--- a/pimentoline/twohop/chunked.py
+++ b/pimentoline/twohop/chunked.py
@@ -13,12 +13,14 @@
 
 MAX_LINE_BYTES = 4096
 MAX_TRAILER_LINES = 64
+# Most data that is passed to `on_data` at once.
 MAX_READ_BYTES = 64 * 1024
+# At most 15 hexadecimal digits (60 bits).
 CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,15}")
 
 
 class BodyTooLarge(HTTPInputError):
-    """The body is larger than the limit for callers."""
+    """The body is larger than the limit for request bodies."""
 
 
 async def _read_line(stream):
@@ -33,14 +35,18 @@
     ----------
     stream : IOStream
     on_data : callable
-        Called with each part of the body.
+        Called with the bytes of each part of the body, without the framing.
     max_bytes : int
-        Largest body.
+        Largest size of the body, bytes.
 
     Raises
     ------
+    BodyTooLarge
+        If the body is larger than `max_bytes`.
     HTTPInputError
-        If the framing is invalid; `BodyTooLarge` beyond `max_bytes`.
+        If the framing is invalid.
+    StreamClosedError
+        If the connection closes before the end, or a line is too long.
     """
     total = 0
     while True:
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -13,8 +13,7 @@
 
 __all__ = ["Response", "ResponseError", "send_request"]
 
-# Late responses to earlier requests that are discarded before the connection is given
-# up.
+# The connection is given up after this many responses to earlier requests.
 MAX_FOREIGN_RESPONSES = 4
 
 
@@ -24,6 +23,10 @@
 
     Attributes
     ----------
+    status : int
+    reason : str
+        Reason phrase of the status line.
+    headers : HTTPHeaders
     reusable : bool
         Whether the connection may carry another request.
     """
@@ -73,7 +76,7 @@
 
 
 async def _read_response(http, stream, method, max_bytes):
-    """Return the next response, and whether the connection may be used again."""
+    """Return the next response, and whether the connection can be reused."""
     collector = _ResponseCollector(max_bytes)
     try:
         await http.read_response(collector)
@@ -106,15 +109,18 @@
     Parameters
     ----------
     conn : PooledConnection
+        Open connection, which the caller of this function releases or closes.
     method, path : str
+        `path` includes the query string.
     headers : HTTPHeaders
         With `Content-Length` if there is a body.
     body : bytes or None
     max_bytes : int
-        Largest body of a response.
+        Largest size of a response body, bytes.
     is_own_response : callable
-        Tells from its headers whether a response belongs to this request; others are
-        late responses to earlier requests on the connection and are discarded.
+        Returns from the headers of a response whether it belongs to this request.
+        Others are late responses to earlier requests on the connection and are
+        discarded.
 
     Returns
     -------
@@ -123,6 +129,7 @@
     Raises
     ------
     ResponseError
+        If no complete response to the request was received.
     """
     http = conn.http_client()
     stream = conn.stream
--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -27,8 +27,8 @@
 NO_CONFIG_RETRY_AFTER_S = 0.5
 # When a caller may retry at another node while this one stops, seconds.
 STOPPING_RETRY_AFTER_S = 0.02
-# Idle connections are closed this much later than the timeout that callers know,
-# seconds.
+# Idle connections are closed this much later than the configured idle timeout, which
+# callers know, seconds.
 IDLE_MARGIN_S = 1.0
 # A body that is too large is read and discarded up to this size, then the connection
 # is closed.
@@ -42,8 +42,18 @@
     ----------
     caller_side : CallerSide
     config : object
-        `current`, the `Configuration` in force or None.
+        Its attribute `current` is the `Configuration` in force, or None.
     header_names : HeaderNames
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether every response closes its connection.
+    refusing : bool
+        Whether all requests are refused.
+    limits : CallerLimits
+    open_requests : int
+        Requests whose response has not been written.
     """
 
     def __init__(self, caller_side, config, header_names):
@@ -58,7 +68,7 @@
         self._server = HTTPServer(self)
 
     def listen(self, addr):
-        """Accept callers at `addr`."""
+        """Accept callers at an address, a tuple of host and port."""
         self._server.listen(addr[1], addr[0], backlog=512)
 
     def configure(self, limits):
@@ -106,7 +116,8 @@
 class _CallerRequest(HTTPMessageDelegate):
     """One request of a caller.
 
-    `state` is "new", "reading" (the body), "waiting" (for the outcome) or "done".
+    `state` is "new" (no head received), "reading" (the body), "waiting" (for the
+    outcome of the call) or "done".
     """
 
     def __init__(self, frontend, conn):
@@ -121,7 +132,7 @@
         self.max_bytes = 0
 
     def headers_received(self, start_line, headers):
-        """Keep the head of the request; the body follows."""
+        """Store the start line and headers, and prepare to read the body."""
         self.frontend.open_requests += 1
         self.state = "reading"
         self.arrived_at = time.monotonic()
@@ -149,7 +160,7 @@
         self._respond_with_error(413, "body-too-large")
 
     def data_received(self, chunk):
-        """Keep a part of the body."""
+        """Store a part of the body."""
         if self.state == "reading":
             self.chunks.append(chunk)
 
@@ -253,6 +264,7 @@
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         self.conn.write_headers(start_line, headers, body or None)
         if self.frontend.stopping:
+            # tornado decided when it read the request whether to keep the connection.
             self.conn._disconnect_on_finish = True
         self.conn.finish()
 
--- a/pimentoline/twohop/header_names.py
+++ b/pimentoline/twohop/header_names.py
@@ -16,7 +16,7 @@
     deadline_ms : str
         Time that remains until the deadline of the request, milliseconds.
     response_stamp : str
-        Proves that the target itself produced the response.
+        Its presence proves that the target itself produced the response.
     expect_target : str
         Id of the only target that may run the request.
     not_run : str
@@ -24,8 +24,9 @@
     target_id : str
         Id of the target, on its response to a health check.
     load : str
-        Load figures of the target, separated by commas: running and waiting requests,
-        slots, and the current duration of its work in percent of the usual.
+        Load of the target, as integers separated by commas: number of running requests,
+        of waiting requests and of slots, and the current duration of its work in
+        percent of the usual duration.
     caller_service : str
         Service that the request comes from.
     """
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -8,20 +8,22 @@
 
 __all__ = ["Link", "connect", "listen"]
 
-# A peer that owes responses and sends nothing for this long gets a ping.
+# If a link with pending responses receives nothing for this long, a ping is sent.
 PING_AFTER_S = 0.2
-# If nothing arrives for this long after the ping, the peer gets no new calls. This is
-# far more than a round trip between regions, but less than the retransmission of a
-# lost packet takes.
+# If nothing arrives for this long after the ping, the link is suspect: the peer gets no
+# new calls, and its open calls may be retried elsewhere. The time is far more than a
+# round trip between regions, but less than the retransmission of a lost packet takes.
 SUSPECT_AFTER_S = 0.15
 # If nothing arrives for this long after the ping, the connection is closed. TCP
 # retransmits lost packets after 0.2 to 0.6 s.
 DEAD_AFTER_S = 1.2
+# Interval between two calls of `Link.check`, seconds.
 CHECK_INTERVAL_S = 0.05
 # TCP keep-alive, which finds dead connections without calls, seconds.
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_COUNT = 3
+# TCP closes a connection whose sent data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
 CONNECT_TIMEOUT_S = 1.0
 # A connection with more unsent bytes than this is closed, since its peer does not read.
@@ -34,8 +36,9 @@
     Parameters
     ----------
     handler : object
-        `link_up(link)`, `frame_received(link, frame, body)`, `link_suspect(link,
-        suspect)` and `link_lost(link, reason)`.
+        Its methods are called with the events of the link: `link_up(link)`,
+        `frame_received(link, frame, body)`, `link_suspect(link, suspect)` and
+        `link_lost(link, reason)`.
     clock : callable
         Monotonic clock, seconds.
 
@@ -43,8 +46,10 @@
     ----------
     pending_responses : int
         Calls sent on this link that have no response yet.
+    last_received_at : float
+        When data were received last, monotonic time in seconds.
     peer : str
-        Name of the other node, once it is known.
+        Name of the other node; empty until it is known.
     """
 
     def __init__(self, handler, clock):
@@ -60,7 +65,7 @@
         self._suspect = False
 
     def connection_made(self, transport):
-        """Set the socket options and tell the handler."""
+        """Set the socket options and notify the handler."""
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -92,7 +97,7 @@
                     self._handler.frame_received(self, frame, body)
 
     def connection_lost(self, exc):
-        """Tell the handler."""
+        """Notify the handler."""
         self._mark_lost(str(exc) if exc else "closed by peer")
 
     def send(self, frame, body=b""):
@@ -111,7 +116,7 @@
             self.close("peer does not read")
 
     def check(self, now):
-        """Ping a silent peer; mark it as suspect or close the link without a reply."""
+        """Ping a silent peer; if it does not reply, mark it as suspect, then close."""
         if self.closed or not self.pending_responses:
             self._pinged_at = None
             return
@@ -142,11 +147,12 @@
 
 
 async def connect(addr, handler, clock):
-    """Return a new link to a node.
+    """Return a new link to the node at `addr`, a tuple of host and port.
 
     Raises
     ------
     OSError, TimeoutError
+        If the connection fails or takes longer than `CONNECT_TIMEOUT_S`.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -155,7 +161,7 @@
 
 
 async def listen(addr, handler, clock):
-    """Return a server that accepts links."""
+    """Return a server that accepts links at `addr`, a tuple of host and port."""
     loop = asyncio.get_running_loop()
     return await loop.create_server(
         lambda: Link(handler, clock), *addr, reuse_address=True, backlog=512
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -22,8 +22,8 @@
 __all__ = ["HostNode", "HostSettings"]
 
 # Time after SIGTERM in which requests are still served, seconds. Callers notice within
-# two readiness checks, one second apart, that the node stops. Later requests are
-# refused at once.
+# two readiness checks, one second apart, that the node is stopping. Later requests are
+# refused immediately.
 STOP_NOTICE_S = 2.6
 # Open calls are ended this long before the process is killed, seconds, so that their
 # callers still get a response.
@@ -31,7 +31,7 @@
 STOP_CHECK_INTERVAL_S = 0.05
 POOL_CLEANUP_INTERVAL_S = 2.0
 # Objects allocated between two collections of the youngest generation. Calls create few
-# reference cycles, so that rare collections suffice.
+# reference cycles, so rare collections are enough.
 GC_THRESHOLD = 20000
 
 
@@ -77,9 +77,17 @@
     Parameters
     ----------
     parse : callable
-        Returns the `Configuration` from the operator's text.
+        Returns the `Configuration` from the operator's text, or raises
+        `ConfigurationError`.
     on_change : callable
         Called with each configuration that comes into force.
+
+    Attributes
+    ----------
+    current : Configuration or None
+        Configuration in force.
+    text : bytes
+        The operator's text of the configuration in force.
     """
 
     def __init__(self, parse, on_change):
@@ -124,7 +132,7 @@
 
 
 class HostNode:
-    """Connects the parts of a node and controls its start and stop.
+    """Creates and connects the parts of a node, and starts and stops them.
 
     Parameters
     ----------
@@ -207,7 +215,7 @@
         return self.config.current is not None and not self.stopping
 
     async def start(self):
-        """Start to listen and to read the store."""
+        """Listen at the addresses of the settings and start to follow the store."""
         cfg = self.cfg
         await self.peers.start(cfg.peers_addr)
         self._heartbeat_server.listen(
@@ -233,7 +241,7 @@
         log_entry("node:stopped", node=self.cfg.node)
 
     async def close(self):
-        """Close everything at once."""
+        """Close all servers and connections without waiting for calls."""
         self._pool_cleanup_task.cancel()
         self.store_sync.stop()
         self.frontend.stop_listening()
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -13,7 +13,8 @@
 
 __all__ = ["Peers"]
 
-# Pause before the next attempt to connect to a node, seconds. It doubles each time.
+# Pause before the next attempt to connect to a node, seconds. The pause doubles after
+# each failure.
 MIN_RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 2.0
 # A node that learns of a newer configuration waits this long for it to come from the
@@ -31,19 +32,19 @@
 
 
 class _BodyAssembler:
-    """Joins the bodies that a link receives in chunks; keyed by stream number."""
+    """Joins the bodies of frames that a link receives in chunks."""
 
     def __init__(self):
         self._open = {}
 
     def begin(self, frame, body):
-        """Start a body; return it if it came completely with its frame, or None."""
+        """Start a body; return it if the frame contains all of it, otherwise None."""
         self._open[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
         found = self.add(frame.stream, body)
         return found[1] if found is not None else None
 
     def add(self, stream, chunk):
-        """Add a chunk; return (frame, body) if it was the last one, or None."""
+        """Add a chunk; return (frame, body) if it was the last one, otherwise None."""
         part = self._open.get(stream)
         if part is None:
             return None
@@ -73,7 +74,8 @@
     stall_callbacks : dict of int to callable
         `on_stall` of each open call, by stream number.
     peer_up : asyncio.Event
-        Set when the member has connected to this node, which ends a pause.
+        Set when the member has connected to this node, which ends the pause before the
+        next attempt to connect to the member.
     """
 
     def __init__(self, peers, candidate):
@@ -146,7 +148,7 @@
             on_frame(frame, b"")
 
     def frame_received(self, link, frame, body):
-        """Handle the outcome of a call, or a peer's state."""
+        """Handle the outcome of a call, or a frame with a peer's state."""
         match frame:
             case fr.Hello():
                 if frame.node != self.candidate.member.node:
@@ -190,7 +192,7 @@
         return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
-        """Send a call; return its stream number."""
+        """Send the frame of `make_frame(stream)`; return the stream number."""
         self.next_stream += 1
         stream = self.next_stream
         self.frame_callbacks[stream] = on_frame
@@ -215,7 +217,13 @@
 
 
 class _IncomingLink:
-    """A link that a peer opened to this node, and its calls for this node's target."""
+    """A link that a peer opened to this node, and its calls for this node's target.
+
+    Attributes
+    ----------
+    pending_calls : dict of int to PendingCall
+        Calls that wait or run at the target, by stream number.
+    """
 
     def __init__(self, peers):
         self.peers = peers
@@ -235,7 +243,7 @@
             self.peers.target.cancel(pending_call)
 
     def frame_received(self, link, frame, body):
-        """Handle a call, a cancellation or a peer's state."""
+        """Handle a call, a cancellation, or a frame with a peer's state."""
         match frame:
             case fr.CallFrame():
                 complete_body = self.assembler.begin(frame, body)
@@ -280,8 +288,7 @@
     own_name : str
         Name of this node.
     target : TargetSide
-    config : object
-        `version`, `text` and `offer(version, text, source)`.
+    config : ConfigHolder
     clock : callable
         Monotonic clock, seconds.
 
@@ -308,7 +315,7 @@
         self._check_task = None
 
     async def start(self, addr):
-        """Accept links at `addr`."""
+        """Accept links at an address, a tuple of host and port."""
         self._server = await listen(addr, _AcceptedLinks(self), self.clock)
         self._check_task = asyncio.get_running_loop().create_task(self._check_links())
 
@@ -376,7 +383,7 @@
         self._by_service = found
 
     def candidates(self, service):
-        """Return the candidates of a service, with a new report of the local target."""
+        """Return the candidates of a service; renew the report of the local target."""
         local = self.local
         if local is not None and local.member.service == service:
             local.note_report(self.target.load_report(), self.clock())
@@ -385,10 +392,19 @@
     # Calls.
 
     def send(self, candidate, make_frame, body, on_frame, on_stall):
-        """Send a call to a candidate; return a function that cancels it.
-
-        `on_frame(frame, body)` is called once, unless the call is cancelled, and
-        `on_stall()` when the link to the candidate goes silent.
+        """Send a call to a candidate; return a function that cancels the call.
+
+        Parameters
+        ----------
+        candidate : Candidate
+        make_frame : callable
+            Returns the `CallFrame` for a stream number.
+        body : bytes
+        on_frame : callable
+            `on_frame(frame, body)` is called once with the outcome of the call, unless
+            the call is cancelled.
+        on_stall : callable
+            Called without arguments when the link to the candidate becomes suspect.
         """
         if candidate is self.local:
             return self._send_local(candidate, make_frame, body, on_frame)
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -1,7 +1,7 @@
 """pimentoline.twohop.store_sync: follows the store and writes this node's row.
 
-The store holds the operator's configuration and a row for each node. While it cannot
-be reached, nodes keep serving calls with the state that they have.
+The store holds the operator's configuration and a row for each node. While the store
+cannot be reached, nodes keep serving calls with the last state that they received.
 """
 
 import asyncio
@@ -17,10 +17,10 @@
 __all__ = ["MEMBERS_TABLE", "StoreSync"]
 
 MEMBERS_TABLE = "members"
-# Range of the time that one long poll for changes waits, seconds. Each node draws its
-# own, so that the polls of the nodes end at different times: a new configuration is
-# read by some node within a second even if connections have gone silent, and that node
-# passes it on to the others.
+# Range of the time that one long poll for changes waits, seconds. Each node draws a
+# random time from it, so that the polls of the nodes end at different times. Even if
+# connections to the store have gone silent, some node then reads a new configuration
+# within a second, and passes it on to the others.
 CONFIG_POLL_RANGE_S = (6.0, 12.0)
 MEMBERS_POLL_RANGE_S = (15.0, 25.0)
 # Pause after a failed request, seconds. Once the store is reachable again, the row of
@@ -29,8 +29,8 @@
 MAX_PAUSE_S = 1.2
 # Changes of members within this time are read with one request.
 BATCH_DELAY_S = 0.4
-# Longest wait for the write of a new state, such as that of a draining target, before
-# the target's heartbeat with it is acknowledged anyway, seconds. The write goes on.
+# A heartbeat with a new state, such as draining, is acknowledged once the state is
+# stored, or after this time, seconds. The write continues in the background.
 MAX_STORE_WAIT_S = 0.6
 # After a version conflict, a conditional write is retried once with the stored version.
 MAX_SAVE_ATTEMPTS = 2
@@ -42,14 +42,19 @@
     Parameters
     ----------
     store : object
-        `read_all(table)`, `read_changes(table, after, wait_s)` and `write(table, key,
-        value, version)`; see `platform.store`.
+        Has the methods `read_all(table)`, `read_changes(table, after, wait_s)` and
+        `write(table, key, value, version)`; see `platform.store`.
     config_row : tuple of str
         Table and key of the operator's configuration.
     own_member : Member
         This node, as other nodes see it.
-    node : object
-        `config`, `peers` and `target` of the node.
+    node : HostNode
+        Its `config`, `peers` and `target` are used.
+
+    Attributes
+    ----------
+    members_loaded : asyncio.Event
+        Set when the members have been read for the first time.
     """
 
     def __init__(self, store, config_row, own_member, node):
@@ -181,8 +186,8 @@
     def _restore_target(self, value):
         """Restore the target's state from a row's value; return the decoded value.
 
-        An earlier process of this node wrote it. Its write may have taken effect after
-        this process started.
+        An earlier process of this node wrote the row, and the write may have taken
+        effect after this process started.
         """
         if value is None:
             return None
@@ -213,7 +218,7 @@
             value["target"] = {
                 "target_id": status.target_id,
                 "born_ms": status.born_ms,
-                # It changes with every heartbeat, but only a new state is written.
+                # The row is written for a new state, not for every heartbeat.
                 "sequence": 0,
                 "state": status.state.value,
             }
@@ -222,7 +227,7 @@
     async def save(self):
         """Write this node's row; return whether it is stored.
 
-        A failure is logged, and the row is written again later.
+        If the write fails, the failure is logged and another write is scheduled.
         """
         async with self._write_lock:
             for _ in range(MAX_SAVE_ATTEMPTS):
@@ -244,9 +249,9 @@
             return False
 
     def _schedule_save(self):
-        """Write the row later, as the target's heartbeat has been acknowledged.
+        """Schedule another write of the row.
 
-        Nothing else would write it again.
+        The target's heartbeat has been acknowledged, so nothing else would cause one.
         """
         if self._save_timer is None:
             pause_s = MAX_PAUSE_S * self._random.uniform(0.7, 1.0)
@@ -259,7 +264,7 @@
             self._start_task(self.save())
 
     async def remove_with_timeout(self):
-        """Remove the row of a host that shuts down; wait for `MAX_STORE_WAIT_S`."""
+        """Remove the row of a host that shuts down; wait up to `MAX_STORE_WAIT_S`."""
         self.stop()
         async with self._write_lock:
             task = self._start_task(
@@ -268,6 +273,6 @@
             await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
 
     async def save_with_timeout(self):
-        """Write the row; wait for `MAX_STORE_WAIT_S` and let the write go on after."""
+        """Write the row; wait up to `MAX_STORE_WAIT_S`, then leave it running."""
         task = self._start_task(self.save())
         await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -18,24 +18,26 @@
 
 __all__ = ["PendingCall", "TargetSide"]
 
-# A target ends a call at its deadline by itself; the node waits this much longer,
-# seconds.
+# The target itself ends a call at the deadline of the call. The node waits this much
+# longer for the response, seconds.
 DEADLINE_MARGIN_S = 0.3
-# A target on the same host accepts a connection within a few milliseconds; seconds.
+# Timeout of a connection to the target, seconds. A target on the same host accepts it
+# within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.4
 # A target that accepts no connection gets no calls for this long, seconds.
 UNREACHABLE_PAUSE_S = 0.3
-# Slots that are assumed until the first heartbeat reports their number.
+# Number of slots of a target until its first heartbeat reports it.
 DEFAULT_SLOTS = 8
-# When the caller's node may retry a call that this target does not accept, seconds.
+# Retry-after time of a call that this target does not accept, seconds.
 RETRY_AFTER_S = 0.3
-# How long a target is taken to be slow after its start while no heartbeat has reported
-# it, seconds; targets send a heartbeat every 1.5 s.
+# Assumed duration of the slow start of a target that has sent no heartbeat, seconds.
+# Targets send a heartbeat every 1.5 s.
 ASSUMED_COLD_START_S = 1.5
 # Interval at which the queue is checked while calls wait, seconds. Noise may end while
 # no call completes.
 QUEUE_CHECK_INTERVAL_S = 0.02
-# A target on the same host responds to a probe within a few milliseconds; seconds.
+# Timeout of a probe, seconds. A target on the same host responds within a few
+# milliseconds.
 PROBE_TIMEOUT_S = 0.1
 MAX_PROBE_BODY_BYTES = 64 * 1024
 MS_PER_S = 1000.0
@@ -52,9 +54,15 @@
         `reply(frame, body)` is called once with the outcome, unless the call was
         cancelled.
     admission : AdmissionController
-        The one that the call was offered to, which may have been replaced since.
+        The controller that the call was offered to; `TargetSide.admission` may be a
+        newer one.
     task : asyncio.Task or None
         Runs the call, None while it waits.
+    ended : bool
+        Whether the call has its outcome or was cancelled. A call that must not run
+        twice does not end when it is cancelled while it runs.
+    cancelled : bool
+        Whether nobody waits for the outcome.
     """
 
     frame: object
@@ -70,7 +78,8 @@
 class TargetSide:
     """Admits calls to the target on this host and runs them.
 
-    Also keeps the status of the target from its heartbeats, and probes it for its load.
+    Also tracks the status of the target from its heartbeats, and probes the target for
+    its load.
 
     Parameters
     ----------
@@ -81,11 +90,21 @@
     service : str
         Service of the target from the settings, used until the first heartbeat.
     addr : tuple
-        Address of the target.
+        Host and port of the target.
     health_path : callable
         Returns the path for probes; responses to it carry the load of the target.
     on_change : callable
-        Called when the target may have begun or stopped to accept calls.
+        Called when the target may have begun or stopped accepting calls.
+
+    Attributes
+    ----------
+    service : str
+        Service of the target.
+    status_tracker : StatusTracker
+    admission : AdmissionController
+        Replaced when the target is replaced.
+    stopping : bool
+        Whether the node is stopping, so that new calls are refused.
     """
 
     def __init__(
@@ -101,6 +120,7 @@
         self.status_tracker = StatusTracker()
         self.admission = AdmissionController(DEFAULT_SLOTS)
         self.stopping = False
+        # Whether the status was restored and no heartbeat or probe has confirmed it.
         self._status_is_restored = False
         self._unreachable_until = 0.0
         self._health_path = health_path
@@ -154,7 +174,12 @@
         return self._status_changed(previous)
 
     def _admission_for_new_target(self, slots):
-        """Refuse the calls that wait for the previous target; return new counts."""
+        """Refuse the calls that wait for the previous target.
+
+        Returns
+        -------
+        AdmissionController
+        """
         admission = AdmissionController(slots)
         for job in self.admission.take_waiting():
             self._refuse(self._pending[job], "target-replaced", RETRY_AFTER_S)
@@ -251,8 +276,8 @@
     def cancel(self, call):
         """Cancel a call whose caller has disconnected.
 
-        A call that has started and must not run twice goes on: what it has done so far
-        cannot be undone, and nobody else waits for its response.
+        A call that has started and must not run twice continues, because cancelling it
+        would not undo what it has done so far. Its response is discarded.
         """
         if call.ended:
             return
@@ -262,8 +287,7 @@
         if call.task is not None:
             call.admission.note_disconnect(call.job, self._clock())
             call.task.cancel()
-        # A task that is cancelled before its first step runs none of its code, not even
-        # the clean-up.
+        # A task that is cancelled before its first step does not run its clean-up code.
         self._finish(call)
         self._process_queue()
 
@@ -287,7 +311,7 @@
             call.reply(frame, body)
 
     def _process_queue(self):
-        """Start or refuse the waiting calls that can be, and probe if needed."""
+        """Start or refuse waiting calls as far as possible, and probe if needed."""
         while True:
             action = self.admission.next_action(self._clock())
             if isinstance(action, StartDecision):
@@ -313,9 +337,10 @@
         self._process_queue()
 
     async def _probe(self):
-        """Ask the target for its load.
+        """Query the load of the target.
 
-        If it does not report a slowdown, calls start without one for a time.
+        If the response contains no slowdown, calls start without a probe for
+        `FAILED_PROBE_PAUSE_S`.
         """
         noise = self.admission.noise
         noise.probe_started(self._clock())
@@ -391,7 +416,10 @@
             self._process_queue()
 
     def _fail_call(self, call, conn, exc):
-        """Reply with a failure; `conn` is None if there was no connection."""
+        """Reply with a failure of the call.
+
+        If `conn` is None, the target could not be connected to.
+        """
         if conn is None:
             verdict = Verdict.NOT_RUN
             self._note_unreachable()
@@ -458,7 +486,11 @@
         )
 
     def _handle_response(self, call, response):
-        """Reply with the response of the target, or with what is wrong with it."""
+        """Reply with the response of the target, or with a refusal or failure.
+
+        A success status without the header `response_stamp` is a failure, and so is one
+        with a `Content-Encoding`.
+        """
         header_names = self._header_names
         headers = response.headers
         self._note_load(headers.get(header_names.load))
@@ -497,8 +529,8 @@
     def _note_load(self, text):
         """Record the load that a target reports in a header.
 
-        The header holds the number of running and of waiting calls, the number of
-        slots, and the slowdown in percent. Returns whether it holds the slowdown.
+        `HeaderNames.load` describes the value. Returns whether it contains the duration
+        of work in percent, which is the slowdown.
         """
         if not text:
             return False
