--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -68,7 +68,7 @@
         return self.retries >= 0
 
 
-def begin(route, environment):
+def start_call(route, environment):
     """Return a call that has been sent to the first candidate."""
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
     (send,) = lc.step(call, lc.CallReceived(NOW), environment)
@@ -88,7 +88,7 @@
 def test_unsafe_call_that_may_have_run_is_not_retried(verdict):
     """Guards against a second run of a sale whose response was lost."""
     environment = FakeEnvironment("a", "b")
-    call = begin(SALE, environment)
+    call = start_call(SALE, environment)
     (effect,) = lc.step(call, lc.AttemptFailed(NOW, verdict, "lost"), environment)
     assert effect == lc.Reject(502, "lost")
 
@@ -96,7 +96,7 @@
 def test_unsent_sale_goes_to_another_target():
     """Guards against rejecting a sale that certainly has not run."""
     environment = FakeEnvironment("a", "b")
-    call = begin(SALE, environment)
+    call = start_call(SALE, environment)
     effects = lc.step(
         call, lc.AttemptFailed(NOW, Verdict.NOT_RUN, "refused"), environment
     )
@@ -106,7 +106,7 @@
 def test_503_is_never_returned_after_a_possible_run():
     """Guards against a 503, which states that a call has not run, if it may have."""
     environment = FakeEnvironment("a", "b")
-    call = begin(LOOKUP, environment)
+    call = start_call(LOOKUP, environment)
     lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), environment)
     refused = lc.AttemptRefused(NOW, "queue", 0.1)
     effects = lc.step(call, refused, environment)
@@ -118,7 +118,7 @@
 def test_refusals_lead_to_last_resort_then_to_a_503():
     """Guards against a 503 while some target could still run the call, even if late."""
     environment = FakeEnvironment("a", "b")
-    call = begin(LOOKUP, environment)
+    call = start_call(LOOKUP, environment)
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.1), environment)
     assert nodes_of(effects) == ["b"]
     effects = lc.step(call, lc.AttemptRefused(NOW, "queue", 0.4), environment)
@@ -130,7 +130,7 @@
 def test_retries_stop_when_the_budget_is_spent():
     """Guards against retries that multiply the load of a failing service."""
     environment = FakeEnvironment("a", "b", "c", retries=1)
-    call = begin(LOOKUP, environment)
+    call = start_call(LOOKUP, environment)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, failed, environment)) == ["b"]
     assert lc.step(call, failed, environment) == [lc.Reject(502, "cut")]
@@ -139,7 +139,7 @@
 def test_retries_stop_at_the_max_attempts_of_the_route():
     """Guards against sending a call to more targets than its route allows."""
     environment = FakeEnvironment("a", "b", "c", "d")
-    call = begin(replace(LOOKUP, max_attempts=2), environment)
+    call = start_call(replace(LOOKUP, max_attempts=2), environment)
     failed = lc.AttemptFailed(NOW, Verdict.RAN, "cut")
     assert nodes_of(lc.step(call, failed, environment)) == ["b"]
     assert nodes_of(lc.step(call, failed, environment)) == []
@@ -148,7 +148,7 @@
 def test_failure_response_is_delivered_if_no_retry_succeeds():
     """Guards against replacing a target's own response by an error of the node."""
     environment = FakeEnvironment("a", "b")
-    call = begin(LOOKUP, environment)
+    call = start_call(LOOKUP, environment)
     effects = lc.step(call, lc.ResponseReceived(NOW, 500, "first"), environment)
     assert nodes_of(effects) == ["b"]
     call.tried.update("ab")
@@ -159,7 +159,7 @@
 def test_timeout_cancels_and_rejects_at_once():
     """Guards against callers that wait longer than the route's timeout."""
     environment = FakeEnvironment("a")
-    call = begin(LOOKUP, environment)
+    call = start_call(LOOKUP, environment)
     effects = lc.step(call, lc.TimedOut(NOW + 1), environment)
     assert effects == [lc.CancelAttempt(), lc.Reject(504, "timeout")]
     assert lc.step(call, lc.ResponseReceived(NOW + 1, 200, "late"), environment) == []
@@ -168,7 +168,7 @@
 def test_stalled_lookup_is_retried_elsewhere_and_a_sale_waits():
     """Guards against lookups that hang on a lost node, and against a sale run twice."""
     environment = FakeEnvironment("a", "b")
-    lookup, sale = begin(LOOKUP, environment), begin(SALE, environment)
+    lookup, sale = start_call(LOOKUP, environment), start_call(SALE, environment)
     effects = lc.step(lookup, lc.AttemptStalled(NOW), environment)
     assert effects[0] == lc.CancelAttempt() and nodes_of(effects) == ["b"]
     assert lc.step(sale, lc.AttemptStalled(NOW), environment) == []
@@ -180,7 +180,7 @@
 def test_stalled_lookup_keeps_waiting_if_the_budget_is_spent():
     """Guards against returning an error while the response may still come."""
     environment = FakeEnvironment("a", "b", retries=0)
-    lookup = begin(LOOKUP, environment)
+    lookup = start_call(LOOKUP, environment)
     assert lc.step(lookup, lc.AttemptStalled(NOW), environment) == []
     assert lookup.attempts == 0
 
@@ -263,7 +263,7 @@
 
 
 def test_no_more_jobs_run_than_the_limit():
-    """Guards against more work than a target can run without slowing down."""
+    """Guards against more running calls than a target can serve at full speed."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
     waiting = job()
@@ -316,7 +316,7 @@
     assert admission.report(NOW + 0.9, True).delay_ms > 5 * before
 
 
-# Kinds of calls, told apart by (priority, retryable).
+# Kinds of calls: (priority, retryable).
 SHORT, LONG = (2, True), (1, False)
 
 
@@ -425,7 +425,7 @@
 
 
 def test_late_job_is_refused_soon_and_not_held_to_its_deadline():
-    """Guards against a caller that waits long only to be refused."""
+    """Guards against a refusal that comes too late for the caller to retry."""
     admission = AdmissionController(10)
     fill(admission, admission.limit)
     late = job(objective_s=-0.1, deadline_s=1.0, last_resort=True)
@@ -462,7 +462,7 @@
 
 @pytest.mark.parametrize(("factor", "limit"), [(1.0, 10), (1.5, 8)])
 def test_limit_follows_the_knee_of_the_target(factor, limit):
-    """Guards against idle slots, and against more calls than a target runs at speed.
+    """Guards against idle slots, and against overloading a target.
 
     The knee is the number of concurrent calls above which each takes longer.
     """
@@ -496,7 +496,7 @@
     assert choose([far, near], LOCATION, NOW, upload, (), 0.5) is near
 
 
-def test_own_sends_count_before_the_next_report():
+def test_calls_in_flight_count_before_the_next_report():
     """Guards against sending all calls to one target because of an outdated report."""
     first, second = candidate("a"), candidate("b")
     for _ in range(20):
@@ -570,7 +570,7 @@
 
 
 def shares(candidates, now):
-    """Return how many of 100 calls each candidate gets."""
+    """Return how many of 100 calls at `now` each candidate gets."""
     requirements = CallRequirements(now + 0.3, 2000)
     chosen = [
         choose(candidates, LOCATION, now, requirements, (), step / 100)
@@ -580,7 +580,7 @@
 
 
 def test_target_that_joined_cold_gets_calls_once_it_is_warm():
-    """Guards against rating a new target forever by its slow first seconds."""
+    """Guards against permanently rating a new target by its slow first seconds."""
     admission = AdmissionController(12)
     admission.cold_start_until = NOW + 3.0
     joined, old = candidate("joined"), candidate("old", delay_ms=130)
@@ -635,9 +635,9 @@
 # Target status.
 
 
-def heartbeat(target="t1", born=5, sequence=1, state=TargetState.READY):
+def heartbeat(target="t1", born_ms=5, sequence=1, state=TargetState.READY):
     """Return a heartbeat of a target."""
-    return Heartbeat(target, ADDR, "ledger", born, sequence, state, 12)
+    return Heartbeat(target, ADDR, "ledger", born_ms, sequence, state, 12)
 
 
 def test_late_heartbeats_never_make_a_target_ready_again():
@@ -649,8 +649,8 @@
     assert not tracker.accept(heartbeat(sequence=4))
     assert tracker.accept_sign_off("t1", None)
     assert not tracker.accept(heartbeat(sequence=9))
-    assert tracker.accept(heartbeat("t2", born=9))
-    assert not tracker.accept(heartbeat("t1", born=5, sequence=99))
+    assert tracker.accept(heartbeat("t2", born_ms=9))
+    assert not tracker.accept(heartbeat("t1", born_ms=5, sequence=99))
     assert not tracker.accept_sign_off("t1", 5)
     assert tracker.current.state is TargetState.READY
 
@@ -659,18 +659,18 @@
     """Guards against ignoring a target that restarts under its former id."""
     tracker = StatusTracker()
     tracker.accept(heartbeat(sequence=50, state=TargetState.DRAINING))
-    assert tracker.accept(heartbeat(born=8, sequence=1))
+    assert tracker.accept(heartbeat(born_ms=8, sequence=1))
 
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
 def test_target_without_heartbeats_may_sign_off(target):
     """Guards against calls to a target whose sign-off was acknowledged but ignored."""
     tracker = StatusTracker()
-    tracker.accept(heartbeat("t1", born=5))
+    tracker.accept(heartbeat("t1", born_ms=5))
     assert tracker.accept_sign_off(target, 9)
     assert tracker.current.state is TargetState.LEFT
-    assert not tracker.accept(heartbeat("t1", born=5, sequence=99))
-    assert not tracker.accept(heartbeat(target, born=9, sequence=99))
+    assert not tracker.accept(heartbeat("t1", born_ms=5, sequence=99))
+    assert not tracker.accept(heartbeat(target, born_ms=9, sequence=99))
 
 
 def test_late_heartbeat_never_replaces_the_stored_state():
@@ -684,7 +684,7 @@
     assert tracker.merge(stored)
     assert tracker.current.state is TargetState.DRAINING
     assert not tracker.accept(heartbeat(sequence=9))
-    assert tracker.accept(heartbeat("t2", born=9))
+    assert tracker.accept(heartbeat("t2", born_ms=9))
     assert not tracker.merge(stored)
     assert tracker.current.state is TargetState.READY
 
--- a/tests/test_twohop_frames.py
+++ b/tests/test_twohop_frames.py
@@ -36,7 +36,7 @@
 @pytest.mark.parametrize(
     ("frame", "body"), FRAMES, ids=lambda item: type(item).__name__
 )
-def test_frame_comes_back_as_it_was(frame, body):
+def test_frame_survives_a_round_trip(frame, body):
     """Guards against a field that is lost or changed between two nodes."""
     assert fr.FrameReader().feed(fr.encode(frame, body)) == [(frame, body)]
 
@@ -44,7 +44,7 @@
 @seed(1)
 @settings(max_examples=60, deadline=None, database=None)
 @given(st.lists(st.integers(1, 900), max_size=40))
-def test_frames_may_be_cut_anywhere(sizes):
+def test_frames_may_be_split_anywhere(sizes):
     """Guards against a reader that needs a whole frame in one call of `feed`."""
     data = b"".join(fr.encode(frame, body) for frame, body in FRAMES)
     reader, found, start = fr.FrameReader(), [], 0
@@ -58,8 +58,8 @@
 @seed(2)
 @settings(max_examples=400, deadline=None, database=None)
 @given(st.binary(max_size=400), st.booleans())
-def test_odd_bytes_are_refused_or_wait(data, framed):
-    """Guards against bytes of an unknown peer that end the process."""
+def test_invalid_bytes_are_rejected_or_buffered(data, framed):
+    """Guards against a crash caused by bytes that an unknown peer sends."""
     if framed:
         data = fr.LENGTHS.pack(len(data), 0) + data
     try:
@@ -69,7 +69,7 @@
 
 
 def test_too_large_frames_are_refused_before_they_are_read():
-    """Guards against unlimited memory use that an unknown peer can cause."""
+    """Guards against unlimited memory use caused by an unknown peer."""
     with pytest.raises(CodecError):
         fr.FrameReader().feed(fr.LENGTHS.pack(fr.MAX_HEADER_BYTES + 1, 0))
     with pytest.raises(CodecError):
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -29,6 +29,7 @@
 
 # Retries of a call.
 
+# Name of an event and its value; "left" means that the caller has disconnected.
 EVENTS = st.one_of(
     st.builds(lambda at: ("refused", at), st.booleans()),
     st.builds(lambda verdict: ("broken", verdict), st.sampled_from(list(Verdict))),
@@ -38,7 +39,7 @@
 
 
 def make_event(name, value):
-    """Return an event of `lifecycle` and whether the call may have run in it."""
+    """Return an event of `lifecycle`, and whether the call may have run before it."""
     match name:
         case "refused":
             return lc.AttemptRefused(NOW, "queue", 0.1, value), False
@@ -64,36 +65,39 @@
     environment = FakeEnvironment("a", "b", "c", "d", "e", retries=RETRIES)
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
     effects = lc.step(call, lc.CallReceived(NOW), environment)
-    may_have_run, replies, at_targets = False, 0, 0
+    may_have_run, outcome_count, target_attempts = False, 0, 0
     for name, value in events:
-        unfinished = replies == 0
+        unfinished = outcome_count == 0
         event, may_have_run_now = make_event(name, value)
         if name == "refused" and value:
-            at_targets += 1
+            target_attempts += 1
         effects = lc.step(call, event, environment)
         sends = [effect for effect in effects if isinstance(effect, lc.Send)]
         outcomes = [e for e in effects if isinstance(e, lc.Reply | lc.Reject)]
         assert len(sends) <= 1 and len(sends) + len(outcomes) <= 1
         assert unfinished or not effects
-        replies += len(outcomes)
+        outcome_count += len(outcomes)
         if unfinished and (name != "stalled" or sends):
             may_have_run = may_have_run or may_have_run_now
-            at_targets += may_have_run_now
+            target_attempts += may_have_run_now
         if sends and not route.retryable:
             assert not may_have_run
         if sends:
-            assert at_targets < route.max_attempts
+            assert target_attempts < route.max_attempts
         for outcome in outcomes:
             if isinstance(outcome, lc.Reject) and outcome.status == 503:
                 assert not may_have_run
             if isinstance(outcome, lc.Reject):
                 assert outcome.status in (None, 502, 503, 504)
-    assert replies <= 1
-    assert call.ended == (replies == 1)
+    assert outcome_count <= 1
+    assert call.ended == (outcome_count == 1)
 
 
 # Admission.
 
+# Name of a step, and a number from which the time before the step and the properties of
+# an offered job are derived. "last" offers a job with `last_resort`, "figure" reports a
+# slowdown, and "sweep" only lets time pass.
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["offer", "last", "end", "drop", "figure", "sweep"]),
@@ -248,7 +252,7 @@
 
 
 class NodeProcess:
-    """One process of a node; a restart is followed by another one."""
+    """One process of a node; a restart creates another one with the same store."""
 
     def __init__(self, store):
         self.target = FakeTargetSide()
@@ -257,9 +261,11 @@
         self.store_sync = StoreSync(store, ("op", "config"), member, self)
         self.store_sync.start()
 
-    async def handle_heartbeat(self, state, sequence, born=5):
+    async def handle_heartbeat(self, state, sequence, born_ms=5):
         """Process a heartbeat; return once it is acknowledged."""
-        heartbeat = Heartbeat(f"t{born}", ADDR, "ledger", born, sequence, state, 12)
+        heartbeat = Heartbeat(
+            f"t{born_ms}", ADDR, "ledger", born_ms, sequence, state, 12
+        )
         previous = self.target.status_tracker.current
         if self.target.status_tracker.accept(heartbeat):
             if previous is None or previous.state is not state:
@@ -306,7 +312,7 @@
         await asyncio.sleep(60.0)
         if "restart" not in actions or store.drain_stored:
             assert process.state is TargetState.DRAINING
-        await process.handle_heartbeat(TargetState.READY, 1, born=9)
+        await process.handle_heartbeat(TargetState.READY, 1, born_ms=9)
         assert process.state is TargetState.READY
         process.store_sync.stop()
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -20,12 +20,16 @@
 from standins.platform import ScriptedTarget, StoreStandIn, free_port
 
 HOST = "a.example"
+# Names of two services.
 LEDGER, DESK = "ledger", "desk"
 TIMEOUT_S = 10.0
 
 
 def config(version=1, **changes):
-    """Return a configuration with a safe, an unsafe and an upload route."""
+    """Return a configuration with a safe, an unsafe and an upload route.
+
+    `changes` may contain the `timeout` of these routes and `more` rows of routes.
+    """
     columns = [
         *("name", "host", "prefix", "kind", "timeout", "target_latency"),
         *("priority", "service", "max_attempts", "traffic_split"),
@@ -105,7 +109,7 @@
         return node
 
     async def close_node(self, node):
-        """Close a node at once and forget it."""
+        """Close a node without a graceful stop."""
         await node.close()
         self.nodes.remove(node)
 
@@ -117,7 +121,7 @@
             await asyncio.sleep(0.01)
 
     async def wait_until_connected(self):
-        """Wait until every node has a connection to every accepting target."""
+        """Wait until every node can send calls to every other one."""
         await self.until(
             lambda: (
                 all(
@@ -172,7 +176,7 @@
         self.writer = None
 
     async def send(self, path, method="GET", body=b"", head="", request_id="q1"):
-        """Send a request."""
+        """Send a request; `head` contains further header lines."""
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
                 *self.node.cfg.callers_addr
@@ -195,7 +199,7 @@
         return int(first.split(" ")[1]), headers, body
 
     async def call(self, path, **more):
-        """Send a request and return its response."""
+        """Send a request and return (status, headers, body) of its response."""
         async with asyncio.timeout(TIMEOUT_S):
             await self.send(path, **more)
             return await self.read()
@@ -330,7 +334,7 @@
 
 @cluster_test
 async def test_late_second_response_is_not_given_to_the_next_caller(cluster):
-    """Guards against a response that belongs to another request."""
+    """Guards against returning a response that belongs to another request."""
     caller_node, node, target = await start_pair(cluster)
 
     async def respond_twice(request, writer):
@@ -381,7 +385,7 @@
 
 
 @cluster_test
-async def test_timeout_is_answered_on_time_and_reaches_the_target(cluster):
+async def test_timeout_is_reported_on_time_and_cancels_the_call(cluster):
     """Guards against late timeouts and calls that run on without a caller."""
     caller_node, _, target = await start_pair(cluster)
     target.delay_s = 5.0
@@ -484,7 +488,7 @@
 
 @cluster_test
 async def test_target_restarted_with_its_node_is_known_before_its_heartbeat(cluster):
-    """Guards against calls that name the previous target, so that none is run."""
+    """Guards against calls that name the previous target and are therefore refused."""
     _, node, target = await start_pair(cluster)
     await asyncio.sleep(0.2)
     await cluster.close_node(node)
@@ -527,7 +531,7 @@
 
 @cluster_test
 async def test_row_of_a_host_whose_address_is_reused_is_deleted(cluster):
-    """Guards against a host that failed for good and remains a member."""
+    """Guards against a permanently failed host that remains a member."""
     caller_node, node, _ = await start_pair(cluster)
     stored = cluster.store.rows[MEMBERS_TABLE, node.cfg.node][0]
     cluster.store.put(MEMBERS_TABLE, "lost", stored)
@@ -786,7 +790,7 @@
 
 @cluster_test
 async def test_unreachable_target_gets_no_calls_until_it_is_back(cluster):
-    """Guards against a dead target that attracts calls because it fails quickly."""
+    """Guards against a failed target that gets more calls because it fails quickly."""
     caller_node, node, target = await start_pair(cluster)
     addr = target.addr
     target.close()
