Name the units of the locals in placement; describe wire numbers and polling

Cause: age and delay had no unit, and the wire numbers of verdicts, the 421 status and the polling of tables were not explained. Change: local names, comments and docstrings.

--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -42,6 +42,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # The share of failed calls, 0 to 1, is sent as one byte, 0 to this.
 RATE_STEPS = 255.0
+# The position in `VERDICTS` is the number that a frame's header carries.
 VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -193,6 +193,7 @@
         self._stopped = asyncio.Event()
 
     def _connection_limit(self, addr):
+        """Return the maximum number of connections of the pool to an address."""
         if addr != self.cfg.target_addr:
             return 16
         return self.target.admission.limit + 4
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -17,8 +17,9 @@
 # each failure.
 MIN_RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 2.0
-# A node that learns of a newer configuration waits this long for it to come from the
-# store before it requests it from the peer, seconds.
+# A node that learns of a newer configuration from a peer waits this long for the store
+# to deliver the configuration before it requests the configuration from the peer,
+# seconds.
 CONFIG_WAIT_S = 0.15
 
 
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -150,30 +150,30 @@
         """Return the expected response time without the network, milliseconds."""
         report = self.report
         sent_since_report = self.in_flight - self.in_flight_at_report
-        age = now - self.reported_at
-        report_weight = max(0.0, 1.0 - age / REPORT_LIFETIME_S)
-        others = (
+        age_s = now - self.reported_at
+        report_weight = max(0.0, 1.0 - age_s / REPORT_LIFETIME_S)
+        other_calls = (
             max(0, report.running + report.queued - self.in_flight_at_report)
             * report_weight
         )
-        total = others + self.in_flight
-        delay_weight = max(0.0, 1.0 - age / DELAY_DECAY_S)
-        delay = (
+        total_calls = other_calls + self.in_flight
+        delay_weight = max(0.0, 1.0 - age_s / DELAY_DECAY_S)
+        delay_ms = (
             self.mean_delay_ms + (report.delay_ms - self.mean_delay_ms) * delay_weight
         )
-        if age * 1000.0 < report.cold_remaining_ms:
-            delay *= COLD_START_SLOWDOWN
-        delay += max(0.0, report.noise_remaining_ms - age * 1000.0)
-        over_limit = total - report.limit + 1
+        if age_s * 1000.0 < report.cold_remaining_ms:
+            delay_ms *= COLD_START_SLOWDOWN
+        delay_ms += max(0.0, report.noise_remaining_ms - age_s * 1000.0)
+        over_limit = total_calls - report.limit + 1
         if sent_since_report > 0 and over_limit > 0:
-            delay += delay * min(over_limit, sent_since_report) / report.limit
+            delay_ms += delay_ms * min(over_limit, sent_since_report) / report.limit
         # Targets slow down as their load rises, so the less loaded one is preferred.
-        delay *= 1.0 + 0.3 * min(total / max(report.limit, 1), 2.0)
+        delay_ms *= 1.0 + 0.3 * min(total_calls / max(report.limit, 1), 2.0)
         if self.failures > 0 and now - self.failed_at < FAILURE_MEMORY_S:
-            delay *= 1.0 + FAILURE_SLOWDOWN * self.failures
+            delay_ms *= 1.0 + FAILURE_SLOWDOWN * self.failures
         if now < self.refused_until:
-            delay += REFUSAL_PENALTY_MS
-        return delay
+            delay_ms += REFUSAL_PENALTY_MS
+        return delay_ms
 
 
 def network_cost(location, member, size):
@@ -209,7 +209,7 @@
 def choose(candidates, location, now, requirements, tried, draw):
     """Return the candidate with the highest expected value less cost, or None.
 
-    None is returned if no candidate is reachable, accepts calls and is untried.
+    Only reachable candidates that accept calls are considered.
 
     Parameters
     ----------
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -96,6 +96,12 @@
             self._save_timer.cancel()
 
     async def _follow_table(self, table, wait_range_s, apply):
+        """Read all rows of a table, then its changes as they occur.
+
+        `apply(rows, complete)` is called with the rows; `complete` tells whether they
+        are all rows of the table. If the store no longer has the history of changes,
+        all rows are read again.
+        """
         after = None
         pause_s = MIN_PAUSE_S
         while True:
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -125,6 +125,7 @@
         self._unreachable_until = 0.0
         self._health_path = health_path
         self._probe_task = None
+        # The `PendingCall` of each `Job` that waits or runs.
         self._pending = {}
         self._queue_timer = None
 
@@ -494,6 +495,7 @@
         header_names = self._header_names
         headers = response.headers
         self._note_load(headers.get(header_names.load))
+        # 421 Misdirected Request: `expect_target` names another target.
         not_run = (
             headers.get(header_names.not_run) is not None or response.status == 421
         )
