--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -31,11 +31,11 @@
     path : str
         Path and query string, as sent.
     headers : tuple of (str, str)
-        Headers to forward to the target.
+        Names and values of the headers to forward to the target.
     remaining_s : float or None
         Time from arrival to the caller's deadline, seconds; None without a deadline.
     arrived_at : float
-        Monotonic time, seconds.
+        When the head of the request was read, monotonic time in seconds.
     """
 
     request_id: str
@@ -268,7 +268,8 @@
             self._retry_budgets[service] = budget
         return budget
 
-    # `lifecycle.step` calls `choose` and `acquire_retry`, with this object as `world`.
+    # This object is the `environment` of `lifecycle.step`, which calls `choose` and
+    # `acquire_retry`.
 
     def choose(self, call, now):
         """Return the best candidate that has not been tried, or None."""
--- a/pimentoline/twohop/chunked.py
+++ b/pimentoline/twohop/chunked.py
@@ -13,12 +13,14 @@
 
 MAX_LINE_BYTES = 4096
 MAX_TRAILER_LINES = 64
+# Most data that is passed to `on_data` at once.
 MAX_READ_BYTES = 64 * 1024
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+# At most 15 hexadecimal digits (60 bits).
+CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,15}")
 
 
 class BodyTooLarge(HTTPInputError):
-    """The body is larger than the limit for callers."""
+    """The body is larger than the limit for request bodies."""
 
 
 async def _read_line(stream):
@@ -33,19 +35,23 @@
     ----------
     stream : IOStream
     on_data : callable
-        Called with each part of the body.
+        Called with the bytes of each part of the body, without the framing.
     max_bytes : int
-        Largest body.
+        Largest size of the body, bytes.
 
     Raises
     ------
+    BodyTooLarge
+        If the body is larger than `max_bytes`.
     HTTPInputError
-        If the framing is invalid; `BodyTooLarge` beyond `max_bytes`.
+        If the framing is invalid.
+    StreamClosedError
+        If the connection closes before the end, or a line is too long.
     """
     total = 0
     while True:
         size_text = (await _read_line(stream)).partition(b";")[0].rstrip(b" \t")
-        if CHUNK_SIZE.fullmatch(size_text) is None:
+        if CHUNK_SIZE_PATTERN.fullmatch(size_text) is None:
             raise HTTPInputError(f"invalid chunk size {size_text[:20]!r}")
         size = int(size_text, 16)
         if size == 0:
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -1,8 +1,8 @@
 """pimentoline.twohop.lifecycle: state machine of a call at its caller's node.
 
-`step(call, event, world)` updates the call and returns the effects of an event. A call
-goes to a second target only if it is proven that the first has not run it, or if its
-route is retryable and the retry budget has room.
+`step(call, event, environment)` updates the call and returns the effects of an event.
+A call goes to a second target only if it is proven that the first has not run it, or
+if its route is retryable and the retry budget is not used up.
 """
 
 from dataclasses import dataclass, field
@@ -26,7 +26,7 @@
     "step",
 ]
 
-# Nodes that a call is sent to before it is rejected, not counting the last resort.
+# Maximum number of nodes that a call is sent to, not counting the last resort.
 MAX_PLACEMENTS = 4
 # A call with less time than this until its deadline is not retried, seconds.
 MIN_RETRY_TIME_S = 0.03
@@ -121,7 +121,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptStalled:
-    """The target's node has gone silent; the response may still come."""
+    """The link to the target's node is suspect; the response may still come."""
 
     now: float
 
@@ -142,7 +142,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send the call to a candidate."""
+    """Send the call to a candidate.
+
+    Attributes
+    ----------
+    candidate : Candidate
+    last_resort : bool
+        Whether the candidate's node must accept the call even if it will be late.
+    retry : bool
+        Whether an earlier attempt may have reached a target.
+    """
 
     candidate: object
     last_resort: bool
@@ -165,7 +174,14 @@
 class Reject:
     """End the call with an error response of this node.
 
-    If `status` is None, no response is sent.
+    Attributes
+    ----------
+    status : int or None
+        HTTP status; if it is None, no response is sent.
+    reason : str
+        Error code.
+    retry_after_s : float or None
+        Time after which the caller may retry, seconds.
     """
 
     status: int | None
@@ -173,7 +189,7 @@
     retry_after_s: float | None = None
 
 
-def step(call, event, world):
+def step(call, event, environment):
     """Update a call after an event and return the effects to carry out.
 
     Parameters
@@ -183,10 +199,10 @@
     event : object
         `CallReceived`, `AttemptRefused`, `AttemptFailed`, `ResponseReceived`,
         `AttemptStalled`, `TimedOut` or `CallerDisconnected`.
-    world : object
-        `choose(call, now)` returns a candidate that has not been tried, or None;
-        `acquire_retry(service, now)` takes a retry from the budget and returns
-        whether there was one.
+    environment : object
+        Has two methods: `choose(call, now)` returns a candidate that has not been
+        tried, or None; `acquire_retry(service, now)` takes a retry from the budget and
+        returns whether there was one.
 
     Returns
     -------
@@ -196,15 +212,15 @@
         return []
     match event:
         case CallReceived():
-            return _place_call(call, event.now, world, False)
+            return _place_call(call, event.now, environment, False)
         case AttemptRefused():
-            return _on_refused(call, event, world)
+            return _on_refused(call, event, environment)
         case AttemptFailed():
-            return _on_failed(call, event, world)
+            return _on_failed(call, event, environment)
         case ResponseReceived():
-            return _on_response(call, event, world)
+            return _on_response(call, event, environment)
         case AttemptStalled():
-            return _on_stalled(call, event.now, world)
+            return _on_stalled(call, event.now, environment)
         case TimedOut():
             call.ended = True
             return [CancelAttempt(), _timeout_effect(call)]
@@ -220,8 +236,8 @@
     return Reject(504, "timeout")
 
 
-def _place_call(call, now, world, retry):
-    candidate = world.choose(call, now)
+def _place_call(call, now, environment, retry):
+    candidate = environment.choose(call, now)
     if candidate is None or call.placements >= MAX_PLACEMENTS:
         return _use_last_resort(call, now, retry)
     return _send_to(call, candidate, False, retry)
@@ -236,7 +252,7 @@
 
 
 def _use_last_resort(call, now, retry):
-    """Make the node with the shortest wait take the call even if it will be late."""
+    """Send the call to the node with the shortest wait even if it will be late."""
     candidate, call.last_resort_candidate = call.last_resort_candidate, None
     if candidate is not None and candidate.reachable and not call.last_resort:
         return _send_to(call, candidate, True, retry)
@@ -253,7 +269,7 @@
     return [Reject(503, reason, DEFAULT_RETRY_AFTER_S if after_s is None else after_s)]
 
 
-def _on_refused(call, event, world):
+def _on_refused(call, event, environment):
     shortest_s = call.retry_after_s
     if shortest_s is None or event.retry_after_s < shortest_s:
         call.retry_after_s = event.retry_after_s
@@ -261,53 +277,53 @@
     if event.by_target:
         # The call reached the target, so it counts as an attempt.
         call.attempts += 1
-        if not _acquire_retry(call, event.now, world):
+        if not _acquire_retry(call, event.now, environment):
             return _give_up(call, event.reason)
-        return _place_call(call, event.now, world, True)
+        return _place_call(call, event.now, environment, True)
     if call.last_resort:
         return _give_up(call, event.reason)
-    return _place_call(call, event.now, world, call.attempts > 0)
+    return _place_call(call, event.now, environment, call.attempts > 0)
 
 
-def _acquire_retry(call, now, world):
+def _acquire_retry(call, now, environment):
     if call.attempts >= call.route.max_attempts:
         return False
     if call.deadline_at - now < MIN_RETRY_TIME_S:
         return False
-    return world.acquire_retry(call.service, now)
+    return environment.acquire_retry(call.service, now)
 
 
-def _on_failed(call, event, world):
+def _on_failed(call, event, environment):
     if event.verdict is Verdict.NOT_RUN:
-        return _place_call(call, event.now, world, call.attempts > 0)
+        return _place_call(call, event.now, environment, call.attempts > 0)
     call.attempts += 1
     call.verdict = event.verdict
-    if call.route.retryable and _acquire_retry(call, event.now, world):
-        return _place_call(call, event.now, world, True)
+    if call.route.retryable and _acquire_retry(call, event.now, environment):
+        return _place_call(call, event.now, environment, True)
     return _give_up(call, event.reason)
 
 
-def _on_stalled(call, now, world):
+def _on_stalled(call, now, environment):
     """Retry a call elsewhere if that is allowed; otherwise keep waiting."""
     if not call.route.retryable or call.placements >= MAX_PLACEMENTS:
         return []
-    candidate = world.choose(call, now)
+    candidate = environment.choose(call, now)
     if candidate is None:
         return []
     call.attempts += 1
-    if not _acquire_retry(call, now, world):
+    if not _acquire_retry(call, now, environment):
         call.attempts -= 1
         return []
     call.verdict = Verdict.MAY_HAVE_RUN
     return [CancelAttempt(), *_send_to(call, candidate, False, True)]
 
 
-def _on_response(call, event, world):
+def _on_response(call, event, environment):
     if event.status >= MIN_FAILURE_STATUS and call.route.retryable:
         call.attempts += 1
         call.verdict = Verdict.RAN
-        if _acquire_retry(call, event.now, world):
+        if _acquire_retry(call, event.now, environment):
             call.held_response = event.response
-            return _place_call(call, event.now, world, True)
+            return _place_call(call, event.now, environment, True)
     call.ended = True
     return [Reply(event.response)]
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -13,11 +13,13 @@
 
 __all__ = ["Peers"]
 
-# Pause before the next attempt to connect to a node, seconds. It doubles each time.
+# Pause before the next attempt to connect to a node, seconds. The pause doubles after
+# each failure.
 MIN_RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 2.0
-# A node that learns of a newer configuration waits this long for it to come from the
-# store before it requests it from the peer, seconds.
+# A node that learns of a newer configuration from a peer waits this long for the store
+# to deliver the configuration before it requests the configuration from the peer,
+# seconds.
 CONFIG_WAIT_S = 0.15
 
 
@@ -31,19 +33,19 @@
 
 
 class _BodyAssembler:
-    """Joins the bodies that a link receives in chunks; keyed by stream number."""
+    """Joins the bodies of frames that a link receives in chunks."""
 
     def __init__(self):
         self._open = {}
 
     def begin(self, frame, body):
-        """Start a body; return it if it came completely with its frame, or None."""
+        """Start a body; return it if the frame contains all of it, otherwise None."""
         self._open[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
         found = self.add(frame.stream, body)
         return found[1] if found is not None else None
 
     def add(self, stream, chunk):
-        """Add a chunk; return (frame, body) if it was the last one, or None."""
+        """Add a chunk; return (frame, body) if it was the last one, otherwise None."""
         part = self._open.get(stream)
         if part is None:
             return None
@@ -73,7 +75,8 @@
     stall_callbacks : dict of int to callable
         `on_stall` of each open call, by stream number.
     peer_up : asyncio.Event
-        Set when the member has connected to this node, which ends a pause.
+        Set when the member has connected to this node, which ends the pause before the
+        next attempt to connect to the member.
     """
 
     def __init__(self, peers, candidate):
@@ -146,7 +149,7 @@
             on_frame(frame, b"")
 
     def frame_received(self, link, frame, body):
-        """Handle the outcome of a call, or a peer's state."""
+        """Handle the outcome of a call, or a frame with a peer's state."""
         match frame:
             case fr.Hello():
                 if frame.node != self.candidate.member.node:
@@ -190,7 +193,7 @@
         return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
-        """Send a call; return its stream number."""
+        """Send the frame of `make_frame(stream)`; return the stream number."""
         self.next_stream += 1
         stream = self.next_stream
         self.frame_callbacks[stream] = on_frame
@@ -215,11 +218,17 @@
 
 
 class _IncomingLink:
-    """A link that a peer opened to this node, and its calls for this node's target."""
+    """A link that a peer opened to this node, and its calls for this node's target.
+
+    Attributes
+    ----------
+    pending_calls : dict of int to PendingCall
+        Calls that wait or run at the target, by stream number.
+    """
 
     def __init__(self, peers):
         self.peers = peers
-        self.work_by_stream = {}
+        self.pending_calls = {}
         self.assembler = _BodyAssembler()
 
     def link_up(self, link):
@@ -230,12 +239,12 @@
     def link_lost(self, link, reason):
         """Cancel the peer's calls."""
         self.peers.incoming.pop(link, None)
-        work_by_stream, self.work_by_stream = self.work_by_stream, {}
-        for work in work_by_stream.values():
-            self.peers.target.cancel(work)
+        pending_calls, self.pending_calls = self.pending_calls, {}
+        for pending_call in pending_calls.values():
+            self.peers.target.cancel(pending_call)
 
     def frame_received(self, link, frame, body):
-        """Handle a call, a cancellation or a peer's state."""
+        """Handle a call, a cancellation, or a frame with a peer's state."""
         match frame:
             case fr.CallFrame():
                 complete_body = self.assembler.begin(frame, body)
@@ -247,9 +256,9 @@
                     self._submit(link, *found)
             case fr.CancelFrame():
                 self.assembler.drop(frame.stream)
-                work = self.work_by_stream.pop(frame.stream, None)
-                if work is not None:
-                    self.peers.target.cancel(work)
+                pending_call = self.pending_calls.pop(frame.stream, None)
+                if pending_call is not None:
+                    self.peers.target.cancel(pending_call)
             case fr.Hello():
                 link.peer = frame.node
                 self.peers.note_peer_up(frame.node)
@@ -264,12 +273,12 @@
         stream = call.stream
 
         def reply(frame, body):
-            self.work_by_stream.pop(stream, None)
+            self.pending_calls.pop(stream, None)
             link.send(frame, body)
 
-        work = self.peers.target.submit(call, complete_body, reply)
-        if not work.ended:
-            self.work_by_stream[stream] = work
+        pending_call = self.peers.target.submit(call, complete_body, reply)
+        if not pending_call.ended:
+            self.pending_calls[stream] = pending_call
 
 
 class Peers:
@@ -280,8 +289,7 @@
     own_name : str
         Name of this node.
     target : TargetSide
-    config : object
-        `version`, `text` and `offer(version, text, source)`.
+    config : ConfigHolder
     clock : callable
         Monotonic clock, seconds.
 
@@ -308,7 +316,7 @@
         self._check_task = None
 
     async def start(self, addr):
-        """Accept links at `addr`."""
+        """Accept links at an address, a tuple of host and port."""
         self._server = await listen(addr, _AcceptedLinks(self), self.clock)
         self._check_task = asyncio.get_running_loop().create_task(self._check_links())
 
@@ -376,7 +384,7 @@
         self._by_service = found
 
     def candidates(self, service):
-        """Return the candidates of a service, with a new report of the local target."""
+        """Return the candidates of a service; renew the report of the local target."""
         local = self.local
         if local is not None and local.member.service == service:
             local.note_report(self.target.load_report(), self.clock())
@@ -385,10 +393,19 @@
     # Calls.
 
     def send(self, candidate, make_frame, body, on_frame, on_stall):
-        """Send a call to a candidate; return a function that cancels it.
-
-        `on_frame(frame, body)` is called once, unless the call is cancelled, and
-        `on_stall()` when the link to the candidate goes silent.
+        """Send a call to a candidate; return a function that cancels the call.
+
+        Parameters
+        ----------
+        candidate : Candidate
+        make_frame : callable
+            Returns the `CallFrame` for a stream number.
+        body : bytes
+        on_frame : callable
+            `on_frame(frame, body)` is called once with the outcome of the call, unless
+            the call is cancelled.
+        on_stall : callable
+            Called without arguments when the link to the candidate becomes suspect.
         """
         if candidate is self.local:
             return self._send_local(candidate, make_frame, body, on_frame)
@@ -408,11 +425,11 @@
             on_frame(frame, body)
 
         def cancel():
-            if not work.ended and not work.cancelled:
+            if not pending_call.ended and not pending_call.cancelled:
                 candidate.in_flight -= 1
-                self.target.cancel(work)
+                self.target.cancel(pending_call)
 
-        work = self.target.submit(make_frame(0), body, reply)
+        pending_call = self.target.submit(make_frame(0), body, reply)
         return cancel
 
     # State that peers exchange.
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -1,8 +1,8 @@
-"""pimentoline.twohop.placement: chooses the target's node that gets a call.
+"""pimentoline.twohop.placement: chooses the node that a call is sent to.
 
-Load shifts within milliseconds, so that reports of it are always out of date. A report
-is therefore corrected by the calls that this node has sent since, and loses weight
-with its age.
+The load of a target changes within milliseconds, so reports of it are always out of
+date. A report is therefore corrected by the calls that this node has sent since, and
+loses weight with its age.
 """
 
 import math
@@ -24,12 +24,13 @@
 OTHER_REGION_COST_PER_KB = 0.054
 # Size of the start lines and headers of a call and its response together, bytes.
 HTTP_HEAD_BYTES = 600
-# Spread of response times around the expected one, milliseconds: processing times vary
-# by a third, and noise of neighbours on the host comes in periods of 150 ms.
+# Scale of the logistic distribution of response times around the expected one,
+# milliseconds. Processing times vary by a third, and noisy neighbours on the host are
+# active for periods of 150 ms.
 RESPONSE_TIME_SPREAD_MS = 80.0
 # Value of a response after the latency objective; one that meets it counts as 1.
 LATE_VALUE = 0.1
-# A report older than this says nothing about the calls of other nodes any more.
+# After this time, seconds, a report says nothing about the calls of other nodes.
 REPORT_LIFETIME_S = 1.0
 # Without a new report, the expected delay returns to the target's mean over this time,
 # seconds, because the report of a target that gets no calls is not renewed.
@@ -42,8 +43,8 @@
 INITIAL_MEAN_REPORTS = 3
 # Mean delay of a target before its first report, milliseconds.
 INITIAL_DELAY_MS = 120.0
-# Part of its delay by which each recent failure makes a target seem slower, and the
-# upper bound of the sum of these parts.
+# Each recent failure of a target adds this share of the target's expected delay to that
+# delay, up to the second share for all failures.
 FAILURE_SLOWDOWN = 0.5
 MAX_FAILURE_SLOWDOWN = 5.0
 # Failures are ignored once a target has had none for this long, seconds.
@@ -56,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Location:
-    """Data centre and region of a node."""
+    """Data centre (`dc`) and region of a node."""
 
     dc: str
     region: str
@@ -84,22 +85,28 @@
 
     Attributes
     ----------
+    reachable : bool
+        Whether the link to the node is up and not suspect; always true for this node's
+        own target.
     report : LoadReport
-        The newest report of the node, received at `reported_at`.
+        The newest report of the node.
+    reported_at : float
+        Monotonic time at which `report` was received, seconds.
     in_flight : int
-        Calls of this node that wait for a response from there.
+        Calls that this node has sent to the candidate and that have no response yet.
     in_flight_at_report : int
         Value of `in_flight` when the newest report was received.
-    mean_ms : float
+    mean_delay_ms : float
         Moving average of the reported delays, milliseconds.
     report_count : int
         Number of reports received.
     failures : float
-        Recent failures; reduced by each success.
+        Number of recent failures; each success reduces it by a factor.
     failed_at : float
         Monotonic time of the last failure, seconds.
     refused_until : float
-        Until when the node is avoided since it refused a call, monotonic seconds.
+        Until when the node is avoided because it refused a call, monotonic time in
+        seconds.
     """
 
     member: Member
@@ -108,7 +115,7 @@
     reported_at: float = 0.0
     in_flight: int = 0
     in_flight_at_report: int = 0
-    mean_ms: float = INITIAL_DELAY_MS
+    mean_delay_ms: float = INITIAL_DELAY_MS
     report_count: int = 0
     failures: float = 0.0
     failed_at: float = 0.0
@@ -119,7 +126,7 @@
         elapsed_weight = min(MAX_MEAN_WEIGHT, (now - self.reported_at) / MEAN_WINDOW_S)
         self.report_count += 1
         weight = max(elapsed_weight, 1.0 / (self.report_count + INITIAL_MEAN_REPORTS))
-        self.mean_ms += weight * (report.delay_ms - self.mean_ms)
+        self.mean_delay_ms += weight * (report.delay_ms - self.mean_delay_ms)
         self.report = report
         self.reported_at = now
         self.in_flight_at_report = self.in_flight
@@ -143,28 +150,30 @@
         """Return the expected response time without the network, milliseconds."""
         report = self.report
         sent_since_report = self.in_flight - self.in_flight_at_report
-        age = now - self.reported_at
-        report_weight = max(0.0, 1.0 - age / REPORT_LIFETIME_S)
-        others = (
+        age_s = now - self.reported_at
+        report_weight = max(0.0, 1.0 - age_s / REPORT_LIFETIME_S)
+        other_calls = (
             max(0, report.running + report.queued - self.in_flight_at_report)
             * report_weight
         )
-        total = others + self.in_flight
-        delay_weight = max(0.0, 1.0 - age / DELAY_DECAY_S)
-        delay = self.mean_ms + (report.delay_ms - self.mean_ms) * delay_weight
-        if age * 1000.0 < report.cold_remaining_ms:
-            delay *= COLD_START_SLOWDOWN
-        delay += max(0.0, report.noise_remaining_ms - age * 1000.0)
-        over_limit = total - report.limit + 1
+        total_calls = other_calls + self.in_flight
+        delay_weight = max(0.0, 1.0 - age_s / DELAY_DECAY_S)
+        delay_ms = (
+            self.mean_delay_ms + (report.delay_ms - self.mean_delay_ms) * delay_weight
+        )
+        if age_s * 1000.0 < report.cold_remaining_ms:
+            delay_ms *= COLD_START_SLOWDOWN
+        delay_ms += max(0.0, report.noise_remaining_ms - age_s * 1000.0)
+        over_limit = total_calls - report.limit + 1
         if sent_since_report > 0 and over_limit > 0:
-            delay += delay * min(over_limit, sent_since_report) / report.limit
-        # Targets slow down as they fill, so of two equal ones the emptier is better.
-        delay *= 1.0 + 0.3 * min(total / max(report.limit, 1), 2.0)
+            delay_ms += delay_ms * min(over_limit, sent_since_report) / report.limit
+        # Targets slow down as their load rises, so the less loaded one is preferred.
+        delay_ms *= 1.0 + 0.3 * min(total_calls / max(report.limit, 1), 2.0)
         if self.failures > 0 and now - self.failed_at < FAILURE_MEMORY_S:
-            delay *= 1.0 + FAILURE_SLOWDOWN * self.failures
+            delay_ms *= 1.0 + FAILURE_SLOWDOWN * self.failures
         if now < self.refused_until:
-            delay += REFUSAL_PENALTY_MS
-        return delay
+            delay_ms += REFUSAL_PENALTY_MS
+        return delay_ms
 
 
 def network_cost(location, member, size):
@@ -200,10 +209,13 @@
 def choose(candidates, location, now, requirements, tried, draw):
     """Return the candidate with the highest expected value less cost, or None.
 
+    Only reachable candidates that accept calls are considered.
+
     Parameters
     ----------
     candidates : iterable of Candidate
     location : Location
+        Location of this node.
     now : float
         Monotonic time, seconds.
     requirements : CallRequirements
@@ -229,6 +241,7 @@
         value = value * candidate.success_rate(now) - cost
         # If all are far too late, the probabilities are equal and the fastest wins.
         value -= expected_ms * 1e-5
+        # Derives a different pseudo-random number for each candidate from one draw.
         value += ((draw * 997.0 + index * 0.618) % 1.0) * TIE_JITTER
         if best is None or value > best_value:
             best, best_value = candidate, value
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -18,24 +18,26 @@
 
 __all__ = ["PendingCall", "TargetSide"]
 
-# A target ends a call at its deadline by itself; the node waits this much longer,
-# seconds.
+# The target itself ends a call at the deadline of the call. The node waits this much
+# longer for the response, seconds.
 DEADLINE_MARGIN_S = 0.3
-# A target on the same host accepts a connection within a few milliseconds; seconds.
+# Timeout of a connection to the target, seconds. A target on the same host accepts it
+# within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.4
 # A target that accepts no connection gets no calls for this long, seconds.
 UNREACHABLE_PAUSE_S = 0.3
-# Slots that are assumed until the first heartbeat reports their number.
+# Number of slots of a target until its first heartbeat reports it.
 DEFAULT_SLOTS = 8
-# When the caller's node may retry a call that this target does not accept, seconds.
+# Retry-after time of a call that this target does not accept, seconds.
 RETRY_AFTER_S = 0.3
-# How long a target is taken to be slow after its start while no heartbeat has reported
-# it, seconds; targets send a heartbeat every 1.5 s.
+# Assumed duration of the slow start of a target that has sent no heartbeat, seconds.
+# Targets send a heartbeat every 1.5 s.
 ASSUMED_COLD_START_S = 1.5
 # Interval at which the queue is checked while calls wait, seconds. Noise may end while
 # no call completes.
 QUEUE_CHECK_INTERVAL_S = 0.02
-# A target on the same host responds to a probe within a few milliseconds; seconds.
+# Timeout of a probe, seconds. A target on the same host responds within a few
+# milliseconds.
 PROBE_TIMEOUT_S = 0.1
 MAX_PROBE_BODY_BYTES = 64 * 1024
 MS_PER_S = 1000.0
@@ -52,9 +54,15 @@
         `reply(frame, body)` is called once with the outcome, unless the call was
         cancelled.
     admission : AdmissionController
-        The one that the call was offered to, which may have been replaced since.
+        The controller that the call was offered to; `TargetSide.admission` may be a
+        newer one.
     task : asyncio.Task or None
         Runs the call, None while it waits.
+    ended : bool
+        Whether the call has its outcome or was cancelled. A call that must not run
+        twice does not end when it is cancelled while it runs.
+    cancelled : bool
+        Whether nobody waits for the outcome.
     """
 
     frame: object
@@ -70,7 +78,8 @@
 class TargetSide:
     """Admits calls to the target on this host and runs them.
 
-    Also keeps the status of the target from its heartbeats, and probes it for its load.
+    Also tracks the status of the target from its heartbeats, and probes the target for
+    its load.
 
     Parameters
     ----------
@@ -81,11 +90,21 @@
     service : str
         Service of the target from the settings, used until the first heartbeat.
     addr : tuple
-        Address of the target.
+        Host and port of the target.
     health_path : callable
         Returns the path for probes; responses to it carry the load of the target.
     on_change : callable
-        Called when the target may have begun or stopped to accept calls.
+        Called when the target may have begun or stopped accepting calls.
+
+    Attributes
+    ----------
+    service : str
+        Service of the target.
+    status_tracker : StatusTracker
+    admission : AdmissionController
+        Replaced when the target is replaced.
+    stopping : bool
+        Whether the node is stopping, so that new calls are refused.
     """
 
     def __init__(
@@ -101,12 +120,14 @@
         self.status_tracker = StatusTracker()
         self.admission = AdmissionController(DEFAULT_SLOTS)
         self.stopping = False
+        # Whether the status was restored and no heartbeat or probe has confirmed it.
         self._status_is_restored = False
         self._unreachable_until = 0.0
         self._health_path = health_path
         self._probe_task = None
+        # The `PendingCall` of each `Job` that waits or runs.
         self._pending = {}
-        self._queue_check = None
+        self._queue_timer = None
 
     # Status of the target.
 
@@ -154,7 +175,12 @@
         return self._status_changed(previous)
 
     def _admission_for_new_target(self, slots):
-        """Refuse the calls that wait for the previous target; return new counts."""
+        """Refuse the calls that wait for the previous target.
+
+        Returns
+        -------
+        AdmissionController
+        """
         admission = AdmissionController(slots)
         for job in self.admission.take_waiting():
             self._refuse(self._pending[job], "target-replaced", RETRY_AFTER_S)
@@ -164,7 +190,7 @@
     def handle_sign_off(self, target_id, born_ms):
         """Process the sign-off of a target; return whether its state changed."""
         previous = self.status_tracker.current
-        self.status_tracker.leave(target_id, born_ms)
+        self.status_tracker.accept_sign_off(target_id, born_ms)
         return self._status_changed(previous)
 
     def restore(self, status):
@@ -245,14 +271,14 @@
             if refused is not None:
                 self._refuse(call, refused.reason, refused.retry_after_s)
             else:
-                self._pump()
+                self._process_queue()
         return call
 
     def cancel(self, call):
         """Cancel a call whose caller has disconnected.
 
-        A call that has started and must not run twice goes on: what it has done so far
-        cannot be undone, and nobody else waits for its response.
+        A call that has started and must not run twice continues, because cancelling it
+        would not undo what it has done so far. Its response is discarded.
         """
         if call.ended:
             return
@@ -260,19 +286,18 @@
         if call.task is not None and not call.frame.retryable:
             return
         if call.task is not None:
-            call.admission.caller_left(call.job, self._clock())
+            call.admission.note_disconnect(call.job, self._clock())
             call.task.cancel()
-        # A task that is cancelled before its first step runs none of its code, not even
-        # the clean-up.
+        # A task that is cancelled before its first step does not run its clean-up code.
         self._finish(call)
-        self._pump()
+        self._process_queue()
 
-    def _refuse(self, call, reason, retry_after_s, at_target=False):
+    def _refuse(self, call, reason, retry_after_s, by_target=False):
         frame = RefusedFrame(
             call.frame.stream,
             reason,
             int(retry_after_s * MS_PER_S),
-            at_target,
+            by_target,
             self.load_report(),
         )
         self._finish(call, frame)
@@ -286,8 +311,8 @@
         if frame is not None and not call.cancelled:
             call.reply(frame, body)
 
-    def _pump(self):
-        """Start or refuse the waiting calls that can be, and probe if needed."""
+    def _process_queue(self):
+        """Start or refuse waiting calls as far as possible, and probe if needed."""
         while True:
             action = self.admission.next_action(self._clock())
             if isinstance(action, StartDecision):
@@ -302,20 +327,21 @@
                 call.task = asyncio.get_running_loop().create_task(self._run(call))
         if action is StartDecision.PROBE and self._probe_task is None:
             self._probe_task = asyncio.get_running_loop().create_task(self._probe())
-        if self._queue_check is None and self.admission.queued:
+        if self._queue_timer is None and self.admission.queued:
             loop = asyncio.get_running_loop()
-            self._queue_check = loop.call_later(
-                QUEUE_CHECK_INTERVAL_S, self._check_queue
+            self._queue_timer = loop.call_later(
+                QUEUE_CHECK_INTERVAL_S, self._on_queue_timer
             )
 
-    def _check_queue(self):
-        self._queue_check = None
-        self._pump()
+    def _on_queue_timer(self):
+        self._queue_timer = None
+        self._process_queue()
 
     async def _probe(self):
-        """Ask the target for its load.
+        """Query the load of the target.
 
-        If it does not report a slowdown, calls start without one for a time.
+        If the response contains no slowdown, calls start without a probe for
+        `FAILED_PROBE_PAUSE_S`.
         """
         noise = self.admission.noise
         noise.probe_started(self._clock())
@@ -344,7 +370,7 @@
             self._probe_task = None
             if conn is not None:
                 conn.close()
-            self._pump()
+            self._process_queue()
 
     def _note_identity(self, response):
         """Detect that the target was replaced while this process was not running.
@@ -376,7 +402,7 @@
             conn = None
             if call.job.running and response.status < MIN_FAILURE_STATUS:
                 call.admission.complete(call.job, self._clock())
-            self._finish_call(call, response)
+            self._handle_response(call, response)
         except asyncio.CancelledError:
             self._finish(call)
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
@@ -388,10 +414,13 @@
         finally:
             if conn is not None:
                 conn.close()
-            self._pump()
+            self._process_queue()
 
     def _fail_call(self, call, conn, exc):
-        """Reply with a failure; `conn` is None if there was no connection."""
+        """Reply with a failure of the call.
+
+        If `conn` is None, the target could not be connected to.
+        """
         if conn is None:
             verdict = Verdict.NOT_RUN
             self._note_unreachable()
@@ -457,11 +486,16 @@
             is_own_response,
         )
 
-    def _finish_call(self, call, response):
-        """Reply with the response of the target, or with what is wrong with it."""
+    def _handle_response(self, call, response):
+        """Reply with the response of the target, or with a refusal or failure.
+
+        A success status without the header `response_stamp` is a failure, and so is one
+        with a `Content-Encoding`.
+        """
         header_names = self._header_names
         headers = response.headers
         self._note_load(headers.get(header_names.load))
+        # 421 Misdirected Request: `expect_target` names another target.
         not_run = (
             headers.get(header_names.not_run) is not None or response.status == 421
         )
@@ -497,8 +531,8 @@
     def _note_load(self, text):
         """Record the load that a target reports in a header.
 
-        The header holds the number of running and of waiting calls, the number of
-        slots, and the slowdown in percent. Returns whether it holds the slowdown.
+        `HeaderNames.load` describes the value. Returns whether it contains the duration
+        of work in percent, which is the slowdown.
         """
         if not text:
             return False
