--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -39,7 +39,7 @@
     """A target that runs `serve(target, sock, number)` in a thread per connection.
 
     `number` counts the connections from 0. A new `serve` applies to new connections.
-    `heads` has the request heads that `request` has read.
+    `heads` has the request heads that `read_request` has read.
     """
 
     def __init__(self, serve):
@@ -70,7 +70,7 @@
                 pass
         self._open.discard(sock)
 
-    def request(self, sock):
+    def read_request(self, sock):
         """Read and record a request head; return False at the end of the connection."""
         head, _ = read_head(sock)
         if head[0]:
@@ -108,7 +108,7 @@
     """Return a `serve` that sends the responses in turn, the last one repeatedly."""
 
     def serve(target, sock, number):
-        while target.request(sock):
+        while target.read_request(sock):
             sock.sendall(responses[min(len(target.heads), len(responses)) - 1])
 
     return serve
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -15,7 +15,7 @@
     """Return a `serve` that sends `response` to each request and closes its side."""
 
     def serve(target, sock, number):
-        if target.request(sock):
+        if target.read_request(sock):
             sock.sendall(response)
             sock.shutdown(socket.SHUT_WR)
             sock.recv(65536)
@@ -25,13 +25,13 @@
 
 def never_respond(target, sock, number):
     """Read requests and send no response."""
-    while target.request(sock):
+    while target.read_request(sock):
         pass
 
 
 def respond_after_250_ms(target, sock, number):
     """Respond later than the first hedge delay, 200 ms."""
-    while target.request(sock):
+    while target.read_request(sock):
         time.sleep(0.25)
         sock.sendall(OK_RESPONSE)
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -118,7 +118,7 @@
     silent = threading.Event()
 
     def serve(target, sock, number):
-        while target.request(sock):
+        while target.read_request(sock):
             if silent.is_set() and number < 2:
                 continue
             time.sleep(0.1)
@@ -146,7 +146,7 @@
     silent = threading.Event()
 
     def serve(target, sock, number):
-        while target.request(sock):
+        while target.read_request(sock):
             if not (silent.is_set() and number == 0):
                 sock.sendall(OK)
 
@@ -193,7 +193,7 @@
     cluster.start_node("n1")
 
     def serve(target, sock, number):
-        while target.request(sock):
+        while target.read_request(sock):
             time.sleep(0.05)
             sock.sendall(OK)
 
