--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -47,7 +47,7 @@
     requester: str = ""
 
     def check(self):
-        """Check values that depend on each other; by default, there are none.
+        """Check values that depend on each other; the default accepts all values.
 
         Raises
         ------
@@ -66,7 +66,7 @@
         return tuple(getattr(self, name) for name in _setting_fields(type(self)))
 
     def as_line(self):
-        """Return the rule as a line that parses to an equal rule."""
+        """Return the rule as a line of a rules file, which parses to an equal rule."""
         words = [self.kind]
         words += [_format_value(name, getattr(self, name)) for name in self.positional]
         defaults = {field.name: field.default for field in fields(self)}
@@ -93,7 +93,10 @@
 
 
 def _format_value(name, value):
-    """Return a value as the word that the parser reads it from."""
+    """Return a value in the syntax of the rules file.
+
+    Names that end with `_s` hold durations, which are written with the unit.
+    """
     match value:
         case bool():
             return "on" if value else "off"
--- a/pimentoline/rules/canary.py
+++ b/pimentoline/rules/canary.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.canary: rule for the share of calls that a release receives."""
+"""pimentoline.rules.canary: rule for the share of calls that a version receives."""
 
 from dataclasses import dataclass
 from typing import ClassVar
--- a/pimentoline/rules/diagnostics.py
+++ b/pimentoline/rules/diagnostics.py
@@ -15,7 +15,7 @@
     line, column : int
         Position of the problem, counted from 1; 0 if it concerns the whole file.
     found : str
-        What the text has at this position.
+        Description of the text at this position.
     allowed : str
         What is allowed there.
     """
--- a/pimentoline/rules/field_parsers.py
+++ b/pimentoline/rules/field_parsers.py
@@ -32,11 +32,11 @@
 CALL_CLASSES = ("critical", "normal", "sheddable")
 METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 # Longer patterns slow matching down and are not needed to tell paths apart.
-MAX_PATH_LENGTH = 256
+MAX_PATH_CHARS = 256
 MAX_COUNT = 1_000_000_000
 
-# Settings and the admin interface require the same pattern, so that rules can refer to
-# every name.
+# Settings and the admin interface require the same pattern, so that rules can name
+# every service, region and target.
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._:-]*$"
 NAME_RE = re.compile(NAME_PATTERN)
 NUMBER_RE = re.compile(r"[0-9]+(\.[0-9]+)?")
@@ -127,8 +127,8 @@
 
     `*`, `?` and `[...]` have their meaning in shell patterns, but match `/` as well.
     """
-    if word[:1] not in ("/", "*") or len(word) > MAX_PATH_LENGTH:
-        allowed = f"a pattern of at most {MAX_PATH_LENGTH} characters, first / or *"
+    if word[:1] not in ("/", "*") or len(word) > MAX_PATH_CHARS:
+        allowed = f"a pattern of at most {MAX_PATH_CHARS} characters, first / or *"
         raise OptionError(option, word, allowed)
     return word
 
@@ -142,6 +142,7 @@
 
 def parse_count(option, word, low=0, high=MAX_COUNT):
     """Return a whole number from `low` to `high`."""
+    # int() rejects texts of more than 4300 digits; 20 digits exceed any `high`.
     if not (word.isascii() and word.isdigit()) or not low <= int(word[:20]) <= high:
         raise OptionError(option, word, f"a whole number from {low} to {high}")
     return int(word)
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -16,8 +16,8 @@
 class LimitRule(Rule):
     """Maximum of a service's calls in flight at one node, for one class or for each.
 
-    The smallest limit is 1. To close a service, pause its targets: `status` then says
-    why no target is available.
+    The smallest limit is 1. To stop all calls of a service, pause its targets:
+    `explain` then shows the rules that pause them.
     """
 
     kind: ClassVar = "limit"
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -18,12 +18,13 @@
 # The path patterns of a service are matched one after another, so their number limits
 # the time that the rules add to a call.
 MAX_PATH_PATTERNS = 200
-# Parsing a rule takes about 30 us, during which the node handles no calls.
+# Parsing a rule blocks the event loop of the node for about 30 us.
 MAX_RULES = 10_000
-MAX_QUOTED_LENGTH = 60
-LINE_CACHE_SIZE = 16_384
-# Floating-point shares that should add up to 1 may exceed it slightly.
+MAX_QUOTED_CHARS = 60
+MAX_CACHED_LINES = 16_384
+# Rounding errors may bring the sum of shares slightly above 1.
 SHARE_TOLERANCE = 1e-9
+# In place of (earlier rule, line number).
 NO_EARLIER_RULE = (None, 0)
 
 WORD = re.compile(r"\S+")
@@ -61,8 +62,8 @@
         problem = Diagnostic(filename, 0, 0, "a larger text", allowed)
         return ParseResult(None, (problem,))
     rules_parser = _RulesParser(filename)
-    for number, line in enumerate(text.split("\n"), start=1):
-        rules_parser.add_line(number, line.removesuffix("\r"))
+    for line_number, line in enumerate(text.split("\n"), start=1):
+        rules_parser.add_line(line_number, line.removesuffix("\r"))
     if rules_parser.problems:
         return ParseResult(None, tuple(rules_parser.problems))
     return ParseResult(RuleSet(tuple(rules_parser.rules)))
@@ -79,32 +80,32 @@
         self._canary_shares = {}
         self._path_pattern_counts = Counter()
 
-    def add_line(self, number, line):
+    def add_line(self, line_number, line):
         """Parse one line and check its rule against the earlier rules."""
         rule, column, problems = _parse_line(line)
         if rule is not None:
             problems = tuple(
-                (column, *item) for item in self._find_conflicts(number, rule)
+                (column, *item) for item in self._find_conflicts(line_number, rule)
             )
             self.rules.append(rule)
             if len(self.rules) == MAX_RULES + 1:
                 problems += ((column, "a further rule", f"at most {MAX_RULES} rules"),)
         for problem in problems:
-            self.problems.append(Diagnostic(self.filename, number, *problem))
+            self.problems.append(Diagnostic(self.filename, line_number, *problem))
 
-    def _find_conflicts(self, number, rule):
+    def _find_conflicts(self, line_number, rule):
         """Yield (found, allowed) for each conflict with earlier rules or limits."""
         selector = rule.selector
         for covering in _covering_selectors(selector):
-            earlier, line = self._first_rules.get(
+            earlier, earlier_line = self._first_rules.get(
                 (rule.kind, covering), NO_EARLIER_RULE
             )
             if earlier is not None and earlier.setting != rule.setting:
-                found = f"a rule that contradicts line {line}"
+                found = f"a rule that contradicts line {earlier_line}"
                 allowed = "the same values, or narrower rules before wider ones"
                 yield found, allowed
                 return
-        self._first_rules.setdefault((rule.kind, selector), (rule, number))
+        self._first_rules.setdefault((rule.kind, selector), (rule, line_number))
         if getattr(rule, "path", ANY) != ANY:
             key = (rule.kind, rule.service)
             self._path_pattern_counts[key] += 1
@@ -120,16 +121,17 @@
 
 
 # Successive versions of a rules file differ in few lines. Without the cache, each
-# change would block the calls of a node three times as long.
-@functools.lru_cache(maxsize=LINE_CACHE_SIZE)
+# change of the rules would block the event loop three times as long.
+@functools.lru_cache(maxsize=MAX_CACHED_LINES)
 def _parse_line(line):
     """Parse one line without regard to the others.
 
     Returns
     -------
     rule : Rule or None
+        None if the line is empty or has problems.
     column : int
-        Column of the rule, counted from 1.
+        Column of the rule, counted from 1; 0 if the line has no rule.
     problems : tuple of (column, found, allowed)
     """
     control = CONTROL_CHARACTER.search(line)
@@ -147,15 +149,15 @@
         found = "a comment without a name" if separator else "no comment"
         problems.append((len(line) + 1, found, REQUESTER_COMMENT))
     (name, column), *rest = words
-    kind = get_kind_by_name(name)
-    if kind is None:
+    rule_class = get_kind_by_name(name)
+    if rule_class is None:
         allowed = "one of " + ", ".join(kind_names())
         problems.append((column, _quoted(name), allowed))
         return None, column, tuple(sorted(problems))
-    values = _parse_words(kind, rest, len(body.rstrip()) + 1, problems)
+    values = _parse_words(rule_class, rest, len(body.rstrip()) + 1, problems)
     if problems:
         return None, column, tuple(sorted(problems))
-    rule = kind(requester=requester, **values)
+    rule = rule_class(requester=requester, **values)
     try:
         rule.check()
     except OptionError as exc:
@@ -164,25 +166,26 @@
     return rule, column, ()
 
 
-def _parse_words(kind, words, end, problems):
+def _parse_words(rule_class, words, end_column, problems):
     """Return the attribute values of a rule; append errors to `problems`.
 
-    `words` is a list of (word, column), and `end` is the column behind the last one.
+    `words` is a list of (word, column) without the name of the kind. `end_column` is
+    the column after the last word.
     """
     values = {}
-    missing = list(kind.positional)
+    missing = list(rule_class.positional)
     for word, column in words:
         option, separator, value = word.partition("=")
-        if separator and option in kind.options:
-            attribute, parse_value = attribute_name(option), kind.options[option]
+        if separator and option in rule_class.options:
+            attribute, parse_value = attribute_name(option), rule_class.options[option]
             if attribute in values:
                 problems.append((column, _quoted(word), f"{option}= once"))
                 continue
         elif missing:
             option = attribute = missing.pop(0)
-            parse_value, value = kind.positional[option], word
+            parse_value, value = rule_class.positional[option], word
         else:
-            problems.append((column, _quoted(word), kind.syntax))
+            problems.append((column, _quoted(word), rule_class.syntax))
             continue
         # An invalid value counts as given, so that it is reported only once.
         values[attribute] = None
@@ -191,17 +194,19 @@
         except OptionError as exc:
             problems.append((column, _quoted(word), f"{option}: {exc.allowed}"))
     if missing:
-        problems.append((end, f"no {missing[0].removesuffix('_s')}", kind.syntax))
+        problems.append(
+            (end_column, f"no {missing[0].removesuffix('_s')}", rule_class.syntax)
+        )
     return values
 
 
 def _covering_selectors(selector):
-    """Return all selectors that match at least what `selector` matches."""
+    """Return the selectors that match everything that `selector` matches."""
     return product(*((word,) if word == ANY else (word, ANY) for word in selector))
 
 
 def _quoted(word):
     """Return a word in quotes for a diagnostic, shortened if it is long."""
-    if len(word) > MAX_QUOTED_LENGTH:
-        word = word[:MAX_QUOTED_LENGTH] + "..."
+    if len(word) > MAX_QUOTED_CHARS:
+        word = word[:MAX_QUOTED_CHARS] + "..."
     return repr(word)
--- a/pimentoline/rules/policy.py
+++ b/pimentoline/rules/policy.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.policy: results of queries of the rules."""
+"""pimentoline.rules.policy: values that the queries of a `RuleSet` return."""
 
 from dataclasses import dataclass
 
@@ -10,11 +10,20 @@
 
 @dataclass(frozen=True, slots=True)
 class CallPolicy:
-    """How the rules want one call to be handled.
-
-    `deadline_s` is the maximum duration of the whole call. `call_class` is
-    `critical`, `normal` or `sheddable`, or empty if the caller decides.
-    `retry_share` is the allowed number of retries and hedges per first attempt.
+    """What the rules set for one call.
+
+    Attributes
+    ----------
+    idempotent : bool
+        Whether the call may run more than once, so that it may be retried and hedged.
+    deadline_s : float
+        Maximum duration of the call with its retries.
+    call_class : str
+        `critical`, `normal` or `sheddable`; empty if the caller decides.
+    hedge : bool
+        Whether hedging is on.
+    retry_share : float
+        Allowed retries and hedges per first attempt.
     """
 
     idempotent: bool
--- a/pimentoline/rules/policy_table.py
+++ b/pimentoline/rules/policy_table.py
@@ -9,7 +9,8 @@
 __all__ = ["CALL_KINDS", "PolicyTable"]
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-# Rule kinds that select by service, method and path, and the values that they set.
+# Rule kinds that select by service, method and path, each with a function that returns
+# the values of `CallPolicy` that a rule sets.
 CALL_KINDS = {
     "idempotent": lambda rule: {"idempotent": True},
     "deadline": lambda rule: {"deadline_s": rule.deadline_s},
@@ -21,9 +22,10 @@
 class _PathMatcher:
     """Finds the first rule of one kind that matches a path.
 
-    The patterns are joined into one regular expression with an empty group behind
+    The patterns are joined into one regular expression with an empty group after
     each, so that the number of the matched group is the number of the rule, counted
-    from 1. A rule that matches every path is tried last; rules after it are dropped.
+    from 1. A rule for `*` matches every path: it is tried after the patterns, and
+    rules after it, which would never apply, are dropped.
     """
 
     __slots__ = ("match_all_number", "pattern", "rules")
@@ -51,7 +53,7 @@
 
 
 class PolicyTable:
-    """Finds the policy of a call of one service and method by its path.
+    """Finds the policies of calls of one service and method by their paths.
 
     Parameters
     ----------
@@ -84,6 +86,7 @@
         )
         # One policy for each combination of matching rules, created at its first use.
         self._policies = {}
+        # The policy of every path, if no rule depends on the path.
         self._only_policy = None
         if all(matcher.pattern is None for matcher in self._matchers):
             self._only_policy = self.policy("")
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.prefer: rule for the order in which other regions are used."""
+"""pimentoline.rules.prefer: rule for the regions that calls spill to, in order."""
 
 from dataclasses import dataclass
 from typing import ClassVar
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.retry: rule for the share of retries and hedges."""
+"""pimentoline.rules.retry: rule for the allowed share of retries and hedges."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -9,8 +9,8 @@
 
 __all__ = ["RetryRule"]
 
-# At most one retry or hedge for ten first attempts. Rules can only lower this, so that
-# no rule can cause a retry storm.
+# At most one retry or hedge for ten first attempts. Rules can only lower this share, so
+# that no rule can cause a retry storm.
 MAX_RETRY_SHARE = 0.1
 
 
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.ruleset: the rules in force, indexed for queries."""
+"""pimentoline.rules.ruleset: the rules of a text, indexed for queries."""
 
 from dataclasses import dataclass, field
 
@@ -11,10 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RuleSet:
-    """Rules in force; the first matching rule of a kind wins.
+    """Rules of one text, with queries; the first matching rule of a kind wins.
 
     The private attributes are indexes derived from the rules, so that a query costs
-    a few dictionary look-ups. They do not count for equality.
+    a few dictionary look-ups. Comparisons ignore them.
 
     Parameters
     ----------
@@ -23,20 +23,23 @@
     """
 
     rules: tuple = ()
+    # kind: {selector: (index in `rules`, first rule with this selector)}
     _first_rules: dict = field(init=False, repr=False, compare=False)
+    # Services that rules about calls name.
     _services_with_rules: frozenset = field(init=False, repr=False, compare=False)
+    # (service, method): PolicyTable, filled by queries
     _policy_tables: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
         """Index the first rule of each kind and selector."""
-        kinds = {}
+        first_rules = {}
         services = set()
         for index, rule in enumerate(self.rules):
-            rules_by_selector = kinds.setdefault(rule.kind, {})
+            rules_by_selector = first_rules.setdefault(rule.kind, {})
             rules_by_selector.setdefault(rule.selector, (index, rule))
             if rule.kind in CALL_KINDS or rule.kind == "retry":
                 services.add(rule.service)
-        object.__setattr__(self, "_first_rules", kinds)
+        object.__setattr__(self, "_first_rules", first_rules)
         object.__setattr__(self, "_services_with_rules", frozenset(services))
         object.__setattr__(self, "_policy_tables", {})
 
@@ -56,12 +59,18 @@
         return self._policy_table(service, method).policy(path)
 
     def matching_rules(self, service, method, path):
-        """Return the rules that determine the `CallPolicy` of a call, by kind."""
+        """Return the rules that determine the `CallPolicy` of a call.
+
+        Returns
+        -------
+        dict of str to Rule
+            Rules by kind, without the kinds of which no rule matches.
+        """
         return self._policy_table(service, method).matching_rules(path)
 
     def _policy_table(self, service, method):
-        # Callers choose service and method freely. Services without rules share a
-        # table, and so do unknown methods, so that the number of tables is bounded.
+        # Callers may send any service and method. Services without rules share a table,
+        # and so do unknown methods, so that the number of tables is bounded.
         key = (
             service if service in self._services_with_rules else ANY,
             method if method in METHODS else ANY,
@@ -72,7 +81,7 @@
         return policy_table
 
     def _find_first(self, kind, *selectors):
-        """Return the first rule of a kind with one of the selectors, or None."""
+        """Return the first rule in the file with one of the selectors, or None."""
         rules_by_selector = self._first_rules.get(kind)
         if rules_by_selector is None:
             return None
@@ -82,7 +91,13 @@
         return min(found, key=_rule_index)[1] if found else None
 
     def target_rules(self, target):
-        """Return the rules that determine the weight of a target, by kind."""
+        """Return the rules that determine the weight of a target.
+
+        Returns
+        -------
+        dict of str to Rule
+            Rules by kind, without the kinds of which no rule matches.
+        """
         service, region = target.service, target.region
         found = {
             "pause": self._find_first("pause", (target.target_id,)),
@@ -109,8 +124,8 @@
         float
             1.0 if no rule matches.
         """
-        kinds = self._first_rules
-        if "pause" not in kinds and "weight" not in kinds:
+        first_rules = self._first_rules
+        if "pause" not in first_rules and "weight" not in first_rules:
             return 1.0
         found = self.target_rules(target)
         if "pause" in found:
@@ -146,7 +161,13 @@
         return ProbeBudget(rule.probes, float(rule.bytes), rule.nodes)
 
     def inflight_limit(self, service, call_class):
-        """Return the maximum of a node's calls in flight in one class, or None."""
+        """Return the maximum number of a service's calls in flight at one node.
+
+        Returns
+        -------
+        int or None
+            None if no rule matches: the number is not limited by the rules.
+        """
         rule = self._find_first(
             "limit",
             (service, call_class),
@@ -157,7 +178,13 @@
         return None if rule is None else rule.inflight
 
     def canary_share(self, service, version):
-        """Return the share of calls for a version, or None if no rule matches."""
+        """Return the share of a service's calls that go to targets of a version.
+
+        Returns
+        -------
+        float or None
+            From 0 to 1. None if no rule matches.
+        """
         rule = self._find_first("canary", (service, version))
         return None if rule is None else rule.share
 
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -12,6 +12,8 @@
 
 __all__ = ["SpillRule"]
 
+# Requests in flight per slot; a target serves as many requests at a time as it has
+# slots.
 MAX_LOAD = 10.0
 
 
@@ -19,7 +21,7 @@
 class SpillRule(Rule):
     """Loads at which spilling starts and stops, and the maximum share of spilled calls.
 
-    The load of a ring is its requests in flight per slot of its targets.
+    The load of a ring is the number of requests in flight per slot of its targets.
     """
 
     kind: ClassVar = "spill"
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules.weight: rule for the relative share of calls of targets."""
+"""pimentoline.rules.weight: rule for the share of calls that targets receive."""
 
 from dataclasses import dataclass
 from functools import partial
@@ -16,7 +16,7 @@
 class WeightRule(Rule):
     """Weight of a target, or of the targets of a service in a region.
 
-    A target with weight 0 receives no calls.
+    A target receives calls in proportion to its weight, and none if the weight is 0.
     """
 
     kind: ClassVar = "weight"
