Say what the constants and estimates of the policies mean

Cause: SAMPLE_SIZE and the decay constants had no unit or reference. Change: comments, docstrings and local names.

--- a/pimentoline/policies/base.py
+++ b/pimentoline/policies/base.py
@@ -4,7 +4,7 @@
 
 
 class Policy:
-    """Chooses the target of an attempt among the candidates.
+    """Chooses the target of an attempt from the candidates.
 
     A subclass sets `name` and implements `choose`. It keeps no state of its own and
     decides by its arguments only, so that decisions can be replayed.
@@ -16,7 +16,7 @@
         """Return whether a candidate should be used if there are others.
 
         A locality ring without an accepted candidate is skipped. By default, every
-        candidate that is not ejected is accepted.
+        candidate that is not ejected is accepted. The parameters are those of `choose`.
         """
         return True
 
@@ -41,7 +41,7 @@
 
 
 def weighted_sample(candidates, count, draw):
-    """Return up to `count` different candidates, drawn with probability by weight.
+    """Return up to `count` distinct candidates, drawn with probability by weight.
 
     Parameters
     ----------
@@ -56,16 +56,16 @@
     list of Candidate
         In the order drawn, so that the first one is a weighted random choice.
     """
-    rest = list(candidates)
-    first_weight = rest[0].weight
-    equal_weights = all(candidate.weight == first_weight for candidate in rest)
+    remaining = list(candidates)
+    first_weight = remaining[0].weight
+    equal_weights = all(candidate.weight == first_weight for candidate in remaining)
     chosen = []
-    while rest and len(chosen) < count:
+    while remaining and len(chosen) < count:
         if equal_weights:
-            draw, index = divmod(draw, len(rest))
+            draw, index = divmod(draw, len(remaining))
         else:
-            draw, index = _weighted_index(rest, draw)
-        chosen.append(rest.pop(index))
+            draw, index = _weighted_index(remaining, draw)
+        chosen.append(remaining.pop(index))
     return chosen
 
 
@@ -73,19 +73,20 @@
 BITS_PER_CHOICE = 16
 
 
-def _weighted_index(rest, draw):
-    """Return the rest of the draw and the index of a candidate, drawn by weight."""
+def _weighted_index(candidates, draw):
+    """Return the unused bits of the draw and the index of a candidate."""
     draw, choice_bits = divmod(draw, 1 << BITS_PER_CHOICE)
     point = (
         choice_bits
         / (1 << BITS_PER_CHOICE)
-        * sum(candidate.weight for candidate in rest)
+        * sum(candidate.weight for candidate in candidates)
     )
-    for index, candidate in enumerate(rest):
+    for index, candidate in enumerate(candidates):
         point -= candidate.weight
         if point < 0.0:
             return draw, index
-    return draw, len(rest) - 1
+    # Rounding errors may leave `point` at 0 or above.
+    return draw, len(candidates) - 1
 
 
 def min_with_random_tie(candidates, key, draw):
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -1,9 +1,9 @@
 """pimentoline.policies.hot_cold: lowest latency among lightly loaded targets.
 
 This is the hot-cold rule of Prequal (NSDI 2024). Targets whose load is above a high
-quantile of the sample are hot, the others cold. The fastest cold target is chosen. If
-all targets are full, the least loaded one is chosen; if all are slow, the one with the
-shortest expected wait.
+quantile of a random sample are hot, the others cold. The fastest cold target is chosen.
+If all sampled targets are full, the least loaded one is chosen; if all are slow, the
+one with the shortest expected wait.
 """
 
 import math
@@ -12,6 +12,7 @@
 
 __all__ = ["HotColdPolicy", "latency_estimate_s", "load_estimate"]
 
+# Targets per decision.
 SAMPLE_SIZE = 4
 HOT_QUANTILE = 0.75
 # Requests in flight per slot; at this load, further calls queue at the target.
@@ -19,7 +20,9 @@
 # Targets slower than this multiple of the service's median latency are avoided. The
 # usual variation of service times stays below it.
 SLOW_FACTOR = 3.0
+# Half-life of the load of other nodes in a target's load report.
 REPORT_HALF_LIFE_S = 0.5
+# Time constant with which a latency estimate approaches the median without new samples.
 LATENCY_DECAY_S = 2.0
 LN2 = math.log(2.0)
 
@@ -27,17 +30,17 @@
 def load_estimate(candidate, now):
     """Return the estimated requests in flight per slot of a target.
 
-    The estimate is the number of this node's requests in flight plus those of other
-    nodes, which is the last load report less this node's requests at that time. The
-    part of the other nodes decays with the age of the report.
+    The estimate adds this node's requests in flight and those of other nodes. The
+    latter are the last load report less this node's requests at that time; they decay
+    with the age of the report.
     """
     stats = candidate.stats
-    used = stats.inflight
-    others = stats.reported_load - stats.own_in_report
-    if others > 0.0:
+    inflight = stats.inflight
+    others_inflight = stats.reported_load - stats.own_in_report
+    if others_inflight > 0.0:
         age_s = now - stats.reported_at
-        used += others * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
-    return used / candidate.target.slots
+        inflight += others_inflight * math.exp(-LN2 / REPORT_HALF_LIFE_S * age_s)
+    return inflight / candidate.target.slots
 
 
 def latency_estimate_s(stats, service, now):
