Describe arguments and results of the commands

Cause: run and write_error did not say what they get; the error for a malformed response of a node spoke of a missing field in every case. Change: docstrings, comments and this text.

--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -39,7 +39,7 @@
     -------
     ExitStatus
     """
-    # Decided before the flags are parsed, so that errors in flags are JSON too.
+    # Set before the flags are parsed, so that errors in flags are written as JSON too.
     out = Output("--json" in argv)
     if not argv or argv[0] in HELP_ARGUMENTS:
         print(_help_text())
@@ -68,7 +68,10 @@
         return ExitStatus.INTERNAL
     except (KeyError, TypeError) as exc:
         traceback.print_exc()
-        out.write_error("internal", [f"response of the node is missing {exc}"])
+        out.write_error(
+            "internal",
+            [f"missing or unexpected field in the response of the node: {exc}"],
+        )
         return ExitStatus.INTERNAL
     except OSError as exc:
         out.write_error("internal", [str(exc)])
@@ -76,6 +79,7 @@
 
 
 def _run(command, argv, out):
+    """Parse and validate the flags and arguments of a command, then run it."""
     known_variables = {
         env_var_name(name)
         for other in command_names()
@@ -87,8 +91,8 @@
     repeatable = bool(command.arguments) and command.arguments[-1].endswith("...")
     required = len(command.arguments)
     if len(args) < required or (len(args) > required and not repeatable):
-        form = " ".join(command.arguments) or "no arguments"
-        raise SettingsError(f"found {len(args)} arguments; allowed: {form}")
+        allowed = " ".join(command.arguments) or "no arguments"
+        raise SettingsError(f"found {len(args)} arguments; allowed: {allowed}")
     return command.run(validate_flags(command.model, values), args, out)
 
 
--- a/pimentoline/commands/_mapping.py
+++ b/pimentoline/commands/_mapping.py
@@ -25,7 +25,7 @@
 
 
 def get_command_by_name(name):
-    """Return an instance of a command, or None if the name is unknown."""
+    """Return a new instance of a command, or None if the name is unknown."""
     if name not in COMMANDS:
         return None
     module, cls, summary = COMMANDS[name]
--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -52,6 +52,7 @@
     description : str
         Description in the text of `--help`.
     flags : dict of str to (default, help)
+        Flags of the command, by name without `--`.
     model : subclass of pydantic.BaseModel
         Model that validates the flags.
     exit_statuses : tuple of ExitStatus
@@ -72,7 +73,9 @@
         Parameters
         ----------
         cfg : instance of `model`
+            Validated flags.
         args : list of str
+            Values of `arguments`.
         out : Output
 
         Returns
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -21,12 +21,12 @@
 
     def run(self, cfg, args, out):
         """Check each file."""
-        problems, rules = [], 0
+        problems, rule_count = [], 0
         for filename in args:
             _, result = read_rules(filename)
             problems += result.diagnostics
-            rules += len(result.ruleset.rules) if result.ruleset else 0
-        lines = [str(item) for item in problems] or [f"{rules} rules, no problems"]
-        data = {"rules": rules, "problems": [item.as_dict() for item in problems]}
+            rule_count += len(result.ruleset.rules) if result.ruleset else 0
+        lines = [str(item) for item in problems] or [f"{rule_count} rules, no problems"]
+        data = {"rules": rule_count, "problems": [item.as_dict() for item in problems]}
         out.write_result(data, lines)
         return ExitStatus.RULES_INVALID if problems else ExitStatus.OK
--- a/pimentoline/commands/client.py
+++ b/pimentoline/commands/client.py
@@ -45,7 +45,8 @@
         Raises
         ------
         NodeUnavailableError
-            If the node is unreachable or its response is not a JSON object.
+            If the node is unreachable or its response is not a JSON object. The
+            attribute `sent` is False if the node cannot have received the request.
         """
         data = None
         if method == "POST":
@@ -68,12 +69,14 @@
         )
         try:
             res = await http.fetch(req, raise_error=False)
+            # Tornado reports failures without a response, such as timeouts, as 599.
             if isinstance(res.error, HTTPClientError) and res.code == 599:
                 raise res.error
         except ConnectionRefusedError as exc:
             detail = f"no node listens at {self._base_url}"
             raise NodeUnavailableError(detail, sent=False) from exc
         except (HTTPClientError, OSError) as exc:
+            # A request that timed out while connecting was not sent.
             connecting = isinstance(exc, HTTPTimeoutError) and "connecting" in str(exc)
             detail = f"{self._base_url}: {exc}"
             raise NodeUnavailableError(detail, sent=not connecting) from exc
--- a/pimentoline/commands/exit_status.py
+++ b/pimentoline/commands/exit_status.py
@@ -6,7 +6,7 @@
 
 
 class ExitStatus(enum.IntEnum):
-    """Exit statuses; the numbers never change because scripts rely on them."""
+    """Exit statuses; the numbers are stable because scripts rely on them."""
 
     OK = 0
     RULES_INVALID = 1
--- a/pimentoline/commands/explain.py
+++ b/pimentoline/commands/explain.py
@@ -61,6 +61,7 @@
 
 
 def _lines(response):
+    """Yield the lines of the result as text."""
     policy = response["policy"]
     yield f"rules version {response['rules_version']} at node {response['node']}"
     for kind, line in sorted(response["rules"].items()):
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -59,13 +59,14 @@
 
 
 def _report_error(response, out):
-    """Print the error of a response and return the exit status."""
+    """Write the error of a response and return the exit status."""
     code = response.get("error", "internal")
     out.write_error(code, [response.get("detail", "")])
     return ExitStatus.NOT_FOUND if code == "not-found" else ExitStatus.STORE_UNAVAILABLE
 
 
 def _lines(response):
+    """Yield the lines of the result as text."""
     rows, silent = response["history"], response["silent"]
     if silent:
         yield f"{len(silent)} nodes did not answer: {' '.join(silent)}"
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -25,6 +25,7 @@
 
 
 def _lines(members):
+    """Yield the lines of the result as text."""
     for record in members:
         location = f"{record['region']}/{record['dc']}"
         yield f"{record['node_id']}  {location}  {record['status']}"
--- a/pimentoline/commands/output.py
+++ b/pimentoline/commands/output.py
@@ -7,7 +7,7 @@
 
 
 def as_list(detail):
-    """Return the `detail` of an error response as a list of problems."""
+    """Return the `detail` of an error response, a text or a list, as a list."""
     return detail if isinstance(detail, list) else [detail or "no detail"]
 
 
@@ -39,7 +39,15 @@
             print(line)
 
     def write_error(self, code, problems):
-        """Write an error code with its problems, one line each."""
+        """Write an error code with its problems.
+
+        Parameters
+        ----------
+        code : str
+        problems : list
+            Objects whose text describes a problem. With `--json` they are written to
+            standard output as one line; else to standard error, one line each.
+        """
         if self.as_json:
             print(json.dumps({"error": code, "problems": [str(p) for p in problems]}))
             return
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -25,6 +25,7 @@
 
 
 def _lines(response):
+    """Yield the lines of the result as text."""
     rules = response["rules"]
     yield f"node      {response['node']}"
     yield f"location  region {response['region']}, data centre {response['dc']}"
