Name the counters and context values of the feature steps

Cause: SERVICES and KEYS held counters, and writes did not say which writes. Change: names and docstrings; the step texts stay.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,4 @@
-"""behave hooks: a cluster for each scenario, or for each feature tagged @shared."""
+"""behave hooks: one cluster per scenario, or per feature if it is tagged @shared."""
 
 from standins.cluster import Cluster
 
@@ -18,12 +18,12 @@
 
 
 def before_scenario(context, scenario):
-    """Create an empty cluster for a scenario of another feature."""
+    """Create an empty cluster, unless the feature shares one."""
     if "shared" not in scenario.feature.tags:
         context.cluster = Cluster()
 
 
 def after_scenario(context, scenario):
-    """Stop the cluster of the scenario."""
+    """Stop the cluster of the scenario, unless the feature shares it."""
     if "shared" not in scenario.feature.tags:
         context.cluster.close()
--- a/features/steps/apply_steps.py
+++ b/features/steps/apply_steps.py
@@ -12,7 +12,7 @@
 
 @given("two nodes that share a store")
 def step_two_nodes(context):
-    """Start a table service and two nodes."""
+    """Start a table service, which is the store, and two nodes."""
     context.cluster.start_table()
     for node, region in (("n1", "rift"), ("n2", "coast")):
         context.cluster.start_node(node, region=region)
@@ -22,14 +22,14 @@
 
 @given('version {version:d} "{text}" was accepted from "{author}"')
 def step_accepted(context, version, text, author):
-    """Apply a version over HTTP."""
+    """Apply a rules text to the preceding version, over HTTP."""
     response = apply_rules(context.cluster, "n2", text + "\n", version - 1, author)
     assert response["result"] == "accepted", response
 
 
 @when("the store has faults {faults}")
 def step_faults(context, faults):
-    """Set faults of the table service, which is the store."""
+    """Set faults of the table service."""
     set_faults(context.cluster, **json.loads(faults))
 
 
@@ -48,7 +48,7 @@
 
 @when("{count:d} other versions are accepted")
 def step_other_versions(context, count):
-    """Apply further texts, each based on the latest version."""
+    """Apply further rules texts, each based on the latest version."""
     for number in range(count):
         base = _count_versions(context)
         response = apply_rules(context.cluster, "n2", rules_text(number), base)
@@ -57,7 +57,7 @@
 
 @when("the operator asks again for the attempt")
 def step_repeat(context):
-    """Repeat the command with the same attempt id."""
+    """Repeat the last command with the id of its attempt."""
     attempt = f"--attempt={context.response['attempt']}"
     context.status, context.response = run_command(
         context.cluster, "n1", *context.command, attempt
@@ -86,7 +86,11 @@
 
 
 def _count_versions(context):
-    """Clear the faults of the store and return the number of versions in it."""
+    """Clear the faults of the store and return the number of accepted versions.
+
+    A store with versions has an audit row for each version, and a row for each rules
+    text and the head below `config/`.
+    """
     cluster = context.cluster
     set_faults(
         cluster, down=False, silent=False, delay_s=0.0, nonsense="", writes_per_s=400.0
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -10,9 +10,10 @@
 from tests.raw_sockets import RawTarget, connect, read_all
 from tests.target_faults import FAULTS, never_respond
 
-SERVICES = itertools.count(1)
+SERVICE_NUMBERS = itertools.count(1)
+# `send` fills in the service of the scenario.
 HOST = "Host: {service}"
-# Method and header lines of invalid requests, by the words of the step.
+# Method and header lines of invalid requests, by the text of the step.
 DEFECTS = {
     "no Host": ("GET", []),
     "a Host that is no service": ("GET", ["Host: a_b"]),
@@ -42,8 +43,11 @@
 
 @given("a target that {fault}")
 def step_target(context, fault):
-    """Announce a target with a fault as the only target of a new service."""
-    number = next(SERVICES)
+    """Announce a target with a fault as the only target of a new service.
+
+    A target that refuses connections is announced after it has closed its port.
+    """
+    number = next(SERVICE_NUMBERS)
     context.service = f"service-{number}"
     context.target = RawTarget(FAULTS.get(fault, never_respond))
     context.add_cleanup(context.target.close)
@@ -64,7 +68,7 @@
 
 
 def read_response(context, sock, method):
-    """Read one response and store it in the context."""
+    """Read one response and save it in the context."""
     response = http.client.HTTPResponse(sock, method=method)
     response.begin()
     context.response, context.body = response, response.read()
@@ -121,7 +125,10 @@
 
 @then("the caller sees a cut answer")
 def step_cut(context):
-    """Check that the response is an error, or is reset before the end of its body."""
+    """Check that the caller can tell that the response is incomplete.
+
+    The response is an error, or the connection is reset before the end of the body.
+    """
     data, was_reset = context.received
     assert was_reset or b"X-Error-Code: answer-cut" in data, data
     assert not data.endswith(b"0\r\n\r\n"), data
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -9,8 +9,8 @@
 from tests.raw_sockets import serve_responses
 from tests.target_faults import OK_RESPONSE
 
-KEYS = itertools.count(1)
-# Faults of the table service, by the words of the step.
+KEY_NUMBERS = itertools.count(1)
+# Faults of the table service, by the text of the step.
 STORE_FAULTS = {
     "is down": {"down": True},
     "loses an answer": {"lose_answers": 1},
@@ -20,7 +20,7 @@
 
 
 def send_keyed(context):
-    """Send a POST with the key of the scenario and store its response."""
+    """Send a POST with the key of the scenario and save its response."""
     headers = {"Idempotency-Key": context.key, "X-Deadline-Ms": "400"}
     status, head, context.body = context.cluster.call(
         "n1", "/", context.service, "POST", body=b"sale", headers=headers
@@ -46,9 +46,9 @@
 @given("a store that {fault}")
 def step_store_fault(context, fault):
     """Set a fault of the store."""
-    context.writes = count_writes(context)
+    context.writes_before_fault = count_writes(context)
     http(context.cluster.table_url + "/faults", "POST", STORE_FAULTS[fault])
-    context.add_cleanup(recover, context.cluster.table_url)
+    context.add_cleanup(clear_faults, context.cluster.table_url)
 
 
 def count_writes(context):
@@ -56,7 +56,7 @@
     return json.loads(http(context.cluster.table_url + "/faults")[2])["writes"]
 
 
-def recover(table_url):
+def clear_faults(table_url):
     """Clear every fault of the store."""
     http(table_url + "/faults", "POST", NO_FAULTS)
 
@@ -64,7 +64,7 @@
 @when("a caller sends a keyed POST")
 def step_keyed(context):
     """Send the first call with a new key."""
-    context.key = f"key-{next(KEYS)}"
+    context.key = f"key-{next(KEY_NUMBERS)}"
     send_keyed(context)
 
 
@@ -98,7 +98,7 @@
 
 @then("the answer is replayed: {replayed}")
 def step_replayed(context, replayed):
-    """Check the headers of a recorded response."""
+    """Check the headers of a replayed response, and its body if that is truncated."""
     received = [
         context.response.getheader(n) for n in ("X-Replayed", "X-Replay-Truncated")
     ]
@@ -118,13 +118,13 @@
 def step_recover(context):
     """Clear the faults of the store, after a delayed write has taken effect."""
     if context.response.getheader("X-Error-Code") == "deadline-exceeded":
-        wait_until(lambda: count_writes(context) > context.writes)
-    recover(context.cluster.table_url)
+        wait_until(lambda: count_writes(context) > context.writes_before_fault)
+    clear_faults(context.cluster.table_url)
 
 
 @then("the same key is answered 200 and has run once")
 def step_usable(context):
-    """Repeat the call until claims without confirmation are released."""
+    """Repeat the call until a claim that the store did not confirm is released."""
 
     def succeeds():
         send_keyed(context)
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -24,7 +24,7 @@
 
 @when("a caller sends {method} to the node")
 def step_call(context, method):
-    """Send one call and store its response."""
+    """Send one call and save its response."""
     body = b"sale" if method == "POST" else None
     context.response = context.cluster.call("n1", "/", method=method, body=body)
 
