--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,18 +16,18 @@
 from pimentoline.rules.field_parsers import CALL_CLASSES, METHODS, OptionError
 
 EXAMPLES = sorted((Path(__file__).parent / "rules").glob("*.rules"))
-DOC_PAGE = Path(__file__).parent.parent / "docs" / "rules.md"
+RULES_PAGE = Path(__file__).parent.parent / "docs" / "rules.md"
 derandomized = partial(settings, derandomize=True, deadline=None)
 
 
 def run_query(rules, query, *words):
-    """Run a query of an example file on a rule set and return the result."""
+    """Run a query of an example file on a `RuleSet` and return the result."""
     match query:
         case "call":
             return rules.call_policy(*words)
         case "weight":
-            name, service, region = words
-            target = Target(name, service, ("127.0.0.1", 1), region, "dc")
+            target_id, service, region = words
+            target = Target(target_id, service, ("127.0.0.1", 1), region, "dc")
             return rules.target_weight(target)
         case "limit":
             return rules.inflight_limit(*words)
@@ -77,6 +77,7 @@
 
 NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,8}", fullmatch=True)
 SHARES = st.integers(0, 100).map(lambda n: n / 1000)
+# Valid values by attribute; attributes that are not listed hold names.
 VALUES = {
     "method": st.sampled_from(METHODS),
     "path": st.from_regex(r"/[a-z*?/]{0,12}", fullmatch=True),
@@ -169,7 +170,7 @@
 
 
 def _matches(pattern, path):
-    """Match a pattern of `*` and `?` by recursion, without regular expressions."""
+    """Return whether a pattern of `*` and `?` matches, without regular expressions."""
     if not pattern:
         return not path
     if pattern[0] == "*":
@@ -180,7 +181,7 @@
 
 
 def test_file_of_100_mb_is_refused_unread(tmp_path):
-    """Guards against reading the whole of a file that is far above the size limit."""
+    """Guards against reading a file that is far above the size limit."""
     path = tmp_path / "big.rules"
     with open(path, "wb") as file:
         file.truncate(100 * 1024 * 1024)
@@ -190,11 +191,11 @@
     assert time.process_time() - started < 0.1
 
 
-@pytest.mark.parametrize("size, accepted", [(0, True), (1, False)])
-def test_limit_is_one_mebibyte(tmp_path, size, accepted):
+@pytest.mark.parametrize("excess, accepted", [(0, True), (1, False)])
+def test_size_limit_is_one_mebibyte(tmp_path, excess, accepted):
     """Guards against a size limit that counts characters, or is off by one."""
     path = tmp_path / "edge.rules"
-    path.write_bytes("#é\n".encode() + b"#" * (MAX_RULES_BYTES - 4 + size))
+    path.write_bytes("#é\n".encode() + b"#" * (MAX_RULES_BYTES - 4 + excess))
     assert (read_rules(str(path))[1].ruleset is not None) == accepted
     assert (parse(path.read_text()).ruleset is not None) == accepted
 
@@ -214,7 +215,7 @@
 
 
 def test_too_many_rules_or_patterns_are_refused():
-    """Guards against a rules file with so many rules that every call becomes slow."""
+    """Guards against a rules file that slows down every call."""
     lines = [f"deadline desk 1s path=/{i}  # Mary\n" for i in range(201)]
     assert parse("".join(lines[:200])).ruleset is not None
     assert [item.line for item in parse("".join(lines)).diagnostics] == [201]
@@ -223,22 +224,22 @@
     assert [item.line for item in parse("".join(lines)).diagnostics] == [10_001]
 
 
-def test_every_kind_keeps_the_contract():
+def test_every_kind_is_parsed_and_documented():
     """Guards against a kind without a field parser, or missing in `docs/rules.md`."""
-    page = DOC_PAGE.read_text()
+    page = RULES_PAGE.read_text()
     for name in kind_names():
         cls = get_kind_by_name(name)
         assert cls.kind == name and cls.syntax.startswith(name + " ")
         assert cls.syntax in page, f"docs/rules.md lacks {cls.syntax}"
-        for option, reader in {**cls.positional, **cls.options}.items():
+        for option, parse_value in {**cls.positional, **cls.options}.items():
             with pytest.raises(OptionError) as caught:
-                reader(option, "\x00")
+                parse_value(option, "\x00")
             assert caught.value.option == option and caught.value.allowed
 
 
 def test_examples_of_the_page_are_accepted():
     """Guards against a documented example that the parser rejects."""
-    blocks = DOC_PAGE.read_text().split("```rules\n")[1:]
+    blocks = RULES_PAGE.read_text().split("```rules\n")[1:]
     text = "".join(block.split("```")[0] for block in blocks)
     result = parse(text)
     assert result.diagnostics == ()
