Name what the tests of guarantees and of applies record and wait for

Cause: sent and fill, own, sell, freeze and in_force had to be looked up, and told stood for reported. Change: names, docstrings and comments. Result: lint passes; test_history.py, test_guarantees.py and test_apply.py pass, 14 tests.

--- a/tests/history.py
+++ b/tests/history.py
@@ -5,7 +5,7 @@
 P2
     A response is complete and belongs to its own request.
 P3
-    A request did not run at any target if its caller was told so.
+    A request that was reported to its caller as not run did not run at any target.
 P4
     A keyed operation, and a request that must not be repeated, runs at most once.
 P6
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True)
 class Attempt:
-    """One attempt of a caller to get an operation done, and its outcome.
+    """One request of a caller for an operation, and its outcome.
 
     Attributes
     ----------
@@ -41,12 +41,12 @@
     keyed : bool
         Whether the attempt has an idempotency key, which is `op`.
     invoked, completed : float
-        Monotonic times at which the caller sent the request and ended it, seconds.
+        Monotonic times at which the caller started and ended the request, seconds.
     outcome : str
         `ANSWERED`; `REFUSED` if the node accepted no connection; or `UNKNOWN`.
-    sent, fill : int
-        Length of the request body, and of the response body that was asked for; the
-        target chooses the response body if `fill` is 0.
+    request_bytes, response_bytes : int
+        Length of the request body, and requested length of the response body. If
+        `response_bytes` is 0, the target responds with its report of the request.
     """
 
     op: str
@@ -61,11 +61,11 @@
     verdict: str = ""
     replayed: bool = False
     body: bytes = b""
-    sent: int = 0
-    fill: int = 0
+    request_bytes: int = 0
+    response_bytes: int = 0
 
 
-def fill_body(run_id, size):
+def make_body(run_id, size):
     """Return a body of `size` bytes that is unique to a request."""
     pattern = f"{run_id}|".encode()
     return (pattern * (size // len(pattern) + 1))[:size]
@@ -80,7 +80,15 @@
         self._ids = itertools.count(1)
 
     def call(
-        self, node, addr, op, method="GET", keyed=False, fill=0, sent=0, **headers
+        self,
+        node,
+        addr,
+        op,
+        method="GET",
+        keyed=False,
+        response_bytes=0,
+        request_bytes=0,
+        **headers,
     ):
         """Send one request to a node; record and return the attempt."""
         with self._lock:
@@ -98,8 +106,8 @@
             result = {"outcome": REFUSED}
         else:
             try:
-                body = fill_body(run_id, sent) if sent else None
-                conn.request(method, f"/work?fill={fill}", body, headers)
+                body = make_body(run_id, request_bytes) if request_bytes else None
+                conn.request(method, f"/work?fill={response_bytes}", body, headers)
                 response = conn.getresponse()
                 result = {
                     "body": response.read(),
@@ -120,8 +128,8 @@
             keyed,
             invoked,
             time.monotonic(),
-            sent=sent,
-            fill=fill,
+            request_bytes=request_bytes,
+            response_bytes=response_bytes,
             **result,
         )
         with self._lock:
@@ -135,8 +143,8 @@
     for attempt in attempts:
         if attempt.outcome != ANSWERED or attempt.status != 200:
             continue
-        if attempt.fill and not attempt.replayed:
-            if attempt.body != fill_body(attempt.run_id, attempt.fill):
+        if attempt.response_bytes and not attempt.replayed:
+            if attempt.body != make_body(attempt.run_id, attempt.response_bytes):
                 violations.append(
                     f"{attempt.run_id}: wrong body of {len(attempt.body)} bytes"
                 )
@@ -147,12 +155,12 @@
             violations.append(f"{attempt.run_id}: truncated body {attempt.body[:40]!r}")
             continue
         run_id = str(reported["run"])
-        own = (
+        is_own_run = (
             run_id.startswith(f"{attempt.op}.")
             if attempt.replayed
             else run_id == attempt.run_id
         )
-        if not own or reported["received"] != attempt.sent:
+        if not is_own_run or reported["received"] != attempt.request_bytes:
             violations.append(
                 f"{attempt.run_id}: response of {run_id}, {reported['received']} bytes"
             )
@@ -160,7 +168,7 @@
 
 
 def check_not_run(attempts, runs):
-    """Check P3: no request ran whose caller was told that it had not run."""
+    """Check P3: no request ran that was reported to its caller as not run."""
     ran = set(runs)
     return [
         f"{attempt.run_id}: reported as not-run, but ran"
@@ -170,10 +178,11 @@
     ]
 
 
-def check_runs_once(attempts, runs):
-    """Check P4: keyed operations and requests that must not be repeated ran once.
+def check_runs_at_most_once(attempts, runs):
+    """Check P4: no keyed or non-idempotent operation ran more than once.
 
     The runs of all attempts of a keyed operation are summed, whatever their outcomes.
+    An attempt without a key counts as an operation of its own.
     """
     counts = Counter(runs)
     run_ids = defaultdict(set)
@@ -181,8 +190,8 @@
         if attempt.method not in ("GET", "HEAD", "OPTIONS"):
             run_ids[attempt.op if attempt.keyed else attempt.run_id].add(attempt.run_id)
     violations = []
-    for name, members in run_ids.items():
-        total = sum(counts[run_id] for run_id in members)
+    for name, attempt_ids in run_ids.items():
+        total = sum(counts[run_id] for run_id in attempt_ids)
         if total > 1:
             violations.append(f"{name}: ran {total} times")
     return violations
@@ -202,7 +211,7 @@
 
 
 def check_no_interruption(attempts):
-    """Check P6: each accepted request got a complete response that is no 5xx."""
+    """Check P6: each accepted request got a complete response below status 500."""
     return [
         f"{attempt.run_id} at {attempt.node}: "
         f"{attempt.outcome} {attempt.status} {attempt.verdict}"
@@ -217,6 +226,6 @@
     return [
         *check_responses(attempts),
         *check_not_run(attempts, runs),
-        *check_runs_once(attempts, runs),
+        *check_runs_at_most_once(attempts, runs),
         *check_responses_have_runs(attempts, runs),
     ]
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -22,7 +22,7 @@
 
 
 @pytest.fixture
-def pair(cluster):
+def two_nodes(cluster):
     """Return a cluster with a table service and two nodes in one mesh."""
     cluster.start_table()
     cluster.start_node("n1", region="rift", dc="kerio")
@@ -36,17 +36,17 @@
     return cluster
 
 
-def in_force(cluster, node):
+def version_in_force(cluster, node):
     """Return the version in force at a node."""
     return cluster.admin(node, "/v1/config")[1]["version"]
 
 
-def test_one_of_two_operators_wins_a_race(pair, tmp_path):
-    """Guards against two accepted versions of a base, or a loser without a conflict."""
+def test_one_of_two_operators_wins_a_race(two_nodes, tmp_path):
+    """Guards against two versions accepted for one base, or a missing conflict."""
     for base in range(4):
         racing = [
             start_command(
-                pair,
+                two_nodes,
                 node,
                 "apply",
                 rules_file(tmp_path, f"{node}-{base}"),
@@ -71,68 +71,77 @@
             in conflict["differs"]
         )
         for node in NODES:
-            wait_until(lambda: in_force(pair, node) == base + 1, 5.0, "both in force")
+            wait_until(
+                lambda: version_in_force(two_nodes, node) == base + 1,
+                5.0,
+                "both in force",
+            )
 
 
-def test_attempt_with_unknown_outcome_can_be_asked_again(pair, tmp_path):
+def test_attempt_with_unknown_outcome_can_be_repeated(two_nodes, tmp_path):
     """Guards against an outcome that stays unknown, or an attempt accepted twice."""
     path = rules_file(tmp_path, "a")
     args = ("apply", path, "--base=0", "--author=mary")
-    set_faults(pair, lose_answers=1, down_after_loss=True)
-    status, response = run_command(pair, "n1", *args)
+    set_faults(two_nodes, lose_answers=1, down_after_loss=True)
+    status, response = run_command(two_nodes, "n1", *args)
     assert (status, response["result"]) == (4, "unknown")
     again = (*args, f"--attempt={response['attempt']}")
-    status, response = run_command(pair, "n1", *again)
+    status, response = run_command(two_nodes, "n1", *again)
     assert (status, response["result"]) == (4, "unknown"), "the store is still down"
-    set_faults(pair, down=False)
+    set_faults(two_nodes, down=False)
     for _ in range(2):
-        status, response = run_command(pair, "n2", *again)
+        status, response = run_command(two_nodes, "n2", *again)
         assert (status, response["version"]) == (0, 1)
-    assert apply_rules(pair, "n1", rules_text("b"), 1)["version"] == 2
-    status, response = run_command(pair, "n2", *again)
+    assert apply_rules(two_nodes, "n1", rules_text("b"), 1)["version"] == 2
+    status, response = run_command(two_nodes, "n2", *again)
     assert (status, response["version"], response["superseded_by"]) == (0, 1, 2)
-    assert [in_force(pair, node) for node in NODES] == [2, 2]
+    assert [version_in_force(two_nodes, node) for node in NODES] == [2, 2]
     other = rules_file(tmp_path, "c")
-    status, response = run_command(pair, "n1", "apply", other, *again[2:])
+    status, response = run_command(two_nodes, "n1", "apply", other, *again[2:])
     assert status == 3 and "another text" in response["detail"]
 
 
-def test_unknown_attempt_that_lost_is_told_so(pair, tmp_path):
+def test_repeated_attempt_that_lost_gets_a_conflict(two_nodes, tmp_path):
     """Guards against an attempt reported as accepted although another one won."""
     args = ("apply", rules_file(tmp_path, "a"), "--base=0", "--author=mary")
-    set_faults(pair, lose_requests=2)
-    status, response = run_command(pair, "n1", *args)
+    set_faults(two_nodes, lose_requests=2)
+    status, response = run_command(two_nodes, "n1", *args)
     assert (status, response["result"]) == (4, "unknown")
-    assert apply_rules(pair, "n2", rules_text("b"), 0, "john")["version"] == 1
+    assert apply_rules(two_nodes, "n2", rules_text("b"), 0, "john")["version"] == 1
     status, response = run_command(
-        pair, "n1", *args, f"--attempt={response['attempt']}"
+        two_nodes, "n1", *args, f"--attempt={response['attempt']}"
     )
     assert status == 3
     assert [row["author"] for row in response["won"]] == ["john"]
 
 
-def test_node_that_falls_silent_gives_an_unknown_outcome(pair, tmp_path):
-    """Guards against a failure reported for a text that the node may still apply."""
+def test_node_that_does_not_respond_gives_an_unknown_outcome(two_nodes, tmp_path):
+    """Guards against reporting a failure for a text that the node may still apply."""
     path = rules_file(tmp_path, "a")
     # Longer than the timeout of the command, and well below the node's read timeout.
-    set_faults(pair, delay_s=0.8)
+    set_faults(two_nodes, delay_s=0.8)
     args = ("apply", path, "--base=0", "--author=mary", "--timeout_s=0.5")
-    status, response = run_command(pair, "n1", *args)
+    status, response = run_command(two_nodes, "n1", *args)
     assert (status, response["result"]) == (4, "unknown")
-    wait_until(lambda: in_force(pair, "n1") == 1, message="the text in force anyway")
+    wait_until(
+        lambda: version_in_force(two_nodes, "n1") == 1,
+        message="the text in force anyway",
+    )
 
 
-def test_audit_trail_is_complete(pair, tmp_path):
+def test_audit_trail_is_complete(two_nodes, tmp_path):
     """Guards against an accepted version without author, time, change or requester."""
     started = time.time()
     texts = [f"pause t{i % 3}  # Asked {i}\n" for i in range(12)]
     for base, text in enumerate(texts):
-        response = apply_rules(pair, NODES[base % 2], text, base, f"author-{base}")
+        response = apply_rules(two_nodes, NODES[base % 2], text, base, f"author-{base}")
         assert response["result"] == "accepted", response
-    wait_until(lambda: [in_force(pair, node) for node in NODES] == [12, 12])
+    wait_until(
+        lambda: [version_in_force(two_nodes, node) for node in NODES] == [12, 12]
+    )
 
     def fetch_history():
-        status, response = run_command(pair, "n2", "history", "--limit=100")
+        status, response = run_command(two_nodes, "n2", "history", "--limit=100")
         assert status == 0
         return response if response["history"][0]["nodes"] == ["n1", "n2"] else None
 
@@ -146,15 +155,17 @@
         asked = {f"Asked {base}"} | ({f"Asked {base - 1}"} if base else set())
         assert set(row["requesters"]) == asked
         assert row["nodes"] == (list(NODES) if base == 11 else [])
-        shown = run_command(pair, "n1", "history", f"--show={row['version']}")[1]
+        shown = run_command(two_nodes, "n1", "history", f"--show={row['version']}")[1]
         assert shown["text"] == texts[base]
-    page = run_command(pair, "n1", "history", "--limit=2", "--before=11")[1]["history"]
+    page = run_command(two_nodes, "n1", "history", "--limit=2", "--before=11")[1][
+        "history"
+    ]
     assert [row["version"] for row in page] == [10, 9]
-    assert run_command(pair, "n1", "history", "--show=13")[0] == 8
+    assert run_command(two_nodes, "n1", "history", "--show=13")[0] == 8
 
 
 class Operator(threading.Thread):
-    """Applies texts at one node and records the start and end of each operation."""
+    """Applies rules texts at one node and records the start and end of each apply."""
 
     def __init__(self, cluster, node, name):
         super().__init__(daemon=True)
@@ -167,7 +178,7 @@
         for number in itertools.count():
             if self.stopped.is_set():
                 return
-            base = in_force(self.cluster, self.node)
+            base = version_in_force(self.cluster, self.node)
             op = {
                 "attempt": f"{self.name}-{number:04d}",
                 "text": rules_text(f"{self.name}-{number}"),
@@ -183,7 +194,7 @@
             op["result"] = response["result"]
 
 
-# Faults of the store, set one after another; a setting stays until it is changed.
+# Faults of the store, set one after another; each stays until a later entry changes it.
 FAULTS = [
     {},
     {"lose_answers": 3},
@@ -200,12 +211,15 @@
 
 
 def check_history(operations, rows, texts):
-    """Raise AssertionError unless the operations are a total order of versions.
+    """Raise AssertionError unless the accepted versions have a total order.
+
+    The order agrees with the times of the operations and with the stored rows.
 
     Parameters
     ----------
     operations : list of dict
-        An operation with result `unknown` may or may not have taken effect.
+        Operations as recorded by `Operator`. An operation with result `unknown` may or
+        may not have taken effect.
     rows : dict of int to dict
         Audit rows by version.
     texts : dict of int to str
@@ -229,14 +243,14 @@
                 assert first["version"] < second["version"], (first, second)
 
 
-def test_accepted_versions_are_a_total_order(pair):
+def test_accepted_versions_are_a_total_order(two_nodes):
     """Guards against an accepted version that is lost, reverted or out of order."""
-    operators = [Operator(pair, NODES[i % 2], f"operator{i}") for i in range(4)]
-    seen = {node: [in_force(pair, node)] for node in NODES}
+    operators = [Operator(two_nodes, NODES[i % 2], f"operator{i}") for i in range(4)]
+    seen = {node: [version_in_force(two_nodes, node)] for node in NODES}
 
     def completed():
         for node in NODES:
-            seen[node].append(in_force(pair, node))
+            seen[node].append(version_in_force(two_nodes, node))
         return sum(
             "result" in op for operator in operators for op in operator.operations
         )
@@ -244,7 +258,7 @@
     for operator in operators:
         operator.start()
     for faults in FAULTS:
-        set_faults(pair, **faults)
+        set_faults(two_nodes, **faults)
         required = completed() + 2 * len(operators)
         wait_until(lambda: completed() >= required, 30.0, f"operations with {faults}")
     for operator in operators:
@@ -256,24 +270,26 @@
     rows, oldest = {}, 10**6
     while oldest > 1:
         path = f"/v1/history?limit=100&before={oldest}"
-        page = pair.admin("n1", path)[1]["history"]
+        page = two_nodes.admin("n1", path)[1]["history"]
         rows |= {row["version"]: row for row in page}
         oldest = min(rows)
     results = Counter(op["result"] for op in operations)
     assert set(results) == {"accepted", "conflict", "unavailable", "unknown"}, results
     texts = {
-        version: pair.admin("n1", f"/v1/config?version={version}")[1]["text"]
+        version: two_nodes.admin("n1", f"/v1/config?version={version}")[1]["text"]
         for version in rows
     }
     check_history(operations, rows, texts)
     newest = max(rows)
     for node in NODES:
-        wait_until(lambda: in_force(pair, node) == newest, 15.0, "newest in force")
-        assert pair.admin(node, "/v1/config")[1]["text"] == texts[newest]
+        wait_until(
+            lambda: version_in_force(two_nodes, node) == newest, 15.0, "newest in force"
+        )
+        assert two_nodes.admin(node, "/v1/config")[1]["text"] == texts[newest]
         assert seen[node] == sorted(seen[node]), "a node reverted to an older version"
 
 
-def test_history_check_notices_a_wrong_history():
+def test_history_check_finds_injected_violations():
     """Guards against a `check_history` that accepts every history."""
     good = [
         {"attempt": "a", "text": "x", "base": 0, "result": "accepted", "version": 1},
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -1,6 +1,6 @@
 """Tests of P2, P3, P4 and P6 with real processes, faults and concurrent callers.
 
-The guarantees are described in `history`.
+The module `history` describes these guarantees.
 """
 
 import json
@@ -19,17 +19,17 @@
     check_all,
     check_no_interruption,
     check_responses,
-    check_runs_once,
+    check_runs_at_most_once,
 )
 
 CALLERS = 6
 SEED = 20
-# Longer than 1.3 s, the timeout after which callers try another node: their deadline
-# of 1 s and a margin.
-FREEZE_S = 2.2
+# Time for which a node is suspended: longer than 1.3 s, after which callers try another
+# node (their deadline of 1 s and a margin).
+SUSPENSION_S = 2.2
 
 
-def start(cluster, nodes, targets=("t1", "t2"), **settings):
+def start_cluster(cluster, nodes, targets=("t1", "t2"), **settings):
     """Start a table service, nodes, and targets at the last node.
 
     Wait until each node knows all targets; return the data addresses of the nodes.
@@ -49,18 +49,20 @@
 
 
 def target_url(cluster, name, path):
+    """Return the URL of a path at a target."""
     ip, port = cluster.targets[name].info["addr"]
     return f"http://{ip}:{port}{path}"
 
 
-def inflight(cluster, name):
+def requests_in_flight(cluster, name):
+    """Return the number of requests that a target is running."""
     return json.loads(http(target_url(cluster, name, "/faults"))[2])["inflight"]
 
 
-def runs(cluster):
+def wait_for_runs(cluster):
     """Wait until all targets are idle; return the ids of the requests that ran."""
     wait_until(
-        lambda: not any(inflight(cluster, name) for name in cluster.targets),
+        lambda: not any(requests_in_flight(cluster, name) for name in cluster.targets),
         message="idle targets",
     )
     run_ids = []
@@ -70,8 +72,11 @@
 
 
 @contextmanager
-def callers(work):
-    """Call `work(rng, number)` repeatedly in threads while the block runs."""
+def run_callers(work):
+    """Call `work(rng, number)` repeatedly in threads while the block runs.
+
+    Each thread has a number, from 0, and a random generator seeded with it.
+    """
     stopping = threading.Event()
 
     def loop(number):
@@ -90,8 +95,8 @@
             thread.join()
 
 
-def sell(history, addrs, op, rng, max_attempts=3, **headers):
-    """Send a keyed sale to nodes in turn until one completes or conflicts."""
+def send_keyed_sale(history, addrs, op, rng, max_attempts=3, **headers):
+    """Send a keyed sale to one node after another until the status is 200 or 409."""
     order = rng.sample(sorted(addrs), len(addrs))
     for number in range(max_attempts):
         node = order[number % len(order)]
@@ -100,7 +105,7 @@
             return
 
 
-def make_work(history, addrs, **headers):
+def make_mixed_work(history, addrs, **headers):
     """Return a function that sends a keyed sale, a sale without a key, or a read."""
 
     def work(rng, number):
@@ -108,19 +113,25 @@
         node = rng.choice(sorted(addrs))
         kind = rng.random()
         if kind < 0.4:
-            sell(history, addrs, op, rng, **headers)
+            send_keyed_sale(history, addrs, op, rng, **headers)
         elif kind < 0.6:
             history.call(
-                node, addrs[node], op, "POST", sent=rng.choice([0, 9]), **headers
+                node,
+                addrs[node],
+                op,
+                "POST",
+                request_bytes=rng.choice([0, 9]),
+                **headers,
             )
         else:
             size = rng.choice([0, 100, 70_000, 300_000])
-            history.call(node, addrs[node], op, fill=size, **headers)
+            history.call(node, addrs[node], op, response_bytes=size, **headers)
 
     return work
 
 
 def set_fault(cluster, name, **values):
+    """Set faults of a target."""
     http(target_url(cluster, name, "/faults"), "POST", values)
 
 
@@ -134,7 +145,7 @@
 def test_responses_and_verdicts_under_target_faults(cluster):
     """Guards against mixed-up or truncated responses (P2) and a false not-run (P3)."""
     names = ["t1", "t2", "t3"]
-    addrs = start(cluster, ["n1", "n2"], names, slots=3)
+    addrs = start_cluster(cluster, ["n1", "n2"], names, slots=3)
     history = History()
     rng = random.Random(SEED)
     faults = [
@@ -143,7 +154,7 @@
         {"fail": True},
         {"mean_s": 0.6},
     ]
-    with callers(make_work(history, addrs, **{"X-Deadline-Ms": "400"})):
+    with run_callers(make_mixed_work(history, addrs, **{"X-Deadline-Ms": "400"})):
         for fault in faults * 2:
             name = rng.choice(names)
             set_fault(cluster, name, **fault)
@@ -151,21 +162,21 @@
             set_fault(cluster, name, reset=True)
         for name in names:
             set_fault(cluster, name, shed=True)
-        # A fixed time would see too few calls on a busy machine.
+        # A fixed time would be too short for these calls on a busy host.
         wait_until(lambda: len(not_run_attempts(history)) > 10)
         for name in names:
             set_fault(cluster, name, reset=True, queue=0, delay_s=0.05)
         time.sleep(0.25)
     answered = [attempt for attempt in history.attempts if attempt.status == 200]
     assert len(answered) > 50 and len(not_run_attempts(history)) > 10
-    assert check_all(history.attempts, runs(cluster)) == []
+    assert check_all(history.attempts, wait_for_runs(cluster)) == []
 
 
-def freeze_until_a_key_conflicts(cluster, history):
-    """Suspend a node, up to ten times, until a sale whose key it claims gets a 409.
+def suspend_node_until_key_conflict(cluster, history):
+    """Suspend a node, up to ten times, until a sale gets 409 for its key.
 
     Targets are slowed down, so that the node is likely to hold a claim when it is
-    suspended; at 20 ms only about one suspension in ten met a claim.
+    suspended: at a service time of 20 ms, it does in only about one of ten suspensions.
     """
     node = cluster.nodes["n2"]
     for target in cluster.targets:
@@ -173,7 +184,7 @@
     for _ in range(10):
         time.sleep(0.4)
         node.signal(signal.SIGSTOP)
-        until = time.monotonic() + FREEZE_S
+        until = time.monotonic() + SUSPENSION_S
         while time.monotonic() < until and not has_key_conflict(history):
             time.sleep(0.05)
         node.signal(signal.SIGCONT)
@@ -184,19 +195,23 @@
 
 
 def has_key_conflict(history):
+    """Return whether a call was answered with 409, because its key is claimed."""
     return any(attempt.status == 409 for attempt in history.attempts)
 
 
 def test_keyed_calls_run_once_under_faults_of_nodes_and_store(cluster):
-    """Guards against a second run (P4) when nodes die or freeze and the store fails."""
-    addrs = start(cluster, ["n1", "n2", "n3"], delay_s=0.02)
+    """Guards against a second run (P4) when nodes are killed or suspended.
+
+    The store loses responses, is down or is slow at the same time.
+    """
+    addrs = start_cluster(cluster, ["n1", "n2", "n3"], delay_s=0.02)
     history = History()
     store = cluster.table_url + "/faults"
-    with callers(make_work(history, addrs, **{"X-Deadline-Ms": "1000"})):
+    with run_callers(make_mixed_work(history, addrs, **{"X-Deadline-Ms": "1000"})):
         time.sleep(0.5)
         http(store, "POST", {"lose_answers": 15})
         time.sleep(0.5)
-        freeze_until_a_key_conflicts(cluster, history)
+        suspend_node_until_key_conflict(cluster, history)
         http(store, "POST", {"down": True})
         wait_until(lambda: any(attempt.status == 503 for attempt in history.attempts))
         http(store, "POST", {"down": False, "delay_s": 0.1, "lose_answers": 5})
@@ -204,15 +219,15 @@
         cluster.nodes["n1"].kill()
         http(store, "POST", {"delay_s": 0.0})
         time.sleep(0.7)
-    assert check_all(history.attempts, runs(cluster)) == []
+    assert check_all(history.attempts, wait_for_runs(cluster)) == []
     sales = [attempt for attempt in history.attempts if attempt.keyed]
     assert sum(attempt.status == 200 for attempt in sales) > 20
     assert {attempt.status for attempt in sales} >= {200, 409, 503}
 
 
-def test_frozen_node_that_resumes_does_not_run_a_sale_again(cluster):
+def test_suspended_node_that_resumes_does_not_run_a_sale_again(cluster):
     """Guards against a second run by a node that was suspended during a sale."""
-    addrs = start(cluster, ["n1", "n2"], ("t1",))
+    addrs = start_cluster(cluster, ["n1", "n2"], ("t1",))
     history = History()
     set_fault(cluster, "t1", delay_s=0.3)
     deadline = {"X-Deadline-Ms": "1500"}
@@ -223,38 +238,49 @@
     calls = lambda: cluster.admin("n1", "/v1/status")[1]["calls"]  # noqa: E731
     wait_until(lambda: calls() == 1, message="the sale at n1")
     cluster.nodes["n1"].signal(signal.SIGSTOP)
-    # The claim of n1 is stored while it is frozen, so n2 gets a conflict or runs it.
+    # The store writes the claim of n1 while n1 is suspended, so that n2 either gets a
+    # conflict or runs the sale.
     http(cluster.table_url + "/faults", "POST", {"delay_s": 0.0})
     history.call("n2", addrs["n2"], "sale", "POST", True, **deadline)
     time.sleep(1.0)
     history.call("n2", addrs["n2"], "sale", "POST", True, **deadline)
     cluster.nodes["n1"].signal(signal.SIGCONT)
     first.join()
-    assert check_runs_once(history.attempts, runs(cluster)) == []
-    assert check_all(history.attempts, runs(cluster)) == []
+    assert check_runs_at_most_once(history.attempts, wait_for_runs(cluster)) == []
+    assert check_all(history.attempts, wait_for_runs(cluster)) == []
 
 
 @pytest.mark.parametrize("leaving", ["n1", "t1"])
 def test_planned_stop_interrupts_no_call(cluster, leaving):
     """Guards against a planned stop of a node or target that interrupts a call (P6)."""
-    # The service time exceeds the fixed delays of a stop, so it must wait for calls.
-    addrs = start(cluster, ["n1", "n2"], delay_s=1.2)
+    # The service time exceeds the fixed delays of a stop, so that the process can only
+    # avoid an interruption by waiting for its calls.
+    addrs = start_cluster(cluster, ["n1", "n2"], delay_s=1.2)
     history = History()
 
     def work(rng, number):
         op = f"c{number}-{rng.getrandbits(40):x}"
-        sent, fill = rng.choice([(0, 0), (0, 300_000), (200_000, 0)])
+        request_bytes, response_bytes = rng.choice([(0, 0), (0, 300_000), (200_000, 0)])
         for node in ("n1", "n2"):
-            # The node would retry an interrupted GET, which would hide the fault.
-            attempt = history.call(node, addrs[node], op, "POST", sent=sent, fill=fill)
+            # The node retries an interrupted GET, which would hide the interruption.
+            attempt = history.call(
+                node,
+                addrs[node],
+                op,
+                "POST",
+                request_bytes=request_bytes,
+                response_bytes=response_bytes,
+            )
             if attempt.outcome != "refused":
                 return
 
     process = cluster.nodes.get(leaving) or cluster.targets[leaving]
-    with callers(work):
-        # By now the second calls of the callers have started.
+    with run_callers(work):
+        # Wait until callers have started their second calls.
         wait_until(lambda: len(history.attempts) >= CALLERS, message="calls")
-        wait_until(lambda: inflight(cluster, "t1") >= 2, message="calls at t1")
+        wait_until(
+            lambda: requests_in_flight(cluster, "t1") >= 2, message="calls at t1"
+        )
         assert process.stop() == 0
         before = len(history.attempts)
         wait_until(
@@ -263,4 +289,4 @@
     assert check_no_interruption(history.attempts) == []
     assert check_responses(history.attempts) == []
     if leaving == "n1":
-        assert check_all(history.attempts, runs(cluster)) == []
+        assert check_all(history.attempts, wait_for_runs(cluster)) == []
