--- a/tests/operators.py
+++ b/tests/operators.py
@@ -1,4 +1,4 @@
-"""Helpers for tests that act as operators: commands, rules and store faults."""
+"""Helpers for tests that act as operators: commands, rules and faults of the store."""
 
 import json
 import os
@@ -12,7 +12,10 @@
 
 
 def start_command(cluster, node_id, *args, **env):
-    """Start a command for a node and return the running process."""
+    """Start a command that uses a node and return the running process.
+
+    `env` has environment variables to add.
+    """
     ip, port = cluster.nodes[node_id].info["admin"]
     return subprocess.Popen(
         [sys.executable, "-m", "pimentoline", *map(str, args)],
@@ -44,7 +47,7 @@
 
 
 def set_faults(cluster, **faults):
-    """Set faults of the table service."""
+    """Set faults of the table service, which is the store."""
     status, _, _ = http(f"{cluster.table_url}/faults", "POST", faults)
     assert status == 200, faults
 
--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -13,7 +13,10 @@
 
 
 def read_head(sock):
-    """Return (head lines, bytes after the head) of a message."""
+    """Return (head lines, bytes received after the head) of an HTTP message.
+
+    The first line is empty if the connection ended before the message.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
         piece = sock.recv(65536)
@@ -36,10 +39,19 @@
 
 
 class RawTarget:
-    """A target that runs `serve(target, sock, number)` in a thread per connection.
-
-    `number` counts the connections from 0. A new `serve` applies to new connections.
-    `heads` has the request heads that `read_request` has read.
+    """Target that runs `serve(target, sock, number)` in a thread per connection.
+
+    Attributes
+    ----------
+    serve : callable
+        `number` counts the connections from 0. A new function applies to new
+        connections.
+    addr : list of (str, int)
+        IP address and port.
+    heads : list
+        Lines of each request head that `read_request` has read.
+    connections : int
+        Number of connections accepted so far.
     """
 
     def __init__(self, serve):
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -1,6 +1,6 @@
 """Responses and faults of targets, by the names that the features use.
 
-A function `serve(target, sock, number)` runs on each connection of a `RawTarget`.
+A `RawTarget` runs a function `serve(target, sock, number)` on each connection.
 """
 
 import socket
@@ -30,14 +30,17 @@
 
 
 def respond_after_250_ms(target, sock, number):
-    """Respond later than the first hedge delay, 200 ms."""
+    """Respond after the first hedge delay, 200 ms."""
     while target.read_request(sock):
         time.sleep(0.25)
         sock.sendall(OK_RESPONSE)
 
 
 def read_to_end(target, sock, number):
-    """Record all bytes after a request head up to the end of the connection."""
+    """Record all bytes after a request head up to the end of the connection.
+
+    `target.heads` then has the bytes received with the head and those after it.
+    """
     _, rest = read_head(sock)
     target.heads.append(rest)
     target.heads.append(read_all(sock)[0])
@@ -50,6 +53,7 @@
 
 
 NO_BODY = b"Content-Length: 0"
+# Functions `serve` by the text of the step "a target that ...".
 FAULTS = {
     "answers 200": serve_responses(OK_RESPONSE),
     "answers 8 KB": serve_responses(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,7 +12,7 @@
 from .conftest import wait_until
 from .operators import run_command, set_faults, start_command
 
-NODE = ["node", "--region=rift", "--dc=kerio", "--mesh_keys=k"]
+NODE_ARGS = ["node", "--region=rift", "--dc=kerio", "--mesh_keys=k"]
 
 
 @pytest.fixture(autouse=True)
@@ -46,21 +46,21 @@
     (["history", "--limit=101"], {}, ["--limit (PIMENTOLINE_LIMIT): found '101'"]),
     (["explain", "a", "GET", "/", "--call_class=x"], {}, ["'critical', 'normal'"]),
     (["node"], {}, ["--region", "--dc", "--mesh_keys"]),
-    (NODE + ["--region=a b"], {}, ["--region (PIMENTOLINE_REGION): found 'a b'"]),
+    (NODE_ARGS + ["--region=a b"], {}, ["--region (PIMENTOLINE_REGION): found 'a b'"]),
     (
-        NODE + ["--data_addr=1:2"],
+        NODE_ARGS + ["--data_addr=1:2"],
         {},
         ["found '1:2'; allowed: IP:PORT with an IPv4 address"],
     ),
-    (NODE + ["--data_addr=127.0.0.1:65536"], {}, ["--data_addr"]),
-    (NODE + ["--seeds=127.0.0.1"], {}, ["--seeds"]),
-    (NODE + ["--store_url=ftp://a"], {}, ["--store_url"]),
+    (NODE_ARGS + ["--data_addr=127.0.0.1:65536"], {}, ["--data_addr"]),
+    (NODE_ARGS + ["--seeds=127.0.0.1"], {}, ["--seeds"]),
+    (NODE_ARGS + ["--store_url=ftp://a"], {}, ["--store_url"]),
     (
-        NODE + ["--policy=best"],
+        NODE_ARGS + ["--policy=best"],
         {},
         ["--policy (PIMENTOLINE_POLICY): found 'best'; allowed: one of"],
     ),
-    (NODE + ["--admin_addr=0.0.0.0:1"], {}, ["--admin_remote"]),
+    (NODE_ARGS + ["--admin_addr=0.0.0.0:1"], {}, ["--admin_remote"]),
     (["frobnicate"], {}, ["allowed commands: node, check"]),
 ]
 
@@ -83,7 +83,7 @@
 
 
 def test_keys_do_not_appear_in_errors(monkeypatch, capsys):
-    """Guards against printing a mesh key to standard error."""
+    """Guards against an error message that shows a mesh key."""
     monkeypatch.setenv("PIMENTOLINE_MESH_KEYS", ",")
     assert run(["node", "--region=a", "--dc=b"]) == ExitStatus.USAGE
     line = capsys.readouterr().err
@@ -92,7 +92,7 @@
 
 @pytest.mark.parametrize("name", command_names())
 def test_help_names_flags_variables_and_statuses(name, capsys):
-    """Guards against help without a flag, its variable or an exit status."""
+    """Guards against a help text without a flag, its variable or an exit status."""
     command = get_command_by_name(name)
     assert run([name, "--help"]) == ExitStatus.OK
     text = capsys.readouterr().out
@@ -130,7 +130,7 @@
     assert capsys.readouterr().out == "1 rules, no problems\n"
 
 
-def test_variable_counts_unless_the_flag_is_given(monkeypatch, capsys):
+def test_flag_overrides_its_variable(monkeypatch, capsys):
     """Guards against a variable that is ignored, or overrides its flag."""
     monkeypatch.setenv("PIMENTOLINE_JSON", "true")
     assert run(["version"]) == ExitStatus.OK
--- a/tests/test_whole_path.py
+++ b/tests/test_end_to_end.py
@@ -5,8 +5,8 @@
 from .conftest import wait_until
 
 
-def start_pair(cluster):
-    """Start a table service, two nodes in two regions and a target at the second."""
+def start_two_nodes(cluster):
+    """Start a table service, two nodes in two regions, and a target at the second."""
     cluster.start_table()
     cluster.start_node("n1", region="rift", dc="kerio")
     cluster.start_node("n2", region="coast", dc="kwale")
@@ -15,8 +15,8 @@
 
 
 def test_call_reaches_target_of_another_host(cluster):
-    """Guards against a path that is broken anywhere from caller to target."""
-    start_pair(cluster)
+    """Guards against a failure anywhere on the path from the caller to the target."""
+    start_two_nodes(cluster)
     headers = {"X-Run-Id": "r1"}
     status, _, body = cluster.call("n1", "/weights", headers=headers)
     assert status == 200
@@ -25,7 +25,7 @@
 
 def test_unknown_service_is_not_run(cluster):
     """Guards against a verdict other than `not-run` for a call without a target."""
-    start_pair(cluster)
+    start_two_nodes(cluster)
     status, headers, body = cluster.call("n1", "/", service="nowhere")
     assert status == 503
     assert headers["X-Verdict"] == "not-run"
@@ -34,16 +34,16 @@
 
 def test_applied_rules_reach_every_node(cluster):
     """Guards against a node that never applies an accepted rules version."""
-    start_pair(cluster)
+    start_two_nodes(cluster)
     text = "pause t1  # asked by Wanjiru\n"
     body = {"base": 0, "text": text, "author": "otieno", "attempt": "attempt-1"}
-    status, answer = cluster.admin("n2", "/v1/config", "POST", body)
-    assert (status, answer["result"]) == (200, "accepted")
+    status, response = cluster.admin("n2", "/v1/config", "POST", body)
+    assert (status, response["result"]) == (200, "accepted")
     wait_until(lambda: cluster.admin("n1", "/v1/config")[1]["version"] == 1)
     assert cluster.call("n1", "/weights")[0] == 503
 
 
 def test_node_stops_gracefully(cluster):
-    """Guards against a node that needs to be killed."""
-    start_pair(cluster)
+    """Guards against a node that does not stop on SIGTERM."""
+    start_two_nodes(cluster)
     assert cluster.nodes["n1"].stop() == 0
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -13,7 +13,10 @@
 
 @pytest.fixture
 def bundle(tmp_path, monkeypatch):
-    """Yield a bundle whose program prints its pid and argument, and a directory."""
+    """Yield the paths of a bundle and of the directory that it is unpacked to.
+
+    The program in the bundle prints its process id and its argument.
+    """
     if shutil.which("cc") is None:
         pytest.fail("no C compiler; the binary cannot be built")
     monkeypatch.setattr(build, "BUILD", tmp_path)
@@ -32,7 +35,7 @@
     shutil.rmtree(runtime)
 
 
-def run(path, runtime):
+def run_bundle(path, runtime):
     """Run the bundle; return (the finished process, its stdout, its stderr)."""
     env = {"PIMENTOLINE_RUNTIME_DIR": runtime, "PATH": os.environ["PATH"]}
     args = [str(path), "argument"]
@@ -45,7 +48,7 @@
     """Guards against a launcher that stays alive as the parent of the program."""
     path, runtime = bundle
     for _ in range(2):
-        popen, out, err = run(path, runtime)
+        popen, out, err = run_bundle(path, runtime)
         assert (popen.returncode, err) == (0, "")
         assert out.split() == [str(popen.pid), "argument"]
     (unpacked,) = os.listdir(runtime)
@@ -60,6 +63,6 @@
     data = bytearray(path.read_bytes())
     data[position] ^= 0xFF
     path.write_bytes(data)
-    popen, _, err = run(path, runtime)
+    popen, _, err = run_bundle(path, runtime)
     assert popen.returncode == 2
     assert err.startswith("error: bundle-damaged")
--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -21,7 +21,7 @@
 
 @pytest.fixture
 def mesh(cluster):
-    """Yield a cluster of a table service, six nodes, and two targets at n1 and n2."""
+    """Return a cluster of a table service, six nodes, and a target at n1 and at n2."""
     cluster.start_table()
     with ThreadPoolExecutor(6) as pool:
         starts = [
@@ -49,33 +49,40 @@
     return ",".join(f"{ip}:{port}" for ip, port in addrs)
 
 
-def rules_version(cluster, name):
+def version_in_force(cluster, name):
     """Return the rules version that is in force at a node."""
     return cluster.admin(name, "/v1/status")[1]["rules"]["version"]
 
 
-def apply(cluster, name, base, text):
-    """Apply rules at a node; return the data of the response."""
+def apply_rules(cluster, name, base, text):
+    """Apply a rules text at a node; return the data of the response."""
     body = {"base": base, "text": text, "author": "otieno", "attempt": f"try-{base}-xx"}
     return cluster.admin(name, "/v1/config", "POST", body)[1]
 
 
-def wait_version(cluster, names, version, timeout_s=5.0):
+def wait_for_version(cluster, names, version, timeout_s=5.0):
     """Wait until a rules version is in force at each of the nodes."""
     deadline = time.monotonic() + timeout_s
     for name in names:
         remaining_s = deadline - time.monotonic()
-        wait_until(lambda: rules_version(cluster, name) == version, remaining_s, name)
+        wait_until(
+            lambda: version_in_force(cluster, name) == version, remaining_s, name
+        )
 
 
-class Calls:
+class CallSender:
     """Sends calls with run ids through the named nodes until it is stopped.
 
-    `sent` has the times of sending and `statuses` the response statuses, by run id.
+    Attributes
+    ----------
+    sent_at : dict of str to float
+        Monotonic time of sending by run id, seconds.
+    statuses : dict of str to int
+        Status of the response by run id.
     """
 
     def __init__(self, cluster, names):
-        self.cluster, self.sent, self.statuses = cluster, {}, {}
+        self.cluster, self.sent_at, self.statuses = cluster, {}, {}
         self.stopping = threading.Event()
         # Daemon threads do not keep pytest alive if a test fails before `stop`.
         self.threads = [
@@ -89,7 +96,7 @@
         number = 0
         while not self.stopping.wait(0.02):
             run_id, number = f"{name}-{number}", number + 1
-            self.sent[run_id] = time.monotonic()
+            self.sent_at[run_id] = time.monotonic()
             headers = {"X-Run-Id": run_id}
             try:
                 self.statuses[run_id] = self.cluster.call(name, "/", headers=headers)[0]
@@ -110,22 +117,27 @@
         ip, port = self.cluster.targets[target_id].info["addr"]
         _, _, body = http(f"http://{ip}:{port}/runs")
         run_ids = json.loads(body)["runs"]
-        return [r for r in run_ids if r.startswith(node_prefix) and self.sent[r] > at]
+        return [
+            r for r in run_ids if r.startswith(node_prefix) and self.sent_at[r] > at
+        ]
 
 
 def assert_t1_paused(calls):
     """Assert that no call used rules older than those that pause t1.
 
-    A 502 is the response to a call that was sent to t2 after t2 was killed.
+    The node responds with 502 to a call that it sent to t2 after t2 was killed.
     """
     assert calls.statuses and set(calls.statuses.values()) <= {502, 503}
     assert calls.runs_after("t1", 0) == []
 
 
 def test_drained_target_receives_no_call_after_3_s(mesh):
-    """Guards P5 with the store down, a node killed and a node suspended for 8 s."""
+    """Guards against a violation of P5 with a node killed and a node suspended.
+
+    The store is down, and the suspension lasts 8 s.
+    """
     names = ["n0", "n1", "n2", "n3", "n5"]
-    calls = Calls(mesh, names)
+    calls = CallSender(mesh, names)
     try:
         wait_until(lambda: calls.runs_after("t1", 0), message="calls at t1")
         set_table_down(mesh)
@@ -148,20 +160,23 @@
 
 
 def test_accepted_version_survives_the_store_and_its_node(mesh):
-    """Guards P7 when the store and the applying node fail right after the accept."""
-    response = apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))
+    """Guards against a violation of P7 when the store and the applying node fail.
+
+    Both fail as soon as the version is accepted.
+    """
+    response = apply_rules(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))
     assert (response["result"], response["held_by"]) == ("accepted", 4)
-    response = apply(mesh, "n0", 1, PAUSE_T1)
+    response = apply_rules(mesh, "n0", 1, PAUSE_T1)
     set_table_down(mesh)
     mesh.nodes["n0"].kill()
     others = ["n1", "n2", "n3", "n4", "n5"]
-    wait_version(mesh, others, 2)
+    wait_for_version(mesh, others, 2)
     assert (response["result"], response["held_by"]) == ("accepted", 4)
     mesh.targets["t2"].kill()
     # A node that starts while the store is down gets the version from its peers.
     mesh.start_node("n6", "rift", "kerio", seeds=seeds_of(mesh, "n1", "n2"))
-    calls_n6 = Calls(mesh, ["n6"])
-    wait_version(mesh, ["n6"], 2)
+    calls_n6 = CallSender(mesh, ["n6"])
+    wait_for_version(mesh, ["n6"], 2)
     wait_until(lambda: mesh.knows_target("n6", "t1"))
     # While no peer responds, a new node does not know the version and serves no call.
     for name in others:
@@ -174,24 +189,26 @@
             mesh.nodes[name].signal(signal.SIGCONT)
     assert (status, headers["X-Error-Code"]) == (503, "rules-outdated")
     assert headers["X-Verdict"] == "not-run"
-    calls_n7 = Calls(mesh, ["n7"])
+    calls_n7 = CallSender(mesh, ["n7"])
     wait_until(lambda: mesh.call("n7", "/")[1]["X-Error-Code"] == "no-target", 15)
     for sent_calls in (calls_n6, calls_n7):
         sent_calls.stop()
         assert_t1_paused(sent_calls)
-    assert rules_version(mesh, "n7") == 2
+    assert version_in_force(mesh, "n7") == 2
 
 
 def test_lower_version_in_the_store_is_ignored(mesh):
-    """Guards P7 against a store that was restored from an old backup."""
-    assert apply(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))["result"] == "accepted"
-    assert apply(mesh, "n3", 1, PAUSE_T1)["result"] == "accepted"
+    """Guards against a violation of P7 by a store restored from an old backup."""
+    assert (
+        apply_rules(mesh, "n0", 0, PAUSE_T1.replace("t1", "t2"))["result"] == "accepted"
+    )
+    assert apply_rules(mesh, "n3", 1, PAUSE_T1)["result"] == "accepted"
     old_head = {"version": 1, "digest": "", "attempt": "old"}
     put = {"puts": [{"key": "config/head", "value": old_head}]}
     assert http(f"{mesh.table_url}/v1/txn", "POST", put)[0] == 200
     mesh.targets["t2"].kill()
     mesh.start_node("n6", "coast", "kilifi")
-    calls = Calls(mesh, ["n6"])
+    calls = CallSender(mesh, ["n6"])
     for name in mesh.nodes:
         wait_until(
             lambda: mesh.admin(name, "/v1/status")[1]["counters"].get(
@@ -200,7 +217,7 @@
             15,
             f"{name} to read the store",
         )
-        assert rules_version(mesh, name) == 2
+        assert version_in_force(mesh, name) == 2
     calls.stop()
     assert_t1_paused(calls)
 
@@ -219,7 +236,7 @@
 
 
 def test_nodes_that_start_together_without_the_store_find_each_other(cluster):
-    """Guards against nodes that stay alone if the store was down when they started."""
+    """Guards against nodes that never join if the store was down when they started."""
     cluster.start_table()
     set_table_down(cluster)
     names = [f"n{i}" for i in range(4)]
