--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -74,6 +74,7 @@
         """
         limit_s = SLOW_FACTOR * service.median_latency_s
         stats = candidate.stats
+        # The median is 0 while it is unknown.
         if not limit_s:
             return True
         if latency_estimate_s(stats, service, now) > limit_s:
--- a/pimentoline/rules/_mapping.py
+++ b/pimentoline/rules/_mapping.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules._mapping: rule classes by the name of their kind."""
+"""pimentoline.rules._mapping: rule classes by the name of the rule kind."""
 
 import functools
 import importlib
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -16,8 +16,8 @@
 class BudgetRule(Rule):
     """Probes and bytes per second that all nodes of a region may use together.
 
-    The budget is divided equally by the number of known nodes, or by `nodes` if that
-    is larger.
+    The budget is divided equally among the known nodes. If `nodes` is larger than
+    their number, each node gets the share of one in `nodes`.
     """
 
     kind: ClassVar = "budget"
--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -106,7 +106,7 @@
 
 @contextmanager
 def raw_target(cluster, serve, node_id="n1", target_id="t1", **announcement):
-    """Announce a `RawTarget` to a node and close it at the end."""
+    """Announce a `RawTarget` to a node, yield it, and close it at the end."""
     target = RawTarget(serve)
     body = {"service": "hive-ledger", "addr": target.addr, **announcement}
     cluster.admin(node_id, f"/v1/targets/{target_id}", "PUT", body)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -195,7 +195,7 @@
 
 
 def has_key_conflict(history):
-    """Return whether a call was answered with 409, because its key is claimed."""
+    """Return whether a call got a 409, because its key was claimed."""
     return any(attempt.status == 409 for attempt in history.attempts)
 
 
