--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -30,7 +30,7 @@
 
 
 class ApplyCommand(Command):
-    """Replaces the rules if the version in force is still the expected one."""
+    """Replaces the rules by compare-and-set on the version in force."""
 
     arguments = ("FILE",)
     description = """
