--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -13,7 +13,10 @@
 
 
 def read_head(sock):
-    """Return (head lines, bytes after the head) of a message."""
+    """Return (head lines, bytes received after the head) of an HTTP message.
+
+    The first line is empty if the connection ended before the message.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
         piece = sock.recv(65536)
@@ -36,10 +39,19 @@
 
 
 class RawTarget:
-    """A target that runs `serve(target, sock, number)` in a thread per connection.
-
-    `number` counts the connections from 0. A new `serve` applies to new connections.
-    `heads` has the request heads that `request` has read.
+    """Target that runs `serve(target, sock, number)` in a thread per connection.
+
+    Attributes
+    ----------
+    serve : callable
+        `number` counts the connections from 0. A new function applies to new
+        connections.
+    addr : list of (str, int)
+        IP address and port.
+    heads : list
+        Lines of each request head that `read_request` has read.
+    connections : int
+        Number of connections accepted so far.
     """
 
     def __init__(self, serve):
@@ -70,7 +82,7 @@
                 pass
         self._open.discard(sock)
 
-    def request(self, sock):
+    def read_request(self, sock):
         """Read and record a request head; return False at the end of the connection."""
         head, _ = read_head(sock)
         if head[0]:
@@ -94,7 +106,7 @@
 
 @contextmanager
 def raw_target(cluster, serve, node_id="n1", target_id="t1", **announcement):
-    """Announce a `RawTarget` to a node and close it at the end."""
+    """Announce a `RawTarget` to a node, yield it, and close it at the end."""
     target = RawTarget(serve)
     body = {"service": "hive-ledger", "addr": target.addr, **announcement}
     cluster.admin(node_id, f"/v1/targets/{target_id}", "PUT", body)
@@ -108,7 +120,7 @@
     """Return a `serve` that sends the responses in turn, the last one repeatedly."""
 
     def serve(target, sock, number):
-        while target.request(sock):
+        while target.read_request(sock):
             sock.sendall(responses[min(len(target.heads), len(responses)) - 1])
 
     return serve
