--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -385,7 +385,7 @@
 
 
 @cluster_test
-async def test_timeout_is_reported_on_time_and_cancels_the_call(cluster):
+async def test_timeout_is_answered_on_time_and_reaches_the_target(cluster):
     """Guards against late timeouts and calls that run on without a caller."""
     caller_node, _, target = await start_pair(cluster)
     target.delay_s = 5.0
