--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -62,7 +62,7 @@
     times = []
     for first in range(0, (BATCH_COUNT + 1) * CALLS_PER_BATCH, CALLS_PER_BATCH):
         # Each call makes one attempt, so the ids of the attempts are known in advance.
-        attempt_offset = state.traffic.next_attempt - first
+        attempt_offset = state.traffic.next_attempt_id - first
         calls = [
             make_events(n, n + attempt_offset)
             for n in range(first, first + CALLS_PER_BATCH)
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -63,7 +63,7 @@
         calls=traffic.calls.set(call.call_id, record),
         services=services,
         targets=traffic_stats.begin_attempt(traffic.targets, record.attempts[-1]),
-        next_attempt=traffic.next_attempt + 1,
+        next_attempt_id=traffic.next_attempt_id + 1,
     )
     return replace(state, traffic=traffic)
 
@@ -144,7 +144,7 @@
     if target is None or call.req.deadline <= event.now:
         code = "no-target" if target is None else "deadline-exceeded"
         return _reject(state, record, 503 if target is None else 504, code)
-    attempt_id = state.traffic.next_attempt
+    attempt_id = state.traffic.next_attempt_id
     attempt = Attempt(attempt_id, target.target_id, event.now, hedge)
     retry = bool(record.attempts)
     record = replace(
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -331,7 +331,7 @@
         By target id.
     services : Map of str to ServiceStats
         By service name.
-    next_attempt : int
+    next_attempt_id : int
         Id of the next attempt.
     plan : RoutePlan or None
         Routes derived from the members and the rules, None at first.
@@ -340,7 +340,7 @@
     calls: Map = field(default_factory=Map)
     targets: Map = field(default_factory=Map)
     services: Map = field(default_factory=Map)
-    next_attempt: int = 1
+    next_attempt_id: int = 1
     plan: object = None
 
 
