Name the timeout of a reused connection REUSED_CONNECTION_TIMEOUT

SILENT did not say what distinguishes this outcome from TIMEOUT. Its value, which is part of the error code, stays the same. Ruff is clean; test_connections and test_limits pass.

--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -261,7 +261,7 @@
         if self.conn is not None and self.conn.reused and self.head_sent:
             # Other idle connections may have been lost silently at the same time.
             self.handler.proxy.pool.close_idle(self.effect.addr)
-            outcome = ev.AttemptOutcome.SILENT
+            outcome = ev.AttemptOutcome.REUSED_CONNECTION_TIMEOUT
         sent = self.head_sent
         self._end(outcome, Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN)
 
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -266,7 +266,7 @@
     attempt = record and _find_attempt(record, event.attempt_id)
     if attempt is None or attempt.verdict is not None:
         return state, ()
-    if event.outcome is AttemptOutcome.SILENT:
+    if event.outcome is AttemptOutcome.REUSED_CONNECTION_TIMEOUT:
         # The reused connection may be broken while new ones to the target work, so
         # this is no failure of the target.
         state = traffic_stats.release_attempt(state, attempt)
@@ -280,7 +280,10 @@
         state, may_retry = retries.may_retry(state, record, event.verdict, event.now)
         if may_retry:
             return _start_attempt(state, record, event)
-    timed_out = event.outcome in (AttemptOutcome.TIMEOUT, AttemptOutcome.SILENT)
+    timed_out = event.outcome in (
+        AttemptOutcome.TIMEOUT,
+        AttemptOutcome.REUSED_CONNECTION_TIMEOUT,
+    )
     return _reject(
         state, record, 504 if timed_out else 502, f"target-{event.outcome.value}"
     )
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -38,14 +38,14 @@
 class AttemptOutcome(enum.Enum):
     """How an attempt ended without a response.
 
-    `SILENT` is a timeout on a reused connection: the connection may be at fault, not
-    the target.
+    After `REUSED_CONNECTION_TIMEOUT`, the connection may be at fault instead of the
+    target.
     """
 
     REFUSED = "refused"
     BROKEN = "broken"
     TIMEOUT = "timeout"
-    SILENT = "silent"
+    REUSED_CONNECTION_TIMEOUT = "silent"
 
 
 class ClaimOutcome(enum.Enum):
