Reword the text of the reducer's data, calls, routing and rules versions

Some names and docstrings had to be looked up elsewhere, such as answering, answered, pick and slow_start, or left out types and units.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -109,8 +109,8 @@
 def on_arrived(state, event):
     """Admit or reject a new call.
 
-    An admitted call is sent, or claims its key first if it needs a claim. A hedge is
-    scheduled if the policy of the call allows it.
+    An admitted call claims its idempotency key first if it needs a claim; otherwise its
+    first attempt starts, and a hedge is scheduled if the rules allow one.
     """
     call = event.call
     req = call.req
@@ -137,7 +137,7 @@
     tried; if there is none, no attempt is started and the call is not rejected.
     """
     tried = {att.target_id for att in record.attempts}
-    state, target = routing.pick(state, record, tried, event.now, event.draw)
+    state, target = routing.choose_target(state, record, tried, event.now, event.draw)
     call = record.call
     if untried_only and (target is None or target.target_id in tried):
         return state, ()
@@ -167,8 +167,8 @@
     """Return how long an attempt waits for the response head, seconds.
 
     The timeout ends before the caller's deadline, so that the caller receives a
-    verdict. An idempotent call keeps half of its remaining time for a retry, because
-    an unresponsive connection would otherwise use all of it.
+    verdict. An attempt of an idempotent call, except the last, gets half of the
+    remaining time, so that an unresponsive connection leaves time for a retry.
     """
     if record.idempotent and len(record.attempts) < retries.MAX_ATTEMPTS:
         return remaining_s / 2
@@ -176,6 +176,10 @@
 
 
 def _reject(state, record, status, code):
+    """Reject a call and cancel its attempts in flight, which may have run.
+
+    If the call is proven not to have run, its claim is released.
+    """
     call = record.call
     verdict = combine(att.verdict or Verdict.MAY_HAVE_RUN for att in record.attempts)
     effects = [RejectCall(call.call_id, status, code, verdict, code)]
@@ -205,13 +209,17 @@
     """Forward a response, or retry if the target shed the call or failed."""
     record = state.traffic.calls.get(event.call_id)
     attempt = record and _find_attempt(record, event.attempt_id)
-    if attempt is None or attempt.verdict is not None or record.answering is not None:
+    if (
+        attempt is None
+        or attempt.verdict is not None
+        or record.forwarded_attempt_id is not None
+    ):
         return state, ()
     verdict = Verdict.NOT_RUN if event.not_run else Verdict.RAN
     state = traffic_stats.record_response_head(state, record, attempt, event)
     record = _with_verdict(record, event.attempt_id, verdict, event.status >= 500)
     if event.status >= 500 and _in_flight(record):
-        # The other attempt in flight may still succeed.
+        # Another attempt is in flight and may still succeed.
         state = _with_call(
             traffic_stats.release_attempt(
                 state, _find_attempt(record, event.attempt_id)
@@ -220,21 +228,24 @@
         )
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
-        charged, may_retry = retries.may_retry(state, record, verdict, event.now)
+        charged_state, may_retry = retries.may_retry(state, record, verdict, event.now)
         if may_retry:
             # A target that has just shed the call would shed it again.
-            started, effects = _start_attempt(
-                _with_call(charged, record),
+            started_state, effects = _start_attempt(
+                _with_call(charged_state, record),
                 record,
                 event,
                 untried_only=event.not_run,
             )
-            if any(isinstance(eff, StartAttempt) for eff in effects):
+            if any(isinstance(effect, StartAttempt) for effect in effects):
                 cancel = CancelAttempt(event.call_id, event.attempt_id)
-                started = traffic_stats.release_attempt(
-                    started, _find_attempt(record, event.attempt_id)
+                started_state = traffic_stats.release_attempt(
+                    started_state, _find_attempt(record, event.attempt_id)
                 )
-                return started, (cancel, IncrementCounter("attempts.retried")) + effects
+                return started_state, (
+                    cancel,
+                    IncrementCounter("attempts.retried"),
+                ) + effects
     if event.not_run:
         state = traffic_stats.release_attempt(
             state, _find_attempt(record, event.attempt_id)
@@ -252,7 +263,9 @@
         effects.append(CancelAttempt(call_id, att.attempt_id))
         state = traffic_stats.release_attempt(state, att)
         record = _with_verdict(record, att.attempt_id, Verdict.MAY_HAVE_RUN)
-    record = replace(record, phase=CallPhase.ANSWERING, answering=attempt_id)
+    record = replace(
+        record, phase=CallPhase.FORWARDING, forwarded_attempt_id=attempt_id
+    )
     return _with_call(state, record), tuple(effects)
 
 
@@ -298,7 +311,7 @@
     if claims.is_required(record) and event.recorded is not None:
         req = record.call.req
         effects = (FinishClaim(event.call_id, req.service, req.key, event.recorded),)
-    attempt = _find_attempt(record, record.answering)
+    attempt = _find_attempt(record, record.forwarded_attempt_id)
     if attempt is not None and not event.complete:
         state = traffic_stats.record_truncated_response(
             state, record, attempt, event.now
@@ -307,9 +320,9 @@
 
 
 def on_deadline_passed(state, event):
-    """Reject a call without a response; an attempt in flight may have run."""
+    """Reject a call that has no response; its attempts in flight may have run."""
     record = state.traffic.calls.get(event.call_id)
-    if record is None or record.answering is not None:
+    if record is None or record.forwarded_attempt_id is not None:
         return state, ()
     state = traffic_stats.record_wait(state, record, event.now)
     return _reject(state, record, 504, "deadline-exceeded")
@@ -323,27 +336,31 @@
     effects = []
     state = traffic_stats.record_wait(state, record, event.now)
     for att in record.attempts:
-        if att.verdict is None or att.attempt_id == record.answering:
+        if att.verdict is None or att.attempt_id == record.forwarded_attempt_id:
             effects.append(CancelAttempt(event.call_id, att.attempt_id))
             state = traffic_stats.release_attempt(state, att)
     return _without_call(state, event.call_id), tuple(effects)
 
 
 def on_hedge_due(state, event):
-    """Start a second attempt of an idempotent call whose first one is slow."""
+    """Start a second attempt of an idempotent call if the attempt in flight is slow."""
     record = state.traffic.calls.get(event.call_id)
-    if record is None or record.answering is not None or not event.replayable:
+    if (
+        record is None
+        or record.forwarded_attempt_id is not None
+        or not event.replayable
+    ):
         return state, ()
     if len(_in_flight(record)) != 1:
         return state, ()
     state = traffic_stats.record_wait(state, record, event.now)
-    charged, allowed = retries.may_hedge(state, record, event.now)
+    charged_state, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
     # A second attempt at the same target would only add to its load.
-    started, effects = _start_attempt(
-        charged, record, event, hedge=True, untried_only=True
+    started_state, effects = _start_attempt(
+        charged_state, record, event, hedge=True, untried_only=True
     )
-    if not any(isinstance(eff, StartAttempt) for eff in effects):
+    if not any(isinstance(effect, StartAttempt) for effect in effects):
         return state, ()
-    return started, effects + (IncrementCounter("attempts.hedged"),)
+    return started_state, effects + (IncrementCounter("attempts.hedged"),)
--- a/pimentoline/claims.py
+++ b/pimentoline/claims.py
@@ -1,7 +1,7 @@
 """pimentoline.claims: claims of idempotency keys.
 
-A call with a key that is not idempotent by itself claims its key in the store before
-it is sent, so that calls with the same key run at most once.
+A call that has a key and is not idempotent claims the key in the store before it is
+sent, so that at most one of the calls with the same key runs.
 """
 
 from .effects import InsertClaim, RejectCall, ReplayResponse
@@ -23,7 +23,19 @@
 
 
 def response_effects(record, outcome, recorded=None):
-    """Return the effects that answer the caller, or None if the claim is granted."""
+    """Return the effects that respond to the caller, or None if the claim is granted.
+
+    Parameters
+    ----------
+    record : CallRecord
+    outcome : ClaimOutcome
+    recorded : RecordedResponse, optional
+        Needed with `ClaimOutcome.REPLAY`.
+
+    Returns
+    -------
+    tuple of effects, or None
+    """
     call_id = record.call.call_id
     match outcome:
         case ClaimOutcome.GRANTED:
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -27,7 +27,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Send the request to a target; wait `timeout_s` seconds for the response head."""
+    """Send the request to a target; wait `timeout_s` seconds for the response head.
+
+    `retry` is True for every attempt of a call after the first, hedges included.
+    """
 
     call_id: int
     attempt_id: int
@@ -48,9 +51,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardResponse:
-    """Pass the response of an attempt on to the caller.
+    """Forward the response of an attempt to the caller.
 
-    With `record`, its beginning is kept for the claim row.
+    If `record` is True, the beginning of the response is kept for the claim row.
     """
 
     call_id: int
@@ -68,7 +71,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectCall:
-    """Send the caller an error response of the node itself."""
+    """Send the caller an error response that the node itself creates.
+
+    `status` is the HTTP status, `code` the error code, and `detail` a text for people.
+    """
 
     call_id: int
     status: int
@@ -96,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseClaim:
-    """Delete the claim row of a call that certainly has not run."""
+    """Delete the claim row of a call that is proven not to have run."""
 
     call_id: int
     service: str
@@ -123,7 +129,10 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryPeer:
-    """Send a message over TCP and raise `MessageReceived` for the reply."""
+    """Send a message over TCP and raise `MessageReceived` for the reply.
+
+    `body` is a data class of `messages`.
+    """
 
     addr: tuple[str, int]
     body: object
@@ -131,7 +140,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Answer the message that is being handled, on the connection it came from."""
+    """Reply to the message being handled, on the connection that it came from.
+
+    `body` is a data class of `messages`.
+    """
 
     body: object
 
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -51,8 +51,8 @@
 class ClaimOutcome(enum.Enum):
     """Result of claiming an idempotency key in the store.
 
-    With `HELD`, another attempt holds the claim; with `REPLAY`, an earlier call with
-    the key has recorded its response.
+    `HELD` means that another attempt holds the claim, and `REPLAY` that the response
+    to an earlier call with the key has been recorded.
     """
 
     GRANTED = "granted"
@@ -119,9 +119,9 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """The response was passed on; `complete` is False if the target broke it off.
+    """Forwarding of a response ended; `complete` is False if the target broke it off.
 
-    `recorded` is the response to keep in the claim row, if the call has one.
+    `recorded` is the response to store in the claim row, if the call has one.
     """
 
     now: float
@@ -132,7 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
-    """The deadline of a call passed before a response was passed on."""
+    """The deadline of a call passed before a response was forwarded."""
 
     now: float
     draw: int
@@ -162,7 +162,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetAnnounced:
-    """The target on this host announced itself or renewed its announcement."""
+    """A target on this host announced itself or renewed its announcement."""
 
     now: float
     target: Target
@@ -170,7 +170,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetDrained:
-    """The target on this host asked to drain, or an operator told it to."""
+    """A target on this host was drained, at its own or an operator's request."""
 
     now: float
     target_id: str
@@ -178,7 +178,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetWithdrawn:
-    """The target on this host has stopped."""
+    """A target on this host has stopped."""
 
     now: float
     target_id: str
@@ -197,8 +197,8 @@
     """A message arrived from a peer.
 
     `addr` is the mesh address of the sender, or None if it is not known; `body` is a
-    data class of `messages`; `is_reply` is True if it answers a message of this node.
-    The other fields are those of `messages.Message`.
+    data class of `messages`; `is_reply` is True if the message is the reply to one of
+    this node. The other fields are those of `messages.Message`.
     """
 
     now: float
@@ -215,7 +215,8 @@
 class RulesVersionReceived:
     """A peer or the store reported a rules version.
 
-    `confirmed` is True if the store reported it, or if there is nobody to ask.
+    `confirmed` is True if the store reported it, or if there is no store and no peer to
+    query.
     """
 
     now: float
@@ -239,7 +240,8 @@
 class ProbeEnded:
     """A load probe ended; `load` is None if it failed.
 
-    `sent_bytes` and `received_bytes` are the bytes counted on its connection.
+    `load` is the number of requests in flight at the target. `sent_bytes` and
+    `received_bytes` are the bytes sent and received on the probe's connection.
     """
 
     now: float
@@ -259,6 +261,6 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The process was told to stop."""
+    """The process was requested to stop."""
 
     now: float
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """One instance of a service.
+    """One running instance of a service.
 
     Parameters
     ----------
@@ -63,14 +63,14 @@
     addr : tuple of (str, int)
         IP address and port of the target's HTTP server.
     region, dc : str
-        Region and data centre of the host, taken from its node.
+        Region and data centre of the target's host, as configured at its node.
     slots : int
         Requests that the target serves concurrently.
     connections : int
         Connections that the target accepts in total, from all nodes.
     state : TargetState
     load_path : str
-        Path of the load endpoint that probes ask.
+        Path of the load endpoint that probes request.
     version : str
         Release that the target runs; canary rules select on it.
     """
@@ -92,9 +92,10 @@
     """Record of one node in the mesh, written only by that node.
 
     Of two records of a node, the one with the higher `(incarnation, seq)` is valid;
-    `incarnation` is the node's start time in milliseconds. `age_s` is set only in
-    messages: seconds since the node left or died, so that all receivers delete its
-    record at the same time.
+    `incarnation` is the node's start time in milliseconds. `addr` is the node's mesh
+    address, and `targets` are the targets on its host. `age_s` is set only in messages:
+    seconds since the node left or died, so that all receivers delete its record at the
+    same time.
     """
 
     node_id: str
@@ -114,7 +115,7 @@
 class Identity:
     """Id, location and addresses of this node.
 
-    `data_addr` accepts calls and `mesh_addr` receives messages of other nodes;
+    `data_addr` accepts calls, and `mesh_addr` receives messages from other nodes;
     `incarnation` is the node's start time in milliseconds.
     """
 
@@ -129,9 +130,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """Head of a caller's request, as far as decisions need it.
-
-    The body stays in the proxy.
+    """The parts of a caller's request head that decisions depend on.
 
     Parameters
     ----------
@@ -141,9 +140,9 @@
     call_class : str
         Priority of the call, one of `CALL_CLASSES`.
     depth : int
-        Number of calls in the chain that led to this one.
+        Number of nested calls that led to this one.
     retry_attempt : int
-        Number of times that callers or other nodes have retried the call already.
+        Number of times that callers or other nodes have already retried the call.
     key : str
         Idempotency key, empty if the caller sent none.
     """
@@ -169,7 +168,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordedResponse:
-    """Response to a call with an idempotency key, as kept in its claim row.
+    """Response to a call with an idempotency key, as stored in its claim row.
 
     `body` holds up to 4 KiB; `truncated` is True if the response was longer.
     """
@@ -184,8 +183,10 @@
 class Attempt:
     """One request of a call to one target.
 
-    `started` is monotonic time in seconds. `verdict` is None while the attempt waits
-    for a response head; `failed` is True after a response with a status of 500 or more.
+    `started` is monotonic time in seconds. `hedge` is True if the attempt was started
+    while another one was in flight. `verdict` is None until the attempt has received a
+    response head, ended or been cancelled; `failed` is True after a response with a
+    status of 500 or more.
     """
 
     attempt_id: int
@@ -197,26 +198,26 @@
 
 
 class CallPhase(enum.Enum):
-    """Phase of a call: claiming its key, waiting for a response, forwarding it."""
+    """Phase of a call: claiming its key, waiting for a response, or forwarding it."""
 
     CLAIMING = "claiming"
     SENDING = "sending"
-    ANSWERING = "answering"
+    FORWARDING = "answering"
 
 
 @dataclass(frozen=True, slots=True)
 class CallRecord:
     """A call in flight and its attempts, oldest first.
 
-    `idempotent` tells whether the call may run more than once; `answering` is the id of
-    the attempt whose response goes to the caller.
+    `idempotent` tells whether the call may run more than once; `forwarded_attempt_id`
+    is the id of the attempt whose response is forwarded to the caller, None before.
     """
 
     call: Call
     phase: CallPhase
     idempotent: bool
     attempts: tuple[Attempt, ...] = ()
-    answering: int | None = None
+    forwarded_attempt_id: int | None = None
     replayable: bool = True
 
 
@@ -237,13 +238,13 @@
     latency_at : float
         Monotonic time of the last latency sample, seconds.
     reported_load : float
-        Last reported requests in flight at the target, from all nodes.
+        Requests in flight at the target, from all nodes, as last reported by it.
     reported_at : float
-        Monotonic time of that report, seconds; negative infinity if none.
+        Monotonic time of the last load report, seconds; negative infinity if none.
     own_in_report : int
-        Requests of this node in flight at that time, which the report includes.
+        Requests of this node that the last load report includes.
     consecutive_failures : int
-        Failed attempts in a row.
+        Failed attempts since the last success.
     recent_outcomes : tuple of bool
         Outcomes of the latest attempts, True for success, newest last.
     ejected_until, ejected_for_s : float
@@ -291,17 +292,17 @@
     counted_at : float
         Monotonic time up to which the counts are decayed, seconds.
     latencies, new_latencies : tuple of float
-        Times to the response head of successful calls, seconds;
-        `new_latencies` holds the few that are not yet in `latencies`.
+        Times to the response head of successful calls, seconds. `new_latencies` holds
+        the latest ones, which are not yet part of `latencies`.
     median_latency_s, p95_latency_s : float
         Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
     widest_ring : int
         Number of the outermost locality ring in use; 0 is the innermost.
     spill_credit : float
-        Calls that may go to the next ring. Each call to a loaded ring adds a
-        fraction, and each call that goes to the next ring takes 1.
+        Number of calls that may spill to the next ring. Each call to a loaded ring
+        adds a fraction, and each call that spills takes 1.
     calls_sent : int
-        Calls of which a first attempt was sent.
+        Number of calls whose first attempt was sent.
     """
 
     retry_tokens: float = 0.0
@@ -346,28 +347,35 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesState:
-    """The rules in force and what is known of newer versions.
+    """The rules in force, and what this node knows of newer versions.
 
     Parameters
     ----------
-    version, text, ruleset
-        The rules in force.
+    version : int
+        Version of the rules in force.
+    text : str
+        Text of the rules in force.
+    ruleset : RuleSet
+        The rules in force, parsed.
     source : str
-        Where they came from: `builtin`, `store` or a node id.
+        Source of the rules in force: `builtin`, `store` or a node id.
     known_version : int
         Highest version that any peer or the store has reported.
     outdated_since : float
         Monotonic time since which `known_version` is above `version`, seconds.
-    requested_version, requested_at
-        Version and monotonic time of the latest request for newer rules.
+    requested_version : int
+        Minimum version that the latest fetch of newer rules requested.
+    requested_at : float
+        Monotonic time of the latest fetch of newer rules, seconds.
     confirmed : bool
         Whether the store, or a peer that is confirmed itself, has reported its
         version since this node started.
     must_check : bool
-        Whether calls are refused until such a report has come and `known_version` is
-        in force. True after the start and after the process was paused.
-    answered : bool
-        Whether the report that `must_check` waits for has come.
+        Whether calls are refused until the store or a confirmed peer has reported its
+        version and `known_version` is in force. True after the start and after the
+        process was paused.
+    report_received : bool
+        Whether the report that `must_check` waits for has been received.
     remaining_sends : int
         Remaining gossip rounds in which the version in force is announced.
     """
@@ -382,7 +390,7 @@
     requested_at: float = float("-inf")
     confirmed: bool = False
     must_check: bool = False
-    answered: bool = False
+    report_received: bool = False
     remaining_sends: int = 0
 
 
@@ -390,8 +398,8 @@
 class PendingPing:
     """The failure detector's ping in flight.
 
-    `sent_at` is monotonic time in seconds; `indirect` is True once other nodes were
-    asked to ping the node as well.
+    `sent_at` is monotonic time in seconds; `indirect` is True once other nodes have
+    been requested to ping the node as well.
     """
 
     node_id: str
@@ -420,21 +428,22 @@
     members : Map of str to Member
         By node id.
     pending_gossip : Map of str to int
-        Number of times that a member's record is still to be sent, by node id.
+        Number of gossip rounds in which a member's record is still to be sent, by
+        node id.
     by_service : Map of str to tuple of Target
-        Routable targets by service. Derived from `members` and `unconfirmed` and kept
-        for fast routing.
+        Routable targets by service. Derived from `members` and `unconfirmed`, and
+        cached for fast routing.
     unconfirmed : Map of str to UnconfirmedTarget
         By target id.
     ended_at : Map of str to float
-        Monotonic time at which a member left or died, by node id.
+        Monotonic time at which a member left or died, seconds, by node id.
     suspect_deadlines : Map of str to float
-        Monotonic time at which a suspect is declared dead, by node id.
+        Monotonic time at which a suspect is declared dead, seconds, by node id.
     renewed_at : Map of str to float
-        Monotonic time of the latest announcement of a target of this node, or of
-        its end, by target id.
+        Monotonic time of the latest announcement of a target of this host, or of its
+        change to `gone`, seconds, by target id.
     drained_addrs : Map of str to (str, int)
-        Addresses of the targets of this host that were told to drain, by target id.
+        Addresses of the drained targets of this host, by target id.
     pending_ping : PendingPing or None
     next_ping_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
@@ -478,11 +487,11 @@
         Monotonic time at which this node started or resumed after a pause. It
         probes only after other nodes have had time to count it.
     last_tick : float or None
-        Monotonic time of the latest tick.
+        Monotonic time of the latest tick, seconds.
     due : float
-        Fraction of the next probe that has fallen due.
+        Fraction of a probe that has fallen due and is not sent yet, below 1.0.
     free_bytes : float
-        Bytes of the share that are not spent or reserved.
+        Bytes of this node's share that are neither spent nor reserved.
     """
 
     last_called: Map = field(default_factory=Map)
@@ -498,8 +507,8 @@
 class State:
     """All state that a node's decisions depend on.
 
-    `policy` names the load-balancing policy; `stopping` is True once the process was
-    told to stop.
+    `policy` names the load-balancing policy; `stopping` is True once the process has
+    been requested to stop.
     """
 
     identity: Identity
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -1,43 +1,49 @@
-"""pimentoline.outliers: ejection of failing targets, and slow start after it."""
+"""pimentoline.outliers: ejection of failing targets, and slow start afterwards.
+
+An ejected target gets no calls until its ejection ends, if other targets are usable. In
+slow start, the weight of a target rises from a small share of its configured weight.
+"""
 
 from .fast_replace import replace
 
-__all__ = ["SLOW_START_S", "record_failure", "slow_start", "success_changes"]
+__all__ = ["SLOW_START_S", "record_failure", "slow_start_share", "success_changes"]
 
+# A target is ejected after this many failures in a row, or if more than the maximum
+# rate of its latest attempts failed.
 CONSECUTIVE_FAILURES = 5
-WINDOW_CALLS = 20
+WINDOW_ATTEMPTS = 20
 MAX_FAILURE_RATE = 0.5
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
-# Ejecting more targets would overload the rest. If so many fail, the cause is more
+# Ejecting more targets would overload the rest. If more of them fail, the cause is more
 # likely this node or the service as a whole.
 MAX_EJECTED_SHARE = 0.5
 SLOW_START_S = 10.0
-# Share of its weight that a target has when its slow start begins. With less, it
-# would get too few calls to show its state.
+# Share of its weight that a target has when its slow start begins. With less, it would
+# get too few calls to tell whether it is healthy.
 MIN_SLOW_START_SHARE = 0.1
 
 
-def slow_start(stats, now):
-    """Return the share of its weight, up to 1.0, that a target has in slow start."""
+def slow_start_share(stats, now):
+    """Return the share of its weight, 0.1 to 1.0, that a target has in slow start."""
     share = (now - stats.ready_at) / SLOW_START_S
     return min(1.0, max(MIN_SLOW_START_SHARE, share))
 
 
 def success_changes(stats, started):
-    """Return the changed fields of `stats` after an attempt that began at `started`."""
+    """Return the changed fields of `stats` after a success that began at `started`."""
     if started < stats.ready_at:
-        # The attempt began before the target was ejected or came up, so it tells
+        # The attempt began before the target was ejected or came up, so it says
         # nothing about its present state.
         return {}
     return {
         "consecutive_failures": 0,
-        "recent_outcomes": (*stats.recent_outcomes[1 - WINDOW_CALLS :], True),
+        "recent_outcomes": (*stats.recent_outcomes[1 - WINDOW_ATTEMPTS :], True),
     }
 
 
 def record_failure(stats, started, now, decisive, ejected, total):
-    """Return the statistics after a failed attempt, with an ejection if it is due.
+    """Return the statistics after a failed attempt, with an ejection if one is due.
 
     Parameters
     ----------
@@ -58,13 +64,13 @@
     if started < stats.ready_at:
         return stats
     failures = stats.consecutive_failures + 1
-    window = (*stats.recent_outcomes[1 - WINDOW_CALLS :], False)
+    window = (*stats.recent_outcomes[1 - WINDOW_ATTEMPTS :], False)
     stats = replace(stats, consecutive_failures=failures, recent_outcomes=window)
-    full = len(window) == WINDOW_CALLS
+    full = len(window) == WINDOW_ATTEMPTS
     due = (
         decisive
         or failures >= CONSECUTIVE_FAILURES
-        or (full and window.count(False) > MAX_FAILURE_RATE * WINDOW_CALLS)
+        or (full and window.count(False) > MAX_FAILURE_RATE * WINDOW_ATTEMPTS)
     )
     if not due or ejected() + 1 > int(total * MAX_EJECTED_SHARE):
         return stats
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -1,8 +1,8 @@
 """pimentoline.routes: the targets of each service, filtered and ordered for routing.
 
 Routes are derived from the members and the rules. They are cached in the state and
-built again only if these change, because filtering and ordering the targets for every
-call would cost more than the choice itself.
+rebuilt only if these change, because filtering and ordering the targets for every call
+would cost more CPU time than choosing one of them.
 """
 
 from dataclasses import dataclass
@@ -21,11 +21,13 @@
 class Release:
     """The targets of a service that run one release.
 
+    All releases without a canary rule together form one `Release`.
+
     Parameters
     ----------
     share : float
-        Share of the calls that a canary rule gives to the release; 1.0 for the
-        targets without such a rule.
+        Share of the calls that a canary rule gives to the release; 1.0 without such a
+        rule.
     rings : tuple of tuple of (Target, float)
         Targets and weights by locality: this data centre, this region, other regions.
         Rings without targets are left out.
@@ -40,12 +42,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Releases and rings of a service, and what they were derived from.
+    """Releases and rings of a service, and the data that they were derived from.
+
+    The route is outdated if `source`, `node_counts` or `ruleset` changes.
 
     Parameters
     ----------
-    source, node_counts, ruleset
-        What the route was derived from; it is outdated if one of them changes.
+    source : tuple of Target
+        Routable targets of the service.
+    node_counts : NodeCounts
+    ruleset : RuleSet
     up : frozenset of str
         Ids of the targets that are up.
     releases : tuple of Release
@@ -74,14 +80,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutePlan:
-    """The routes of all services, and what they have in common.
+    """The routes of all services, and the data that all of them depend on.
 
     Parameters
     ----------
     members : Map of str to Member
         Members that the plan was derived from.
     node_counts : NodeCounts
-        Numbers of nodes, from which each node chooses its subset of the targets.
+        Number of nodes by location, from which the subsets of the targets follow.
     unconfirmed : frozenset of str
         Ids of the targets whose node is suspect, leaving or dead.
     routes : Map of str to Route
@@ -97,8 +103,8 @@
 def find_route(state, service, now):
     """Return the state and the route of a service, rebuilt if it is outdated.
 
-    If a target comes up after the first route of the service was built, its statistics
-    record `now` as the start of its slow start.
+    For a target that came up since the previous route of the service was built, the
+    statistics record `now` as the beginning of its slow start.
     """
     plan = state.traffic.plan
     if plan is None or plan.members is not state.mesh.members:
@@ -178,7 +184,8 @@
     usable = [target for target in up if weights[target.target_id] > 0.0]
     subset = choose_subset(usable, node_counts) if usable else []
     regions = ruleset.region_order(service, node_counts.location[0])
-    # By version; the key is None for all targets whose version has no canary rule.
+    # Shares and rings by version; the key None stands for all versions without a canary
+    # rule.
     by_version = {}
     for target in subset:
         share = ruleset.canary_share(service, target.version)
@@ -186,8 +193,8 @@
         number = _ring_number(target, node_counts.location, regions)
         if number is not None:
             _, rings = by_version.setdefault(version, (share, {}))
-            found = rings.setdefault(number, [])
-            found.append((target, weights[target.target_id]))
+            ring = rings.setdefault(number, [])
+            ring.append((target, weights[target.target_id]))
     in_subset = {target.target_id for target in subset}
     reserve = tuple(
         (target, weights[target.target_id])
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -1,8 +1,8 @@
-"""pimentoline.routing: choice of the target of an attempt.
+"""pimentoline.routing: choice of a target for each attempt.
 
 The targets of a service form locality rings around this node: its data centre, its
-region, other regions. Calls go to the innermost ring with healthy targets. A part of
-them spills to the next ring if the load exceeds the threshold of the spill rule.
+region, other regions. Calls go to the innermost ring with healthy targets. If its load
+exceeds the threshold of the spill rule, a part of the calls spills to the next ring.
 """
 
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 from .policies import get_policy_by_name
 from .routes import find_route
 
-__all__ = ["Candidate", "pick", "ring_load"]
+__all__ = ["Candidate", "choose_target", "ring_load"]
 
 NO_STATS = TargetStats()
 # A policy chooses among at most this many targets of a ring, sampled at random, which
@@ -38,7 +38,7 @@
     stats: TargetStats
 
 
-def pick(state, record, tried, now, draw):
+def choose_target(state, record, tried, now, draw):
     """Choose the target of the next attempt.
 
     Parameters
@@ -55,7 +55,10 @@
     Returns
     -------
     state : State
+        With the updated route and spill statistics of the service.
     target : Target or None
+        None if the service has no usable target. A target in `tried` is chosen only if
+        there is no other.
     """
     service = record.call.req.service
     state, route = find_route(state, service, now)
@@ -63,14 +66,14 @@
         return state, None
     stats = state.traffic.services.get(service) or ServiceStats()
     policy = get_policy_by_name(state.policy)
-    view = _CandidateView(state.traffic.targets, stats, policy, tried, now, draw)
+    finder = _CandidateFinder(state.traffic.targets, stats, policy, tried, now, draw)
     for release in _ordered_releases(route, draw):
-        candidates, widest, credit = _choose_ring(view, release, route.spill)
+        candidates, widest, credit = _choose_ring(finder, release, route.spill)
         if candidates:
             break
     else:
         # The subset has no healthy target that is untried.
-        candidates = view.healthy(route.reserve) or _last_resort(route, view)
+        candidates = finder.healthy(route.reserve) or _last_resort(route, finder)
         widest, credit = stats.widest_ring, stats.spill_credit
     if widest != stats.widest_ring or credit != stats.spill_credit:
         stats = replace(stats, widest_ring=widest, spill_credit=credit)
@@ -82,7 +85,7 @@
 
 
 def _ordered_releases(route, draw):
-    """Return the releases, the one drawn by share first and the others as fallback."""
+    """Return the releases: first one drawn at random by share, then the others."""
     if len(route.releases) == 1:
         return route.releases
     point = fraction(draw, RELEASE_SALT)
@@ -94,7 +97,7 @@
 
 
 @dataclass(slots=True)
-class _CandidateView:
+class _CandidateFinder:
     """Finds the candidates of a ring for one attempt of a call."""
 
     targets: object
@@ -105,7 +108,10 @@
     draw: int
 
     def healthy(self, ring):
-        """Return the candidates of a ring that are untried and not ejected."""
+        """Return the candidates of a ring that are untried and not ejected.
+
+        Of a ring with more than `MAX_CANDIDATES` targets, only a sample is considered.
+        """
         if len(ring) > MAX_CANDIDATES:
             ring = self._sample(ring)
         now, tried, targets = self.now, self.tried, self.targets
@@ -117,7 +123,7 @@
             if stats.ejected_until > now:
                 continue
             if now - stats.ready_at < outliers.SLOW_START_S:
-                weight *= outliers.slow_start(stats, now)
+                weight *= outliers.slow_start_share(stats, now)
             candidates.append(Candidate(target, weight, stats))
         return candidates
 
@@ -164,7 +170,7 @@
     return used / slots if slots else 0.0
 
 
-def _choose_ring(view, release, spill):
+def _choose_ring(finder, release, spill):
     """Choose the ring that an attempt uses.
 
     A ring becomes loaded above the `enter` load of the spill rule, and stays loaded
@@ -178,7 +184,7 @@
 
     Parameters
     ----------
-    view : _CandidateView
+    finder : _CandidateFinder
     release : Release
     spill : SpillPolicy
 
@@ -193,13 +199,13 @@
     credit : float
         New `spill_credit` of the service.
     """
-    stats = view.stats
+    stats = finder.stats
     credit, widest, rejected = stats.spill_credit, 0, []
     for number, ring in enumerate(release.rings):
-        candidates = view.healthy(ring)
+        candidates = finder.healthy(ring)
         if not candidates:
             continue
-        accepted = view.accepted(candidates)
+        accepted = finder.accepted(candidates)
         last = number + 1 == len(release.rings)
         if not accepted:
             # The fallback if the policy accepts no candidate of any ring.
@@ -208,7 +214,7 @@
             if last:
                 break
             widest = number + 1
-            if view.tried or widest < release.home_rings:
+            if finder.tried or widest < release.home_rings:
                 continue
             credit = min(credit, 1.0) + spill.share
             if credit < 1.0:
@@ -216,34 +222,38 @@
             credit -= 1.0
             continue
         # Retries do not spill because of load, and nothing spills from the last ring.
-        if view.tried or last:
+        if finder.tried or last:
             return (
                 candidates,
-                max(widest, number, stats.widest_ring if view.tried else 0),
+                max(widest, number, stats.widest_ring if finder.tried else 0),
                 credit,
             )
-        load = ring_load(accepted, view.now)
+        load = ring_load(accepted, finder.now)
         loaded = load > (spill.leave if stats.widest_ring > number else spill.enter)
         if not loaded:
             return candidates, max(widest, number), credit
         widest = number + 1
         credit = min(credit, 1.0) + min(spill.share, 1.0 - spill.leave / load)
-        wider = view.accepted(view.healthy(release.rings[widest]))
+        next_accepted = finder.accepted(finder.healthy(release.rings[widest]))
         # Spilling to a ring with the same load gains nothing, and the nodes there would
         # spill their own calls back.
-        if credit < 1.0 or not wider or ring_load(wider, view.now) >= load:
+        if (
+            credit < 1.0
+            or not next_accepted
+            or ring_load(next_accepted, finder.now) >= load
+        ):
             return candidates, widest, credit
         credit -= 1.0
     return rejected, widest if rejected else stats.widest_ring, credit
 
 
-def _last_resort(route, view):
+def _last_resort(route, finder):
     """Return the untried candidates, ejected ones included, or else all candidates."""
     all_candidates = [
-        Candidate(target, weight, view.targets.get(target.target_id, NO_STATS))
+        Candidate(target, weight, finder.targets.get(target.target_id, NO_STATS))
         for release in route.releases
         for ring in release.rings
         for target, weight in ring
     ]
-    untried = [c for c in all_candidates if c.target.target_id not in view.tried]
+    untried = [c for c in all_candidates if c.target.target_id not in finder.tried]
     return untried or all_candidates
--- a/pimentoline/rules_version.py
+++ b/pimentoline/rules_version.py
@@ -1,4 +1,4 @@
-"""pimentoline.rules_version: the rules version in force, and fetching newer ones."""
+"""pimentoline.rules_version: the rules version in force and fetches of newer ones."""
 
 import random
 from dataclasses import replace
@@ -29,8 +29,18 @@
 def rejection_if_outdated(state, event):
     """Return the effects that reject a call, or () if the rules are up to date.
 
-    At boot and after a pause, calls are rejected until the node has learned which
-    version is the highest.
+    At boot and after a pause, calls are rejected until the node has put the highest
+    version in force. A running node serves calls by an outdated version for
+    `GRACE_PERIOD_S`.
+
+    Parameters
+    ----------
+    state : State
+    event : CallArrived
+
+    Returns
+    -------
+    tuple of effects
     """
     rules, last_tick = state.rules, state.mesh.last_tick
     paused = last_tick is not None and event.now - last_tick > MAX_TICK_GAP_S
@@ -47,7 +57,7 @@
 
 
 def _record_known_version(state, version, now):
-    """Record a version named by a peer or the store if it is the highest known."""
+    """Record a version that a peer or the store reported if it is the highest known."""
     rules = state.rules
     if version <= rules.known_version:
         return state
@@ -61,15 +71,19 @@
 
 
 def _finish_check(state, confirmed=False):
-    """End the version check if it was answered and the highest version is in force."""
+    """End the version check if it has succeeded.
+
+    It succeeds once the store or a confirmed peer has reported its version and the
+    highest known version is in force.
+    """
     rules = state.rules
     if not rules.must_check:
         return state
-    answered = rules.answered or confirmed
-    if answered and rules.version >= rules.known_version:
-        rules = replace(rules, confirmed=True, must_check=False, answered=False)
+    report_received = rules.report_received or confirmed
+    if report_received and rules.version >= rules.known_version:
+        rules = replace(rules, confirmed=True, must_check=False, report_received=False)
     else:
-        rules = replace(rules, answered=answered)
+        rules = replace(rules, report_received=report_received)
     return replace(state, rules=rules)
 
 
@@ -86,7 +100,10 @@
 
 
 def on_message(state, event):
-    """Compare the rules versions that a message names, and answer rules messages."""
+    """Compare the rules versions in a message with the own one, and reply to requests.
+
+    If the sender has a newer version in force, it is fetched from the sender.
+    """
     now, rules = event.now, state.rules
     state = _record_known_version(
         state, max(event.rules_version, event.known_rules_version), now
@@ -96,7 +113,7 @@
         case RulesRequest(version) if version <= rules.version:
             return state, (Reply(RulesReply(rules.version, rules.text)),)
         case RulesPush(version) if version <= rules.version:
-            # If the text is valid, the runtime has raised `RulesLoaded` for it before.
+            # If the text is valid, the runtime has already raised `RulesLoaded` for it.
             return state, (Reply(RulesAck(rules.version)),)
         case RulesReply() | RulesPush():
             return state, ()
@@ -106,7 +123,7 @@
 
 
 def on_rules_version_received(state, event):
-    """Record a version that the store or a peer named, and fetch it if it is newer."""
+    """Record a version that the store or a peer reported; fetch it if it is newer."""
     if event.version < state.rules.version:
         return _finish_check(state, event.confirmed), (
             IncrementCounter("rules.older_ignored"),
@@ -126,7 +143,7 @@
         older = event.version < rules.version
         return state, (IncrementCounter("rules.older_ignored"),) if older else ()
     state = _record_known_version(state, event.version, event.now)
-    # The member record is not renewed, as every message names the version anyway and
+    # The member record is not renewed: every message carries the version anyway, and
     # 720 new records for each change would exceed the control-plane limit.
     rules = replace(
         state.rules,
@@ -146,11 +163,11 @@
 
 
 def on_tick(state, event):
-    """Retry a failed fetch, and check the version again after a pause."""
+    """Fetch newer rules while needed, and start a version check after a pause."""
     now, last_tick = event.now, state.mesh.last_tick
     effects = ()
     if last_tick is not None and now - last_tick > MAX_TICK_GAP_S:
-        rules = replace(state.rules, must_check=True, answered=False)
+        rules = replace(state.rules, must_check=True, report_received=False)
         state = replace(state, rules=rules)
         effects = (IncrementCounter("node.paused"),)
     rules = state.rules
--- a/pimentoline/version_survey.py
+++ b/pimentoline/version_survey.py
@@ -7,7 +7,7 @@
 
 __all__ = ["versions_in_force"]
 
-# Limit for the queries of all nodes together.
+# Timeout of all queries together.
 QUERY_TIMEOUT_S = 5.0
 MAX_CONCURRENT_QUERIES = 32
 
@@ -16,8 +16,8 @@
     """Query every running member for the rules version that it has in force.
 
     The version in a member record may be outdated, because a node does not renew its
-    record when the rules change: in a mesh of 720 nodes, the 720 new records would
-    exceed the limit of mesh traffic. Operators request the versions rarely.
+    record when the rules change: in a mesh of 720 nodes, 720 new records would exceed
+    the control-plane limit. Queries are cheaper, because operators make them rarely.
 
     Parameters
     ----------
@@ -35,8 +35,8 @@
 
     async def query(record):
         async with limiter:
-            # Every message carries the rules version of its sender, so an empty one
-            # is enough as a request.
+            # Every message carries the rules version of its sender, so empty gossip is
+            # enough as a query.
             reply = await node.mesh.send_request(
                 record.addr, node.make_message(Gossip(()))
             )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -115,7 +115,7 @@
     """Guards against full load on a target right after it came up."""
     stats = TargetStats(ready_at=100.0)
     steps = [(100.0, 0.1), (101.0, 0.1), (105.0, 0.5), (110.0, 1.0), (200.0, 1.0)]
-    assert [outliers.slow_start(stats, now) for now, _ in steps] == [
+    assert [outliers.slow_start_share(stats, now) for now, _ in steps] == [
         share for _, share in steps
     ]
     core = make_core(4)
