Reword the text of throttling, statistics, retries and small modules

Constants lacked a unit or purpose, and some sentences had to be read twice. _with_failure returned statistics, not a state, and is now _failure_stats. Ruff is clean; the tests of the reducer pass.

--- a/pimentoline/arrivals.py
+++ b/pimentoline/arrivals.py
@@ -5,14 +5,15 @@
 __all__ = ["ArrivalClock"]
 
 CHECK_INTERVAL_S = 0.1
-# Shorter gaps are no pause, because the event loop of a loaded process runs late.
+# Shorter gaps between checks do not count as a pause, because the event loop of a
+# loaded process runs late.
 MIN_PAUSE_S = 0.5
-# Requests that waited in the kernel are read within this time after a pause.
+# Requests read within this time after a pause may have waited in the kernel.
 AFTER_PAUSE_S = 0.25
 
 
 class ArrivalClock:
-    """Tells the earliest time at which a request just read may have arrived.
+    """Determines the earliest time at which a request just read may have arrived.
 
     A request that reaches a stopped process (SIGSTOP) waits in the kernel, and its
     `X-Deadline-Ms` is read only after the process has resumed. The time of the last
--- a/pimentoline/fast_replace.py
+++ b/pimentoline/fast_replace.py
@@ -10,9 +10,9 @@
 def _make_copier(cls):
     """Generate a copying function for a class, as `dataclasses` generates `__init__`.
 
-    `dataclasses.replace` inspects every field each time and took half of the processor
-    time that a node spends on a call. Direct assignments to the slots take a fifth of
-    that.
+    `dataclasses.replace` inspects every field each time, which would take half of the
+    CPU time that a node spends on a call. Assigning to the slots directly takes a fifth
+    of that.
     """
     names = [field.name for field in fields(cls)]
     setters = {name: getattr(cls, name).__set__ for name in names}
--- a/pimentoline/retries.py
+++ b/pimentoline/retries.py
@@ -11,14 +11,17 @@
 DEFAULT_HEDGE_DELAY_S = 0.2
 # A shorter delay would be of the order of the timer's error.
 MIN_HEDGE_DELAY_S = 0.002
-# Tokens that a service can save up. They cover the calls that were in flight at one
-# target when it died; more would allow a retry storm after a period of few failures.
+# Maximum number of tokens in the retry budget of a service. They cover the calls in
+# flight at one target when it dies; more would allow a retry storm after a period of
+# few failures.
 MAX_RETRY_TOKENS = 10.0
 
 
 def may_retry(state, record, verdict, now):
     """Decide whether a failed attempt is followed by another.
 
+    A call that is not idempotent is retried only if `verdict` is `NOT_RUN`.
+
     Returns
     -------
     state : State
@@ -50,7 +53,8 @@
     req = record.call.req
     if len(record.attempts) >= MAX_ATTEMPTS or req.deadline <= now:
         return False
-    # A caller further up retries this call already; retries at several levels multiply.
+    # If a caller already retries this call, retries of the node would multiply with its
+    # retries.
     return req.retry_attempt == 0
 
 
@@ -74,9 +78,15 @@
 def _spend_token(state, service):
     """Take one token for a retry or hedge.
 
-    The first one of a service needs no token, so that a service with few calls can
-    retry at all. Later first attempts pay it back: the number of retries and hedges
-    never exceeds the share of the first attempts, or one if that is more.
+    The first retry or hedge of a service may borrow its token, so that a service with
+    few calls can retry at all. Later first attempts pay it back: the number of retries
+    and hedges never exceeds the larger of 1 and the given share of the first attempts.
+
+    Returns
+    -------
+    state : State
+    allowed : bool
+        False if the budget has no token left.
     """
     traffic = state.traffic
     stats = traffic.services.get(service) or ServiceStats()
--- a/pimentoline/throttling.py
+++ b/pimentoline/throttling.py
@@ -1,9 +1,9 @@
 """pimentoline.throttling: adaptive client-side throttling of calls by class.
 
-For each service, a node counts all attempts, with the calls that it refused itself, and
-the attempts that the targets accepted, without those that they shed or left unanswered.
-If there are many more attempts than accepted ones, the node refuses the excess without
-opening a connection, the lowest class first.
+For each service, a node counts the attempts sent, including the calls that it refused
+itself, and the attempts accepted: those that the targets neither shed nor left without
+a response. If many more attempts are sent than accepted, the node refuses the excess
+without opening a connection, the lowest class first.
 """
 
 import math
@@ -12,23 +12,25 @@
 
 __all__ = ["attempt_changes", "has_excess", "refused_share"]
 
-# Time constant of the counts; refusals begin and end over a few of them. With a longer
-# one, calls would be refused long after the targets have recovered.
+# Time constant of the decay of the counts. Refusals begin and end within a few time
+# constants; with a longer one, calls would be refused long after the targets have
+# recovered.
 DECAY_S = 1.5
 # Counts are decayed in steps, which is cheaper than at every attempt.
 DECAY_STEP_S = 0.1
-# Attempts sent for each accepted one. The surplus detects a recovery: the calls let
-# through grow by this factor in each `DECAY_S`. With a larger factor, targets spend
-# more of their time on shedding.
+# Attempts sent for each accepted one. The surplus detects a recovery: the number of
+# calls let through grows by this factor in each `DECAY_S`. With a larger factor,
+# targets would spend more of their time on shedding.
 MAX_RATIO = 1.5
-# With a lower decayed count of attempts, nothing is refused: the ratio is unreliable.
+# With a lower decayed count of attempts sent, the ratio is unreliable and no call is
+# refused.
 MIN_SENT = 10.0
 # Some calls always pass, to detect when the targets accept again.
 MAX_REFUSED_SHARE = 0.95
 
 
 def decayed_counts(stats, now):
-    """Return the counts of sent and accepted attempts, decayed up to now."""
+    """Return the counts of sent and accepted attempts by class, decayed up to `now`."""
     factor = math.exp((stats.counted_at - now) / DECAY_S)
     return (
         tuple(count * factor for count in stats.sent),
@@ -37,7 +39,21 @@
 
 
 def attempt_changes(stats, call_class, accepted, now):
-    """Return the changed fields of `stats` after an attempt or a refusal."""
+    """Return the changed fields of `stats` after an attempt or a refusal.
+
+    Parameters
+    ----------
+    stats : ServiceStats
+    call_class : str
+    accepted : bool
+        Whether the target accepted the attempt; False for a refusal.
+    now : float
+        Monotonic time, seconds.
+
+    Returns
+    -------
+    dict of str to object
+    """
     sent, accepted_counts, changes = stats.sent, stats.accepted, {}
     if now - stats.counted_at > DECAY_STEP_S:
         sent, accepted_counts = decayed_counts(stats, now)
@@ -60,7 +76,7 @@
 
 
 def refused_share(stats, call_class, now):
-    """Return the share of calls of a class to refuse.
+    """Return the share of the calls of a class to refuse, from 0.0 to 0.95.
 
     The excess over `MAX_RATIO` times the accepted attempts is taken from the lowest
     class; a higher class loses calls only if the classes below it are not enough.
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -22,19 +22,20 @@
     "release_attempt",
 ]
 
+# Time constant with which the weight of the old average decays.
 LATENCY_DECAY_S = 2.0
-# Largest weight of the old average when a faster sample arrives. A few responses are
+# Maximum weight of the old average when a faster sample arrives. A few responses are
 # then enough to use a target again after a noisy neighbour on its host is gone.
 MAX_OLD_LATENCY_WEIGHT = 0.25
-# A failed attempt counts as slow, so that a target that fails fast does not look like
-# the fastest one: it counts with at least this multiple of the service's 95th
-# percentile, or at least `FAILURE_LATENCY_S` while the percentile is unknown.
+# Minimum latency sample of a failed attempt: `FAILURE_LATENCY_FACTOR` times the 95th
+# percentile of the service, or `FAILURE_LATENCY_S` while the percentile is unknown.
+# Without it, a target that fails fast would look like the fastest one.
 FAILURE_LATENCY_S = 1.0
 FAILURE_LATENCY_FACTOR = 4.0
 # Number of latency samples from which the percentiles are computed.
 LATENCY_WINDOW = 128
 # The percentiles are computed once per this many responses, because sorting the window
-# for each response would cost more than all other statistics.
+# for each response would take more CPU time than all other statistics.
 LATENCY_BATCH = 16
 
 THROTTLE_SALT = 21
@@ -63,6 +64,15 @@
 def admit(state, call, now, draw):
     """Decide whether a call is admitted.
 
+    Parameters
+    ----------
+    state : State
+    call : Call
+    now : float
+        Monotonic time, seconds.
+    draw : int
+        Random 64-bit integer.
+
     Returns
     -------
     state : State
@@ -85,7 +95,7 @@
 
 
 def _count_unaccepted(state, req, now):
-    """Count an attempt that throttling refused or the target left unanswered."""
+    """Count a call refused by throttling or an attempt without a response."""
     stats = _service_stats(state, req.service)
     changes = throttling.attempt_changes(stats, req.call_class, False, now)
     return _with_service(state, req.service, replace(stats, **changes))
@@ -102,7 +112,7 @@
 
 
 def end_call(services, req):
-    """Return the statistics by service with one call less in flight."""
+    """Return the statistics by service with one call fewer in flight."""
     stats = services.get(req.service) or ServiceStats()
     inflight = _adjusted_counts(stats.inflight, req.call_class, -1)
     return services.set(req.service, replace(stats, inflight=inflight))
@@ -121,7 +131,7 @@
 
 
 def end_attempt(targets, attempt, succeeded=False):
-    """Return the statistics by target with one attempt less in flight."""
+    """Return the statistics by target with one attempt fewer in flight."""
     stats = targets.get(attempt.target_id) or TargetStats()
     changes = {"inflight": max(0, stats.inflight - 1)}
     if attempt.verdict is None:
@@ -162,7 +172,7 @@
     return max(sample_s, FAILURE_LATENCY_FACTOR * p95_latency_s)
 
 
-def _with_failure(state, record, attempt, now, decisive, stats):
+def _failure_stats(state, record, attempt, now, decisive, stats):
     """Return the statistics of a target after a failure, with an ejection if due."""
     plan = state.traffic.plan
     route = plan.routes.get(record.call.req.service) if plan is not None else None
@@ -181,12 +191,13 @@
 
 
 def record_response_head(state, record, attempt, event):
-    """Record latency, load report and failure from a response head.
+    """Record the latency, the load report and any failure from a response head.
 
-    Success is recorded only at the end of the response, because it may break off.
+    A success is recorded only at the end of the response, because it may break off.
 
-    A request that the target shed counts as slow and as not accepted, but not as a
-    failure: an overloaded target is expected to shed requests.
+    A request that the target shed gets the latency of a failure and counts as not
+    accepted, but not towards an ejection: an overloaded target is expected to shed
+    requests.
     """
     state = record_wait(state, record, event.now, attempt)
     req = record.call.req
@@ -208,14 +219,14 @@
         service_stats, req.call_class, not event.not_run, event.now
     )
     if not failed:
-        # If a hedge wins, the latency of the call counts from the first attempt, so it
-        # includes the hedge delay. The latency of the hedge alone would lower the
-        # percentile and cause more hedges.
+        # If a hedge wins, the latency is measured from the first attempt and includes
+        # the hedge delay. The latency of the hedge alone would lower the percentile and
+        # cause more hedges.
         first = record.attempts[0] if attempt.hedge else attempt
         service_changes |= _latency_changes(service_stats, event.now - first.started)
     stats = replace(stats, **changes)
     if failed and not event.not_run:
-        stats = _with_failure(state, record, attempt, event.now, False, stats)
+        stats = _failure_stats(state, record, attempt, event.now, False, stats)
     traffic = state.traffic
     targets = traffic.targets.set(attempt.target_id, stats)
     services = traffic.services.set(
@@ -231,7 +242,7 @@
     Parameters
     ----------
     own : int
-        Requests of this node in flight that the report includes.
+        Requests of this node that the report includes.
     load : float
         Requests in flight at the target, from all nodes.
     now : float
@@ -257,8 +268,8 @@
 def record_wait(state, record, now, responded=None):
     """Raise the latency of targets to the time that attempts have waited for them.
 
-    This covers the attempts of the call without a response, except `responded`. They
-    may be cancelled, so that their full latency never becomes known. If the time
+    This concerns the attempts of the call without a response, except `responded`. They
+    may be cancelled, and then their full latency never becomes known. If the time
     waited did not count, a slow target whose hedges always win would keep a low latency
     and get more calls.
     """
@@ -288,7 +299,7 @@
         **_stop_waiting_changes(stats, attempt),
     )
     refused = event.outcome is AttemptOutcome.REFUSED
-    stats = _with_failure(state, record, attempt, now, refused, stats)
+    stats = _failure_stats(state, record, attempt, now, refused, stats)
     state = _with_target(state, attempt.target_id, stats)
     if event.outcome is not AttemptOutcome.TIMEOUT:
         return state
@@ -298,12 +309,12 @@
 def record_truncated_response(state, record, attempt, now):
     """Record a response that broke off after its head as a failure."""
     stats = _target_stats(state, attempt.target_id)
-    stats = _with_failure(state, record, attempt, now, False, stats)
+    stats = _failure_stats(state, record, attempt, now, False, stats)
     return _with_target(state, attempt.target_id, stats)
 
 
 def release_attempt(state, attempt):
-    """Count an attempt as no longer in flight."""
+    """Return the state with one attempt fewer in flight."""
     traffic = state.traffic
     targets = end_attempt(traffic.targets, attempt)
     return replace(state, traffic=replace(traffic, targets=targets))
--- a/pimentoline/verdict.py
+++ b/pimentoline/verdict.py
@@ -17,6 +17,7 @@
     RAN = "ran"
 
 
+# The verdict of a call is the one with the highest rank among those of its attempts.
 _RANKS = {Verdict.NOT_RUN: 0, Verdict.MAY_HAVE_RUN: 1, Verdict.RAN: 2}
 
 
