Reword the text of membership, target states and probing

Ids were called name, a map of times was called ended, and several sentences had to be read twice or told how a value was found. PACKET_BYTES counts only headers and is now PACKET_HEADER_BYTES. Ruff is clean; the tests of membership, rules versions and probing pass.

--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -1,4 +1,8 @@
-"""pimentoline.failure_detector: SWIM failure detection with Lifeguard."""
+"""pimentoline.failure_detector: failure detection by SWIM with Lifeguard.
+
+A node pings one random member at a time. If the ack is missing, it requests pings from
+other members, and then suspects the member, which is declared dead unless it refutes.
+"""
 
 import random
 from dataclasses import replace
@@ -22,7 +26,7 @@
 PING_TIMEOUT_S = 0.5
 INDIRECT_PINGS = 3
 SUSPICION_TIMEOUT_S = 3.0
-# Highest local health score. A node that misses acks from several members is more
+# Maximum local health score. A node that misses acks from several members is more
 # likely to be slow itself, so each missed ack adds one `PING_TIMEOUT_S` and one
 # `SUSPICION_TIMEOUT_S` to its timeouts (Lifeguard, DSN 2018).
 MAX_HEALTH_SCORE = 8
@@ -34,7 +38,7 @@
 
 
 def check_members(state, now, draw):
-    """Check the pending ping, send the next one, and declare suspects dead."""
+    """Check the pending ping, send the next one if due, and declare suspects dead."""
     state, effects = _check_pending_ping(state, now, draw)
     if state.mesh.pending_ping is None and now >= state.mesh.next_ping_at:
         state, started = _send_next_ping(state, now, draw)
@@ -55,6 +59,7 @@
 
 
 def _check_pending_ping(state, now, draw):
+    """Request indirect pings after the first timeout, and suspect after the second."""
     ping = state.mesh.pending_ping
     if ping is None:
         return state, ()
@@ -88,26 +93,35 @@
 
 
 def start_suspicion(state, record, now):
-    """Start the timeout after which a suspect is declared dead."""
+    """Start the timeout after which a member is declared dead, if it is a suspect."""
     mesh = state.mesh
     if record.status is not MemberStatus.SUSPECT:
         return state
-    due = now + SUSPICION_TIMEOUT_S * (1 + mesh.health_score)
-    deadlines = mesh.suspect_deadlines.set(record.node_id, due)
+    deadline = now + SUSPICION_TIMEOUT_S * (1 + mesh.health_score)
+    deadlines = mesh.suspect_deadlines.set(record.node_id, deadline)
     return replace(state, mesh=replace(mesh, suspect_deadlines=deadlines))
 
 
 def _declare_dead(state, now):
-    due = sorted(name for name, at in state.mesh.suspect_deadlines.items() if at <= now)
-    if not due:
+    due_ids = sorted(
+        node_id for node_id, at in state.mesh.suspect_deadlines.items() if at <= now
+    )
+    if not due_ids:
         return state, ()
-    dead = [replace(state.mesh.members[name], status=MemberStatus.DEAD) for name in due]
-    entries = tuple(LogEntry("mesh:dead", (("node", name),)) for name in due)
+    dead = [
+        replace(state.mesh.members[node_id], status=MemberStatus.DEAD)
+        for node_id in due_ids
+    ]
+    entries = tuple(LogEntry("mesh:dead", (("node", node_id),)) for node_id in due_ids)
     return with_records(state, dead, now), entries
 
 
 def on_ping(state, ping, sender, addr, now):
-    """Answer a ping, and tell its sender if it is considered suspect or dead here."""
+    """Acknowledge a ping, and synchronise with its sender if that is unknown.
+
+    A sender that this node considers suspect or dead receives its own record, so that
+    it can refute the record.
+    """
     effects = (SendMessage((addr,), Ack(ping.ping_id, ping.requester)),)
     held = state.mesh.members.get(sender)
     if held is None and ping.requester is None:
@@ -136,7 +150,10 @@
 
 
 def refute(state, record):
-    """Make a newer record of this node than one that another node has made or kept."""
+    """Create a newer record of this node than `record`.
+
+    Another node has created `record`, or kept it from an earlier run of this node.
+    """
     own = own_record(state)
     if record.incarnation > own.incarnation:
         # The clock was set back between two boots of this node.
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -26,14 +26,15 @@
 ]
 
 GOSSIP_FANOUT = 3
-# Bounds the burst after the loss of a data centre (120 nodes): 60 records made a node
-# send 41 KB/s, above the limit of 27 KB/s. The remaining records are sent in the next
-# rounds, each 200 ms later.
+# Bounds the burst after the loss of a data centre (120 nodes): with 60 records, a node
+# sends 41 KB/s, above the limit of 27 KB/s. The remaining records are sent in the next
+# rounds, one every 200 ms.
 MAX_RECORDS_PER_PUSH = 20
 SYNC_INTERVAL_S = 60.0
-# Bounds the rate of synchronisations that messages trigger: a ping from an unknown
-# sender, or gossip that declares this node dead.
+# Bounds the rate of synchronisations triggered by messages: pings from unknown senders,
+# and gossip that declares this node dead.
 MIN_SYNC_INTERVAL_S = 1.0
+# A region counts as lost if more than this fraction of its members is missing.
 LOST_REGION_FRACTION = 0.3
 # The failure of a single host is not a partition, however small its region is.
 LOST_REGION_MIN_MEMBERS = 2
@@ -43,17 +44,17 @@
     """Return the records of the other running members, in order of their ids."""
     members = state.mesh.members
     return [
-        members[name]
-        for name in sorted(members)
-        if name != state.identity.node_id and is_running(members[name])
+        members[node_id]
+        for node_id in sorted(members)
+        if node_id != state.identity.node_id and is_running(members[node_id])
     ]
 
 
 def push_gossip(state, now, draw):
     """Send the newest records to a few random peers.
 
-    Each record is sent in a limited number of rounds. Every message names the rules
-    version, so one without records is sent while only that is new.
+    Each record is sent in a limited number of rounds. Every message carries the rules
+    version, so a message without records is sent if only the version is new.
     """
     mesh, rules = state.mesh, state.rules
     if not mesh.pending_gossip and not rules.remaining_sends:
@@ -64,13 +65,16 @@
     chosen = random.Random(draw).sample(peers, min(GOSSIP_FANOUT, len(peers)))
     # The records with the most remaining sends are the newest.
     newest = sorted(
-        mesh.pending_gossip, key=lambda name: (-mesh.pending_gossip[name], name)
+        mesh.pending_gossip,
+        key=lambda node_id: (-mesh.pending_gossip[node_id], node_id),
     )
     remaining = mesh.pending_gossip
-    for name in newest[:MAX_RECORDS_PER_PUSH]:
-        sends = remaining[name] - 1
-        remaining = remaining.set(name, sends) if sends else remaining.delete(name)
-    records = [mesh.members[name] for name in newest[:MAX_RECORDS_PER_PUSH]]
+    for node_id in newest[:MAX_RECORDS_PER_PUSH]:
+        sends = remaining[node_id] - 1
+        remaining = (
+            remaining.set(node_id, sends) if sends else remaining.delete(node_id)
+        )
+    records = [mesh.members[node_id] for node_id in newest[:MAX_RECORDS_PER_PUSH]]
     state = replace(
         state,
         mesh=replace(mesh, pending_gossip=remaining),
@@ -96,15 +100,15 @@
 
 
 def _missing_members(state):
-    """Return the suspect and dead members by region.
+    """Return the records of the suspect and dead members by region.
 
-    A dead member whose host has a running node was replaced and does not count.
+    A dead member whose host has a running node was replaced and is not missing.
     """
     members = state.mesh.members
     hosts = {record.host for record in members.values() if is_running(record)}
     by_region = {}
-    for name in sorted(members):
-        record = members[name]
+    for node_id in sorted(members):
+        record = members[node_id]
         replaced = record.status is MemberStatus.DEAD and record.host in hosts
         if record.status in (MemberStatus.SUSPECT, MemberStatus.DEAD) and not replaced:
             by_region.setdefault(record.region, []).append(record)
@@ -112,7 +116,7 @@
 
 
 def request_sync(state, addr, now):
-    """Synchronise with a peer, unless the latest synchronisation was just started."""
+    """Synchronise with a peer, unless a synchronisation started less than 1 s ago."""
     if now < state.mesh.last_sync_at + MIN_SYNC_INTERVAL_S:
         return state, ()
     mesh = replace(state.mesh, last_sync_at=now)
@@ -123,8 +127,8 @@
 def sync_when_due(state, now, draw):
     """Synchronise with a random peer and with missing members at regular intervals.
 
-    One suspect or dead member of each region is asked as well, so that the two sides
-    of a partition find each other again after it has ended.
+    One suspect or dead member of each region is queried as well, so that the two sides
+    of a partition find each other again after the partition has ended.
     """
     if now < state.mesh.next_sync_at:
         return state, ()
@@ -134,8 +138,10 @@
     for _, absent in sorted(_missing_members(state).items()):
         addrs.append(rand.choice(absent).addr)
     # The jitter keeps nodes that started together from synchronising at the same time.
-    due = now + SYNC_INTERVAL_S * rand.uniform(0.9, 1.1)
-    state = replace(state, mesh=replace(state.mesh, next_sync_at=due, last_sync_at=now))
+    next_sync_at = now + SYNC_INTERVAL_S * rand.uniform(0.9, 1.1)
+    state = replace(
+        state, mesh=replace(state.mesh, next_sync_at=next_sync_at, last_sync_at=now)
+    )
     if not addrs:
         return state, ()
     request = SyncRequest(digests(state.mesh.members))
@@ -144,28 +150,30 @@
 
 def sync_reply(state, request, now):
     """Return the reply to a `SyncRequest`: the records of the buckets that differ."""
-    theirs = request.digests
-    if len(theirs) != SYNC_BUCKETS:
-        # Another release may use another number of buckets; send it all records.
-        theirs = (None,) * SYNC_BUCKETS
+    peer_digests = request.digests
+    if len(peer_digests) != SYNC_BUCKETS:
+        # The peer runs a release with another number of buckets; send all records.
+        peer_digests = (None,) * SYNC_BUCKETS
     members = state.mesh.members
     differ = {
         bucket
-        for bucket, (own, other) in enumerate(zip(digests(members), theirs))
+        for bucket, (own, other) in enumerate(zip(digests(members), peer_digests))
         if own != other
     }
-    records = [members[name] for name in sorted(members) if bucket_of(name) in differ]
+    records = [
+        members[node_id] for node_id in sorted(members) if bucket_of(node_id) in differ
+    ]
     return SyncReply(tuple(sorted(differ)), with_ages(state, records, now))
 
 
 def on_sync_reply(state, reply, addr, now):
-    """Return the effects that send the replier the records that it lacks."""
-    theirs = {record.node_id: record for record in reply.records}
+    """Return the effects that send the replying peer the records that it lacks."""
+    peer_records = {record.node_id: record for record in reply.records}
     buckets = set(reply.buckets)
     lacked = [
         record
-        for name, record in sorted(state.mesh.members.items())
-        if bucket_of(name) in buckets and is_newer(record, theirs.get(name))
+        for node_id, record in sorted(state.mesh.members.items())
+        if bucket_of(node_id) in buckets and is_newer(record, peer_records.get(node_id))
     ]
     if not lacked or addr is None:
         return ()
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -20,23 +20,25 @@
     "with_ages",
     "with_own_record",
     "with_records",
-    "without",
+    "without_key",
 ]
 
-# Rounds in which each member sends a new record on. With 3 peers a round, 8 rounds
-# reach a given peer with a probability above 1 - e**-24; with fewer rounds, records
-# failed to reach some peers when datagrams were lost.
+# Number of gossip rounds in which each member sends a new record. With 3 peers a round,
+# 8 rounds reach a given peer with a probability above 1 - e**-24. With fewer rounds,
+# lost datagrams can keep a record from reaching some peers.
 GOSSIP_SENDS = 8
-# Dead members are remembered for this long, so that gossip which was delayed by less
-# cannot bring them back.
+# Records of members that left or died are kept for this long, so that gossip delayed by
+# less cannot revive these members.
 DEAD_RETENTION_S = 3600.0
 # Targets stay routable for this long after their node has left or died.
 UNCONFIRMED_RETENTION_S = 60.0
-# Peers with equal records exchange only this many digests of 8 bytes. Decoding all
-# 720 records instead would block the event loop for about 75 ms.
+# Number of buckets of member records. Peers with equal records exchange only a digest
+# of 8 bytes for each bucket; decoding all 720 records would block the event loop for
+# about 75 ms.
 SYNC_BUCKETS = 64
 
-# Of two records with equal counters, the one with the higher precedence is valid.
+# Of two records of a node with equal `incarnation` and `seq`, the one with the higher
+# precedence is valid.
 _STATUS_PRECEDENCE = {
     MemberStatus.ALIVE: 0,
     MemberStatus.LEAVING: 1,
@@ -50,17 +52,17 @@
 
 
 def is_newer(record, held):
-    """Return whether `record` replaces `held`, which may be None."""
+    """Return whether `record` supersedes `held`, the known record or None."""
     return held is None or _precedence(record) > _precedence(held)
 
 
 def is_running(record):
-    """Return whether a member has neither left nor died."""
+    """Return whether a member is alive or suspect, so it has neither left nor died."""
     return record.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
 
 def own_record(state):
-    """Return this node's own record, a new one if the state has none yet."""
+    """Return this node's own record, or a new one if the state contains none."""
     identity = state.identity
     held = state.mesh.members.get(identity.node_id)
     if held is not None:
@@ -78,7 +80,7 @@
 def with_own_record(state, now=0.0, **changes):
     """Return the state with a newer record of this node, queued for gossip.
 
-    `now` is needed only if the status changes.
+    `changes` are fields of `Member`. `now` is needed only if they include the status.
     """
     record = own_record(state)
     changes = {"seq": record.seq + 1, "rules_version": state.rules.version} | changes
@@ -86,9 +88,9 @@
 
 
 def with_records(state, records, now=0.0, gossip=True):
-    """Return the state with newer member records in place of those held.
+    """Return the state with newer member records in place of the known ones.
 
-    If `gossip` is True, each of them is queued for gossip.
+    If `gossip` is True, each new record is queued for gossip.
     """
     mesh = state.mesh
     members, pending, deadlines = (
@@ -96,33 +98,33 @@
         mesh.pending_gossip,
         mesh.suspect_deadlines,
     )
-    ended, unconfirmed = mesh.ended_at, mesh.unconfirmed
+    ended_at, unconfirmed = mesh.ended_at, mesh.unconfirmed
     routes_changed = False
     for record in records:
-        name, held = record.node_id, members.get(record.node_id)
+        node_id, held = record.node_id, members.get(record.node_id)
         routes_changed |= _changes_routes(held, record)
         if is_running(record):
-            ended = without(ended, name)
+            ended_at = without_key(ended_at, node_id)
             restarted = held is not None and held.incarnation < record.incarnation
             if restarted and is_running(held):
                 unconfirmed = _keep_unconfirmed(unconfirmed, held, now, now)
             for target in record.targets:
-                unconfirmed = without(unconfirmed, target.target_id)
+                unconfirmed = without_key(unconfirmed, target.target_id)
         else:
-            if name not in ended or (held is not None and is_running(held)):
-                ended = ended.set(name, now - record.age_s)
-            unconfirmed = _keep_unconfirmed(unconfirmed, record, ended[name], now)
+            if node_id not in ended_at or (held is not None and is_running(held)):
+                ended_at = ended_at.set(node_id, now - record.age_s)
+            unconfirmed = _keep_unconfirmed(unconfirmed, record, ended_at[node_id], now)
         if record.status is not MemberStatus.SUSPECT:
-            deadlines = without(deadlines, name)
-        members = members.set(name, replace(record, age_s=0.0))
+            deadlines = without_key(deadlines, node_id)
+        members = members.set(node_id, replace(record, age_s=0.0))
         if gossip:
-            pending = pending.set(name, GOSSIP_SENDS)
+            pending = pending.set(node_id, GOSSIP_SENDS)
     mesh = replace(
         mesh,
         members=members,
         pending_gossip=pending,
         suspect_deadlines=deadlines,
-        ended_at=ended,
+        ended_at=ended_at,
         unconfirmed=unconfirmed,
     )
     if routes_changed:
@@ -130,8 +132,8 @@
     return replace(state, mesh=mesh)
 
 
-def without(mapping, key):
-    """Return a map without a key, if it has that key."""
+def without_key(mapping, key):
+    """Return a map without a key, or the map itself if it does not have the key."""
     return mapping.delete(key) if key in mapping else mapping
 
 
@@ -150,7 +152,7 @@
     until = since + UNCONFIRMED_RETENTION_S
     for target in record.targets:
         if target.state is TargetState.GONE:
-            unconfirmed = without(unconfirmed, target.target_id)
+            unconfirmed = without_key(unconfirmed, target.target_id)
         elif until > now:
             entry = UnconfirmedTarget(target, until)
             unconfirmed = unconfirmed.set(target.target_id, entry)
@@ -158,12 +160,15 @@
 
 
 def routable_targets(mesh):
-    """Return the targets to route to, grouped by service, in order of their ids.
+    """Return the routable targets by service, in order of their ids.
 
     The announcement of a running node overrides an unconfirmed target, even with the
     state `gone`. Of two running nodes, the one that started later takes precedence.
     """
-    by_id = {name: (-1, entry.target) for name, entry in mesh.unconfirmed.items()}
+    # Incarnation of the announcing node, -1 if unconfirmed, and target, by target id.
+    by_id = {
+        target_id: (-1, entry.target) for target_id, entry in mesh.unconfirmed.items()
+    }
     for record in mesh.members.values():
         if not is_running(record):
             continue
@@ -175,22 +180,22 @@
     for _, (_, target) in sorted(by_id.items()):
         if target.state is not TargetState.GONE:
             grouped.setdefault(target.service, []).append(target)
-    return Map({name: tuple(targets) for name, targets in grouped.items()})
+    return Map({service: tuple(targets) for service, targets in grouped.items()})
 
 
 def with_ages(state, records, now):
     """Return the records to send, with `age_s` set for members that left or died."""
-    ended = state.mesh.ended_at
+    ended_at = state.mesh.ended_at
     return tuple(
-        replace(record, age_s=max(0.0, now - ended[record.node_id]))
-        if record.node_id in ended
+        replace(record, age_s=max(0.0, now - ended_at[record.node_id]))
+        if record.node_id in ended_at
         else record
         for record in records
     )
 
 
 def bucket_of(node_id):
-    """Return the synchronisation bucket of a node id."""
+    """Return the synchronisation bucket of a node id, from 0 to `SYNC_BUCKETS` - 1."""
     return hashlib.blake2b(node_id.encode(), digest_size=2).digest()[0] % SYNC_BUCKETS
 
 
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -37,16 +37,16 @@
 
 
 def _merge_records(state, records, now, gossip=True):
-    """Take the records that are newer than those held.
+    """Store the records that are newer than the known ones.
 
-    A newer record of this node itself was made by another node and is refuted. If
-    `gossip` is True, the records taken are queued for gossip.
+    A newer record of this node itself was created by another node and is refuted. If
+    `gossip` is True, the stored records are queued for gossip.
     """
     newer, effects = {}, ()
     for record in records:
-        name = record.node_id
+        node_id = record.node_id
         state = inherit_drains(state, record, now)
-        if name == state.identity.node_id:
+        if node_id == state.identity.node_id:
             own = own_record(state)
             if is_newer(record, own):
                 state, refuted = refute(state, record)
@@ -55,11 +55,11 @@
                 # The sender does not know of the refutation, so it is gossiped again.
                 state = with_records(state, [own], now)
             continue
-        held = newer.get(name) or state.mesh.members.get(name)
+        held = newer.get(node_id) or state.mesh.members.get(node_id)
         if not is_running(record) and record.age_s >= DEAD_RETENTION_S:
             continue
         if is_newer(record, held):
-            newer[name] = record
+            newer[node_id] = record
     if newer:
         state = with_records(state, newer.values(), now, gossip)
         for record in newer.values():
@@ -71,7 +71,7 @@
     """Handle a message of the membership protocol and ignore all others."""
     now = event.now
     if event.addr is None and isinstance(event.body, (Ping, PingReq)):
-        # Without the sender's address, it cannot be answered by a datagram.
+        # Without the sender's address, no datagram can be sent in response.
         return state, ()
     match event.body:
         case Gossip(records):
@@ -79,7 +79,7 @@
         case SyncRequest():
             return state, (Reply(sync_reply(state, event.body, now)),)
         case SyncReply(_, records):
-            # The replier has gossiped these records already. If a joining node did so
+            # These records have been gossiped before. If a joining node gossiped them
             # again, it would send all 720 of them, about 1 MB, to its peers.
             state, effects = _merge_records(state, records, now, gossip=False)
             return state, effects + on_sync_reply(state, event.body, event.addr, now)
@@ -108,7 +108,7 @@
 
 
 def on_stop(state, event):
-    """Announce to the peers that this node leaves the mesh."""
+    """Announce to the peers that this node is leaving the mesh."""
     state = with_own_record(state, event.now, status=MemberStatus.LEAVING)
     return push_gossip(state, event.now, state.mesh.draw)
 
@@ -128,15 +128,15 @@
 def _remove_ended_members(state, now):
     """Remove the members that left or died `DEAD_RETENTION_S` ago."""
     mesh = state.mesh
-    expired_names = [
-        name for name, at in mesh.ended_at.items() if now - at >= DEAD_RETENTION_S
+    expired_ids = [
+        node_id for node_id, at in mesh.ended_at.items() if now - at >= DEAD_RETENTION_S
     ]
-    if not expired_names:
+    if not expired_ids:
         return state
-    members, ended, pending = mesh.members, mesh.ended_at, mesh.pending_gossip
-    for name in expired_names:
-        members, ended = members.delete(name), ended.delete(name)
-        if name in pending:
-            pending = pending.delete(name)
-    mesh = replace(mesh, members=members, ended_at=ended, pending_gossip=pending)
+    members, ended_at, pending = mesh.members, mesh.ended_at, mesh.pending_gossip
+    for node_id in expired_ids:
+        members, ended_at = members.delete(node_id), ended_at.delete(node_id)
+        if node_id in pending:
+            pending = pending.delete(node_id)
+    mesh = replace(mesh, members=members, ended_at=ended_at, pending_gossip=pending)
     return replace(state, mesh=mesh)
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -18,12 +18,12 @@
 # Targets with a load report of at most this age are not probed.
 FRESH_REPORT_S = 0.5
 # Targets of services without a call for this time are not probed.
-DEMAND_S = 2.0
-# A node that joins must be counted by the others before it spends a share, or the
+DEMAND_WINDOW_S = 2.0
+# A node that joins must be counted by the others before it spends its share, or the
 # shares in use would add up to more than the budget.
 JOIN_WAIT_S = 10.0
-# A node that was paused this long may have missed that others joined. It waits like
-# a node that joins, and the share of the paused time is lost.
+# A node that was paused for longer may have missed that others joined. It waits like a
+# node that joins, and loses its share of the budget for the pause.
 MIN_PAUSE_S = 2.0
 # Limits of a probe's request and response in bytes. The prober closes a connection
 # that delivers more, so that a target cannot make a probe exceed its reservation.
@@ -31,10 +31,10 @@
 MAX_RESPONSE_BYTES = 1024
 # TCP/IP headers of a connection with one small request and response: 11 packets with
 # headers of 40 to 60 bytes.
-PACKET_BYTES = 600
-MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_RESPONSE_BYTES + PACKET_BYTES
+PACKET_HEADER_BYTES = 600
+MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_RESPONSE_BYTES + PACKET_HEADER_BYTES
 MAX_LOAD_PATH_CHARS = 128
-# Far above the number of targets; bounds the memory for targets that are gone.
+# Bounds the memory for targets that are gone; far above the number of targets.
 MAX_LAST_PROBED = 4096
 
 
@@ -42,7 +42,7 @@
     """Record that a service was called, which makes its targets eligible for probes."""
     service = event.call.req.service
     if service not in state.mesh.by_service:
-        # Callers may send any name, so unknown ones are not kept.
+        # Callers may send any service name, so unknown ones are not stored.
         return state
     probing = state.probing
     last_called = probing.last_called.set(service, event.now)
@@ -52,8 +52,8 @@
 def count_shares(state, budget):
     """Return the number of shares that the budget of this region is divided into.
 
-    Records of dead members are kept for an hour and count as well, so that nodes on
-    both sides of a partition keep to the shares that they had before.
+    Records of dead members are kept for an hour and count as well, so that the nodes on
+    both sides of a partition keep the shares that they had before.
     """
     own = state.identity
     others = sum(
@@ -84,7 +84,7 @@
     budget = state.rules.ruleset.probe_budget(state.identity.region)
     shares = count_shares(state, budget)
     elapsed_s = now - last
-    due, probes = _fall_due(probing.due, budget.probes_per_s / shares, elapsed_s)
+    due, probes = _accrue_probes(probing.due, budget.probes_per_s / shares, elapsed_s)
     bytes_per_s = budget.bytes_per_s / shares
     free_bytes = min(
         probing.free_bytes + bytes_per_s * elapsed_s,
@@ -99,8 +99,11 @@
     return _send(state, stale, now)
 
 
-def _fall_due(due, rate, elapsed_s):
-    """Return the fraction of a probe left over, and the number of probes due."""
+def _accrue_probes(due, rate, elapsed_s):
+    """Return the remaining fraction of a probe, and the number of whole probes due.
+
+    `due` is the fraction before, and `rate` the number of probes per second.
+    """
     due += rate * elapsed_s
     whole = int(due)
     # After a late tick, at most the probes of one second are due.
@@ -108,22 +111,22 @@
 
 
 def _stale_targets(state, now, draw):
-    """Return the targets without a recent load report, the least recent first."""
+    """Return the targets without a recent load report, the longest unchecked first."""
     probing, found = state.probing, []
     for service, at in probing.last_called.items():
-        if now - at > DEMAND_S:
+        if now - at > DEMAND_WINDOW_S:
             continue
         for target in _targets_in_use(state, service):
-            name = target.target_id
-            stats = state.traffic.targets.get(name) or TargetStats()
+            target_id = target.target_id
+            stats = state.traffic.targets.get(target_id) or TargetStats()
             if (
                 now - stats.reported_at > FRESH_REPORT_S
-                and name not in probing.in_flight
+                and target_id not in probing.in_flight
                 and len(target.load_path) <= MAX_LOAD_PATH_CHARS
             ):
                 # The time of the last probe counts too, so that a target that never
                 # answers does not keep others from being probed.
-                probed_at = probing.last_probed.get(name, float("-inf"))
+                probed_at = probing.last_probed.get(target_id, float("-inf"))
                 checked_at = max(stats.reported_at, probed_at)
                 found.append((checked_at, mix(draw, len(found)), target))
     found.sort(key=lambda item: item[:2])
@@ -151,12 +154,12 @@
     if len(probing.last_probed) > MAX_LAST_PROBED:
         probing = replace(probing, last_probed=Map())
     for target in targets:
-        name = target.target_id
-        effects.append(SendProbe(name, target.addr, target.load_path))
+        target_id = target.target_id
+        effects.append(SendProbe(target_id, target.addr, target.load_path))
         probing = replace(
             probing,
-            last_probed=probing.last_probed.set(name, now),
-            in_flight=probing.in_flight | {name},
+            last_probed=probing.last_probed.set(target_id, now),
+            in_flight=probing.in_flight | {target_id},
             free_bytes=probing.free_bytes - MAX_PROBE_BYTES,
         )
     if effects:
@@ -166,11 +169,11 @@
 
 def on_probe_ended(state, event):
     """Record the reported load, and release the bytes that the probe did not use."""
-    probing, name = state.probing, event.target_id
-    used = event.sent_bytes + event.received_bytes + PACKET_BYTES
+    probing, target_id = state.probing, event.target_id
+    used = event.sent_bytes + event.received_bytes + PACKET_HEADER_BYTES
     probing = replace(
         probing,
-        in_flight=probing.in_flight - {name},
+        in_flight=probing.in_flight - {target_id},
         free_bytes=probing.free_bytes + MAX_PROBE_BYTES - used,
     )
     state = replace(state, probing=probing)
@@ -178,7 +181,7 @@
     if event.load is None:
         return state, effects + (IncrementCounter("probes.failed"),)
     traffic = state.traffic
-    stats = traffic.targets.get(name) or TargetStats()
+    stats = traffic.targets.get(target_id) or TargetStats()
     stats = replace(stats, **load_report_changes(stats.inflight, event.load, event.now))
-    traffic = replace(traffic, targets=traffic.targets.set(name, stats))
+    traffic = replace(traffic, targets=traffic.targets.set(target_id, stats))
     return replace(state, traffic=traffic), effects
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -1,4 +1,4 @@
-"""pimentoline.target_states: states of the targets on this host, and expiry."""
+"""pimentoline.target_states: states of the targets on this host, expiry of targets."""
 
 from dataclasses import replace
 
@@ -11,7 +11,7 @@
     own_record,
     routable_targets,
     with_own_record,
-    without,
+    without_key,
 )
 from .model import TargetState
 
@@ -46,26 +46,26 @@
     """Record an announcement, and gossip it unless it is an unchanged renewal.
 
     A drained target stays `draining` while it renews its announcement, because it may
-    not know that an operator has drained it. The drain ends when it announces
-    `starting` or another address, or after it was withdrawn or `gone`.
+    not know that an operator has drained it. The drain ends when the target announces
+    `starting` or another address, or when it becomes `gone`.
     """
     target, mesh = event.target, state.mesh
     if not 0 < target.addr[1] <= MAX_PORT:
         return state, (IncrementCounter("targets.refused"),)
-    name = target.target_id
+    target_id = target.target_id
     targets = _own_targets(state)
-    held = targets.get(name)
-    if name in mesh.drained_addrs:
-        same = mesh.drained_addrs[name] == target.addr
-        if same and target.state is not TargetState.STARTING:
+    held = targets.get(target_id)
+    if target_id in mesh.drained_addrs:
+        same_addr = mesh.drained_addrs[target_id] == target.addr
+        if same_addr and target.state is not TargetState.STARTING:
             target = replace(target, state=TargetState.DRAINING)
         else:
-            mesh = replace(mesh, drained_addrs=mesh.drained_addrs.delete(name))
-    mesh = replace(mesh, renewed_at=mesh.renewed_at.set(name, event.now))
+            mesh = replace(mesh, drained_addrs=mesh.drained_addrs.delete(target_id))
+    mesh = replace(mesh, renewed_at=mesh.renewed_at.set(target_id, event.now))
     state = replace(state, mesh=mesh)
     if held == target:
         return state, ()
-    return _gossip_now(_with_targets(state, targets | {name: target}), event.now)
+    return _gossip_now(_with_targets(state, targets | {target_id: target}), event.now)
 
 
 def on_target_drained(state, event):
@@ -85,10 +85,10 @@
 
 
 def inherit_drains(state, record, now):
-    """Take over the drains of an earlier node on this host.
+    """Inherit the drains in a record of an earlier node on this host.
 
-    A target does not know that an operator has drained it, so it announces `up` to
-    the node that replaces the earlier one.
+    A target does not know that an operator has drained it, so it announces `up` to the
+    node that replaces the earlier one.
     """
     own = own_record(state)
     if record.host != own.host or record.incarnation >= own.incarnation:
@@ -100,11 +100,11 @@
     for target in record.targets:
         if target.state is not TargetState.DRAINING:
             continue
-        name = target.target_id
-        drained = drained.set(name, target.addr)
-        held = targets.get(name)
+        target_id = target.target_id
+        drained = drained.set(target_id, target.addr)
+        held = targets.get(target_id)
         if held and held.addr == target.addr and held.state is TargetState.UP:
-            changed[name] = replace(held, state=TargetState.DRAINING)
+            changed[target_id] = replace(held, state=TargetState.DRAINING)
     state = replace(state, mesh=replace(state.mesh, drained_addrs=drained))
     return _with_targets(state, targets | changed) if changed else state
 
@@ -119,7 +119,7 @@
     return _gossip_now(state, event.now)
 
 
-def _mark_gone(state, ended, now):
+def _mark_gone(state, stopped, now):
     """Mark targets as gone.
 
     They stay in this node's record for a while, so that the record of an earlier node
@@ -127,11 +127,11 @@
     """
     mesh, targets = state.mesh, _own_targets(state)
     renewed, drained = mesh.renewed_at, mesh.drained_addrs
-    for target in ended:
-        name = target.target_id
-        targets[name] = replace(target, state=TargetState.GONE)
-        renewed = renewed.set(name, now)
-        drained = without(drained, name)
+    for target in stopped:
+        target_id = target.target_id
+        targets[target_id] = replace(target, state=TargetState.GONE)
+        renewed = renewed.set(target_id, now)
+        drained = without_key(drained, target_id)
     state = replace(
         state, mesh=replace(mesh, renewed_at=renewed, drained_addrs=drained)
     )
@@ -139,28 +139,29 @@
 
 
 def expire_own_targets(state, now):
-    """Mark targets without renewals as gone, and remove those gone for long enough."""
+    """Mark targets without renewals as gone, and remove those gone for 60 s."""
     targets, renewed = _own_targets(state), state.mesh.renewed_at
-    silent, removed = [], []
-    for name, target in targets.items():
-        since_renewal_s = now - renewed.get(name, now)
+    unrenewed, removed = [], []
+    for target_id, target in targets.items():
+        since_renewal_s = now - renewed.get(target_id, now)
         if target.state is TargetState.GONE:
             if since_renewal_s >= UNCONFIRMED_RETENTION_S:
-                removed.append(name)
+                removed.append(target_id)
         elif since_renewal_s >= RENEWAL_TIMEOUT_S:
-            silent.append(target)
-    if not silent and not removed:
+            unrenewed.append(target)
+    if not unrenewed and not removed:
         return state, ()
     entries = tuple(
-        LogEntry("target:silent", (("target", target.target_id),)) for target in silent
+        LogEntry("target:silent", (("target", target.target_id),))
+        for target in unrenewed
     )
-    if silent:
-        state = _mark_gone(state, silent, now)
+    if unrenewed:
+        state = _mark_gone(state, unrenewed, now)
     if removed:
         kept = {k: v for k, v in _own_targets(state).items() if k not in removed}
         renewed = state.mesh.renewed_at
-        for name in removed:
-            renewed = renewed.delete(name)
+        for target_id in removed:
+            renewed = renewed.delete(target_id)
         state = replace(state, mesh=replace(state.mesh, renewed_at=renewed))
         state = _with_targets(state, kept)
     return state, entries
@@ -169,20 +170,22 @@
 def expire_unconfirmed_targets(state, now):
     """Remove the targets whose node left or died 60 s ago.
 
-    Those of a lost region are kept as long as its dead members are, since the region
-    is more likely to be cut off than to have failed.
+    Those of a lost region are kept for an hour more, as its dead members are, since the
+    region is more likely to be cut off than to have failed.
     """
     mesh = state.mesh
-    due = [name for name, entry in mesh.unconfirmed.items() if entry.until <= now]
-    if not due:
+    due_ids = [
+        target_id for target_id, entry in mesh.unconfirmed.items() if entry.until <= now
+    ]
+    if not due_ids:
         return state
     lost = lost_regions(state)
     unconfirmed = mesh.unconfirmed
-    for name in due:
-        entry = unconfirmed[name]
+    for target_id in due_ids:
+        entry = unconfirmed[target_id]
         if entry.target.region in lost and now < entry.until + DEAD_RETENTION_S:
             continue
-        unconfirmed = unconfirmed.delete(name)
+        unconfirmed = unconfirmed.delete(target_id)
     if unconfirmed is mesh.unconfirmed:
         return state
     mesh = replace(mesh, unconfirmed=unconfirmed)
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -19,7 +19,7 @@
     State,
     Target,
 )
-from pimentoline.probing import MAX_PROBE_BYTES, PACKET_BYTES
+from pimentoline.probing import MAX_PROBE_BYTES, PACKET_HEADER_BYTES
 from pimentoline.reducer import reduce
 from pimentoline.rules import parse
 
@@ -71,7 +71,7 @@
         for effect in step.effects:
             if isinstance(effect, SendProbe):
                 self.sent.append((self.now, name))
-                used = MAX_PROBE_BYTES - PACKET_BYTES
+                used = MAX_PROBE_BYTES - PACKET_HEADER_BYTES
                 ended = ev.ProbeEnded(self.now, effect.target_id, None, used, 0)
                 self.apply(name, ended)
 
@@ -238,7 +238,7 @@
     found = [cluster.admin(name, "/v1/status")[1] for name in cluster.nodes]
     probes = sum(status["counters"].get("probes.sent", 0) for status in found)
     traffic = sum(status["counters"].get("probes.bytes", 0) for status in found)
-    return probes, traffic - probes * PACKET_BYTES
+    return probes, traffic - probes * PACKET_HEADER_BYTES
 
 
 def test_targets_see_no_more_probes_than_the_budget(cluster):
@@ -276,7 +276,7 @@
     wait_until(lambda: probes_reach(probes + 60), 30.0, "probes after the join")
     took_s, (probes_now, traffic_now) = time.monotonic() - begin, target_totals(cluster)
     assert probes_now - probes <= budget.probes_per_s * took_s + len(cluster.nodes)
-    spent = traffic_now - traffic + (probes_now - probes) * PACKET_BYTES
+    spent = traffic_now - traffic + (probes_now - probes) * PACKET_HEADER_BYTES
     reserved = MAX_PROBE_BYTES * len(cluster.nodes)
     assert spent <= budget.bytes_per_s * took_s + reserved
     # Without calls the probes end, and both sides have counted the same.
