Reword the text of the reducer's tests

Docstrings and names used old terms such as place, answer and model time, or were figurative. Assertions and literals are unchanged. Tests that hypothesis generates keep their name and docstring, because their seed derives from them.

--- a/tests/core.py
+++ b/tests/core.py
@@ -27,7 +27,7 @@
 
 
 class Core:
-    """Drives the state of one node by events, without a real clock or sockets."""
+    """Applies events to the state of one node, without a real clock or sockets."""
 
     def __init__(self, policy="hot-cold", rules=""):
         identity = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
@@ -47,12 +47,12 @@
         self.state = step.state
         return step.effects
 
-    def add_target(self, name, place=HOME, status=MemberStatus.ALIVE, **fields):
-        """Add a target with a node of its own, or change it."""
+    def add_target(self, name, location=HOME, status=MemberStatus.ALIVE, **fields):
+        """Add a target at a location with a node of its own, or change its fields."""
         self.seq += 1
-        target = Target(name, SERVICE, ADDR, *place, **fields)
+        target = Target(name, SERVICE, ADDR, *location, **fields)
         node = f"node-of-{name}"
-        record = Member(node, node, ADDR, *place, 1, self.seq, status, (target,))
+        record = Member(node, node, ADDR, *location, 1, self.seq, status, (target,))
         self.send(ev.MembersReceived(self.now, (record,)))
 
     def start_call(self, method="GET", **fields):
@@ -81,13 +81,13 @@
         )
 
     def end_call(self, call_id):
-        """End a call whose response was passed on completely."""
+        """End a call whose response was forwarded completely."""
         self.send(ev.CallEnded(self.now, call_id, True))
 
     def make_call(self, latency_s=0.01, status=200, load=None, **fields):
         """Make a call from start to end; return the target's id or the error code.
 
-        An attempt that is retried succeeds at the second target.
+        The id is that of the first attempt's target. A retry succeeds.
         """
         call_id, effects = self.start_call(**fields)
         sent = started_attempt(effects)
@@ -101,7 +101,7 @@
         return sent.target_id
 
     def set_stats(self, name, **fields):
-        """Set the statistics of a target."""
+        """Replace the statistics of a target."""
         targets = self.state.traffic.targets.set(name, TargetStats(**fields))
         self.set_traffic(targets=targets)
 
@@ -117,13 +117,13 @@
 def run_scenario(policy, calls=400):
     """Run calls with every outcome; return the core and the effects of each event."""
     core = Core(policy, "spill * enter=0.3 leave=0.2; canary hive-ledger 2 10%")
-    places = [HOME, ("rift", "baringo"), ("coast", "kwale")]
+    locations = [HOME, ("rift", "baringo"), ("coast", "kwale")]
     log = []
     for number in range(calls):
         if number % 40 == 0:
             name = f"t{number % 11}"
             core.add_target(
-                name, places[number % 3], version="2" if number % 80 else "1"
+                name, locations[number % 3], version="2" if number % 80 else "1"
             )
         call_id, effects = core.start_call()
         sent = started_attempt(effects)
@@ -143,7 +143,7 @@
 
 
 def digest(core, log):
-    """Return a digest of effects and statistics that does not depend on a hash seed."""
+    """Return a digest of effects and statistics, independent of Python's hash seed."""
     traffic = core.state.traffic
     parts = [log, sorted(traffic.targets.items()), sorted(traffic.services.items())]
     return hashlib.sha256(repr(parts).encode()).hexdigest()
@@ -151,4 +151,4 @@
 
 def started_attempt(effects):
     """Return the started attempt among effects, or None."""
-    return next((eff for eff in effects if isinstance(eff, StartAttempt)), None)
+    return next((item for item in effects if isinstance(item, StartAttempt)), None)
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -16,11 +16,21 @@
 
 
 class SimulatedNetwork:
-    """Delivers messages between nodes; loss, duplicates and delays follow from a seed.
-
-    `stopped` holds the ids of nodes that neither run nor receive. Nodes with different
-    values in `partition_sides` do not reach each other. `check` is called with the node
-    id and its states before and after each event.
+    """Delivers messages between nodes; a seed determines losses, duplicates and delays.
+
+    The name of a node is its id. `stopped` contains the names of nodes that neither run
+    nor receive. Nodes with different values in `partition_sides` cannot reach each
+    other. `store` is the rules version in the store, None while the store is down.
+    `check` is called with the name of a node and its states before and after each
+    event. `logs` contains the first state and all events of each node.
+
+    Parameters
+    ----------
+    seed : int
+    loss, duplication : float
+        Probability that a datagram is lost or duplicated.
+    delay_s : float
+        Mean delay of a message, seconds.
     """
 
     def __init__(self, seed, loss=0.0, duplication=0.0, delay_s=0.02):
@@ -37,7 +47,7 @@
         self.check = lambda name, before, after: None
 
     def add(self, name, region="rift", host=None, seeds=(), must_check=False):
-        """Add a node, and let it synchronise with the nodes named in `seeds`."""
+        """Add a node and synchronise it with the nodes named in `seeds`."""
         port = len(self.logs) + 1
         addr = ("10.0.0.1", port)
         incarnation = int(self.now * 1000) + 1
@@ -73,7 +83,7 @@
         return self.names_by_addr.get(addr)
 
     def event(self, src, body, addr, is_reply=False):
-        """Return the event with which a node receives a message from `src`."""
+        """Return the event that a message from `src` raises at its receiver."""
         rules = self.states[src].rules
         return ev.MessageReceived(
             0.0,
@@ -87,7 +97,7 @@
         )
 
     def send_request(self, src, addr, body):
-        """Exchange a message and its reply as TCP does, without loss."""
+        """Send a message and receive its reply without loss, as over TCP."""
         dst = self.name_of(addr)
         if not self.reachable(src, dst):
             return None
@@ -97,7 +107,7 @@
         return reply
 
     def receive(self, name, event):
-        """Dispatch a message; as in the runtime, load a rules text in it before."""
+        """Load any rules text in a message, as the runtime does, and dispatch it."""
         match event.body:
             case ms.RulesReply(version, text) | ms.RulesPush(version, text):
                 self.load_rules(name, version, text, event.sender)
@@ -144,7 +154,7 @@
             self.schedule(self.rand.uniform(0, 2 * self.delay_s), dst, event)
 
     def fetch(self, name, effect):
-        """Fetch rules from a peer, and from the store if they are still outdated."""
+        """Fetch rules from a peer, then from the store if they are still outdated."""
         if effect.addr is not None:
             self.send_request(name, effect.addr, ms.RulesRequest(effect.version))
         rules = self.states[name].rules
@@ -159,8 +169,8 @@
     def run(self, seconds, until=None):
         """Advance the simulated time until `until()` is true, and return the time.
 
-        Fails if `until()` is not true within `seconds`. Without `until`, all of them
-        are simulated.
+        Fails if `until()` is not true within `seconds`. Without `until`, the time
+        advances by `seconds`.
         """
         end = self.now + seconds
         while self.queue and self.queue[0][0] <= end:
@@ -204,7 +214,7 @@
         return record and record.status.value
 
     def all_report(self, other, status):
-        """Return whether all other running nodes hold a member in this status."""
+        """Return whether a member has the given status at all other running nodes."""
         return all(
             self.status(name, other) == status
             for name in self.states
--- a/tests/test_closed_loop.py
+++ b/tests/test_closed_loop.py
@@ -1,4 +1,4 @@
-"""Simulation of the policies with a few targets that have slots and a queue."""
+"""Simulation of the policies with three targets that have slots and a queue."""
 
 import functools
 import heapq
@@ -13,7 +13,7 @@
 
 from .core import HOME, Core, started_attempt
 
-PLACES = {"t0": HOME, "t1": ("rift", "baringo"), "t2": ("coast", "kwale")}
+LOCATIONS = {"t0": HOME, "t1": ("rift", "baringo"), "t2": ("coast", "kwale")}
 SLOTS = 4
 SERVICE_S = 0.05
 CALLS_PER_S = 60.0
@@ -29,12 +29,12 @@
     time grows, or 0.0 if it responds at once with an error.
     """
     core, rng = Core(policy, "retry * 10%"), random.Random(seed)
-    for name, place in PLACES.items():
-        core.add_target(name, place, slots=SLOTS)
+    for name, location in LOCATIONS.items():
+        core.add_target(name, location, slots=SLOTS)
     # For each target, the times at which its slots are free.
-    free_at = {name: [0.0] * SLOTS for name in PLACES}
-    # `started_at` has the start of each call by id, and as a mark the id of each
-    # cancelled attempt, negated.
+    free_at = {name: [0.0] * SLOTS for name in LOCATIONS}
+    # `started_at` maps the id of each call to its start time. It also contains, as a
+    # mark, the negated id of each cancelled attempt.
     number, queue, started_at, latencies = itertools.count(), [], {}, []
 
     def schedule(time, action, item):
@@ -100,9 +100,10 @@
     ids=["no fault", "fails fast", "10x slower", "region 4x slower"],
 )
 def test_hot_cold_against_best_other_policy(faults, ratio):
-    """Guards against a hot-cold policy that simple ones beat.
+    """Guards against a hot-cold policy that is worse than a simple one.
 
-    With one slow target, it must halve the latency of the best other policy.
+    With one slow target, its 99th percentile latency must be at most half that of the
+    best other policy.
     """
     others = [name for name in policy_names() if name != "hot-cold"]
     best = min(p99_s(name, faults) for name in others)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -17,7 +17,7 @@
 
 
 def make_core(count=4, **options):
-    """Return a core with the equal targets t0, t1 and so on."""
+    """Return a core with `count` equal targets named t0, t1 and so on."""
     core = Core(**options)
     for number in range(count):
         core.add_target(f"t{number}")
@@ -25,7 +25,7 @@
 
 
 def ejected(core):
-    """Return the names of the ejected targets."""
+    """Return the ids of the ejected targets."""
     targets = core.state.traffic.targets
     return {name for name in targets if targets[name].ejected_until > core.now}
 
@@ -48,7 +48,7 @@
     ],
 )
 def test_ejection_rules(outcomes, is_ejected):
-    """Guards against using failing targets, and ejecting for single failures."""
+    """Guards against using failing targets, and ejecting after single failures."""
     stats = TargetStats()
     for outcome in outcomes:
         if outcome == "f":
@@ -58,8 +58,8 @@
     assert (stats.ejected_until > 100.0) is is_ejected
 
 
-def test_ejections_double_and_are_forgotten():
-    """Guards against ejections that do not grow with failures, or never shrink."""
+def test_ejection_time_doubles_and_is_reset():
+    """Guards against ejections that do not become longer, or never shorter again."""
     stats, now, lengths = fail(TargetStats(), 5), 100.0, []
     for _ in range(7):
         lengths.append(stats.ejected_for_s)
@@ -77,14 +77,14 @@
     assert late == stats
 
 
-@pytest.mark.parametrize(("total", "most"), [(1, 0), (2, 1), (3, 1), (8, 4)])
-def test_ejections_have_a_ceiling(total, most):
-    """Guards against ejecting a whole service when this node is at fault."""
+@pytest.mark.parametrize(("total", "max_ejected"), [(1, 0), (2, 1), (3, 1), (8, 4)])
+def test_number_of_ejected_targets_is_limited(total, max_ejected):
+    """Guards against ejecting all targets of a service when this node is at fault."""
     core = make_core(total)
     for _ in range(200):
         core.make_call(status=500, method="POST")
-        assert len(ejected(core)) <= most
-    assert len(ejected(core)) == most
+        assert len(ejected(core)) <= max_ejected
+    assert len(ejected(core)) == max_ejected
 
 
 def test_refused_connection_ejects_at_once():
@@ -101,7 +101,7 @@
     [(503, True, True, 0), (200, False, False, 1), (500, False, True, 1)],
 )
 def test_what_counts_as_failure(status, not_run, complete, count):
-    """Guards against ejecting for shed calls, and not for truncated responses."""
+    """Guards against counting shed calls, and not counting truncated responses."""
     core = make_core(2)
     for _ in range(20):
         call_id, effects = core.start_call("POST")
@@ -111,7 +111,7 @@
     assert len(ejected(core)) == count
 
 
-def test_returned_target_starts_slowly():
+def test_target_that_comes_up_starts_slowly():
     """Guards against full load on a target right after it came up."""
     stats = TargetStats(ready_at=100.0)
     steps = [(100.0, 0.1), (101.0, 0.1), (105.0, 0.5), (110.0, 1.0), (200.0, 1.0)]
@@ -161,7 +161,7 @@
     assert len(refused) > 150
     found = {(effect.code, effect.status, effect.verdict) for effect in refused}
     assert found == {("throttled", 503, Verdict.NOT_RUN)}
-    # The share let through grows from 5%, by half in each decay time of 1.5 s.
+    # The share of calls let through grows from 5%, by half in each `DECAY_S` of 1.5 s.
     for _ in range(1200):
         core.now += 0.01
         core.make_call(latency_s=0.0)
@@ -169,7 +169,7 @@
 
 
 def test_inflight_limit_by_class():
-    """Guards against exceeding a limit, and counting calls that have ended."""
+    """Guards against exceeding a limit, and against counting calls that have ended."""
     core = make_core(rules="limit hive-ledger 2 class=sheddable")
     calls = [core.start_call(call_class="sheddable") for _ in range(3)]
     assert calls[2][1][0].code == "inflight-limit"
@@ -223,7 +223,7 @@
     """Guards against retrying a caller's retry, or at the target that shed the call."""
     core = make_core()
     call_id, effects = core.start_call(retry_attempt=1)
-    assert not any(isinstance(eff, ScheduleHedge) for eff in effects)
+    assert not any(isinstance(effect, ScheduleHedge) for effect in effects)
     assert not core.send(ev.HedgeDue(core.now, 7, call_id, True))
     assert not started_attempt(
         core.receive_head(started_attempt(effects), 503, not_run=True)
@@ -246,7 +246,7 @@
 
 
 def test_cancelled_slow_attempt_raises_latency():
-    """Guards against taking a slow target for fast because its hedges always win."""
+    """Guards against a slow target that seems fast because its hedges always win."""
     core = make_core(2)
     call_id, effects = core.start_call()
     slow = started_attempt(effects)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -18,7 +18,7 @@
 
 
 def renew(network, name, target_id, seconds, **more):
-    """Renew an announcement every second while the model time advances."""
+    """Renew an announcement every second while the simulated time advances."""
     for _ in range(int(seconds)):
         network.announce(name, target_id, **more)
         network.run(1)
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_failed_node_is_found_and_living_ones_are_kept(seed):
+def test_failed_node_is_detected_and_running_ones_are_kept(seed):
     """Guards against an undetected failure, and against false detections."""
     network = make_network(20, seed, **LOSSY)
     network.stopped.add("n3")
@@ -60,23 +60,23 @@
 
 
 def test_member_is_not_suspected_while_one_path_to_it_is_cut():
-    """Guards against a suspicion though indirect pings would have been answered."""
+    """Guards against a suspicion although indirect pings would be acknowledged."""
     network = make_network(5, 1)
-    usual = network.reachable
-    network.reachable = lambda a, b: {a, b} != {"n0", "n1"} and usual(a, b)
+    original = network.reachable
+    network.reachable = lambda a, b: {a, b} != {"n0", "n1"} and original(a, b)
     network.run(60)
     assert network.counts.get("mesh.suspected", 0) == 0
 
 
 def test_paused_node_comes_back_by_refutation():
-    """Guards against a node that stays dead for its peers after a pause (SIGSTOP)."""
+    """Guards against a node that its peers consider dead forever after a pause."""
     network = make_network(6, 2)
     network.stopped.add("n2")
     network.run(20, lambda: network.all_report("n2", "dead"))
     renew(network, "n4", "t4", 10)
     network.stopped.discard("n2")
     network.run(5, lambda: network.all_report("n2", "alive"))
-    # It also gets an update that it missed while its peers considered it dead.
+    # The node also gets an update that it missed while its peers considered it dead.
     network.announce("n4", "t4")
     network.run(5, lambda: "t4" in network.routes("n2"))
 
@@ -107,7 +107,7 @@
     assert network.routes("n0") == {"t1": "up"}
 
 
-def test_target_outlives_its_node_until_a_new_one_announces_it():
+def test_target_stays_routable_until_a_new_node_announces_it():
     """Guards against failing calls when a node is restarted and its target is not."""
     network = make_network(8, 5)
     renew(network, "n5", "t5", 2)
@@ -125,7 +125,7 @@
     )
 
 
-def test_unconfirmed_target_is_forgotten_after_60_s():
+def test_unconfirmed_target_is_removed_after_60_s():
     """Guards against endless routing to the target of a failed host."""
     network = make_network(8, 6)
     renew(network, "n5", "t5", 2)
@@ -152,7 +152,7 @@
     assert network.counts.get("mesh.suspected", 0) == 0
 
 
-def test_silent_target_goes_to_gone_after_3_s():
+def test_target_without_renewals_is_gone_after_3_s():
     """Guards against routing to a target whose process has died."""
     network = make_network(4, 8)
     renew(network, "n1", "t1", 3)
@@ -173,7 +173,7 @@
     assert own_targets(network, "n1") == {"t1": "up"}
 
 
-def test_dead_member_is_not_resurrected_and_forgotten_after_1_h():
+def test_dead_member_is_not_revived_and_removed_after_1_h():
     """Guards against revival by old gossip, and a dead record that is never removed."""
     network = make_network(3, 10)
     old = network.states["n1"].mesh.members["n2"]
@@ -210,10 +210,10 @@
         assert state == network.states[name]
 
 
-def test_joining_node_does_not_repeat_the_records_it_was_given():
+def test_joining_node_does_not_gossip_the_records_it_received():
     """Guards the control-plane limit when 720 nodes start.
 
-    Each node would gossip the records of all others again.
+    Otherwise each of them would gossip the records of all others again.
     """
     network = make_network(30, 13)
     network.run(10)
@@ -224,7 +224,7 @@
 
 
 @pytest.mark.parametrize("replacement", ["n1", "n1b"])
-def test_drain_outlives_the_restart_of_its_node(replacement):
+def test_drain_is_kept_when_its_node_restarts(replacement):
     """Guards P5 against a drain that is lost when the node of the target restarts.
 
     The target does not know of the drain and announces `up` to the new node.
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -32,8 +32,9 @@
 class Region:
     """States of the nodes of one region, advanced by ticks.
 
-    Every probe fails and uses all the bytes that it may, so demand never ends. Nodes
-    in `paused` get no ticks; nodes learn of each other only through `introduce`.
+    Every probe fails and uses all the bytes that it may, so further probes are always
+    needed. Nodes in `paused` get no ticks; nodes learn of each other only through
+    `introduce`.
     """
 
     def __init__(self, bytes_per_s=1_000_000, planned=0):
@@ -76,7 +77,7 @@
                 self.apply(name, ended)
 
     def run(self, seconds):
-        """Advance the clock; every node that runs gets a call at each tick."""
+        """Advance the clock; with `demand`, running nodes get a call at each tick."""
         for _ in range(round(seconds / TICK_S)):
             self.now += TICK_S
             for number, name in enumerate(sorted(self.states.keys() - self.paused)):
@@ -97,7 +98,10 @@
         return sum(at > since and name in (None, node) for at, node in self.sent)
 
     def assert_within_budget(self, window_s):
-        """Check every window of that length; each node may send one probe more."""
+        """Check every window of `window_s` seconds.
+
+        Each node may exceed its share by one probe.
+        """
         for begin, _ in self.sent:
             count = sum(begin <= at < begin + window_s for at, _ in self.sent)
             assert count <= PROBES_PER_S * window_s + len(self.states)
@@ -115,7 +119,7 @@
 
 
 def test_demand_is_served_up_to_the_budget(region):
-    """Guards against budget tests that pass because nothing is probed."""
+    """Guards against tests of the budget that pass because no probe is sent."""
     begin = region.now
     region.run(10.0)
     assert region.probes(begin) >= 0.9 * 10.0 * PROBES_PER_S
@@ -218,7 +222,7 @@
     assert 0 < spent <= bytes_per_s * 20.0 + len(names) * MAX_PROBE_BYTES
 
 
-def test_answer_updates_the_load_of_the_target(region):
+def test_response_updates_the_load_of_the_target(region):
     """Guards against probes whose result is not used."""
     event = ev.ProbeEnded(region.now, "t3", 7.0, 100, 200)
     stats = reduce(region.states["n0"], event).state.traffic.targets["t3"]
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -30,7 +30,7 @@
 
 
 def imports(path):
-    """Return the files of this package and the other modules that a file imports."""
+    """Return the files of this package, and the other modules, that a file imports."""
     own, other = set(), set()
     package = path.parent
     for node in ast.walk(ast.parse(path.read_text())):
@@ -57,22 +57,22 @@
     import is left out. An import of the reader by any other module is followed.
     """
     reader = PACKAGE / "rules" / "file_reader.py"
-    found, todo = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
-    todo += [PACKAGE / "twohop" / f"{name}.py" for name in TWOHOP_DECISIONS]
-    while todo:
-        path = todo.pop()
+    found, pending = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
+    pending += [PACKAGE / "twohop" / f"{name}.py" for name in TWOHOP_DECISIONS]
+    while pending:
+        path = pending.pop()
         if path not in found:
             found.add(path)
             reached = imports(path)[0]
             if path == reader.with_name("__init__.py"):
                 reached.discard(reader)
-            todo += reached
+            pending += reached
     return sorted(found)
 
 
 @pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
 def test_core_imports_nothing_impure(path):
-    """Guards against a clock, socket, random source or tornado in the core."""
+    """Guards against imports of clocks, sockets, random sources or tornado."""
     assert imports(path)[1] <= ALLOWED | {"random"}
 
 
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize("policy", policy_names())
 def test_replay_gives_same_state(policy):
-    """Guards against decisions that depend on more than state and events."""
+    """Guards against decisions that depend on anything but state and events."""
     core, _ = run_scenario(policy)
     state = State(core.state.identity, policy=policy)
     for event in core.events:
@@ -134,7 +134,7 @@
 
 
 def test_replace_keeps_other_fields():
-    """Guards against a copy with lost, shared or unknown fields."""
+    """Guards against copies that lose fields, change the original or add fields."""
     stats = TargetStats(inflight=1, recent_outcomes=(True,))
     changed = replace(stats, consecutive_failures=3)
     assert changed == TargetStats(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,26 +10,26 @@
 from .core import HOME, SERVICE, Core, started_attempt
 
 NEAR, FAR, FARTHER = ("rift", "baringo"), ("coast", "kwale"), ("western", "bungoma")
-# Statistics and fields of targets at the time 100.0.
+# Statistics and fields of targets; tests start at time 100.0.
 LOADED = {"reported_load": 36, "reported_at": 100.0}
-LOADED_BEFORE = {"reported_load": 36, "reported_at": 98.0}
+OUTDATED_LOAD = {"reported_load": 36, "reported_at": 98.0}
 EJECTED = {"ejected_until": 101.0}
 SLOW = {"latency_s": 0.5, "latency_at": 100.0}
 DRAINING = {"state": TargetState.DRAINING}
 
 
-def make_core(places, stats=(), rules="", **options):
-    """Return a core with targets.
+def make_core(locations, stats=(), rules="", **options):
+    """Return a core with the given targets.
 
-    `places` maps target ids to the (region, data centre) of the target, or to that and
-    a dict of its fields; `stats` maps target ids to fields of the statistics.
+    `locations` maps target ids to the (region, data centre) of the target, or to that
+    and a dict of its fields; `stats` maps target ids to fields of the statistics.
     """
     core = Core(rules=rules, **options)
-    for name, place in places.items():
+    for name, location in locations.items():
         fields = {}
-        if isinstance(place[1], dict):
-            place, fields = place
-        core.add_target(name, place, **fields)
+        if isinstance(location[1], dict):
+            location, fields = location
+        core.add_target(name, location, **fields)
     for name, fields in dict(stats).items():
         core.set_stats(name, **fields)
     # Slow targets are compared with the median of the service.
@@ -56,32 +56,32 @@
     return counts
 
 
-ALL_PLACES = {"home": HOME, "near": NEAR, "far": FAR, "farther": FARTHER}
+ALL_LOCATIONS = {"home": HOME, "near": NEAR, "far": FAR, "farther": FARTHER}
 
 
 @pytest.mark.parametrize(
-    ("places", "stats", "rules", "expected"),
+    ("locations", "stats", "rules", "expected"),
     [
         # Calls use the innermost ring with targets.
-        (ALL_PLACES, {}, "", {"home"}),
+        (ALL_LOCATIONS, {}, "", {"home"}),
         ({"b": NEAR, "c": FAR}, {}, "", {"b"}),
         ({"c": FAR, "d": FARTHER}, {}, "", {"c", "d"}),
-        # A loaded ring spills to the next one, unless that is equally loaded or the
-        # report is too old.
-        (ALL_PLACES, {"home": LOADED}, "", {"home", "near"}),
+        # A loaded ring spills to the next one, unless the next one is equally loaded or
+        # the load report is too old.
+        (ALL_LOCATIONS, {"home": LOADED}, "", {"home", "near"}),
         ({"home": HOME, "far": FAR}, {"home": LOADED, "far": LOADED}, "", {"home"}),
-        (ALL_PLACES, {"home": LOADED_BEFORE}, "", {"home"}),
+        (ALL_LOCATIONS, {"home": OUTDATED_LOAD}, "", {"home"}),
         # All calls skip a ring without a healthy target, even with a share of 0.
-        (ALL_PLACES, {"home": EJECTED}, "spill * share=0", {"near"}),
+        (ALL_LOCATIONS, {"home": EJECTED}, "spill * share=0", {"near"}),
         (
-            ALL_PLACES,
+            ALL_LOCATIONS,
             {"home": EJECTED, "near": EJECTED},
             "spill * share=0",
             {"far", "farther"},
         ),
         ({"home": HOME}, {"home": EJECTED}, "", {"home"}),
         # All calls skip a slow ring within the region; other regions get a share only.
-        (ALL_PLACES, {"home": SLOW}, "spill * share=0", {"near"}),
+        (ALL_LOCATIONS, {"home": SLOW}, "spill * share=0", {"near"}),
         ({"home": HOME, "far": FAR}, {"home": SLOW}, "spill * share=0", {"home"}),
         ({"home": HOME, "far": FAR}, {"home": SLOW}, "", {"home", "far"}),
         ({"a": HOME, "b": HOME}, {"a": SLOW}, "", {"b"}),
@@ -113,13 +113,13 @@
         ),
     ],
 )
-def test_targets_used(places, stats, rules, expected):
-    """Guards against calls to a target that state, region, health or rules exclude."""
-    assert set(count_chosen(make_core(places, stats, rules))) == expected
+def test_targets_used(locations, stats, rules, expected):
+    """Guards against calls to a target excluded by state, region, health or rules."""
+    assert set(count_chosen(make_core(locations, stats, rules))) == expected
 
 
 def test_spill_has_hysteresis():
-    """Guards against a spill that switches on and off at every change of load."""
+    """Guards against spilling that starts and stops at every small change of load."""
     core = make_core({"home": HOME, "far": FAR})
     steps = [(0.7, False), (0.9, True), (0.7, True), (0.5, False), (0.7, False)]
     for load, spills in steps:
@@ -139,7 +139,7 @@
 
 
 def test_second_record_of_draining_target_counts():
-    """Guards against calls to a draining target that an old record lists as up."""
+    """Guards against calls to a draining target that another record lists as up."""
     core = make_core({"a": (HOME, DRAINING)})
     draining = core.state.mesh.members["node-of-a"].targets
     up = (replace(draining[0], state=TargetState.UP),)
@@ -151,12 +151,12 @@
 
 
 def test_weights_and_releases_set_shares():
-    """Guards against weights that are ignored and releases with another share."""
+    """Guards against ignored weights, and against releases with a wrong share."""
     core = make_core(dict.fromkeys("abcdefgh", HOME), rules="weight a 0.25")
     counts = count_chosen(core, 2000)
     assert 0.1 < counts["a"] / counts["b"] < 0.5
-    places = {"a": HOME, "b": HOME, "new": (FAR, {"version": "2"})}
-    counts = count_chosen(make_core(places, rules="canary hive-ledger 2 20%"), 2000)
+    locations = {"a": HOME, "b": HOME, "new": (FAR, {"version": "2"})}
+    counts = count_chosen(make_core(locations, rules="canary hive-ledger 2 20%"), 2000)
     assert 0.17 < counts["new"] / 2000 < 0.23
 
 
@@ -185,7 +185,7 @@
 
 
 def test_slow_target_is_tried_by_one_call_at_a_time():
-    """Guards against a burst of calls to a slow target whose old latency has faded."""
+    """Guards against a burst of calls to a slow target whose latency has decayed."""
     core = make_core({"a": HOME, "b": HOME}, {"a": SLOW})
     core.now += 10.0
     names = [started_attempt(core.start_call()[1]).target_id for _ in range(10)]
@@ -193,7 +193,7 @@
 
 
 def test_other_targets_are_used_if_the_subset_is_down():
-    """Guards against a node that fails its calls because its few targets are down."""
+    """Guards against failing calls because all targets of the subset are down."""
     core = make_core(dict.fromkeys("abcdefgh", HOME))
     nodes = core.state.mesh.members
     for number in range(720):
@@ -216,7 +216,7 @@
 
 
 def test_statistics_of_past_targets_are_dropped():
-    """Guards against statistics that are kept for every target that ever existed."""
+    """Guards against keeping statistics of targets that no longer exist."""
     core = Core()
     core.add_target("a")
     core.make_call()
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -30,7 +30,7 @@
 
 
 def never_older(name, before, after):
-    """Assert that a step does not put an older version in force."""
+    """Assert that an event does not put an older version in force."""
     assert after.rules.version >= before.rules.version, name
     assert after.rules.known_version >= before.rules.known_version, name
 
@@ -103,8 +103,8 @@
     assert network.states["b1"].rules.version == 4
 
 
-def test_running_node_serves_the_version_before_for_3_s_only():
-    """Guards P7 against a node that cannot fetch, and calls against early rejection."""
+def test_running_node_serves_the_previous_version_for_3_s_only():
+    """Guards P7 against a node that cannot fetch, and against rejecting calls early."""
     network = make_network(2, 24)
     network.stopped.add("n1")
     network.dispatch("n0", ev.RulesVersionReceived(network.now, 5, "n1"))
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -1,4 +1,4 @@
-"""Assignment of nodes to subsets of targets, within the connection limits."""
+"""Assignment of subsets of targets to nodes, within the connection limits."""
 
 from collections import Counter
 from types import SimpleNamespace
@@ -15,7 +15,7 @@
 
 
 def make_nodes(counts):
-    """Return member records, `counts[i]` of them at location `i`."""
+    """Return member records by node id, `counts[i]` of them at `LOCATIONS[i]`."""
     names = [
         (f"n{p}-{i:03}", *LOCATIONS[p]) for p in range(6) for i in range(counts[p])
     ]
@@ -25,7 +25,7 @@
 
 
 def make_targets(counts, connections=260):
-    """Return targets, `counts[i]` of them at location `i`."""
+    """Return targets, `counts[i]` of them at `LOCATIONS[i]`."""
     return [
         Target(f"t{p}-{i}", "svc", ADDR, *LOCATIONS[p], connections=connections)
         for p in range(6)
@@ -42,7 +42,7 @@
 
 
 def test_balanced_at_production_scale():
-    """Guards against more connections to a target than to others, or than its limit."""
+    """Guards against unevenly used targets, and targets used above their limit."""
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     subsets = all_subsets(nodes, targets)
     assert connections_per_node(targets, 720) == 2
@@ -57,7 +57,7 @@
     assert len(local) > 60
 
 
-def test_restart_moves_no_subset():
+def test_restart_changes_no_subset():
     """Guards against subsets that change when one node dies."""
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     before = all_subsets(nodes, targets)
--- a/tests/test_version_survey.py
+++ b/tests/test_version_survey.py
@@ -1,12 +1,12 @@
-"""The nodes that the history of rules versions lists for a version."""
+"""The nodes that the history of rules versions lists for each version."""
 
 from .conftest import wait_until
 
 
-def test_history_names_the_nodes_that_hold_a_version(cluster):
-    """Guards against counting nodes from member records, which lag behind.
+def test_history_lists_the_nodes_with_a_version_in_force(cluster):
+    """Guards against versions taken from member records, which lag behind.
 
-    The demo then listed 0 of 6 nodes for the version in force.
+    The history would then list none of the nodes for a new version.
     """
     cluster.start_table()
     for node_id in ("n1", "n2", "n3"):
