Clarify spilling, subsets and attempt outcomes

The description of the ring choice had to be read twice, outcomes of attempts were not explained, and parameters lacked their types and order.

--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -38,8 +38,9 @@
 class AttemptOutcome(enum.Enum):
     """How an attempt ended without a response.
 
-    After `REUSED_CONNECTION_TIMEOUT`, the connection may be at fault instead of the
-    target.
+    `REFUSED` means that no connection was opened, and `BROKEN` that the connection
+    closed too early or carried no usable response head. After
+    `REUSED_CONNECTION_TIMEOUT`, the connection may be at fault instead of the target.
     """
 
     REFUSED = "refused"
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -138,7 +138,7 @@
     deadline : float
         Monotonic time, seconds.
     call_class : str
-        Priority of the call, one of `CALL_CLASSES`.
+        Priority class of the call, one of `CALL_CLASSES`.
     depth : int
         Number of nested calls that led to this one.
     retry_attempt : int
@@ -230,7 +230,7 @@
     inflight : int
         Requests of this node in flight.
     waiting : int
-        Requests of this node without a response head so far.
+        Requests of this node that wait for a response head.
     waiting_since_sum : float
         Sum of the monotonic times at which the waiting requests were sent, seconds.
     latency_s : float
@@ -244,7 +244,7 @@
     own_in_report : int
         Requests of this node that the last load report includes.
     consecutive_failures : int
-        Failed attempts since the last success.
+        Failed attempts in a row, as counted for ejections.
     recent_outcomes : tuple of bool
         Outcomes of the latest attempts, True for success, newest last.
     ejected_until, ejected_for_s : float
@@ -269,7 +269,7 @@
     ready_at: float = float("-inf")
 
 
-# From the highest priority to the lowest; counts by class are kept in this order.
+# From the highest priority to the lowest; tuples of counts by class have this order.
 CALL_CLASSES = ("critical", "normal", "sheddable")
 CLASS_RANKS = {name: rank for rank, name in enumerate(CALL_CLASSES)}
 
@@ -281,11 +281,12 @@
     Parameters
     ----------
     retry_tokens : float
-        Retries and hedges that the retry budget allows; negative after borrowing.
+        Number of retries and hedges that the retry budget allows; negative after
+        borrowing.
     borrowed : bool
         Whether the one retry or hedge that needs no token has been used.
     inflight : tuple of int
-        Calls in flight by class.
+        Calls in flight by class, in the order of `CALL_CLASSES`.
     sent, accepted : tuple of float
         Decayed counts by class for adaptive throttling. `sent` includes the calls
         that throttling refused.
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -174,13 +174,13 @@
     """Choose the ring that an attempt uses.
 
     A ring becomes loaded above the `enter` load of the spill rule, and stays loaded
-    until its load falls to `leave`. From a loaded ring, the share of calls that reduces
-    its load to `leave` goes to the next ring, at most the rule's `share`.
+    until its load falls to `leave`. Of the calls to a loaded ring, just enough spill to
+    the next ring to reduce the load to `leave`, but at most the rule's `share`.
 
     All calls skip a ring without healthy targets, because they would only fail there.
-    If the policy accepts none of a ring's targets, all calls skip the ring if the next
-    one is in this region. A ring of another region then gets all retries, but only the
-    rule's `share` of the first attempts.
+    If the policy accepts none of a ring's targets, all calls skip the ring as well,
+    provided that the next ring is in this region. If it is in another region, all
+    retries skip the ring, but only the rule's `share` of the first attempts.
 
     Parameters
     ----------
@@ -192,8 +192,8 @@
     -------
     candidates : list of Candidate
         Candidates of the ring. If the policy accepts no target of the rings considered,
-        those of the rings in this region, or else of the nearest other ring. Empty if
-        no ring has healthy targets.
+        the candidates of the rings in this region, or else of the nearest other ring.
+        Empty if no ring has healthy targets.
     widest : int
         Number of the outermost ring in use.
     credit : float
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -1,11 +1,11 @@
 """pimentoline.subsets: the targets of a service that this node keeps connections to.
 
-Every node derives the same assignment from the same members. The nodes of a data
-centre demand `per_node` connections each, and the targets of a data centre accept
-`limit` connections each. Demand is met by targets in the same data centre first, then
-in the same region, then elsewhere. Between a pair of data centres, the nodes take
-consecutive sections of a shared permutation of the targets, in the order of the nodes'
-rank, so the number of these nodes per target varies by at most one.
+Every node derives the same assignment from the same members. Each node demands
+`per_node` connections, and each target accepts `limit` connections. Demand is met by
+targets in the same data centre first, then in the same region, then elsewhere. Between
+a pair of data centres, the nodes take consecutive sections of a shared permutation of
+the targets, in the order of the nodes' ranks, so the number of these nodes per target
+varies by at most one.
 """
 
 import hashlib
@@ -13,8 +13,8 @@
 
 __all__ = ["NodeCounts", "choose_subset", "connections_per_node", "count_nodes"]
 
-# The rest of a target's connection limit is left for probes and for nodes whose view
-# of the membership differs.
+# Fraction of a target's connection limit that the subsets use. The rest is left for
+# probes and for nodes with different member records.
 USABLE_FRACTION = 0.9
 MIN_CONNECTIONS_PER_NODE = 2
 
@@ -61,7 +61,19 @@
 
 
 def connections_per_node(targets, node_count):
-    """Return the number of connections that one node may keep to a service."""
+    """Return the number of connections that one node may keep to a service.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        All targets of the service, at least one.
+    node_count : int
+        Number of nodes of the mesh.
+
+    Returns
+    -------
+    int
+    """
     limit = min(target.connections for target in targets) * USABLE_FRACTION
     return max(MIN_CONNECTIONS_PER_NODE, int(limit * len(targets) / node_count))
 
@@ -160,8 +172,8 @@
         by_location.setdefault((target.region, target.dc), []).append(target)
     sizes = {location: len(group) for location, group in by_location.items()}
     limit = int(min(target.connections for target in targets) * USABLE_FRACTION)
-    # With at least 2 connections for each node, the demand may exceed the limit of all
-    # targets; it is then exceeded evenly.
+    # With at least 2 connections for each node, the demand may exceed the sum of the
+    # limits. In that case, all limits are exceeded evenly.
     limit = max(limit, -(-node_counts.nodes * per_node // len(targets)))
     flows = _flows(node_counts, sizes, per_node, limit)
     if flows is None:
--- a/tests/test_version_survey.py
+++ b/tests/test_version_survey.py
@@ -6,7 +6,7 @@
 def test_history_lists_the_nodes_with_a_version_in_force(cluster):
     """Guards against versions taken from member records, which lag behind.
 
-    The history would then list none of the nodes for a new version.
+    The history then listed 0 of 6 nodes for the version in force.
     """
     cluster.start_table()
     for node_id in ("n1", "n2", "n3"):
