--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -449,7 +449,7 @@
     next_ping_at, next_sync_at, last_sync_at, last_tick : float
         Monotonic times, seconds.
     health_score : int
-        Local health score as in Lifeguard: 0 while this node's pings are answered,
+        Local health score as in Lifeguard: 0 while this node's pings are acknowledged,
         higher if its own network or load may be the cause of lost pings.
     draw : int
         Random integer of the latest tick.
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -213,7 +213,7 @@
         **_stop_waiting_changes(stats, attempt),
     }
     if event.load is not None:
-        # The report does not include the request that was just answered.
+        # The report does not include the request that this response completes.
         changes |= load_report_changes(stats.inflight - 1, event.load, event.now)
     service_changes = throttling.attempt_changes(
         service_stats, req.call_class, not event.not_run, event.now
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -87,10 +87,12 @@
     network.partition_sides = {f"n{i}": i % 3 == 1 for i in range(9)}
     near = [name for name in network.states if not network.partition_sides[name]]
     far = [name for name in network.states if network.partition_sides[name]]
-    for ours, theirs in ((near, far), (far, near)):
+    for side, other_side in ((near, far), (far, near)):
         network.run(
             60,
-            lambda: all(network.status(a, b) == "dead" for a in ours for b in theirs),
+            lambda: all(
+                network.status(a, b) == "dead" for a in side for b in other_side
+            ),
         )
     network.run(10)
     network.partition_sides = {}
--- a/tests/test_version_survey.py
+++ b/tests/test_version_survey.py
@@ -15,9 +15,9 @@
     assert cluster.admin("n2", "/v1/config", "POST", body)[0] == 200
     for node_id in ("n1", "n3"):
         wait_until(lambda n=node_id: cluster.admin(n, "/v1/config")[1]["version"])
-    _, answer = cluster.admin("n1", "/v1/history")
-    assert answer["history"][0]["nodes"] == ["n1", "n2", "n3"]
-    assert answer["members"] == 3
+    _, response = cluster.admin("n1", "/v1/history")
+    assert response["history"][0]["nodes"] == ["n1", "n2", "n3"]
+    assert response["members"] == 3
     cluster.nodes["n3"].kill()
-    _, answer = cluster.admin("n1", "/v1/history")
-    assert answer["history"][0]["nodes"] == ["n1", "n2"]
+    _, response = cluster.admin("n1", "/v1/history")
+    assert response["history"][0]["nodes"] == ["n1", "n2"]
