--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -19,7 +19,7 @@
     State,
     Target,
 )
-from pimentoline.probing import MAX_PROBE_BYTES, PACKET_BYTES
+from pimentoline.probing import MAX_PROBE_BYTES, PACKET_HEADER_BYTES
 from pimentoline.reducer import reduce
 from pimentoline.rules import parse
 
@@ -32,8 +32,9 @@
 class Region:
     """States of the nodes of one region, advanced by ticks.
 
-    Every probe fails and uses all the bytes that it may, so demand never ends. Nodes
-    in `paused` get no ticks; nodes learn of each other only through `introduce`.
+    Every probe fails and uses all the bytes that it may, so further probes are always
+    needed. Nodes in `paused` get no ticks; nodes learn of each other only through
+    `introduce`.
     """
 
     def __init__(self, bytes_per_s=1_000_000, planned=0):
@@ -71,12 +72,12 @@
         for effect in step.effects:
             if isinstance(effect, SendProbe):
                 self.sent.append((self.now, name))
-                used = MAX_PROBE_BYTES - PACKET_BYTES
+                used = MAX_PROBE_BYTES - PACKET_HEADER_BYTES
                 ended = ev.ProbeEnded(self.now, effect.target_id, None, used, 0)
                 self.apply(name, ended)
 
     def run(self, seconds):
-        """Advance the clock; every node that runs gets a call at each tick."""
+        """Advance the clock; with `demand`, running nodes get a call at each tick."""
         for _ in range(round(seconds / TICK_S)):
             self.now += TICK_S
             for number, name in enumerate(sorted(self.states.keys() - self.paused)):
@@ -97,7 +98,10 @@
         return sum(at > since and name in (None, node) for at, node in self.sent)
 
     def assert_within_budget(self, window_s):
-        """Check every window of that length; each node may send one probe more."""
+        """Check every window of `window_s` seconds.
+
+        Each node may exceed its share by one probe.
+        """
         for begin, _ in self.sent:
             count = sum(begin <= at < begin + window_s for at, _ in self.sent)
             assert count <= PROBES_PER_S * window_s + len(self.states)
@@ -115,7 +119,7 @@
 
 
 def test_demand_is_served_up_to_the_budget(region):
-    """Guards against budget tests that pass because nothing is probed."""
+    """Guards against tests of the budget that pass because no probe is sent."""
     begin = region.now
     region.run(10.0)
     assert region.probes(begin) >= 0.9 * 10.0 * PROBES_PER_S
@@ -218,7 +222,7 @@
     assert 0 < spent <= bytes_per_s * 20.0 + len(names) * MAX_PROBE_BYTES
 
 
-def test_answer_updates_the_load_of_the_target(region):
+def test_response_updates_the_load_of_the_target(region):
     """Guards against probes whose result is not used."""
     event = ev.ProbeEnded(region.now, "t3", 7.0, 100, 200)
     stats = reduce(region.states["n0"], event).state.traffic.targets["t3"]
@@ -238,7 +242,7 @@
     found = [cluster.admin(name, "/v1/status")[1] for name in cluster.nodes]
     probes = sum(status["counters"].get("probes.sent", 0) for status in found)
     traffic = sum(status["counters"].get("probes.bytes", 0) for status in found)
-    return probes, traffic - probes * PACKET_BYTES
+    return probes, traffic - probes * PACKET_HEADER_BYTES
 
 
 def test_targets_see_no_more_probes_than_the_budget(cluster):
@@ -276,7 +280,7 @@
     wait_until(lambda: probes_reach(probes + 60), 30.0, "probes after the join")
     took_s, (probes_now, traffic_now) = time.monotonic() - begin, target_totals(cluster)
     assert probes_now - probes <= budget.probes_per_s * took_s + len(cluster.nodes)
-    spent = traffic_now - traffic + (probes_now - probes) * PACKET_BYTES
+    spent = traffic_now - traffic + (probes_now - probes) * PACKET_HEADER_BYTES
     reserved = MAX_PROBE_BYTES * len(cluster.nodes)
     assert spent <= budget.bytes_per_s * took_s + reserved
     # Without calls the probes end, and both sides have counted the same.
--- a/tests/test_version_survey.py
+++ b/tests/test_version_survey.py
@@ -1,12 +1,12 @@
-"""The nodes that the history of rules versions lists for a version."""
+"""The nodes that the history of rules versions lists for each version."""
 
 from .conftest import wait_until
 
 
-def test_history_names_the_nodes_that_hold_a_version(cluster):
-    """Guards against counting nodes from member records, which lag behind.
+def test_history_lists_the_nodes_with_a_version_in_force(cluster):
+    """Guards against versions taken from member records, which lag behind.
 
-    The demo then listed 0 of 6 nodes for the version in force.
+    The history then listed 0 of 6 nodes for the version in force.
     """
     cluster.start_table()
     for node_id in ("n1", "n2", "n3"):
@@ -15,9 +15,9 @@
     assert cluster.admin("n2", "/v1/config", "POST", body)[0] == 200
     for node_id in ("n1", "n3"):
         wait_until(lambda n=node_id: cluster.admin(n, "/v1/config")[1]["version"])
-    _, answer = cluster.admin("n1", "/v1/history")
-    assert answer["history"][0]["nodes"] == ["n1", "n2", "n3"]
-    assert answer["members"] == 3
+    _, response = cluster.admin("n1", "/v1/history")
+    assert response["history"][0]["nodes"] == ["n1", "n2", "n3"]
+    assert response["members"] == 3
     cluster.nodes["n3"].kill()
-    _, answer = cluster.admin("n1", "/v1/history")
-    assert answer["history"][0]["nodes"] == ["n1", "n2"]
+    _, response = cluster.admin("n1", "/v1/history")
+    assert response["history"][0]["nodes"] == ["n1", "n2"]
