--- a/standins/platform.py
+++ b/standins/platform.py
@@ -259,7 +259,7 @@
         self.running = 0
         self.max_running = 0
         self.delay_s = 0.0
-        self.serve = self.answer
+        self.serve = self.respond
         self.slots = 12
         self.percent = 100
         self.health_checks = 0
@@ -282,7 +282,7 @@
         self.addr = other.addr
         self._server = await asyncio.start_server(self._client, *self.addr)
 
-    async def answer(self, request, writer, body=b"whole answer", **headers):
+    async def respond(self, request, writer, body=b"whole answer", **headers):
         """Send a correct response after `delay_s`."""
         await asyncio.sleep(self.delay_s)
         self.write(request, writer, body, **headers)
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -821,7 +821,7 @@
 
     instance.serve = respond_and_become_noisy
     assert (await Caller(caller_node).call("/long/1"))[0] == 200
-    instance.serve = instance.answer
+    instance.serve = instance.respond
     probes = instance.health_checks
     caller = Caller(caller_node)
     await caller.send("/long/2", request_id="q2")
