--- a/standins/platform.py
+++ b/standins/platform.py
@@ -242,7 +242,7 @@
         Time from a request to its response, seconds.
     slots : int
         Requests that the target reports to run at once.
-    percent : int
+    slowdown_percent : int
         Reported duration of the work, in percent of the usual duration.
     health_checks : int
         Number of health checks received.
@@ -261,7 +261,7 @@
         self.delay_s = 0.0
         self.serve = self.respond
         self.slots = 12
-        self.percent = 100
+        self.slowdown_percent = 100
         self.health_checks = 0
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
@@ -292,7 +292,7 @@
         lines = {
             "X-Request-Id": request.request_id,
             "X-Response-Stamp": RESPONSE_STAMP,
-            "X-Server-Load": f"{self.running},0,{self.slots},{self.percent}",
+            "X-Server-Load": f"{self.running},0,{self.slots},{self.slowdown_percent}",
             "Content-Length": str(len(body)),
         }
         lines |= {name.replace("_", "-"): value for name, value in headers.items()}
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -816,7 +816,7 @@
     await cluster.until(lambda: caller_node.config.version == 2)
 
     async def respond_and_become_noisy(request, writer):
-        instance.percent = 500
+        instance.slowdown_percent = 500
         instance.write(request, writer, b"first")
 
     instance.serve = respond_and_become_noisy
@@ -827,7 +827,7 @@
     await caller.send("/long/2", request_id="q2")
     await cluster.until(lambda: instance.health_checks > probes)
     assert len(instance.received) == 1
-    instance.percent = 100
+    instance.slowdown_percent = 100
     assert (await caller.read())[0] == 200
     assert len(instance.received) == 2
 
