--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,7 +15,9 @@
 async def serve(target, request, writer):
     """Respond with the id of the request and the length of its body."""
     await asyncio.sleep(0.01)
-    target.write(request, writer, f"{request.request_id} {len(request.body)}".encode())
+    target.write_response(
+        request, writer, f"{request.request_id} {len(request.body)}".encode()
+    )
 
 
 @dataclass(slots=True)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -285,9 +285,9 @@
     async def respond(self, request, writer, body=b"whole answer", **headers):
         """Send a correct response after `delay_s`."""
         await asyncio.sleep(self.delay_s)
-        self.write(request, writer, body, **headers)
+        self.write_response(request, writer, body, **headers)
 
-    def write(self, request, writer, body, status="200 OK", **headers):
+    def write_response(self, request, writer, body, status="200 OK", **headers):
         """Write a complete response; `headers` add to and replace the usual ones."""
         lines = {
             "X-Request-Id": request.request_id,
@@ -327,10 +327,10 @@
     async def _run(self, request, reader, writer):
         if request.path == "/healthz":
             self.health_checks += 1
-            self.write(request, writer, b"", X_Instance_Id=self.name)
+            self.write_response(request, writer, b"", X_Instance_Id=self.name)
             return
         if request.headers.get("x-expect-instance") != self.name:
-            self.write(
+            self.write_response(
                 request, writer, b"", "421 Misdirected Request", X_Instance_Id=self.name
             )
             return
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -288,11 +288,11 @@
 
 
 async def _respond_encoded(instance, request, writer):
-    instance.write(request, writer, b"ok", Content_Encoding="gzip")
+    instance.write_response(request, writer, b"ok", Content_Encoding="gzip")
 
 
 async def _cut_response(instance, request, writer):
-    instance.write(request, writer, b"half", Content_Length="400")
+    instance.write_response(request, writer, b"half", Content_Length="400")
     writer.close()
 
 
@@ -334,9 +334,13 @@
     caller_node, node, instance = await start_pair(cluster)
 
     async def respond_twice(request, writer):
-        instance.write(request, writer, b"answer to " + request.request_id.encode())
+        instance.write_response(
+            request, writer, b"answer to " + request.request_id.encode()
+        )
         await asyncio.sleep(0.05)
-        instance.write(request, writer, b"answer to " + request.request_id.encode())
+        instance.write_response(
+            request, writer, b"answer to " + request.request_id.encode()
+        )
         await asyncio.sleep(0.05)
 
     instance.serve = respond_twice
@@ -817,7 +821,7 @@
 
     async def respond_and_become_noisy(request, writer):
         instance.slowdown_percent = 500
-        instance.write(request, writer, b"first")
+        instance.write_response(request, writer, b"first")
 
     instance.serve = respond_and_become_noisy
     assert (await Caller(caller_node).call("/long/1"))[0] == 200
