--- a/standins/platform.py
+++ b/standins/platform.py
@@ -370,7 +370,7 @@
         path = f"/v1/rpc?call=instances.heartbeat&of={self.name}"
         return await self._post(node, path, body | changes)
 
-    async def send_sign_off(self, node):
+    async def send_leave(self, node):
         """Tell a node that the target leaves; return the status of the response."""
         path = f"/v1/rpc?call=instances.leave&of={self.name}"
         return await self._post(node, path, {"born": self.born_ms})
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -524,7 +524,7 @@
 async def test_row_of_a_removed_host_is_deleted(cluster):
     """Guards against rows of removed hosts, and endless attempts to connect to them."""
     caller_node, node, instance = await start_pair(cluster)
-    assert await instance.send_sign_off(node) == 200
+    assert await instance.send_leave(node) == 200
     node.stop()
     await cluster.until(lambda: not caller_node.peers.outgoing)
 
@@ -645,7 +645,7 @@
     _, node, instance = await start_pair(cluster)
     cluster.store.lose_answers = 1
     await instance.send_heartbeat(node, "draining")
-    await instance.send_sign_off(node)
+    await instance.send_leave(node)
     value, _ = cluster.store.rows["members", node.cfg.node]
     assert b'"left"' in value
 
