--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -183,7 +183,7 @@
             case "lose":
                 self.store.lose_answers = 2
             case "history":
-                self.store.forget_history()
+                self.store.expire_history()
             case "replace" if node.target.service == "ledger":
                 await self._replace_target(node)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -94,7 +94,7 @@
         """Write the operator's configuration."""
         self.put("op", "config", json.dumps(config).encode())
 
-    def forget_history(self):
+    def expire_history(self):
         """Remove all changes up to now from the feed."""
         self.oldest = self.version + 1
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -634,7 +634,7 @@
 async def test_rows_are_read_again_when_the_history_is_gone(cluster):
     """Guards against a node that waits for changes the store has dropped."""
     caller_node, _, _ = await start_pair(cluster)
-    cluster.store.forget_history()
+    cluster.store.expire_history()
     cluster.store.put_config(config(6))
     await cluster.until(lambda: caller_node.config.version == 6)
 
