--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -181,7 +181,7 @@
                 await asyncio.sleep(self.rng.uniform(0.2, 3.0))
                 setattr(self.store, kind, False)
             case "lose":
-                self.store.lose_answers = 2
+                self.store.lose_responses = 2
             case "history":
                 self.store.expire_history()
             case "replace" if node.target.service == "ledger":
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -62,7 +62,7 @@
         Every call is answered with 503.
     silent : bool
         Calls have no effect and get no response.
-    lose_answers : int
+    lose_responses : int
         Number of further writes that take effect without a response.
     calls : list of str
         Paths of the calls received.
@@ -74,7 +74,7 @@
         self.oldest = 0
         self.down = False
         self.silent = False
-        self.lose_answers = 0
+        self.lose_responses = 0
         self.calls = []
         self.changed = asyncio.Event()
         handlers = [(r"/v1/(rows-\w+)", _StoreHandler, {"store": self})]
@@ -188,8 +188,8 @@
             store.put(item["table"], item["key"], value)
         for item in body["remove"]:
             store.put(item["table"], item["key"], None)
-        if store.lose_answers:
-            store.lose_answers -= 1
+        if store.lose_responses:
+            store.lose_responses -= 1
             self.request.connection.stream.close()
             return
         self._respond()
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -643,7 +643,7 @@
 async def test_row_is_written_again_after_a_lost_response(cluster):
     """Guards against an outdated row after the response to a write was lost."""
     _, node, instance = await start_pair(cluster)
-    cluster.store.lose_answers = 1
+    cluster.store.lose_responses = 1
     await instance.send_heartbeat(node, "draining")
     await instance.send_leave(node)
     value, _ = cluster.store.rows["members", node.cfg.node]
