--- a/standins/platform.py
+++ b/standins/platform.py
@@ -272,7 +272,9 @@
 
     async def start(self):
         """Listen at an ephemeral port."""
-        self._server = await asyncio.start_server(self._client, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._handle_connection, "127.0.0.1", 0
+        )
         self.addr = self._server.sockets[0].getsockname()
 
     async def take_over(self, other):
@@ -280,7 +282,7 @@
         other.close()
         await other._server.wait_closed()
         self.addr = other.addr
-        self._server = await asyncio.start_server(self._client, *self.addr)
+        self._server = await asyncio.start_server(self._handle_connection, *self.addr)
 
     async def respond(self, request, writer, body=b"whole answer", **headers):
         """Send a correct response after `delay_s`."""
@@ -300,7 +302,7 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         writer.write(head.encode() + b"\r\n" + body)
 
-    async def _client(self, reader, writer):
+    async def _handle_connection(self, reader, writer):
         """Serve the requests of one connection."""
         self._writers.add(writer)
         try:
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -807,7 +807,7 @@
     status, _, _ = await Caller(caller_node).call("/sale/1", method="POST", body=b"s")
     assert status == 200
     assert len(other.received) == 1
-    instance._server = await asyncio.start_server(instance._client, *addr)
+    instance._server = await asyncio.start_server(instance._handle_connection, *addr)
     await cluster.until(lambda: node.target.accepting)
 
 
