--- a/standins/table.py
+++ b/standins/table.py
@@ -42,13 +42,13 @@
 MAX_SCAN_ROWS = 1000
 MAX_KEY_CHARS = 512
 MAX_BODY_BYTES = 16 * 1024 * 1024
-HUGE_BYTES = 64 * 1024 * 1024
+HUGE_BODY_BYTES = 64 * 1024 * 1024
 INVALID_BODIES = {
     "html": b"<html>gateway</html>",
     "shape": b'{"unexpected": []}',
     "types": b'{"key": 7, "version": "one", "value": null, "ok": "yes"}',
     "cut": b'{"key": "config/he',
-    "huge": b"[" + b" " * HUGE_BYTES + b"]",
+    "huge": b"[" + b" " * HUGE_BODY_BYTES + b"]",
 }
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,7 +11,7 @@
 from pimentoline.errors import StoreBusyError, StoreError, StoreUnavailableError
 from pimentoline.metrics import Metrics
 from pimentoline.store import Row, Store
-from standins.table import HUGE_BYTES, INVALID_BODIES, Table, make_app
+from standins.table import HUGE_BODY_BYTES, INVALID_BODIES, Table, make_app
 
 
 def with_table(scenario, **faults):
@@ -131,7 +131,7 @@
         assert (table.reads, table.writes) == (4, 1)
 
     with_table(scenario, nonsense=kind)
-    assert HUGE_BYTES > 16 * 1024 * 1024
+    assert HUGE_BODY_BYTES > 16 * 1024 * 1024
 
 
 def test_answer_for_another_row_is_refused():
