--- a/standins/platform.py
+++ b/standins/platform.py
@@ -199,15 +199,15 @@
 class ReceivedRequest:
     """A request that a target received.
 
-    `closed` tells that its connection was closed before the response; `at` is the time
-    of arrival.
+    `disconnected` tells that the caller closed the connection before the response. `at`
+    is the time of arrival on the monotonic clock, seconds.
     """
 
     method: str
     path: str
     headers: dict
     body: bytes
-    closed: bool = False
+    disconnected: bool = False
     at: float = field(default_factory=time.monotonic)
 
     @property
@@ -344,7 +344,7 @@
         try:
             await asyncio.wait([work, disconnect], return_when=asyncio.FIRST_COMPLETED)
             if disconnect.done() and not work.done():
-                request.closed = True
+                request.disconnected = True
                 raise ConnectionResetError
             await work
         finally:
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -393,7 +393,7 @@
     status, _, _ = await Caller(caller_node).call("/look/1")
     assert status == 504
     assert 0.9 < time.monotonic() - began_at < 1.4
-    await cluster.until(lambda: instance.received[0].closed, 0.5)
+    await cluster.until(lambda: instance.received[0].disconnected, 0.5)
 
 
 @cluster_test
@@ -410,9 +410,9 @@
     safe_request, unsafe_request = sorted(
         instance.received, key=lambda request: request.path
     )
-    await cluster.until(lambda: safe_request.closed, 0.5)
+    await cluster.until(lambda: safe_request.disconnected, 0.5)
     await asyncio.sleep(0.5)
-    assert not unsafe_request.closed
+    assert not unsafe_request.disconnected
 
 
 @cluster_test
