Reword the stand-in target and its work queue

The attribute work of the target model, and queue and work_s of its queue, named something else than they hold; attributes and parameters had no description. Renames them and documents them.

--- a/standins/target.py
+++ b/standins/target.py
@@ -4,6 +4,10 @@
 values and clears the counters, which `GET /faults` returns. `GET /runs` lists the ids
 (`X-Run-Id`) of the requests that ran, in order. `/load` and `/health` are the
 endpoints of a target that load probes and health checks use.
+
+All other paths are calls. Without a query, the response to a call is JSON data about
+the request; `?size=` or `?fill=` give the number of bytes of its body instead. Bodies
+of `?size=` are all equal, those of `?fill=` repeat the run id.
 """
 
 import asyncio
@@ -19,9 +23,15 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
-from .work_queue import Overloaded, WorkQueue, service_times, simulate_noisy_neighbour
+from .work_queue import (
+    Overloaded,
+    WorkQueue,
+    service_time_sampler,
+    simulate_noisy_neighbour,
+)
 
 ANNOUNCE_INTERVAL_S = 1.0
+# Time without a new call after which a draining target is removed.
 QUIET_PERIOD_S = 1.0
 LOAD_SAMPLE_INTERVAL_S = 0.02
 
@@ -68,6 +78,28 @@
         one.
     state : str
         State that the target announces to its node.
+
+    Attributes
+    ----------
+    initial : dict
+        Initial values of the fields above.
+    runs : list of str
+        Run ids of the requests that ran, in order.
+    counters : Counter
+        By the names that `GET /faults` returns.
+    open_connections, silent_connections : set of IOStream
+        Connections that are open, and those of them that get no more responses.
+    open_calls : set of WorkHandler
+        Calls in progress.
+    stopping : bool
+        Connections are closed after their next response.
+    last_call_at : float
+        Time of the event loop at which the last call arrived, seconds.
+    work_queue : WorkQueue
+    changed : asyncio.Event
+        Set when fields have changed.
+    draw_service_time : callable
+        Returns the service time of the next request, seconds.
     """
 
     target_id: str
@@ -94,7 +126,7 @@
     state: str = "up"
 
     def __post_init__(self):
-        """Store the initial values, which a reset restores."""
+        """Store the initial values, which a reset restores, and apply them."""
         self.initial = dataclasses.asdict(self)
         self.runs = []
         self.counters = Counter()
@@ -103,7 +135,8 @@
         self.open_calls = set()
         self.stopping = False
         self.last_call_at = 0.0
-        self.work = WorkQueue(self.slots, self.queue)
+        self.work_queue = WorkQueue(self.slots, self.queue)
+        # (time, load, whether requests fail); covers the last 10 s.
         self._samples = deque(maxlen=500)
         self.changed = asyncio.Event()
         self._noise_task = None
@@ -112,7 +145,7 @@
     @property
     def inflight(self):
         """Number of requests that run or wait for a slot."""
-        return self.work.inflight
+        return self.work_queue.inflight
 
     def update(self, values):
         """Set the given fields and leave the others as they are.
@@ -125,7 +158,7 @@
         values = dict(values)
         if values.pop("reset", False):
             self.counters.clear()
-            self.work.work_s = 0.0
+            self.work_queue.slot_time_s = 0.0
             values = self.initial | values
         unknown = values.keys() - self.initial.keys()
         if unknown:
@@ -136,17 +169,17 @@
         self.changed.set()
 
     def _apply(self, values=()):
-        self.work.slots, self.work.queue = self.slots, self.queue
-        self.work.slow_down("slowdown", self.slowdown)
+        self.work_queue.slots, self.work_queue.max_waiting = self.slots, self.queue
+        self.work_queue.slow_down("slowdown", self.slowdown)
         if "cold_s" in values:
-            self.work.slow_down("cold", self.cold_factor if self.cold_s else 1.0)
+            self.work_queue.slow_down("cold", self.cold_factor if self.cold_s else 1.0)
             if self.cold_s:
                 loop = asyncio.get_running_loop()
-                loop.call_later(self.cold_s, self.work.slow_down, "cold", 1.0)
+                loop.call_later(self.cold_s, self.work_queue.slow_down, "cold", 1.0)
         if not values or {"mean_s", "sigma", "seed"} & values.keys():
             mean_s = self.mean_s
             self.draw_service_time = (
-                service_times(mean_s, self.sigma, self.seed)
+                service_time_sampler(mean_s, self.sigma, self.seed)
                 if mean_s
                 else lambda: self.delay_s
             )
@@ -157,14 +190,14 @@
             if self.noise:
                 loop = asyncio.get_running_loop()
                 self._noise_task = loop.create_task(
-                    simulate_noisy_neighbour(self.work, **self.noise)
+                    simulate_noisy_neighbour(self.work_queue, **self.noise)
                 )
         if self.silence_open:
             self.silence_open = False
             self.silent_connections |= self.open_connections
 
     def sample(self, now):
-        """Store the current load and health for reports that lag."""
+        """Store the current load and health for reports delayed by `load_lag_s`."""
         self._samples.append((now, self.inflight, self.fail))
 
     def load(self):
@@ -180,7 +213,10 @@
         return self.health_status or (500 if failing else 200)
 
     def _reported(self):
-        """Return the load and whether requests fail, as they were `load_lag_s` ago."""
+        """Return the load and whether requests fail, as they were `load_lag_s` ago.
+
+        A target without a sample of that age reports no load and no failures.
+        """
         if not self.load_lag_s:
             return self.inflight, self.fail
         reported_at = asyncio.get_running_loop().time() - self.load_lag_s
@@ -230,7 +266,7 @@
 
 
 class ModelHandler(RequestHandler):
-    """Base of the handlers that accounts bytes to the request kind `kind`."""
+    """Base of the handlers; counts the bytes of requests and responses by `kind`."""
 
     kind = "admin"
 
@@ -239,7 +275,7 @@
         self.model = model
 
     async def prepare(self):
-        """Wait forever if the target or this connection is silent."""
+        """Never respond if the target or this connection is silent."""
         self.stream = self.request.connection.stream
         if self.model.silent or self.stream in self.model.silent_connections:
             await asyncio.Event().wait()
@@ -263,10 +299,10 @@
 
 @stream_request_body
 class WorkHandler(ModelHandler):
-    """Handler of calls, at all paths but those of the target itself."""
+    """Handler of calls, at all paths except the target's own endpoints."""
 
     kind = "call"
-    received = 0
+    received_bytes = 0
     task = None
 
     async def prepare(self):
@@ -284,7 +320,7 @@
 
     def data_received(self, chunk):
         """Count the bytes of the body."""
-        self.received += len(chunk)
+        self.received_bytes += len(chunk)
 
     def on_connection_close(self):
         """Cancel the work, as its caller has disconnected."""
@@ -310,7 +346,7 @@
         try:
             if model.shed:
                 raise Overloaded()
-            await model.work.run(model.draw_service_time(), self._on_start)
+            await model.work_queue.run(model.draw_service_time(), self._on_start)
         except Overloaded:
             counters["shed"] += 1
             self.set_status(503)
@@ -319,7 +355,8 @@
             return
         except asyncio.CancelledError:
             counters["cancelled"] += 1
-            # Without the close Tornado would send an empty response, as after a run.
+            # Otherwise Tornado would send an empty response with status 200, as if the
+            # request had run.
             self.stream.close()
             return
         finally:
@@ -329,9 +366,13 @@
         size = int(self.get_query_argument("size", "0"))
         run_id = self.request.headers.get("X-Run-Id")
         fill = int(self.get_query_argument("fill", "0"))
-        body = {"run": run_id, "target": model.target_id, "received": self.received}
+        body = {
+            "run": run_id,
+            "target": model.target_id,
+            "received": self.received_bytes,
+        }
         if fill:
-            # A body that no other request has.
+            # With a run id of its own, each request gets a different body.
             pattern = f"{run_id}|".encode()
             self.write((pattern * (fill // len(pattern) + 1))[:fill])
         else:
@@ -380,7 +421,7 @@
     def get(self):
         """Respond with the counters."""
         model = self.model
-        current = {"work_s": model.work.work_s, "inflight": model.inflight}
+        current = {"work_s": model.work_queue.slot_time_s, "inflight": model.inflight}
         self.write(dict(model.counters) | current)
 
     def post(self):
@@ -420,8 +461,7 @@
 async def withdraw(model, node_admin):
     """Drain the target at its node, complete the calls and remove the target.
 
-    Nodes that do not know of the drain yet may still send calls, which are served. The
-    target is removed once it has had no new call for `QUIET_PERIOD_S`.
+    Nodes that do not know of the drain yet may still send calls, which are served.
     """
     loop = asyncio.get_running_loop()
     base = f"http://{node_admin}/v1/targets/{model.target_id}"
@@ -437,7 +477,7 @@
 
 
 async def sample_loads(model):
-    """Sample load and health periodically for reports that lag."""
+    """Sample load and health periodically for reports delayed by `load_lag_s`."""
     loop = asyncio.get_running_loop()
     while True:
         model.sample(loop.time())
@@ -445,7 +485,16 @@
 
 
 async def serve(model, port, node_admins):
-    """Serve until SIGTERM, then drain, complete the calls and return."""
+    """Serve until SIGTERM, then drain, complete the calls and return.
+
+    Parameters
+    ----------
+    model : TargetModel
+    port : int
+        0 lets the system choose a free port.
+    node_admins : list of str
+        Admin addresses, ip:port, of the nodes to announce the target to.
+    """
     sockets = bind_sockets(port, "127.0.0.1")
     args = {"model": model}
     application = Application(
--- a/standins/work_queue.py
+++ b/standins/work_queue.py
@@ -10,8 +10,12 @@
     """Raised for a request that did not run because the queue is full."""
 
 
-def service_times(mean_s, sigma, seed):
-    """Return a function that draws log-normal service times, in seconds."""
+def service_time_sampler(mean_s, sigma, seed):
+    """Return a function that draws log-normal service times, in seconds.
+
+    `mean_s` is the mean of the service times, `sigma` the standard deviation of their
+    logarithm.
+    """
     rng = random.Random(seed)
     mu = math.log(mean_s) - sigma * sigma / 2.0
     return lambda: rng.lognormvariate(mu, sigma)
@@ -38,22 +42,22 @@
     ----------
     slots : int
         Maximum number of jobs that run at once.
-    queue : int
+    max_waiting : int
         Maximum number of jobs that wait; unlimited if negative.
 
     Attributes
     ----------
     slowdowns : dict
         Factor on the service time, by its cause.
-    work_s : float
-        Time that slots were occupied by jobs that have ended, summed, seconds.
+    slot_time_s : float
+        Total time for which jobs that have ended occupied their slots, seconds.
     """
 
-    def __init__(self, slots, queue=-1):
+    def __init__(self, slots, max_waiting=-1):
         self.slots = slots
-        self.queue = queue
+        self.max_waiting = max_waiting
         self.slowdowns = {}
-        self.work_s = 0.0
+        self.slot_time_s = 0.0
         self._busy = 0
         self._running = set()
         self._waiting = deque()
@@ -82,12 +86,19 @@
     async def run(self, work_s, on_start):
         """Wait for a slot, call `on_start` and occupy the slot until the work is done.
 
+        Parameters
+        ----------
+        work_s : float
+            Duration of the work at full speed, seconds.
+        on_start : callable
+            Called when the work starts.
+
         Raises
         ------
         Overloaded
             If the queue is full.
         """
-        if self.inflight >= self.slots and 0 <= self.queue <= len(self._waiting):
+        if self.inflight >= self.slots and 0 <= self.max_waiting <= len(self._waiting):
             raise Overloaded()
         await self._take_slot()
         loop = asyncio.get_running_loop()
@@ -101,7 +112,7 @@
         finally:
             job.timer.cancel()
             self._running.discard(job)
-            self.work_s += loop.time() - started
+            self.slot_time_s += loop.time() - started
             self._release_slot()
 
     async def _take_slot(self):
@@ -141,18 +152,18 @@
             job.done.set_result(None)
 
 
-async def simulate_noisy_neighbour(work, seed, every_s, min_s, max_s, factor):
-    """Slow the work of a queue at random times, as another user of the host would.
+async def simulate_noisy_neighbour(work_queue, seed, every_s, min_s, max_s, factor):
+    """Slow down a `WorkQueue` at random times, as other load on the host does.
 
-    Each slowdown by `factor` takes `min_s` to `max_s`; the time between two of them is
-    exponentially distributed with the mean `every_s`.
+    Each slowdown by `factor` lasts `min_s` to `max_s`. The time between two slowdowns
+    is exponentially distributed with the mean `every_s`.
     """
     rng = random.Random(seed)
     try:
         while True:
             await asyncio.sleep(rng.expovariate(1.0 / every_s))
-            work.slow_down("noise", factor)
+            work_queue.slow_down("noise", factor)
             await asyncio.sleep(rng.uniform(min_s, max_s))
-            work.slow_down("noise", 1.0)
+            work_queue.slow_down("noise", 1.0)
     finally:
-        work.slow_down("noise", 1.0)
+        work_queue.slow_down("noise", 1.0)
