--- a/standins/table.py
+++ b/standins/table.py
@@ -20,10 +20,10 @@
 lose_requests : int
     Number of further writes that are lost before they take effect.
 nonsense : str
-    Kind of invalid body that responses have: `html`, `shape`, `types`, `cut`, `huge`;
-    none if empty. Transactions take effect all the same.
+    Invalid body that all responses have, a key of `INVALID_BODIES`; empty for valid
+    responses. Transactions take effect all the same.
 writes_per_s, reads_per_s : float
-    Rate limits.
+    Limits of the request rates, per second.
 """
 
 import asyncio
@@ -105,7 +105,18 @@
     write_bucket: TokenBucket = field(default_factory=TokenBucket)
 
     def run_transaction(self, txn):
-        """Execute a transaction if its checks hold; return the response data."""
+        """Execute a transaction if its checks hold.
+
+        Parameters
+        ----------
+        txn : dict
+            As `parse_txn` returns it.
+
+        Returns
+        -------
+        dict
+            JSON data of the response.
+        """
         conflicts = [
             check["key"]
             for check in txn["checks"]
@@ -132,7 +143,7 @@
 
 
 # Types of the values that `POST /faults` accepts.
-FAULTS = {
+FAULT_TYPES = {
     "down": bool,
     "silent": bool,
     "delay_s": (int, float),
@@ -148,6 +159,11 @@
 def parse_txn(body):
     """Parse the body of a request as a transaction.
 
+    Returns
+    -------
+    dict
+        Lists with the keys `checks`, `puts` and `deletes`.
+
     Raises
     ------
     HTTPError
@@ -176,14 +192,14 @@
 
 
 class TableHandler(RequestHandler):
-    """Base of the handlers that applies rate limits and injected faults."""
+    """Base of the handlers of table requests; applies rate limits and faults."""
 
     def initialize(self, table):
-        """Take the table."""
+        """Store the table."""
         self.table = table
 
     async def prepare(self):
-        """Reject or delay the request, or wait forever, as limits and faults say."""
+        """Reject or delay the request, or never respond, as limits and faults say."""
         table = self.table
         if table.silent:
             await asyncio.Event().wait()
@@ -253,10 +269,10 @@
 
 
 class FaultsHandler(RequestHandler):
-    """Handler that sets faults and is not affected by them."""
+    """Handler that sets faults and returns the counters; faults do not affect it."""
 
     def initialize(self, table):
-        """Take the table."""
+        """Store the table."""
         self.table = table
 
     def get(self):
@@ -269,7 +285,7 @@
     def post(self):
         """Set the given faults and keep the others."""
         for name, value in json.loads(self.request.body).items():
-            if name not in FAULTS or not isinstance(value, FAULTS[name]):
+            if name not in FAULT_TYPES or not isinstance(value, FAULT_TYPES[name]):
                 raise HTTPError(400)
             setattr(self.table, name, value)
         self.write({})
@@ -290,7 +306,7 @@
 
 
 async def main(port=0):
-    """Print the port and serve until the process is killed."""
+    """Print the port and serve until the process is killed; port 0 means a free one."""
     sockets = bind_sockets(port, "127.0.0.1")
     server = HTTPServer(make_app(Table()), max_body_size=MAX_BODY_BYTES)
     server.add_sockets(sockets)
