Reword the cluster, demo, node process and platform stand-ins

Attributes, errors and keyword arguments of public functions had no description, and some names were vague.

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,4 @@
-"""Stand-ins for the platform's services and for targets, for tests and the demo."""
+"""Stand-ins for the platform's services and for targets.
+
+Tests, the soak, the bench and the demo use them.
+"""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -24,8 +24,14 @@
 
     Attributes
     ----------
+    popen : subprocess.Popen
     info : dict
-        The line that the process printed, such as its addresses.
+        Data of the line that the process printed, such as its addresses.
+
+    Raises
+    ------
+    AssertionError
+        If the process ends without printing a line.
     """
 
     def __init__(self, args, env=None):
@@ -41,7 +47,7 @@
         self.info = json.loads(line)
 
     def get_json(self, path):
-        """Get JSON data from a path of the HTTP server of this process."""
+        """Return the JSON data at a path of this process's HTTP server."""
         ip, port = self.info["addr"]
         return json.loads(http(f"http://{ip}:{port}{path}")[2])
 
@@ -50,7 +56,13 @@
         self.popen.send_signal(signum)
 
     def stop(self):
-        """Stop the process gracefully and return its exit status."""
+        """Send SIGTERM and return the exit status.
+
+        Raises
+        ------
+        subprocess.TimeoutExpired
+            If the process still runs after `STOP_TIMEOUT_S`.
+        """
         if self.popen.poll() is None:
             self.signal(signal.SIGTERM)
         return self.popen.wait(STOP_TIMEOUT_S)
@@ -64,7 +76,22 @@
 
 
 def http(url, method="GET", body=None, headers=None, timeout=10.0):
-    """Send a request; return (status, headers, body), also of an error response."""
+    """Send a request; return (status, headers, body), also of an error response.
+
+    Parameters
+    ----------
+    url, method : str
+    body : bytes, dict or list, optional
+        A dict or list is sent as JSON.
+    headers : dict, optional
+    timeout : float
+        Limit for each socket operation, seconds.
+
+    Raises
+    ------
+    OSError
+        If there is no response.
+    """
     data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
     req = urllib.request.Request(url, data, headers or {}, method=method)
     try:
@@ -76,9 +103,12 @@
 
 
 def wait_until(condition, timeout_s=10.0, message="condition"):
-    """Call `condition` until its value is true; return that value.
+    """Call `condition` until it returns a true value; return this value.
 
-    An `AssertionError` with `message` is raised after `timeout_s`.
+    Raises
+    ------
+    AssertionError
+        With `message`, if the value is still false after `timeout_s`.
     """
     deadline = time.monotonic() + timeout_s
     while True:
@@ -99,7 +129,7 @@
         self.targets = {}
 
     def start(self, *args, env=None):
-        """Start a `Process`, which `close` ends."""
+        """Start a `Process` that `close` kills, and return it."""
         process = Process(args, env)
         self.processes.append(process)
         return process
@@ -115,7 +145,11 @@
         return f"http://127.0.0.1:{self.table.info['port']}"
 
     def start_node(self, node_id, region="rift", dc="kerio", **settings):
-        """Start a node and return its process."""
+        """Start a node and return its process.
+
+        `settings` are further flags of `pimentoline node`; a flag whose value is empty
+        is left out.
+        """
         flags = {
             "node_id": node_id,
             "host": node_id,
@@ -131,7 +165,10 @@
         return node
 
     def start_target(self, target_id, node_id, service="hive-ledger", **settings):
-        """Start a target on the host of a node and return its process."""
+        """Start a target on the host of a node and return its process.
+
+        `settings` are further flags of `standins.target`.
+        """
         admin = "{}:{}".format(*self.nodes[node_id].info["admin"])
         flags = {"target_id": target_id, "service": service, "node_admin": admin}
         flags |= settings
@@ -147,7 +184,10 @@
         return status, json.loads(data)
 
     def call(self, node_id, path, service="hive-ledger", method="GET", **options):
-        """Send a call to a node; return (status, headers, body)."""
+        """Send a call to a node; return (status, headers, body).
+
+        `options` are further arguments of `http`.
+        """
         ip, port = self.nodes[node_id].info["data"]
         headers = {"Host": service, **options.pop("headers", {})}
         return http(f"http://{ip}:{port}{path}", method, headers=headers, **options)
@@ -162,6 +202,6 @@
         )
 
     def close(self):
-        """End every process that this cluster started."""
+        """Kill every process that this cluster started."""
         for process in reversed(self.processes):
             process.kill()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -27,7 +27,7 @@
 idempotent hive-ledger POST /quotes/*  # Wanjiru, quality desk
 """
 PAUSE_RULE = "pause t-kwale-1  # Otieno, field office\n"
-CALLERS = 3
+CALLER_COUNT = 3
 PAUSE_BETWEEN_CALLS_S = 0.02
 # Guaranteed limits: from a drain until its target gets no more calls, and from an
 # accepted rules version until it is in force at every node.
@@ -39,8 +39,20 @@
 class Traffic:
     """Calls of background callers, counted by status and by the target that served.
 
-    `entry_nodes` has the names of the nodes that the callers send their calls to.
-    `run_ids` has the ids of the sales that were answered with 200.
+    Attributes
+    ----------
+    cluster : Cluster
+    entry_nodes : list of str
+        Names of the nodes that the callers send their calls to.
+    stopping : threading.Event
+        Ends the callers when it is set.
+    statuses : Counter
+        Number of responses by status. Responses that belong to another call are also
+        counted under a key of their own.
+    served_by : Counter
+        Number of successful calls by the id of the target.
+    run_ids : list of str
+        Ids (`X-Run-Id`) of the sales that got a response with status 200.
     """
 
     cluster: Cluster
@@ -51,7 +63,7 @@
     run_ids: list = field(default_factory=list)
 
     def run(self, number):
-        """Send calls to the entry nodes in turn until `stopping` is set."""
+        """Send calls as caller `number` to the entry nodes in turn until stopped."""
         count = 0
         while not self.stopping.is_set():
             count += 1
@@ -85,10 +97,10 @@
         self.cluster = cluster
         self.check_results = []
 
-    def check(self, text, passed):
-        """Record and print the result of one check."""
+    def check(self, description, passed):
+        """Record the result of one check, and print it with a description."""
         self.check_results.append(passed)
-        print(f"{'ok  ' if passed else 'FAIL'}  {text}", flush=True)
+        print(f"{'ok  ' if passed else 'FAIL'}  {description}", flush=True)
 
     def start(self):
         """Start all processes and wait until each node knows each target."""
@@ -108,14 +120,19 @@
         """Run a command at a node, check its exit status and return its output."""
         admin = "{}:{}".format(*self.cluster.nodes[node].info["admin"])
         argv = [sys.executable, "-m", "pimentoline", *args, f"--admin_addr={admin}"]
-        done = subprocess.run(argv, input=text, capture_output=True, text=True)
+        completed = subprocess.run(argv, input=text, capture_output=True, text=True)
         command = " ".join(["pimentoline", *args])
-        output = (done.stdout or done.stderr).strip()
-        self.check(f"{command}: exit status {done.returncode}", done.returncode == 0)
+        output = (completed.stdout or completed.stderr).strip()
+        self.check(
+            f"{command}: exit status {completed.returncode}", completed.returncode == 0
+        )
         return output
 
     def apply(self, base, text):
-        """Apply rules at one node; return the seconds until all nodes use them."""
+        """Apply rules at one node; return the seconds until all nodes use them.
+
+        `base` is the version that the rules replace; theirs is `base` + 1.
+        """
         args = ["apply", "-", "--author=demo", f"--base={base}"]
         started = time.monotonic()
         print(f"      {self.run_command('kerio-1', *args, text=text)}")
@@ -127,7 +144,7 @@
         return self.cluster.admin(node, "/v1/config")[1]["version"]
 
     def change_rules(self, traffic):
-        """Pause a target by a rule; check that it gets no more calls."""
+        """Apply rules, then pause a target by a rule; check that it gets no calls."""
         seconds = self.apply(0, RULES)
         self.check(f"in force everywhere in {seconds:.2f} s", seconds < RULES_LIMIT_S)
         seconds = self.apply(1, RULES + PAUSE_RULE)
@@ -161,7 +178,7 @@
         self.start()
         traffic = Traffic(self.cluster, ["baringo-1", "kwale-1", "kakamega-1"])
         callers = [
-            threading.Thread(target=traffic.run, args=(n,)) for n in range(CALLERS)
+            threading.Thread(target=traffic.run, args=(n,)) for n in range(CALLER_COUNT)
         ]
         for caller in callers:
             caller.start()
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -12,8 +12,10 @@
 __all__ = ["NodeProcess", "settings_text", "start_node_process"]
 
 ROOT = Path(__file__).parent.parent
-PORTS = ("inbound", "outbound", "ready", "control")
-SETTINGS = """
+# Placeholders in `SETTINGS_TEMPLATE` of the ports at which the node listens.
+PORT_NAMES = ("inbound", "outbound", "ready", "control")
+# `new_field` stands for a setting of a newer platform, which a node ignores.
+SETTINGS_TEMPLATE = """
 node_name = "{name}"
 zone = "{dc}"
 region = "{region}"
@@ -32,9 +34,13 @@
 
 
 def settings_text(**values):
-    """Return the text of a settings file with the given values.
+    """Return the text of a settings file.
 
-    The defaults of the node's own ports are 1 to 4.
+    Parameters
+    ----------
+    **values
+        Values for the placeholders of `SETTINGS_TEMPLATE`. Without a value, the ports
+        at which the node listens are 1 to 4.
     """
     fields = {
         "name": "sidecar-1",
@@ -46,12 +52,12 @@
         "app": "127.0.0.1:1",
         "store": "127.0.0.1:1",
     }
-    fields |= {name: number for number, name in enumerate(PORTS, 1)}
-    return SETTINGS.format(**(fields | values))
+    fields |= {name: number for number, name in enumerate(PORT_NAMES, 1)}
+    return SETTINGS_TEMPLATE.format(**(fields | values))
 
 
 def start_node_process(path, stdout=subprocess.PIPE):
-    """Start `pimentoline.platform` with a settings file."""
+    """Start `pimentoline.platform` with a settings file; return its `Popen`."""
     env = {**os.environ, "PIMENTOLINE_CONFIG": str(path)}
     return subprocess.Popen(
         [sys.executable, "-m", "pimentoline.platform"],
@@ -64,7 +70,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Addresses:
-    """Addresses of a node, named as in `HostSettings`."""
+    """Addresses of a node, named as in `HostSettings`.
+
+    So code that takes a node inside this process also takes a `NodeProcess`.
+    """
 
     callers_addr: tuple[str, int]
     heartbeats_addr: tuple[str, int]
@@ -83,13 +92,19 @@
         The target on the host of the node.
     store : StoreStandIn
     **values
-        Further values of the settings file.
+        Further arguments of `settings_text`.
+
+    Attributes
+    ----------
+    cfg : _Addresses
+    process : subprocess.Popen or None
+        The process that was started last.
     """
 
     def __init__(self, folder, name, target, store, **values):
         self.name = name
         self.target = target
-        ports = {kind: free_port() for kind in PORTS}
+        ports = {kind: free_port() for kind in PORT_NAMES}
         self.cfg = _Addresses(
             *(("127.0.0.1", ports[kind]) for kind in ("outbound", "control"))
         )
@@ -108,7 +123,7 @@
         self.process = None
 
     def start(self):
-        """Start the process; its log is appended to that of earlier ones."""
+        """Start the process; its log is appended to the log of earlier processes."""
         with self._log.open("a") as log:
             self.process = start_node_process(self._settings, log)
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform's store and for its targets, inside one event loop.
 
 The store serves `rows-tx`, `rows-get` and `rows-feed` as the platform specifies them,
-for rows with an empty part. A target, which the platform calls an instance, responds
+for rows whose `part` is empty. A target, which the platform calls an instance, responds
 through a function of the test, so that it can violate the protocol at any byte.
 """
 
@@ -19,13 +19,14 @@
 
 __all__ = ["ReceivedRequest", "ScriptedTarget", "StoreStandIn", "free_port"]
 
-# Response of the feed to a reader that is behind the oldest change kept.
+# Status of the feed for a reader that missed changes which the feed no longer has.
 HISTORY_EXPIRED_STATUS = 410
 EOF_POLL_INTERVAL_S = 0.01
 # Ends below 32768, where the ephemeral ports of Linux begin by default.
 PORT_RANGE = range(20000, 32000)
 # Starts at a different port in each process, so that parallel tests do not collide.
 _next_port = itertools.count(os.getpid() * 97)
+# Nodes require `X-Response-Stamp` in each response and accept any value.
 RESPONSE_STAMP = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
@@ -47,31 +48,37 @@
 
 
 class StoreStandIn:
-    """A store that keeps its rows in memory; tests inject faults through attributes.
+    """A store that keeps its rows in memory and serves them over HTTP.
+
+    Tests inject faults by setting `down`, `silent` and `lose_responses`.
 
     Attributes
     ----------
     rows : dict
-        Value and version of each row, by table and key; the value of a deleted row is
-        None.
+        Tuple (value, version) of each row, by tuple (table, key); the value of a
+        deleted row is None.
     version : int
         Version of the latest change of any row.
-    oldest : int
+    oldest_version : int
         Version of the oldest change that the feed still has.
     down : bool
-        Every call is answered with 503.
+        Every request is rejected with status 503.
     silent : bool
-        Calls have no effect and get no response.
+        Requests have no effect and get no response.
     lose_responses : int
-        Number of further writes that take effect without a response.
+        Number of further writes that take effect but whose responses are lost.
     calls : list of str
-        Paths of the calls received.
+        Paths of the requests received.
+    changed : asyncio.Event
+        Set at the next change of any row; each change replaces the event.
+    addr : tuple
+        Address at which the store listens.
     """
 
     def __init__(self):
         self.rows = {}
         self.version = 0
-        self.oldest = 0
+        self.oldest_version = 0
         self.down = False
         self.silent = False
         self.lose_responses = 0
@@ -91,12 +98,12 @@
         changed.set()
 
     def put_config(self, config):
-        """Write the operator's configuration."""
+        """Write the operator's configuration, given as JSON data."""
         self.put("op", "config", json.dumps(config).encode())
 
     def expire_history(self):
         """Remove all changes up to now from the feed."""
-        self.oldest = self.version + 1
+        self.oldest_version = self.version + 1
 
     def row(self, table, key):
         """Return a row as JSON data."""
@@ -135,7 +142,7 @@
         self.finish(json.dumps(item | extra))
 
     async def get(self, call):
-        """Return the rows of a table, or wait for changes of them."""
+        """Send the rows of a table, or wait for its changes and send these."""
         store = self.store
         table = self.get_query_argument("table")
         if call == "rows-get":
@@ -147,9 +154,9 @@
             self._respond(rows, has_more=False)
             return
         after = int(self.get_query_argument("after"))
-        until = time.monotonic() + int(self.get_query_argument("wait_ms")) / 1000
+        deadline = time.monotonic() + int(self.get_query_argument("wait_ms")) / 1000
         while True:
-            if after + 1 < store.oldest:
+            if after + 1 < store.oldest_version:
                 self.set_status(HISTORY_EXPIRED_STATUS)
                 self.finish("{}")
                 return
@@ -159,7 +166,7 @@
                 for row_id, (_, version) in store.rows.items()
                 if row_id[0] == table and version > after
             )
-            remaining_s = until - time.monotonic()
+            remaining_s = deadline - time.monotonic()
             if changes or remaining_s <= 0:
                 self._respond([store.row(*row_id) for _, row_id in changes])
                 return
@@ -170,7 +177,7 @@
                 continue
 
     async def post(self, call):
-        """Apply a transaction, or nothing if a row has another version."""
+        """Apply a transaction, or reject it if a row has an unexpected version."""
         store = self.store
         body = json.loads(self.request.body)
         expected = body["expected_rev"]
@@ -228,7 +235,7 @@
     Parameters
     ----------
     name : str
-        Id of the target; a request that expects another target is answered with 421.
+        Id of the target; a request for another target is rejected with status 421.
     service : str
         Service that the target reports.
 
@@ -237,17 +244,21 @@
     received : list of ReceivedRequest
         Requests in the order of arrival, without health checks.
     running, max_running : int
-        Requests that run now, and the most that ran at once.
+        Number of requests that run now, and the highest number that ran at once.
     delay_s : float
-        Time from a request to its response, seconds.
+        Time from a request to the response of `respond`, seconds.
     slots : int
-        Requests that the target reports to run at once.
+        Maximum number of requests at once that the target reports.
     slowdown_percent : int
-        Reported duration of the work, in percent of the usual duration.
+        Duration of requests that the target reports, in percent of the usual one.
     health_checks : int
         Number of health checks received.
     sequence : int
-        Number of the last heartbeat.
+        Sequence number of the last heartbeat.
+    born_ms : int
+        Start time that the target reports, milliseconds since the epoch.
+    addr : tuple
+        Address at which the target listens; None before `start`.
     draining : bool
         Set by tests that drain the target.
     """
@@ -290,7 +301,11 @@
         self.write_response(request, writer, body, **headers)
 
     def write_response(self, request, writer, body, status="200 OK", **headers):
-        """Write a complete response; `headers` add to and replace the usual ones."""
+        """Write a complete response.
+
+        `headers` are added to the usual ones or replace them; underscores in their
+        names stand for hyphens.
+        """
         lines = {
             "X-Request-Id": request.request_id,
             "X-Response-Stamp": RESPONSE_STAMP,
@@ -307,18 +322,18 @@
         self._writers.add(writer)
         try:
             while True:
-                request = await self._read(reader)
-                await self._run(request, reader, writer)
+                request = await self._read_request(reader)
+                await self._handle_request(request, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             self._writers.discard(writer)
             writer.close()
 
-    async def _read(self, reader):
+    async def _read_request(self, reader):
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
-        first, *lines = head.strip().split("\r\n")
-        method, path, _ = first.split(" ")
+        request_line, *lines = head.strip().split("\r\n")
+        method, path, _ = request_line.split(" ")
         headers = {
             name.lower(): value
             for name, value in (line.split(": ", 1) for line in lines)
@@ -326,7 +341,8 @@
         length = int(headers.get("content-length", 0))
         return ReceivedRequest(method, path, headers, await reader.readexactly(length))
 
-    async def _run(self, request, reader, writer):
+    async def _handle_request(self, request, reader, writer):
+        """Respond to one request; `serve` is cancelled if the caller disconnects."""
         if request.path == "/healthz":
             self.health_checks += 1
             self.write_response(request, writer, b"", X_Instance_Id=self.name)
@@ -355,7 +371,7 @@
     async def send_heartbeat(self, node, state="ready", **changes):
         """Send a heartbeat to a node; return the status of the response.
 
-        Keyword arguments replace members of the body.
+        `changes` are members of the body to add or replace.
         """
         self.sequence += 1
         body = {
