Reword the emulator

Some constants and methods had the name of something else (drain, cold_s), and attributes had no description. Renames and documents them.

--- a/bench/emulator/__init__.py
+++ b/bench/emulator/__init__.py
@@ -1,5 +1,5 @@
-"""Emulator of calls through two nodes.
+"""Emulator of calls that pass the node of the caller and the node of the target.
 
-The decisions are those of `pimentoline.twohop`. Targets, network and callers are
+The nodes decide with the code of `pimentoline.twohop`. Targets, network and callers are
 models in simulated time.
 """
--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -10,9 +10,10 @@
 from .runner import run_condition
 
 HERE = Path(__file__).resolve().parent
-# `credit` and `worst` are shares of the credit that callers can earn, overall and in
-# the worst windows. `in time`, `late`, `refused` and `failed` are shares of the calls,
-# whose number is `asked`. A site is a deployment; DC means data centre.
+# Columns: `asked` is the number of calls. `in time`, `late`, `refused` and `failed` are
+# shares of the calls; see `Result`. `credit` and `worst` are shares of the credit that
+# callers can earn, in the whole run and in the worst windows. A site is a deployment;
+# DC means data centre.
 TABLE_HEAD = (
     "| site | condition | policy | asked | credit | worst | in time | late | refused "
     "| failed | p50 ms | p99 ms | frames a call | KB between DCs a call "
--- a/bench/emulator/config.py
+++ b/bench/emulator/config.py
@@ -12,7 +12,7 @@
 
 
 class Fault(StrictModel):
-    """A disturbance that starts at `at_s` and lasts `for_s` seconds.
+    """A fault that starts at `at_s`, counted from the start of the load.
 
     Attributes
     ----------
@@ -20,6 +20,8 @@
         `burst`: the load is `factor` times as high. `slow`: work takes `factor` times
         as long. `grey`: a share `factor` of the requests fails. `lost`: nodes take no
         calls. `power_off`: all nodes and targets go down and restart.
+    at_s, for_s : float
+        Start and duration, seconds.
     share : float
         Part of the nodes of the first call kind's service, or of their targets, that
         `slow`, `grey` and `lost` affect.
@@ -33,7 +35,7 @@
 
 
 class Condition(StrictModel):
-    """Faults, and a load as a multiple of the usual one."""
+    """Faults, and a load as a multiple of the call rates of `CallKind`."""
 
     name: str
     load: float = Field(1.0, gt=0)
@@ -51,10 +53,11 @@
         One-way network delay to another data centre of the region and to another
         region, seconds.
     services : dict of str to tuple of int
-        Number of targets in each data centre, in the order of `dcs`. Each target has a
-        node of its own.
+        Number of targets in each data centre, in the order of `dcs`, by service. Each
+        target has a node of its own.
     traits : TargetTraits
     kinds : tuple of CallKind
+        Faults affect the service of the first kind, except `burst` and `power_off`.
     """
 
     name: str
@@ -67,7 +70,7 @@
 
 
 class Experiment(StrictModel):
-    """The whole file; the load lasts `length_s` seconds."""
+    """The whole file; the load of each run lasts `length_s` seconds."""
 
     seeds: tuple[int, ...] = Field(min_length=1)
     length_s: float = Field(gt=0)
@@ -81,7 +84,12 @@
 
     Raises
     ------
-    OSError, tomllib.TOMLDecodeError, pydantic.ValidationError
+    OSError
+        If the file cannot be read.
+    tomllib.TOMLDecodeError
+        If it is not TOML.
+    pydantic.ValidationError
+        If values are invalid.
     """
     with open(path, "rb") as file:
         return Experiment.model_validate(tomllib.load(file))
--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -1,4 +1,4 @@
-"""Simulated nodes: the product's two sides of a call on a model of the network."""
+"""Simulated nodes: `CallerSide` and `TargetSide` on models of network and targets."""
 
 import asyncio
 from dataclasses import dataclass, field
@@ -21,7 +21,9 @@
 __all__ = ["Network", "Node", "Traffic"]
 
 HEADER_NAMES = HeaderNames()
+# Header that carries the name of a call's `CallKind`.
 KIND_HEADER = "X-Kind"
+# The address of all targets, which nothing connects to.
 TARGET_ADDR = ("127.0.0.1", 1)
 # Duration of a probe of the target on the same host, seconds.
 PROBE_S = 0.002
@@ -32,7 +34,10 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """Number of frames sent, and kilobytes between data centres and regions."""
+    """Numbers of frames sent, and of kilobytes between data centres and regions.
+
+    `kb_dc` counts the kilobytes between data centres of the same region.
+    """
 
     frames: int = 0
     kb_dc: float = 0.0
@@ -47,7 +52,9 @@
     ----------
     dc_s, region_s : float
         One-way delay to another data centre of the region and to another region,
-        seconds.
+        seconds. Within a data centre it is 0.2 ms.
+    traffic : Traffic
+        Traffic so far.
     """
 
     dc_s: float
@@ -58,7 +65,8 @@
     def send(self, sender, receiver, size, deliver, *args):
         """Call `deliver(*args)` when a frame of `size` bytes arrives.
 
-        The frame is lost if either node restarts meanwhile or the receiver is down.
+        The frame is lost if `sender` or `receiver`, two `Node` objects, restarts before
+        the frame arrives, or if the receiver is down then.
         """
         self.traffic.frames += 1
         delay_s = self._transfer_delay_s(
@@ -73,7 +81,7 @@
         asyncio.get_running_loop().call_later(delay_s, arrive)
 
     def _transfer_delay_s(self, source, destination, kilobytes):
-        """Count the kilobytes and return the delay, seconds."""
+        """Add the kilobytes to the traffic and return the one-way delay, seconds."""
         if source.dc == destination.dc:
             return 0.0002
         if source.region == destination.region:
@@ -84,7 +92,7 @@
 
 
 class _NullPool:
-    """Stands in for the connection pool, since the target is not called over HTTP."""
+    """Replaces the connection pool, since the target is not called over HTTP."""
 
     async def acquire(self, addr, reuse):
         return self
@@ -100,7 +108,7 @@
 
 
 class _SimulatedTargetSide(TargetSide):
-    """The target's side of calls, in front of a `TargetModel`."""
+    """The target's side of calls, which runs them at a `TargetModel`."""
 
     def __init__(self, node, clock):
         super().__init__(
@@ -116,12 +124,12 @@
 
     async def _call_target(self, conn, work):
         target_model = self._node.target_model
-        expected = self.status_tracker.current.target_id
+        expected_id = self.status_tracker.current.target_id
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not target_model.up:
             raise ConnectionRefusedError("the target is down")
         headers = HTTPHeaders({HEADER_NAMES.response_stamp: "s"})
-        if expected != target_model.name:
+        if expected_id != target_model.name:
             headers[HEADER_NAMES.not_run] = "1"
             return Response(421, "Misdirected", headers, b"", True)
         remaining_s = work.job.deadline_at - self._clock()
@@ -178,8 +186,19 @@
         By name.
     network : Network
     policy : callable
-        Has the parameters of `placement.choose`.
+        Has the parameters and the result of `placement.choose`.
     rng : random.Random
+
+    Attributes
+    ----------
+    target_model : TargetModel
+        Set by the creator of the node.
+    up : bool
+        Whether the node runs.
+    restarts : int
+        Number of restarts so far.
+    candidates_by_node : dict of str to Candidate
+        What the node knows of the targets of other nodes, by name of the node.
     """
 
     def __init__(self, name, service, dc, region, kinds, network, policy, rng):
@@ -234,7 +253,7 @@
         """Send a call to a candidate's node; return a function that cancels it."""
         network = self.network
         destination = next(n for n in network.nodes if n.member is candidate.member)
-        frame = make_frame(0)
+        frame = make_frame(0)  # stream number, not used here
         candidate.in_flight += 1
         sent_call = _SentCall(self, destination, candidate, on_frame)
         network.send(
@@ -274,12 +293,12 @@
                 int(self.clock() * 1000) + 1,
                 TargetState.READY,
                 target_model.traits.slots,
-                target_model.cold_s(),
+                target_model.remaining_cold_s(),
             )
             self.target_side.handle_heartbeat(heartbeat)
 
     def pause(self, pause_s):
-        """Take no calls for `pause_s`, as a node that stops and starts again."""
+        """Take no calls for `pause_s` seconds, like a node that stops and restarts."""
         self.target_side.stop()
         asyncio.get_running_loop().call_later(pause_s, self._resume)
 
@@ -288,7 +307,7 @@
         self.announce()
 
     def restart(self, down_s):
-        """Go down and start again after `down_s` with only the stored target status."""
+        """Go down for `down_s` seconds and keep only the stored target status."""
         status = self.target_side.status_tracker.current
         stored = TargetStatus(status.target_id, status.born_ms, 0, status.state)
         self.caller_side.abort()
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -33,5 +33,5 @@
     )
 
 
-# name: function with the parameters of `placement.choose`
+# Functions with the parameters and the result of `placement.choose`, by name.
 POLICIES = {"product": choose, "random": _random, "near": _nearest}
--- a/bench/emulator/runner.py
+++ b/bench/emulator/runner.py
@@ -18,19 +18,19 @@
 
 # Time before the load, in which nodes discover each other and their targets, seconds.
 WARM_UP_S = 1.0
-# Time after the load for calls in flight to finish, seconds.
-DRAIN_S = 2.0
+# Time after the load for calls in flight to complete, seconds.
+COMPLETION_S = 2.0
 # Length of the windows over which the credit of `Result` is summed, seconds.
-WINDOW_S = 2.0
-# Number of windows with the least credit that are reported separately.
-WORST_WINDOWS = 2
+CREDIT_WINDOW_S = 2.0
+# Number of windows that `Result.worst_credit_share` covers.
+WORST_WINDOW_COUNT = 2
 # One-way delay between a caller and its node, seconds.
 CALLER_DELAY_S = 0.001
-# A caller that is told when to retry waits for at most this share of the time that
+# A caller that receives `Retry-After` waits for at most this share of the time that
 # remains until its deadline.
 MAX_WAIT_SHARE = 1 / 3
 # Maximum number of times that a caller sends the same call.
-CALLER_ATTEMPTS = 2
+MAX_CALLER_ATTEMPTS = 2
 # Largest latency that the histogram can record, microseconds.
 MAX_LATENCY_US = 10_000_000
 
@@ -81,12 +81,12 @@
 
     @property
     def worst_credit_share(self):
-        """Mean of the credit shares of the `WORST_WINDOWS` worst windows."""
+        """Mean of the credit shares of the worst `WORST_WINDOW_COUNT` windows."""
         shares = [
             self.earned_credit.get(window, 0.0) / credit
             for window, credit in self.possible_credit.items()
         ]
-        lowest = sorted(shares)[:WORST_WINDOWS]
+        lowest = sorted(shares)[:WORST_WINDOW_COUNT]
         return sum(lowest) / len(lowest)
 
     def percentile_ms(self, percent):
@@ -162,7 +162,7 @@
             raise
 
     async def run(self):
-        """Run the condition and add up its results."""
+        """Run the condition and add its results to `result`."""
         await asyncio.sleep(0)
         for node in self.network.nodes:
             node.send_heartbeat()
@@ -173,7 +173,7 @@
             self.loop.call_later(fault.at_s, self._start_fault, fault)
         sources = [self._generate_calls(kind) for kind in self.site.kinds if kind.per_s]
         await asyncio.gather(*sources)
-        await asyncio.sleep(DRAIN_S)
+        await asyncio.sleep(COMPLETION_S)
         traffic = self.network.traffic
         self.result.frames += traffic.frames
         self.result.kb_dc += traffic.kb_dc
@@ -228,7 +228,7 @@
         started_at = self.loop.time()
         deadline_at = started_at + kind.deadline_s
         status = None
-        for _ in range(CALLER_ATTEMPTS):
+        for _ in range(MAX_CALLER_ATTEMPTS):
             remaining_s = deadline_at - self.loop.time()
             if remaining_s <= 0:
                 break
@@ -248,7 +248,7 @@
 
     def _record(self, kind, at_s, status, latency_s):
         result = self.result
-        window = int(at_s / WINDOW_S)
+        window = int(at_s / CREDIT_WINDOW_S)
         result.calls += 1
         result.possible_credit[window] = (
             result.possible_credit.get(window, 0.0) + kind.worth
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -22,14 +22,20 @@
     goal_s, deadline_s, work_s : float
         Latency objective, deadline and mean processing time, seconds.
     worth, late_worth : float
-        Credit for a response within the latency objective, and for a later one.
+        Credit for a response within the latency objective, and for a later one that
+        meets the deadline.
+    priority : int
+        0 is the most urgent.
     repeatable : bool
         Whether it may be retried after an attempt that may have run.
     sent_bytes, answer_bytes : int
         Sizes of the request body and of the response body.
     calls : int
-        Number of calls of kind `calls_kind` that the target makes for one request, in
-        a share `calls_share` of the requests.
+        Number of calls that the target itself makes for one request.
+    calls_kind : str
+        Kind of these calls.
+    calls_share : float
+        Share of the requests for which the target makes them.
     """
 
     name: str
@@ -56,10 +62,10 @@
     Attributes
     ----------
     slots, queue : int
-        Requests that run at once, and that wait at most.
+        Maximum numbers of requests that run at once and that wait.
     noise_share, noise_factor, noise_s : float
-        In a share of all periods of length `noise_s`, requests that start take
-        `noise_factor` times as long, because of other load on the host.
+        In a share `noise_share` of all periods of length `noise_s`, requests that start
+        take `noise_factor` times as long, because of other load on the host.
     knee, knee_factor : float
         While more than the share `knee` of the slots is in use, requests that start
         take `knee_factor` times as long.
@@ -67,7 +73,7 @@
         For `cold_s` after a restart, requests that start take `cold_factor` times as
         long.
     spread : float
-        Sigma of the log-normal processing time.
+        Standard deviation of the logarithm of the log-normal processing time.
     """
 
     slots: int
@@ -84,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestResult:
-    """Status of a request at a target, and whether the request was not run."""
+    """HTTP status of the response to a request, and whether the request was not run."""
 
     status: int
     not_run: bool = False
@@ -99,14 +105,20 @@
     rng : random.Random
     call : callable
         `await call(kind_name, remaining_s)` makes a call for the target and returns
-        its status.
+        its HTTP status.
 
     Attributes
     ----------
+    name, born_ms : str, int
+        Id and start time of the target; both change at a restart.
+    running : int
+        Number of requests that run.
+    up : bool
+        Whether the target runs.
     slow_factor : float
-        Factor of the processing time that a fault sets.
+        Factor on the processing time, set by a fault.
     error_share : float
-        Share of requests that a fault makes fail.
+        Share of the requests that fail, set by a fault.
     """
 
     def __init__(self, traits, rng, call):
@@ -138,18 +150,19 @@
         self._slot_freed = asyncio.Condition()
         self._cold_until = _now() + self.traits.cold_s
 
-    def cold_s(self):
+    def remaining_cold_s(self):
         """Return the remaining time of the cold start, seconds."""
         return max(0.0, self._cold_until - _now())
 
     def slowdown(self):
-        """Return the factor of the processing time for requests that start now."""
+        """Return the factor on the processing time of requests that start now."""
         now = _now()
         while self._noise_until <= now:
             is_noisy = self._rng.random() < self.traits.noise_share
             self._noise_factor = self.traits.noise_factor if is_noisy else 1.0
+            # After a longer idle time, skips the periods before the last second.
             self._noise_until = max(self._noise_until, now - 1.0) + self.traits.noise_s
-        cold_factor = self.traits.cold_factor if self.cold_s() else 1.0
+        cold_factor = self.traits.cold_factor if self.remaining_cold_s() else 1.0
         return self._noise_factor * cold_factor * self.slow_factor
 
     def load_header(self):
@@ -158,7 +171,14 @@
         return f"{self.running},{self._waiting},{self.traits.slots},{percent}"
 
     async def serve(self, kind, remaining_s):
-        """Run a request of a kind and return its `RequestResult`."""
+        """Run a request and return its `RequestResult`.
+
+        Parameters
+        ----------
+        kind : CallKind
+        remaining_s : float
+            Time until the deadline of the request, seconds.
+        """
         if self.running >= self.traits.slots:
             if self._waiting >= self.traits.queue:
                 return RequestResult(503, True)
@@ -195,11 +215,12 @@
             calls = [
                 self._call(kind.calls_kind, remaining_s) for _ in range(kind.calls)
             ]
-        statuses = await asyncio.gather(*calls, _sleep_for(work_s))
+        statuses = await asyncio.gather(*calls, _do_work(work_s))
         return RequestResult(200 if all(status == 200 for status in statuses) else 500)
 
 
-async def _sleep_for(work_s):
+async def _do_work(work_s):
+    """Wait and return status 200, in the form of the target's own calls."""
     await asyncio.sleep(work_s)
     return 200
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,12 +10,12 @@
 
 from bench.emulator import simulated_time
 from bench.emulator.config import Condition, Fault, load_experiment
-from bench.emulator.runner import WINDOW_S, run_condition
+from bench.emulator.runner import CREDIT_WINDOW_S, run_condition
 from bench.emulator.targets import TargetModel
 
 EXPERIMENT = Path(__file__).parent.parent / "bench" / "emulator" / "experiment.toml"
 POWER_LOSS = Fault(kind="power_off", at_s=2.0, for_s=1.4)
-# Cold targets work at half speed, so half of the credit is what they can earn.
+# Cold targets work at half speed, so callers can earn at least half of the credit.
 MIN_COLD_CREDIT_SHARE = 0.5
 
 
@@ -83,11 +83,11 @@
 
 @pytest.mark.parametrize("name", ["asali-hub", "kerrigan"])
 def test_callers_are_served_by_cold_targets_after_a_power_loss(sites, name):
-    """Guards against calls that are held or refused until the targets are warm."""
+    """Guards against calls that wait or are rejected until the targets are warm."""
     condition = Condition(name="off", faults=(POWER_LOSS,))
     result = run_condition(sites[name], condition, "product", [1], 6.0)
     # The power is back at 3.4 s; this is the window from 4 s to 6 s.
-    window = int((POWER_LOSS.at_s + POWER_LOSS.for_s) / WINDOW_S) + 1
+    window = int((POWER_LOSS.at_s + POWER_LOSS.for_s) / CREDIT_WINDOW_S) + 1
     assert (
         result.earned_credit[window]
         >= MIN_COLD_CREDIT_SHARE * result.possible_credit[window]
