--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,7 @@
 
 
 def main(argv):
-    """Run all sizes in parallel, each with processes of its own."""
+    """Run all sizes in parallel, each with its own processes; write the report."""
     args = flags.FLAGS
     experiment = load_experiment(args.experiment, args.quick)
     started_at = time.monotonic()
--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -1,7 +1,7 @@
 """Measures the latency and the CPU time that a node adds to a call.
 
 A direct connection, a plain `IOStream` relay and a node are measured in turn, several
-times within one run, so that a change in the machine's load affects all three. Calls
+times within one run, so that a change in the host's load affects all three. Calls
 are sent at fixed intervals over persistent connections. The latency of a call runs
 from writing the request to the last byte of the response.
 
@@ -28,8 +28,9 @@
 RATES_PER_S = (150, 400)
 # Response body sizes in bytes.
 BODY_SIZES = (512, 64 * 1024)
-# Ways to reach the target.
+# Ways to reach the target; `direct` is a connection without an intermediary.
 MODES = ("direct", "relay", "node")
+# Limit for the p99 with a node minus the p99 with a direct connection.
 MAX_ADDED_P99_MS = 0.81
 ANNOUNCE_INTERVAL_S = 1.0
 WARM_UP_CALLS = 100
@@ -172,12 +173,33 @@
     """Return the CPU time that a process has used so far, in seconds."""
     with open(f"/proc/{process.popen.pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
-    # User and system time.
+    # Fields utime and stime of proc(5).
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
 
 
 def measure(addrs, processes, rate, size, rounds, seconds):
-    """Return by mode the p50 and p99 in ms and the CPU time per call in us."""
+    """Measure all modes with one rate and body size.
+
+    Parameters
+    ----------
+    addrs : dict
+        Address to send calls to, by mode.
+    processes : dict of str to Process
+        Relay and node, by mode.
+    rate : float
+        Calls per second.
+    size : int
+        Size of the response body, bytes.
+    rounds : int
+        Number of measurements of each mode.
+    seconds : float
+        Duration of one measurement.
+
+    Returns
+    -------
+    dict of str to dict
+        p50 and p99 of the latency in ms, and CPU time per call in us, by mode.
+    """
     histograms = {mode: HdrHistogram(1, 10_000_000, 3) for mode in MODES}
     cpu_s = dict.fromkeys(MODES, 0.0)
     count = int(rate * seconds)
@@ -203,7 +225,13 @@
 
 
 def run(rounds, seconds, rates=RATES_PER_S, sizes=BODY_SIZES):
-    """Measure every combination of rate and body size; return a list of results."""
+    """Measure every combination of rate and body size.
+
+    Returns
+    -------
+    list of dict
+        Results of `measure` with their `rate` and `size`.
+    """
     cluster, stopped = Cluster(), threading.Event()
     try:
         responder = cluster.start("bench.added_time", "--role=responder")
@@ -250,7 +278,7 @@
 
 
 def print_report(results):
-    """Print one line per result; return whether the added p99 is within the limit."""
+    """Print one line per result; return whether all added p99s are within the limit."""
     header = "rate  size   " + "".join(f"{mode:>9} p50   p99" for mode in MODES)
     print(header + "   added p99  node/relay   us/call relay  node")
     within_limit = True
--- a/bench/burst.py
+++ b/bench/burst.py
@@ -3,8 +3,8 @@
 Run: `python -m bench.burst`. The node's state holds 720 members. Records that mark a
 rack (20 nodes) or a data centre (120 nodes) as dead arrive, then ticks follow every
 200 ms. A message counts with the bytes of its payload, before it is split into
-datagrams, once for each peer that it is sent to. No peer answers the node's pings, so
-the figures include gossip about members that the node itself suspects.
+datagrams, once for each peer that it is sent to. No peer acknowledges the node's pings,
+so the figures include gossip about members that the node itself suspects.
 """
 
 from dataclasses import replace
@@ -19,7 +19,8 @@
 
 from .reduce_cost import make_state
 
-FAILED_NODES = {"rack": 20, "data centre": 120}
+# Number of nodes that fail at once, by kind of failure.
+FAILED_NODE_COUNTS = {"rack": 20, "data centre": 120}
 TICK_S = 0.2
 MEASURED_TICKS = 25
 SETTLING_TICKS = 400
@@ -36,7 +37,7 @@
 
 
 def make_settled_state(codec):
-    """Return a state that has sent its initial gossip, and the time of that state."""
+    """Return a state that has sent its initial gossip, and its time in seconds."""
     state, now = make_state("hot-cold"), 0.0
     for tick in range(SETTLING_TICKS):
         now += TICK_S
@@ -46,7 +47,13 @@
 
 
 def measure(count):
-    """Return the bytes sent at each tick, starting with the news of `count` deaths."""
+    """Return the gossip bytes sent when `count` nodes fail.
+
+    Returns
+    -------
+    list of int
+        Bytes sent when the records of the dead nodes arrive, then at each tick.
+    """
     codec = Codec([b"key"])
     state, now = make_settled_state(codec)
     names = sorted(state.mesh.members)[1 : count + 1]
@@ -72,9 +79,9 @@
         "| highest KB/s |"
     )
     print("| --- | --- | --- | --- |")
-    for name, count in FAILED_NODES.items():
+    for name, count in FAILED_NODE_COUNTS.items():
         sent_bytes = measure(count)
-        # Sums over each period of one second.
+        # Sums over every period of one second, starting at each tick.
         bytes_per_s = [
             sum(sent_bytes[i : i + ticks_per_s])
             for i in range(len(sent_bytes) - ticks_per_s + 1)
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -2,8 +2,8 @@
 
 The first part runs one real node; this process simulates all other members, which
 send it pings, synchronisations and gossip and respond to its messages. The second part
-runs real nodes only. The third passes messages between reducer states in simulated
-time.
+runs real nodes only. The third measures in simulated time how fast a drain and a
+configuration spread between reducer states.
 
 Run: `python -m bench.capacity > FILE`; it prints Markdown.
 """
@@ -31,12 +31,13 @@
 from .reduce_cost import LOCATIONS
 
 SEED = 7
-# Sizes of the mesh with simulated members, and of the mesh of real nodes.
+# Mesh sizes of the parts with simulated members or in simulated time, and of the part
+# with real nodes.
 MEMBER_COUNTS = (90, 180, 360, 720)
 NODE_COUNTS = (6, 12, 24, 48)
-# Each part is measured at rest, when no member restarts, and then with restarts. With
-# simulated members, each of the two periods contains one synchronisation in each
-# direction.
+# The first two parts measure a period at rest, when no member restarts, and then one
+# with restarts. With simulated members, each of the two periods contains one
+# synchronisation in each direction.
 SIMULATED_REST_S = 60.0
 SIMULATED_RESTARTS_S = 40.0
 REAL_REST_S = 30.0
@@ -48,8 +49,15 @@
 RULES_TEXT = "pause nobody  # asked by Wanjiru\n"
 
 
-class Sample:
-    """CPU time and mesh traffic of a node up to one moment."""
+class UsageSample:
+    """CPU time and mesh traffic of a node since its start, and the time of the sample.
+
+    Parameters
+    ----------
+    pid : int
+    counters : dict
+        Counters of the node, by name.
+    """
 
     def __init__(self, pid, counters):
         with open(f"/proc/{pid}/schedstat") as file:
@@ -82,13 +90,13 @@
 
 
 def take_sample(cluster, name):
-    """Return a `Sample` of a node."""
+    """Return a `UsageSample` of a node."""
     counters = cluster.admin(name, "/v1/status")[1]["counters"]
-    return Sample(cluster.nodes[name].popen.pid, counters)
+    return UsageSample(cluster.nodes[name].popen.pid, counters)
 
 
 class SimulatedMembers:
-    """Simulates all members but one; they share the address of this process."""
+    """Simulates `count` members of a mesh that share one address in this process."""
 
     def __init__(self, count, seed):
         self.rng = random.Random(seed)
@@ -104,7 +112,7 @@
         self.count = count
 
     def make_record(self, number):
-        """Return the record of a simulated member, which has one target."""
+        """Return the record of simulated member `number`, which has one target."""
         region, dc = LOCATIONS[number % len(LOCATIONS)]
         target = Target(f"t{number}", f"s{number % 89}", ("127.0.0.1", 9), region, dc)
         name = f"m{number}"
@@ -118,7 +126,7 @@
         return Message(name, 1, 0, body, 0, True)
 
     def on_message(self, message, addr=None):
-        """Respond to pings and synchronisations; store the node's own record."""
+        """Respond to a message of the node; store the node's own record from gossip."""
         match message.body:
             case Ping(ping_id, requester):
                 self.mesh.send((addr,), self.make_message(Ack(ping_id, requester)))
@@ -153,8 +161,8 @@
                 await self.mesh.send_request(node_addr, self.make_message(request))
             for _ in range(int(restarts_per_s)):
                 pending_gossip.extend(self.restart_member())
-            # A node receives each gossip message as often as a node sends it, spread
-            # over about 2 s.
+            # A node receives each gossip message as many times as a node sends it. The
+            # copies are spread over about 2 s: each second, half of them are sent.
             for message_body in [
                 item for item in pending_gossip if self.rng.random() < 0.5
             ]:
@@ -163,7 +171,7 @@
             await asyncio.sleep(1.0)
 
     def restart_member(self):
-        """Update a member's record as a restart does; yield the gossip to send."""
+        """Update a random record as a restart does; yield the gossip to send."""
         name = f"m{self.rng.randrange(1, self.count)}"
         current = self.state.mesh.members[name]
         starting = replace(
@@ -180,7 +188,14 @@
 
 
 async def measure_with_simulated_members(count, cluster):
-    """Measure one real node in a mesh of `count` members; return a table row."""
+    """Measure one real node together with `count` simulated members.
+
+    Returns
+    -------
+    tuple
+        `count`, number of members that the node knows of, rates of `UsageSample.rates`
+        at rest, with restarts and scaled to `RESTARTS_PER_DAY`, and memory in MB.
+    """
     loop = asyncio.get_running_loop()
     members = SimulatedMembers(count, SEED)
     seeds = "{}:{}".format(*members.addr)
@@ -205,7 +220,7 @@
 
 
 async def measure_all_simulated():
-    """Measure all mesh sizes with simulated members in parallel."""
+    """Measure all sizes of `MEMBER_COUNTS` in parallel; return a list of results."""
     cluster = Cluster()
     try:
         return await asyncio.gather(
@@ -216,7 +231,7 @@
 
 
 def propagation_s(cluster, names, is_known):
-    """Return the seconds until `is_known(name)` has been true at each node."""
+    """Return the seconds until `is_known(name)` has been true for each node name."""
     started_at = time.monotonic()
 
     def wait(name):
@@ -228,13 +243,27 @@
 
 
 def store_request_counts(cluster):
-    """Return the numbers of reads and writes at the table service."""
+    """Return the numbers of reads and transactions at the table service so far."""
     response = json.loads(http(f"{cluster.table_url}/faults")[2])
     return response["reads"], response["writes"]
 
 
 def measure_real_nodes(count, rng):
-    """Measure a mesh of `count` real nodes; return a table row as a dict."""
+    """Measure a mesh of `count` real nodes.
+
+    Parameters
+    ----------
+    count : int
+    rng : random.Random
+        Chooses the nodes that restart.
+
+    Returns
+    -------
+    dict
+        Values of the table that `main` prints. `rest`, `busy` and `scaled` are the
+        rates of `UsageSample.rates` at rest, with restarts and scaled to
+        `RESTARTS_PER_DAY`.
+    """
     cluster = Cluster()
     try:
         cluster.start_table()
@@ -317,8 +346,8 @@
     Returns
     -------
     tuple
-        The rates of `Sample.rates` as means over the nodes, and the numbers of reads
-        and writes at the table service.
+        The rates of `UsageSample.rates` as means over the nodes, and the numbers of
+        reads and transactions at the table service.
     """
     reads, writes = store_request_counts(cluster)
     before = {name: take_sample(cluster, name) for name in names}
@@ -362,7 +391,7 @@
 
 
 def format_rates(rates):
-    """Return the three values of `Sample.rates` as table cells."""
+    """Return the three values of `UsageSample.rates` as table cells."""
     cpu, sent, received = rates
     return f"{cpu:.2f} | {sent:,.0f} | {received:,.0f}"
 
--- a/bench/config.py
+++ b/bench/config.py
@@ -25,7 +25,7 @@
     instances : int
         Number of targets, spread over the data centres.
     slots, connections : int
-        Requests that a target runs at once, and connections that it accepts.
+        Maximum numbers of requests that a target runs at once and of open connections.
     """
 
     name: str
@@ -57,19 +57,22 @@
     Attributes
     ----------
     mean_s, sigma : float
-        Parameters of the log-normal service time.
+        Mean in seconds and shape of the log-normal service time.
     utilisation : float
         Offered load as a share of capacity.
     queue : int
-        Maximum length of a target's queue.
+        Maximum number of requests that wait at a target.
     all_targets : dict
         Faults of every target, from the start.
     before : dict
         Faults of the first `affected` targets, from the start.
     faults : dict
         Faults of the first `affected` targets, from `at_s` on.
+    affected : int
+        Number of targets that `before` and `faults` apply to.
     at_s : float
-        Time at which `faults` or `lose_region` take effect, seconds.
+        Time from the start of the load at which `faults` and `lose_region` take effect,
+        seconds.
     lose_region : bool
         Pause all processes of the last region at `at_s`.
     """
@@ -89,7 +92,21 @@
 
 
 class Experiment(StrictModel):
-    """The whole file; `subject` is the policy that is compared with all others."""
+    """The whole file.
+
+    Attributes
+    ----------
+    subject : str
+        The policy that is compared with all others.
+    policies : tuple of str
+        All policies to measure, including `subject`.
+    seeds : tuple of int
+        Each condition and policy is measured once with each seed.
+    duration_s, deadline_s : float
+        Duration of the load of one run, and deadline of each call, seconds.
+    quick : dict
+        Values that `load_experiment` replaces for the short form.
+    """
 
     subject: str
     policies: tuple[str, ...]
@@ -101,7 +118,7 @@
     quick: dict = {}
 
     @model_validator(mode="after")
-    def _known_policies(self):
+    def _check_policy_names(self):
         unknown = {self.subject, *self.policies} - set(policy_names())
         if unknown:
             raise ValueError(f"unknown policies: {', '.join(sorted(unknown))}")
@@ -116,7 +133,7 @@
     path : str or Path
     quick : bool
         Replace values by those of the table `quick`. Its keys `conditions` and `sizes`
-        list the names of those to keep.
+        list the names of the conditions and sizes to keep.
 
     Returns
     -------
@@ -124,8 +141,12 @@
 
     Raises
     ------
+    OSError
+        If the file cannot be read.
+    tomllib.TOMLDecodeError
+        If it is not TOML.
     pydantic.ValidationError
-        If values are invalid; it names each of them.
+        If values are invalid; the error names each of them.
     """
     with open(path, "rb") as file:
         data = tomllib.load(file)
--- a/bench/generator.py
+++ b/bench/generator.py
@@ -1,8 +1,9 @@
 """Open-loop load generator, run as a process of its own.
 
-It reads one job per line of JSON from standard input and prints the results of each as
-a line of JSON. Send times are fixed in advance and latency counts from them, so that a
-stall of this process or of the system shows in the results (no coordinated omission).
+It reads one job per line of JSON from standard input, with the keys that `schedule` and
+`NodeClient` take, and prints the results of each job as a line of JSON. Send times are
+fixed in advance and latency counts from them, so that a stall of this process or of the
+system shows in the results (no coordinated omission).
 """
 
 import asyncio
@@ -20,7 +21,7 @@
 # Goodput excludes responses before this time, in seconds from the start of the run. The
 # system starts idle, so the first responses lag the offered load by the service time.
 GOODPUT_FROM_S = 1.0
-# How long a response is awaited after the deadline, seconds.
+# How long the generator waits for a response after the deadline, seconds.
 GRACE_S = 1.0
 
 
@@ -60,7 +61,17 @@
 
 
 class NodeClient:
-    """Sends calls to one node over persistent connections."""
+    """Sends calls to one node over persistent connections.
+
+    Parameters
+    ----------
+    region : str
+        Region of the caller.
+    ip, port : str, int
+        Address of the node.
+    job : dict
+        Keys are `service` and `deadline_s`.
+    """
 
     def __init__(self, region, ip, port, job):
         self.addr = (ip, port)
@@ -78,7 +89,7 @@
     async def _connection(self):
         while self.idle:
             reader, writer = self.idle.pop()
-            # The node may have closed the connection; a call on it would fail.
+            # A call on a connection that the node has closed would fail.
             if not reader.at_eof():
                 return reader, writer
             writer.close()
@@ -115,7 +126,12 @@
 
 
 class Run:
-    """Runs one job and collects its results."""
+    """Runs one job and collects its results.
+
+    `counts` has the number of calls by outcome, `codes` that of unsuccessful calls by
+    outcome and code, and `goodput_calls` the number of successful calls in the time
+    that goodput covers.
+    """
 
     def __init__(self, job):
         self.job = job
@@ -123,11 +139,19 @@
         self.histogram = new_histogram()
         self.counts = Counter()
         self.codes = Counter()
-        self.goodput = 0
+        self.goodput_calls = 0
         self.max_lag_s = 0.0
 
     async def execute(self):
-        """Send every call at its time, wait for all responses, return the results."""
+        """Send every call at its time, wait for all responses, return the results.
+
+        Returns
+        -------
+        dict
+            Latency histogram in microseconds in its encoded form, numbers of calls
+            (`sent`, `ok`, `shed`, `failed`, `codes`), `goodput` in calls per second and
+            the longest delay of a send.
+        """
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
         tasks = []
@@ -147,7 +171,7 @@
         return {
             "histogram": self.histogram.encode().decode(),
             "sent": len(tasks),
-            "goodput": self.goodput / (self.job["duration_s"] - GOODPUT_FROM_S),
+            "goodput": self.goodput_calls / (self.job["duration_s"] - GOODPUT_FROM_S),
             "max_lag_ms": self.max_lag_s * 1000.0,
             "codes": self.codes,
             **{name: self.counts[name] for name in ("ok", "shed", "failed")},
@@ -178,7 +202,7 @@
         )
         self.histogram.record_value(max(1, int(latency_s * 1e6)))
         if outcome == "ok" and GOODPUT_FROM_S <= done_s <= self.job["duration_s"]:
-            self.goodput += 1
+            self.goodput_calls += 1
 
 
 def main():
--- a/bench/goals.py
+++ b/bench/goals.py
@@ -6,25 +6,26 @@
 
 __all__ = ["GoalCheck", "check_goals"]
 
-# Conditions in which the subject must have a much lower p99 than the baselines.
+# Conditions in which the subject's p99 must be much lower than that of the baselines,
+# which are all other policies.
 TAIL_CONDITIONS = ("slow-target", "noise", "fail-fast")
-# Limits of the subject's p99 as a multiple of the best baseline's: in these conditions,
-# and in all.
+# Limits of the subject's p99 as a multiple of the best baseline's: in the conditions
+# above, and in all conditions.
 MAX_TAIL_RATIO = 0.5
 MAX_RATIO = 1.05
-# Least goodput under overload, as a share of capacity.
+# Minimum goodput under overload, as a share of capacity.
 MIN_GOODPUT_SHARE = 0.9
-# Limit of retries and hedges, as a share of first attempts.
+# Maximum number of retries and hedges, as a share of first attempts.
 MAX_RETRY_SHARE = 0.1
 # Probe traffic is compared with a sweep, in which every node probes every target once
-# per period; this is its limit as a share of the traffic of the sweeps.
+# per `SWEEP_PERIOD_S`. `MAX_SWEEP_SHARE` limits it to a share of the sweep's traffic.
 SWEEP_PERIOD_S = 0.1
 MAX_SWEEP_SHARE = 0.1
 
 
 @dataclass(frozen=True)
 class GoalCheck:
-    """One goal at one size: the requirement, the measured value, and if it is met."""
+    """One goal at one size: requirement, measured value, and whether it is met."""
 
     size: str
     goal: str
@@ -35,6 +36,8 @@
 def check_goals(experiment, results):
     """Check the experiment's subject against all goals at all sizes.
 
+    Goals that need a condition which the experiment leaves out are not checked.
+
     Parameters
     ----------
     experiment : Experiment
@@ -134,7 +137,7 @@
     goal = "probes and their bytes under the budget in every region"
     yield GoalCheck(size.name, goal, measured + exceeded, within_budget)
     if sent:
-        # Traffic if every node sent a probe of the same size to every target.
+        # Traffic of a sweep whose probes have the mean size of the measured ones.
         sweep_bytes_per_s = (
             probe_bytes / sent * size.instances * len(size.dcs) / SWEEP_PERIOD_S
         )
--- a/bench/reduce_cost.py
+++ b/bench/reduce_cost.py
@@ -15,7 +15,7 @@
 SERVICE_COUNT = 89
 BATCH_COUNT = 40
 CALLS_PER_BATCH = 500
-# (region, data centre) pairs.
+# Pairs (region, data centre), over which the members are spread.
 LOCATIONS = [
     ("rift", "baringo"),
     ("rift", "kerio"),
@@ -82,7 +82,7 @@
 if __name__ == "__main__":
     for name in sys.argv[1:] or ["hot-cold", "random"]:
         times = measure(name)
-        # Other processes on the machine slow some batches down; the minimum is closest
+        # Other processes on the host slow some batches down; the minimum is closest
         # to the cost without them.
         print(
             f"{name}: mean {sum(times) / BATCH_COUNT:.1f}, min {min(times):.1f} us "
--- a/bench/report.py
+++ b/bench/report.py
@@ -11,7 +11,7 @@
 
 __all__ = ["write_report"]
 
-# Columns of the tables; heading: (function of a `Result`, format)
+# Columns of the tables: tuple (function of a `Result`, format) by heading.
 COLUMNS = {
     "calls": (lambda result: result.sent, "{:.0f}"),
     "p50 ms": (lambda result: result.percentile_ms(50), "{:.0f}"),
@@ -50,7 +50,7 @@
 
 
 def format_codes(codes):
-    """Return the counts of calls that were not successful, by outcome and code."""
+    """Return counts of unsuccessful calls, by outcome and code, as text."""
     return ", ".join(f"{name}: {count}" for name, count in sorted(codes.items()))
 
 
@@ -68,6 +68,7 @@
     experiment : Experiment
     results : list of Result
     folder : Path
+        Created if it does not exist.
     elapsed_s : float
         Duration of the whole run, seconds.
     command : str
@@ -87,12 +88,12 @@
         f"{list(experiment.seeds)}, with a deadline of {experiment.deadline_s:g} s. "
         "Latency counts from the scheduled send "
         "time; a failed call counts as the deadline, a shed call only as shed. All "
-        "processes share one machine over loopback, without the link delays of the "
+        "processes share one host over loopback, without the link delays of the "
         "deployments. With about 10 calls above a row's p99 and 1 above its p99.9, "
         "small differences in these columns are noise. `repeats` are attempts with "
         "`X-Retry-Attempt`, `wasted` are requests run at targets whose response "
         "reached no caller, `generator lag` is the longest delay of a send. A run with "
-        f"a lag above {MAX_LAG_MS:.0f} ms was disturbed by other load on the machine; "
+        f"a lag above {MAX_LAG_MS:.0f} ms was disturbed by other load on the host; "
         "it is discarded and repeated once, and the second run counts.",
         "",
         "The baselines differ from the subject only in the choice among the targets of "
@@ -134,7 +135,10 @@
 
 
 def plot_size(experiment, results, path):
-    """Plot the columns of `PLOTTED` as bar charts, grouped by condition."""
+    """Plot the columns of `PLOTTED` as bar charts, grouped by condition.
+
+    `path` is the image file to write.
+    """
     figure, panels = plt.subplots(3, 2, figsize=(14, 12), constrained_layout=True)
     width = 0.8 / len(experiment.policies)
     names = [condition.name for condition in experiment.conditions]
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -13,9 +13,8 @@
 
 # Time between the readiness of the system and the first call, seconds.
 SETTLE_S = 0.3
-# If the generator sends a call later than this, in milliseconds, it was short of CPU
-# time, and so was the system on the same machine. The run is discarded and repeated
-# once.
+# A longer delay of a send, in milliseconds, means that the generator lacked CPU time,
+# and so did the system on the same host. The run is then discarded and repeated once.
 MAX_LAG_MS = 50.0
 
 
@@ -25,6 +24,8 @@
 
     Attributes
     ----------
+    size, condition, policy : str
+        Names from the experiment file.
     capacity : float
         Calls per second that the targets can serve.
     window_s : float
@@ -40,7 +41,7 @@
     goodputs : list of float
         Successful calls per second, one value per seed.
     codes : dict
-        Number of calls that were not successful, by outcome and error code.
+        Number of unsuccessful calls, by outcome and error code.
     targets : dict
         Counters of the targets.
     nodes : dict
@@ -71,7 +72,7 @@
         return self.histogram.get_value_at_percentile(percent) / 1000.0
 
     def add_run(self, report, window_s, targets, nodes):
-        """Add the results of one run, in the form that `_run_once` returns."""
+        """Add the results of one run, passed in the order that `_run_once` returns."""
         self.window_s += window_s
         for name in ("sent", "ok", "shed", "failed"):
             setattr(self, name, getattr(self, name) + report[name])
--- a/bench/system.py
+++ b/bench/system.py
@@ -11,7 +11,7 @@
 __all__ = ["Process", "System", "request_json"]
 
 READY_TIMEOUT_S = 30.0
-POLL_S = 0.05
+POLL_INTERVAL_S = 0.05
 
 
 def request_json(addr, path, method="GET", body=None):
@@ -21,6 +21,11 @@
     -------
     object
         The JSON data of the response, or None if it is empty.
+
+    Raises
+    ------
+    OSError
+        If there is no response, or one with an error status.
     """
     url = "http://{}:{}{}".format(*addr, path)
     data = None if body is None else json.dumps(body).encode()
@@ -31,7 +36,13 @@
 
 
 class Process:
-    """A child process that reads and prints lines of JSON."""
+    """A child process that reads and prints lines of JSON.
+
+    Parameters
+    ----------
+    *args : str
+        Module to run and its arguments.
+    """
 
     def __init__(self, *args):
         self.popen = subprocess.Popen(
@@ -52,7 +63,13 @@
         return self._info
 
     def read(self):
-        """Return the JSON data of the next line that the process prints."""
+        """Return the JSON data of the next line that the process prints.
+
+        Raises
+        ------
+        RuntimeError
+            If the process has closed its output.
+        """
         line = self.popen.stdout.readline()
         if not line:
             raise RuntimeError(f"{self.args[0]} closed its output unexpectedly")
@@ -83,6 +100,14 @@
     ----------
     size : Size
     policies : sequence of str
+
+    Attributes
+    ----------
+    nodes : dict of str to list
+        Pairs (region, process) of the nodes, by policy.
+    targets : list
+        Pairs (region, process).
+    generator : Process
     """
 
     def __init__(self, size, policies):
@@ -142,7 +167,13 @@
             self.wait_ready(policy, size.instances)
 
     def wait_ready(self, policy, expected):
-        """Wait until every node of a policy sees exactly `expected` targets as up."""
+        """Wait until every node of a policy sees exactly `expected` targets as up.
+
+        Raises
+        ------
+        RuntimeError
+            If a node still sees another number after `READY_TIMEOUT_S`.
+        """
         deadline = time.monotonic() + READY_TIMEOUT_S
         for _, node in self.nodes[policy]:
             while (up_count := self._count_up_targets(node)) != expected:
@@ -151,7 +182,7 @@
                         f"{policy} node {node.info['node']} sees {up_count} of "
                         f"{expected} targets as up"
                     )
-                time.sleep(POLL_S)
+                time.sleep(POLL_INTERVAL_S)
 
     def _count_up_targets(self, node):
         members = request_json(node.info["admin"], "/v1/mesh")["members"]
@@ -182,7 +213,7 @@
                 process.signal(signum)
 
     def target_counters(self):
-        """Return the sum of the counters of all targets."""
+        """Return the sums of the counters of all targets, by name."""
         totals = {}
         for _, target in self.targets:
             for name, value in request_json(target.info["addr"], "/faults").items():
@@ -190,7 +221,7 @@
         return totals
 
     def node_counters(self, policy):
-        """Return the sums of the counters of a policy's nodes, by region."""
+        """Return the sums of the counters of a policy's nodes, by region and name."""
         totals = {}
         for region, node in self.nodes[policy]:
             region_totals = totals.setdefault(region, {})
@@ -200,7 +231,7 @@
         return totals
 
     def close(self):
-        """Kill every process of this system, including paused ones."""
+        """Kill every process of this system, including those suspended by `SIGSTOP`."""
         for process in self.processes:
             if process.popen.poll() is None:
                 process.signal(signal.SIGCONT)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -14,7 +14,7 @@
 EXPERIMENT = Path(__file__).parent.parent / "bench" / "experiment.toml"
 
 
-def test_generator_sends_on_schedule_to_a_target_that_never_answers(cluster):
+def test_generator_sends_on_schedule_to_a_target_that_never_responds(cluster):
     """Guards against coordinated omission.
 
     A generator that waits for responses before it sends the next call hides stalls,
