--- a/packaging_tools/build.py
+++ b/packaging_tools/build.py
@@ -1,4 +1,4 @@
-"""Build `dist/pimentoline`, one file that runs as one process and needs no disk.
+"""Builds `dist/pimentoline`, one file that runs as one process without using a disk.
 
 PyInstaller collects the interpreter and the modules in a directory. The program is a
 small launcher with that directory appended as a compressed archive. PyInstaller's
@@ -18,7 +18,8 @@
 BUILD = ROOT / "build"
 PROGRAM = ROOT / "dist" / "pimentoline"
 MAGIC = b"PIMENTO1"
-EXCLUDED = (
+# Modules that the program does not need.
+EXCLUDED_MODULES = (
     "hypothesis",
     "lib2to3",
     "matplotlib",
@@ -31,21 +32,21 @@
 
 
 def collect():
-    """Collect the program in a directory with PyInstaller; return its path."""
+    """Collect the program in a directory with PyInstaller; return the path."""
     args = [sys.executable, "-m", "PyInstaller", "--noconfirm", "--log-level=WARN"]
     args += ["--onedir", "--strip", "--name=pimentoline", "--contents-directory=lib"]
     args += [f"--distpath={BUILD}", f"--workpath={BUILD / 'work'}"]
     args += [f"--specpath={BUILD}", f"--paths={ROOT}"]
     args += ["--collect-submodules=pimentoline", "--collect-all=capnp"]
     args += [f"--add-data={ROOT / 'pimentoline' / 'mesh.capnp'}:pimentoline"]
-    args += [f"--exclude-module={name}" for name in EXCLUDED]
+    args += [f"--exclude-module={name}" for name in EXCLUDED_MODULES]
     args.append(str(ROOT / "packaging_tools" / "entry.py"))
     subprocess.run(args, check=True, cwd=ROOT)
     return BUILD / "pimentoline"
 
 
 def compile_launcher():
-    """Compile the launcher and return its bytes."""
+    """Compile launcher.c and return the bytes of the executable."""
     output = BUILD / "launcher"
     source = ROOT / "packaging_tools" / "launcher.c"
     args = ["cc", "-O2", "-Wall", "-Wextra", "-s", "-o", str(output), str(source)]
@@ -54,7 +55,7 @@
 
 
 def archive(directory):
-    """Return a directory as a reproducible compressed ustar archive."""
+    """Return the bytes of a reproducible, gzip-compressed ustar archive."""
     path = BUILD / "payload.tar"
 
     def remove_metadata(info):
@@ -70,7 +71,7 @@
 
 
 def bundle(launcher, payload):
-    """Return the bytes of a program: launcher, payload and trailer.
+    """Return the bytes of the program: launcher, payload and trailer.
 
     The trailer is `struct trailer` in launcher.c.
     """
--- a/packaging_tools/launcher.c
+++ b/packaging_tools/launcher.c
@@ -28,12 +28,12 @@
 
 /* Last bytes of the file, as written by build.py. */
 struct trailer {
-  char digest[DIGEST_CHARS];
-  uint64_t payload_bytes;
+  char digest[DIGEST_CHARS]; /* start of the payload's SHA-256, hexadecimal */
+  uint64_t payload_bytes;    /* size of the archive */
   char magic[8];
 };
 
-/* Prints an error with the text of errno and exits. */
+/* Prints an error with the text of errno and exits with status 2. */
 static void fail(const char *code, const char *detail) {
   fprintf(stderr, "error: %s: %s: %s\n", code, detail, strerror(errno));
   exit(2);
@@ -66,6 +66,7 @@
   if (size < 0 || size >= PATH_MAX) fail("path-too-long", path);
 }
 
+/* The archive at the end of this file. */
 static gzFile payload;
 
 /* Reads exactly `size` bytes of the archive, or fails. */
@@ -136,7 +137,7 @@
     if (!payload || mkdir(staging_dir, 0755) != 0) fail("unpack-failed", staging_dir);
     unpack(staging_dir);
     gzclose(payload);
-    /* If the rename fails, another process may have unpacked the same archive. */
+    /* The rename also fails if another process has unpacked the same archive. */
     if (rename(staging_dir, dir) != 0 && access(program, X_OK) != 0)
       fail("unpack-failed", dir);
   }
