--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,7 @@
 
 __all__ = ["run_seed"]
 
-LEDGER_TARGETS = 3
+LEDGER_TARGET_COUNT = 3
 # Limit for all processes to start and find each other on a busy machine, seconds.
 START_TIMEOUT_S = 30.0
 # Limits that both deployments require: from the last fault until every node serves
@@ -25,7 +25,11 @@
 DRAIN_LIMIT_S = 2.0
 HEARTBEAT_INTERVAL_S = 0.5
 CLOSE_DELAY_S = 0.1
-FAULTS = ("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history")
+# A node is killed (`kill`), suspended (`freeze`) or stopped by SIGTERM (`stop`). The
+# store rejects requests (`down`), never responds (`silent`), loses the responses to two
+# writes (`lose`) or drops the changes that the feed serves (`history`). A target is
+# drained and replaced (`replace`).
+FAULT_KINDS = ("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history")
 
 
 def configuration():
@@ -54,17 +58,25 @@
 
 
 class Soak:
-    """Run of one seed: three ledger targets and a desk, each with a node process.
+    """Run of one seed, with targets of two services and a node process for each target.
 
     Parameters
     ----------
     folder : str
-        Where the node processes keep settings files and logs.
+        Folder for the settings files and logs of the node processes.
     seed : int
     length_s : float
         Length of the load and the faults, seconds.
     log : callable
-        Takes a line for each fault.
+        Called with a line of text for each fault.
+
+    Attributes
+    ----------
+    nodes : list of NodeProcess
+    targets : list of ScriptedTarget
+        Including those that were replaced.
+    drained : list of tuple
+        Drained target, and the time at which its node acknowledged the drain.
     """
 
     def __init__(self, folder, seed, length_s, log):
@@ -79,7 +91,8 @@
         self.drained = []
         self.started_at = time.monotonic()
 
-    async def _add(self, name, service):
+    async def _add_target(self, name, service):
+        """Start a target and its node process."""
         target = ScriptedTarget(f"i-{name}", service)
         target.serve = lambda request, writer: serve(target, request, writer)
         await target.start()
@@ -92,10 +105,10 @@
         while True:
             for node in self.nodes:
                 if node.running and not node.target.draining:
-                    await self._heartbeat(node, "ready")
+                    await self._send_heartbeat(node, "ready")
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def _heartbeat(self, node, state):
+    async def _send_heartbeat(self, node, state):
         """Send a heartbeat of the node's target; return whether it was acknowledged."""
         try:
             async with asyncio.timeout(1.0):
@@ -104,11 +117,11 @@
             return False
 
     async def run(self):
-        """Run load and faults; return the `ResultChecker` with what it found."""
+        """Run load and faults; return the `ResultChecker` with the violations found."""
         self.store.put_config(configuration())
-        for number in range(LEDGER_TARGETS):
-            await self._add(f"ledger-{number}", "ledger")
-        await self._add("desk-0", "desk")
+        for number in range(LEDGER_TARGET_COUNT):
+            await self._add_target(f"ledger-{number}", "ledger")
+        await self._add_target("desk-0", "desk")
         loop = asyncio.get_running_loop()
         heartbeats = loop.create_task(self._send_heartbeats())
         try:
@@ -120,7 +133,7 @@
             ]
             while loop.time() < ends_at:
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
-                await self._inject_fault(self.rng.choice(FAULTS))
+                await self._inject_fault(self.rng.choice(FAULT_KINDS))
             await asyncio.gather(*calls)
             await self._wait_until_served(RECOVERY_TIMEOUT_S)
         finally:
@@ -130,37 +143,38 @@
             for target in self.targets:
                 target.close()
             self.store.close()
-            # Lets the tasks that read from the closed connections end.
+            # Gives the tasks that read from the closed connections time to end.
             await asyncio.sleep(CLOSE_DELAY_S)
         self.checker.check_runs(self.targets)
         self.checker.check_drains(self.drained, DRAIN_LIMIT_S)
         return self.checker
 
     async def _wait_until_served(self, timeout_s):
-        """Wait until every node serves a lookup; a timeout counts as a violation."""
+        """Wait until every node serves a call; record a violation after `timeout_s`."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + timeout_s
-        missing = list(self.nodes)
-        while missing:
-            if loop.time() > until:
-                names = [node.name for node in missing]
+        deadline = loop.time() + timeout_s
+        not_served = list(self.nodes)
+        while not_served:
+            if loop.time() > deadline:
+                names = [node.name for node in not_served]
                 self.checker.violations.append(
                     f"not served after {timeout_s} s: {names}"
                 )
                 return
             probe = ResultChecker()
             callers = Callers(probe, random.Random(0))
-            await callers.run(missing[0], loop.time() + 0.1)
-            # The callers of the load use the same request ids again, so the requests
-            # of the probe are removed before the runs are checked.
+            await callers.run(not_served[0], loop.time() + 0.1)
+            # The callers of the load use the same request ids again. Therefore the
+            # requests of the probe are removed, so that `check_runs` does not see them.
             for target in self.targets:
                 target.received = [
                     req for req in target.received if req.request_id not in probe.sent
                 ]
             if probe.statuses.get(200):
-                missing.pop(0)
+                not_served.pop(0)
 
     async def _inject_fault(self, kind):
+        """Inject a fault into the store, a random node or its target."""
         node = self.rng.choice(self.nodes)
         self.log(f"{time.monotonic() - self.started_at:6.2f} s  {kind} {node.name}")
         match kind:
@@ -191,7 +205,7 @@
         """Drain the target of a node, then start another one at its address."""
         target = node.target
         target.draining = True
-        if await self._heartbeat(node, "draining"):
+        if await self._send_heartbeat(node, "draining"):
             self.drained.append((target, time.monotonic()))
         await asyncio.sleep(DRAIN_LIMIT_S + 0.5)
         successor = ScriptedTarget(f"{target.name}'", target.service)
@@ -210,7 +224,7 @@
     length_s : float
         Length of the load and the faults, seconds.
     log : callable
-        Takes a line for each fault.
+        Called with a line of text for each fault.
     """
     with tempfile.TemporaryDirectory() as folder:
 
@@ -221,15 +235,15 @@
 
 
 def main(argv):
-    """Run every seed; exit with status 1 if a check failed."""
+    """Run every seed; exit with status 1 if there was a violation."""
     args = flags.FLAGS
     failed = 0
-    for text in args.seeds:
+    for seed in args.seeds:
         checker = run_seed(
-            int(text), args.length_s, print if args.verbose_faults else str
+            int(seed), args.length_s, print if args.verbose_faults else str
         )
         failed += bool(checker.violations)
-        print(f"seed {text}: {dict(sorted(checker.statuses.items()))}", flush=True)
+        print(f"seed {seed}: {dict(sorted(checker.statuses.items()))}", flush=True)
         for line in checker.violations[:5]:
             print(f"  violation: {line}", flush=True)
     print(f"{len(args.seeds) - failed} seeds passed, {failed} failed")
@@ -238,6 +252,6 @@
 
 if __name__ == "__main__":
     flags.DEFINE_list("seeds", ["1"], "Seeds to run, one after the other.")
-    flags.DEFINE_float("length_s", 20.0, "Length of load and faults, seconds.")
+    flags.DEFINE_float("length_s", 20.0, "Length of the load and the faults, seconds.")
     flags.DEFINE_bool("verbose_faults", False, "Print every fault with its time.")
     app.run(main)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,4 @@
-"""Load generator of the soak and the checker of the responses that it gets."""
+"""Load generator of the soak, and the checker of its requests and responses."""
 
 import asyncio
 import itertools
@@ -9,11 +9,12 @@
 HOST = "a.example"
 # A caller abandons a call after this time, seconds.
 DEADLINE_S = 1.0
-PAUSE_S = 0.02
+# Mean time from the end of a call to the next call of the same caller, seconds.
+MEAN_PAUSE_S = 0.02
 
 
 async def serve(target, request, writer):
-    """Respond with the id of the request and the length of its body."""
+    """Respond as a target with the id of the request and the length of its body."""
     await asyncio.sleep(0.01)
     target.write_response(
         request, writer, f"{request.request_id} {len(request.body)}".encode()
@@ -27,9 +28,9 @@
     Attributes
     ----------
     sent : dict
-        Path and body of each request, by request id.
+        Tuple (path, body) of each request, by request id.
     not_run : set
-        Ids of the requests whose callers were told that they did not run.
+        Ids of the requests that got a status which says that they did not run.
     statuses : dict
         Number of responses by status.
     violations : list of str
@@ -53,7 +54,11 @@
             self.violations.append(f"{request_id}: 404 for {path}, which has a route")
 
     def check_runs(self, targets):
-        """Compare the requests that ran with those that were sent and rejected."""
+        """Compare the requests that ran at `targets` with those sent and rejected.
+
+        A request must run as it was sent. A sale must run at most once, and not at all
+        if its caller got a status which says that it did not run.
+        """
         runs = {}
         for target in targets:
             for request in target.received:
@@ -73,7 +78,15 @@
                 )
 
     def check_drains(self, drained, limit_s):
-        """Check that targets got no request later than `limit_s` after their drain."""
+        """Check that targets got no request later than `limit_s` after their drain.
+
+        Parameters
+        ----------
+        drained : list of tuple
+            Target, and the monotonic time at which its drain was acknowledged, seconds.
+        limit_s : float
+            Seconds.
+        """
         for target, acked_at in drained:
             late = [req for req in target.received if req.at > acked_at + limit_s]
             if late:
@@ -89,6 +102,7 @@
     Parameters
     ----------
     checker : ResultChecker
+        Gets all requests and responses.
     rng : random.Random
     """
 
@@ -98,18 +112,18 @@
         self._numbers = itertools.count(1)
 
     async def run(self, node, ends_at):
-        """Send calls to a node one after the other until a time of the event loop."""
+        """Send calls to a node one after the other until the loop time `ends_at`."""
         loop = asyncio.get_running_loop()
         conn = None
         while loop.time() < ends_at:
-            await asyncio.sleep(PAUSE_S * self._rng.uniform(0.5, 1.5))
+            await asyncio.sleep(MEAN_PAUSE_S * self._rng.uniform(0.5, 1.5))
             try:
                 async with asyncio.timeout(DEADLINE_S + 0.3):
                     if conn is None:
                         conn = await asyncio.open_connection(*node.cfg.callers_addr)
                     reusable = await self._call(*conn)
             except (OSError, EOFError, TimeoutError, ValueError):
-                # Without a response the call may have run or not; nothing to check.
+                # Without a response the call may have run or not; there is no check.
                 reusable = False
             if not reusable and conn is not None:
                 conn[1].transport.abort()
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -38,7 +38,7 @@
 
 
 def test_misspelt_experiment_is_refused(tmp_path):
-    """Guards against a misspelt key of a condition that silently has no effect."""
+    """Guards against a misspelt key of a condition that is silently ignored."""
     toml = EXPERIMENT.read_text().replace("utilisation = 1.2", "utilization = 1.2")
     path = tmp_path / "experiment.toml"
     path.write_text(toml)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from soak.callers import ResultChecker
 from standins.platform import ReceivedRequest, ScriptedTarget
 
-# Seeds that failed are added here, each with a comment on the cause; none so far.
+# A seed that fails is added here with a comment on the cause.
 SEEDS = [1]
 LENGTH_S = 5.0
 
@@ -26,9 +26,9 @@
 @pytest.fixture
 def checker():
     """Return a checker that knows of a sale and a lookup that were sent."""
-    found = ResultChecker()
-    found.sent = {"q1": ("/sale/q1", b"abc"), "q2": ("/look/q2", b"")}
-    return found
+    result_checker = ResultChecker()
+    result_checker.sent = {"q1": ("/sale/q1", b"abc"), "q2": ("/look/q2", b"")}
+    return result_checker
 
 
 SALE = ("/sale/q1", b"abc", "q1")
@@ -43,7 +43,7 @@
     ],
 )
 def test_wrong_runs_are_found(checker, requests, message):
-    """Guards against a soak that passes whatever the targets ran."""
+    """Guards against a soak that passes although targets ran wrong requests."""
     checker.check_runs([ran(*requests)])
     assert message in checker.violations[0]
 
@@ -78,6 +78,6 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_violation_under_faults(seed):
     """Guards against guarantees that hold only while nothing fails."""
-    found = run_seed(seed, LENGTH_S)
-    assert not found.violations
-    assert found.statuses.get(200, 0) > 0
+    result = run_seed(seed, LENGTH_S)
+    assert not result.violations
+    assert result.statuses.get(200, 0) > 0
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -49,7 +49,7 @@
 
 
 def test_reports_lag_behind_the_actual_state(target):
-    """Guards against `load_lag_s` without effect: policies would see current loads."""
+    """Guards against a `load_lag_s` without effect, with current loads in reports."""
     target("/faults", "POST", {"fail": True})
     assert (target("/a")[0], target("/health")[0]) == (500, 500)
     target("/faults", "POST", {"load_lag_s": 60.0})
