--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -292,11 +292,11 @@
 
 
 async def _respond_encoded(target, request, writer):
-    target.write(request, writer, b"ok", Content_Encoding="gzip")
+    target.write_response(request, writer, b"ok", Content_Encoding="gzip")
 
 
 async def _cut_response(target, request, writer):
-    target.write(request, writer, b"half", Content_Length="400")
+    target.write_response(request, writer, b"half", Content_Length="400")
     writer.close()
 
 
@@ -338,9 +338,13 @@
     caller_node, node, target = await start_pair(cluster)
 
     async def respond_twice(request, writer):
-        target.write(request, writer, b"answer to " + request.request_id.encode())
+        target.write_response(
+            request, writer, b"answer to " + request.request_id.encode()
+        )
         await asyncio.sleep(0.05)
-        target.write(request, writer, b"answer to " + request.request_id.encode())
+        target.write_response(
+            request, writer, b"answer to " + request.request_id.encode()
+        )
         await asyncio.sleep(0.05)
 
     target.serve = respond_twice
@@ -393,7 +397,7 @@
     status, _, _ = await Caller(caller_node).call("/look/1")
     assert status == 504
     assert 0.9 < time.monotonic() - began_at < 1.4
-    await cluster.until(lambda: target.received[0].closed, 0.5)
+    await cluster.until(lambda: target.received[0].disconnected, 0.5)
 
 
 @cluster_test
@@ -410,9 +414,9 @@
     safe_request, unsafe_request = sorted(
         target.received, key=lambda request: request.path
     )
-    await cluster.until(lambda: safe_request.closed, 0.5)
+    await cluster.until(lambda: safe_request.disconnected, 0.5)
     await asyncio.sleep(0.5)
-    assert not unsafe_request.closed
+    assert not unsafe_request.disconnected
 
 
 @cluster_test
@@ -524,7 +528,7 @@
 async def test_row_of_a_removed_host_is_deleted(cluster):
     """Guards against rows of removed hosts, and endless attempts to connect to them."""
     caller_node, node, target = await start_pair(cluster)
-    assert await target.send_sign_off(node) == 200
+    assert await target.send_leave(node) == 200
     node.stop()
     await cluster.until(lambda: not caller_node.peers.outgoing)
 
@@ -634,7 +638,7 @@
 async def test_rows_are_read_again_when_the_history_is_gone(cluster):
     """Guards against a node that waits for changes the store has dropped."""
     caller_node, _, _ = await start_pair(cluster)
-    cluster.store.forget_history()
+    cluster.store.expire_history()
     cluster.store.put_config(config(6))
     await cluster.until(lambda: caller_node.config.version == 6)
 
@@ -643,9 +647,9 @@
 async def test_row_is_written_again_after_a_lost_response(cluster):
     """Guards against an outdated row after the response to a write was lost."""
     _, node, target = await start_pair(cluster)
-    cluster.store.lose_answers = 1
+    cluster.store.lose_responses = 1
     await target.send_heartbeat(node, "draining")
-    await target.send_sign_off(node)
+    await target.send_leave(node)
     value, _ = cluster.store.rows["members", node.cfg.node]
     assert b'"left"' in value
 
@@ -807,7 +811,7 @@
     status, _, _ = await Caller(caller_node).call("/sale/1", method="POST", body=b"s")
     assert status == 200
     assert len(other.received) == 1
-    target._server = await asyncio.start_server(target._client, *addr)
+    target._server = await asyncio.start_server(target._handle_connection, *addr)
     await cluster.until(lambda: node.target.accepting)
 
 
@@ -820,18 +824,18 @@
     await cluster.until(lambda: caller_node.config.version == 2)
 
     async def respond_and_become_noisy(request, writer):
-        target.percent = 500
-        target.write(request, writer, b"first")
+        target.slowdown_percent = 500
+        target.write_response(request, writer, b"first")
 
     target.serve = respond_and_become_noisy
     assert (await Caller(caller_node).call("/long/1"))[0] == 200
-    target.serve = target.answer
+    target.serve = target.respond
     probes = target.health_checks
     caller = Caller(caller_node)
     await caller.send("/long/2", request_id="q2")
     await cluster.until(lambda: target.health_checks > probes)
     assert len(target.received) == 1
-    target.percent = 100
+    target.slowdown_percent = 100
     assert (await caller.read())[0] == 200
     assert len(target.received) == 2
 
