--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -217,7 +217,7 @@
         peers, held_by = await self._push(version, text)
         reply = {"result": "accepted", "version": version, "held_by": 1 + held_by}
         if peers and not held_by:
-            reply["detail"] = "accepted, but no peer has confirmed loading it"
+            reply["detail"] = "accepted, held by this node only"
         return reply
 
     async def _push(self, version, text):
