State in the history command what is shown and how long it takes

The help text left open whether 5 s apply to one node or to all, and said "asked" and "answer" where other texts say request and respond.

--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -20,9 +20,9 @@
     """Reads the audit trail."""
 
     description = """
-Shows the accepted versions of the rules, the latest first: who applied each one, when,
-what it changed, who asked for the changed rules, and which nodes have it in force now.
-Each node is queried, which takes up to 5 s.
+Shows the accepted versions of the rules, the latest first. For each version, it shows
+who applied it and when, the changed rules and who requested them, and which nodes have
+the version in force now. Querying the nodes takes up to 5 s in total.
 --show=VERSION prints the whole text of a version, to save it or to apply it again.
 """
     flags = {
@@ -69,7 +69,7 @@
     """Yield the lines of the result as text."""
     rows, silent = response["history"], response["silent"]
     if silent:
-        yield f"{len(silent)} nodes did not answer: {' '.join(silent)}"
+        yield f"{len(silent)} nodes did not respond: {' '.join(silent)}"
     if not rows:
         yield "no version has been accepted yet"
     for row in rows:
@@ -77,7 +77,7 @@
         yield f"version {row['version']}  {row['time']}  by {row['author']}"
         yield f"  base {row['base']}  attempt {row['attempt']}"
         if row["requesters"]:
-            yield f"  asked for by: {'; '.join(row['requesters'])}"
+            yield f"  requested by: {'; '.join(row['requesters'])}"
         summary = f"  in force at {len(nodes)} of {response['members']} nodes"
         yield summary + (f": {' '.join(nodes)}" if nodes else "")
         for line in row["diff"]:
