--- a/pimentoline/rules/idempotent.py
+++ b/pimentoline/rules/idempotent.py
@@ -11,10 +11,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class IdempotentRule(Rule):
-    """Calls that may be retried and hedged.
+    """Allows the calls that the rule matches to be retried and hedged.
 
-    `*` is not allowed for service and method, so that no single rule can allow
-    retries of, for example, every sale of every service.
+    Neither the service nor the method may be `*`. Otherwise a single rule could allow
+    retries of every POST request to every service, also of those that must not run
+    twice, such as payments.
     """
 
     kind: ClassVar = "idempotent"
