Explain the fields of the admin request bodies

The docstrings lacked the meaning of several keys, MAX_SLOTS also bounded the connections, and two messages left the allowed values open.

--- a/pimentoline/admin_models.py
+++ b/pimentoline/admin_models.py
@@ -11,9 +11,11 @@
 
 __all__ = ["Announcement", "ApplyRequest", "ExplainRequest"]
 
-MAX_SLOTS = 100_000
+# Upper bound of the slots and of the connections of one target.
+MAX_CONCURRENCY = 100_000
 MAX_PORT = 65535
-# The first label of a Host header names the service, so it has no dots.
+# Callers put the service name into the first label of the Host header. Therefore a
+# service name contains no dots.
 ServiceName = Annotated[
     str, StringConstraints(pattern=r"^[a-z0-9]([a-z0-9-]*[a-z0-9])?$", max_length=63)
 ]
@@ -22,16 +24,19 @@
 class Announcement(BaseModel):
     """An announcement of a target.
 
-    `load` is its number of requests in flight. The node ignores it and uses the load
-    in responses, which is newer.
+    The target serves up to `slots` requests concurrently, and accepts up to
+    `connections` connections in total from all nodes. `load_path` is the path of its
+    load endpoint, and `version` the release that it runs. `load` is the target's number
+    of requests in flight. The node ignores this value, because the load reports in the
+    target's responses are newer.
     """
 
     model_config = ConfigDict(extra="forbid")
 
     service: ServiceName
     addr: tuple[str, int]
-    slots: int = Field(12, ge=1, le=MAX_SLOTS)
-    connections: int = Field(260, ge=1, le=MAX_SLOTS)
+    slots: int = Field(12, ge=1, le=MAX_CONCURRENCY)
+    connections: int = Field(260, ge=1, le=MAX_CONCURRENCY)
     load: float | None = Field(None, ge=0)
     state: TargetState = TargetState.UP
     load_path: str = Field("/load", pattern=r"^/[!-~]*$", max_length=200)
@@ -41,7 +46,7 @@
     @classmethod
     def _not_gone(cls, value):
         if value is TargetState.GONE:
-            raise ValueError("a target that has stopped is withdrawn by DELETE")
+            raise ValueError("a stopped target must be withdrawn with DELETE")
         return value
 
     @field_validator("addr")
@@ -51,13 +56,18 @@
         addr = ipaddress.IPv4Address(ip)
         if addr.is_unspecified or addr.is_multicast or not 1 <= port <= MAX_PORT:
             raise ValueError(
-                f"found {ip}:{port}; allowed: IPv4 address of one host and port"
+                f"found {ip}:{port}; allowed: an IPv4 address except 0.0.0.0 and "
+                "multicast, and a port from 1 to 65535"
             )
         return str(addr), port
 
 
 class ApplyRequest(BaseModel):
-    """A rules text to put in force; `base` is the version that it replaces."""
+    """A rules text to put in force.
+
+    `base` is the version that the text replaces. `attempt` is a unique id. If the
+    request is retried with the same id, the text is accepted at most once.
+    """
 
     model_config = ConfigDict(extra="forbid")
 
@@ -68,7 +78,10 @@
 
 
 class ExplainRequest(BaseModel):
-    """A call to explain without sending it."""
+    """A call whose handling is explained without sending the call.
+
+    `key` is the idempotency key of the call, empty if it has none.
+    """
 
     model_config = ConfigDict(extra="forbid")
 
