--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Runs seeds of the soak: `python -m soak --seeds=1,2 --length_s=20`."""
+"""Runs the soak once for each seed: `python -m soak --seeds=1,2 --length_s=20`."""
 
 import asyncio
 import random
@@ -17,18 +17,21 @@
 __all__ = ["run_seed"]
 
 LEDGER_TARGET_COUNT = 3
-# Limit for all processes to start and find each other on a busy machine, seconds.
+# Limit for all nodes to start and serve calls on a busy host, seconds.
 START_TIMEOUT_S = 30.0
-# Limits that both deployments require: from the last fault until every node serves
-# calls again, and from a drain until its target gets no more requests, seconds.
+# Both known deployments require that every node serves calls again at most this time
+# after the last fault, seconds.
 RECOVERY_TIMEOUT_S = 15.0
+# Both also require that a target gets no request later than this time after its drain
+# was acknowledged, seconds.
 DRAIN_LIMIT_S = 2.0
 HEARTBEAT_INTERVAL_S = 0.5
 CLOSE_DELAY_S = 0.1
 # A node is killed (`kill`), suspended (`freeze`) or stopped by SIGTERM (`stop`). The
 # store rejects requests (`down`), never responds (`silent`), loses the responses to two
-# writes (`lose`) or drops the changes that the feed serves (`history`). A target is
-# drained and replaced (`replace`).
+# writes (`lose`) or removes all past changes from its change feed (`history`). A target
+# of the service `ledger` is drained and replaced (`replace`); for the service `desk`,
+# `replace` has no effect.
 FAULT_KINDS = ("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history")
 
 
@@ -40,13 +43,13 @@
         ["look", HOST, "/look/", "safe", "1000ms", "300ms", 2, "ledger", 2, None],
         ["sale", HOST, "/sale/", "unsafe", "1000ms", "300ms", 1, "ledger", 2, None],
     ]
-    service = ["ledger", "/healthz", 260]
+    ledger_row = ["ledger", "/healthz", 260]
     return {
         "version": 1,
         "routes": {"columns": columns, "rows": rows},
         "services": {
             "columns": ["name", "health_path", "max_conns"],
-            "rows": [service, ["desk", *service[1:]]],
+            "rows": [ledger_row, ["desk", *ledger_row[1:]]],
         },
         "limits": {
             "header_bytes": 16384,
@@ -76,7 +79,8 @@
     targets : list of ScriptedTarget
         Including those that were replaced.
     drained : list of tuple
-        Drained target, and the time at which its node acknowledged the drain.
+        Drained target, and the monotonic time, in seconds, at which its node
+        acknowledged the drain.
     """
 
     def __init__(self, folder, seed, length_s, log):
@@ -125,17 +129,17 @@
         loop = asyncio.get_running_loop()
         heartbeats = loop.create_task(self._send_heartbeats())
         try:
-            await self._wait_until_served(START_TIMEOUT_S)
+            await self._wait_until_serving(START_TIMEOUT_S)
             callers = Callers(self.checker, self.rng)
             ends_at = loop.time() + self.length_s
-            calls = [
+            load_tasks = [
                 loop.create_task(callers.run(node, ends_at)) for node in self.nodes
             ]
             while loop.time() < ends_at:
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
                 await self._inject_fault(self.rng.choice(FAULT_KINDS))
-            await asyncio.gather(*calls)
-            await self._wait_until_served(RECOVERY_TIMEOUT_S)
+            await asyncio.gather(*load_tasks)
+            await self._wait_until_serving(RECOVERY_TIMEOUT_S)
         finally:
             heartbeats.cancel()
             for node in self.nodes:
@@ -149,29 +153,32 @@
         self.checker.check_drains(self.drained, DRAIN_LIMIT_S)
         return self.checker
 
-    async def _wait_until_served(self, timeout_s):
+    async def _wait_until_serving(self, timeout_s):
         """Wait until every node serves a call; record a violation after `timeout_s`."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        not_served = list(self.nodes)
-        while not_served:
+        not_serving = list(self.nodes)
+        while not_serving:
             if loop.time() > deadline:
-                names = [node.name for node in not_served]
+                names = [node.name for node in not_serving]
                 self.checker.violations.append(
-                    f"not served after {timeout_s} s: {names}"
+                    f"nodes not serving after {timeout_s} s: {names}"
                 )
                 return
-            probe = ResultChecker()
-            callers = Callers(probe, random.Random(0))
-            await callers.run(not_served[0], loop.time() + 0.1)
-            # The callers of the load use the same request ids again. Therefore the
-            # requests of the probe are removed, so that `check_runs` does not see them.
+            probe_checker = ResultChecker()
+            callers = Callers(probe_checker, random.Random(0))
+            await callers.run(not_serving[0], loop.time() + 0.1)
+            # The load reuses the request ids of these calls. Therefore, these calls are
+            # removed from the targets, so that `check_runs` does not compare them with
+            # the calls of the load.
             for target in self.targets:
                 target.received = [
-                    req for req in target.received if req.request_id not in probe.sent
+                    req
+                    for req in target.received
+                    if req.request_id not in probe_checker.sent
                 ]
-            if probe.statuses.get(200):
-                not_served.pop(0)
+            if probe_checker.statuses.get(200):
+                not_serving.pop(0)
 
     async def _inject_fault(self, kind):
         """Inject a fault into the store, a random node or its target."""
@@ -239,6 +246,7 @@
     args = flags.FLAGS
     failed = 0
     for seed in args.seeds:
+        # `str` as the log function discards the line.
         checker = run_seed(
             int(seed), args.length_s, print if args.verbose_faults else str
         )
