--- a/standins/work_queue.py
+++ b/standins/work_queue.py
@@ -21,11 +21,11 @@
     return lambda: rng.lognormvariate(mu, sigma)
 
 
-class Job:
-    """A request that occupies a slot.
+class RunningJob:
+    """A job that occupies a slot.
 
-    `remaining_s` is the time that the rest of its work takes at full speed, as of the
-    time `updated_at`.
+    `remaining_s` is the duration of the remaining work at full speed, in seconds, as it
+    was at `updated_at`, a time of the event loop in seconds.
     """
 
     def __init__(self, work_s, now):
@@ -48,9 +48,9 @@
     Attributes
     ----------
     slowdowns : dict
-        Factor on the service time, by its cause.
+        Factors by which the service time is multiplied, by cause of the slowdown.
     slot_time_s : float
-        Total time for which jobs that have ended occupied their slots, seconds.
+        Sum of the times during which ended jobs occupied a slot, seconds.
     """
 
     def __init__(self, slots, max_waiting=-1):
@@ -58,22 +58,25 @@
         self.max_waiting = max_waiting
         self.slowdowns = {}
         self.slot_time_s = 0.0
-        self._busy = 0
+        self._busy_slots = 0
         self._running = set()
         self._waiting = deque()
 
     @property
     def inflight(self):
         """Number of jobs that run or wait."""
-        return self._busy + len(self._waiting)
+        return self._busy_slots + len(self._waiting)
 
     @property
     def speed(self):
-        """Seconds of work at full speed that each job does in one second."""
+        """Speed of each running job; 1.0 is full speed."""
         return 1.0 / math.prod(self.slowdowns.values())
 
     def slow_down(self, cause, factor):
-        """Set the slowdown of a cause, for running jobs as well; 1 ends it."""
+        """Set the slowdown factor of a cause, which also applies to running jobs.
+
+        The factor 1 ends the slowdown.
+        """
         now = asyncio.get_running_loop().time()
         speed = self.speed
         for job in self._running:
@@ -102,8 +105,8 @@
             raise Overloaded()
         await self._take_slot()
         loop = asyncio.get_running_loop()
-        started = loop.time()
-        job = Job(work_s, started)
+        started_at = loop.time()
+        job = RunningJob(work_s, started_at)
         self._running.add(job)
         try:
             on_start()
@@ -112,12 +115,12 @@
         finally:
             job.timer.cancel()
             self._running.discard(job)
-            self.slot_time_s += loop.time() - started
+            self.slot_time_s += loop.time() - started_at
             self._release_slot()
 
     async def _take_slot(self):
-        if self._busy < self.slots:
-            self._busy += 1
+        if self._busy_slots < self.slots:
+            self._busy_slots += 1
             return
         slot_granted = asyncio.get_running_loop().create_future()
         self._waiting.append(slot_granted)
@@ -137,7 +140,7 @@
                 # The slot passes to the waiting job and stays busy.
                 slot_granted.set_result(None)
                 return
-        self._busy -= 1
+        self._busy_slots -= 1
 
     def _schedule(self, job):
         if job.timer is not None:
