--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -283,8 +283,8 @@
     retry_tokens : float
         Number of retries and hedges that the retry budget allows; negative after
         borrowing.
-    borrowed : bool
-        Whether the one retry or hedge that needs no token has been used.
+    first_retry_used : bool
+        Whether a retry or hedge has been allowed. Only the first may borrow its token.
     inflight : tuple of int
         Calls in flight by class, in the order of `CALL_CLASSES`.
     sent, accepted : tuple of float
@@ -307,7 +307,7 @@
     """
 
     retry_tokens: float = 0.0
-    borrowed: bool = False
+    first_retry_used: bool = False
     inflight: tuple[int, ...] = (0, 0, 0)
     sent: tuple[float, ...] = (0.0, 0.0, 0.0)
     accepted: tuple[float, ...] = (0.0, 0.0, 0.0)
