Reword the texts of the table stand-in

Cause: a newcomer stopped at the faults' description and at a rate without a unit. Change: doc strings, rate_per_s.

--- a/standins/table.py
+++ b/standins/table.py
@@ -1,11 +1,11 @@
 """Stand-in for the platform's transactional table service.
 
 Protocol: `POST /v1/txn`, `GET /v1/rows/<key>`, `GET /v1/rows?prefix=&limit=`, see
-docs/design.md. A request above the rate limit is rejected unread with status 429, a
-malformed one with status 400.
+docs/design.md. A request above the rate limit is rejected with status 429 before its
+body is parsed, a malformed one with status 400.
 
-Faults are set by `POST /faults` with an object of these members; members that are
-left out keep their values:
+Faults are set by `POST /faults` with a JSON object. It may have any of these members;
+those that it leaves out keep their values:
 
 down : bool
     Every request is rejected with status 503.
@@ -20,8 +20,8 @@
 lose_requests : int
     Number of further writes that are lost before they take effect.
 nonsense : str
-    Invalid body that all responses have, a key of `INVALID_BODIES`; empty for valid
-    responses. Transactions take effect all the same.
+    Key in `INVALID_BODIES` of the body that replaces the body of each successful
+    response; empty for valid responses. Transactions take effect all the same.
 writes_per_s, reads_per_s : float
     Limits of the request rates, per second.
 """
@@ -53,18 +53,22 @@
 
 
 class TokenBucket:
-    """Token bucket whose capacity is the tokens of one second."""
+    """Token bucket that holds at most the tokens added in one second."""
 
     def __init__(self, clock=time.monotonic):
         self._clock = clock
+        # None before the first request: the bucket starts full.
         self._tokens = None
         self._updated_at = clock()
 
-    def take(self, rate):
-        """Take a token if one is left; return whether the request is permitted."""
+    def take(self, rate_per_s):
+        """Take a token if one is left; return whether the request is permitted.
+
+        The bucket is filled at `rate_per_s` tokens per second.
+        """
         now = self._clock()
-        tokens = rate if self._tokens is None else self._tokens
-        self._tokens = min(rate, tokens + (now - self._updated_at) * rate)
+        tokens = rate_per_s if self._tokens is None else self._tokens
+        self._tokens = min(rate_per_s, tokens + (now - self._updated_at) * rate_per_s)
         self._updated_at = now
         if self._tokens < 1.0:
             return False
@@ -199,7 +203,7 @@
         self.table = table
 
     async def prepare(self):
-        """Reject or delay the request, or never respond, as limits and faults say."""
+        """Apply the rate limits and the faults `silent`, `delay_s` and `down`."""
         table = self.table
         if table.silent:
             await asyncio.Event().wait()
@@ -236,7 +240,10 @@
     """Handler of scans over the rows with a prefix."""
 
     def get(self):
-        """Respond with the rows in key order, at most `MAX_SCAN_ROWS`."""
+        """Respond with the first rows in key order.
+
+        The request may limit their number; it never exceeds `MAX_SCAN_ROWS`.
+        """
         self.table.reads += 1
         prefix = self.get_query_argument("prefix")
         limit = self.get_query_argument("limit", str(MAX_SCAN_ROWS))
