Name the paths and offsets in the launcher's tests

Cause: a newcomer stopped at path, runtime and position, at the tmpfs and at the second run. Change: names and comments; the assertions are the same.

--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -8,12 +8,13 @@
 
 from packaging_tools import build
 
+# The launcher unpacks the archive only to a tmpfs, which `tmp_path` may not be.
 TMPFS = "/dev/shm"
 
 
 @pytest.fixture
 def bundle(tmp_path, monkeypatch):
-    """Yield the paths of a bundle and of the directory that it is unpacked to.
+    """Yield the paths of a bundle and of the directory under which it is unpacked.
 
     The program in the bundle prints its process id and its argument.
     """
@@ -26,19 +27,21 @@
     program.write_text("#!/bin/sh\necho $$ $1\n")
     program.chmod(0o755)
     (payload_dir / "lib" / "data").write_bytes(b"x" * 100_000)
-    path = tmp_path / "bundle"
-    path.write_bytes(build.bundle(build.compile_launcher(), build.archive(payload_dir)))
-    path.chmod(0o755)
-    runtime = f"{TMPFS}/pimentoline-test-{os.getpid()}"
-    os.mkdir(runtime)
-    yield path, runtime
-    shutil.rmtree(runtime)
+    bundle_path = tmp_path / "bundle"
+    bundle_path.write_bytes(
+        build.bundle(build.compile_launcher(), build.archive(payload_dir))
+    )
+    bundle_path.chmod(0o755)
+    runtime_dir = f"{TMPFS}/pimentoline-test-{os.getpid()}"
+    os.mkdir(runtime_dir)
+    yield bundle_path, runtime_dir
+    shutil.rmtree(runtime_dir)
 
 
-def run_bundle(path, runtime):
+def run_bundle(bundle_path, runtime_dir):
     """Run the bundle; return (the finished process, its stdout, its stderr)."""
-    env = {"PIMENTOLINE_RUNTIME_DIR": runtime, "PATH": os.environ["PATH"]}
-    args = [str(path), "argument"]
+    env = {"PIMENTOLINE_RUNTIME_DIR": runtime_dir, "PATH": os.environ["PATH"]}
+    args = [str(bundle_path), "argument"]
     popen = subprocess.Popen(args, env=env, stdout=-1, stderr=-1, text=True)
     out, err = popen.communicate(timeout=10)
     return popen, out, err
@@ -46,23 +49,25 @@
 
 def test_program_replaces_launcher(bundle):
     """Guards against a launcher that stays alive as the parent of the program."""
-    path, runtime = bundle
+    bundle_path, runtime_dir = bundle
+    # The first run unpacks the archive, the second uses the unpacked files.
     for _ in range(2):
-        popen, out, err = run_bundle(path, runtime)
+        popen, out, err = run_bundle(bundle_path, runtime_dir)
         assert (popen.returncode, err) == (0, "")
         assert out.split() == [str(popen.pid), "argument"]
-    (unpacked,) = os.listdir(runtime)
-    assert os.path.getsize(f"{runtime}/{unpacked}/lib/data") == 100_000
+    (unpacked,) = os.listdir(runtime_dir)
+    assert os.path.getsize(f"{runtime_dir}/{unpacked}/lib/data") == 100_000
 
 
-# -200 is in the archive, -56 is the first byte of its checksum.
-@pytest.mark.parametrize("position", [-200, -56])
-def test_damaged_bundle_is_refused(bundle, position):
+# Offsets in bytes from the end of the bundle: -200 is in the compressed data of the
+# archive, -56 is the first byte of the checksum at the end of the archive.
+@pytest.mark.parametrize("offset", [-200, -56])
+def test_damaged_bundle_is_refused(bundle, offset):
     """Guards against running a program that was unpacked from a damaged archive."""
-    path, runtime = bundle
-    data = bytearray(path.read_bytes())
-    data[position] ^= 0xFF
-    path.write_bytes(data)
-    popen, _, err = run_bundle(path, runtime)
+    bundle_path, runtime_dir = bundle
+    data = bytearray(bundle_path.read_bytes())
+    data[offset] ^= 0xFF
+    bundle_path.write_bytes(data)
+    popen, _, err = run_bundle(bundle_path, runtime_dir)
     assert popen.returncode == 2
     assert err.startswith("error: bundle-damaged")
