Explain the lines of the mesh command and of the emulator's table

Cause: a newcomer stopped at these doc strings, at the worst windows and at a time without a subject. Change: texts only.

--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -11,9 +11,10 @@
 
 HERE = Path(__file__).resolve().parent
 # Columns: `asked` is the number of calls. `in time`, `late`, `refused` and `failed` are
-# shares of the calls; see `Result`. `credit` and `worst` are shares of the credit that
-# callers can earn, in the whole run and in the worst windows. A site is a deployment;
-# DC means data centre.
+# shares of the calls; see `Result`. `credit` is the credit that callers earned in
+# the whole run, as a share of the possible credit; `worst` is the mean of this share
+# over the time windows in which it was lowest. A site is an emulated deployment: its
+# data centres (DC), targets and calls.
 TABLE_HEAD = (
     "| site | condition | policy | asked | credit | worst | in time | late | refused "
     "| failed | p50 ms | p99 ms | frames a call | KB between DCs a call "
@@ -44,7 +45,7 @@
 
 
 def main(argv):
-    """Emulate every site, condition and policy with all seeds."""
+    """Emulate each combination of site, condition and policy, with every seed."""
     args = flags.FLAGS
     experiment = load_experiment(args.experiment)
     started_at = time.monotonic()
@@ -60,7 +61,7 @@
                 )
                 print(_format_row(site, condition, policy, result), flush=True)
     print(
-        f"{time.monotonic() - started_at:.0f} s, seeds {experiment.seeds}",
+        f"{time.monotonic() - started_at:.0f} s elapsed, seeds: {experiment.seeds}",
         file=sys.stderr,
     )
 
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -7,7 +7,7 @@
 
 
 class MeshCommand(Command):
-    """Shows the member records of one node."""
+    """Shows the member records that a node holds."""
 
     description = """
 Shows the nodes that this node knows, with their status, and the targets that each of
@@ -18,14 +18,14 @@
     exit_statuses = (ExitStatus.NODE_UNAVAILABLE,)
 
     def run(self, cfg, args, out):
-        """Show the member records."""
+        """Show the member records that the node holds."""
         _, response = self.client(cfg).send_request("/v1/mesh")
         out.write_result(response, _lines(response["members"]))
         return ExitStatus.OK
 
 
 def _lines(members):
-    """Yield the lines of the result as text."""
+    """Yield one line for each node and, indented below it, for each of its targets."""
     for record in members:
         location = f"{record['region']}/{record['dc']}"
         yield f"{record['node_id']}  {location}  {record['status']}"
