Describe the look-up of rules more exactly

Some sentences had to be read twice, and IDEMPOTENT_METHODS left out methods that are idempotent in HTTP.

--- a/pimentoline/rules/policy_table.py
+++ b/pimentoline/rules/policy_table.py
@@ -6,12 +6,13 @@
 from .field_parsers import ANY
 from .policy import CallPolicy
 
-__all__ = ["CALL_KINDS", "PolicyTable"]
+__all__ = ["CALL_RULE_KINDS", "PolicyTable"]
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+# Calls with these methods, which HTTP defines as safe, are idempotent without a rule.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # Rule kinds that select by service, method and path, each with a function that returns
 # the values of `CallPolicy` that a rule sets.
-CALL_KINDS = {
+CALL_RULE_KINDS = {
     "idempotent": lambda rule: {"idempotent": True},
     "deadline": lambda rule: {"deadline_s": rule.deadline_s},
     "class": lambda rule: {"call_class": rule.call_class},
@@ -32,6 +33,7 @@
 
     def __init__(self, rules):
         self.rules = [None]
+        # Number of the rule for `*`, or 0 if there is none.
         self.match_all_number = 0
         self.pattern = None
         for rule in rules:
@@ -58,6 +60,7 @@
     Parameters
     ----------
     rules : iterable of Rule
+        In the order of the rules file, with rules of any kind and service.
     service, method : str
         `*` stands for the services that no rule names, or for unknown methods.
     """
@@ -67,11 +70,11 @@
         "_matchers",
         "_policies",
         "_retry",
-        "_idempotent_method",
+        "_is_safe_method",
     )
 
     def __init__(self, rules, service, method):
-        rules_by_kind = {kind: [] for kind in CALL_KINDS}
+        rules_by_kind = {kind: [] for kind in CALL_RULE_KINDS}
         self._retry = None
         for rule in rules:
             if rule.kind == "retry":
@@ -80,7 +83,7 @@
             elif rule.kind in rules_by_kind and rule.service in (ANY, service):
                 if rule.method in (ANY, method):
                     rules_by_kind[rule.kind].append(rule)
-        self._idempotent_method = method in IDEMPOTENT_METHODS
+        self._is_safe_method = method in SAFE_METHODS
         self._matchers = tuple(
             _PathMatcher(kind_rules) for kind_rules in rules_by_kind.values()
         )
@@ -107,7 +110,7 @@
     def matching_rules(self, path):
         """Return the first matching rule of each kind, by kind."""
         found = {}
-        for kind, matcher in zip(CALL_KINDS, self._matchers):
+        for kind, matcher in zip(CALL_RULE_KINDS, self._matchers):
             rule = matcher.rules[matcher.find(path)]
             if rule is not None:
                 found[kind] = rule
@@ -116,10 +119,10 @@
         return found
 
     def _create_policy(self, found):
-        values = {"idempotent": self._idempotent_method}
+        values = {"idempotent": self._is_safe_method}
         for kind, rule in found.items():
             if kind == "retry":
                 values["retry_share"] = rule.share
             else:
-                values |= CALL_KINDS[kind](rule)
+                values |= CALL_RULE_KINDS[kind](rule)
         return CallPolicy(**values)
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -1,33 +1,33 @@
-"""pimentoline.rules.ruleset: the rules of a text, indexed for queries."""
+"""pimentoline.rules.ruleset: the rules of a rules text, indexed for look-ups."""
 
 from dataclasses import dataclass, field
 
 from .field_parsers import ANY, METHODS
 from .policy import ProbeBudget, SpillPolicy
-from .policy_table import CALL_KINDS, PolicyTable
+from .policy_table import CALL_RULE_KINDS, PolicyTable
 
 __all__ = ["RuleSet"]
 
 
 @dataclass(frozen=True, slots=True)
 class RuleSet:
-    """Rules of one text, with queries; the first matching rule of a kind wins.
+    """The rules of one rules text; of each kind, the first matching rule applies.
 
-    The private attributes are indexes derived from the rules, so that a query costs
-    a few dictionary look-ups. Comparisons ignore them.
+    The private attributes are indexes derived from the rules, so that a method
+    needs only a few dictionary look-ups. Comparisons ignore them.
 
     Parameters
     ----------
     rules : tuple of Rule
-        Rules in the order of the file.
+        Rules in the order of the text.
     """
 
     rules: tuple = ()
     # kind: {selector: (index in `rules`, first rule with this selector)}
     _first_rules: dict = field(init=False, repr=False, compare=False)
-    # Services that rules about calls name.
+    # Services that are named in rules about calls.
     _services_with_rules: frozenset = field(init=False, repr=False, compare=False)
-    # (service, method): PolicyTable, filled by queries
+    # (service, method): PolicyTable, created when first needed
     _policy_tables: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
@@ -37,7 +37,7 @@
         for index, rule in enumerate(self.rules):
             rules_by_selector = first_rules.setdefault(rule.kind, {})
             rules_by_selector.setdefault(rule.selector, (index, rule))
-            if rule.kind in CALL_KINDS or rule.kind == "retry":
+            if rule.kind in CALL_RULE_KINDS or rule.kind == "retry":
                 services.add(rule.service)
         object.__setattr__(self, "_first_rules", first_rules)
         object.__setattr__(self, "_services_with_rules", frozenset(services))
@@ -81,7 +81,7 @@
         return policy_table
 
     def _find_first(self, kind, *selectors):
-        """Return the first rule in the file with one of the selectors, or None."""
+        """Return the first rule in the text with one of the selectors, or None."""
         rules_by_selector = self._first_rules.get(kind)
         if rules_by_selector is None:
             return None
@@ -161,7 +161,9 @@
         return ProbeBudget(rule.probes, float(rule.bytes), rule.nodes)
 
     def inflight_limit(self, service, call_class):
-        """Return the maximum number of a service's calls in flight at one node.
+        """Return the maximum number of calls in flight at one node.
+
+        Only calls of this service and class are counted.
 
         Returns
         -------
