Explain the target side, settings and membership without look-ups

Readers had to open other modules for the noise, the job and the cold start, and met `refused` for an object. Comments now say what is meant, and locals have exact names. Tests twohop_decisions, twohop_path, membership and platform_process pass; ruff clean.

--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -55,10 +55,10 @@
                 # The sender does not know of the refutation, so it is gossiped again.
                 state = with_records(state, [own], now)
             continue
-        held = newer.get(node_id) or state.mesh.members.get(node_id)
+        known = newer.get(node_id) or state.mesh.members.get(node_id)
         if not is_running(record) and record.age_s >= DEAD_RETENTION_S:
             continue
-        if is_newer(record, held):
+        if is_newer(record, known):
             newer[node_id] = record
     if newer:
         state = with_records(state, newer.values(), now, gossip)
@@ -79,8 +79,8 @@
         case SyncRequest():
             return state, (Reply(sync_reply(state, event.body, now)),)
         case SyncReply(_, records):
-            # These records have been gossiped before. If a joining node gossiped them
-            # again, it would send all 720 of them, about 1 MB, to its peers.
+            # These records have been gossiped before. If a node that joins a mesh of
+            # 720 nodes gossiped them again, it would send about 1 MB to its peers.
             state, effects = _merge_records(state, records, now, gossip=False)
             return state, effects + on_sync_reply(state, event.body, event.addr, now)
         case Ping():
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -12,7 +12,7 @@
 
 __all__ = ["SettingsFile", "load_settings_file", "parse_duration"]
 
-DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 UNIT_S = {"ms": 0.001, "s": 1.0}
 
 
@@ -23,7 +23,7 @@
     ------
     ValueError
     """
-    match = DURATION.fullmatch(text) if isinstance(text, str) else None
+    match = DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
     if match is None:
         raise ValueError(f"found {text!r:.40}; allowed: a number with ms or s")
     return float(match[1]) * UNIT_S[match[2]]
@@ -68,7 +68,8 @@
     region: str
     service: str
     app_addr: tuple[str, int]
-    # In the file: a list, or a comma-separated text, of NAME=VALUE items.
+    # Retry limits and grace period, by name. In the file, they are a list or a
+    # comma-separated text of NAME=VALUE items.
     bounds: dict[str, str]
     listen: ListenSettings
     platform: StoreSettings
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -21,8 +21,8 @@
 # The target itself ends a call at the deadline of the call. The node waits this much
 # longer for the response, seconds.
 DEADLINE_MARGIN_S = 0.3
-# Timeout of a connection to the target, seconds. A target on the same host accepts it
-# within a few milliseconds.
+# Timeout for connecting to the target, seconds. A target on the same host accepts the
+# connection within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.4
 # A target that accepts no connection gets no calls for this long, seconds.
 UNREACHABLE_PAUSE_S = 0.3
@@ -30,11 +30,12 @@
 DEFAULT_SLOTS = 8
 # Retry-after time of a call that this target does not accept, seconds.
 RETRY_AFTER_S = 0.3
-# Assumed duration of the slow start of a target that has sent no heartbeat, seconds.
-# Targets send a heartbeat every 1.5 s.
+# Assumed duration of the cold start of a target that has sent no heartbeat, seconds.
+# Targets send a heartbeat every 1.5 s, which reports how much longer it lasts.
 ASSUMED_COLD_START_S = 1.5
-# Interval at which the queue is checked while calls wait, seconds. Noise may end while
-# no call completes.
+# Interval at which the queue is checked while calls wait, seconds. Calls that are held
+# because of noisy neighbours must start when the noise ends, even if no other call
+# completes then.
 QUEUE_CHECK_INTERVAL_S = 0.02
 # Timeout of a probe, seconds. A target on the same host responds within a few
 # milliseconds.
@@ -50,6 +51,10 @@
     Attributes
     ----------
     frame : CallFrame
+    body : bytes
+        Body of the request.
+    job : Job
+        Represents the call in `admission`.
     reply : callable
         `reply(frame, body)` is called once with the outcome, unless the call was
         cancelled.
@@ -59,8 +64,8 @@
     task : asyncio.Task or None
         Runs the call, None while it waits.
     ended : bool
-        Whether the call has its outcome or was cancelled. A call that must not run
-        twice does not end when it is cancelled while it runs.
+        Whether the call has its outcome or was cancelled. A running call that must not
+        run twice ends only with its outcome, even if it is cancelled.
     cancelled : bool
         Whether nobody waits for the outcome.
     """
@@ -175,7 +180,10 @@
         return self._status_changed(previous)
 
     def _admission_for_new_target(self, slots):
-        """Refuse the calls that wait for the previous target.
+        """Return a controller for a new target.
+
+        The calls that wait for the previous target are refused, and its idle
+        connections are closed.
 
         Returns
         -------
@@ -258,6 +266,7 @@
             now + frame.objective_ms / MS_PER_S,
             now + frame.remaining_ms / MS_PER_S,
             frame.last_resort,
+            # Calls with the same values are expected to take the same time.
             (frame.priority, frame.retryable),
         )
         call = PendingCall(frame, body, job, reply, self.admission)
@@ -267,9 +276,9 @@
         elif frame.service != self.service:
             self._refuse(call, "other-service", RETRY_AFTER_S)
         else:
-            refused = self.admission.offer(job, now)
-            if refused is not None:
-                self._refuse(call, refused.reason, refused.retry_after_s)
+            refusal = self.admission.offer(job, now)
+            if refusal is not None:
+                self._refuse(call, refusal.reason, refusal.retry_after_s)
             else:
                 self._process_queue()
         return call
@@ -317,12 +326,12 @@
             action = self.admission.next_action(self._clock())
             if isinstance(action, StartDecision):
                 break
-            job, refused = action
+            job, refusal = action
             call = self._pending.get(job)
             if call is None:
                 self.admission.remove(job)
-            elif refused is not None:
-                self._refuse(call, refused.reason, refused.retry_after_s)
+            elif refusal is not None:
+                self._refuse(call, refusal.reason, refusal.retry_after_s)
             else:
                 call.task = asyncio.get_running_loop().create_task(self._run(call))
         if action is StartDecision.PROBE and self._probe_task is None:
@@ -340,8 +349,8 @@
     async def _probe(self):
         """Query the load of the target.
 
-        If the response contains no slowdown, calls start without a probe for
-        `FAILED_PROBE_PAUSE_S`.
+        If no slowdown is received, calls start without further probes for some time;
+        see `NoiseDetector.probe_failed`.
         """
         noise = self.admission.noise
         noise.probe_started(self._clock())
@@ -375,8 +384,8 @@
     def _note_identity(self, response):
         """Detect that the target was replaced while this process was not running.
 
-        Until the first heartbeat, calls would otherwise name the previous target, and
-        the new one would refuse to run them.
+        Otherwise, calls sent before the first heartbeat would name the previous target,
+        and the new one would refuse to run them.
         """
         target_id = response.headers.get(self._header_names.target_id)
         if not self._status_is_restored or response.status != 200 or not target_id:
@@ -425,6 +434,7 @@
             verdict = Verdict.NOT_RUN
             self._note_unreachable()
         elif getattr(exc, "started", False):
+            # The head of the response was received.
             verdict = Verdict.RAN
         else:
             verdict = Verdict.MAY_HAVE_RUN
@@ -474,6 +484,7 @@
         request_id = headers.get(header_names.request_id)
 
         def is_own_response(response_headers):
+            """Return whether a response is to this request, not an earlier one."""
             return response_headers.get(header_names.request_id) in (None, request_id)
 
         return await send_request(
@@ -529,10 +540,10 @@
         self._finish(call, frame, response.body)
 
     def _note_load(self, text):
-        """Record the load that a target reports in a header.
+        """Record the slots and the slowdown that the target reports in a header.
 
-        `HeaderNames.load` describes the value. Returns whether it contains the duration
-        of work in percent, which is the slowdown.
+        Returns whether the header contains the slowdown. `HeaderNames.load` describes
+        the format.
         """
         if not text:
             return False
