--- a/pimentoline/throttling.py
+++ b/pimentoline/throttling.py
@@ -10,7 +10,7 @@
 
 from .model import CALL_CLASSES, CLASS_RANKS
 
-__all__ = ["attempt_changes", "has_excess", "refused_share"]
+__all__ = ["attempt_changes", "has_excess_attempts", "refused_share"]
 
 # Time constant of the decay of the counts. Refusals begin and end within a few time
 # constants; with a longer one, calls would be refused long after the targets have
@@ -70,7 +70,7 @@
     return counts[:rank] + (counts[rank] + 1.0,) + counts[rank + 1 :]
 
 
-def has_excess(stats):
+def has_excess_attempts(stats):
     """Return whether more than `MAX_RATIO` times the accepted attempts were sent."""
     return sum(stats.sent) > MAX_RATIO * sum(stats.accepted)
 
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -38,6 +38,7 @@
 # for each response would take more CPU time than all other statistics.
 LATENCY_BATCH = 16
 
+# Makes the random decision of throttling independent of others from the same draw.
 THROTTLE_SALT = 21
 
 
@@ -86,7 +87,7 @@
     limit = state.rules.ruleset.inflight_limit(req.service, req.call_class)
     if limit is not None and stats.inflight[CLASS_RANKS[req.call_class]] >= limit:
         return state, "inflight-limit"
-    if not throttling.has_excess(stats):
+    if not throttling.has_excess_attempts(stats):
         return state, None
     share = throttling.refused_share(stats, req.call_class, now)
     if fraction(draw, THROTTLE_SALT) >= share:
@@ -95,7 +96,7 @@
 
 
 def _count_unaccepted(state, req, now):
-    """Count a call refused by throttling or an attempt without a response."""
+    """Count a call refused by throttling or an attempt that timed out."""
     stats = _service_stats(state, req.service)
     changes = throttling.attempt_changes(stats, req.call_class, False, now)
     return _with_service(state, req.service, replace(stats, **changes))
@@ -135,6 +136,7 @@
     stats = targets.get(attempt.target_id) or TargetStats()
     changes = {"inflight": max(0, stats.inflight - 1)}
     if attempt.verdict is None:
+        # The attempt was still waiting for a response head.
         changes |= _stop_waiting_changes(stats, attempt)
     if succeeded:
         changes |= outliers.success_changes(stats, attempt.started)
@@ -173,12 +175,15 @@
 
 
 def _failure_stats(state, record, attempt, now, decisive, stats):
-    """Return the statistics of a target after a failure, with an ejection if due."""
+    """Return the statistics of a target after a failure, with an ejection if due.
+
+    If `decisive` is True, this failure alone is enough for an ejection.
+    """
     plan = state.traffic.plan
     route = plan.routes.get(record.call.req.service) if plan is not None else None
     target_ids = route.target_ids() if route is not None else ()
 
-    def ejected():
+    def count_other_ejected():
         others = (item for item in target_ids if item != attempt.target_id)
         return sum(_target_stats(state, item).ejected_until > now for item in others)
 
@@ -186,14 +191,15 @@
         # The target's node is suspect or gone, so its host has probably failed.
         decisive = True
     return outliers.record_failure(
-        stats, attempt.started, now, decisive, ejected, len(target_ids)
+        stats, attempt.started, now, decisive, count_other_ejected, len(target_ids)
     )
 
 
 def record_response_head(state, record, attempt, event):
     """Record the latency, the load report and any failure from a response head.
 
-    A success is recorded only at the end of the response, because it may break off.
+    A success is recorded only at the end of the response, because the body may break
+    off.
 
     A request that the target shed gets the latency of a failure and counts as not
     accepted, but not towards an ejection: an overloaded target is expected to shed
@@ -236,19 +242,19 @@
     return replace(state, traffic=traffic)
 
 
-def load_report_changes(own, load, now):
+def load_report_changes(own_in_report, load, now):
     """Return the changed fields of target statistics after a load report.
 
     Parameters
     ----------
-    own : int
-        Requests of this node that the report includes.
+    own_in_report : int
+        Number of requests of this node that the report includes.
     load : float
-        Requests in flight at the target, from all nodes.
+        Number of requests in flight at the target, from all nodes.
     now : float
         Monotonic time, seconds.
     """
-    return {"reported_load": load, "reported_at": now, "own_in_report": own}
+    return {"reported_load": load, "reported_at": now, "own_in_report": own_in_report}
 
 
 def _latency_changes(stats, sample_s):
@@ -273,12 +279,12 @@
     waited did not count, a slow target whose hedges always win would keep a low latency
     and get more calls.
     """
-    for att in record.attempts:
-        if att.verdict is None and att is not responded:
-            stats = _target_stats(state, att.target_id)
-            if now - att.started > stats.latency_s:
-                stats = replace(stats, latency_s=now - att.started, latency_at=now)
-                state = _with_target(state, att.target_id, stats)
+    for attempt in record.attempts:
+        if attempt.verdict is None and attempt is not responded:
+            stats = _target_stats(state, attempt.target_id)
+            if now - attempt.started > stats.latency_s:
+                stats = replace(stats, latency_s=now - attempt.started, latency_at=now)
+                state = _with_target(state, attempt.target_id, stats)
     return state
 
 
