Say in the apply tests what each step and wrong history checks

The wrong histories were unlabelled, a function that polls was named as a count, and timeout messages were hard to read; the bounds error showed only a quoted key.

--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -102,7 +102,7 @@
             )
             grace_s = parse_duration(bounds["grace"])
         except (KeyError, ValueError) as exc:
-            raise SettingsError(f"bounds: {exc}") from exc
+            raise SettingsError(f"bounds: item is missing or invalid: {exc}") from exc
         return HostSettings(
             node=self.node_name,
             dc=self.zone,
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -1,4 +1,4 @@
-"""Tests of concurrent applies of rules while the store fails."""
+"""Tests that apply rules at two nodes at once and while the store fails."""
 
 import itertools
 import threading
@@ -44,7 +44,7 @@
 def test_one_of_two_operators_wins_a_race(two_nodes, tmp_path):
     """Guards against two versions accepted for one base, or a missing conflict."""
     for base in range(4):
-        racing = [
+        processes = [
             start_command(
                 two_nodes,
                 node,
@@ -56,7 +56,7 @@
             )
             for node in NODES
         ]
-        results = [wait_for_result(process) for process in racing]
+        results = [wait_for_result(process) for process in processes]
         assert sorted(status for status, _ in results) == [0, 3], results
         winner = next(i for i, result in enumerate(results) if result[0] == 0)
         conflict = results[1 - winner][1]
@@ -74,7 +74,7 @@
             wait_until(
                 lambda: version_in_force(two_nodes, node) == base + 1,
                 5.0,
-                "both in force",
+                "winning text in force at each node",
             )
 
 
@@ -85,19 +85,22 @@
     set_faults(two_nodes, lose_answers=1, down_after_loss=True)
     status, response = run_command(two_nodes, "n1", *args)
     assert (status, response["result"]) == (4, "unknown")
-    again = (*args, f"--attempt={response['attempt']}")
-    status, response = run_command(two_nodes, "n1", *again)
+    retry_args = (*args, f"--attempt={response['attempt']}")
+    status, response = run_command(two_nodes, "n1", *retry_args)
     assert (status, response["result"]) == (4, "unknown"), "the store is still down"
     set_faults(two_nodes, down=False)
     for _ in range(2):
-        status, response = run_command(two_nodes, "n2", *again)
+        status, response = run_command(two_nodes, "n2", *retry_args)
         assert (status, response["version"]) == (0, 1)
     assert apply_rules(two_nodes, "n1", rules_text("b"), 1)["version"] == 2
-    status, response = run_command(two_nodes, "n2", *again)
+    status, response = run_command(two_nodes, "n2", *retry_args)
     assert (status, response["version"], response["superseded_by"]) == (0, 1, 2)
     assert [version_in_force(two_nodes, node) for node in NODES] == [2, 2]
-    other = rules_file(tmp_path, "c")
-    status, response = run_command(two_nodes, "n1", "apply", other, *again[2:])
+    other_path = rules_file(tmp_path, "c")
+    # The same attempt id with another text.
+    status, response = run_command(
+        two_nodes, "n1", "apply", other_path, *retry_args[2:]
+    )
     assert status == 3 and "another text" in response["detail"]
 
 
@@ -125,7 +128,7 @@
     assert (status, response["result"]) == (4, "unknown")
     wait_until(
         lambda: version_in_force(two_nodes, "n1") == 1,
-        message="the text in force anyway",
+        message="the text in force after the timeout",
     )
 
 
@@ -152,8 +155,11 @@
         assert row["version"] == base + 1 and row["author"] == f"author-{base}"
         assert row["time"] >= time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(started))
         assert "+" + texts[base].strip() in row["diff"]
-        asked = {f"Asked {base}"} | ({f"Asked {base - 1}"} if base else set())
-        assert set(row["requesters"]) == asked
+        # The diff also contains the removed line of the previous text.
+        expected_requesters = {f"Asked {base}"} | (
+            {f"Asked {base - 1}"} if base else set()
+        )
+        assert set(row["requesters"]) == expected_requesters
         assert row["nodes"] == (list(NODES) if base == 11 else [])
         shown = run_command(two_nodes, "n1", "history", f"--show={row['version']}")[1]
         assert shown["text"] == texts[base]
@@ -213,7 +219,7 @@
 def check_history(operations, rows, texts):
     """Raise AssertionError unless the accepted versions have a total order.
 
-    The order agrees with the times of the operations and with the stored rows.
+    The order must agree with the times of the operations and with the stored rows.
 
     Parameters
     ----------
@@ -227,8 +233,8 @@
     """
     by_attempt = {op["attempt"]: op for op in operations}
     assert sorted(rows) == list(range(1, len(rows) + 1)), "versions have a gap"
-    written = [rows[version]["attempt"] for version in sorted(rows)]
-    assert len(set(written)) == len(written), "an attempt was accepted twice"
+    attempts = [rows[version]["attempt"] for version in sorted(rows)]
+    assert len(set(attempts)) == len(attempts), "an attempt was accepted twice"
     for version, row in rows.items():
         op = by_attempt[row["attempt"]]
         assert op["result"] in ("accepted", "unknown"), op
@@ -248,7 +254,8 @@
     operators = [Operator(two_nodes, NODES[i % 2], f"operator{i}") for i in range(4)]
     seen = {node: [version_in_force(two_nodes, node)] for node in NODES}
 
-    def completed():
+    def poll():
+        """Note the versions in force; return the number of completed operations."""
         for node in NODES:
             seen[node].append(version_in_force(two_nodes, node))
         return sum(
@@ -259,8 +266,8 @@
         operator.start()
     for faults in FAULTS:
         set_faults(two_nodes, **faults)
-        required = completed() + 2 * len(operators)
-        wait_until(lambda: completed() >= required, 30.0, f"operations with {faults}")
+        required = poll() + 2 * len(operators)
+        wait_until(lambda: poll() >= required, 30.0, f"operations with {faults}")
     for operator in operators:
         operator.stopped.set()
     for operator in operators:
@@ -283,7 +290,9 @@
     newest = max(rows)
     for node in NODES:
         wait_until(
-            lambda: version_in_force(two_nodes, node) == newest, 15.0, "newest in force"
+            lambda: version_in_force(two_nodes, node) == newest,
+            15.0,
+            "newest version in force",
         )
         assert two_nodes.admin(node, "/v1/config")[1]["text"] == texts[newest]
         assert seen[node] == sorted(seen[node]), "a node reverted to an older version"
@@ -301,11 +310,17 @@
     texts = {1: "x", 2: "y"}
     check_history(good, rows, texts)
     wrong = [
+        # A version is missing.
         (good, {2: rows[2]}, texts),
+        # A stored text differs from the applied one.
         (good, rows, {1: "x", 2: "x"}),
+        # An attempt with a conflict was stored.
         ([good[0], {**good[1], "result": "conflict"}], rows, texts),
+        # The first version was applied after the second was accepted.
         ([{**good[0], "invoked": 5.0, "completed": 6.0}, good[1]], rows, texts),
+        # An attempt was accepted although its base was outdated.
         ([good[0], {**good[1], "base": 0}], rows, texts),
+        # One attempt was accepted twice.
         (good, {1: rows[1], 2: {"attempt": "a", "base": 1}}, texts),
     ]
     for case in wrong:
