Name the limits of the admin interface after what they limit

Cause: a newcomer stopped at MAX_TARGETS, NAME, the number of trials of an explanation and two help texts. Change: names, comments and help texts.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -23,12 +23,12 @@
 
 # JSON may escape each byte of a rules text of 1 MiB as six bytes.
 MAX_ADMIN_BODY_BYTES = 7 * 1024 * 1024
-MAX_TARGETS = 64
+MAX_ANNOUNCED_TARGETS = 64
 MAX_HISTORY_ROWS = 100
 MAX_ECHOED_CHARS = 80
-# The choice of a target is random, so an explanation shows the distribution of the
-# results of this many trials.
-EXPLAIN_SAMPLES = 200
+# The choice of a target is random, so an explanation repeats the decision this many
+# times and shows the distribution of the results.
+EXPLAIN_TRIALS = 200
 STATUS_BY_RESULT = {
     "accepted": 200,
     "conflict": 409,
@@ -36,7 +36,7 @@
     "unknown": 504,
 }
 MAX_TARGET_ID_CHARS = 200
-NAME = re.compile(NAME_PATTERN)
+NAME_REGEX = re.compile(NAME_PATTERN)
 
 
 class AdminHandler(RequestHandler):
@@ -63,7 +63,7 @@
             return None
         return self.node.publisher
 
-    def announced_targets(self):
+    def announced_target_ids(self):
         """Return the ids of the targets announced at this node that are not gone."""
         return {
             target.target_id
@@ -72,17 +72,18 @@
         }
 
     def int_argument(self, name, default, low, high):
-        """Return a whole number from the query, or respond 400."""
+        """Return a whole number from the query; respond 400 outside `low` to `high`."""
         text = self.get_query_argument(name, None)
         if text is None:
             return default
+        # `int` rejects very long text, and 12 digits are enough to exceed `high`.
         if not (text.isascii() and text.isdigit()) or not low <= int(text[:12]) <= high:
             detail = f"{name}: found {text[:20]!r}; allowed: {low} to {high}"
             raise HTTPError(400, log_message=detail.replace("%", "%%"))
         return int(text)
 
     def respond_error(self, status, code, detail):
-        """Respond with an error."""
+        """Respond with an HTTP status and a JSON body that describes the error."""
         self.set_status(status)
         self.finish({"error": code, "detail": detail})
 
@@ -108,14 +109,16 @@
         announcement = self.read_body(Announcement)
         if announcement is None:
             return
-        announced = self.announced_targets()
-        if not NAME.fullmatch(target_id) or len(target_id) > MAX_TARGET_ID_CHARS:
+        announced = self.announced_target_ids()
+        if not NAME_REGEX.fullmatch(target_id) or len(target_id) > MAX_TARGET_ID_CHARS:
             self.respond_error(
                 400, "bad-request", f"target id {target_id[:80]!r} is invalid"
             )
             return
-        if target_id not in announced and len(announced) >= MAX_TARGETS:
-            detail = f"this node has {MAX_TARGETS} announced targets, the maximum"
+        if target_id not in announced and len(announced) >= MAX_ANNOUNCED_TARGETS:
+            detail = (
+                f"this node has {MAX_ANNOUNCED_TARGETS} announced targets, the maximum"
+            )
             self.respond_error(400, "bad-request", detail)
             return
         identity = self.node.state.identity
@@ -145,7 +148,7 @@
 
     def post(self, target_id):
         """Start the drain: no new calls go to the target."""
-        if target_id not in self.announced_targets():
+        if target_id not in self.announced_target_ids():
             detail = f"target {target_id[:80]!r} is not announced at this node"
             self.respond_error(404, "not-found", detail)
             return
@@ -247,7 +250,10 @@
     """Shows the audit trail."""
 
     async def get(self):
-        """Respond with audit rows, latest first, and the nodes with each version."""
+        """Respond with audit rows, latest first, and the nodes that use each version.
+
+        `silent` lists the nodes that did not report a version.
+        """
         limit = self.int_argument("limit", 20, 1, MAX_HISTORY_ROWS)
         before = self.int_argument("before", None, 1, 10**10)
         publisher = self.get_publisher()
@@ -275,7 +281,7 @@
         if body is None:
             return
         node = self.node
-        draws = [node.draw() for _ in range(EXPLAIN_SAMPLES)]
+        draws = [node.draw() for _ in range(EXPLAIN_TRIALS)]
         self.finish(explain(node.state, body, node.clock(), draws))
 
 
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -25,7 +25,7 @@
 
 # name: (default, help)
 FLAGS = {
-    "node_id": ("", "Unique name of this node; HOST:PORT by default."),
+    "node_id": ("", "Unique name of this node; HOST:DATA_PORT by default."),
     "host": ("", "Name of the host; the system's host name by default."),
     "region": ("", "Region of the host."),
     "dc": ("", "Data centre of the host."),
@@ -34,8 +34,8 @@
     "admin_addr": ("127.0.0.1:0", "IP address and port for operators and the target."),
     "admin_remote": (
         False,
-        "Let the admin interface listen on an address that is not loopback. It has "
-        "no authentication.",
+        "Let the admin interface listen on an address that is not loopback. The "
+        "interface has no authentication.",
     ),
     "store_url": ("", "Base URL of the platform's table service."),
     "seeds": (
@@ -65,7 +65,7 @@
         ip = str(ipaddress.IPv4Address(ip))
     except ValueError:
         raise ValueError(ADDR_ERROR) from None
-    # Comparing 6 digits avoids the conversion of very long text, which `int` rejects.
+    # `int` rejects very long text, and 6 digits are enough to exceed `MAX_PORT`.
     if not (port.isascii() and port.isdigit()) or int(port[:6]) > MAX_PORT:
         raise ValueError(ADDR_ERROR)
     return ip, int(port)
