Say which failures the tests of limits and meshes guard against

Cause: a newcomer had to read some doc strings and names twice. Change: these texts, one parameter and one local function; assertions and values stay.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -31,7 +31,10 @@
 
 
 def fail(stats, times, now=100.0, total=4, decisive=False):
-    """Return the statistics of a target after failed attempts that began at `now`."""
+    """Return the statistics of a target after failed attempts that began at `now`.
+
+    `total` counts the targets of the service. A `decisive` failure ejects at once.
+    """
     for _ in range(times):
         stats = outliers.record_failure(stats, now, now, decisive, lambda: 0, total)
     return stats
@@ -97,10 +100,10 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "not_run", "complete", "count"),
+    ("status", "not_run", "complete", "ejected_count"),
     [(503, True, True, 0), (200, False, False, 1), (500, False, True, 1)],
 )
-def test_what_counts_as_failure(status, not_run, complete, count):
+def test_what_counts_as_failure(status, not_run, complete, ejected_count):
     """Guards against counting shed calls, and not counting truncated responses."""
     core = make_core(2)
     for _ in range(20):
@@ -108,7 +111,7 @@
         if started_attempt(effects):
             core.receive_head(started_attempt(effects), status, not_run)
             core.send(ev.CallEnded(core.now, call_id, complete))
-    assert len(ejected(core)) == count
+    assert len(ejected(core)) == ejected_count
 
 
 def test_target_that_comes_up_starts_slowly():
@@ -161,7 +164,8 @@
     assert len(refused) > 150
     found = {(effect.code, effect.status, effect.verdict) for effect in refused}
     assert found == {("throttled", 503, Verdict.NOT_RUN)}
-    # The share of calls let through grows from 5%, by half in each `DECAY_S` of 1.5 s.
+    # The share of calls let through begins at 5% and grows by a factor of 1.5 in each
+    # `DECAY_S`, which is 1.5 s.
     for _ in range(1200):
         core.now += 0.01
         core.make_call(latency_s=0.0)
@@ -220,7 +224,10 @@
 
 
 def test_calls_that_are_not_retried():
-    """Guards against retrying a caller's retry, or at the target that shed the call."""
+    """Guards against retries of a call that is itself a retry of the caller.
+
+    Also guards against a retry or hedge at the only target, which has shed the call.
+    """
     core = make_core()
     call_id, effects = core.start_call(retry_attempt=1)
     assert not any(isinstance(effect, ScheduleHedge) for effect in effects)
--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -125,7 +125,8 @@
 def assert_t1_paused(calls):
     """Assert that no call used rules older than those that pause t1.
 
-    The node responds with 502 to a call that it sent to t2 after t2 was killed.
+    The other target, t2, has been killed: the response is 502 if the node tried t2, and
+    503 otherwise.
     """
     assert calls.statuses and set(calls.statuses.values()) <= {502, 503}
     assert calls.runs_after("t1", 0) == []
@@ -226,11 +227,11 @@
     """Guards against a dead node that is not detected or whose target gets no calls."""
     mesh.nodes["n2"].kill()
 
-    def status():
+    def status_of_n2():
         members = mesh.admin("n0", "/v1/mesh")[1]["members"]
         return {item["node_id"]: item["status"] for item in members}["n2"]
 
-    wait_until(lambda: status() == "dead", 20)
+    wait_until(lambda: status_of_n2() == "dead", 20)
     mesh.targets["t1"].kill()
     wait_until(lambda: mesh.call("n0", "/")[0] == 200, 10)
 
