Say that a target leaves, not that it signs off

Cause: membership protocols call this "leave", and the call on the wire is instances.leave already. Change: handle_leave, accept_leave, _handle_leave and one test are renamed, with their docstrings; names on the wire stay.

--- a/pimentoline/platform/heartbeat_server.py
+++ b/pimentoline/platform/heartbeat_server.py
@@ -81,7 +81,7 @@
                 case "instances.heartbeat":
                     await self._handle_heartbeat(parse_heartbeat(target_id, body))
                 case "instances.leave":
-                    await self._handle_sign_off(target_id, body)
+                    await self._handle_leave(target_id, body)
                 case _:
                     return 404, b"{}"
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
@@ -93,10 +93,10 @@
         if self.node.target.handle_heartbeat(heartbeat):
             await self._store_state(heartbeat.state)
 
-    async def _handle_sign_off(self, target_id, body):
+    async def _handle_leave(self, target_id, body):
         item = json.loads(body) if body else {}
         born = item.get("born") if isinstance(item, dict) else None
-        if self.node.target.handle_sign_off(target_id, born):
+        if self.node.target.handle_leave(target_id, born):
             await self._store_state(TargetState.LEFT)
 
     async def _store_state(self, state):
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -141,7 +141,7 @@
 
     @property
     def has_left(self):
-        """Whether the target has signed off."""
+        """Whether the target has left."""
         status = self.status_tracker.current
         return status is not None and status.state is TargetState.LEFT
 
@@ -187,10 +187,10 @@
         self._pool.close_idle(self._addr)
         return admission
 
-    def handle_sign_off(self, target_id, born_ms):
-        """Process the sign-off of a target; return whether its state changed."""
+    def handle_leave(self, target_id, born_ms):
+        """Process the leave request of a target; return whether its state changed."""
         previous = self.status_tracker.current
-        self.status_tracker.accept_sign_off(target_id, born_ms)
+        self.status_tracker.accept_leave(target_id, born_ms)
         return self._status_changed(previous)
 
     def restore(self, status):
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -11,7 +11,7 @@
 
 
 class TargetState(enum.Enum):
-    """State that a target reports, or `LEFT` once it has signed off."""
+    """State that a target reports, or `LEFT` once it has left."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -147,8 +147,8 @@
         )
         return True
 
-    def accept_sign_off(self, target_id, born_ms):
-        """Record that a target has signed off, unless it was replaced before.
+    def accept_leave(self, target_id, born_ms):
+        """Record that a target has left, unless it was replaced before.
 
         A target that started after the current one has replaced the current one, even
         if none of its heartbeats arrived.
@@ -157,13 +157,13 @@
         ----------
         target_id : str
         born_ms : int or None
-            Start of its incarnation, Unix time in milliseconds; None if the sign-off
-            does not contain it.
+            Start of its incarnation, Unix time in milliseconds; None if the leave
+            request does not contain it.
 
         Returns
         -------
         bool
-            Whether the sign-off was accepted.
+            Whether the leave request was accepted.
         """
         current = self.current
         if current is not None:
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -647,11 +647,11 @@
     assert tracker.accept(heartbeat(sequence=3, state=TargetState.DRAINING))
     assert not tracker.accept(heartbeat(sequence=2))
     assert not tracker.accept(heartbeat(sequence=4))
-    assert tracker.accept_sign_off("t1", None)
+    assert tracker.accept_leave("t1", None)
     assert not tracker.accept(heartbeat(sequence=9))
     assert tracker.accept(heartbeat("t2", born_ms=9))
     assert not tracker.accept(heartbeat("t1", born_ms=5, sequence=99))
-    assert not tracker.accept_sign_off("t1", 5)
+    assert not tracker.accept_leave("t1", 5)
     assert tracker.current.state is TargetState.READY
 
 
@@ -663,11 +663,11 @@
 
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
-def test_target_without_heartbeats_may_sign_off(target):
-    """Guards against calls to a target whose sign-off was acknowledged but ignored."""
+def test_target_without_heartbeats_may_leave(target):
+    """Guards against calls to a target whose leave was acknowledged but ignored."""
     tracker = StatusTracker()
     tracker.accept(heartbeat("t1", born_ms=5))
-    assert tracker.accept_sign_off(target, 9)
+    assert tracker.accept_leave(target, 9)
     assert tracker.current.state is TargetState.LEFT
     assert not tracker.accept(heartbeat("t1", born_ms=5, sequence=99))
     assert not tracker.accept(heartbeat(target, born_ms=9, sequence=99))
