Reword the noise detector

Cause: a newcomer took "a probe that returned no slowdown" for a probe of a fast target, and "a noisy target" for the cause of the noise. Change: docstrings and comments; note, is_noisy and NOISY_SLOWDOWN get names that say what they hold.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -159,7 +159,7 @@
         """
         if now < self.cold_start_until:
             slowdown /= COLD_START_SLOWDOWN
-        self.noise.note(slowdown, now)
+        self.noise.record_slowdown(slowdown, now)
 
     @property
     def limit(self):
@@ -294,7 +294,7 @@
             return Refused("expired", self._retry_after_s(self.expected_wait_s(now, 0)))
         if late or job.last_resort:
             return None
-        blocked = self.running >= self.limit or self.noise.is_noisy(now)
+        blocked = self.running >= self.limit or self.noise.detects_noise(now)
         if blocked and now + duration_s + RETRY_ELSEWHERE_S > job.objective_at:
             # Another target may still meet the objective.
             return Refused(
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -1,29 +1,31 @@
 """pimentoline.twohop.noise: detects noisy neighbours of a target.
 
-Noisy neighbours are other programs on a target's host that slow it down for short
-periods. A target reports its current slowdown. In both known deployments, a call that
-starts during noise stays slow until it ends, even if the noise stops 20 ms after the
-start of the call. A call therefore waits until the noise ends, and the target is probed
-first if its last report is too old.
+Noisy neighbours are other programs on a target's host that slow the target down for
+short periods. A target reports its current slowdown: how many times as long as usual
+its calls take. In both known deployments, a call that starts during noise is slow for
+its whole duration, even if the noise stops 20 ms after the start of the call. A call
+therefore waits until the noise ends. If the last report is too old to tell whether
+there is noise, the target is probed before a call starts.
 """
 
 import enum
 
 __all__ = ["NoiseDetector", "StartDecision"]
 
-# A target that takes at least this many times as long as usual is noisy.
-NOISY_SLOWDOWN = 1.8
+# A slowdown from this ratio on is taken for noise.
+MIN_NOISE_SLOWDOWN = 1.8
 # A report older than this does not permit a call to start, seconds. A period of noise
 # lasts about 150 ms, so an older report is often wrong.
 MAX_REPORT_AGE_S = 0.02
 # Shortest time between two probes of a target, seconds. This limits each target to 40
 # probes per second; the operators of both deployments allow 60.
 MIN_PROBE_GAP_S = 0.025
-# After a probe that returned no slowdown, the target is not probed for this long,
-# seconds.
+# After a probe that failed or whose response did not contain the slowdown, the target
+# is not probed for this long, seconds.
 FAILED_PROBE_PAUSE_S = 2.0
-# Calls are held for at most this long after a target first reported noise, seconds. A
-# target that is slow for longer is taken to be permanently slow, and calls start there.
+# Calls are held for at most this long after the first of consecutive reports of noise,
+# seconds. A target that is slow for longer is taken to be permanently slow, and calls
+# start there.
 MAX_HOLD_S = 0.8
 # Expected remaining time of noise, seconds: half a period, plus a margin because the
 # next period often follows at once.
@@ -54,8 +56,8 @@
     Attributes
     ----------
     slowdown : float
-        Last reported ratio of the duration of calls to the usual one; 1 at the target's
-        usual speed.
+        Last reported ratio of the duration of the target's calls to their usual
+        duration; 1 at its usual speed.
     """
 
     def __init__(self):
@@ -63,25 +65,25 @@
         self._reported_at = None
         self._probes_paused_until = 0.0
         self._probed_at = None
-        self._noisy_since = None
+        self._noise_since = None
 
-    def note(self, slowdown, now):
+    def record_slowdown(self, slowdown, now):
         """Record the slowdown that the target reported at `now`, monotonic seconds."""
         self.slowdown = slowdown
         self._reported_at = now
-        if slowdown < NOISY_SLOWDOWN:
-            self._noisy_since = None
-        elif self._noisy_since is None:
-            self._noisy_since = now
-
-    def is_noisy(self, now):
-        """Return whether the target is noisy, so that calls should wait."""
-        since = self._noisy_since
+        if slowdown < MIN_NOISE_SLOWDOWN:
+            self._noise_since = None
+        elif self._noise_since is None:
+            self._noise_since = now
+
+    def detects_noise(self, now):
+        """Return whether noise slows the target down, so that calls should wait."""
+        since = self._noise_since
         return since is not None and now - since < MAX_HOLD_S
 
     def remaining_s(self, now):
         """Return how much longer the noise is expected to last, seconds."""
-        return EXPECTED_REMAINING_S if self.is_noisy(now) else 0.0
+        return EXPECTED_REMAINING_S if self.detects_noise(now) else 0.0
 
     def decide(self, now):
         """Return the `StartDecision` for the next call."""
@@ -92,7 +94,9 @@
             and now - self._reported_at <= MAX_REPORT_AGE_S
         )
         if is_current:
-            return StartDecision.HOLD if self.is_noisy(now) else StartDecision.START
+            return (
+                StartDecision.HOLD if self.detects_noise(now) else StartDecision.START
+            )
         if self._probed_at is not None and now - self._probed_at < MIN_PROBE_GAP_S:
             return StartDecision.HOLD
         return StartDecision.PROBE
@@ -102,9 +106,9 @@
         self._probed_at = now
 
     def probe_failed(self, now):
-        """Record that a probe returned no slowdown.
+        """Record that a probe failed or its response did not contain the slowdown.
 
         Calls start without a probe for the next `FAILED_PROBE_PAUSE_S`.
         """
         self._probes_paused_until = now + FAILED_PROBE_PAUSE_S
-        self._noisy_since = None
+        self._noise_since = None
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -373,12 +373,12 @@
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
-    admission.noise.note(5.0, NOW)
+    admission.noise.record_slowdown(5.0, NOW)
     assert admission.next_action(NOW) is StartDecision.HOLD
     assert admission.next_action(NOW + 0.05) is StartDecision.PROBE
     admission.noise.probe_started(NOW + 0.05)
     assert admission.next_action(NOW + 0.06) is StartDecision.HOLD
-    admission.noise.note(1.0, NOW + 0.07)
+    admission.noise.record_slowdown(1.0, NOW + 0.07)
     assert admission.next_action(NOW + 0.07) == (waiting, None)
 
 
@@ -387,7 +387,7 @@
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
-    admission.noise.note(5.0, NOW)
+    admission.noise.record_slowdown(5.0, NOW)
     found, refused = admission.next_action(NOW + 0.2)
     assert found is waiting and refused.reason == "objective"
 
@@ -396,7 +396,7 @@
     """Guards against a target that never gets a call because it is always slow."""
     admission = AdmissionController(10)
     for step in range(100):
-        admission.noise.note(5.0, NOW + step * 0.01)
+        admission.noise.record_slowdown(5.0, NOW + step * 0.01)
     waiting = Job(1, NOW + 2.0, NOW + 3.0)
     admission.offer(waiting, NOW + 1.0)
     assert admission.next_action(NOW + 1.0) == (waiting, None)
@@ -447,7 +447,7 @@
 def test_probes_stay_within_the_allowed_rate():
     """Guards against probing more often than the deployments allow."""
     admission = AdmissionController(10)
-    admission.noise.note(5.0, NOW)
+    admission.noise.record_slowdown(5.0, NOW)
     probes = 0
     # One second, in steps of a millisecond.
     for step in range(1000):
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -848,7 +848,7 @@
     frame = CallFrame(
         1, LEDGER, "GET", "/look/1", (), DESK, 300, 1000, 2, True, False, 0
     )
-    target.admission.noise.note(1.0, time.monotonic())
+    target.admission.noise.record_slowdown(1.0, time.monotonic())
     for _ in range(5):
         target.cancel(target.submit(frame, b"", lambda *reply: None))
     assert target.admission.running == 0
