Reword the events of the reducer

Cause: a newcomer stopped at unclear pronouns, at sources without values and at a tick of "ten times a second", whereas TICK_INTERVAL_S is 0.2. Change: docstrings only; the tick refers to the constant.

--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -73,7 +73,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimResolved:
-    """An `InsertClaim` has ended; `recorded` is set with `ClaimOutcome.REPLAY`."""
+    """The insertion of a claim row has ended (effect `InsertClaim`).
+
+    `recorded` is the response to the earlier call if `outcome` is `REPLAY`, else None.
+    """
 
     now: float
     draw: int
@@ -88,7 +91,8 @@
 
     `not_run` is True if the target declares in a header that it shed the request
     without running it. `load` is the target's number of requests in flight, or None if
-    it does not report it. `replayable` tells whether the request can be sent again.
+    the target does not report this number. `replayable` tells whether the request can
+    be sent again.
     """
 
     now: float
@@ -103,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """An attempt ended before a response head.
+    """An attempt ended before a response head arrived.
 
     `verdict` tells whether the request may have run, and `replayable` whether it can be
     sent again.
@@ -120,9 +124,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CallEnded:
-    """Forwarding of a response ended; `complete` is False if the target broke it off.
+    """The forwarding of a response ended.
 
-    `recorded` is the response to store in the claim row, if the call has one.
+    `complete` is False if the target broke off the response or the deadline passed.
+    `recorded` is the response to store in the call's claim row, or None if the call has
+    no claim row or `complete` is False.
     """
 
     now: float
@@ -133,7 +139,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
-    """The deadline of a call passed before a response was forwarded."""
+    """The deadline of a call passed before the forwarding of a response began."""
 
     now: float
     draw: int
@@ -171,7 +177,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetDrained:
-    """A target on this host was drained, at its own or an operator's request."""
+    """A target on this host starts to drain, at its own or an operator's request."""
 
     now: float
     target_id: str
@@ -179,7 +185,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetWithdrawn:
-    """A target on this host has stopped."""
+    """A target on this host has stopped, so its announcement was withdrawn."""
 
     now: float
     target_id: str
@@ -197,9 +203,9 @@
 class MessageReceived:
     """A message arrived from a peer.
 
-    `addr` is the mesh address of the sender, or None if it is not known; `body` is a
-    data class of `messages`; `is_reply` is True if the message is the reply to one of
-    this node. The other fields are those of `messages.Message`.
+    `addr` is the mesh address of the sender, or None if it is not known; `body` is an
+    instance of a data class of `messages`; `is_reply` is True if the message is the
+    reply to a message of this node. The other fields are those of `messages.Message`.
     """
 
     now: float
@@ -216,8 +222,9 @@
 class RulesVersionReceived:
     """A peer or the store reported a rules version.
 
-    `confirmed` is True if the store reported it, or if there is no store and no peer to
-    query.
+    `source` is the node id of the peer, "store", or "nobody". `confirmed` is True if
+    the store reported the version. A node without a store sets it, with the source
+    "nobody", once a peer has responded or if it has no other node to query.
     """
 
     now: float
@@ -228,7 +235,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesLoaded:
-    """A rules text has been loaded and validated."""
+    """A rules text has been loaded and validated.
+
+    `source` is the node id of the peer that sent the text, or "store".
+    """
 
     now: float
     version: int
@@ -254,7 +264,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Periodic event, ten times a second."""
+    """Periodic event, every `node.TICK_INTERVAL_S` seconds."""
 
     now: float
     draw: int
