Reword the burst benchmark, the budget rule and the verdict steps

Cause: a newcomer read the bytes of the budget as all traffic, and the failed nodes of the benchmark as those of one rack, though they are spread over all data centres. Change: comments and docstrings only.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -1,10 +1,11 @@
 """Measures the gossip that one node sends when many members fail at once.
 
-Run: `python -m bench.burst`. The node's state holds 720 members. Records that mark a
-rack (20 nodes) or a data centre (120 nodes) as dead arrive, then ticks follow every
-200 ms. A message counts with the bytes of its payload, before it is split into
-datagrams, once for each peer that it is sent to. No peer acknowledges the node's pings,
-so the figures include gossip about members that the node itself suspects.
+Run: `python -m bench.burst`. The node's state holds 720 members. It receives records
+that mark as many members dead as a rack (20 nodes) or a data centre (120 nodes) has,
+and then a tick every 200 ms. The size of a message is its encoded size before it is
+split into datagrams, and is counted once for each peer that the message is sent to. No
+peer acknowledges the node's pings, so the figures include gossip about members that the
+node itself suspects.
 """
 
 from dataclasses import replace
@@ -56,6 +57,7 @@
     """
     codec = Codec([b"key"])
     state, now = make_settled_state(codec)
+    # The first member is the node itself.
     names = sorted(state.mesh.members)[1 : count + 1]
     dead_records = tuple(
         replace(state.mesh.members[name], status=MemberStatus.DEAD) for name in names
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -7,7 +7,7 @@
 
 @given("a node with one target")
 def step_one_target(context):
-    """Start a table service, a node and a target."""
+    """Start a table service (the store), a node and a target that the node knows."""
     context.cluster.start_table()
     context.cluster.start_node("n1")
     context.cluster.start_target("t1", "n1")
@@ -16,7 +16,7 @@
 
 @when("the target has fault {fault}")
 def step_fault(context, fault):
-    """Set a fault of the target."""
+    """Make the target inject a fault; `none` leaves it healthy."""
     if fault != "none":
         ip, port = context.cluster.targets["t1"].info["addr"]
         http(f"http://{ip}:{port}/faults", "POST", {fault: True})
@@ -31,6 +31,6 @@
 
 @then('the answer has status {status:d} and verdict "{verdict}"')
 def step_answer(context, status, verdict):
-    """Check the status and the verdict header."""
+    """Check the status and the `X-Verdict` header; `none` means no header."""
     assert context.response[0] == status, context.response
     assert context.response[1].get("X-Verdict", "none") == verdict, context.response
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -14,10 +14,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetRule(Rule):
-    """Probes and bytes per second that all nodes of a region may use together.
+    """Probes, and bytes of probes, per second for all nodes of a region together.
 
-    The budget is divided equally among the known nodes. If `nodes` is larger than
-    their number, each node gets the share of one in `nodes`.
+    The budget is divided equally among the known nodes of the region. If `nodes` is
+    larger than their number, it is divided by `nodes` instead.
     """
 
     kind: ClassVar = "budget"
