--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -373,12 +373,12 @@
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
-    admission.noise.note(5.0, NOW)
+    admission.noise.record_slowdown(5.0, NOW)
     assert admission.next_action(NOW) is StartDecision.HOLD
     assert admission.next_action(NOW + 0.05) is StartDecision.PROBE
     admission.noise.probe_started(NOW + 0.05)
     assert admission.next_action(NOW + 0.06) is StartDecision.HOLD
-    admission.noise.note(1.0, NOW + 0.07)
+    admission.noise.record_slowdown(1.0, NOW + 0.07)
     assert admission.next_action(NOW + 0.07) == (waiting, None)
 
 
@@ -387,7 +387,7 @@
     admission = AdmissionController(10)
     waiting = job()
     admission.offer(waiting, NOW)
-    admission.noise.note(5.0, NOW)
+    admission.noise.record_slowdown(5.0, NOW)
     found, refused = admission.next_action(NOW + 0.2)
     assert found is waiting and refused.reason == "objective"
 
@@ -396,7 +396,7 @@
     """Guards against a target that never gets a call because it is always slow."""
     admission = AdmissionController(10)
     for step in range(100):
-        admission.noise.note(5.0, NOW + step * 0.01)
+        admission.noise.record_slowdown(5.0, NOW + step * 0.01)
     waiting = Job(1, NOW + 2.0, NOW + 3.0)
     admission.offer(waiting, NOW + 1.0)
     assert admission.next_action(NOW + 1.0) == (waiting, None)
@@ -447,7 +447,7 @@
 def test_probes_stay_within_the_allowed_rate():
     """Guards against probing more often than the deployments allow."""
     admission = AdmissionController(10)
-    admission.noise.note(5.0, NOW)
+    admission.noise.record_slowdown(5.0, NOW)
     probes = 0
     # One second, in steps of a millisecond.
     for step in range(1000):
@@ -647,11 +647,11 @@
     assert tracker.accept(heartbeat(sequence=3, state=TargetState.DRAINING))
     assert not tracker.accept(heartbeat(sequence=2))
     assert not tracker.accept(heartbeat(sequence=4))
-    assert tracker.accept_sign_off("t1", None)
+    assert tracker.accept_leave("t1", None)
     assert not tracker.accept(heartbeat(sequence=9))
     assert tracker.accept(heartbeat("t2", born_ms=9))
     assert not tracker.accept(heartbeat("t1", born_ms=5, sequence=99))
-    assert not tracker.accept_sign_off("t1", 5)
+    assert not tracker.accept_leave("t1", 5)
     assert tracker.current.state is TargetState.READY
 
 
@@ -663,11 +663,11 @@
 
 
 @pytest.mark.parametrize("target", ["t1", "t2"])
-def test_target_without_heartbeats_may_sign_off(target):
-    """Guards against calls to a target whose sign-off was acknowledged but ignored."""
+def test_target_without_heartbeats_may_leave(target):
+    """Guards against calls to a target whose leave was acknowledged but ignored."""
     tracker = StatusTracker()
     tracker.accept(heartbeat("t1", born_ms=5))
-    assert tracker.accept_sign_off(target, 9)
+    assert tracker.accept_leave(target, 9)
     assert tracker.current.state is TargetState.LEFT
     assert not tracker.accept(heartbeat("t1", born_ms=5, sequence=99))
     assert not tracker.accept(heartbeat(target, born_ms=9, sequence=99))
