Reword the tables of metrics and log entries

Some meanings were inaccurate or needed the code: admin.failed counts only unexpected exceptions, and member:removed and member:row-removed read alike. tests/test_admin.py passes; ruff is clean.

--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -4,19 +4,31 @@
 
 # name: (kind, unit, meaning); a name that ends with `*` stands for several metrics.
 METRICS = {
-    "admin.failed": ("counter", "requests", "admin requests that ended in an error"),
+    "admin.failed": (
+        "counter",
+        "requests",
+        "admin requests that raised an unexpected exception",
+    ),
     "apply.accepted": ("counter", "requests", "rules texts accepted through this node"),
-    "apply.conflict": ("counter", "requests", "rules texts with an outdated base"),
+    "apply.conflict": (
+        "counter",
+        "requests",
+        "rules texts based on an outdated version",
+    ),
     "apply.unavailable": (
         "counter",
         "requests",
         "rules texts not written, store unavailable",
     ),
-    "apply.unknown": ("counter", "requests", "rules texts with an unknown outcome"),
+    "apply.unknown": (
+        "counter",
+        "requests",
+        "rules texts that may or may not have been written",
+    ),
     "attempts.hedged": ("counter", "attempts", "second attempts of slow calls"),
     "attempts.retried": ("counter", "attempts", "attempts after a failed one"),
     "calls.*": ("counter", "calls", "calls refused by this node, by error code"),
-    "claims.abandoned": ("counter", "claims", "claim outcomes that were not written"),
+    "claims.abandoned": ("counter", "claims", "writes to claims that were given up"),
     "mesh.bytes_received": ("counter", "bytes", "payload received from other nodes"),
     "mesh.bytes_sent": ("counter", "bytes", "payload sent to other nodes"),
     "mesh.newer": ("counter", "messages", "messages of a newer release, ignored"),
@@ -37,8 +49,12 @@
         "messages",
         "requests without a response from the peer",
     ),
-    "node.paused": ("counter", "pauses", "times that this process was paused"),
-    "probes.bytes": ("counter", "bytes", "probe traffic, both ways"),
+    "node.paused": (
+        "counter",
+        "pauses",
+        "times that this process did not run for several seconds",
+    ),
+    "probes.bytes": ("counter", "bytes", "sent to and received from targets by probes"),
     "probes.failed": ("counter", "probes", "probes without a usable response"),
     "probes.sent": ("counter", "probes", "probes sent to targets"),
     "rules.invalid": ("counter", "texts", "invalid texts from peers or the store"),
@@ -50,13 +66,17 @@
     "store.busy": (
         "counter",
         "requests",
-        "requests refused for the store's rate limit",
+        "requests rejected by the store's rate limit",
     ),
     "store.failed": ("counter", "requests", "store requests that failed"),
-    "store.nonsense": ("counter", "responses", "responses that violate its protocol"),
-    "store.read": ("timing", "ms", "one read of the store, with its retry"),
+    "store.nonsense": (
+        "counter",
+        "responses",
+        "responses that violate the store's protocol",
+    ),
+    "store.read": ("timing", "ms", "duration of a read, including its retry"),
     "store.retried": ("counter", "requests", "reads that were sent a second time"),
-    "store.write": ("timing", "ms", "one transaction of the store"),
+    "store.write": ("timing", "ms", "duration of a transaction"),
     "targets.refused": (
         "counter",
         "announcements",
@@ -73,9 +93,13 @@
         "result, author, attempt, base",
         "an operator applied a rules text through this node",
     ),
-    "rules:in-force": ("version, source", "another rules version is in force here"),
+    "rules:in-force": (
+        "version, source",
+        "this node has begun to use another rules version",
+    ),
     "store:unavailable": ("detail", "the store did not respond when it was needed"),
     "target:silent": ("target", "a target stopped renewing its announcement"),
+    # The entries below are written only by the packages `twohop` and `platform`.
     "call:broken": (
         "request, target, reason, verdict, detail",
         "an attempt at a target ended without a usable response",
@@ -87,29 +111,35 @@
     "call:error": ("request, detail", "an internal error ended a call"),
     "call:refused": (
         "request, route, service, status, reason, asked, attempts, verdict, age_ms",
-        "the node of the caller ended a call with an error of its own",
+        "the caller's node ended a call with its own error, not a target's response",
     ),
     "call:unrouted": ("host, path, version", "no route in force matches a call"),
-    "config:in-force": ("version, was, source", "another configuration is in force"),
+    "config:in-force": (
+        "version, was, source",
+        "this node has begun to use another configuration",
+    ),
     "config:refused": ("source, detail", "a configuration cannot be used"),
     "member:not-stored": ("detail", "the row of this node could not be written"),
-    "member:removed": ("node", "the row of a node was removed"),
+    "member:removed": (
+        "node",
+        "a node was removed from the members, since its row is gone",
+    ),
     "member:row-kept": (
         "node, detail",
-        "the row of a node that left stays in the store",
+        "the row of a node that left could not be deleted from the store",
     ),
-    "member:row-removed": ("node", "the row of a node that left was removed"),
+    "member:row-removed": ("node", "this node deleted the row of a node that left"),
     "member:set": ("node, service", "a node is new or has changed"),
     "member:unreadable": ("key, detail", "a row does not describe a node"),
     "node:reloaded": ("node, same", "the settings were read again"),
     "node:stopping": ("node", "a graceful stop has begun"),
     "peer:lost": (
         "node, reason, calls",
-        "a link to a node ended; `calls` calls on it may have run",
+        "a link to a node ended; its `calls` open calls may have run",
     ),
     "peer:suspect": (
         "node, suspect",
-        "a link to a node went silent, or carries data again",
+        "a link to a node went silent, or carries data again if `suspect` is false",
     ),
     "settings:refused": ("code, detail", "the settings file cannot be used"),
     "settings:unreadable": (
@@ -117,7 +147,10 @@
         "the settings file could not be checked for changes",
     ),
     "store:state": ("reachable, detail", "the store was lost, or is back"),
-    "target:foreign": ("target", "a heartbeat names another address than the target's"),
+    "target:foreign": (
+        "target",
+        "a heartbeat is ignored, since its address is not the target's",
+    ),
     "target:late-report": (
         "target, born_ms, sequence",
         "a heartbeat is older than a known one and is ignored",
@@ -137,5 +170,5 @@
 
 
 def is_known_metric(name):
-    """Return whether a metric, or a pattern for it, is in `METRICS`."""
+    """Return whether `METRICS` has the metric or a pattern that matches it."""
     return name in METRICS or f"{name.split('.')[0]}.*" in METRICS
