--- a/pimentoline/rules/_mapping.py
+++ b/pimentoline/rules/_mapping.py
@@ -3,7 +3,7 @@
 import functools
 import importlib
 
-__all__ = ["get_kind_by_name", "kind_names"]
+__all__ = ["get_rule_class_by_kind", "kind_names"]
 
 # kind: (module, class)
 KINDS = {
@@ -28,8 +28,8 @@
 
 
 @functools.cache
-def get_kind_by_name(name):
-    """Return the class of a rule kind, or None if the name is unknown."""
+def get_rule_class_by_kind(name):
+    """Return the class of a rule kind, or None if the kind is unknown."""
     if name not in KINDS:
         return None
     module, cls = KINDS[name]
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from itertools import product
 
-from ._mapping import get_kind_by_name, kind_names
+from ._mapping import get_rule_class_by_kind, kind_names
 from .base import attribute_name
 from .diagnostics import Diagnostic
 from .field_parsers import ANY, OptionError
@@ -149,7 +149,7 @@
         found = "a comment without a name" if separator else "no comment"
         problems.append((len(line) + 1, found, REQUESTER_COMMENT))
     (name, column), *rest = words
-    rule_class = get_kind_by_name(name)
+    rule_class = get_rule_class_by_kind(name)
     if rule_class is None:
         allowed = "one of " + ", ".join(kind_names())
         problems.append((column, _quoted(name), allowed))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,7 +11,7 @@
 
 from pimentoline.model import Target
 from pimentoline.rules import MAX_RULES_BYTES, RuleSet, parse, read_rules
-from pimentoline.rules._mapping import get_kind_by_name, kind_names
+from pimentoline.rules._mapping import get_rule_class_by_kind, kind_names
 from pimentoline.rules.base import attribute_name
 from pimentoline.rules.field_parsers import CALL_CLASSES, METHODS, OptionError
 
@@ -100,7 +100,7 @@
 @st.composite
 def rule_objects(draw):
     """Draw one rule of any kind with random values."""
-    cls = get_kind_by_name(draw(st.sampled_from(kind_names())))
+    cls = get_rule_class_by_kind(draw(st.sampled_from(kind_names())))
     names = list(cls.positional)
     for option in cls.options:
         if draw(st.booleans()):
@@ -228,7 +228,7 @@
     """Guards against a kind without a field parser, or missing in `docs/rules.md`."""
     page = RULES_PAGE.read_text()
     for name in kind_names():
-        cls = get_kind_by_name(name)
+        cls = get_rule_class_by_kind(name)
         assert cls.kind == name and cls.syntax.startswith(name + " ")
         assert cls.syntax in page, f"docs/rules.md lacks {cls.syntax}"
         for option, parse_value in {**cls.positional, **cls.options}.items():
