--- a/tests/core.py
+++ b/tests/core.py
@@ -22,12 +22,16 @@
 from pimentoline.verdict import Verdict
 
 ADDR = ("127.0.0.1", 1)
+# Region and data centre of the node under test.
 HOME = ("rift", "kerio")
 SERVICE = "hive-ledger"
 
 
 class Core:
-    """Applies events to the state of one node, without a real clock or sockets."""
+    """Applies events to the state of one node, without a real clock or sockets.
+
+    `rules` are lines of a rules file, separated by "; ", without their comments.
+    """
 
     def __init__(self, policy="hot-cold", rules=""):
         identity = Identity("n0", "n0", *HOME, ADDR, ADDR, 1)
@@ -48,11 +52,16 @@
         return step.effects
 
     def add_target(self, name, location=HOME, status=MemberStatus.ALIVE, **fields):
-        """Add a target at a location with a node of its own, or change its fields."""
+        """Add a target, or change its fields if it exists.
+
+        Each target has a node of its own at the same location.
+        """
         self.seq += 1
         target = Target(name, SERVICE, ADDR, *location, **fields)
-        node = f"node-of-{name}"
-        record = Member(node, node, ADDR, *location, 1, self.seq, status, (target,))
+        node_id = f"node-of-{name}"
+        record = Member(
+            node_id, node_id, ADDR, *location, 1, self.seq, status, (target,)
+        )
         self.send(ev.MembersReceived(self.now, (record,)))
 
     def start_call(self, method="GET", **fields):
@@ -64,7 +73,10 @@
         return self.calls, self.send(ev.CallArrived(self.now, draw, call))
 
     def receive_head(self, effect, status=200, not_run=False, load=None):
-        """Receive the response head of an attempt; return the effects."""
+        """Receive the response head of an attempt; return the effects.
+
+        `effect` is the `StartAttempt` effect of the attempt.
+        """
         draw = mix(self.calls, 2)
         call_id, attempt_id = effect.call_id, effect.attempt_id
         event = ev.ResponseHeadReceived(
@@ -73,7 +85,10 @@
         return self.send(event)
 
     def fail_attempt(self, effect, outcome, verdict):
-        """End an attempt without a response; return the effects."""
+        """End an attempt without a response; return the effects.
+
+        `effect` is the `StartAttempt` effect of the attempt.
+        """
         draw = mix(self.calls, 3)
         call_id, attempt_id = effect.call_id, effect.attempt_id
         return self.send(
@@ -87,7 +102,8 @@
     def make_call(self, latency_s=0.01, status=200, load=None, **fields):
         """Make a call from start to end; return the target's id or the error code.
 
-        The id is that of the first attempt's target. A retry succeeds.
+        The id is that of the first attempt's target. `status` and `load` are those
+        of its response. If there is a retry, its response has status 200.
         """
         call_id, effects = self.start_call(**fields)
         sent = started_attempt(effects)
@@ -115,10 +131,13 @@
 
 
 def run_scenario(policy, calls=400):
-    """Run calls with every outcome; return the core and the effects of each event."""
+    """Run calls with different outcomes; return the core and lists of effects.
+
+    Effects of added targets and of ended calls are left out.
+    """
     core = Core(policy, "spill * enter=0.3 leave=0.2; canary hive-ledger 2 10%")
     locations = [HOME, ("rift", "baringo"), ("coast", "kwale")]
-    log = []
+    effect_log = []
     for number in range(calls):
         if number % 40 == 0:
             name = f"t{number % 11}"
@@ -128,27 +147,35 @@
         call_id, effects = core.start_call()
         sent = started_attempt(effects)
         core.now += 0.003
-        log.append(effects)
-        outcome = mix(number, 9) % 16
-        if sent is not None and outcome == 0:
-            log.append(core.fail_attempt(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN))
-        elif sent is not None and outcome == 1:
-            log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
+        effect_log.append(effects)
+        outcome_number = mix(number, 9) % 16
+        if sent is not None and outcome_number == 0:
+            effect_log.append(
+                core.fail_attempt(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
+            )
+        elif sent is not None and outcome_number == 1:
+            effect_log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
         elif sent is not None:
-            status = 503 if outcome < 5 else 200
-            load = float(outcome)
-            log.append(core.receive_head(sent, status, outcome == 2, load))
+            status = 503 if outcome_number < 5 else 200
+            load = float(outcome_number)
+            effect_log.append(
+                core.receive_head(sent, status, outcome_number == 2, load)
+            )
             core.end_call(call_id)
-    return core, log
+    return core, effect_log
 
 
-def digest(core, log):
+def digest(core, effect_log):
     """Return a digest of effects and statistics, independent of Python's hash seed."""
     traffic = core.state.traffic
-    parts = [log, sorted(traffic.targets.items()), sorted(traffic.services.items())]
+    parts = [
+        effect_log,
+        sorted(traffic.targets.items()),
+        sorted(traffic.services.items()),
+    ]
     return hashlib.sha256(repr(parts).encode()).hexdigest()
 
 
 def started_attempt(effects):
-    """Return the started attempt among effects, or None."""
+    """Return the first `StartAttempt` among effects, or None."""
     return next((item for item in effects if isinstance(item, StartAttempt)), None)
