Reword the tests of claims and subsets

Test names now say what is tested; unexplained numbers and indices have a comment. Assertions and literals are unchanged. tests/test_claim_writer.py and tests/test_subsets.py pass; ruff is clean.

--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -15,7 +15,7 @@
 
 
 class FaultyStore:
-    """A table service that delays transactions or loses their responses.
+    """A store client that delays transactions or loses their responses.
 
     `faults` holds a value for each of the next transactions: `lose` (takes effect, its
     response is lost), `hold` (takes effect at `deliver`, its response is lost) or None.
@@ -50,25 +50,29 @@
             self.table.run_transaction(txn)
 
 
-class Writer:
-    """A `ClaimWriter` that records the events it raises."""
+class RecordingWriter:
+    """Runs a `ClaimWriter` and records the events that it dispatches.
 
-    def __init__(self, name, store, waiting=True):
+    `attempt_prefix` is the node id and the incarnation. `is_waiting` tells whether the
+    calls still wait for their claims.
+    """
+
+    def __init__(self, attempt_prefix, store, is_waiting=True):
         self.events = []
-        self.writer = ClaimWriter(
+        self.claim_writer = ClaimWriter(
             store,
-            lambda: name,
-            lambda call_id: waiting,
+            lambda: attempt_prefix,
+            lambda call_id: is_waiting,
             self.events.append,
             lambda: 0.0,
             lambda: 0,
-            lambda name: None,
+            lambda metric: None,
         )
 
     async def run(self, effect):
         """Execute an effect, wait for its writes and return the claim outcome."""
-        self.writer.execute(effect)
-        assert await self.writer.wait_idle(5.0)
+        self.claim_writer.execute(effect)
+        assert await self.claim_writer.wait_idle(5.0)
         return self.events.pop().outcome if self.events else None
 
 
@@ -80,20 +84,24 @@
     return ReleaseClaim(call_id, "hive-ledger", "k")
 
 
-def test_late_insertion_of_a_refused_call_is_void():
+def test_late_insertion_for_a_rejected_call_has_no_effect():
     """Guards against a claim that a rejected call holds for ever.
 
-    The caller got the verdict `not-run`, and the insertion takes effect later.
+    The insertion seems to fail, so the caller gets the verdict `not-run`. If it took
+    effect later, no call would be left to release the claim.
     """
 
     async def scenario():
         table = Table()
         store = FaultyStore(table, ["hold"])
-        outcome = await Writer("n1/1", store).run(insert())
+        outcome = await RecordingWriter("n1/1", store).run(insert())
         assert outcome is ev.ClaimOutcome.UNAVAILABLE
         store.deliver()
         assert KEY not in table.rows
-        assert await Writer("n2/1", store).run(insert()) is ev.ClaimOutcome.GRANTED
+        assert (
+            await RecordingWriter("n2/1", store).run(insert())
+            is ev.ClaimOutcome.GRANTED
+        )
 
     asyncio.run(scenario())
 
@@ -107,12 +115,13 @@
     async def scenario():
         table = Table()
         store = FaultyStore(table, [None, "hold", None])
-        first, second = Writer("n1/1", store), Writer("n2/1", store)
+        first, second = RecordingWriter("n1/1", store), RecordingWriter("n2/1", store)
         assert await first.run(insert()) is ev.ClaimOutcome.GRANTED
         # The first release is delayed; its retry takes effect.
         await first.run(release())
         assert await second.run(insert()) is ev.ClaimOutcome.GRANTED
         store.deliver()
+        # The late release has left the second node's claim in place.
         assert await first.run(insert(2)) is ev.ClaimOutcome.HELD
 
     asyncio.run(scenario())
@@ -124,26 +133,27 @@
     async def scenario():
         table = Table()
         store = FaultyStore(table, ["lose", "lose"])
-        ended = Writer("n1/1", store, waiting=False)
+        ended = RecordingWriter("n1/1", store, is_waiting=False)
         assert await ended.run(insert()) is ev.ClaimOutcome.GRANTED
         assert KEY not in table.rows
 
     asyncio.run(scenario())
 
 
-def test_outcome_survives_a_lost_response():
-    """Guards against a response that is recorded twice or not at all."""
+def test_lost_store_response_does_not_affect_the_recorded_response():
+    """Guards against a call's response that is recorded twice or not at all."""
 
     async def scenario():
         table = Table()
         store = FaultyStore(table, [None, "lose"])
-        writer = Writer("n1/1", store)
+        writer = RecordingWriter("n1/1", store)
         await writer.run(insert())
         await writer.run(FinishClaim(1, "hive-ledger", "k", RESPONSE))
+        # Version 1 is the insertion, version 2 the only write of the response.
         assert table.rows[KEY][0] == 2
-        writer = Writer("n2/1", store)
-        writer.writer.execute(insert())
-        assert await writer.writer.wait_idle(5.0)
+        writer = RecordingWriter("n2/1", store)
+        writer.claim_writer.execute(insert())
+        assert await writer.claim_writer.wait_idle(5.0)
         assert writer.events[0].recorded == RESPONSE
 
     asyncio.run(scenario())
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -15,12 +15,18 @@
 
 
 def make_nodes(counts):
-    """Return member records by node id, `counts[i]` of them at `LOCATIONS[i]`."""
-    names = [
+    """Return member records by node id, `counts[i]` of them at `LOCATIONS[i]`.
+
+    A node id is `n`, the index of the location, a hyphen and a number.
+    """
+    ids_and_locations = [
         (f"n{p}-{i:03}", *LOCATIONS[p]) for p in range(6) for i in range(counts[p])
     ]
     return Map(
-        {name: Member(name, name, ADDR, region, dc, 1) for name, region, dc in names}
+        {
+            name: Member(name, name, ADDR, region, dc, 1)
+            for name, region, dc in ids_and_locations
+        }
     )
 
 
@@ -48,24 +54,31 @@
     assert connections_per_node(targets, 720) == 2
     assert {len(subset) for subset in subsets.values()} == {2}
     users = Counter(t.target_id for subset in subsets.values() for t in subset)
+    # 90 % of the connection limit of 260.
     assert max(users.values()) <= 234
     by_dc = {}
     for target in targets:
         by_dc.setdefault(target.dc, []).append(users[target.target_id])
     assert all(max(counts) - min(counts) <= 1 for counts in by_dc.values())
-    local = [name for name, subset in subsets.items() if name[1] == subset[0].dc[1]]
-    assert len(local) > 60
+    # In the ids of nodes and data centres, character 1 is the index of the location.
+    nodes_near_target = [
+        name for name, subset in subsets.items() if name[1] == subset[0].dc[1]
+    ]
+    assert len(nodes_near_target) > 60
 
 
 def test_restart_changes_no_subset():
-    """Guards against subsets that change when one node dies."""
+    """Guards against subsets that change while a node restarts.
+
+    Its peers consider it dead until it is back.
+    """
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     before = all_subsets(nodes, targets)
     dead = Member("n0-005", "n0-005", ADDR, *LOCATIONS[0], 1, 9, MemberStatus.DEAD)
     assert all_subsets(nodes.set("n0-005", dead), targets) == before
 
 
-def test_unknown_own_record_counts():
+def test_node_without_its_own_record_gets_targets():
     """Guards against a division by zero while the node's own record is missing."""
     identity = SimpleNamespace(node_id="n1", region="r0", dc="d0")
     assert choose_subset(make_targets([3] + [0] * 5), count_nodes(Map(), identity))
