Reword the help of apply and diff and rename locals of flag parsing

A fresh reader stopped at the conflict and unknown results and at the names word, text, shown, result and differs.

--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -39,11 +39,12 @@
 
 The result is one of
   accepted     the text got a version number and will be in force everywhere within 5 s
-  conflict     another version was accepted first; its author and a diff are printed
+  conflict     --base is not in force; the versions accepted after it, their authors
+               and a diff from the version in force to FILE are printed
   unavailable  the store is unavailable; nothing was changed
-  unknown      no response confirmed whether the store wrote the text; to learn the
-               outcome, run the printed command, which has the same --attempt. This is
-               safe: an attempt is accepted at most once.
+  unknown      the store may or may not have written the text; to learn the outcome,
+               run the printed command, which has the same --attempt. This is safe: an
+               attempt is accepted at most once.
 """
     flags = {
         "author": ("", "Your name, for the audit trail."),
@@ -115,13 +116,13 @@
             if detail:
                 yield detail
         case "conflict":
-            yield f"conflict: version {cfg.base} is no longer in force"
+            yield f"conflict: version {cfg.base} is not in force"
             for row in response.get("won", ()):
                 yield f"version {row['version']} by {row['author']} at {row['time']}"
-            differs = response.get("differs", [])
-            if differs:
+            diff = response.get("differs", [])
+            if diff:
                 yield "difference between the version in force and your file:"
-            yield from differs
+            yield from diff
         case "unavailable":
             yield f"store unavailable, nothing was changed: {detail}"
         case _:
--- a/pimentoline/commands/diff.py
+++ b/pimentoline/commands/diff.py
@@ -13,7 +13,7 @@
 
     arguments = ("FILE",)
     description = """
-Shows what applying FILE would change, and the version that it is compared with. Give
+Shows what applying FILE would change in the rules in force, and their version. Give
 this version to `apply --base`: `apply` then fails if another version was accepted in
 the meantime. FILE may be - for standard input.
 """
@@ -27,9 +27,9 @@
 
     def run(self, cfg, args, out):
         """Compare the file with the rules in force at the node."""
-        text, result = read_rules(args[0])
-        if result.diagnostics:
-            out.write_error("rules-invalid", result.diagnostics)
+        text, parsed = read_rules(args[0])
+        if parsed.diagnostics:
+            out.write_error("rules-invalid", parsed.diagnostics)
             return ExitStatus.RULES_INVALID
         _, response = self.client(cfg).send_request("/v1/config")
         lines = diff_lines(response["text"], text)
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -69,15 +69,15 @@
     """
     problems = []
     flag_values = flags.FlagValues()
-    for name, (default, text) in flag_table.items():
+    for name, (default, help_text) in flag_table.items():
         if isinstance(default, bool):
             value = _boolean_default(
                 name, environ.get(env_var_name(name)), default, problems
             )
-            flags.DEFINE_boolean(name, value, text, flag_values=flag_values)
+            flags.DEFINE_boolean(name, value, help_text, flag_values=flag_values)
         else:
             value = environ.get(env_var_name(name), default)
-            flags.DEFINE_string(name, value, text, flag_values=flag_values)
+            flags.DEFINE_string(name, value, help_text, flag_values=flag_values)
     known = {env_var_name(name) for name in flag_table} | set(known_variables)
     for variable in sorted(environ):
         if variable.startswith(ENV_PREFIX) and variable not in known:
@@ -85,6 +85,7 @@
     flag_values.set_gnu_getopt(True)
     before, after = _split_at_double_dash(argv)
     try:
+        # Unknown flags stay in `args` and are reported below with a suggestion.
         args = flag_values(["pimentoline", *before], known_only=True)[1:]
     except flags.Error as exc:
         raise SettingsError("; ".join([*problems, str(exc)]), problems + [str(exc)])
@@ -106,13 +107,17 @@
     return argv, []
 
 
-def _boolean_default(name, word, default, problems):
-    """Return the value of a switch from its variable; append errors to `problems`."""
-    if word is None or word.lower() in FALSE_WORDS:
-        return default if word is None else False
-    if word.lower() not in TRUE_WORDS:
+def _boolean_default(name, value, default, problems):
+    """Return the default of a switch as set by its environment variable.
+
+    `value` is the value of the variable, or None if it is not set. If it is invalid,
+    append an error to `problems`.
+    """
+    if value is None or value.lower() in FALSE_WORDS:
+        return default if value is None else False
+    if value.lower() not in TRUE_WORDS:
         allowed = ", ".join(TRUE_WORDS + FALSE_WORDS)
-        problems.append(f"{env_var_name(name)}: found {word!r}; allowed: {allowed}")
+        problems.append(f"{env_var_name(name)}: found {value!r}; allowed: {allowed}")
     return True
 
 
@@ -169,9 +174,11 @@
 def describe_flags(flag_table):
     """Return the part of the `--help` text that lists the flags."""
     lines = []
-    for name, (default, text) in flag_table.items():
+    for name, (default, help_text) in flag_table.items():
         usage = f"--{name}" if isinstance(default, bool) else f"--{name}=VALUE"
         lines.append(f"  {usage}  [{env_var_name(name)}]")
-        shown = "" if default in ("", False) else f" Default: {default}."
-        lines.append(textwrap.fill(text + shown, HELP_WIDTH_CHARS, **INDENT))
+        default_text = "" if default in ("", False) else f" Default: {default}."
+        lines.append(
+            textwrap.fill(help_text + default_text, HELP_WIDTH_CHARS, **INDENT)
+        )
     return "\n".join(lines)
