Reword the comments of probing and of the probe budget

A fresh reader stopped at the shares, the pause, the reservation and the limits, which now say what happens beyond them.

--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -489,7 +489,7 @@
         probes only after other nodes have had time to count it.
     last_tick : float or None
         Monotonic time of the latest tick, seconds.
-    due : float
+    due_fraction : float
         Fraction of a probe that has fallen due and is not sent yet, below 1.0.
     free_bytes : float
         Bytes of this node's share that are neither spent nor reserved.
@@ -500,7 +500,7 @@
     in_flight: frozenset = frozenset()
     joined_at: float = 0.0
     last_tick: float | None = None
-    due: float = 0.0
+    due_fraction: float = 0.0
     free_bytes: float = 0.0
 
 
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -1,8 +1,8 @@
 """pimentoline.probing: load probes of targets, within the probe budget of the region.
 
-A probe requests a target's load endpoint. The nodes of a region keep to its budget
-without coordination: each takes an equal share, and assumes at least as many shares as
-there are nodes.
+A probe requests a target's load endpoint. The nodes of a region divide its budget
+into equal shares without coordination: each node uses one share, and the number of
+shares is at least the number of nodes that it knows of.
 """
 
 from immutables import Map
@@ -22,20 +22,25 @@
 # A node that joins must be counted by the others before it spends its share, or the
 # shares in use would add up to more than the budget.
 JOIN_WAIT_S = 10.0
-# A node that was paused for longer may have missed that others joined. It waits like a
-# node that joins, and loses its share of the budget for the pause.
+# A longer time between two ticks means that this node was paused. It may have missed
+# that others joined, so it waits like a node that joins, and loses its share of the
+# budget for the time of the pause.
 MIN_PAUSE_S = 2.0
-# Limits of a probe's request and response in bytes. The prober closes a connection
-# that delivers more, so that a target cannot make a probe exceed its reservation.
+# Limits of a probe's request and response in bytes. The prober closes a connection that
+# receives more than the response limit, so that a target cannot make a probe use more
+# than the MAX_PROBE_BYTES that are reserved when it is sent.
 MAX_REQUEST_BYTES = 256
 MAX_RESPONSE_BYTES = 1024
 # TCP/IP headers of a connection with one small request and response: 11 packets with
 # headers of 40 to 60 bytes.
 PACKET_HEADER_BYTES = 600
 MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_RESPONSE_BYTES + PACKET_HEADER_BYTES
+# Targets with a longer path are not probed, so that requests stay within
+# MAX_REQUEST_BYTES.
 MAX_LOAD_PATH_CHARS = 128
-# Bounds the memory for targets that are gone; far above the number of targets.
-MAX_LAST_PROBED = 4096
+# If `last_probed` has more entries, it is cleared, so that targets that no longer exist
+# do not fill the memory. Far above the number of targets.
+MAX_LAST_PROBED_ENTRIES = 4096
 
 
 def record_call(state, event):
@@ -67,7 +72,7 @@
     """Send the probes that have fallen due since the last tick.
 
     Probes that are not sent when they fall due are dropped. Otherwise idle nodes would
-    save them up and all probe at once when calls arrive.
+    accumulate them and all probe at once when calls arrive.
     """
     now, probing = event.now, state.probing
     last = probing.last_tick
@@ -76,45 +81,53 @@
             probing,
             last_tick=now,
             joined_at=now,
-            # Nodes that start at the same time fall due at different times.
-            due=fraction(event.draw, 1),
+            # The probes of nodes that start at the same time fall due at different
+            # times.
+            due_fraction=fraction(event.draw, 1),
             free_bytes=0.0,
         )
         return replace(state, probing=probing), ()
     budget = state.rules.ruleset.probe_budget(state.identity.region)
     shares = count_shares(state, budget)
     elapsed_s = now - last
-    due, probes = _accrue_probes(probing.due, budget.probes_per_s / shares, elapsed_s)
+    due_fraction, probes = _accrue_probes(
+        probing.due_fraction, budget.probes_per_s / shares, elapsed_s
+    )
     bytes_per_s = budget.bytes_per_s / shares
     free_bytes = min(
         probing.free_bytes + bytes_per_s * elapsed_s,
         max(float(MAX_PROBE_BYTES), bytes_per_s),
     )
-    probing = replace(probing, last_tick=now, due=due, free_bytes=free_bytes)
+    probing = replace(
+        probing, last_tick=now, due_fraction=due_fraction, free_bytes=free_bytes
+    )
     state = replace(state, probing=probing)
     probes = min(probes, int(free_bytes // MAX_PROBE_BYTES))
     if probes < 1 or now - probing.joined_at < JOIN_WAIT_S or state.stopping:
         return state, ()
     stale = _stale_targets(state, now, event.draw)[:probes]
-    return _send(state, stale, now)
+    return _send_probes(state, stale, now)
 
 
-def _accrue_probes(due, rate, elapsed_s):
+def _accrue_probes(due, probes_per_s, elapsed_s):
     """Return the remaining fraction of a probe, and the number of whole probes due.
 
-    `due` is the fraction before, and `rate` the number of probes per second.
+    `due` is the fraction that remained at the last tick.
     """
-    due += rate * elapsed_s
+    due += probes_per_s * elapsed_s
     whole = int(due)
     # After a late tick, at most the probes of one second are due.
-    return due - whole, min(whole, max(1, int(rate)))
+    return due - whole, min(whole, max(1, int(probes_per_s)))
 
 
 def _stale_targets(state, now, draw):
-    """Return the targets without a recent load report, the longest unchecked first."""
-    probing, found = state.probing, []
-    for service, at in probing.last_called.items():
-        if now - at > DEMAND_WINDOW_S:
+    """Return the targets without a recent load report.
+
+    The one whose last load report or probe is the oldest comes first.
+    """
+    probing, candidates = state.probing, []
+    for service, called_at in probing.last_called.items():
+        if now - called_at > DEMAND_WINDOW_S:
             continue
         for target in _targets_in_use(state, service):
             target_id = target.target_id
@@ -124,13 +137,14 @@
                 and target_id not in probing.in_flight
                 and len(target.load_path) <= MAX_LOAD_PATH_CHARS
             ):
-                # The time of the last probe counts too, so that a target that never
-                # answers does not keep others from being probed.
+                # A target that never responds goes to the end of the order after each
+                # probe, so that it does not keep others from being probed.
                 probed_at = probing.last_probed.get(target_id, float("-inf"))
                 checked_at = max(stats.reported_at, probed_at)
-                found.append((checked_at, mix(draw, len(found)), target))
-    found.sort(key=lambda item: item[:2])
-    return [target for _, _, target in found]
+                # Targets with equal times are sorted at random.
+                candidates.append((checked_at, mix(draw, len(candidates)), target))
+    candidates.sort(key=lambda item: item[:2])
+    return [target for _, _, target in candidates]
 
 
 def _targets_in_use(state, service):
@@ -149,9 +163,10 @@
                 yield target
 
 
-def _send(state, targets, now):
+def _send_probes(state, targets, now):
+    """Send a probe to each target, and reserve MAX_PROBE_BYTES for it."""
     probing, effects = state.probing, []
-    if len(probing.last_probed) > MAX_LAST_PROBED:
+    if len(probing.last_probed) > MAX_LAST_PROBED_ENTRIES:
         probing = replace(probing, last_probed=Map())
     for target in targets:
         target_id = target.target_id
--- a/pimentoline/rules/policy.py
+++ b/pimentoline/rules/policy.py
@@ -50,8 +50,8 @@
 class ProbeBudget:
     """Probe budget of a region, for all its nodes together.
 
-    The budget is divided equally among the known nodes. If `planned_nodes` is larger
-    than their number, each node gets the share of one in `planned_nodes`.
+    Each node uses an equal share: the budget divided by the number of nodes of the
+    region that it knows of, or by `planned_nodes` if this is larger.
     """
 
     probes_per_s: float = 20.0
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -12,8 +12,8 @@
 
 __all__ = ["SpillRule"]
 
-# Requests in flight per slot; a target serves as many requests at a time as it has
-# slots.
+# Maximum of `enter` and `leave`, in requests in flight per slot. A target serves as
+# many requests at a time as it has slots.
 MAX_LOAD = 10.0
 
 
@@ -40,6 +40,6 @@
     share: float = 0.5
 
     def check(self):
-        """Require hysteresis: spilling stops at a lower load than it starts."""
+        """Require hysteresis: the load at which spilling stops is the lower one."""
         if self.leave >= self.enter:
             raise OptionError("leave", f"{self.leave:g}", f"below enter={self.enter:g}")
