--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -29,7 +29,7 @@
 
 WORD = re.compile(r"\S+")
 CONTROL_CHARACTER = re.compile(r"[^\t\x20-\x7e\xa0-\u2027\u202a-\U0010ffff]")
-REQUESTER_COMMENT = "a # comment that names who asked for the rule"
+REQUESTER_COMMENT = "a # comment that names the person who asked for the rule"
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentoline/version_survey.py
+++ b/pimentoline/version_survey.py
@@ -17,7 +17,8 @@
 
     The version in a member record may be outdated, because a node does not renew its
     record when the rules change: in a mesh of 720 nodes, 720 new records would exceed
-    the control-plane limit. Queries are cheaper, because operators make them rarely.
+    the limit on control-plane traffic. Queries are cheaper, because operators make them
+    rarely.
 
     Parameters
     ----------
@@ -26,7 +27,7 @@
     Returns
     -------
     dict of str to (int or None)
-        By node id; None for a node that did not reply within 5 s.
+        By node id; None for a node that did not respond within 5 s.
     """
     peers = running_peers(node.state)
     found = {record.node_id: None for record in peers}
@@ -37,11 +38,11 @@
         async with limiter:
             # Every message carries the rules version of its sender, so empty gossip is
             # enough as a query.
-            reply = await node.mesh.send_request(
+            response = await node.mesh.send_request(
                 record.addr, node.make_message(Gossip(()))
             )
-        if reply is not None and reply.sender == record.node_id:
-            found[record.node_id] = reply.rules_version
+        if response is not None and response.sender == record.node_id:
+            found[record.node_id] = response.rules_version
 
     if peers:
         tasks = [asyncio.ensure_future(query(record)) for record in peers]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -213,7 +213,7 @@
 
 
 def test_joining_node_does_not_gossip_the_records_it_received():
-    """Guards the control-plane limit when 720 nodes start.
+    """Guards the limit on control-plane traffic when 720 nodes start.
 
     Otherwise each of them would gossip the records of all others again.
     """
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -129,7 +129,11 @@
 
 
 def test_change_of_rules_does_not_renew_member_records():
-    """Guards the control-plane limit: 720 new records for each of 1,200 changes."""
+    """Guards the limit on control-plane traffic.
+
+    Otherwise a mesh of 720 nodes would gossip 720 new records after each of 1,200
+    changes.
+    """
     network = make_network(6, 26)
     network.run(5)
     before = {name: state.mesh.members for name, state in network.states.items()}
