Reword the simulated network of the membership tests

Cause: a newcomer took `store` for the store, though it holds a version, and `routes` for routes, though it returns target states; `status` didn't show which node was the observer. Change: names, docstrings and one assertion message.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -377,7 +377,9 @@
     states = network.states
 
     def all_drained():
-        return all(network.routes(name).get("t1") == "draining" for name in states)
+        return all(
+            network.target_states(name).get("t1") == "draining" for name in states
+        )
 
     drain_s = network.run(10, all_drained) - started_at
     started_at = network.now
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -1,4 +1,4 @@
-"""Reducer states that exchange messages over a lossy network, in simulated time."""
+"""Simulates reducers that exchange messages over a lossy network."""
 
 import heapq
 import random
@@ -12,6 +12,7 @@
 from pimentoline.reducer import reduce
 from pimentoline.rules.ruleset import RuleSet
 
+# Interval between the ticks of a node, seconds.
 TICK_S = 0.2
 
 
@@ -20,13 +21,16 @@
 
     The name of a node is its id. `stopped` contains the names of nodes that neither run
     nor receive. Nodes with different values in `partition_sides` cannot reach each
-    other. `store` is the rules version in the store, None while the store is down.
-    `check` is called with the name of a node and its states before and after each
-    event. `logs` contains the first state and all events of each node.
+    other. `store_version` is the rules version in the store, None while the store is
+    down. `check` is called with the name of a node and its states before and after each
+    event. `logs` contains the first state and all events of each node, `counts` the
+    counters summed over all nodes, and `rejected` the node name and error code of each
+    rejected call.
 
     Parameters
     ----------
     seed : int
+        Seed of the random number generator.
     loss, duplication : float
         Probability that a datagram is lost or duplicated.
     delay_s : float
@@ -41,7 +45,7 @@
         self.sequence = 0
         self.stopped, self.names_by_addr = set(), {}
         self.partition_sides = {}
-        self.store = None
+        self.store_version = None
         self.counts = {}
         self.rejected = []
         self.check = lambda name, before, after: None
@@ -49,7 +53,12 @@
     def add(
         self, name, region="rift", host=None, seeds=(), version_check_pending=False
     ):
-        """Add a node and synchronise it with the nodes named in `seeds`."""
+        """Add a node and synchronise it with the nodes named in `seeds`.
+
+        `host` is the name of its host, by default that of the node. If
+        `version_check_pending` is True, the node refuses calls until the store or a
+        confirmed peer has reported its rules version.
+        """
         port = len(self.logs) + 1
         addr = ("10.0.0.1", port)
         incarnation = int(self.now * 1000) + 1
@@ -65,9 +74,9 @@
         self.names_by_addr[addr] = name
         self.logs[name] = (self.states[name], [])
         self.schedule(self.rand.uniform(0, TICK_S), name, "tick")
-        for seed in seeds:
+        for seed_node in seeds:
             request = ms.SyncRequest(digests(self.states[name].mesh.members))
-            self.send_request(name, self.addr(seed), request)
+            self.send_request(name, self.addr(seed_node), request)
 
     def addr(self, name):
         """Return the address of a node."""
@@ -85,16 +94,20 @@
         return self.partition_sides.get(src) == self.partition_sides.get(dst)
 
     def name_of(self, addr):
-        """Return the node with an address, or None."""
+        """Return the name of the node with an address, or None."""
         return self.names_by_addr.get(addr)
 
-    def event(self, src, body, addr, is_reply=False):
-        """Return the event that a message from `src` raises at its receiver."""
+    def message_event(self, src, body, sender_addr, is_reply=False):
+        """Return the event that a message from `src` raises at its receiver.
+
+        `sender_addr` is None if the receiver does not know it. The time of the event is
+        set on receipt.
+        """
         rules = self.states[src].rules
         return ev.MessageReceived(
             0.0,
             src,
-            addr,
+            sender_addr,
             body,
             rules.version,
             rules.known_version,
@@ -103,24 +116,30 @@
         )
 
     def send_request(self, src, addr, body):
-        """Send a message and receive its reply without loss, as over TCP."""
+        """Deliver a message and its reply at once and without loss; return the reply.
+
+        Models an exchange over TCP.
+        """
         dst = self.name_of(addr)
         if not self.reachable(src, dst):
             return None
-        reply = self.receive(dst, self.event(src, body, None))
+        reply = self.receive(dst, self.message_event(src, body, None))
         if reply is not None:
-            self.receive(src, self.event(dst, reply, addr, is_reply=True))
+            self.receive(src, self.message_event(dst, reply, addr, is_reply=True))
         return reply
 
     def receive(self, name, event):
-        """Load any rules text in a message, as the runtime does, and dispatch it."""
+        """Load the rules that a message carries, if any, and then dispatch its event.
+
+        The runtime does so in the same order.
+        """
         match event.body:
             case ms.RulesReply(version, text) | ms.RulesPush(version, text):
                 self.load_rules(name, version, text, event.sender)
         return self.dispatch(name, replace(event, now=self.now))
 
     def load_rules(self, name, version, text="", source="store"):
-        """Put a rules version in force at a node."""
+        """Report to a node that a rules version was loaded; the rules are empty."""
         event = ev.RulesLoaded(self.now, version, text, RuleSet(), source)
         self.dispatch(name, event)
 
@@ -154,29 +173,29 @@
         dst = self.name_of(addr)
         if not self.reachable(src, dst) or self.rand.random() < self.loss:
             return
-        event = self.event(src, body, self.addr(src))
+        event = self.message_event(src, body, self.addr(src))
         copies = 2 if self.rand.random() < self.duplication else 1
         for _ in range(copies):
             self.schedule(self.rand.uniform(0, 2 * self.delay_s), dst, event)
 
-    def fetch(self, name, effect):
+    def fetch_rules(self, name, effect):
         """Fetch rules from a peer, then from the store if they are still outdated."""
         if effect.addr is not None:
             self.send_request(name, effect.addr, ms.RulesRequest(effect.version))
         rules = self.states[name].rules
         outdated = rules.version_check_pending or rules.version < effect.version
-        if outdated and self.store is not None:
-            self.load_rules(name, self.store)
+        if outdated and self.store_version is not None:
+            self.load_rules(name, self.store_version)
             received = ev.RulesVersionReceived(
-                self.now, self.store, "store", confirmed=True
+                self.now, self.store_version, "store", confirmed=True
             )
             self.dispatch(name, received)
 
     def run(self, seconds, until=None):
         """Advance the simulated time until `until()` is true, and return the time.
 
-        Fails if `until()` is not true within `seconds`. Without `until`, the time
-        advances by `seconds`.
+        Raises `AssertionError` if `until()` is not true within `seconds`. Without
+        `until`, the time advances by `seconds`.
         """
         end = self.now + seconds
         while self.queue and self.queue[0][0] <= end:
@@ -193,15 +212,15 @@
             elif isinstance(item, ef.QueryPeer):
                 self.send_request(name, item.addr, item.body)
             elif isinstance(item, ef.FetchRules):
-                self.fetch(name, item)
+                self.fetch_rules(name, item)
             else:
                 self.receive(name, item)
         self.now = end
-        assert until is None or until(), f"not reached within {seconds} s"
+        assert until is None or until(), f"condition not met within {seconds} s"
         return self.now
 
     def announce(self, name, target_id, **more):
-        """Announce a target at a node."""
+        """Announce a target at a node; `more` contains further fields of the target."""
         identity = self.states[name].identity
         target = Target(
             target_id, "hive-ledger", ("10.0.0.2", 80), identity.region, identity.dc
@@ -209,27 +228,27 @@
         event = ev.TargetAnnounced(self.now, replace(target, **more))
         self.dispatch(name, event)
 
-    def routes(self, name):
+    def target_states(self, name):
         """Return the state of each routable target at a node, by target id."""
         targets = self.states[name].mesh.by_service.get("hive-ledger", ())
         return {target.target_id: target.state.value for target in targets}
 
-    def status(self, name, other):
-        """Return the status of a member at another node, or None if unknown."""
-        record = self.states[name].mesh.members.get(other)
+    def status(self, observer, member):
+        """Return the status of a member in the view of a node, or None if unknown."""
+        record = self.states[observer].mesh.members.get(member)
         return record and record.status.value
 
-    def all_report(self, other, status):
-        """Return whether a member has the given status at all other running nodes."""
+    def all_report(self, member, status):
+        """Return whether all other running nodes give a member this status."""
         return all(
-            self.status(name, other) == status
+            self.status(name, member) == status
             for name in self.states
-            if name not in self.stopped and name != other
+            if name not in self.stopped and name != member
         )
 
 
 def make_network(size, seed, loss=0.0, duplication=0.0):
-    """Return a network of `size` nodes that all know each other."""
+    """Return a network of `size` nodes, each of which knows all others."""
     network = SimulatedNetwork(seed, loss, duplication)
     regions = ("rift", "coast", "western")
     for i in range(size):
@@ -240,7 +259,7 @@
     return network
 
 
-def own_targets(network, name):
-    """Return the states of the targets in a node's own record."""
+def own_target_states(network, name):
+    """Return the state of each target in a node's own record, by target id."""
     targets = own_record(network.states[name]).targets
     return {target.target_id: target.state.value for target in targets}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,7 @@
 from pimentoline.model import MemberStatus
 from pimentoline.reducer import reduce
 
-from .simulated_network import make_network, own_targets
+from .simulated_network import make_network, own_target_states
 
 LOSSY = {"loss": 0.2, "duplication": 0.2}
 
@@ -27,7 +27,7 @@
 def up_everywhere(network, target_id):
     """Return whether every running node routes to a target."""
     names = [name for name in network.states if name not in network.stopped]
-    return all(network.routes(name).get(target_id) == "up" for name in names)
+    return all(network.target_states(name).get(target_id) == "up" for name in names)
 
 
 @pytest.mark.parametrize("seed", range(5))
@@ -39,7 +39,10 @@
     network.announce("n7", "t1")
     network.dispatch("n7", ev.TargetDrained(network.now, "t1"))
     network.run(
-        3, lambda: all(network.routes(n)["t1"] == "draining" for n in network.states)
+        3,
+        lambda: all(
+            network.target_states(n)["t1"] == "draining" for n in network.states
+        ),
     )
 
 
@@ -78,7 +81,7 @@
     network.run(5, lambda: network.all_report("n2", "alive"))
     # The node also gets an update that it missed while its peers considered it dead.
     network.announce("n4", "t4")
-    network.run(5, lambda: "t4" in network.routes("n2"))
+    network.run(5, lambda: "t4" in network.target_states("n2"))
 
 
 def test_partition_heals_within_a_synchronisation():
@@ -106,7 +109,7 @@
     network.run(3, lambda: up_everywhere(network, "t1"))
     network.stopped |= {"n1", "n4", "n7"}
     network.run(150)
-    assert network.routes("n0") == {"t1": "up"}
+    assert network.target_states("n0") == {"t1": "up"}
 
 
 def test_target_stays_routable_until_a_new_node_announces_it():
@@ -123,7 +126,8 @@
     assert up_everywhere(network, "t5")
     network.dispatch("n5b", ev.TargetWithdrawn(network.now, "t5"))
     network.run(
-        3, lambda: not any(network.routes(n) for n in network.states if n != "n5")
+        3,
+        lambda: not any(network.target_states(n) for n in network.states if n != "n5"),
     )
 
 
@@ -138,7 +142,9 @@
     # A node that joins later must not restart the 60 s.
     network.add("n8", seeds=["n1"])
     network.run(dead_at + 62 - network.now)
-    assert not any(network.routes(name) for name in network.states if name != "n5")
+    assert not any(
+        network.target_states(name) for name in network.states if name != "n5"
+    )
 
 
 def test_leaving_node_is_not_suspected_and_its_target_stays():
@@ -158,8 +164,8 @@
     """Guards against routing to a target whose process has died."""
     network = make_network(4, 8)
     renew(network, "n1", "t1", 3)
-    network.run(2.5, lambda: own_targets(network, "n1") == {"t1": "gone"})
-    network.run(3, lambda: not any(network.routes(n) for n in network.states))
+    network.run(2.5, lambda: own_target_states(network, "n1") == {"t1": "gone"})
+    network.run(3, lambda: not any(network.target_states(n) for n in network.states))
     network.announce("n1", "t1")
     network.run(3, lambda: up_everywhere(network, "t1"))
 
@@ -170,9 +176,9 @@
     network.announce("n1", "t1")
     network.dispatch("n1", ev.TargetDrained(network.now, "t1"))
     renew(network, "n1", "t1", 5)
-    assert own_targets(network, "n1") == {"t1": "draining"}
+    assert own_target_states(network, "n1") == {"t1": "draining"}
     network.announce("n1", "t1", addr=("10.0.0.2", 81))
-    assert own_targets(network, "n1") == {"t1": "up"}
+    assert own_target_states(network, "n1") == {"t1": "up"}
 
 
 def test_dead_member_is_not_revived_and_removed_after_1_h():
@@ -242,4 +248,4 @@
     for _ in range(6):
         network.announce(replacement, "t1")
         network.run(1)
-        assert all(network.routes(n).get("t1") != "up" for n in network.states)
+        assert all(network.target_states(n).get("t1") != "up" for n in network.states)
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -58,7 +58,7 @@
     for version in (1, 2, 3):
         for name in list(network.states)[version::3]:
             network.load_rules(name, version)
-    network.store = 1
+    network.store_version = 1
     for name in network.states:
         network.load_rules(name, 1, source="a stale peer")
         received = ev.RulesVersionReceived(network.now, 1, "store", confirmed=True)
@@ -98,7 +98,7 @@
         network.add(f"b{i}", seeds=["b0"] if i else [], version_check_pending=True)
     network.run(20)
     assert rejection_code(network, "b1") == "rules-outdated"
-    network.store = 4
+    network.store_version = 4
     network.run(5, lambda: rejection_code(network, "b1") == "unknown-service")
     assert network.states["b1"].rules.version == 4
 
