Name the counters in the results of the benchmark

Cause: a newcomer took `Result.targets` and `Result.nodes` for targets and nodes, and couldn't tell what the window and the maximum lag cover. Change: names, comments and docstrings. The benchmark was not run.

--- a/bench/goals.py
+++ b/bench/goals.py
@@ -101,7 +101,7 @@
 def _check_retries(experiment, size, results_by_case):
     shares = []
     for condition in experiment.conditions:
-        counters = results_by_case[condition.name, experiment.subject].targets
+        counters = results_by_case[condition.name, experiment.subject].target_counters
         retries = counters.get("repeats", 0)
         first_attempts = counters.get("attempts", 0) - retries
         shares.append((retries / max(first_attempts, 1), condition.name))
@@ -119,7 +119,7 @@
     seconds = sum(result.window_s for result in subject_results)
     within_budget, exceeded = True, ""
     for result in subject_results:
-        for region, counters in result.nodes.items():
+        for region, counters in result.node_counters.items():
             budget = RuleSet().probe_budget(region)
             probes = counters.get("probes.sent", 0) / result.window_s
             bytes_per_s = counters.get("probes.bytes", 0) / result.window_s
--- a/bench/report.py
+++ b/bench/report.py
@@ -39,14 +39,14 @@
     ),
     "generator lag ms": (lambda result: result.max_lag_ms, "{:.0f}"),
     "discarded runs": (lambda result: result.discarded, "{:.0f}"),
-    "not answered": (lambda result: format_codes(result.codes), "{}"),
+    "not answered": (lambda result: format_codes(result.error_counts), "{}"),
 }
 PLOTTED = ("p50 ms", "p99 ms", "p99.9 ms", "failed %", "shed %", "wasted %")
 LOGARITHMIC = ("p50 ms", "p99 ms", "p99.9 ms")
 
 
 def _target_counter(result, name):
-    return result.targets.get(name, 0)
+    return result.target_counters.get(name, 0)
 
 
 def format_codes(codes):
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -1,4 +1,4 @@
-"""Measures each policy under each condition at one size, with all seeds."""
+"""Measures each policy under each condition with every seed, at one system size."""
 
 import signal
 import time
@@ -13,14 +13,15 @@
 
 # Time between the readiness of the system and the first call, seconds.
 SETTLE_S = 0.3
-# A longer delay of a send, in milliseconds, means that the generator lacked CPU time,
-# and so did the system on the same host. The run is then discarded and repeated once.
+# Longest accepted delay of a call behind its scheduled send time, milliseconds. A
+# longer one means that the generator lacked CPU time, and so did the system on the same
+# host. The run is then discarded and repeated once.
 MAX_LAG_MS = 50.0
 
 
 @dataclass
 class Result:
-    """Results of one size, condition and policy, summed over the seeds.
+    """Results of one size, condition and policy, combined over the seeds.
 
     Attributes
     ----------
@@ -29,23 +30,24 @@
     capacity : float
         Calls per second that the targets can serve.
     window_s : float
-        Time over which the nodes' counters were taken, seconds. It is longer than the
-        sending of calls, since it ends after the last response.
+        Time between the two readings of the nodes' counters, seconds, summed over the
+        seeds. It includes the wait for the last response after all calls were sent.
     discarded : int
         Number of runs that were discarded and repeated.
     sent, ok, shed, failed : int
-        Number of calls in total, and by outcome as in `generator.NodeClient.call`.
+        Number of calls in total, and by outcome: status 200, not run by any target
+        according to the verdict header, and all others.
     max_lag_ms : float
         Longest delay between the scheduled and the actual send time of a call,
         milliseconds.
     goodputs : list of float
         Successful calls per second, one value per seed.
-    codes : dict
+    error_counts : dict
         Number of unsuccessful calls, by outcome and error code.
-    targets : dict
-        Counters of the targets.
-    nodes : dict
-        Counters of the nodes, by region.
+    target_counters : dict
+        Sums of the counters of all targets, by name.
+    node_counters : dict
+        Sums of the counters of the nodes, by region and name.
     histogram : HdrHistogram
         Latencies, microseconds.
     """
@@ -62,16 +64,16 @@
     failed: int = 0
     max_lag_ms: float = 0.0
     goodputs: list = field(default_factory=list)
-    codes: dict = field(default_factory=dict)
-    targets: dict = field(default_factory=dict)
-    nodes: dict = field(default_factory=dict)
+    error_counts: dict = field(default_factory=dict)
+    target_counters: dict = field(default_factory=dict)
+    node_counters: dict = field(default_factory=dict)
     histogram: HdrHistogram = field(default_factory=new_histogram)
 
     def percentile_ms(self, percent):
         """Return a latency percentile in milliseconds."""
         return self.histogram.get_value_at_percentile(percent) / 1000.0
 
-    def add_run(self, report, window_s, targets, nodes):
+    def add_run(self, report, window_s, target_counters, node_counters):
         """Add the results of one run, passed in the order that `_run_once` returns."""
         self.window_s += window_s
         for name in ("sent", "ok", "shed", "failed"):
@@ -79,14 +81,14 @@
         self.max_lag_ms = max(self.max_lag_ms, report["max_lag_ms"])
         self.goodputs.append(report["goodput"])
         self.histogram.decode_and_add(report["histogram"])
-        _add_counters(self.codes, report["codes"])
-        _add_counters(self.targets, targets)
-        for region, counters in nodes.items():
-            _add_counters(self.nodes.setdefault(region, {}), counters)
+        _add_counters(self.error_counts, report["codes"])
+        _add_counters(self.target_counters, target_counters)
+        for region, counters in node_counters.items():
+            _add_counters(self.node_counters.setdefault(region, {}), counters)
 
     def node_total(self, name):
         """Return the sum of a node counter over all regions."""
-        return sum(counters.get(name, 0) for counters in self.nodes.values())
+        return sum(counters.get(name, 0) for counters in self.node_counters.values())
 
 
 def _add_counters(totals, counters):
@@ -133,13 +135,14 @@
 
 
 def _run_once(experiment, system, condition, result, seed):
-    """Run one condition with one policy and seed.
+    """Run one condition with one seed, and the policy and capacity of `result`.
 
     Returns
     -------
     tuple
-        Results from the generator, time over which the nodes' counters were taken in
-        seconds, counters of the targets, and counters of the nodes by region.
+        Results from the generator, time in seconds between the two readings of the
+        nodes' counters, sums of the targets' counters, and increases of the nodes'
+        counters by region.
     """
     policy = result.policy
     initial_faults = {
