Reword the limit rule, the node processes and the policy tests

Cause: a newcomer couldn't tell whether a limit counts all classes together, which ports the two addresses of a node process are, and took a policy name for a policy. Change: names, comments and docstrings.

--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -9,22 +9,25 @@
 
 __all__ = ["LimitRule"]
 
-MAX_INFLIGHT = 100_000
+# Highest value of `inflight` that a rule can set.
+MAX_LIMIT = 100_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LimitRule(Rule):
-    """Maximum of a service's calls in flight at one node, for one class or for each.
+    """Maximum number of calls in flight at one node.
 
-    The smallest limit is 1. To stop all calls of a service, pause its targets:
-    `explain` then shows the rules that pause them.
+    `inflight` is that number. The calls of each service and class are counted
+    separately; a rule without a class applies to every class. The smallest limit is 1.
+    To stop all calls of a service, pause its targets: the command `explain` then shows
+    the rules that pause them.
     """
 
     kind: ClassVar = "limit"
     syntax: ClassVar = "limit SERVICE COUNT [class=CLASS]"
     positional: ClassVar = {
         "service": parse_any_name,
-        "inflight": partial(parse_count, low=1, high=MAX_INFLIGHT),
+        "inflight": partial(parse_count, low=1, high=MAX_LIMIT),
     }
     options: ClassVar = {"class": parse_class}
     selector_fields: ClassVar = ("service", "call_class")
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -1,4 +1,4 @@
-"""Node processes of the platform deployment, for tests and the soak."""
+"""Runs nodes as processes of `pimentoline.platform`, for tests and the soak test."""
 
 import os
 import signal
@@ -12,9 +12,11 @@
 __all__ = ["NodeProcess", "settings_text", "start_node_process"]
 
 ROOT = Path(__file__).parent.parent
-# Placeholders in `SETTINGS_TEMPLATE` of the ports at which the node listens.
+# Names of the ports at which the node listens, which are placeholders in
+# `SETTINGS_TEMPLATE`.
 PORT_NAMES = ("inbound", "outbound", "ready", "control")
-# `new_field` stands for a setting of a newer platform, which a node ignores.
+# `new_field` stands for a setting that a later version of the platform adds; a node
+# ignores settings that it does not know.
 SETTINGS_TEMPLATE = """
 node_name = "{name}"
 zone = "{dc}"
@@ -70,9 +72,9 @@
 
 @dataclass(frozen=True, slots=True)
 class _Addresses:
-    """Addresses of a node, named as in `HostSettings`.
+    """Addresses for callers and for heartbeats, named as in `HostSettings`.
 
-    So code that takes a node inside this process also takes a `NodeProcess`.
+    Code that reads these addresses from `HostNode.cfg` thus also takes a `NodeProcess`.
     """
 
     callers_addr: tuple[str, int]
@@ -91,6 +93,7 @@
     target : ScriptedTarget
         The target on the host of the node.
     store : StoreStandIn
+        The store that the node connects to.
     **values
         Further arguments of `settings_text`.
 
@@ -98,15 +101,16 @@
     ----------
     cfg : _Addresses
     process : subprocess.Popen or None
-        The process that was started last.
+        The process that was started last, None before the first start.
     """
 
     def __init__(self, folder, name, target, store, **values):
         self.name = name
         self.target = target
-        ports = {kind: free_port() for kind in PORT_NAMES}
+        ports = {port_name: free_port() for port_name in PORT_NAMES}
+        # Callers connect to the port `outbound`, heartbeats go to `control`.
         self.cfg = _Addresses(
-            *(("127.0.0.1", ports[kind]) for kind in ("outbound", "control"))
+            *(("127.0.0.1", ports[port_name]) for port_name in ("outbound", "control"))
         )
         self._settings = Path(folder) / f"{name}.toml"
         self._log = Path(folder) / f"{name}.log"
@@ -138,7 +142,7 @@
             self.process.send_signal(signum)
 
     def kill(self):
-        """Kill the process, also if `SIGSTOP` has suspended it."""
+        """Kill the process, even if `SIGSTOP` has suspended it."""
         if self.running:
             self.signal(signal.SIGCONT)
             self.process.kill()
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -11,6 +11,7 @@
 from pimentoline.policies import get_policy_by_name, policy_names
 from pimentoline.routing import Candidate
 
+# Time of every choice, seconds.
 NOW = 100.0
 
 
@@ -20,13 +21,13 @@
     return Candidate(target, weight, TargetStats(**stats))
 
 
-def count_choices(policy, candidates, rounds=2000):
-    """Return how often a policy chooses each target, over many draws."""
+def count_choices(policy_name, candidates, rounds=2000):
+    """Return how often a policy chooses each target in the given number of rounds."""
     chosen = Counter()
     for number in range(rounds):
-        service = ServiceStats(calls_sent=number)
-        candidate = get_policy_by_name(policy).choose(
-            candidates, service, NOW, mix(number, 1)
+        service_stats = ServiceStats(calls_sent=number)
+        candidate = get_policy_by_name(policy_name).choose(
+            candidates, service_stats, NOW, mix(number, 1)
         )
         chosen[candidate.target.target_id] += 1
     return chosen
@@ -34,7 +35,10 @@
 
 @pytest.mark.parametrize("name", policy_names())
 def test_policy_uses_every_equal_target(name):
-    """Guards against a policy that leaves one of several equal targets unused."""
+    """Guards against a policy that leaves one of several equal targets unused.
+
+    An equal share would be 400 of the 2000 choices.
+    """
     counts = count_choices(name, [make_candidate(f"t{i}") for i in range(5)])
     assert len(counts) == 5
     assert min(counts.values()) > 300
@@ -48,13 +52,16 @@
     ],
 )
 def test_policy_prefers_less_loaded(name, good, bad):
-    """Guards against comparing the wrong statistic, or in the wrong direction."""
+    """Guards against a policy that compares another statistic or prefers more load."""
     candidates = [make_candidate("bad", **bad), make_candidate("good", **good)]
     assert count_choices(name, candidates, 50) == {"good": 50}
 
 
 def test_weights_set_the_shares():
-    """Guards against a weight that does not change the share of calls."""
+    """Guards against a weight that does not change the share of calls.
+
+    The expected share of `b` is 0.75.
+    """
     candidates = [make_candidate("a", 1.0), make_candidate("b", 3.0)]
     assert 0.71 < count_choices("random", candidates)["b"] / 2000 < 0.79
 
