Reword failure detector, retry budget and peer discovery

A reading found ambiguous pronouns, constants without an explanation and vague local names. Explain the constants and the health score, and rename the locals.

--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -1,7 +1,9 @@
 """pimentoline.failure_detector: failure detection by SWIM with Lifeguard.
 
-A node pings one random member at a time. If the ack is missing, it requests pings from
-other members, and then suspects the member, which is declared dead unless it refutes.
+A node pings one random member at a time. If the ack does not arrive, the node asks
+other members to ping that member too (indirect pings). If no ack arrives through them
+either, the node marks the member as suspect, and declares it dead after a timeout
+unless the member refutes the suspicion.
 """
 
 import random
@@ -24,11 +26,13 @@
 
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 0.5
+# Number of members that are asked to ping a member that did not acknowledge a ping.
 INDIRECT_PINGS = 3
 SUSPICION_TIMEOUT_S = 3.0
-# Maximum local health score. A node that misses acks from several members is more
-# likely to be slow itself, so each missed ack adds one `PING_TIMEOUT_S` and one
-# `SUSPICION_TIMEOUT_S` to its timeouts (Lifeguard, DSN 2018).
+# The local health score of a healthy node is 0; a higher score is worse. A node that
+# misses acks from several members is more likely to be slow itself, so each point adds
+# one `PING_TIMEOUT_S` and one `SUSPICION_TIMEOUT_S` to its timeouts (Lifeguard, DSN
+# 2018). A missed ack and a refuted suspicion add a point, an ack removes one.
 MAX_HEALTH_SCORE = 8
 
 
@@ -38,13 +42,17 @@
 
 
 def check_members(state, now, draw):
-    """Check the pending ping, send the next one if due, and declare suspects dead."""
+    """Check the pending ping, send the next one if due, and declare suspects dead.
+
+    `draw` is a random integer. It seeds the choice of members, and it is the ID of the
+    ping that is sent.
+    """
     state, effects = _check_pending_ping(state, now, draw)
     if state.mesh.pending_ping is None and now >= state.mesh.next_ping_at:
-        state, started = _send_next_ping(state, now, draw)
-        effects += started
-    state, died = _declare_dead(state, now)
-    return state, effects + died
+        state, ping_effects = _send_next_ping(state, now, draw)
+        effects += ping_effects
+    state, log_entries = _declare_dead(state, now)
+    return state, effects + log_entries
 
 
 def _send_next_ping(state, now, draw):
@@ -59,7 +67,7 @@
 
 
 def _check_pending_ping(state, now, draw):
-    """Request indirect pings after the first timeout, and suspect after the second."""
+    """Request indirect pings after one timeout, suspect the member after two."""
     ping = state.mesh.pending_ping
     if ping is None:
         return state, ()
@@ -93,7 +101,7 @@
 
 
 def start_suspicion(state, record, now):
-    """Start the timeout after which a member is declared dead, if it is a suspect."""
+    """If `record` is of a suspect, start the timeout that declares the suspect dead."""
     mesh = state.mesh
     if record.status is not MemberStatus.SUSPECT:
         return state
@@ -103,38 +111,42 @@
 
 
 def _declare_dead(state, now):
-    due_ids = sorted(
-        node_id for node_id, at in state.mesh.suspect_deadlines.items() if at <= now
+    expired_ids = sorted(
+        node_id
+        for node_id, deadline in state.mesh.suspect_deadlines.items()
+        if deadline <= now
     )
-    if not due_ids:
+    if not expired_ids:
         return state, ()
     dead = [
         replace(state.mesh.members[node_id], status=MemberStatus.DEAD)
-        for node_id in due_ids
+        for node_id in expired_ids
     ]
-    entries = tuple(LogEntry("mesh:dead", (("node", node_id),)) for node_id in due_ids)
+    entries = tuple(
+        LogEntry("mesh:dead", (("node", node_id),)) for node_id in expired_ids
+    )
     return with_records(state, dead, now), entries
 
 
 def on_ping(state, ping, sender, addr, now):
-    """Acknowledge a ping, and synchronise with its sender if that is unknown.
+    """Acknowledge a ping, and synchronise with the sender if it is not a known member.
 
-    A sender that this node considers suspect or dead receives its own record, so that
-    it can refute the record.
+    If this node considers the sender suspect or dead, it sends the sender that record,
+    so that the sender can refute it.
     """
     effects = (SendMessage((addr,), Ack(ping.ping_id, ping.requester)),)
-    held = state.mesh.members.get(sender)
-    if held is None and ping.requester is None:
+    known = state.mesh.members.get(sender)
+    if known is None and ping.requester is None:
         state, requested = request_sync(state, addr, now)
         return state, effects + requested
-    if held is not None and held.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
-        notice = Gossip(with_ages(state, (held,), now))
+    if known is not None and known.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
+        notice = Gossip(with_ages(state, (known,), now))
         effects += (SendMessage((addr,), notice),)
     return state, effects
 
 
 def on_ping_req(state, request, addr):
-    """Ping a member on behalf of a peer."""
+    """Ping a member on behalf of the peer at `addr`, which receives the ack."""
     return state, (SendMessage((request.addr,), Ping(request.ping_id, addr)),)
 
 
@@ -150,13 +162,15 @@
 
 
 def refute(state, record):
-    """Create a newer record of this node than `record`.
+    """Replace this node's own record by one that is newer than `record`.
 
-    Another node has created `record`, or kept it from an earlier run of this node.
+    `record` describes this node, but another node has created it, or has kept it from
+    an earlier run of this node.
     """
     own = own_record(state)
     if record.incarnation > own.incarnation:
-        # The clock was set back between two boots of this node.
+        # The incarnation is the start time in milliseconds, so that of an
+        # earlier run is only higher if the clock was set back in between.
         changes = {"incarnation": record.incarnation + 1, "seq": 0}
     else:
         changes = {"seq": record.seq + 1}
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -13,15 +13,18 @@
 __all__ = ["PeerDiscovery"]
 
 ROW_PREFIX = "node/"
-REFRESH_INTERVAL_S = 600.0
-CHECK_INTERVAL_S = 30.0
-# Rows older than this are ignored; a row stays valid while two refreshes fail.
+# Interval at which a node rewrites its own row.
+ROW_REFRESH_INTERVAL_S = 600.0
+# Maximum time between checks of the row and of the peers while a peer is running.
+MAX_CHECK_INTERVAL_S = 30.0
+# Rows older than this are ignored. A row stays valid if two refreshes in a row fail.
 MAX_ROW_AGE_S = 1800.0
+# Number of peers that a node asks at the same time.
 JOIN_GROUP_SIZE = 3
-# Number of groups of peers that a node asks at boot before it starts without a reply.
+# Number of groups that a node asks in turn at boot before it starts without a reply.
 MAX_JOIN_GROUPS = 3
-# The delay of the first retry is drawn from 0 to 1 s, and this range doubles with each
-# retry, so that nodes that start together do not retry at the same time.
+# Upper bounds of the random delay before a retry; the bound doubles with each retry.
+# The lower bound is 0, so that nodes that start together do not retry at the same time.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
 
@@ -36,7 +39,7 @@
 
     def __init__(self, node):
         self._node = node
-        self._written_at = float("-inf")
+        self._row_written_at = float("-inf")
 
     async def join(self):
         """Get the members and the rules version from peers and the store.
@@ -51,26 +54,30 @@
         await self._synchronise_with(addrs)
 
     async def _synchronise_with(self, addrs):
-        """Synchronise with groups of seeds and other peers until a peer replies."""
+        """Synchronise with one group of peers after the other until a peer replies.
+
+        Up to `JOIN_GROUP_SIZE` seeds come first, then `addrs`, then the other seeds.
+        """
         node = self._node
         seeds = [
             addr for addr in node.cfg.seeds if addr != node.state.identity.mesh_addr
         ]
         node.random.shuffle(seeds)
         peers = list(dict.fromkeys(seeds[:JOIN_GROUP_SIZE] + addrs + seeds))
-        answered = 0
+        reply_count = 0
         for number in range(MAX_JOIN_GROUPS):
             group = peers[number * JOIN_GROUP_SIZE : (number + 1) * JOIN_GROUP_SIZE]
             request = SyncRequest(digests(node.state.mesh.members))
-            bodies = await asyncio.gather(
+            replies = await asyncio.gather(
                 *(node.send_request(addr, request) for addr in group)
             )
-            answered = sum(body is not None for body in bodies)
-            if answered:
+            reply_count = sum(reply is not None for reply in replies)
+            if reply_count:
                 await self._fetch_rules(group)
                 break
-        if node.store is None and (answered or not seeds):
-            # Without a store, there is no other source of a rules version.
+        if node.store is None and (reply_count or not seeds):
+            # Without a store, only peers can report a rules version. If they have
+            # replied, or none is configured, version 0 (no rules yet) is confirmed.
             node.dispatch(
                 RulesVersionReceived(node.clock(), 0, "nobody", confirmed=True)
             )
@@ -79,7 +86,7 @@
         """Write this node's row, then return the other nodes' addresses, shuffled.
 
         Each node writes its row before it reads the others. So if several nodes start
-        together, each of them except the first to write finds at least one other.
+        together, all except perhaps the first to write find at least one other.
         """
         node = self._node
         if node.store is None:
@@ -93,7 +100,7 @@
         }
         try:
             await node.store.commit(puts=[(ROW_PREFIX + identity.node_id, row)])
-            self._written_at = node.clock()
+            self._row_written_at = node.clock()
             rows = await node.store.scan(ROW_PREFIX)
         except PimentolineError as exc:
             node.metrics.count("store.failed")
@@ -105,7 +112,7 @@
         return addrs
 
     async def _fetch_rules(self, group):
-        """Fetch the highest rules version that the group has reported."""
+        """Request the highest known rules version from each peer until it arrives."""
         node = self._node
         for addr in group:
             rules = node.state.rules
@@ -114,21 +121,25 @@
             await node.send_request(addr, RulesRequest(rules.known_version))
 
     async def run(self):
-        """Refresh this node's row, and search for peers while none is known."""
+        """Refresh this node's row, and search for peers while none is running."""
         node = self._node
         backoff_s = FIRST_BACKOFF_S
         while True:
             has_no_peers = not running_peers(node.state)
-            row_written = node.store is None or self._written_at > float("-inf")
+            row_written = node.store is None or self._row_written_at > float("-inf")
             if row_written and not has_no_peers:
                 backoff_s = FIRST_BACKOFF_S
-                await asyncio.sleep(CHECK_INTERVAL_S * node.random.uniform(0.5, 1.0))
+                await asyncio.sleep(
+                    MAX_CHECK_INTERVAL_S * node.random.uniform(0.5, 1.0)
+                )
             else:
                 await asyncio.sleep(backoff_s * node.random.random())
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
             addrs = []
-            due = node.clock() - self._written_at > REFRESH_INTERVAL_S
-            if node.store is not None and (due or not running_peers(node.state)):
+            refresh_due = node.clock() - self._row_written_at > ROW_REFRESH_INTERVAL_S
+            if node.store is not None and (
+                refresh_due or not running_peers(node.state)
+            ):
                 addrs = await self._find_peers()
             if not running_peers(node.state):
                 await self._synchronise_with(addrs)
--- a/pimentoline/twohop/retry_budget.py
+++ b/pimentoline/twohop/retry_budget.py
@@ -4,22 +4,25 @@
 
 __all__ = ["RetryBudget"]
 
-# Share of the allowed retries that nodes send themselves. When a service runs a retried
-# call, its own calls to further services are retries too, but nodes cannot recognise
-# them. With 0.3, a chain of three services that each make 1.4 further calls per call
-# stays within the budget of each service while all of them fail.
+# Share of the allowed retries that nodes may send. The rest is left for indirect
+# retries: a service that runs a retried call also repeats its own calls to further
+# services, and nodes cannot recognise these as retries. With 0.3, a chain of three
+# services that each make 1.4 further calls per call stays within the limits of every
+# service, even while all of them fail.
 DIRECT_RETRY_SHARE = 0.3
 
 
 class RetryBudget:
     """Limits the retries from this node to one service in every sliding window.
 
-    All nodes together stay within one limit without coordination: each may send retries
-    for a share of its own first attempts, plus an equal part of the fixed allowance.
+    All nodes together stay within the limits without coordination: each may send
+    retries for a share of its own first attempts, plus an equal part of the allowance
+    that does not depend on traffic.
 
     Parameters
     ----------
     limits : RetryLimits
+        Limits for all nodes together.
     """
 
     def __init__(self, limits):
@@ -44,13 +47,13 @@
         now : float
             Monotonic time, seconds.
         nodes : int
-            Nodes that share the fixed allowance.
+            Number of nodes that share the allowance.
         """
         self._drop_expired(self._first_attempts, now)
         self._drop_expired(self._retries, now)
-        from_ratio = self._limits.ratio * len(self._first_attempts)
+        allowed_by_ratio = self._limits.ratio * len(self._first_attempts)
         allowed = DIRECT_RETRY_SHARE * (
-            from_ratio + self._limits.allowance / max(nodes, 1)
+            allowed_by_ratio + self._limits.allowance / max(nodes, 1)
         )
         if len(self._retries) + 1 > allowed:
             return False
