Reword the two-hop path tests and the call steps

A reading found test names that hid what is checked, and fragments as docstrings. Name the outcome, and explain the recorded parts of a body and the backoff bounds.

--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -11,33 +11,36 @@
 from tests.target_faults import FAULTS, never_respond
 
 SERVICE_NUMBERS = itertools.count(1)
-# `send` fills in the service of the scenario.
-HOST = "Host: {service}"
-# Method and header lines of invalid requests, by the text of the step.
+# `send` replaces `{service}` by the service of the scenario.
+HOST_LINE = "Host: {service}"
+# Method and header lines of requests to be rejected, by the text of the step.
 DEFECTS = {
     "no Host": ("GET", []),
     "a Host that is no service": ("GET", ["Host: a_b"]),
-    "two Hosts": ("GET", [HOST, HOST]),
+    "two Hosts": ("GET", [HOST_LINE, HOST_LINE]),
     "an unknown service": ("GET", ["Host: nowhere"]),
-    "a deadline that is no number": ("GET", [HOST, "X-Deadline-Ms: 1e3"]),
-    "a negative deadline": ("GET", [HOST, "X-Deadline-Ms: -5"]),
-    "a deadline that has passed": ("POST", [HOST, "X-Deadline-Ms: 0"]),
-    "an unknown class": ("GET", [HOST, "X-Call-Class: urgent"]),
-    "a depth that is no number": ("GET", [HOST, "X-Call-Depth: deep"]),
-    "an empty key": ("POST", [HOST, "Idempotency-Key:"]),
-    "two keys": ("POST", [HOST, "Idempotency-Key: a", "Idempotency-Key: b"]),
-    "a key of 256 characters": ("POST", [HOST, "Idempotency-Key: " + "k" * 256]),
-    "a length that is no number": ("POST", [HOST, "Content-Length: ten"]),
-    "two unequal lengths": ("POST", [HOST, "Content-Length: 1", "Content-Length: 2"]),
+    "a deadline that is no number": ("GET", [HOST_LINE, "X-Deadline-Ms: 1e3"]),
+    "a negative deadline": ("GET", [HOST_LINE, "X-Deadline-Ms: -5"]),
+    "a deadline that has passed": ("POST", [HOST_LINE, "X-Deadline-Ms: 0"]),
+    "an unknown class": ("GET", [HOST_LINE, "X-Call-Class: urgent"]),
+    "a depth that is no number": ("GET", [HOST_LINE, "X-Call-Depth: deep"]),
+    "an empty key": ("POST", [HOST_LINE, "Idempotency-Key:"]),
+    "two keys": ("POST", [HOST_LINE, "Idempotency-Key: a", "Idempotency-Key: b"]),
+    "a key of 256 characters": ("POST", [HOST_LINE, "Idempotency-Key: " + "k" * 256]),
+    "a length that is no number": ("POST", [HOST_LINE, "Content-Length: ten"]),
+    "two unequal lengths": (
+        "POST",
+        [HOST_LINE, "Content-Length: 1", "Content-Length: 2"],
+    ),
     "length and chunks": (
         "POST",
-        [HOST, "Content-Length: 1", "Transfer-Encoding: chunked"],
+        [HOST_LINE, "Content-Length: 1", "Transfer-Encoding: chunked"],
     ),
-    "an unknown coding": ("POST", [HOST, "Transfer-Encoding: gzip, chunked"]),
-    "a chunked DELETE": ("DELETE", [HOST, "Transfer-Encoding: chunked"]),
-    "an unknown expectation": ("POST", [HOST, "Content-Length: 1", "Expect: tea"]),
-    "CONNECT": ("CONNECT", [HOST]),
-    "a head of 100 KB": ("GET", [HOST, "X-Large: " + "x" * 100_000]),
+    "an unknown coding": ("POST", [HOST_LINE, "Transfer-Encoding: gzip, chunked"]),
+    "a chunked DELETE": ("DELETE", [HOST_LINE, "Transfer-Encoding: chunked"]),
+    "an unknown expectation": ("POST", [HOST_LINE, "Content-Length: 1", "Expect: tea"]),
+    "CONNECT": ("CONNECT", [HOST_LINE]),
+    "a head of 100 KB": ("GET", [HOST_LINE, "X-Large: " + "x" * 100_000]),
 }
 
 
@@ -58,7 +61,7 @@
 
 
 def send(context, method, headers, body=b"", version="HTTP/1.1"):
-    """Send one request to the node and return the socket."""
+    """Send one request to node n1 on a new connection, and return the socket."""
     sock = connect(context.cluster.nodes["n1"])
     context.add_cleanup(sock.close)
     lines = [f"{method} / {version}", *headers, "", ""]
@@ -77,7 +80,7 @@
 @when("a caller sends {method} with 400 ms left")
 def step_call(context, method):
     """Send one call, with a body if it is a POST."""
-    headers = [HOST, "X-Deadline-Ms: 400"]
+    headers = [HOST_LINE, "X-Deadline-Ms: 400"]
     body = b"sale" if method == "POST" else b""
     if body:
         headers.append("Content-Length: 4")
@@ -86,13 +89,13 @@
 
 @when("a caller of {version} sends GET and reads to the end")
 def step_read_to_end(context, version):
-    """Send a GET and read up to the end of the connection."""
-    sock = send(context, "GET", [HOST, "Connection: close"], version=version)
+    """Send a GET and read until the node closes or resets the connection."""
+    sock = send(context, "GET", [HOST_LINE, "Connection: close"], version=version)
     context.received = read_all(sock)
 
 
 @when("a caller sends a request with {defect}")
-def step_defect(context, defect):
+def step_invalid_request(context, defect):
     """Send a request that the node has to reject."""
     method, headers = DEFECTS[defect]
     read_response(context, send(context, method, headers), method)
@@ -100,8 +103,8 @@
 
 @when("a caller closes after 5 of 10 bytes of its body")
 def step_disconnect(context):
-    """Send half of a body, wait for the headers at the target, then disconnect."""
-    sock = send(context, "POST", [HOST, "Content-Length: 10"], b"12345")
+    """Send half of a body, and disconnect after the target has read the headers."""
+    sock = send(context, "POST", [HOST_LINE, "Content-Length: 10"], b"12345")
     wait_until(
         lambda: context.target.heads, message="the request headers at the target"
     )
@@ -109,7 +112,7 @@
 
 
 @then("the answer is {status:d} with verdict {verdict} and code {code}")
-def step_answer(context, status, verdict, code):
+def step_check_response(context, status, verdict, code):
     """Check status, verdict and code, in the headers and in the body."""
     response = context.response
     received = (
@@ -124,7 +127,7 @@
 
 
 @then("the caller sees a cut answer")
-def step_cut(context):
+def step_incomplete_response(context):
     """Check that the caller can tell that the response is incomplete.
 
     The response is an error, or the connection is reset before the end of the body.
@@ -135,14 +138,18 @@
 
 
 @then("the target has received nothing")
-def step_nothing(context):
+def step_no_request(context):
     """Check that no request reached the target."""
     assert context.target.heads == []
 
 
 @then("the target has received 5 bytes and the end of the connection")
 def step_incomplete_body(context):
-    """Check that the connection to the target ended before the end of the body."""
+    """Check that the target received a part of the body, then a closed connection.
+
+    The first entry of `heads` has the bytes of the body that arrived with the request
+    head, the second one those up to the end of the connection.
+    """
     wait_until(
         lambda: len(context.target.heads) == 2, message="the end of the connection"
     )
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -23,8 +23,9 @@
 JOIN_GROUP_SIZE = 3
 # Number of groups that a node asks in turn at boot before it starts without a reply.
 MAX_JOIN_GROUPS = 3
-# Upper bounds of the random delay before a retry; the bound doubles with each retry.
-# The lower bound is 0, so that nodes that start together do not retry at the same time.
+# Upper bounds of the random delay before the first retry and before any retry. The
+# bound doubles with each retry; the lower bound is 0. The random delay keeps nodes that
+# start together from retrying at the same time.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
 
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -1,4 +1,7 @@
-"""Calls over two nodes, with stand-ins for the platform's store and targets."""
+"""Calls from a caller through its node and the target's node to the target.
+
+The store of the platform and the targets are stand-ins.
+"""
 
 import asyncio
 import inspect
@@ -28,7 +31,7 @@
 def config(version=1, **changes):
     """Return a configuration with a safe, an unsafe and an upload route.
 
-    `changes` may contain the `timeout` of these routes and `more` rows of routes.
+    `changes` may contain the `timeout` of these routes and rows of `extra_routes`.
     """
     columns = [
         *("name", "host", "prefix", "kind", "timeout", "target_latency"),
@@ -40,7 +43,7 @@
         ["r-sale", HOST, "/sale/", "unsafe", timeout, "300ms", 1, LEDGER, 2, None],
         ["r-up", HOST, "/up/", "upload", timeout, "400ms", 1, DESK, 2, None],
     ]
-    rows += changes.get("more", [])
+    rows += changes.get("extra_routes", [])
     return {
         "version": version,
         "routes": {"columns": columns, "rows": rows},
@@ -58,7 +61,7 @@
 
 
 class Cluster:
-    """A store, nodes and their targets in this event loop."""
+    """Runs a store, nodes and their targets in the current event loop."""
 
     def __init__(self):
         self.store = StoreStandIn()
@@ -67,7 +70,10 @@
         self._tasks = []
 
     async def add(self, service=LEDGER, dc="kerio", region="rift", ready=True):
-        """Start a target and its node; return both."""
+        """Start a target and its node; return (node, target).
+
+        If `ready` is True, the target also sends a heartbeat, so that it gets calls.
+        """
         name = f"{service}-{len(self.nodes)}"
         target = ScriptedTarget(f"i-{name}", service)
         await target.start()
@@ -168,7 +174,7 @@
 
 
 class Caller:
-    """A connection of a caller to a node."""
+    """A caller with one connection to its node."""
 
     def __init__(self, node):
         self.node = node
@@ -176,7 +182,7 @@
         self.writer = None
 
     async def send(self, path, method="GET", body=b"", head="", request_id="q1"):
-        """Send a request; `head` contains further header lines."""
+        """Send a request; `head` contains further header lines, each with its CRLF."""
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
                 *self.node.cfg.callers_addr
@@ -198,10 +204,10 @@
         body = await self.reader.readexactly(int(headers.get("content-length", 0)))
         return int(first.split(" ")[1]), headers, body
 
-    async def call(self, path, **more):
+    async def call(self, path, **options):
         """Send a request and return (status, headers, body) of its response."""
         async with asyncio.timeout(TIMEOUT_S):
-            await self.send(path, **more)
+            await self.send(path, **options)
             return await self.read()
 
     def close(self):
@@ -210,7 +216,10 @@
 
 
 async def start_pair(cluster):
-    """Return (node of a desk target, node of a ledger target, that target)."""
+    """Start a desk target and a ledger target with their nodes.
+
+    Return (node of the desk target, node of the ledger target, ledger target).
+    """
     caller_node, _ = await cluster.add(DESK)
     node, target = await cluster.add(LEDGER)
     await cluster.wait_until_connected()
@@ -255,7 +264,7 @@
 
 @cluster_test
 async def test_chunked_body_with_trailers_is_forwarded(cluster):
-    """Guards against a 400 for a valid request."""
+    """Guards against a 400 for a valid request with a chunk extension and trailers."""
     caller_node, _, target = await start_pair(cluster)
     caller = Caller(caller_node)
     await caller.send("/sale/1", method="POST", head="Transfer-Encoding: chunked\r\n")
@@ -321,8 +330,11 @@
 )
 @pytest.mark.parametrize("path", ["/look/1", "/sale/1"])
 @cluster_test
-async def test_incomplete_response_is_reported_as_502(cluster, fault, path):
-    """Guards against a success status for an incomplete or foreign response."""
+async def test_faulty_response_is_reported_as_502(cluster, fault, path):
+    """Guards against a success status for a response that is incomplete or not valid.
+
+    The last fault sends the response to another request.
+    """
     caller_node, _, target = await start_pair(cluster)
     target.serve = lambda request, writer: fault(target, request, writer)
     method = "POST" if path.startswith("/sale") else "GET"
@@ -376,21 +388,21 @@
 @cluster_test
 async def test_safe_call_is_retried_at_another_target(cluster):
     """Guards against a failed safe call while another target is healthy."""
-    caller_node, _, bad = await start_pair(cluster)
-    _, good = await cluster.add(LEDGER)
+    caller_node, _, failing = await start_pair(cluster)
+    _, healthy = await cluster.add(LEDGER)
     await cluster.wait_until_connected()
-    bad.serve = lambda request, writer: _cut_response(bad, request, writer)
+    failing.serve = lambda request, writer: _cut_response(failing, request, writer)
     for number in range(5):
         status, _, _ = await Caller(caller_node).call(
             "/look/1", request_id=f"q{number}"
         )
         assert status == 200
-    assert len(good.received) == 5
+    assert len(healthy.received) == 5
 
 
 @cluster_test
-async def test_timeout_is_answered_on_time_and_reaches_the_target(cluster):
-    """Guards against late timeouts and calls that run on without a caller."""
+async def test_timeout_is_reported_on_time_and_cancels_the_call(cluster):
+    """Guards against a late 504, and targets that run calls after the timeout."""
     caller_node, _, target = await start_pair(cluster)
     target.delay_s = 5.0
     began_at = time.monotonic()
@@ -402,7 +414,10 @@
 
 @cluster_test
 async def test_disconnected_caller_cancels_safe_but_not_unsafe_calls(cluster):
-    """Guards against safe calls that run on without a caller, and cut unsafe ones."""
+    """Guards against safe calls that run on without a caller.
+
+    An unsafe call has to be completed, so its connection to the target stays open.
+    """
     caller_node, _, target = await start_pair(cluster)
     target.delay_s = 0.4
     safe, unsafe = Caller(caller_node), Caller(caller_node)
@@ -482,17 +497,20 @@
     _, node, target = await start_pair(cluster)
     row = (MEMBERS_TABLE, node.cfg.node)
     await cluster.until(lambda: b"ready" in cluster.store.rows[row][0])
-    late = cluster.store.rows[row][0].replace(b"ready", b"draining")
+    late_value = cluster.store.rows[row][0].replace(b"ready", b"draining")
     await cluster.close_node(node)
     restarted_node = await cluster.start_node(node.cfg.node, target)
     await cluster.until(lambda: restarted_node.target.accepting)
-    cluster.store.put(*row, late)
+    cluster.store.put(*row, late_value)
     await cluster.until(lambda: not restarted_node.target.accepting)
 
 
 @cluster_test
 async def test_target_restarted_with_its_node_is_known_before_its_heartbeat(cluster):
-    """Guards against calls that name the previous target and are therefore refused."""
+    """Guards against calls that are refused since they expect the previous target.
+
+    A late heartbeat of the previous target must not replace the new target.
+    """
     _, node, target = await start_pair(cluster)
     await asyncio.sleep(0.2)
     await cluster.close_node(node)
@@ -517,7 +535,7 @@
     caller_node, node, _ = await start_pair(cluster)
     await cluster.close_node(node)
     peer = caller_node.peers.outgoing[node.cfg.node]
-    # The pauses between attempts to connect grow to 2 s in this time.
+    # The reconnect delay grows to 2 s in this time.
     await asyncio.sleep(1.6)
     assert not peer.candidate.reachable
     await cluster.start_node_with(node.cfg)
@@ -535,7 +553,7 @@
 
 @cluster_test
 async def test_row_of_a_host_whose_address_is_reused_is_deleted(cluster):
-    """Guards against a permanently failed host that remains a member."""
+    """Guards against a failed host that stays a member after its address is reused."""
     caller_node, node, _ = await start_pair(cluster)
     stored = cluster.store.rows[MEMBERS_TABLE, node.cfg.node][0]
     cluster.store.put(MEMBERS_TABLE, "lost", stored)
@@ -582,7 +600,7 @@
     """Guards against late or lost changes, and a return to an older version."""
     caller_node, node, _ = await start_pair(cluster)
     row = ["r-new", HOST, "/new/", "safe", "1s", "300ms", 2, LEDGER, 2, None]
-    cluster.store.put_config(config(7, more=[row]))
+    cluster.store.put_config(config(7, extra_routes=[row]))
     await cluster.until(
         lambda: caller_node.config.version == node.config.version == 7, 2.0
     )
@@ -593,8 +611,8 @@
 
 
 @cluster_test
-async def test_configuration_reaches_a_node_that_lost_the_store(cluster):
-    """Guards against an outdated configuration at a node that has lost the store."""
+async def test_configuration_reaches_a_node_without_store_access(cluster):
+    """Guards against a node that only receives the configuration from the store."""
     caller_node, node, _ = await start_pair(cluster)
     caller_node.store_sync.stop()
     cluster.store.put_config(config(9))
@@ -615,7 +633,7 @@
 async def test_invalid_configuration_is_refused_completely(cluster, row):
     """Guards against an invalid configuration that is applied in part."""
     caller_node, _, _ = await start_pair(cluster)
-    cluster.store.put_config(config(5, more=[row]))
+    cluster.store.put_config(config(5, extra_routes=[row]))
     await asyncio.sleep(0.2)
     assert caller_node.config.version == 1
     assert (await Caller(caller_node).call("/look/1"))[0] == 200
@@ -635,8 +653,8 @@
 
 
 @cluster_test
-async def test_rows_are_read_again_when_the_history_is_gone(cluster):
-    """Guards against a node that waits for changes the store has dropped."""
+async def test_rows_are_read_again_when_the_change_history_has_expired(cluster):
+    """Guards against a node that waits for changes that the store has deleted."""
     caller_node, _, _ = await start_pair(cluster)
     cluster.store.expire_history()
     cluster.store.put_config(config(6))
@@ -684,8 +702,8 @@
 
 
 @cluster_test
-async def test_other_target_at_the_address_runs_nothing(cluster):
-    """Guards against calls run by another target that has taken the address."""
+async def test_target_at_a_reused_address_runs_no_calls_of_the_previous(cluster):
+    """Guards against calls run by a target that has taken over another's address."""
     caller_node, _, target = await start_pair(cluster)
     target.name = "i-another"
     status, _, _ = await Caller(caller_node).call("/sale/1", method="POST", body=b"s")
@@ -694,8 +712,8 @@
 
 
 @cluster_test
-async def test_target_never_runs_more_than_the_limit(cluster):
-    """Guards against more running calls than the target has slots."""
+async def test_target_never_runs_more_calls_than_it_has_slots(cluster):
+    """Guards against calls that are forwarded while all slots are in use."""
     caller_node, _, target = await start_pair(cluster)
     target.delay_s = 0.1
     callers = [Caller(caller_node) for _ in range(40)]
@@ -761,7 +779,7 @@
 @pytest.mark.parametrize("chunked", [True, False])
 @cluster_test
 async def test_body_over_the_limit_is_refused_and_not_forwarded(cluster, chunked):
-    """Guards against bodies above the configured limit."""
+    """Guards against a target that receives a body above `max_body_bytes`."""
     caller_node, _, target = await start_pair(cluster)
     caller = Caller(caller_node)
     size = 1_200_000
@@ -817,9 +835,12 @@
 
 @cluster_test
 async def test_call_waits_for_the_end_of_noise_at_its_target(cluster):
-    """Guards against calls that start while noisy neighbours slow the target down."""
+    """Guards against calls that start while noisy neighbours slow the target down.
+
+    The end of the noise is recognised by health checks.
+    """
     row = ["r-long", HOST, "/long/", "safe", "8000ms", "6000ms", 2, LEDGER, 2, None]
-    cluster.store.put_config(config(2, more=[row]))
+    cluster.store.put_config(config(2, extra_routes=[row]))
     caller_node, _, target = await start_pair(cluster)
     await cluster.until(lambda: caller_node.config.version == 2)
 
@@ -830,10 +851,10 @@
     target.serve = respond_and_become_noisy
     assert (await Caller(caller_node).call("/long/1"))[0] == 200
     target.serve = target.respond
-    probes = target.health_checks
+    checks_before = target.health_checks
     caller = Caller(caller_node)
     await caller.send("/long/2", request_id="q2")
-    await cluster.until(lambda: target.health_checks > probes)
+    await cluster.until(lambda: target.health_checks > checks_before)
     assert len(target.received) == 1
     target.slowdown_percent = 100
     assert (await caller.read())[0] == 200
@@ -841,8 +862,8 @@
 
 
 @cluster_test
-async def test_call_cancelled_before_its_first_step_frees_its_slot(cluster):
-    """Guards against a slot that is never freed, after which calls are refused."""
+async def test_call_cancelled_before_its_task_starts_frees_its_slot(cluster):
+    """Guards against a slot that is never freed, so that later calls are refused."""
     _, node, _ = await start_pair(cluster)
     target = node.target
     frame = CallFrame(
