--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -79,7 +79,10 @@
 
 
 def attribute_name(option):
-    """Return the attribute of an option; `class` is a Python keyword."""
+    """Return the name of the attribute that holds an option's value.
+
+    Only `class` has another attribute name, because it is a Python keyword.
+    """
     return "call_class" if option == "class" else option
 
 
@@ -95,7 +98,8 @@
 def _format_value(name, value):
     """Return a value in the syntax of the rules file.
 
-    Names that end with `_s` hold durations, which are written with the unit.
+    `name` is the name of the field or option. If it ends with `_s`, the value is a
+    duration in seconds and is written with the unit.
     """
     match value:
         case bool():
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -1,4 +1,7 @@
-"""pimentoline.rules.budget: rule for the probe budget of a region."""
+"""pimentoline.rules.budget: rule for the probe budget of a region.
+
+A probe asks a target for its load.
+"""
 
 from dataclasses import dataclass
 from functools import partial
@@ -14,10 +17,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BudgetRule(Rule):
-    """Probes, and bytes of probes, per second for all nodes of a region together.
+    """Load probes, and their bytes, per second for all nodes of a region together.
 
-    The budget is divided equally among the known nodes of the region. If `nodes` is
-    larger than their number, it is divided by `nodes` instead.
+    Each node uses an equal share: the budget divided by the number of nodes of the
+    region that it knows of, or by `nodes` if this is larger.
     """
 
     kind: ClassVar = "budget"
--- a/pimentoline/rules/field_parsers.py
+++ b/pimentoline/rules/field_parsers.py
@@ -125,7 +125,7 @@
 def parse_path(option, word):
     """Return a path pattern.
 
-    `*`, `?` and `[...]` have their meaning in shell patterns, but match `/` as well.
+    `*`, `?` and `[...]` are wildcards as in shell patterns, but match `/` as well.
     """
     if word[:1] not in ("/", "*") or len(word) > MAX_PATH_CHARS:
         allowed = f"a pattern of at most {MAX_PATH_CHARS} characters, first / or *"
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -15,8 +15,8 @@
 __all__ = ["MAX_RULES_BYTES", "ParseResult", "parse"]
 
 MAX_RULES_BYTES = 1024 * 1024
-# The path patterns of a service are matched one after another, so their number limits
-# the time that the rules add to a call.
+# The path patterns of a rule kind and service are tried one after another for each
+# call, so the time that they add to a call grows with their number.
 MAX_PATH_PATTERNS = 200
 # Parsing a rule blocks the event loop of the node for about 30 us.
 MAX_RULES = 10_000
@@ -24,7 +24,7 @@
 MAX_CACHED_LINES = 16_384
 # Rounding errors may bring the sum of shares slightly above 1.
 SHARE_TOLERANCE = 1e-9
-# In place of (earlier rule, line number).
+# Stands for (earlier rule, line number) if no earlier rule has the selector.
 NO_EARLIER_RULE = (None, 0)
 
 WORD = re.compile(r"\S+")
@@ -76,8 +76,11 @@
         self.filename = filename
         self.rules = []
         self.problems = []
+        # (kind, selector): (first rule with them, line number)
         self._first_rules = {}
+        # service: {version: share}
         self._canary_shares = {}
+        # (kind, service): number of path patterns
         self._path_pattern_counts = Counter()
 
     def add_line(self, line_number, line):
@@ -167,10 +170,10 @@
 
 
 def _parse_words(rule_class, words, end_column, problems):
-    """Return the attribute values of a rule; append errors to `problems`.
+    """Return a rule's values by attribute name; append errors to `problems`.
 
     `words` is a list of (word, column) without the name of the kind. `end_column` is
-    the column after the last word.
+    the column after the last word, at which a missing field is reported.
     """
     values = {}
     missing = list(rule_class.positional)
@@ -187,7 +190,8 @@
         else:
             problems.append((column, _quoted(word), rule_class.syntax))
             continue
-        # An invalid value counts as given, so that it is reported only once.
+        # An option with an invalid value counts as given, so that a second value is
+        # reported as a duplicate.
         values[attribute] = None
         try:
             values[attribute] = parse_value(option, value)
--- a/pimentoline/rules/policy.py
+++ b/pimentoline/rules/policy.py
@@ -35,10 +35,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SpillPolicy:
-    """When calls of a service may leave their locality ring.
+    """When calls of a service may spill from their locality ring to the next one.
 
-    Spilling starts above load `enter` and stops at load `leave`, both in requests in
-    flight per slot; `share` is the maximum share of calls that are spilled.
+    The rings are the node's data centre, its region and the other regions. Spilling
+    starts above load `enter` and stops at load `leave`, both in requests in flight per
+    slot of the ring's targets; `share` is the maximum share of calls that spill.
     """
 
     enter: float = 0.8
@@ -48,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeBudget:
-    """Probe budget of a region, for all its nodes together.
+    """Load probes of a region, and their bytes, per second for all nodes together.
 
     Each node uses an equal share: the budget divided by the number of nodes of the
     region that it knows of, or by `planned_nodes` if this is larger.
--- a/pimentoline/rules/policy_table.py
+++ b/pimentoline/rules/policy_table.py
@@ -11,7 +11,7 @@
 # Calls with these methods, which HTTP defines as safe, are idempotent without a rule.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 # Rule kinds that select by service, method and path, each with a function that returns
-# the values of `CallPolicy` that a rule sets.
+# the attributes of `CallPolicy` that a rule sets, as a dict.
 CALL_RULE_KINDS = {
     "idempotent": lambda rule: {"idempotent": True},
     "deadline": lambda rule: {"deadline_s": rule.deadline_s},
@@ -32,6 +32,7 @@
     __slots__ = ("match_all_number", "pattern", "rules")
 
     def __init__(self, rules):
+        # Number 0 stands for no rule.
         self.rules = [None]
         # Number of the rule for `*`, or 0 if there is none.
         self.match_all_number = 0
@@ -118,9 +119,9 @@
             found["retry"] = self._retry
         return found
 
-    def _create_policy(self, found):
+    def _create_policy(self, matching):
         values = {"idempotent": self._is_safe_method}
-        for kind, rule in found.items():
+        for kind, rule in matching.items():
             if kind == "retry":
                 values["retry_share"] = rule.share
             else:
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -25,7 +25,7 @@
     rules: tuple = ()
     # kind: {selector: (index in `rules`, first rule with this selector)}
     _first_rules: dict = field(init=False, repr=False, compare=False)
-    # Services that are named in rules about calls.
+    # Services that are named in the rules that determine a `CallPolicy`.
     _services_with_rules: frozenset = field(init=False, repr=False, compare=False)
     # (service, method): PolicyTable, created when first needed
     _policy_tables: dict = field(init=False, repr=False, compare=False)
@@ -64,7 +64,7 @@
         Returns
         -------
         dict of str to Rule
-            Rules by kind, without the kinds of which no rule matches.
+            First matching rule by kind; kinds without a matching rule are left out.
         """
         return self._policy_table(service, method).matching_rules(path)
 
@@ -96,7 +96,7 @@
         Returns
         -------
         dict of str to Rule
-            Rules by kind, without the kinds of which no rule matches.
+            First matching rule by kind; kinds without a matching rule are left out.
         """
         service, region = target.service, target.region
         found = {
@@ -191,5 +191,5 @@
         return None if rule is None else rule.share
 
 
-def _rule_index(entry):
-    return entry[0]
+def _rule_index(indexed_rule):
+    return indexed_rule[0]
