Reword doubts of a fresh reading in policies and commands

The hot-cold policy called targets with a free slot cold, although its head uses the word for the lower part of the sample; name them not_full, and say what the policy returns if none is cold.

--- a/pimentoline/commands/base.py
+++ b/pimentoline/commands/base.py
@@ -45,7 +45,7 @@
     Attributes
     ----------
     name, summary : str
-        Set from the table in `_mapping`.
+        Name and summary in the help text, set from the table in `_mapping`.
     arguments : tuple of str
         Names of the required arguments. If the last name ends with `...`, this
         argument may be repeated.
--- a/pimentoline/commands/output.py
+++ b/pimentoline/commands/output.py
@@ -45,8 +45,9 @@
         ----------
         code : str
         problems : list
-            Objects whose text describes a problem. With `--json` they are written to
-            standard output as one line; else to standard error, one line each.
+            Objects whose text describes a problem. With `--json`, the code and all
+            problems are written to standard output as one line of JSON; otherwise, each
+            problem is written to standard error as a line with the code.
         """
         if self.as_json:
             print(json.dumps({"error": code, "problems": [str(p) for p in problems]}))
--- a/pimentoline/policies/base.py
+++ b/pimentoline/policies/base.py
@@ -15,8 +15,9 @@
     def accepts(self, candidate, service, now):
         """Return whether a candidate should be used if there are others.
 
-        A locality ring without an accepted candidate is skipped. By default, every
-        candidate that is not ejected is accepted. The parameters are those of `choose`.
+        A locality ring without an accepted candidate is skipped. The candidates do not
+        include ejected targets; by default, all are accepted. The parameters are those
+        of `choose`.
         """
         return True
 
@@ -41,7 +42,7 @@
 
 
 def weighted_sample(candidates, count, draw):
-    """Return up to `count` distinct candidates, drawn with probability by weight.
+    """Return up to `count` distinct candidates, drawn in proportion to their weights.
 
     Parameters
     ----------
@@ -62,6 +63,7 @@
     chosen = []
     while remaining and len(chosen) < count:
         if equal_weights:
+            # The quotient is the random number for the further choices.
             draw, index = divmod(draw, len(remaining))
         else:
             draw, index = _weighted_index(remaining, draw)
@@ -69,7 +71,8 @@
     return chosen
 
 
-# Bits of the draw that a weighted choice uses up; 64 bits are enough for four choices.
+# Random bits of the draw that one weighted choice uses up; the 64 bits of a draw are
+# enough for four choices.
 BITS_PER_CHOICE = 16
 
 
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -12,7 +12,7 @@
 
 __all__ = ["HotColdPolicy", "latency_estimate_s", "load_estimate"]
 
-# Targets per decision.
+# Targets compared per decision.
 SAMPLE_SIZE = 4
 HOT_QUANTILE = 0.75
 # Requests in flight per slot; at this load, further calls queue at the target.
@@ -82,18 +82,22 @@
         return stats.latency_s <= limit_s or not stats.waiting
 
     def choose(self, candidates, service, now, draw):
-        """Return the fastest cold candidate, or the least loaded one."""
+        """Return the fastest cold candidate of a random sample.
+
+        If all accepted candidates of the sample are full, the least loaded of them is
+        returned; if none is accepted, the one with the shortest expected wait.
+        """
         sampled = weighted_sample(candidates, SAMPLE_SIZE, draw)
         with_loads = [
             (candidate, load_estimate(candidate, now)) for candidate in sampled
         ]
         accepted = [pair for pair in with_loads if self.accepts(pair[0], service, now)]
-        cold = [pair for pair in accepted if pair[1] < FULL_LOAD]
-        if cold:
-            loads = sorted(load for _, load in cold)
-            hot_limit = loads[int(HOT_QUANTILE * (len(cold) - 1))]
+        not_full = [pair for pair in accepted if pair[1] < FULL_LOAD]
+        if not_full:
+            loads = sorted(load for _, load in not_full)
+            hot_limit = loads[int(HOT_QUANTILE * (len(not_full) - 1))]
             return min(
-                (candidate for candidate, load in cold if load <= hot_limit),
+                (candidate for candidate, load in not_full if load <= hot_limit),
                 key=lambda candidate: latency_estimate_s(candidate.stats, service, now),
             )
         if accepted:
--- a/pimentoline/policies/random.py
+++ b/pimentoline/policies/random.py
@@ -6,7 +6,7 @@
 
 
 class RandomPolicy(Policy):
-    """Chooses at random, with probability by weight."""
+    """Chooses at random, in proportion to the weights."""
 
     name = "random"
 
