Reword doubts of a fresh reading in the features

Two scenario titles were odd English; no page or test quotes them. The steps did not say which rows the store holds for a version, from when requests at the target are counted, or which step text a table belongs to.

--- a/features/call_interface.feature
+++ b/features/call_interface.feature
@@ -59,7 +59,7 @@
       | answers without a length      |
       | stays silent                  |
 
-  Scenario Outline: an answer that ends early is never whole
+  Scenario Outline: a caller can tell that an answer is cut
     Given a target that <fault>
     When a caller of <version> sends GET and reads to the end
     Then the caller sees a cut answer
@@ -100,7 +100,7 @@
       | CONNECT                      | 501    | unknown-method     |
       | a head of 100 KB             | 431    | head-too-large     |
 
-  Scenario: a request that breaks off is not run as a whole
+  Scenario: a request with an incomplete body is not passed on as complete
     Given a target that reads to the end
     When a caller closes after 5 of 10 bytes of its body
     Then the target has received 5 bytes and the end of the connection
--- a/features/steps/apply_steps.py
+++ b/features/steps/apply_steps.py
@@ -29,7 +29,7 @@
 
 @when("the store has faults {faults}")
 def step_faults(context, faults):
-    """Set faults of the table service."""
+    """Set faults of the table service; `faults` is the JSON body of its `/faults`."""
     set_faults(context.cluster, **json.loads(faults))
 
 
@@ -66,7 +66,7 @@
 
 @then("the command says {result} with exit status {status:d}")
 def step_result(context, result, status):
-    """Check the result and the exit status."""
+    """Check the exit status, and the result or the error code."""
     found = context.response.get("result") or context.response.get("error")
     assert (found, context.status) == (result, status), context.response
 
@@ -88,17 +88,17 @@
 def _count_versions(context):
     """Clear the faults of the store and return the number of accepted versions.
 
-    A store with versions has an audit row for each version, and a row for each rules
-    text and the head below `config/`.
+    Each version has a row under `audit/` and one under `config/`. If there is a
+    version, `config/head` is a further row.
     """
     cluster = context.cluster
     set_faults(
         cluster, down=False, silent=False, delay_s=0.0, nonsense="", writes_per_s=400.0
     )
     _, _, body = http(f"{cluster.table_url}/v1/rows?prefix=audit/")
-    rows = json.loads(body)
-    texts = json.loads(http(f"{cluster.table_url}/v1/rows?prefix=config/")[2])
-    assert len(texts) == (len(rows) + 1 if rows else 0), (
+    audit_rows = json.loads(body)
+    config_rows = json.loads(http(f"{cluster.table_url}/v1/rows?prefix=config/")[2])
+    assert len(config_rows) == (len(audit_rows) + 1 if audit_rows else 0), (
         "the head row or a text is missing"
     )
-    return len(rows)
+    return len(audit_rows)
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -13,7 +13,8 @@
 SERVICE_NUMBERS = itertools.count(1)
 # `send` replaces `{service}` by the service of the scenario.
 HOST_LINE = "Host: {service}"
-# Method and header lines of requests to be rejected, by the text of the step.
+# Method and header lines of requests that the node must reject, by the text of the
+# step "a caller sends a request with ...".
 DEFECTS = {
     "no Host": ("GET", []),
     "a Host that is no service": ("GET", ["Host: a_b"]),
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -10,7 +10,7 @@
 from tests.target_faults import OK_RESPONSE
 
 KEY_NUMBERS = itertools.count(1)
-# Faults of the table service, by the text of the step.
+# Faults of the table service, by the text of the step "a store that ...".
 STORE_FAULTS = {
     "is down": {"down": True},
     "loses an answer": {"lose_answers": 1},
@@ -89,7 +89,10 @@
 
 @when("the caller sends it again after the target is healthy")
 def step_repeat(context):
-    """Send the call with the same key again, now to a target that answers 200."""
+    """Send the call with the same key again, now to a target that answers 200.
+
+    The requests that the target received before are forgotten.
+    """
     context.target.serve = serve_responses(OK_RESPONSE)
     context.target.end_connections()
     context.target.heads.clear()
@@ -110,13 +113,13 @@
 
 @then("the target has received {runs:d} requests")
 def step_runs(context, runs):
-    """Check the number of requests at the target."""
+    """Check the number of requests at the target, counted from its repair if any."""
     assert len(context.target.heads) == runs, context.target.heads
 
 
 @when("the store recovers")
 def step_recover(context):
-    """Clear the faults of the store, after a delayed write has taken effect."""
+    """Clear the faults of the store; if a write is delayed, first wait for it."""
     if context.response.getheader("X-Error-Code") == "deadline-exceeded":
         wait_until(lambda: count_writes(context) > context.writes_before_fault)
     clear_faults(context.cluster.table_url)
