Reword doubts of a fresh reading in the tests of rules and routing

Readers had to find out elsewhere that unknown-service is the code of a node that accepts calls, why the load of 36 is high, how an example file names its results, and how large a subset is. Say so where it is used.

--- a/tests/core.py
+++ b/tests/core.py
@@ -1,4 +1,4 @@
-"""Helpers for tests of the reducer."""
+"""Helpers for tests of the reducer, which applies events to the state of a node."""
 
 import hashlib
 
@@ -39,6 +39,7 @@
         self.events = []
         self.now = 100.0
         self.calls = 0
+        # Sequence number of the last member record.
         self.seq = 0
         if rules:
             text = "".join(f"{rule} # test\n" for rule in rules.split("; "))
@@ -65,7 +66,7 @@
         self.send(ev.MembersReceived(self.now, (record,)))
 
     def start_call(self, method="GET", **fields):
-        """Start a call; return its id and the effects."""
+        """Start a call with `fields` of `Request`; return its id and the effects."""
         self.calls += 1
         req = Request(SERVICE, method, "/", self.now + 10.0, **fields)
         call = Call(self.calls, req, self.now)
@@ -117,7 +118,7 @@
         return sent.target_id
 
     def set_stats(self, name, **fields):
-        """Replace the statistics of a target."""
+        """Replace the statistics of a target; other fields get their defaults."""
         targets = self.state.traffic.targets.set(name, TargetStats(**fields))
         self.set_traffic(targets=targets)
 
@@ -131,7 +132,7 @@
 
 
 def run_scenario(policy, calls=400):
-    """Run calls with different outcomes; return the core and lists of effects.
+    """Run calls with different outcomes; return the core and a list of effect lists.
 
     Effects of added targets and of ended calls are left out.
     """
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -200,7 +200,8 @@
             op["result"] = response["result"]
 
 
-# Faults of the store, set one after another; each stays until a later entry changes it.
+# Faults of the store, as described in `standins/table.py`. They are set one after
+# another; each stays until a later entry changes it.
 FAULTS = [
     {},
     {"lose_answers": 3},
@@ -255,7 +256,7 @@
     seen = {node: [version_in_force(two_nodes, node)] for node in NODES}
 
     def poll():
-        """Note the versions in force; return the number of completed operations."""
+        """Record the versions in force; return the number of completed operations."""
         for node in NODES:
             seen[node].append(version_in_force(two_nodes, node))
         return sum(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -74,7 +74,7 @@
 
 
 def test_late_failure_does_not_prolong_ejection():
-    """Guards against ejecting again for calls that began before the ejection."""
+    """Guards against ejecting again for attempts that began before the ejection."""
     stats = fail(TargetStats(), 5)
     late = outliers.record_failure(stats, 99.0, 101.5, True, lambda: 0, 4)
     assert late == stats
@@ -188,8 +188,9 @@
     st.sampled_from([0.1, 0.02]),
 )
 def test_retries_and_hedges_stay_in_budget(outcomes, share):
-    """Guards against retries and hedges above their share, and in-flight counts that
-    are not 0 after the calls have ended.
+    """Guards against retries and hedges above their share of the first attempts.
+
+    Also guards against in-flight counts that are not 0 after the calls have ended.
     """
     core = make_core(rules=f"retry * {share:.0%}")
     calls = extra = 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,7 +10,8 @@
 from .core import HOME, SERVICE, Core, started_attempt
 
 NEAR, FAR, FARTHER = ("rift", "baringo"), ("coast", "kwale"), ("western", "bungoma")
-# Statistics and fields of targets; tests start at time 100.0.
+# Statistics and fields of targets; tests start at time 100.0. The reported load of 36
+# requests in flight is 3 per slot, as targets have 12 slots by default.
 LOADED = {"reported_load": 36, "reported_at": 100.0}
 OUTDATED_LOAD = {"reported_load": 36, "reported_at": 98.0}
 EJECTED = {"ejected_until": 101.0}
@@ -21,8 +22,9 @@
 def make_core(locations, stats=(), rules="", **options):
     """Return a core with the given targets.
 
-    `locations` maps target ids to the (region, data centre) of the target, or to that
-    and a dict of its fields; `stats` maps target ids to fields of the statistics.
+    `locations` maps each target id to its location (region, data centre), or to a pair
+    of its location and a dict of other fields of `Target`. `stats` maps target ids to
+    fields of `TargetStats`.
     """
     core = Core(rules=rules, **options)
     for name, location in locations.items():
@@ -98,7 +100,8 @@
         ({"a": HOME, "b": (HOME, {"state": TargetState.STARTING})}, {}, "", {"a"}),
         ({"a": (HOME, DRAINING)}, {}, "", {"no-target"}),
         ({"a": HOME, "b": HOME}, {}, "pause a", {"b"}),
-        # Canary releases; if the release drawn is down, the other one is used.
+        # Canary releases; if the targets of the release drawn are ejected, the other
+        # release is used.
         (
             {"old": HOME, "new": (HOME, {"version": "2"})},
             {},
@@ -161,9 +164,9 @@
 
 
 def test_unconfirmed_target_stays_until_first_failure():
-    """Guards against dropping the targets of dead nodes before they fail.
+    """Guards against dropping the targets of suspected nodes before an attempt fails.
 
-    A single failure is enough to eject such a target.
+    A single failed attempt is enough to eject such a target.
     """
     core = make_core({"a": HOME, "b": (HOME, {"status": MemberStatus.SUSPECT})})
     assert set(count_chosen(core, 60)) == {"a", "b"}
@@ -193,7 +196,10 @@
 
 
 def test_other_targets_are_used_if_the_subset_is_down():
-    """Guards against failing calls because all targets of the subset are down."""
+    """Guards against failing calls because all targets of the subset are ejected.
+
+    With 720 more nodes, this node uses a subset of 2 of the 8 targets.
+    """
     core = make_core(dict.fromkeys("abcdefgh", HOME))
     nodes = core.state.mesh.members
     for number in range(720):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,7 @@
-"""Tests of the rules parser: example files in `tests/rules` and random texts."""
+"""Tests of the rules parser: example files in `tests/rules` and random texts.
+
+`tests/rules/README.md` describes the lines of expected results in the example files.
+"""
 
 import os
 import time
@@ -21,7 +24,10 @@
 
 
 def run_query(rules, query, *words):
-    """Run a query of an example file on a `RuleSet` and return the result."""
+    """Run a query of an example file on a `RuleSet` and return the result.
+
+    `query` and `words` are the words of the line before `->`.
+    """
     match query:
         case "call":
             return rules.call_policy(*words)
@@ -76,8 +82,10 @@
 
 
 NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,8}", fullmatch=True)
+# Up to 0.1, the maximum of a `retry` rule.
 SHARES = st.integers(0, 100).map(lambda n: n / 1000)
-# Valid values by attribute; attributes that are not listed hold names.
+# Valid values by attribute; attributes that are not listed hold names. `leave` is
+# always below `enter`, as `spill` rules require.
 VALUES = {
     "method": st.sampled_from(METHODS),
     "path": st.from_regex(r"/[a-z*?/]{0,12}", fullmatch=True),
@@ -195,6 +203,7 @@
 def test_size_limit_is_one_mebibyte(tmp_path, excess, accepted):
     """Guards against a size limit that counts characters, or is off by one."""
     path = tmp_path / "edge.rules"
+    # The first line takes 4 bytes and 3 characters.
     path.write_bytes("#é\n".encode() + b"#" * (MAX_RULES_BYTES - 4 + excess))
     assert (read_rules(str(path))[1].ruleset is not None) == accepted
     assert (parse(path.read_text()).ruleset is not None) == accepted
--- a/tests/test_rules_version.py
+++ b/tests/test_rules_version.py
@@ -14,7 +14,11 @@
 
 
 def rejection_code(network, name):
-    """Return the code with which a new call is rejected."""
+    """Return the error code with which a node rejects a new call.
+
+    The network has no targets, so a node that accepts calls rejects this one as
+    `unknown-service`.
+    """
     req = Request("hive-ledger", "GET", "/", network.now + 10)
     network.dispatch(name, ev.CallArrived(network.now, 1, Call(1, req, network.now)))
     return network.rejected[-1][1]
@@ -132,7 +136,7 @@
     """Guards the limit on control-plane traffic.
 
     Otherwise a mesh of 720 nodes would gossip 720 new records after each of 1,200
-    changes.
+    changes a day.
     """
     network = make_network(6, 26)
     network.run(5)
@@ -143,7 +147,7 @@
 
 
 def test_version_is_announced_in_a_quiet_mesh():
-    """Guards P7 against a version that spreads only by pings, one a second."""
+    """Guards P7 against a version that spreads only by pings, one a second per node."""
     network = make_network(60, 27)
     network.run(10)
     network.load_rules("n0", 1)
