Reword the docstrings of the bench

Several docstrings named a parameter without saying what it means, or left out the unit, the result or the errors; "between reducer states" had to be looked up. They now say so, and the bytes left of a response body are called remaining_bytes, since "remaining" is a time elsewhere.

--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -122,22 +122,22 @@
         """Send a call; at the end of the response, call `on_response(latency_s)`."""
         self.on_response = on_response
         self.received = b""
-        self.remaining = None
+        self.remaining_bytes = None
         self.sent_at = time.perf_counter()
         self.transport.write(REQUEST % self.size)
 
     def data_received(self, data):
         """Read part of the response; its end completes the call."""
-        if self.remaining is None:
+        if self.remaining_bytes is None:
             self.received += data
             header, separator, body = self.received.partition(b"\r\n\r\n")
             if not separator:
                 return
             assert header.startswith(b"HTTP/1.1 200"), header
-            self.remaining = self.size
+            self.remaining_bytes = self.size
             data = body
-        self.remaining -= len(data)
-        if self.remaining == 0:
+        self.remaining_bytes -= len(data)
+        if self.remaining_bytes == 0:
             self.idle.append(self)
             self.on_response(time.perf_counter() - self.sent_at)
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -2,8 +2,9 @@
 
 The first part runs one real node; this process simulates all other members, which
 send it pings, synchronisations and gossip and respond to its messages. The second part
-runs real nodes only. The third measures in simulated time how fast a drain and a
-configuration spread between reducer states.
+runs real nodes only. The third runs only the reducer of each node, in simulated time
+and over a simulated network, and measures how long a drain and a configuration take to
+reach all nodes.
 
 Run: `python -m bench.capacity > FILE`; it prints Markdown.
 """
@@ -42,7 +43,8 @@
 SIMULATED_RESTARTS_S = 40.0
 REAL_REST_S = 30.0
 REAL_RESTARTS_S = 24.0
-# The extra cost of restarts is scaled to this number of restarts in the whole mesh.
+# The extra cost of restarts is scaled to this number of restarts per day in the whole
+# mesh.
 RESTARTS_PER_DAY = 110
 SIMULATED_RESTARTS_PER_S = 1.0
 REAL_RESTART_INTERVAL_S = 4.0
@@ -126,7 +128,19 @@
         return Message(name, 1, 0, body, 0, True)
 
     def on_message(self, message, addr=None):
-        """Respond to a message of the node; store the node's own record from gossip."""
+        """Respond to a message of the node; store the node's own record from gossip.
+
+        Parameters
+        ----------
+        message : Message
+        addr : tuple or None
+            Address of the sender of a datagram; None for a message over TCP.
+
+        Returns
+        -------
+        Message or None
+            The response over TCP. Responses to datagrams are sent instead of returned.
+        """
         match message.body:
             case Ping(ping_id, requester):
                 self.mesh.send((addr,), self.make_message(Ack(ping_id, requester)))
@@ -141,7 +155,17 @@
         return None
 
     async def send_traffic(self, node_addr, restarts_per_s, seconds):
-        """Send for `seconds` what one node of a mesh of this size receives."""
+        """Send the messages that one node of a mesh of this size receives.
+
+        Parameters
+        ----------
+        node_addr : tuple
+            Mesh address of the node.
+        restarts_per_s : float
+            Restarts per second in the whole mesh.
+        seconds : float
+            Duration of the traffic.
+        """
         end = self.now() + seconds
         pending_gossip = []
         for second in itertools.count():
@@ -161,8 +185,9 @@
                 await self.mesh.send_request(node_addr, self.make_message(request))
             for _ in range(int(restarts_per_s)):
                 pending_gossip.extend(self.restart_member())
-            # A node receives each gossip message as many times as a node sends it. The
-            # copies are spread over about 2 s: each second, half of them are sent.
+            # On average, a node receives each gossip message as many times as every
+            # node sends it. The copies are spread over about 2 s: each second, half of
+            # those that remain are sent.
             for message_body in [
                 item for item in pending_gossip if self.rng.random() < 0.5
             ]:
@@ -231,7 +256,13 @@
 
 
 def propagation_s(cluster, names, is_known):
-    """Return the seconds until `is_known(name)` has been true for each node name."""
+    """Return the seconds until `is_known(name)` has been true for each node name.
+
+    Raises
+    ------
+    AssertionError
+        If it is still false for a node after 15 s.
+    """
     started_at = time.monotonic()
 
     def wait(name):
@@ -341,7 +372,7 @@
 
 
 def measure_rates(cluster, names, work):
-    """Return what the nodes use while `work()` runs.
+    """Call `work()` and measure what the nodes use meanwhile.
 
     Returns
     -------
--- a/bench/config.py
+++ b/bench/config.py
@@ -42,7 +42,10 @@
 
 
 class Burst(StrictModel):
-    """Multiplies the call rate by `factor` for `length_s` seconds from `at_s` on."""
+    """Multiplies the call rate by `factor` for `length_s` seconds.
+
+    It begins `at_s` seconds after the start of the load.
+    """
 
     at_s: float
     length_s: float
--- a/bench/generator.py
+++ b/bench/generator.py
@@ -104,6 +104,13 @@
             The outcome and the error code, which is the HTTP status if the response
             has none. The outcome is `ok` for status 200, `shed` if the verdict header
             says that the call was not run, and otherwise `failed`.
+
+        Raises
+        ------
+        OSError
+            If the connection fails.
+        asyncio.IncompleteReadError
+            If the node closes the connection before the end of the response.
         """
         reader, writer = await self._connection()
         try:
@@ -150,7 +157,7 @@
         dict
             Latency histogram in microseconds in its encoded form, numbers of calls
             (`sent`, `ok`, `shed`, `failed`, `codes`), `goodput` in calls per second and
-            the longest delay of a send.
+            the longest delay of a send in milliseconds (`max_lag_ms`).
         """
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
--- a/bench/goals.py
+++ b/bench/goals.py
@@ -34,7 +34,7 @@
 
 
 def check_goals(experiment, results):
-    """Check the experiment's subject against all goals at all sizes.
+    """Check the policy `experiment.subject` against all goals at all sizes.
 
     Goals that need a condition which the experiment leaves out are not checked.
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -41,6 +41,7 @@
     "discarded runs": (lambda result: result.discarded, "{:.0f}"),
     "not answered": (lambda result: format_codes(result.error_counts), "{}"),
 }
+# Columns that are plotted, and those of them that have a logarithmic axis.
 PLOTTED = ("p50 ms", "p99 ms", "p99.9 ms", "failed %", "shed %", "wasted %")
 LOGARITHMIC = ("p50 ms", "p99 ms", "p99.9 ms")
 
@@ -55,7 +56,10 @@
 
 
 def wasted_share(result):
-    """Return the share of requests run at targets whose response reached no caller."""
+    """Return the share of wasted requests among those that targets ran.
+
+    A request is wasted if its caller got no response with status 200.
+    """
     ran = _target_counter(result, "ran")
     return max(0, ran - result.ok) / ran if ran else 0.0
 
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -135,7 +135,7 @@
 
 
 def _run_once(experiment, system, condition, result, seed):
-    """Run one condition with one seed, and the policy and capacity of `result`.
+    """Run one condition with one seed and with the policy and capacity in `result`.
 
     Returns
     -------
--- a/bench/system.py
+++ b/bench/system.py
@@ -1,4 +1,4 @@
-"""The system under test: the node, target and generator processes of one size."""
+"""The system under test: the node, target and generator processes of one `Size`."""
 
 import json
 import os
@@ -194,9 +194,10 @@
         )
 
     def set_faults(self, faults, count=None):
-        """Set the faults of the first `count` targets, or of all if it is None.
+        """Set the faults of the first `count` targets, or of all if `count` is None.
 
-        Each target gets random seeds of its own, which are derived from those given.
+        Faults are those that `POST /faults` of `standins.target` accepts. Each target
+        gets random seeds of its own, which are derived from those given.
         """
         for number, (_, target) in enumerate(self.targets[:count]):
             target_faults = dict(faults)
