--- a/bench/emulator/config.py
+++ b/bench/emulator/config.py
@@ -23,8 +23,8 @@
     at_s, for_s : float
         Start and duration, seconds.
     share : float
-        Part of the nodes of the first call kind's service, or of their targets, that
-        `slow`, `grey` and `lost` affect.
+        Share of the nodes of the first call kind's service that `lost` affects, or of
+        their targets that `slow` and `grey` affect.
     """
 
     kind: Literal["burst", "slow", "grey", "lost", "power_off"]
@@ -35,7 +35,7 @@
 
 
 class Condition(StrictModel):
-    """Faults, and a load as a multiple of the call rates of `CallKind`."""
+    """Faults, and `load` as a multiple of the call rates `CallKind.per_s`."""
 
     name: str
     load: float = Field(1.0, gt=0)
--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -27,8 +27,8 @@
 TARGET_ADDR = ("127.0.0.1", 1)
 # Duration of a probe of the target on the same host, seconds.
 PROBE_S = 0.002
-# A node that restarts together with its target uses the stored target status for this
-# long, until the first heartbeat, seconds.
+# Time from when a node and its target are up again to the first heartbeat, seconds.
+# Until then the node uses the stored target status.
 FIRST_HEARTBEAT_S = 0.4
 
 
--- a/bench/emulator/targets.py
+++ b/bench/emulator/targets.py
@@ -33,7 +33,7 @@
     calls : int
         Number of calls that the target itself makes for one request.
     calls_kind : str
-        Kind of these calls.
+        Name of the kind of these calls.
     calls_share : float
         Share of the requests for which the target makes them.
     """
@@ -110,7 +110,8 @@
     Attributes
     ----------
     name, born_ms : str, int
-        Id and start time of the target; both change at a restart.
+        Id and start time in milliseconds of the target. Both change at a restart; the
+        start time is 1 at first and grows by 1, which suffices to order the targets.
     running : int
         Number of requests that run.
     up : bool
@@ -220,7 +221,7 @@
 
 
 async def _do_work(work_s):
-    """Wait and return status 200, in the form of the target's own calls."""
+    """Wait for `work_s` seconds and return 200, like a successful call."""
     await asyncio.sleep(work_s)
     return 200
 
