Reword the request checks of the soak

"sent" was at once the dict of all requests and the body of one, and "response" held only the head; both have names of their own now. The limit of a drain check says what it limits.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,7 +30,7 @@
     sent : dict
         Tuple (path, body) of each request, by request id.
     not_run : set
-        Ids of the requests that got a status which says that they did not run.
+        Ids of the requests whose response status says that they did not run.
     statuses : dict
         Number of responses by status.
     violations : list of str
@@ -45,8 +45,8 @@
     def record_response(self, request_id, status, body):
         """Count a response; check that it is complete and for this request."""
         self.statuses[status] = self.statuses.get(status, 0) + 1
-        path, sent = self.sent[request_id]
-        if status == 200 and body != f"{request_id} {len(sent)}".encode():
+        path, sent_body = self.sent[request_id]
+        if status == 200 and body != f"{request_id} {len(sent_body)}".encode():
             self.violations.append(f"{request_id}: wrong response body {body[:40]!r}")
         if status in (408, 421, 429, 503):
             self.not_run.add(request_id)
@@ -56,8 +56,8 @@
     def check_runs(self, targets):
         """Compare the requests that ran at `targets` with those sent and rejected.
 
-        A request must run as it was sent. A sale must run at most once, and not at all
-        if its caller got a status which says that it did not run.
+        A request must run with the path and body that were sent. A sale must run at
+        most once, and not at all if its response status says that it did not run.
         """
         runs = {}
         for target in targets:
@@ -67,8 +67,8 @@
             if request_id not in self.sent:
                 self.violations.append(f"{request_id}: ran, but no caller sent it")
                 continue
-            path, sent = self.sent[request_id]
-            if any((req.path, req.body) != (path, sent) for req in requests):
+            path, sent_body = self.sent[request_id]
+            if any((req.path, req.body) != (path, sent_body) for req in requests):
                 self.violations.append(f"{request_id}: ran with another path or body")
             if path.startswith("/sale") and len(requests) > 1:
                 self.violations.append(f"{request_id}: ran {len(requests)} times")
@@ -85,7 +85,8 @@
         drained : list of tuple
             Target, and the monotonic time at which its drain was acknowledged, seconds.
         limit_s : float
-            Seconds.
+            Time after the acknowledgement within which requests are still permitted,
+            seconds.
         """
         for target, acked_at in drained:
             late = [req for req in target.received if req.at > acked_at + limit_s]
@@ -123,7 +124,8 @@
                         conn = await asyncio.open_connection(*node.cfg.callers_addr)
                     reusable = await self._call(*conn)
             except (OSError, EOFError, TimeoutError, ValueError):
-                # Without a response the call may have run or not; there is no check.
+                # Without a response, nothing can be checked: the call may or may not
+                # have run.
                 reusable = False
             if not reusable and conn is not None:
                 conn[1].transport.abort()
@@ -144,10 +146,12 @@
         )
         head += f"Content-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
-        response = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").lower()
-        status = int(response.split(" ")[1])
-        length = int(response.partition("content-length: ")[2].split("\r\n")[0] or 0)
+        response_head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").lower()
+        status = int(response_head.split(" ")[1])
+        length = int(
+            response_head.partition("content-length: ")[2].split("\r\n")[0] or 0
+        )
         self.checker.record_response(
             request_id, status, await reader.readexactly(length)
         )
-        return "connection: close" not in response
+        return "connection: close" not in response_head
