Reword the docstrings of the stand-ins and of the packaging

"Members" meant both the members of the mesh and the keys of a JSON body; the latter are keys now. Docstrings say what the parameter "call" holds, when a drained target is removed, how the launcher knows its trailer, and which types of an archive entry it distinguishes. The flag help text of "region" is plainer.

--- a/packaging_tools/build.py
+++ b/packaging_tools/build.py
@@ -1,8 +1,9 @@
 """Builds `dist/pimentoline`, one file that runs as one process without using a disk.
 
 PyInstaller collects the interpreter and the modules in a directory. The program is a
-small launcher with that directory appended as a compressed archive. PyInstaller's
-own one-file mode is not used, since it runs the program as a child process.
+small launcher with that directory appended as a compressed archive. The launcher
+unpacks the archive to memory. PyInstaller's own one-file mode is not used, since it
+runs the program as a child process.
 """
 
 import gzip
@@ -17,6 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build"
 PROGRAM = ROOT / "dist" / "pimentoline"
+# Last bytes of the program, by which launcher.c recognises the trailer.
 MAGIC = b"PIMENTO1"
 # Modules that the program does not need.
 EXCLUDED_MODULES = (
--- a/packaging_tools/launcher.c
+++ b/packaging_tools/launcher.c
@@ -94,7 +94,8 @@
 
 /*
  * Unpacks directories, symbolic links and files. Offsets in a ustar header: 0 name,
- * 100 mode, 124 size, 156 type, 157 link target, 345 prefix of the name.
+ * 100 mode, 124 size, 156 type ('5' directory, '2' symbolic link), 157 link target,
+ * 345 prefix of the name. A block of zeros ends the archive.
  */
 static void unpack(const char *dir) {
   char header[BLOCK_BYTES], path[PATH_MAX];
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -108,7 +108,8 @@
     Raises
     ------
     AssertionError
-        With `message`, if the value is still false after `timeout_s`.
+        If the value is still false after `timeout_s`. The text of the error names what
+        was waited for, as given by `message`.
     """
     deadline = time.monotonic() + timeout_s
     while True:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -14,7 +14,7 @@
 
 from .cluster import Cluster, wait_until
 
-# host: (region, dc, service of its target)
+# Tuple (region, data centre, service of its target) by host.
 HOSTS = {
     "baringo-1": ("rift", "baringo", "hive-ledger"),
     "kerio-1": ("rift", "kerio", "quality-desk"),
@@ -131,7 +131,7 @@
     def apply(self, base, text):
         """Apply rules at one node; return the seconds until all nodes use them.
 
-        `base` is the version that the rules replace; theirs is `base` + 1.
+        `base` is the version that the rules replace; their own version is `base` + 1.
         """
         args = ["apply", "-", "--author=demo", f"--base={base}"]
         started = time.monotonic()
@@ -165,8 +165,8 @@
         time.sleep(0.5)
         before = traffic.served_by[target]
         time.sleep(1.0)
-        new = traffic.served_by[target] - before
-        self.check(f"{target} is {state}: {new} new calls", new == 0)
+        new_calls = traffic.served_by[target] - before
+        self.check(f"{target} is {state}: {new_calls} new calls", new_calls == 0)
 
     def stop_node(self):
         """Stop a node that gets no calls from callers; check its exit status."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -142,7 +142,10 @@
         self.finish(json.dumps(item | extra))
 
     async def get(self, call):
-        """Send the rows of a table, or wait for its changes and send these."""
+        """Send the rows of a table, or wait for its changes and send these.
+
+        `call` is `rows-get` for the rows, or else `rows-feed` for the changes.
+        """
         store = self.store
         table = self.get_query_argument("table")
         if call == "rows-get":
@@ -177,7 +180,10 @@
                 continue
 
     async def post(self, call):
-        """Apply a transaction, or reject it if a row has an unexpected version."""
+        """Apply a transaction, or reject it if a row has an unexpected version.
+
+        `call` is not used; all requests of this method are `rows-tx`.
+        """
         store = self.store
         body = json.loads(self.request.body)
         expected = body["expected_rev"]
@@ -206,7 +212,7 @@
 class ReceivedRequest:
     """A request that a target received.
 
-    `disconnected` tells that the caller closed the connection before the response. `at`
+    `disconnected` is true if the caller closed the connection before the response. `at`
     is the time of arrival on the monotonic clock, seconds.
     """
 
@@ -371,7 +377,7 @@
     async def send_heartbeat(self, node, state="ready", **changes):
         """Send a heartbeat to a node; return the status of the response.
 
-        `changes` are members of the body to add or replace.
+        `changes` are keys of the JSON body to add or replace, with their values.
         """
         self.sequence += 1
         body = {
--- a/standins/table.py
+++ b/standins/table.py
@@ -4,8 +4,8 @@
 docs/design.md. A request above the rate limit is rejected with status 429 before its
 body is parsed, a malformed one with status 400.
 
-Faults are set by `POST /faults` with a JSON object. It may have any of these members;
-those that it leaves out keep their values:
+Faults are set by `POST /faults` with a JSON object. It may have any of these keys;
+faults that it leaves out keep their values:
 
 down : bool
     Every request is rejected with status 503.
@@ -80,7 +80,7 @@
 class Table:
     """Rows, injected faults and request counters of the table service.
 
-    The faults are described at the head of this module.
+    The docstring of this module describes the faults.
 
     Attributes
     ----------
--- a/standins/target.py
+++ b/standins/target.py
@@ -82,11 +82,11 @@
     Attributes
     ----------
     initial : dict
-        Initial values of the fields above.
+        Initial values of all parameters, by name.
     runs : list of str
         Run ids of the requests that ran, in order.
     counters : Counter
-        By the names that `GET /faults` returns.
+        Counters, by the names under which `GET /faults` returns them.
     open_connections, silent_connections : set of IOStream
         Connections that are open, and those of them that get no more responses.
     open_calls : set of WorkHandler
@@ -281,7 +281,10 @@
             await asyncio.Event().wait()
 
     def on_finish(self):
-        """Count the bytes of the request and its response, and those across regions."""
+        """Count the bytes of the request and its response.
+
+        If the caller is in another region, the bytes are also counted as cross-region.
+        """
         stream, counters = self.stream, self.model.counters
         counters[f"{self.kind}_bytes_in"] += stream.bytes_in
         counters[f"{self.kind}_bytes_out"] += stream.bytes_out
@@ -459,9 +462,10 @@
 
 
 async def withdraw(model, node_admin):
-    """Drain the target at its node, complete the calls and remove the target.
+    """Drain the target at its node, wait until its calls end and remove the target.
 
-    Nodes that do not know of the drain yet may still send calls, which are served.
+    Nodes that do not know of the drain yet may still send calls, which are served. The
+    target is removed once no call has arrived for `QUIET_PERIOD_S`.
     """
     loop = asyncio.get_running_loop()
     base = f"http://{node_admin}/v1/targets/{model.target_id}"
@@ -485,7 +489,7 @@
 
 
 async def serve(model, port, node_admins):
-    """Serve until SIGTERM, then drain, complete the calls and return.
+    """Serve until SIGTERM, then drain, wait until all calls end and return.
 
     Parameters
     ----------
@@ -549,7 +553,7 @@
     flags.DEFINE_string("target_id", "t1", "Id of the target.")
     flags.DEFINE_string("service", "hive-ledger", "Service of the target.")
     flags.DEFINE_string(
-        "region", "", "Region; bytes of callers elsewhere are counted apart."
+        "region", "", "Region; traffic with other regions is also counted separately."
     )
     flags.DEFINE_integer("slots", 12, "Maximum number of requests that run at once.")
     flags.DEFINE_integer("connections", 260, "Maximum number of open connections.")
