Name positional arguments and vague variables of the bench

Bare numbers in the calls of Message, Member and RetryLimits had to be looked up in other files; comments give the parameters now. A clock function was called "now" and a time "end", and a stand-in called the checks of a transaction "i".

--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -39,7 +39,10 @@
 
 
 class Responder(asyncio.Protocol):
-    """A target that responds at once with a body of the size given in the query."""
+    """A target that responds at once with a body of the size given in the query.
+
+    All connections share `responses`, the bytes of each response by body size.
+    """
 
     responses = {}
 
@@ -104,7 +107,8 @@
 class CallerConnection(asyncio.Protocol):
     """A persistent connection with at most one call in flight.
 
-    Adds itself to the list `idle` after each response.
+    Adds itself to the list `idle` after each response. `size` is the size of the
+    response bodies, bytes.
     """
 
     def __init__(self, idle, size):
@@ -227,6 +231,8 @@
 def run(rounds, seconds, rates=RATES_PER_S, sizes=BODY_SIZES):
     """Measure every combination of rate and body size.
 
+    `rounds` and `seconds` are passed to `measure`.
+
     Returns
     -------
     list of dict
--- a/bench/burst.py
+++ b/bench/burst.py
@@ -32,7 +32,14 @@
     total = 0
     for effect in effects:
         if isinstance(effect, SendMessage) and isinstance(effect.body, Gossip):
-            message = Message(state.identity.node_id, 1, 0, effect.body, 0, False)
+            message = Message(
+                state.identity.node_id,
+                1,  # incarnation
+                0,  # rules_version
+                effect.body,
+                0,  # known_rules_version
+                False,  # rules_confirmed
+            )
             total += len(codec.encode(message)) * len(effect.addrs)
     return total
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -106,7 +106,7 @@
             Codec([b"test-key"]), self.on_message, lambda exc: None
         )
         self.addr = self.mesh.bind_addr(("127.0.0.1", 0))
-        self.now = time.monotonic
+        self.clock = time.monotonic
         identity = Identity("m0", "m0", *LOCATIONS[0], self.addr, self.addr, 1)
         self.state = with_records(
             State(identity), [self.make_record(i) for i in range(count)]
@@ -119,13 +119,27 @@
         target = Target(f"t{number}", f"s{number % 89}", ("127.0.0.1", 9), region, dc)
         name = f"m{number}"
         return Member(
-            name, name, self.addr, region, dc, 1764844800000, 1, targets=(target,)
+            name,
+            name,
+            self.addr,
+            region,
+            dc,
+            1764844800000,  # incarnation: start time, milliseconds
+            1,  # seq
+            targets=(target,),
         )
 
     def make_message(self, body):
         """Return a message with a randomly chosen member as its sender."""
         name = f"m{self.rng.randrange(self.count)}"
-        return Message(name, 1, 0, body, 0, True)
+        return Message(
+            name,
+            1,  # incarnation
+            0,  # rules_version
+            body,
+            0,  # known_rules_version
+            True,  # rules_confirmed
+        )
 
     def on_message(self, message, addr=None):
         """Respond to a message of the node; store the node's own record from gossip.
@@ -146,7 +160,7 @@
                 self.mesh.send((addr,), self.make_message(Ack(ping_id, requester)))
             case SyncRequest():
                 return self.make_message(
-                    sync_reply(self.state, message.body, self.now())
+                    sync_reply(self.state, message.body, self.clock())
                 )
             case Gossip(records):
                 own = [r for r in records if r.node_id == message.sender]
@@ -166,10 +180,10 @@
         seconds : float
             Duration of the traffic.
         """
-        end = self.now() + seconds
+        ends_at = self.clock() + seconds
         pending_gossip = []
         for second in itertools.count():
-            if self.now() >= end:
+            if self.clock() >= ends_at:
                 return
             self.mesh.send(
                 (node_addr,), self.make_message(Ping(self.rng.getrandbits(60)))
@@ -208,7 +222,7 @@
             replace(starting, seq=2, targets=current.targets),
         )
         for record in changes:
-            self.state = with_records(self.state, [record], self.now())
+            self.state = with_records(self.state, [record], self.clock())
             yield from [Gossip((record,))] * (GOSSIP_SENDS * GOSSIP_FANOUT)
 
 
--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -160,7 +160,11 @@
     """The caller's side of calls, with a given placement policy and random numbers."""
 
     def __init__(self, node, clock, policy, rng):
-        limits = RetryLimits(0.2, 10.0, 64.0)
+        limits = RetryLimits(
+            0.2,  # ratio
+            10.0,  # window_s
+            64.0,  # allowance
+        )
         super().__init__(node.service, node.location, node, None, limits, clock)
         self._policy = policy
         self._rng = rng
@@ -290,7 +294,7 @@
                 TARGET_ADDR,
                 self.service,
                 target_model.born_ms,
-                int(self.clock() * 1000) + 1,
+                int(self.clock() * 1000) + 1,  # sequence
                 TargetState.READY,
                 target_model.traits.slots,
                 target_model.remaining_cold_s(),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -187,11 +187,14 @@
         store = self.store
         body = json.loads(self.request.body)
         expected = body["expected_rev"]
-        if any(store.version_of(i["table"], i["key"]) != i["ver"] for i in expected):
+        if any(
+            store.version_of(check["table"], check["key"]) != check["ver"]
+            for check in expected
+        ):
             rows = [
-                store.row(i["table"], i["key"])
-                for i in expected
-                if store.version_of(i["table"], i["key"])
+                store.row(check["table"], check["key"])
+                for check in expected
+                if store.version_of(check["table"], check["key"])
             ]
             self.set_status(412)
             self._respond(rows)
