Name the policy product in the docstring of the emulator's policies

The docstring spoke of "that of pimentoline" and left the reader to find out that this is the policy called product in the experiment file.

--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -1,4 +1,4 @@
-"""The placement policies to compare: that of pimentoline and two baselines."""
+"""The placement policies to compare: `product` (pimentoline's) and two baselines."""
 
 from pimentoline.twohop.placement import choose, network_cost
 
