--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -39,7 +39,10 @@
 
 
 class Responder(asyncio.Protocol):
-    """A target that responds at once with a body of the size given in the query."""
+    """A target that responds at once with a body of the size given in the query.
+
+    All connections share `responses`, the bytes of each response by body size.
+    """
 
     responses = {}
 
@@ -104,7 +107,8 @@
 class CallerConnection(asyncio.Protocol):
     """A persistent connection with at most one call in flight.
 
-    Adds itself to the list `idle` after each response.
+    Adds itself to the list `idle` after each response. `size` is the size of the
+    response bodies, bytes.
     """
 
     def __init__(self, idle, size):
@@ -122,22 +126,22 @@
         """Send a call; at the end of the response, call `on_response(latency_s)`."""
         self.on_response = on_response
         self.received = b""
-        self.remaining = None
+        self.remaining_bytes = None
         self.sent_at = time.perf_counter()
         self.transport.write(REQUEST % self.size)
 
     def data_received(self, data):
         """Read part of the response; its end completes the call."""
-        if self.remaining is None:
+        if self.remaining_bytes is None:
             self.received += data
             header, separator, body = self.received.partition(b"\r\n\r\n")
             if not separator:
                 return
             assert header.startswith(b"HTTP/1.1 200"), header
-            self.remaining = self.size
+            self.remaining_bytes = self.size
             data = body
-        self.remaining -= len(data)
-        if self.remaining == 0:
+        self.remaining_bytes -= len(data)
+        if self.remaining_bytes == 0:
             self.idle.append(self)
             self.on_response(time.perf_counter() - self.sent_at)
 
@@ -227,6 +231,8 @@
 def run(rounds, seconds, rates=RATES_PER_S, sizes=BODY_SIZES):
     """Measure every combination of rate and body size.
 
+    `rounds` and `seconds` are passed to `measure`.
+
     Returns
     -------
     list of dict
