Rename RoutePlan.unconfirmed to node_not_alive

MeshState.unconfirmed holds targets whose node left or died, and a peer is unconfirmed in the version check. The set in RoutePlan also includes the targets of suspect nodes, so it gets a name of its own.

--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -88,7 +88,7 @@
         Members that the plan was derived from.
     node_counts : NodeCounts
         Number of nodes by location, from which the subsets of the targets follow.
-    unconfirmed : frozenset of str
+    node_not_alive : frozenset of str
         Ids of the targets whose node is suspect, leaving or dead.
     routes : Map of str to Route
         By service.
@@ -96,7 +96,7 @@
 
     members: Map
     node_counts: NodeCounts
-    unconfirmed: frozenset
+    node_not_alive: frozenset
     routes: Map
 
 
@@ -144,19 +144,22 @@
     members, traffic = state.mesh.members, state.traffic
     plan = traffic.plan
     node_counts = count_nodes(members, state.identity)
-    unconfirmed = frozenset(
+    node_not_alive = frozenset(
         target.target_id
         for record in members.values()
         if record.status is not MemberStatus.ALIVE
         for target in record.targets
     )
     if plan is None:
-        plan = RoutePlan(members, node_counts, unconfirmed, Map())
+        plan = RoutePlan(members, node_counts, node_not_alive, Map())
     else:
         if plan.node_counts == node_counts:
             node_counts = plan.node_counts
         plan = replace(
-            plan, members=members, node_counts=node_counts, unconfirmed=unconfirmed
+            plan,
+            members=members,
+            node_counts=node_counts,
+            node_not_alive=node_not_alive,
         )
     present = {
         target.target_id
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -187,7 +187,7 @@
         others = (item for item in target_ids if item != attempt.target_id)
         return sum(_target_stats(state, item).ejected_until > now for item in others)
 
-    if plan is not None and attempt.target_id in plan.unconfirmed:
+    if plan is not None and attempt.target_id in plan.node_not_alive:
         # The target's node is suspect or gone, so its host has probably failed.
         decisive = True
     return outliers.record_failure(
