Reword the docstrings of the mesh and say what handlers return

The event handlers return a pair that no docstring named. Member was described as written only by its own node, although other nodes change its status. A missing sender address means a request over TCP, which is now said where it is handled.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -1,4 +1,7 @@
-"""pimentoline.calls: handling of a call from its arrival to the end of its response."""
+"""pimentoline.calls: handling of a call from its arrival to the end of its response.
+
+Each event handler returns the new state and a tuple of effects.
+"""
 
 from . import claims, retries, routing, traffic_stats
 from .effects import (
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -203,9 +203,10 @@
 class MessageReceived:
     """A message arrived from a peer.
 
-    `addr` is the mesh address of the sender, or None if it is not known; `body` is an
-    instance of a data class of `messages`; `is_reply` is True if the message is the
-    reply to a message of this node. The other fields are those of `messages.Message`.
+    `addr` is the mesh address of the sender, or None for a request received over TCP,
+    where that address is not known. `body` is an instance of a data class of
+    `messages`. `is_reply` is True if the message is the reply to a message of this
+    node. The other fields are those of `messages.Message`.
     """
 
     now: float
@@ -223,8 +224,8 @@
     """A peer or the store reported a rules version.
 
     `source` is the node id of the peer, "store", or "nobody". `confirmed` is True if
-    the store reported the version. A node without a store sets it, with the source
-    "nobody", once a peer has responded or if it has no other node to query.
+    the store reported the version. A node without a store confirms version 0, with the
+    source "nobody", once a peer has responded or if it has no other node to query.
     """
 
     now: float
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -4,6 +4,9 @@
 other members to ping that member too (indirect pings). If no ack arrives through them
 either, the node marks the member as suspect, and declares it dead after a timeout
 unless the member refutes the suspicion.
+
+All public functions except `start_suspicion` return the new state and a tuple of
+effects; `start_suspicion` returns only the state.
 """
 
 import random
@@ -44,7 +47,7 @@
 def check_members(state, now, draw):
     """Check the pending ping, send the next one if due, and declare suspects dead.
 
-    `draw` is a random integer. It seeds the choice of members, and it is the ID of the
+    `draw` is a random integer. It seeds the choice of members, and it is the id of the
     ping that is sent.
     """
     state, effects = _check_pending_ping(state, now, draw)
@@ -101,7 +104,7 @@
 
 
 def start_suspicion(state, record, now):
-    """If `record` is of a suspect, start the timeout that declares the suspect dead."""
+    """If `record` is of a suspect, set the time at which it is declared dead."""
     mesh = state.mesh
     if record.status is not MemberStatus.SUSPECT:
         return state
@@ -131,8 +134,8 @@
 def on_ping(state, ping, sender, addr, now):
     """Acknowledge a ping, and synchronise with the sender if it is not a known member.
 
-    If this node considers the sender suspect or dead, it sends the sender that record,
-    so that the sender can refute it.
+    If this node considers the sender suspect or dead, it sends the sender the record
+    with that status, so that the sender can refute it.
     """
     effects = (SendMessage((addr,), Ack(ping.ping_id, ping.requester)),)
     known = state.mesh.members.get(sender)
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -1,4 +1,8 @@
-"""pimentoline.gossip: gossip of new member records, and synchronisation."""
+"""pimentoline.gossip: gossip of new member records, and synchronisation.
+
+`push_gossip`, `request_sync` and `sync_when_due` return the new state and a tuple of
+effects.
+"""
 
 import random
 from dataclasses import replace
@@ -26,9 +30,9 @@
 ]
 
 GOSSIP_FANOUT = 3
-# Bounds the burst after the loss of a data centre (120 nodes): with 60 records, a node
-# sends 41 KB/s, above the limit of 27 KB/s. The remaining records are sent in the next
-# rounds, one every 200 ms.
+# Bounds the burst after the loss of a data centre (120 nodes): with 60 records in a
+# round, a node sends 41 KB/s, above the limit of 27 KB/s. The remaining records are
+# sent in the next rounds, one round every 200 ms.
 MAX_RECORDS_PER_PUSH = 20
 SYNC_INTERVAL_S = 60.0
 # Bounds the rate of synchronisations triggered by messages: pings from unknown senders,
@@ -51,7 +55,7 @@
 
 
 def push_gossip(state, now, draw):
-    """Send the newest records to a few random peers.
+    """Send the newest records to `GOSSIP_FANOUT` random peers.
 
     Each record is sent in a limited number of rounds. Every message carries the rules
     version, so a message without records is sent if only the version is new.
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -80,7 +80,7 @@
 def with_own_record(state, now=0.0, **changes):
     """Return the state with a newer record of this node, queued for gossip.
 
-    `changes` are fields of `Member`. `now` is needed only if they include the status.
+    `changes` are fields of `Member`. `now` is needed only if the status changes.
     """
     record = own_record(state)
     changes = {"seq": record.seq + 1, "rules_version": state.rules.version} | changes
@@ -148,7 +148,7 @@
 
 
 def _keep_unconfirmed(unconfirmed, record, since, now):
-    """Keep the targets of a node that left or died at `since` as unconfirmed."""
+    """Return `unconfirmed` with the targets of a node that left or died at `since`."""
     until = since + UNCONFIRMED_RETENTION_S
     for target in record.targets:
         if target.state is TargetState.GONE:
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -1,4 +1,7 @@
-"""pimentoline.membership: event handlers of the membership protocol."""
+"""pimentoline.membership: event handlers of the membership protocol.
+
+Each handler returns the new state and a tuple of effects.
+"""
 
 from dataclasses import replace
 
@@ -71,7 +74,8 @@
     """Handle a message of the membership protocol and ignore all others."""
     now = event.now
     if event.addr is None and isinstance(event.body, (Ping, PingReq)):
-        # Without the sender's address, no datagram can be sent in response.
+        # The message came over TCP, but the response is a datagram, which needs the
+        # address of the sender.
         return state, ()
     match event.body:
         case Gossip(records):
@@ -99,6 +103,7 @@
     )
     state, effects = _merge_records(state, records, event.now)
     if event.addr is None:
+        # Over TCP, the sender waits for a reply.
         return state, effects + (Reply(SyncReply((), ())),)
     if declared_dead:
         # Members do not gossip to a dead member, so this node has missed updates.
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -89,13 +89,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """Record of one node in the mesh, written only by that node.
-
-    Of two records of a node, the one with the higher `(incarnation, seq)` is valid;
-    `incarnation` is the node's start time in milliseconds. `addr` is the node's mesh
-    address, and `targets` are the targets on its host. `age_s` is set only in messages:
-    seconds since the node left or died, so that all receivers delete its record at the
-    same time.
+    """Record of one node in the mesh.
+
+    A node writes its own record; other nodes change only the status, to `SUSPECT` or
+    `DEAD`. Of two records of a node, the one with the higher `(incarnation, seq)` is
+    valid; if these are equal, the status decides. `incarnation` is the node's start
+    time in milliseconds. `addr` is the node's mesh address, and `targets` are the
+    targets on its host. `rules_version` was in force when the node wrote the record.
+    `age_s` is set only in messages: seconds since the node left or died, so that all
+    receivers delete its record at the same time.
     """
 
     node_id: str
@@ -435,7 +437,7 @@
         Routable targets by service. Derived from `members` and `unconfirmed`, and
         cached for fast routing.
     unconfirmed : Map of str to UnconfirmedTarget
-        By target id.
+        Targets whose node left or died, by target id.
     ended_at : Map of str to float
         Monotonic time at which a member left or died, seconds, by node id.
     suspect_deadlines : Map of str to float
@@ -479,9 +481,9 @@
     Parameters
     ----------
     last_called : Map of str to float
-        Monotonic time of the latest call of a service, seconds.
+        Monotonic time of the latest call of a service, seconds, by service name.
     last_probed : Map of str to float
-        Monotonic time of the latest probe of a target, seconds.
+        Monotonic time of the latest probe of a target, seconds, by target id.
     in_flight : frozenset of str
         Ids of the targets of the probes in flight.
     joined_at : float
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -3,6 +3,9 @@
 A probe requests a target's load endpoint. The nodes of a region divide its budget
 into equal shares without coordination: each node uses one share, and the number of
 shares is at least the number of nodes that it knows of.
+
+`on_tick` and `on_probe_ended` return the new state and a tuple of effects;
+`record_call` returns only the state.
 """
 
 from immutables import Map
--- a/pimentoline/rules_version.py
+++ b/pimentoline/rules_version.py
@@ -1,4 +1,7 @@
-"""pimentoline.rules_version: the rules version in force and fetches of newer ones."""
+"""pimentoline.rules_version: the rules version in force and fetches of newer ones.
+
+Each event handler returns the new state and a tuple of effects.
+"""
 
 import random
 from dataclasses import replace
@@ -75,7 +78,7 @@
 
     It succeeds once the store or a confirmed peer has reported its version and the
     highest known version is in force. A peer is confirmed if it has completed a version
-    check itself.
+    check itself. `confirmed` is True if the event being handled is such a report.
     """
     rules = state.rules
     if not rules.version_check_pending:
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -1,4 +1,8 @@
-"""pimentoline.target_states: states of the targets on this host, expiry of targets."""
+"""pimentoline.target_states: states of the targets on this host, expiry of targets.
+
+The event handlers and `expire_own_targets` return the new state and a tuple of effects;
+the other public functions return only the state.
+"""
 
 from dataclasses import replace
 
