Reword the docstrings of calls, attempts and claims

In the claim writer, an attempt is a call at one node, elsewhere a single request to a target; the docstring now says so. Outcome meant the recorded response there. Some pronouns had two possible referents, and the callables referred to another class.

--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -12,8 +12,8 @@
 
 __all__ = ["AttemptRunner"]
 
-# The rest of a response that is not needed is read for this long, so that the
-# connection can be reused.
+# The rest of a response that is not needed is read for at most this long, so that the
+# connection can be reused if the response ends in time.
 DISCARD_TIMEOUT_S = 0.5
 
 
@@ -61,7 +61,7 @@
     def start(self):
         """Send the request on an idle connection, or on a new one once it is open."""
         if not self.handler.replayable:
-            # The beginning of the body is no longer buffered.
+            # The beginning of the body is no longer buffered and cannot be sent again.
             self._end(ev.AttemptOutcome.BROKEN, Verdict.NOT_RUN)
             return
         proxy = self.handler.proxy
--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -198,7 +198,7 @@
 
 
 def on_claim_resolved(state, event):
-    """Send a call whose claim was granted; otherwise reject it or replay a response."""
+    """Send the call if its claim was granted; otherwise replay a response or reject."""
     record = state.traffic.calls.get(event.call_id)
     if record is None:
         return state, ()
@@ -275,8 +275,8 @@
 def on_attempt_ended(state, event):
     """Handle an attempt that ended without a response.
 
-    If another attempt is in flight, the call waits for it. Otherwise it is retried or
-    rejected.
+    If another attempt is in flight, the call waits for that one. Otherwise the call is
+    retried or rejected.
     """
     record = state.traffic.calls.get(event.call_id)
     attempt = record and _find_attempt(record, event.attempt_id)
@@ -284,7 +284,7 @@
         return state, ()
     if event.outcome is AttemptOutcome.REUSED_CONNECTION_TIMEOUT:
         # The reused connection may be broken while new ones to the target work, so
-        # this is no failure of the target.
+        # the timeout does not count as a failure of the target.
         state = traffic_stats.release_attempt(state, attempt)
     else:
         state = traffic_stats.record_failure(state, record, attempt, event)
--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -12,8 +12,9 @@
 
 FIRST_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 5.0
-# Outcomes and releases are retried during a store outage of up to this length. After
-# that the claim stays without an outcome, which is safe: the key is not run again.
+# During a store outage, writes of recorded responses and releases of claims are retried
+# for this long. After that, the claim stays without a recorded response, which is safe:
+# no other call with the key runs.
 MAX_RETRY_TIME_S = 600.0
 # Bounds the memory that pending writes take during an outage; each takes about 2 KiB
 # plus up to 4 KiB of recorded body.
@@ -23,25 +24,33 @@
 class ClaimWriter:
     """Inserts, releases and completes the claims of one node.
 
-    A claim lets one attempt run the call with an idempotency key. It is two rows:
-    `claim/<service>/<key>` names the attempt that holds the key, and
-    `claimant/<attempt>` exists only while that attempt holds it.
+    A claim lets at most one of the calls with an idempotency key run. In this class, an
+    attempt is one call at one node, however often the node sends it to targets; its id
+    is `attempt_prefix` followed by the call id. A claim has two rows:
+    `claim/<service>/<key>` contains the id of the attempt that holds the key, and
+    `claimant/<attempt>` exists while that attempt holds the key and has not finished.
 
     Row versions of the table service begin at 1 again after a deletion, so a late or
     repeated deletion that checked only the version of the claim could delete the claim
     of another node. The attempt id in the key of the second row makes every write
-    conditional on the attempt. If the outcome of an insertion is unknown, a row
-    `void/<attempt>` makes it fail if it reaches the store later.
+    conditional on the attempt. If it is unknown whether an insertion has taken effect,
+    a row `void/<attempt>` makes the insertion fail if it reaches the store later.
 
     Parameters
     ----------
     store : Store or None
     attempt_prefix : callable
-        Returns the prefix of this node's attempt ids.
+        Returns the prefix of this node's attempt ids, unique to each run of the node.
     is_waiting : callable
         Called with a call id; returns whether the call still waits for its claim.
-    dispatch, clock, draw, count : callable
-        As for `Proxy`; `count` increases a counter of the metrics.
+    dispatch : callable
+        Passes an event to the reducer.
+    clock : callable
+        Monotonic clock, seconds.
+    draw : callable
+        Returns a random 64-bit integer.
+    count : callable
+        Increases a metrics counter, given its name.
     """
 
     def __init__(self, store, attempt_prefix, is_waiting, dispatch, clock, draw, count):
@@ -103,7 +112,7 @@
         )
 
     async def _claim(self, key, attempt):
-        """Return (outcome, recorded response or None, whether it is settled).
+        """Return (outcome, recorded response or None, settled).
 
         An insertion that is not settled may have taken effect or may still do so.
         """
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -52,8 +52,8 @@
 class ClaimOutcome(enum.Enum):
     """Result of claiming an idempotency key in the store.
 
-    `HELD` means that another attempt holds the claim, and `REPLAY` that the response
-    to an earlier call with the key has been recorded.
+    `HELD` means that another call holds the claim, and `REPLAY` that the response to an
+    earlier call with the key has been recorded.
     """
 
     GRANTED = "granted"
