Rename vague local names in the reducer, throttling, prober and explain

MAX_RATIO and PARAMS did not say which ratio and which parameters. The effects that reject a call were called a refusal, and a target id was called a name.

--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -37,14 +37,14 @@
     ruleset = state.rules.ruleset
     path = query.path.split("?")[0]
     policy = ruleset.call_policy(query.service, query.method, path)
-    budget_s = policy.deadline_s
+    remaining_s = policy.deadline_s
     if query.deadline_ms is not None:
-        budget_s = min(budget_s, query.deadline_ms / 1000.0)
+        remaining_s = min(remaining_s, query.deadline_ms / 1000.0)
     req = Request(
         service=query.service,
         method=query.method,
         path=path,
-        deadline=now + budget_s,
+        deadline=now + remaining_s,
         call_class=policy.call_class or query.call_class,
         key=query.key,
     )
@@ -88,7 +88,7 @@
         for target in member.targets
         if target.service == req.service
     }
-    return [found[name] for name in sorted(found)]
+    return [found[target_id] for target_id in sorted(found)]
 
 
 def _describe_target(state, target, now):
--- a/pimentoline/prober.py
+++ b/pimentoline/prober.py
@@ -19,7 +19,7 @@
 __all__ = ["Prober"]
 
 PROBE_TIMEOUT_S = 1.0
-PARAMS = HTTP1ConnectionParameters(
+CONNECTION_PARAMS = HTTP1ConnectionParameters(
     max_header_size=MAX_RESPONSE_BYTES, max_body_size=MAX_RESPONSE_BYTES
 )
 
@@ -94,7 +94,7 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 await stream.connect(effect.addr)
-                conn = HTTP1Connection(stream, True, PARAMS)
+                conn = HTTP1Connection(stream, True, CONNECTION_PARAMS)
                 start = RequestStartLine("GET", effect.path, "HTTP/1.1")
                 host = "{}:{}".format(*effect.addr)
                 headers = HTTPHeaders({"Host": host, "Connection": "close"})
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -38,9 +38,9 @@
     """
     match event:
         case ev.CallArrived():
-            refusal = rules_version.rejection_if_outdated(state, event)
-            if refusal:
-                return Step(state, refusal)
+            rejection = rules_version.rejection_if_outdated(state, event)
+            if rejection:
+                return Step(state, rejection)
             return Step(*calls.on_arrived(probing.record_call(state, event), event))
         case ev.ResponseHeadReceived():
             return Step(*calls.on_response_head(state, event))
--- a/pimentoline/throttling.py
+++ b/pimentoline/throttling.py
@@ -21,7 +21,7 @@
 # Attempts sent for each accepted one. The surplus detects a recovery: the number of
 # calls let through grows by this factor in each `DECAY_S`. With a larger factor,
 # targets would spend more of their time on shedding.
-MAX_RATIO = 1.5
+MAX_SENT_PER_ACCEPTED = 1.5
 # With a lower decayed count of attempts sent, the ratio is unreliable and no call is
 # refused.
 MIN_SENT = 10.0
@@ -71,19 +71,20 @@
 
 
 def has_excess_attempts(stats):
-    """Return whether more than `MAX_RATIO` times the accepted attempts were sent."""
-    return sum(stats.sent) > MAX_RATIO * sum(stats.accepted)
+    """Return whether the attempts sent per accepted one exceed the maximum."""
+    return sum(stats.sent) > MAX_SENT_PER_ACCEPTED * sum(stats.accepted)
 
 
 def refused_share(stats, call_class, now):
     """Return the share of the calls of a class to refuse, from 0.0 to 0.95.
 
-    The excess over `MAX_RATIO` times the accepted attempts is taken from the lowest
-    class; a higher class loses calls only if the classes below it are not enough.
+    The attempts sent in excess of `MAX_SENT_PER_ACCEPTED` for each accepted one are
+    taken from the lowest class; a higher class loses calls only if the classes below it
+    are not enough.
     """
     sent, accepted = decayed_counts(stats, now)
     total = sum(sent)
-    excess = total - MAX_RATIO * sum(accepted)
+    excess = total - MAX_SENT_PER_ACCEPTED * sum(accepted)
     if total < MIN_SENT or excess <= 0.0:
         return 0.0
     for name, count in zip(reversed(CALL_CLASSES), reversed(sent)):
