Reword the docstrings of routing, statistics and probing

The fields of _CandidateFinder were not described, a constant's comment named no constant, the length of a repeated ejection was not stated, and some sentences had to be read twice. A Release is described by version, as in the canary rules.

--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -121,7 +121,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendMessage:
-    """Send a datagram to peers; `body` is a data class of `messages`."""
+    """Send a datagram to each address; `body` is a data class of `messages`."""
 
     addrs: tuple[tuple[str, int], ...]
     body: object
--- a/pimentoline/fast_replace.py
+++ b/pimentoline/fast_replace.py
@@ -12,7 +12,7 @@
 
     `dataclasses.replace` inspects every field each time, which would take half of the
     CPU time that a node spends on a call. Assigning to the slots directly takes a fifth
-    of that.
+    of the time of `dataclasses.replace`.
     """
     names = [field.name for field in fields(cls)]
     setters = {name: getattr(cls, name).__set__ for name in names}
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -8,15 +8,15 @@
 
 __all__ = ["SLOW_START_S", "record_failure", "slow_start_share", "success_changes"]
 
-# A target is ejected after this many failures in a row, or if more than the maximum
-# rate of its latest attempts failed.
+# A target is ejected after `CONSECUTIVE_FAILURES` in a row, or if more than the share
+# `MAX_FAILURE_RATE` of its latest `WINDOW_ATTEMPTS` attempts failed.
 CONSECUTIVE_FAILURES = 5
 WINDOW_ATTEMPTS = 20
 MAX_FAILURE_RATE = 0.5
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
-# Ejecting more targets would overload the rest. If more of them fail, the cause is more
-# likely this node or the service as a whole.
+# Share of the targets of a service. Ejecting more of them would overload the rest. If
+# more of them fail, the cause is more likely this node or the service as a whole.
 MAX_EJECTED_SHARE = 0.5
 SLOW_START_S = 10.0
 # Share of its weight that a target has when its slow start begins. With less, it would
@@ -45,6 +45,9 @@
 def record_failure(stats, started, now, decisive, ejected, total):
     """Return the statistics after a failed attempt, with an ejection if one is due.
 
+    An ejection that begins within `MAX_EJECTION_S` after the previous one is twice as
+    long as that one, up to `MAX_EJECTION_S`.
+
     Parameters
     ----------
     stats : TargetStats
--- a/pimentoline/prober.py
+++ b/pimentoline/prober.py
@@ -33,7 +33,7 @@
         self.received_bytes = 0
 
     def read_from_fd(self, buf):
-        """Read into the buffer, up to the limit of all reads together."""
+        """Read into the buffer, at most `MAX_RESPONSE_BYTES` in all reads together."""
         remaining = MAX_RESPONSE_BYTES - self.received_bytes
         if remaining <= 0:
             # The stream treats 0 as the end of the connection and closes.
@@ -64,7 +64,7 @@
     """Executes `SendProbe` effects, each on a new connection.
 
     A target accepts few connections from a node. A pooled connection for probes would
-    take one of them away from calls, also while no probe is sent.
+    take one of them away from calls, even while no probe is sent.
 
     Parameters
     ----------
@@ -87,7 +87,7 @@
 
     async def _probe(self, effect):
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        # The kernel buffers no more received data than about this size.
+        # The kernel buffers at most about this many received bytes.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_RESPONSE_BYTES)
         stream = ByteCountingStream(sock)
         reader = LoadReader()
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -38,7 +38,7 @@
 # headers of 40 to 60 bytes.
 PACKET_HEADER_BYTES = 600
 MAX_PROBE_BYTES = MAX_REQUEST_BYTES + MAX_RESPONSE_BYTES + PACKET_HEADER_BYTES
-# Targets with a longer path are not probed, so that requests stay within
+# Targets with a longer load path are not probed, so that requests stay within
 # MAX_REQUEST_BYTES.
 MAX_LOAD_PATH_CHARS = 128
 # If `last_probed` has more entries, it is cleared, so that targets that no longer exist
@@ -60,6 +60,7 @@
 def count_shares(state, budget):
     """Return the number of shares that the budget of this region is divided into.
 
+    It is the number of nodes known in the region, or `planned_nodes` if this is larger.
     Records of dead members are kept for an hour and count as well, so that the nodes on
     both sides of a partition keep the shares that they had before.
     """
--- a/pimentoline/routes.py
+++ b/pimentoline/routes.py
@@ -19,14 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """The targets of a service that run one release.
+    """The targets of a service that run one version.
 
-    All releases without a canary rule together form one `Release`.
+    All versions without a canary rule together form one `Release`.
 
     Parameters
     ----------
     share : float
-        Share of the calls that a canary rule gives to the release; 1.0 without such a
+        Share of the calls that a canary rule gives to the version; 1.0 without such a
         rule.
     rings : tuple of tuple of (Target, float)
         Targets and weights by locality: this data centre, this region, other regions.
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Releases and rings of a service, and the data that they were derived from.
+    """Releases and rings of a service, and the data from which they were derived.
 
     The route is outdated if `source`, `node_counts` or `ruleset` changes.
 
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -46,7 +46,7 @@
     state : State
     record : CallRecord
     tried : set of str
-        Targets that earlier attempts of the call were sent to.
+        Ids of the targets that earlier attempts of the call were sent to.
     now : float
         Monotonic time, seconds.
     draw : int
@@ -98,7 +98,22 @@
 
 @dataclass(slots=True)
 class _CandidateFinder:
-    """Finds the candidates of a ring for one attempt of a call."""
+    """Finds the candidates of a ring for one attempt of a call.
+
+    Parameters
+    ----------
+    targets : Map of str to TargetStats
+        Statistics by target id.
+    stats : ServiceStats
+        Statistics of the called service.
+    policy : load-balancing policy of `pimentoline.policies`
+    tried : set of str
+        Ids of the targets that earlier attempts of the call were sent to.
+    now : float
+        Monotonic time, seconds.
+    draw : int
+        Random 64-bit integer.
+    """
 
     targets: object
     stats: ServiceStats
@@ -195,7 +210,7 @@
         the candidates of the rings in this region, or else of the nearest other ring.
         Empty if no ring has healthy targets.
     widest : int
-        Number of the outermost ring in use.
+        Number of the outermost ring in use, the new `widest_ring` of the service.
     credit : float
         New `spill_credit` of the service.
     """
@@ -248,7 +263,10 @@
 
 
 def _last_resort(route, finder):
-    """Return the untried candidates, ejected ones included, or else all candidates."""
+    """Return all untried targets of the rings as candidates, ejected ones included.
+
+    If there are none, the targets that the call has tried are returned.
+    """
     all_candidates = [
         Candidate(target, weight, finder.targets.get(target.target_id, NO_STATS))
         for release in route.releases
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -2,10 +2,10 @@
 
 Every node derives the same assignment from the same members. Each node demands
 `per_node` connections, and each target accepts `limit` connections. Demand is met by
-targets in the same data centre first, then in the same region, then elsewhere. Between
-a pair of data centres, the nodes take consecutive sections of a shared permutation of
-the targets, in the order of the nodes' ranks, so the number of these nodes per target
-varies by at most one.
+targets in the same data centre first, then in the same region, then elsewhere. For
+each data centre with nodes and each with targets, these nodes take consecutive sections
+of a shared permutation of these targets, in the order of the nodes' ranks, so the
+number of these nodes per target varies by at most one.
 """
 
 import hashlib
@@ -14,7 +14,7 @@
 __all__ = ["NodeCounts", "choose_subset", "connections_per_node", "count_nodes"]
 
 # Fraction of a target's connection limit that the subsets use. The rest is left for
-# probes and for nodes with different member records.
+# probes and for nodes whose member records differ.
 USABLE_FRACTION = 0.9
 MIN_CONNECTIONS_PER_NODE = 2
 
@@ -100,7 +100,7 @@
 
 
 def _flows(node_counts, sizes, per_node, limit):
-    """Return the number of connections between each pair of locations.
+    """Return the number of connections from each node location to each target location.
 
     Parameters
     ----------
--- a/pimentoline/traffic_stats.py
+++ b/pimentoline/traffic_stats.py
@@ -1,4 +1,4 @@
-"""pimentoline.traffic_stats: admission of calls, statistics of services and targets."""
+"""pimentoline.traffic_stats: call admission, and statistics of services and targets."""
 
 import math
 
@@ -38,7 +38,8 @@
 # for each response would take more CPU time than all other statistics.
 LATENCY_BATCH = 16
 
-# Makes the random decision of throttling independent of others from the same draw.
+# Makes the random decision of throttling independent of other decisions that use the
+# same draw.
 THROTTLE_SALT = 21
 
 
@@ -177,7 +178,8 @@
 def _failure_stats(state, record, attempt, now, decisive, stats):
     """Return the statistics of a target after a failure, with an ejection if due.
 
-    If `decisive` is True, this failure alone is enough for an ejection.
+    If `decisive` is True, this failure alone is enough for an ejection. `stats` are the
+    statistics before the failure.
     """
     plan = state.traffic.plan
     route = plan.routes.get(record.call.req.service) if plan is not None else None
@@ -272,12 +274,12 @@
 
 
 def record_wait(state, record, now, responded=None):
-    """Raise the latency of targets to the time that attempts have waited for them.
+    """Raise a target's latency to the time that an attempt has waited for its response.
 
-    This concerns the attempts of the call without a response, except `responded`. They
-    may be cancelled, and then their full latency never becomes known. If the time
-    waited did not count, a slow target whose hedges always win would keep a low latency
-    and get more calls.
+    This is done for every attempt of the call without a response head, except
+    `responded`. Such an attempt may be cancelled, and then its full latency never
+    becomes known. If the time waited did not count, a slow target whose hedges always
+    win would keep a low latency and get more calls.
     """
     for attempt in record.attempts:
         if attempt.verdict is None and attempt is not responded:
