Rename the parameters of record_failure and reword remaining pronouns

ejected was a function that counts, total a number of targets, and REPORT_VALID_S a maximum age. Some pronouns had two possible referents, and StartAttempt did not say what idempotent changes.

--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -29,7 +29,9 @@
 class StartAttempt:
     """Send the request to a target; wait `timeout_s` seconds for the response head.
 
-    `retry` is True for every attempt of a call after the first, hedges included.
+    `idempotent` tells whether the call may run more than once; if not, only a very
+    recently used connection is reused. `retry` is True for every attempt of a call
+    after the first, hedges included.
     """
 
     call_id: int
--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -38,7 +38,8 @@
 # Bounds the rate of synchronisations triggered by messages: pings from unknown senders,
 # and gossip that declares this node dead.
 MIN_SYNC_INTERVAL_S = 1.0
-# A region counts as lost if more than this fraction of its members is missing.
+# A region counts as lost if more than this fraction of its members is missing, that is,
+# suspect or dead.
 LOST_REGION_FRACTION = 0.3
 # The failure of a single host is not a partition, however small its region is.
 LOST_REGION_MIN_MEMBERS = 2
--- a/pimentoline/membership.py
+++ b/pimentoline/membership.py
@@ -55,7 +55,8 @@
                 state, refuted = refute(state, record)
                 effects += refuted
             elif record.status is not MemberStatus.ALIVE:
-                # The sender does not know of the refutation, so it is gossiped again.
+                # The sender does not know that this node has refuted the record, so
+                # the refutation is gossiped again.
                 state = with_records(state, [own], now)
             continue
         known = newer.get(node_id) or state.mesh.members.get(node_id)
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -42,7 +42,7 @@
     }
 
 
-def record_failure(stats, started, now, decisive, ejected, total):
+def record_failure(stats, started, now, decisive, count_ejected, target_count):
     """Return the statistics after a failed attempt, with an ejection if one is due.
 
     An ejection that begins within `MAX_EJECTION_S` after the previous one is twice as
@@ -55,9 +55,9 @@
         Start and end of the attempt, monotonic time in seconds.
     decisive : bool
         Whether one failure is enough for an ejection, as with a refused connection.
-    ejected : callable
+    count_ejected : callable
         Returns the number of other targets of the service that are ejected.
-    total : int
+    target_count : int
         Number of targets of the service that this node uses.
 
     Returns
@@ -65,6 +65,7 @@
     TargetStats
     """
     if started < stats.ready_at:
+        # As in `success_changes`, the attempt says nothing about the present state.
         return stats
     failures = stats.consecutive_failures + 1
     window = (*stats.recent_outcomes[1 - WINDOW_ATTEMPTS :], False)
@@ -75,7 +76,7 @@
         or failures >= CONSECUTIVE_FAILURES
         or (full and window.count(False) > MAX_FAILURE_RATE * WINDOW_ATTEMPTS)
     )
-    if not due or ejected() + 1 > int(total * MAX_EJECTED_SHARE):
+    if not due or count_ejected() + 1 > int(target_count * MAX_EJECTED_SHARE):
         return stats
     length_s = FIRST_EJECTION_S
     if now - stats.ejected_until < MAX_EJECTION_S:
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -21,7 +21,7 @@
 # bounds the CPU time of a call.
 MAX_CANDIDATES = 24
 # Maximum age of a load report that counts towards the load of a ring.
-REPORT_VALID_S = 1.0
+MAX_REPORT_AGE_S = 1.0
 
 # Salts that make the random choices derived from one draw independent.
 RELEASE_SALT = 11
@@ -174,7 +174,7 @@
     used = slots = 0.0
     for cand in candidates:
         stats = cand.stats
-        if now - stats.reported_at <= REPORT_VALID_S:
+        if now - stats.reported_at <= MAX_REPORT_AGE_S:
             others = max(0.0, stats.reported_load - stats.own_in_report)
             used += stats.inflight + others
         elif stats.inflight >= cand.target.slots:
@@ -194,8 +194,9 @@
 
     All calls skip a ring without healthy targets, because they would only fail there.
     If the policy accepts none of a ring's targets, all calls skip the ring as well,
-    provided that the next ring is in this region. If it is in another region, all
-    retries skip the ring, but only the rule's `share` of the first attempts.
+    provided that the next ring is in this region. If the next ring is in another
+    region, all retries skip the ring, but only the rule's `share` of the first
+    attempts.
 
     Parameters
     ----------
@@ -223,7 +224,7 @@
         accepted = finder.accepted(candidates)
         last = number + 1 == len(release.rings)
         if not accepted:
-            # The fallback if the policy accepts no candidate of any ring.
+            # These are used if the policy accepts no candidate of any ring.
             if not rejected or number < release.home_rings:
                 rejected = rejected + candidates
             if last:
