--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -8,15 +8,15 @@
 
 __all__ = ["SLOW_START_S", "record_failure", "slow_start_share", "success_changes"]
 
-# A target is ejected after this many failures in a row, or if more than the maximum
-# rate of its latest attempts failed.
+# A target is ejected after `CONSECUTIVE_FAILURES` in a row, or if more than the share
+# `MAX_FAILURE_RATE` of its latest `WINDOW_ATTEMPTS` attempts failed.
 CONSECUTIVE_FAILURES = 5
 WINDOW_ATTEMPTS = 20
 MAX_FAILURE_RATE = 0.5
 FIRST_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
-# Ejecting more targets would overload the rest. If more of them fail, the cause is more
-# likely this node or the service as a whole.
+# Share of the targets of a service. Ejecting more of them would overload the rest. If
+# more of them fail, the cause is more likely this node or the service as a whole.
 MAX_EJECTED_SHARE = 0.5
 SLOW_START_S = 10.0
 # Share of its weight that a target has when its slow start begins. With less, it would
@@ -42,9 +42,12 @@
     }
 
 
-def record_failure(stats, started, now, decisive, ejected, total):
+def record_failure(stats, started, now, decisive, count_ejected, target_count):
     """Return the statistics after a failed attempt, with an ejection if one is due.
 
+    An ejection that begins within `MAX_EJECTION_S` after the previous one is twice as
+    long as that one, up to `MAX_EJECTION_S`.
+
     Parameters
     ----------
     stats : TargetStats
@@ -52,9 +55,9 @@
         Start and end of the attempt, monotonic time in seconds.
     decisive : bool
         Whether one failure is enough for an ejection, as with a refused connection.
-    ejected : callable
+    count_ejected : callable
         Returns the number of other targets of the service that are ejected.
-    total : int
+    target_count : int
         Number of targets of the service that this node uses.
 
     Returns
@@ -62,6 +65,7 @@
     TargetStats
     """
     if started < stats.ready_at:
+        # As in `success_changes`, the attempt says nothing about the present state.
         return stats
     failures = stats.consecutive_failures + 1
     window = (*stats.recent_outcomes[1 - WINDOW_ATTEMPTS :], False)
@@ -72,7 +76,7 @@
         or failures >= CONSECUTIVE_FAILURES
         or (full and window.count(False) > MAX_FAILURE_RATE * WINDOW_ATTEMPTS)
     )
-    if not due or ejected() + 1 > int(total * MAX_EJECTED_SHARE):
+    if not due or count_ejected() + 1 > int(target_count * MAX_EJECTED_SHARE):
         return stats
     length_s = FIRST_EJECTION_S
     if now - stats.ejected_until < MAX_EJECTION_S:
--- a/pimentoline/routing.py
+++ b/pimentoline/routing.py
@@ -21,7 +21,7 @@
 # bounds the CPU time of a call.
 MAX_CANDIDATES = 24
 # Maximum age of a load report that counts towards the load of a ring.
-REPORT_VALID_S = 1.0
+MAX_REPORT_AGE_S = 1.0
 
 # Salts that make the random choices derived from one draw independent.
 RELEASE_SALT = 11
@@ -46,7 +46,7 @@
     state : State
     record : CallRecord
     tried : set of str
-        Targets that earlier attempts of the call were sent to.
+        Ids of the targets that earlier attempts of the call were sent to.
     now : float
         Monotonic time, seconds.
     draw : int
@@ -98,7 +98,22 @@
 
 @dataclass(slots=True)
 class _CandidateFinder:
-    """Finds the candidates of a ring for one attempt of a call."""
+    """Finds the candidates of a ring for one attempt of a call.
+
+    Parameters
+    ----------
+    targets : Map of str to TargetStats
+        Statistics by target id.
+    stats : ServiceStats
+        Statistics of the called service.
+    policy : load-balancing policy of `pimentoline.policies`
+    tried : set of str
+        Ids of the targets that earlier attempts of the call were sent to.
+    now : float
+        Monotonic time, seconds.
+    draw : int
+        Random 64-bit integer.
+    """
 
     targets: object
     stats: ServiceStats
@@ -159,7 +174,7 @@
     used = slots = 0.0
     for cand in candidates:
         stats = cand.stats
-        if now - stats.reported_at <= REPORT_VALID_S:
+        if now - stats.reported_at <= MAX_REPORT_AGE_S:
             others = max(0.0, stats.reported_load - stats.own_in_report)
             used += stats.inflight + others
         elif stats.inflight >= cand.target.slots:
@@ -179,8 +194,9 @@
 
     All calls skip a ring without healthy targets, because they would only fail there.
     If the policy accepts none of a ring's targets, all calls skip the ring as well,
-    provided that the next ring is in this region. If it is in another region, all
-    retries skip the ring, but only the rule's `share` of the first attempts.
+    provided that the next ring is in this region. If the next ring is in another
+    region, all retries skip the ring, but only the rule's `share` of the first
+    attempts.
 
     Parameters
     ----------
@@ -195,7 +211,7 @@
         the candidates of the rings in this region, or else of the nearest other ring.
         Empty if no ring has healthy targets.
     widest : int
-        Number of the outermost ring in use.
+        Number of the outermost ring in use, the new `widest_ring` of the service.
     credit : float
         New `spill_credit` of the service.
     """
@@ -208,7 +224,7 @@
         accepted = finder.accepted(candidates)
         last = number + 1 == len(release.rings)
         if not accepted:
-            # The fallback if the policy accepts no candidate of any ring.
+            # These are used if the policy accepts no candidate of any ring.
             if not rejected or number < release.home_rings:
                 rejected = rejected + candidates
             if last:
@@ -248,7 +264,10 @@
 
 
 def _last_resort(route, finder):
-    """Return the untried candidates, ejected ones included, or else all candidates."""
+    """Return all untried targets of the rings as candidates, ejected ones included.
+
+    If there are none, the targets that the call has tried are returned.
+    """
     all_candidates = [
         Candidate(target, weight, finder.targets.get(target.target_id, NO_STATS))
         for release in route.releases
