Reword the admin interface, audit rows, call handler and entry point

Cause: a reader stopped at comments that leave out what they are about (who sends an announcement, what `members` counts, which moment "by then" is, what the three values of a flag mean) and at a table of HTTP statuses that does not say so. Change: these texts, and STATUS_BY_RESULT = HTTP_STATUS_BY_RESULT inside admin.py.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -29,7 +29,8 @@
 # The choice of a target is random, so an explanation repeats the decision this many
 # times and shows the distribution of the results.
 EXPLAIN_TRIALS = 200
-STATUS_BY_RESULT = {
+# HTTP status for each `result` of `Publisher.apply`.
+HTTP_STATUS_BY_RESULT = {
     "accepted": 200,
     "conflict": 409,
     "unavailable": 503,
@@ -72,7 +73,13 @@
         }
 
     def int_argument(self, name, default, low, high):
-        """Return a whole number from the query; respond 400 outside `low` to `high`."""
+        """Return a whole number from the query, or `default` if it is absent.
+
+        Raises
+        ------
+        HTTPError
+            With status 400 if the text is not a number from `low` to `high`.
+        """
         text = self.get_query_argument(name, None)
         if text is None:
             return default
@@ -95,14 +102,14 @@
         self.finish({"error": code, "detail": detail})
 
     def log_exception(self, typ, value, tb):
-        """Log exceptions other than `HTTPError`, which stands for a response."""
+        """Count and log unexpected exceptions; an `HTTPError` is an error response."""
         if not isinstance(value, HTTPError):
             self.node.metrics.count("admin.failed")
             super().log_exception(typ, value, tb)
 
 
 class TargetHandler(AdminHandler):
-    """Announces and withdraws the target on this host."""
+    """Announces and withdraws targets on this host."""
 
     def put(self, target_id):
         """Announce a target, or renew its announcement."""
@@ -242,7 +249,7 @@
             attempt=body.attempt,
             base=body.base,
         )
-        self.set_status(STATUS_BY_RESULT[outcome["result"]])
+        self.set_status(HTTP_STATUS_BY_RESULT[outcome["result"]])
         self.finish(outcome)
 
 
@@ -252,7 +259,8 @@
     async def get(self):
         """Respond with audit rows, latest first, and the nodes that use each version.
 
-        `silent` lists the nodes that did not report a version.
+        `members` is the number of running nodes, this one included, and `silent` lists
+        those that did not report a version.
         """
         limit = self.int_argument("limit", 20, 1, MAX_HISTORY_ROWS)
         before = self.int_argument("before", None, 1, 10**10)
@@ -276,7 +284,7 @@
     """Explains what the node would do with a call."""
 
     def post(self):
-        """Respond with the decisions about a call, without sending anything."""
+        """Respond with the decisions about a call, without sending it to a target."""
         body = self.read_body(ExplainRequest)
         if body is None:
             return
@@ -286,7 +294,7 @@
 
 
 class UnknownPathHandler(AdminHandler):
-    """Handles all other paths."""
+    """Handles requests for unknown paths."""
 
     def prepare(self):
         """Respond 404."""
@@ -298,7 +306,7 @@
 
 
 def _format_problem(err):
-    """Return a validation error of pydantic as text, with long input truncated."""
+    """Return a pydantic validation error as text, with long input truncated."""
     location = ".".join(map(str, err["loc"])) or "body"
     return f"{location}: {err['msg']}, found {str(err['input'])[:MAX_ECHOED_CHARS]!r}"
 
--- a/pimentoline/admin_models.py
+++ b/pimentoline/admin_models.py
@@ -22,7 +22,7 @@
 
 
 class Announcement(BaseModel):
-    """An announcement of a target.
+    """Description of a target, which the target sends to the node on its host.
 
     The target serves up to `slots` requests concurrently, and accepts up to
     `connections` connections in total from all nodes. `load_path` is the path of its
@@ -65,8 +65,8 @@
 class ApplyRequest(BaseModel):
     """A rules text to put in force.
 
-    `base` is the version that the text replaces. `attempt` is a unique id. If the
-    request is retried with the same id, the text is accepted at most once.
+    `base` is the version that the text replaces. `attempt` is a unique id of the
+    request. If it is retried with the same id, the text is accepted at most once.
     """
 
     model_config = ConfigDict(extra="forbid")
--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -1,4 +1,4 @@
-"""pimentoline.audit: formats of the store rows of rules versions and audit trail."""
+"""pimentoline.audit: store rows of the rules versions and of their audit trail."""
 
 import datetime
 import difflib
@@ -33,7 +33,11 @@
 
 
 class HeadRow(BaseModel):
-    """Value of the row `config/head`: the version in force."""
+    """Value of the row `config/head`: the latest accepted version.
+
+    `digest` is the SHA-256 digest of the rules text in hexadecimal, and `attempt` the
+    id of the request that was accepted.
+    """
 
     version: int = Field(ge=1)
     digest: str
@@ -60,7 +64,7 @@
 
 
 def parse_row(model, row):
-    """Return the value of a store row as an instance of a pydantic model.
+    """Validate the value of a store row and return it as an instance of the model.
 
     Raises
     ------
@@ -100,7 +104,10 @@
 
 
 def diff_lines(old, new):
-    """Return the lines of a unified diff of two texts, without its file headers."""
+    """Return the lines of a unified diff of two texts, without its file headers.
+
+    Long lines and long diffs are truncated.
+    """
     lines = difflib.unified_diff(
         old.splitlines(), new.splitlines(), n=1, lineterm="", fromfile="", tofile=""
     )
@@ -112,7 +119,7 @@
 
 
 def requesters(old, new):
-    """Return who requested the rules that are in only one of two texts."""
+    """Return the sorted requesters of the rules that only one of two texts contains."""
     counts = [
         Counter((rule.as_line(), rule.requester) for rule in _rules(text))
         for text in (old, new)
--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -27,8 +27,8 @@
 
 # Request bodies up to this size are buffered so that the call can be retried.
 MAX_REPLAY_BYTES = 64 * 1024
-# Longest part of a response body that an idempotency claim records, to answer
-# repeated calls with the same key.
+# Longest part of a response body that an idempotency claim records. It is the response
+# to retries with the same key.
 MAX_RECORDED_BODY_BYTES = 4096
 # After an early response, the rest of the request is read for this long. A caller
 # that reads its response only after sending the whole request would lose the response
@@ -75,6 +75,7 @@
         self.pending_head = None
         self.recorded_body = None
         self.recorded_truncated = False
+        # True while a response that has been written waits for the end of the request;
         # None once the response is finished.
         self._finish_pending = False
         self._bad_framing = False
@@ -92,7 +93,7 @@
         try:
             self.has_body = check_framing(start_line, headers)
         except RequestError as exc:
-            # tornado would send a response of its own to such framing headers.
+            # With these headers, tornado would send a response of its own.
             headers.pop("Transfer-Encoding", None)
             headers.pop("Content-Length", None)
             self._bad_framing = True
@@ -119,7 +120,13 @@
         proxy.dispatch(ev.CallArrived(now, proxy.draw(), Call(self.call_id, req, now)))
 
     def data_received(self, chunk):
-        """Forward a chunk of the request body; the awaitable applies back-pressure."""
+        """Forward a chunk of the request body.
+
+        Returns
+        -------
+        awaitable or None
+            If not None, tornado reads no further chunk before it resolves.
+        """
         if self._ignores_body():
             return None
         self.body_chunks.append(chunk)
@@ -134,7 +141,7 @@
         return self.ended or (self.responded and not self.attempts)
 
     async def _wait_until_sent(self):
-        """Wait until an attempt has sent all chunks, then drop them."""
+        """Wait until an attempt has sent all chunks, then drop them from the buffer."""
         total = self.dropped_chunks + len(self.body_chunks)
         while not self._ignores_body():
             if any(attempt.is_flushed(total) for attempt in self.attempts.values()):
@@ -171,7 +178,10 @@
         self._end()
 
     def on_attempt_progress(self, fut=None):
-        """Wake the reader of the body, which checks whether all chunks are sent."""
+        """Wake `_wait_until_sent`, which checks whether all chunks have been sent.
+
+        Takes a future, so that it can be used as a callback.
+        """
         if self._body_waiter is not None and not self._body_waiter.done():
             self._body_waiter.set_result(None)
 
@@ -263,7 +273,8 @@
             headers.pop("Content-Length", None)
         self.proxy.announce_close_if_stopping(headers)
         self.pending_head = (attempt.response_start, headers)
-        # If no chunk of the body has arrived by then, the head is written alone.
+        # The head is written alone if no chunk of the body arrives before the next
+        # iteration of the event loop.
         asyncio.get_running_loop().call_soon(self._write_response_head)
         self.on_attempt_progress()
 
@@ -332,7 +343,7 @@
     # End of the call.
 
     def _must_close(self):
-        """Return whether the caller's connection closes after a response of the node.
+        """Return whether to close the caller's connection after an error of the node.
 
         The end of a request with invalid framing headers is unknown, and a caller that
         waits for 100 Continue may never send the body.
@@ -340,7 +351,7 @@
         return self.call_id is None and (self._bad_framing or "Expect" in self.headers)
 
     def _complete(self):
-        """Finish the response once the request has been read, and end the call.
+        """End the call, and finish the response once the request has been read.
 
         tornado closes the connection if the response is finished while the request is
         being read; a request without a body ends as soon as its head is handled.
--- a/pimentoline/cli.py
+++ b/pimentoline/cli.py
@@ -79,7 +79,7 @@
 
 
 def _run(command, argv, out):
-    """Parse and validate the flags and arguments of a command, then run it."""
+    """Parse and validate a command's flags and arguments; return its exit status."""
     known_variables = {
         env_var_name(name)
         for other in command_names()
