Reword the mesh codec, transport and messages

Cause: `env` reads as the environment, and a reader stopped at "since the last call" (calls are something else here), "at its receiver", "after each such batch" and at a docstring of the errors that does not say that StoreError is the base class of the errors of the store. Change: these texts; env = envelope inside codec.py.

--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -38,8 +38,8 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_RULES_BYTES = 1024 * 1024
 MAX_TEXT_CHARS = 512
-# Refutations increment the counters of a record, so received counters have to leave
-# room below the limit of 64 bits.
+# A node that refutes a suspicion increments a counter that it has received, so received
+# counters have to leave room below the limit of 64 bits.
 MAX_COUNTER = 2**62
 # Level 1 takes a fifth of the time of level 6 and saves nearly as many bytes, since
 # records repeat the names of regions and services.
@@ -72,7 +72,7 @@
             If a value does not fit the schema or the message is too large.
         """
         try:
-            env = SCHEMA.Envelope.new_message(
+            envelope = SCHEMA.Envelope.new_message(
                 protocol=PROTOCOL_VERSION,
                 sender=message.sender,
                 incarnation=message.incarnation,
@@ -80,10 +80,10 @@
                 rulesHeard=message.known_rules_version,
                 rulesConfirmed=message.rules_confirmed,
             )
-            _write_body(env, message.body)
+            _write_body(envelope, message.body)
         except (capnp.KjException, ValueError, OverflowError, TypeError) as exc:
             raise CodecError(f"message cannot be encoded: {exc}") from exc
-        data = zlib.compress(env.to_bytes(), ZLIB_LEVEL)
+        data = zlib.compress(envelope.to_bytes(), ZLIB_LEVEL)
         if HEADER_BYTES + len(data) > MAX_FRAME_BYTES:
             raise CodecError(f"message of {len(data)} bytes is too large")
         key = self._keys[0]
@@ -97,7 +97,7 @@
         NewerMessageError
             If the message is authentic, but its format is of a newer release.
         CodecError
-            If the bytes are not an authentic message of at most 4 MiB.
+            If the bytes are not an authentic, well-formed message of at most 4 MiB.
         """
         if len(data) <= HEADER_BYTES or data[: len(MAGIC)] != MAGIC:
             raise CodecError("data has no header of a mesh message")
@@ -105,8 +105,10 @@
             raise CodecError(f"message of {len(data)} bytes is too large")
         self._check_mac(data)
         try:
-            with SCHEMA.Envelope.from_bytes(_decompress(data[HEADER_BYTES:])) as env:
-                return _read_envelope(env)
+            with SCHEMA.Envelope.from_bytes(
+                _decompress(data[HEADER_BYTES:])
+            ) as envelope:
+                return _read_envelope(envelope)
         except (capnp.KjException, ValueError, OverflowError, zlib.error) as exc:
             raise CodecError(f"malformed message: {exc}") from exc
 
@@ -138,77 +140,79 @@
     return payload
 
 
-def _read_envelope(env):
-    if env.protocol > PROTOCOL_VERSION:
-        raise NewerMessageError(f"protocol version {env.protocol} is not supported")
+def _read_envelope(envelope):
+    if envelope.protocol > PROTOCOL_VERSION:
+        raise NewerMessageError(
+            f"protocol version {envelope.protocol} is not supported"
+        )
     try:
-        kind = env.which()
+        kind = envelope.which()
     except capnp.KjException as exc:
         raise NewerMessageError("unknown message type") from exc
-    body, skipped = _read_body(env, str(kind))
+    body, skipped = _read_body(envelope, str(kind))
     return Message(
-        _check_text(env.sender),
-        _check_counter(env.incarnation),
-        _check_counter(env.rulesVersion),
+        _check_text(envelope.sender),
+        _check_counter(envelope.incarnation),
+        _check_counter(envelope.rulesVersion),
         body,
-        _check_counter(env.rulesHeard),
-        env.rulesConfirmed,
+        _check_counter(envelope.rulesHeard),
+        envelope.rulesConfirmed,
         skipped,
     )
 
 
-def _write_body(env, body):
+def _write_body(envelope, body):
     match body:
         case Gossip(records):
-            _write_records(env.init("rumours", len(records)), records)
+            _write_records(envelope.init("rumours", len(records)), records)
         case SyncRequest(digests):
-            env.syncRequest = list(digests)
+            envelope.syncRequest = list(digests)
         case SyncReply(buckets, records):
-            reply = env.init("syncReply")
+            reply = envelope.init("syncReply")
             reply.buckets = list(buckets)
             _write_records(reply.init("records", len(records)), records)
         case Ping(ping_id, addr):
-            _write_ping(env.init("ping"), ping_id, addr)
+            _write_ping(envelope.init("ping"), ping_id, addr)
         case PingReq(ping_id, addr):
-            _write_ping(env.init("pingReq"), ping_id, addr)
+            _write_ping(envelope.init("pingReq"), ping_id, addr)
         case Ack(ping_id, addr):
-            _write_ping(env.init("ack"), ping_id, addr)
+            _write_ping(envelope.init("ack"), ping_id, addr)
         case RulesRequest(version):
-            env.rulesRequest = version
+            envelope.rulesRequest = version
         case RulesAck(version):
-            env.rulesAck = version
+            envelope.rulesAck = version
         case RulesReply(version, text):
-            _write_rules(env.init("rulesReply"), version, text)
+            _write_rules(envelope.init("rulesReply"), version, text)
         case RulesPush(version, text):
-            _write_rules(env.init("rulesPush"), version, text)
+            _write_rules(envelope.init("rulesPush"), version, text)
         case _:
             raise TypeError(f"{type(body).__name__} is not a message body")
 
 
-def _read_body(env, kind):
+def _read_body(envelope, kind):
     match kind:
         case "rumours":
-            records, skipped = _read_records(env.rumours)
+            records, skipped = _read_records(envelope.rumours)
             return Gossip(records), skipped
         case "syncRequest":
-            return SyncRequest(tuple(env.syncRequest)), 0
+            return SyncRequest(tuple(envelope.syncRequest)), 0
         case "syncReply":
-            records, skipped = _read_records(env.syncReply.records)
-            return SyncReply(tuple(env.syncReply.buckets), records), skipped
+            records, skipped = _read_records(envelope.syncReply.records)
+            return SyncReply(tuple(envelope.syncReply.buckets), records), skipped
         case "ping":
-            return Ping(env.ping.id, _read_optional_addr(env.ping.addr)), 0
+            return Ping(envelope.ping.id, _read_optional_addr(envelope.ping.addr)), 0
         case "pingReq":
-            return PingReq(env.pingReq.id, _read_addr(env.pingReq.addr)), 0
+            return PingReq(envelope.pingReq.id, _read_addr(envelope.pingReq.addr)), 0
         case "ack":
-            return Ack(env.ack.id, _read_optional_addr(env.ack.addr)), 0
+            return Ack(envelope.ack.id, _read_optional_addr(envelope.ack.addr)), 0
         case "rulesRequest":
-            return RulesRequest(_check_counter(env.rulesRequest)), 0
+            return RulesRequest(_check_counter(envelope.rulesRequest)), 0
         case "rulesAck":
-            return RulesAck(_check_counter(env.rulesAck)), 0
+            return RulesAck(_check_counter(envelope.rulesAck)), 0
         case "rulesReply":
-            return RulesReply(*_read_rules(env.rulesReply)), 0
+            return RulesReply(*_read_rules(envelope.rulesReply)), 0
         case "rulesPush":
-            return RulesPush(*_read_rules(env.rulesPush)), 0
+            return RulesPush(*_read_rules(envelope.rulesPush)), 0
     raise NewerMessageError(f"unknown message type {kind!r}")
 
 
@@ -243,7 +247,7 @@
 
 def _read_addr(item):
     try:
-        # If it were a host name, `sendto` would resolve it and block the event loop.
+        # Host names are rejected: `sendto` would resolve them and block the event loop.
         socket.inet_pton(socket.AF_INET, item.ip)
     except OSError as exc:
         raise ValueError(f"{item.ip!r:.60} is not an IPv4 address") from exc
--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -58,7 +58,9 @@
 
 
 class StoreError(PimentolineError):
-    """The store sent a response that its protocol does not allow.
+    """The store rejected a request as invalid, or sent malformed data.
+
+    Also the base class of all other errors of the store.
 
     Parameters
     ----------
@@ -122,7 +124,7 @@
 
 
 class ConfigurationError(PimentolineError):
-    """The operator's configuration is invalid; the one in force stays."""
+    """The operator's configuration is invalid; the one in force is kept."""
 
     code = "configuration-invalid"
 
@@ -145,12 +147,12 @@
 
 
 class CodecError(PimentolineError):
-    """A message is too large, malformed, not authenticated or not of the mesh."""
+    """Data is not a mesh message, or is malformed, not authenticated or too large."""
 
     code = "message-refused"
 
 
 class NewerMessageError(CodecError):
-    """A mesh message was written by a newer release and cannot be understood."""
+    """A mesh message has a format that only a newer release can read."""
 
     code = "message-newer"
--- a/pimentoline/mesh.capnp
+++ b/pimentoline/mesh.capnp
@@ -32,8 +32,8 @@
   ageMs @10 :UInt64;
 }
 
-# rumours holds the records of a Gossip message. rulesHeard is the highest rules version
-# that the sender knows of, known_rules_version in messages.py.
+# rumours contains the records of a Gossip message. rulesHeard is the highest rules
+# version that the sender knows of (known_rules_version in messages.py).
 struct Envelope {
   protocol @0 :UInt16;
   sender @1 :Text;
--- a/pimentoline/mesh_transport.py
+++ b/pimentoline/mesh_transport.py
@@ -15,7 +15,7 @@
 __all__ = ["MeshTransport"]
 
 FRAME_TIMEOUT_S = 2.0
-# When many datagrams are queued, the event loop serves calls after each such batch.
+# When many datagrams are queued, the event loop serves calls after this many of them.
 MAX_DATAGRAMS_PER_WAKEUP = 64
 
 
@@ -29,8 +29,9 @@
     ----------
     codec : Codec
     on_message : callable
-        Called with each authentic `Message` and the address of its sender, None over
-        TCP. A message that it returns is sent as the reply on the TCP connection.
+        Called with each authentic `Message` and the address of its sender. For a
+        message over TCP, the address is None, and a message that `on_message` returns
+        is sent as the reply.
     on_error : callable
         Called with the error of each message that could not be sent or decoded.
     """
@@ -46,13 +47,16 @@
         self.bytes_received = 0
 
     def take_byte_counts(self):
-        """Return the payload bytes sent and received since the last call, by metric."""
+        """Return and reset the payload bytes sent and received, as (metric, bytes)."""
         sent, self.bytes_sent = self.bytes_sent, 0
         received, self.bytes_received = self.bytes_received, 0
         return ("mesh.bytes_sent", sent), ("mesh.bytes_received", received)
 
     def bind_addr(self, addr):
-        """Bind a UDP and a TCP socket to the same (IP address, port) and return it."""
+        """Bind a UDP and a TCP socket to the same (IP address, port) and return it.
+
+        If the port is 0, the system chooses one.
+        """
         ip, port = addr
         tcp = socket.create_server((ip, port), backlog=128)
         tcp.setblocking(False)
--- a/pimentoline/messages.py
+++ b/pimentoline/messages.py
@@ -85,7 +85,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesPush:
-    """Asks a peer to load an accepted rules text before its author gets the reply."""
+    """Asks a peer to load a rules text that has just been accepted.
+
+    It is sent before the author of the text gets the response.
+    """
 
     version: int
     text: str
@@ -93,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RulesAck:
-    """Reply to a `RulesPush`: the rules version in force at its receiver."""
+    """Reply to a `RulesPush`: the rules version in force at the peer that got it."""
 
     version: int
 
@@ -113,7 +116,8 @@
     known_rules_version : int
         Highest version that the sender knows of.
     rules_confirmed : bool
-        Whether the sender has verified its version since it booted.
+        Whether the sender has verified its version with the store or a confirmed peer
+        since it booted.
     skipped_records : int
         Number of records that the decoder could not read and left out.
     """
