Reword request heads, node, peer discovery, pool, proxy and publisher

Cause: a reader stopped at `budget_s` (a time, while a budget is one of retries elsewhere), at `start` for a start line, at "two refreshes in a row" about rows, at comments without an object ("before any retry", "Leaves enough", "lost as well") and at a docstring that promised to normalise framing headers where only Expect changes. Change: these texts; budget_s = timeout_s and start = start_line inside headers.py.

--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -1,4 +1,4 @@
-"""pimentoline.headers: checks and forwards the heads of requests and responses."""
+"""pimentoline.headers: checks, parses and forwards HTTP request and response heads."""
 
 import re
 
@@ -84,14 +84,14 @@
     return int(text)
 
 
-def check_size(start, headers):
+def check_size(start_line, headers):
     """Reject a request head that is too large.
 
     Raises
     ------
     RequestError
     """
-    size = len(start.path) + len(start.method)
+    size = len(start_line.path) + len(start_line.method)
     for name, value in headers.get_all():
         size += len(name) + len(value) + 4
     if size > MAX_HEAD_BYTES:
@@ -100,14 +100,14 @@
         )
 
 
-def check_framing(start, headers):
-    """Return whether the request has a body; normalise its framing headers.
+def check_framing(start_line, headers):
+    """Return whether the request has a body; normalise its `Expect` header.
 
     Raises
     ------
     RequestError
-        If the length of the body is missing or invalid, or the body cannot be
-        forwarded.
+        If the length of the body is missing or invalid, the body cannot be forwarded,
+        or the `Expect` header is not supported.
     """
     expect = headers.get("Expect")
     if expect is not None:
@@ -115,7 +115,7 @@
             raise RequestError(
                 417, "expectation-failed", f"Expect {expect[:40]!r} is not supported"
             )
-        # tornado compares the value exactly.
+        # tornado accepts the value in lower case only.
         headers["Expect"] = "100-continue"
     length = headers.get("Content-Length")
     coding = headers.get("Transfer-Encoding")
@@ -128,11 +128,11 @@
                 "unknown-coding",
                 f"transfer coding {coding[:40]!r} is not supported",
             )
-        if start.method not in CHUNKED_METHODS:
+        if start_line.method not in CHUNKED_METHODS:
             raise RequestError(
                 411,
                 "length-required",
-                f"{start.method} with a chunked body is not supported",
+                f"{start_line.method} with a chunked body is not supported",
             )
         return True
     if length is None:
@@ -144,12 +144,12 @@
     return int(length) > 0
 
 
-def parse_request(start, headers, arrived, ruleset):
+def parse_request(start_line, headers, arrived, ruleset):
     """Return the `Request` for a request head.
 
     Parameters
     ----------
-    start : RequestStartLine
+    start_line : RequestStartLine
     headers : HTTPHeaders
     arrived : float
         Monotonic time at which the request arrived, seconds.
@@ -164,14 +164,14 @@
     service = host.partition(":")[0].partition(".")[0].lower()
     if SERVICE_PATTERN.fullmatch(service) is None or len(headers.get_list("Host")) > 1:
         raise _bad_request(f"Host {host[:80]!r} does not name a service")
-    if start.method == "CONNECT":
+    if start_line.method == "CONNECT":
         raise RequestError(501, "unknown-method", "CONNECT is not supported")
-    path = start.path.partition("?")[0]
-    policy = ruleset.call_policy(service, start.method, path)
-    budget_s = policy.deadline_s
+    path = start_line.path.partition("?")[0]
+    policy = ruleset.call_policy(service, start_line.method, path)
+    timeout_s = policy.deadline_s
     remaining_ms = _int_header(headers, "X-Deadline-Ms", None)
     if remaining_ms is not None:
-        budget_s = min(budget_s, remaining_ms / 1000.0)
+        timeout_s = min(timeout_s, remaining_ms / 1000.0)
     call_class = policy.call_class or headers.get("X-Call-Class", "normal")
     if call_class not in CALL_CLASSES:
         raise _bad_request(f"X-Call-Class {call_class[:40]!r} is not a call class")
@@ -187,9 +187,9 @@
         )
     return Request(
         service,
-        start.method,
+        start_line.method,
         path,
-        arrived + budget_s,
+        arrived + timeout_s,
         call_class,
         _int_header(headers, "X-Call-Depth", 0),
         _int_header(headers, "X-Retry-Attempt", 0),
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -45,11 +45,11 @@
 # Threshold of the youngest garbage collector generation, in allocations. A call
 # allocates some hundreds of objects, which are freed by reference counting.
 GC_THRESHOLD = 10_000
-# A stopping node announces to its peers during this many ticks that it leaves, because
-# all three datagrams of a single round could be lost.
+# A stopping node announces to its peers during this many ticks that it is leaving,
+# because all three datagrams of a single gossip round could be lost.
 LEAVE_TICKS = 2
 # A stopping node waits up to this long for claim writes (see `ClaimWriter`) that are
-# still being retried because the store is down.
+# still being retried because the store is unavailable.
 CLAIM_WRITE_TIMEOUT_S = 10.0
 
 
@@ -92,6 +92,7 @@
         )
         self.publisher = Publisher(self)
         self.peer_discovery = PeerDiscovery(self)
+        # Body of the reply to the message being handled, set by the effect `Reply`.
         self._reply = None
         self._tasks = []
         self._events = deque()
@@ -143,7 +144,7 @@
     def dispatch(self, event):
         """Apply one event to the state and execute the resulting effects.
 
-        Events dispatched while effects are executed wait until those are done.
+        An event dispatched while effects are executed waits until they are done.
         """
         self._events.append(event)
         if self._dispatching:
@@ -194,7 +195,7 @@
             )
 
     def make_message(self, body):
-        """Return a message from this node."""
+        """Return a message from this node with the given body."""
         rules = self.state.rules
         return Message(
             self.state.identity.node_id,
@@ -292,8 +293,9 @@
     async def run(self):
         """Serve until SIGTERM or SIGINT; print the addresses as JSON once ready."""
         await self.start()
-        # Objects made during start-up live as long as the process. Excluding them
-        # shortens a full collection from tens of milliseconds to a fraction of one.
+        # Objects made during start-up live as long as the process. Excluding them from
+        # garbage collection shortens a full collection from tens of milliseconds to a
+        # fraction of one millisecond.
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -15,17 +15,18 @@
 ROW_PREFIX = "node/"
 # Interval at which a node rewrites its own row.
 ROW_REFRESH_INTERVAL_S = 600.0
-# Maximum time between checks of the row and of the peers while a peer is running.
+# Maximum time between checks of this node's row and its peers while a peer is running.
 MAX_CHECK_INTERVAL_S = 30.0
-# Rows older than this are ignored. A row stays valid if two refreshes in a row fail.
+# Rows older than this are ignored. A row stays valid if two successive refreshes fail.
 MAX_ROW_AGE_S = 1800.0
-# Number of peers that a node asks at the same time.
+# Number of peers that a node asks for their members at the same time.
 JOIN_GROUP_SIZE = 3
 # Number of groups that a node asks in turn at boot before it starts without a reply.
 MAX_JOIN_GROUPS = 3
-# Upper bounds of the random delay before the first retry and before any retry. The
-# bound doubles with each retry; the lower bound is 0. The random delay keeps nodes that
-# start together from retrying at the same time.
+# Upper bounds of the random delay before a node retries to write its row or to find a
+# peer: before the first retry and before any retry. The bound doubles with each retry;
+# the lower bound is 0. The random delay keeps nodes that start together from retrying
+# at the same time.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
 
@@ -113,7 +114,10 @@
         return addrs
 
     async def _fetch_rules(self, group):
-        """Request the highest known rules version from each peer until it arrives."""
+        """Request the highest known rules version from one peer after the other.
+
+        Stop as soon as it is in force.
+        """
         node = self._node
         for addr in group:
             rules = node.state.rules
@@ -147,7 +151,7 @@
 
 
 def _addr_of(row):
-    """Return the address in a node's row, or None if it is outdated or malformed."""
+    """Return the address in a node's row; None if the row is outdated or malformed."""
     try:
         ip, port = row.value["addr"]
         if time.time() - row.value["time"] < MAX_ROW_AGE_S:
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -122,7 +122,7 @@
         if is_first_wait:
             waiters.append(fut)
         else:
-            # A call that was woken but found the connection taken stays first in line.
+            # A woken call that found the connection taken goes back to the front.
             waiters.appendleft(fut)
         try:
             await fut
@@ -175,13 +175,13 @@
     def close_idle(self, addr):
         """Close the idle connections to a target.
 
-        They may be lost as well if one connection to the target was lost silently.
+        If one connection to a target was lost silently, the others may be lost too.
         """
         for conn in self._idle.pop(addr, ()):
             conn.close()
 
     def close_expired(self):
-        """Close the connections that have been idle too long."""
+        """Close the connections that have been idle for `MAX_IDLE_S`."""
         now = self._clock()
         for addr, conns in list(self._idle.items()):
             while conns and now - conns[0].last_used >= MAX_IDLE_S:
--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -73,8 +73,8 @@
         self.calls = {}
         self.stopping = False
         self._next_call_id = 1
-        # By open connection: the handler of the current request or, while the
-        # connection is idle, of the next one.
+        # By open connection of a caller: the handler of the current request or, while
+        # the connection is idle, of the next one.
         self._handlers = {}
         self._connection_closed = asyncio.Event()
 
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -29,8 +29,8 @@
 MAX_COMMIT_ATTEMPTS = 2
 # An accepted version is pushed to peers until this many have loaded it.
 PUSH_PEERS = 3
-# Leaves enough of the 5 s within which an accepted version has to be in force at every
-# node.
+# Time limit for all pushes of a version. It leaves enough of the 5 s within which an
+# accepted version has to be in force at every node.
 PUSH_TIMEOUT_S = 2.5
 
 
@@ -191,7 +191,7 @@
         }
 
     async def _head(self):
-        """Return the head row and its value, which is None before the first version."""
+        """Return the head row and its parsed value, None before the first version."""
         row = await self._node.store.get(HEAD_KEY)
         return row, parse_row(HeadRow, row) if row.version else None
 
