Reword the store clients, platform adapters, settings and metrics

Cause: a reader stopped at `born` (a time without a unit), at a private class named _Request that handles one, at "service is not a text", and at docstrings that do not say what is returned or when an error is raised. Change: these texts; born = born_ms and _Request = _RequestHandler inside heartbeat_server.py.

--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -150,7 +150,7 @@
 
 
 def _error_text(err):
-    """Return the text of a pydantic error."""
+    """Return the error message for an invalid flag from a pydantic error."""
     name = str(err["loc"][0]) if err["loc"] else ""
     text = err["msg"].removeprefix("Value error, ")
     if not name:
@@ -167,7 +167,7 @@
 
 
 def _add_value(value, text):
-    """Prefix the text of an error with the invalid value."""
+    """Return the text of an error message with the invalid value in front."""
     return f"found {value!r}; {text}"
 
 
--- a/pimentoline/logs.py
+++ b/pimentoline/logs.py
@@ -40,7 +40,7 @@
         self._suppressed = 0
 
     def entry(self, name, **fields):
-        """Write an entry, or count it if the limit is reached."""
+        """Write an entry, or only count it if the limit of this second is reached."""
         second = int(self._clock())
         if second != self._second:
             self._second = second
--- a/pimentoline/metrics.py
+++ b/pimentoline/metrics.py
@@ -8,7 +8,8 @@
 __all__ = ["Metrics"]
 
 PREFIX = "pimentoline"
-# Counters change with each call; sending sums takes one datagram instead of hundreds.
+# Counters change with each call. Sending their sums at this interval takes one datagram
+# instead of hundreds.
 FLUSH_INTERVAL_S = 1.0
 
 
@@ -39,7 +40,7 @@
 
     @classmethod
     def from_config(cls, cfg):
-        """Make metrics with the statsd server of the settings, if there is one."""
+        """Return metrics that are sent to the statsd server in the settings, if any."""
         if cfg.statsd_addr is None:
             return cls()
         ip, port = cfg.statsd_addr
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -17,7 +17,7 @@
 from .store import PlatformStore
 
 SETTINGS_VARIABLE = "PIMENTOLINE_CONFIG"
-# The settings file is checked for changes, because it may change without a SIGHUP.
+# The settings file is checked for changes, since not every change comes with a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
 
@@ -45,7 +45,7 @@
 
 
 async def serve(settings, path):
-    """Run a node until it is stopped; `path` is the settings file."""
+    """Run a node until it is stopped; `path` is the path of the settings file."""
     node = HostNode(
         settings.host_settings(),
         HEADER_NAMES,
@@ -64,7 +64,7 @@
 
 
 def main():
-    """Read the settings and run a node; exit with status 2 if they are invalid."""
+    """Read the settings file and run a node; exit with status 2 if it is invalid."""
     eliot.to_file(sys.stdout)
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -15,16 +15,16 @@
 
 __all__ = ["CONFIG_ROW", "parse_configuration"]
 
-# Table and key of the store's row with the operator's configuration.
+# Table and key of the row of the store that contains the operator's configuration.
 CONFIG_ROW = ("op", "config")
 # Timeout of a route that has no `timeout` field.
 DEFAULT_ROUTE_TIMEOUT = "10s"
 
 
 def _parse_rows(table):
-    """Yield each row of a table as a dict by column name, without null fields.
+    """Yield each row of a JSON table as a dict by column name, without null fields.
 
-    In the table, a row is a list of values in the order of `columns`.
+    In the JSON text, each row is a list of values in the order of `columns`.
     """
     columns = table["columns"]
     for row in table["rows"]:
--- a/pimentoline/platform/header_names.py
+++ b/pimentoline/platform/header_names.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.header_names: header names of the platform."""
+"""pimentoline.platform.header_names: names of the platform's HTTP headers."""
 
 from ..twohop.header_names import HeaderNames
 
--- a/pimentoline/platform/heartbeat_server.py
+++ b/pimentoline/platform/heartbeat_server.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.heartbeat_server: serves heartbeats and readiness checks."""
+"""pimentoline.platform.heartbeat_server: server for heartbeats and readiness checks."""
 
 import asyncio
 import json
@@ -25,7 +25,7 @@
 
 
 def parse_heartbeat(target_id, body):
-    """Return the `Heartbeat` in the body of a request.
+    """Return the `Heartbeat` in the JSON body of a request.
 
     Raises
     ------
@@ -34,17 +34,17 @@
     """
     item = json.loads(body)
     info, status = item["info"], item["status"]
-    sequence, born, slots = status["sequence"], item.get("born", 0), info["slots"]
-    for number in (sequence, born, slots):
+    sequence, born_ms, slots = status["sequence"], item.get("born", 0), info["slots"]
+    for number in (sequence, born_ms, slots):
         if type(number) is not int:
             raise TypeError(f"found {number!r:.40}; allowed: a whole number")
     if not isinstance(info["service"], str):
-        raise TypeError("service is not a text")
+        raise TypeError("service is not a string")
     return Heartbeat(
         target_id,
         parse_addr(item["address"]),
         info["service"],
-        born,
+        born_ms,
         sequence,
         STATES[status["state"]],
         slots,
@@ -53,7 +53,7 @@
 
 
 class HeartbeatServer(HTTPServerConnectionDelegate):
-    """Serves the target's heartbeats and the platform's readiness checks.
+    """Receives the target's heartbeats and answers the platform's readiness checks.
 
     Parameters
     ----------
@@ -64,8 +64,8 @@
         self.node = node
 
     def start_request(self, server_conn, request_conn):
-        """Return the delegate for a new request."""
-        return _Request(self, request_conn)
+        """Return the delegate that handles a new request."""
+        return _RequestHandler(self, request_conn)
 
     async def respond(self, method, path, body):
         """Return the status and body of the response to a request."""
@@ -95,19 +95,21 @@
 
     async def _handle_leave(self, target_id, body):
         item = json.loads(body) if body else {}
-        born = item.get("born") if isinstance(item, dict) else None
-        if self.node.target.handle_leave(target_id, born):
+        born_ms = item.get("born") if isinstance(item, dict) else None
+        if self.node.target.handle_leave(target_id, born_ms):
             await self._store_state(TargetState.LEFT)
 
     async def _store_state(self, state):
-        """Store the state of the target, so that it survives a restart of the node."""
+        """Store the target's state, so that the node knows it after a restart."""
         if state is TargetState.READY:
             asyncio.get_running_loop().create_task(self.node.store_sync.save())
         else:
             await self.node.store_sync.save_with_timeout()
 
 
-class _Request(HTTPMessageDelegate):
+class _RequestHandler(HTTPMessageDelegate):
+    """Reads one request and writes the response of the server."""
+
     def __init__(self, server, conn):
         self._server = server
         self.conn = conn
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.settings: the settings file that the platform writes."""
+"""pimentoline.platform.settings: reads the settings file that the platform writes."""
 
 import re
 import tomllib
@@ -17,11 +17,12 @@
 
 
 def parse_duration(text):
-    """Return a duration such as `1500ms` or `2.5s` in seconds.
+    """Return the seconds of a duration such as `1500ms` or `2.5s`.
 
     Raises
     ------
     ValueError
+        If the text has another form.
     """
     match = DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
     if match is None:
@@ -92,6 +93,7 @@
         Raises
         ------
         SettingsError
+            If an item of `bounds` is missing or invalid.
         """
         bounds = self.bounds
         try:
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -23,7 +23,7 @@
 
 # A request takes 4 ms, and up to 60 times as long if the store is slow.
 REQUEST_TIMEOUT_S = 1.5
-# A request that waits for changes times out this long after the requested wait.
+# A request that waits for changes times out this long after the end of the wait.
 WAIT_MARGIN_S = 1.0
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 PAGE_ROWS = 500
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredRow:
-    """A row of a table; `value` is None if the row was removed."""
+    """A row of a table; `value` is None if the row does not exist."""
 
     key: str
     version: int
@@ -39,7 +39,7 @@
 
 
 class PlatformStore:
-    """Client of the store; the `part` of the row keys is always empty.
+    """Client of the store; the field `part` of each row key is always empty.
 
     Parameters
     ----------
@@ -93,7 +93,7 @@
             raise StoreError(f"{path:.40}: response is not JSON") from exc
 
     async def read_all(self, table):
-        """Return the rows of a table and the version from which to read changes.
+        """Return the rows of a table and the version after which to read changes.
 
         Raises
         ------
--- a/pimentoline/store.py
+++ b/pimentoline/store.py
@@ -26,7 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A row of the table; each write adds 1 to `version`, which is 0 if absent."""
+    """A row of the table.
+
+    Each write adds 1 to `version`; it is 0 if the row does not exist.
+    """
 
     key: str
     version: int
@@ -102,7 +105,7 @@
             self._metrics.timing(name, time.monotonic() - started)
 
     async def _read(self, path, parse):
-        """Read and parse a response, with one retry."""
+        """Send a read and return its parsed response; retry once if it fails."""
         started = time.monotonic()
         try:
             try:
@@ -114,7 +117,7 @@
                 raise
             except StoreError:
                 remaining_s = REQUEST_TIMEOUT_S - (time.monotonic() - started)
-                # A first attempt that timed out may have overrun by up to 0.1 s.
+                # A first attempt may have exceeded its timeout by up to 0.1 s.
                 if remaining_s < REQUEST_TIMEOUT_S - FIRST_READ_TIMEOUT_S - 0.1:
                     raise
                 self._count("store.retried")
@@ -177,7 +180,7 @@
         Parameters
         ----------
         checks : iterable of (str, int)
-            Keys with the versions they must have; 0 means absent.
+            Keys with the versions that the rows must have; 0 if no row may exist.
         puts : iterable of (str, object)
             Keys with the values to write, which are JSON data.
         deletes : iterable of str
@@ -210,11 +213,12 @@
 
 
 def _parse_row(item):
-    """Return the row in one item of a response.
+    """Return the `Row` in one item of a response.
 
     Raises
     ------
     StoreError
+        If the item is malformed.
     """
     match item:
         case {"key": str(key), "version": int(version), "value": value}:
