Name the head row, the buffered body and the settings file

Cause: "replay" stood for the response of a claim and for a limit of the request body, `row` and `new` for the head row, and SettingsError left out the settings file. Change: these names and docstrings; MAX_REPLAY_BYTES = MAX_BUFFERED_BODY_BYTES inside call_handler.py, row = head_row and new = new_head inside publisher.py.

--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -90,8 +90,8 @@
 def audit_prefixes(newest, count):
     """Return prefixes that cover `count` versions up to `newest`, the latest first.
 
-    Each covers ten versions. The store scans in ascending order only, so a scan with
-    one prefix for all rows would read the whole trail to get the latest ones.
+    Each prefix covers ten versions. The store scans in ascending order only, so a scan
+    with one prefix for all rows would read the whole trail to get the latest ones.
     """
     oldest = max(newest - count + 1, 0)
     decades = range(newest // 10, oldest // 10 - 1, -1)
--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -26,7 +26,7 @@
 __all__ = ["CallHandler"]
 
 # Request bodies up to this size are buffered so that the call can be retried.
-MAX_REPLAY_BYTES = 64 * 1024
+MAX_BUFFERED_BODY_BYTES = 64 * 1024
 # Longest part of a response body that an idempotency claim records. It is the response
 # to retries with the same key.
 MAX_RECORDED_BODY_BYTES = 4096
@@ -133,7 +133,7 @@
         self.body_bytes += len(chunk)
         for attempt in list(self.attempts.values()):
             attempt.send_pending()
-        if self.body_bytes <= MAX_REPLAY_BYTES:
+        if self.body_bytes <= MAX_BUFFERED_BODY_BYTES:
             return None
         return self._wait_until_sent()
 
@@ -238,7 +238,7 @@
     # Attempts: called when effects are executed and by `AttemptRunner`.
 
     def start_attempt(self, effect):
-        """Start an attempt to send the call to a target."""
+        """Start the attempt at a target that a `StartAttempt` effect describes."""
         if self.ended:
             return
         attempt = AttemptRunner(self, effect)
--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -38,7 +38,10 @@
 
 
 class SettingsError(PimentolineError):
-    """Flags or environment variables are invalid; `problems` lists each one."""
+    """Flags, environment variables or a settings file are invalid.
+
+    `problems` lists every problem.
+    """
 
     code = "settings-invalid"
 
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -69,8 +69,8 @@
     region: str
     service: str
     app_addr: tuple[str, int]
-    # Retry limits and grace period, by name. In the file, they are a list or a
-    # comma-separated text of NAME=VALUE items.
+    # Retry limits and the grace period of a stop, by name. In the file, they are a list
+    # or a comma-separated text of NAME=VALUE items.
     bounds: dict[str, str]
     listen: ListenSettings
     platform: StoreSettings
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -82,8 +82,8 @@
             A valid rules text.
         author : str
         attempt : str
-            Id of this attempt. An attempt that is retried with the same id is accepted
-            at most once and gets the same outcome.
+            Id of this attempt to apply the text. If it is retried with the same id, it
+            is accepted at most once and gets the same outcome.
 
         Returns
         -------
@@ -98,7 +98,7 @@
             `unavailable`: this request has written nothing.
         """
         try:
-            row, head = await self._head()
+            head_row, head = await self._head()
             latest = head.version if head else 0
             if latest > base:
                 return await self._outcome(base, text, attempt)
@@ -110,7 +110,7 @@
             return {"result": "unavailable", "detail": exc.detail}
         version = base + 1
         digest = sha256_hex(text)
-        new = HeadRow(version=version, digest=digest, attempt=attempt)
+        new_head = HeadRow(version=version, digest=digest, attempt=attempt)
         audit = AuditRow(
             version=version,
             author=author,
@@ -122,13 +122,13 @@
             requesters=requesters(base_text, text),
         )
         puts = [
-            (HEAD_KEY, new.model_dump()),
+            (HEAD_KEY, new_head.model_dump()),
             (config_key(version), {"text": text}),
             (audit_key(version), audit.model_dump()),
         ]
-        return await self._write(row, puts, base, text, attempt)
+        return await self._write(head_row, puts, base, text, attempt)
 
-    async def _write(self, row, puts, base, text, attempt):
+    async def _write(self, head_row, puts, base, text, attempt):
         """Commit a version and return the outcome.
 
         Sending the transaction twice is safe: it checks the version of the head row,
@@ -138,7 +138,7 @@
         outcome = None
         for _ in range(MAX_COMMIT_ATTEMPTS):
             try:
-                if await store.commit([(HEAD_KEY, row.version)], puts):
+                if await store.commit([(HEAD_KEY, head_row.version)], puts):
                     return await self._load_accepted(base + 1, text)
             except StoreError as exc:
                 if outcome is None and not exc.may_have_written:
@@ -152,7 +152,7 @@
         return outcome
 
     async def _outcome(self, base, text, attempt):
-        """Return the outcome of an attempt that may have been written.
+        """Return the outcome of an attempt whose write may have taken effect.
 
         Versions are consecutive, so the audit row of the version after the base names
         the only attempt with this base that was accepted, however many versions
@@ -196,6 +196,7 @@
         return row, parse_row(HeadRow, row) if row.version else None
 
     async def _text(self, version):
+        """Return the text of a rules version that exists."""
         row = await self._node.store.get(config_key(version))
         return parse_row(ConfigRow, row).text
 
