Reword comments on recorded responses, body buffering and retry delays

Cause: a last whole reading stopped at "It is the response to retries", at a condition without a description and at two bounds explained twice. Change: these comments.

--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -27,8 +27,8 @@
 
 # Request bodies up to this size are buffered so that the call can be retried.
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
-# Longest part of a response body that an idempotency claim records. It is the response
-# to retries with the same key.
+# An idempotency claim records up to this much of a response body, to be replayed to
+# retries with the same key.
 MAX_RECORDED_BODY_BYTES = 4096
 # After an early response, the rest of the request is read for this long. A caller
 # that reads its response only after sending the whole request would lose the response
@@ -138,6 +138,7 @@
         return self._wait_until_sent()
 
     def _ignores_body(self):
+        """Return whether the rest of the request body is no longer needed."""
         return self.ended or (self.responded and not self.attempts)
 
     async def _wait_until_sent(self):
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -27,7 +27,7 @@
 INDENT = {"initial_indent": " " * 6, "subsequent_indent": " " * 6}
 TRUE_WORDS = ("1", "true", "yes", "on")
 FALSE_WORDS = ("0", "false", "no", "off")
-# Flags whose values are not shown in errors.
+# Flags whose values are not shown in error messages.
 SECRET_FLAGS = ("mesh_keys",)
 # Texts for types of pydantic errors whose message does not say what is allowed.
 ALLOWED_BY_ERROR_TYPE = {
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -23,10 +23,10 @@
 JOIN_GROUP_SIZE = 3
 # Number of groups that a node asks in turn at boot before it starts without a reply.
 MAX_JOIN_GROUPS = 3
-# Upper bounds of the random delay before a node retries to write its row or to find a
-# peer: before the first retry and before any retry. The bound doubles with each retry;
-# the lower bound is 0. The random delay keeps nodes that start together from retrying
-# at the same time.
+# Upper bounds, for the first retry and for any retry, of the random delay before a node
+# tries again to write its row or to find a peer. The bound doubles with each retry; the
+# lower bound is 0. The random delay keeps nodes that start together from retrying at
+# the same time.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
 
