--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -27,7 +27,7 @@
 INDENT = {"initial_indent": " " * 6, "subsequent_indent": " " * 6}
 TRUE_WORDS = ("1", "true", "yes", "on")
 FALSE_WORDS = ("0", "false", "no", "off")
-# Flags whose values are not shown in errors.
+# Flags whose values are not shown in error messages.
 SECRET_FLAGS = ("mesh_keys",)
 # Texts for types of pydantic errors whose message does not say what is allowed.
 ALLOWED_BY_ERROR_TYPE = {
@@ -150,7 +150,7 @@
 
 
 def _error_text(err):
-    """Return the text of a pydantic error."""
+    """Return the error message for an invalid flag from a pydantic error."""
     name = str(err["loc"][0]) if err["loc"] else ""
     text = err["msg"].removeprefix("Value error, ")
     if not name:
@@ -167,7 +167,7 @@
 
 
 def _add_value(value, text):
-    """Prefix the text of an error with the invalid value."""
+    """Return the text of an error message with the invalid value in front."""
     return f"found {value!r}; {text}"
 
 
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.settings: the settings file that the platform writes."""
+"""pimentoline.platform.settings: reads the settings file that the platform writes."""
 
 import re
 import tomllib
@@ -17,11 +17,12 @@
 
 
 def parse_duration(text):
-    """Return a duration such as `1500ms` or `2.5s` in seconds.
+    """Return the seconds of a duration such as `1500ms` or `2.5s`.
 
     Raises
     ------
     ValueError
+        If the text has another form.
     """
     match = DURATION_PATTERN.fullmatch(text) if isinstance(text, str) else None
     if match is None:
@@ -68,8 +69,8 @@
     region: str
     service: str
     app_addr: tuple[str, int]
-    # Retry limits and grace period, by name. In the file, they are a list or a
-    # comma-separated text of NAME=VALUE items.
+    # Retry limits and the grace period of a stop, by name. In the file, they are a list
+    # or a comma-separated text of NAME=VALUE items.
     bounds: dict[str, str]
     listen: ListenSettings
     platform: StoreSettings
@@ -92,6 +93,7 @@
         Raises
         ------
         SettingsError
+            If an item of `bounds` is missing or invalid.
         """
         bounds = self.bounds
         try:
