Rename vague names in the two-node path

Some names did not say what they hold: wanted, returned, frozen, taken_s, _open, and body_at, which is no time. They are now header_name, reply_headers, routes_by_host, duration_s, _partial_frames and body_start. Configuration.by_host is routes_by_host, and responses to earlier requests are called stale. None of them is used outside pimentoline/twohop.

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -330,9 +330,9 @@
         Durations during a cold start are not recorded.
         """
         if job.running and now >= self.cold_start_until:
-            taken_s = now - job.started_at
+            duration_s = now - job.started_at
             self._durations.note(
-                job.kind, taken_s, job.running_at_start, self.slots, now
+                job.kind, duration_s, job.running_at_start, self.slots, now
             )
         self.remove(job)
 
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -54,14 +54,14 @@
         self._mean_s = INITIAL_DURATION_S
         self._baseline_s = INITIAL_DURATION_S
 
-    def note(self, kind, taken_s, running, slots, now):
+    def note(self, kind, duration_s, running, slots, now):
         """Record the duration of a call that has completed.
 
         Parameters
         ----------
         kind : object
             Kind of the call.
-        taken_s : float
+        duration_s : float
             Duration, seconds.
         running : int
             Number of running calls when this one started, itself included.
@@ -72,27 +72,27 @@
         """
         rise_weight = min(SMOOTHING_WEIGHT, (now - self._noted_at) / BASELINE_RISE_S)
         self._noted_at = now
-        previous_s = self._mean_by_kind.get(kind, taken_s)
+        previous_s = self._mean_by_kind.get(kind, duration_s)
         self._mean_by_kind[kind] = previous_s + SMOOTHING_WEIGHT * (
-            taken_s - previous_s
+            duration_s - previous_s
         )
-        self._mean_s += SMOOTHING_WEIGHT * (taken_s - self._mean_s)
-        previous_s = self._baseline_by_kind.get(kind, taken_s)
+        self._mean_s += SMOOTHING_WEIGHT * (duration_s - self._mean_s)
+        previous_s = self._baseline_by_kind.get(kind, duration_s)
         self._baseline_by_kind[kind] = previous_s + (
-            taken_s - previous_s
-        ) * _baseline_weight(previous_s, taken_s, rise_weight)
+            duration_s - previous_s
+        ) * _baseline_weight(previous_s, duration_s, rise_weight)
         previous_s = self._baseline_s
-        self._baseline_s = previous_s + (taken_s - previous_s) * _baseline_weight(
-            previous_s, taken_s, rise_weight
+        self._baseline_s = previous_s + (duration_s - previous_s) * _baseline_weight(
+            previous_s, duration_s, rise_weight
         )
         if running <= slots * LIGHT_LOAD_SHARE:
-            previous_s = self._light_load_by_kind.get(kind, taken_s)
+            previous_s = self._light_load_by_kind.get(kind, duration_s)
             self._light_load_by_kind[kind] = previous_s + SMOOTHING_WEIGHT * (
-                taken_s - previous_s
+                duration_s - previous_s
             )
             self._light_load_samples += 1
         elif running > slots * FULL_LOAD_SHARE and kind in self._light_load_by_kind:
-            load_ratio = taken_s / max(self._light_load_by_kind[kind], 0.001)
+            load_ratio = duration_s / max(self._light_load_by_kind[kind], 0.001)
             self._full_load_ratio += SMOOTHING_WEIGHT * (
                 load_ratio - self._full_load_ratio
             )
@@ -143,5 +143,5 @@
         return slots
 
 
-def _baseline_weight(baseline_s, taken_s, rise_weight):
-    return SMOOTHING_WEIGHT if taken_s < baseline_s else rise_weight
+def _baseline_weight(baseline_s, duration_s, rise_weight):
+    return SMOOTHING_WEIGHT if duration_s < baseline_s else rise_weight
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -14,7 +14,7 @@
 __all__ = ["Response", "ResponseError", "send_request"]
 
 # The connection is given up after this many responses to earlier requests.
-MAX_FOREIGN_RESPONSES = 4
+MAX_STALE_RESPONSES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,7 +135,7 @@
     stream = conn.stream
     http.write_headers(RequestStartLine(method, path, "HTTP/1.1"), headers, body)
     http.finish()
-    for _ in range(MAX_FOREIGN_RESPONSES):
+    for _ in range(MAX_STALE_RESPONSES):
         collector, reusable = await _read_response(http, stream, method, max_bytes)
         if is_own_response(collector.headers):
             if stream.writing():
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -386,12 +386,12 @@
                 raise CodecError(
                     f"frame too large: header {header_bytes}, body {body_bytes} bytes"
                 )
-            body_at = start + LENGTHS.size + header_bytes
-            end = body_at + body_bytes
+            body_start = start + LENGTHS.size + header_bytes
+            end = body_start + body_bytes
             if len(self._buffer) < end:
                 break
-            header = bytes(self._buffer[start + LENGTHS.size : body_at])
-            frames.append((_decode_header(header), bytes(self._buffer[body_at:end])))
+            header = bytes(self._buffer[start + LENGTHS.size : body_start])
+            frames.append((_decode_header(header), bytes(self._buffer[body_start:end])))
             start = end
         if start:
             del self._buffer[:start]
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -103,11 +103,11 @@
 class Configuration:
     """One version of the operator's configuration.
 
-    `by_host` maps a host name to its routes, longest prefix first.
+    `routes_by_host` maps a host name to its routes, longest prefix first.
     """
 
     version: int
-    by_host: dict[str, tuple[Route, ...]]
+    routes_by_host: dict[str, tuple[Route, ...]]
     services: dict[str, ServiceInfo]
     limits: CallerLimits = field(default_factory=CallerLimits)
 
@@ -122,15 +122,15 @@
         services : iterable of ServiceInfo
         limits : CallerLimits
         """
-        by_host = {}
+        route_lists = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
-            by_host.setdefault(route.host, []).append(route)
-        frozen = {host: tuple(found) for host, found in by_host.items()}
-        return cls(version, frozen, {s.name: s for s in services}, limits)
+            route_lists.setdefault(route.host, []).append(route)
+        routes_by_host = {host: tuple(found) for host, found in route_lists.items()}
+        return cls(version, routes_by_host, {s.name: s for s in services}, limits)
 
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches `path`, or None."""
-        for route in self.by_host.get(host, ()):
+        for route in self.routes_by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -36,33 +36,33 @@
     """Joins the bodies of frames that a link receives in chunks."""
 
     def __init__(self):
-        self._open = {}
+        self._partial_frames = {}
 
     def begin(self, frame, body):
         """Start a body; return it if the frame contains all of it, otherwise None."""
-        self._open[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
+        self._partial_frames[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
         found = self.add(frame.stream, body)
         return found[1] if found is not None else None
 
     def add(self, stream, chunk):
         """Add a chunk; return (frame, body) if it was the last one, otherwise None."""
-        part = self._open.get(stream)
+        part = self._partial_frames.get(stream)
         if part is None:
             return None
         part.chunks.append(chunk)
         part.missing_bytes -= len(chunk)
         if part.missing_bytes > 0:
             return None
-        del self._open[stream]
+        del self._partial_frames[stream]
         return part.frame, b"".join(part.chunks)
 
     def drop(self, stream):
         """Discard the body of a stream."""
-        self._open.pop(stream, None)
+        self._partial_frames.pop(stream, None)
 
     def clear(self):
         """Discard the bodies of all streams."""
-        self._open.clear()
+        self._partial_frames.clear()
 
 
 class _OutgoingLink:
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -463,9 +463,9 @@
         loop.call_later(UNREACHABLE_PAUSE_S, self._on_change)
 
     def _request_id(self, call):
-        wanted = self._header_names.request_id.lower()
+        header_name = self._header_names.request_id.lower()
         for name, value in call.frame.headers:
-            if name.lower() == wanted:
+            if name.lower() == header_name:
                 return value
         return ""
 
@@ -526,14 +526,14 @@
             )
             self._finish(call, frame)
             return
-        returned = end_to_end_headers(
+        reply_headers = end_to_end_headers(
             headers, DROPPED_FROM_RESPONSE | {"Content-Length", header_names.load}
         )
         frame = ResponseFrame(
             call.frame.stream,
             response.status,
             response.reason,
-            tuple(returned.get_all()),
+            tuple(reply_headers.get_all()),
             len(response.body),
             self.load_report(),
         )
