Reword the comments of the decision modules of the two-node path

Some had to be read twice: the pair of failure slowdowns, the age ratio, the slowdown of a cold start. Others left out a None, a maximum or what a parameter means. The value of a response and the assumed distribution of response times are now described at choose() and on_time_probability().

--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -52,8 +52,8 @@
     priority : int
         0 is the most urgent.
     objective_at, deadline_at : float
-        When the latency objective ends and when the caller stops waiting, monotonic
-        time in seconds.
+        When the latency objective is missed and when the caller stops waiting,
+        monotonic time in seconds.
     last_resort : bool
         Whether no other target would accept the call.
     kind : object
@@ -65,8 +65,9 @@
     late_wait_until : float
         When the job is refused if it is still in the queue of late jobs, monotonic
         time in seconds.
-    objective_s : float
-        Time that was left of the objective when the job arrived, seconds.
+    objective_s : float or None
+        Time from the arrival of the job to `objective_at`, seconds; None until the job
+        is offered to `AdmissionController`.
     typical_s : float
         Typical duration of such a job, as estimated when it started, seconds.
     running : bool
@@ -133,10 +134,12 @@
         # Sums over the running jobs.
         self._started_at_sum = 0.0
         self._typical_s_sum = 0.0
-        # Heaps of (priority, objective_at, sequence number, job).
+        # Heaps of (priority, objective_at, sequence number, job); removed jobs stay
+        # until they are first.
         self._queue = []
         self._late_queue = []
         self._next_sequence = 0
+        # Whether the target was in its cold start when a duration was last estimated.
         self._cold = False
 
     def set_slots(self, slots):
@@ -146,8 +149,9 @@
     def note_slowdown(self, slowdown, now):
         """Record the slowdown that the target reports.
 
-        It includes the slowdown after a cold start. That part is divided out,
-        because waiting for the end of noise would not help against it.
+        During a cold start, the reported value includes the slowdown of the cold start.
+        This part is divided out, because waiting for the end of noise would not help
+        against it.
 
         Parameters
         ----------
@@ -172,10 +176,10 @@
         return _count_waiting(self._queue) + _count_waiting(self._late_queue)
 
     def _age_ratio(self, now):
-        """Return the age of the running jobs relative to their typical duration.
+        """Return the mean age of the running jobs, relative to their typical duration.
 
-        A high ratio shows that a target has become slow or hangs before any job has
-        ended. With too few running jobs, the ratio is 0.
+        Before any job has ended, a high ratio already shows that the target has become
+        slow or hangs. With too few running jobs, the ratio is 0.
         """
         if self.running < MIN_RUNNING_FOR_AGE_RATIO or self._typical_s_sum <= 0.0:
             return 0.0
@@ -285,7 +289,10 @@
         return job, None
 
     def _check_in_time(self, job, now, late):
-        """Return the refusal of a waiting job that would be too late, or None."""
+        """Return the refusal of a waiting job that would be too late, or None.
+
+        `late` tells whether the job waits in the queue of late jobs.
+        """
         duration_s = self.expected_duration_s(now, job)
         latest_start = job.deadline_at - duration_s * MIN_START_SHARE
         if late:
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -22,7 +22,7 @@
 BASELINE_RISE_S = 60.0
 # Without completed calls, the estimate returns from the mean to the baseline over this
 # time, seconds. Most causes of slowness are gone by then, and only new calls can show
-# it.
+# whether they are.
 MEAN_DECAY_S = 5.0
 # Shares of a target's slots. A call that starts with up to the first share in use is a
 # sample of light load, one with more than the second is a sample of full load. Known
@@ -123,7 +123,7 @@
     def concurrency_limit(self, slots, cold):
         """Return the number of calls that may run at once.
 
-        Until there are enough samples, all slots are used, except after a cold start,
+        Until there are enough samples, all slots are used, except during a cold start,
         when responses are late anyway.
 
         Parameters
@@ -131,7 +131,7 @@
         slots : int
             Calls that the target processes at once.
         cold : bool
-            Whether the target has started recently and is still slow.
+            Whether the target is still slow after its start.
         """
         enough_samples = (
             min(self._full_load_samples, self._light_load_samples) >= MIN_SAMPLES
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -57,9 +57,9 @@
     last_resort : bool
         Whether the current attempt must be accepted even if it will be late.
     retry_after_s : float or None
-        Shortest wait given by a node that refused the call, seconds.
+        Shortest retry-after time of the refusals of the call, seconds.
     last_resort_candidate : Candidate or None
-        The node that gave `retry_after_s`.
+        Candidate of the node that gave `retry_after_s`.
     held_response : object
         Failure response of a target, passed on if no retry gives a better one.
     """
@@ -252,7 +252,7 @@
 
 
 def _use_last_resort(call, now, retry):
-    """Send the call to the node with the shortest wait even if it will be late."""
+    """Send the call to `last_resort_candidate` even if it will be late, or end it."""
     candidate, call.last_resort_candidate = call.last_resort_candidate, None
     if candidate is not None and candidate.reachable and not call.last_resort:
         return _send_to(call, candidate, True, retry)
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -17,7 +17,8 @@
     "Share",
 ]
 
-# HTTP statuses from here on mean that the target failed, not that the call was wrong.
+# An HTTP status from this one on means that the target failed, not that the call was
+# wrong.
 MIN_FAILURE_STATUS = 500
 # A target that has just started takes about this many times as long for each call.
 COLD_START_SLOWDOWN = 2.0
@@ -61,7 +62,7 @@
     shares : tuple of Share
         Traffic split.
     max_attempts : int
-        Number of targets that one call may be sent to.
+        Maximum number of targets that may receive one call.
     """
 
     name: str
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -12,7 +12,7 @@
 
 __all__ = ["NoiseDetector", "StartDecision"]
 
-# A slowdown from this ratio on is taken for noise.
+# Smallest reported slowdown that is taken for noise.
 MIN_NOISE_SLOWDOWN = 1.8
 # A report older than this does not permit a call to start, seconds. A period of noise
 # lasts about 150 ms, so an older report is often wrong.
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -43,13 +43,14 @@
 INITIAL_MEAN_REPORTS = 3
 # Mean delay of a target before its first report, milliseconds.
 INITIAL_DELAY_MS = 120.0
-# Each recent failure of a target adds this share of the target's expected delay to that
-# delay, up to the second share for all failures.
+# Shares of a target's expected delay that are added to it: for each recent failure of
+# the target, and at most for all of them together.
 FAILURE_SLOWDOWN = 0.5
 MAX_FAILURE_SLOWDOWN = 5.0
 # Failures are ignored once a target has had none for this long, seconds.
 FAILURE_MEMORY_S = 3.0
-# Random part of a candidate's value, so that nearly equal candidates share the load.
+# Largest random number that is added to the value of a candidate, so that nearly equal
+# candidates share the load.
 TIE_JITTER = 0.02
 # Delay added to a target while it is avoided after a refusal by its node, milliseconds.
 REFUSAL_PENALTY_MS = 200.0
@@ -201,7 +202,10 @@
 
 
 def on_time_probability(remaining_ms, expected_ms):
-    """Return the logistic probability of a response within `remaining_ms`."""
+    """Return the probability of a response within `remaining_ms`.
+
+    Response times are assumed to have a logistic distribution around `expected_ms`.
+    """
     x = (expected_ms - remaining_ms) / RESPONSE_TIME_SPREAD_MS
     return 1.0 / (1.0 + math.exp(min(max(x, -30.0), 30.0)))
 
@@ -209,7 +213,9 @@
 def choose(candidates, location, now, requirements, tried, draw):
     """Return the candidate with the highest expected value less cost, or None.
 
-    Only reachable candidates that accept calls are considered.
+    Only reachable candidates that accept calls are considered. A response has the value
+    1 if it meets the latency objective, `LATE_VALUE` if it is late, and 0 if it is a
+    failure.
 
     Parameters
     ----------
@@ -239,7 +245,8 @@
         on_time = on_time_probability(objective_ms, expected_ms)
         value = on_time + LATE_VALUE * (1.0 - on_time)
         value = value * candidate.success_rate(now) - cost
-        # If all are far too late, the probabilities are equal and the fastest wins.
+        # If all candidates are far too late, their probabilities are equal, and the
+        # fastest one is chosen.
         value -= expected_ms * 1e-5
         # Derives a different pseudo-random number for each candidate from one draw.
         value += ((draw * 997.0 + index * 0.618) % 1.0) * TIE_JITTER
--- a/pimentoline/twohop/retry_budget.py
+++ b/pimentoline/twohop/retry_budget.py
@@ -31,11 +31,11 @@
         self._retries = deque()
 
     def set_limits(self, limits):
-        """Apply changed limits."""
+        """Apply changed limits; the attempts counted so far still count."""
         self._limits = limits
 
     def count_first_attempt(self, now):
-        """Count a first attempt."""
+        """Count a first attempt that is sent at `now`, monotonic seconds."""
         self._first_attempts.append(now)
         self._drop_expired(self._first_attempts, now)
 
