Reword the comments of the I/O modules of the two-node path

Some comments used "it" or "this" for a thing with a name or had to be read twice, and some docstrings did not say what is returned, raised or waited for: the size limits of frames, stale responses, the wait for a newer configuration, reload(), the writes of the node's row.

--- a/pimentoline/twohop/chunked.py
+++ b/pimentoline/twohop/chunked.py
@@ -13,7 +13,7 @@
 
 MAX_LINE_BYTES = 4096
 MAX_TRAILER_LINES = 64
-# Most data that is passed to `on_data` at once.
+# Largest part of a body that is passed to `on_data` at once.
 MAX_READ_BYTES = 64 * 1024
 # At most 15 hexadecimal digits (60 bits).
 CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,15}")
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Response", "ResponseError", "send_request"]
 
-# The connection is given up after this many responses to earlier requests.
+# `send_request` fails after this many responses to earlier requests.
 MAX_STALE_RESPONSES = 4
 
 
@@ -76,7 +76,18 @@
 
 
 async def _read_response(http, stream, method, max_bytes):
-    """Return the next response, and whether the connection can be reused."""
+    """Read the next response.
+
+    Returns
+    -------
+    tuple of (_ResponseCollector, bool)
+        The response, and whether the connection can be reused.
+
+    Raises
+    ------
+    ResponseError
+        If the response is not received completely.
+    """
     collector = _ResponseCollector(max_bytes)
     try:
         await http.read_response(collector)
@@ -118,9 +129,9 @@
     max_bytes : int
         Largest size of a response body, bytes.
     is_own_response : callable
-        Returns from the headers of a response whether it belongs to this request.
-        Others are late responses to earlier requests on the connection and are
-        discarded.
+        `is_own_response(headers)` returns whether a response with these headers belongs
+        to this request. Other responses are late responses to earlier requests on the
+        connection and are discarded.
 
     Returns
     -------
@@ -148,6 +159,7 @@
             )
         if not reusable or stream.closed():
             break
+        # Reads the next response without sending another request.
         http = HTTP1Connection(stream, True, http.params)
         http.finish()
         await asyncio.sleep(0)
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -38,9 +38,10 @@
 # Bodies are sent in chunks of this size, so that large ones do not delay other calls.
 CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 256 * 1024
-# Equal to the default limit for the request bodies of callers.
+# Largest body of a frame and of a target's response. It is equal to the default limit
+# for the request bodies of callers.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# The share of failed calls, 0 to 1, is sent as one byte, 0 to this.
+# The share of failed calls, 0 to 1, is sent as one byte, 0 to `RATE_STEPS`.
 RATE_STEPS = 255.0
 # The position in `VERDICTS` is the number that a frame's header carries.
 VERDICTS = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
@@ -249,7 +250,7 @@
                 "stream": frame.stream,
                 "reason": frame.reason,
                 "retryAfterMs": frame.retry_after_ms,
-                # The schema has no field of its own for this.
+                # The schema has no separate field for `by_target`.
                 "repeatable": frame.by_target,
             }
         case FailedFrame():
@@ -268,7 +269,7 @@
 
 
 def encode(frame, body=b""):
-    """Return the bytes of a frame with its body, or with the body's first chunk."""
+    """Return the encoded frame, followed by its body or a chunk of the body."""
     fields = _header_fields(frame)
     load = getattr(frame, "load", None)
     if load is not None:
--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -27,8 +27,8 @@
 NO_CONFIG_RETRY_AFTER_S = 0.5
 # When a caller may retry at another node while this one stops, seconds.
 STOPPING_RETRY_AFTER_S = 0.02
-# Idle connections are closed this much later than the configured idle timeout, which
-# callers know, seconds.
+# Idle connections are closed this long after the configured idle timeout, seconds.
+# Callers know the timeout and stop using an idle connection by then.
 IDLE_MARGIN_S = 1.0
 # A body that is too large is read and discarded up to this size, then the connection
 # is closed.
@@ -117,7 +117,8 @@
     """One request of a caller.
 
     `state` is "new" (no head received), "reading" (the body), "waiting" (for the
-    outcome of the call) or "done".
+    outcome of the call) or "done". `notify_disconnect` is the function to call when the
+    caller disconnects, and None until the call is submitted.
     """
 
     def __init__(self, frontend, conn):
@@ -242,6 +243,7 @@
 
     def _respond_with_error(self, status, reason, retry_after_s=None):
         if status is None:
+            # The caller has disconnected.
             self._mark_done()
             return
         body = f'{{"error":"{reason}"}}'.encode()
@@ -264,7 +266,8 @@
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         self.conn.write_headers(start_line, headers, body or None)
         if self.frontend.stopping:
-            # tornado decided when it read the request whether to keep the connection.
+            # When tornado read the request, it decided whether to keep the connection
+            # open. This overrides that decision.
             self.conn._disconnect_on_finish = True
         self.conn.finish()
 
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -111,7 +111,8 @@
         for start in range(CHUNK_BYTES, len(body), CHUNK_BYTES):
             chunk = body[start : start + CHUNK_BYTES]
             self._transport.write(encode(BodyFrame(frame.stream), chunk))
-        # Small frames cannot fill the buffer before `check` finds the peer dead.
+        # This is not checked for small frames, which cannot fill the buffer before
+        # `check` finds the peer dead.
         if self._transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
             self.close("peer does not read")
 
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -107,7 +107,7 @@
         Parameters
         ----------
         version : int or None
-            None if it is only known from the text.
+            Version of the configuration; None if only `text` contains it.
         text : bytes
         source : str
             Where it was received from, for the log.
@@ -141,7 +141,7 @@
     parse_config : callable
         As `parse` of `ConfigHolder`.
     make_store : callable
-        Returns the store client from a `Pool`.
+        Returns a store client that uses the given `Pool`.
     config_row : tuple of str
         Table and key of the operator's configuration.
     make_heartbeat_delegate : callable
@@ -257,7 +257,10 @@
             self.pool.close_expired()
 
     def reload(self, cfg):
-        """Apply changed settings; only a restart changes addresses."""
+        """Apply changed settings.
+
+        Only `grace_s` and `retry_limits` take effect; the others require a restart.
+        """
         self.cfg = replace(self.cfg, grace_s=cfg.grace_s, retry_limits=cfg.retry_limits)
         self.caller_side.set_retry_limits(cfg.retry_limits)
         log_entry("node:reloaded", node=cfg.node, same=self.cfg == cfg)
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -17,9 +17,8 @@
 # each failure.
 MIN_RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 2.0
-# A node that learns of a newer configuration from a peer waits this long for the store
-# to deliver the configuration before it requests the configuration from the peer,
-# seconds.
+# Time in which the store is expected to deliver a newer configuration that a peer has
+# announced, seconds. After this time, the peer is asked for the configuration.
 CONFIG_WAIT_S = 0.15
 
 
@@ -193,7 +192,7 @@
         return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
-        """Send the frame of `make_frame(stream)`; return the stream number."""
+        """Send a call, whose frame `make_frame(stream)` returns; return its stream."""
         self.next_stream += 1
         stream = self.next_stream
         self.frame_callbacks[stream] = on_frame
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -257,7 +257,8 @@
     def _schedule_save(self):
         """Schedule another write of the row.
 
-        The target's heartbeat has been acknowledged, so nothing else would cause one.
+        The heartbeat with the target's new state has been acknowledged, and later
+        heartbeats with the same state cause no write.
         """
         if self._save_timer is None:
             pause_s = MAX_PAUSE_S * self._random.uniform(0.7, 1.0)
@@ -270,7 +271,10 @@
             self._start_task(self.save())
 
     async def remove_with_timeout(self):
-        """Remove the row of a host that shuts down; wait up to `MAX_STORE_WAIT_S`."""
+        """Remove this node's row, because its host shuts down.
+
+        Waits up to `MAX_STORE_WAIT_S` for the removal.
+        """
         self.stop()
         async with self._write_lock:
             task = self._start_task(
@@ -279,6 +283,10 @@
             await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
 
     async def save_with_timeout(self):
-        """Write the row; wait up to `MAX_STORE_WAIT_S`, then leave it running."""
+        """Write this node's row.
+
+        Waits up to `MAX_STORE_WAIT_S` for the write, which then continues in the
+        background.
+        """
         task = self._start_task(self.save())
         await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -180,14 +180,10 @@
         return self._status_changed(previous)
 
     def _admission_for_new_target(self, slots):
-        """Return a controller for a new target.
+        """Return an `AdmissionController` for a new target.
 
         The calls that wait for the previous target are refused, and its idle
         connections are closed.
-
-        Returns
-        -------
-        AdmissionController
         """
         admission = AdmissionController(slots)
         for job in self.admission.take_waiting():
@@ -209,6 +205,10 @@
             self._status_changed(previous)
 
     def _status_changed(self, previous):
+        """Act on a change from the `previous` status; return whether there is one.
+
+        Only a change of the target's id or of its state counts.
+        """
         status = self.status_tracker.current
         same = previous is not None and (previous.target_id, previous.state) == (
             status.target_id,
@@ -312,6 +312,7 @@
         self._finish(call, frame)
 
     def _finish(self, call, frame=None, body=b""):
+        """End a call, and reply with `frame` unless nobody waits for the outcome."""
         if call.ended:
             return
         call.ended = True
