Say in Peers which candidate is local and what is kept by service

Peers.local held a candidate and _by_service the candidates of each service; neither name said so. They are local_candidate and _candidates_by_service; no other file uses them.

--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -298,7 +298,7 @@
         Links that peers opened.
     outgoing : dict of str to _OutgoingLink
         Links that this node opens, by name of the member.
-    local : Candidate or None
+    local_candidate : Candidate or None
         This node's own target.
     """
 
@@ -309,8 +309,8 @@
         self.clock = clock
         self.incoming = {}
         self.outgoing = {}
-        self.local = None
-        self._by_service = {}
+        self.local_candidate = None
+        self._candidates_by_service = {}
         self._server = None
         self._check_task = None
 
@@ -339,15 +339,15 @@
         found = [
             outgoing_link.candidate.member for outgoing_link in self.outgoing.values()
         ]
-        if self.local is not None:
-            found.append(self.local.member)
+        if self.local_candidate is not None:
+            found.append(self.local_candidate.member)
         return found
 
     def set_member(self, member):
         """Add a member, or replace it if its data have changed."""
         if member.node == self.own_name:
-            if self.local is None or self.local.member != member:
-                self.local = Candidate(member, reachable=True)
+            if self.local_candidate is None or self.local_candidate.member != member:
+                self.local_candidate = Candidate(member, reachable=True)
                 self._index_by_service()
             return
         outgoing_link = self.outgoing.get(member.node)
@@ -378,16 +378,18 @@
         for outgoing_link in self.outgoing.values():
             service = outgoing_link.candidate.member.service
             found.setdefault(service, []).append(outgoing_link.candidate)
-        if self.local is not None:
-            found.setdefault(self.local.member.service, []).append(self.local)
-        self._by_service = found
+        if self.local_candidate is not None:
+            found.setdefault(self.local_candidate.member.service, []).append(
+                self.local_candidate
+            )
+        self._candidates_by_service = found
 
     def candidates(self, service):
         """Return the candidates of a service; renew the report of the local target."""
-        local = self.local
-        if local is not None and local.member.service == service:
-            local.note_report(self.target.load_report(), self.clock())
-        return self._by_service.get(service, ())
+        local_candidate = self.local_candidate
+        if local_candidate is not None and local_candidate.member.service == service:
+            local_candidate.note_report(self.target.load_report(), self.clock())
+        return self._candidates_by_service.get(service, ())
 
     # Calls.
 
@@ -406,7 +408,7 @@
         on_stall : callable
             Called without arguments when the link to the candidate becomes suspect.
         """
-        if candidate is self.local:
+        if candidate is self.local_candidate:
             return self._send_local(candidate, make_frame, body, on_frame)
         outgoing_link = self.outgoing.get(candidate.member.node)
         if outgoing_link is None or not candidate.reachable:
