--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -17,9 +17,8 @@
 # each failure.
 MIN_RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 2.0
-# A node that learns of a newer configuration from a peer waits this long for the store
-# to deliver the configuration before it requests the configuration from the peer,
-# seconds.
+# Time in which the store is expected to deliver a newer configuration that a peer has
+# announced, seconds. After this time, the peer is asked for the configuration.
 CONFIG_WAIT_S = 0.15
 
 
@@ -36,33 +35,33 @@
     """Joins the bodies of frames that a link receives in chunks."""
 
     def __init__(self):
-        self._open = {}
+        self._partial_frames = {}
 
     def begin(self, frame, body):
         """Start a body; return it if the frame contains all of it, otherwise None."""
-        self._open[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
+        self._partial_frames[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
         found = self.add(frame.stream, body)
         return found[1] if found is not None else None
 
     def add(self, stream, chunk):
         """Add a chunk; return (frame, body) if it was the last one, otherwise None."""
-        part = self._open.get(stream)
+        part = self._partial_frames.get(stream)
         if part is None:
             return None
         part.chunks.append(chunk)
         part.missing_bytes -= len(chunk)
         if part.missing_bytes > 0:
             return None
-        del self._open[stream]
+        del self._partial_frames[stream]
         return part.frame, b"".join(part.chunks)
 
     def drop(self, stream):
         """Discard the body of a stream."""
-        self._open.pop(stream, None)
+        self._partial_frames.pop(stream, None)
 
     def clear(self):
         """Discard the bodies of all streams."""
-        self._open.clear()
+        self._partial_frames.clear()
 
 
 class _OutgoingLink:
@@ -193,7 +192,7 @@
         return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
-        """Send the frame of `make_frame(stream)`; return the stream number."""
+        """Send a call, whose frame `make_frame(stream)` returns; return its stream."""
         self.next_stream += 1
         stream = self.next_stream
         self.frame_callbacks[stream] = on_frame
@@ -299,7 +298,7 @@
         Links that peers opened.
     outgoing : dict of str to _OutgoingLink
         Links that this node opens, by name of the member.
-    local : Candidate or None
+    local_candidate : Candidate or None
         This node's own target.
     """
 
@@ -310,8 +309,8 @@
         self.clock = clock
         self.incoming = {}
         self.outgoing = {}
-        self.local = None
-        self._by_service = {}
+        self.local_candidate = None
+        self._candidates_by_service = {}
         self._server = None
         self._check_task = None
 
@@ -340,15 +339,15 @@
         found = [
             outgoing_link.candidate.member for outgoing_link in self.outgoing.values()
         ]
-        if self.local is not None:
-            found.append(self.local.member)
+        if self.local_candidate is not None:
+            found.append(self.local_candidate.member)
         return found
 
     def set_member(self, member):
         """Add a member, or replace it if its data have changed."""
         if member.node == self.own_name:
-            if self.local is None or self.local.member != member:
-                self.local = Candidate(member, reachable=True)
+            if self.local_candidate is None or self.local_candidate.member != member:
+                self.local_candidate = Candidate(member, reachable=True)
                 self._index_by_service()
             return
         outgoing_link = self.outgoing.get(member.node)
@@ -379,16 +378,18 @@
         for outgoing_link in self.outgoing.values():
             service = outgoing_link.candidate.member.service
             found.setdefault(service, []).append(outgoing_link.candidate)
-        if self.local is not None:
-            found.setdefault(self.local.member.service, []).append(self.local)
-        self._by_service = found
+        if self.local_candidate is not None:
+            found.setdefault(self.local_candidate.member.service, []).append(
+                self.local_candidate
+            )
+        self._candidates_by_service = found
 
     def candidates(self, service):
         """Return the candidates of a service; renew the report of the local target."""
-        local = self.local
-        if local is not None and local.member.service == service:
-            local.note_report(self.target.load_report(), self.clock())
-        return self._by_service.get(service, ())
+        local_candidate = self.local_candidate
+        if local_candidate is not None and local_candidate.member.service == service:
+            local_candidate.note_report(self.target.load_report(), self.clock())
+        return self._candidates_by_service.get(service, ())
 
     # Calls.
 
@@ -407,7 +408,7 @@
         on_stall : callable
             Called without arguments when the link to the candidate becomes suspect.
         """
-        if candidate is self.local:
+        if candidate is self.local_candidate:
             return self._send_local(candidate, make_frame, body, on_frame)
         outgoing_link = self.outgoing.get(candidate.member.node)
         if outgoing_link is None or not candidate.reachable:
