Explain terms and reasons in five files that a reader stopped at

Cause: a reading of standins/node_process.py, twohop/frontend.py, bench/config.py, rules/parser.py and twohop/model.py found names and sentences that needed a look into other files: the store, the faults of a condition, a rule's selector and setting, and why the frontend replaces tornado's chunked reader.

Change: comments and docstrings only. The comment on MAX_DISCARDED_BODY_BYTES now says that reading ends when the 413 has been written; tornado closes the connection then, not at that size.

--- a/bench/config.py
+++ b/bench/config.py
@@ -24,8 +24,10 @@
         Names of the data centres, by region.
     instances : int
         Number of targets, spread over the data centres.
-    slots, connections : int
-        Maximum numbers of requests that a target runs at once and of open connections.
+    slots : int
+        Maximum number of requests that a target runs at once.
+    connections : int
+        Maximum number of open connections of a target.
     """
 
     name: str
@@ -55,14 +57,15 @@
 class Condition(StrictModel):
     """Load and faults under which each policy is measured.
 
-    Faults are those that `POST /faults` of `standins.target` accepts.
+    Faults are settings of the simulated target `standins.target`, which accepts them at
+    `POST /faults`; an example is `{"fail": True}`.
 
     Attributes
     ----------
     mean_s, sigma : float
         Mean in seconds and shape of the log-normal service time.
     utilisation : float
-        Offered load as a share of capacity.
+        Offered load as a share of the capacity of all targets.
     queue : int
         Maximum number of requests that wait at a target.
     all_targets : dict
@@ -70,7 +73,8 @@
     before : dict
         Faults of the first `affected` targets, from the start.
     faults : dict
-        Faults of the first `affected` targets, from `at_s` on.
+        Faults that are set for the first `affected` targets at `at_s`. Faults set
+        before under other names stay.
     affected : int
         Number of targets that `before` and `faults` apply to.
     at_s : float
@@ -104,11 +108,11 @@
     policies : tuple of str
         All policies to measure, including `subject`.
     seeds : tuple of int
-        Each condition and policy is measured once with each seed.
+        Each policy is measured under each condition once with each seed.
     duration_s, deadline_s : float
         Duration of the load of one run, and deadline of each call, seconds.
     quick : dict
-        Values that `load_experiment` replaces for the short form.
+        Values that `load_experiment` puts in place of others for a short experiment.
     """
 
     subject: str
--- a/pimentoline/rules/parser.py
+++ b/pimentoline/rules/parser.py
@@ -24,7 +24,8 @@
 MAX_CACHED_LINES = 16_384
 # Rounding errors may bring the sum of shares slightly above 1.
 SHARE_TOLERANCE = 1e-9
-# Stands for (earlier rule, line number) if no earlier rule has the selector.
+# Stands for (earlier rule, line number) if no earlier rule has the selector, which is
+# the tuple of the values that say what a rule applies to.
 NO_EARLIER_RULE = (None, 0)
 
 WORD = re.compile(r"\S+")
@@ -97,7 +98,10 @@
             self.problems.append(Diagnostic(self.filename, line_number, *problem))
 
     def _find_conflicts(self, line_number, rule):
-        """Yield (found, allowed) for each conflict with earlier rules or limits."""
+        """Yield (found, allowed) for each conflict with earlier rules or limits.
+
+        The `setting` of a rule is the tuple of the values that it sets.
+        """
         selector = rule.selector
         for covering in _covering_selectors(selector):
             earlier, earlier_line = self._first_rules.get(
@@ -198,6 +202,7 @@
         except OptionError as exc:
             problems.append((column, _quoted(word), f"{option}: {exc.allowed}"))
     if missing:
+        # A name ends in `_s` if the value is a duration, which is stored in seconds.
         problems.append(
             (end_column, f"no {missing[0].removesuffix('_s')}", rule_class.syntax)
         )
--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -30,8 +30,8 @@
 # Idle connections are closed this long after the configured idle timeout, seconds.
 # Callers know the timeout and stop using an idle connection by then.
 IDLE_MARGIN_S = 1.0
-# A body that is too large is read and discarded up to this size, then the connection
-# is closed.
+# A body that is too large is refused with status 413. Up to this size, tornado reads
+# and discards it until that response is written, then the connection is closed.
 MAX_DISCARDED_BODY_BYTES = 4 * MAX_BODY_BYTES
 
 
@@ -41,6 +41,7 @@
     Parameters
     ----------
     caller_side : CallerSide
+        Sends the calls to the nodes of their targets. Its log is limited in rate.
     config : object
         Its attribute `current` is the `Configuration` in force, or None.
     header_names : HeaderNames
@@ -75,6 +76,7 @@
         """Apply the limits for callers from a new configuration."""
         self.limits = limits
         params = self._server.conn_params
+        # tornado has one timeout for the wait for a request and for reading its head.
         params.header_timeout = limits.idle_timeout_s + IDLE_MARGIN_S
         params.max_header_size = limits.head_bytes + 1024
 
@@ -143,7 +145,8 @@
         # The limit for callers is checked in this class, because tornado does not
         # respond with 413 at its own limit.
         self.conn.set_max_body_size(MAX_DISCARDED_BODY_BYTES)
-        # tornado has no public way to replace the reader of chunked bodies.
+        # tornado's reader of chunked bodies rejects trailers, and tornado has no public
+        # way to replace it.
         self.conn._read_chunked_body = self._read_chunked
         length = headers.get("Content-Length", "")
         if length.isascii() and length.isdigit() and int(length) > self.max_bytes:
@@ -154,6 +157,7 @@
             await read_chunked(self.conn.stream, self.data_received, self.max_bytes)
         except BodyTooLarge:
             self._refuse_too_large()
+            # After a `BodyTooLarge`, tornado would send a second response, with 400.
             raise StreamClosedError from None
 
     def _refuse_too_large(self):
@@ -199,6 +203,7 @@
         self.chunks = []
         self.conn.set_close_callback(self.on_connection_close)
         notify_disconnect = frontend.caller_side.submit(route, incoming, self._respond)
+        # `submit` may have called `_respond` already.
         if self.state == "waiting":
             self.notify_disconnect = notify_disconnect
 
@@ -216,6 +221,7 @@
         return host.partition(":")[0].lower(), request_target
 
     def _remaining_s(self):
+        """Return the time from arrival to the caller's deadline, seconds, or None."""
         text = self.headers.get(self.frontend.header_names.deadline_ms)
         if text is None:
             return None
--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -83,7 +83,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceInfo:
-    """The configuration of a service; `max_connections` applies to each target."""
+    """The configuration of a service.
+
+    `max_connections` applies to each target. Without a `health_path`, health checks
+    request `/`.
+    """
 
     name: str
     max_connections: int
@@ -166,7 +170,8 @@
         Concurrency limit that the node applies to the target.
     delay_ms : int
         Expected time until a call that arrives now has its response, milliseconds.
-        The slowdown after a start and the wait for noisy neighbours are not included.
+        The slowdown after a start and the wait until noisy neighbours stop are not
+        included.
     noise_remaining_ms : int
         Expected time until noisy neighbours on the host stop, milliseconds.
     success_rate : float
--- a/standins/node_process.py
+++ b/standins/node_process.py
@@ -72,9 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Addresses:
-    """Addresses for callers and for heartbeats, named as in `HostSettings`.
+    """Addresses for callers and for heartbeats.
 
-    Code that reads these addresses from `HostNode.cfg` thus also takes a `NodeProcess`.
+    They are named as in `HostSettings`. Code that reads them from the `cfg` of a
+    `HostNode`, a node in the process of the test, thus also takes a `NodeProcess`.
     """
 
     callers_addr: tuple[str, int]
@@ -93,7 +94,7 @@
     target : ScriptedTarget
         The target on the host of the node.
     store : StoreStandIn
-        The store that the node connects to.
+        The store that has the operator's configuration and the list of the nodes.
     **values
         Further arguments of `settings_text`.
 
