Explain node, call, verdict and claim where three files use them

Cause: a newcomer who read standins/target.py, rules/limit.py and call_handler.py stopped at words that no line of these files explained (node, call class, claim, verdict, effect, draw, earliest arrival) and at conditions without a reason.

Change: comments and doc strings only. The heads of the files say what a node is, and that of call_handler.py also what calls, effects and verdicts are; TargetModel._apply, _on_deadline, cancel_attempt and _must_close say what they do and when.

--- a/pimentoline/call_handler.py
+++ b/pimentoline/call_handler.py
@@ -1,4 +1,11 @@
-"""pimentoline.call_handler: reads one call and writes its response."""
+"""pimentoline.call_handler: reads one call and writes its response.
+
+A call is a request that a caller sends to this node, the load balancer process of a
+host. The node sends it to targets in one or more attempts. The handler dispatches
+events to the reducer, which decides about the call and returns effects; the proxy
+executes these by calling methods of the handler. A verdict says whether a target may
+have run the call.
+"""
 
 import asyncio
 import json
@@ -27,7 +34,8 @@
 
 # Request bodies up to this size are buffered so that the call can be retried.
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
-# An idempotency claim records up to this much of a response body, to be replayed to
+# A call may claim its idempotency key in the store, so that at most one call with the
+# key runs. The claim records up to this much of the response body, to be replayed to
 # retries with the same key.
 MAX_RECORDED_BODY_BYTES = 4096
 # After an early response, the rest of the request is read for this long. A caller
@@ -101,6 +109,8 @@
             return
         try:
             check_size(start_line, headers)
+            # The request may have waited while this process was paused, so its
+            # deadline counts from the earliest time at which it may have arrived.
             arrived = proxy.arrival_clock.earliest(now)
             req = parse_request(start_line, headers, arrived, proxy.ruleset())
         except RequestError as exc:
@@ -117,6 +127,7 @@
         self.caller_conn.set_close_callback(self.on_connection_close)
         loop = asyncio.get_running_loop()
         self._deadline_timer = loop.call_later(req.deadline - now, self._on_deadline)
+        # `draw` returns a random number, on which the reducer's random choices depend.
         proxy.dispatch(ev.CallArrived(now, proxy.draw(), Call(self.call_id, req, now)))
 
     def data_received(self, chunk):
@@ -187,6 +198,10 @@
             self._body_waiter.set_result(None)
 
     def _on_deadline(self):
+        """Report the passed deadline; if a response is being forwarded, truncate it.
+
+        The connections of the attempts are then closed, not kept for reuse.
+        """
         proxy = self.proxy
         if not self.responded:
             proxy.dispatch(ev.DeadlinePassed(proxy.clock(), proxy.draw(), self.call_id))
@@ -236,7 +251,7 @@
         self.caller_conn.write_headers(start, headers, body)
         self._complete()
 
-    # Attempts: called when effects are executed and by `AttemptRunner`.
+    # Attempts: called by the proxy, to execute effects, and by `AttemptRunner`.
 
     def start_attempt(self, effect):
         """Start the attempt at a target that a `StartAttempt` effect describes."""
@@ -247,7 +262,10 @@
         attempt.start()
 
     def cancel_attempt(self, attempt_id):
-        """Drop an attempt whose response is not needed."""
+        """Drop an attempt whose response is not needed.
+
+        Its connection is kept for reuse if the response ends soon.
+        """
         attempt = self.attempts.pop(attempt_id, None)
         if attempt is not None:
             attempt.discard()
@@ -346,8 +364,9 @@
     def _must_close(self):
         """Return whether to close the caller's connection after an error of the node.
 
-        The end of a request with invalid framing headers is unknown, and a caller that
-        waits for 100 Continue may never send the body.
+        This is needed only if the call was rejected before it got an id. The end of a
+        request with invalid framing headers is unknown, and a caller that waits for
+        100 Continue may never send the body.
         """
         return self.call_id is None and (self._bad_framing or "Expect" in self.headers)
 
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -1,4 +1,7 @@
-"""pimentoline.rules.limit: rule for the number of calls in flight at one node."""
+"""pimentoline.rules.limit: rule for the number of calls in flight at one node.
+
+A node is the load balancer process of a host.
+"""
 
 from dataclasses import dataclass
 from functools import partial
@@ -17,10 +20,10 @@
 class LimitRule(Rule):
     """Maximum number of calls in flight at one node.
 
-    `inflight` is that number. The calls of each service and class are counted
-    separately; a rule without a class applies to every class. The smallest limit is 1.
-    To stop all calls of a service, pause its targets: the command `explain` then shows
-    the rules that pause them.
+    `inflight` is that number. The calls of each service and call class (critical,
+    normal or sheddable) are counted separately; a rule without a class applies to every
+    class. The smallest limit is 1: to stop all calls of a service, use `pause` rules
+    for its targets, which the command `explain` shows as the reason.
     """
 
     kind: ClassVar = "limit"
@@ -29,6 +32,7 @@
         "service": parse_any_name,
         "inflight": partial(parse_count, low=1, high=MAX_LIMIT),
     }
+    # The option `class` sets `call_class`, because `class` is a Python keyword.
     options: ClassVar = {"class": parse_class}
     selector_fields: ClassVar = ("service", "call_class")
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,13 +1,16 @@
-"""Stand-in for a target: an HTTP server that announces itself to its node.
+"""Stand-in for a target: an HTTP server that announces itself to nodes.
+
+A node is the load balancer process of a host. It forwards calls, which are requests of
+callers, to targets.
 
 `POST /faults` sets fields of `TargetModel`; `{"reset": true}` restores their initial
 values and clears the counters, which `GET /faults` returns. `GET /runs` lists the ids
 (`X-Run-Id`) of the requests that ran, in order. `/load` and `/health` are the
 endpoints of a target that load probes and health checks use.
 
-All other paths are calls. Without a query, the response to a call is JSON data about
-the request; `?size=` or `?fill=` give the number of bytes of its body instead. Bodies
-of `?size=` are all equal, those of `?fill=` repeat the run id.
+Requests to all other paths are calls. Without a query, the response to a call is JSON
+data about the request; `?size=` or `?fill=` give the number of bytes of its body
+instead. Bodies of `?size=` are all equal, those of `?fill=` repeat the run id.
 """
 
 import asyncio
@@ -77,7 +80,7 @@
         Status of responses to health checks, whatever the health is; 0 for the actual
         one.
     state : str
-        State that the target announces to its node.
+        State that the target announces.
 
     Attributes
     ----------
@@ -169,6 +172,10 @@
         self.changed.set()
 
     def _apply(self, values=()):
+        """Apply the fields; cold starts and noise change only if `values` sets them.
+
+        `values` are the fields of an update, by name; empty for the initial values.
+        """
         self.work_queue.slots, self.work_queue.max_waiting = self.slots, self.queue
         self.work_queue.slow_down("slowdown", self.slowdown)
         if "cold_s" in values:
@@ -375,7 +382,7 @@
             "received": self.received_bytes,
         }
         if fill:
-            # With a run id of its own, each request gets a different body.
+            # Requests with different run ids get different bodies.
             pattern = f"{run_id}|".encode()
             self.write((pattern * (fill // len(pattern) + 1))[:fill])
         else:
@@ -437,7 +444,7 @@
 
 
 async def announce(model, addr, node_admin):
-    """Announce the target to its node periodically and at each change of a fault."""
+    """Announce the target to a node periodically and at each change of a fault."""
     client = AsyncHTTPClient()
     url = f"http://{node_admin}/v1/targets/{model.target_id}"
     while True:
@@ -462,7 +469,7 @@
 
 
 async def withdraw(model, node_admin):
-    """Drain the target at its node, wait until its calls end and remove the target.
+    """Drain the target at a node, wait until its calls end and remove the target.
 
     Nodes that do not know of the drain yet may still send calls, which are served. The
     target is removed once no call has arrived for `QUIET_PERIOD_S`.
