Rename parse_any_name to parse_name_or_any

Cause: a reader of rules/limit.py took parse_any_name for a parser of arbitrary names; it parses a name or `*` (ANY). Change: the name, in the nine files that use it, and the order of imports and __all__.

--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -8,7 +8,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import parse_any_name, parse_count, parse_number
+from .field_parsers import parse_count, parse_name_or_any, parse_number
 
 __all__ = ["BudgetRule"]
 
@@ -25,7 +25,7 @@
 
     kind: ClassVar = "budget"
     syntax: ClassVar = "budget REGION [probes=PER_S] [bytes=PER_S] [nodes=COUNT]"
-    positional: ClassVar = {"region": parse_any_name}
+    positional: ClassVar = {"region": parse_name_or_any}
     options: ClassVar = {
         "probes": partial(parse_number, low=0.0, high=MAX_PROBES_PER_S),
         "bytes": parse_count,
--- a/pimentoline/rules/call_class.py
+++ b/pimentoline/rules/call_class.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, parse_any_name, parse_class, parse_method, parse_path
+from .field_parsers import ANY, parse_class, parse_method, parse_name_or_any, parse_path
 
 __all__ = ["ClassRule"]
 
@@ -18,7 +18,7 @@
 
     kind: ClassVar = "class"
     syntax: ClassVar = "class SERVICE CLASS [method=METHOD] [path=PATH]"
-    positional: ClassVar = {"service": parse_any_name, "call_class": parse_class}
+    positional: ClassVar = {"service": parse_name_or_any, "call_class": parse_class}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selector_fields: ClassVar = ("service", "method", "path")
 
--- a/pimentoline/rules/deadline.py
+++ b/pimentoline/rules/deadline.py
@@ -6,9 +6,9 @@
 from .base import Rule
 from .field_parsers import (
     ANY,
-    parse_any_name,
     parse_duration_s,
     parse_method,
+    parse_name_or_any,
     parse_path,
 )
 
@@ -21,7 +21,10 @@
 
     kind: ClassVar = "deadline"
     syntax: ClassVar = "deadline SERVICE TIME [method=METHOD] [path=PATH]"
-    positional: ClassVar = {"service": parse_any_name, "deadline_s": parse_duration_s}
+    positional: ClassVar = {
+        "service": parse_name_or_any,
+        "deadline_s": parse_duration_s,
+    }
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selector_fields: ClassVar = ("service", "method", "path")
 
--- a/pimentoline/rules/field_parsers.py
+++ b/pimentoline/rules/field_parsers.py
@@ -14,12 +14,12 @@
     "METHODS",
     "NAME_PATTERN",
     "OptionError",
-    "parse_any_name",
     "parse_class",
     "parse_count",
     "parse_duration_s",
     "parse_method",
     "parse_name",
+    "parse_name_or_any",
     "parse_names",
     "parse_number",
     "parse_path",
@@ -75,7 +75,7 @@
     return word
 
 
-def parse_any_name(option, word):
+def parse_name_or_any(option, word):
     """Return a name, or `*`, which matches every name."""
     if word != ANY and not NAME_RE.fullmatch(word):
         raise OptionError(option, word, f"* or {NAME_DESCRIPTION}")
--- a/pimentoline/rules/hedge.py
+++ b/pimentoline/rules/hedge.py
@@ -4,7 +4,13 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, parse_any_name, parse_method, parse_path, parse_switch
+from .field_parsers import (
+    ANY,
+    parse_method,
+    parse_name_or_any,
+    parse_path,
+    parse_switch,
+)
 
 __all__ = ["HedgeRule"]
 
@@ -15,7 +21,7 @@
 
     kind: ClassVar = "hedge"
     syntax: ClassVar = "hedge SERVICE on|off [method=METHOD] [path=PATH]"
-    positional: ClassVar = {"service": parse_any_name, "hedge": parse_switch}
+    positional: ClassVar = {"service": parse_name_or_any, "hedge": parse_switch}
     options: ClassVar = {"method": parse_method, "path": parse_path}
     selector_fields: ClassVar = ("service", "method", "path")
 
--- a/pimentoline/rules/limit.py
+++ b/pimentoline/rules/limit.py
@@ -8,7 +8,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, parse_any_name, parse_class, parse_count
+from .field_parsers import ANY, parse_class, parse_count, parse_name_or_any
 
 __all__ = ["LimitRule"]
 
@@ -29,7 +29,7 @@
     kind: ClassVar = "limit"
     syntax: ClassVar = "limit SERVICE COUNT [class=CLASS]"
     positional: ClassVar = {
-        "service": parse_any_name,
+        "service": parse_name_or_any,
         "inflight": partial(parse_count, low=1, high=MAX_LIMIT),
     }
     # The option `class` sets `call_class`, because `class` is a Python keyword.
--- a/pimentoline/rules/prefer.py
+++ b/pimentoline/rules/prefer.py
@@ -4,7 +4,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import ANY, parse_any_name, parse_names
+from .field_parsers import ANY, parse_name_or_any, parse_names
 
 __all__ = ["PreferRule"]
 
@@ -18,8 +18,8 @@
 
     kind: ClassVar = "prefer"
     syntax: ClassVar = "prefer SERVICE REGION[,REGION...] [home=REGION]"
-    positional: ClassVar = {"service": parse_any_name, "regions": parse_names}
-    options: ClassVar = {"home": parse_any_name}
+    positional: ClassVar = {"service": parse_name_or_any, "regions": parse_names}
+    options: ClassVar = {"home": parse_name_or_any}
     selector_fields: ClassVar = ("service", "home")
 
     service: str
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -5,7 +5,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import parse_any_name, parse_share
+from .field_parsers import parse_name_or_any, parse_share
 
 __all__ = ["RetryRule"]
 
@@ -21,7 +21,7 @@
     kind: ClassVar = "retry"
     syntax: ClassVar = "retry SERVICE SHARE"
     positional: ClassVar = {
-        "service": parse_any_name,
+        "service": parse_name_or_any,
         "share": partial(parse_share, high=MAX_RETRY_SHARE),
     }
     selector_fields: ClassVar = ("service",)
--- a/pimentoline/rules/spill.py
+++ b/pimentoline/rules/spill.py
@@ -8,7 +8,7 @@
 from typing import ClassVar
 
 from .base import Rule
-from .field_parsers import OptionError, parse_any_name, parse_number, parse_share
+from .field_parsers import OptionError, parse_name_or_any, parse_number, parse_share
 
 __all__ = ["SpillRule"]
 
@@ -26,7 +26,7 @@
 
     kind: ClassVar = "spill"
     syntax: ClassVar = "spill SERVICE [enter=LOAD] [leave=LOAD] [share=SHARE]"
-    positional: ClassVar = {"service": parse_any_name}
+    positional: ClassVar = {"service": parse_name_or_any}
     options: ClassVar = {
         "enter": partial(parse_number, low=0.0, high=MAX_LOAD),
         "leave": partial(parse_number, low=0.0, high=MAX_LOAD),
