Rename WorkQueue.slot_time_s to total_slot_time_s

Cause: a reader of standins/target.py took slot_time_s for the time per slot; it is the sum of the times during which ended jobs occupied a slot. Change: the name, in target.py and work_queue.py; the counter work_s of GET /faults keeps its name.

--- a/standins/target.py
+++ b/standins/target.py
@@ -161,7 +161,7 @@
         values = dict(values)
         if values.pop("reset", False):
             self.counters.clear()
-            self.work_queue.slot_time_s = 0.0
+            self.work_queue.total_slot_time_s = 0.0
             values = self.initial | values
         unknown = values.keys() - self.initial.keys()
         if unknown:
@@ -431,7 +431,10 @@
     def get(self):
         """Respond with the counters."""
         model = self.model
-        current = {"work_s": model.work_queue.slot_time_s, "inflight": model.inflight}
+        current = {
+            "work_s": model.work_queue.total_slot_time_s,
+            "inflight": model.inflight,
+        }
         self.write(dict(model.counters) | current)
 
     def post(self):
--- a/standins/work_queue.py
+++ b/standins/work_queue.py
@@ -49,7 +49,7 @@
     ----------
     slowdowns : dict
         Factors by which the service time is multiplied, by cause of the slowdown.
-    slot_time_s : float
+    total_slot_time_s : float
         Sum of the times during which ended jobs occupied a slot, seconds.
     """
 
@@ -57,7 +57,7 @@
         self.slots = slots
         self.max_waiting = max_waiting
         self.slowdowns = {}
-        self.slot_time_s = 0.0
+        self.total_slot_time_s = 0.0
         self._busy_slots = 0
         self._running = set()
         self._waiting = deque()
@@ -115,7 +115,7 @@
         finally:
             job.timer.cancel()
             self._running.discard(job)
-            self.slot_time_s += loop.time() - started_at
+            self.total_slot_time_s += loop.time() - started_at
             self._release_slot()
 
     async def _take_slot(self):
