Clarify five files for a first-time reader

Cause: a reader who knows nothing of the project stopped at 27 places in bench.system, explain, and peers, durations and admission of the two-node path: terms explained only in other files (size, member, candidate, store, noise, claim, kind of call), sentences that had to be read twice, and arguments without a reason.

Change: comments and docstrings only. They say what a size, a member, a candidate, noise and a kind of call are, why the key of a benchmark mesh is the policy's name, why load reports on accepted links are ignored, why the last slots are not tried during a cold start, and when a refusal is "expired". The docstring of System.set_faults claimed that all seeds are derived from those given; the noise's seed is the number of the target.

Not mended: why MIN_START_SHARE is 0.5, since the sources give no reason.

--- a/bench/system.py
+++ b/bench/system.py
@@ -1,4 +1,8 @@
-"""The system under test: the node, target and generator processes of one `Size`."""
+"""The system under test: the processes of the nodes, targets and load generator.
+
+A size (`bench.config.Size`) describes a deployment: its data centres by region, the
+number of targets, and the slots and connections of each target.
+"""
 
 import json
 import os
@@ -57,7 +61,10 @@
 
     @property
     def info(self):
-        """JSON data of the first line that the process prints."""
+        """JSON data of the first line that the process prints.
+
+        Nodes print their id and addresses in this line, targets their id and address.
+        """
         if self._info is None:
             self._info = self.read()
         return self._info
@@ -130,9 +137,13 @@
         size = self.size
         self.generator = self._launch("bench.generator")
         for policy in policies:
+            # Mesh address of the first node, through which the other nodes join.
             seeds = ""
             self.nodes[policy] = []
             for region, dc in size.dcs:
+                # Each data centre has one node, which gives the node and its host their
+                # names. The policy's name is the key that signs the messages in the
+                # mesh, so the meshes of different policies stay separate.
                 node = self._launch(
                     "pimentoline",
                     "node",
@@ -197,7 +208,8 @@
         """Set the faults of the first `count` targets, or of all if `count` is None.
 
         Faults are those that `POST /faults` of `standins.target` accepts. Each target
-        gets random seeds of its own, which are derived from those given.
+        gets random seeds of its own: `seed` is derived from the given one, and that of
+        `noise` is the number of the target.
         """
         for number, (_, target) in enumerate(self.targets[:count]):
             target_faults = dict(faults)
@@ -217,6 +229,7 @@
         """Return the sums of the counters of all targets, by name."""
         totals = {}
         for _, target in self.targets:
+            # `GET /faults` returns the counters, not the faults.
             for name, value in request_json(target.info["addr"], "/faults").items():
                 totals[name] = totals.get(name, 0) + value
         return totals
--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -19,12 +19,16 @@
 
     The call is passed to the reducer, and the new state and the effects are dropped, so
     nothing changes and nothing is sent. There is one trial for each draw, because the
-    choice of a target is random.
+    choice of a target is random. A call with an idempotency key that must not run twice
+    claims the key in the store before it is sent. A trial assumes that the claim is
+    granted.
 
     Parameters
     ----------
     state : State
     query : ExplainRequest
+        Service, method, path, priority class (`call_class`), deadline and idempotency
+        key of the call.
     now : float
         Monotonic time, seconds.
     draws : list of int
@@ -81,7 +85,7 @@
 
 
 def _announced_targets(state, req):
-    """Return the targets of the service that any member announces, by id."""
+    """Return all targets that nodes announce for the call's service, sorted by id."""
     found = {
         target.target_id: target
         for member in state.mesh.members.values()
--- a/pimentoline/twohop/admission.py
+++ b/pimentoline/twohop/admission.py
@@ -6,6 +6,9 @@
 
 A job is a call as seen by its target's node. It is late if its response is expected
 after the latency objective of the call but before its deadline.
+
+Noise means that other programs on the host slow the target down for a short time. A
+call that starts during noise is slow until its end, so jobs wait until the noise ends.
 """
 
 import heapq
@@ -97,7 +100,8 @@
     Attributes
     ----------
     reason : str
-        "objective", "deadline", "full" (the queue of late jobs) or "expired".
+        "objective" or "deadline" (expected to be missed), "full" (the queue of late
+        jobs) or "expired" (the job has waited too long to be started).
     retry_after_s : float
         Time after which the caller may retry, seconds.
     """
@@ -257,10 +261,10 @@
         -------
         tuple of (Job, Refused or None) or StartDecision
             The job and None if it starts, or the job and its refusal if it can no
-            longer complete in time at this target. Without such a job: `START` if
-            no job waits or no slot is free, `PROBE` if the target must be probed
-            for its current slowdown first, `HOLD` while jobs wait for the end of noise
-            or for the result of a probe.
+            longer complete in time at this target. Without such a job: `PROBE` if the
+            target must be probed for its current slowdown first, `HOLD` while jobs wait
+            for the end of noise or for the result of a probe, and `START`, which then
+            requires no action, if no job waits or no slot is free.
         """
         self._discard_removed(self._queue)
         self._discard_removed(self._late_queue)
--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -1,5 +1,7 @@
 """pimentoline.twohop.durations: estimates of how long calls take at a target.
 
+Calls of the same kind, see `DurationEstimator`, are expected to take the same time.
+
 Also detects whether the target slows down when nearly all of its slots are in use.
 Some targets do so without reporting it. Therefore, calls that started with most slots
 in use are compared with calls that started with few.
@@ -8,25 +10,25 @@
 __all__ = ["DurationEstimator"]
 
 # Assumed mean until the first call has completed, seconds; close to the processing
-# times in both known deployments.
+# times in the two known deployments of pimentoline.
 INITIAL_DURATION_S = 0.12
 # A kind of call without samples is expected to take at most this share of its latency
-# objective. Objectives in both known deployments are 2.5 to 4.5 times the processing
-# time.
+# objective. Objectives in the two known deployments are 2.5 to 4.5 times the
+# processing time.
 MAX_OBJECTIVE_SHARE = 0.4
 # Weight of the newest sample in an exponential moving average.
 SMOOTHING_WEIGHT = 0.08
-# The baseline is the duration without temporary slowdowns. It follows shorter
-# durations with `SMOOTHING_WEIGHT`, and longer ones over this time, seconds, because
-# targets become slow for 3 to 15 s at a time.
+# The baseline is the duration without temporary slowdowns. Shorter durations lower it
+# with the weight `SMOOTHING_WEIGHT`. Longer ones raise it slowly, over this time in
+# seconds, because targets become slow for 3 to 15 s at a time.
 BASELINE_RISE_S = 60.0
 # Without completed calls, the estimate returns from the mean to the baseline over this
 # time, seconds. Most causes of slowness are gone by then, and only new calls can show
-# whether they are.
+# whether the target is still slow.
 MEAN_DECAY_S = 5.0
-# Shares of a target's slots. A call that starts with up to the first share in use is a
-# sample of light load, one with more than the second is a sample of full load. Known
-# targets that slow down do so above 0.8.
+# Shares of a target's slots that are in use when a call starts, its own included. Up to
+# the first share, the call is a sample of light load; above the second, it is a sample
+# of full load. Known targets that slow down do so above 0.8.
 LIGHT_LOAD_SHARE = 0.6
 FULL_LOAD_SHARE = 0.8
 # Samples of light and of full load, each, that are needed to compare the two.
@@ -40,7 +42,8 @@
 class DurationEstimator:
     """Moving averages of call durations, in total and by kind of call.
 
-    A kind is any hashable value that separates calls of different durations.
+    A kind is any hashable value that separates calls of different durations. Its value
+    in `target_side` is the priority of a call and whether the call may run twice.
     """
 
     def __init__(self):
@@ -123,8 +126,9 @@
     def concurrency_limit(self, slots, cold):
         """Return the number of calls that may run at once.
 
-        Until there are enough samples, all slots are used, except during a cold start,
-        when responses are late anyway.
+        Until there are enough samples, all slots are used, to find out whether the last
+        ones slow the target down. This is not tried during a cold start, when responses
+        are late already.
 
         Parameters
         ----------
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -1,4 +1,9 @@
-"""pimentoline.twohop.peers: the links to other nodes, and the calls on these links."""
+"""pimentoline.twohop.peers: the links to other nodes, and the calls on these links.
+
+A member is a node of the cluster with the target on its host, and a peer is the node at
+the other end of a link. A candidate is a member as placement sees it: with its load
+report and the calls that this node has sent to it.
+"""
 
 import asyncio
 import json
@@ -17,8 +22,9 @@
 # each failure.
 MIN_RECONNECT_PAUSE_S = 0.2
 MAX_RECONNECT_PAUSE_S = 2.0
-# Time in which the store is expected to deliver a newer configuration that a peer has
-# announced, seconds. After this time, the peer is asked for the configuration.
+# All nodes read the configuration from a shared store, which is expected to deliver a
+# newer version within this time after a peer has announced it, seconds. After this
+# time, the peer is asked for the configuration.
 CONFIG_WAIT_S = 0.15
 
 
@@ -130,7 +136,7 @@
                 on_stall()
 
     def link_lost(self, link, reason):
-        """Fail the open calls of the link, which may have run."""
+        """Fail the open calls of the link; the peer's target may have run them."""
         self.candidate.reachable = False
         self.stall_callbacks.clear()
         log_entry(
@@ -192,7 +198,7 @@
         return on_frame
 
     def send(self, make_frame, body, on_frame, on_stall):
-        """Send a call, whose frame `make_frame(stream)` returns; return its stream."""
+        """Send a call as `make_frame(stream)`; return its new stream number."""
         self.next_stream += 1
         stream = self.next_stream
         self.frame_callbacks[stream] = on_frame
@@ -219,6 +225,8 @@
 class _IncomingLink:
     """A link that a peer opened to this node, and its calls for this node's target.
 
+    The peer's load reports are not used here, because `_OutgoingLink` handles them.
+
     Attributes
     ----------
     pending_calls : dict of int to PendingCall
@@ -288,7 +296,9 @@
     own_name : str
         Name of this node.
     target : TargetSide
+        Runs calls at the target on this node's host.
     config : ConfigHolder
+        Holds the configuration in force.
     clock : callable
         Monotonic clock, seconds.
 
@@ -320,6 +330,10 @@
         self._check_task = asyncio.get_running_loop().create_task(self._check_links())
 
     async def _check_links(self):
+        """Check regularly whether peers with unanswered calls are still alive.
+
+        This node waits for responses only on the links that it opened itself.
+        """
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = self.clock()
