Reword docstrings and comments of the two-node call tests

Some docstrings left open what is returned, named a parametrised fault only by its position or used "request target" beside targets.

--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -31,7 +31,8 @@
 def config(version=1, **changes):
     """Return a configuration with a safe, an unsafe and an upload route.
 
-    `changes` may contain the `timeout` of these routes and rows of `extra_routes`.
+    `changes` may contain `timeout`, the timeout of these routes, and `extra_routes`,
+    rows of further routes.
     """
     columns = [
         *("name", "host", "prefix", "kind", "timeout", "target_latency"),
@@ -85,7 +86,7 @@
         return node, target
 
     async def start_node(self, name, target, dc="kerio", region="rift"):
-        """Start a node for a target."""
+        """Start a node for a target; return the node."""
         addrs = [("127.0.0.1", free_port()) for _ in range(4)]
         cfg = HostSettings(
             name,
@@ -100,7 +101,7 @@
         return await self.start_node_with(cfg)
 
     async def start_node_with(self, cfg):
-        """Start a node with given settings."""
+        """Start a node with given settings; return the node."""
         node = HostNode(
             cfg,
             HEADER_NAMES,
@@ -120,14 +121,14 @@
         self.nodes.remove(node)
 
     async def until(self, condition, timeout_s=TIMEOUT_S):
-        """Wait until a condition holds."""
+        """Wait until `condition()` is true; fail after `timeout_s`."""
         end = time.monotonic() + timeout_s
         while not condition():
             assert time.monotonic() < end, "timed out"
             await asyncio.sleep(0.01)
 
     async def wait_until_connected(self):
-        """Wait until every node can send calls to every other one."""
+        """Wait until every node can send calls to the target of every other one."""
         await self.until(
             lambda: (
                 all(
@@ -278,7 +279,7 @@
 
 @cluster_test
 async def test_absolute_form_is_routed_by_its_host(cluster):
-    """Guards against a request target that is forwarded in absolute form."""
+    """Guards against a URL that is forwarded to the target in absolute form."""
     caller_node, _, target = await start_pair(cluster)
     status, _, _ = await Caller(caller_node).call(f"http://{HOST}/look/1?a=b")
     assert status == 200
@@ -333,7 +334,7 @@
 async def test_faulty_response_is_reported_as_502(cluster, fault, path):
     """Guards against a success status for a response that is incomplete or not valid.
 
-    The last fault sends the response to another request.
+    `_respond_with_other_id` sends the response to another request.
     """
     caller_node, _, target = await start_pair(cluster)
     target.serve = lambda request, writer: fault(target, request, writer)
@@ -402,7 +403,7 @@
 
 @cluster_test
 async def test_timeout_is_reported_on_time_and_cancels_the_call(cluster):
-    """Guards against a late 504, and targets that run calls after the timeout."""
+    """Guards against a late 504, and against calls that run on after the timeout."""
     caller_node, _, target = await start_pair(cluster)
     target.delay_s = 5.0
     began_at = time.monotonic()
@@ -507,7 +508,7 @@
 
 @cluster_test
 async def test_target_restarted_with_its_node_is_known_before_its_heartbeat(cluster):
-    """Guards against calls that are refused since they expect the previous target.
+    """Guards against refused calls whose `X-Expect-Instance` is the previous target.
 
     A late heartbeat of the previous target must not replace the new target.
     """
@@ -531,11 +532,11 @@
 
 @cluster_test
 async def test_restarted_peer_is_reached_as_soon_as_it_is_up(cluster):
-    """Guards against refused calls until the next attempt to connect to a node."""
+    """Guards against a restarted node that gets no calls for the reconnect delay."""
     caller_node, node, _ = await start_pair(cluster)
     await cluster.close_node(node)
     peer = caller_node.peers.outgoing[node.cfg.node]
-    # The reconnect delay grows to 2 s in this time.
+    # In this time, the reconnect delay grows towards its maximum of 2 s.
     await asyncio.sleep(1.6)
     assert not peer.candidate.reachable
     await cluster.start_node_with(node.cfg)
@@ -597,7 +598,7 @@
 
 @cluster_test
 async def test_new_configuration_is_applied_and_an_older_one_ignored(cluster):
-    """Guards against late or lost changes, and a return to an older version."""
+    """Guards against late or lost changes, and against a return to an older version."""
     caller_node, node, _ = await start_pair(cluster)
     row = ["r-new", HOST, "/new/", "safe", "1s", "300ms", 2, LEDGER, 2, None]
     cluster.store.put_config(config(7, extra_routes=[row]))
@@ -703,7 +704,7 @@
 
 @cluster_test
 async def test_target_at_a_reused_address_runs_no_calls_of_the_previous(cluster):
-    """Guards against calls run by a target that has taken over another's address."""
+    """Guards against a target that runs calls for the former target of its address."""
     caller_node, _, target = await start_pair(cluster)
     target.name = "i-another"
     status, _, _ = await Caller(caller_node).call("/sale/1", method="POST", body=b"s")
