--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -34,7 +34,7 @@
 NOW = 100.0
 LOCATION = Location("kerio", "rift")
 REQUIREMENTS = CallRequirements(NOW + 0.3, 2000)
-# Probes per second and target that both deployments allow.
+# Probes per second of each target that the operators of both deployments allow.
 PROBES_PER_S = 60
 # A lookup may run more than once, a sale may not.
 LOOKUP = Route(
@@ -58,7 +58,7 @@
         self.retries = retries
 
     def choose(self, call, now):
-        """Return the first candidate that has not been tried."""
+        """Return the first candidate that has not been tried, or None."""
         free = (c for c in self.candidates if c.member.node not in call.tried)
         return next(free, None)
 
@@ -212,8 +212,8 @@
     """Guards against retries that add up along a chain of services.
 
     Each run of a call makes 1.4 calls to the next service. All services fail, so the
-    nodes spend the whole budget of each. Calls made by a retried run count as retries
-    at the next service, on top of its own.
+    nodes spend the whole retry budget of each service. Calls made by a retried run
+    count as retries at the next service, in addition to the retries it gets directly.
     """
     nodes, calls_per_run, allowance = 14, 1.4, 60
     # The last service in the chain gets 4200 first attempts.
@@ -238,7 +238,7 @@
     for number in range(100):
         budget.count_first_attempt(NOW + number * 0.1)
     early = sum(budget.try_acquire(NOW + 9.9, 1) for _ in range(50))
-    # The ratio of 0.2, times DIRECT_RETRY_SHARE, allows 6 for 100 first attempts.
+    # A ratio of 0.2, times DIRECT_RETRY_SHARE: 6 retries for 100 first attempts.
     assert early == 6
     assert sum(budget.try_acquire(NOW + 10.1, 1) for _ in range(50)) == 0
 
@@ -253,12 +253,12 @@
 
 def fill(admission, count):
     """Start `count` jobs and return them."""
-    # Jobs start without a probe for a while after a failed one.
+    # For a while after a failed probe, jobs start without a probe.
     admission.noise.probe_failed(NOW)
     jobs = [job() for _ in range(count)]
-    for one in jobs:
-        assert admission.offer(one, NOW) is None
-        assert admission.next_action(NOW) == (one, None)
+    for new_job in jobs:
+        assert admission.offer(new_job, NOW) is None
+        assert admission.next_action(NOW) == (new_job, None)
     return jobs
 
 
@@ -302,8 +302,8 @@
     running = fill(admission, admission.limit)
     waiting = job(deadline_s=0.4)
     admission.offer(waiting, NOW)
-    for one in running:
-        admission.complete(one, NOW)
+    for running_job in running:
+        admission.complete(running_job, NOW)
     found, refused = admission.next_action(NOW + 0.39)
     assert found is waiting and refused.reason == "expired"
 
@@ -331,7 +331,7 @@
 
 
 def test_short_call_is_accepted_by_a_target_that_has_just_started():
-    """Guards against refusing every short call until a cold target has warmed up."""
+    """Guards against refusing every short call in the cold start of a target."""
     admission = AdmissionController(17)
     admission.cold_start_until = NOW + 3.0
     admission.noise.probe_failed(NOW)
@@ -345,10 +345,10 @@
     admission = AdmissionController(17)
     admission.noise.probe_failed(NOW)
     for kind, taken_s in ((SHORT, 0.022), (LONG, 0.22)) * 40:
-        one = Job(1, NOW + 5.0, NOW + 6.0, kind=kind)
-        admission.offer(one, NOW)
+        past_job = Job(1, NOW + 5.0, NOW + 6.0, kind=kind)
+        admission.offer(past_job, NOW)
         admission.next_action(NOW)
-        admission.complete(one, NOW + taken_s)
+        admission.complete(past_job, NOW + taken_s)
     for _ in range(4):
         admission.offer(Job(1, NOW + 5.0, NOW + 6.0, kind=LONG), NOW)
         admission.next_action(NOW)
@@ -361,10 +361,10 @@
     """Guards against slots that stay occupied after callers have disconnected."""
     admission = AdmissionController(10)
     running = fill(admission, admission.limit)
-    for one in running:
-        admission.remove(one)
+    for running_job in running:
+        admission.remove(running_job)
         # A second removal has no effect.
-        admission.remove(one)
+        admission.remove(running_job)
     assert admission.running == 0
 
 
@@ -436,9 +436,9 @@
 
 
 def test_last_slots_of_a_cold_target_stay_free():
-    """Guards against a slower recovery because the last slots are used.
+    """Guards against a slower recovery because all slots are used in a cold start.
 
-    It is not known yet whether the target slows down when they are.
+    It is not known yet whether the target slows down when its last slots are in use.
     """
     assert DurationEstimator().concurrency_limit(10, cold=True) == 8
     assert DurationEstimator().concurrency_limit(10, cold=False) == 10
@@ -563,9 +563,9 @@
     """Guards against a hanging target that looks healthy because no call ends there."""
     admission = AdmissionController(10)
     for _ in range(10):
-        (one,) = fill(admission, 1)
-        admission.note_disconnect(one, NOW + 1.0)
-        admission.remove(one)
+        (hanging_job,) = fill(admission, 1)
+        admission.note_disconnect(hanging_job, NOW + 1.0)
+        admission.remove(hanging_job)
     assert admission.success_rate.rate(NOW + 1.0) < 0.6
 
 
@@ -606,7 +606,7 @@
 def test_old_good_report_is_worth_no_more_than_the_mean():
     """Guards against preferring distant targets because their reports are old."""
     far, near = candidate("far", "kilifi"), candidate("near")
-    # The last report is a good one, 100 ms.
+    # Reports of 160 ms and 100 ms alternate; the last one is good, 100 ms.
     for step in range(40):
         for cand in (far, near):
             delay_ms = 100 if step % 2 else 160
@@ -618,14 +618,14 @@
 
 
 def test_slow_responses_of_long_ago_do_not_refuse_calls():
-    """Guards against a node that refuses all calls, so that its estimate stays high."""
+    """Guards against an estimate that stays high because all calls are refused."""
     admission = AdmissionController(10)
     admission.noise.probe_failed(NOW)
     for step in range(60):
-        one = job(objective_s=5.0, deadline_s=6.0)
-        admission.offer(one, NOW)
-        assert admission.next_action(NOW) == (one, None)
-        admission.complete(one, NOW + (0.1 if step < 30 else 0.9))
+        past_job = job(objective_s=5.0, deadline_s=6.0)
+        admission.offer(past_job, NOW)
+        assert admission.next_action(NOW) == (past_job, None)
+        admission.complete(past_job, NOW + (0.1 if step < 30 else 0.9))
     assert admission.offer(job(), NOW + 0.9).reason == "objective"
     later = NOW + 8.0
     late = Job(1, later + 0.3, later + 1.0)
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -29,9 +29,11 @@
 
 # Retries of a call.
 
-# Name of an event and its value; "left" means that the caller has disconnected.
+# Name of an event and its value: whether the target itself refused the call, the
+# verdict on a failed attempt, or the status of the response. "left" means that the
+# caller has disconnected.
 EVENTS = st.one_of(
-    st.builds(lambda at: ("refused", at), st.booleans()),
+    st.builds(lambda by_target: ("refused", by_target), st.booleans()),
     st.builds(lambda verdict: ("broken", verdict), st.sampled_from(list(Verdict))),
     st.builds(lambda status: ("responded", status), st.sampled_from([200, 404, 500])),
     st.sampled_from([("stalled", None), ("timed-out", None), ("left", None)]),
@@ -96,11 +98,12 @@
 # Admission.
 
 # Name of a step, and a number from which the time before the step and the properties of
-# an offered job are derived. "last" offers a job with `last_resort`, "figure" reports a
-# slowdown, and "sweep" only lets time pass.
+# an offered job or the reported slowdown are derived. "last-resort" offers a job with
+# `last_resort`, "end" completes a running job, "drop" removes a waiting one, and
+# "pause" only lets time pass.
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["offer", "last", "end", "drop", "figure", "sweep"]),
+        st.sampled_from(["offer", "last-resort", "end", "drop", "slowdown", "pause"]),
         st.integers(0, 30),
     ),
     max_size=120,
@@ -116,7 +119,7 @@
         self.waiting, self.running, self.refused = set(), [], set()
 
     def offer(self, number, last_resort):
-        """Offer a job."""
+        """Offer a job whose objective and priority are derived from `number`."""
         objective_s = 0.05 + number * 0.02
         job = Job(
             number % 3, self.now + objective_s, self.now + 2 * objective_s, last_resort
@@ -127,7 +130,7 @@
             self.refused.add(job)
 
     def process_queue(self):
-        """Start or refuse every job that can be now."""
+        """Start or refuse waiting jobs until all that remain have to wait."""
         while not isinstance(
             action := self.admission.next_action(self.now), StartDecision
         ):
@@ -146,13 +149,13 @@
         """Let time pass, then do one step of a schedule."""
         self.now += number * 0.005
         match name:
-            case "offer" | "last":
-                self.offer(number, name == "last")
+            case "offer" | "last-resort":
+                self.offer(number, name == "last-resort")
             case "end" if self.running:
                 self.admission.complete(self.running.pop(0), self.now)
             case "drop" if self.waiting:
                 self.admission.remove(self.waiting.pop())
-            case "figure":
+            case "slowdown":
                 slowdown = 5.0 if number % 3 == 0 else 1.0
                 self.admission.note_slowdown(slowdown, self.now)
         self.process_queue()
@@ -182,8 +185,9 @@
 class FaultyStore:
     """A store with the row of one node.
 
-    Each write takes its fault from a list: "refused" (not applied), "late" (applied
-    after the call has failed), "lost" (applied, but the response is lost) or "none".
+    Each write takes its fault from the end of a list: "refused" (not applied), "late"
+    (applied after the call has failed), "lost" (applied, but the response is lost) or
+    "none".
     """
 
     def __init__(self, faults):
@@ -205,13 +209,13 @@
         return True
 
     async def read_all(self, table):
-        """Return the rows of a table."""
+        """Return (rows of a table, version)."""
         await asyncio.sleep(0.004)
         rows = [self.row] if self.row is not None and table == MEMBERS_TABLE else []
         return rows, self.version
 
     async def read_changes(self, table, after, wait_s):
-        """Return the rows that changed, after `wait_s` at most."""
+        """Return (rows, version) once the row changed; ([], after) after `wait_s`."""
         has_changes = self.row is not None and self.row.version > after
         if not has_changes or table != MEMBERS_TABLE:
             try:
@@ -223,7 +227,11 @@
         return ([self.row] if table == MEMBERS_TABLE else []), self.version
 
     async def write(self, table, key, value, expected):
-        """Write the row if it has the expected version."""
+        """Write the row if it has the expected version; return the new version.
+
+        Raises `StoreConflictError` if the row has another version, and
+        `StoreUnavailableError` if the write has a fault.
+        """
         fault = self.faults.pop() if self.faults else "none"
         await asyncio.sleep(0.004)
         if fault == "refused":
@@ -331,7 +339,7 @@
         await process.handle_heartbeat(TargetState.READY, 1)
         store.faults = list(faults)
         await process.handle_heartbeat(TargetState.DRAINING, 2)
-        # Each fault takes 1.5 s at most, and the pause after it 1.2 s.
+        # Each fault takes 1.5 s at most, and the pause before the next write 1.2 s.
         await asyncio.sleep(1.0 + len(faults) * 2.7)
         assert b"draining" in store.row.value
         process.store_sync.stop()
