Reword tests of emulator, soak, stand-in, launcher and program

Some docstrings and comments did not name the thing they are about ("what is wrong", "the credit"), or left out a unit or a result. Name the setting, the cold start, the unit of the histogram and the returned function.

--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -34,6 +34,7 @@
     assert result["sent"] == result["failed"] == scheduled > 0
     histogram = new_histogram()
     histogram.decode_and_add(result["histogram"])
+    # Microseconds; a failed call counts with its deadline of 0.5 s at least.
     assert histogram.get_min_value() >= 490_000
 
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,4 @@
-"""Tests of the emulator: simulated time, model of the targets, results of callers."""
+"""Tests of the emulator: simulated time, target model and credit of the callers."""
 
 import asyncio
 import random
@@ -15,7 +15,8 @@
 
 EXPERIMENT = Path(__file__).parent.parent / "bench" / "emulator" / "experiment.toml"
 POWER_LOSS = Fault(kind="power_off", at_s=2.0, for_s=1.4)
-# Cold targets work at half speed, so callers can earn at least half of the credit.
+# In their cold start, targets work at half speed, so the successful responses have to
+# earn at least half of the credit that is possible (see `Result` of the emulator).
 MIN_COLD_CREDIT_SHARE = 0.5
 
 
@@ -37,7 +38,7 @@
 
 
 def test_wait_for_nothing_is_an_error():
-    """Guards against a run that hangs forever because no event can wake it."""
+    """Guards against an emulation that hangs because no event is scheduled."""
 
     async def stuck():
         await asyncio.Event().wait()
@@ -55,6 +56,7 @@
 def test_target_runs_no_more_than_its_slots_and_queues_the_next(sites):
     """Guards against a target model that runs more requests than it has slots."""
     site = sites["asali-hub"]
+    # For requests of this kind, the target makes no calls itself.
     kind = replace(site.kinds[1], calls=0)
 
     async def simulate():
@@ -83,10 +85,10 @@
 
 @pytest.mark.parametrize("name", ["asali-hub", "kerrigan"])
 def test_callers_are_served_by_cold_targets_after_a_power_loss(sites, name):
-    """Guards against calls that wait or are rejected until the targets are warm."""
+    """Guards against calls that wait or are rejected until the cold start is over."""
     condition = Condition(name="off", faults=(POWER_LOSS,))
     result = run_condition(sites[name], condition, "product", [1], 6.0)
-    # The power is back at 3.4 s; this is the window from 4 s to 6 s.
+    # The power is back at 3.4 s; the window after that is from 4 s to 6 s.
     window = int((POWER_LOSS.at_s + POWER_LOSS.for_s) / CREDIT_WINDOW_S) + 1
     assert (
         result.earned_credit[window]
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -8,7 +8,7 @@
 
 from packaging_tools import build
 
-# The launcher unpacks the archive only to a tmpfs, which `tmp_path` may not be.
+# The launcher unpacks the archive only to a tmpfs; `tmp_path` may not be on one.
 TMPFS = "/dev/shm"
 
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -38,7 +38,7 @@
     ],
 )
 def test_error_names_the_wrong_setting(tmp_path, change, message):
-    """Guards against an error that does not say what is wrong."""
+    """Guards against an error that does not say which setting is wrong."""
     path = tmp_path / "boot.toml"
     text = change(settings_text())
     if text is not None:
@@ -62,7 +62,7 @@
 
 
 def test_ports_of_tests_are_outside_the_ephemeral_range():
-    """Guards against a port that an outgoing connection takes before a node does."""
+    """Guards against an outgoing connection that uses the port chosen for a node."""
     low, high = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
     ports = [free_port() for _ in range(50)]
     assert len(set(ports)) == len(ports)
@@ -90,7 +90,7 @@
 
 
 async def until(condition, timeout_s=15.0):
-    """Wait until an asynchronous condition holds."""
+    """Wait until `await condition()` is true; fail after `timeout_s`."""
     end = time.monotonic() + timeout_s
     while not await condition():
         assert time.monotonic() < end, "timed out"
@@ -98,7 +98,7 @@
 
 
 def test_program_reloads_on_hangup_and_stops_within_grace(tmp_path):
-    """Guards against a program that SIGHUP ends, or that exceeds its grace time."""
+    """Guards against a program that ends on SIGHUP, or exceeds its grace time."""
 
     async def run():
         store = StoreStandIn()
@@ -134,9 +134,9 @@
             target.close()
             store.close()
         assert process.returncode == 0
-        names = [json.loads(line)["message_type"] for line in out.splitlines()]
-        assert "node:reloaded" in names
-        assert names[-1] == "node:stopped"
+        message_types = [json.loads(line)["message_type"] for line in out.splitlines()]
+        assert "node:reloaded" in message_types
+        assert message_types[-1] == "node:stopped"
 
     async def negated(condition):
         return not await condition
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Tests of the checks of the soak, and a short run of it with a fixed seed."""
+"""Tests of the checks that the soak makes, and a short soak with a fixed seed."""
 
 import time
 
@@ -25,7 +25,7 @@
 
 @pytest.fixture
 def checker():
-    """Return a checker that knows of a sale and a lookup that were sent."""
+    """Return a checker with the sale `q1` and the lookup `q2` recorded as sent."""
     result_checker = ResultChecker()
     result_checker.sent = {"q1": ("/sale/q1", b"abc"), "q2": ("/look/q2", b"")}
     return result_checker
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -10,7 +10,10 @@
 
 @pytest.fixture
 def target(cluster):
-    """Yield a function (path, method, body) -> (status, headers, data)."""
+    """Start a target; return a function that sends a request to it.
+
+    The function has the signature (path, method, body) -> (status, headers, data).
+    """
     process = cluster.start("standins.target", "--slots=1")
     url = "http://{}:{}".format(*process.info["addr"])
 
@@ -26,9 +29,10 @@
 
 
 def test_full_queue_sheds_without_running(target):
-    """Guards against shed requests that ran, which would hide violations of P3.
+    """Guards against a stand-in that runs requests which it reports as not run.
 
-    P3 is the guarantee that a request reported as not run has not run.
+    It would hide violations of P3, the guarantee that a request reported as not run
+    has not run.
     """
     target("/faults", "POST", {"queue": 1, "delay_s": 30.0})
     with cf.ThreadPoolExecutor(2) as pool:
@@ -49,7 +53,7 @@
 
 
 def test_reports_lag_behind_the_actual_state(target):
-    """Guards against a `load_lag_s` without effect, with current loads in reports."""
+    """Guards against a `load_lag_s` that has no effect on what the target reports."""
     target("/faults", "POST", {"fail": True})
     assert (target("/a")[0], target("/health")[0]) == (500, 500)
     target("/faults", "POST", {"load_lag_s": 60.0})
