Reword the meaning of 503 and the note on the cluster parameter

The note said that `cluster` is not a fixture, but conftest.py has a fixture of that name; say that the parameter is another one. Say for whom a 503 is wrong.

--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -104,7 +104,7 @@
 
 
 def test_503_is_never_returned_after_a_possible_run():
-    """Guards against a 503, which states that a call has not run, if it may have."""
+    """Guards against a 503, which means "has not run", for a call that may have run."""
     environment = FakeEnvironment("a", "b")
     call = start_call(LOOKUP, environment)
     lc.step(call, lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"), environment)
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -168,7 +168,8 @@
 
         asyncio.run(run_with_cluster())
 
-    # pytest takes fixtures from the signature, and `cluster` is not a fixture.
+    # pytest takes fixtures from the signature, but `cluster` is not the fixture of that
+    # name.
     parameters = list(inspect.signature(test).parameters.values())[1:]
     run.__signature__ = inspect.Signature(parameters)
     return run
