Reword the call history and the tests of the guarantees

A reader had to look up what the runs passed to the checks hold, the fields of an attempt without a description, and what a sale is. The doc strings now say so, and three vague local names are renamed.

--- a/tests/history.py
+++ b/tests/history.py
@@ -11,7 +11,9 @@
 P6
     A planned stop of a node or target interrupts no call.
 
-Each check returns a list with a description of each violation.
+The argument `runs` of a check lists the run ids that the targets report, one for each
+run, so that a request that ran twice is listed twice. Each check returns a list with a
+description of each violation.
 """
 
 import http.client
@@ -38,15 +40,24 @@
         Id of the operation, which its attempts share.
     run_id : str
         Id of this attempt.
+    node : str
+        Name of the node that the request was sent to.
     keyed : bool
         Whether the attempt has an idempotency key, which is `op`.
     invoked, completed : float
         Monotonic times at which the caller started and ended the request, seconds.
     outcome : str
         `ANSWERED`; `REFUSED` if the node accepted no connection; or `UNKNOWN`.
+    status : int
+        Status of the response, 0 without a response.
+    verdict : str
+        Value of the header `X-Verdict`, empty if the response has none.
+    replayed : bool
+        Whether the node sent the recorded response of an earlier attempt.
     request_bytes, response_bytes : int
         Length of the request body, and requested length of the response body. If
-        `response_bytes` is 0, the target responds with its report of the request.
+        `response_bytes` is 0, the target responds with a JSON report of the request,
+        which contains its run id and the number of body bytes received.
     """
 
     op: str
@@ -90,7 +101,10 @@
         request_bytes=0,
         **headers,
     ):
-        """Send one request to a node; record and return the attempt."""
+        """Send one request to a node; record and return the attempt.
+
+        `node` is the name of the node and `addr` the address of its data port.
+        """
         with self._lock:
             run_id = f"{op}.{next(self._ids)}"
         headers = {"Host": "hive-ledger", "X-Run-Id": run_id, **headers}
@@ -190,10 +204,10 @@
         if attempt.method not in ("GET", "HEAD", "OPTIONS"):
             run_ids[attempt.op if attempt.keyed else attempt.run_id].add(attempt.run_id)
     violations = []
-    for name, attempt_ids in run_ids.items():
+    for operation, attempt_ids in run_ids.items():
         total = sum(counts[run_id] for run_id in attempt_ids)
         if total > 1:
-            violations.append(f"{name}: ran {total} times")
+            violations.append(f"{operation}: ran {total} times")
     return violations
 
 
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -1,6 +1,7 @@
 """Tests of P2, P3, P4 and P6 with real processes, faults and concurrent callers.
 
-The module `history` describes these guarantees.
+The module `history` describes these guarantees. A sale is a POST, and a keyed sale is
+one with an idempotency key. A read is a GET.
 """
 
 import json
@@ -32,7 +33,8 @@
 def start_cluster(cluster, nodes, targets=("t1", "t2"), **settings):
     """Start a table service, nodes, and targets at the last node.
 
-    Wait until each node knows all targets; return the data addresses of the nodes.
+    Wait until each node knows all targets; return the data addresses by node name.
+    `settings` are further flags of the targets.
     """
     cluster.start_table()
     for node in nodes:
@@ -106,7 +108,7 @@
 
 
 def make_mixed_work(history, addrs, **headers):
-    """Return a function that sends a keyed sale, a sale without a key, or a read."""
+    """Return a function that sends a keyed or unkeyed sale, or a read, at random."""
 
     def work(rng, number):
         op = f"c{number}-{rng.getrandbits(40):x}"
@@ -206,18 +208,18 @@
     """
     addrs = start_cluster(cluster, ["n1", "n2", "n3"], delay_s=0.02)
     history = History()
-    store = cluster.table_url + "/faults"
+    faults_url = cluster.table_url + "/faults"
     with run_callers(make_mixed_work(history, addrs, **{"X-Deadline-Ms": "1000"})):
         time.sleep(0.5)
-        http(store, "POST", {"lose_answers": 15})
+        http(faults_url, "POST", {"lose_answers": 15})
         time.sleep(0.5)
         suspend_node_until_key_conflict(cluster, history)
-        http(store, "POST", {"down": True})
+        http(faults_url, "POST", {"down": True})
         wait_until(lambda: any(attempt.status == 503 for attempt in history.attempts))
-        http(store, "POST", {"down": False, "delay_s": 0.1, "lose_answers": 5})
+        http(faults_url, "POST", {"down": False, "delay_s": 0.1, "lose_answers": 5})
         time.sleep(0.5)
         cluster.nodes["n1"].kill()
-        http(store, "POST", {"delay_s": 0.0})
+        http(faults_url, "POST", {"delay_s": 0.0})
         time.sleep(0.7)
     assert check_all(history.attempts, wait_for_runs(cluster)) == []
     sales = [attempt for attempt in history.attempts if attempt.keyed]
@@ -230,10 +232,10 @@
     addrs = start_cluster(cluster, ["n1", "n2"], ("t1",))
     history = History()
     set_fault(cluster, "t1", delay_s=0.3)
-    deadline = {"X-Deadline-Ms": "1500"}
+    deadline_header = {"X-Deadline-Ms": "1500"}
     http(cluster.table_url + "/faults", "POST", {"delay_s": 0.3})
     args = ("n1", addrs["n1"], "sale", "POST", True)
-    first = threading.Thread(target=history.call, args=args, kwargs=deadline)
+    first = threading.Thread(target=history.call, args=args, kwargs=deadline_header)
     first.start()
     calls = lambda: cluster.admin("n1", "/v1/status")[1]["calls"]  # noqa: E731
     wait_until(lambda: calls() == 1, message="the sale at n1")
@@ -241,9 +243,9 @@
     # The store writes the claim of n1 while n1 is suspended, so that n2 either gets a
     # conflict or runs the sale.
     http(cluster.table_url + "/faults", "POST", {"delay_s": 0.0})
-    history.call("n2", addrs["n2"], "sale", "POST", True, **deadline)
+    history.call("n2", addrs["n2"], "sale", "POST", True, **deadline_header)
     time.sleep(1.0)
-    history.call("n2", addrs["n2"], "sale", "POST", True, **deadline)
+    history.call("n2", addrs["n2"], "sale", "POST", True, **deadline_header)
     cluster.nodes["n1"].signal(signal.SIGCONT)
     first.join()
     assert check_runs_at_most_once(history.attempts, wait_for_runs(cluster)) == []
