Reword the raw sockets, the target faults and the connection tests

The doc string of respond_and_close said that it serves each request, but it serves one per connection. Others left open what heads holds, what the further arguments of raw_target are and what a late change of serve does.

--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -44,11 +44,11 @@
     Attributes
     ----------
     serve : callable
-        `number` counts the connections from 0. A new function applies to new
-        connections.
+        `number` counts the connections from 0. A function that is assigned later
+        serves only new connections.
     addr : list of (str, int)
         IP address and port.
-    heads : list
+    heads : list of list of bytes
         Lines of each request head that `read_request` has read.
     connections : int
         Number of connections accepted so far.
@@ -106,7 +106,10 @@
 
 @contextmanager
 def raw_target(cluster, serve, node_id="n1", target_id="t1", **announcement):
-    """Announce a `RawTarget` to a node, yield it, and close it at the end."""
+    """Announce a `RawTarget` to a node, yield it, and close it at the end.
+
+    `announcement` contains further fields of the announcement.
+    """
     target = RawTarget(serve)
     body = {"service": "hive-ledger", "addr": target.addr, **announcement}
     cluster.admin(node_id, f"/v1/targets/{target_id}", "PUT", body)
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -12,7 +12,10 @@
 
 
 def respond_and_close(response):
-    """Return a `serve` that sends `response` to each request and closes its side."""
+    """Return a `serve` that answers one request and then ends its sending side.
+
+    `response` contains the bytes that are sent.
+    """
 
     def serve(target, sock, number):
         if target.read_request(sock):
@@ -30,7 +33,7 @@
 
 
 def respond_after_250_ms(target, sock, number):
-    """Respond after the first hedge delay, 200 ms."""
+    """Respond after 250 ms, which is later than the first hedge delay of 200 ms."""
     while target.read_request(sock):
         time.sleep(0.25)
         sock.sendall(OK_RESPONSE)
@@ -39,7 +42,8 @@
 def read_to_end(target, sock, number):
     """Record all bytes after a request head up to the end of the connection.
 
-    `target.heads` then has the bytes received with the head and those after it.
+    Instead of head lines, `target.heads` then has two items: the bytes that were
+    received together with the head, and all later bytes.
     """
     _, rest = read_head(sock)
     target.heads.append(rest)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -109,7 +109,7 @@
 
 
 def test_silent_connections_fail_one_call_and_eject_no_target(cluster):
-    """Guards against idle connections that go silent together and fail a call each.
+    """Guards against one failed call per idle connection if several go silent at once.
 
     The first failure closes the other idle connections to the target.
     """
