Reword the tests of streaming, transport, subsets and policies

Vague names (users, even, number, found, WAIT_S) and constants without a unit are renamed; doc strings say what exchange returns and whose latency is compared; the log-normal factor and the actions of the queue get a comment.

--- a/tests/test_closed_loop.py
+++ b/tests/test_closed_loop.py
@@ -15,18 +15,19 @@
 
 LOCATIONS = {"t0": HOME, "t1": ("rift", "baringo"), "t2": ("coast", "kwale")}
 SLOTS = 4
-SERVICE_S = 0.05
+MEAN_SERVICE_TIME_S = 0.05
 CALLS_PER_S = 60.0
 CALLS = 600
-FAULT_AT = 102.0
+# Simulated time; the simulation begins at 100 s.
+FAULT_AT_S = 102.0
 
 
 @functools.cache
 def p99_s(policy, faults, seed=5):
-    """Return the 99th percentile latency of calls while some targets are faulty.
+    """Return the 99th percentile latency of calls to targets of which some are faulty.
 
-    Faults begin at `FAULT_AT`. The fault of a target is the factor by which its service
-    time grows, or 0.0 if it responds at once with an error.
+    The faults begin at `FAULT_AT_S`. The fault of a target is the factor by which its
+    service time grows, or 0.0 if it responds at once with an error.
     """
     core, rng = Core(policy, "retry * 10%"), random.Random(seed)
     for name, location in LOCATIONS.items():
@@ -35,10 +36,11 @@
     free_at = {name: [0.0] * SLOTS for name in LOCATIONS}
     # `started_at` maps the id of each call to its start time. It also contains, as a
     # mark, the negated id of each cancelled attempt.
-    number, queue, started_at, latencies = itertools.count(), [], {}, []
+    sequence, queue, started_at, latencies = itertools.count(), [], {}, []
 
+    # `action` is "arrive", "hedge" or the status of a response.
     def schedule(time, action, item):
-        heapq.heappush(queue, (time, next(number), action, item))
+        heapq.heappush(queue, (time, next(sequence), action, item))
 
     def execute(effects):
         sent = started_attempt(effects)
@@ -53,13 +55,14 @@
                     started_at[-attempt_id] = core.now
         if sent is None:
             return
-        factor = faults.get(sent.target_id, 1.0) if core.now > FAULT_AT else 1.0
+        factor = faults.get(sent.target_id, 1.0) if core.now > FAULT_AT_S else 1.0
         if not factor:
             schedule(core.now + 0.001, 500, sent)
             return
         slots = free_at[sent.target_id]
         start = max(core.now, heapq.heappop(slots))
-        end = start + factor * SERVICE_S * rng.lognormvariate(-0.125, 0.5)
+        # The log-normal distribution has a mean of 1.
+        end = start + factor * MEAN_SERVICE_TIME_S * rng.lognormvariate(-0.125, 0.5)
         heapq.heappush(slots, end)
         schedule(end, 200, sent)
 
@@ -102,8 +105,8 @@
 def test_hot_cold_against_best_other_policy(faults, ratio):
     """Guards against a hot-cold policy that is worse than a simple one.
 
-    With one slow target, its 99th percentile latency must be at most half that of the
-    best other policy.
+    With one slow target, the 99th percentile latency of hot-cold must be at most half
+    that of the best other policy.
     """
     others = [name for name in policy_names() if name != "hot-cold"]
     best = min(p99_s(name, faults) for name in others)
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -9,21 +9,25 @@
 from pimentoline.model import Member, Target
 
 ADDR = ("127.0.0.1", 9)
-WAIT_S = 5.0
+TIMEOUT_S = 5.0
 
 
-def make_record(number, targets=1):
-    """Return a record with varied names, so that it does not compress well."""
+def make_record(number, target_count=1):
+    """Return a member record with varied names, so that it compresses badly."""
     name = f"node-{number * 7919 % 10007}-{number}"
-    found = tuple(
+    targets = tuple(
         Target(f"{name}-{i * 7907 % 9973}", f"service-{i}", ADDR, "rift", "kerio")
-        for i in range(targets)
+        for i in range(target_count)
     )
-    return Member(name, name, ADDR, "rift", "kerio", number * 99991, targets=found)
+    return Member(name, name, ADDR, "rift", "kerio", number * 99991, targets=targets)
 
 
 def exchange(records):
-    """Send records over loopback; return the received messages and the errors."""
+    """Send records over loopback; return the received messages and the errors.
+
+    Each message is returned as (address of the sender, records); the address is None
+    for a message over TCP.
+    """
 
     async def run():
         received, errors, complete = [], [], asyncio.Event()
@@ -39,7 +43,7 @@
         addr = receiver.bind_addr(("127.0.0.1", 0))
         try:
             sender.send((addr,), Message("n1", 1, 0, Gossip(records)))
-            await asyncio.wait_for(complete.wait(), WAIT_S)
+            await asyncio.wait_for(complete.wait(), TIMEOUT_S)
         finally:
             sender.close()
             receiver.close()
@@ -59,7 +63,7 @@
 
 def test_record_above_a_datagram_goes_over_tcp():
     """Guards against a record with many targets that is never sent."""
-    record = replace(make_record(1, targets=200), seq=5)
+    record = replace(make_record(1, target_count=200), seq=5)
     received, errors = exchange((record,))
     assert not errors
     assert received == [(None, (record,))]
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -28,7 +28,7 @@
 
 
 def test_upload_of_200_mb_keeps_memory_constant(cluster):
-    """Guards against a node that buffers what a target has not read yet."""
+    """Guards against a node that buffers an upload until the target reads it."""
     node, conn = start_node_and_target(cluster)
     before = peak_memory_kib(node)
     piece = bytes(1000 * 1000)
@@ -40,7 +40,7 @@
 
 
 def test_slow_reader_of_200_mb_keeps_memory_constant(cluster):
-    """Guards against a node that buffers what a caller has not read yet."""
+    """Guards against a node that buffers a response until the caller reads it."""
     node, conn = start_node_and_target(cluster)
     before = peak_memory_kib(node)
     conn.request("GET", f"/?size={BODY_BYTES}", headers={"Host": "hive-ledger"})
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -53,12 +53,14 @@
     subsets = all_subsets(nodes, targets)
     assert connections_per_node(targets, 720) == 2
     assert {len(subset) for subset in subsets.values()} == {2}
-    users = Counter(t.target_id for subset in subsets.values() for t in subset)
+    nodes_per_target = Counter(
+        t.target_id for subset in subsets.values() for t in subset
+    )
     # 90 % of the connection limit of 260.
-    assert max(users.values()) <= 234
+    assert max(nodes_per_target.values()) <= 234
     by_dc = {}
     for target in targets:
-        by_dc.setdefault(target.dc, []).append(users[target.target_id])
+        by_dc.setdefault(target.dc, []).append(nodes_per_target[target.target_id])
     assert all(max(counts) - min(counts) <= 1 for counts in by_dc.values())
     # In the ids of nodes and data centres, character 1 is the index of the location.
     nodes_near_target = [
@@ -97,13 +99,18 @@
         return
     per_node = connections_per_node(targets, len(nodes))
     subsets = all_subsets(nodes, targets)
-    users = Counter(t.target_id for subset in subsets.values() for t in subset)
+    nodes_per_target = Counter(
+        t.target_id for subset in subsets.values() for t in subset
+    )
     for subset in subsets.values():
         assert len(subset) == len({t.target_id for t in subset})
         assert len(subset) == min(per_node, len(targets))
     if per_node < len(targets):
-        even = -(-len(nodes) * per_node // len(targets))
-        assert max(users.values()) <= max(int(connections * 0.9), even)
+        even_share = -(-len(nodes) * per_node // len(targets))
+        assert max(nodes_per_target.values()) <= max(int(connections * 0.9), even_share)
         for location in range(6):
-            counts = [users[f"t{location}-{i}"] for i in range(target_counts[location])]
+            counts = [
+                nodes_per_target[f"t{location}-{i}"]
+                for i in range(target_counts[location])
+            ]
             assert not counts or max(counts) - min(counts) <= 1
