Reword the tests of claims, codec, store, admin interface and purity

Vague local names (found, done, last, log, KEY, ALLOWED) are renamed. New comments say what a schedule consists of, why 300 keys suffice for two equal ids, and what the modules of the core are. Two doc strings in test_store named the accepted state rather than the failure.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -14,14 +14,14 @@
 PACKAGE = Path(__file__).parent.parent / "pimentoline"
 OPERATIONS_PAGE = PACKAGE.parent / "docs" / "operations.md"
 VALID = {"service": "hive-ledger", "addr": ["127.0.0.1", 8000]}
-TOO_LONG = "x" * 300
+TOO_LONG_ID = "x" * 300
 
 # (method, path, body, status)
 REQUESTS = [
     ("PUT", "/v1/targets/t1", VALID, 200),
     ("PUT", "/v1/targets/t1", {**VALID, "load": 3, "state": "draining"}, 200),
     ("PUT", "/v1/targets/t%201", VALID, 400),
-    ("PUT", f"/v1/targets/{TOO_LONG}", VALID, 400),
+    ("PUT", f"/v1/targets/{TOO_LONG_ID}", VALID, 400),
     ("PUT", "/v1/targets/t1", {"service": "hive-ledger"}, 400),
     ("PUT", "/v1/targets/t1", {**VALID, "service": "Hive.Ledger"}, 400),
     ("PUT", "/v1/targets/t1", {**VALID, "service": "a" * 64}, 400),
@@ -58,16 +58,16 @@
     node = cluster.start_node("n1")
     base = "http://{}:{}".format(*node.info["admin"])
     for method, path, body, status in REQUESTS:
-        found, _, data = http(base + path, method, body)
-        assert found == status, (method, path[:60], body, data)
+        found_status, _, data = http(base + path, method, body)
+        assert found_status == status, (method, path[:60], body, data)
         assert isinstance(json.loads(data), dict), data
         if status != 200:
             assert set(json.loads(data)) == {"error", "detail"}, data
     record = cluster.admin("n1", "/v1/mesh")[1]["members"][0]
     assert [target["target_id"] for target in record["targets"]] == ["t1"]
     for number in range(70):
-        last, _, _ = http(f"{base}/v1/targets/more-{number}", "PUT", VALID)
-    assert last == 400, "the number of targets is not bounded"
+        last_status, _, _ = http(f"{base}/v1/targets/more-{number}", "PUT", VALID)
+    assert last_status == 400, "the number of targets is not bounded"
 
 
 def test_rules_text_of_one_mebibyte_is_accepted(cluster):
@@ -93,7 +93,7 @@
 
 
 def names_in_source():
-    """Yield (function, name) of each metric and log entry in the package."""
+    """Yield (called function, name) of each metric and log entry in the package."""
     for path in PACKAGE.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
@@ -106,6 +106,7 @@
                     yield function.strip("_"), name
                     yield function.strip("_"), other
                 case ast.JoinedStr([ast.Constant(str(start)), *_]):
+                    # "x" replaces the part of the name that is formatted in.
                     yield function.strip("_"), start + "x"
 
 
--- a/tests/test_claim_interleavings.py
+++ b/tests/test_claim_interleavings.py
@@ -25,6 +25,8 @@
 # effect; a `late` one returns an error and takes effect in a later step. `answered` is
 # listed twice to make it more frequent.
 COMPLETIONS = ("answered", "answered", "lost", "failed", "late")
+# Schedules: lists of steps (index, action). The index selects a node for "crash" and
+# "claim", and a request to the store for the other actions.
 STEPS = st.lists(
     st.tuples(
         st.integers(0, 7), st.sampled_from((*COMPLETIONS, "crash", "claim", "claim"))
@@ -89,11 +91,11 @@
     def __init__(self, number, simulation):
         self.number = number
         self.simulation = simulation
-        self.calls = set()
+        self.waiting_calls = set()
         self.writer = ClaimWriter(
             simulation.store,
             lambda: f"node-{number}",
-            lambda call_id: call_id in self.calls,
+            lambda call_id: call_id in self.waiting_calls,
             self.on_claim_resolved,
             lambda: 0.0,
             lambda: 0,
@@ -102,15 +104,15 @@
 
     def claim(self):
         """Receive one more call with the same idempotency key."""
-        call_id = len(self.simulation.log)
-        self.calls.add(call_id)
-        self.simulation.log.append((self.number, call_id))
+        call_id = len(self.simulation.received_calls)
+        self.waiting_calls.add(call_id)
+        self.simulation.received_calls.append((self.number, call_id))
         self.writer.execute(InsertClaim(call_id, "hive-ledger", "sale-1"))
 
     def on_claim_resolved(self, event):
         """Run a call whose claim is granted; the target sheds two calls in three."""
         call_id = event.call_id
-        self.calls.discard(call_id)
+        self.waiting_calls.discard(call_id)
         if event.outcome is not ev.ClaimOutcome.GRANTED:
             return
         if call_id % 3:
@@ -122,11 +124,14 @@
 
 
 class Simulation:
-    """The nodes, their store, and the calls that ran."""
+    """The nodes, their store, and the calls that the nodes received and ran.
+
+    `received_calls` contains (node number, call id), `runs` call ids.
+    """
 
     def __init__(self):
         self.store = ScheduledStore()
-        self.log = []
+        self.received_calls = []
         self.runs = []
         self.nodes = [Node(number, self) for number in range(NODES)]
 
@@ -145,7 +150,7 @@
         """Replace a node by a new one, and cancel its background writes."""
         for task in self.nodes[number].writer._tasks:
             task.cancel()
-        self.nodes[number] = Node(len(self.log) + 100 * (number + 1), self)
+        self.nodes[number] = Node(len(self.received_calls) + 100 * (number + 1), self)
 
     async def run(self, steps):
         """Run a schedule and return the calls that ran."""
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -10,7 +10,7 @@
 from pimentoline.store import Row
 from standins.table import Table
 
-KEY = "claim/hive-ledger/k"
+ROW_KEY = "claim/hive-ledger/k"
 RESPONSE = RecordedResponse(200, "text/plain", b"sold")
 
 
@@ -36,10 +36,10 @@
         if fault == "hold":
             self.delayed.append(txn)
             raise StoreUnavailableError("held")
-        done = self.table.run_transaction(txn)["ok"]
+        committed = self.table.run_transaction(txn)["ok"]
         if fault == "lose":
             raise StoreUnavailableError("lost")
-        return done
+        return committed
 
     async def get(self, key):
         return Row(**self.table.row(key))
@@ -97,7 +97,7 @@
         outcome = await RecordingWriter("n1/1", store).run(insert())
         assert outcome is ev.ClaimOutcome.UNAVAILABLE
         store.deliver()
-        assert KEY not in table.rows
+        assert ROW_KEY not in table.rows
         assert (
             await RecordingWriter("n2/1", store).run(insert())
             is ev.ClaimOutcome.GRANTED
@@ -135,7 +135,7 @@
         store = FaultyStore(table, ["lose", "lose"])
         ended = RecordingWriter("n1/1", store, is_waiting=False)
         assert await ended.run(insert()) is ev.ClaimOutcome.GRANTED
-        assert KEY not in table.rows
+        assert ROW_KEY not in table.rows
 
     asyncio.run(scenario())
 
@@ -150,7 +150,7 @@
         await writer.run(insert())
         await writer.run(FinishClaim(1, "hive-ledger", "k", RESPONSE))
         # Version 1 is the insertion, version 2 the only write of the response.
-        assert table.rows[KEY][0] == 2
+        assert table.rows[ROW_KEY][0] == 2
         writer = RecordingWriter("n2/1", store)
         writer.claim_writer.execute(insert())
         assert await writer.claim_writer.wait_idle(5.0)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -130,10 +130,11 @@
 
 def test_two_keys_with_the_same_short_id_are_both_accepted():
     """Guards against a key that is ignored because another one has the same id."""
-    found = {}
+    # A key id has one byte, so that two of 300 keys share an id.
+    keys_by_id = {}
     for number in range(300):
         key = str(number).encode()
-        other = found.setdefault(cd._key_id(key), key)
+        other = keys_by_id.setdefault(cd._key_id(key), key)
         if other != key:
             break
     message = ms.Message("n1", 1, 2, ms.Ping(3))
@@ -171,9 +172,9 @@
     good = {"nodeId": "n2", "addr": {"ip": "10.0.0.1", "port": 1}, "status": "alive"}
     items[0] = {**good, **change}
     items[1] = good
-    found = CODEC.decode(sign(env.to_bytes()))
-    assert [record.node_id for record in found.body.records] == ["n2"]
-    assert found.skipped_records == 1
+    decoded = CODEC.decode(sign(env.to_bytes()))
+    assert [record.node_id for record in decoded.body.records] == ["n2"]
+    assert decoded.skipped_records == 1
 
 
 def test_sizes_are_limited_before_memory_is_allocated():
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -18,11 +18,13 @@
 from .core import digest, run_scenario
 
 PACKAGE = Path(pimentoline.__file__).parent
+# Modules of `pimentoline/twohop` that decide without clocks, sockets and other I/O.
 TWOHOP_DECISIONS = (
     *("admission", "retry_budget", "durations", "lifecycle", "target_status", "model"),
     *("noise", "success_rate", "placement", "weighted_round_robin"),
 )
-ALLOWED = {
+# Modules outside the package that the core may import.
+ALLOWED_IMPORTS = {
     *("abc", "bisect", "collections", "dataclasses", "enum", "fnmatch", "functools"),
     *("hashlib", "heapq", "importlib", "itertools", "math", "operator", "re"),
     *("string", "typing", "immutables"),
@@ -73,7 +75,7 @@
 @pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
 def test_core_imports_nothing_impure(path):
     """Guards against imports of clocks, sockets, random sources or tornado."""
-    assert imports(path)[1] <= ALLOWED | {"random"}
+    assert imports(path)[1] <= ALLOWED_IMPORTS | {"random"}
 
 
 @pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
@@ -117,10 +119,10 @@
 def test_replay_in_another_process_gives_same_effects():
     """Guards against decisions that depend on the hash seed of the process."""
     code = "from tests.core import *; print(digest(*run_scenario('hot-cold')))"
-    found = {digest(*run_scenario("hot-cold"))}
+    digests = {digest(*run_scenario("hot-cold"))}
     for seed in ("1", "2"):
         env = {**os.environ, "PYTHONHASHSEED": seed}
-        done = subprocess.run(
+        completed = subprocess.run(
             [sys.executable, "-c", code],
             cwd=PACKAGE.parent,
             env=env,
@@ -129,8 +131,8 @@
             timeout=60,
             check=True,
         )
-        found.add(done.stdout.strip())
-    assert len(found) == 1
+        digests.add(completed.stdout.strip())
+    assert len(digests) == 1
 
 
 def test_replace_keeps_other_fields():
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -135,7 +135,7 @@
 
 
 def test_response_with_another_row_is_refused():
-    """Guards against rows of other keys, as a mix-up of connections would return."""
+    """Guards against accepting the row of another key after a mix-up of connections."""
 
     async def scenario(table, store):
         table.rows["a"] = (1, "x")
@@ -179,7 +179,7 @@
 
 
 def test_refused_connection_wrote_nothing():
-    """Guards against an unknown outcome though nothing was sent to the store."""
+    """Guards against an unknown outcome that is reported though nothing was sent."""
 
     async def scenario():
         sock, port = bind_unused_port()
