Reword the tests of membership, mesh processes and probing

P5 read as if calls had to end at 3 s exactly; it now says to which targets no call may go. Byte totals carry their unit, false, old, found and calling get a noun, and doc strings say what at, base, planned, sent and more are.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Membership protocol on a simulated network, with fixed seeds.
 
-P5 is the guarantee that no node sends new calls to a target 3 s after its drain.
+P5 is the guarantee that no node sends a new call to a target that was drained more
+than 3 s ago.
 """
 
 from dataclasses import replace
@@ -18,7 +19,10 @@
 
 
 def renew(network, name, target_id, seconds, **more):
-    """Renew an announcement every second while the simulated time advances."""
+    """Renew an announcement every second while the simulated time advances.
+
+    `more` contains further fields of the target.
+    """
     for _ in range(int(seconds)):
         network.announce(name, target_id, **more)
         network.run(1)
@@ -171,7 +175,7 @@
 
 
 def test_renewal_does_not_undo_a_drain():
-    """Guards P5 against a target that renews `up` after an operator drained it."""
+    """Guards P5 against a target that announces `up` after an operator drained it."""
     network = make_network(3, 9)
     network.announce("n1", "t1")
     network.dispatch("n1", ev.TargetDrained(network.now, "t1"))
@@ -184,10 +188,10 @@
 def test_dead_member_is_not_revived_and_removed_after_1_h():
     """Guards against revival by old gossip, and a dead record that is never removed."""
     network = make_network(3, 10)
-    old = network.states["n1"].mesh.members["n2"]
+    old_record = network.states["n1"].mesh.members["n2"]
     network.stopped.add("n2")
     network.run(20, lambda: network.all_report("n2", "dead"))
-    network.dispatch("n0", ev.MembersReceived(network.now, (old,)))
+    network.dispatch("n0", ev.MembersReceived(network.now, (old_record,)))
     assert network.status("n0", "n2") == "dead"
     network.run(3570)
     assert network.status("n0", "n2") == "dead"
@@ -200,8 +204,8 @@
     """Guards against a node that cannot rejoin because its clock was set back."""
     network = make_network(3, 11)
     record = own_record(network.states["n1"])
-    false = replace(record, incarnation=record.incarnation + 500, seq=9)
-    network.dispatch("n0", ev.MembersReceived(network.now, (false,)))
+    false_record = replace(record, incarnation=record.incarnation + 500, seq=9)
+    network.dispatch("n0", ev.MembersReceived(network.now, (false_record,)))
     network.run(10, lambda: network.status("n0", "n1") == "alive")
     network.run(10, lambda: own_record(network.states["n1"]).seq > 0)
     network.run(10, lambda: network.states["n0"].mesh.members["n1"].seq != 9)
--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -1,8 +1,8 @@
 """Tests of P5 and P7 with real processes, killed or suspended nodes and store faults.
 
-P5 is the guarantee that no node sends new calls to a target 3 s after its drain. P7 is
-the guarantee that an accepted rules version is in force at every node within 5 s, and
-that no node returns to an older one.
+P5 is the guarantee that no node sends a new call to a target that was drained more
+than 3 s ago. P7 is the guarantee that an accepted rules version is in force at every
+node within 5 s, and that no node returns to an older one.
 """
 
 import json
@@ -55,7 +55,7 @@
 
 
 def apply_rules(cluster, name, base, text):
-    """Apply a rules text at a node; return the data of the response."""
+    """Apply a rules text in place of version `base`; return the response as a dict."""
     body = {"base": base, "text": text, "author": "otieno", "attempt": f"try-{base}-xx"}
     return cluster.admin(name, "/v1/config", "POST", body)[1]
 
@@ -112,7 +112,8 @@
     def runs_after(self, target_id, at, node_prefix=""):
         """Return the run ids of calls that ran at a target and were sent after `at`.
 
-        Only the calls through nodes whose name starts with `node_prefix` count.
+        `at` is a monotonic time in seconds. Only the calls through nodes whose name
+        starts with `node_prefix` count.
         """
         ip, port = self.cluster.targets[target_id].info["addr"]
         _, _, body = http(f"http://{ip}:{port}/runs")
@@ -133,9 +134,9 @@
 
 
 def test_drained_target_receives_no_call_after_3_s(mesh):
-    """Guards against a violation of P5 with a node killed and a node suspended.
+    """Guards against a violation of P5 while the store is down.
 
-    The store is down, and the suspension lasts 8 s.
+    One node is killed and another one suspended for 8 s.
     """
     names = ["n0", "n1", "n2", "n3", "n5"]
     calls = CallSender(mesh, names)
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -34,7 +34,8 @@
 
     Every probe fails and uses all the bytes that it may, so further probes are always
     needed. Nodes in `paused` get no ticks; nodes learn of each other only through
-    `introduce`.
+    `introduce`. `planned` is the number of planned nodes in the budget rule, and
+    `sent` contains (time, node name) of each probe.
     """
 
     def __init__(self, bytes_per_s=1_000_000, planned=0):
@@ -72,8 +73,8 @@
         for effect in step.effects:
             if isinstance(effect, SendProbe):
                 self.sent.append((self.now, name))
-                used = MAX_PROBE_BYTES - PACKET_HEADER_BYTES
-                ended = ev.ProbeEnded(self.now, effect.target_id, None, used, 0)
+                used_bytes = MAX_PROBE_BYTES - PACKET_HEADER_BYTES
+                ended = ev.ProbeEnded(self.now, effect.target_id, None, used_bytes, 0)
                 self.apply(name, ended)
 
     def run(self, seconds):
@@ -110,12 +111,12 @@
 @pytest.fixture
 def region():
     """Return a region of eight nodes that know each other and have joined."""
-    found = Region()
+    joined = Region()
     names = [f"n{number}" for number in range(8)]
-    found.join(*names)
-    found.introduce(*names)
-    found.run(20.0)
-    return found
+    joined.join(*names)
+    joined.introduce(*names)
+    joined.run(20.0)
+    return joined
 
 
 def test_demand_is_served_up_to_the_budget(region):
@@ -218,8 +219,8 @@
     region.introduce(*names)
     region.run(40.0)
     begin = region.now - 20.0
-    spent = region.probes(begin) * MAX_PROBE_BYTES
-    assert 0 < spent <= bytes_per_s * 20.0 + len(names) * MAX_PROBE_BYTES
+    spent_bytes = region.probes(begin) * MAX_PROBE_BYTES
+    assert 0 < spent_bytes <= bytes_per_s * 20.0 + len(names) * MAX_PROBE_BYTES
 
 
 def test_response_updates_the_load_of_the_target(region):
@@ -241,8 +242,8 @@
     """Return (probes, bytes without packet headers) as counted by the nodes."""
     found = [cluster.admin(name, "/v1/status")[1] for name in cluster.nodes]
     probes = sum(status["counters"].get("probes.sent", 0) for status in found)
-    traffic = sum(status["counters"].get("probes.bytes", 0) for status in found)
-    return probes, traffic - probes * PACKET_HEADER_BYTES
+    traffic_bytes = sum(status["counters"].get("probes.bytes", 0) for status in found)
+    return probes, traffic_bytes - probes * PACKET_HEADER_BYTES
 
 
 def test_targets_see_no_more_probes_than_the_budget(cluster):
@@ -259,30 +260,30 @@
         target = cluster.start_target(name, "n0")
         url = "http://{}:{}/faults".format(*target.info["addr"])
         http(url, "POST", {"load_report": "none"})
-    calling = ["n0", "n1", "n2"]
+    called_nodes = ["n0", "n1", "n2"]
 
     def probes_reach(count):
-        for name in calling:
+        for name in called_nodes:
             cluster.call(name, "/weights")
         return target_totals(cluster)[0] >= count
 
     wait_until(lambda: probes_reach(1), 30.0, "the first probe")
-    begin, (probes, traffic) = time.monotonic(), target_totals(cluster)
+    begin, (probes, bytes_before) = time.monotonic(), target_totals(cluster)
     wait_until(lambda: probes_reach(probes + 15), 30.0, "probes of three nodes")
-    calling.remove("n2")
+    called_nodes.remove("n2")
     cluster.nodes["n2"].signal(signal.SIGSTOP)
     wait_until(lambda: probes_reach(probes + 30), 30.0, "probes of two nodes")
     cluster.start_node("n3", seeds=seeds)
-    calling.append("n3")
+    called_nodes.append("n3")
     cluster.nodes["n2"].signal(signal.SIGCONT)
     wait_until(lambda: cluster.call("n2", "/weights")[0] == 200, 30.0, "n2 serves")
-    calling.append("n2")
+    called_nodes.append("n2")
     wait_until(lambda: probes_reach(probes + 60), 30.0, "probes after the join")
-    took_s, (probes_now, traffic_now) = time.monotonic() - begin, target_totals(cluster)
+    took_s, (probes_now, bytes_now) = time.monotonic() - begin, target_totals(cluster)
     assert probes_now - probes <= budget.probes_per_s * took_s + len(cluster.nodes)
-    spent = traffic_now - traffic + (probes_now - probes) * PACKET_HEADER_BYTES
-    reserved = MAX_PROBE_BYTES * len(cluster.nodes)
-    assert spent <= budget.bytes_per_s * took_s + reserved
+    spent_bytes = bytes_now - bytes_before + (probes_now - probes) * PACKET_HEADER_BYTES
+    reserved_bytes = MAX_PROBE_BYTES * len(cluster.nodes)
+    assert spent_bytes <= budget.bytes_per_s * took_s + reserved_bytes
     # Without calls the probes end, and both sides have counted the same.
     wait_until(
         lambda: target_totals(cluster) == node_totals(cluster), 10.0, "equal counts"
