--- a/tests/history.py
+++ b/tests/history.py
@@ -112,8 +112,8 @@
             headers["Idempotency-Key"] = op
         invoked = time.monotonic()
         result = {"outcome": UNKNOWN}
-        timeout = int(headers.setdefault("X-Deadline-Ms", "3000")) / 1000 + 0.3
-        conn = http.client.HTTPConnection(*addr, timeout=timeout)
+        timeout_s = int(headers.setdefault("X-Deadline-Ms", "3000")) / 1000 + 0.3
+        conn = http.client.HTTPConnection(*addr, timeout=timeout_s)
         try:
             conn.connect()
         except OSError:
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -118,7 +118,8 @@
     def send_request(self, src, addr, body):
         """Deliver a message and its reply at once and without loss; return the reply.
 
-        Models an exchange over TCP.
+        Models an exchange over TCP. Returns None if the receiver cannot be reached or
+        does not reply.
         """
         dst = self.name_of(addr)
         if not self.reachable(src, dst):
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -53,8 +53,8 @@
 class RecordingWriter:
     """Runs a `ClaimWriter` and records the events that it dispatches.
 
-    `attempt_prefix` is the node id and the incarnation. `is_waiting` tells whether the
-    calls still wait for their claims.
+    `attempt_prefix` begins the attempt ids: a node id and an incarnation. `is_waiting`
+    tells whether the calls still wait for their claims.
     """
 
     def __init__(self, attempt_prefix, store, is_waiting=True):
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -177,8 +177,9 @@
 def suspend_node_until_key_conflict(cluster, history):
     """Suspend a node, up to ten times, until a sale gets 409 for its key.
 
-    Targets are slowed down, so that the node is likely to hold a claim when it is
-    suspended: at a service time of 20 ms, it does in only about one of ten suspensions.
+    The targets are slowed down, so that the node is likely to hold a claim when it is
+    suspended: at a service time of 20 ms, it holds one in only about one of ten
+    suspensions.
     """
     node = cluster.nodes["n2"]
     for target in cluster.targets:
