Clarify four files for a first-time reader

A reader who did not know the project stopped in these files at terms and sentences that other files explain, or that had to be read twice.

publisher: name the rows of the store, say what the event after a load is for, and describe every result of `apply` with its keys. The text said that an attempt is accepted at most once; that holds for the same id and base. The limit of versions in a reply about a conflict does not count the one that replaced the base. output: errors as JSON go to standard output, not to standard error. runner: explain the capacity, faults, `affected`, targets that begin in the state `starting`, and the address under `data`. pool: say why a cancelled call wakes another one. rules/hedge.py needed no change.

--- a/bench/runner.py
+++ b/bench/runner.py
@@ -30,13 +30,14 @@
     capacity : float
         Calls per second that the targets can serve.
     window_s : float
-        Time between the two readings of the nodes' counters, seconds, summed over the
-        seeds. It includes the wait for the last response after all calls were sent.
+        Time between the readings of the nodes' counters before and after a run,
+        seconds, summed over the seeds. It includes the wait for the last response after
+        all calls were sent.
     discarded : int
         Number of runs that were discarded and repeated.
     sent, ok, shed, failed : int
         Number of calls in total, and by outcome: status 200, not run by any target
-        according to the verdict header, and all others.
+        according to the response header `X-Verdict`, and all others.
     max_lag_ms : float
         Longest delay between the scheduled and the actual send time of a call,
         milliseconds.
@@ -114,6 +115,8 @@
     results = []
     try:
         for condition in experiment.conditions:
+            # Each target (instance) serves up to `slots` calls at once, and a call
+            # takes `mean_s` seconds on average.
             capacity = size.instances * size.slots / condition.mean_s
             for policy in experiment.policies:
                 result = Result(size.name, condition.name, policy, capacity)
@@ -145,6 +148,8 @@
         counters by region.
     """
     policy = result.policy
+    # Faults are settings of the simulated targets: service time and queue limit as well
+    # as failures. `reset` first restores all settings and clears the counters.
     initial_faults = {
         "reset": True,
         "mean_s": condition.mean_s,
@@ -153,13 +158,16 @@
         "seed": seed,
     }
     system.set_faults(initial_faults | condition.all_targets)
+    # `before` and `faults` apply to the first targets; `affected` is their number.
     if condition.before:
         system.set_faults(condition.before, condition.affected)
+    # Targets that begin in the state `starting` are not up, so they are not awaited.
     starting_count = (
         condition.affected if condition.before.get("state") == "starting" else 0
     )
     system.wait_ready(policy, system.size.instances - starting_count)
     time.sleep(SETTLE_S)
+    # `data` is the address, ip and port, at which a node accepts calls.
     nodes = [(region, *node.info["data"]) for region, node in system.nodes[policy]]
     lost_region = nodes[-1][0] if condition.lose_region else None
     job = {
--- a/pimentoline/commands/output.py
+++ b/pimentoline/commands/output.py
@@ -1,4 +1,7 @@
-"""pimentoline.commands.output: results on standard output, errors on standard error."""
+"""pimentoline.commands.output: writes the results and errors of commands.
+
+Results, and errors as JSON, go to standard output; errors as text go to standard error.
+"""
 
 import json
 import sys
@@ -7,7 +10,7 @@
 
 
 def as_list(detail):
-    """Return the `detail` of an error response, a text or a list, as a list."""
+    """Convert the `detail` of an error response to a list if it is not one."""
     return detail if isinstance(detail, list) else [detail or "no detail"]
 
 
--- a/pimentoline/pool.py
+++ b/pimentoline/pool.py
@@ -127,6 +127,7 @@
         try:
             await fut
         except asyncio.CancelledError:
+            # A call cancelled after it was woken leaves its turn to the next one.
             if fut.done() and not fut.cancelled():
                 self._wake(addr)
             raise
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -24,7 +24,8 @@
 
 __all__ = ["Publisher"]
 
-# Maximum number of accepted versions that a reply about a conflict lists.
+# A reply about a conflict lists the version that replaced the base, and at most this
+# many of the latest versions.
 MAX_CONFLICTING_VERSIONS = 20
 MAX_COMMIT_ATTEMPTS = 2
 # An accepted version is pushed to peers until this many have loaded it.
@@ -37,6 +38,11 @@
 class Publisher:
     """Reads and writes the rules versions and the audit trail in the store.
 
+    Row `config/<version>` of the store has the text of a rules version. The audit row
+    `audit/<version>` records its author, time, diff from the version before, and the
+    requesters of the changed rules; each rule names its requester in a comment. The
+    head row `config/head` has the number of the latest accepted version.
+
     Parameters
     ----------
     node : Node
@@ -62,7 +68,8 @@
                 node.load_rules(version, row.value["text"], "store")
         except (PimentolineError, KeyError, TypeError):
             node.metrics.count("store.failed")
-        # The version is reported even if its text could not be read.
+        # If the text could not be read, this event makes the node fetch it again. The
+        # version is confirmed because the store itself reported it.
         node.dispatch(
             ev.RulesVersionReceived(node.clock(), version, "store", confirmed=True)
         )
@@ -82,19 +89,23 @@
             A valid rules text.
         author : str
         attempt : str
-            Id of this attempt to apply the text. If it is retried with the same id, it
-            is accepted at most once and gets the same outcome.
+            Id of this attempt to apply the text. A text that is sent again with the
+            same id and base is accepted at most once and gets the same outcome.
 
         Returns
         -------
         dict
-            `result` is one of these:
-
-            `accepted`, with `version`.
-            `conflict`, with `won`, the versions accepted after `base`. If another
-            attempt replaced `base`, also with `head`, the head row, and `differs`, the
-            diff from the text in force to `text`.
-            `unknown`, with `attempt`.
+            `detail` explains some results. `result` is one of these:
+
+            `accepted`, with `version`. If a later version is in force, also with
+            `superseded_by`, that version; otherwise with `held_by`, the number of nodes
+            known to have loaded the version or a later one.
+            `conflict`, with `won`, a list of accepted versions. If another attempt
+            replaced `base`, `won` has the version that did and the latest ones; `head`
+            is the head row, and `differs` the diff from the text in force to `text`. If
+            `base` does not exist, `won` is empty. If this attempt was accepted with
+            another text, `won` has only that version.
+            `unknown`, with `attempt`: the text may or may not have been accepted.
             `unavailable`: this request has written nothing.
         """
         try:
@@ -201,7 +212,8 @@
         return parse_row(ConfigRow, row).text
 
     async def _audit_rows(self, newest, count):
-        """Return up to `count` audit rows up to version `newest`, the latest first."""
+        """Return at most `count` audit rows, from version `newest` downwards."""
+        # Each prefix covers ten versions.
         scans = [
             self._node.store.scan(prefix, 10)
             for prefix in audit_prefixes(newest, count)
