--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -10,11 +10,16 @@
 from .runner import run_condition
 
 HERE = Path(__file__).resolve().parent
+# A site is an emulated deployment: its data centres (DC), targets and calls. A
+# condition is the load and the faults of a run.
+#
 # Columns: `asked` is the number of calls. `in time`, `late`, `refused` and `failed` are
-# shares of the calls; see `Result`. `credit` is the credit that callers earned in
-# the whole run, as a share of the possible credit; `worst` is the mean of this share
-# over the time windows in which it was lowest. A site is an emulated deployment: its
-# data centres (DC), targets and calls.
+# shares of the calls: status 200 within the latency objective, status 200 after it but
+# before the deadline, status 503, and any other result. A response in time earns a
+# credit that depends on the kind of call, and a late one earns less. `credit` is the
+# credit earned in the whole run, as a share of what it would be if all responses were
+# in time; `worst` is the mean of this share over the two windows of 2 s in which it was
+# lowest. Frames are the messages between nodes.
 TABLE_HEAD = (
     "| site | condition | policy | asked | credit | worst | in time | late | refused "
     "| failed | p50 ms | p99 ms | frames a call | KB between DCs a call "
--- a/pimentoline/reducer.py
+++ b/pimentoline/reducer.py
@@ -38,9 +38,11 @@
     """
     match event:
         case ev.CallArrived():
+            # Rejects the call if the node's rules are outdated.
             rejection = rules_version.rejection_if_outdated(state, event)
             if rejection:
                 return Step(state, rejection)
+            # The call is recorded because only targets of called services are probed.
             return Step(*calls.on_arrived(probing.record_call(state, event), event))
         case ev.ResponseHeadReceived():
             return Step(*calls.on_response_head(state, event))
@@ -55,6 +57,7 @@
         case ev.HedgeDue():
             return Step(*calls.on_hedge_due(state, event))
         case ev.ClaimResolved():
+            # The claim is on a call's idempotency key, in the store.
             return Step(*calls.on_claim_resolved(state, event))
         case ev.TargetAnnounced():
             return Step(*target_states.on_target_announced(state, event))
@@ -65,6 +68,7 @@
         case ev.MembersReceived():
             return Step(*membership.on_members_received(state, event))
         case ev.MessageReceived():
+            # Every message from another node also carries its rules version.
             state, effects = membership.on_message(state, event)
             state, rules_effects = rules_version.on_message(state, event)
             return Step(state, effects + rules_effects)
@@ -74,9 +78,9 @@
             return Step(*rules_version.on_rules_loaded(state, event))
         case ev.Tick():
             state, rules_effects = rules_version.on_tick(state, event)
-            state, mesh_effects = membership.on_tick(state, event)
+            state, membership_effects = membership.on_tick(state, event)
             state, probe_effects = probing.on_tick(state, event)
-            return Step(state, rules_effects + mesh_effects + probe_effects)
+            return Step(state, rules_effects + membership_effects + probe_effects)
         case ev.ProbeEnded():
             return Step(*probing.on_probe_ended(state, event))
         case ev.StopRequested():
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -1,5 +1,7 @@
 """pimentoline.twohop.placement: chooses the node that a call is sent to.
 
+A node has one target, on the same host, which accepts calls from this node only.
+
 The load of a target changes within milliseconds, so reports of it are always out of
 date. A report is therefore corrected by the calls that this node has sent since, and
 loses weight with its age.
@@ -18,8 +20,8 @@
 OTHER_REGION_RTT_MS = 18.0
 # Cost of a kilobyte sent to another data centre or region, where links are billed by
 # volume. The unit is the value of a response that meets the latency objective. These
-# are the means of the prices in both deployments: 0.010 and 0.052 between data centres,
-# 0.074 and 0.034 between regions.
+# are the means of the prices in the two deployments that use this package: 0.010 and
+# 0.052 between data centres, 0.074 and 0.034 between regions.
 OTHER_DC_COST_PER_KB = 0.031
 OTHER_REGION_COST_PER_KB = 0.054
 # Size of the start lines and headers of a call and its response together, bytes.
@@ -32,8 +34,9 @@
 LATE_VALUE = 0.1
 # After this time, seconds, a report says nothing about the calls of other nodes.
 REPORT_LIFETIME_S = 1.0
-# Without a new report, the expected delay returns to the target's mean over this time,
-# seconds, because the report of a target that gets no calls is not renewed.
+# Time, seconds, in which the expected delay returns to the target's mean delay if there
+# is no new report. The report of a target that gets no calls is not renewed, so one
+# with a long delay would otherwise keep calls away.
 DELAY_DECAY_S = 5.0
 # Period that the mean delay covers, seconds; targets turn slow for 3 to 15 s at a time.
 MEAN_WINDOW_S = 60.0
@@ -43,9 +46,9 @@
 INITIAL_MEAN_REPORTS = 3
 # Mean delay of a target before its first report, milliseconds.
 INITIAL_DELAY_MS = 120.0
-# Shares of a target's expected delay that are added to it: for each recent failure of
-# the target, and at most for all of them together.
+# Each recent failure of a target increases its expected delay by this share of it.
 FAILURE_SLOWDOWN = 0.5
+# Largest increase for all recent failures together, as a share of the expected delay.
 MAX_FAILURE_SLOWDOWN = 5.0
 # Failures are ignored once a target has had none for this long, seconds.
 FAILURE_MEMORY_S = 3.0
@@ -144,7 +147,7 @@
         self.failures *= 0.7
 
     def success_rate(self, now):
-        """Return the share of the target's calls that succeed, corrected for age."""
+        """Return the reported success rate, which returns to 1 as the report ages."""
         return decayed_rate(self.report.success_rate, now - self.reported_at)
 
     def expected_ms(self, now):
@@ -165,6 +168,8 @@
         if age_s * 1000.0 < report.cold_remaining_ms:
             delay_ms *= COLD_START_SLOWDOWN
         delay_ms += max(0.0, report.noise_remaining_ms - age_s * 1000.0)
+        # The reported delay includes the wait in the queue when the report was made.
+        # Calls sent since then beyond the target's concurrency limit add to this wait.
         over_limit = total_calls - report.limit + 1
         if sent_since_report > 0 and over_limit > 0:
             delay_ms += delay_ms * min(over_limit, sent_since_report) / report.limit
