Explain the terms of five files where a first-time reader stopped

A reader who knows nothing of the project stopped at 32 places in caller_side.py, proxy.py, model.py, the emulator's policies.py and soak/__main__.py: at terms explained only in other files (verdict, reducer, last resort, claim row, locality ring), at fields without a description (seq, replayable) and at sentences to be read twice.

These test files pass, run one at a time: test_twohop_decisions, test_twohop_path, test_twohop_generated, test_emulator, test_soak, test_purity, test_membership, test_probing, test_routing, test_limits, test_streaming, test_connections and test_rules_version. The others were not run.

--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -26,6 +26,7 @@
     return min(
         available,
         key=lambda candidate: (
+            # The round-trip time, which does not depend on the size (0) of the call.
             network_cost(location, candidate.member, 0)[0],
             candidate.in_flight,
         ),
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -70,7 +70,7 @@
         Connections that the target accepts in total, from all nodes.
     state : TargetState
     load_path : str
-        Path of the load endpoint that probes request.
+        Path of the endpoint at which the target reports its load to probes.
     version : str
         Release that the target runs; canary rules select on it.
     """
@@ -93,11 +93,13 @@
 
     A node writes its own record; other nodes change only the status, to `SUSPECT` or
     `DEAD`. Of two records of a node, the one with the higher `(incarnation, seq)` is
-    valid; if these are equal, the status decides. `incarnation` is the node's start
-    time in milliseconds. `addr` is the node's mesh address, and `targets` are the
-    targets on its host. `rules_version` was in force when the node wrote the record.
-    `age_s` is set only in messages: seconds since the node left or died, so that all
-    receivers delete its record at the same time.
+    valid; if these are equal, the one whose status is later in the order `ALIVE`,
+    `LEAVING`, `SUSPECT`, `DEAD`. `incarnation` is the node's start time in
+    milliseconds, and `seq` rises with each new record that the node writes. `addr` is
+    the node's mesh address, and `targets` are the targets on its host. `rules_version`
+    was in force when the node wrote the record. `age_s` is set only in messages:
+    seconds since the node left or died, so that all receivers delete its record at the
+    same time.
     """
 
     node_id: str
@@ -172,7 +174,10 @@
 class RecordedResponse:
     """Response to a call with an idempotency key, as stored in its claim row.
 
-    `body` holds up to 4 KiB; `truncated` is True if the response was longer.
+    A call that has a key and may run only once claims the key before it is sent: it
+    inserts a row for the key in the store. Of the calls with the same key, only the one
+    that inserted the row runs. `body` holds up to 4 KiB; `truncated` is True if the
+    response was longer.
     """
 
     status: int
@@ -186,9 +191,9 @@
     """One request of a call to one target.
 
     `started` is monotonic time in seconds. `hedge` is True if the attempt was started
-    while another one was in flight. `verdict` is None until the attempt has received a
-    response head, ended or been cancelled; `failed` is True after a response with a
-    status of 500 or more.
+    while another one was in flight. `verdict` tells whether the target may have run the
+    request; it is None until the attempt has received a response head, ended or been
+    cancelled. `failed` is True after a response with a status of 500 or more.
     """
 
     attempt_id: int
@@ -200,7 +205,11 @@
 
 
 class CallPhase(enum.Enum):
-    """Phase of a call: claiming its key, waiting for a response, or forwarding it."""
+    """Phase of a call.
+
+    The call claims its idempotency key, if it has to, waits for a response, or forwards
+    the response to the caller.
+    """
 
     CLAIMING = "claiming"
     SENDING = "sending"
@@ -213,6 +222,7 @@
 
     `idempotent` tells whether the call may run more than once; `forwarded_attempt_id`
     is the id of the attempt whose response is forwarded to the caller, None before.
+    `replayable` is not used: events tell whether the request can be sent again.
     """
 
     call: Call
@@ -246,7 +256,8 @@
     own_in_report : int
         Requests of this node that the last load report includes.
     consecutive_failures : int
-        Failed attempts in a row, as counted for ejections.
+        Failed attempts in a row; a certain number of them ejects the target. An
+        ejection sets it to one less, so that the next failure ejects the target again.
     recent_outcomes : tuple of bool
         Outcomes of the latest attempts, True for success, newest last.
     ejected_until, ejected_for_s : float
@@ -300,7 +311,9 @@
     median_latency_s, p95_latency_s : float
         Median and 95th percentile of the latencies, seconds; 0.0 if unknown.
     widest_ring : int
-        Number of the outermost locality ring in use; 0 is the innermost.
+        Number of the outermost locality ring in use; 0 is the innermost. The targets
+        of a service form rings around this node: its data centre, its region, other
+        regions.
     spill_credit : float
         Number of calls that may spill to the next ring. Each call to a loaded ring
         adds a fraction, and each call that spills takes 1.
@@ -375,8 +388,8 @@
         version since this node started.
     version_check_pending : bool
         Whether calls are refused until the store or a confirmed peer has reported its
-        version and `known_version` is in force. True after the start and after the
-        process was paused.
+        version and `known_version` is in force. The node sets it when it starts and
+        after the process was paused.
     report_received : bool
         Whether the report that `version_check_pending` waits for has been received.
     remaining_sends : int
@@ -443,13 +456,15 @@
     suspect_deadlines : Map of str to float
         Monotonic time at which a suspect is declared dead, seconds, by node id.
     renewed_at : Map of str to float
-        Monotonic time of the latest announcement of a target of this host, or of its
-        change to `gone`, seconds, by target id.
+        Monotonic time at which a target of this host last announced itself to this
+        node, or at which it changed to `gone`, seconds, by target id.
     drained_addrs : Map of str to (str, int)
-        Addresses of the drained targets of this host, by target id.
+        Addresses at which targets of this host were drained, by target id. A drain ends
+        when the target announces another address or `starting`, or becomes `gone`.
     pending_ping : PendingPing or None
     next_ping_at, next_sync_at, last_sync_at, last_tick : float
-        Monotonic times, seconds.
+        Monotonic times, seconds. At a sync, this node compares its member records with
+        those of peers.
     health_score : int
         Local health score as in Lifeguard: 0 while this node's pings are acknowledged,
         higher if its own network or load may be the cause of lost pings.
@@ -478,6 +493,9 @@
 class ProbingState:
     """Load probes: which targets need them, and this node's share of the budget.
 
+    The budget of a region limits its probes and their bytes per second. Each node of
+    the region uses an equal share of it.
+
     Parameters
     ----------
     last_called : Map of str to float
@@ -487,8 +505,8 @@
     in_flight : frozenset of str
         Ids of the targets of the probes in flight.
     joined_at : float
-        Monotonic time at which this node started or resumed after a pause. It
-        probes only after other nodes have had time to count it.
+        Monotonic time at which this node started or resumed after a pause. It sends
+        probes only after the other nodes have had time to adapt their shares.
     last_tick : float or None
         Monotonic time of the latest tick, seconds.
     due_fraction : float
--- a/pimentoline/proxy.py
+++ b/pimentoline/proxy.py
@@ -1,4 +1,9 @@
-"""pimentoline.proxy: accepts calls and executes the reducer's effects on them."""
+"""pimentoline.proxy: accepts calls and executes the reducer's effects on them.
+
+The reducer is the function that decides about calls: it applies an event to the state
+of the node and returns the effects to execute. The verdict in some effects says whether
+a target may have run the call.
+"""
 
 import asyncio
 
@@ -69,6 +74,8 @@
         self.clock = clock
         self.draw = draw
         self.ruleset = ruleset
+        # Determines the earliest arrival time of a request that may have waited in the
+        # kernel while this process was paused.
         self.arrival_clock = ArrivalClock(clock)
         self.calls = {}
         self.stopping = False
@@ -114,6 +121,7 @@
             case ef.StartAttempt():
                 handler.start_attempt(effect)
             case ef.ForwardResponse():
+                # `record` tells whether to record the response for `ReplayResponse`.
                 handler.forward_response(effect.attempt_id, effect.record)
             case ef.CancelAttempt():
                 handler.cancel_attempt(effect.attempt_id)
@@ -125,6 +133,11 @@
                 handler.replay(effect.recorded)
 
     def _is_idle(self, handler):
+        """Return whether a handler is still waiting for its request head.
+
+        A call that is rejected right after its head was read gets no id either, but its
+        handler has responded.
+        """
         return handler.call_id is None and not handler.responded
 
     async def stop(self, server):
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -1,4 +1,8 @@
-"""pimentoline.twohop.caller_side: sends the calls of the callers on this host."""
+"""pimentoline.twohop.caller_side: sends the calls of the callers on this host.
+
+Besides its deadline, a call has a latency objective, the time by which its response
+should arrive. A verdict tells whether a target may have run the call.
+"""
 
 import asyncio
 import random
@@ -139,10 +143,16 @@
         )
 
     def _send(self, effect):
+        """Send the call to the candidate of a `Send` effect.
+
+        `last_resort` requests the candidate's node to accept the call even if its
+        response will miss the latency objective.
+        """
         caller_side, call = self.caller_side, self.call
         self.attempt_number += 1
         number = self.attempt_number
-        # A refused call that is sent to another node is still the same first attempt.
+        # `placements` counts how often the call was sent to a node. A refused call that
+        # is sent to another node is still the same first attempt.
         if not effect.retry and call.placements == 1:
             caller_side.retry_budget(call.service).count_first_attempt(
                 caller_side.clock()
@@ -234,7 +244,7 @@
     location : Location
     peers : Peers
     config : ConfigHolder or None
-        Not used.
+        Stored, but not used; the emulator in `bench` passes None.
     retry_limits : RetryLimits
     clock : callable
         Monotonic clock, seconds.
@@ -250,6 +260,7 @@
         self.log = RateLimitedLog(clock)
         self.active_calls = set()
         self._retry_budgets = {}
+        # Chooses the service of a call; a route may split its calls between services.
         self._round_robin = WeightedRoundRobin()
         self._mean_response_bytes = {}
         self._random = random.Random()
@@ -272,7 +283,10 @@
     # `acquire_retry`.
 
     def choose(self, call, now):
-        """Return the best candidate that has not been tried, or None."""
+        """Return the best candidate that has not been tried, or None.
+
+        `call.size` is the size of the body plus the expected size of the response.
+        """
         return choose(
             self.peers.candidates(call.service),
             self.location,
@@ -288,7 +302,11 @@
         self._mean_response_bytes[route.name] = mean + MEAN_SIZE_WEIGHT * (size - mean)
 
     def acquire_retry(self, service, now):
-        """Take a retry from the service's budget; return whether one was left."""
+        """Take a retry from the service's budget; return whether one was left.
+
+        A part of the budget is shared equally by all nodes, so it depends on their
+        number.
+        """
         return self.retry_budget(service).try_acquire(now, len(self.peers.members))
 
     def submit(self, route, incoming, respond):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,11 +16,12 @@
 
 __all__ = ["run_seed"]
 
+# Number of targets of the service `ledger`; the other service, `desk`, has one.
 LEDGER_TARGET_COUNT = 3
 # Limit for all nodes to start and serve calls on a busy host, seconds.
 START_TIMEOUT_S = 30.0
-# Both known deployments require that every node serves calls again at most this time
-# after the last fault, seconds.
+# Both known deployments of pimentoline require that every node serves calls again at
+# most this time after the last fault, seconds.
 RECOVERY_TIMEOUT_S = 15.0
 # Both also require that a target gets no request later than this time after its drain
 # was acknowledged, seconds.
@@ -149,6 +150,7 @@
             self.store.close()
             # Gives the tasks that read from the closed connections time to end.
             await asyncio.sleep(CLOSE_DELAY_S)
+        # Compares the requests that ran at the targets with those sent and rejected.
         self.checker.check_runs(self.targets)
         self.checker.check_drains(self.drained, DRAIN_LIMIT_S)
         return self.checker
