Explain what stopped a first-time reader in five files

A fresh reading of status.py, test_connections.py, launcher.c, claim_writer.py and settings.py noted 17 doubts: unexplained terms (reducer, payload, the target), numbers without their meaning (row versions in checks, 200 ms, 0.3 s, nine tenths) and two sentences that had to be read twice.

Explain these in comments and docstrings; no code, name or string changes. Doubts about help texts stay, because these texts leave the process.

--- a/packaging_tools/launcher.c
+++ b/packaging_tools/launcher.c
@@ -1,10 +1,10 @@
 /*
  * Launcher of the single-file build.
  *
- * The file consists of this program, a gzip-compressed ustar archive and a trailer.
- * The archive is unpacked once, to a directory in memory that is named after its
- * digest. Then exec replaces the launcher by the unpacked program, so that there is
- * no second process and no disk is used.
+ * The built file consists of this program, a gzip-compressed ustar archive, called the
+ * payload, and a trailer. The archive is unpacked once, to a directory in memory that
+ * is named after its digest. Then exec replaces the launcher by the unpacked program,
+ * so that there is no second process and no disk is used.
  */
 #define _GNU_SOURCE
 #include <errno.h>
@@ -26,10 +26,10 @@
 #define MAGIC "PIMENTO1"
 #define PROGRAM "pimentoline"
 
-/* Last bytes of the file, as written by build.py. */
+/* Last bytes of the built file, as written by build.py. */
 struct trailer {
   char digest[DIGEST_CHARS]; /* start of the payload's SHA-256, hexadecimal */
-  uint64_t payload_bytes;    /* size of the archive */
+  uint64_t payload_bytes;    /* compressed size */
   char magic[8];
 };
 
@@ -66,7 +66,7 @@
   if (size < 0 || size >= PATH_MAX) fail("path-too-long", path);
 }
 
-/* The archive at the end of this file. */
+/* The payload in the running executable, decompressed as it is read. */
 static gzFile payload;
 
 /* Reads exactly `size` bytes of the archive, or fails. */
@@ -146,5 +146,6 @@
   argv[0] = program;
   execv(program, argv);
   fail("exec-failed", program);
+  /* Not reached. Using argc avoids the warning about an unused parameter. */
   return argc;
 }
--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -27,8 +27,9 @@
     A claim lets at most one of the calls with an idempotency key run. In this class, an
     attempt is one call at one node, however often the node sends it to targets; its id
     is `attempt_prefix` followed by the call id. A claim has two rows:
-    `claim/<service>/<key>` contains the id of the attempt that holds the key, and
-    `claimant/<attempt>` exists while that attempt holds the key and has not finished.
+    `claim/<service>/<key>` contains the id of the attempt that holds the key and, once
+    that attempt has finished, its recorded response; `claimant/<attempt>` exists while
+    that attempt holds the key and has not finished.
 
     Row versions of the table service begin at 1 again after a deletion, so a late or
     repeated deletion that checked only the version of the claim could delete the claim
@@ -36,6 +37,11 @@
     conditional on the attempt. If it is unknown whether an insertion has taken effect,
     a row `void/<attempt>` makes the insertion fail if it reaches the store later.
 
+    `Store.commit` takes checks, writes and deletions, in this order. A check is a key
+    with the version that its row must have, 0 if no row may exist; a write is a key
+    with its new value. The rows `claimant/<attempt>` and `void/<attempt>` have the
+    value 1.
+
     Parameters
     ----------
     store : Store or None
@@ -44,7 +50,8 @@
     is_waiting : callable
         Called with a call id; returns whether the call still waits for its claim.
     dispatch : callable
-        Passes an event to the reducer.
+        Passes an event to the reducer, the function that decides about calls: it
+        returns the new state and the effects to execute.
     clock : callable
         Monotonic clock, seconds.
     draw : callable
--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -26,6 +26,7 @@
 
 def _lines(response):
     """Yield the lines of the result as text."""
+    # `heard` is the highest version that any peer or the store reported to the node.
     rules = response["rules"]
     yield f"node      {response['node']}"
     yield f"location  region {response['region']}, data centre {response['dc']}"
--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -23,7 +23,8 @@
 ADDR_ERROR = "allowed: IP:PORT with an IPv4 address and a port of 0 to 65535"
 Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN, max_length=200)]
 
-# name: (default, help)
+# name: (default, help). "The target" is the one on the host of the node; it announces
+# itself at the admin interface.
 FLAGS = {
     "node_id": ("", "Unique name of this node; HOST:DATA_PORT by default."),
     "host": ("", "Name of the host; the system's host name by default."),
@@ -65,7 +66,8 @@
         ip = str(ipaddress.IPv4Address(ip))
     except ValueError:
         raise ValueError(ADDR_ERROR) from None
-    # `int` rejects very long text, and 6 digits are enough to exceed `MAX_PORT`.
+    # Only the first 6 digits are compared with `MAX_PORT`, because `int` rejects very
+    # long text. Any number of 6 digits without leading zeros exceeds it.
     if not (port.isascii() and port.isdigit()) or int(port[:6]) > MAX_PORT:
         raise ValueError(ADDR_ERROR)
     return ip, int(port)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests of connections to targets and callers, and of a paused process.
 
-A "silent" connection stays open but no longer carries data.
+A "silent" connection stays open but no longer carries data. The argument `number` of a
+`serve` function counts the connections to the target from 0.
 """
 
 import http.client
@@ -140,7 +141,10 @@
 
 
 def test_idempotent_call_on_a_silent_connection_is_retried(cluster):
-    """Guards against a timeout for the response head that uses up the deadline."""
+    """Guards against an attempt that waits for its response head until the deadline.
+
+    Such an attempt would leave no time for the retry on another connection.
+    """
     cluster.start_node("n1")
     silent = threading.Event()
 
@@ -152,7 +156,8 @@
     with raw_target(cluster, serve):
         assert cluster.call("n1", "/")[0] == 200
         silent.set()
-        # This is less than the first hedge delay, 200 ms.
+        # The deadline passes before the first hedge delay, 200 ms, so that only a retry
+        # can complete the call.
         headers = {"X-Deadline-Ms": "190"}
         assert cluster.call("n1", "/", headers=headers)[0] == 200
 
@@ -183,6 +188,8 @@
                 assert b"X-Verdict: not-run" in lines
             late.close()
         assert len(target.heads) == 1
+        # Requests read up to 0.25 s after a pause may have waited in the kernel, so
+        # their deadlines count from a time before the pause.
         time.sleep(0.3)
         assert cluster.call("n1", "/", method="POST")[0] == 200
 
@@ -196,7 +203,8 @@
             time.sleep(0.05)
             sock.sendall(OK)
 
-    # A single node may use nine tenths of the connections.
+    # The only node of a mesh may use nine tenths of a target's connection limit. The
+    # rest is left for probes and for nodes that have a different view of the mesh.
     with (
         raw_target(cluster, serve, connections=10) as target,
         ThreadPoolExecutor(40) as callers,
