--- a/pimentoline/mesh_transport.py
+++ b/pimentoline/mesh_transport.py
@@ -15,15 +15,18 @@
 __all__ = ["MeshTransport"]
 
 FRAME_TIMEOUT_S = 2.0
-# When many datagrams are queued, the event loop serves calls after this many of them.
+# Limits how long queued datagrams delay other work of the event loop, such as client
+# calls.
 MAX_DATAGRAMS_PER_WAKEUP = 64
 
 
 class MeshTransport(TCPServer):
     """Sends and receives the messages of one node.
 
-    Small messages are sent as UDP datagrams. Requests, and messages too large for a
-    datagram, are sent over TCP, each as a frame of a 4-byte length and the message.
+    Requests are sent over TCP, other messages as UDP datagrams. A message too large for
+    a datagram is split if it has several member records, each of which describes a
+    node; otherwise it is sent over TCP. Over TCP, each message is sent as a frame: a
+    4-byte length and the message.
 
     Parameters
     ----------
@@ -33,7 +36,8 @@
         message over TCP, the address is None, and a message that `on_message` returns
         is sent as the reply.
     on_error : callable
-        Called with the error of each message that could not be sent or decoded.
+        Called with the error of each message that could not be encoded, sent as a
+        datagram, or decoded. Failed TCP connections and timeouts are not reported.
     """
 
     def __init__(self, codec, on_message, on_error):
@@ -47,7 +51,7 @@
         self.bytes_received = 0
 
     def take_byte_counts(self):
-        """Return and reset the payload bytes sent and received, as (metric, bytes)."""
+        """Return (metric name, bytes) for payload sent and received; reset both."""
         sent, self.bytes_sent = self.bytes_sent, 0
         received, self.bytes_received = self.bytes_received, 0
         return ("mesh.bytes_sent", sent), ("mesh.bytes_received", received)
@@ -123,7 +127,7 @@
         return self._on_message(message, addr)
 
     async def send_request(self, addr, message):
-        """Send a message over TCP and return the reply, or None if there is none."""
+        """Send a message over TCP; return the reply, or None without a valid one."""
         try:
             stream = await asyncio.wait_for(
                 self._client.connect(*addr), FRAME_TIMEOUT_S
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -1,4 +1,8 @@
-"""pimentoline.twohop.exchange: an HTTP request and its complete response."""
+"""pimentoline.twohop.exchange: an HTTP request and its complete response.
+
+The node on a target's host, the second of the two nodes that a call passes through,
+sends requests to the target with it. The client of the store uses it too.
+"""
 
 import asyncio
 from dataclasses import dataclass
@@ -130,8 +134,8 @@
         Largest size of a response body, bytes.
     is_own_response : callable
         `is_own_response(headers)` returns whether a response with these headers belongs
-        to this request. Other responses are late responses to earlier requests on the
-        connection and are discarded.
+        to this request. Other responses are discarded: a target may respond to an
+        earlier request on the connection a second time, and late.
 
     Returns
     -------
@@ -159,7 +163,8 @@
             )
         if not reusable or stream.closed():
             break
-        # Reads the next response without sending another request.
+        # Reads the next response without sending another request. `read_response` waits
+        # until `finish` has been called; `sleep` lets other tasks run.
         http = HTTP1Connection(stream, True, http.params)
         http.finish()
         await asyncio.sleep(0)
--- a/standins/work_queue.py
+++ b/standins/work_queue.py
@@ -24,8 +24,8 @@
 class RunningJob:
     """A job that occupies a slot.
 
-    `remaining_s` is the duration of the remaining work at full speed, in seconds, as it
-    was at `updated_at`, a time of the event loop in seconds.
+    `remaining_s` is the work that remained at `updated_at`, in seconds at full speed.
+    `updated_at` is a time of the event loop, in seconds.
     """
 
     def __init__(self, work_s, now):
@@ -130,6 +130,7 @@
             if slot_granted in self._waiting:
                 self._waiting.remove(slot_granted)
             elif not slot_granted.cancelled():
+                # The slot was granted just before the job was cancelled.
                 self._release_slot()
             raise
 
--- a/tests/core.py
+++ b/tests/core.py
@@ -30,7 +30,9 @@
 class Core:
     """Applies events to the state of one node, without a real clock or sockets.
 
-    `rules` are lines of a rules file, separated by "; ", without their comments.
+    `rules` are lines of a rules file, separated by "; "; the comment that each line
+    must have is added. `draw`, the random number of an event, is derived from the
+    number of calls and from a constant that differs between the kinds of events.
     """
 
     def __init__(self, policy="hot-cold", rules=""):
@@ -76,7 +78,9 @@
     def receive_head(self, effect, status=200, not_run=False, load=None):
         """Receive the response head of an attempt; return the effects.
 
-        `effect` is the `StartAttempt` effect of the attempt.
+        `effect` is the `StartAttempt` effect of the attempt. `not_run` is True if the
+        target declares that it did not run the request. `load` is the number of
+        requests in flight that the target reports, or None.
         """
         draw = mix(self.calls, 2)
         call_id, attempt_id = effect.call_id, effect.attempt_id
@@ -88,7 +92,8 @@
     def fail_attempt(self, effect, outcome, verdict):
         """End an attempt without a response; return the effects.
 
-        `effect` is the `StartAttempt` effect of the attempt.
+        `effect` is the `StartAttempt` effect of the attempt, whose request can be sent
+        again.
         """
         draw = mix(self.calls, 3)
         call_id, attempt_id = effect.call_id, effect.attempt_id
@@ -134,8 +139,11 @@
 def run_scenario(policy, calls=400):
     """Run calls with different outcomes; return the core and a list of effect lists.
 
-    Effects of added targets and of ended calls are left out.
+    Effects of added targets and of ended calls are left out. Calls for which no
+    response is received are not ended.
     """
+    # Calls spill to other data centres above 0.3 requests in flight per slot of the
+    # targets, until the load is at most 0.2. Version 2 receives 10% of the calls.
     core = Core(policy, "spill * enter=0.3 leave=0.2; canary hive-ledger 2 10%")
     locations = [HOME, ("rift", "baringo"), ("coast", "kwale")]
     effect_log = []
@@ -155,6 +163,7 @@
                 core.fail_attempt(sent, AttemptOutcome.REFUSED, Verdict.NOT_RUN)
             )
         elif sent is not None and outcome_number == 1:
+            # The last argument says that the request can be sent again.
             effect_log.append(core.send(ev.HedgeDue(core.now, number, call_id, True)))
         elif sent is not None:
             status = 503 if outcome_number < 5 else 200
