Explain the terms of four files where a first-time reader stopped

Cause: a fresh reading of five files found 20 places at which a reader without knowledge of the project stopped: terms without explanation (reducer, claim row, store, verdict), "raise" for dispatching an event, a private name that meant the period after a pause, a list that is a deque, and a variable that held two different headers.

Change: comments and doc strings only, and three local or private names: _paused_until -> _after_pause_until in ArrivalClock, header -> request_header in the responder of bench.added_time, _ -> _text in the check command. _mapping.py had no doubt and is unchanged.

--- a/bench/added_time.py
+++ b/bench/added_time.py
@@ -35,6 +35,7 @@
 ANNOUNCE_INTERVAL_S = 1.0
 WARM_UP_CALLS = 100
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+# The node selects the service by `Host` and forwards `X-Run-Id` unchanged.
 REQUEST = b"GET /?size=%d HTTP/1.1\r\nHost: hive-ledger\r\nX-Run-Id: r\r\n\r\n"
 
 
@@ -55,8 +56,8 @@
         """Respond to each complete request header."""
         self.data += data
         while b"\r\n\r\n" in self.data:
-            header, _, self.data = self.data.partition(b"\r\n\r\n")
-            size = int(header.split(b" ", 2)[1].partition(b"size=")[2] or 0)
+            request_header, _, self.data = self.data.partition(b"\r\n\r\n")
+            size = int(request_header.split(b" ", 2)[1].partition(b"size=")[2] or 0)
             if size not in self.responses:
                 header = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
                 self.responses[size] = header + b"x" * size
@@ -89,7 +90,10 @@
 
 
 async def serve_responder():
-    """Run the target until the process is killed."""
+    """Run the target until the process is killed.
+
+    Prints its address as a line of JSON, which becomes `Process.info` in the parent.
+    """
     loop = asyncio.get_running_loop()
     server = await loop.create_server(Responder, "127.0.0.1", 0)
     print(json.dumps({"addr": server.sockets[0].getsockname()}), flush=True)
@@ -97,7 +101,10 @@
 
 
 async def serve_relay(target_port):
-    """Run the relay to a local target port until the process is killed."""
+    """Run the relay to a local target port until the process is killed.
+
+    Prints its address like `serve_responder`.
+    """
     sockets = bind_sockets(0, "127.0.0.1")
     Relay(("127.0.0.1", target_port)).add_sockets(sockets)
     print(json.dumps({"addr": sockets[0].getsockname()}), flush=True)
@@ -107,7 +114,7 @@
 class CallerConnection(asyncio.Protocol):
     """A persistent connection with at most one call in flight.
 
-    Adds itself to the list `idle` after each response. `size` is the size of the
+    Appends itself to `idle` after each response. `size` is the size of the
     response bodies, bytes.
     """
 
@@ -189,7 +196,8 @@
     addrs : dict
         Address to send calls to, by mode.
     processes : dict of str to Process
-        Relay and node, by mode.
+        The relay and node processes, by mode. The mode `direct` has none; its CPU time
+        is given as 0.
     rate : float
         Calls per second.
     size : int
@@ -210,7 +218,8 @@
     for mode in MODES:
         asyncio.run(send_calls(addrs[mode], rate, size, WARM_UP_CALLS))
     for number in range(rounds):
-        # The order rotates, so that no mode always runs after the same other one.
+        # Each round starts with the next mode, so that no mode always follows the same
+        # one.
         for mode in MODES[number % 3 :] + MODES[: number % 3]:
             process = processes.get(mode)
             cpu_before_s = cpu_time_s(process) if process else 0.0
@@ -250,6 +259,7 @@
             target=announce, args=(cluster, responder.info["addr"], stopped)
         )
         announcer.start()
+        # `data` is the address at which the node accepts calls.
         url = "http://{}:{}/?size=1".format(*node.info["data"])
         wait_until(lambda: http(url, headers={"Host": "hive-ledger"})[0] == 200)
         addrs = {
@@ -273,7 +283,10 @@
 
 
 def announce(cluster, addr, stopped):
-    """Announce the responder to the node every second until `stopped` is set."""
+    """Announce the responder to the node every second until `stopped` is set.
+
+    Also ends if the node does not respond; `run` may have killed it.
+    """
     body = {"service": "hive-ledger", "addr": addr}
     while not stopped.is_set():
         try:
--- a/pimentoline/arrivals.py
+++ b/pimentoline/arrivals.py
@@ -16,8 +16,9 @@
     """Determines the earliest time at which a request just read may have arrived.
 
     A request that reaches a stopped process (SIGSTOP) waits in the kernel, and its
-    `X-Deadline-Ms` is read only after the process has resumed. The time of the last
-    check before the pause is then the only safe start of its deadline.
+    `X-Deadline-Ms`, the time in which it must be answered, is read only after the
+    process has resumed. It is then only safe to count this time from the last check
+    before the pause.
 
     Parameters
     ----------
@@ -29,7 +30,7 @@
         self._clock = clock
         self._checked_at = clock()
         self._paused_at = self._checked_at
-        self._paused_until = self._checked_at
+        self._after_pause_until = self._checked_at
         self._handle = None
 
     def start(self):
@@ -48,11 +49,12 @@
         now = self._clock()
         if now - self._checked_at > MIN_PAUSE_S:
             self._paused_at = self._checked_at
-            self._paused_until = now + AFTER_PAUSE_S
+            self._after_pause_until = now + AFTER_PAUSE_S
         self._checked_at = now
 
     def earliest(self, now):
         """Return the earliest arrival time of a request read at `now`, seconds."""
         if now - self._checked_at > MIN_PAUSE_S:
+            # The process has just resumed, and `check` has not run since.
             return self._checked_at
-        return self._paused_at if now < self._paused_until else now
+        return self._paused_at if now < self._after_pause_until else now
--- a/pimentoline/commands/check.py
+++ b/pimentoline/commands/check.py
@@ -23,7 +23,7 @@
         """Check each file."""
         problems, rule_count = [], 0
         for filename in args:
-            _, result = read_rules(filename)
+            _text, result = read_rules(filename)
             problems += result.diagnostics
             rule_count += len(result.ruleset.rules) if result.ruleset else 0
         lines = [str(item) for item in problems] or [f"{rule_count} rules, no problems"]
--- a/pimentoline/effects.py
+++ b/pimentoline/effects.py
@@ -1,4 +1,11 @@
-"""pimentoline.effects: the outputs of the reducer, executed by the runtime."""
+"""pimentoline.effects: the outputs of the reducer, executed by the runtime.
+
+The reducer is the pure function that applies an event (`pimentoline.events`) to the
+state of a node. It returns the effects that the runtime of the node has to execute.
+
+A claim is a row in the store, the platform's table service. It reserves an idempotency
+key for a call, so that at most one of the calls with the same key runs.
+"""
 
 from dataclasses import dataclass
 
@@ -29,9 +36,10 @@
 class StartAttempt:
     """Send the request to a target; wait `timeout_s` seconds for the response head.
 
-    `idempotent` tells whether the call may run more than once; if not, only a very
-    recently used connection is reused. `retry` is True for every attempt of a call
-    after the first, hedges included.
+    `idempotent` tells whether the call may run more than once. If not, only a very
+    recently used connection is reused, since the target may be about to close an older
+    one and the request could then not be retried. `retry` is True for every attempt of
+    a call after the first, hedges included.
     """
 
     call_id: int
@@ -65,7 +73,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplayResponse:
-    """Send the caller the recorded response to an earlier call with the same key."""
+    """Send the caller the recorded response to an earlier call.
+
+    Both calls have the same idempotency key.
+    """
 
     call_id: int
     recorded: RecordedResponse
@@ -76,6 +87,7 @@
     """Send the caller an error response that the node itself creates.
 
     `status` is the HTTP status, `code` the error code, and `detail` a text for people.
+    `verdict` tells the caller whether the request may have run on a target.
     """
 
     call_id: int
@@ -87,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ScheduleHedge:
-    """Raise `HedgeDue` after `delay_s` seconds."""
+    """Dispatch the event `HedgeDue` after `delay_s` seconds."""
 
     call_id: int
     delay_s: float
@@ -123,7 +135,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendMessage:
-    """Send a datagram to each address; `body` is a data class of `messages`."""
+    """Send a datagram to each address.
+
+    `body` is an instance of a data class in `pimentoline.messages`.
+    """
 
     addrs: tuple[tuple[str, int], ...]
     body: object
@@ -131,9 +146,9 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryPeer:
-    """Send a message over TCP and raise `MessageReceived` for the reply.
+    """Send a message over TCP and dispatch the event `MessageReceived` for the reply.
 
-    `body` is a data class of `messages`.
+    `body` is an instance of a data class in `pimentoline.messages`.
     """
 
     addr: tuple[str, int]
@@ -144,7 +159,7 @@
 class Reply:
     """Reply to the message being handled, on the connection that it came from.
 
-    `body` is a data class of `messages`.
+    `body` is an instance of a data class in `pimentoline.messages`.
     """
 
     body: object
@@ -152,7 +167,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendProbe:
-    """Request a target's load endpoint and raise `ProbeEnded`."""
+    """Request a target's load endpoint and dispatch the event `ProbeEnded`."""
 
     target_id: str
     addr: tuple[str, int]
@@ -161,7 +176,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchRules:
-    """Fetch rules of at least `version` from a peer, or the store if `addr` is None."""
+    """Fetch rules of at least `version`.
+
+    `addr` is the address of the peer to ask. The store is read if `addr` is None or the
+    peer does not have these rules.
+    """
 
     version: int
     addr: tuple[str, int] | None
