Explain the terms of five files where a first-time reader stopped

Cause: a reader who knows nothing of the project stopped at 24 places in events.py, twohop/frames.py, twohop/target_side.py, calls.py and test_routing.py: at terms explained only in other files (reducer, replayable, locality ring, release, slowdown, response stamp, format of the load header), at schema names that differ from the attributes, and at steps without a reason.

Change: comments and docstrings only. No reason is given for the failure of responses with a Content-Encoding, because the source files do not contain it.

The other tests were not run.

--- a/pimentoline/calls.py
+++ b/pimentoline/calls.py
@@ -113,7 +113,8 @@
     """Admit or reject a new call.
 
     An admitted call claims its idempotency key first if it needs a claim; otherwise its
-    first attempt starts, and a hedge is scheduled if the rules allow one.
+    first attempt starts, and a hedge is scheduled if the rules allow one. A call that
+    its caller or another node already retries (`retry_attempt`) is not hedged.
     """
     call = event.call
     req = call.req
@@ -181,7 +182,9 @@
 def _reject(state, record, status, code):
     """Reject a call and cancel its attempts in flight, which may have run.
 
-    If the call is proven not to have run, its claim is released.
+    If the call is proven not to have run, its claim is released. The cancelled attempts
+    no longer count as in flight (`release_attempt`); they count neither as succeeded
+    nor as failed.
     """
     call = record.call
     verdict = combine(att.verdict or Verdict.MAY_HAVE_RUN for att in record.attempts)
@@ -231,6 +234,8 @@
         )
         return state, (CancelAttempt(event.call_id, event.attempt_id),)
     if event.status >= 500 and event.replayable:
+        # If allowed, the retry is deducted from the service's retry budget in
+        # `charged_state`.
         charged_state, may_retry = retries.may_retry(state, record, verdict, event.now)
         if may_retry:
             # A target that has just shed the call would shed it again.
@@ -323,7 +328,11 @@
 
 
 def on_deadline_passed(state, event):
-    """Reject a call that has no response; its attempts in flight may have run."""
+    """Reject a call that has no response; its attempts in flight may have run.
+
+    The time that these attempts have waited for a response head counts as latency of
+    their targets if it is longer than the known latency (`record_wait`).
+    """
     record = state.traffic.calls.get(event.call_id)
     if record is None or record.forwarded_attempt_id is not None:
         return state, ()
@@ -357,6 +366,8 @@
     if len(_in_flight(record)) != 1:
         return state, ()
     state = traffic_stats.record_wait(state, record, event.now)
+    # If allowed, the hedge is deducted from the service's retry budget in
+    # `charged_state`.
     charged_state, allowed = retries.may_hedge(state, record, event.now)
     if not allowed:
         return state, ()
--- a/pimentoline/events.py
+++ b/pimentoline/events.py
@@ -1,5 +1,9 @@
 """pimentoline.events: the inputs of the reducer, as data.
 
+The reducer is a pure function that takes the state of a node and an event, and returns
+the next state and the effects that the runtime has to execute, such as to send a
+request.
+
 In all events, `now` is monotonic time in seconds, and `draw` is a random 64-bit integer
 from which the reducer derives its random choices.
 """
@@ -91,8 +95,8 @@
 
     `not_run` is True if the target declares in a header that it shed the request
     without running it. `load` is the target's number of requests in flight, or None if
-    the target does not report this number. `replayable` tells whether the request can
-    be sent again.
+    the target does not report this number. `replayable` is True if the whole body
+    received so far is still buffered, so that the request can be sent again.
     """
 
     now: float
@@ -109,8 +113,8 @@
 class AttemptEnded:
     """An attempt ended before a response head arrived.
 
-    `verdict` tells whether the request may have run, and `replayable` whether it can be
-    sent again.
+    `verdict` tells whether the request may have run. `replayable` is True if the whole
+    body received so far is still buffered, so that the request can be sent again.
     """
 
     now: float
@@ -158,7 +162,8 @@
 class HedgeDue:
     """The hedge delay of a call has passed.
 
-    `replayable` tells whether the request can be sent again.
+    `replayable` is True if the whole body received so far is still buffered, so that
+    the request can be sent again.
     """
 
     now: float
@@ -206,7 +211,11 @@
     `addr` is the mesh address of the sender, or None for a request received over TCP,
     where that address is not known. `body` is an instance of a data class of
     `messages`. `is_reply` is True if the message is the reply to a message of this
-    node. The other fields are those of `messages.Message`.
+    node.
+
+    `rules_version` is the version in force at the sender, and `known_rules_version` the
+    highest one that it knows of. `rules_confirmed` is True if the sender has verified
+    its version since it booted, with the store or a peer whose version is confirmed.
     """
 
     now: float
@@ -224,8 +233,11 @@
     """A peer or the store reported a rules version.
 
     `source` is the node id of the peer, "store", or "nobody". `confirmed` is True if
-    the store reported the version. A node without a store confirms version 0, with the
-    source "nobody", once a peer has responded or if it has no other node to query.
+    the store reported the version.
+
+    A node without a store creates this event itself when it looks for peers: version 0
+    (no rules yet), confirmed, with the source "nobody". It does so once a peer has
+    responded, or without a response if it has no other node to query.
     """
 
     now: float
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -38,8 +38,9 @@
 # Bodies are sent in chunks of this size, so that large ones do not delay other calls.
 CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 256 * 1024
-# Largest body of a frame and of a target's response. It is equal to the default limit
-# for the request bodies of callers.
+# Largest body of a frame and of a target's response. Bodies of calls and responses are
+# sent in chunks, but a configuration or a list of members is sent in a single frame.
+# The limit is equal to the default limit for the request bodies of callers.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # The share of failed calls, 0 to 1, is sent as one byte, 0 to `RATE_STEPS`.
 RATE_STEPS = 255.0
@@ -68,7 +69,7 @@
     Attributes
     ----------
     stream : int
-        Identifies the call on its link, in all frames that belong to the call.
+        Identifies the call on its connection, in all frames that belong to the call.
     path : str
         Path and query string.
     caller_service : str
@@ -218,7 +219,10 @@
 
 
 def _header_fields(frame):
-    """Return the schema fields of a frame by name, except its kind and load report."""
+    """Return the schema fields of a frame by name, except its kind and load report.
+
+    The schema has other names for some attributes, such as `leftMs` for `remaining_ms`.
+    """
     match frame:
         case Hello():
             return {"node": frame.node, "version": frame.version}
@@ -273,6 +277,8 @@
     fields = _header_fields(frame)
     load = getattr(frame, "load", None)
     if load is not None:
+        # `restMs` is the expected time until noisy neighbours of the target stop, and
+        # `coldMs` the time until the target is no longer slow after its start.
         fields |= {
             "hasLoad": True,
             "accepting": load.accepting,
@@ -294,6 +300,7 @@
         header.accepting,
         header.running,
         header.queued,
+        # The limit is 0 in a header without a load report, but is used as a divisor.
         max(header.limit, 1),
         header.delayMs,
         header.restMs,
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -155,7 +155,10 @@
         return self.admission.report(self._clock(), self.accepting)
 
     def handle_heartbeat(self, heartbeat):
-        """Process a heartbeat; return whether the target or its state changed."""
+        """Process a heartbeat; return whether the target or its state changed.
+
+        Its `born_ms` is the start of the target, Unix time in milliseconds.
+        """
         previous = self.status_tracker.current
         if heartbeat.addr != self._addr:
             log_entry("target:foreign", target=heartbeat.target_id)
@@ -326,6 +329,7 @@
         while True:
             action = self.admission.next_action(self._clock())
             if isinstance(action, StartDecision):
+                # No waiting call can be started or refused now.
                 break
             job, refusal = action
             call = self._pending.get(job)
@@ -348,16 +352,19 @@
         self._process_queue()
 
     async def _probe(self):
-        """Query the load of the target.
+        """Query the load of the target, which includes its current slowdown.
 
-        If no slowdown is received, calls start without further probes for some time;
-        see `NoiseDetector.probe_failed`.
+        The slowdown is how many times as long as usual the calls take at the target. If
+        it is not received, calls start without further probes for some time; see
+        `NoiseDetector.probe_failed`.
         """
         noise = self.admission.noise
         noise.probe_started(self._clock())
         conn = None
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
+                # True: a probe is idempotent and may reuse a connection that has been
+                # idle for longer.
                 conn = await self._pool.acquire(self._addr, True)
                 response = await send_request(
                     conn,
@@ -501,8 +508,9 @@
     def _handle_response(self, call, response):
         """Reply with the response of the target, or with a refusal or failure.
 
-        A success status without the header `response_stamp` is a failure, and so is one
-        with a `Content-Encoding`.
+        The presence of the header `response_stamp` proves that the target itself
+        produced the response. A success status without this header is a failure, and
+        so is one with a `Content-Encoding`.
         """
         header_names = self._header_names
         headers = response.headers
@@ -543,8 +551,9 @@
     def _note_load(self, text):
         """Record the slots and the slowdown that the target reports in a header.
 
-        Returns whether the header contains the slowdown. `HeaderNames.load` describes
-        the format.
+        The header consists of integers separated by commas: number of running requests,
+        of waiting requests and of slots, and the slowdown in percent. Returns whether
+        the slowdown is present.
         """
         if not text:
             return False
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,4 +1,9 @@
-"""Routing: locality rings, spilling, releases and the choice of targets."""
+"""Routing: locality rings, spilling, releases and the choice of targets.
+
+The targets of a service form locality rings around the node under test: its data
+centre, its region, the other regions. A release consists of the targets of a service
+that run one version; all versions without a canary rule together form one release.
+"""
 
 from collections import Counter
 
@@ -9,6 +14,8 @@
 
 from .core import HOME, SERVICE, Core, started_attempt
 
+# Locations (region, data centre). `HOME`, that of the node under test, is
+# ("rift", "kerio"). `NEAR` is in its region; `FAR` and `FARTHER` are in other regions.
 NEAR, FAR, FARTHER = ("rift", "baringo"), ("coast", "kwale"), ("western", "bungoma")
 # Statistics and fields of targets; tests start at time 100.0. The reported load of 36
 # requests in flight is 3 per slot, as targets have 12 slots by default.
@@ -73,7 +80,8 @@
         (ALL_LOCATIONS, {"home": LOADED}, "", {"home", "near"}),
         ({"home": HOME, "far": FAR}, {"home": LOADED, "far": LOADED}, "", {"home"}),
         (ALL_LOCATIONS, {"home": OUTDATED_LOAD}, "", {"home"}),
-        # All calls skip a ring without a healthy target, even with a share of 0.
+        # All calls skip a ring without a healthy target, even if the share of calls
+        # that may spill is 0.
         (ALL_LOCATIONS, {"home": EJECTED}, "spill * share=0", {"near"}),
         (
             ALL_LOCATIONS,
@@ -81,6 +89,7 @@
             "spill * share=0",
             {"far", "farther"},
         ),
+        # Ejected targets are used if there is no healthy one in any ring.
         ({"home": HOME}, {"home": EJECTED}, "", {"home"}),
         # All calls skip a slow ring within the region; other regions get a share only.
         (ALL_LOCATIONS, {"home": SLOW}, "spill * share=0", {"near"}),
@@ -100,8 +109,8 @@
         ({"a": HOME, "b": (HOME, {"state": TargetState.STARTING})}, {}, "", {"a"}),
         ({"a": (HOME, DRAINING)}, {}, "", {"no-target"}),
         ({"a": HOME, "b": HOME}, {}, "pause a", {"b"}),
-        # Canary releases; if the targets of the release drawn are ejected, the other
-        # release is used.
+        # Canary releases of `SERVICE`, "hive-ledger"; if the targets of the release
+        # drawn are ejected, the other release is used.
         (
             {"old": HOME, "new": (HOME, {"version": "2"})},
             {},
