Explain terms and conditions where a first-time reader stopped

A reader who knew nothing of the project stopped at 26 places in the failure detector, the links between nodes, the attempt runner, the field parsers and the admin interface: terms that the file never introduced (effect, reducer, verdict, draw, store, scope), conditions without a word (indirect pings, frames with a stream), and two comments that were not true of numbers with leading zeros.

No code changes.

--- a/pimentoline/admin.py
+++ b/pimentoline/admin.py
@@ -58,14 +58,21 @@
             return None
 
     def get_publisher(self):
-        """Return the publisher; without a store, respond 503 and return None."""
+        """Return the publisher; if the node has no store, respond 503 and return None.
+
+        The publisher writes rules versions and their audit trail to the store, the
+        platform's transactional table service, and reads them from it.
+        """
         if self.node.store is None:
             self.respond_error(503, "store-unavailable", "this node has no store")
             return None
         return self.node.publisher
 
     def announced_target_ids(self):
-        """Return the ids of the targets announced at this node that are not gone."""
+        """Return the ids of the targets announced at this node that are not gone.
+
+        A target is gone if it was withdrawn or its announcement was no longer renewed.
+        """
         return {
             target.target_id
             for target in own_record(self.node.state).targets
@@ -83,7 +90,8 @@
         text = self.get_query_argument(name, None)
         if text is None:
             return default
-        # `int` rejects very long text, and 12 digits are enough to exceed `high`.
+        # `int` rejects very long text, and 12 digits are enough to exceed `high` if the
+        # first is not 0.
         if not (text.isascii() and text.isdigit()) or not low <= int(text[:12]) <= high:
             detail = f"{name}: found {text[:20]!r}; allowed: {low} to {high}"
             raise HTTPError(400, log_message=detail.replace("%", "%%"))
@@ -167,7 +175,11 @@
     """Shows the state of this node."""
 
     def get(self):
-        """Respond with the node's state, counters and timings."""
+        """Respond with the node's state, counters and timings.
+
+        The version `heard` is the highest rules version that any peer or the store has
+        reported; the node may not have loaded it yet.
+        """
         state = self.node.state
         self.finish(
             {
@@ -225,7 +237,11 @@
         self.finish({"version": version, "text": text})
 
     async def post(self):
-        """Apply a rules text if the version that it is based on is still in force."""
+        """Apply a rules text if the version that it is based on is still in force.
+
+        `attempt` is a unique id of the request. If the request is retried with the same
+        id, the text is accepted at most once.
+        """
         body = self.read_body(ApplyRequest)
         if body is None:
             return
@@ -289,6 +305,7 @@
         if body is None:
             return
         node = self.node
+        # Random integers, on which the random choices of the trials depend.
         draws = [node.draw() for _ in range(EXPLAIN_TRIALS)]
         self.finish(explain(node.state, body, node.clock(), draws))
 
--- a/pimentoline/attempt.py
+++ b/pimentoline/attempt.py
@@ -1,4 +1,10 @@
-"""pimentoline.attempt: sends a call to one target and reads the response."""
+"""pimentoline.attempt: sends a call to one target and reads the response.
+
+The reducer is the function that decides about calls. It receives events through
+`proxy.dispatch`. An event may carry a random integer from `proxy.draw`, on which the
+reducer's random choices depend. A verdict says whether the target may have run the
+call.
+"""
 
 import asyncio
 
@@ -23,7 +29,10 @@
     Parameters
     ----------
     handler : CallHandler
+        Reads the request of the call, starts its attempts and writes its response.
     effect : StartAttempt
+        Instruction of the reducer: address of the target, timeout and ids. If the call
+        is not `idempotent`, only a very recently used connection is reused.
 
     Attributes
     ----------
@@ -93,7 +102,11 @@
             self._task = asyncio.get_running_loop().create_task(self._read())
 
     def send_pending(self):
-        """Send the part of the request that has been received and not sent yet."""
+        """Send the part of the request that has been received and not sent yet.
+
+        `on_attempt_progress` makes the handler check whether an attempt has sent all
+        chunks of the body, so that it can drop them from its buffer.
+        """
         if self._http is None or self.cancelled or self.request_sent:
             return
         handler = self.handler
@@ -155,6 +168,7 @@
             self.cancel()
         elif self.forwarding:
             self.cancel()
+            # False: the response is truncated.
             self.handler.end_response(self.effect.attempt_id, False)
         else:
             ran = self.response_start is not None
@@ -284,4 +298,5 @@
                 handler.replayable,
             )
         )
+        # Without attempts, the handler may no longer need the rest of the body.
         handler.on_attempt_progress()
--- a/pimentoline/failure_detector.py
+++ b/pimentoline/failure_detector.py
@@ -6,7 +6,8 @@
 unless the member refutes the suspicion.
 
 All public functions except `start_suspicion` return the new state and a tuple of
-effects; `start_suspicion` returns only the state.
+effects; `start_suspicion` returns only the state. An effect describes an action, such
+as a message to send; the node executes it.
 """
 
 import random
@@ -35,7 +36,8 @@
 # The local health score of a healthy node is 0; a higher score is worse. A node that
 # misses acks from several members is more likely to be slow itself, so each point adds
 # one `PING_TIMEOUT_S` and one `SUSPICION_TIMEOUT_S` to its timeouts (Lifeguard, DSN
-# 2018). A missed ack and a refuted suspicion add a point, an ack removes one.
+# 2018). A missed ack adds a point, and so does a suspicion of the node itself that it
+# refutes; an ack removes one.
 MAX_HEALTH_SCORE = 8
 
 
@@ -114,6 +116,7 @@
 
 
 def _declare_dead(state, now):
+    """Declare expired suspects dead; `with_records` removes their deadlines."""
     expired_ids = sorted(
         node_id
         for node_id, deadline in state.mesh.suspect_deadlines.items()
@@ -134,6 +137,8 @@
 def on_ping(state, ping, sender, addr, now):
     """Acknowledge a ping, and synchronise with the sender if it is not a known member.
 
+    An indirect ping starts no synchronisation. Its `requester` is the address of the
+    node that asked `sender` for it; the ack goes to `sender`, which forwards it there.
     If this node considers the sender suspect or dead, it sends the sender the record
     with that status, so that the sender can refute it.
     """
@@ -154,7 +159,11 @@
 
 
 def on_ack(state, ack):
-    """Complete the pending ping, or forward the ack to the node that requested it."""
+    """Complete the pending ping, or forward the ack of an indirect ping.
+
+    `ack.requester` is the address of the node that asked this node for the ping. It is
+    None if this node receives the ack for a ping of its own.
+    """
     if ack.requester is not None:
         return state, (SendMessage((ack.requester,), Ack(ack.ping_id)),)
     ping = state.mesh.pending_ping
@@ -167,6 +176,8 @@
 def refute(state, record):
     """Replace this node's own record by one that is newer than `record`.
 
+    Of two records, the one with the higher incarnation is newer; if these are equal,
+    the one with the higher `seq`, which rises with each record that the node writes.
     `record` describes this node, but another node has created it, or has kept it from
     an earlier run of this node.
     """
--- a/pimentoline/rules/field_parsers.py
+++ b/pimentoline/rules/field_parsers.py
@@ -1,7 +1,8 @@
 """pimentoline.rules.field_parsers: parsers of the fields and options of a rule.
 
-A parser takes the name of a field or option and its text, and returns the value. It
-raises `OptionError`, which names the option and the allowed values.
+The fields of a rule are required and have a fixed order; the options follow as
+`NAME=VALUE`. A parser takes the name of a field or option and its text, and returns the
+value. It raises `OptionError`, which names the option and the allowed values.
 """
 
 import re
@@ -91,7 +92,10 @@
 
 
 def parse_scope(option, word):
-    """Return `TARGET`, or `SERVICE@REGION`, where `*` matches every name."""
+    """Return what a rule applies to: one target, or a service's targets in a region.
+
+    The text is `TARGET`, or `SERVICE@REGION`, where `*` matches every name.
+    """
     service, separator, region = word.partition("@")
     if not separator:
         return parse_name(option, word)
@@ -142,7 +146,8 @@
 
 def parse_count(option, word, low=0, high=MAX_COUNT):
     """Return a whole number from `low` to `high`."""
-    # int() rejects texts of more than 4300 digits; 20 digits exceed any `high`.
+    # int() rejects texts of more than 4300 digits; 20 digits exceed any `high` if the
+    # first is not 0.
     if not (word.isascii() and word.isdigit()) or not low <= int(word[:20]) <= high:
         raise OptionError(option, word, f"a whole number from {low} to {high}")
     return int(word)
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -1,4 +1,8 @@
-"""pimentoline.twohop.links: long-lived TCP connections between nodes."""
+"""pimentoline.twohop.links: long-lived TCP connections between nodes.
+
+A call is a caller's request, which a node sends over a link to the node on the target's
+host.
+"""
 
 import asyncio
 import socket
@@ -45,11 +49,12 @@
     Attributes
     ----------
     pending_responses : int
-        Calls sent on this link that have no response yet.
+        Calls sent on this link that have no response yet; updated by the sender of the
+        calls.
     last_received_at : float
         When data were received last, monotonic time in seconds.
     peer : str
-        Name of the other node; empty until it is known.
+        Name of the other node, set by the handler; empty until it is known.
     """
 
     def __init__(self, handler, clock):
@@ -101,7 +106,11 @@
         self._mark_lost(str(exc) if exc else "closed by peer")
 
     def send(self, frame, body=b""):
-        """Send a frame; a large body is split into several frames."""
+        """Send a frame; the large body of a call or response is split into several.
+
+        The frames of one call have the same `stream`, its id on this link. A frame that
+        belongs to no call has no `stream` and is not split.
+        """
         if self.closed:
             return
         if len(body) <= CHUNK_BYTES or not hasattr(frame, "stream"):
