--- a/pimentoline/commands/apply.py
+++ b/pimentoline/commands/apply.py
@@ -117,6 +117,7 @@
                 yield detail
         case "conflict":
             yield f"conflict: version {cfg.base} is not in force"
+            # Versions accepted after --base: the one that replaced it and the latest.
             for row in response.get("won", ()):
                 yield f"version {row['version']} by {row['author']} at {row['time']}"
             diff = response.get("differs", [])
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -17,7 +17,10 @@
 
 
 def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
-    """Guards against rejecting the settings file of a newer platform."""
+    """Guards against rejecting the settings file of a newer platform.
+
+    The text of `settings_text` has an unknown field, `new_field`.
+    """
     path = tmp_path / "boot.toml"
     path.write_text(settings_text())
     cfg = load_settings_file(path).host_settings()
@@ -33,6 +36,7 @@
         (lambda text: text.partition("[platform]")[0], "platform"),
         (lambda text: text + "[broken", "not TOML"),
         (lambda text: text.replace('"127.0.0.1:1"', '"nowhere"', 1), "app_addr"),
+        # The setting `bounds` is a list with the grace period and the retry limits.
         (lambda text: text.replace("grace=2s", "grace=soon"), "bounds"),
         (lambda text: text.replace('"grace=2s",', ""), "bounds"),
     ],
@@ -45,6 +49,7 @@
         path.write_text(text)
     with pytest.raises(SettingsError, match=message) as caught:
         load_settings_file(path).host_settings()
+    # `host_settings` checks the items of `bounds` and does not know the file name.
     assert "boot.toml" in str(caught.value) or message == "bounds"
 
 
@@ -102,6 +107,7 @@
 
     async def run():
         store = StoreStandIn()
+        # The operator's configuration: routes, services and limits of requests.
         store.put_config(config())
         target = ScriptedTarget("i-1", "ledger")
         await target.start()
@@ -118,6 +124,7 @@
         process = start_node_process(path)
         try:
             await until(lambda: is_ready(ports["ready"]))
+            # Another value of the retry limit `retry_slack` in `bounds`.
             path.write_text(settings_text(slack=7, **fields))
             process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.3)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,7 +26,8 @@
 def run_query(rules, query, *words):
     """Run a query of an example file on a `RuleSet` and return the result.
 
-    `query` and `words` are the words of the line before `->`.
+    In the line of the expected result, `QUERY WORD... -> RESULT`, `query` is the first
+    word and `words` are the others up to the arrow.
     """
     match query:
         case "call":
@@ -51,7 +52,7 @@
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.stem)
 def test_example_file(path):
-    """Guards against a rule that changes its meaning or an unreported problem."""
+    """Guards against rules with a changed meaning, and errors that are not reported."""
     text = path.read_text(encoding="utf-8")
     expectations = [
         line[2:].strip() for line in text.split("\n") if line.startswith("#!")
@@ -82,7 +83,8 @@
 
 
 NAMES = st.from_regex(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,8}", fullmatch=True)
-# Up to 0.1, the maximum of a `retry` rule.
+# `retry` rules allow a share of at most 0.1. `canary` rules allow up to 1, but draw
+# from the same values.
 SHARES = st.integers(0, 100).map(lambda n: n / 1000)
 # Valid values by attribute; attributes that are not listed hold names. `leave` is
 # always below `enter`, as `spill` rules require.
@@ -101,6 +103,7 @@
     "bytes": st.integers(0, 10**9),
     "nodes": st.integers(0, 100_000),
     "regions": st.lists(NAMES, min_size=1, max_size=3, unique=True).map(tuple),
+    # TARGET or SERVICE@REGION.
     "scope": NAMES | st.builds("{}@{}".format, NAMES | st.just("*"), NAMES),
 }
 
@@ -114,6 +117,7 @@
         if draw(st.booleans()):
             names.append(attribute_name(option))
     values = {name: draw(VALUES.get(name, NAMES)) for name in names}
+    # In a rules file, the comment at the end of each rule must name its requester.
     return cls(requester="Mary", **values)
 
 
@@ -225,9 +229,11 @@
 
 def test_too_many_rules_or_patterns_are_refused():
     """Guards against a rules file that slows down every call."""
+    # At most 200 path patterns in the rules of one kind for one service.
     lines = [f"deadline desk 1s path=/{i}  # Mary\n" for i in range(201)]
     assert parse("".join(lines[:200])).ruleset is not None
     assert [item.line for item in parse("".join(lines)).diagnostics] == [201]
+    # At most 10,000 rules in a file.
     lines = [f"pause t{i}  # Mary\n" for i in range(10_001)]
     assert parse("".join(lines[:-1])).ruleset is not None
     assert [item.line for item in parse("".join(lines)).diagnostics] == [10_001]
