--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,11 @@
 
 
 def main(argv):
-    """Run all sizes in parallel, each with its own processes; write the report."""
+    """Run the experiment and write the report.
+
+    Each size in the experiment file is a deployment to test. All sizes run in parallel,
+    each with its own processes.
+    """
     args = flags.FLAGS
     experiment = load_experiment(args.experiment, args.quick)
     started_at = time.monotonic()
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -7,7 +7,10 @@
 
 
 class MeshCommand(Command):
-    """Shows the member records that a node holds."""
+    """Shows the member records that a node holds.
+
+    Each record describes one node and the targets on its host.
+    """
 
     description = """
 Shows the nodes that this node knows, with their status, and the targets that each of
--- a/pimentoline/rules/policy.py
+++ b/pimentoline/rules/policy.py
@@ -39,7 +39,8 @@
 
     The rings are the node's data centre, its region and the other regions. Spilling
     starts above load `enter` and stops at load `leave`, both in requests in flight per
-    slot of the ring's targets; `share` is the maximum share of calls that spill.
+    slot of the ring's targets. A target has one slot for each request that it can serve
+    concurrently. `share` is the maximum share of calls that spill.
     """
 
     enter: float = 0.8
@@ -49,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeBudget:
-    """Load probes of a region, and their bytes, per second for all nodes together.
+    """Load probes, and their bytes, per second for all nodes of a region together.
 
     Each node uses an equal share: the budget divided by the number of nodes of the
     region that it knows of, or by `planned_nodes` if this is larger.
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -15,7 +15,7 @@
 
 
 def make_nodes(counts):
-    """Return member records by node id, `counts[i]` of them at `LOCATIONS[i]`.
+    """Return member records by node id, `counts[p]` of them at `LOCATIONS[p]`.
 
     A node id is `n`, the index of the location, a hyphen and a number.
     """
@@ -31,7 +31,7 @@
 
 
 def make_targets(counts, connections=260):
-    """Return targets, `counts[i]` of them at `LOCATIONS[i]`."""
+    """Return targets, `counts[p]` of them at `LOCATIONS[p]`."""
     return [
         Target(f"t{p}-{i}", "svc", ADDR, *LOCATIONS[p], connections=connections)
         for p in range(6)
@@ -40,7 +40,11 @@
 
 
 def all_subsets(nodes, targets):
-    """Return the subset of every node by node id."""
+    """Return the subset of every node by node id.
+
+    `count_nodes` returns the number of nodes at each location, and the location of the
+    given node with its rank there. `choose_subset` computes the node's subset from it.
+    """
     return {
         record.node_id: choose_subset(targets, count_nodes(nodes, record))
         for record in nodes.values()
@@ -63,10 +67,11 @@
         by_dc.setdefault(target.dc, []).append(nodes_per_target[target.target_id])
     assert all(max(counts) - min(counts) <= 1 for counts in by_dc.values())
     # In the ids of nodes and data centres, character 1 is the index of the location.
-    nodes_near_target = [
+    # A subset is sorted by target id, and only its first target is compared.
+    nodes_with_near_target = [
         name for name, subset in subsets.items() if name[1] == subset[0].dc[1]
     ]
-    assert len(nodes_near_target) > 60
+    assert len(nodes_with_near_target) > 60
 
 
 def test_restart_changes_no_subset():
@@ -76,6 +81,7 @@
     """
     nodes, targets = make_nodes([120] * 6), make_targets([2, 2, 1, 1, 1, 1])
     before = all_subsets(nodes, targets)
+    # Incarnation 1 and sequence number 9: newer than the record that it replaces.
     dead = Member("n0-005", "n0-005", ADDR, *LOCATIONS[0], 1, 9, MemberStatus.DEAD)
     assert all_subsets(nodes.set("n0-005", dead), targets) == before
 
@@ -106,6 +112,8 @@
         assert len(subset) == len({t.target_id for t in subset})
         assert len(subset) == min(per_node, len(targets))
     if per_node < len(targets):
+        # A node gets at least 2 connections, even if the limits are too low for that.
+        # All limits are then exceeded evenly.
         even_share = -(-len(nodes) * per_node // len(targets))
         assert max(nodes_per_target.values()) <= max(int(connections * 0.9), even_share)
         for location in range(6):
