--- a/pimentoline/platform/configuration.py
+++ b/pimentoline/platform/configuration.py
@@ -61,7 +61,9 @@
         prefix,
         RouteKind(row["kind"]),
         parse_duration(timeout),
+        # `target_latency` is the latency objective of the route.
         parse_duration(row.get("target_latency", timeout)),
+        # Priority 0 is the most urgent.
         int(row.get("priority", 0)),
         shares,
         max_attempts,
@@ -95,7 +97,9 @@
         services = [
             ServiceInfo(
                 row["name"],
+                # Connections to each target; read, but not enforced.
                 int(row.get("max_conns", 0)),
+                # Without a path, health checks request `/`.
                 str(row.get("health_path", "")),
             )
             for row in _parse_rows(document["services"])
--- a/pimentoline/platform/settings.py
+++ b/pimentoline/platform/settings.py
@@ -1,4 +1,7 @@
-"""pimentoline.platform.settings: reads the settings file that the platform writes."""
+"""pimentoline.platform.settings: reads the settings file of a node.
+
+The file is written by the deployment platform that the node runs on.
+"""
 
 import re
 import tomllib
@@ -70,7 +73,11 @@
     service: str
     app_addr: tuple[str, int]
     # Retry limits and the grace period of a stop, by name. In the file, they are a list
-    # or a comma-separated text of NAME=VALUE items.
+    # or a comma-separated text of NAME=VALUE items:
+    #   retry_ratio   retries allowed for each first attempt
+    #   retry_window  sliding window in which the retries are counted, a duration
+    #   retry_slack   retries allowed in addition, regardless of traffic
+    #   grace         time from SIGTERM until the process is killed, a duration
     bounds: dict[str, str]
     listen: ListenSettings
     platform: StoreSettings
@@ -88,7 +95,7 @@
         return dict(item.split("=", 1) for item in value)
 
     def host_settings(self):
-        """Return the settings as `HostSettings`.
+        """Return the settings with the names and units that a node uses.
 
         Raises
         ------
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,5 +1,6 @@
 """Demonstration on loopback: a table service, nodes and targets in three regions.
 
+The table service is the store in which the nodes keep the rules and other shared data.
 Callers send calls while the demo applies rules, drains a target and stops a node. It
 ends with a summary; the exit status is 0 only if every check passed.
 """
@@ -14,7 +15,7 @@
 
 from .cluster import Cluster, wait_until
 
-# Tuple (region, data centre, service of its target) by host.
+# Region and data centre of each host, and service of the target on it.
 HOSTS = {
     "baringo-1": ("rift", "baringo", "hive-ledger"),
     "kerio-1": ("rift", "kerio", "quality-desk"),
@@ -23,6 +24,7 @@
     "kakamega-1": ("western", "kakamega", "hive-ledger"),
     "bungoma-1": ("western", "bungoma", "quality-desk"),
 }
+# No call of the demo matches this rule. Its comment names the person who asked for it.
 RULES = """\
 idempotent hive-ledger POST /quotes/*  # Wanjiru, quality desk
 """
@@ -52,7 +54,7 @@
     served_by : Counter
         Number of successful calls by the id of the target.
     run_ids : list of str
-        Ids (`X-Run-Id`) of the sales that got a response with status 200.
+        Ids (`X-Run-Id`) of the sales (see `run`) that got a response with status 200.
     """
 
     cluster: Cluster
@@ -63,7 +65,11 @@
     run_ids: list = field(default_factory=list)
 
     def run(self, number):
-        """Send calls as caller `number` to the entry nodes in turn until stopped."""
+        """Send calls as caller `number` to the entry nodes in turn until stopped.
+
+        Every fifth call is a sale, a POST request that must run only once. The others
+        read `/weights`, a resource that has nothing to do with routing weights.
+        """
         count = 0
         while not self.stopping.is_set():
             count += 1
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,4 @@
-"""Run pytest and behave; the last line printed is the test count of both."""
+"""Run pytest and behave; the last line printed counts their passed and failed tests."""
 
 import json
 import subprocess
@@ -12,7 +12,10 @@
 
 
 def read_known_failures():
-    """Return the names of known failures, from the `test:` lines of KNOWN-RED.txt."""
+    """Return the names of known failures, from the `test:` lines of KNOWN-RED.txt.
+
+    A name with `::` is that of a pytest test, any other one that of a behave scenario.
+    """
     if not KNOWN_FAILURES_FILE.exists():
         return []
     lines = KNOWN_FAILURES_FILE.read_text().splitlines()
@@ -38,7 +41,7 @@
 def run_behave(report, known_failures):
     """Run behave; return the numbers of (passed, failed) scenarios.
 
-    A scenario without steps, or with an undefined one, counts as failed.
+    A scenario that has no steps or an undefined step counts as failed.
     """
     args = [
         sys.executable,
@@ -72,6 +75,7 @@
             else:
                 failed += 1
                 print(f"scenario failed: {element['name']}")
+    # A known failure, too, makes behave exit with a status other than 0.
     if exit_status != 0 and failed == 0 and not known_failures:
         failed = 1
     return passed, failed
