Explain terms and ranges in five files where a first-time reader stopped

Cause: a reader who knows nothing of the project stopped at 22 places in five files: which nodes and targets the head of subsets.py means, what start, first and end count, what an unconfirmed target is, when ended_at and age_s apply, why a restart keeps the targets of the earlier run, and positional arguments in a test. Change: comments and doc strings only. subsets.py now says that the spread of at most one node per target holds for all nodes that use a data centre, not only for those of one location.

--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -1,4 +1,7 @@
-"""Steps for verdicts of failed calls."""
+"""Steps for verdicts of failed calls.
+
+A verdict tells the caller whether a target may have run the call.
+"""
 
 from behave import given, then, when
 
@@ -7,7 +10,7 @@
 
 @given("a node with one target")
 def step_one_target(context):
-    """Start a table service (the store), a node and a target that the node knows."""
+    """Start a node, its target and the table service in which the node stores data."""
     context.cluster.start_table()
     context.cluster.start_node("n1")
     context.cluster.start_target("t1", "n1")
--- a/pimentoline/member_records.py
+++ b/pimentoline/member_records.py
@@ -27,14 +27,15 @@
 # 8 rounds reach a given peer with a probability above 1 - e**-24. With fewer rounds,
 # lost datagrams can keep a record from reaching some peers.
 GOSSIP_SENDS = 8
-# Records of members that left or died are kept for this long, so that gossip delayed by
-# less cannot revive these members.
+# Records of members that left or died are kept for this long. As long as a record is
+# kept, older gossip that arrives late cannot revive the member.
 DEAD_RETENTION_S = 3600.0
-# Targets stay routable for this long after their node has left or died.
+# After a node has left, died or restarted, its targets are unconfirmed until a running
+# node announces them. They stay routable for this long.
 UNCONFIRMED_RETENTION_S = 60.0
 # Number of buckets of member records. Peers with equal records exchange only a digest
-# of 8 bytes for each bucket; decoding all 720 records would block the event loop for
-# about 75 ms.
+# of 8 bytes for each bucket; decoding all records of a mesh of 720 nodes would block
+# the event loop for about 75 ms.
 SYNC_BUCKETS = 64
 
 # Of two records of a node with equal `incarnation` and `seq`, the one with the higher
@@ -90,7 +91,9 @@
 def with_records(state, records, now=0.0, gossip=True):
     """Return the state with newer member records in place of the known ones.
 
-    If `gossip` is True, each new record is queued for gossip.
+    If `gossip` is True, each new record is queued for gossip. If a member has left or
+    died, the time at which it did so is stored in `ended_at`; `age_s` of its record is
+    the time since then.
     """
     mesh = state.mesh
     members, pending, deadlines = (
@@ -107,6 +110,8 @@
             ended_at = without_key(ended_at, node_id)
             restarted = held is not None and held.incarnation < record.incarnation
             if restarted and is_running(held):
+                # The restarted node first has to learn of its targets again. Those that
+                # it announced before stay routable in the meantime.
                 unconfirmed = _keep_unconfirmed(unconfirmed, held, now, now)
             for target in record.targets:
                 unconfirmed = without_key(unconfirmed, target.target_id)
@@ -148,7 +153,10 @@
 
 
 def _keep_unconfirmed(unconfirmed, record, since, now):
-    """Return `unconfirmed` with the targets of a node that left or died at `since`."""
+    """Return `unconfirmed` with the targets in the record of a node.
+
+    The node left, died or restarted at `since`.
+    """
     until = since + UNCONFIRMED_RETENTION_S
     for target in record.targets:
         if target.state is TargetState.GONE:
@@ -162,10 +170,12 @@
 def routable_targets(mesh):
     """Return the routable targets by service, in order of their ids.
 
-    The announcement of a running node overrides an unconfirmed target, even with the
-    state `gone`. Of two running nodes, the one that started later takes precedence.
+    If a running node announces a target that is also unconfirmed, the announcement is
+    valid, even one of the state `gone`. Of two running nodes that announce a target,
+    the one that started later takes precedence.
     """
-    # Incarnation of the announcing node, -1 if unconfirmed, and target, by target id.
+    # By target id: tuple (incarnation of the node that announces the target, target).
+    # The incarnation is -1 for an unconfirmed target.
     by_id = {
         target_id: (-1, entry.target) for target_id, entry in mesh.unconfirmed.items()
     }
@@ -195,7 +205,11 @@
 
 
 def bucket_of(node_id):
-    """Return the synchronisation bucket of a node id, from 0 to `SYNC_BUCKETS` - 1."""
+    """Return the synchronisation bucket of a node id, from 0 to `SYNC_BUCKETS` - 1.
+
+    Only the first of the two hash bytes is used, but a hash of another size would begin
+    with another byte, and all nodes must agree on the buckets.
+    """
     return hashlib.blake2b(node_id.encode(), digest_size=2).digest()[0] % SYNC_BUCKETS
 
 
--- a/pimentoline/subsets.py
+++ b/pimentoline/subsets.py
@@ -1,11 +1,13 @@
 """pimentoline.subsets: the targets of a service that this node keeps connections to.
 
-Every node derives the same assignment from the same members. Each node demands
-`per_node` connections, and each target accepts `limit` connections. Demand is met by
-targets in the same data centre first, then in the same region, then elsewhere. For
-each data centre with nodes and each with targets, these nodes take consecutive sections
-of a shared permutation of these targets, in the order of the nodes' ranks, so the
-number of these nodes per target varies by at most one.
+The nodes are the members of a mesh. Every node derives the same assignment of targets
+to nodes from the same member records. Each node demands `per_node` connections, and
+each target accepts `limit` connections. Demand is met by targets in the same data
+centre first, then in the same region, then elsewhere. The targets of a data centre have
+the same pseudorandom order at all nodes. The nodes that use this data centre, sorted by
+location and id, take consecutive sections of this order and continue at its start when
+they reach its end. So the number of nodes per target varies by at most one within the
+data centre.
 """
 
 import hashlib
@@ -66,7 +68,8 @@
     Parameters
     ----------
     targets : sequence of Target
-        All targets of the service, at least one.
+        All targets of the service, at least one. The attribute `connections` is the
+        number that a target accepts from all nodes.
     node_count : int
         Number of nodes of the mesh.
 
@@ -186,6 +189,10 @@
         }
     chosen = []
     for target_location, group in by_location.items():
+        # The connections of all nodes to this target location are numbered, sorted by
+        # the location and rank of the node, and connection i goes to target
+        # i % len(group). `start` is the number of the first connection from this node's
+        # location; `first` and `end` count from there.
         earlier_locations = [
             location
             for location, _ in node_counts.counts
@@ -199,12 +206,14 @@
 
 
 def _node_range(node_counts, flows, target_location, target_locations):
-    """Return this node's half-open range of the connections to a target location.
+    """Return the half-open range of this node's connections to a target location.
 
     The connections from this node's location to the target location are numbered from
-    0. Each flow is divided by the number of nodes. Every node gets the quotient, and
-    the remainders of all flows are assigned to the nodes round-robin, so that each node
-    gets the same total number of connections and no node gets two from one remainder.
+    0. For each target location, the number of these connections, its flow, is divided
+    by the number of nodes at this node's location. Every one of these nodes gets the
+    quotient. The remainders are assigned to them round-robin, continuing from one
+    target location to the next, so that each node gets the same total number of
+    connections and no node gets two from one remainder.
     """
     count = dict(node_counts.counts)[node_counts.location]
     assigned = 0
--- a/pimentoline/twohop/chunked.py
+++ b/pimentoline/twohop/chunked.py
@@ -46,7 +46,8 @@
     HTTPInputError
         If the framing is invalid.
     StreamClosedError
-        If the connection closes before the end, or a line is too long.
+        If the connection closes before the end. tornado closes it if a line is longer
+        than `MAX_LINE_BYTES`.
     """
     total = 0
     while True:
--- a/tests/test_mesh_transport.py
+++ b/tests/test_mesh_transport.py
@@ -13,7 +13,11 @@
 
 
 def make_record(number, target_count=1):
-    """Return a member record with varied names, so that it compresses badly."""
+    """Return a member record with varied names, so that it compresses badly.
+
+    The node and its targets are in the region `rift` and the data centre `kerio`, and
+    the node's incarnation varies as well.
+    """
     name = f"node-{number * 7919 % 10007}-{number}"
     targets = tuple(
         Target(f"{name}-{i * 7907 % 9973}", f"service-{i}", ADDR, "rift", "kerio")
@@ -42,6 +46,7 @@
         sender.bind_addr(("127.0.0.1", 0))
         addr = receiver.bind_addr(("127.0.0.1", 0))
         try:
+            # From node n1 in incarnation 1 with version 0 of the rules.
             sender.send((addr,), Message("n1", 1, 0, Gossip(records)))
             await asyncio.wait_for(complete.wait(), TIMEOUT_S)
         finally:
@@ -62,7 +67,10 @@
 
 
 def test_record_above_a_datagram_goes_over_tcp():
-    """Guards against a record with many targets that is never sent."""
+    """Guards against never sending the record of a node that has many targets.
+
+    `seq` differs from its default, so the comparison also fails if `seq` is lost.
+    """
     record = replace(make_record(1, target_count=200), seq=5)
     received, errors = exchange((record,))
     assert not errors
