Explain terms in five files where a first-time reader stopped

The comments now say so; the comment in success_changes had named the start of an ejection where the code compares with its end.

--- a/pimentoline/claims.py
+++ b/pimentoline/claims.py
@@ -1,7 +1,8 @@
 """pimentoline.claims: claims of idempotency keys.
 
-A call that has a key and is not idempotent claims the key in the store before it is
-sent, so that at most one of the calls with the same key runs.
+A call that has a key and is not idempotent claims the key before it is sent, so that at
+most one of the calls with the same key runs. The claim is a row in the store, the
+platform's transactional table service.
 """
 
 from .effects import InsertClaim, RejectCall, ReplayResponse
--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -35,11 +35,15 @@
 HEADER_BYTES = len(MAGIC) + 1 + MAC_BYTES
 # An Ethernet frame holds 1,472 bytes of UDP data, of which tunnels take some.
 MAX_DATAGRAM_BYTES = 1400
+# A frame is a message sent over TCP, for example a record too large for a datagram. The
+# limit also applies to the decompressed message.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Limit of the rules text, the content of the rules file, which nodes exchange.
 MAX_RULES_BYTES = 1024 * 1024
 MAX_TEXT_CHARS = 512
-# A node that refutes a suspicion increments a counter that it has received, so received
-# counters have to leave room below the limit of 64 bits.
+# A node that refutes a suspicion sends a record of itself whose incarnation or sequence
+# number is one above that of the record received. So received counters have to leave
+# room below the limit of 64 bits.
 MAX_COUNTER = 2**62
 # Level 1 takes a fifth of the time of level 6 and saves nearly as many bytes, since
 # records repeat the names of regions and services.
--- a/pimentoline/outliers.py
+++ b/pimentoline/outliers.py
@@ -33,8 +33,8 @@
 def success_changes(stats, started):
     """Return the changed fields of `stats` after a success that began at `started`."""
     if started < stats.ready_at:
-        # The attempt began before the target was ejected or came up, so it says
-        # nothing about its present state.
+        # `ready_at` is the time at which the target came up or its ejection ends. The
+        # attempt began before then, so it says nothing about its present state.
         return {}
     return {
         "consecutive_failures": 0,
@@ -45,8 +45,8 @@
 def record_failure(stats, started, now, decisive, count_ejected, target_count):
     """Return the statistics after a failed attempt, with an ejection if one is due.
 
-    An ejection that begins within `MAX_EJECTION_S` after the previous one is twice as
-    long as that one, up to `MAX_EJECTION_S`.
+    An ejection that begins within `MAX_EJECTION_S` after the end of the previous one is
+    twice as long as that one, up to `MAX_EJECTION_S`.
 
     Parameters
     ----------
--- a/pimentoline/twohop/success_rate.py
+++ b/pimentoline/twohop/success_rate.py
@@ -22,7 +22,7 @@
 
 
 class SuccessRate:
-    """Moving average of the outcomes of one target's calls, kept by its own node."""
+    """Moving average of the outcomes of a target's calls, kept by the target's node."""
 
     def __init__(self):
         self._rate = 1.0
--- a/tests/test_closed_loop.py
+++ b/tests/test_closed_loop.py
@@ -1,4 +1,9 @@
-"""Simulation of the policies with three targets that have slots and a queue."""
+"""Simulation of the load-balancing policies with three targets.
+
+Each target processes a call in each of its slots and queues the others. The loop is
+closed between policy and targets: the choices of a policy determine the latencies that
+it then observes. Calls arrive at random times, whether or not earlier ones have ended.
+"""
 
 import functools
 import heapq
@@ -13,6 +18,7 @@
 
 from .core import HOME, Core, started_attempt
 
+# Region and data centre of each target; t0 and t1 are in the same region.
 LOCATIONS = {"t0": HOME, "t1": ("rift", "baringo"), "t2": ("coast", "kwale")}
 SLOTS = 4
 MEAN_SERVICE_TIME_S = 0.05
@@ -29,6 +35,7 @@
     The faults begin at `FAULT_AT_S`. The fault of a target is the factor by which its
     service time grows, or 0.0 if it responds at once with an error.
     """
+    # The rule limits retries and hedges of any service to 10% of first attempts.
     core, rng = Core(policy, "retry * 10%"), random.Random(seed)
     for name, location in LOCATIONS.items():
         core.add_target(name, location, slots=SLOTS)
@@ -77,6 +84,7 @@
             started_at[call_id] = core.now
             execute(effects)
         elif action == "hedge":
+            # True: the request, a GET without a body, can be sent again.
             execute(core.send(ev.HedgeDue(core.now, rng.getrandbits(64), item, True)))
         elif -item.attempt_id not in started_at:
             execute(core.receive_head(item, action))
@@ -106,7 +114,7 @@
     """Guards against a hot-cold policy that is worse than a simple one.
 
     With one slow target, the 99th percentile latency of hot-cold must be at most half
-    that of the best other policy.
+    that of the best other policy. In the other cases, it may be up to 5% above.
     """
     others = [name for name in policy_names() if name != "hot-cold"]
     best = min(p99_s(name, faults) for name in others)
