Explain fields and terms in five files where a first-time reader stopped

Cause: a reader who did not know the project stopped at 16 places in five files, for example at fields of a burst and of an audit row that were only explained elsewhere, at the trailer of the built program and at a slowdown that speeds a target up.

Change: comments and doc comments of the load generator, the audit rows, the tests of the stand-in target, the entry point on the platform and the build of the single file explain these places. No statement has changed.

The other tests were not run.

--- a/bench/generator.py
+++ b/bench/generator.py
@@ -37,8 +37,10 @@
     ----------
     job : dict
         Keys are `rate` (calls per second), `duration_s`, `seed` and `nodes`, a list of
-        (region, ip, port). Optional keys are `burst`, with the fields of
-        `config.Burst`, and `lost_region`, whose nodes get no calls from `lost_at_s` on.
+        (region, ip, port); callers are in the region of the node that they call.
+        Optional keys are `burst` and `lost_region`, whose nodes get no calls from
+        `lost_at_s` on. A burst is a dict with the keys `at_s`, `length_s` and `factor`:
+        it multiplies the rate by `factor` for `length_s` seconds from `at_s` on.
 
     Returns
     -------
@@ -66,7 +68,7 @@
     Parameters
     ----------
     region : str
-        Region of the caller.
+        Region of the node, which is also sent as the region of the caller.
     ip, port : str, int
         Address of the node.
     job : dict
@@ -102,8 +104,8 @@
         -------
         tuple of str
             The outcome and the error code, which is the HTTP status if the response
-            has none. The outcome is `ok` for status 200, `shed` if the verdict header
-            says that the call was not run, and otherwise `failed`.
+            has none. The outcome is `ok` for status 200, `shed` if the header
+            `X-Verdict` says that the call was not run, and otherwise `failed`.
 
         Raises
         ------
@@ -155,9 +157,10 @@
         Returns
         -------
         dict
-            Latency histogram in microseconds in its encoded form, numbers of calls
-            (`sent`, `ok`, `shed`, `failed`, `codes`), `goodput` in calls per second and
-            the longest delay of a send in milliseconds (`max_lag_ms`).
+            Latency histogram of all calls except those shed, in microseconds and in
+            its encoded form, numbers of calls (`sent`, `ok`, `shed`, `failed`,
+            `codes`), `goodput` in calls per second and the longest delay of a send in
+            milliseconds (`max_lag_ms`).
         """
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
--- a/packaging_tools/build.py
+++ b/packaging_tools/build.py
@@ -18,7 +18,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build"
 PROGRAM = ROOT / "dist" / "pimentoline"
-# Last bytes of the program, by which launcher.c recognises the trailer.
+# Last bytes of the program, by which launcher.c recognises the trailer, the record that
+# describes the archive.
 MAGIC = b"PIMENTO1"
 # Modules that the program does not need.
 EXCLUDED_MODULES = (
@@ -75,7 +76,9 @@
 def bundle(launcher, payload):
     """Return the bytes of the program: launcher, payload and trailer.
 
-    The trailer is `struct trailer` in launcher.c.
+    The trailer, `struct trailer` in launcher.c, has the first half of the payload's
+    SHA-256 in hexadecimal, the size of the payload and `MAGIC`. The launcher unpacks
+    the payload to a directory that is named after the digest.
     """
     digest = hashlib.sha256(payload).hexdigest()[:32].encode()
     return launcher + payload + struct.pack("=32sQ8s", digest, len(payload), MAGIC)
--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -1,4 +1,8 @@
-"""pimentoline.audit: store rows of the rules versions and of their audit trail."""
+"""pimentoline.audit: rows of the store with the rules versions and their audit trail.
+
+A rules text has one rule per line, each with a comment that names its requester, the
+person who asked for it. Each accepted text is a version.
+"""
 
 import datetime
 import difflib
@@ -51,7 +55,13 @@
 
 
 class AuditRow(BaseModel):
-    """Value of a row `audit/<version>`: who changed what, when and at whose request."""
+    """Value of a row `audit/<version>`: who changed what, when and at whose request.
+
+    `author` made the change, at the Unix time `time`, and `requesters` asked for the
+    rules that changed. `attempt` and `digest` are as in `HeadRow`. `base` is the
+    version that the text replaced, 0 if there was none, and `diff` has the lines of the
+    diff from it.
+    """
 
     version: int = Field(ge=1)
     author: str
@@ -129,6 +139,7 @@
 
 
 def _rules(text):
+    """Return the rules of a text, none if it is invalid."""
     ruleset = parse(text).ruleset
     return ruleset.rules if ruleset else ()
 
--- a/pimentoline/platform/__main__.py
+++ b/pimentoline/platform/__main__.py
@@ -1,4 +1,4 @@
-"""pimentoline.platform.__main__: entry point of a node on the platform."""
+"""pimentoline.platform.__main__: entry point of a node on the deployment platform."""
 
 import asyncio
 import os
@@ -46,10 +46,13 @@
 
 async def serve(settings, path):
     """Run a node until it is stopped; `path` is the path of the settings file."""
+    # The settings are those of this node, from the file. The configuration is the
+    # operator's, from the row `CONFIG_ROW` of the platform's store.
     node = HostNode(
         settings.host_settings(),
         HEADER_NAMES,
         parse_configuration,
+        # Creates the client of the store from the node's connection pool.
         lambda pool: PlatformStore(settings.platform.address, pool),
         CONFIG_ROW,
         # One class serves both heartbeats and readiness checks.
@@ -69,6 +72,7 @@
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_settings_file(path)
+        # The result is not needed yet; an invalid value raises SettingsError here.
         settings.host_settings()
     except SettingsError as exc:
         log_entry("settings:refused", code=exc.code, detail=exc.detail)
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -24,7 +24,7 @@
 
 
 def counters(target):
-    """Return the counters of the target."""
+    """Return the counters, which the path that sets faults returns to a GET."""
     return json.loads(target("/faults")[2])
 
 
@@ -41,7 +41,8 @@
         status, headers, _ = target("/b")
         assert (status, headers["X-Not-Run"]) == (503, "1")
         assert counters(target)["ran"] == 1
-        # The slowdown also applies to running work, so both requests end now.
+        # `slowdown` is a factor on the service time, so a value below 1 speeds up the
+        # target. It also applies to requests in progress, so both end now.
         target("/faults", "POST", {"slowdown": 1e-3, "delay_s": 0.0})
         assert [fut.result()[0] for fut in blocking] == [200, 200]
     assert counters(target)["ran"] == 2
@@ -53,7 +54,11 @@
 
 
 def test_reports_lag_behind_the_actual_state(target):
-    """Guards against a `load_lag_s` that has no effect on what the target reports."""
+    """Guards against a `load_lag_s` that has no effect on what the target reports.
+
+    The target reports its load and health as they were `load_lag_s` ago. If it had not
+    started by then, it reports that it is healthy.
+    """
     target("/faults", "POST", {"fail": True})
     assert (target("/a")[0], target("/health")[0]) == (500, 500)
     target("/faults", "POST", {"load_lag_s": 60.0})
