Explain terms and rename two locals where a first-time reader stopped

Cause: a reader of five files who knew nothing of the project stopped at words that only other files explain (rows, draws, locality rings, buckets, verdicts, X-Not-Run, the table service), at a sentence on backoff that had to be read twice, and at two local names: `total` counts alive members only, and `not has_no_peers` is a double negative.

Change: comments and docstrings in peer_discovery, probing, gossip, tests/target_faults and tests/test_cli say these things where they are used. The limit of 27 KB/s is now named as that for control-plane traffic. The locals are `alive_counts` and `isolated`. No behaviour changes.

--- a/pimentoline/gossip.py
+++ b/pimentoline/gossip.py
@@ -1,4 +1,10 @@
-"""pimentoline.gossip: gossip of new member records, and synchronisation.
+"""pimentoline.gossip: gossip of new member records, and synchronisation with peers.
+
+Nodes gossip new records to random peers in datagrams (`SendMessage`). Two peers
+synchronise all their records over TCP (`QueryPeer`). The records are divided into
+buckets by a hash of the node id. One peer sends a digest of each bucket, the other
+replies with the records of the buckets whose digests differ, and the first sends back
+the records that the other lacks.
 
 `push_gossip`, `request_sync` and `sync_when_due` return the new state and a tuple of
 effects.
@@ -31,8 +37,8 @@
 
 GOSSIP_FANOUT = 3
 # Bounds the burst after the loss of a data centre (120 nodes): with 60 records in a
-# round, a node sends 41 KB/s, above the limit of 27 KB/s. The remaining records are
-# sent in the next rounds, one round every 200 ms.
+# round, a node sends 41 KB/s, above its limit of 27 KB/s for the traffic of the control
+# plane. The remaining records are sent in the next rounds, one round every 200 ms.
 MAX_RECORDS_PER_PUSH = 20
 SYNC_INTERVAL_S = 60.0
 # Bounds the rate of synchronisations triggered by messages: pings from unknown senders,
@@ -46,7 +52,10 @@
 
 
 def running_peers(state):
-    """Return the records of the other running members, in order of their ids."""
+    """Return the records of the other running members, in order of their ids.
+
+    A member is running if it is alive or suspect.
+    """
     members = state.mesh.members
     return [
         members[node_id]
@@ -86,21 +95,22 @@
         rules=replace(rules, remaining_sends=max(0, rules.remaining_sends - 1)),
     )
     addrs = tuple(record.addr for record in chosen)
+    # `with_ages` adds the time since the member left or died, if it did.
     return state, (SendMessage(addrs, Gossip(with_ages(state, records, now))),)
 
 
 def lost_regions(state):
     """Return the regions with over 30%, and at least 2, of their members missing."""
     missing = _missing_members(state)
-    total = dict.fromkeys(missing, 0)
+    alive_counts = dict.fromkeys(missing, 0)
     for record in state.mesh.members.values():
-        if record.status is MemberStatus.ALIVE and record.region in total:
-            total[record.region] += 1
+        if record.status is MemberStatus.ALIVE and record.region in alive_counts:
+            alive_counts[record.region] += 1
     return {
         region
         for region, absent in missing.items()
         if len(absent) >= LOST_REGION_MIN_MEMBERS
-        and len(absent) > LOST_REGION_FRACTION * (total[region] + len(absent))
+        and len(absent) > LOST_REGION_FRACTION * (alive_counts[region] + len(absent))
     }
 
 
@@ -172,7 +182,12 @@
 
 
 def on_sync_reply(state, reply, addr, now):
-    """Return the effects that send the replying peer the records that it lacks."""
+    """Return the effects that send the replying peer the records that it lacks.
+
+    They are sent over TCP, like the request. `addr` is the mesh address of the peer. It
+    is None if the message did not answer a request of this node but came as a request
+    over TCP, because the mesh address of its sender is then not known.
+    """
     peer_records = {record.node_id: record for record in reply.records}
     buckets = set(reply.buckets)
     lacked = [
--- a/pimentoline/peer_discovery.py
+++ b/pimentoline/peer_discovery.py
@@ -12,6 +12,8 @@
 
 __all__ = ["PeerDiscovery"]
 
+# Prefix of the keys of the nodes' rows. Each node writes its address to a row in the
+# store, the platform's table service, so that other nodes can find it.
 ROW_PREFIX = "node/"
 # Interval at which a node rewrites its own row.
 ROW_REFRESH_INTERVAL_S = 600.0
@@ -19,14 +21,14 @@
 MAX_CHECK_INTERVAL_S = 30.0
 # Rows older than this are ignored. A row stays valid if two successive refreshes fail.
 MAX_ROW_AGE_S = 1800.0
-# Number of peers that a node asks for their members at the same time.
+# Number of peers that a node asks at the same time which members they know.
 JOIN_GROUP_SIZE = 3
 # Number of groups that a node asks in turn at boot before it starts without a reply.
 MAX_JOIN_GROUPS = 3
-# Upper bounds, for the first retry and for any retry, of the random delay before a node
-# tries again to write its row or to find a peer. The bound doubles with each retry; the
-# lower bound is 0. The random delay keeps nodes that start together from retrying at
-# the same time.
+# Before a node tries again to write its row or to find a peer, it waits for a random
+# time between 0 and a bound. The bound is FIRST_BACKOFF_S for the first retry and
+# doubles with each further one, up to MAX_BACKOFF_S. The random delay keeps nodes that
+# start together from retrying at the same time.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
 
@@ -79,7 +81,8 @@
                 break
         if node.store is None and (reply_count or not seeds):
             # Without a store, only peers can report a rules version. If they have
-            # replied, or none is configured, version 0 (no rules yet) is confirmed.
+            # replied, or none is configured, version 0 (no rules yet) is confirmed. The
+            # source of the version is "nobody" instead of the id of a peer.
             node.dispatch(
                 RulesVersionReceived(node.clock(), 0, "nobody", confirmed=True)
             )
@@ -130,9 +133,10 @@
         node = self._node
         backoff_s = FIRST_BACKOFF_S
         while True:
-            has_no_peers = not running_peers(node.state)
+            isolated = not running_peers(node.state)
+            # Without a store, there is no row to write.
             row_written = node.store is None or self._row_written_at > float("-inf")
-            if row_written and not has_no_peers:
+            if row_written and not isolated:
                 backoff_s = FIRST_BACKOFF_S
                 await asyncio.sleep(
                     MAX_CHECK_INTERVAL_S * node.random.uniform(0.5, 1.0)
--- a/pimentoline/probing.py
+++ b/pimentoline/probing.py
@@ -85,8 +85,9 @@
             probing,
             last_tick=now,
             joined_at=now,
-            # The probes of nodes that start at the same time fall due at different
-            # times.
+            # A random number, so that the probes of nodes that start at the same time
+            # fall due at different times. `event.draw` is a random integer, and the
+            # second argument a salt for independent numbers from the same draw.
             due_fraction=fraction(event.draw, 1),
             free_bytes=0.0,
         )
@@ -98,6 +99,8 @@
         probing.due_fraction, budget.probes_per_s / shares, elapsed_s
     )
     bytes_per_s = budget.bytes_per_s / shares
+    # Unused bytes accumulate up to this node's share for one second, or up to the bytes
+    # of one probe if these are more.
     free_bytes = min(
         probing.free_bytes + bytes_per_s * elapsed_s,
         max(float(MAX_PROBE_BYTES), bytes_per_s),
@@ -152,9 +155,11 @@
 
 
 def _targets_in_use(state, service):
-    """Yield the targets in the rings that a service uses at present.
+    """Yield the targets in the locality rings that a service uses at present.
 
-    Ejected targets are included.
+    The locality rings of a node are its data centre, the rest of its region and other
+    regions. Each release (a version with a canary rule, or all other versions together)
+    has its own rings. Ejected targets are included.
     """
     plan = state.traffic.plan
     route = plan.routes.get(service) if plan is not None else None
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -1,6 +1,7 @@
-"""Responses and faults of targets, by the names that the features use.
+"""Responses and faults of targets, by their names in the Gherkin feature files.
 
-A `RawTarget` runs a function `serve(target, sock, number)` on each connection.
+A `RawTarget` is a target in a test, which runs a function `serve(target, sock, number)`
+on each connection. `number` counts the connections from 0.
 """
 
 import socket
@@ -42,8 +43,8 @@
 def read_to_end(target, sock, number):
     """Record all bytes after a request head up to the end of the connection.
 
-    Instead of head lines, `target.heads` then has two items: the bytes that were
-    received together with the head, and all later bytes.
+    `target.heads` normally has the lines of each request head. Here it has two items:
+    the bytes that were received together with the head, and all later bytes.
     """
     _, rest = read_head(sock)
     target.heads.append(rest)
@@ -74,11 +75,15 @@
     "answers 103 and 200": serve_responses(
         make_response(b"103 Early Hints") + OK_RESPONSE
     ),
+    # Only the load balancer may set X-Verdict, which tells the caller whether the
+    # request may have run on a target.
     "answers with a false verdict": serve_responses(
         make_response(
             b"200 OK", NO_BODY, b"X-Verdict: not-run", b"X-Error-Code: forged"
         )
     ),
+    # By the status 503 with X-Not-Run: 1, a target declares that it did not run the
+    # request.
     "sheds": serve_responses(make_response(b"503 Busy", NO_BODY, b"X-Not-Run: 1")),
     "closes before its head": respond_and_close(b""),
     "closes within its head": respond_and_close(b"HTTP/1.1 200 OK\r\nContent-Le"),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -101,6 +101,8 @@
         assert f"--{flag}" in text and env_var_name(flag) in text
     for status in command.exit_statuses:
         assert f"  {status:d}  {EXIT_DESCRIPTIONS[status]}" in text
+    # The program wraps only the texts of the flags. The descriptions of commands keep
+    # their line breaks.
     assert max(map(len, text.splitlines())) <= 92
     assert run(["--help"]) == ExitStatus.OK
     assert get_command_by_name(name).summary in capsys.readouterr().out
@@ -116,6 +118,8 @@
 def test_check_reports_every_problem(tmp_path, capsys):
     """Guards against a check that stops at the first problem or file."""
     first, second = tmp_path / "a.rules", tmp_path / "b.rules"
+    # Each rule needs a comment that names who asked for it, which the first line lacks.
+    # The second line has an unknown kind of rule.
     first.write_text("pause t1\npaws t2 # Mary\n")
     second.write_text("pause t1 # Mary\n")
     missing = str(tmp_path / "none")
@@ -141,6 +145,7 @@
 
 def test_commands_against_a_node(cluster, tmp_path):
     """Guards against a command that fails against a node, or a wrong exit status."""
+    # The table service is the store of the rules.
     cluster.start_table()
     cluster.start_node("n1")
     cluster.start_target("t1", "n1")
@@ -183,6 +188,7 @@
     _, response = run_command(cluster, "n1", "explain", "hive-ledger", "GET", "/")
     assert list(response["outcomes"]) == ["refused with 503 no-target"]
 
+    # Now the table service is down.
     set_faults(cluster, down=True)
     assert run_command(cluster, "n1", "history")[0] == ExitStatus.STORE_UNAVAILABLE
     assert run_command(cluster, "n1", "status")[0] == ExitStatus.OK
