Name the number of members and the timings in the help of status

The help of the command said that it shows the members of the mesh and all counters. It shows only the number of members, and also timings; what the highest known version means was not said. The help now says so.

--- a/pimentoline/commands/status.py
+++ b/pimentoline/commands/status.py
@@ -11,7 +11,8 @@
 
     description = """
 Shows the location of the node, the rules version in force and its source, the highest
-known version, the number of calls in flight, the members of the mesh, and all counters.
+version that any peer or the store has reported, the number of calls in flight, the
+number of members of the mesh, and all counters and timings.
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
