--- a/pimentoline/settings.py
+++ b/pimentoline/settings.py
@@ -23,8 +23,7 @@
 ADDR_ERROR = "allowed: IP:PORT with an IPv4 address and a port of 0 to 65535"
 Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN, max_length=200)]
 
-# name: (default, help). "The target" is the one on the host of the node; it announces
-# itself at the admin interface.
+# name: (default, help).
 FLAGS = {
     "node_id": ("", "Unique name of this node; HOST:DATA_PORT by default."),
     "host": ("", "Name of the host; the system's host name by default."),
@@ -32,7 +31,10 @@
     "dc": ("", "Data centre of the host."),
     "data_addr": ("127.0.0.1:0", "IP address and port for callers."),
     "mesh_addr": ("127.0.0.1:0", "IP address and port for other nodes, UDP and TCP."),
-    "admin_addr": ("127.0.0.1:0", "IP address and port for operators and the target."),
+    "admin_addr": (
+        "127.0.0.1:0",
+        "IP address and port for operators and for the target on this host.",
+    ),
     "admin_remote": (
         False,
         "Let the admin interface listen on an address that is not loopback. The "
