Name locals of twohop's peers and model after what they hold

`found` and `part` did not say what they hold: a frame with its complete body, a partial frame, members, the routes of a host, or the candidates of each service. The locals are renamed; no attribute changes.

--- a/pimentoline/twohop/model.py
+++ b/pimentoline/twohop/model.py
@@ -130,7 +130,9 @@
         route_lists = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             route_lists.setdefault(route.host, []).append(route)
-        routes_by_host = {host: tuple(found) for host, found in route_lists.items()}
+        routes_by_host = {
+            host: tuple(host_routes) for host, host_routes in route_lists.items()
+        }
         return cls(version, routes_by_host, {s.name: s for s in services}, limits)
 
     def find_route(self, host, path):
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -46,20 +46,20 @@
     def begin(self, frame, body):
         """Start a body; return it if the frame contains all of it, otherwise None."""
         self._partial_frames[frame.stream] = _PartialFrame(frame, [], frame.body_bytes)
-        found = self.add(frame.stream, body)
-        return found[1] if found is not None else None
+        frame_and_body = self.add(frame.stream, body)
+        return frame_and_body[1] if frame_and_body is not None else None
 
     def add(self, stream, chunk):
         """Add a chunk; return (frame, body) if it was the last one, otherwise None."""
-        part = self._partial_frames.get(stream)
-        if part is None:
+        partial_frame = self._partial_frames.get(stream)
+        if partial_frame is None:
             return None
-        part.chunks.append(chunk)
-        part.missing_bytes -= len(chunk)
-        if part.missing_bytes > 0:
+        partial_frame.chunks.append(chunk)
+        partial_frame.missing_bytes -= len(chunk)
+        if partial_frame.missing_bytes > 0:
             return None
         del self._partial_frames[stream]
-        return part.frame, b"".join(part.chunks)
+        return partial_frame.frame, b"".join(partial_frame.chunks)
 
     def drop(self, stream):
         """Discard the body of a stream."""
@@ -171,9 +171,9 @@
                 if complete_body is not None:
                     self._complete(frame, complete_body)
             case fr.BodyFrame():
-                found = self.assembler.add(frame.stream, body)
-                if found is not None:
-                    self._complete(*found)
+                frame_and_body = self.assembler.add(frame.stream, body)
+                if frame_and_body is not None:
+                    self._complete(*frame_and_body)
             case fr.RefusedFrame() | fr.FailedFrame():
                 self._complete(frame, b"")
             case _:
@@ -258,9 +258,9 @@
                 if complete_body is not None:
                     self._submit(link, frame, complete_body)
             case fr.BodyFrame():
-                found = self.assembler.add(frame.stream, body)
-                if found is not None:
-                    self._submit(link, *found)
+                frame_and_body = self.assembler.add(frame.stream, body)
+                if frame_and_body is not None:
+                    self._submit(link, *frame_and_body)
             case fr.CancelFrame():
                 self.assembler.drop(frame.stream)
                 pending_call = self.pending_calls.pop(frame.stream, None)
@@ -350,12 +350,12 @@
     @property
     def members(self):
         """Every known member, this node's own included."""
-        found = [
+        members = [
             outgoing_link.candidate.member for outgoing_link in self.outgoing.values()
         ]
         if self.local_candidate is not None:
-            found.append(self.local_candidate.member)
-        return found
+            members.append(self.local_candidate.member)
+        return members
 
     def set_member(self, member):
         """Add a member, or replace it if its data have changed."""
@@ -388,15 +388,17 @@
             self._index_by_service()
 
     def _index_by_service(self):
-        found = {}
+        candidates_by_service = {}
         for outgoing_link in self.outgoing.values():
             service = outgoing_link.candidate.member.service
-            found.setdefault(service, []).append(outgoing_link.candidate)
-        if self.local_candidate is not None:
-            found.setdefault(self.local_candidate.member.service, []).append(
-                self.local_candidate
+            candidates_by_service.setdefault(service, []).append(
+                outgoing_link.candidate
             )
-        self._candidates_by_service = found
+        if self.local_candidate is not None:
+            candidates_by_service.setdefault(
+                self.local_candidate.member.service, []
+            ).append(self.local_candidate)
+        self._candidates_by_service = candidates_by_service
 
     def candidates(self, service):
         """Return the candidates of a service; renew the report of the local target."""
@@ -489,14 +491,14 @@
 
     def _add_members(self, link, body):
         try:
-            found = [
+            received_members = [
                 Member(**{**fields, "addr": tuple(fields["addr"])})
                 for fields in json.loads(body)
             ]
         except (ValueError, TypeError, KeyError) as exc:
             link.close(f"malformed member list: {exc}")
             return
-        for member in found:
+        for member in received_members:
             if member.node not in self.outgoing:
                 self.set_member(member)
 
