Name vague locals after what they hold

A reader could not tell from `found` or `item` what a function holds. The structs of Cap'n Proto in the codec are now builders and readers; the other locals say that they are rules, targets, versions, rows, diff lines, samples or a response. `found` stays where it is the value that a diagnostic reports.

--- a/pimentoline/audit.py
+++ b/pimentoline/audit.py
@@ -111,10 +111,10 @@
     lines = difflib.unified_diff(
         old.splitlines(), new.splitlines(), n=1, lineterm="", fromfile="", tofile=""
     )
-    found = list(lines)[2:]
-    kept = [line[:MAX_DIFF_LINE_CHARS] for line in found[:MAX_DIFF_LINES]]
-    if len(found) > MAX_DIFF_LINES:
-        kept.append(f"... {len(found) - MAX_DIFF_LINES} further lines")
+    hunk_lines = list(lines)[2:]
+    kept = [line[:MAX_DIFF_LINE_CHARS] for line in hunk_lines[:MAX_DIFF_LINES]]
+    if len(hunk_lines) > MAX_DIFF_LINES:
+        kept.append(f"... {len(hunk_lines) - MAX_DIFF_LINES} further lines")
     return kept
 
 
--- a/pimentoline/codec.py
+++ b/pimentoline/codec.py
@@ -216,21 +216,21 @@
     raise NewerMessageError(f"unknown message type {kind!r}")
 
 
-def _write_ping(item, ping_id, addr):
-    item.id = ping_id
+def _write_ping(builder, ping_id, addr):
+    builder.id = ping_id
     if addr is not None:
-        item.addr.ip, item.addr.port = addr
+        builder.addr.ip, builder.addr.port = addr
 
 
-def _write_rules(item, version, text):
-    item.version = version
-    item.body = text.encode()
+def _write_rules(builder, version, text):
+    builder.version = version
+    builder.body = text.encode()
 
 
-def _read_rules(item):
-    if len(item.body) > MAX_RULES_BYTES:
-        raise CodecError(f"rules text of {len(item.body)} bytes is too large")
-    return _check_counter(item.version), item.body.decode()
+def _read_rules(reader):
+    if len(reader.body) > MAX_RULES_BYTES:
+        raise CodecError(f"rules text of {len(reader.body)} bytes is too large")
+    return _check_counter(reader.version), reader.body.decode()
 
 
 def _check_text(value):
@@ -245,51 +245,51 @@
     return value
 
 
-def _read_addr(item):
+def _read_addr(reader):
     try:
         # Host names are rejected: `sendto` would resolve them and block the event loop.
-        socket.inet_pton(socket.AF_INET, item.ip)
+        socket.inet_pton(socket.AF_INET, reader.ip)
     except OSError as exc:
-        raise ValueError(f"{item.ip!r:.60} is not an IPv4 address") from exc
-    return item.ip, item.port
+        raise ValueError(f"{reader.ip!r:.60} is not an IPv4 address") from exc
+    return reader.ip, reader.port
 
 
-def _read_optional_addr(item):
-    return _read_addr(item) if item.ip else None
+def _read_optional_addr(reader):
+    return _read_addr(reader) if reader.ip else None
 
 
-def _write_records(items, records):
-    for item, record in zip(items, records):
-        _write_member(item, record)
+def _write_records(builders, records):
+    for builder, record in zip(builders, records):
+        _write_member(builder, record)
 
 
-def _read_records(items):
+def _read_records(readers):
     """Return (records, number of records left out).
 
     Only records that cannot be read are left out, for example one with a status that
     a newer release has added; the others in the message are kept.
     """
     records = []
-    for item in items:
+    for reader in readers:
         try:
-            records.append(_read_member(item))
+            records.append(_read_member(reader))
         except ValueError:
             continue
-    return tuple(records), len(items) - len(records)
-
-
-def _write_member(item, record):
-    item.nodeId = record.node_id
-    item.host = record.host
-    item.addr.ip, item.addr.port = record.addr
-    item.region = record.region
-    item.dc = record.dc
-    item.incarnation = record.incarnation
-    item.seq = record.seq
-    item.status = record.status.value
-    item.rulesVersion = record.rules_version
-    item.ageMs = int(record.age_s * 1000)
-    targets = item.init("targets", len(record.targets))
+    return tuple(records), len(readers) - len(records)
+
+
+def _write_member(builder, record):
+    builder.nodeId = record.node_id
+    builder.host = record.host
+    builder.addr.ip, builder.addr.port = record.addr
+    builder.region = record.region
+    builder.dc = record.dc
+    builder.incarnation = record.incarnation
+    builder.seq = record.seq
+    builder.status = record.status.value
+    builder.rulesVersion = record.rules_version
+    builder.ageMs = int(record.age_s * 1000)
+    targets = builder.init("targets", len(record.targets))
     for entry, target in zip(targets, record.targets):
         entry.targetId = target.target_id
         entry.service = target.service
@@ -301,10 +301,10 @@
         entry.version = target.version
 
 
-def _read_member(item):
-    if not item.nodeId:
+def _read_member(reader):
+    if not reader.nodeId:
         raise ValueError("member record has no node id")
-    region, dc = _check_text(item.region), _check_text(item.dc)
+    region, dc = _check_text(reader.region), _check_text(reader.dc)
     targets = tuple(
         Target(
             _check_text(entry.targetId),
@@ -318,18 +318,18 @@
             _check_text(entry.loadPath),
             _check_text(entry.version),
         )
-        for entry in item.targets
+        for entry in reader.targets
     )
     return Member(
-        _check_text(item.nodeId),
-        _check_text(item.host),
-        _read_addr(item.addr),
+        _check_text(reader.nodeId),
+        _check_text(reader.host),
+        _read_addr(reader.addr),
         region,
         dc,
-        _check_counter(item.incarnation),
-        _check_counter(item.seq),
-        MemberStatus(item.status),
+        _check_counter(reader.incarnation),
+        _check_counter(reader.seq),
+        MemberStatus(reader.status),
         targets,
-        _check_counter(item.rulesVersion),
-        _check_counter(item.ageMs) / 1000,
+        _check_counter(reader.rulesVersion),
+        _check_counter(reader.ageMs) / 1000,
     )
--- a/pimentoline/explain.py
+++ b/pimentoline/explain.py
@@ -86,13 +86,13 @@
 
 def _announced_targets(state, req):
     """Return all targets that nodes announce for the call's service, sorted by id."""
-    found = {
+    targets_by_id = {
         target.target_id: target
         for member in state.mesh.members.values()
         for target in member.targets
         if target.service == req.service
     }
-    return [found[target_id] for target_id in sorted(found)]
+    return [targets_by_id[target_id] for target_id in sorted(targets_by_id)]
 
 
 def _describe_target(state, target, now):
--- a/pimentoline/publisher.py
+++ b/pimentoline/publisher.py
@@ -218,8 +218,8 @@
             self._node.store.scan(prefix, 10)
             for prefix in audit_prefixes(newest, count)
         ]
-        found = [row for rows in await asyncio.gather(*scans) for row in rows]
-        rows = [parse_row(AuditRow, row) for row in found]
+        store_rows = [row for rows in await asyncio.gather(*scans) for row in rows]
+        rows = [parse_row(AuditRow, row) for row in store_rows]
         rows = [row for row in rows if row.version <= newest]
         return sorted(rows, key=lambda row: row.version, reverse=True)[:count]
 
--- a/pimentoline/rules/policy_table.py
+++ b/pimentoline/rules/policy_table.py
@@ -110,14 +110,14 @@
 
     def matching_rules(self, path):
         """Return the first matching rule of each kind, by kind."""
-        found = {}
+        rules_by_kind = {}
         for kind, matcher in zip(CALL_RULE_KINDS, self._matchers):
             rule = matcher.rules[matcher.find(path)]
             if rule is not None:
-                found[kind] = rule
+                rules_by_kind[kind] = rule
         if self._retry is not None:
-            found["retry"] = self._retry
-        return found
+            rules_by_kind["retry"] = self._retry
+        return rules_by_kind
 
     def _create_policy(self, matching):
         values = {"idempotent": self._is_safe_method}
--- a/pimentoline/rules/ruleset.py
+++ b/pimentoline/rules/ruleset.py
@@ -85,10 +85,12 @@
         rules_by_selector = self._first_rules.get(kind)
         if rules_by_selector is None:
             return None
-        found = [
-            rules_by_selector[item] for item in selectors if item in rules_by_selector
+        indexed_rules = [
+            rules_by_selector[selector]
+            for selector in selectors
+            if selector in rules_by_selector
         ]
-        return min(found, key=_rule_index)[1] if found else None
+        return min(indexed_rules, key=_rule_index)[1] if indexed_rules else None
 
     def target_rules(self, target):
         """Return the rules that determine the weight of a target.
@@ -99,7 +101,7 @@
             First matching rule by kind; kinds without a matching rule are left out.
         """
         service, region = target.service, target.region
-        found = {
+        rules_by_kind = {
             "pause": self._find_first("pause", (target.target_id,)),
             "weight": self._find_first(
                 "weight",
@@ -110,7 +112,7 @@
                 (ANY, ANY),
             ),
         }
-        return {kind: rule for kind, rule in found.items() if rule is not None}
+        return {kind: rule for kind, rule in rules_by_kind.items() if rule is not None}
 
     def target_weight(self, target):
         """Return the weight of a target, 0.0 if it is paused.
@@ -127,10 +129,10 @@
         first_rules = self._first_rules
         if "pause" not in first_rules and "weight" not in first_rules:
             return 1.0
-        found = self.target_rules(target)
-        if "pause" in found:
+        rules_by_kind = self.target_rules(target)
+        if "pause" in rules_by_kind:
             return 0.0
-        return found["weight"].weight if "weight" in found else 1.0
+        return rules_by_kind["weight"].weight if "weight" in rules_by_kind else 1.0
 
     def spill_policy(self, service):
         """Return the `SpillPolicy` of a service."""
--- a/pimentoline/version_survey.py
+++ b/pimentoline/version_survey.py
@@ -30,8 +30,8 @@
         By node id; None for a node that did not respond within 5 s.
     """
     peers = running_peers(node.state)
-    found = {record.node_id: None for record in peers}
-    found[node.state.identity.node_id] = node.state.rules.version
+    versions = {record.node_id: None for record in peers}
+    versions[node.state.identity.node_id] = node.state.rules.version
     limiter = asyncio.Semaphore(MAX_CONCURRENT_QUERIES)
 
     async def query(record):
@@ -42,7 +42,7 @@
                 record.addr, node.make_message(Gossip(()))
             )
         if response is not None and response.sender == record.node_id:
-            found[record.node_id] = response.rules_version
+            versions[record.node_id] = response.rules_version
 
     if peers:
         tasks = [asyncio.ensure_future(query(record)) for record in peers]
@@ -50,4 +50,4 @@
         for task in unfinished:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-    return found
+    return versions
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -136,10 +136,13 @@
             self.finish()
 
     def _respond(self, rows=None, **extra):
-        item = {"ver": self.store.version, "now": f"{int(time.monotonic() * 1000)}ms"}
+        response = {
+            "ver": self.store.version,
+            "now": f"{int(time.monotonic() * 1000)}ms",
+        }
         if rows is not None:
-            item["rows"] = rows
-        self.finish(json.dumps(item | extra))
+            response["rows"] = rows
+        self.finish(json.dumps(response | extra))
 
     async def get(self, call):
         """Send the rows of a table, or wait for its changes and send these.
--- a/standins/target.py
+++ b/standins/target.py
@@ -228,7 +228,7 @@
             return self.inflight, self.fail
         reported_at = asyncio.get_running_loop().time() - self.load_lag_s
         old_enough = (
-            item[1:] for item in reversed(self._samples) if item[0] <= reported_at
+            sample[1:] for sample in reversed(self._samples) if sample[0] <= reported_at
         )
         return next(old_enough, (0, False))
 
