Describe each guarantee in the same words wherever it is named

P2, P3, P4 and P6 were described at the head of tests/history.py in other words than at their checks, and P3 in a third way in tests/test_standin_target.py. Each now has one wording; what a check covers follows it. P1, P5 and P7 had one wording already.

--- a/tests/history.py
+++ b/tests/history.py
@@ -5,9 +5,9 @@
 P2
     A response is complete and belongs to its own request.
 P3
-    A request that was reported to its caller as not run did not run at any target.
+    No target ran a request that was reported to its caller as not run.
 P4
-    A keyed operation, and a request that must not be repeated, runs at most once.
+    No keyed or non-idempotent operation runs more than once.
 P6
     A planned stop of a node or target interrupts no call.
 
@@ -152,7 +152,11 @@
 
 
 def check_responses(attempts):
-    """Check P2: a 200 response is complete and for its own request or operation."""
+    """Check P2: a response is complete and belongs to its own request.
+
+    Only responses with status 200 are checked. A replayed response may be of another
+    request of the same operation.
+    """
     violations = []
     for attempt in attempts:
         if attempt.outcome != ANSWERED or attempt.status != 200:
@@ -182,7 +186,7 @@
 
 
 def check_not_run(attempts, runs):
-    """Check P3: no request ran that was reported to its caller as not run."""
+    """Check P3: no target ran a request that was reported to its caller as not run."""
     ran = set(runs)
     return [
         f"{attempt.run_id}: reported as not-run, but ran"
@@ -193,7 +197,7 @@
 
 
 def check_runs_at_most_once(attempts, runs):
-    """Check P4: no keyed or non-idempotent operation ran more than once.
+    """Check P4: no keyed or non-idempotent operation runs more than once.
 
     The runs of all attempts of a keyed operation are summed, whatever their outcomes.
     An attempt without a key counts as an operation of its own.
@@ -225,7 +229,10 @@
 
 
 def check_no_interruption(attempts):
-    """Check P6: each accepted request got a complete response below status 500."""
+    """Check P6: a planned stop of a node or target interrupts no call.
+
+    Each accepted request must have got a complete response below status 500.
+    """
     return [
         f"{attempt.run_id} at {attempt.node}: "
         f"{attempt.outcome} {attempt.status} {attempt.verdict}"
--- a/tests/test_standin_target.py
+++ b/tests/test_standin_target.py
@@ -31,8 +31,8 @@
 def test_full_queue_sheds_without_running(target):
     """Guards against a stand-in that runs requests which it reports as not run.
 
-    It would hide violations of P3, the guarantee that a request reported as not run
-    has not run.
+    It would hide violations of P3, the guarantee that no target ran a request that was
+    reported to its caller as not run.
     """
     target("/faults", "POST", {"queue": 1, "delay_s": 30.0})
     with cf.ThreadPoolExecutor(2) as pool:
