Call the two known deployments by one phrase

twohop, the soak and their tests named the two deployments in five ways, so a reader could take them for different ones. The first use in each file is now "the two known deployments of pimentoline", later ones are "both deployments".

--- a/pimentoline/twohop/durations.py
+++ b/pimentoline/twohop/durations.py
@@ -13,8 +13,7 @@
 # times in the two known deployments of pimentoline.
 INITIAL_DURATION_S = 0.12
 # A kind of call without samples is expected to take at most this share of its latency
-# objective. Objectives in the two known deployments are 2.5 to 4.5 times the
-# processing time.
+# objective. Objectives in both deployments are 2.5 to 4.5 times the processing time.
 MAX_OBJECTIVE_SHARE = 0.4
 # Weight of the newest sample in an exponential moving average.
 SMOOTHING_WEIGHT = 0.08
--- a/pimentoline/twohop/noise.py
+++ b/pimentoline/twohop/noise.py
@@ -2,10 +2,10 @@
 
 Noisy neighbours are other programs on a target's host that slow the target down for
 short periods. A target reports its current slowdown: how many times as long as usual
-its calls take. In both known deployments, a call that starts during noise is slow for
-its whole duration, even if the noise stops 20 ms after the start of the call. A call
-therefore waits until the noise ends. If the last report is too old to tell whether
-there is noise, the target is probed before a call starts.
+its calls take. In the two known deployments of pimentoline, a call that starts during
+noise is slow for its whole duration, even if the noise stops 20 ms after the start of
+the call. A call therefore waits until the noise ends. If the last report is too old to
+tell whether there is noise, the target is probed before a call starts.
 """
 
 import enum
--- a/pimentoline/twohop/placement.py
+++ b/pimentoline/twohop/placement.py
@@ -20,7 +20,7 @@
 OTHER_REGION_RTT_MS = 18.0
 # Cost of a kilobyte sent to another data centre or region, where links are billed by
 # volume. The unit is the value of a response that meets the latency objective. These
-# are the means of the prices in the two deployments that use this package: 0.010 and
+# are the means of the prices in the two known deployments of pimentoline: 0.010 and
 # 0.052 between data centres, 0.074 and 0.034 between regions.
 OTHER_DC_COST_PER_KB = 0.031
 OTHER_REGION_COST_PER_KB = 0.054
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,11 +20,11 @@
 LEDGER_TARGET_COUNT = 3
 # Limit for all nodes to start and serve calls on a busy host, seconds.
 START_TIMEOUT_S = 30.0
-# Both known deployments of pimentoline require that every node serves calls again at
+# The two known deployments of pimentoline require that every node serves calls again at
 # most this time after the last fault, seconds.
 RECOVERY_TIMEOUT_S = 15.0
-# Both also require that a target gets no request later than this time after its drain
-# was acknowledged, seconds.
+# Both deployments also require that a target gets no request later than this time
+# after its drain was acknowledged, seconds.
 DRAIN_LIMIT_S = 2.0
 HEARTBEAT_INTERVAL_S = 0.5
 CLOSE_DELAY_S = 0.1
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -34,7 +34,8 @@
 NOW = 100.0
 LOCATION = Location("kerio", "rift")
 REQUIREMENTS = CallRequirements(NOW + 0.3, 2000)
-# Probes per second of each target that the operators of both deployments allow.
+# Probes per second of each target that the operators of the two known deployments of
+# pimentoline allow.
 PROBES_PER_S = 60
 # A lookup may run more than once, a sale may not.
 LOOKUP = Route(
@@ -445,7 +446,7 @@
 
 
 def test_probes_stay_within_the_allowed_rate():
-    """Guards against probing more often than the deployments allow."""
+    """Guards against probing more often than both deployments allow."""
     admission = AdmissionController(10)
     admission.noise.record_slowdown(5.0, NOW)
     probes = 0
