Explain terms and conditions in five files where a first-time reader stopped

Cause: a reader without knowledge of the project stopped at 20 places: terms not yet introduced (attempt id, first kind of call, emulator, run), sentences that had to be read twice, and generated source that must be pieced together.

Change: only docstrings and comments. They say what the store, an attempt id, a run and the emulator are, which services a fault affects, what the generated copying function looks like, and why a fraction must be below 1.0.

Passed: test_policies, test_emulator, test_cli, test_platform_process, test_purity, test_routing, test_limits, test_apply; behave on features/apply.feature, 25 scenarios.

--- a/bench/emulator/config.py
+++ b/bench/emulator/config.py
@@ -1,4 +1,8 @@
-"""Reads and validates the experiment file of the emulator."""
+"""Reads and validates the experiment file of the emulator.
+
+The emulator runs the decision code of the load balancer's nodes in simulated time, with
+models of the targets, the network and the callers.
+"""
 
 import tomllib
 from typing import Literal
@@ -18,13 +22,13 @@
     ----------
     kind : str
         `burst`: the load is `factor` times as high. `slow`: work takes `factor` times
-        as long. `grey`: a share `factor` of the requests fails. `lost`: nodes take no
-        calls. `power_off`: all nodes and targets go down and restart.
+        as long. `grey`: targets fail requests with the probability `factor`. `lost`:
+        nodes take no calls. `power_off`: all nodes and targets go down and restart.
     at_s, for_s : float
         Start and duration, seconds.
     share : float
-        Share of the nodes of the first call kind's service that `lost` affects, or of
-        their targets that `slow` and `grey` affect.
+        Share of the nodes that `lost` affects, or of the targets that `slow` and `grey`
+        affect. All are of the service of the first kind of call in `Site.kinds`.
     """
 
     kind: Literal["burst", "slow", "grey", "lost", "power_off"]
@@ -35,7 +39,10 @@
 
 
 class Condition(StrictModel):
-    """Faults, and `load` as a multiple of the call rates `CallKind.per_s`."""
+    """What a run is exposed to: a load and faults.
+
+    `load` is a multiple of the call rates `CallKind.per_s`.
+    """
 
     name: str
     load: float = Field(1.0, gt=0)
@@ -43,7 +50,7 @@
 
 
 class Site(StrictModel):
-    """A deployment.
+    """A deployment, which may have several data centres.
 
     Attributes
     ----------
@@ -53,11 +60,13 @@
         One-way network delay to another data centre of the region and to another
         region, seconds.
     services : dict of str to tuple of int
-        Number of targets in each data centre, in the order of `dcs`, by service. Each
-        target has a node of its own.
+        For each service, the number of targets in each data centre, in the order of
+        `dcs`. Each target has a node of its own.
     traits : TargetTraits
+        Capacity and slowdowns that all targets have in common.
     kinds : tuple of CallKind
-        Faults affect the service of the first kind, except `burst` and `power_off`.
+        Kinds of calls, each to one service. The faults `slow`, `grey` and `lost` affect
+        only the service of the first kind; `burst` and `power_off` affect all services.
     """
 
     name: str
@@ -70,7 +79,11 @@
 
 
 class Experiment(StrictModel):
-    """The whole file; the load of each run lasts `length_s` seconds."""
+    """The whole file.
+
+    There is one run for each combination of site, condition, policy and seed. Its load
+    lasts `length_s` seconds.
+    """
 
     seeds: tuple[int, ...] = Field(min_length=1)
     length_s: float = Field(gt=0)
--- a/features/steps/apply_steps.py
+++ b/features/steps/apply_steps.py
@@ -12,7 +12,7 @@
 
 @given("two nodes that share a store")
 def step_two_nodes(context):
-    """Start a table service, which is the store, and two nodes."""
+    """Start the store, a stand-in for a transactional database, and two nodes."""
     context.cluster.start_table()
     for node, region in (("n1", "rift"), ("n2", "coast")):
         context.cluster.start_node(node, region=region)
@@ -22,20 +22,20 @@
 
 @given('version {version:d} "{text}" was accepted from "{author}"')
 def step_accepted(context, version, text, author):
-    """Apply a rules text to the preceding version, over HTTP."""
+    """Over HTTP, apply a rules text that replaces the preceding version."""
     response = apply_rules(context.cluster, "n2", text + "\n", version - 1, author)
     assert response["result"] == "accepted", response
 
 
 @when("the store has faults {faults}")
 def step_faults(context, faults):
-    """Set faults of the table service; `faults` is the JSON body of its `/faults`."""
+    """Set faults of the store; `faults` is the JSON body for its path `/faults`."""
     set_faults(context.cluster, **json.loads(faults))
 
 
 @when('an operator applies "{text}" to version {base:d}')
 def step_apply(context, text, base):
-    """Apply a rules text with the command line."""
+    """With the command line, apply a rules text that replaces version `base`."""
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     path = Path(folder.name) / "edited.rules"
@@ -57,7 +57,10 @@
 
 @when("the operator asks again for the attempt")
 def step_repeat(context):
-    """Repeat the last command with the id of its attempt."""
+    """Retry the last command with its attempt id.
+
+    The nodes accept the rules text of one attempt id at most once.
+    """
     attempt = f"--attempt={context.response['attempt']}"
     context.status, context.response = run_command(
         context.cluster, "n1", *context.command, attempt
@@ -86,12 +89,15 @@
 
 
 def _count_versions(context):
-    """Clear the faults of the store and return the number of accepted versions.
+    """Return the number of accepted versions in the store.
+
+    First clear the faults that could prevent reads, and restore the limit of writes.
 
     Each version has a row under `audit/` and one under `config/`. If there is a
     version, `config/head` is a further row.
     """
     cluster = context.cluster
+    # 400 writes/s is the limit of the store without faults.
     set_faults(
         cluster, down=False, silent=False, delay_s=0.0, nonsense="", writes_per_s=400.0
     )
--- a/pimentoline/fast_replace.py
+++ b/pimentoline/fast_replace.py
@@ -13,8 +13,21 @@
     `dataclasses.replace` inspects every field each time, which would take half of the
     CPU time that a node spends on a call. Assigning to the slots directly takes a fifth
     of the time of `dataclasses.replace`.
+
+    For a class with the fields `a` and `b`, the generated function is::
+
+        def copy(obj, changes):
+            new = make(cls)
+            set_a(new, obj.a)
+            set_b(new, obj.b)
+            for name in changes:
+                setters[name](new, changes[name])
+            return new
+
+    `make` is `object.__new__`, which does not call `__init__`.
     """
     names = [field.name for field in fields(cls)]
+    # A frozen class rejects `obj.name = value`, but not the setter of the slot.
     setters = {name: getattr(cls, name).__set__ for name in names}
     scope = {f"set_{name}": setter for name, setter in setters.items()}
     lines = [f"    set_{name}(new, obj.{name})" for name in names]
--- a/pimentoline/flag_parsing.py
+++ b/pimentoline/flag_parsing.py
@@ -108,10 +108,11 @@
 
 
 def _boolean_default(name, value, default, problems):
-    """Return the default of a switch as set by its environment variable.
+    """Return the value that a switch has if its flag is not given.
 
-    `value` is the value of the variable, or None if it is not set. If it is invalid,
-    append an error to `problems`.
+    `value` is the value of its environment variable, or None if that is not set; then
+    the switch has the value `default`. If `value` is invalid, append an error to
+    `problems`.
     """
     if value is None or value.lower() in FALSE_WORDS:
         return default if value is None else False
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -16,13 +16,17 @@
 
 
 def make_candidate(name, weight=1.0, **stats):
-    """Return a candidate with the given statistics."""
+    """Return a candidate with the given statistics, in region `rift` and dc `kerio`."""
     target = Target(name, "svc", ("127.0.0.1", 1), "rift", "kerio")
     return Candidate(target, weight, TargetStats(**stats))
 
 
 def count_choices(policy_name, candidates, rounds=2000):
-    """Return how often a policy chooses each target in the given number of rounds."""
+    """Return how often a policy chooses each target in the given number of rounds.
+
+    Policies may use the number of calls sent so far, as round robin does, and a random
+    64-bit integer, which `mix` computes from the round.
+    """
     chosen = Counter()
     for number in range(rounds):
         service_stats = ServiceStats(calls_sent=number)
@@ -69,6 +73,10 @@
 @settings(derandomize=True, max_examples=50)
 @given(st.integers(0, 2**64 - 1), st.integers(0, 99))
 def test_draws_are_in_range(draw, salt):
-    """Guards against a fraction of 1.0, which a share of 100% would not cover."""
+    """Guards against random numbers outside their range.
+
+    Canary routing and throttling select a call if `fraction < share`, so with a
+    fraction of 1.0 a share of 100% would leave out the call.
+    """
     assert 0 <= mix(draw, salt) < 2**64
     assert 0.0 <= fraction(draw, salt) < 1.0
