Explain words in six files where a first-time reader stopped

A reader who knew nothing of the project stopped at 31 places in rules/base.py, hot_cold.py, heartbeat_server.py, the emulator's nodes.py, test_purity.py and test_store.py: terms defined only in other files, unnamed positional arguments, results whose meaning was not said, and checks that looked wrong without their reason. Comments and doc strings now say it; no code changes.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -21,7 +21,7 @@
 __all__ = ["Network", "Node", "Traffic"]
 
 HEADER_NAMES = HeaderNames()
-# Header that carries the name of a call's `CallKind`.
+# Header that carries the name of a call's kind (`CallKind` in `targets`).
 KIND_HEADER = "X-Kind"
 # The address of all targets, which nothing connects to.
 TARGET_ADDR = ("127.0.0.1", 1)
@@ -117,7 +117,7 @@
             clock,
             node.service,
             TARGET_ADDR,
-            lambda: "/",
+            lambda: "/",  # health_path
             node.announce,
         )
         self._node = node
@@ -128,19 +128,21 @@
         kind = self._node.kinds[dict(work.frame.headers)[KIND_HEADER]]
         if not target_model.up:
             raise ConnectionRefusedError("the target is down")
+        # The header marks a response of the target itself; any value does.
         headers = HTTPHeaders({HEADER_NAMES.response_stamp: "s"})
         if expected_id != target_model.name:
             headers[HEADER_NAMES.not_run] = "1"
-            return Response(421, "Misdirected", headers, b"", True)
+            return Response(421, "Misdirected", headers, b"", True)  # reusable
         remaining_s = work.job.deadline_at - self._clock()
         result = await target_model.serve(kind, remaining_s)
         if result.not_run:
             headers[HEADER_NAMES.not_run] = "1"
         headers[HEADER_NAMES.load] = target_model.load_header()
         body = bytes(kind.answer_bytes) if result.status == 200 else b""
-        return Response(result.status, "", headers, body, True)
+        return Response(result.status, "", headers, body, True)  # reusable
 
     async def _probe(self):
+        # The detector of slowdowns that other programs on the target's host cause.
         noise = self.admission.noise
         noise.probe_started(self._clock())
         await asyncio.sleep(PROBE_S)
@@ -149,7 +151,7 @@
         headers[HEADER_NAMES.load] = target_model.load_header()
         self._probe_task = None
         if target_model.up:
-            self._note_identity(Response(200, "", headers, b"", True))
+            self._note_identity(Response(200, "", headers, b"", True))  # reusable
             self._note_load(headers[HEADER_NAMES.load])
         else:
             noise.probe_failed(self._clock())
@@ -165,6 +167,7 @@
             10.0,  # window_s
             64.0,  # allowance
         )
+        # None: there is no configuration.
         super().__init__(node.service, node.location, node, None, limits, clock)
         self._policy = policy
         self._rng = rng
@@ -174,6 +177,7 @@
             self.peers.candidates(call.service),
             self.location,
             now,
+            # `objective_at` is when the call misses its latency objective.
             CallRequirements(call.objective_at, call.size),
             call.tried,
             self._rng.random(),
@@ -302,7 +306,11 @@
             self.target_side.handle_heartbeat(heartbeat)
 
     def pause(self, pause_s):
-        """Take no calls for `pause_s` seconds, like a node that stops and restarts."""
+        """Take no calls for `pause_s` seconds, as in a planned restart of the node.
+
+        Calls that the target has started go on and nothing is forgotten, unlike in
+        `restart`.
+        """
         self.target_side.stop()
         asyncio.get_running_loop().call_later(pause_s, self._resume)
 
@@ -313,6 +321,7 @@
     def restart(self, down_s):
         """Go down for `down_s` seconds and keep only the stored target status."""
         status = self.target_side.status_tracker.current
+        # A node stores sequence 0, because it does not store every heartbeat.
         stored = TargetStatus(status.target_id, status.born_ms, 0, status.state)
         self.caller_side.abort()
         self.restarts += 1
--- a/pimentoline/platform/heartbeat_server.py
+++ b/pimentoline/platform/heartbeat_server.py
@@ -34,6 +34,7 @@
     """
     item = json.loads(body)
     info, status = item["info"], item["status"]
+    # `born` is when the target's process started, Unix time in milliseconds.
     sequence, born_ms, slots = status["sequence"], item.get("born", 0), info["slots"]
     for number in (sequence, born_ms, slots):
         if type(number) is not int:
@@ -90,17 +91,24 @@
         return 200, b"{}"
 
     async def _handle_heartbeat(self, heartbeat):
+        # The result is whether the target or its state changed.
         if self.node.target.handle_heartbeat(heartbeat):
             await self._store_state(heartbeat.state)
 
     async def _handle_leave(self, target_id, body):
         item = json.loads(body) if body else {}
         born_ms = item.get("born") if isinstance(item, dict) else None
+        # The result is whether the target's state changed.
         if self.node.target.handle_leave(target_id, born_ms):
             await self._store_state(TargetState.LEFT)
 
     async def _store_state(self, state):
-        """Store the target's state, so that the node knows it after a restart."""
+        """Store the target's new `state`, so that the node knows it after a restart.
+
+        Unless it is READY, the response to the target waits for the write, up to a
+        timeout: a node that restarted with an older stored state could take a target
+        that drains or has left for ready.
+        """
         if state is TargetState.READY:
             asyncio.get_running_loop().create_task(self.node.store_sync.save())
         else:
--- a/pimentoline/policies/hot_cold.py
+++ b/pimentoline/policies/hot_cold.py
@@ -15,12 +15,14 @@
 # Targets compared per decision.
 SAMPLE_SIZE = 4
 HOT_QUANTILE = 0.75
-# Requests in flight per slot; at this load, further calls queue at the target.
+# Requests in flight per slot; a target serves one request per slot at a time. At this
+# load, further calls queue at the target.
 FULL_LOAD = 1.0
 # Targets slower than this multiple of the service's median latency are avoided. The
 # usual variation of service times stays below it.
 SLOW_FACTOR = 3.0
-# Half-life of the load of other nodes in a target's load report.
+# As a target's load report ages, the number of other nodes' requests in it is assumed
+# to decay with this half-life.
 REPORT_HALF_LIFE_S = 0.5
 # Time constant with which a latency estimate approaches the median without new samples.
 LATENCY_DECAY_S = 2.0
@@ -48,9 +50,9 @@
 
     Without new samples, the estimate decays to the median of the service, so that a
     target that was slow once is tried again, and a target without samples counts as
-    average and not as the fastest. The estimate is at least the mean age of the
-    requests that wait at the target, which shows a slowdown before the first slow
-    response arrives.
+    average and not as the fastest. The estimate is at least the mean age of this
+    node's requests to the target that wait for a response head, which shows a slowdown
+    before the first slow response arrives.
     """
     median_s = service.median_latency_s
     latency_s = median_s
@@ -70,7 +72,8 @@
     def accepts(self, candidate, service, now):
         """Return whether a candidate is not much slower than the service's median.
 
-        A target whose last sample was slow gets only one request at a time.
+        A target whose average latency exceeded the limit at its last sample gets only
+        one request of this node at a time.
         """
         limit_s = SLOW_FACTOR * service.median_latency_s
         stats = candidate.stats
@@ -82,7 +85,7 @@
         return stats.latency_s <= limit_s or not stats.waiting
 
     def choose(self, candidates, service, now, draw):
-        """Return the fastest cold candidate of a random sample.
+        """Return the fastest cold candidate of a sample drawn with the random `draw`.
 
         If all accepted candidates of the sample are full, the least loaded of them is
         returned; if none is accepted, the one with the shortest expected wait.
--- a/pimentoline/rules/base.py
+++ b/pimentoline/rules/base.py
@@ -13,8 +13,8 @@
 
     A subclass is a frozen data class with one attribute for each field and option
     of the rule. It sets the class attributes below, which tell the parser how to
-    read a line. A new kind also needs an entry in `_mapping.KINDS` and one in
-    `docs/rules.md`.
+    read a line of a rules file. A new kind also needs an entry in `_mapping.KINDS` and
+    one in `docs/rules.md`.
 
     Attributes
     ----------
@@ -24,7 +24,7 @@
         Syntax of the line, shown in diagnostics.
     positional : dict of str to callable
         Required fields in the order of the line: attribute name and the function of
-        `field_parsers` that parses it.
+        the module `field_parsers` that parses it.
     options : dict of str to callable
         Optional `NAME=VALUE` words: option name and the function that parses the
         value. An option that is not given has the default of the data class.
--- a/tests/test_purity.py
+++ b/tests/test_purity.py
@@ -18,12 +18,13 @@
 from .core import digest, run_scenario
 
 PACKAGE = Path(pimentoline.__file__).parent
-# Modules of `pimentoline/twohop` that decide without clocks, sockets and other I/O.
+# Modules that decide without clocks, sockets and other I/O. They belong to
+# `pimentoline/twohop`, the path of calls through the nodes of caller and target.
 TWOHOP_DECISIONS = (
     *("admission", "retry_budget", "durations", "lifecycle", "target_status", "model"),
     *("noise", "success_rate", "placement", "weighted_round_robin"),
 )
-# Modules outside the package that the core may import.
+# Modules outside the package that the files of `core_modules()` may import.
 ALLOWED_IMPORTS = {
     *("abc", "bisect", "collections", "dataclasses", "enum", "fnmatch", "functools"),
     *("hashlib", "heapq", "importlib", "itertools", "math", "operator", "re"),
@@ -55,8 +56,9 @@
 def core_modules():
     """Return the files that the reducer, the policies and `TWOHOP_DECISIONS` import.
 
-    `rules/__init__.py` exports the reader of rules files for the command line; that
-    import is left out. An import of the reader by any other module is followed.
+    The reader of rules files does I/O. `rules/__init__.py` imports it only to export
+    it to the command line, so that import is left out. An import of the reader by any
+    other module is followed.
     """
     reader = PACKAGE / "rules" / "file_reader.py"
     found, pending = set(), [PACKAGE / "reducer.py", *PACKAGE.glob("policies/*.py")]
@@ -74,13 +76,19 @@
 
 @pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
 def test_core_imports_nothing_impure(path):
-    """Guards against imports of clocks, sockets, random sources or tornado."""
+    """Guards against imports of clocks, sockets, random sources or tornado.
+
+    Of the random sources, only `random` is allowed; the next test checks its seeds.
+    """
     assert imports(path)[1] <= ALLOWED_IMPORTS | {"random"}
 
 
 @pytest.mark.parametrize("path", core_modules(), ids=lambda path: path.stem)
 def test_core_takes_randomness_from_draws(path):
-    """Guards against a random generator without the `draw` of an event as its seed."""
+    """Guards against a random generator that is not seeded with a `draw`.
+
+    A draw is the random number that an event carries.
+    """
     nodes = list(ast.walk(ast.parse(path.read_text())))
     used = [node for node in nodes if isinstance(node, ast.Name)]
     used = [node for node in used if node.id == "random"]
@@ -92,7 +100,7 @@
 
 
 def test_core_modules_are_found():
-    """Guards against an import check that finds no modules."""
+    """Guards against an import check of no modules, or of modules that do I/O."""
     names = {path.stem for path in core_modules()}
     assert {
         "routing",
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,7 @@
-"""Protocol of the table service, and the store client with a faulty service."""
+"""Protocol of the platform's table service, and its client `Store`.
+
+The tests run against a stand-in for the service, which can have faults.
+"""
 
 import asyncio
 import json
@@ -41,7 +44,8 @@
     }
 
 
-# (path, body or None, status, expected response body or None)
+# (path, body or None, status, expected response or None). The expected response is a
+# dict with some members of the response body, or a list of the keys of the rows in it.
 PROTOCOL_STEPS = [
     ("/v1/rows/a", None, 200, {"key": "a", "version": 0, "value": None}),
     ("/v1/txn", txn([("a", 0)], [("a", 1)]), 200, {"ok": True, "versions": {"a": 1}}),
@@ -67,7 +71,7 @@
 
 
 def test_table_service_follows_its_protocol():
-    """Guards against a stand-in that deviates from the protocol on the design page."""
+    """Guards against a stand-in that deviates from the protocol in docs/design.md."""
 
     async def scenario(table, store):
         client = AsyncHTTPClient(force_instance=True)
@@ -126,11 +130,13 @@
         for request in (store.get("a"), store.scan("a"), store.commit(puts=[("a", 1)])):
             with pytest.raises(StoreError) as caught:
                 await request
+            # It is True for reads as well, as the client does not distinguish them.
             assert caught.value.may_have_written
         # Reads are retried once; a transaction is not, as it may have taken effect.
         assert (table.reads, table.writes) == (4, 1)
 
     with_table(scenario, nonsense=kind)
+    # The largest response that the client accepts is 16 MiB; the huge one exceeds it.
     assert HUGE_BODY_BYTES > 16 * 1024 * 1024
 
 
@@ -150,7 +156,11 @@
 
 @pytest.mark.parametrize("faults", [{"down": True}, {"silent": True}, {"delay_s": 9.0}])
 def test_request_to_an_unavailable_store_times_out(faults):
-    """Guards against a request without a timeout while the store is unavailable."""
+    """Guards against a request without a timeout while the store is unavailable.
+
+    The service responds with status 503 (`down`), never (`silent`) or too late. In each
+    case the client cannot tell whether a write took effect.
+    """
 
     async def scenario(table, store):
         loop = asyncio.get_running_loop()
