Explain terms and test inputs in six files where a first-time reader stopped

A reader without knowledge of the project stopped at 20 places, for example at `attempt` in the audit trail, at inputs whose reason was not given (a chunked DELETE, bytes 18 to 20 of a message) and at two descriptions of `heads` that contradicted each other.

Comments and docstrings now say what these mean. No code changes.

--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -17,6 +17,7 @@
 # step "a caller sends a request with ...".
 DEFECTS = {
     "no Host": ("GET", []),
+    # A service name must not contain an underscore.
     "a Host that is no service": ("GET", ["Host: a_b"]),
     "two Hosts": ("GET", [HOST_LINE, HOST_LINE]),
     "an unknown service": ("GET", ["Host: nowhere"]),
@@ -38,6 +39,7 @@
         [HOST_LINE, "Content-Length: 1", "Transfer-Encoding: chunked"],
     ),
     "an unknown coding": ("POST", [HOST_LINE, "Transfer-Encoding: gzip, chunked"]),
+    # The node can forward a chunked body only with POST, PUT and PATCH.
     "a chunked DELETE": ("DELETE", [HOST_LINE, "Transfer-Encoding: chunked"]),
     "an unknown expectation": ("POST", [HOST_LINE, "Content-Length: 1", "Expect: tea"]),
     "CONNECT": ("CONNECT", [HOST_LINE]),
@@ -49,7 +51,8 @@
 def step_target(context, fault):
     """Announce a target with a fault as the only target of a new service.
 
-    A target that refuses connections is announced after it has closed its port.
+    A target that refuses connections is announced after it has closed its port. For
+    this fault, `never_respond` is a placeholder that is never called.
     """
     number = next(SERVICE_NUMBERS)
     context.service = f"service-{number}"
@@ -148,8 +151,9 @@
 def step_incomplete_body(context):
     """Check that the target received a part of the body, then a closed connection.
 
-    The first entry of `heads` has the bytes of the body that arrived with the request
-    head, the second one those up to the end of the connection.
+    The target that "reads to the end" saves bytes of the body in `heads` instead of
+    request heads: first those that arrived together with the request head, then those
+    up to the end of the connection.
     """
     wait_until(
         lambda: len(context.target.heads) == 2, message="the end of the connection"
--- a/pimentoline/commands/history.py
+++ b/pimentoline/commands/history.py
@@ -59,14 +59,22 @@
 
 
 def _report_error(response, out):
-    """Write the error of a response and return the exit status."""
+    """Write the error of a response and return the exit status.
+
+    Every error except `not-found` is reported as a failure of the store, from which the
+    node reads the versions.
+    """
     code = response.get("error", "internal")
     out.write_error(code, [response.get("detail", "")])
     return ExitStatus.NOT_FOUND if code == "not-found" else ExitStatus.STORE_UNAVAILABLE
 
 
 def _lines(response):
-    """Yield the lines of the result as text."""
+    """Yield the lines of the result as text.
+
+    `base` is the version that the text of a version is based on, and `attempt` the id
+    of the request that applied it.
+    """
     rows, silent = response["history"], response["silent"]
     if silent:
         yield f"{len(silent)} nodes did not respond: {' '.join(silent)}"
--- a/tests/raw_sockets.py
+++ b/tests/raw_sockets.py
@@ -46,10 +46,11 @@
     serve : callable
         `number` counts the connections from 0. A function that is assigned later
         serves only new connections.
-    addr : list of (str, int)
-        IP address and port.
+    addr : list
+        IP address (str) and port (int).
     heads : list of list of bytes
-        Lines of each request head that `read_request` has read.
+        Lines of each request head that `read_request` has read. A `serve` function may
+        append other data instead, for example bytes of a body.
     connections : int
         Number of connections accepted so far.
     """
@@ -108,6 +109,7 @@
 def raw_target(cluster, serve, node_id="n1", target_id="t1", **announcement):
     """Announce a `RawTarget` to a node, yield it, and close it at the end.
 
+    Its service is `hive-ledger`, the one that `cluster.call` calls by default.
     `announcement` contains further fields of the announcement.
     """
     target = RawTarget(serve)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -47,6 +47,7 @@
     st.sampled_from(MemberStatus),
     st.lists(targets, max_size=3).map(tuple),
     counters,
+    # `age_s`: whole seconds, which encoding in milliseconds does not round.
     st.integers(0, 10**6).map(float),
 )
 records = st.lists(members, max_size=5).map(tuple)
@@ -148,7 +149,8 @@
     env = envelope()
     env.protocol = cd.PROTOCOL_VERSION + 1
     unknown = bytearray(envelope().to_bytes())
-    # The union's discriminant is the second 16-bit field of the data section.
+    # In Cap'n Proto, the data section follows 8 bytes of framing and a pointer of 8
+    # bytes. The union's discriminant is its second 16-bit field.
     unknown[18:20] = (999).to_bytes(2, "little")
     for payload in (env.to_bytes(), bytes(unknown)):
         with pytest.raises(NewerMessageError):
@@ -166,7 +168,7 @@
     ],
 )
 def test_only_the_unreadable_record_is_skipped(change):
-    """Guards against the loss of a whole message because of one unknown value."""
+    """Guards against the loss of a message because of one unknown or invalid value."""
     env = envelope()
     items = env.init("rumours", 2)
     good = {"nodeId": "n2", "addr": {"ip": "10.0.0.1", "port": 1}, "status": "alive"}
@@ -184,6 +186,7 @@
     env = envelope()
     env.init("rulesPush").body = b"x" * (cd.MAX_RULES_BYTES + 1)
     huge = cd.MAGIC + b"0" * cd.MAX_FRAME_BYTES
+    # The signature of the truncated `bomb` does not match.
     for data in (bomb, sign(env.to_bytes()), huge, bomb[:-4]):
         with pytest.raises(CodecError):
             CODEC.decode(data)
@@ -194,6 +197,6 @@
     [ms.Ping(-1), ms.Ping(2**64), ms.PingReq(1, ("10.0.0.1", 70000)), None, "text"],
 )
 def test_value_that_does_not_fit_is_refused_by_the_encoder(body):
-    """Guards a node's ticks against exceptions other than `CodecError`."""
+    """Guards a node's periodic task against exceptions other than `CodecError`."""
     with pytest.raises(CodecError):
         CODEC.encode(ms.Message("n1", 1, 1, body))
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -6,7 +6,11 @@
 
 
 def start_two_nodes(cluster):
-    """Start a table service, two nodes in two regions, and a target at the second."""
+    """Start a table service, two nodes in two regions, and a target at the second.
+
+    The table service is the transactional key-value store in which the nodes keep the
+    rules.
+    """
     cluster.start_table()
     cluster.start_node("n1", region="rift", dc="kerio")
     cluster.start_node("n2", region="coast", dc="kwale")
@@ -17,6 +21,7 @@
 def test_call_reaches_target_of_another_host(cluster):
     """Guards against a failure anywhere on the path from the caller to the target."""
     start_two_nodes(cluster)
+    # Optional id of the request, which the target returns in its response.
     headers = {"X-Run-Id": "r1"}
     status, _, body = cluster.call("n1", "/weights", headers=headers)
     assert status == 200
@@ -36,6 +41,7 @@
     """Guards against a node that never applies an accepted rules version."""
     start_two_nodes(cluster)
     text = "pause t1  # asked by Wanjiru\n"
+    # `attempt` is a unique id of the request, in case it is retried.
     body = {"base": 0, "text": text, "author": "otieno", "attempt": "attempt-1"}
     status, response = cluster.admin("n2", "/v1/config", "POST", body)
     assert (status, response["result"]) == (200, "accepted")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,7 +57,10 @@
 
 @pytest.mark.parametrize("body", [b"q2 0", b"q1 2", b"q1 3 more"])
 def test_response_to_another_request_is_found(checker, body):
-    """Guards against a soak that accepts any response body."""
+    """Guards against a soak that accepts any response body.
+
+    A correct body contains the id of the request and the length of its body.
+    """
     checker.record_response("q1", 200, b"q1 3")
     assert not checker.violations
     checker.record_response("q1", 200, body)
@@ -65,7 +68,11 @@
 
 
 def test_request_after_a_drain_is_found(checker):
-    """Guards against a soak that does not check acknowledged drains."""
+    """Guards against a soak that does not check acknowledged drains.
+
+    `check_drains` gets the time at which the drain of each target was acknowledged. Up
+    to `DRAIN_LIMIT_S` later, requests are still permitted.
+    """
     target = ran(SALE)
     checker.check_drains([(target, time.monotonic())], DRAIN_LIMIT_S)
     assert not checker.violations
@@ -77,7 +84,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_violation_under_faults(seed):
-    """Guards against guarantees that hold only while nothing fails."""
+    """Guards against violations that occur only while nodes or the store fail."""
     result = run_seed(seed, LENGTH_S)
     assert not result.violations
     assert result.statuses.get(200, 0) > 0
