Explain terms, numbers and conditions in six files where a new reader stopped

Three comments were also wrong: bench/capacity.py said that each period contains one synchronisation in each direction (the simulated members request two in the period of 40 s) and that a period synchronises once; standins/platform.py said that tests set `ScriptedTarget.draining`, which nothing sets or reads.

Change: comments and doc strings only. The three wrong comments now say what the code does; the code stays as it is.

Passed: test_limits, test_rules, test_bench, test_twohop_path, test_platform_process, test_twohop_generated, test_purity. bench/capacity.py was imported, not run.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -2,9 +2,9 @@
 
 The first part runs one real node; this process simulates all other members, which
 send it pings, synchronisations and gossip and respond to its messages. The second part
-runs real nodes only. The third runs only the reducer of each node, in simulated time
-and over a simulated network, and measures how long a drain and a configuration take to
-reach all nodes.
+runs real nodes only. The third runs only the reducer of each node, the function that
+applies events to its state, in simulated time and over a simulated network, and
+measures how long a drain and a configuration take to reach all nodes.
 
 Run: `python -m bench.capacity > FILE`; it prints Markdown.
 """
@@ -37,8 +37,10 @@
 MEMBER_COUNTS = (90, 180, 360, 720)
 NODE_COUNTS = (6, 12, 24, 48)
 # The first two parts measure a period at rest, when no member restarts, and then one
-# with restarts. With simulated members, each of the two periods contains one
-# synchronisation in each direction.
+# with restarts. With simulated members, both periods are long enough to contain
+# synchronisations: these members request one 30 s after the start of each period and,
+# in the period with restarts, also one after 5 s; the node requests one about every
+# 60 s.
 SIMULATED_REST_S = 60.0
 SIMULATED_RESTARTS_S = 40.0
 REAL_REST_S = 30.0
@@ -134,7 +136,7 @@
         name = f"m{self.rng.randrange(self.count)}"
         return Message(
             name,
-            1,  # incarnation
+            1,  # incarnation; nodes use only those of records
             0,  # rules_version
             body,
             0,  # known_rules_version
@@ -188,8 +190,8 @@
             self.mesh.send(
                 (node_addr,), self.make_message(Ping(self.rng.getrandbits(60)))
             )
-            # Synchronises once: in the middle of the interval, or after 5 s if the
-            # period is shorter than the interval.
+            # Synchronises in the middle of the interval and, if the period is shorter
+            # than the interval, also after 5 s.
             if (
                 second == SYNC_INTERVAL_S / 2
                 or seconds < SYNC_INTERVAL_S
@@ -288,7 +290,10 @@
 
 
 def store_request_counts(cluster):
-    """Return the numbers of reads and transactions at the table service so far."""
+    """Return the numbers of reads and transactions so far at the table service.
+
+    The table service is the store of the nodes.
+    """
     response = json.loads(http(f"{cluster.table_url}/faults")[2])
     return response["reads"], response["writes"]
 
@@ -416,6 +421,7 @@
     network.run(8)
     network.announce("n1", "t1")
     network.run(2.5)
+    # Renews the announcement, which lapses after 3 s.
     network.announce("n1", "t1")
     started_at = network.now
     network.dispatch("n1", ev.TargetDrained(network.now, "t1"))
@@ -428,6 +434,7 @@
 
     drain_s = network.run(10, all_drained) - started_at
     started_at = network.now
+    # These nodes have read version 1 from the store; the others fetch it from peers.
     for name in ("n2", "n3", "n4", "n5"):
         network.load_rules(name, 1)
     config_s = (
--- a/pimentoline/rules/budget.py
+++ b/pimentoline/rules/budget.py
@@ -20,7 +20,8 @@
     """Load probes, and their bytes, per second for all nodes of a region together.
 
     Each node uses an equal share: the budget divided by the number of nodes of the
-    region that it knows of, or by `nodes` if this is larger.
+    region that it knows of, or by `nodes` if this is larger. If the region is `*`,
+    every region has such a budget of its own.
     """
 
     kind: ClassVar = "budget"
--- a/pimentoline/rules/weight.py
+++ b/pimentoline/rules/weight.py
@@ -32,5 +32,5 @@
 
     @property
     def selector(self):
-        """The target, or service and region."""
+        """What the rule applies to: (target,) or (service, region)."""
         return tuple(self.scope.split("@"))
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -1,4 +1,8 @@
-"""pimentoline.twohop.node: the process that runs on each host."""
+"""pimentoline.twohop.node: the process that runs on each host.
+
+A call passes through two nodes: the one on the caller's host and the one on the host
+of the target.
+"""
 
 import asyncio
 import gc
@@ -43,8 +47,8 @@
     ----------
     node : str
         Name of the node.
-    dc : str
-        Data centre.
+    dc, region : str
+        Data centre of the host, and its region.
     service : str
         Service of the target on this host.
     callers_addr, peers_addr : tuple
@@ -193,7 +197,11 @@
         self._stopped = asyncio.Event()
 
     def _connection_limit(self, addr):
-        """Return the maximum number of connections of the pool to an address."""
+        """Return the maximum number of connections of the pool to an address.
+
+        Addresses other than the target's are those of the store. The target gets more
+        connections than concurrent calls, so that a probe need not wait for one.
+        """
         if addr != self.cfg.target_addr:
             return 16
         return self.target.admission.limit + 4
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,9 @@
 """Stand-ins for the platform's store and for its targets, inside one event loop.
 
 The store serves `rows-tx`, `rows-get` and `rows-feed` as the platform specifies them,
-for rows whose `part` is empty. A target, which the platform calls an instance, responds
-through a function of the test, so that it can violate the protocol at any byte.
+for rows with an empty `part`, a field of the row key that nodes do not use. A target,
+which the platform calls an instance, responds through a function of the test, so that
+it can violate the protocol at any byte.
 """
 
 import asyncio
@@ -272,7 +273,7 @@
     addr : tuple
         Address at which the target listens; None before `start`.
     draining : bool
-        Set by tests that drain the target.
+        Not used: the state that a heartbeat reports is an argument of `send_heartbeat`.
     """
 
     def __init__(self, name, service):
@@ -318,6 +319,8 @@
         `headers` are added to the usual ones or replace them; underscores in their
         names stand for hyphens.
         """
+        # The values of `X-Server-Load` are the numbers of running requests, of waiting
+        # requests and of slots, and the slowdown in percent.
         lines = {
             "X-Request-Id": request.request_id,
             "X-Response-Stamp": RESPONSE_STAMP,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -31,9 +31,10 @@
 
 
 def fail(stats, times, now=100.0, total=4, decisive=False):
-    """Return the statistics of a target after failed attempts that began at `now`.
+    """Return the statistics of a target after failed attempts.
 
-    `total` counts the targets of the service. A `decisive` failure ejects at once.
+    The attempts begin and end at `now`. `total` counts the targets of the service; none
+    of the others is ejected. A `decisive` failure ejects at once.
     """
     for _ in range(times):
         stats = outliers.record_failure(stats, now, now, decisive, lambda: 0, total)
@@ -51,7 +52,11 @@
     ],
 )
 def test_ejection_rules(outcomes, is_ejected):
-    """Guards against using failing targets, and ejecting after single failures."""
+    """Guards against using failing targets, and ejecting after single failures.
+
+    A target is ejected after 5 failures in a row, or if more than half of its latest 20
+    attempts failed.
+    """
     stats = TargetStats()
     for outcome in outcomes:
         if outcome == "f":
@@ -84,6 +89,7 @@
 def test_number_of_ejected_targets_is_limited(total, max_ejected):
     """Guards against ejecting all targets of a service when this node is at fault."""
     core = make_core(total)
+    # A POST call is not idempotent, so it is not retried after status 500.
     for _ in range(200):
         core.make_call(status=500, method="POST")
         assert len(ejected(core)) <= max_ejected
@@ -135,6 +141,9 @@
         ((10, 10, 10), (10, 10, 10), (0, 0, 0)),
         ((0, 100, 100), (0, 80, 80), (0, 0, 0)),
         ((0, 100, 100), (0, 100, 20), (0, 0, 0.2)),
+        # Up to 1.5 attempts may be sent for each accepted one: 60 of the 210 are in
+        # excess. 95% of the 10 sheddable calls are refused, which is 9.5; the other
+        # 50.5 are a share of 0.2525 of the 200 normal calls.
         ((0, 200, 10), (0, 100, 0), (0, 0.2525, 0.95)),
         ((100, 10, 10), (0, 0, 0), (0.95, 0.95, 0.95)),
         ((1, 1, 1), (0, 0, 0), (0, 0, 0)),
@@ -174,6 +183,7 @@
 
 def test_inflight_limit_by_class():
     """Guards against exceeding a limit, and against counting calls that have ended."""
+    # `hive-ledger` is `SERVICE`, which the core calls.
     core = make_core(rules="limit hive-ledger 2 class=sheddable")
     calls = [core.start_call(call_class="sheddable") for _ in range(3)]
     assert calls[2][1][0].code == "inflight-limit"
@@ -204,6 +214,8 @@
                 case "ok":
                     effects = core.receive_head(sent)
                 case "late":
+                    # 7 is the random number of the event. True means that the request
+                    # body is still buffered, so that a hedge is possible.
                     event = ev.HedgeDue(core.now, 7, call_id, True)
                     hedged = started_attempt(core.send(event))
                     extra += hedged is not None
