Explain terms and conditions in six files where a first-time reader stopped

A reader without knowledge of the project stopped at 28 places: terms that are defined elsewhere (claim, arrival clock, version check, locality ring, link, row, verdict), fields of log entries whose names do not say their content, and test requests whose expected status needs a reason.

Comments and doc comments now say what these are. ConnectionLimits said that the share of connections is spread over the targets that the node uses; it is divided among all targets of the service. names_in_source said that it yields only metrics and log entries; it yields every call whose first argument is a string. No code, string or figure changes. The meanings in metric_names keep their text, because docs/operations.md repeats them.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -46,9 +46,11 @@
 
 def make_settled_state(codec):
     """Return a state that has sent its initial gossip, and its time in seconds."""
+    # A state needs a load-balancing policy, but gossip does not depend on it.
     state, now = make_state("hot-cold"), 0.0
     for tick in range(SETTLING_TICKS):
         now += TICK_S
+        # `mix` makes a pseudorandom integer, the same in every run.
         step = reduce(state, ev.Tick(now, mix(tick, 1)))
         state = step.state
     return state, now
@@ -74,6 +76,7 @@
     state = step.state
     for tick in range(MEASURED_TICKS):
         now += TICK_S
+        # The 2 makes the integers differ from those of `make_settled_state`.
         step = reduce(state, ev.Tick(now, mix(tick, 2)))
         state = step.state
         sent_bytes.append(gossip_bytes(codec, state, step.effects))
--- a/pimentoline/connection_limits.py
+++ b/pimentoline/connection_limits.py
@@ -9,8 +9,9 @@
     """Maximum number of connections from this node to each target.
 
     A target accepts a limited number of connections from all nodes together. The
-    node's share of the connections to a service is spread evenly over the targets that
-    it uses, at least one to each.
+    node's share of the connections to a service is divided evenly among all targets of
+    the service, at least one to each. If the share is smaller than the number of
+    targets, the node uses only some of them (see `subsets`).
 
     Parameters
     ----------
@@ -31,6 +32,7 @@
         """Return the maximum number of connections to a target address."""
         mesh = self._get_state().mesh
         node_count = len(mesh.members)
+        # The state is immutable, so a change of the targets makes a new `by_service`.
         if mesh.by_service is not self._by_service or node_count != self._node_count:
             self._by_service, self._node_count = mesh.by_service, node_count
             self._limits = dict(_target_limits(mesh.by_service, node_count))
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -28,6 +28,8 @@
     "attempts.hedged": ("counter", "attempts", "second attempts of slow calls"),
     "attempts.retried": ("counter", "attempts", "attempts after a failed one"),
     "calls.*": ("counter", "calls", "calls refused by this node, by error code"),
+    # A claim is an entry in the store that lets at most one of the calls with the same
+    # idempotency key run. The metric counts the writes that were given up.
     "claims.abandoned": ("counter", "claims", "writes to claims that were given up"),
     "mesh.bytes_received": ("counter", "bytes", "payload received from other nodes"),
     "mesh.bytes_sent": ("counter", "bytes", "payload sent to other nodes"),
@@ -99,7 +101,13 @@
     ),
     "store:unavailable": ("detail", "the store did not respond when it was needed"),
     "target:silent": ("target", "a target stopped renewing its announcement"),
-    # The entries below are written only by the packages `twohop` and `platform`.
+    # The entries below are written only by the packages `pimentoline.twohop` and
+    # `pimentoline.platform`. There, a call passes through two nodes: that on the host
+    # of the caller and that on the host of the target. `verdict` is `not-run`,
+    # `may-have-run` or `ran`, depending on what is known about the execution of the
+    # request. A link is a connection between two nodes. A row is the record of a node
+    # in the store's table of members. `born_ms` is the start of the target, Unix time
+    # in milliseconds, and `sequence` increases with each of its heartbeats.
     "call:broken": (
         "request, target, reason, verdict, detail",
         "an attempt at a target ended without a usable response",
@@ -109,11 +117,14 @@
         "the deadline of a caller is not a number and is ignored",
     ),
     "call:error": ("request, detail", "an internal error ended a call"),
+    # `asked` lists the nodes that the call was sent to; `age_ms` is the time since the
+    # call arrived.
     "call:refused": (
         "request, route, service, status, reason, asked, attempts, verdict, age_ms",
         "the caller's node ended a call with its own error, not a target's response",
     ),
     "call:unrouted": ("host, path, version", "no route in force matches a call"),
+    # `was` is the previous version.
     "config:in-force": (
         "version, was, source",
         "this node has begun to use another configuration",
@@ -131,8 +142,11 @@
     "member:row-removed": ("node", "this node deleted the row of a node that left"),
     "member:set": ("node, service", "a node is new or has changed"),
     "member:unreadable": ("key, detail", "a row does not describe a node"),
+    # `same` is false if a changed setting takes effect only after a restart.
     "node:reloaded": ("node, same", "the settings were read again"),
     "node:stopping": ("node", "a graceful stop has begun"),
+    # `calls` is the number of calls sent over the link that had not ended; the target
+    # may have run them.
     "peer:lost": (
         "node, reason, calls",
         "a link to a node ended; its `calls` open calls may have run",
@@ -147,6 +161,7 @@
         "the settings file could not be checked for changes",
     ),
     "store:state": ("reachable, detail", "the store was lost, or is back"),
+    # The heartbeat contains another address than that of the target on this host.
     "target:foreign": (
         "target",
         "a heartbeat is ignored, since its address is not the target's",
--- a/pimentoline/node.py
+++ b/pimentoline/node.py
@@ -42,14 +42,17 @@
 
 TICK_INTERVAL_S = 0.2
 STORE_POLL_INTERVAL_S = 10.0
-# Threshold of the youngest garbage collector generation, in allocations. A call
-# allocates some hundreds of objects, which are freed by reference counting.
+# Threshold of the youngest garbage collector generation, in allocations. Proxying one
+# call allocates some hundreds of objects. These are freed by reference counting, so
+# frequent collections are not needed.
 GC_THRESHOLD = 10_000
-# A stopping node announces to its peers during this many ticks that it is leaving,
-# because all three datagrams of a single gossip round could be lost.
+# A stopping node announces to its peers during this many ticks that it is leaving. Each
+# tick is one gossip round, which sends to three peers, and all three datagrams of a
+# single round could be lost.
 LEAVE_TICKS = 2
-# A stopping node waits up to this long for claim writes (see `ClaimWriter`) that are
-# still being retried because the store is unavailable.
+# A stopping node waits up to this long for writes to claims that are still being
+# retried because the store is unavailable. A claim is an entry in the store that lets
+# at most one of the calls with the same idempotency key run (see `ClaimWriter`).
 CLAIM_WRITE_TIMEOUT_S = 10.0
 
 
@@ -132,6 +135,7 @@
         await self.peer_discovery.join()
         self._server = DataServer(self.proxy)
         self._server.add_sockets(data_sockets)
+        # Detects pauses of the process, during which requests wait in the kernel.
         self.proxy.arrival_clock.start()
         loop = asyncio.get_running_loop()
         self._tasks = [
@@ -246,7 +250,8 @@
         if effect.addr is not None:
             await self.send_request(effect.addr, RulesRequest(effect.version))
             rules = self.state.rules
-            # An unconfirmed peer cannot end a pending version check; the store can.
+            # This node refuses calls until its version check ends. A reply from a peer
+            # whose own check has not ended cannot end it; the store can.
             if rules.version >= effect.version and not rules.version_check_pending:
                 return
         await self.publisher.load_from_store()
--- a/pimentoline/policies/base.py
+++ b/pimentoline/policies/base.py
@@ -13,11 +13,13 @@
     name = ""
 
     def accepts(self, candidate, service, now):
-        """Return whether a candidate should be used if there are others.
+        """Return False if a candidate should be used only when no better one is left.
 
-        A locality ring without an accepted candidate is skipped. The candidates do not
-        include ejected targets; by default, all are accepted. The parameters are those
-        of `choose`.
+        The targets of a service form locality rings around the node: its data centre,
+        its region, other regions. A ring without an accepted candidate is skipped, but
+        only a part of the first attempts leaves the region for this reason. The
+        candidates do not include ejected targets; by default, all are accepted. The
+        parameters are those of `choose`.
         """
         return True
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -16,7 +16,8 @@
 VALID = {"service": "hive-ledger", "addr": ["127.0.0.1", 8000]}
 TOO_LONG_ID = "x" * 300
 
-# (method, path, body, status)
+# (method, path, body, status). The node has no store, so valid requests for rules
+# versions and their history get 503.
 REQUESTS = [
     ("PUT", "/v1/targets/t1", VALID, 200),
     ("PUT", "/v1/targets/t1", {**VALID, "load": 3, "state": "draining"}, 200),
@@ -46,6 +47,7 @@
     ("GET", "/v1/config?version=3", None, 503),
     ("GET", "/v1/history", None, 503),
     ("GET", "/v1/history?limit=0", None, 400),
+    # The text `%d`, which must not be taken for a placeholder in the error message.
     ("GET", "/v1/history?limit=%25d", None, 400),
     ("POST", "/v1/explain", {"service": "a", "method": "GET"}, 400),
     ("POST", "/v1/explain", {"service": "a", "method": "GET", "path": "x"}, 400),
@@ -65,6 +67,7 @@
             assert set(json.loads(data)) == {"error", "detail"}, data
     record = cluster.admin("n1", "/v1/mesh")[1]["members"][0]
     assert [target["target_id"] for target in record["targets"]] == ["t1"]
+    # More than the 64 targets that may be announced at one node.
     for number in range(70):
         last_status, _, _ = http(f"{base}/v1/targets/more-{number}", "PUT", VALID)
     assert last_status == 400, "the number of targets is not bounded"
@@ -72,6 +75,7 @@
 
 def test_rules_text_of_one_mebibyte_is_accepted(cluster):
     """Guards against a limit on the request body that rejects a text of 1 MiB."""
+    # The table service is the store of the rules.
     cluster.start_table()
     cluster.start_node("n1")
     for size, status in ((1024 * 1024, 200), (1024 * 1024 + 1, 400)):
@@ -93,7 +97,11 @@
 
 
 def names_in_source():
-    """Yield (called function, name) of each metric and log entry in the package."""
+    """Yield (called function, text) of each call whose first argument is a string.
+
+    The calls are those in the source of the package. The test below picks the functions
+    that record a metric or write a log entry; their first argument is its name.
+    """
     for path in PACKAGE.rglob("*.py"):
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
@@ -115,6 +123,8 @@
     page = OPERATIONS_PAGE.read_text()
     for function, name in names_in_source():
         if function in ("IncrementCounter", "count", "timing", "record_duration"):
+            # The names that begin with `apply.` end with the result of the request.
+            # The table lists each of them instead of a pattern `apply.*`.
             known = is_known_metric(name) or name == "apply.x"
             assert known, f"metric {name} is not in metric_names.METRICS"
         elif function in ("LogEntry", "entry", "log_entry"):
@@ -152,6 +162,7 @@
     for _ in range(5):
         metrics.count("store.failed")
     assert client.items == []
+    # The sums are sent by the first count after an interval of 1 s.
     now[0] = 1.5
     metrics.count("store.failed", 2)
     metrics.flush()
