--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -1,4 +1,10 @@
-"""Steps for calls with an Idempotency-Key."""
+"""Steps for calls with an Idempotency-Key.
+
+A node claims the key in the store before it sends a call to the target, and adds the
+outcome to the claim afterwards. A call that repeats the key is not run: it gets this
+outcome, or 409 while there is none. If the first call was not run, its claim is
+released.
+"""
 
 import itertools
 import json
@@ -10,7 +16,7 @@
 from tests.target_faults import OK_RESPONSE
 
 KEY_NUMBERS = itertools.count(1)
-# Faults of the table service, by the text of the step "a store that ...".
+# Faults of the store, by the text of the step "a store that ...".
 STORE_FAULTS = {
     "is down": {"down": True},
     "loses an answer": {"lose_answers": 1},
@@ -91,7 +97,8 @@
 def step_repeat(context):
     """Send the call with the same key again, now to a target that answers 200.
 
-    The requests that the target received before are forgotten.
+    The target's connections are closed, because those in use would keep its previous
+    behaviour. The list of the requests that it has received is emptied.
     """
     context.target.serve = serve_responses(OK_RESPONSE)
     context.target.end_connections()
@@ -108,12 +115,16 @@
     expected = {"yes": ["1", None], "cut": ["1", "1"], "no": [None, None]}[replayed]
     assert received == expected, received
     if replayed == "cut":
+        # A claim holds at most the first 4096 bytes of a response body.
         assert context.body == b"r" * 4096
 
 
 @then("the target has received {runs:d} requests")
 def step_runs(context, runs):
-    """Check the number of requests at the target, counted from its repair if any."""
+    """Check the number of requests at the target.
+
+    They are counted from the step in which it becomes healthy, if the scenario has one.
+    """
     assert len(context.target.heads) == runs, context.target.heads
 
 
@@ -127,7 +138,11 @@
 
 @then("the same key is answered 200 and has run once")
 def step_usable(context):
-    """Repeat the call until a claim that the store did not confirm is released."""
+    """Repeat the call until it succeeds, and check that the target ran it once.
+
+    If the store did not confirm the first call's claim, the claim blocks the key until
+    the node has released it.
+    """
 
     def succeeds():
         send_keyed(context)
--- a/pimentoline/rules/retry.py
+++ b/pimentoline/rules/retry.py
@@ -16,7 +16,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryRule(Rule):
-    """Allowed retries and hedges as a share of the first attempts of a service."""
+    """Allowed retries and hedges as a share of the first attempts of a service.
+
+    The service selects what the rule applies to; `*` matches every service.
+    """
 
     kind: ClassVar = "retry"
     syntax: ClassVar = "retry SERVICE SHARE"
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -26,7 +26,9 @@
     "step",
 ]
 
-# Maximum number of nodes that a call is sent to, not counting the last resort.
+# Maximum number of nodes that a call is sent to, not counting the last resort: if no
+# other node is left, the call is sent again to a node that refused it, which must then
+# accept it even if it will be late.
 MAX_PLACEMENTS = 4
 # A call with less time than this until its deadline is not retried, seconds.
 MIN_RETRY_TIME_S = 0.03
@@ -92,7 +94,8 @@
 class AttemptRefused:
     """The call was refused and has not run.
 
-    The target's node refused it, or the target itself did with proof (`by_target`).
+    The target's node refused it, or the target itself responded that it has not run the
+    call (`by_target`).
     """
 
     now: float
@@ -121,7 +124,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptStalled:
-    """The link to the target's node is suspect; the response may still come."""
+    """The target's node has not replied to a ping; the response may still come."""
 
     now: float
 
@@ -310,6 +313,7 @@
     candidate = environment.choose(call, now)
     if candidate is None:
         return []
+    # The stalled attempt counts against `max_attempts`, but only if it is given up.
     call.attempts += 1
     if not _acquire_retry(call, now, environment):
         call.attempts -= 1
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -19,8 +19,9 @@
 MEMBERS_TABLE = "members"
 # Range of the time that one long poll for changes waits, seconds. Each node draws a
 # random time from it, so that the polls of the nodes end at different times. Even if
-# connections to the store have gone silent, some node then reads a new configuration
-# within a second, and passes it on to the others.
+# connections to the store have gone silent, the poll of one of the many nodes ends
+# within a second. Its next poll returns a new configuration, and the other nodes
+# request it from this node.
 CONFIG_POLL_RANGE_S = (6.0, 12.0)
 MEMBERS_POLL_RANGE_S = (15.0, 25.0)
 # Pause after a failed request, seconds. Once the store is reachable again, the row of
@@ -29,8 +30,9 @@
 MAX_PAUSE_S = 1.2
 # Changes of members within this time are read with one request.
 BATCH_DELAY_S = 0.4
-# A heartbeat with a new state, such as draining, is acknowledged once the state is
-# stored, or after this time, seconds. The write continues in the background.
+# If a heartbeat tells this node a new state of its target, such as draining, it is
+# acknowledged once the state is stored, or after this time, seconds. The write then
+# continues in the background.
 MAX_STORE_WAIT_S = 0.6
 # After a version conflict, a conditional write is retried once with the stored version.
 MAX_SAVE_ATTEMPTS = 2
@@ -133,6 +135,7 @@
     def _apply_config_rows(self, rows, complete):
         for row in rows:
             if row.key == self._config_row[1] and row.value is not None:
+                # None: only the text itself contains the configuration's version.
                 self._node.config.offer(None, row.value, "store")
 
     def _apply_member_rows(self, rows, complete):
@@ -192,8 +195,8 @@
     def _restore_target(self, value):
         """Restore the target's state from a row's value; return the decoded value.
 
-        An earlier process of this node wrote the row, and the write may have taken
-        effect after this process started.
+        An earlier process of this node may have written the row. Such a write can take
+        effect after this process started, so this is done each time the row is read.
         """
         if value is None:
             return None
@@ -224,7 +227,8 @@
             value["target"] = {
                 "target_id": status.target_id,
                 "born_ms": status.born_ms,
-                # The row is written for a new state, not for every heartbeat.
+                # Not the sequence number of the newest heartbeat, because the row is
+                # written only when the state changes.
                 "sequence": 0,
                 "state": status.state.value,
             }
@@ -267,6 +271,7 @@
 
     def _on_save_timer(self):
         self._save_timer = None
+        # `stop` empties `_tasks`.
         if self._tasks:
             self._start_task(self.save())
 
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -40,7 +40,11 @@
 
 
 def apply_rules(cluster, node_id, text, base, author="mary", attempt=None):
-    """Apply a rules text over HTTP, without a command; return the response."""
+    """Apply a rules text over HTTP, without a command; return the response.
+
+    `base` is the version that the text is based on. `attempt` is the id of this attempt
+    to apply it, by default a new one.
+    """
     body = {"base": base, "text": text, "author": author}
     body["attempt"] = attempt or uuid.uuid4().hex
     return cluster.admin(node_id, "/v1/config", "POST", body)[1]
@@ -53,7 +57,10 @@
 
 
 def rules_text(name, requester="Mary"):
-    """Return a valid rules text that is different for each name."""
+    """Return a valid rules text that is different for each name.
+
+    The comment of a rule names its requester, the person who asked for it.
+    """
     return f"pause target-{name}  # {requester}\n"
 
 
