Say that the last resort also follows the maximum number of nodes

The comment of MAX_PLACEMENTS named only one of the two cases in which a call is sent to its last resort: no other node is left. It also happens after MAX_PLACEMENTS nodes. No code changes.

--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -26,9 +26,9 @@
     "step",
 ]
 
-# Maximum number of nodes that a call is sent to, not counting the last resort: if no
-# other node is left, the call is sent again to a node that refused it, which must then
-# accept it even if it will be late.
+# Maximum number of nodes that a call is sent to, not counting the last resort: after
+# that many nodes, or if no other node is left, the call is sent again to a node that
+# refused it, which must then accept it even if it will be late.
 MAX_PLACEMENTS = 4
 # A call with less time than this until its deadline is not retried, seconds.
 MIN_RETRY_TIME_S = 0.03
