Correct five texts that readers found unclear or untrue

Fresh readers found five texts that don't match the code:

- ScriptedTarget.draining was called unused, but `soak` sets and reads it.
- `lifecycle` said that a node must accept a last-resort call.
It doesn't refuse such a call for its latency objective, but admission may still refuse it: the deadline would be missed, the queue of late jobs is full, or it has expired.
- The help of the mesh command spoke of "this node", but the command is not one.
- Unconfirmed targets were those whose node left or died.
Those of a restarted node are unconfirmed too.

The texts now say what the code does. Besides comments and doc strings, only the help of the mesh command changes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the experiments of an experiment file and writes the report."""
+"""Runs the experiment in an experiment file and writes the report."""
 
 import concurrent.futures as cf
 import sys
--- a/pimentoline/commands/mesh.py
+++ b/pimentoline/commands/mesh.py
@@ -13,8 +13,8 @@
     """
 
     description = """
-Shows the nodes that this node knows, with their status, and the targets that each of
-them has announced.
+Shows the nodes that the node at --admin_addr knows, with their status, and the targets
+that each of them has announced.
 """
     flags = ADMIN_FLAGS
     model = AdminConfig
--- a/pimentoline/model.py
+++ b/pimentoline/model.py
@@ -426,9 +426,10 @@
 
 @dataclass(frozen=True, slots=True)
 class UnconfirmedTarget:
-    """A target whose node left or died.
+    """A target whose node left, died or restarted.
 
-    The target stays routable until `until`, monotonic time in seconds.
+    The target is unconfirmed until a running node announces it. It stays routable until
+    `until`, monotonic time in seconds.
     """
 
     target: Target
@@ -450,7 +451,8 @@
         Routable targets by service. Derived from `members` and `unconfirmed`, and
         cached for fast routing.
     unconfirmed : Map of str to UnconfirmedTarget
-        Targets whose node left or died, by target id.
+        Targets whose node left, died or restarted, by target id, until a running node
+        announces them.
     ended_at : Map of str to float
         Monotonic time at which a member left or died, seconds, by node id.
     suspect_deadlines : Map of str to float
--- a/pimentoline/target_states.py
+++ b/pimentoline/target_states.py
@@ -172,7 +172,7 @@
 
 
 def expire_unconfirmed_targets(state, now):
-    """Remove the targets whose node left or died 60 s ago.
+    """Remove unconfirmed targets 60 s after their node left, died or restarted.
 
     Those of a lost region are kept for an hour more, as its dead members are, since the
     region is more likely to be cut off than to have failed.
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -81,7 +81,8 @@
     priority : int
         0 is the most urgent.
     last_resort : bool
-        Whether to accept the call even if its response will miss the objective.
+        Whether to accept the call even if its response will miss the objective. It may
+        still be refused for another reason.
     body_bytes : int
         Size of the whole body.
     """
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -28,7 +28,8 @@
 
 # Maximum number of nodes that a call is sent to, not counting the last resort: after
 # that many nodes, or if no other node is left, the call is sent again to a node that
-# refused it, which must then accept it even if it will be late.
+# refused it. That node now accepts it even if its response will miss the latency
+# objective, but may still refuse it for another reason, such as the deadline.
 MAX_PLACEMENTS = 4
 # A call with less time than this until its deadline is not retried, seconds.
 MIN_RETRY_TIME_S = 0.03
@@ -57,7 +58,8 @@
     current_candidate : Candidate or None
         Where the call was sent last.
     last_resort : bool
-        Whether the current attempt must be accepted even if it will be late.
+        Whether the current attempt is accepted even if its response will miss the
+        latency objective. It may still be refused for another reason.
     retry_after_s : float or None
         Shortest retry-after time of the refusals of the call, seconds.
     last_resort_candidate : Candidate or None
@@ -151,7 +153,8 @@
     ----------
     candidate : Candidate
     last_resort : bool
-        Whether the candidate's node must accept the call even if it will be late.
+        Whether the candidate's node accepts the call even if its response will miss the
+        latency objective. It may still refuse the call for another reason.
     retry : bool
         Whether an earlier attempt may have reached a target.
     """
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -273,7 +273,9 @@
     addr : tuple
         Address at which the target listens; None before `start`.
     draining : bool
-        Not used: the state that a heartbeat reports is an argument of `send_heartbeat`.
+        Whether `soak` has begun to drain the target. `soak` then sends no more `ready`
+        heartbeats for it. The state that a heartbeat reports does not depend on this:
+        it is an argument of `send_heartbeat`.
     """
 
     def __init__(self, name, service):
