--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -341,8 +341,8 @@
         self.record(f"{self.name}: answers {run.request_id} {status} {len(data)} bytes")
         return True
 
-    async def tell(self, node, state):
-        """Send a status report or a leave; return whether it is acknowledged."""
+    def report(self, state):
+        """Return the call and the body of a status report, or of a leave."""
         self.sequence += 1
         call, item = "leave", {"born": self.born_ms}
         if state != "left":
@@ -352,6 +352,11 @@
             status = {"state": state, "sequence": self.sequence, "cold_left": "0ms"}
             item |= {"address": "{}:{}".format(*self.addr)}
             item |= {"info": info, "status": status}
+        return call, item
+
+    async def post(self, node, report):
+        """Send a report to the node; return whether it is acknowledged."""
+        call, item = report
         target = f"/v1/rpc?call=instances.{call}&of={self.name}"
         try:
             async with asyncio.timeout(1.0):
@@ -360,6 +365,10 @@
             return False
         return 200 <= answer.status < 300
 
+    async def tell(self, node, state):
+        """Send a status report or a leave; return whether it is acknowledged."""
+        return await self.post(node, self.report(state))
+
     def start_beating(self, node):
         """Send a status report every `HEARTBEAT_S`."""
         self.beating = asyncio.ensure_future(self._beat(node))
