Review: an error of a stand-in is no broken rule

An unexpected exception ended a script with Python's exit status 1, which says that the rule was broken; it is 2 now. Seen in reading only; no run ended so.

--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -639,7 +639,8 @@
     try:
         broken = asyncio.run(run())
         result, text = (BROKEN, broken) if broken else (HELD, "the rule held")
-    except (CannotRunError, TimeoutError, OSError) as exc:
+    except Exception as exc:
+        # An unexpected error of a stand-in must not look like a broken rule.
         result, text = NOT_RUN, f"the case couldn't run: {exc!r}"
     record(f"result {result}: {text}")
     record.close()
