Review: end the processes of a script that is stopped early

Seen: a script that was stopped by SIGTERM left its nodes running, and one stopped by SIGKILL too (by reading; not run before the change). Cause: nothing handled the signals. They now end the script with 2, by way of its clean-up, and the nodes die with the script (PR_SET_PDEATHSIG). Measured: TERM, INT, HUP: status 2, no node left; KILL: no node left.

--- a/review/lib/kit.py
+++ b/review/lib/kit.py
@@ -7,6 +7,7 @@
 import base64
 import collections
 import contextlib
+import ctypes
 import itertools
 import json
 import os
@@ -42,6 +43,16 @@
 _next_port = itertools.count(os.getpid() * 101)
 
 
+LIBC = ctypes.CDLL(None)
+# The option of prctl that names the signal for the death of the parent.
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent():
+    """Let a new process be killed when this one ends, even by SIGKILL."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRunError(Exception):
     """The case could not be played."""
 
@@ -497,7 +508,12 @@
         env["PIMENTOLINE_CONFIG"] = str(self._settings)
         with (self._folder / f"{self.name}.log").open("a") as log:
             self.process = subprocess.Popen(
-                shlex.split(role["run"]), cwd=ROOT, env=env, stdout=log, stderr=log
+                shlex.split(role["run"]),
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
+                preexec_fn=_end_with_parent,
             )
         self.started_at = time.monotonic()
         self.record(f"{self.name}: process {self.process.pid} started")
@@ -626,6 +642,9 @@
     record(f"TROUBLE={int(TROUBLE)}")
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             system = System(temporary, record)
             try:
@@ -639,8 +658,9 @@
     try:
         broken = asyncio.run(run())
         result, text = (BROKEN, broken) if broken else (HELD, "the rule held")
-    except Exception as exc:
-        # An unexpected error of a stand-in must not look like a broken rule.
+    except (Exception, asyncio.CancelledError) as exc:
+        # The script was stopped early, or a stand-in failed. Neither must look like a
+        # broken rule.
         result, text = NOT_RUN, f"the case couldn't run: {exc!r}"
     record(f"result {result}: {text}")
     record.close()
