Keep the state of a target that has left when its node stops

Cause: at SIGTERM a node whose target had left removed its row, to spare other nodes connecting in vain, and with it the only lasting record of the leave. The next process of the node took the first heartbeat that arrived, made before the leave, for the state.

Change: the row stays, with the state, and is marked `stopped`. Other nodes drop the member as before; a node that starts again reads the state and takes the mark off. The member whose name sorts first removes marked rows 600 s after it read them.

Conclusion: the record no longer depends on what a process does while it stops.

--- a/pimentoline/twohop/member_rows.py
+++ b/pimentoline/twohop/member_rows.py
@@ -4,7 +4,7 @@
 """
 
 import json
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from ipaddress import IPv4Address
 from typing import Annotated
 
@@ -13,7 +13,7 @@
 from .model import Member
 from .target_status import TargetState, TargetStatus
 
-__all__ = ["encode_members", "encode_row", "parse_members", "parse_row"]
+__all__ = ["MemberRow", "encode_members", "encode_row", "parse_members", "parse_row"]
 
 # Largest start time of a target, Unix time in milliseconds: the year 5138. A larger
 # one would make the reports of every later target look late.
@@ -22,6 +22,24 @@
 Name = Annotated[str, Field(min_length=1, max_length=200)]
 
 
+@dataclass(frozen=True, slots=True)
+class MemberRow:
+    """What the row of a node says.
+
+    Attributes
+    ----------
+    status : TargetStatus or None
+        Status of the node's target; None if it is unknown.
+    stopped : bool
+        Whether the node has stopped after its target had left. Such a row names no
+        member. It is kept because the node may start again beside the same target.
+    """
+
+    member: Member
+    status: TargetStatus | None
+    stopped: bool = False
+
+
 class _TargetFields(BaseModel):
     model_config = ConfigDict(strict=True)
 
@@ -47,6 +65,7 @@
 
 class _Row(_MemberFields):
     target: _TargetFields | None = None
+    stopped: bool = False
 
 
 class _NamedMember(_MemberFields):
@@ -62,7 +81,7 @@
 
 
 def parse_row(node, value):
-    """Return the member and the status of its target in the value of a row.
+    """Return what the value of a row says.
 
     Parameters
     ----------
@@ -72,7 +91,7 @@
 
     Returns
     -------
-    tuple of (Member, TargetStatus or None)
+    MemberRow
 
     Raises
     ------
@@ -85,15 +104,17 @@
         raise ValueError(_describe(exc)) from None
     target = row.target
     status = None if target is None else TargetStatus(**dict(target))
-    return row.member(node), status
+    return MemberRow(row.member(node), status, row.stopped)
 
 
-def encode_row(member, status):
-    """Return the value of the row of a member; `status` is its target's, or None."""
-    value = asdict(member)
+def encode_row(row):
+    """Return the value of a `MemberRow`."""
+    value = asdict(row.member)
     del value["node"]
-    if status is not None:
-        value["target"] = asdict(status) | {"state": status.state.value}
+    if row.status is not None:
+        value["target"] = asdict(row.status) | {"state": row.status.state.value}
+    if row.stopped:
+        value["stopped"] = True
     return json.dumps(value).encode()
 
 
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -301,9 +301,9 @@
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self.target.has_left:
-            # The host is removed with its target. Other nodes would try in vain to
-            # connect to a node whose row remains.
-            await self.store_sync.remove_with_timeout()
+            # The host is usually removed with its target. Other nodes would try in vain
+            # to connect to it.
+            await self.store_sync.mark_stopped_with_timeout()
         self.peers.stop_listening()
         self.caller_side.abort()
         self.frontend.close_idle()
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -12,7 +12,7 @@
 from ..logs import log_entry
 from ..tasks import start_task
 from . import watch_schedule
-from .member_rows import encode_row, parse_row
+from .member_rows import MemberRow, encode_row, parse_row
 
 __all__ = ["MEMBERS_TABLE", "StoreSync"]
 
@@ -32,6 +32,9 @@
 MAX_STORE_WAIT_S = 0.6
 # After a version conflict, a conditional write is retried once with the stored version.
 MAX_SAVE_ATTEMPTS = 2
+# The row of a stopped node is removed after this time, seconds. Targets that have left
+# serve for some seconds at most.
+STOPPED_ROW_LIFETIME_S = 600.0
 
 
 class StoreSync:
@@ -64,6 +67,11 @@
         self._write_lock = asyncio.Lock()
         self._tasks = []
         self._save_timer = None
+        # Whether the row says that this node has stopped.
+        self._stopped = False
+        # When this node first read each row of a stopped node, by key and version; time
+        # of the event loop, seconds.
+        self._stopped_rows = {}
         self._random = random.Random()
         self.members_loaded = asyncio.Event()
         self._reachable = True
@@ -87,10 +95,14 @@
         if self._save_timer is not None:
             self._save_timer.cancel()
 
-    def _config_wait_s(self, restarted):
+    def _rank(self):
+        """Return the number of members whose names sort before this node's."""
         members = self._node.peers.members
-        rank = sum(member.node < self._own_member.node for member in members)
-        return watch_schedule.wait_s(rank, len(members), restarted)
+        return sum(member.node < self._own_member.node for member in members)
+
+    def _config_wait_s(self, restarted):
+        member_count = len(self._node.peers.members)
+        return watch_schedule.wait_s(self._rank(), member_count, restarted)
 
     def _members_wait_s(self, restarted):
         return self._random.uniform(*MEMBERS_POLL_RANGE_S)
@@ -125,8 +137,10 @@
                     restarted, rows_read = bool(rows), False
                     if rows:
                         apply(rows, False)
-                    if rows and table == MEMBERS_TABLE:
-                        await asyncio.sleep(BATCH_DELAY_S)
+                    if table == MEMBERS_TABLE:
+                        self._remove_expired_rows()
+                        if rows:
+                            await asyncio.sleep(BATCH_DELAY_S)
                 self._note_reachable(True, "")
                 pause_s = MIN_PAUSE_S
             except StoreHistoryExpiredError as exc:
@@ -182,16 +196,33 @@
             if row.value is None:
                 self._node.peers.remove_member(row.key)
                 continue
-            member, _ = self._parse_row(row.key, row.value)
-            if member is not None and member.addr == self._own_member.addr:
+            parsed_row = self._parse_row(row.key, row.value)
+            if parsed_row is None:
+                continue
+            if parsed_row.member.addr == self._own_member.addr:
                 # The address of a removed host has been assigned to this one.
                 start_task(self._remove_row(row.key, row.version), "remove row")
-            elif member is not None:
-                self._node.peers.set_member(member)
+            elif parsed_row.stopped:
+                self._node.peers.remove_member(row.key)
+                now = asyncio.get_running_loop().time()
+                self._stopped_rows.setdefault((row.key, row.version), now)
+            else:
+                self._node.peers.set_member(parsed_row.member)
         if complete or own_row is not None:
             self._apply_own_row(own_row)
         self.members_loaded.set()
 
+    def _remove_expired_rows(self):
+        """Remove the rows of nodes that stopped long ago; only one member does this."""
+        if self._rank() > 0:
+            return
+        now = asyncio.get_running_loop().time()
+        for (key, version), read_at in list(self._stopped_rows.items()):
+            if now - read_at > STOPPED_ROW_LIFETIME_S:
+                del self._stopped_rows[key, version]
+                # A node that has started again has written another version.
+                start_task(self._remove_row(key, version), "remove row")
+
     async def _remove_row(self, key, version):
         try:
             await self._store.write(MEMBERS_TABLE, key, None, version)
@@ -200,41 +231,41 @@
             log_entry("member:row-kept", node=key, detail=exc.detail[:120])
 
     def _parse_row(self, key, value):
-        """Return (member, status of its target); (None, None) if it is unreadable."""
+        """Return the `MemberRow` in a row's value, or None if it is unreadable."""
         try:
             return parse_row(key, value)
         except ValueError as exc:
             log_entry("member:unreadable", key=key[:80], detail=str(exc)[:80])
-            return None, None
+            return None
 
     def _apply_own_row(self, row):
         """Restore the target's state from the row, and save the row if it differs."""
         self._row_version = row.version if row is not None else 0
         value = row.value if row is not None else None
-        if self._restore_target(value) != (self._own_member, self._own_status()):
+        if self._restore_target(value) != self._own_row():
             self.save_in_background()
 
     def _restore_target(self, value):
-        """Restore the target's state from a row's value; return (member, status).
+        """Restore the target's state from a row's value; return the `MemberRow`.
 
         An earlier process of this node may have written the row. Such a write can take
         effect after this process started, so this is done each time the row is read.
         """
-        if value is None:
-            return None, None
-        member, status = self._parse_row(self._own_member.node, value)
-        if status is not None:
-            self._node.target.restore(status)
-        return member, status
+        row = None if value is None else self._parse_row(self._own_member.node, value)
+        if row is not None and row.status is not None:
+            self._node.target.restore(row.status)
+        return row
 
-    def _own_status(self):
-        """Return the status of this node's target, as the row contains it, or None.
+    def _own_row(self):
+        """Return the `MemberRow` of this node.
 
-        The row has no sequence number of a heartbeat, because it is written only when
-        the state changes.
+        It has no sequence number of a heartbeat, because it is written only when the
+        state changes.
         """
         status = self._node.target.status_tracker.current
-        return None if status is None else replace(status, sequence=0)
+        if status is not None:
+            status = replace(status, sequence=0)
+        return MemberRow(self._own_member, status, self._stopped)
 
     def save_in_background(self):
         """Start to write this node's row; return the task."""
@@ -247,7 +278,7 @@
         """
         async with self._write_lock:
             for _ in range(MAX_SAVE_ATTEMPTS):
-                value = encode_row(self._own_member, self._own_status())
+                value = encode_row(self._own_row())
                 try:
                     self._row_version = await self._store.write(
                         MEMBERS_TABLE, self._own_member.node, value, self._row_version
@@ -281,18 +312,16 @@
         if self._tasks:
             self.save_in_background()
 
-    async def remove_with_timeout(self):
-        """Remove this node's row, because its host shuts down.
+    async def mark_stopped_with_timeout(self):
+        """Mark this node's row as that of a stopped node, so that no other connects.
 
-        Waits up to `MAX_STORE_WAIT_S` for the removal.
+        The row keeps the state of the target, because this process may have
+        acknowledged that the target leaves, and the target may serve for longer than
+        the node needs to start again. Waits up to `MAX_STORE_WAIT_S` for the write.
         """
         self.stop()
-        async with self._write_lock:
-            task = start_task(
-                self._remove_row(self._own_member.node, self._row_version),
-                "remove own row",
-            )
-            await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
+        self._stopped = True
+        await self.save_with_timeout()
 
     async def save_with_timeout(self):
         """Write this node's row.
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -144,6 +144,17 @@
             )
         )
 
+    async def wait_until_connected_to(self, node):
+        """Wait until every other node has a link to a node."""
+        peers = [other.peers for other in self.nodes if other is not node]
+        await self.until(
+            lambda: all(
+                node.cfg.node in found.outgoing
+                and found.outgoing[node.cfg.node].candidate.reachable
+                for found in peers
+            )
+        )
+
     async def close(self):
         """Close the nodes, the targets and the store."""
         for node in self.nodes:
