Send the members to a node that starts without the store

What callers saw: a node that restarted during an outage of the store placed no calls at other targets until the store was back, though docs/platform.md says that peers tell it the members.

Cause: a node sent the list only on links that others open to it. A node that knows no members opens none; peers open links to it, and on those nobody sent the list.

Change: the list is also sent when the peer at the other end of an own link says that it has no configuration.

--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -170,6 +170,7 @@
                 self.candidate.reachable = True
                 self._note_load_report(frame.load)
                 self.peers.note_config_version(link, frame.version)
+                self.peers.send_members_if_new(link, frame.version)
             case fr.LoadFrame():
                 self._note_load_report(frame.load)
                 self.peers.note_config_version(link, frame.version)
--- a/tests/test_twohop_restarts.py
+++ b/tests/test_twohop_restarts.py
@@ -5,7 +5,7 @@
 from pimentoline.twohop import store_sync
 from pimentoline.twohop.store_sync import MEMBERS_TABLE
 
-from .test_twohop_path import cluster_test, start_pair
+from .test_twohop_path import Caller, cluster_test, start_pair
 
 
 async def stop(cluster, node):
@@ -54,3 +54,14 @@
     await cluster.until(
         lambda: cluster.store.rows[MEMBERS_TABLE, node.cfg.node][0] is None
     )
+
+
+@cluster_test
+async def test_node_that_starts_without_the_store_learns_the_members(cluster):
+    """Guards against a node that places no calls, though peers connect to it."""
+    caller_node, node, _ = await start_pair(cluster)
+    cluster.store.down = True
+    await cluster.close_node(caller_node)
+    caller_node = await cluster.start_node_with(caller_node.cfg)
+    await cluster.wait_until_connected_to(node)
+    assert (await Caller(caller_node).call("/look/1"))[0] == 200
