Acknowledge a leave only once the store or peers have it

Cause: the acknowledgement went out 0.6 s after a write that had not succeeded, so one process alone knew of the leave. A repeated report was acknowledged at once, stored or not. The row still said ready, and the next process believed it.

If nobody does, the answer is 503 and the target reports again. A peer passes a held state on before it sends anything else on a link, so it comes before the peer's first call. A holder that restarts is asked again. Peers also hold what they read in rows, which covers a restart during a later outage. A leave whose start time the next process could not read back is refused.

Ruled out: doing more while the process stops, since a killed process does nothing; and the health check alone, since it may mislead.

Conclusion: it takes the loss of all holders before the store is back to forget a leave.

--- a/pimentoline/platform/heartbeat_server.py
+++ b/pimentoline/platform/heartbeat_server.py
@@ -14,7 +14,13 @@
 from ..logs import log_entry
 from ..settings import parse_addr
 from ..tasks import start_task
-from ..twohop.target_status import MAX_SLOTS, Heartbeat, TargetState
+from ..twohop.target_status import (
+    MAX_BORN_MS,
+    MAX_NAME_CHARS,
+    MAX_SLOTS,
+    Heartbeat,
+    TargetState,
+)
 from .settings import parse_duration, parse_whole_number
 
 __all__ = ["HeartbeatServer", "parse_heartbeat"]
@@ -24,6 +30,14 @@
 RPC_PATH = "/v1/rpc"
 
 
+def _check_incarnation(target_id, born_ms):
+    """Raise `ValueError` if an incarnation of a target cannot be stored."""
+    if not 1 <= len(target_id) <= MAX_NAME_CHARS:
+        raise ValueError(f"found an id of {len(target_id)} characters")
+    if not 0 <= parse_whole_number(born_ms) <= MAX_BORN_MS:
+        raise ValueError(f"found start time {born_ms}; allowed: 0 to {MAX_BORN_MS}")
+
+
 def parse_heartbeat(target_id, body):
     """Return the `Heartbeat` in the JSON body of a request.
 
@@ -36,7 +50,8 @@
     info, status = item["info"], item["status"]
     # `born` is when the target's process started, Unix time in milliseconds.
     sequence, born_ms, slots = status["sequence"], item.get("born", 0), info["slots"]
-    for number in (sequence, born_ms, slots):
+    _check_incarnation(target_id, born_ms)
+    for number in (sequence, slots):
         parse_whole_number(number)
     if not 1 <= slots <= MAX_SLOTS:
         raise ValueError(f"found {slots} slots; allowed: 1 to {MAX_SLOTS}")
@@ -81,39 +96,41 @@
         try:
             match call:
                 case "instances.heartbeat":
-                    await self._handle_heartbeat(parse_heartbeat(target_id, body))
+                    kept = await self._handle_heartbeat(
+                        parse_heartbeat(target_id, body)
+                    )
                 case "instances.leave":
-                    await self._handle_leave(target_id, body)
+                    kept = await self._handle_leave(target_id, body)
                 case _:
                     return 404, b"{}"
         except (ValueError, KeyError, TypeError, AttributeError) as exc:
             log_entry("target:report-unreadable", detail=f"{exc!r:.120}")
             return 400, b"{}"
-        return 200, b"{}"
+        if not kept:
+            log_entry("target:not-acknowledged", target=target_id, call=call)
+        return (200 if kept else 503), b"{}"
 
     async def _handle_heartbeat(self, heartbeat):
+        """Process a heartbeat; return whether it may be acknowledged."""
         # The result is whether the target or its state changed.
-        if self.node.target.handle_heartbeat(heartbeat):
-            await self._store_state(heartbeat.state)
+        changed = self.node.target.handle_heartbeat(heartbeat)
+        if heartbeat.state is not TargetState.READY:
+            return await self.node.store_sync.keep_status()
+        if changed:
+            self.node.store_sync.save_in_background()
+        return True
 
     async def _handle_leave(self, target_id, body):
-        item = strict_json.loads(body) if body else {}
-        born_ms = item.get("born") if isinstance(item, dict) else None
-        # The result is whether the target's state changed.
-        if self.node.target.handle_leave(target_id, born_ms):
-            await self._store_state(TargetState.LEFT)
-
-    async def _store_state(self, state):
-        """Store the target's new `state`, so that the node knows it after a restart.
+        """Process a leave request; return whether it may be acknowledged.
 
-        Unless it is READY, the response to the target waits for the write, up to a
-        timeout: a node that restarted with an older stored state could take a target
-        that drains or has left for ready.
+        As for a heartbeat with the state DRAINING, the acknowledgement promises that
+        the target gets no more calls, which must hold after a restart of this node too.
         """
-        if state is TargetState.READY:
-            self.node.store_sync.save_in_background()
-        else:
-            await self.node.store_sync.save_with_timeout()
+        item = strict_json.loads(body) if body else {}
+        born_ms = item.get("born") if isinstance(item, dict) else None
+        _check_incarnation(target_id, 0 if born_ms is None else born_ms)
+        self.node.target.handle_leave(target_id, born_ms)
+        return await self.node.store_sync.keep_status()
 
 
 class _RequestHandler(HTTPMessageDelegate):
--- a/pimentoline/twohop/frames.capnp
+++ b/pimentoline/twohop/frames.capnp
@@ -6,7 +6,7 @@
 # fields, and `LoadReport` in `model.py` describes the fields of the load report.
 struct Frame {
   kind @0 :UInt8;  # index in `FRAME_TYPES` of frames.py
-  stream @1 :UInt32;  # identifies a call on its connection
+  stream @1 :UInt32;  # identifies a call, or a status to hold, on its connection
   service @2 :Text;
   method @3 :Text;
   path @4 :Text;
@@ -30,7 +30,7 @@
   limit @20 :UInt16;
   delayMs @21 :UInt32;  # expected time until a new call has its response
   version @22 :UInt64;  # of the configuration
-  node @23 :Text;  # name of the sender
+  node @23 :Text;  # name of the sender, or of the node whose target's status follows
   bodyBytes @24 :UInt32;  # size of the whole body, over all its frames
   restMs @25 :UInt16;  # expected time until noisy neighbours stop
   badRate @26 :UInt8;  # share of calls that fail, in 255ths
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -29,6 +29,8 @@
     "Pong",
     "RefusedFrame",
     "ResponseFrame",
+    "StatusFrame",
+    "StatusHeldFrame",
     "encode",
 ]
 
@@ -193,6 +195,30 @@
     """The members that the sender knows, as JSON in the body."""
 
 
+@dataclass(frozen=True, slots=True)
+class StatusFrame:
+    """The status of a target that drains or has left, as JSON in the body.
+
+    Attributes
+    ----------
+    node : str
+        Node on the host of the target: the sender, which asks the receiver to hold the
+        status, or the receiver, for which the sender has held it.
+    number : int
+        Identifies the frame in the `StatusHeldFrame` that confirms it.
+    """
+
+    node: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class StatusHeldFrame:
+    """The sender holds the status of the `StatusFrame` with this number."""
+
+    number: int
+
+
 FRAME_TYPES = (
     Hello,
     CallFrame,
@@ -207,6 +233,8 @@
     ConfigRequest,
     ConfigFrame,
     MembersFrame,
+    StatusFrame,
+    StatusHeldFrame,
 )
 # The position in `FRAME_TYPES` is the number that a frame's header carries.
 KIND_NUMBERS = {frame_type: kind for kind, frame_type in enumerate(FRAME_TYPES)}
@@ -277,6 +305,10 @@
             return {"stream": frame.stream}
         case LoadFrame() | ConfigFrame():
             return {"version": frame.version}
+        case StatusFrame():
+            return {"node": frame.node, "stream": frame.number}
+        case StatusHeldFrame():
+            return {"stream": frame.number}
         case Ping() | Pong() | ConfigRequest() | MembersFrame():
             return {}
     raise TypeError(f"unknown frame {frame!r:.80}")
@@ -376,7 +408,9 @@
         return LoadFrame(_load_report(header), header.version)
     if frame_type is ConfigFrame:
         return ConfigFrame(header.version)
-    if frame_type in (BodyFrame, CancelFrame):
+    if frame_type is StatusFrame:
+        return StatusFrame(header.node, header.stream)
+    if frame_type in (BodyFrame, CancelFrame, StatusHeldFrame):
         return frame_type(header.stream)
     return frame_type()
 
--- a/pimentoline/twohop/member_rows.py
+++ b/pimentoline/twohop/member_rows.py
@@ -11,15 +11,20 @@
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 
 from .model import Member
-from .target_status import TargetState, TargetStatus
+from .target_status import MAX_BORN_MS, MAX_NAME_CHARS, TargetState, TargetStatus
+
+__all__ = [
+    "MemberRow",
+    "encode_members",
+    "encode_row",
+    "encode_status",
+    "parse_members",
+    "parse_row",
+    "parse_status",
+]
 
-__all__ = ["MemberRow", "encode_members", "encode_row", "parse_members", "parse_row"]
-
-# Largest start time of a target, Unix time in milliseconds: the year 5138. A larger
-# one would make the reports of every later target look late.
-MAX_BORN_MS = 10**14
 MAX_PORT = 65535
-Name = Annotated[str, Field(min_length=1, max_length=200)]
+Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +53,10 @@
     sequence: int = Field(ge=0)
     state: TargetState
 
+    def status(self):
+        """Return the `TargetStatus`."""
+        return TargetStatus(self.target_id, self.born_ms, self.sequence, self.state)
+
 
 class _MemberFields(BaseModel):
     model_config = ConfigDict(strict=True)
@@ -102,8 +111,7 @@
         row = _Row.model_validate_json(value)
     except ValidationError as exc:
         raise ValueError(_describe(exc)) from None
-    target = row.target
-    status = None if target is None else TargetStatus(**dict(target))
+    status = None if row.target is None else row.target.status()
     return MemberRow(row.member(node), status, row.stopped)
 
 
@@ -112,12 +120,35 @@
     value = asdict(row.member)
     del value["node"]
     if row.status is not None:
-        value["target"] = asdict(row.status) | {"state": row.status.state.value}
+        value["target"] = _status_fields(row.status)
     if row.stopped:
         value["stopped"] = True
     return json.dumps(value).encode()
 
 
+def _status_fields(status):
+    return asdict(status) | {"state": status.state.value}
+
+
+def parse_status(text):
+    """Return the `TargetStatus` that `encode_status` encoded.
+
+    Raises
+    ------
+    ValueError
+        If the text is not a status.
+    """
+    try:
+        return _TargetFields.model_validate_json(text).status()
+    except ValidationError as exc:
+        raise ValueError(_describe(exc)) from None
+
+
+def encode_status(status):
+    """Return a `TargetStatus` as JSON text."""
+    return json.dumps(_status_fields(status)).encode()
+
+
 def parse_members(text):
     """Return the members in a list that `encode_members` encoded.
 
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -16,6 +16,7 @@
 from .member_rows import encode_members, parse_members
 from .model import LoadReport
 from .placement import Candidate
+from .status_replicas import StatusReplicas
 
 __all__ = ["Peers"]
 
@@ -130,8 +131,9 @@
             return
 
     def link_up(self, link):
-        """Send a `Hello` frame."""
+        """Send the status that is held for the peer, if any, and a `Hello` frame."""
         link.peer = self.candidate.member.node
+        self.peers.replicas.send_held(link, link.peer)
         link.send(self.peers.make_hello())
 
     def link_suspect(self, link, suspect):
@@ -171,6 +173,7 @@
                 self._note_load_report(frame.load)
                 self.peers.note_config_version(link, frame.version)
                 self.peers.send_members_if_new(link, frame.version)
+                self.peers.replicas.send_offered(link)
             case fr.LoadFrame():
                 self._note_load_report(frame.load)
                 self.peers.note_config_version(link, frame.version)
@@ -276,6 +279,7 @@
                     self.peers.target.cancel(pending_call)
             case fr.Hello():
                 link.peer = frame.node
+                self.peers.replicas.send_held(link, frame.node)
                 self.peers.note_peer_up(frame.node)
                 self.peers.note_config_version(link, frame.version)
                 self.peers.send_members_if_new(link, frame.version)
@@ -318,6 +322,7 @@
         Links that this node opens, by name of the member.
     local_candidate : Candidate or None
         This node's own target.
+    replicas : StatusReplicas
     """
 
     def __init__(self, own_name, target, config, clock):
@@ -328,6 +333,7 @@
         self.incoming = {}
         self.outgoing = {}
         self.local_candidate = None
+        self.replicas = StatusReplicas(own_name, target, self._connected_links)
         self._candidates_by_service = {}
         self._server = None
         self._check_task = None
@@ -365,6 +371,13 @@
             members.append(self.local_candidate.member)
         return members
 
+    def _connected_links(self):
+        return {
+            outgoing_link.candidate.member: outgoing_link.link
+            for outgoing_link in self.outgoing.values()
+            if outgoing_link.candidate.reachable
+        }
+
     def set_member(self, member):
         """Add a member, or replace it if its data have changed."""
         if member.node == self.own_name:
@@ -488,7 +501,7 @@
             link.send(fr.MembersFrame(), encode_members(self.members))
 
     def handle_control_frame(self, link, frame, body):
-        """Handle a frame that carries or requests the configuration or the members."""
+        """Handle a frame with a configuration, the members or a target's status."""
         match frame:
             case fr.ConfigRequest():
                 if self.config.version:
@@ -497,6 +510,8 @@
                 self.config.offer(frame.version, body, f"peer {link.peer}")
             case fr.MembersFrame():
                 self._add_members(link, body)
+            case fr.StatusFrame() | fr.StatusHeldFrame():
+                self.replicas.handle_frame(link, frame, body)
             case _:
                 link.close(f"unexpected {type(frame).__name__}")
 
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import random
-from dataclasses import replace
 
 from ..errors import StoreConflictError, StoreError, StoreHistoryExpiredError
 from ..logs import log_entry
 from ..tasks import start_task
 from . import watch_schedule
 from .member_rows import MemberRow, encode_row, parse_row
+from .target_status import TargetState
 
 __all__ = ["MEMBERS_TABLE", "StoreSync"]
 
@@ -26,10 +26,12 @@
 MAX_PAUSE_S = 1.2
 # Changes of members within this time are read with one request.
 BATCH_DELAY_S = 0.4
-# If a heartbeat tells this node a new state of its target, such as draining, it is
-# acknowledged once the state is stored, or after this time, seconds. The write then
-# continues in the background.
-MAX_STORE_WAIT_S = 0.6
+# If the store has not confirmed a drain or leave after this time, seconds, peers are
+# asked to hold it; the write continues in the background. A target waits 1 s for the
+# acknowledgement.
+MAX_STORE_WAIT_S = 0.25
+# A stopping node waits this long for its last write, seconds.
+STOP_WRITE_TIMEOUT_S = 0.6
 # After a version conflict, a conditional write is retried once with the stored version.
 MAX_SAVE_ATTEMPTS = 2
 # The row of a stopped node is removed after this time, seconds. Targets that have left
@@ -67,6 +69,8 @@
         self._write_lock = asyncio.Lock()
         self._tasks = []
         self._save_timer = None
+        # Status of the target that the store or peers have confirmed last.
+        self._kept_status = None
         # Whether the row says that this node has stopped.
         self._stopped = False
         # When this node first read each row of a stopped node, by key and version; time
@@ -195,10 +199,13 @@
                 continue
             if row.value is None:
                 self._node.peers.remove_member(row.key)
+                self._node.peers.replicas.forget(row.key)
                 continue
             parsed_row = self._parse_row(row.key, row.value)
             if parsed_row is None:
                 continue
+            if parsed_row.status is not None:
+                self._node.peers.replicas.note_row(row.key, parsed_row.status)
             if parsed_row.member.addr == self._own_member.addr:
                 # The address of a removed host has been assigned to this one.
                 start_task(self._remove_row(row.key, row.version), "remove row")
@@ -257,14 +264,10 @@
         return row
 
     def _own_row(self):
-        """Return the `MemberRow` of this node.
-
-        It has no sequence number of a heartbeat, because it is written only when the
-        state changes.
-        """
+        """Return the `MemberRow` of this node."""
         status = self._node.target.status_tracker.current
         if status is not None:
-            status = replace(status, sequence=0)
+            status = status.without_sequence()
         return MemberRow(self._own_member, status, self._stopped)
 
     def save_in_background(self):
@@ -278,11 +281,15 @@
         """
         async with self._write_lock:
             for _ in range(MAX_SAVE_ATTEMPTS):
-                value = encode_row(self._own_row())
+                row = self._own_row()
                 try:
                     self._row_version = await self._store.write(
-                        MEMBERS_TABLE, self._own_member.node, value, self._row_version
+                        MEMBERS_TABLE,
+                        self._own_member.node,
+                        encode_row(row),
+                        self._row_version,
                     )
+                    self._kept_status = row.status
                     return True
                 except StoreConflictError as exc:
                     # An earlier write of this node took effect, but its response was
@@ -317,17 +324,36 @@
 
         The row keeps the state of the target, because this process may have
         acknowledged that the target leaves, and the target may serve for longer than
-        the node needs to start again. Waits up to `MAX_STORE_WAIT_S` for the write.
+        the node needs to start again. Waits up to `STOP_WRITE_TIMEOUT_S` for the write.
         """
         self.stop()
         self._stopped = True
-        await self.save_with_timeout()
+        await asyncio.wait([self.save_in_background()], timeout=STOP_WRITE_TIMEOUT_S)
 
-    async def save_with_timeout(self):
-        """Write this node's row.
+    async def keep_status(self):
+        """Store the target's status; return whether it outlives this process.
 
-        Waits up to `MAX_STORE_WAIT_S` for the write, which then continues in the
-        background.
+        If the store does not confirm it in time, peers are asked to hold it. The write
+        to the store is repeated until it succeeds.
         """
-        task = self.save_in_background()
-        await asyncio.wait([task], timeout=MAX_STORE_WAIT_S)
+        status = self._own_row().status
+        if status is None or status.state is TargetState.READY:
+            # The report was about an earlier target.
+            return True
+        if status == self._kept_status:
+            return True
+        saving = self.save_in_background()
+        await asyncio.wait([saving], timeout=MAX_STORE_WAIT_S)
+        if status == self._kept_status:
+            return True
+        replicating = start_task(self._replicate(status), "replicate status")
+        pending = {saving, replicating}
+        while replicating in pending and status != self._kept_status:
+            _, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+        return status == self._kept_status
+
+    async def _replicate(self, status):
+        if await self._node.peers.replicas.replicate(status):
+            self._kept_status = status
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -222,11 +222,21 @@
         return self._status_changed(previous)
 
     def restore(self, status):
-        """Restore the status that an earlier process of this node has stored."""
+        """Restore the status that an earlier process of this node has stored.
+
+        Returns whether this changed the status.
+        """
         previous = self.status_tracker.current
-        if self.status_tracker.merge(status):
-            self._status_is_restored = previous is None
-            self._status_changed(previous)
+        if not self.status_tracker.merge(status):
+            return False
+        self._status_is_restored = previous is None
+        self._status_changed(previous)
+        return True
+
+    def restore_from_peer(self, status):
+        """Restore the status that a peer has held for an earlier process."""
+        if self.restore(status):
+            self._store_status()
 
     def _status_changed(self, previous):
         """Act on a change from the `previous` status; return whether there is one.
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -7,11 +7,25 @@
 import enum
 from dataclasses import dataclass, replace
 
-__all__ = ["MAX_SLOTS", "Heartbeat", "StatusTracker", "TargetState", "TargetStatus"]
+__all__ = [
+    "MAX_BORN_MS",
+    "MAX_NAME_CHARS",
+    "MAX_SLOTS",
+    "STATE_ORDER",
+    "Heartbeat",
+    "StatusTracker",
+    "TargetState",
+    "TargetStatus",
+]
 
 
 # Largest number of slots that a target may report.
 MAX_SLOTS = 10_000
+# Largest start time of a target, Unix time in milliseconds: the year 5138. A larger
+# one would make the reports of every later target look late.
+MAX_BORN_MS = 10**14
+# Longest id of a target.
+MAX_NAME_CHARS = 200
 
 
 class TargetState(enum.Enum):
@@ -71,6 +85,10 @@
     sequence: int
     state: TargetState
 
+    def without_sequence(self):
+        """Return the status as it is stored, which is only when the state changes."""
+        return replace(self, sequence=0)
+
 
 class StatusTracker:
     """Keeps the newest status from the heartbeats of successive targets on one host.
