Send no calls to a target on a state that may be out of date

What callers saw: after all nodes had been killed while the store was down, requests went to an instance whose leave had been acknowledged; so they did after a restart with one late report.

Cause: a new process took the stored state, or the first heartbeat, for the present one. Either may be older than what an earlier process acknowledged and nobody else knows.

Change: after its start, a node sends no calls to its target until the target has proved that it is ready: by a health check under its id that began after the report, or by two heartbeats, the later one more than 6 s after the start, so that not both can be older. Health checks are repeated every 0.1 to 2 s until then. States that the store or peers tell go on to count at once.

Ruled out: waiting for a heartbeat in any case, since every restart would cost up to 1.5 s; and a health check alone, since some fail though the target is well.

Conclusion: what remains is a target that leaves, claims to be healthy, and whose leave neither the store nor any living peer has.

--- a/bench/emulator/nodes.py
+++ b/bench/emulator/nodes.py
@@ -141,21 +141,14 @@
         body = bytes(kind.answer_bytes) if result.status == 200 else b""
         return Response(result.status, "", headers, body, True)  # reusable
 
-    async def _probe(self):
-        # The detector of slowdowns that other programs on the target's host cause.
-        noise = self.admission.noise
-        noise.probe_started(self._clock())
+    async def _request_health(self):
         await asyncio.sleep(PROBE_S)
         target_model = self._node.target_model
+        if not target_model.up:
+            raise ConnectionRefusedError("the target is down")
         headers = HTTPHeaders({HEADER_NAMES.target_id: target_model.name})
         headers[HEADER_NAMES.load] = target_model.load_header()
-        self._probe_task = None
-        if target_model.up:
-            self._note_identity(Response(200, "", headers, b"", True))  # reusable
-            self._note_load(headers[HEADER_NAMES.load])
-        else:
-            noise.probe_failed(self._clock())
-        self._process_queue()
+        return Response(200, "", headers, b"", True)  # reusable
 
 
 class _SimulatedCallerSide(CallerSide):
--- a/pimentoline/platform/heartbeat_server.py
+++ b/pimentoline/platform/heartbeat_server.py
@@ -118,6 +118,7 @@
             return await self.node.store_sync.keep_status()
         if changed:
             self.node.store_sync.save_in_background()
+        await self.node.target.wait_for_proof()
         return True
 
     async def _handle_leave(self, target_id, body):
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -214,7 +214,9 @@
 
     def _health_path(self):
         config = self.config.current
-        info = config.services.get(self.cfg.service) if config is not None else None
+        if config is None:
+            return None
+        info = config.services.get(self.cfg.service)
         return info.health_path if info is not None and info.health_path else "/"
 
     def _target_changed(self):
@@ -225,6 +227,7 @@
 
     def _apply_config(self, config):
         self.frontend.configure(config.limits)
+        self.target.seek_proof()
         self.peers.broadcast_load()
 
     @property
--- a/pimentoline/twohop/status_replicas.py
+++ b/pimentoline/twohop/status_replicas.py
@@ -72,7 +72,7 @@
         held = self._held.get(node)
         if (
             held is not None
-            and (held.target_id, held.born_ms) == (status.target_id, status.born_ms)
+            and held.incarnation == status.incarnation
             and STATE_ORDER.index(status.state) <= STATE_ORDER.index(held.state)
         ):
             return
--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -16,7 +16,7 @@
 from .frames import MAX_BODY_BYTES, FailedFrame, RefusedFrame, ResponseFrame
 from .model import MIN_FAILURE_STATUS
 from .noise import StartDecision
-from .target_status import MAX_SLOTS, StatusTracker, TargetState
+from .target_status import MAX_SLOTS, ReportHistory, StatusTracker, TargetState
 
 __all__ = ["PendingCall", "TargetSide"]
 
@@ -43,6 +43,10 @@
 # milliseconds.
 PROBE_TIMEOUT_S = 0.1
 MAX_PROBE_BODY_BYTES = 64 * 1024
+# Pause between two health checks while reports of the target are unproven, seconds. It
+# doubles after each check.
+MIN_CHECK_PAUSE_S = 0.1
+MAX_CHECK_PAUSE_S = 2.0
 # Responses of the target that are being read use this much memory at most, together.
 MAX_RESPONSE_MEMORY_BYTES = 48 * 1024 * 1024
 # Larger figures in the load header of a target are not believed.
@@ -106,7 +110,8 @@
     addr : tuple
         Host and port of the target.
     health_path : callable
-        Returns the path for probes; responses to it carry the load of the target.
+        Returns the path for probes, or None if there is no configuration yet; responses
+        to it carry the load of the target.
     on_change : callable
         Called when the target may have begun or stopped accepting calls.
     store_status : callable
@@ -145,8 +150,14 @@
         self.status_tracker = StatusTracker()
         self.admission = AdmissionController(DEFAULT_SLOTS)
         self.stopping = False
-        # Whether the status was restored and no heartbeat or probe has confirmed it.
-        self._status_is_restored = False
+        # Whether this process knows that a state of the target is not older than what
+        # an earlier process has acknowledged to it. Until then, a stored state or a
+        # heartbeat may be, and a target that seems ready gets no calls.
+        self._proven = False
+        self._report_history = ReportHistory(clock())
+        self._proof_task = None
+        # Ends the pause before the next health check.
+        self._check_requested = asyncio.Event()
         self._unreachable_until = 0.0
         self._health_path = health_path
         self._probe_task = None
@@ -160,10 +171,13 @@
     @property
     def accepting(self):
         """Whether new calls are accepted."""
-        status = self.status_tracker.current
-        ready = status is not None and status.state is TargetState.READY
         up = self._clock() >= self._unreachable_until
-        return ready and up and not self.stopping
+        return self._is_ready and self._proven and up and not self.stopping
+
+    @property
+    def _is_ready(self):
+        status = self.status_tracker.current
+        return status is not None and status.state is TargetState.READY
 
     @property
     def has_left(self):
@@ -184,6 +198,8 @@
         if heartbeat.addr != self._addr:
             log_entry("target:foreign", target=heartbeat.target_id)
             return False
+        is_ready = heartbeat.state is TargetState.READY
+        recent = is_ready and self._report_history.note(heartbeat, self._clock())
         if not self.status_tracker.accept(heartbeat):
             log_entry(
                 "target:late-report",
@@ -192,12 +208,19 @@
                 sequence=heartbeat.sequence,
             )
             return False
-        if previous is None or (previous.target_id, previous.born_ms) != (
-            heartbeat.target_id,
-            heartbeat.born_ms,
-        ):
+        if recent:
+            self._set_proven("reports")
+        changed = self._apply_heartbeat(heartbeat, previous)
+        self.seek_proof()
+        return changed
+
+    def _apply_heartbeat(self, heartbeat, previous):
+        """Act on an accepted heartbeat; return whether the target or its state changed.
+
+        `previous` is the status before.
+        """
+        if previous is None or previous.incarnation != heartbeat.incarnation:
             self.admission = self._admission_for_new_target(heartbeat.slots)
-        self._status_is_restored = False
         self.service = heartbeat.service
         self.admission.set_slots(heartbeat.slots)
         self.admission.cold_start_until = self._clock() + heartbeat.cold_s
@@ -229,8 +252,8 @@
         previous = self.status_tracker.current
         if not self.status_tracker.merge(status):
             return False
-        self._status_is_restored = previous is None
         self._status_changed(previous)
+        self.seek_proof()
         return True
 
     def restore_from_peer(self, status):
@@ -257,11 +280,91 @@
             born_ms=status.born_ms,
             sequence=status.sequence,
         )
+        if status.state is not TargetState.READY:
+            # Reports that were made before this change must not undo it.
+            self._report_history = ReportHistory(self._clock())
         if not self.accepting:
             self._refuse_waiting("target-leaving")
         self._on_change()
         return True
 
+    # Proof that the state of the target is not out of date.
+
+    @property
+    def _needs_proof(self):
+        return self._is_ready and not self._proven
+
+    def seek_proof(self):
+        """Check the health of the target until it proves a state, if that is needed."""
+        self._check_requested.set()
+        if self._needs_proof and self._proof_task is None:
+            self._proof_task = start_task(self._check_until_proven(), "check target")
+
+    async def wait_for_proof(self):
+        """Wait until the target has proved its state, but not for long."""
+        if self._proof_task is not None:
+            await asyncio.wait([self._proof_task], timeout=PROBE_TIMEOUT_S)
+
+    async def _check_until_proven(self):
+        pause_s = MIN_CHECK_PAUSE_S
+        try:
+            while self._needs_proof and not self.stopping:
+                self._check_requested.clear()
+                if self._health_path() is not None:
+                    await self._check_health()
+                if not self._needs_proof:
+                    break
+                try:
+                    async with asyncio.timeout(pause_s):
+                        await self._check_requested.wait()
+                    pause_s = MIN_CHECK_PAUSE_S
+                except TimeoutError:
+                    pause_s = min(pause_s * 2, MAX_CHECK_PAUSE_S)
+        finally:
+            self._proof_task = None
+
+    async def _check_health(self):
+        asked_about = self._claims
+        try:
+            response = await self._request_health()
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
+            self._log.entry("target:no-health", detail=repr(exc)[:80])
+            return
+        if self._claims == asked_about:
+            self._note_health(response)
+
+    @property
+    def _claims(self):
+        """What a health check can prove."""
+        return self.status_tracker.current
+
+    def _set_proven(self, proof):
+        if not self._proven:
+            self._proven = True
+            log_entry("target:proven", proof=proof)
+            if self._is_ready:
+                self._on_change()
+
+    def _note_health(self, response):
+        """Process the response to a health check that began after all reports so far.
+
+        A target that is healthy now has not left. Its id tells whether it is the
+        current target, or one that started while this process was not running. A target
+        that has left may claim to be healthy, so that the id of the current one does
+        not make it ready again.
+        """
+        target_id = response.headers.get(self._header_names.target_id)
+        if response.status != 200 or not target_id:
+            return
+        previous = self.status_tracker.current
+        if not self._proven and previous is not None:
+            if self.status_tracker.note_probed_id(target_id):
+                self._set_proven("health")
+                self.admission.cold_start_until = self._clock() + ASSUMED_COLD_START_S
+                self._status_changed(previous)
+            elif self._is_ready:
+                self._set_proven("health")
+
     def stop(self):
         """Accept no new calls and refuse those that wait; running calls go on."""
         self.stopping = True
@@ -391,6 +494,28 @@
         """
         noise = self.admission.noise
         noise.probe_started(self._clock())
+        asked_about = self._claims
+        try:
+            response = await self._request_health()
+            if self._claims == asked_about:
+                self._note_health(response)
+            self._note_leaving(self.status_tracker.current, response.headers)
+            if not self._note_load(response.headers.get(self._header_names.load)):
+                noise.probe_failed(self._clock())
+        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
+            log_entry("target:no-figures", detail=repr(exc)[:80])
+            noise.probe_failed(self._clock())
+        finally:
+            self._probe_task = None
+            self._process_queue()
+
+    async def _request_health(self):
+        """Return the response of the target to a health check.
+
+        Raises
+        ------
+        OSError, StreamClosedError, TimeoutError, ResponseError
+        """
         conn = None
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
@@ -408,33 +533,10 @@
             if response.reusable:
                 self._pool.release(conn)
                 conn = None
-            self._note_identity(response)
-            self._note_leaving(self.status_tracker.current, response.headers)
-            if not self._note_load(response.headers.get(self._header_names.load)):
-                noise.probe_failed(self._clock())
-        except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
-            log_entry("target:no-figures", detail=repr(exc)[:80])
-            noise.probe_failed(self._clock())
+            return response
         finally:
-            self._probe_task = None
             if conn is not None:
                 conn.close()
-            self._process_queue()
-
-    def _note_identity(self, response):
-        """Detect that the target was replaced while this process was not running.
-
-        Otherwise, calls sent before the first heartbeat would name the previous target,
-        and the new one would refuse to run them.
-        """
-        target_id = response.headers.get(self._header_names.target_id)
-        if not self._status_is_restored or response.status != 200 or not target_id:
-            return
-        self._status_is_restored = False
-        previous = self.status_tracker.current
-        if self.status_tracker.note_probed_id(target_id):
-            self.admission.cold_start_until = self._clock() + ASSUMED_COLD_START_S
-            self._status_changed(previous)
 
     async def _run(self, call):
         conn = None
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -13,6 +13,7 @@
     "MAX_SLOTS",
     "STATE_ORDER",
     "Heartbeat",
+    "ReportHistory",
     "StatusTracker",
     "TargetState",
     "TargetStatus",
@@ -26,6 +27,8 @@
 MAX_BORN_MS = 10**14
 # Longest id of a target.
 MAX_NAME_CHARS = 200
+# A heartbeat may arrive this long after it was made, seconds.
+MAX_REPORT_DELAY_S = 6.0
 
 
 class TargetState(enum.Enum):
@@ -67,6 +70,11 @@
     slots: int
     cold_s: float = 0.0
 
+    @property
+    def incarnation(self):
+        """Id and start of the target, which identify the incarnation."""
+        return self.target_id, self.born_ms
+
 
 @dataclass(frozen=True, slots=True)
 class TargetStatus:
@@ -85,11 +93,44 @@
     sequence: int
     state: TargetState
 
+    @property
+    def incarnation(self):
+        """Id and start of the target, which identify the incarnation."""
+        return self.target_id, self.born_ms
+
     def without_sequence(self):
         """Return the status as it is stored, which is only when the state changes."""
         return replace(self, sequence=0)
 
 
+class ReportHistory:
+    """Tells whether the heartbeats of a target can all be late.
+
+    A heartbeat that arrives `MAX_REPORT_DELAY_S` after an event was made after it. Two
+    are required, so that a single one with a longer delay proves nothing.
+
+    Parameters
+    ----------
+    since : float
+        Time of the event, monotonic, seconds.
+    """
+
+    def __init__(self, since):
+        self._since = since
+        self._incarnation = None
+        self._first_sequence = 0
+
+    def note(self, heartbeat, now):
+        """Record a heartbeat; return whether it was made after the event."""
+        if heartbeat.incarnation != self._incarnation:
+            self._incarnation = heartbeat.incarnation
+            self._first_sequence = heartbeat.sequence
+        return (
+            heartbeat.sequence > self._first_sequence
+            and now - self._since > MAX_REPORT_DELAY_S
+        )
+
+
 class StatusTracker:
     """Keeps the newest status from the heartbeats of successive targets on one host.
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -287,6 +287,8 @@
         Duration of requests that the target reports, in percent of the usual one.
     health_checks : int
         Number of health checks received.
+    healthy : bool
+        Whether the target says that it is healthy when its health is checked.
     sequence : int
         Sequence number of the last heartbeat.
     born_ms : int
@@ -310,6 +312,7 @@
         self.slots = 12
         self.slowdown_percent = 100
         self.health_checks = 0
+        self.healthy = True
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
         self.draining = False
@@ -383,7 +386,8 @@
         """Respond to one request; `serve` is cancelled if the caller disconnects."""
         if request.path == "/healthz":
             self.health_checks += 1
-            self.write_response(request, writer, b"", X_Instance_Id=self.name)
+            status = "200 OK" if self.healthy else "503 Service Unavailable"
+            self.write_response(request, writer, b"", status, X_Instance_Id=self.name)
             return
         if request.headers.get("x-expect-instance") != self.name:
             self.write_response(
--- a/tests/test_twohop_path.py
+++ b/tests/test_twohop_path.py
@@ -21,6 +21,7 @@
 from pimentoline.twohop.model import RetryLimits
 from pimentoline.twohop.node import HostNode, HostSettings
 from pimentoline.twohop.store_sync import MEMBERS_TABLE
+from pimentoline.twohop.target_status import TargetState
 from standins.platform import ScriptedTarget, StoreStandIn, free_port
 
 HOST = "a.example"
@@ -497,10 +498,13 @@
     cluster.store.down = True
     restarted_node = await cluster.start_node(node.cfg.node, target)
     assert await target.send_heartbeat(restarted_node, "ready") == 200
-    assert restarted_node.target.accepting
+    tracker = restarted_node.target.status_tracker
+    assert tracker.current.state is TargetState.READY
+    assert not restarted_node.target.accepting
     cluster.store.down = False
-    await cluster.until(lambda: not restarted_node.target.accepting)
+    await cluster.until(lambda: tracker.current.state is TargetState.DRAINING)
     await asyncio.sleep(0.1)
+    assert not restarted_node.target.accepting
     stored = json.loads(cluster.store.rows[MEMBERS_TABLE, node.cfg.node][0])
     assert stored["target"]["state"] == "draining"
 
--- a/tests/test_twohop_restarts.py
+++ b/tests/test_twohop_restarts.py
@@ -5,10 +5,16 @@
 
 import pytest
 
-from pimentoline.twohop import store_sync
+from pimentoline.twohop import store_sync, target_status
 from pimentoline.twohop.model import Member
 from pimentoline.twohop.status_replicas import choose_holders
 from pimentoline.twohop.store_sync import MEMBERS_TABLE
+from pimentoline.twohop.target_status import (
+    MAX_REPORT_DELAY_S,
+    Heartbeat,
+    ReportHistory,
+    TargetState,
+)
 
 from .test_twohop_path import DESK, LEDGER, Caller, cluster_test, start_pair
 
@@ -196,3 +202,64 @@
     found = choose_holders(members, 4)
     assert [member.dc for member in found] == ["a", "b", "c", "a"]
     assert len(choose_holders(members, 99)) == len(members)
+
+
+@pytest.mark.parametrize("late_report", [True, False])
+@cluster_test
+async def test_leave_that_all_processes_forgot_is_kept(cluster, late_report):
+    """Guards against a stored state, or a late report, that is older than a leave.
+
+    The store does not have the leave, and all nodes are killed at once.
+    """
+    caller_node, node, target = await start_pair(cluster)
+    row = (MEMBERS_TABLE, node.cfg.node)
+    await cluster.until(lambda: b"ready" in cluster.store.rows[row][0])
+    cluster.store.down = True
+    target.healthy = False
+    assert await target.send_leave(node) == 200
+    for killed in (caller_node, node):
+        await cluster.close_node(killed)
+    cluster.store.down = False
+    caller_node = await cluster.start_node_with(caller_node.cfg)
+    node = await cluster.start_node_with(node.cfg)
+    await cluster.until(node.store_sync.members_loaded.is_set)
+    assert node.target.status_tracker.current.state is TargetState.READY
+    if late_report:
+        assert await target.send_heartbeat(node, "ready") == 200
+    await assert_gets_no_calls(cluster, caller_node, node, target)
+    # The next target is served as soon as it reports.
+    target.healthy = True
+    target.born_ms += 9
+    assert await target.send_heartbeat(node, "ready") == 200
+    await cluster.until(lambda: node.target.accepting, 0.5)
+
+
+@cluster_test
+async def test_target_that_seems_ill_is_served_after_a_restart(cluster, monkeypatch):
+    """Guards against a ready target that gets no calls because of its health check."""
+    monkeypatch.setattr(target_status, "MAX_REPORT_DELAY_S", 0.5)
+    _, node, target = await start_pair(cluster)
+    target.healthy = False
+    await cluster.close_node(node)
+    node = await cluster.start_node_with(node.cfg)
+    assert await target.send_heartbeat(node, "ready") == 200
+    assert not node.target.accepting
+    await asyncio.sleep(0.6)
+    assert await target.send_heartbeat(node, "ready") == 200
+    await cluster.wait_until_connected()
+
+
+def test_reports_prove_that_they_are_recent():
+    """Guards against late reports that pass for recent ones."""
+    history = ReportHistory(10.0)
+    assert not history.note(heartbeat(sequence=1), 11.0)
+    assert not history.note(heartbeat(sequence=2), 10.0 + MAX_REPORT_DELAY_S)
+    assert not history.note(heartbeat(sequence=1), 99.0)
+    assert not history.note(heartbeat(born_ms=6, sequence=8), 99.0)
+    assert not history.note(heartbeat(born_ms=5, sequence=3), 99.0)
+    assert history.note(heartbeat(born_ms=5, sequence=4), 99.0)
+
+
+def heartbeat(target="t1", born_ms=5, sequence=1, state=TargetState.READY):
+    """Return a heartbeat of a target."""
+    return Heartbeat(target, ("127.0.0.1", 1), LEDGER, born_ms, sequence, state, 12)
