Serve a target whose start time has fallen, and keep its drain

Cause: incarnations were ordered by the start time that the target reports, and a lower one was taken for that of an earlier incarnation in any case.

Change: a node remembers the incarnations that have ended there. A report of any other one with a lower start time may be of a new target: that it drains or has left is accepted if it has the id of the current target; that it is ready is accepted once a health check under its id confirms it, or two reports that cannot both be late. For another id nothing needs to stop, since calls name the target that they expect, but the report is remembered.

Conclusion: the order of incarnations no longer depends on the clock of the host alone.

--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -155,6 +155,8 @@
         # heartbeat may be, and a target that seems ready gets no calls.
         self._proven = False
         self._report_history = ReportHistory(clock())
+        # Heartbeat of a target that may have replaced the current one, or None.
+        self._unproven_heartbeat = None
         self._proof_task = None
         # Ends the pause before the next health check.
         self._check_requested = asyncio.Event()
@@ -201,13 +203,19 @@
         is_ready = heartbeat.state is TargetState.READY
         recent = is_ready and self._report_history.note(heartbeat, self._clock())
         if not self.status_tracker.accept(heartbeat):
-            log_entry(
-                "target:late-report",
-                target=heartbeat.target_id,
-                born_ms=heartbeat.born_ms,
-                sequence=heartbeat.sequence,
-            )
-            return False
+            if not self.status_tracker.may_replace(heartbeat, recent):
+                log_entry(
+                    "target:late-report",
+                    target=heartbeat.target_id,
+                    born_ms=heartbeat.born_ms,
+                    sequence=heartbeat.sequence,
+                )
+                return False
+            if not recent:
+                self._unproven_heartbeat = heartbeat
+                self.seek_proof()
+                return False
+            self.status_tracker.replace(heartbeat)
         if recent:
             self._set_proven("reports")
         changed = self._apply_heartbeat(heartbeat, previous)
@@ -219,6 +227,7 @@
 
         `previous` is the status before.
         """
+        self._unproven_heartbeat = None
         if previous is None or previous.incarnation != heartbeat.incarnation:
             self.admission = self._admission_for_new_target(heartbeat.slots)
         self.service = heartbeat.service
@@ -292,7 +301,9 @@
 
     @property
     def _needs_proof(self):
-        return self._is_ready and not self._proven
+        return self._unproven_heartbeat is not None or (
+            self._is_ready and not self._proven
+        )
 
     def seek_proof(self):
         """Check the health of the target until it proves a state, if that is needed."""
@@ -336,7 +347,7 @@
     @property
     def _claims(self):
         """What a health check can prove."""
-        return self.status_tracker.current
+        return self.status_tracker.current, self._unproven_heartbeat
 
     def _set_proven(self, proof):
         if not self._proven:
@@ -349,15 +360,21 @@
         """Process the response to a health check that began after all reports so far.
 
         A target that is healthy now has not left. Its id tells whether it is the
-        current target, or one that started while this process was not running. A target
-        that has left may claim to be healthy, so that the id of the current one does
-        not make it ready again.
+        current target, one whose heartbeat looked late, or one that started while this
+        process was not running. A target that has left may claim to be healthy, so that
+        the id of the current one does not make it ready again.
         """
         target_id = response.headers.get(self._header_names.target_id)
         if response.status != 200 or not target_id:
             return
         previous = self.status_tracker.current
-        if not self._proven and previous is not None:
+        heartbeat = self._unproven_heartbeat
+        if heartbeat is not None and heartbeat.target_id == target_id:
+            self.status_tracker.replace(heartbeat)
+            self._set_proven("health")
+            self._apply_heartbeat(heartbeat, previous)
+            self._store_status()
+        elif not self._proven and previous is not None:
             if self.status_tracker.note_probed_id(target_id):
                 self._set_proven("health")
                 self.admission.cold_start_until = self._clock() + ASSUMED_COLD_START_S
--- a/pimentoline/twohop/target_status.py
+++ b/pimentoline/twohop/target_status.py
@@ -29,6 +29,8 @@
 MAX_NAME_CHARS = 200
 # A heartbeat may arrive this long after it was made, seconds.
 MAX_REPORT_DELAY_S = 6.0
+# Number of earlier incarnations whose late reports are recognised.
+MAX_ENDED = 16
 
 
 class TargetState(enum.Enum):
@@ -75,6 +77,10 @@
         """Id and start of the target, which identify the incarnation."""
         return self.target_id, self.born_ms
 
+    def status(self):
+        """Return the `TargetStatus` that the heartbeat reports."""
+        return TargetStatus(self.target_id, self.born_ms, self.sequence, self.state)
+
 
 @dataclass(frozen=True, slots=True)
 class TargetStatus:
@@ -138,38 +144,83 @@
     status, or if it is a newer heartbeat of the same incarnation. A target that drains
     or has left never becomes ready again in the same incarnation, so that a late
     heartbeat cannot bring it back.
+
+    The time of day of a host may be set back, so that a newer incarnation has an
+    earlier start. If it has the same id as the current one, a report that it drains or
+    has left is accepted, and `may_replace` tells whether a report that it is ready can
+    be accepted, given a proof that it is not late.
     """
 
     def __init__(self, current=None):
         self.current = current
+        # Keys are earlier incarnations, and those that drained or left while another
+        # one was current. The oldest comes first.
+        self._ended = {}
+
+    def _replace(self, status):
+        if self.current is not None and (
+            self.current.incarnation != status.incarnation
+        ):
+            self._note_ended(self.current.incarnation)
+        self._ended.pop(status.incarnation, None)
+        self.current = status
+
+    def _note_ended(self, incarnation):
+        self._ended[incarnation] = None
+        if len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
 
     def accept(self, heartbeat):
         """Take the status from a heartbeat; return whether it was accepted."""
         current = self.current
-        if current is not None:
-            if heartbeat.born_ms < current.born_ms:
+        if current is None:
+            self._replace(heartbeat.status())
+            return True
+        if heartbeat.incarnation == current.incarnation:
+            if current.state is TargetState.LEFT:
+                return False
+            if heartbeat.sequence <= current.sequence:
                 return False
             if (
-                heartbeat.born_ms == current.born_ms
-                and heartbeat.target_id == current.target_id
+                current.state is TargetState.DRAINING
+                and heartbeat.state is TargetState.READY
             ):
-                if current.state is TargetState.LEFT:
-                    return False
-                if heartbeat.sequence <= current.sequence:
-                    return False
-                if (
-                    current.state is TargetState.DRAINING
-                    and heartbeat.state is TargetState.READY
-                ):
-                    return False
-        self.current = TargetStatus(
-            heartbeat.target_id,
-            heartbeat.born_ms,
-            heartbeat.sequence,
-            heartbeat.state,
-        )
+                return False
+        elif heartbeat.incarnation in self._ended:
+            return False
+        elif heartbeat.born_ms < current.born_ms:
+            if heartbeat.state is TargetState.READY:
+                return False
+            if heartbeat.target_id != current.target_id:
+                # Calls name the current target, and this one does not run them.
+                self._note_ended(heartbeat.incarnation)
+                return False
+        self._replace(heartbeat.status())
         return True
 
+    def may_replace(self, heartbeat, recent):
+        """Return whether a heartbeat that `accept` refused may be of a newer target.
+
+        `recent` tells whether the heartbeat is certainly not late.
+        """
+        current = self.current
+        if (
+            heartbeat.state is not TargetState.READY
+            or heartbeat.incarnation == current.incarnation
+        ):
+            return False
+        if (current.target_id, current.state) == (
+            heartbeat.target_id,
+            TargetState.READY,
+        ):
+            # A change would make no difference to calls.
+            return False
+        return recent or heartbeat.incarnation not in self._ended
+
+    def replace(self, heartbeat):
+        """Take the status from a heartbeat for which `may_replace` returned True."""
+        self._replace(heartbeat.status())
+
     def merge(self, stored):
         """Merge the status that an earlier process of this node has stored.
 
@@ -177,18 +228,18 @@
         status. Returns whether the current status changed.
         """
         current = self.current
-        if current is None or stored.born_ms > current.born_ms:
-            self.current = stored
+        if current is not None and stored.incarnation == current.incarnation:
+            if STATE_ORDER.index(stored.state) <= STATE_ORDER.index(current.state):
+                return False
+            self.current = replace(current, state=stored.state)
             return True
-        same_incarnation = (stored.target_id, stored.born_ms) == (
-            current.target_id,
-            current.born_ms,
-        )
-        if not same_incarnation or (
-            STATE_ORDER.index(stored.state) <= STATE_ORDER.index(current.state)
+        if current is not None and (
+            stored.born_ms <= current.born_ms or stored.incarnation in self._ended
         ):
+            if stored.state is not TargetState.READY:
+                self._note_ended(stored.incarnation)
             return False
-        self.current = replace(current, state=stored.state)
+        self._replace(stored)
         return True
 
     def note_probed_id(self, target_id):
@@ -205,8 +256,8 @@
         # The start of the new incarnation is unknown until its first heartbeat. With a
         # start one millisecond after that of the previous incarnation, late heartbeats
         # of the previous one are ignored.
-        self.current = TargetStatus(
-            target_id, current.born_ms + 1, 0, TargetState.READY
+        self._replace(
+            TargetStatus(target_id, current.born_ms + 1, 0, TargetState.READY)
         )
         return True
 
@@ -226,7 +277,7 @@
         current = self.current
         if current.state is not TargetState.READY:
             return False
-        if (current.target_id, current.born_ms) != (target.target_id, target.born_ms):
+        if current.incarnation != target.incarnation:
             return False
         self.current = replace(current, state=TargetState.DRAINING)
         return True
@@ -250,18 +301,20 @@
             Whether the leave request was accepted.
         """
         current = self.current
-        if current is not None:
-            if born_ms is None and current.target_id != target_id:
-                return False
-            if born_ms is not None and born_ms < current.born_ms:
-                return False
-            if born_ms == current.born_ms and current.target_id != target_id:
+        if current is None:
+            self._replace(TargetStatus(target_id, born_ms or 0, 0, TargetState.LEFT))
+            return True
+        same_id = target_id == current.target_id
+        if born_ms is None:
+            if not same_id:
                 return False
-        known_born_ms = (
-            born_ms if born_ms is not None else (current.born_ms if current else 0)
-        )
-        sequence = current.sequence if current is not None else 0
-        self.current = TargetStatus(
-            target_id, known_born_ms, sequence, TargetState.LEFT
-        )
+            born_ms = current.born_ms
+        status = TargetStatus(target_id, born_ms, current.sequence, TargetState.LEFT)
+        if status.incarnation in self._ended:
+            return False
+        if not same_id and born_ms <= current.born_ms:
+            # Calls name the current target, and this one does not run them.
+            self._note_ended(status.incarnation)
+            return False
+        self._replace(status)
         return True
--- a/tests/test_twohop_restarts.py
+++ b/tests/test_twohop_restarts.py
@@ -13,6 +13,7 @@
     MAX_REPORT_DELAY_S,
     Heartbeat,
     ReportHistory,
+    StatusTracker,
     TargetState,
 )
 
@@ -263,3 +264,78 @@
 def heartbeat(target="t1", born_ms=5, sequence=1, state=TargetState.READY):
     """Return a heartbeat of a target."""
     return Heartbeat(target, ("127.0.0.1", 1), LEDGER, born_ms, sequence, state, 12)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+@cluster_test
+async def test_target_that_starts_again_after_a_clock_jump_is_served(
+    cluster, restarted
+):
+    """Guards against a target that is ignored because its start time has fallen."""
+    caller_node, node, target = await start_pair(cluster)
+    assert await target.send_leave(node) == 200
+    if restarted:
+        await cluster.close_node(node)
+        node = await cluster.start_node_with(node.cfg)
+        await cluster.until(node.store_sync.members_loaded.is_set)
+    previous_born_ms, previous_sequence = target.born_ms, target.sequence
+    target.born_ms, target.sequence = previous_born_ms - 2400, 0
+    assert await target.send_heartbeat(node, "ready") == 200
+    await cluster.until(lambda: node.target.accepting, 0.5)
+    await cluster.wait_until_connected()
+    assert (await Caller(caller_node).call("/look/1"))[0] == 200
+    # A late report of the previous incarnation changes nothing.
+    target.born_ms, target.sequence = previous_born_ms, previous_sequence
+    assert await target.send_heartbeat(node, "ready") == 200
+    current = node.target.status_tracker.current
+    assert current.born_ms == previous_born_ms - 2400
+    # The new incarnation drains.
+    target.born_ms, target.sequence = previous_born_ms - 2400, 9
+    assert await target.send_heartbeat(node, "draining") == 200
+    await assert_gets_no_calls(cluster, caller_node, node, target)
+
+
+@pytest.mark.parametrize("report", ["draining", "left"])
+@cluster_test
+async def test_drain_is_kept_though_the_start_time_has_fallen(cluster, report):
+    """Guards against a drain that is acknowledged and dropped as late.
+
+    The target has started again under the same id without a leave.
+    """
+    caller_node, node, target = await start_pair(cluster)
+    previous_born_ms = target.born_ms
+    target.born_ms -= 2400
+    assert await target.send_heartbeat(node, "ready") == 200
+    if report == "left":
+        assert await target.send_leave(node) == 200
+    else:
+        assert await target.send_heartbeat(node, report) == 200
+    target.healthy = False
+    # Late reports of both incarnations.
+    for born_ms in (target.born_ms, previous_born_ms):
+        target.born_ms = born_ms
+        assert await target.send_heartbeat(node, "ready") == 200
+        await assert_gets_no_calls(cluster, caller_node, node, target)
+
+
+def test_earlier_incarnation_is_not_taken_for_a_new_one():
+    """Guards against late reports of a target that has ended."""
+    tracker = StatusTracker()
+    ended = heartbeat(born_ms=5)
+    assert tracker.accept(ended)
+    assert tracker.accept(heartbeat(born_ms=9, state=TargetState.DRAINING))
+    assert not tracker.accept(ended)
+    assert not tracker.may_replace(ended, recent=False)
+    # A target that goes on reporting has not ended.
+    assert tracker.may_replace(ended, recent=True)
+    # An incarnation that was never heard of may be a new one, unless it has left.
+    assert tracker.may_replace(heartbeat(born_ms=3), recent=False)
+    assert tracker.may_replace(heartbeat("t2", born_ms=3), recent=False)
+    assert not tracker.accept_leave("t2", 3)
+    assert not tracker.may_replace(heartbeat("t2", born_ms=3), recent=False)
+    # The incarnation that has left stays so, recent or not.
+    assert tracker.accept_leave("t1", 9)
+    assert not tracker.may_replace(heartbeat(born_ms=9, sequence=9), recent=True)
+    # While a target of the same id is ready, nothing needs to change.
+    assert tracker.accept(heartbeat(born_ms=12))
+    assert not tracker.may_replace(heartbeat(born_ms=2), recent=True)
