Let a stopping node complete an answer that it writes

Cause: a request counts as done when its answer is handed to the stream, and a stopping node closed the connections of such requests as idle, and ended without waiting for them.

Change: a connection with unsent bytes is not idle, and the node waits for it as for an open request, up to the end of the grace.

--- a/pimentoline/twohop/frontend.py
+++ b/pimentoline/twohop/frontend.py
@@ -103,10 +103,17 @@
         """Accept no more connections."""
         self._server.stop()
 
+    @property
+    def busy(self):
+        """Whether a request has no response, or a response is being sent."""
+        return bool(self.open_requests) or any(
+            server_conn.stream.writing() for server_conn in self._requests_by_conn
+        )
+
     def close_idle(self):
-        """Close the connections without a request in progress."""
+        """Close the connections without a request or a response in progress."""
         for server_conn, request in list(self._requests_by_conn.items()):
-            if request.state in ("new", "done"):
+            if request.state in ("new", "done") and not server_conn.stream.writing():
                 server_conn.stream.close()
 
     def close_all(self):
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -300,7 +300,7 @@
         self.frontend.refuse_all()
         while loop.time() - stop_began_at < stop_limit_s:
             self.frontend.close_idle()
-            if not self.frontend.open_requests and not self.target.busy:
+            if not self.frontend.busy and not self.target.busy:
                 break
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         if self.target.has_left:
