Soak: targets that leave while the store fails and their node restarts

A new kind of fault: a target leaves, with the store up, down, silent or losing answers, and goes on serving for 5 s; its node is killed or stopped and started again, a late report arrives, and the target starts again under its id, at times with a lower start time.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,11 +37,18 @@
 # of the service `ledger` is drained and replaced (`replace`); for the service `desk`,
 # `replace` has no effect. The configuration changes (`change`), or it changes after all
 # waiting readers of the feed have gone silent (`watches`). Another writer leaves rows
-# that cannot be read (`odd`).
+# that cannot be read (`odd`). A target of the service `ledger` leaves, mostly while the
+# store fails, and goes on serving while its node is killed or stopped and started again
+# (`leave`).
 FAULT_KINDS = (
     *("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history"),
-    *("change", "watches", "odd"),
+    *("change", "watches", "odd", "leave"),
 )
+# How long a target goes on serving after it has left, seconds.
+LEFT_TARGET_SERVES_S = 5.0
+# Start time of a target relative to that of the previous one under the same id,
+# milliseconds; the clock of its host may have been set back.
+BORN_CHANGES_MS = (4000, -2400)
 ODD_VALUES = (
     b"[" * 100_000,
     b'{"addr":["127.0.0.1",70000],"dc":"d","region":"r","service":"ledger"}',
@@ -92,6 +99,8 @@
         Length of the load and the faults, seconds.
     log : callable
         Called with a line of text for each fault.
+    kinds : sequence of str
+        Kinds of the faults.
 
     Attributes
     ----------
@@ -103,7 +112,8 @@
         acknowledged the drain.
     """
 
-    def __init__(self, folder, seed, length_s, log):
+    def __init__(self, folder, seed, length_s, log, kinds=FAULT_KINDS):
+        self.kinds = kinds
         self.rng = random.Random(seed)
         self.length_s = length_s
         self.log = log
@@ -158,7 +168,7 @@
             ]
             while loop.time() < ends_at:
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
-                await self._inject_fault(self.rng.choice(FAULT_KINDS))
+                await self._inject_fault(self.rng.choice(self.kinds))
             await asyncio.gather(*load_tasks)
             await self._wait_until_serving(RECOVERY_TIMEOUT_S)
         finally:
@@ -244,6 +254,8 @@
                     self.store.put(table, f"odd-{self.rng.randrange(9)}", value)
             case "replace" if node.target.service == "ledger":
                 await self._replace_target(node)
+            case "leave" if node.target.service == "ledger":
+                await self._leave_and_restart(node)
 
     def _change_configuration(self):
         self.version += 1
@@ -272,8 +284,53 @@
         self.targets.append(successor)
         node.target = successor
 
+    async def _leave_and_restart(self, node):
+        """Let a target leave, restart its node, and start the target again."""
+        target, rng = node.target, self.rng
+        target.draining = True
+        store_fault = rng.choice(("none", "down", "silent", "lose"))
+        # A health check may claim that a target that has left is well.
+        target.healthy = rng.random() < 0.5
+        by_signal = rng.choice((signal.SIGKILL, signal.SIGTERM))
+        mended_first = rng.random() < 0.5
+        self.log(
+            f"        store {store_fault}, healthy {target.healthy}, {by_signal.name}"
+        )
+        if store_fault == "lose":
+            self.store.lose_responses = 2
+        elif store_fault != "none":
+            setattr(self.store, store_fault, True)
+        if await self._send_leave(node):
+            self.drained.append((target, time.monotonic()))
+        left_at = time.monotonic()
+        node.signal(by_signal)
+        await asyncio.to_thread(node.process.wait)
+        if mended_first:
+            self.store.down = self.store.silent = False
+        node.start()
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+        self.store.down = self.store.silent = False
+        # A heartbeat that was made before the leave arrives late.
+        await self._send_heartbeat(node, "ready")
+        remaining_s = left_at + LEFT_TARGET_SERVES_S - time.monotonic()
+        await asyncio.sleep(max(remaining_s, 0.0))
+        successor = ScriptedTarget(target.name, target.service)
+        successor.serve = lambda request, writer: serve(successor, request, writer)
+        successor.born_ms = target.born_ms + rng.choice(BORN_CHANGES_MS)
+        await successor.take_over(target)
+        self.targets.append(successor)
+        node.target = successor
+
+    async def _send_leave(self, node):
+        """Let the node's target leave; return whether that was acknowledged."""
+        try:
+            async with asyncio.timeout(1.0):
+                return await node.target.send_leave(node) == 200
+        except (OSError, TimeoutError, IndexError, ValueError):
+            return False
+
 
-def run_seed(seed, length_s, log=lambda line: None):
+def run_seed(seed, length_s, log=lambda line: None, kinds=FAULT_KINDS):
     """Run the soak with a seed; return its `ResultChecker`.
 
     Parameters
@@ -283,11 +340,13 @@
         Length of the load and the faults, seconds.
     log : callable
         Called with a line of text for each fault.
+    kinds : sequence of str
+        Kinds of the faults.
     """
     with tempfile.TemporaryDirectory() as folder:
 
         async def run():
-            return await Soak(folder, seed, length_s, log).run()
+            return await Soak(folder, seed, length_s, log, kinds).run()
 
         return asyncio.run(run())
 
@@ -299,7 +358,10 @@
     for seed in args.seeds:
         # `str` as the log function discards the line.
         checker = run_seed(
-            int(seed), args.length_s, print if args.verbose_faults else str
+            int(seed),
+            args.length_s,
+            print if args.verbose_faults else str,
+            args.kinds,
         )
         failed += bool(checker.violations)
         print(f"seed {seed}: {dict(sorted(checker.statuses.items()))}", flush=True)
@@ -312,5 +374,6 @@
 if __name__ == "__main__":
     flags.DEFINE_list("seeds", ["1"], "Seeds to run, one after the other.")
     flags.DEFINE_float("length_s", 20.0, "Length of the load and the faults, seconds.")
+    flags.DEFINE_multi_enum("kinds", FAULT_KINDS, FAULT_KINDS, "Kinds of the faults.")
     flags.DEFINE_bool("verbose_faults", False, "Print every fault with its time.")
     app.run(main)
