--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,7 +45,7 @@
     *("change", "watches", "odd", "leave"),
 )
 # How long a target goes on serving after it has left, seconds.
-LEFT_TARGET_SERVES_S = 5.0
+LEFT_TARGET_SERVES_S = 8.0
 # Start time of a target relative to that of the previous one under the same id,
 # milliseconds; the clock of its host may have been set back.
 BORN_CHANGES_MS = (4000, -2400)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,6 @@
 
 def test_acknowledged_leaves_outlive_restarts():
     """Guards against calls to targets that left while the store failed."""
-    result = run_seed(2, LENGTH_S, kinds=("leave",))
+    result = run_seed(4, LENGTH_S, kinds=("leave",))
     assert not result.violations
     assert result.statuses.get(200, 0) > 0
