--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -202,6 +202,19 @@
         "detail",
         "the target did not respond to a request for its load figures",
     ),
+    "target:no-health": ("detail", "the target did not respond to a health check"),
+    "target:not-acknowledged": (
+        "target, call",
+        "neither the store nor a peer has the state that the target reported",
+    ),
+    "target:proven": (
+        "proof",
+        "since the start of this process, the target has proved that it is ready",
+    ),
+    "target:replicated": (
+        "target, state, asked, held_by",
+        "peers were asked to hold a drain or leave that the store did not confirm",
+    ),
     "target:report-unreadable": ("detail", "a heartbeat is invalid"),
     "target:state": (
         "target, state, born_ms, sequence",
