Close a suspect link though its calls have been cancelled

What callers saw: after links between nodes had gone silent, calls were refused at once with 503 for seconds, although the targets were well and new connections worked.

Cause: a silent link is closed 1.2 s after an unanswered ping, but only while a call waits on it. Its calls are cancelled as soon as the link is suspect, or at their deadline; then the check stopped, and the peer got no calls until TCP gave the connection up, 3 to 6 s later, or never if TCP itself was alive.

Change: a suspect link is checked until it carries data again or is closed.

Evidence: test_calls_changes_and_drains_go_on_after_all_links_went_silent got 503 for 4 s on the commit before and passes.

--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -119,8 +119,12 @@
             self.close("peer does not read")
 
     def check(self, now):
-        """Ping a silent peer; if it does not reply, mark it as suspect, then close."""
-        if self.closed or not self.pending_responses:
+        """Ping a silent peer; if it does not reply, mark it as suspect, then close.
+
+        A suspect link is also closed if all its calls have been cancelled meanwhile.
+        Otherwise, the peer would get no calls until TCP finds the connection dead.
+        """
+        if self.closed or not (self.pending_responses or self._suspect):
             self._pinged_at = None
             return
         if self._pinged_at is None:
