Keep a restored leave against an unproven report

What callers could see: after a jump of the clock and a restart, a late report of an earlier incarnation with a higher start time replaced the stored leave in memory and in the row. Only the health check then kept the target, which had left, from being called.

Cause: the report of a newer incarnation was accepted before it was proven.

Change: until the process has a proof, a report that the target is ready does not replace a drain or leave that the store or peers told; it is kept until proven, as a report with a lower start time is.

Evidence: test_late_report_does_not_replace_a_stored_leave; the other tests of restarts pass, among them those in which a new incarnation is served at once after a restart.

--- a/pimentoline/twohop/target_side.py
+++ b/pimentoline/twohop/target_side.py
@@ -202,7 +202,10 @@
             return False
         is_ready = heartbeat.state is TargetState.READY
         recent = is_ready and self._report_history.note(heartbeat, self._clock())
-        if not self.status_tracker.accept(heartbeat):
+        # An unproven report must not replace a drain or leave that was restored.
+        known = recent or self._proven or self._is_ready or previous is None
+        doubtful = is_ready and not known
+        if doubtful or not self.status_tracker.accept(heartbeat):
             if not self.status_tracker.may_replace(heartbeat, recent):
                 log_entry(
                     "target:late-report",
--- a/tests/test_twohop_restarts.py
+++ b/tests/test_twohop_restarts.py
@@ -318,6 +318,26 @@
         await assert_gets_no_calls(cluster, caller_node, node, target)
 
 
+@cluster_test
+async def test_late_report_does_not_replace_a_stored_leave(cluster):
+    """Guards against a leave that is lost by two restarts and a jump of the clock.
+
+    The late report is of an earlier incarnation, whose start time is higher.
+    """
+    _, node, target = await start_pair(cluster)
+    later_born_ms = target.born_ms + 2400
+    assert await target.send_leave(node) == 200
+    target.healthy = False
+    await cluster.close_node(node)
+    node = await cluster.start_node_with(node.cfg)
+    await cluster.until(node.store_sync.members_loaded.is_set)
+    target.born_ms = later_born_ms
+    assert await target.send_heartbeat(node, "ready") == 200
+    await asyncio.sleep(0.2)
+    assert stored_state(cluster, node) == "left"
+    assert not node.target.accepting
+
+
 def test_earlier_incarnation_is_not_taken_for_a_new_one():
     """Guards against late reports of a target that has ended."""
     tracker = StatusTracker()
