Soak: share the acknowledgement and the successor of a target

The new fault `leave` had written again what `replace` does: it waits 1 s for the acknowledgement of a report, and starts a target at the address of the previous one. Both use one method for each now. Behaviour is as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -145,9 +145,13 @@
 
     async def _send_heartbeat(self, node, state):
         """Send a heartbeat of the node's target; return whether it was acknowledged."""
+        return await self._is_acknowledged(node.target.send_heartbeat(node, state))
+
+    async def _is_acknowledged(self, sending):
+        """Return whether a report of a target, sent by a coroutine, is acknowledged."""
         try:
             async with asyncio.timeout(1.0):
-                return await node.target.send_heartbeat(node, state) == 200
+                return await sending == 200
         except (OSError, TimeoutError, IndexError, ValueError):
             return False
 
@@ -278,9 +282,14 @@
         if await self._send_heartbeat(node, "draining"):
             self.drained.append((target, time.monotonic()))
         await asyncio.sleep(DRAIN_LIMIT_S + 0.5)
-        successor = ScriptedTarget(f"{target.name}'", target.service)
+        await self._start_successor(
+            node, ScriptedTarget(f"{target.name}'", target.service)
+        )
+
+    async def _start_successor(self, node, successor):
+        """Start a target at the address of the node's target, which ends."""
         successor.serve = lambda request, writer: serve(successor, request, writer)
-        await successor.take_over(target)
+        await successor.take_over(node.target)
         self.targets.append(successor)
         node.target = successor
 
@@ -300,7 +309,7 @@
             self.store.lose_responses = 2
         elif store_fault != "none":
             setattr(self.store, store_fault, True)
-        if await self._send_leave(node):
+        if await self._is_acknowledged(target.send_leave(node)):
             self.drained.append((target, time.monotonic()))
         left_at = time.monotonic()
         node.signal(by_signal)
@@ -315,19 +324,8 @@
         remaining_s = left_at + LEFT_TARGET_SERVES_S - time.monotonic()
         await asyncio.sleep(max(remaining_s, 0.0))
         successor = ScriptedTarget(target.name, target.service)
-        successor.serve = lambda request, writer: serve(successor, request, writer)
         successor.born_ms = target.born_ms + rng.choice(BORN_CHANGES_MS)
-        await successor.take_over(target)
-        self.targets.append(successor)
-        node.target = successor
-
-    async def _send_leave(self, node):
-        """Let the node's target leave; return whether that was acknowledged."""
-        try:
-            async with asyncio.timeout(1.0):
-                return await node.target.send_leave(node) == 200
-        except (OSError, TimeoutError, IndexError, ValueError):
-            return False
+        await self._start_successor(node, successor)
 
 
 def run_seed(seed, length_s, log=lambda line: None, kinds=FAULT_KINDS):
