Test responses whose field names hold blanks or control bytes

Callers get 502 for them on both paths already: tornado refuses field names that are no tokens, folded lines, and trailers. The tests hold that for 61 lines, as the first, a middle and the last line of a head with and without a length, after and within interim responses, in whole and in pieces of one byte, and in trailers; on the two-node path for a short call and an upload, on the one-hop path for four of the lines. No code is changed.

--- a/features/invalid_responses.feature
+++ b/features/invalid_responses.feature
@@ -14,3 +14,11 @@
       | answers with status 600                  | GET    |
       | answers with status 600                  | POST   |
       | answers with status 000 without a length | POST   |
+
+    Examples: field names
+      | fault                                       | method |
+      | answers with a blank in a field name        | POST   |
+      | answers with a blank before a field name    | POST   |
+      | answers with a blank after a field name     | POST   |
+      | answers with a control byte in a field name | GET    |
+      | answers with a control byte in a field name | POST   |
--- a/tests/target_faults.py
+++ b/tests/target_faults.py
@@ -97,6 +97,18 @@
     "answers with status 000 without a length": respond_and_close(
         make_response(b"000 Odd", body=b"odd")
     ),
+    "answers with a blank in a field name": serve_responses(
+        make_response(b"200 OK", NO_BODY, b"X Field: 1")
+    ),
+    "answers with a blank before a field name": serve_responses(
+        make_response(b"200 OK", b"X-A: 1", b" Content-Length: 0", NO_BODY)
+    ),
+    "answers with a blank after a field name": serve_responses(
+        make_response(b"200 OK", b"Content-Length : 0", NO_BODY)
+    ),
+    "answers with a control byte in a field name": serve_responses(
+        make_response(b"200 OK", NO_BODY, b"X-\x01Field: 1")
+    ),
     "answers 503 without X-Not-Run": serve_responses(
         make_response(b"503 Busy", NO_BODY)
     ),
--- a/tests/test_twohop_broken_responses.py
+++ b/tests/test_twohop_broken_responses.py
@@ -91,3 +91,66 @@
     with pytest.raises(StoreUnavailableError) as caught:
         asyncio.run(write())
     assert caught.value.may_have_written
+
+
+# Lines in whose field name a byte is not allowed.
+INVALID_LINES = [
+    *(b"X-%cField: 1" % byte for byte in [*range(0x21), 0x7F, 0x85, 0xA0]),
+    *(b"%cX-Field: 1" % byte for byte in b"\x00\x01\t\x0b\x0c \x7f\x85"),
+    *(b"X-Field%c: 1" % byte for byte in b"\x00\x01\t\x0b\x0c \x7f\x85"),
+    b": 1",
+    b"X-Field",
+    b"Content-Length : 4",
+    b" Content-Length: 4",
+    b"Content Length: 4",
+    b"Content-Length\t: 4",
+    b"Transfer-Encoding : chunked",
+    b" Transfer-Encoding: chunked",
+    b"Transfer-Encoding\x00: chunked",
+]
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 10**6])
+@pytest.mark.parametrize("position", [1, 2, 4], ids=["first", "middle", "last"])
+@pytest.mark.parametrize("whole", [WHOLE, WITHOUT_LENGTH], ids=["length", "none"])
+def test_invalid_field_name_is_no_response(whole, position, piece_bytes):
+    """Guards against a field that a caller reads differently than the node does."""
+    lines = whole.split(b"\r\n")
+    for invalid in INVALID_LINES:
+        data = b"\r\n".join([*lines[:position], invalid, *lines[position:]])
+        assert_incomplete(data, piece_bytes)
+        assert_incomplete(b"HTTP/1.1 100 Continue\r\n\r\n" + data, piece_bytes)
+        assert_incomplete(
+            b"HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n" % invalid + whole, piece_bytes
+        )
+
+
+def test_invalid_field_name_in_a_trailer_is_no_response():
+    """Guards against fields after the last chunk that are not checked."""
+    head = WHOLE.partition(b"Content-Length")[0] + b"Transfer-Encoding: chunked"
+    chunks = head + b"\r\n\r\na\r\n" + BODY + b"\r\n0\r\n"
+    assert asyncio.run(response_to(chunks + b"\r\n", 1)).body == BODY
+    for invalid in INVALID_LINES:
+        assert_incomplete(chunks + invalid + b"\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "invalid", [b"X Field: 1", b" X-Field: 1", b"X-\x01Field: 1", b"Content-Length : 4"]
+)
+@cluster_test
+async def test_caller_gets_a_failure_for_an_invalid_field_name(cluster, invalid):
+    """Guards against a response with such a field that reaches the caller."""
+    caller_node, _, target = await start_pair(cluster)
+
+    async def respond(request, writer):
+        data = WHOLE.replace(b"q1", request.request_id.encode())
+        line = b"X-Response-Stamp: s\r\n"
+        writer.write(data.replace(line, line + invalid + b"\r\n"))
+
+    target.serve = respond
+    caller = Caller(caller_node)
+    for number, body in enumerate([b"x", b"x" * 500_000]):
+        status, headers, _ = await caller.call(
+            "/sale/1", method="POST", body=body, request_id=f"q{number}"
+        )
+        assert status == 502 and "x-response-stamp" not in headers
