Refuse a response without a length that ends within the upload

A target answered a long upload at once with a 200 that had no length, sent a part of its body, ended its side of the connection and reset it while the upload was being written. On the two-node path the caller got that part as a complete response.

Cause: such a response ends with the connection, and only an error on the stream showed that it was cut. Where the end of the stream comes before the reset, the node reads the end and closes; it never sees the reset, which its unsent bytes bring about.

Change: a stream to a target notes whether it closed before the target's host had received all that was written: bytes that wait in the process, or in the kernel without an acknowledgement. A response without a length is then incomplete, and the caller gets 502. A host that has received the whole request has acknowledged it at the latest with the end of the stream, so a complete response is not refused.

--- a/pimentoline/streams.py
+++ b/pimentoline/streams.py
@@ -1,8 +1,10 @@
 """pimentoline.streams: flushing, resetting and reusing tornado streams."""
 
+import fcntl
 import re
 import socket
 import struct
+import termios
 
 from tornado.httputil import HTTPInputError
 from tornado.iostream import IOStream, StreamClosedError
@@ -11,6 +13,7 @@
 
 # Value of SO_LINGER with which `close` sends a reset.
 LINGER_RESET = struct.pack("ii", 1, 0)
+INT = struct.Struct("i")
 LF_WITHOUT_CR = re.compile(rb"(?<!\r)\n")
 # Statuses are 100 to 599 (RFC 9110, section 15). Tornado takes any three digits.
 VALID_STATUS = re.compile(rb"[\r\n]*HTTP/[0-9]\.[0-9] [1-5][0-9]{2} ")
@@ -39,12 +42,33 @@
         stream.close()
 
 
+def _unacknowledged_bytes(sock):
+    """Return how many sent bytes the peer's kernel has not received, 0 if unknown."""
+    try:
+        return INT.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT.size)))[0]
+    except OSError:
+        return 0
+
+
 class TargetStream(IOStream):
     """A stream to a target, for HTTP/1.1 responses with strictly checked heads.
 
     It can also tell whether it may be reused.
+
+    Attributes
+    ----------
+    undelivered : bool
+        Whether the stream closed before the target's host had received all that was
+        written.
     """
 
+    undelivered = False
+
+    def close_fd(self):
+        """Close the socket, and set `undelivered`."""
+        self.undelivered = self.writing() or _unacknowledged_bytes(self.socket) > 0
+        super().close_fd()
+
     async def read_until_regex(self, regex, max_bytes=None):
         """Return the head of a response, which `regex` ends.
 
--- a/pimentoline/twohop/exchange.py
+++ b/pimentoline/twohop/exchange.py
@@ -155,8 +155,11 @@
     headers = collector.headers
     bodiless = method == "HEAD" or collector.start_line.code in (204, 304)
     framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-    if not framed and not bodiless and stream.error is not None:
-        raise ResponseError("connection reset before the end of the response", True)
+    if not framed and not bodiless:
+        # The end of the connection ends the response. A target that has not received
+        # the whole request resets the connection, though it may seem to end it before.
+        if stream.error is not None or stream.undelivered:
+            raise ResponseError("connection reset before the end of the response", True)
     keep_alive = "close" not in headers.get("Connection", "").lower()
     reusable = (
         keep_alive
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -281,6 +281,8 @@
         Number of requests that run now, and the highest number that ran at once.
     delay_s : float
         Time from a request to the response of `respond`, seconds.
+    max_read_bytes : int or None
+        The target responds after this many bytes of a body, without the rest.
     slots : int
         Maximum number of requests at once that the target reports.
     slowdown_percent : int
@@ -309,6 +311,7 @@
         self.max_running = 0
         self.delay_s = 0.0
         self.serve = self.respond
+        self.max_read_bytes = None
         self.slots = 12
         self.slowdown_percent = 100
         self.health_checks = 0
@@ -380,6 +383,8 @@
             for name, value in (line.split(": ", 1) for line in lines)
         }
         length = int(headers.get("content-length", 0))
+        if self.max_read_bytes is not None:
+            length = min(length, self.max_read_bytes)
         return ReceivedRequest(method, path, headers, await reader.readexactly(length))
 
     async def _handle_request(self, request, reader, writer):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -7,12 +7,15 @@
 import http.client
 import json
 import signal
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from pimentoline.streams import LINGER_RESET
+
 from .conftest import wait_until
 from .raw_sockets import connect, raw_target, read_all, read_head, serve_responses
 
@@ -53,6 +56,45 @@
         assert target.connections == 2
 
 
+def _end_sending_and_reset(sock):
+    sock.shutdown(socket.SHUT_WR)
+    time.sleep(0.1)
+    _reset(sock)
+
+
+def _reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    sock.close()
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("end", [_reset, _end_sending_and_reset])
+def test_response_cut_during_an_upload_is_a_failure(cluster, end, chunked):
+    """Guards against a part of a body without a length, passed on as the whole one."""
+
+    def serve(target, sock, number):
+        if target.read_request(sock):
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+            time.sleep(0.05)
+            end(sock)
+
+    def pieces():
+        for _ in range(20):
+            yield bytes(100_000)
+            time.sleep(0.01)
+
+    cluster.start_node("n1")
+    with raw_target(cluster, serve):
+        conn = http.client.HTTPConnection(*cluster.nodes["n1"].info["data"], timeout=5)
+        headers = {"Host": "hive-ledger"}
+        if not chunked:
+            headers["Content-Length"] = "2000000"
+        conn.request("POST", "/", pieces(), headers, encode_chunked=chunked)
+        response = conn.getresponse()
+        assert response.status == 502
+        assert json.loads(response.read())["verdict"] == "ran"
+
+
 def test_refusal_before_the_end_of_an_upload_reaches_the_caller(cluster):
     """Guards against a refusal that is lost because the caller is still sending."""
     cluster.start_node("n1")
