--- a/pimentoline/headers.py
+++ b/pimentoline/headers.py
@@ -13,6 +13,7 @@
     "end_to_end_headers",
     "forwarded_request_headers",
     "forwarded_response_headers",
+    "is_final_status",
     "parse_load",
     "parse_request",
 ]
@@ -69,6 +70,11 @@
         self.detail = detail
 
 
+def is_final_status(status):
+    """Return whether an integer is the status of a response that is not interim."""
+    return 200 <= status <= 599
+
+
 def _bad_request(detail):
     return RequestError(400, "bad-request", detail)
 
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -8,7 +8,9 @@
 import random
 from dataclasses import dataclass
 
+from ..headers import is_final_status
 from ..logs import RateLimitedLog
+from ..verdict import Verdict
 from . import lifecycle as lc
 from .frames import CallFrame, FailedFrame, RefusedFrame, ResponseFrame
 from .model import MIN_FAILURE_STATUS
@@ -199,6 +201,17 @@
     def _handle_frame(self, candidate, frame, body):
         self.cancel_attempt = None
         now = self.caller_side.clock()
+        if isinstance(frame, ResponseFrame) and not is_final_status(frame.status):
+            # A node of an earlier version passes on any status that a target sends.
+            self.caller_side.log.entry(
+                "call:status-invalid",
+                request=self.incoming.request_id,
+                node=candidate.member.node,
+                status=frame.status,
+            )
+            frame = FailedFrame(
+                frame.stream, "target-broken", Verdict.MAY_HAVE_RUN, frame.load
+            )
         match frame:
             case ResponseFrame():
                 if frame.status >= MIN_FAILURE_STATUS:
--- a/tests/test_twohop_broken_responses.py
+++ b/tests/test_twohop_broken_responses.py
@@ -1,6 +1,8 @@
 """Tests of targets whose complete response is not valid HTTP."""
 
 import asyncio
+import json
+from dataclasses import replace
 
 import pytest
 
@@ -53,6 +55,28 @@
     assert node.target.load_report().success_rate < 1.0
 
 
+@pytest.mark.parametrize("status", [0, 99, 100, 199, 600, 999, 65535])
+@cluster_test
+async def test_status_out_of_range_from_an_earlier_node_is_a_failure(cluster, status):
+    """Guards against a node of an earlier version, which passes on any status."""
+    caller_node, node, target = await start_pair(cluster)
+    call_target = node.target._call_target
+
+    async def call_target_of_earlier_version(conn, call):
+        return replace(await call_target(conn, call), status=status)
+
+    node.target._call_target = call_target_of_earlier_version
+    caller = Caller(caller_node)
+    sale = await caller.call("/sale/1", method="POST", body=b"x", request_id="q1")
+    look = await caller.call("/look/1", request_id="q2")
+    for number, (found, headers, _) in enumerate([sale, look], 1):
+        assert found == 502 and headers["x-request-id"] == f"q{number}"
+        assert "x-response-stamp" not in headers
+    assert json.loads(sale[2]) == {"error": "target-broken"}
+    # The sale may have run and is not sent again.
+    assert [request.path for request in target.received].count("/sale/1") == 1
+
+
 @cluster_test
 async def test_health_check_with_a_status_out_of_range_tells_nothing(cluster):
     """Guards against figures that are taken from an invalid response."""
