Do not replay a recorded response whose status HTTP does not have

Cause: the status in a claim row was passed on unchecked.

Change: a row with a status outside 200 to 599 counts as one without a valid response, so the retry gets 409 and the verdict may-have-run.

--- a/pimentoline/claim_writer.py
+++ b/pimentoline/claim_writer.py
@@ -6,6 +6,7 @@
 from . import events as ev
 from .effects import FinishClaim, InsertClaim, ReleaseClaim
 from .errors import PimentolineError
+from .headers import is_final_status
 from .model import RecordedResponse
 
 __all__ = ["ClaimWriter"]
@@ -192,10 +193,13 @@
 
 
 def _recorded_response(value):
-    """Return the recorded response in a claim row, or None if it has none."""
+    """Return the recorded response in a claim row, or None if it has no valid one."""
     try:
+        status = int(value["status"])
+        if not is_final_status(status):
+            return None
         return RecordedResponse(
-            int(value["status"]),
+            status,
             str(value["content_type"]),
             base64.b64decode(value["body"]),
             bool(value["truncated"]),
--- a/tests/test_claim_writer.py
+++ b/tests/test_claim_writer.py
@@ -1,6 +1,9 @@
 """Tests of claims when store responses are lost and writes take effect late."""
 
 import asyncio
+from dataclasses import replace
+
+import pytest
 
 from pimentoline import events as ev
 from pimentoline.claim_writer import ClaimWriter
@@ -157,3 +160,19 @@
         assert writer.events[0].recorded == RESPONSE
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("status", [0, 99, 100, 600, -200])
+def test_recorded_status_out_of_range_is_not_replayed(status):
+    """Guards against a recorded response that is no HTTP and reaches a caller."""
+
+    async def scenario():
+        store = FaultyStore(Table())
+        writer = RecordingWriter("n1/1", store)
+        await writer.run(insert())
+        recorded = replace(RESPONSE, status=status)
+        await writer.run(FinishClaim(1, "hive-ledger", "k", recorded))
+        outcome = await RecordingWriter("n2/1", store).run(insert())
+        assert outcome is ev.ClaimOutcome.HELD
+
+    asyncio.run(scenario())
