Test invalid responses of the table service

The client of the one-hop path reports the outcome of a transaction as unknown already, for statuses that HTTP does not have and for invalid field names. No code is changed.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -199,3 +199,35 @@
         assert not caught.value.may_have_written
 
     asyncio.run(scenario())
+
+
+INVALID_HEADS = [
+    *(f"HTTP/1.1 {status} Odd\r\n" for status in ("000", "099", "600", "999")),
+    "HTTP/1.1 200 OK\r\nX Field: 1\r\n",
+    "HTTP/1.1 200 OK\r\n X-Field: 1\r\n",
+    "HTTP/1.1 200 OK\r\nX-\x01Field: 1\r\n",
+]
+
+
+@pytest.mark.parametrize("head", INVALID_HEADS)
+def test_invalid_response_to_a_transaction_tells_nothing(head):
+    """Guards against an outcome that is taken from a response that is not HTTP."""
+
+    async def scenario():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head.encode() + b'Content-Length: 11\r\n\r\n{"ok":true}')
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        store = Store(f"http://{host}:{port}")
+        try:
+            with pytest.raises(StoreUnavailableError) as caught:
+                await store.commit(puts=[("a", 1)])
+            assert caught.value.may_have_written
+        finally:
+            store.close()
+            server.close()
+
+    asyncio.run(scenario())
