Report a node's response with an invalid status as not usable

The command line took a response with a status such as 000 or 600 and printed its body with exit status 0.

Cause: its client checked the body only.

Change: a status outside 200 to 599 is a NodeUnavailableError.

--- a/pimentoline/commands/client.py
+++ b/pimentoline/commands/client.py
@@ -7,6 +7,7 @@
 from tornado.simple_httpclient import HTTPTimeoutError
 
 from ..errors import NodeUnavailableError
+from ..headers import is_final_status
 
 __all__ = ["AdminClient"]
 
@@ -45,8 +46,9 @@
         Raises
         ------
         NodeUnavailableError
-            If the node is unreachable or its response is not a JSON object. The
-            attribute `sent` is False if the node cannot have received the request.
+            If the node is unreachable, its response is not a JSON object, or its status
+            is not 200 to 599. The attribute `sent` is False if the node cannot have
+            received the request.
         """
         data = None
         if method == "POST":
@@ -82,6 +84,10 @@
             raise NodeUnavailableError(detail, sent=not connecting) from exc
         finally:
             http.close()
+        if not is_final_status(res.code):
+            raise NodeUnavailableError(
+                f"response of {self._base_url} has the status {res.code}"
+            )
         try:
             response = json.loads(res.body)
         except ValueError:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 
 from .conftest import wait_until
 from .operators import run_command, set_faults, start_command
+from .raw_sockets import RawTarget
 
 NODE_ARGS = ["node", "--region=rift", "--dc=kerio", "--mesh_keys=k"]
 
@@ -199,3 +200,22 @@
     assert out == "" and err.startswith(
         "pimentoline: node-unavailable: no node listens"
     )
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"600"])
+def test_response_with_a_status_out_of_range_is_not_usable(status, capsys):
+    """Guards against a result that is taken from a response that is not HTTP."""
+    body = b'{"node": "n1", "members": []}'
+
+    def serve(target, sock, number):
+        if target.read_request(sock):
+            length = b"Content-Length: %d" % len(body)
+            sock.sendall(b"HTTP/1.1 %s Odd\r\n%s\r\n\r\n" % (status, length) + body)
+
+    node = RawTarget(serve)
+    try:
+        args = ["mesh", "--admin_addr={}:{}".format(*node.addr)]
+        assert run(args) == ExitStatus.NODE_UNAVAILABLE
+    finally:
+        node.close()
+    assert "node-unavailable" in capsys.readouterr().err
