Count a response as cut if the system does not tell what was received

An error of the ioctl that reads the bytes without an acknowledgement was taken for none, without a log entry. It is logged now, and a response without a length is refused then. The new case failed before.

--- a/pimentoline/streams.py
+++ b/pimentoline/streams.py
@@ -9,6 +9,8 @@
 from tornado.httputil import HTTPInputError
 from tornado.iostream import IOStream, StreamClosedError
 
+from .logs import log_entry
+
 __all__ = ["TargetStream", "abort", "wait_flushed"]
 
 # Value of SO_LINGER with which `close` sends a reset.
@@ -42,12 +44,14 @@
         stream.close()
 
 
-def _unacknowledged_bytes(sock):
-    """Return how many sent bytes the peer's kernel has not received, 0 if unknown."""
+def _has_unacknowledged_bytes(sock):
+    """Return whether the peer has not acknowledged all bytes; true if unknown."""
     try:
-        return INT.unpack(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT.size)))[0]
-    except OSError:
-        return 0
+        data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT.size))
+    except OSError as exc:
+        log_entry("target:socket-unreadable", detail=repr(exc)[:80])
+        return True
+    return INT.unpack(data)[0] > 0
 
 
 class TargetStream(IOStream):
@@ -58,15 +62,15 @@
     Attributes
     ----------
     undelivered : bool
-        Whether the stream closed before the target's host had received all that was
-        written.
+        Whether the stream closed before the target's host had acknowledged all that
+        was written.
     """
 
     undelivered = False
 
     def close_fd(self):
         """Close the socket, and set `undelivered`."""
-        self.undelivered = self.writing() or _unacknowledged_bytes(self.socket) > 0
+        self.undelivered = self.writing() or _has_unacknowledged_bytes(self.socket)
         super().close_fd()
 
     async def read_until_regex(self, regex, max_bytes=None):
--- a/tests/test_twohop_early_responses.py
+++ b/tests/test_twohop_early_responses.py
@@ -6,6 +6,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
+from pimentoline import streams
 from pimentoline.pool import Pool
 from pimentoline.streams import LINGER_RESET
 from pimentoline.twohop.exchange import ResponseError, send_request
@@ -95,6 +96,19 @@
         assert (response.status, response.body) == (200, BODY)
 
 
+def test_response_without_a_length_is_cut_if_the_socket_tells_nothing(monkeypatch):
+    """Guards against an error of the system that makes a response pass for whole."""
+
+    def fail(*args):
+        raise OSError("not supported")
+
+    monkeypatch.setattr(streams.fcntl, "ioctl", fail)
+    with pytest.raises(ResponseError):
+        asyncio.run(response_during_upload(WITHOUT_LENGTH, len(UPLOAD), close))
+    response = asyncio.run(response_during_upload(WITH_LENGTH, len(UPLOAD), close))
+    assert (response.status, response.body) == (200, BODY)
+
+
 def test_early_response_with_a_length_is_whole():
     """Guards against an early response that is refused although it is complete."""
     response = asyncio.run(
