--- a/features/invalid_responses.feature
+++ b/features/invalid_responses.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: an invalid response is not passed on
     Given a target that <fault>
-    When a caller sends <method> with 400 ms left
+    When a caller sends <method> with 4000 ms left
     Then the answer is 502 with verdict may-have-run and code target-broken
 
     Examples: statuses
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -81,10 +81,10 @@
     context.response, context.body = response, response.read()
 
 
-@when("a caller sends {method} with 400 ms left")
-def step_call(context, method):
+@when("a caller sends {method} with {deadline_ms:d} ms left")
+def step_call(context, method, deadline_ms):
     """Send one call, with a body if it is a POST."""
-    headers = [HOST_LINE, "X-Deadline-Ms: 400"]
+    headers = [HOST_LINE, f"X-Deadline-Ms: {deadline_ms}"]
     body = b"sale" if method == "POST" else b""
     if body:
         headers.append("Content-Length: 4")
--- a/tests/test_twohop_broken_responses.py
+++ b/tests/test_twohop_broken_responses.py
@@ -12,7 +12,7 @@
 from pimentoline.twohop.exchange import ResponseError
 
 from .test_twohop_cut_responses import assert_incomplete, response_to
-from .test_twohop_path import Caller, cluster_test, start_pair
+from .test_twohop_path import Caller, cluster_test, config, start_pair
 
 BODY = b"0123456789"
 WHOLE = (
@@ -37,6 +37,7 @@
 @cluster_test
 async def test_caller_gets_a_failure_for_a_status_out_of_range(cluster, status):
     """Guards against a status that counts as a success, so that its target is kept."""
+    cluster.store.put_config(config(2, timeout="5000ms"))
     caller_node, node, target = await start_pair(cluster)
 
     async def respond(request, writer):
@@ -59,6 +60,7 @@
 @cluster_test
 async def test_status_out_of_range_from_an_earlier_node_is_a_failure(cluster, status):
     """Guards against a node of an earlier version, which passes on any status."""
+    cluster.store.put_config(config(2, timeout="5000ms"))
     caller_node, node, target = await start_pair(cluster)
     call_target = node.target._call_target
 
@@ -164,6 +166,7 @@
 @cluster_test
 async def test_caller_gets_a_failure_for_an_invalid_field_name(cluster, invalid):
     """Guards against a response with such a field that reaches the caller."""
+    cluster.store.put_config(config(2, timeout="5000ms"))
     caller_node, _, target = await start_pair(cluster)
 
     async def respond(request, writer):
