--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -123,6 +123,10 @@
         "request, route, service, status, reason, asked, attempts, verdict, age_ms",
         "the caller's node ended a call with its own error, not a target's response",
     ),
+    "call:status-invalid": (
+        "request, node, status",
+        "a node passed on a response with a status that HTTP does not have",
+    ),
     "call:unrouted": ("host, path, version", "no route in force matches a call"),
     # `known` is the newer version.
     "config:behind": (
@@ -216,6 +220,10 @@
         "peers were asked to hold a drain or leave that the store did not confirm",
     ),
     "target:report-unreadable": ("detail", "a heartbeat is invalid"),
+    "target:socket-unreadable": (
+        "detail",
+        "the system did not tell whether a target has received all of a request",
+    ),
     "target:state": (
         "target, state, born_ms, sequence",
         "the target on this host is ready, is draining or has left",
