Log the era of the store, full reads, and why a link was closed

Nothing in a log tells that the store came back from a copy, that a table was read anew, or that an older configuration was received; and a node that stops logs its links with the reason of a removed member, so the five entries of each case may be either.

Change: store:era when a response names another era than the one before, store:era-unreadable, store:table-read, config:older, and the reasons "node is shutting down" and "member changed" for closed links. No decision changes.

--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -158,6 +158,10 @@
         "version, was, source",
         "this node has begun to use another configuration",
     ),
+    "config:older": (
+        "version, known, source",
+        "an older configuration than the one in force was received and ignored",
+    ),
     "config:refused": ("source, detail", "a configuration cannot be used"),
     "member:not-stored": ("detail", "the row of this node could not be written"),
     "member:removed": (
@@ -193,6 +197,10 @@
         "detail",
         "the settings file could not be checked for changes",
     ),
+    # An era is the time between two returns of the store to an older copy; `was` is
+    # the previous one. Null: the store does not name it.
+    "store:era": ("era, was", "the store names another era than before"),
+    "store:era-unreadable": ("value", "the era of a response of the store is invalid"),
     "store:follow-error": (
         "table, detail",
         "an internal error while a table was followed; all rows are read again",
@@ -207,6 +215,7 @@
         "a row breaks the store's protocol and is left out, or is not base64",
     ),
     "store:state": ("reachable, detail", "the store was lost, or is back"),
+    "store:table-read": ("table, version, rows", "all rows of a table were read"),
     # The heartbeat contains another address than that of the target on this host.
     "target:foreign": (
         "target",
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import binascii
 import json
+import re
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -29,6 +30,9 @@
 WAIT_MARGIN_S = 1.0
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 PAGE_ROWS = 500
+# Header of all responses that counts how often the store came back from an older copy.
+ERA_HEADER = "Store-Era"
+ERA_PATTERN = re.compile(r"[0-9]{1,18}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +57,8 @@
     def __init__(self, addr, pool):
         self._addr = addr
         self._pool = pool
+        # Era of the latest response; None if it had none.
+        self._era = None
 
     async def _request(self, method, path, body=None, timeout_s=REQUEST_TIMEOUT_S):
         headers = HTTPHeaders({"Host": f"{self._addr[0]}:{self._addr[1]}"})
@@ -81,7 +87,17 @@
                 conn.close()
         return self._parse_response(path, response)
 
+    def _note_era(self, response):
+        era = _parse_era(response.headers)
+        if era is None and response.status != 200:
+            # Perhaps the response of something in front of the store.
+            return
+        if era != self._era:
+            log_entry("store:era", era=era, was=self._era)
+            self._era = era
+
     def _parse_response(self, path, response):
+        self._note_era(response)
         if response.status == 429:
             raise StoreBusyError(f"{path:.40}: rate limit exceeded")
         if response.status == 410:
@@ -181,6 +197,17 @@
         return _parse_version(item)
 
 
+def _parse_era(headers):
+    """Return the era in the headers of a response; None without a valid one."""
+    values = headers.get_list(ERA_HEADER)
+    if not values:
+        return None
+    if len(values) > 1 or not ERA_PATTERN.fullmatch(values[0]):
+        log_entry("store:era-unreadable", value=",".join(values)[:60])
+        return None
+    return int(values[0])
+
+
 def _parse_version(item):
     """Return the version in a response or a row.
 
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -140,6 +140,13 @@
         except ConfigurationError as exc:
             log_entry("config:refused", source=source, detail=exc.detail[:200])
             return
+        if config.version < self.version:
+            log_entry(
+                "config:older",
+                version=config.version,
+                known=self.version,
+                source=source,
+            )
         if config.version <= self.version:
             return
         previous_version, self.current, self.text = self.version, config, text
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -29,6 +29,7 @@
 # time, the peer is asked for the configuration.
 CONFIG_WAIT_S = 0.15
 MS_PER_S = 1000.0
+SHUTDOWN_REASON = "node is shutting down"
 
 
 class _BodyAssembler:
@@ -255,12 +256,12 @@
             self.assembler.drop(stream)
             self.link.send(fr.CancelFrame(stream))
 
-    def close(self):
-        """Close the link and do not connect again."""
+    def close(self, reason):
+        """Close the link for a reason, and do not connect again."""
         self.closed = True
         self.connect_task.cancel()
         if self.link is not None and not self.link.closed:
-            self.link.close("member removed")
+            self.link.close(reason)
 
 
 class _IncomingLink:
@@ -436,7 +437,7 @@
         if outgoing_link is not None and outgoing_link.candidate.member == member:
             return
         if outgoing_link is not None:
-            outgoing_link.close()
+            outgoing_link.close("member changed")
         log_entry("member:set", node=member.node, service=member.service)
         self.outgoing[member.node] = _OutgoingLink(self, Candidate(member))
         self._index_by_service()
@@ -452,7 +453,7 @@
         outgoing_link = self.outgoing.pop(node, None)
         if outgoing_link is not None:
             log_entry("member:removed", node=node)
-            outgoing_link.close()
+            outgoing_link.close("member removed")
             self._index_by_service()
 
     def _index_by_service(self):
@@ -583,9 +584,9 @@
         if self._check_task is not None:
             self._check_task.cancel()
         for outgoing_link in self.outgoing.values():
-            outgoing_link.close()
+            outgoing_link.close(SHUTDOWN_REASON)
         for link in list(self.incoming):
-            link.close("node is shutting down")
+            link.close(SHUTDOWN_REASON)
 
 
 class _AcceptedLinks:
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -132,6 +132,9 @@
                 if after is None:
                     rows, after = await self._store.read_all(table)
                     rows_read = True
+                    log_entry(
+                        "store:table-read", table=table, version=after, rows=len(rows)
+                    )
                     apply(rows, True)
                 else:
                     wait_s = get_wait_s(restarted)
