--- a/standins/platform.py
+++ b/standins/platform.py
@@ -52,7 +52,8 @@
     """A store that keeps its rows in memory and serves them over HTTP.
 
     Tests inject faults by setting `down`, `silent`, `lose_responses` and `stale_rows`,
-    and by calling `silence_feeds` and `expire_history`.
+    by calling `silence_feeds`, `cut_feeds` and `expire_history`, and by going back to
+    an earlier state with `copy` and `restore`.
 
     Attributes
     ----------
@@ -69,12 +70,14 @@
         Requests have no effect and get no response.
     lose_responses : int
         Number of further writes that take effect but whose responses are lost.
-    silenced_feeds : int
-        Number of calls of `silence_feeds`.
+    silenced_feeds, cuts : int
+        Number of calls of `silence_feeds` and of `cut_feeds`.
     stale_rows : dict or None
         Earlier value of `rows` that `rows-get` sends in place of the current one.
     odd_fields : dict
         Fields that replace those of a row in responses, by tuple (table, key).
+    era : int or None
+        Value of the header `Store-Era` of all responses; None to send no such header.
     calls : list of str
         Paths of the requests received.
     changed : asyncio.Event
@@ -91,8 +94,10 @@
         self.silent = False
         self.lose_responses = 0
         self.silenced_feeds = 0
+        self.cuts = 0
         self.stale_rows = None
         self.odd_fields = {}
+        self.era = 1
         self.calls = []
         self.changed = asyncio.Event()
         handlers = [(r"/v1/(rows-\w+)", _StoreHandler, {"store": self})]
@@ -105,8 +110,7 @@
         """Write a row and wake the readers of the feed; None deletes the row."""
         self.version += 1
         self.rows[table, key] = (value, self.version)
-        changed, self.changed = self.changed, asyncio.Event()
-        changed.set()
+        self._wake_feeds()
 
     def put_config(self, config):
         """Write the operator's configuration, given as JSON data."""
@@ -119,6 +123,29 @@
     def silence_feeds(self):
         """Never respond to the readers of the feed that wait now; serve later ones."""
         self.silenced_feeds += 1
+        self._wake_feeds()
+
+    def copy(self):
+        """Return a copy of all rows, for `restore`."""
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Go back to a copy: later writes are gone, and their versions are reused.
+
+        Feeds that wait meanwhile respond in the new era, unless `cut_feeds` is called.
+        """
+        rows, self.version = copy
+        self.rows = dict(rows)
+        if self.era is not None:
+            self.era += 1
+        self._wake_feeds()
+
+    def cut_feeds(self):
+        """Close the connections of the readers of the feed that wait now."""
+        self.cuts += 1
+        self._wake_feeds()
+
+    def _wake_feeds(self):
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
@@ -147,13 +174,20 @@
 
     async def prepare(self):
         self.store.calls.append(self.request.path)
+        self.set_era_header()
         if self.store.silent:
             await asyncio.Event().wait()
         if self.store.down:
             self.set_status(503)
             self.finish()
 
+    def set_era_header(self):
+        """Set the header with the current era, unless the store sends none."""
+        if self.store.era is not None:
+            self.set_header("Store-Era", str(self.store.era))
+
     def _respond(self, rows=None, **extra):
+        self.set_era_header()
         response = {
             "ver": self.store.version,
             "now": f"{int(time.monotonic() * 1000)}ms",
@@ -180,11 +214,15 @@
             return
         after = int(self.get_query_argument("after"))
         deadline = time.monotonic() + int(self.get_query_argument("wait_ms")) / 1000
-        silenced_feeds = store.silenced_feeds
+        silenced_feeds, cuts = store.silenced_feeds, store.cuts
         while True:
+            if cuts != store.cuts:
+                self.request.connection.stream.close()
+                return
             if silenced_feeds != store.silenced_feeds:
                 await asyncio.Event().wait()
-            if after + 1 < store.oldest_version:
+            if after + 1 < store.oldest_version or after > store.version:
+                self.set_era_header()
                 self.set_status(HISTORY_EXPIRED_STATUS)
                 self.finish("{}")
                 return
