Let a version of the store count only within its era

What callers saw: requests handled by a configuration that had been replaced, at all nodes and without an end, after the store had been away for a moment.

Cause: the store may come back from an older copy. It gives the versions since then again, for other changes. A follower that continued after version 39 took a change with version 39 or less for known, unless the counter was still lower (status 410). Class of fault: a position in one history used in another. The same cause kept a lost row of a member from being written again, and would let a conditional removal hit a row that it had never seen.

Change: the client of the store reads the era of every response. A version is a StoreVersion, a number with its era. In a new era all rows of both tables are read anew, waits of the earlier era end, versions of an earlier era are not sent, and a late response of an earlier era is not believed. After a failed read the next one does not wait, since a waiting feed names its era only at its end. If the store names no era, all rows are read after a failed read; a counter that falls has the same effect.

Tests changed for the new type: the model of the store in test_twohop_generated.py has versions with an era, read_pages compares the number of the version, and a write expects ABSENT in place of 0. Assertions are the same.

--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -10,6 +10,7 @@
     "SettingsError",
     "StoreBusyError",
     "StoreConflictError",
+    "StoreEraChangedError",
     "StoreError",
     "StoreHistoryExpiredError",
     "StoreUnavailableError",
@@ -103,8 +104,8 @@
     Parameters
     ----------
     detail : str
-    version : int
-        Current version of the row; 0 if it does not exist.
+    version : object
+        Current version of the row, also if it does not exist.
     value : bytes or None
         Current value of the row, if the response contained it.
     """
@@ -126,6 +127,19 @@
         super().__init__(detail, may_have_written=False)
 
 
+class StoreEraChangedError(StoreHistoryExpiredError):
+    """The store came back from an older copy; earlier versions mean nothing now.
+
+    A write may have taken effect, and may have been lost again.
+    """
+
+    code = "store-era-changed"
+
+    def __init__(self, detail, may_have_written=True):
+        super().__init__(detail)
+        self.may_have_written = may_have_written
+
+
 class ConfigurationError(PimentolineError):
     """The operator's configuration is invalid; the one in force is kept."""
 
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -215,7 +215,7 @@
         "a row breaks the store's protocol and is left out, or is not base64",
     ),
     "store:state": ("reachable, detail", "the store was lost, or is back"),
-    "store:table-read": ("table, version, rows", "all rows of a table were read"),
+    "store:table-read": ("table, era, version, rows", "all rows of a table were read"),
     # The heartbeat contains another address than that of the target on this host.
     "target:foreign": (
         "target",
--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -15,12 +15,14 @@
 from ..errors import (
     StoreBusyError,
     StoreConflictError,
+    StoreEraChangedError,
     StoreError,
     StoreHistoryExpiredError,
     StoreUnavailableError,
 )
 from ..logs import log_entry
 from ..twohop.exchange import ResponseError, send_request
+from ..twohop.store_versions import ABSENT, StoreVersion
 
 __all__ = ["PlatformStore", "StoredRow"]
 
@@ -40,7 +42,7 @@
     """A row of a table; `value` is None if the row does not exist."""
 
     key: str
-    version: int
+    version: StoreVersion
     value: bytes | None
 
 
@@ -59,8 +61,10 @@
         self._pool = pool
         # Era of the latest response; None if it had none.
         self._era = None
+        # Time-outs of the requests that wait for changes.
+        self._watch_timers = set()
 
-    async def _request(self, method, path, body=None, timeout_s=REQUEST_TIMEOUT_S):
+    async def _request(self, method, path, body=None, wait_s=None):
         headers = HTTPHeaders({"Host": f"{self._addr[0]}:{self._addr[1]}"})
         data = None
         if body is not None:
@@ -68,8 +72,14 @@
             headers["Content-Type"] = "application/json"
             headers["Content-Length"] = str(len(data))
         conn = None
+        timer = asyncio.timeout(
+            REQUEST_TIMEOUT_S if wait_s is None else wait_s + WAIT_MARGIN_S
+        )
+        era_at_start = self._era
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timer:
+                if wait_s is not None:
+                    self._watch_timers.add(timer)
                 conn = await self._pool.acquire(self._addr, body is None)
                 response = await send_request(
                     conn, method, path, headers, data, MAX_RESPONSE_BYTES
@@ -78,26 +88,40 @@
                 self._pool.release(conn)
                 conn = None
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
+            if wait_s is not None and self._era != era_at_start:
+                raise self._era_changed(path) from exc
             if isinstance(exc, TimeoutError):
                 # The other connections to the store may have gone silent as well.
                 self._pool.close_idle(self._addr)
             raise StoreUnavailableError(f"{path:.40}: {exc!r:.80}") from exc
         finally:
+            self._watch_timers.discard(timer)
             if conn is not None:
                 conn.close()
+        self._note_era(path, response, era_at_start)
         return self._parse_response(path, response)
 
-    def _note_era(self, response):
+    def _era_changed(self, path, may_have_written=True):
+        return StoreEraChangedError(
+            f"{path:.40}: the store is in era {self._era}", may_have_written
+        )
+
+    def _note_era(self, path, response, era_at_start):
+        """Note the era of a response to a request that was sent in `era_at_start`."""
         era = _parse_era(response.headers)
-        if era is None and response.status != 200:
-            # Perhaps the response of something in front of the store.
+        if era == self._era or (era is None and response.status != 200):
+            # Without an era, an error may come from something in front of the store.
             return
-        if era != self._era:
-            log_entry("store:era", era=era, was=self._era)
-            self._era = era
+        if era == era_at_start:
+            # Another response has named a new era meanwhile.
+            raise self._era_changed(path)
+        log_entry("store:era", era=era, was=self._era)
+        self._era = era
+        now = asyncio.get_running_loop().time()
+        for timer in self._watch_timers:
+            timer.reschedule(now)
 
     def _parse_response(self, path, response):
-        self._note_era(response)
         if response.status == 429:
             raise StoreBusyError(f"{path:.40}: rate limit exceeded")
         if response.status == 410:
@@ -119,6 +143,10 @@
     async def read_all(self, table):
         """Return the rows of a table and the version after which to read changes.
 
+        Returns
+        -------
+        tuple of (list of StoredRow, StoreVersion)
+
         Raises
         ------
         StoreError
@@ -131,11 +159,13 @@
             if start:
                 query["range_start"] = start
             _, item = await self._request("GET", f"/v1/rows-get?{urlencode(query)}")
-            page = _parse_rows(table, item)
-            rows += page
+            rows += _parse_rows(table, item, self._era)
             # The version of the first page is kept. Changes made while later pages are
             # read are received a second time, which is harmless.
-            version = _parse_version(item) if version is None else version
+            if version is None:
+                version = _parse_version(item, self._era)
+            elif version.era != self._era:
+                raise self._era_changed("rows-get")
             if type(item.get("has_more")) is not bool:
                 raise StoreError("response does not say whether there are more rows")
             if not item["has_more"]:
@@ -147,17 +177,37 @@
 
         The store waits up to `wait_s` seconds for a change.
 
+        Parameters
+        ----------
+        table : str
+        after : StoreVersion
+        wait_s : float
+
+        Returns
+        -------
+        tuple of (list of StoredRow, StoreVersion)
+
         Raises
         ------
+        StoreHistoryExpiredError
+            If changes may have been missed, so that all rows have to be read.
         StoreError
         """
         query = urlencode(
-            {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+            {"table": table, "after": after.number, "wait_ms": int(wait_s * 1000)}
         )
-        _, item = await self._request(
-            "GET", f"/v1/rows-feed?{query}", timeout_s=wait_s + WAIT_MARGIN_S
-        )
-        return _parse_rows(table, item), _parse_version(item)
+        path = f"/v1/rows-feed?{query}"
+        if after.era != self._era:
+            raise self._era_changed(path)
+        _, item = await self._request("GET", path, wait_s=wait_s)
+        version = _parse_version(item, self._era)
+        if version.era != after.era:
+            raise self._era_changed(path)
+        if version.number < after.number:
+            raise StoreHistoryExpiredError(
+                f"{path:.40}: the version fell to {version.number}"
+            )
+        return _parse_rows(table, item, self._era), version
 
     async def write(self, table, key, value, expected):
         """Write a row if it has the expected version; a `value` of None removes it.
@@ -166,21 +216,25 @@
         ----------
         table, key : str
         value : bytes or None
-        expected : int
-            Version that the row must have; 0 if it must not exist.
+        expected : StoreVersion
+            Version that the row must have; `ABSENT` if it must not exist.
 
         Returns
         -------
-        int
+        StoreVersion
             Version of the row after the write.
 
         Raises
         ------
+        StoreEraChangedError
+            If the expected version, or the result of the write, is of an earlier era.
         StoreConflictError, StoreError
         """
+        if expected != ABSENT and expected.era != self._era:
+            raise self._era_changed("rows-tx", may_have_written=False)
         row_key = {"table": table, "part": "", "key": key}
         body = {
-            "expected_rev": [{**row_key, "ver": expected}],
+            "expected_rev": [{**row_key, "ver": expected.number}],
             "writes": [],
             "remove": [],
         }
@@ -191,10 +245,10 @@
             body["writes"].append({**row_key, "value": text})
         status, item = await self._request("POST", "/v1/rows-tx", body)
         if status == 412:
-            found = _parse_rows(table, item) if "rows" in item else []
-            row = found[0] if found else StoredRow(key, 0, None)
+            found = _parse_rows(table, item, self._era) if "rows" in item else []
+            row = found[0] if found else StoredRow(key, ABSENT, None)
             raise StoreConflictError(f"row {key} has changed", row.version, row.value)
-        return _parse_version(item)
+        return _parse_version(item, self._era)
 
 
 def _parse_era(headers):
@@ -208,8 +262,8 @@
     return int(values[0])
 
 
-def _parse_version(item):
-    """Return the version in a response or a row.
+def _parse_version(item, era):
+    """Return the `StoreVersion` in a response or a row of an era.
 
     Raises
     ------
@@ -218,7 +272,7 @@
     version = item.get("ver")
     if type(version) is not int:
         raise StoreError(f"malformed version {version!r:.40}")
-    return version
+    return StoreVersion(era, version)
 
 
 def _last_key(item):
@@ -235,8 +289,8 @@
     raise StoreError("response has more rows, but no key to continue from")
 
 
-def _parse_rows(table, item):
-    """Return the rows in a response.
+def _parse_rows(table, item, era):
+    """Return the rows in a response of an era.
 
     A row that breaks the store's protocol is logged and left out, so that it does not
     hide the others.
@@ -252,16 +306,16 @@
     rows = []
     for found in items:
         try:
-            rows.append(_parse_row(found))
+            rows.append(_parse_row(found, era))
         except StoreError as exc:
             log_entry("store:row-unreadable", table=table, detail=exc.detail[:120])
     return rows
 
 
-def _parse_row(item):
+def _parse_row(item, era):
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         raise StoreError(f"malformed row {item!r:.80}")
-    key, version = item["key"], _parse_version(item)
+    key, version = item["key"], _parse_version(item, era)
     if item.get("deleted") or item.get("value") is None:
         return StoredRow(key, version, None)
     try:
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -7,11 +7,17 @@
 import asyncio
 import random
 
-from ..errors import StoreConflictError, StoreError, StoreHistoryExpiredError
+from ..errors import (
+    StoreConflictError,
+    StoreEraChangedError,
+    StoreError,
+    StoreHistoryExpiredError,
+)
 from ..logs import log_entry
 from ..tasks import start_task
 from . import watch_schedule
 from .member_rows import MemberRow, encode_row, parse_row
+from .store_versions import ABSENT
 from .target_status import TargetState
 
 __all__ = ["MEMBERS_TABLE", "StoreSync"]
@@ -32,8 +38,9 @@
 MAX_STORE_WAIT_S = 0.25
 # A stopping node waits this long for its last write, seconds.
 STOP_WRITE_TIMEOUT_S = 0.6
-# After a version conflict, a conditional write is retried once with the stored version.
-MAX_SAVE_ATTEMPTS = 2
+# After a version conflict, a conditional write is retried once with the stored version,
+# which is unknown at first in a new era of the store.
+MAX_SAVE_ATTEMPTS = 3
 # The row of a stopped node is removed after this time, seconds. Targets that have left
 # serve for some seconds at most.
 STOPPED_ROW_LIFETIME_S = 600.0
@@ -46,7 +53,8 @@
     ----------
     store : object
         Has the methods `read_all(table)`, `read_changes(table, after, wait_s)` and
-        `write(table, key, value, version)`; see `platform.store`.
+        `write(table, key, value, version)` with versions of the class `StoreVersion`;
+        see `platform.store`.
     config_row : tuple of str
         Table and key of the operator's configuration.
     own_member : Member
@@ -65,7 +73,7 @@
         self._config_row = config_row
         self._own_member = own_member
         self._node = node
-        self._row_version = 0
+        self._row_version = ABSENT
         self._write_lock = asyncio.Lock()
         self._tasks = []
         self._save_timer = None
@@ -117,11 +125,15 @@
         `get_wait_s(restarted)` returns how long to wait for a change; `restarted` tells
         whether the previous read did not wait until its end.
         `apply(rows, complete)` is called with the rows; `complete` tells whether they
-        are all rows of the table. If the store no longer has the history of changes,
-        all rows are read again.
+        are all rows of the table. If changes may have been missed, all rows are read
+        again: if the store no longer has the history of changes, has changed its era,
+        or was away and does not name its era.
         """
         after = None
         restarted = True
+        # Whether the previous read got no response. A response names the era, so the
+        # next one must not be delayed by a wait.
+        failed = False
         # Whether all rows were read last, and not the changes.
         rows_read = False
         pause_s = MIN_PAUSE_S
@@ -133,15 +145,19 @@
                     rows, after = await self._store.read_all(table)
                     rows_read = True
                     log_entry(
-                        "store:table-read", table=table, version=after, rows=len(rows)
+                        "store:table-read",
+                        table=table,
+                        era=after.era,
+                        version=after.number,
+                        rows=len(rows),
                     )
                     apply(rows, True)
                 else:
-                    wait_s = get_wait_s(restarted)
+                    wait_s = 0.0 if failed else get_wait_s(restarted)
                     # A failed read leaves this at True.
                     restarted = True
                     rows, after = await self._store.read_changes(table, after, wait_s)
-                    restarted, rows_read = bool(rows), False
+                    restarted, rows_read = failed or bool(rows), False
                     if rows:
                         apply(rows, False)
                     if table == MEMBERS_TABLE:
@@ -149,16 +165,25 @@
                         if rows:
                             await asyncio.sleep(BATCH_DELAY_S)
                 self._note_reachable(True, "")
+                failed = False
                 pause_s = MIN_PAUSE_S
             except StoreHistoryExpiredError as exc:
                 self._log_failed_read(table, after, began_at, exc)
                 after = None
+                if isinstance(exc, StoreEraChangedError) and table == MEMBERS_TABLE:
+                    # The store may have lost what it had confirmed.
+                    self._kept_status = None
+                    # All nodes notice at once. The configuration is read first.
+                    await asyncio.sleep(self._random.uniform(0.0, BATCH_DELAY_S))
                 if rows_read:
                     # The rows were already older than the history of changes.
                     await asyncio.sleep(MIN_PAUSE_S)
             except StoreError as exc:
                 self._log_failed_read(table, after, began_at, exc)
                 self._note_reachable(False, exc.detail)
+                failed = True
+                if after is not None and after.era is None:
+                    after = None
                 await asyncio.sleep(pause_s * self._random.uniform(0.7, 1.0))
                 pause_s = min(pause_s * 2, MAX_PAUSE_S)
             except Exception as exc:
@@ -177,7 +202,7 @@
         log_entry(
             "store:read-failed",
             table=table,
-            after=after,
+            after=None if after is None else after.number,
             waited_s=round(asyncio.get_running_loop().time() - began_at, 3),
             code=exc.code,
             detail=exc.detail[:120],
@@ -250,7 +275,7 @@
 
     def _apply_own_row(self, row):
         """Restore the target's state from the row, and save the row if it differs."""
-        self._row_version = row.version if row is not None else 0
+        self._row_version = row.version if row is not None else ABSENT
         value = row.value if row is not None else None
         if self._restore_target(value) != self._own_row():
             self.save_in_background()
@@ -299,6 +324,9 @@
                     # lost.
                     self._row_version = exc.version
                     self._restore_target(exc.value)
+                except StoreEraChangedError:
+                    # The next conflict tells the version in the new era.
+                    self._row_version = ABSENT
                 except StoreError as exc:
                     log_entry("member:not-stored", detail=exc.detail[:120])
                     break
--- a/tests/test_twohop_broken_responses.py
+++ b/tests/test_twohop_broken_responses.py
@@ -10,6 +10,7 @@
 from pimentoline.platform.store import PlatformStore
 from pimentoline.pool import Pool
 from pimentoline.twohop.exchange import ResponseError
+from pimentoline.twohop.store_versions import ABSENT
 
 from .test_twohop_cut_responses import assert_incomplete, response_to
 from .test_twohop_path import Caller, cluster_test, config, start_pair
@@ -110,7 +111,7 @@
         pool = Pool(asyncio.get_running_loop().time)
         store = PlatformStore(server.sockets[0].getsockname(), pool)
         try:
-            await store.write("members", "node", b"row", 0)
+            await store.write("members", "node", b"row", ABSENT)
         finally:
             server.close()
 
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -15,6 +15,7 @@
 from pimentoline.twohop.model import Member, Route, RouteKind, Share
 from pimentoline.twohop.noise import StartDecision
 from pimentoline.twohop.store_sync import MEMBERS_TABLE, StoreSync
+from pimentoline.twohop.store_versions import ABSENT, StoreVersion
 from pimentoline.twohop.target_status import Heartbeat, StatusTracker, TargetState
 from pimentoline.verdict import Verdict
 
@@ -182,6 +183,9 @@
 
 # Drains, with a store that loses responses and applies writes late.
 
+# Era of the store that these tests use.
+ERA = 1
+
 
 class FaultyStore:
     """A store with the row of one node.
@@ -194,15 +198,15 @@
     def __init__(self, faults):
         self.faults = faults
         self.row = None
-        self.version = 0
+        self.version = StoreVersion(ERA, 0)
         self.drain_stored = False
         self.changed = asyncio.Event()
 
     def _apply(self, key, value, expected):
-        version = self.row.version if self.row is not None else 0
+        version = self.row.version if self.row is not None else ABSENT
         if version != expected:
             return False
-        self.version += 1
+        self.version = StoreVersion(ERA, self.version.number + 1)
         self.row = StoredRow(key, self.version, value)
         self.drain_stored = self.drain_stored or b"draining" in value
         changed, self.changed = self.changed, asyncio.Event()
@@ -217,7 +221,7 @@
 
     async def read_changes(self, table, after, wait_s):
         """Return (rows, version) once the row changed; ([], after) after `wait_s`."""
-        has_changes = self.row is not None and self.row.version > after
+        has_changes = self.row is not None and self.row.version.number > after.number
         if not has_changes or table != MEMBERS_TABLE:
             try:
                 async with asyncio.timeout(wait_s):
--- a/tests/test_twohop_store_watch.py
+++ b/tests/test_twohop_store_watch.py
@@ -245,7 +245,7 @@
     monkeypatch.setattr(store, "_request", request)
     rows, version = asyncio.run(store.read_all("t"))
     assert not left
-    return [row.key for row in rows], version
+    return [row.key for row in rows], version.number
 
 
 def test_pages_are_read_past_one_without_a_readable_row(monkeypatch):
