Log what a silent link waits for, and when the event loop is held up

Cause: the logs cannot tell why links go silent without a fault. A slow link, a peer without processor time and a stopping peer look the same.

Change: peer:suspect has the calls that wait and the bytes that the peer's host has not acknowledged; call:stalled names calls that are sent elsewhere because of it; node:delayed tells that the event loop was held up for over 0.1 s. No decision changes.

--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -131,6 +131,10 @@
         "request, route, service, status, reason, asked, attempts, verdict, age_ms",
         "the caller's node ended a call with its own error, not a target's response",
     ),
+    "call:stalled": (
+        "request, asked, sent_to",
+        "a call was sent to another node, since the link to the one before is silent",
+    ),
     "call:status-invalid": (
         "request, node, status",
         "a node passed on a response with a status that HTTP does not have",
@@ -175,6 +179,7 @@
     "member:row-removed": ("node", "this node deleted the row of a node that left"),
     "member:set": ("node, service", "a node is new or has changed"),
     "member:unreadable": ("key, detail", "a row does not describe a node"),
+    "node:delayed": ("late_ms", "the event loop of this node was held up"),
     # `same` is false if a changed setting takes effect only after a restart.
     "node:reloaded": ("node, same", "the settings were read again"),
     "node:stopping": ("node", "a graceful stop has begun"),
@@ -188,8 +193,9 @@
         "node, reason, calls",
         "a link to a node ended; its `calls` open calls may have run",
     ),
+    # `unsent_bytes` counts what the peer's host has not acknowledged.
     "peer:suspect": (
-        "node, suspect",
+        "node, suspect, calls, unsent_bytes",
         "a link to a node went silent, or carries data again if `suspect` is false",
     ),
     "settings:refused": ("code, detail", "the settings file cannot be used"),
--- a/pimentoline/streams.py
+++ b/pimentoline/streams.py
@@ -44,14 +44,25 @@
         stream.close()
 
 
+def unacknowledged_bytes(sock):
+    """Return how many bytes written to a socket its peer has not acknowledged.
+
+    Raises
+    ------
+    OSError
+        If the system does not tell.
+    """
+    data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT.size))
+    return INT.unpack(data)[0]
+
+
 def _has_unacknowledged_bytes(sock):
     """Return whether the peer has not acknowledged all bytes; true if unknown."""
     try:
-        data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT.size))
+        return unacknowledged_bytes(sock) > 0
     except OSError as exc:
         log_entry("target:socket-unreadable", detail=repr(exc)[:80])
         return True
-    return INT.unpack(data)[0] > 0
 
 
 class TargetStream(IOStream):
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -152,6 +152,13 @@
         response will miss the latency objective.
         """
         caller_side, call = self.caller_side, self.call
+        if effect.after_stall:
+            self.caller_side.log.entry(
+                "call:stalled",
+                request=self.incoming.request_id,
+                asked=sorted(call.tried),
+                sent_to=effect.candidate.member.node,
+            )
         self.attempt_number += 1
         number = self.attempt_number
         # `placements` counts how often the call was sent to a node. A refused call that
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -157,11 +157,14 @@
         latency objective. It may still refuse the call for another reason.
     retry : bool
         Whether an earlier attempt may have reached a target.
+    after_stall : bool
+        Whether the link of the earlier attempt is silent.
     """
 
     candidate: object
     last_resort: bool
     retry: bool
+    after_stall: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,12 +252,12 @@
     return _send_to(call, candidate, False, retry)
 
 
-def _send_to(call, candidate, last_resort, retry):
+def _send_to(call, candidate, last_resort, retry, after_stall=False):
     call.current_candidate = candidate
     call.placements += 1
     call.tried.add(candidate.member.node)
     call.last_resort = last_resort
-    return [Send(candidate, last_resort, retry)]
+    return [Send(candidate, last_resort, retry, after_stall)]
 
 
 def _use_last_resort(call, now, retry):
@@ -322,7 +325,7 @@
         call.attempts -= 1
         return []
     call.verdict = Verdict.MAY_HAVE_RUN
-    return [CancelAttempt(), *_send_to(call, candidate, False, True)]
+    return [CancelAttempt(), *_send_to(call, candidate, False, True, True)]
 
 
 def _on_response(call, event, environment):
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -10,6 +10,7 @@
 
 from ..errors import CodecError
 from ..keepalive import Keepalive
+from ..streams import unacknowledged_bytes
 from .bodies import CHUNK_BYTES, body_chunks
 from .frames import BodyFrame, FrameReader, Ping, Pong, encode
 
@@ -177,6 +178,15 @@
         elif now - self._pinged_at > SUSPECT_AFTER_S:
             self._set_suspect(True)
 
+    @property
+    def unsent_bytes(self):
+        """Bytes sent that the peer's host has not acknowledged; None if unknown."""
+        try:
+            in_flight = unacknowledged_bytes(self._transport.get_extra_info("socket"))
+        except OSError:
+            return None
+        return self._transport.get_write_buffer_size() + in_flight
+
     def _set_suspect(self, suspect):
         if suspect != self._suspect:
             self._suspect = suspect
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -28,6 +28,8 @@
 # newer version within this time after a peer has announced it, seconds. After this
 # time, the peer is asked for the configuration.
 CONFIG_WAIT_S = 0.15
+# A delay of the event loop above this is logged, seconds.
+MAX_QUIET_DELAY_S = 0.1
 MS_PER_S = 1000.0
 SHUTDOWN_REASON = "node is shutting down"
 
@@ -159,7 +161,13 @@
     def link_suspect(self, link, suspect):
         """Exclude a silent peer from placement, and notify its open calls."""
         self.candidate.reachable = not suspect
-        log_entry("peer:suspect", node=link.peer, suspect=suspect)
+        log_entry(
+            "peer:suspect",
+            node=link.peer,
+            suspect=suspect,
+            calls=len(self.frame_callbacks),
+            unsent_bytes=link.unsent_bytes,
+        )
         if suspect:
             for on_stall in list(self.stall_callbacks.values()):
                 on_stall()
@@ -396,9 +404,14 @@
 
         This node waits for responses only on the links that it opened itself.
         """
+        checked_at = self.clock()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = self.clock()
+            late_s = now - checked_at - CHECK_INTERVAL_S
+            checked_at = now
+            if late_s > MAX_QUIET_DELAY_S:
+                self.log.entry("node:delayed", late_ms=int(late_s * MS_PER_S))
             for outgoing_link in self.outgoing.values():
                 if outgoing_link.link is not None:
                     outgoing_link.link.check(now)
