Keep a run open whose link is silent until another response is there

The caller's node then cancelled the safe calls that waited on it and sent them elsewhere. If the other node refused, nothing was left to wait for, and the call ended with 502.

Change: the attempt on the silent link stays open beside the next one. The first response is used and the other attempt cancelled; a failure response is held, and no error is returned while one of the two may still respond. The stalled attempt counts against max_attempts until its outcome is known, and the retry still takes from the budget. If neither has run, the answer is now a 503 with the time to come back, not a 502.

The generated test of the reducer now has two open attempts and also demands that no error replaces an open attempt: 1,000 examples a run.

Tests changed: test_stalled_lookup_is_retried_elsewhere_and_a_sale_waits demanded the cancellation, which is the fault; it now demands that the attempt is kept. The generated test skips outcomes of attempts that are not open, which cannot happen, and has a second kind of attempt.

--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -132,8 +132,8 @@
         "the caller's node ended a call with its own error, not a target's response",
     ),
     "call:stalled": (
-        "request, asked, sent_to",
-        "a call was sent to another node, since the link to the one before is silent",
+        "request, node",
+        "a call was sent to another node as well, since the link to `node` is silent",
     ),
     "call:status-invalid": (
         "request, node, status",
--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -88,7 +88,7 @@
 
 
 class _ActiveCall:
-    """An open call and its current attempt.
+    """An open call and its attempts.
 
     Attributes
     ----------
@@ -96,6 +96,8 @@
         Identifies the current attempt; callbacks of earlier attempts are ignored.
     cancel_attempt : callable or None
         Cancels the current attempt.
+    stalled_number, cancel_stalled : int or None, callable or None
+        The same for an earlier attempt that is open, because its link went silent.
     deadline_timer : asyncio.TimerHandle or None
     """
 
@@ -106,6 +108,8 @@
         self.respond = respond
         self.attempt_number = 0
         self.cancel_attempt = None
+        self.stalled_number = None
+        self.cancel_stalled = None
         self.deadline_timer = None
 
     def dispatch(self, event):
@@ -114,7 +118,9 @@
             match effect:
                 case lc.Send():
                     self._send(effect)
-                case lc.CancelAttempt():
+                case lc.KeepAttempt():
+                    self._keep_attempt(effect.candidate)
+                case lc.CancelAttempts():
                     self._cancel()
                 case lc.Reply():
                     response = effect.response
@@ -152,13 +158,6 @@
         response will miss the latency objective.
         """
         caller_side, call = self.caller_side, self.call
-        if effect.after_stall:
-            self.caller_side.log.entry(
-                "call:stalled",
-                request=self.incoming.request_id,
-                asked=sorted(call.tried),
-                sent_to=effect.candidate.member.node,
-            )
         self.attempt_number += 1
         number = self.attempt_number
         # `placements` counts how often the call was sent to a node. A refused call that
@@ -169,8 +168,8 @@
             )
 
         def on_frame(frame, body):
-            if number == self.attempt_number:
-                self._handle_frame(effect.candidate, frame, body)
+            if number in (self.attempt_number, self.stalled_number):
+                self._handle_frame(number, effect.candidate, frame, body)
 
         def on_stall():
             if number == self.attempt_number:
@@ -206,8 +205,12 @@
             len(incoming.body),
         )
 
-    def _handle_frame(self, candidate, frame, body):
-        self.cancel_attempt = None
+    def _handle_frame(self, number, candidate, frame, body):
+        stalled = number == self.stalled_number
+        if stalled:
+            self.stalled_number = self.cancel_stalled = None
+        else:
+            self.cancel_attempt = None
         now = self.caller_side.clock()
         if isinstance(frame, ResponseFrame) and not is_final_status(frame.status):
             # A node of an earlier version passes on any status that a target sends.
@@ -230,23 +233,42 @@
                         self.call.route, frame.body_bytes
                     )
                 self.dispatch(
-                    lc.ResponseReceived(now, frame.status, _TargetResponse(frame, body))
+                    lc.ResponseReceived(
+                        now, frame.status, _TargetResponse(frame, body), stalled
+                    )
                 )
             case RefusedFrame():
                 retry_after_s = frame.retry_after_ms / MS_PER_S
                 candidate.refused_until = now + min(retry_after_s, MAX_AVOIDANCE_S)
                 self.dispatch(
-                    lc.AttemptRefused(now, frame.reason, retry_after_s, frame.by_target)
+                    lc.AttemptRefused(
+                        now, frame.reason, retry_after_s, frame.by_target, stalled
+                    )
                 )
             case FailedFrame():
                 candidate.note_failure(now)
-                self.dispatch(lc.AttemptFailed(now, frame.verdict, frame.reason))
+                self.dispatch(
+                    lc.AttemptFailed(now, frame.verdict, frame.reason, stalled)
+                )
+
+    def _keep_attempt(self, candidate):
+        """Keep the attempt at a candidate open, since its link may only be slow."""
+        self.caller_side.log.entry(
+            "call:stalled",
+            request=self.incoming.request_id,
+            node=candidate.member.node,
+        )
+        self.stalled_number = self.attempt_number
+        self.cancel_stalled, self.cancel_attempt = self.cancel_attempt, None
 
     def _cancel(self):
         self.attempt_number += 1
-        cancel, self.cancel_attempt = self.cancel_attempt, None
-        if cancel is not None:
-            cancel()
+        self.stalled_number = None
+        cancels = self.cancel_attempt, self.cancel_stalled
+        self.cancel_attempt = self.cancel_stalled = None
+        for cancel in cancels:
+            if cancel is not None:
+                cancel()
 
     def _finish(self, outcome):
         if self.deadline_timer is not None:
--- a/pimentoline/twohop/lifecycle.py
+++ b/pimentoline/twohop/lifecycle.py
@@ -2,7 +2,9 @@
 
 `step(call, event, environment)` updates the call and returns the effects of an event.
 A call goes to a second target only if it is proven that the first has not run it, or
-if its route is retryable and the retry budget is not used up.
+if its route is retryable and the retry budget is not used up. If a call is retried
+because the link of its attempt is silent, that attempt stays open, and the first
+response of the two is used.
 """
 
 from dataclasses import dataclass, field
@@ -17,7 +19,8 @@
     "Call",
     "CallReceived",
     "CallerDisconnected",
-    "CancelAttempt",
+    "CancelAttempts",
+    "KeepAttempt",
     "Reject",
     "Reply",
     "ResponseReceived",
@@ -57,6 +60,9 @@
         What is known about whether a target has run the call.
     current_candidate : Candidate or None
         Where the call was sent last.
+    waits_for_current, waits_for_stalled : bool
+        Whether the current attempt, and an earlier one whose link went silent, are
+        open.
     last_resort : bool
         Whether the current attempt is accepted even if its response will miss the
         latency objective. It may still be refused for another reason.
@@ -78,6 +84,8 @@
     placements: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     current_candidate: object = None
+    waits_for_current: bool = False
+    waits_for_stalled: bool = False
     last_resort: bool = False
     retry_after_s: float | None = None
     last_resort_candidate: object = None
@@ -97,13 +105,15 @@
     """The call was refused and has not run.
 
     The target's node refused it, or the target itself responded that it has not run the
-    call (`by_target`).
+    call (`by_target`). `stalled` tells whether this is the outcome of the stalled
+    attempt, here and in the other outcomes.
     """
 
     now: float
     reason: str
     retry_after_s: float
     by_target: bool = False
+    stalled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +123,7 @@
     now: float
     verdict: Verdict
     reason: str
+    stalled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +133,7 @@
     now: float
     status: int
     response: object
+    stalled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,19 +169,23 @@
         latency objective. It may still refuse the call for another reason.
     retry : bool
         Whether an earlier attempt may have reached a target.
-    after_stall : bool
-        Whether the link of the earlier attempt is silent.
     """
 
     candidate: object
     last_resort: bool
     retry: bool
-    after_stall: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class CancelAttempt:
-    """Cancel the attempt in progress."""
+class KeepAttempt:
+    """Keep the attempt at a candidate open as the stalled one, beside the next one."""
+
+    candidate: object
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempts:
+    """Cancel all attempts that are open."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,30 +231,42 @@
 
     Returns
     -------
-    list of Send, CancelAttempt, Reply or Reject
+    list of Send, KeepAttempt, CancelAttempts, Reply or Reject
     """
     if call.ended:
         return []
     match event:
+        case AttemptRefused() | AttemptFailed() | ResponseReceived():
+            return _on_outcome(call, event, environment)
         case CallReceived():
             return _place_call(call, event.now, environment, False)
-        case AttemptRefused():
-            return _on_refused(call, event, environment)
-        case AttemptFailed():
-            return _on_failed(call, event, environment)
-        case ResponseReceived():
-            return _on_response(call, event, environment)
         case AttemptStalled():
             return _on_stalled(call, event.now, environment)
         case TimedOut():
             call.ended = True
-            return [CancelAttempt(), _timeout_effect(call)]
+            return [CancelAttempts(), _timeout_effect(call)]
         case CallerDisconnected():
             call.ended = True
-            return [CancelAttempt(), Reject(None, "caller-left")]
+            return [CancelAttempts(), Reject(None, "caller-left")]
     raise TypeError(f"unknown event {event!r:.80}")
 
 
+def _on_outcome(call, event, environment):
+    if event.stalled:
+        call.waits_for_stalled = False
+        # Counted again below if the attempt reached the target.
+        call.attempts -= 1
+    else:
+        call.waits_for_current = False
+    match event:
+        case AttemptRefused():
+            return _on_refused(call, event, environment)
+        case AttemptFailed():
+            return _on_failed(call, event, environment)
+        case ResponseReceived():
+            return _on_response(call, event, environment)
+
+
 def _timeout_effect(call):
     if call.held_response is not None:
         return Reply(call.held_response)
@@ -252,12 +280,13 @@
     return _send_to(call, candidate, False, retry)
 
 
-def _send_to(call, candidate, last_resort, retry, after_stall=False):
+def _send_to(call, candidate, last_resort, retry):
     call.current_candidate = candidate
+    call.waits_for_current = True
     call.placements += 1
     call.tried.add(candidate.member.node)
     call.last_resort = last_resort
-    return [Send(candidate, last_resort, retry, after_stall)]
+    return [Send(candidate, last_resort, retry)]
 
 
 def _use_last_resort(call, now, retry):
@@ -269,6 +298,9 @@
 
 
 def _give_up(call, reason):
+    """End the call, unless its stalled attempt may still give a response."""
+    if call.waits_for_stalled:
+        return []
     call.ended = True
     if call.held_response is not None:
         return [Reply(call.held_response)]
@@ -282,10 +314,14 @@
     shortest_s = call.retry_after_s
     if shortest_s is None or event.retry_after_s < shortest_s:
         call.retry_after_s = event.retry_after_s
-        call.last_resort_candidate = call.current_candidate
+        if not event.stalled:
+            call.last_resort_candidate = call.current_candidate
     if event.by_target:
         # The call reached the target, so it counts as an attempt.
         call.attempts += 1
+    if call.waits_for_current:
+        return []
+    if event.by_target:
         if not _acquire_retry(call, event.now, environment):
             return _give_up(call, event.reason)
         return _place_call(call, event.now, environment, True)
@@ -303,37 +339,54 @@
 
 
 def _on_failed(call, event, environment):
-    if event.verdict is Verdict.NOT_RUN:
+    not_run = event.verdict is Verdict.NOT_RUN
+    if not not_run:
+        call.attempts += 1
+        call.verdict = event.verdict
+    if call.waits_for_current:
+        return []
+    if not_run:
         return _place_call(call, event.now, environment, call.attempts > 0)
-    call.attempts += 1
-    call.verdict = event.verdict
     if call.route.retryable and _acquire_retry(call, event.now, environment):
         return _place_call(call, event.now, environment, True)
     return _give_up(call, event.reason)
 
 
 def _on_stalled(call, now, environment):
-    """Retry a call elsewhere if that is allowed; otherwise keep waiting."""
+    """Retry a call elsewhere as well, if that is allowed.
+
+    The silence does not show that the target has stopped working on the call, so the
+    stalled attempt is not cancelled before another response has arrived.
+    """
     if not call.route.retryable or call.placements >= MAX_PLACEMENTS:
         return []
+    if call.waits_for_stalled or not call.waits_for_current:
+        return []
+    stalled_candidate = call.current_candidate
     candidate = environment.choose(call, now)
     if candidate is None:
         return []
-    # The stalled attempt counts against `max_attempts`, but only if it is given up.
+    # The stalled attempt counts against `max_attempts` until its outcome is known.
     call.attempts += 1
     if not _acquire_retry(call, now, environment):
         call.attempts -= 1
         return []
-    call.verdict = Verdict.MAY_HAVE_RUN
-    return [CancelAttempt(), *_send_to(call, candidate, False, True, True)]
+    call.waits_for_stalled = True
+    return [KeepAttempt(stalled_candidate), *_send_to(call, candidate, False, True)]
 
 
 def _on_response(call, event, environment):
-    if event.status >= MIN_FAILURE_STATUS and call.route.retryable:
+    is_failure = event.status >= MIN_FAILURE_STATUS
+    if is_failure and call.route.retryable:
         call.attempts += 1
         call.verdict = Verdict.RAN
+        if call.waits_for_current or call.waits_for_stalled:
+            call.held_response = event.response
+            return []
         if _acquire_retry(call, event.now, environment):
             call.held_response = event.response
             return _place_call(call, event.now, environment, True)
     call.ended = True
+    if call.waits_for_current or call.waits_for_stalled:
+        return [CancelAttempts(), Reply(event.response)]
     return [Reply(event.response)]
--- a/tests/test_twohop_decisions.py
+++ b/tests/test_twohop_decisions.py
@@ -162,7 +162,7 @@
     environment = FakeEnvironment("a")
     call = start_call(LOOKUP, environment)
     effects = lc.step(call, lc.TimedOut(NOW + 1), environment)
-    assert effects == [lc.CancelAttempt(), lc.Reject(504, "timeout")]
+    assert effects == [lc.CancelAttempts(), lc.Reject(504, "timeout")]
     assert lc.step(call, lc.ResponseReceived(NOW + 1, 200, "late"), environment) == []
 
 
@@ -171,13 +171,73 @@
     environment = FakeEnvironment("a", "b")
     lookup, sale = start_call(LOOKUP, environment), start_call(SALE, environment)
     effects = lc.step(lookup, lc.AttemptStalled(NOW), environment)
-    assert effects[0] == lc.CancelAttempt() and nodes_of(effects) == ["b"]
+    assert effects[0] == lc.KeepAttempt(environment.candidates[0])
+    assert nodes_of(effects) == ["b"]
     assert lc.step(sale, lc.AttemptStalled(NOW), environment) == []
     assert lc.step(sale, lc.ResponseReceived(NOW, 200, "a"), environment) == [
         lc.Reply("a")
     ]
 
 
+@pytest.mark.parametrize("stalled", [False, True])
+def test_first_response_of_a_stalled_lookup_ends_both_attempts(stalled):
+    """Guards against a second attempt that goes on, and against a second outcome."""
+    environment = FakeEnvironment("a", "b")
+    call = start_call(LOOKUP, environment)
+    lc.step(call, lc.AttemptStalled(NOW), environment)
+    response = lc.ResponseReceived(NOW, 200, "x", stalled)
+    effects = lc.step(call, response, environment)
+    assert effects == [lc.CancelAttempts(), lc.Reply("x")]
+    assert lc.step(call, lc.TimedOut(NOW + 1), environment) == []
+
+
+@pytest.mark.parametrize("order", [(True, False), (False, True)])
+@pytest.mark.parametrize(
+    ("outcomes", "status"),
+    [
+        ((lc.AttemptRefused(NOW, "full", 0.2),) * 2, 503),
+        ((lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"),) * 2, 502),
+        (
+            (
+                lc.AttemptRefused(NOW, "full", 0.2),
+                lc.AttemptFailed(NOW, Verdict.MAY_HAVE_RUN, "lost"),
+            ),
+            502,
+        ),
+    ],
+)
+def test_stalled_lookup_ends_when_both_attempts_have(order, outcomes, status):
+    """Guards against an error while one attempt is open, and against a false 503."""
+    environment = FakeEnvironment("a", "b", retries=1)
+    call = start_call(LOOKUP, environment)
+    lc.step(call, lc.AttemptStalled(NOW), environment)
+    first, second = (
+        replace(outcome, stalled=stalled)
+        for outcome, stalled in zip(outcomes, order, strict=True)
+    )
+
+    def end_attempt(outcome):
+        effects = lc.step(call, outcome, environment)
+        # A node that refused the call is asked once more, and refuses again.
+        while nodes_of(effects):
+            effects = lc.step(call, lc.AttemptRefused(NOW, "full", 0.2), environment)
+        return effects
+
+    assert end_attempt(first) == []
+    (effect,) = end_attempt(second)
+    assert isinstance(effect, lc.Reject) and effect.status == status
+
+
+def test_stalled_attempt_is_used_after_failure_responses_elsewhere():
+    """Guards against passing on a failure while a better response may still come."""
+    environment = FakeEnvironment("a", "b", retries=1)
+    call = start_call(LOOKUP, environment)
+    lc.step(call, lc.AttemptStalled(NOW), environment)
+    assert lc.step(call, lc.ResponseReceived(NOW, 500, "bad"), environment) == []
+    response = lc.ResponseReceived(NOW, 200, "good", True)
+    assert lc.step(call, response, environment) == [lc.Reply("good")]
+
+
 def test_stalled_lookup_keeps_waiting_if_the_budget_is_spent():
     """Guards against returning an error while the response may still come."""
     environment = FakeEnvironment("a", "b", retries=0)
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -42,57 +42,83 @@
 )
 
 
-def make_event(name, value):
+def make_event(name, value, stalled):
     """Return an event of `lifecycle`, and whether the call may have run before it."""
     match name:
         case "refused":
-            return lc.AttemptRefused(NOW, "queue", 0.1, value), False
+            return lc.AttemptRefused(NOW, "queue", 0.1, value, stalled), False
         case "broken":
-            return lc.AttemptFailed(NOW, value, "cut"), value is not Verdict.NOT_RUN
+            may_have_run = value is not Verdict.NOT_RUN
+            return lc.AttemptFailed(NOW, value, "cut", stalled), may_have_run
         case "responded":
-            return lc.ResponseReceived(NOW, value, "response"), True
+            return lc.ResponseReceived(NOW, value, "response", stalled), True
         case "stalled":
-            return lc.AttemptStalled(NOW), True
+            return lc.AttemptStalled(NOW), False
         case "timed-out":
             return lc.TimedOut(NOW), False
     return lc.CallerDisconnected(NOW), False
 
 
-@settings(max_examples=400, deadline=None)
-@given(st.sampled_from([SAFE_ROUTE, UNSAFE_ROUTE]), st.lists(EVENTS, max_size=14))
+@settings(max_examples=1000, deadline=None)
+@given(
+    st.sampled_from([SAFE_ROUTE, UNSAFE_ROUTE]),
+    st.lists(st.tuples(EVENTS, st.booleans()), max_size=14),
+)
 def test_any_events_of_a_call_give_one_outcome_within_its_attempts(route, events):
     """Guards against wrong retries and outcomes after any sequence of events.
 
     An unsafe call must not run twice. A call has one outcome, a 503 only if it has not
-    run, and no more attempts at targets than its route allows.
+    run, and no more attempts at targets than its route allows. It ends with its last
+    attempt, and its own error never replaces an attempt that is open, unless the time
+    is over or the caller has left.
     """
     environment = FakeEnvironment("a", "b", "c", "d", "e", retries=RETRIES)
     call = lc.Call(route, "ledger", NOW + 0.3, NOW + 1.0)
     effects = lc.step(call, lc.CallReceived(NOW), environment)
     may_have_run, outcome_count, target_attempts = False, 0, 0
-    for name, value in events:
+    # Attempts that are open: the current one and the stalled one.
+    open_attempts = {"current"}
+    for (name, value), of_stalled in events:
+        of_attempt = name in ("refused", "broken", "responded")
+        attempt = "stalled" if of_stalled and of_attempt else "current"
         unfinished = outcome_count == 0
-        event, may_have_run_now = make_event(name, value)
-        if name == "refused" and value:
-            target_attempts += 1
+        if unfinished and name not in ("timed-out", "left"):
+            if attempt not in open_attempts:
+                continue
+        event, may_have_run_now = make_event(name, value, attempt == "stalled")
         effects = lc.step(call, event, environment)
         sends = [effect for effect in effects if isinstance(effect, lc.Send)]
         outcomes = [e for e in effects if isinstance(e, lc.Reply | lc.Reject)]
+        kept = any(isinstance(effect, lc.KeepAttempt) for effect in effects)
         assert len(sends) <= 1 and len(sends) + len(outcomes) <= 1
         assert unfinished or not effects
         outcome_count += len(outcomes)
-        if unfinished and (name != "stalled" or sends):
+        if not unfinished:
+            continue
+        if of_attempt:
+            open_attempts.remove(attempt)
+            if attempt == "stalled":
+                target_attempts -= 1
+            target_attempts += may_have_run_now or (name == "refused" and value)
             may_have_run = may_have_run or may_have_run_now
-            target_attempts += may_have_run_now
-        if sends and not route.retryable:
-            assert not may_have_run
+        if kept:
+            assert "stalled" not in open_attempts and sends
+            open_attempts = {"stalled"}
+            target_attempts += 1
         if sends:
+            assert "current" not in open_attempts
             assert target_attempts < route.max_attempts
+            open_attempts.add("current")
+            assert route.retryable or not may_have_run
         for outcome in outcomes:
-            if isinstance(outcome, lc.Reject) and outcome.status == 503:
-                assert not may_have_run
             if isinstance(outcome, lc.Reject):
                 assert outcome.status in (None, 502, 503, 504)
+                assert not open_attempts or name in ("timed-out", "left")
+            if isinstance(outcome, lc.Reject) and outcome.status == 503:
+                assert not may_have_run
+            cancelled = any(isinstance(e, lc.CancelAttempts) for e in effects)
+            assert cancelled or not open_attempts
+        assert outcomes or open_attempts
     assert outcome_count <= 1
     assert call.ended == (outcome_count == 1)
 
