Tell a slow link from a silent one by the acknowledgements of its peer's host

Cause: a peer that does not answer a ping within 0.15 s counted as silent. On links of 10 Mbit/s the ping waits behind uploads of up to 360 KB, which take 0.29 s.

Change: the time until a link is suspect, and until it is closed, counts from the last acknowledgement by the peer's host after the ping.

Evidence: test_link_that_sends_slowly_is_not_suspect failed before; the two cases of a link without progress held before and hold now.

--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -18,12 +18,13 @@
 
 # If a link with pending responses receives nothing for this long, a ping is sent.
 PING_AFTER_S = 0.2
-# If nothing arrives for this long after the ping, the link is suspect: the peer gets no
-# new calls, and its open calls may be retried elsewhere. The time is far more than a
-# round trip between regions, but less than the retransmission of a lost packet takes.
+# If nothing arrives for this long after the ping, and the peer's host acknowledges no
+# further bytes, the link is suspect: the peer gets no new calls, and its open calls may
+# be retried elsewhere. The time is far more than a round trip between regions, but less
+# than the retransmission of a lost packet takes.
 SUSPECT_AFTER_S = 0.15
-# If nothing arrives for this long after the ping, the connection is closed. TCP
-# retransmits lost packets after 0.2 to 0.6 s.
+# After this time in the same state, the connection is closed. TCP retransmits lost
+# packets after 0.2 to 0.6 s.
 DEAD_AFTER_S = 1.2
 # Interval between two calls of `Link.check`, seconds.
 CHECK_INTERVAL_S = 0.05
@@ -66,6 +67,10 @@
         self._reader = FrameReader()
         self._transport = None
         self._pinged_at = None
+        # Time of the ping, or of the last progress after it.
+        self._progress_at = 0.0
+        self._written_bytes = 0
+        self._acknowledged_bytes = 0
         self.last_received_at = 0.0
         self.pending_responses = 0
         self.peer = ""
@@ -156,6 +161,7 @@
                 self._write(encode(BodyFrame(stream), chunk))
 
     def _write(self, data):
+        self._written_bytes += len(data)
         self._transport.write(data)
         if self._transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
             self.close("peer does not read")
@@ -163,6 +169,9 @@
     def check(self, now):
         """Ping a silent peer; if it does not reply, mark it as suspect, then close.
 
+        While large bodies are on their way to the peer, its reply may be late on a slow
+        link. Therefore the time counts from the last acknowledgement by its host.
+
         A suspect link is also closed if all its calls have been cancelled meanwhile.
         Otherwise, the peer would get no calls until TCP finds the connection dead.
         """
@@ -173,11 +182,24 @@
             if now - self.last_received_at > PING_AFTER_S:
                 self._pinged_at = now
                 self.send(Ping())
-        elif now - self._pinged_at > DEAD_AFTER_S:
+                self._note_progress(now)
+                self._progress_at = now
+            return
+        self._note_progress(now)
+        if now - self._progress_at > DEAD_AFTER_S:
             self.close("silent")
-        elif now - self._pinged_at > SUSPECT_AFTER_S:
+        elif now - self._progress_at > SUSPECT_AFTER_S:
             self._set_suspect(True)
 
+    def _note_progress(self, now):
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes is None:
+            return
+        acknowledged_bytes = self._written_bytes - unsent_bytes
+        if acknowledged_bytes > self._acknowledged_bytes:
+            self._acknowledged_bytes = acknowledged_bytes
+            self._progress_at = now
+
     @property
     def unsent_bytes(self):
         """Bytes sent that the peer's host has not acknowledged; None if unknown."""
--- a/tests/test_twohop_links.py
+++ b/tests/test_twohop_links.py
@@ -1,6 +1,9 @@
 """Links between nodes: large bodies that are sent as fast as the peer reads."""
 
 import asyncio
+import socket
+
+import pytest
 
 from pimentoline.twohop import frames as fr
 from pimentoline.twohop import links
@@ -110,6 +113,79 @@
     asyncio.run(run_pair(test))
 
 
+class SlowLink(links.Link):
+    """A link whose host sends as fast as the test says.
+
+    Attributes
+    ----------
+    unsent_bytes : int
+        Bytes that the peer's host has not acknowledged.
+    """
+
+    unsent_bytes = 0
+
+
+class RecordingTransport:
+    """Takes all bytes and keeps none."""
+
+    def __init__(self):
+        self.sock = socket.socket()
+        self.aborted = False
+
+    def set_write_buffer_limits(self, high, low):
+        pass
+
+    def get_extra_info(self, name):
+        return self.sock
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.aborted = True
+
+
+def suspicions(sent_bytes_per_s, size=500_000, duration_s=2.0):
+    """Send a large body over a link without a byte from the peer.
+
+    Return the times of the suspicions and of the close, seconds after the body.
+    """
+    now, found = 100.0, []
+    handler = Handler()
+    handler.link_suspect = lambda link, suspect: found.append(("suspect", now - 100.0))
+    handler.link_lost = lambda link, reason: found.append((reason, now - 100.0))
+    link = SlowLink(handler, lambda: now)
+    transport = RecordingTransport()
+    link.connection_made(transport)
+    link.send(call_frame(1), bytes(size))
+    link.pending_responses = 1
+    while now < 100.0 + duration_s:
+        link.unsent_bytes = max(0, int(size - sent_bytes_per_s * (now - 100.0)))
+        link.check(now)
+        now += links.CHECK_INTERVAL_S
+    transport.sock.close()
+    return found
+
+
+def test_link_that_sends_slowly_is_not_suspect():
+    """Guards against runs given up because a large body is on its way to a peer."""
+    assert suspicions(200_000) == []
+
+
+@pytest.mark.parametrize("sent_bytes_per_s", [0, 10_000_000])
+def test_link_without_progress_is_suspect_and_closed_in_time(sent_bytes_per_s):
+    """Guards against a dead peer that keeps its calls, whatever was sent to it."""
+    (first, suspect_at), (second, closed_at) = suspicions(sent_bytes_per_s)
+    assert (first, second) == ("suspect", "silent")
+    limit_s = links.PING_AFTER_S + links.SUSPECT_AFTER_S
+    assert suspect_at <= limit_s + 4 * links.CHECK_INTERVAL_S
+    limit_s = links.PING_AFTER_S + links.DEAD_AFTER_S
+    assert closed_at <= limit_s + 4 * links.CHECK_INTERVAL_S
+
+
 def test_peer_that_does_not_read_loses_the_link(monkeypatch):
     """Guards against frames that are buffered without limit for a hanging peer."""
 
