Let the store of the soak come back from an older copy

Change: the fault rewind, with changes that the copy lacks, a change at the return, outages of 0.05 to 2 s, other writers, and a node that is killed, stopped or suspended; leave may have it after the acknowledgement.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,10 +39,11 @@
 # waiting readers of the feed have gone silent (`watches`). Another writer leaves rows
 # that cannot be read (`odd`). A target of the service `ledger` leaves, mostly while the
 # store fails, and goes on serving while its node is killed or stopped and started again
-# (`leave`).
+# (`leave`). The store comes back from an older copy, while a node may be killed,
+# suspended or stopped (`rewind`).
 FAULT_KINDS = (
     *("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history"),
-    *("change", "watches", "odd", "leave"),
+    *("change", "watches", "odd", "leave", "rewind"),
 )
 # How long a target goes on serving after it has left, seconds.
 LEFT_TARGET_SERVES_S = 8.0
@@ -260,6 +261,54 @@
                 await self._replace_target(node)
             case "leave" if node.target.service == "ledger":
                 await self._leave_and_restart(node)
+            case "rewind":
+                await self._rewind_store(node)
+
+    async def _rewind_store(self, node):
+        """Let the store come back from a copy, with a change at the return.
+
+        The copy may lack changes of the configuration and a row of the members, and
+        other writers may bring the counter of versions past where it stood.
+        """
+        store, rng = self.store, self.rng
+        copy = store.copy()
+        for _ in range(rng.randrange(3)):
+            self._change_configuration()
+            await asyncio.sleep(rng.uniform(0.05, 0.5))
+        if rng.random() < 0.5:
+            node.kill()
+            node.start()
+            await asyncio.sleep(rng.uniform(0.5, 1.5))
+        store.down = True
+        if rng.random() < 0.7:
+            store.cut_feeds()
+        restarted = rng.choice(("none", "none", "kill", "stop", "freeze"))
+        if restarted == "kill":
+            node.kill()
+        elif restarted != "none":
+            suspended = restarted == "freeze"
+            node.signal(signal.SIGSTOP if suspended else signal.SIGTERM)
+        await asyncio.sleep(rng.choice((0.05, 1.0, rng.uniform(0.1, 2.0))))
+        store.restore(copy)
+        self._change_configuration()
+        for _ in range(rng.randrange(6)):
+            store.put("other", "row", b"{}")
+        store.down = False
+        self.log(f"        {restarted}, era {store.era}, version {store.version}")
+        if restarted == "freeze":
+            node.signal(signal.SIGCONT)
+        elif restarted != "none":
+            await asyncio.to_thread(node.process.wait)
+            node.start()
+        await asyncio.sleep(CONFIG_LIMIT_S)
+        await self._check_configuration()
+        self._check_rows()
+
+    def _check_rows(self):
+        """Check that the store has the row of every node."""
+        for node in self.nodes:
+            if not self.store.version_of("members", node.name):
+                self.checker.violations.append(f"{node.name}: row is not in the store")
 
     def _change_configuration(self):
         self.version += 1
@@ -297,7 +346,8 @@
         """Let a target leave, restart its node, and start the target again."""
         target, rng = node.target, self.rng
         target.draining = True
-        store_fault = rng.choice(("none", "down", "silent", "lose"))
+        store_fault = rng.choice(("none", "down", "silent", "lose", "rewind"))
+        copy = self.store.copy()
         # A health check may claim that a target that has left is well.
         target.healthy = rng.random() < 0.5
         by_signal = rng.choice((signal.SIGKILL, signal.SIGTERM))
@@ -307,11 +357,17 @@
         )
         if store_fault == "lose":
             self.store.lose_responses = 2
-        elif store_fault != "none":
+        elif store_fault in ("down", "silent"):
             setattr(self.store, store_fault, True)
         if await self._is_acknowledged(target.send_leave(node)):
             self.drained.append((target, time.monotonic()))
         left_at = time.monotonic()
+        if store_fault == "rewind":
+            # Peers read changes of the members in batches.
+            await asyncio.sleep(rng.uniform(0.6, 1.5))
+            self.store.down = True
+            self.store.cut_feeds()
+            self.store.restore(copy)
         node.signal(by_signal)
         await asyncio.to_thread(node.process.wait)
         if mended_first:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -95,3 +95,10 @@
     result = run_seed(4, LENGTH_S, kinds=("leave",))
     assert not result.violations
     assert result.statuses.get(200, 0) > 0
+
+
+def test_changes_are_in_force_after_the_store_went_back():
+    """Guards against changes and rows that are missed when versions are reused."""
+    result = run_seed(2, LENGTH_S, kinds=("rewind",))
+    assert not result.violations
+    assert result.statuses.get(200, 0) > 0
