Test the follower of the store over random forks

Change: a generated test plays changes, copies, returns, outages, cut and kept waits, slow responses and a drain against a plain model of the store, in simulated time, with one node and no peer to help it. The newest configuration must be in force and the node's row stored 2 s after the last action, and a configuration is never replaced by an older one. The client of the store gets a method _exchange, which the test replaces; nothing else of it changes.

--- a/pimentoline/platform/store.py
+++ b/pimentoline/platform/store.py
@@ -71,7 +71,6 @@
             data = json.dumps(body).encode()
             headers["Content-Type"] = "application/json"
             headers["Content-Length"] = str(len(data))
-        conn = None
         timer = asyncio.timeout(
             REQUEST_TIMEOUT_S if wait_s is None else wait_s + WAIT_MARGIN_S
         )
@@ -80,13 +79,7 @@
             async with timer:
                 if wait_s is not None:
                     self._watch_timers.add(timer)
-                conn = await self._pool.acquire(self._addr, body is None)
-                response = await send_request(
-                    conn, method, path, headers, data, MAX_RESPONSE_BYTES
-                )
-            if response.reusable:
-                self._pool.release(conn)
-                conn = None
+                response = await self._exchange(method, path, headers, data)
         except (OSError, StreamClosedError, TimeoutError, ResponseError) as exc:
             if wait_s is not None and self._era != era_at_start:
                 raise self._era_changed(path) from exc
@@ -96,11 +89,24 @@
             raise StoreUnavailableError(f"{path:.40}: {exc!r:.80}") from exc
         finally:
             self._watch_timers.discard(timer)
-            if conn is not None:
-                conn.close()
         self._note_era(path, response, era_at_start)
         return self._parse_response(path, response)
 
+    async def _exchange(self, method, path, headers, data):
+        """Send a request on a connection of the pool; return the `Response`."""
+        conn = await self._pool.acquire(self._addr, data is None)
+        try:
+            response = await send_request(
+                conn, method, path, headers, data, MAX_RESPONSE_BYTES
+            )
+            if response.reusable:
+                self._pool.release(conn)
+                conn = None
+            return response
+        finally:
+            if conn is not None:
+                conn.close()
+
     def _era_changed(self, path, may_have_written=True):
         return StoreEraChangedError(
             f"{path:.40}: the store is in era {self._era}", may_have_written
