Move the follower of a table into a module of its own

Cause: StoreSync had grown to over 400 lines, and the loop that follows a table to 75 lines with five local variables, after the eras of the store.

Change: TableFollower in twohop/table_follower.py holds that state and has a method for each step; what belongs to the members only (batches, what the store had confirmed) comes as arguments.

--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -7,17 +7,13 @@
 import asyncio
 import random
 
-from ..errors import (
-    StoreConflictError,
-    StoreEraChangedError,
-    StoreError,
-    StoreHistoryExpiredError,
-)
+from ..errors import StoreConflictError, StoreEraChangedError, StoreError
 from ..logs import log_entry
 from ..tasks import start_task
 from . import watch_schedule
 from .member_rows import MemberRow, encode_row, parse_row
 from .store_versions import ABSENT
+from .table_follower import MAX_PAUSE_S, TableFollower
 from .target_status import TargetState
 
 __all__ = ["MEMBERS_TABLE", "StoreSync"]
@@ -26,10 +22,6 @@
 # Range of the time that one watch of the members waits, seconds. Each node draws a
 # random time from it, so that the watches of the nodes end at different times.
 MEMBERS_POLL_RANGE_S = (15.0, 25.0)
-# Pause after a failed request, seconds. Once the store is reachable again, the row of
-# each node must be back in it within 2 s.
-MIN_PAUSE_S = 0.2
-MAX_PAUSE_S = 1.2
 # Changes of members within this time are read with one request.
 BATCH_DELAY_S = 0.4
 # If the store has not confirmed a drain or leave after this time, seconds, peers are
@@ -90,13 +82,27 @@
 
     def start(self):
         """Start following both tables."""
-        followed = (
-            (self._config_row[0], self._config_wait_s, self._apply_config_rows),
-            (MEMBERS_TABLE, self._members_wait_s, self._apply_member_rows),
-        )
+        followers = {
+            self._config_row[0]: TableFollower(
+                self._store,
+                self._config_row[0],
+                self._config_wait_s,
+                self._apply_config_rows,
+                self._note_reachable,
+            ),
+            MEMBERS_TABLE: TableFollower(
+                self._store,
+                MEMBERS_TABLE,
+                self._members_wait_s,
+                self._apply_member_rows,
+                self._note_reachable,
+                self._forget_confirmation,
+                BATCH_DELAY_S,
+            ),
+        }
         self._tasks = [
-            start_task(self._follow_table(table, get_wait_s, apply), f"follow {table}")
-            for table, get_wait_s, apply in followed
+            start_task(follower.run(), f"follow {table}")
+            for table, follower in followers.items()
         ]
 
     def stop(self):
@@ -119,94 +125,9 @@
     def _members_wait_s(self, restarted):
         return self._random.uniform(*MEMBERS_POLL_RANGE_S)
 
-    async def _follow_table(self, table, get_wait_s, apply):
-        """Read all rows of a table, then its changes as they occur.
-
-        `get_wait_s(restarted)` returns how long to wait for a change; `restarted` tells
-        whether the previous read did not wait until its end.
-        `apply(rows, complete)` is called with the rows; `complete` tells whether they
-        are all rows of the table. If changes may have been missed, all rows are read
-        again: if the store no longer has the history of changes, has changed its era,
-        or was away and does not name its era.
-        """
-        after = None
-        restarted = True
-        # Whether the previous read got no response. A response names the era, so the
-        # next one must not be delayed by a wait.
-        failed = False
-        # Whether all rows were read last, and not the changes.
-        rows_read = False
-        pause_s = MIN_PAUSE_S
-        loop = asyncio.get_running_loop()
-        while True:
-            began_at = loop.time()
-            try:
-                if after is None:
-                    rows, after = await self._store.read_all(table)
-                    rows_read = True
-                    log_entry(
-                        "store:table-read",
-                        table=table,
-                        era=after.era,
-                        version=after.number,
-                        rows=len(rows),
-                    )
-                    apply(rows, True)
-                else:
-                    wait_s = 0.0 if failed else get_wait_s(restarted)
-                    # A failed read leaves this at True.
-                    restarted = True
-                    rows, after = await self._store.read_changes(table, after, wait_s)
-                    restarted, rows_read = failed or bool(rows), False
-                    if rows:
-                        apply(rows, False)
-                    if table == MEMBERS_TABLE:
-                        self._remove_expired_rows()
-                        if rows:
-                            await asyncio.sleep(BATCH_DELAY_S)
-                self._note_reachable(True, "")
-                failed = False
-                pause_s = MIN_PAUSE_S
-            except StoreHistoryExpiredError as exc:
-                self._log_failed_read(table, after, began_at, exc)
-                after = None
-                if isinstance(exc, StoreEraChangedError) and table == MEMBERS_TABLE:
-                    # The store may have lost what it had confirmed.
-                    self._kept_status = None
-                    # All nodes notice at once. The configuration is read first.
-                    await asyncio.sleep(self._random.uniform(0.0, BATCH_DELAY_S))
-                if rows_read:
-                    # The rows were already older than the history of changes.
-                    await asyncio.sleep(MIN_PAUSE_S)
-            except StoreError as exc:
-                self._log_failed_read(table, after, began_at, exc)
-                self._note_reachable(False, exc.detail)
-                failed = True
-                if after is not None and after.era is None:
-                    after = None
-                await asyncio.sleep(pause_s * self._random.uniform(0.7, 1.0))
-                pause_s = min(pause_s * 2, MAX_PAUSE_S)
-            except Exception as exc:
-                # A table that is no longer followed would stay as it is until the
-                # process ends.
-                log_entry("store:follow-error", table=table, detail=f"{exc!r:.120}")
-                after = None
-                await asyncio.sleep(pause_s)
-                pause_s = min(pause_s * 2, MAX_PAUSE_S)
-
-    def _log_failed_read(self, table, after, began_at, exc):
-        """Log a failed read of a table, or of its changes if `after` is not None.
-
-        The time shows whether the store refused the read or never responded.
-        """
-        log_entry(
-            "store:read-failed",
-            table=table,
-            after=None if after is None else after.number,
-            waited_s=round(asyncio.get_running_loop().time() - began_at, 3),
-            code=exc.code,
-            detail=exc.detail[:120],
-        )
+    def _forget_confirmation(self):
+        """Forget what the store has confirmed, since it may have lost it."""
+        self._kept_status = None
 
     def _note_reachable(self, reachable, detail):
         if reachable != self._reachable:
@@ -245,6 +166,7 @@
                 self._node.peers.set_member(parsed_row.member)
         if complete or own_row is not None:
             self._apply_own_row(own_row)
+        self._remove_expired_rows()
         self.members_loaded.set()
 
     def _remove_expired_rows(self):
