--- a/pimentoline/errors.py
+++ b/pimentoline/errors.py
@@ -104,8 +104,8 @@
     Parameters
     ----------
     detail : str
-    version : object
-        Current version of the row, also if it does not exist.
+    version : StoreVersion
+        Current version of the row; `ABSENT` if it does not exist.
     value : bytes or None
         Current value of the row, if the response contained it.
     """
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -193,6 +193,10 @@
         "node, reason, calls",
         "a link to a node ended; its `calls` open calls may have run",
     ),
+    "peer:socket-unreadable": (
+        "node, detail",
+        "the system did not tell what the host of a peer has acknowledged",
+    ),
     # `unsent_bytes` counts what the peer's host has not acknowledged.
     "peer:suspect": (
         "node, suspect, calls, unsent_bytes",
--- a/pimentoline/twohop/links.py
+++ b/pimentoline/twohop/links.py
@@ -10,6 +10,7 @@
 
 from ..errors import CodecError
 from ..keepalive import Keepalive
+from ..logs import log_entry
 from ..streams import unacknowledged_bytes
 from .bodies import CHUNK_BYTES, body_chunks
 from .frames import BodyFrame, FrameReader, Ping, Pong, encode
@@ -71,6 +72,8 @@
         self._progress_at = 0.0
         self._written_bytes = 0
         self._acknowledged_bytes = 0
+        # Whether it was logged that the system does not tell what is acknowledged.
+        self._socket_unreadable = False
         self.last_received_at = 0.0
         self.pending_responses = 0
         self.peer = ""
@@ -205,7 +208,12 @@
         """Bytes sent that the peer's host has not acknowledged; None if unknown."""
         try:
             in_flight = unacknowledged_bytes(self._transport.get_extra_info("socket"))
-        except OSError:
+        except (OSError, ValueError) as exc:
+            if not self._socket_unreadable:
+                self._socket_unreadable = True
+                log_entry(
+                    "peer:socket-unreadable", node=self.peer, detail=f"{exc!r:.80}"
+                )
             return None
         return self._transport.get_write_buffer_size() + in_flight
 
