--- a/tests/test_twohop_forks.py
+++ b/tests/test_twohop_forks.py
@@ -1,22 +1,19 @@
 """Property-based test of a node whose store comes back from older copies."""
 
 import asyncio
-import base64
-import json
 from types import SimpleNamespace
-from urllib.parse import parse_qs, urlsplit
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tornado.httputil import HTTPHeaders
 
+from bench import store_return
 from bench.emulator import simulated_time
-from pimentoline.platform.store import PlatformStore
-from pimentoline.twohop.exchange import Response
 from pimentoline.twohop.member_rows import encode_row, parse_row
 from pimentoline.twohop.model import Member
 from pimentoline.twohop.store_sync import MEMBERS_TABLE, StoreSync
 from pimentoline.twohop.target_status import Heartbeat, TargetState
+from standins.store_model import StoreClient, StoreModel
 
 from .test_twohop_generated import ADDR, FakeTargetSide, NoReplicas
 
@@ -28,92 +25,6 @@
 SLOW_RESPONSE_S = 0.4
 
 
-class ForkingStore(PlatformStore):
-    """A client whose store is a plain model with rows, a counter and an era.
-
-    Attributes
-    ----------
-    latencies : list of float
-        Times until the next responses arrive, from its end, seconds. The request is
-        processed before.
-    """
-
-    def __init__(self, latencies):
-        super().__init__(ADDR, SimpleNamespace(close_idle=lambda addr: None))
-        self.rows = {}
-        self.version = 0
-        self.era = 1
-        self.up = True
-        self.latencies = latencies
-        self.cuts = 0
-        self.changed = asyncio.Event()
-
-    def put(self, row_id, value):
-        self.version += 1
-        self.rows[row_id] = (value, self.version)
-        self.wake()
-
-    def wake(self):
-        changed, self.changed = self.changed, asyncio.Event()
-        changed.set()
-
-    def _items(self, table, after=0):
-        return [
-            {"key": key, "ver": version, "value": base64.b64encode(value).decode()}
-            for (found, key), (value, version) in self.rows.items()
-            if found == table and version > after
-        ]
-
-    async def _exchange(self, method, path, headers, data):
-        await asyncio.sleep(0.002)
-        if not self.up:
-            raise OSError("the store is down")
-        if method == "POST":
-            status, item = self._apply(json.loads(data))
-        else:
-            query = {
-                name: values[0] for name, values in parse_qs(path.split("?")[1]).items()
-            }
-            if urlsplit(path).path.endswith("rows-get"):
-                item = {"rows": self._items(query["table"]), "has_more": False}
-                status = 200
-            else:
-                status, item = await self._watch(query)
-        body = json.dumps(item | {"ver": self.version}).encode()
-        response_headers = HTTPHeaders({"Store-Era": str(self.era)})
-        await asyncio.sleep(self.latencies.pop() if self.latencies else 0.002)
-        return Response(status, "", response_headers, body, True)
-
-    async def _watch(self, query):
-        after, cuts = int(query["after"]), self.cuts
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + int(query["wait_ms"]) / 1000
-        while True:
-            if self.cuts != cuts:
-                raise OSError("connection closed")
-            if after > self.version:
-                return 410, {}
-            items = self._items(query["table"], after)
-            if items or loop.time() >= ends_at:
-                return 200, {"rows": items}
-            try:
-                async with asyncio.timeout_at(ends_at):
-                    await self.changed.wait()
-            except TimeoutError:
-                continue
-
-    def _apply(self, transaction):
-        (check,) = transaction["expected_rev"]
-        row_id = (check["table"], check["key"])
-        value, version = self.rows.get(row_id, (None, 0))
-        if version != check["ver"]:
-            items = [item for item in self._items(check["table"])]
-            return 412, {"rows": items if value is not None else []}
-        (write,) = transaction["writes"]
-        self.put(row_id, base64.b64decode(write["value"]))
-        return 200, {}
-
-
 class Process:
     """The part of a node's process that follows the store."""
 
@@ -124,7 +35,7 @@
         self.config = SimpleNamespace(offer=self._offer)
         member = Member(NODE, ADDR, "kerio", "rift", "ledger")
         self.peers = SimpleNamespace(members=[member], replicas=NoReplicas())
-        self.store_sync = StoreSync(store, CONFIG_ROW, member, self)
+        self.store_sync = StoreSync(StoreClient(store), CONFIG_ROW, member, self)
         self.store_sync.start()
 
     def _offer(self, version, text, source):
@@ -177,18 +88,16 @@
             case "other":
                 store.put(("other", "row"), b"")
             case "copy":
-                copy = dict(store.rows), store.version
+                copy = store.copy()
             case "drain":
                 process.drain()
             case "back":
                 outage_s, cut, others = rest
                 store.up = outage_s == 0.0
-                store.cuts += cut
-                store.wake()
+                if cut:
+                    store.cut_watches()
                 await asyncio.sleep(outage_s)
-                rows, store.version = copy
-                store.rows = dict(rows)
-                store.era += 1
+                store.go_back(copy)
                 store.up = True
                 change()
                 for _ in range(others):
@@ -207,7 +116,7 @@
     """
 
     async def scenario():
-        store = ForkingStore(list(latencies))
+        store = StoreModel(latencies=latencies)
         process, newest = await play(store, actions)
         # One response may be slow, and a read may have just missed the return.
         await asyncio.sleep(BOUND_S + SLOW_RESPONSE_S)
@@ -219,3 +128,11 @@
         process.store_sync.stop()
 
     simulated_time.run(scenario())
+
+
+@pytest.mark.parametrize("rows_lost", [False, True])
+def test_all_nodes_read_and_write_again_within_the_limits_of_the_store(rows_lost):
+    """Guards against nodes that return at once, are refused, and take too long."""
+    found = simulated_time.run(store_return.play(76, rows_lost))
+    assert found["in_force_s"] < BOUND_S and found["stored_s"] < BOUND_S
+    assert found["refused"] == 0
