Review case 9: a part of an answer that is reset on the way passes for the whole

Seen: an instance reads a part of an upload, sends half of an answer without a length, ends its side and resets the connection 0.1 s later; the client gets 200 with a Content-Length of the half (MIXED). Cause: the end of the stream looks ordinary once the target's host has acknowledged the whole request, and the node has closed the connection when the reset comes.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -80,14 +80,20 @@
     raise OSError("no free port")
 
 
-async def read_message(reader):
-    """Return the first line, the headers (names in lower case) and the body."""
+async def read_head(reader):
+    """Return the first line and the headers of a message, their names in lower case."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
     first, *lines = head[:-4].split("\r\n")
     headers = {}
     for line in lines:
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
+    return first, headers
+
+
+async def read_message(reader):
+    """Return the first line, the headers (names in lower case) and the body."""
+    first, headers = await read_head(reader)
     length = int(headers.get("content-length", 0))
     return first, headers, await reader.readexactly(length)
 
@@ -287,6 +293,7 @@
         self.runs = []
         self.arrivals = []
         self.lies = False
+        self.body = b"whole answer"
         self.state = "ready"
         self.sequence = 0
         self.born = int(time.time() * 1000)
@@ -334,7 +341,7 @@
             self.running -= 1
         return response(
             500 if self.lies else 200,
-            b"whole answer",
+            self.body,
             X_Request_Id=request_id,
             X_Response_Stamp=STAMP,
             X_Server_Load=self._load(),
