End the nodes of a review case also when its script is stopped early

Seen: a script ended by SIGTERM, SIGHUP or SIGKILL left its 7 nodes running (SIGINT did not). Cause: the default action of these signals skips the clean-up of Python. Now signals end the script with 2 after its clean-up, and a process gets a signal when its parent ends. Measured: signals TERM, INT, HUP and KILL to the script and to its timeout leave no process, one run each; after a SIGKILL of the script its temporary folder stays.

--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import shutil
@@ -42,9 +43,17 @@
     500: "Internal Server Error",
     503: "Service Unavailable",
 }
+# Option of prctl(2): the signal that a process gets when its parent has ended.
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
 _used_ports = set()
 
 
+def end_with_parent(signum):
+    """Let this process get a signal when its parent ends, however that ends."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signum)
+
+
 class Record:
     """Writes what happens to `record.txt`, with seconds since the start."""
 
@@ -514,6 +523,8 @@
                 env=env,
                 stdout=log,
                 stderr=log,
+                # Else a script that is killed would leave its nodes behind.
+                preexec_fn=lambda: end_with_parent(signal.SIGKILL),
             )
 
     def signal(self, signum):
@@ -568,8 +579,16 @@
     """Run `scenario(record, tmp, nodes, trouble)`; exit with 0, 1 or 2.
 
     `scenario` returns whether the rule held, and adds the nodes that it starts to
-    `nodes`. All processes are ended, however it ends.
+    `nodes`. All processes are ended, however it ends; stopped early, it exits with 2.
     """
+
+    def stop(signum, frame):
+        sys.exit(2)
+
+    for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(signum, stop)
+    # The parent is the `timeout` of run.sh.
+    end_with_parent(signal.SIGTERM)
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     nodes = []
