Let a change whose responses were lost come into force beside lost nodes

Cause: a lost response cannot be told from a store without changes until the wait for it ends. The bound rested on the wait of another node ending 0.6 s later. Place and length of the waits followed from the list of members, in which lost hosts stay, and nothing checked that the others read at all.

Evidence: store:read-failed of the lone node says waited_s 9.402, which is 14 x 0.6 s and the margin of 1 s, 5 s after all 13 links had ended; the next read succeeds, and no configuration was refused.

Change: nodes announce that they have read the configuration (a new field of the load frame, which earlier versions ignore). A node that has heard of no read for 1.3 to 1.6 s ends its wait and reads. The waits are spread over the nodes with a working link.

Why it works: each node's bound rests on what it has heard itself, so it holds for lost, frozen, cut off and unreachable nodes alike, whatever the other nodes take for the list.

--- a/bench/store_return.py
+++ b/bench/store_return.py
@@ -30,12 +30,15 @@
 OUTAGE_S = 1.0
 # Time after the return that is counted, seconds.
 COUNTED_S = 20.0
+# Time of a frame from one node to another, seconds.
+LINK_DELAY_S = 0.01
 
 
 class _Peers:
     """The part of `Peers` that `StoreSync` uses."""
 
-    def __init__(self, own_member):
+    def __init__(self, own_member, nodes):
+        self._nodes = nodes
         self._members = {own_member.node: own_member}
         self.replicas = SimpleNamespace(
             note_row=lambda node, status: None, forget=lambda node: None
@@ -45,6 +48,16 @@
     def members(self):
         return list(self._members.values())
 
+    @property
+    def connected_members(self):
+        return self.members
+
+    def broadcast_load(self, config_read):
+        """Tell all nodes that this one has read the configuration."""
+        loop = asyncio.get_running_loop()
+        for node in self._nodes:
+            loop.call_later(LINK_DELAY_S, node.store_sync.note_peer_read)
+
     def set_member(self, member):
         self._members[member.node] = member
 
@@ -53,13 +66,13 @@
 
 
 class _Node:
-    """A node that follows the store and serves no calls."""
+    """A node that follows the store and serves no calls; `nodes` lists all of them."""
 
-    def __init__(self, number, model):
+    def __init__(self, number, model, nodes):
         name = f"n{number:04}"
         addr = (f"10.{number >> 8}.{number & 255}.1", 7000)
         member = Member(name, addr, "kerio", "rift", "ledger")
-        self.peers = _Peers(member)
+        self.peers = _Peers(member, nodes)
         self.target = SimpleNamespace(status_tracker=StatusTracker())
         self.version = 0
         self.config = SimpleNamespace(offer=self._offer)
@@ -82,7 +95,8 @@
     model = StoreModel()
     model.put(CONFIG_ROW, b"1")
     copy = model.copy()
-    members = [_Node(number, model) for number in range(nodes)]
+    members = []
+    members += [_Node(number, model, members) for number in range(nodes)]
     for member in members:
         member.store_sync.start()
         await asyncio.sleep(random.uniform(0.0, 0.3) / nodes)
--- a/pimentoline/metric_names.py
+++ b/pimentoline/metric_names.py
@@ -220,6 +220,10 @@
         "table, after, waited_s, code, detail",
         "a read of a table or a wait for its changes failed",
     ),
+    "store:read-overdue": (
+        "table, silent_s, connected, members",
+        "no node has read a table for long; this node ends its wait and reads it",
+    ),
     "store:row-unreadable": (
         "table or key, detail",
         "a row breaks the store's protocol and is left out, or is not base64",
--- a/pimentoline/twohop/frames.capnp
+++ b/pimentoline/twohop/frames.capnp
@@ -35,4 +35,5 @@
   restMs @25 :UInt16;  # expected time until noisy neighbours stop
   badRate @26 :UInt8;  # share of calls that fail, in 255ths
   coldMs @27 :UInt32;  # time until the target is no longer slow after its start
+  configRead @28 :Bool;  # whether the sender has just read the configuration's table
 }
--- a/pimentoline/twohop/frames.py
+++ b/pimentoline/twohop/frames.py
@@ -160,10 +160,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadFrame:
-    """A change of the sender's load or of its configuration's version."""
+    """The sender's load and the version of its configuration.
+
+    It is sent when one of them has changed, and with `config_read` when the sender has
+    just read the configuration's table from the store. Nodes of earlier versions do not
+    send that field and ignore it.
+    """
 
     load: LoadReport
     version: int
+    config_read: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -301,7 +307,9 @@
             }
         case BodyFrame() | CancelFrame():
             return {"stream": frame.stream}
-        case LoadFrame() | ConfigFrame():
+        case LoadFrame():
+            return {"version": frame.version, "configRead": frame.config_read}
+        case ConfigFrame():
             return {"version": frame.version}
         case StatusFrame():
             return {"node": frame.node, "stream": frame.number}
@@ -403,7 +411,7 @@
     if frame_type is Hello:
         return Hello(header.node, header.version, _load_report(header))
     if frame_type is LoadFrame:
-        return LoadFrame(_load_report(header), header.version)
+        return LoadFrame(_load_report(header), header.version, header.configRead)
     if frame_type is ConfigFrame:
         return ConfigFrame(header.version)
     if frame_type is StatusFrame:
--- a/pimentoline/twohop/node.py
+++ b/pimentoline/twohop/node.py
@@ -206,7 +206,14 @@
             self.memory.responses,
         )
         self.config = ConfigHolder(parse_config, self._apply_config)
-        self.peers = Peers(cfg.node, self.target, self.config, clock, self.memory)
+        self.peers = Peers(
+            cfg.node,
+            self.target,
+            self.config,
+            clock,
+            self.memory,
+            self._note_peer_read,
+        )
         self.caller_side = CallerSide(
             cfg.service,
             Location(cfg.dc, cfg.region),
@@ -257,6 +264,9 @@
     def _target_changed(self):
         self.peers.broadcast_load()
 
+    def _note_peer_read(self):
+        self.store_sync.note_peer_read()
+
     def _store_target_status(self):
         self.store_sync.save_in_background()
 
--- a/pimentoline/twohop/peers.py
+++ b/pimentoline/twohop/peers.py
@@ -204,6 +204,8 @@
                 self.peers.replicas.send_offered(link)
             case fr.LoadFrame():
                 self._note_load_report(frame.load)
+                if frame.config_read:
+                    self.peers.on_config_read()
                 self.peers.note_config_version(link, frame.version)
             case fr.ResponseFrame() if frame.stream not in self.frame_callbacks:
                 # The call was cancelled, and the peer may send no more of the body.
@@ -367,6 +369,8 @@
         Monotonic clock, seconds.
     memory : NodeMemory
         Bounds the bodies that links receive.
+    on_config_read : callable
+        Called without arguments when a peer has read the configuration's table.
 
     Attributes
     ----------
@@ -379,12 +383,13 @@
     replicas : StatusReplicas
     """
 
-    def __init__(self, own_name, target, config, clock, memory):
+    def __init__(self, own_name, target, config, clock, memory, on_config_read):
         self.own_name = own_name
         self.target = target
         self.config = config
         self.clock = clock
         self.memory = memory
+        self.on_config_read = on_config_read
         self.log = RateLimitedLog(clock)
         self.incoming = {}
         self.outgoing = {}
@@ -424,7 +429,10 @@
 
     @property
     def members(self):
-        """Every known member, this node's own included."""
+        """Every known member, this node's own included.
+
+        A host that is lost for good stays a member, since its row stays in the store.
+        """
         members = [
             outgoing_link.candidate.member for outgoing_link in self.outgoing.values()
         ]
@@ -432,6 +440,14 @@
             members.append(self.local_candidate.member)
         return members
 
+    @property
+    def connected_members(self):
+        """The members with a working link from this node, and this node's own."""
+        members = list(self._connected_links())
+        if self.local_candidate is not None:
+            members.append(self.local_candidate.member)
+        return members
+
     def _connected_links(self):
         return {
             outgoing_link.candidate.member: outgoing_link.link
@@ -533,9 +549,14 @@
 
     # State that peers exchange.
 
-    def broadcast_load(self):
-        """Send the load report and the configuration's version to every peer."""
-        frame = fr.LoadFrame(self.target.load_report(), self.config.version)
+    def broadcast_load(self, config_read=False):
+        """Send the load report and the configuration's version to every peer.
+
+        `config_read` tells whether the configuration's table has just been read.
+        """
+        frame = fr.LoadFrame(
+            self.target.load_report(), self.config.version, config_read
+        )
         for link in list(self.incoming):
             link.send(frame)
 
--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -12,6 +12,7 @@
 from ..tasks import start_task
 from . import watch_schedule
 from .member_rows import MemberRow, encode_row, parse_row
+from .read_watchdog import ReadWatchdog
 from .store_versions import ABSENT
 from .table_follower import MAX_PAUSE_S, TableFollower
 from .target_status import TargetState
@@ -68,6 +69,10 @@
         self._row_version = ABSENT
         self._write_lock = asyncio.Lock()
         self._tasks = []
+        self._config_follower = None
+        self._config_watchdog = ReadWatchdog(self._read_overdue_config)
+        # Number of connected nodes when the latest wait for the configuration began.
+        self._waiting_nodes = 0
         self._save_timer = None
         # Status of the target that the store or peers have confirmed last.
         self._kept_status = None
@@ -82,45 +87,72 @@
 
     def start(self):
         """Start following both tables."""
-        followers = {
-            self._config_row[0]: TableFollower(
-                self._store,
-                self._config_row[0],
-                self._config_wait_s,
-                self._apply_config_rows,
-                self._note_reachable,
-            ),
-            MEMBERS_TABLE: TableFollower(
-                self._store,
-                MEMBERS_TABLE,
-                self._members_wait_s,
-                self._apply_member_rows,
-                self._note_reachable,
-                self._forget_confirmation,
-                BATCH_DELAY_S,
-            ),
-        }
+        self._config_follower = TableFollower(
+            self._store,
+            self._config_row[0],
+            self._config_wait_s,
+            self._apply_config_rows,
+            self._note_reachable,
+        )
+        members_follower = TableFollower(
+            self._store,
+            MEMBERS_TABLE,
+            self._members_wait_s,
+            self._apply_member_rows,
+            self._note_reachable,
+            self._forget_confirmation,
+            BATCH_DELAY_S,
+        )
         self._tasks = [
             start_task(follower.run(), f"follow {table}")
-            for table, follower in followers.items()
+            for table, follower in (
+                (self._config_row[0], self._config_follower),
+                (MEMBERS_TABLE, members_follower),
+            )
         ]
+        self._config_watchdog.start()
 
     def stop(self):
         """Stop following the tables."""
         for task in self._tasks:
             task.cancel()
         self._tasks = []
+        self._config_watchdog.stop()
         if self._save_timer is not None:
             self._save_timer.cancel()
 
-    def _rank(self):
+    def _rank(self, members):
         """Return the number of members whose names sort before this node's."""
-        members = self._node.peers.members
         return sum(member.node < self._own_member.node for member in members)
 
     def _config_wait_s(self, restarted):
-        member_count = len(self._node.peers.members)
-        return watch_schedule.wait_s(self._rank(), member_count, restarted)
+        # Members that cannot be reached do not count: they may be lost for good.
+        members = self._node.peers.connected_members
+        nodes = len(members)
+        # Nodes that have started together, or were cut off from these, may wait at the
+        # same times as others.
+        spread = restarted or nodes >= 2 * self._waiting_nodes
+        self._waiting_nodes = nodes
+        return watch_schedule.wait_s(self._rank(members), nodes, spread)
+
+    def note_peer_read(self):
+        """Note that a peer has read the table of the configuration."""
+        self._config_watchdog.note_read()
+
+    def _read_overdue_config(self, silent_s):
+        """Read the configuration without waiting, since no node has read it for long.
+
+        The response to this node's own watch may be lost, and the nodes whose waits
+        should have ended since may be lost or frozen.
+        """
+        if self._config_follower.end_wait():
+            log_entry(
+                "store:read-overdue",
+                table=self._config_row[0],
+                silent_s=round(silent_s, 3),
+                connected=len(self._node.peers.connected_members),
+                members=len(self._node.peers.members),
+            )
 
     def _members_wait_s(self, restarted):
         return self._random.uniform(*MEMBERS_POLL_RANGE_S)
@@ -139,6 +171,10 @@
             if row.key == self._config_row[1] and row.value is not None:
                 # None: only the text itself contains the configuration's version.
                 self._node.config.offer(None, row.value, "store")
+        since_last_s = self._config_watchdog.note_read()
+        # A change is read by all nodes at once.
+        if not rows and watch_schedule.is_announcement_due(since_last_s):
+            self._node.peers.broadcast_load(config_read=True)
 
     def _apply_member_rows(self, rows, complete):
         own_row = None
@@ -171,7 +207,7 @@
 
     def _remove_expired_rows(self):
         """Remove the rows of nodes that stopped long ago; only one member does this."""
-        if self._rank() > 0:
+        if self._rank(self._node.peers.members) > 0:
             return
         now = asyncio.get_running_loop().time()
         for (key, version), read_at in list(self._stopped_rows.items()):
--- a/pimentoline/twohop/table_follower.py
+++ b/pimentoline/twohop/table_follower.py
@@ -64,6 +64,12 @@
         # Whether the previous read got no response. A response names the era, so the
         # next one must not be delayed by a wait.
         self._failed = False
+        # Time-out of the current wait for a change, None while there is none.
+        self._wait_timer = None
+        # Time of the event loop at which the store ends the wait, seconds.
+        self._wait_ends_at = 0.0
+        # Whether `end_wait` ended the previous wait, so that the next one is left out.
+        self._wait_ended = False
         # Whether all rows were read last, and not the changes.
         self._rows_read = False
         self._pause_s = MIN_PAUSE_S
@@ -76,8 +82,8 @@
             try:
                 if self._after is None:
                     await self._read_all()
-                else:
-                    await self._read_changes()
+                elif not await self._read_changes():
+                    continue
                 self._note_reachable(True, "")
                 self._failed = False
                 self._pause_s = MIN_PAUSE_S
@@ -112,17 +118,53 @@
         )
         self._apply(rows, True)
 
+    def end_wait(self):
+        """End the current wait for a change, and read the changes at once.
+
+        Returns
+        -------
+        bool
+            Whether a wait was ended. If there was none, or the store has already ended
+            it, a response or the next read follows by itself.
+        """
+        now = asyncio.get_running_loop().time()
+        if self._wait_timer is None or now >= self._wait_ends_at:
+            return False
+        self._wait_timer.reschedule(now)
+        self._wait_timer = None
+        return True
+
     async def _read_changes(self):
-        wait_s = 0.0 if self._failed else self._get_wait_s(self._restarted)
+        """Read the changes; return whether this was done, and not ended early."""
+        if self._failed or self._wait_ended:
+            wait_s = 0.0
+        else:
+            wait_s = self._get_wait_s(self._restarted)
         # A failed read leaves this at True.
         self._restarted = True
-        rows, self._after = await self._store.read_changes(
-            self._table, self._after, wait_s
-        )
+        timer = asyncio.timeout(None)
+        try:
+            async with timer:
+                if wait_s:
+                    self._wait_timer = timer
+                    now = asyncio.get_running_loop().time()
+                    self._wait_ends_at = now + wait_s
+                rows, self._after = await self._store.read_changes(
+                    self._table, self._after, wait_s
+                )
+        except TimeoutError:
+            if not timer.expired():
+                raise
+            self._restarted, self._wait_ended = False, True
+            return False
+        finally:
+            self._wait_timer = None
         self._restarted, self._rows_read = self._failed or bool(rows), False
+        self._wait_ended = False
         self._apply(rows, False)
         if rows:
             await asyncio.sleep(self._batch_delay_s)
+        return True
 
     async def _start_anew(self, exc):
         """Prepare to read all rows again after a `StoreHistoryExpiredError`."""
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -66,6 +66,7 @@
         self.up = True
         self.calls = []
         self._cuts = 0
+        self._silenced = 0
         self._changed = asyncio.Event()
         # Second and number of the calls in it, by method.
         self._used = {}
@@ -92,6 +93,11 @@
         self._cuts += 1
         self._wake_watches()
 
+    def silence_watches(self):
+        """Never respond to the requests that wait for a change now."""
+        self._silenced += 1
+        self._wake_watches()
+
     def _wake_watches(self):
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -135,12 +141,14 @@
         ]
 
     async def _watch(self, query):
-        after, cuts = int(query["after"]), self._cuts
+        after, cuts, silenced = int(query["after"]), self._cuts, self._silenced
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(query["wait_ms"]) / 1000
         while True:
             if self._cuts != cuts:
                 raise OSError("connection closed")
+            if self._silenced != silenced:
+                await asyncio.Event().wait()
             if after > self.version:
                 return HISTORY_EXPIRED_STATUS, {}
             items = self._items(query["table"], after)
--- a/tests/test_twohop_forks.py
+++ b/tests/test_twohop_forks.py
@@ -15,7 +15,7 @@
 from pimentoline.twohop.target_status import Heartbeat, TargetState
 from standins.store_model import StoreClient, StoreModel
 
-from .test_twohop_generated import ADDR, FakeTargetSide, NoReplicas
+from .test_twohop_generated import ADDR, FakeTargetSide, make_lone_peers
 
 CONFIG_ROW = ("op", "config")
 NODE = "n1"
@@ -34,7 +34,7 @@
         self.versions = [0]
         self.config = SimpleNamespace(offer=self._offer)
         member = Member(NODE, ADDR, "kerio", "rift", "ledger")
-        self.peers = SimpleNamespace(members=[member], replicas=NoReplicas())
+        self.peers = make_lone_peers(member)
         self.store_sync = StoreSync(StoreClient(store), CONFIG_ROW, member, self)
         self.store_sync.start()
 
--- a/tests/test_twohop_frames.py
+++ b/tests/test_twohop_frames.py
@@ -25,6 +25,7 @@
     (fr.FailedFrame(5, "cut", Verdict.MAY_HAVE_RUN, LOAD), b""),
     (fr.CancelFrame(5), b""),
     (fr.LoadFrame(LOAD, 9), b""),
+    (fr.LoadFrame(LOAD, 9, True), b""),
     (fr.Ping(), b""),
     (fr.Pong(), b""),
     (fr.ConfigRequest(), b""),
--- a/tests/test_twohop_generated.py
+++ b/tests/test_twohop_generated.py
@@ -299,6 +299,16 @@
         return False
 
 
+def make_lone_peers(member):
+    """Return the part of `Peers` that `StoreSync` uses, for a node without peers."""
+    return SimpleNamespace(
+        members=[member],
+        connected_members=[member],
+        replicas=NoReplicas(),
+        broadcast_load=lambda config_read: None,
+    )
+
+
 class NodeProcess:
     """One process of a node; a restart creates another one with the same store."""
 
@@ -306,7 +316,7 @@
         self.target = FakeTargetSide()
         self.config = None
         member = Member("n1", ADDR, "kerio", "rift", "ledger")
-        self.peers = SimpleNamespace(members=[member], replicas=NoReplicas())
+        self.peers = make_lone_peers(member)
         self.store_sync = StoreSync(store, ("op", "config"), member, self)
         self.store_sync.start()
 
