Remove the rows of stopped nodes although the first member is lost

Cause: the first member of the list removes the rows of nodes that stopped 10 minutes ago. A host that is lost for good stays in the list; if its name is the first one, no row was removed any more.

Change: the first member with a working link removes them. With a cut link two nodes do; the removal is conditional on the row's version.

Before: test_rows_of_stopped_nodes_are_removed_without_the_first_member[kill] failed, the row was still stored after 650 s. After: it and [cut] pass; [cut] passed before as well.

Conclusion: fixed.

--- a/pimentoline/twohop/store_sync.py
+++ b/pimentoline/twohop/store_sync.py
@@ -206,8 +206,12 @@
         self.members_loaded.set()
 
     def _remove_expired_rows(self):
-        """Remove the rows of nodes that stopped long ago; only one member does this."""
-        if self._rank(self._node.peers.members) > 0:
+        """Remove the rows of nodes that stopped long ago.
+
+        Only the first connected member does this. Under a cut link there are two such
+        members; the second removal finds another version and has no effect.
+        """
+        if self._rank(self._node.peers.connected_members) > 0:
             return
         now = asyncio.get_running_loop().time()
         for (key, version), read_at in list(self._stopped_rows.items()):
--- a/standins/store_model.py
+++ b/standins/store_model.py
@@ -77,6 +77,11 @@
         self.rows[row_id] = (value, self.version)
         self._wake_watches()
 
+    def remove(self, row_id):
+        """Remove a row; those who wait for changes are not told."""
+        self.version += 1
+        del self.rows[row_id]
+
     def copy(self):
         """Return a copy for `go_back`."""
         return dict(self.rows), self.version
@@ -161,13 +166,16 @@
                 continue
 
     def _apply(self, transaction):
-        """Write one row under a condition; the model takes no other transaction."""
-        (check,), (write,) = transaction["expected_rev"], transaction["writes"]
+        """Write or remove one row under a condition, the only transactions taken."""
+        (check,) = transaction["expected_rev"]
         table, key = row_id = check["table"], check["key"]
         if self.rows.get(row_id, (None, 0))[1] != check["ver"]:
             items = [item for item in self._items(table) if item["key"] == key]
             return CONFLICT_STATUS, {"rows": items}
-        self.put(row_id, base64.b64decode(write["value"]))
+        if transaction["remove"]:
+            self.remove(row_id)
+        for write in transaction["writes"]:
+            self.put(row_id, base64.b64decode(write["value"]))
         return 200, {}
 
 
--- a/tests/test_twohop_watch_gaps.py
+++ b/tests/test_twohop_watch_gaps.py
@@ -12,7 +12,11 @@
 from bench.emulator import simulated_time
 from pimentoline.twohop.member_rows import MemberRow, encode_row
 from pimentoline.twohop.model import Member
-from pimentoline.twohop.store_sync import MEMBERS_TABLE
+from pimentoline.twohop.store_sync import (
+    MEMBERS_POLL_RANGE_S,
+    MEMBERS_TABLE,
+    STOPPED_ROW_LIFETIME_S,
+)
 from pimentoline.twohop.table_follower import TableFollower
 from pimentoline.twohop.watch_schedule import ANNOUNCE_INTERVAL_S, MAX_WAIT_S
 
@@ -103,6 +107,34 @@
     simulated_time.run(play())
 
 
+@pytest.mark.parametrize("loss", ["kill", "cut"])
+def test_rows_of_stopped_nodes_are_removed_without_the_first_member(loss):
+    """Guards against rows that stay for ever if the first member is lost for good.
+
+    With a cut link, two members take themselves for the first one.
+    """
+
+    async def play():
+        cluster = ModelCluster(NODES)
+        cluster.start()
+        await asyncio.sleep(SETTLE_S)
+        stopped = Member("n999", ("10.0.0.2", 9000), "d", "r", "s")
+        row = MEMBERS_TABLE, stopped.node
+        cluster.store.put(row, encode_row(MemberRow(stopped, None, True)))
+        if loss == "kill":
+            cluster.nodes[0].kill()
+        else:
+            cluster.split(7, cluster.cuts)
+        await asyncio.sleep(STOPPED_ROW_LIFETIME_S - 10.0)
+        assert row in cluster.store.rows
+        # Members look for such rows when a watch of their table ends.
+        await asyncio.sleep(10.0 + 2 * MEMBERS_POLL_RANGE_S[1])
+        assert row not in cluster.store.rows
+        cluster.close()
+
+    simulated_time.run(play())
+
+
 @pytest.mark.parametrize("nodes", [1, 2, 3, NODES, 85])
 def test_no_wait_is_ended_early_in_calm(monkeypatch, nodes):
     """Guards against further calls to the store while all nodes read it as planned."""
