Guard the allowance of retries against counting connected members only

The allowance of retries is divided by all members, also lost ones, so those that are left retry less than they may.

--- a/pimentoline/twohop/caller_side.py
+++ b/pimentoline/twohop/caller_side.py
@@ -348,7 +348,7 @@
         """Take a retry from the service's budget; return whether one was left.
 
         A part of the budget is shared equally by all nodes, so it depends on their
-        number.
+        number. Members out of reach count: they may be serving calls behind a cut link.
         """
         return self.retry_budget(service).try_acquire(now, len(self.peers.members))
 
