Play a node that is the only one that runs in the soak

`alone` kills or suspends all nodes but one before the waiting readers go silent and the configuration changes; the node that is left must have it in force after 3 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,10 +40,12 @@
 # that cannot be read (`odd`). A target of the service `ledger` leaves, mostly while the
 # store fails, and goes on serving while its node is killed or stopped and started again
 # (`leave`). The store comes back from an older copy, while a node may be killed,
-# suspended or stopped (`rewind`).
+# suspended or stopped (`rewind`). All nodes but one are killed or suspended, and the
+# readers of the feed go silent before a change (`alone`).
 FAULT_KINDS = (
     *("kill", "freeze", "stop", "down", "silent", "lose", "replace", "history"),
     *("change", "watches", "odd", "leave", "rewind"),
+    "alone",
 )
 # How long a target goes on serving after it has left, seconds.
 LEFT_TARGET_SERVES_S = 8.0
@@ -252,7 +254,7 @@
                 self.store.silence_feeds()
                 self._change_configuration()
                 await asyncio.sleep(CONFIG_LIMIT_S)
-                await self._check_configuration()
+                await self._check_configuration(self.nodes)
             case "odd":
                 for table in ("members", "op"):
                     value = self.rng.choice(ODD_VALUES)
@@ -263,6 +265,30 @@
                 await self._leave_and_restart(node)
             case "rewind":
                 await self._rewind_store(node)
+            case "alone":
+                await self._leave_alone(node)
+
+    async def _leave_alone(self, node):
+        """Lose the responses with a change while a node is the only one that runs."""
+        others = [other for other in self.nodes if other is not node]
+        killed = self.rng.random() < 0.5
+        self._change_configuration()
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        for other in others:
+            if killed:
+                other.kill()
+            else:
+                other.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        self.store.silence_feeds()
+        self._change_configuration()
+        await asyncio.sleep(CONFIG_LIMIT_S)
+        await self._check_configuration([node])
+        for other in others:
+            if killed:
+                other.start()
+            else:
+                other.signal(signal.SIGCONT)
 
     async def _rewind_store(self, node):
         """Let the store come back from a copy, with a change at the return.
@@ -301,7 +327,7 @@
             await asyncio.to_thread(node.process.wait)
             node.start()
         await asyncio.sleep(CONFIG_LIMIT_S)
-        await self._check_configuration()
+        await self._check_configuration(self.nodes)
         self._check_rows()
 
     def _check_rows(self):
@@ -314,9 +340,9 @@
         self.version += 1
         self.store.put_config(configuration(self.version))
 
-    async def _check_configuration(self):
-        """Check that every node has the newest configuration in force."""
-        for node in self.nodes:
+    async def _check_configuration(self, nodes):
+        """Check that nodes have the newest configuration in force."""
+        for node in nodes:
             if await look_up(node, f"/v{self.version}/probe") == 404:
                 self.checker.violations.append(
                     f"{node.name}: version {self.version} is not in force after "
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -102,3 +102,10 @@
     result = run_seed(2, LENGTH_S, kinds=("rewind",))
     assert not result.violations
     assert result.statuses.get(200, 0) > 0
+
+
+def test_change_is_in_force_at_the_only_node_that_runs():
+    """Guards against a node that counts on others which are killed or suspended."""
+    result = run_seed(2, LENGTH_S, kinds=("alone",))
+    assert not result.violations
+    assert result.statuses.get(200, 0) > 0
