--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -55,9 +55,9 @@
 [limits]
 cpu_share = 0.86
 cores = 1
-memory_mb = 300
+memory_mb = {memory_mb}
 max_fds = 4100
-link_mbps = 1000.0
+link_mbps = {link_mbps}
 disk_mb = 0
 [platform]
 address = "127.0.0.1:{store}"
@@ -436,7 +436,17 @@
 class Node:
     """A node process beside an instance."""
 
-    def __init__(self, log, folder, name, service, app_port, store):
+    def __init__(
+        self,
+        log,
+        folder,
+        name,
+        service,
+        app_port,
+        store,
+        memory_mb=300,
+        link_mbps=1000.0,
+    ):
         self.log = log
         self.name = name
         self.ports = {
@@ -450,6 +460,8 @@
                 service=service,
                 app=app_port,
                 store=store.port,
+                memory_mb=memory_mb,
+                link_mbps=link_mbps,
                 bounds=",".join(f'"{item}"' for item in BOUNDS.split()),
                 **self.ports,
             )
@@ -540,7 +552,7 @@
         return request_id, status, data, headers
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, timeout="1500ms"):
     """Return a configuration.
 
     Parameters
@@ -555,7 +567,7 @@
         "routes": {
             "columns": columns,
             "rows": [
-                [f"r{i}", HOST, prefix, kind, "1500ms", "300ms", 1, service, 2, None]
+                [f"r{i}", HOST, prefix, kind, timeout, "300ms", 1, service, 2, None]
                 for i, (prefix, kind, service) in enumerate(routes)
             ],
         },
