Stop a review script at once on a signal

An ordinary exception of the signal handler could end in a background task, and the script would have gone on. It raises SystemExit now.

--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -74,6 +74,8 @@
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 _given_ports = set()
 _numbers = itertools.count(1)
 
@@ -607,10 +609,14 @@
     nodes = []
     log(f"TROUBLE={int(trouble)}")
 
+    code = 2
+
     def stop(signum, frame):
-        raise CannotRun(f"stopped by {signal.Signals(signum).name}")
+        # A task of the event loop would keep an ordinary exception to itself.
+        log(f"stopped by {signal.Signals(signum).name}")
+        raise SystemExit(code)
 
-    for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    for signum in STOP_SIGNALS:
         signal.signal(signum, stop)
 
     async def run():
@@ -628,10 +634,11 @@
             print(f"{len(violations)} violations")
         log(f"{len(violations)} violations")
     except Exception as exc:
-        code = 2
         log(f"could not run: {exc!r}")
         traceback.print_exc()
     finally:
+        for signum in STOP_SIGNALS:
+            signal.signal(signum, signal.SIG_IGN)
         for node in nodes:
             if node.process is not None and node.process.poll() is None:
                 with contextlib.suppress(OSError):
